--- /dev/null
+++ b/crates/sparrouter-simhost/src/node.rs
@@ -0,0 +1,300 @@
+//! One instance: the decision module behind maps between the wire's ids and its small indices.
+use crate::wire::{self, Enlist, Incoming, Order, nanos};
+use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
+use sparrouter::policy::Policy;
+use sparrouter::types::*;
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+struct Ticket {
+    text: String,
+    out: usize,
+    open: bool,
+}
+
+pub struct Node {
+    i: i64,
+    policy: Policy,
+    areas: Vec<String>,
+    kinds: Vec<String>,
+    operations: HashMap<String, usize>,
+    tenants: HashMap<String, usize>,
+    caches: HashMap<String, CacheIx>,
+    servers: Vec<String>,
+    tickets: HashMap<String, InvIx>,
+    invs: HashMap<InvIx, Ticket>,
+    next: InvIx,
+}
+
+fn index(names: &mut Vec<String>, name: &str) -> usize {
+    names.iter().position(|n| n == name).unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    })
+}
+
+fn operation(c: &wire::Class) -> Result<Operation, String> {
+    let group = match c.key_scope.as_str() {
+        "all" | "" => Group::All,
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        other => return Err(format!("Enlist: field KeyScope: unknown value {other}")),
+    };
+    let effect = match c.effect.as_str() {
+        "read_like" => Effect::Idempotent,
+        "idempotency_key" => Effect::Deduplicated { group, window: nanos("WindowUs", c.window_us)? },
+        "non_idempotent" => Effect::NonIdempotent,
+        other => return Err(format!("Enlist: field Effect: unknown value {other}")),
+    };
+    Ok(Operation {
+        effect,
+        objective: nanos("ObjectiveUs", c.objective_us)?,
+        stretch: c.aim_stretch,
+        client_timeout: nanos("DeadlineUs", c.deadline_us)?,
+        billed_value: c.worth,
+        late_part: c.late_worth,
+        stream: c.stream,
+    })
+}
+
+fn outcome(verb: &str, rc: &str) -> Result<Outcome, String> {
+    Ok(match rc {
+        "OK" => Outcome::Succeeded,
+        "INTERNAL" => Outcome::Error,
+        "RESOURCE_EXHAUSTED" => Outcome::Full,
+        "DEADLINE_EXCEEDED" => Outcome::TimedOut,
+        "UNAVAILABLE" => Outcome::Unavailable,
+        "ABORTED" => Outcome::Reset,
+        "CANCELLED" => Outcome::Withdrawn,
+        "TOO_LATE" => Outcome::NotSent,
+        "NOT_FOUND" => Outcome::Miss,
+        other => return Err(format!("{verb}: field Rc: unknown value {other}")),
+    })
+}
+
+fn load(info: Option<std::collections::BTreeMap<String, f64>>) -> Option<Load> {
+    info.map(|i| Load { active: i.get("active").copied(), waiting: i.get("waiting").copied() })
+}
+
+impl Node {
+    pub fn new(enlist: Enlist) -> Result<Node, String> {
+        let info = enlist.info;
+        let seed = enlist.nonce.as_u64().or_else(|| enlist.nonce.as_i64().map(|n| n as u64));
+        let operations = info.classes.iter().map(operation).collect::<Result<Vec<_>, _>>()?;
+        let tenants: Vec<Tenant> =
+            info.tenants.iter().map(|t| Tenant { share: t.share, quota_per_s: t.quota_per_s }).collect();
+        let place = Surroundings {
+            seed: seed.ok_or("Enlist: field Nonce64: not a whole number")?,
+            own_index: info.self_index,
+            nodes: info.balancers,
+            may_probe: info.limits.may_probe,
+            peers: info.limits.peers,
+            tick: nanos("TickUs", info.tick_us)?,
+            must_ask: info.discovery == "subscribe",
+            live_weights: info.weights == "live",
+            over_share_part: info.over_share_worth,
+        };
+        let advice = nanos("MaxRetryAfterUs", info.limits.max_retry_after_us)?;
+        let limits = ForwardLimits {
+            max_forwards: info.limits.max_attempts,
+            second_copies: info.limits.second_copies,
+            withdraw: info.limits.cancel,
+            max_retry_after: info.limits.retry_after.then_some(advice),
+        };
+        let rules = Rules {
+            answer_slack: nanos("AnswerSlackUs", info.safety.answer_slack_us)?,
+            ask_every: nanos("AskEveryUs", info.safety.ask_every_us)?,
+            start_capacity: info.safety.start_capacity,
+            cold: nanos("ColdUs", info.safety.cold_us)?,
+            fall_multiple: info.safety.fall_multiple,
+            fall: nanos("FallUs", info.safety.fall_us)?,
+        };
+        let mode = match usize::try_from(info.family_info.origin_kind) {
+            Ok(kind) if info.family_info.mode == "aside" => OriginMode::Aside { kind },
+            _ => OriginMode::Through,
+        };
+        Ok(Node {
+            i: enlist.i,
+            policy: Policy::new(place, operations, &tenants, limits, rules, mode),
+            areas: info.areas,
+            kinds: info.kinds,
+            operations: info.classes.into_iter().enumerate().map(|(n, c)| (c.name, n)).collect(),
+            tenants: info.tenants.into_iter().enumerate().map(|(n, t)| (t.name, n)).collect(),
+            caches: HashMap::new(),
+            servers: Vec::new(),
+            tickets: HashMap::new(),
+            invs: HashMap::new(),
+            next: 0,
+        })
+    }
+
+    fn row(&mut self, r: wire::Row) -> Result<Row, String> {
+        let standing = match r.condition.as_str() {
+            "in_service" => Standing::Ready,
+            "terminating" => Standing::Draining,
+            "terminated" => Standing::Gone,
+            other => return Err(format!("PeersKnown: field Condition: unknown value {other}")),
+        };
+        let servers = &mut self.servers;
+        let cache = *self.caches.entry(r.server.clone()).or_insert_with(|| {
+            servers.push(r.server.clone());
+            servers.len() - 1
+        });
+        Ok(Row {
+            cache,
+            id_hash: xxh3_64(r.server.as_bytes()),
+            standing,
+            zone: index(&mut self.areas, &r.campus),
+            cell: r.group,
+            kind: index(&mut self.kinds, &r.generation_hw),
+            weight: r.heft,
+            ready_at: nanos("ReadyAtUs", r.ready_at_us)?,
+        })
+    }
+
+    fn server(&self, verb: &str, server: &str) -> Result<CacheIx, String> {
+        let known = self.caches.get(server).copied();
+        known.ok_or_else(|| format!("{verb}: field Server: {server} was never listed"))
+    }
+
+    /// The module's event, or none for one that concerns something long over.
+    pub fn translate(&mut self, incoming: Incoming) -> Result<Option<Event>, String> {
+        Ok(match incoming {
+            Incoming::Enlist(_) | Incoming::Down { .. } => None,
+            Incoming::PeersKnown(known) => {
+                let form = match known.form.as_str() {
+                    "INCREMENTAL" => Form::Changes,
+                    "FULL" => Form::Full,
+                    "SAVED" => Form::Saved,
+                    "FAILED" => Form::Lost,
+                    other => return Err(format!("PeersKnown: field Form: unknown value {other}")),
+                };
+                let rows = known.rows.into_iter().map(|r| self.row(r)).collect::<Result<Vec<_>, _>>()?;
+                Some(Event::Listed { form, rows })
+            }
+            Incoming::Ingress(r) => {
+                let operation = self.operations.get(&r.kind).copied();
+                let operation =
+                    operation.ok_or_else(|| format!("Ingress: field Type: unknown class {}", r.kind))?;
+                let tenant = r.billing.as_ref().and_then(|b| b.as_str());
+                let inv = self.next;
+                self.next += 1;
+                self.tickets.insert(r.ticket.clone(), inv);
+                self.invs.insert(inv, Ticket { text: r.ticket, out: 0, open: true });
+                Some(Event::Arrived(Arrival {
+                    inv,
+                    operation,
+                    tenant: tenant.and_then(|t| self.tenants.get(t).copied()),
+                    key: r.object.map(|k| xxh3_64(k.as_bytes())),
+                    write: r.write,
+                    repeat: r.repeat,
+                    work: r.predicted_us.map(|w| nanos("PredictedUs", w)).transpose()?,
+                    due: nanos("DueUs", r.due_us)?,
+                }))
+            }
+            Incoming::Begun(b) => self.tickets.get(&b.ticket).map(|&inv| Event::Begun { inv, copy: b.copy }),
+            Incoming::Done(d) => {
+                let cache = self.server("Done", &d.server)?;
+                let outcome = outcome("Done", &d.rc)?;
+                let Some(&inv) = self.tickets.get(&d.ticket) else { return Ok(None) };
+                if let Some(t) = self.invs.get_mut(&inv) {
+                    t.out = t.out.saturating_sub(1);
+                    t.open &= !d.last;
+                }
+                Some(Event::Ended(Ending {
+                    inv,
+                    copy: d.copy,
+                    cache,
+                    outcome,
+                    lag: nanos("LagUs", d.lag_us)?,
+                    last: d.last,
+                    note: match d.note {
+                        Some(1) => Some(Note::Hit),
+                        Some(2) => Some(Note::Miss),
+                        Some(3) => Some(Note::MissWhileFetching),
+                        _ => None,
+                    },
+                    load: load(d.health_info),
+                }))
+            }
+            Incoming::Vanished { ticket, .. } => self.tickets.get(&ticket).copied().map(|inv| {
+                if let Some(t) = self.invs.get_mut(&inv) {
+                    t.open = false;
+                }
+                Event::Left { inv }
+            }),
+            Incoming::TimeoutFired { handle, .. } => {
+                let token = handle.parse();
+                Some(Event::Woke {
+                    token: token.map_err(|_| format!("TimeoutFired: field Handle: {handle} is not ours"))?,
+                })
+            }
+            Incoming::Echo(e) => {
+                let ok = outcome("Echo", &e.rc)? == Outcome::Succeeded;
+                let cache = self.server("Echo", &e.server)?;
+                Some(Event::Probed { cache, ok, load: load(e.health_info) })
+            }
+            Incoming::Datagram { neighbour, payload, .. } => Some(Event::Told {
+                peer: neighbour,
+                text: BASE64.decode(payload).map_err(|e| format!("Datagram: field Payload: {e}"))?,
+            }),
+        })
+    }
+
+    pub fn handle(&mut self, now: Nanos, event: Option<Event>, orders: &mut Vec<Order>) {
+        let Some(event) = event else { return };
+        let ended = match &event {
+            Event::Ended(e) => Some(e.inv),
+            Event::Left { inv } => Some(*inv),
+            _ => None,
+        };
+        self.policy.handle(now, event);
+        let i = self.i;
+        let micros = |t: Nanos| t.div_ceil(MICRO);
+        let mut touched: Vec<InvIx> = ended.into_iter().collect();
+        for action in self.policy.drain() {
+            let order = match action {
+                Action::Forward { inv, cache, wait } => {
+                    let t = self.invs.get_mut(&inv).expect("known invocation");
+                    t.out += 1;
+                    Order::Route {
+                        i,
+                        ticket: t.text.clone(),
+                        max_wait_us: micros(wait),
+                        server: self.servers[cache].clone(),
+                    }
+                }
+                Action::Withdraw { inv, copy } => {
+                    Order::Retract { i, ticket: self.invs[&inv].text.clone(), copy }
+                }
+                Action::Throttle { inv, .. } | Action::Error { inv } => {
+                    let t = self.invs.get_mut(&inv).expect("known invocation");
+                    t.open = false;
+                    touched.push(inv);
+                    let ticket = t.text.clone();
+                    match action {
+                        Action::Throttle { retry_after, .. } => {
+                            Order::Busy { i, ticket, retry_after_us: micros(retry_after) }
+                        }
+                        _ => Order::Abort { i, ticket },
+                    }
+                }
+                Action::Wake { after, token } => {
+                    Order::NotifyMe { i, wait_us: micros(after), handle: token.to_string() }
+                }
+                Action::Probe { cache } => Order::Sample { i, server: self.servers[cache].clone() },
+                Action::Tell { text } => Order::Signal { i, peer: -1, payload: BASE64.encode(text) },
+                Action::Follow => Order::Tail { i, on: true },
+                Action::AskList => Order::Pull { i },
+            };
+            orders.push(order);
+        }
+        for inv in touched {
+            if self.invs.get(&inv).is_some_and(|t| !t.open && t.out == 0)
+                && let Some(t) = self.invs.remove(&inv)
+            {
+                self.tickets.remove(&t.text);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-simhost/src/wire.rs
@@ -0,0 +1,301 @@
+//! The wire's messages, in the wire's own words.
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+pub fn nanos(field: &str, us: i64) -> Result<u64, String> {
+    let us = u64::try_from(us).map_err(|_| format!("field {field}: {us} is below 0"))?;
+    us.checked_mul(1000).ok_or_else(|| format!("field {field}: {us} is out of range"))
+}
+
+#[derive(Deserialize)]
+pub struct Batch {
+    #[serde(rename = "AtTimeUs")]
+    pub at: i64,
+    pub events: Vec<Incoming>,
+}
+
+#[derive(Serialize)]
+pub struct Reply {
+    pub orders: Vec<Order>,
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "verb")]
+pub enum Incoming {
+    Enlist(Enlist),
+    Down {
+        #[serde(rename = "I")]
+        i: i64,
+    },
+    PeersKnown(PeersKnown),
+    Ingress(Ingress),
+    Begun(Begun),
+    Done(Done),
+    Vanished {
+        #[serde(rename = "I")]
+        i: i64,
+        #[serde(rename = "Ticket")]
+        ticket: String,
+    },
+    TimeoutFired {
+        #[serde(rename = "I")]
+        i: i64,
+        #[serde(rename = "Handle")]
+        handle: String,
+    },
+    Echo(Echo),
+    Datagram {
+        #[serde(rename = "I")]
+        i: i64,
+        #[serde(rename = "Neighbour")]
+        neighbour: usize,
+        #[serde(rename = "Payload")]
+        payload: String,
+    },
+}
+
+impl Incoming {
+    pub fn instance(&self) -> i64 {
+        match self {
+            Incoming::Enlist(e) => e.i,
+            Incoming::PeersKnown(e) => e.i,
+            Incoming::Ingress(e) => e.i,
+            Incoming::Begun(e) => e.i,
+            Incoming::Done(e) => e.i,
+            Incoming::Echo(e) => e.i,
+            Incoming::Down { i }
+            | Incoming::Vanished { i, .. }
+            | Incoming::TimeoutFired { i, .. }
+            | Incoming::Datagram { i, .. } => *i,
+        }
+    }
+    pub fn name(&self) -> &'static str {
+        match self {
+            Incoming::Enlist(_) => "Enlist",
+            Incoming::Down { .. } => "Down",
+            Incoming::PeersKnown(_) => "PeersKnown",
+            Incoming::Ingress(_) => "Ingress",
+            Incoming::Begun(_) => "Begun",
+            Incoming::Done(_) => "Done",
+            Incoming::Vanished { .. } => "Vanished",
+            Incoming::TimeoutFired { .. } => "TimeoutFired",
+            Incoming::Echo(_) => "Echo",
+            Incoming::Datagram { .. } => "Datagram",
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Enlist {
+    pub i: i64,
+    #[serde(rename = "Nonce64")]
+    pub nonce: serde_json::Number,
+    pub info: Info,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Info {
+    pub areas: Vec<String>,
+    #[serde(default = "one")]
+    pub balancers: usize,
+    pub classes: Vec<Class>,
+    #[serde(default)]
+    pub discovery: String,
+    #[serde(default)]
+    pub family_info: FamilyInfo,
+    #[serde(default)]
+    pub kinds: Vec<String>,
+    pub limits: Limits,
+    #[serde(default = "full")]
+    pub over_share_worth: f64,
+    pub safety: Safety,
+    #[serde(default)]
+    pub self_index: usize,
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
+    #[serde(default)]
+    pub tick_us: i64,
+    #[serde(default)]
+    pub weights: String,
+}
+
+fn one() -> usize {
+    1
+}
+fn full() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Class {
+    pub name: String,
+    #[serde(default)]
+    pub aim_stretch: f64,
+    pub objective_us: i64,
+    pub deadline_us: i64,
+    pub effect: String,
+    #[serde(default)]
+    pub key_scope: String,
+    #[serde(default)]
+    pub late_worth: f64,
+    #[serde(default)]
+    pub stream: bool,
+    #[serde(default)]
+    pub window_us: i64,
+    #[serde(default = "full")]
+    pub worth: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct FamilyInfo {
+    pub mode: String,
+    pub origin_kind: i64,
+}
+
+impl Default for FamilyInfo {
+    fn default() -> Self {
+        FamilyInfo { mode: String::new(), origin_kind: -1 }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Limits {
+    #[serde(default)]
+    pub cancel: bool,
+    pub max_attempts: usize,
+    #[serde(default)]
+    pub max_retry_after_us: i64,
+    #[serde(default)]
+    pub peers: bool,
+    #[serde(default)]
+    pub may_probe: bool,
+    #[serde(default)]
+    pub retry_after: bool,
+    #[serde(default)]
+    pub second_copies: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Safety {
+    pub answer_slack_us: i64,
+    #[serde(default)]
+    pub ask_every_us: i64,
+    pub start_capacity: f64,
+    pub cold_us: i64,
+    pub fall_multiple: f64,
+    pub fall_us: i64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Tenant {
+    pub name: String,
+    pub quota_per_s: f64,
+    pub share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct PeersKnown {
+    pub i: i64,
+    pub form: String,
+    #[serde(default)]
+    pub rows: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Row {
+    pub server: String,
+    pub condition: String,
+    #[serde(default)]
+    pub campus: String,
+    #[serde(default = "full")]
+    pub heft: f64,
+    #[serde(default)]
+    pub generation_hw: String,
+    #[serde(default)]
+    pub group: i64,
+    #[serde(default)]
+    pub ready_at_us: i64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Ingress {
+    pub i: i64,
+    pub ticket: String,
+    #[serde(default)]
+    pub write: bool,
+    pub object: Option<String>,
+    pub predicted_us: Option<i64>,
+    pub billing: Option<serde_json::Value>,
+    #[serde(default)]
+    pub repeat: bool,
+    pub due_us: i64,
+    #[serde(rename = "Type")]
+    pub kind: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Begun {
+    pub i: i64,
+    pub ticket: String,
+    pub copy: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Done {
+    pub i: i64,
+    pub ticket: String,
+    pub copy: usize,
+    pub server: String,
+    pub rc: String,
+    pub lag_us: i64,
+    #[serde(default)]
+    pub last: bool,
+    pub note: Option<i64>,
+    pub health_info: Option<BTreeMap<String, f64>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Echo {
+    pub i: i64,
+    pub rc: String,
+    pub server: String,
+    pub health_info: Option<BTreeMap<String, f64>>,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "verb")]
+pub enum Order {
+    #[serde(rename_all = "PascalCase")]
+    Route { i: i64, ticket: String, max_wait_us: u64, server: String },
+    #[serde(rename_all = "PascalCase")]
+    Retract { i: i64, ticket: String, copy: usize },
+    #[serde(rename_all = "PascalCase")]
+    Busy { i: i64, ticket: String, retry_after_us: u64 },
+    #[serde(rename_all = "PascalCase")]
+    Abort { i: i64, ticket: String },
+    #[serde(rename_all = "PascalCase")]
+    NotifyMe { i: i64, wait_us: u64, handle: String },
+    #[serde(rename_all = "PascalCase")]
+    Sample { i: i64, server: String },
+    #[serde(rename_all = "PascalCase")]
+    Signal { i: i64, peer: i64, payload: String },
+    #[serde(rename_all = "PascalCase")]
+    Tail { i: i64, on: bool },
+    #[serde(rename_all = "PascalCase")]
+    Pull { i: i64 },
+    #[serde(rename_all = "PascalCase")]
+    Exception { i: i64, text: String },
+}
--- /dev/null
+++ b/crates/sparrouter/src/lib.rs
@@ -0,0 +1,3 @@
+//! The decisions of sparrouter. `types` is the door (events in, actions out), `policy` decides.
+pub mod policy;
+pub mod types;
--- /dev/null
+++ b/crates/sparrouter/src/policy.rs
@@ -0,0 +1,1071 @@
+//! Every decision of sparrouter, for one node.
+//!
+//! How it is called: `Policy::new` takes the settings, part by part; then `handle(now, event)` is
+//! called once an event, in order of arrival, and `drain()` yields the actions to carry out, in
+//! order. Nothing else goes in or out: no I/O, no clock, no chance but the seeded one. The plain
+//! types of that door are in `types.rs`.
+//!
+//! The ordinary path is the election hash of docs/design.md: every ready cache server is scored by
+//! hash(id, key), the highest score wins, a miss goes on to the origin. The rest of this file keeps
+//! that path standing when things break.
+
+use crate::types::*;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// What to do with the result of a forward; every forward leaves one behind.
+type Then = fn(&mut Policy, InvIx, &Ending);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Open,
+    NeverRan,
+    MayHaveRun,
+}
+
+struct Forward {
+    cache: CacheIx,
+    at: Nanos,
+    fate: Fate,
+    then: Then,
+}
+
+struct Inv {
+    arrival: Arrival,
+    key: u64,
+    arrived: Nanos,
+    give_up: Nanos,
+    forwards: Vec<Forward>,
+    over: bool,
+    begun: bool,
+    leads: bool,
+    /// A cold cache server missed for it.
+    cold: bool,
+}
+
+impl Inv {
+    fn open(&self) -> usize {
+        self.forwards.iter().filter(|f| f.fate == Fate::Open).count()
+    }
+    /// The first forward that ran, may have run or may still run.
+    fn first_effect(&self) -> Option<&Forward> {
+        self.forwards.iter().find(|f| f.fate != Fate::NeverRan)
+    }
+    fn tried(&self, cache: CacheIx) -> bool {
+        self.forwards.iter().any(|f| f.cache == cache && f.fate != Fate::Open)
+    }
+}
+
+// ---- The gate: rules 1 to 3. Every forward and every final answer asks here first. ----
+
+fn may_forward(
+    inv: &Inv,
+    op: &Operation,
+    limits: &ForwardLimits,
+    to: &Cache,
+    fleet: &Fleet,
+    now: Nanos,
+) -> bool {
+    let free = !inv.over && !inv.begun && now < inv.arrival.due && to.standing == Standing::Ready;
+    let room = inv.forwards.len() < limits.max_forwards && (limits.second_copies || inv.open() == 0);
+    let effect = match (op.effect, inv.first_effect()) {
+        (Effect::Idempotent, _) | (_, None) => true,
+        (Effect::NonIdempotent, Some(_)) => false,
+        (Effect::Deduplicated { group, window }, Some(first)) => {
+            let from = fleet.get(first.cache);
+            let same = match group {
+                Group::All => true,
+                Group::Zone => from.zone == to.zone,
+                Group::Cell => from.cell == to.cell,
+            };
+            same && now < first.at + window
+        }
+    };
+    free && room && effect
+}
+
+fn may_throttle(inv: &Inv, op: &Operation) -> bool {
+    match op.effect {
+        Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
+        _ => inv.first_effect().is_none(),
+    }
+}
+
+// ---- Fleet: one record a cache server, found by its index. ----
+
+struct Doubt {
+    until: Nanos,
+    backoff: Nanos,
+    /// A probe was answered, so one invocation may try it.
+    trial: bool,
+}
+
+struct Cache {
+    id_hash: u64,
+    standing: Standing,
+    zone: usize,
+    cell: i64,
+    kind: usize,
+    weight: f64,
+    ready_at: Nanos,
+    out: u32,
+    heard: Nanos,
+    strikes: u32,
+    unreachable: bool,
+    doubt: Option<Doubt>,
+    /// When the latest forwards left while it was cold.
+    cold_sends: VecDeque<Nanos>,
+}
+
+impl Cache {
+    /// The part of its capacity that it has at least, by the stated climb.
+    fn warmth(&self, start: f64, cold: Nanos, now: Nanos) -> f64 {
+        if self.ready_at == 0 || cold == 0 {
+            return 1.0;
+        }
+        (start + (1.0 - start) * now.saturating_sub(self.ready_at) as f64 / cold as f64).min(1.0)
+    }
+}
+
+struct Fleet {
+    caches: Vec<Option<Cache>>,
+    /// The members of the election.
+    ready: Vec<CacheIx>,
+    rules: Rules,
+    origin_kind: Option<usize>,
+    live_weights: bool,
+    /// Forwards a second that this node sends to a unit of warm weight, smoothed.
+    rate: f64,
+    sent: f64,
+    counted_at: Nanos,
+}
+
+impl Fleet {
+    fn get(&self, c: CacheIx) -> &Cache {
+        self.caches[c].as_ref().expect("listed cache")
+    }
+    fn known(&mut self, c: CacheIx) -> Option<&mut Cache> {
+        self.caches.get_mut(c).and_then(|c| c.as_mut())
+    }
+    fn is_origin(&self, c: CacheIx) -> bool {
+        self.origin_kind == Some(self.get(c).kind)
+    }
+
+    fn list(&mut self, form: Form, rows: &[Row], now: Nanos) {
+        if matches!(form, Form::Full | Form::Saved) {
+            for c in self.caches.iter_mut().flatten() {
+                c.standing = Standing::Gone;
+            }
+        }
+        for row in rows {
+            if self.caches.len() <= row.cache {
+                self.caches.resize_with(row.cache + 1, || None);
+            }
+            let weight = if self.live_weights || row.weight <= 0.0 { 1.0 } else { row.weight };
+            let c = self.caches[row.cache].get_or_insert_with(|| Cache {
+                id_hash: row.id_hash,
+                standing: row.standing,
+                zone: row.zone,
+                cell: row.cell,
+                kind: row.kind,
+                weight,
+                ready_at: row.ready_at,
+                out: 0,
+                heard: now,
+                strikes: 0,
+                unreachable: false,
+                doubt: None,
+                cold_sends: VecDeque::new(),
+            });
+            if row.ready_at > c.ready_at {
+                // A restart under the same id: what was held against the old process is void.
+                (c.ready_at, c.doubt, c.strikes, c.unreachable) = (row.ready_at, None, 0, false);
+            }
+            (c.standing, c.weight, c.zone, c.cell) = (row.standing, weight, row.zone, row.cell);
+        }
+        self.ready = (0..self.caches.len())
+            .filter(|&c| {
+                self.caches[c].is_some() && self.get(c).standing == Standing::Ready && !self.is_origin(c)
+            })
+            .collect();
+    }
+
+    fn origin(&self) -> Option<CacheIx> {
+        (0..self.caches.len()).find(|&c| {
+            self.caches[c].is_some() && self.is_origin(c) && self.get(c).standing == Standing::Ready
+        })
+    }
+
+    fn warmth(&self, c: CacheIx, now: Nanos) -> f64 {
+        self.get(c).warmth(self.rules.start_capacity, self.rules.cold, now)
+    }
+
+    /// All ready cache servers, highest score first. A weight's share of the keys is its part of
+    /// the sum; a cold cache server weighs as much as it is warm, alike at every node.
+    fn rank(&self, key: u64, now: Nanos) -> Vec<(f64, CacheIx)> {
+        let mut order: Vec<_> = self
+            .ready
+            .iter()
+            .map(|&c| {
+                let cache = self.get(c);
+                let unit = ((mix(cache.id_hash ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+                (cache.weight * self.warmth(c, now) / -unit.ln(), c)
+            })
+            .collect();
+        order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+        order
+    }
+
+    /// This node's in-flight bar: over it, a cache server is passed over.
+    fn bar(&self) -> f64 {
+        let out: u32 = self.ready.iter().map(|&c| self.get(c).out).sum();
+        (2.0 * out as f64 / self.ready.len().max(1) as f64).max(PASS_OVER_FLOOR)
+    }
+
+    /// Guards rule 4 alone: half of this node's part of the stated multiple, in every window. What
+    /// a warm unit of weight takes from this node stands for the capacity that nobody tells.
+    fn cold_room(&self, c: CacheIx, now: Nanos) -> bool {
+        let (cache, warmth) = (self.get(c), self.warmth(c, now));
+        if warmth >= 1.0 {
+            return true;
+        }
+        let window = self.rules.fall.max(SECOND);
+        let since = now.saturating_sub(window);
+        let recent = cache.cold_sends.iter().filter(|&&t| t > since).count() as f64;
+        let per_s = self.rate * cache.weight * warmth * self.rules.fall_multiple * COLD_MARGIN;
+        recent + 1.0 <= (per_s * window as f64 / SECOND as f64).max(1.0)
+    }
+
+    fn sent(&mut self, c: CacheIx, now: Nanos) {
+        let cold = self.warmth(c, now) < 1.0;
+        let window = self.rules.fall.max(SECOND);
+        let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
+        self.sent += 1.0;
+        if now > self.counted_at + SECOND {
+            let per_s = self.sent / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
+            self.rate = if self.rate == 0.0 { per_s } else { 0.7 * self.rate + 0.3 * per_s };
+            (self.sent, self.counted_at) = (0.0, now);
+        }
+        let cache = self.known(c).expect("listed cache");
+        cache.out += 1;
+        if cold {
+            cache.cold_sends.push_back(now);
+            while cache.cold_sends.front().is_some_and(|&t| t + window < now) {
+                cache.cold_sends.pop_front();
+            }
+        }
+    }
+
+    /// One more piece of evidence against a cache server; `hard` is proof that it can't be reached.
+    fn strike(&mut self, c: CacheIx, hard: bool, backoff: Nanos, now: Nanos) -> bool {
+        let cache = self.known(c).expect("listed cache");
+        cache.strikes += 1;
+        cache.unreachable |= hard && cache.strikes >= STRIKES;
+        if cache.strikes < STRIKES {
+            return false;
+        }
+        let backoff = cache.doubt.as_ref().map_or(backoff, |d| (d.backoff * 2).min(backoff * 8));
+        cache.doubt = Some(Doubt { until: now + backoff, backoff, trial: false });
+        true
+    }
+
+    /// It answered something: the doubt is over. One that was out of reach comes back as cold,
+    /// whatever the list says yet: a crashed process restarts before the list knows.
+    fn cleared(&mut self, c: CacheIx, now: Nanos) {
+        let Some(cache) = self.known(c) else { return };
+        if cache.unreachable {
+            cache.ready_at = cache.ready_at.max(now);
+        }
+        (cache.heard, cache.strikes, cache.unreachable, cache.doubt) = (now, 0, false, None);
+    }
+
+    fn doubted(&self, c: CacheIx) -> bool {
+        self.get(c).doubt.is_some()
+    }
+}
+
+fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// The design's floor of the pass-over bar.
+const PASS_OVER_FLOOR: f64 = 2.0;
+/// This much of the cold budget is used; the rest is for chance.
+const COLD_MARGIN: f64 = 0.5;
+/// Silent or unreachable so often in a row, a cache server is doubted.
+const STRIKES: u32 = 2;
+
+// ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
+
+struct OriginGuard {
+    limit: f64,
+    out: usize,
+    cold_out: usize,
+    /// Low quantile of its latency: what it takes when not crowded.
+    base: f64,
+    mean: f64,
+    strikes: u32,
+    queue: Vec<(f64, InvIx)>,
+    /// Keys being fetched by this node, and who waits for each.
+    flights: BTreeMap<u64, Vec<InvIx>>,
+}
+
+impl OriginGuard {
+    fn room(&self) -> bool {
+        (self.out as f64) < self.limit.max(1.0)
+    }
+    fn wait(&self) -> f64 {
+        (self.queue.len() as f64 + 1.0) * self.mean / self.limit.max(1.0)
+    }
+    /// The gradient rule: the limit follows how far latency lies over the uncrowded one.
+    fn learn(&mut self, outcome: Outcome, lag: Nanos) {
+        let lag = lag.max(1) as f64;
+        match outcome {
+            Outcome::Succeeded => {
+                self.strikes = 0;
+                self.base = match self.base {
+                    0.0 => lag,
+                    b if lag < b => b * 0.95,
+                    b => b * 1.002,
+                };
+                self.mean = if self.mean == 0.0 { lag } else { 0.9 * self.mean + 0.1 * lag };
+                let gradient = (2.0 * self.base / lag).clamp(0.5, 1.0);
+                let goal = self.limit * gradient + 1.0;
+                self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
+            }
+            Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss => {}
+            _ => {
+                self.strikes += 1;
+                self.limit = (self.limit * 0.7).max(1.0);
+            }
+        }
+    }
+    /// The dearest of those that wait, the eldest among equals.
+    fn pop(&mut self) -> Option<InvIx> {
+        let best = (0..self.queue.len())
+            .min_by(|&a, &b| self.queue[b].0.total_cmp(&self.queue[a].0).then(a.cmp(&b)))?;
+        Some(self.queue.remove(best).1)
+    }
+}
+
+// ---- Admission: what is throttled early. ----
+
+struct Quota {
+    per_s: f64,
+    tokens: f64,
+    filled_at: Nanos,
+    arrived: u16,
+    /// This node's part of the tenant's traffic, as far as peers tell.
+    part: f64,
+}
+
+struct Admission {
+    quotas: Vec<Quota>,
+    over_share_part: f64,
+    /// Part of the arriving load that is turned away, lowest value first.
+    excess: f64,
+    /// Arrivals by value for the work they bring: (value density, load of late).
+    bands: Vec<(f64, f64)>,
+}
+
+impl Admission {
+    fn within_quota(&mut self, tenant: Option<usize>, now: Nanos) -> bool {
+        let Some(q) = tenant.and_then(|t| self.quotas.get_mut(t)) else { return true };
+        q.arrived = q.arrived.saturating_add(1);
+        let rate = q.per_s * q.part;
+        let more = now.saturating_sub(q.filled_at) as f64 / SECOND as f64 * rate;
+        (q.tokens, q.filled_at) = ((q.tokens + more).min(rate.max(2.0)), now);
+        let within = q.tokens >= 1.0;
+        if within {
+            q.tokens -= 1.0;
+        }
+        within
+    }
+    /// Chance of being throttled for an invocation of this value density, so that in all the
+    /// excess is shed from the bottom.
+    fn shed(&mut self, density: f64, work: f64) -> f64 {
+        let band = match self.bands.iter().position(|b| (b.0 - density).abs() <= 0.1 * b.0) {
+            Some(at) => at,
+            None => {
+                self.bands.push((density, 0.0));
+                self.bands.len() - 1
+            }
+        };
+        for b in &mut self.bands {
+            b.1 *= 0.99;
+        }
+        self.bands[band].1 += work;
+        let total: f64 = self.bands.iter().map(|b| b.1).sum();
+        let below: f64 = self.bands.iter().filter(|b| b.0 < self.bands[band].0).map(|b| b.1).sum();
+        self.bands.retain(|b| b.1 > 0.0);
+        let own = self.bands.iter().find(|b| (b.0 - density).abs() <= 0.1 * b.0).map_or(work, |b| b.1);
+        ((self.excess * total - below) / own).clamp(0.0, 1.0)
+    }
+    fn learn(&mut self, bad: bool) {
+        let step = if bad { EXCESS_UP } else { -EXCESS_UP * TOLERATED };
+        self.excess = (self.excess + step).clamp(0.0, EXCESS_MAX);
+    }
+}
+
+const EXCESS_UP: f64 = 0.02;
+/// Part of the invocations that may end badly before more is turned away.
+const TOLERATED: f64 = 0.06;
+const EXCESS_MAX: f64 = 0.9;
+
+#[derive(Clone, Copy, Default)]
+struct Usual {
+    mean: f64,
+    dev: f64,
+}
+
+impl Usual {
+    fn learn(&mut self, x: f64) {
+        if self.mean == 0.0 {
+            (self.mean, self.dev) = (x, x / 2.0);
+        }
+        self.dev += 0.05 * ((x - self.mean).abs() - self.dev);
+        self.mean += 0.05 * (x - self.mean);
+    }
+}
+
+// ---- The whole: events in, actions out. ----
+
+pub struct Policy {
+    now: Nanos,
+    actions: Vec<Action>,
+    rng: fastrand::Rng,
+    place: Surroundings,
+    limits: ForwardLimits,
+    aside: bool,
+    ops: Vec<Operation>,
+    usual: Vec<Usual>,
+    invs: HashMap<InvIx, Inv>,
+    fleet: Fleet,
+    guard: OriginGuard,
+    admission: Admission,
+    /// Per peer: when it last told, and its arrivals by tenant.
+    peers: BTreeMap<usize, (Nanos, Vec<u16>)>,
+    list_backoff: Nanos,
+    asked_at: Option<Nanos>,
+    fleet_wake: Nanos,
+}
+
+const GIVE_UP: u64 = 0;
+const DUE: u64 = 1;
+const PATIENCE: u64 = 2;
+const FLEET: u64 = 3;
+const LIST: u64 = 4;
+const PEERS: u64 = 5;
+
+fn token(kind: u64, inv: InvIx, copy: usize) -> u64 {
+    kind | (copy as u64) << 3 | (inv as u64) << 16
+}
+
+impl Policy {
+    pub fn new(
+        place: Surroundings,
+        ops: Vec<Operation>,
+        tenants: &[Tenant],
+        limits: ForwardLimits,
+        rules: Rules,
+        mode: OriginMode,
+    ) -> Policy {
+        let origin_kind = match mode {
+            OriginMode::Aside { kind } => Some(kind),
+            OriginMode::Through => None,
+        };
+        let part = 1.0 / place.nodes.max(1) as f64;
+        let quota = |t: &Tenant| Quota {
+            per_s: t.quota_per_s,
+            tokens: t.quota_per_s * part,
+            filled_at: 0,
+            arrived: 0,
+            part,
+        };
+        Policy {
+            now: 0,
+            actions: Vec::new(),
+            rng: fastrand::Rng::with_seed(place.seed),
+            usual: vec![Usual::default(); ops.len()],
+            aside: origin_kind.is_some(),
+            invs: HashMap::new(),
+            fleet: Fleet {
+                caches: Vec::new(),
+                ready: Vec::new(),
+                origin_kind,
+                live_weights: place.live_weights,
+                rate: 0.0,
+                sent: 0.0,
+                counted_at: 0,
+                rules,
+            },
+            guard: OriginGuard {
+                limit: 3.0,
+                out: 0,
+                cold_out: 0,
+                base: 0.0,
+                mean: 0.0,
+                strikes: 0,
+                queue: Vec::new(),
+                flights: BTreeMap::new(),
+            },
+            admission: Admission {
+                quotas: tenants.iter().map(quota).collect(),
+                over_share_part: place.over_share_part,
+                excess: 0.0,
+                bands: Vec::new(),
+            },
+            peers: BTreeMap::new(),
+            list_backoff: 0,
+            asked_at: None,
+            fleet_wake: 0,
+            place,
+            limits,
+            ops,
+        }
+    }
+
+    pub fn drain(&mut self) -> std::vec::Drain<'_, Action> {
+        self.actions.drain(..)
+    }
+
+    pub fn handle(&mut self, now: Nanos, event: Event) {
+        self.now = now;
+        match event {
+            Event::Listed { form, rows } => self.listed(form, &rows),
+            Event::Arrived(arrival) => self.arrived(arrival),
+            Event::Begun { inv, copy } => self.begun(inv, copy),
+            Event::Ended(ending) => self.ended(ending),
+            Event::Left { inv } => self.left(inv),
+            Event::Probed { cache, ok, .. } => self.probed(cache, ok),
+            Event::Told { peer, text } => self.told(peer, &text),
+            Event::Woke { token } => self.woke(token),
+        }
+    }
+
+    fn wake(&mut self, at: Nanos, token: u64) {
+        let after = at.saturating_sub(self.now).max(1);
+        self.actions.push(Action::Wake { after, token });
+    }
+
+    // -- the list --
+
+    fn listed(&mut self, form: Form, rows: &[Row]) {
+        let asks = self.place.must_ask;
+        match form {
+            Form::Lost => {
+                // Any of our calls, or the subscription itself: a new one may always be asked for.
+                self.asked_at = None;
+                self.list_backoff = (self.list_backoff * 2).clamp(SECOND / 4, self.fleet.rules.ask_every / 4);
+                let jitter = self.rng.f64() * self.list_backoff as f64;
+                self.wake(self.now + self.list_backoff + jitter as Nanos, LIST);
+            }
+            Form::Saved if asks => {
+                self.fleet.list(form, rows, self.now);
+                self.follow();
+            }
+            _ => {
+                (self.asked_at, self.list_backoff) = (None, 0);
+                self.fleet.list(form, rows, self.now);
+            }
+        }
+        if form == Form::Saved {
+            self.fleet.counted_at = self.now;
+            if self.place.peers && !self.admission.quotas.is_empty() {
+                self.wake(self.now + SECOND, PEERS);
+            }
+        }
+        self.pump();
+    }
+
+    fn follow(&mut self) {
+        if self.place.must_ask {
+            self.asked_at = Some(self.now);
+            self.actions.push(Action::Follow);
+            // Guards against a call that is never answered: silence counts as being informed.
+            self.wake(self.now + self.fleet.rules.ask_every / 2, LIST);
+        } else {
+            self.actions.push(Action::AskList);
+        }
+    }
+
+    // -- peers: only how much of each tenant's traffic comes by here --
+
+    fn tell_peers(&mut self) {
+        let text = self.admission.quotas.iter().take(100).flat_map(|q| q.arrived.to_le_bytes()).collect();
+        self.actions.push(Action::Tell { text });
+        let fresh = self.now.saturating_sub(3 * SECOND);
+        self.peers.retain(|_, (at, _)| *at > fresh);
+        let missing = self.place.nodes.saturating_sub(1 + self.peers.len()) as f64;
+        for (t, q) in self.admission.quotas.iter_mut().enumerate() {
+            let others: f64 = self.peers.values().map(|(_, n)| n.get(t).copied().unwrap_or(0) as f64).sum();
+            let own = q.arrived as f64;
+            let all = own + others + missing * (own + others) / (1.0 + self.peers.len() as f64);
+            if all > 0.0 {
+                q.part += 0.3 * (own / all - q.part);
+            }
+            q.arrived = 0;
+        }
+        self.wake(self.now + SECOND, PEERS);
+    }
+
+    fn told(&mut self, peer: usize, text: &[u8]) {
+        let counts = text.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
+        if peer != self.place.own_index {
+            self.peers.insert(peer, (self.now, counts));
+        }
+    }
+
+    // -- the steps of an invocation --
+
+    fn arrived(&mut self, arrival: Arrival) {
+        let ix = arrival.inv;
+        let op = &self.ops[arrival.operation];
+        let objective = op.objective + (op.stretch * arrival.work.unwrap_or(0) as f64) as Nanos;
+        let due = arrival.due.saturating_sub(self.place.tick);
+        // Past the objective an answer earns nothing here: what is not out by then is given up.
+        let give_up = if op.late_part > 0.0 || op.stream { due } else { due.min(self.now + objective) };
+        let work = match (arrival.work, self.usual[arrival.operation].mean) {
+            (Some(w), _) if w > 0 => w as f64,
+            (_, m) if m > 0.0 => m,
+            _ => op.objective as f64 / 4.0,
+        };
+        let within = self.admission.within_quota(arrival.tenant, self.now);
+        let part = if within { 1.0 } else { self.admission.over_share_part };
+        let density = op.billed_value * part / work;
+        let shed = self.admission.shed(density, work);
+        let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
+        let write = arrival.write;
+        let origin_write = write && self.fleet.origin().is_some();
+        self.invs.insert(
+            ix,
+            Inv {
+                key,
+                arrived: self.now,
+                give_up,
+                forwards: Vec::new(),
+                over: false,
+                begun: false,
+                leads: false,
+                cold: false,
+                arrival,
+            },
+        );
+        if due <= self.now || self.rng.f64() < shed {
+            return self.conclude(ix);
+        }
+        self.wake(give_up, token(GIVE_UP, ix, 0));
+        if origin_write { self.try_origin(ix) } else { self.try_cache(ix) }
+    }
+
+    /// Sends to the first in the key's order that nothing speaks against.
+    fn try_cache(&mut self, ix: InvIx) {
+        let inv = &self.invs[&ix];
+        let (key, read) = (inv.key, !inv.arrival.write);
+        if read && self.aside && inv.forwards.is_empty() && self.guard.flights.contains_key(&key) {
+            self.guard.flights.get_mut(&key).expect("flight").push(ix);
+            return;
+        }
+        // The last forward is the origin's, if there is one to turn to.
+        let left = self.limits.max_forwards - inv.forwards.len().min(self.limits.max_forwards);
+        let origin = self.fleet.origin().filter(|_| self.aside && read);
+        if left <= 1 && origin.is_some() && !inv.forwards.is_empty() {
+            return self.fetch(ix);
+        }
+        match self.pick(ix) {
+            Some(c) => self.send(ix, c, Policy::after_cache),
+            None if origin.is_some() => self.fetch(ix),
+            None => self.conclude(ix),
+        }
+    }
+
+    fn pick(&self, ix: InvIx) -> Option<CacheIx> {
+        let inv = &self.invs[&ix];
+        let op = &self.ops[inv.arrival.operation];
+        let bar = self.fleet.bar();
+        let doubted = self.fleet.ready.iter().filter(|&&c| self.fleet.doubted(c)).count();
+        // If most look bad, the judgement is what is bad: then nobody is doubted.
+        let believe = doubted * 2 <= self.fleet.ready.len();
+        let mut spare = None;
+        let mut last = None;
+        for (_, c) in self.fleet.rank(inv.key, self.now) {
+            let cache = self.fleet.get(c);
+            if inv.forwards.iter().any(|f| f.cache == c && f.fate == Fate::Open) || inv.tried(c) {
+                continue;
+            }
+            if !may_forward(inv, op, &self.limits, cache, &self.fleet, self.now) {
+                continue;
+            }
+            let warm = self.fleet.warmth(c, self.now) >= 1.0;
+            if !warm && (!self.fleet.cold_room(c, self.now) || self.aside && !self.cold_fetch_room()) {
+                continue;
+            }
+            if let Some(d) = &cache.doubt
+                && believe
+            {
+                if d.trial && cache.out == 0 && op.effect == Effect::Idempotent {
+                    return Some(c);
+                }
+                last.get_or_insert(c);
+                continue;
+            }
+            if f64::from(cache.out) > bar {
+                spare.get_or_insert(c);
+                continue;
+            }
+            return Some(c);
+        }
+        spare.or(last)
+    }
+
+    /// Cold cache servers miss much: their misses get a quarter of what the origin takes.
+    fn cold_fetch_room(&self) -> bool {
+        self.guard.room() && (self.guard.cold_out as f64) < (self.guard.limit / 4.0).max(1.0)
+    }
+
+    fn send(&mut self, ix: InvIx, c: CacheIx, then: Then) {
+        let Some(inv) = self.invs.get_mut(&ix) else { return };
+        let op = &self.ops[inv.arrival.operation];
+        if !may_forward(inv, op, &self.limits, self.fleet.get(c), &self.fleet, self.now) {
+            return self.conclude(ix);
+        }
+        let wait = inv.arrival.due - self.now;
+        inv.forwards.push(Forward { cache: c, at: self.now, fate: Fate::Open, then });
+        let copy = inv.forwards.len() - 1;
+        let usual = self.usual[inv.arrival.operation];
+        let patience = usual.mean + 4.0 * usual.dev;
+        let (give_up, origin) = (inv.give_up, self.fleet.is_origin(c));
+        self.actions.push(Action::Forward { inv: ix, cache: c, wait });
+        if origin {
+            self.guard.out += 1;
+            self.guard.cold_out += usize::from(self.invs[&ix].cold);
+            self.fleet.known(c).expect("origin").out += 1;
+        } else {
+            self.fleet.sent(c, self.now);
+            let at = self.now + patience as Nanos;
+            if usual.mean > 0.0 && at < give_up {
+                self.wake(at, token(PATIENCE, ix, copy));
+            }
+        }
+    }
+
+    fn fetch(&mut self, ix: InvIx) {
+        let key = self.invs[&ix].key;
+        if let Some(waiting) = self.guard.flights.get_mut(&key) {
+            waiting.push(ix);
+            return;
+        }
+        self.guard.flights.insert(key, Vec::new());
+        self.invs.get_mut(&ix).expect("inv").leads = true;
+        self.try_origin(ix);
+    }
+
+    fn try_origin(&mut self, ix: InvIx) {
+        let inv = &self.invs[&ix];
+        let op = &self.ops[inv.arrival.operation];
+        let Some(origin) = self.fleet.origin() else { return self.conclude(ix) };
+        if self.guard.room() && self.guard.queue.is_empty() {
+            return self.send(ix, origin, Policy::after_origin);
+        }
+        let left = inv.give_up.saturating_sub(self.now) as f64;
+        // Not worth waiting for: the queue is longer than the time, or the origin gives no answers.
+        if self.guard.wait() + self.guard.base > left || self.guard.strikes > 2 * STRIKES {
+            return self.conclude(ix);
+        }
+        let value = op.billed_value + if inv.arrival.write { 1e6 } else { 0.0 };
+        self.guard.queue.push((value, ix));
+    }
+
+    fn pump(&mut self) {
+        while self.guard.room() {
+            let (Some(origin), Some(ix)) = (self.fleet.origin(), self.guard.pop()) else { return };
+            if self.invs.get(&ix).is_some_and(|i| !i.over) {
+                self.send(ix, origin, Policy::after_origin);
+            }
+        }
+    }
+
+    /// A cache answered.
+    fn after_cache(&mut self, ix: InvIx, e: &Ending) {
+        match e.outcome {
+            Outcome::Miss if self.aside => {
+                let cold = self.fleet.warmth(e.cache, self.now) < 1.0;
+                let inv = self.invs.get_mut(&ix).expect("inv");
+                inv.cold |= cold;
+                if self.fleet.origin().is_some() { self.fetch(ix) } else { self.conclude(ix) }
+            }
+            _ => {
+                if self.invs[&ix].open() == 0 {
+                    self.try_cache(ix)
+                }
+            }
+        }
+    }
+
+    /// The origin answered, but not with success.
+    fn after_origin(&mut self, ix: InvIx, e: &Ending) {
+        let inv = &self.invs[&ix];
+        if inv.open() > 0 {
+            return;
+        }
+        // Proved not to have run, it may wait its turn again; else the origin is left in peace.
+        if e.outcome.never_ran() && inv.forwards.len() < self.limits.max_forwards {
+            return self.try_origin(ix);
+        }
+        self.conclude(ix);
+    }
+
+    fn ended(&mut self, e: Ending) {
+        if self.fleet.known(e.cache).is_none() {
+            return;
+        }
+        let Some(inv) = self.invs.get_mut(&e.inv) else { return };
+        let Some(f) = inv.forwards.get_mut(e.copy).filter(|f| f.fate == Fate::Open) else { return };
+        f.fate = if e.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        let (then, sent_at) = (f.then, f.at);
+        let cold = inv.cold;
+        let newly_over = e.last && !inv.over;
+        inv.over |= e.last;
+        let cache = self.fleet.known(e.cache).expect("cache");
+        cache.out = cache.out.saturating_sub(1);
+        let origin = self.fleet.is_origin(e.cache);
+        if origin {
+            self.guard.out -= 1;
+            self.guard.cold_out -= usize::from(cold);
+            self.guard.learn(e.outcome, e.lag);
+        } else {
+            match e.outcome {
+                Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
+                    self.fleet.cleared(e.cache, self.now);
+                    let operation = self.invs[&e.inv].arrival.operation;
+                    if e.outcome == Outcome::Succeeded {
+                        self.usual[operation].learn(e.lag as f64);
+                    }
+                }
+                Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
+                Outcome::TimedOut => self.silent(e.cache, sent_at),
+                _ => {}
+            }
+        }
+        if newly_over {
+            let inv = &self.invs[&e.inv];
+            let op = &self.ops[inv.arrival.operation];
+            let late = self.now > inv.arrived + op.objective;
+            self.admission.learn(late || e.outcome != Outcome::Succeeded);
+            self.settle(e.inv, e.outcome == Outcome::Succeeded);
+        } else if !self.invs[&e.inv].over {
+            then(self, e.inv, &e);
+        }
+        self.forget(e.inv);
+        if origin {
+            self.pump();
+        }
+    }
+
+    /// Nothing at all came from this cache server since the forward left: that is silence, while
+    /// one that answers others is only slow.
+    fn silent(&mut self, c: CacheIx, since: Nanos) {
+        if self.fleet.get(c).heard <= since {
+            self.strike(c, false);
+        }
+    }
+
+    fn strike(&mut self, c: CacheIx, hard: bool) {
+        // First wait before a doubted cache server is looked at again.
+        let backoff = self.ops.iter().map(|o| o.objective).min().unwrap_or(SECOND);
+        if self.fleet.strike(c, hard, backoff, self.now) {
+            self.watch_fleet();
+        }
+    }
+
+    /// Gives the final answer: throttled where that is allowed, errored elsewhere.
+    fn conclude(&mut self, ix: InvIx) {
+        let Some(inv) = self.invs.get_mut(&ix).filter(|i| !i.over && !i.begun) else { return };
+        let op = &self.ops[inv.arrival.operation];
+        let throttle = may_throttle(inv, op);
+        inv.over = true;
+        let used = !inv.forwards.is_empty() || self.now > inv.arrived;
+        if throttle {
+            let retry_after = self.limits.max_retry_after.unwrap_or(0);
+            self.actions.push(Action::Throttle { inv: ix, retry_after });
+        } else {
+            self.actions.push(Action::Error { inv: ix });
+        }
+        if used {
+            self.admission.learn(true);
+        }
+        self.settle(ix, false);
+        self.forget(ix);
+    }
+
+    fn withdraw_open(&mut self, ix: InvIx, except: Option<usize>) {
+        let inv = &self.invs[&ix];
+        if !self.limits.withdraw || inv.begun && except.is_none() {
+            return;
+        }
+        for (copy, f) in inv.forwards.iter().enumerate() {
+            if f.fate == Fate::Open && Some(copy) != except {
+                self.actions.push(Action::Withdraw { inv: ix, copy });
+            }
+        }
+    }
+
+    /// The invocation is over: whoever waits for its fetch goes on.
+    fn settle(&mut self, ix: InvIx, stored: bool) {
+        self.withdraw_open(ix, None);
+        let inv = &self.invs[&ix];
+        let key = inv.key;
+        if !inv.leads {
+            return;
+        }
+        let waiting = self.guard.flights.remove(&key).unwrap_or_default();
+        for w in waiting {
+            let Some(follower) = self.invs.get(&w).filter(|i| !i.over) else { continue };
+            if stored && (follower.forwards.len() < self.limits.max_forwards) {
+                self.again(w);
+            } else {
+                self.fetch(w);
+            }
+        }
+    }
+
+    /// The value is now where the key's order begins: one more forward there is a hit.
+    fn again(&mut self, ix: InvIx) {
+        let inv = &self.invs[&ix];
+        let missed = inv.forwards.iter().rev().find(|f| f.fate == Fate::NeverRan).map(|f| f.cache);
+        match missed.filter(|&c| self.fleet.get(c).standing == Standing::Ready && !self.fleet.doubted(c)) {
+            Some(c) => self.send(ix, c, Policy::after_cache),
+            None => self.try_cache(ix),
+        }
+    }
+
+    fn forget(&mut self, ix: InvIx) {
+        if self.invs.get(&ix).is_some_and(|i| i.over && i.open() == 0) {
+            self.invs.remove(&ix);
+        }
+    }
+
+    fn begun(&mut self, ix: InvIx, copy: usize) {
+        let Some(inv) = self.invs.get_mut(&ix) else { return };
+        inv.begun = true;
+        let cache = inv.forwards.get(copy).map(|f| f.cache);
+        self.withdraw_open(ix, Some(copy));
+        if let Some(c) = cache {
+            self.fleet.cleared(c, self.now);
+        }
+    }
+
+    fn left(&mut self, ix: InvIx) {
+        let Some(inv) = self.invs.get_mut(&ix).filter(|i| !i.over) else { return };
+        inv.over = true;
+        self.settle(ix, false);
+        self.forget(ix);
+    }
+
+    // -- time --
+
+    fn woke(&mut self, token_: u64) {
+        let (kind, copy, ix) = (token_ & 7, (token_ >> 3 & 0x1fff) as usize, (token_ >> 16) as InvIx);
+        match kind {
+            GIVE_UP => self.give_up(ix),
+            DUE => self.conclude(ix),
+            PATIENCE => self.impatient(ix, copy),
+            FLEET => self.look_at_doubted(),
+            LIST => {
+                // Asked since and answered: nothing to do.
+                let unanswered =
+                    self.asked_at.is_some_and(|at| self.now >= at + self.fleet.rules.ask_every / 2);
+                if unanswered || self.list_backoff > 0 && self.asked_at.is_none() {
+                    self.follow();
+                }
+            }
+            PEERS => self.tell_peers(),
+            _ => {}
+        }
+    }
+
+    fn give_up(&mut self, ix: InvIx) {
+        let Some(inv) = self.invs.get(&ix).filter(|i| !i.over && !i.begun) else { return };
+        let quiet: Vec<(CacheIx, Nanos)> =
+            inv.forwards.iter().filter(|f| f.fate == Fate::Open).map(|f| (f.cache, f.at)).collect();
+        let due = inv.arrival.due.saturating_sub(self.place.tick);
+        let wait_on = !quiet.is_empty() && !may_throttle(inv, &self.ops[inv.arrival.operation]);
+        for (c, at) in quiet {
+            if !self.fleet.is_origin(c) {
+                self.silent(c, at);
+            }
+        }
+        if wait_on && self.now < due {
+            // It may be running and cannot be taken back: its answer still counts as told.
+            return self.wake(due, token(DUE, ix, 0));
+        }
+        self.conclude(ix)
+    }
+
+    /// A forward is out for longer than nearly all of its operation: if its cache server was silent
+    /// all that time, the invocation moves on.
+    fn impatient(&mut self, ix: InvIx, copy: usize) {
+        let Some(inv) = self.invs.get(&ix).filter(|i| !i.over && !i.begun) else { return };
+        let Some(f) = inv.forwards.get(copy).filter(|f| f.fate == Fate::Open) else { return };
+        let (c, at) = (f.cache, f.at);
+        if self.fleet.get(c).heard > at {
+            return;
+        }
+        self.silent(c, at);
+        let inv = &self.invs[&ix];
+        if self.ops[inv.arrival.operation].effect == Effect::NonIdempotent {
+            return;
+        }
+        if self.limits.second_copies {
+            if inv.forwards.len() + 1 < self.limits.max_forwards
+                && let Some(to) = self.pick(ix).filter(|&to| !self.fleet.doubted(to))
+            {
+                self.send(ix, to, Policy::after_cache);
+            }
+        } else if self.limits.withdraw && inv.forwards.len() < self.limits.max_forwards {
+            self.actions.push(Action::Withdraw { inv: ix, copy });
+        }
+    }
+
+    fn watch_fleet(&mut self) {
+        let next = self
+            .fleet
+            .ready
+            .iter()
+            .filter_map(|&c| self.fleet.get(c).doubt.as_ref().filter(|d| !d.trial).map(|d| d.until))
+            .min();
+        if let Some(at) = next
+            && (self.fleet_wake <= self.now || at < self.fleet_wake)
+        {
+            self.fleet_wake = at.max(self.now + 1);
+            self.wake(at, FLEET);
+        }
+    }
+
+    fn look_at_doubted(&mut self) {
+        let (now, probe) = (self.now, self.place.may_probe);
+        for n in 0..self.fleet.ready.len() {
+            let c = self.fleet.ready[n];
+            let Some(d) = self.fleet.known(c).and_then(|c| c.doubt.as_mut()) else { continue };
+            if d.until > now || d.trial {
+                continue;
+            }
+            d.backoff = d.backoff.max(1);
+            d.until = now + d.backoff;
+            if probe {
+                self.actions.push(Action::Probe { cache: c });
+            } else {
+                d.trial = true;
+            }
+        }
+        self.fleet_wake = 0;
+        self.watch_fleet();
+    }
+
+    fn probed(&mut self, c: CacheIx, ok: bool) {
+        if let Some(d) = self.fleet.known(c).and_then(|c| c.doubt.as_mut()).filter(|_| ok) {
+            d.trial = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sparrouter/src/types.rs
@@ -0,0 +1,206 @@
+//! The door between a protocol's adapter and the decisions: plain values, no I/O and no clock.
+//!
+//! Times are whole nanoseconds of a clock that only advances. An adapter maps the ids of its
+//! protocol to small indices; a cache server keeps its index for the life of the instance, an
+//! invocation's index is never used twice.
+
+pub type Nanos = u64;
+pub type InvIx = u32;
+pub type CacheIx = usize;
+pub const MICRO: Nanos = 1_000;
+pub const SECOND: Nanos = 1_000_000_000;
+
+/// The cache servers that drop a repeat of a deduplicated invocation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated { group: Group, window: Nanos },
+    NonIdempotent,
+}
+
+#[derive(Clone, Debug)]
+pub struct Operation {
+    pub effect: Effect,
+    pub objective: Nanos,
+    /// The objective grows by this multiple of the invocation's own work.
+    pub stretch: f64,
+    pub client_timeout: Nanos,
+    pub billed_value: f64,
+    /// Part of the billed value that an answer past the objective still earns.
+    pub late_part: f64,
+    pub stream: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub share: f64,
+    pub quota_per_s: f64,
+}
+
+/// What one invocation may cost.
+#[derive(Clone, Debug)]
+pub struct ForwardLimits {
+    pub max_forwards: usize,
+    pub second_copies: bool,
+    pub withdraw: bool,
+    /// Longest wait that a throttling reply may advise; none where replies carry no advice.
+    pub max_retry_after: Option<Nanos>,
+}
+
+/// The figures of the four rules.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    pub answer_slack: Nanos,
+    pub ask_every: Nanos,
+    pub start_capacity: f64,
+    pub cold: Nanos,
+    pub fall_multiple: f64,
+    pub fall: Nanos,
+}
+
+/// Where missing values come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginMode {
+    /// The caches fetch by themselves.
+    Through,
+    /// The node fetches from a list entry of this kind after a miss and sends it the writes.
+    Aside { kind: usize },
+}
+
+/// What the site says of this node's surroundings.
+#[derive(Clone, Debug)]
+pub struct Surroundings {
+    pub seed: u64,
+    pub own_index: usize,
+    pub nodes: usize,
+    pub may_probe: bool,
+    pub peers: bool,
+    pub tick: Nanos,
+    /// The list comes only to those who ask for it.
+    pub must_ask: bool,
+    /// Weights follow the load of the moment, so they say nothing lasting about size.
+    pub live_weights: bool,
+    pub over_share_part: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub cache: CacheIx,
+    /// Same at every node for the same cache server.
+    pub id_hash: u64,
+    pub standing: Standing,
+    pub zone: usize,
+    pub cell: i64,
+    pub kind: usize,
+    pub weight: f64,
+    pub ready_at: Nanos,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    Changes,
+    Full,
+    /// Held over from an earlier life of the node; may be old.
+    Saved,
+    /// A call came to nothing or the subscription broke; the list in hand stays.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Succeeded,
+    /// The cache server answered with an error; it may have run.
+    Error,
+    Full,
+    TimedOut,
+    Unavailable,
+    Reset,
+    Withdrawn,
+    NotSent,
+    Miss,
+}
+
+impl Outcome {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unavailable | Outcome::NotSent | Outcome::Miss)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    Hit,
+    Miss,
+    MissWhileFetching,
+}
+
+/// A cache server's load report; values that a site does not send are absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub active: Option<f64>,
+    pub waiting: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub inv: InvIx,
+    pub operation: usize,
+    pub tenant: Option<usize>,
+    /// Hash of the key, the same at every node.
+    pub key: Option<u64>,
+    pub write: bool,
+    pub repeat: bool,
+    pub work: Option<Nanos>,
+    pub due: Nanos,
+}
+
+#[derive(Clone, Debug)]
+pub struct Ending {
+    pub inv: InvIx,
+    pub copy: usize,
+    pub cache: CacheIx,
+    pub outcome: Outcome,
+    pub lag: Nanos,
+    /// The invocation is over, by this outcome or an earlier one.
+    pub last: bool,
+    pub note: Option<Note>,
+    pub load: Option<Load>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Listed { form: Form, rows: Vec<Row> },
+    Arrived(Arrival),
+    Begun { inv: InvIx, copy: usize },
+    Ended(Ending),
+    Left { inv: InvIx },
+    Probed { cache: CacheIx, ok: bool, load: Option<Load> },
+    Told { peer: usize, text: Vec<u8> },
+    Woke { token: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Forward { inv: InvIx, cache: CacheIx, wait: Nanos },
+    Withdraw { inv: InvIx, copy: usize },
+    Throttle { inv: InvIx, retry_after: Nanos },
+    Error { inv: InvIx },
+    Wake { after: Nanos, token: u64 },
+    Probe { cache: CacheIx },
+    Tell { text: Vec<u8> },
+    Follow,
+    AskList,
+}
