Shed by fleet-wide badness, let fetches outlive their invocation, pass over slow caches

Cause: shedding learnt from every bad ending, also those of one hot cache or a slow origin, and ran away to its cap; withdrawn fetches cost the origin its work and left nothing in the caches; the origin's limit compared single latencies with a low quantile.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -32,7 +32,6 @@
 struct Inv {
     arrival: Arrival,
     key: u64,
-    arrived: Nanos,
     give_up: Nanos,
     forwards: Vec<Forward>,
     over: bool,
@@ -112,11 +111,32 @@
     strikes: u32,
     unreachable: bool,
     doubt: Option<Doubt>,
+    /// Latency of late, how many of this node's were in flight then, and when it was learnt.
+    lag: f64,
+    crowd: f64,
+    learnt_at: Nanos,
+    /// Part of its forwards of late that came to nothing in time.
+    bad: f64,
     /// When the latest forwards left while it was cold.
     cold_sends: VecDeque<Nanos>,
 }
 
 impl Cache {
+    /// One forward's latency, with `crowd` of this node's in flight while it was out.
+    fn learn(&mut self, lag: Nanos, bad: bool, now: Nanos) {
+        let crowd = f64::from(self.out.max(1));
+        if lag > 0 {
+            let step = if self.lag == 0.0 { 1.0 } else { 0.2 };
+            self.lag += step * (lag as f64 - self.lag);
+            self.crowd += step * (crowd - self.crowd);
+        }
+        self.bad += 0.1 * (f64::from(u8::from(bad)) - self.bad);
+        self.learnt_at = now;
+    }
+    /// What one more forward will take, as far as this node knows; old knowledge fades.
+    fn expected(&self, now: Nanos) -> f64 {
+        self.lag * f64::from(self.out + 1) / self.crowd * fade(now - self.learnt_at)
+    }
     /// The part of its capacity that it has at least, by the stated climb.
     fn warmth(&self, start: f64, cold: Nanos, now: Nanos) -> f64 {
         if self.ready_at == 0 || cold == 0 {
@@ -174,6 +194,10 @@
                 strikes: 0,
                 unreachable: false,
                 doubt: None,
+                lag: 0.0,
+                crowd: 1.0,
+                learnt_at: now,
+                bad: 0.0,
                 cold_sends: VecDeque::new(),
             });
             if row.ready_at > c.ready_at {
@@ -278,11 +302,23 @@
         (cache.heard, cache.strikes, cache.unreachable, cache.doubt) = (now, 0, false, None);
     }
 
+    /// Mean badness of the ready cache servers, each counted once however much it gets.
+    fn badness(&self, now: Nanos) -> f64 {
+        let each = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.doubt.is_none());
+        let each = each.map(|c| c.bad * fade(now - c.learnt_at));
+        each.sum::<f64>() / self.ready.len().max(1) as f64
+    }
+
     fn doubted(&self, c: CacheIx) -> bool {
         self.get(c).doubt.is_some()
     }
 }
 
+/// What is left of knowledge of this age.
+fn fade(age: Nanos) -> f64 {
+    0.5f64.powf(age as f64 / SECOND as f64)
+}
+
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -302,18 +338,20 @@
     limit: f64,
     out: usize,
     cold_out: usize,
-    /// Low quantile of its latency: what it takes when not crowded.
+    /// Lowest of the smoothed latency: what it takes when not crowded.
     base: f64,
     mean: f64,
     strikes: u32,
+    /// Nothing goes there before this time: it has just turned something away.
+    rests_until: Nanos,
     queue: Vec<(f64, InvIx)>,
     /// Keys being fetched by this node, and who waits for each.
     flights: BTreeMap<u64, Vec<InvIx>>,
 }
 
 impl OriginGuard {
-    fn room(&self) -> bool {
-        (self.out as f64) < self.limit.max(1.0)
+    fn room(&self, now: Nanos) -> bool {
+        now >= self.rests_until && (self.out as f64) < self.limit.max(1.0)
     }
     fn wait(&self) -> f64 {
         (self.queue.len() as f64 + 1.0) * self.mean / self.limit.max(1.0)
@@ -324,13 +362,9 @@
         match outcome {
             Outcome::Succeeded => {
                 self.strikes = 0;
-                self.base = match self.base {
-                    0.0 => lag,
-                    b if lag < b => b * 0.95,
-                    b => b * 1.002,
-                };
                 self.mean = if self.mean == 0.0 { lag } else { 0.9 * self.mean + 0.1 * lag };
-                let gradient = (2.0 * self.base / lag).clamp(0.5, 1.0);
+                self.base = if self.base == 0.0 { lag } else { (self.base * 1.001).min(self.mean) };
+                let gradient = (2.0 * self.base / self.mean).clamp(0.5, 1.0);
                 let goal = self.limit * gradient + 1.0;
                 self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
             }
@@ -402,15 +436,16 @@
         let own = self.bands.iter().find(|b| (b.0 - density).abs() <= 0.1 * b.0).map_or(work, |b| b.1);
         ((self.excess * total - below) / own).clamp(0.0, 1.0)
     }
-    fn learn(&mut self, bad: bool) {
-        let step = if bad { EXCESS_UP } else { -EXCESS_UP * TOLERATED };
-        self.excess = (self.excess + step).clamp(0.0, EXCESS_MAX);
+    /// Once an arrival: more is turned away while too much goes badly over the whole fleet. One bad
+    /// cache server or a slow origin is no reason to.
+    fn learn(&mut self, bad: f64) {
+        self.excess = (self.excess + EXCESS_STEP * (bad - TOLERATED)).clamp(0.0, EXCESS_MAX);
     }
 }
 
-const EXCESS_UP: f64 = 0.02;
-/// Part of the invocations that may end badly before more is turned away.
-const TOLERATED: f64 = 0.06;
+const EXCESS_STEP: f64 = 0.02;
+/// Part of the forwards that may end badly before more is turned away.
+const TOLERATED: f64 = 0.1;
 const EXCESS_MAX: f64 = 0.9;
 
 #[derive(Clone, Copy, Default)]
@@ -457,6 +492,7 @@
 const FLEET: u64 = 3;
 const LIST: u64 = 4;
 const PEERS: u64 = 5;
+const ORIGIN: u64 = 6;
 
 fn token(kind: u64, inv: InvIx, copy: usize) -> u64 {
     kind | (copy as u64) << 3 | (inv as u64) << 16
@@ -507,6 +543,7 @@
                 base: 0.0,
                 mean: 0.0,
                 strikes: 0,
+                rests_until: 0,
                 queue: Vec::new(),
                 flights: BTreeMap::new(),
             },
@@ -634,6 +671,7 @@
         let within = self.admission.within_quota(arrival.tenant, self.now);
         let part = if within { 1.0 } else { self.admission.over_share_part };
         let density = op.billed_value * part / work;
+        self.admission.learn(self.fleet.badness(self.now));
         let shed = self.admission.shed(density, work);
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         let write = arrival.write;
@@ -642,7 +680,6 @@
             ix,
             Inv {
                 key,
-                arrived: self.now,
                 give_up,
                 forwards: Vec::new(),
                 over: false,
@@ -710,7 +747,9 @@
                 last.get_or_insert(c);
                 continue;
             }
-            if f64::from(cache.out) > bar {
+            // Counting the one to be sent; or its latency of late would eat up the objective.
+            let slow = cache.out > 0 && cache.expected(self.now) > 0.5 * op.objective as f64;
+            if f64::from(cache.out + 1) > bar || slow {
                 spare.get_or_insert(c);
                 continue;
             }
@@ -721,7 +760,7 @@
 
     /// Cold cache servers miss much: their misses get a quarter of what the origin takes.
     fn cold_fetch_room(&self) -> bool {
-        self.guard.room() && (self.guard.cold_out as f64) < (self.guard.limit / 4.0).max(1.0)
+        self.guard.room(self.now) && (self.guard.cold_out as f64) < (self.guard.limit / 4.0).max(1.0)
     }
 
     fn send(&mut self, ix: InvIx, c: CacheIx, then: Then) {
@@ -765,7 +804,7 @@
         let inv = &self.invs[&ix];
         let op = &self.ops[inv.arrival.operation];
         let Some(origin) = self.fleet.origin() else { return self.conclude(ix) };
-        if self.guard.room() && self.guard.queue.is_empty() {
+        if self.guard.room(self.now) && self.guard.queue.is_empty() {
             return self.send(ix, origin, Policy::after_origin);
         }
         let left = inv.give_up.saturating_sub(self.now) as f64;
@@ -778,7 +817,7 @@
     }
 
     fn pump(&mut self) {
-        while self.guard.room() {
+        while self.guard.room(self.now) {
             let (Some(origin), Some(ix)) = (self.fleet.origin(), self.guard.pop()) else { return };
             if self.invs.get(&ix).is_some_and(|i| !i.over) {
                 self.send(ix, origin, Policy::after_origin);
@@ -810,7 +849,8 @@
             return;
         }
         // Proved not to have run, it may wait its turn again; else the origin is left in peace.
-        if e.outcome.never_ran() && inv.forwards.len() < self.limits.max_forwards {
+        let there = inv.forwards.iter().filter(|f| f.cache == e.cache).count();
+        if e.outcome.never_ran() && inv.forwards.len() < self.limits.max_forwards && there < 2 {
             return self.try_origin(ix);
         }
         self.conclude(ix);
@@ -834,27 +874,35 @@
             self.guard.out -= 1;
             self.guard.cold_out -= usize::from(cold);
             self.guard.learn(e.outcome, e.lag);
+            if matches!(e.outcome, Outcome::Full | Outcome::Unavailable) {
+                // Asking again at once would only feed its queue: all wait for a part of its time.
+                self.guard.rests_until = self.now + (self.guard.mean as Nanos).max(self.place.tick);
+                self.wake(self.guard.rests_until, ORIGIN);
+            }
         } else {
             match e.outcome {
                 Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
                     self.fleet.cleared(e.cache, self.now);
                     let operation = self.invs[&e.inv].arrival.operation;
-                    if e.outcome == Outcome::Succeeded {
+                    let late = e.lag > self.ops[operation].objective;
+                    let ran = e.outcome == Outcome::Succeeded;
+                    let (now, lag) = (self.now, if ran { e.lag } else { 0 });
+                    self.fleet.known(e.cache).expect("cache").learn(lag, late, now);
+                    if ran {
                         self.usual[operation].learn(e.lag as f64);
                     }
                 }
+                Outcome::Full => self.fleet.known(e.cache).expect("cache").learn(0, true, self.now),
                 Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
                 Outcome::TimedOut => self.silent(e.cache, sent_at),
                 _ => {}
             }
         }
         if newly_over {
-            let inv = &self.invs[&e.inv];
-            let op = &self.ops[inv.arrival.operation];
-            let late = self.now > inv.arrived + op.objective;
-            self.admission.learn(late || e.outcome != Outcome::Succeeded);
             self.settle(e.inv, e.outcome == Outcome::Succeeded);
-        } else if !self.invs[&e.inv].over {
+        } else if self.invs[&e.inv].over {
+            self.settle(e.inv, origin && e.outcome == Outcome::Succeeded);
+        } else {
             then(self, e.inv, &e);
         }
         self.forget(e.inv);
@@ -885,16 +933,12 @@
         let op = &self.ops[inv.arrival.operation];
         let throttle = may_throttle(inv, op);
         inv.over = true;
-        let used = !inv.forwards.is_empty() || self.now > inv.arrived;
         if throttle {
             let retry_after = self.limits.max_retry_after.unwrap_or(0);
             self.actions.push(Action::Throttle { inv: ix, retry_after });
         } else {
             self.actions.push(Action::Error { inv: ix });
         }
-        if used {
-            self.admission.learn(true);
-        }
         self.settle(ix, false);
         self.forget(ix);
     }
@@ -905,7 +949,9 @@
             return;
         }
         for (copy, f) in inv.forwards.iter().enumerate() {
-            if f.fate == Fate::Open && Some(copy) != except {
+            // A fetch stays out: its answer still fills the cache for those that come next.
+            let fetch = self.fleet.is_origin(f.cache) && !inv.arrival.write;
+            if f.fate == Fate::Open && Some(copy) != except && !fetch {
                 self.actions.push(Action::Withdraw { inv: ix, copy });
             }
         }
@@ -916,9 +962,11 @@
         self.withdraw_open(ix, None);
         let inv = &self.invs[&ix];
         let key = inv.key;
-        if !inv.leads {
+        let fetching = inv.forwards.iter().any(|f| f.fate == Fate::Open && self.fleet.is_origin(f.cache));
+        if !inv.leads || fetching {
             return;
         }
+        self.invs.get_mut(&ix).expect("inv").leads = false;
         let waiting = self.guard.flights.remove(&key).unwrap_or_default();
         for w in waiting {
             let Some(follower) = self.invs.get(&w).filter(|i| !i.over) else { continue };
@@ -981,6 +1029,7 @@
                 }
             }
             PEERS => self.tell_peers(),
+            ORIGIN => self.pump(),
             _ => {}
         }
     }
@@ -993,6 +1042,8 @@
         let wait_on = !quiet.is_empty() && !may_throttle(inv, &self.ops[inv.arrival.operation]);
         for (c, at) in quiet {
             if !self.fleet.is_origin(c) {
+                let now = self.now;
+                self.fleet.known(c).expect("cache").learn(now - at, true, now);
                 self.silent(c, at);
             }
         }
