--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -747,9 +747,9 @@
                 last.get_or_insert(c);
                 continue;
             }
-            // Counting the one to be sent; or its latency of late would eat up the objective.
-            let slow = cache.out > 0 && cache.expected(self.now) > 0.5 * op.objective as f64;
-            if f64::from(cache.out + 1) > bar || slow {
+            // Over the bar, or its latency of late would eat up the objective.
+            let slow = cache.out > 0 && cache.expected(self.now) > op.objective as f64;
+            if f64::from(cache.out) > bar || slow {
                 spare.get_or_insert(c);
                 continue;
             }
