--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -439,7 +439,14 @@
     /// Once an arrival: more is turned away while too much goes badly over the whole fleet. One bad
     /// cache server or a slow origin is no reason to.
     fn learn(&mut self, bad: f64) {
-        self.excess = (self.excess + EXCESS_STEP * (bad - TOLERATED)).clamp(0.0, EXCESS_MAX);
+        // What is worth less than most is turned away at the first sign of trouble.
+        let total: f64 = self.bands.iter().map(|b| b.1).sum();
+        let mean = self.bands.iter().map(|b| b.0 * b.1).sum::<f64>() / total.max(1e-9);
+        let below = |d: f64| self.bands.iter().filter(|b| b.0 <= d).map(|b| b.1).sum::<f64>();
+        let next = self.bands.iter().map(|b| b.0).filter(|&d| below(d) > self.excess * total);
+        let next = next.fold(f64::INFINITY, f64::min);
+        let tolerated = TOLERATED * (next / mean.max(1e-9)).min(1.0);
+        self.excess = (self.excess + EXCESS_STEP * (bad - tolerated)).clamp(0.0, EXCESS_MAX);
     }
 }
 
