--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -383,6 +383,42 @@
     }
 }
 
+// ---- Hot keys: where the design's like keys end. ----
+
+#[derive(Default)]
+struct KeyCounts {
+    counts: HashMap<u64, f64>,
+    total: f64,
+}
+
+impl KeyCounts {
+    /// Counts an arrival; old ones fade by half every so many.
+    fn count(&mut self, key: u64, caches: usize) {
+        *self.counts.entry(key).or_default() += 1.0;
+        self.total += 1.0;
+        if self.total >= 32.0 * caches as f64 {
+            self.counts.retain(|_, n| {
+                *n /= 2.0;
+                *n >= 1.0
+            });
+            self.total /= 2.0;
+        }
+    }
+    /// Over how many cache servers the key is spread, so that it adds at most half of a fair share
+    /// to any of them; 1 for nearly all keys.
+    fn spread(&self, key: u64, caches: usize) -> usize {
+        let count = self.counts.get(&key).copied().unwrap_or(0.0);
+        if count < HOT_COUNT {
+            return 1;
+        }
+        (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize
+    }
+}
+
+/// So many arrivals of late make a count that can be believed.
+const HOT_COUNT: f64 = 8.0;
+const HOT_SPREAD: f64 = 2.0;
+
 // ---- Admission: what is throttled early. ----
 
 struct Quota {
@@ -485,6 +521,7 @@
     invs: HashMap<InvIx, Inv>,
     fleet: Fleet,
     guard: OriginGuard,
+    keys: KeyCounts,
     admission: Admission,
     /// Per peer: when it last told, and its arrivals by tenant.
     peers: BTreeMap<usize, (Nanos, Vec<u16>)>,
@@ -554,6 +591,7 @@
                 queue: Vec::new(),
                 flights: BTreeMap::new(),
             },
+            keys: KeyCounts::default(),
             admission: Admission {
                 quotas: tenants.iter().map(quota).collect(),
                 over_share_part: place.over_share_part,
@@ -682,6 +720,7 @@
         let shed = self.admission.shed(density, work);
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         let write = arrival.write;
+        self.keys.count(key, self.fleet.ready.len().max(1));
         let origin_write = write && self.fleet.origin().is_some();
         self.invs.insert(
             ix,
@@ -733,7 +772,11 @@
         let believe = doubted * 2 <= self.fleet.ready.len();
         let mut spare = None;
         let mut last = None;
-        for (_, c) in self.fleet.rank(inv.key, self.now) {
+        let mut order = self.fleet.rank(inv.key, self.now);
+        // A hot key is spread over the first few of its order, the least busy of them first.
+        let few = self.keys.spread(inv.key, order.len()).min(order.len());
+        order[..few].sort_by_key(|&(_, c)| self.fleet.get(c).out);
+        for (_, c) in order {
             let cache = self.fleet.get(c);
             if inv.forwards.iter().any(|f| f.cache == c && f.fate == Fate::Open) || inv.tried(c) {
                 continue;
