--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -26,9 +26,12 @@
     cache: CacheIx,
     at: Nanos,
     fate: Fate,
+    /// A fetch that a cold cache server's miss led to.
+    cold: bool,
     then: Then,
 }
 
+#[derive(Default)]
 struct Inv {
     arrival: Arrival,
     key: u64,
@@ -49,20 +52,12 @@
     fn first_effect(&self) -> Option<&Forward> {
         self.forwards.iter().find(|f| f.fate != Fate::NeverRan)
     }
-    fn tried(&self, cache: CacheIx) -> bool {
-        self.forwards.iter().any(|f| f.cache == cache && f.fate != Fate::Open)
-    }
 }
 
 // ---- The gate: rules 1 to 3. Every forward and every final answer asks here first. ----
 
 fn may_forward(
-    inv: &Inv,
-    op: &Operation,
-    limits: &ForwardLimits,
-    to: &Cache,
-    fleet: &Fleet,
-    now: Nanos,
+    inv: &Inv, op: &Operation, limits: &ForwardLimits, to: &Cache, fleet: &Fleet, now: Nanos,
 ) -> bool {
     let free = !inv.over && !inv.begun && now < inv.arrival.due && to.standing == Standing::Ready;
     let room = inv.forwards.len() < limits.max_forwards && (limits.second_copies || inv.open() == 0);
@@ -98,6 +93,7 @@
     trial: bool,
 }
 
+#[derive(Default)]
 struct Cache {
     id_hash: u64,
     standing: Standing,
@@ -107,6 +103,8 @@
     weight: f64,
     ready_at: Nanos,
     out: u32,
+    /// Something was sent there; until then it counts at the mean of the others.
+    used: bool,
     heard: Nanos,
     strikes: u32,
     unreachable: bool,
@@ -146,10 +144,12 @@
     }
 }
 
+#[derive(Default)]
 struct Fleet {
     caches: Vec<Option<Cache>>,
     /// The members of the election.
     ready: Vec<CacheIx>,
+    origin: Option<CacheIx>,
     rules: Rules,
     origin_kind: Option<usize>,
     live_weights: bool,
@@ -166,15 +166,16 @@
     fn known(&mut self, c: CacheIx) -> Option<&mut Cache> {
         self.caches.get_mut(c).and_then(|c| c.as_mut())
     }
+    fn at(&mut self, c: CacheIx) -> &mut Cache {
+        self.known(c).expect("listed cache")
+    }
     fn is_origin(&self, c: CacheIx) -> bool {
         self.origin_kind == Some(self.get(c).kind)
     }
 
     fn list(&mut self, form: Form, rows: &[Row], now: Nanos) {
-        if matches!(form, Form::Full | Form::Saved) {
-            for c in self.caches.iter_mut().flatten() {
-                c.standing = Standing::Gone;
-            }
+        if form != Form::Changes {
+            self.caches.iter_mut().flatten().for_each(|c| c.standing = Standing::Gone);
         }
         for row in rows {
             if self.caches.len() <= row.cache {
@@ -183,22 +184,11 @@
             let weight = if self.live_weights || row.weight <= 0.0 { 1.0 } else { row.weight };
             let c = self.caches[row.cache].get_or_insert_with(|| Cache {
                 id_hash: row.id_hash,
-                standing: row.standing,
-                zone: row.zone,
-                cell: row.cell,
                 kind: row.kind,
-                weight,
-                ready_at: row.ready_at,
-                out: 0,
-                heard: now,
-                strikes: 0,
-                unreachable: false,
-                doubt: None,
-                lag: 0.0,
                 crowd: 1.0,
+                heard: now,
                 learnt_at: now,
-                bad: 0.0,
-                cold_sends: VecDeque::new(),
+                ..Cache::default()
             });
             if row.ready_at > c.ready_at {
                 // A restart under the same id: what was held against the old process is void.
@@ -206,17 +196,10 @@
             }
             (c.standing, c.weight, c.zone, c.cell) = (row.standing, weight, row.zone, row.cell);
         }
-        self.ready = (0..self.caches.len())
-            .filter(|&c| {
-                self.caches[c].is_some() && self.get(c).standing == Standing::Ready && !self.is_origin(c)
-            })
-            .collect();
-    }
-
-    fn origin(&self) -> Option<CacheIx> {
-        (0..self.caches.len()).find(|&c| {
-            self.caches[c].is_some() && self.is_origin(c) && self.get(c).standing == Standing::Ready
-        })
+        let up = |c: &CacheIx| self.caches[*c].as_ref().is_some_and(|c| c.standing == Standing::Ready);
+        let (origin, ready): (Vec<_>, _) =
+            (0..self.caches.len()).filter(up).partition(|&c| self.is_origin(c));
+        (self.origin, self.ready) = (origin.first().copied(), ready);
     }
 
     fn warmth(&self, c: CacheIx, now: Nanos) -> f64 {
@@ -241,8 +224,9 @@
 
     /// This node's in-flight bar: over it, a cache server is passed over.
     fn bar(&self) -> f64 {
-        let out: u32 = self.ready.iter().map(|&c| self.get(c).out).sum();
-        (2.0 * out as f64 / self.ready.len().max(1) as f64).max(PASS_OVER_FLOOR)
+        let known = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.used);
+        let (out, count) = known.fold((0, 0), |(out, count), c| (out + c.out, count + 1));
+        (2.0 * f64::from(out) / f64::from(count.max(1))).max(PASS_OVER_FLOOR)
     }
 
     /// Guards rule 4 alone: half of this node's part of the stated multiple, in every window. What
@@ -269,8 +253,8 @@
             self.rate = if self.rate == 0.0 { per_s } else { 0.7 * self.rate + 0.3 * per_s };
             (self.sent, self.counted_at) = (0.0, now);
         }
-        let cache = self.known(c).expect("listed cache");
-        cache.out += 1;
+        let cache = self.at(c);
+        (cache.out, cache.used) = (cache.out + 1, true);
         if cold {
             cache.cold_sends.push_back(now);
             while cache.cold_sends.front().is_some_and(|&t| t + window < now) {
@@ -281,7 +265,7 @@
 
     /// One more piece of evidence against a cache server; `hard` is proof that it can't be reached.
     fn strike(&mut self, c: CacheIx, hard: bool, backoff: Nanos, now: Nanos) -> bool {
-        let cache = self.known(c).expect("listed cache");
+        let cache = self.at(c);
         cache.strikes += 1;
         cache.unreachable |= hard && cache.strikes >= STRIKES;
         if cache.strikes < STRIKES {
@@ -308,10 +292,6 @@
         let each = each.map(|c| c.bad * fade(now - c.learnt_at));
         each.sum::<f64>() / self.ready.len().max(1) as f64
     }
-
-    fn doubted(&self, c: CacheIx) -> bool {
-        self.get(c).doubt.is_some()
-    }
 }
 
 /// What is left of knowledge of this age.
@@ -334,6 +314,7 @@
 
 // ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
 
+#[derive(Default)]
 struct OriginGuard {
     limit: f64,
     out: usize,
@@ -421,6 +402,7 @@
 
 // ---- Admission: what is throttled early. ----
 
+#[derive(Default)]
 struct Quota {
     per_s: f64,
     tokens: f64,
@@ -430,6 +412,7 @@
     part: f64,
 }
 
+#[derive(Default)]
 struct Admission {
     quotas: Vec<Quota>,
     over_share_part: f64,
@@ -447,42 +430,36 @@
         let more = now.saturating_sub(q.filled_at) as f64 / SECOND as f64 * rate;
         (q.tokens, q.filled_at) = ((q.tokens + more).min(rate.max(2.0)), now);
         let within = q.tokens >= 1.0;
-        if within {
-            q.tokens -= 1.0;
-        }
+        q.tokens -= f64::from(u8::from(within));
         within
     }
-    /// Chance of being throttled for an invocation of this value density, so that in all the
-    /// excess is shed from the bottom.
-    fn shed(&mut self, density: f64, work: f64) -> f64 {
-        let band = match self.bands.iter().position(|b| (b.0 - density).abs() <= 0.1 * b.0) {
-            Some(at) => at,
-            None => {
-                self.bands.push((density, 0.0));
-                self.bands.len() - 1
-            }
-        };
-        for b in &mut self.bands {
-            b.1 *= 0.99;
+    /// Chance of being throttled for an invocation of this value for the work it brings, so that in
+    /// all the excess is shed from the bottom. The excess rises while too much goes badly over the
+    /// whole fleet: one bad cache server or a slow origin is no reason to turn work away.
+    fn shed(&mut self, density: f64, work: f64, bad: f64) -> f64 {
+        self.bands.iter_mut().for_each(|b| b.1 *= 0.99);
+        match self.bands.iter_mut().find(|b| (b.0 - density).abs() <= 0.1 * b.0) {
+            Some(band) => band.1 += work,
+            None => self.bands.push((density, work)),
         }
-        self.bands[band].1 += work;
+        self.bands.retain(|b| b.1 > 0.01 * work);
+        self.bands.sort_by(|a, b| a.0.total_cmp(&b.0));
         let total: f64 = self.bands.iter().map(|b| b.1).sum();
-        let below: f64 = self.bands.iter().filter(|b| b.0 < self.bands[band].0).map(|b| b.1).sum();
-        self.bands.retain(|b| b.1 > 0.0);
-        let own = self.bands.iter().find(|b| (b.0 - density).abs() <= 0.1 * b.0).map_or(work, |b| b.1);
-        ((self.excess * total - below) / own).clamp(0.0, 1.0)
-    }
-    /// Once an arrival: more is turned away while too much goes badly over the whole fleet. One bad
-    /// cache server or a slow origin is no reason to.
-    fn learn(&mut self, bad: f64) {
-        // What is worth less than most is turned away at the first sign of trouble.
-        let total: f64 = self.bands.iter().map(|b| b.1).sum();
-        let mean = self.bands.iter().map(|b| b.0 * b.1).sum::<f64>() / total.max(1e-9);
-        let below = |d: f64| self.bands.iter().filter(|b| b.0 <= d).map(|b| b.1).sum::<f64>();
-        let next = self.bands.iter().map(|b| b.0).filter(|&d| below(d) > self.excess * total);
-        let next = next.fold(f64::INFINITY, f64::min);
-        let tolerated = TOLERATED * (next / mean.max(1e-9)).min(1.0);
+        let mean = self.bands.iter().map(|b| b.0 * b.1).sum::<f64>() / total;
+        // The band that the excess has reached; what is worth less than most goes at the first sign.
+        let (mut next, mut chance, mut below) = (f64::INFINITY, 0.0, 0.0);
+        for &(value, load) in &self.bands {
+            if (value - density).abs() <= 0.1 * value {
+                chance = ((self.excess * total - below) / load).clamp(0.0, 1.0);
+            }
+            below += load;
+            if below > self.excess * total {
+                next = value.min(next);
+            }
+        }
+        let tolerated = TOLERATED * (next / mean).min(1.0);
         self.excess = (self.excess + EXCESS_STEP * (bad - tolerated)).clamp(0.0, EXCESS_MAX);
+        chance
     }
 }
 
@@ -544,11 +521,7 @@
 
 impl Policy {
     pub fn new(
-        place: Surroundings,
-        ops: Vec<Operation>,
-        tenants: &[Tenant],
-        limits: ForwardLimits,
-        rules: Rules,
+        place: Surroundings, ops: Vec<Operation>, tenants: &[Tenant], limits: ForwardLimits, rules: Rules,
         mode: OriginMode,
     ) -> Policy {
         let origin_kind = match mode {
@@ -556,12 +529,9 @@
             OriginMode::Through => None,
         };
         let part = 1.0 / place.nodes.max(1) as f64;
-        let quota = |t: &Tenant| Quota {
-            per_s: t.quota_per_s,
-            tokens: t.quota_per_s * part,
-            filled_at: 0,
-            arrived: 0,
-            part,
+        let quota = |t: &Tenant| {
+            let (per_s, tokens) = (t.quota_per_s, t.quota_per_s * part);
+            Quota { per_s, tokens, part, ..Quota::default() }
         };
         Policy {
             now: 0,
@@ -570,33 +540,13 @@
             usual: vec![Usual::default(); ops.len()],
             aside: origin_kind.is_some(),
             invs: HashMap::new(),
-            fleet: Fleet {
-                caches: Vec::new(),
-                ready: Vec::new(),
-                origin_kind,
-                live_weights: place.live_weights,
-                rate: 0.0,
-                sent: 0.0,
-                counted_at: 0,
-                rules,
-            },
-            guard: OriginGuard {
-                limit: 3.0,
-                out: 0,
-                cold_out: 0,
-                base: 0.0,
-                mean: 0.0,
-                strikes: 0,
-                rests_until: 0,
-                queue: Vec::new(),
-                flights: BTreeMap::new(),
-            },
+            fleet: Fleet { origin_kind, live_weights: place.live_weights, rules, ..Fleet::default() },
+            guard: OriginGuard { limit: 3.0, ..OriginGuard::default() },
             keys: KeyCounts::default(),
             admission: Admission {
                 quotas: tenants.iter().map(quota).collect(),
                 over_share_part: place.over_share_part,
-                excess: 0.0,
-                bands: Vec::new(),
+                ..Admission::default()
             },
             peers: BTreeMap::new(),
             list_backoff: 0,
@@ -716,26 +666,14 @@
         let within = self.admission.within_quota(arrival.tenant, self.now);
         let part = if within { 1.0 } else { self.admission.over_share_part };
         let density = op.billed_value * part / work;
-        self.admission.learn(self.fleet.badness(self.now));
-        let shed = self.admission.shed(density, work);
+        let shed = self.admission.shed(density, work, self.fleet.badness(self.now));
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         let write = arrival.write;
         self.keys.count(key, self.fleet.ready.len().max(1));
-        let origin_write = write && self.fleet.origin().is_some();
-        self.invs.insert(
-            ix,
-            Inv {
-                key,
-                give_up,
-                forwards: Vec::new(),
-                over: false,
-                begun: false,
-                leads: false,
-                cold: false,
-                arrival,
-            },
-        );
-        if due <= self.now || self.rng.f64() < shed {
+        let origin_write = write && self.fleet.origin.is_some();
+        let due_now = due <= self.now;
+        self.invs.insert(ix, Inv { key, give_up, arrival, ..Inv::default() });
+        if due_now || self.rng.f64() < shed {
             return self.conclude(ix);
         }
         self.wake(give_up, token(GIVE_UP, ix, 0));
@@ -746,13 +684,15 @@
     fn try_cache(&mut self, ix: InvIx) {
         let inv = &self.invs[&ix];
         let (key, read) = (inv.key, !inv.arrival.write);
-        if read && self.aside && inv.forwards.is_empty() && self.guard.flights.contains_key(&key) {
-            self.guard.flights.get_mut(&key).expect("flight").push(ix);
-            return;
+        if read
+            && inv.forwards.is_empty()
+            && let Some(waiting) = self.guard.flights.get_mut(&key)
+        {
+            return waiting.push(ix);
         }
         // The last forward is the origin's, if there is one to turn to.
         let left = self.limits.max_forwards - inv.forwards.len().min(self.limits.max_forwards);
-        let origin = self.fleet.origin().filter(|_| self.aside && read);
+        let origin = self.fleet.origin.filter(|_| self.aside && read);
         if left <= 1 && origin.is_some() && !inv.forwards.is_empty() {
             return self.fetch(ix);
         }
@@ -767,7 +707,7 @@
         let inv = &self.invs[&ix];
         let op = &self.ops[inv.arrival.operation];
         let bar = self.fleet.bar();
-        let doubted = self.fleet.ready.iter().filter(|&&c| self.fleet.doubted(c)).count();
+        let doubted = self.fleet.ready.iter().filter(|&&c| self.fleet.get(c).doubt.is_some()).count();
         // If most look bad, the judgement is what is bad: then nobody is doubted.
         let believe = doubted * 2 <= self.fleet.ready.len();
         let mut spare = None;
@@ -778,14 +718,10 @@
         order[..few].sort_by_key(|&(_, c)| self.fleet.get(c).out);
         for (_, c) in order {
             let cache = self.fleet.get(c);
-            if inv.forwards.iter().any(|f| f.cache == c && f.fate == Fate::Open) || inv.tried(c) {
-                continue;
-            }
-            if !may_forward(inv, op, &self.limits, cache, &self.fleet, self.now) {
-                continue;
-            }
             let warm = self.fleet.warmth(c, self.now) >= 1.0;
-            if !warm && (!self.fleet.cold_room(c, self.now) || self.aside && !self.cold_fetch_room()) {
+            let room = warm || self.fleet.cold_room(c, self.now) && (!self.aside || self.cold_fetch_room());
+            let allowed = may_forward(inv, op, &self.limits, cache, &self.fleet, self.now);
+            if !room || !allowed || inv.forwards.iter().any(|f| f.cache == c) {
                 continue;
             }
             if let Some(d) = &cache.doubt
@@ -820,7 +756,8 @@
             return self.conclude(ix);
         }
         let wait = inv.arrival.due - self.now;
-        inv.forwards.push(Forward { cache: c, at: self.now, fate: Fate::Open, then });
+        let cold = inv.cold;
+        inv.forwards.push(Forward { cache: c, at: self.now, fate: Fate::Open, cold, then });
         let copy = inv.forwards.len() - 1;
         let usual = self.usual[inv.arrival.operation];
         let patience = usual.mean + 4.0 * usual.dev;
@@ -828,32 +765,30 @@
         self.actions.push(Action::Forward { inv: ix, cache: c, wait });
         if origin {
             self.guard.out += 1;
-            self.guard.cold_out += usize::from(self.invs[&ix].cold);
-            self.fleet.known(c).expect("origin").out += 1;
-        } else {
-            self.fleet.sent(c, self.now);
-            let at = self.now + patience as Nanos;
-            if usual.mean > 0.0 && at < give_up {
-                self.wake(at, token(PATIENCE, ix, copy));
-            }
+            self.guard.cold_out += usize::from(cold);
+            return self.fleet.at(c).out += 1;
+        }
+        self.fleet.sent(c, self.now);
+        let at = self.now + patience as Nanos;
+        if usual.mean > 0.0 && at < give_up {
+            self.wake(at, token(PATIENCE, ix, copy));
         }
     }
 
     fn fetch(&mut self, ix: InvIx) {
-        let key = self.invs[&ix].key;
-        if let Some(waiting) = self.guard.flights.get_mut(&key) {
-            waiting.push(ix);
-            return;
+        let inv = self.invs.get_mut(&ix).expect("inv");
+        if let Some(waiting) = self.guard.flights.get_mut(&inv.key) {
+            return waiting.push(ix);
         }
-        self.guard.flights.insert(key, Vec::new());
-        self.invs.get_mut(&ix).expect("inv").leads = true;
+        self.guard.flights.insert(inv.key, Vec::new());
+        inv.leads = true;
         self.try_origin(ix);
     }
 
     fn try_origin(&mut self, ix: InvIx) {
         let inv = &self.invs[&ix];
         let op = &self.ops[inv.arrival.operation];
-        let Some(origin) = self.fleet.origin() else { return self.conclude(ix) };
+        let Some(origin) = self.fleet.origin else { return self.conclude(ix) };
         if self.guard.room(self.now) && self.guard.queue.is_empty() {
             return self.send(ix, origin, Policy::after_origin);
         }
@@ -868,7 +803,7 @@
 
     fn pump(&mut self) {
         while self.guard.room(self.now) {
-            let (Some(origin), Some(ix)) = (self.fleet.origin(), self.guard.pop()) else { return };
+            let (Some(origin), Some(ix)) = (self.fleet.origin, self.guard.pop()) else { return };
             if self.invs.get(&ix).is_some_and(|i| !i.over) {
                 self.send(ix, origin, Policy::after_origin);
             }
@@ -877,33 +812,26 @@
 
     /// A cache answered.
     fn after_cache(&mut self, ix: InvIx, e: &Ending) {
-        match e.outcome {
-            Outcome::Miss if self.aside => {
-                let cold = self.fleet.warmth(e.cache, self.now) < 1.0;
-                let inv = self.invs.get_mut(&ix).expect("inv");
-                inv.cold |= cold;
-                if self.fleet.origin().is_some() { self.fetch(ix) } else { self.conclude(ix) }
-            }
-            _ => {
-                if self.invs[&ix].open() == 0 {
-                    self.try_cache(ix)
-                }
-            }
+        let cold = self.fleet.warmth(e.cache, self.now) < 1.0;
+        let inv = self.invs.get_mut(&ix).expect("inv");
+        if e.outcome == Outcome::Miss && self.aside {
+            inv.cold |= cold;
+            self.fetch(ix);
+        } else if inv.open() == 0 {
+            self.try_cache(ix);
         }
     }
 
     /// The origin answered, but not with success.
     fn after_origin(&mut self, ix: InvIx, e: &Ending) {
         let inv = &self.invs[&ix];
-        if inv.open() > 0 {
-            return;
-        }
         // Proved not to have run, it may wait its turn again; else the origin is left in peace.
         let there = inv.forwards.iter().filter(|f| f.cache == e.cache).count();
         if e.outcome.never_ran() && inv.forwards.len() < self.limits.max_forwards && there < 2 {
-            return self.try_origin(ix);
+            self.try_origin(ix);
+        } else if inv.open() == 0 {
+            self.conclude(ix);
         }
-        self.conclude(ix);
     }
 
     fn ended(&mut self, e: Ending) {
@@ -913,11 +841,10 @@
         let Some(inv) = self.invs.get_mut(&e.inv) else { return };
         let Some(f) = inv.forwards.get_mut(e.copy).filter(|f| f.fate == Fate::Open) else { return };
         f.fate = if e.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (then, sent_at) = (f.then, f.at);
-        let cold = inv.cold;
+        let (then, sent_at, cold) = (f.then, f.at, f.cold);
         let newly_over = e.last && !inv.over;
         inv.over |= e.last;
-        let cache = self.fleet.known(e.cache).expect("cache");
+        let cache = self.fleet.at(e.cache);
         cache.out = cache.out.saturating_sub(1);
         let origin = self.fleet.is_origin(e.cache);
         if origin {
@@ -937,12 +864,12 @@
                     let late = e.lag > self.ops[operation].objective;
                     let ran = e.outcome == Outcome::Succeeded;
                     let (now, lag) = (self.now, if ran { e.lag } else { 0 });
-                    self.fleet.known(e.cache).expect("cache").learn(lag, late, now);
+                    self.fleet.at(e.cache).learn(lag, late, now);
                     if ran {
                         self.usual[operation].learn(e.lag as f64);
                     }
                 }
-                Outcome::Full => self.fleet.known(e.cache).expect("cache").learn(0, true, self.now),
+                Outcome::Full => self.fleet.at(e.cache).learn(0, true, self.now),
                 Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
                 Outcome::TimedOut => self.silent(e.cache, sent_at),
                 _ => {}
@@ -980,15 +907,13 @@
     /// Gives the final answer: throttled where that is allowed, errored elsewhere.
     fn conclude(&mut self, ix: InvIx) {
         let Some(inv) = self.invs.get_mut(&ix).filter(|i| !i.over && !i.begun) else { return };
-        let op = &self.ops[inv.arrival.operation];
-        let throttle = may_throttle(inv, op);
         inv.over = true;
-        if throttle {
-            let retry_after = self.limits.max_retry_after.unwrap_or(0);
-            self.actions.push(Action::Throttle { inv: ix, retry_after });
-        } else {
-            self.actions.push(Action::Error { inv: ix });
-        }
+        let retry_after = self.limits.max_retry_after.unwrap_or(0);
+        let throttle = may_throttle(inv, &self.ops[inv.arrival.operation]);
+        self.actions.push(match throttle {
+            true => Action::Throttle { inv: ix, retry_after },
+            false => Action::Error { inv: ix },
+        });
         self.settle(ix, false);
         self.forget(ix);
     }
@@ -1010,6 +935,7 @@
     /// The invocation is over: whoever waits for its fetch goes on.
     fn settle(&mut self, ix: InvIx, stored: bool) {
         self.withdraw_open(ix, None);
+        self.guard.queue.retain(|q| q.1 != ix);
         let inv = &self.invs[&ix];
         let key = inv.key;
         let fetching = inv.forwards.iter().any(|f| f.fate == Fate::Open && self.fleet.is_origin(f.cache));
@@ -1020,11 +946,8 @@
         let waiting = self.guard.flights.remove(&key).unwrap_or_default();
         for w in waiting {
             let Some(follower) = self.invs.get(&w).filter(|i| !i.over) else { continue };
-            if stored && (follower.forwards.len() < self.limits.max_forwards) {
-                self.again(w);
-            } else {
-                self.fetch(w);
-            }
+            let more = follower.forwards.len() < self.limits.max_forwards;
+            if stored && more { self.again(w) } else { self.fetch(w) }
         }
     }
 
@@ -1032,7 +955,9 @@
     fn again(&mut self, ix: InvIx) {
         let inv = &self.invs[&ix];
         let missed = inv.forwards.iter().rev().find(|f| f.fate == Fate::NeverRan).map(|f| f.cache);
-        match missed.filter(|&c| self.fleet.get(c).standing == Standing::Ready && !self.fleet.doubted(c)) {
+        match missed
+            .filter(|&c| self.fleet.get(c).standing == Standing::Ready && self.fleet.get(c).doubt.is_none())
+        {
             Some(c) => self.send(ix, c, Policy::after_cache),
             None => self.try_cache(ix),
         }
@@ -1071,9 +996,8 @@
             PATIENCE => self.impatient(ix, copy),
             FLEET => self.look_at_doubted(),
             LIST => {
-                // Asked since and answered: nothing to do.
-                let unanswered =
-                    self.asked_at.is_some_and(|at| self.now >= at + self.fleet.rules.ask_every / 2);
+                let waited = self.now - self.asked_at.unwrap_or(self.now);
+                let unanswered = waited >= self.fleet.rules.ask_every / 2 && self.asked_at.is_some();
                 if unanswered || self.list_backoff > 0 && self.asked_at.is_none() {
                     self.follow();
                 }
@@ -1093,7 +1017,7 @@
         for (c, at) in quiet {
             if !self.fleet.is_origin(c) {
                 let now = self.now;
-                self.fleet.known(c).expect("cache").learn(now - at, true, now);
+                self.fleet.at(c).learn(now - at, true, now);
                 self.silent(c, at);
             }
         }
@@ -1115,12 +1039,12 @@
         }
         self.silent(c, at);
         let inv = &self.invs[&ix];
-        if self.ops[inv.arrival.operation].effect == Effect::NonIdempotent {
+        if !matches!(self.ops[inv.arrival.operation].effect, Effect::Idempotent) {
             return;
         }
         if self.limits.second_copies {
             if inv.forwards.len() + 1 < self.limits.max_forwards
-                && let Some(to) = self.pick(ix).filter(|&to| !self.fleet.doubted(to))
+                && let Some(to) = self.pick(ix).filter(|&to| self.fleet.get(to).doubt.is_none())
             {
                 self.send(ix, to, Policy::after_cache);
             }
@@ -1130,15 +1054,9 @@
     }
 
     fn watch_fleet(&mut self) {
-        let next = self
-            .fleet
-            .ready
-            .iter()
-            .filter_map(|&c| self.fleet.get(c).doubt.as_ref().filter(|d| !d.trial).map(|d| d.until))
-            .min();
-        if let Some(at) = next
-            && (self.fleet_wake <= self.now || at < self.fleet_wake)
-        {
+        let doubts = self.fleet.ready.iter().filter_map(|&c| self.fleet.get(c).doubt.as_ref());
+        let next = doubts.filter(|d| !d.trial).map(|d| d.until).min();
+        if let Some(at) = next.filter(|&at| self.fleet_wake <= self.now || at < self.fleet_wake) {
             self.fleet_wake = at.max(self.now + 1);
             self.wake(at, FLEET);
         }
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -55,7 +55,7 @@
 }
 
 /// The figures of the four rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rules {
     pub answer_slack: Nanos,
     pub ask_every: Nanos,
@@ -90,10 +90,11 @@
     pub over_share_part: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -154,7 +155,7 @@
     pub waiting: Option<f64>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Arrival {
     pub inv: InvIx,
     pub operation: usize,
