--- /dev/null
+++ b/crates/sparrouter/tests/rules.rs
@@ -0,0 +1,260 @@
+//! The rules under random legal traffic, and plain cases of the mechanism.
+mod world;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sparrouter::types::*;
+use world::*;
+
+fn effects() -> impl Strategy<Value = Effect> {
+    let group = prop_oneof![Just(Group::All), Just(Group::Zone), Just(Group::Cell)];
+    prop_oneof![
+        Just(Effect::Idempotent),
+        (group, 100u64..3000).prop_map(|(group, w)| Effect::Deduplicated { group, window: w * MS }),
+        Just(Effect::NonIdempotent),
+    ]
+}
+
+fn operations() -> impl Strategy<Value = Operation> {
+    let late = prop_oneof![Just(0.0), Just(0.5)];
+    (effects(), 50u64..900, 0.0..5.0, late, any::<bool>()).prop_map(
+        |(effect, objective, value, late_part, s)| {
+            let stream = s && late_part > 0.0;
+            let objective = objective * MS;
+            Operation { objective, billed_value: value, late_part, stream, ..operation(effect) }
+        },
+    )
+}
+
+fn sites() -> impl Strategy<Value = Site> {
+    let flags = prop::array::uniform6(any::<bool>());
+    (prop::collection::vec(operations(), 1..4), flags, 1usize..7, 1usize..6, 0usize..3, any::<u64>())
+        .prop_map(
+            |(
+                ops,
+                [second_copies, withdraw, may_probe, must_ask, through, advice],
+                max,
+                nodes,
+                tenants,
+                seed,
+            )| {
+                let mut s = site();
+                s.ops = ops;
+                s.limits = ForwardLimits { max_forwards: max, second_copies, withdraw, ..s.limits };
+                s.limits.max_retry_after = advice.then_some(SECOND);
+                s.place = Surroundings { nodes, seed, may_probe, must_ask, peers: advice, ..s.place };
+                s.tenants = vec![Tenant { share: 0.5, quota_per_s: 20.0 }; tenants];
+                if through {
+                    s.mode = OriginMode::Through;
+                }
+                s
+            },
+        )
+}
+
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Succeeded,
+    Outcome::Miss,
+    Outcome::Full,
+    Outcome::Unavailable,
+    Outcome::Reset,
+    Outcome::Error,
+    Outcome::TimedOut,
+    Outcome::NotSent,
+    Outcome::Succeeded,
+];
+
+/// One legal step, drawn from a number.
+fn step(w: &mut World, n: u32) {
+    let pick = (n / 16) as usize;
+    match n % 16 {
+        0..=6 => {
+            let op = pick % w.site.ops.len();
+            let write = w.site.ops[op].effect != Effect::Idempotent && n & 0x1000 != 0;
+            let key = (n & 0x2000 == 0).then_some(u64::from(n >> 14) % 12);
+            w.arrive(op, key, write, (n as u64 >> 8) % 2500 * MS);
+        }
+        7..=11 => {
+            let open = w.open();
+            if !open.is_empty() {
+                let (inv, copy) = open[pick % open.len()];
+                w.end(inv, copy, OUTCOMES[(n >> 20) as usize % OUTCOMES.len()]);
+            }
+        }
+        12 => {
+            let open = w.open();
+            if !open.is_empty() {
+                let (inv, copy) = open[pick % open.len()];
+                if n & 0x100000 == 0 { w.begin(inv, copy) } else { w.leave(inv) }
+            }
+        }
+        13 => {
+            let cache = pick % 8;
+            let mut r = row(cache, if cache == 7 { 9 } else { 0 });
+            r.standing = [Standing::Ready, Standing::Draining, Standing::Gone, Standing::Ready][pick / 8 % 4];
+            r.ready_at = if n & 0x100000 == 0 { w.now } else { 0 };
+            w.list(Form::Changes, vec![r]);
+        }
+        14 if w.asked && n & 0x1000 == 0 => w.list(Form::Lost, vec![]),
+        14 => {
+            let rows = (0..8).filter(|c| pick >> c & 1 == 0).map(|c| row(c, if c == 7 { 9 } else { 0 }));
+            let rows = rows.collect();
+            w.list(Form::Full, rows);
+        }
+        _ => w.play(Event::Told { peer: 1 + pick % 4, text: vec![pick as u8; pick % 9] }),
+    }
+    w.pass(u64::from(n >> 24) % 40 * MS);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_rules_hold_after_every_step(site in sites(), steps in prop::collection::vec(any::<u32>(), 50..250)) {
+        let rows = (0..8).map(|c| row(c, if c == 7 { 9 } else { 0 })).collect();
+        let mut w = World::new(site, rows);
+        for n in steps {
+            step(&mut w, n);
+        }
+        w.finish();
+    }
+
+    #[test]
+    fn same_events_same_actions(steps in prop::collection::vec(any::<u32>(), 50..150)) {
+        let run = || {
+            let mut w = World::new(site(), (0..7).map(|c| row(c, 0)).chain([row(7, 9)]).collect());
+            steps.iter().for_each(|&n| step(&mut w, n));
+            w.log
+        };
+        prop_assert_eq!(run(), run());
+    }
+}
+
+fn fleet(n: usize) -> Vec<Row> {
+    (0..n).map(|c| row(c, 0)).chain([row(n, 9)]).collect()
+}
+
+fn winner(w: &mut World, key: u64) -> CacheIx {
+    let inv = w.arrive(0, Some(key), false, SECOND);
+    let to = w.sent_to(inv)[0];
+    w.end(inv, 0, Outcome::Succeeded);
+    to
+}
+
+#[test]
+fn nodes_agree_and_a_lost_cache_moves_only_its_own_keys() {
+    let mut other = site();
+    other.place.seed = 99;
+    let (mut a, mut b) = (World::new(site(), fleet(10)), World::new(other, fleet(10)));
+    let before: Vec<_> = (0..500).map(|k| winner(&mut a, k)).collect();
+    assert_eq!(before, (0..500).map(|k| winner(&mut b, k)).collect::<Vec<_>>());
+    a.list(Form::Changes, vec![Row { standing: Standing::Gone, ..row(3, 0) }]);
+    for (key, was) in before.into_iter().enumerate() {
+        let now = winner(&mut a, key as u64);
+        assert!(now == was || was == 3, "key {key} moved from {was} to {now}");
+    }
+}
+
+#[test]
+fn a_busy_cache_is_passed_over_and_a_turned_away_read_falls_back_in_order() {
+    let mut w = World::new(site(), fleet(4));
+    let first = winner(&mut w, 5);
+    // Other keys of the same winner crowd it.
+    let crowd: Vec<u64> = (6..400).filter(|&k| winner(&mut w, k) == first).take(3).collect();
+    for k in crowd {
+        w.arrive(0, Some(k), false, SECOND);
+    }
+    let inv = w.arrive(0, Some(5), false, SECOND);
+    let second = w.sent_to(inv)[0];
+    assert_ne!(second, first);
+    w.end(inv, 0, Outcome::Full);
+    assert!(![first, second].contains(&w.sent_to(inv)[1]));
+}
+
+#[test]
+fn a_miss_goes_to_the_origin_and_one_fetch_serves_all_who_wait() {
+    let mut w = World::new(site(), fleet(4));
+    let a = w.arrive(0, Some(1), false, SECOND);
+    let home = w.sent_to(a)[0];
+    w.end(a, 0, Outcome::Miss);
+    let b = w.arrive(0, Some(1), false, SECOND);
+    assert_eq!((w.sent_to(a), w.sent_to(b)), (vec![home, 4], vec![]));
+    w.end(a, 1, Outcome::Succeeded);
+    assert_eq!(w.sent_to(b), vec![home]);
+}
+
+#[test]
+fn writes_go_to_the_origin_and_one_that_may_have_run_ends_in_an_error() {
+    let mut w = World::new(site(), fleet(4));
+    let inv = w.arrive(1, Some(1), true, SECOND);
+    assert_eq!(w.sent_to(inv), vec![4]);
+    w.end(inv, 0, Outcome::Reset);
+    assert!(matches!(w.log.last(), Some(Action::Error { .. })));
+}
+
+/// A cache server that takes everything and answers nothing loses its keys until a probe is answered.
+#[test]
+fn a_silent_cache_is_doubted_and_comes_back_by_trial() {
+    let mut w = World::new(site(), fleet(4));
+    let home = winner(&mut w, 1);
+    for _ in 0..2 {
+        w.arrive(0, Some(1), false, 2 * SECOND);
+        w.pass(320 * MS);
+    }
+    assert_ne!(winner(&mut w, 1), home);
+}
+
+/// One bad cache server, or an origin that gives nothing, is no reason to turn work away: shedding
+/// once learnt from every bad ending and ran away to its cap while the caches idled.
+#[test]
+fn a_dead_origin_does_not_shed_what_the_caches_hold() {
+    let mut w = World::new(site(), fleet(6));
+    for n in 0..600 {
+        let inv = w.arrive(0, Some(1000 + n), false, SECOND);
+        if !w.sent_to(inv).is_empty() && n % 3 == 0 {
+            w.end(inv, 0, Outcome::Miss);
+        } else if !w.sent_to(inv).is_empty() {
+            w.end(inv, 0, Outcome::Succeeded);
+        }
+        w.pass(10 * MS);
+    }
+    let before = w.log.len();
+    winner(&mut w, 2);
+    assert!(matches!(
+        w.log[before..].iter().find(|a| !matches!(a, Action::Wake { .. })),
+        Some(Action::Forward { .. })
+    ));
+}
+
+/// Turned away by the origin, nothing asks it again at once: that fed its queue.
+#[test]
+fn the_origin_rests_after_it_turned_work_away() {
+    let mut w = World::new(site(), fleet(4));
+    let inv = w.arrive(0, Some(1), false, SECOND);
+    w.end(inv, 0, Outcome::Miss);
+    w.end(inv, 1, Outcome::Full);
+    assert_eq!(w.sent_to(inv).len(), 2);
+    w.pass(50 * MS);
+    assert_eq!(w.sent_to(inv).len(), 3);
+}
+
+/// One key that brings more than a cache server's share is spread over the first few of its order.
+#[test]
+fn a_hot_key_is_spread_over_few_caches() {
+    let mut w = World::new(site(), fleet(8));
+    let mut used = std::collections::BTreeSet::new();
+    for n in 0..200 {
+        let inv = w.arrive(0, Some(if n % 2 == 0 { 1 } else { 50 + n }), false, SECOND);
+        if n % 2 == 0 && n > 40 {
+            used.extend(w.sent_to(inv));
+        }
+        if n % 6 == 5 {
+            w.open().into_iter().for_each(|(i, c)| w.end(i, c, Outcome::Succeeded));
+        }
+    }
+    assert!(used.len() > 1 && used.len() <= 8, "{used:?}");
+}
--- /dev/null
+++ b/crates/sparrouter/tests/world/mod.rs
@@ -0,0 +1,354 @@
+//! A legal environment for one node, with a model of the rules written apart from the module: it
+//! knows only what went in and what came out, and checks every action as it comes.
+#![allow(dead_code)]
+use sparrouter::policy::Policy;
+use sparrouter::types::*;
+use std::collections::BTreeMap;
+
+pub const MS: Nanos = 1_000_000;
+
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub place: Surroundings,
+    pub ops: Vec<Operation>,
+    pub limits: ForwardLimits,
+    pub rules: Rules,
+    pub mode: OriginMode,
+    pub tenants: Vec<Tenant>,
+}
+
+pub fn operation(effect: Effect) -> Operation {
+    Operation {
+        effect,
+        objective: 300 * MS,
+        stretch: 0.0,
+        client_timeout: 1200 * MS,
+        billed_value: 3.0,
+        late_part: 0.0,
+        stream: false,
+    }
+}
+
+pub fn site() -> Site {
+    Site {
+        place: Surroundings {
+            seed: 7,
+            own_index: 0,
+            nodes: 1,
+            may_probe: true,
+            peers: false,
+            tick: 5 * MS,
+            must_ask: false,
+            live_weights: false,
+            over_share_part: 0.1,
+        },
+        ops: vec![operation(Effect::Idempotent), operation(Effect::NonIdempotent)],
+        limits: ForwardLimits {
+            max_forwards: 3,
+            second_copies: false,
+            withdraw: true,
+            max_retry_after: Some(2 * SECOND),
+        },
+        rules: Rules {
+            answer_slack: 20 * MS,
+            ask_every: 10 * SECOND,
+            start_capacity: 0.15,
+            cold: 20 * SECOND,
+            fall_multiple: 3.0,
+            fall: SECOND,
+        },
+        mode: OriginMode::Aside { kind: 9 },
+        tenants: vec![],
+    }
+}
+
+pub fn row(cache: CacheIx, kind: usize) -> Row {
+    Row {
+        cache,
+        id_hash: (cache as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        standing: Standing::Ready,
+        zone: cache % 3,
+        cell: (cache % 2) as i64,
+        kind,
+        weight: 1.0 + (cache % 2) as f64,
+        ready_at: 0,
+    }
+}
+
+struct Sent {
+    cache: CacheIx,
+    at: Nanos,
+    until: Nanos,
+    open: bool,
+    may_have_run: bool,
+}
+
+struct Held {
+    op: usize,
+    due: Nanos,
+    sent: Vec<Sent>,
+    answered: bool,
+    begun: bool,
+}
+
+pub struct World {
+    pub site: Site,
+    pub policy: Policy,
+    pub now: Nanos,
+    rows: BTreeMap<CacheIx, Row>,
+    held: BTreeMap<InvIx, Held>,
+    timers: Vec<(Nanos, u64)>,
+    coming: Vec<Ending>,
+    probes: Vec<CacheIx>,
+    cold_sends: Vec<(Nanos, CacheIx, f64)>,
+    sends: Vec<Nanos>,
+    peak: f64,
+    next: InvIx,
+    pub asked: bool,
+    pub log: Vec<Action>,
+}
+
+impl World {
+    pub fn new(site: Site, rows: Vec<Row>) -> World {
+        let s = site.clone();
+        let policy = Policy::new(s.place, s.ops, &s.tenants, s.limits, s.rules, s.mode);
+        let mut w = World {
+            site,
+            policy,
+            now: 100 * SECOND,
+            rows: BTreeMap::new(),
+            held: BTreeMap::new(),
+            timers: vec![],
+            coming: vec![],
+            probes: vec![],
+            cold_sends: vec![],
+            sends: vec![],
+            peak: 0.0,
+            next: 0,
+            asked: false,
+            log: vec![],
+        };
+        w.list(Form::Saved, rows);
+        w
+    }
+
+    pub fn list(&mut self, form: Form, rows: Vec<Row>) {
+        if matches!(form, Form::Full | Form::Saved) {
+            self.rows.values_mut().for_each(|r| r.standing = Standing::Gone);
+        }
+        for r in &rows {
+            self.rows.insert(r.cache, r.clone());
+        }
+        self.play(Event::Listed { form, rows });
+    }
+
+    pub fn arrive(&mut self, op: usize, key: Option<u64>, write: bool, patience: Nanos) -> InvIx {
+        let (inv, due) = (self.next, self.now + patience);
+        self.next += 1;
+        self.held.insert(inv, Held { op, due, sent: vec![], answered: false, begun: false });
+        let tenant = (!self.site.tenants.is_empty()).then_some(inv as usize % self.site.tenants.len().max(1));
+        let arrival = Arrival { inv, operation: op, tenant, key, write, due, ..Arrival::default() };
+        self.play(Event::Arrived(arrival));
+        inv
+    }
+
+    /// The forwards that are out, oldest first.
+    pub fn open(&self) -> Vec<(InvIx, usize)> {
+        let each =
+            self.held.iter().flat_map(|(&i, h)| h.sent.iter().enumerate().map(move |(n, s)| (i, n, s.open)));
+        each.filter(|e| e.2).map(|e| (e.0, e.1)).collect()
+    }
+    pub fn sent_to(&self, inv: InvIx) -> Vec<CacheIx> {
+        self.held[&inv].sent.iter().map(|s| s.cache).collect()
+    }
+    pub fn answered(&self, inv: InvIx) -> bool {
+        self.held[&inv].answered
+    }
+
+    pub fn end(&mut self, inv: InvIx, copy: usize, outcome: Outcome) {
+        let h = self.held.get_mut(&inv).expect("held");
+        let s = &mut h.sent[copy];
+        if !s.open {
+            return;
+        }
+        (s.open, s.may_have_run) = (false, !outcome.never_ran());
+        let (cache, lag) = (s.cache, self.now - s.at);
+        h.answered |= outcome == Outcome::Succeeded || h.begun;
+        let last = h.answered;
+        self.play(Event::Ended(Ending { inv, copy, cache, outcome, lag, last, note: None, load: None }));
+    }
+
+    pub fn begin(&mut self, inv: InvIx, copy: usize) {
+        let h = self.held.get_mut(&inv).expect("held");
+        if h.answered || h.begun || !self.site.ops[h.op].stream {
+            return;
+        }
+        h.begun = true;
+        h.sent[copy].until = Nanos::MAX;
+        self.play(Event::Begun { inv, copy });
+    }
+
+    pub fn leave(&mut self, inv: InvIx) {
+        let h = self.held.get_mut(&inv).expect("held");
+        if !h.answered && !h.begun {
+            h.answered = true;
+            self.play(Event::Left { inv });
+        }
+    }
+
+    /// Lets time pass: timers, time-outs and withdrawals come when they are due.
+    pub fn pass(&mut self, time: Nanos) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = (self.now + self.site.place.tick).min(end);
+            for e in std::mem::take(&mut self.coming) {
+                self.end(e.inv, e.copy, e.outcome);
+            }
+            for cache in std::mem::take(&mut self.probes) {
+                let ok = cache % 2 == 0;
+                self.play(Event::Probed { cache, ok, load: None });
+            }
+            for (inv, copy) in self.open() {
+                if self.held[&inv].sent[copy].until <= self.now {
+                    self.end(inv, copy, Outcome::TimedOut);
+                }
+            }
+            let (fired, later) = self.timers.iter().partition(|t| t.0 <= self.now);
+            self.timers = later;
+            let mut fired: Vec<(Nanos, u64)> = fired;
+            fired.sort();
+            for (_, token) in fired {
+                self.play(Event::Woke { token });
+            }
+            let slack = self.site.rules.answer_slack;
+            for (inv, h) in &self.held {
+                assert!(
+                    h.answered || h.begun || self.now <= h.due + slack,
+                    "rule 1: {inv} has no answer in time"
+                );
+            }
+        }
+    }
+
+    pub fn play(&mut self, event: Event) {
+        self.policy.handle(self.now, event);
+        let actions: Vec<Action> = self.policy.drain().collect();
+        for action in actions {
+            self.check(&action);
+            self.log.push(action);
+        }
+    }
+
+    fn check(&mut self, action: &Action) {
+        let now = self.now;
+        match *action {
+            Action::Forward { inv, cache, wait } => {
+                self.check_forward(inv, cache);
+                let h = self.held.get_mut(&inv).expect("rule 1: unknown invocation");
+                let until = now + wait;
+                h.sent.push(Sent { cache, at: now, until, open: true, may_have_run: false });
+            }
+            Action::Throttle { inv, .. } => {
+                let h = self.held.get_mut(&inv).expect("rule 1: unknown invocation");
+                assert!(!h.answered && !h.begun, "rule 1: {inv} answered twice");
+                h.answered = true;
+                let open_to_doubt = h.sent.iter().any(|s| s.open || s.may_have_run);
+                let harmless = match self.site.ops[h.op].effect {
+                    Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
+                    _ => !open_to_doubt,
+                };
+                assert!(harmless, "rule 2: {inv} throttled though it may have run");
+            }
+            Action::Error { inv } => {
+                let h = self.held.get_mut(&inv).expect("rule 1: unknown invocation");
+                assert!(!h.answered && !h.begun, "rule 1: {inv} answered twice");
+                h.answered = true;
+            }
+            Action::Withdraw { inv, copy } => {
+                assert!(self.site.limits.withdraw, "withdrawals are not allowed here");
+                let s = &self.held[&inv].sent[copy];
+                let (cache, outcome) = (s.cache, Outcome::Withdrawn);
+                self.coming.push(Ending {
+                    inv,
+                    copy,
+                    cache,
+                    outcome,
+                    lag: 0,
+                    last: false,
+                    note: None,
+                    load: None,
+                });
+            }
+            Action::Wake { after, token } => self.timers.push((now + after, token)),
+            Action::Probe { cache } => {
+                assert!(self.site.place.may_probe, "probes are not allowed here");
+                self.probes.push(cache);
+            }
+            Action::Tell { ref text } => assert!(self.site.place.peers && text.len() <= 256),
+            Action::Follow | Action::AskList => self.asked = true,
+        }
+    }
+
+    fn check_forward(&mut self, inv: InvIx, cache: CacheIx) {
+        let h = self.held.get(&inv).expect("rule 1: unknown invocation");
+        assert!(!h.answered && !h.begun, "rule 1: {inv} forwarded after its answer");
+        assert!(h.sent.len() < self.site.limits.max_forwards, "more forwards than allowed");
+        let to = &self.rows[&cache];
+        assert_eq!(to.standing, Standing::Ready, "rule 3: sent to a drained cache server");
+        let open = h.sent.iter().any(|s| s.open);
+        assert!(self.site.limits.second_copies || !open, "rule 2: overlapping forwards");
+        let mut ran = h.sent.iter().filter(|s| s.open || s.may_have_run);
+        match self.site.ops[h.op].effect {
+            Effect::Idempotent => {}
+            Effect::NonIdempotent => assert!(ran.next().is_none(), "rule 2: {inv} may run twice"),
+            Effect::Deduplicated { group, window } => {
+                let earlier: Vec<&Sent> = ran.collect();
+                for s in &earlier {
+                    let from = &self.rows[&s.cache];
+                    let same = match group {
+                        Group::All => true,
+                        Group::Zone => from.zone == to.zone,
+                        Group::Cell => from.cell == to.cell,
+                    };
+                    assert!(same, "rule 2: {inv} left its group");
+                    assert!(self.now < s.at + window, "rule 2: {inv} sent past its window");
+                }
+            }
+        }
+        let origin = matches!(self.site.mode, OriginMode::Aside { kind } if kind == to.kind);
+        if !origin {
+            self.check_cold(cache);
+        }
+    }
+
+    /// In no window does a cold cache server get more than the stated multiple of what the busiest
+    /// second so far gave to a warm one of its size, cut to the stated climb.
+    fn check_cold(&mut self, cache: CacheIx) {
+        let (now, r) = (self.now, self.site.rules.clone());
+        let warmth = |row: &Row| match row.ready_at {
+            0 => 1.0,
+            at => (r.start_capacity + (1.0 - r.start_capacity) * (now - at) as f64 / r.cold as f64).min(1.0),
+        };
+        self.sends.push(now);
+        let lately = self.sends.iter().filter(|&&t| t + SECOND >= now).count() as f64;
+        let weight: f64 = self.rows.values().filter(|r| r.standing == Standing::Ready).map(&warmth).sum();
+        self.peak = self.peak.max(lately / weight.max(1e-9));
+        let (to, share) = (&self.rows[&cache], warmth(&self.rows[&cache]));
+        if share < 1.0 {
+            let window = r.fall.max(SECOND);
+            self.cold_sends.push((now, cache, share));
+            let sent = self.cold_sends.iter().filter(|s| s.1 == cache && s.0 + window > now).count() as f64;
+            let budget = r.fall_multiple * share * to.weight * self.peak * window as f64 / SECOND as f64;
+            assert!(sent <= budget.max(1.0), "rule 4: {sent} sent to cold {cache}, budget {budget}");
+        }
+    }
+
+    /// To the end: nothing new comes, all that is held must be answered.
+    pub fn finish(&mut self) {
+        let last = self.held.values().map(|h| h.due).max().unwrap_or(self.now);
+        self.pass(last.saturating_sub(self.now) + self.site.rules.answer_slack + MS);
+        for (inv, h) in &self.held {
+            assert!(h.answered || h.begun, "rule 1: {inv} was never answered");
+        }
+    }
+}
