--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -467,6 +467,9 @@
 /// Part of the forwards that may end badly before more is turned away.
 const TOLERATED: f64 = 0.1;
 const EXCESS_MAX: f64 = 0.9;
+/// Second copies an arrival, and how many may be saved up.
+const COPIES: f64 = 0.05;
+const COPIES_SAVED: f64 = 10.0;
 
 #[derive(Clone, Copy, Default)]
 struct Usual {
@@ -505,6 +508,8 @@
     list_backoff: Nanos,
     asked_at: Option<Nanos>,
     fleet_wake: Nanos,
+    /// Second copies that may be sent: a part of the arrivals.
+    copies: f64,
 }
 
 const GIVE_UP: u64 = 0;
@@ -552,6 +557,7 @@
             list_backoff: 0,
             asked_at: None,
             fleet_wake: 0,
+            copies: 0.0,
             place,
             limits,
             ops,
@@ -669,6 +675,7 @@
         let shed = self.admission.shed(density, work, self.fleet.badness(self.now));
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         let write = arrival.write;
+        self.copies = (self.copies + COPIES).min(COPIES_SAVED);
         self.keys.count(key, self.fleet.ready.len().max(1));
         let origin_write = write && self.fleet.origin.is_some();
         let due_now = due <= self.now;
@@ -698,7 +705,10 @@
         }
         match self.pick(ix) {
             Some(c) => self.send(ix, c, Policy::after_cache),
-            None if origin.is_some() => self.fetch(ix),
+            // Not because all are crowded: the origin would be the next to fall.
+            None if origin.is_some() && self.fleet.ready.iter().all(|&c| self.fleet.get(c).out == 0) => {
+                self.fetch(ix)
+            }
             None => self.conclude(ix),
         }
     }
@@ -733,9 +743,13 @@
                 last.get_or_insert(c);
                 continue;
             }
-            // Over the bar, or its latency of late would eat up the objective.
-            let slow = cache.out > 0 && cache.expected(self.now) > op.objective as f64;
-            if f64::from(cache.out) > bar || slow {
+            // Over the bar, or its latency of late would eat up the objective; one that cannot answer
+            // in time at all gets nothing, as a long queue does all its work for nobody.
+            let expected = if cache.out > 0 { cache.expected(self.now) as Nanos } else { 0 };
+            if expected > inv.give_up.saturating_sub(self.now) {
+                continue;
+            }
+            if f64::from(cache.out) > bar || expected > op.objective {
                 spare.get_or_insert(c);
                 continue;
             }
@@ -871,7 +885,10 @@
                 }
                 Outcome::Full => self.fleet.at(e.cache).learn(0, true, self.now),
                 Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
-                Outcome::TimedOut => self.silent(e.cache, sent_at),
+                Outcome::TimedOut => {
+                    self.fleet.at(e.cache).learn(e.lag, true, self.now);
+                    self.silent(e.cache, sent_at);
+                }
                 _ => {}
             }
         }
@@ -1043,9 +1060,12 @@
             return;
         }
         if self.limits.second_copies {
-            if inv.forwards.len() + 1 < self.limits.max_forwards
+            // Few second copies: where all are slow they would double the load.
+            if self.copies >= 1.0
+                && inv.forwards.len() + 1 < self.limits.max_forwards
                 && let Some(to) = self.pick(ix).filter(|&to| self.fleet.get(to).doubt.is_none())
             {
+                self.copies -= 1.0;
                 self.send(ix, to, Policy::after_cache);
             }
         } else if self.limits.withdraw && inv.forwards.len() < self.limits.max_forwards {
