--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -746,7 +746,8 @@
             // Over the bar, or its latency of late would eat up the objective; one that cannot answer
             // in time at all gets nothing, as a long queue does all its work for nobody.
             let expected = if cache.out > 0 { cache.expected(self.now) as Nanos } else { 0 };
-            if expected > inv.give_up.saturating_sub(self.now) {
+            let several = f64::from(cache.out) >= PASS_OVER_FLOOR;
+            if several && expected > inv.give_up.saturating_sub(self.now) {
                 continue;
             }
             if f64::from(cache.out) > bar || expected > op.objective {
