--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -265,13 +265,15 @@
 
     /// One more piece of evidence against a cache server; `hard` is proof that it can't be reached.
     fn strike(&mut self, c: CacheIx, hard: bool, backoff: Nanos, now: Nanos) -> bool {
+        let most = self.most_doubted();
         let cache = self.at(c);
         cache.strikes += 1;
         cache.unreachable |= hard && cache.strikes >= STRIKES;
         if cache.strikes < STRIKES {
             return false;
         }
-        let backoff = cache.doubt.as_ref().map_or(backoff, |d| (d.backoff * 2).min(backoff * 8));
+        let longest = if most { backoff } else { backoff * 8 };
+        let backoff = cache.doubt.as_ref().map_or(backoff, |d| (d.backoff * 2).min(longest));
         cache.doubt = Some(Doubt { until: now + backoff, backoff, trial: false });
         true
     }
@@ -286,6 +288,11 @@
         (cache.heard, cache.strikes, cache.unreachable, cache.doubt) = (now, 0, false, None);
     }
 
+    fn most_doubted(&self) -> bool {
+        let doubted = self.ready.iter().filter(|&&c| self.get(c).doubt.is_some()).count();
+        doubted * 2 > self.ready.len()
+    }
+
     /// Mean badness of the ready cache servers, each counted once however much it gets.
     fn badness(&self, now: Nanos) -> f64 {
         let each = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.doubt.is_none());
@@ -717,11 +724,8 @@
         let inv = &self.invs[&ix];
         let op = &self.ops[inv.arrival.operation];
         let bar = self.fleet.bar();
-        let doubted = self.fleet.ready.iter().filter(|&&c| self.fleet.get(c).doubt.is_some()).count();
-        // If most look bad, the judgement is what is bad: then nobody is doubted.
-        let believe = doubted * 2 <= self.fleet.ready.len();
+        let most = self.fleet.most_doubted();
         let mut spare = None;
-        let mut last = None;
         let mut order = self.fleet.rank(inv.key, self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
         let few = self.keys.spread(inv.key, order.len()).min(order.len());
@@ -734,13 +738,12 @@
             if !room || !allowed || inv.forwards.iter().any(|f| f.cache == c) {
                 continue;
             }
-            if let Some(d) = &cache.doubt
-                && believe
-            {
-                if d.trial && cache.out == 0 && op.effect == Effect::Idempotent {
+            if let Some(d) = &cache.doubt {
+                // If most look bad, the judgement may be what is bad: they need no probe, only time.
+                let look = d.trial || most && d.until <= self.now;
+                if look && cache.out == 0 && op.effect == Effect::Idempotent {
                     return Some(c);
                 }
-                last.get_or_insert(c);
                 continue;
             }
             // Over the bar, or its latency of late would eat up the objective; one that cannot answer
@@ -756,7 +759,7 @@
             }
             return Some(c);
         }
-        spare.or(last)
+        spare
     }
 
     /// Cold cache servers miss much: their misses get a quarter of what the origin takes.
