A learned in-flight limit for each cache server

Cause: the expected-time guess let long queues stand. Now late or silent forwards cut what this node may have in flight there, answers in time raise it.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -113,6 +113,7 @@
     lag: f64,
     crowd: f64,
     learnt_at: Nanos,
+    limit: f64,
     /// Part of its forwards of late that came to nothing in time.
     bad: f64,
     /// When the latest forwards left while it was cold.
@@ -128,6 +129,9 @@
             self.lag += step * (lag as f64 - self.lag);
             self.crowd += step * (crowd - self.crowd);
         }
+        // Additive rise, multiplicative fall: what this node may have in flight there.
+        self.limit = if bad { self.limit * 0.7 } else { self.limit + 0.5 / self.limit };
+        self.limit = self.limit.clamp(1.0, LIMIT_MAX);
         self.bad += 0.1 * (f64::from(u8::from(bad)) - self.bad);
         self.learnt_at = now;
     }
@@ -186,6 +190,7 @@
                 id_hash: row.id_hash,
                 kind: row.kind,
                 crowd: 1.0,
+                limit: LIMIT_MAX / 2.0,
                 heard: now,
                 learnt_at: now,
                 ..Cache::default()
@@ -318,6 +323,7 @@
 const COLD_MARGIN: f64 = 0.5;
 /// Silent or unreachable so often in a row, a cache server is doubted.
 const STRIKES: u32 = 2;
+const LIMIT_MAX: f64 = 16.0;
 
 // ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
 
@@ -749,8 +755,7 @@
             // Over the bar, or its latency of late would eat up the objective; one that cannot answer
             // in time at all gets nothing, as a long queue does all its work for nobody.
             let expected = if cache.out > 0 { cache.expected(self.now) as Nanos } else { 0 };
-            let several = f64::from(cache.out) >= PASS_OVER_FLOOR;
-            if several && expected > inv.give_up.saturating_sub(self.now) {
+            if f64::from(cache.out) >= cache.limit.floor() {
                 continue;
             }
             if f64::from(cache.out) > bar || expected > op.objective {
