--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -39,8 +39,6 @@
     forwards: Vec<Forward>,
     over: bool,
     begun: bool,
-    /// It has waited once for another node's fetch.
-    waited: bool,
     leads: bool,
     /// A cold cache server missed for it.
     cold: bool,
@@ -534,7 +532,6 @@
 const LIST: u64 = 4;
 const PEERS: u64 = 5;
 const ORIGIN: u64 = 6;
-const AGAIN: u64 = 7;
 
 fn token(kind: u64, inv: InvIx, copy: usize) -> u64 {
     kind | (copy as u64) << 3 | (inv as u64) << 16
@@ -842,15 +839,7 @@
         let inv = self.invs.get_mut(&ix).expect("inv");
         if e.outcome == Outcome::Miss && self.aside {
             inv.cold |= cold;
-            // Another node fetches this key already: its answer will be here in about that time.
-            let wait = self.guard.mean as Nanos;
-            let theirs = e.note == Some(Note::MissWhileFetching) && !inv.waited && wait > 0;
-            let more = inv.forwards.len() + 2 <= self.limits.max_forwards;
-            if !theirs || !more || self.now + 2 * wait > inv.give_up {
-                return self.fetch(ix);
-            }
-            inv.waited = true;
-            self.wake(self.now + wait, token(AGAIN, ix, 0));
+            self.fetch(ix);
         } else if inv.open() == 0 {
             self.try_cache(ix);
         }
@@ -1041,7 +1030,6 @@
             }
             PEERS => self.tell_peers(),
             ORIGIN => self.pump(),
-            AGAIN if self.invs.get(&ix).is_some_and(|i| !i.over) => self.again(ix),
             _ => {}
         }
     }
