--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -109,36 +109,23 @@
     strikes: u32,
     unreachable: bool,
     doubt: Option<Doubt>,
-    /// Latency of late, how many of this node's were in flight then, and when it was learnt.
-    lag: f64,
-    crowd: f64,
-    learnt_at: Nanos,
+    /// What this node may have in flight there.
     limit: f64,
-    /// Part of its forwards of late that came to nothing in time.
+    /// Part of its forwards of late that came to nothing in time, and when that was learnt.
     bad: f64,
+    learnt_at: Nanos,
     /// When the latest forwards left while it was cold.
     cold_sends: VecDeque<Nanos>,
 }
 
 impl Cache {
-    /// One forward's latency, with `crowd` of this node's in flight while it was out.
-    fn learn(&mut self, lag: Nanos, bad: bool, now: Nanos) {
-        let crowd = f64::from(self.out.max(1));
-        if lag > 0 {
-            let step = if self.lag == 0.0 { 1.0 } else { 0.2 };
-            self.lag += step * (lag as f64 - self.lag);
-            self.crowd += step * (crowd - self.crowd);
-        }
-        // Additive rise, multiplicative fall: what this node may have in flight there.
+    fn learn(&mut self, bad: bool, now: Nanos) {
+        // Additive rise, multiplicative fall.
         self.limit = if bad { self.limit * 0.7 } else { self.limit + 0.5 / self.limit };
         self.limit = self.limit.clamp(1.0, LIMIT_MAX);
         self.bad += 0.1 * (f64::from(u8::from(bad)) - self.bad);
         self.learnt_at = now;
     }
-    /// What one more forward will take, as far as this node knows; old knowledge fades.
-    fn expected(&self, now: Nanos) -> f64 {
-        self.lag * f64::from(self.out + 1) / self.crowd * fade(now - self.learnt_at)
-    }
     /// The part of its capacity that it has at least, by the stated climb.
     fn warmth(&self, start: f64, cold: Nanos, now: Nanos) -> f64 {
         if self.ready_at == 0 || cold == 0 {
@@ -189,7 +176,6 @@
             let c = self.caches[row.cache].get_or_insert_with(|| Cache {
                 id_hash: row.id_hash,
                 kind: row.kind,
-                crowd: 1.0,
                 limit: LIMIT_MAX / 2.0,
                 heard: now,
                 learnt_at: now,
@@ -752,13 +738,10 @@
                 }
                 continue;
             }
-            // Over the bar, or its latency of late would eat up the objective; one that cannot answer
-            // in time at all gets nothing, as a long queue does all its work for nobody.
-            let expected = if cache.out > 0 { cache.expected(self.now) as Nanos } else { 0 };
             if f64::from(cache.out) >= cache.limit.floor() {
                 continue;
             }
-            if f64::from(cache.out) > bar || expected > op.objective {
+            if f64::from(cache.out) > bar {
                 spare.get_or_insert(c);
                 continue;
             }
@@ -886,16 +869,15 @@
                     let operation = self.invs[&e.inv].arrival.operation;
                     let late = e.lag > self.ops[operation].objective;
                     let ran = e.outcome == Outcome::Succeeded;
-                    let (now, lag) = (self.now, if ran { e.lag } else { 0 });
-                    self.fleet.at(e.cache).learn(lag, late, now);
+                    self.fleet.at(e.cache).learn(late, self.now);
                     if ran {
                         self.usual[operation].learn(e.lag as f64);
                     }
                 }
-                Outcome::Full => self.fleet.at(e.cache).learn(0, true, self.now),
+                Outcome::Full => self.fleet.at(e.cache).learn(true, self.now),
                 Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
                 Outcome::TimedOut => {
-                    self.fleet.at(e.cache).learn(e.lag, true, self.now);
+                    self.fleet.at(e.cache).learn(true, self.now);
                     self.silent(e.cache, sent_at);
                 }
                 _ => {}
@@ -1043,7 +1025,7 @@
         for (c, at) in quiet {
             if !self.fleet.is_origin(c) {
                 let now = self.now;
-                self.fleet.at(c).learn(now - at, true, now);
+                self.fleet.at(c).learn(true, now);
                 self.silent(c, at);
             }
         }
