--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -48,6 +48,9 @@
     fn open(&self) -> usize {
         self.forwards.iter().filter(|f| f.fate == Fate::Open).count()
     }
+    fn live(&self) -> bool {
+        !self.over && !self.begun
+    }
     /// The first forward that ran, may have run or may still run.
     fn first_effect(&self) -> Option<&Forward> {
         self.forwards.iter().find(|f| f.fate != Fate::NeverRan)
@@ -59,7 +62,7 @@
 fn may_forward(
     inv: &Inv, op: &Operation, limits: &ForwardLimits, to: &Cache, fleet: &Fleet, now: Nanos,
 ) -> bool {
-    let free = !inv.over && !inv.begun && now < inv.arrival.due && to.standing == Standing::Ready;
+    let free = inv.live() && now < inv.arrival.due && to.standing == Standing::Ready;
     let room = inv.forwards.len() < limits.max_forwards && (limits.second_copies || inv.open() == 0);
     let effect = match (op.effect, inv.first_effect()) {
         (Effect::Idempotent, _) | (_, None) => true,
@@ -363,6 +366,9 @@
     }
 }
 
+/// Fetches that may be out before anything is known of the origin.
+const ORIGIN_START: f64 = 3.0;
+
 // ---- Hot keys: where the design's like keys end. ----
 
 #[derive(Default)]
@@ -488,6 +494,7 @@
 
 // ---- The whole: events in, actions out. ----
 
+#[derive(Default)]
 pub struct Policy {
     now: Nanos,
     actions: Vec<Action>,
@@ -528,38 +535,24 @@
         place: Surroundings, ops: Vec<Operation>, tenants: &[Tenant], limits: ForwardLimits, rules: Rules,
         mode: OriginMode,
     ) -> Policy {
-        let origin_kind = match mode {
-            OriginMode::Aside { kind } => Some(kind),
-            OriginMode::Through => None,
-        };
+        let origin_kind = if let OriginMode::Aside { kind } = mode { Some(kind) } else { None };
         let part = 1.0 / place.nodes.max(1) as f64;
         let quota = |t: &Tenant| {
             let (per_s, tokens) = (t.quota_per_s, t.quota_per_s * part);
             Quota { per_s, tokens, part, ..Quota::default() }
         };
+        let (quotas, over_share_part) = (tenants.iter().map(quota).collect(), place.over_share_part);
         Policy {
-            now: 0,
-            actions: Vec::new(),
             rng: fastrand::Rng::with_seed(place.seed),
             usual: vec![Usual::default(); ops.len()],
             aside: origin_kind.is_some(),
-            invs: HashMap::new(),
             fleet: Fleet { origin_kind, live_weights: place.live_weights, rules, ..Fleet::default() },
-            guard: OriginGuard { limit: 3.0, ..OriginGuard::default() },
-            keys: KeyCounts::default(),
-            admission: Admission {
-                quotas: tenants.iter().map(quota).collect(),
-                over_share_part: place.over_share_part,
-                ..Admission::default()
-            },
-            peers: BTreeMap::new(),
-            list_backoff: 0,
-            asked_at: None,
-            fleet_wake: 0,
-            copies: 0.0,
+            guard: OriginGuard { limit: ORIGIN_START, ..OriginGuard::default() },
+            admission: Admission { quotas, over_share_part, ..Admission::default() },
             place,
             limits,
             ops,
+            ..Policy::default()
         }
     }
 
@@ -848,7 +841,6 @@
         let Some(f) = inv.forwards.get_mut(e.copy).filter(|f| f.fate == Fate::Open) else { return };
         f.fate = if e.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (then, sent_at, cold) = (f.then, f.at, f.cold);
-        let newly_over = e.last && !inv.over;
         inv.over |= e.last;
         let cache = self.fleet.at(e.cache);
         cache.out = cache.out.saturating_sub(1);
@@ -863,30 +855,10 @@
                 self.wake(self.guard.rests_until, ORIGIN);
             }
         } else {
-            match e.outcome {
-                Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
-                    self.fleet.cleared(e.cache, self.now);
-                    let operation = self.invs[&e.inv].arrival.operation;
-                    let late = e.lag > self.ops[operation].objective;
-                    let ran = e.outcome == Outcome::Succeeded;
-                    self.fleet.at(e.cache).learn(late, self.now);
-                    if ran {
-                        self.usual[operation].learn(e.lag as f64);
-                    }
-                }
-                Outcome::Full => self.fleet.at(e.cache).learn(true, self.now),
-                Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
-                Outcome::TimedOut => {
-                    self.fleet.at(e.cache).learn(true, self.now);
-                    self.silent(e.cache, sent_at);
-                }
-                _ => {}
-            }
+            self.judge(&e, sent_at);
         }
-        if newly_over {
+        if self.invs[&e.inv].over {
             self.settle(e.inv, e.outcome == Outcome::Succeeded);
-        } else if self.invs[&e.inv].over {
-            self.settle(e.inv, origin && e.outcome == Outcome::Succeeded);
         } else {
             then(self, e.inv, &e);
         }
@@ -896,6 +868,28 @@
         }
     }
 
+    /// What an ending says of its cache server.
+    fn judge(&mut self, e: &Ending, sent_at: Nanos) {
+        let operation = self.invs[&e.inv].arrival.operation;
+        match e.outcome {
+            Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
+                self.fleet.cleared(e.cache, self.now);
+                self.fleet.at(e.cache).learn(e.lag > self.ops[operation].objective, self.now);
+                if e.outcome == Outcome::Succeeded {
+                    self.usual[operation].learn(e.lag as f64);
+                }
+            }
+            Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
+            Outcome::Full | Outcome::TimedOut => {
+                self.fleet.at(e.cache).learn(true, self.now);
+                if e.outcome == Outcome::TimedOut {
+                    self.silent(e.cache, sent_at);
+                }
+            }
+            Outcome::Withdrawn | Outcome::NotSent => {}
+        }
+    }
+
     /// Nothing at all came from this cache server since the forward left: that is silence, while
     /// one that answers others is only slow.
     fn silent(&mut self, c: CacheIx, since: Nanos) {
@@ -914,7 +908,7 @@
 
     /// Gives the final answer: throttled where that is allowed, errored elsewhere.
     fn conclude(&mut self, ix: InvIx) {
-        let Some(inv) = self.invs.get_mut(&ix).filter(|i| !i.over && !i.begun) else { return };
+        let Some(inv) = self.invs.get_mut(&ix).filter(|i| i.live()) else { return };
         inv.over = true;
         let retry_after = self.limits.max_retry_after.unwrap_or(0);
         let throttle = may_throttle(inv, &self.ops[inv.arrival.operation]);
@@ -1017,7 +1011,7 @@
     }
 
     fn give_up(&mut self, ix: InvIx) {
-        let Some(inv) = self.invs.get(&ix).filter(|i| !i.over && !i.begun) else { return };
+        let Some(inv) = self.invs.get(&ix).filter(|i| i.live()) else { return };
         let quiet: Vec<(CacheIx, Nanos)> =
             inv.forwards.iter().filter(|f| f.fate == Fate::Open).map(|f| (f.cache, f.at)).collect();
         let due = inv.arrival.due.saturating_sub(self.place.tick);
@@ -1039,7 +1033,7 @@
     /// A forward is out for longer than nearly all of its operation: if its cache server was silent
     /// all that time, the invocation moves on.
     fn impatient(&mut self, ix: InvIx, copy: usize) {
-        let Some(inv) = self.invs.get(&ix).filter(|i| !i.over && !i.begun) else { return };
+        let Some(inv) = self.invs.get(&ix).filter(|i| i.live()) else { return };
         let Some(f) = inv.forwards.get(copy).filter(|f| f.fate == Fate::Open) else { return };
         let (c, at) = (f.cache, f.at);
         if self.fleet.get(c).heard > at {
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -45,7 +45,7 @@
 }
 
 /// What one invocation may cost.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ForwardLimits {
     pub max_forwards: usize,
     pub second_copies: bool,
@@ -75,7 +75,7 @@
 }
 
 /// What the site says of this node's surroundings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Surroundings {
     pub seed: u64,
     pub own_index: usize,
