A tenant may save up five seconds of its quota

Cause: a node's part of a small tenant's quota is a few a second, so even arrivals looked beyond it.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -433,7 +433,7 @@
         q.arrived = q.arrived.saturating_add(1);
         let rate = q.per_s * q.part;
         let more = now.saturating_sub(q.filled_at) as f64 / SECOND as f64 * rate;
-        (q.tokens, q.filled_at) = ((q.tokens + more).min(rate.max(2.0)), now);
+        (q.tokens, q.filled_at) = ((q.tokens + more).min(QUOTA_DEPTH * rate.max(1.0)), now);
         let within = q.tokens >= 1.0;
         q.tokens -= f64::from(u8::from(within));
         within
@@ -468,6 +468,8 @@
     }
 }
 
+/// Seconds of its quota that a tenant may save up: small parts come unevenly.
+const QUOTA_DEPTH: f64 = 5.0;
 const EXCESS_STEP: f64 = 0.02;
 /// Part of the forwards that may end badly before more is turned away.
 const TOLERATED: f64 = 0.1;
