--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -463,14 +463,16 @@
             }
         }
         let tolerated = TOLERATED * (next / mean).min(1.0);
-        self.excess = (self.excess + EXCESS_STEP * (bad - tolerated)).clamp(0.0, EXCESS_MAX);
+        let step = if bad > tolerated { EXCESS_RISE } else { EXCESS_FALL };
+        self.excess = (self.excess + step * (bad - tolerated)).clamp(0.0, EXCESS_MAX);
         chance
     }
 }
 
 /// Seconds of its quota that a tenant may save up: small parts come unevenly.
 const QUOTA_DEPTH: f64 = 5.0;
-const EXCESS_STEP: f64 = 0.02;
+const EXCESS_RISE: f64 = 0.06;
+const EXCESS_FALL: f64 = 0.02;
 /// Part of the forwards that may end badly before more is turned away.
 const TOLERATED: f64 = 0.1;
 const EXCESS_MAX: f64 = 0.9;
