--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -122,11 +122,11 @@
 }
 
 impl Cache {
-    fn learn(&mut self, bad: bool, now: Nanos) {
+    fn learn(&mut self, bad: f64, now: Nanos) {
         // Additive rise, multiplicative fall.
-        self.limit = if bad { self.limit * 0.7 } else { self.limit + 0.5 / self.limit };
+        self.limit = if bad > 0.0 { self.limit * 0.7 } else { self.limit + 0.5 / self.limit };
         self.limit = self.limit.clamp(1.0, LIMIT_MAX);
-        self.bad += 0.1 * (f64::from(u8::from(bad)) - self.bad);
+        self.bad += 0.1 * (bad - self.bad);
         self.learnt_at = now;
     }
     /// The part of its capacity that it has at least, by the stated climb.
@@ -312,6 +312,8 @@
 const COLD_MARGIN: f64 = 0.5;
 /// Silent or unreachable so often in a row, a cache server is doubted.
 const STRIKES: u32 = 2;
+/// How bad a full cache server is, beside one that answers too late.
+const FULL_BAD: f64 = 0.25;
 const LIMIT_MAX: f64 = 16.0;
 
 // ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
@@ -878,15 +880,18 @@
         match e.outcome {
             Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
                 self.fleet.cleared(e.cache, self.now);
-                self.fleet.at(e.cache).learn(e.lag > self.ops[operation].objective, self.now);
+                let late = e.lag > self.ops[operation].objective;
+                self.fleet.at(e.cache).learn(f64::from(u8::from(late)), self.now);
                 if e.outcome == Outcome::Succeeded {
                     self.usual[operation].learn(e.lag as f64);
                 }
             }
             Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
             Outcome::Full | Outcome::TimedOut => {
-                self.fleet.at(e.cache).learn(true, self.now);
-                if e.outcome == Outcome::TimedOut {
+                // Turned away is cheap: the next in order takes it, and most end well.
+                let full = e.outcome == Outcome::Full;
+                self.fleet.at(e.cache).learn(if full { FULL_BAD } else { 1.0 }, self.now);
+                if !full {
                     self.silent(e.cache, sent_at);
                 }
             }
@@ -1023,7 +1028,7 @@
         for (c, at) in quiet {
             if !self.fleet.is_origin(c) {
                 let now = self.now;
-                self.fleet.at(c).learn(true, now);
+                self.fleet.at(c).learn(1.0, now);
                 self.silent(c, at);
             }
         }
