--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -425,7 +425,7 @@
     over_share_part: f64,
     /// Part of the arriving load that is turned away, lowest value first.
     excess: f64,
-    /// Arrivals by value for the work they bring: (value density, load of late).
+    /// By operation, beyond and within quota: value for the work it brings, and load of late.
     bands: Vec<(f64, f64)>,
 }
 
@@ -443,28 +443,17 @@
     /// Chance of being throttled for an invocation of this value for the work it brings, so that in
     /// all the excess is shed from the bottom. The excess rises while too much goes badly over the
     /// whole fleet: one bad cache server or a slow origin is no reason to turn work away.
-    fn shed(&mut self, density: f64, work: f64, bad: f64) -> f64 {
+    fn shed(&mut self, band: usize, density: f64, work: f64, bad: f64) -> f64 {
         self.bands.iter_mut().for_each(|b| b.1 *= 0.99);
-        match self.bands.iter_mut().find(|b| (b.0 - density).abs() <= 0.1 * b.0) {
-            Some(band) => band.1 += work,
-            None => self.bands.push((density, work)),
-        }
-        self.bands.retain(|b| b.1 > 0.01 * work);
-        self.bands.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let total: f64 = self.bands.iter().map(|b| b.1).sum();
+        self.bands[band] = (density, self.bands[band].1 + work);
+        let load = |of: &dyn Fn(f64) -> bool| self.bands.iter().filter(|b| of(b.0)).map(|b| b.1).sum::<f64>();
+        let total = load(&|_| true);
         let mean = self.bands.iter().map(|b| b.0 * b.1).sum::<f64>() / total;
-        // The band that the excess has reached; what is worth less than most goes at the first sign.
-        let (mut next, mut chance, mut below) = (f64::INFINITY, 0.0, 0.0);
-        for &(value, load) in &self.bands {
-            if (value - density).abs() <= 0.1 * value {
-                chance = ((self.excess * total - below) / load).clamp(0.0, 1.0);
-            }
-            below += load;
-            if below > self.excess * total {
-                next = value.min(next);
-            }
-        }
-        let tolerated = TOLERATED * (next / mean).min(1.0);
+        let over = self.excess * total;
+        let chance = ((over - load(&|d| d < density)) / load(&|d| d == density)).clamp(0.0, 1.0);
+        // The band that the excess has reached: the less it is worth, the sooner it goes.
+        let next = self.bands.iter().filter(|b| b.1 > 0.0 && load(&|d| d <= b.0) > over).map(|b| b.0);
+        let tolerated = (TOLERATED * next.fold(f64::INFINITY, f64::min) / mean).min(1.0);
         let step = if bad > tolerated { EXCESS_RISE } else { EXCESS_FALL };
         self.excess = (self.excess + step * (bad - tolerated)).clamp(0.0, EXCESS_MAX);
         chance
@@ -518,7 +507,8 @@
     /// Per peer: when it last told, and its arrivals by tenant.
     peers: BTreeMap<usize, (Nanos, Vec<u16>)>,
     list_backoff: Nanos,
-    asked_at: Option<Nanos>,
+    /// When to ask for the list again; 0 while nothing is owed to us.
+    ask_at: Nanos,
     fleet_wake: Nanos,
     /// Second copies that may be sent: a part of the arrivals.
     copies: f64,
@@ -547,6 +537,7 @@
             let (per_s, tokens) = (t.quota_per_s, t.quota_per_s * part);
             Quota { per_s, tokens, part, ..Quota::default() }
         };
+        let bands = vec![(0.0, 0.0); 2 * ops.len()];
         let (quotas, over_share_part) = (tenants.iter().map(quota).collect(), place.over_share_part);
         Policy {
             rng: fastrand::Rng::with_seed(place.seed),
@@ -554,7 +545,7 @@
             aside: origin_kind.is_some(),
             fleet: Fleet { origin_kind, live_weights: place.live_weights, rules, ..Fleet::default() },
             guard: OriginGuard { limit: ORIGIN_START, ..OriginGuard::default() },
-            admission: Admission { quotas, over_share_part, ..Admission::default() },
+            admission: Admission { quotas, over_share_part, bands, ..Admission::default() },
             place,
             limits,
             ops,
@@ -588,23 +579,17 @@
     // -- the list --
 
     fn listed(&mut self, form: Form, rows: &[Row]) {
-        let asks = self.place.must_ask;
-        match form {
-            Form::Lost => {
-                // Any of our calls, or the subscription itself: a new one may always be asked for.
-                self.asked_at = None;
-                self.list_backoff = (self.list_backoff * 2).clamp(SECOND / 4, self.fleet.rules.ask_every / 4);
-                let jitter = self.rng.f64() * self.list_backoff as f64;
-                self.wake(self.now + self.list_backoff + jitter as Nanos, LIST);
-            }
-            Form::Saved if asks => {
-                self.fleet.list(form, rows, self.now);
-                self.follow();
-            }
-            _ => {
-                (self.asked_at, self.list_backoff) = (None, 0);
-                self.fleet.list(form, rows, self.now);
-            }
+        if form == Form::Lost {
+            // Any of our calls, or the subscription itself: a new one may always be asked for.
+            self.list_backoff = (self.list_backoff * 2).clamp(SECOND / 4, self.fleet.rules.ask_every / 4);
+            let jitter = self.rng.f64() * self.list_backoff as f64;
+            self.ask_at = self.now + self.list_backoff + jitter as Nanos;
+            return self.wake(self.ask_at, LIST);
+        }
+        (self.ask_at, self.list_backoff) = (0, 0);
+        self.fleet.list(form, rows, self.now);
+        if form == Form::Saved && self.place.must_ask {
+            self.follow();
         }
         if form == Form::Saved {
             self.fleet.counted_at = self.now;
@@ -616,14 +601,10 @@
     }
 
     fn follow(&mut self) {
-        if self.place.must_ask {
-            self.asked_at = Some(self.now);
-            self.actions.push(Action::Follow);
-            // Guards against a call that is never answered: silence counts as being informed.
-            self.wake(self.now + self.fleet.rules.ask_every / 2, LIST);
-        } else {
-            self.actions.push(Action::AskList);
-        }
+        // Guards against a call that is never answered: silence counts as being informed.
+        self.ask_at = self.now + self.fleet.rules.ask_every / 2;
+        self.actions.push(if self.place.must_ask { Action::Follow } else { Action::AskList });
+        self.wake(self.ask_at, LIST);
     }
 
     // -- peers: only how much of each tenant's traffic comes by here --
@@ -670,7 +651,8 @@
         let within = self.admission.within_quota(arrival.tenant, self.now);
         let part = if within { 1.0 } else { self.admission.over_share_part };
         let density = op.billed_value * part / work;
-        let shed = self.admission.shed(density, work, self.fleet.badness(self.now));
+        let band = 2 * arrival.operation + usize::from(within);
+        let shed = self.admission.shed(band, density, work, self.fleet.badness(self.now));
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         let write = arrival.write;
         self.copies = (self.copies + COPIES).min(COPIES_SAVED);
@@ -1006,13 +988,7 @@
             DUE => self.conclude(ix),
             PATIENCE => self.impatient(ix, copy),
             FLEET => self.look_at_doubted(),
-            LIST => {
-                let waited = self.now - self.asked_at.unwrap_or(self.now);
-                let unanswered = waited >= self.fleet.rules.ask_every / 2 && self.asked_at.is_some();
-                if unanswered || self.list_backoff > 0 && self.asked_at.is_none() {
-                    self.follow();
-                }
-            }
+            LIST if self.ask_at > 0 && self.now >= self.ask_at => self.follow(),
             PEERS => self.tell_peers(),
             ORIGIN => self.pump(),
             _ => {}
