--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -463,7 +463,7 @@
 /// Seconds of its quota that a tenant may save up: small parts come unevenly.
 const QUOTA_DEPTH: f64 = 5.0;
 const EXCESS_RISE: f64 = 0.06;
-const EXCESS_FALL: f64 = 0.02;
+const EXCESS_FALL: f64 = 0.06;
 /// Part of the forwards that may end badly before more is turned away.
 const TOLERATED: f64 = 0.1;
 const EXCESS_MAX: f64 = 0.9;
