--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -175,7 +175,7 @@
             if self.caches.len() <= row.cache {
                 self.caches.resize_with(row.cache + 1, || None);
             }
-            let weight = if true || self.live_weights || row.weight <= 0.0 { 1.0 } else { row.weight };
+            let weight = if self.live_weights || row.weight <= 0.0 { 1.0 } else { row.weight };
             let c = self.caches[row.cache].get_or_insert_with(|| Cache {
                 id_hash: row.id_hash,
                 kind: row.kind,
