--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -901,8 +901,12 @@
     fn conclude(&mut self, ix: InvIx) {
         let Some(inv) = self.invs.get_mut(&ix).filter(|i| i.live()) else { return };
         inv.over = true;
-        let retry_after = self.limits.max_retry_after.unwrap_or(0);
-        let throttle = may_throttle(inv, &self.ops[inv.arrival.operation]);
+        // Soon enough for a second try to count, or as late as may be told where none can.
+        let op = &self.ops[inv.arrival.operation];
+        let longest = self.limits.max_retry_after.unwrap_or(0);
+        let hope = inv.give_up.saturating_sub(self.now) > op.objective / 2;
+        let retry_after = if hope { longest.min(op.objective / 4) } else { longest };
+        let throttle = may_throttle(inv, op);
         self.actions.push(match throttle {
             true => Action::Throttle { inv: ix, retry_after },
             false => Action::Error { inv: ix },
