--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -905,7 +905,7 @@
         let op = &self.ops[inv.arrival.operation];
         let longest = self.limits.max_retry_after.unwrap_or(0);
         let hope = inv.give_up.saturating_sub(self.now) > op.objective / 2;
-        let retry_after = if hope { longest.min(op.objective / 4) } else { longest };
+        let retry_after = if hope { longest.min(op.objective / 8) } else { longest };
         let throttle = may_throttle(inv, op);
         self.actions.push(match throttle {
             true => Action::Throttle { inv: ix, retry_after },
