--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -35,6 +35,8 @@
 struct Inv {
     arrival: Arrival,
     key: u64,
+    /// End of its latency objective, and when nothing is earned any more.
+    good_until: Nanos,
     give_up: Nanos,
     forwards: Vec<Forward>,
     over: bool,
@@ -368,8 +370,8 @@
     }
 }
 
-/// Fetches that may be out before anything is known of the origin.
-const ORIGIN_START: f64 = 3.0;
+/// Fetches that all nodes together may have out before anything is known of the origin.
+const ORIGIN_START: f64 = 8.0;
 
 // ---- Hot keys: where the design's like keys end. ----
 
@@ -544,7 +546,7 @@
             usual: vec![Usual::default(); ops.len()],
             aside: origin_kind.is_some(),
             fleet: Fleet { origin_kind, live_weights: place.live_weights, rules, ..Fleet::default() },
-            guard: OriginGuard { limit: ORIGIN_START, ..OriginGuard::default() },
+            guard: OriginGuard { limit: (ORIGIN_START * part).max(1.0), ..OriginGuard::default() },
             admission: Admission { quotas, over_share_part, bands, ..Admission::default() },
             place,
             limits,
@@ -642,7 +644,8 @@
         let objective = op.objective + (op.stretch * arrival.work.unwrap_or(0) as f64) as Nanos;
         let due = arrival.due.saturating_sub(self.place.tick);
         // Past the objective an answer earns nothing here: what is not out by then is given up.
-        let give_up = if op.late_part > 0.0 || op.stream { due } else { due.min(self.now + objective) };
+        let good_until = due.min(self.now + objective);
+        let give_up = if op.late_part > 0.0 || op.stream { due } else { good_until };
         let work = match (arrival.work, self.usual[arrival.operation].mean) {
             (Some(w), _) if w > 0 => w as f64,
             (_, m) if m > 0.0 => m,
@@ -659,7 +662,7 @@
         self.keys.count(key, self.fleet.ready.len().max(1));
         let origin_write = write && self.fleet.origin.is_some();
         let due_now = due <= self.now;
-        self.invs.insert(ix, Inv { key, give_up, arrival, ..Inv::default() });
+        self.invs.insert(ix, Inv { key, good_until, give_up, arrival, ..Inv::default() });
         if due_now || self.rng.f64() < shed {
             return self.conclude(ix);
         }
@@ -779,8 +782,8 @@
         if self.guard.room(self.now) && self.guard.queue.is_empty() {
             return self.send(ix, origin, Policy::after_origin);
         }
-        let left = inv.give_up.saturating_sub(self.now) as f64;
-        // Not worth waiting for: the queue is longer than the time, or the origin gives no answers.
+        // Not worth waiting for: the answer would come late, or the origin gives none.
+        let left = inv.good_until.saturating_sub(self.now) as f64;
         if self.guard.wait() + self.guard.base > left || self.guard.strikes > 2 * STRIKES {
             return self.conclude(ix);
         }
