--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -323,6 +323,8 @@
 #[derive(Default)]
 struct OriginGuard {
     limit: f64,
+    /// What the limit may grow by: less with many nodes, which all grow at once.
+    growth: f64,
     out: usize,
     cold_out: usize,
     /// Lowest of the smoothed latency: what it takes when not crowded.
@@ -352,7 +354,7 @@
                 self.mean = if self.mean == 0.0 { lag } else { 0.9 * self.mean + 0.1 * lag };
                 self.base = if self.base == 0.0 { lag } else { (self.base * 1.001).min(self.mean) };
                 let gradient = (2.0 * self.base / self.mean).clamp(0.5, 1.0);
-                let goal = self.limit * gradient + 1.0;
+                let goal = self.limit * gradient + self.growth;
                 self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
             }
             Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss => {}
@@ -546,7 +548,11 @@
             usual: vec![Usual::default(); ops.len()],
             aside: origin_kind.is_some(),
             fleet: Fleet { origin_kind, live_weights: place.live_weights, rules, ..Fleet::default() },
-            guard: OriginGuard { limit: (ORIGIN_START * part).max(1.0), ..OriginGuard::default() },
+            guard: OriginGuard {
+                limit: (ORIGIN_START * part).max(1.0),
+                growth: (4.0 * part).min(1.0),
+                ..OriginGuard::default()
+            },
             admission: Admission { quotas, over_share_part, bands, ..Admission::default() },
             place,
             limits,
