--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -10,7 +10,7 @@
 //! that path standing when things break.
 
 use crate::types::*;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 /// What to do with the result of a forward; every forward leaves one behind.
 type Then = fn(&mut Policy, InvIx, &Ending);
@@ -120,7 +120,7 @@
     bad: f64,
     learnt_at: Nanos,
     /// When the latest forwards left while it was cold.
-    cold_sends: VecDeque<Nanos>,
+    cold_sends: Vec<Nanos>,
 }
 
 impl Cache {
@@ -131,13 +131,6 @@
         self.bad += 0.1 * (bad - self.bad);
         self.learnt_at = now;
     }
-    /// The part of its capacity that it has at least, by the stated climb.
-    fn warmth(&self, start: f64, cold: Nanos, now: Nanos) -> f64 {
-        if self.ready_at == 0 || cold == 0 {
-            return 1.0;
-        }
-        (start + (1.0 - start) * now.saturating_sub(self.ready_at) as f64 / cold as f64).min(1.0)
-    }
 }
 
 #[derive(Default)]
@@ -193,27 +186,27 @@
             (c.standing, c.weight, c.zone, c.cell) = (row.standing, weight, row.zone, row.cell);
         }
         let up = |c: &CacheIx| self.caches[*c].as_ref().is_some_and(|c| c.standing == Standing::Ready);
-        let (origin, ready): (Vec<_>, _) =
-            (0..self.caches.len()).filter(up).partition(|&c| self.is_origin(c));
+        let all = (0..self.caches.len()).filter(up);
+        let (origin, ready): (Vec<_>, _) = all.partition(|&c| self.is_origin(c));
         (self.origin, self.ready) = (origin.first().copied(), ready);
     }
 
+    /// The part of its capacity that it has at least, by the stated climb.
     fn warmth(&self, c: CacheIx, now: Nanos) -> f64 {
-        self.get(c).warmth(self.rules.start_capacity, self.rules.cold, now)
+        let (ready_at, start) = (self.get(c).ready_at, self.rules.start_capacity);
+        let age = now.saturating_sub(ready_at) as f64 / self.rules.cold.max(1) as f64;
+        if ready_at == 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
     }
 
     /// All ready cache servers, highest score first. A weight's share of the keys is its part of
     /// the sum; a cold cache server weighs as much as it is warm, alike at every node.
     fn rank(&self, key: u64, now: Nanos) -> Vec<(f64, CacheIx)> {
-        let mut order: Vec<_> = self
-            .ready
-            .iter()
-            .map(|&c| {
-                let cache = self.get(c);
-                let unit = ((mix(cache.id_hash ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-                (cache.weight * self.warmth(c, now) / -unit.ln(), c)
-            })
-            .collect();
+        let score = |&c: &CacheIx| {
+            let cache = self.get(c);
+            let unit = ((mix(cache.id_hash ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+            (cache.weight * self.warmth(c, now) / -unit.ln(), c)
+        };
+        let mut order: Vec<_> = self.ready.iter().map(score).collect();
         order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         order
     }
@@ -229,22 +222,18 @@
     /// a warm unit of weight takes from this node stands for the capacity that nobody tells.
     fn cold_room(&self, c: CacheIx, now: Nanos) -> bool {
         let (cache, warmth) = (self.get(c), self.warmth(c, now));
-        if warmth >= 1.0 {
-            return true;
-        }
         let window = self.rules.fall.max(SECOND);
-        let since = now.saturating_sub(window);
-        let recent = cache.cold_sends.iter().filter(|&&t| t > since).count() as f64;
+        let recent = cache.cold_sends.iter().filter(|&&t| t + window > now).count() as f64;
         let per_s = self.rate * cache.weight * warmth * self.rules.fall_multiple * COLD_MARGIN;
-        recent + 1.0 <= (per_s * window as f64 / SECOND as f64).max(1.0)
+        warmth >= 1.0 || recent + 1.0 <= (per_s * window as f64 / SECOND as f64).max(1.0)
     }
 
     fn sent(&mut self, c: CacheIx, now: Nanos) {
         let cold = self.warmth(c, now) < 1.0;
         let window = self.rules.fall.max(SECOND);
-        let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
         self.sent += 1.0;
         if now > self.counted_at + SECOND {
+            let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
             let per_s = self.sent / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
             self.rate = if self.rate == 0.0 { per_s } else { 0.7 * self.rate + 0.3 * per_s };
             (self.sent, self.counted_at) = (0.0, now);
@@ -252,10 +241,8 @@
         let cache = self.at(c);
         (cache.out, cache.used) = (cache.out + 1, true);
         if cold {
-            cache.cold_sends.push_back(now);
-            while cache.cold_sends.front().is_some_and(|&t| t + window < now) {
-                cache.cold_sends.pop_front();
-            }
+            cache.cold_sends.retain(|&t| t + window >= now);
+            cache.cold_sends.push(now);
         }
     }
 
@@ -589,18 +576,19 @@
     fn listed(&mut self, form: Form, rows: &[Row]) {
         if form == Form::Lost {
             // Any of our calls, or the subscription itself: a new one may always be asked for.
-            self.list_backoff = (self.list_backoff * 2).clamp(SECOND / 4, self.fleet.rules.ask_every / 4);
+            let longest = self.fleet.rules.ask_every / 4;
+            self.list_backoff = (self.list_backoff * 2).min(longest).max(SECOND / 4);
             let jitter = self.rng.f64() * self.list_backoff as f64;
             self.ask_at = self.now + self.list_backoff + jitter as Nanos;
             return self.wake(self.ask_at, LIST);
         }
         (self.ask_at, self.list_backoff) = (0, 0);
         self.fleet.list(form, rows, self.now);
-        if form == Form::Saved && self.place.must_ask {
-            self.follow();
-        }
         if form == Form::Saved {
             self.fleet.counted_at = self.now;
+            if self.place.must_ask {
+                self.follow();
+            }
             if self.place.peers && !self.admission.quotas.is_empty() {
                 self.wake(self.now + SECOND, PEERS);
             }
@@ -610,7 +598,7 @@
 
     fn follow(&mut self) {
         // Guards against a call that is never answered: silence counts as being informed.
-        self.ask_at = self.now + self.fleet.rules.ask_every / 2;
+        self.ask_at = self.now + (self.fleet.rules.ask_every / 2).max(SECOND);
         self.actions.push(if self.place.must_ask { Action::Follow } else { Action::AskList });
         self.wake(self.ask_at, LIST);
     }
@@ -655,7 +643,7 @@
         let work = match (arrival.work, self.usual[arrival.operation].mean) {
             (Some(w), _) if w > 0 => w as f64,
             (_, m) if m > 0.0 => m,
-            _ => op.objective as f64 / 4.0,
+            _ => op.objective.max(4) as f64 / 4.0,
         };
         let within = self.admission.within_quota(arrival.tenant, self.now);
         let part = if within { 1.0 } else { self.admission.over_share_part };
--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -258,3 +258,43 @@
     }
     assert!(used.len() > 1 && used.len() <= 8, "{used:?}");
 }
+
+/// Settings at their edges once broke the waits between calls for the list.
+#[test]
+fn a_list_that_never_comes_is_asked_for_again_without_a_flood() {
+    let mut s = site();
+    (s.place.must_ask, s.rules.ask_every) = (true, 0);
+    let mut w = World::new(s, fleet(3));
+    for _ in 0..20 {
+        w.list(Form::Lost, vec![]);
+        w.pass(500 * MS);
+    }
+    let asked = w.log.iter().filter(|a| **a == Action::Follow).count();
+    assert!((10..=40).contains(&asked), "{asked}");
+}
+
+/// Told to come back too late for its second try to count, a client's retry was served for nothing.
+#[test]
+fn early_throttling_advises_a_return_within_the_objective() {
+    let mut w = World::new(site(), vec![]);
+    w.arrive(0, Some(1), false, SECOND);
+    let Some(Action::Throttle { retry_after, .. }) = w.log.last() else { panic!("{:?}", w.log) };
+    assert!(*retry_after < 300 * MS / 2);
+}
+
+/// Work that came back too late or not at all cuts what may be in flight there: full queues did all
+/// their work for nobody.
+#[test]
+fn late_answers_cut_what_a_cache_may_have_in_flight() {
+    let mut w = World::new(site(), fleet(1));
+    for n in 0..30 {
+        w.arrive(0, Some(n), false, 2 * SECOND);
+        w.pass(20 * MS);
+    }
+    w.pass(2 * SECOND);
+    let open = w.open().len();
+    for n in 100..110 {
+        w.arrive(0, Some(n), false, 2 * SECOND);
+    }
+    assert!(w.open().len() <= open + 2, "{}", w.open().len());
+}
