--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -174,7 +174,7 @@
             let c = self.caches[row.cache].get_or_insert_with(|| Cache {
                 id_hash: row.id_hash,
                 kind: row.kind,
-                limit: PASS_OVER_FLOOR,
+                limit: LIMIT_MAX / 2.0,
                 heard: now,
                 learnt_at: now,
                 ..Cache::default()
