--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -456,7 +456,7 @@
 const EXCESS_RISE: f64 = 0.06;
 const EXCESS_FALL: f64 = 0.06;
 /// Part of the forwards that may end badly before more is turned away.
-const TOLERATED: f64 = 0.15;
+const TOLERATED: f64 = 0.1;
 const EXCESS_MAX: f64 = 0.9;
 /// Second copies an arrival, and how many may be saved up.
 const COPIES: f64 = 0.05;
