--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -204,7 +204,7 @@
         let score = |&c: &CacheIx| {
             let cache = self.get(c);
             let unit = ((mix(cache.id_hash ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-            (cache.weight * self.warmth(c, now).powf(COLD_SHARE) / -unit.ln(), c)
+            (cache.weight * self.warmth(c, now) / -unit.ln(), c)
         };
         let mut order: Vec<_> = self.ready.iter().map(score).collect();
         order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
@@ -297,9 +297,6 @@
 
 /// The design's floor of the pass-over bar.
 const PASS_OVER_FLOOR: f64 = 2.0;
-/// A cold cache server has this power of its warmth as its part of the keys: the stated climb is the
-/// slowest there may be.
-const COLD_SHARE: f64 = 0.7;
 /// This much of the cold budget is used; the rest is for chance.
 const COLD_MARGIN: f64 = 0.5;
 /// Silent or unreachable so often in a row, a cache server is doubted.
