--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -730,7 +730,7 @@
 
     /// Cold cache servers miss much: their misses get a quarter of what the origin takes.
     fn cold_fetch_room(&self) -> bool {
-        self.guard.room(self.now) && (self.guard.cold_out as f64) < (self.guard.limit / 4.0).max(1.0)
+        (self.guard.cold_out as f64) < (self.guard.limit / 4.0).max(1.0)
     }
 
     fn send(&mut self, ix: InvIx, c: CacheIx, then: Then) {
