--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -211,6 +211,13 @@
         order
     }
 
+    /// The part of all keys that cold cache servers win.
+    fn cold_part(&self, now: Nanos) -> f64 {
+        let part = |&c: &CacheIx| (self.warmth(c, now), self.warmth(c, now) * self.get(c).weight);
+        let each = || self.ready.iter().map(part);
+        each().filter(|p| p.0 < 1.0).map(|p| p.1).sum::<f64>() / each().map(|p| p.1).sum::<f64>()
+    }
+
     /// This node's in-flight bar: over it, a cache server is passed over.
     fn bar(&self) -> f64 {
         let known = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.used);
@@ -427,9 +434,8 @@
         let rate = q.per_s * q.part;
         let more = now.saturating_sub(q.filled_at) as f64 / SECOND as f64 * rate;
         (q.tokens, q.filled_at) = ((q.tokens + more).min(QUOTA_DEPTH * rate.max(1.0)), now);
-        let within = q.tokens >= 1.0;
-        q.tokens -= f64::from(u8::from(within));
-        within
+        q.tokens -= if q.tokens >= 1.0 { 1.0 } else { return false };
+        true
     }
     /// Chance of being throttled for an invocation of this value for the work it brings, so that in
     /// all the excess is shed from the bottom. The excess rises while too much goes badly over the
@@ -668,10 +674,8 @@
     fn try_cache(&mut self, ix: InvIx) {
         let inv = &self.invs[&ix];
         let (key, read) = (inv.key, !inv.arrival.write);
-        if read
-            && inv.forwards.is_empty()
-            && let Some(waiting) = self.guard.flights.get_mut(&key)
-        {
+        let first = read && inv.forwards.is_empty();
+        if let Some(waiting) = self.guard.flights.get_mut(&key).filter(|_| first) {
             return waiting.push(ix);
         }
         // The last forward is the origin's, if there is one to turn to.
@@ -728,9 +732,11 @@
         spare
     }
 
-    /// Cold cache servers miss much: their misses get a quarter of what the origin takes.
+    /// Cold cache servers miss much: their misses get their part of the keys at the origin, or a
+    /// quarter where that is more.
     fn cold_fetch_room(&self) -> bool {
-        (self.guard.cold_out as f64) < (self.guard.limit / 4.0).max(1.0)
+        let part = self.fleet.cold_part(self.now).max(0.25);
+        (self.guard.cold_out as f64) < (self.guard.limit * part).max(1.0)
     }
 
     fn send(&mut self, ix: InvIx, c: CacheIx, then: Then) {
@@ -1032,10 +1038,8 @@
         }
         if self.limits.second_copies {
             // Few second copies: where all are slow they would double the load.
-            if self.copies >= 1.0
-                && inv.forwards.len() + 1 < self.limits.max_forwards
-                && let Some(to) = self.pick(ix).filter(|&to| self.fleet.get(to).doubt.is_none())
-            {
+            let more = self.copies >= 1.0 && inv.forwards.len() + 1 < self.limits.max_forwards;
+            if more && let Some(to) = self.pick(ix).filter(|&to| self.fleet.get(to).doubt.is_none()) {
                 self.copies -= 1.0;
                 self.send(ix, to, Policy::after_cache);
             }
