The origin's uncrowded latency drifts up five times slower

Cause: with the origin at its limit for long, the learned uncrowded latency rose with the crowded one and the limit with it.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -346,7 +346,7 @@
             Outcome::Succeeded => {
                 self.strikes = 0;
                 self.mean = if self.mean == 0.0 { lag } else { 0.9 * self.mean + 0.1 * lag };
-                self.base = if self.base == 0.0 { lag } else { (self.base * 1.001).min(self.mean) };
+                self.base = if self.base == 0.0 { lag } else { (self.base * 1.0002).min(self.mean) };
                 let gradient = (2.0 * self.base / self.mean).clamp(0.5, 1.0);
                 let goal = self.limit * gradient + self.growth;
                 self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
