--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -323,6 +323,7 @@
     cold_out: usize,
     /// Lowest of the smoothed latency: what it takes when not crowded.
     base: f64,
+    slow: f64,
     mean: f64,
     strikes: u32,
     /// Nothing goes there before this time: it has just turned something away.
@@ -346,7 +347,8 @@
             Outcome::Succeeded => {
                 self.strikes = 0;
                 self.mean = if self.mean == 0.0 { lag } else { 0.9 * self.mean + 0.1 * lag };
-                self.base = if self.base == 0.0 { lag } else { (self.base * 1.0002).min(self.mean) };
+                self.slow = if self.slow == 0.0 { lag } else { 0.98 * self.slow + 0.02 * lag };
+                self.base = if self.base == 0.0 { lag } else { (self.base * 1.0002).min(self.slow) };
                 let gradient = (2.0 * self.base / self.mean).clamp(0.5, 1.0);
                 let goal = self.limit * gradient + self.growth;
                 self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
