--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -319,6 +319,8 @@
     limit: f64,
     /// What the limit may grow by: less with many nodes, which all grow at once.
     growth: f64,
+    /// So long it may take in any case: half of the shortest objective.
+    tolerated: f64,
     out: usize,
     cold_out: usize,
     /// Lowest of the smoothed latency: what it takes when not crowded.
@@ -349,7 +351,8 @@
                 self.mean = if self.mean == 0.0 { lag } else { 0.9 * self.mean + 0.1 * lag };
                 self.slow = if self.slow == 0.0 { lag } else { 0.98 * self.slow + 0.02 * lag };
                 self.base = if self.base == 0.0 { lag } else { (self.base * 1.0002).min(self.slow) };
-                let gradient = (2.0 * self.base / self.mean).clamp(0.5, 1.0);
+                let good = self.tolerated.max(2.0 * self.base);
+                let gradient = (good / self.mean).clamp(0.5, 1.0);
                 let goal = self.limit * gradient + self.growth;
                 self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
             }
@@ -537,6 +540,7 @@
             Quota { per_s, tokens, part, ..Quota::default() }
         };
         let bands = vec![(0.0, 0.0); 2 * ops.len()];
+        let tolerated = ops.iter().map(|o| o.objective).min().unwrap_or(0) as f64 / 2.0;
         let (quotas, over_share_part) = (tenants.iter().map(quota).collect(), place.over_share_part);
         Policy {
             rng: fastrand::Rng::with_seed(place.seed),
@@ -546,6 +550,7 @@
             guard: OriginGuard {
                 limit: (ORIGIN_START * part).max(1.0),
                 growth: (4.0 * part).min(1.0),
+                tolerated,
                 ..OriginGuard::default()
             },
             admission: Admission { quotas, over_share_part, bands, ..Admission::default() },
