--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -319,7 +319,7 @@
     limit: f64,
     /// What the limit may grow by: less with many nodes, which all grow at once.
     growth: f64,
-    /// So long it may take in any case: half of the shortest objective.
+    /// So long it may take in any case: a third of the shortest objective.
     tolerated: f64,
     out: usize,
     cold_out: usize,
@@ -540,7 +540,7 @@
             Quota { per_s, tokens, part, ..Quota::default() }
         };
         let bands = vec![(0.0, 0.0); 2 * ops.len()];
-        let tolerated = ops.iter().map(|o| o.objective).min().unwrap_or(0) as f64 / 2.0;
+        let tolerated = ops.iter().map(|o| o.objective).min().unwrap_or(0) as f64 / 3.0;
         let (quotas, over_share_part) = (tenants.iter().map(quota).collect(), place.over_share_part);
         Policy {
             rng: fastrand::Rng::with_seed(place.seed),
