--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -142,6 +142,8 @@
     rules: Rules,
     origin_kind: Option<usize>,
     live_weights: bool,
+    /// First wait before a doubted cache server is looked at again: the shortest objective.
+    first_look: Nanos,
     /// Forwards a second that this node sends to a unit of warm weight, smoothed.
     rate: f64,
     sent: f64,
@@ -254,18 +256,16 @@
     }
 
     /// One more piece of evidence against a cache server; `hard` is proof that it can't be reached.
-    fn strike(&mut self, c: CacheIx, hard: bool, backoff: Nanos, now: Nanos) -> bool {
-        let most = self.most_doubted();
+    fn strike(&mut self, c: CacheIx, hard: bool, now: Nanos) {
+        let (first, most) = (self.first_look, self.most_doubted());
         let cache = self.at(c);
         cache.strikes += 1;
         cache.unreachable |= hard && cache.strikes >= STRIKES;
-        if cache.strikes < STRIKES {
-            return false;
+        if cache.strikes >= STRIKES {
+            let longest = if most { first } else { first * 8 };
+            let backoff = cache.doubt.as_ref().map_or(first, |d| (d.backoff * 2).min(longest));
+            cache.doubt = Some(Doubt { until: now + backoff, backoff, trial: false });
         }
-        let longest = if most { backoff } else { backoff * 8 };
-        let backoff = cache.doubt.as_ref().map_or(backoff, |d| (d.backoff * 2).min(longest));
-        cache.doubt = Some(Doubt { until: now + backoff, backoff, trial: false });
-        true
     }
 
     /// It answered something: the doubt is over. One that was out of reach comes back as cold,
@@ -357,10 +357,7 @@
                 self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
             }
             Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss => {}
-            _ => {
-                self.strikes += 1;
-                self.limit = (self.limit * 0.7).max(1.0);
-            }
+            _ => (self.strikes, self.limit) = (self.strikes + 1, (self.limit * 0.7).max(1.0)),
         }
     }
     /// The dearest of those that wait, the eldest among equals.
@@ -388,10 +385,8 @@
         *self.counts.entry(key).or_default() += 1.0;
         self.total += 1.0;
         if self.total >= 32.0 * caches as f64 {
-            self.counts.retain(|_, n| {
-                *n /= 2.0;
-                *n >= 1.0
-            });
+            self.counts.values_mut().for_each(|n| *n /= 2.0);
+            self.counts.retain(|_, n| *n >= 1.0);
             self.total /= 2.0;
         }
     }
@@ -517,7 +512,6 @@
 }
 
 const GIVE_UP: u64 = 0;
-const DUE: u64 = 1;
 const PATIENCE: u64 = 2;
 const FLEET: u64 = 3;
 const LIST: u64 = 4;
@@ -540,13 +534,20 @@
             Quota { per_s, tokens, part, ..Quota::default() }
         };
         let bands = vec![(0.0, 0.0); 2 * ops.len()];
-        let tolerated = ops.iter().map(|o| o.objective).min().unwrap_or(0) as f64 / 3.0;
+        let first_look = ops.iter().map(|o| o.objective).min().unwrap_or(SECOND).max(1);
+        let tolerated = first_look as f64 / 3.0;
         let (quotas, over_share_part) = (tenants.iter().map(quota).collect(), place.over_share_part);
         Policy {
             rng: fastrand::Rng::with_seed(place.seed),
             usual: vec![Usual::default(); ops.len()],
             aside: origin_kind.is_some(),
-            fleet: Fleet { origin_kind, live_weights: place.live_weights, rules, ..Fleet::default() },
+            fleet: Fleet {
+                origin_kind,
+                live_weights: place.live_weights,
+                first_look,
+                rules,
+                ..Fleet::default()
+            },
             guard: OriginGuard {
                 limit: (ORIGIN_START * part).max(1.0),
                 growth: (4.0 * part).min(1.0),
@@ -664,10 +665,9 @@
         let band = 2 * arrival.operation + usize::from(within);
         let shed = self.admission.shed(band, density, work, self.fleet.badness(self.now));
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
-        let write = arrival.write;
         self.copies = (self.copies + COPIES).min(COPIES_SAVED);
         self.keys.count(key, self.fleet.ready.len().max(1));
-        let origin_write = write && self.fleet.origin.is_some();
+        let origin_write = arrival.write && self.fleet.origin.is_some();
         let due_now = due <= self.now;
         self.invs.insert(ix, Inv { key, good_until, give_up, arrival, ..Inv::default() });
         if due_now || self.rng.f64() < shed {
@@ -879,32 +879,25 @@
                 }
             }
             Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
-            Outcome::Full | Outcome::TimedOut => {
-                // Turned away is cheap: the next in order takes it, and most end well.
-                let full = e.outcome == Outcome::Full;
-                self.fleet.at(e.cache).learn(if full { FULL_BAD } else { 1.0 }, self.now);
-                if !full {
-                    self.silent(e.cache, sent_at);
-                }
-            }
+            // Turned away is cheap: the next in order takes it, and most end well.
+            Outcome::Full => self.fleet.at(e.cache).learn(FULL_BAD, self.now),
+            Outcome::TimedOut => self.silent(e.cache, sent_at),
             Outcome::Withdrawn | Outcome::NotSent => {}
         }
     }
 
-    /// Nothing at all came from this cache server since the forward left: that is silence, while
-    /// one that answers others is only slow.
+    /// No answer in time. If nothing at all came from there since the forward left that is silence,
+    /// while one that answers others is only slow.
     fn silent(&mut self, c: CacheIx, since: Nanos) {
+        self.fleet.at(c).learn(1.0, self.now);
         if self.fleet.get(c).heard <= since {
             self.strike(c, false);
         }
     }
 
     fn strike(&mut self, c: CacheIx, hard: bool) {
-        // First wait before a doubted cache server is looked at again.
-        let backoff = self.ops.iter().map(|o| o.objective).min().unwrap_or(SECOND);
-        if self.fleet.strike(c, hard, backoff, self.now) {
-            self.watch_fleet();
-        }
+        self.fleet.strike(c, hard, self.now);
+        self.watch_fleet();
     }
 
     /// Gives the final answer: throttled where that is allowed, errored elsewhere.
@@ -999,7 +992,6 @@
         let (kind, copy, ix) = (token_ & 7, (token_ >> 3 & 0x1fff) as usize, (token_ >> 16) as InvIx);
         match kind {
             GIVE_UP => self.give_up(ix),
-            DUE => self.conclude(ix),
             PATIENCE => self.impatient(ix, copy),
             FLEET => self.look_at_doubted(),
             LIST if self.ask_at > 0 && self.now >= self.ask_at => self.follow(),
@@ -1017,14 +1009,12 @@
         let wait_on = !quiet.is_empty() && !may_throttle(inv, &self.ops[inv.arrival.operation]);
         for (c, at) in quiet {
             if !self.fleet.is_origin(c) {
-                let now = self.now;
-                self.fleet.at(c).learn(1.0, now);
                 self.silent(c, at);
             }
         }
         if wait_on && self.now < due {
             // It may be running and cannot be taken back: its answer still counts as told.
-            return self.wake(due, token(DUE, ix, 0));
+            return self.wake(due, token(GIVE_UP, ix, 0));
         }
         self.conclude(ix)
     }
@@ -1038,7 +1028,7 @@
         if self.fleet.get(c).heard > at {
             return;
         }
-        self.silent(c, at);
+        self.strike(c, false);
         let inv = &self.invs[&ix];
         if !matches!(self.ops[inv.arrival.operation].effect, Effect::Idempotent) {
             return;
@@ -1072,7 +1062,6 @@
             if d.until > now || d.trial {
                 continue;
             }
-            d.backoff = d.backoff.max(1);
             d.until = now + d.backoff;
             if probe {
                 self.actions.push(Action::Probe { cache: c });
