--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -35,6 +35,8 @@
 struct Inv {
     arrival: Arrival,
     key: u64,
+    /// Billed value, cut beyond quota; writes before reads.
+    value: f64,
     /// End of its latency objective, and when nothing is earned any more.
     good_until: Nanos,
     give_up: Nanos,
@@ -339,8 +341,10 @@
     fn room(&self, now: Nanos) -> bool {
         now >= self.rests_until && (self.out as f64) < self.limit.max(1.0)
     }
-    fn wait(&self) -> f64 {
-        (self.queue.len() as f64 + 1.0) * self.mean / self.limit.max(1.0)
+    /// Behind those that are worth as much or more.
+    fn wait(&self, value: f64) -> f64 {
+        let ahead = self.queue.iter().filter(|q| q.0 >= value).count();
+        (ahead as f64 + 1.0) * self.mean / self.limit.max(1.0)
     }
     /// The gradient rule: the limit follows how far latency lies over the uncrowded one.
     fn learn(&mut self, outcome: Outcome, lag: Nanos) {
@@ -394,10 +398,8 @@
     /// to any of them; 1 for nearly all keys.
     fn spread(&self, key: u64, caches: usize) -> usize {
         let count = self.counts.get(&key).copied().unwrap_or(0.0);
-        if count < HOT_COUNT {
-            return 1;
-        }
-        (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize
+        let few = (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize;
+        if count < HOT_COUNT { 1 } else { few }
     }
 }
 
@@ -662,6 +664,7 @@
         let within = self.admission.within_quota(arrival.tenant, self.now);
         let part = if within { 1.0 } else { self.admission.over_share_part };
         let density = op.billed_value * part / work;
+        let value = op.billed_value * part * if arrival.write { 1e6 } else { 1.0 };
         let band = 2 * arrival.operation + usize::from(within);
         let shed = self.admission.shed(band, density, work, self.fleet.badness(self.now));
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
@@ -669,7 +672,7 @@
         self.keys.count(key, self.fleet.ready.len().max(1));
         let origin_write = arrival.write && self.fleet.origin.is_some();
         let due_now = due <= self.now;
-        self.invs.insert(ix, Inv { key, good_until, give_up, arrival, ..Inv::default() });
+        self.invs.insert(ix, Inv { key, value, good_until, give_up, arrival, ..Inv::default() });
         if due_now || self.rng.f64() < shed {
             return self.conclude(ix);
         }
@@ -706,6 +709,9 @@
         let op = &self.ops[inv.arrival.operation];
         let bar = self.fleet.bar();
         let most = self.fleet.most_doubted();
+        // Cold misses get their part of the keys at the origin, or a quarter where that is more.
+        let fetches = self.guard.limit * self.fleet.cold_part(self.now).max(0.25);
+        let cold_room = !self.aside || (self.guard.cold_out as f64) < fetches.max(1.0);
         let mut spare = None;
         let mut order = self.fleet.rank(inv.key, self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
@@ -714,7 +720,7 @@
         for (_, c) in order {
             let cache = self.fleet.get(c);
             let warm = self.fleet.warmth(c, self.now) >= 1.0;
-            let room = warm || self.fleet.cold_room(c, self.now) && (!self.aside || self.cold_fetch_room());
+            let room = warm || cold_room && self.fleet.cold_room(c, self.now);
             let allowed = may_forward(inv, op, &self.limits, cache, &self.fleet, self.now);
             if !room || !allowed || inv.forwards.iter().any(|f| f.cache == c) {
                 continue;
@@ -739,13 +745,6 @@
         spare
     }
 
-    /// Cold cache servers miss much: their misses get their part of the keys at the origin, or a
-    /// quarter where that is more.
-    fn cold_fetch_room(&self) -> bool {
-        let part = self.fleet.cold_part(self.now).max(0.25);
-        (self.guard.cold_out as f64) < (self.guard.limit * part).max(1.0)
-    }
-
     fn send(&mut self, ix: InvIx, c: CacheIx, then: Then) {
         let Some(inv) = self.invs.get_mut(&ix) else { return };
         let op = &self.ops[inv.arrival.operation];
@@ -784,18 +783,23 @@
 
     fn try_origin(&mut self, ix: InvIx) {
         let inv = &self.invs[&ix];
-        let op = &self.ops[inv.arrival.operation];
         let Some(origin) = self.fleet.origin else { return self.conclude(ix) };
         if self.guard.room(self.now) && self.guard.queue.is_empty() {
             return self.send(ix, origin, Policy::after_origin);
         }
         // Not worth waiting for: the answer would come late, or the origin gives none.
         let left = inv.good_until.saturating_sub(self.now) as f64;
-        if self.guard.wait() + self.guard.base > left || self.guard.strikes > 2 * STRIKES {
+        if self.guard.wait(inv.value) + self.guard.base > left || self.guard.strikes > 2 * STRIKES {
             return self.conclude(ix);
         }
-        let value = op.billed_value + if inv.arrival.write { 1e6 } else { 0.0 };
-        self.guard.queue.push((value, ix));
+        self.guard.queue.push((inv.value, ix));
+        // Whoever is now too far back for an answer in time is told at once.
+        let worst = self.guard.queue.iter().copied().min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        if let Some((value, last)) = worst.filter(|w| w.1 != ix)
+            && self.now as f64 + self.guard.wait(value) > self.invs[&last].good_until as f64
+        {
+            self.conclude(last);
+        }
     }
 
     fn pump(&mut self) {
