--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -716,7 +716,8 @@
         let mut order = self.fleet.rank(inv.key, self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
         let few = self.keys.spread(inv.key, order.len()).min(order.len());
-        order[..few].sort_by_key(|&(_, c)| self.fleet.get(c).out);
+        // One in flight is no crowd: each copy costs fetches.
+        order[..few].sort_by_key(|&(_, c)| self.fleet.get(c).out.max(1));
         for (_, c) in order {
             let cache = self.fleet.get(c);
             let warm = self.fleet.warmth(c, self.now) >= 1.0;
