--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -941,15 +941,13 @@
     fn settle(&mut self, ix: InvIx, stored: bool) {
         self.withdraw_open(ix, None);
         self.guard.queue.retain(|q| q.1 != ix);
-        let inv = &self.invs[&ix];
-        let key = inv.key;
+        let inv = self.invs.get_mut(&ix).expect("inv");
         let fetching = inv.forwards.iter().any(|f| f.fate == Fate::Open && self.fleet.is_origin(f.cache));
         if !inv.leads || fetching {
             return;
         }
-        self.invs.get_mut(&ix).expect("inv").leads = false;
-        let waiting = self.guard.flights.remove(&key).unwrap_or_default();
-        for w in waiting {
+        inv.leads = false;
+        for w in self.guard.flights.remove(&inv.key).unwrap_or_default() {
             let Some(follower) = self.invs.get(&w).filter(|i| !i.over) else { continue };
             let more = follower.forwards.len() < self.limits.max_forwards;
             if stored && more { self.again(w) } else { self.fetch(w) }
@@ -960,9 +958,8 @@
     fn again(&mut self, ix: InvIx) {
         let inv = &self.invs[&ix];
         let missed = inv.forwards.iter().rev().find(|f| f.fate == Fate::NeverRan).map(|f| f.cache);
-        match missed
-            .filter(|&c| self.fleet.get(c).standing == Standing::Ready && self.fleet.get(c).doubt.is_none())
-        {
+        let good = |c: &Cache| c.standing == Standing::Ready && c.doubt.is_none();
+        match missed.filter(|&c| good(self.fleet.get(c))) {
             Some(c) => self.send(ix, c, Policy::after_cache),
             None => self.try_cache(ix),
         }
@@ -977,11 +974,9 @@
     fn begun(&mut self, ix: InvIx, copy: usize) {
         let Some(inv) = self.invs.get_mut(&ix) else { return };
         inv.begun = true;
-        let cache = inv.forwards.get(copy).map(|f| f.cache);
+        let Some(cache) = inv.forwards.get(copy).map(|f| f.cache) else { return };
         self.withdraw_open(ix, Some(copy));
-        if let Some(c) = cache {
-            self.fleet.cleared(c, self.now);
-        }
+        self.fleet.cleared(cache, self.now);
     }
 
     fn left(&mut self, ix: InvIx) {
