--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -425,8 +425,9 @@
     over_share_part: f64,
     /// Part of the arriving load that is turned away, lowest value first.
     excess: f64,
-    /// By operation, beyond and within quota: value for the work it brings, and load of late.
-    bands: Vec<(f64, f64)>,
+    /// By operation, beyond and within quota: value for the work it brings, load of late,
+    /// and value.
+    bands: Vec<(f64, f64, f64)>,
 }
 
 impl Admission {
@@ -442,17 +443,19 @@
     /// Chance of being throttled for an invocation of this value for the work it brings, so that in
     /// all the excess is shed from the bottom. The excess rises while too much goes badly over the
     /// whole fleet: one bad cache server or a slow origin is no reason to turn work away.
-    fn shed(&mut self, band: usize, density: f64, work: f64, bad: f64) -> f64 {
+    fn shed(&mut self, band: usize, value: f64, work: f64, bad: f64) -> f64 {
+        let density = value / work;
         self.bands.iter_mut().for_each(|b| b.1 *= 0.99);
-        self.bands[band] = (density, self.bands[band].1 + work);
+        self.bands[band] = (density, self.bands[band].1 + work, value);
         let load = |of: &dyn Fn(f64) -> bool| self.bands.iter().filter(|b| of(b.0)).map(|b| b.1).sum::<f64>();
         let total = load(&|_| true);
-        let mean = self.bands.iter().map(|b| b.0 * b.1).sum::<f64>() / total;
+        let mean = self.bands.iter().map(|b| b.2 * b.1).sum::<f64>() / total;
         let over = self.excess * total;
         let chance = ((over - load(&|d| d < density)) / load(&|d| d == density)).clamp(0.0, 1.0);
         // The band that the excess has reached: the less it is worth, the sooner it goes.
-        let next = self.bands.iter().filter(|b| b.1 > 0.0 && load(&|d| d <= b.0) > over).map(|b| b.0);
-        let tolerated = (TOLERATED * next.fold(f64::INFINITY, f64::min) / mean).min(1.0);
+        let next = self.bands.iter().filter(|b| b.1 > 0.0 && load(&|d| d <= b.0) > over);
+        let next = next.min_by(|a, b| a.0.total_cmp(&b.0)).map_or(f64::INFINITY, |b| b.2);
+        let tolerated = (TOLERATED * next / mean).min(1.0);
         let step = if bad > tolerated { EXCESS_RISE } else { EXCESS_FALL };
         self.excess = (self.excess + step * (bad - tolerated)).clamp(0.0, EXCESS_MAX);
         chance
@@ -535,7 +538,7 @@
             let (per_s, tokens) = (t.quota_per_s, t.quota_per_s * part);
             Quota { per_s, tokens, part, ..Quota::default() }
         };
-        let bands = vec![(0.0, 0.0); 2 * ops.len()];
+        let bands = vec![(0.0, 0.0, 0.0); 2 * ops.len()];
         let first_look = ops.iter().map(|o| o.objective).min().unwrap_or(SECOND).max(1);
         let tolerated = first_look as f64 / 3.0;
         let (quotas, over_share_part) = (tenants.iter().map(quota).collect(), place.over_share_part);
@@ -663,10 +666,10 @@
         };
         let within = self.admission.within_quota(arrival.tenant, self.now);
         let part = if within { 1.0 } else { self.admission.over_share_part };
-        let density = op.billed_value * part / work;
-        let value = op.billed_value * part * if arrival.write { 1e6 } else { 1.0 };
+        let billed = op.billed_value * part;
+        let value = billed * if arrival.write { 1e6 } else { 1.0 };
         let band = 2 * arrival.operation + usize::from(within);
-        let shed = self.admission.shed(band, density, work, self.fleet.badness(self.now));
+        let shed = self.admission.shed(band, billed, work, self.fleet.badness(self.now));
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         self.copies = (self.copies + COPIES).min(COPIES_SAVED);
         self.keys.count(key, self.fleet.ready.len().max(1));
