--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -121,8 +121,6 @@
     /// Part of its forwards of late that came to nothing in time, and when that was learnt.
     bad: f64,
     learnt_at: Nanos,
-    /// By operation: part that ended in errors of late, and when that was learnt.
-    faults: BTreeMap<usize, (f64, Nanos)>,
     /// When the latest forwards left while it was cold.
     cold_sends: Vec<Nanos>,
 }
@@ -315,8 +313,6 @@
 /// How bad a full cache server is, beside one that answers too late.
 const FULL_BAD: f64 = 0.25;
 const LIMIT_MAX: f64 = 16.0;
-/// Two errors in a row make an operation faulty at a cache server.
-const FAULTY: f64 = 0.4;
 
 // ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
 
@@ -466,7 +462,7 @@
     }
 }
 
-/// Seconds of its quota that a tenant may save up.
+/// Seconds of its quota that a tenant may save up: small parts come unevenly.
 const QUOTA_DEPTH: f64 = 5.0;
 const EXCESS_RISE: f64 = 0.06;
 const EXCESS_FALL: f64 = 0.06;
@@ -744,10 +740,7 @@
             if f64::from(cache.out) >= cache.limit.floor() {
                 continue;
             }
-            // Errors of one operation say nothing of the others, and are looked at again later.
-            let fault = cache.faults.get(&inv.arrival.operation).copied().unwrap_or_default();
-            let faulty = fault.0 * fade((self.now - fault.1) / 10) > FAULTY;
-            if f64::from(cache.out) > bar || faulty {
+            if f64::from(cache.out) > bar {
                 spare.get_or_insert(c);
                 continue;
             }
@@ -889,11 +882,6 @@
                 self.fleet.cleared(e.cache, self.now);
                 let late = e.lag > self.ops[operation].objective;
                 self.fleet.at(e.cache).learn(f64::from(u8::from(late)), self.now);
-                if e.outcome != Outcome::Miss {
-                    let fault = self.fleet.at(e.cache).faults.entry(operation).or_default();
-                    let error = f64::from(u8::from(e.outcome == Outcome::Error));
-                    *fault = (fault.0 + 0.3 * (error - fault.0), self.now);
-                }
                 if e.outcome == Outcome::Succeeded {
                     self.usual[operation].learn(e.lag as f64);
                 }
@@ -1038,8 +1026,11 @@
     /// all that time, the invocation moves on.
     fn impatient(&mut self, ix: InvIx, copy: usize) {
         let Some(inv) = self.invs.get(&ix).filter(|i| i.live()) else { return };
-        let silent = |f: &&Forward| f.fate == Fate::Open && self.fleet.get(f.cache).heard <= f.at;
-        let Some(c) = inv.forwards.get(copy).filter(silent).map(|f| f.cache) else { return };
+        let Some(f) = inv.forwards.get(copy).filter(|f| f.fate == Fate::Open) else { return };
+        let (c, at) = (f.cache, f.at);
+        if self.fleet.get(c).heard > at {
+            return;
+        }
         self.strike(c, false);
         let inv = &self.invs[&ix];
         if !matches!(self.ops[inv.arrival.operation].effect, Effect::Idempotent) {
