--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -394,7 +394,7 @@
             self.total /= 2.0;
         }
     }
-    /// Over how many cache servers the key is spread, so that it adds at most a fair share
+    /// Over how many cache servers the key is spread, so that it adds at most half of a fair share
     /// to any of them; 1 for nearly all keys.
     fn spread(&self, key: u64, caches: usize) -> usize {
         let count = self.counts.get(&key).copied().unwrap_or(0.0);
@@ -405,7 +405,7 @@
 
 /// So many arrivals of late make a count that can be believed.
 const HOT_COUNT: f64 = 8.0;
-const HOT_SPREAD: f64 = 1.0;
+const HOT_SPREAD: f64 = 2.0;
 
 // ---- Admission: what is throttled early. ----
 
