--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -114,7 +114,10 @@
     })]
 
     #[test]
-    fn the_rules_hold_after_every_step(site in sites(), steps in prop::collection::vec(any::<u32>(), 50..250)) {
+    fn the_rules_hold_after_every_step(
+        site in sites(),
+        steps in prop::collection::vec(any::<u32>(), 50..250),
+    ) {
         let rows = (0..8).map(|c| row(c, if c == 7 { 9 } else { 0 })).collect();
         let mut w = World::new(site, rows);
         for n in steps {
@@ -298,3 +301,50 @@
     }
     assert!(w.open().len() <= open + 2, "{}", w.open().len());
 }
+
+/// Fetches of distinct keys until the origin has no room.
+fn crowd_the_origin(w: &mut World, origin: CacheIx) -> Vec<InvIx> {
+    let mut out = vec![];
+    for key in 1000.. {
+        let inv = w.arrive(0, Some(key), false, SECOND);
+        w.end(inv, 0, Outcome::Miss);
+        if w.sent_to(inv).last() != Some(&origin) {
+            return out;
+        }
+        out.push(inv);
+    }
+    out
+}
+
+/// Successors left cold while the origin was busy kept it busy: the warm few overflowed and missed.
+#[test]
+fn a_cold_cache_is_used_though_the_origin_has_no_room() {
+    let rows =
+        |now| fleet(3).into_iter().map(move |r| Row { ready_at: if r.cache == 0 { now } else { 0 }, ..r });
+    let mut w = World::new(site(), fleet(3));
+    w.pass(SECOND);
+    let now = w.now;
+    w.list(Form::Full, rows(now).collect());
+    w.pass(10 * SECOND);
+    let key = (0..).find(|&k| winner(&mut w, k) == 0).expect("a key of the cold one");
+    w.pass(2 * SECOND);
+    crowd_the_origin(&mut w, 3);
+    assert_eq!(winner(&mut w, key), 0);
+}
+
+/// Misses beyond a quota waited for the origin before those within.
+#[test]
+fn the_origin_takes_misses_within_quota_first() {
+    let mut s = site();
+    s.tenants = [1000.0, 0.001].map(|quota_per_s| Tenant { share: 0.5, quota_per_s }).to_vec();
+    let mut w = World::new(s, fleet(3));
+    let out = crowd_the_origin(&mut w, 3);
+    let next = w.arrive(0, Some(1), false, SECOND);
+    let after = w.arrive(0, Some(2), false, SECOND);
+    for inv in [next, after] {
+        w.end(inv, 0, Outcome::Miss);
+    }
+    let (within, beyond) = if next.is_multiple_of(2) { (next, after) } else { (after, next) };
+    w.end(out[0], 1, Outcome::Succeeded);
+    assert_eq!((w.sent_to(within).last(), w.sent_to(beyond).contains(&3)), (Some(&3), false));
+}
