--- a/crates/sparrouter-simhost/src/tests.rs
+++ b/crates/sparrouter-simhost/src/tests.rs
@@ -24,3 +24,40 @@
 fn an_empty_batch_gets_an_empty_reply_whatever_else_it_holds() {
     assert!(reply(r#"{"AtTimeUs":5,"events":[],"New":{"x":1}}"#).unwrap().is_empty());
 }
+
+const ENLIST: &str = r#"{"AtTimeUs":1000,"events":[{"verb":"Enlist","I":3,"Nonce64":18446744073709551615,"Info":{
+ "Areas":["x"],"Balancers":1,"Classes":[{"Name":"get","DeadlineUs":900000,"ObjectiveUs":300000,"Effect":"read_like"}],
+ "Discovery":"automatic","FamilyInfo":{"Mode":"aside","OriginKind":1,"More":0},"Kinds":["box","origin"],
+ "Limits":{"MaxAttempts":3,"Cancel":true},"Safety":{"AnswerSlackUs":20000,"StartCapacity":0.2,"ColdUs":1000000,
+ "FallMultiple":3.0,"FallUs":1000000}}},{"verb":"PeersKnown","I":3,"Form":"SAVED","Epoch":1,"Rows":[
+ {"Server":"a:1","Condition":"in_service","Campus":"x","Heft":1,"GenerationHw":"box","Group":0},
+ {"Server":"o:1","Condition":"in_service","Campus":"x","Heft":1,"GenerationHw":"origin","Group":0}]},
+ {"verb":"Ingress","I":3,"Ticket":"t","Object":"k","DueUs":901000,"Type":"get"}]}"#;
+
+fn routes(orders: &[Order]) -> Vec<(&str, &str)> {
+    let each = orders.iter().filter_map(|o| match o {
+        Order::Route { ticket, server, .. } => Some((ticket.as_str(), server.as_str())),
+        _ => None,
+    });
+    each.collect()
+}
+
+#[test]
+fn an_invocation_goes_to_a_cache_then_to_the_origin_and_is_forgotten() {
+    let mut nodes = BTreeMap::new();
+    let done = |copy: u8, server: &str, rc: &str, last: bool| {
+        format!(
+            r#"{{"AtTimeUs":{},"events":[{{"verb":"Done","I":3,"Ticket":"t","Copy":{copy},"Server":"{server}","Rc":"{rc}","LagUs":900,"Last":{last}}}]}}"#,
+            2000 + u64::from(copy)
+        )
+    };
+    let orders = play(&mut nodes, &ENLIST.replace('\n', "")).unwrap();
+    assert_eq!(routes(&orders), [("t", "a:1")]);
+    let orders = play(&mut nodes, &done(0, "a:1", "NOT_FOUND", false)).unwrap();
+    assert_eq!(routes(&orders), [("t", "o:1")]);
+    assert!(play(&mut nodes, &done(1, "o:1", "OK", true)).unwrap().is_empty());
+    // What is long over is ignored; an outcome or a server never heard of is an error.
+    assert!(play(&mut nodes, &done(1, "o:1", "OK", true)).unwrap().is_empty());
+    assert!(play(&mut nodes, &done(1, "o:1", "SO_SO", true)).err().unwrap().contains("Rc"));
+    assert!(play(&mut nodes, &done(1, "z:9", "OK", true)).err().unwrap().contains("Server"));
+}
