Badness learns twice as fast

Cause: with many nodes and cache servers each pair has a forward a second, and what was learnt faded before it counted.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -130,7 +130,7 @@
         // Additive rise, multiplicative fall.
         self.limit = if bad > 0.0 { self.limit * (1.0 - bad / 2.0) } else { self.limit + 0.5 / self.limit };
         self.limit = self.limit.clamp(1.0, LIMIT_MAX);
-        self.bad += 0.1 * (bad - self.bad);
+        self.bad += 0.2 * (bad - self.bad);
         self.learnt_at = now;
     }
 }
