--- a/crates/sparrouter-simhost/src/node.rs
+++ b/crates/sparrouter-simhost/src/node.rs
@@ -283,7 +283,9 @@
                     Order::NotifyMe { i, wait_us: micros(after), handle: token.to_string() }
                 }
                 Action::Probe { cache } => Order::Sample { i, server: self.servers[cache].clone() },
-                Action::Tell { text } => Order::Signal { i, peer: -1, payload: BASE64.encode(text) },
+                Action::Tell { peer, text } => {
+                    Order::Signal { i, peer: peer as i64, payload: BASE64.encode(text) }
+                }
                 Action::Follow => Order::Tail { i, on: true },
                 Action::AskList => Order::Pull { i },
             };
--- a/crates/sparrouter/src/lib.rs
+++ b/crates/sparrouter/src/lib.rs
@@ -1,3 +1,4 @@
 //! The decisions of sparrouter. `types` is the door (events in, actions out), `policy` decides.
 pub mod policy;
+mod records;
 pub mod types;
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -9,58 +9,10 @@
 //! hash(id, key), the highest score wins, a miss goes on to the origin. The rest of this file keeps
 //! that path standing when things break.
 
+use crate::records::*;
 use crate::types::*;
 use std::collections::{BTreeMap, HashMap};
 
-/// What to do with the result of a forward; every forward leaves one behind.
-type Then = fn(&mut Policy, InvIx, &Ending);
-
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Open,
-    NeverRan,
-    MayHaveRun,
-}
-
-struct Forward {
-    cache: CacheIx,
-    at: Nanos,
-    fate: Fate,
-    /// A fetch that a cold cache server's miss led to.
-    cold: bool,
-    then: Then,
-}
-
-#[derive(Default)]
-struct Inv {
-    arrival: Arrival,
-    key: u64,
-    /// Billed value, cut beyond quota; writes before reads.
-    value: f64,
-    /// End of its latency objective, and when nothing is earned any more.
-    good_until: Nanos,
-    give_up: Nanos,
-    forwards: Vec<Forward>,
-    over: bool,
-    begun: bool,
-    leads: bool,
-    /// A cold cache server missed for it.
-    cold: bool,
-}
-
-impl Inv {
-    fn open(&self) -> usize {
-        self.forwards.iter().filter(|f| f.fate == Fate::Open).count()
-    }
-    fn live(&self) -> bool {
-        !self.over && !self.begun
-    }
-    /// The first forward that ran, may have run or may still run.
-    fn first_effect(&self) -> Option<&Forward> {
-        self.forwards.iter().find(|f| f.fate != Fate::NeverRan)
-    }
-}
-
 // ---- The gate: rules 1 to 3. Every forward and every final answer asks here first. ----
 
 fn may_forward(
@@ -93,39 +45,10 @@
 
 // ---- Fleet: one record a cache server, found by its index. ----
 
-struct Doubt {
-    until: Nanos,
-    backoff: Nanos,
-    /// A probe was answered, so one invocation may try it.
-    trial: bool,
-}
-
-#[derive(Default)]
-struct Cache {
-    id_hash: u64,
-    standing: Standing,
-    zone: usize,
-    cell: i64,
-    kind: usize,
-    weight: f64,
-    ready_at: Nanos,
-    out: u32,
-    /// Something was sent there; until then it counts at the mean of the others.
-    used: bool,
-    heard: Nanos,
-    strikes: u32,
-    unreachable: bool,
-    doubt: Option<Doubt>,
-    /// What this node may have in flight there.
-    limit: f64,
-    /// Part of its forwards of late that came to nothing in time, and when that was learnt.
-    bad: f64,
-    learnt_at: Nanos,
-    /// When the latest forwards left while it was cold.
-    cold_sends: Vec<Nanos>,
-}
-
 impl Cache {
+    fn started(&mut self, at: Nanos, now: Nanos, tokens: f64) {
+        (self.ready_at, self.tokens, self.filled_at) = (at.max(self.ready_at), tokens, now);
+    }
     fn learn(&mut self, bad: f64, now: Nanos) {
         // Additive rise, multiplicative fall.
         self.limit = if bad > 0.0 { self.limit * (1.0 - bad / 2.0) } else { self.limit + 0.5 / self.limit };
@@ -146,9 +69,10 @@
     live_weights: bool,
     /// First wait before a doubted cache server is looked at again: the shortest objective.
     first_look: Nanos,
-    /// Forwards a second that this node sends to a unit of warm weight, smoothed.
+    rng: fastrand::Rng,
+    /// Answers a second that this node gets from a unit of warm weight, smoothed.
     rate: f64,
-    sent: f64,
+    answers: f64,
     counted_at: Nanos,
 }
 
@@ -185,7 +109,8 @@
             });
             if row.ready_at > c.ready_at {
                 // A restart under the same id: what was held against the old process is void.
-                (c.ready_at, c.doubt, c.strikes, c.unreachable) = (row.ready_at, None, 0, false);
+                (c.doubt, c.strikes, c.unreachable) = (None, 0, false);
+                c.started(row.ready_at, now, self.rng.f64());
             }
             (c.standing, c.weight, c.zone, c.cell) = (row.standing, weight, row.zone, row.cell);
         }
@@ -229,31 +154,41 @@
         (2.0 * f64::from(out) / f64::from(count.max(1))).max(PASS_OVER_FLOOR)
     }
 
-    /// Guards rule 4 alone: half of this node's part of the stated multiple, in every window. What
-    /// a warm unit of weight takes from this node stands for the capacity that nobody tells.
+    /// What this node may send a cold cache server: a second, and saved up at the most. What a warm
+    /// unit of weight answers this node stands for the capacity that nobody tells.
+    fn cold_budget(&self, c: CacheIx, now: Nanos) -> (f64, f64) {
+        let capacity = self.rate * self.get(c).weight * self.warmth(c, now);
+        let per_s = capacity * self.rules.fall_multiple * COLD_MARGIN;
+        let window = self.rules.fall.max(SECOND) as f64 / SECOND as f64;
+        (per_s, (per_s * window / 2.0).max(1.0))
+    }
+    /// Guards rule 4 alone. A part far below one forward is saved up from a start drawn by chance, so
+    /// that of hundreds of nodes few send at once: 'one from each' pushed new cache servers over.
+    fn cold_tokens(&self, c: CacheIx, now: Nanos) -> f64 {
+        let (per_s, most) = self.cold_budget(c, now);
+        let cache = self.get(c);
+        let age = now.saturating_sub(cache.filled_at) as f64 / SECOND as f64;
+        (cache.tokens + per_s * age).min(most)
+    }
     fn cold_room(&self, c: CacheIx, now: Nanos) -> bool {
-        let (cache, warmth) = (self.get(c), self.warmth(c, now));
-        let window = self.rules.fall.max(SECOND);
-        let recent = cache.cold_sends.iter().filter(|&&t| t + window > now).count() as f64;
-        let per_s = self.rate * cache.weight * warmth * self.rules.fall_multiple * COLD_MARGIN;
-        warmth >= 1.0 || recent + 1.0 <= (per_s * window as f64 / SECOND as f64).max(1.0)
+        self.warmth(c, now) >= 1.0 || self.cold_tokens(c, now) >= 1.0
     }
 
     fn sent(&mut self, c: CacheIx, now: Nanos) {
-        let cold = self.warmth(c, now) < 1.0;
-        let window = self.rules.fall.max(SECOND);
-        self.sent += 1.0;
+        let tokens = if self.warmth(c, now) < 1.0 { self.cold_tokens(c, now) - 1.0 } else { 0.0 };
+        let cache = self.at(c);
+        (cache.tokens, cache.filled_at) = (tokens, now);
+        (cache.out, cache.used) = (cache.out + 1, true);
+    }
+
+    /// Counts answers: what is only sent says nothing of what can be done.
+    fn answered(&mut self, now: Nanos) {
+        self.answers += 1.0;
         if now > self.counted_at + SECOND {
             let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
-            let per_s = self.sent / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
+            let per_s = self.answers / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
             self.rate = if self.rate == 0.0 { per_s } else { 0.7 * self.rate + 0.3 * per_s };
-            (self.sent, self.counted_at) = (0.0, now);
-        }
-        let cache = self.at(c);
-        (cache.out, cache.used) = (cache.out + 1, true);
-        if cold {
-            cache.cold_sends.retain(|&t| t + window >= now);
-            cache.cold_sends.push(now);
+            (self.answers, self.counted_at) = (0.0, now);
         }
     }
 
@@ -273,9 +208,10 @@
     /// It answered something: the doubt is over. One that was out of reach comes back as cold,
     /// whatever the list says yet: a crashed process restarts before the list knows.
     fn cleared(&mut self, c: CacheIx, now: Nanos) {
+        let phase = self.rng.f64();
         let Some(cache) = self.known(c) else { return };
         if cache.unreachable {
-            cache.ready_at = cache.ready_at.max(now);
+            cache.started(now, now, phase);
         }
         (cache.heard, cache.strikes, cache.unreachable, cache.doubt) = (now, 0, false, None);
     }
@@ -293,17 +229,6 @@
     }
 }
 
-/// What is left of knowledge of this age.
-fn fade(age: Nanos) -> f64 {
-    0.5f64.powf(age as f64 / SECOND as f64)
-}
-
-fn mix(x: u64) -> u64 {
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 /// The design's floor of the pass-over bar.
 const PASS_OVER_FLOOR: f64 = 2.0;
 /// This much of the cold budget is used; the rest is for chance.
@@ -472,22 +397,8 @@
 /// Second copies an arrival, and how many may be saved up.
 const COPIES: f64 = 0.05;
 const COPIES_SAVED: f64 = 10.0;
-
-#[derive(Clone, Copy, Default)]
-struct Usual {
-    mean: f64,
-    dev: f64,
-}
-
-impl Usual {
-    fn learn(&mut self, x: f64) {
-        if self.mean == 0.0 {
-            (self.mean, self.dev) = (x, x / 2.0);
-        }
-        self.dev += 0.05 * ((x - self.mean).abs() - self.dev);
-        self.mean += 0.05 * (x - self.mean);
-    }
-}
+/// Peers told at once.
+const NOTES: usize = 4;
 
 // ---- The whole: events in, actions out. ----
 
@@ -551,6 +462,7 @@
                 live_weights: place.live_weights,
                 first_look,
                 rules,
+                rng: fastrand::Rng::with_seed(place.seed ^ 1),
                 ..Fleet::default()
             },
             guard: OriginGuard {
@@ -625,8 +537,13 @@
     // -- peers: only how much of each tenant's traffic comes by here --
 
     fn tell_peers(&mut self) {
-        let text = self.admission.quotas.iter().take(100).flat_map(|q| q.arrived.to_le_bytes()).collect();
-        self.actions.push(Action::Tell { text });
+        let text: Vec<u8> =
+            self.admission.quotas.iter().take(100).flat_map(|q| q.arrived.to_le_bytes()).collect();
+        // To a few, drawn anew each time: notes to all would grow with the square of the nodes.
+        let (own, nodes) = (self.place.own_index, self.place.nodes);
+        for step in self.rng.choose_multiple(1..nodes.max(1), NOTES) {
+            self.actions.push(Action::Tell { peer: (own + step) % nodes, text: Vec::clone(&text) });
+        }
         let fresh = self.now.saturating_sub(3 * SECOND);
         self.peers.retain(|_, (at, _)| *at > fresh);
         let missing = self.place.nodes.saturating_sub(1 + self.peers.len()) as f64;
@@ -880,6 +797,7 @@
         match e.outcome {
             Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
                 self.fleet.cleared(e.cache, self.now);
+                self.fleet.answered(self.now);
                 let late = e.lag > self.ops[operation].objective;
                 self.fleet.at(e.cache).learn(f64::from(u8::from(late)), self.now);
                 if e.outcome == Outcome::Succeeded {
--- /dev/null
+++ b/crates/sparrouter/src/records.rs
@@ -0,0 +1,113 @@
+//! What the decisions keep in mind: plain records and the arithmetic of their means. What is done
+//! with them is decided in `policy.rs`.
+use crate::policy::Policy;
+use crate::types::*;
+
+/// What to do with the result of a forward; every forward leaves one behind.
+pub type Then = fn(&mut Policy, InvIx, &Ending);
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Fate {
+    Open,
+    NeverRan,
+    MayHaveRun,
+}
+
+pub struct Forward {
+    pub cache: CacheIx,
+    pub at: Nanos,
+    pub fate: Fate,
+    /// A fetch that a cold cache server's miss led to.
+    pub cold: bool,
+    pub then: Then,
+}
+
+#[derive(Default)]
+pub struct Inv {
+    pub arrival: Arrival,
+    pub key: u64,
+    /// Billed value, cut beyond quota; writes before reads.
+    pub value: f64,
+    /// End of its latency objective, and when nothing is earned any more.
+    pub good_until: Nanos,
+    pub give_up: Nanos,
+    pub forwards: Vec<Forward>,
+    pub over: bool,
+    pub begun: bool,
+    pub leads: bool,
+    /// A cold cache server missed for it.
+    pub cold: bool,
+}
+
+impl Inv {
+    pub fn open(&self) -> usize {
+        self.forwards.iter().filter(|f| f.fate == Fate::Open).count()
+    }
+    pub fn live(&self) -> bool {
+        !self.over && !self.begun
+    }
+    /// The first forward that ran, may have run or may still run.
+    pub fn first_effect(&self) -> Option<&Forward> {
+        self.forwards.iter().find(|f| f.fate != Fate::NeverRan)
+    }
+}
+
+pub struct Doubt {
+    pub until: Nanos,
+    pub backoff: Nanos,
+    /// A probe was answered, so one invocation may try it.
+    pub trial: bool,
+}
+
+#[derive(Default)]
+pub struct Cache {
+    pub id_hash: u64,
+    pub standing: Standing,
+    pub zone: usize,
+    pub cell: i64,
+    pub kind: usize,
+    pub weight: f64,
+    pub ready_at: Nanos,
+    pub out: u32,
+    /// Something was sent there; until then it counts at the mean of the others.
+    pub used: bool,
+    pub heard: Nanos,
+    pub strikes: u32,
+    pub unreachable: bool,
+    pub doubt: Option<Doubt>,
+    /// What this node may have in flight there.
+    pub limit: f64,
+    /// Part of its forwards of late that came to nothing in time, and when that was learnt.
+    pub bad: f64,
+    pub learnt_at: Nanos,
+    /// Forwards that may leave now while it is cold, and when that was reckoned.
+    pub tokens: f64,
+    pub filled_at: Nanos,
+}
+
+/// What is left of knowledge of this age.
+pub fn fade(age: Nanos) -> f64 {
+    0.5f64.powf(age as f64 / SECOND as f64)
+}
+
+pub fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+#[derive(Clone, Copy, Default)]
+pub struct Usual {
+    pub mean: f64,
+    pub dev: f64,
+}
+
+impl Usual {
+    pub fn learn(&mut self, x: f64) {
+        if self.mean == 0.0 {
+            (self.mean, self.dev) = (x, x / 2.0);
+        }
+        self.dev += 0.05 * ((x - self.mean).abs() - self.dev);
+        self.mean += 0.05 * (x - self.mean);
+    }
+}
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -201,7 +201,7 @@
     Error { inv: InvIx },
     Wake { after: Nanos, token: u64 },
     Probe { cache: CacheIx },
-    Tell { text: Vec<u8> },
+    Tell { peer: usize, text: Vec<u8> },
     Follow,
     AskList,
 }
--- a/crates/sparrouter/tests/world/mod.rs
+++ b/crates/sparrouter/tests/world/mod.rs
@@ -284,7 +284,10 @@
                 assert!(self.site.place.may_probe, "probes are not allowed here");
                 self.probes.push(cache);
             }
-            Action::Tell { ref text } => assert!(self.site.place.peers && text.len() <= 256),
+            Action::Tell { peer, ref text } => {
+                let place = &self.site.place;
+                assert!(place.peers && text.len() <= 256 && peer < place.nodes && peer != place.own_index)
+            }
             Action::Follow | Action::AskList => self.asked = true,
         }
     }
