--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -326,12 +326,39 @@
     let now = w.now;
     w.list(Form::Full, rows(now).collect());
     w.pass(10 * SECOND);
-    let key = (0..).find(|&k| winner(&mut w, k) == 0).expect("a key of the cold one");
+    let mut key_of_the_cold_one = |k: &u64| {
+        w.pass(20 * MS);
+        winner(&mut w, *k) == 0
+    };
+    let key = (0..400).find(&mut key_of_the_cold_one).expect("a key of the cold one");
     w.pass(2 * SECOND);
     crowd_the_origin(&mut w, 3);
     assert_eq!(winner(&mut w, key), 0);
 }
 
+/// Each of hundreds of nodes once held 'just one' forward to be within its part of a cold cache
+/// server's budget: together they pushed it over.
+#[test]
+fn many_nodes_that_start_at_once_spend_their_part_of_a_cold_budget_only() {
+    let sent = |seed| {
+        let mut s = site();
+        (s.place.seed, s.place.nodes) = (seed, 400);
+        let mut w = World::new(s, fleet(3));
+        for k in 0..40 {
+            w.pass(500 * MS);
+            winner(&mut w, k);
+        }
+        let now = w.now;
+        w.list(
+            Form::Full,
+            fleet(3).into_iter().map(|r| Row { ready_at: if r.cache == 0 { now } else { 0 }, ..r }).collect(),
+        );
+        (0..10).filter(|&k| winner(&mut w, 100 + k) == 0).count()
+    };
+    // A window later all may have had what the stated multiple allows of 2/s among three.
+    assert!((0..60).map(sent).sum::<usize>() <= 60 / 4);
+}
+
 /// Misses beyond a quota waited for the origin before those within.
 #[test]
 fn the_origin_takes_misses_within_quota_first() {
