--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -73,6 +73,8 @@
     /// Answers a second that this node gets from a unit of warm weight, smoothed.
     rate: f64,
     answers: f64,
+    /// Part of the forwards of late that were strikes.
+    silence: f64,
     counted_at: Nanos,
 }
 
@@ -184,6 +186,7 @@
     /// Counts answers: what is only sent says nothing of what can be done.
     fn answered(&mut self, now: Nanos) {
         self.answers += 1.0;
+        self.silence *= 0.95;
         if now > self.counted_at + SECOND {
             let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
             let per_s = self.answers / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
@@ -194,11 +197,15 @@
 
     /// One more piece of evidence against a cache server; `hard` is proof that it can't be reached.
     fn strike(&mut self, c: CacheIx, hard: bool, now: Nanos) {
-        let (first, most) = (self.first_look, self.most_doubted());
+        let (first, most, usual) = (self.first_look, self.most_doubted(), self.silence);
+        self.silence += 0.05 * (1.0 - self.silence);
         let cache = self.at(c);
         cache.strikes += 1;
-        cache.unreachable |= hard && cache.strikes >= STRIKES;
-        if cache.strikes >= STRIKES {
+        // Where silence is rare one is enough: at full size a second comes only after many seconds.
+        // The more of it all over the fleet, the less it says of this one.
+        let doubted = usual.powi(cache.strikes as i32) <= RARE;
+        cache.unreachable |= hard && doubted;
+        if doubted {
             let longest = if most { first } else { first * 8 };
             let backoff = cache.doubt.as_ref().map_or(first, |d| (d.backoff * 2).min(longest));
             cache.doubt = Some(Doubt { until: now + backoff, backoff, trial: false });
@@ -233,8 +240,8 @@
 const PASS_OVER_FLOOR: f64 = 2.0;
 /// This much of the cold budget is used; the rest is for chance.
 const COLD_MARGIN: f64 = 0.5;
-/// Silent or unreachable so often in a row, a cache server is doubted.
-const STRIKES: u32 = 2;
+/// Strikes in a row that would come by chance no more often than this raise doubt.
+const RARE: f64 = 0.1;
 /// How bad a full cache server is, beside one that answers too late.
 const FULL_BAD: f64 = 0.25;
 const LIMIT_MAX: f64 = 16.0;
@@ -422,14 +429,12 @@
     list_backoff: Nanos,
     /// When to ask for the list again; 0 while nothing is owed to us.
     ask_at: Nanos,
-    fleet_wake: Nanos,
     /// Second copies that may be sent: a part of the arrivals.
     copies: f64,
 }
 
 const GIVE_UP: u64 = 0;
 const PATIENCE: u64 = 2;
-const FLEET: u64 = 3;
 const LIST: u64 = 4;
 const PEERS: u64 = 5;
 const ORIGIN: u64 = 6;
@@ -624,7 +629,18 @@
         }
     }
 
-    fn pick(&self, ix: InvIx) -> Option<CacheIx> {
+    fn pick(&mut self, ix: InvIx) -> Option<CacheIx> {
+        let (chosen, look) = self.choose(ix);
+        // Looked at only when wanted: nodes x doubted cache servers of probes add up.
+        if let Some(d) = look.and_then(|c| self.fleet.at(c).doubt.as_mut().map(|d| (c, d))) {
+            d.1.until = self.now + d.1.backoff;
+            self.actions.push(Action::Probe { cache: d.0 });
+        }
+        chosen
+    }
+
+    /// The cache server to send to, and a doubted one before it in the order to be probed.
+    fn choose(&self, ix: InvIx) -> (Option<CacheIx>, Option<CacheIx>) {
         let inv = &self.invs[&ix];
         let op = &self.ops[inv.arrival.operation];
         let bar = self.fleet.bar();
@@ -632,7 +648,7 @@
         // Cold misses get their part of the keys at the origin, or a quarter where that is more.
         let fetches = self.guard.limit * self.fleet.cold_part(self.now).max(0.25);
         let cold_room = !self.aside || (self.guard.cold_out as f64) < fetches.max(1.0);
-        let mut spare = None;
+        let (mut spare, mut probe) = (None, None);
         let mut order = self.fleet.rank(inv.key, self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
         let few = self.keys.spread(inv.key, order.len()).min(order.len());
@@ -648,10 +664,12 @@
             }
             if let Some(d) = &cache.doubt {
                 // If most look bad, the judgement may be what is bad: they need no probe, only time.
-                let look = d.trial || most && d.until <= self.now;
+                let due = d.until <= self.now;
+                let look = d.trial || due && (most || !self.place.may_probe);
                 if look && cache.out == 0 && op.effect == Effect::Idempotent {
-                    return Some(c);
+                    return (Some(c), probe);
                 }
+                probe = probe.or((due && !d.trial && self.place.may_probe).then_some(c));
                 continue;
             }
             if f64::from(cache.out) >= cache.limit.floor() {
@@ -661,9 +679,9 @@
                 spare.get_or_insert(c);
                 continue;
             }
-            return Some(c);
+            return (Some(c), probe);
         }
-        spare
+        (spare, probe)
     }
 
     fn send(&mut self, ix: InvIx, c: CacheIx, then: Then) {
@@ -710,7 +728,7 @@
         }
         // Not worth waiting for: the answer would come late, or the origin gives none.
         let left = inv.good_until.saturating_sub(self.now) as f64;
-        if self.guard.wait(inv.value) + self.guard.base > left || self.guard.strikes > 2 * STRIKES {
+        if self.guard.wait(inv.value) + self.guard.base > left || self.guard.strikes > 4 {
             return self.conclude(ix);
         }
         self.guard.queue.push((inv.value, ix));
@@ -804,7 +822,7 @@
                     self.usual[operation].learn(e.lag as f64);
                 }
             }
-            Outcome::Unavailable | Outcome::Reset => self.strike(e.cache, true),
+            Outcome::Unavailable | Outcome::Reset => self.fleet.strike(e.cache, true, self.now),
             // Turned away is cheap: the next in order takes it, and most end well.
             Outcome::Full => self.fleet.at(e.cache).learn(FULL_BAD, self.now),
             Outcome::TimedOut => self.silent(e.cache, sent_at),
@@ -817,15 +835,10 @@
     fn silent(&mut self, c: CacheIx, since: Nanos) {
         self.fleet.at(c).learn(1.0, self.now);
         if self.fleet.get(c).heard <= since {
-            self.strike(c, false);
+            self.fleet.strike(c, false, self.now);
         }
     }
 
-    fn strike(&mut self, c: CacheIx, hard: bool) {
-        self.fleet.strike(c, hard, self.now);
-        self.watch_fleet();
-    }
-
     /// Gives the final answer: throttled where that is allowed, errored elsewhere.
     fn conclude(&mut self, ix: InvIx) {
         let Some(inv) = self.invs.get_mut(&ix).filter(|i| i.live()) else { return };
@@ -914,7 +927,6 @@
         match kind {
             GIVE_UP => self.give_up(ix),
             PATIENCE => self.impatient(ix, copy),
-            FLEET => self.look_at_doubted(),
             LIST if self.ask_at > 0 && self.now >= self.ask_at => self.follow(),
             PEERS => self.tell_peers(),
             ORIGIN => self.pump(),
@@ -949,8 +961,10 @@
         if self.fleet.get(c).heard > at {
             return;
         }
-        self.strike(c, false);
+        self.fleet.strike(c, false, self.now);
         let inv = &self.invs[&ix];
+        // It takes that long at least: learnt from answers alone, patience shrank while all slowed down.
+        self.usual[inv.arrival.operation].learn((self.now - at) as f64);
         if !matches!(self.ops[inv.arrival.operation].effect, Effect::Idempotent) {
             return;
         }
@@ -966,34 +980,6 @@
         }
     }
 
-    fn watch_fleet(&mut self) {
-        let doubts = self.fleet.ready.iter().filter_map(|&c| self.fleet.get(c).doubt.as_ref());
-        let next = doubts.filter(|d| !d.trial).map(|d| d.until).min();
-        if let Some(at) = next.filter(|&at| self.fleet_wake <= self.now || at < self.fleet_wake) {
-            self.fleet_wake = at.max(self.now + 1);
-            self.wake(at, FLEET);
-        }
-    }
-
-    fn look_at_doubted(&mut self) {
-        let (now, probe) = (self.now, self.place.may_probe);
-        for n in 0..self.fleet.ready.len() {
-            let c = self.fleet.ready[n];
-            let Some(d) = self.fleet.known(c).and_then(|c| c.doubt.as_mut()) else { continue };
-            if d.until > now || d.trial {
-                continue;
-            }
-            d.until = now + d.backoff;
-            if probe {
-                self.actions.push(Action::Probe { cache: c });
-            } else {
-                d.trial = true;
-            }
-        }
-        self.fleet_wake = 0;
-        self.watch_fleet();
-    }
-
     fn probed(&mut self, c: CacheIx, ok: bool) {
         if let Some(d) = self.fleet.known(c).and_then(|c| c.doubt.as_mut()).filter(|_| ok) {
             d.trial = true;
