--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -255,6 +255,9 @@
     growth: f64,
     /// So long it may take in any case: a third of the shortest objective.
     tolerated: f64,
+    /// All nodes together may have one fetch out in any case.
+    least: f64,
+    learnt_at: Nanos,
     out: usize,
     cold_out: usize,
     /// Lowest of the smoothed latency: what it takes when not crowded.
@@ -276,25 +279,34 @@
     /// Behind those that are worth as much or more.
     fn wait(&self, value: f64) -> f64 {
         let ahead = self.queue.iter().filter(|q| q.0 >= value).count();
-        (ahead as f64 + 1.0) * self.mean / self.limit.max(1.0)
+        (ahead as f64 + 1.0) * self.mean / self.limit
     }
     /// The gradient rule: the limit follows how far latency lies over the uncrowded one.
-    fn learn(&mut self, outcome: Outcome, lag: Nanos) {
+    fn learn(&mut self, outcome: Outcome, lag: Nanos, now: Nanos) {
         let lag = lag.max(1) as f64;
+        // The older what is known, the more a new answer weighs: with many nodes each sees few.
+        let stale = |part: f64, age: f64| part.max(1.0 - fade((age / part / 10.0) as Nanos));
+        let age = now.saturating_sub(self.learnt_at) as f64;
+        self.learnt_at = now;
         match outcome {
             Outcome::Succeeded => {
                 self.strikes = 0;
-                self.mean = if self.mean == 0.0 { lag } else { 0.9 * self.mean + 0.1 * lag };
-                self.slow = if self.slow == 0.0 { lag } else { 0.98 * self.slow + 0.02 * lag };
+                let (fast, slow) = (stale(0.1, age), stale(0.02, age));
+                self.mean = if self.mean == 0.0 { lag } else { self.mean + fast * (lag - self.mean) };
+                self.slow = if self.slow == 0.0 { lag } else { self.slow + slow * (lag - self.slow) };
                 self.base = if self.base == 0.0 { lag } else { (self.base * 1.0002).min(self.slow) };
                 let good = self.tolerated.max(2.0 * self.base);
                 let gradient = (good / self.mean).clamp(0.5, 1.0);
-                let goal = self.limit * gradient + self.growth;
-                self.limit = (self.limit + 0.2 * (goal - self.limit)).min(self.out as f64 + 3.0).max(1.0);
+                let goal = self.limit * gradient + self.growth.max(self.limit.min(1.0) / 4.0);
+                self.limit += stale(0.2, age) * (goal - self.limit);
+                self.limit = self.limit.clamp(self.least, self.out as f64 + 3.0);
             }
             Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss => {}
-            _ => (self.strikes, self.limit) = (self.strikes + 1, (self.limit * 0.7).max(1.0)),
+            _ => (self.strikes, self.limit) = (self.strikes + 1, (self.limit * 0.7).max(self.least)),
         }
+        // A part of one fetch: it is out for that part of the time.
+        let pause = lag * (1.0 / self.limit - 1.0);
+        self.rests_until = self.rests_until.max(now + pause.max(0.0) as Nanos);
     }
     /// The dearest of those that wait, the eldest among equals.
     fn pop(&mut self) -> Option<InvIx> {
@@ -472,6 +484,7 @@
             },
             guard: OriginGuard {
                 limit: (ORIGIN_START * part).max(1.0),
+                least: part.min(1.0),
                 growth: (4.0 * part).min(1.0),
                 tolerated,
                 ..OriginGuard::default()
@@ -789,10 +802,13 @@
         if origin {
             self.guard.out -= 1;
             self.guard.cold_out -= usize::from(cold);
-            self.guard.learn(e.outcome, e.lag);
+            self.guard.learn(e.outcome, e.lag, self.now);
             if matches!(e.outcome, Outcome::Full | Outcome::Unavailable) {
                 // Asking again at once would only feed its queue: all wait for a part of its time.
-                self.guard.rests_until = self.now + (self.guard.mean as Nanos).max(self.place.tick);
+                let rest = (self.guard.mean as Nanos).max(self.place.tick);
+                self.guard.rests_until = self.guard.rests_until.max(self.now + rest);
+            }
+            if self.guard.rests_until > self.now {
                 self.wake(self.guard.rests_until, ORIGIN);
             }
         } else {
