Hot keys counted in time, shared by push-sum notes, copies begun elsewhere by each node

Cause: at a few invocations a second a node never counts eight of a key, and with one in flight each every node stayed at the key's home.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -321,35 +321,65 @@
 
 // ---- Hot keys: where the design's like keys end. ----
 
+/// Arrivals of late by key, as parts of a total: with notes from peers, of the whole deployment.
 #[derive(Default)]
 struct KeyCounts {
-    counts: HashMap<u64, f64>,
+    counts: HashMap<u32, f64>,
     total: f64,
+    halved_at: Nanos,
 }
 
 impl KeyCounts {
-    /// Counts an arrival; old ones fade by half every so many.
-    fn count(&mut self, key: u64, caches: usize) {
-        *self.counts.entry(key).or_default() += 1.0;
+    fn scale(&mut self, part: f64) {
+        self.counts.values_mut().for_each(|n| *n *= part);
+        self.counts.retain(|_, n| *n >= 0.1);
+        self.total *= part;
+    }
+    /// Counts an arrival; old ones fade by half every so many, or after a time where few arrive.
+    fn count(&mut self, key: u64, caches: usize, now: Nanos) {
+        *self.counts.entry((key >> 32) as u32).or_default() += 1.0;
         self.total += 1.0;
-        if self.total >= 32.0 * caches as f64 {
-            self.counts.values_mut().for_each(|n| *n /= 2.0);
-            self.counts.retain(|_, n| *n >= 1.0);
-            self.total /= 2.0;
+        if self.total >= 32.0 * caches as f64 || now > self.halved_at + HOT_MEMORY {
+            self.scale(0.5);
+            self.halved_at = now;
         }
     }
     /// Over how many cache servers the key is spread, so that it adds at most half of a fair share
-    /// to any of them; 1 for nearly all keys.
-    fn spread(&self, key: u64, caches: usize) -> usize {
-        let count = self.counts.get(&key).copied().unwrap_or(0.0);
+    /// to any of them; 1 for nearly all keys. What others saw too needs fewer arrivals here.
+    fn spread(&self, key: u64, caches: usize, peers: usize) -> usize {
+        let count = self.counts.get(&((key >> 32) as u32)).copied().unwrap_or(0.0);
         let few = (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize;
-        if count < HOT_COUNT { 1 } else { few }
+        if count * (1 + peers) as f64 >= HOT_COUNT { few.min(caches) } else { 1 }
+    }
+    /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
+    /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
+    fn give(&mut self, to: usize, room: usize) -> Vec<u8> {
+        let part = 1.0 / (1 + to) as f64;
+        self.scale(part);
+        let mut top: Vec<_> = self.counts.iter().map(|(&key, &n)| (n, key)).collect();
+        top.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let pairs = top.iter().take(room / 8).flat_map(|(n, key)| [(*n as f32).to_bits(), *key]);
+        [(self.total as f32).to_bits()].into_iter().chain(pairs).flat_map(u32::to_le_bytes).collect()
+    }
+    fn take(&mut self, text: &[u8]) {
+        let words: Vec<u32> =
+            text.chunks_exact(4).map(|b| u32::from_le_bytes([b[0], b[1], b[2], b[3]])).collect();
+        let Some((total, pairs)) = words.split_first() else { return };
+        let fit = |n: u32| f64::from(f32::from_bits(n)).max(0.0).min(1e6);
+        self.total += fit(*total);
+        for pair in pairs.chunks_exact(2) {
+            let n = fit(pair[0]);
+            if n > 0.0 {
+                *self.counts.entry(pair[1]).or_default() += n;
+            }
+        }
     }
 }
 
 /// So many arrivals of late make a count that can be believed.
 const HOT_COUNT: f64 = 8.0;
 const HOT_SPREAD: f64 = 2.0;
+const HOT_MEMORY: Nanos = 8 * SECOND;
 
 // ---- Admission: what is throttled early. ----
 
@@ -417,7 +447,8 @@
 const COPIES: f64 = 0.05;
 const COPIES_SAVED: f64 = 10.0;
 /// Peers told at once.
-const NOTES: usize = 4;
+const NOTES: usize = 2;
+const NOTE_BYTES: usize = 256;
 
 // ---- The whole: events in, actions out. ----
 
@@ -538,7 +569,7 @@
             if self.place.must_ask {
                 self.follow();
             }
-            if self.place.peers && !self.admission.quotas.is_empty() {
+            if self.place.peers {
                 self.wake(self.now + SECOND, PEERS);
             }
         }
@@ -552,14 +583,16 @@
         self.wake(self.ask_at, LIST);
     }
 
-    // -- peers: only how much of each tenant's traffic comes by here --
+    // -- peers: how much of each tenant's traffic comes by here, and which keys --
 
     fn tell_peers(&mut self) {
-        let text: Vec<u8> =
+        let mut text: Vec<u8> =
             self.admission.quotas.iter().take(100).flat_map(|q| q.arrived.to_le_bytes()).collect();
         // To a few, drawn anew each time: notes to all would grow with the square of the nodes.
         let (own, nodes) = (self.place.own_index, self.place.nodes);
-        for step in self.rng.choose_multiple(1..nodes.max(1), NOTES) {
+        let steps = self.rng.choose_multiple(1..nodes.max(1), NOTES);
+        text.extend(self.keys.give(steps.len(), NOTE_BYTES - 4 - text.len()));
+        for step in steps {
             self.actions.push(Action::Tell { peer: (own + step) % nodes, text: Vec::clone(&text) });
         }
         let fresh = self.now.saturating_sub(3 * SECOND);
@@ -578,8 +611,10 @@
     }
 
     fn told(&mut self, peer: usize, text: &[u8]) {
-        let counts = text.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
+        let (tenants, keys) = text.split_at(text.len().min(2 * self.admission.quotas.len().min(100)));
+        let counts = tenants.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
         if peer != self.place.own_index {
+            self.keys.take(keys);
             self.peers.insert(peer, (self.now, counts));
         }
     }
@@ -607,7 +642,7 @@
         let shed = self.admission.shed(band, billed, work, self.fleet.badness(self.now));
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         self.copies = (self.copies + COPIES).min(COPIES_SAVED);
-        self.keys.count(key, self.fleet.ready.len().max(1));
+        self.keys.count(key, self.fleet.ready.len().max(1), self.now);
         let origin_write = arrival.write && self.fleet.origin.is_some();
         let due_now = due <= self.now;
         self.invs.insert(ix, Inv { key, value, good_until, give_up, arrival, ..Inv::default() });
@@ -664,7 +699,10 @@
         let (mut spare, mut probe) = (None, None);
         let mut order = self.fleet.rank(inv.key, self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
-        let few = self.keys.spread(inv.key, order.len()).min(order.len());
+        let few = self.keys.spread(inv.key, order.len(), self.peers.len()).min(order.len());
+        // Each node begins elsewhere among them: that many nodes with one in flight each are a crowd.
+        order[..few]
+            .rotate_left(self.place.own_index % self.place.nodes.max(1) * few / self.place.nodes.max(1));
         // One in flight is no crowd: each copy costs fetches.
         order[..few].sort_by_key(|&(_, c)| self.fleet.get(c).out.max(1));
         for (_, c) in order {
