--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -183,13 +183,21 @@
         (cache.out, cache.used) = (cache.out + 1, true);
     }
 
+    fn warm_weight(&self, now: Nanos) -> f64 {
+        self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum()
+    }
+    /// Answers a second from all cache servers to this node.
+    fn per_s(&self, now: Nanos) -> f64 {
+        self.rate * self.warm_weight(now)
+    }
+
     /// Counts answers: what is only sent says nothing of what can be done.
     fn answered(&mut self, now: Nanos) {
         self.answers += 1.0;
         self.silence *= 0.95;
         if now > self.counted_at + SECOND {
-            let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
-            let per_s = self.answers / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
+            let total = self.warm_weight(now).max(1e-9);
+            let per_s = self.answers / ((now - self.counted_at) as f64 / SECOND as f64) / total;
             self.rate = if self.rate == 0.0 { per_s } else { 0.7 * self.rate + 0.3 * per_s };
             (self.answers, self.counted_at) = (0.0, now);
         }
@@ -318,6 +326,8 @@
 
 /// Fetches that all nodes together may have out before anything is known of the origin.
 const ORIGIN_START: f64 = 8.0;
+/// So many nodes may fetch one key at once.
+const FETCHERS: f64 = 3.0;
 
 // ---- Hot keys: where the design's like keys end. ----
 
@@ -344,12 +354,13 @@
             self.halved_at = now;
         }
     }
-    /// Over how many cache servers the key is spread, so that it adds at most half of a fair share
+    /// The part of a hot key, and over how many cache servers it is spread, so that it adds at most half of a fair share
     /// to any of them; 1 for nearly all keys. What others saw too needs fewer arrivals here.
-    fn spread(&self, key: u64, caches: usize, peers: usize) -> usize {
+    fn part(&self, key: u64, caches: usize, peers: usize) -> (f64, usize) {
         let count = self.counts.get(&((key >> 32) as u32)).copied().unwrap_or(0.0);
-        let few = (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize;
-        if count * (1 + peers) as f64 >= HOT_COUNT { few.min(caches) } else { 1 }
+        let part = count / self.total.max(1.0);
+        let few = (HOT_SPREAD * caches as f64 * part).ceil().max(1.0) as usize;
+        if count * (1 + peers) as f64 >= HOT_COUNT { (part, few.min(caches.max(1))) } else { (0.0, 1) }
     }
     /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
     /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
@@ -481,6 +492,7 @@
 const LIST: u64 = 4;
 const PEERS: u64 = 5;
 const ORIGIN: u64 = 6;
+const AGAIN: u64 = 7;
 
 fn token(kind: u64, inv: InvIx, copy: usize) -> u64 {
     kind | (copy as u64) << 3 | (inv as u64) << 16
@@ -699,7 +711,7 @@
         let (mut spare, mut probe) = (None, None);
         let mut order = self.fleet.rank(inv.key, self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
-        let few = self.keys.spread(inv.key, order.len(), self.peers.len()).min(order.len());
+        let few = self.keys.part(inv.key, order.len(), self.peers.len()).1.min(order.len());
         // Each node begins elsewhere among them: that many nodes with one in flight each are a crowd.
         order[..few]
             .rotate_left(self.place.own_index % self.place.nodes.max(1) * few / self.place.nodes.max(1));
@@ -807,12 +819,37 @@
         let inv = self.invs.get_mut(&ix).expect("inv");
         if e.outcome == Outcome::Miss && self.aside {
             inv.cold |= cold;
-            self.fetch(ix);
+            let (first, leads) = (inv.forwards.len() == 1, inv.leads);
+            if first && self.fetched_elsewhere(ix, e) {
+                self.guard.flights.insert(self.invs[&ix].key, Vec::new());
+                self.invs.get_mut(&ix).expect("inv").leads = true;
+                let wait = self.guard.mean * (0.75 + 0.75 * self.rng.f64());
+                self.wake(self.now + wait as Nanos, token(AGAIN, ix, 0));
+            } else if leads {
+                self.try_origin(ix);
+            } else {
+                self.fetch(ix);
+            }
         } else if inv.open() == 0 {
             self.try_cache(ix);
         }
     }
 
+    /// Another node is likely to be fetching the key already: the cache server says so, or so many
+    /// nodes want it that most of them must have missed just now. Guards against one void copy of a
+    /// hot key being fetched by each of hundreds of nodes at once.
+    fn fetched_elsewhere(&mut self, ix: InvIx, e: &Ending) -> bool {
+        let inv = &self.invs[&ix];
+        let time = inv.good_until.saturating_sub(self.now) as f64 > 4.0 * self.guard.mean;
+        if !time || self.guard.flights.contains_key(&inv.key) || self.limits.max_forwards < 3 {
+            return false;
+        }
+        let (part, few) = self.keys.part(inv.key, self.fleet.ready.len(), self.peers.len());
+        let per_s = part * self.fleet.per_s(self.now) * self.place.nodes as f64 / few as f64;
+        let missing = per_s * self.guard.mean / SECOND as f64;
+        e.note == Some(Note::MissWhileFetching) || self.rng.f64() * missing > FETCHERS
+    }
+
     /// The origin answered, but not with success.
     fn after_origin(&mut self, ix: InvIx, e: &Ending) {
         let inv = &self.invs[&ix];
@@ -984,6 +1021,7 @@
             LIST if self.ask_at > 0 && self.now >= self.ask_at => self.follow(),
             PEERS => self.tell_peers(),
             ORIGIN => self.pump(),
+            AGAIN if self.invs.get(&ix).is_some_and(|i| i.live() && i.open() == 0) => self.again(ix),
             _ => {}
         }
     }
