Badness by what is known, the excess follows in time: overload seen by small nodes

Cause: badness was a mean over all cache servers with a memory of a second, so a node that hears one of hundreds a second saw next to none, and the excess moved by arrivals.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -53,7 +53,8 @@
         // Additive rise, multiplicative fall.
         self.limit = if bad > 0.0 { self.limit * (1.0 - bad / 2.0) } else { self.limit + 0.5 / self.limit };
         self.limit = self.limit.clamp(1.0, LIMIT_MAX);
-        self.bad += 0.2 * (bad - self.bad);
+        let kept = 0.8 * fade((now - self.learnt_at) / 4);
+        (self.bad, self.known) = (kept * self.bad + 0.2 * bad, kept * self.known + 0.2);
         self.learnt_at = now;
     }
 }
@@ -183,21 +184,13 @@
         (cache.out, cache.used) = (cache.out + 1, true);
     }
 
-    fn warm_weight(&self, now: Nanos) -> f64 {
-        self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum()
-    }
-    /// Answers a second from all cache servers to this node.
-    fn per_s(&self, now: Nanos) -> f64 {
-        self.rate * self.warm_weight(now)
-    }
-
     /// Counts answers: what is only sent says nothing of what can be done.
     fn answered(&mut self, now: Nanos) {
         self.answers += 1.0;
         self.silence *= 0.95;
         if now > self.counted_at + SECOND {
-            let total = self.warm_weight(now).max(1e-9);
-            let per_s = self.answers / ((now - self.counted_at) as f64 / SECOND as f64) / total;
+            let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
+            let per_s = self.answers / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
             self.rate = if self.rate == 0.0 { per_s } else { 0.7 * self.rate + 0.3 * per_s };
             (self.answers, self.counted_at) = (0.0, now);
         }
@@ -236,11 +229,17 @@
         doubted * 2 > self.ready.len()
     }
 
-    /// Mean badness of the ready cache servers, each counted once however much it gets.
+    /// Mean badness of the ready cache servers, each counted once however much it gets, and by how
+    /// much is known of it: no evidence is neither good nor bad. Counted as good, the many that a
+    /// node of a large deployment has not just heard hid an overload from it.
     fn badness(&self, now: Nanos) -> f64 {
-        let each = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.doubt.is_none());
-        let each = each.map(|c| c.bad * fade(now - c.learnt_at));
-        each.sum::<f64>() / self.ready.len().max(1) as f64
+        let each = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.doubt.is_none() && c.known > 0.0);
+        let sum = |(bad, known), c: &Cache| {
+            let left = fade(now - c.learnt_at);
+            (bad + c.bad * left, known + c.known * left)
+        };
+        let (bad, known) = each.fold((0.0, 0.0), sum);
+        bad / (known + 1.0)
     }
 }
 
@@ -326,8 +325,6 @@
 
 /// Fetches that all nodes together may have out before anything is known of the origin.
 const ORIGIN_START: f64 = 8.0;
-/// So many nodes may fetch one key at once.
-const FETCHERS: f64 = 3.0;
 
 // ---- Hot keys: where the design's like keys end. ----
 
@@ -354,13 +351,12 @@
             self.halved_at = now;
         }
     }
-    /// The part of a hot key, and over how many cache servers it is spread, so that it adds at most half of a fair share
+    /// Over how many cache servers the key is spread, so that it adds at most half of a fair share
     /// to any of them; 1 for nearly all keys. What others saw too needs fewer arrivals here.
-    fn part(&self, key: u64, caches: usize, peers: usize) -> (f64, usize) {
+    fn spread(&self, key: u64, caches: usize, peers: usize) -> usize {
         let count = self.counts.get(&((key >> 32) as u32)).copied().unwrap_or(0.0);
-        let part = count / self.total.max(1.0);
-        let few = (HOT_SPREAD * caches as f64 * part).ceil().max(1.0) as usize;
-        if count * (1 + peers) as f64 >= HOT_COUNT { (part, few.min(caches.max(1))) } else { (0.0, 1) }
+        let few = (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize;
+        if count * (1 + peers) as f64 >= HOT_COUNT { few.min(caches) } else { 1 }
     }
     /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
     /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
@@ -410,6 +406,7 @@
     over_share_part: f64,
     /// Part of the arriving load that is turned away, lowest value first.
     excess: f64,
+    stepped_at: Nanos,
     /// By operation, beyond and within quota: value for the work it brings, load of late,
     /// and value.
     bands: Vec<(f64, f64, f64)>,
@@ -428,7 +425,7 @@
     /// Chance of being throttled for an invocation of this value for the work it brings, so that in
     /// all the excess is shed from the bottom. The excess rises while too much goes badly over the
     /// whole fleet: one bad cache server or a slow origin is no reason to turn work away.
-    fn shed(&mut self, band: usize, value: f64, work: f64, bad: f64) -> f64 {
+    fn shed(&mut self, band: usize, value: f64, work: f64, bad: f64, now: Nanos) -> f64 {
         let density = value / work;
         self.bands.iter_mut().for_each(|b| b.1 *= 0.99);
         self.bands[band] = (density, self.bands[band].1 + work, value);
@@ -441,7 +438,9 @@
         let next = self.bands.iter().filter(|b| b.1 > 0.0 && load(&|d| d <= b.0) > over);
         let next = next.min_by(|a, b| a.0.total_cmp(&b.0)).map_or(f64::INFINITY, |b| b.2);
         let tolerated = (TOLERATED * next / mean).min(1.0);
-        let step = if bad > tolerated { EXCESS_RISE } else { EXCESS_FALL };
+        let gap = now.saturating_sub(self.stepped_at) as f64 / SECOND as f64;
+        self.stepped_at = now;
+        let step = (EXCESS_PER_S * gap).clamp(EXCESS_STEP, 4.0 * EXCESS_STEP);
         self.excess = (self.excess + step * (bad - tolerated)).clamp(0.0, EXCESS_MAX);
         chance
     }
@@ -449,8 +448,9 @@
 
 /// Seconds of its quota that a tenant may save up: small parts come unevenly.
 const QUOTA_DEPTH: f64 = 5.0;
-const EXCESS_RISE: f64 = 0.06;
-const EXCESS_FALL: f64 = 0.06;
+/// How fast the excess follows: an arrival, and a second where few arrive.
+const EXCESS_STEP: f64 = 0.06;
+const EXCESS_PER_S: f64 = 2.0;
 /// Part of the forwards that may end badly before more is turned away.
 const TOLERATED: f64 = 0.1;
 const EXCESS_MAX: f64 = 0.9;
@@ -492,7 +492,6 @@
 const LIST: u64 = 4;
 const PEERS: u64 = 5;
 const ORIGIN: u64 = 6;
-const AGAIN: u64 = 7;
 
 fn token(kind: u64, inv: InvIx, copy: usize) -> u64 {
     kind | (copy as u64) << 3 | (inv as u64) << 16
@@ -651,7 +650,7 @@
         let billed = op.billed_value * part;
         let value = billed * if arrival.write { 1e6 } else { 1.0 };
         let band = 2 * arrival.operation + usize::from(within);
-        let shed = self.admission.shed(band, billed, work, self.fleet.badness(self.now));
+        let shed = self.admission.shed(band, billed, work, self.fleet.badness(self.now), self.now);
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         self.copies = (self.copies + COPIES).min(COPIES_SAVED);
         self.keys.count(key, self.fleet.ready.len().max(1), self.now);
@@ -711,7 +710,7 @@
         let (mut spare, mut probe) = (None, None);
         let mut order = self.fleet.rank(inv.key, self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
-        let few = self.keys.part(inv.key, order.len(), self.peers.len()).1.min(order.len());
+        let few = self.keys.spread(inv.key, order.len(), self.peers.len()).min(order.len());
         // Each node begins elsewhere among them: that many nodes with one in flight each are a crowd.
         order[..few]
             .rotate_left(self.place.own_index % self.place.nodes.max(1) * few / self.place.nodes.max(1));
@@ -819,37 +818,12 @@
         let inv = self.invs.get_mut(&ix).expect("inv");
         if e.outcome == Outcome::Miss && self.aside {
             inv.cold |= cold;
-            let (first, leads) = (inv.forwards.len() == 1, inv.leads);
-            if first && self.fetched_elsewhere(ix, e) {
-                self.guard.flights.insert(self.invs[&ix].key, Vec::new());
-                self.invs.get_mut(&ix).expect("inv").leads = true;
-                let wait = self.guard.mean * (0.75 + 0.75 * self.rng.f64());
-                self.wake(self.now + wait as Nanos, token(AGAIN, ix, 0));
-            } else if leads {
-                self.try_origin(ix);
-            } else {
-                self.fetch(ix);
-            }
+            self.fetch(ix);
         } else if inv.open() == 0 {
             self.try_cache(ix);
         }
     }
 
-    /// Another node is likely to be fetching the key already: the cache server says so, or so many
-    /// nodes want it that most of them must have missed just now. Guards against one void copy of a
-    /// hot key being fetched by each of hundreds of nodes at once.
-    fn fetched_elsewhere(&mut self, ix: InvIx, e: &Ending) -> bool {
-        let inv = &self.invs[&ix];
-        let time = inv.good_until.saturating_sub(self.now) as f64 > 4.0 * self.guard.mean;
-        if !time || self.guard.flights.contains_key(&inv.key) || self.limits.max_forwards < 3 {
-            return false;
-        }
-        let (part, few) = self.keys.part(inv.key, self.fleet.ready.len(), self.peers.len());
-        let per_s = part * self.fleet.per_s(self.now) * self.place.nodes as f64 / few as f64;
-        let missing = per_s * self.guard.mean / SECOND as f64;
-        e.note == Some(Note::MissWhileFetching) || self.rng.f64() * missing > FETCHERS
-    }
-
     /// The origin answered, but not with success.
     fn after_origin(&mut self, ix: InvIx, e: &Ending) {
         let inv = &self.invs[&ix];
@@ -1021,7 +995,6 @@
             LIST if self.ask_at > 0 && self.now >= self.ask_at => self.follow(),
             PEERS => self.tell_peers(),
             ORIGIN => self.pump(),
-            AGAIN if self.invs.get(&ix).is_some_and(|i| i.live() && i.open() == 0) => self.again(ix),
             _ => {}
         }
     }
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -77,8 +77,9 @@
     pub doubt: Option<Doubt>,
     /// What this node may have in flight there.
     pub limit: f64,
-    /// Part of its forwards of late that came to nothing in time, and when that was learnt.
+    /// Forwards of late that came to nothing in time, of how many, and when that was learnt.
     pub bad: f64,
+    pub known: f64,
     pub learnt_at: Nanos,
     /// Forwards that may leave now while it is cold, and when that was reckoned.
     pub tokens: f64,
