--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -385,7 +385,7 @@
 
 /// So many arrivals of late make a count that can be believed.
 const HOT_COUNT: f64 = 8.0;
-const HOT_SPREAD: f64 = 2.0;
+const HOT_SPREAD: f64 = 0.7;
 const HOT_MEMORY: Nanos = 8 * SECOND;
 
 // ---- Admission: what is throttled early. ----
