--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -351,10 +351,11 @@
             self.halved_at = now;
         }
     }
-    /// Over how many cache servers the key is spread, so that it adds at most half of a fair share
+    /// Over how many cache servers the key is spread, so that it adds at most a fair share
     /// to any of them; 1 for nearly all keys. What others saw too needs fewer arrivals here.
     fn spread(&self, key: u64, caches: usize, peers: usize) -> usize {
-        let count = self.counts.get(&((key >> 32) as u32)).copied().unwrap_or(0.0);
+        // Without the arrival at hand: one of thirty looked hot to a node that sees few.
+        let count = self.counts.get(&((key >> 32) as u32)).map_or(0.0, |n| n - 1.0);
         let few = (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize;
         if count * (1 + peers) as f64 >= HOT_COUNT { few.min(caches) } else { 1 }
     }
@@ -385,7 +386,7 @@
 
 /// So many arrivals of late make a count that can be believed.
 const HOT_COUNT: f64 = 8.0;
-const HOT_SPREAD: f64 = 0.7;
+const HOT_SPREAD: f64 = 1.0;
 const HOT_MEMORY: Nanos = 8 * SECOND;
 
 // ---- Admission: what is throttled early. ----
