--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -328,65 +328,74 @@
 
 // ---- Hot keys: where the design's like keys end. ----
 
-/// Arrivals of late by key, as parts of a total: with notes from peers, of the whole deployment.
+/// Arrivals of late by key, and what part of their objectives its forwards took in sum; as parts of
+/// a total: with notes from peers, of the whole deployment.
 #[derive(Default)]
 struct KeyCounts {
-    counts: HashMap<u32, f64>,
+    counts: HashMap<u32, (f64, f64)>,
     total: f64,
     halved_at: Nanos,
 }
 
 impl KeyCounts {
     fn scale(&mut self, part: f64) {
-        self.counts.values_mut().for_each(|n| *n *= part);
-        self.counts.retain(|_, n| *n >= 0.1);
+        self.counts.values_mut().for_each(|n| *n = (n.0 * part, n.1 * part));
+        self.counts.retain(|_, n| n.0 >= 0.1);
         self.total *= part;
     }
     /// Counts an arrival; old ones fade by half every so many, or after a time where few arrive.
     fn count(&mut self, key: u64, caches: usize, now: Nanos) {
-        *self.counts.entry((key >> 32) as u32).or_default() += 1.0;
+        self.counts.entry((key >> 32) as u32).or_default().0 += 1.0;
         self.total += 1.0;
         if self.total >= 32.0 * caches as f64 || now > self.halved_at + HOT_MEMORY {
             self.scale(0.5);
             self.halved_at = now;
         }
     }
-    /// Over how many cache servers the key is spread, so that it adds at most a fair share
-    /// to any of them; 1 for nearly all keys. What others saw too needs fewer arrivals here.
+    fn took(&mut self, key: u64, part: f64) {
+        if let Some(n) = self.counts.get_mut(&((key >> 32) as u32)) {
+            n.1 += part.min(1.0);
+        }
+    }
+    /// Over how many cache servers the key is spread: by its part of the arrivals and by how slow its
+    /// answers are, as where nothing is crowded each copy only costs fetches. 1 for nearly all keys.
+    /// What others saw too needs fewer arrivals here.
     fn spread(&self, key: u64, caches: usize, peers: usize) -> usize {
         // Without the arrival at hand: one of thirty looked hot to a node that sees few.
-        let count = self.counts.get(&((key >> 32) as u32)).map_or(0.0, |n| n - 1.0);
-        let few = (HOT_SPREAD * caches as f64 * count / self.total).ceil().max(1.0) as usize;
-        if count * (1 + peers) as f64 >= HOT_COUNT { few.min(caches) } else { 1 }
+        let n = self.counts.get(&((key >> 32) as u32)).map_or((0.0, 0.0), |n| (n.0 - 1.0, n.1));
+        if n.0 * (1 + peers) as f64 + 1.0 < HOT_COUNT {
+            return 1;
+        }
+        let slow = (n.1 / n.0).min(1.0);
+        (HOT_SPREAD * slow * caches as f64 * n.0 / self.total).ceil().clamp(1.0, caches.max(1) as f64)
+            as usize
     }
     /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
     /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
     fn give(&mut self, to: usize, room: usize) -> Vec<u8> {
-        let part = 1.0 / (1 + to) as f64;
-        self.scale(part);
-        let mut top: Vec<_> = self.counts.iter().map(|(&key, &n)| (n, key)).collect();
+        self.scale(1.0 / (1 + to) as f64);
+        let mut top: Vec<_> = self.counts.iter().map(|(&key, &n)| (n.0, key, n.1)).collect();
         top.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let pairs = top.iter().take(room / 8).flat_map(|(n, key)| [(*n as f32).to_bits(), *key]);
-        [(self.total as f32).to_bits()].into_iter().chain(pairs).flat_map(u32::to_le_bytes).collect()
+        let bits = |n: f64| (n as f32).to_bits();
+        let rows = top.iter().take(room / 12).flat_map(|&(n, key, slow)| [key, bits(n), bits(slow)]);
+        [bits(self.total)].into_iter().chain(rows).flat_map(u32::to_le_bytes).collect()
     }
     fn take(&mut self, text: &[u8]) {
-        let words: Vec<u32> =
-            text.chunks_exact(4).map(|b| u32::from_le_bytes([b[0], b[1], b[2], b[3]])).collect();
-        let Some((total, pairs)) = words.split_first() else { return };
-        let fit = |n: u32| f64::from(f32::from_bits(n)).max(0.0).min(1e6);
-        self.total += fit(*total);
-        for pair in pairs.chunks_exact(2) {
-            let n = fit(pair[0]);
-            if n > 0.0 {
-                *self.counts.entry(pair[1]).or_default() += n;
-            }
+        let word = |b: &[u8]| u32::from_le_bytes([b[0], b[1], b[2], b[3]]);
+        let words: Vec<u32> = text.chunks_exact(4).map(word).collect();
+        let Some((total, rows)) = words.split_first() else { return };
+        let number = |n: u32| f64::from(f32::from_bits(n)).max(0.0).min(1e6);
+        self.total += number(*total);
+        for row in rows.chunks_exact(3) {
+            let n = self.counts.entry(row[0]).or_default();
+            *n = (n.0 + number(row[1]), n.1 + number(row[2]));
         }
     }
 }
 
 /// So many arrivals of late make a count that can be believed.
 const HOT_COUNT: f64 = 8.0;
-const HOT_SPREAD: f64 = 1.0;
+const HOT_SPREAD: f64 = 3.0;
 const HOT_MEMORY: Nanos = 8 * SECOND;
 
 // ---- Admission: what is throttled early. ----
@@ -877,22 +886,31 @@
 
     /// What an ending says of its cache server.
     fn judge(&mut self, e: &Ending, sent_at: Nanos) {
-        let operation = self.invs[&e.inv].arrival.operation;
+        let inv = &self.invs[&e.inv];
+        let (operation, key) = (inv.arrival.operation, inv.key);
+        let part = e.lag as f64 / self.ops[operation].objective as f64;
         match e.outcome {
             Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
                 self.fleet.cleared(e.cache, self.now);
                 self.fleet.answered(self.now);
-                let late = e.lag > self.ops[operation].objective;
-                self.fleet.at(e.cache).learn(f64::from(u8::from(late)), self.now);
+                self.fleet.at(e.cache).learn(f64::from(u8::from(part > 1.0)), self.now);
+                self.keys.took(key, part);
                 if e.outcome == Outcome::Succeeded {
                     self.usual[operation].learn(e.lag as f64);
                 }
             }
             Outcome::Unavailable | Outcome::Reset => self.fleet.strike(e.cache, true, self.now),
             // Turned away is cheap: the next in order takes it, and most end well.
-            Outcome::Full => self.fleet.at(e.cache).learn(FULL_BAD, self.now),
-            Outcome::TimedOut => self.silent(e.cache, sent_at),
-            Outcome::Withdrawn | Outcome::NotSent => {}
+            Outcome::Full => {
+                self.fleet.at(e.cache).learn(FULL_BAD, self.now);
+                self.keys.took(key, 1.0);
+            }
+            Outcome::TimedOut => {
+                self.silent(e.cache, sent_at);
+                self.keys.took(key, 1.0);
+            }
+            Outcome::Withdrawn => self.keys.took(key, part),
+            Outcome::NotSent => {}
         }
     }
 
