--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -363,7 +363,7 @@
     fn spread(&self, key: u64, caches: usize, peers: usize) -> usize {
         // Without the arrival at hand: one of thirty looked hot to a node that sees few.
         let n = self.counts.get(&((key >> 32) as u32)).map_or((0.0, 0.0), |n| (n.0 - 1.0, n.1));
-        if n.0 * (1 + peers) as f64 + 1.0 < HOT_COUNT {
+        if n.0 < HOT_COUNT / (1.0 + peers as f64).powf(1.5) {
             return 1;
         }
         let slow = (n.1 / n.0).min(1.0);
