--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -340,8 +340,10 @@
 impl KeyCounts {
     fn scale(&mut self, part: f64) {
         self.counts.values_mut().for_each(|n| *n = (n.0 * part, n.1 * part));
-        self.counts.retain(|_, n| n.0 >= 0.1);
         self.total *= part;
+        // Small pieces from many peers add up: dropped at a tenth of an arrival, nothing ever mixed.
+        let least = (self.total / 1000.0).min(0.1);
+        self.counts.retain(|_, n| n.0 >= least);
     }
     /// Counts an arrival; old ones fade by half every so many, or after a time where few arrive.
     fn count(&mut self, key: u64, caches: usize, now: Nanos) {
