Weights fall with crowding, learnt here and told by peers

Cause: caches of the slower kind held deep queues of dead work; no node fed one enough to see it. The score's weight now falls with the part of forwards that end badly, push-summed among peers.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -55,8 +55,16 @@
         self.limit = self.limit.clamp(1.0, LIMIT_MAX);
         let kept = 0.8 * fade((now - self.learnt_at) / 4);
         (self.bad, self.known) = (kept * self.bad + 0.2 * bad, kept * self.known + 0.2);
+        let kept = fade((now - self.learnt_at) / 8);
+        self.crowd = (self.crowd.0 * kept + bad, self.crowd.1 * kept + 1.0);
         self.learnt_at = now;
     }
+    /// How much of its weight a cache server keeps: less where its forwards end badly, by all that was
+    /// learnt here or told by peers. Guards against deep queues that no single node feeds enough to see.
+    fn health(&self, prior: f64, now: Nanos) -> f64 {
+        let left = fade(now.saturating_sub(self.learnt_at) / 8);
+        1.0 / (1.0 + CROWD_GAIN * self.crowd.0 * left / (self.crowd.1 * left + prior))
+    }
 }
 
 #[derive(Default)]
@@ -132,11 +140,12 @@
 
     /// All ready cache servers, highest score first. A weight's share of the keys is its part of
     /// the sum; a cold cache server weighs as much as it is warm, alike at every node.
-    fn rank(&self, key: u64, now: Nanos) -> Vec<(f64, CacheIx)> {
+    fn rank(&self, key: u64, peers: usize, now: Nanos) -> Vec<(f64, CacheIx)> {
+        let prior = 1.0 / (1.0 + peers as f64);
         let score = |&c: &CacheIx| {
             let cache = self.get(c);
             let unit = ((mix(cache.id_hash ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-            (cache.weight * self.warmth(c, now) / -unit.ln(), c)
+            (cache.weight * self.warmth(c, now) * cache.health(prior, now) / -unit.ln(), c)
         };
         let mut order: Vec<_> = self.ready.iter().map(score).collect();
         order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
@@ -224,6 +233,29 @@
         (cache.heard, cache.strikes, cache.unreachable, cache.doubt) = (now, 0, false, None);
     }
 
+    /// The worst of them, for peers: push-sum as with keys.
+    fn give(&mut self, to: usize) -> Vec<u32> {
+        let part = 1.0 / (1 + to) as f64;
+        let mut worst: Vec<CacheIx> = self.ready.clone();
+        worst.retain(|&c| self.get(c).crowd.0 > 0.0);
+        worst.sort_by(|&a, &b| self.get(b).crowd.0.total_cmp(&self.get(a).crowd.0));
+        worst.truncate(NOTE_ROWS);
+        let row = |c: &CacheIx| {
+            let cache = self.at(*c);
+            cache.crowd = (cache.crowd.0 * part, cache.crowd.1 * part);
+            [cache.id_hash as u32, (cache.crowd.0 as f32).to_bits(), (cache.crowd.1 as f32).to_bits()]
+        };
+        worst.iter().flat_map(row).collect()
+    }
+    fn take(&mut self, id: u32, bad: f64, all: f64, now: Nanos) {
+        if let Some(c) = self.caches.iter_mut().flatten().find(|c| c.id_hash as u32 == id) {
+            let kept = fade((now - c.learnt_at) / 8);
+            c.crowd = (c.crowd.0 * kept + bad.min(all), c.crowd.1 * kept + all);
+            let old = fade(now - c.learnt_at);
+            (c.bad, c.known, c.learnt_at) = (c.bad * old, c.known * old, now);
+        }
+    }
+
     fn most_doubted(&self) -> bool {
         let doubted = self.ready.iter().filter(|&&c| self.get(c).doubt.is_some()).count();
         doubted * 2 > self.ready.len()
@@ -252,6 +284,7 @@
 /// How bad a full cache server is, beside one that answers too late.
 const FULL_BAD: f64 = 0.25;
 const LIMIT_MAX: f64 = 16.0;
+const CROWD_GAIN: f64 = 8.0;
 
 // ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
 
@@ -374,24 +407,17 @@
     }
     /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
     /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
-    fn give(&mut self, to: usize, room: usize) -> Vec<u8> {
+    fn give(&mut self, to: usize) -> Vec<u32> {
         self.scale(1.0 / (1 + to) as f64);
         let mut top: Vec<_> = self.counts.iter().map(|(&key, &n)| (n.0, key, n.1)).collect();
         top.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let bits = |n: f64| (n as f32).to_bits();
-        let rows = top.iter().take(room / 12).flat_map(|&(n, key, slow)| [key, bits(n), bits(slow)]);
-        [bits(self.total)].into_iter().chain(rows).flat_map(u32::to_le_bytes).collect()
-    }
-    fn take(&mut self, text: &[u8]) {
-        let word = |b: &[u8]| u32::from_le_bytes([b[0], b[1], b[2], b[3]]);
-        let words: Vec<u32> = text.chunks_exact(4).map(word).collect();
-        let Some((total, rows)) = words.split_first() else { return };
-        let number = |n: u32| f64::from(f32::from_bits(n)).max(0.0).min(1e6);
-        self.total += number(*total);
-        for row in rows.chunks_exact(3) {
-            let n = self.counts.entry(row[0]).or_default();
-            *n = (n.0 + number(row[1]), n.1 + number(row[2]));
-        }
+        let rows = top.iter().take(NOTE_ROWS).flat_map(|&(n, key, slow)| [key, bits(n), bits(slow)]);
+        [bits(self.total)].into_iter().chain(rows).collect()
+    }
+    fn take(&mut self, key: u32, n: f64, slow: f64) {
+        let sum = self.counts.entry(key).or_default();
+        *sum = (sum.0 + n, sum.1 + slow);
     }
 }
 
@@ -471,7 +497,9 @@
 const COPIES_SAVED: f64 = 10.0;
 /// Peers told at once.
 const NOTES: usize = 2;
-const NOTE_BYTES: usize = 256;
+/// Cache servers and keys told of in a note: at most 256 bytes in all.
+const NOTE_ROWS: usize = 6;
+const NOTE_TENANTS: usize = 50;
 
 // ---- The whole: events in, actions out. ----
 
@@ -610,11 +638,16 @@
 
     fn tell_peers(&mut self) {
         let mut text: Vec<u8> =
-            self.admission.quotas.iter().take(100).flat_map(|q| q.arrived.to_le_bytes()).collect();
+            self.admission.quotas.iter().take(NOTE_TENANTS).flat_map(|q| q.arrived.to_le_bytes()).collect();
         // To a few, drawn anew each time: notes to all would grow with the square of the nodes.
         let (own, nodes) = (self.place.own_index, self.place.nodes);
         let steps = self.rng.choose_multiple(1..nodes.max(1), NOTES);
-        text.extend(self.keys.give(steps.len(), NOTE_BYTES - 4 - text.len()));
+        if self.place.nodes > 1 {
+            let caches = self.fleet.give(steps.len());
+            let words =
+                [caches.len() as u32 / 3].into_iter().chain(caches).chain(self.keys.give(steps.len()));
+            text.extend(words.flat_map(u32::to_le_bytes));
+        }
         for step in steps {
             self.actions.push(Action::Tell { peer: (own + step) % nodes, text: Vec::clone(&text) });
         }
@@ -634,10 +667,23 @@
     }
 
     fn told(&mut self, peer: usize, text: &[u8]) {
-        let (tenants, keys) = text.split_at(text.len().min(2 * self.admission.quotas.len().min(100)));
+        let (tenants, rows) =
+            text.split_at(text.len().min(2 * self.admission.quotas.len().min(NOTE_TENANTS)));
         let counts = tenants.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
         if peer != self.place.own_index {
-            self.keys.take(keys);
+            let word = |b: &[u8]| u32::from_le_bytes([b[0], b[1], b[2], b[3]]);
+            let words: Vec<u32> = rows.chunks_exact(4).map(word).collect();
+            let number = |n: u32| f64::from(f32::from_bits(n)).max(0.0).min(1e6);
+            let Some((&count, rest)) = words.split_first() else { return };
+            let (caches, rest) = rest.split_at((3 * (count as usize).min(NOTE_ROWS)).min(rest.len()));
+            for row in caches.chunks_exact(3) {
+                self.fleet.take(row[0], number(row[1]), number(row[2]), self.now);
+            }
+            let Some((&total, keys)) = rest.split_first() else { return };
+            self.keys.total += number(total);
+            for row in keys.chunks_exact(3) {
+                self.keys.take(row[0], number(row[1]), number(row[2]));
+            }
             self.peers.insert(peer, (self.now, counts));
         }
     }
@@ -720,7 +766,7 @@
         let fetches = self.guard.limit * self.fleet.cold_part(self.now).max(0.25);
         let cold_room = !self.aside || (self.guard.cold_out as f64) < fetches.max(1.0);
         let (mut spare, mut probe) = (None, None);
-        let mut order = self.fleet.rank(inv.key, self.now);
+        let mut order = self.fleet.rank(inv.key, self.peers.len(), self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
         let few = self.keys.spread(inv.key, order.len(), self.peers.len()).min(order.len());
         // Each node begins elsewhere among them: that many nodes with one in flight each are a crowd.
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -81,6 +81,8 @@
     pub bad: f64,
     pub known: f64,
     pub learnt_at: Nanos,
+    /// The same over a longer time, with what peers told.
+    pub crowd: (f64, f64),
     /// Forwards that may leave now while it is cold, and when that was reckoned.
     pub tokens: f64,
     pub filled_at: Nanos,
