--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -9,6 +9,7 @@
 //! hash(id, key), the highest score wins, a miss goes on to the origin. The rest of this file keeps
 //! that path standing when things break.
 
+use crate::notes::*;
 use crate::records::*;
 use crate::types::*;
 use std::collections::{BTreeMap, HashMap};
@@ -234,26 +235,24 @@
     }
 
     /// The worst of them, for peers: push-sum as with keys.
-    fn give(&mut self, to: usize) -> Vec<u32> {
+    fn give(&mut self, to: usize) -> Vec<Sums> {
         let part = 1.0 / (1 + to) as f64;
         let mut worst: Vec<CacheIx> = self.ready.clone();
         worst.retain(|&c| self.get(c).crowd.0 > 0.0);
         worst.sort_by(|&a, &b| self.get(b).crowd.0.total_cmp(&self.get(a).crowd.0));
         worst.truncate(NOTE_ROWS);
-        let row = |c: &CacheIx| {
-            let cache = self.at(*c);
+        let row = |&c: &CacheIx| {
+            let cache = self.at(c);
             cache.crowd = (cache.crowd.0 * part, cache.crowd.1 * part);
-            [cache.id_hash as u32, (cache.crowd.0 as f32).to_bits(), (cache.crowd.1 as f32).to_bits()]
+            (cache.id_hash as u32, cache.crowd.0, cache.crowd.1)
         };
-        worst.iter().flat_map(row).collect()
+        worst.iter().map(row).collect()
     }
-    fn take(&mut self, id: u32, bad: f64, all: f64, now: Nanos) {
-        if let Some(c) = self.caches.iter_mut().flatten().find(|c| c.id_hash as u32 == id) {
-            let kept = fade((now - c.learnt_at) / 8);
-            c.crowd = (c.crowd.0 * kept + bad.min(all), c.crowd.1 * kept + all);
-            let old = fade(now - c.learnt_at);
-            (c.bad, c.known, c.learnt_at) = (c.bad * old, c.known * old, now);
-        }
+    fn take(&mut self, (id, bad, all): Sums, now: Nanos) {
+        let Some(c) = self.caches.iter_mut().flatten().find(|c| c.id_hash as u32 == id) else { return };
+        let (old, kept) = (fade(now - c.learnt_at), fade((now - c.learnt_at) / 8));
+        c.crowd = (c.crowd.0 * kept + bad.min(all), c.crowd.1 * kept + all);
+        (c.bad, c.known, c.learnt_at) = (c.bad * old, c.known * old, now);
     }
 
     fn most_doubted(&self) -> bool {
@@ -361,37 +360,7 @@
 
 // ---- Hot keys: where the design's like keys end. ----
 
-/// Arrivals of late by key, and what part of their objectives its forwards took in sum; as parts of
-/// a total: with notes from peers, of the whole deployment.
-#[derive(Default)]
-struct KeyCounts {
-    counts: HashMap<u32, (f64, f64)>,
-    total: f64,
-    halved_at: Nanos,
-}
-
 impl KeyCounts {
-    fn scale(&mut self, part: f64) {
-        self.counts.values_mut().for_each(|n| *n = (n.0 * part, n.1 * part));
-        self.total *= part;
-        // Small pieces from many peers add up: dropped at a tenth of an arrival, nothing ever mixed.
-        let least = (self.total / 1000.0).min(0.1);
-        self.counts.retain(|_, n| n.0 >= least);
-    }
-    /// Counts an arrival; old ones fade by half every so many, or after a time where few arrive.
-    fn count(&mut self, key: u64, caches: usize, now: Nanos) {
-        self.counts.entry((key >> 32) as u32).or_default().0 += 1.0;
-        self.total += 1.0;
-        if self.total >= 32.0 * caches as f64 || now > self.halved_at + HOT_MEMORY {
-            self.scale(0.5);
-            self.halved_at = now;
-        }
-    }
-    fn took(&mut self, key: u64, part: f64) {
-        if let Some(n) = self.counts.get_mut(&((key >> 32) as u32)) {
-            n.1 += part.min(1.0);
-        }
-    }
     /// Over how many cache servers the key is spread: by its part of the arrivals and by how slow its
     /// answers are, as where nothing is crowded each copy only costs fetches. 1 for nearly all keys.
     /// What others saw too needs fewer arrivals here.
@@ -405,25 +374,13 @@
         (HOT_SPREAD * slow * caches as f64 * n.0 / self.total).ceil().clamp(1.0, caches.max(1) as f64)
             as usize
     }
-    /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
-    /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
-    fn give(&mut self, to: usize) -> Vec<u32> {
-        self.scale(1.0 / (1 + to) as f64);
-        let mut top: Vec<_> = self.counts.iter().map(|(&key, &n)| (n.0, key, n.1)).collect();
-        top.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let bits = |n: f64| (n as f32).to_bits();
-        let rows = top.iter().take(NOTE_ROWS).flat_map(|&(n, key, slow)| [key, bits(n), bits(slow)]);
-        [bits(self.total)].into_iter().chain(rows).collect()
-    }
-    fn take(&mut self, key: u32, n: f64, slow: f64) {
-        let sum = self.counts.entry(key).or_default();
-        *sum = (sum.0 + n, sum.1 + slow);
-    }
 }
 
 /// So many arrivals of late make a count that can be believed.
 const HOT_COUNT: f64 = 8.0;
 const HOT_SPREAD: f64 = 3.0;
+/// Counts are halved after so many arrivals a cache server, or such a time.
+const HOT_ARRIVALS: f64 = 32.0;
 const HOT_MEMORY: Nanos = 8 * SECOND;
 
 // ---- Admission: what is throttled early. ----
@@ -637,19 +594,15 @@
     // -- peers: how much of each tenant's traffic comes by here, and which keys --
 
     fn tell_peers(&mut self) {
-        let mut text: Vec<u8> =
-            self.admission.quotas.iter().take(NOTE_TENANTS).flat_map(|q| q.arrived.to_le_bytes()).collect();
         // To a few, drawn anew each time: notes to all would grow with the square of the nodes.
         let (own, nodes) = (self.place.own_index, self.place.nodes);
         let steps = self.rng.choose_multiple(1..nodes.max(1), NOTES);
-        if self.place.nodes > 1 {
-            let caches = self.fleet.give(steps.len());
-            let words =
-                [caches.len() as u32 / 3].into_iter().chain(caches).chain(self.keys.give(steps.len()));
-            text.extend(words.flat_map(u32::to_le_bytes));
-        }
+        let arrived = self.admission.quotas.iter().take(NOTE_TENANTS).map(|q| q.arrived).collect();
+        let caches = self.fleet.give(steps.len());
+        let keys = self.keys.give(steps.len(), NOTE_ROWS);
+        let text = Telling { arrived, caches, total: self.keys.total, keys }.write();
         for step in steps {
-            self.actions.push(Action::Tell { peer: (own + step) % nodes, text: Vec::clone(&text) });
+            self.actions.push(Action::Tell { peer: (own + step) % nodes, text: text.clone() });
         }
         let fresh = self.now.saturating_sub(3 * SECOND);
         self.peers.retain(|_, (at, _)| *at > fresh);
@@ -667,25 +620,10 @@
     }
 
     fn told(&mut self, peer: usize, text: &[u8]) {
-        let (tenants, rows) =
-            text.split_at(text.len().min(2 * self.admission.quotas.len().min(NOTE_TENANTS)));
-        let counts = tenants.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
-        if peer != self.place.own_index {
-            let word = |b: &[u8]| u32::from_le_bytes([b[0], b[1], b[2], b[3]]);
-            let words: Vec<u32> = rows.chunks_exact(4).map(word).collect();
-            let number = |n: u32| f64::from(f32::from_bits(n)).max(0.0).min(1e6);
-            let Some((&count, rest)) = words.split_first() else { return };
-            let (caches, rest) = rest.split_at((3 * (count as usize).min(NOTE_ROWS)).min(rest.len()));
-            for row in caches.chunks_exact(3) {
-                self.fleet.take(row[0], number(row[1]), number(row[2]), self.now);
-            }
-            let Some((&total, keys)) = rest.split_first() else { return };
-            self.keys.total += number(total);
-            for row in keys.chunks_exact(3) {
-                self.keys.take(row[0], number(row[1]), number(row[2]));
-            }
-            self.peers.insert(peer, (self.now, counts));
-        }
+        let Some(note) = Telling::read(text).filter(|_| peer != self.place.own_index) else { return };
+        note.caches.iter().for_each(|&row| self.fleet.take(row, self.now));
+        self.keys.take(note.total, &note.keys);
+        self.peers.insert(peer, (self.now, note.arrived));
     }
 
     // -- the steps of an invocation --
@@ -711,7 +649,8 @@
         let shed = self.admission.shed(band, billed, work, self.fleet.badness(self.now), self.now);
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
         self.copies = (self.copies + COPIES).min(COPIES_SAVED);
-        self.keys.count(key, self.fleet.ready.len().max(1), self.now);
+        let most = HOT_ARRIVALS * self.fleet.ready.len().max(1) as f64;
+        self.keys.count(key, most, HOT_MEMORY, self.now);
         let origin_write = arrival.write && self.fleet.origin.is_some();
         let due_now = due <= self.now;
         self.invs.insert(ix, Inv { key, value, good_until, give_up, arrival, ..Inv::default() });
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -1,7 +1,9 @@
 //! What the decisions keep in mind: plain records and the arithmetic of their means. What is done
 //! with them is decided in `policy.rs`.
+use crate::notes::Sums;
 use crate::policy::Policy;
 use crate::types::*;
+use std::collections::HashMap;
 
 /// What to do with the result of a forward; every forward leaves one behind.
 pub type Then = fn(&mut Policy, InvIx, &Ending);
@@ -114,3 +116,52 @@
         self.mean += 0.05 * (x - self.mean);
     }
 }
+
+/// Arrivals of late by key, and what part of their objectives its forwards took in sum; as parts of
+/// a total: with notes from peers, of the whole deployment.
+#[derive(Default)]
+pub struct KeyCounts {
+    pub counts: HashMap<u32, (f64, f64)>,
+    pub total: f64,
+    pub halved_at: Nanos,
+}
+
+impl KeyCounts {
+    pub fn scale(&mut self, part: f64) {
+        self.counts.values_mut().for_each(|n| *n = (n.0 * part, n.1 * part));
+        self.total *= part;
+        // Small pieces from many peers add up: dropped at a tenth of an arrival, nothing ever mixed.
+        let least = (self.total / 1000.0).min(0.1);
+        self.counts.retain(|_, n| n.0 >= least);
+    }
+    /// Counts an arrival; old ones fade by half every so many, or after a time where few arrive.
+    pub fn count(&mut self, key: u64, most: f64, memory: Nanos, now: Nanos) {
+        self.counts.entry((key >> 32) as u32).or_default().0 += 1.0;
+        self.total += 1.0;
+        if self.total >= most || now > self.halved_at + memory {
+            self.scale(0.5);
+            self.halved_at = now;
+        }
+    }
+    pub fn took(&mut self, key: u64, part: f64) {
+        if let Some(n) = self.counts.get_mut(&((key >> 32) as u32)) {
+            n.1 += part.min(1.0);
+        }
+    }
+    /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
+    /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
+    pub fn give(&mut self, to: usize, rows: usize) -> Vec<Sums> {
+        self.scale(1.0 / (1 + to) as f64);
+        let mut top: Vec<Sums> = self.counts.iter().map(|(&key, n)| (key, n.0, n.1)).collect();
+        top.sort_unstable_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        top.truncate(rows);
+        top
+    }
+    pub fn take(&mut self, total: f64, keys: &[Sums]) {
+        self.total += total;
+        for &(key, n, slow) in keys {
+            let sum = self.counts.entry(key).or_default();
+            *sum = (sum.0 + n, sum.1 + slow);
+        }
+    }
+}
