Badness counts each cache server once again, by its freshest evidence

Cause: weighed by evidence alone, a few crowded cache servers had the whole fleet shed (4 of 5 throttled at arrival with the rest idle).

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -54,8 +54,8 @@
         // Additive rise, multiplicative fall.
         self.limit = if bad > 0.0 { self.limit * (1.0 - bad / 2.0) } else { self.limit + 0.5 / self.limit };
         self.limit = self.limit.clamp(1.0, LIMIT_MAX);
-        let kept = 0.8 * fade((now - self.learnt_at) / 4);
-        (self.bad, self.known) = (kept * self.bad + 0.2 * bad, kept * self.known + 0.2);
+        let kept = (1.0 - LEARN_PART) * fade((now - self.learnt_at) / 4);
+        (self.bad, self.known) = (kept * self.bad + LEARN_PART * bad, kept * self.known + LEARN_PART);
         let kept = fade((now - self.learnt_at) / 8);
         self.crowd = (self.crowd.0 * kept + bad, self.crowd.1 * kept + 1.0);
         self.learnt_at = now;
@@ -261,16 +261,17 @@
     }
 
     /// Mean badness of the ready cache servers, each counted once however much it gets, and by how
-    /// much is known of it: no evidence is neither good nor bad. Counted as good, the many that a
-    /// node of a large deployment has not just heard hid an overload from it.
+    /// fresh the latest evidence is: none is neither good nor bad. Counted as good, the many that a
+    /// node of a large deployment has not just heard hid an overload from it; counted by their
+    /// traffic, a few crowded ones had the whole fleet shed.
     fn badness(&self, now: Nanos) -> f64 {
         let each = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.doubt.is_none() && c.known > 0.0);
         let sum = |(bad, known), c: &Cache| {
-            let left = fade(now - c.learnt_at);
-            (bad + c.bad * left, known + c.known * left)
+            let weight = (c.known * fade(now - c.learnt_at)).min(LEARN_PART);
+            (bad + weight * c.bad / c.known, known + weight)
         };
         let (bad, known) = each.fold((0.0, 0.0), sum);
-        bad / (known + 1.0)
+        bad / (known + LEARN_PART)
     }
 }
 
@@ -284,6 +285,8 @@
 const FULL_BAD: f64 = 0.25;
 const LIMIT_MAX: f64 = 16.0;
 const CROWD_GAIN: f64 = 8.0;
+/// What one ending adds to what is known of a cache server.
+const LEARN_PART: f64 = 0.2;
 
 // ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
 
