--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -50,14 +50,14 @@
     fn started(&mut self, at: Nanos, now: Nanos, tokens: f64) {
         (self.ready_at, self.tokens, self.filled_at) = (at.max(self.ready_at), tokens, now);
     }
-    fn learn(&mut self, bad: f64, now: Nanos) {
+    fn learn(&mut self, bad: f64, slow: f64, now: Nanos) {
         // Additive rise, multiplicative fall.
         self.limit = if bad > 0.0 { self.limit * (1.0 - bad / 2.0) } else { self.limit + 0.5 / self.limit };
         self.limit = self.limit.clamp(1.0, LIMIT_MAX);
         let kept = (1.0 - LEARN_PART) * fade((now - self.learnt_at) / 4);
         (self.bad, self.known) = (kept * self.bad + LEARN_PART * bad, kept * self.known + LEARN_PART);
         let kept = fade((now - self.learnt_at) / 8);
-        self.crowd = (self.crowd.0 * kept + bad, self.crowd.1 * kept + 1.0);
+        self.crowd = (self.crowd.0 * kept + bad.max(slow * slow), self.crowd.1 * kept + 1.0);
         self.learnt_at = now;
     }
     /// How much of its weight a cache server keeps: less where its forwards end badly, by all that was
@@ -883,7 +883,7 @@
             Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
                 self.fleet.cleared(e.cache, self.now);
                 self.fleet.answered(self.now);
-                self.fleet.at(e.cache).learn(f64::from(u8::from(part > 1.0)), self.now);
+                self.fleet.at(e.cache).learn(f64::from(u8::from(part > 1.0)), part.min(1.0), self.now);
                 self.keys.took(key, part);
                 if e.outcome == Outcome::Succeeded {
                     self.usual[operation].learn(e.lag as f64);
@@ -892,7 +892,7 @@
             Outcome::Unavailable | Outcome::Reset => self.fleet.strike(e.cache, true, self.now),
             // Turned away is cheap: the next in order takes it, and most end well.
             Outcome::Full => {
-                self.fleet.at(e.cache).learn(FULL_BAD, self.now);
+                self.fleet.at(e.cache).learn(FULL_BAD, 0.0, self.now);
                 self.keys.took(key, 1.0);
             }
             Outcome::TimedOut => {
@@ -907,7 +907,7 @@
     /// No answer in time. If nothing at all came from there since the forward left that is silence,
     /// while one that answers others is only slow.
     fn silent(&mut self, c: CacheIx, since: Nanos) {
-        self.fleet.at(c).learn(1.0, self.now);
+        self.fleet.at(c).learn(1.0, 1.0, self.now);
         if self.fleet.get(c).heard <= since {
             self.fleet.strike(c, false, self.now);
         }
