--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -267,8 +267,9 @@
     fn badness(&self, now: Nanos) -> f64 {
         let each = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.doubt.is_none() && c.known > 0.0);
         let sum = |(bad, known), c: &Cache| {
-            let weight = (c.known * fade(now - c.learnt_at)).min(LEARN_PART);
-            (bad + weight * c.bad / c.known, known + weight)
+            let left = fade(now - c.learnt_at);
+            let weight = (c.known * left).min(LEARN_PART);
+            (bad + weight * left * c.bad / c.known, known + weight)
         };
         let (bad, known) = each.fold((0.0, 0.0), sum);
         bad / (known + LEARN_PART)
@@ -284,7 +285,7 @@
 /// How bad a full cache server is, beside one that answers too late.
 const FULL_BAD: f64 = 0.25;
 const LIMIT_MAX: f64 = 16.0;
-const CROWD_GAIN: f64 = 8.0;
+const CROWD_GAIN: f64 = 6.0;
 /// What one ending adds to what is known of a cache server.
 const LEARN_PART: f64 = 0.2;
 
