--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -267,9 +267,8 @@
     fn badness(&self, now: Nanos) -> f64 {
         let each = self.ready.iter().map(|&c| self.get(c)).filter(|c| c.doubt.is_none() && c.known > 0.0);
         let sum = |(bad, known), c: &Cache| {
-            let left = fade(now - c.learnt_at);
-            let weight = (c.known * left).min(LEARN_PART);
-            (bad + weight * left * c.bad / c.known, known + weight)
+            let weight = (c.known * fade(now - c.learnt_at)).min(LEARN_PART);
+            (bad + weight * c.bad / c.known, known + weight)
         };
         let (bad, known) = each.fold((0.0, 0.0), sum);
         bad / (known + LEARN_PART)
@@ -382,7 +381,7 @@
 
 /// So many arrivals of late make a count that can be believed.
 const HOT_COUNT: f64 = 8.0;
-const HOT_SPREAD: f64 = 3.0;
+const HOT_SPREAD: f64 = 1.5;
 /// Counts are halved after so many arrivals a cache server, or such a time.
 const HOT_ARRIVALS: f64 = 32.0;
 const HOT_MEMORY: Nanos = 8 * SECOND;
