--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -25,30 +25,33 @@
     )
 }
 
+fn nodes() -> impl Strategy<Value = usize> {
+    prop_oneof![1usize..6, 400usize..1000]
+}
+
 fn sites() -> impl Strategy<Value = Site> {
     let flags = prop::array::uniform6(any::<bool>());
-    (prop::collection::vec(operations(), 1..4), flags, 1usize..7, 1usize..6, 0usize..3, any::<u64>())
-        .prop_map(
-            |(
-                ops,
-                [second_copies, withdraw, may_probe, must_ask, through, advice],
-                max,
-                nodes,
-                tenants,
-                seed,
-            )| {
-                let mut s = site();
-                s.ops = ops;
-                s.limits = ForwardLimits { max_forwards: max, second_copies, withdraw, ..s.limits };
-                s.limits.max_retry_after = advice.then_some(SECOND);
-                s.place = Surroundings { nodes, seed, may_probe, must_ask, peers: advice, ..s.place };
-                s.tenants = vec![Tenant { share: 0.5, quota_per_s: 20.0 }; tenants];
-                if through {
-                    s.mode = OriginMode::Through;
-                }
-                s
-            },
-        )
+    (prop::collection::vec(operations(), 1..4), flags, 1usize..7, nodes(), 0usize..3, any::<u64>()).prop_map(
+        |(
+            ops,
+            [second_copies, withdraw, may_probe, must_ask, through, advice],
+            max,
+            nodes,
+            tenants,
+            seed,
+        )| {
+            let mut s = site();
+            s.ops = ops;
+            s.limits = ForwardLimits { max_forwards: max, second_copies, withdraw, ..s.limits };
+            s.limits.max_retry_after = advice.then_some(SECOND);
+            s.place = Surroundings { nodes, seed, may_probe, must_ask, peers: advice, ..s.place };
+            s.tenants = vec![Tenant { share: 0.5, quota_per_s: 20.0 }; tenants];
+            if through {
+                s.mode = OriginMode::Through;
+            }
+            s
+        },
+    )
 }
 
 const OUTCOMES: [Outcome; 9] = [
@@ -359,6 +362,109 @@
     assert!((0..60).map(sent).sum::<usize>() <= 60 / 4);
 }
 
+fn notes(w: &World) -> Vec<(usize, Vec<u8>)> {
+    let note = |a: &Action| match a {
+        Action::Tell { peer, text } => Some((*peer, text.clone())),
+        _ => None,
+    };
+    w.log.iter().filter_map(note).collect()
+}
+
+fn deployment(nodes: usize, own_index: usize) -> Site {
+    let mut s = site();
+    s.place = Surroundings { peers: true, nodes, own_index, seed: own_index as u64, ..s.place };
+    s
+}
+
+/// Notes to every peer grew with the square of the nodes: full-size days were cut off.
+#[test]
+fn notes_go_to_a_few_peers_whatever_their_number() {
+    let mut w = World::new(deployment(700, 3), fleet(4));
+    w.pass(10 * SECOND);
+    assert!((10..=20).contains(&notes(&w).len()), "{}", notes(&w).len());
+}
+
+/// A node that heard one of many cache servers a second took the silence of the rest for good news
+/// and throttled nothing, however badly all of them did.
+#[test]
+fn a_node_that_sees_little_of_a_large_fleet_still_sees_that_it_is_overloaded() {
+    let throttled = |bad: bool| {
+        let mut s = site();
+        s.place.may_probe = false;
+        let mut w = World::new(s, fleet(200));
+        for k in 0..150 {
+            let inv = w.arrive(0, Some(k), false, 2 * SECOND);
+            w.pass(if bad { 400 } else { 50 } * MS);
+            if w.open().contains(&(inv, 0)) {
+                w.end(inv, 0, Outcome::Succeeded);
+            }
+            w.pass(200 * MS);
+        }
+        (100..150).filter(|&i| w.sent_to(i).is_empty()).count()
+    };
+    assert_eq!(throttled(false), 0);
+    assert!(throttled(true) > 5, "{}", throttled(true));
+}
+
+/// Deep queues of dead work stayed full, as no single node fed them enough to see it: what one node
+/// found out now moves keys at another.
+#[test]
+fn a_node_told_of_a_crowded_cache_sends_it_fewer_keys() {
+    let home_share = |told: bool| {
+        let mut a = World::new(deployment(2, 0), fleet(6));
+        let mut b = World::new(deployment(2, 1), fleet(6));
+        let home = winner(&mut b, 1);
+        for n in 0..60 {
+            let inv = a.arrive(0, Some(n), false, SECOND);
+            a.pass(50 * MS);
+            let full = a.sent_to(inv).first() == Some(&home);
+            a.end(inv, 0, if full { Outcome::Full } else { Outcome::Succeeded });
+            a.open().into_iter().for_each(|(i, c)| a.end(i, c, Outcome::Succeeded));
+        }
+        if told {
+            b.pass(a.now - b.now);
+            for (peer, text) in notes(&a) {
+                assert_eq!(peer, 1);
+                b.play(Event::Told { peer: 0, text });
+            }
+        }
+        (100..900).filter(|&k| winner(&mut b, k) == home).count()
+    };
+    assert!(home_share(true) * 10 < home_share(false) * 9, "{} {}", home_share(true), home_share(false));
+}
+
+/// Each node of hundreds began at a hot key's home with one in flight: together a crowd.
+#[test]
+fn nodes_begin_a_hot_key_at_different_caches() {
+    let first = |own_index| {
+        let mut s = deployment(100, own_index);
+        s.place.peers = false;
+        let mut w = World::new(s, fleet(8));
+        for n in 0..60 {
+            w.arrive(0, Some(if n % 2 == 0 { 7 } else { 100 + n }), false, SECOND);
+            w.pass(100 * MS);
+            w.open().into_iter().for_each(|(i, c)| w.end(i, c, Outcome::Succeeded));
+        }
+        let inv = w.arrive(0, Some(7), false, SECOND);
+        w.sent_to(inv)[0]
+    };
+    let used: std::collections::BTreeSet<_> = [0, 30, 60, 90].map(first).into_iter().collect();
+    assert!(used.len() > 1, "{used:?}");
+}
+
+/// Every node probed every doubted cache server again and again: nodes x cache servers of probes.
+#[test]
+fn a_doubted_cache_is_probed_only_when_wanted() {
+    let mut w = World::new(site(), fleet(4));
+    let home = winner(&mut w, 1);
+    w.arrive(0, Some(1), false, 2 * SECOND);
+    w.pass(30 * SECOND);
+    let probes = |w: &World| w.log.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+    assert_eq!(probes(&w), 0);
+    assert_ne!(winner(&mut w, 1), home);
+    assert_eq!(probes(&w), 1);
+}
+
 /// Misses beyond a quota waited for the origin before those within.
 #[test]
 fn the_origin_takes_misses_within_quota_first() {
