--- a/crates/sparrouter/src/notes.rs
+++ b/crates/sparrouter/src/notes.rs
@@ -8,6 +8,8 @@
 pub struct Telling {
     /// Arrivals by tenant in the last second.
     pub arrived: Vec<u16>,
+    /// Part of the load that the sender turns away.
+    pub excess: f64,
     /// Bad endings and all, of single cache servers.
     pub caches: Vec<Sums>,
     /// Arrivals of all keys, then arrivals and slowness of single ones.
@@ -19,6 +21,7 @@
     pub fn write(&self) -> Vec<u8> {
         let mut text = vec![self.arrived.len() as u8, self.caches.len() as u8];
         text.extend(self.arrived.iter().flat_map(|n| n.to_le_bytes()));
+        text.extend((self.excess as f32).to_le_bytes());
         text.extend((self.total as f32).to_le_bytes());
         for &(name, a, b) in self.caches.iter().chain(&self.keys) {
             text.extend(name.to_le_bytes());
@@ -32,6 +35,7 @@
     pub fn read(text: &[u8]) -> Option<Telling> {
         let (&[tenants, caches], rest) = text.split_first_chunk()?;
         let (arrived, rest) = rest.split_at_checked(2 * usize::from(tenants))?;
+        let (excess, rest) = rest.split_first_chunk::<4>()?;
         let (total, rest) = rest.split_first_chunk::<4>()?;
         let number = |b: &[u8]| {
             let n = f32::from_le_bytes([b[0], b[1], b[2], b[3]]);
@@ -41,6 +45,6 @@
         let mut rows: Vec<Sums> = rest.chunks_exact(12).map(row).collect();
         let keys = rows.split_off(rows.len().min(caches.into()));
         let arrived = arrived.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
-        Some(Telling { arrived, caches: rows, total: number(total), keys })
+        Some(Telling { arrived, excess: number(excess), caches: rows, total: number(total), keys })
     }
 }
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -452,6 +452,8 @@
 /// Part of the forwards that may end badly before more is turned away.
 const TOLERATED: f64 = 0.1;
 const EXCESS_MAX: f64 = 0.9;
+/// How far the excess moves towards what a peer tells.
+const EXCESS_PEER: f64 = 0.25;
 /// Second copies an arrival, and how many may be saved up.
 const COPIES: f64 = 0.05;
 const COPIES_SAVED: f64 = 10.0;
@@ -601,9 +603,12 @@
         let (own, nodes) = (self.place.own_index, self.place.nodes);
         let steps = self.rng.choose_multiple(1..nodes.max(1), NOTES);
         let arrived = self.admission.quotas.iter().take(NOTE_TENANTS).map(|q| q.arrived).collect();
-        let caches = self.fleet.give(steps.len());
-        let keys = self.keys.give(steps.len(), NOTE_ROWS);
-        let text = Telling { arrived, caches, total: self.keys.total, keys }.write();
+        // Nothing is given away to peers that are not heard: where notes are lost own counts must do.
+        let takers = if self.peers.is_empty() { 0 } else { steps.len() };
+        let caches = self.fleet.give(takers);
+        let keys = self.keys.give(takers, NOTE_ROWS);
+        let (excess, total) = (self.admission.excess, self.keys.total);
+        let text = Telling { arrived, excess, caches, total, keys }.write();
         for step in steps {
             self.actions.push(Action::Tell { peer: (own + step) % nodes, text: text.clone() });
         }
@@ -626,6 +631,9 @@
         let Some(note) = Telling::read(text).filter(|_| peer != self.place.own_index) else { return };
         note.caches.iter().for_each(|&row| self.fleet.take(row, self.now));
         self.keys.take(note.total, &note.keys);
+        // A node that has just started knows of no overload yet: it let everything in.
+        let weight = if self.peers.is_empty() { 1.0 } else { EXCESS_PEER };
+        self.admission.excess += weight * (note.excess.min(EXCESS_MAX) - self.admission.excess);
         self.peers.insert(peer, (self.now, note.arrived));
     }
 
