--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -631,8 +631,10 @@
         let Some(note) = Telling::read(text).filter(|_| peer != self.place.own_index) else { return };
         note.caches.iter().for_each(|&row| self.fleet.take(row, self.now));
         self.keys.take(note.total, &note.keys);
-        // A node that has just started knows of no overload yet: it let everything in.
-        let weight = if self.peers.is_empty() { 1.0 } else { EXCESS_PEER };
+        // A node that has just started knows of no overload yet: it let everything in. What many
+        // arrivals of its own teach it stands.
+        let own: f64 = self.admission.quotas.iter().map(|q| f64::from(q.arrived)).sum();
+        let weight = if self.peers.is_empty() { 1.0 } else { EXCESS_PEER.min(1.0 / (1.0 + own)) };
         self.admission.excess += weight * (note.excess.min(EXCESS_MAX) - self.admission.excess);
         self.peers.insert(peer, (self.now, note.arrived));
     }
