--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -603,10 +603,8 @@
         let (own, nodes) = (self.place.own_index, self.place.nodes);
         let steps = self.rng.choose_multiple(1..nodes.max(1), NOTES);
         let arrived = self.admission.quotas.iter().take(NOTE_TENANTS).map(|q| q.arrived).collect();
-        // Nothing is given away to peers that are not heard: where notes are lost own counts must do.
-        let takers = if self.peers.is_empty() { 0 } else { steps.len() };
-        let caches = self.fleet.give(takers);
-        let keys = self.keys.give(takers, NOTE_ROWS);
+        let caches = self.fleet.give(steps.len());
+        let keys = self.keys.give(steps.len(), NOTE_ROWS);
         let (excess, total) = (self.admission.excess, self.keys.total);
         let text = Telling { arrived, excess, caches, total, keys }.write();
         for step in steps {
@@ -634,7 +632,8 @@
         // A node that has just started knows of no overload yet: it let everything in. What many
         // arrivals of its own teach it stands.
         let own: f64 = self.admission.quotas.iter().map(|q| f64::from(q.arrived)).sum();
-        let weight = if self.peers.is_empty() { 1.0 } else { EXCESS_PEER.min(1.0 / (1.0 + own)) };
+        let weight =
+            if self.peers.is_empty() && own < 4.0 { 1.0 } else { EXCESS_PEER.min(1.0 / (1.0 + own * own)) };
         self.admission.excess += weight * (note.excess.min(EXCESS_MAX) - self.admission.excess);
         self.peers.insert(peer, (self.now, note.arrived));
     }
