--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -455,8 +455,7 @@
 /// How far the excess moves towards what a peer tells.
 const EXCESS_PEER: f64 = 0.25;
 /// Second copies an arrival, and how many may be saved up.
-const COPIES: f64 = 0.05;
-const COPIES_SAVED: f64 = 10.0;
+const COPIES: (f64, f64) = (0.05, 10.0);
 /// Peers told at once.
 const NOTES: usize = 2;
 /// Cache servers and keys told of in a note: at most 256 bytes in all.
@@ -603,10 +602,13 @@
         let (own, nodes) = (self.place.own_index, self.place.nodes);
         let steps = self.rng.choose_multiple(1..nodes.max(1), NOTES);
         let arrived = self.admission.quotas.iter().take(NOTE_TENANTS).map(|q| q.arrived).collect();
-        let caches = self.fleet.give(steps.len());
-        let keys = self.keys.give(steps.len(), NOTE_ROWS);
-        let (excess, total) = (self.admission.excess, self.keys.total);
-        let text = Telling { arrived, excess, caches, total, keys }.write();
+        let mut note = Telling { arrived, excess: self.admission.excess, ..Telling::default() };
+        if !self.peers.is_empty() {
+            // Nothing is given away where no peer is heard: if notes are lost own counts must do.
+            (note.caches, note.keys) = (self.fleet.give(steps.len()), self.keys.give(steps.len(), NOTE_ROWS));
+            note.total = self.keys.total;
+        }
+        let text = note.write();
         for step in steps {
             self.actions.push(Action::Tell { peer: (own + step) % nodes, text: text.clone() });
         }
@@ -660,7 +662,7 @@
         let band = 2 * arrival.operation + usize::from(within);
         let shed = self.admission.shed(band, billed, work, self.fleet.badness(self.now), self.now);
         let key = arrival.key.unwrap_or_else(|| self.rng.u64(..));
-        self.copies = (self.copies + COPIES).min(COPIES_SAVED);
+        self.copies = (self.copies + COPIES.0).min(COPIES.1);
         let most = HOT_ARRIVALS * self.fleet.ready.len().max(1) as f64;
         self.keys.count(key, most, HOT_MEMORY, self.now);
         let origin_write = arrival.write && self.fleet.origin.is_some();
