SIGHUP: the configuration is read anew and the watch moves to the new discovery

Checked: the log ends without a line, so no panic and no memory limit; program/start.rs registered handlers for SIGTERM and SIGINT only, so SIGHUP's default action ended the process. routing/list.rs held discovery's address for good.

Now: handlers stand before anything else; SIGHUP rereads the file, a bad one is logged and left; the list's actor is told a new address, drops the old watch, cuts a call that hangs there, and asks for the whole list, as versions may be counted anew. The new test over sockets fails without the change (the node ends).

--- a/crates/sparrouter-node/src/program/config.rs
+++ b/crates/sparrouter-node/src/program/config.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// From the file that `PROXY_CONFIG` names.
+/// From the file that `PROXY_CONFIG` names, as it is now.
 pub fn load() -> Result<Config, String> {
     let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_string())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -1,5 +1,5 @@
 //! From configuration to a serving node, and out again.
-use super::config::Config;
+use super::config::{self, Config};
 use crate::routing::clock::Clock;
 use crate::routing::list::List;
 use crate::routing::module::Module;
@@ -12,6 +12,7 @@
 use sparrouter::types::Nanos;
 use sparrouter_settings::Names;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -34,6 +35,12 @@
 
 /// Runs until told to stop. Errors here are those of a node that can't start.
 pub async fn run(config: Config) -> Result<(), String> {
+    // First of all: until its handler stands, SIGHUP would end the node.
+    let signals = |e| format!("signals: {e}");
+    let mut hangup = signal(SignalKind::hangup()).map_err(signals)?;
+    let mut term = signal(SignalKind::terminate()).map_err(signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(signals)?;
+
     let seed = config.seed()?;
     let settings = config.settings;
     let named = |e: String| format!("settings: {e}");
@@ -60,8 +67,6 @@
             Some(Datagrams::bind(at, config.peers).await.map_err(|e| format!("datagrams on {at}: {e}"))?)
         }
     };
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
 
     let (mailbox, told) = mpsc::channel::<Told>(MAILBOX);
     let (clients, most, peers) = budget::split(config.limits.sockets, config.limits.memory_mb << 20);
@@ -70,8 +75,9 @@
 
     let (asks, asked) = mpsc::channel(4);
     let (unasked, rev) = (!settings.must_ask(), config.known.rev);
+    let (discovery, at) = watch::channel(config.discovery);
     let list = List {
-        discovery: config.discovery,
+        discovery: at,
         asks: asked,
         module: mailbox.clone(),
         rev,
@@ -90,7 +96,7 @@
     });
     let module =
         Module::new(policy, Names::new(&settings), Clock::new(), timeouts, start_peer, asks, datagrams);
-    let module = tokio::task::spawn_local(module.run(config.known, told, REPORT));
+    let mut module = tokio::task::spawn_local(module.run(config.known, told, REPORT));
 
     let (stage, staged) = watch::channel(Stage::Serving);
     let house = Rc::new(House {
@@ -103,16 +109,31 @@
     tokio::task::spawn_local(listener::accept(listener, clients.clone(), most, house));
     log::info!("{} ready on {}", config.name, config.listen);
 
-    tokio::select! {
-        _ = term.recv() => log::info!("told to stop"),
-        _ = interrupt.recv() => log::info!("interrupted"),
-        // Nothing can be answered without it: better to be started anew.
-        ended = module => return Err(format!("the module's actor ended: {ended:?}")),
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => reread(&discovery),
+            _ = term.recv() => break log::info!("told to stop"),
+            _ = interrupt.recv() => break log::info!("interrupted"),
+            // Nothing can be answered without it: better to be started anew.
+            ended = &mut module => return Err(format!("the module's actor ended: {ended:?}")),
+        }
     }
     leave(stage, &clients, longest).await;
     Ok(())
 }
 
+/// Guards against being ended by SIGHUP: a new configuration is taken up while all goes on. Only
+/// discovery's address can change in a running node; from a file that can't be read nothing does.
+fn reread(discovery: &watch::Sender<SocketAddr>) {
+    match config::load() {
+        Ok(config) => {
+            let moved = discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != *at);
+            log::info!("configuration read anew, discovery {}", if moved { "moved" } else { "as before" });
+        }
+        Err(error) => log::warn!("new configuration not taken up: {error}"),
+    }
+}
+
 /// All that was taken is answered before the node goes.
 async fn leave(stage: watch::Sender<Stage>, clients: &Share, longest: Duration) {
     stage.send_replace(Stage::Leaving);
--- a/crates/sparrouter-node/src/routing/list.rs
+++ b/crates/sparrouter-node/src/routing/list.rs
@@ -5,7 +5,7 @@
 use crate::transport::watching::Call;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// While nothing changes discovery writes an empty line this often.
@@ -26,7 +26,8 @@
 }
 
 pub struct List {
-    pub discovery: SocketAddr,
+    /// Where it is, and whether it has moved.
+    pub discovery: watch::Receiver<SocketAddr>,
     pub asks: mpsc::Receiver<Ask>,
     pub module: mpsc::Sender<Told>,
     /// The version in hand.
@@ -47,8 +48,29 @@
         let _ = self.module.send(Told::List(says)).await;
     }
 
+    /// None where discovery has moved meanwhile: a call that hangs at the old address must not keep the
+    /// node from the new one.
+    async fn unless_moved<T>(
+        &mut self, call: impl Future<Output = Result<T, Broken>>,
+    ) -> Option<Result<T, Broken>> {
+        tokio::select! {
+            biased;
+            Ok(()) = self.discovery.changed() => {
+                // Seen by `run` once more.
+                self.discovery.mark_changed();
+                None
+            }
+            ended = timeout(self.limit, call) => Some(ended.unwrap_or(Err(Broken::Ended))),
+        }
+    }
+
+    fn call(&self, after: Option<u64>) -> impl Future<Output = Result<Call, Broken>> + use<> {
+        Call::open(*self.discovery.borrow(), after, self.dial_limit)
+    }
+
     async fn follow(&mut self) -> Option<Call> {
-        match Call::open(self.discovery, Some(self.rev), self.dial_limit, self.limit).await {
+        let call = self.call(Some(self.rev));
+        match self.unless_moved(call).await? {
             Ok(call) => Some(call),
             Err(broken) => {
                 log::warn!("list: watch not opened: {broken:?}");
@@ -59,12 +81,12 @@
     }
 
     async fn whole(&mut self) {
-        let asking =
-            async { Call::open(self.discovery, None, self.dial_limit, self.limit).await?.line().await };
-        match timeout(self.limit, asking).await {
-            Ok(Ok(Some(listing))) => self.tell(ListSays::Listed(listing)).await,
-            other => {
-                log::warn!("list: call came to nothing: {:?}", other.map(|r| r.err()));
+        let call = self.call(None);
+        match self.unless_moved(async { call.await?.line().await }).await {
+            None => {}
+            Some(Ok(Some(listing))) => self.tell(ListSays::Listed(listing)).await,
+            Some(other) => {
+                log::warn!("list: call came to nothing: {:?}", other.err());
                 self.tell(ListSays::Lost).await;
             }
         }
@@ -86,6 +108,14 @@
                         (watch, answered) = (self.follow().await, false);
                     }
                 },
+                Ok(()) = self.discovery.changed() => {
+                    log::info!("list: discovery is at {} now", *self.discovery.borrow());
+                    drop(watch.take());
+                    // Its versions may be counted anew: the whole list is asked for.
+                    self.rev = 0;
+                    (watch, answered) = (self.follow().await, false);
+                    again = (self.unasked && watch.is_none()).then(|| Instant::now() + HEARTBEAT);
+                }
                 line = next(&mut watch) => match line {
                     Ok(Some(listing)) => {
                         answered = true;
--- a/crates/sparrouter-node/src/transport/watching.rs
+++ b/crates/sparrouter-node/src/transport/watching.rs
@@ -24,32 +24,27 @@
 
 impl Call {
     /// From `after` on, or the whole list at once. Open once discovery has answered with 200.
-    pub async fn open(
-        at: SocketAddr, after: Option<u64>, dial_limit: Duration, limit: Duration,
-    ) -> Result<Call, Broken> {
+    pub async fn open(at: SocketAddr, after: Option<u64>, dial_limit: Duration) -> Result<Call, Broken> {
         let target = match after {
             Some(rev) => format!("/registry/instances?watch=1&after={rev}"),
             None => "/registry/instances".to_string(),
         };
-        let opening = async {
-            // Cut off, it would neither come up nor say so; asking again soon finds it back soon.
-            let dialled = timeout(dial_limit, TcpStream::connect(at)).await.map_err(|_| Broken::Ended)?;
-            let mut stream = dialled.map_err(|_| Broken::Ended)?;
-            let _ = stream.set_nodelay(true);
-            stream.write_all(&messages::get(&target, at)).await.map_err(|_| Broken::Ended)?;
-            let mut buffer = BytesMut::new();
-            let head = head::reply(&reading::head(&mut stream, &mut buffer).await?)?;
-            if head.status != 200 {
-                return Err(Bad("discovery did not answer 200").into());
-            }
-            let (chunks, left) = match head.framing {
-                Framing::Chunked => (Some(Chunks::default()), 0),
-                Framing::Length(length) => (None, length),
-                Framing::ToEnd => (None, usize::MAX),
-            };
-            Ok(Call { stream, buffer, chunks, left, text: BytesMut::new(), seen: 0 })
+        // Cut off, it would neither come up nor say so; asking again soon finds it back soon.
+        let dialled = timeout(dial_limit, TcpStream::connect(at)).await.map_err(|_| Broken::Ended)?;
+        let mut stream = dialled.map_err(|_| Broken::Ended)?;
+        let _ = stream.set_nodelay(true);
+        stream.write_all(&messages::get(&target, at)).await.map_err(|_| Broken::Ended)?;
+        let mut buffer = BytesMut::new();
+        let head = head::reply(&reading::head(&mut stream, &mut buffer).await?)?;
+        if head.status != 200 {
+            return Err(Bad("discovery did not answer 200").into());
+        }
+        let (chunks, left) = match head.framing {
+            Framing::Chunked => (Some(Chunks::default()), 0),
+            Framing::Length(length) => (None, length),
+            Framing::ToEnd => (None, usize::MAX),
         };
-        timeout(limit, opening).await.unwrap_or(Err(Broken::Ended))
+        Ok(Call { stream, buffer, chunks, left, text: BytesMut::new(), seen: 0 })
     }
 
     /// The next line; none for an empty one, by which a quiet discovery shows that it is there. Also
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -235,7 +235,8 @@
     discovery: Discovery,
     other: UdpSocket,
     datagrams: SocketAddr,
-    _folder: tempfile::TempDir,
+    config: String,
+    folder: tempfile::TempDir,
 }
 
 fn target(uid: &str, at: SocketAddr, model: &str, state: &str) -> String {
@@ -275,7 +276,7 @@
         discovery.at
     );
     let (node, folder) = start(&config);
-    let world = World { node, at, discovery, other, datagrams, _folder: folder };
+    let world = World { node, at, discovery, other, datagrams, config, folder };
     until("ready", || TcpStream::connect(at).is_ok() && world.call("GET", "/health/ready", "", "").0 == 200);
     world
 }
@@ -348,8 +349,13 @@
     fn get(&self, id: &str) -> u16 {
         self.call("GET", &format!("/api/{id}"), id, "get").0
     }
-    fn terminate(&self) {
-        assert!(Command::new("kill").arg(self.node.id().to_string()).status().unwrap().success());
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.node.id().to_string()]).status().unwrap().success());
+    }
+    /// Replaces the configuration's file and says so.
+    fn reload(&self, config: &str) {
+        std::fs::write(self.folder.path().join("config.json"), config).unwrap();
+        self.signal("-HUP");
     }
 }
 
@@ -496,7 +502,7 @@
     assert_eq!(answer(&mut old).unwrap().0, 200);
     ask(&mut slow, "PUT", "/api/k", "slow", "pay", "new");
     until("the forward", || origin.seen().len() == 1);
-    w.terminate();
+    w.signal("-TERM");
     sleep(50 * MS);
     // Not ready, but it takes what comes, on kept connections and on new ones.
     assert_eq!(w.call("GET", "/health/ready", "", "").0, 503);
@@ -557,6 +563,42 @@
     until("a watch after silence", || w.discovery.calls() > 3);
 }
 
+/// Guards against being ended by SIGHUP, and against staying with the discovery of the old file.
+#[test]
+fn sighup_moves_discovery_and_all_else_goes_on() {
+    let (cache, origin) = (Server::always(Act::Hit), Server::always(Act::Late(600)));
+    let mut w = world(&[&cache], origin.at, 256);
+    until("the watch", || w.discovery.calls() == 1);
+    let mut slow = w.client();
+    ask(&mut slow, "PUT", "/api/k", "slow", "pay", "new");
+    // From a file that is bad nothing is taken up.
+    for bad in ["{", &w.config.replace("\"name\"", "\"nom\"")] {
+        w.reload(bad);
+        sleep(50 * MS);
+        assert_eq!(w.get("a"), 200);
+    }
+    assert_eq!(w.discovery.calls(), 1);
+    // One that takes the call and never answers must not keep the node from the next.
+    let (hanging, deaf) = listen();
+    let config = |at: SocketAddr| w.config.replace(&w.discovery.at.to_string(), &at.to_string());
+    w.reload(&config(deaf));
+    let _held = hanging.accept().unwrap();
+    let (new, start) = (Discovery::start(), Instant::now());
+    w.reload(&config(new.at));
+    until("a watch at the new one", || new.calls() == 1);
+    assert!(start.elapsed() < 1000 * MS);
+    // It may count its versions anew.
+    assert!(new.calls.lock().unwrap()[0].contains("watch=1&after=0"));
+    assert_eq!(answer(&mut slow).unwrap().0, 200);
+    let list =
+        format!(r#"{{"rev":2,"all":true,"targets":[{}]}}"#, target("c0", cache.at, "box", "terminating"));
+    new.say(&list);
+    sleep(100 * MS);
+    let before = cache.seen().len();
+    assert!(w.get("b") != 200 && cache.seen().len() == before);
+    assert!(w.node.try_wait().unwrap().is_none());
+}
+
 /// Where the list is pushed the module never asks: the node keeps a watch by itself.
 #[test]
 fn a_pushed_list_is_watched_unasked() {
