Resets are no proof of a crash; a broken fetch is asked for again; answered invocations are let go

Debug lines of the module's state: all 12 cache servers believed to be 13 to 40% warm, so 700 of 1000 throttled for want of a cold budget; open invocations grew from 126 to 649. Checked and excluded: shedding (excess 0 to 0.3), own CPU (0.07 s a second), descriptors (150 of 384), the origin's limit.

At fault: policy.rs judge() took Reset for proof that a process is gone (strike hard, so cleared() had it start anew as cold); peer.rs gave the same outcome to a refused dial, to a dial reset as it came up and to a write that broke; after_origin() gave up a read whose fetch broke; routing/module.rs conclude() kept for good what had no forward out when it was answered.

Now: new outcome Broken (an open connection broke before all was sent: never ran); Reset and Broken strike softly, and only if nothing was heard since; at the origin they leave the limit alone; a fetch that may run again is asked for once more.

--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -78,7 +78,7 @@
     errored: u64,
     gone: u64,
     forwards: u64,
-    outcomes: [u64; 9],
+    outcomes: [u64; 10],
     probes: u64,
     lists_lost: u64,
 }
@@ -349,6 +349,9 @@
         if let Some(held) = held {
             held.conclude(answer);
         }
+        // Guards against keeping for good what had no forward out when it was answered: by a timer, or
+        // since another's fetch failed.
+        self.forget(inv);
     }
 
     fn forward(&mut self, inv: InvIx, cache: CacheIx, wait: Nanos) {
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -10,6 +10,7 @@
 use sparrouter::types::{CacheIx, InvIx, Note, Outcome};
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -104,15 +105,15 @@
 
 impl Peer {
     async fn forward(self: Rc<Self>, forward: Forward, withdrawn: oneshot::Receiver<()>) {
-        let written = Cell::new(false);
+        let (dialled, written) = (Cell::new(false), Cell::new(false));
         let until = forward.at + forward.wait;
         // Whatever ends it, the connection is closed or back in the pool before the module hears: a
         // next forward must not overlap this one.
         let (outcome, reply) = tokio::select! {
             biased;
             Ok(()) = withdrawn => (Outcome::Withdrawn, None),
-            ended = self.exchange(&forward, &written) => ended,
-            () = sleep_until(until) => (silence(&written), None),
+            ended = self.exchange(&forward, &dialled, &written) => ended,
+            () = sleep_until(until) => (silence(&dialled, &written), None),
         };
         let lag = forward.at.elapsed();
         let note = reply.as_ref().and_then(|(head, _)| messages::note(head));
@@ -123,11 +124,12 @@
         let _ = self.module.send(Told::Peer(says)).await;
     }
 
-    async fn exchange(&self, forward: &Forward, written: &Cell<bool>) -> Exchanged {
+    async fn exchange(&self, forward: &Forward, dialled: &Cell<bool>, written: &Cell<bool>) -> Exchanged {
         let link = match self.link().await {
             Ok(link) => link,
             Err(outcome) => return (outcome, None),
         };
+        dialled.set(true);
         // While a connection came up things may have changed. Nothing is sent for what is over, nor to
         // one that drains; neither speaks against the cache server.
         if !self.wanted.get() {
@@ -151,7 +153,7 @@
                 (Outcome::Error, None)
             }
             Err(Broken::Ended) if written.get() => (Outcome::Reset, None),
-            Err(Broken::Ended) => (Outcome::Unavailable, None),
+            Err(Broken::Ended) => (Outcome::Broken, None),
         }
     }
 
@@ -161,7 +163,11 @@
         }
         // For want of descriptors here: no fault of the cache server.
         let permit = self.pool.room().ok_or(Outcome::NotSent)?;
-        Link::dial(self.endpoint.get(), self.dial_limit, permit).await.ok_or(Outcome::Unavailable)
+        Link::dial(self.endpoint.get(), self.dial_limit, permit).await.map_err(|error| match error.kind() {
+            // It came up and broke: somebody listens there.
+            ErrorKind::ConnectionReset => Outcome::Broken,
+            _ => Outcome::Unavailable,
+        })
     }
 
     async fn probe(self: Rc<Self>) {
@@ -181,6 +187,10 @@
 }
 
 /// The wait is over. What was not written whole never ran.
-fn silence(written: &Cell<bool>) -> Outcome {
-    if written.get() { Outcome::TimedOut } else { Outcome::Unavailable }
+fn silence(dialled: &Cell<bool>, written: &Cell<bool>) -> Outcome {
+    match (dialled.get(), written.get()) {
+        (_, true) => Outcome::TimedOut,
+        (true, false) => Outcome::Broken,
+        (false, false) => Outcome::Unavailable,
+    }
 }
--- a/crates/sparrouter-node/src/transport/link.rs
+++ b/crates/sparrouter-node/src/transport/link.rs
@@ -4,7 +4,7 @@
 use crate::protocol::head::{self, ReplyHead};
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::Cell;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -24,10 +24,10 @@
 }
 
 impl Link {
-    pub async fn dial(to: SocketAddr, limit: Duration, permit: Permit) -> Option<Link> {
-        let stream = tokio::time::timeout(limit, TcpStream::connect(to)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        Some(Link { stream, buffer: BytesMut::new(), _permit: permit })
+    pub async fn dial(to: SocketAddr, limit: Duration, permit: Permit) -> io::Result<Link> {
+        let stream = tokio::time::timeout(limit, TcpStream::connect(to)).await??;
+        stream.set_nodelay(true)?;
+        Ok(Link { stream, buffer: BytesMut::new(), _permit: permit })
     }
 
     /// Open and silent, as an idle connection must be: one that was ended, or holds bytes that nobody
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -2,7 +2,7 @@
 //! discovery played by threads of the test.
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
@@ -286,7 +286,7 @@
     let path = folder.path().join("config.json");
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_sparrouter-node"));
-    command.env("PROXY_CONFIG", &path).env("RUST_LOG", "warn").stderr(Stdio::piped());
+    command.env("PROXY_CONFIG", &path).env("RUST_LOG", "info").stderr(Stdio::piped());
     (command.spawn().unwrap(), folder)
 }
 
@@ -719,6 +719,23 @@
     assert_eq!(w.get("after"), 200);
 }
 
+/// Guards against keeping for good what waited for another's fetch when its time was up.
+#[test]
+fn nothing_is_kept_of_invocations_that_are_over() {
+    let (cache, origin) = (Server::always(Act::Miss), Server::always(Act::Silent));
+    let mut w = world(&[&cache], origin.at, 256);
+    thread::scope(|scope| {
+        for n in 0..10 {
+            let w = &w;
+            scope.spawn(move || assert_eq!(w.call("GET", "/api/same", &format!("f{n}"), "get").0, 503));
+        }
+    });
+    let log = std::io::BufReader::new(w.node.stderr.take().unwrap());
+    let mut counts = log.lines().map_while(Result::ok).filter(|l| l.contains("counts: "));
+    let line = counts.find(|l| !l.contains("taken: 0")).unwrap();
+    assert!(line.contains("taken: 10") && line.contains("open 0"), "{line}");
+}
+
 /// Guards against clients that hold all descriptors: whoever idles makes room, and nobody waits.
 #[test]
 fn few_descriptors_still_take_all_that_comes() {
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -290,30 +290,6 @@
 
 // ---- Origin guard: a learned limit, one fetch a key, a short queue. ----
 
-#[derive(Default)]
-struct OriginGuard {
-    limit: f64,
-    /// What the limit may grow by: less with many nodes, which all grow at once.
-    growth: f64,
-    /// So long it may take in any case: a third of the shortest objective.
-    tolerated: f64,
-    /// All nodes together may have one fetch out in any case.
-    least: f64,
-    learnt_at: Nanos,
-    out: usize,
-    cold_out: usize,
-    /// Lowest of the smoothed latency: what it takes when not crowded.
-    base: f64,
-    slow: f64,
-    mean: f64,
-    strikes: u32,
-    /// Nothing goes there before this time: it has just turned something away.
-    rests_until: Nanos,
-    queue: Vec<(f64, InvIx)>,
-    /// Keys being fetched by this node, and who waits for each.
-    flights: BTreeMap<u64, Vec<InvIx>>,
-}
-
 impl OriginGuard {
     fn room(&self, now: Nanos) -> bool {
         now >= self.rests_until && (self.out as f64) < self.limit.max(1.0)
@@ -344,6 +320,8 @@
                 self.limit = self.limit.clamp(self.least, self.out as f64 + 3.0);
             }
             Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss => {}
+            // A broken connection is no sign of a crowd.
+            Outcome::Reset | Outcome::Broken => self.strikes += 1,
             _ => (self.strikes, self.limit) = (self.strikes + 1, (self.limit * 0.7).max(self.least)),
         }
         // A part of one fetch: it is out for that part of the time.
@@ -388,20 +366,9 @@
 
 // ---- Admission: what is throttled early. ----
 
-#[derive(Default)]
-struct Quota {
-    per_s: f64,
-    tokens: f64,
-    filled_at: Nanos,
-    arrived: u16,
-    /// This node's part of the tenant's traffic, as far as peers tell.
-    part: f64,
-}
-
 #[derive(Default)]
 struct Admission {
     quotas: Vec<Quota>,
-    over_share_part: f64,
     /// Part of the arriving load that is turned away, lowest value first.
     excess: f64,
     stepped_at: Nanos,
@@ -471,7 +438,6 @@
     rng: fastrand::Rng,
     place: Surroundings,
     limits: ForwardLimits,
-    aside: bool,
     ops: Vec<Operation>,
     usual: Vec<Usual>,
     invs: HashMap<InvIx, Inv>,
@@ -512,11 +478,10 @@
         let bands = vec![(0.0, 0.0, 0.0); 2 * ops.len()];
         let first_look = ops.iter().map(|o| o.objective).min().unwrap_or(SECOND).max(1);
         let tolerated = first_look as f64 / 3.0;
-        let (quotas, over_share_part) = (tenants.iter().map(quota).collect(), place.over_share_part);
+        let quotas = tenants.iter().map(quota).collect();
         Policy {
             rng: fastrand::Rng::with_seed(place.seed),
             usual: vec![Usual::default(); ops.len()],
-            aside: origin_kind.is_some(),
             fleet: Fleet {
                 origin_kind,
                 live_weights: place.live_weights,
@@ -532,7 +497,7 @@
                 tolerated,
                 ..OriginGuard::default()
             },
-            admission: Admission { quotas, over_share_part, bands, ..Admission::default() },
+            admission: Admission { quotas, bands, ..Admission::default() },
             place,
             limits,
             ops,
@@ -656,7 +621,7 @@
             _ => op.objective.max(4) as f64 / 4.0,
         };
         let within = self.admission.within_quota(arrival.tenant, self.now);
-        let part = if within { 1.0 } else { self.admission.over_share_part };
+        let part = if within { 1.0 } else { self.place.over_share_part };
         let billed = op.billed_value * part;
         let value = billed * if arrival.write { 1e6 } else { 1.0 };
         let band = 2 * arrival.operation + usize::from(within);
@@ -685,7 +650,7 @@
         }
         // The last forward is the origin's, if there is one to turn to.
         let left = self.limits.max_forwards - inv.forwards.len().min(self.limits.max_forwards);
-        let origin = self.fleet.origin.filter(|_| self.aside && read);
+        let origin = self.fleet.origin.filter(|_| read);
         if left <= 1 && origin.is_some() && !inv.forwards.is_empty() {
             return self.fetch(ix);
         }
@@ -717,7 +682,7 @@
         let most = self.fleet.most_doubted();
         // Cold misses get their part of the keys at the origin, or a quarter where that is more.
         let fetches = self.guard.limit * self.fleet.cold_part(self.now).max(0.25);
-        let cold_room = !self.aside || (self.guard.cold_out as f64) < fetches.max(1.0);
+        let cold_room = (self.guard.cold_out as f64) < fetches.max(1.0);
         let (mut spare, mut probe) = (None, None);
         let mut order = self.fleet.rank(inv.key, self.peers.len(), self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
@@ -827,7 +792,7 @@
     fn after_cache(&mut self, ix: InvIx, e: &Ending) {
         let cold = self.fleet.warmth(e.cache, self.now) < 1.0;
         let inv = self.invs.get_mut(&ix).expect("inv");
-        if e.outcome == Outcome::Miss && self.aside {
+        if e.outcome == Outcome::Miss && self.fleet.origin_kind.is_some() {
             inv.cold |= cold;
             self.fetch(ix);
         } else if inv.open() == 0 {
@@ -838,9 +803,12 @@
     /// The origin answered, but not with success.
     fn after_origin(&mut self, ix: InvIx, e: &Ending) {
         let inv = &self.invs[&ix];
-        // Proved not to have run, it may wait its turn again; else the origin is left in peace.
+        let op = &self.ops[inv.arrival.operation];
+        // Where it may run again it waits its turn once more; a silent origin is left in peace.
         let there = inv.forwards.iter().filter(|f| f.cache == e.cache).count();
-        if e.outcome.never_ran() && inv.forwards.len() < self.limits.max_forwards && there < 2 {
+        let again = may_forward(inv, op, &self.limits, self.fleet.get(e.cache), &self.fleet, self.now);
+        let told = !matches!(e.outcome, Outcome::TimedOut | Outcome::Withdrawn);
+        if told && again && there < 2 {
             self.try_origin(ix);
         } else if inv.open() == 0 {
             self.conclude(ix);
@@ -848,11 +816,11 @@
     }
 
     fn ended(&mut self, e: Ending) {
-        if self.fleet.known(e.cache).is_none() {
-            return;
-        }
         let Some(inv) = self.invs.get_mut(&e.inv) else { return };
-        let Some(f) = inv.forwards.get_mut(e.copy).filter(|f| f.fate == Fate::Open) else { return };
+        let Some(f) = inv.forwards.get_mut(e.copy).filter(|f| f.fate == Fate::Open && f.cache == e.cache)
+        else {
+            return;
+        };
         f.fate = if e.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (then, sent_at, cold) = (f.then, f.at, f.cold);
         inv.over |= e.last;
@@ -900,7 +868,12 @@
                     self.usual[operation].learn(e.lag as f64);
                 }
             }
-            Outcome::Unavailable | Outcome::Reset => self.fleet.strike(e.cache, true, self.now),
+            Outcome::Unavailable => self.fleet.strike(e.cache, true, self.now),
+            // Single connections break where the process runs on: taken for crashes, they had the whole
+            // fleet come back 'cold' time and again. A process that is gone refuses the next one.
+            Outcome::Reset | Outcome::Broken if self.fleet.get(e.cache).heard <= sent_at => {
+                self.fleet.strike(e.cache, false, self.now);
+            }
             // Turned away is cheap: the next in order takes it, and most end well.
             Outcome::Full => {
                 self.fleet.at(e.cache).learn(FULL_BAD, 0.0, self.now);
@@ -911,7 +884,7 @@
                 self.keys.took(key, 1.0);
             }
             Outcome::Withdrawn => self.keys.took(key, part),
-            Outcome::NotSent => {}
+            Outcome::Reset | Outcome::Broken | Outcome::NotSent => {}
         }
     }
 
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -3,7 +3,7 @@
 use crate::notes::Sums;
 use crate::policy::Policy;
 use crate::types::*;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// What to do with the result of a forward; every forward leaves one behind.
 pub type Then = fn(&mut Policy, InvIx, &Ending);
@@ -165,3 +165,39 @@
         }
     }
 }
+
+/// What is known of the origin, and who waits for it.
+#[derive(Default)]
+pub struct OriginGuard {
+    pub limit: f64,
+    /// What the limit may grow by: less with many nodes, which all grow at once.
+    pub growth: f64,
+    /// So long it may take in any case: a third of the shortest objective.
+    pub tolerated: f64,
+    /// All nodes together may have one fetch out in any case.
+    pub least: f64,
+    pub learnt_at: Nanos,
+    pub out: usize,
+    pub cold_out: usize,
+    /// Lowest of the smoothed latency: what it takes when not crowded.
+    pub base: f64,
+    pub slow: f64,
+    pub mean: f64,
+    pub strikes: u32,
+    /// Nothing goes there before this time: it has just turned something away.
+    pub rests_until: Nanos,
+    pub queue: Vec<(f64, InvIx)>,
+    /// Keys being fetched by this node, and who waits for each.
+    pub flights: BTreeMap<u64, Vec<InvIx>>,
+}
+
+/// A tenant's share, as far as this node has it to give.
+#[derive(Default)]
+pub struct Quota {
+    pub per_s: f64,
+    pub tokens: f64,
+    pub filled_at: Nanos,
+    pub arrived: u16,
+    /// This node's part of the tenant's traffic, as far as peers tell.
+    pub part: f64,
+}
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -128,16 +128,23 @@
     Error,
     Full,
     TimedOut,
+    /// No connection came up: the process may be gone.
     Unavailable,
+    /// The connection broke; it may have run.
     Reset,
     Withdrawn,
     NotSent,
     Miss,
+    /// An open connection broke before all was sent.
+    Broken,
 }
 
 impl Outcome {
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::Unavailable | Outcome::NotSent | Outcome::Miss)
+        matches!(
+            self,
+            Outcome::Full | Outcome::Unavailable | Outcome::NotSent | Outcome::Miss | Outcome::Broken
+        )
     }
 }
 
--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -54,7 +54,7 @@
     )
 }
 
-const OUTCOMES: [Outcome; 9] = [
+const OUTCOMES: [Outcome; 10] = [
     Outcome::Succeeded,
     Outcome::Miss,
     Outcome::Full,
@@ -63,6 +63,7 @@
     Outcome::Error,
     Outcome::TimedOut,
     Outcome::NotSent,
+    Outcome::Broken,
     Outcome::Succeeded,
 ];
 
@@ -202,6 +203,38 @@
     assert!(matches!(w.log.last(), Some(Action::Error { .. })));
 }
 
+/// Single connections that break, between answers, once passed for crashes: all came back 'cold'.
+#[test]
+fn broken_connections_of_a_cache_that_answers_leave_it_its_keys() {
+    for how in [Outcome::Reset, Outcome::Broken] {
+        let mut w = World::new(site(), fleet(4));
+        let home = winner(&mut w, 1);
+        let mut kept = 0;
+        for n in 0..40 {
+            w.pass(50 * MS);
+            let (a, b) = (w.arrive(0, Some(1), false, SECOND), w.arrive(0, Some(1), false, SECOND));
+            kept += usize::from(w.sent_to(a)[0] == home);
+            w.pass(10 * MS);
+            w.end(a, 0, Outcome::Succeeded);
+            w.end(b, 0, if n % 3 == 0 { how } else { Outcome::Succeeded });
+            w.open().into_iter().for_each(|(inv, copy)| w.end(inv, copy, Outcome::Succeeded));
+        }
+        assert!(kept > 36, "{how:?}: {kept}");
+    }
+}
+
+/// A read whose fetch broke is asked for once more; before, each broken connection lost one.
+#[test]
+fn a_fetch_that_broke_is_asked_for_once_more() {
+    let mut w = World::new(site(), fleet(4));
+    let inv = w.arrive(0, Some(1), false, SECOND);
+    w.end(inv, 0, Outcome::Miss);
+    w.end(inv, 1, Outcome::Reset);
+    assert_eq!(w.sent_to(inv)[1..], [4, 4]);
+    w.end(inv, 2, Outcome::Reset);
+    assert!(matches!(w.log.last(), Some(Action::Throttle { .. })));
+}
+
 /// A cache server that takes everything and answers nothing loses its keys until a probe is answered.
 #[test]
 fn a_silent_cache_is_doubted_and_comes_back_by_trial() {
