Forwards far overdue move on though others are answered; long answers are passed on

Logs: 200 'body too long' in 5 s, of answers with 188 and 221 KB, marked as hits; debug lines: nearly all throttling came from the origin's queue, its limit falling from 31 to 4 while it answered in 32 ms; 30 fetches in 5 s ended in a time-out of 700 ms while others were answered, each cutting the limit by three tenths and holding its key's followers and a place till its end. Checked and excluded: shedding (excess 0), doubt, own CPU (0.2 s a second), descriptors.

At fault: reading.rs body() held every answer to 64 KiB; policy.rs impatient() let nothing move on once its cache server had answered anyone else, send() gave fetches no patience at all, OriginGuard::learn() took any time-out for a crowd.

Now: an answer may take memory beyond the usual from a quarter of the node's, one at most a quarter of that, held till it is written; a forward out for 1.5 times what nearly all take is withdrawn though others are answered, at the origin too, and asked for again; a time-out at an origin that answers others leaves its limit. Tests for each fail without it.

--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -4,7 +4,7 @@
 use crate::routing::list::List;
 use crate::routing::module::Module;
 use crate::routing::{MAILBOX, Told, peer};
-use crate::transport::budget::{self, Idlers, Share};
+use crate::transport::budget::{self, Idlers, Room, Share};
 use crate::transport::client::{House, Stage};
 use crate::transport::datagrams::Datagrams;
 use crate::transport::listener;
@@ -91,8 +91,10 @@
         tokio::task::spawn_local(datagrams.clone().receive(mailbox.clone()));
     }
     let (peer_pool, peer_mailbox) = (pool.clone(), mailbox.clone());
+    let room = Room::of(config.limits.memory_mb << 20);
     let start_peer = Box::new(move |cache, endpoint| {
-        peer::start(cache, endpoint, peer_pool.clone(), peer_mailbox.clone(), dial_limit, shortest)
+        let (pool, mailbox) = (peer_pool.clone(), peer_mailbox.clone());
+        peer::start(cache, endpoint, pool, mailbox, dial_limit, shortest, room.clone())
     });
     let module =
         Module::new(policy, Names::new(&settings), Clock::new(), timeouts, start_peer, asks, datagrams);
--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -7,7 +7,8 @@
 use crate::must;
 use crate::protocol::lines::{Listing, Target};
 use crate::protocol::messages::{Answer, Invocation};
-use crate::transport::client::ClientSays;
+use crate::transport::budget::Permit;
+use crate::transport::client::{Answered, ClientSays};
 use crate::transport::datagrams::{Datagrams, NodeSays};
 use sparrouter::policy::Policy;
 use sparrouter::types::*;
@@ -24,7 +25,7 @@
 /// An invocation, until it is answered and all its forwards have ended.
 struct Held {
     invocation: Rc<Invocation>,
-    answer: Option<oneshot::Sender<Answer>>,
+    answer: Option<oneshot::Sender<Answered>>,
     over: Rc<Cell<bool>>,
     forwards: Vec<CacheIx>,
     out: usize,
@@ -32,12 +33,12 @@
 
 impl Held {
     /// Gives the one final answer.
-    fn conclude(&mut self, answer: Answer) {
+    fn conclude(&mut self, answer: Answer, granted: Vec<Permit>) {
         must!(!self.over.get(), "an invocation is answered once");
         self.over.set(true);
         if let Some(to) = self.answer.take() {
             // The client may have gone this moment; it will be told of.
-            let _ = to.send(answer);
+            let _ = to.send((answer, granted));
         }
     }
 }
@@ -180,10 +181,10 @@
     // -- what comes in --
 
     fn taken(
-        &mut self, inv: InvIx, invocation: Rc<Invocation>, at: Instant, answer: oneshot::Sender<Answer>,
+        &mut self, inv: InvIx, invocation: Rc<Invocation>, at: Instant, answer: oneshot::Sender<Answered>,
     ) {
         let Some(operation) = self.names.operation(&invocation.operation) else {
-            let _ = answer.send(Answer::Bad("unknown X-Class"));
+            let _ = answer.send((Answer::Bad("unknown X-Class"), Vec::new()));
             return;
         };
         self.counts.taken += 1;
@@ -228,7 +229,7 @@
         held.out -= 1;
         if how.outcome == Outcome::Succeeded && !held.over.get() {
             self.counts.succeeded += 1;
-            held.conclude(Answer::Succeeded { kind: how.kind, body: how.body });
+            held.conclude(Answer::Succeeded { kind: how.kind, body: how.body.bytes }, how.body.granted);
         }
         let (last, lag) = (held.over.get(), how.lag.as_nanos() as Nanos);
         let (outcome, note) = (how.outcome, how.note);
@@ -347,7 +348,7 @@
         let held = self.held.get_mut(&inv);
         must!(held.is_some(), "an answer belongs to an invocation in hand");
         if let Some(held) = held {
-            held.conclude(answer);
+            held.conclude(answer, Vec::new());
         }
         // Guards against keeping for good what had no forward out when it was answered: by a timer, or
         // since another's fetch failed.
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -1,8 +1,10 @@
 //! A peer's actor, one for each cache server and the origin: carries out what the module has decided,
 //! and reports how each forward ended, exactly once.
 use super::Told;
+use crate::counted::Often;
 use crate::protocol::head::ReplyHead;
 use crate::protocol::messages::{self, Invocation};
+use crate::transport::budget::{Body, Room};
 use crate::transport::link::Link;
 use crate::transport::pool::Pool;
 use crate::transport::reading::Broken;
@@ -44,7 +46,7 @@
     pub lag: Duration,
     pub note: Option<Note>,
     pub kind: Option<Bytes>,
-    pub body: Bytes,
+    pub body: Body,
 }
 
 /// What the actor and its forwards share.
@@ -57,16 +59,20 @@
     module: mpsc::Sender<Told>,
     dial_limit: Duration,
     probe_limit: Duration,
+    room: Room,
+    /// Answers that could not be used.
+    spoilt: Often,
 }
 
-/// `dial_limit`: a connection not up by then never comes; `probe_limit`: nor does a probe's answer.
+/// `dial_limit`: a connection not up by then never comes; `probe_limit`: nor does a probe's answer;
+/// `room`: memory for long answers.
 pub fn start(
     cache: CacheIx, endpoint: SocketAddr, pool: Rc<Pool>, module: mpsc::Sender<Told>, dial_limit: Duration,
-    probe_limit: Duration,
+    probe_limit: Duration, room: Room,
 ) -> mpsc::Sender<Order> {
     let (orders, mailbox) = mpsc::channel(super::MAILBOX);
-    let (endpoint, wanted) = (Cell::new(endpoint), Cell::new(true));
-    let peer = Rc::new(Peer { cache, endpoint, wanted, pool, module, dial_limit, probe_limit });
+    let (spoilt, endpoint, wanted) = (Often::default(), Cell::new(endpoint), Cell::new(true));
+    let peer = Rc::new(Peer { cache, endpoint, wanted, pool, module, dial_limit, probe_limit, room, spoilt });
     tokio::task::spawn_local(run(peer, mailbox));
     orders
 }
@@ -101,7 +107,7 @@
 }
 
 /// How an exchange ended, with the answer's head and body where there was one.
-type Exchanged = (Outcome, Option<(ReplyHead, Bytes)>);
+type Exchanged = (Outcome, Option<(ReplyHead, Body)>);
 
 impl Peer {
     async fn forward(self: Rc<Self>, forward: Forward, withdrawn: oneshot::Receiver<()>) {
@@ -141,7 +147,7 @@
         }
         let left = forward.wait.saturating_sub(forward.at.elapsed());
         let head = forward.invocation.forward(left.as_nanos() as u64);
-        match link.exchange(head, forward.invocation.body.clone(), written).await {
+        match link.exchange(head, forward.invocation.body.clone(), &self.room, written).await {
             Ok(reply) => {
                 if let Some(link) = reply.link.filter(|_| self.wanted.get()) {
                     self.pool.put(self.cache, link);
@@ -149,7 +155,9 @@
                 (messages::outcome(&reply.head), Some((reply.head, reply.body)))
             }
             Err(Broken::Bad(bad)) => {
-                log::warn!("cache server {}: {}", self.endpoint.get(), bad.0);
+                if let Some(count) = self.spoilt.again() {
+                    log::warn!("cache server {}: {}, {count} so far", self.endpoint.get(), bad.0);
+                }
                 (Outcome::Error, None)
             }
             Err(Broken::Ended) if written.get() => (Outcome::Reset, None),
@@ -175,7 +183,7 @@
         let asking = async {
             let link = self.link().await.ok()?;
             let head = messages::get("/health/live", self.endpoint.get());
-            let reply = link.exchange(head, Bytes::new(), &written).await.ok()?;
+            let reply = link.exchange(head, Bytes::new(), &Room::USUAL, &written).await.ok()?;
             if let Some(link) = reply.link.filter(|_| self.wanted.get()) {
                 self.pool.put(self.cache, link);
             }
--- a/crates/sparrouter-node/src/transport/budget.rs
+++ b/crates/sparrouter-node/src/transport/budget.rs
@@ -1,5 +1,6 @@
-//! The descriptors a process may hold, dealt out to those who open sockets.
+//! The descriptors a process may hold, dealt out to those who open sockets, and memory for long answers.
 use crate::protocol::{MAX_BODY, MAX_HEAD};
+use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -18,12 +19,12 @@
     freed: Notify,
 }
 
-/// The right to hold one descriptor, given back when dropped.
-pub struct Permit(Rc<Share>);
+/// The right to hold so much of a share, given back when dropped.
+pub struct Permit(Rc<Share>, usize);
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.held.set(self.0.held.get() - 1);
+        self.0.held.set(self.0.held.get() - self.1);
         self.0.freed.notify_one();
     }
 }
@@ -36,9 +37,12 @@
         self.held.get()
     }
     pub fn take(self: &Rc<Self>) -> Option<Permit> {
-        (self.held.get() < self.limit).then(|| {
-            self.held.set(self.held.get() + 1);
-            Permit(self.clone())
+        self.take_of(1)
+    }
+    fn take_of(self: &Rc<Self>, count: usize) -> Option<Permit> {
+        (count <= self.limit - self.held.get()).then(|| {
+            self.held.set(self.held.get() + count);
+            Permit(self.clone(), count)
         })
     }
     pub async fn freed(&self) {
@@ -46,6 +50,38 @@
     }
 }
 
+/// Memory for what of a body goes beyond the usual `MAX_BODY`. Guards against answers of some hundred
+/// KiB that were good and thrown away, and against many at once that would be the node's end.
+#[derive(Clone)]
+pub struct Room(Option<Rc<Share>>);
+
+impl Room {
+    /// None but the usual.
+    pub const USUAL: Room = Room(None);
+    /// A quarter of the node's memory.
+    pub fn of(memory: usize) -> Room {
+        Room(Some(Share::new(memory / 4 / MAX_BODY)))
+    }
+    /// For a body of this length, beyond what was granted for it before: one gets a quarter at most.
+    /// False where there is no room.
+    pub fn grant(&self, length: usize, granted: &mut Vec<Permit>) -> bool {
+        let pages = length.div_ceil(MAX_BODY).saturating_sub(1);
+        let more = pages.saturating_sub(granted.iter().map(|p| p.1).sum());
+        if more == 0 {
+            return true;
+        }
+        let permit = self.0.as_ref().filter(|s| pages <= s.limit / 4).and_then(|s| s.take_of(more));
+        permit.map(|p| granted.push(p)).is_some()
+    }
+}
+
+/// A whole body, with the right to the memory that it takes.
+#[derive(Default)]
+pub struct Body {
+    pub bytes: Bytes,
+    pub granted: Vec<Permit>,
+}
+
 /// For clients, with how many of them are served in full, and for peers. Each may at the worst hold a
 /// message that is read and one that is written, so memory bounds them too.
 pub fn split(sockets: usize, memory: usize) -> (Rc<Share>, usize, Rc<Share>) {
--- a/crates/sparrouter-node/src/transport/client.rs
+++ b/crates/sparrouter-node/src/transport/client.rs
@@ -1,5 +1,5 @@
 //! A client's connection: one invocation at a time, each with exactly one answer.
-use super::budget::{Idlers, Permit};
+use super::budget::{Idlers, Permit, Room};
 use super::reading::{self, Broken};
 use crate::protocol::MAX_BODY;
 use crate::protocol::head::{self, CallHead};
@@ -14,9 +14,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout};
 
+/// The final answer, with the right to the memory that it takes until it is written.
+pub type Answered = (Answer, Vec<Permit>);
+
 /// What a client's connection says to whoever decides.
 pub enum ClientSays {
-    Taken { inv: InvIx, invocation: Rc<Invocation>, at: Instant, answer: oneshot::Sender<Answer> },
+    Taken { inv: InvIx, invocation: Rc<Invocation>, at: Instant, answer: oneshot::Sender<Answered> },
     Gone { inv: InvIx },
 }
 
@@ -83,9 +86,9 @@
             let ready = self.stage() == Stage::Serving;
             return self.write(messages::readiness(ready, keep)).await.filter(|()| keep);
         }
-        let answer = match Invocation::new(&call, body) {
-            Err(bad) => Answer::Bad(bad.0),
-            Ok(_) if self.beyond => Answer::Throttled { retry_after: 0 },
+        let (answer, _granted) = match Invocation::new(&call, body) {
+            Err(bad) => (Answer::Bad(bad.0), Vec::new()),
+            Ok(_) if self.beyond => (Answer::Throttled { retry_after: 0 }, Vec::new()),
             Ok(invocation) => self.ask(Rc::new(invocation), at).await?,
         };
         let keep = call.keep && !self.beyond && self.stage() == Stage::Serving;
@@ -100,8 +103,8 @@
             let going_on = self.stream.write_all(messages::CONTINUE).await;
             going_on.map_err(|_| Broken::Ended)?;
         }
-        let body = reading::body(&mut self.stream, &mut self.buffer, call.framing).await?;
-        Ok((call, body))
+        let body = reading::body(&mut self.stream, &mut self.buffer, call.framing, &Room::USUAL).await?;
+        Ok((call, body.bytes))
     }
 
     /// Until the first byte of the next message. Asked to close, it first looks whether one has come.
@@ -117,7 +120,7 @@
     }
 
     /// Hands the invocation over and waits for its answer, or for the client to go away.
-    async fn ask(&mut self, invocation: Rc<Invocation>, at: Instant) -> Option<Answer> {
+    async fn ask(&mut self, invocation: Rc<Invocation>, at: Instant) -> Option<Answered> {
         let inv = self.house.next.get();
         self.house.next.set(inv.wrapping_add(1));
         let (answer, mut answered) = oneshot::channel();
--- a/crates/sparrouter-node/src/transport/link.rs
+++ b/crates/sparrouter-node/src/transport/link.rs
@@ -1,5 +1,5 @@
 //! One connection to a cache server or the origin, carrying one exchange at a time.
-use super::budget::Permit;
+use super::budget::{Body, Permit, Room};
 use super::reading::{self, Broken};
 use crate::protocol::head::{self, ReplyHead};
 use bytes::{Buf, Bytes, BytesMut};
@@ -19,7 +19,7 @@
 /// A whole answer, and the link if it can carry another exchange.
 pub struct Reply {
     pub head: ReplyHead,
-    pub body: Bytes,
+    pub body: Body,
     pub link: Option<Link>,
 }
 
@@ -40,7 +40,9 @@
 
     /// Sends once, and never again by itself. `written` tells whether the last byte left, also where
     /// this is dropped half way; dropping closes the connection.
-    pub async fn exchange(mut self, head: Bytes, body: Bytes, written: &Cell<bool>) -> Result<Reply, Broken> {
+    pub async fn exchange(
+        mut self, head: Bytes, body: Bytes, room: &Room, written: &Cell<bool>,
+    ) -> Result<Reply, Broken> {
         let mut all = head.chain(body);
         self.stream.write_all_buf(&mut all).await.map_err(|_| Broken::Ended)?;
         written.set(true);
@@ -52,7 +54,7 @@
                 break head;
             }
         };
-        let body = reading::body(&mut self.stream, &mut self.buffer, head.framing).await?;
+        let body = reading::body(&mut self.stream, &mut self.buffer, head.framing, room).await?;
         let reusable = head.keep && self.buffer.is_empty();
         self.buffer = BytesMut::new();
         Ok(Reply { head, body, link: reusable.then_some(self) })
--- a/crates/sparrouter-node/src/transport/reading.rs
+++ b/crates/sparrouter-node/src/transport/reading.rs
@@ -1,7 +1,8 @@
 //! Whole messages from a stream, with bounded buffers.
+use super::budget::{Body, Room};
 use crate::protocol::chunks::{Chunks, Piece};
 use crate::protocol::head::{self, Framing};
-use crate::protocol::{Bad, MAX_BODY, MAX_HEAD};
+use crate::protocol::{Bad, MAX_HEAD};
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
@@ -48,38 +49,43 @@
     }
 }
 
+/// As long as there is room for it.
 pub async fn body(
-    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, framing: Framing,
-) -> Result<Bytes, Broken> {
-    match framing {
-        Framing::Length(length) if length > MAX_BODY => Err(Bad("body too long").into()),
+    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, framing: Framing, room: &Room,
+) -> Result<Body, Broken> {
+    let mut granted = Vec::new();
+    let mut fits = |length| match room.grant(length, &mut granted) {
+        true => Ok(()),
+        false => Err(Bad("body too long")),
+    };
+    let bytes = match framing {
         Framing::Length(length) => {
+            fits(length)?;
             while buffer.len() < length {
                 buffer.reserve(length - buffer.len());
                 more(stream, buffer).await?;
             }
-            Ok(buffer.split_to(length).freeze())
+            buffer.split_to(length).freeze()
         }
         Framing::Chunked => {
             let (mut chunks, mut whole) = (Chunks::default(), BytesMut::new());
             loop {
                 match chunks.next(buffer)? {
-                    Piece::Data(piece) if whole.len() + piece.len() > MAX_BODY => {
-                        return Err(Bad("body too long").into());
+                    Piece::Data(piece) => {
+                        fits(whole.len() + piece.len())?;
+                        whole.extend_from_slice(&piece);
                     }
-                    Piece::Data(piece) => whole.extend_from_slice(&piece),
                     Piece::More => more(stream, buffer).await?,
-                    Piece::End => return Ok(whole.freeze()),
+                    Piece::End => break whole.freeze(),
                 }
             }
         }
         Framing::ToEnd => {
             while more(stream, buffer).await.is_ok() {
-                if buffer.len() > MAX_BODY {
-                    return Err(Bad("body too long").into());
-                }
+                fits(buffer.len())?;
             }
-            Ok(buffer.split().freeze())
+            buffer.split().freeze()
         }
-    }
+    };
+    Ok(Body { bytes, granted })
 }
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -28,6 +28,10 @@
     Silent,
     /// A good answer, that late.
     Late(u32),
+    /// A good answer, far longer than usual.
+    Long,
+    /// One that is said to have 3 GB.
+    Endless,
 }
 
 #[derive(Clone, Debug)]
@@ -143,6 +147,8 @@
             Act::NotRun => "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".into(),
             Act::Broken => "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".into(),
             Act::Half => good[..good.len() - 3].into(),
+            Act::Long => format!("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n{}", "x".repeat(300_000)),
+            Act::Endless => format!("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n{text}"),
             Act::Reset | Act::Silent => String::new(),
         };
         if act == Act::Silent {
@@ -440,6 +446,29 @@
     }
 }
 
+/// Guards against good answers that were thrown away for their length, and against taking up endless ones.
+#[test]
+fn long_answers_are_passed_on_as_far_as_memory_allows() {
+    let (cache, origin) = (Server::always(Act::Long), Server::always(Act::Endless));
+    let w = world(&[&cache], origin.at, 256);
+    let answers = thread::scope(|scope| {
+        let calls: Vec<_> = (0..20)
+            .map(|n| {
+                scope.spawn({
+                    let w = &w;
+                    move || w.call("GET", &format!("/api/{n}"), &format!("l{n}"), "get")
+                })
+            })
+            .collect();
+        calls.into_iter().map(|c| c.join().unwrap()).collect::<Vec<_>>()
+    });
+    assert!(answers.iter().any(|(status, _, body)| *status == 200 && body.len() == 300_000));
+    assert!(answers.iter().all(|(status, _, body)| *status == 503 || body.len() == 300_000));
+    let start = Instant::now();
+    assert_eq!(w.call("PUT", "/api/k", "e", "pay").0, 502);
+    assert!(start.elapsed() < 300 * MS);
+}
+
 /// A machine that is cut off: connections to it never come up, and nobody says so.
 #[test]
 fn a_connect_that_never_comes_up_proves_that_nothing_ran() {
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -308,7 +308,8 @@
         self.learnt_at = now;
         match outcome {
             Outcome::Succeeded => {
-                self.strikes = 0;
+                (self.strikes, self.heard) = (0, now);
+                self.usual.learn(lag);
                 let (fast, slow) = (stale(0.1, age), stale(0.02, age));
                 self.mean = if self.mean == 0.0 { lag } else { self.mean + fast * (lag - self.mean) };
                 self.slow = if self.slow == 0.0 { lag } else { self.slow + slow * (lag - self.slow) };
@@ -320,8 +321,9 @@
                 self.limit = self.limit.clamp(self.least, self.out as f64 + 3.0);
             }
             Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss => {}
-            // A broken connection is no sign of a crowd.
+            // A connection that broke, or fell silent while others were answered, is no sign of a crowd.
             Outcome::Reset | Outcome::Broken => self.strikes += 1,
+            Outcome::TimedOut if self.heard + lag as Nanos > now => {}
             _ => (self.strikes, self.limit) = (self.strikes + 1, (self.limit * 0.7).max(self.least)),
         }
         // A part of one fetch: it is out for that part of the time.
@@ -421,6 +423,8 @@
 const EXCESS_MAX: f64 = 0.9;
 /// How far the excess moves towards what a peer tells.
 const EXCESS_PEER: f64 = 0.25;
+/// A forward that is out for this multiple of what nearly all take is overdue in any case.
+const OVERDUE: f64 = 1.5;
 /// Second copies an arrival, and how many may be saved up.
 const COPIES: (f64, f64) = (0.05, 10.0);
 /// Peers told at once.
@@ -732,19 +736,18 @@
         let cold = inv.cold;
         inv.forwards.push(Forward { cache: c, at: self.now, fate: Fate::Open, cold, then });
         let copy = inv.forwards.len() - 1;
-        let usual = self.usual[inv.arrival.operation];
-        let patience = usual.mean + 4.0 * usual.dev;
-        let (give_up, origin) = (inv.give_up, self.fleet.is_origin(c));
+        let (operation, origin) = (inv.arrival.operation, self.fleet.is_origin(c));
         self.actions.push(Action::Forward { inv: ix, cache: c, wait });
         if origin {
             self.guard.out += 1;
             self.guard.cold_out += usize::from(cold);
-            return self.fleet.at(c).out += 1;
+            self.fleet.at(c).out += 1;
+        } else {
+            self.fleet.sent(c, self.now);
         }
-        self.fleet.sent(c, self.now);
-        let at = self.now + patience as Nanos;
-        if usual.mean > 0.0 && at < give_up {
-            self.wake(at, token(PATIENCE, ix, copy));
+        let usual = if origin { self.guard.usual } else { self.usual[operation] };
+        if usual.mean > 0.0 && usual.patience() < wait {
+            self.wake(self.now + usual.patience(), token(PATIENCE, ix, copy));
         }
     }
 
@@ -804,11 +807,10 @@
     fn after_origin(&mut self, ix: InvIx, e: &Ending) {
         let inv = &self.invs[&ix];
         let op = &self.ops[inv.arrival.operation];
-        // Where it may run again it waits its turn once more; a silent origin is left in peace.
+        // Where it may run again it waits its turn once more; an origin silent to all is left in peace.
         let there = inv.forwards.iter().filter(|f| f.cache == e.cache).count();
         let again = may_forward(inv, op, &self.limits, self.fleet.get(e.cache), &self.fleet, self.now);
-        let told = !matches!(e.outcome, Outcome::TimedOut | Outcome::Withdrawn);
-        if told && again && there < 2 {
+        if e.outcome != Outcome::TimedOut && again && there < 2 {
             self.try_origin(ix);
         } else if inv.open() == 0 {
             self.conclude(ix);
@@ -1011,29 +1013,45 @@
     }
 
     /// A forward is out for longer than nearly all of its operation: if its cache server was silent
-    /// all that time, the invocation moves on.
+    /// all that time, or answers others while this one is far overdue, the invocation moves on.
     fn impatient(&mut self, ix: InvIx, copy: usize) {
-        let Some(inv) = self.invs.get(&ix).filter(|i| i.live()) else { return };
+        let Some(inv) = self.invs.get(&ix).filter(|i| !i.begun) else { return };
         let Some(f) = inv.forwards.get(copy).filter(|f| f.fate == Fate::Open) else { return };
-        let (c, at) = (f.cache, f.at);
-        if self.fleet.get(c).heard > at {
-            return;
+        let (c, at, operation, over) = (f.cache, f.at, inv.arrival.operation, inv.over);
+        let origin = self.fleet.is_origin(c);
+        let (usual, heard) = match origin {
+            true => (&mut self.guard.usual, self.guard.heard),
+            false => (&mut self.usual[operation], self.fleet.get(c).heard),
+        };
+        // Guards against connections that fall silent alone: a fetch on one held its key's followers and
+        // a place at the origin till its end, and counted as a sign that the origin is crowded.
+        let overdue = at + (OVERDUE * usual.patience() as f64) as Nanos;
+        if (heard > at || origin) && self.now < overdue {
+            return self.wake(overdue, token(PATIENCE, ix, copy));
+        }
+        if heard <= at && origin {
+            let next = self.now + usual.patience();
+            return self.wake(next, token(PATIENCE, ix, copy));
         }
-        self.fleet.strike(c, false, self.now);
-        let inv = &self.invs[&ix];
         // It takes that long at least: learnt from answers alone, patience shrank while all slowed down.
-        self.usual[inv.arrival.operation].learn((self.now - at) as f64);
-        if !matches!(self.ops[inv.arrival.operation].effect, Effect::Idempotent) {
+        usual.learn((self.now - at) as f64);
+        if heard <= at && !over {
+            self.fleet.strike(c, false, self.now);
+        }
+        let inv = &self.invs[&ix];
+        if !matches!(self.ops[operation].effect, Effect::Idempotent) || over && (!origin || inv.arrival.write)
+        {
             return;
         }
-        if self.limits.second_copies {
+        let left = self.limits.max_forwards.saturating_sub(inv.forwards.len());
+        if self.limits.second_copies && !origin {
             // Few second copies: where all are slow they would double the load.
-            let more = self.copies >= 1.0 && inv.forwards.len() + 1 < self.limits.max_forwards;
+            let more = self.copies >= 1.0 && left > 1;
             if more && let Some(to) = self.pick(ix).filter(|&to| self.fleet.get(to).doubt.is_none()) {
                 self.copies -= 1.0;
                 self.send(ix, to, Policy::after_cache);
             }
-        } else if self.limits.withdraw && inv.forwards.len() < self.limits.max_forwards {
+        } else if self.limits.withdraw && (over || left > 0) {
             self.actions.push(Action::Withdraw { inv: ix, copy });
         }
     }
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -108,6 +108,10 @@
 }
 
 impl Usual {
+    /// What nearly all take no longer than.
+    pub fn patience(&self) -> Nanos {
+        (self.mean + 4.0 * self.dev) as Nanos
+    }
     pub fn learn(&mut self, x: f64) {
         if self.mean == 0.0 {
             (self.mean, self.dev) = (x, x / 2.0);
@@ -177,6 +181,9 @@
     /// All nodes together may have one fetch out in any case.
     pub least: f64,
     pub learnt_at: Nanos,
+    /// When it last answered a fetch, and how long that usually takes.
+    pub heard: Nanos,
+    pub usual: Usual,
     pub out: usize,
     pub cold_out: usize,
     /// Lowest of the smoothed latency: what it takes when not crowded.
--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -223,6 +223,38 @@
     }
 }
 
+/// Connections that fall silent alone, while others are answered: the read moves on, and at the origin
+/// neither its limit nor those who wait for the same key suffer.
+#[test]
+fn a_forward_far_overdue_moves_on_though_its_server_answers_others() {
+    let mut w = World::new(site(), fleet(4));
+    let mut next = 100;
+    // Answers that take 10 ms, misses whose fetches take 20.
+    let mut pass = |w: &mut World, rounds: usize| {
+        for _ in 0..rounds {
+            next += 1;
+            let inv = w.arrive(0, Some(next), false, SECOND);
+            w.pass(10 * MS);
+            w.end(inv, 0, if next % 2 == 0 { Outcome::Miss } else { Outcome::Succeeded });
+            if next % 2 == 0 {
+                w.pass(20 * MS);
+                w.end(inv, 1, Outcome::Succeeded);
+            }
+        }
+    };
+    pass(&mut w, 60);
+    let silent = w.arrive(0, Some(1), false, SECOND);
+    pass(&mut w, 8);
+    assert!(w.sent_to(silent).len() > 1);
+    let fetch = w.arrive(0, Some(2), false, SECOND);
+    w.end(fetch, 0, Outcome::Miss);
+    let follower = w.arrive(0, Some(2), false, SECOND);
+    pass(&mut w, 6);
+    assert_eq!(w.sent_to(fetch)[1..], [4, 4]);
+    w.end(fetch, 2, Outcome::Succeeded);
+    assert_eq!(w.sent_to(follower).len(), 1);
+}
+
 /// A read whose fetch broke is asked for once more; before, each broken connection lost one.
 #[test]
 fn a_fetch_that_broke_is_asked_for_once_more() {
