Clients and spoilt answers are bounded in time; open ids turned away; idle links learn their age

Rereading besides: a client that said nothing was never closed, a slow head had the longest client timeout (3 s) from its first byte, an error was followed by a close with bytes unread (reset), the id of an open invocation was forwarded a second time, an X-Deadline-Ms of any size was held for; noise, a body without a length and endless 1xx were waited for, the body's end by a reset was served as whole.

Now: the pool keeps how exchanges ended by idle age, against new links, and takes no link of an age that breaks; idle clients closed after 2.1 s, a whole message within 2.6 s of the connect, errors followed by a bounded drain; those that never spoke make room first; open ids get 400; no answer but HTTP with a length, at most 16 interim ones. The three new tests fail without.

--- a/crates/sparrouter-node/src/protocol/head.rs
+++ b/crates/sparrouter-node/src/protocol/head.rs
@@ -51,6 +51,9 @@
     }
 }
 
+/// How every answer begins.
+pub const REPLY: &[u8] = b"HTTP/1.";
+
 /// Where a head ends, past its empty line.
 pub fn end(buffer: &[u8], from: usize) -> Option<usize> {
     let from = from.saturating_sub(3);
@@ -120,8 +123,12 @@
     if !token(method) || !plain {
         return Err(Bad("method or target"));
     }
-    let keep = keeps(version(v)?, &fields);
+    let newer = version(v)?;
+    let keep = keeps(newer, &fields);
     let framing = fields.framing()?.unwrap_or(Framing::Length(0));
+    if !newer && framing == Framing::Chunked {
+        return Err(Bad("transfer-encoding in HTTP/1.0"));
+    }
     Ok(CallHead { method: first.slice_ref(method), target: first.slice_ref(target), keep, framing, fields })
 }
 
--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -10,12 +10,13 @@
 use crate::transport::budget::Permit;
 use crate::transport::client::{Answered, ClientSays};
 use crate::transport::datagrams::{Datagrams, NodeSays};
+use bytes::Bytes;
 use sparrouter::policy::Policy;
 use sparrouter::types::*;
 use sparrouter_settings::{Listed, Names, hash};
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
     /// By operation: how long a client waits that does not say so.
     timeouts: Vec<Nanos>,
     held: HashMap<InvIx, Held>,
+    /// The clients' ids of all that is held.
+    open: HashSet<Bytes>,
     doors: Vec<Option<Door>>,
     start_peer: Starter,
     list: mpsc::Sender<Ask>,
@@ -98,6 +101,7 @@
             list,
             datagrams,
             held: HashMap::new(),
+            open: HashSet::new(),
             doors: Vec::new(),
             timers: BinaryHeap::new(),
             next: VecDeque::new(),
@@ -187,9 +191,15 @@
             let _ = answer.send((Answer::Bad("unknown X-Class"), Vec::new()));
             return;
         };
+        // Guards against a second copy on its way under an id whose forward is still out.
+        if !self.open.insert(invocation.id.clone()) {
+            let _ = answer.send((Answer::Bad("X-Request-Id is open"), Vec::new()));
+            return;
+        }
         self.counts.taken += 1;
-        let patience = invocation.patience_ms.map(|ms| ms.saturating_mul(1_000_000));
-        let patience = patience.unwrap_or(self.timeouts[operation]).min(3600 * SECOND);
+        // Whatever it says, no client waits for longer than the settings allow.
+        let longest = self.timeouts[operation];
+        let patience = invocation.patience_ms.map_or(longest, |ms| ms.saturating_mul(1_000_000).min(longest));
         let arrival = Arrival {
             inv,
             operation,
@@ -238,8 +248,10 @@
     }
 
     fn forget(&mut self, inv: InvIx) {
-        if self.held.get(&inv).is_some_and(|h| h.over.get() && h.out == 0) {
-            self.held.remove(&inv);
+        if self.held.get(&inv).is_some_and(|h| h.over.get() && h.out == 0)
+            && let Some(held) = self.held.remove(&inv)
+        {
+            self.open.remove(&held.invocation.id);
         }
     }
 
@@ -269,8 +281,7 @@
 
     /// Whatever a whole list does not name is gone.
     fn unlisted(&mut self, targets: &[Target]) {
-        let named: std::collections::HashSet<CacheIx> =
-            targets.iter().filter_map(|t| self.names.cache(&t.uid)).collect();
+        let named: HashSet<CacheIx> = targets.iter().filter_map(|t| self.names.cache(&t.uid)).collect();
         for cache in 0..self.doors.len() {
             if let Some(endpoint) = self.doors[cache].as_ref().map(|d| d.endpoint)
                 && !named.contains(&cache)
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -147,7 +147,10 @@
         }
         let left = forward.wait.saturating_sub(forward.at.elapsed());
         let head = forward.invocation.forward(left.as_nanos() as u64);
-        match link.exchange(head, forward.invocation.body.clone(), &self.room, written).await {
+        let idle = link.idle;
+        let ended = link.exchange(head, forward.invocation.body.clone(), &self.room, written).await;
+        self.pool.learn(idle, matches!(ended, Err(Broken::Ended)));
+        match ended {
             Ok(reply) => {
                 if let Some(link) = reply.link.filter(|_| self.wanted.get()) {
                     self.pool.put(self.cache, link);
--- a/crates/sparrouter-node/src/transport/budget.rs
+++ b/crates/sparrouter-node/src/transport/budget.rs
@@ -92,28 +92,29 @@
     (Share::new(clients + spare), clients, Share::new(peers))
 }
 
-/// Client connections between invocations, the longest idle first: they go when others need their
-/// descriptors.
+/// Client connections between invocations: they go when others need their descriptors, first those that
+/// never sent anything, then the longest idle. Guards against floods that only connect.
 #[derive(Default)]
 pub struct Idlers {
     next: Cell<u64>,
-    waiting: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    waiting: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
 }
 
 pub struct Idler {
     house: Rc<Idlers>,
-    number: u64,
+    place: (bool, u64),
     asked: Rc<Notify>,
 }
 
 impl Idlers {
-    pub fn enter(self: &Rc<Self>) -> Idler {
-        let (number, asked) = (self.next.get(), Rc::new(Notify::new()));
-        self.next.set(number + 1);
-        self.waiting.borrow_mut().insert(number, asked.clone());
-        Idler { house: self.clone(), number, asked }
+    /// `spoke`: it has sent a whole message before.
+    pub fn enter(self: &Rc<Self>, spoke: bool) -> Idler {
+        let (place, asked) = ((spoke, self.next.get()), Rc::new(Notify::new()));
+        self.next.set(place.1 + 1);
+        self.waiting.borrow_mut().insert(place, asked.clone());
+        Idler { house: self.clone(), place, asked }
     }
-    /// Asks the longest idle to close; false where all are at work.
+    /// Asks the first to close; false where all are at work.
     pub fn ask_oldest(&self) -> bool {
         let oldest = self.waiting.borrow_mut().pop_first();
         oldest.inspect(|(_, asked)| asked.notify_one()).is_some()
@@ -128,6 +129,6 @@
 
 impl Drop for Idler {
     fn drop(&mut self) {
-        self.house.waiting.borrow_mut().remove(&self.number);
+        self.house.waiting.borrow_mut().remove(&self.place);
     }
 }
--- a/crates/sparrouter-node/src/transport/client.rs
+++ b/crates/sparrouter-node/src/transport/client.rs
@@ -9,10 +9,18 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// A connection with nothing open may be closed after 2 s; one that idles for good holds a descriptor.
+const IDLE: Duration = Duration::from_millis(2100);
+/// A whole message takes no longer, the first one counted from the connect: by 3 s a client whose message
+/// can't be used is owed an error or a close.
+const WHOLE: Duration = Duration::from_millis(2600);
+/// How long, and how much, is still read of what a client sends after an error.
+const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 << 10);
 
 /// The final answer, with the right to the memory that it takes until it is written.
 pub type Answered = (Answer, Vec<Permit>);
@@ -47,6 +55,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     house: Rc<House<M>>,
+    connected: Instant,
+    /// Nothing whole has come yet.
+    new: bool,
     /// Beyond what the node can carry: answered at once, by the transport itself.
     beyond: bool,
 }
@@ -54,7 +65,8 @@
 pub async fn attend<M: From<ClientSays>>(
     stream: TcpStream, permit: Permit, beyond: bool, house: Rc<House<M>>,
 ) {
-    let mut client = Client { stream, buffer: BytesMut::new(), house, beyond };
+    let (connected, buffer) = (Instant::now(), BytesMut::new());
+    let mut client = Client { stream, buffer, house, connected, new: true, beyond };
     while client.next().await.is_some() {}
     drop(client);
     drop(permit);
@@ -69,17 +81,21 @@
     async fn next(&mut self) -> Option<()> {
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
-            self.idle().await?;
+            timeout(IDLE, self.idle()).await.ok()??;
         }
-        let patience = self.house.patience;
-        let (call, body) = match timeout(patience, self.read()).await.ok()? {
+        let from = if self.new { self.connected } else { Instant::now() };
+        let until = from + WHOLE.min(self.house.patience);
+        let (call, body) = match timeout_at(until, self.read()).await.ok()? {
             Ok(message) => message,
             Err(Broken::Ended) => return None,
             Err(Broken::Bad(bad)) => {
                 log::debug!("bad input from a client: {}", bad.0);
-                return self.write(messages::answer(&Answer::Bad(bad.0), false)).await.and(None);
+                self.write(messages::answer(&Answer::Bad(bad.0), false)).await?;
+                self.linger().await;
+                return None;
             }
         };
+        self.new = false;
         let at = Instant::now();
         if &call.target[..] == b"/health/ready" {
             let keep = call.keep && self.stage() == Stage::Serving;
@@ -96,7 +112,7 @@
     }
 
     async fn read(&mut self) -> Result<(CallHead, Bytes), Broken> {
-        let head = reading::head(&mut self.stream, &mut self.buffer).await?;
+        let head = reading::head(&mut self.stream, &mut self.buffer, b"").await?;
         let call = head::call(&head)?;
         // A client that asks first would hold its body back for a while.
         if call.fields.text("Expect") == Some("100-continue") && self.buffer.is_empty() {
@@ -107,9 +123,26 @@
         Ok((call, body.bytes))
     }
 
+    /// Guards against a reset that overtakes the error: closed with bytes unread, a connection is reset,
+    /// and its client may never see what it was told.
+    async fn linger(&mut self) {
+        let _ = self.stream.shutdown().await;
+        let (time, mut left) = LINGER;
+        let rest = async {
+            while left > 0 {
+                self.buffer.clear();
+                match self.stream.read_buf(&mut self.buffer).await {
+                    Ok(read) if read > 0 => left = left.saturating_sub(read),
+                    _ => return,
+                }
+            }
+        };
+        let _ = timeout(time, rest).await;
+    }
+
     /// Until the first byte of the next message. Asked to close, it first looks whether one has come.
     async fn idle(&mut self) -> Option<()> {
-        let place = self.house.idlers.enter();
+        let place = self.house.idlers.enter(!self.new);
         let mut stage = self.house.stage.clone();
         tokio::select! {
             biased;
--- a/crates/sparrouter-node/src/transport/link.rs
+++ b/crates/sparrouter-node/src/transport/link.rs
@@ -1,7 +1,8 @@
 //! One connection to a cache server or the origin, carrying one exchange at a time.
 use super::budget::{Body, Permit, Room};
 use super::reading::{self, Broken};
-use crate::protocol::head::{self, ReplyHead};
+use crate::protocol::Bad;
+use crate::protocol::head::{self, Framing, ReplyHead};
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
@@ -10,9 +11,14 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// Interim answers ahead of one that counts.
+const MAX_INTERIM: usize = 16;
+
 pub struct Link {
     stream: TcpStream,
     buffer: BytesMut,
+    /// How long it stood idle before its present use; none for a new one.
+    pub idle: Option<Duration>,
     _permit: Permit,
 }
 
@@ -27,7 +33,7 @@
     pub async fn dial(to: SocketAddr, limit: Duration, permit: Permit) -> io::Result<Link> {
         let stream = tokio::time::timeout(limit, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream, buffer: BytesMut::new(), _permit: permit })
+        Ok(Link { stream, buffer: BytesMut::new(), idle: None, _permit: permit })
     }
 
     /// Open and silent, as an idle connection must be: one that was ended, or holds bytes that nobody
@@ -46,14 +52,23 @@
         let mut all = head.chain(body);
         self.stream.write_all_buf(&mut all).await.map_err(|_| Broken::Ended)?;
         written.set(true);
+        let mut interim = 0;
         let head = loop {
-            let head = reading::head(&mut self.stream, &mut self.buffer).await?;
+            let head = reading::head(&mut self.stream, &mut self.buffer, head::REPLY).await?;
             let head = head::reply(&head)?;
-            // Interim answers come before the one that counts.
+            // Interim answers come before the one that counts, but not without end.
             if head.status >= 200 {
                 break head;
             }
+            interim += 1;
+            if interim > MAX_INTERIM {
+                return Err(Bad("interim answers without end").into());
+            }
         };
+        // Nothing tells such a body's end from a connection that broke.
+        if head.framing == Framing::ToEnd {
+            return Err(Bad("answer without a length").into());
+        }
         let body = reading::body(&mut self.stream, &mut self.buffer, head.framing, room).await?;
         let reusable = head.keep && self.buffer.is_empty();
         self.buffer = BytesMut::new();
--- a/crates/sparrouter-node/src/transport/reading.rs
+++ b/crates/sparrouter-node/src/transport/reading.rs
@@ -31,10 +31,16 @@
     }
 }
 
-/// Up to and with the empty line.
-pub async fn head(stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) -> Result<Bytes, Broken> {
+/// Up to and with the empty line. What does not begin as it must is not waited for: noise may have no
+/// end, and its sender stays silent after it.
+pub async fn head(
+    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, begins: &[u8],
+) -> Result<Bytes, Broken> {
     let mut seen = 0;
     loop {
+        if buffer.iter().zip(begins).any(|(a, b)| a != b) {
+            return Err(Bad("no HTTP").into());
+        }
         if let Some(end) = head::end(buffer, seen) {
             if end > MAX_HEAD {
                 return Err(Bad("head too long").into());
--- a/crates/sparrouter-node/src/transport/watching.rs
+++ b/crates/sparrouter-node/src/transport/watching.rs
@@ -35,7 +35,7 @@
         let _ = stream.set_nodelay(true);
         stream.write_all(&messages::get(&target, at)).await.map_err(|_| Broken::Ended)?;
         let mut buffer = BytesMut::new();
-        let head = head::reply(&reading::head(&mut stream, &mut buffer).await?)?;
+        let head = head::reply(&reading::head(&mut stream, &mut buffer, head::REPLY).await?)?;
         if head.status != 200 {
             return Err(Bad("discovery did not answer 200").into());
         }
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -32,6 +32,13 @@
     Long,
     /// One that is said to have 3 GB.
     Endless,
+    /// No HTTP, a body without a length, interim answers without end: the connection stays open.
+    Noise,
+    NoLength,
+    Interims,
+    /// A good answer behind an interim one, and one with more behind it.
+    Hinted,
+    Trailed,
 }
 
 #[derive(Clone, Debug)]
@@ -149,6 +156,11 @@
             Act::Half => good[..good.len() - 3].into(),
             Act::Long => format!("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n{}", "x".repeat(300_000)),
             Act::Endless => format!("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n{text}"),
+            Act::Noise => "\u{1}\u{2}noise".into(),
+            Act::NoLength => format!("HTTP/1.1 200 OK\r\n\r\n{text}"),
+            Act::Interims => "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(200),
+            Act::Hinted => format!("HTTP/1.1 103 Early Hints\r\n\r\n{good}"),
+            Act::Trailed => format!("{good}{good}"),
             Act::Reset | Act::Silent => String::new(),
         };
         if act == Act::Silent {
@@ -469,6 +481,80 @@
     assert!(start.elapsed() < 300 * MS);
 }
 
+/// Guards against waiting for the end of what can't be an answer, and against serving what may be cut.
+#[test]
+fn spoilt_answers_are_told_at_once_and_good_ones_with_more_count() {
+    for act in [Act::Noise, Act::NoLength, Act::Interims] {
+        let (bad, good) = (Server::always(act), Server::always(Act::Hit));
+        let w = world(&[&bad, &good], bad.at, 256);
+        let start = Instant::now();
+        assert_eq!(w.call("PUT", "/api/k", "e", "pay").0, 502, "{act:?}");
+        assert!(start.elapsed() < 300 * MS, "{act:?}");
+        w.reads("r", 12);
+        let links: Vec<usize> = bad.seen().iter().map(|s| s.link).collect();
+        assert!(links.len() > 1 && links.windows(2).all(|l| l[0] != l[1]), "reused after {act:?}");
+    }
+    for (act, links) in [(Act::Hinted, 1), (Act::Trailed, 6)] {
+        let cache = Server::always(act);
+        let w = world(&[&cache], nowhere(), 256);
+        let mut stream = w.client();
+        for n in 0..6 {
+            ask(&mut stream, "GET", "/api/k", &format!("g{n}"), "get", "");
+            assert_eq!(answer(&mut stream).unwrap().2, format!("value of g{n}"));
+        }
+        assert_eq!(cache.links.load(SeqCst), links, "{act:?}");
+    }
+}
+
+/// Guards against writing on and on into idle links that were dropped without a word.
+#[test]
+fn the_pool_learns_how_long_idle_links_last() {
+    let last = Mutex::new(std::collections::HashMap::<usize, Instant>::new());
+    let cache = Server::start(move |seen| {
+        let before = last.lock().unwrap().insert(seen.link, Instant::now());
+        if before.is_some_and(|at| at.elapsed() > 120 * MS) { Act::Reset } else { Act::Hit }
+    });
+    let w = world(&[&cache], nowhere(), 256);
+    for n in 0..24 {
+        w.get(&format!("s{n}"));
+        sleep(150 * MS);
+    }
+    let broke = cache.seen().iter().filter(|s| s.act == Act::Reset).count();
+    assert!((1..=4).contains(&broke), "{broke}");
+}
+
+/// Guards against holding descriptors for clients that can't be used, and against errors that a reset
+/// overtakes. Another's open id must not reach a cache server twice.
+#[test]
+fn clients_that_cannot_be_used_are_told_or_closed_in_time() {
+    let mut settings = SETTINGS.replace("900000", "4000000");
+    settings = settings.replace("400000", "900000");
+    let cache = Server::always(Act::Late(400));
+    let w = world_of(&settings, &[&cache], nowhere(), 256);
+    let start = Instant::now();
+    let (silent, mut half, mut trickle) = (w.client(), w.client(), w.client());
+    half.write_all(b"GET /api/k HTTP/1.1\r\nX-Re").unwrap();
+    let mut endless = w.client();
+    endless.write_all(b"PUT /api/k HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").unwrap();
+    for _ in 0..30 {
+        endless.write_all(&[b'x'; 8192]).unwrap();
+    }
+    assert_eq!(answer(&mut endless).unwrap().0, 400);
+    let (mut first, mut second) = (w.client(), w.client());
+    ask(&mut first, "GET", "/api/k", "same", "get", "");
+    until("the forward", || cache.seen().len() == 1);
+    ask(&mut second, "GET", "/api/k", "same", "get", "");
+    assert_eq!(answer(&mut second).unwrap().0, 400);
+    assert_eq!(answer(&mut first).unwrap().0, 200);
+    // Free again once it is over.
+    ask(&mut first, "GET", "/api/k", "same", "get", "");
+    assert_eq!((answer(&mut first).unwrap().0, cache.seen().len()), (200, 2));
+    trickle.set_read_timeout(Some(50 * MS)).unwrap();
+    while trickle.write_all(b"G").is_ok() && !ended(&trickle) && start.elapsed() < 4000 * MS {}
+    assert!(ended(&silent) && ended(&half));
+    assert!(start.elapsed() < 3000 * MS, "{:?}", start.elapsed());
+}
+
 /// A machine that is cut off: connections to it never come up, and nobody says so.
 #[test]
 fn a_connect_that_never_comes_up_proves_that_nothing_ran() {
@@ -784,7 +870,8 @@
 }
 
 fn ended(mut stream: &TcpStream) -> bool {
-    !matches!(stream.read(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    let waits = |e: std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+    !stream.read(&mut [0; 1]).is_err_and(waits)
 }
 
 // ---- Random runs: the rules after every step ----
