Names and indices of cache servers gone for good are let go

Rereading: settings' Names, the module's records and the actor's doors grew with every new id for as long as the node runs; a 'terminated' of an unknown id even started an actor.

Now: twice the longest client timeout after a cache server is gone its name is let go and its index may become another's; the module starts a new record where the id's hash differs. Tests fail without it.

--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -64,6 +64,8 @@
     /// The clients' ids of all that is held.
     open: HashSet<Bytes>,
     doors: Vec<Option<Door>>,
+    /// Since when cache servers are gone; their names are let go once nothing can speak of them any more.
+    gone_at: HashMap<CacheIx, Nanos>,
     start_peer: Starter,
     list: mpsc::Sender<Ask>,
     datagrams: Option<Rc<Datagrams>>,
@@ -103,6 +105,7 @@
             held: HashMap::new(),
             open: HashSet::new(),
             doors: Vec::new(),
+            gone_at: HashMap::new(),
             timers: BinaryHeap::new(),
             next: VecDeque::new(),
             counts: Counts::default(),
@@ -134,6 +137,7 @@
     }
 
     fn report(&mut self) {
+        self.sweep();
         let timers = self.timers.len();
         log::info!("counts: {:?}, open {}, timers {timers}", self.counts, self.held.len());
         self.counts = Counts::default();
@@ -262,6 +266,9 @@
         let mut rows = Vec::with_capacity(targets.len());
         for t in &targets {
             let (id, state, zone, kind) = (&t.uid, &t.state, &t.az, &t.model);
+            if t.state == "terminated" && self.names.cache(&t.uid).is_none() {
+                continue;
+            }
             let ready_at = t.boot_ms.saturating_mul(1_000_000);
             let listed =
                 Listed { id, state, zone, kind, cell: t.pod_group, weight: t.capacity_hint, ready_at };
@@ -277,6 +284,24 @@
             log::info!("list: {form:?}, {} entries", rows.len());
         }
         self.handle(Event::Listed { form, rows });
+        self.sweep();
+    }
+
+    /// Forgets the names of those that are gone for good: twice as long as any invocation lasts.
+    fn sweep(&mut self) {
+        let keep = 2 * self.timeouts.iter().max().copied().unwrap_or_default();
+        let (now, names, doors) = (self.clock.now(), &mut self.names, &self.doors);
+        let before = self.gone_at.len();
+        self.gone_at.retain(|&cache, at| {
+            let over = *at + keep < now && doors[cache].is_none();
+            if over {
+                names.release(cache);
+            }
+            !over
+        });
+        if before > self.gone_at.len() {
+            log::info!("list: {} names of gone cache servers let go", before - self.gone_at.len());
+        }
     }
 
     /// Whatever a whole list does not name is gone.
@@ -295,6 +320,15 @@
         if self.doors.len() <= cache {
             self.doors.resize_with(cache + 1, || None);
         }
+        if standing == Standing::Gone {
+            let now = self.clock.now();
+            self.gone_at.entry(cache).or_insert(now);
+            if self.doors[cache].is_none() {
+                return;
+            }
+        } else {
+            self.gone_at.remove(&cache);
+        }
         let start = &self.start_peer;
         let door = self.doors[cache].get_or_insert_with(|| Door {
             orders: start(cache, endpoint),
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -851,6 +851,36 @@
     assert!(line.contains("taken: 10") && line.contains("open 0"), "{line}");
 }
 
+/// Guards against names, indices and actors that pile up while cache servers are replaced.
+#[test]
+fn names_of_cache_servers_gone_for_good_are_let_go() {
+    let cache = Server::always(Act::Hit);
+    let mut w = world(&[&cache], nowhere(), 256);
+    until("the watch", || w.discovery.calls() == 1);
+    let mut rev = 42;
+    let mut say = |w: &World, uid: &str, state: &str| {
+        let entry = target(uid, cache.at, "box", state);
+        w.discovery.say(&format!(r#"{{"rev":{rev},"all":false,"targets":[{entry}]}}"#));
+        rev += 1;
+        until("the line", || w.discovery.feed.lock().unwrap().is_empty());
+        sleep(20 * MS);
+    };
+    // Each at the address of the one before.
+    for n in 0..5 {
+        say(&w, &format!("n{n}"), "in_service");
+        say(&w, &if n == 0 { "c0".to_string() } else { format!("n{}", n - 1) }, "terminated");
+    }
+    // Twice the longest client timeout later, the five that are gone; another takes the place of one.
+    sleep(1900 * MS);
+    say(&w, "unheard-of", "terminated");
+    say(&w, "late", "in_service");
+    say(&w, "n4", "terminated");
+    w.reads("z", 10);
+    let log = std::io::BufReader::new(w.node.stderr.take().unwrap());
+    let mut lines = log.lines().map_while(Result::ok);
+    assert!(lines.any(|l| l.contains("5 names of gone cache servers let go")));
+}
+
 /// Guards against clients that hold all descriptors: whoever idles makes room, and nobody waits.
 #[test]
 fn few_descriptors_still_take_all_that_comes() {
--- a/crates/sparrouter-settings/src/names.rs
+++ b/crates/sparrouter-settings/src/names.rs
@@ -27,6 +27,8 @@
     tenants: HashMap<Vec<u8>, usize>,
     caches: HashMap<String, CacheIx>,
     ids: Vec<String>,
+    /// Indices of names that were let go.
+    free: Vec<CacheIx>,
 }
 
 fn index(names: &mut Vec<String>, name: &str) -> usize {
@@ -47,6 +49,7 @@
             tenants: tenants.collect(),
             caches: HashMap::new(),
             ids: Vec::new(),
+            free: Vec::new(),
         }
     }
     pub fn operation(&self, name: &[u8]) -> Option<usize> {
@@ -62,6 +65,14 @@
         &self.ids[cache]
     }
 
+    /// Lets a name go: its index is another's from now on. Guards against names, and all that is kept by
+    /// their indices, that pile up while cache servers are replaced under ever new ids.
+    pub fn release(&mut self, cache: CacheIx) {
+        if self.caches.remove(&std::mem::take(&mut self.ids[cache])).is_some() {
+            self.free.push(cache);
+        }
+    }
+
     pub fn row(&mut self, l: &Listed) -> Result<Row, String> {
         let standing = match l.state {
             "in_service" => Standing::Ready,
@@ -69,10 +80,12 @@
             "terminated" => Standing::Gone,
             other => return Err(format!("unknown state {other}")),
         };
-        let ids = &mut self.ids;
+        let (ids, free) = (&mut self.ids, &mut self.free);
         let cache = *self.caches.entry(l.id.to_string()).or_insert_with(|| {
-            ids.push(l.id.to_string());
-            ids.len() - 1
+            let cache = free.pop().unwrap_or(ids.len());
+            ids.resize(ids.len().max(cache + 1), String::new());
+            ids[cache] = l.id.to_string();
+            cache
         });
         Ok(Row {
             cache,
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -111,14 +111,17 @@
                 self.caches.resize_with(row.cache + 1, || None);
             }
             let weight = if self.live_weights || row.weight <= 0.0 { 1.0 } else { row.weight };
-            let c = self.caches[row.cache].get_or_insert_with(|| Cache {
+            // Also where another had that index and has long gone.
+            let fresh = Cache {
                 id_hash: row.id_hash,
                 kind: row.kind,
                 limit: LIMIT_MAX / 2.0,
                 heard: now,
                 learnt_at: now,
                 ..Cache::default()
-            });
+            };
+            let c = self.caches[row.cache].take().filter(|c| c.id_hash == row.id_hash).unwrap_or(fresh);
+            let c = self.caches[row.cache].insert(c);
             if row.ready_at > c.ready_at {
                 // A restart under the same id: what was held against the old process is void.
                 (c.doubt, c.strikes, c.unreachable) = (None, 0, false);
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -1,8 +1,8 @@
 //! The door between a protocol's adapter and the decisions: plain values, no I/O and no clock.
 //!
 //! Times are whole nanoseconds of a clock that only advances. An adapter maps the ids of its
-//! protocol to small indices; a cache server keeps its index for the life of the instance, an
-//! invocation's index is never used twice.
+//! protocol to small indices; a cache server's index may become another's only once it has been gone for
+//! longer than any invocation is open, an invocation's index is never used twice.
 
 pub type Nanos = u64;
 pub type InvIx = u32;
--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -267,6 +267,18 @@
     assert!(matches!(w.log.last(), Some(Action::Throttle { .. })));
 }
 
+/// An index that was another's until that had long gone: nothing of the old one is held against the new.
+#[test]
+fn an_index_that_became_anothers_starts_anew() {
+    let mut w = World::new(site(), fleet(1));
+    let inv = w.arrive(0, Some(1), false, SECOND);
+    w.end(inv, 0, Outcome::Unavailable);
+    w.list(Form::Changes, vec![Row { standing: Standing::Gone, ..row(0, 0) }]);
+    w.pass(10 * SECOND);
+    w.list(Form::Changes, vec![Row { id_hash: 77, ..row(0, 0) }]);
+    assert_eq!(winner(&mut w, 1), 0);
+}
+
 /// A cache server that takes everything and answers nothing loses its keys until a probe is answered.
 #[test]
 fn a_silent_cache_is_doubted_and_comes_back_by_trial() {
