--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -267,16 +267,18 @@
     assert!(matches!(w.log.last(), Some(Action::Throttle { .. })));
 }
 
-/// An index that was another's until that had long gone: nothing of the old one is held against the new.
+/// An index that was another's until that had long gone: the new one is elected by its own id.
 #[test]
 fn an_index_that_became_anothers_starts_anew() {
-    let mut w = World::new(site(), fleet(1));
-    let inv = w.arrive(0, Some(1), false, SECOND);
-    w.end(inv, 0, Outcome::Unavailable);
-    w.list(Form::Changes, vec![Row { standing: Standing::Gone, ..row(0, 0) }]);
-    w.pass(10 * SECOND);
-    w.list(Form::Changes, vec![Row { id_hash: 77, ..row(0, 0) }]);
-    assert_eq!(winner(&mut w, 1), 0);
+    let new = Row { id_hash: 77, ..row(0, 0) };
+    let mut rows = fleet(6);
+    rows[0] = new.clone();
+    let (mut a, mut b) = (World::new(site(), fleet(6)), World::new(site(), rows));
+    a.list(Form::Changes, vec![Row { standing: Standing::Gone, ..row(0, 0) }]);
+    a.pass(10 * SECOND);
+    a.list(Form::Changes, vec![new]);
+    let winners = |w: &mut World| (0..100).map(|k| winner(w, k)).collect::<Vec<_>>();
+    assert_eq!(winners(&mut a), winners(&mut b));
 }
 
 /// A cache server that takes everything and answers nothing loses its keys until a probe is answered.
