--- a/crates/sparrouter-node/src/transport/budget.rs
+++ b/crates/sparrouter-node/src/transport/budget.rs
@@ -4,7 +4,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Kept for the runtime, the listener, datagrams, discovery and the log.
 const OWN: usize = 24;
@@ -92,31 +94,46 @@
     (Share::new(clients + spare), clients, Share::new(peers))
 }
 
+/// So long the first message of a connection is waited for before others may have its descriptor.
+const GRACE: Duration = Duration::from_millis(250);
+
+type Waiting = RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>;
+
 /// Client connections between invocations: they go when others need their descriptors, first those that
-/// never sent anything, then the longest idle. Guards against floods that only connect.
+/// have sent nothing for a while, then the longest idle. Guards against floods that only connect; and
+/// against closing those that have just come, which displaced one another by hundreds a second, each
+/// before its message arrived.
 #[derive(Default)]
 pub struct Idlers {
     next: Cell<u64>,
-    waiting: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
+    /// Those that have sent nothing yet, and the others.
+    mute: Waiting,
+    spoke: Waiting,
 }
 
 pub struct Idler {
     house: Rc<Idlers>,
-    place: (bool, u64),
+    spoke: bool,
+    number: u64,
     asked: Rc<Notify>,
 }
 
 impl Idlers {
     /// `spoke`: it has sent a whole message before.
     pub fn enter(self: &Rc<Self>, spoke: bool) -> Idler {
-        let (place, asked) = ((spoke, self.next.get()), Rc::new(Notify::new()));
-        self.next.set(place.1 + 1);
-        self.waiting.borrow_mut().insert(place, asked.clone());
-        Idler { house: self.clone(), place, asked }
+        let (number, asked) = (self.next.get(), Rc::new(Notify::new()));
+        self.next.set(number + 1);
+        self.waiting(spoke).borrow_mut().insert(number, (Instant::now(), asked.clone()));
+        Idler { house: self.clone(), spoke, number, asked }
+    }
+    fn waiting(&self, spoke: bool) -> &Waiting {
+        if spoke { &self.spoke } else { &self.mute }
     }
     /// Asks the first to close; false where all are at work.
     pub fn ask_oldest(&self) -> bool {
-        let oldest = self.waiting.borrow_mut().pop_first();
+        let mut mute = self.mute.borrow_mut();
+        let silent = mute.first_entry().filter(|e| e.get().0.elapsed() > GRACE).map(|e| e.remove());
+        let oldest = silent.or_else(|| self.spoke.borrow_mut().pop_first().map(|(_, place)| place));
         oldest.inspect(|(_, asked)| asked.notify_one()).is_some()
     }
 }
@@ -129,6 +146,6 @@
 
 impl Drop for Idler {
     fn drop(&mut self) {
-        self.house.waiting.borrow_mut().remove(&self.place);
+        self.house.waiting(self.spoke).borrow_mut().remove(&self.number);
     }
 }
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -899,6 +899,25 @@
     });
 }
 
+/// Guards against newcomers that displace one another before their messages arrive.
+#[test]
+fn newcomers_displace_the_longest_idle_and_not_each_other() {
+    let cache = Server::always(Act::Hit);
+    let w = world(&[&cache], nowhere(), 64);
+    // All places are taken by clients that asked once and stay.
+    let mut idle: Vec<TcpStream> = (0..26).map(|_| w.client()).collect();
+    for (n, stream) in idle.iter_mut().enumerate() {
+        ask(stream, "GET", "/api/k", &format!("i{n}"), "get", "");
+        assert!(answer(stream).is_some());
+    }
+    let mut late: Vec<TcpStream> = (0..12).map(|_| w.client()).collect();
+    sleep(50 * MS);
+    for (n, stream) in late.iter_mut().enumerate() {
+        ask(stream, "GET", "/api/k", &format!("l{n}"), "get", "");
+        assert_eq!(answer(stream).map(|a| a.0), Some(200), "{n}");
+    }
+}
+
 fn ended(mut stream: &TcpStream) -> bool {
     let waits = |e: std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
     !stream.read(&mut [0; 1]).is_err_and(waits)
