--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -104,7 +104,7 @@
     let house = Rc::new(House {
         mailbox,
         stage: staged,
-        idlers: Rc::<Idlers>::default(),
+        idlers: Idlers::new(config.limits.sockets),
         patience: longest,
         next: Cell::new(0),
     });
--- a/crates/sparrouter-node/src/transport/budget.rs
+++ b/crates/sparrouter-node/src/transport/budget.rs
@@ -13,6 +13,8 @@
 /// Of the rest: client connections, and those beyond them that are still accepted.
 const CLIENTS: f64 = 0.6;
 const SPARE: f64 = 0.05;
+/// Of all: client connections that idle between invocations.
+const IDLE: f64 = 0.1;
 
 /// One side's part.
 pub struct Share {
@@ -102,9 +104,10 @@
 /// Client connections between invocations: they go when others need their descriptors, first those that
 /// have sent nothing for a while, then the longest idle. Guards against floods that only connect; and
 /// against closing those that have just come, which displaced one another by hundreds a second, each
-/// before its message arrived.
-#[derive(Default)]
+/// before its message arrived. Of the others so many may idle at once, the longest idle go beyond that:
+/// where clients ask once and stay, all that they may hold idled, and nobody else could connect.
 pub struct Idlers {
+    most: usize,
     next: Cell<u64>,
     /// Those that have sent nothing yet, and the others.
     mute: Waiting,
@@ -119,18 +122,29 @@
 }
 
 impl Idlers {
+    pub fn new(sockets: usize) -> Rc<Idlers> {
+        let most = (sockets as f64 * IDLE).ceil() as usize;
+        Rc::new(Idlers { most, next: Cell::new(0), mute: Waiting::default(), spoke: Waiting::default() })
+    }
     /// `spoke`: it has sent a whole message before.
     pub fn enter(self: &Rc<Self>, spoke: bool) -> Idler {
         let (number, asked) = (self.next.get(), Rc::new(Notify::new()));
         self.next.set(number + 1);
         self.waiting(spoke).borrow_mut().insert(number, (Instant::now(), asked.clone()));
+        let mut spoke = self.spoke.borrow_mut();
+        if spoke.len() > self.most
+            && let Some((_, (_, longest))) = spoke.pop_first()
+        {
+            longest.notify_one();
+        }
+        drop(spoke);
         Idler { house: self.clone(), spoke, number, asked }
     }
     fn waiting(&self, spoke: bool) -> &Waiting {
         if spoke { &self.spoke } else { &self.mute }
     }
     /// Asks the first to close; false where all are at work.
-    pub fn ask_oldest(&self) -> bool {
+    pub fn ask_first(&self) -> bool {
         let mut mute = self.mute.borrow_mut();
         let silent = mute.first_entry().filter(|e| e.get().0.elapsed() > GRACE).map(|e| e.remove());
         let oldest = silent.or_else(|| self.spoke.borrow_mut().pop_first().map(|(_, place)| place));
--- a/crates/sparrouter-node/src/transport/listener.rs
+++ b/crates/sparrouter-node/src/transport/listener.rs
@@ -24,7 +24,7 @@
                 if let Some(count) = errors.again() {
                     log::warn!("accept: {error}, {count} times so far");
                 }
-                house.idlers.ask_oldest();
+                house.idlers.ask_first();
                 tokio::time::sleep(PAUSE).await;
                 continue;
             }
@@ -35,7 +35,7 @@
                 Some(permit) => break permit,
                 // Guards against waiting for connections that nobody has asked to close.
                 None => {
-                    house.idlers.ask_oldest();
+                    house.idlers.ask_first();
                     let _ = timeout(PAUSE, share.freed()).await;
                 }
             }
@@ -44,7 +44,7 @@
             // Those just accepted show that they idle only once they have run.
             tokio::task::yield_now().await;
         }
-        let beyond = share.held() > most && !house.idlers.ask_oldest();
+        let beyond = share.held() > most && !house.idlers.ask_first();
         if let Some(count) = beyond.then(|| told.again()).flatten() {
             log::warn!("more clients than descriptors: told to come back, {count} so far");
         }
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -899,6 +899,22 @@
     });
 }
 
+/// Guards against clients that ask once and stay until nobody else may connect.
+#[test]
+fn of_those_that_idle_the_longest_go_first() {
+    let cache = Server::always(Act::Hit);
+    let w = world(&[&cache], nowhere(), 256);
+    let mut stay: Vec<TcpStream> = (0..60).map(|_| w.client()).collect();
+    for (n, stream) in stay.iter_mut().enumerate() {
+        ask(stream, "GET", "/api/k", &format!("o{n}"), "get", "");
+        assert!(answer(stream).is_some());
+    }
+    sleep(50 * MS);
+    let open: Vec<bool> = stay.iter().map(|s| s.set_nonblocking(true).is_ok() && !ended(s)).collect();
+    // A tenth of all descriptors, those used last.
+    assert_eq!((open.iter().filter(|o| **o).count(), open[34..].iter().all(|o| *o)), (26, true));
+}
+
 /// Guards against newcomers that displace one another before their messages arrive.
 #[test]
 fn newcomers_displace_the_longest_idle_and_not_each_other() {
