--- a/crates/sparrouter-node/src/transport/budget.rs
+++ b/crates/sparrouter-node/src/transport/budget.rs
@@ -131,13 +131,9 @@
         let (number, asked) = (self.next.get(), Rc::new(Notify::new()));
         self.next.set(number + 1);
         self.waiting(spoke).borrow_mut().insert(number, (Instant::now(), asked.clone()));
-        let mut spoke = self.spoke.borrow_mut();
-        if spoke.len() > self.most
-            && let Some((_, (_, longest))) = spoke.pop_first()
-        {
-            longest.notify_one();
-        }
-        drop(spoke);
+        let mut kept = self.spoke.borrow_mut();
+        let longest = if kept.len() > self.most { kept.pop_first() } else { None };
+        longest.inspect(|(_, (_, asked))| asked.notify_one());
         Idler { house: self.clone(), spoke, number, asked }
     }
     fn waiting(&self, spoke: bool) -> &Waiting {
