--- /dev/null
+++ b/crates/sparrouter-lab/src/experiment/sweep.rs
@@ -0,0 +1,78 @@
+//! Finds the knee: the highest rate at which nearly all are answered within the latency objective.
+use crate::play::{Failed, Program, Run, play};
+use crate::scenario::Scenario;
+use std::path::Path;
+
+/// Part of the invocations that must be within the objective.
+pub const NEARLY_ALL: f64 = 0.999;
+
+/// What is changed beside the rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum By {
+    Caches,
+    Nodes,
+    Connections,
+}
+
+/// One step: its rate, its run, and whether it held.
+pub struct Step {
+    pub rate_per_s: f64,
+    pub run: Run,
+    pub held: bool,
+}
+
+pub fn with(scenario: &Scenario, by: By, value: usize) -> Scenario {
+    let mut s = scenario.clone();
+    match by {
+        By::Caches => s.caches.count = value,
+        By::Nodes => s.nodes.count = value,
+        By::Connections => s.load.connections = value,
+    }
+    s
+}
+
+/// A step held where it was valid, kept the rules and was in time for nearly all.
+fn held(run: &Run) -> bool {
+    run.tally.good() >= NEARLY_ALL && run.verdict.kept()
+}
+
+/// Grows the rate by half until a step does not hold, then closes in to `within` (a ratio above 1). Gives
+/// all steps; the knee is the highest that held. A step is tried twice before it counts as not held: the
+/// machine is shared, and one stall would end the search.
+pub fn sweep(
+    scenario: &Scenario, program: &Program, within: f64, folder: &Path, mut done: impl FnMut(&Step),
+) -> Result<Vec<Step>, Failed> {
+    let mut steps: Vec<Step> = Vec::new();
+    let (mut low, mut high) = (0.0, f64::INFINITY);
+    let mut rate = scenario.load.rate_per_s;
+    while high / f64::max(low, 1e-9) > within && steps.len() < 40 {
+        let mut s = scenario.clone();
+        s.load.rate_per_s = rate;
+        let mut run = play(&s, program, &folder.join(format!("step{}", steps.len())), |_| {})?;
+        if !held(&run) {
+            run = play(&s, program, &folder.join(format!("step{}-again", steps.len())), |_| {})?;
+        }
+        let step = Step { rate_per_s: rate, held: held(&run), run };
+        done(&step);
+        if step.held {
+            low = rate
+        } else {
+            high = rate
+        }
+        steps.push(step);
+        rate = match (low > 0.0, high.is_finite()) {
+            (_, false) => rate * 1.5,
+            (true, true) => (low * high).sqrt(),
+            // Not even the first rate held.
+            (false, true) => rate / 2.0,
+        };
+        if rate < 1.0 {
+            break;
+        }
+    }
+    Ok(steps)
+}
+
+pub fn knee(steps: &[Step]) -> Option<&Step> {
+    steps.iter().filter(|s| s.held).max_by(|a, b| a.rate_per_s.total_cmp(&b.rate_per_s))
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/http.rs
@@ -0,0 +1,127 @@
+//! As much HTTP/1.1 as the stand-ins and clients speak: heads with a few fields, bodies with a length.
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// What was read: a request or a reply.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// Method and target, or version and status.
+    pub first: (String, String),
+    pub id: Option<u64>,
+    pub mark: Option<u64>,
+    pub not_run: bool,
+    pub retry_after_s: Option<f64>,
+    pub deadline_ms: Option<u64>,
+    pub close: bool,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.first.1.parse().unwrap_or(0)
+    }
+    /// Last part of the path.
+    pub fn key(&self) -> u64 {
+        let last = self.first.1.rsplit('/').next().unwrap_or_default();
+        u64::from_str_radix(last, 16).unwrap_or(0)
+    }
+    pub fn writes(&self) -> bool {
+        self.first.0 == "PUT"
+    }
+}
+
+fn hex(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// A whole message at the front of the buffer, taken out of it. Err where it can't be one.
+pub fn take(buffer: &mut BytesMut) -> Result<Option<Message>, &'static str> {
+    let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4) else {
+        return if buffer.len() > 16 << 10 { Err("a head without end") } else { Ok(None) };
+    };
+    let head = std::str::from_utf8(&buffer[..end]).map_err(|_| "a head that is no text")?;
+    let mut lines = head.split("\r\n");
+    let mut words = lines.next().unwrap_or_default().split(' ');
+    let first = (words.next().unwrap_or_default(), words.next().ok_or("a first line of one word")?);
+    let mut m = Message { first: (first.0.into(), first.1.into()), ..Message::default() };
+    let mut length = 0;
+    for (name, value) in lines.filter_map(|l| l.split_once(':')) {
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("content-length") {
+            length = value.parse().map_err(|_| "a length that is no number")?;
+        } else if name.eq_ignore_ascii_case("x-request-id") {
+            m.id = hex(value);
+        } else if name.eq_ignore_ascii_case("idempotency-key") {
+            m.mark = hex(value);
+        } else if name.eq_ignore_ascii_case("x-not-run") {
+            m.not_run = value == "1";
+        } else if name.eq_ignore_ascii_case("retry-after") {
+            m.retry_after_s = value.parse().ok();
+        } else if name.eq_ignore_ascii_case("x-deadline-ms") {
+            m.deadline_ms = value.parse().ok();
+        } else if name.eq_ignore_ascii_case("connection") {
+            m.close = value.eq_ignore_ascii_case("close");
+        }
+    }
+    if buffer.len() < end + length {
+        return Ok(None);
+    }
+    m.body = buffer[end..end + length].to_vec();
+    buffer.advance(end + length);
+    Ok(Some(m))
+}
+
+/// How reading ended without a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Closed between messages.
+    Closed,
+    /// Closed or reset within one.
+    Broken,
+    Bad(&'static str),
+}
+
+/// The next whole message, with what was read behind it left in the buffer. `begun` is called once its
+/// first byte is there.
+pub async fn read(
+    stream: &mut TcpStream, buffer: &mut BytesMut, mut begun: impl FnMut(),
+) -> Result<Message, Ended> {
+    if !buffer.is_empty() {
+        begun();
+    }
+    loop {
+        if let Some(message) = take(buffer).map_err(Ended::Bad)? {
+            return Ok(message);
+        }
+        let fresh = buffer.is_empty();
+        match stream.read_buf(buffer).await {
+            Ok(read) if read > 0 => {
+                if fresh {
+                    begun();
+                }
+            }
+            Ok(_) if fresh => return Err(Ended::Closed),
+            _ => return Err(if fresh { Ended::Closed } else { Ended::Broken }),
+        }
+    }
+}
+
+pub async fn write(stream: &mut TcpStream, text: &[u8]) -> bool {
+    stream.write_all(text).await.is_ok()
+}
+
+/// A reply with a body; `more` are whole field lines.
+pub fn reply(status: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    text.extend_from_slice(body);
+    text
+}
+
+/// Closed like this a connection is reset: the other side learns that it broke, as when a process dies.
+pub fn reset(stream: TcpStream) {
+    if let Ok(stream) = stream.into_std() {
+        let socket = socket2::SockRef::from(&stream);
+        let _ = socket.set_linger(Some(std::time::Duration::ZERO));
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/ledger/audit.rs
@@ -0,0 +1,359 @@
+//! The four rules, judged from whole lives. What can't be judged is counted by its reason.
+use super::{Asked, End, Forwarded, How, Life, ORIGIN, Record};
+use crate::scenario::arrivals::{operation_of, root};
+use crate::scenario::faults::{Fault, LinkTrouble};
+use crate::scenario::schedule::Listed;
+use crate::scenario::{Before, Effect, Operation, Scenario};
+use crate::{MS, Nanos, SECOND, nanos};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Of each kind of breach so many are listed; all are counted.
+const LISTED: usize = 20;
+
+/// One way in which a rule is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Breach {
+    /// Rule 1.
+    NoAnswer,
+    AnsweredTwice,
+    AnsweredLate,
+    AnsweredWithNobodysValue,
+    SentAfterAnswer,
+    SentForNobody,
+    NodeCrashed,
+    /// Rule 2.
+    EffectTwice,
+    ForwardedAgain,
+    RepeatedOutsideWindow,
+    ThrottledThoughItMayHaveRun,
+    Overlapping,
+    /// Rule 3.
+    SentToDrained,
+    /// Rule 4.
+    ColdPushedOver,
+    OriginStoppedByColdMisses,
+}
+
+impl Breach {
+    pub fn rule(self) -> u8 {
+        use Breach::*;
+        match self {
+            NoAnswer
+            | AnsweredTwice
+            | AnsweredLate
+            | AnsweredWithNobodysValue
+            | SentAfterAnswer
+            | SentForNobody
+            | NodeCrashed => 1,
+            EffectTwice
+            | ForwardedAgain
+            | RepeatedOutsideWindow
+            | ThrottledThoughItMayHaveRun
+            | Overlapping => 2,
+            SentToDrained => 3,
+            ColdPushedOver | OriginStoppedByColdMisses => 4,
+        }
+    }
+}
+
+/// One breach, with what a person needs to look it up.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Found {
+    pub breach: Breach,
+    pub at_s: f64,
+    /// Hexadecimal id of the invocation; empty where it is about a stand-in.
+    pub id: String,
+    pub what: String,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Invocations that were judged on every rule that applies.
+    pub judged: u64,
+    pub breaches: BTreeMap<Breach, u64>,
+    pub listed: Vec<Found>,
+    /// Why something could not be judged, and how often.
+    pub unjudged: BTreeMap<String, u64>,
+    /// What is no breach and yet worth knowing.
+    pub seen: BTreeMap<String, u64>,
+}
+
+impl Verdict {
+    pub fn kept(&self) -> bool {
+        self.breaches.is_empty()
+    }
+    pub fn has(&self, breach: Breach) -> bool {
+        self.breaches.contains_key(&breach)
+    }
+}
+
+pub struct Audit {
+    operations: Vec<Operation>,
+    second_copies: bool,
+    grace: Nanos,
+    informed: Nanos,
+    /// How much later than a node's own clock says something may be seen here.
+    slack: Nanos,
+    answer_slack: Nanos,
+    fall: Nanos,
+    cold_misses: f64,
+    /// Closing a connection can't be seen through such a link.
+    blind: bool,
+    /// By node and cache server: what it was told when.
+    told: HashMap<(u16, u32), Vec<(Nanos, Listed)>>,
+    known: HashMap<u32, Vec<(Nanos, Listed)>>,
+    /// By node: when it was killed or told to stop.
+    down: HashMap<u16, Vec<(Nanos, bool)>>,
+    /// Fetches at the origin of late, and who had missed at a cold cache server.
+    fetches: VecDeque<(Nanos, u64)>,
+    cold_missed: HashMap<u64, Nanos>,
+    stops: Vec<Nanos>,
+    verdict: Verdict,
+}
+
+impl Audit {
+    pub fn new(s: &Scenario) -> Audit {
+        let delays = |f: &Fault| match f {
+            Fault::Links { delay_ms, jitter_ms, .. } => delay_ms + jitter_ms,
+            _ => 0.0,
+        };
+        let links = s.link.iter().map(|l| l.delay_ms + l.jitter_ms);
+        let longest = links.chain(s.fault.iter().map(delays)).fold(0.0, f64::max);
+        let blind = s.fault.iter().any(|f| {
+            matches!(
+                f,
+                Fault::Links {
+                    how: LinkTrouble::HalfOpen | LinkTrouble::LostThere | LinkTrouble::LostBack,
+                    before: Before::Caches | Before::Origin,
+                    ..
+                }
+            )
+        });
+        Audit {
+            operations: s.operation.clone(),
+            second_copies: s.nodes.second_copies,
+            grace: s.rules.drain_grace_ms * MS,
+            informed: nanos(s.rules.informed_s),
+            slack: 20 * MS + 2 * nanos(longest / 1e3),
+            answer_slack: s.rules.answer_slack_ms * MS + 2 * nanos(longest / 1e3),
+            fall: nanos(s.rules.fall_s),
+            cold_misses: s.rules.cold_misses,
+            blind,
+            told: HashMap::new(),
+            known: HashMap::new(),
+            down: HashMap::new(),
+            fetches: VecDeque::new(),
+            cold_missed: HashMap::new(),
+            stops: Vec::new(),
+            verdict: Verdict::default(),
+        }
+    }
+
+    fn found(&mut self, breach: Breach, at: Nanos, id: Option<u64>, what: String) {
+        *self.verdict.breaches.entry(breach).or_default() += 1;
+        if self.verdict.breaches[&breach] as usize <= LISTED {
+            let id = id.map_or(String::new(), |id| format!("{id:016x}"));
+            self.verdict.listed.push(Found { breach, at_s: at as f64 / SECOND as f64, id, what });
+        }
+    }
+    fn unjudged(&mut self, why: &str) {
+        *self.verdict.unjudged.entry(why.into()).or_default() += 1;
+    }
+    fn seen(&mut self, what: &str) {
+        *self.verdict.seen.entry(what.into()).or_default() += 1;
+    }
+
+    pub fn event(&mut self, record: Record) {
+        match record {
+            Record::Known { at, cache, listed } => self.known.entry(cache).or_default().push((at, listed)),
+            Record::Told { at, node, cache, listed } => {
+                self.told.entry((node, cache)).or_default().push((at, listed));
+            }
+            Record::Fell { at, cache, cold: true } => {
+                self.found(Breach::ColdPushedOver, at, None, format!("cache server {cache} fell over"));
+            }
+            Record::More { at, id } => {
+                self.found(Breach::AnsweredTwice, at, Some(id), "more came behind its answer".into());
+            }
+            Record::Fell { cold: false, .. } => self.seen("a warm cache server was overdriven"),
+            Record::OriginStopped { at } => self.stops.push(at),
+            Record::NodeDown { at, node, killed } => self.down.entry(node).or_default().push((at, killed)),
+            Record::NodeCrashed { at, node } => {
+                self.found(Breach::NodeCrashed, at, None, format!("node {node} ended by itself"));
+            }
+            _ => {}
+        }
+    }
+
+    /// Keeps what is needed to tell why the origin stopped: some windows' worth.
+    pub fn forwarded(&mut self, f: &Forwarded) {
+        if f.to != ORIGIN {
+            if f.how == How::Miss && f.cold {
+                self.cold_missed.insert(f.id, f.ended);
+            }
+        } else if let Some(whole) = f.whole {
+            self.fetches.push_back((whole, f.id));
+            if self.stops.is_empty() && self.fetches.len() > 200_000 {
+                self.fetches.drain(..100_000);
+                let oldest = self.fetches[0].0.saturating_sub(self.fall);
+                self.cold_missed.retain(|_, at| *at > oldest);
+            }
+        }
+    }
+
+    fn killed_between(&self, node: u16, from: Nanos, to: Nanos) -> bool {
+        let down = self.down.get(&node).map_or(&[][..], |d| d);
+        down.iter().any(|(at, killed)| *killed && (from..=to + self.slack).contains(at))
+    }
+
+    pub(crate) fn judge(&mut self, id: u64, life: &Life) {
+        let Some(asked) = life.asked else {
+            let at = life.forwards.first().map_or(0, |f| f.first);
+            return self.found(Breach::SentForNobody, at, Some(id), "no client sent this invocation".into());
+        };
+        let op = self.operations[usize::from(operation_of(id)).min(self.operations.len() - 1)].clone();
+        self.verdict.judged += 1;
+        self.answer(id, &asked, &op, life);
+        self.effects(id, &asked, &op, life);
+        for f in &life.forwards {
+            self.drain(id, &asked, f);
+        }
+    }
+
+    fn answer(&mut self, id: u64, a: &Asked, op: &Operation, life: &Life) {
+        let timeout = op.client_timeout_ms * MS;
+        let Some(written) = a.written else { return };
+        match a.end {
+            End::Closed if self.killed_between(a.node, written, a.ended) => {
+                self.unjudged("its node was killed")
+            }
+            End::Silent if self.killed_between(a.node, written, a.ended) => {
+                self.unjudged("its node was killed")
+            }
+            End::Closed => {
+                let what = "the connection ended with no whole answer".to_string();
+                self.found(Breach::NoAnswer, a.ended, Some(id), what);
+            }
+            End::Silent => {
+                let what = format!("nothing within {} ms", op.client_timeout_ms);
+                self.found(Breach::NoAnswer, a.ended, Some(id), what);
+            }
+            End::Left => self.unjudged("its client left first"),
+            End::Unconnected => {}
+            End::Succeeded | End::Foreign | End::Throttled | End::Errored => {
+                if a.ended > written + timeout + self.answer_slack {
+                    let late = (a.ended - written - timeout) / MS;
+                    self.found(
+                        Breach::AnsweredLate,
+                        a.ended,
+                        Some(id),
+                        format!("{late} ms past the client timeout"),
+                    );
+                }
+                let after = a.ended + self.slack;
+                if let Some(f) = life.forwards.iter().find(|f| f.first > after) {
+                    let what = format!("{} ms later to {}", (f.first - a.ended) / MS, name(f.to));
+                    self.found(Breach::SentAfterAnswer, f.first, Some(id), what);
+                }
+            }
+        }
+        let good = |f: &&Forwarded| matches!(f.how, How::Done | How::Repeat);
+        let made = life.forwards.iter().filter(good).any(|f| f.ended <= a.ended + self.slack);
+        if a.end == End::Foreign || a.end == End::Succeeded && !made {
+            let what = "no cache server made this answer for it".to_string();
+            self.found(Breach::AnsweredWithNobodysValue, a.ended, Some(id), what);
+        }
+    }
+
+    fn effects(&mut self, id: u64, a: &Asked, op: &Operation, life: &Life) {
+        let mut all: Vec<&Forwarded> = life.forwards.iter().filter(|f| f.whole.is_some()).collect();
+        all.sort_by_key(|f| f.whole);
+        if op.effect != Effect::Idempotent && all.iter().filter(|f| f.ran).count() > 1 {
+            self.found(Breach::EffectTwice, a.ended, Some(id), format!("{} ran twice", op.name));
+        }
+        for (n, later) in all.iter().enumerate() {
+            let whole = later.whole.unwrap_or_default();
+            let earlier = &all[..n];
+            if let Some(first) = earlier.iter().find(|f| f.may_have_run()) {
+                let from = first.whole.unwrap_or_default();
+                let to = format!("to {} after {} ({:?})", name(later.to), name(first.to), first.how);
+                match op.effect {
+                    Effect::Idempotent => {}
+                    Effect::NonIdempotent => self.found(Breach::ForwardedAgain, whole, Some(id), to),
+                    Effect::Deduplicated if whole > from + op.window_ms * MS + self.slack => {
+                        self.found(Breach::RepeatedOutsideWindow, whole, Some(id), to);
+                    }
+                    Effect::Deduplicated => {}
+                }
+            }
+            let over = earlier.iter().find(|f| f.ended > whole + self.slack);
+            if let Some(first) = over.filter(|_| !self.second_copies) {
+                if self.blind {
+                    self.unjudged("overlaps behind links that lose bytes");
+                } else {
+                    let what = format!("to {} while out at {}", name(later.to), name(first.to));
+                    self.found(Breach::Overlapping, whole, Some(id), what);
+                }
+            }
+        }
+        let before = |f: &&&Forwarded| f.may_have_run() && f.whole.is_some_and(|w| w < a.ended);
+        if a.end == End::Throttled && op.effect == Effect::NonIdempotent {
+            if let Some(f) = all.iter().find(before) {
+                let what = format!("after {} ({:?})", name(f.to), f.how);
+                self.found(Breach::ThrottledThoughItMayHaveRun, a.ended, Some(id), what);
+            }
+        }
+    }
+
+    /// Told at the latest when discovery has known for so long: a silent subscription counts as informed.
+    fn drain(&mut self, id: u64, a: &Asked, f: &Forwarded) {
+        if f.to == ORIGIN {
+            return;
+        }
+        let told = self.told.get(&(a.node, f.to)).map_or(&[][..], |t| t);
+        let known = self.known.get(&f.to).map_or(&[][..], |k| k);
+        // Word that came in time, of this or of something newer, makes the latest moment for it moot.
+        let unheard = |at: Nanos| !told.iter().any(|t| (at..=at + self.informed).contains(&t.0));
+        let known = known.iter().filter(|k| unheard(k.0)).map(|(at, l)| (at + self.informed, *l));
+        let mut all: Vec<(Nanos, Listed)> = told.iter().copied().chain(known).collect();
+        all.sort_by_key(|t| t.0);
+        // What it knew a grace before, and whether it was told better since.
+        let Some(bar) = f.first.checked_sub(self.grace + self.slack) else { return };
+        let then = all.iter().rfind(|t| t.0 <= bar);
+        let since = all.iter().any(|t| t.0 > bar && t.0 <= f.first && t.1 == Listed::Ready);
+        if let Some((at, listed)) = then.filter(|t| t.1 != Listed::Ready && !since) {
+            let what = format!("to {}, {} ms after word of {listed:?}", name(f.to), (f.first - at) / MS);
+            self.found(Breach::SentToDrained, f.first, Some(id), what);
+        }
+    }
+
+    pub fn verdict(mut self) -> Verdict {
+        for at in std::mem::take(&mut self.stops) {
+            let from = at.saturating_sub(self.fall);
+            let of = self.fetches.iter().filter(|f| (from..=at).contains(&f.0));
+            let (mut all, mut cold) = (0, 0);
+            for (_, id) in of {
+                all += 1;
+                cold += u64::from(self.cold_missed.contains_key(id));
+            }
+            if all > 0 && cold as f64 > self.cold_misses * all as f64 {
+                let what = format!("{cold} of {all} fetches were misses at cold cache servers");
+                self.found(Breach::OriginStoppedByColdMisses, at, None, what);
+            } else {
+                self.seen("the origin stopped, not for cold misses");
+            }
+        }
+        self.verdict
+    }
+}
+
+fn name(to: u32) -> String {
+    if to == ORIGIN { "the origin".into() } else { format!("cache server {to}") }
+}
+
+/// Two tries of one client are two invocations; only this tells that they belong together.
+pub fn together(a: u64, b: u64) -> bool {
+    root(a) == root(b)
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/ledger/figures.rs
@@ -0,0 +1,219 @@
+//! Counts, rates and latencies of a run, by time.
+use super::{Asked, End, Forwarded, How, ORIGIN};
+use crate::scenario::Scenario;
+use crate::scenario::arrivals::root;
+use crate::{MS, Nanos, SECOND};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Pieces that a run's time is cut into, at the most.
+const PIECES: u64 = 240;
+/// Longest latency told apart, in µs.
+const LONGEST: u64 = 120_000_000;
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Counts {
+    pub asked: u64,
+    pub in_objective: u64,
+    pub past_objective: u64,
+    pub throttled: u64,
+    pub errored: u64,
+    /// Closed without an answer, silent, or never connected.
+    pub unanswered: u64,
+    pub left: u64,
+}
+
+/// Latencies in ms, from when an invocation was due to the end of its answer.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Quantiles {
+    pub p50: f64,
+    pub p90: f64,
+    pub p99: f64,
+    pub p999: f64,
+    pub max: f64,
+}
+
+/// One piece of the run's time.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Piece {
+    pub at_s: f64,
+    pub counts: Counts,
+    pub latency_ms: Quantiles,
+    pub fetches: u64,
+    pub connected: u64,
+    /// Forwards by cache server.
+    pub forwards: BTreeMap<u32, u64>,
+}
+
+/// The figures of a whole run.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Tally {
+    pub seconds: f64,
+    /// Counted by first tries; a retry that is in time makes its first try good.
+    pub total: Counts,
+    pub by_operation: BTreeMap<String, Counts>,
+    pub by_tenant: BTreeMap<String, Counts>,
+    /// Billed value answered within the objective, over that asked for.
+    pub value: f64,
+    pub latency_ms: Quantiles,
+    pub forwards: u64,
+    pub fetches: u64,
+    pub connected: u64,
+    pub outcomes: BTreeMap<String, u64>,
+    pub piece_s: f64,
+    pub pieces: Vec<Piece>,
+    /// The lab's own lateness.
+    pub late_ms: Quantiles,
+    pub late_bound_ms: f64,
+}
+
+impl Tally {
+    /// The lab dealt arrivals out in time, so that latencies speak of the node.
+    pub fn valid(&self) -> bool {
+        self.late_ms.p99 <= self.late_bound_ms
+    }
+    /// Part of the invocations that were answered within the latency objective.
+    pub fn good(&self) -> f64 {
+        self.total.in_objective as f64 / self.total.asked.max(1) as f64
+    }
+}
+
+struct Slice {
+    piece: Piece,
+    latency: Histogram<u64>,
+}
+
+pub struct Figures {
+    objectives: Vec<Nanos>,
+    values: Vec<f64>,
+    operations: Vec<String>,
+    tenants: Vec<String>,
+    tally: Tally,
+    piece: Nanos,
+    slices: BTreeMap<u64, Slice>,
+    latency: Histogram<u64>,
+    late: Histogram<u64>,
+    asked_value: f64,
+    good_value: f64,
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST, 2).expect("these bounds are allowed")
+}
+
+fn quantiles(h: &Histogram<u64>) -> Quantiles {
+    if h.is_empty() {
+        return Quantiles::default();
+    }
+    let at = |q| h.value_at_quantile(q) as f64 / 1e3;
+    Quantiles { p50: at(0.5), p90: at(0.9), p99: at(0.99), p999: at(0.999), max: h.max() as f64 / 1e3 }
+}
+
+impl Figures {
+    pub fn new(s: &Scenario) -> Figures {
+        let piece = (s.length_s / PIECES as f64).max(0.25);
+        Figures {
+            objectives: s.operation.iter().map(|o| o.objective_ms * MS).collect(),
+            values: s.operation.iter().map(|o| o.billed_value).collect(),
+            operations: s.operation.iter().map(|o| o.name.clone()).collect(),
+            tenants: s.tenant.iter().map(|t| t.name.clone()).collect(),
+            tally: Tally {
+                seconds: s.length_s,
+                piece_s: piece,
+                late_bound_ms: s.load.late_ms,
+                ..Tally::default()
+            },
+            piece: (piece * 1e9) as Nanos,
+            slices: BTreeMap::new(),
+            latency: histogram(),
+            late: histogram(),
+            asked_value: 0.0,
+            good_value: 0.0,
+        }
+    }
+
+    fn slice(&mut self, at: Nanos) -> &mut Slice {
+        let n = at / self.piece;
+        let at_s = (n * self.piece) as f64 / SECOND as f64;
+        let fresh = || Slice { piece: Piece { at_s, ..Piece::default() }, latency: histogram() };
+        self.slices.entry(n).or_insert_with(fresh)
+    }
+
+    pub fn asked(&mut self, a: &Asked, operation: u8) {
+        let op = usize::from(operation).min(self.objectives.len() - 1);
+        let first = a.id == root(a.id);
+        let took = a.ended.saturating_sub(a.first_due);
+        let good = a.end == End::Succeeded && took <= self.objectives[op];
+        let us = (took / 1000).clamp(1, LONGEST);
+        if first {
+            self.late.saturating_record((a.dealt.saturating_sub(a.due) / 1000).clamp(1, LONGEST));
+            self.asked_value += self.values[op];
+        }
+        if good {
+            self.good_value += self.values[op];
+        }
+        if a.end == End::Succeeded {
+            self.latency.saturating_record(us);
+        }
+        let count = |c: &mut Counts| {
+            c.asked += u64::from(first);
+            match a.end {
+                End::Succeeded if good => c.in_objective += 1,
+                End::Succeeded => c.past_objective += 1,
+                End::Throttled => c.throttled += 1,
+                End::Errored | End::Foreign => c.errored += 1,
+                End::Closed | End::Silent | End::Unconnected => c.unanswered += 1,
+                End::Left => c.left += 1,
+            }
+        };
+        count(&mut self.tally.total);
+        count(self.tally.by_operation.entry(self.operations[op].clone()).or_default());
+        let tenant = usize::from(a.tenant).min(self.tenants.len() - 1);
+        count(self.tally.by_tenant.entry(self.tenants[tenant].clone()).or_default());
+        let slice = self.slice(a.first_due);
+        count(&mut slice.piece.counts);
+        if a.end == End::Succeeded {
+            slice.latency.saturating_record(us);
+        }
+    }
+
+    pub fn forwarded(&mut self, f: &Forwarded) {
+        let how = match f.how {
+            How::Done => "done",
+            How::Repeat => "repeat",
+            How::Miss => "miss",
+            How::NotRun => "not run",
+            How::Error => "error",
+            How::Reset => "reset",
+            How::Withdrawn => "withdrawn",
+            How::Open => "open",
+        };
+        match self.tally.outcomes.get_mut(how) {
+            Some(count) => *count += 1,
+            None => drop(self.tally.outcomes.insert(how.into(), 1)),
+        }
+        let slice = self.slice(f.first);
+        if f.to == ORIGIN {
+            slice.piece.fetches += 1;
+            self.tally.fetches += 1;
+        } else {
+            *slice.piece.forwards.entry(f.to).or_default() += 1;
+            self.tally.forwards += 1;
+        }
+    }
+
+    pub fn connected(&mut self, at: Nanos, _to: u32) {
+        self.tally.connected += 1;
+        self.slice(at).piece.connected += 1;
+    }
+
+    pub fn tally(mut self) -> Tally {
+        self.tally.value = self.good_value / self.asked_value.max(1e-9);
+        self.tally.latency_ms = quantiles(&self.latency);
+        self.tally.late_ms = quantiles(&self.late);
+        let piece = |s: Slice| Piece { latency_ms: quantiles(&s.latency), ..s.piece };
+        self.tally.pieces = self.slices.into_values().map(piece).collect();
+        self.tally
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/main.rs
@@ -0,0 +1,308 @@
+//! The lab's command line.
+use clap::{Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use sparrouter_lab::experiment::sweep::By;
+use sparrouter_lab::experiment::{compare, soak, sweep};
+use sparrouter_lab::play::{self, Program, Run};
+use sparrouter_lab::scenario::{Scenario, arrivals::Arrivals, schedule};
+use sparrouter_lab::stand::bad::Kind;
+use sparrouter_lab::stand::relay;
+use sparrouter_lab::{SECOND, report};
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(
+    name = "sparrouter-lab",
+    about = "Plays cache servers, origin, discovery, links and clients around real nodes on loopback",
+    after_help = "PROGRAM is a node's program, or one of: node (the one built beside this), relay (a bare \
+                  forwarder of bytes), direct (no node at all), bad:NAME (a node that does one thing wrong).\n\
+                  Exit codes: 0 all rules kept, 1 a rule broken or a run not valid, 2 bad input."
+)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a scenario once, judge the rules, write run.json and report.html
+    Play {
+        scenario: PathBuf,
+        #[arg(long, default_value = "node")]
+        program: String,
+        /// Where the run is left; otherwise runs/NAME
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Play another seed than the scenario's
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Play at another rate, invocations a second
+        #[arg(long)]
+        rate: Option<f64>,
+    },
+    /// Play two programs in turn and give the ratio of each pair
+    Compare {
+        scenario: PathBuf,
+        #[arg(long, default_value = "node")]
+        a: String,
+        #[arg(long, default_value = "relay")]
+        b: String,
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=50))]
+        pairs: u16,
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Step the rate up to the highest at which 99.9 % are within the latency objective
+    Sweep {
+        scenario: PathBuf,
+        #[arg(long, default_value = "node")]
+        program: String,
+        /// Find a knee for each value of this
+        #[arg(long, requires = "values")]
+        by: Option<By>,
+        #[arg(long, value_delimiter = ',')]
+        values: Vec<usize>,
+        /// Close in until two rates differ by no more than this ratio
+        #[arg(long, default_value_t = 1.1)]
+        within: f64,
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Play a scenario for long and tell what grows
+    Soak {
+        scenario: PathBuf,
+        #[arg(long, default_value = "node")]
+        program: String,
+        #[arg(long, default_value_t = 10.0)]
+        minutes: f64,
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Write a run's page anew from its run.json
+    Report { run: PathBuf },
+    /// Read a scenario and say what would be played; starts nothing
+    Check { scenario: PathBuf },
+    /// Forward bytes, for the lab's own baseline
+    #[command(hide = true)]
+    Relay {
+        #[arg(long)]
+        listen: SocketAddr,
+        #[arg(long, value_delimiter = ',')]
+        to: Vec<SocketAddr>,
+    },
+}
+
+fn program(name: &str) -> Result<Program, String> {
+    let own = std::env::current_exe().map_err(|e| format!("own program: {e}"))?;
+    Ok(match name {
+        "direct" => Program::Direct,
+        "relay" => Program::Relay(own),
+        "node" => Program::Node(beside(&own)?),
+        _ => match name.strip_prefix("bad:") {
+            Some(kind) => {
+                let kinds = <Kind as clap::ValueEnum>::value_variants();
+                let words: Vec<String> = kinds.iter().map(|k| word(*k)).collect();
+                let found = kinds.iter().find(|k| word(**k) == kind);
+                Program::Bad(*found.ok_or(format!("no bad node {kind}; there are {}", words.join(", ")))?)
+            }
+            None if Path::new(name).is_file() => Program::Node(name.into()),
+            None => return Err(format!("no program {name}; give a path, or node, relay, direct, bad:NAME")),
+        },
+    })
+}
+
+fn word(kind: Kind) -> String {
+    clap::ValueEnum::to_possible_value(&kind).map_or(String::new(), |v| v.get_name().to_string())
+}
+
+fn beside(own: &Path) -> Result<PathBuf, String> {
+    let path = own.with_file_name("sparrouter-node");
+    let found = path.is_file();
+    found
+        .then_some(path.clone())
+        .ok_or(format!("{}: not there; build it with cargo build --release", path.display()))
+}
+
+fn read(path: &Path) -> Result<Scenario, String> {
+    Ok(Scenario::read(path).map_err(|e| e.to_string())?.with_defaults())
+}
+
+/// With a bar where somebody looks.
+fn play_one(scenario: &Scenario, program: &Program, folder: &Path) -> Result<Run, String> {
+    let bar = if std::io::stderr().is_terminal() {
+        let style = ProgressStyle::with_template("{msg} {bar:40} {pos}/{len} s").expect("a fixed template");
+        ProgressBar::new(scenario.length_s.ceil() as u64)
+            .with_style(style)
+            .with_message(scenario.name.clone())
+    } else {
+        ProgressBar::hidden()
+    };
+    let run = play::play(scenario, program, folder, |at| bar.set_position(at / SECOND));
+    bar.finish_and_clear();
+    run.map_err(|e| e.to_string())
+}
+
+fn folder(out: Option<PathBuf>, name: &str) -> PathBuf {
+    out.unwrap_or_else(|| Path::new("runs").join(name))
+}
+
+/// Whether all was well.
+fn run(command: Command) -> Result<bool, String> {
+    match command {
+        Command::Play { scenario, program: name, out, seed, rate } => {
+            let (mut scenario, program) = (read(&scenario)?, program(&name)?);
+            scenario.seed = seed.unwrap_or(scenario.seed);
+            if let Some(rate) = rate {
+                scenario.load.rate_per_s = rate;
+            }
+            let folder = folder(out, &scenario.name);
+            let run = play_one(&scenario, &program, &folder)?;
+            let page = report::write(&run, &folder).map_err(|e| e.to_string())?;
+            print!("{}report: {}\n", report::table(&run), page.display());
+            Ok(run.verdict.kept() && run.tally.valid())
+        }
+        Command::Compare { scenario, a, b, pairs, out } => {
+            let scenario = read(&scenario)?;
+            let folder = folder(out, &format!("{}-compare", scenario.name));
+            let (a, b) = (program(&a)?, program(&b)?);
+            let mut kept = true;
+            let done = |run: &Run| {
+                kept &= run.verdict.kept() && run.tally.valid();
+                eprintln!(
+                    "{}: {:.4} in time, p99 {:.2} ms",
+                    run.program,
+                    run.tally.good(),
+                    run.tally.latency_ms.p99
+                );
+            };
+            let pairs = compare::compare(&scenario, &a, &b, usize::from(pairs), &folder, done);
+            println!("A {}, B {}; {}", a.name(), b.name(), scenario.name);
+            println!("{:<20}{:>11}{:>11}{:>9}{:>9}{:>9}", "", "A", "B", "A/B min", "median", "max");
+            for row in compare::rows(&pairs.map_err(|e| e.to_string())?) {
+                let (r, middle) = (row.ratios(), row.a.len() / 2);
+                let at = |n: usize| r.get(n).copied().unwrap_or(f64::NAN);
+                let (low, mid, high) = (at(0), at(r.len() / 2), at(r.len().saturating_sub(1)));
+                let sorted = |v: &[f64]| {
+                    let mut v = v.to_vec();
+                    v.sort_by(f64::total_cmp);
+                    v[middle]
+                };
+                let (a, b) = (sorted(&row.a), sorted(&row.b));
+                println!("{:<20}{a:>11.3}{b:>11.3}{low:>9.3}{mid:>9.3}{high:>9.3}  {}", row.name, row.word());
+            }
+            Ok(kept)
+        }
+        Command::Sweep { scenario, program: name, by, values, within, out } => {
+            let (scenario, program) = (read(&scenario)?, program(&name)?);
+            if within <= 1.0 {
+                return Err(format!("--within {within}: a ratio above 1 is needed"));
+            }
+            let folder = folder(out, &format!("{}-sweep", scenario.name));
+            let points = match by {
+                Some(by) => values.iter().map(|v| (v.to_string(), sweep::with(&scenario, by, *v))).collect(),
+                None => vec![(String::from("-"), scenario.clone())],
+            };
+            println!(
+                "{:<8}{:>11}{:>9}{:>9}{:>9}{:>11}{:>9}",
+                by.map_or("".into(), |b| format!("{b:?}").to_lowercase()),
+                "knee /s",
+                "p50 ms",
+                "p99",
+                "p99.9",
+                "us a piece",
+                "MB"
+            );
+            for (value, s) in points {
+                let done = |step: &sweep::Step| {
+                    let (run, held) = (&step.run, if step.held { "held" } else { "not held" });
+                    let good = run.tally.good();
+                    eprintln!(
+                        "{value}: {:.0}/s {held}: {good:.5} in time, p99 {:.2} ms, {} breaches, late p99 {:.2} ms",
+                        step.rate_per_s,
+                        run.tally.latency_ms.p99,
+                        run.verdict.breaches.len(),
+                        run.tally.late_ms.p99
+                    );
+                };
+                let steps = sweep::sweep(&s, &program, within, &folder.join(&value), done)
+                    .map_err(|e| e.to_string())?;
+                match sweep::knee(&steps) {
+                    Some(k) => {
+                        let q = &k.run.tally.latency_ms;
+                        println!(
+                            "{value:<8}{:>11.0}{:>9.2}{:>9.2}{:>9.2}{:>11.1}{:>9.1}",
+                            k.rate_per_s,
+                            q.p50,
+                            q.p99,
+                            q.p999,
+                            k.run.cpu_us(),
+                            k.run.memory_mb
+                        );
+                    }
+                    None => println!("{value:<8}no rate held"),
+                }
+            }
+            Ok(true)
+        }
+        Command::Soak { scenario, program: name, minutes, out } => {
+            let (mut scenario, program) = (read(&scenario)?, program(&name)?);
+            scenario.length_s = minutes * 60.0;
+            let folder = folder(out, &format!("{}-soak", scenario.name));
+            let run = play_one(&scenario, &program, &folder)?;
+            let page = report::write(&run, &folder).map_err(|e| e.to_string())?;
+            print!("{}", report::table(&run));
+            let all = soak::growth(&run);
+            for g in &all {
+                let word = if g.grows() { "GROWS" } else { "steady" };
+                println!(
+                    "n{}: memory {:.1} to {:.1} MB, descriptors {:.0} to {:.0}: {word}",
+                    g.node, g.memory_mb.0, g.memory_mb.1, g.descriptors.0, g.descriptors.1
+                );
+            }
+            println!("report: {}", page.display());
+            Ok(run.verdict.kept() && !all.iter().any(|g| g.grows()))
+        }
+        Command::Report { run } => {
+            let folder =
+                if run.is_dir() { run.clone() } else { run.parent().unwrap_or(Path::new(".")).into() };
+            let run = report::read(&run).map_err(|e| e.to_string())?;
+            let page = report::write(&run, &folder).map_err(|e| e.to_string())?;
+            print!("{}report: {}\n", report::table(&run), page.display());
+            Ok(run.verdict.kept())
+        }
+        Command::Check { scenario } => {
+            let s = read(&scenario)?;
+            let (schedule, arrivals) = (schedule::draw(&s), Arrivals::new(&s).count());
+            println!(
+                "{}: {} nodes, {} cache servers ({} in all), {arrivals} arrivals in {} s, {} steps of faults",
+                s.name,
+                s.nodes.count,
+                s.caches.count,
+                schedule.caches,
+                s.length_s,
+                schedule.steps.len()
+            );
+            for step in &schedule.steps {
+                println!("{:>10.3} s  {:?}", step.at as f64 / SECOND as f64, step.act);
+            }
+            Ok(true)
+        }
+        Command::Relay { listen, to } => {
+            relay::run(listen, to).map(|()| true).map_err(|e| format!("relay on {listen}: {e}"))
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(text) => {
+            eprintln!("{text}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/report.rs
@@ -0,0 +1,30 @@
+//! What a run leaves behind for people: `run.json` and one page with plots.
+mod page;
+mod plots;
+
+use crate::play::{Failed, Run};
+use std::path::{Path, PathBuf};
+
+/// Writes both into the folder; gives the page's path.
+pub fn write(run: &Run, folder: &Path) -> Result<PathBuf, Failed> {
+    let failed = |path: &Path| {
+        let path = path.display().to_string();
+        move |e| Failed::Io(path, e)
+    };
+    std::fs::create_dir_all(folder).map_err(failed(folder))?;
+    let (json, page) = (folder.join("run.json"), folder.join("report.html"));
+    let text = serde_json::to_string(run).map_err(|e| failed(&json)(e.into()))?;
+    std::fs::write(&json, text).map_err(failed(&json))?;
+    std::fs::write(&page, page::page(run)).map_err(failed(&page))?;
+    Ok(page)
+}
+
+/// Reads a run again, from its folder or its file.
+pub fn read(path: &Path) -> Result<Run, Failed> {
+    let path = if path.is_dir() { path.join("run.json") } else { path.to_path_buf() };
+    let failed = |e| Failed::Io(path.display().to_string(), e);
+    let text = std::fs::read_to_string(&path).map_err(failed)?;
+    serde_json::from_str(&text).map_err(|e| failed(e.into()))
+}
+
+pub use page::table;
--- /dev/null
+++ b/crates/sparrouter-lab/src/scenario/mod.rs
@@ -0,0 +1,366 @@
+//! What a person writes down: the fleet, the load, the faults. Read and checked as a whole before
+//! anything starts.
+pub mod arrivals;
+mod check;
+pub mod faults;
+pub mod schedule;
+
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+
+pub use faults::Fault;
+
+/// Why a scenario can't be played; one line a problem, each with file, line and field.
+#[derive(Debug, thiserror::Error)]
+pub enum Unusable {
+    #[error("{0}: {1}")]
+    Unread(PathBuf, std::io::Error),
+    #[error("{}", .0.join("\n"))]
+    Wrong(Vec<String>),
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    #[serde(default)]
+    pub about: String,
+    pub seed: u64,
+    /// Arrivals come for so long.
+    pub length_s: f64,
+    #[serde(default)]
+    pub nodes: Nodes,
+    #[serde(default)]
+    pub caches: Caches,
+    #[serde(default)]
+    pub origin: Origin,
+    #[serde(default)]
+    pub discovery: Discovery,
+    #[serde(default)]
+    pub peers: Peers,
+    pub load: Load,
+    #[serde(default)]
+    pub rules: Rules,
+    #[serde(default)]
+    pub operation: Vec<Operation>,
+    #[serde(default)]
+    pub tenant: Vec<Tenant>,
+    #[serde(default)]
+    pub link: Vec<Link>,
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Nodes {
+    pub count: usize,
+    pub memory_mb: usize,
+    pub sockets: usize,
+    /// The front goes on dealing clients out to a dead node for so long.
+    pub front_notices_s: f64,
+    pub max_forwards: usize,
+    pub second_copies: bool,
+    pub may_probe: bool,
+    /// Longest advice in a throttling reply; 0: none is allowed.
+    pub max_retry_after_ms: u64,
+}
+
+impl Default for Nodes {
+    fn default() -> Nodes {
+        Nodes {
+            count: 1,
+            memory_mb: 192,
+            sockets: 4096,
+            front_notices_s: 1.0,
+            max_forwards: 4,
+            second_copies: false,
+            may_probe: true,
+            max_retry_after_ms: 1000,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Caches {
+    pub count: usize,
+    pub cores: usize,
+    /// Work done by a core, as a multiple of the yardstick that `work_ms` is in.
+    pub speed: f64,
+    /// Spread of the speeds: each is drawn up to this part above or below.
+    pub speed_spread: f64,
+    /// Invocations that wait beyond those on cores; one more is turned away unseen.
+    pub waiting: usize,
+    pub connections: usize,
+    /// What a new connection costs in work.
+    pub connect_ms: f64,
+    /// It closes connections that idle for so long.
+    pub idle_s: f64,
+    /// Keys that one keeps; 0: it holds every key and never misses.
+    pub keys: usize,
+    pub cold_from: f64,
+    pub cold_s: f64,
+    pub zones: usize,
+    /// Length of a reply's body.
+    pub body_bytes: usize,
+    /// Work that waits is dropped when its connection is closed.
+    pub drops_withdrawn: bool,
+}
+
+impl Default for Caches {
+    fn default() -> Caches {
+        Caches {
+            count: 8,
+            cores: 2,
+            speed: 1.0,
+            speed_spread: 0.0,
+            waiting: 16,
+            connections: 1200,
+            connect_ms: 0.0,
+            idle_s: 5.0,
+            keys: 0,
+            cold_from: 0.2,
+            cold_s: 10.0,
+            zones: 1,
+            body_bytes: 32,
+            drops_withdrawn: true,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Origin {
+    /// Fetches and writes that it can do in a second.
+    pub per_s: f64,
+    /// One takes so long when nothing waits.
+    pub takes_ms: f64,
+    /// It turns away what would wait longer.
+    pub queue_s: f64,
+    /// Sent this multiple of its capacity for `rules.fall_s`, it stops; 0: never.
+    pub stops_at: f64,
+    pub stopped_s: f64,
+}
+
+impl Default for Origin {
+    fn default() -> Origin {
+        Origin { per_s: 100.0, takes_ms: 50.0, queue_s: 1.0, stops_at: 3.0, stopped_s: 4.0 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// Drawn anew for each change: until it knows of a start, and of a drain or end.
+    pub add_s: [f64; 2],
+    pub notice_s: [f64; 2],
+    /// Until it notices a process that died without a word.
+    pub silent_notice_s: [f64; 2],
+}
+
+impl Default for Discovery {
+    fn default() -> Discovery {
+        Discovery { add_s: [0.3, 1.0], notice_s: [0.5, 1.5], silent_notice_s: [2.0, 4.0] }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Peers {
+    pub allowed: bool,
+    pub delay_ms: [f64; 2],
+    pub lost_part: f64,
+}
+
+impl Default for Peers {
+    fn default() -> Peers {
+        Peers { allowed: true, delay_ms: [2.0, 20.0], lost_part: 0.02 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    pub rate_per_s: f64,
+    /// Grows evenly to this multiple of the rate at the end.
+    #[serde(default = "one")]
+    pub ramp_to: f64,
+    #[serde(default = "many")]
+    pub keys: usize,
+    #[serde(default = "one")]
+    pub zipf: f64,
+    /// Connections to each node at the most; what finds none waits, and its latency counts.
+    #[serde(default = "wide")]
+    pub connections: usize,
+    #[serde(default)]
+    pub retries: u32,
+    #[serde(default = "backoff")]
+    pub backoff_ms: f64,
+    /// Clients wait for this part of the operation's client timeout, then close.
+    #[serde(default = "one")]
+    pub try_part: f64,
+    /// Invocations whose client closes its connection half way.
+    #[serde(default)]
+    pub leave_part: f64,
+    #[serde(default)]
+    pub marks_retries: bool,
+    /// Its own lateness in dealing arrivals out (p99) past which a run is not valid.
+    #[serde(default = "lateness")]
+    pub late_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+fn many() -> usize {
+    2000
+}
+fn wide() -> usize {
+    512
+}
+fn backoff() -> f64 {
+    50.0
+}
+fn lateness() -> f64 {
+    5.0
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Nothing new to a cache server later than this after the node was told.
+    pub drain_grace_ms: u64,
+    /// A change counts as told after this at the latest, whether or not it arrived.
+    pub informed_s: f64,
+    pub fall_multiple: f64,
+    pub fall_s: f64,
+    /// An answer may come so long after the client timeout before it counts as late: the audit's slack.
+    pub answer_slack_ms: u64,
+    pub ask_every_s: f64,
+    /// Part of a stopped origin's load that misses at cold cache servers may be.
+    pub cold_misses: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            drain_grace_ms: 500,
+            informed_s: 6.0,
+            fall_multiple: 2.5,
+            fall_s: 1.0,
+            answer_slack_ms: 50,
+            ask_every_s: 10.0,
+            cold_misses: 0.3,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operation {
+    pub name: String,
+    #[serde(default = "one")]
+    pub share: f64,
+    pub effect: Effect,
+    #[serde(default)]
+    pub write: bool,
+    /// Mean work at a core of speed 1; drawn around it. 0: answered at once.
+    #[serde(default)]
+    pub work_ms: f64,
+    pub objective_ms: u64,
+    pub client_timeout_ms: u64,
+    #[serde(default = "one")]
+    pub billed_value: f64,
+    /// Cache servers drop a repeat of a deduplicated invocation for so long.
+    #[serde(default)]
+    pub window_ms: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    pub name: String,
+    /// Part of the fleet that was agreed on, and of the traffic that it sends.
+    pub share: f64,
+    pub sends: f64,
+    pub quota_per_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum Before {
+    Nodes,
+    Caches,
+    Origin,
+    Discovery,
+}
+
+/// A link stands before each of these for the whole run, so that faults can act on it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Link {
+    pub before: Before,
+    #[serde(default)]
+    pub delay_ms: f64,
+    #[serde(default)]
+    pub jitter_ms: f64,
+}
+
+impl Scenario {
+    /// Reads and checks; all that is wrong comes back at once.
+    pub fn read(path: &Path) -> Result<Scenario, Unusable> {
+        let text = std::fs::read_to_string(path).map_err(|e| Unusable::Unread(path.into(), e))?;
+        Scenario::parse(&path.display().to_string(), &text)
+    }
+
+    /// `file` is the name that errors give.
+    pub fn parse(file: &str, text: &str) -> Result<Scenario, Unusable> {
+        let read: Result<Scenario, toml::de::Error> = toml::from_str(text);
+        let scenario = read.map_err(|e| {
+            let line = e.span().map_or(1, |s| text[..s.start].matches('\n').count() + 1);
+            Unusable::Wrong(vec![format!("{file}:{line}: {}", e.message().replace('\n', " "))])
+        })?;
+        let wrong = check::check(&scenario);
+        if wrong.is_empty() {
+            return Ok(scenario);
+        }
+        let line =
+            |w: &check::Wrong| format!("{file}:{}: {}: {}", check::line(text, &w.field), w.field, w.why);
+        Err(Unusable::Wrong(wrong.iter().map(line).collect()))
+    }
+
+    /// The operations that are played; one plain read where none is named.
+    pub fn with_defaults(mut self) -> Scenario {
+        if self.operation.is_empty() {
+            self.operation.push(Operation {
+                name: "read".into(),
+                share: 1.0,
+                effect: Effect::Idempotent,
+                write: false,
+                work_ms: 0.0,
+                objective_ms: 250,
+                client_timeout_ms: 1000,
+                billed_value: 1.0,
+                window_ms: 0,
+            });
+        }
+        if self.tenant.is_empty() {
+            self.tenant.push(Tenant { name: "all".into(), share: 1.0, sends: 1.0, quota_per_s: 1e9 });
+        }
+        self
+    }
+
+    /// Longest time that any client waits.
+    pub fn longest_ms(&self) -> u64 {
+        self.operation.iter().map(|o| o.client_timeout_ms).max().unwrap_or(1000)
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/scenario/schedule.rs
@@ -0,0 +1,238 @@
+//! Faults as single steps on single stand-ins, drawn ahead from the seed.
+use super::faults::{DiscoveryTrouble, Fault, LinkTrouble};
+use super::{Before, Scenario};
+use crate::{Nanos, nanos};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+/// Entries of discovery's list, in our words.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Listed {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// What links do, until told otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Way {
+    pub delay_ms: f64,
+    pub jitter_ms: f64,
+    pub kib_per_s: f64,
+    pub how: LinkTrouble,
+    pub bytes: u64,
+}
+
+/// One step; numbers are those of cache servers (in the order of their first start) or nodes.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Act {
+    /// A process starts, cold; a new cache server or the same anew.
+    Start(usize),
+    Die(usize),
+    /// Told to finish what it has.
+    Drain(usize),
+    Hang(usize, bool),
+    Pause(usize, f64),
+    Spoil(usize, f64, f64),
+    SpoilOrigin(f64, f64),
+    /// Discovery comes to know.
+    List(usize, Listed),
+    Flush(f64),
+    NodeStop(usize),
+    NodeKill(usize),
+    NodeStart(usize),
+    Discovery(Option<DiscoveryTrouble>),
+    DiscoveryMoves,
+    /// A link before one of the group; the number is the cache server's or node's.
+    Link(Before, usize, Way),
+    Notes(f64, f64),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Step {
+    pub at: Nanos,
+    pub act: Act,
+}
+
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    /// By time; those of one time in the order drawn.
+    pub steps: Vec<Step>,
+    /// Cache servers that there ever are; the first `caches.count` stand from the beginning.
+    pub caches: usize,
+    /// Their speeds and zones.
+    pub speeds: Vec<f64>,
+}
+
+struct Draw<'a> {
+    s: &'a Scenario,
+    rng: ChaCha8Rng,
+    steps: Vec<Step>,
+    caches: usize,
+    /// Cache servers that are meant to serve at the fault's moment.
+    alive: Vec<usize>,
+}
+
+impl Draw<'_> {
+    fn put(&mut self, at: f64, act: Act) {
+        self.steps.push(Step { at: nanos(at), act });
+    }
+    fn within(&mut self, [from, to]: [f64; 2]) -> f64 {
+        from + (to - from) * self.rng.random::<f64>()
+    }
+    /// Some of those alive; at least one where the part is above 0.
+    fn some(&mut self, part: f64) -> Vec<usize> {
+        let mut all = self.alive.clone();
+        all.shuffle(&mut self.rng);
+        let count = (part * all.len() as f64).round() as usize;
+        all.truncate(count.max(usize::from(part > 0.0)));
+        all
+    }
+    fn add(&mut self, at: f64) {
+        let new = self.caches;
+        self.caches += 1;
+        self.alive.push(new);
+        let known = at + self.within(self.s.discovery.add_s);
+        self.put(at, Act::Start(new));
+        self.put(known, Act::List(new, Listed::Ready));
+    }
+    fn retire(&mut self, cache: usize, at: f64, drain_s: f64) {
+        self.alive.retain(|c| *c != cache);
+        let known = at + self.within(self.s.discovery.notice_s);
+        self.put(at, Act::Drain(cache));
+        self.put(known, Act::List(cache, Listed::Draining));
+        let ends = (at + drain_s).max(known);
+        self.put(ends, Act::Die(cache));
+        let known = ends + self.within(self.s.discovery.notice_s);
+        self.put(known, Act::List(cache, Listed::Gone));
+    }
+
+    fn fault(&mut self, f: &Fault) {
+        let (from, to, _) = f.span();
+        match *f {
+            Fault::Crash { part, .. } => {
+                for c in self.some(part) {
+                    self.put(from, Act::Die(c));
+                    let noticed = from + self.within(self.s.discovery.silent_notice_s);
+                    let back = to + self.within(self.s.discovery.add_s);
+                    // One that is back before anybody noticed never left the list.
+                    if noticed < to {
+                        self.put(noticed, Act::List(c, Listed::Gone));
+                    }
+                    self.put(to, Act::Start(c));
+                    self.put(back, Act::List(c, Listed::Ready));
+                }
+            }
+            Fault::Hang { part, .. } => {
+                for c in self.some(part) {
+                    self.put(from, Act::Hang(c, true));
+                    self.put(to, Act::Hang(c, false));
+                }
+            }
+            Fault::Pauses { part, pause_ms, every_s, .. } => {
+                for c in self.some(part) {
+                    let mut at = from + every_s * self.rng.random::<f64>();
+                    while at < to {
+                        self.put(at, Act::Pause(c, pause_ms));
+                        at += every_s * (0.75 + 0.5 * self.rng.random::<f64>());
+                    }
+                }
+            }
+            Fault::Spoilt { part, errors, resets, .. } => {
+                for c in self.some(part) {
+                    self.put(from, Act::Spoil(c, errors, resets));
+                    self.put(to, Act::Spoil(c, 0.0, 0.0));
+                }
+            }
+            Fault::SpoiltOrigin { errors, resets, .. } => {
+                self.put(from, Act::SpoilOrigin(errors, resets));
+                self.put(to, Act::SpoilOrigin(0.0, 0.0));
+            }
+            Fault::Burst { .. } | Fault::HotKey { .. } => {}
+            Fault::Flush { part, .. } => self.put(from, Act::Flush(part)),
+            Fault::Deploy { length_s, part, batch, drain_s, .. } => {
+                let old = self.some(part);
+                let size = ((batch * self.alive.len() as f64).round() as usize).max(1);
+                let batches: Vec<Vec<usize>> = old.chunks(size).map(<[usize]>::to_vec).collect();
+                let step = length_s / batches.len().max(1) as f64;
+                for (n, batch) in batches.iter().enumerate() {
+                    let at = from + step * n as f64;
+                    for &c in batch {
+                        self.retire(c, at, drain_s);
+                        self.add(at + drain_s * 0.5);
+                    }
+                }
+            }
+            Fault::Shrink { length_s, part, drain_s, .. } => {
+                let old = self.some(part);
+                let step = length_s / old.len().max(1) as f64;
+                for (n, c) in old.into_iter().enumerate() {
+                    self.retire(c, from + step * n as f64, drain_s);
+                }
+            }
+            Fault::Grow { times, .. } => {
+                let more = ((times - 1.0) * self.alive.len() as f64).round() as usize;
+                (0..more).for_each(|_| self.add(from));
+            }
+            Fault::NodeRestart { length_s, part, down_s, killed, .. } => {
+                let count = (part * self.s.nodes.count as f64).round() as usize;
+                let mut all: Vec<usize> = (0..self.s.nodes.count).collect();
+                all.shuffle(&mut self.rng);
+                for (n, node) in all.into_iter().take(count.max(1)).enumerate() {
+                    let at = from + length_s * n as f64 / count.max(1) as f64;
+                    self.put(at, if killed { Act::NodeKill(node) } else { Act::NodeStop(node) });
+                    self.put(at + down_s, Act::NodeStart(node));
+                }
+            }
+            Fault::DiscoveryTrouble { how, .. } => {
+                self.put(from, Act::Discovery(Some(how)));
+                self.put(to, Act::Discovery(None));
+            }
+            Fault::DiscoveryMoved { .. } => self.put(from, Act::DiscoveryMoves),
+            Fault::Links { before, part, delay_ms, jitter_ms, kib_per_s, how, bytes, .. } => {
+                let which = match before {
+                    Before::Caches => self.some(part),
+                    Before::Nodes => (0..self.s.nodes.count).collect(),
+                    Before::Origin | Before::Discovery => vec![0],
+                };
+                for n in which {
+                    let way = Way { delay_ms, jitter_ms, kib_per_s, how, bytes };
+                    self.put(from, Act::Link(before, n, way));
+                    self.put(to, Act::Link(before, n, base(self.s, before)));
+                }
+            }
+            Fault::Notes { lost_part, delay_ms, .. } => {
+                self.put(from, Act::Notes(lost_part, delay_ms));
+                self.put(to, Act::Notes(self.s.peers.lost_part, 0.0));
+            }
+        }
+    }
+}
+
+/// What the links before a group do when nothing is wrong.
+pub fn base(s: &Scenario, before: Before) -> Way {
+    let link = s.link.iter().find(|l| l.before == before);
+    link.map_or(Way::default(), |l| Way { delay_ms: l.delay_ms, jitter_ms: l.jitter_ms, ..Way::default() })
+}
+
+/// Faults in the order of their beginnings, so that each finds the fleet that the one before has left.
+pub fn draw(s: &Scenario) -> Schedule {
+    let mut d = Draw {
+        s,
+        rng: ChaCha8Rng::seed_from_u64(s.seed ^ 0x5eed_fa17),
+        steps: Vec::new(),
+        caches: s.caches.count,
+        alive: (0..s.caches.count).collect(),
+    };
+    let mut faults: Vec<&Fault> = s.fault.iter().collect();
+    faults.sort_by(|a, b| a.span().0.total_cmp(&b.span().0));
+    faults.into_iter().for_each(|f| d.fault(f));
+    d.steps.sort_by_key(|step| step.at);
+    let spread = s.caches.speed_spread;
+    let speeds: Vec<f64> = (0..d.caches)
+        .map(|_| s.caches.speed * (1.0 + spread * (2.0 * d.rng.random::<f64>() - 1.0)))
+        .collect();
+    Schedule { steps: d.steps, caches: d.caches, speeds }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/stand/discovery.rs
@@ -0,0 +1,290 @@
+//! Discovery by its protocol: the whole list, or a watch on what changes. Each node has an address of its
+//! own for it, so that the ledger knows whom it has told what.
+use super::Lab;
+use super::fleet::Fleet;
+use crate::http;
+use crate::ledger::Record;
+use crate::scenario::faults::DiscoveryTrouble;
+use crate::scenario::schedule::Listed;
+use bytes::BytesMut;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+/// A line of the list, in the protocol's words.
+#[derive(Clone, Debug, Serialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    az: String,
+    model: &'static str,
+    pod_group: u32,
+    state: &'static str,
+    capacity_hint: f64,
+    boot_ms: u64,
+    #[serde(skip)]
+    number: u32,
+    #[serde(skip)]
+    rev: u64,
+    #[serde(skip)]
+    listed: Listed,
+}
+
+#[derive(Serialize)]
+struct Listing<'a> {
+    rev: u64,
+    all: bool,
+    targets: Vec<&'a Target>,
+}
+
+struct State {
+    targets: Vec<Target>,
+    rev: u64,
+    trouble: Option<DiscoveryTrouble>,
+    /// What came to be known while the list stood still.
+    held: Vec<Target>,
+    /// By node, where it is found now; and the tasks that serve it there.
+    at: Vec<SocketAddr>,
+    tasks: Vec<AbortHandle>,
+}
+
+pub struct Discovery {
+    lab: Arc<Lab>,
+    fleet: Arc<Fleet>,
+    /// Where nodes find each cache server and the origin: a link's address where one stands before it.
+    ends: Vec<SocketAddr>,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+fn uid(number: u32, seed: u64) -> String {
+    format!("s-{:08x}", crate::scenario::arrivals::scramble(seed ^ u64::from(number)) as u32)
+}
+
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
+
+impl Discovery {
+    /// `ends`: addresses by cache server, the origin's last.
+    pub fn new(lab: &Arc<Lab>, fleet: &Arc<Fleet>, ends: Vec<SocketAddr>) -> Arc<Discovery> {
+        let nodes = lab.scenario.nodes.count;
+        let at = (0..nodes).map(|_| SocketAddr::from((lab.address(), 8500))).collect();
+        let origin = ends[ends.len() - 1];
+        let target = Target {
+            uid: "origin".into(),
+            endpoint: origin,
+            az: "z0".into(),
+            model: "origin",
+            pod_group: 0,
+            state: "in_service",
+            capacity_hint: 1.0,
+            boot_ms: 0,
+            number: u32::MAX,
+            rev: 1,
+            listed: Listed::Ready,
+        };
+        let state = State { targets: vec![target], rev: 1, trouble: None, held: vec![], at, tasks: vec![] };
+        let (lab, fleet) = (lab.clone(), fleet.clone());
+        Arc::new(Discovery { lab, fleet, ends, state: Mutex::new(state), changed: watch::Sender::new(1) })
+    }
+
+    pub fn address(&self, node: usize) -> SocketAddr {
+        self.state.lock().expect("not poisoned").at[node]
+    }
+
+    /// It comes to know this of a cache server. `cold`: its process has started during the run.
+    pub fn list(&self, cache: usize, listed: Listed, cold: bool) {
+        let number = cache as u32;
+        let before = |t: &&Target| t.number == number;
+        let mut state = self.state.lock().expect("not poisoned");
+        let known = state.targets.iter().find(before).map(|t| t.boot_ms);
+        let boot_ms = match (listed, cold) {
+            (Listed::Ready, true) => unix_ms() - self.age_ms(cache),
+            _ => known.unwrap_or(0),
+        };
+        let target = Target {
+            uid: uid(number, self.lab.scenario.seed),
+            endpoint: self.ends[cache],
+            az: format!("z{}", cache % self.lab.scenario.caches.zones),
+            model: "cache",
+            pod_group: 0,
+            state: match listed {
+                Listed::Ready => "in_service",
+                Listed::Draining => "terminating",
+                Listed::Gone => "terminated",
+            },
+            capacity_hint: 1.0,
+            boot_ms,
+            number,
+            rev: 0,
+            listed,
+        };
+        self.lab.record(Record::Known { at: self.lab.now(), cache: number, listed });
+        if state.trouble == Some(DiscoveryTrouble::Stale) {
+            return state.held.push(target);
+        }
+        self.publish(&mut state, target);
+    }
+
+    fn age_ms(&self, cache: usize) -> u64 {
+        // The climb tells when it began.
+        let s = &self.lab.scenario.caches;
+        let warmth = self.fleet.caches[cache].warmth();
+        let part = (warmth - s.cold_from) / (1.0 - s.cold_from).max(1e-9);
+        (part.clamp(0.0, 1.0) * s.cold_s * 1e3) as u64
+    }
+
+    fn publish(&self, state: &mut State, mut target: Target) {
+        state.rev += 1;
+        target.rev = state.rev;
+        state.targets.retain(|t| t.number != target.number);
+        state.targets.push(target);
+        self.changed.send_replace(state.rev);
+    }
+
+    pub fn trouble(self: &Arc<Self>, trouble: Option<DiscoveryTrouble>) {
+        let before = {
+            let mut state = self.state.lock().expect("not poisoned");
+            let before = std::mem::replace(&mut state.trouble, trouble);
+            if trouble == Some(DiscoveryTrouble::Down) {
+                state.tasks.drain(..).for_each(|t| t.abort());
+            }
+            if trouble.is_none() {
+                let held = std::mem::take(&mut state.held);
+                held.into_iter().for_each(|t| self.publish(&mut state, t));
+            }
+            before
+        };
+        if before == Some(DiscoveryTrouble::Down) && trouble != before {
+            self.start();
+        }
+    }
+
+    /// New addresses from now on; nobody answers at the old ones.
+    pub fn moves(self: &Arc<Self>) {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.tasks.drain(..).for_each(|t| t.abort());
+        state.at.iter_mut().for_each(|at| *at = SocketAddr::from((self.lab.address(), 8500)));
+        drop(state);
+        self.start();
+    }
+
+    /// Listens for each node.
+    pub fn start(self: &Arc<Self>) {
+        for node in 0..self.lab.scenario.nodes.count {
+            let (discovery, at) = (self.clone(), self.address(node));
+            let ready = self.lab.workers.ask(move || async move {
+                for _ in 0..200 {
+                    if let Ok(listener) = TcpListener::bind(at).await {
+                        let task = spawn_local(discovery.clone().accept(listener, node));
+                        discovery.state.lock().expect("not poisoned").tasks.push(task.abort_handle());
+                        return true;
+                    }
+                    sleep(Duration::from_millis(5)).await;
+                }
+                false
+            });
+            if !ready {
+                eprintln!("lab: discovery could not listen on {at}");
+            }
+        }
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, node: usize) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let task = spawn_local(self.clone().converse(stream, node));
+            self.state.lock().expect("not poisoned").tasks.push(task.abort_handle());
+        }
+    }
+
+    /// Changes after a version, or the whole list; marks them as told.
+    fn line(&self, after: Option<u64>, node: usize) -> (u64, String) {
+        let state = self.state.lock().expect("not poisoned");
+        let lies = state.trouble == Some(DiscoveryTrouble::Empty);
+        let (all, after) = match after {
+            Some(after) if after > 0 && after <= state.rev && !lies => (false, after),
+            _ => (true, 0),
+        };
+        let wanted = |t: &&Target| {
+            let named = t.rev > after && (!all || t.listed != Listed::Gone);
+            named && (!lies || t.model == "origin")
+        };
+        let targets: Vec<&Target> = state.targets.iter().filter(wanted).collect();
+        let at = self.lab.now();
+        // A lie is no word of anything.
+        for t in targets.iter().filter(|t| t.model != "origin" && !lies) {
+            self.lab.record(Record::Told { at, node: node as u16, cache: t.number, listed: t.listed });
+        }
+        if all && !lies {
+            // Whatever the whole list does not name is gone.
+            for t in state.targets.iter().filter(|t| t.listed == Listed::Gone) {
+                let cache = t.number;
+                self.lab.record(Record::Told { at, node: node as u16, cache, listed: Listed::Gone });
+            }
+        }
+        let listing = Listing { rev: state.rev, all, targets };
+        (state.rev, serde_json::to_string(&listing).expect("a list is plain"))
+    }
+
+    /// The list as a node last had it, for its configuration.
+    pub fn known(&self, node: usize) -> serde_json::Value {
+        serde_json::from_str(&self.line(None, node).1).expect("just written")
+    }
+
+    fn now(&self) -> Option<DiscoveryTrouble> {
+        self.state.lock().expect("not poisoned").trouble
+    }
+
+    async fn converse(self: Arc<Self>, mut stream: TcpStream, node: usize) {
+        let mut buffer = BytesMut::new();
+        let Ok(call) = http::read(&mut stream, &mut buffer, || {}).await else { return };
+        match self.now() {
+            Some(DiscoveryTrouble::Silent) => return sleep(Duration::from_secs(3600)).await,
+            Some(DiscoveryTrouble::Errors) => {
+                http::write(&mut stream, &http::reply("503 Service Unavailable", "", b"")).await;
+                return;
+            }
+            _ => {}
+        }
+        if !call.first.1.contains("watch=1") {
+            let (_, line) = self.line(None, node);
+            http::write(&mut stream, &http::reply("200 OK", "", line.as_bytes())).await;
+            return;
+        }
+        let after = call.first.1.rsplit("after=").next().and_then(|a| a.parse().ok()).unwrap_or(0);
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if !http::write(&mut stream, head).await {
+            return;
+        }
+        let mut changed = self.changed.subscribe();
+        let mut rev = after;
+        let mut first = true;
+        loop {
+            let news = first || *changed.borrow_and_update() > rev;
+            if self.now() != Some(DiscoveryTrouble::Silent) {
+                let line = if news {
+                    let (now, line) = self.line(Some(rev), node);
+                    rev = now;
+                    line + "\n"
+                } else {
+                    "\n".into()
+                };
+                let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+                if !http::write(&mut stream, chunk.as_bytes()).await {
+                    return;
+                }
+            }
+            first = false;
+            let _ = timeout(HEARTBEAT, changed.changed()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/stand/link.rs
@@ -0,0 +1,198 @@
+//! A stretch of network before a stand-in: passes bytes on late, thinly, in one direction only, or not.
+use super::Lab;
+use crate::http;
+use crate::scenario::arrivals::scramble;
+use crate::scenario::faults::LinkTrouble;
+use crate::scenario::schedule::Way;
+use crate::{Nanos, nanos};
+use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Chunks under way in one direction before reading pauses.
+const UNDER_WAY: usize = 256;
+
+pub struct Link {
+    pub at: SocketAddr,
+    to: SocketAddr,
+    lab: Arc<Lab>,
+    way: Mutex<Way>,
+    /// Counts resets: connections older than that break.
+    broken: watch::Sender<u64>,
+    chance: AtomicU64,
+}
+
+/// One direction of one connection.
+struct Pipe {
+    link: Arc<Link>,
+    back: bool,
+    passed: Rc<Cell<u64>>,
+}
+
+impl Link {
+    pub fn start(lab: &Arc<Lab>, to: SocketAddr, port: u16, way: Way) -> Arc<Link> {
+        let at = SocketAddr::from((lab.address(), port));
+        let link = Link {
+            at,
+            to,
+            lab: lab.clone(),
+            way: Mutex::new(way),
+            broken: watch::Sender::new(0),
+            chance: AtomicU64::new(lab.scenario.seed),
+        };
+        let link = Arc::new(link);
+        let own = link.clone();
+        // Bound before anybody is told of it.
+        lab.workers.ask(move || async move {
+            match TcpListener::bind(at).await {
+                Ok(listener) => drop(spawn_local(own.accept(listener))),
+                Err(e) => eprintln!("lab: link on {at}: {e}"),
+            }
+        });
+        link
+    }
+
+    pub fn set(&self, way: Way) {
+        *self.way.lock().expect("not poisoned") = way;
+        if way.how == LinkTrouble::Reset {
+            self.broken.send_modify(|n| *n += 1);
+        }
+    }
+    fn way(&self) -> Way {
+        *self.way.lock().expect("not poisoned")
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { return };
+            let Ok(stream) = stream.into_std() else { continue };
+            let link = self.clone();
+            self.lab.workers.run(move || async move {
+                if let Ok(stream) = TcpStream::from_std(stream) {
+                    link.carry(stream).await;
+                }
+            });
+        }
+    }
+
+    async fn carry(self: Arc<Self>, near: TcpStream) {
+        let way = self.way();
+        if way.how == LinkTrouble::Reset {
+            return http::reset(near);
+        }
+        let _ = near.set_nodelay(true);
+        // Half open: it comes up here, and nobody is behind it.
+        if way.how == LinkTrouble::HalfOpen {
+            sleep(Duration::from_secs(3600)).await;
+        }
+        let limit = Duration::from_secs(3);
+        let Ok(Ok(far)) = timeout(limit, TcpStream::connect(self.to)).await else { return http::reset(near) };
+        let _ = far.set_nodelay(true);
+        let mut broken = self.broken.subscribe();
+        let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+        let passed = Rc::new(Cell::new(0));
+        let pipe = |back| Pipe { link: self.clone(), back, passed: passed.clone() };
+        let (there, back) = (pipe(false), pipe(true));
+        let cut = tokio::select! {
+            biased;
+            _ = broken.changed() => true,
+            (a, b) = async { tokio::join!(there.run(near_in, far_out), back.run(far_in, near_out)) } => a || b,
+        };
+        // Dropped halves close by themselves; a cut resets what is left.
+        let _ = cut;
+    }
+
+    fn jitter(&self, ms: f64) -> Nanos {
+        let draw = scramble(self.chance.fetch_add(1, Relaxed)) >> 11;
+        nanos(ms / 1e3 * draw as f64 / (1u64 << 53) as f64)
+    }
+}
+
+impl Pipe {
+    /// Until its source ends; true where the connection is to break.
+    async fn run(self, mut from: OwnedReadHalf, to: OwnedWriteHalf) -> bool {
+        let (queue, delayed) = mpsc::channel::<(Nanos, Bytes)>(UNDER_WAY);
+        let deliver = deliver(self.link.clone(), self.back, self.passed.clone(), delayed, to);
+        let read = async {
+            let (mut latest, mut buffer) = (0, BytesMut::new());
+            loop {
+                buffer.reserve(16 << 10);
+                let ended = !matches!(from.read_buf(&mut buffer).await, Ok(n) if n > 0);
+                let way = self.link.way();
+                let bytes = buffer.split().freeze();
+                let mut at =
+                    self.link.lab.now() + nanos(way.delay_ms / 1e3) + self.link.jitter(way.jitter_ms);
+                if way.kib_per_s > 0.0 {
+                    at = at.max(latest) + nanos(bytes.len() as f64 / 1024.0 / way.kib_per_s);
+                }
+                // Bytes never overtake each other.
+                latest = at.max(latest);
+                if queue.send((latest, bytes)).await.is_err() || ended {
+                    break;
+                }
+            }
+            drop(queue);
+            // The rest is up to what is still under way.
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            biased;
+            cut = deliver => cut,
+            () = read => false,
+        }
+    }
+}
+
+async fn deliver(
+    link: Arc<Link>, back: bool, passed: Rc<Cell<u64>>, mut queue: mpsc::Receiver<(Nanos, Bytes)>,
+    mut to: OwnedWriteHalf,
+) -> bool {
+    while let Some((at, bytes)) = queue.recv().await {
+        let now = link.lab.now();
+        if at > now {
+            sleep(Duration::from_nanos(at - now)).await;
+        }
+        let way = link.way();
+        let lost = match way.how {
+            LinkTrouble::LostThere => !back,
+            LinkTrouble::LostBack => back,
+            LinkTrouble::HalfOpen => true,
+            _ => false,
+        };
+        if lost {
+            // The end of a connection is lost like anything else: the other side hears nothing.
+            if bytes.is_empty() {
+                sleep(Duration::from_secs(3600)).await;
+            }
+            continue;
+        }
+        if bytes.is_empty() {
+            let _ = to.shutdown().await;
+            continue;
+        }
+        let mut bytes = bytes;
+        let mut cut = false;
+        if back && way.how == LinkTrouble::Cut {
+            let left = way.bytes.saturating_sub(passed.get()) as usize;
+            cut = bytes.len() >= left;
+            bytes.truncate(left);
+        }
+        if back {
+            passed.set(passed.get() + bytes.len() as u64);
+        }
+        if to.write_all(&bytes).await.is_err() || cut {
+            return true;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/stand/mod.rs
@@ -0,0 +1,76 @@
+//! The stand-ins: whatever a node meets, played on loopback.
+pub mod bad;
+pub mod discovery;
+pub mod fleet;
+pub mod link;
+pub mod model;
+pub mod node;
+pub mod notes;
+pub mod relay;
+pub mod server;
+
+use crate::Nanos;
+use crate::ledger::Record;
+use crate::scenario::Scenario;
+use crate::workers::Workers;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
+use std::sync::{Arc, OnceLock, mpsc};
+use std::time::{Duration, Instant};
+
+/// What all stand-ins of one run share: its clock, its tape and its addresses.
+pub struct Lab {
+    begun: OnceLock<Instant>,
+    tape: mpsc::Sender<Record>,
+    pub over: AtomicBool,
+    pub scenario: Scenario,
+    pub workers: Workers,
+    net: u32,
+    next: AtomicU32,
+}
+
+impl Lab {
+    pub fn new(scenario: Scenario, tape: mpsc::Sender<Record>, workers: Workers) -> Arc<Lab> {
+        // A part of 127.0.0.0/8 that no outgoing connection takes its address from, so that a port that
+        // was free stays free; another lab at the same time most likely has another part.
+        static RUNS: AtomicU32 = AtomicU32::new(0);
+        let run = RUNS.fetch_add(1, Relaxed);
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let mixed = crate::scenario::arrivals::scramble(
+            u64::from(std::process::id()) << 32 ^ u64::from(run) ^ since.as_nanos() as u64,
+        );
+        let net = 127 << 24 | (64 + (mixed as u32 % 128)) << 16 | (mixed >> 32) as u32 % 248 << 8;
+        Arc::new(Lab {
+            begun: OnceLock::new(),
+            tape,
+            over: AtomicBool::new(false),
+            scenario,
+            workers,
+            net,
+            next: AtomicU32::new(0),
+        })
+    }
+    /// From now on the run's time counts.
+    pub fn begin(&self) {
+        let _ = self.begun.set(Instant::now());
+    }
+    pub fn now(&self) -> Nanos {
+        self.begun.get().map_or(0, |b| b.elapsed().as_nanos() as Nanos)
+    }
+    pub fn instant(&self, at: Nanos) -> Instant {
+        self.begun.get().copied().unwrap_or_else(Instant::now) + Duration::from_nanos(at)
+    }
+    pub fn record(&self, record: Record) {
+        let _ = self.tape.send(record);
+    }
+    /// Of the run's own.
+    pub fn address(&self) -> Ipv4Addr {
+        let n = self.next.fetch_add(1, Relaxed);
+        Ipv4Addr::from(self.net + 1 + n % 2000)
+    }
+    /// One that is free now, and that no outgoing connection will take.
+    pub fn free(&self) -> std::io::Result<SocketAddr> {
+        let at = std::net::TcpListener::bind((self.address(), 0))?.local_addr();
+        at
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/stand/notes.rs
@@ -0,0 +1,73 @@
+//! Datagrams between nodes pass through here, late or not at all. One socket a node: what reaches the
+//! socket of node k goes on to node k, from the socket of the node that sent it.
+use super::Lab;
+use crate::nanos;
+use crate::scenario::arrivals::scramble;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+pub struct Notes {
+    /// What nodes know as each other's addresses.
+    pub peers: Vec<SocketAddr>,
+    /// Where they listen.
+    pub listen: Vec<SocketAddr>,
+    /// Lost part, and delay on top in ms.
+    now: Arc<Mutex<(f64, f64)>>,
+}
+
+impl Notes {
+    pub fn start(lab: &Arc<Lab>) -> std::io::Result<Notes> {
+        let count = lab.scenario.nodes.count;
+        let now = Arc::new(Mutex::new((lab.scenario.peers.lost_part, 0.0)));
+        let sockets: Result<Vec<_>, _> =
+            (0..count).map(|_| std::net::UdpSocket::bind((lab.address(), 0))).collect();
+        let sockets = sockets?;
+        let peers: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr()).collect::<Result<_, _>>()?;
+        let listen: Vec<SocketAddr> = (0..count).map(|_| SocketAddr::from((lab.address(), 7946))).collect();
+        let (shared, own, state) = (listen.clone(), lab.clone(), now.clone());
+        lab.workers.run(move || async move {
+            let bound = sockets.into_iter().map(|s| {
+                s.set_nonblocking(true)?;
+                UdpSocket::from_std(s).map(Arc::new)
+            });
+            let Ok(sockets) = bound.collect::<std::io::Result<Vec<_>>>() else { return };
+            for (k, socket) in sockets.iter().enumerate() {
+                let (socket, all) = (socket.clone(), sockets.clone());
+                spawn_local(pass(own.clone(), k, socket, all, shared.clone(), state.clone()));
+            }
+        });
+        Ok(Notes { peers, listen, now })
+    }
+    pub fn set(&self, lost_part: f64, delay_ms: f64) {
+        *self.now.lock().expect("not poisoned") = (lost_part, delay_ms);
+    }
+}
+
+async fn pass(
+    lab: Arc<Lab>, k: usize, socket: Arc<UdpSocket>, all: Vec<Arc<UdpSocket>>, listen: Vec<SocketAddr>,
+    state: Arc<Mutex<(f64, f64)>>,
+) {
+    let mut buffer = [0; 512];
+    let mut chance = lab.scenario.seed ^ k as u64;
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let Some(sender) = listen.iter().position(|a| *a == from) else { continue };
+        chance = scramble(chance);
+        let draw = (chance >> 11) as f64 / (1u64 << 53) as f64;
+        let (lost, more) = *state.lock().expect("not poisoned");
+        if draw < lost {
+            continue;
+        }
+        let [least, most] = lab.scenario.peers.delay_ms;
+        let (out, to, text) = (all[sender].clone(), listen[k], buffer[..length].to_vec());
+        let late = Duration::from_nanos(nanos((least + (most - least) * draw + more) / 1e3));
+        spawn_local(async move {
+            sleep(late).await;
+            let _ = out.send_to(&text, to).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/sparrouter-lab/src/workers.rs
@@ -0,0 +1,90 @@
+//! Threads that each run many small tasks. A stand-in's work is dealt out to them connection by
+//! connection, so that no single thread of the lab limits what a node is shown to do.
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::thread::JoinHandle;
+use tokio::runtime::Builder;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+
+type Job = Box<dyn FnOnce() -> Pin<Box<dyn Future<Output = ()>>> + Send>;
+
+#[derive(Clone)]
+pub struct Workers(Arc<Inner>);
+
+struct Inner {
+    inboxes: Vec<mpsc::UnboundedSender<Job>>,
+    next: AtomicUsize,
+    stop: watch::Sender<bool>,
+    threads: std::sync::Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Workers {
+    pub fn start(name: &str, count: usize) -> Workers {
+        let (stop, stopped) = watch::channel(false);
+        let (mut inboxes, mut threads) = (Vec::new(), Vec::new());
+        for n in 0..count.max(1) {
+            let (inbox, jobs) = mpsc::unbounded_channel();
+            let stopped = stopped.clone();
+            let thread = std::thread::Builder::new().name(format!("{name}-{n}"));
+            threads.push(thread.spawn(move || work(jobs, stopped)).expect("a thread starts"));
+            inboxes.push(inbox);
+        }
+        let threads = std::sync::Mutex::new(threads);
+        Workers(Arc::new(Inner { inboxes, next: AtomicUsize::new(0), stop, threads }))
+    }
+
+    pub fn count(&self) -> usize {
+        self.0.inboxes.len()
+    }
+
+    /// On the next worker in turn.
+    pub fn run<F: Future<Output = ()> + 'static>(&self, job: impl FnOnce() -> F + Send + 'static) {
+        let next = self.0.next.fetch_add(1, Relaxed);
+        self.run_on(next, job);
+    }
+    pub fn run_on<F: Future<Output = ()> + 'static>(
+        &self, worker: usize, job: impl FnOnce() -> F + Send + 'static,
+    ) {
+        let inbox = &self.0.inboxes[worker % self.count()];
+        // After the end nothing is carried out any more.
+        let _ = inbox.send(Box::new(move || Box::pin(job())));
+    }
+
+    /// Runs something on a worker and waits for what it gives, from an ordinary thread.
+    pub fn ask<T: Send + 'static, F: Future<Output = T> + 'static>(
+        &self, job: impl FnOnce() -> F + Send + 'static,
+    ) -> T {
+        let (give, take) = oneshot::channel();
+        self.run(move || async move {
+            let _ = give.send(job().await);
+        });
+        take.blocking_recv().expect("the worker runs")
+    }
+
+    /// Ends all tasks; returns once the threads are done.
+    pub fn stop(&self) {
+        self.0.stop.send_replace(true);
+        for thread in self.0.threads.lock().expect("no panic holds it").drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn work(mut jobs: mpsc::UnboundedReceiver<Job>, mut stopped: watch::Receiver<bool>) {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        loop {
+            tokio::select! {
+                biased;
+                _ = stopped.wait_for(|s| *s) => return,
+                job = jobs.recv() => match job {
+                    Some(job) => drop(tokio::task::spawn_local(job())),
+                    None => return,
+                }
+            }
+        }
+    });
+}
