--- a/crates/sparrouter-lab/src/ledger/figures.rs
+++ b/crates/sparrouter-lab/src/ledger/figures.rs
@@ -66,6 +66,9 @@
     /// The lab's own lateness.
     pub late_ms: Quantiles,
     pub late_bound_ms: f64,
+    /// The lives of the slowest, one a line.
+    #[serde(default)]
+    pub slowest: Vec<String>,
 }
 
 impl Tally {
--- a/crates/sparrouter-lab/src/ledger/mod.rs
+++ b/crates/sparrouter-lab/src/ledger/mod.rs
@@ -2,6 +2,7 @@
 //! nothing more can come. No I/O here; records are handed in in any order.
 pub mod audit;
 pub mod figures;
+pub mod slowest;
 
 use crate::scenario::Scenario;
 use crate::scenario::arrivals::operation_of;
@@ -9,6 +10,7 @@
 use crate::{MS, Nanos, SECOND};
 use audit::{Audit, Verdict};
 use figures::{Figures, Tally};
+use slowest::Slowest;
 use std::collections::{HashMap, VecDeque};
 
 /// Where a forward went: a cache server's number, or this.
@@ -159,6 +161,7 @@
     latest: Nanos,
     audit: Audit,
     figures: Figures,
+    slowest: Slowest,
 }
 
 impl Ledger {
@@ -171,6 +174,7 @@
             latest: 0,
             audit: Audit::new(s),
             figures: Figures::new(s),
+            slowest: Slowest::default(),
         }
     }
 
@@ -185,6 +189,7 @@
                     self.due.pop_front();
                     if let Some(life) = self.lives.remove(&id) {
                         self.audit.judge(id, &life);
+                        self.slowest.see(id, &life);
                     }
                 }
             }
@@ -208,7 +213,10 @@
         rest.sort_by_key(|(id, _)| *id);
         for (id, life) in &rest {
             self.audit.judge(*id, life);
+            self.slowest.see(*id, life);
         }
-        (self.audit.verdict(), self.figures.tally())
+        let mut tally = self.figures.tally();
+        tally.slowest = self.slowest.lines();
+        (self.audit.verdict(), tally)
     }
 }
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -751,8 +751,9 @@
             self.fleet.sent(c, self.now);
         }
         let usual = if origin { self.guard.usual } else { self.usual[operation] };
-        if usual.mean > 0.0 && usual.patience() < wait {
-            self.wake(self.now + usual.patience(), token(PATIENCE, ix, copy));
+        let patience = usual.patience(self.place.tick);
+        if usual.mean > 0.0 && patience < wait {
+            self.wake(self.now + patience, token(PATIENCE, ix, copy));
         }
     }
 
@@ -1031,12 +1032,13 @@
         };
         // Guards against connections that fall silent alone: a fetch on one held its key's followers and
         // a place at the origin till its end, and counted as a sign that the origin is crowded.
-        let overdue = at + (OVERDUE * usual.patience() as f64) as Nanos;
+        let patience = usual.patience(self.place.tick);
+        let overdue = at + (OVERDUE * patience as f64) as Nanos;
         if (heard > at || origin) && self.now < overdue {
             return self.wake(overdue, token(PATIENCE, ix, copy));
         }
         if heard <= at && origin {
-            let next = self.now + usual.patience();
+            let next = self.now + patience;
             return self.wake(next, token(PATIENCE, ix, copy));
         }
         // It takes that long at least: learnt from answers alone, patience shrank while all slowed down.
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -110,9 +110,10 @@
 }
 
 impl Usual {
-    /// What nearly all take no longer than.
-    pub fn patience(&self) -> Nanos {
-        (self.mean + 4.0 * self.dev) as Nanos
+    /// What nearly all take no longer than. `least`: what the node can tell apart, its tick; where answers
+    /// take microseconds a pause of the node itself had forwards by the hundred withdrawn as overdue.
+    pub fn patience(&self, least: Nanos) -> Nanos {
+        ((self.mean + 4.0 * self.dev) as Nanos).max(least)
     }
     pub fn learn(&mut self, x: f64) {
         if self.mean == 0.0 {
--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -412,6 +412,31 @@
     out
 }
 
+/// Where answers take a tenth of a millisecond, forwards were withdrawn after half of one: a pause of the
+/// node itself looked like servers that are overdue, and cost good connections, doubt and the origin.
+#[test]
+fn what_is_overdue_is_told_no_finer_than_the_tick() {
+    let mut w = World::new(site(), fleet(3));
+    for key in 0..200 {
+        let inv = w.arrive(0, Some(key), false, SECOND);
+        w.pass(MS / 10);
+        w.end(inv, 0, Outcome::Succeeded);
+    }
+    let inv = w.arrive(0, Some(7), false, SECOND);
+    w.pass(4 * MS);
+    let withdrawn =
+        |w: &World| w.log.iter().any(|a| matches!(a, Action::Withdraw { inv: i, .. } if *i == inv));
+    assert!(!withdrawn(&w) && w.sent_to(inv).len() == 1);
+    // One that is far overdue by that measure still moves on, as others answer.
+    let other = w.arrive(0, Some(7), false, SECOND);
+    w.pass(MS / 10);
+    if !w.open().iter().all(|o| o.0 != other) {
+        w.end(other, 0, Outcome::Succeeded);
+    }
+    w.pass(20 * MS);
+    assert!(withdrawn(&w));
+}
+
 /// Successors left cold while the origin was busy kept it busy: the warm few overflowed and missed.
 #[test]
 fn a_cold_cache_is_used_though_the_origin_has_no_room() {
