--- a/crates/sparrouter-lab/src/ledger/mod.rs
+++ b/crates/sparrouter-lab/src/ledger/mod.rs
@@ -110,6 +110,11 @@
         cache: u32,
         listed: Listed,
     },
+    /// Discovery refuses calls from now on, or takes them again.
+    Away {
+        at: Nanos,
+        away: bool,
+    },
     /// A cache server was pushed over while cold.
     Fell {
         at: Nanos,
--- a/crates/sparrouter-lab/src/stand/discovery.rs
+++ b/crates/sparrouter-lab/src/stand/discovery.rs
@@ -155,6 +155,10 @@
         let before = {
             let mut state = self.state.lock().expect("not poisoned");
             let before = std::mem::replace(&mut state.trouble, trouble);
+            let refuses = |t| matches!(t, Some(DiscoveryTrouble::Down | DiscoveryTrouble::Errors));
+            if refuses(before) != refuses(trouble) {
+                self.lab.record(Record::Away { at: self.lab.now(), away: refuses(trouble) });
+            }
             if trouble == Some(DiscoveryTrouble::Down) {
                 state.tasks.drain(..).for_each(|t| t.abort());
             }
--- a/crates/sparrouter-lab/tests/audit.rs
+++ b/crates/sparrouter-lab/tests/audit.rs
@@ -91,6 +91,33 @@
     assert!(!word(false, 7 * SECOND + 400 * MS) && word(false, 7 * SECOND + 600 * MS));
 }
 
+/// While discovery refuses calls there is no subscription that could be silent; once it answers again the
+/// latest word is what counts, not that of a crash in between.
+#[test]
+fn word_counts_from_when_discovery_is_back() {
+    let sent = |at: Nanos, back: bool| {
+        let mut l = Lives::new();
+        l.0.take(Record::Away { at: SECOND, away: true });
+        l.0.take(Record::Known { at: 2 * SECOND, cache: 3, listed: Listed::Gone });
+        if back {
+            l.0.take(Record::Known { at: 3 * SECOND, cache: 3, listed: Listed::Ready });
+        }
+        l.0.take(Record::Away { at: 20 * SECOND, away: false });
+        let listed = Listed::Ready;
+        if back {
+            l.0.take(Record::Told { at: 21 * SECOND, node: 0, cache: 3, listed });
+        }
+        let one = id(VIEW, 1, 0);
+        l.forward(one, 3, at, at + MS, How::Done);
+        l.asked(one, at, End::Succeeded, at + 2 * MS);
+        l.verdict()
+    };
+    let away = sent(19 * SECOND, false);
+    assert!(away.kept() && away.unjudged.len() == 1, "{away:?}");
+    assert!(sent(27 * SECOND, false).has(Breach::SentToDrained));
+    assert!(sent(27 * SECOND, true).kept());
+}
+
 #[test]
 fn a_killed_node_owes_nothing_for_what_it_held_and_all_that_it_answered_counts() {
     let verdict = |killed: bool| {
