--- a/crates/sparrouter-lab/src/ledger/mod.rs
+++ b/crates/sparrouter-lab/src/ledger/mod.rs
@@ -85,6 +85,8 @@
     pub ran: bool,
     /// The stand-in was cold.
     pub cold: bool,
+    /// The node had gone away before the stand-in saw it, which then leaves it alone.
+    pub unseen: bool,
 }
 
 impl Forwarded {
--- a/crates/sparrouter-lab/src/lib.rs
+++ b/crates/sparrouter-lab/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! By folder: `scenario` (what is to happen, read and drawn ahead; no I/O), `stand` (the stand-ins),
 //! `clients` (load), `ledger` (lives of invocations and the audit; no I/O), `play` (one run),
-//! `experiment` (several runs compared), `report` (run.json and report.html).
+//! `experiment` (several runs compared), `report` (run.json and report.html), `scripted` (stand-ins for plain
+//! tests, one act a forward).
 pub mod clients;
 pub mod experiment;
 pub mod http;
@@ -12,6 +13,7 @@
 pub mod play;
 pub mod report;
 pub mod scenario;
+pub mod scripted;
 pub mod stand;
 pub mod workers;
 
--- /dev/null
+++ b/crates/sparrouter-lab/src/scripted.rs
@@ -0,0 +1,258 @@
+//! Stand-ins that do as a test's script says, one act a forward, on threads of their own: for plain cases,
+//! where a scenario would say less than it hides. Whatever goes wrong in them panics, as in a test.
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// What becomes of one forward.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Hit,
+    Miss,
+    NotRun,
+    Broken,
+    /// Takes it and ends the connection.
+    Reset,
+    /// Half an answer, then the end.
+    Half,
+    /// Nothing, until the node gives up.
+    Silent,
+    /// A good answer, that late.
+    Late(u32),
+    /// A good answer, far longer than usual.
+    Long,
+    /// One that is said to have 3 GB.
+    Endless,
+    /// No HTTP, a body without a length, interim answers without end: the connection stays open.
+    Noise,
+    NoLength,
+    Interims,
+    /// A good answer behind an interim one, and one with more behind it.
+    Hinted,
+    Trailed,
+}
+
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub first: String,
+    pub head: String,
+    pub body: Vec<u8>,
+    pub act: Act,
+    pub from: Instant,
+    /// When the exchange was over, by our answer or by the node's giving up.
+    pub until: Option<Instant>,
+    pub link: usize,
+}
+
+impl Seen {
+    pub fn id(&self) -> String {
+        field(&self.head, "x-request-id").unwrap_or_default()
+    }
+}
+
+pub fn field(head: &str, name: &str) -> Option<String> {
+    let lines = head.lines().filter_map(|l| l.split_once(':'));
+    lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_string()).next()
+}
+
+/// One message with its body; none at the end of the connection.
+pub fn message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let (mut text, mut byte) = (Vec::new(), [0; 1]);
+    while !text.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => text.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let head = String::from_utf8(text).ok()?;
+    let mut body = vec![0; field(&head, "content-length").map_or(0, |l| l.parse().unwrap())];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+type Script = Arc<dyn Fn(&Seen) -> Act + Send + Sync>;
+
+pub struct Server {
+    pub at: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    pub links: Arc<AtomicUsize>,
+    pub closed: Arc<AtomicUsize>,
+}
+
+pub fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let at = listener.local_addr().unwrap();
+    (listener, at)
+}
+
+impl Server {
+    pub fn start(script: impl Fn(&Seen) -> Act + Send + Sync + 'static) -> Server {
+        let (listener, at) = listen();
+        let seen = Arc::<Mutex<Vec<Seen>>>::default();
+        let (links, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let server = Server { at, seen: seen.clone(), links: links.clone(), closed: closed.clone() };
+        let script: Script = Arc::new(script);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (script, seen, closed) = (script.clone(), seen.clone(), closed.clone());
+                let link = links.fetch_add(1, SeqCst);
+                thread::spawn(move || {
+                    converse(stream.unwrap(), link, script, seen);
+                    closed.fetch_add(1, SeqCst);
+                });
+            }
+        });
+        server
+    }
+    pub fn always(act: Act) -> Server {
+        Server::start(move |_| act)
+    }
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+fn converse(mut stream: TcpStream, link: usize, script: Script, all: Arc<Mutex<Vec<Seen>>>) {
+    let _ = stream.set_nodelay(true);
+    while let Some((head, body)) = message(&mut stream) {
+        let first = head.lines().next().unwrap().to_string();
+        if first.contains("/health/live") {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            continue;
+        }
+        let mut seen = Seen { first, head, body, act: Act::Hit, from: Instant::now(), until: None, link };
+        seen.act = script(&seen);
+        let (act, id) = (seen.act, seen.id());
+        let number = {
+            let mut all = all.lock().unwrap();
+            all.push(seen);
+            all.len() - 1
+        };
+        let text = format!("value of {id}");
+        let good = format!("HTTP/1.1 200 OK\r\nX-Cache: hit\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        let reply = match act {
+            Act::Hit => good,
+            Act::Late(ms) => {
+                // Unless the node gives up sooner.
+                stream.set_read_timeout(Some(MS * ms)).unwrap();
+                let gone = stream.peek(&mut [0; 1]).is_ok();
+                stream.set_read_timeout(None).unwrap();
+                if gone { String::new() } else { good }
+            }
+            Act::Miss => {
+                "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nnone\r\n0\r\n\r\n".into()
+            }
+            Act::NotRun => "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".into(),
+            Act::Broken => "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".into(),
+            Act::Half => good[..good.len() - 3].into(),
+            Act::Long => format!("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n{}", "x".repeat(300_000)),
+            Act::Endless => format!("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n{text}"),
+            Act::Noise => "\u{1}\u{2}noise".into(),
+            Act::NoLength => format!("HTTP/1.1 200 OK\r\n\r\n{text}"),
+            Act::Interims => "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(200),
+            Act::Hinted => format!("HTTP/1.1 103 Early Hints\r\n\r\n{good}"),
+            Act::Trailed => format!("{good}{good}"),
+            Act::Reset | Act::Silent => String::new(),
+        };
+        if act == Act::Silent {
+            // Until the node closes: that ends the exchange.
+            let _ = stream.read(&mut [0; 1]);
+        }
+        all.lock().unwrap()[number].until = Some(Instant::now());
+        let sent = stream.write_all(reply.as_bytes());
+        if sent.is_err() || reply.is_empty() || act == Act::Half {
+            return;
+        }
+    }
+}
+
+/// Discovery: each line of `feed` goes out on the watch that is open, or answers a call for the whole;
+/// an empty feed beats.
+pub struct Discovery {
+    pub at: SocketAddr,
+    pub feed: Arc<Mutex<Vec<String>>>,
+    pub calls: Arc<Mutex<Vec<String>>>,
+    /// Stays silent, heartbeats included.
+    pub mute: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let (listener, at) = listen();
+        let feed = Arc::<Mutex<Vec<String>>>::default();
+        let calls = Arc::<Mutex<Vec<String>>>::default();
+        let mute = Arc::<AtomicUsize>::default();
+        let discovery = Discovery { at, feed: feed.clone(), calls: calls.clone(), mute: mute.clone() };
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (feed, calls, mute) = (feed.clone(), calls.clone(), mute.clone());
+                thread::spawn(move || watch(stream.unwrap(), feed, calls, mute));
+            }
+        });
+        discovery
+    }
+    pub fn say(&self, line: &str) {
+        self.feed.lock().unwrap().push(line.to_string());
+    }
+    pub fn calls(&self) -> usize {
+        self.calls.lock().unwrap().len()
+    }
+}
+
+fn watch(
+    mut stream: TcpStream, feed: Arc<Mutex<Vec<String>>>, calls: Arc<Mutex<Vec<String>>>,
+    mute: Arc<AtomicUsize>,
+) {
+    let Some((head, _)) = message(&mut stream) else { return };
+    if !head.contains("watch=1") {
+        let whole = feed.lock().unwrap().pop().unwrap_or_default();
+        let length = whole.len();
+        let _ = stream
+            .write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{whole}").as_bytes());
+        return;
+    }
+    let own = {
+        let mut calls = calls.lock().unwrap();
+        calls.push(head.lines().next().unwrap().to_string());
+        calls.len()
+    };
+    let mut open = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_ok();
+    let mut beat = Instant::now() - Duration::from_secs(2);
+    // Only the newest watch takes lines: the node may have left this one.
+    while open && calls.lock().unwrap().len() == own {
+        let line = feed.lock().unwrap().pop();
+        if line.as_deref() == Some("end") {
+            return;
+        }
+        let line = line.or_else(|| (beat.elapsed() > Duration::from_secs(1)).then(String::new));
+        if let Some(line) = line.filter(|_| mute.load(SeqCst) == 0) {
+            // In two chunks: lines need not end where chunks do.
+            let line = format!("{line}\n");
+            let (a, b) = line.split_at(line.len() / 2);
+            let chunk =
+                |t: &str| if t.is_empty() { String::new() } else { format!("{:x}\r\n{t}\r\n", t.len()) };
+            open = stream.write_all(format!("{}{}", chunk(a), chunk(b)).as_bytes()).is_ok();
+            beat = Instant::now();
+        }
+        sleep(5 * MS);
+    }
+}
+
+pub fn target(uid: &str, at: SocketAddr, model: &str, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{at}","az":"x","model":"{model}","pod_group":1,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+    )
+}
+
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(10), "waited in vain: {what}");
+        sleep(5 * MS);
+    }
+}
--- a/crates/sparrouter-lab/src/stand/server.rs
+++ b/crates/sparrouter-lab/src/stand/server.rs
@@ -3,7 +3,7 @@
 use super::Lab;
 use super::fleet::Fleet;
 use super::model::{Drive, Marks, Store, unlucky, warmth, work};
-use crate::http::{self, Ended, Message};
+use crate::http::{self, Ended, Message, Peeked};
 use crate::ledger::{Forwarded, How, ORIGIN, Record};
 use crate::scenario::arrivals::operation_of;
 use crate::{MS, Nanos, SECOND, nanos};
@@ -89,6 +89,11 @@
     fn end(mut self, how: How) {
         self.f.how = how;
     }
+    /// Ends with an answer, unless the node has gone away before it could have any: what it sends
+    /// elsewhere from then on does not overlap.
+    fn answer(self, how: How, stream: &TcpStream) {
+        self.end(if http::peek(stream) == Peeked::Ended { How::Withdrawn } else { how });
+    }
 }
 
 impl Drop for Flight {
@@ -457,8 +462,13 @@
             how: How::Open,
             ran: false,
             cold: server.warmth() < 1.0,
+            unseen: http::peek(stream) == Peeked::Ended,
         };
         let flight = Flight { server: server.clone(), life, f };
+        // A crowd of new connections is accepted late; what was withdrawn meanwhile never runs.
+        if flight.f.unseen {
+            return flight.end(How::Withdrawn);
+        }
         if server.driven(server.offered(&message, id), now) {
             drop(flight);
             server.fall(now);
@@ -466,7 +476,7 @@
             return;
         }
         if full {
-            flight.end(How::NotRun);
+            flight.answer(How::NotRun, stream);
             let reply = http::reply("503 Service Unavailable", "X-Not-Run: 1\r\nConnection: close\r\n", b"");
             http::write(stream, &reply).await;
             return;
@@ -532,7 +542,7 @@
         match server.work(seconds, stream, buffer).await {
             Worked::Done => {}
             Worked::Full => {
-                flight.end(How::NotRun);
+                flight.answer(How::NotRun, stream);
                 let reply = http::reply("503 Service Unavailable", "X-Not-Run: 1\r\n", b"");
                 return http::write(stream, &reply).await.then_some(());
             }
@@ -543,12 +553,12 @@
         }
     }
     if unlucky(id, u64::from(server.number) + 1, errors) {
-        flight.end(How::Error);
+        flight.answer(How::Error, stream);
         return http::write(stream, &http::reply("500 Oops", "", b"")).await.then_some(());
     }
     if !held {
         server.fleet.upgrade().inspect(|fleet| fleet.missed(id, server.number));
-        flight.end(How::Miss);
+        flight.answer(How::Miss, stream);
         return http::write(stream, &http::reply("404 Not Found", "X-Cache: miss\r\n", b""))
             .await
             .then_some(());
@@ -576,6 +586,6 @@
         server.fleet.upgrade().inspect(|fleet| fleet.answered(id, key));
     }
     // Told before the write: the client may have the answer before this task runs again.
-    flight.end(how);
+    flight.answer(how, stream);
     http::write(stream, &reply).await.then_some(())
 }
--- /dev/null
+++ b/crates/sparrouter-node/tests/fleet.rs
@@ -0,0 +1,105 @@
+//! Real nodes in the lab's fleet, judged by its audit: every rule, every invocation.
+use sparrouter_lab::ledger::figures::Tally;
+use sparrouter_lab::play::{Program, Run, play};
+use sparrouter_lab::scenario::Scenario;
+use std::sync::Mutex;
+
+/// One at a time: sixteen nodes of a debug build take the whole machine.
+static ALONE: Mutex<()> = Mutex::new(());
+
+const OPERATIONS: &str = r#"
+[[operation]]
+name = "view"
+share = 0.9
+effect = "idempotent"
+work_ms = 8
+objective_ms = 500
+client_timeout_ms = 1200
+[[operation]]
+name = "swap"
+share = 0.05
+effect = "deduplicated"
+write = true
+window_ms = 1000
+objective_ms = 500
+client_timeout_ms = 1200
+[[operation]]
+name = "assign"
+share = 0.05
+effect = "non_idempotent"
+write = true
+objective_ms = 500
+client_timeout_ms = 1200
+"#;
+
+fn played(text: &str) -> Run {
+    let alone = ALONE.lock().unwrap_or_else(|e| e.into_inner());
+    let scenario = Scenario::parse("fleet", &format!("seed = 5\n{text}{OPERATIONS}")).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let node = Program::Node(env!("CARGO_BIN_EXE_sparrouter-node").into());
+    let run = play(&scenario, &node, folder.path(), |_| {}).unwrap();
+    drop(alone);
+    assert!(run.verdict.kept(), "{:?}\n{:#?}", run.verdict, run.tally.slowest);
+    run
+}
+
+/// How many were answered, in whatever way.
+fn answered(t: &Tally) -> u64 {
+    let c = &t.total;
+    c.in_objective + c.past_objective + c.throttled + c.errored
+}
+
+#[test]
+fn a_crash_with_cold_return_and_a_rolling_deploy_keep_the_rules() {
+    let run = played(
+        "name = \"deploy\"\nlength_s = 9\n[nodes]\ncount = 2\n[caches]\ncount = 6\nkeys = 600\ncold_s = 4\n\
+         [origin]\nper_s = 150\n[load]\nrate_per_s = 120\nkeys = 800\n\
+         [[fault]]\nkind = \"crash\"\nat_s = 1\nlength_s = 2\npart = 0.34\n\
+         [[fault]]\nkind = \"deploy\"\nat_s = 4\nlength_s = 4\npart = 0.8\nbatch = 0.34\ndrain_s = 1.5\n",
+    );
+    assert!(run.tally.good() > 0.9 && answered(&run.tally) >= run.tally.total.asked, "{:?}", run.tally.total);
+}
+
+/// What a killed node held is its client's to ask again; what it had answered counts.
+#[test]
+fn nodes_killed_in_the_middle_lose_nothing_that_they_had_answered() {
+    let run = played(
+        "name = \"killed\"\nlength_s = 6\n[nodes]\ncount = 3\nfront_notices_s = 0.4\n[caches]\ncount = 6\n\
+         [load]\nrate_per_s = 250\nretries = 2\n\
+         [[fault]]\nkind = \"node_restart\"\nat_s = 1\nlength_s = 4\npart = 1\ndown_s = 0.5\nkilled = true\n",
+    );
+    assert!(run.verdict.unjudged.contains_key("its node was killed"), "{:?}", run.verdict);
+    assert!(run.tally.good() > 0.85, "{:?}", run.tally.total);
+}
+
+/// Cut replies, vanished bytes and slow links before cache servers.
+#[test]
+fn links_that_lose_delay_and_cut_keep_the_rules() {
+    let fault = |at: f64, how: &str| {
+        format!(
+            "[[fault]]\nkind = \"links\"\nat_s = {at}\nlength_s = 1.2\nbefore = \"caches\"\npart = 0.34\n{how}\n"
+        )
+    };
+    let faults = [
+        fault(0.5, "how = \"lost_back\""),
+        fault(2.0, "how = \"cut\"\nbytes = 300"),
+        fault(3.5, "how = \"half_open\""),
+        fault(5.0, "how = \"reset\""),
+        fault(6.5, "delay_ms = 80\njitter_ms = 40"),
+    ];
+    let run = played(&format!(
+        "name = \"links\"\nlength_s = 8\n[caches]\ncount = 6\n[load]\nrate_per_s = 150\n\
+         [[link]]\nbefore = \"caches\"\ndelay_ms = 1\njitter_ms = 1\n{}",
+        faults.concat()
+    ));
+    assert!(run.tally.good() > 0.8, "{:?}", run.tally.total);
+}
+
+#[test]
+fn sixteen_nodes_two_hundred_cache_servers_and_a_thousand_connections() {
+    let run = played(
+        "name = \"wide\"\nlength_s = 4\n[nodes]\ncount = 16\nsockets = 1024\n[caches]\ncount = 200\n[origin]\nper_s = 800\n\
+         [load]\nrate_per_s = 1500\nconnections = 64\n",
+    );
+    assert!(run.tally.good() > 0.9 && run.descriptors < 1024, "{:?} {}", run.tally.total, run.descriptors);
+}
