--- a/crates/sparrouter-lab/src/main.rs
+++ b/crates/sparrouter-lab/src/main.rs
@@ -22,6 +22,9 @@
                   Exit codes: 0 all rules kept, 1 a rule broken or a run not valid, 2 bad input."
 )]
 struct Arguments {
+    /// Say on standard error how far it is, also where nobody looks
+    #[arg(long, short, global = true)]
+    verbose: bool,
     #[command(subcommand)]
     command: Command,
 }
@@ -150,7 +153,13 @@
 }
 
 /// Whether all was well.
-fn run(command: Command) -> Result<bool, String> {
+fn run(Arguments { verbose, command }: Arguments) -> Result<bool, String> {
+    let verbose = verbose || std::io::stderr().is_terminal();
+    let say = |line: String| {
+        if verbose {
+            eprintln!("{line}");
+        }
+    };
     match command {
         Command::Play { scenario, program: name, out, seed, rate } => {
             let (mut scenario, program) = (read(&scenario)?, program(&name)?);
@@ -171,12 +180,12 @@
             let mut kept = true;
             let done = |run: &Run| {
                 kept &= run.verdict.kept() && run.tally.valid();
-                eprintln!(
+                say(format!(
                     "{}: {:.4} in time, p99 {:.2} ms",
                     run.program,
                     run.tally.good(),
                     run.tally.latency_ms.p99
-                );
+                ));
             };
             let pairs = compare::compare(&scenario, &a, &b, usize::from(pairs), &folder, done);
             println!("A {}, B {}; {}", a.name(), b.name(), scenario.name);
@@ -219,13 +228,13 @@
                 let done = |step: &sweep::Step| {
                     let (run, held) = (&step.run, if step.held { "held" } else { "not held" });
                     let good = run.tally.good();
-                    eprintln!(
+                    say(format!(
                         "{value}: {:.0}/s {held}: {good:.5} in time, p99 {:.2} ms, {} breaches, late p99 {:.2} ms",
                         step.rate_per_s,
                         run.tally.latency_ms.p99,
                         run.verdict.breaches.len(),
                         run.tally.late_ms.p99
-                    );
+                    ));
                 };
                 let steps = sweep::sweep(&s, &program, within, &folder.join(&value), done)
                     .map_err(|e| e.to_string())?;
@@ -297,7 +306,7 @@
 }
 
 fn main() -> ExitCode {
-    match run(Arguments::parse().command) {
+    match run(Arguments::parse()) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(text) => {
--- a/crates/sparrouter-lab/src/scenario/faults.rs
+++ b/crates/sparrouter-lab/src/scenario/faults.rs
@@ -140,6 +140,8 @@
     Stale,
     /// Whole lists name no cache server.
     Empty,
+    /// What drains or is gone is said to be in service.
+    Wrong,
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
--- a/crates/sparrouter-lab/src/stand/discovery.rs
+++ b/crates/sparrouter-lab/src/stand/discovery.rs
@@ -38,10 +38,10 @@
 }
 
 #[derive(Serialize)]
-struct Listing<'a> {
+struct Listing {
     rev: u64,
     all: bool,
-    targets: Vec<&'a Target>,
+    targets: Vec<Target>,
 }
 
 struct State {
@@ -162,6 +162,14 @@
             if trouble == Some(DiscoveryTrouble::Down) {
                 state.tasks.drain(..).for_each(|t| t.abort());
             }
+            let lies = |t| matches!(t, Some(DiscoveryTrouble::Empty | DiscoveryTrouble::Wrong));
+            if (lies(before) || lies(trouble)) && trouble != before {
+                // A lie is news to those who watch, and so is the truth afterwards.
+                state.rev += 1;
+                let rev = state.rev;
+                state.targets.iter_mut().for_each(|t| t.rev = rev);
+                self.changed.send_replace(rev);
+            }
             if trouble.is_none() {
                 let held = std::mem::take(&mut state.held);
                 held.into_iter().for_each(|t| self.publish(&mut state, t));
@@ -213,20 +221,27 @@
     /// Changes after a version, or the whole list; marks them as told.
     fn line(&self, after: Option<u64>, node: usize) -> (u64, String) {
         let state = self.state.lock().expect("not poisoned");
-        let lies = state.trouble == Some(DiscoveryTrouble::Empty);
+        let (empty, wrong) = match state.trouble {
+            Some(DiscoveryTrouble::Empty) => (true, false),
+            Some(DiscoveryTrouble::Wrong) => (false, true),
+            _ => (false, false),
+        };
+        let lies = empty || wrong;
         let (all, after) = match after {
             Some(after) if after > 0 && after <= state.rev && !lies => (false, after),
             _ => (true, 0),
         };
         let wanted = |t: &&Target| {
-            let named = t.rev > after && (!all || t.listed != Listed::Gone);
-            named && (!lies || t.model == "origin")
+            let named = t.rev > after && (!all || wrong || t.listed != Listed::Gone);
+            named && (!empty || t.model == "origin")
         };
-        let targets: Vec<&Target> = state.targets.iter().filter(wanted).collect();
+        let said = |t: &Target| Target { state: if wrong { "in_service" } else { t.state }, ..t.clone() };
+        let targets: Vec<Target> = state.targets.iter().filter(wanted).map(said).collect();
         let at = self.lab.now();
-        // A lie is no word of anything.
-        for t in targets.iter().filter(|t| t.model != "origin" && !lies) {
-            self.lab.record(Record::Told { at, node: node as u16, cache: t.number, listed: t.listed });
+        // An empty list is no word of anything; a wrong one is what the node was told.
+        for t in targets.iter().filter(|t| t.model != "origin" && !empty) {
+            let listed = if wrong { Listed::Ready } else { t.listed };
+            self.lab.record(Record::Told { at, node: node as u16, cache: t.number, listed });
         }
         if all && !lies {
             // Whatever the whole list does not name is gone.
