--- a/crates/sparrouter-lab/src/scenario/mod.rs
+++ b/crates/sparrouter-lab/src/scenario/mod.rs
@@ -327,7 +327,10 @@
         let read: Result<Scenario, toml::de::Error> = toml::from_str(text);
         let scenario = read.map_err(|e| {
             let line = e.span().map_or(1, |s| text[..s.start].matches('\n').count() + 1);
-            Unusable::Wrong(vec![format!("{file}:{line}: {}", e.message().replace('\n', " "))])
+            // The field is the key of that line, where it has one.
+            let key = text.lines().nth(line - 1).and_then(|l| l.split_once('='));
+            let field = key.map_or(String::new(), |(k, _)| format!("{}: ", k.trim()));
+            Unusable::Wrong(vec![format!("{file}:{line}: {field}{}", e.message().replace('\n', " "))])
         })?;
         let wrong = check::check(&scenario);
         if wrong.is_empty() {
--- a/crates/sparrouter-lab/tests/scenarios.rs
+++ b/crates/sparrouter-lab/tests/scenarios.rs
@@ -12,9 +12,12 @@
 #[test]
 fn an_unknown_field_a_wrong_range_and_an_unknown_kind_are_named_with_their_line() {
     let unknown = wrong(&format!("{GOOD}rate = 3\n"));
-    assert!(unknown.starts_with("x.toml:6:") && unknown.contains("`rate`"), "{unknown}");
+    assert!(unknown.starts_with("x.toml:6: rate: ") && unknown.contains("unknown field"), "{unknown}");
     let kind = wrong(&format!("{GOOD}[[fault]]\nkind = \"quake\"\nat_s = 1\n"));
-    assert!(kind.starts_with("x.toml:6:") && kind.contains("quake") && kind.contains("crash"), "{kind}");
+    assert!(
+        kind.starts_with("x.toml:7: kind: ") && kind.contains("quake") && kind.contains("crash"),
+        "{kind}"
+    );
     let range = wrong(&format!(
         "{GOOD}[[fault]]\nkind = \"hang\"\nat_s = 1\nlength_s = 1\npart = 0.1\n\n[[fault]]\nkind = \"crash\"\n\
          at_s = 11\nlength_s = 1\npart = 1.5\n"
