--- a/crates/sparrouter-node/tests/fleet.rs
+++ b/crates/sparrouter-node/tests/fleet.rs
@@ -86,9 +86,11 @@
         fault(3.5, "how = \"half_open\""),
         fault(5.0, "how = \"reset\""),
         fault(6.5, "delay_ms = 80\njitter_ms = 40"),
+        fault(8.0, "how = \"lost_there\""),
+        fault(9.5, "kib_per_s = 2"),
     ];
     let run = played(&format!(
-        "name = \"links\"\nlength_s = 8\n[caches]\ncount = 6\n[load]\nrate_per_s = 150\n\
+        "name = \"links\"\nlength_s = 11\n[caches]\ncount = 6\n[load]\nrate_per_s = 150\n\
          [[link]]\nbefore = \"caches\"\ndelay_ms = 1\njitter_ms = 1\n{}",
         faults.concat()
     ));
