Lab: one reading of the wall clock, links without a result nobody used; a late lab is not valid

Read once more as a whole: two stand-ins had the same clock function, a link's pipes returned a word that nothing acted on (and a comment that said otherwise), the fleet took a slice of all of a slice. New test: a run in which the lab itself dealt arrivals out late is marked not valid.

--- a/crates/sparrouter-lab/src/stand/bad.rs
+++ b/crates/sparrouter-lab/src/stand/bad.rs
@@ -1,6 +1,6 @@
 //! Nodes that do one thing wrong, and one that does nothing wrong: an audit that none of them fails is
 //! worth nothing. They run inside the lab, small and slow.
-use super::Lab;
+use super::{Lab, unix_ms};
 use crate::http::{self, Message};
 use crate::scenario::Effect;
 use crate::scenario::arrivals::{operation_of, scramble};
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -88,10 +88,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 impl Bad {
     async fn follow(&self, discovery: SocketAddr) {
         let asking = async {
--- a/crates/sparrouter-lab/src/stand/discovery.rs
+++ b/crates/sparrouter-lab/src/stand/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery by its protocol: the whole list, or a watch on what changes. Each node has an address of its
 //! own for it, so that the ledger knows whom it has told what.
-use super::Lab;
 use super::fleet::Fleet;
+use super::{Lab, unix_ms};
 use crate::http;
 use crate::ledger::Record;
 use crate::scenario::faults::DiscoveryTrouble;
@@ -68,11 +68,6 @@
     format!("s-{:08x}", crate::scenario::arrivals::scramble(seed ^ u64::from(number)) as u32)
 }
 
-fn unix_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as u64
-}
-
 impl Discovery {
     /// `ends`: addresses by cache server, the origin's last.
     pub fn new(lab: &Arc<Lab>, fleet: &Arc<Fleet>, ends: Vec<SocketAddr>) -> Arc<Discovery> {
--- a/crates/sparrouter-lab/src/stand/fleet.rs
+++ b/crates/sparrouter-lab/src/stand/fleet.rs
@@ -42,9 +42,8 @@
 
     /// Those that stand from the beginning hold the most popular keys.
     pub fn start(&self, standing: usize) {
-        let most = self.keys.len();
         for cache in &self.caches[..standing] {
-            self.keys[..most].iter().rev().for_each(|k| cache.prefill(*k));
+            self.keys.iter().rev().for_each(|k| cache.prefill(*k));
             cache.start(false);
         }
         self.origin.start(false);
--- a/crates/sparrouter-lab/src/stand/link.rs
+++ b/crates/sparrouter-lab/src/stand/link.rs
@@ -103,13 +103,12 @@
         let passed = Rc::new(Cell::new(0));
         let pipe = |back| Pipe { link: self.clone(), back, passed: passed.clone() };
         let (there, back) = (pipe(false), pipe(true));
-        let cut = tokio::select! {
+        // Dropped halves close the connection by themselves.
+        tokio::select! {
             biased;
-            _ = broken.changed() => true,
-            (a, b) = async { tokio::join!(there.run(near_in, far_out), back.run(far_in, near_out)) } => a || b,
-        };
-        // Dropped halves close by themselves; a cut resets what is left.
-        let _ = cut;
+            _ = broken.changed() => {}
+            () = async { tokio::join!(there.run(near_in, far_out), back.run(far_in, near_out)); } => {}
+        }
     }
 
     fn jitter(&self, ms: f64) -> Nanos {
@@ -119,8 +118,8 @@
 }
 
 impl Pipe {
-    /// Until its source ends; true where the connection is to break.
-    async fn run(self, mut from: OwnedReadHalf, to: OwnedWriteHalf) -> bool {
+    /// Until its source has ended and all of it is through, or it is cut.
+    async fn run(self, mut from: OwnedReadHalf, to: OwnedWriteHalf) {
         let (queue, delayed) = mpsc::channel::<(Nanos, Bytes)>(UNDER_WAY);
         let deliver = deliver(self.link.clone(), self.back, self.passed.clone(), delayed, to);
         let read = async {
@@ -147,8 +146,8 @@
         };
         tokio::select! {
             biased;
-            cut = deliver => cut,
-            () = read => false,
+            () = deliver => {}
+            () = read => {}
         }
     }
 }
@@ -156,7 +155,7 @@
 async fn deliver(
     link: Arc<Link>, back: bool, passed: Rc<Cell<u64>>, mut queue: mpsc::Receiver<(Nanos, Bytes)>,
     mut to: OwnedWriteHalf,
-) -> bool {
+) {
     while let Some((at, bytes)) = queue.recv().await {
         let now = link.lab.now();
         if at > now {
@@ -191,8 +190,7 @@
             passed.set(passed.get() + bytes.len() as u64);
         }
         if to.write_all(&bytes).await.is_err() || cut {
-            return true;
+            return;
         }
     }
-    false
 }
--- a/crates/sparrouter-lab/src/stand/mod.rs
+++ b/crates/sparrouter-lab/src/stand/mod.rs
@@ -73,3 +73,9 @@
         std::net::TcpListener::bind((self.address(), 0))?.local_addr()
     }
 }
+
+/// What discovery's lists count start times in.
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- a/crates/sparrouter-lab/tests/audit.rs
+++ b/crates/sparrouter-lab/tests/audit.rs
@@ -230,3 +230,20 @@
     l.forward(id(VIEW, 9, 0), 1, SECOND, SECOND + MS, How::Done);
     assert!(l.verdict().has(Breach::SentForNobody));
 }
+
+/// A lab that dealt arrivals out late would show its own lateness as the node's.
+#[test]
+fn a_run_in_which_the_lab_was_late_itself_is_not_valid() {
+    let valid = |late: Nanos| {
+        let mut l = Lives::new();
+        for n in 0..100 {
+            let (id, due, dealt) = (id(VIEW, n, 0), n * SECOND, n * SECOND + late);
+            let (written, ended, end) = (Some(dealt), dealt + MS, End::Succeeded);
+            let asked = Asked { id, tenant: 0, node: 0, first_due: due, due, dealt, written, end, ended };
+            l.0.take(Record::Asked(asked));
+        }
+        l.0.finish().1.valid()
+    };
+    // The bound is 5 ms where a scenario does not say.
+    assert!(valid(4 * MS) && !valid(6 * MS));
+}
