A withdrawn forward has ended only once its close can have arrived

Checked: a probe in the peer's actor logged when each forward was written, how it ended, how long a next one of its invocation came after a withdrawal. Lines: Peer::forward reported the end with the close only just asked for.

Change: where no two forwards may be out, a request that was written and not answered has ended for the module only after the way there: the longest connect time of late, 1 ms to an eighth of the connect limit. Nothing waits where the invocation is over. The test fails without it (heard 79 us after the withdrawal, before the close was seen).

--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -94,7 +94,8 @@
     let room = Room::of(config.limits.memory_mb << 20);
     let start_peer = Box::new(move |cache, endpoint| {
         let (pool, mailbox) = (peer_pool.clone(), peer_mailbox.clone());
-        peer::start(cache, endpoint, pool, mailbox, dial_limit, shortest, room.clone())
+        let limits = peer::Limits { dial: dial_limit, probe: shortest, overlaps: connections.overlaps };
+        peer::start(cache, endpoint, pool, mailbox, limits, room.clone())
     });
     let module =
         Module::new(policy, Names::new(&settings), Clock::new(), timeouts, start_peer, asks, datagrams);
--- a/crates/sparrouter-node/src/routing/mod.rs
+++ b/crates/sparrouter-node/src/routing/mod.rs
@@ -3,6 +3,8 @@
 pub mod list;
 pub mod module;
 pub mod peer;
+#[cfg(test)]
+mod tests;
 
 use crate::transport::client::ClientSays;
 use crate::transport::datagrams::NodeSays;
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 pub enum Order {
     Forward(Forward),
@@ -49,6 +49,20 @@
     pub body: Body,
 }
 
+/// What bounds a peer's work.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    /// A connection that is not up by then never comes.
+    pub dial: Duration,
+    /// Nor does a probe's answer.
+    pub probe: Duration,
+    /// Two forwards of one invocation may be out at once.
+    pub overlaps: bool,
+}
+
+/// A close counts as arrived after this time at the least, and this part of the connect limit at the most.
+const ARRIVES: (Duration, u32) = (Duration::from_millis(1), 8);
+
 /// What the actor and its forwards share.
 struct Peer {
     cache: CacheIx,
@@ -57,22 +71,23 @@
     wanted: Cell<bool>,
     pool: Rc<Pool>,
     module: mpsc::Sender<Told>,
-    dial_limit: Duration,
-    probe_limit: Duration,
+    limits: Limits,
+    /// What connections took of late to come up: a way there and back.
+    way: Cell<Duration>,
     room: Room,
     /// Answers that could not be used.
     spoilt: Often,
 }
 
-/// `dial_limit`: a connection not up by then never comes; `probe_limit`: nor does a probe's answer;
 /// `room`: memory for long answers.
 pub fn start(
-    cache: CacheIx, endpoint: SocketAddr, pool: Rc<Pool>, module: mpsc::Sender<Told>, dial_limit: Duration,
-    probe_limit: Duration, room: Room,
+    cache: CacheIx, endpoint: SocketAddr, pool: Rc<Pool>, module: mpsc::Sender<Told>, limits: Limits,
+    room: Room,
 ) -> mpsc::Sender<Order> {
     let (orders, mailbox) = mpsc::channel(super::MAILBOX);
     let (spoilt, endpoint, wanted) = (Often::default(), Cell::new(endpoint), Cell::new(true));
-    let peer = Rc::new(Peer { cache, endpoint, wanted, pool, module, dial_limit, probe_limit, room, spoilt });
+    let way = Cell::default();
+    let peer = Rc::new(Peer { cache, endpoint, wanted, pool, module, limits, way, room, spoilt });
     tokio::task::spawn_local(run(peer, mailbox));
     orders
 }
@@ -122,6 +137,9 @@
             () = sleep_until(until) => (silence(&dialled, &written), None),
         };
         let lag = forward.at.elapsed();
+        if written.get() && reply.is_none() && !self.limits.overlaps {
+            self.arrived(&forward.over).await;
+        }
         let note = reply.as_ref().and_then(|(head, _)| messages::note(head));
         let kind = reply.as_ref().and_then(|(head, _)| head.fields.get("Content-Type").cloned());
         let body = reply.map(|(_, body)| body).unwrap_or_default();
@@ -130,6 +148,16 @@
         let _ = self.module.send(Told::Peer(says)).await;
     }
 
+    /// Guards against a next forward that is there before this one's close: on the standing test, where a
+    /// close and a send fell on one instant, each such pair counted as two forwards out at once. Where the
+    /// invocation is over there is no next one.
+    async fn arrived(&self, over: &Cell<bool>) {
+        let (least, part) = ARRIVES;
+        if !over.get() {
+            sleep(self.way.get().clamp(least, (self.limits.dial / part).max(least))).await;
+        }
+    }
+
     async fn exchange(&self, forward: &Forward, dialled: &Cell<bool>, written: &Cell<bool>) -> Exchanged {
         let link = match self.link().await {
             Ok(link) => link,
@@ -174,7 +202,13 @@
         }
         // For want of descriptors here: no fault of the cache server.
         let permit = self.pool.room().ok_or(Outcome::NotSent)?;
-        Link::dial(self.endpoint.get(), self.dial_limit, permit).await.map_err(|error| match error.kind() {
+        let start = Instant::now();
+        let dialled = Link::dial(self.endpoint.get(), self.limits.dial, permit).await;
+        if dialled.is_ok() {
+            // The longest of late, falling by an eighth each time.
+            self.way.set(start.elapsed().max(self.way.get() * 7 / 8));
+        }
+        dialled.map_err(|error| match error.kind() {
             // It came up and broke: somebody listens there.
             ErrorKind::ConnectionReset => Outcome::Broken,
             _ => Outcome::Unavailable,
@@ -192,7 +226,7 @@
             }
             Some(reply.head.status == 200)
         };
-        let ok = matches!(timeout(self.probe_limit, asking).await, Ok(Some(true)));
+        let ok = matches!(timeout(self.limits.probe, asking).await, Ok(Some(true)));
         let _ = self.module.send(Told::Peer(PeerSays::Probed { cache: self.cache, ok })).await;
     }
 }
--- a/crates/sparrouter-settings/src/parts.rs
+++ b/crates/sparrouter-settings/src/parts.rs
@@ -38,6 +38,8 @@
     pub dial: Nanos,
     /// One that stood idle for so long is closed by the other side at the latest.
     pub idle: Nanos,
+    /// Two forwards of one invocation may be out at once.
+    pub overlaps: bool,
 }
 
 impl Settings {
@@ -60,6 +62,7 @@
         Ok(Connections {
             dial: nanos("DialTimeoutUs", self.limits.dial_timeout_us)?,
             idle: nanos("ConnIdleUs", self.limits.conn_idle_us)?,
+            overlaps: self.limits.second_copies,
         })
     }
 
