Gone is advice where the settings say so; what errs wherever it goes blames nobody

Lists that call all running cache servers gone emptied the election, and invocations that err anywhere were taken for a crowd at the origin.

Ruled out: cache servers full or late (p50 72 ms, under 2 % full after the end). To blame: OriginGuard::learn, which cut the limit by three tenths for each error, and try_cache, which sent a failing read to every cache server allowed and then to the origin.

Change: Safety.GoneIsAdvice is read by both adapters; where it is true one that never drained keeps its place until own forwards show it out of reach, then is looked at ever more seldom and in the end let go. The node keeps its door open as long as the module may send there. An error at the origin says nothing of crowds; what erred at two places is given up.

--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -47,7 +47,8 @@
     let policy = settings.policy(seed).map_err(named)?;
     let operations = settings.operations().map_err(named)?;
     let connections = settings.connections().map_err(named)?;
-    let ask_every = settings.rules().map_err(named)?.ask_every;
+    let rules = settings.rules().map_err(named)?;
+    let (ask_every, advice) = (rules.ask_every, rules.gone_is_advice);
     let timeouts: Vec<Nanos> = operations.iter().map(|o| o.client_timeout).collect();
     let longest = timeouts.iter().copied().max().filter(|t| *t > 0);
     let longest = Duration::from_nanos(longest.ok_or("settings: no operation with a client timeout")?);
@@ -97,8 +98,16 @@
         let limits = peer::Limits { dial: dial_limit, probe: shortest, overlaps: connections.overlaps };
         peer::start(cache, endpoint, pool, mailbox, limits, room.clone())
     });
-    let module =
-        Module::new(policy, Names::new(&settings), Clock::new(), timeouts, start_peer, asks, datagrams);
+    let module = Module::new(
+        policy,
+        Names::new(&settings),
+        Clock::new(),
+        timeouts,
+        advice,
+        start_peer,
+        asks,
+        datagrams,
+    );
     let mut module = tokio::task::spawn_local(module.run(config.known, told, REPORT));
 
     let (stage, staged) = watch::channel(Stage::Serving);
--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -49,6 +49,10 @@
     endpoint: SocketAddr,
     out: usize,
     gone: bool,
+    /// Listed as draining: that binds wherever gone is advice.
+    drains: bool,
+    /// Gone by the list, which is advice here: the module may still send there.
+    missing: bool,
 }
 
 /// Starts the actor of one peer.
@@ -66,6 +70,7 @@
     doors: Vec<Option<Door>>,
     /// Since when cache servers are gone; their names are let go once nothing can speak of them any more.
     gone_at: HashMap<CacheIx, Nanos>,
+    gone_is_advice: bool,
     start_peer: Starter,
     list: mpsc::Sender<Ask>,
     datagrams: Option<Rc<Datagrams>>,
@@ -91,14 +96,15 @@
 
 impl Module {
     pub fn new(
-        policy: Policy, names: Names, clock: Clock, timeouts: Vec<Nanos>, start_peer: Starter,
-        list: mpsc::Sender<Ask>, datagrams: Option<Rc<Datagrams>>,
+        policy: Policy, names: Names, clock: Clock, timeouts: Vec<Nanos>, gone_is_advice: bool,
+        start_peer: Starter, list: mpsc::Sender<Ask>, datagrams: Option<Rc<Datagrams>>,
     ) -> Module {
         Module {
             policy,
             names,
             clock,
             timeouts,
+            gone_is_advice,
             start_peer,
             list,
             datagrams,
@@ -139,11 +145,11 @@
     fn report(&mut self) {
         self.sweep();
         let timers = self.timers.len();
-        let ([shed, no_room, origin, late, gate], excess) = self.policy.given_up();
+        let ([shed, no_room, origin, late, gate, fails], excess) = self.policy.given_up();
         let (counts, open) = (&self.counts, self.held.len());
         log::info!(
             "counts: {counts:?}, given up: shed {shed}, no room {no_room}, origin {origin}, late {late}, \
-             gate {gate}, turned away now {excess:.2}; open {open}, timers {timers}"
+             gate {gate}, fails {fails}, turned away now {excess:.2}; open {open}, timers {timers}"
         );
         self.counts = Counts::default();
     }
@@ -294,6 +300,12 @@
 
     /// Forgets the names of those that are gone for good: twice as long as any invocation lasts.
     fn sweep(&mut self) {
+        for cache in 0..self.doors.len() {
+            let missing = self.doors[cache].as_ref().filter(|d| d.missing).map(|d| d.endpoint);
+            if let Some(endpoint) = missing.filter(|_| !self.policy.keeps(cache)) {
+                self.bind(cache, endpoint, Standing::Gone, false);
+            }
+        }
         let keep = 2 * self.timeouts.iter().max().copied().unwrap_or_default();
         let (now, names, doors) = (self.clock.now(), &mut self.names, &self.doors);
         let before = self.gone_at.len();
@@ -325,7 +337,13 @@
         if self.doors.len() <= cache {
             self.doors.resize_with(cache + 1, || None);
         }
-        if standing == Standing::Gone {
+        let open = self.doors[cache].as_ref().is_some_and(|d| !d.drains && !d.gone);
+        self.bind(cache, endpoint, standing, self.gone_is_advice && standing == Standing::Gone && open);
+    }
+
+    fn bind(&mut self, cache: CacheIx, endpoint: SocketAddr, standing: Standing, missing: bool) {
+        let gone = standing == Standing::Gone && !missing;
+        if gone {
             let now = self.clock.now();
             self.gone_at.entry(cache).or_insert(now);
             if self.doors[cache].is_none() {
@@ -339,10 +357,14 @@
             orders: start(cache, endpoint),
             endpoint,
             out: 0,
-            gone: false,
+            gone,
+            drains: false,
+            missing,
         });
-        (door.endpoint, door.gone) = (endpoint, standing == Standing::Gone);
-        let told = door.orders.try_send(Order::Listed { endpoint, wanted: standing == Standing::Ready });
+        (door.endpoint, door.gone, door.missing) = (endpoint, gone, missing);
+        door.drains = standing == Standing::Draining;
+        let told =
+            door.orders.try_send(Order::Listed { endpoint, wanted: missing || standing == Standing::Ready });
         must!(told.is_ok(), "a peer's mailbox has room for the list");
         if door.gone && door.out == 0 {
             self.doors[cache] = None;
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -430,6 +430,36 @@
     until("a watch after silence", || w.discovery.calls() > 3);
 }
 
+/// Guards against a list that is wrong: where gone is advice, running ones that it calls gone or leaves out are
+/// sent to; one that drained first is not.
+#[test]
+fn where_gone_is_advice_only_draining_binds() {
+    let (a, b) = (Server::always(Act::Hit), Server::always(Act::Hit));
+    let settings = SETTINGS.replace("\"FallUs\":1000000", "\"FallUs\":1000000,\"GoneIsAdvice\":true");
+    let w = world_of(&settings, &[&a, &b], nowhere(), 256);
+    until("the watch", || w.discovery.calls() == 1);
+    let mut rev = 41;
+    let mut reads = |all: bool, states: &[(usize, &str)]| {
+        let at = [a.at, b.at];
+        let target = |&(n, state): &(usize, &str)| target(&format!("c{n}"), at[n], "box", state);
+        let targets: Vec<String> = states.iter().map(target).collect();
+        rev += 1;
+        w.discovery.say(&format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(",")));
+        until("the line", || w.discovery.feed.lock().unwrap().is_empty());
+        sleep(50 * MS);
+        let before = (a.seen().len(), b.seen().len());
+        w.reads(&format!("r{rev}-"), 30);
+        (a.seen().len() > before.0, b.seen().len() > before.1)
+    };
+    assert_eq!(reads(true, &[]), (true, true));
+    assert_eq!(reads(false, &[(0, "terminated"), (1, "terminated")]), (true, true));
+    assert_eq!(reads(false, &[(0, "in_service"), (1, "in_service")]), (true, true));
+    assert_eq!(reads(false, &[(0, "terminating")]), (false, true));
+    assert_eq!(reads(false, &[(0, "terminated")]), (false, true));
+    assert_eq!(reads(true, &[]), (false, true));
+    assert_eq!(reads(false, &[(0, "in_service")]), (true, true));
+}
+
 /// Guards against being ended by SIGHUP, and against staying with the discovery of the old file.
 #[test]
 fn sighup_moves_discovery_and_all_else_goes_on() {
--- a/crates/sparrouter-settings/src/object.rs
+++ b/crates/sparrouter-settings/src/object.rs
@@ -101,6 +101,9 @@
     pub cold_us: i64,
     pub fall_multiple: f64,
     pub fall_us: i64,
+    /// The rule on drains binds only once a cache server was listed as draining.
+    #[serde(default)]
+    pub gone_is_advice: bool,
 }
 
 #[derive(Deserialize)]
--- a/crates/sparrouter-settings/src/parts.rs
+++ b/crates/sparrouter-settings/src/parts.rs
@@ -55,6 +55,7 @@
             cold: nanos("ColdUs", self.safety.cold_us)?,
             fall_multiple: self.safety.fall_multiple,
             fall: nanos("FallUs", self.safety.fall_us)?,
+            gone_is_advice: self.safety.gone_is_advice,
         })
     }
 
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -47,6 +47,12 @@
 // ---- Fleet: one record a cache server, found by its index. ----
 
 impl Cache {
+    /// Guards against a list that is wrong: where gone is advice, one that never drained stays in the
+    /// election until own forwards show that it is out of reach.
+    fn listed(&mut self, standing: Standing, advice: bool) {
+        self.missing = advice && standing == Standing::Gone && self.standing == Standing::Ready;
+        self.standing = if self.missing { Standing::Ready } else { standing };
+    }
     fn started(&mut self, at: Nanos, now: Nanos, tokens: f64) {
         (self.ready_at, self.tokens, self.filled_at) = (at.max(self.ready_at), tokens, now);
     }
@@ -103,8 +109,9 @@
     }
 
     fn list(&mut self, form: Form, rows: &[Row], now: Nanos) {
+        let advice = self.rules.gone_is_advice;
         if form != Form::Changes {
-            self.caches.iter_mut().flatten().for_each(|c| c.standing = Standing::Gone);
+            self.caches.iter_mut().flatten().for_each(|c| c.listed(Standing::Gone, advice));
         }
         for row in rows {
             if self.caches.len() <= row.cache {
@@ -127,7 +134,8 @@
                 (c.doubt, c.strikes, c.unreachable) = (None, 0, false);
                 c.started(row.ready_at, now, self.rng.f64());
             }
-            (c.standing, c.weight, c.zone, c.cell) = (row.standing, weight, row.zone, row.cell);
+            c.listed(row.standing, advice);
+            (c.weight, c.zone, c.cell) = (weight, row.zone, row.cell);
         }
         let up = |c: &CacheIx| self.caches[*c].as_ref().is_some_and(|c| c.standing == Standing::Ready);
         let all = (0..self.caches.len()).filter(up);
@@ -220,9 +228,18 @@
         let doubted = usual.powi(cache.strikes as i32) <= RARE;
         cache.unreachable |= hard && doubted;
         if doubted {
-            let longest = if most { first } else { first * 8 };
+            // Out of reach and not listed either: looked at ever more seldom.
+            let longest = match cache.missing && cache.unreachable {
+                true => Nanos::MAX,
+                false => first * if most { 1 } else { 8 },
+            };
             let backoff = cache.doubt.as_ref().map_or(first, |d| (d.backoff * 2).min(longest));
             cache.doubt = Some(Doubt { until: now + backoff, backoff, trial: false });
+            // List and own forwards have agreed for long: it is kept no more, until it is listed again.
+            if cache.missing && backoff > first * LOOKS {
+                (cache.standing, cache.missing) = (Standing::Gone, false);
+                self.ready.retain(|&r| r != c);
+            }
         }
     }
 
@@ -287,6 +304,8 @@
 const RARE: f64 = 0.1;
 /// How bad a full cache server is, beside one that answers too late.
 const FULL_BAD: f64 = 0.25;
+/// One that is missing is let go when the wait between looks at it has grown to so many of the first.
+const LOOKS: Nanos = 256;
 const LIMIT_MAX: f64 = 16.0;
 const CROWD_GAIN: f64 = 6.0;
 /// Evidence of the whole fleet's badness grows stale so much faster than that of one cache server.
@@ -326,7 +345,9 @@
                 self.limit += stale(0.2, age) * (goal - self.limit);
                 self.limit = self.limit.clamp(self.least, self.out as f64 + 3.0);
             }
-            Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss => {}
+            // Guards against invocations that fail wherever they go: taken for a crowd, they had the limit
+            // fall to nothing, and every miss was turned away. What errs is answered, and quickly.
+            Outcome::Withdrawn | Outcome::NotSent | Outcome::Miss | Outcome::Error => {}
             // A connection that broke, or fell silent while others were answered, is no sign of a crowd.
             Outcome::Reset | Outcome::Broken => self.strikes += 1,
             Outcome::TimedOut if self.heard + lag as Nanos > now => {}
@@ -522,6 +543,11 @@
         (std::mem::take(&mut self.given_up), self.admission.excess)
     }
 
+    /// Whether this cache server may still be sent to, whatever the list says.
+    pub fn keeps(&self, cache: CacheIx) -> bool {
+        self.fleet.caches.get(cache).and_then(|c| c.as_ref()).is_some_and(|c| c.standing == Standing::Ready)
+    }
+
     pub fn drain(&mut self) -> std::vec::Drain<'_, Action> {
         self.actions.drain(..)
     }
@@ -749,7 +775,8 @@
         }
         let wait = inv.arrival.due - self.now;
         let cold = inv.cold;
-        inv.forwards.push(Forward { cache: c, at: self.now, fate: Fate::Open, broke: false, cold, then });
+        let (at, fate) = (self.now, Fate::Open);
+        inv.forwards.push(Forward { cache: c, at, fate, broke: false, erred: false, cold, then });
         let copy = inv.forwards.len() - 1;
         let (operation, origin) = (inv.arrival.operation, self.fleet.is_origin(c));
         self.actions.push(Action::Forward { inv: ix, cache: c, wait });
@@ -815,10 +842,15 @@
             inv.cold |= cold;
             self.fetch(ix);
         } else if inv.open() == 0 {
-            self.try_cache(ix);
+            if self.fails_anywhere(ix) { self.conclude(ix, Why::Fails) } else { self.try_cache(ix) }
         }
     }
 
+    /// It erred wherever it was sent, so it is the invocation that fails: it is given up, and nobody is blamed.
+    fn fails_anywhere(&self, ix: InvIx) -> bool {
+        self.invs[&ix].forwards.iter().filter(|f| f.erred).count() > 1
+    }
+
     /// The origin answered, but not with success.
     fn after_origin(&mut self, ix: InvIx, e: &Ending) {
         let inv = &self.invs[&ix];
@@ -826,7 +858,7 @@
         // Where it may run again it waits its turn once more; an origin silent to all is left in peace.
         let there = inv.forwards.iter().filter(|f| f.cache == e.cache).count();
         let again = may_forward(inv, op, &self.limits, self.fleet.get(e.cache), &self.fleet, self.now);
-        if e.outcome != Outcome::TimedOut && again && there < 2 {
+        if e.outcome != Outcome::TimedOut && again && there < 2 && !self.fails_anywhere(ix) {
             self.try_origin(ix);
         } else if inv.open() == 0 {
             self.conclude(ix, Why::Origin);
@@ -840,6 +872,7 @@
             return;
         };
         f.broke = matches!(e.outcome, Outcome::Reset | Outcome::Broken);
+        f.erred = e.outcome == Outcome::Error;
         f.fate = if e.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (then, sent_at, cold) = (f.then, f.at, f.cold);
         inv.over |= e.last;
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -21,6 +21,7 @@
     pub fate: Fate,
     /// Its connection broke.
     pub broke: bool,
+    pub erred: bool,
     /// A fetch that a cold cache server's miss led to.
     pub cold: bool,
     pub then: Then,
@@ -67,6 +68,8 @@
 pub struct Cache {
     pub id_hash: u64,
     pub standing: Standing,
+    /// The list has it no more, which is advice here: it may still be sent to.
+    pub missing: bool,
     pub zone: usize,
     pub cell: i64,
     pub kind: usize,
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -63,6 +63,8 @@
     pub cold: Nanos,
     pub fall_multiple: f64,
     pub fall: Nanos,
+    /// Only draining binds: a cache server that is listed as gone, or no more, may still be sent to.
+    pub gone_is_advice: bool,
 }
 
 /// Where missing values come from.
@@ -226,7 +228,9 @@
     Late,
     /// The rules allow no further forward.
     Gate,
+    /// It erred wherever it was sent.
+    Fails,
 }
 
 /// Counts by `Why`.
-pub type GivenUp = [u64; 5];
+pub type GivenUp = [u64; 6];
--- a/crates/sparrouter/tests/rules.rs
+++ b/crates/sparrouter/tests/rules.rs
@@ -30,11 +30,11 @@
 }
 
 fn sites() -> impl Strategy<Value = Site> {
-    let flags = prop::array::uniform6(any::<bool>());
+    let flags = prop::array::uniform7(any::<bool>());
     (prop::collection::vec(operations(), 1..4), flags, 1usize..7, nodes(), 0usize..3, any::<u64>()).prop_map(
         |(
             ops,
-            [second_copies, withdraw, may_probe, must_ask, through, advice],
+            [second_copies, withdraw, may_probe, must_ask, through, advice, gone_is_advice],
             max,
             nodes,
             tenants,
@@ -44,6 +44,7 @@
             s.ops = ops;
             s.limits = ForwardLimits { max_forwards: max, second_copies, withdraw, ..s.limits };
             s.limits.max_retry_after = advice.then_some(SECOND);
+            s.rules.gone_is_advice = gone_is_advice;
             s.place = Surroundings { nodes, seed, may_probe, must_ask, peers: advice, ..s.place };
             s.tenants = vec![Tenant { share: 0.5, quota_per_s: 20.0 }; tenants];
             if through {
@@ -141,17 +142,6 @@
     }
 }
 
-fn fleet(n: usize) -> Vec<Row> {
-    (0..n).map(|c| row(c, 0)).chain([row(n, 9)]).collect()
-}
-
-fn winner(w: &mut World, key: u64) -> CacheIx {
-    let inv = w.arrive(0, Some(key), false, SECOND);
-    let to = w.sent_to(inv)[0];
-    w.end(inv, 0, Outcome::Succeeded);
-    to
-}
-
 #[test]
 fn nodes_agree_and_a_lost_cache_moves_only_its_own_keys() {
     let mut other = site();
--- a/crates/sparrouter/tests/world/mod.rs
+++ b/crates/sparrouter/tests/world/mod.rs
@@ -56,6 +56,7 @@
             cold: 20 * SECOND,
             fall_multiple: 3.0,
             fall: SECOND,
+            gone_is_advice: false,
         },
         mode: OriginMode::Aside { kind: 9 },
         tenants: vec![],
@@ -75,6 +76,18 @@
     }
 }
 
+pub fn fleet(n: usize) -> Vec<Row> {
+    (0..n).map(|c| row(c, 0)).chain([row(n, 9)]).collect()
+}
+
+/// Where a read of this key goes; it succeeds there at once.
+pub fn winner(w: &mut World, key: u64) -> CacheIx {
+    let inv = w.arrive(0, Some(key), false, SECOND);
+    let to = w.sent_to(inv)[0];
+    w.end(inv, 0, Outcome::Succeeded);
+    to
+}
+
 struct Sent {
     cache: CacheIx,
     at: Nanos,
@@ -133,11 +146,18 @@
     }
 
     pub fn list(&mut self, form: Form, rows: Vec<Row>) {
+        // What binds: where gone is advice, only what was listed as draining, until it is listed as ready.
+        let advice = self.site.rules.gone_is_advice;
+        let binding = |old: Option<Standing>, new| match (old, new) {
+            (Some(Standing::Ready), Standing::Gone) if advice => Standing::Ready,
+            (_, new) => new,
+        };
         if matches!(form, Form::Full | Form::Saved) {
-            self.rows.values_mut().for_each(|r| r.standing = Standing::Gone);
+            self.rows.values_mut().for_each(|r| r.standing = binding(Some(r.standing), Standing::Gone));
         }
         for r in &rows {
-            self.rows.insert(r.cache, r.clone());
+            let old = self.rows.get(&r.cache).map(|r| r.standing);
+            self.rows.insert(r.cache, Row { standing: binding(old, r.standing), ..r.clone() });
         }
         self.play(Event::Listed { form, rows });
     }
--- /dev/null
+++ b/crates/sparrouter/tests/wrong_lists.rs
@@ -0,0 +1,116 @@
+//! Where gone is advice: lists that are wrong, and lists that are right about nearly everything.
+mod world;
+use sparrouter::types::*;
+use world::*;
+
+fn advised() -> Site {
+    let mut s = site();
+    s.rules.gone_is_advice = true;
+    s
+}
+
+fn rows(n: usize, standing: Standing) -> Vec<Row> {
+    fleet(n).into_iter().map(|r| Row { standing, ..r }).collect()
+}
+
+fn served(w: &mut World, keys: std::ops::Range<u64>) -> usize {
+    keys.filter(|&key| {
+        let inv = w.arrive(0, Some(key), false, SECOND);
+        let sent = !w.sent_to(inv).is_empty();
+        w.pass(10 * MS);
+        if sent {
+            w.end(inv, 0, Outcome::Succeeded);
+        }
+        sent
+    })
+    .count()
+}
+
+/// A list that called all running cache servers gone emptied the election: nine tenths were turned away.
+#[test]
+fn all_called_gone_or_left_out_stay_in_the_election_while_they_answer() {
+    for (form, list) in [(Form::Full, vec![]), (Form::Changes, rows(6, Standing::Gone))] {
+        let mut w = World::new(advised(), fleet(6));
+        let before: Vec<_> = (0..50).map(|k| winner(&mut w, k)).collect();
+        w.list(form, list.clone());
+        assert_eq!(before, (0..50).map(|k| winner(&mut w, k)).collect::<Vec<_>>());
+        // Reads that miss still find the origin.
+        let inv = w.arrive(0, Some(900), false, SECOND);
+        w.end(inv, 0, Outcome::Miss);
+        assert_eq!(w.sent_to(inv)[1], 6);
+        // Where gone binds, it is kept.
+        let mut w = World::new(site(), fleet(6));
+        w.list(form, list);
+        assert_eq!(served(&mut w, 0..50), 0);
+    }
+}
+
+#[test]
+fn one_that_drained_before_it_was_gone_gets_nothing_until_it_is_listed_again() {
+    let mut w = World::new(advised(), fleet(3));
+    let home = winner(&mut w, 1);
+    let with = |standing| vec![Row { standing, ..row(home, 0) }];
+    w.list(Form::Changes, with(Standing::Draining));
+    assert_ne!(winner(&mut w, 1), home);
+    w.list(Form::Changes, with(Standing::Gone));
+    assert_ne!(winner(&mut w, 1), home);
+    // A whole list that leaves it out, or has it drain still, changes nothing.
+    w.list(Form::Full, fleet(3).into_iter().filter(|r| r.cache != home).collect());
+    assert_ne!(winner(&mut w, 1), home);
+    w.list(Form::Changes, with(Standing::Ready));
+    assert_eq!(winner(&mut w, 1), home);
+}
+
+/// Called gone and gone in truth, without having drained: own forwards find it out, and few of them.
+#[test]
+fn one_that_is_gone_in_truth_costs_few_forwards() {
+    let mut w = World::new(advised(), fleet(4));
+    let home = winner(&mut w, 1);
+    w.list(Form::Changes, vec![Row { standing: Standing::Gone, ..row(home, 0) }]);
+    let mut tried = 0;
+    for k in 0..1200 {
+        let inv = w.arrive(0, Some(k % 40), false, SECOND);
+        for copy in 0..3 {
+            let Some(&to) = w.sent_to(inv).get(copy) else { break };
+            tried += usize::from(to == home);
+            w.end(inv, copy, if to == home { Outcome::Unavailable } else { Outcome::Succeeded });
+        }
+        assert!(w.answered(inv));
+        w.pass(50 * MS);
+    }
+    // A minute: it is looked at ever more seldom.
+    assert!((1..=10).contains(&tried), "{tried}");
+}
+
+/// Half of them called gone and there, half listed and there: nothing changes for either.
+#[test]
+fn half_called_gone_keep_their_keys_beside_those_listed() {
+    let mut w = World::new(advised(), fleet(8));
+    let before: Vec<_> = (0..80).map(|k| winner(&mut w, k)).collect();
+    w.list(Form::Full, fleet(8).into_iter().filter(|r| r.cache % 2 == 0).collect());
+    assert_eq!(before, (0..80).map(|k| winner(&mut w, k)).collect::<Vec<_>>());
+    w.list(Form::Full, fleet(8));
+    assert_eq!(before, (0..80).map(|k| winner(&mut w, k)).collect::<Vec<_>>());
+}
+
+/// An old list names cache servers long replaced, and not those that stand in for them now.
+#[test]
+fn an_old_list_that_comes_again_moves_keys_only_to_those_that_answer() {
+    let mut w = World::new(advised(), fleet(8));
+    let drained: Vec<Row> = (0..4).map(|c| Row { standing: Standing::Draining, ..row(c, 0) }).collect();
+    w.list(Form::Changes, drained);
+    // The replaced are listed as they were, the others are left out.
+    w.list(Form::Full, (0..4).map(|c| row(c, 0)).chain([row(8, 9)]).collect());
+    let mut answered = 0;
+    for k in 0..600 {
+        let inv = w.arrive(0, Some(k), false, SECOND);
+        for copy in 0..3 {
+            let Some(&to) = w.sent_to(inv).get(copy) else { break };
+            w.pass(5 * MS);
+            w.end(inv, copy, if to < 4 { Outcome::Unavailable } else { Outcome::Succeeded });
+        }
+        answered += usize::from(w.answered(inv) && !w.sent_to(inv).is_empty());
+        w.pass(20 * MS);
+    }
+    assert!(answered > 590, "{answered}");
+}
