Hot keys are believed by the mean part of a key seen so often, not from eight arrivals on

A node sees 6 arrivals a second, so that eight of one key within the memory of 8 s never came. Ruled out: origin price, errors (none before 10 s), doubts.

Change: the part of a key is (seen - 1) / (all + 32), the mean of what a key seen so often has where popularity falls as one over the rank, without a least count; memory of 24 s; spread over three fair shares in place of one and a half.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -373,25 +373,24 @@
 impl KeyCounts {
     /// Over how many cache servers the key is spread: by its part of the arrivals and by how slow its
     /// answers are, as where nothing is crowded each copy only costs fetches. 1 for nearly all keys.
-    /// What others saw too needs fewer arrivals here.
-    fn spread(&self, key: u64, caches: usize, peers: usize) -> usize {
-        // Without the arrival at hand: one of thirty looked hot to a node that sees few.
+    fn spread(&self, key: u64, caches: usize) -> usize {
+        // Without the arrival at hand that is the mean part of a key seen so often, where popularity falls
+        // as one over the rank. A few arrivals more than were seen keep the first from looking hot.
         let n = self.counts.get(&((key >> 32) as u32)).map_or((0.0, 0.0), |n| (n.0 - 1.0, n.1));
-        if n.0 < HOT_COUNT / (1.0 + peers as f64).powf(1.5) {
+        if n.0 <= 0.0 {
             return 1;
         }
         let slow = (n.1 / n.0).min(1.0);
-        (HOT_SPREAD * slow * caches as f64 * n.0 / self.total).ceil().clamp(1.0, caches.max(1) as f64)
-            as usize
+        let part = n.0 / (self.total + HOT_FEW);
+        (HOT_SPREAD * slow * caches as f64 * part).ceil().clamp(1.0, caches.max(1) as f64) as usize
     }
 }
 
-/// So many arrivals of late make a count that can be believed.
-const HOT_COUNT: f64 = 8.0;
-const HOT_SPREAD: f64 = 1.5;
+const HOT_FEW: f64 = 32.0;
+const HOT_SPREAD: f64 = 3.0;
 /// Counts are halved after so many arrivals a cache server, or such a time.
 const HOT_ARRIVALS: f64 = 32.0;
-const HOT_MEMORY: Nanos = 8 * SECOND;
+const HOT_MEMORY: Nanos = 24 * SECOND;
 
 // ---- Admission: what is throttled early. ----
 
@@ -729,7 +728,7 @@
         let (mut spare, mut probe) = (None, None);
         let mut order = self.fleet.rank(inv.key, self.peers.len(), self.now);
         // A hot key is spread over the first few of its order, the least busy of them first.
-        let few = self.keys.spread(inv.key, order.len(), self.peers.len()).min(order.len());
+        let few = self.keys.spread(inv.key, order.len()).min(order.len());
         // Each node begins elsewhere among them: that many nodes with one in flight each are a crowd.
         order[..few]
             .rotate_left(self.place.own_index % self.place.nodes.max(1) * few / self.place.nodes.max(1));
