--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -47,8 +47,7 @@
     let policy = settings.policy(seed).map_err(named)?;
     let operations = settings.operations().map_err(named)?;
     let connections = settings.connections().map_err(named)?;
-    let rules = settings.rules().map_err(named)?;
-    let (ask_every, advice) = (rules.ask_every, rules.gone_is_advice);
+    let ask_every = settings.rules().map_err(named)?.ask_every;
     let timeouts: Vec<Nanos> = operations.iter().map(|o| o.client_timeout).collect();
     let longest = timeouts.iter().copied().max().filter(|t| *t > 0);
     let longest = Duration::from_nanos(longest.ok_or("settings: no operation with a client timeout")?);
--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -70,7 +70,6 @@
     doors: Vec<Option<Door>>,
     /// Since when cache servers are gone; their names are let go once nothing can speak of them any more.
     gone_at: HashMap<CacheIx, Nanos>,
-    gone_is_advice: bool,
     start_peer: Starter,
     list: mpsc::Sender<Ask>,
     datagrams: Option<Rc<Datagrams>>,
@@ -96,15 +95,14 @@
 
 impl Module {
     pub fn new(
-        policy: Policy, names: Names, clock: Clock, timeouts: Vec<Nanos>, gone_is_advice: bool,
-        start_peer: Starter, list: mpsc::Sender<Ask>, datagrams: Option<Rc<Datagrams>>,
+        policy: Policy, names: Names, clock: Clock, timeouts: Vec<Nanos>, start_peer: Starter,
+        list: mpsc::Sender<Ask>, datagrams: Option<Rc<Datagrams>>,
     ) -> Module {
         Module {
             policy,
             names,
             clock,
             timeouts,
-            gone_is_advice,
             start_peer,
             list,
             datagrams,
@@ -338,7 +336,12 @@
             self.doors.resize_with(cache + 1, || None);
         }
         let open = self.doors[cache].as_ref().is_some_and(|d| !d.drains && !d.gone);
-        self.bind(cache, endpoint, standing, self.gone_is_advice && standing == Standing::Gone && open);
+        self.bind(
+            cache,
+            endpoint,
+            standing,
+            self.policy.gone_is_advice() && standing == Standing::Gone && open,
+        );
     }
 
     fn bind(&mut self, cache: CacheIx, endpoint: SocketAddr, standing: Standing, missing: bool) {
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -549,6 +549,9 @@
         (std::mem::take(&mut self.given_up), self.admission.excess)
     }
 
+    pub fn gone_is_advice(&self) -> bool {
+        self.fleet.rules.gone_is_advice
+    }
     /// Whether this cache server may still be sent to, whatever the list says.
     pub fn keeps(&self, cache: CacheIx) -> bool {
         self.fleet.caches.get(cache).and_then(|c| c.as_ref()).is_some_and(|c| c.standing == Standing::Ready)
