--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -97,16 +97,8 @@
         let limits = peer::Limits { dial: dial_limit, probe: shortest, overlaps: connections.overlaps };
         peer::start(cache, endpoint, pool, mailbox, limits, room.clone())
     });
-    let module = Module::new(
-        policy,
-        Names::new(&settings),
-        Clock::new(),
-        timeouts,
-        advice,
-        start_peer,
-        asks,
-        datagrams,
-    );
+    let module =
+        Module::new(policy, Names::new(&settings), Clock::new(), timeouts, start_peer, asks, datagrams);
     let mut module = tokio::task::spawn_local(module.run(config.known, told, REPORT));
 
     let (stage, staged) = watch::channel(Stage::Serving);
