--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -393,7 +393,7 @@
     }
 }
 
-const HOT_FEW: f64 = 32.0;
+const HOT_FEW: f64 = 12.0;
 const HOT_SPREAD: f64 = 3.0;
 /// Counts are halved after so many arrivals a cache server, or such a time.
 const HOT_ARRIVALS: f64 = 32.0;
