What erred is sent on as far as that has helped of late; a failing key is let in ever more seldom

Found: 10,000 in 5 s erred at two cache servers each, and 20,000 to 31,000 forwards in 5 s were turned away as full, where rooms hold two to four a core. Ruled out: few hot keys (marks on keys alone cut the errors by 4 %: there are thousands of keys), origin limit (its mean stays near what is tolerated).

Change: a node learns which part of those that erred the next cache server answered, and sends on that part of them, one in ten at least. A key whose invocations erred at two cache servers is let in by one over the number of such invocations; the evidence halves in four seconds and is void with the first that ends well.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -300,6 +300,8 @@
 const PASS_OVER_FLOOR: f64 = 2.0;
 /// This much of the cold budget is used; the rest is for chance.
 const COLD_MARGIN: f64 = 0.5;
+/// How fast what became of those that erred is learnt.
+const RESCUE_STEP: f64 = 0.1;
 /// Strikes in a row that would come by chance no more often than this raise doubt.
 const RARE: f64 = 0.1;
 /// How bad a full cache server is, beside one that answers too late.
@@ -383,16 +385,35 @@
     fn spread(&self, key: u64, caches: usize) -> usize {
         // Without the arrival at hand that is the mean part of a key seen so often, where popularity falls
         // as one over the rank. A few arrivals more than were seen keep the first from looking hot.
-        let n = self.counts.get(&((key >> 32) as u32)).map_or((0.0, 0.0), |n| (n.0 - 1.0, n.1));
-        if n.0 <= 0.0 {
+        let n = self.counts.get(&((key >> 32) as u32)).copied().unwrap_or_default();
+        let others = n.arrived - 1.0;
+        if others <= 0.0 {
             return 1;
         }
-        let slow = (n.1 / n.0).min(1.0);
-        let part = n.0 / (self.total + HOT_FEW);
+        let slow = (n.slow / others).min(1.0);
+        let part = others / (self.total + HOT_FEW);
         (HOT_SPREAD * slow * caches as f64 * part).ceil().clamp(1.0, caches.max(1) as f64) as usize
     }
 }
 
+// ---- Who failed: a key whose invocations fail wherever they go. ----
+
+impl Seen {
+    /// What is left of the evidence against this key.
+    fn failing(&self, now: Nanos) -> f64 {
+        self.failed * fade(now.saturating_sub(self.failed_at) / 4)
+    }
+    /// The chance of being let in. One is not enough, as two cache servers may err by chance; then ever
+    /// fewer, who bring the news that it is over. Guards against keys with a good part of all traffic that
+    /// filled the few cache servers they belong to, where others' invocations were turned away.
+    fn chance(&self, now: Nanos) -> f64 {
+        1.0 / self.failing(now).max(1.0)
+    }
+    fn fails(&mut self, now: Nanos) {
+        (self.failed, self.failed_at) = (self.failing(now) + 1.0, now);
+    }
+}
+
 const HOT_FEW: f64 = 12.0;
 const HOT_SPREAD: f64 = 3.0;
 /// Counts are halved after so many arrivals a cache server, or such a time.
@@ -489,6 +510,8 @@
     ask_at: Nanos,
     /// Second copies that may be sent: a part of the arrivals.
     copies: f64,
+    /// Part of those that erred which the next cache server answered.
+    rescued: f64,
     /// Invocations given up so far, by `Why`.
     given_up: GivenUp,
 }
@@ -540,6 +563,7 @@
             place,
             limits,
             ops,
+            rescued: 1.0,
             ..Policy::default()
         }
     }
@@ -685,8 +709,10 @@
         let origin_write = arrival.write && self.fleet.origin.is_some();
         let due_now = due <= self.now;
         self.invs.insert(ix, Inv { key, value, good_until, give_up, arrival, ..Inv::default() });
-        if due_now || self.rng.f64() < shed {
-            return self.conclude(ix, if due_now { Why::Late } else { Why::Shed });
+        let fails = self.keys.get(key).is_some_and(|k| self.rng.f64() > k.chance(self.now));
+        if due_now || fails || self.rng.f64() < shed {
+            let why = if fails { Why::Fails } else { Why::Shed };
+            return self.conclude(ix, if due_now { Why::Late } else { why });
         }
         self.wake(give_up, token(GIVE_UP, ix, 0));
         if origin_write { self.try_origin(ix) } else { self.try_cache(ix) }
@@ -851,7 +877,14 @@
             inv.cold |= cold;
             self.fetch(ix);
         } else if inv.open() == 0 {
-            if self.fails_anywhere(ix) { self.conclude(ix, Why::Fails) } else { self.try_cache(ix) }
+            let twice = self.fails_anywhere(ix);
+            if twice {
+                let key = self.invs[&ix].key;
+                self.keys.get(key).into_iter().for_each(|k| k.fails(self.now));
+                self.rescued -= RESCUE_STEP * self.rescued;
+            }
+            let worth = !twice && (e.outcome != Outcome::Error || self.rng.f64() < self.rescued.max(RARE));
+            if worth { self.try_cache(ix) } else { self.conclude(ix, Why::Fails) }
         }
     }
 
@@ -928,6 +961,12 @@
                 if e.outcome == Outcome::Succeeded {
                     self.usual[operation].learn(e.lag as f64);
                 }
+                if e.outcome != Outcome::Error {
+                    if self.invs[&e.inv].forwards.iter().any(|f| f.erred) {
+                        self.rescued += RESCUE_STEP * (1.0 - self.rescued);
+                    }
+                    self.keys.get(key).into_iter().for_each(|k| k.failed = 0.0);
+                }
             }
             Outcome::Unavailable => self.fleet.strike(e.cache, true, self.now),
             // Single connections break where the process runs on: taken for crashes, they had the whole
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -127,42 +127,54 @@
     }
 }
 
-/// Arrivals of late by key, and what part of their objectives its forwards took in sum; as parts of
-/// a total: with notes from peers, of the whole deployment.
+/// Of one key: arrivals of late, and what part of their objectives its forwards took in sum.
+#[derive(Clone, Copy, Default)]
+pub struct Seen {
+    pub arrived: f64,
+    pub slow: f64,
+    /// Invocations that failed wherever they went, since one with this key last ended well, and when.
+    pub failed: f64,
+    pub failed_at: Nanos,
+}
+
+/// Arrivals by key as parts of a total: with notes from peers, of the whole deployment.
 #[derive(Default)]
 pub struct KeyCounts {
-    pub counts: HashMap<u32, (f64, f64)>,
+    pub counts: HashMap<u32, Seen>,
     pub total: f64,
     pub halved_at: Nanos,
 }
 
 impl KeyCounts {
     pub fn scale(&mut self, part: f64) {
-        self.counts.values_mut().for_each(|n| *n = (n.0 * part, n.1 * part));
+        self.counts.values_mut().for_each(|n| (n.arrived, n.slow) = (n.arrived * part, n.slow * part));
         self.total *= part;
         // Small pieces from many peers add up: dropped at a tenth of an arrival, nothing ever mixed.
         let least = (self.total / 1000.0).min(0.1);
-        self.counts.retain(|_, n| n.0 >= least);
+        self.counts.retain(|_, n| n.arrived >= least);
     }
     /// Counts an arrival; old ones fade by half every so many, or after a time where few arrive.
     pub fn count(&mut self, key: u64, most: f64, memory: Nanos, now: Nanos) {
-        self.counts.entry((key >> 32) as u32).or_default().0 += 1.0;
+        self.counts.entry((key >> 32) as u32).or_default().arrived += 1.0;
         self.total += 1.0;
         if self.total >= most || now > self.halved_at + memory {
             self.scale(0.5);
             self.halved_at = now;
         }
     }
+    pub fn get(&mut self, key: u64) -> Option<&mut Seen> {
+        self.counts.get_mut(&((key >> 32) as u32))
+    }
     pub fn took(&mut self, key: u64, part: f64) {
-        if let Some(n) = self.counts.get_mut(&((key >> 32) as u32)) {
-            n.1 += part.min(1.0);
+        if let Some(n) = self.get(key) {
+            n.slow += part.min(1.0);
         }
     }
     /// Push-sum (Kempe, Dobra, Gehrke 2003): gives away a part of all counts to each of some peers.
     /// Parts of the total stay right while single nodes see too few arrivals to tell a hot key.
     pub fn give(&mut self, to: usize, rows: usize) -> Vec<Sums> {
         self.scale(1.0 / (1 + to) as f64);
-        let mut top: Vec<Sums> = self.counts.iter().map(|(&key, n)| (key, n.0, n.1)).collect();
+        let mut top: Vec<Sums> = self.counts.iter().map(|(&key, n)| (key, n.arrived, n.slow)).collect();
         top.sort_unstable_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         top.truncate(rows);
         top
@@ -171,7 +183,7 @@
         self.total += total;
         for &(key, n, slow) in keys {
             let sum = self.counts.entry(key).or_default();
-            *sum = (sum.0 + n, sum.1 + slow);
+            (sum.arrived, sum.slow) = (sum.arrived + n, sum.slow + slow);
         }
     }
 }
