Rule 4: answers are counted up to a change of the list, and of those it names

Cause: Fleet::answered shared out the answers of a second, of nearly all 195, among the 8 that were left when the second was over. The budget of a cold one rests on that figure: a node took a warm unit to do many times what it can. Why it can't come back: the count is closed before the list changes anything, and later answers of those that left do not count. Where gone is advice the set does not shrink at all.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -110,6 +110,7 @@
 
     fn list(&mut self, form: Form, rows: &[Row], now: Nanos) {
         let advice = self.rules.gone_is_advice;
+        self.count(now);
         if form != Form::Changes {
             self.caches.iter_mut().flatten().for_each(|c| c.listed(Standing::Gone, advice));
         }
@@ -206,16 +207,25 @@
     }
 
     /// Counts answers: what is only sent says nothing of what can be done.
-    fn answered(&mut self, now: Nanos) {
-        self.answers += 1.0;
+    fn answered(&mut self, c: CacheIx, now: Nanos) {
+        self.answers += f64::from(u8::from(self.get(c).standing == Standing::Ready));
         self.silence *= 0.95;
         if now > self.counted_at + SECOND {
-            let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
-            let per_s = self.answers / ((now - self.counted_at) as f64 / SECOND as f64) / total.max(1e-9);
-            self.rate = if self.rate == 0.0 { per_s } else { 0.7 * self.rate + 0.3 * per_s };
-            (self.answers, self.counted_at) = (0.0, now);
+            self.count(now);
         }
     }
+    /// Guards against a list that shrinks: answers of two hundred, shared out among the eight that were left,
+    /// made the budget of a cold one many times what it can do.
+    fn count(&mut self, now: Nanos) {
+        let time = (now - self.counted_at) as f64 / SECOND as f64;
+        let total: f64 = self.ready.iter().map(|&r| self.get(r).weight * self.warmth(r, now)).sum();
+        if time > 0.0 && total > 0.0 {
+            let per_s = self.answers / time / total;
+            let part = if self.rate == 0.0 { 1.0 } else { 0.3 * time.min(1.0) };
+            self.rate += part * (per_s - self.rate);
+        }
+        (self.answers, self.counted_at) = (0.0, now);
+    }
 
     /// One more piece of evidence against a cache server; `hard` is proof that it can't be reached.
     fn strike(&mut self, c: CacheIx, hard: bool, now: Nanos) {
@@ -955,7 +965,7 @@
         match e.outcome {
             Outcome::Succeeded | Outcome::Miss | Outcome::Error => {
                 self.fleet.cleared(e.cache, self.now);
-                self.fleet.answered(self.now);
+                self.fleet.answered(e.cache, self.now);
                 self.fleet.at(e.cache).learn(f64::from(u8::from(part > 1.0)), part.min(1.0), self.now);
                 self.keys.took(key, part);
                 if e.outcome == Outcome::Succeeded {
--- a/crates/sparrouter/tests/wrong_lists.rs
+++ b/crates/sparrouter/tests/wrong_lists.rs
@@ -114,3 +114,40 @@
     }
     assert!(answered > 590, "{answered}");
 }
+
+/// Rule 4. Most drop off the list at once while one of those left is cold: the answers of all, shared out among
+/// the few, stood for what one can do, and it was sent five times what it could take.
+#[test]
+fn a_list_that_shrinks_leaves_a_cold_one_its_budget() {
+    for advice in [false, true] {
+        let mut s = site();
+        s.rules.gone_is_advice = advice;
+        let mut w = World::new(s, fleet(40));
+        let mut key = 0;
+        let mut half_a_second = |w: &mut World, shrunk: bool| {
+            let mut cold = 0;
+            for _ in 0..100 {
+                key += 1;
+                let inv = w.arrive(0, Some(key), false, SECOND);
+                w.pass(5 * MS);
+                // The few that are left can do no more than they did before.
+                let end = if !shrunk || key % 20 == 0 { Outcome::Succeeded } else { Outcome::Full };
+                for copy in 0..3 {
+                    if w.sent_to(inv).get(copy).is_some_and(|&to| to != 2 || !shrunk) {
+                        w.end(inv, copy, end);
+                    }
+                }
+                cold += usize::from(w.sent_to(inv).contains(&2));
+            }
+            cold
+        };
+        for _ in 0..21 {
+            half_a_second(&mut w, false);
+        }
+        let at = w.now;
+        w.list(Form::Full, vec![row(0, 0), row(1, 0), Row { ready_at: at, ..row(2, 0) }, row(40, 9)]);
+        let sent: usize = (0..4).map(|_| half_a_second(&mut w, true)).sum();
+        // A warm unit of weight has answered 200 / 60 a second: of that 0.15 x 3 x a half at the most.
+        assert!(sent <= 3, "advice {advice}: {sent}");
+    }
+}
