What was there when its cache server died is not sent to the next; hot keys spread by slowness squared

Poison: an invocation that killed its cache server went on to the next, and from there to the origin: in the test four of them brought down all six and the origin. Now it asks the same one once more (a break alone is told from a crash), and where nobody listens any more it is given up. Tests: turns of 2 to 12 s, cold returns, reports that lie, killers; the killers' test fails on the code before.

--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -402,7 +402,7 @@
         }
         let slow = (n.slow / others).min(1.0);
         let part = others / (self.total + HOT_FEW);
-        (HOT_SPREAD * slow * caches as f64 * part).ceil().clamp(1.0, caches.max(1) as f64) as usize
+        (HOT_SPREAD * slow * slow * caches as f64 * part).ceil().clamp(1.0, caches.max(1) as f64) as usize
     }
 }
 
@@ -425,7 +425,7 @@
 }
 
 const HOT_FEW: f64 = 12.0;
-const HOT_SPREAD: f64 = 3.0;
+const HOT_SPREAD: f64 = 6.0;
 /// Counts are halved after so many arrivals a cache server, or such a time.
 const HOT_ARRIVALS: f64 = 32.0;
 const HOT_MEMORY: Nanos = 24 * SECOND;
@@ -792,6 +792,10 @@
                 continue;
             }
             if let Some(d) = &cache.doubt {
+                // The connection that broke raised the doubt: asking there again tells a crash from a break.
+                if !before.is_empty() {
+                    return (Some(c), probe);
+                }
                 // If most look bad, the judgement may be what is bad: they need no probe, only time.
                 let due = d.until <= self.now;
                 let look = d.trial || due && (most || !self.place.may_probe);
@@ -894,7 +898,12 @@
                 self.keys.get(key).into_iter().for_each(|k| k.fails(self.now));
                 self.rescued -= RESCUE_STEP * self.rescued;
             }
-            let worth = !twice && (e.outcome != Outcome::Error || self.rng.f64() < self.rescued.max(RARE));
+            // Guards against one that brings down what it reaches: it was there when its cache server died, and the
+            // next would die too. Whoever was there by chance is told to come back.
+            let at = |f: &&Forward| f.cache == e.cache && f.broke;
+            let died = e.outcome == Outcome::Unavailable && self.invs[&ix].forwards.iter().any(|f| at(&f));
+            let worth =
+                !twice && !died && (e.outcome != Outcome::Error || self.rng.f64() < self.rescued.max(RARE));
             if worth { self.try_cache(ix) } else { self.conclude(ix, Why::Fails) }
         }
     }
--- /dev/null
+++ b/crates/sparrouter/tests/turns_of_trouble.rs
@@ -0,0 +1,121 @@
+//! Cache servers that fail and recover by turns, invocations that bring down what they reach, reports that lie.
+mod world;
+use sparrouter::types::*;
+use world::*;
+
+fn key(n: u64) -> u64 {
+    n.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+/// Reads at 50 a second for a while; `how` says what a cache server makes of a forward. Returns the time from
+/// `since` until cache server 0 first answered, and how many forwards it got.
+fn play(
+    w: &mut World, time: Nanos, next: &mut u64, how: &dyn Fn(CacheIx) -> Option<Outcome>,
+) -> (Option<Nanos>, usize) {
+    let (start, mut back, mut sent) = (w.now, None, 0);
+    while w.now < start + time {
+        *next += 1;
+        let inv = w.arrive(0, Some(key(*next)), false, SECOND);
+        w.pass(20 * MS);
+        for (i, copy) in w.open() {
+            let to = w.sent_to(i)[copy];
+            if let Some(end) = how(to) {
+                sent += usize::from(to == 0 && i == inv);
+                if to == 0 && end == Outcome::Succeeded && back.is_none() {
+                    back = Some(w.now - start);
+                }
+                w.end(i, copy, end);
+            }
+        }
+    }
+    (back, sent)
+}
+
+/// No fixed time stands for a return: whatever the turns last, it is found by what is sent there, within the
+/// time that the last look was away and one more.
+#[test]
+fn a_cache_that_fails_by_turns_is_back_soon_after_it_is_well() {
+    for how in [None, Some(Outcome::Unavailable), Some(Outcome::Reset)] {
+        for turn in [2, 6, 12] {
+            let mut s = site();
+            s.place.may_probe = false;
+            let mut w = World::new(s, fleet(4));
+            let mut next = 0;
+            for _ in 0..2 {
+                play(&mut w, turn * SECOND / 2, &mut next, &|_| Some(Outcome::Succeeded));
+                play(&mut w, turn * SECOND / 2, &mut next, &|c| {
+                    if c == 0 { how } else { Some(Outcome::Succeeded) }
+                });
+            }
+            let (back, _) = play(&mut w, 8 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+            let most = (turn * SECOND / 2).max(SECOND) + SECOND;
+            assert!(back.is_some_and(|b| b <= most), "{how:?} for {turn} s: {back:?}");
+        }
+    }
+}
+
+/// What comes back from silence or from out of reach gets no more than its cold budget: `World` holds rule 4
+/// against it where the list tells of the start; here it does not, and the node has only its own forwards.
+#[test]
+fn one_that_comes_back_from_out_of_reach_is_taken_for_cold() {
+    let mut w = World::new(site(), fleet(4));
+    let mut next = 0;
+    let (_, before) = play(&mut w, 5 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+    play(&mut w, 3 * SECOND, &mut next, &|c| {
+        Some(if c == 0 { Outcome::Unavailable } else { Outcome::Succeeded })
+    });
+    let (back, _) = play(&mut w, 5 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+    assert!(back.is_some());
+    let (_, after) = play(&mut w, SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+    assert!(after * 5 < before, "{after} in a second, {before} in five while warm");
+}
+
+/// Load reports that are stuck, idle or full change nothing: own forwards decide.
+#[test]
+fn load_reports_that_lie_change_nothing() {
+    let run = |load: Option<Load>| {
+        let mut w = World::new(site(), fleet(4));
+        w.load = load;
+        let mut next = 0;
+        play(&mut w, 2 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+        play(&mut w, 3 * SECOND, &mut next, &|c| (c != 0).then_some(Outcome::Succeeded));
+        play(&mut w, 3 * SECOND, &mut next, &|c| {
+            Some(if c == 1 { Outcome::Full } else { Outcome::Succeeded })
+        });
+        w.log
+    };
+    let idle = run(Some(Load { active: Some(0.0), waiting: Some(0.0) }));
+    let full = run(Some(Load { active: Some(64.0), waiting: Some(999.0) }));
+    assert!(idle == full && idle == run(None));
+}
+
+/// One that kills what it reaches: its connection breaks, and nobody listens there any more. It is not sent to
+/// the next, which would die too; another that was there by chance is told that it may come back.
+#[test]
+fn what_brings_down_its_cache_is_not_sent_to_the_next() {
+    let mut s = site();
+    s.place.may_probe = false;
+    let mut w = World::new(s, fleet(6));
+    let mut next = 0;
+    play(&mut w, 2 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+    let mut dead = std::collections::BTreeSet::new();
+    for n in 0..4 {
+        let inv = w.arrive(0, Some(key(7_000_000 + n)), false, SECOND);
+        for copy in 0..3 {
+            let Some(&to) = w.sent_to(inv).get(copy) else { break };
+            w.pass(10 * MS);
+            w.end(inv, copy, if dead.insert(to) { Outcome::Reset } else { Outcome::Unavailable });
+        }
+        assert!(w.answered(inv));
+        play(&mut w, SECOND, &mut next, &|c| {
+            Some(if dead.contains(&c) { Outcome::Unavailable } else { Outcome::Succeeded })
+        });
+    }
+    assert!(dead.len() <= 4, "{dead:?}");
+    // After it has ended no doubt remains.
+    let (back, _) = play(&mut w, 10 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+    assert!(back.is_some());
+    let before = w.log.len();
+    play(&mut w, 2 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+    assert!(!w.log[before..].iter().any(|a| matches!(a, Action::Probe { .. } | Action::Throttle { .. })));
+}
--- a/crates/sparrouter/tests/world/mod.rs
+++ b/crates/sparrouter/tests/world/mod.rs
@@ -118,6 +118,8 @@
     peak: f64,
     next: InvIx,
     pub asked: bool,
+    /// What every ending and probe reports.
+    pub load: Option<Load>,
     pub log: Vec<Action>,
 }
 
@@ -139,6 +141,7 @@
             peak: 0.0,
             next: 0,
             asked: false,
+            load: None,
             log: vec![],
         };
         w.list(Form::Saved, rows);
@@ -195,7 +198,8 @@
         let (cache, lag) = (s.cache, self.now - s.at);
         h.answered |= outcome == Outcome::Succeeded || h.begun;
         let last = h.answered;
-        self.play(Event::Ended(Ending { inv, copy, cache, outcome, lag, last, note: None, load: None }));
+        let load = self.load;
+        self.play(Event::Ended(Ending { inv, copy, cache, outcome, lag, last, note: None, load }));
     }
 
     pub fn begin(&mut self, inv: InvIx, copy: usize) {
@@ -226,7 +230,7 @@
             }
             for cache in std::mem::take(&mut self.probes) {
                 let ok = cache % 2 == 0;
-                self.play(Event::Probed { cache, ok, load: None });
+                self.play(Event::Probed { cache, ok, load: self.load });
             }
             for (inv, copy) in self.open() {
                 if self.held[&inv].sent[copy].until <= self.now {
