--- /dev/null
+++ b/crates/sparrouter-rollout/src/judge.rs
@@ -0,0 +1,235 @@
+//! Harm told from chance: changed nodes against unchanged ones that were restarted just as lately, in the same span
+//! of time, the node as the unit.
+//!
+//! A sequential test by betting (Waudby-Smith and Ramdas, "Estimating means of bounded random variables by
+//! betting", 2024): in each span a stake is laid on the changed ones doing worse than the others by more than a
+//! margin. Where they do not, the stake's expected worth never grows, so that by Ville's inequality (1939) it
+//! reaches 1/a in a part a of all sound changes at the most, however often one looks. Two groups of one size drawn by
+//! hash may be swapped: their difference is as likely to be x as -x, also when cut to a range, so its mean is 0.
+//! Nodes differ for good (one has the loud customer): each is held against its own past, and the margin holds
+//! what the unchanged still differ by.
+use crate::report::{BUCKETS, Report};
+use serde::{Deserialize, Serialize};
+
+/// What is compared of a node in a span, as parts of one; none where nothing was asked.
+pub type Parts = Vec<Option<f64>>;
+
+/// What the fleet was like before the change: what latency is slow, by operation, and each node's own means.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    /// Operations by name, with the first bucket of latencies that counts as slow.
+    pub operations: Vec<(String, usize)>,
+    pub forwards: f64,
+    pub fetches: f64,
+    pub memory_kib: f64,
+    pub descriptors: f64,
+    /// By node and measure.
+    pub means: Vec<Vec<f64>>,
+    /// Billed value not in time, of the whole fleet.
+    pub lost: f64,
+}
+
+/// Part of the answers before the change that counts as slow.
+const SLOW: f64 = 0.1;
+/// Measures of all operations together, then of each.
+const OF_ALL: [&str; 7] = ["lost", "errored", "throttled", "forwards", "fetches", "memory", "descriptors"];
+const OF_EACH: [&str; 3] = ["lost", "errored", "slow"];
+/// Least harm worth a stop, as multiples of the least loss of billed value.
+const LEAST_ALL: [f64; 7] = [1.0, 1.0, 2.0, 4.0, 4.0, 8.0, 8.0];
+const LEAST_EACH: [f64; 3] = [2.0, 1.0, 3.0];
+
+fn part(of: f64, all: f64) -> Option<f64> {
+    (all > 0.0).then(|| (of / all).clamp(0.0, 1.0))
+}
+
+/// Beside its past, as a part of four times that: a rise by a quarter is a sixteenth.
+fn beside(now: f64, past: f64) -> Option<f64> {
+    (past > 0.0).then(|| (now / (4.0 * past)).clamp(0.0, 1.0))
+}
+
+impl Past {
+    /// From all that each node did in the time before the change, as one report of differences and the latest as
+    /// it is. Nodes that did not report stand for the mean of the others.
+    pub fn of(nodes: &[Option<(Report, Report)>]) -> Past {
+        let (mut past, mut histograms) = (Past::default(), Vec::<(String, Vec<u64>)>::new());
+        let heard = || nodes.iter().flatten();
+        for op in heard().flat_map(|(d, _)| &d.operations) {
+            let at = histograms.iter().position(|h| h.0 == op.name).unwrap_or_else(|| {
+                histograms.push((op.name.clone(), vec![0; BUCKETS]));
+                histograms.len() - 1
+            });
+            histograms[at].1.iter_mut().zip(&op.latency).for_each(|(h, n)| *h += n);
+        }
+        histograms.sort();
+        for (name, histogram) in histograms {
+            let (all, mut seen) = (histogram.iter().sum::<u64>() as f64, 0.0);
+            let slow = histogram.iter().position(|&n| {
+                seen += n as f64;
+                seen > (1.0 - SLOW) * all
+            });
+            past.operations.push((name, slow.map_or(BUCKETS, |s| s + 1)));
+        }
+        let count = heard().count().max(1) as f64;
+        let taken = heard().map(|(d, _)| taken(d)).sum::<f64>().max(1.0);
+        past.forwards = heard().map(|(d, _)| d.forwards as f64).sum::<f64>() / taken;
+        past.fetches = heard().map(|(d, _)| d.fetches as f64).sum::<f64>() / taken;
+        past.memory_kib = heard().map(|(_, r)| r.memory_kib as f64).sum::<f64>() / count;
+        past.descriptors = heard().map(|(_, r)| r.descriptors as f64).sum::<f64>() / count;
+        let asked: f64 = heard().flat_map(|(d, _)| &d.operations).map(|o| o.asked).sum();
+        let in_time: f64 = heard().flat_map(|(d, _)| &d.operations).map(|o| o.in_time).sum();
+        past.lost = part(asked - in_time, asked).unwrap_or(0.0);
+        let own: Vec<Option<Parts>> =
+            nodes.iter().map(|n| n.as_ref().map(|(d, r)| past.parts(d, r))).collect();
+        let mean = |m: usize| {
+            let known: Vec<f64> = own.iter().flatten().filter_map(|p| p[m]).collect();
+            known.iter().sum::<f64>() / known.len().max(1) as f64
+        };
+        let means: Vec<f64> = (0..past.names().len()).map(mean).collect();
+        let of = |p: &Option<Parts>, m: usize| p.as_ref().and_then(|p| p[m]).unwrap_or(means[m]);
+        past.means = own.iter().map(|p| (0..means.len()).map(|m| of(p, m)).collect()).collect();
+        past
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        let each = self.operations.iter().flat_map(|o| OF_EACH.map(|m| format!("{m} of {}", o.0)));
+        OF_ALL.iter().map(|m| m.to_string()).chain(each).collect()
+    }
+
+    /// `done`: what the node did in a span; `as_is`: its latest report.
+    pub fn parts(&self, done: &Report, as_is: &Report) -> Parts {
+        let sum = |f: &dyn Fn(&crate::report::Operation) -> f64| done.operations.iter().map(f).sum::<f64>();
+        let (asked, all) = (sum(&|o| o.asked), taken(done));
+        let mut parts = vec![
+            part(asked - sum(&|o| o.in_time), asked),
+            part(sum(&|o| o.errored as f64), all),
+            part(sum(&|o| o.throttled as f64), all),
+            part(done.forwards as f64, all).and(beside(done.forwards as f64 / all, self.forwards)),
+            part(done.fetches as f64, all).and(beside(done.fetches as f64 / all, self.fetches)),
+            beside(as_is.memory_kib as f64, self.memory_kib),
+            beside(as_is.descriptors as f64, self.descriptors),
+        ];
+        for (name, slow) in &self.operations {
+            let op = done.operations.iter().find(|o| o.name == *name);
+            parts.push(op.and_then(|o| part(o.asked - o.in_time, o.asked)));
+            parts.push(op.and_then(|o| part(o.errored as f64, o.taken as f64)));
+            parts.push(
+                op.and_then(|o| part(o.latency.iter().skip(*slow).sum::<u64>() as f64, o.succeeded as f64)),
+            );
+        }
+        parts
+    }
+}
+
+fn taken(r: &Report) -> f64 {
+    r.operations.iter().map(|o| o.taken as f64).sum()
+}
+
+/// Stakes, as parts of the most that may be laid.
+const STAKES: [f64; 3] = [0.9, 0.45, 0.15];
+/// Differences are cut to so many margins.
+const CUT: f64 = 3.0;
+/// So many deviations of what unchanged nodes differ by belong to the margin.
+const DEVIATIONS: f64 = 3.0;
+
+#[derive(Clone, Debug, Default)]
+struct Mean {
+    sum: f64,
+    count: f64,
+}
+
+impl Mean {
+    fn add(&mut self, x: f64) {
+        (self.sum, self.count) = (self.sum + x, self.count + 1.0);
+    }
+    fn get(&self) -> Option<f64> {
+        (self.count > 0.0).then(|| self.sum / self.count)
+    }
+}
+
+/// One stage's test, for one set of changed nodes and one of unchanged.
+pub struct Judge {
+    past: Past,
+    least: Vec<f64>,
+    /// Worth of each stake by measure.
+    worth: Vec<[f64; STAKES.len()]>,
+    /// By measure and node, what the unchanged differ from their own past by.
+    differ: Vec<Vec<Mean>>,
+    /// What the test must reach.
+    wanted: f64,
+    pub spans: usize,
+}
+
+/// The measure that did worst, what its stakes have grown to from 1, how far the test has come (1: harm), and the
+/// difference in the last span.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    pub measure: String,
+    pub worth: f64,
+    pub reached: f64,
+    pub worse: f64,
+}
+
+impl Judge {
+    /// `least`: part of the billed value, harm up to which is not worth stopping for. `false_stops`: part of the
+    /// sound stages that may be stopped.
+    pub fn new(past: Past, nodes: usize, least: f64, false_stops: f64) -> Judge {
+        let measures = past.names().len();
+        let of = |m: usize| match m.checked_sub(OF_ALL.len()) {
+            None => LEAST_ALL[m],
+            Some(each) => LEAST_EACH[each % OF_EACH.len()],
+        };
+        Judge {
+            least: (0..measures).map(|m| least * of(m)).collect(),
+            worth: vec![[1.0; STAKES.len()]; measures],
+            differ: vec![vec![Mean::default(); nodes]; measures],
+            wanted: measures as f64 / false_stops,
+            past,
+            spans: 0,
+        }
+    }
+
+    /// One span: what changed and unchanged nodes did in it. A span in which one group is empty tells nothing.
+    pub fn span(&mut self, changed: &[(usize, Parts)], unchanged: &[(usize, Parts)]) -> Option<Finding> {
+        if changed.is_empty() || unchanged.is_empty() {
+            return None;
+        }
+        self.spans += 1;
+        let mut worst: Option<Finding> = None;
+        for m in 0..self.least.len() {
+            let own = |&(n, ref p): &(usize, Parts)| Some((n, p[m]? - self.past.means[n][m]));
+            let (new, old): (Vec<_>, Vec<_>) =
+                (changed.iter().filter_map(own).collect(), unchanged.iter().filter_map(own).collect());
+            if new.is_empty() || old.is_empty() {
+                continue;
+            }
+            // The margin by what was seen before this span: a stake may not know the outcome that it is laid on.
+            let deviation = self.deviation(m);
+            old.iter().for_each(|&(n, x)| self.differ[m][n].add(x));
+            let mean = |of: &[(usize, f64)]| of.iter().map(|x| x.1).sum::<f64>() / of.len() as f64;
+            let worse = mean(&new) - mean(&old);
+            let each = 1.0 / new.len() as f64 + 1.0 / old.len() as f64;
+            let margin = self.least[m] + DEVIATIONS * deviation * each.sqrt();
+            let beyond = worse.clamp(-CUT * margin, CUT * margin) - margin;
+            let most = 1.0 / ((CUT + 1.0) * margin);
+            for (worth, stake) in self.worth[m].iter_mut().zip(STAKES) {
+                *worth *= 1.0 + stake * most * beyond;
+            }
+            let worth = self.worth[m].iter().sum::<f64>() / STAKES.len() as f64;
+            if worst.as_ref().is_none_or(|w| w.worth < worth) {
+                let (measure, reached) = (self.past.names()[m].clone(), worth / self.wanted);
+                worst = Some(Finding { measure, worth, reached, worse });
+            }
+        }
+        worst
+    }
+
+    /// Of the unchanged nodes' means; with less than two of them the least that is worth a stop stands for it.
+    fn deviation(&self, m: usize) -> f64 {
+        let means: Vec<f64> = self.differ[m].iter().filter_map(Mean::get).collect();
+        if means.len() < 2 {
+            return self.least[m];
+        }
+        let mean = means.iter().sum::<f64>() / means.len() as f64;
+        (means.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (means.len() - 1) as f64).sqrt()
+    }
+}
