--- a/crates/sparrouter-node/src/counted.rs
+++ b/crates/sparrouter-node/src/counted.rs
@@ -10,6 +10,9 @@
     pub const fn new() -> Often {
         Often(Cell::new(0))
     }
+    pub fn count(&self) -> u64 {
+        self.0.get()
+    }
     /// The count, where it is to be logged.
     pub fn again(&self) -> Option<u64> {
         let count = self.0.get() + 1;
@@ -28,6 +31,11 @@
     }
 }
 
+/// How often something that must hold did not, in this process.
+pub fn breaches() -> u64 {
+    BREACHES.with(Often::count)
+}
+
 #[macro_export]
 macro_rules! must {
     ($holds:expr, $what:expr) => {
--- a/crates/sparrouter-node/src/program/mod.rs
+++ b/crates/sparrouter-node/src/program/mod.rs
@@ -1,3 +1,5 @@
 //! The program: configuration, start, readiness and signals.
 pub mod config;
+pub mod operator;
+pub mod reporter;
 pub mod start;
--- /dev/null
+++ b/crates/sparrouter-node/src/program/reporter.rs
@@ -0,0 +1,122 @@
+//! The node's report: a line of JSON at a time in a file of the operator's. Counts only rise, so a line that could
+//! not be written costs nothing.
+use super::operator::{Identity, Report as Wanted};
+use crate::counted::{Often, breaches};
+use sparrouter::policy::Policy;
+use sparrouter::types::{Nanos, Operation as Rules};
+use sparrouter_report::{BUCKETS, Operation, Report, bucket};
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Billed value and what an answer in time is, of one operation.
+struct Worth {
+    value: f64,
+    late: f64,
+    objective: Nanos,
+}
+
+pub struct Reporter {
+    wanted: Wanted,
+    file: File,
+    written: u64,
+    began: Instant,
+    next: Instant,
+    worth: Vec<Worth>,
+    report: Report,
+    lost: Often,
+}
+
+fn open(path: &std::path::Path) -> std::io::Result<File> {
+    OpenOptions::new().create(true).append(true).open(path)
+}
+
+impl Reporter {
+    pub fn open(
+        wanted: Wanted, name: &str, identity: Identity, operations: &[(String, Rules)],
+    ) -> Result<Reporter, String> {
+        let file = open(&wanted.path).map_err(|e| format!("report {}: {e}", wanted.path.display()))?;
+        let written = file.metadata().map(|m| m.len()).unwrap_or(0);
+        let named = |(name, _): &(String, Rules)| Operation {
+            name: name.clone(),
+            latency: vec![0; BUCKETS],
+            ..Operation::default()
+        };
+        let worth = |(_, o): &(String, Rules)| Worth {
+            value: o.billed_value,
+            late: o.late_part,
+            objective: o.objective,
+        };
+        let report = Report {
+            name: name.to_string(),
+            version: env!("CARGO_PKG_VERSION").to_string(),
+            generation: identity.generation,
+            placement: format!("{:016x}", Policy::placement()),
+            operations: operations.iter().map(named).collect(),
+            ..Report::default()
+        };
+        log::info!("report: generation {:?}, placement {}", report.generation, report.placement);
+        let (worth, now) = (operations.iter().map(worth).collect(), Instant::now());
+        Ok(Reporter { wanted, file, written, began: now, next: now, worth, report, lost: Often::new() })
+    }
+
+    pub fn next(&self) -> Instant {
+        self.next
+    }
+
+    pub fn taken(&mut self, operation: usize) {
+        let op = &mut self.report.operations[operation];
+        (op.taken, op.asked) = (op.taken + 1, op.asked + self.worth[operation].value);
+    }
+    pub fn succeeded(&mut self, operation: usize, took: Duration) {
+        let (op, worth) = (&mut self.report.operations[operation], &self.worth[operation]);
+        let in_time = took.as_nanos() as Nanos <= worth.objective;
+        op.succeeded += 1;
+        op.in_time += worth.value * if in_time { 1.0 } else { worth.late };
+        op.latency[bucket(took.as_micros() as u64)] += 1;
+    }
+    pub fn gave_up(&mut self, operation: usize, throttled: bool) {
+        let op = &mut self.report.operations[operation];
+        *(if throttled { &mut op.throttled } else { &mut op.errored }) += 1;
+    }
+    pub fn forwarded(&mut self, fetch: bool) {
+        self.report.forwards += 1;
+        self.report.fetches += u64::from(fetch);
+    }
+
+    pub fn write_if_due(&mut self) {
+        let now = Instant::now();
+        if now < self.next {
+            return;
+        }
+        self.next = now + Duration::from_millis(*self.wanted.every_ms.get_ref());
+        self.report.uptime_ms = self.began.elapsed().as_millis() as u64;
+        self.report.breaches = breaches();
+        // Pages of 4 KiB; 0 where the system does not say.
+        let pages = std::fs::read_to_string("/proc/self/statm").ok();
+        let pages = pages.and_then(|t| t.split(' ').nth(1).and_then(|p| p.parse::<u64>().ok()));
+        self.report.memory_kib = 4 * pages.unwrap_or(0);
+        self.report.descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, |d| d.count() as u64);
+        if let Err(error) = self.write()
+            && let Some(count) = self.lost.again()
+        {
+            log::warn!("report: {error}, {count} lines lost so far");
+        }
+    }
+
+    fn write(&mut self) -> std::io::Result<()> {
+        let mut line = serde_json::to_vec(&self.report)?;
+        line.push(b'\n');
+        if self.written + line.len() as u64 > 1024 * self.wanted.keep_kib.get_ref() {
+            let mut old = self.wanted.path.clone().into_os_string();
+            old.push(".1");
+            std::fs::rename(&self.wanted.path, old)?;
+            (self.file, self.written) = (open(&self.wanted.path)?, 0);
+        }
+        // One call: a reader sees whole lines or the start of the last.
+        self.file.write_all(&line)?;
+        self.written += line.len() as u64;
+        Ok(())
+    }
+}
--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -1,5 +1,7 @@
 //! From configuration to a serving node, and out again.
 use super::config::{self, Config};
+use super::operator::Operator;
+use super::reporter::Reporter;
 use crate::routing::clock::Clock;
 use crate::routing::list::List;
 use crate::routing::module::Module;
@@ -34,7 +36,7 @@
 const CALL_PART: f64 = 0.9;
 
 /// Runs until told to stop. Errors here are those of a node that can't start.
-pub async fn run(config: Config) -> Result<(), String> {
+pub async fn run(config: Config, operator: Operator) -> Result<(), String> {
     // First of all: until its handler stands, SIGHUP would end the node.
     let signals = |e| format!("signals: {e}");
     let mut hangup = signal(SignalKind::hangup()).map_err(signals)?;
@@ -99,6 +101,11 @@
     });
     let module =
         Module::new(policy, Names::new(&settings), Clock::new(), timeouts, start_peer, asks, datagrams);
+    let names = settings.classes.iter().map(|c| c.name.clone());
+    let named_operations: Vec<_> = names.zip(operations.iter().cloned()).collect();
+    let reporter =
+        operator.report.map(|r| Reporter::open(r, &config.name, operator.identity, &named_operations));
+    let module = module.reporting(reporter.transpose()?, settings.origin_kind());
     let mut module = tokio::task::spawn_local(module.run(config.known, told, REPORT));
 
     let (stage, staged) = watch::channel(Stage::Serving);
--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -5,6 +5,7 @@
 use super::list::{Ask, ListSays};
 use super::peer::{Ended, Forward, Order, PeerSays};
 use crate::must;
+use crate::program::reporter::Reporter;
 use crate::protocol::lines::{Listing, Target};
 use crate::protocol::messages::{Answer, Invocation};
 use crate::transport::budget::Permit;
@@ -30,6 +31,8 @@
     over: Rc<Cell<bool>>,
     forwards: Vec<CacheIx>,
     out: usize,
+    operation: usize,
+    at: Instant,
 }
 
 impl Held {
@@ -77,6 +80,9 @@
     /// What the actor itself found out while it carried out actions.
     next: VecDeque<Event>,
     counts: Counts,
+    reporter: Option<Reporter>,
+    origin_kind: Option<usize>,
+    origins: HashSet<CacheIx>,
 }
 
 /// Since the last line of the log.
@@ -113,16 +119,25 @@
             timers: BinaryHeap::new(),
             next: VecDeque::new(),
             counts: Counts::default(),
+            reporter: None,
+            origin_kind: None,
+            origins: HashSet::new(),
         }
     }
 
+    /// What it does is told to this as well.
+    pub fn reporting(mut self, reporter: Option<Reporter>, origin_kind: Option<usize>) -> Module {
+        (self.reporter, self.origin_kind) = (reporter, origin_kind);
+        self
+    }
+
     /// `known`: the list as the node last had it. `every`: between lines of counts in the log.
     pub async fn run(mut self, known: Listing, mut mailbox: mpsc::Receiver<Told>, every: Duration) {
         self.listed(Form::Saved, known.targets);
         let mut report = Instant::now() + every;
         loop {
-            let due =
-                self.timers.peek().map_or(report, |Reverse((at, _))| self.clock.instant(*at).min(report));
+            let look = self.reporter.as_ref().map_or(report, |r| r.next().min(report));
+            let due = self.timers.peek().map_or(look, |Reverse((at, _))| self.clock.instant(*at).min(look));
             tokio::select! {
                 biased;
                 told = mailbox.recv() => match told {
@@ -133,6 +148,7 @@
             }
             // After each message, so that a full mailbox can't keep timers from firing.
             self.fire();
+            self.reporter.iter_mut().for_each(Reporter::write_if_due);
             if Instant::now() >= report {
                 self.report();
                 report = Instant::now() + every;
@@ -223,8 +239,9 @@
             work: None,
             due: self.clock.at(at) + patience,
         };
-        let held =
-            Held { invocation, answer: Some(answer), over: Rc::default(), forwards: Vec::new(), out: 0 };
+        self.reporter.iter_mut().for_each(|r| r.taken(operation));
+        let (answer, forwards) = (Some(answer), Vec::new());
+        let held = Held { invocation, answer, over: Rc::default(), forwards, out: 0, operation, at };
         self.held.insert(inv, held);
         self.handle(Event::Arrived(arrival));
         self.forget(inv);
@@ -252,6 +269,8 @@
         held.out -= 1;
         if how.outcome == Outcome::Succeeded && !held.over.get() {
             self.counts.succeeded += 1;
+            let (operation, took) = (held.operation, held.at.elapsed());
+            self.reporter.iter_mut().for_each(|r| r.succeeded(operation, took));
             held.conclude(Answer::Succeeded { kind: how.kind, body: how.body.bytes }, how.body.granted);
         }
         let (last, lag) = (held.over.get(), how.lag.as_nanos() as Nanos);
@@ -284,6 +303,9 @@
             match self.names.row(&listed) {
                 Ok(row) => {
                     self.door(row.cache, t.endpoint, row.standing);
+                    if self.origin_kind == Some(row.kind) {
+                        self.origins.insert(row.cache);
+                    }
                     rows.push(row);
                 }
                 Err(error) => log::warn!("list: {} passed over: {error}", t.uid),
@@ -306,11 +328,13 @@
         }
         let keep = 2 * self.timeouts.iter().max().copied().unwrap_or_default();
         let (now, names, doors) = (self.clock.now(), &mut self.names, &self.doors);
+        let origins = &mut self.origins;
         let before = self.gone_at.len();
         self.gone_at.retain(|&cache, at| {
             let over = *at + keep < now && doors[cache].is_none();
             if over {
                 names.release(cache);
+                origins.remove(&cache);
             }
             !over
         });
@@ -423,6 +447,8 @@
         let held = self.held.get_mut(&inv);
         must!(held.is_some(), "an answer belongs to an invocation in hand");
         if let Some(held) = held {
+            let (operation, throttled) = (held.operation, matches!(answer, Answer::Throttled { .. }));
+            self.reporter.iter_mut().for_each(|r| r.gave_up(operation, throttled));
             held.conclude(answer, Vec::new());
         }
         // Guards against keeping for good what had no forward out when it was answered: by a timer, or
@@ -438,6 +464,8 @@
         held.forwards.push(cache);
         held.out += 1;
         self.counts.forwards += 1;
+        let fetch = self.origins.contains(&cache);
+        self.reporter.iter_mut().for_each(|r| r.forwarded(fetch));
         let (invocation, over) = (held.invocation.clone(), held.over.clone());
         let wait = Duration::from_nanos(wait);
         let forward = Forward { inv, copy, invocation, over, at: Instant::now(), wait };
--- a/crates/sparrouter-rollout/src/lib.rs
+++ b/crates/sparrouter-rollout/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod judge;
 pub mod plan;
 pub mod record;
-pub mod report;
+pub use sparrouter_report as report;
 pub mod run;
 pub mod stages;
 
--- a/crates/sparrouter-settings/src/parts.rs
+++ b/crates/sparrouter-settings/src/parts.rs
@@ -67,6 +67,11 @@
         })
     }
 
+    /// The kind of the origin in the list, where the node itself fetches from it.
+    pub fn origin_kind(&self) -> Option<usize> {
+        usize::try_from(self.family_info.origin_kind).ok().filter(|_| self.family_info.mode == "aside")
+    }
+
     /// The list of cache servers comes only to those who ask.
     pub fn must_ask(&self) -> bool {
         self.discovery == "subscribe"
@@ -97,10 +102,7 @@
             withdraw: self.limits.cancel,
             max_retry_after: self.limits.retry_after.then_some(advice),
         };
-        let mode = match usize::try_from(self.family_info.origin_kind) {
-            Ok(kind) if self.family_info.mode == "aside" => OriginMode::Aside { kind },
-            _ => OriginMode::Through,
-        };
+        let mode = self.origin_kind().map_or(OriginMode::Through, |kind| OriginMode::Aside { kind });
         Ok(Policy::new(place, self.operations()?, &tenants, limits, self.rules()?, mode))
     }
 }
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -578,6 +578,23 @@
         }
     }
 
+    /// A fingerprint of where keys go: nodes that differ here disagree on a key's cache server.
+    pub fn placement() -> u64 {
+        let row = |n: usize| Row {
+            cache: n,
+            id_hash: mix(n as u64 + 1),
+            standing: Standing::Ready,
+            zone: 0,
+            cell: 0,
+            kind: 0,
+            weight: 1.0 + (n % 3) as f64,
+            ready_at: 0,
+        };
+        let mut fleet = Fleet::default();
+        fleet.list(Form::Full, &(0..16).map(row).collect::<Vec<_>>(), 1);
+        (0..256).fold(0, |print, key| mix(print ^ (fleet.rank(mix(key), 0, 1)[0].1 as u64 + 1)))
+    }
+
     /// Invocations that got no value since this was last asked, by `Why`; and the part turned away now.
     pub fn given_up(&mut self) -> (GivenUp, f64) {
         (std::mem::take(&mut self.given_up), self.admission.excess)
