Read once more: who never ran killed nobody; a change of placement is refused; a no-op goes

Found by reading the whole change. A connection that broke before all was sent proves that nothing ran, yet with a refused connect behind it the invocation was taken for a killer and given up; now it goes on to the next (test fails on the code before). The plan's placement setting was read and did nothing: a changed node that places keys otherwise is now taken back unless it is allowed (test both ways). An alternative that could never be taken goes.

--- a/crates/sparrouter-rollout/src/conduct.rs
+++ b/crates/sparrouter-rollout/src/conduct.rs
@@ -242,6 +242,10 @@
     fn reported(&mut self, n: usize, report: Report, now: Nanos) {
         let (node, plan) = (self.name(n), &self.plan);
         let (new, old) = (report.generation == plan.generation, report.generation == plan.from);
+        // Where keys go by the unchanged.
+        let unchanged = |o: &&Member| matches!(o.at, At::Old | At::Fresh);
+        let usual = self.members.iter().filter(unchanged).find_map(|o| o.report.as_ref());
+        let usual = usual.map(|r| r.placement.clone());
         let m = &mut self.members[n];
         let again = m.report.as_ref().is_some_and(|r| r.uptime_ms > report.uptime_ms);
         let breaches = report.breaches > m.report.as_ref().map_or(0, |r| if again { 0 } else { r.breaches });
@@ -249,6 +253,7 @@
         // (no time here) nobody knows when; the restart was logged as over.
         let stale = m.since > 0
             && report.uptime_ms.saturating_mul(1_000_000) > now.saturating_sub(m.since) + 2 * plan.span;
+        let elsewhere = !plan.placement && usual.is_some_and(|u| u != report.placement);
         let moved = m.at.clone();
         (m.heard, m.report) = (now, Some(report));
         m.first.get_or_insert_with(|| m.report.clone().unwrap_or_default());
@@ -256,7 +261,12 @@
             (m.at, m.since, m.base) = (at, now, m.report.clone());
         };
         match moved {
-            At::Due(Doing::Change) if new => settle(m, At::New),
+            At::Due(Doing::Change) if new => {
+                settle(m, At::New);
+                if elsewhere {
+                    self.turn(format!("{node} places keys otherwise, which the plan does not allow"));
+                }
+            }
             At::Due(Doing::Back) if old => settle(m, At::Old),
             At::Due(Doing::Restart) if old && !stale => settle(m, At::Fresh),
             At::New if old => {
@@ -384,9 +394,7 @@
         let (change, restart): (Vec<usize>, Vec<usize>) =
             (new.iter().copied().filter(old).collect(), fellows.iter().copied().filter(old).collect());
         let next = match (change.first(), restart.first()) {
-            (Some(&n), Some(&r)) if restart.len() > change.len() => {
-                Some((r, Doing::Restart)).or(Some((n, Doing::Change)))
-            }
+            (Some(_), Some(&r)) if restart.len() > change.len() => Some((r, Doing::Restart)),
             (Some(&n), _) => Some((n, Doing::Change)),
             (None, Some(&r)) => Some((r, Doing::Restart)),
             (None, None) => None,
--- a/crates/sparrouter-rollout/tests/fleet/mod.rs
+++ b/crates/sparrouter-rollout/tests/fleet/mod.rs
@@ -16,6 +16,8 @@
     /// The second operation alone.
     OneWorse(f64),
     Leaks,
+    /// Chooses other cache servers for keys.
+    Places,
     /// Harms all nodes alike.
     InSum(f64),
     /// Only when it has run for so long.
@@ -78,7 +80,7 @@
         let procs = names.into_iter().map(|name| Proc {
             new: false,
             started: 0,
-            report: Report { name, generation: "old".into(), ..Report::default() },
+            report: Report { name, generation: "old".into(), placement: "1".into(), ..Report::default() },
             own: 0.02 * rng.f64(),
             busy: None,
             dead: false,
@@ -108,7 +110,8 @@
         let p = &mut self.procs[n];
         (p.new, p.started, p.dead, p.restarts) = (new, self.now, false, p.restarts + 1);
         let generation = if new { "new" } else { "old" }.to_string();
-        p.report = Report { name: p.report.name.clone(), generation, ..Report::default() };
+        let placement = if new && self.bad == Bad::Places { "2" } else { "1" }.to_string();
+        p.report = Report { name: p.report.name.clone(), generation, placement, ..Report::default() };
     }
 
     /// A second of traffic at one node.
--- a/crates/sparrouter-rollout/tests/rollout.rs
+++ b/crates/sparrouter-rollout/tests/rollout.rs
@@ -46,6 +46,17 @@
     assert_eq!(fleet.changed(), 0);
 }
 
+/// Old and new nodes that disagree on a key's cache server: refused at the first node, unless the plan allows it.
+#[test]
+fn a_change_of_placement_is_refused_unless_allowed() {
+    let (how, fleet) = played(8, Bad::Places, 9);
+    assert!(matches!(&how, How::Back(why) if why.contains("places keys otherwise")), "{how:?}");
+    assert_eq!((fleet.changed(), fleet.stage()), (0, 1));
+    let mut allowed = plan(8, 2);
+    allowed.placement = true;
+    assert_eq!(Fleet::new(allowed, Bad::Places, 9).play(), How::Through);
+}
+
 /// Trouble of the fleet in mid-stage is not blamed on the change: it waits, and goes on after.
 #[test]
 fn a_sound_change_waits_out_trouble_of_the_fleet() {
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -917,8 +917,9 @@
             }
             // Guards against one that brings down what it reaches: it was there when its cache server died, and the
             // next would die too. Whoever was there by chance is told to come back.
-            let at = |f: &&Forward| f.cache == e.cache && f.broke;
-            let died = e.outcome == Outcome::Unavailable && self.invs[&ix].forwards.iter().any(|f| at(&f));
+            // Where the connection broke before all was sent it never ran, and killed nobody.
+            let there = |f: &Forward| f.cache == e.cache && f.broke && f.fate == Fate::MayHaveRun;
+            let died = e.outcome == Outcome::Unavailable && self.invs[&ix].forwards.iter().any(there);
             let worth =
                 !twice && !died && (e.outcome != Outcome::Error || self.rng.f64() < self.rescued.max(RARE));
             if worth { self.try_cache(ix) } else { self.conclude(ix, Why::Fails) }
--- a/crates/sparrouter/tests/turns_of_trouble.rs
+++ b/crates/sparrouter/tests/turns_of_trouble.rs
@@ -119,3 +119,18 @@
     play(&mut w, 2 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
     assert!(!w.log[before..].iter().any(|a| matches!(a, Action::Probe { .. } | Action::Throttle { .. })));
 }
+
+/// A connection that broke before all was sent proves that nothing ran: its invocation killed nobody, and goes on
+/// to the next.
+#[test]
+fn what_never_reached_its_dead_cache_goes_on_to_the_next() {
+    let mut w = World::new(site(), fleet(6));
+    let mut next = 0;
+    play(&mut w, 2 * SECOND, &mut next, &|_| Some(Outcome::Succeeded));
+    let inv = w.arrive(0, Some(key(7)), false, SECOND);
+    w.pass(10 * MS);
+    w.end(inv, 0, Outcome::Broken);
+    w.end(inv, 1, Outcome::Unavailable);
+    let sent = w.sent_to(inv);
+    assert!(sent.len() == 3 && sent[0] == sent[1] && sent[2] != sent[0], "{sent:?}");
+}
