A lost watch on a pushed list is opened anew at once; indented lists are read

Ruled out: the policy (it sent to what its list called ready). Change: calls are polled where they stand; a pushed watch is asked for at once and then every half of DrainGraceUs, a second call beside one that hangs; silence is counted from the last whole value; values are cut by their braces; changes to an older list, and a whole list older than what the watch told since, undo nothing.

--- a/crates/sparrouter-node/src/program/reload.rs
+++ b/crates/sparrouter-node/src/program/reload.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The operator's file as it was last taken up, and where it is.
@@ -37,6 +38,8 @@
     pub operator: InForce,
     pub opened: Rc<Cell<u64>>,
     pub began: Instant,
+    /// Between calls for a lost watch.
+    pub pace: Duration,
 }
 
 impl Force {
@@ -71,6 +74,7 @@
             seed: config.seed()?,
             print: config.print,
         };
-        Ok((Force { config, operator, opened: self.opened.clone(), began: self.began }, change))
+        let pace = super::start::pace(&config.settings).map_err(named)?;
+        Ok((Force { config, operator, opened: self.opened.clone(), began: self.began, pace }, change))
     }
 }
--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -2,7 +2,7 @@
 use super::config::Config;
 use super::reload::{Force, InForce};
 use crate::routing::clock::Clock;
-use crate::routing::list::List;
+use crate::routing::list::{self, List};
 use crate::routing::module::Module;
 use crate::routing::{MAILBOX, Told, peer};
 use crate::transport::budget::{self, Idlers, Room, Share};
@@ -13,7 +13,7 @@
 use sparrouter::notes::FORMATS;
 use sparrouter::policy::Policy;
 use sparrouter::types::Nanos;
-use sparrouter_settings::Names;
+use sparrouter_settings::{Names, Settings};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -78,6 +78,7 @@
     let (asks, asked) = mpsc::channel(4);
     let (unasked, rev) = (!settings.must_ask(), config.known.rev);
     let (discovery, at) = watch::channel(config.discovery);
+    let pace = Rc::new(Cell::new(pace(&settings).map_err(named)?));
     let list = List {
         discovery: at,
         asks: asked,
@@ -85,7 +86,10 @@
         rev,
         dial_limit,
         limit: call_limit,
+        heartbeat: list::HEARTBEAT,
         unasked,
+        pace: pace.clone(),
+        rng: fastrand::Rng::with_seed(seed),
     };
     tokio::task::spawn_local(list.run());
 
@@ -128,13 +132,14 @@
     tokio::task::spawn_local(listener::accept(listener, clients.clone(), most, house.clone()));
     log::info!("{} ready on {}", config.name, config.listen);
 
-    let mut force = Force { config, operator, opened: pool.opened.clone(), began };
+    let mut force = Force { config, operator, opened: pool.opened.clone(), began, pace: pace.get() };
     loop {
         tokio::select! {
             _ = hangup.recv() => match force.reread() {
                 Ok((next, change)) => {
                     let longest = change.operations.iter().map(|o| Duration::from_nanos(o.client_timeout)).max();
                     house.patience.set(house.patience.get().max(longest.unwrap_or_default()));
+                    pace.set(next.pace);
                     let _ = mailbox.send(Told::Changed(Box::new(change))).await;
                     let to = next.config.discovery;
                     let moved = discovery.send_if_modified(|at| std::mem::replace(at, to) != *at);
@@ -158,6 +163,13 @@
     Ok(())
 }
 
+/// How often a node that keeps a watch by itself asks for a lost one: what drained meanwhile has to be known
+/// within the grace that the settings give, of which half is left for the call.
+pub fn pace(settings: &Settings) -> Result<Duration, String> {
+    let grace = Duration::from_nanos(settings.drain_grace()?);
+    Ok(if grace.is_zero() { list::HEARTBEAT } else { (grace / 2).min(list::HEARTBEAT) })
+}
+
 /// All that was taken is answered before the node goes.
 async fn leave(stage: watch::Sender<Stage>, clients: &Share, longest: Duration) {
     stage.send_replace(Stage::Leaving);
--- a/crates/sparrouter-node/src/protocol/lines.rs
+++ b/crates/sparrouter-node/src/protocol/lines.rs
@@ -1,6 +1,7 @@
 //! Discovery's lists: the whole, or what changed.
 use super::json::Reader;
-use super::{Bad, Parsed};
+use super::{Bad, MAX_LINE, Parsed};
+use bytes::BytesMut;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -56,6 +57,58 @@
     Ok(Target { uid, endpoint, az, model, pod_group, state, capacity_hint, boot_ms })
 }
 
+/// What a stream of lists comes apart into.
+#[derive(Debug, PartialEq)]
+pub enum Cut {
+    /// One whole JSON value, or what stands in its place.
+    Value(BytesMut),
+    /// An empty line, by which a quiet discovery shows that it is there.
+    Empty,
+    /// More has to be read first.
+    More,
+}
+
+/// Cuts the text where a value ends: lists may come indented, so that a line's end alone says nothing.
+#[derive(Debug, Default)]
+pub struct Cutter {
+    at: usize,
+    depth: usize,
+    string: bool,
+    escaped: bool,
+}
+
+impl Cutter {
+    pub fn next(&mut self, text: &mut BytesMut) -> Parsed<Cut> {
+        while let Some(&byte) = text.get(self.at) {
+            self.at += 1;
+            match byte {
+                b'\n' if self.string => return Err(Bad("json: line break in a string")),
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.string => self.escaped = true,
+                b'"' => self.string = !self.string,
+                _ if self.string => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => {
+                    self.depth = self.depth.saturating_sub(1);
+                    if self.depth == 0 {
+                        return Ok(self.rest(text));
+                    }
+                }
+                b'\n' if self.depth == 0 => return Ok(self.rest(text)),
+                _ => {}
+            }
+        }
+        if text.len() > MAX_LINE { Err(Bad("line of discovery too long")) } else { Ok(Cut::More) }
+    }
+
+    /// Up to where it was read: also what is left at the end of the text.
+    pub fn rest(&mut self, text: &mut BytesMut) -> Cut {
+        let value = text.split_to(self.at);
+        *self = Cutter::default();
+        if value.trim_ascii().is_empty() { Cut::Empty } else { Cut::Value(value) }
+    }
+}
+
 /// One line of a watch, or the whole answer of a plain call.
 pub fn listing(line: &[u8]) -> Parsed<Listing> {
     let text = std::str::from_utf8(line).map_err(|_| Bad("line is not UTF-8"))?;
--- a/crates/sparrouter-node/src/routing/list.rs
+++ b/crates/sparrouter-node/src/routing/list.rs
@@ -1,17 +1,22 @@
 //! The list's actor: keeps the watch at discovery and tells the module what changes.
 use super::Told;
+use crate::counted::Often;
+use crate::protocol::Bad;
 use crate::protocol::lines::Listing;
 use crate::transport::reading::Broken;
 use crate::transport::watching::Call;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// While nothing changes discovery writes an empty line this often.
-const HEARTBEAT: Duration = Duration::from_secs(2);
-/// So many heartbeats without a byte, and the watch is taken for lost: a machine that is cut off says
-/// nothing, and its connection stays open.
+pub const HEARTBEAT: Duration = Duration::from_secs(2);
+/// So many heartbeats without a whole line, and the watch is taken for lost: a machine that is cut off
+/// says nothing, and its connection stays open.
 const SILENT: f64 = 2.25;
 
 pub enum Ask {
@@ -36,8 +41,49 @@
     pub dial_limit: Duration,
     /// How long a call may take.
     pub limit: Duration,
-    /// The deployment's module does not ask: the actor keeps a watch by itself.
+    pub heartbeat: Duration,
+    /// The deployment's module does not ask: the actor keeps a watch by itself. What discovery has to tell
+    /// counts as told there whether or not the watch is open, so that a lost one is asked for anew at once
+    /// and then at least this often.
     pub unasked: bool,
+    pub pace: Rc<Cell<Duration>>,
+    /// Keeps many nodes that lost their watches in one moment from asking in step.
+    pub rng: fastrand::Rng,
+}
+
+/// A call that is out, if one is. Polled where it stands: it outlives whatever else the actor does.
+type Out<T> = Option<Pin<Box<dyn Future<Output = Result<T, Broken>>>>>;
+
+/// How it ended; never where none is out. Cancel-safe.
+async fn ended<T>(out: &mut Out<T>) -> Result<T, Broken> {
+    match out {
+        Some(call) => {
+            let how = call.as_mut().await;
+            *out = None;
+            how
+        }
+        None => std::future::pending().await,
+    }
+}
+
+/// What the actor holds while it runs.
+#[derive(Default)]
+struct Calls {
+    watch: Option<Call>,
+    /// The first line answers the call, also where it is empty.
+    answered: bool,
+    /// When the watch last showed that it is there.
+    heard: Option<Instant>,
+    /// Asks for the watch. Where another is tried beside it, one may hang at a discovery that is down and
+    /// the other finds it back.
+    patient: Out<Call>,
+    quick: Out<Call>,
+    /// Asks for the whole list, with the version that was in hand then.
+    whole: Out<Listing>,
+    whole_from: u64,
+    /// When a watch is to be asked for again.
+    again: Option<Instant>,
+    failed: Often,
 }
 
 impl List {
@@ -48,95 +94,127 @@
         let _ = self.module.send(Told::List(says)).await;
     }
 
-    /// None where discovery has moved meanwhile: a call that hangs at the old address must not keep the
-    /// node from the new one.
-    async fn unless_moved<T>(
-        &mut self, call: impl Future<Output = Result<T, Broken>>,
-    ) -> Option<Result<T, Broken>> {
-        tokio::select! {
-            biased;
-            Ok(()) = self.discovery.changed() => {
-                // Seen by `run` once more.
-                self.discovery.mark_changed();
-                None
-            }
-            ended = timeout(self.limit, call) => Some(ended.unwrap_or(Err(Broken::Ended))),
+    fn open(&self, limit: Duration) -> Out<Call> {
+        let call = Call::open(*self.discovery.borrow(), Some(self.rev), self.dial_limit);
+        Some(Box::pin(async move { timeout(limit, call).await.unwrap_or(Err(Broken::Ended)) }))
+    }
+
+    /// Asks for a watch, in place of the one that there is.
+    fn follow(&mut self, calls: &mut Calls) {
+        // Dropped first: one watch at a time.
+        calls.watch = None;
+        match calls.patient {
+            None => calls.patient = self.open(self.limit),
+            // Guards against a call that hangs until long after discovery is back.
+            Some(_) => calls.quick = self.open(self.limit),
+        }
+        let pace = self.pace.get().mul_f64(0.5 + 0.5 * self.rng.f64());
+        calls.again = self.unasked.then(|| Instant::now() + pace);
+    }
+
+    fn ask_whole(&self, calls: &mut Calls) {
+        if calls.whole.is_none() {
+            let (call, limit) = (Call::open(*self.discovery.borrow(), None, self.dial_limit), self.limit);
+            let whole = async move { call.await?.whole().await };
+            calls.whole =
+                Some(Box::pin(async move { timeout(limit, whole).await.unwrap_or(Err(Broken::Ended)) }));
+            calls.whole_from = self.rev;
         }
     }
 
-    fn call(&self, after: Option<u64>) -> impl Future<Output = Result<Call, Broken>> + use<> {
-        Call::open(*self.discovery.borrow(), after, self.dial_limit)
+    fn moved(&mut self, calls: &mut Calls) {
+        log::info!("list: discovery is at {} now", *self.discovery.borrow());
+        // Whatever is out hangs at the old address, or brings what no longer counts.
+        *calls = Calls::default();
+        // Its versions may be counted anew: the whole list is asked for.
+        self.rev = 0;
+        self.follow(calls);
     }
 
-    async fn follow(&mut self) -> Option<Call> {
-        let call = self.call(Some(self.rev));
-        match self.unless_moved(call).await? {
-            Ok(call) => Some(call),
+    async fn opened(&mut self, calls: &mut Calls, patient: bool, call: Result<Call, Broken>) {
+        match call {
+            Ok(call) => {
+                (calls.watch, calls.answered, calls.heard) = (Some(call), false, Some(Instant::now()));
+                (calls.patient, calls.quick, calls.again) = (None, None, None);
+                calls.failed = Often::default();
+            }
             Err(broken) => {
-                log::warn!("list: watch not opened: {broken:?}");
-                self.tell(ListSays::Lost).await;
-                None
+                if let Some(count) = calls.failed.again() {
+                    log::warn!("list: watch not opened: {broken:?}, {count} times so far");
+                }
+                if patient {
+                    self.tell(ListSays::Lost).await;
+                }
             }
         }
     }
 
-    async fn whole(&mut self) {
-        let call = self.call(None);
-        match self.unless_moved(async { call.await?.line().await }).await {
-            None => {}
-            Some(Ok(Some(listing))) => self.tell(ListSays::Listed(listing)).await,
-            Some(other) => {
-                log::warn!("list: call came to nothing: {:?}", other.err());
+    async fn lost(&mut self, calls: &mut Calls, broken: Broken) {
+        log::warn!("list: watch lost: {broken:?}");
+        calls.watch = None;
+        if self.unasked {
+            // At once: what changes from now on counts as told. The next calls keep their distance.
+            self.follow(calls);
+        }
+        self.tell(ListSays::Lost).await;
+    }
+
+    async fn line(&mut self, calls: &mut Calls, line: Result<Option<Listing>, Broken>) {
+        match line {
+            // Changes to an older list than the one in hand would undo what is known of those that drain.
+            Ok(Some(listing)) if !listing.all && listing.rev < self.rev => {
+                self.rev = 0;
+                self.lost(calls, Bad("changes go back in version").into()).await;
+            }
+            Ok(Some(listing)) => {
+                (calls.answered, calls.heard) = (true, Some(Instant::now()));
+                self.tell(ListSays::Listed(listing)).await;
+            }
+            Ok(None) => {
+                calls.heard = Some(Instant::now());
+                if !std::mem::replace(&mut calls.answered, true) {
+                    let nothing = Listing { rev: self.rev, ..Listing::default() };
+                    self.tell(ListSays::Listed(nothing)).await;
+                }
+            }
+            Err(broken) => self.lost(calls, broken).await,
+        }
+    }
+
+    async fn came_whole(&mut self, from: u64, whole: Result<Listing, Broken>) {
+        match whole {
+            // The watch has told of later changes meanwhile.
+            Ok(listing) if listing.rev < self.rev && self.rev != from => {}
+            Ok(listing) => self.tell(ListSays::Listed(listing)).await,
+            Err(broken) => {
+                log::warn!("list: call came to nothing: {broken:?}");
                 self.tell(ListSays::Lost).await;
             }
         }
     }
 
     pub async fn run(mut self) {
-        let mut watch: Option<Call> = None;
-        // The first line answers the call, also where it is empty.
-        let mut answered = false;
-        let mut again = self.unasked.then(Instant::now);
+        let mut calls = Calls { again: self.unasked.then(Instant::now), ..Calls::default() };
         loop {
+            let silent = calls.heard.filter(|_| calls.watch.is_some());
+            let silent = silent.map(|heard| heard + self.heartbeat.mul_f64(SILENT));
             tokio::select! {
+                biased;
+                Ok(()) = self.discovery.changed() => self.moved(&mut calls),
                 ask = self.asks.recv() => match ask {
                     None => return,
-                    Some(Ask::Whole) => self.whole().await,
+                    Some(Ask::Whole) => self.ask_whole(&mut calls),
                     Some(Ask::Follow) => {
-                        // Dropped first: one watch at a time.
-                        drop(watch.take());
-                        (watch, answered) = (self.follow().await, false);
-                    }
-                },
-                Ok(()) = self.discovery.changed() => {
-                    log::info!("list: discovery is at {} now", *self.discovery.borrow());
-                    drop(watch.take());
-                    // Its versions may be counted anew: the whole list is asked for.
-                    self.rev = 0;
-                    (watch, answered) = (self.follow().await, false);
-                    again = (self.unasked && watch.is_none()).then(|| Instant::now() + HEARTBEAT);
-                }
-                line = next(&mut watch) => match line {
-                    Ok(Some(listing)) => {
-                        answered = true;
-                        self.tell(ListSays::Listed(listing)).await;
-                    }
-                    Ok(None) => if !answered {
-                        answered = true;
-                        let nothing = Listing { rev: self.rev, ..Listing::default() };
-                        self.tell(ListSays::Listed(nothing)).await;
-                    },
-                    Err(broken) => {
-                        log::warn!("list: watch lost: {broken:?}");
-                        watch = None;
-                        self.tell(ListSays::Lost).await;
-                        again = self.unasked.then(|| Instant::now() + HEARTBEAT);
+                        calls.patient = None;
+                        self.follow(&mut calls);
                     }
                 },
-                () = at(again) => {
-                    (watch, answered) = (self.follow().await, false);
-                    again = watch.is_none().then(|| Instant::now() + HEARTBEAT);
-                }
+                call = ended(&mut calls.patient) => self.opened(&mut calls, true, call).await,
+                call = ended(&mut calls.quick) => self.opened(&mut calls, false, call).await,
+                whole = ended(&mut calls.whole) => self.came_whole(calls.whole_from, whole).await,
+                line = next(&mut calls.watch) => self.line(&mut calls, line).await,
+                () = at(silent) => self.lost(&mut calls, Broken::Ended).await,
+                () = at(calls.again) => self.follow(&mut calls),
             }
         }
     }
@@ -144,7 +222,7 @@
 
 async fn next(watch: &mut Option<Call>) -> Result<Option<Listing>, Broken> {
     match watch {
-        Some(call) => timeout(HEARTBEAT.mul_f64(SILENT), call.line()).await.unwrap_or(Err(Broken::Ended)),
+        Some(call) => call.line().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -177,7 +177,7 @@
         let head = forward.invocation.forward(left.as_nanos() as u64);
         let idle = link.idle;
         let ended = link.exchange(head, forward.invocation.body.clone(), &self.room, written).await;
-        self.pool.learn(idle, matches!(ended, Err(Broken::Ended)));
+        self.pool.learn(idle, matches!(ended, Err(Broken::Ended | Broken::Reset)));
         match ended {
             Ok(reply) => {
                 if let Some(link) = reply.link.filter(|_| self.wanted.get()) {
@@ -191,8 +191,8 @@
                 }
                 (Outcome::Error, None)
             }
-            Err(Broken::Ended) if written.get() => (Outcome::Reset, None),
-            Err(Broken::Ended) => (Outcome::Broken, None),
+            Err(_) if written.get() => (Outcome::Reset, None),
+            Err(_) => (Outcome::Broken, None),
         }
     }
 
--- a/crates/sparrouter-node/src/routing/tests.rs
+++ b/crates/sparrouter-node/src/routing/tests/peer.rs
@@ -1,7 +1,7 @@
 //! A peer's actor alone, before a cache server that takes a request and says nothing.
-use super::Told;
-use super::peer::{self, Forward, Limits, Order, PeerSays};
 use crate::protocol::messages::Invocation;
+use crate::routing::Told;
+use crate::routing::peer::{self, Forward, Limits, Order, PeerSays};
 use crate::transport::budget::{Room, Share};
 use crate::transport::pool::Pool;
 use bytes::Bytes;
--- a/crates/sparrouter-node/src/transport/client.rs
+++ b/crates/sparrouter-node/src/transport/client.rs
@@ -87,7 +87,7 @@
         let until = from + WHOLE.min(self.house.patience.get());
         let (call, body) = match timeout_at(until, self.read()).await.ok()? {
             Ok(message) => message,
-            Err(Broken::Ended) => return None,
+            Err(Broken::Ended | Broken::Reset) => return None,
             Err(Broken::Bad(bad)) => {
                 log::debug!("bad input from a client: {}", bad.0);
                 self.write(messages::answer(&Answer::Bad(bad.0), false)).await?;
@@ -117,7 +117,7 @@
         // A client that asks first would hold its body back for a while.
         if call.fields.text("Expect") == Some("100-continue") && self.buffer.is_empty() {
             let going_on = self.stream.write_all(messages::CONTINUE).await;
-            going_on.map_err(|_| Broken::Ended)?;
+            going_on.map_err(|_| Broken::Reset)?;
         }
         let body = reading::body(&mut self.stream, &mut self.buffer, call.framing, &Room::USUAL).await?;
         Ok((call, body.bytes))
--- a/crates/sparrouter-node/src/transport/link.rs
+++ b/crates/sparrouter-node/src/transport/link.rs
@@ -50,7 +50,7 @@
         mut self, head: Bytes, body: Bytes, room: &Room, written: &Cell<bool>,
     ) -> Result<Reply, Broken> {
         let mut all = head.chain(body);
-        self.stream.write_all_buf(&mut all).await.map_err(|_| Broken::Ended)?;
+        self.stream.write_all_buf(&mut all).await.map_err(|_| Broken::Reset)?;
         written.set(true);
         let mut interim = 0;
         let head = loop {
--- a/crates/sparrouter-node/src/transport/reading.rs
+++ b/crates/sparrouter-node/src/transport/reading.rs
@@ -11,8 +11,10 @@
 
 #[derive(Debug)]
 pub enum Broken {
-    /// The other side ended the connection, or it broke.
+    /// The other side ended the connection, in its own time.
     Ended,
+    /// It was reset, or never came up.
+    Reset,
     Bad(Bad),
 }
 
@@ -26,7 +28,8 @@
 pub async fn more(stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) -> Result<(), Broken> {
     buffer.reserve(ROOM);
     match stream.read_buf(buffer).await {
-        Ok(0) | Err(_) => Err(Broken::Ended),
+        Ok(0) => Err(Broken::Ended),
+        Err(_) => Err(Broken::Reset),
         Ok(_) => Ok(()),
     }
 }
@@ -87,8 +90,13 @@
             }
         }
         Framing::ToEnd => {
-            while more(stream, buffer).await.is_ok() {
-                fits(buffer.len())?;
+            // Nothing but its end tells how long it is: cut off, it would be taken for whole.
+            loop {
+                match more(stream, buffer).await {
+                    Ok(()) => fits(buffer.len())?,
+                    Err(Broken::Ended) => break,
+                    Err(broken) => return Err(broken),
+                }
             }
             buffer.split().freeze()
         }
--- a/crates/sparrouter-node/src/transport/watching.rs
+++ b/crates/sparrouter-node/src/transport/watching.rs
@@ -2,8 +2,8 @@
 use super::reading::{self, Broken};
 use crate::protocol::chunks::{Chunks, Piece};
 use crate::protocol::head::{self, Framing};
-use crate::protocol::lines::{self, Listing};
-use crate::protocol::{Bad, MAX_LINE, messages};
+use crate::protocol::lines::{self, Cut, Cutter, Listing};
+use crate::protocol::{Bad, messages};
 use bytes::BytesMut;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,8 +18,7 @@
     /// Bytes of a fixed length that are still to come.
     left: usize,
     text: BytesMut,
-    /// So far the text was searched for a line's end.
-    seen: usize,
+    cutter: Cutter,
 }
 
 impl Call {
@@ -30,10 +29,10 @@
             None => "/registry/instances".to_string(),
         };
         // Cut off, it would neither come up nor say so; asking again soon finds it back soon.
-        let dialled = timeout(dial_limit, TcpStream::connect(at)).await.map_err(|_| Broken::Ended)?;
-        let mut stream = dialled.map_err(|_| Broken::Ended)?;
+        let dialled = timeout(dial_limit, TcpStream::connect(at)).await.map_err(|_| Broken::Reset)?;
+        let mut stream = dialled.map_err(|_| Broken::Reset)?;
         let _ = stream.set_nodelay(true);
-        stream.write_all(&messages::get(&target, at)).await.map_err(|_| Broken::Ended)?;
+        stream.write_all(&messages::get(&target, at)).await.map_err(|_| Broken::Reset)?;
         let mut buffer = BytesMut::new();
         let head = head::reply(&reading::head(&mut stream, &mut buffer, head::REPLY).await?)?;
         if head.status != 200 {
@@ -44,27 +43,30 @@
             Framing::Length(length) => (None, length),
             Framing::ToEnd => (None, usize::MAX),
         };
-        Ok(Call { stream, buffer, chunks, left, text: BytesMut::new(), seen: 0 })
+        Ok(Call { stream, buffer, chunks, left, text: BytesMut::new(), cutter: Cutter::default() })
     }
 
-    /// The next line; none for an empty one, by which a quiet discovery shows that it is there. Also
-    /// the end of the body ends a line. Cancel-safe.
+    /// The next list; none for an empty line, by which a quiet discovery shows that it is there. Also
+    /// the end of the body ends a list. Cancel-safe.
     pub async fn line(&mut self) -> Result<Option<Listing>, Broken> {
         loop {
-            let end = self.text[self.seen..].iter().position(|&b| b == b'\n').map(|at| self.seen + at);
-            if let Some(end) = end {
-                let line = self.text.split_to(end + 1);
-                self.seen = 0;
-                return read(&line);
+            match self.cutter.next(&mut self.text)? {
+                Cut::Value(value) => return Ok(Some(lines::listing(value.trim_ascii())?)),
+                Cut::Empty => return Ok(None),
+                Cut::More if self.fill().await? => {}
+                Cut::More => match self.cutter.rest(&mut self.text) {
+                    Cut::Value(value) => return Ok(Some(lines::listing(value.trim_ascii())?)),
+                    _ => return Err(Broken::Ended),
+                },
             }
-            self.seen = self.text.len();
-            if self.text.len() > MAX_LINE {
-                return Err(Bad("line of discovery too long").into());
-            }
-            if !self.fill().await? {
-                let rest = self.text.split();
-                self.seen = 0;
-                return if rest.is_empty() { Err(Broken::Ended) } else { read(&rest) };
+        }
+    }
+
+    /// The list that a plain call asked for, past the empty lines before it.
+    pub async fn whole(mut self) -> Result<Listing, Broken> {
+        loop {
+            if let Some(listing) = self.line().await? {
+                return Ok(listing);
             }
         }
     }
@@ -101,8 +103,3 @@
         }
     }
 }
-
-fn read(line: &[u8]) -> Result<Option<Listing>, Broken> {
-    let line = line.trim_ascii();
-    if line.is_empty() { Ok(None) } else { Ok(Some(lines::listing(line)?)) }
-}
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -599,16 +599,17 @@
     let whole = |rev: u32, uid: &str, at: SocketAddr| {
         format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, target(uid, at, "box", "in_service"))
     };
-    // Once it is lost the module asks for the whole, and the watch is opened anew.
+    // Once it is lost it is opened anew at once, from the version in hand.
+    let start = Instant::now();
     w.discovery.say("end");
-    until("the end", || w.discovery.feed.lock().unwrap().is_empty());
+    until("a new watch", || w.discovery.calls() == 2);
+    assert!(start.elapsed() < 500 * MS, "{:?}", start.elapsed());
+    assert!(w.discovery.calls.lock().unwrap()[1].contains("after=41"));
     w.discovery.say(&whole(42, "c1", b.at));
-    until("the call", || w.discovery.feed.lock().unwrap().is_empty());
+    until("the line", || w.discovery.feed.lock().unwrap().is_empty());
     sleep(100 * MS);
     w.reads("n", 5);
     assert!(a.seen().is_empty());
-    until("a new watch", || w.discovery.calls() == 2);
-    assert!(w.discovery.calls.lock().unwrap()[1].contains("after=42"));
     w.discovery.say(&whole(43, "c0", a.at));
     sleep(100 * MS);
     let before = b.seen().len();
--- a/crates/sparrouter-settings/src/object.rs
+++ b/crates/sparrouter-settings/src/object.rs
@@ -97,6 +97,9 @@
     pub answer_slack_us: i64,
     #[serde(default)]
     pub ask_every_us: i64,
+    /// So long after it is told that a cache server drains a node may still send there.
+    #[serde(default)]
+    pub drain_grace_us: i64,
     pub start_capacity: f64,
     pub cold_us: i64,
     pub fall_multiple: f64,
--- a/crates/sparrouter-settings/src/parts.rs
+++ b/crates/sparrouter-settings/src/parts.rs
@@ -68,6 +68,11 @@
         })
     }
 
+    /// So long after it is told that a cache server drains a node may still send there; 0 where they do not say.
+    pub fn drain_grace(&self) -> Result<Nanos, String> {
+        nanos("DrainGraceUs", self.safety.drain_grace_us)
+    }
+
     /// The kind of the origin in the list, where the node itself fetches from it.
     pub fn origin_kind(&self) -> Option<usize> {
         usize::try_from(self.family_info.origin_kind).ok().filter(|_| self.family_info.mode == "aside")
