Nothing leaves past the window of repeats, to a moved or draining one, or on a link just ended

The policy says with the forward by when it has left whole; later it does not leave. - module.rs, bind: the list reached a peer's actor through its mailbox, behind forwards already ordered, and was lost where that was full (must! in debug). It is set at once now. A link that had come up at the old address was kept for the new one; links carry where they lead. - link.rs, silent: try_read asks the runtime, whose knowledge is as old as its last poll, so that a close or half a line that had already come was not seen and the request went out into it (reset, may have run). Ruled out for the window: the gate in the policy, which checks the moment of the decision only.

--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -4,7 +4,7 @@
 use super::clock::Clock;
 use super::list::{Ask, ListSays};
 use super::parts::Parts;
-use super::peer::{Ended, Forward, Order, PeerSays};
+use super::peer::{Ended, Forward, Handle, Order, PeerSays};
 use crate::must;
 use crate::program::operator::{Identity, Shares as Wanted};
 use crate::program::reporter::Reporter;
@@ -50,7 +50,7 @@
 }
 
 struct Door {
-    orders: mpsc::Sender<Order>,
+    peer: Handle,
     endpoint: SocketAddr,
     out: usize,
     gone: bool,
@@ -85,7 +85,7 @@
 }
 
 /// Starts the actor of one peer.
-pub type Starter = Box<dyn Fn(CacheIx, SocketAddr) -> mpsc::Sender<Order>>;
+pub type Starter = Box<dyn Fn(CacheIx, SocketAddr) -> Handle>;
 
 pub struct Module {
     policy: Policy,
@@ -481,7 +481,7 @@
         }
         let start = &self.start_peer;
         let door = self.doors[cache].get_or_insert_with(|| Door {
-            orders: start(cache, endpoint),
+            peer: start(cache, endpoint),
             endpoint,
             out: 0,
             gone,
@@ -490,9 +490,7 @@
         });
         (door.endpoint, door.gone, door.missing) = (endpoint, gone, missing);
         door.drains = standing == Standing::Draining;
-        let told =
-            door.orders.try_send(Order::Listed { endpoint, wanted: missing || standing == Standing::Ready });
-        must!(told.is_ok(), "a peer's mailbox has room for the list");
+        door.peer.listed(endpoint, missing || standing == Standing::Ready);
         if door.gone && door.out == 0 {
             self.doors[cache] = None;
         }
@@ -502,12 +500,15 @@
 
     fn order(&mut self, cache: CacheIx, order: Order) -> bool {
         let door = self.doors.get_mut(cache).and_then(|d| d.as_mut());
-        door.is_some_and(|d| d.orders.try_send(order).is_ok())
+        door.is_some_and(|d| d.peer.order(order))
     }
 
     fn act(&mut self, now: Nanos, action: Action) {
         match action {
-            Action::Forward { inv, cache, wait } => self.forward(inv, cache, wait),
+            Action::Forward { inv, cache, wait, before } => {
+                let before = before.map(|at| self.clock.instant(at));
+                self.forward(inv, cache, wait, before);
+            }
             Action::Withdraw { inv, copy } => {
                 let cache = self.held.get(&inv).and_then(|h| h.forwards.get(copy)).copied();
                 let sent = cache.is_some_and(|cache| self.order(cache, Order::Withdraw { inv, copy }));
@@ -552,7 +553,7 @@
         self.forget(inv);
     }
 
-    fn forward(&mut self, inv: InvIx, cache: CacheIx, wait: Nanos) {
+    fn forward(&mut self, inv: InvIx, cache: CacheIx, wait: Nanos, before: Option<Instant>) {
         let held = self.held.get_mut(&inv);
         must!(held.as_ref().is_some_and(|h| !h.over.get()), "nothing is sent for what is over");
         let Some(held) = held else { return };
@@ -564,7 +565,7 @@
         self.reporter.iter_mut().for_each(|r| r.forwarded(fetch));
         let (invocation, over) = (held.invocation.clone(), held.over.clone());
         let wait = Duration::from_nanos(wait);
-        let forward = Forward { inv, copy, invocation, over, at: Instant::now(), wait };
+        let forward = Forward { inv, copy, invocation, over, at: Instant::now(), wait, before };
         if self.order(cache, Order::Forward(forward)) {
             if let Some(door) = self.doors[cache].as_mut() {
                 door.out += 1;
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -23,7 +23,6 @@
     Forward(Forward),
     Withdraw { inv: InvIx, copy: usize },
     Probe,
-    Listed { endpoint: SocketAddr, wanted: bool },
 }
 
 pub struct Forward {
@@ -34,6 +33,8 @@
     pub over: Rc<Cell<bool>>,
     pub at: Instant,
     pub wait: Duration,
+    /// Written by then or never: what may have run before is dropped as a repeat only that long.
+    pub before: Option<Instant>,
 }
 
 pub enum PeerSays {
@@ -79,17 +80,39 @@
     spoilt: Often,
 }
 
+/// What a peer's actor is reached by; it ends with this.
+pub struct Handle {
+    orders: mpsc::Sender<Order>,
+    peer: Rc<Peer>,
+}
+
+impl Handle {
+    /// False where its mailbox is full.
+    pub fn order(&self, order: Order) -> bool {
+        self.orders.try_send(order).is_ok()
+    }
+
+    /// What the list says of it now. Guards against a mailbox: orders that stand there already, and forwards
+    /// whose connection is coming up, were given under the old list, and a full one would lose the new.
+    pub fn listed(&self, endpoint: SocketAddr, wanted: bool) {
+        self.peer.wanted.set(wanted);
+        if self.peer.endpoint.replace(endpoint) != endpoint || !wanted {
+            self.peer.pool.close(self.peer.cache);
+        }
+    }
+}
+
 /// `room`: memory for long answers.
 pub fn start(
     cache: CacheIx, endpoint: SocketAddr, pool: Rc<Pool>, module: mpsc::Sender<Told>, limits: Limits,
     room: Room,
-) -> mpsc::Sender<Order> {
+) -> Handle {
     let (orders, mailbox) = mpsc::channel(super::MAILBOX);
     let (spoilt, endpoint, wanted) = (Often::default(), Cell::new(endpoint), Cell::new(true));
     let way = Cell::default();
     let peer = Rc::new(Peer { cache, endpoint, wanted, pool, module, limits, way, room, spoilt });
-    tokio::task::spawn_local(run(peer, mailbox));
-    orders
+    tokio::task::spawn_local(run(peer.clone(), mailbox));
+    Handle { orders, peer }
 }
 
 async fn run(peer: Rc<Peer>, mut mailbox: mpsc::Receiver<Order>) {
@@ -110,12 +133,6 @@
             Order::Probe => {
                 tokio::task::spawn_local(peer.clone().probe());
             }
-            Order::Listed { endpoint, wanted } => {
-                peer.wanted.set(wanted);
-                if !wanted || peer.endpoint.replace(endpoint) != endpoint {
-                    peer.pool.close(peer.cache);
-                }
-            }
         }
     }
     peer.pool.close(peer.cache);
@@ -164,25 +181,24 @@
             Err(outcome) => return (outcome, None),
         };
         dialled.set(true);
-        // While a connection came up things may have changed. Nothing is sent for what is over, nor to
-        // one that drains; neither speaks against the cache server.
-        if !self.wanted.get() {
-            return (Outcome::NotSent, None);
-        }
-        if forward.over.get() {
-            self.pool.put(self.cache, link);
+        // While a connection came up things may have changed. Nothing is sent for what is over, to one that
+        // drains or has moved, or when it could no longer be dropped as a repeat; none of it speaks against
+        // the cache server.
+        let late = forward.before.is_some_and(|before| before <= Instant::now());
+        if forward.over.get() || late || !self.leads(&link) {
+            self.keep(link);
             return (Outcome::NotSent, None);
         }
         let left = forward.wait.saturating_sub(forward.at.elapsed());
         let head = forward.invocation.forward(left.as_nanos() as u64);
         let idle = link.idle;
-        let ended = link.exchange(head, forward.invocation.body.clone(), &self.room, written).await;
+        let body = forward.invocation.body.clone();
+        let ended = link.exchange(head, body, forward.before, &self.room, written).await;
         self.pool.learn(idle, matches!(ended, Err(Broken::Ended | Broken::Reset)));
         match ended {
-            Ok(reply) => {
-                if let Some(link) = reply.link.filter(|_| self.wanted.get()) {
-                    self.pool.put(self.cache, link);
-                }
+            Ok(None) => (Outcome::NotSent, None),
+            Ok(Some(reply)) => {
+                reply.link.into_iter().for_each(|link| self.keep(link));
                 (messages::outcome(&reply.head), Some((reply.head, reply.body)))
             }
             Err(Broken::Bad(bad)) => {
@@ -196,6 +212,16 @@
         }
     }
 
+    /// Guards against a hand-over: an address that was another's when the link came up.
+    fn leads(&self, link: &Link) -> bool {
+        self.wanted.get() && link.to == self.endpoint.get()
+    }
+    fn keep(&self, link: Link) {
+        if self.leads(&link) {
+            self.pool.put(self.cache, link);
+        }
+    }
+
     async fn link(&self) -> Result<Link, Outcome> {
         if let Some(link) = self.pool.take(self.cache) {
             return Ok(link);
@@ -221,10 +247,8 @@
         let asking = async {
             let link = self.link().await.ok()?;
             let head = messages::get("/health/live", self.endpoint.get());
-            let reply = link.exchange(head, Bytes::new(), &Room::USUAL, &written).await.ok()?;
-            if let Some(link) = reply.link.filter(|_| self.wanted.get()) {
-                self.pool.put(self.cache, link);
-            }
+            let reply = link.exchange(head, Bytes::new(), None, &Room::USUAL, &written).await.ok()??;
+            reply.link.into_iter().for_each(|link| self.keep(link));
             Some(reply.head.status == 200)
         };
         let ok = matches!(timeout(self.limits.probe, asking).await, Ok(Some(true)));
--- a/crates/sparrouter-node/src/transport/link.rs
+++ b/crates/sparrouter-node/src/transport/link.rs
@@ -2,14 +2,15 @@
 use super::budget::{Body, Permit, Room};
 use super::reading::{self, Broken};
 use crate::protocol::Bad;
-use crate::protocol::head::{self, Framing, ReplyHead};
+use crate::protocol::head::{self, ReplyHead};
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::Cell;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
 
 /// Interim answers ahead of one that counts.
 const MAX_INTERIM: usize = 16;
@@ -17,6 +18,8 @@
 pub struct Link {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Where it leads.
+    pub to: SocketAddr,
     /// How long it stood idle before its present use; none for a new one.
     pub idle: Option<Duration>,
     _permit: Permit,
@@ -33,24 +36,32 @@
     pub async fn dial(to: SocketAddr, limit: Duration, permit: Permit) -> io::Result<Link> {
         let stream = tokio::time::timeout(limit, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream, buffer: BytesMut::new(), idle: None, _permit: permit })
+        Ok(Link { stream, buffer: BytesMut::new(), to, idle: None, _permit: permit })
     }
 
     /// Open and silent, as an idle connection must be: one that was ended, or holds bytes that nobody
     /// asked for, would hand a late reply to the wrong invocation.
     pub fn silent(&self) -> bool {
-        let mut byte = [0];
-        let nothing = self.stream.try_read(&mut byte);
-        self.buffer.is_empty() && matches!(nothing, Err(e) if e.kind() == ErrorKind::WouldBlock)
+        self.buffer.is_empty() && reading::at_hand(&self.stream, &mut [0]).is_none()
     }
 
     /// Sends once, and never again by itself. `written` tells whether the last byte left, also where
-    /// this is dropped half way; dropping closes the connection.
+    /// this is dropped half way; dropping closes the connection. None where it could not be written whole
+    /// `before` that moment.
     pub async fn exchange(
-        mut self, head: Bytes, body: Bytes, room: &Room, written: &Cell<bool>,
-    ) -> Result<Reply, Broken> {
+        mut self, head: Bytes, body: Bytes, before: Option<Instant>, room: &Room, written: &Cell<bool>,
+    ) -> Result<Option<Reply>, Broken> {
         let mut all = head.chain(body);
-        self.stream.write_all_buf(&mut all).await.map_err(|_| Broken::Reset)?;
+        let writing = self.stream.write_all_buf(&mut all);
+        let wrote = match before {
+            Some(before) if before <= Instant::now() => return Ok(None),
+            Some(before) => match timeout_at(before, writing).await {
+                Ok(wrote) => wrote,
+                Err(_) => return Ok(None),
+            },
+            None => writing.await,
+        };
+        wrote.map_err(|_| Broken::Reset)?;
         written.set(true);
         let mut interim = 0;
         let head = loop {
@@ -65,13 +76,9 @@
                 return Err(Bad("interim answers without end").into());
             }
         };
-        // Nothing tells such a body's end from a connection that broke.
-        if head.framing == Framing::ToEnd {
-            return Err(Bad("answer without a length").into());
-        }
         let body = reading::body(&mut self.stream, &mut self.buffer, head.framing, room).await?;
         let reusable = head.keep && self.buffer.is_empty();
         self.buffer = BytesMut::new();
-        Ok(Reply { head, body, link: reusable.then_some(self) })
+        Ok(Some(Reply { head, body, link: reusable.then_some(self) }))
     }
 }
--- a/crates/sparrouter-node/src/transport/reading.rs
+++ b/crates/sparrouter-node/src/transport/reading.rs
@@ -4,7 +4,11 @@
 use crate::protocol::head::{self, Framing};
 use crate::protocol::{Bad, MAX_HEAD};
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
+use std::io::{self, ErrorKind, Read};
+use std::ops::Deref;
 use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::net::TcpStream;
 
 /// Least room that a read is given.
 const ROOM: usize = 4 << 10;
@@ -34,6 +38,15 @@
     }
 }
 
+/// What the system holds for us now, straight from it: what the runtime knows of a socket is as old as its last
+/// look, and bytes or an end that came since would be closed over. None where there is nothing yet.
+pub fn at_hand(stream: &TcpStream, buffer: &mut [u8]) -> Option<io::Result<usize>> {
+    match SockRef::from(stream).deref().read(buffer) {
+        Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+        read => Some(read),
+    }
+}
+
 /// Up to and with the empty line. What does not begin as it must is not waited for: noise may have no
 /// end, and its sender stays silent after it.
 pub async fn head(
--- a/crates/sparrouter-simhost/src/node.rs
+++ b/crates/sparrouter-simhost/src/node.rs
@@ -160,7 +160,8 @@
         let mut touched: Vec<InvIx> = ended.into_iter().collect();
         for action in self.policy.drain() {
             let order = match action {
-                Action::Forward { inv, cache, wait } => {
+                // On this wire a forward leaves in the moment of its decision.
+                Action::Forward { inv, cache, wait, before: _ } => {
                     let t = self.invs.get_mut(&inv).expect("known invocation");
                     t.out += 1;
                     Order::Route {
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -37,6 +37,12 @@
     free && room && effect
 }
 
+/// Guards against a window that runs out between the decision and the last byte: a connection takes its time.
+fn leaves_before(inv: &Inv, op: &Operation) -> Option<Nanos> {
+    let Effect::Deduplicated { window, .. } = op.effect else { return None };
+    inv.first_effect().map(|first| first.at + window)
+}
+
 fn may_throttle(inv: &Inv, op: &Operation) -> bool {
     match op.effect {
         Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
@@ -891,12 +897,13 @@
             return self.conclude(ix, Why::Gate);
         }
         let Some(inv) = self.invs.get_mut(&ix) else { return };
+        let before = leaves_before(inv, &self.ops[inv.arrival.operation]);
         let (wait, cold) = (inv.arrival.due - self.now, inv.cold);
         let (at, fate) = (self.now, Fate::Open);
         inv.forwards.push(Forward { cache: c, at, fate, broke: false, erred: false, cold, then });
         let copy = inv.forwards.len() - 1;
         let (operation, origin) = (inv.arrival.operation, self.fleet.is_origin(c));
-        self.actions.push(Action::Forward { inv: ix, cache: c, wait });
+        self.actions.push(Action::Forward { inv: ix, cache: c, wait, before });
         if origin {
             self.guard.out += 1;
             self.guard.cold_out += usize::from(cold);
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -215,13 +215,35 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Forward { inv: InvIx, cache: CacheIx, wait: Nanos },
-    Withdraw { inv: InvIx, copy: usize },
-    Throttle { inv: InvIx, retry_after: Nanos },
-    Error { inv: InvIx },
-    Wake { after: Nanos, token: u64 },
-    Probe { cache: CacheIx },
-    Tell { peer: usize, text: Vec<u8> },
+    /// `before`: the clock's time by which it has left whole or never does, where repeats are dropped only so long.
+    Forward {
+        inv: InvIx,
+        cache: CacheIx,
+        wait: Nanos,
+        before: Option<Nanos>,
+    },
+    Withdraw {
+        inv: InvIx,
+        copy: usize,
+    },
+    Throttle {
+        inv: InvIx,
+        retry_after: Nanos,
+    },
+    Error {
+        inv: InvIx,
+    },
+    Wake {
+        after: Nanos,
+        token: u64,
+    },
+    Probe {
+        cache: CacheIx,
+    },
+    Tell {
+        peer: usize,
+        text: Vec<u8>,
+    },
     Follow,
     AskList,
 }
