Closes and departures cross with nothing lost: looks, ends in order, and who has left is not begun

Faults found by reading, each with a test in transport/tests.rs that forces the crossing and fails without its fix (each fix taken out in turn): - client.rs, next/idle: asked to close (leaving, descriptors, idle time) a resting connection was closed over a request that had come since the runtime last looked. It looks into the system once more. - client.rs, next: after 'Connection: close' the stream was dropped at once; with bytes unread that is a reset, and what of a long answer was not yet at the client went with it. The node ends its side, reads nothing more, and waits for the client's end (0.3 s at most, or until asked). - client.rs, next/ask: a message read after its client had left (behind another, or while the node was held up) was handed over and sent on at once. It looks first. A client that ends its side only gets the answer that the module gives for it in place of a bare close. - client.rs, idle: a connection accepted in the last moment was closed at the first look without an answer; its first message has 0.25 s now. - start.rs, leave: a message that came whole late in shutdown was begun though the node may be killed first; it is told to come back. The node looks twice before it ends. Test harness of the node's tests moves to tests/harness.

--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -27,6 +27,9 @@
 const LEAVING: Duration = Duration::from_millis(450);
 /// Before this much is over after that, the node does not go, so that what has just come is answered.
 const CLOSING: Duration = Duration::from_millis(150);
+/// Whoever tells the node to leave may kill it so long, and the time that it needs to close, after that,
+/// however long clients wait.
+const KILLED: Duration = Duration::from_secs(3);
 const LOOK: Duration = Duration::from_millis(10);
 /// Between lines of counts in the log.
 const REPORT: Duration = Duration::from_secs(5);
@@ -127,6 +130,7 @@
         stage: staged,
         idlers: Idlers::new(config.limits.sockets),
         patience: Cell::new(longest),
+        leaves: Cell::new(None),
         next: Cell::new(0),
     });
     tokio::task::spawn_local(listener::accept(listener, clients.clone(), most, house.clone()));
@@ -159,7 +163,9 @@
             ended = &mut module => return Err(format!("the module's actor ended: {ended:?}")),
         }
     }
-    leave(stage, &clients, house.patience.get()).await;
+    let longest = house.patience.get();
+    house.leaves.set(Some(Instant::now() + LEAVING + longest.min(KILLED) + CLOSING));
+    leave(stage, &clients, longest).await;
     Ok(())
 }
 
@@ -177,7 +183,10 @@
     stage.send_replace(Stage::Closing);
     let latest = Instant::now() + longest + CLOSING;
     sleep(CLOSING).await;
-    while clients.held() > 0 && Instant::now() < latest {
+    // Looked at twice: whoever connected in the moment of the first look is there at the second.
+    let mut quiet = 0;
+    while quiet < 2 && Instant::now() < latest {
+        quiet = if clients.held() > 0 { 0 } else { quiet + 1 };
         sleep(LOOK).await;
     }
     log::info!("stopped, {} connections left", clients.held());
--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -349,7 +349,12 @@
 
     fn gone(&mut self, inv: InvIx) {
         let Some(held) = self.held.get_mut(&inv).filter(|h| !h.over.get()) else { return };
-        held.over.set(true);
+        // For a client that ended its side alone: never sent on, it may come again.
+        let never_sent = held.forwards.is_empty();
+        held.conclude(
+            if never_sent { Answer::Throttled { retry_after: 0 } } else { Answer::Errored },
+            Vec::new(),
+        );
         self.counts.gone += 1;
         self.handle(Event::Left { inv });
         self.forget(inv);
--- a/crates/sparrouter-node/src/transport/client.rs
+++ b/crates/sparrouter-node/src/transport/client.rs
@@ -9,16 +9,22 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// A connection with nothing open may be closed after 2 s; one that idles for good holds a descriptor.
 const IDLE: Duration = Duration::from_millis(2100);
 /// A whole message takes no longer, the first one counted from the connect: by 3 s a client whose message
 /// can't be used is owed an error or a close.
 const WHOLE: Duration = Duration::from_millis(2600);
+/// The first message of a connection that came while the node leaves is waited for so long.
+const FIRST: Duration = Duration::from_millis(250);
+/// Between looks whether a client that has sent more has ended its side.
+const SETTLE: Duration = Duration::from_millis(20);
+/// So much is taken at a time of what has come.
+const PIECE: usize = 4 << 10;
 /// How long, and how much, is still read of what a client sends after an error.
 const LINGER: (Duration, usize) = (Duration::from_millis(300), 256 << 10);
 
@@ -48,6 +54,8 @@
     pub idlers: Rc<Idlers>,
     /// Longest time for a message to come in or an answer to go out.
     pub patience: Cell<Duration>,
+    /// Once the node leaves: what can't be over by then is not begun.
+    pub leaves: Cell<Option<Instant>>,
     pub next: Cell<InvIx>,
 }
 
@@ -60,13 +68,15 @@
     new: bool,
     /// Beyond what the node can carry: answered at once, by the transport itself.
     beyond: bool,
+    /// It has ended its side.
+    ended: bool,
 }
 
 pub async fn attend<M: From<ClientSays>>(
     stream: TcpStream, permit: Permit, beyond: bool, house: Rc<House<M>>,
 ) {
     let (connected, buffer) = (Instant::now(), BytesMut::new());
-    let mut client = Client { stream, buffer, house, connected, new: true, beyond };
+    let mut client = Client { stream, buffer, house, connected, new: true, beyond, ended: false };
     while client.next().await.is_some() {}
     drop(client);
     drop(permit);
@@ -81,7 +91,11 @@
     async fn next(&mut self) -> Option<()> {
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
-            timeout(IDLE, self.idle()).await.ok()??;
+            let came = timeout(IDLE, self.idle()).await.ok().flatten();
+            // Guards against closing over a message that has come since the runtime last looked.
+            if came.is_none() && (!self.look() || self.buffer.is_empty()) {
+                return None;
+            }
         }
         let from = if self.new { self.connected } else { Instant::now() };
         let until = from + WHOLE.min(self.house.patience.get());
@@ -100,15 +114,68 @@
         if &call.target[..] == b"/health/ready" {
             let keep = call.keep && self.stage() == Stage::Serving;
             let ready = self.stage() == Stage::Serving;
-            return self.write(messages::readiness(ready, keep)).await.filter(|()| keep);
+            return self.say(messages::readiness(ready, keep), keep).await;
         }
         let (answer, _granted) = match Invocation::new(&call, body) {
             Err(bad) => (Answer::Bad(bad.0), Vec::new()),
-            Ok(_) if self.beyond => (Answer::Throttled { retry_after: 0 }, Vec::new()),
+            Ok(invocation) if self.beyond || self.too_late(&invocation, at) || !self.look() => {
+                log::debug!("not begun: {:?}", invocation.id);
+                (Answer::Throttled { retry_after: 0 }, Vec::new())
+            }
             Ok(invocation) => self.ask(Rc::new(invocation), at).await?,
         };
-        let keep = call.keep && !self.beyond && self.stage() == Stage::Serving;
-        self.write(messages::answer(&answer, keep)).await.filter(|()| keep)
+        // What has been read behind it is answered first.
+        let more = !self.buffer.is_empty() && self.stage() < Stage::Closing;
+        let stays = self.stage() == Stage::Serving && !self.ended;
+        let keep = call.keep && !self.beyond && (more || stays);
+        self.say(messages::answer(&answer, keep), keep).await
+    }
+
+    /// Whether it may take longer than the node is there.
+    fn too_late(&self, invocation: &Invocation, at: Instant) -> bool {
+        let longest = self.house.patience.get();
+        let patience = invocation.patience_ms.map_or(longest, |ms| Duration::from_millis(ms).min(longest));
+        self.house.leaves.get().is_some_and(|leaves| at + patience > leaves)
+    }
+
+    /// Takes what has come by now; false where the client has ended its side. Guards against handing over what
+    /// waited here, behind others or while the node was held up, after its client had left.
+    fn look(&mut self) -> bool {
+        let mut piece = [0; PIECE];
+        while !self.ended && self.buffer.len() <= MAX_BODY {
+            match reading::at_hand(&self.stream, &mut piece) {
+                Some(Ok(read)) if read > 0 => self.buffer.extend_from_slice(&piece[..read]),
+                None => break,
+                Some(_) => self.ended = true,
+            }
+        }
+        !self.ended
+    }
+
+    /// An answer, and the end of the connection behind it where it is not kept.
+    async fn say(&mut self, answer: (Bytes, Bytes), keep: bool) -> Option<()> {
+        self.write(answer).await?;
+        if !keep {
+            self.part().await;
+        }
+        Some(()).filter(|()| keep)
+    }
+
+    /// Ends its side and waits for the client's. Guards against a reset that overtakes the answer where more has
+    /// come meanwhile. Nothing is read any more: what crosses the end has not been taken.
+    async fn part(&mut self) {
+        let place = self.house.idlers.enter(true);
+        let _ = self.stream.shutdown().await;
+        let closed = async {
+            while self.stream.ready(Interest::READABLE).await.is_ok_and(|r| !r.is_read_closed()) {
+                sleep(SETTLE).await;
+            }
+        };
+        tokio::select! {
+            () = closed => {}
+            () = place.asked() => {}
+            () = sleep(LINGER.0) => {}
+        }
     }
 
     async fn read(&mut self) -> Result<(CallHead, Bytes), Broken> {
@@ -144,11 +211,19 @@
     async fn idle(&mut self) -> Option<()> {
         let place = self.house.idlers.enter(!self.new);
         let mut stage = self.house.stage.clone();
+        let (new, connected) = (self.new, self.connected);
+        let closing = async {
+            let closing = stage.wait_for(|s| *s == Stage::Closing).await.is_ok();
+            // Its first message is on the way, and none would be sent again for it.
+            if closing && new {
+                sleep_until(connected + FIRST).await;
+            }
+        };
         tokio::select! {
             biased;
             read = reading::more(&mut self.stream, &mut self.buffer) => read.ok(),
             () = place.asked() => None,
-            closing = stage.wait_for(|s| *s == Stage::Closing) => closing.map(|_| ()).ok().and(None),
+            () = closing => None,
         }
     }
 
@@ -165,9 +240,12 @@
             tokio::select! {
                 biased;
                 answer = &mut answered => return answer.ok(),
-                read = reading::more(&mut self.stream, &mut self.buffer), if listen => if read.is_err() {
-                    let _ = self.house.mailbox.send(ClientSays::Gone { inv }.into()).await;
-                    return None;
+                read = reading::more(&mut self.stream, &mut self.buffer), if listen && !self.ended => {
+                    if read.is_err() {
+                        // Only its side may have ended: it is told what became of the invocation.
+                        self.ended = true;
+                        let _ = self.house.mailbox.send(ClientSays::Gone { inv }.into()).await;
+                    }
                 }
             }
         }
--- a/crates/sparrouter-node/src/transport/mod.rs
+++ b/crates/sparrouter-node/src/transport/mod.rs
@@ -8,3 +8,6 @@
 pub mod pool;
 pub mod reading;
 pub mod watching;
+
+#[cfg(test)]
+mod tests;
--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -3,136 +3,16 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use sparrouter_lab::scripted::{Act, Discovery, Seen, Server, field, listen, message, target, until};
-use std::io::{BufRead, ErrorKind, Read, Write};
+use std::io::{BufRead, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::thread::{self, sleep};
-use std::time::{Duration, Instant};
-
-const MS: Duration = Duration::from_millis(1);
-
-struct World {
-    node: Child,
-    at: SocketAddr,
-    discovery: Discovery,
-    other: UdpSocket,
-    datagrams: SocketAddr,
-    config: String,
-    folder: tempfile::TempDir,
-}
-
-const SETTINGS: &str = r#"{"Areas":["x"],"Balancers":2,"SelfIndex":0,"Discovery":"subscribe","TickUs":5000,
- "Classes":[{"Name":"get","DeadlineUs":900000,"ObjectiveUs":400000,"Effect":"read_like"},
-  {"Name":"pay","DeadlineUs":900000,"ObjectiveUs":400000,"Effect":"non_idempotent"},
-  {"Name":"mark","DeadlineUs":900000,"ObjectiveUs":400000,"Effect":"idempotency_key","WindowUs":300000}],
- "FamilyInfo":{"Mode":"aside","OriginKind":1},"Kinds":["box","origin"],
- "Limits":{"MaxAttempts":4,"Cancel":true,"MayProbe":true,"Peers":true,"RetryAfter":true,"MaxRetryAfterUs":1000000,
-  "DialTimeoutUs":200000,"ConnIdleUs":600000},
- "Safety":{"AnswerSlackUs":20000,"AskEveryUs":10000000,"StartCapacity":0.2,"ColdUs":1000000,"FallMultiple":3.0,
-  "FallUs":1000000}}"#;
-
-/// A node beside caches and an origin, once it is ready.
-fn world(caches: &[&Server], origin: SocketAddr, sockets: usize) -> World {
-    world_of(SETTINGS, caches, origin, sockets)
-}
-
-fn world_of(settings: &str, caches: &[&Server], origin: SocketAddr, sockets: usize) -> World {
-    let discovery = Discovery::start();
-    let at = listen().1;
-    let other = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let datagrams = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
-    let mut targets: Vec<String> =
-        caches.iter().enumerate().map(|(n, c)| target(&format!("c{n}"), c.at, "box", "in_service")).collect();
-    targets.push(target("o", origin, "origin", "in_service"));
-    let (targets, peer) = (targets.join(","), other.local_addr().unwrap());
-    let config = format!(
-        r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"8c1f30d27a5be964",
- "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}",
- "peers":["{datagrams}","{peer}"],"known":{{"rev":41,"all":true,"targets":[{targets}]}},"settings":{settings}}}"#,
-        discovery.at
-    );
-    let (node, folder) = start(&config);
-    let world = World { node, at, discovery, other, datagrams, config, folder };
-    until("ready", || TcpStream::connect(at).is_ok() && world.call("GET", "/health/ready", "", "").0 == 200);
-    world
-}
-
-fn start(config: &str) -> (Child, tempfile::TempDir) {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("config.json");
-    std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sparrouter-node"));
-    command.env("PROXY_CONFIG", &path).env("RUST_LOG", "info").stderr(Stdio::piped());
-    (command.spawn().unwrap(), folder)
-}
-
-impl Drop for World {
-    fn drop(&mut self) {
-        let _ = self.node.kill();
-        let _ = self.node.wait();
-    }
-}
-
-fn ask(stream: &mut TcpStream, method: &str, path: &str, id: &str, operation: &str, body: &str) {
-    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
-    let text = format!(
-        "{method} {path} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: {operation}\r\n\
-         X-Tenant: t\r\nX-Deadline-Ms: 900\r\n{length}\r\n{body}"
-    );
-    // The node may have closed it: then no answer comes.
-    let _ = stream.write_all(text.as_bytes());
-}
-
-fn answer(stream: &mut TcpStream) -> Option<(u16, String, String)> {
-    let (head, body) = message(stream)?;
-    Some((head[9..12].parse().ok()?, head, String::from_utf8(body).ok()?))
-}
+mod harness;
 
-impl World {
-    fn client(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.at).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-        stream
-    }
-    /// A connection that the node closed before it read anything on it is the client's to open anew.
-    fn call(&self, method: &str, path: &str, id: &str, operation: &str) -> (u16, String, String) {
-        let answer = (0..3).find_map(|_| {
-            let mut stream = self.client();
-            ask(&mut stream, method, path, id, operation, if method == "PUT" { "new" } else { "" });
-            answer(&mut stream)
-        });
-        answer.expect("an answer")
-    }
-    /// So many reads that succeed. Where there is one fast cache server and a loaded machine holds it
-    /// up for a moment, the module may doubt it and turn the next one away.
-    fn reads(&self, name: &str, count: usize) {
-        let (mut n, mut good) = (0, 0);
-        until("so many reads", || {
-            let status = self.get(&format!("{name}{n}"));
-            assert!(matches!(status, 200 | 503), "{status}");
-            (n, good) = (n + 1, good + usize::from(status == 200));
-            good >= count
-        });
-    }
-    fn get(&self, id: &str) -> u16 {
-        self.call("GET", &format!("/api/{id}"), id, "get").0
-    }
-    fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.node.id().to_string()]).status().unwrap().success());
-    }
-    /// Replaces the configuration's file and says so.
-    fn reload(&self, config: &str) {
-        std::fs::write(self.folder.path().join("config.json"), config).unwrap();
-        self.signal("-HUP");
-    }
-}
-
-/// Nobody listens there.
-fn nowhere() -> SocketAddr {
-    listen().1
-}
+use harness::*;
+use std::time::{Duration, Instant};
 
 // ---- Plain cases ----
 
@@ -811,11 +691,6 @@
     }
 }
 
-fn ended(mut stream: &TcpStream) -> bool {
-    let waits = |e: std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
-    !stream.read(&mut [0; 1]).is_err_and(waits)
-}
-
 // ---- Random runs: the rules after every step ----
 
 fn act() -> impl Strategy<Value = Act> {
