--- a/crates/sparrouter-node/src/program/config.rs
+++ b/crates/sparrouter-node/src/program/config.rs
@@ -62,10 +62,12 @@
     read(&text).map_err(|e| format!("{path}: {e}"))
 }
 
-fn read(text: &str) -> Result<Config, serde_json::Error> {
-    let mut config: Config = serde_json::from_str(text)?;
+fn read(text: &str) -> Result<Config, String> {
+    let mut from = serde_json::Deserializer::from_str(text);
+    let mut config: Config = serde_path_to_error::deserialize(&mut from).map_err(|e| e.to_string())?;
+    from.end().map_err(|e| e.to_string())?;
     // Keys in order, and without what each node has for itself: the same at all nodes under the same settings.
-    let mut all: serde_json::Value = serde_json::from_str(text)?;
+    let mut all: serde_json::Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let mut settings = all["settings"].take();
     settings.as_object_mut().map(|s| s.remove("SelfIndex"));
     config.print = sparrouter_settings::hash(settings.to_string().as_bytes());
