A silent watch is given up after 1.75 heartbeats, so that the next one is open in time

Cause: 2.25 heartbeats (4.5 s), then the module's pause (up to 0.5 s) and a call behind those of all others. Ruled out: lists of the watch itself (first line within the call).

--- a/crates/sparrouter-node/src/routing/list.rs
+++ b/crates/sparrouter-node/src/routing/list.rs
@@ -16,8 +16,9 @@
 /// While nothing changes discovery writes an empty line this often.
 pub const HEARTBEAT: Duration = Duration::from_secs(2);
 /// So many heartbeats without a whole line, and the watch is taken for lost: a machine that is cut off
-/// says nothing, and its connection stays open.
-const SILENT: f64 = 2.25;
+/// says nothing, and its connection stays open. Three after it fell silent what it missed counts as told;
+/// the pause before the next call and the call itself, behind those of many nodes, need the rest.
+const SILENT: f64 = 1.75;
 
 pub enum Ask {
     Follow,
