--- a/crates/sparrouter/tests/wrong_lists.rs
+++ b/crates/sparrouter/tests/wrong_lists.rs
@@ -177,3 +177,29 @@
     // Half a second: 40 answers from 8 are 5 a unit, of that 0.15 x 3 x a half a second.
     assert!(sent <= 2, "{sent}");
 }
+
+/// Calls for the list fail at once, or hang for good: it is asked for again within the time for which a node is held to
+/// the list that it has, though a failed call would give it four times as long.
+#[test]
+fn a_list_that_cannot_be_had_is_asked_for_in_time() {
+    for hangs in [false, true] {
+        let mut s = site();
+        s.place.must_ask = true;
+        let (step, within) = (50 * MS, s.rules.ask_every);
+        let mut w = World::new(s, fleet(3));
+        let asked = |w: &World| w.log.iter().filter(|a| **a == Action::Follow).count();
+        let (mut calls, mut since) = (asked(&w), 0);
+        for _ in 0..6 * within / step {
+            w.pass(step);
+            since += step;
+            if asked(&w) > calls {
+                (calls, since) = (asked(&w), 0);
+                if !hangs {
+                    w.list(Form::Lost, Vec::new());
+                }
+            }
+            assert!(since < within, "after {calls} calls, hangs: {hangs}");
+        }
+        assert!(calls > 6, "{calls}");
+    }
+}
