--- a/crates/sparrouter-node/src/routing/tests/peer.rs
+++ b/crates/sparrouter-node/src/routing/tests/peer.rs
@@ -250,3 +250,25 @@
         });
     }
 }
+
+/// The client has left while the connection for its forward came up: nothing is written, and the connection is there
+/// for the next one.
+#[test]
+fn a_connection_that_comes_up_for_a_client_that_left_carries_nothing_of_it() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let gone = forward(1, invocation(), None);
+        gone.over.set(true);
+        assert!(stage.peer.order(Order::Forward(gone)));
+        assert_eq!(stage.ended().await.outcome, Outcome::NotSent);
+        let mut stream = stage.accept().await;
+        let next = Invocation { id: Bytes::from_static(b"next"), ..(*invocation()).clone() };
+        assert!(stage.peer.order(Order::Forward(forward(2, Rc::new(next), None))));
+        let mut text = Vec::new();
+        while !text.ends_with(b"\r\n\r\n") {
+            text.push(byte(&mut stream).await.expect("the next request, on the same connection"));
+        }
+        let text = String::from_utf8(text).unwrap();
+        assert!(text.contains("X-Request-Id: next") && text.matches("GET ").count() == 1, "{text}");
+    });
+}
--- a/crates/sparrouter-node/tests/shutdown.rs
+++ b/crates/sparrouter-node/tests/shutdown.rs
@@ -156,3 +156,31 @@
     let after = cache.seen().iter().filter(|s| s.id().starts_with('f')).count();
     assert!(after <= begun && begun < 12, "{begun}, {after}");
 }
+
+/// A client that gives up early and is back at once, over and over: nothing of what it left stays, and the last is served.
+#[test]
+fn one_that_gives_up_and_returns_at_once_is_served() {
+    let cache = Server::start(|seen| if seen.id() == "last" { Act::Hit } else { Act::Late(700) });
+    let w = world(&[&cache], nowhere(), 64);
+    for n in 0..40 {
+        let mut stream = w.client();
+        ask(&mut stream, "GET", "/api/k", &format!("early{n}"), "get", "");
+        // Some leave before, some while it is forwarded.
+        if n % 2 == 0 {
+            until("that it is forwarded or turned away", || {
+                cache.seen().iter().any(|s| s.id() == format!("early{n}")) || ended_now(&stream)
+            });
+        }
+    }
+    until("the last one's answer", || w.get("last") == 200);
+    let open = cache.seen().iter().filter(|s| s.until.is_none()).count();
+    assert!(open <= 1, "{open} forwards of clients that left are still out");
+}
+
+/// Whether the node has said or ended something there.
+fn ended_now(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let said = stream.peek(&mut [0]).is_ok();
+    stream.set_nonblocking(false).unwrap();
+    said
+}
