--- a/crates/sparrouter-node/src/routing/mod.rs
+++ b/crates/sparrouter-node/src/routing/mod.rs
@@ -5,7 +5,7 @@
 pub mod parts;
 pub mod peer;
 #[cfg(test)]
-mod tests;
+pub mod tests;
 
 use crate::transport::client::ClientSays;
 use crate::transport::datagrams::NodeSays;
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -182,9 +182,10 @@
         };
         dialled.set(true);
         // While a connection came up things may have changed. Nothing is sent for what is over, to one that
-        // drains or has moved, or when it could no longer be dropped as a repeat; none of it speaks against
-        // the cache server.
-        let late = forward.before.is_some_and(|before| before <= Instant::now());
+        // drains or has moved, when it could no longer be dropped as a repeat, or after its time; none of it
+        // speaks against the cache server.
+        let late = forward.before.is_some_and(|before| before <= Instant::now())
+            || forward.at.elapsed() >= forward.wait;
         if forward.over.get() || late || !self.leads(&link) {
             self.keep(link);
             return (Outcome::NotSent, None);
--- a/crates/sparrouter-node/src/routing/tests/list.rs
+++ b/crates/sparrouter-node/src/routing/tests/list.rs
@@ -2,6 +2,7 @@
 use crate::protocol::lines::Listing;
 use crate::routing::Told;
 use crate::routing::list::{Ask, List, ListSays};
+use crate::routing::tests::play;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +10,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::task::LocalSet;
 use tokio::time::{Instant, timeout};
 
 const MS: Duration = Duration::from_millis(1);
@@ -82,16 +82,17 @@
     stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await.unwrap();
 }
 
+/// To a call for the whole.
+async fn answer(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+    stream.write_all(format!("{head}{text}").as_bytes()).await
+}
+
 fn list(rev: u64, all: bool, state: &str) -> String {
     let target = format!(r#"{{"uid":"c0","endpoint":"127.0.0.1:1","state":"{state}"}}"#);
     format!(r#"{{"rev":{rev},"all":{all},"targets":[{target}]}}"#)
 }
 
-fn play<F: Future<Output = ()>>(case: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, case);
-}
-
 /// A watch that is open, its first line told.
 async fn watched(unasked: bool) -> (TcpListener, TcpStream, Hold) {
     let (door, at) = door().await;
@@ -213,8 +214,7 @@
         hold.asks.send(Ask::Whole).await.unwrap();
         let (mut whole, _) = call(&door).await;
         let text = format!("\n{}", list(44, true, "in_service").replace(',', ",\n\t"));
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
-        whole.write_all(answer.as_bytes()).await.unwrap();
+        answer(&mut whole, &text).await.unwrap();
         assert_eq!(hold.listed().await.rev, 44);
         // The watch has gone on meanwhile.
         say(&mut stream, &format!("{}\n", list(45, false, "terminating"))).await;
@@ -233,8 +233,7 @@
         say(&mut stream, &list(43, false, "terminating")).await;
         assert_eq!(hold.listed().await.rev, 43);
         let text = list(42, true, "in_service");
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
-        whole.write_all(answer.as_bytes()).await.unwrap();
+        answer(&mut whole, &text).await.unwrap();
         assert_eq!(whole.read(&mut [0]).await.unwrap_or(0), 0, "it was read to its end");
         say(&mut stream, &list(42, false, "in_service")).await;
         assert!(hold.told().await.is_none(), "lost, and nothing undone");
@@ -260,8 +259,7 @@
         let (mut moved, first) = call(&new).await;
         assert!(first.contains("watch=1&after=0"), "{first}");
         let text = list(99, true, "in_service");
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
-        let _ = whole.write_all(answer.as_bytes()).await;
+        let _ = answer(&mut whole, &text).await;
         let _ = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await;
         moved.write_all(OPEN.as_bytes()).await.unwrap();
         say(&mut moved, &list(7, true, "terminating")).await;
--- a/crates/sparrouter-node/src/routing/tests/peer.rs
+++ b/crates/sparrouter-node/src/routing/tests/peer.rs
@@ -2,6 +2,7 @@
 use crate::protocol::messages::Invocation;
 use crate::routing::Told;
 use crate::routing::peer::{self, Ended, Forward, Handle, Limits, Order, PeerSays};
+use crate::routing::tests::play;
 use crate::transport::budget::{Room, Share};
 use crate::transport::pool::Pool;
 use bytes::Bytes;
@@ -136,16 +137,16 @@
     panic!("neither a byte nor an end");
 }
 
-async fn request(stream: &mut TcpStream) {
+async fn head(stream: &mut TcpStream) -> String {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         text.push(byte(stream).await.expect("a whole request"));
     }
+    String::from_utf8(text).unwrap()
 }
 
-fn play<F: Future<Output = ()>>(case: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, case);
+async fn request(stream: &mut TcpStream) {
+    head(stream).await;
 }
 
 /// The cache server ends a resting connection, or writes into it what nobody asked for, just as a request is to go
@@ -264,11 +265,25 @@
         let mut stream = stage.accept().await;
         let next = Invocation { id: Bytes::from_static(b"next"), ..(*invocation()).clone() };
         assert!(stage.peer.order(Order::Forward(forward(2, Rc::new(next), None))));
-        let mut text = Vec::new();
-        while !text.ends_with(b"\r\n\r\n") {
-            text.push(byte(&mut stream).await.expect("the next request, on the same connection"));
-        }
-        let text = String::from_utf8(text).unwrap();
+        let text = head(&mut stream).await;
         assert!(text.contains("X-Request-Id: next") && text.matches("GET ").count() == 1, "{text}");
     });
 }
+
+/// The client timeout runs out while a forward stands in the mailbox: a resting connection would take it at once.
+#[test]
+fn nothing_leaves_after_its_time() {
+    play(async {
+        let mut stage = Stage::new().await;
+        let mut stream = stage.rested().await;
+        let late = Forward { wait: Duration::ZERO, ..forward(2, invocation(), None) };
+        assert!(stage.peer.order(Order::Forward(late)));
+        assert_eq!(stage.ended().await.outcome, Outcome::NotSent);
+        let next = Invocation { id: Bytes::from_static(b"next"), ..(*invocation()).clone() };
+        assert!(stage.peer.order(Order::Forward(forward(3, Rc::new(next), None))));
+        assert!(
+            head(&mut stream).await.contains("X-Request-Id: next"),
+            "the first to come, on the same connection"
+        );
+    });
+}
--- a/crates/sparrouter-node/src/transport/client.rs
+++ b/crates/sparrouter-node/src/transport/client.rs
@@ -141,7 +141,10 @@
 
     /// Half a message, and its descriptor is wanted.
     async fn turn_away(&mut self) -> Option<()> {
-        let _ = self.write(messages::answer(&Answer::Throttled { retry_after: 0 }, false)).await;
+        self.write(messages::answer(&Answer::Throttled { retry_after: 0 }, false)).await?;
+        // More may be on its way: the answer gets a start on the reset, and the others wait no longer than that.
+        let _ = self.stream.shutdown().await;
+        sleep(SETTLE).await;
         None
     }
 
--- a/crates/sparrouter-node/src/transport/link.rs
+++ b/crates/sparrouter-node/src/transport/link.rs
@@ -54,7 +54,6 @@
         let mut all = head.chain(body);
         let writing = self.stream.write_all_buf(&mut all);
         let wrote = match before {
-            Some(before) if before <= Instant::now() => return Ok(None),
             Some(before) => match timeout_at(before, writing).await {
                 Ok(wrote) => wrote,
                 Err(_) => return Ok(None),
--- a/crates/sparrouter-node/src/transport/tests.rs
+++ b/crates/sparrouter-node/src/transport/tests.rs
@@ -3,6 +3,7 @@
 use super::budget::{Idlers, Share};
 use super::client::{self, Answered, ClientSays, House, Stage};
 use crate::protocol::messages::Answer;
+use crate::routing::tests::play;
 use bytes::Bytes;
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
@@ -11,7 +12,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{JoinHandle, LocalSet};
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 const MS: Duration = Duration::from_millis(1);
@@ -104,11 +105,6 @@
     }
 }
 
-fn play<F: Future<Output = ()>>(case: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, case);
-}
-
 /// A request is written on a resting connection just as the node closes it, at its end or for want of descriptors.
 /// Come before the close it is answered; come after it, it is not read, and so never sent on.
 #[test]
--- a/crates/sparrouter-node/tests/harness/mod.rs
+++ b/crates/sparrouter-node/tests/harness/mod.rs
@@ -134,3 +134,7 @@
     let waits = |e: std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
     !stream.read(&mut [0; 1]).is_err_and(waits)
 }
+
+pub fn status(stream: &mut TcpStream) -> u16 {
+    answer(stream).expect("a whole answer").0
+}
--- a/crates/sparrouter/src/types.rs
+++ b/crates/sparrouter/src/types.rs
@@ -213,37 +213,16 @@
     Woke { token: u64 },
 }
 
+/// A forward has left whole `before` that time of the clock or never does, where repeats are dropped only so long.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// `before`: the clock's time by which it has left whole or never does, where repeats are dropped only so long.
-    Forward {
-        inv: InvIx,
-        cache: CacheIx,
-        wait: Nanos,
-        before: Option<Nanos>,
-    },
-    Withdraw {
-        inv: InvIx,
-        copy: usize,
-    },
-    Throttle {
-        inv: InvIx,
-        retry_after: Nanos,
-    },
-    Error {
-        inv: InvIx,
-    },
-    Wake {
-        after: Nanos,
-        token: u64,
-    },
-    Probe {
-        cache: CacheIx,
-    },
-    Tell {
-        peer: usize,
-        text: Vec<u8>,
-    },
+    Forward { inv: InvIx, cache: CacheIx, wait: Nanos, before: Option<Nanos> },
+    Withdraw { inv: InvIx, copy: usize },
+    Throttle { inv: InvIx, retry_after: Nanos },
+    Error { inv: InvIx },
+    Wake { after: Nanos, token: u64 },
+    Probe { cache: CacheIx },
+    Tell { peer: usize, text: Vec<u8> },
     Follow,
     AskList,
 }
