Rendezvous scores and HTTP heads become libraries; the fleet's packages laid out

Change: windrow holds mix and score (from records.rs and policy.rs, same arithmetic), wicket holds heads and chunks (moved from sparrouter-node's protocol layer); empty packages for the fleet.

--- /dev/null
+++ b/crates/gleaner/src/lib.rs
@@ -0,0 +1,1 @@
+//! The index of kept prompts: which server keeps which prefix.
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -155,8 +155,8 @@
         let prior = 1.0 / (1.0 + peers as f64);
         let score = |&c: &CacheIx| {
             let cache = self.get(c);
-            let unit = ((mix(cache.id_hash ^ mix(key)) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-            (cache.weight * self.warmth(c, now) * cache.health(prior, now) / -unit.ln(), c)
+            let weight = cache.weight * self.warmth(c, now) * cache.health(prior, now);
+            (windrow::score(cache.id_hash, key, weight), c)
         };
         let mut order: Vec<_> = self.ready.iter().map(score).collect();
         order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -124,11 +124,7 @@
     all.get(all.len() / 2).copied()
 }
 
-pub fn mix(x: u64) -> u64 {
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
+pub use windrow::mix;
 
 #[derive(Clone, Copy, Default)]
 pub struct Usual {
--- a/crates/sparrouter-node/src/protocol/chunks.rs
+++ b/crates/wicket/src/chunks.rs
@@ -1,5 +1,5 @@
 //! Chunked bodies, taken from the buffer piece by piece.
-use super::{Bad, Parsed};
+use crate::{Bad, Parsed};
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Longest line between chunks (size, extensions, trailer).
--- a/crates/sparrouter-node/src/protocol/head.rs
+++ b/crates/wicket/src/head.rs
@@ -1,5 +1,5 @@
 //! Heads of HTTP/1.1 messages: slices of the buffer that they were read into.
-use super::{Bad, Parsed};
+use crate::{Bad, Parsed};
 use bytes::Bytes;
 
 /// How long the body is.
@@ -14,6 +14,10 @@
 pub struct Fields(Vec<(Bytes, Bytes)>);
 
 impl Fields {
+    /// All fields in the order of the message, names as they came.
+    pub fn iter(&self) -> impl Iterator<Item = (&Bytes, &Bytes)> {
+        self.0.iter().map(|(n, v)| (n, v))
+    }
     pub fn get(&self, name: &str) -> Option<&Bytes> {
         self.0.iter().find(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes())).map(|(_, v)| v)
     }
@@ -21,7 +25,7 @@
         self.get(name).and_then(|v| std::str::from_utf8(v).ok())
     }
     /// Whether a comma-separated field holds this word.
-    fn lists(&self, name: &str, word: &str) -> bool {
+    pub fn lists(&self, name: &str, word: &str) -> bool {
         let all = self.0.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes()));
         all.flat_map(|(_, v)| v.split(|&b| b == b','))
             .any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
