--- /dev/null
+++ b/crates/hedgerow/src/rows.rs
@@ -0,0 +1,299 @@
+//! The rows, how two of one name merge, and what changed since a revision.
+use crate::{Nanos, Note};
+use nanoserde::{DeBin, SerBin};
+use std::collections::{BTreeMap, HashMap};
+use trug::Seq;
+
+/// In the order in which a server goes through them; it never goes back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
+pub enum Standing {
+    #[default]
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct ModelAt {
+    pub name: String,
+    pub version: u64,
+}
+
+/// One incarnation of a server, as it told itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct ServerRow {
+    /// Its instance id: new with every start.
+    pub id: String,
+    pub service: String,
+    pub address: String,
+    pub zone: String,
+    pub slot_count: u32,
+    pub standing: Standing,
+    /// Rises with each of its calls.
+    pub call_sequence: u64,
+    pub models: Seq<ModelAt>,
+    /// The node that it calls now, which tells when it falls silent.
+    pub registrar: String,
+    /// Nobody hears of it at this call sequence: advice only, it may still answer.
+    pub silent: bool,
+}
+
+/// One process of the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct NodeRow {
+    pub name: String,
+    /// Where other nodes reach it, and where servers and operators do (empty: not there).
+    pub internal: String,
+    pub control: String,
+    pub zone: String,
+    pub region: String,
+    pub counted: bool,
+    /// Takes clients.
+    pub front: bool,
+    /// Id of its disk's life, 0 without one.
+    pub disk: u64,
+    /// Incarnation: raised by the process itself whenever it finds something newer of its name.
+    pub life: u64,
+    /// Drawn at start, to tell two processes of one name apart.
+    pub nonce: u64,
+    pub leaving: bool,
+    /// Nobody hears of it in this life: refuted by a higher one.
+    pub silent: bool,
+}
+
+struct Kept<T> {
+    row: T,
+    revision: u64,
+    at: Nanos,
+}
+
+/// What changed since a revision, or everything.
+#[derive(Clone, Debug, Default, PartialEq, SerBin, DeBin)]
+pub struct Delta {
+    /// Names the `Rows` that counted the revision: a restarted one counts anew.
+    pub epoch: u64,
+    pub revision: u64,
+    pub servers: Seq<ServerRow>,
+    pub nodes: Seq<NodeRow>,
+    pub notes: Seq<Note>,
+}
+
+impl Delta {
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty() && self.nodes.is_empty() && self.notes.is_empty()
+    }
+}
+
+/// All rows of one node.
+pub struct Rows {
+    epoch: u64,
+    revision: u64,
+    /// How long a row that is over is kept, so that no older word of it brings it back.
+    tombstone: Nanos,
+    /// Most rows of each kind: what one node may be made to hold by whoever calls it.
+    most: usize,
+    servers: BTreeMap<String, Kept<ServerRow>>,
+    /// Which ready server was heard of last at an address.
+    at_address: HashMap<String, String>,
+    nodes: BTreeMap<String, Kept<NodeRow>>,
+    notes: BTreeMap<String, Kept<Note>>,
+}
+
+impl Rows {
+    /// `epoch` is drawn at start; `tombstone` in nanoseconds.
+    pub fn new(epoch: u64, tombstone: Nanos, most: usize) -> Rows {
+        Rows {
+            epoch,
+            revision: 0,
+            tombstone,
+            most,
+            servers: BTreeMap::new(),
+            at_address: HashMap::new(),
+            nodes: BTreeMap::new(),
+            notes: BTreeMap::new(),
+        }
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+    pub fn server(&self, id: &str) -> Option<&ServerRow> {
+        self.servers.get(id).map(|k| &k.row)
+    }
+    pub fn servers(&self) -> impl Iterator<Item = &ServerRow> {
+        self.servers.values().map(|k| &k.row)
+    }
+    pub fn node(&self, name: &str) -> Option<&NodeRow> {
+        self.nodes.get(name).map(|k| &k.row)
+    }
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeRow> {
+        self.nodes.values().map(|k| &k.row)
+    }
+    pub fn note(&self, key: &str) -> Option<&Note> {
+        self.notes.get(key).map(|k| &k.row)
+    }
+    pub fn notes(&self) -> impl Iterator<Item = &Note> {
+        self.notes.values().map(|k| &k.row)
+    }
+
+    fn next(&mut self) -> u64 {
+        self.revision += 1;
+        self.revision
+    }
+
+    /// What a server says of itself, or another node of it. True if anything changed. A late word with a lower
+    /// call sequence undoes nothing, and a standing never goes back.
+    pub fn merge_server(&mut self, mut row: ServerRow, now: Nanos) -> bool {
+        match self.servers.get(&row.id) {
+            None if self.servers.len() >= self.most => return false,
+            None => {}
+            Some(Kept { row: old, .. }) => {
+                let standing = old.standing.max(row.standing);
+                if (row.call_sequence, row.silent) <= (old.call_sequence, old.silent) {
+                    if standing == old.standing {
+                        return false;
+                    }
+                    row = old.clone();
+                }
+                row.standing = standing;
+                if row == *old {
+                    return false;
+                }
+            }
+        }
+        let displaced = self.displaced(&row);
+        if let Some(id) = displaced {
+            let revision = self.next();
+            if let Some(kept) = self.servers.get_mut(&id) {
+                kept.row.silent = true;
+                (kept.revision, kept.at) = (revision, now);
+            }
+        }
+        if row.standing != Standing::Gone && !row.silent {
+            self.at_address.insert(row.address.clone(), row.id.clone());
+        }
+        let revision = self.next();
+        self.servers.insert(row.id.clone(), Kept { row, revision, at: now });
+        true
+    }
+
+    /// Another one that was heard of at the address of a new one: an address has one server at a time. Only
+    /// silent, not gone, since words may come late: its next beat brings it back.
+    fn displaced(&self, row: &ServerRow) -> Option<String> {
+        if row.silent || row.standing == Standing::Gone || self.servers.contains_key(&row.id) {
+            return None;
+        }
+        let other = self.at_address.get(&row.address).filter(|id| **id != row.id)?;
+        self.servers.get(other).filter(|k| !k.row.silent && k.row.standing != Standing::Gone)?;
+        Some(other.clone())
+    }
+
+    /// The server has left; an unknown one is remembered as gone, since its beats may come later.
+    pub fn leave(&mut self, id: &str, now: Nanos) -> bool {
+        let mut row = self.server(id).cloned().unwrap_or_default();
+        row.id = id.to_owned();
+        row.standing = Standing::Gone;
+        self.merge_server(row, now)
+    }
+
+    /// Nobody has heard of it since the call sequence that is known.
+    pub fn fall_silent(&mut self, id: &str, now: Nanos) -> bool {
+        match self.server(id).cloned() {
+            Some(row) if !row.silent && row.standing != Standing::Gone => {
+                self.merge_server(ServerRow { silent: true, ..row }, now)
+            }
+            _ => false,
+        }
+    }
+
+    pub fn merge_node(&mut self, row: NodeRow, now: Nanos) -> bool {
+        match self.nodes.get(&row.name) {
+            None if self.nodes.len() >= self.most => return false,
+            Some(Kept { row: old, .. }) => {
+                // Of two processes of one name and life the higher nonce is kept until one of them goes higher.
+                let place = |r: &NodeRow| (r.life, r.nonce, r.leaving, r.silent, r.disk);
+                if place(&row) <= place(old) {
+                    return false;
+                }
+            }
+            None => {}
+        }
+        let revision = self.next();
+        self.nodes.insert(row.name.clone(), Kept { row, revision, at: now });
+        true
+    }
+
+    pub fn node_silent(&mut self, name: &str, now: Nanos) -> bool {
+        match self.node(name).cloned() {
+            Some(row) if !row.silent => self.merge_node(NodeRow { silent: true, ..row }, now),
+            _ => false,
+        }
+    }
+
+    /// The life that a process of this name must take to be believed: above all that is known of others.
+    pub fn life_for(&self, own: &NodeRow) -> u64 {
+        match self.node(&own.name) {
+            Some(row) if row.nonce != own.nonce || row.silent || (row.leaving && !own.leaving) => {
+                own.life.max(row.life + 1)
+            }
+            _ => own.life,
+        }
+    }
+
+    pub fn merge_note(&mut self, note: Note, now: Nanos) -> bool {
+        match self.notes.get(&note.key) {
+            None if self.notes.len() >= self.most => return false,
+            Some(kept) if !note.newer(&kept.row) => return false,
+            _ => {}
+        }
+        let revision = self.next();
+        self.notes.insert(note.key.clone(), Kept { row: note, revision, at: now });
+        true
+    }
+
+    /// All that another node told. True if anything changed here.
+    pub fn merge(&mut self, delta: Delta, now: Nanos) -> bool {
+        let mut changed = false;
+        for row in delta.nodes {
+            changed |= self.merge_node(row, now);
+        }
+        for row in delta.servers {
+            changed |= self.merge_server(row, now);
+        }
+        for note in delta.notes {
+            changed |= self.merge_note(note, now);
+        }
+        changed
+    }
+
+    /// What changed since a revision that this `Rows` gave out; everything to whom had it from another.
+    pub fn since(&self, epoch: u64, revision: u64) -> Delta {
+        let from = if epoch == self.epoch && revision <= self.revision { revision } else { 0 };
+        Delta {
+            epoch: self.epoch,
+            revision: self.revision,
+            servers: newer(&self.servers, from),
+            nodes: newer(&self.nodes, from),
+            notes: newer(&self.notes, from),
+        }
+    }
+
+    /// Drops what has been over for long enough. Silent servers that nobody heard of go the same way, later.
+    pub fn sweep(&mut self, now: Nanos) {
+        let old = |at: Nanos, times: u64| now.saturating_sub(at) > self.tombstone.saturating_mul(times);
+        self.servers.retain(|_, k| match k.row.standing {
+            Standing::Gone => !old(k.at, 1),
+            _ => !(k.row.silent && old(k.at, 4)),
+        });
+        self.at_address.retain(|_, id| self.servers.contains_key(id));
+        self.nodes.retain(|_, k| !(k.row.silent && old(k.at, 4)));
+        self.notes.retain(|_, k| !(k.row.over && old(k.at, 1)));
+    }
+}
+
+fn newer<T: Clone>(of: &BTreeMap<String, Kept<T>>, from: u64) -> Seq<T> {
+    of.values().filter(|k| k.revision > from).map(|k| k.row.clone()).collect()
+}
--- /dev/null
+++ b/crates/hedgerow/tests/rows.rs
@@ -0,0 +1,138 @@
+use hedgerow::{Delta, NodeRow, Note, Rows, ServerRow, Standing, sources};
+
+const TOMB: u64 = 60_000_000_000;
+
+fn rows(epoch: u64) -> Rows {
+    Rows::new(epoch, TOMB, 10_000)
+}
+fn server(id: &str, sequence: u64, standing: Standing) -> ServerRow {
+    let address = format!("10.0.0.{}:80", id.len());
+    ServerRow {
+        id: id.into(),
+        service: "s".into(),
+        address,
+        standing,
+        call_sequence: sequence,
+        ..ServerRow::default()
+    }
+}
+
+#[test]
+fn given_a_draining_server_when_a_late_beat_says_ready_then_nothing_is_undone() {
+    let mut rows = rows(1);
+    assert!(rows.merge_server(server("a", 5, Standing::Draining), 0));
+    assert!(!rows.merge_server(server("a", 4, Standing::Ready), 1));
+    rows.merge_server(server("a", 6, Standing::Ready), 2);
+    assert_eq!(rows.server("a").unwrap().standing, Standing::Draining);
+}
+
+#[test]
+fn given_a_server_left_before_it_was_known_when_its_beat_comes_then_it_stays_gone() {
+    let mut rows = rows(1);
+    rows.leave("a", 0);
+    rows.merge_server(server("a", 9, Standing::Ready), 1);
+    assert_eq!(rows.server("a").unwrap().standing, Standing::Gone);
+    rows.sweep(TOMB * 2);
+    assert!(rows.server("a").is_none());
+}
+
+#[test]
+fn given_an_address_taken_over_when_the_old_one_beats_again_then_both_are_heard_in_turn() {
+    let mut rows = rows(1);
+    rows.merge_server(server("a", 1, Standing::Ready), 0);
+    rows.merge_server(server("b", 1, Standing::Ready), 1);
+    assert!(rows.server("a").unwrap().silent && !rows.server("b").unwrap().silent);
+    rows.merge_server(server("a", 2, Standing::Ready), 2);
+    assert!(!rows.server("a").unwrap().silent);
+}
+
+#[test]
+fn given_the_same_rows_in_any_order_then_all_nodes_end_alike() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    for _ in 0..300 {
+        let mut words: Vec<ServerRow> = (0..12)
+            .map(|_| {
+                let standing = [Standing::Ready, Standing::Draining, Standing::Gone][rng.usize(..3)];
+                ServerRow {
+                    silent: rng.bool(),
+                    ..server(["a", "bb"][rng.usize(..2)], rng.u64(..4), standing)
+                }
+            })
+            .collect();
+        let summary = |words: &[ServerRow]| {
+            let mut rows = rows(1);
+            words.iter().for_each(|w| {
+                rows.merge_server(w.clone(), 0);
+            });
+            rows.servers().map(|r| (r.id.clone(), r.call_sequence, r.silent, r.standing)).collect::<Vec<_>>()
+        };
+        let first = summary(&words);
+        rng.shuffle(&mut words);
+        assert_eq!(first, summary(&words));
+    }
+}
+
+#[test]
+fn given_a_poller_with_a_revision_when_it_asks_then_it_gets_just_what_is_new() {
+    let (mut source, mut asker) = (rows(1), rows(2));
+    source.merge_server(server("a", 1, Standing::Ready), 0);
+    let first = source.since(0, 0);
+    asker.merge(first.clone(), 0);
+    source.merge_server(server("bb", 1, Standing::Ready), 0);
+    let second = source.since(first.epoch, first.revision);
+    assert_eq!(second.servers.len(), 1);
+    assert!(source.since(second.epoch, second.revision).is_empty());
+    // A restarted source counts anew: the asker's revision means nothing to it.
+    let again = rows(3).since(second.epoch, second.revision);
+    assert_eq!((again.epoch, again.revision), (3, 0));
+}
+
+#[test]
+fn given_a_node_called_silent_when_it_hears_of_it_then_it_refutes_with_a_higher_life() {
+    let mut rows = rows(1);
+    let mut own = NodeRow { name: "n".into(), life: 1, nonce: 9, ..NodeRow::default() };
+    rows.merge_node(own.clone(), 0);
+    rows.node_silent("n", 1);
+    own.life = rows.life_for(&own);
+    assert_eq!(own.life, 2);
+    assert!(rows.merge_node(own.clone(), 2));
+    assert!(!rows.node("n").unwrap().silent);
+    // A successor under the same name goes above it.
+    let next = NodeRow { nonce: 3, life: 1, ..own };
+    assert_eq!(rows.life_for(&next), 3);
+}
+
+#[test]
+fn given_a_holder_replaced_when_the_old_one_still_writes_then_its_notes_lose() {
+    let mut rows = rows(1);
+    let note = |fence, number, value| Note { key: "load/a".into(), fence, number, value, over: false };
+    rows.merge_note(note(4, 1, 10), 0);
+    assert!(!rows.merge_note(note(3, 99, 20), 1));
+    assert!(rows.merge_note(note(4, 2, 30), 1));
+    assert_eq!(rows.note("load/a").unwrap().value, 30);
+}
+
+#[test]
+fn given_more_rows_than_fit_when_they_come_then_no_more_are_held() {
+    let mut rows = Rows::new(1, TOMB, 3);
+    for i in 0..10 {
+        let row = ServerRow { id: format!("i{i}"), address: format!("a{i}"), ..ServerRow::default() };
+        rows.merge(Delta { servers: vec![row].into(), ..Delta::default() }, 0);
+    }
+    assert_eq!(rows.servers().count(), 3);
+}
+
+#[test]
+fn given_many_nodes_then_sources_are_spread_and_those_in_touch_come_first() {
+    let names: Vec<String> = (0..6).map(|i| format!("c{i}")).collect();
+    let mut asked = [0; 6];
+    for node in 0..600 {
+        let own = format!("n{node}");
+        let picked = sources(&own, names.iter().map(|n| (n.as_str(), true)), 2);
+        assert_eq!(picked.len(), 2);
+        picked.iter().for_each(|p| asked[names.iter().position(|n| n == p).unwrap()] += 1);
+        let out = sources(&own, names.iter().map(|n| (n.as_str(), n != "c1")), 5);
+        assert!(!out.contains(&"c1"));
+    }
+    assert!(asked.iter().all(|n| (150..250).contains(n)), "{asked:?}");
+}
--- /dev/null
+++ b/crates/trug/tests/lists.rs
@@ -0,0 +1,29 @@
+use nanoserde::{DeBin, SerBin};
+use trug::{Blob, Seq};
+
+#[test]
+fn given_lists_when_written_and_read_then_they_are_the_same() {
+    let list: Seq<(u64, String)> = Seq(vec![(1, "a".into()), (2, "b".into())]);
+    assert_eq!(Seq::deserialize_bin(&list.serialize_bin()).unwrap(), list);
+    let blob = Blob((0..=255).collect());
+    assert_eq!(Blob::deserialize_bin(&blob.serialize_bin()).unwrap(), blob);
+}
+
+#[test]
+fn given_a_length_beyond_the_input_when_read_then_it_is_refused_without_allocating() {
+    let hostile = u32::MAX.to_le_bytes();
+    assert!(Seq::<u64>::deserialize_bin(&hostile).is_err());
+    assert!(Blob::deserialize_bin(&hostile).is_err());
+    let list: Seq<u64> = Seq((0..100).collect());
+    let bytes = list.serialize_bin();
+    for cut in 0..bytes.len() {
+        assert!(Seq::<u64>::deserialize_bin(&bytes[..cut]).is_err());
+    }
+}
+
+#[test]
+fn given_a_text_length_that_overflows_when_read_then_it_is_refused() {
+    let hostile = u64::MAX.to_le_bytes();
+    assert!(trug::read::<String>(&hostile).is_none());
+    assert!(trug::read::<(u8, String)>(&[1, 255, 255, 255, 255, 255, 255, 255, 255]).is_none());
+}
