Trellis reads, checks and patches the operator's configuration and routes by it

Need: every node must take or refuse a change the same way, give it back as it was sent, and find route, tenant and service of a request without a scan.

Change: trellis keeps a document as the JSON that was sent without the white space between its tokens, so that unknown fields and the digits of numbers survive a PUT and a PATCH; miniserde alone rounds long decimals and lets a field stand twice, so a scan bounds size, values and depth and refuses doubles first.

--- /dev/null
+++ b/crates/trellis/src/fields.rs
@@ -0,0 +1,161 @@
+//! Fields of one JSON object read by type, with the path that an error names. `null` counts as absent.
+
+use crate::refusal::Refusal;
+use miniserde::json::{Array, Number, Object, Value};
+
+/// An object and where it stands; the path is only written out for an error.
+#[derive(Clone, Copy)]
+pub(crate) struct Fields<'a> {
+    object: &'a Object,
+    at: At<'a>,
+}
+
+#[derive(Clone, Copy)]
+enum At<'a> {
+    Root,
+    Item { list: &'a str, index: usize, parent: &'a Fields<'a> },
+    Within { field: &'a str, parent: &'a Fields<'a> },
+}
+
+impl<'a> Fields<'a> {
+    pub fn root(tree: &'a Value) -> Result<Fields<'a>, Refusal> {
+        match tree {
+            Value::Object(object) => Ok(Fields { object, at: At::Root }),
+            _ => Err(Refusal::WrongType { at: "the body".to_owned(), expected: "an object" }),
+        }
+    }
+
+    pub fn path(&self, field: &str) -> String {
+        let own = match self.at {
+            At::Root => return field.to_owned(),
+            At::Item { list, index, parent } => {
+                let list = parent.path(list);
+                match self.object.get("name") {
+                    Some(Value::String(name)) => format!("{list}[{index}] (`{name}`)"),
+                    _ => format!("{list}[{index}]"),
+                }
+            }
+            At::Within { field, parent } => parent.path(field),
+        };
+        if field.is_empty() { own } else { format!("{own}.{field}") }
+    }
+
+    fn wrong<T>(&self, field: &str, expected: &'static str) -> Result<T, Refusal> {
+        Err(Refusal::WrongType { at: self.path(field), expected })
+    }
+
+    fn get(&self, field: &str) -> Option<&'a Value> {
+        self.object.get(field).filter(|value| !matches!(value, Value::Null))
+    }
+
+    pub fn text(&self, field: &str) -> Result<Option<&'a str>, Refusal> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(Value::String(text)) => Ok(Some(text)),
+            Some(_) => self.wrong(field, "a string"),
+        }
+    }
+
+    /// A string that must be there and not be empty.
+    pub fn needed_text(&self, field: &str) -> Result<&'a str, Refusal> {
+        match self.text(field)? {
+            Some(text) if !text.is_empty() => Ok(text),
+            _ => Err(Refusal::Missing { at: self.path(field) }),
+        }
+    }
+
+    /// A whole number that `T` holds; `6000.0` is one too.
+    pub fn whole<T: TryFrom<u64>>(&self, field: &str) -> Result<Option<T>, Refusal> {
+        // Above 2^53 a decimal no longer tells neighbouring whole numbers apart.
+        const EXACT: f64 = (1u64 << 53) as f64;
+        let number = match self.get(field) {
+            None => return Ok(None),
+            Some(Value::Number(Number::U64(n))) => Some(*n),
+            Some(Value::Number(Number::I64(n))) => u64::try_from(*n).ok(),
+            Some(Value::Number(Number::F64(n))) if n.fract() == 0.0 && (0.0..=EXACT).contains(n) => {
+                Some(*n as u64)
+            }
+            Some(_) => None,
+        };
+        match number.and_then(|n| T::try_from(n).ok()) {
+            Some(n) => Ok(Some(n)),
+            None => self.wrong(field, "a whole number from 0 up within its range"),
+        }
+    }
+
+    /// The number of a version: written as an integer, so that no reader rounds it.
+    pub fn version(&self) -> Result<u64, Refusal> {
+        match self.get("version") {
+            None => Err(Refusal::Missing { at: self.path("version") }),
+            Some(Value::Number(Number::U64(n))) => Ok(*n),
+            Some(_) => self.wrong("version", "an integer below 2^64"),
+        }
+    }
+
+    pub fn decimal(&self, field: &str) -> Result<Option<f64>, Refusal> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(Value::Number(Number::U64(n))) => Ok(Some(*n as f64)),
+            Some(Value::Number(Number::I64(n))) => Ok(Some(*n as f64)),
+            Some(Value::Number(Number::F64(n))) => Ok(Some(*n)),
+            Some(_) => self.wrong(field, "a number"),
+        }
+    }
+
+    pub fn flag(&self, field: &str) -> Result<Option<bool>, Refusal> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(Value::Bool(flag)) => Ok(Some(*flag)),
+            Some(_) => self.wrong(field, "true or false"),
+        }
+    }
+
+    pub fn list(&self, field: &str) -> Result<Option<&'a Array>, Refusal> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(Value::Array(list)) => Ok(Some(list)),
+            Some(_) => self.wrong(field, "a list"),
+        }
+    }
+
+    pub fn needed_list(&self, field: &str) -> Result<&'a Array, Refusal> {
+        self.list(field)?.ok_or_else(|| Refusal::Missing { at: self.path(field) })
+    }
+
+    /// A list of strings, none of them empty.
+    pub fn texts(&self, field: &str) -> Result<Vec<String>, Refusal> {
+        let texts = self.list(field)?.into_iter().flat_map(|list| list.iter());
+        texts
+            .map(|value| match value {
+                Value::String(text) if !text.is_empty() => Ok(text.clone()),
+                _ => self.wrong(field, "a list of strings that are not empty"),
+            })
+            .collect()
+    }
+
+    pub fn within<'b>(&'b self, field: &'b str) -> Result<Option<Fields<'b>>, Refusal> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(Value::Object(object)) => {
+                Ok(Some(Fields { object, at: At::Within { field, parent: self } }))
+            }
+            Some(_) => self.wrong(field, "an object"),
+        }
+    }
+
+    /// The objects of a list under `self`; an absent list is empty.
+    pub fn objects<'b>(&'b self, field: &'b str) -> Result<Vec<Fields<'b>>, Refusal> {
+        let list = self.list(field)?.into_iter().flat_map(|list| list.iter());
+        list.enumerate()
+            .map(|(index, value)| match value {
+                Value::Object(object) => {
+                    Ok(Fields { object, at: At::Item { list: field, index, parent: self } })
+                }
+                _ => Err(Refusal::WrongType {
+                    at: format!("{}[{index}]", self.path(field)),
+                    expected: "an object",
+                }),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/trellis/src/read.rs
@@ -0,0 +1,230 @@
+//! A checked table from a document: every rule that makes a configuration invalid stands here.
+
+use crate::change::Document;
+use crate::fields::Fields;
+use crate::refusal::Refusal;
+use crate::table::{Engine, Kind, Limits, Prefixes, Route, Service, Store, Table, Tenant, normal_host};
+use crate::text;
+use std::collections::HashMap;
+
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+const DEFAULT_PRIORITY: u8 = 5;
+
+impl Table {
+    /// Reads and checks a document in whole, in time that grows with its length alone (prefix lengths are sorted once a host).
+    pub fn read(document: &Document) -> Result<Table, Refusal> {
+        let (_, tree) = text::read(document.text.as_bytes())?;
+        let root = Fields::root(&tree)?;
+        let version = root.version()?;
+        if version != document.version {
+            return Err(Refusal::Misfiled { filed: document.version, text: version });
+        }
+        // A PUT without them is more likely a patch or a torn body than a wish for an empty fleet.
+        root.needed_list("routes")?;
+        root.needed_list("services")?;
+
+        let services = each(&root, "services", service)?;
+        let by_service = index_names("services", services.iter().map(|s| s.name.as_str()))?;
+        let routes = each(&root, "routes", |at| route(at, &services, &by_service))?;
+        index_names("routes", routes.iter().map(|r| r.name.as_str()))?;
+        let by_host = index_places(&routes)?;
+        let tenants = each(&root, "tenants", tenant)?;
+        index_names("tenants", tenants.iter().map(|t| t.name.as_str()))?;
+        let by_key = index_keys(&tenants)?;
+        let limits = root.within("limits")?.map_or(Ok(Limits::default()), |at| limits(&at))?;
+        Ok(Table { version, routes, services, limits, tenants, by_host, by_key, by_service })
+    }
+}
+
+fn each<T>(
+    root: &Fields, list: &str, read: impl Fn(&Fields) -> Result<T, Refusal>,
+) -> Result<Vec<T>, Refusal> {
+    root.objects(list)?.iter().map(read).collect()
+}
+
+fn index_names<'a>(
+    list: &str, names: impl Iterator<Item = &'a str>,
+) -> Result<HashMap<String, usize>, Refusal> {
+    let mut index = HashMap::new();
+    for (i, name) in names.enumerate() {
+        if index.insert(name.to_owned(), i).is_some() {
+            return Err(Refusal::SharedName { list: list.to_owned(), name: name.to_owned() });
+        }
+    }
+    Ok(index)
+}
+
+fn index_places(routes: &[Route]) -> Result<HashMap<String, Prefixes>, Refusal> {
+    let mut by_host: HashMap<String, Prefixes> = HashMap::new();
+    for (i, route) in routes.iter().enumerate() {
+        let prefixes = by_host.entry(normal_host(&route.host).into_owned()).or_default();
+        if let Some(other) = prefixes.routes.insert(route.path_prefix.clone(), i) {
+            let at = format!("routes[{i}] (`{}`)", route.name);
+            return Err(Refusal::SamePlace { at, other: routes[other].name.clone() });
+        }
+    }
+    for prefixes in by_host.values_mut() {
+        prefixes.lengths = prefixes.routes.keys().map(String::len).collect();
+        prefixes.lengths.sort_unstable_by(|a, b| b.cmp(a));
+        prefixes.lengths.dedup();
+    }
+    Ok(by_host)
+}
+
+fn index_keys(tenants: &[Tenant]) -> Result<HashMap<String, usize>, Refusal> {
+    let mut by_key = HashMap::new();
+    for (i, tenant) in tenants.iter().enumerate() {
+        for key in &tenant.api_keys {
+            // A key that one tenant lists twice is still that tenant's alone.
+            match by_key.insert(key.clone(), i) {
+                Some(other) if other != i => {
+                    let (first, second) = (tenants[other].name.clone(), tenant.name.clone());
+                    return Err(Refusal::SharedKey { first, second });
+                }
+                _ => {}
+            }
+        }
+    }
+    Ok(by_key)
+}
+
+fn route(at: &Fields, services: &[Service], by_service: &HashMap<String, usize>) -> Result<Route, Refusal> {
+    let name = at.needed_text("name")?.to_owned();
+    let host = at.needed_text("host")?.to_owned();
+    let path_prefix = at.needed_text("path_prefix")?.to_owned();
+    if !(path_prefix.starts_with('/') && path_prefix.ends_with('/')) {
+        return Err(Refusal::BadPrefix { at: at.path("path_prefix"), prefix: path_prefix });
+    }
+    let kind = match at.text("kind")? {
+        Some("idempotent") => Kind::Idempotent,
+        // The one that repeats nothing is the safe reading of a kind left out.
+        Some("non_idempotent") | None => Kind::NonIdempotent,
+        Some("streaming") => Kind::Streaming,
+        Some(other) => {
+            return Err(Refusal::UnknownKind { at: at.path("kind"), kind: other.to_owned() });
+        }
+    };
+    let timeout_ms = at.whole("timeout_ms")?.unwrap_or(DEFAULT_TIMEOUT_MS);
+    if timeout_ms == 0 {
+        return Err(Refusal::NoTimeout { at: at.path("timeout_ms") });
+    }
+    Ok(Route {
+        name,
+        host,
+        path_prefix,
+        kind,
+        timeout_ms,
+        target_latency_ms: at.whole("target_latency_ms")?.unwrap_or(timeout_ms),
+        priority: at.whole("priority")?.unwrap_or(DEFAULT_PRIORITY),
+        split: split(at, services, by_service)?,
+        max_attempts: at.whole("max_attempts")?.unwrap_or(1).max(1),
+        public_access: at.flag("public_access")?.unwrap_or(false),
+        session_affinity: at.flag("session_affinity")?.unwrap_or(false),
+        resumable: at.flag("resumable")?.unwrap_or(false),
+        gap_aim_ms: at.whole("gap_aim_ms")?.unwrap_or(0),
+    })
+}
+
+fn split(
+    at: &Fields, services: &[Service], by_service: &HashMap<String, usize>,
+) -> Result<Vec<(String, f64)>, Refusal> {
+    let servable = |at: &Fields, service: &str| match by_service.get(service) {
+        None => Err(Refusal::UnknownService { at: at.path("service"), service: service.to_owned() }),
+        Some(&i) if services[i].store.is_some() => {
+            Err(Refusal::StoreInRoute { at: at.path("service"), service: service.to_owned() })
+        }
+        Some(_) => Ok(()),
+    };
+    let whole = at.text("service")?;
+    if let Some(service) = whole {
+        servable(at, service)?;
+    }
+    let parts = at.objects("traffic_split")?;
+    if parts.is_empty() {
+        let service = whole.ok_or_else(|| Refusal::Missing { at: at.path("service") })?;
+        return Ok(vec![(service.to_owned(), 1.0)]);
+    }
+    let mut split: Vec<(String, f64)> = Vec::with_capacity(parts.len());
+    let mut place: HashMap<&str, usize> = HashMap::with_capacity(parts.len());
+    for part in &parts {
+        let service = part.needed_text("service")?;
+        servable(part, service)?;
+        let weight = part.decimal("weight")?.ok_or_else(|| Refusal::Missing { at: part.path("weight") })?;
+        if !(weight.is_finite() && weight >= 0.0) {
+            return Err(Refusal::BadWeight { at: part.path("weight") });
+        }
+        if weight > 0.0 {
+            let i = *place.entry(service).or_insert_with(|| {
+                split.push((service.to_owned(), 0.0));
+                split.len() - 1
+            });
+            split[i].1 += weight;
+        }
+    }
+    let sum: f64 = split.iter().map(|(_, weight)| weight).sum();
+    if split.is_empty() {
+        return Err(Refusal::NoWeight { at: at.path("traffic_split") });
+    }
+    if !sum.is_finite() {
+        return Err(Refusal::BadWeight { at: at.path("traffic_split") });
+    }
+    Ok(split)
+}
+
+fn service(at: &Fields) -> Result<Service, Refusal> {
+    Ok(Service {
+        name: at.needed_text("name")?.to_owned(),
+        health_check_path: at.text("health_check_path")?.map(str::to_owned),
+        max_connections: at.whole("max_connections")?,
+        protocol: at.text("protocol")?.unwrap_or("h1").to_owned(),
+        tls_enabled: at.flag("tls_enabled")?.unwrap_or(false),
+        engine: at.within("engine")?.map(|at| engine(&at)).transpose()?,
+        store: store(at)?,
+    })
+}
+
+fn engine(at: &Fields) -> Result<Engine, Refusal> {
+    Ok(Engine {
+        slot_count: at.whole("slot_count")?.unwrap_or(1),
+        kv_capacity_tokens: at.whole("kv_capacity_tokens")?.unwrap_or(0),
+        kv_token_bytes: at.whole("kv_token_bytes")?.unwrap_or(0),
+        link_mbps: at.decimal("link_mbps")?.unwrap_or(0.0),
+        stride: at.whole("stride")?.unwrap_or(1),
+        max_concurrent: at.whole("max_concurrent")?.unwrap_or(1),
+        models: each(at, "models", |model| Ok(model.needed_text("name")?.to_owned()))?,
+    })
+}
+
+fn store(at: &Fields) -> Result<Option<Store>, Refusal> {
+    let Some(address) = at.text("kv_store_address")? else { return Ok(None) };
+    let address = address.parse().map_err(|_| Refusal::WrongType {
+        at: at.path("kv_store_address"),
+        expected: "an IP address and a port, as in 172.20.0.2:8080",
+    })?;
+    Ok(Some(Store {
+        address,
+        zone: at.text("zone")?.unwrap_or("").to_owned(),
+        kv_capacity_tokens: at.whole("kv_capacity_tokens")?.unwrap_or(0),
+        link_mbps: at.decimal("link_mbps")?.unwrap_or(0.0),
+        max_concurrent: at.whole("max_concurrent")?.unwrap_or(1),
+    }))
+}
+
+fn limits(at: &Fields) -> Result<Limits, Refusal> {
+    let default = Limits::default();
+    Ok(Limits {
+        max_header_bytes: at.whole("max_header_bytes")?.unwrap_or(default.max_header_bytes),
+        max_body_bytes: at.whole("max_body_bytes")?.unwrap_or(default.max_body_bytes),
+        header_timeout_ms: at.whole("header_timeout_ms")?.unwrap_or(default.header_timeout_ms),
+        idle_timeout_ms: at.whole("idle_timeout_ms")?.unwrap_or(default.idle_timeout_ms),
+    })
+}
+
+fn tenant(at: &Fields) -> Result<Tenant, Refusal> {
+    Ok(Tenant {
+        name: at.needed_text("name")?.to_owned(),
+        api_keys: at.texts("api_keys")?,
+        priority: at.whole("priority")?,
+        isolated: at.flag("isolated")?.unwrap_or(false),
+    })
+}
