rootstock: registers by quorum, with groups that change through themselves

Need: control state in parts that any minority's loss leaves, changed by compare-and-set without a log or a standing leader. Change: acceptor, learner and proposer of one part without I/O; joint majorities where a slot changes the group; upkeep of the group; leases with fencing tokens; bytes that a hostile sender can't make large.

--- /dev/null
+++ b/crates/rootstock/src/message.rs
@@ -0,0 +1,75 @@
+//! What nodes say to each other about one part. Each is a copy of state: lost, late, repeated or out of order, none
+//! does harm.
+use crate::codec::{self, CodecError};
+use crate::types::{At, Ballot, Shared};
+use nanoserde::{DeBin, SerBin};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum Reason {
+    /// A higher ballot was promised, or a newer slot accepted: come back with a higher one.
+    Outrun,
+    /// The acceptor's disk refuses or the record is too large for it; nothing was promised.
+    Disk,
+}
+
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub enum Message {
+    /// `known`: the newest vote that the proposer has, which need not be sent to it.
+    Prepare {
+        ballot: Ballot,
+        known: Option<At>,
+    },
+    /// The acceptor takes no lower ballot from now on. `at` is its newest vote, `newer` that vote if it is above
+    /// `known`.
+    Promise {
+        ballot: Ballot,
+        at: Option<At>,
+        newer: Option<Shared>,
+    },
+    Accept {
+        vote: Shared,
+    },
+    Accepted {
+        at: At,
+    },
+    /// No to `ballot`; `promised` is what outran it.
+    Reject {
+        ballot: Ballot,
+        promised: Ballot,
+        reason: Reason,
+    },
+    /// What is your newest vote on disk? Promises nothing. `nonce` ties the answer to this very question.
+    Query {
+        nonce: u64,
+        known: Option<At>,
+    },
+    Report {
+        nonce: u64,
+        promised: Ballot,
+        at: Option<At>,
+        newer: Option<Shared>,
+    },
+    /// This vote is chosen; who has it may publish it.
+    Chosen {
+        at: At,
+    },
+    /// What I have and the newest slot that I know to be chosen: whoever knows more hands it over.
+    Have {
+        at: Option<At>,
+        chosen: Option<u64>,
+    },
+    /// A chosen vote, whole.
+    Learn {
+        vote: Shared,
+    },
+}
+
+impl Message {
+    pub fn encode(&self) -> Vec<u8> {
+        codec::encode(self)
+    }
+
+    pub fn decode(bytes: &[u8], most: usize) -> Result<Message, CodecError> {
+        codec::decode(bytes, most)
+    }
+}
--- /dev/null
+++ b/crates/rootstock/src/proposer.rs
@@ -0,0 +1,392 @@
+//! Rounds: asking a group, counting its answers, going on. One round is under way at a time for all calls that wait.
+//!
+//! | phase | asked | ends when | then |
+//! | --- | --- | --- | --- |
+//! | query | newest votes on disk | a majority has one and the same | it is chosen: reads are answered |
+//! | prepare | promises | a majority promised | the newest vote seen is proposed again, unless that majority has it |
+//! | accept | a vote for a slot | a majority voted | it is chosen; calls in it are answered; this node leads |
+//! | back off | nobody | time is up | prepare, with a higher ballot |
+//!
+//! Who leads proposes the next slot without preparing: a majority of its group has just voted under this ballot, and
+//! can hold nothing newer.
+use crate::Nanos;
+use crate::judge::{self, Fate, Judged};
+use crate::machine::Machine;
+use crate::message::Message;
+use crate::operation::{Outcome, Refused, Sent};
+use crate::quorum::reached;
+use crate::register::Register;
+use crate::types::{At, Ballot, Member, Shared};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Queries that find no agreement before a ballot is taken: mostly a vote is just under way.
+const QUERIES: u32 = 3;
+
+/// The right to propose the slot after `chosen` under `ballot`.
+#[derive(Debug)]
+pub(crate) struct Lead {
+    pub ballot: Ballot,
+    pub chosen: Shared,
+    /// Step at which the round that proved it began: calls older than that may be answered by it.
+    pub proved: u64,
+}
+
+#[derive(Debug)]
+pub(crate) enum Phase {
+    Idle,
+    BackOff { until: Nanos },
+    Round(Round),
+}
+
+#[derive(Debug)]
+pub(crate) enum Goal {
+    Query { nonce: u64, tries: u32 },
+    Prepare { ballot: Ballot },
+    Accept { judged: Vec<Judged> },
+}
+
+#[derive(Debug)]
+pub(crate) struct Round {
+    goal: Goal,
+    step: u64,
+    asked: Vec<Member>,
+    heard: BTreeMap<u64, Option<At>>,
+    refused: BTreeSet<u64>,
+    /// The newest vote seen, or the one proposed.
+    vote: Shared,
+    /// Further votes seen by a query.
+    seen: Vec<Shared>,
+    began: Nanos,
+    repeats: u32,
+    repeat_at: Nanos,
+}
+
+impl Phase {
+    pub fn next_wake(&self) -> Option<Nanos> {
+        match self {
+            Phase::Idle => None,
+            Phase::BackOff { until } => Some(*until),
+            Phase::Round(round) => Some(round.repeat_at),
+        }
+    }
+}
+
+impl Round {
+    fn message(&self) -> Message {
+        let known = Some(self.vote.at());
+        match &self.goal {
+            Goal::Query { nonce, .. } => Message::Query { nonce: *nonce, known },
+            Goal::Prepare { ballot } => Message::Prepare { ballot: *ballot, known },
+            Goal::Accept { .. } => Message::Accept { vote: self.vote.clone() },
+        }
+    }
+}
+
+impl<M: Machine> Register<M> {
+    /// Starts what the waiting calls need, if no round is under way.
+    pub(crate) fn drive(&mut self, now: Nanos) {
+        while matches!(self.phase, Phase::Idle) && !self.operations.is_empty() {
+            let Some(newest) = self.newest().cloned() else {
+                for operation in std::mem::take(&mut self.operations) {
+                    self.finish(operation.id, Outcome::Refused(Refused::NoGroup));
+                }
+                return;
+            };
+            if self.settings.defects.read_locally {
+                for operation in self.operations.extract_if(.., |o| o.is_read()).collect::<Vec<_>>() {
+                    self.finish(operation.id, Outcome::Answered(newest.state.body.clone()));
+                }
+            } else if self.lead.is_some() {
+                self.lead_on(now);
+            } else if self.operations.iter().all(|o| o.is_read()) {
+                self.query(1, newest, now);
+            } else {
+                self.prepare(newest, now);
+            }
+        }
+    }
+
+    /// Judges the waiting calls on the state that this node leads from.
+    fn lead_on(&mut self, now: Nanos) {
+        let Some(lead) = self.lead.take() else { return };
+        self.settle_fates(&lead.chosen);
+        let origin = self.rng.u64(1..);
+        let batch =
+            judge::judge(&self.machine, &self.operations, &lead.chosen, lead.ballot, origin, &self.settings);
+        if let Some(vote) = batch.vote {
+            for judged in batch.judged.iter().filter(|j| j.proposed) {
+                let operation = self.operations.iter_mut().find(|o| o.step == judged.step);
+                if let (Some(operation), Outcome::Answered(answer)) = (operation, &judged.outcome) {
+                    operation.sent.push(Sent { seq: vote.state.seq, origin, answer: answer.clone() });
+                }
+            }
+            return self.accept(vote.into(), batch.judged, now);
+        }
+        let (known, open): (Vec<Judged>, Vec<Judged>) =
+            batch.judged.into_iter().partition(|j| j.step < lead.proved);
+        self.answer(known);
+        let chosen = lead.chosen.clone();
+        self.lead = Some(lead);
+        if !open.is_empty() {
+            self.query(1, chosen, now);
+        }
+    }
+
+    /// Ends the calls whose proposals were chosen, or can't be told any more.
+    fn settle_fates(&mut self, chosen: &Shared) {
+        let mut ended = Vec::new();
+        let settings = &self.settings;
+        self.operations.retain_mut(|operation| match judge::fate(operation, &chosen.state, settings) {
+            Fate::Waits => true,
+            Fate::Chosen(answer) => {
+                ended.push((operation.id, Outcome::Answered(answer)));
+                false
+            }
+            Fate::Untold => {
+                ended.push((operation.id, Outcome::Unknown));
+                false
+            }
+        });
+        for (id, outcome) in ended {
+            self.finish(id, outcome);
+        }
+    }
+
+    fn answer(&mut self, judged: Vec<Judged>) {
+        for judged in judged {
+            if let Some(index) = self.operations.iter().position(|o| o.step == judged.step) {
+                let operation = self.operations.remove(index);
+                self.finish(operation.id, judged.outcome);
+            }
+        }
+    }
+
+    fn begin(&mut self, goal: Goal, vote: Shared, now: Nanos) {
+        let step = self.next_step();
+        let asked = vote.electorate();
+        let round = Round {
+            goal,
+            step,
+            asked,
+            heard: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            seen: vec![vote.clone()],
+            vote,
+            began: now,
+            repeats: 0,
+            repeat_at: now + 4 * self.round_trip,
+        };
+        for member in round.asked.clone() {
+            self.send(member, round.message());
+        }
+        self.phase = Phase::Round(round);
+    }
+
+    fn query(&mut self, tries: u32, vote: Shared, now: Nanos) {
+        let nonce = self.rng.u64(..);
+        self.begin(Goal::Query { nonce, tries }, vote, now);
+    }
+
+    fn prepare(&mut self, vote: Shared, now: Nanos) {
+        self.lead = None;
+        self.round += 1;
+        let ballot = Ballot { round: self.round, disk: self.me.disk, life: self.life };
+        self.begin(Goal::Prepare { ballot }, vote, now);
+    }
+
+    fn accept(&mut self, vote: Shared, judged: Vec<Judged>, now: Nanos) {
+        if self.settings.defects.answer_unchosen {
+            for judged in &judged {
+                if let Some(operation) = self.operations.iter_mut().find(|o| o.step == judged.step) {
+                    let id = operation.id.take();
+                    self.finish(id, judged.outcome.clone());
+                }
+            }
+        }
+        self.begin(Goal::Accept { judged }, vote, now);
+    }
+
+    /// Nobody waits for the round any more. A vote that has left is never replaced under its ballot.
+    pub(crate) fn abandon(&mut self) {
+        if matches!(&self.phase, Phase::Round(Round { goal: Goal::Accept { .. }, .. })) {
+            self.lead = None;
+        }
+        self.phase = Phase::Idle;
+    }
+
+    /// Takes an answer into the round that it belongs to; asks members that only now are known to matter.
+    fn hear(
+        &mut self, from: &Member, at: Option<At>, newer: Option<Shared>, now: Nanos,
+        fits: impl Fn(&Round) -> bool,
+    ) -> bool {
+        let any = self.settings.defects.any_promise;
+        let Phase::Round(round) = &mut self.phase else { return false };
+        if !fits(round) || round.asked.iter().all(|m| m.disk != from.disk) {
+            return false;
+        }
+        if round.repeats == 0 && from.disk != self.me.disk {
+            self.round_trip = (self.round_trip * 7 + now.saturating_sub(round.began)) / 8;
+        }
+        let first = round.heard.is_empty();
+        round.heard.insert(from.disk, at);
+        let mut asks = Vec::new();
+        if let Some(vote) = newer {
+            if vote.at() > round.vote.at() && (!any || first) {
+                round.vote = vote.clone();
+                asks = vote.electorate();
+                asks.retain(|m| round.asked.iter().all(|a| a.disk != m.disk));
+                round.asked.extend(asks.iter().cloned());
+            }
+            round.seen.push(vote);
+        }
+        let message = round.message();
+        for member in asks {
+            self.send(member, message.clone());
+        }
+        true
+    }
+
+    pub(crate) fn reported(
+        &mut self, from: Member, nonce: u64, at: Option<At>, newer: Option<Shared>, now: Nanos,
+    ) {
+        let fits = |r: &Round| matches!(r.goal, Goal::Query { nonce: n, .. } if n == nonce);
+        if !self.hear(&from, at, newer, now, fits) {
+            return;
+        }
+        let Phase::Round(round) = &mut self.phase else { return };
+        let agreed =
+            |v: &&Shared| reached(v, |d| round.heard.get(&d) == Some(&Some(v.at())), &self.settings.defects);
+        let Some(chosen) = round.seen.iter().find(agreed).cloned() else {
+            if round.asked.iter().all(|m| round.heard.contains_key(&m.disk)) {
+                round.repeat_at = round.repeat_at.min(now + self.round_trip);
+            }
+            return;
+        };
+        let (step, asked) = (round.step, std::mem::take(&mut round.asked));
+        let behind: Vec<Member> = asked
+            .into_iter()
+            .filter(|m| round.heard.get(&m.disk).is_some_and(|h| *h != Some(chosen.at())))
+            .collect();
+        self.phase = Phase::Idle;
+        self.publish(&chosen);
+        for member in behind {
+            self.send(member, Message::Chosen { at: chosen.at() });
+        }
+        match &mut self.lead {
+            Some(lead) if lead.chosen.at() == chosen.at() => lead.proved = lead.proved.max(step),
+            _ => {
+                // Somebody else went on from here, or nobody leads.
+                self.lead = None;
+                let answers = self.operations.iter().filter(|o| o.is_read() && o.step < step);
+                let outcome = Outcome::Answered(chosen.state.body.clone());
+                let judged =
+                    answers.map(|o| Judged { step: o.step, outcome: outcome.clone(), proposed: false });
+                let judged = judged.collect();
+                self.answer(judged);
+            }
+        }
+    }
+
+    pub(crate) fn promised(
+        &mut self, from: Member, ballot: Ballot, at: Option<At>, newer: Option<Shared>, now: Nanos,
+    ) {
+        let fits = |r: &Round| matches!(r.goal, Goal::Prepare { ballot: b } if b == ballot);
+        if !self.hear(&from, at, newer, now, fits) {
+            return;
+        }
+        let Phase::Round(round) = &self.phase else { return };
+        let defects = &self.settings.defects;
+        if !reached(&round.vote, |d| round.heard.contains_key(&d), defects) {
+            return;
+        }
+        let (vote, step) = (round.vote.clone(), round.step);
+        let held = |d| round.heard.get(&d) == Some(&Some(vote.at()));
+        if defects.judge_unchosen || reached(&vote, held, defects) {
+            self.phase = Phase::Idle;
+            let chosen = self.publish(&vote);
+            self.lead = Some(Lead { ballot, chosen, proved: step });
+        } else {
+            let vote = crate::types::Vote { ballot, ..(*vote.0).clone() };
+            self.accept(vote.into(), Vec::new(), now);
+        }
+    }
+
+    pub(crate) fn accepted(&mut self, from: Member, at: At, now: Nanos) {
+        let fits = |r: &Round| matches!(r.goal, Goal::Accept { .. }) && r.vote.at() == at;
+        if !self.hear(&from, Some(at), None, now, fits) {
+            return;
+        }
+        let Phase::Round(round) = &self.phase else { return };
+        if !reached(&round.vote, |d| round.heard.contains_key(&d), &self.settings.defects) {
+            return;
+        }
+        let Phase::Round(round) = std::mem::replace(&mut self.phase, Phase::Idle) else { return };
+        self.back_offs = 0;
+        let chosen = self.publish(&round.vote);
+        for member in round.asked {
+            if member.disk != self.me.disk {
+                self.send(member, Message::Chosen { at });
+            }
+        }
+        if let Goal::Accept { judged } = round.goal {
+            self.answer(judged);
+        }
+        self.lead = Some(Lead { ballot: at.ballot, chosen, proved: round.step });
+    }
+
+    pub(crate) fn rejected(&mut self, from: Member, ballot: Ballot, now: Nanos) {
+        let Phase::Round(round) = &mut self.phase else { return };
+        let mine = match round.goal {
+            Goal::Query { .. } => return,
+            Goal::Prepare { ballot } => ballot,
+            Goal::Accept { .. } => round.vote.ballot,
+        };
+        if mine != ballot {
+            return;
+        }
+        round.refused.insert(from.disk);
+        let possible = |d| !round.refused.contains(&d) || round.heard.contains_key(&d);
+        if !reached(&round.vote, possible, &self.settings.defects) {
+            self.back_off(now);
+        }
+    }
+
+    /// Two who raise their ballots against each other in step would go on for ever.
+    fn back_off(&mut self, now: Nanos) {
+        self.lead = None;
+        let most = self.round_trip << self.back_offs.min(6);
+        self.back_offs += 1;
+        self.phase = Phase::BackOff { until: now + self.rng.u64(0..=most) };
+    }
+
+    pub(crate) fn round_timer(&mut self, now: Nanos) {
+        if self.phase.next_wake().is_none_or(|at| at > now) {
+            return;
+        }
+        let Phase::Round(round) = &mut self.phase else {
+            self.phase = Phase::Idle;
+            return;
+        };
+        if let Goal::Query { tries, .. } = round.goal {
+            let vote = round.vote.clone();
+            // A majority answered and did not agree.
+            if reached(&vote, |d| round.heard.contains_key(&d), &self.settings.defects) {
+                return if tries < QUERIES {
+                    self.query(tries + 1, vote, now)
+                } else {
+                    self.prepare(vote, now)
+                };
+            }
+        } else if !round.refused.is_empty() {
+            return self.back_off(now);
+        }
+        round.repeats += 1;
+        round.repeat_at = now + ((4 * self.round_trip) << round.repeats.min(4)).min(self.settings.contact);
+        let silent: Vec<Member> =
+            round.asked.iter().filter(|m| !round.heard.contains_key(&m.disk)).cloned().collect();
+        let message = round.message();
+        for member in silent {
+            self.send(member, message.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/rootstock/src/quorum.rs
@@ -0,0 +1,18 @@
+//! Majorities, and those of two groups at once where a state changes the group.
+use crate::settings::Defects;
+use crate::types::{Member, Vote};
+
+pub fn majority(members: &[Member], has: impl Fn(u64) -> bool) -> bool {
+    !members.is_empty() && members.iter().filter(|m| has(m.disk)).count() > members.len() / 2
+}
+
+/// Whether those that `has` names choose this vote, or may go on from it: a majority of the group that governs its
+/// slot and of the group that it makes.
+pub fn reached(vote: &Vote, has: impl Fn(u64) -> bool + Copy, defects: &Defects) -> bool {
+    let enough = |members: &[Member]| match defects.half_is_majority {
+        true => members.iter().filter(|m| has(m.disk)).count() * 2 >= members.len(),
+        false => majority(members, has),
+    };
+    (defects.new_group_only || enough(vote.governing()))
+        && (defects.old_group_only || enough(&vote.state.members))
+}
--- /dev/null
+++ b/crates/rootstock/src/register.rs
@@ -0,0 +1,359 @@
+//! The doors of one part at one node: calls, messages and ends of stores in, actions out.
+use crate::Nanos;
+use crate::acceptor::Acceptor;
+use crate::codec::CodecError;
+use crate::learner::Learner;
+use crate::machine::Machine;
+use crate::message::Message;
+use crate::operation::{Kind, Operation, Outcome, Refused};
+use crate::proposer::{Lead, Phase};
+use crate::settings::Settings;
+use crate::types::{Ballot, Member, Record, Shared, State, Vote};
+use crate::upkeep::{Seen, Upkeep};
+use fastrand::Rng;
+use std::collections::VecDeque;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send {
+        to: Member,
+        message: Message,
+    },
+    /// Keep these bytes for this part instead of those before, then call `stored`.
+    Store {
+        token: u64,
+        bytes: Vec<u8>,
+    },
+    /// News, in rising `seq`: this state is chosen.
+    Chosen(State),
+    /// The end of a call, told once.
+    Done {
+        op: u64,
+        outcome: Outcome,
+    },
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum RegisterError {
+    #[error(
+        "the record of part {part} can't be read: {source}; treat the disk as wiped, so that it joins under a new id"
+    )]
+    Record { part: u16, source: CodecError },
+}
+
+pub struct Register<M: Machine> {
+    pub(crate) part: u16,
+    pub(crate) me: Member,
+    pub(crate) machine: M,
+    pub(crate) settings: Settings,
+    pub(crate) rng: Rng,
+    /// Of this start; see `Ballot`.
+    pub(crate) life: u64,
+    pub(crate) acceptor: Acceptor,
+    pub(crate) learner: Learner,
+    pub(crate) operations: Vec<Operation>,
+    pub(crate) step: u64,
+    pub(crate) phase: Phase,
+    pub(crate) lead: Option<Lead>,
+    /// Highest round of any ballot that was met.
+    pub(crate) round: u64,
+    pub(crate) round_trip: Nanos,
+    pub(crate) back_offs: u32,
+    pub(crate) inbox: VecDeque<(Member, Message)>,
+    pub(crate) actions: Vec<Action>,
+    exchange_at: Nanos,
+    settle_at: Option<Nanos>,
+    upkeep: Upkeep,
+}
+
+impl<M: Machine> Register<M> {
+    /// `record`: what the last store of this part kept, `None` if there never was one. `rng` must differ from start to
+    /// start of a machine: it names its ballots. A group's first record is `Record::found`.
+    pub fn new(
+        part: u16, me: Member, record: Option<&[u8]>, machine: M, mut rng: Rng, settings: Settings,
+        now: Nanos,
+    ) -> Result<Register<M>, RegisterError> {
+        let most = settings.most_message();
+        let record = record.map(|bytes| Record::decode(bytes, most)).transpose();
+        let record = record.map_err(|source| RegisterError::Record { part, source })?.unwrap_or_default();
+        let life = if settings.defects.ballots_repeat { 0 } else { rng.u64(..) };
+        let exchange_at = now + rng.u64(0..=settings.exchange);
+        let round = if settings.defects.ballots_repeat { 0 } else { record.promised.round };
+        Ok(Register {
+            part,
+            me,
+            machine,
+            rng,
+            life,
+            acceptor: Acceptor::new(record),
+            learner: Learner::default(),
+            operations: Vec::new(),
+            step: 0,
+            phase: Phase::Idle,
+            lead: None,
+            round,
+            round_trip: settings.round_trip,
+            back_offs: 0,
+            inbox: VecDeque::new(),
+            actions: Vec::new(),
+            exchange_at,
+            settle_at: None,
+            upkeep: Upkeep::default(),
+            settings,
+        })
+    }
+
+    pub fn part(&self) -> u16 {
+        self.part
+    }
+
+    /// The newest state known to be chosen.
+    pub fn chosen(&self) -> Option<&State> {
+        self.learner.chosen().map(|v| &v.state)
+    }
+
+    /// The group, as far as this node knows.
+    pub fn members(&self) -> &[Member] {
+        self.newest().map_or(&[], |v| &v.state.members)
+    }
+
+    /// Whether this node's vote counts in the newest group that it knows.
+    pub fn is_member(&self) -> bool {
+        self.members().iter().any(|m| m.disk == self.me.disk)
+    }
+
+    pub(crate) fn newest(&self) -> Option<&Shared> {
+        self.acceptor.accepted()
+    }
+
+    /// Applies `change` to the newest state; ends in `Done` by `deadline`. `op` names the call, the caller's choice.
+    pub fn propose(&mut self, op: u64, change: Vec<u8>, deadline: Nanos, now: Nanos) {
+        if change.len() > self.settings.most_change {
+            return self.done(op, Outcome::Refused(Refused::TooLarge));
+        }
+        self.call(op, Kind::Change(change), deadline, now);
+    }
+
+    /// Asks for the body that is in force; ends in `Done` by `deadline`. Writes nothing while the group agrees.
+    pub fn read(&mut self, op: u64, deadline: Nanos, now: Nanos) {
+        self.call(op, Kind::Read, deadline, now);
+    }
+
+    fn call(&mut self, op: u64, kind: Kind, deadline: Nanos, now: Nanos) {
+        if self.operations.len() >= self.settings.most_pending {
+            return self.done(op, Outcome::Refused(Refused::Busy));
+        }
+        self.enqueue(Some(op), kind, deadline);
+        self.work(now);
+    }
+
+    fn enqueue(&mut self, id: Option<u64>, kind: Kind, deadline: Nanos) {
+        let step = self.next_step();
+        self.operations.push(Operation { id, kind, deadline, step, sent: Vec::new() });
+    }
+
+    pub(crate) fn next_step(&mut self) -> u64 {
+        self.step += 1;
+        self.step
+    }
+
+    /// `from`: the node at the other end, under the disk's id that it has now.
+    pub fn handle(&mut self, from: Member, message: Message, now: Nanos) {
+        self.inbox.push_back((from, message));
+        self.work(now);
+    }
+
+    /// The store `token` ended; after `false` it may have happened all the same, and is tried again later.
+    pub fn stored(&mut self, token: u64, ok: bool, now: Nanos) {
+        self.acceptor.stored(token, ok, now, &self.settings);
+        self.work(now);
+    }
+
+    /// Asks a node, who may know the part's group, for what it knows.
+    pub fn ask(&mut self, of: Member, now: Nanos) {
+        let message = Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
+        self.send(of, message);
+        self.work(now);
+    }
+
+    /// Time passed: calls end, questions are repeated, members compared.
+    pub fn tick(&mut self, now: Nanos) {
+        let ended: Vec<Operation> = self.operations.extract_if(.., |o| o.deadline <= now).collect();
+        for operation in ended {
+            let outcome = operation.expired();
+            self.finish(operation.id, outcome);
+        }
+        if self.operations.is_empty() {
+            self.abandon();
+        }
+        self.round_timer(now);
+        if self.exchange_at <= now {
+            self.exchange(now);
+        }
+        if self.settle_at.is_some_and(|at| at <= now) {
+            self.settle_at = None;
+            if self.unsettled() && !self.operations.iter().any(|o| matches!(o.kind, Kind::Settle)) {
+                self.enqueue(None, Kind::Settle, now + 8 * self.settings.exchange);
+            }
+        }
+        self.work(now);
+    }
+
+    /// Looks at who is there, and changes the group by at most one member; call it at each news and now and then.
+    pub fn tend(&mut self, seen: &[Seen], now: Nanos) {
+        let Some(chosen) = self.learner.chosen() else { return };
+        let busy = self.operations.iter().any(|o| matches!(o.kind, Kind::Members { .. }));
+        let to = self.upkeep.decide(self.part, &self.me, &chosen.state, seen, &self.settings, now);
+        if let (Some(to), false) = (to, busy) {
+            let from = chosen.state.members.iter().map(|m| m.disk).collect();
+            self.enqueue(None, Kind::Members { from, to }, now + self.settings.contact);
+            self.work(now);
+        }
+    }
+
+    /// When `tick` has something to do.
+    pub fn next_wake(&self) -> Option<Nanos> {
+        let calls = self.operations.iter().map(|o| o.deadline).min();
+        let timers = [
+            calls,
+            self.phase.next_wake(),
+            Some(self.exchange_at),
+            self.settle_at,
+            self.acceptor.next_wake(),
+        ];
+        timers.into_iter().flatten().min()
+    }
+
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub(crate) fn send(&mut self, to: Member, message: Message) {
+        if to.disk == self.me.disk {
+            self.inbox.push_back((to, message));
+        } else {
+            self.actions.push(Action::Send { to, message });
+        }
+    }
+
+    pub(crate) fn finish(&mut self, id: Option<u64>, outcome: Outcome) {
+        if let Some(op) = id {
+            self.done(op, outcome);
+        }
+    }
+
+    fn done(&mut self, op: u64, outcome: Outcome) {
+        self.actions.push(Action::Done { op, outcome });
+    }
+
+    /// Messages to oneself and calls until nothing is left to do now; then what the acceptor may tell, and its store.
+    pub(crate) fn work(&mut self, now: Nanos) {
+        loop {
+            while let Some((from, message)) = self.inbox.pop_front() {
+                self.dispatch(from, message, now);
+            }
+            self.drive(now);
+            for (to, message) in self.acceptor.take_free(&self.settings) {
+                self.send(to, message);
+            }
+            if let Some((token, bytes)) = self.acceptor.next_store(now, &self.settings) {
+                self.actions.push(Action::Store { token, bytes });
+            }
+            if self.inbox.is_empty() {
+                break;
+            }
+        }
+        if self.unsettled() && self.settle_at.is_none() {
+            self.settle_at = Some(now + self.spread(self.settings.exchange));
+        }
+    }
+
+    fn dispatch(&mut self, from: Member, message: Message, now: Nanos) {
+        match message {
+            Message::Prepare { ballot, known } => {
+                self.meet(ballot);
+                self.acceptor.prepare(&from, ballot, known, &self.settings);
+            }
+            Message::Accept { vote } => {
+                self.meet(vote.ballot);
+                self.acceptor.accept(&from, vote, &self.settings);
+                if self.settings.defects.publish_accepted
+                    && let Some(vote) = self.newest().cloned()
+                {
+                    self.publish(&vote);
+                }
+            }
+            Message::Query { nonce, known } => self.acceptor.query(&from, nonce, known),
+            Message::Promise { ballot, at, newer } => self.promised(from, ballot, at, newer, now),
+            Message::Accepted { at } => self.accepted(from, at, now),
+            Message::Reject { ballot, promised, .. } => {
+                self.meet(promised);
+                self.rejected(from, ballot, now);
+            }
+            Message::Report { nonce, promised, at, newer } => {
+                self.meet(promised);
+                self.reported(from, nonce, at, newer, now);
+            }
+            Message::Chosen { at } => match self.newest().filter(|v| v.at() == at).cloned() {
+                Some(vote) => drop(self.publish(&vote)),
+                None if self.learner.seq().is_none_or(|seq| seq < at.seq) => {
+                    let have =
+                        Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
+                    self.send(from, have);
+                }
+                None => {}
+            },
+            Message::Have { at, chosen } => {
+                let answer = self.learner.answer(at, chosen, self.acceptor.accepted().map(|v| &**v));
+                if let Some(message) = answer {
+                    self.send(from, message);
+                }
+            }
+            Message::Learn { vote } => drop(self.publish(&vote)),
+        }
+    }
+
+    fn meet(&mut self, ballot: Ballot) {
+        self.round = self.round.max(ballot.round);
+    }
+
+    /// This vote is known to be chosen. Gives it without the group before, which has no more say and may be gone.
+    pub(crate) fn publish(&mut self, vote: &Shared) -> Shared {
+        let vote = match vote.before {
+            Some(_) => Vote { before: None, ..(*vote.0).clone() }.into(),
+            None => vote.clone(),
+        };
+        self.meet(vote.ballot);
+        self.acceptor.learn(&vote);
+        if self.learner.learn(&vote) {
+            self.actions.push(Action::Chosen(vote.state.clone()));
+        }
+        vote
+    }
+
+    /// Whether the newest vote here may be chosen without this node having heard so: whoever proposed it may be gone.
+    fn unsettled(&self) -> bool {
+        let newest = self.newest();
+        newest.is_some_and(|v| {
+            self.learner.seq().is_none_or(|seq| seq < v.state.seq)
+                && v.electorate().iter().any(|m| m.disk == self.me.disk)
+        })
+    }
+
+    fn exchange(&mut self, now: Nanos) {
+        self.exchange_at = now + self.spread(self.settings.exchange);
+        let chance = self.rng.usize(..);
+        let others: Vec<&Member> = self.members().iter().filter(|m| m.disk != self.me.disk).collect();
+        if others.is_empty() {
+            return;
+        }
+        let peer = others[chance % others.len()].clone();
+        let message = Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
+        self.send(peer, message);
+    }
+
+    /// Half of a span to one and a half of it, so that nodes don't fall into step.
+    pub(crate) fn spread(&mut self, span: Nanos) -> Nanos {
+        span / 2 + self.rng.u64(0..=span)
+    }
+}
--- /dev/null
+++ b/crates/rootstock/src/settings.rs
@@ -0,0 +1,73 @@
+//! The few figures a register takes, each bound a ratio to them; and planted defects for tests.
+use crate::{MILLISECOND, Nanos};
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// A member unheard of for so long may be replaced (`bounds.contact_ms`).
+    pub contact: Nanos,
+    /// Between two exchanges with one other member; spread by half of it either way.
+    pub exchange: Nanos,
+    /// Guess at a message there, a sync and the answer, until it was measured.
+    pub round_trip: Nanos,
+    /// Calls that wait at one register; further ones are `Busy`.
+    pub most_pending: usize,
+    /// Largest body, bytes.
+    pub most_body: usize,
+    /// Largest change, bytes.
+    pub most_change: usize,
+    pub defects: Defects,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            contact: 3_000 * MILLISECOND,
+            exchange: 500 * MILLISECOND,
+            round_trip: 20 * MILLISECOND,
+            most_pending: 256,
+            most_body: 8 << 20,
+            most_change: 8 << 20,
+            defects: Defects::default(),
+        }
+    }
+}
+
+impl Settings {
+    /// Longest encoded message or record: a body with its head.
+    pub fn most_message(&self) -> usize {
+        self.most_body + crate::types::MOST_MEMBERS * 4 * (crate::codec::MOST_TEXT + 16) + 1024
+    }
+}
+
+/// Mistakes that the tests must be able to find; all off outside of them.
+#[derive(Clone, Debug, Default)]
+pub struct Defects {
+    /// Promises and votes are told before they are on disk.
+    pub ack_before_sync: bool,
+    /// Of a promise nothing is stored.
+    pub promise_not_stored: bool,
+    /// Votes are taken under ballots below the promise.
+    pub accept_below_promise: bool,
+    /// A change of the group counts the old group's majority only.
+    pub old_group_only: bool,
+    /// A change of the group counts the new group's majority only.
+    pub new_group_only: bool,
+    /// Callers are answered on the newest vote seen, before it is chosen.
+    pub judge_unchosen: bool,
+    /// Callers are answered (and fences handed out) when the votes are asked for.
+    pub answer_unchosen: bool,
+    /// The first vote that a promise brings is taken, not the newest.
+    pub any_promise: bool,
+    /// Half of a group counts as its majority.
+    pub half_is_majority: bool,
+    /// Ballots repeat after a restart.
+    pub ballots_repeat: bool,
+    /// Accepted votes are published without being known chosen.
+    pub publish_accepted: bool,
+    /// Reads are answered from this node alone.
+    pub read_locally: bool,
+    /// A change that was cut off is judged again as if it had never left.
+    pub forget_sent: bool,
+    /// For the caller: a wiped disk comes back under its old id.
+    pub wiped_keeps_id: bool,
+}
--- /dev/null
+++ b/crates/rootstock/src/upkeep.rs
@@ -0,0 +1,132 @@
+//! Who belongs to a part's group: one member added, removed or swapped at a time, by what is seen of the nodes.
+//!
+//! | seen | done |
+//! | --- | --- |
+//! | a node at a member's address under another disk | swapped at once: the old disk is gone |
+//! | a member unheard of for `contact` or leaving, a counted node waits | swapped |
+//! | a member unheard of for `contact` or leaving, group above its founding size | removed |
+//! | all members heard of, a counted node waits, fewer than nine | added |
+//!
+//! The first of the live members in the part's order does it; each behind it waits a further tenth of `contact`.
+//! Nothing depends on that: a change is judged on the group that it was made for.
+use crate::Nanos;
+use crate::owner::ranked;
+use crate::settings::Settings;
+use crate::types::{MOST_MEMBERS, Member, State};
+
+/// A node as discovery has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub member: Member,
+    /// Whether it may belong to a group.
+    pub counted: bool,
+    /// Since it was last heard of; `None` if it never was.
+    pub heard: Option<Nanos>,
+    pub leaving: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Upkeep {
+    wanted: Option<(Vec<Member>, Nanos)>,
+    /// First look: who was not heard of then may only not have spoken yet.
+    first: Option<Nanos>,
+}
+
+impl Upkeep {
+    /// The group to propose now, if it is this node's turn.
+    pub fn decide(
+        &mut self, part: u16, me: &Member, state: &State, seen: &[Seen], settings: &Settings, now: Nanos,
+    ) -> Option<Vec<Member>> {
+        let looking = now - *self.first.get_or_insert(now);
+        let view = View { me, state, seen, contact: settings.contact, looking };
+        let Some(to) = view.change(part).filter(|_| state.members.iter().any(|m| m.disk == me.disk)) else {
+            self.wanted = None;
+            return None;
+        };
+        let since = match &self.wanted {
+            Some((wanted, since)) if *wanted == to => *since,
+            _ => {
+                self.wanted = Some((to.clone(), now));
+                now
+            }
+        };
+        let live = ranked(part, &state.members).into_iter().filter(|m| m.disk == me.disk || view.stays(m));
+        let rank = live.take_while(|m| m.disk != me.disk).count() as u64;
+        (now - since >= rank * settings.contact / 10).then_some(to)
+    }
+}
+
+struct View<'a> {
+    me: &'a Member,
+    state: &'a State,
+    seen: &'a [Seen],
+    contact: Nanos,
+    looking: Nanos,
+}
+
+impl View<'_> {
+    fn find(&self, member: &Member) -> Option<&Seen> {
+        self.seen.iter().find(|s| s.member.disk == member.disk)
+    }
+
+    /// Since it was heard of, or since this node listens.
+    fn silent(&self, member: &Member) -> Nanos {
+        match self.find(member).and_then(|s| s.heard) {
+            _ if member.disk == self.me.disk => 0,
+            Some(ago) => ago,
+            None => self.looking,
+        }
+    }
+
+    fn stays(&self, member: &Member) -> bool {
+        self.silent(member) < self.contact && self.find(member).is_none_or(|s| !s.leaving)
+    }
+
+    /// Counted nodes outside the group, in the order in which the part would take them.
+    fn waiting(&self, part: u16) -> Vec<Member> {
+        let outside = |s: &&Seen| self.state.members.iter().all(|m| m.disk != s.member.disk);
+        // Word of a disk that was wiped may go round longer than the disk lived.
+        let newest = |s: &&Seen| {
+            let same = self.state.members.iter().find(|m| m.address == s.member.address);
+            same.is_none_or(|m| self.silent(m) > self.silent(&s.member))
+        };
+        let fit =
+            self.seen.iter().filter(|s| s.counted && !s.leaving && s.heard.is_some_and(|h| h < self.contact));
+        let nodes: Vec<Member> = fit.filter(outside).filter(newest).map(|s| s.member.clone()).collect();
+        ranked(part, &nodes).into_iter().cloned().collect()
+    }
+
+    fn change(&self, part: u16) -> Option<Vec<Member>> {
+        let members = &self.state.members;
+        let waiting = self.waiting(part);
+        for new in &waiting {
+            if let Some(index) = members.iter().position(|m| m.address == new.address) {
+                return Some(self.with(index, Some(new)));
+            }
+        }
+        // A leaving one goes last: it still votes.
+        let lost = members.iter().position(|m| self.silent(m) >= self.contact);
+        let going = lost.or_else(|| members.iter().position(|m| !self.stays(m)));
+        match (going, waiting.first()) {
+            (Some(index), Some(new)) => Some(self.with(index, Some(new))),
+            (Some(index), None) if members.len() > usize::from(self.state.founding) => {
+                Some(self.with(index, None))
+            }
+            (None, Some(new)) if members.len() < MOST_MEMBERS => {
+                let mut to = members.clone();
+                to.push(new.clone());
+                to.sort_unstable();
+                Some(to)
+            }
+            _ => None,
+        }
+    }
+
+    fn with(&self, index: usize, new: Option<&Member>) -> Vec<Member> {
+        let mut to = self.state.members.clone();
+        to.remove(index);
+        to.extend(new.cloned());
+        to.sort_unstable();
+        to
+    }
+}
