--- /dev/null
+++ b/crates/orchard/src/front.rs
@@ -0,0 +1,128 @@
+//! The client edge: connections, one request at a time on each, limits of the configuration, an honest end.
+use crate::exchange::{self, Ended};
+use crate::http::{self, Answer, NoRequest, Room};
+use crate::node::Node;
+use crate::upstream::Pool;
+use bytes::BytesMut;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+use wicket::reading;
+
+/// Before a configuration is known.
+const USUAL: trellis::Limits =
+    trellis::Limits { max_header_bytes: 16 << 10, max_body_bytes: 4 << 20, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 };
+/// Longest time for a body, as a multiple of that for a head.
+const BODY_TIMES: u32 = 4;
+
+/// How far the node is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+pub enum Stage {
+    Serving,
+    /// No longer ready, but all that comes is still taken and answered.
+    Leaving,
+    /// Connections between requests are closed.
+    Closing,
+}
+
+/// Takes clients until the process ends. `most`: connections at a time.
+pub async fn listen(node: Rc<Node>, listener: TcpListener, stage: watch::Receiver<Stage>, most: usize) {
+    let pool = Rc::new(Pool::default());
+    let places = Arc::new(Semaphore::new(most.max(16)));
+    spawn_local(sweep(node.clone(), pool.clone()));
+    loop {
+        // Beyond its places the node leaves clients waiting to be accepted: others have room.
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let (node, pool, stage) = (node.clone(), pool.clone(), stage.clone());
+        spawn_local(async move {
+            attend(node, pool, stream, stage).await;
+            drop(place);
+        });
+    }
+}
+
+async fn sweep(node: Rc<Node>, pool: Rc<Pool>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let bed = node.bed.borrow();
+        pool.sweep(|id| bed.find(id).is_some());
+    }
+}
+
+async fn attend(node: Rc<Node>, pool: Rc<Pool>, mut stream: TcpStream, mut stage: watch::Receiver<Stage>) {
+    // A connection without it still works, only slower.
+    let _ = stream.set_nodelay(true);
+    let mut buffer = BytesMut::new();
+    loop {
+        let limits = node.in_force().table.as_ref().map_or(USUAL, |t| t.limits.clone());
+        if buffer.is_empty() && !first_byte(&mut stream, &mut buffer, &limits, &mut stage).await {
+            return;
+        }
+        let header_timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
+        let room = Room { head: limits.max_header_bytes, body: limits.max_body_bytes, header_timeout };
+        let until = Instant::now() + header_timeout * BODY_TIMES;
+        let request = match http::request(&mut stream, &mut buffer, room, until).await {
+            Ok(request) => request,
+            Err(NoRequest::Left) => return,
+            Err(NoRequest::Refused(status, text)) => {
+                // The client may have left meanwhile.
+                let _ = stream.write_all(&Answer::plain(status, text).bytes(false)).await;
+                return http::linger(stream).await;
+            }
+        };
+        let came = Instant::now();
+        node.open.set(node.open.get() + 1);
+        let keep = request.head.keep && *stage.borrow() == Stage::Serving;
+        let ended = exchange::serve(&node, &pool, &request, came, &mut stream, &mut buffer, keep).await;
+        node.open.set(node.open.get() - 1);
+        match ended {
+            Ended::Kept => {}
+            Ended::Closed => return,
+            Ended::Own(answer) => {
+                let keep = keep && answer.status < 500;
+                let wrote = timeout(Duration::from_secs(5), stream.write_all(&answer.bytes(keep))).await;
+                if !matches!(wrote, Ok(Ok(()))) {
+                    return;
+                }
+                if !keep {
+                    return http::linger(stream).await;
+                }
+            }
+        }
+        if !keep {
+            return http::linger(stream).await;
+        }
+    }
+}
+
+/// Waits for a request to begin. False where the connection is to be closed.
+async fn first_byte(
+    stream: &mut TcpStream, buffer: &mut BytesMut, limits: &trellis::Limits, stage: &mut watch::Receiver<Stage>,
+) -> bool {
+    *buffer = BytesMut::new();
+    let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
+    tokio::select! {
+        biased;
+        read = reading::more(stream, buffer) => return read.is_ok(),
+        _ = stage.wait_for(|s| *s >= Stage::Closing) => {}
+        () = tokio::time::sleep(idle) => {}
+    }
+    // Guards against closing over a request that has come since the runtime last looked.
+    let mut piece = [0; 4096];
+    match reading::at_hand(stream, &mut piece) {
+        Some(Ok(read)) if read > 0 => {
+            buffer.extend_from_slice(&piece[..read]);
+            true
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/orchard/src/http.rs
@@ -0,0 +1,181 @@
+//! Whole messages and our own answers: what the client edge, the operators' door and calls to servers share.
+use bytes::{Bytes, BytesMut};
+use std::fmt::Write;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+use wicket::chunks::{Chunks, Piece};
+use wicket::head::{self, CallHead, Framing};
+use wicket::reading::{self, Broken, HEAD_TOO_LONG};
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    pub head: usize,
+    pub body: usize,
+    /// For the head, from its first byte; the body has the rest of `whole`.
+    pub header_timeout: Duration,
+}
+
+/// Why no request came.
+#[derive(Debug, PartialEq, Eq)]
+pub enum NoRequest {
+    /// The connection ended, or never brought a byte: nothing is owed.
+    Left,
+    /// This status answers it, and the connection ends.
+    Refused(u16, &'static str),
+}
+
+#[derive(Debug)]
+pub struct Request {
+    pub head: CallHead,
+    pub body: Bytes,
+}
+
+impl Request {
+    pub fn path(&self) -> &str {
+        let target = std::str::from_utf8(&self.head.target).unwrap_or("/");
+        target.split('?').next().unwrap_or("/")
+    }
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let target = std::str::from_utf8(&self.head.target).ok()?;
+        let (_, query) = target.split_once('?')?;
+        query.split('&').find_map(|pair| pair.split_once('=').filter(|(n, _)| *n == name).map(|(_, v)| v))
+    }
+}
+
+/// One whole body, `most` bytes at the longest. None where it is longer.
+pub async fn body(
+    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, framing: Framing, most: usize,
+) -> Result<Option<Bytes>, Broken> {
+    match framing {
+        Framing::Length(length) if length > most => Ok(None),
+        Framing::Length(length) => {
+            while buffer.len() < length {
+                reading::more(stream, buffer).await?;
+            }
+            Ok(Some(buffer.split_to(length).freeze()))
+        }
+        Framing::Chunked => {
+            let (mut chunks, mut whole) = (Chunks::default(), BytesMut::new());
+            loop {
+                match chunks.next(buffer)? {
+                    Piece::Data(piece) if whole.len() + piece.len() > most => return Ok(None),
+                    Piece::Data(piece) => whole.extend_from_slice(&piece),
+                    Piece::More => reading::more(stream, buffer).await?,
+                    Piece::End => return Ok(Some(whole.freeze())),
+                }
+            }
+        }
+        Framing::ToEnd => loop {
+            match reading::more(stream, buffer).await {
+                Ok(()) if buffer.len() > most => return Ok(None),
+                Ok(()) => {}
+                Err(Broken::Ended) => return Ok(Some(buffer.split().freeze())),
+                Err(broken) => return Err(broken),
+            }
+        },
+    }
+}
+
+/// The rest of a request of which a byte is in the buffer. `until`: when it must be whole.
+pub async fn request(
+    stream: &mut TcpStream, buffer: &mut BytesMut, room: Room, until: Instant,
+) -> Result<Request, NoRequest> {
+    let broken = |broken| match broken {
+        Broken::Ended | Broken::Reset => NoRequest::Left,
+        Broken::Bad(bad) if bad == HEAD_TOO_LONG => NoRequest::Refused(431, "header longer than allowed"),
+        Broken::Bad(bad) => NoRequest::Refused(400, bad.0),
+    };
+    let late = |_| NoRequest::Refused(408, "the request did not come in time");
+    let head_until = until.min(Instant::now() + room.header_timeout);
+    let bytes = timeout_at(head_until, reading::head(stream, buffer, b"", room.head)).await.map_err(late)?;
+    let head = head::call(&bytes.map_err(broken)?).map_err(|bad| NoRequest::Refused(400, bad.0))?;
+    if matches!(head.framing, Framing::Length(length) if length > room.body) {
+        return Err(NoRequest::Refused(413, "body longer than allowed"));
+    }
+    if head.fields.text("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue")) {
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(|_| NoRequest::Left)?;
+    }
+    let whole = timeout_at(until, body(stream, buffer, head.framing, room.body)).await.map_err(late)?;
+    match whole.map_err(broken)? {
+        Some(body) => Ok(Request { head, body }),
+        None => Err(NoRequest::Refused(413, "body longer than allowed")),
+    }
+}
+
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        307 => "Temporary Redirect",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// An answer of our own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub json: bool,
+    pub body: String,
+    pub retry_after: Option<Duration>,
+    pub location: Option<String>,
+}
+
+impl Answer {
+    pub fn plain(status: u16, text: impl Into<String>) -> Answer {
+        Answer { status, json: false, body: text.into(), retry_after: None, location: None }
+    }
+    pub fn json(status: u16, body: impl Into<String>) -> Answer {
+        Answer { json: true, ..Answer::plain(status, body) }
+    }
+    /// Not run and never will be: come back after this.
+    pub fn later(after: Duration) -> Answer {
+        Answer { retry_after: Some(after), ..Answer::plain(503, "") }
+    }
+
+    pub fn bytes(&self, keep: bool) -> Bytes {
+        let mut out = String::with_capacity(160 + self.body.len());
+        let kind = if self.json { "application/json" } else { "text/plain" };
+        // Writing into a String does not fail.
+        let _ = write!(out, "HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        let _ = write!(out, "Content-Type: {kind}\r\nContent-Length: {}\r\n", self.body.len());
+        if let Some(after) = self.retry_after {
+            let _ = write!(out, "Retry-After: {:.3}\r\n", after.as_secs_f64());
+        }
+        if let Some(location) = &self.location {
+            let _ = write!(out, "Location: {location}\r\n");
+        }
+        if !keep {
+            out.push_str("Connection: close\r\n");
+        }
+        out.push_str("\r\n");
+        out.push_str(&self.body);
+        out.into()
+    }
+}
+
+/// Ends our side and reads on for a moment, so that closing over unread bytes does not reset the answer away.
+pub async fn linger(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
+    let _ = stream.shutdown().await;
+    let until = Instant::now() + Duration::from_millis(300);
+    let mut dropped = BytesMut::new();
+    while let Ok(Ok(())) = timeout_at(until, reading::more(&mut stream, &mut dropped)).await {
+        dropped.clear();
+    }
+}
--- /dev/null
+++ b/crates/orchard/src/lib.rs
@@ -0,0 +1,28 @@
+//! The router fleet: one process of it, and the operators' client. `docs/design/system.md` has the whole.
+//!
+//! | file | its one job |
+//! | --- | --- |
+//! | `boot`, `ring` | settings read and checked; the log |
+//! | `node` | what one process knows; tables swapped whole |
+//! | `wire`, `links`, `polls` | words between nodes, their connections, who asks whom for what is new |
+//! | `control`, `statute` | the control state: registers carried out, and what a change means |
+//! | `registry`, `doors` | servers' beats; the tree of calls of servers and operators |
+//! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
+//! | `run`, `status` | a process from start to end; what it says of itself |
+pub mod boot;
+pub mod control;
+pub mod doors;
+pub mod events;
+pub mod exchange;
+pub mod front;
+pub mod http;
+pub mod links;
+pub mod node;
+pub mod polls;
+pub mod registry;
+pub mod ring;
+pub mod run;
+pub mod statute;
+pub mod status;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/crates/orchard/src/links.rs
@@ -0,0 +1,235 @@
+//! Calls between nodes: one connection a peer and direction, many calls on it at a time, each with its own patience.
+use crate::wire::{Call, HELLO, MAX_FRAME, Reply};
+use nanoserde::SerBin;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// How long a connection may take to come up, and unacknowledged bytes to be acknowledged: a machine without power or
+/// behind a cut says nothing.
+const DIAL: Duration = Duration::from_millis(500);
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// Most frames that wait for one peer; more are refused at once.
+const QUEUE: usize = 512;
+/// Most calls of one connection that are worked on at a time.
+const AT_ONCE: usize = 128;
+/// Most connections that other nodes may hold here.
+const PEERS: usize = 600;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LinkError {
+    #[error("no connection to the node came up: check that it runs and that its internal port is open")]
+    Unreachable,
+    #[error("the node did not answer in time: it may be frozen or cut off")]
+    Silent,
+    #[error("the connection to the node broke: it may have ended")]
+    Broken,
+    #[error("too many calls wait for the node: it reads too slowly")]
+    Crowded,
+}
+
+type Waiting = Rc<RefCell<HashMap<u64, oneshot::Sender<Reply>>>>;
+
+struct Link {
+    queue: mpsc::Sender<Vec<u8>>,
+    waiting: Waiting,
+    up: Cell<bool>,
+}
+
+/// This node's connections to others.
+#[derive(Default)]
+pub struct Links {
+    peers: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    next: Cell<u64>,
+}
+
+fn frame(id: u64, body: &impl SerBin) -> Vec<u8> {
+    let mut out = vec![0; 12];
+    body.ser_bin(&mut out);
+    let length = (out.len() - 4) as u32;
+    out[..4].copy_from_slice(&length.to_le_bytes());
+    out[4..12].copy_from_slice(&id.to_le_bytes());
+    out
+}
+
+/// Id and body of the next frame; None where the connection ends or is not ours.
+async fn next_frame(from: &mut BufReader<OwnedReadHalf>) -> Option<(u64, Vec<u8>)> {
+    let length = from.read_u32_le().await.ok()? as usize;
+    if !(8..=MAX_FRAME).contains(&length) {
+        return None;
+    }
+    let id = from.read_u64_le().await.ok()?;
+    // Grows as bytes come, not as a hostile length claims.
+    let mut body = Vec::new();
+    let read = from.take(length as u64 - 8).read_to_end(&mut body).await.ok()?;
+    (read == length - 8).then_some((id, body))
+}
+
+pub fn tune(stream: &TcpStream) {
+    // Without these the connection still works, only slower to notice a dead machine.
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+}
+
+async fn write_frames(mut to: OwnedWriteHalf, mut queue: mpsc::Receiver<Vec<u8>>) {
+    while let Some(mut bytes) = queue.recv().await {
+        // What waits goes out together: each write costs.
+        while bytes.len() < 64 << 10 {
+            match queue.try_recv() {
+                Ok(more) => bytes.extend_from_slice(&more),
+                Err(_) => break,
+            }
+        }
+        if to.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Links {
+    fn link(self: &Rc<Self>, to: SocketAddr) -> Rc<Link> {
+        if let Some(link) = self.peers.borrow().get(&to) {
+            return link.clone();
+        }
+        let (queue, queued) = mpsc::channel(QUEUE);
+        let link = Rc::new(Link { queue, waiting: Waiting::default(), up: Cell::new(false) });
+        self.peers.borrow_mut().insert(to, link.clone());
+        let (links, held) = (self.clone(), link.clone());
+        spawn_local(async move {
+            held.run(to, queued).await;
+            // Dropping the senders tells every caller.
+            held.waiting.borrow_mut().clear();
+            let mut peers = links.peers.borrow_mut();
+            if peers.get(&to).is_some_and(|l| Rc::ptr_eq(l, &held)) {
+                peers.remove(&to);
+            }
+        });
+        link
+    }
+
+    /// One call and its answer.
+    pub async fn call(
+        self: &Rc<Self>, to: SocketAddr, call: &Call, patience: Duration,
+    ) -> Result<Reply, LinkError> {
+        let link = self.link(to);
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let (answer, answered) = oneshot::channel();
+        link.waiting.borrow_mut().insert(id, answer);
+        if link.queue.try_send(frame(id, call)).is_err() {
+            link.waiting.borrow_mut().remove(&id);
+            return Err(LinkError::Crowded);
+        }
+        match timeout(patience, answered).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => Err(if link.up.get() { LinkError::Broken } else { LinkError::Unreachable }),
+            Err(_) => {
+                link.waiting.borrow_mut().remove(&id);
+                Err(LinkError::Silent)
+            }
+        }
+    }
+
+    /// One word that needs no answer; lost where the peer can't be reached.
+    pub fn cast(self: &Rc<Self>, to: SocketAddr, call: &Call) {
+        let link = self.link(to);
+        let id = self.next.get();
+        self.next.set(id + 1);
+        // Full: the peer reads too slowly, and what was lost is said again by whoever needs it.
+        let _ = link.queue.try_send(frame(id, call));
+    }
+}
+
+impl Link {
+    async fn run(&self, to: SocketAddr, queued: mpsc::Receiver<Vec<u8>>) {
+        let Ok(Ok(mut stream)) = timeout(DIAL, TcpStream::connect(to)).await else { return };
+        tune(&stream);
+        if stream.write_all(HELLO).await.is_err() {
+            return;
+        }
+        self.up.set(true);
+        let (from, into) = stream.into_split();
+        let mut from = BufReader::new(from);
+        let reading = async {
+            while let Some((id, body)) = next_frame(&mut from).await {
+                let Some(reply) = trug::read::<Reply>(&body) else { return };
+                if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
+                    // A caller that no longer waits has said so by dropping its end.
+                    let _ = waiting.send(reply);
+                }
+            }
+        };
+        tokio::select! {
+            () = reading => {}
+            () = write_frames(into, queued) => {}
+        }
+    }
+}
+
+/// Takes the calls of other nodes; each is answered by `answer`, which may take its time.
+pub async fn serve<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(SocketAddr, Call) -> A + Clone + 'static,
+    A: Future<Output = Option<Reply>> + 'static,
+{
+    let places = Arc::new(Semaphore::new(PEERS));
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            // Out of descriptors, say: wait for some to come free.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else { continue };
+        let answer = answer.clone();
+        spawn_local(async move {
+            attend(stream, peer, answer).await;
+            drop(place);
+        });
+    }
+}
+
+async fn attend<F, A>(stream: TcpStream, peer: SocketAddr, answer: F)
+where
+    F: Fn(SocketAddr, Call) -> A + Clone + 'static,
+    A: Future<Output = Option<Reply>> + 'static,
+{
+    tune(&stream);
+    let (from, into) = stream.into_split();
+    let mut from = BufReader::new(from);
+    let mut hello = [0; HELLO.len()];
+    let greeted = timeout(Duration::from_secs(5), from.read_exact(&mut hello)).await;
+    if !matches!(greeted, Ok(Ok(_))) || &hello != HELLO {
+        return;
+    }
+    let (queue, queued) = mpsc::channel(QUEUE);
+    let at_once = Arc::new(Semaphore::new(AT_ONCE));
+    let reading = async {
+        while let Some((id, body)) = next_frame(&mut from).await {
+            let Some(call) = trug::read::<Call>(&body) else { return };
+            let Ok(permit) = at_once.clone().acquire_owned().await else { return };
+            let (answer, queue) = (answer.clone(), queue.clone());
+            spawn_local(async move {
+                if let Some(reply) = answer(peer, call).await {
+                    // The peer may have left meanwhile.
+                    let _ = queue.send(frame(id, &reply)).await;
+                }
+                drop(permit);
+            });
+        }
+    };
+    tokio::select! {
+        () = reading => {}
+        () = write_frames(into, queued) => {}
+    }
+}
--- /dev/null
+++ b/crates/orchard/src/node.rs
@@ -0,0 +1,243 @@
+//! What one process knows: its rows, the configuration in force, its servers. One owner, one thread; tables are
+//! immutable and swapped whole.
+use crate::boot::{Boot, nanos};
+use crate::links::Links;
+use crate::ring::Ring;
+use crate::wire::{ConfigTold, ModelTold};
+use espalier::{Bed, Budget, Nanos};
+use fastrand::Rng;
+use hedgerow::{Delta, NodeRow, Rows};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use trellis::{Document, Table};
+
+/// Rows that are over are remembered so long, and so many of each kind are held at most.
+const TOMBSTONE: Nanos = 60_000_000_000;
+const MOST_ROWS: usize = 20_000;
+
+/// The configuration that this process goes by.
+pub struct InForce {
+    /// Sequence number of the register; 0 before anything is known.
+    pub seq: u64,
+    pub version: u64,
+    pub text: Rc<str>,
+    pub table: Option<Rc<Table>>,
+    /// Model, version named, and when that was learnt, less the age it was told with.
+    pub models: Vec<(String, u64, Nanos)>,
+}
+
+pub struct Node {
+    pub boot: RefCell<Boot>,
+    started: Instant,
+    pub rows: RefCell<Rows>,
+    pub me: RefCell<NodeRow>,
+    config: RefCell<Rc<InForce>>,
+    pub bed: RefCell<Bed>,
+    budgets: RefCell<HashMap<String, Budget>>,
+    pub links: Rc<Links>,
+    /// Raised with everything that pollers want to hear of.
+    changes: watch::Sender<u64>,
+    /// What is in force was heard from a source in touch with a quorum, or time for that is up.
+    pub informed: Cell<bool>,
+    pub leaving: Cell<bool>,
+    /// When a poll of a source that is in touch last came through.
+    pub heard: Cell<Nanos>,
+    pub rng: RefCell<Rng>,
+    pub ring: Ring,
+    /// Client requests that are being worked on.
+    pub open: Cell<usize>,
+}
+
+impl Node {
+    pub fn new(boot: Boot, disk: u64, ring: Ring) -> Rc<Node> {
+        let mut rng = Rng::new();
+        let internal = boot.internal_of(boot.ip);
+        let text = |a: Option<SocketAddr>| a.map(|a| a.to_string()).unwrap_or_default();
+        let me = NodeRow {
+            name: boot.node_name.clone(),
+            internal: internal.to_string(),
+            control: text(boot.listen.control),
+            zone: boot.zone.clone(),
+            region: boot.region.clone(),
+            counted: boot.counted,
+            front: boot.listen.front.is_some(),
+            disk,
+            life: 1,
+            nonce: rng.u64(1..),
+            leaving: false,
+            silent: false,
+        };
+        let mut rows = Rows::new(rng.u64(1..), TOMBSTONE, MOST_ROWS);
+        rows.merge_node(me.clone(), 0);
+        let bed = Bed::new(version_patience(&boot), rng.fork());
+        let none = InForce { seq: 0, version: 0, text: "".into(), table: None, models: Vec::new() };
+        Rc::new(Node {
+            boot: RefCell::new(boot),
+            started: Instant::now(),
+            rows: RefCell::new(rows),
+            me: RefCell::new(me),
+            config: RefCell::new(Rc::new(none)),
+            bed: RefCell::new(bed),
+            budgets: RefCell::default(),
+            links: Rc::default(),
+            changes: watch::channel(0).0,
+            informed: Cell::new(false),
+            leaving: Cell::new(false),
+            heard: Cell::new(0),
+            rng: RefCell::new(rng),
+            ring,
+            open: Cell::new(0),
+        })
+    }
+
+    /// Nanoseconds since this process started.
+    pub fn now(&self) -> Nanos {
+        nanos(self.started.elapsed())
+    }
+
+    pub fn jitter(&self, of: Duration) -> Duration {
+        of.mul_f64(0.5 + self.rng.borrow_mut().f64())
+    }
+
+    pub fn in_force(&self) -> Rc<InForce> {
+        self.config.borrow().clone()
+    }
+
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Something that pollers want to hear of.
+    pub fn changed(&self) {
+        self.changes.send_modify(|n| *n += 1);
+    }
+
+    /// Rows that were heard of here or told by another node.
+    pub fn learn(&self, delta: Delta) {
+        let now = self.now();
+        let changed = self.rows.borrow_mut().merge(delta, now);
+        if changed {
+            self.refute();
+            self.bed.borrow_mut().sync(&self.rows.borrow());
+            self.changed();
+        }
+    }
+
+    /// Others called this node silent, or knew a former process of its name: go above that.
+    fn refute(&self) {
+        let mut me = self.me.borrow_mut();
+        let mut rows = self.rows.borrow_mut();
+        let life = rows.life_for(&me);
+        if life != me.life {
+            me.life = life;
+            let now = self.now();
+            rows.merge_node(me.clone(), now);
+        }
+    }
+
+    pub fn say_leaving(&self) {
+        self.leaving.set(true);
+        let mut me = self.me.borrow_mut();
+        me.leaving = true;
+        let now = self.now();
+        self.rows.borrow_mut().merge_node(me.clone(), now);
+        drop(me);
+        self.changed();
+    }
+
+    /// What was chosen by the configuration's group; an older one than is in force changes nothing.
+    pub fn take(&self, told: &ConfigTold) {
+        let known = self.in_force();
+        let now = self.now();
+        if told.seq > known.seq {
+            let table = if told.version == known.version {
+                known.table.clone()
+            } else {
+                let document = Document { version: told.version, text: told.text.clone() };
+                match Table::read(&document) {
+                    Ok(table) => Some(Rc::new(table)),
+                    Err(why) => {
+                        // It was checked before it was chosen: only another release can come here.
+                        self.ring.breach(&format!("configuration {} cannot be read here: {why}", told.version));
+                        known.table.clone()
+                    }
+                }
+            };
+            let models = told.models.iter().map(|m| {
+                let since = now.saturating_sub(m.age_ms.saturating_mul(1_000_000));
+                let before = known.models.iter().find(|k| k.0 == m.name && k.1 == m.version);
+                (m.name.clone(), m.version, before.map_or(since, |k| k.2.min(since)))
+            });
+            let next = InForce {
+                seq: told.seq,
+                version: told.version,
+                text: told.text.as_str().into(),
+                table,
+                models: models.collect(),
+            };
+            *self.config.borrow_mut() = Rc::new(next);
+            self.changed();
+        }
+        let mut bed = self.bed.borrow_mut();
+        for model in &told.models {
+            bed.versions.told(&model.name, model.version, model.age_ms.saturating_mul(1_000_000), now);
+        }
+    }
+
+    /// What is in force here, for another node.
+    pub fn told(&self) -> ConfigTold {
+        let (known, now) = (self.in_force(), self.now());
+        let model = |(name, version, since): &(String, u64, Nanos)| ModelTold {
+            name: name.clone(),
+            version: *version,
+            age_ms: now.saturating_sub(*since) / 1_000_000,
+        };
+        ConfigTold {
+            seq: known.seq,
+            version: known.version,
+            text: known.text.to_string(),
+            models: known.models.iter().map(model).collect(),
+        }
+    }
+
+    /// How many nodes share the retry budget: all that take clients, and those not heard of for a while too, since
+    /// they may still spend their part.
+    pub fn sharers(&self) -> usize {
+        self.rows.borrow().nodes().filter(|n| n.front).count().max(1)
+    }
+
+    pub fn budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget, Nanos) -> T) -> T {
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        if !budgets.contains_key(service) {
+            let terms = self.boot.borrow().bounds.budget();
+            budgets.insert(service.to_owned(), Budget::new(terms, 0, now));
+        }
+        let table = self.in_force().table.clone();
+        // Services that the configuration no longer has leave no counts behind.
+        budgets.retain(|s, _| s == service || table.as_ref().is_none_or(|t| t.service(s).is_some()));
+        f(budgets.get_mut(service).expect("just put there"), now)
+    }
+
+    /// Nodes that keep the control state, as far as they are known: name and where their internal door is.
+    pub fn core(&self) -> Vec<(String, SocketAddr)> {
+        let rows = self.rows.borrow();
+        let address = |n: &NodeRow| Some((n.name.clone(), n.internal.parse().ok()?));
+        let counted = || rows.nodes().filter(|n| n.counted && !n.control.is_empty());
+        if counted().next().is_some() {
+            counted().filter_map(address).collect()
+        } else {
+            rows.nodes().filter(|n| !n.control.is_empty()).filter_map(address).collect()
+        }
+    }
+}
+
+/// After that much of `version_ms` nothing begins on older weights: what is told late, and the way to the server,
+/// have the rest.
+fn version_patience(boot: &Boot) -> Nanos {
+    nanos(boot.bounds.version.mul_f64(0.75))
+}
--- /dev/null
+++ b/crates/orchard/src/polls.rs
@@ -0,0 +1,203 @@
+//! Asking sources for what is new, and telling them what was heard here.
+use crate::boot::nanos;
+use crate::node::Node;
+use crate::wire::{Call, Poll, Reply, Told};
+use hedgerow::{Delta, SOURCES, sources};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+
+/// A source holds its answer so long while there is nothing new, and is given so much longer.
+const HOLD: Duration = Duration::from_millis(600);
+const PATIENCE: Duration = Duration::from_millis(500);
+/// Between two tries where nobody answers.
+const AGAIN: Duration = Duration::from_millis(60);
+/// A source that failed is left out so long, while there are others.
+const AVOID: Duration = Duration::from_millis(800);
+
+/// What is known of sources, at this node.
+#[derive(Default)]
+pub struct Sources {
+    /// Failed, or not in touch with a quorum: left out until then.
+    avoid: RefCell<HashMap<SocketAddr, u64>>,
+    /// Which of the loops asks whom.
+    asked: RefCell<Vec<Option<SocketAddr>>>,
+    /// Revision that is known of each source's rows.
+    known: RefCell<HashMap<SocketAddr, (u64, u64)>>,
+}
+
+impl Sources {
+    /// Whom this loop asks next.
+    fn next(&self, node: &Node, place: usize, all: bool) -> Option<SocketAddr> {
+        let now = node.now();
+        let own = node.boot.borrow().internal_of(node.boot.borrow().ip);
+        self.avoid.borrow_mut().retain(|_, until| *until > now);
+        let core: Vec<(String, SocketAddr)> = node.core().into_iter().filter(|c| c.1 != own).collect();
+        let fine = |a: &SocketAddr| !self.avoid.borrow().contains_key(a);
+        let silent = |name: &str| node.rows.borrow().node(name).is_some_and(|n| n.silent || n.leaving);
+        if all {
+            return core.get(place).map(|c| c.1);
+        }
+        let name = node.boot.borrow().node_name.clone();
+        let ranked = sources(
+            &name,
+            core.iter().map(|(n, a)| (n.as_str(), fine(a) && !silent(n))),
+            core.len(),
+        );
+        let ranked: Vec<SocketAddr> =
+            ranked.iter().filter_map(|n| core.iter().find(|c| c.0 == *n).map(|c| c.1)).collect();
+        let taken = |a: &SocketAddr| {
+            let asked = self.asked.borrow();
+            asked.iter().enumerate().any(|(i, other)| i != place && *other == Some(*a))
+        };
+        let free = ranked.iter().find(|a| fine(a) && !taken(a)).copied();
+        let seeds: Vec<SocketAddr> = {
+            let boot = node.boot.borrow();
+            boot.seeds.iter().map(|s| boot.internal_of(s.ip())).filter(|a| *a != own).collect()
+        };
+        // The settings' seeds are for who knows nobody that answers.
+        let seed = || {
+            let good: Vec<SocketAddr> = seeds.iter().filter(|a| fine(a) && !taken(a)).copied().collect();
+            (!good.is_empty()).then(|| good[node.rng.borrow_mut().usize(..good.len())])
+        };
+        let any = || {
+            let every: Vec<SocketAddr> = ranked.iter().chain(&seeds).copied().collect();
+            (!every.is_empty()).then(|| every[node.rng.borrow_mut().usize(..every.len())])
+        };
+        let spare = if place == 0 { any() } else { None };
+        free.or_else(seed).or(spare)
+    }
+
+    fn failed(&self, node: &Node, source: SocketAddr) {
+        self.avoid.borrow_mut().insert(source, node.now() + nanos(AVOID));
+    }
+}
+
+/// Asks sources for ever. A node of the core asks all others of it; any other node a few.
+pub fn start(node: Rc<Node>, in_core: bool) -> Rc<Sources> {
+    let state = Rc::new(Sources::default());
+    if in_core {
+        spawn_local(ask_all(node, state.clone()));
+    } else {
+        state.asked.borrow_mut().resize(SOURCES, None);
+        for place in 0..SOURCES {
+            spawn_local(ask_few(node.clone(), state.clone(), place));
+        }
+    }
+    state
+}
+
+async fn ask_few(node: Rc<Node>, state: Rc<Sources>, place: usize) {
+    loop {
+        let Some(source) = state.next(&node, place, false) else {
+            tokio::time::sleep(node.jitter(AGAIN * 4)).await;
+            continue;
+        };
+        state.asked.borrow_mut()[place] = Some(source);
+        match ask(&node, &state, source, HOLD).await {
+            Some(in_touch) if in_touch => {}
+            _ => {
+                state.failed(&node, source);
+                tokio::time::sleep(node.jitter(AGAIN)).await;
+            }
+        }
+    }
+}
+
+/// One loop for each other node of the core, started as they become known.
+async fn ask_all(node: Rc<Node>, state: Rc<Sources>) {
+    let running: Rc<RefCell<Vec<SocketAddr>>> = Rc::default();
+    loop {
+        let own = node.boot.borrow().internal_of(node.boot.borrow().ip);
+        let mut wanted: Vec<SocketAddr> = node.core().into_iter().map(|c| c.1).collect();
+        {
+            let boot = node.boot.borrow();
+            wanted.extend(boot.seeds.iter().map(|s| boot.internal_of(s.ip())));
+        }
+        for source in wanted {
+            if source == own || running.borrow().contains(&source) {
+                continue;
+            }
+            running.borrow_mut().push(source);
+            let (node, state, running) = (node.clone(), state.clone(), running.clone());
+            spawn_local(async move {
+                // Until it is no longer named: then the loop ends, and starts anew should it be.
+                loop {
+                    let named = node.core().iter().any(|c| c.1 == source) || {
+                        let boot = node.boot.borrow();
+                        boot.seeds.iter().any(|s| s.ip() == source.ip())
+                    };
+                    if !named {
+                        break;
+                    }
+                    if ask(&node, &state, source, HOLD).await.is_none() {
+                        tokio::time::sleep(node.jitter(AGAIN * 3)).await;
+                    }
+                }
+                running.borrow_mut().retain(|a| *a != source);
+            });
+        }
+        tokio::time::sleep(node.jitter(Duration::from_millis(150))).await;
+    }
+}
+
+/// One poll. None where it failed; else whether the source is in touch with a quorum.
+async fn ask(node: &Rc<Node>, state: &Sources, source: SocketAddr, hold: Duration) -> Option<bool> {
+    let (epoch, revision) = state.known.borrow().get(&source).copied().unwrap_or_default();
+    let poll = Poll {
+        node: node.me.borrow().clone(),
+        epoch,
+        revision,
+        config_seq: node.in_force().seq,
+        hold_ms: if node.informed.get() { hold.as_millis() as u32 } else { 40 },
+    };
+    let reply = node.links.call(source, &Call::Poll(poll), hold + PATIENCE).await.ok()?;
+    let Reply::Told(told) = reply else { return None };
+    let Told { delta, config, in_touch, .. } = told;
+    state.known.borrow_mut().insert(source, (delta.epoch, delta.revision));
+    node.learn(delta);
+    if let Some(config) = config {
+        node.take(&config);
+    }
+    if in_touch {
+        node.heard.set(node.now());
+        node.informed.set(true);
+    }
+    Some(in_touch)
+}
+
+/// Tells some sources of rows that changed here. True once one has it that is another machine.
+pub async fn tell(node: &Rc<Node>, delta: &Delta, patience: Duration) -> bool {
+    let own = node.boot.borrow().internal_of(node.boot.borrow().ip);
+    let core = node.core();
+    let silent = |name: &str| node.rows.borrow().node(name).is_some_and(|n| n.silent);
+    let mut to: Vec<SocketAddr> =
+        core.iter().filter(|c| c.1 != own && !silent(&c.0)).map(|c| c.1).collect();
+    if to.is_empty() {
+        to = core.iter().filter(|c| c.1 != own).map(|c| c.1).collect();
+    }
+    if to.is_empty() {
+        // A fleet of one: there is nobody to tell.
+        return core.iter().any(|c| c.1 == own);
+    }
+    let (done, mut heard) = tokio::sync::mpsc::channel(to.len());
+    let call = Rc::new(Call::Tell(delta.clone()));
+    for source in to {
+        let (node, call, done) = (node.clone(), call.clone(), done.clone());
+        spawn_local(async move {
+            let reply = node.links.call(source, &call, patience).await;
+            // Nobody listens any more once one has answered.
+            let _ = done.send(matches!(reply, Ok(Reply::Done))).await;
+        });
+    }
+    drop(done);
+    while let Some(has) = heard.recv().await {
+        if has {
+            return true;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/orchard/src/registry.rs
@@ -0,0 +1,196 @@
+//! What servers say of themselves: beats, draining, leaving, and who falls silent.
+use crate::boot::nanos;
+use crate::control::Control;
+use crate::http::Answer;
+use crate::node::Node;
+use crate::polls;
+use hedgerow::{Delta, ModelAt, ServerRow, Standing};
+use miniserde::{Deserialize, json};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use windrow::{hash, order};
+
+/// Beats that may stay away before a server counts as silent.
+const MISSED: u32 = 3;
+/// A caller waits a second; the spreading of what binds has this much of it.
+const SPREAD: Duration = Duration::from_millis(700);
+/// Longest id, name or address that is taken.
+const MOST_TEXT: usize = 200;
+
+#[derive(Deserialize)]
+struct ModelBeat {
+    name: String,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Beat {
+    service: String,
+    address: String,
+    zone: Option<String>,
+    slot_count: Option<u32>,
+    state: String,
+    models: Option<Vec<ModelBeat>>,
+    call_sequence: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Heard {
+    call_sequence: u64,
+    at: u64,
+}
+
+/// The servers that call this node.
+#[derive(Default)]
+pub struct Registry {
+    heard: RefCell<HashMap<String, Heard>>,
+    /// Servers whose registrar is not heard of, and since when.
+    orphaned: RefCell<HashMap<String, u64>>,
+}
+
+impl Registry {
+    /// A beat of a server; the answer acknowledges it.
+    pub async fn beat(&self, node: &Rc<Node>, control: Option<&Rc<Control>>, id: &str, body: &[u8]) -> Answer {
+        let text = std::str::from_utf8(body).unwrap_or_default();
+        let Ok(beat) = json::from_str::<Beat>(text) else {
+            return Answer::plain(400, "a beat is JSON with service, address, state and call_sequence");
+        };
+        let standing = match beat.state.as_str() {
+            "ready" => Standing::Ready,
+            "draining" => Standing::Draining,
+            _ => return Answer::plain(400, "state is ready or draining"),
+        };
+        let long = |t: &str| t.is_empty() || t.len() > MOST_TEXT;
+        if long(id) || long(&beat.service) || beat.address.parse::<std::net::SocketAddr>().is_err() {
+            return Answer::plain(400, "id and service are short names, address is ip:port");
+        }
+        let now = node.now();
+        let models = beat.models.unwrap_or_default().into_iter().take(64);
+        let row = ServerRow {
+            id: id.to_owned(),
+            service: beat.service,
+            address: beat.address,
+            zone: beat.zone.unwrap_or_default(),
+            slot_count: beat.slot_count.unwrap_or(1),
+            standing,
+            call_sequence: beat.call_sequence,
+            models: models.map(|m| ModelAt { name: m.name, version: m.version }).collect(),
+            registrar: node.me.borrow().name.clone(),
+            silent: false,
+        };
+        let known = self.heard.borrow().get(id).copied();
+        let late = known.is_some_and(|k| k.call_sequence > row.call_sequence);
+        if !late {
+            self.heard.borrow_mut().insert(id.to_owned(), Heard { call_sequence: row.call_sequence, at: now });
+        }
+        let before = node.rows.borrow().server(id).cloned();
+        // A beat that says nothing new is news to nobody else.
+        let same = before.as_ref().is_some_and(|b| ServerRow { call_sequence: b.call_sequence, ..row.clone() } == *b);
+        let must_spread = standing == Standing::Draining
+            && before.as_ref().is_none_or(|b| b.standing == Standing::Ready || !same);
+        if !late && !same {
+            node.learn(Delta { servers: vec![row].into(), ..Delta::default() });
+            if !self.spread(node, id, must_spread).await {
+                return Answer::later(Duration::from_millis(100));
+            }
+        }
+        let target = target(node, control, id);
+        Answer::json(200, target.map_or("{}".to_owned(), |t| format!("{{\"heartbeat_target\":\"{t}\"}}")))
+    }
+
+    /// The server leaves.
+    pub async fn leave(&self, node: &Rc<Node>, id: &str) -> Answer {
+        if id.is_empty() || id.len() > MOST_TEXT {
+            return Answer::plain(400, "no such id");
+        }
+        let now = node.now();
+        let changed = node.rows.borrow_mut().leave(id, now);
+        if changed {
+            node.bed.borrow_mut().sync(&node.rows.borrow());
+            node.changed();
+        }
+        self.heard.borrow_mut().remove(id);
+        if !self.spread(node, id, true).await {
+            return Answer::later(Duration::from_millis(100));
+        }
+        Answer::json(200, "{}")
+    }
+
+    /// Tells the sources; where it binds others, only what one of them has is acknowledged.
+    async fn spread(&self, node: &Rc<Node>, id: &str, binds: bool) -> bool {
+        let Some(row) = node.rows.borrow().server(id).cloned() else { return true };
+        let delta = Delta { servers: vec![row].into(), ..Delta::default() };
+        if binds {
+            return polls::tell(node, &delta, SPREAD).await;
+        }
+        let node = node.clone();
+        spawn_local(async move {
+            // What is lost here the next beat brings, or the sources' own polls.
+            polls::tell(&node, &delta, SPREAD).await;
+        });
+        true
+    }
+
+    /// Notices who fell silent. `core`: this node also looks after servers whose registrar is gone.
+    pub fn look(&self, node: &Rc<Node>, core: bool) {
+        let now = node.now();
+        let limit = nanos(node.boot.borrow().heartbeat * MISSED);
+        let own = node.me.borrow().name.clone();
+        let mut silent = Vec::new();
+        {
+            let rows = node.rows.borrow();
+            self.heard.borrow_mut().retain(|id, heard| {
+                let mine = rows.server(id).is_some_and(|r| r.registrar == own);
+                if mine && now.saturating_sub(heard.at) > limit {
+                    silent.push(id.clone());
+                }
+                // Another has it now, or it is long gone.
+                rows.server(id).is_some() && now.saturating_sub(heard.at) < limit * 10
+            });
+            if core {
+                let mut orphaned = self.orphaned.borrow_mut();
+                let lost = |r: &ServerRow| {
+                    r.registrar != own && rows.node(&r.registrar).is_none_or(|n| n.silent) && !r.silent
+                };
+                for row in rows.servers().filter(|r| r.standing != Standing::Gone) {
+                    if lost(row) || (row.registrar == own && !self.heard.borrow().contains_key(&row.id)) {
+                        let since = *orphaned.entry(row.id.clone()).or_insert(now);
+                        if now.saturating_sub(since) > limit && !row.silent {
+                            silent.push(row.id.clone());
+                        }
+                    } else {
+                        orphaned.remove(&row.id);
+                    }
+                }
+                orphaned.retain(|id, _| rows.server(id).is_some());
+            }
+        }
+        let mut changed = false;
+        for id in silent {
+            changed |= node.rows.borrow_mut().fall_silent(&id, now);
+        }
+        if changed {
+            node.bed.borrow_mut().sync(&node.rows.borrow());
+            node.changed();
+        }
+    }
+}
+
+/// Where the server may send its later beats: a node of the core, in its zone if there is one. None where it should
+/// stay.
+fn target(node: &Rc<Node>, control: Option<&Rc<Control>>, id: &str) -> Option<String> {
+    let leaving = node.leaving.get();
+    if control.is_some_and(|c| c.is_member()) && !leaving {
+        return None;
+    }
+    let rows = node.rows.borrow();
+    let zone = rows.server(id).map(|s| s.zone.clone()).unwrap_or_default();
+    let fit = rows.nodes().filter(|n| n.counted && !n.control.is_empty() && !n.silent && !n.leaving);
+    let ranked: Vec<(&str, &str)> =
+        order(fit.map(|n| (hash(n.name.as_bytes()), (n.zone.as_str(), n.control.as_str()))), hash(id.as_bytes()));
+    let near = ranked.iter().find(|n| n.0 == zone).or(ranked.first())?;
+    Some(near.1.to_owned())
+}
--- /dev/null
+++ b/crates/orchard/src/wire.rs
@@ -0,0 +1,73 @@
+//! What the system's own processes say to each other: frames of `nanoserde` binary over TCP.
+use hedgerow::{Delta, NodeRow};
+use nanoserde::{DeBin, SerBin};
+use trug::{Blob, Seq};
+
+/// First bytes of a connection: name and version of this protocol.
+pub const HELLO: &[u8; 8] = b"orchard1";
+/// Longest frame, in bytes: the largest configuration with room to spare.
+pub const MAX_FRAME: usize = 12 << 20;
+
+/// What a data-plane node has, and asks to be told beyond.
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct Poll {
+    pub node: NodeRow,
+    pub epoch: u64,
+    pub revision: u64,
+    /// Sequence number of the configuration's register.
+    pub config_seq: u64,
+    /// How long to hold the answer while there is nothing new.
+    pub hold_ms: u32,
+}
+
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct ModelTold {
+    pub name: String,
+    pub version: u64,
+    /// How long the teller knows of it.
+    pub age_ms: u64,
+}
+
+/// The configuration's register as it was chosen.
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct ConfigTold {
+    pub seq: u64,
+    /// Number and text of the newest configuration; 0 and empty before the first.
+    pub version: u64,
+    pub text: String,
+    pub models: Seq<ModelTold>,
+}
+
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct Told {
+    pub delta: Delta,
+    pub config: Option<ConfigTold>,
+    /// The teller has what is in force: it heard from a quorum lately.
+    pub in_touch: bool,
+}
+
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub enum Call {
+    Poll(Poll),
+    /// Rows that changed here, for a source.
+    Tell(Delta),
+    /// A message of a part's register, from the member with this disk.
+    Part { part: u16, disk: u64, name: String, address: String, message: Blob },
+    /// A change of the control state, for whoever is a member.
+    Change { part: u16, change: Blob, patience_ms: u32 },
+    /// The records of the first group, one a part.
+    Found { records: Seq<Blob> },
+}
+
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub enum Reply {
+    Told(Told),
+    Done,
+    Changed(Blob),
+    /// The change was not made and never will be.
+    NotChanged(String),
+    /// Nobody can say whether it will be.
+    Unknown,
+    /// It cannot be done here; the text is for people.
+    No(String),
+}
