New weights: one holder a part under a lease, each server ordered once, nothing sent to it meanwhile

Need: from version_ms after a version is named nothing may begin on older weights, and nobody ordered the new ones. Change: weights (lease by the part's register, renewed before each order, clock read last before the bytes leave), notes that tell every node.

--- a/crates/espalier/src/election.rs
+++ b/crates/espalier/src/election.rs
@@ -96,7 +96,19 @@
                     runs(&mut server.models, &model.name, model.version);
                 }
             }
-            server.loading = rows.note(&format!("load/{}", row.id)).is_some_and(|n| !n.over);
+            server.loading = false;
+        }
+        // Whoever has the duty of new weights tells `load/SERVER/MODEL`: under way, then over with what it runs.
+        for note in rows.notes() {
+            let Some((id, model)) = note.key.strip_prefix("load/").and_then(|k| k.split_once('/')) else {
+                continue;
+            };
+            let Some(&ix) = self.by_id.get(id) else { continue };
+            let Some(server) = self.servers[ix].as_mut() else { continue };
+            server.loading |= !note.over;
+            if note.over && note.value > 0 {
+                runs(&mut server.models, model, note.value);
+            }
         }
         let lost: Vec<ServerIx> = self
             .all()
--- a/crates/espalier/src/server.rs
+++ b/crates/espalier/src/server.rs
@@ -91,6 +91,9 @@
     pub fn suspected(&self) -> bool {
         self.suspect.is_some()
     }
+    pub fn silent(&self) -> bool {
+        self.silent
+    }
     pub fn loading(&self) -> bool {
         self.loading
     }
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -227,6 +227,18 @@
         }
     }
 
+    /// Whether this node comes first among the live members of the part, and so holds its duty.
+    pub fn is_first(&self, part: u16) -> bool {
+        let members = self.members(part);
+        let leaving = |name: &str| self.node.rows.borrow().node(name).is_some_and(|n| n.leaving);
+        let live =
+            |m: &&Member| m.disk == self.me.disk || (self.heard_within(&m.name, TOUCH) && !leaving(&m.name));
+        rootstock::owner::ranked(part, &members)
+            .into_iter()
+            .find(live)
+            .is_some_and(|m| m.disk == self.me.disk)
+    }
+
     fn heard_within(&self, name: &str, span: Duration) -> bool {
         let now = self.node.now();
         self.contacts.borrow().get(name).is_some_and(|at| now.saturating_sub(*at) < nanos(span))
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `control`, `statute` | the control state: registers carried out, and what a change means |
 //! | `registry`, `doors` | servers' beats; the tree of calls of servers and operators |
 //! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
+//! | `weights` | servers brought to the version of weights that was named |
 //! | `run`, `status` | a process from start to end; what it says of itself |
 pub mod boot;
 pub mod control;
@@ -25,4 +26,5 @@
 pub mod status;
 pub mod statute;
 pub mod upstream;
+pub mod weights;
 pub mod wire;
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -10,6 +10,7 @@
 use crate::registry::Registry;
 use crate::ring::Ring;
 use crate::statute::Change;
+use crate::weights;
 use crate::wire::{Call, Reply, Told};
 use hedgerow::Delta;
 use nanoserde::SerBin;
@@ -95,6 +96,9 @@
         node.learn(rows);
     }
     let control = in_core.then(|| Control::start(node.clone(), kept));
+    if let Some(control) = &control {
+        weights::start(node.clone(), control.clone());
+    }
     let house = Rc::new(House { node: node.clone(), control, registry: Registry::default() });
     let answering = house.clone();
     spawn_local(links::serve(internal, move |peer, call| answer(answering.clone(), peer, call)));
--- /dev/null
+++ b/crates/orchard/src/weights.rs
@@ -0,0 +1,278 @@
+//! Bringing servers to the version of weights that was named: a duty that one node holds for each part of the services.
+//!
+//! The holder has a lease with a fencing token from the part's register. Before each order it renews the lease by a
+//! quorum's word and looks at its own steady clock last thing before the bytes leave: an order of a holder that was
+//! frozen or replaced meanwhile stays unsent.
+use crate::boot::nanos;
+use crate::control::{self, Control, DUTY_PARTS, part_of};
+use crate::node::Node;
+use crate::upstream::Upstream;
+use bytes::Bytes;
+use hedgerow::{Delta, Note, Standing};
+use miniserde::{Deserialize, json};
+use rootstock::lease::{Holder, LeaseAnswer, LeaseChange};
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use wicket::head;
+use wicket::reading;
+
+/// Between two looks at what there is to do.
+const LOOK: Duration = Duration::from_millis(60);
+/// A call to a server, and to a part, may take so long.
+const CALL: Duration = Duration::from_millis(700);
+/// Other nodes have heard by then that nothing new goes to a server.
+const SPREAD: Duration = Duration::from_millis(40);
+/// Between two looks at a server that is taking new weights.
+const REPORT: Duration = Duration::from_millis(250);
+/// Servers of a service that take new weights at a time: so many, or this part of them.
+const AT_ONCE: usize = 2;
+const AT_ONCE_PART: usize = 5;
+
+#[derive(Deserialize)]
+struct ModelReport {
+    name: String,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    models: Vec<ModelReport>,
+    is_busy: bool,
+    call_sequence: u64,
+}
+
+/// The lease of one part at this node.
+#[derive(Clone, Copy)]
+struct Held {
+    fence: u64,
+    /// Nothing is ordered before.
+    from: u64,
+}
+
+struct Duty {
+    node: Rc<Node>,
+    control: Rc<Control>,
+    part: u16,
+    held: Cell<Option<Held>>,
+    /// Servers that are being brought to a version.
+    busy: RefCell<HashSet<String>>,
+    notes: Cell<u64>,
+}
+
+/// Holds this node's duties for as long as it runs.
+pub fn start(node: Rc<Node>, control: Rc<Control>) {
+    for part in 1..=DUTY_PARTS {
+        let duty = Rc::new(Duty {
+            node: node.clone(),
+            control: control.clone(),
+            part,
+            held: Cell::new(None),
+            busy: RefCell::default(),
+            notes: Cell::new(0),
+        });
+        spawn_local(duty.run());
+    }
+}
+
+impl Duty {
+    fn holder(&self) -> Holder {
+        let me = self.node.me.borrow();
+        Holder { name: me.name.clone(), life: me.nonce }
+    }
+
+    fn lease(&self) -> Duration {
+        self.node.boot.borrow().bounds.lease
+    }
+
+    async fn part_change(&self, change: &LeaseChange, patience: Duration) -> Option<LeaseAnswer> {
+        let made =
+            control::change(&self.node, Some(&self.control), self.part, change.encode(), patience).await;
+        LeaseAnswer::decode(&made.ok()?)
+    }
+
+    async fn run(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(self.node.jitter(LOOK)).await;
+            let mine =
+                self.control.is_first(self.part) && self.control.in_touch() && !self.node.leaving.get();
+            match (mine, self.held.get()) {
+                (true, None) => self.acquire().await,
+                (false, Some(held)) if self.busy.borrow().is_empty() => self.release(held).await,
+                (true, Some(held)) if self.node.now() >= held.from => self.clone().work(held),
+                _ => {}
+            }
+        }
+    }
+
+    async fn acquire(&self) {
+        let span = nanos(self.lease());
+        let change = LeaseChange::Acquire { holder: self.holder(), span };
+        match self.part_change(&change, CALL).await {
+            Some(LeaseAnswer::Acquired { fence, wait }) => {
+                // A tenth more, for clocks that run unlike.
+                let from = self.node.now() + wait + wait / 10;
+                self.held.set(Some(Held { fence, from }));
+            }
+            _ => tokio::time::sleep(self.node.jitter(LOOK * 4)).await,
+        }
+    }
+
+    async fn release(&self, held: Held) {
+        self.held.set(None);
+        let waited = self.node.now() >= held.from;
+        let change = LeaseChange::Release { holder: self.holder(), fence: held.fence, waited };
+        // Unheard, the lease runs out by itself.
+        self.part_change(&change, CALL).await;
+    }
+
+    /// Begins with as many servers as may be without service at a time.
+    fn work(self: Rc<Self>, held: Held) {
+        for (model, version) in self.node.in_force().models.iter().map(|m| (&m.0, m.1)) {
+            let mut services: Vec<(String, Vec<(String, SocketAddr, u32)>, usize)> = Vec::new();
+            {
+                let bed = self.node.bed.borrow();
+                let mut names: Vec<&str> = bed.all().map(|(_, s)| s.service.as_str()).collect();
+                names.sort_unstable();
+                names.dedup();
+                for name in names.into_iter().filter(|n| part_of(n) == self.part) {
+                    let there =
+                        || bed.of(name).filter(|(_, s)| s.standing() == Standing::Ready && !s.silent());
+                    let old = there().filter(|(_, s)| s.version_of(model).is_some_and(|v| v < version));
+                    let old = old.map(|(_, s)| (s.id.clone(), s.address, s.in_flight())).collect();
+                    services.push((name.to_owned(), old, there().count()));
+                }
+            }
+            for (_, mut old, all) in services {
+                let most = AT_ONCE.max(all / AT_ONCE_PART);
+                let under_way = old.iter().filter(|o| self.busy.borrow().contains(&o.0)).count();
+                old.retain(|o| !self.busy.borrow().contains(&o.0));
+                // The least busy are done soonest.
+                old.sort_by_key(|o| o.2);
+                for (id, address, _) in old.into_iter().take(most.saturating_sub(under_way)) {
+                    self.busy.borrow_mut().insert(id.clone());
+                    let (duty, model) = (self.clone(), model.clone());
+                    spawn_local(async move {
+                        duty.bring(held, &id, address, &model, version).await;
+                        duty.busy.borrow_mut().remove(&id);
+                    });
+                }
+            }
+        }
+    }
+
+    /// Tells all nodes what this server is about.
+    fn tell(&self, held: Held, id: &str, model: &str, version: u64, over: bool) {
+        let number = self.notes.get() + 1;
+        self.notes.set(number);
+        let key = format!("load/{id}/{model}");
+        let note = Note { key, fence: held.fence, number, value: version, over };
+        self.node.learn(Delta { notes: vec![note].into(), ..Delta::default() });
+    }
+
+    /// One server to one version: nothing new to it, one order, until it is done.
+    async fn bring(&self, held: Held, id: &str, address: SocketAddr, model: &str, version: u64) {
+        self.tell(held, id, model, version, false);
+        tokio::time::sleep(SPREAD).await;
+        let mut expected = None;
+        let mut done = false;
+        let began = self.node.now();
+        let longest = nanos(self.node.boot.borrow().bounds.version) * 2;
+        let mut ordered = false;
+        while self.still(held, id, model, version) && self.node.now() - began < longest {
+            if !ordered {
+                ordered = match self.order(held, address, model, version, expected).await {
+                    Some(200..=299) => true,
+                    // Fenced off: another holds the duty.
+                    Some(412) => break,
+                    _ => false,
+                };
+            }
+            tokio::time::sleep(self.node.jitter(REPORT)).await;
+            let Some(report) = report(address).await else { continue };
+            if report.models.iter().any(|m| m.name == model && m.version >= version) && !report.is_busy {
+                done = true;
+                break;
+            }
+            if !ordered && report.is_busy {
+                // The order that got no answer was taken after all.
+                ordered = true;
+            }
+            expected = Some(report.call_sequence);
+        }
+        self.tell(held, id, model, if done { version } else { 0 }, true);
+    }
+
+    fn still(&self, held: Held, id: &str, model: &str, version: u64) -> bool {
+        let wanted = self.node.in_force().models.iter().any(|m| m.0 == model && m.1 == version);
+        let there =
+            self.node.rows.borrow().server(id).is_some_and(|s| s.standing == Standing::Ready && !s.silent);
+        wanted && there && self.held.get().is_some_and(|h| h.fence == held.fence)
+    }
+
+    /// Sends the order; gives back the status. None where there was no answer, or it was not sent.
+    async fn order(
+        &self, held: Held, address: SocketAddr, model: &str, version: u64, expected: Option<u64>,
+    ) -> Option<u16> {
+        let mut link = Upstream::dial(address).await?;
+        let began = self.node.now();
+        let renew = LeaseChange::Renew { holder: self.holder(), fence: held.fence };
+        match self.part_change(&renew, CALL).await {
+            Some(LeaseAnswer::Renewed) => {}
+            Some(LeaseAnswer::Refused { .. }) => {
+                self.held.set(None);
+                return None;
+            }
+            _ => return None,
+        }
+        let holder = &self.node.me.borrow().name.clone();
+        let count = expected.map(|n| format!(",\"expected_count\":{n}")).unwrap_or_default();
+        let body = format!(
+            "{{\"operation\":\"version\",\"model\":\"{model}\",\"version\":{version},\"method\":\"queue\",\
+             \"holder_id\":\"{holder}\",\"fence_token\":{}{count}}}",
+            held.fence
+        );
+        let head = format!(
+            "POST /api/order HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
+        );
+        // Last thing before it leaves: a freeze may lie behind any wait.
+        if self.node.now().saturating_sub(began) > nanos(self.lease()) / 3 || self.node.leaving.get() {
+            return None;
+        }
+        if !link.send(&Bytes::from(head), &Bytes::from(body)).await {
+            return None;
+        }
+        Some(answer(&mut link).await?.0)
+    }
+}
+
+/// Status and body of a server's answer to a call of ours.
+async fn answer(link: &mut Upstream) -> Option<(u16, Bytes)> {
+    let reading = async {
+        let bytes = reading::head(&mut link.stream, &mut link.buffer, head::REPLY, 16 << 10).await.ok()?;
+        let head = head::reply(&bytes).ok()?;
+        let body =
+            crate::http::body(&mut link.stream, &mut link.buffer, head.framing, 1 << 20).await.ok()??;
+        Some((head.status, body))
+    };
+    timeout(CALL, reading).await.ok()?
+}
+
+async fn report(address: SocketAddr) -> Option<Report> {
+    let mut link = Upstream::dial(address).await?;
+    let head = format!("GET /api/report HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    if !link.send(&Bytes::from(head), &Bytes::new()).await {
+        return None;
+    }
+    let (status, body) = answer(&mut link).await?;
+    if status != 200 {
+        return None;
+    }
+    json::from_str(std::str::from_utf8(&body).ok()?).ok()
+}
