--- a/crates/orchard/src/doors.rs
+++ b/crates/orchard/src/doors.rs
@@ -1,5 +1,6 @@
 //! The doors for servers and operators: a tree of matchers over method and path, and readiness.
 use crate::http::{self, Answer, NoRequest, Request, Room};
+use crate::net::{self, Door, Stream};
 use bytes::BytesMut;
 use std::future::Future;
 use std::pin::Pin;
@@ -7,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
@@ -78,14 +78,11 @@
 }
 
 /// Serves a tree until the process ends.
-pub async fn listen(listener: TcpListener, tree: Rc<Matcher>) {
+pub async fn listen(door: Box<dyn Door>, tree: Rc<Matcher>) {
     let places = Arc::new(Semaphore::new(MOST));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, _) = net::accept(&*door).await;
         let tree = tree.clone();
         spawn_local(async move {
             attend(stream, tree).await;
@@ -94,9 +91,7 @@
     }
 }
 
-async fn attend(mut stream: TcpStream, tree: Rc<Matcher>) {
-    // A connection without it still works, only slower.
-    let _ = stream.set_nodelay(true);
+async fn attend(mut stream: Stream, tree: Rc<Matcher>) {
     let mut buffer = BytesMut::new();
     let room = Room { head: HEAD, body: BODY, header_timeout: Duration::from_secs(5) };
     loop {
--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request of a client, from the route to the last byte: election, send, fallback, stream, resumption.
 use crate::events::Events;
 use crate::http::{Answer, Request};
+use crate::net::Stream;
 use crate::node::Node;
 use crate::upstream::{Pool, Upstream};
 use bytes::{BufMut, Bytes, BytesMut};
@@ -8,9 +9,7 @@
 use hedgerow::Standing;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::io::{AsyncWriteExt, ReadHalf, WriteHalf, split};
 use tokio::time::{Instant, timeout_at};
 use trellis::{Route, Table, Tenant};
 use wicket::chunks::{Chunks, Piece};
@@ -99,7 +98,7 @@
 
 /// Serves one whole request that came at `came`.
 pub async fn serve(
-    node: &Rc<Node>, pool: &Pool, request: &Request, came: Instant, client: &mut TcpStream,
+    node: &Rc<Node>, pool: &Pool, request: &Request, came: Instant, client: &mut Stream,
     ahead: &mut BytesMut, keep: bool,
 ) -> Ended {
     let config = node.in_force();
@@ -143,8 +142,8 @@
 }
 
 impl Exchange<'_> {
-    async fn run(&mut self, key: u64, client: &mut TcpStream, ahead: &mut BytesMut) -> Ended {
-        let (mut from, mut to) = client.split();
+    async fn run(&mut self, key: u64, client: &mut Stream, ahead: &mut BytesMut) -> Ended {
+        let (mut from, mut to) = split(client);
         let mut events = self.route.repeatable().then(Events::default);
         let mut begun = false;
         let mut proved = true;
@@ -247,7 +246,7 @@
 
     /// Sends to one server and waits for the head of its answer.
     async fn turn(
-        &mut self, pick: &Pick, last_id: Option<&str>, from: &mut ReadHalf<'_>, ahead: &mut BytesMut,
+        &mut self, pick: &Pick, last_id: Option<&str>, from: &mut ReadHalf<&mut Stream>, ahead: &mut BytesMut,
     ) -> Turn {
         let Some((id, address)) = self.node.bed.borrow().get(pick.server).map(|s| (s.id.clone(), s.address))
         else {
@@ -269,7 +268,7 @@
             let resting = self.pool.take(id);
             let mut link = match resting {
                 Some(link) => link,
-                None => match Upstream::dial(address).await {
+                None => match Upstream::dial(&*self.node.net, address).await {
                     Some(link) => link,
                     None => return Turn::Unsent,
                 },
@@ -450,7 +449,7 @@
     #[allow(clippy::too_many_arguments)] // The two halves, and what outlives one server's turn.
     async fn pass(
         &mut self, head: &ReplyHead, link: &mut Upstream, events: &mut Option<Events>, begun: &mut bool,
-        from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, ahead: &mut BytesMut,
+        from: &mut ReadHalf<&mut Stream>, to: &mut WriteHalf<&mut Stream>, ahead: &mut BytesMut,
     ) -> Passed {
         let resumable = self.route.resumable && (200..300).contains(&head.status);
         let mut events = if resumable { events.as_mut() } else { None };
@@ -604,7 +603,7 @@
 }
 
 /// Ends once the client has left; what it sends ahead is kept for later.
-async fn left(from: &mut ReadHalf<'_>, ahead: &mut BytesMut) {
+async fn left(from: &mut ReadHalf<&mut Stream>, ahead: &mut BytesMut) {
     while ahead.len() < AHEAD {
         if reading::more(from, ahead).await.is_err() {
             return;
--- a/crates/orchard/src/front.rs
+++ b/crates/orchard/src/front.rs
@@ -1,6 +1,7 @@
 //! The client edge: connections, one request at a time on each, limits of the configuration, an honest end.
 use crate::exchange::{self, Ended};
 use crate::http::{self, Answer, NoRequest, Room};
+use crate::net::{self, Door, Stream};
 use crate::node::Node;
 use crate::upstream::Pool;
 use bytes::BytesMut;
@@ -8,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
@@ -35,17 +35,14 @@
 }
 
 /// Takes clients until the process ends. `most`: connections at a time.
-pub async fn listen(node: Rc<Node>, listener: TcpListener, stage: watch::Receiver<Stage>, most: usize) {
+pub async fn listen(node: Rc<Node>, door: Box<dyn Door>, stage: watch::Receiver<Stage>, most: usize) {
     let pool = Rc::new(Pool::default());
     let places = Arc::new(Semaphore::new(most.max(16)));
     spawn_local(sweep(node.clone(), pool.clone()));
     loop {
         // Beyond its places the node leaves clients waiting to be accepted: others have room.
         let Ok(place) = places.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, _) = net::accept(&*door).await;
         let (node, pool, stage) = (node.clone(), pool.clone(), stage.clone());
         spawn_local(async move {
             attend(node, pool, stream, stage).await;
@@ -62,9 +59,7 @@
     }
 }
 
-async fn attend(node: Rc<Node>, pool: Rc<Pool>, mut stream: TcpStream, mut stage: watch::Receiver<Stage>) {
-    // A connection without it still works, only slower.
-    let _ = stream.set_nodelay(true);
+async fn attend(node: Rc<Node>, pool: Rc<Pool>, mut stream: Stream, mut stage: watch::Receiver<Stage>) {
     let mut buffer = BytesMut::new();
     loop {
         let limits = node.in_force().table.as_ref().map_or(USUAL, |t| t.limits.clone());
@@ -110,8 +105,7 @@
 
 /// Waits for a request to begin. False where the connection is to be closed.
 async fn first_byte(
-    stream: &mut TcpStream, buffer: &mut BytesMut, limits: &trellis::Limits,
-    stage: &mut watch::Receiver<Stage>,
+    stream: &mut Stream, buffer: &mut BytesMut, limits: &trellis::Limits, stage: &mut watch::Receiver<Stage>,
 ) -> bool {
     *buffer = BytesMut::new();
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
@@ -123,7 +117,7 @@
     }
     // Guards against closing over a request that has come since the runtime last looked.
     let mut piece = [0; 4096];
-    match reading::at_hand(stream, &mut piece) {
+    match stream.at_hand(&mut piece) {
         Some(Ok(read)) if read > 0 => {
             buffer.extend_from_slice(&piece[..read]);
             true
--- a/crates/orchard/src/http.rs
+++ b/crates/orchard/src/http.rs
@@ -3,7 +3,6 @@
 use std::fmt::Write;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 use wicket::chunks::{Chunks, Piece};
 use wicket::head::{self, CallHead, Framing};
@@ -81,7 +80,7 @@
 
 /// The rest of a request of which a byte is in the buffer. `until`: when it must be whole.
 pub async fn request(
-    stream: &mut TcpStream, buffer: &mut BytesMut, room: Room, until: Instant,
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin), buffer: &mut BytesMut, room: Room, until: Instant,
 ) -> Result<Request, NoRequest> {
     let broken = |broken| match broken {
         Broken::Ended | Broken::Reset => NoRequest::Left,
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -4,7 +4,7 @@
 //! | --- | --- |
 //! | `boot`, `ring` | settings read and checked; the log |
 //! | `node` | what one process knows; tables swapped whole |
-//! | `wire`, `links`, `polls` | words between nodes, their connections, who asks whom for what is new |
+//! | `net`, `wire`, `links`, `polls` | the way to other machines, words between nodes, their connections, who asks whom for what is new |
 //! | `control`, `statute` | the control state: registers carried out, and what a change means |
 //! | `registry`, `doors` | servers' beats; the tree of calls of servers and operators |
 //! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod http;
 pub mod links;
+pub mod net;
 pub mod node;
 pub mod polls;
 pub mod registry;
--- a/crates/orchard/src/links.rs
+++ b/crates/orchard/src/links.rs
@@ -1,7 +1,7 @@
 //! Calls between nodes: one connection a peer and direction, many calls on it at a time, each with its own patience.
+use crate::net::{self, Door, SharedNet, Stream};
 use crate::wire::{Call, HELLO, MAX_FRAME, Reply};
 use nanoserde::SerBin;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -9,17 +9,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, ReadHalf, WriteHalf, split};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// How long a connection may take to come up, and unacknowledged bytes to be acknowledged: a machine without power or
-/// behind a cut says nothing.
+/// How long a connection may take to come up.
 const DIAL: Duration = Duration::from_millis(500);
-const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 /// Most frames that wait for one peer; more are refused at once.
 const QUEUE: usize = 512;
 /// Most calls of one connection that are worked on at a time.
@@ -48,8 +44,8 @@
 }
 
 /// This node's connections to others.
-#[derive(Default)]
 pub struct Links {
+    net: SharedNet,
     peers: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     next: Cell<u64>,
 }
@@ -64,7 +60,7 @@
 }
 
 /// Id and body of the next frame; None where the connection ends or is not ours.
-async fn next_frame(from: &mut BufReader<OwnedReadHalf>) -> Option<(u64, Vec<u8>)> {
+async fn next_frame(from: &mut BufReader<ReadHalf<Stream>>) -> Option<(u64, Vec<u8>)> {
     let length = from.read_u32_le().await.ok()? as usize;
     if !(8..=MAX_FRAME).contains(&length) {
         return None;
@@ -76,13 +72,7 @@
     (read == length - 8).then_some((id, body))
 }
 
-pub fn tune(stream: &TcpStream) {
-    // Without these the connection still works, only slower to notice a dead machine.
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
-}
-
-async fn write_frames(mut to: OwnedWriteHalf, mut queue: mpsc::Receiver<Vec<u8>>) {
+async fn write_frames(mut to: WriteHalf<Stream>, mut queue: mpsc::Receiver<Vec<u8>>) {
     while let Some(mut bytes) = queue.recv().await {
         // What waits goes out together: each write costs.
         while bytes.len() < 64 << 10 {
@@ -98,6 +88,10 @@
 }
 
 impl Links {
+    pub fn new(net: SharedNet) -> Rc<Links> {
+        Rc::new(Links { net, peers: RefCell::default(), next: Cell::new(0) })
+    }
+
     fn link(self: &Rc<Self>, to: SocketAddr) -> Rc<Link> {
         if let Some(link) = self.peers.borrow().get(&to) {
             return link.clone();
@@ -107,7 +101,7 @@
         self.peers.borrow_mut().insert(to, link.clone());
         let (links, held) = (self.clone(), link.clone());
         spawn_local(async move {
-            held.run(to, queued).await;
+            held.run(&links.net, to, queued).await;
             // Dropping the senders tells every caller.
             held.waiting.borrow_mut().clear();
             let mut peers = links.peers.borrow_mut();
@@ -152,14 +146,13 @@
 }
 
 impl Link {
-    async fn run(&self, to: SocketAddr, queued: mpsc::Receiver<Vec<u8>>) {
-        let Ok(Ok(mut stream)) = timeout(DIAL, TcpStream::connect(to)).await else { return };
-        tune(&stream);
+    async fn run(&self, net: &SharedNet, to: SocketAddr, queued: mpsc::Receiver<Vec<u8>>) {
+        let Ok(Ok(mut stream)) = timeout(DIAL, net.dial(to)).await else { return };
         if stream.write_all(HELLO).await.is_err() {
             return;
         }
         self.up.set(true);
-        let (from, into) = stream.into_split();
+        let (from, into) = split(stream);
         let mut from = BufReader::new(from);
         let reading = async {
             while let Some((id, body)) = next_frame(&mut from).await {
@@ -178,18 +171,14 @@
 }
 
 /// Takes the calls of other nodes; each is answered by `answer`, which may take its time.
-pub async fn serve<F, A>(listener: TcpListener, answer: F)
+pub async fn serve<F, A>(door: Box<dyn Door>, answer: F)
 where
     F: Fn(SocketAddr, Call) -> A + Clone + 'static,
     A: Future<Output = Option<Reply>> + 'static,
 {
     let places = Arc::new(Semaphore::new(PEERS));
     loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            // Out of descriptors, say: wait for some to come free.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, peer) = net::accept(&*door).await;
         let Ok(place) = places.clone().try_acquire_owned() else { continue };
         let answer = answer.clone();
         spawn_local(async move {
@@ -199,13 +188,12 @@
     }
 }
 
-async fn attend<F, A>(stream: TcpStream, peer: SocketAddr, answer: F)
+async fn attend<F, A>(stream: Stream, peer: SocketAddr, answer: F)
 where
     F: Fn(SocketAddr, Call) -> A + Clone + 'static,
     A: Future<Output = Option<Reply>> + 'static,
 {
-    tune(&stream);
-    let (from, into) = stream.into_split();
+    let (from, into) = split(stream);
     let mut from = BufReader::new(from);
     let mut hello = [0; HELLO.len()];
     let greeted = timeout(Duration::from_secs(5), from.read_exact(&mut hello)).await;
--- a/crates/orchard/src/main.rs
+++ b/crates/orchard/src/main.rs
@@ -1,10 +1,12 @@
 //! The command line: roles, and the operators' client.
 use bpaf::{OptionParser, Parser, construct, pure};
 use orchard::boot::Boot;
+use orchard::net::Sockets;
 use orchard::ring::Ring;
 use orchard::run::{Role, run};
 use simplelog::LevelFilter;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -28,7 +30,7 @@
     let boot = Boot::load().map_err(|e| e.to_string())?;
     let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     let local = LocalSet::new();
-    let ended = local.block_on(&runtime, run(role, boot, ring));
+    let ended = local.block_on(&runtime, run(role, boot, ring, Rc::new(Sockets), fastrand::Rng::new()));
     ended.map_err(|e| e.to_string())
 }
 
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -2,6 +2,7 @@
 //! immutable and swapped whole.
 use crate::boot::{Boot, nanos};
 use crate::links::Links;
+use crate::net::SharedNet;
 use crate::ring::Ring;
 use crate::wire::{ConfigTold, ModelTold};
 use espalier::{Bed, Budget, Nanos};
@@ -11,8 +12,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use trellis::{Document, Table};
 
 /// Rows that are over are remembered so long, and so many of each kind are held at most.
@@ -38,6 +40,7 @@
     config: RefCell<Rc<InForce>>,
     pub bed: RefCell<Bed>,
     budgets: RefCell<HashMap<String, Budget>>,
+    pub net: SharedNet,
     pub links: Rc<Links>,
     /// Raised with everything that pollers want to hear of.
     changes: watch::Sender<u64>,
@@ -53,8 +56,7 @@
 }
 
 impl Node {
-    pub fn new(boot: Boot, disk: u64, ring: Ring) -> Rc<Node> {
-        let mut rng = Rng::new();
+    pub fn new(boot: Boot, disk: u64, ring: Ring, net: SharedNet, mut rng: Rng) -> Rc<Node> {
         let internal = boot.internal_of(boot.ip);
         let text = |a: Option<SocketAddr>| a.map(|a| a.to_string()).unwrap_or_default();
         let me = NodeRow {
@@ -83,7 +85,8 @@
             config: RefCell::new(Rc::new(none)),
             bed: RefCell::new(bed),
             budgets: RefCell::default(),
-            links: Rc::default(),
+            links: Links::new(net.clone()),
+            net,
             changes: watch::channel(0).0,
             informed: Cell::new(false),
             leaving: Cell::new(false),
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -5,6 +5,7 @@
 use crate::front::{self, Stage};
 use crate::http::{Answer, Request};
 use crate::links;
+use crate::net::{Door, Net, SharedNet};
 use crate::node::Node;
 use crate::polls;
 use crate::registry::Registry;
@@ -12,6 +13,7 @@
 use crate::statute::Change;
 use crate::weights;
 use crate::wire::{Call, Reply, Told};
+use fastrand::Rng;
 use hedgerow::Delta;
 use nanoserde::SerBin;
 use rootstock::{Member, Outcome};
@@ -20,7 +22,6 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -51,14 +52,8 @@
     Control,
 }
 
-fn listener(address: SocketAddr) -> Result<TcpListener, RunError> {
-    let open = || {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(1024)
-    };
-    open().map_err(|e| RunError::Listen { address, why: e.to_string() })
+fn listener(net: &dyn Net, address: SocketAddr) -> Result<Box<dyn Door>, RunError> {
+    net.listen(address).map_err(|e| RunError::Listen { address, why: e.to_string() })
 }
 
 struct House {
@@ -68,17 +63,17 @@
 }
 
 /// Runs until told to end.
-pub async fn run(role: Role, boot: Boot, ring: Ring) -> Result<(), RunError> {
+pub async fn run(role: Role, boot: Boot, ring: Ring, net: SharedNet, rng: Rng) -> Result<(), RunError> {
     if role == Role::Proxy && boot.listen.front.is_none() {
         return Err(RunError::Role("listen_addresses.front_http"));
     }
     if role == Role::Control && boot.listen.control.is_none() {
         return Err(RunError::Role("listen_addresses.control_plane"));
     }
-    let front = boot.listen.front.filter(|_| role == Role::Proxy).map(listener).transpose()?;
-    let readiness = boot.listen.readiness.map(listener).transpose()?;
-    let control_door = boot.listen.control.map(listener).transpose()?;
-    let internal = listener(boot.internal_of(boot.ip))?;
+    let front = boot.listen.front.filter(|_| role == Role::Proxy).map(|a| listener(&*net, a)).transpose()?;
+    let readiness = boot.listen.readiness.map(|a| listener(&*net, a)).transpose()?;
+    let control_door = boot.listen.control.map(|a| listener(&*net, a)).transpose()?;
+    let internal = listener(&*net, boot.internal_of(boot.ip))?;
     let mut term = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut hup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
     let keeps = boot.listen.control.is_some();
@@ -91,7 +86,7 @@
     let (path, contact) = (boot.path.clone(), boot.bounds.contact);
     let in_core = keeps && (boot.counted || data.is_some());
     let disk = if in_core { kept.disk } else { 0 };
-    let node = Node::new(boot, disk, ring);
+    let node = Node::new(boot, disk, ring, net, rng);
     if let Some(rows) = kept.rows.as_deref().and_then(trug::read::<Delta>) {
         node.learn(rows);
     }
@@ -223,8 +218,7 @@
             let Some(address) = node.bed.borrow().get(ix).map(|s| s.address) else { continue };
             let node = node.clone();
             spawn_local(async move {
-                let dialled =
-                    timeout(Duration::from_millis(500), tokio::net::TcpStream::connect(address)).await;
+                let dialled = timeout(Duration::from_millis(500), node.net.dial(address)).await;
                 let same = node.bed.borrow().get(ix).is_some_and(|s| s.address == address);
                 if matches!(dialled, Ok(Ok(_))) && same {
                     node.bed.borrow_mut().reached(ix);
--- a/crates/orchard/src/upstream.rs
+++ b/crates/orchard/src/upstream.rs
@@ -1,14 +1,13 @@
 //! Connections to servers: kept while a server keeps them, looked at before each use, one exchange at a time.
+use crate::net::{Net, Stream};
 use bytes::{Bytes, BytesMut};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 use wicket::head::ReplyHead;
-use wicket::reading;
 
 /// How long a connection may take to come up.
 const DIAL: Duration = Duration::from_millis(600);
@@ -20,7 +19,7 @@
 const RESTING: usize = 32;
 
 pub struct Upstream {
-    pub stream: TcpStream,
+    pub stream: Stream,
     pub buffer: BytesMut,
     /// It carried an exchange before: bytes on it may meet a close.
     pub used: bool,
@@ -28,9 +27,8 @@
 }
 
 impl Upstream {
-    pub async fn dial(to: SocketAddr) -> Option<Upstream> {
-        let stream = timeout(DIAL, TcpStream::connect(to)).await.ok()?.ok()?;
-        crate::links::tune(&stream);
+    pub async fn dial(net: &dyn Net, to: SocketAddr) -> Option<Upstream> {
+        let stream = timeout(DIAL, net.dial(to)).await.ok()?.ok()?;
         Some(Upstream { stream, buffer: BytesMut::new(), used: false, until: Instant::now() })
     }
 
@@ -48,7 +46,7 @@
 
     /// Open and silent, as a resting connection must be.
     fn silent(&self) -> bool {
-        self.buffer.is_empty() && reading::at_hand(&self.stream, &mut [0]).is_none()
+        self.buffer.is_empty() && self.stream.at_hand(&mut [0]).is_none()
     }
 }
 
--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -5,6 +5,7 @@
 //! frozen or replaced meanwhile stays unsent.
 use crate::boot::nanos;
 use crate::control::{self, Control, DUTY_PARTS, part_of};
+use crate::net::Net;
 use crate::node::Node;
 use crate::upstream::Upstream;
 use bytes::Bytes;
@@ -193,7 +194,7 @@
                 };
             }
             tokio::time::sleep(self.node.jitter(REPORT)).await;
-            let Some(report) = report(address).await else { continue };
+            let Some(report) = report(&*self.node.net, address).await else { continue };
             if report.models.iter().any(|m| m.name == model && m.version >= version) && !report.is_busy {
                 done = true;
                 break;
@@ -218,7 +219,7 @@
     async fn order(
         &self, held: Held, address: SocketAddr, model: &str, version: u64, expected: Option<u64>,
     ) -> Option<u16> {
-        let mut link = Upstream::dial(address).await?;
+        let mut link = Upstream::dial(&*self.node.net, address).await?;
         let began = self.node.now();
         let renew = LeaseChange::Renew { holder: self.holder(), fence: held.fence };
         match self.part_change(&renew, CALL).await {
@@ -264,8 +265,8 @@
     timeout(CALL, reading).await.ok()?
 }
 
-async fn report(address: SocketAddr) -> Option<Report> {
-    let mut link = Upstream::dial(address).await?;
+async fn report(net: &dyn Net, address: SocketAddr) -> Option<Report> {
+    let mut link = Upstream::dial(net, address).await?;
     let head = format!("GET /api/report HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     if !link.send(&Bytes::from(head), &Bytes::new()).await {
         return None;
