An index of kept prompts: prefixes have owners, which are asked where to fetch and whether to save

Cause: every request told the store to save it, so that the store (949 k tokens) turned over in about ten seconds with prompts that nobody asks again. Change: gleaner; the owner of a prefix (rendezvous over live nodes) is asked once a request; the store is told once a prefix; fetched from the last reader where the store was not told yet, else from the store.

--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -6,6 +6,7 @@
 use crate::upstream::{Pool, Upstream};
 use bytes::{BufMut, Bytes, BytesMut};
 use espalier::{Ask, Ending, Nanos, Pick, Prompt, ServerIx, Turned};
+use gleaner::Question;
 use hedgerow::Standing;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,6 +52,13 @@
     keep: bool,
 }
 
+/// What a server is told of the prompt's memory.
+#[derive(Default)]
+struct Memory {
+    fetch: Option<String>,
+    save: Option<String>,
+}
+
 /// How one server's turn went.
 enum Turn {
     /// Nothing was sent: it could not be reached, or left meanwhile.
@@ -264,6 +272,7 @@
     async fn speak(
         &mut self, pick: &Pick, id: &str, address: std::net::SocketAddr, last_id: Option<&str>,
     ) -> Turn {
+        let memory = self.memory(pick, id).await;
         loop {
             let resting = self.pool.take(id);
             let mut link = match resting {
@@ -277,7 +286,7 @@
             if !self.may_go(pick) {
                 return Turn::Unsent;
             }
-            let head = self.forward_head(pick, id, last_id);
+            let head = self.forward_head(pick, id, last_id, &memory);
             let used = link.used;
             if !link.send(&head, &self.request.body).await {
                 // Not written whole, so it can't have run. A resting connection may just have been closed.
@@ -393,7 +402,39 @@
         self.node.bed.borrow_mut().full(pick.server, now + jitter);
     }
 
-    fn forward_head(&self, pick: &Pick, id: &str, last_id: Option<&str>) -> Bytes {
+    /// Where the server finds what it lacks of the prompt, and whether a store is to keep it.
+    async fn memory(&self, pick: &Pick, id: &str) -> Memory {
+        let version = pick.version.unwrap_or(0);
+        let (Some(model), Some(part), true) = (&self.model, self.prompt.shared().last(), version > 0) else {
+            return Memory::default();
+        };
+        let salt = self.salt(model, version);
+        let prefix = windrow::hash(format!("{salt}/{}", part.id).as_bytes());
+        let store = self.store();
+        let named = store.as_ref().map_or(0, |s| windrow::hash(s.as_bytes()));
+        let question = Question { prefix, server: windrow::hash(id.as_bytes()), store: named };
+        let Some(advice) = self.node.advice(question).await else {
+            return Memory { fetch: store, save: None };
+        };
+        let reader = || {
+            let bed = self.node.bed.borrow();
+            let reader = bed.of(&self.service).find(|(_, s)| windrow::hash(s.id.as_bytes()) == advice.reader);
+            reader
+                .filter(|(_, s)| !s.suspected() && !s.loading() && !s.silent())
+                .map(|(_, s)| s.address.to_string())
+        };
+        // Even where the whole prefix is not there, the store may have the parts that others share.
+        let read_elsewhere = if advice.stored { None } else { reader() };
+        Memory { fetch: read_elsewhere.or_else(|| store.clone()), save: store.filter(|_| advice.save) }
+    }
+
+    /// Names model, version, and the tenant if it shares nothing: what is kept under one is found under it alone.
+    fn salt(&self, model: &str, version: u64) -> String {
+        let wall = self.tenant.filter(|t| t.isolated).map(|t| t.name.as_str()).unwrap_or_default();
+        format!("{model}:{version}:{wall}")
+    }
+
+    fn forward_head(&self, pick: &Pick, id: &str, last_id: Option<&str>, memory: &Memory) -> Bytes {
         let head = &self.request.head;
         let mut out = BytesMut::with_capacity(1024);
         let mut put = |parts: &[&[u8]]| parts.iter().for_each(|p| out.put_slice(p));
@@ -417,15 +458,16 @@
         }
         if let Some(model) = &self.model {
             field("Priority", &urgency(self.prompt.tokens_in).to_string());
-            let wall = self.tenant.filter(|t| t.isolated).map(|t| t.name.as_str()).unwrap_or_default();
             let version = pick.version.unwrap_or(0);
-            field("Cache-Salt", &format!("{model}:{version}:{wall}"));
+            field("Cache-Salt", &self.salt(model, version));
             if version > 0 {
                 field("Expect-Version", &version.to_string());
-                if let Some(store) = self.store() {
-                    field("Kv-Fetch", &store);
-                    field("Kv-Save", &store);
-                }
+            }
+            if let Some(source) = &memory.fetch {
+                field("Kv-Fetch", source);
+            }
+            if let Some(store) = &memory.save {
+                field("Kv-Save", store);
             }
         }
         let chunked = head.framing == Framing::Chunked;
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -4,9 +4,10 @@
 use crate::links::Links;
 use crate::net::SharedNet;
 use crate::ring::Ring;
-use crate::wire::{ConfigTold, ModelTold};
+use crate::wire::{Call, ConfigTold, ModelTold, Reply};
 use espalier::{Bed, Budget, Nanos};
 use fastrand::Rng;
+use gleaner::{Advice, Index, Question};
 use hedgerow::{Delta, NodeRow, Rows};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,6 +22,14 @@
 const TOMBSTONE: Nanos = 60_000_000_000;
 const MOST_ROWS: usize = 20_000;
 
+/// Prefixes that a node answers for at most; how long a server's memory of one is counted on; after which a store is
+/// told again.
+const MOST_PREFIXES: usize = 40_000;
+const KEPT: Nanos = 30_000_000_000;
+const SAVED_AGAIN: Nanos = 120_000_000_000;
+/// An owner's answer is waited for so long: reading a prefix anew costs more, but not every time.
+const ADVICE: Duration = Duration::from_millis(25);
+
 /// The configuration that this process goes by.
 pub struct InForce {
     /// Sequence number of the register; 0 before anything is known.
@@ -42,6 +51,8 @@
     budgets: RefCell<HashMap<String, Budget>>,
     pub net: SharedNet,
     pub links: Rc<Links>,
+    /// The prefixes that this node owns.
+    pub index: RefCell<Index>,
     /// Raised with everything that pollers want to hear of.
     changes: watch::Sender<u64>,
     /// What is in force was heard from a source in touch with a quorum, or time for that is up.
@@ -86,6 +97,7 @@
             bed: RefCell::new(bed),
             budgets: RefCell::default(),
             links: Links::new(net.clone()),
+            index: RefCell::new(Index::new(MOST_PREFIXES, KEPT, SAVED_AGAIN)),
             net,
             changes: watch::channel(0).0,
             informed: Cell::new(false),
@@ -227,6 +239,28 @@
         f(budgets.get_mut(service).expect("just put there"), now)
     }
 
+    /// Asks the prefix's owner where it is kept. None where it did not answer.
+    pub async fn advice(&self, question: Question) -> Option<Advice> {
+        let owner = {
+            let rows = self.rows.borrow();
+            let fit = rows.nodes().filter(|n| n.front && !n.silent && !n.leaving);
+            let best = fit.max_by_key(|n| {
+                windrow::mix(windrow::hash(n.name.as_bytes()) ^ windrow::mix(question.prefix))
+            });
+            best.map(|n| (n.name == self.me.borrow().name, n.internal.parse::<SocketAddr>()))
+        };
+        match owner {
+            Some((false, Ok(address))) => {
+                let Question { prefix, server, store } = question;
+                match self.links.call(address, &Call::Prefix { prefix, server, store }, ADVICE).await {
+                    Ok(Reply::Prefix { save, stored, reader }) => Some(Advice { save, stored, reader }),
+                    _ => None,
+                }
+            }
+            _ => Some(self.index.borrow_mut().ask(question, self.now())),
+        }
+    }
+
     /// Nodes that keep the control state, as far as they are known: name and where their internal door is.
     pub fn core(&self) -> Vec<(String, SocketAddr)> {
         let rows = self.rows.borrow();
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -14,6 +14,7 @@
 use crate::weights;
 use crate::wire::{Call, Reply, Told};
 use fastrand::Rng;
+use gleaner::Question;
 use hedgerow::Delta;
 use nanoserde::SerBin;
 use rootstock::{Member, Outcome};
@@ -277,6 +278,10 @@
                 Outcome::Unknown => Reply::Unknown,
             })
         }
+        Call::Prefix { prefix, server, store } => {
+            let advice = node.index.borrow_mut().ask(Question { prefix, server, store }, node.now());
+            Some(Reply::Prefix { save: advice.save, stored: advice.stored, reader: advice.reader })
+        }
         Call::Found { records } => {
             let taken = house.control.as_ref().is_some_and(|c| c.take_record(&records));
             Some(if taken { Reply::Done } else { Reply::No("this node can't be a founder".into()) })
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -65,6 +65,12 @@
         change: Blob,
         patience_ms: u32,
     },
+    /// A prefix is about to go to a server: what is known of where it is kept.
+    Prefix {
+        prefix: u64,
+        server: u64,
+        store: u64,
+    },
     /// The records of the first group, one a part.
     Found {
         records: Seq<Blob>,
@@ -80,6 +86,11 @@
     NotChanged(String),
     /// Nobody can say whether it will be.
     Unknown,
+    Prefix {
+        save: bool,
+        stored: bool,
+        reader: u64,
+    },
     /// It cannot be done here; the text is for people.
     No(String),
 }
