New weights: as many servers at a time as the time left asks for

Change: needed = old servers x mean time of one / time left; a process started anew on its machine is the same holder and waits for nobody.

--- a/crates/espalier/src/versions.rs
+++ b/crates/espalier/src/versions.rs
@@ -33,6 +33,10 @@
         }
     }
 
+    pub fn patience(&self) -> Nanos {
+        self.patience
+    }
+
     pub fn wanted(&self, model: &str) -> Option<Wanted> {
         self.wanted.get(model).copied()
     }
--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -30,9 +30,11 @@
 const SPREAD: Duration = Duration::from_millis(40);
 /// Between two looks at a server that is taking new weights.
 const REPORT: Duration = Duration::from_millis(250);
-/// Servers of a service that take new weights at a time: so many, or this part of them.
+/// Servers of a service that take new weights at a time where there is time enough: so many, or this part of them.
 const AT_ONCE: usize = 2;
 const AT_ONCE_PART: usize = 5;
+/// What one takes until that was seen: its runs finish first.
+const FIRST_GUESS: f64 = 1.5;
 
 #[derive(Deserialize)]
 struct ModelReport {
@@ -63,6 +65,8 @@
     /// Servers that are being brought to a version.
     busy: RefCell<HashSet<String>>,
     notes: Cell<u64>,
+    /// Seconds that a server takes, in the mean of late.
+    takes: Cell<f64>,
 }
 
 /// Holds this node's duties for as long as it runs.
@@ -75,6 +79,7 @@
             held: Cell::new(None),
             busy: RefCell::default(),
             notes: Cell::new(0),
+            takes: Cell::new(FIRST_GUESS),
         });
         spawn_local(duty.run());
     }
@@ -83,7 +88,9 @@
 impl Duty {
     fn holder(&self) -> Holder {
         let me = self.node.me.borrow();
-        Holder { name: me.name.clone(), life: me.nonce }
+        // A process that starts anew on its machine is the same holder: the one before it has ended for certain. On
+        // another machine it is another.
+        Holder { name: format!("{}@{}", me.name, me.internal), life: 0 }
     }
 
     fn lease(&self) -> Duration {
@@ -133,7 +140,11 @@
 
     /// Begins with as many servers as may be without service at a time.
     fn work(self: Rc<Self>, held: Held) {
-        for (model, version) in self.node.in_force().models.iter().map(|m| (&m.0, m.1)) {
+        let now = self.node.now();
+        for (model, version, since) in &self.node.in_force().models {
+            let version = *version;
+            // From then on what is still old takes nothing new, and so loses nothing by being ordered.
+            let left = (since + self.node.bed.borrow().versions.patience()).saturating_sub(now);
             let mut services: Vec<(String, Vec<(String, SocketAddr, u32)>, usize)> = Vec::new();
             {
                 let bed = self.node.bed.borrow();
@@ -149,7 +160,8 @@
                 }
             }
             for (_, mut old, all) in services {
-                let most = AT_ONCE.max(all / AT_ONCE_PART);
+                let needed = old.len() as f64 * self.takes.get() / (left as f64 / 1e9).max(0.01);
+                let most = AT_ONCE.max(all / AT_ONCE_PART).max(needed.ceil() as usize);
                 let under_way = old.iter().filter(|o| self.busy.borrow().contains(&o.0)).count();
                 old.retain(|o| !self.busy.borrow().contains(&o.0));
                 // The least busy are done soonest.
@@ -205,6 +217,10 @@
             }
             expected = Some(report.call_sequence);
         }
+        if done {
+            let took = (self.node.now() - began) as f64 / 1e9;
+            self.takes.set(0.7 * self.takes.get() + 0.3 * took);
+        }
         self.tell(held, id, model, if done { version } else { 0 }, true);
     }
 
@@ -230,7 +246,7 @@
             }
             _ => return None,
         }
-        let holder = &self.node.me.borrow().name.clone();
+        let holder = self.holder().name;
         let count = expected.map(|n| format!(",\"expected_count\":{n}")).unwrap_or_default();
         let body = format!(
             "{{\"operation\":\"version\",\"model\":\"{model}\",\"version\":{version},\"method\":\"queue\",\
