Store and moves only where the shared part is large; saved with small prompts of one's own

Change: shared parts under 1,500 tokens are read, not moved; a store is told to save with a prompt whose own part is under half of the shared.

--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -508,6 +508,11 @@
 
     /// Where the server finds what it lacks of the prompt, and whether a store is to keep it.
     async fn memory(&self, pick: &Pick, id: &str) -> Memory {
+        let shared: u64 = self.prompt.shared().iter().map(|p| p.tokens).sum();
+        if shared < 1500 {
+            return Memory::default();
+        }
+        let own = self.prompt.tokens_in.saturating_sub(shared);
         let version = pick.version.unwrap_or(0);
         let (Some(model), Some(part), true) = (&self.model, self.prompt.shared().last(), version > 0) else {
             return Memory::default();
@@ -515,7 +520,7 @@
         let salt = self.salt(model, version);
         let prefix = windrow::hash(format!("{salt}/{}", part.id).as_bytes());
         let store = self.store();
-        let named = store.as_ref().map_or(0, |s| windrow::hash(s.as_bytes()));
+        let named = store.as_ref().filter(|_| own * 2 < shared).map_or(0, |s| windrow::hash(s.as_bytes()));
         let question = Question { prefix, server: windrow::hash(id.as_bytes()), store: named };
         let Some(advice) = self.node.advice(question).await else {
             return Memory { fetch: store, save: None };
