--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -24,6 +24,8 @@
 const AHEAD: usize = 64 << 10;
 /// A wait of so much of the aim is comfortable; beyond it the next in the order are asked, so many in all.
 const COMFORT: f64 = 0.4;
+/// Shared parts of fewer tokens are read, not moved.
+const WORTH_MOVING: u64 = 1_500;
 /// Of a wait beyond so much of the aim a request is told to come back.
 const PATIENCE: f64 = 1.0;
 const ASKED: usize = 3;
@@ -509,7 +511,8 @@
     /// Where the server finds what it lacks of the prompt, and whether a store is to keep it.
     async fn memory(&self, pick: &Pick, id: &str) -> Memory {
         let shared: u64 = self.prompt.shared().iter().map(|p| p.tokens).sum();
-        if shared < 1500 {
+        // A move has its own cost: small parts are read sooner than they come.
+        if shared < WORTH_MOVING {
             return Memory::default();
         }
         let own = self.prompt.tokens_in.saturating_sub(shared);
@@ -519,7 +522,8 @@
         };
         let salt = self.salt(model, version);
         let prefix = windrow::hash(format!("{salt}/{}", part.id).as_bytes());
-        let store = self.store();
+        let store = self.store().filter(|s| self.node.store_is_up(windrow::hash(s.as_bytes())));
+        // Saving takes the whole prompt along, and can wait for a better one.
         let named = store.as_ref().filter(|_| own * 2 < shared).map_or(0, |s| windrow::hash(s.as_bytes()));
         let question = Question { prefix, server: windrow::hash(id.as_bytes()), store: named };
         let Some(advice) = self.node.advice(question).await else {
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `registry`, `doors` | servers' beats; the tree of calls of servers and operators |
 //! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
 //! | `weights` | servers brought to the version of weights that was named |
+//! | `stores` | whether stores answer, and have what they were told to keep |
 //! | `run`, `status` | a process from start to end; what it says of itself |
 pub mod boot;
 pub mod control;
@@ -26,6 +27,7 @@
 pub mod run;
 pub mod status;
 pub mod statute;
+pub mod stores;
 pub mod upstream;
 pub mod weights;
 pub mod wire;
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -55,6 +55,8 @@
     pub links: Rc<Links>,
     /// What waits at the servers that this node keeps count of.
     pub backlogs: RefCell<HashMap<u64, Backlog>>,
+    /// Stores as they were last told: by their hash, the number that changes when one comes back empty.
+    stores: RefCell<HashMap<u64, u64>>,
     /// The prefixes that this node owns.
     pub index: RefCell<Index>,
     /// Raised with everything that pollers want to hear of.
@@ -102,6 +104,7 @@
             budgets: RefCell::default(),
             links: Links::new(net.clone()),
             backlogs: RefCell::default(),
+            stores: RefCell::default(),
             index: RefCell::new(Index::new(MOST_PREFIXES, KEPT, SAVED_AGAIN)),
             net,
             changes: watch::channel(0).0,
@@ -142,6 +145,7 @@
         let changed = self.rows.borrow_mut().merge(delta, now);
         if changed {
             self.refute();
+            self.look_at_stores();
             self.bed.borrow_mut().sync(&self.rows.borrow());
             self.changed();
         }
@@ -292,6 +296,29 @@
         }
     }
 
+    /// Whether a key falls to this node.
+    pub fn keeps(&self, key: u64) -> bool {
+        self.owner(key).is_none()
+    }
+
+    /// Whether a store may be named: not while its follower tells that it does not answer.
+    pub fn store_is_up(&self, store: u64) -> bool {
+        self.stores.borrow().get(&store).is_none_or(|told| *told != 0)
+    }
+
+    /// Stores that came back empty have nothing of what they were told to keep.
+    fn look_at_stores(&self) {
+        let rows = self.rows.borrow();
+        let mut stores = self.stores.borrow_mut();
+        for note in rows.notes() {
+            let Some(address) = note.key.strip_prefix("store/") else { continue };
+            let store = windrow::hash(address.as_bytes());
+            if stores.insert(store, note.value).is_some_and(|before| before != note.value) {
+                self.index.borrow_mut().lost(store);
+            }
+        }
+    }
+
     /// Asks the prefix's owner where it is kept. None where it did not answer.
     pub async fn advice(&self, question: Question) -> Option<Advice> {
         let Some(owner) = self.owner(question.prefix) else {
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -11,6 +11,7 @@
 use crate::registry::Registry;
 use crate::ring::Ring;
 use crate::statute::Change;
+use crate::stores;
 use crate::weights;
 use crate::wire::{Call, Reply, Told};
 use fastrand::Rng;
@@ -119,6 +120,7 @@
     }
     spawn_local(keep_house(house.clone()));
     spawn_local(probe(node.clone()));
+    spawn_local(stores::follow(node.clone()));
     spawn_local(without_quorum(node.clone(), contact));
     let changed = Rc::new(Cell::new(modified(&path)));
     loop {
