The time of new weights is counted within one settled stretch of the core

Cause: when the holder of the duty died its successor began after five seconds, and old servers were shut out at six: all refused for two seconds. The rule counts within a stretch that is settled. Change: nodes of the core that come, go or fall silent begin the time anew.

--- a/crates/espalier/src/versions.rs
+++ b/crates/espalier/src/versions.rs
@@ -14,11 +14,14 @@
     wanted: HashMap<String, Wanted>,
     /// How long after it was named a request may still begin on an older one.
     patience: Nanos,
+    /// When the nodes of the core last came, went, or were found silent: the time of a version is counted within one
+    /// stretch without that (RULES.md, VERSION).
+    unsettled: Nanos,
 }
 
 impl Versions {
     pub fn new(patience: Nanos) -> Versions {
-        Versions { wanted: HashMap::new(), patience }
+        Versions { wanted: HashMap::new(), patience, unsettled: 0 }
     }
 
     /// A version was named `age` ago, by the clock of who tells.
@@ -33,8 +36,14 @@
         }
     }
 
-    pub fn patience(&self) -> Nanos {
-        self.patience
+    /// Something befell the core. It is noticed late, but sooner than the rules call the core settled again.
+    pub fn core_changed(&mut self, now: Nanos) {
+        self.unsettled = now;
+    }
+
+    /// Until when a request may begin on an older version than this one.
+    pub fn until(&self, wanted: Wanted) -> Nanos {
+        wanted.since.max(self.unsettled).saturating_add(self.patience)
     }
 
     pub fn wanted(&self, model: &str) -> Option<Wanted> {
@@ -44,7 +53,7 @@
     /// Whether a request may begin on this version now.
     pub fn allows(&self, model: &str, version: u64, now: Nanos) -> bool {
         match self.wanted.get(model) {
-            Some(wanted) => version >= wanted.version || now.saturating_sub(wanted.since) < self.patience,
+            Some(wanted) => version >= wanted.version || now < self.until(*wanted),
             None => true,
         }
     }
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -55,6 +55,8 @@
     pub links: Rc<Links>,
     /// What waits at the servers that this node keeps count of.
     pub backlogs: RefCell<HashMap<u64, Backlog>>,
+    /// Nodes of the core as they were last seen: name, process, silent, leaving.
+    core_seen: RefCell<Vec<(String, u64, bool, bool)>>,
     /// Stores as they were last told: by their hash, the number that changes when one comes back empty.
     stores: RefCell<HashMap<u64, u64>>,
     /// The prefixes that this node owns.
@@ -104,6 +106,7 @@
             budgets: RefCell::default(),
             links: Links::new(net.clone()),
             backlogs: RefCell::default(),
+            core_seen: RefCell::default(),
             stores: RefCell::default(),
             index: RefCell::new(Index::new(MOST_PREFIXES, KEPT, SAVED_AGAIN)),
             net,
@@ -145,6 +148,7 @@
         let changed = self.rows.borrow_mut().merge(delta, now);
         if changed {
             self.refute();
+            self.look_at_core();
             self.look_at_stores();
             self.bed.borrow_mut().sync(&self.rows.borrow());
             self.changed();
@@ -306,6 +310,18 @@
         self.stores.borrow().get(&store).is_none_or(|told| *told != 0)
     }
 
+    /// Notices when nodes of the core come, go, or fall silent.
+    fn look_at_core(&self) {
+        let rows = self.rows.borrow();
+        let of = |n: &NodeRow| (n.name.clone(), n.nonce, n.silent, n.leaving);
+        let core: Vec<_> = rows.nodes().filter(|n| n.counted && !n.control.is_empty()).map(of).collect();
+        let mut known = self.core_seen.borrow_mut();
+        if *known != core {
+            *known = core;
+            self.bed.borrow_mut().versions.core_changed(self.now());
+        }
+    }
+
     /// Stores that came back empty have nothing of what they were told to keep.
     fn look_at_stores(&self) {
         let rows = self.rows.borrow();
--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -9,7 +9,7 @@
 use crate::node::Node;
 use crate::upstream::Upstream;
 use bytes::Bytes;
-use espalier::Server;
+use espalier::{Server, Wanted};
 use hedgerow::{Delta, Note, Standing};
 use miniserde::{Deserialize, json};
 use rootstock::lease::{Holder, LeaseAnswer, LeaseChange};
@@ -233,7 +233,8 @@
         for (model, version, since) in &self.node.in_force().models {
             let version = *version;
             // From then on what is still old takes nothing new, and so loses nothing by being ordered.
-            let left = (since + self.node.bed.borrow().versions.patience()).saturating_sub(now);
+            let wanted = Wanted { version, since: *since };
+            let left = self.node.bed.borrow().versions.until(wanted).saturating_sub(now);
             let mut services: Vec<(String, Vec<(String, SocketAddr, u32)>, usize)> = Vec::new();
             {
                 let bed = self.node.bed.borrow();
