Words of a holder that ended are taken back by the next, and stand no longer than the work

Ruled out: overload, the election, the backlog's estimate. Change: Duty::clear under the new fence; words expire after twice the time for new weights; stories of the election, the words, the budget and the backlog.

--- a/crates/espalier/src/election.rs
+++ b/crates/espalier/src/election.rs
@@ -75,7 +75,7 @@
     }
 
     /// What the rows say now. Servers that are gone stay until their last request has ended.
-    pub fn sync(&mut self, rows: &Rows) {
+    pub fn sync(&mut self, rows: &Rows, now: Nanos) {
         for row in rows.servers() {
             let known = self.by_id.get(&row.id).copied();
             if known.is_none() && (row.standing == Standing::Gone || row.service.is_empty()) {
@@ -105,17 +105,20 @@
         }
         // Whoever has the duty of new weights tells `soon/SERVER/MODEL`, then
         // `load/SERVER/MODEL`: under way, then over with what it runs.
-        for note in rows.notes() {
+        let lasts = self.versions.patience().saturating_mul(2);
+        for (note, at) in rows.notes_at() {
             let mut words = note.key.splitn(3, '/');
             let (Some(kind), Some(id), Some(model)) = (words.next(), words.next(), words.next()) else {
                 continue;
             };
             let Some(&ix) = self.by_id.get(id) else { continue };
             let Some(server) = self.servers[ix].as_mut() else { continue };
+            // Whoever told it may have ended: no server is kept out longer than the work can take.
+            let stands = !note.over && now.saturating_sub(at) < lasts;
             match kind {
                 "load" if note.over && note.value > 0 => runs(&mut server.models, model, note.value),
-                "load" => server.loading |= !note.over,
-                "soon" => server.soon |= !note.over,
+                "load" => server.loading |= stands,
+                "soon" => server.soon |= stands,
                 _ => {}
             }
         }
--- a/crates/espalier/src/versions.rs
+++ b/crates/espalier/src/versions.rs
@@ -36,6 +36,10 @@
         }
     }
 
+    pub fn patience(&self) -> Nanos {
+        self.patience
+    }
+
     /// Something befell the core. It is noticed late, but sooner than the rules call the core settled again.
     pub fn core_changed(&mut self, now: Nanos) {
         self.unsettled = now;
--- /dev/null
+++ b/crates/espalier/tests/election.rs
@@ -0,0 +1,155 @@
+//! The election, the pass-over, the fallback, the budget and the backlog.
+use espalier::{Ask, Backlog, Bed, Budget, BudgetTerms, Ending, Prompt, Turned};
+use fastrand::Rng;
+use hedgerow::{Rows, ServerRow, Standing};
+
+const SECOND: u64 = 1_000_000_000;
+
+fn bed(servers: usize) -> (Bed, Rows) {
+    let mut rows = Rows::new(1, 60 * SECOND, 1_000);
+    for i in 0..servers {
+        let row = ServerRow {
+            id: format!("i-{i}"),
+            service: "s".into(),
+            address: format!("10.0.0.{i}:80"),
+            call_sequence: 1,
+            ..ServerRow::default()
+        };
+        rows.merge_server(row, 0);
+    }
+    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    bed.sync(&rows, 0);
+    (bed, rows)
+}
+
+fn ask(key: u64, tried: &[usize]) -> Ask<'_> {
+    Ask { service: "s", key, model: None, tokens_out: 0, tried }
+}
+
+#[test]
+fn given_the_same_servers_when_two_nodes_choose_then_they_agree() {
+    let ((a, _), (b, _)) = (bed(9), bed(9));
+    for key in 0..500 {
+        let id = |bed: &Bed| bed.get(bed.choose(&ask(key, &[]), 0).unwrap().server).unwrap().id.clone();
+        assert_eq!(id(&a), id(&b));
+    }
+}
+
+#[test]
+fn given_a_server_over_the_bar_when_its_key_comes_then_the_next_in_order_takes_it() {
+    let (mut bed, _) = bed(4);
+    let winner = bed.choose(&ask(1, &[]), 0).unwrap().server;
+    let next = bed.choose(&ask(1, &[winner]), 0).unwrap().server;
+    // A floor of two: the third is still taken.
+    for _ in 0..3 {
+        assert_eq!(bed.choose(&ask(1, &[]), 0).unwrap().server, winner);
+        bed.begin(winner, 10);
+    }
+    (0..4).filter(|&i| i != winner).for_each(|i| {
+        bed.begin(i, 10);
+        bed.end(i, 10, Ending::Answered, 0);
+    });
+    assert_eq!(bed.choose(&ask(1, &[]), 0).unwrap().server, next);
+    bed.end(winner, 10, Ending::Answered, 0);
+    assert_eq!(bed.choose(&ask(1, &[]), 0).unwrap().server, winner);
+}
+
+#[test]
+fn given_a_draining_or_gone_server_then_nothing_new_goes_there() {
+    let (mut bed, mut rows) = bed(2);
+    let first = bed.choose(&ask(5, &[]), 0).unwrap().server;
+    let id = bed.get(first).unwrap().id.clone();
+    let row = rows.server(&id).unwrap().clone();
+    rows.merge_server(ServerRow { standing: Standing::Draining, call_sequence: 2, ..row }, 0);
+    bed.sync(&rows, 0);
+    assert_ne!(bed.choose(&ask(5, &[]), 0).unwrap().server, first);
+    let other = bed.get(1 - first).unwrap().id.clone();
+    rows.leave(&other, 0);
+    bed.sync(&rows, 0);
+    assert_eq!(bed.choose(&ask(5, &[]), 0), Err(Turned::None));
+}
+
+#[test]
+fn given_an_unreachable_server_when_a_probe_comes_through_then_it_is_back_without_a_fixed_wait() {
+    let (mut bed, _) = bed(2);
+    let first = bed.choose(&ask(5, &[]), 0).unwrap().server;
+    bed.begin(first, 0);
+    bed.end(first, 0, Ending::Unreachable, 0);
+    assert_ne!(bed.choose(&ask(5, &[]), 1).unwrap().server, first);
+    assert!(bed.probes(SECOND).contains(&first));
+    bed.reached(first);
+    assert_eq!(bed.choose(&ask(5, &[]), 1).unwrap().server, first);
+}
+
+#[test]
+fn given_a_request_that_fails_anywhere_when_servers_break_over_it_then_none_is_blamed() {
+    let (mut bed, _) = bed(3);
+    for ix in 0..3 {
+        bed.begin(ix, 0);
+        bed.end(ix, 0, Ending::Broke, 0);
+        bed.begin(ix, 0);
+        bed.end(ix, 0, Ending::Declined, 0);
+    }
+    assert!(bed.all().all(|(_, s)| !s.suspected()));
+    assert!(bed.choose(&ask(1, &[]), 0).is_ok());
+}
+
+/// Every window of the terms' length, wherever it falls.
+#[test]
+fn given_many_nodes_that_spend_all_they_may_then_no_window_holds_more_than_the_budget() {
+    let terms = BudgetTerms { ratio: 0.2, slack: 64.0, window: 10 * SECOND };
+    let mut rng = Rng::with_seed(3);
+    let nodes = 12;
+    let mut budgets: Vec<Budget> = (0..nodes).map(|_| Budget::new(terms, 0, 0)).collect();
+    let (mut asked, mut spent) = (Vec::new(), Vec::new());
+    let mut now = 0;
+    while now < 60 * SECOND {
+        now += rng.u64(..SECOND / 50);
+        let node = rng.usize(..nodes);
+        if rng.bool() {
+            budgets[node].asked(now);
+            asked.push(now);
+        }
+        if budgets[node].take(nodes, now) {
+            spent.push(now);
+        }
+    }
+    assert!(spent.len() > 300, "{}", spent.len());
+    for from in (0..50 * SECOND).step_by((SECOND / 7) as usize) {
+        let within =
+            |all: &[u64]| all.iter().filter(|&&t| (from..from + terms.window).contains(&t)).count() as f64;
+        let allowed = terms.ratio * within(&asked) + terms.slack;
+        assert!(within(&spent) <= allowed, "{} of {allowed} from {from}", within(&spent));
+    }
+}
+
+#[test]
+fn given_a_process_that_started_anew_then_it_mints_no_new_slack() {
+    let terms = BudgetTerms { ratio: 0.2, slack: 64.0, window: 10 * SECOND };
+    let mut budget = Budget::new(terms, 0, 0);
+    assert!(!budget.take(1, SECOND));
+    assert!(budget.take(1, 11 * SECOND));
+}
+
+#[test]
+fn given_prompts_that_wait_when_a_small_one_comes_then_it_waits_for_none_of_the_large() {
+    let mut backlog = Backlog::default();
+    backlog.sent(1, 20_000.0, 4, 0);
+    assert_eq!(backlog.wait(0, 0), 0);
+    assert!(backlog.wait(4, 0) > 400_000_000);
+    backlog.over(1, true, SECOND / 2);
+    assert_eq!(backlog.wait(4, SECOND), 0);
+    // One that is never heard of again does not count for ever.
+    backlog.sent(2, 20_000.0, 4, SECOND);
+    assert_eq!(backlog.wait(4, 30 * SECOND), 0);
+}
+
+#[test]
+fn given_a_prompt_then_its_key_is_the_deepest_shared_part_behind_its_wall() {
+    let a = Prompt::read(Some("aa:10,bb:20,c1:5"), Some("35,7"));
+    let b = Prompt::read(Some("aa:10,bb:20,c2:9"), Some("39,7"));
+    assert_eq!(a.key("m/"), b.key("m/"));
+    assert_ne!(a.key("m/"), a.key("m/tenant"));
+    assert_eq!((a.tokens_in, a.tokens_out, a.shared().len()), (35, 7, 2));
+    assert_eq!(Prompt::read(Some("junk,,x:y"), None).key(""), None);
+}
--- /dev/null
+++ b/crates/espalier/tests/words.rs
@@ -0,0 +1,90 @@
+//! What the holder of new weights tells, and how long it stands.
+use espalier::{Ask, Bed, Turned, Wanted};
+use fastrand::Rng;
+use hedgerow::{ModelAt, Note, Rows, ServerRow};
+
+const SECOND: u64 = 1_000_000_000;
+
+fn rows(servers: &[&str]) -> Rows {
+    let mut rows = Rows::new(1, 60 * SECOND, 100);
+    for (i, id) in servers.iter().enumerate() {
+        let row = ServerRow {
+            id: (*id).into(),
+            service: "s".into(),
+            address: format!("10.0.0.{i}:80"),
+            call_sequence: 1,
+            models: vec![ModelAt { name: "m".into(), version: 1 }].into(),
+            ..ServerRow::default()
+        };
+        rows.merge_server(row, 0);
+    }
+    rows
+}
+
+fn note(key: &str, fence: u64, value: u64, over: bool) -> Note {
+    Note { key: key.into(), fence, number: 1, value, over }
+}
+
+fn ask<'a>(key: u64, tokens_out: u64) -> Ask<'a> {
+    Ask { service: "s", key, model: Some("m"), tokens_out, tried: &[] }
+}
+
+#[test]
+fn given_a_server_under_an_order_when_its_holder_ends_then_it_is_not_kept_out_for_ever() {
+    let mut rows = rows(&["a"]);
+    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    rows.merge_note(note("load/a/m", 3, 2, false), 0);
+    bed.sync(&rows, 0);
+    assert_eq!(bed.choose(&ask(7, 0), 0), Err(Turned::Unready));
+    // Nobody takes the word back: it stands no longer than the work can take.
+    bed.sync(&rows, 13 * SECOND);
+    assert!(bed.choose(&ask(7, 0), 13 * SECOND).is_ok());
+}
+
+#[test]
+fn given_a_word_left_behind_when_the_next_holder_takes_it_back_then_the_server_serves_at_once() {
+    let mut rows = rows(&["a"]);
+    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    rows.merge_note(note("load/a/m", 3, 2, false), 0);
+    rows.merge_note(note("load/a/m", 4, 0, true), SECOND);
+    bed.sync(&rows, SECOND);
+    assert!(bed.choose(&ask(7, 0), SECOND).is_ok());
+    // The old holder, thawed, says it again: its fence is lower.
+    assert!(!rows.merge_note(Note { number: 9, ..note("load/a/m", 3, 2, false) }, 2 * SECOND));
+}
+
+#[test]
+fn given_weights_that_are_in_when_it_is_told_then_the_server_runs_them_and_never_goes_back() {
+    let mut rows = rows(&["a"]);
+    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    rows.merge_note(note("load/a/m", 3, 2, true), 0);
+    bed.sync(&rows, 0);
+    assert_eq!(bed.choose(&ask(7, 0), 0).unwrap().version, Some(2));
+    bed.runs(bed.find("a").unwrap(), "m", 1);
+    assert_eq!(bed.choose(&ask(7, 0), 0).unwrap().version, Some(2));
+}
+
+#[test]
+fn given_a_newer_version_when_its_time_is_over_then_nothing_begins_on_older_weights() {
+    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    bed.sync(&rows(&["a"]), 0);
+    bed.versions.told("m", 2, 0, SECOND);
+    assert!(bed.choose(&ask(7, 0), 6 * SECOND).is_ok());
+    assert_eq!(bed.choose(&ask(7, 0), 8 * SECOND), Err(Turned::Unready));
+    // Something befalls the core: the time begins anew, as the rule counts it.
+    bed.versions.core_changed(8 * SECOND);
+    assert!(bed.choose(&ask(7, 0), 9 * SECOND).is_ok());
+    assert_eq!(bed.versions.until(Wanted { version: 2, since: SECOND }), 14 * SECOND);
+}
+
+#[test]
+fn given_a_server_that_takes_weights_soon_when_a_long_generation_comes_then_it_goes_elsewhere() {
+    let mut rows = rows(&["a", "b"]);
+    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    bed.sync(&rows, 0);
+    let key = (0..).find(|&k| bed.get(bed.choose(&ask(k, 0), 0).unwrap().server).unwrap().id == "a").unwrap();
+    rows.merge_note(note("soon/a/m", 1, 2, false), 0);
+    bed.sync(&rows, 0);
+    let to = |bed: &Bed, out| bed.get(bed.choose(&ask(key, out), 0).unwrap().server).unwrap().id.clone();
+    assert_eq!((to(&bed, 6).as_str(), to(&bed, 200).as_str()), ("a", "b"));
+}
--- a/crates/hedgerow/src/rows.rs
+++ b/crates/hedgerow/src/rows.rs
@@ -135,6 +135,10 @@
     pub fn note(&self, key: &str) -> Option<&Note> {
         self.notes.get(key).map(|k| &k.row)
     }
+    /// Notes with when each was last changed here.
+    pub fn notes_at(&self) -> impl Iterator<Item = (&Note, Nanos)> {
+        self.notes.values().map(|k| (&k.row, k.at))
+    }
     pub fn notes(&self) -> impl Iterator<Item = &Note> {
         self.notes.values().map(|k| &k.row)
     }
--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -491,7 +491,7 @@
                 // Another one has its address: ours is not there any more.
                 let mut rows = self.node.rows.borrow_mut();
                 if rows.fall_silent(&id, now) {
-                    self.node.bed.borrow_mut().sync(&rows);
+                    self.node.bed.borrow_mut().sync(&rows, now);
                 }
                 self.node.bed.borrow_mut().suspect(pick.server, now);
                 return;
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -150,7 +150,7 @@
             self.refute();
             self.look_at_core();
             self.look_at_stores();
-            self.bed.borrow_mut().sync(&self.rows.borrow());
+            self.bed.borrow_mut().sync(&self.rows.borrow(), now);
             self.changed();
         }
     }
--- a/crates/orchard/src/registry.rs
+++ b/crates/orchard/src/registry.rs
@@ -115,7 +115,7 @@
         let now = node.now();
         let changed = node.rows.borrow_mut().leave(id, now);
         if changed {
-            node.bed.borrow_mut().sync(&node.rows.borrow());
+            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
             node.changed();
         }
         self.heard.borrow_mut().remove(id);
@@ -179,7 +179,7 @@
             changed |= node.rows.borrow_mut().fall_silent(&id, now);
         }
         if changed {
-            node.bed.borrow_mut().sync(&node.rows.borrow());
+            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
             node.changed();
         }
     }
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -206,7 +206,7 @@
         }
         if rounds.is_multiple_of(16) {
             node.rows.borrow_mut().sweep(now);
-            node.bed.borrow_mut().sync(&node.rows.borrow());
+            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
         }
     }
 }
--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -131,6 +131,7 @@
                 (true, None) => self.acquire().await,
                 (false, Some(held)) if self.busy.borrow().is_empty() => self.release(held).await,
                 (true, Some(held)) if self.node.now() >= held.from => {
+                    self.clear(held);
                     if self.has_work() && self.sure(held).await {
                         self.look().await;
                         self.clone().work(held);
@@ -148,12 +149,34 @@
             Some(LeaseAnswer::Acquired { fence, wait }) => {
                 // A tenth more, for clocks that run unlike.
                 let from = self.node.now() + wait + wait / 10;
-                self.held.set(Some(Held { fence, from }));
+                let held = Held { fence, from };
+                self.held.set(Some(held));
+                self.clear(held);
             }
             _ => tokio::time::sleep(self.node.jitter(LOOK * 4)).await,
         }
     }
 
+    /// What holders before this one told of servers and did not take back: nobody is at work there any more.
+    fn clear(&self, held: Held) {
+        let left: Vec<Note> = {
+            let (rows, bed) = (self.node.rows.borrow(), self.node.bed.borrow());
+            let mine = |key: &str| {
+                let id = key.split('/').nth(1).unwrap_or_default();
+                let server = bed.find(id).and_then(|ix| bed.get(ix));
+                server.is_some_and(|s| part_of(&s.service) == self.part)
+            };
+            let kind = |key: &str| key.starts_with("load/") || key.starts_with("soon/");
+            let left =
+                rows.notes().filter(|n| !n.over && n.fence < held.fence && kind(&n.key) && mine(&n.key));
+            left.cloned().collect()
+        };
+        for note in left {
+            let over = Note { fence: held.fence, number: 0, value: 0, over: true, ..note };
+            self.node.learn(Delta { notes: vec![over].into(), ..Delta::default() });
+        }
+    }
+
     async fn release(&self, held: Held) {
         self.held.set(None);
         self.next.borrow_mut().clear();
