rootstock: a fleet under storms by seed, and planted defects

Need: agreement is judged by what holds after every step under loss, crashes, wiped and replaced machines, not by reading. Found by it: upkeep added a member beside one that was lost but not yet heard of, which left too few to spare.

--- a/crates/rootstock/src/register.rs
+++ b/crates/rootstock/src/register.rs
@@ -117,6 +117,11 @@
         self.newest().map_or(&[], |v| &v.state.members)
     }
 
+    /// Everybody whose vote may count at the slot of the newest vote that this node has, chosen or not.
+    pub fn electorate(&self) -> Vec<Member> {
+        self.newest().map_or_else(Vec::new, |v| v.electorate())
+    }
+
     /// Whether this node's vote counts in the newest group that it knows.
     pub fn is_member(&self) -> bool {
         self.members().iter().any(|m| m.disk == self.me.disk)
--- a/crates/rootstock/src/upkeep.rs
+++ b/crates/rootstock/src/upkeep.rs
@@ -5,7 +5,7 @@
 //! | a node at a member's address under another disk | swapped at once: the old disk is gone |
 //! | a member unheard of for `contact` or leaving, a counted node waits | swapped |
 //! | a member unheard of for `contact` or leaving, group above its founding size | removed |
-//! | all members heard of, a counted node waits, fewer than nine | added |
+//! | every member heard of within `contact`, a counted node waits, fewer than nine | added |
 //!
 //! The first of the live members in the part's order does it; each behind it waits a further tenth of `contact`.
 //! Nothing depends on that: a change is judged on the group that it was made for.
@@ -78,6 +78,11 @@
         }
     }
 
+    fn heard(&self, member: &Member) -> bool {
+        member.disk == self.me.disk
+            || self.find(member).and_then(|s| s.heard).is_some_and(|h| h < self.contact)
+    }
+
     fn stays(&self, member: &Member) -> bool {
         self.silent(member) < self.contact && self.find(member).is_none_or(|s| !s.leaving)
     }
@@ -112,7 +117,8 @@
             (Some(index), None) if members.len() > usize::from(self.state.founding) => {
                 Some(self.with(index, None))
             }
-            (None, Some(new)) if members.len() < MOST_MEMBERS => {
+            // One more beside a lost one would leave fewer to spare than before.
+            (None, Some(new)) if members.len() < MOST_MEMBERS && members.iter().all(|m| self.heard(m)) => {
                 let mut to = members.clone();
                 to.push(new.clone());
                 to.sort_unstable();
--- /dev/null
+++ b/crates/rootstock/tests/fleet/weather.rs
@@ -0,0 +1,154 @@
+//! Faults by seed: losses of power and disks, cuts, freezes, disks in trouble, machines replaced.
+use super::{Event, Fleet, MILLISECOND, Nanos};
+
+/// How the net is at the moment, in parts of 256.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Net {
+    pub loss: u8,
+    pub repeat: u8,
+    /// Longest delay.
+    pub delay: Nanos,
+}
+
+impl Net {
+    pub fn calm() -> Net {
+        Net { loss: 0, repeat: 0, delay: 4 * MILLISECOND }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disk {
+    Well,
+    Slow,
+    Stalls,
+    Fails,
+    Full,
+}
+
+impl Fleet {
+    /// One fault, and the time of the next.
+    pub fn fault(&mut self) {
+        if self.now >= self.storm_ends {
+            return;
+        }
+        let pause = self.rng.u64(20..500) * MILLISECOND;
+        self.at(pause, Event::Fault);
+        let present: Vec<usize> = (0..self.nodes.len()).filter(|&n| !self.nodes[n].gone).collect();
+        let node = present[self.rng.usize(..present.len())];
+        let span = self.rng.u64(20..1_500) * MILLISECOND;
+        match self.rng.u8(..20) {
+            0..3 => self.kill(node, span / 4),
+            3..5 => self.lose_power(node, span / 4),
+            5 => {
+                // A whole site: everything back within a second.
+                for node in present {
+                    let back = self.rng.u64(..1_000) * MILLISECOND;
+                    self.lose_power(node, back);
+                }
+            }
+            6..8 if self.may_lose_disk(node) => self.wipe(node, span / 4),
+            8 if self.may_lose_disk(node) => self.replace(node),
+            9..12 => {
+                let other = present[self.rng.usize(..present.len())];
+                let both = self.rng.bool();
+                self.log(|| format!("cut {node} to {other}, both ways {both}, {} ms", span / MILLISECOND));
+                self.cuts.push((node, other, self.now + span));
+                if both {
+                    self.cuts.push((other, node, self.now + span));
+                }
+            }
+            12 => {
+                let side: Vec<bool> = (0..self.nodes.len()).map(|_| self.rng.bool()).collect();
+                self.log(|| format!("cut in two: {side:?}, {} ms", span / MILLISECOND));
+                for a in 0..side.len() {
+                    for b in (0..side.len()).filter(|&b| side[a] != side[b]) {
+                        self.cuts.push((a, b, self.now + span));
+                    }
+                }
+            }
+            13..15 => {
+                self.log(|| format!("freeze {node}, {} ms", span / MILLISECOND));
+                self.nodes[node].frozen_until = self.now + span;
+            }
+            15..18 => {
+                let trouble = [Disk::Slow, Disk::Stalls, Disk::Fails, Disk::Full][self.rng.usize(..4)];
+                self.log(|| format!("disk of {node} {trouble:?}, {} ms", span / MILLISECOND));
+                self.nodes[node].disk = (trouble, self.now + span);
+            }
+            _ => {
+                let net = Net {
+                    loss: self.rng.u8(..90),
+                    repeat: self.rng.u8(..60),
+                    delay: self.rng.u64(1..120) * MILLISECOND,
+                };
+                self.log(|| format!("{net:?}"));
+                self.net = net;
+            }
+        }
+    }
+
+    /// Only as many disks as the first group can spare may be lost at one time, spares' too; groups, also those under
+    /// way, have to be whole again before that many more may.
+    fn may_lose_disk(&self, node: usize) -> bool {
+        let newest = self.judge.newest_state().map(|s| s.members.clone()).unwrap_or_default();
+        let under_way = self.nodes.iter().filter_map(|n| n.register.as_ref()).flat_map(|r| r.electorate());
+        let mut dead: Vec<u64> = newest.into_iter().chain(under_way).map(|m| m.disk).collect();
+        dead.retain(|&disk| !self.nodes.iter().any(|n| !n.gone && n.member.disk == disk));
+        dead.sort_unstable();
+        dead.dedup();
+        let downed = self.nodes[node].member.disk == 0;
+        downed || dead.len() < (self.founding - 1) / 2
+    }
+
+    pub fn kill(&mut self, node: usize, back: Nanos) {
+        if self.nodes[node].register.take().is_none() {
+            return;
+        }
+        self.log(|| format!("kill {node}"));
+        self.die_in_a_save(node);
+        self.nodes[node].files.mend();
+        self.at(back, Event::Start { node });
+    }
+
+    pub fn lose_power(&mut self, node: usize, back: Nanos) {
+        let ran = self.nodes[node].register.take().is_some();
+        self.log(|| format!("power of {node} lost"));
+        if ran {
+            self.die_in_a_save(node);
+            self.at(back, Event::Start { node });
+        }
+        self.nodes[node].files.lose_power();
+    }
+
+    pub fn wipe(&mut self, node: usize, back: Nanos) {
+        self.log(|| format!("wipe {node}"));
+        let ran = self.nodes[node].register.take().is_some();
+        self.nodes[node].files.wipe();
+        self.nodes[node].cellar = None;
+        // From now on nobody has this disk any more, also while its machine is down.
+        if !self.defects.wiped_keeps_id {
+            self.nodes[node].member.disk = 0;
+        }
+        if ran {
+            self.at(back, Event::Start { node });
+        }
+    }
+
+    fn replace(&mut self, node: usize) {
+        self.nodes[node].register = None;
+        self.nodes[node].gone = true;
+        let new = self.add_machine();
+        self.log(|| format!("replace {node} by {new}"));
+        self.at(100 * MILLISECOND, Event::Start { node: new });
+    }
+
+    pub fn mend_all(&mut self) {
+        self.log(|| "all faults end".to_owned());
+        self.net = Net::calm();
+        self.cuts.clear();
+        for node in &mut self.nodes {
+            node.frozen_until = 0;
+            node.disk = (Disk::Well, 0);
+        }
+    }
+}
