--- /dev/null
+++ b/crates/hayfield/tests/audit.rs
@@ -0,0 +1,182 @@
+//! The audit notices each breach, and nothing else.
+use hayfield::audit::broken;
+use hayfield::ledger::{Attempt, Ended, Expected, Kind, Ledger, Order, Run, body_of, event_of, seal_of};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const EVENTS: u64 = 3;
+
+/// Machines of a lab need no process for this.
+fn machines() -> Vec<std::rc::Rc<hayfield::machine::Machine>> {
+    let directory = tempfile::tempdir().expect("a directory");
+    let ground = hayfield::ground::Ground::find(1, &mut fastrand::Rng::new()).expect("free ports");
+    let program = std::path::Path::new("none");
+    let machine = hayfield::machine::Machine::new(0, true, 1, ground, directory.path(), program);
+    vec![std::rc::Rc::new(machine.expect("settings are written"))]
+}
+
+fn attempt(kind: Kind, path: &str, ended: Option<Ended>) -> Attempt {
+    let sent = Instant::now();
+    Attempt { kind, path: path.into(), body: "b".into(), node: 0, sent, expected: Expected::Served, ended }
+}
+
+fn run(id: &str, path: &str, resumed: u64) -> Run {
+    let (instance, body) = ("i-1".to_owned(), "b".to_owned());
+    Run { id: id.into(), instance, path: path.into(), body, at: Instant::now(), version: 1, resumed }
+}
+
+fn whole(run: usize, body: &str) -> Ended {
+    Ended {
+        at: Some(Instant::now()),
+        status: 200,
+        seal: seal_of(run),
+        id: "a".into(),
+        body: body.into(),
+        whole: true,
+        ..Ended::default()
+    }
+}
+
+/// A ledger with one attempt and its runs.
+fn ledger(attempt: Attempt, runs: Vec<Run>) -> Ledger {
+    let ledger = Ledger::default();
+    ledger.attempts.borrow_mut().insert("a".into(), attempt);
+    runs.into_iter().for_each(|r| {
+        ledger.ran(r);
+    });
+    ledger
+}
+
+#[track_caller]
+fn assert_told(ledger: &Ledger, rule: &str) {
+    let found = broken(ledger, &machines(), EVENTS);
+    assert!(found.len() == 1 && found[0].starts_with(rule), "{rule} alone: {found:?}");
+}
+
+fn events(run: usize, from: u64, to: u64) -> String {
+    (from..=to).map(|e| event_of(run, e)).collect()
+}
+
+#[test]
+fn given_a_whole_stream_when_audited_then_nothing_is_told() {
+    let told = whole(0, &events(0, 1, 3));
+    let ledger = ledger(attempt(Kind::Streaming, "/notice/1", Some(told)), vec![run("a", "/notice/1", 0)]);
+    assert_eq!(broken(&ledger, &machines(), EVENTS), Vec::<String>::new());
+}
+
+#[test]
+fn given_a_stream_taken_up_elsewhere_when_audited_then_nothing_is_told() {
+    let told = whole(0, &(events(0, 1, 2) + &events(1, 3, 3)));
+    let runs = vec![run("a", "/audit/1", 0), run("a", "/audit/1", 2)];
+    let ledger = ledger(attempt(Kind::Resumable, "/audit/1", Some(told)), runs);
+    assert_eq!(broken(&ledger, &machines(), EVENTS), Vec::<String>::new());
+}
+
+#[test]
+fn given_pieces_of_another_run_when_audited_then_order_is_told() {
+    let told = whole(0, &(events(0, 1, 2) + &events(7, 3, 3)));
+    let ledger = ledger(attempt(Kind::Streaming, "/notice/1", Some(told)), vec![run("a", "/notice/1", 0)]);
+    assert_told(&ledger, "ORDER");
+}
+
+#[test]
+fn given_a_short_stream_that_looks_complete_when_audited_then_order_is_told() {
+    let told = whole(0, &events(0, 1, 2));
+    let ledger = ledger(attempt(Kind::Streaming, "/notice/1", Some(told)), vec![run("a", "/notice/1", 0)]);
+    assert_told(&ledger, "ORDER");
+}
+
+#[test]
+fn given_a_second_run_of_a_write_when_audited_then_twice_is_told() {
+    let told = whole(0, &body_of(0));
+    let runs = vec![run("a", "/assign/1", 0), run("a", "/assign/1", 0)];
+    let ledger = ledger(attempt(Kind::NonIdempotent, "/assign/1", Some(told)), runs);
+    assert_told(&ledger, "TWICE");
+}
+
+#[test]
+fn given_a_promise_and_a_run_when_audited_then_refused_is_told() {
+    let told = Ended { at: Some(Instant::now()), status: 503, whole: true, ..Ended::default() };
+    let ledger =
+        ledger(attempt(Kind::NonIdempotent, "/assign/1", Some(told)), vec![run("a", "/assign/1", 0)]);
+    assert_told(&ledger, "REFUSED");
+}
+
+#[test]
+fn given_a_success_without_its_seal_when_audited_then_mixed_is_told() {
+    let told = Ended { seal: String::new(), ..whole(0, &body_of(0)) };
+    let ledger = ledger(attempt(Kind::Idempotent, "/swap/1", Some(told)), vec![run("a", "/swap/1", 0)]);
+    assert_told(&ledger, "MIXED");
+}
+
+#[test]
+fn given_a_run_that_nobody_asked_for_when_audited_then_unasked_is_told() {
+    let ledger = Ledger::default();
+    ledger.ran(run("b", "/swap/1", 0));
+    assert_told(&ledger, "UNASKED");
+}
+
+#[test]
+fn given_a_connection_that_ended_in_a_calm_time_when_audited_then_lost_is_told() {
+    let told = Ended { at: Some(Instant::now()), ..Ended::default() };
+    let ledger = ledger(attempt(Kind::Streaming, "/notice/1", Some(told)), vec![]);
+    assert_told(&ledger, "LOST");
+}
+
+#[test]
+fn given_a_connection_that_ended_with_its_server_when_audited_then_nothing_is_told() {
+    let told = Ended { at: Some(Instant::now()), ..Ended::default() };
+    let ledger = ledger(attempt(Kind::Streaming, "/notice/1", Some(told)), vec![run("a", "/notice/1", 0)]);
+    ledger.crashed.borrow_mut().insert("i-1".into());
+    assert_eq!(broken(&ledger, &machines(), EVENTS), Vec::<String>::new());
+}
+
+#[test]
+fn given_a_route_of_the_configuration_when_denied_then_config_is_told() {
+    let told = Ended { at: Some(Instant::now()), status: 404, whole: true, ..Ended::default() };
+    let ledger = ledger(attempt(Kind::Streaming, "/extra-2/look", Some(told)), vec![]);
+    assert_told(&ledger, "CONFIG");
+}
+
+#[test]
+fn given_a_route_that_is_gone_when_it_still_runs_then_config_is_told() {
+    let gone = Attempt { expected: Expected::Denied, ..attempt(Kind::Streaming, "/notice/1", None) };
+    let gone = Attempt { ended: Some(whole(0, &events(0, 1, 3))), ..gone };
+    let ledger = ledger(gone, vec![run("a", "/notice/1", 0)]);
+    assert_told(&ledger, "CONFIG");
+}
+
+#[test]
+fn given_a_drained_server_when_a_run_begins_late_then_drain_is_told() {
+    let told = whole(0, &body_of(0));
+    let late = Run { at: Instant::now() + Duration::from_secs(3), ..run("a", "/swap/1", 0) };
+    let ledger = ledger(attempt(Kind::Idempotent, "/swap/1", Some(told)), vec![late]);
+    ledger.drains.borrow_mut().insert("i-1".into(), Instant::now());
+    assert_told(&ledger, "DRAIN");
+}
+
+#[test]
+fn given_new_weights_when_a_run_begins_on_old_ones_late_then_version_is_told() {
+    let told = whole(0, &body_of(0));
+    let late = Run { at: Instant::now() + Duration::from_secs(9), ..run("a", "/swap/1", 0) };
+    let ledger = ledger(attempt(Kind::Idempotent, "/swap/1", Some(told)), vec![late]);
+    ledger.named.borrow_mut().push((2, Instant::now()));
+    assert_told(&ledger, "VERSION");
+}
+
+#[test]
+fn given_two_holders_under_one_fence_when_audited_then_one_is_told() {
+    let ledger = Ledger::default();
+    let order = |holder: &str, fence| Order {
+        instance: "i-1".into(),
+        holder: holder.into(),
+        fence,
+        version: 2,
+        loads: false,
+    };
+    ledger.orders.borrow_mut().extend([order("n1", 4), order("n2", 4)]);
+    assert_told(&ledger, "ONE");
+    ledger.orders.borrow_mut().clear();
+    ledger.orders.borrow_mut().extend([order("n1", 4), order("n2", 3)]);
+    assert_told(&ledger, "ONE");
+}
--- a/crates/orchard/src/client/commands.rs
+++ b/crates/orchard/src/client/commands.rs
@@ -124,6 +124,9 @@
     };
     let body = read(file)?;
     let method = if is_patch(&body) { Method::Patch } else { Method::Put };
+    if method == Method::Patch && current.is_none() {
+        return Err(ClientError::Against { path: file.display().to_string() });
+    }
     let number = current.as_ref().map_or(0, |d| d.version);
     let next = trellis::change(method, &body, Some(number), current.as_ref()).map_err(invalid(file))?;
     let table = Table::read(&next).map_err(invalid(file))?;
--- a/crates/orchard/src/client/error.rs
+++ b/crates/orchard/src/client/error.rs
@@ -13,6 +13,8 @@
     File { path: String, why: String },
     #[error("{path}: {refusal}")]
     Invalid { path: String, refusal: trellis::Refusal },
+    #[error("{path} is a patch: give --against FILE with what it changes, as `orchard config get` prints it")]
+    Against { path: String },
     #[error("{what} is not {wanted}: mend it and ask again")]
     Word { what: String, wanted: &'static str },
     #[error("the fleet refuses this ({status}): {text}")]
@@ -47,6 +49,7 @@
             | ClientError::Settings(_)
             | ClientError::File { .. }
             | ClientError::Invalid { .. }
+            | ClientError::Against { .. }
             | ClientError::Word { .. } => 2,
             ClientError::Unreached { .. }
             | ClientError::NotMade { .. }
--- /dev/null
+++ b/crates/orchard/tests/client.rs
@@ -0,0 +1,318 @@
+//! The operators' client against scripted nodes, in virtual time.
+mod common;
+
+use common::{Act, Scripted, answers};
+use orchard::client::call::Call;
+use orchard::client::commands::{self, Out};
+use orchard::client::fleet::Fleet;
+use orchard::client::{Ask, ClientError};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+const A: &str = "10.0.0.1:80";
+const B: &str = "10.0.0.2:80";
+const CONFIG: &str = "{\"version\":7,\"routes\":[],\"services\":[]}";
+
+fn addresses(of: &[&str]) -> Vec<SocketAddr> {
+    of.iter().map(|a| a.parse().expect("an address")).collect()
+}
+
+fn change() -> Call {
+    let body = Some(b"{\"version\":8}".to_vec());
+    Call { method: "PUT", path: "/api/config".into(), if_match: Some(7), body }
+}
+
+/// Asks with ten seconds of patience; also what was called.
+async fn ask(
+    net: Scripted, at: &[&str], call: Call,
+) -> (Result<String, ClientError>, Vec<(SocketAddr, String)>) {
+    let calls = net.calls.clone();
+    let fleet = Fleet::new(Rc::new(net), addresses(at), Duration::from_secs(10)).expect("addresses");
+    let local = LocalSet::new();
+    let asked = local.run_until(async { fleet.ask(&call).await.map(|(_, reply)| reply.body) }).await;
+    let calls = calls.borrow().clone();
+    (asked, calls)
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_node_that_answers_when_asked_then_one_call_is_made_in_whole() {
+    let net = Scripted::default().node(A, &[answers(200, "taken")]);
+    let (asked, calls) = ask(net, &[A, B], change()).await;
+    assert_eq!(asked.expect("taken"), "taken");
+    insta::assert_snapshot!(calls[0].1.replace("\r\n", "|"), @r#"PUT /api/config HTTP/1.1|Host: 10.0.0.1:80|Connection: close|If-Match: 7|Content-Type: application/json|Content-Length: 13||{"version":8}"#);
+    assert_eq!(calls.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_nodes_that_fail_when_asked_then_the_next_gets_the_same_call() {
+    for act in [
+        Act::Refuse,
+        Act::Silent,
+        Act::Drops,
+        Act::Answers("no answer at all\r\n\r\n".into()),
+        answers(500, ""),
+        answers(503, ""),
+        answers(504, "unknown"),
+        answers(408, ""),
+        answers(429, ""),
+    ] {
+        let refused = matches!(act, Act::Refuse);
+        let net = Scripted::default().node(A, std::slice::from_ref(&act)).node(B, &[answers(200, "taken")]);
+        let (asked, calls) = ask(net, &[A, B], change()).await;
+        assert_eq!(asked.expect("taken"), "taken", "{act:?}");
+        if !refused {
+            assert_eq!(calls[0].1.replace(A, B), calls[1].1, "{act:?}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_silent_node_when_asked_then_the_next_is_asked_after_a_second() {
+    let net = Scripted::default().node(A, &[Act::Silent]).node(B, &[answers(200, "taken")]);
+    let began = Instant::now();
+    ask(net, &[A, B], change()).await.0.expect("taken");
+    assert!((Duration::from_secs(1)..Duration::from_millis(1_300)).contains(&began.elapsed()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_final_refusal_when_asked_then_nobody_else_is_asked() {
+    for status in [400, 409, 412, 413, 422] {
+        let net = Scripted::default().node(A, &[answers(status, "why and what to do")]);
+        let (asked, calls) = ask(net, &[A, B], change()).await;
+        let told = asked.expect_err("refused");
+        assert_eq!((calls.len(), told.exit_code()), (1, 1));
+        assert!(told.to_string().contains("why and what to do"), "{told}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_another_4xx_when_asked_then_it_is_believed_at_the_third_try() {
+    let net = Scripted::default().node(A, &[answers(405, "")]).node(B, &[answers(404, "")]);
+    let (asked, calls) = ask(net, &[A, B], change()).await;
+    assert!(matches!(asked, Err(ClientError::Refused { status: 405, .. })));
+    assert_eq!(calls.len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_redirects_when_asked_then_two_are_followed_and_no_third() {
+    let to = |at: &str| {
+        Act::Answers(format!(
+            "HTTP/1.1 307 Word\r\nLocation: http://{at}/api/config\r\nContent-Length: 0\r\n\r\n"
+        ))
+    };
+    let c = "10.0.0.3:80";
+    let net = Scripted::default().node(A, &[to(B)]).node(B, &[to(c)]).node(c, &[answers(200, "taken")]);
+    assert_eq!(ask(net, &[A], change()).await.0.expect("taken"), "taken");
+    let net = Scripted::default().node(A, &[to(A)]);
+    let (asked, calls) = ask(net, &[A], change()).await;
+    assert!(matches!(asked, Err(ClientError::NotMade { .. })));
+    assert!(calls.len() % 3 == 0, "{}", calls.len());
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_no_clear_answer_when_patience_is_over_then_what_may_be_is_told_and_the_code_is_3() {
+    let cases = [
+        (Act::Refuse, "nothing was sent"),
+        (answers(503, "no quorum"), "nothing was changed"),
+        (answers(504, "no quorum"), "may be in force or not"),
+        (Act::Silent, "may be in force or not"),
+        (Act::Drops, "may be in force or not"),
+    ];
+    for (act, wanted) in cases {
+        let began = Instant::now();
+        let net = Scripted::default().node(A, std::slice::from_ref(&act));
+        let told = ask(net, &[A], change()).await.0.expect_err("no clear answer");
+        assert_eq!(told.exit_code(), 3);
+        assert!(told.to_string().contains(wanted), "{act:?}: {told}");
+        assert!(began.elapsed() <= Duration::from_secs(10), "{:?}", began.elapsed());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_lost_answer_then_a_refusal_when_patience_is_over_then_doubt_remains() {
+    let net = Scripted::default().node(A, &[Act::Drops, answers(503, "no quorum")]);
+    assert!(matches!(ask(net, &[A], change()).await.0, Err(ClientError::Unclear { .. })));
+}
+
+/// Runs a subcommand; gives back what it printed and remarked.
+async fn run(net: Scripted, what: Ask) -> (Result<(), ClientError>, String, String) {
+    let (mut result, mut remark) = (Vec::new(), Vec::new());
+    let local = LocalSet::new();
+    let done = {
+        let mut out = Out { result: &mut result, remark: &mut remark };
+        let asking = commands::run(&what, addresses(&[A]), Duration::from_secs(5), Rc::new(net), &mut out);
+        local.run_until(asking).await
+    };
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    (done, text(result), text(remark))
+}
+
+struct Files(tempfile::TempDir);
+
+impl Files {
+    fn new() -> Files {
+        Files(tempfile::tempdir().expect("a directory"))
+    }
+    fn with(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.path().join(name);
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_no_if_match_when_put_then_the_version_in_force_is_read_and_said() {
+    let files = Files::new();
+    let file = files.with("next.json", "{\"version\":9,\"routes\":[],\"services\":[]}");
+    let net = Scripted::default().node(A, &[answers(200, CONFIG), answers(200, "taken")]);
+    let calls = net.calls.clone();
+    let (done, result, remark) = run(net, Ask::Put { file, if_match: None }).await;
+    done.expect("taken");
+    assert_eq!(remark, "orchard: builds on version 7, which is in force now\n");
+    assert_eq!(result, "taken (10.0.0.1:80, on top of version 7)\n");
+    assert!(calls.borrow()[1].1.contains("If-Match: 7\r\n"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_no_configuration_yet_when_put_then_it_is_the_first() {
+    let files = Files::new();
+    let file = files.with("first.json", CONFIG);
+    let acts = [answers(404, ""), answers(404, ""), answers(404, ""), answers(200, "taken")];
+    let (done, _, remark) = run(Scripted::default().node(A, &acts), Ask::Put { file, if_match: None }).await;
+    done.expect("taken");
+    assert_eq!(remark, "orchard: no configuration is in force yet: this is the first\n");
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_configuration_that_is_invalid_when_put_then_nothing_is_sent_and_the_code_is_2() {
+    let files = Files::new();
+    let file = files.with("bad.json", "{\"version\":9,\"routes\":[{\"name\":\"r\"}],\"services\":[]}");
+    let net = Scripted::default().node(A, &[answers(200, "taken")]);
+    let calls = net.calls.clone();
+    let (done, ..) = run(net, Ask::Put { file, if_match: Some(7) }).await;
+    let told = done.expect_err("invalid");
+    assert_eq!((told.exit_code(), calls.borrow().len()), (2, 0));
+    assert!(told.to_string().contains("bad.json: routes[0] (`r`)"), "{told}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_patch_of_a_version_that_is_not_above_when_sent_then_it_is_refused_here() {
+    let files = Files::new();
+    let file = files.with("patch.json", "{\"version\":7,\"upsert_items\":{}}");
+    let net = Scripted::default().node(A, &[answers(200, CONFIG)]);
+    let (done, ..) = run(net, Ask::Patch { file, if_match: None }).await;
+    assert!(done.expect_err("refused").to_string().contains("`version` 7 is not above 7"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_version_when_named_then_model_and_version_are_sent() {
+    let net = Scripted::default().node(A, &[answers(200, "named")]);
+    let calls = net.calls.clone();
+    let (done, ..) = run(net, Ask::NameVersion { model: "m \"1\"".into(), version: 2 }).await;
+    done.expect("named");
+    assert!(calls.borrow()[0].1.ends_with("{\"model\":\"m \\\"1\\\"\",\"version\":2}"));
+    let (done, ..) = run(Scripted::default(), Ask::NameVersion { model: "m".into(), version: 0 }).await;
+    assert_eq!(done.expect_err("bad input").exit_code(), 2);
+}
+
+const STATUS: &str = "{\"node\":\"core-0\",\"ready\":true,\"config_version\":7,\"member\":true,\"in_touch\":true,\
+    \"heard_ms_ago\":12,\"open_requests\":3,\"group\":[\"core-0\",\"core-1\"],\"nodes\":[{\"name\":\"core-0\",\
+    \"internal\":\"10.0.0.1:90\",\"control\":\"10.0.0.1:80\",\"zone\":\"z1\",\"counted\":true,\"leaving\":false,\
+    \"silent\":false},{\"name\":\"core-1\",\"internal\":\"10.0.0.2:90\",\"control\":\"10.0.0.2:80\",\"zone\":\"z2\",\
+    \"counted\":true,\"leaving\":false,\"silent\":true}],\"servers\":[{\"id\":\"i-1\",\"service\":\"models\",\
+    \"address\":\"10.0.1.1:80\",\"zone\":\"z1\",\"standing\":\"ready\",\"silent\":false,\"suspected\":true,\
+    \"loading\":false,\"in_flight\":2}]}";
+
+#[tokio::test(start_paused = true)]
+async fn given_a_status_when_shown_then_it_is_a_table() {
+    let net = Scripted::default().node(A, &[answers(200, STATUS)]);
+    let (done, result, remark) = run(net, Ask::Status { all: false, json: false }).await;
+    done.expect("answered");
+    assert_eq!(remark, "");
+    insta::assert_snapshot!(result, @r"
+    ASKED   AT           CONFIG  IS                     HEARD_MS_AGO  OPEN  GROUP
+    core-0  10.0.0.1:80  7       ready member in-touch  12            3     core-0,core-1
+
+    NODE    INTERNAL     ZONE  IS
+    core-0  10.0.0.1:90  z1    counted
+    core-1  10.0.0.2:90  z2    counted silent
+
+    SERVER  SERVICE  ADDRESS      ZONE  IS               IN_FLIGHT
+    i-1     models   10.0.1.1:80  z1    ready suspected  2
+    ");
+}
+
+#[tokio::test(start_paused = true)]
+async fn given_a_node_that_is_down_when_all_are_asked_then_it_is_remarked() {
+    let net = Scripted::default().node(A, &[answers(200, STATUS)]);
+    let (done, result, remark) = run(net, Ask::Status { all: true, json: true }).await;
+    done.expect("answered");
+    assert_eq!(result, format!("{STATUS}\n"));
+    assert!(remark.starts_with("orchard: core-1: no node could be reached"), "{remark}");
+}
+
+#[test]
+fn given_files_when_checked_then_verdict_and_remedy_are_told() {
+    let files = Files::new();
+    let whole = files.with("whole.json", CONFIG);
+    let patch = files.with("patch.json", "{\"version\":9,\"remove_names\":{\"routes\":[\"gone\"]}}");
+    let broken = files.with("broken.json", "{\"version\":9");
+    let check = |file: &PathBuf, against: Option<&PathBuf>| {
+        let (mut result, mut remark) = (Vec::new(), Vec::new());
+        let mut out = Out { result: &mut result, remark: &mut remark };
+        let done = commands::check(file, against.map(PathBuf::as_path), &mut out);
+        let folder = file.parent().expect("a folder").display().to_string() + "/";
+        let said = String::from_utf8(result).expect("text");
+        done.map_or_else(|e| format!("{}: {e}", e.exit_code()), |()| said).replace(&folder, "")
+    };
+    let all = [
+        check(&whole, None),
+        check(&patch, Some(&whole)),
+        check(&patch, None),
+        check(&whole, Some(&whole)),
+        check(&broken, None),
+        check(&files.0.path().join("none.json"), None),
+    ];
+    insta::assert_snapshot!(all.join("\n"), @r"
+    whole.json: may be sent; version 7, 0 routes, 0 services, 0 tenants, 39 bytes
+
+    patch.json: may be sent; version 9, 0 routes, 0 services, 0 tenants, 39 bytes
+
+    2: patch.json is a patch: give --against FILE with what it changes, as `orchard config get` prints it
+    2: whole.json: `version` 7 is not above 7, which is in force: choose a higher one
+    2: broken.json: the JSON ends at byte 12 before it is whole: send it again in whole
+    2: none.json: cannot be read (No such file or directory (os error 2)): check the path and that you may read it
+    ");
+}
+
+#[test]
+fn given_words_of_the_command_line_when_read_then_they_are_a_command_or_a_fault() {
+    use orchard::client::{Command, command};
+    let read = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        command().run_inner(words.as_slice()).map_err(|e| e.unwrap_stderr())
+    };
+    let at = addresses(&[A, B]);
+    assert_eq!(
+        read("config put --at 10.0.0.1:80,10.0.0.2:80 --patience 3 --if-match 4 f.json").expect("read"),
+        Command::Ask { ask: Ask::Put { file: "f.json".into(), if_match: Some(4) }, at, patience_s: 3 }
+    );
+    assert_eq!(
+        read("status --all").expect("read"),
+        Command::Ask { ask: Ask::Status { all: true, json: false }, at: vec![], patience_s: 10 }
+    );
+    for wrong in [
+        "",
+        "status --at ten",
+        "status --patience 0",
+        "config put",
+        "config put --if-match x f",
+        "version-put m two",
+    ] {
+        read(wrong).expect_err(wrong);
+    }
+}
--- /dev/null
+++ b/crates/orchard/tests/statute.rs
@@ -0,0 +1,202 @@
+//! What changes mean to the configuration's part: the same on every member, whatever order repeats come in.
+use nanoserde::SerBin;
+use orchard::statute::{Change, Statute, Statutes, Verdict};
+use rootstock::{Applied, Machine};
+use trug::Blob;
+
+/// The part's body as it goes from change to change.
+#[derive(Default)]
+struct Part(Vec<u8>);
+
+impl Part {
+    fn apply_bytes(&mut self, change: &[u8]) -> Verdict {
+        match Statutes.apply(&self.0, change) {
+            Applied::Changed { body, answer } => {
+                assert_ne!(body, self.0, "what is called changed has changed");
+                self.0 = body;
+                trug::read(&answer).expect("a verdict")
+            }
+            Applied::Unchanged { answer } => trug::read(&answer).expect("a verdict"),
+        }
+    }
+    fn apply(&mut self, change: &Change) -> u16 {
+        self.apply_bytes(&change.serialize_bin()).status
+    }
+    fn statute(&self) -> Statute {
+        Statute::read(&self.0).expect("a statute")
+    }
+    fn version(&self) -> u64 {
+        self.statute().version
+    }
+}
+
+fn put(on: u64, version: u64, note: &str) -> Change {
+    let body = format!("{{\"version\":{version},\"routes\":[],\"services\":[],\"note\":\"{note}\"}}");
+    Change::Put { if_match: Some(on), body: Blob(body.into_bytes()) }
+}
+
+fn patch(on: u64, text: &str) -> Change {
+    Change::Patch { if_match: Some(on), body: Blob(text.as_bytes().to_vec()) }
+}
+
+fn name(model: &str, version: u64) -> Change {
+    Change::Name { model: model.to_owned(), version }
+}
+
+#[test]
+fn given_nothing_yet_when_read_then_it_is_404_and_nothing_changes() {
+    let mut part = Part::default();
+    assert_eq!(part.apply(&Change::Get), 404);
+    assert!(part.0.is_empty());
+}
+
+#[test]
+fn given_a_first_configuration_when_put_then_it_is_read_back_as_it_was_sent() {
+    let mut part = Part::default();
+    assert_eq!(part.apply(&put(0, 3, "a")), 200);
+    let read = part.apply_bytes(&Change::Get.serialize_bin());
+    assert_eq!(read.status, 200);
+    assert_eq!(read.text, "{\"version\":3,\"routes\":[],\"services\":[],\"note\":\"a\"}");
+}
+
+#[test]
+fn given_the_same_body_again_when_put_then_it_is_200_and_nothing_changes() {
+    let mut part = Part::default();
+    part.apply(&put(0, 3, "a"));
+    let before = part.0.clone();
+    assert_eq!(part.apply(&put(0, 3, "a")), 200);
+    assert_eq!(part.0, before);
+}
+
+#[test]
+fn given_a_body_that_was_overtaken_when_it_comes_again_then_it_is_200_and_does_not_come_back() {
+    let mut part = Part::default();
+    part.apply(&put(0, 3, "a"));
+    part.apply(&put(3, 5, "b"));
+    assert_eq!(part.apply(&put(0, 3, "a")), 200);
+    assert_eq!(part.version(), 5);
+}
+
+#[test]
+fn given_two_on_one_version_when_put_then_one_wins_and_the_other_never_comes_in() {
+    let mut part = Part::default();
+    part.apply(&put(0, 3, "a"));
+    assert_eq!(part.apply(&put(3, 5, "b")), 200);
+    for _ in 0..3 {
+        assert_eq!(part.apply(&put(3, 7, "c")), 412);
+    }
+    assert_eq!(part.version(), 5);
+    // Built on the winner it is another change.
+    assert_eq!(part.apply(&put(5, 7, "c")), 200);
+}
+
+#[test]
+fn given_two_of_one_number_when_put_then_one_wins() {
+    let mut part = Part::default();
+    part.apply(&put(0, 3, "a"));
+    assert_eq!(part.apply(&put(3, 5, "b")), 200);
+    assert_eq!(part.apply(&put(3, 5, "c")), 412);
+    assert!(part.statute().text.contains("\"b\""));
+}
+
+#[test]
+fn given_no_if_match_when_put_then_only_the_first_is_taken() {
+    let mut part = Part::default();
+    let bare = |version: u64| {
+        let body = format!("{{\"version\":{version},\"routes\":[],\"services\":[]}}");
+        Change::Put { if_match: None, body: Blob(body.into_bytes()) }
+    };
+    assert_eq!(part.apply(&bare(1)), 200);
+    assert_eq!(part.apply(&bare(2)), 412);
+}
+
+#[test]
+fn given_invalid_bodies_when_put_then_each_is_a_4xx_and_nothing_changes() {
+    let mut part = Part::default();
+    part.apply(&put(0, 3, "a"));
+    let before = part.0.clone();
+    let bodies: [&[u8]; 6] = [
+        b"",
+        b"{\"version\":4",
+        b"\xff",
+        b"{\"version\":3,\"routes\":[],\"services\":[]}",
+        b"{\"version\":4,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/a/\",\"service\":\"none\",\
+          \"timeout_ms\":1}],\"services\":[]}",
+        b"[]",
+    ];
+    for body in bodies {
+        let change = Change::Put { if_match: Some(3), body: Blob(body.to_vec()) };
+        let status = part.apply(&change);
+        assert!(matches!(status, 400 | 422), "{status}");
+        assert_eq!(part.0, before);
+    }
+}
+
+#[test]
+fn given_a_patch_when_applied_then_its_items_come_and_go_and_its_repeat_is_200() {
+    let mut part = Part::default();
+    let whole =
+        "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}],\"tenants\":[]}";
+    part.apply(&Change::Put { if_match: Some(0), body: Blob(whole.as_bytes().to_vec()) });
+    let text = "{\"version\":4,\"upsert_items\":{\"services\":[{\"name\":\"u\"}]},\
+                \"remove_names\":{\"services\":[\"s\"]}}";
+    assert_eq!(part.apply(&patch(1, text)), 200);
+    let after = part.statute();
+    assert_eq!(after.version, 4);
+    assert!(!after.text.contains("\"s\"") && after.text.contains("\"u\""), "{}", after.text);
+    assert_eq!(part.apply(&patch(1, text)), 200);
+    assert_eq!(part.version(), 4);
+    // The same bytes as a whole configuration are another change.
+    assert_eq!(part.apply(&Change::Put { if_match: Some(1), body: Blob(text.as_bytes().to_vec()) }), 412);
+}
+
+#[test]
+fn given_nothing_yet_when_patched_then_it_is_refused() {
+    let mut part = Part::default();
+    assert_eq!(part.apply(&patch(0, "{\"version\":1,\"upsert_items\":{}}")), 422);
+}
+
+#[test]
+fn given_versions_of_weights_when_named_then_they_only_rise() {
+    let mut part = Part::default();
+    assert_eq!(part.apply(&name("m", 2)), 200);
+    assert_eq!(part.apply(&name("m", 1)), 200);
+    assert_eq!(part.apply(&name("n", 1)), 200);
+    let named: Vec<(String, u64)> =
+        part.statute().models.iter().map(|m| (m.model.clone(), m.version)).collect();
+    assert_eq!(named, [("m".to_owned(), 2), ("n".to_owned(), 1)]);
+    assert_eq!(part.apply(&name("", 1)), 400);
+    assert_eq!(part.apply(&name("m", 0)), 400);
+    assert_eq!(part.apply(&name(&"m".repeat(300), 1)), 400);
+}
+
+#[test]
+fn given_a_configuration_when_weights_are_named_then_it_stays_as_it_was() {
+    let mut part = Part::default();
+    part.apply(&put(0, 3, "a"));
+    let text = part.statute().text;
+    part.apply(&name("m", 2));
+    assert_eq!((part.version(), part.statute().text), (3, text));
+    assert_eq!(part.apply(&put(3, 4, "b")), 200);
+}
+
+#[test]
+fn given_many_changes_when_taken_then_what_is_remembered_of_them_is_bounded() {
+    let mut part = Part::default();
+    for version in 1..=400 {
+        assert_eq!(part.apply(&put(version - 1, version, "a")), 200);
+    }
+    assert_eq!(part.statute().taken.len(), 256);
+    // One that is forgotten is stale, not taken again.
+    assert_eq!(part.apply(&put(0, 1, "a")), 412);
+}
+
+#[test]
+fn given_bytes_of_another_release_when_applied_then_they_are_told_and_nothing_changes() {
+    let mut part = Part::default();
+    assert_eq!(part.apply_bytes(b"\xff\xff").status, 400);
+    let mut strange = Part(vec![1, 2, 3]);
+    let told = strange.apply_bytes(&Change::Get.serialize_bin());
+    assert_eq!((told.status, strange.0.as_slice()), (500, &[1, 2, 3][..]));
+    assert!(told.text.contains("bring all nodes to one"));
+}
