--- a/crates/orchard/src/main.rs
+++ b/crates/orchard/src/main.rs
@@ -73,6 +73,8 @@
     let done = done.and_then(|()| out.result.flush().map_err(ClientError::Output));
     match done {
         Ok(()) => ExitCode::SUCCESS,
+        // Its reader, `head` say, has what it wanted.
+        Err(ClientError::Output(why)) if why.kind() == std::io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("orchard: {why}");
             ExitCode::from(why.exit_code())
