--- a/crates/hayfield/src/client.rs
+++ b/crates/hayfield/src/client.rs
@@ -1,6 +1,6 @@
 //! The platform in front, which asks nodes whether they are ready, and clients by the protocol page: a new id a try,
 //! retries by what was promised, a whole answer or none.
-use crate::ledger::{Attempt, Ended, Expected, Kind, Ledger};
+use crate::ledger::{Attempt, Ended, Kind, Ledger};
 use crate::machine::Machine;
 use crate::{HOST, MODEL};
 use bytes::BytesMut;
@@ -41,7 +41,6 @@
 pub struct Wish {
     pub kind: Kind,
     pub path: String,
-    pub expected: Expected,
     pub patience: Duration,
 }
 
@@ -122,15 +121,8 @@
         let topic = self.rng.borrow_mut().u8(..8);
         let body = format!("work of {id}");
         let sent = Instant::now();
-        let attempt = Attempt {
-            kind: wish.kind,
-            path: wish.path.clone(),
-            body: body.clone(),
-            node,
-            sent,
-            expected: wish.expected,
-            ended: None,
-        };
+        let attempt =
+            Attempt { kind: wish.kind, path: wish.path.clone(), body: body.clone(), node, sent, ended: None };
         self.ledger.attempts.borrow_mut().insert(id.clone(), attempt);
         let left = until.saturating_duration_since(sent).as_millis().max(1);
         let text = format!(
--- a/crates/hayfield/src/ledger.rs
+++ b/crates/hayfield/src/ledger.rs
@@ -21,14 +21,6 @@
     }
 }
 
-/// What the configuration says of a request beyond its routes of always.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Expected {
-    Served,
-    /// Its route is gone for long.
-    Denied,
-}
-
 /// One try of a client, under an id of its own.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -37,7 +29,6 @@
     pub body: String,
     pub node: usize,
     pub sent: Instant,
-    pub expected: Expected,
     pub ended: Option<Ended>,
 }
 
@@ -71,6 +62,14 @@
     pub resumed: u64,
 }
 
+/// A version of the configuration. Version `n` brings the route `extra-n` and takes the one before away.
+#[derive(Clone, Copy, Debug)]
+pub struct Version {
+    pub number: u64,
+    pub sent: Instant,
+    pub acknowledged: Option<Instant>,
+}
+
 /// An order to a server.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -89,6 +88,7 @@
     /// When draining was acknowledged, by instance.
     pub drains: RefCell<HashMap<String, Instant>>,
     pub crashed: RefCell<HashSet<String>>,
+    pub versions: RefCell<Vec<Version>>,
     /// Versions of weights, and when each was acknowledged.
     pub named: RefCell<Vec<(u64, Instant)>>,
     /// Whatever else went wrong.
@@ -103,6 +103,22 @@
         runs.len() - 1
     }
 
+    /// A version of the configuration leaves the operator.
+    pub fn sends(&self, number: u64) {
+        let sent = Instant::now();
+        self.versions.borrow_mut().push(Version { number, sent, acknowledged: None });
+    }
+
+    pub fn acknowledged(&self, number: u64) {
+        let mut versions = self.versions.borrow_mut();
+        let known = versions.iter_mut().find(|v| v.number == number);
+        known.expect("it was sent").acknowledged = Some(Instant::now());
+    }
+
+    pub fn version(&self, number: u64) -> Option<Version> {
+        self.versions.borrow().iter().find(|v| v.number == number).copied()
+    }
+
     pub fn breach(&self, what: impl Into<String>) {
         self.breaches.borrow_mut().push(what.into());
     }
--- a/crates/hayfield/src/page.rs
+++ b/crates/hayfield/src/page.rs
@@ -7,6 +7,8 @@
 /// From one step to the next.
 pub struct Phase {
     pub name: String,
+    /// As the scenario has it; below 0 before its first step.
+    pub at_s: f64,
     pub from: Instant,
 }
 
@@ -15,7 +17,7 @@
     sorted.get(at).map_or("-".to_owned(), |d| format!("{:.0}", d.as_secs_f64() * 1e3))
 }
 
-fn row(out: &mut String, name: &str, from: f64, came: &[&Came], objective: Duration) {
+fn row(out: &mut String, wide: usize, name: &str, from: f64, came: &[&Came], objective: Duration) {
     let count = |f: &dyn Fn(&Came) -> bool| came.iter().filter(|c| f(c)).count();
     let served = |c: &Came| c.end == End::Served;
     let mut first: Vec<Duration> = came.iter().filter(|c| served(c)).map(|c| c.first).collect();
@@ -23,7 +25,7 @@
     // Writing into a String does not fail.
     let _ = writeln!(
         out,
-        "{name:<24} {from:>6.1} {:>8} {:>8} {:>6} {:>8} {:>7} {:>7} {:>7}",
+        "{name:<wide$} {from:>6.1} {:>8} {:>8} {:>6} {:>8} {:>7} {:>7} {:>7}",
         came.len(),
         count(&|c| served(c) && c.first <= objective),
         count(&|c| served(c) && c.first > objective),
@@ -35,16 +37,17 @@
 }
 
 pub fn table(phases: &[Phase], came: &[Came], objective: Duration, began: Instant) -> String {
+    let wide = phases.iter().map(|p| p.name.len()).max().unwrap_or(0).max(8);
     let mut out = format!(
-        "{:<24} {:>6} {:>8} {:>8} {:>6} {:>8} {:>7} {:>7} {:>7}\n",
+        "{:<wide$} {:>6} {:>8} {:>8} {:>6} {:>8} {:>7} {:>7} {:>7}\n",
         "phase", "from s", "requests", "served", "late", "refused", "failed", "p50 ms", "p99 ms"
     );
     for (n, phase) in phases.iter().enumerate() {
         let next = phases.get(n + 1).map(|p| p.from);
         let of: Vec<&Came> =
             came.iter().filter(|c| c.began >= phase.from && next.is_none_or(|n| c.began < n)).collect();
-        row(&mut out, &phase.name, (phase.from - began).as_secs_f64(), &of, objective);
+        row(&mut out, wide, &phase.name, (phase.from - began).as_secs_f64(), &of, objective);
     }
-    row(&mut out, "all", 0.0, &came.iter().collect::<Vec<_>>(), objective);
+    row(&mut out, wide, "all", 0.0, &came.iter().collect::<Vec<_>>(), objective);
     out
 }
