Status tells versions of weights; a late end writes the ring out, tested with a real process

Need: after version-put nobody could see how far it had come; the dump at the end of the grace period was untested.

--- a/crates/hayfield/src/machine.rs
+++ b/crates/hayfield/src/machine.rs
@@ -15,7 +15,7 @@
 
 /// Zones of every run, each node in the next one.
 pub const ZONES: [&str; 3] = ["field-1", "field-2", "field-3"];
-/// In which a process told to end has to.
+/// In which a process told to end has to, in scenarios.
 pub const GRACE: Duration = Duration::from_secs(8);
 
 pub struct Machine {
@@ -28,14 +28,16 @@
     child: RefCell<Option<Child>>,
     /// When it last began or ended other than by its own will: its requests of that time may be cut off.
     pub troubles: RefCell<Vec<Instant>>,
+    grace: Duration,
     pub counted: bool,
     pub ready: Cell<bool>,
 }
 
 impl Machine {
-    /// Writes its settings under `directory`; `seeds` are machines.
+    /// Writes its settings under `directory`; the first `seeds` machines are seeds, `grace` is in whole seconds.
     pub fn new(
         n: usize, counted: bool, seeds: usize, ground: Ground, directory: &Path, program: &Path,
+        grace: Duration,
     ) -> Result<Machine, LabError> {
         let name = format!("{}-{n}", if counted { "core" } else { "plain" });
         let machine = Machine {
@@ -46,6 +48,7 @@
             log: directory.join(format!("{name}.log")),
             child: RefCell::default(),
             troubles: RefCell::default(),
+            grace,
             counted,
             ready: Cell::new(false),
             name,
@@ -76,7 +79,7 @@
              fault_tolerance.machines=1\nbounds.grace_period_s={}\n",
             seeds.join(","),
             self.counted,
-            GRACE.as_secs()
+            self.grace.as_secs()
         );
         for zone in ZONES {
             let _ = writeln!(text, "zones.{zone}=field");
@@ -138,7 +141,7 @@
         let child = self.child.borrow_mut().take();
         let Some(mut child) = child else { return true };
         let told = child.id().is_some_and(|id| kill(Pid::from_raw(id as i32), Signal::SIGTERM).is_ok());
-        let ended = timeout(GRACE, child.wait()).await;
+        let ended = timeout(self.grace, child.wait()).await;
         let well = told && matches!(&ended, Ok(Ok(status)) if status.success());
         if ended.is_err() {
             self.troubles.borrow_mut().push(Instant::now());
--- a/crates/hayfield/src/play.rs
+++ b/crates/hayfield/src/play.rs
@@ -3,7 +3,7 @@
 use crate::engine::{Engine, Terms, kind_of};
 use crate::ground::Ground;
 use crate::ledger::Ledger;
-use crate::machine::{Machine, ZONES};
+use crate::machine::{GRACE, Machine, ZONES};
 use crate::operator::{Operator, extra};
 use crate::page::{self, Phase};
 use crate::scenario::{Scenario, Step, What};
@@ -68,7 +68,7 @@
     let (core, all) = (scenario.nodes.core, scenario.nodes.core + scenario.nodes.plain);
     // The ground is drawn apart from the scenario's seed, so that two runs of one scenario don't meet.
     let ground = Ground::find(all, &mut fastrand::Rng::new())?;
-    let machine = |n| Machine::new(n, n < core, core.min(3), ground, directory, program).map(Rc::new);
+    let machine = |n| Machine::new(n, n < core, core.min(3), ground, directory, program, GRACE).map(Rc::new);
     let machines = (0..all).map(machine).collect::<Result<Vec<_>, _>>()?;
     let control = machines.iter().map(|m| m.control()).collect();
     let start = |e: orchard::client::ClientError| LabError::Start {
--- a/crates/hayfield/tests/audit.rs
+++ b/crates/hayfield/tests/audit.rs
@@ -11,7 +11,15 @@
     let directory = tempfile::tempdir().expect("a directory");
     let ground = hayfield::ground::Ground::find(1, &mut fastrand::Rng::new()).expect("free ports");
     let program = std::path::Path::new("none");
-    let machine = hayfield::machine::Machine::new(0, true, 1, ground, directory.path(), program);
+    let machine = hayfield::machine::Machine::new(
+        0,
+        true,
+        1,
+        ground,
+        directory.path(),
+        program,
+        Duration::from_secs(8),
+    );
     vec![std::rc::Rc::new(machine.expect("settings are written"))]
 }
 
--- a/crates/orchard/src/client/page.rs
+++ b/crates/orchard/src/client/page.rs
@@ -1,5 +1,5 @@
 //! Nodes' status as tables for people: who was asked, what the first of them knows of nodes and of servers.
-use crate::status::Status;
+use crate::status::{ModelStatus, Status};
 use std::fmt::Write;
 use std::net::SocketAddr;
 
@@ -29,6 +29,11 @@
     if set.is_empty() { "-".to_owned() } else { set.join(" ") }
 }
 
+fn models(of: &[ModelStatus]) -> String {
+    let words: Vec<String> = of.iter().map(|m| format!("{}:{}", m.name, m.version)).collect();
+    if words.is_empty() { "-".to_owned() } else { words.join(",") }
+}
+
 /// `asked`: nodes that answered, with where. What is said of nodes and servers is the first one's view.
 pub fn of(asked: &[(SocketAddr, &Status)]) -> String {
     let own = asked.iter().map(|(at, s)| {
@@ -46,10 +51,11 @@
             flags,
             s.heard_ms_ago.to_string(),
             s.open_requests.to_string(),
+            models(&s.models),
             group,
         ]
     });
-    let head = ["ASKED", "AT", "CONFIG", "IS", "HEARD_MS_AGO", "OPEN", "GROUP"];
+    let head = ["ASKED", "AT", "CONFIG", "IS", "HEARD_MS_AGO", "OPEN", "NAMED", "GROUP"];
     let mut out = table(&head, &own.collect::<Vec<_>>());
     let Some((_, first)) = asked.first() else { return out };
     let nodes = first.nodes.iter().map(|n| {
@@ -65,10 +71,18 @@
             ("suspected", s.suspected),
             ("loading", s.loading),
         ]);
-        vec![s.id.clone(), s.service.clone(), s.address.clone(), s.zone.clone(), is, s.in_flight.to_string()]
+        vec![
+            s.id.clone(),
+            s.service.clone(),
+            s.address.clone(),
+            s.zone.clone(),
+            is,
+            s.in_flight.to_string(),
+            models(&s.models),
+        ]
     });
     out.push('\n');
-    let head = ["SERVER", "SERVICE", "ADDRESS", "ZONE", "IS", "IN_FLIGHT"];
+    let head = ["SERVER", "SERVICE", "ADDRESS", "ZONE", "IS", "IN_FLIGHT", "RUNS"];
     out.push_str(&table(&head, &servers.collect::<Vec<_>>()));
     out
 }
--- a/crates/orchard/src/status.rs
+++ b/crates/orchard/src/status.rs
@@ -5,6 +5,13 @@
 use miniserde::{Deserialize, Serialize, json};
 use std::rc::Rc;
 
+/// A model and a version of its weights.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelStatus {
+    pub name: String,
+    pub version: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerStatus {
     pub id: String,
@@ -16,6 +23,8 @@
     pub suspected: bool,
     pub loading: bool,
     pub in_flight: u32,
+    /// What it runs, as far as the asked node knows.
+    pub models: Vec<ModelStatus>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -40,10 +49,16 @@
     pub heard_ms_ago: u64,
     pub open_requests: u64,
     pub group: Vec<String>,
+    /// Versions that were named.
+    pub models: Vec<ModelStatus>,
     pub nodes: Vec<NodeStatus>,
     pub servers: Vec<ServerStatus>,
 }
 
+fn model(name: &str, version: u64) -> ModelStatus {
+    ModelStatus { name: name.to_owned(), version }
+}
+
 pub fn show(node: &Rc<Node>, control: Option<&Rc<Control>>) -> String {
     let bed = node.bed.borrow();
     let rows = node.rows.borrow();
@@ -59,6 +74,7 @@
             suspected: own.is_some_and(|o| o.suspected()),
             loading: own.is_some_and(|o| o.loading()),
             in_flight: own.map_or(0, |o| o.in_flight()),
+            models: s.models.iter().map(|m| model(&m.name, m.version)).collect(),
         }
     });
     let nodes = rows.nodes().map(|n| NodeStatus {
@@ -80,6 +96,7 @@
         heard_ms_ago: node.now().saturating_sub(node.heard.get()) / 1_000_000,
         open_requests: node.open.get() as u64,
         group: group.into_iter().map(|m| m.name).collect(),
+        models: node.in_force().models.iter().map(|m| model(&m.0, m.1)).collect(),
         nodes: nodes.collect(),
         servers: servers.collect(),
     })
--- a/crates/orchard/tests/client.rs
+++ b/crates/orchard/tests/client.rs
@@ -220,12 +220,12 @@
 }
 
 const STATUS: &str = "{\"node\":\"core-0\",\"ready\":true,\"config_version\":7,\"member\":true,\"in_touch\":true,\
-    \"heard_ms_ago\":12,\"open_requests\":3,\"group\":[\"core-0\",\"core-1\"],\"nodes\":[{\"name\":\"core-0\",\
+    \"heard_ms_ago\":12,\"open_requests\":3,\"group\":[\"core-0\",\"core-1\"],\"models\":[{\"name\":\"m\",\"version\":2}],\"nodes\":[{\"name\":\"core-0\",\
     \"internal\":\"10.0.0.1:90\",\"control\":\"10.0.0.1:80\",\"zone\":\"z1\",\"counted\":true,\"leaving\":false,\
     \"silent\":false},{\"name\":\"core-1\",\"internal\":\"10.0.0.2:90\",\"control\":\"10.0.0.2:80\",\"zone\":\"z2\",\
     \"counted\":true,\"leaving\":false,\"silent\":true}],\"servers\":[{\"id\":\"i-1\",\"service\":\"models\",\
     \"address\":\"10.0.1.1:80\",\"zone\":\"z1\",\"standing\":\"ready\",\"silent\":false,\"suspected\":true,\
-    \"loading\":false,\"in_flight\":2}]}";
+    \"loading\":false,\"in_flight\":2,\"models\":[{\"name\":\"m\",\"version\":1}]}]}";
 
 #[tokio::test(start_paused = true)]
 async fn given_a_status_when_shown_then_it_is_a_table() {
@@ -234,15 +234,15 @@
     done.expect("answered");
     assert_eq!(remark, "");
     insta::assert_snapshot!(result, @r"
-    ASKED   AT           CONFIG  IS                     HEARD_MS_AGO  OPEN  GROUP
-    core-0  10.0.0.1:80  7       ready member in-touch  12            3     core-0,core-1
+    ASKED   AT           CONFIG  IS                     HEARD_MS_AGO  OPEN  NAMED  GROUP
+    core-0  10.0.0.1:80  7       ready member in-touch  12            3     m:2    core-0,core-1
 
     NODE    INTERNAL     ZONE  IS
     core-0  10.0.0.1:90  z1    counted
     core-1  10.0.0.2:90  z2    counted silent
 
-    SERVER  SERVICE  ADDRESS      ZONE  IS               IN_FLIGHT
-    i-1     models   10.0.1.1:80  z1    ready suspected  2
+    SERVER  SERVICE  ADDRESS      ZONE  IS               IN_FLIGHT  RUNS
+    i-1     models   10.0.1.1:80  z1    ready suspected  2          m:1
     ");
 }
 
--- a/crates/orchard/tests/loopback.rs
+++ b/crates/orchard/tests/loopback.rs
@@ -1,19 +1,84 @@
 //! Real processes on loopback, in the lab's shortest scenario. It stands here because only the program's own package
 //! is sure to have built the program.
-use hayfield::client::End;
+use hayfield::client::{Clients, End, Wish, look_after};
+use hayfield::engine::{Engine, Terms, kind_of};
+use hayfield::ground::Ground;
+use hayfield::ledger::Ledger;
+use hayfield::machine::Machine;
+use hayfield::operator::Operator;
 use hayfield::play::play;
 use hayfield::scenario::Scenario;
 use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::runtime::Builder;
-use tokio::task::LocalSet;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_orchard");
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn block_on<T>(of: impl Future<Output = T>) -> T {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, of)
+}
+
+async fn until(what: &str, done: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < deadline, "{what} within {PATIENCE:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
 
 #[test]
 fn given_a_fleet_on_loopback_when_the_quick_scenario_is_played_then_every_rule_holds() {
-    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
     let scenario = Scenario::quick().expect("valid");
-    let playing = play(scenario, Path::new(env!("CARGO_BIN_EXE_orchard")), |_| {});
-    let report = LocalSet::new().block_on(&runtime, playing).expect("it is played");
+    let report = block_on(play(scenario, Path::new(PROGRAM), |_| {})).expect("it is played");
     assert!(report.broken.is_empty(), "{:#?}\n{}", report.broken, report.table);
     let served = report.came.iter().filter(|c| c.end == End::Served).count();
     assert!(served * 10 >= report.came.len() * 9, "{}", report.table);
 }
+
+#[test]
+fn given_a_request_that_does_not_end_when_told_to_end_then_the_ring_says_so_in_its_time() {
+    let grace = Duration::from_secs(2);
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut rng = fastrand::Rng::new();
+    let ground = Ground::find(1, &mut rng).expect("free ports");
+    let machine = Machine::new(0, true, 1, ground, directory.path(), Path::new(PROGRAM), grace);
+    let machine = Rc::new(machine.expect("settings are written"));
+    block_on(async {
+        machine.start().expect("started");
+        spawn_local(look_after(machine.clone()));
+        let ledger = Rc::new(Ledger::default());
+        let terms = Terms {
+            id: "i-1".into(),
+            zone: "field-1".into(),
+            address: ground.server_at(0),
+            slots: 1,
+            work: PATIENCE * 2,
+            gap: Duration::ZERO,
+            load: Duration::ZERO,
+            events: 1,
+            version: 1,
+            control: vec![machine.control()],
+        };
+        let engine = Engine::start(terms, ledger.clone(), rng.fork()).await.expect("a server");
+        let operator = Operator::new(vec![machine.control()], PATIENCE).expect("an operator");
+        operator.put_first(1).await.expect("taken");
+        until("ready", || machine.ready.get()).await;
+        let clients = Clients { ledger: ledger.clone(), machines: vec![machine.clone()], rng: rng.into() };
+        let path = "/assign/1".to_owned();
+        let wish = Wish { kind: kind_of(&path), path, patience: PATIENCE };
+        let asking = spawn_local(async move { clients.wish(&wish, Some(0)).await.end });
+        until("the server works on it", || !ledger.runs.borrow().is_empty()).await;
+        assert!(machine.end().await, "it ends by itself, in its time: {}", machine.words());
+        assert_ne!(asking.await.expect("it ends"), End::Served);
+        engine.stop();
+    });
+    let words = machine.words();
+    let first = words.lines().next().unwrap_or_default();
+    let wanted = "orchard: 1 requests were still open at the end of the grace period; the last ";
+    assert!(first.starts_with(wanted), "{words}");
+}
