--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -11,7 +11,9 @@
 //! | `weights` | servers brought to the version of weights that was named |
 //! | `stores` | whether stores answer, and have what they were told to keep |
 //! | `run`, `status` | a process from start to end; what it says of itself |
+//! | `client` | what operators ask of a running fleet |
 pub mod boot;
+pub mod client;
 pub mod control;
 pub mod doors;
 pub mod events;
