--- /dev/null
+++ b/crates/hothouse/src/fabric.rs
@@ -0,0 +1,218 @@
+//! The network in memory: which machines are there, what lies between them, connections as bytes with their times.
+//!
+//! | trouble | what connections see |
+//! | --- | --- |
+//! | cut, frozen, no power | silence: bytes wait until it is over; a hasty end gives up after `UNACKNOWLEDGED` |
+//! | refusing cut | new connections are refused, bytes on old ones wait |
+//! | no door | refused |
+//! | process ended | an end of stream, or a reset where bytes were unread or come later |
+//! | power lost | nothing; a reset once the machine is there again and hears of the old connection |
+use crate::line::{End, Line};
+use fastrand::Rng;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// A hasty end gives up on bytes that are not acknowledged for so long, as TCP_USER_TIMEOUT has it.
+pub const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// How often that is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+/// A connection that nobody answers is tried again after so long, and given up after so many tries.
+const SYN_AGAIN: Duration = Duration::from_secs(1);
+const SYN_TRIES: u32 = 30;
+
+/// What lies between two machines, in one direction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    Silent,
+    Refusing,
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    zone: String,
+    power: bool,
+    frozen: bool,
+    /// Counts losses of power: connections of an earlier one are unknown to the machine.
+    generation: u64,
+}
+
+type Doors = BTreeMap<SocketAddr, mpsc::UnboundedSender<(End, SocketAddr)>>;
+
+struct Inner {
+    places: BTreeMap<IpAddr, Place>,
+    cuts: BTreeMap<(IpAddr, IpAddr), Cut>,
+    doors: Doors,
+    lines: Vec<Weak<Line>>,
+    next_port: u16,
+}
+
+pub struct Fabric {
+    inner: RefCell<Inner>,
+    pub rng: RefCell<Rng>,
+    in_zone: Duration,
+    across: Duration,
+}
+
+impl Fabric {
+    /// `in_zone`, `across`: one way, in whole ms, as the clock of the runtime knows nothing finer.
+    pub fn new(rng: Rng, in_zone: Duration, across: Duration) -> Rc<Fabric> {
+        let inner = Inner {
+            places: BTreeMap::new(),
+            cuts: BTreeMap::new(),
+            doors: BTreeMap::new(),
+            lines: Vec::new(),
+            next_port: 20_000,
+        };
+        let fabric = Rc::new(Fabric { inner: RefCell::new(inner), rng: RefCell::new(rng), in_zone, across });
+        spawn_local(look(Rc::downgrade(&fabric)));
+        fabric
+    }
+
+    pub fn add(&self, ip: IpAddr, zone: &str) {
+        let place = Place { zone: zone.to_owned(), power: true, frozen: false, generation: 0 };
+        self.inner.borrow_mut().places.insert(ip, place);
+    }
+
+    fn change(&self, ip: IpAddr, change: impl FnOnce(&mut Place)) {
+        if let Some(place) = self.inner.borrow_mut().places.get_mut(&ip) {
+            change(place);
+        }
+        self.wake_all();
+    }
+
+    /// Without power a machine says nothing more; its connections are forgotten.
+    pub fn power(&self, ip: IpAddr, on: bool) {
+        if !on {
+            self.lines().iter().for_each(|l| l.vanish(ip, self));
+        }
+        self.change(ip, |place| {
+            place.power = on;
+            place.generation += u64::from(!on);
+        });
+    }
+
+    pub fn freeze(&self, ip: IpAddr, frozen: bool) {
+        self.change(ip, |place| place.frozen = frozen);
+    }
+
+    /// One direction; `None` joins them again.
+    pub fn cut(&self, from: IpAddr, to: IpAddr, cut: Option<Cut>) {
+        {
+            let mut inner = self.inner.borrow_mut();
+            match cut {
+                Some(cut) => drop(inner.cuts.insert((from, to), cut)),
+                None => drop(inner.cuts.remove(&(from, to))),
+            }
+        }
+        self.wake_all();
+    }
+
+    pub fn cut_both(&self, a: IpAddr, b: IpAddr, cut: Option<Cut>) {
+        self.cut(a, b, cut);
+        self.cut(b, a, cut);
+    }
+
+    /// All connections of a machine are reset at both ends.
+    pub fn reset(&self, ip: IpAddr) {
+        self.lines().iter().filter(|l| l.touches(ip)).for_each(|l| l.reset());
+    }
+
+    fn lines(&self) -> Vec<Rc<Line>> {
+        self.inner.borrow().lines.iter().filter_map(Weak::upgrade).collect()
+    }
+
+    fn wake_all(&self) {
+        self.lines().iter().for_each(|l| l.wake());
+    }
+
+    pub fn delay(&self, a: IpAddr, b: IpAddr) -> Duration {
+        let inner = self.inner.borrow();
+        let zone = |ip| inner.places.get(ip).map(|p| p.zone.as_str());
+        if zone(&a) == zone(&b) { self.in_zone } else { self.across }
+    }
+
+    /// Whether a word gets from one to the other now.
+    pub fn reaches(&self, from: IpAddr, to: IpAddr) -> bool {
+        let inner = self.inner.borrow();
+        let up = |ip| inner.places.get(ip).is_some_and(|p| p.power && !p.frozen);
+        up(&from) && up(&to) && !inner.cuts.contains_key(&(from, to))
+    }
+
+    pub fn generation(&self, ip: IpAddr) -> u64 {
+        self.inner.borrow().places.get(&ip).map_or(0, |p| p.generation)
+    }
+
+    pub fn powered(&self, ip: IpAddr) -> bool {
+        self.inner.borrow().places.get(&ip).is_some_and(|p| p.power)
+    }
+
+    fn refuses(&self, from: IpAddr, to: IpAddr) -> bool {
+        self.inner.borrow().cuts.get(&(from, to)) == Some(&Cut::Refusing)
+    }
+
+    pub(crate) async fn dial(self: &Rc<Self>, from: IpAddr, to: SocketAddr, hasty: bool) -> io::Result<End> {
+        let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+        for _ in 0..SYN_TRIES {
+            if self.refuses(from, to.ip()) {
+                sleep(self.delay(from, to.ip())).await;
+                return Err(refused());
+            }
+            if self.reaches(from, to.ip()) && self.reaches(to.ip(), from) {
+                sleep(self.delay(from, to.ip())).await;
+                let door = self.inner.borrow().doors.get(&to).cloned();
+                let Some(door) = door else { return Err(refused()) };
+                let port = {
+                    let mut inner = self.inner.borrow_mut();
+                    inner.next_port = inner.next_port.checked_add(1).unwrap_or(20_000);
+                    inner.next_port
+                };
+                let own = SocketAddr::new(from, port);
+                let line = Line::new([own, to], self);
+                self.inner.borrow_mut().lines.push(Rc::downgrade(&line));
+                let far = End::new(line.clone(), 1, self.clone(), true);
+                let near = End::new(line, 0, self.clone(), hasty);
+                if door.send((far, own)).is_err() {
+                    return Err(refused());
+                }
+                sleep(self.delay(from, to.ip())).await;
+                return Ok(near);
+            }
+            sleep(SYN_AGAIN).await;
+        }
+        Err(io::ErrorKind::TimedOut.into())
+    }
+
+    pub(crate) fn open(&self, at: SocketAddr) -> io::Result<mpsc::UnboundedReceiver<(End, SocketAddr)>> {
+        let mut inner = self.inner.borrow_mut();
+        if inner.doors.contains_key(&at) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let (give, take) = mpsc::unbounded_channel();
+        inner.doors.insert(at, give);
+        Ok(take)
+    }
+
+    pub(crate) fn close(&self, at: SocketAddr) {
+        let door = self.inner.borrow_mut().doors.remove(&at);
+        drop(door);
+    }
+}
+
+/// Ends that wait in vain give up; lines that both ends have left are forgotten.
+async fn look(fabric: Weak<Fabric>) {
+    loop {
+        sleep(LOOK).await;
+        let Some(fabric) = fabric.upgrade() else { return };
+        let lines = fabric.lines();
+        let now = Instant::now();
+        lines.iter().for_each(|l| l.look(&fabric, now));
+        fabric.inner.borrow_mut().lines.retain(|l| l.strong_count() > 0);
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/judge/answers.rs
@@ -0,0 +1,125 @@
+//! Answers as clients got them: MIXED, ORDER, REFUSED, LOST, and refusals by the configuration.
+use super::Judge;
+use super::requests::Handled;
+use crate::server::{body_of, event_of};
+use tokio::time::Instant;
+
+/// What came on the client's connection.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// 0: none.
+    pub status: u16,
+    pub seal: Option<String>,
+    pub attempt: Option<String>,
+    pub streams: bool,
+    pub body: Vec<u8>,
+    /// The end came as the protocol has it.
+    pub whole: bool,
+    pub bad: Option<&'static str>,
+    /// The client gave up on it.
+    pub abandoned: bool,
+}
+
+impl Judge {
+    pub fn answered(&self, id: &str, answer: &Answer) {
+        self.detail(|| {
+            format!("{id} ends: {} whole {} {} bytes", answer.status, answer.whole, answer.body.len())
+        });
+        if let Some(bad) = answer.bad {
+            self.breach("MIXED", format!("{id}: bytes that are no answer: {bad}"));
+        }
+        let (asked, sent, runs) = {
+            let requests = self.requests.borrow();
+            let Some(attempt) = requests.attempts.get(id) else { return };
+            (attempt.asked.clone(), attempt.sent, attempt.runs.clone())
+        };
+        if answer.attempt.as_deref().is_some_and(|other| other != id) {
+            self.breach("MIXED", format!("{id} got the answer of {:?}", answer.attempt));
+        }
+        match answer.status {
+            0 => {}
+            200..=299 => self.check_success(id, answer, &runs),
+            408 | 421 | 429 | 503 if !asked.kind.repeatable() => {
+                if !runs.is_empty() {
+                    self.breach("REFUSED", format!("{id} got {} and has run", answer.status));
+                }
+                if let Some(attempt) = self.requests.borrow_mut().attempts.get_mut(id) {
+                    attempt.promised = Some(answer.status);
+                }
+            }
+            401 | 403 | 404 => {
+                self.check_config(id, &asked, sent, Handled::Refused(answer.status));
+            }
+            _ => {}
+        }
+        if !answer.whole && !answer.abandoned {
+            self.check_lost(id, &asked, sent, &runs);
+        }
+    }
+
+    fn check_success(&self, id: &str, answer: &Answer, runs: &[u64]) {
+        let sealed = answer.seal.as_deref().and_then(|s| s.strip_prefix("seal-")?.parse::<u64>().ok());
+        let Some(run) = sealed.filter(|r| runs.contains(r)) else {
+            return self.breach("MIXED", format!("{id} got a success under the seal {:?}", answer.seal));
+        };
+        if answer.streams {
+            return self.check_events(id, answer, runs, run);
+        }
+        let word = self.requests.borrow().runs[run as usize].path.clone();
+        let length = word.rsplit('/').next().and_then(|w| w.get(1..)?.parse().ok()).unwrap_or(1);
+        if answer.whole && answer.body != body_of(run, length).as_bytes() {
+            self.breach("MIXED", format!("{id} got another body than run {run} made"));
+        }
+    }
+
+    /// Events rise by one; a change of the run is where that run went on.
+    fn check_events(&self, id: &str, answer: &Answer, runs: &[u64], first: u64) {
+        let (resumed, path): (Vec<(u64, u64)>, String) = {
+            let requests = self.requests.borrow();
+            let resumed = runs.iter().map(|r| (*r, requests.runs[*r as usize].resumed)).collect();
+            (resumed, requests.runs[first as usize].path.clone())
+        };
+        let count: u64 = path.rsplit('/').next().and_then(|w| w.get(1..)?.parse().ok()).unwrap_or(1);
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let start = resumed.iter().find(|r| r.0 == first).map_or(0, |r| r.1);
+        let (mut run, mut last) = (first, start);
+        let mut rest = text.as_str();
+        while let Some(end) = rest.find("\n\n") {
+            let event = &rest[..end + 2];
+            rest = &rest[end + 2..];
+            if event == event_of(run, last + 1) {
+                last += 1;
+                continue;
+            }
+            // Taken up elsewhere: only by a run that was told to go on from here.
+            let next = resumed.iter().find(|(r, at)| event == event_of(*r, last + 1) && *at == last);
+            match next {
+                Some((next, _)) => {
+                    run = *next;
+                    last += 1;
+                }
+                None => {
+                    let what = format!("{id}: {event:?} after event {last} of run {run}");
+                    return self.breach("ORDER", what);
+                }
+            }
+        }
+        if answer.whole && (last != count || !rest.is_empty()) {
+            self.breach("ORDER", format!("{id} looks complete after event {last} of {count}"));
+        }
+    }
+
+    /// LOST: around planned work alone, what was read is answered.
+    fn check_lost(&self, id: &str, asked: &super::Asked, sent: Instant, runs: &[u64]) {
+        let now = Instant::now();
+        let faulty = self.requests.borrow().faulty.iter().any(|f| runs.contains(f));
+        let from = sent.checked_sub(self.bounds.contact).unwrap_or(sent);
+        let late = now - sent > self.bounds.loss_slack || !runs.is_empty();
+        let planned = self.is_planned(asked.node, sent, now);
+        if planned && late && !faulty && now < asked.until && !self.any_unplanned(from, now) {
+            let what =
+                format!("{id} at {} ended without a whole answer, sent {:?} before", asked.node, now - sent);
+            self.breach("LOST", what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/judge/mod.rs
@@ -0,0 +1,132 @@
+//! The rules of the operators' page, judged on what stand-ins see on their connections, as it happens.
+//!
+//! By file: `trouble` (who is in touch), `requests` (MIXED, UNASKED, TWICE, REFUSED, ROUTE, CONFIG of requests, DRAIN,
+//! VERSION, STALE, LOST), `answers` (MIXED and ORDER of bytes), `orders` (CONFIG of the operator, ONE, ACKS), `budget`.
+//! Where the page leaves a bound to machines in touch, a breach elsewhere is none.
+mod answers;
+mod budget;
+mod orders;
+mod requests;
+mod trouble;
+
+pub use answers::Answer;
+pub use orders::Sent;
+pub use requests::{Asked, Run};
+
+use budget::Budget;
+use orders::Orders;
+use requests::Requests;
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+use tokio::time::Instant;
+use trouble::Troubles;
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub contact: Duration,
+    pub ack_timeout: Duration,
+    pub drain_timeout: Duration,
+    pub grace: Duration,
+    pub loss_slack: Duration,
+    pub config_apply: Duration,
+    pub rollback_slack: Duration,
+    pub lease: Duration,
+    pub thaw: Duration,
+    pub version: Duration,
+    pub recovery: Duration,
+    pub budget_ratio: f64,
+    pub budget_slack: f64,
+    pub budget_window: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        let ms = Duration::from_millis;
+        Bounds {
+            contact: ms(3_000),
+            ack_timeout: ms(4_000),
+            drain_timeout: ms(2_000),
+            grace: ms(8_000),
+            loss_slack: ms(200),
+            config_apply: ms(2_000),
+            rollback_slack: ms(250),
+            lease: ms(3_000),
+            thaw: ms(300),
+            version: ms(8_000),
+            recovery: ms(12_000),
+            budget_ratio: 0.2,
+            budget_slack: 64.0,
+            budget_window: ms(10_000),
+        }
+    }
+}
+
+/// Lines of the story that are told with a breach.
+const TOLD: usize = 60;
+
+pub struct Judge {
+    pub bounds: Bounds,
+    began: Instant,
+    breaches: RefCell<Vec<String>>,
+    story: RefCell<Vec<String>>,
+    troubles: RefCell<Troubles>,
+    requests: RefCell<Requests>,
+    orders: RefCell<Orders>,
+    budget: RefCell<Budget>,
+    /// Every word of the story, not only the troubles.
+    pub verbose: Cell<bool>,
+}
+
+impl Judge {
+    pub fn new(bounds: Bounds) -> Judge {
+        Judge {
+            bounds,
+            began: Instant::now(),
+            breaches: RefCell::default(),
+            story: RefCell::default(),
+            troubles: RefCell::default(),
+            requests: RefCell::default(),
+            orders: RefCell::default(),
+            budget: RefCell::new(Budget::new(bounds)),
+            verbose: Cell::new(false),
+        }
+    }
+
+    /// A line of the story.
+    pub fn note(&self, what: impl Into<String>) {
+        let line = format!("{:9.3} {}", self.began.elapsed().as_secs_f64(), what.into());
+        self.story.borrow_mut().push(line);
+    }
+
+    fn detail(&self, what: impl FnOnce() -> String) {
+        if self.verbose.get() {
+            self.note(what());
+        }
+    }
+
+    /// A rule is broken.
+    pub fn breach(&self, rule: &str, what: impl Into<String>) {
+        let what = format!("{rule}: {}", what.into());
+        self.note(format!("BROKEN {what}"));
+        self.breaches.borrow_mut().push(what);
+    }
+
+    pub fn breaches(&self) -> Vec<String> {
+        self.breaches.borrow().clone()
+    }
+
+    pub fn story(&self) -> Vec<String> {
+        self.story.borrow().clone()
+    }
+
+    /// What a story ends with.
+    pub fn assert_kept(&self) {
+        let breaches = self.breaches();
+        if !breaches.is_empty() {
+            let story = self.story();
+            let told = &story[story.len().saturating_sub(TOLD)..];
+            panic!("rules broken:\n{}\nstory:\n{}", breaches.join("\n"), told.join("\n"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/judge/orders.rs
@@ -0,0 +1,170 @@
+//! What the operator sent and was told, versions of weights, and orders to servers: CONFIG, VERSION, ONE.
+use super::Judge;
+use crate::plan::Plan;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use tokio::time::Instant;
+
+/// A configuration that was sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub plan: Plan,
+    pub base: u64,
+    pub valid: bool,
+    pub sent: Instant,
+    pub acknowledged: Option<Instant>,
+    pub refused: bool,
+}
+
+#[derive(Clone, Debug)]
+struct LastOrder {
+    holder: String,
+    fence: u64,
+    at: Instant,
+}
+
+#[derive(Default)]
+pub(super) struct Orders {
+    pub(super) sent: Vec<Sent>,
+    /// Versions of weights, and when each was acknowledged.
+    pub(super) named: Vec<(u64, Instant)>,
+    /// When a machine in touch acknowledged that a server drains or is gone.
+    pub(super) drains: BTreeMap<String, Instant>,
+    /// Orders to each server: the last of each holder.
+    servers: BTreeMap<String, Vec<LastOrder>>,
+    pub(super) loads: BTreeMap<(String, u64), u32>,
+    thawed: BTreeMap<IpAddr, Instant>,
+}
+
+impl Judge {
+    /// A configuration leaves the operator, for the first time or again. Gives back its place.
+    pub fn config_sent(&self, plan: &Plan, base: u64, valid: bool) -> usize {
+        self.note(format!(
+            "operator sends {} on {base}{}",
+            plan.version,
+            if valid { "" } else { ", invalid" }
+        ));
+        let sent = Sent {
+            plan: plan.clone(),
+            base,
+            valid,
+            sent: Instant::now(),
+            acknowledged: None,
+            refused: false,
+        };
+        let mut orders = self.orders.borrow_mut();
+        orders.sent.push(sent);
+        orders.sent.len() - 1
+    }
+
+    pub fn config_acknowledged(&self, place: usize) {
+        let (plan, base, valid, others) = {
+            let mut orders = self.orders.borrow_mut();
+            let sent = &mut orders.sent[place];
+            if sent.acknowledged.is_some() {
+                return;
+            }
+            sent.acknowledged = Some(Instant::now());
+            let (plan, base, valid) = (sent.plan.clone(), sent.base, sent.valid);
+            let rival = |s: &&Sent| s.base == base && s.acknowledged.is_some() && s.plan != plan;
+            let others: Vec<u64> = orders.sent.iter().filter(rival).map(|s| s.plan.version).collect();
+            (plan, base, valid, others)
+        };
+        self.note(format!("config {} is acknowledged", plan.version));
+        if !valid {
+            self.breach("CONFIG", format!("the invalid {} was acknowledged", plan.version));
+        }
+        if !others.is_empty() {
+            let what = format!("{} and {others:?}, both on {base}, were acknowledged", plan.version);
+            self.breach("CONFIG", what);
+        }
+    }
+
+    pub fn config_refused(&self, place: usize, status: u16) {
+        let version = {
+            let mut orders = self.orders.borrow_mut();
+            orders.sent[place].refused = true;
+            orders.sent[place].plan.version
+        };
+        self.note(format!("config {version} is refused with {status}"));
+    }
+
+    /// The newest that was acknowledged.
+    pub fn newest(&self) -> Option<Sent> {
+        let orders = self.orders.borrow();
+        let known = orders.sent.iter().filter(|s| s.acknowledged.is_some());
+        known.max_by_key(|s| s.plan.version).cloned()
+    }
+
+    /// What was read back at the end.
+    pub fn read_back(&self, status: u16, text: &str) {
+        let Some(newest) = self.newest() else { return };
+        let version = text.split("\"version\":").nth(1).and_then(|t| t.split([',', '}']).next());
+        let version: Option<u64> = version.and_then(|v| v.trim().parse().ok());
+        let sent = self.orders.borrow().sent.iter().any(|s| Some(s.plan.version) == version && !s.refused);
+        if status != 200 || version.is_none_or(|v| v < newest.plan.version) || !sent {
+            let what = format!("{} was acknowledged, read back: {status} {version:?}", newest.plan.version);
+            self.breach("LOST", what);
+        }
+    }
+
+    /// New weights are acknowledged.
+    pub fn named(&self, version: u64) {
+        self.note(format!("weights {version} are named and acknowledged"));
+        self.orders.borrow_mut().named.push((version, Instant::now()));
+    }
+
+    /// A node acknowledged that a server drains, or has left.
+    pub fn draining(&self, instance: &str, by: SocketAddr) {
+        let now = Instant::now();
+        self.note(format!("{} acknowledges that {instance} drains or left", by.ip()));
+        if self.in_touch(by.ip(), now, now) {
+            self.orders.borrow_mut().drains.entry(instance.to_owned()).or_insert(now);
+        }
+    }
+
+    /// Orders of a machine that was just thawed, or joined again, are not counted for a moment.
+    pub fn thawed(&self, ip: IpAddr) {
+        self.orders.borrow_mut().thawed.insert(ip, Instant::now());
+    }
+
+    /// An order reached a server.
+    pub fn ordered(&self, instance: &str, holder: &str, fence: u64, by: IpAddr) {
+        self.note(format!("{holder} orders {instance} under {fence}"));
+        let now = Instant::now();
+        let mut broken = None;
+        {
+            let mut orders = self.orders.borrow_mut();
+            if orders.thawed.get(&by).is_some_and(|at| now - *at <= self.bounds.thaw) {
+                return;
+            }
+            let last = orders.servers.entry(instance.to_owned()).or_default();
+            if last.iter().any(|l| l.fence == fence && l.holder != holder) {
+                broken = Some(format!("two holders order {instance} under {fence}"));
+            }
+            // A holder, another, and the first one again.
+            let own = last.iter().rposition(|l| l.holder == holder);
+            if let Some(own) = own
+                && last[own + 1..].iter().any(|l| l.holder != holder)
+                && now - last[own].at <= self.bounds.lease
+            {
+                broken = Some(format!("{holder} and another take turns at {instance}"));
+            }
+            last.push(LastOrder { holder: holder.to_owned(), fence, at: now });
+        }
+        if let Some(what) = broken {
+            self.breach("ONE", what);
+        }
+    }
+
+    /// A server takes new weights.
+    pub fn loads(&self, instance: &str, version: u64) {
+        self.note(format!("{instance} loads weights {version}"));
+        *self.orders.borrow_mut().loads.entry((instance.to_owned(), version)).or_default() += 1;
+    }
+
+    /// How often each server took each version.
+    pub fn load_counts(&self) -> BTreeMap<(String, u64), u32> {
+        self.orders.borrow().loads.clone()
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/judge/requests.rs
@@ -0,0 +1,242 @@
+//! Requests as clients sent them and as servers ran them.
+use super::Judge;
+use super::orders::Sent;
+use crate::plan::{Kind, Plan};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use tokio::time::Instant;
+
+/// One try of a client, with its own id.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub method: String,
+    pub host: String,
+    pub path: String,
+    pub body: Bytes,
+    pub key: String,
+    pub kind: Kind,
+    /// Whom the client sent it to, and which life of it.
+    pub node: IpAddr,
+    pub life: u64,
+    /// When it gives up.
+    pub until: Instant,
+}
+
+/// A server began to work on a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub attempt: String,
+    pub service: String,
+    pub instance: String,
+    pub by: IpAddr,
+    pub method: String,
+    pub path: String,
+    pub body: Bytes,
+    pub tenant: Option<String>,
+    pub key: Option<String>,
+    /// Of the weights it runs on, and of those that the parts of its prompt were made with.
+    pub version: u64,
+    pub made: Vec<u64>,
+    /// The event it goes on from.
+    pub resumed: u64,
+}
+
+pub(super) struct Attempt {
+    pub asked: Asked,
+    pub sent: Instant,
+    pub runs: Vec<u64>,
+    /// It was promised that it has not run and won't.
+    pub promised: Option<u16>,
+}
+
+#[derive(Default)]
+pub(super) struct Requests {
+    pub attempts: BTreeMap<String, Attempt>,
+    pub runs: Vec<Run>,
+    pub faulty: Vec<u64>,
+    /// Of each life of a node, the newest version whose effect was seen, and when.
+    seen: BTreeMap<(IpAddr, u64), (u64, Instant)>,
+}
+
+/// How a request was handled.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Handled<'a> {
+    Ran { service: &'a str, tenant: Option<&'a str> },
+    Refused(u16),
+}
+
+impl Handled<'_> {
+    fn fits(&self, plan: &Plan, asked: &Asked) -> bool {
+        let route = plan.route(&asked.host, &asked.path);
+        let open = |public: bool| public || plan.tenants.is_empty();
+        let tenant = plan.tenant_of(&asked.key).map(|t| t.name.as_str());
+        match (self, route) {
+            (Handled::Ran { service, tenant: told }, Some(route)) => {
+                route.service == *service && (open(route.public) || (tenant.is_some() && tenant == *told))
+            }
+            (Handled::Ran { .. }, None) => false,
+            (Handled::Refused(404), route) => route.is_none(),
+            (Handled::Refused(_), Some(route)) => !open(route.public) && tenant.is_none(),
+            (Handled::Refused(_), None) => false,
+        }
+    }
+}
+
+impl Judge {
+    pub fn asked(&self, attempt: &str, asked: Asked) {
+        self.detail(|| format!("{attempt} goes to {} for {}", asked.node, asked.path));
+        let services: Vec<String> = {
+            let orders = self.orders.borrow();
+            let service = |s: &Sent| s.plan.route(&asked.host, &asked.path).map(|r| r.service.clone());
+            let mut services: Vec<String> = orders.sent.iter().filter_map(service).collect();
+            services.sort_unstable();
+            services.dedup();
+            services
+        };
+        services.iter().for_each(|s| self.requested(s));
+        let attempt_of = Attempt { asked, sent: Instant::now(), runs: Vec::new(), promised: None };
+        self.requests.borrow_mut().attempts.insert(attempt.to_owned(), attempt_of);
+    }
+
+    /// Gives back the number of the run, which its answer names.
+    pub fn ran(&self, run: Run) -> u64 {
+        self.detail(|| format!("{} runs at {} ({})", run.attempt, run.instance, run.service));
+        let now = Instant::now();
+        let number = {
+            let mut requests = self.requests.borrow_mut();
+            requests.runs.push(run.clone());
+            let number = requests.runs.len() as u64 - 1;
+            if let Some(attempt) = requests.attempts.get_mut(&run.attempt) {
+                attempt.runs.push(number);
+            }
+            number
+        };
+        let known = self
+            .requests
+            .borrow()
+            .attempts
+            .get(&run.attempt)
+            .map(|a| (a.asked.clone(), a.sent, a.runs.len(), a.promised));
+        let Some((asked, sent, runs, promised)) = known else {
+            self.breach("UNASKED", format!("{} ran {}, which nobody sent", run.instance, run.attempt));
+            return number;
+        };
+        if (&run.method, &run.path, &run.body) != (&asked.method, &asked.path, &asked.body) {
+            self.breach(
+                "UNASKED",
+                format!("{} was changed on its way: {} {}", run.attempt, run.method, run.path),
+            );
+        }
+        if run.key.is_some() {
+            self.breach("UNASKED", format!("the key of {} was shown to {}", run.attempt, run.instance));
+        }
+        if runs > 1 && !asked.kind.repeatable() {
+            self.breach("TWICE", format!("{} ran {runs} times, now at {}", run.attempt, run.instance));
+        }
+        if let (Some(status), false) = (promised, asked.kind.repeatable()) {
+            self.breach("REFUSED", format!("{} ran at {} after {status}", run.attempt, run.instance));
+        }
+        self.check_tenant(&run, &asked);
+        let handled = Handled::Ran { service: &run.service, tenant: run.tenant.as_deref() };
+        let allowed = self.orders.borrow().sent.iter().any(|s| handled.fits(&s.plan, &asked));
+        if !allowed {
+            self.breach(
+                "ROUTE",
+                format!("{} of {} ran at {} as {:?}", run.attempt, asked.path, run.service, run.tenant),
+            );
+        } else {
+            self.check_config(&run.attempt, &asked, sent, handled);
+        }
+        if let Some(made) = run.made.iter().find(|m| **m != run.version) {
+            self.breach("STALE", format!("{} runs on {} with memory of {made}", run.attempt, run.version));
+        }
+        self.check_version(&run, now);
+        number
+    }
+
+    /// What becomes of this run is the server's own fault.
+    pub fn faulty(&self, run: u64) {
+        self.requests.borrow_mut().faulty.push(run);
+    }
+
+    fn check_tenant(&self, run: &Run, asked: &Asked) {
+        let Some(told) = &run.tenant else { return };
+        let orders = self.orders.borrow();
+        let holds = |s: &Sent| s.plan.tenant_of(&asked.key).is_some_and(|t| t.name == *told);
+        if !orders.sent.iter().any(holds) {
+            drop(orders);
+            self.breach("UNASKED", format!("{} ran as {told}, whose key it has not", run.attempt));
+        }
+    }
+
+    fn check_version(&self, run: &Run, now: Instant) {
+        let named = self.orders.borrow().named.clone();
+        for (version, at) in named {
+            let late = now - at > self.bounds.version && self.core_stable(at, now);
+            if run.version < version
+                && late
+                && self.in_touch(run.by, now, now)
+                && !self.any_unplanned(at, now)
+            {
+                let what = format!(
+                    "{} begins on {} at {}, {version} is named",
+                    run.attempt, run.version, run.instance
+                );
+                self.breach("VERSION", what);
+            }
+        }
+    }
+
+    /// CONFIG: some version that may be in force must allow what was done.
+    pub(super) fn check_config(&self, attempt: &str, asked: &Asked, sent: Instant, handled: Handled) {
+        let now = Instant::now();
+        let (floor, fitting) = {
+            let orders = self.orders.borrow();
+            let old = |s: &&Sent| s.acknowledged.is_some_and(|at| at + self.bounds.config_apply < sent);
+            let floor = orders.sent.iter().filter(old).map(|s| s.plan.version).max().unwrap_or(0);
+            let fits = |s: &&Sent| !s.refused && s.valid && handled.fits(&s.plan, asked);
+            let fitting: Vec<u64> = orders.sent.iter().filter(fits).map(|s| s.plan.version).collect();
+            (floor, fitting)
+        };
+        // Before the first configuration there is nothing to refuse by.
+        let none_yet = matches!(handled, Handled::Refused(_)) && floor == 0;
+        let shown = format!("{attempt} at {}: {handled:?} fits only {fitting:?}", asked.node);
+        if fitting.is_empty() && !none_yet {
+            return self.breach("CONFIG", format!("{shown}, which are not in force"));
+        }
+        if fitting.iter().all(|v| *v < floor) && !none_yet && self.in_touch(asked.node, sent, now) {
+            return self.breach("CONFIG", format!("{shown}, {floor} was acknowledged long before"));
+        }
+        let life = (asked.node, asked.life);
+        let mut requests = self.requests.borrow_mut();
+        if let Some((version, at)) = requests.seen.get(&life).copied()
+            && sent > at + self.bounds.rollback_slack
+            && !fitting.is_empty()
+            && fitting.iter().all(|v| *v < version)
+        {
+            drop(requests);
+            return self.breach("CONFIG", format!("{shown}, the machine went by {version} before"));
+        }
+        // Only what no older one explains shows a version's effect.
+        if let Some(least) = fitting.iter().min().copied() {
+            let seen = requests.seen.entry(life).or_insert((least, now));
+            if least > seen.0 {
+                *seen = (least, now);
+            }
+        }
+    }
+
+    pub(super) fn check_drain(&self, instance: &str, attempt: &str, by: IpAddr) {
+        let now = Instant::now();
+        let at = self.orders.borrow().drains.get(instance).copied();
+        if let Some(at) = at
+            && now - at > self.bounds.drain_timeout
+            && self.in_touch(by, now, now)
+        {
+            let what =
+                format!("{attempt} reaches {instance} {:?} after its draining was acknowledged", now - at);
+            self.breach("DRAIN", what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/judge/trouble.rs
@@ -0,0 +1,72 @@
+//! When which machine had trouble, and when the core was shaken: who is in touch, in the page's words.
+use super::Judge;
+use std::net::IpAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[derive(Debug)]
+struct Span {
+    /// None: the core as a whole.
+    ip: Option<IpAddr>,
+    from: Instant,
+    until: Option<Instant>,
+    planned: bool,
+}
+
+#[derive(Default)]
+pub(super) struct Troubles(Vec<Span>);
+
+impl Troubles {
+    fn touches(&self, from: Instant, until: Instant, fits: impl Fn(&Span) -> bool) -> bool {
+        let overlaps = |s: &Span| s.from <= until && s.until.is_none_or(|end| end >= from);
+        self.0.iter().any(|s| fits(s) && overlaps(s))
+    }
+}
+
+impl Judge {
+    /// Trouble at a machine begins; `ip` None: the core is shaken.
+    pub fn trouble(&self, ip: Option<IpAddr>) {
+        self.troubles.borrow_mut().0.push(Span { ip, from: Instant::now(), until: None, planned: false });
+    }
+
+    /// It ends.
+    pub fn calm(&self, ip: Option<IpAddr>) {
+        let now = Instant::now();
+        let mut troubles = self.troubles.borrow_mut();
+        troubles.0.iter_mut().filter(|s| s.ip == ip && s.until.is_none()).for_each(|s| s.until = Some(now));
+    }
+
+    /// A moment's trouble.
+    pub fn shaken(&self, ip: Option<IpAddr>) {
+        let now = Instant::now();
+        self.troubles.borrow_mut().0.push(Span { ip, from: now, until: Some(now), planned: false });
+    }
+
+    /// A machine was told to end: what it took is to be answered.
+    pub fn told_to_end(&self, ip: IpAddr) {
+        let now = Instant::now();
+        let until = now + self.bounds.grace + Duration::from_secs(1);
+        let span = Span { ip: Some(ip), from: now, until: Some(until), planned: true };
+        self.troubles.borrow_mut().0.push(span);
+    }
+
+    pub(super) fn is_planned(&self, ip: IpAddr, from: Instant, until: Instant) -> bool {
+        self.troubles.borrow().touches(from, until, |s| s.planned && s.ip == Some(ip))
+    }
+
+    pub(super) fn any_unplanned(&self, from: Instant, until: Instant) -> bool {
+        self.troubles.borrow().touches(from, until, |s| !s.planned)
+    }
+
+    /// Whether a machine was in touch throughout a span of time, `contact` before it included.
+    pub fn in_touch(&self, ip: IpAddr, from: Instant, until: Instant) -> bool {
+        let from = from.checked_sub(self.bounds.contact).unwrap_or(self.began);
+        !self.troubles.borrow().touches(from, until, |s| s.ip == Some(ip) || s.ip.is_none())
+    }
+
+    /// Whether the core was stable throughout, `contact` before it included.
+    pub fn core_stable(&self, from: Instant, until: Instant) -> bool {
+        let from = from.checked_sub(self.bounds.contact).unwrap_or(self.began);
+        !self.troubles.borrow().touches(from, until, |s| s.ip.is_none())
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/net.rs
@@ -0,0 +1,71 @@
+//! One machine's way into the network in memory, as the fleet's code asks for it.
+use crate::fabric::Fabric;
+use crate::line::End;
+use orchard::net::{Door, Later, Net, Stream};
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+#[derive(Clone)]
+pub struct MemoryNet {
+    fabric: Rc<Fabric>,
+    pub ip: IpAddr,
+}
+
+impl MemoryNet {
+    pub fn new(fabric: Rc<Fabric>, ip: IpAddr) -> MemoryNet {
+        MemoryNet { fabric, ip }
+    }
+
+    /// A connection of a stand-in, which waits as long as its caller does.
+    pub async fn connect(&self, to: SocketAddr) -> io::Result<End> {
+        self.fabric.dial(self.ip, to, false).await
+    }
+
+    pub fn open(&self, at: SocketAddr) -> io::Result<MemoryDoor> {
+        Ok(MemoryDoor { fabric: self.fabric.clone(), at, queue: RefCell::new(self.fabric.open(at)?) })
+    }
+}
+
+impl Net for MemoryNet {
+    fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Stream>> {
+        Box::pin(async move { Ok(Box::new(self.fabric.dial(self.ip, to, true).await?) as Stream) })
+    }
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Door>> {
+        Ok(Box::new(self.open(at)?))
+    }
+}
+
+pub struct MemoryDoor {
+    fabric: Rc<Fabric>,
+    at: SocketAddr,
+    queue: RefCell<mpsc::UnboundedReceiver<(End, SocketAddr)>>,
+}
+
+impl MemoryDoor {
+    pub async fn next(&self) -> (End, SocketAddr) {
+        match poll_fn(|context| self.queue.borrow_mut().poll_recv(context)).await {
+            Some(connection) => connection,
+            // The fabric lets go of a door only when it is closed.
+            None => std::future::pending().await,
+        }
+    }
+}
+
+impl Door for MemoryDoor {
+    fn accept(&self) -> Later<'_, io::Result<(Stream, SocketAddr)>> {
+        Box::pin(async move {
+            let (end, from) = self.next().await;
+            Ok((Box::new(end) as Stream, from))
+        })
+    }
+}
+
+impl Drop for MemoryDoor {
+    fn drop(&mut self) {
+        self.fabric.close(self.at);
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/operator.rs
@@ -0,0 +1,143 @@
+//! The operator: configurations and versions, each sent until there is a clear answer, to any node of a lagging list.
+use crate::judge::Judge;
+use crate::net::MemoryNet;
+use crate::plan::Plan;
+use crate::server::MODEL;
+use crate::speech::{self, Reply};
+use fastrand::Rng;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Nothing is sent for longer.
+const GIVES_UP: Duration = Duration::from_secs(40);
+
+pub struct Operator {
+    net: MemoryNet,
+    judge: Rc<Judge>,
+    rng: RefCell<Rng>,
+    control: Rc<RefCell<Vec<SocketAddr>>>,
+}
+
+/// How a configuration is sent.
+#[derive(Clone, Debug)]
+pub enum How {
+    Whole,
+    Patch(Plan),
+    /// This body instead of the plan's.
+    Body(String),
+}
+
+impl Operator {
+    pub fn new(
+        net: MemoryNet, judge: Rc<Judge>, rng: Rng, control: Rc<RefCell<Vec<SocketAddr>>>,
+    ) -> Operator {
+        Operator { net, judge, rng: RefCell::new(rng), control }
+    }
+
+    fn any(&self) -> SocketAddr {
+        let list = self.control.borrow();
+        list[self.rng.borrow_mut().usize(..list.len())]
+    }
+
+    /// Sends a whole configuration on top of `base`; gives back the status that ended it, 0 where none did.
+    pub async fn put(&self, plan: &Plan, base: u64) -> u16 {
+        self.change(plan, base, How::Whole, true).await.0
+    }
+
+    pub async fn patch(&self, plan: &Plan, before: &Plan) -> u16 {
+        self.change(plan, before.version, How::Patch(before.clone()), true).await.0
+    }
+
+    /// The status that ended it, and who answered. `valid`: whether it may be taken at all.
+    pub async fn change(&self, plan: &Plan, base: u64, how: How, valid: bool) -> (u16, Option<SocketAddr>) {
+        let (method, body) = match how {
+            How::Whole => ("PUT", plan.json()),
+            How::Patch(before) => ("PATCH", plan.patch_json(&before)),
+            How::Body(body) => ("PUT", body),
+        };
+        let place = self.judge.config_sent(plan, base, valid);
+        let began = Instant::now();
+        let base = base.to_string();
+        let fields = [("If-Match", base.as_str()), ("Content-Type", "application/json")];
+        let mut unclear = false;
+        let mut told = false;
+        let mut others = 0;
+        let mut pause = Duration::from_millis(50);
+        while began.elapsed() < GIVES_UP {
+            let to = self.any();
+            let reply = speech::call(&self.net, to, method, "/api/config", &fields, &body, PATIENCE).await;
+            let status = reply.map_or(0, |r| r.status);
+            match status {
+                200..=299 => {
+                    self.judge.config_acknowledged(place);
+                    return (status, Some(to));
+                }
+                400 | 409 | 412 | 413 | 422 => {
+                    // Overtaken after it was taken, perhaps: then it was in force for a while.
+                    if !(unclear && matches!(status, 409 | 412)) {
+                        self.judge.config_refused(place, status);
+                    }
+                    return (status, Some(to));
+                }
+                404 | 405 if others >= 2 => return (status, Some(to)),
+                404 | 405 => others += 1,
+                503 | 429 => {}
+                _ => unclear = true,
+            }
+            if !told && valid && began.elapsed() > self.judge.bounds.ack_timeout {
+                let now = Instant::now();
+                if self.judge.core_stable(began, now) {
+                    told = true;
+                    self.judge.breach(
+                        "ACKS",
+                        format!("{} has no acknowledgement after {:?}", plan.version, now - began),
+                    );
+                }
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(Duration::from_millis(800));
+        }
+        (0, None)
+    }
+
+    /// Names new weights until that is acknowledged.
+    pub async fn name_version(&self, version: u64) -> bool {
+        let began = Instant::now();
+        let body = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
+        while began.elapsed() < GIVES_UP {
+            let to = self.any();
+            let call = speech::call(&self.net, to, "POST", "/api/version-put", &[], &body, PATIENCE);
+            if call.await.is_ok_and(|r| r.status < 300) {
+                self.judge.named(version);
+                return true;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        false
+    }
+
+    /// One question to one node.
+    pub async fn get_from(&self, to: SocketAddr) -> Option<Reply> {
+        speech::call(&self.net, to, "GET", "/api/config", &[], "", PATIENCE).await.ok()
+    }
+
+    /// Reads the configuration back, as at the end of a day.
+    pub async fn read_back(&self) {
+        let began = Instant::now();
+        let mut last = (0, String::new());
+        while began.elapsed() < self.judge.bounds.contact * 2 {
+            if let Some(reply) = self.get_from(self.any()).await {
+                last = (reply.status, reply.text().to_owned());
+                if reply.status == 200 {
+                    break;
+                }
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        self.judge.read_back(last.0, &last.1);
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/pot.rs
@@ -0,0 +1,75 @@
+//! One process: all its tasks together, so that it can be frozen, or end between any two steps.
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use tokio::task::{LocalSet, spawn_local};
+
+#[derive(Default)]
+struct Inside {
+    tasks: RefCell<Option<LocalSet>>,
+    frozen: Cell<bool>,
+    ended: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+/// Dropping it kills the process.
+pub struct Pot(Rc<Inside>);
+
+impl Pot {
+    /// Starts a process; it ends with `main`, whatever else it does.
+    pub fn start(main: impl Future<Output = ()> + 'static) -> Pot {
+        let inside = Rc::new(Inside::default());
+        let tasks = LocalSet::new();
+        let held = Rc::downgrade(&inside);
+        tasks.spawn_local(async move {
+            main.await;
+            if let Some(inside) = held.upgrade() {
+                inside.ended.set(true);
+            }
+        });
+        *inside.tasks.borrow_mut() = Some(tasks);
+        let driven = inside.clone();
+        spawn_local(poll_fn(move |context| {
+            *driven.waker.borrow_mut() = Some(context.waker().clone());
+            if driven.frozen.get() {
+                return Poll::Pending;
+            }
+            // Out of its place while it is polled, so that a process may be asked about from within.
+            let Some(mut tasks) = driven.tasks.borrow_mut().take() else { return Poll::Ready(()) };
+            let polled = Pin::new(&mut tasks).poll(context);
+            if driven.ended.get() || polled.is_ready() {
+                driven.ended.set(true);
+                return Poll::Ready(());
+            }
+            *driven.tasks.borrow_mut() = Some(tasks);
+            Poll::Pending
+        }));
+        Pot(inside)
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.0.ended.get()
+    }
+
+    /// Its clock runs on, it does nothing.
+    pub fn freeze(&self, frozen: bool) {
+        self.0.frozen.set(frozen);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.0.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+}
+
+impl Drop for Pot {
+    fn drop(&mut self) {
+        let tasks = self.0.tasks.borrow_mut().take();
+        drop(tasks);
+        self.wake();
+    }
+}
--- /dev/null
+++ b/crates/orchard/src/answers.rs
@@ -0,0 +1,66 @@
+//! What another node is answered: polls held until there is news, rows told, messages and changes of the control state.
+use crate::run::House;
+use crate::wire::{Call, Reply, Told};
+use hedgerow::Delta;
+use rootstock::{Member, Outcome};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use trug::Blob;
+
+/// Answers another node.
+pub async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
+    let node = &house.node;
+    match call {
+        Call::Poll(poll) => {
+            if let Some(control) = &house.control {
+                control.heard_of(&poll.node.name);
+                control.polled(&poll.node.name);
+            }
+            node.learn(Delta { nodes: vec![poll.node].into(), ..Delta::default() });
+            let mut changes = node.changes();
+            let until = Instant::now() + Duration::from_millis(u64::from(poll.hold_ms.min(5_000)));
+            loop {
+                changes.mark_unchanged();
+                let delta = node.rows.borrow().since(poll.epoch, poll.revision);
+                let known = node.in_force();
+                let news = known.seq > poll.config_seq;
+                let late = Instant::now() >= until;
+                if news || !delta.is_empty() || late || delta.epoch != poll.epoch {
+                    let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
+                    let config = news.then(|| node.told());
+                    return Some(Reply::Told(Told { delta, config, in_touch }));
+                }
+                // Either news, or the end of the hold.
+                let _ = tokio::time::timeout_at(until, changes.changed()).await;
+            }
+        }
+        Call::Tell(delta) => {
+            node.learn(delta);
+            Some(Reply::Done)
+        }
+        Call::Part { part, disk, name, address, message } => {
+            if let Some(control) = &house.control {
+                control.heard_of(&name);
+                control.heard(part, Member { disk, name, address }, &message);
+            }
+            None
+        }
+        Call::Change { part, change, patience_ms } => {
+            let Some(control) = house.control.as_ref().filter(|c| c.is_member()) else {
+                return Some(Reply::NotChanged("this node keeps no part of the control state".into()));
+            };
+            let patience = Duration::from_millis(u64::from(patience_ms.min(10_000)));
+            Some(match control.change_here(part, change.0, patience).await {
+                Outcome::Answered(answer) => Reply::Changed(Blob(answer)),
+                Outcome::Refused(why) => Reply::NotChanged(why.to_string()),
+                Outcome::Unknown => Reply::Unknown,
+            })
+        }
+        Call::Found { records } => {
+            let taken = house.control.as_ref().is_some_and(|c| c.take_record(&records));
+            Some(if taken { Reply::Done } else { Reply::No("this node can't be a founder".into()) })
+        }
+    }
+}
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -1,20 +1,18 @@
 //! The control state at one node: its registers, their disk, their messages; founding of the first group.
 //!
-//! What must hold is decided in `rootstock`; here its actions are carried out. The disk has a thread of its own: it
-//! waits, nothing else does.
+//! What must hold is decided in `rootstock`; here its actions are carried out.
 use crate::boot::nanos;
+use crate::disk::{Kept, Save, Saves, Stock};
 use crate::links::LinkError;
 use crate::node::Node;
 use crate::statute::{Change, Statute, Statutes, Verdict};
 use crate::wire::{Call, ConfigTold, ModelTold, Reply};
-use cellar::{Cellar, Opened, RealFiles};
 use rootstock::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Seen, Settings,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -49,71 +47,6 @@
     }
 }
 
-/// What is on this node's disk when it starts.
-pub struct Kept {
-    pub disk: u64,
-    pub records: Vec<Option<Vec<u8>>>,
-    pub rows: Option<Vec<u8>>,
-    cellar: Option<Cellar<RealFiles>>,
-}
-
-fn record_name(part: u16) -> String {
-    format!("part-{part}")
-}
-
-/// Opens the data directory; one that is damaged is emptied, since a vote that may be forgotten must not count under
-/// its old name.
-pub fn open(data: Option<&Path>, ring: &crate::ring::Ring) -> Kept {
-    let mut rng = fastrand::Rng::new();
-    let nothing =
-        |disk| Kept { disk, records: vec![None; usize::from(DUTY_PARTS) + 1], rows: None, cellar: None };
-    let Some(data) = data else { return nothing(rng.u64(1..)) };
-    for again in [false, true] {
-        let opened = RealFiles::open(data).map_err(|e| e.to_string());
-        let opened = opened.and_then(|files| Cellar::open(files).map_err(|e| e.to_string()));
-        match opened {
-            Ok((mut cellar, opened)) => {
-                let mut records = match opened {
-                    Opened::Fresh => BTreeMap::new(),
-                    Opened::Existing(records) => records,
-                };
-                let disk =
-                    records.get("disk").and_then(|d| Some(u64::from_le_bytes(d.as_slice().try_into().ok()?)));
-                let disk = disk.unwrap_or_else(|| {
-                    // Without its name on disk nothing that stands there may count.
-                    records.clear();
-                    let disk = rng.u64(1..);
-                    if let Err(why) = cellar.save("disk", &disk.to_le_bytes()) {
-                        ring.breach(&format!("the disk's name cannot be kept: {why}"));
-                    }
-                    disk
-                });
-                let parts = (0..=DUTY_PARTS).map(|p| records.remove(&record_name(p))).collect();
-                return Kept { disk, records: parts, rows: records.remove("rows"), cellar: Some(cellar) };
-            }
-            Err(why) => {
-                ring.breach(&format!("{} cannot be used: {why}", data.display()));
-                if again || empty(data).is_err() {
-                    break;
-                }
-            }
-        }
-    }
-    nothing(rng.u64(1..))
-}
-
-fn empty(data: &Path) -> std::io::Result<()> {
-    for entry in std::fs::read_dir(data)? {
-        std::fs::remove_file(entry?.path())?;
-    }
-    Ok(())
-}
-
-enum Save {
-    Part { part: u16, token: u64, bytes: Vec<u8> },
-    Rows(Vec<u8>),
-}
-
 type Ops = HashMap<u64, oneshot::Sender<Outcome>>;
 
 pub struct Control {
@@ -122,30 +55,30 @@
     registers: RefCell<Vec<Register<PartMachine>>>,
     ops: RefCell<Ops>,
     next_op: Cell<u64>,
-    disk: RefCell<Option<std::sync::mpsc::Sender<Save>>>,
+    disk: RefCell<Option<Saves>>,
     /// Saves that the disk has not answered yet.
     saving: Cell<usize>,
     woken: Notify,
     /// When each node of the core was last heard of, by name.
     contacts: RefCell<HashMap<String, u64>>,
     /// Nodes that ask this one, and when each asked last.
-    pollers: RefCell<HashMap<String, u64>>,
+    pollers: RefCell<BTreeMap<String, u64>>,
     /// A quorum told this life what is in force.
     caught_up: Cell<bool>,
     founded: Cell<bool>,
 }
 
 impl Control {
-    pub fn start(node: Rc<Node>, kept: Kept) -> Rc<Control> {
+    pub fn start(node: Rc<Node>, stock: Stock) -> Rc<Control> {
         let (name, address) = {
             let me = node.me.borrow();
             (me.name.clone(), me.internal.clone())
         };
-        let me = Member { disk: kept.disk, name, address };
+        let me = Member { disk: stock.disk, name, address };
         let settings = Settings { contact: nanos(node.boot.borrow().bounds.contact), ..Settings::default() };
         let mut registers = Vec::new();
         let mut founded = false;
-        for (part, record) in (0..).zip(&kept.records) {
+        for (part, record) in (0..).zip(&stock.records) {
             let rng = node.rng.borrow_mut().fork();
             let record = record.as_deref();
             let opened = Register::new(part, me.clone(), record, PartMachine(part), rng, settings.clone(), 0);
@@ -173,11 +106,7 @@
             founded: Cell::new(founded),
         });
         let (done, stored) = mpsc::unbounded_channel();
-        if let Some(cellar) = kept.cellar {
-            let (saves, queue) = std::sync::mpsc::channel();
-            *control.disk.borrow_mut() = Some(saves);
-            std::thread::spawn(move || keep(cellar, &queue, &done));
-        }
+        *control.disk.borrow_mut() = stock.keeper.map(|keeper| keeper.begin(done));
         spawn_local(control.clone().run(stored));
         spawn_local(control.clone().catch_up());
         spawn_local(control.clone().tend());
@@ -252,25 +181,26 @@
         self.caught_up.get() && self.is_member() && there * 2 > members.len()
     }
 
-    async fn run(self: Rc<Self>, mut stored: mpsc::UnboundedReceiver<(u16, u64, bool)>) {
+    async fn run(self: Rc<Self>, mut stored: mpsc::UnboundedReceiver<Kept>) {
         loop {
             let now = self.node.now();
             let next = self.registers.borrow().iter().filter_map(Register::next_wake).min();
             let wake = Duration::from_nanos(next.unwrap_or(now + 1_000_000_000).saturating_sub(now));
+            // In this order, so that the same seed gives the same run; the timer first, since words may come without end.
             tokio::select! {
-                Some((part, token, ok)) = stored.recv() => {
-                    if token == u64::MAX {
-                        self.saving.set(self.saving.get().saturating_sub(1));
-                    } else {
-                        let now = self.node.now();
-                        self.registers.borrow_mut()[usize::from(part)].stored(token, ok, now);
-                    }
-                }
-                () = self.woken.notified() => {}
+                biased;
                 () = tokio::time::sleep(wake.max(Duration::from_micros(200))) => {
                     let now = self.node.now();
                     self.registers.borrow_mut().iter_mut().for_each(|r| r.tick(now));
                 }
+                Some(kept) = stored.recv() => match kept {
+                    Kept::Rows => self.saving.set(self.saving.get().saturating_sub(1)),
+                    Kept::Part { part, token, ok } => {
+                        let now = self.node.now();
+                        self.registers.borrow_mut()[usize::from(part)].stored(token, ok, now);
+                    }
+                },
+                () = self.woken.notified() => {}
             }
             self.carry_out();
         }
@@ -307,10 +237,7 @@
                 }
             }
             Action::Store { token, bytes } => match &*self.disk.borrow() {
-                Some(disk) => {
-                    // The thread ends with the process only.
-                    let _ = disk.send(Save::Part { part, token, bytes });
-                }
+                Some(save) => save(Save::Part { part, token, bytes }),
                 // Without a disk nothing is promised beyond this life: its id goes with it.
                 None => {
                     let now = self.node.now();
@@ -494,9 +421,9 @@
         *self.registers.borrow_mut() = made;
         self.founded.set(true);
         for (part, record) in (0..).zip(records) {
-            if let Some(disk) = &*self.disk.borrow() {
-                // Kept before anything later is: the thread works in order.
-                let _ = disk.send(Save::Part { part, token: u64::MAX - 1, bytes: record.0.clone() });
+            if let Some(save) = &*self.disk.borrow() {
+                // Kept before anything later is: saves are carried out in order.
+                save(Save::Founding { part, bytes: record.0.clone() });
             }
         }
         self.woken.notify_one();
@@ -508,28 +435,9 @@
         if self.saving.get() > 0 {
             return;
         }
-        if let Some(disk) = &*self.disk.borrow()
-            && disk.send(Save::Rows(bytes)).is_ok()
-        {
+        if let Some(save) = &*self.disk.borrow() {
             self.saving.set(self.saving.get() + 1);
-        }
-    }
-}
-
-/// The disk's own thread. The newest save of a part stands for those before it.
-fn keep(
-    mut cellar: Cellar<RealFiles>, queue: &std::sync::mpsc::Receiver<Save>,
-    done: &mpsc::UnboundedSender<(u16, u64, bool)>,
-) {
-    while let Ok(save) = queue.recv() {
-        let (part, token, ok) = match save {
-            Save::Part { part, token, bytes } => {
-                (part, token, cellar.save(&record_name(part), &bytes).is_ok())
-            }
-            Save::Rows(bytes) => (0, u64::MAX, cellar.save("rows", &bytes).is_ok()),
-        };
-        if token != u64::MAX - 1 && done.send((part, token, ok)).is_err() {
-            return;
+            save(Save::Rows(bytes));
         }
     }
 }
--- /dev/null
+++ b/crates/orchard/src/disk.rs
@@ -0,0 +1,161 @@
+//! What a process keeps on disk: read once at the start, then saved by a keeper that alone waits for the disk.
+//!
+//! The program's keeper is a thread. Where stories are told it is a task in virtual time, over a disk that lies.
+use crate::control::DUTY_PARTS;
+use crate::ring::Ring;
+use cellar::{Cellar, Files, Opened, RealFiles};
+use fastrand::Rng;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// One thing to be kept.
+#[derive(Debug)]
+pub enum Save {
+    Part {
+        part: u16,
+        token: u64,
+        bytes: Vec<u8>,
+    },
+    /// The first record of a part: nobody waits for it, since what is kept later stands behind it.
+    Founding {
+        part: u16,
+        bytes: Vec<u8>,
+    },
+    Rows(Vec<u8>),
+}
+
+/// What came of a save.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    Part { part: u16, token: u64, ok: bool },
+    Rows,
+}
+
+/// Takes saves and carries them out one after the other.
+pub trait Keeper {
+    /// Gives back where saves go; what came of each is told to `done`.
+    fn begin(self: Box<Self>, done: UnboundedSender<Kept>) -> Saves;
+}
+
+pub type Saves = Box<dyn Fn(Save)>;
+
+/// What is on this node's disk when it starts.
+pub struct Stock {
+    /// Id of the disk's life, drawn anew where there is none.
+    pub disk: u64,
+    pub records: Vec<Option<Vec<u8>>>,
+    pub rows: Option<Vec<u8>>,
+    /// None: nothing outlives the process.
+    pub keeper: Option<Box<dyn Keeper>>,
+}
+
+impl Stock {
+    /// Of a process without a disk, or whose disk cannot be used.
+    pub fn empty(rng: &mut Rng) -> Stock {
+        let records = vec![None; usize::from(DUTY_PARTS) + 1];
+        Stock { disk: rng.u64(1..), records, rows: None, keeper: None }
+    }
+
+    /// What a folder holds; `keeper` is made of the folder for what comes.
+    pub fn of<F: Files>(
+        mut cellar: Cellar<F>, opened: Opened, ring: &Ring, rng: &mut Rng,
+        keeper: impl FnOnce(Cellar<F>) -> Box<dyn Keeper>,
+    ) -> Stock {
+        let mut records = match opened {
+            Opened::Fresh => BTreeMap::new(),
+            Opened::Existing(records) => records,
+        };
+        let disk = records.get("disk").and_then(|d| Some(u64::from_le_bytes(d.as_slice().try_into().ok()?)));
+        let disk = disk.unwrap_or_else(|| {
+            // Without its name on disk nothing that stands there may count.
+            records.clear();
+            let disk = rng.u64(1..);
+            if let Err(why) = cellar.save("disk", &disk.to_le_bytes()) {
+                ring.breach(&format!("the disk's name cannot be kept: {why}"));
+            }
+            disk
+        });
+        let parts = (0..=DUTY_PARTS).map(|p| records.remove(&record_name(p))).collect();
+        Stock { disk, records: parts, rows: records.remove("rows"), keeper: Some(keeper(cellar)) }
+    }
+}
+
+fn record_name(part: u16) -> String {
+    format!("part-{part}")
+}
+
+/// Carries out one save; blocks until the disk has answered.
+pub fn keep<F: Files>(cellar: &mut Cellar<F>, save: Save) -> Option<Kept> {
+    match save {
+        Save::Part { part, token, bytes } => {
+            let ok = cellar.save(&record_name(part), &bytes).inspect_err(|why| log::warn!("{why}")).is_ok();
+            Some(Kept::Part { part, token, ok })
+        }
+        Save::Founding { part, bytes } => {
+            if let Err(why) = cellar.save(&record_name(part), &bytes) {
+                log::warn!("{why}");
+            }
+            None
+        }
+        Save::Rows(bytes) => {
+            if let Err(why) = cellar.save("rows", &bytes) {
+                log::warn!("{why}");
+            }
+            Some(Kept::Rows)
+        }
+    }
+}
+
+/// Opens the data directory; one that is damaged is emptied, since a vote that may be forgotten must not count under
+/// its old name.
+pub fn open(data: Option<&Path>, ring: &Ring, rng: &mut Rng) -> Stock {
+    let Some(data) = data else { return Stock::empty(rng) };
+    for again in [false, true] {
+        let opened = RealFiles::open(data).map_err(|e| e.to_string());
+        let opened = opened.and_then(|files| Cellar::open(files).map_err(|e| e.to_string()));
+        match opened {
+            Ok((cellar, opened)) => {
+                return Stock::of(cellar, opened, ring, rng, |cellar| Box::new(OnThread(cellar)));
+            }
+            Err(why) => {
+                ring.breach(&format!("{} cannot be used: {why}", data.display()));
+                if again || empty(data).is_err() {
+                    break;
+                }
+            }
+        }
+    }
+    Stock::empty(rng)
+}
+
+fn empty(data: &Path) -> io::Result<()> {
+    for entry in std::fs::read_dir(data)? {
+        std::fs::remove_file(entry?.path())?;
+    }
+    Ok(())
+}
+
+/// A disk with a thread of its own: it waits, nothing else does.
+struct OnThread(Cellar<RealFiles>);
+
+impl Keeper for OnThread {
+    fn begin(self: Box<Self>, done: UnboundedSender<Kept>) -> Saves {
+        let (saves, queue) = std::sync::mpsc::channel();
+        let mut cellar = self.0;
+        std::thread::spawn(move || {
+            while let Ok(save) = queue.recv() {
+                if let Some(kept) = keep(&mut cellar, save)
+                    && done.send(kept).is_err()
+                {
+                    return;
+                }
+            }
+        });
+        Box::new(move |save| {
+            // The thread ends with the process only.
+            let _ = saves.send(save);
+        })
+    }
+}
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -5,13 +5,17 @@
 //! | `boot`, `ring` | settings read and checked; the log |
 //! | `node` | what one process knows; tables swapped whole |
 //! | `net`, `wire`, `links`, `polls` | the way to other machines, words between nodes, their connections, who asks whom for what is new |
-//! | `control`, `statute` | the control state: registers carried out, and what a change means |
-//! | `registry`, `doors` | servers' beats; the tree of calls of servers and operators |
+//! | `control`, `disk`, `statute` | the control state: registers carried out, kept, and what a change means |
+//! | `registry`, `doors`, `calls` | servers' beats; the tree of calls of servers and operators |
+//! | `answers` | what other nodes are answered |
 //! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
 //! | `weights` | servers brought to the version of weights that was named |
 //! | `run`, `status` | a process from start to end; what it says of itself |
+pub mod answers;
 pub mod boot;
+pub mod calls;
 pub mod control;
+pub mod disk;
 pub mod doors;
 pub mod events;
 pub mod exchange;
--- a/crates/orchard/src/links.rs
+++ b/crates/orchard/src/links.rs
@@ -163,7 +163,9 @@
                 }
             }
         };
+        // In this order, so that the same seed gives the same run.
         tokio::select! {
+            biased;
             () = reading => {}
             () = write_frames(into, queued) => {}
         }
@@ -216,7 +218,9 @@
             });
         }
     };
+    // In this order, so that the same seed gives the same run.
     tokio::select! {
+        biased;
         () = reading => {}
         () = write_frames(into, queued) => {}
     }
--- a/crates/orchard/src/registry.rs
+++ b/crates/orchard/src/registry.rs
@@ -7,7 +7,7 @@
 use hedgerow::{Delta, ModelAt, ServerRow, Standing};
 use miniserde::{Deserialize, json};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -46,9 +46,9 @@
 /// The servers that call this node.
 #[derive(Default)]
 pub struct Registry {
-    heard: RefCell<HashMap<String, Heard>>,
+    heard: RefCell<BTreeMap<String, Heard>>,
     /// Servers whose registrar is not heard of, and since when.
-    orphaned: RefCell<HashMap<String, u64>>,
+    orphaned: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Registry {
--- a/crates/orchard/src/ring.rs
+++ b/crates/orchard/src/ring.rs
@@ -15,6 +15,8 @@
     lines: VecDeque<Vec<u8>>,
     open: Vec<u8>,
     dumps: u32,
+    /// Breaches are gathered here instead of written out, where stories are told.
+    gathered: Option<Vec<String>>,
 }
 
 /// A handle on the ring of this process.
@@ -30,6 +32,15 @@
         ring
     }
 
+    /// A ring that writes nothing out: `breaches` tells what would have been.
+    pub fn gathering() -> Ring {
+        Ring(Arc::new(Mutex::new(Kept { gathered: Some(Vec::new()), ..Kept::default() })))
+    }
+
+    pub fn breaches(&self) -> Vec<String> {
+        self.0.lock().ok().and_then(|kept| kept.gathered.clone()).unwrap_or_default()
+    }
+
     /// Something that must not happen: the line and what led there go to standard error.
     pub fn breach(&self, what: &str) {
         log::error!("{what}");
@@ -39,6 +50,9 @@
     /// Writes out what is kept, and starts anew.
     pub fn dump(&self, why: &str) {
         let Ok(mut kept) = self.0.lock() else { return };
+        if let Some(gathered) = &mut kept.gathered {
+            return gathered.push(why.to_owned());
+        }
         if kept.dumps >= MOST_DUMPS {
             kept.lines.clear();
             return;
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -1,35 +1,32 @@
-//! The life of a process: doors open, tasks started, signals heeded, an end without loss.
+//! The life of a process: doors open, tasks started, orders heeded, an end without loss. `run` is the program's, with
+//! signals and files; `serve` is the same without either, for the in-memory fleet too.
+use crate::answers::answer;
 use crate::boot::Boot;
-use crate::control::{self, Control, NoChange};
+use crate::calls;
+use crate::control::{self, Control};
+use crate::disk::{self, Stock};
 use crate::doors::{self, Matcher};
 use crate::front::{self, Stage};
-use crate::http::{Answer, Request};
+use crate::http::Answer;
 use crate::links;
 use crate::net::{Door, Net, SharedNet};
 use crate::node::Node;
 use crate::polls;
 use crate::registry::Registry;
 use crate::ring::Ring;
-use crate::statute::Change;
 use crate::weights;
-use crate::wire::{Call, Reply, Told};
 use fastrand::Rng;
 use hedgerow::Delta;
 use nanoserde::SerBin;
-use rootstock::{Member, Outcome};
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
-use trug::Blob;
 
-/// An operator's call waits a second for an answer; a change has this much of it.
-const PATIENCE: Duration = Duration::from_millis(900);
 /// The platform looks every second and believes the second miss: until then clients still come.
 const NOTICED: Duration = Duration::from_millis(2_300);
 
@@ -56,14 +53,70 @@
     net.listen(address).map_err(|e| RunError::Listen { address, why: e.to_string() })
 }
 
-struct House {
-    node: Rc<Node>,
-    control: Option<Rc<Control>>,
-    registry: Registry,
+/// What the tasks of a process share.
+pub struct House {
+    pub node: Rc<Node>,
+    pub control: Option<Rc<Control>>,
+    pub registry: Registry,
 }
 
-/// Runs until told to end.
+/// What a process is told while it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// End, without losing what was taken.
+    Leave,
+    /// Other machines are the seeds now; the rest of what a process is told holds for its life.
+    Seeds(Vec<SocketAddr>),
+}
+
+/// The program: runs until a signal says otherwise.
 pub async fn run(role: Role, boot: Boot, ring: Ring, net: SharedNet, rng: Rng) -> Result<(), RunError> {
+    let mut term = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
+    let (give, orders) = mpsc::unbounded_channel();
+    let path = boot.path.clone();
+    let mut changed = modified(&path);
+    let heeding = async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = hup.recv() => reread(&give, &path),
+                () = tokio::time::sleep(Duration::from_secs(1)) => {
+                    // The file may change without a signal.
+                    let at = modified(&path);
+                    if at != changed {
+                        changed = at;
+                        reread(&give, &path);
+                    }
+                }
+            }
+        }
+        // One that has ended already needs no order.
+        let _ = give.send(Order::Leave);
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        ended = serve(role, boot, disk::open, ring, net, rng, orders) => ended,
+        () = heeding => Ok(()),
+    }
+}
+
+fn modified(path: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+fn reread(give: &mpsc::UnboundedSender<Order>, path: &Path) {
+    match Boot::read(path) {
+        Ok(next) => drop(give.send(Order::Seeds(next.seeds))),
+        Err(why) => log::warn!("settings left as they were: {why}"),
+    }
+}
+
+/// Serves until told to leave, or until whoever may tell is gone. `open` reads what the data directory holds.
+pub async fn serve(
+    role: Role, boot: Boot, open: impl FnOnce(Option<&Path>, &Ring, &mut Rng) -> Stock, ring: Ring,
+    net: SharedNet, mut rng: Rng, mut orders: mpsc::UnboundedReceiver<Order>,
+) -> Result<(), RunError> {
     if role == Role::Proxy && boot.listen.front.is_none() {
         return Err(RunError::Role("listen_addresses.front_http"));
     }
@@ -74,23 +127,21 @@
     let readiness = boot.listen.readiness.map(|a| listener(&*net, a)).transpose()?;
     let control_door = boot.listen.control.map(|a| listener(&*net, a)).transpose()?;
     let internal = listener(&*net, boot.internal_of(boot.ip))?;
-    let mut term = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
-    let mut hup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
     let keeps = boot.listen.control.is_some();
     let data = boot.data.clone().filter(|_| keeps);
-    let kept = control::open(data.as_deref(), &ring);
+    let stock = open(data.as_deref(), &ring, &mut rng);
     let first = boot.first_start;
     let founder = boot.seeds.first().is_none_or(|s| s.ip() == boot.ip);
     let grace = boot.bounds.grace;
     let most = (boot.open_files.saturating_sub(300) * 6 / 10) as usize;
-    let (path, contact) = (boot.path.clone(), boot.bounds.contact);
+    let contact = boot.bounds.contact;
     let in_core = keeps && (boot.counted || data.is_some());
-    let disk = if in_core { kept.disk } else { 0 };
+    let disk = if in_core { stock.disk } else { 0 };
     let node = Node::new(boot, disk, ring, net, rng);
-    if let Some(rows) = kept.rows.as_deref().and_then(trug::read::<Delta>) {
+    if let Some(rows) = stock.rows.as_deref().and_then(trug::read::<Delta>) {
         node.learn(rows);
     }
-    let control = in_core.then(|| Control::start(node.clone(), kept));
+    let control = in_core.then(|| Control::start(node.clone(), stock));
     if let Some(control) = &control {
         weights::start(node.clone(), control.clone());
     }
@@ -102,7 +153,7 @@
         spawn_local(control::found(node.clone()));
     }
     if let Some(listener) = control_door {
-        spawn_local(doors::listen(listener, Rc::new(tree(&house))));
+        spawn_local(doors::listen(listener, Rc::new(calls::tree(&house))));
     }
     if let Some(listener) = readiness {
         let node = node.clone();
@@ -119,36 +170,13 @@
     spawn_local(keep_house(house.clone()));
     spawn_local(probe(node.clone()));
     spawn_local(without_quorum(node.clone(), contact));
-    let changed = Rc::new(Cell::new(modified(&path)));
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => reread(&node, &path),
-            () = tokio::time::sleep(Duration::from_secs(1)) => {
-                // The file may change without a signal.
-                let at = modified(&path);
-                if at != changed.replace(at) {
-                    reread(&node, &path);
-                }
-            }
-        }
+    while let Some(Order::Seeds(seeds)) = orders.recv().await {
+        node.boot.borrow_mut().seeds = seeds;
     }
     leave(&node, &stage, grace).await;
     Ok(())
 }
 
-fn modified(path: &PathBuf) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|m| m.modified()).ok()
-}
-
-/// Seeds may be others now; the rest of what a process is told holds for its life.
-fn reread(node: &Node, path: &PathBuf) {
-    match Boot::read(path) {
-        Ok(next) => node.boot.borrow_mut().seeds = next.seeds,
-        Err(why) => log::warn!("settings left as they were: {why}"),
-    }
-}
-
 /// Readiness first; all that was taken is answered; resting connections go last.
 async fn leave(node: &Rc<Node>, stage: &watch::Sender<Stage>, grace: Duration) {
     let began = Instant::now();
@@ -227,139 +255,3 @@
         }
     }
 }
-
-/// Answers another node.
-async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
-    let node = &house.node;
-    match call {
-        Call::Poll(poll) => {
-            if let Some(control) = &house.control {
-                control.heard_of(&poll.node.name);
-                control.polled(&poll.node.name);
-            }
-            node.learn(Delta { nodes: vec![poll.node].into(), ..Delta::default() });
-            let mut changes = node.changes();
-            let until = Instant::now() + Duration::from_millis(u64::from(poll.hold_ms.min(5_000)));
-            loop {
-                changes.mark_unchanged();
-                let delta = node.rows.borrow().since(poll.epoch, poll.revision);
-                let known = node.in_force();
-                let news = known.seq > poll.config_seq;
-                let late = Instant::now() >= until;
-                if news || !delta.is_empty() || late || delta.epoch != poll.epoch {
-                    let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
-                    let config = news.then(|| node.told());
-                    return Some(Reply::Told(Told { delta, config, in_touch }));
-                }
-                // Either news, or the end of the hold.
-                let _ = tokio::time::timeout_at(until, changes.changed()).await;
-            }
-        }
-        Call::Tell(delta) => {
-            node.learn(delta);
-            Some(Reply::Done)
-        }
-        Call::Part { part, disk, name, address, message } => {
-            if let Some(control) = &house.control {
-                control.heard_of(&name);
-                control.heard(part, Member { disk, name, address }, &message);
-            }
-            None
-        }
-        Call::Change { part, change, patience_ms } => {
-            let Some(control) = house.control.as_ref().filter(|c| c.is_member()) else {
-                return Some(Reply::NotChanged("this node keeps no part of the control state".into()));
-            };
-            let patience = Duration::from_millis(u64::from(patience_ms.min(10_000)));
-            Some(match control.change_here(part, change.0, patience).await {
-                Outcome::Answered(answer) => Reply::Changed(Blob(answer)),
-                Outcome::Refused(why) => Reply::NotChanged(why.to_string()),
-                Outcome::Unknown => Reply::Unknown,
-            })
-        }
-        Call::Found { records } => {
-            let taken = house.control.as_ref().is_some_and(|c| c.take_record(&records));
-            Some(if taken { Reply::Done } else { Reply::No("this node can't be a founder".into()) })
-        }
-    }
-}
-
-/// The calls of servers and operators.
-fn tree(house: &Rc<House>) -> Matcher {
-    let with = |f: fn(Rc<House>, Rc<Request>, Vec<String>) -> doors::Answering| {
-        let house = house.clone();
-        move |request, words| f(house.clone(), request, words)
-    };
-    Matcher::default()
-        .on("PUT", "/api/instances/*", with(|h, r, w| Box::pin(beat(h, r, w))))
-        .on("DELETE", "/api/instances/*", with(|h, _, w| Box::pin(gone(h, w))))
-        .on("PUT", "/api/config", with(|h, r, _| Box::pin(config(h, r, false))))
-        .on("PATCH", "/api/config", with(|h, r, _| Box::pin(config(h, r, true))))
-        .on("GET", "/api/config", with(|h, _, _| Box::pin(change(h, Change::Get))))
-        .on("POST", "/api/version-put", with(|h, r, _| Box::pin(name_version(h, r))))
-        .on("GET", "/api/status", with(|h, _, _| Box::pin(status(h))))
-}
-
-async fn beat(house: Rc<House>, request: Rc<Request>, words: Vec<String>) -> Answer {
-    let id = words.first().map(String::as_str).unwrap_or_default();
-    house.registry.beat(&house.node, house.control.as_ref(), id, &request.body).await
-}
-
-async fn gone(house: Rc<House>, words: Vec<String>) -> Answer {
-    house.registry.leave(&house.node, words.first().map(String::as_str).unwrap_or_default()).await
-}
-
-async fn config(house: Rc<House>, request: Rc<Request>, patch: bool) -> Answer {
-    if request.body.len() > trellis::MAX_BYTES {
-        return Answer::plain(413, "a configuration is at most 8 MiB: split the change");
-    }
-    let if_match = request.head.fields.text("if-match").map(|m| m.trim().trim_matches('"'));
-    let if_match = match if_match.map(str::parse::<u64>) {
-        Some(Err(_)) => {
-            return Answer::plain(400, "If-Match is the number of the version that this builds on");
-        }
-        Some(Ok(number)) => Some(number),
-        None => None,
-    };
-    let body = Blob(request.body.to_vec());
-    let made = if patch { Change::Patch { if_match, body } } else { Change::Put { if_match, body } };
-    change(house, made).await
-}
-
-#[derive(miniserde::Deserialize)]
-struct NameVersion {
-    model: String,
-    version: u64,
-}
-
-async fn name_version(house: Rc<House>, request: Rc<Request>) -> Answer {
-    let text = std::str::from_utf8(&request.body).unwrap_or_default();
-    match miniserde::json::from_str::<NameVersion>(text) {
-        Ok(named) => change(house, Change::Name { model: named.model, version: named.version }).await,
-        Err(_) => Answer::plain(400, "a version is named by JSON with model and version"),
-    }
-}
-
-/// One change of the configuration's part, and what it came to.
-async fn change(house: Rc<House>, change: Change) -> Answer {
-    let get = matches!(change, Change::Get);
-    let bytes = control::encode(&change);
-    match control::change(&house.node, house.control.as_ref(), control::CONFIG, bytes, PATIENCE).await {
-        Ok(answer) => match control::verdict(&answer) {
-            Some(verdict) if get && verdict.status == 200 => Answer::json(200, verdict.text),
-            Some(verdict) => Answer::plain(verdict.status, verdict.text),
-            None => Answer::plain(500, "the answer is of another release: bring all nodes to one"),
-        },
-        Err(NoChange::NotMade(why)) => {
-            Answer { body: why, ..Answer::later(house.node.jitter(Duration::from_millis(150))) }
-        }
-        Err(NoChange::Unknown) => Answer::plain(
-            504,
-            "no quorum answered in time: the change may be in force or not; send it again unchanged",
-        ),
-    }
-}
-
-async fn status(house: Rc<House>) -> Answer {
-    Answer::json(200, crate::status::show(&house.node, house.control.as_ref()))
-}
