--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -1,6 +1,7 @@
 //! What another node is answered: polls held until there is news, rows told, messages and changes of the control state.
 use crate::run::House;
 use crate::wire::{Call, Reply, Told};
+use gleaner::Question;
 use hedgerow::Delta;
 use rootstock::{Member, Outcome};
 use std::net::SocketAddr;
@@ -58,6 +59,10 @@
                 Outcome::Unknown => Reply::Unknown,
             })
         }
+        Call::Prefix { prefix, server, store } => {
+            let advice = node.index.borrow_mut().ask(Question { prefix, server, store }, node.now());
+            Some(Reply::Prefix { save: advice.save, stored: advice.stored, reader: advice.reader })
+        }
         Call::Found { records } => {
             let taken = house.control.as_ref().is_some_and(|c| c.take_record(&records));
             Some(if taken { Reply::Done } else { Reply::No("this node can't be a founder".into()) })
