Stories of servers, weights and disks; the judge judged; a full disk names its remedy

Change: stand-ins fault, drain, reuse addresses and keep prompts; a change that a full disk holds up is refused with the disk's own words, from the node that was asked (control::explain).

--- a/crates/hothouse/src/judge/orders.rs
+++ b/crates/hothouse/src/judge/orders.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    /// Who ordered last.
+    pub fn last_holder(&self) -> Option<String> {
+        let orders = self.orders.borrow();
+        let last = orders.servers.values().filter_map(|all| all.last()).max_by_key(|l| l.at);
+        last.map(|l| l.holder.clone())
+    }
+
     /// A server takes new weights.
     pub fn loads(&self, instance: &str, version: u64) {
         self.note(format!("{instance} loads weights {version}"));
--- a/crates/hothouse/src/plan.rs
+++ b/crates/hothouse/src/plan.rs
@@ -1,5 +1,6 @@
 //! Configurations as the operator thinks of them: written as JSON, and read by the judge without the fleet's own code.
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 /// What a route's requests may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +84,8 @@
     pub version: u64,
     pub routes: Vec<Route>,
     pub services: Vec<String>,
+    /// A store of kept prompts, if there is one.
+    pub store: Option<SocketAddr>,
     pub tenants: Vec<Tenant>,
 }
 
@@ -106,7 +109,13 @@
 
     pub fn json(&self) -> String {
         let routes: Vec<String> = self.routes.iter().map(Route::json).collect();
-        let services: Vec<String> = self.services.iter().map(|s| service(s)).collect();
+        let mut services: Vec<String> = self.services.iter().map(|s| service(s)).collect();
+        services.extend(self.store.map(|at| {
+            format!(
+                "{{\"name\":\"store\",\"kv_store_address\":\"{at}\",\"zone\":\"bhaktapur\",\
+                 \"kv_capacity_tokens\":500000,\"link_mbps\":180000.0,\"max_concurrent\":12}}"
+            )
+        }));
         let tenants: Vec<String> = self.tenants.iter().map(tenant).collect();
         format!(
             "{{\"version\":{},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\
--- a/crates/hothouse/src/server.rs
+++ b/crates/hothouse/src/server.rs
@@ -28,6 +28,11 @@
 const LINGER: Duration = Duration::from_millis(400);
 const UNHEARD: Duration = Duration::from_secs(5);
 
+/// Parts that a server or store keeps: under which salt and id, made at which version of the weights.
+pub type Memory = Rc<RefCell<BTreeMap<(String, String), u64>>>;
+/// All of them by address, as `Kv-Fetch` and `Kv-Save` name them.
+pub type Memories = Rc<RefCell<BTreeMap<SocketAddr, Memory>>>;
+
 /// What a server does wrong, as chances.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Faults {
@@ -59,6 +64,7 @@
     pub load: Duration,
     /// Addresses that serve control, as the operator's list has them.
     pub control: Rc<RefCell<Vec<SocketAddr>>>,
+    pub memories: Memories,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,14 +89,15 @@
     slots: Semaphore,
     queued: Cell<u32>,
     running: Cell<u32>,
-    /// Parts that are kept: under which salt and id, made at which version.
-    kept: RefCell<BTreeMap<(String, String), u64>>,
+    kept: Memory,
     /// A delayed copy of its first beat, sent once more after it drains.
     pub late_beat: Cell<bool>,
 }
 
 impl Server {
     pub fn new(terms: Terms, net: MemoryNet, judge: Rc<Judge>, rng: Rng) -> Rc<Server> {
+        let kept = Memory::default();
+        terms.memories.borrow_mut().insert(terms.address, kept.clone());
         Rc::new(Server {
             version: Cell::new(terms.version),
             slots: Semaphore::new(terms.slots as usize),
@@ -107,7 +114,7 @@
             target: Cell::new(None),
             queued: Cell::new(0),
             running: Cell::new(0),
-            kept: RefCell::default(),
+            kept,
             late_beat: Cell::new(false),
         })
     }
@@ -376,9 +383,22 @@
         let salt = fields.text("cache-salt").unwrap_or_default().to_owned();
         let version = self.version.get();
         let mut made = Vec::new();
+        let memory = |name: &str| {
+            let at: SocketAddr = fields.text(name)?.parse().ok()?;
+            self.terms.memories.borrow().get(&at).cloned()
+        };
+        let (fetch, save) = (memory("kv-fetch"), memory("kv-save"));
         for part in fields.text("sparrouter-prompt-prefix").unwrap_or_default().split(',') {
-            let part = part.split(':').next().unwrap_or_default().to_owned();
-            made.push(*self.kept.borrow_mut().entry((salt.clone(), part)).or_insert(version));
+            let key = (salt.clone(), part.split(':').next().unwrap_or_default().to_owned());
+            let held = self.kept.borrow().get(&key).copied();
+            let fetched = || fetch.as_ref().and_then(|m| m.borrow().get(&key).copied());
+            let at = held.or_else(fetched).unwrap_or(version);
+            self.kept.borrow_mut().insert(key.clone(), at);
+            if let Some(store) = &save {
+                // What it has stays as it was first made.
+                store.borrow_mut().entry(key).or_insert(at);
+            }
+            made.push(at);
         }
         self.judge.ran(Run {
             attempt: id.to_owned(),
--- a/crates/hothouse/src/world.rs
+++ b/crates/hothouse/src/world.rs
@@ -7,7 +7,7 @@
 use crate::plan::{Kind, Plan, Route, Tenant};
 use crate::platform::Platform;
 use crate::pot::Pot;
-use crate::server::{self, Server};
+use crate::server::{self, Memories, Memory, Server};
 use crate::shelf::Shelf;
 use fastrand::Rng;
 use orchard::boot::Boot;
@@ -89,6 +89,7 @@
     /// Addresses that serve control, as the operator's list has them now.
     pub control: Rc<RefCell<Vec<SocketAddr>>>,
     seeds: RefCell<Vec<SocketAddr>>,
+    pub memories: Memories,
     pub rng: RefCell<Rng>,
     next_ip: Cell<u8>,
     next_server: Cell<u32>,
@@ -100,6 +101,11 @@
     IpAddr::from([172, 16, 0, last])
 }
 
+/// Where the store of kept prompts is.
+pub fn store() -> SocketAddr {
+    SocketAddr::new(IpAddr::from([10, 0, 0, 9]), 8680)
+}
+
 impl World {
     /// Machines that are not started yet, clients, an operator.
     pub fn new(terms: Terms) -> Rc<World> {
@@ -127,11 +133,13 @@
             servers: RefCell::default(),
             control,
             seeds: RefCell::default(),
+            memories: Memories::default(),
             rng: RefCell::new(rng),
             next_ip: Cell::new(20),
             next_server: Cell::new(0),
             newest_weights: Cell::new(1),
         });
+        world.memories.borrow_mut().insert(store(), Memory::default());
         for n in 0..terms.core {
             world.add_machine(&format!("core-{n}"), ZONES[n % 3], true);
         }
@@ -467,6 +475,7 @@
             gap: Duration::from_millis(10),
             load: Duration::from_millis(600),
             control: self.control.clone(),
+            memories: self.memories.clone(),
         };
         let net = MemoryNet::new(self.fabric.clone(), address.ip());
         let rng = self.rng.borrow_mut().fork();
@@ -547,6 +556,7 @@
         version: 1,
         routes,
         services: vec!["models".to_owned(), "others".to_owned()],
+        store: Some(store()),
         tenants: vec![tenant("kaje", KEY, false), tenant("mela", "key-of-mela", true)],
     }
 }
--- /dev/null
+++ b/crates/hothouse/tests/same.rs
@@ -0,0 +1,33 @@
+//! The same seed gives the same run, word for word: otherwise no fault found by seed could be looked at again.
+use hothouse::load;
+use hothouse::story::play;
+use hothouse::world::{Terms, World};
+use std::time::Duration;
+use tokio::time::sleep;
+
+fn story(seed: u64) -> Vec<String> {
+    play(async move {
+        let world = World::serving(Terms::seeded(seed)).await;
+        world.judge.verbose.set(true);
+        let tally = load::begin(&world, 8, Duration::from_millis(150));
+        sleep(Duration::from_secs(1)).await;
+        world.kill("core-1");
+        assert!(world.operator.name_version(2).await);
+        sleep(Duration::from_secs(2)).await;
+        world.start("core-1", false);
+        sleep(Duration::from_secs(3)).await;
+        tally.stop().await;
+        world.judge.story()
+    })
+}
+
+#[test]
+fn given_one_seed_when_told_twice_then_every_line_is_the_same() {
+    let (first, second) = (story(7), story(7));
+    let differs = first.iter().zip(&second).position(|(a, b)| a != b);
+    if let Some(at) = differs {
+        panic!("line {at}:\n{}\n{}", first[at], second[at]);
+    }
+    assert_eq!(first.len(), second.len());
+    assert_ne!(first, story(8));
+}
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -55,7 +55,7 @@
             let patience = Duration::from_millis(u64::from(patience_ms.min(10_000)));
             Some(match control.change_here(part, change.0, patience).await {
                 Outcome::Answered(answer) => Reply::Changed(Blob(answer)),
-                Outcome::Refused(why) => Reply::NotChanged(why.to_string()),
+                Outcome::Refused(why) => Reply::NotChanged(control.explain(&why.to_string())),
                 Outcome::Unknown => Reply::Unknown,
             })
         }
--- a/crates/orchard/src/calls.rs
+++ b/crates/orchard/src/calls.rs
@@ -80,10 +80,11 @@
         Err(NoChange::NotMade(why)) => {
             Answer { body: why, ..Answer::later(house.node.jitter(Duration::from_millis(150))) }
         }
-        Err(NoChange::Unknown) => Answer::plain(
-            504,
-            "no quorum answered in time: the change may be in force or not; send it again unchanged",
-        ),
+        Err(NoChange::Unknown) => {
+            let why =
+                "no quorum answered in time: the change may be in force or not; send it again unchanged";
+            Answer::plain(504, house.control.as_ref().map_or(why.to_owned(), |c| c.explain(why)))
+        }
     }
 }
 
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -56,6 +56,8 @@
     ops: RefCell<Ops>,
     next_op: Cell<u64>,
     disk: RefCell<Option<Saves>>,
+    /// Why the last save failed, with the remedy.
+    failing: RefCell<Option<String>>,
     /// Saves that the disk has not answered yet.
     saving: Cell<usize>,
     woken: Notify,
@@ -98,6 +100,7 @@
             ops: RefCell::default(),
             next_op: Cell::new(1),
             disk: RefCell::default(),
+            failing: RefCell::default(),
             saving: Cell::new(0),
             woken: Notify::new(),
             contacts: RefCell::default(),
@@ -195,9 +198,11 @@
                 }
                 Some(kept) = stored.recv() => match kept {
                     Kept::Rows => self.saving.set(self.saving.get().saturating_sub(1)),
-                    Kept::Part { part, token, ok } => {
+                    Kept::Part { part, token, failed } => {
                         let now = self.node.now();
+                        let ok = failed.is_none();
                         self.registers.borrow_mut()[usize::from(part)].stored(token, ok, now);
+                        self.disk_fails(failed);
                     }
                 },
                 () = self.woken.notified() => {}
@@ -206,6 +211,23 @@
         }
     }
 
+    fn disk_fails(&self, why: Option<String>) {
+        match (&why, &*self.failing.borrow()) {
+            (Some(why), None) => log::warn!("{why}"),
+            (None, Some(_)) => log::info!("the disk keeps what it is given again"),
+            _ => {}
+        }
+        *self.failing.borrow_mut() = why;
+    }
+
+    /// Why a change was not made, with the remedy where this node's disk is in its way.
+    pub fn explain(&self, why: &str) -> String {
+        match &*self.failing.borrow() {
+            Some(disk) => format!("{why}; {disk}"),
+            None => why.to_owned(),
+        }
+    }
+
     /// Does what the registers ask for.
     fn carry_out(&self) {
         for part in 0..=DUTY_PARTS {
@@ -520,7 +542,9 @@
             let (Some(control), true) = (control, member) else { continue };
             match control.change_here(part, change.clone(), share).await {
                 Outcome::Answered(answer) => return Ok(answer),
-                Outcome::Refused(why) => worst = worst.or(NoChange::NotMade(why.to_string())),
+                Outcome::Refused(why) => {
+                    worst = worst.or(NoChange::NotMade(control.explain(&why.to_string())));
+                }
                 Outcome::Unknown => worst = NoChange::Unknown,
             }
             continue;
--- a/crates/orchard/src/disk.rs
+++ b/crates/orchard/src/disk.rs
@@ -27,9 +27,14 @@
 }
 
 /// What came of a save.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Kept {
-    Part { part: u16, token: u64, ok: bool },
+    /// `failed`: why it is not kept, and the remedy.
+    Part {
+        part: u16,
+        token: u64,
+        failed: Option<String>,
+    },
     Rows,
 }
 
@@ -90,8 +95,8 @@
 pub fn keep<F: Files>(cellar: &mut Cellar<F>, save: Save) -> Option<Kept> {
     match save {
         Save::Part { part, token, bytes } => {
-            let ok = cellar.save(&record_name(part), &bytes).inspect_err(|why| log::warn!("{why}")).is_ok();
-            Some(Kept::Part { part, token, ok })
+            let failed = cellar.save(&record_name(part), &bytes).err().map(|why| why.to_string());
+            Some(Kept::Part { part, token, failed })
         }
         Save::Founding { part, bytes } => {
             if let Err(why) = cellar.save(&record_name(part), &bytes) {
