--- a/crates/hothouse/src/lib.rs
+++ b/crates/hothouse/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `server`, `client`, `operator`, `platform` | who stands outside, by their page |
 //! | `plan`, `speech` | configurations; HTTP as stand-ins speak it |
 //! | `judge` | the rules |
+//! | `weather` | days by seed |
 //! | `world`, `story`, `load` | one deployment and its troubles; how a story is told; clients that ask on and on |
 //!
 //! Sources: FoundationDB's simulation (Zhou et al., SIGMOD 2021): the real code, faults by seed, a failure comes back
@@ -26,4 +27,5 @@
 pub mod shelf;
 pub mod speech;
 pub mod story;
+pub mod weather;
 pub mod world;
--- a/crates/hothouse/src/server.rs
+++ b/crates/hothouse/src/server.rs
@@ -177,6 +177,10 @@
         }
     }
 
+    pub fn is_leaving(&self) -> bool {
+        self.state.get() == State::Draining
+    }
+
     /// Announces its end.
     pub fn drain(&self) {
         self.state.set(State::Draining);
