--- a/crates/orchard/src/ring.rs
+++ b/crates/orchard/src/ring.rs
@@ -18,6 +18,8 @@
     open: Vec<u8>,
     dumps: u32,
     sink: Sink,
+    /// Breaches are gathered here instead of written out, where stories are told.
+    gathered: Option<Vec<String>>,
 }
 
 /// A handle on the ring of this process.
@@ -33,7 +35,8 @@
 impl Ring {
     /// A ring that is written out there; connected to no logger.
     pub fn to(sink: impl Write + Send + 'static) -> Ring {
-        let kept = Kept { lines: VecDeque::new(), open: Vec::new(), dumps: 0, sink: Box::new(sink) };
+        let kept =
+            Kept { lines: VecDeque::new(), open: Vec::new(), dumps: 0, sink: Box::new(sink), gathered: None };
         Ring(Arc::new(Mutex::new(kept)))
     }
 
@@ -54,6 +57,17 @@
         }));
     }
 
+    /// A ring that writes nothing out: `breaches` tells what would have been.
+    pub fn gathering() -> Ring {
+        let ring = Ring::to(io::sink());
+        ring.kept().gathered = Some(Vec::new());
+        ring
+    }
+
+    pub fn breaches(&self) -> Vec<String> {
+        self.kept().gathered.clone().unwrap_or_default()
+    }
+
     /// Something that must not happen: the line and what led there go to standard error.
     pub fn breach(&self, what: &str) {
         log::error!("{what}");
@@ -63,6 +77,9 @@
     /// Writes out what is kept, and starts anew. Beyond a number of times it only starts anew.
     pub fn dump(&self, why: &str) {
         let mut kept = self.kept();
+        if let Some(gathered) = &mut kept.gathered {
+            return gathered.push(why.to_owned());
+        }
         let lines = std::mem::take(&mut kept.lines);
         if kept.dumps >= MOST_DUMPS {
             return;
--- a/crates/rootstock/tests/fleet/planted.rs
+++ b/crates/rootstock/tests/fleet/planted.rs
@@ -2,7 +2,10 @@
 use super::{Plan, SECOND, play};
 use rootstock::Defects;
 
-pub const PLANTED: [(&str, fn(&mut Defects)); 14] = [
+/// What a defect is called, and the switch that plants it.
+pub type Planted = (&'static str, fn(&mut Defects));
+
+pub const PLANTED: [Planted; 14] = [
     ("ack_before_sync", |d| d.ack_before_sync = true),
     ("promise_not_stored", |d| d.promise_not_stored = true),
     ("accept_below_promise", |d| d.accept_below_promise = true),
