--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -65,6 +65,12 @@
     from: u64,
 }
 
+/// A service's servers that run an older version: id, address, own requests in flight; and how many there are in all.
+struct Behind {
+    old: Vec<(String, SocketAddr, u32)>,
+    all: usize,
+}
+
 struct Duty {
     node: Rc<Node>,
     control: Rc<Control>,
@@ -258,7 +264,7 @@
             // From then on what is still old takes nothing new, and so loses nothing by being ordered.
             let wanted = Wanted { version, since: *since };
             let left = self.node.bed.borrow().versions.until(wanted).saturating_sub(now);
-            let mut services: Vec<(String, Vec<(String, SocketAddr, u32)>, usize)> = Vec::new();
+            let mut services: Vec<Behind> = Vec::new();
             {
                 let bed = self.node.bed.borrow();
                 let mut names: Vec<&str> = bed.all().map(|(_, s)| s.service.as_str()).collect();
@@ -269,10 +275,10 @@
                         || bed.of(name).filter(|(_, s)| s.standing() == Standing::Ready && !s.silent());
                     let old = there().filter(|(_, s)| s.version_of(model).is_some_and(|v| v < version));
                     let old = old.map(|(_, s)| (s.id.clone(), s.address, s.in_flight())).collect();
-                    services.push((name.to_owned(), old, there().count()));
+                    services.push(Behind { old, all: there().count() });
                 }
             }
-            for (_, mut old, all) in services {
+            for Behind { mut old, all } in services {
                 let needed = old.len() as f64 * self.takes.get() / (left as f64 / 1e9).max(0.01);
                 let most = AT_ONCE.max((needed.ceil() as usize).min(all.div_ceil(AT_MOST_PART)));
                 let under_way = old.iter().filter(|o| self.busy.borrow().contains(&o.0)).count();
