--- a/crates/hothouse/src/client.rs
+++ b/crates/hothouse/src/client.rs
@@ -34,6 +34,8 @@
     pub retries: u32,
     /// Shared part of the prompt.
     pub topic: String,
+    /// It leaves so long after it asked, whatever came.
+    pub leaves: Option<Duration>,
 }
 
 /// What came of it.
@@ -148,7 +150,8 @@
         let mut after = None;
         if stream.write_all(&[head.as_bytes(), &body].concat()).await.is_ok() {
             let reading = self.read(&mut stream, &mut answer);
-            match timeout_at(until, reading).await {
+            let last = wish.leaves.map_or(until, |after| until.min(Instant::now() + after));
+            match timeout_at(last, reading).await {
                 Ok((kept, told)) => (keep, after) = (kept, told),
                 Err(_) => answer.abandoned = true,
             }
--- a/crates/hothouse/src/load.rs
+++ b/crates/hothouse/src/load.rs
@@ -74,6 +74,12 @@
                     topic: format!("{:08x}", rng.u32(..6)),
                     ..wish(kind, word)
                 };
+                if rng.u8(..40) == 0 {
+                    // One that leaves early counts for nothing, but what it leaves behind must not harm others.
+                    let leaves = Some(Duration::from_millis(rng.u64(..120)));
+                    client.get(&Wish { leaves, retries: 0, ..wish }).await;
+                    continue;
+                }
                 one(&client, &tally, &wish).await;
             }
         });
--- a/crates/hothouse/src/pot.rs
+++ b/crates/hothouse/src/pot.rs
@@ -4,12 +4,16 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
+use std::time::Duration;
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Sleep, sleep};
 
 #[derive(Default)]
 struct Inside {
     tasks: RefCell<Option<LocalSet>>,
     frozen: Cell<bool>,
+    /// It rests so long between two turns.
+    pace: Cell<Duration>,
     ended: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
@@ -31,11 +35,17 @@
         });
         *inside.tasks.borrow_mut() = Some(tasks);
         let driven = inside.clone();
+        let mut rest: Option<Pin<Box<Sleep>>> = None;
         spawn_local(poll_fn(move |context| {
             *driven.waker.borrow_mut() = Some(context.waker().clone());
             if driven.frozen.get() {
                 return Poll::Pending;
             }
+            if rest.as_mut().is_some_and(|r| r.as_mut().poll(context).is_pending()) {
+                return Poll::Pending;
+            }
+            let pace = driven.pace.get();
+            rest = (!pace.is_zero()).then(|| Box::pin(sleep(pace)));
             // Out of its place while it is polled, so that a process may be asked about from within.
             let Some(mut tasks) = driven.tasks.borrow_mut().take() else { return Poll::Ready(()) };
             let polled = Pin::new(&mut tasks).poll(context);
@@ -44,6 +54,8 @@
                 return Poll::Ready(());
             }
             *driven.tasks.borrow_mut() = Some(tasks);
+            // Registers the end of the rest, should there be one.
+            let _ = rest.as_mut().map(|r| r.as_mut().poll(context));
             Poll::Pending
         }));
         Pot(inside)
@@ -59,6 +71,12 @@
         self.wake();
     }
 
+    /// Its turns come so far apart; zero: as they should.
+    pub fn slow(&self, pace: Duration) {
+        self.0.pace.set(pace);
+        self.wake();
+    }
+
     fn wake(&self) {
         if let Some(waker) = self.0.waker.borrow_mut().take() {
             waker.wake();
--- a/crates/hothouse/src/server.rs
+++ b/crates/hothouse/src/server.rs
@@ -40,7 +40,7 @@
     pub breaks: f64,
     /// Runs a request and resets the connection without a word.
     pub resets: f64,
-    /// Sends another whole answer behind one.
+    /// Sends another whole answer behind one, at once or in the place of the next.
     pub surplus: f64,
     /// Sends bytes that are no answer, and closes.
     pub garbles: f64,
@@ -57,6 +57,8 @@
     pub slots: u32,
     pub version: u64,
     pub heartbeat: Duration,
+    /// After it takes requests.
+    pub first_beat: Duration,
     pub drain_timeout: Duration,
     /// Until its first token, between two, and how long new weights take.
     pub work: Duration,
@@ -90,6 +92,8 @@
     queued: Cell<u32>,
     running: Cell<u32>,
     kept: Memory,
+    /// Who acknowledged that it drains.
+    pub drained_by: Cell<Option<SocketAddr>>,
     /// A delayed copy of its first beat, sent once more after it drains.
     pub late_beat: Cell<bool>,
 }
@@ -115,6 +119,7 @@
             queued: Cell::new(0),
             running: Cell::new(0),
             kept,
+            drained_by: Cell::new(None),
             late_beat: Cell::new(false),
         })
     }
@@ -136,6 +141,7 @@
                 spawn_local(async move { server.attend(stream, from).await });
             }
         });
+        sleep(self.terms.first_beat).await;
         let first = self.beat_body();
         while self.state.get() == State::Ready {
             self.beat().await;
@@ -149,9 +155,12 @@
         let mut acknowledged = None;
         while acknowledged.is_none() && began.elapsed() < UNHEARD {
             acknowledged = self.beat().await;
-            sleep(Duration::from_millis(50)).await;
+            if acknowledged.is_none() {
+                sleep(Duration::from_millis(50)).await;
+            }
         }
         if let Some(by) = acknowledged {
+            self.drained_by.set(Some(by));
             self.judge.draining(&self.terms.id, by);
             if self.late_beat.get() {
                 let path = format!("/api/instances/{}", self.terms.id);
@@ -231,8 +240,12 @@
     }
 
     async fn attend(self: Rc<Self>, mut stream: End, from: SocketAddr) {
-        let mut buffer = BytesMut::new();
-        while let Some((head, body)) = next_call(&mut stream, &mut buffer).await {
+        let mut talk = Talk::default();
+        while let Some((head, body)) = next_call(&mut stream, &mut talk.buffer).await {
+            let late = std::mem::take(&mut talk.late);
+            if !late.is_empty() && stream.write_all(late.as_bytes()).await.is_err() {
+                return;
+            }
             let path = String::from_utf8_lossy(&head.target).into_owned();
             let answer = match (&head.method[..], path.as_str()) {
                 (b"GET", "/health") => whole(
@@ -248,7 +261,7 @@
                 (b"GET", "/api/kv-list") => {
                     whole(200, "", "{\"epoch\":1,\"next_page_token\":0,\"held_count\":[]}")
                 }
-                _ => match self.serve(&mut stream, &mut buffer, &head, &body, &path, from).await {
+                _ => match self.serve(&mut stream, &mut talk, &head, &body, &path, from).await {
                     Some(true) => continue,
                     Some(false) => return,
                     None => return stream.abort(),
@@ -329,8 +342,7 @@
 
     /// One request. Whether the connection may carry another; None: it is to be reset.
     async fn serve(
-        &self, stream: &mut End, buffer: &mut BytesMut, head: &CallHead, body: &Bytes, path: &str,
-        from: SocketAddr,
+        &self, stream: &mut End, talk: &mut Talk, head: &CallHead, body: &Bytes, path: &str, from: SocketAddr,
     ) -> Option<bool> {
         let fields = &head.fields;
         let text = |name: &str| fields.text(name).unwrap_or_default().to_owned();
@@ -356,7 +368,7 @@
         let got = tokio::select! {
             biased;
             got = self.slots.acquire() => got.ok(),
-            () = gone(stream, buffer) => None,
+            () = gone(stream, &mut talk.buffer) => None,
             () = tokio::time::sleep_until(until) => None,
         };
         self.queued.set(self.queued.get() - 1);
@@ -374,7 +386,7 @@
         let _working = Working(&self.running);
         let ended = tokio::select! {
             biased;
-            ended = self.answer(stream, path, fields, &id, run) => ended,
+            ended = self.answer(stream, path, fields, &id, run, &mut talk.late) => ended,
             () = tokio::time::sleep_until(until) => Some(false),
         };
         drop(slot);
@@ -421,7 +433,7 @@
     }
 
     async fn answer(
-        &self, stream: &mut End, path: &str, fields: &Fields, id: &str, run: u64,
+        &self, stream: &mut End, path: &str, fields: &Fields, id: &str, run: u64, late: &mut String,
     ) -> Option<bool> {
         let chance = |of: f64| of > 0.0 && self.rng.borrow_mut().f64() < of;
         let faults = self.faults.get();
@@ -454,7 +466,7 @@
             let answer = whole(200, &own, &body_of(run, count as usize));
             stream.write_all(answer.as_bytes()).await.ok()?;
             if chance(faults.surplus) {
-                stream.write_all(answer.as_bytes()).await.ok()?;
+                self.surplus(stream, answer, late).await?;
             }
             return Some(true);
         }
@@ -465,11 +477,17 @@
         let first = fields.text("last-event-id").and_then(|l| l.trim().parse::<u64>().ok()).unwrap_or(0);
         let breaks = chance(faults.breaks).then(|| self.rng.borrow_mut().u64(first..=count));
         for event in first + 1..=count {
+            let text = event_of(run, event);
             if breaks == Some(event - 1) {
                 self.judge.faulty(run);
+                // Anywhere in an event, and as often at its end.
+                let upto = self.rng.borrow_mut().usize(..text.len() * 2).min(text.len());
+                if upto > 0 {
+                    let piece = &text[..upto];
+                    stream.write_all(format!("{upto:x}\r\n{piece}\r\n").as_bytes()).await.ok()?;
+                }
                 return None;
             }
-            let text = event_of(run, event);
             stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await.ok()?;
             if event < count {
                 sleep(self.terms.gap).await;
@@ -477,10 +495,25 @@
         }
         stream.write_all(b"0\r\n\r\n").await.ok()?;
         if chance(faults.surplus) {
-            stream.write_all(whole(200, &own, "surplus").as_bytes()).await.ok()?;
+            self.surplus(stream, whole(200, &own, "surplus"), late).await?;
         }
         Some(true)
     }
+
+    async fn surplus(&self, stream: &mut End, answer: String, late: &mut String) -> Option<()> {
+        if self.rng.borrow_mut().bool() {
+            *late = answer;
+            return Some(());
+        }
+        stream.write_all(answer.as_bytes()).await.ok()
+    }
+}
+
+/// A connection between two calls: what came ahead, and an answer too many that is still to come.
+#[derive(Default)]
+struct Talk {
+    buffer: BytesMut,
+    late: String,
 }
 
 /// One event of a run.
--- a/crates/hothouse/src/shelf.rs
+++ b/crates/hothouse/src/shelf.rs
@@ -20,10 +20,10 @@
 }
 
 impl Shelf {
-    pub fn new(seed: u64) -> Shelf {
+    pub fn new(seed: u64, delay: Duration) -> Shelf {
         Shelf {
             files: LyingFiles::new(seed),
-            delay: Rc::new(Cell::new(Duration::from_millis(2))),
+            delay: Rc::new(Cell::new(delay)),
             stalled: Rc::new(Cell::new(Instant::now())),
         }
     }
--- a/crates/hothouse/src/weather.rs
+++ b/crates/hothouse/src/weather.rs
@@ -57,10 +57,15 @@
     Broken,
     AddressReused,
     Hanging,
+    ZoneCut,
+    CoreSlow,
+    NodeSlow,
+    Press,
+    DrainRace,
 }
 
 use Trouble::*;
-const ALL: [Trouble; 34] = [
+const ALL: [Trouble; 39] = [
     ServerCrash,
     ServerLost,
     Release,
@@ -95,6 +100,11 @@
     Broken,
     AddressReused,
     Hanging,
+    ZoneCut,
+    CoreSlow,
+    NodeSlow,
+    Press,
+    DrainRace,
 ];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,6 +131,8 @@
             core: if rng.u8(..5) == 0 { 5 } else { 3 },
             others: rng.usize(1..6),
             servers: rng.usize(3..7),
+            slots: rng.u32(3..17),
+            sync: Duration::from_millis([1, 2, 6, 30][rng.usize(..4)]),
             across: Duration::from_millis(rng.u64(2..5)),
             ..Terms::seeded(seed)
         };
@@ -222,8 +234,10 @@
     async fn strike(self: Rc<Self>, trouble: Trouble) {
         match trouble {
             CoreKill | CorePower | CoreFreeze | ReplaceCore | AckWipe | DiskSlow | DiskFull | DiskStall
-            | CoreCut | CoreCutRefusing | OneWayCut => self.strike_core(trouble).await,
-            NodeKill | NodePower | NodeFreeze | NodeCut | Resets => self.strike_node(trouble).await,
+            | CoreCut | CoreCutRefusing | OneWayCut | ZoneCut | CoreSlow => self.strike_core(trouble).await,
+            NodeKill | NodePower | NodeFreeze | NodeCut | Resets | NodeSlow => {
+                self.strike_node(trouble).await
+            }
             HerdKill => self.herd().await,
             RollTerm => self.roll().await,
             SeedTurnover => {
@@ -234,6 +248,11 @@
             }
             ConfigChange | ConfigStorm | ConfigRace | BadConfig | Revoke => self.configure(trouble).await,
             VersionBump => self.bump().await,
+            Press => {
+                let crowd = load::begin(&self.world, 60, Duration::from_millis(60));
+                sleep(self.span(500..3_000)).await;
+                crowd.stop().await;
+            }
             _ => self.strike_servers(trouble).await,
         }
     }
@@ -260,6 +279,17 @@
                 w.freeze(&name, false);
             }
             ReplaceCore => drop(w.replace(&name)),
+            CoreSlow => {
+                w.slow(&name, Duration::from_millis(40));
+                sleep(lasting).await;
+                w.slow(&name, Duration::ZERO);
+            }
+            ZoneCut => {
+                let zone = w.zone_of(&name);
+                w.cut_zone(zone, Some(Cut::Silent));
+                sleep(lasting).await;
+                w.cut_zone(zone, None);
+            }
             AckWipe => {
                 let mut plan = self.plan.lock().await;
                 let next = self.another(&plan);
@@ -280,12 +310,12 @@
                 w.judge.trouble(None);
                 let shelf = w.shelf(&name);
                 match trouble {
-                    DiskSlow => shelf.delay.set(Duration::from_millis(60)),
+                    DiskSlow => shelf.delay.set(w.terms.sync * 16),
                     DiskStall => shelf.stalled.set(Instant::now() + lasting),
                     _ => shelf.files.set_room(Some(0)),
                 }
                 sleep(lasting).await;
-                shelf.delay.set(Duration::from_millis(2));
+                shelf.delay.set(w.terms.sync);
                 shelf.files.set_room(None);
                 w.judge.calm(Some(w.ip(&name)));
                 w.judge.calm(None);
@@ -332,6 +362,11 @@
                 sleep(lasting).await;
                 w.freeze(&name, false);
             }
+            NodeSlow => {
+                w.slow(&name, Duration::from_millis(40));
+                sleep(lasting).await;
+                w.slow(&name, Duration::ZERO);
+            }
             NodeCut => {
                 w.cut_off(&[&name], Some(Cut::Silent));
                 sleep(lasting).await;
@@ -416,7 +451,13 @@
             _ => {
                 for _ in 0..if trouble == ConfigStorm { 8 } else { 1 } {
                     let next = self.another(&plan);
-                    match w.operator.put(&next, plan.version).await {
+                    let whole = self.rng.borrow_mut().bool();
+                    let sent = if whole {
+                        w.operator.put(&next, plan.version).await
+                    } else {
+                        w.operator.patch(&next, &plan).await
+                    };
+                    match sent {
                         200 => *plan = next,
                         // Taken after all, or not: the newest is read.
                         _ => self.reread(&mut plan, &[next]).await,
@@ -474,11 +515,27 @@
                     w.add_server("models", ZONES[2]);
                     sleep(self.span(300..1_200)).await;
                     if w.server_runs(&id) {
+                        w.server(&id).late_beat.set(self.rng.borrow_mut().bool());
                         w.server(&id).drain();
                     }
                     sleep(self.span(300..1_200)).await;
                 }
             }
+            DrainRace => {
+                w.add_server("models", ZONES[0]);
+                server.drain();
+                let began = Instant::now();
+                while server.drained_by.get().is_none() && began.elapsed() < Duration::from_secs(3) {
+                    sleep(Duration::from_millis(1)).await;
+                }
+                // Whoever acknowledged it is gone the next moment.
+                let by = server.drained_by.get().and_then(|a| w.name_of(a.ip()));
+                if let Some(name) = by.filter(|n| self.edges().contains(n)) {
+                    w.power_off(&name);
+                    sleep(lasting).await;
+                    w.power_on(&name);
+                }
+            }
             StoreLost => {
                 if let Some(memory) = w.memories.borrow().get(&store()) {
                     memory.borrow_mut().clear();
@@ -529,6 +586,10 @@
         if f64::from(served) < 0.9 * f64::from(sent) {
             w.judge.breach("RECOVER", format!("{served} of {sent} are served once all is calm"));
         }
+        let out: Vec<String> = w.names().into_iter().filter(|n| !w.platform.is_in(n)).collect();
+        if !out.is_empty() {
+            w.judge.breach("DUTY", format!("{out:?} are not ready once all is calm"));
+        }
         let newest = *self.weights.lock().await;
         let old: Vec<String> =
             self.servers().into_iter().filter(|id| w.server(id).version() < newest).collect();
--- a/crates/hothouse/src/world.rs
+++ b/crates/hothouse/src/world.rs
@@ -41,6 +41,8 @@
     pub bounds: Bounds,
     /// One way between zones; half of it within one, in whole ms.
     pub across: Duration,
+    /// What a disk takes for a save.
+    pub sync: Duration,
 }
 
 impl Terms {
@@ -54,6 +56,7 @@
             heartbeat: Duration::from_millis(1_200),
             bounds: Bounds::default(),
             across: Duration::from_millis(2),
+            sync: Duration::from_millis(2),
         }
     }
 }
@@ -170,7 +173,7 @@
         self.next_ip.set(last + 1);
         let ip = IpAddr::from([10, 0, 0, last]);
         self.fabric.add(ip, zone);
-        let shelf = counted.then(|| Shelf::new(self.rng.borrow_mut().u64(..)));
+        let shelf = counted.then(|| Shelf::new(self.rng.borrow_mut().u64(..), self.terms.sync));
         let machine = Machine {
             ip,
             zone,
@@ -375,6 +378,40 @@
         }
     }
 
+    /// A machine whose processor hardly gets to it; zero: as it should.
+    pub fn slow(&self, name: &str, pace: Duration) {
+        self.judge.note(format!("{name} takes {pace:?} for a turn"));
+        let (ip, counted) = {
+            let machines = self.machines.borrow();
+            (machines[name].ip, machines[name].counted)
+        };
+        let whose = [Some(Some(ip)), counted.then_some(None)].into_iter().flatten();
+        whose.for_each(|w| if pace.is_zero() { self.judge.calm(w) } else { self.judge.trouble(w) });
+        if let Some(pot) = &self.machines.borrow()[name].pot {
+            pot.slow(pace);
+        }
+    }
+
+    pub fn zone_of(&self, name: &str) -> &'static str {
+        self.machines.borrow()[name].zone
+    }
+
+    /// A zone's machines and servers cut off from all others, or joined again.
+    pub fn cut_zone(&self, zone: &str, cut: Option<Cut>) {
+        let names = self.names();
+        let inside: Vec<&str> =
+            names.iter().map(String::as_str).filter(|n| self.zone_of(n) == zone).collect();
+        self.cut_off(&inside, cut);
+        for hosted in self.servers.borrow().values() {
+            let t = &hosted.server.terms;
+            for name in &names {
+                if (self.zone_of(name) == zone) != (t.zone == zone) {
+                    self.fabric.cut_both(self.ip(name), t.address.ip(), cut);
+                }
+            }
+        }
+    }
+
     /// SIGTERM; the process ends by itself, or is killed after its grace period.
     pub async fn term(&self, name: &str) {
         self.judge.note(format!("{name} is told to end"));
@@ -470,6 +507,7 @@
             slots: self.terms.slots,
             version,
             heartbeat: self.terms.heartbeat,
+            first_beat: Duration::from_millis(self.rng.borrow_mut().u64(..600)),
             drain_timeout: self.terms.bounds.drain_timeout,
             work: Duration::from_millis(20),
             gap: Duration::from_millis(10),
@@ -578,5 +616,6 @@
         deadline: Duration::from_secs(6),
         retries: 1,
         topic: "5c1e07a2".to_owned(),
+        leaves: None,
     }
 }
--- a/crates/hothouse/tests/servers.rs
+++ b/crates/hothouse/tests/servers.rs
@@ -125,7 +125,7 @@
         let world = World::serving(Terms { servers: 3, ..Terms::seeded(66) }).await;
         let id = world.server_ids().remove(0);
         world.server(&id).faults.set(Faults { hangs: 1.0, ..Faults::default() });
-        let tally = load::begin(&world, 8, PAUSE);
+        let tally = load::begin(&world, 24, PAUSE);
         sleep(Duration::from_secs(6)).await;
         tally.stop().await;
         assert!(tally.served.get() > 20, "{}", tally.served.get());
