--- a/crates/hothouse/src/world.rs
+++ b/crates/hothouse/src/world.rs
@@ -15,9 +15,11 @@
 use orchard::run::{Order, Role, serve};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io::{self, Write};
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep};
@@ -65,6 +67,20 @@
 pub const HOST: &str = "rota.example";
 pub const KEY: &str = "key-of-kaje";
 
+/// What would go to standard error.
+#[derive(Clone, Default)]
+struct Written(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 struct Machine {
     ip: IpAddr,
     zone: &'static str,
@@ -73,6 +89,7 @@
     pot: Option<Pot>,
     orders: Option<UnboundedSender<Order>>,
     ring: Ring,
+    written: Written,
     started: bool,
 }
 
@@ -174,6 +191,7 @@
         let ip = IpAddr::from([10, 0, 0, last]);
         self.fabric.add(ip, zone);
         let shelf = counted.then(|| Shelf::new(self.rng.borrow_mut().u64(..), self.terms.sync));
+        let written = Written::default();
         let machine = Machine {
             ip,
             zone,
@@ -181,7 +199,8 @@
             shelf,
             pot: None,
             orders: None,
-            ring: Ring::gathering(),
+            ring: Ring::to(written.clone()),
+            written,
             started: false,
         };
         self.machines.borrow_mut().insert(name.to_owned(), machine);
@@ -210,8 +229,10 @@
     pub fn shelf(&self, name: &str) -> Shelf {
         self.machines.borrow()[name].shelf.clone().expect("a machine with a disk")
     }
-    pub fn breaches_of(&self, name: &str) -> Vec<String> {
-        self.machines.borrow()[name].ring.breaches()
+    /// What a machine's process wrote out, as a person would find it.
+    pub fn written_by(&self, name: &str) -> String {
+        let written = self.machines.borrow()[name].written.0.clone();
+        String::from_utf8_lossy(&written.lock().unwrap_or_else(PoisonError::into_inner)).into_owned()
     }
     pub fn runs(&self, name: &str) -> bool {
         self.machines.borrow()[name].pot.as_ref().is_some_and(|p| !p.has_ended())
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -10,10 +10,13 @@
 //! | `answers` | what other nodes are answered |
 //! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
 //! | `weights` | servers brought to the version of weights that was named |
+//! | `stores` | whether stores answer, and have what they were told to keep |
 //! | `run`, `status` | a process from start to end; what it says of itself |
+//! | `client` | what operators ask of a running fleet |
 pub mod answers;
 pub mod boot;
 pub mod calls;
+pub mod client;
 pub mod control;
 pub mod disk;
 pub mod doors;
@@ -30,6 +33,7 @@
 pub mod run;
 pub mod status;
 pub mod statute;
+pub mod stores;
 pub mod upstream;
 pub mod weights;
 pub mod wire;
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -14,6 +14,7 @@
 use crate::polls;
 use crate::registry::Registry;
 use crate::ring::Ring;
+use crate::stores;
 use crate::weights;
 use fastrand::Rng;
 use hedgerow::Delta;
@@ -169,6 +170,7 @@
     }
     spawn_local(keep_house(house.clone()));
     spawn_local(probe(node.clone()));
+    spawn_local(stores::follow(node.clone()));
     spawn_local(without_quorum(node.clone(), contact));
     while let Some(Order::Seeds(seeds)) = orders.recv().await {
         node.boot.borrow_mut().seeds = seeds;
@@ -231,7 +233,7 @@
         }
         if rounds.is_multiple_of(16) {
             node.rows.borrow_mut().sweep(now);
-            node.bed.borrow_mut().sync(&node.rows.borrow());
+            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
         }
     }
 }
