Polls gather what can wait, rows are found by revision, a server's move is no news

Change: rows by revision; what is not urgent waits 60 ms for the next; a first row names the registrar that the server is told to call.

--- a/crates/hedgerow/src/rows.rs
+++ b/crates/hedgerow/src/rows.rs
@@ -67,6 +67,14 @@
     at: Nanos,
 }
 
+/// Names a row of any kind.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Key {
+    Server(String),
+    Node(String),
+    Note(String),
+}
+
 /// What changed since a revision, or everything.
 #[derive(Clone, Debug, Default, PartialEq, SerBin, DeBin)]
 pub struct Delta {
@@ -97,6 +105,10 @@
     at_address: HashMap<String, String>,
     nodes: BTreeMap<String, Kept<NodeRow>>,
     notes: BTreeMap<String, Kept<Note>>,
+    /// Rows by the revision of their last change: pollers ask for the newest few of thousands.
+    by_revision: BTreeMap<u64, Key>,
+    /// The last change that others must hear of at once, rather than with the next few.
+    urgent: u64,
 }
 
 impl Rows {
@@ -111,6 +123,8 @@
             at_address: HashMap::new(),
             nodes: BTreeMap::new(),
             notes: BTreeMap::new(),
+            by_revision: BTreeMap::new(),
+            urgent: 0,
         }
     }
 
@@ -143,8 +157,20 @@
         self.notes.values().map(|k| &k.row)
     }
 
-    fn next(&mut self) -> u64 {
+    /// The revision of the last change that can't wait: a server drains, leaves, or takes new weights.
+    pub fn urgent(&self) -> u64 {
+        self.urgent
+    }
+
+    fn next(&mut self, key: Key, before: Option<u64>, urgent: bool) -> u64 {
         self.revision += 1;
+        if let Some(before) = before {
+            self.by_revision.remove(&before);
+        }
+        self.by_revision.insert(self.revision, key);
+        if urgent {
+            self.urgent = self.revision;
+        }
         self.revision
     }
 
@@ -170,7 +196,8 @@
         }
         let displaced = self.displaced(&row);
         if let Some(id) = displaced {
-            let revision = self.next();
+            let before = self.servers.get(&id).map(|k| k.revision);
+            let revision = self.next(Key::Server(id.clone()), before, false);
             if let Some(kept) = self.servers.get_mut(&id) {
                 kept.row.silent = true;
                 (kept.revision, kept.at) = (revision, now);
@@ -179,7 +206,8 @@
         if row.standing != Standing::Gone && !row.silent {
             self.at_address.insert(row.address.clone(), row.id.clone());
         }
-        let revision = self.next();
+        let before = self.servers.get(&row.id).map(|k| k.revision);
+        let revision = self.next(Key::Server(row.id.clone()), before, row.standing != Standing::Ready);
         self.servers.insert(row.id.clone(), Kept { row, revision, at: now });
         true
     }
@@ -225,7 +253,8 @@
             }
             None => {}
         }
-        let revision = self.next();
+        let before = self.nodes.get(&row.name).map(|k| k.revision);
+        let revision = self.next(Key::Node(row.name.clone()), before, row.leaving || row.silent);
         self.nodes.insert(row.name.clone(), Kept { row, revision, at: now });
         true
     }
@@ -253,7 +282,8 @@
             Some(kept) if !note.newer(&kept.row) => return false,
             _ => {}
         }
-        let revision = self.next();
+        let before = self.notes.get(&note.key).map(|k| k.revision);
+        let revision = self.next(Key::Note(note.key.clone()), before, true);
         self.notes.insert(note.key.clone(), Kept { row: note, revision, at: now });
         true
     }
@@ -276,13 +306,15 @@
     /// What changed since a revision that this `Rows` gave out; everything to whom had it from another.
     pub fn since(&self, epoch: u64, revision: u64) -> Delta {
         let from = if epoch == self.epoch && revision <= self.revision { revision } else { 0 };
-        Delta {
-            epoch: self.epoch,
-            revision: self.revision,
-            servers: newer(&self.servers, from),
-            nodes: newer(&self.nodes, from),
-            notes: newer(&self.notes, from),
+        let mut delta = Delta { epoch: self.epoch, revision: self.revision, ..Delta::default() };
+        for key in self.by_revision.range(from + 1..).map(|(_, key)| key) {
+            match key {
+                Key::Server(id) => delta.servers.extend(self.server(id).cloned()),
+                Key::Node(name) => delta.nodes.extend(self.node(name).cloned()),
+                Key::Note(key) => delta.notes.extend(self.note(key).cloned()),
+            }
         }
+        delta
     }
 
     /// Drops what has been over for long enough. Silent servers that nobody heard of go the same way, later.
@@ -295,9 +327,14 @@
         self.at_address.retain(|_, id| self.servers.contains_key(id));
         self.nodes.retain(|_, k| !(k.row.silent && old(k.at, 4)));
         self.notes.retain(|_, k| !(k.row.over && old(k.at, 1)));
+        let (servers, nodes, notes) = (&self.servers, &self.nodes, &self.notes);
+        self.by_revision.retain(|revision, key| {
+            let now = match key {
+                Key::Server(id) => servers.get(id).map(|k| k.revision),
+                Key::Node(name) => nodes.get(name).map(|k| k.revision),
+                Key::Note(key) => notes.get(key).map(|k| k.revision),
+            };
+            now == Some(*revision)
+        });
     }
 }
-
-fn newer<T: Clone>(of: &BTreeMap<String, Kept<T>>, from: u64) -> Seq<T> {
-    of.values().filter(|k| k.revision > from).map(|k| k.row.clone()).collect()
-}
--- a/crates/hedgerow/tests/rows.rs
+++ b/crates/hedgerow/tests/rows.rs
@@ -136,3 +136,62 @@
     }
     assert!(asked.iter().all(|n| (150..250).contains(n)), "{asked:?}");
 }
+
+#[test]
+fn given_any_history_then_what_is_new_since_each_revision_brings_an_asker_to_the_same() {
+    let mut rng = fastrand::Rng::with_seed(11);
+    for _ in 0..100 {
+        let (mut source, mut asker) = (rows(1), rows(2));
+        let mut known = (0, 0);
+        for step in 0..60u64 {
+            match rng.u8(..4) {
+                0 => {
+                    source.leave(["a", "bb", "ccc"][rng.usize(..3)], step);
+                }
+                1 => {
+                    let node = NodeRow {
+                        name: format!("n{}", rng.u8(..3)),
+                        life: step,
+                        nonce: 1,
+                        ..NodeRow::default()
+                    };
+                    source.merge_node(node, step);
+                }
+                2 => {
+                    let key = format!("load/{}", rng.u8(..3));
+                    source.merge_note(
+                        Note { key, fence: 1, number: step, value: step, over: rng.bool() },
+                        step,
+                    );
+                }
+                _ => {
+                    source.merge_server(
+                        server(["a", "bb", "ccc"][rng.usize(..3)], step, Standing::Ready),
+                        step,
+                    );
+                }
+            }
+            if rng.u8(..5) == 0 {
+                let delta = source.since(known.0, known.1);
+                known = (delta.epoch, delta.revision);
+                asker.merge(delta, step);
+            }
+        }
+        asker.merge(source.since(known.0, known.1), 60);
+        let of = |r: &Rows| {
+            let servers: Vec<_> = r.servers().cloned().collect();
+            (servers, r.nodes().cloned().collect::<Vec<_>>(), r.notes().cloned().collect::<Vec<_>>())
+        };
+        assert_eq!(of(&source), of(&asker));
+    }
+}
+
+#[test]
+fn given_a_server_that_drains_when_others_only_come_then_only_the_drain_is_urgent() {
+    let mut rows = rows(1);
+    rows.merge_server(server("a", 1, Standing::Ready), 0);
+    rows.merge_server(server("bb", 1, Standing::Ready), 0);
+    assert_eq!(rows.urgent(), 0);
+    rows.merge_server(server("a", 2, Standing::Draining), 0);
+    assert_eq!(rows.urgent(), rows.revision());
+}
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -10,6 +10,9 @@
 use tokio::time::Instant;
 use trug::Blob;
 
+/// A poll is held at least so long unless something urgent is new.
+const GATHER_MS: u32 = 60;
+
 /// Answers another node.
 pub async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
     let node = &house.node;
@@ -21,9 +24,21 @@
             }
             node.learn(Delta { nodes: vec![poll.node].into(), ..Delta::default() });
             let mut changes = node.changes();
+            let came = Instant::now();
             let until = Instant::now() + Duration::from_millis(u64::from(poll.hold_ms.min(5_000)));
             loop {
                 changes.mark_unchanged();
+                let at_once = {
+                    let rows = node.rows.borrow();
+                    rows.epoch() != poll.epoch || rows.urgent() > poll.revision || poll.hold_ms < GATHER_MS
+                };
+                // What can wait goes out with the next few: a thousand servers come one by one.
+                let gathered = came + Duration::from_millis(u64::from(GATHER_MS));
+                if !at_once && node.in_force().seq <= poll.config_seq && Instant::now() < gathered.min(until)
+                {
+                    let _ = tokio::time::timeout_at(gathered.min(until), changes.changed()).await;
+                    continue;
+                }
                 let delta = node.rows.borrow().since(poll.epoch, poll.revision);
                 let known = node.in_force();
                 let news = known.seq > poll.config_seq;
--- a/crates/orchard/src/registry.rs
+++ b/crates/orchard/src/registry.rs
@@ -80,9 +80,13 @@
             standing,
             call_sequence: beat.call_sequence,
             models: models.map(|m| ModelAt { name: m.name, version: m.version }).collect(),
-            registrar: node.me.borrow().name.clone(),
+            registrar: String::new(),
             silent: false,
         };
+        // Whom it will call next looks after it; named in its first row already, so that the move is no news.
+        let target = target(node, control, id, &row.zone);
+        let registrar = target.as_ref().map_or_else(|| node.me.borrow().name.clone(), |t| t.0.clone());
+        let row = ServerRow { registrar, ..row };
         let known = self.heard.borrow().get(id).copied();
         let late = known.is_some_and(|k| k.call_sequence > row.call_sequence);
         if !late {
@@ -103,8 +107,8 @@
                 return Answer::later(Duration::from_millis(100));
             }
         }
-        let target = target(node, control, id);
-        Answer::json(200, target.map_or("{}".to_owned(), |t| format!("{{\"heartbeat_target\":\"{t}\"}}")))
+        let told = |(_, at): (String, String)| format!("{{\"heartbeat_target\":\"{at}\"}}");
+        Answer::json(200, target.map_or("{}".to_owned(), told))
     }
 
     /// The server leaves.
@@ -185,20 +189,19 @@
     }
 }
 
-/// Where the server may send its later beats: a node of the core, in its zone if there is one. None where it should
-/// stay.
-fn target(node: &Rc<Node>, control: Option<&Rc<Control>>, id: &str) -> Option<String> {
+/// Where the server may send its later beats, name and address: a node of the core, in its zone if there is one. None
+/// where it should stay.
+fn target(node: &Rc<Node>, control: Option<&Rc<Control>>, id: &str, zone: &str) -> Option<(String, String)> {
     let leaving = node.leaving.get();
     if control.is_some_and(|c| c.is_member()) && !leaving {
         return None;
     }
     let rows = node.rows.borrow();
-    let zone = rows.server(id).map(|s| s.zone.clone()).unwrap_or_default();
     let fit = rows.nodes().filter(|n| n.counted && !n.control.is_empty() && !n.silent && !n.leaving);
-    let ranked: Vec<(&str, &str)> = order(
-        fit.map(|n| (hash(n.name.as_bytes()), (n.zone.as_str(), n.control.as_str()))),
+    let ranked: Vec<(&str, &str, &str)> = order(
+        fit.map(|n| (hash(n.name.as_bytes()), (n.zone.as_str(), n.name.as_str(), n.control.as_str()))),
         hash(id.as_bytes()),
     );
     let near = ranked.iter().find(|n| n.0 == zone).or(ranked.first())?;
-    Some(near.1.to_owned())
+    Some((near.1.to_owned(), near.2.to_owned()))
 }
