--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -1,7 +1,7 @@
 //! The life of a process: doors open, tasks started, orders heeded, an end without loss. `run` is the program's, with
 //! signals and files; `serve` is the same without either, for the in-memory fleet too.
 use crate::answers::answer;
-use crate::boot::Boot;
+use crate::boot::{Boot, nanos};
 use crate::calls;
 use crate::control::{self, Control};
 use crate::disk::{self, Stock};
@@ -16,6 +16,7 @@
 use crate::ring::Ring;
 use crate::stores;
 use crate::weights;
+use espalier::Nanos;
 use fastrand::Rng;
 use hedgerow::Delta;
 use nanoserde::SerBin;
@@ -217,6 +218,9 @@
 async fn keep_house(house: Rc<House>) {
     let mut kept = 0;
     let mut rounds = 0u32;
+    // Since when this node of the core is out of touch with a quorum that it had.
+    let mut lost: Option<Nanos> = None;
+    let mut had = false;
     loop {
         tokio::time::sleep(house.node.jitter(Duration::from_millis(250))).await;
         rounds += 1;
@@ -225,6 +229,15 @@
         let now = node.now();
         if let Some(control) = &house.control {
             control.watch();
+            if control.in_touch() {
+                (had, lost) = (true, None);
+            } else if had {
+                let since = *lost.get_or_insert(now);
+                if now.saturating_sub(since) > nanos(node.boot.borrow().bounds.contact) {
+                    had = false;
+                    node.ring.breach("the quorum of the control state is lost here: bring back its members, with their disks");
+                }
+            }
             let revision = node.rows.borrow().revision();
             if rounds.is_multiple_of(4) && revision != kept {
                 kept = revision;
