rootstock: leaving, stray messages and quick restarts in the storms; no round held up by a group without a say

Change: a round takes up what becomes known as chosen; may_leave says when a node is missed by nobody; a newcomer is swapped in only if heard lately, added only after a contact span in which all were heard.

--- a/crates/rootstock/src/learner.rs
+++ b/crates/rootstock/src/learner.rs
@@ -1,13 +1,25 @@
 //! What is known to be chosen: published once, in rising order, and handed to members that missed it.
 use crate::message::Message;
-use crate::types::{At, Shared, Vote};
+use crate::quorum::majority;
+use crate::types::{At, Shared};
+use std::collections::BTreeMap;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Learner {
+    /// This node's disk.
+    me: u64,
     chosen: Option<Shared>,
+    /// The first slot known whose group is without this node, since it last was in one.
+    out_since: Option<u64>,
+    /// Up to which slot members of the newest group keep what is chosen.
+    told: BTreeMap<u64, u64>,
 }
 
 impl Learner {
+    pub fn new(me: u64) -> Learner {
+        Learner { me, chosen: None, out_since: None, told: BTreeMap::new() }
+    }
+
     pub fn chosen(&self) -> Option<&Shared> {
         self.chosen.as_ref()
     }
@@ -23,22 +35,35 @@
         debug_assert!(mine.is_none_or(|m| m.state.seq != vote.state.seq || m.state == vote.state));
         let news = mine.is_none_or(|m| vote.state.seq > m.state.seq);
         if news {
+            let belongs = |disk| vote.state.members.iter().any(|m| m.disk == disk);
+            self.told.retain(|&disk, _| belongs(disk));
+            self.out_since = (!belongs(self.me)).then(|| self.out_since.unwrap_or(vote.state.seq));
             self.chosen = Some(vote.clone());
         }
         news
     }
 
-    /// What to send to a node that has `at` and knows slots up to `chosen`; `accepted` is this node's own newest vote.
-    pub fn answer(&self, at: Option<At>, chosen: Option<u64>, accepted: Option<&Vote>) -> Option<Message> {
-        match &self.chosen {
-            Some(mine) if chosen.is_none_or(|theirs| theirs < mine.state.seq) => Some(match at {
-                Some(at) if at == mine.at() => Message::Chosen { at },
-                _ => Message::Learn { vote: mine.clone() },
-            }),
-            mine if chosen > mine.as_ref().map(|m| m.state.seq) => {
-                Some(Message::Have { at: accepted.map(Vote::at), chosen: self.seq() })
-            }
-            _ => None,
+    /// A node told up to which slot it keeps what is chosen.
+    pub fn heard(&mut self, disk: u64, kept: Option<u64>) {
+        let members = self.chosen.as_ref().map_or(&[][..], |v| &v.state.members);
+        if let Some(kept) = kept.filter(|_| members.iter().any(|m| m.disk == disk)) {
+            self.told.insert(disk, kept);
         }
     }
+
+    /// Whether a majority of the newest group told that it keeps a group without this node; true of no group.
+    pub fn missed_by_none(&self) -> bool {
+        let Some(vote) = &self.chosen else { return true };
+        let told = |disk| self.told.get(&disk).copied() >= self.out_since && self.out_since.is_some();
+        majority(&vote.state.members, told)
+    }
+
+    /// What to send to a node that has `at` and knows slots up to `chosen`, if this one knows more.
+    pub fn hand_over(&self, at: Option<At>, chosen: Option<u64>) -> Option<Message> {
+        let mine = self.chosen.as_ref().filter(|v| chosen < Some(v.state.seq))?;
+        Some(match at {
+            Some(at) if at == mine.at() => Message::Chosen { at },
+            _ => Message::Learn { vote: mine.clone() },
+        })
+    }
 }
--- a/crates/rootstock/src/message.rs
+++ b/crates/rootstock/src/message.rs
@@ -53,10 +53,12 @@
     Chosen {
         at: At,
     },
-    /// What I have and the newest slot that I know to be chosen: whoever knows more hands it over.
+    /// What I have and the newest slot that I know to be chosen: whoever knows more hands it over. `kept`: this much
+    /// is on my disk, whose vote needs no group before.
     Have {
         at: Option<At>,
         chosen: Option<u64>,
+        kept: bool,
     },
     /// A chosen vote, whole.
     Learn {
--- a/crates/rootstock/src/proposer.rs
+++ b/crates/rootstock/src/proposer.rs
@@ -13,7 +13,7 @@
 use crate::judge::{self, Fate, Judged};
 use crate::machine::Machine;
 use crate::message::Message;
-use crate::operation::{Outcome, Refused, Sent};
+use crate::operation::{Operation, Outcome, Refused, Sent};
 use crate::quorum::reached;
 use crate::register::Register;
 use crate::types::{At, Ballot, Member, Shared};
@@ -92,7 +92,7 @@
                 }
                 return;
             };
-            if self.settings.defects.read_locally {
+            if self.settings.defects.read_locally && self.operations.iter().any(Operation::is_read) {
                 for operation in self.operations.extract_if(.., |o| o.is_read()).collect::<Vec<_>>() {
                     self.finish(operation.id, Outcome::Answered(newest.state.body.clone()));
                 }
@@ -229,21 +229,50 @@
         }
         let first = round.heard.is_empty();
         round.heard.insert(from.disk, at);
-        let mut asks = Vec::new();
         if let Some(vote) = newer {
             if vote.at() > round.vote.at() && (!any || first) {
-                round.vote = vote.clone();
-                asks = vote.electorate();
-                asks.retain(|m| round.asked.iter().all(|a| a.disk != m.disk));
-                round.asked.extend(asks.iter().cloned());
+                self.take_up(vote);
+            } else {
+                round.seen.push(vote);
             }
-            round.seen.push(vote);
         }
+        true
+    }
+
+    /// A newer vote in a round that asks: whoever has a say in it is asked too.
+    fn take_up(&mut self, vote: Shared) {
+        let Phase::Round(round) = &mut self.phase else { return };
+        let mut asks = vote.electorate();
+        asks.retain(|m| round.asked.iter().all(|a| a.disk != m.disk));
+        round.asked.extend(asks.iter().cloned());
+        round.seen.retain(|v| v.at() != vote.at());
+        round.seen.push(vote.clone());
+        round.vote = vote;
         let message = round.message();
         for member in asks {
             self.send(member, message.clone());
         }
-        true
+    }
+
+    /// A vote became known as chosen while a round goes on: it may have been held up by a group that has no say now,
+    /// or ask for votes at a slot that is gone.
+    pub(crate) fn round_learns(&mut self, vote: &Shared, now: Nanos) {
+        let Phase::Round(round) = &self.phase else { return };
+        match round.goal {
+            Goal::Accept { .. } if vote.state.seq >= round.vote.state.seq => {
+                (self.phase, self.lead) = (Phase::Idle, None);
+            }
+            Goal::Accept { .. } => {}
+            _ if vote.at() < round.vote.at() => {}
+            Goal::Query { .. } => {
+                self.take_up(vote.clone());
+                self.count_reports(now);
+            }
+            Goal::Prepare { .. } => {
+                self.take_up(vote.clone());
+                self.count_promises(now);
+            }
+        }
     }
 
     pub(crate) fn reported(
@@ -253,6 +282,10 @@
         if !self.hear(&from, at, newer, now, fits) {
             return;
         }
+        self.count_reports(now);
+    }
+
+    fn count_reports(&mut self, now: Nanos) {
         let Phase::Round(round) = &mut self.phase else { return };
         let agreed =
             |v: &&Shared| reached(v, |d| round.heard.get(&d) == Some(&Some(v.at())), &self.settings.defects);
@@ -268,7 +301,7 @@
             .filter(|m| round.heard.get(&m.disk).is_some_and(|h| *h != Some(chosen.at())))
             .collect();
         self.phase = Phase::Idle;
-        self.publish(&chosen);
+        self.publish(&chosen, now);
         for member in behind {
             self.send(member, Message::Chosen { at: chosen.at() });
         }
@@ -294,7 +327,12 @@
         if !self.hear(&from, at, newer, now, fits) {
             return;
         }
+        self.count_promises(now);
+    }
+
+    fn count_promises(&mut self, now: Nanos) {
         let Phase::Round(round) = &self.phase else { return };
+        let Goal::Prepare { ballot } = round.goal else { return };
         let defects = &self.settings.defects;
         if !reached(&round.vote, |d| round.heard.contains_key(&d), defects) {
             return;
@@ -303,7 +341,7 @@
         let held = |d| round.heard.get(&d) == Some(&Some(vote.at()));
         if defects.judge_unchosen || reached(&vote, held, defects) {
             self.phase = Phase::Idle;
-            let chosen = self.publish(&vote);
+            let chosen = self.publish(&vote, now);
             self.lead = Some(Lead { ballot, chosen, proved: step });
         } else {
             let vote = crate::types::Vote { ballot, ..(*vote.0).clone() };
@@ -322,7 +360,7 @@
         }
         let Phase::Round(round) = std::mem::replace(&mut self.phase, Phase::Idle) else { return };
         self.back_offs = 0;
-        let chosen = self.publish(&round.vote);
+        let chosen = self.publish(&round.vote, now);
         for member in round.asked {
             if member.disk != self.me.disk {
                 self.send(member, Message::Chosen { at });
--- a/crates/rootstock/src/register.rs
+++ b/crates/rootstock/src/register.rs
@@ -81,12 +81,12 @@
         let round = if settings.defects.ballots_repeat { 0 } else { record.promised.round };
         Ok(Register {
             part,
-            me,
             machine,
             rng,
             life,
             acceptor: Acceptor::new(record),
-            learner: Learner::default(),
+            learner: Learner::new(me.disk),
+            me,
             operations: Vec::new(),
             step: 0,
             phase: Phase::Idle,
@@ -176,7 +176,7 @@
 
     /// Asks a node, who may know the part's group, for what it knows.
     pub fn ask(&mut self, of: Member, now: Nanos) {
-        let message = Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
+        let message = self.have();
         self.send(of, message);
         self.work(now);
     }
@@ -285,7 +285,7 @@
                 if self.settings.defects.publish_accepted
                     && let Some(vote) = self.newest().cloned()
                 {
-                    self.publish(&vote);
+                    self.publish(&vote, now);
                 }
             }
             Message::Query { nonce, known } => self.acceptor.query(&from, nonce, known),
@@ -300,21 +300,25 @@
                 self.reported(from, nonce, at, newer, now);
             }
             Message::Chosen { at } => match self.newest().filter(|v| v.at() == at).cloned() {
-                Some(vote) => drop(self.publish(&vote)),
+                Some(vote) => drop(self.publish(&vote, now)),
                 None if self.learner.seq().is_none_or(|seq| seq < at.seq) => {
-                    let have =
-                        Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
-                    self.send(from, have);
+                    let message = self.have();
+                    self.send(from, message);
                 }
                 None => {}
             },
-            Message::Have { at, chosen } => {
-                let answer = self.learner.answer(at, chosen, self.acceptor.accepted().map(|v| &**v));
-                if let Some(message) = answer {
+            Message::Have { at, chosen, kept } => {
+                if kept {
+                    self.learner.heard(from.disk, chosen);
+                }
+                if let Some(message) = self.learner.hand_over(at, chosen) {
+                    self.send(from, message);
+                } else if chosen > self.learner.seq() || self.says_farewell(&from) {
+                    let message = self.have();
                     self.send(from, message);
                 }
             }
-            Message::Learn { vote } => drop(self.publish(&vote)),
+            Message::Learn { vote } => drop(self.publish(&vote, now)),
         }
     }
 
@@ -323,7 +327,7 @@
     }
 
     /// This vote is known to be chosen. Gives it without the group before, which has no more say and may be gone.
-    pub(crate) fn publish(&mut self, vote: &Shared) -> Shared {
+    pub(crate) fn publish(&mut self, vote: &Shared, now: Nanos) -> Shared {
         let vote = match vote.before {
             Some(_) => Vote { before: None, ..(*vote.0).clone() }.into(),
             None => vote.clone(),
@@ -333,9 +337,32 @@
         if self.learner.learn(&vote) {
             self.actions.push(Action::Chosen(vote.state.clone()));
         }
+        self.round_learns(&vote, now);
         vote
     }
 
+    fn have(&self) -> Message {
+        let chosen = self.learner.seq();
+        // A slot after it is on disk, or it is, without the group before.
+        let kept = self.acceptor.lasting().is_some_and(|v| match v.before {
+            Some(_) => Some(v.state.seq) > chosen,
+            None => Some(v.state.seq) >= chosen,
+        });
+        Message::Have { at: self.newest().map(|v| v.at()), chosen, kept }
+    }
+
+    /// Who is outside the group may be waiting to hear whether it is missed.
+    fn says_farewell(&self, from: &Member) -> bool {
+        self.is_member() && self.members().iter().all(|m| m.disk != from.disk)
+    }
+
+    /// Whether a node that leaves may end without being missed: it is in no group, and a majority of the group without
+    /// it keeps that as chosen. Before, a vote of its own may be needed to find that out.
+    pub fn may_leave(&self) -> bool {
+        self.newest().is_none_or(|v| v.electorate().iter().all(|m| m.disk != self.me.disk))
+            && self.learner.missed_by_none()
+    }
+
     /// Whether the newest vote here may be chosen without this node having heard so: whoever proposed it may be gone.
     fn unsettled(&self) -> bool {
         let newest = self.newest();
@@ -353,7 +380,7 @@
             return;
         }
         let peer = others[chance % others.len()].clone();
-        let message = Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
+        let message = self.have();
         self.send(peer, message);
     }
 
--- a/crates/rootstock/src/upkeep.rs
+++ b/crates/rootstock/src/upkeep.rs
@@ -5,7 +5,7 @@
 //! | a node at a member's address under another disk | swapped at once: the old disk is gone |
 //! | a member unheard of for `contact` or leaving, a counted node waits | swapped |
 //! | a member unheard of for `contact` or leaving, group above its founding size | removed |
-//! | every member heard of within `contact`, a counted node waits, fewer than nine | added |
+//! | for a `contact` every member heard of, a counted node waits, fewer than nine | added |
 //!
 //! The first of the live members in the part's order does it; each behind it waits a further tenth of `contact`.
 //! Nothing depends on that: a change is judged on the group that it was made for.
@@ -52,7 +52,9 @@
         };
         let live = ranked(part, &state.members).into_iter().filter(|m| m.disk == me.disk || view.stays(m));
         let rank = live.take_while(|m| m.disk != me.disk).count() as u64;
-        (now - since >= rank * settings.contact / 10).then_some(to)
+        // A new node may stand in for a member whose silence nobody has noticed yet: then it is swapped, not added.
+        let patience = if to.len() > state.members.len() { settings.contact } else { 0 };
+        (now - since >= patience + rank * settings.contact / 10).then_some(to)
     }
 }
 
--- a/crates/rootstock/tests/fleet/clients.rs
+++ b/crates/rootstock/tests/fleet/clients.rs
@@ -91,7 +91,7 @@
                     _ => {
                         *hold = None;
                         // Now and then it is another life of the same name.
-                        *life += u64::from(fresh % 5 == 0);
+                        *life += u64::from(fresh.is_multiple_of(5));
                         LeaseChange::Acquire { holder: Holder { life: *life, ..holder }, span: SPAN }
                     }
                 }))
--- a/crates/rootstock/tests/fleet/mod.rs
+++ b/crates/rootstock/tests/fleet/mod.rs
@@ -54,6 +54,7 @@
     Fault,
     Beat,
     Client { client: usize },
+    Leave { node: usize },
 }
 
 pub struct Node {
@@ -66,6 +67,7 @@
     pub frozen_until: Nanos,
     pub disk: (Disk, Nanos),
     pub gone: bool,
+    pub leaving: bool,
     published: Option<u64>,
     /// Who was heard when, by disk.
     heard: BTreeMap<u64, (Member, Nanos)>,
@@ -84,6 +86,8 @@
     pub cuts: Vec<(usize, usize, Nanos)>,
     pub storm_ends: Nanos,
     pub founding: usize,
+    /// Disks that are gone, and since when.
+    pub lost: Vec<(u64, Nanos)>,
     pub defects: Defects,
     pub acknowledgements: u64,
     queue: BinaryHeap<Reverse<(Nanos, u64)>>,
@@ -127,6 +131,7 @@
             cuts: Vec::new(),
             storm_ends: plan.storm,
             founding: plan.nodes,
+            lost: Vec::new(),
             defects: plan.defects.clone(),
             acknowledgements: 0,
             queue: BinaryHeap::new(),
@@ -173,6 +178,7 @@
             frozen_until: 0,
             disk: (Disk::Well, 0),
             gone: false,
+            leaving: false,
             published: None,
             heard: BTreeMap::new(),
         });
@@ -206,6 +212,9 @@
         }
         let newest = self.judge.newest_state().cloned();
         for node in self.nodes.iter().filter(|n| !n.gone) {
+            if node.leaving {
+                return Err(format!("{} still waits to leave {when}: {newest:?}", node.member.name));
+            }
             let Some(register) = &node.register else {
                 return Err(format!("{} is down {when}", node.member.name));
             };
@@ -294,6 +303,7 @@
             Event::Start { node } => self.start(node),
             Event::Fault => self.fault(),
             Event::Beat => self.beat(),
+            Event::Leave { node } => self.left(node),
             Event::Client { client } => self.client_turn(client),
         }
     }
@@ -415,7 +425,9 @@
         }
         let copies = 1 + u8::from(self.rng.u8(..) < self.net.repeat);
         for _ in 0..copies {
-            let delay = self.rng.u64(200_000..=self.net.delay.max(200_001));
+            let stray =
+                if self.rng.u8(..) < self.net.stray { self.rng.u64(..2_000) * MILLISECOND } else { 0 };
+            let delay = stray + self.rng.u64(200_000..=self.net.delay.max(200_001));
             let sender = self.nodes[from].member.clone();
             self.at(delay, Event::Deliver { from, sender, to: target, bytes: message.encode() });
         }
@@ -437,6 +449,7 @@
                     self.nodes[node].heard.insert(member.disk, (member, now));
                 }
             }
+            let leaving: Vec<u64> = self.nodes.iter().filter(|n| n.leaving).map(|n| n.member.disk).collect();
             let it = &mut self.nodes[node];
             let seen: Vec<Seen> = it
                 .heard
@@ -445,7 +458,7 @@
                     member: member.clone(),
                     counted: true,
                     heard: Some(now - at),
-                    leaving: false,
+                    leaving: leaving.contains(&member.disk),
                 })
                 .collect();
             let others: Vec<Member> =
@@ -462,7 +475,15 @@
 
 fn name(message: &Message) -> String {
     match message {
-        Message::Accept { vote } => format!("Accept {:?} of {} members", vote.at(), vote.state.members.len()),
+        Message::Accept { vote } => {
+            let group = |members: &[Member]| {
+                members.iter().map(|m| format!("{}/{:x}", m.name, m.disk >> 48)).collect()
+            };
+            let (before, members): (Vec<String>, Vec<String>) =
+                (group(vote.governing()), group(&vote.state.members));
+            let groups = if before == members { String::new() } else { format!("from {}", before.join(" ")) };
+            format!("Accept {:?} {groups} members {}", vote.at(), members.join(" "))
+        }
         Message::Learn { vote } => format!("Learn {:?}", vote.at()),
         Message::Promise { ballot, at, .. } => format!("Promise {ballot:?} holding {at:?}"),
         Message::Report { at, .. } => format!("Report {at:?}"),
--- a/crates/rootstock/tests/fleet/planted.rs
+++ b/crates/rootstock/tests/fleet/planted.rs
@@ -2,7 +2,9 @@
 use super::{Plan, SECOND, play};
 use rootstock::Defects;
 
-pub const PLANTED: [(&str, fn(&mut Defects)); 14] = [
+pub type Plant = fn(&mut Defects);
+
+pub const PLANTED: [(&str, Plant); 14] = [
     ("ack_before_sync", |d| d.ack_before_sync = true),
     ("promise_not_stored", |d| d.promise_not_stored = true),
     ("accept_below_promise", |d| d.accept_below_promise = true),
@@ -25,7 +27,7 @@
 }
 
 /// Seed and what it broke; a storm kept short, as most defects show early.
-pub fn first_seed(plant: fn(&mut Defects), most: u64) -> Option<(u64, String)> {
+pub fn first_seed(plant: Plant, most: u64) -> Option<(u64, String)> {
     let mut defects = Defects::default();
     plant(&mut defects);
     (0..most).find_map(|seed| {
--- a/crates/rootstock/tests/fleet/weather.rs
+++ b/crates/rootstock/tests/fleet/weather.rs
@@ -1,18 +1,28 @@
 //! Faults by seed: losses of power and disks, cuts, freezes, disks in trouble, machines replaced.
-use super::{Event, Fleet, MILLISECOND, Nanos};
+use super::{CONTACT, Event, Fleet, MILLISECOND, Nanos, Node};
+use cellar::{Cellar, Opened};
+use rootstock::{Record, Shared};
+
+/// A machine that lost its disk still counts as lost for so long.
+const CATCH_UP: Nanos = 4 * CONTACT;
+
+/// Between two looks of a leaving machine whether it may go.
+const LEAVES: Nanos = CONTACT / 4;
 
 /// How the net is at the moment, in parts of 256.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Net {
     pub loss: u8,
     pub repeat: u8,
+    /// Copies that wander for a second or two.
+    pub stray: u8,
     /// Longest delay.
     pub delay: Nanos,
 }
 
 impl Net {
     pub fn calm() -> Net {
-        Net { loss: 0, repeat: 0, delay: 4 * MILLISECOND }
+        Net { loss: 0, repeat: 0, stray: 0, delay: 4 * MILLISECOND }
     }
 }
 
@@ -37,8 +47,9 @@
         let node = present[self.rng.usize(..present.len())];
         let span = self.rng.u64(20..1_500) * MILLISECOND;
         match self.rng.u8(..20) {
-            0..3 => self.kill(node, span / 4),
-            3..5 => self.lose_power(node, span / 4),
+            // Now and then it is back before its last messages have arrived.
+            0..3 => self.kill(node, if span.is_multiple_of(2) { span / 100 } else { span / 4 }),
+            3..5 => self.lose_power(node, if span.is_multiple_of(2) { span / 100 } else { span / 4 }),
             5 => {
                 // A whole site: everything back within a second.
                 for node in present {
@@ -46,9 +57,10 @@
                     self.lose_power(node, back);
                 }
             }
-            6..8 if self.may_lose_disk(node) => self.wipe(node, span / 4),
-            8 if self.may_lose_disk(node) => self.replace(node),
-            9..12 => {
+            6..8 if self.may_lose_disk() => self.wipe(node, span / 4),
+            8 if self.may_lose_disk() => self.replace(node),
+            9 => self.leave(node),
+            10..12 => {
                 let other = present[self.rng.usize(..present.len())];
                 let both = self.rng.bool();
                 self.log(|| format!("cut {node} to {other}, both ways {both}, {} ms", span / MILLISECOND));
@@ -79,6 +91,7 @@
                 let net = Net {
                     loss: self.rng.u8(..90),
                     repeat: self.rng.u8(..60),
+                    stray: self.rng.u8(..40),
                     delay: self.rng.u64(1..120) * MILLISECOND,
                 };
                 self.log(|| format!("{net:?}"));
@@ -87,17 +100,25 @@
         }
     }
 
-    /// Only as many disks as the first group can spare may be lost at one time, spares' too; groups, also those under
-    /// way, have to be whole again before that many more may.
-    fn may_lose_disk(&self, node: usize) -> bool {
-        let newest = self.judge.newest_state().map(|s| s.members.clone()).unwrap_or_default();
-        let under_way = self.nodes.iter().filter_map(|n| n.register.as_ref()).flat_map(|r| r.electorate());
-        let mut dead: Vec<u64> = newest.into_iter().chain(under_way).map(|m| m.disk).collect();
+    /// Only as many disks as the first group can spare may be lost at one time, spares' too. Until every disk that is
+    /// left has a group without the lost ones, they still count: this is what `catch_up_s` is for.
+    fn may_lose_disk(&self) -> bool {
+        let (newest, members) =
+            self.judge.newest_state().map(|s| (s.seq, s.members.clone())).unwrap_or_default();
+        let votes = self.nodes.iter().filter(|n| !n.gone).filter_map(|n| self.vote_on_disk(n));
+        let under_way = votes.filter(|v| v.state.seq >= newest).flat_map(|v| v.electorate());
+        let mut dead: Vec<u64> = members.into_iter().chain(under_way).map(|m| m.disk).collect();
         dead.retain(|&disk| !self.nodes.iter().any(|n| !n.gone && n.member.disk == disk));
+        dead.extend(self.lost.iter().filter(|l| l.1 + CATCH_UP > self.now).map(|l| l.0));
         dead.sort_unstable();
         dead.dedup();
-        let downed = self.nodes[node].member.disk == 0;
-        downed || dead.len() < (self.founding - 1) / 2
+        dead.len() < (self.founding - 1) / 2
+    }
+
+    fn vote_on_disk(&self, node: &Node) -> Option<Shared> {
+        let (_, opened) = Cellar::open(node.files.clone()).ok()?;
+        let Opened::Existing(records) = opened else { return None };
+        Record::decode(records.get("part-7")?, 1 << 20).ok()?.accepted
     }
 
     pub fn kill(&mut self, node: usize, back: Nanos) {
@@ -125,6 +146,7 @@
         let ran = self.nodes[node].register.take().is_some();
         self.nodes[node].files.wipe();
         self.nodes[node].cellar = None;
+        self.lost.push((self.nodes[node].member.disk, self.now));
         // From now on nobody has this disk any more, also while its machine is down.
         if !self.defects.wiped_keeps_id {
             self.nodes[node].member.disk = 0;
@@ -137,11 +159,36 @@
     fn replace(&mut self, node: usize) {
         self.nodes[node].register = None;
         self.nodes[node].gone = true;
+        self.lost.push((self.nodes[node].member.disk, self.now));
         let new = self.add_machine();
         self.log(|| format!("replace {node} by {new}"));
         self.at(100 * MILLISECOND, Event::Start { node: new });
     }
 
+    /// It tells that it leaves, another one comes; it goes when it is in no group any more.
+    fn leave(&mut self, node: usize) {
+        if self.nodes[node].leaving || self.nodes.iter().any(|n| n.leaving && !n.gone) {
+            return;
+        }
+        let new = self.add_machine();
+        self.log(|| format!("{node} leaves, {new} comes"));
+        self.nodes[node].leaving = true;
+        self.at(0, Event::Start { node: new });
+        self.at(LEAVES, Event::Leave { node });
+    }
+
+    pub fn left(&mut self, node: usize) {
+        if self.nodes[node].gone {
+            return;
+        }
+        if !self.nodes[node].register.as_ref().is_some_and(|r| r.may_leave()) {
+            return self.at(LEAVES, Event::Leave { node });
+        }
+        self.log(|| format!("{node} is gone"));
+        self.nodes[node].register = None;
+        self.nodes[node].gone = true;
+    }
+
     pub fn mend_all(&mut self) {
         self.log(|| "all faults end".to_owned());
         self.net = Net::calm();
