rootstock: two that hold each other for outsiders don't answer for ever; lost slots end a lead

Change: what is kept is told one way; a lead ends with its slot; rounds that ask in vain begin anew; some exchanges go to a live node outside the group.

--- a/crates/rootstock/src/learner.rs
+++ b/crates/rootstock/src/learner.rs
@@ -44,16 +44,16 @@
     }
 
     /// A node told up to which slot it keeps what is chosen.
-    pub fn heard(&mut self, disk: u64, kept: Option<u64>) {
+    pub fn heard(&mut self, disk: u64, kept: u64) {
         let members = self.chosen.as_ref().map_or(&[][..], |v| &v.state.members);
-        if let Some(kept) = kept.filter(|_| members.iter().any(|m| m.disk == disk)) {
+        if members.iter().any(|m| m.disk == disk) {
             self.told.insert(disk, kept);
         }
     }
 
-    /// Whether a majority of the newest group told that it keeps a group without this node; true of no group.
+    /// Whether a majority of the newest group told that it keeps a group without this node.
     pub fn missed_by_none(&self) -> bool {
-        let Some(vote) = &self.chosen else { return true };
+        let Some(vote) = &self.chosen else { return false };
         let told = |disk| self.told.get(&disk).copied() >= self.out_since && self.out_since.is_some();
         majority(&vote.state.members, told)
     }
--- a/crates/rootstock/src/message.rs
+++ b/crates/rootstock/src/message.rs
@@ -53,12 +53,15 @@
     Chosen {
         at: At,
     },
-    /// What I have and the newest slot that I know to be chosen: whoever knows more hands it over. `kept`: this much
-    /// is on my disk, whose vote needs no group before.
+    /// What I have and the newest slot that I know to be chosen: whoever knows more hands it over.
     Have {
         at: Option<At>,
         chosen: Option<u64>,
-        kept: bool,
+    },
+    /// To one outside my group: up to this slot my disk keeps what is chosen, without a group before. Never answered,
+    /// or two that each hold the other for an outsider would go on for ever.
+    Kept {
+        chosen: u64,
     },
     /// A chosen vote, whole.
     Learn {
--- a/crates/rootstock/src/proposer.rs
+++ b/crates/rootstock/src/proposer.rs
@@ -22,6 +22,9 @@
 /// Queries that find no agreement before a ballot is taken: mostly a vote is just under way.
 const QUERIES: u32 = 3;
 
+/// Repeats of one question to those who were silent before the round begins anew.
+const REPEATS: u32 = 6;
+
 /// The right to propose the slot after `chosen` under `ballot`.
 #[derive(Debug)]
 pub(crate) struct Lead {
@@ -401,6 +404,7 @@
         if self.phase.next_wake().is_none_or(|at| at > now) {
             return;
         }
+        let newest = self.newest().map(|v| v.at());
         let Phase::Round(round) = &mut self.phase else {
             self.phase = Phase::Idle;
             return;
@@ -415,7 +419,8 @@
                     self.prepare(vote, now)
                 };
             }
-        } else if !round.refused.is_empty() {
+        } else if !round.refused.is_empty() || newest > Some(round.vote.at()) || round.repeats >= REPEATS {
+            // What it asks for, or whom, may be out of date.
             return self.back_off(now);
         }
         round.repeats += 1;
--- a/crates/rootstock/src/register.rs
+++ b/crates/rootstock/src/register.rs
@@ -62,6 +62,8 @@
     pub(crate) inbox: VecDeque<(Member, Message)>,
     pub(crate) actions: Vec<Action>,
     exchange_at: Nanos,
+    /// Some live node, in the group or not, by the last look around.
+    stranger: Option<Member>,
     settle_at: Option<Nanos>,
     upkeep: Upkeep,
 }
@@ -97,6 +99,7 @@
             inbox: VecDeque::new(),
             actions: Vec::new(),
             exchange_at,
+            stranger: None,
             settle_at: None,
             upkeep: Upkeep::default(),
             settings,
@@ -206,6 +209,11 @@
 
     /// Looks at who is there, and changes the group by at most one member; call it at each news and now and then.
     pub fn tend(&mut self, seen: &[Seen], now: Nanos) {
+        let live =
+            |s: &&Seen| s.member.disk != self.me.disk && s.heard.is_some_and(|h| h < self.settings.contact);
+        let count = seen.iter().filter(live).count();
+        let chance = self.rng.usize(..count.max(1));
+        self.stranger = seen.iter().filter(live).nth(chance).map(|s| s.member.clone());
         let Some(chosen) = self.learner.chosen() else { return };
         let busy = self.operations.iter().any(|o| matches!(o.kind, Kind::Members { .. }));
         let to = self.upkeep.decide(self.part, &self.me, &chosen.state, seen, &self.settings, now);
@@ -307,17 +315,17 @@
                 }
                 None => {}
             },
-            Message::Have { at, chosen, kept } => {
-                if kept {
-                    self.learner.heard(from.disk, chosen);
-                }
-                if let Some(message) = self.learner.hand_over(at, chosen) {
-                    self.send(from, message);
-                } else if chosen > self.learner.seq() || self.says_farewell(&from) {
-                    let message = self.have();
+            Message::Have { at, chosen } => {
+                let message = match self.learner.hand_over(at, chosen) {
+                    Some(message) => Some(message),
+                    None if chosen > self.learner.seq() => Some(self.have()),
+                    None => self.farewell(&from),
+                };
+                if let Some(message) = message {
                     self.send(from, message);
                 }
             }
+            Message::Kept { chosen } => self.learner.heard(from.disk, chosen),
             Message::Learn { vote } => drop(self.publish(&vote, now)),
         }
     }
@@ -336,31 +344,35 @@
         self.acceptor.learn(&vote);
         if self.learner.learn(&vote) {
             self.actions.push(Action::Chosen(vote.state.clone()));
+            // Its next slot is gone. Whoever just won this one sets it anew.
+            self.lead = None;
         }
         self.round_learns(&vote, now);
         vote
     }
 
     fn have(&self) -> Message {
-        let chosen = self.learner.seq();
-        // A slot after it is on disk, or it is, without the group before.
-        let kept = self.acceptor.lasting().is_some_and(|v| match v.before {
-            Some(_) => Some(v.state.seq) > chosen,
-            None => Some(v.state.seq) >= chosen,
-        });
-        Message::Have { at: self.newest().map(|v| v.at()), chosen, kept }
+        Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() }
     }
 
     /// Who is outside the group may be waiting to hear whether it is missed.
-    fn says_farewell(&self, from: &Member) -> bool {
-        self.is_member() && self.members().iter().all(|m| m.disk != from.disk)
+    fn farewell(&self, from: &Member) -> Option<Message> {
+        let chosen = self.learner.seq()?;
+        let outside = self.is_member() && self.members().iter().all(|m| m.disk != from.disk);
+        let kept = self.acceptor.lasting().is_some_and(|v| match v.before {
+            // A later slot on disk says as much of this one.
+            Some(_) => v.state.seq > chosen,
+            None => v.state.seq >= chosen,
+        });
+        (outside && kept).then_some(Message::Kept { chosen })
     }
 
     /// Whether a node that leaves may end without being missed: it is in no group, and a majority of the group without
     /// it keeps that as chosen. Before, a vote of its own may be needed to find that out.
     pub fn may_leave(&self) -> bool {
-        self.newest().is_none_or(|v| v.electorate().iter().all(|m| m.disk != self.me.disk))
-            && self.learner.missed_by_none()
+        self.newest().is_none_or(|v| {
+            v.electorate().iter().all(|m| m.disk != self.me.disk) && self.learner.missed_by_none()
+        })
     }
 
     /// Whether the newest vote here may be chosen without this node having heard so: whoever proposed it may be gone.
@@ -376,12 +388,13 @@
         self.exchange_at = now + self.spread(self.settings.exchange);
         let chance = self.rng.usize(..);
         let others: Vec<&Member> = self.members().iter().filter(|m| m.disk != self.me.disk).collect();
-        if others.is_empty() {
-            return;
+        // A group that has been replaced altogether meanwhile has nobody left to tell so.
+        let stranger = self.stranger.as_ref().filter(|_| others.is_empty() || chance.is_multiple_of(4));
+        let member = || others.get((chance / 4) % others.len().max(1)).copied();
+        if let Some(peer) = stranger.or_else(member).cloned() {
+            let message = self.have();
+            self.send(peer, message);
         }
-        let peer = others[chance % others.len()].clone();
-        let message = self.have();
-        self.send(peer, message);
     }
 
     /// Half of a span to one and a half of it, so that nodes don't fall into step.
