--- a/crates/rootstock/src/message.rs
+++ b/crates/rootstock/src/message.rs
@@ -58,6 +58,11 @@
         at: Option<At>,
         chosen: Option<u64>,
     },
+    /// To one outside my group: up to this slot my disk keeps what is chosen, without a group before. Never answered,
+    /// or two that each hold the other for an outsider would go on for ever.
+    Kept {
+        chosen: u64,
+    },
     /// A chosen vote, whole.
     Learn {
         vote: Shared,
--- a/crates/rootstock/src/register.rs
+++ b/crates/rootstock/src/register.rs
@@ -61,7 +61,11 @@
     pub(crate) back_offs: u32,
     pub(crate) inbox: VecDeque<(Member, Message)>,
     pub(crate) actions: Vec<Action>,
+    /// The first group that was known, for a planted defect.
+    pub(crate) at_start: Vec<Member>,
     exchange_at: Nanos,
+    /// Some live node, in the group or not, by the last look around.
+    stranger: Option<Member>,
     settle_at: Option<Nanos>,
     upkeep: Upkeep,
 }
@@ -76,27 +80,29 @@
         let most = settings.most_message();
         let record = record.map(|bytes| Record::decode(bytes, most)).transpose();
         let record = record.map_err(|source| RegisterError::Record { part, source })?.unwrap_or_default();
-        let life = if settings.defects.ballots_repeat { 0 } else { rng.u64(..) };
+        let life = rng.u64(..);
+        let at_start = record.accepted.as_ref().map_or_else(Vec::new, |v| v.state.members.clone());
         let exchange_at = now + rng.u64(0..=settings.exchange);
-        let round = if settings.defects.ballots_repeat { 0 } else { record.promised.round };
         Ok(Register {
             part,
-            me,
             machine,
             rng,
             life,
+            round: record.promised.round,
             acceptor: Acceptor::new(record),
-            learner: Learner::default(),
+            learner: Learner::new(me.disk),
+            me,
             operations: Vec::new(),
             step: 0,
             phase: Phase::Idle,
             lead: None,
-            round,
             round_trip: settings.round_trip,
             back_offs: 0,
             inbox: VecDeque::new(),
             actions: Vec::new(),
+            at_start,
             exchange_at,
+            stranger: None,
             settle_at: None,
             upkeep: Upkeep::default(),
             settings,
@@ -112,6 +118,11 @@
         self.learner.chosen().map(|v| &v.state)
     }
 
+    /// Slots of which this node was told two states: anything but 0 is a breach of agreement, to be logged as such.
+    pub fn conflicts(&self) -> u64 {
+        self.learner.conflicts()
+    }
+
     /// The group, as far as this node knows.
     pub fn members(&self) -> &[Member] {
         self.newest().map_or(&[], |v| &v.state.members)
@@ -176,7 +187,7 @@
 
     /// Asks a node, who may know the part's group, for what it knows.
     pub fn ask(&mut self, of: Member, now: Nanos) {
-        let message = Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
+        let message = self.have();
         self.send(of, message);
         self.work(now);
     }
@@ -206,6 +217,11 @@
 
     /// Looks at who is there, and changes the group by at most one member; call it at each news and now and then.
     pub fn tend(&mut self, seen: &[Seen], now: Nanos) {
+        let live =
+            |s: &&Seen| s.member.disk != self.me.disk && s.heard.is_some_and(|h| h < self.settings.contact);
+        let count = seen.iter().filter(live).count();
+        let chance = self.rng.usize(..count.max(1));
+        self.stranger = seen.iter().filter(live).nth(chance).map(|s| s.member.clone());
         let Some(chosen) = self.learner.chosen() else { return };
         let busy = self.operations.iter().any(|o| matches!(o.kind, Kind::Members { .. }));
         let to = self.upkeep.decide(self.part, &self.me, &chosen.state, seen, &self.settings, now);
@@ -285,7 +301,7 @@
                 if self.settings.defects.publish_accepted
                     && let Some(vote) = self.newest().cloned()
                 {
-                    self.publish(&vote);
+                    self.publish(&vote, now);
                 }
             }
             Message::Query { nonce, known } => self.acceptor.query(&from, nonce, known),
@@ -300,21 +316,25 @@
                 self.reported(from, nonce, at, newer, now);
             }
             Message::Chosen { at } => match self.newest().filter(|v| v.at() == at).cloned() {
-                Some(vote) => drop(self.publish(&vote)),
+                Some(vote) => drop(self.publish(&vote, now)),
                 None if self.learner.seq().is_none_or(|seq| seq < at.seq) => {
-                    let have =
-                        Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
-                    self.send(from, have);
+                    let message = self.have();
+                    self.send(from, message);
                 }
                 None => {}
             },
             Message::Have { at, chosen } => {
-                let answer = self.learner.answer(at, chosen, self.acceptor.accepted().map(|v| &**v));
-                if let Some(message) = answer {
+                let message = match self.learner.hand_over(at, chosen) {
+                    Some(message) => Some(message),
+                    None if chosen > self.learner.seq() => Some(self.have()),
+                    None => self.farewell(&from),
+                };
+                if let Some(message) = message {
                     self.send(from, message);
                 }
             }
-            Message::Learn { vote } => drop(self.publish(&vote)),
+            Message::Kept { chosen } => self.learner.heard(from.disk, chosen),
+            Message::Learn { vote } => drop(self.publish(&vote, now)),
         }
     }
 
@@ -323,19 +343,49 @@
     }
 
     /// This vote is known to be chosen. Gives it without the group before, which has no more say and may be gone.
-    pub(crate) fn publish(&mut self, vote: &Shared) -> Shared {
+    pub(crate) fn publish(&mut self, vote: &Shared, now: Nanos) -> Shared {
         let vote = match vote.before {
             Some(_) => Vote { before: None, ..(*vote.0).clone() }.into(),
             None => vote.clone(),
         };
         self.meet(vote.ballot);
         self.acceptor.learn(&vote);
+        if self.at_start.is_empty() {
+            self.at_start = vote.state.members.clone();
+        }
         if self.learner.learn(&vote) {
             self.actions.push(Action::Chosen(vote.state.clone()));
+            // Its next slot is gone. Whoever just won this one sets it anew.
+            self.lead = None;
         }
+        self.round_learns(&vote, now);
         vote
     }
 
+    fn have(&self) -> Message {
+        Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() }
+    }
+
+    /// Who is outside the group may be waiting to hear whether it is missed.
+    fn farewell(&self, from: &Member) -> Option<Message> {
+        let chosen = self.learner.seq()?;
+        let outside = self.is_member() && self.members().iter().all(|m| m.disk != from.disk);
+        let kept = self.acceptor.lasting().is_some_and(|v| match v.before {
+            // A later slot on disk says as much of this one.
+            Some(_) => v.state.seq > chosen,
+            None => v.state.seq >= chosen,
+        });
+        (outside && kept).then_some(Message::Kept { chosen })
+    }
+
+    /// Whether a node that leaves may end without being missed: it is in no group, and a majority of the group without
+    /// it keeps that as chosen. Before, a vote of its own may be needed to find that out.
+    pub fn may_leave(&self) -> bool {
+        self.newest().is_none_or(|v| {
+            v.electorate().iter().all(|m| m.disk != self.me.disk) && self.learner.missed_by_none()
+        })
+    }
+
     /// Whether the newest vote here may be chosen without this node having heard so: whoever proposed it may be gone.
     fn unsettled(&self) -> bool {
         let newest = self.newest();
@@ -349,12 +399,13 @@
         self.exchange_at = now + self.spread(self.settings.exchange);
         let chance = self.rng.usize(..);
         let others: Vec<&Member> = self.members().iter().filter(|m| m.disk != self.me.disk).collect();
-        if others.is_empty() {
-            return;
+        // A group that has been replaced altogether meanwhile has nobody left to tell so.
+        let stranger = self.stranger.as_ref().filter(|_| others.is_empty() || chance.is_multiple_of(4));
+        let member = || others.get((chance / 4) % others.len().max(1)).copied();
+        if let Some(peer) = stranger.or_else(member).cloned() {
+            let message = self.have();
+            self.send(peer, message);
         }
-        let peer = others[chance % others.len()].clone();
-        let message = Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() };
-        self.send(peer, message);
     }
 
     /// Half of a span to one and a half of it, so that nodes don't fall into step.
--- a/crates/rootstock/tests/fleet/mod.rs
+++ b/crates/rootstock/tests/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub use rootstock::{MILLISECOND, Nanos, SECOND};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+pub use weather::Weather;
 use weather::{Disk, Net};
 
 const PART: u16 = 7;
@@ -27,6 +28,7 @@
     pub seed: u64,
     pub nodes: usize,
     pub storm: Nanos,
+    pub weather: Weather,
     pub defects: Defects,
     pub trace: bool,
 }
@@ -54,6 +56,8 @@
     Fault,
     Beat,
     Client { client: usize },
+    Leave { node: usize },
+    Flap { node: usize },
 }
 
 pub struct Node {
@@ -66,6 +70,7 @@
     pub frozen_until: Nanos,
     pub disk: (Disk, Nanos),
     pub gone: bool,
+    pub leaving: bool,
     published: Option<u64>,
     /// Who was heard when, by disk.
     heard: BTreeMap<u64, (Member, Nanos)>,
@@ -84,6 +89,9 @@
     pub cuts: Vec<(usize, usize, Nanos)>,
     pub storm_ends: Nanos,
     pub founding: usize,
+    pub weather: Weather,
+    /// Disks that are gone, and since when.
+    pub lost: Vec<(u64, Nanos)>,
     pub defects: Defects,
     pub acknowledgements: u64,
     queue: BinaryHeap<Reverse<(Nanos, u64)>>,
@@ -114,6 +122,7 @@
             rng: Rng::with_seed(plan.seed),
             nodes: Vec::new(),
             clients: vec![
+                Client::Operator { known: 0, put: None },
                 Client::Operator { known: 0, put: None },
                 Client::Operator { known: 0, put: None },
                 Client::Reader,
@@ -127,6 +136,8 @@
             cuts: Vec::new(),
             storm_ends: plan.storm,
             founding: plan.nodes,
+            weather: plan.weather,
+            lost: Vec::new(),
             defects: plan.defects.clone(),
             acknowledgements: 0,
             queue: BinaryHeap::new(),
@@ -173,6 +184,7 @@
             frozen_until: 0,
             disk: (Disk::Well, 0),
             gone: false,
+            leaving: false,
             published: None,
             heard: BTreeMap::new(),
         });
@@ -184,7 +196,14 @@
         self.mend_all();
         self.run_until(self.now + CALM)?;
         self.all_work("after the storm")?;
-        // The last loss: as many disks as a majority can spare, while all others lose power.
+        // The last loss, just after a change was acknowledged in bad weather: as many disks as a majority can spare,
+        // while all others lose power.
+        self.net = weather::Net { loss: 80, repeat: 20, stray: 0, delay: 60 * MILLISECOND };
+        let (before, latest) = (self.acknowledgements, self.now + 4 * SECOND);
+        while self.acknowledgements == before && self.now < latest {
+            self.run_until(self.now + MILLISECOND)?;
+        }
+        self.net = Net::calm();
         let group = self.judge.newest_state().map(|s| s.members.clone()).unwrap_or_default();
         let spare = group.len().saturating_sub(1) / 2;
         let mut order: Vec<usize> = (0..self.nodes.len()).filter(|&n| !self.nodes[n].gone).collect();
@@ -204,8 +223,11 @@
         if self.acknowledgements == before {
             return Err(format!("no change was acknowledged {when}"));
         }
-        let newest = self.judge.newest_state().cloned();
+        let newest = self.judge.newest_state().map(|s| s.members.clone());
         for node in self.nodes.iter().filter(|n| !n.gone) {
+            if node.leaving {
+                return Err(format!("{} still waits to leave {when}: {newest:?}", node.member.name));
+            }
             let Some(register) = &node.register else {
                 return Err(format!("{} is down {when}", node.member.name));
             };
@@ -245,8 +267,8 @@
                 return Ok(());
             }
             self.steps += 1;
-            if self.steps > 2_000_000 {
-                return Err("it runs away: two million steps".to_owned());
+            if self.steps > 200_000 {
+                return Err("it runs away: 200,000 steps".to_owned());
             }
             self.now = self.now.max(next);
             self.digest = windrow::mix(self.digest ^ self.now ^ self.next_op);
@@ -294,6 +316,9 @@
             Event::Start { node } => self.start(node),
             Event::Fault => self.fault(),
             Event::Beat => self.beat(),
+            Event::Flap { node } if self.now < self.storm_ends => self.kill(node, MILLISECOND),
+            Event::Flap { .. } => {}
+            Event::Leave { node } => self.left(node),
             Event::Client { client } => self.client_turn(client),
         }
     }
@@ -415,7 +440,9 @@
         }
         let copies = 1 + u8::from(self.rng.u8(..) < self.net.repeat);
         for _ in 0..copies {
-            let delay = self.rng.u64(200_000..=self.net.delay.max(200_001));
+            let stray =
+                if self.rng.u8(..) < self.net.stray { self.rng.u64(..2_000) * MILLISECOND } else { 0 };
+            let delay = stray + self.rng.u64(200_000..=self.net.delay.max(200_001));
             let sender = self.nodes[from].member.clone();
             self.at(delay, Event::Deliver { from, sender, to: target, bytes: message.encode() });
         }
@@ -437,6 +464,7 @@
                     self.nodes[node].heard.insert(member.disk, (member, now));
                 }
             }
+            let leaving: Vec<u64> = self.nodes.iter().filter(|n| n.leaving).map(|n| n.member.disk).collect();
             let it = &mut self.nodes[node];
             let seen: Vec<Seen> = it
                 .heard
@@ -445,7 +473,7 @@
                     member: member.clone(),
                     counted: true,
                     heard: Some(now - at),
-                    leaving: false,
+                    leaving: leaving.contains(&member.disk),
                 })
                 .collect();
             let others: Vec<Member> =
@@ -462,7 +490,15 @@
 
 fn name(message: &Message) -> String {
     match message {
-        Message::Accept { vote } => format!("Accept {:?} of {} members", vote.at(), vote.state.members.len()),
+        Message::Accept { vote } => {
+            let group = |members: &[Member]| {
+                members.iter().map(|m| format!("{}/{:x}", m.name, m.disk >> 48)).collect()
+            };
+            let (before, members): (Vec<String>, Vec<String>) =
+                (group(vote.governing()), group(&vote.state.members));
+            let groups = if before == members { String::new() } else { format!("from {}", before.join(" ")) };
+            format!("Accept {:?} {groups} members {}", vote.at(), members.join(" "))
+        }
         Message::Learn { vote } => format!("Learn {:?}", vote.at()),
         Message::Promise { ballot, at, .. } => format!("Promise {ballot:?} holding {at:?}"),
         Message::Report { at, .. } => format!("Report {at:?}"),
