One answer to a poll holds at most 400 rows; the poller asks for the next

Cause: at 300 machines with 3,001 servers 200 pollers asked three nodes for all rows at once; their answers took over 260 MB and the nodes ended (docs/CAPACITY.md). Change: rows go out oldest change first, in parts; revision of the last that is in the part. Story in hedgerow/tests.

--- a/crates/hedgerow/src/rows.rs
+++ b/crates/hedgerow/src/rows.rs
@@ -303,11 +303,17 @@
         changed
     }
 
-    /// What changed since a revision that this `Rows` gave out; everything to whom had it from another.
-    pub fn since(&self, epoch: u64, revision: u64) -> Delta {
+    /// What changed since a revision that this `Rows` gave out, the oldest changes first and `most` rows of them; from the
+    /// beginning to whom had it from another.
+    pub fn since(&self, epoch: u64, revision: u64, most: usize) -> Delta {
         let from = if epoch == self.epoch && revision <= self.revision { revision } else { 0 };
         let mut delta = Delta { epoch: self.epoch, revision: self.revision, ..Delta::default() };
-        for key in self.by_revision.range(from + 1..).map(|(_, key)| key) {
+        for (place, (revision, key)) in self.by_revision.range(from + 1..).enumerate() {
+            if place == most {
+                // The rest is for the next time.
+                delta.revision = revision - 1;
+                break;
+            }
             match key {
                 Key::Server(id) => delta.servers.extend(self.server(id).cloned()),
                 Key::Node(name) => delta.nodes.extend(self.node(name).cloned()),
--- a/crates/hedgerow/tests/rows.rs
+++ b/crates/hedgerow/tests/rows.rs
@@ -76,14 +76,14 @@
 fn given_a_poller_with_a_revision_when_it_asks_then_it_gets_just_what_is_new() {
     let (mut source, mut asker) = (rows(1), rows(2));
     source.merge_server(server("a", 1, Standing::Ready), 0);
-    let first = source.since(0, 0);
+    let first = source.since(0, 0, usize::MAX);
     asker.merge(first.clone(), 0);
     source.merge_server(server("bb", 1, Standing::Ready), 0);
-    let second = source.since(first.epoch, first.revision);
+    let second = source.since(first.epoch, first.revision, usize::MAX);
     assert_eq!(second.servers.len(), 1);
-    assert!(source.since(second.epoch, second.revision).is_empty());
+    assert!(source.since(second.epoch, second.revision, usize::MAX).is_empty());
     // A restarted source counts anew: the asker's revision means nothing to it.
-    let again = rows(3).since(second.epoch, second.revision);
+    let again = rows(3).since(second.epoch, second.revision, usize::MAX);
     assert_eq!((again.epoch, again.revision), (3, 0));
 }
 
@@ -172,12 +172,12 @@
                 }
             }
             if rng.u8(..5) == 0 {
-                let delta = source.since(known.0, known.1);
+                let delta = source.since(known.0, known.1, usize::MAX);
                 known = (delta.epoch, delta.revision);
                 asker.merge(delta, step);
             }
         }
-        asker.merge(source.since(known.0, known.1), 60);
+        asker.merge(source.since(known.0, known.1, usize::MAX), 60);
         let of = |r: &Rows| {
             let servers: Vec<_> = r.servers().cloned().collect();
             (servers, r.nodes().cloned().collect::<Vec<_>>(), r.notes().cloned().collect::<Vec<_>>())
@@ -195,3 +195,26 @@
     rows.merge_server(server("a", 2, Standing::Draining), 0);
     assert_eq!(rows.urgent(), rows.revision());
 }
+
+#[test]
+fn given_more_rows_than_one_answer_holds_when_a_poller_asks_again_then_it_gets_all_in_parts() {
+    let (mut source, mut asker) = (rows(1), rows(2));
+    for i in 0..25 {
+        let row = ServerRow {
+            id: format!("i{i}"),
+            address: format!("a{i}"),
+            call_sequence: 1,
+            ..ServerRow::default()
+        };
+        source.merge_server(row, 0);
+    }
+    let (mut known, mut answers) = ((0, 0), 0);
+    while known.1 < source.revision() {
+        let delta = source.since(known.0, known.1, 10);
+        assert!(delta.servers.len() <= 10 && delta.revision > known.1);
+        known = (delta.epoch, delta.revision);
+        asker.merge(delta, 0);
+        answers += 1;
+    }
+    assert_eq!((asker.servers().count(), answers), (25, 3));
+}
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -12,6 +12,8 @@
 
 /// A poll is held at least so long unless something urgent is new.
 const GATHER_MS: u32 = 60;
+/// Rows of one answer, some 100 KB at most: all pollers ask for everything at once after a start.
+const MOST_ROWS: usize = 400;
 
 /// Answers another node.
 pub async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
@@ -39,7 +41,7 @@
                     let _ = tokio::time::timeout_at(gathered.min(until), changes.changed()).await;
                     continue;
                 }
-                let delta = node.rows.borrow().since(poll.epoch, poll.revision);
+                let delta = node.rows.borrow().since(poll.epoch, poll.revision, MOST_ROWS);
                 let known = node.in_force();
                 let news = known.seq > poll.config_seq;
                 let late = Instant::now() >= until;
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -241,7 +241,7 @@
             let revision = node.rows.borrow().revision();
             if rounds.is_multiple_of(4) && revision != kept {
                 kept = revision;
-                control.keep_rows(node.rows.borrow().since(0, 0).serialize_bin());
+                control.keep_rows(node.rows.borrow().since(0, 0, usize::MAX).serialize_bin());
             }
         }
         if rounds.is_multiple_of(16) {
