--- a/crates/hayfield/src/main.rs
+++ b/crates/hayfield/src/main.rs
@@ -22,7 +22,7 @@
         .argument::<PathBuf>("FILE")
         .fallback("target/release/orchard".into());
     let file =
-        positional::<PathBuf>("FILE").help("a scenario, such as scenarios/fleet-first.toml").optional();
+        positional::<PathBuf>("FILE").help("a scenario, such as crates/hayfield/scenarios/fleet-first.toml").optional();
     let about =
         "Play a fleet on loopback, print what came of its requests; exit code 1 where a rule was broken";
     let play =
--- a/crates/hayfield/src/scenario.rs
+++ b/crates/hayfield/src/scenario.rs
@@ -90,7 +90,7 @@
 const MOST_S: f64 = 600.0;
 
 /// Under 15 s with start and end, for a first look and for the test.
-const QUICK: &str = include_str!("../../../scenarios/fleet-quick.toml");
+const QUICK: &str = include_str!("../scenarios/fleet-quick.toml");
 
 impl Scenario {
     pub fn quick() -> Result<Scenario, LabError> {
--- a/crates/hayfield/tests/scenarios.rs
+++ b/crates/hayfield/tests/scenarios.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn given_the_shipped_scenarios_when_read_then_all_are_valid() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
     let files = std::fs::read_dir(folder).expect("the folder").filter_map(Result::ok).map(|e| e.path());
     let named =
         |p: &std::path::PathBuf| p.file_name().is_some_and(|n| n.to_string_lossy().starts_with("fleet-"));
@@ -15,7 +15,7 @@
 
 #[test]
 fn given_a_scenario_out_of_bounds_when_read_then_the_field_is_named() {
-    let quick = include_str!("../../../scenarios/fleet-quick.toml");
+    let quick = include_str!("../scenarios/fleet-quick.toml");
     let told = |from: &str, to: &str| {
         let text = quick.replace(from, to);
         assert_ne!(text, quick, "{from} stands in the scenario");
