--- a/crates/hayfield/src/lib.rs
+++ b/crates/hayfield/src/lib.rs
@@ -30,7 +30,9 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum LabError {
-    #[error("{path}: cannot be read ({why}): name a scenario such as crates/hayfield/scenarios/fleet-first.toml")]
+    #[error(
+        "{path}: cannot be read ({why}): name a scenario such as crates/hayfield/scenarios/fleet-first.toml"
+    )]
     Unreadable { path: String, why: String },
     #[error("{path}: {why}: mend the scenario")]
     Scenario { path: String, why: String },
--- a/crates/hayfield/src/main.rs
+++ b/crates/hayfield/src/main.rs
@@ -21,8 +21,9 @@
         .help("the program to play with, target/release/orchard unless told")
         .argument::<PathBuf>("FILE")
         .fallback("target/release/orchard".into());
-    let file =
-        positional::<PathBuf>("FILE").help("a scenario, such as crates/hayfield/scenarios/fleet-first.toml").optional();
+    let file = positional::<PathBuf>("FILE")
+        .help("a scenario, such as crates/hayfield/scenarios/fleet-first.toml")
+        .optional();
     let about =
         "Play a fleet on loopback, print what came of its requests; exit code 1 where a rule was broken";
     let play =
