Node tests: an address for a program to come is never bound beforehand

The node had ended: 'listen on 127.0.0.1:N: Address already in use'. The test found its address by binding and letting go; a process that another thread was starting in that moment holds a copy of the listener until it has begun, so that the port is still taken. Change: addresses of this process alone, on ports below the outgoing ones, that nothing binds; the test says what a node that ended had to say. Same bounds, same assertions.

--- a/crates/sparrouter-lab/src/scripted.rs
+++ b/crates/sparrouter-lab/src/scripted.rs
@@ -2,7 +2,7 @@
 //! where a scenario would say less than it hides. Whatever goes wrong in them panics, as in a test.
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -92,6 +92,18 @@
     (listener, at)
 }
 
+/// An address for a program that is yet to listen, or for none: of this process alone, and another one each time.
+/// Nothing is bound to find it: a process that another thread is about to start holds a copy of each listener until
+/// it has begun, and a port that was let go meanwhile is still taken then.
+pub fn free() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let next = NEXT.fetch_add(1, SeqCst);
+    let process = std::process::id();
+    let address = Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 64, process as u8, 1 + (next % 250) as u8);
+    // Below those that outgoing connections are given.
+    SocketAddr::new(address.into(), 20_000 + (next / 250 % 10_000) as u16)
+}
+
 impl Server {
     pub fn start(script: impl Fn(&Seen) -> Act + Send + Sync + 'static) -> Server {
         let (listener, at) = listen();
--- a/crates/sparrouter-node/tests/harness/mod.rs
+++ b/crates/sparrouter-node/tests/harness/mod.rs
@@ -1,7 +1,7 @@
 //! The program started on free loopback ports, with cache servers, an origin and discovery played by the lab's
 //! scripted stand-ins, and clients of plain sockets.
 #![allow(dead_code, reason = "each test file uses a part")]
-use sparrouter_lab::scripted::{Discovery, Server, listen, message, target, until};
+use sparrouter_lab::scripted::{Discovery, Server, free, message, target, until};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
@@ -36,9 +36,9 @@
 
 pub fn world_of(settings: &str, caches: &[&Server], origin: SocketAddr, sockets: usize) -> World {
     let discovery = Discovery::start();
-    let at = listen().1;
+    let at = free();
     let other = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let datagrams = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
+    let datagrams = free();
     let mut targets: Vec<String> =
         caches.iter().enumerate().map(|(n, c)| target(&format!("c{n}"), c.at, "box", "in_service")).collect();
     targets.push(target("o", origin, "origin", "in_service"));
@@ -64,6 +64,15 @@
     (command.spawn().unwrap(), folder)
 }
 
+/// Says why, where the program has ended while something of it is waited for.
+pub fn still_runs(node: &mut Child) {
+    if let Some(status) = node.try_wait().unwrap() {
+        let mut told = String::new();
+        node.stderr.take().unwrap().read_to_string(&mut told).unwrap();
+        panic!("the node ended with {status}: {told}");
+    }
+}
+
 impl Drop for World {
     fn drop(&mut self) {
         let _ = self.node.kill();
@@ -127,7 +136,7 @@
 
 /// Nobody listens there.
 pub fn nowhere() -> SocketAddr {
-    listen().1
+    free()
 }
 
 pub fn ended(mut stream: &TcpStream) -> bool {
--- a/crates/sparrouter-node/tests/rollout.rs
+++ b/crates/sparrouter-node/tests/rollout.rs
@@ -1,5 +1,5 @@
 //! A change of real nodes in stages, under traffic: sound, bad, with the conductor killed and nodes stopped.
-use sparrouter_lab::scripted::{Act, Discovery, Server, listen, target, until};
+use sparrouter_lab::scripted::{Act, Discovery, Server, free, target, until};
 use sparrouter_rollout::record::How;
 use sparrouter_rollout::run::{self, Mode};
 use std::io::{Read, Write};
@@ -89,7 +89,7 @@
              [bounds]\nfleet_loss = 0.5\n"
             .to_string();
         for n in 0..NODES {
-            let listen = listen().1;
+            let listen = free();
             at.push(listen);
             for (state, objective) in [("old", 300_000), ("new", new_objective_us)] {
                 let report = folder.path().join(format!("n{n}.jsonl"));
--- a/crates/sparrouter-node/tests/start.rs
+++ b/crates/sparrouter-node/tests/start.rs
@@ -2,7 +2,7 @@
 mod harness;
 
 use harness::*;
-use sparrouter_lab::scripted::{Act, Server, listen, until};
+use sparrouter_lab::scripted::{Act, Server, free, listen, until};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
@@ -30,7 +30,7 @@
 
 /// A node with one cache server that serves and one that drains by the list that it had, and what it took until ready.
 fn ready(discovery: SocketAddr, mode: &str, cache: &Server, drains: &Server) -> (Running, Duration) {
-    let (start, at) = (Instant::now(), listen().1);
+    let (start, at) = (Instant::now(), free());
     let known = [target(0, cache.at, "in_service"), target(1, drains.at, "terminating")].join(",");
     let config = format!(
         r#"{{"name":"n0","listen":"{at}","discovery":"{discovery}","seed":"1",
@@ -111,7 +111,7 @@
     thread::scope(|scope| {
         for n in 0..14 {
             scope.spawn(move || {
-                let at = listen().1;
+                let at = free();
                 let known = target(0, nowhere(), "in_service");
                 let config = format!(
                     r#"{{"name":"n{n}","listen":"{at}","discovery":"{}","seed":"1",
@@ -119,8 +119,11 @@
                     nowhere()
                 );
                 let (node, _folder) = harness::start(&config);
-                let running = Running { node, at, _folder };
-                until("ready", || running.call("GET", "/health/ready") == Some(200));
+                let mut running = Running { node, at, _folder };
+                until("ready", || {
+                    harness::still_runs(&mut running.node);
+                    running.call("GET", "/health/ready") == Some(200)
+                });
                 assert!(matches!(running.call("GET", "k"), Some(502 | 503)));
             });
         }
@@ -139,7 +142,7 @@
             nowhere()
         )
     };
-    let at = listen().1;
+    let at = free();
     let (node, _folder) = harness::start(&config(at, least));
     let running = Running { node, at, _folder };
     until("ready", || running.call("GET", "/health/ready") == Some(200));
@@ -158,7 +161,7 @@
         (r#""MaxAttempts":1"#, r#""MaxAttempts":1,"ConnIdleUs":99999999999999999"#, "ConnIdleUs"),
     ] {
         assert!(least.contains(good), "{good}");
-        let (node, _folder) = harness::start(&config(listen().1, &least.replace(good, bad)));
+        let (node, _folder) = harness::start(&config(free(), &least.replace(good, bad)));
         let out = node.wait_with_output().unwrap();
         let text = String::from_utf8_lossy(&out.stderr).into_owned();
         assert_eq!(out.status.code(), Some(2), "{bad}: {text}");
