Index of kept prompts fed by the events of servers and stores, asked part by part

Cause: a third to a half of the shared tokens that were read again were somewhere else at that moment. The index knew only what it had been asked for: not what a server had let go, not the first shared part (of a subject never seen, its family was read anew at each server), nothing after an owner's restart, and small prompts (two thirds of the requests) were never moved. Ruled out: price of following (calls held for Wait-Ms cost nothing: 82 calls that are priced before and after). Change: each server and store is followed by one node, which tells the parts' owners; whoever sends a prompt asks the owner of the deepest shared part, then of those before it; small prompts are moved too, but no store is bothered with them.

--- a/crates/espalier/src/election.rs
+++ b/crates/espalier/src/election.rs
@@ -66,6 +66,10 @@
     pub fn find(&self, id: &str) -> Option<ServerIx> {
         self.by_id.get(id).copied()
     }
+    /// The server whose id has this hash.
+    pub fn hashed(&self, hash: u64) -> Option<&Server> {
+        self.all().map(|(_, s)| s).find(|s| s.hash == hash)
+    }
     pub fn all(&self) -> impl Iterator<Item = (ServerIx, &Server)> {
         self.servers.iter().enumerate().filter_map(|(ix, s)| Some((ix, s.as_ref()?)))
     }
--- a/crates/espalier/src/server.rs
+++ b/crates/espalier/src/server.rs
@@ -85,6 +85,10 @@
         }
     }
 
+    /// Of its id.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
     pub fn standing(&self) -> Standing {
         self.standing
     }
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -76,9 +76,14 @@
                 Outcome::Unknown => Reply::Unknown,
             })
         }
-        Call::Prefix { prefix, server, store } => {
-            let advice = node.index.borrow_mut().ask(Question { prefix, server, store }, node.now());
-            Some(Reply::Prefix { save: advice.save, stored: advice.stored, reader: advice.reader })
+        Call::Prefix { key, server, store } => {
+            let advice = node.index.borrow_mut().ask(Question { key, server, store }, node.now());
+            let gleaner::Advice { save, held, holders, reader } = advice;
+            Some(Reply::Prefix { save, held, holders: holders.into(), reader })
+        }
+        Call::Kept { source, void, rows } => {
+            node.kept_here(source, void, &rows);
+            None
         }
         Call::Wait { server, token, cost, urgency, most_ms } => {
             let wait = node.wait_here(server, token, cost, urgency, u64::from(most_ms) * 1_000_000);
--- a/crates/orchard/src/exchange/memory.rs
+++ b/crates/orchard/src/exchange/memory.rs
@@ -1,10 +1,13 @@
 //! Where a server finds what it lacks of a prompt, and who is to keep it.
 use super::Exchange;
-use espalier::Pick;
-use gleaner::Question;
+use espalier::{Pick, Server};
+use gleaner::{Advice, Question};
 
-/// Shared parts of fewer tokens are read, not moved.
-const WORTH_MOVING: u64 = 1_500;
+/// Shared parts of fewer tokens are read, not moved; and of fewer than that, no store is asked or told.
+const WORTH_MOVING: u64 = 100;
+const WORTH_STORING: u64 = 1_500;
+/// Owners that are asked for one request at most: of the deepest shared part, and of those before it.
+const ASKED: usize = 3;
 
 /// What a server is told of the prompt's memory.
 #[derive(Default)]
@@ -16,35 +19,51 @@
 impl Exchange<'_> {
     /// Where the server finds what it lacks of the prompt, and whether a store is to keep it.
     pub(super) async fn memory(&self, pick: &Pick, id: &str) -> Memory {
-        let shared: u64 = self.prompt.shared().iter().map(|p| p.tokens).sum();
-        // A move has its own cost: small parts are read sooner than they come.
-        if shared < WORTH_MOVING {
-            return Memory::default();
-        }
-        let own = self.prompt.tokens_in.saturating_sub(shared);
+        let shared = self.prompt.shared();
+        let mut tokens: u64 = shared.iter().map(|p| p.tokens).sum();
+        let own = self.prompt.tokens_in.saturating_sub(tokens);
         let version = pick.version.unwrap_or(0);
-        let (Some(model), Some(part), true) = (&self.model, self.prompt.shared().last(), version > 0) else {
-            return Memory::default();
-        };
+        let (Some(model), true) = (&self.model, version > 0) else { return Memory::default() };
         let salt = self.salt(model, version);
-        let prefix = windrow::hash(format!("{salt}/{}", part.id).as_bytes());
-        let store = self.store().filter(|s| self.node.store_is_up(windrow::hash(s.as_bytes())));
+        let store = self
+            .store()
+            .filter(|s| tokens >= WORTH_STORING && self.node.store_is_up(windrow::hash(s.as_bytes())));
         // Saving takes the whole prompt along, and can wait for a better one.
-        let named = store.as_ref().filter(|_| own * 2 < shared).map_or(0, |s| windrow::hash(s.as_bytes()));
-        let question = Question { prefix, server: windrow::hash(id.as_bytes()), store: named };
-        let Some(advice) = self.node.advice(question).await else {
-            return Memory { fetch: store, save: None };
-        };
-        let reader = || {
-            let bed = self.node.bed.borrow();
-            let reader = bed.of(&self.service).find(|(_, s)| windrow::hash(s.id.as_bytes()) == advice.reader);
-            reader
-                .filter(|(_, s)| !s.suspected() && !s.loading() && !s.silent())
-                .map(|(_, s)| s.address.to_string())
+        let named = store.as_ref().filter(|_| own * 2 < tokens).map_or(0, |s| windrow::hash(s.as_bytes()));
+        let server = windrow::hash(id.as_bytes());
+        let mut memory = Memory::default();
+        for (place, part) in shared.iter().rev().take(ASKED).enumerate() {
+            // A move has its own cost: small parts are read sooner than they come.
+            if tokens < WORTH_MOVING {
+                break;
+            }
+            tokens -= part.tokens;
+            let key = windrow::hash(format!("{salt}/{}", part.id).as_bytes());
+            let question = Question { key, server, store: if place == 0 { named } else { 0 } };
+            let Some(advice) = self.node.advice(question).await else { break };
+            if place == 0 {
+                memory.save = store.clone().filter(|_| advice.save);
+            }
+            memory.fetch = self.nearest(&advice, &store);
+            if memory.fetch.is_some() || advice.held {
+                break;
+            }
+        }
+        memory
+    }
+
+    /// Of those that have it the one that is fetched from soonest.
+    fn nearest(&self, advice: &Advice, store: &Option<String>) -> Option<String> {
+        let bed = self.node.bed.borrow();
+        let named = store.as_ref().map(|s| windrow::hash(s.as_bytes()));
+        let server = |hash: u64| {
+            let fit = |s: &&Server| !s.suspected() && !s.loading() && !s.silent();
+            bed.hashed(hash).filter(fit).map(|s| s.address.to_string())
         };
-        // Even where the whole prefix is not there, the store may have the parts that others share.
-        let read_elsewhere = if advice.stored { None } else { reader() };
-        Memory { fetch: read_elsewhere.or_else(|| store.clone()), save: store.filter(|_| advice.save) }
+        let holders = advice.holders.iter().filter(|h| Some(**h) != named);
+        let peer = holders.filter_map(|h| server(*h)).next();
+        let stored = store.clone().filter(|_| named.is_some_and(|n| advice.holders.contains(&n)));
+        stored.or(peer).or_else(|| server(advice.reader))
     }
 
     /// Names model, version, and the tenant if it shares nothing: what is kept under one is found under it alone.
--- /dev/null
+++ b/crates/orchard/src/following.rs
@@ -0,0 +1,190 @@
+//! Following what servers and stores keep of prompts: each by one node, which tells the owners of the parts.
+//!
+//! A store's life is told to all nodes as well: one that does not answer is not named, one that came back empty is told
+//! to keep things again.
+use crate::net::Net;
+use crate::node::Node;
+use crate::upstream::Upstream;
+use bytes::Bytes;
+use gleaner::{Change, Page, Source};
+use hedgerow::{Delta, Note};
+use miniserde::json::{Number, Value};
+use miniserde::{Deserialize, json};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use wicket::{head, reading};
+
+/// A question is held so long, the longest that it may be; it is given so much longer.
+const HOLD_MS: u64 = 1_000;
+const PATIENCE: Duration = Duration::from_millis(1_600);
+/// Between two questions: what happens meanwhile comes in one answer.
+const GATHER: Duration = Duration::from_millis(100);
+/// Between two tries at one that does not answer, and the longest that it grows to.
+const AGAIN: Duration = Duration::from_millis(150);
+const LONGEST_AGAIN: Duration = Duration::from_secs(2);
+/// Largest answer.
+const MOST_BODY: usize = 4 << 20;
+/// Parts of fewer tokens are not worth a word: they are read sooner than they are asked for.
+const LEAST: u64 = 64;
+
+/// Told of a store that does not answer, in place of its epoch.
+const DOWN: u64 = 0;
+
+/// What is followed, by the hash that the index knows it by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Followed {
+    name: u64,
+    address: SocketAddr,
+    store: bool,
+}
+
+#[derive(Deserialize)]
+struct Told {
+    epoch: u64,
+    next_page_token: u64,
+    lost_count: Option<Value>,
+    events: Vec<Value>,
+}
+
+/// Follows whatever falls to this node, for as long as it does.
+pub async fn follow(node: Rc<Node>) {
+    let followed: Rc<RefCell<HashMap<u64, SocketAddr>>> = Rc::default();
+    loop {
+        for one in there(&node) {
+            let new = !followed.borrow().contains_key(&one.name);
+            if new && node.keeps(one.name) && !node.leaving.get() {
+                followed.borrow_mut().insert(one.name, one.address);
+                let (node, followed) = (node.clone(), followed.clone());
+                spawn_local(async move {
+                    keep_on(&node, one).await;
+                    followed.borrow_mut().remove(&one.name);
+                });
+            }
+        }
+        tokio::time::sleep(node.jitter(Duration::from_millis(250))).await;
+    }
+}
+
+/// All that can be followed: the stores of the configuration, and the servers of services that keep prompts.
+fn there(node: &Node) -> Vec<Followed> {
+    let config = node.in_force();
+    let Some(table) = &config.table else { return Vec::new() };
+    let mut all = Vec::new();
+    let bed = node.bed.borrow();
+    for service in &table.services {
+        if let Some(store) = &service.store {
+            all.push(Followed { name: key(store.address), address: store.address, store: true });
+        }
+        if service.engine.as_ref().is_some_and(|e| e.max_concurrent > 0) {
+            let servers = bed.of(&service.name).filter(|(_, s)| !s.silent());
+            all.extend(servers.map(|(_, s)| Followed { name: s.hash(), address: s.address, store: false }));
+        }
+    }
+    all
+}
+
+fn key(store: SocketAddr) -> u64 {
+    windrow::hash(store.to_string().as_bytes())
+}
+
+async fn keep_on(node: &Rc<Node>, one: Followed) {
+    let mut source = Source::default();
+    let (mut failed, mut link) = (0u32, None);
+    while node.keeps(one.name) && !node.leaving.get() && there(node).contains(&one) {
+        match ask(&*node.net, &mut link, one.address, source.since()).await {
+            Some(page) => {
+                failed = 0;
+                if one.store {
+                    tell_life(node, one.address, page.epoch);
+                }
+                let void = source.take(page);
+                node.tell_kept(&mut source, one.name, void);
+                tokio::time::sleep(GATHER).await;
+            }
+            None => {
+                failed += 1;
+                link = None;
+                // Once may be the network; a dead one costs each server that is pointed at it some hundred ms.
+                if failed >= 2 && one.store {
+                    tell_life(node, one.address, DOWN);
+                }
+                let wait = AGAIN * failed.min(32);
+                let longest = if one.store { AGAIN } else { LONGEST_AGAIN };
+                tokio::time::sleep(node.jitter(wait.min(longest))).await;
+            }
+        }
+    }
+}
+
+/// A word on a store's life goes out when it changes. Notes of nodes that followed it before are outbid.
+fn tell_life(node: &Rc<Node>, store: SocketAddr, epoch: u64) {
+    let key = format!("store/{store}");
+    let known = node.rows.borrow().note(&key).cloned();
+    if known.as_ref().is_some_and(|k| k.value == epoch) {
+        return;
+    }
+    let number = known.map_or(1, |k| k.number + 1);
+    let note = Note { key, fence: 0, number, value: epoch, over: false };
+    node.learn(Delta { notes: vec![note].into(), ..Delta::default() });
+}
+
+/// One question, on the connection of the last where it was kept.
+async fn ask(net: &dyn Net, kept: &mut Option<Upstream>, at: SocketAddr, since: u64) -> Option<Page> {
+    let asking = async {
+        let mut link = match kept.take() {
+            Some(link) => link,
+            None => Upstream::dial(net, at).await?,
+        };
+        let head = format!(
+            "GET /api/kv-events?since_time={since} HTTP/1.1\r\nHost: {at}\r\nWait-Ms: {HOLD_MS}\r\n\r\n"
+        );
+        if !link.send(&Bytes::from(head), &Bytes::new()).await {
+            return None;
+        }
+        let bytes = reading::head(&mut link.stream, &mut link.buffer, head::REPLY, 16 << 10).await.ok()?;
+        let head = head::reply(&bytes).ok()?;
+        let body = crate::http::body(&mut link.stream, &mut link.buffer, head.framing, MOST_BODY);
+        let body = body.await.ok()??;
+        let page = if head.status == 200 { page(&body) } else { None };
+        if head.keep && link.buffer.is_empty() {
+            *kept = Some(link);
+        }
+        page
+    };
+    timeout(PATIENCE, asking).await.ok()?
+}
+
+/// Reads an answer; events that can't be read are passed over.
+fn page(body: &[u8]) -> Option<Page> {
+    let told: Told = json::from_str(std::str::from_utf8(body).ok()?).ok()?;
+    let events = told.events.iter().filter_map(change).collect();
+    let gap = match told.lost_count {
+        Some(Value::Bool(lost)) => lost,
+        Some(Value::Number(lost)) => whole(&lost) != Some(0),
+        _ => false,
+    };
+    Some(Page { epoch: told.epoch, next: told.next_page_token, gap, events })
+}
+
+/// `[number, + or -, salt, id, tokens kept now, model]`.
+fn change(event: &Value) -> Option<Change> {
+    let Value::Array(fields) = event else { return None };
+    let (Value::String(salt), Value::String(id)) = (fields.get(2)?, fields.get(3)?) else { return None };
+    let Value::Number(tokens) = fields.get(4)? else { return None };
+    let tokens = whole(tokens).filter(|t| *t >= LEAST).unwrap_or(0);
+    let key = windrow::hash(format!("{salt}/{id}").as_bytes());
+    Some(Change { key, tokens: tokens.min(u64::from(u32::MAX)) as u32 })
+}
+
+fn whole(number: &Number) -> Option<u64> {
+    match number {
+        Number::U64(n) => Some(*n),
+        Number::I64(n) => u64::try_from(*n).ok(),
+        Number::F64(n) => Some(n.max(0.0) as u64),
+    }
+}
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -10,7 +10,7 @@
 //! | `answers` | what other nodes are answered |
 //! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
 //! | `weights` | servers brought to the version of weights that was named |
-//! | `stores` | whether stores answer, and have what they were told to keep |
+//! | `following` | what servers and stores keep of prompts, told to the owners of the parts |
 //! | `run`, `status` | a process from start to end; what it says of itself |
 //! | `client` | what operators ask of a running fleet |
 pub mod answers;
@@ -22,6 +22,7 @@
 pub mod doors;
 pub mod events;
 pub mod exchange;
+pub mod following;
 pub mod front;
 pub mod http;
 pub mod links;
@@ -33,7 +34,7 @@
 pub mod run;
 pub mod status;
 pub mod statute;
-pub mod stores;
+
 pub mod upstream;
 pub mod weights;
 pub mod wire;
--- a/crates/orchard/src/links.rs
+++ b/crates/orchard/src/links.rs
@@ -16,7 +16,8 @@
 
 /// How long a connection may take to come up, try after try. A first packet that found a machine without power is not
 /// sent again before a second has gone, and the machine may be back sooner.
-const DIALS: [Duration; 3] = [Duration::from_millis(80), Duration::from_millis(160), Duration::from_millis(400)];
+const DIALS: [Duration; 3] =
+    [Duration::from_millis(80), Duration::from_millis(160), Duration::from_millis(400)];
 /// Most frames that wait for one peer; more are refused at once.
 const QUEUE: usize = 512;
 /// Most calls of one connection that are worked on at a time.
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -4,10 +4,10 @@
 use crate::links::Links;
 use crate::net::SharedNet;
 use crate::ring::Ring;
-use crate::wire::{Call, ConfigTold, ModelTold, Reply};
+use crate::wire::{Call, ConfigTold, KeptAt, ModelTold, Reply};
 use espalier::{Backlog, Bed, Budget, Nanos};
 use fastrand::Rng;
-use gleaner::{Advice, Index, Question};
+use gleaner::{Advice, Change, Index, Question, Terms};
 use hedgerow::{Delta, NodeRow, Rows};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -27,6 +27,8 @@
 const MOST_PREFIXES: usize = 40_000;
 const KEPT: Nanos = 30_000_000_000;
 const SAVED_AGAIN: Nanos = 120_000_000_000;
+/// A followed server or store tells within so long of what it read.
+const TOLD_BY: Nanos = 4_000_000_000;
 /// Servers that are kept count of before old counts are dropped.
 const MOST_BACKLOGS: usize = 4_096;
 /// An owner's answer is waited for so long: reading a prefix anew costs more, but not every time.
@@ -108,7 +110,12 @@
             backlogs: RefCell::default(),
             core_seen: RefCell::default(),
             stores: RefCell::default(),
-            index: RefCell::new(Index::new(MOST_PREFIXES, KEPT, SAVED_AGAIN)),
+            index: RefCell::new(Index::new(Terms {
+                most: MOST_PREFIXES,
+                keeps: KEPT,
+                again: SAVED_AGAIN,
+                heard: TOLD_BY,
+            })),
             net,
             changes: watch::channel(0).0,
             informed: Cell::new(false),
@@ -346,18 +353,69 @@
         }
     }
 
-    /// Asks the prefix's owner where it is kept. None where it did not answer.
+    /// Asks the owner of a prefix's last part where it is kept. None where it did not answer.
     pub async fn advice(&self, question: Question) -> Option<Advice> {
-        let Some(owner) = self.owner(question.prefix) else {
+        let Some(owner) = self.owner(question.key) else {
             return Some(self.index.borrow_mut().ask(question, self.now()));
         };
-        let Question { prefix, server, store } = question;
-        match self.links.call(owner, &Call::Prefix { prefix, server, store }, ADVICE).await {
-            Ok(Reply::Prefix { save, stored, reader }) => Some(Advice { save, stored, reader }),
+        let Question { key, server, store } = question;
+        match self.links.call(owner, &Call::Prefix { key, server, store }, ADVICE).await {
+            Ok(Reply::Prefix { save, held, holders, reader }) => {
+                Some(Advice { save, held, holders: holders.0, reader })
+            }
             _ => None,
         }
     }
 
+    /// What a source keeps now of parts that this node owns.
+    pub fn kept_here(&self, source: u64, void: bool, rows: &[KeptAt]) {
+        let now = self.now();
+        let mut index = self.index.borrow_mut();
+        if void {
+            index.lost(source);
+        }
+        rows.iter().for_each(|row| index.told(source, row.key, row.tokens, now));
+    }
+
+    /// Tells the owners of parts what a source keeps of them now. `void`: nothing else that was told of it holds.
+    pub fn tell_kept(&self, source: &mut gleaner::Source, name: u64, void: bool) {
+        let owners = self.owners();
+        let set = owners.iter().fold(0, |set, o| windrow::mix(set ^ o.0 ^ windrow::mix(o.1)));
+        let place = |key: u64| {
+            let score = |o: &(u64, u64, Option<SocketAddr>)| windrow::mix(o.0 ^ windrow::mix(key));
+            (0..owners.len()).max_by_key(|&i| score(&owners[i])).unwrap_or(0) as u64
+        };
+        let mut changes = source.tell(set, place);
+        if void {
+            (0..owners.len() as u64).for_each(|place| {
+                changes.entry(place).or_default();
+            });
+        }
+        for (place, rows) in changes {
+            let Some((_, _, address)) = owners.get(place as usize) else { continue };
+            let row = |c: &Change| KeptAt { key: c.key, tokens: c.tokens };
+            let rows: Vec<KeptAt> = rows.iter().map(row).collect();
+            match address {
+                None => self.kept_here(name, void, &rows),
+                Some(address) => {
+                    self.links.cast(*address, &Call::Kept { source: name, void, rows: rows.into() });
+                }
+            }
+        }
+    }
+
+    /// The nodes among which keys are cut: hash of the name, process, and where it is (None: here).
+    fn owners(&self) -> Vec<(u64, u64, Option<SocketAddr>)> {
+        let own = self.me.borrow().name.clone();
+        let rows = self.rows.borrow();
+        let fit = rows.nodes().filter(|n| n.front && !n.silent && !n.leaving);
+        let all = fit.filter_map(|n| {
+            let address = if n.name == own { None } else { Some(n.internal.parse().ok()?) };
+            Some((windrow::hash(n.name.as_bytes()), n.nonce, address))
+        });
+        all.collect()
+    }
+
     /// Nodes that keep the control state, as far as they are known: name and where their internal door is.
     pub fn core(&self) -> Vec<(String, SocketAddr)> {
         let rows = self.rows.borrow();
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -6,6 +6,7 @@
 use crate::control::{self, Control};
 use crate::disk::{self, Stock};
 use crate::doors::{self, Matcher};
+use crate::following;
 use crate::front::{self, Stage};
 use crate::http::Answer;
 use crate::links;
@@ -14,7 +15,6 @@
 use crate::polls;
 use crate::registry::Registry;
 use crate::ring::Ring;
-use crate::stores;
 use crate::weights;
 use espalier::Nanos;
 use fastrand::Rng;
@@ -171,7 +171,7 @@
     }
     spawn_local(keep_house(house.clone()));
     spawn_local(probe(node.clone()));
-    spawn_local(stores::follow(node.clone()));
+    spawn_local(following::follow(node.clone()));
     spawn_local(without_quorum(node.clone(), contact));
     while let Some(Order::Seeds(seeds)) = orders.recv().await {
         node.boot.borrow_mut().seeds = seeds;
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -46,6 +46,13 @@
     pub in_touch: bool,
 }
 
+/// Tokens that are kept of a part.
+#[derive(Clone, Copy, Debug, SerBin, DeBin)]
+pub struct KeptAt {
+    pub key: u64,
+    pub tokens: u32,
+}
+
 #[derive(Clone, Debug, SerBin, DeBin)]
 pub enum Call {
     Poll(Poll),
@@ -65,12 +72,18 @@
         change: Blob,
         patience_ms: u32,
     },
-    /// A prefix is about to go to a server: what is known of where it is kept.
+    /// A prefix that ends with this part is about to go to a server: what is known of where it is kept.
     Prefix {
-        prefix: u64,
+        key: u64,
         server: u64,
         store: u64,
     },
+    /// What a server or store keeps now of some parts. `void`: what was told before does not hold any more.
+    Kept {
+        source: u64,
+        void: bool,
+        rows: Seq<KeptAt>,
+    },
     /// How long a prompt of this cost would wait at a server; it is counted there unless it would wait longer than
     /// `most_ms`.
     Wait {
@@ -103,7 +116,8 @@
     Unknown,
     Prefix {
         save: bool,
-        stored: bool,
+        held: bool,
+        holders: Seq<u64>,
         reader: u64,
     },
     Wait {
