A prompt's wait counts those that will overtake it; the rate is learnt by what was read meanwhile

The rate was learnt too low for the same reason. Change: work sent lately, by urgency, lengthens the wait; at its first token a prompt's reading counts with what overtook it.

--- a/crates/espalier/src/backlog.rs
+++ b/crates/espalier/src/backlog.rs
@@ -16,6 +16,12 @@
 /// What a prompt takes that nothing is ahead of, beside being read: shorter waits say nothing of the rate.
 const FIXED: f64 = 0.04;
 const TELLING: f64 = 0.12;
+/// Urgencies are told apart up to here.
+const URGENCIES: usize = 16;
+/// What came within so many seconds tells how much will overtake a prompt that waits.
+const LOOK_BACK: f64 = 2.0;
+/// Most of the reading that may be taken for overtaken: beyond, a wait has no end.
+const MOST_OVERTAKEN: f64 = 0.9;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
@@ -24,6 +30,8 @@
     at: Nanos,
     /// What was ahead of it when it came, itself included.
     ahead: f64,
+    /// All that was sent by then which is more urgent: what comes later overtakes it.
+    before: f64,
 }
 
 /// One server's.
@@ -33,21 +41,46 @@
     /// Tokens a second.
     rate: f64,
     used: Nanos,
+    /// Tokens that were sent so far, by urgency; and lately, fading.
+    sent: [f64; URGENCIES],
+    lately: [f64; URGENCIES],
+    faded: Nanos,
+}
+
+fn more_urgent(of: &[f64; URGENCIES], urgency: u32) -> f64 {
+    of.iter().take(urgency as usize).sum()
 }
 
 impl Default for Backlog {
     fn default() -> Backlog {
-        Backlog { waiting: HashMap::new(), rate: FIRST_RATE, used: 0 }
+        Backlog {
+            waiting: HashMap::new(),
+            rate: FIRST_RATE,
+            used: 0,
+            sent: [0.0; URGENCIES],
+            lately: [0.0; URGENCIES],
+            faded: 0,
+        }
     }
 }
 
 impl Backlog {
-    /// How long a prompt would wait before it is read, in nanoseconds: the more urgent (lower) go before it, and those
-    /// of its own urgency that came earlier.
+    /// How long a prompt would wait before it is read, in nanoseconds: the more urgent (lower) go before it, also those
+    /// that come while it waits, and those of its own urgency that came earlier.
     pub fn wait(&mut self, urgency: u32, now: Nanos) -> Nanos {
         self.used = now;
         self.waiting.retain(|_, w| now.saturating_sub(w.at) < LOST);
-        (self.ahead(urgency) / self.rate * 1e9) as Nanos
+        self.fade(now);
+        let overtaking = more_urgent(&self.lately, urgency) / LOOK_BACK / self.rate;
+        let left = self.rate * (1.0 - overtaking.min(MOST_OVERTAKEN));
+        (self.ahead(urgency) / left * 1e9) as Nanos
+    }
+
+    fn fade(&mut self, now: Nanos) {
+        let gone = now.saturating_sub(self.faded) as f64 / 1e9;
+        let part = (-gone / LOOK_BACK).exp();
+        self.lately.iter_mut().for_each(|l| *l *= part);
+        self.faded = self.faded.max(now);
     }
 
     fn ahead(&self, urgency: u32) -> f64 {
@@ -58,8 +91,13 @@
     pub fn sent(&mut self, token: u64, cost: f64, urgency: u32, now: Nanos) {
         if self.waiting.len() < MOST {
             let ahead = self.ahead(urgency) + cost;
-            self.waiting.insert(token, Waiting { cost, urgency, at: now, ahead });
+            let before = more_urgent(&self.sent, urgency);
+            self.waiting.insert(token, Waiting { cost, urgency, at: now, ahead, before });
         }
+        self.fade(now);
+        let place = (urgency as usize).min(URGENCIES - 1);
+        self.sent[place] += cost;
+        self.lately[place] += cost;
         self.used = now;
     }
 
@@ -68,7 +106,8 @@
         let Some(waiting) = self.waiting.remove(&token) else { return };
         let took = now.saturating_sub(waiting.at) as f64 / 1e9 - FIXED;
         if began && took > TELLING {
-            let seen = waiting.ahead / took;
+            let overtook = more_urgent(&self.sent, waiting.urgency) - waiting.before;
+            let seen = (waiting.ahead + overtook) / took;
             self.rate = (self.rate * (1.0 - WEIGHT) + seen * WEIGHT).clamp(1_000.0, 2_000_000.0);
         }
     }
