Orchard: control state split by subject: presence, groups, change

Pure moves: whom a node hears and whose duty a part is (presence), who belongs to the groups and the first ones (groups), a change through whoever may (change). Ruled out: splitting the struct; its parts share registers and contacts. No behaviour changes.

--- /dev/null
+++ b/crates/orchard/src/control/change.rs
@@ -0,0 +1,88 @@
+//! One change of a part, made through whoever may, and what a caller is told where it was not.
+use super::Control;
+use crate::links::LinkError;
+use crate::node::Node;
+use crate::statute::{Change, Verdict};
+use crate::wire::{Call, Reply};
+use rootstock::{Member, Outcome};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use trug::Blob;
+
+/// Makes a change through whoever may: this node's register, or that of a member, the part's owner first.
+pub async fn change(
+    node: &Rc<Node>, control: Option<&Rc<Control>>, part: u16, change: Vec<u8>, patience: Duration,
+) -> Result<Vec<u8>, NoChange> {
+    let until = Instant::now() + patience;
+    let own = node.me.borrow().internal.clone();
+    let member = control.is_some_and(|c| c.is_member());
+    let mut to: Vec<SocketAddr> = Vec::new();
+    let known: Vec<Member> = control.map(|c| c.members(part)).unwrap_or_default();
+    let silent = |name: &str| node.rows.borrow().node(name).is_some_and(|n| n.silent || n.leaving);
+    let ranked = rootstock::owner::ranked(part, &known);
+    let live = ranked.iter().filter(|m| m.address == own || !silent(&m.name));
+    let rest = ranked.iter().filter(|m| m.address != own && silent(&m.name));
+    to.extend(live.chain(rest).filter_map(|m| m.address.parse::<SocketAddr>().ok()));
+    if to.is_empty() {
+        let mut core = node.core();
+        core.sort_by_key(|c| (silent(&c.0), windrow::hash(c.0.as_bytes()) ^ u64::from(part)));
+        to.extend(core.into_iter().map(|c| c.1));
+    }
+    let own: Option<SocketAddr> = own.parse().ok();
+    let mut worst =
+        NoChange::NotMade("no node that keeps the control state is known here: ask another one".into());
+    let tries = to.len().max(1);
+    for (place, address) in to.into_iter().enumerate() {
+        let left = until.saturating_duration_since(Instant::now());
+        if left < Duration::from_millis(10) {
+            break;
+        }
+        // The rest of the time is shared with those that come after.
+        let share = if place + 1 == tries { left } else { left.mul_f64(0.6) };
+        if Some(address) == own {
+            let (Some(control), true) = (control, member) else { continue };
+            match control.change_here(part, change.clone(), share).await {
+                Outcome::Answered(answer) => return Ok(answer),
+                Outcome::Refused(why) => {
+                    worst = worst.or(NoChange::NotMade(control.explain(&why.to_string())));
+                }
+                Outcome::Unknown => worst = NoChange::Unknown,
+            }
+            continue;
+        }
+        let call = Call::Change { part, change: Blob(change.clone()), patience_ms: share.as_millis() as u32 };
+        match node.links.call(address, &call, share + Duration::from_millis(20)).await {
+            Ok(Reply::Changed(answer)) => return Ok(answer.0),
+            Ok(Reply::NotChanged(why)) => worst = worst.or(NoChange::NotMade(why)),
+            Err(LinkError::Unreachable | LinkError::Crowded) => {}
+            _ => worst = NoChange::Unknown,
+        }
+    }
+    Err(worst)
+}
+
+/// Why a change has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NoChange {
+    /// It was not made, and won't be.
+    NotMade(String),
+    /// Nobody can say.
+    Unknown,
+}
+
+impl NoChange {
+    /// Once nobody can say, nobody can.
+    fn or(self, other: NoChange) -> NoChange {
+        if self == NoChange::Unknown { self } else { other }
+    }
+}
+
+pub fn verdict(answer: &[u8]) -> Option<Verdict> {
+    trug::read(answer)
+}
+
+pub fn encode(change: &Change) -> Vec<u8> {
+    nanoserde::SerBin::serialize_bin(change)
+}
--- /dev/null
+++ b/crates/orchard/src/control/groups.rs
@@ -0,0 +1,175 @@
+//! Who belongs to the parts' groups: the first ones founded, a member's catching up, and what is seen of the others.
+use super::{CONFIG, Control, DUTY_PARTS, PartMachine};
+use crate::boot::nanos;
+use crate::disk::Save;
+use crate::node::Node;
+use crate::wire::{Call, Reply};
+use rootstock::{Member, Outcome, Record, Register, Seen, Settings};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use trug::Blob;
+
+/// The first group is formed once the nodes that count have been the same for so long, or some came in so long.
+const SETTLED: Duration = Duration::from_millis(900);
+const FOUNDING: Duration = Duration::from_millis(4_000);
+
+impl Control {
+    /// Until a quorum has told what is in force, this node does not call itself in touch.
+    pub(super) async fn catch_up(self: Rc<Self>) {
+        loop {
+            if self.is_member() {
+                let outcome = self.operate(CONFIG, None, Duration::from_millis(500)).await;
+                if let Outcome::Answered(_) = outcome {
+                    self.caught_up.set(true);
+                    self.node.informed.set(true);
+                    self.node.heard.set(self.node.now());
+                    self.node.changed();
+                    return;
+                }
+                tokio::time::sleep(self.node.jitter(Duration::from_millis(20))).await;
+            } else {
+                tokio::time::sleep(self.node.jitter(Duration::from_millis(100))).await;
+            }
+        }
+    }
+
+    /// Looks after who belongs to the groups, and asks others for what a node that belongs to none should know.
+    pub(super) async fn tend(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(self.node.jitter(Duration::from_millis(200))).await;
+            if self.in_touch() {
+                self.node.heard.set(self.node.now());
+            }
+            let seen = self.seen();
+            let now = self.node.now();
+            let ask = |r: &Register<PartMachine>| r.members().is_empty();
+            let others: Vec<Member> =
+                seen.iter().map(|s| s.member.clone()).filter(|m| m.disk != self.me.disk).collect();
+            {
+                let mut registers = self.registers.borrow_mut();
+                let lonely = registers.iter().any(ask) && !others.is_empty();
+                let other = if lonely {
+                    Some(others[self.node.rng.borrow_mut().usize(..others.len())].clone())
+                } else {
+                    None
+                };
+                for register in registers.iter_mut() {
+                    if let (true, Some(other)) = (ask(register), &other) {
+                        register.ask(other.clone(), now);
+                    }
+                    if register.is_member() {
+                        register.tend(&seen, now);
+                    }
+                }
+            }
+            self.carry_out();
+        }
+    }
+
+    /// The nodes that may keep control state, as this one sees them.
+    fn seen(&self) -> Vec<Seen> {
+        let rows = self.node.rows.borrow();
+        let any_counted = rows.nodes().any(|n| n.counted && !n.control.is_empty());
+        let now = self.node.now();
+        let fit =
+            rows.nodes().filter(|n| !n.control.is_empty() && n.disk != 0 && (n.counted || !any_counted));
+        fit.map(|n| {
+            let own = n.disk == self.me.disk;
+            let at = self.contacts.borrow().get(&n.name).copied();
+            Seen {
+                member: Member { disk: n.disk, name: n.name.clone(), address: n.internal.clone() },
+                counted: true,
+                heard: if own { Some(0) } else { at.map(|at| now.saturating_sub(at)) },
+                leaving: n.leaving,
+            }
+        })
+        .collect()
+    }
+
+    /// The first group's records, from the node that founds it.
+    pub fn take_record(&self, records: &[Blob]) -> bool {
+        if self.founded.get() {
+            return true;
+        }
+        if records.len() != usize::from(DUTY_PARTS) + 1 {
+            return false;
+        }
+        let settings =
+            Settings { contact: nanos(self.node.boot.borrow().bounds.contact), ..Settings::default() };
+        let mut made = Vec::new();
+        let now = self.node.now();
+        for (part, record) in (0..).zip(records) {
+            let rng = self.node.rng.borrow_mut().fork();
+            let opened = Register::new(
+                part,
+                self.me.clone(),
+                Some(record),
+                PartMachine(part),
+                rng,
+                settings.clone(),
+                now,
+            );
+            match opened {
+                Ok(register) if register.is_member() => made.push(register),
+                _ => return false,
+            }
+        }
+        *self.registers.borrow_mut() = made;
+        self.founded.set(true);
+        for (part, record) in (0..).zip(records) {
+            if let Some(save) = &*self.disk.borrow() {
+                // Kept before anything later is: saves are carried out in order.
+                save(Save::Founding { part, bytes: record.0.clone() });
+            }
+        }
+        self.woken.notify_one();
+        true
+    }
+}
+
+/// Founds the first group: on the first start of the whole system, by the first of the three seeds alone, so that
+/// there are never two.
+pub async fn found(node: Rc<Node>) {
+    let started = Instant::now();
+    let mut last: Vec<(String, u64, String)> = Vec::new();
+    let mut since = Instant::now();
+    let members = loop {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let now: Vec<(String, u64, String)> = {
+            let rows = node.rows.borrow();
+            let any = rows.nodes().any(|n| n.counted && !n.control.is_empty());
+            let fit = rows.nodes().filter(|n| !n.control.is_empty() && n.disk != 0 && (n.counted || !any));
+            fit.map(|n| (n.name.clone(), n.disk, n.internal.clone())).collect()
+        };
+        if now != last {
+            (last, since) = (now, Instant::now());
+        }
+        let counted = node.rows.borrow().nodes().any(|n| n.counted);
+        let enough = since.elapsed() >= SETTLED && (counted || started.elapsed() >= FOUNDING);
+        if enough && !last.is_empty() {
+            break last;
+        }
+    };
+    let members: Vec<Member> =
+        members.into_iter().map(|(name, disk, address)| Member { disk, name, address }).take(9).collect();
+    let records: Vec<Blob> =
+        (0..=DUTY_PARTS).map(|_| Blob(Record::found(members.clone(), Vec::new()).encode())).collect();
+    log::info!("founding the control state with {} members", members.len());
+    let call = Rc::new(Call::Found { records: records.into() });
+    for member in members {
+        let (node, call) = (node.clone(), call.clone());
+        spawn_local(async move {
+            let Ok(address) = member.address.parse::<SocketAddr>() else { return };
+            // Until it has it: it is needed for the first quorum, and was there a moment ago.
+            for _ in 0..200 {
+                if let Ok(Reply::Done) = node.links.call(address, &call, Duration::from_millis(500)).await {
+                    return;
+                }
+                tokio::time::sleep(node.jitter(Duration::from_millis(50))).await;
+            }
+        });
+    }
+}
