Orchard: 25 mistakes that can be planted one at a time, under a feature for tests only

Change: orchard::planted holds a switch of the thread, read at the doors where the sound program guards against the mistake; four lie in rootstock's own settings, one in hedgerow's rows. Ruled out: a field of the settings file (the program would know it), copies of the code (they grow apart).

--- a/crates/hedgerow/src/rows.rs
+++ b/crates/hedgerow/src/rows.rs
@@ -174,6 +174,14 @@
         self.revision
     }
 
+    /// Takes a row as it is, whatever is known: the mistake that `merge_server` is there against.
+    #[cfg(feature = "planted")]
+    pub fn put_back(&mut self, row: ServerRow, now: Nanos) {
+        let before = self.servers.get(&row.id).map(|k| k.revision);
+        let revision = self.next(Key::Server(row.id.clone()), before, true);
+        self.servers.insert(row.id.clone(), Kept { row, revision, at: now });
+    }
+
     /// What a server says of itself, or another node of it. True if anything changed. A late word with a lower
     /// call sequence undoes nothing, and a standing never goes back.
     pub fn merge_server(&mut self, mut row: ServerRow, now: Nanos) -> bool {
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -1,4 +1,5 @@
 //! What another node is answered: polls held until there is news, rows told, messages and changes of the control state.
+use crate::planted::{Defect, has};
 use crate::run::House;
 use crate::wire::{Call, Reply, Told};
 use gleaner::Question;
@@ -43,7 +44,8 @@
                 }
                 let delta = node.rows.borrow().since(poll.epoch, poll.revision, MOST_ROWS);
                 let known = node.in_force();
-                let news = known.seq > poll.config_seq;
+                let older = has(Defect::OlderTaken) && known.seq > 0 && known.seq < poll.config_seq;
+                let news = known.seq > poll.config_seq || older;
                 let late = Instant::now() >= until;
                 if news || !delta.is_empty() || late || delta.epoch != poll.epoch {
                     let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
--- a/crates/orchard/src/calls.rs
+++ b/crates/orchard/src/calls.rs
@@ -2,6 +2,7 @@
 use crate::control::{self, NoChange};
 use crate::doors::{self, Matcher};
 use crate::http::{Answer, Request};
+use crate::planted::{Defect, has};
 use crate::run::House;
 use crate::statute::Change;
 use std::rc::Rc;
@@ -80,6 +81,7 @@
         Err(NoChange::NotMade(why)) => {
             Answer { body: why, ..Answer::later(house.node.jitter(Duration::from_millis(150))) }
         }
+        Err(NoChange::Unknown) if has(Defect::MinorityAcks) && !get => Answer::plain(200, "taken"),
         Err(NoChange::Unknown) => {
             let why =
                 "no quorum answered in time: the change may be in force or not; send it again unchanged";
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -12,9 +12,12 @@
 use crate::boot::nanos;
 use crate::disk::{Kept, Save, Saves, Stock};
 use crate::node::Node;
+use crate::planted::{self, Defect};
 use crate::statute::{Statute, Statutes};
 use crate::wire::{Call, ConfigTold, ModelTold};
-use rootstock::{Action, Applied, Leases, Machine, Member, Message, Outcome, Refused, Register, Settings};
+use rootstock::{
+    Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Settings,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -43,6 +46,11 @@
     }
 }
 
+fn settings(node: &Node) -> Settings {
+    let contact = nanos(node.boot.borrow().bounds.contact);
+    Settings { contact, defects: planted::of_registers(), ..Settings::default() }
+}
+
 type Ops = HashMap<u64, oneshot::Sender<Outcome>>;
 
 pub struct Control {
@@ -73,7 +81,7 @@
             (me.name.clone(), me.internal.clone())
         };
         let me = Member { disk: stock.disk, name, address };
-        let settings = Settings { contact: nanos(node.boot.borrow().bounds.contact), ..Settings::default() };
+        let settings = settings(&node);
         let mut registers = Vec::new();
         let mut founded = false;
         for (part, record) in (0..).zip(&stock.records) {
@@ -104,6 +112,12 @@
             caught_up: Cell::new(false),
             founded: Cell::new(founded),
         });
+        if planted::has(Defect::LostRaceInForce)
+            && let Some(record) = stock.records.first().and_then(Option::as_deref)
+            && let Some(vote) = Record::decode(record, MOST_MESSAGE).ok().and_then(|r| r.accepted)
+        {
+            control.publish(vote.state.seq, &vote.state.body);
+        }
         let (done, stored) = mpsc::unbounded_channel();
         *control.disk.borrow_mut() = stock.keeper.map(|keeper| keeper.begin(done));
         spawn_local(control.clone().run(stored));
--- a/crates/orchard/src/control/groups.rs
+++ b/crates/orchard/src/control/groups.rs
@@ -1,10 +1,9 @@
 //! Who belongs to the parts' groups: the first ones founded, a member's catching up, and what is seen of the others.
 use super::{CONFIG, Control, DUTY_PARTS, PartMachine};
-use crate::boot::nanos;
 use crate::disk::Save;
 use crate::node::Node;
 use crate::wire::{Call, Reply};
-use rootstock::{Member, Outcome, Record, Register, Seen, Settings};
+use rootstock::{Member, Outcome, Record, Register, Seen};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -97,8 +96,7 @@
         if records.len() != usize::from(DUTY_PARTS) + 1 {
             return false;
         }
-        let settings =
-            Settings { contact: nanos(self.node.boot.borrow().bounds.contact), ..Settings::default() };
+        let settings = super::settings(&self.node);
         let mut made = Vec::new();
         let now = self.node.now();
         for (part, record) in (0..).zip(records) {
--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::http::{Answer, Request};
 use crate::net::Stream;
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::upstream::Pool;
 use admission::Counted;
 use bytes::BytesMut;
@@ -116,7 +117,9 @@
                 Err(_) if begun => return Ended::Closed,
                 Err(answer) => return Ended::Own(answer),
             };
-            let last_id = events.as_ref().and_then(|e| e.last_id().map(str::to_owned));
+            let from_start = has(Defect::ResumedFromStart);
+            let resumed = events.as_ref().filter(|_| !from_start);
+            let last_id = resumed.and_then(|e| e.last_id().map(str::to_owned));
             self.tried.push(pick.server);
             let tokens = self.prompt.tokens_in;
             self.node.bed.borrow_mut().begin(pick.server, tokens);
@@ -132,7 +135,7 @@
                 }
                 Turn::Unknown => {
                     guard.ending = Ending::Broke;
-                    proved = false;
+                    proved = has(Defect::SecondSend);
                 }
                 Turn::ClientGone => return Ended::Closed,
                 Turn::TimeUp if begun => return Ended::Closed,
--- a/crates/orchard/src/exchange/admission.rs
+++ b/crates/orchard/src/exchange/admission.rs
@@ -2,6 +2,7 @@
 use super::Exchange;
 use crate::boot::nanos;
 use crate::http::Answer;
+use crate::planted::{Defect, has};
 use espalier::{Ask, Pick, ServerIx, Turned};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -104,11 +105,11 @@
     /// Whom to send to next, or what to answer where there is nobody.
     pub(super) fn next_server(&self, key: u64, proved: bool) -> Result<Pick, Answer> {
         let again = self.sent > 0;
+        let later = |ms: u64| Answer::later(self.node.jitter(Duration::from_millis(ms)));
         let gone = Answer::plain(502, "the server broke off and the request may have run");
         if again && !proved && !self.route.repeatable() {
-            return Err(gone);
+            return Err(if has(Defect::PromiseBroken) { later(120) } else { gone });
         }
-        let later = |ms: u64| Answer::later(self.node.jitter(Duration::from_millis(ms)));
         let refused = || if proved { later(120) } else { gone.clone() };
         if again && self.sent >= self.route.max_attempts.max(1) {
             return Err(refused());
@@ -129,6 +130,7 @@
         };
         let pick = self.node.bed.borrow().choose(&ask, self.node.now());
         let pick = pick.map_err(|turned| match turned {
+            Turned::Unready | Turned::None if has(Defect::NoServerNoRoute) => Answer::plain(404, "no route"),
             Turned::Unready if proved => later(250),
             Turned::None if proved => later(300),
             _ => gone.clone(),
--- a/crates/orchard/src/exchange/memory.rs
+++ b/crates/orchard/src/exchange/memory.rs
@@ -1,5 +1,6 @@
 //! Where a server finds what it lacks of a prompt, and who is to keep it.
 use super::Exchange;
+use crate::planted::{Defect, has};
 use espalier::Pick;
 use gleaner::Question;
 
@@ -49,7 +50,9 @@
 
     /// Names model, version, and the tenant if it shares nothing: what is kept under one is found under it alone.
     pub(super) fn salt(&self, model: &str, version: u64) -> String {
-        let wall = self.tenant.filter(|t| t.isolated).map(|t| t.name.as_str()).unwrap_or_default();
+        let isolated = self.tenant.filter(|t| t.isolated && !has(Defect::SaltWithoutWall));
+        let wall = isolated.map(|t| t.name.as_str()).unwrap_or_default();
+        let version = if has(Defect::SaltWithoutVersion) { 0 } else { version };
         format!("{model}:{version}:{wall}")
     }
 
--- a/crates/orchard/src/exchange/passing.rs
+++ b/crates/orchard/src/exchange/passing.rs
@@ -3,6 +3,7 @@
 use super::{Exchange, left};
 use crate::events::Events;
 use crate::net::Stream;
+use crate::planted::{Defect, has};
 use crate::upstream::Upstream;
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio::io::{AsyncWriteExt, ReadHalf, WriteHalf};
@@ -140,6 +141,11 @@
                 read = reading::more(&mut link.stream, &mut link.buffer) => match read {
                     Ok(()) => {}
                     Err(Broken::Ended) if head.framing == Framing::ToEnd => body.ended = true,
+                    Err(_) if has(Defect::StreamClosedWhole) && length.is_none() => {
+                        // Whether the client still hears it changes nothing.
+                        let _ = to.write_all(b"0\r\n\r\n").await;
+                        return Passed::Whole;
+                    }
                     Err(_) => return Passed::Broke,
                 },
                 () = left(from, ahead) => return Passed::ClientGone,
--- a/crates/orchard/src/exchange/speaking.rs
+++ b/crates/orchard/src/exchange/speaking.rs
@@ -3,6 +3,7 @@
 use super::memory::Memory;
 use super::{Exchange, left};
 use crate::net::Stream;
+use crate::planted::{Defect, has};
 use crate::upstream::Upstream;
 use bytes::{BufMut, Bytes, BytesMut};
 use espalier::Pick;
@@ -134,7 +135,8 @@
             if head.status < 200 {
                 continue;
             }
-            if head.fields.get("sparrouter-attempt-id") != attempt_id.as_ref() && attempt_id.is_some() {
+            let other = head.fields.get("sparrouter-attempt-id") != attempt_id.as_ref();
+            if other && attempt_id.is_some() && !has(Defect::ForeignAnswer) {
                 // An answer to an earlier request: its bytes belong to nobody.
                 match crate::http::body(&mut link.stream, &mut link.buffer, head.framing, 1 << 20).await {
                     Ok(Some(_)) if head.keep => continue,
@@ -229,7 +231,9 @@
         let mut field = |name: &str, value: &str| put(&[name.as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
         let left = self.until.saturating_duration_since(Instant::now()).as_millis().max(1);
         field("Sparrouter-Deadline-Ms", &left.to_string());
-        field("Sparrouter-Expected-Instance", id);
+        if !has(Defect::InstanceUnnamed) {
+            field("Sparrouter-Expected-Instance", id);
+        }
         if let Some(tenant) = self.tenant {
             field("Sparrouter-Tenant", &tenant.name);
         }
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `weights` | servers brought to the version of weights that was named |
 //! | `stores` | whether stores answer, and have what they were told to keep |
 //! | `run`, `status` | a process from start to end; what it says of itself |
+//! | `planted` | mistakes made on purpose, under a feature for tests |
 //! | `client` | what operators ask of a running fleet |
 pub mod answers;
 pub mod boot;
@@ -27,6 +28,7 @@
 pub mod links;
 pub mod net;
 pub mod node;
+pub mod planted;
 pub mod polls;
 pub mod registry;
 pub mod ring;
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -3,6 +3,7 @@
 use crate::boot::{Boot, nanos};
 use crate::links::Links;
 use crate::net::SharedNet;
+use crate::planted::{self, Defect, has};
 use crate::ring::Ring;
 use crate::wire::{Call, ConfigTold, ModelTold, Reply};
 use espalier::{Backlog, Bed, Budget, Nanos};
@@ -181,11 +182,13 @@
     pub fn take(&self, told: &ConfigTold) {
         let known = self.in_force();
         let now = self.now();
-        if told.seq > known.seq {
-            let table = if told.version == known.version {
+        let skipped = has(Defect::CatchUpSkips) && known.seq > 0 && told.seq > known.seq + 1;
+        if told.seq > known.seq || (has(Defect::OlderTaken) && told.seq != known.seq) {
+            let table = if told.version == known.version || skipped {
                 known.table.clone()
             } else {
-                let document = Document { version: told.version, text: told.text.clone() };
+                let text = planted::half(&told.text, &known.text);
+                let document = Document { version: told.version, text };
                 match Table::read(&document) {
                     Ok(table) => Some(Rc::new(table)),
                     Err(why) => {
@@ -241,6 +244,10 @@
 
     pub fn budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget, Nanos) -> T) -> T {
         let now = self.now();
+        // The slack waits for a window, since a process before this one may have spent it.
+        let minted =
+            if has(Defect::SlackMinted) { nanos(self.boot.borrow().bounds.budget_window) } else { 0 };
+        let now = now + minted;
         let mut budgets = self.budgets.borrow_mut();
         if !budgets.contains_key(service) {
             let terms = self.boot.borrow().bounds.budget();
--- /dev/null
+++ b/crates/orchard/src/planted.rs
@@ -0,0 +1,130 @@
+//! Mistakes made on purpose, one at a time, so that a hunt can show that it would notice them.
+//!
+//! Only the feature `planted` holds them, which the hunts' own tests ask for; without it `has` is a constant and the
+//! program knows nothing of them. The switch is of the thread, so that all nodes of one story share it.
+
+/// One mistake. What each rests on in the sound program is at the line that asks for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// Promises and votes are told before they are on disk.
+    AckBeforeSync,
+    /// A wiped disk comes back under its old id, and votes.
+    WipedVotes,
+    /// Majorities are counted over the first group that the node knew.
+    OldGroupCounts,
+    /// A change of the group asks the new group only.
+    OldGroupUnasked,
+    /// Callers are answered, and fences handed out, when the votes are asked for.
+    AnsweredUnchosen,
+    /// A proposal that this node had accepted is in force after its restart, won or lost.
+    LostRaceInForce,
+    /// The same change sent again is judged anew.
+    SameBodyRefused,
+    /// A change that no quorum answered is acknowledged.
+    MinorityAcks,
+    /// New routes, old keys.
+    HalfSnapshot,
+    /// A node that missed a version counts it as taken.
+    CatchUpSkips,
+    /// A source tells what it has, and a node takes it, be it older.
+    OlderTaken,
+    /// Seeds are read at the start only.
+    SeedsAtStart,
+    /// A late beat makes a draining server ready.
+    DrainUndone,
+    /// Draining and leaving are acknowledged before anybody else has heard.
+    AckAlone,
+    /// A lease is believed without asking again.
+    LeaseUnrenewed,
+    /// A process that starts anew has its slack of the retry budget anew.
+    SlackMinted,
+    /// The salt leaves out the version of the weights.
+    SaltWithoutVersion,
+    /// The salt leaves out the tenant that is isolated.
+    SaltWithoutWall,
+    /// Requests do not name the server that they are for.
+    InstanceUnnamed,
+    /// What may have run is sent again, whatever its route says.
+    SecondSend,
+    /// 503 is said for what may have run.
+    PromiseBroken,
+    /// A stream that broke off is closed as if it were whole.
+    StreamClosedWhole,
+    /// A stream is taken up from its beginning.
+    ResumedFromStart,
+    /// Another request's answer is passed on.
+    ForeignAnswer,
+    /// Where no server is ready the route is called unknown.
+    NoServerNoRoute,
+}
+
+impl Defect {
+    pub const ALL: [Defect; 25] = [
+        Defect::AckBeforeSync,
+        Defect::WipedVotes,
+        Defect::OldGroupCounts,
+        Defect::OldGroupUnasked,
+        Defect::AnsweredUnchosen,
+        Defect::LostRaceInForce,
+        Defect::SameBodyRefused,
+        Defect::MinorityAcks,
+        Defect::HalfSnapshot,
+        Defect::CatchUpSkips,
+        Defect::OlderTaken,
+        Defect::SeedsAtStart,
+        Defect::DrainUndone,
+        Defect::AckAlone,
+        Defect::LeaseUnrenewed,
+        Defect::SlackMinted,
+        Defect::SaltWithoutVersion,
+        Defect::SaltWithoutWall,
+        Defect::InstanceUnnamed,
+        Defect::SecondSend,
+        Defect::PromiseBroken,
+        Defect::StreamClosedWhole,
+        Defect::ResumedFromStart,
+        Defect::ForeignAnswer,
+        Defect::NoServerNoRoute,
+    ];
+}
+
+#[cfg(feature = "planted")]
+thread_local! {
+    static NOW: std::cell::Cell<Option<Defect>> = const { std::cell::Cell::new(None) };
+}
+
+/// Plants a defect in all processes of this thread, or takes it out.
+#[cfg(feature = "planted")]
+pub fn plant(defect: Option<Defect>) {
+    NOW.set(defect);
+}
+
+#[cfg(feature = "planted")]
+pub(crate) fn has(defect: Defect) -> bool {
+    NOW.get() == Some(defect)
+}
+
+#[cfg(not(feature = "planted"))]
+pub(crate) const fn has(_: Defect) -> bool {
+    false
+}
+
+/// Those that lie in the registers.
+pub(crate) fn of_registers() -> rootstock::Defects {
+    rootstock::Defects {
+        ack_before_sync: has(Defect::AckBeforeSync),
+        old_group_only: has(Defect::OldGroupCounts),
+        skip_joint: has(Defect::OldGroupUnasked),
+        answer_unchosen: has(Defect::AnsweredUnchosen),
+        ..rootstock::Defects::default()
+    }
+}
+
+/// A configuration with the tenants of another, where that is planted.
+pub(crate) fn half(text: &str, known: &str) -> String {
+    let cut = |of: &str| of.find("\"tenants\":");
+    match (cut(text), cut(known)) {
+        (Some(new), Some(old)) if has(Defect::HalfSnapshot) => format!("{}{}", &text[..new], &known[old..]),
+        _ => text.to_owned(),
+    }
+}
--- a/crates/orchard/src/registry.rs
+++ b/crates/orchard/src/registry.rs
@@ -3,6 +3,7 @@
 use crate::control::Control;
 use crate::http::Answer;
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::polls;
 use hedgerow::{Delta, ModelAt, ServerRow, Standing};
 use miniserde::{Deserialize, json};
@@ -94,6 +95,11 @@
                 .borrow_mut()
                 .insert(id.to_owned(), Heard { call_sequence: row.call_sequence, at: now });
         }
+        #[cfg(feature = "planted")]
+        if late && has(Defect::DrainUndone) {
+            node.rows.borrow_mut().put_back(row.clone(), now);
+            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
+        }
         let before = node.rows.borrow().server(id).cloned();
         // A beat that says nothing new is news to nobody else.
         let same = before
@@ -133,11 +139,14 @@
     async fn spread(&self, node: &Rc<Node>, id: &str, binds: bool) -> bool {
         let Some(row) = node.rows.borrow().server(id).cloned() else { return true };
         let delta = Delta { servers: vec![row].into(), ..Delta::default() };
-        if binds {
+        if binds && !has(Defect::AckAlone) {
             return polls::tell(node, &delta, SPREAD).await;
         }
         let node = node.clone();
         spawn_local(async move {
+            if has(Defect::AckAlone) {
+                tokio::time::sleep(SPREAD).await;
+            }
             // What is lost here the next beat brings, or the sources' own polls.
             polls::tell(&node, &delta, SPREAD).await;
         });
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -11,6 +11,7 @@
 use crate::links;
 use crate::net::{Door, Net, SharedNet};
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::polls;
 use crate::registry::Registry;
 use crate::ring::Ring;
@@ -131,7 +132,10 @@
     let internal = listener(&*net, boot.internal_of(boot.ip))?;
     let keeps = boot.listen.control.is_some();
     let data = boot.data.clone().filter(|_| keeps);
-    let stock = open(data.as_deref(), &ring, &mut rng);
+    let mut stock = open(data.as_deref(), &ring, &mut rng);
+    if has(Defect::WipedVotes) {
+        stock.disk = windrow::hash(boot.node_name.as_bytes());
+    }
     let first = boot.first_start;
     let founder = boot.seeds.first().is_none_or(|s| s.ip() == boot.ip);
     let grace = boot.bounds.grace;
@@ -174,7 +178,9 @@
     spawn_local(stores::follow(node.clone()));
     spawn_local(without_quorum(node.clone(), contact));
     while let Some(Order::Seeds(seeds)) = orders.recv().await {
-        node.boot.borrow_mut().seeds = seeds;
+        if !has(Defect::SeedsAtStart) {
+            node.boot.borrow_mut().seeds = seeds;
+        }
     }
     leave(&node, &stage, grace).await;
     Ok(())
--- a/crates/orchard/src/statute.rs
+++ b/crates/orchard/src/statute.rs
@@ -1,4 +1,5 @@
 //! What a change means to the configuration's part: documents by compare-and-set, and versions of weights named.
+use crate::planted::{Defect, has};
 use nanoserde::{DeBin, SerBin};
 use rootstock::{Applied, Machine};
 use trellis::{Document, Method, Refusal, digest_of_request};
@@ -75,7 +76,7 @@
 
     fn put(&mut self, method: Method, if_match: Option<u64>, body: &[u8]) -> Result<Verdict, Refusal> {
         let digest = digest_of_request(method, body);
-        if self.taken.iter().any(|t| t.digest == digest) {
+        if self.taken.iter().any(|t| t.digest == digest) && !has(Defect::SameBodyRefused) {
             return Ok(Verdict::new(200, "taken before"));
         }
         let next = trellis::change(method, body, if_match, self.document().as_ref())?;
--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -7,6 +7,7 @@
 use crate::control::{self, Control, DUTY_PARTS, part_of};
 use crate::net::Net;
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::upstream::Upstream;
 use bytes::Bytes;
 use espalier::{Server, Wanted};
@@ -215,6 +216,10 @@
 
     async fn renew(&self, held: Held) -> bool {
         let began = self.node.now();
+        if has(Defect::LeaseUnrenewed) {
+            self.renewed.set(began);
+            return true;
+        }
         let renew = LeaseChange::Renew { holder: self.holder(), fence: held.fence };
         match self.part_change(&renew, CALL).await {
             Some(LeaseAnswer::Renewed) => {
