--- /dev/null
+++ b/crates/hothouse/src/server/beats.rs
@@ -0,0 +1,125 @@
+//! A server's life as the fleet hears of it: beats, draining, leaving.
+use super::{MODEL, Server, State};
+use crate::net::MemoryDoor;
+use crate::speech;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// A caller waits a second for an acknowledgement.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// It serves on so long beyond its drain time, and waits so long where nobody acknowledges.
+const LINGER: Duration = Duration::from_millis(400);
+const UNHEARD: Duration = Duration::from_secs(5);
+
+impl Server {
+    /// Its whole life: it ends by itself only after `drain`.
+    pub async fn live(self: Rc<Self>, door: MemoryDoor) {
+        let serving = self.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, from) = door.next().await;
+                let server = serving.clone();
+                spawn_local(async move { server.attend(stream, from).await });
+            }
+        });
+        sleep(self.terms.first_beat).await;
+        let first = self.beat_body();
+        while self.state.get() == State::Ready {
+            self.beat().await;
+            let pause = self.terms.heartbeat.mul_f64(0.9 + 0.2 * self.rng.borrow_mut().f64());
+            let until = Instant::now() + pause;
+            while self.state.get() == State::Ready && Instant::now() < until {
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        let began = Instant::now();
+        let mut acknowledged = None;
+        while acknowledged.is_none() && began.elapsed() < UNHEARD {
+            acknowledged = self.beat().await;
+            if acknowledged.is_none() {
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        if let Some(by) = acknowledged {
+            self.drained_by.set(Some(by));
+            self.judge.draining(&self.terms.id, by);
+            if self.late_beat.get() {
+                let path = format!("/api/instances/{}", self.terms.id);
+                let _ = speech::call(&self.net, by, "PUT", &path, &[], &first, PATIENCE).await;
+            }
+            sleep(self.terms.drain_timeout + LINGER).await;
+        }
+        for _ in 0..3 {
+            let path = format!("/api/instances/{}", self.terms.id);
+            if let Some(to) = self.whom()
+                && let Ok(reply) = speech::call(&self.net, to, "DELETE", &path, &[], "", PATIENCE).await
+                && reply.status < 300
+            {
+                self.judge.draining(&self.terms.id, to);
+                break;
+            }
+            self.target.set(None);
+        }
+        // What it is still working on may end.
+        let until = Instant::now() + LINGER;
+        while self.running.get() > 0 && Instant::now() < until {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.state.get() == State::Draining
+    }
+
+    /// Announces its end.
+    pub fn drain(&self) {
+        self.state.set(State::Draining);
+    }
+
+    fn whom(&self) -> Option<SocketAddr> {
+        let list = self.terms.control.borrow();
+        let any = || (!list.is_empty()).then(|| list[self.rng.borrow_mut().usize(..list.len())]);
+        self.target.get().or_else(any)
+    }
+
+    fn beat_body(&self) -> String {
+        self.call_sequence.set(self.call_sequence.get() + 1);
+        let t = &self.terms;
+        let state = if self.state.get() == State::Ready { "ready" } else { "draining" };
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slot_count\":{},\
+             \"state\":\"{state}\",\"cold_remaining_ms\":0,\"serving_stage\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\
+             \"version\":{},\"adapters\":[]}}],\"call_sequence\":{}}}",
+            t.service,
+            t.address,
+            t.zone,
+            t.slots,
+            self.version.get(),
+            self.call_sequence.get()
+        )
+    }
+
+    /// One beat; gives back who acknowledged it.
+    async fn beat(&self) -> Option<SocketAddr> {
+        for _ in 0..3 {
+            let to = self.whom()?;
+            let path = format!("/api/instances/{}", self.terms.id);
+            let body = self.beat_body();
+            match speech::call(&self.net, to, "PUT", &path, &[], &body, PATIENCE).await {
+                Ok(reply) if reply.status < 300 && reply.body.len() <= 4 << 10 => {
+                    let told = reply.text().split("\"heartbeat_target\":\"").nth(1);
+                    let told = told.and_then(|t| t.split('"').next()).and_then(|t| t.parse().ok());
+                    if told.is_some() {
+                        self.target.set(told);
+                    }
+                    return Some(to);
+                }
+                _ => self.target.set(None),
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/hothouse/src/world/machines.rs
@@ -0,0 +1,281 @@
+//! What becomes of machines: processes start, end, freeze and slow down, power and disks are lost, ways are cut.
+use super::{CONTROL, FRONT, READINESS, World};
+use crate::fabric::Cut;
+use crate::net::MemoryNet;
+use crate::pot::Pot;
+use fastrand::Rng;
+use orchard::boot::Boot;
+use orchard::ring::Ring;
+use orchard::run::{Order, Role, serve};
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::{Instant, sleep};
+
+impl World {
+    fn boot_text(&self, name: &str, first: bool) -> String {
+        let machines = self.machines.borrow();
+        let m = &machines[name];
+        let (ip, b) = (m.ip, &self.terms.bounds);
+        let seeds: Vec<String> = self.seeds.borrow().iter().map(ToString::to_string).collect();
+        let data = if m.shelf.is_some() { "data_directory=/data/proxy\n" } else { "" };
+        let ms = |d: Duration| d.as_millis();
+        format!(
+            "node_name={name}\nip_address={ip}\nzone={}\nregion=valley\n\
+             listen_addresses.front_http={ip}:{FRONT}\nlisten_addresses.readiness={ip}:{READINESS}\n\
+             listen_addresses.control_plane={ip}:{CONTROL}\ninternal_port_range=7360,7375\nseed_nodes={}\n\
+             first_start={first}\ncounts_toward_quorum={}\nlimits.memory_mb=260\nlimits.max_open_files=4100\n{data}\
+             heartbeat_ms={}\nfault_tolerance.machines=1\nbounds.contact_ms={}\nbounds.ack_timeout_ms={}\n\
+             bounds.drain_timeout_ms={}\nbounds.grace_period_s={}\nbounds.config_apply_ms={}\n\
+             bounds.lease_ms={}\nbounds.thaw_ms={}\nbounds.version_ms={}\nbounds.recovery_s={}\n\
+             bounds.retry_budget_ratio={}\nbounds.retry_budget_slack={}\nbounds.budget_window_s={}\n",
+            m.zone,
+            seeds.join(","),
+            m.counted,
+            ms(self.terms.heartbeat),
+            ms(b.contact),
+            ms(b.ack_timeout),
+            ms(b.drain_timeout),
+            b.grace.as_secs_f64(),
+            ms(b.config_apply),
+            ms(b.lease),
+            ms(b.thaw),
+            ms(b.version),
+            b.recovery.as_secs_f64(),
+            b.budget_ratio,
+            b.budget_slack,
+            b.budget_window.as_secs_f64()
+        )
+    }
+
+    /// Starts a process on a machine that has power; `first`: the whole system starts for the first time.
+    pub fn start(&self, name: &str, first: bool) {
+        let text = self.boot_text(name, first);
+        let boot = Boot::parse(Path::new("story"), &text).expect("settings that the page describes");
+        let mut rng = self.rng.borrow_mut().fork();
+        let net = Rc::new(MemoryNet::new(self.fabric.clone(), self.ip(name)));
+        let (give, orders) = unbounded_channel();
+        let mut machines = self.machines.borrow_mut();
+        let Some(machine) = machines.get_mut(name) else { return };
+        let (ring, shelf) = (machine.ring.clone(), machine.shelf.clone());
+        let (judge, label, at) = (self.judge.clone(), name.to_owned(), machine.ip);
+        machine.pot = Some(Pot::start(async move {
+            let open = move |_: Option<&Path>, ring: &Ring, rng: &mut Rng| match &shelf {
+                Some(shelf) => shelf.stock(ring, rng),
+                None => orchard::disk::Stock::empty(rng),
+            };
+            let rng = rng.fork();
+            if let Err(why) = serve(Role::Proxy, boot, open, ring, net, rng, orders).await {
+                judge.breach("FAULT", format!("{label} at {at} did not start: {why}"));
+            }
+        }));
+        machine.orders = Some(give);
+        let again = std::mem::replace(&mut machine.started, true);
+        let (ip, counted) = (machine.ip, machine.counted);
+        drop(machines);
+        if again {
+            self.platform.reborn(name);
+        }
+        self.judge.note(format!("{name} starts"));
+        self.shake(ip, counted);
+        self.judge.calm(Some(ip));
+    }
+
+    pub(super) fn shake(&self, ip: IpAddr, counted: bool) {
+        self.judge.shaken(Some(ip));
+        if counted {
+            self.judge.shaken(None);
+        }
+    }
+
+    pub(super) fn trouble(&self, name: &str) {
+        let (ip, counted) = {
+            let machines = self.machines.borrow();
+            (machines[name].ip, machines[name].counted)
+        };
+        self.judge.trouble(Some(ip));
+        if counted {
+            self.judge.shaken(None);
+        }
+    }
+
+    /// Every machine within 0.3 s, in no fixed order.
+    pub async fn start_all(&self, first: bool) {
+        let mut names = self.names();
+        self.rng.borrow_mut().shuffle(&mut names);
+        for name in names {
+            self.start(&name, first);
+            let pause = self.rng.borrow_mut().u64(0..300 / self.machines.borrow().len() as u64);
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Until all that run take clients.
+    pub async fn until_ready(&self) {
+        let began = Instant::now();
+        let all = || self.names().into_iter().all(|n| !self.runs(&n) || self.platform.is_in(&n));
+        while !all() {
+            assert!(began.elapsed() < Duration::from_secs(30), "nodes are not ready: {:?}", self.unready());
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    fn unready(&self) -> Vec<String> {
+        self.names().into_iter().filter(|n| self.runs(n) && !self.platform.is_in(n)).collect()
+    }
+
+    /// The process ends between two steps; its machine stays.
+    pub fn kill(&self, name: &str) {
+        self.judge.note(format!("{name} is killed"));
+        self.trouble(name);
+        let pot = self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
+        drop(pot);
+    }
+
+    /// The machine loses power, and its disk what was not synced.
+    pub fn power_off(&self, name: &str) {
+        self.judge.note(format!("{name} loses power"));
+        self.trouble(name);
+        self.fabric.power(self.ip(name), false);
+        let pot = self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
+        drop(pot);
+        if let Some(shelf) = self.machines.borrow()[name].shelf.as_ref() {
+            shelf.files.lose_power();
+        }
+    }
+
+    /// Power is back, and the process starts.
+    pub fn power_on(&self, name: &str) {
+        self.fabric.power(self.ip(name), true);
+        self.start(name, false);
+    }
+
+    /// The disk is replaced by an empty one while no process runs.
+    pub fn wipe(&self, name: &str) {
+        self.judge.note(format!("the disk of {name} is lost"));
+        self.shelf(name).files.wipe();
+    }
+
+    pub fn freeze(&self, name: &str, frozen: bool) {
+        self.judge.note(format!("{name} {}", if frozen { "freezes" } else { "wakes" }));
+        if frozen {
+            self.trouble(name);
+        }
+        let ip = self.ip(name);
+        self.fabric.freeze(ip, frozen);
+        if let Some(pot) = &self.machines.borrow()[name].pot {
+            pot.freeze(frozen);
+        }
+        if !frozen {
+            let counted = self.machines.borrow()[name].counted;
+            self.judge.calm(Some(ip));
+            self.judge.thawed(ip);
+            self.shake(ip, counted);
+        }
+    }
+
+    /// A machine whose processor hardly gets to it; zero: as it should.
+    pub fn slow(&self, name: &str, pace: Duration) {
+        self.judge.note(format!("{name} takes {pace:?} for a turn"));
+        let (ip, counted) = {
+            let machines = self.machines.borrow();
+            (machines[name].ip, machines[name].counted)
+        };
+        let whose = [Some(Some(ip)), counted.then_some(None)].into_iter().flatten();
+        whose.for_each(|w| if pace.is_zero() { self.judge.calm(w) } else { self.judge.trouble(w) });
+        if let Some(pot) = &self.machines.borrow()[name].pot {
+            pot.slow(pace);
+        }
+    }
+
+    /// SIGTERM; the process ends by itself, or is killed after its grace period.
+    pub async fn term(&self, name: &str) {
+        self.judge.note(format!("{name} is told to end"));
+        self.judge.told_to_end(self.ip(name));
+        if self.machines.borrow()[name].counted {
+            self.judge.shaken(None);
+        }
+        if let Some(orders) = &self.machines.borrow()[name].orders {
+            // One that has ended already needs none.
+            let _ = orders.send(Order::Leave);
+        }
+        let began = Instant::now();
+        while self.runs(name) && began.elapsed() < self.terms.bounds.grace {
+            sleep(Duration::from_millis(50)).await;
+        }
+        self.judge.note(format!("{name} has ended: {}", !self.runs(name)));
+        self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
+    }
+
+    /// A machine of the core goes for good; an empty one at another address takes its place.
+    pub fn replace(&self, name: &str) -> String {
+        let zone = self.machines.borrow()[name].zone;
+        if self.machines.borrow()[name].pot.is_some() {
+            self.power_off(name);
+        }
+        self.judge.note(format!("{name} is gone for good"));
+        self.platform.remove(name);
+        let gone = self.control_of(name);
+        self.control.borrow_mut().retain(|a| *a != gone);
+        self.machines.borrow_mut().remove(name);
+        self.judge.calm(Some(gone.ip()));
+        let new = format!("core-{}", self.next_ip.get());
+        self.add_machine(&new, zone, true);
+        self.seeds_anew();
+        self.start(&new, false);
+        new
+    }
+
+    /// The seeds are the first three of the operator's list now; running processes are told.
+    pub fn seeds_anew(&self) {
+        let seeds: Vec<SocketAddr> = self.core().iter().rev().take(3).map(|n| self.control_of(n)).collect();
+        self.exchange_seeds(&seeds);
+    }
+
+    pub fn exchange_seeds(&self, seeds: &[SocketAddr]) {
+        *self.seeds.borrow_mut() = seeds.to_vec();
+        for machine in self.machines.borrow().values() {
+            if let Some(orders) = &machine.orders {
+                // A process that ended needs none.
+                let _ = orders.send(Order::Seeds(seeds.to_vec()));
+            }
+        }
+    }
+
+    /// Cuts machines off from all others of the fleet, or joins them again.
+    pub fn cut_off(&self, names: &[&str], cut: Option<Cut>) {
+        self.judge.note(format!("{names:?} cut off: {cut:?}"));
+        for inside in names {
+            for other in self.names().iter().filter(|n| !names.contains(&n.as_str())) {
+                self.fabric.cut_both(self.ip(inside), self.ip(other), cut);
+            }
+            let ip = self.ip(inside);
+            match cut {
+                Some(_) => self.trouble(inside),
+                None => {
+                    self.judge.calm(Some(ip));
+                    self.judge.thawed(ip);
+                    self.shake(ip, self.machines.borrow()[*inside].counted);
+                }
+            }
+        }
+    }
+
+    /// A zone's machines and servers cut off from all others, or joined again.
+    pub fn cut_zone(&self, zone: &str, cut: Option<Cut>) {
+        let names = self.names();
+        let inside: Vec<&str> =
+            names.iter().map(String::as_str).filter(|n| self.zone_of(n) == zone).collect();
+        self.cut_off(&inside, cut);
+        for hosted in self.servers.borrow().values() {
+            let t = &hosted.server.terms;
+            for name in &names {
+                if (self.zone_of(name) == zone) != (t.zone == zone) {
+                    self.fabric.cut_both(self.ip(name), t.address.ip(), cut);
+                }
+            }
+        }
+    }
+}
