Orchard: a node that lost its whole core asks its seeds, also while it remembers many others

Change: where nobody in touch with a quorum was heard of for 2.2 s, a seed is asked first every other time.

--- a/crates/hothouse/tests/core.rs
+++ b/crates/hothouse/tests/core.rs
@@ -169,3 +169,39 @@
         world
     });
 }
+
+#[test]
+fn given_a_node_cut_off_while_every_core_machine_is_replaced_when_joined_then_its_seeds_lead_it_to_the_new_ones()
+ {
+    for seed in 0..4 {
+        told(|| async {
+            let world = World::serving(Terms::seeded(54 + seed)).await;
+            let mut plan = first_plan();
+            // Twice: the more machines it remembers that are gone, the longer it has somebody left to ask in vain.
+            for round in 0..2 {
+                world.cut_off(&["edge-0"], Some(Cut::Silent));
+                for lost in world.core() {
+                    world.replace(&lost);
+                    world.cut_off(&["edge-0"], Some(Cut::Silent));
+                    sleep(Duration::from_secs(9)).await;
+                }
+                let next = with_route(&plan, &format!("new{round}"));
+                assert_eq!(world.operator.put(&next, plan.version).await, 200);
+                plan = next;
+                world.cut_off(&["edge-0"], None);
+                sleep(world.terms.bounds.contact + world.terms.bounds.config_apply).await;
+                let reply = world.operator.get_from(world.control_of("edge-0")).await.expect("an answer");
+                assert_eq!(reply.status, 200);
+                let asked = hothouse::client::Wish {
+                    path: format!("/new{round}/b5"),
+                    retries: 0,
+                    ..hothouse::world::wish(Kind::Idempotent, "b5")
+                };
+                let came = world.client(false).get_at(&asked, world.front_of("edge-0"), 0).await;
+                assert_eq!(came, hothouse::client::Came::Served, "round {round}");
+            }
+            world.operator.read_back().await;
+            world
+        });
+    }
+}
--- a/crates/orchard/src/polls.rs
+++ b/crates/orchard/src/polls.rs
@@ -18,6 +18,9 @@
 /// A source that failed is left out so long, while there are others.
 const AVOID: Duration = Duration::from_millis(800);
 
+/// Nobody in touch with a quorum was heard of for so long: the seeds are asked too, every other time.
+const LOST: Duration = Duration::from_millis(2_200);
+
 /// What is known of sources, at this node.
 #[derive(Default)]
 pub struct Sources {
@@ -65,7 +68,11 @@
             (!every.is_empty()).then(|| every[node.rng.borrow_mut().usize(..every.len())])
         };
         let spare = if place == 0 { any() } else { None };
-        free.or_else(seed).or(spare)
+        // Machines that are gone for good time out more slowly than they are left out: without this a node that was cut
+        // off while all it knows were replaced would go on asking those for ever.
+        let lost = now.saturating_sub(node.heard.get()) > nanos(LOST) && node.rng.borrow_mut().bool();
+        let first = if lost { seed() } else { None };
+        first.or(free).or_else(seed).or(spare)
     }
 
     fn failed(&self, node: &Node, source: SocketAddr) {
