Orchard: a process spends nothing of the retry budget in its first window

Cause: a process that starts anew forgot what its former life had spent. Tried first in espalier's Budget: its own test asks that a budget made at 0 spends more than 300 in 60 s, so the rule stands at the process's door instead. Change: no repeat before the process is a window old.

--- a/crates/orchard/src/exchange/admission.rs
+++ b/crates/orchard/src/exchange/admission.rs
@@ -135,7 +135,7 @@
             Turned::None if proved => later(300),
             _ => gone.clone(),
         })?;
-        if again && !self.node.budget(&self.service, |b, now| b.take(self.node.sharers(), now)) {
+        if again && !self.node.may_repeat(&self.service) {
             return Err(refused());
         }
         Ok(pick)
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -259,6 +259,14 @@
         f(budgets.get_mut(service).expect("just put there"), now)
     }
 
+    /// One repeat from this node's part of the budget. In its first window a process has none: the one before it may
+    /// have spent all that its requests had earned, and the window that is judged holds both.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let window = nanos(self.boot.borrow().bounds.budget_window);
+        let settled = self.now() >= window || has(Defect::SlackMinted);
+        settled && self.budget(service, |b, now| b.take(self.sharers(), now))
+    }
+
     /// The node that owns a key among those that take clients: None for this one itself.
     fn owner(&self, key: u64) -> Option<SocketAddr> {
         let rows = self.rows.borrow();
