--- a/crates/hothouse/examples/hunt.rs
+++ b/crates/hothouse/examples/hunt.rs
@@ -1,7 +1,11 @@
 //! Hunts for broken rules over days by seed: `cargo run --release -p hothouse --example hunt -- --days N --seed S`.
-//! `--story` tells a day in full, each request with it.
+//!
+//! `--all` goes on behind a broken day, `--story` tells a day in full, each request with it. `--defect NAME` plants a
+//! mistake first; `--planted` plants each in turn and prints after how many days it was found.
 use hothouse::story;
-use hothouse::weather::{self, Day};
+use hothouse::weather::{self, Day, Report};
+use orchard::planted::{Defect, plant};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -10,17 +14,71 @@
     arguments.get(at + 1)?.parse().ok()
 }
 
+fn named(arguments: &[String]) -> Option<Defect> {
+    let at = arguments.iter().position(|a| a == "--defect")?;
+    let name = arguments.get(at + 1)?;
+    let found = Defect::ALL.into_iter().find(|d| format!("{d:?}") == *name);
+    Some(found.unwrap_or_else(|| panic!("no defect is called {name}: one of {:?}", Defect::ALL)))
+}
+
+/// A day; None where the story itself could not go on, as a node ended that it needs.
+fn played(day: &Day) -> Option<Report> {
+    catch_unwind(AssertUnwindSafe(|| story::play(weather::play(day)))).ok()
+}
+
+/// The first seed that finds a defect, and what was broken.
+fn first_found(defect: Defect, first: u64, days: u64) -> Option<(u64, String)> {
+    plant(Some(defect));
+    let found = (first..first + days).find_map(|seed| {
+        let Some(report) = played(&Day::drawn(seed)) else {
+            return Some((seed, "the story could not go on".to_owned()));
+        };
+        let rules: std::collections::BTreeSet<&str> =
+            report.breaches.iter().filter_map(|b| b.split(':').next()).collect();
+        (!rules.is_empty()).then(|| (seed, rules.into_iter().collect::<Vec<_>>().join(", ")))
+    });
+    plant(None);
+    found
+}
+
+fn table(first: u64, days: u64, one: Option<Defect>) -> ExitCode {
+    println!("| defect | days until found | seconds | rules broken then |\n| --- | --- | --- | --- |");
+    let mut missed = 0;
+    for defect in Defect::ALL.into_iter().filter(|d| one.is_none_or(|o| o == *d)) {
+        let began = Instant::now();
+        let found = first_found(defect, first, days);
+        let took = began.elapsed().as_secs_f64();
+        match found {
+            Some((seed, rules)) => println!("| {defect:?} | {} | {took:.1} | {rules} |", seed - first + 1),
+            None => {
+                missed += 1;
+                println!("| {defect:?} | not in {days} | {took:.1} | |");
+            }
+        }
+    }
+    if missed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 fn main() -> ExitCode {
+    story::heed_panics();
     let arguments: Vec<String> = std::env::args().collect();
     let days = number(&arguments, "--days").unwrap_or(20);
     let first = number(&arguments, "--seed").unwrap_or(1);
+    if arguments.iter().any(|a| a == "--planted") {
+        return table(first, days, named(&arguments));
+    }
+    plant(named(&arguments));
     let tell = arguments.iter().any(|a| a == "--story");
     let go_on = arguments.iter().any(|a| a == "--all");
     let began = Instant::now();
     let (mut broken, mut wasted, mut sent, mut served) = (0, 0, 0u64, 0u64);
     for seed in first..first + days {
-        let day = Day::drawn(seed);
-        let report = story::play(weather::play(&day));
+        let day = Day { verbose: tell, ..Day::drawn(seed) };
+        let Some(report) = played(&day) else {
+            broken += 1;
+            println!("seed {seed}: the story could not go on: {:?}", story::panics());
+            continue;
+        };
         sent += u64::from(report.sent);
         served += u64::from(report.served);
         wasted += report.waste.len();
--- a/crates/hothouse/src/client.rs
+++ b/crates/hothouse/src/client.rs
@@ -34,6 +34,8 @@
     pub retries: u32,
     /// Shared part of the prompt.
     pub topic: String,
+    /// Its tokens.
+    pub shared: u64,
     /// It leaves so long after it asked, whatever came.
     pub leaves: Option<Duration>,
 }
@@ -137,11 +139,13 @@
         let left = until.saturating_duration_since(Instant::now()).as_millis().max(1);
         let head = format!(
             "POST {} HTTP/1.1\r\nHost: {}\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Model: {MODEL}\r\n\
-             Sparrouter-Token-Usage: 900,20\r\nSparrouter-Prompt-Prefix: {}:800,{}:100\r\n\
+             Sparrouter-Token-Usage: {},20\r\nSparrouter-Prompt-Prefix: {}:{},{}:100\r\n\
              Sparrouter-Deadline-Ms: {left}\r\nSparrouter-Key: {}\r\nContent-Length: {}\r\n\r\n",
             wish.path,
             wish.host,
+            wish.shared + 100,
             wish.topic,
+            wish.shared,
             &id[..8],
             wish.key,
             body.len()
--- a/crates/hothouse/src/judge/answers.rs
+++ b/crates/hothouse/src/judge/answers.rs
@@ -33,6 +33,7 @@
             let Some(attempt) = requests.attempts.get(id) else { return };
             (attempt.asked.clone(), attempt.sent, attempt.runs.clone())
         };
+        self.count(&asked, sent, answer);
         if answer.attempt.as_deref().is_some_and(|other| other != id) {
             self.breach("MIXED", format!("{id} got the answer of {:?}", answer.attempt));
         }
--- a/crates/hothouse/src/judge/mod.rs
+++ b/crates/hothouse/src/judge/mod.rs
@@ -1,17 +1,19 @@
 //! The rules of the operators' page, judged on what stand-ins see on their connections, as it happens.
 //!
 //! By file: `trouble` (who is in touch), `requests` (MIXED, UNASKED, TWICE, REFUSED, ROUTE, CONFIG of requests, DRAIN,
-//! VERSION, STALE, LOST), `answers` (MIXED and ORDER of bytes), `orders` (CONFIG of the operator, ONE, ACKS), `budget`.
+//! VERSION, STALE, WALL, LOST), `answers` (MIXED and ORDER of bytes), `tolls` (DENIED, CONFIG of routes that were added),
+//! `orders` (CONFIG of the operator, ONE, ACKS), `budget`.
 //! Where the page leaves a bound to machines in touch, a breach elsewhere is none.
 mod answers;
 mod budget;
 mod orders;
 mod requests;
+mod tolls;
 mod trouble;
 
 pub use answers::Answer;
 pub use orders::Sent;
-pub use requests::{Asked, Run};
+pub use requests::{Asked, Made, Run};
 
 use budget::Budget;
 use orders::Orders;
@@ -38,6 +40,8 @@
     pub budget_ratio: f64,
     pub budget_slack: f64,
     pub budget_window: Duration,
+    /// Servers refuse a lower fencing token than one that they have seen.
+    pub fencing: bool,
 }
 
 impl Default for Bounds {
@@ -58,6 +62,7 @@
             budget_ratio: 0.2,
             budget_slack: 64.0,
             budget_window: ms(10_000),
+            fencing: true,
         }
     }
 }
--- a/crates/hothouse/src/judge/orders.rs
+++ b/crates/hothouse/src/judge/orders.rs
@@ -14,6 +14,8 @@
     pub sent: Instant,
     pub acknowledged: Option<Instant>,
     pub refused: bool,
+    /// What was sent, to know it when it is sent again.
+    pub body: String,
 }
 
 #[derive(Clone, Debug)]
@@ -39,6 +41,11 @@
 impl Judge {
     /// A configuration leaves the operator, for the first time or again. Gives back its place.
     pub fn config_sent(&self, plan: &Plan, base: u64, valid: bool) -> usize {
+        self.body_sent(plan, base, valid, plan.json())
+    }
+
+    /// The same for another body than the plan's: a PATCH, or one that is invalid.
+    pub fn body_sent(&self, plan: &Plan, base: u64, valid: bool, body: String) -> usize {
         self.note(format!(
             "operator sends {} on {base}{}",
             plan.version,
@@ -51,6 +58,7 @@
             sent: Instant::now(),
             acknowledged: None,
             refused: false,
+            body,
         };
         let mut orders = self.orders.borrow_mut();
         orders.sent.push(sent);
@@ -81,12 +89,18 @@
     }
 
     pub fn config_refused(&self, place: usize, status: u16) {
-        let version = {
+        let (version, taken) = {
             let mut orders = self.orders.borrow_mut();
-            orders.sent[place].refused = true;
-            orders.sent[place].plan.version
+            let sent = orders.sent[place].clone();
+            let same = |s: &Sent| s.acknowledged.is_some() && (&s.body, s.base) == (&sent.body, sent.base);
+            let taken = orders.sent.iter().any(same);
+            orders.sent[place].refused = !taken;
+            (sent.plan.version, taken)
         };
         self.note(format!("config {version} is refused with {status}"));
+        if taken {
+            self.breach("CONFIG", format!("{version} is refused with {status}, and has been taken"));
+        }
     }
 
     /// The newest that was acknowledged.
@@ -96,15 +110,25 @@
         known.max_by_key(|s| s.plan.version).cloned()
     }
 
+    /// The last configurations that were sent, taken or not.
+    pub fn last_sent(&self, most: usize) -> Vec<Plan> {
+        let orders = self.orders.borrow();
+        orders.sent.iter().rev().filter(|s| s.valid).take(most).map(|s| s.plan.clone()).collect()
+    }
+
     /// What was read back at the end.
     pub fn read_back(&self, status: u16, text: &str) {
         let Some(newest) = self.newest() else { return };
         let version = text.split("\"version\":").nth(1).and_then(|t| t.split([',', '}']).next());
         let version: Option<u64> = version.and_then(|v| v.trim().parse().ok());
-        let sent = self.orders.borrow().sent.iter().any(|s| Some(s.plan.version) == version && !s.refused);
-        if status != 200 || version.is_none_or(|v| v < newest.plan.version) || !sent {
+        if status != 200 || version.is_none_or(|v| v < newest.plan.version) {
             let what = format!("{} was acknowledged, read back: {status} {version:?}", newest.plan.version);
-            self.breach("LOST", what);
+            return self.breach("LOST", what);
+        }
+        let is = |s: &Sent| s.valid && !s.refused && text == s.plan.json();
+        if !self.orders.borrow().sent.iter().any(is) {
+            let what = format!("{version:?} is read back, which is not what was sent under that number");
+            self.breach("CONFIG", what);
         }
     }
 
@@ -150,6 +174,9 @@
             {
                 broken = Some(format!("{holder} and another take turns at {instance}"));
             }
+            if !self.bounds.fencing && last.iter().any(|l| l.fence > fence) {
+                broken = Some(format!("{holder} orders {instance} under {fence}, lower than before"));
+            }
             last.push(LastOrder { holder: holder.to_owned(), fence, at: now });
         }
         if let Some(what) = broken {
@@ -159,9 +186,14 @@
 
     /// Who ordered last.
     pub fn last_holder(&self) -> Option<String> {
+        self.last_order().map(|(holder, _)| holder)
+    }
+
+    /// The same, and when that was.
+    pub fn last_order(&self) -> Option<(String, Instant)> {
         let orders = self.orders.borrow();
         let last = orders.servers.values().filter_map(|all| all.last()).max_by_key(|l| l.at);
-        last.map(|l| l.holder.clone())
+        last.map(|l| (l.holder.clone(), l.at))
     }
 
     /// A server takes new weights.
--- a/crates/hothouse/src/judge/requests.rs
+++ b/crates/hothouse/src/judge/requests.rs
@@ -35,13 +35,21 @@
     pub body: Bytes,
     pub tenant: Option<String>,
     pub key: Option<String>,
-    /// Of the weights it runs on, and of those that the parts of its prompt were made with.
+    /// Of the weights it runs on.
     pub version: u64,
-    pub made: Vec<u64>,
+    /// Who made the memory that it uses of each part of its prompt.
+    pub made: Vec<Made>,
     /// The event it goes on from.
     pub resumed: u64,
 }
 
+/// The run that first read a part of a prompt: whose, and on which weights.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Made {
+    pub version: u64,
+    pub tenant: Option<String>,
+}
+
 pub(super) struct Attempt {
     pub asked: Asked,
     pub sent: Instant,
@@ -55,10 +63,22 @@
     pub attempts: BTreeMap<String, Attempt>,
     pub runs: Vec<Run>,
     pub faulty: Vec<u64>,
+    pub tolls: Tolls,
     /// Of each life of a node, the newest version whose effect was seen, and when.
     seen: BTreeMap<(IpAddr, u64), (u64, Instant)>,
 }
 
+/// Counts over the day of requests that every configuration which may be in force allows, at machines in touch.
+#[derive(Default)]
+pub(super) struct Tolls {
+    /// All requests, proper or not.
+    pub all: u32,
+    pub denied: u32,
+    /// Asked and served in calm times: on the first routes, and on those that were added later.
+    pub first: (u32, u32),
+    pub added: (u32, u32),
+}
+
 /// How a request was handled.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Handled<'a> {
@@ -66,6 +86,12 @@
     Refused(u16),
 }
 
+/// Whether a configuration lets this request in.
+pub(super) fn allows(plan: &Plan, asked: &Asked) -> bool {
+    let open = |public: bool| public || plan.tenants.is_empty() || plan.tenant_of(&asked.key).is_some();
+    plan.route(&asked.host, &asked.path).is_some_and(|r| open(r.public))
+}
+
 impl Handled<'_> {
     fn fits(&self, plan: &Plan, asked: &Asked) -> bool {
         let route = plan.route(&asked.host, &asked.path);
@@ -148,9 +174,11 @@
         } else {
             self.check_config(&run.attempt, &asked, sent, handled);
         }
-        if let Some(made) = run.made.iter().find(|m| **m != run.version) {
-            self.breach("STALE", format!("{} runs on {} with memory of {made}", run.attempt, run.version));
+        if let Some(made) = run.made.iter().find(|m| m.version != run.version) {
+            let what = format!("{} runs on {} with memory of {}", run.attempt, run.version, made.version);
+            self.breach("STALE", what);
         }
+        self.check_wall(&run);
         self.check_version(&run, now);
         number
     }
@@ -170,6 +198,20 @@
         }
     }
 
+    /// WALL: what a tenant that is isolated made, or uses, is its own alone.
+    fn check_wall(&self, run: &Run) {
+        let orders = self.orders.borrow();
+        let isolated = |name: &Option<String>| {
+            let is = |s: &Sent| s.plan.tenants.iter().any(|t| t.isolated && Some(&t.name) == name.as_ref());
+            orders.sent.iter().any(is)
+        };
+        let other = |m: &&Made| m.tenant != run.tenant && (isolated(&m.tenant) || isolated(&run.tenant));
+        let Some(made) = run.made.iter().find(other) else { return };
+        let what = format!("{} of {:?} uses memory of {:?}", run.attempt, run.tenant, made.tenant);
+        drop(orders);
+        self.breach("WALL", what);
+    }
+
     fn check_version(&self, run: &Run, now: Instant) {
         let named = self.orders.borrow().named.clone();
         for (version, at) in named {
--- /dev/null
+++ b/crates/hothouse/src/judge/tolls.rs
@@ -0,0 +1,62 @@
+//! What is counted over a whole day: DENIED, and CONFIG of routes that were added later. In tolls come only requests
+//! that every configuration which may be in force allows, at machines in touch.
+use super::requests::allows;
+use super::{Answer, Asked, Judge};
+use tokio::time::Instant;
+
+/// So many refusals are none, and one more in so many requests.
+const DENIED: u32 = 5;
+const DENIED_IN: u32 = 500;
+/// Routes that were added are judged from so many requests on, served less than this part as often as the first.
+const ADDED: u32 = 20;
+const ADDED_PART: f64 = 0.25;
+
+impl Judge {
+    pub(super) fn count(&self, asked: &Asked, sent: Instant, answer: &Answer) {
+        let now = Instant::now();
+        self.requests.borrow_mut().tolls.all += 1;
+        if !self.in_touch(asked.node, sent, now) || !self.is_proper(asked, sent) {
+            return;
+        }
+        let added = {
+            let orders = self.orders.borrow();
+            orders.sent.first().is_some_and(|s| !allows(&s.plan, asked))
+        };
+        let calm = !self.any_unplanned(sent.checked_sub(self.bounds.contact).unwrap_or(sent), now);
+        let tolls = &mut self.requests.borrow_mut().tolls;
+        // With a seal it is a server's word, not ours.
+        let own = answer.seal.is_none() && matches!(answer.status, 300..=499);
+        tolls.denied += u32::from(own && !matches!(answer.status, 408 | 421 | 429));
+        if calm && !answer.abandoned {
+            let toll = if added { &mut tolls.added } else { &mut tolls.first };
+            toll.0 += 1;
+            toll.1 += u32::from(answer.whole && (200..300).contains(&answer.status));
+        }
+    }
+
+    /// Whether every configuration that may be in force allows it.
+    fn is_proper(&self, asked: &Asked, sent: Instant) -> bool {
+        let orders = self.orders.borrow();
+        let old = |at: Instant| at + self.bounds.config_apply < sent;
+        let settled = orders.sent.iter().filter(|s| s.acknowledged.is_some_and(old));
+        let floor = settled.map(|s| s.plan.version).max().unwrap_or(0);
+        let may = orders.sent.iter().filter(|s| s.valid && !s.refused && s.plan.version >= floor);
+        floor > 0 && may.into_iter().all(|s| allows(&s.plan, asked))
+    }
+
+    /// Judges what was counted; once, when all requests have ended.
+    pub fn day_ends(&self) {
+        let (all, denied, first, added) = {
+            let tolls = &self.requests.borrow().tolls;
+            (tolls.all, tolls.denied, tolls.first, tolls.added)
+        };
+        if denied > DENIED + all / DENIED_IN {
+            self.breach("DENIED", format!("{denied} proper requests of {all} were refused"));
+        }
+        let rate = |(asked, served): (u32, u32)| f64::from(served) / f64::from(asked.max(1));
+        if added.0 >= ADDED && rate(added) < ADDED_PART * rate(first) {
+            let what = format!("on added routes {added:?} asked and served, on the first {first:?}");
+            self.breach("CONFIG", what);
+        }
+    }
+}
--- a/crates/hothouse/src/judge/trouble.rs
+++ b/crates/hothouse/src/judge/trouble.rs
@@ -11,6 +11,8 @@
     from: Instant,
     until: Option<Instant>,
     planned: bool,
+    /// No process runs.
+    down: bool,
 }
 
 #[derive(Default)]
@@ -26,27 +28,52 @@
 impl Judge {
     /// Trouble at a machine begins; `ip` None: the core is shaken.
     pub fn trouble(&self, ip: Option<IpAddr>) {
-        self.troubles.borrow_mut().0.push(Span { ip, from: Instant::now(), until: None, planned: false });
+        self.begins(ip, false);
     }
 
-    /// It ends.
+    /// It ends; what else befalls that machine goes on.
     pub fn calm(&self, ip: Option<IpAddr>) {
         let now = Instant::now();
         let mut troubles = self.troubles.borrow_mut();
-        troubles.0.iter_mut().filter(|s| s.ip == ip && s.until.is_none()).for_each(|s| s.until = Some(now));
+        let open = |s: &&mut Span| s.ip == ip && s.until.is_none() && !s.down;
+        troubles.0.iter_mut().find(open).into_iter().for_each(|s| s.until = Some(now));
+    }
+
+    /// No process runs on a machine.
+    pub fn down(&self, ip: IpAddr) {
+        self.begins(Some(ip), true);
+    }
+
+    /// One does again.
+    pub fn up(&self, ip: IpAddr) {
+        let now = Instant::now();
+        let mut troubles = self.troubles.borrow_mut();
+        let open = |s: &&mut Span| s.ip == Some(ip) && s.until.is_none() && s.down;
+        troubles.0.iter_mut().filter(open).for_each(|s| s.until = Some(now));
+    }
+
+    fn begins(&self, ip: Option<IpAddr>, down: bool) {
+        let span = Span { ip, from: Instant::now(), until: None, planned: false, down };
+        self.troubles.borrow_mut().0.push(span);
     }
 
     /// A moment's trouble.
     pub fn shaken(&self, ip: Option<IpAddr>) {
         let now = Instant::now();
-        self.troubles.borrow_mut().0.push(Span { ip, from: now, until: Some(now), planned: false });
+        self.troubles.borrow_mut().0.push(Span {
+            ip,
+            from: now,
+            until: Some(now),
+            planned: false,
+            down: false,
+        });
     }
 
     /// A machine was told to end: what it took is to be answered.
     pub fn told_to_end(&self, ip: IpAddr) {
         let now = Instant::now();
         let until = now + self.bounds.grace + Duration::from_secs(1);
-        let span = Span { ip: Some(ip), from: now, until: Some(until), planned: true };
+        let span = Span { ip: Some(ip), from: now, until: Some(until), planned: true, down: false };
         self.troubles.borrow_mut().0.push(span);
     }
 
--- a/crates/hothouse/src/load.rs
+++ b/crates/hothouse/src/load.rs
@@ -2,6 +2,7 @@
 use crate::client::{Came, Client, Wish};
 use crate::plan::Kind;
 use crate::world::{World, ZONES, wish};
+use fastrand::Rng;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,13 +51,26 @@
     }
 }
 
+/// Whose requests, and of which prompts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// One tenant, whose key stays; prompts that are not worth moving.
+    Plain,
+    /// Both tenants, of which one is isolated, by the keys that they have now; large prompts among them.
+    Mixed,
+}
+
 /// Starts `clients`, each with a request about every `pause`, of all kinds.
 pub fn begin(world: &Rc<World>, clients: usize, pause: Duration) -> Rc<Tally> {
+    begin_as(Manner::Plain, world, clients, pause)
+}
+
+pub fn begin_as(manner: Manner, world: &Rc<World>, clients: usize, pause: Duration) -> Rc<Tally> {
     let tally = Rc::new(Tally::default());
     for n in 0..clients {
         let client = world.client(n % 2 == 0);
         let mut rng = world.rng.borrow_mut().fork();
-        let tally = tally.clone();
+        let (tally, world) = (tally.clone(), world.clone());
         spawn_local(async move {
             let mut at = Instant::now() + pause.mul_f64(rng.f64());
             while !tally.stopped.get() {
@@ -74,6 +88,7 @@
                     topic: format!("{:08x}", rng.u32(..6)),
                     ..wish(kind, word)
                 };
+                let wish = if manner == Manner::Mixed { mixed(&world, wish, &mut rng) } else { wish };
                 if rng.u8(..40) == 0 {
                     // One that leaves early counts for nothing, but what it leaves behind must not harm others.
                     let leaves = Some(Duration::from_millis(rng.u64(..120)));
@@ -87,6 +102,14 @@
     tally
 }
 
+/// The same of either tenant, with a prompt of any size.
+fn mixed(world: &World, wish: Wish, rng: &mut Rng) -> Wish {
+    let newest = world.judge.newest().and_then(|s| s.plan.tenants.get(1)?.keys.first().cloned());
+    let key = newest.filter(|_| rng.bool()).unwrap_or(wish.key);
+    let shared = if rng.u8(..3) == 0 { 1_800 } else { wish.shared };
+    Wish { key, shared, ..wish }
+}
+
 async fn one(client: &Client, tally: &Tally, wish: &Wish) {
     tally.sent.set(tally.sent.get() + 1);
     tally.open.set(tally.open.get() + 1);
--- a/crates/hothouse/src/operator.rs
+++ b/crates/hothouse/src/operator.rs
@@ -54,21 +54,27 @@
 
     /// The status that ended it, and who answered. `valid`: whether it may be taken at all.
     pub async fn change(&self, plan: &Plan, base: u64, how: How, valid: bool) -> (u16, Option<SocketAddr>) {
+        self.change_at(None, plan, base, how, valid).await
+    }
+
+    /// The same, asking this node first.
+    pub async fn change_at(
+        &self, mut first: Option<SocketAddr>, plan: &Plan, base: u64, how: How, valid: bool,
+    ) -> (u16, Option<SocketAddr>) {
         let (method, body) = match how {
             How::Whole => ("PUT", plan.json()),
             How::Patch(before) => ("PATCH", plan.patch_json(&before)),
             How::Body(body) => ("PUT", body),
         };
-        let place = self.judge.config_sent(plan, base, valid);
+        let place = self.judge.body_sent(plan, base, valid, format!("{method} {body}"));
         let began = Instant::now();
         let base = base.to_string();
         let fields = [("If-Match", base.as_str()), ("Content-Type", "application/json")];
-        let mut unclear = false;
         let mut told = false;
         let mut others = 0;
         let mut pause = Duration::from_millis(50);
         while began.elapsed() < GIVES_UP {
-            let to = self.any();
+            let to = first.take().unwrap_or_else(|| self.any());
             let reply = speech::call(&self.net, to, method, "/api/config", &fields, &body, PATIENCE).await;
             let status = reply.map_or(0, |r| r.status);
             match status {
@@ -77,16 +83,13 @@
                     return (status, Some(to));
                 }
                 400 | 409 | 412 | 413 | 422 => {
-                    // Overtaken after it was taken, perhaps: then it was in force for a while.
-                    if !(unclear && matches!(status, 409 | 412)) {
-                        self.judge.config_refused(place, status);
-                    }
+                    // Had an earlier send been taken, unheard, it would be 200: so none was, and none may be.
+                    self.judge.config_refused(place, status);
                     return (status, Some(to));
                 }
                 404 | 405 if others >= 2 => return (status, Some(to)),
                 404 | 405 => others += 1,
-                503 | 429 => {}
-                _ => unclear = true,
+                _ => {}
             }
             if !told && valid && began.elapsed() > self.judge.bounds.ack_timeout {
                 let now = Instant::now();
--- a/crates/hothouse/src/server.rs
+++ b/crates/hothouse/src/server.rs
@@ -7,7 +7,7 @@
 
 pub use work::{body_of, event_of};
 
-use crate::judge::Judge;
+use crate::judge::{Judge, Made};
 use crate::line::End;
 use crate::net::MemoryNet;
 use crate::speech::{next_call, whole};
@@ -25,8 +25,8 @@
 
 /// The one model of these stories.
 pub const MODEL: &str = "daka510000";
-/// Parts that a server or store keeps: under which salt and id, made at which version of the weights.
-pub type Memory = Rc<RefCell<BTreeMap<(String, String), u64>>>;
+/// Parts that a server or store keeps: under which salt and id, made by whom.
+pub type Memory = Rc<RefCell<BTreeMap<(String, String), Made>>>;
 /// All of them by address, as `Kv-Fetch` and `Kv-Save` name them.
 pub type Memories = Rc<RefCell<BTreeMap<SocketAddr, Memory>>>;
 
@@ -192,7 +192,7 @@
         if order.operation != "version" || order.model != MODEL || order.method != "queue" {
             return whole(400, "", "");
         }
-        if order.fence_token < self.fence.get() {
+        if order.fence_token < self.fence.get() && self.judge.bounds.fencing {
             return whole(412, "", "");
         }
         self.fence.set(order.fence_token);
--- a/crates/hothouse/src/server/beats.rs
+++ b/crates/hothouse/src/server/beats.rs
@@ -11,7 +11,7 @@
 /// A caller waits a second for an acknowledgement.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// It serves on so long beyond its drain time, and waits so long where nobody acknowledges.
-const LINGER: Duration = Duration::from_millis(400);
+const LINGER: Duration = Duration::from_millis(800);
 const UNHEARD: Duration = Duration::from_secs(5);
 
 impl Server {
@@ -74,6 +74,11 @@
         self.state.get() == State::Draining
     }
 
+    /// Whom it calls next: one of its list where none is given.
+    pub fn call_next(&self, node: Option<SocketAddr>) {
+        self.target.set(node);
+    }
+
     /// Announces its end.
     pub fn drain(&self) {
         self.state.set(State::Draining);
--- a/crates/hothouse/src/server/work.rs
+++ b/crates/hothouse/src/server/work.rs
@@ -1,6 +1,6 @@
 //! A request at a server: declined, queued, run, and its answer with what may be wrong with it.
 use super::{Server, Talk};
-use crate::judge::Run;
+use crate::judge::{Made, Run};
 use crate::line::End;
 use crate::speech::whole;
 use bytes::{Bytes, BytesMut};
@@ -81,6 +81,8 @@
     ) -> u64 {
         let salt = fields.text("cache-salt").unwrap_or_default().to_owned();
         let version = self.version.get();
+        let tenant = fields.text("sparrouter-tenant").map(str::to_owned);
+        let own = Made { version, tenant: tenant.clone() };
         let mut made = Vec::new();
         let memory = |name: &str| {
             let at: SocketAddr = fields.text(name)?.parse().ok()?;
@@ -89,13 +91,13 @@
         let (fetch, save) = (memory("kv-fetch"), memory("kv-save"));
         for part in fields.text("sparrouter-prompt-prefix").unwrap_or_default().split(',') {
             let key = (salt.clone(), part.split(':').next().unwrap_or_default().to_owned());
-            let held = self.kept.borrow().get(&key).copied();
-            let fetched = || fetch.as_ref().and_then(|m| m.borrow().get(&key).copied());
-            let at = held.or_else(fetched).unwrap_or(version);
-            self.kept.borrow_mut().insert(key.clone(), at);
+            let held = self.kept.borrow().get(&key).cloned();
+            let fetched = || fetch.as_ref().and_then(|m| m.borrow().get(&key).cloned());
+            let at = held.or_else(fetched).unwrap_or_else(|| own.clone());
+            self.kept.borrow_mut().insert(key.clone(), at.clone());
             if let Some(store) = &save {
                 // What it has stays as it was first made.
-                store.borrow_mut().entry(key).or_insert(at);
+                store.borrow_mut().entry(key).or_insert_with(|| at.clone());
             }
             made.push(at);
         }
@@ -107,7 +109,7 @@
             method: String::from_utf8_lossy(&head.method).into_owned(),
             path: path.to_owned(),
             body: body.clone(),
-            tenant: fields.text("sparrouter-tenant").map(str::to_owned),
+            tenant,
             key: fields.text("sparrouter-key").map(str::to_owned),
             version,
             made,
--- a/crates/hothouse/src/story.rs
+++ b/crates/hothouse/src/story.rs
@@ -1,7 +1,9 @@
 //! Tells a story: a runtime whose clock runs only where nothing else does, and the rules at the end.
 use crate::world::World;
+use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Once;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -19,3 +21,23 @@
         world.judge.assert_kept();
     });
 }
+
+thread_local! {
+    static PANICS: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// From now on panics are kept for `panics` of their thread: the runtime ends the task alone and says nothing of it.
+pub fn heed_panics() {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(|| {
+        std::panic::set_hook(Box::new(|panic| {
+            // A thread that ends keeps nothing any more.
+            let _ = PANICS.try_with(|kept| kept.borrow_mut().push(panic.to_string()));
+        }));
+    });
+}
+
+/// Those of this thread since the last call.
+pub fn panics() -> Vec<String> {
+    PANICS.with(RefCell::take)
+}
--- a/crates/hothouse/src/weather.rs
+++ b/crates/hothouse/src/weather.rs
@@ -4,112 +4,34 @@
 //! back; any number of others may go, and every process may end at once, as its disk stays.
 mod changes;
 mod closing;
+mod combined;
 mod core;
 mod nodes;
+mod probes;
 mod servers;
+mod trouble;
 
-use crate::load::{self, Tally};
+pub use trouble::Trouble;
+
+use crate::judge::Bounds;
+use crate::load::{self, Manner, Tally};
 use crate::plan::Plan;
-use crate::world::{Terms, World, first_plan};
+use crate::story;
+use crate::world::{Terms, World, ZONES, first_plan};
 use fastrand::Rng;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Mutex;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
+use trouble::{ALL, THEMES, Trouble::*};
 
 /// A machine that is back counts as lost for so long.
 const CATCH_UP: Duration = Duration::from_secs(4);
 /// Troubles fall into so long a time; then comes the calm, or the final fault.
 const LENGTH_MS: u64 = 16_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Trouble {
-    ServerCrash,
-    ServerLost,
-    Release,
-    NodeKill,
-    NodePower,
-    CoreKill,
-    CorePower,
-    CoreFreeze,
-    NodeFreeze,
-    HerdKill,
-    RollTerm,
-    ReplaceCore,
-    SeedTurnover,
-    AckWipe,
-    DiskSlow,
-    DiskFull,
-    DiskStall,
-    CoreCut,
-    CoreCutRefusing,
-    OneWayCut,
-    NodeCut,
-    Resets,
-    ConfigChange,
-    ConfigStorm,
-    ConfigRace,
-    BadConfig,
-    Revoke,
-    VersionBump,
-    StoreLost,
-    AnswersLost,
-    Garbled,
-    Broken,
-    AddressReused,
-    Hanging,
-    ZoneCut,
-    CoreSlow,
-    NodeSlow,
-    Press,
-    DrainRace,
-}
-
-use Trouble::*;
-const ALL: [Trouble; 39] = [
-    ServerCrash,
-    ServerLost,
-    Release,
-    NodeKill,
-    NodePower,
-    CoreKill,
-    CorePower,
-    CoreFreeze,
-    NodeFreeze,
-    HerdKill,
-    RollTerm,
-    ReplaceCore,
-    SeedTurnover,
-    AckWipe,
-    DiskSlow,
-    DiskFull,
-    DiskStall,
-    CoreCut,
-    CoreCutRefusing,
-    OneWayCut,
-    NodeCut,
-    Resets,
-    ConfigChange,
-    ConfigStorm,
-    ConfigRace,
-    BadConfig,
-    Revoke,
-    VersionBump,
-    StoreLost,
-    AnswersLost,
-    Garbled,
-    Broken,
-    AddressReused,
-    Hanging,
-    ZoneCut,
-    CoreSlow,
-    NodeSlow,
-    Press,
-    DrainRace,
-];
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Closing {
     None,
@@ -125,6 +47,8 @@
     /// When, in ms of the day, and what.
     pub troubles: Vec<(u64, Trouble)>,
     pub closing: Closing,
+    /// Its story tells each request.
+    pub verbose: bool,
 }
 
 impl Day {
@@ -139,9 +63,17 @@
             across: Duration::from_millis(rng.u64(2..5)),
             ..Terms::seeded(seed)
         };
-        let count = rng.usize(3..9);
-        let mut troubles: Vec<(u64, Trouble)> =
-            (0..count).map(|_| (rng.u64(..LENGTH_MS), ALL[rng.usize(..ALL.len())])).collect();
+        let bounds =
+            Bounds { fencing: rng.bool(), budget_slack: if rng.bool() { 8.0 } else { 64.0 }, ..terms.bounds };
+        let terms = Terms { bounds, ..terms };
+        // Half of the days of all there is, half of what belongs together, close to each other.
+        let theme = if rng.bool() { &ALL[..] } else { THEMES[rng.usize(..THEMES.len())] };
+        let mut troubles: Vec<(u64, Trouble)> = Vec::new();
+        let mut at = 0;
+        for _ in 0..rng.usize(3..9) {
+            at = if rng.u8(..3) == 0 { at + rng.u64(..400) } else { rng.u64(..LENGTH_MS) };
+            troubles.push((at, theme[rng.usize(..theme.len())]));
+        }
         troubles.sort_by_key(|t| t.0);
         let closing = match rng.u8(..6) {
             0 => Closing::PowerOffAll,
@@ -149,7 +81,7 @@
             2 => Closing::WipeOneOthersLosePower,
             _ => Closing::None,
         };
-        Day { seed, terms, troubles, closing }
+        Day { seed, terms, troubles, closing, verbose: false }
     }
 }
 
@@ -171,12 +103,17 @@
     weights: Mutex<u64>,
     rng: RefCell<Rng>,
     tally: Rc<Tally>,
+    /// No direct questions any more; and how many are under way.
+    over: Cell<bool>,
+    asking: Cell<u32>,
 }
 
 /// Plays a day to its end.
 pub async fn play(day: &Day) -> Report {
     let world = World::serving(day.terms).await;
-    let tally = load::begin(&world, 10, Duration::from_millis(250));
+    world.judge.verbose.set(day.verbose);
+    world.add_server("others", ZONES[0]);
+    let tally = load::begin_as(Manner::Mixed, &world, 14, Duration::from_millis(250));
     let sky = Rc::new(Sky {
         world: world.clone(),
         core: Mutex::new(()),
@@ -184,7 +121,10 @@
         weights: Mutex::new(1),
         rng: RefCell::new(world.rng.borrow_mut().fork()),
         tally,
+        over: Cell::new(false),
+        asking: Cell::new(0),
     });
+    spawn_local(sky.clone().probe());
     let began = Instant::now();
     let mut under_way = Vec::new();
     for (at, trouble) in &day.troubles {
@@ -199,6 +139,9 @@
         }
     }
     sky.close(day.closing).await;
+    for panic in story::panics() {
+        world.judge.breach("FAULT", format!("a task ended by a panic: {panic}"));
+    }
     let load_counts = world.judge.load_counts();
     let twice = load_counts.iter().filter(|(_, n)| **n > 1);
     let waste = twice.map(|((id, version), n)| format!("{id} loaded {version} {n} times")).collect();
@@ -236,6 +179,9 @@
 
     async fn strike(self: Rc<Self>, trouble: Trouble) {
         match trouble {
+            RaceCut | WipeBehindCut | CoreTurnover | CoreSplit | HolderFreeze | BudgetPress => {
+                self.strike_combined(trouble).await
+            }
             CoreKill | CorePower | CoreFreeze | ReplaceCore | AckWipe | DiskSlow | DiskFull | DiskStall
             | CoreCut | CoreCutRefusing | OneWayCut | ZoneCut | CoreSlow => self.strike_core(trouble).await,
             NodeKill | NodePower | NodeFreeze | NodeCut | Resets | NodeSlow => {
@@ -249,7 +195,9 @@
                     (0..3).filter_map(|_| self.any(&names)).map(|n| self.world.control_of(&n)).collect();
                 self.world.exchange_seeds(&seeds);
             }
-            ConfigChange | ConfigStorm | ConfigRace | BadConfig | Revoke => self.configure(trouble).await,
+            ConfigChange | ConfigStorm | ConfigRace | ConfigAgain | BadConfig | Revoke => {
+                self.configure(trouble).await
+            }
             VersionBump => self.bump().await,
             Press => {
                 let crowd = load::begin(&self.world, 60, Duration::from_millis(60));
--- a/crates/hothouse/src/weather/changes.rs
+++ b/crates/hothouse/src/weather/changes.rs
@@ -8,11 +8,13 @@
     /// The next configuration: a route added or taken away, or moved to another time-out.
     pub(super) fn another(&self, plan: &Plan) -> Plan {
         let mut rng = self.rng.borrow_mut();
-        let (step, name) = (rng.u64(1..4), format!("r{}", plan.version));
-        let what = rng.u8(..4);
+        // Two on top of the same version differ by their routes too.
+        let (step, name) = (rng.u64(1..4), format!("r{}x{:x}", plan.version, rng.u16(..)));
+        let what = rng.u8(..5);
         plan.next(step, |p| match what {
             0 => p.routes[0].timeout_ms = rng.u64(5_000..9_000),
             1 if p.routes.len() > 4 => drop(p.routes.remove(4)),
+            2 if p.routes.len() > 4 => p.routes[4].service = "others".to_owned(),
             _ => p.routes.push(Route::new(&name, Kind::Idempotent, "models")),
         })
     }
@@ -38,6 +40,19 @@
                 let body = next.json().replace("\"service\":\"models\"", "\"service\":\"nobody\"");
                 w.operator.change(&next, plan.version, How::Body(body), false).await;
             }
+            ConfigAgain => {
+                let step = self.rng.borrow_mut().u64(1..4);
+                let next = plan.next(step, |_| ());
+                if w.operator.put(&next, plan.version).await != 200 {
+                    return self.reread(&mut plan, &[next]).await;
+                }
+                let later = self.another(&next);
+                match w.operator.put(&later, next.version).await {
+                    200 => *plan = later,
+                    _ => self.reread(&mut plan, &[next.clone(), later]).await,
+                }
+                w.operator.put(&next, next.version - step).await;
+            }
             Revoke => {
                 let key = format!("key-{}", self.rng.borrow_mut().u32(..));
                 let next = plan.next(2, |p| p.tenants[1].keys = vec![key]);
@@ -64,7 +79,7 @@
         }
     }
 
-    async fn reread(&self, plan: &mut Plan, sent: &[Plan]) {
+    pub(super) async fn reread(&self, plan: &mut Plan, sent: &[Plan]) {
         for name in self.world.names() {
             let Some(reply) = self.world.operator.get_from(self.world.control_of(&name)).await else {
                 continue;
--- a/crates/hothouse/src/weather/closing.rs
+++ b/crates/hothouse/src/weather/closing.rs
@@ -29,6 +29,8 @@
         self.tally.count_anew();
         sleep(Duration::from_secs(3)).await;
         self.tally.stop().await;
+        self.probes_end().await;
+        w.judge.day_ends();
         let (sent, served) = self.tally.late.get();
         // Nothing is wrong by now: more than the page asks for.
         if f64::from(served) < 0.9 * f64::from(sent) {
--- a/crates/hothouse/src/weather/servers.rs
+++ b/crates/hothouse/src/weather/servers.rs
@@ -19,29 +19,44 @@
                 w.restart_server(&server);
             }
             ServerLost => {
-                if self.servers().len() > 2 {
+                let service = &server.terms.service;
+                let same = self.servers().iter().filter(|s| w.server(s).terms.service == *service).count();
+                if same > 2 {
                     w.crash_server(&id);
                 }
             }
+            AllServersCrash => {
+                let all: Vec<_> = self.servers().iter().map(|id| w.server(id)).collect();
+                all.iter().for_each(|s| {
+                    w.crash_server(&s.terms.id);
+                });
+                sleep(self.span(300..1_500)).await;
+                all.iter().for_each(|s| drop(w.restart_server(s)));
+            }
             AddressReused => {
                 let address = w.crash_server(&id);
                 sleep(Duration::from_secs(2)).await;
                 w.host("others", ZONES[0], address, w.newest_weights.get());
-                w.add_server("models", ZONES[1]);
+                w.add_server(&server.terms.service, ZONES[1]);
             }
             Release => {
                 for id in self.servers() {
-                    w.add_server("models", ZONES[2]);
+                    if w.server_runs(&id) {
+                        w.add_server(&w.server(&id).terms.service, ZONES[2]);
+                    }
                     sleep(self.span(300..1_200)).await;
                     if w.server_runs(&id) {
-                        w.server(&id).late_beat.set(self.rng.borrow_mut().bool());
+                        w.server(&id).late_beat.set(true);
                         w.server(&id).drain();
                     }
                     sleep(self.span(300..1_200)).await;
                 }
             }
             DrainRace => {
-                w.add_server("models", ZONES[0]);
+                w.add_server(&server.terms.service, ZONES[0]);
+                // Its last call goes to a node that nobody asks for what is new.
+                let edge = self.any(&self.edges());
+                server.call_next(edge.map(|n| w.control_of(&n)));
                 server.drain();
                 let began = Instant::now();
                 while server.drained_by.get().is_none() && began.elapsed() < Duration::from_secs(3) {
--- a/crates/hothouse/src/world.rs
+++ b/crates/hothouse/src/world.rs
@@ -295,6 +295,7 @@
         deadline: Duration::from_secs(6),
         retries: 1,
         topic: "5c1e07a2".to_owned(),
+        shared: 800,
         leaves: None,
     }
 }
--- a/crates/hothouse/src/world/machines.rs
+++ b/crates/hothouse/src/world/machines.rs
@@ -30,7 +30,8 @@
              heartbeat_ms={}\nfault_tolerance.machines=1\nbounds.contact_ms={}\nbounds.ack_timeout_ms={}\n\
              bounds.drain_timeout_ms={}\nbounds.grace_period_s={}\nbounds.config_apply_ms={}\n\
              bounds.lease_ms={}\nbounds.thaw_ms={}\nbounds.version_ms={}\nbounds.recovery_s={}\n\
-             bounds.retry_budget_ratio={}\nbounds.retry_budget_slack={}\nbounds.budget_window_s={}\n",
+             bounds.retry_budget_ratio={}\nbounds.retry_budget_slack={}\nbounds.budget_window_s={}\n\
+             bounds.fencing_enabled={}\n",
             m.zone,
             seeds.join(","),
             m.counted,
@@ -46,7 +47,8 @@
             b.recovery.as_secs_f64(),
             b.budget_ratio,
             b.budget_slack,
-            b.budget_window.as_secs_f64()
+            b.budget_window.as_secs_f64(),
+            b.fencing
         )
     }
 
@@ -80,17 +82,24 @@
         }
         self.judge.note(format!("{name} starts"));
         self.shake(ip, counted);
-        self.judge.calm(Some(ip));
+        self.judge.up(ip);
     }
 
-    pub(super) fn shake(&self, ip: IpAddr, counted: bool) {
+    fn shake(&self, ip: IpAddr, counted: bool) {
         self.judge.shaken(Some(ip));
         if counted {
             self.judge.shaken(None);
         }
     }
 
-    pub(super) fn trouble(&self, name: &str) {
+    fn down(&self, name: &str) {
+        self.judge.down(self.ip(name));
+        if self.machines.borrow()[name].counted {
+            self.judge.shaken(None);
+        }
+    }
+
+    fn trouble(&self, name: &str) {
         let (ip, counted) = {
             let machines = self.machines.borrow();
             (machines[name].ip, machines[name].counted)
@@ -129,7 +138,7 @@
     /// The process ends between two steps; its machine stays.
     pub fn kill(&self, name: &str) {
         self.judge.note(format!("{name} is killed"));
-        self.trouble(name);
+        self.down(name);
         let pot = self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
         drop(pot);
     }
@@ -137,7 +146,7 @@
     /// The machine loses power, and its disk what was not synced.
     pub fn power_off(&self, name: &str) {
         self.judge.note(format!("{name} loses power"));
-        self.trouble(name);
+        self.down(name);
         self.fabric.power(self.ip(name), false);
         let pot = self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
         drop(pot);
@@ -220,7 +229,7 @@
         let gone = self.control_of(name);
         self.control.borrow_mut().retain(|a| *a != gone);
         self.machines.borrow_mut().remove(name);
-        self.judge.calm(Some(gone.ip()));
+        self.judge.up(gone.ip());
         let new = format!("core-{}", self.next_ip.get());
         self.add_machine(&new, zone, true);
         self.seeds_anew();
--- a/crates/hothouse/tests/judge.rs
+++ b/crates/hothouse/tests/judge.rs
@@ -1,6 +1,6 @@
 //! The judge itself: each rule is broken on purpose, and must be found broken by its name.
 use bytes::Bytes;
-use hothouse::judge::{Answer, Asked, Bounds, Judge, Run};
+use hothouse::judge::{Answer, Asked, Bounds, Judge, Made, Run};
 use hothouse::plan::Kind;
 use hothouse::server::{body_of, event_of};
 use hothouse::story::play;
@@ -37,7 +37,7 @@
         tenant: Some("kaje".into()),
         key: None,
         version: 1,
-        made: vec![1],
+        made: vec![Made { version: 1, tenant: Some("kaje".into()) }],
         resumed: 0,
     }
 }
