--- a/crates/espalier/src/election.rs
+++ b/crates/espalier/src/election.rs
@@ -74,6 +74,15 @@
         all.iter().filter_map(|&ix| Some((ix, self.get(ix)?)))
     }
 
+    /// Takes a standing as it is told, be it an earlier one: the mistake that `sync` is there against.
+    #[cfg(feature = "planted")]
+    pub fn put_back(&mut self, id: &str, standing: Standing) {
+        let ix = self.by_id.get(id).copied();
+        if let Some(server) = ix.and_then(|ix| self.servers[ix].as_mut()) {
+            server.standing = standing;
+        }
+    }
+
     /// What the rows say now. Servers that are gone stay until their last request has ended.
     pub fn sync(&mut self, rows: &Rows, now: Nanos) {
         for row in rows.servers() {
--- a/crates/hothouse/src/weather.rs
+++ b/crates/hothouse/src/weather.rs
@@ -61,6 +61,7 @@
             slots: rng.u32(3..17),
             sync: Duration::from_millis([1, 2, 6, 30][rng.usize(..4)]),
             across: Duration::from_millis(rng.u64(2..5)),
+            load: Duration::from_millis([600, 1_500][rng.usize(..2)]),
             ..Terms::seeded(seed)
         };
         let bounds =
--- a/crates/hothouse/src/weather/combined.rs
+++ b/crates/hothouse/src/weather/combined.rs
@@ -167,7 +167,7 @@
         let Some(name) = name.filter(|n| w.core().contains(n) && w.runs(n)) else { return };
         let lease = w.terms.bounds.lease.as_millis() as u64;
         w.freeze(&name, true);
-        sleep(self.span(lease..lease * 9 / 4)).await;
+        sleep(self.span(lease * 3 / 2..lease * 9 / 4)).await;
         w.freeze(&name, false);
         sleep(CATCH_UP).await;
     }
--- a/crates/hothouse/src/world.rs
+++ b/crates/hothouse/src/world.rs
@@ -47,6 +47,8 @@
     pub across: Duration,
     /// What a disk takes for a save.
     pub sync: Duration,
+    /// What new weights take at a server.
+    pub load: Duration,
 }
 
 impl Terms {
@@ -61,6 +63,7 @@
             bounds: Bounds::default(),
             across: Duration::from_millis(2),
             sync: Duration::from_millis(2),
+            load: Duration::from_millis(600),
         }
     }
 }
--- a/crates/hothouse/src/world/hosts.rs
+++ b/crates/hothouse/src/world/hosts.rs
@@ -35,7 +35,7 @@
             drain_timeout: self.terms.bounds.drain_timeout,
             work: Duration::from_millis(20),
             gap: Duration::from_millis(10),
-            load: Duration::from_millis(600),
+            load: self.terms.load,
             control: self.control.clone(),
             memories: self.memories.clone(),
         };
--- a/crates/hothouse/tests/judge.rs
+++ b/crates/hothouse/tests/judge.rs
@@ -1,7 +1,7 @@
 //! The judge itself: each rule is broken on purpose, and must be found broken by its name.
 use bytes::Bytes;
 use hothouse::judge::{Answer, Asked, Bounds, Judge, Made, Run};
-use hothouse::plan::Kind;
+use hothouse::plan::{Kind, Route};
 use hothouse::server::{body_of, event_of};
 use hothouse::story::play;
 use hothouse::world::{HOST, KEY, first_plan};
@@ -272,3 +272,160 @@
         broken(&judge, "LOST");
     });
 }
+
+#[test]
+fn given_memory_of_another_tenant_then_wall_is_broken_only_where_one_of_the_two_is_isolated() {
+    play(async {
+        let made = |tenant: Option<&str>| vec![Made { version: 1, tenant: tenant.map(str::to_owned) }];
+        // Mela is isolated, kaje is not, and who has no tenant is nobody's.
+        for (maker, is_broken) in [(Some("kaje"), false), (None, false), (Some("mela"), true)] {
+            let judge = once(Kind::Idempotent, "/idem/b9").await;
+            judge.ran(Run { made: made(maker), ..run("a", "/idem/b9") });
+            if is_broken { broken(&judge, "WALL") } else { kept(&judge) }
+        }
+        for (maker, is_broken) in [(Some("mela"), false), (Some("kaje"), true), (None, true)] {
+            let judge = judge().await;
+            judge.asked("a", Asked { key: "key-of-mela".into(), ..asked(Kind::Idempotent, "/idem/b9") });
+            let tenant = Some("mela".to_owned());
+            judge.ran(Run { made: made(maker), tenant, ..run("a", "/idem/b9") });
+            if is_broken { broken(&judge, "WALL") } else { kept(&judge) }
+        }
+    });
+}
+
+/// So many requests, each answered so.
+fn answered_all(judge: &Judge, count: u32, asked: &Asked, answer: &Answer) {
+    for n in 0..count {
+        let id = format!("{}-{}-{n}", asked.path, answer.status);
+        judge.asked(&id, asked.clone());
+        judge.answered(&id, &Answer { attempt: None, whole: true, ..answer.clone() });
+    }
+}
+
+#[test]
+fn given_proper_requests_that_are_refused_then_denied_is_broken_beyond_five_and_one_in_five_hundred() {
+    play(async {
+        let proper = asked(Kind::Idempotent, "/idem/b9");
+        let of = |status| Answer { status, ..Answer::default() };
+        let sealed = Answer { seal: Some("seal-1".into()), ..of(400) };
+        let unknown = Asked { key: "nobody's".into(), ..proper.clone() };
+        let cases: [(u32, &Asked, Answer, bool); 6] = [
+            (5, &proper, of(400), false),
+            (6, &proper, of(400), true),
+            (6, &proper, of(302), true),
+            // Promises to be tried again, a server's own word, and one that may be refused.
+            (50, &proper, of(429), false),
+            (50, &proper, sealed, false),
+            (50, &unknown, of(401), false),
+        ];
+        for (count, asked, answer, is_broken) in cases {
+            let judge = judge().await;
+            let asked = Asked { until: Instant::now() + Duration::from_secs(6), ..asked.clone() };
+            answered_all(&judge, count, &asked, &answer);
+            judge.day_ends();
+            if is_broken { broken(&judge, "DENIED") } else { kept(&judge) }
+        }
+        let judge = judge().await;
+        answered_all(&judge, 494, &proper, &of(503));
+        answered_all(&judge, 6, &proper, &of(400));
+        judge.day_ends();
+        kept(&judge);
+        // A machine in trouble, and a configuration that may not be in force yet.
+        let judge = self::judge().await;
+        judge.trouble(Some(NODE));
+        answered_all(&judge, 50, &proper, &of(400));
+        judge.day_ends();
+        kept(&judge);
+        let judge = self::judge().await;
+        judge.config_sent(&first_plan().next(1, |p| p.routes.retain(|r| r.name != "idem")), 1, true);
+        answered_all(&judge, 50, &proper, &of(400));
+        judge.day_ends();
+        kept(&judge);
+    });
+}
+
+#[test]
+fn given_routes_that_were_added_when_they_are_hardly_served_in_calm_times_then_config_is_broken() {
+    play(async {
+        for (count, served, calm, is_broken) in
+            [(20, 0, true, true), (20, 10, true, false), (19, 0, true, false), (20, 0, false, false)]
+        {
+            let judge = judge().await;
+            let added =
+                first_plan().next(1, |p| p.routes.push(Route::new("new", Kind::Idempotent, "models")));
+            let place = judge.config_sent(&added, 1, true);
+            judge.config_acknowledged(place);
+            sleep(Duration::from_secs(3)).await;
+            if !calm {
+                judge.shaken(None);
+            }
+            for (path, count, served) in [("/idem/b9", 20, 20), ("/new/b9", count, served)] {
+                for n in 0..count {
+                    let id = format!("{path}{n}");
+                    judge.asked(&id, asked(Kind::Idempotent, path));
+                    let run = judge.ran(run(&id, path));
+                    let good = success(run, body_of(run, 9).into_bytes(), false);
+                    let refused = Answer { status: 503, whole: true, ..Answer::default() };
+                    judge.answered(&id, &Answer { attempt: None, ..if n < served { good } else { refused } });
+                }
+            }
+            judge.day_ends();
+            if is_broken { broken(&judge, "CONFIG") } else { kept(&judge) }
+        }
+    });
+}
+
+#[test]
+fn given_what_was_taken_when_it_is_refused_or_read_back_otherwise_then_config_is_broken() {
+    play(async {
+        let next = first_plan().next(2, |_| ());
+        for (second, is_broken) in [(next.clone(), true), (first_plan().next(3, |_| ()), false)] {
+            let judge = judge().await;
+            let place = judge.config_sent(&next, 1, true);
+            judge.config_acknowledged(place);
+            let place = judge.config_sent(&second, 1, true);
+            judge.config_refused(place, 412);
+            if is_broken { broken(&judge, "CONFIG") } else { kept(&judge) }
+        }
+        let judge = judge().await;
+        judge.read_back(200, &first_plan().json());
+        kept(&judge);
+        judge.read_back(200, &first_plan().json().replace("8000", "9000"));
+        broken(&judge, "CONFIG");
+        let judge = self::judge().await;
+        judge.read_back(503, "");
+        broken(&judge, "LOST");
+    });
+}
+
+#[test]
+fn given_a_lower_token_after_a_higher_then_one_is_broken_where_servers_do_not_check_it() {
+    play(async {
+        for fencing in [true, false] {
+            let judge = Judge::new(Bounds { fencing, ..Bounds::default() });
+            judge.ordered("i-1", "x", 5, NODE);
+            judge.ordered("i-1", "y", 4, NODE);
+            if fencing { kept(&judge) } else { broken(&judge, "ONE") }
+        }
+    });
+}
+
+#[test]
+fn given_two_troubles_of_a_machine_when_one_ends_then_it_is_not_in_touch() {
+    play(async {
+        let judge = judge().await;
+        judge.down(NODE);
+        judge.trouble(Some(NODE));
+        judge.trouble(Some(NODE));
+        for end in 0..3 {
+            if end == 0 {
+                judge.up(NODE)
+            } else {
+                judge.calm(Some(NODE))
+            }
+            sleep(Duration::from_secs(4)).await;
+            let now = Instant::now();
+            assert_eq!(judge.in_touch(NODE, now, now), end == 2);
+        }
+    });
+}
--- a/crates/orchard/src/registry.rs
+++ b/crates/orchard/src/registry.rs
@@ -98,7 +98,7 @@
         #[cfg(feature = "planted")]
         if late && has(Defect::DrainUndone) {
             node.rows.borrow_mut().put_back(row.clone(), now);
-            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
+            node.bed.borrow_mut().put_back(id, row.standing);
         }
         let before = node.rows.borrow().server(id).cloned();
         // A beat that says nothing new is news to nobody else.
