Rows go out together and packed; servers are looked at with the next few

Cause: at 300 machines before 3,000 servers a counted machine had answered 18,785 polls with 2.3 million rows of servers 20 s after its start (rows x pollers), woke its pollers 87,000 times for that, and was more than half of its time in Bed::sync after 6,344 learnt rows, 1.6 ms each, since that walks all servers each time. With no time left it missed beats, called servers silent, and sent their rows anew.

Ruled out: tells (one a new server), texts of configurations (2.2 MB of 400), polls of strangers (495).

Change: a node publishes its rows: at once while it is quiet and something is urgent, else those of 60 ms and 1 ms a poller; all pollers are told up to that revision, so that one packing serves all who have the same. Rows are packed: names spelt out once an answer, numbers as short as they are, addresses in six bytes. Servers are looked at anew every 5 ms and 8 us a server at most.

--- /dev/null
+++ b/crates/hedgerow/src/packed.rs
@@ -0,0 +1,282 @@
+//! Rows as bytes. Thousands of them name the same few services, zones and nodes: a name is spelt out once an answer,
+//! then told by its place; numbers take as many bytes as they need, and addresses that are IP:PORT six.
+use crate::{Delta, ModelAt, NodeRow, Note, ServerRow, Standing};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+/// A few bytes of input may name a long text again and again: what is read holds at most so much text a byte.
+const MOST_TEXT_A_BYTE: usize = 64;
+
+#[derive(Default)]
+struct Writer<'a> {
+    out: Vec<u8>,
+    names: HashMap<&'a str, u64>,
+}
+
+impl<'a> Writer<'a> {
+    fn number(&mut self, mut number: u64) {
+        while number >= 0x80 {
+            self.out.push(number as u8 | 0x80);
+            number >>= 7;
+        }
+        self.out.push(number as u8);
+    }
+
+    fn text(&mut self, text: &str) {
+        self.number(text.len() as u64);
+        self.out.extend_from_slice(text.as_bytes());
+    }
+
+    /// A text that others share: 0 and the text, then its place.
+    fn name(&mut self, name: &'a str) {
+        let place = self.names.len() as u64 + 1;
+        match self.names.get(name).copied() {
+            Some(place) => self.number(place),
+            None => {
+                self.names.insert(name, place);
+                self.number(0);
+                self.text(name);
+            }
+        }
+    }
+
+    /// Any text; six bytes where it is just how an IPv4 address is written.
+    fn address(&mut self, address: &'a str) {
+        match address.parse::<SocketAddrV4>() {
+            Ok(socket) if socket.to_string() == address => {
+                self.out.push(1);
+                self.out.extend_from_slice(&socket.ip().octets());
+                self.out.extend_from_slice(&socket.port().to_le_bytes());
+            }
+            _ => {
+                self.out.push(0);
+                self.text(address);
+            }
+        }
+    }
+
+    fn flags(&mut self, flags: &[bool]) {
+        self.out.push(flags.iter().rev().fold(0, |byte, flag| byte << 1 | u8::from(*flag)));
+    }
+
+    fn server(&mut self, row: &'a ServerRow) {
+        self.text(&row.id);
+        self.name(&row.service);
+        self.address(&row.address);
+        self.name(&row.zone);
+        self.number(u64::from(row.slot_count));
+        self.flags(&[row.silent, row.standing == Standing::Draining, row.standing == Standing::Gone]);
+        self.number(row.call_sequence);
+        self.number(row.models.len() as u64);
+        for model in &row.models {
+            self.name(&model.name);
+            self.number(model.version);
+        }
+        self.name(&row.registrar);
+    }
+
+    fn node(&mut self, row: &'a NodeRow) {
+        self.name(&row.name);
+        self.address(&row.internal);
+        self.address(&row.control);
+        self.name(&row.zone);
+        self.name(&row.region);
+        self.flags(&[row.counted, row.front, row.leaving, row.silent]);
+        self.out.extend_from_slice(&row.disk.to_le_bytes());
+        self.number(row.life);
+        self.out.extend_from_slice(&row.nonce.to_le_bytes());
+    }
+
+    fn note(&mut self, note: &'a Note) {
+        self.text(&note.key);
+        self.number(note.fence);
+        self.number(note.number);
+        self.number(note.value);
+        self.flags(&[note.over]);
+    }
+}
+
+struct Reader<'a> {
+    left: &'a [u8],
+    names: Vec<&'a str>,
+    /// Text that may still be made.
+    room: usize,
+}
+
+impl<'a> Reader<'a> {
+    fn byte(&mut self) -> Option<u8> {
+        let (first, left) = self.left.split_first()?;
+        self.left = left;
+        Some(*first)
+    }
+
+    fn bytes(&mut self, count: usize) -> Option<&'a [u8]> {
+        let (taken, left) = self.left.split_at_checked(count)?;
+        self.left = left;
+        Some(taken)
+    }
+
+    fn fixed<const N: usize>(&mut self) -> Option<[u8; N]> {
+        self.bytes(N)?.try_into().ok()
+    }
+
+    fn number(&mut self) -> Option<u64> {
+        let mut number = 0u64;
+        for shift in (0..64).step_by(7) {
+            let byte = self.byte()?;
+            let part = u64::from(byte & 0x7f);
+            if part << shift >> shift != part {
+                return None;
+            }
+            number |= part << shift;
+            if byte < 0x80 {
+                return Some(number);
+            }
+        }
+        None
+    }
+
+    /// How many items come; each takes a byte at least.
+    fn count(&mut self) -> Option<usize> {
+        let count = usize::try_from(self.number()?).ok()?;
+        (count <= self.left.len()).then_some(count)
+    }
+
+    fn borrowed(&mut self) -> Option<&'a str> {
+        let length = self.count()?;
+        std::str::from_utf8(self.bytes(length)?).ok()
+    }
+
+    fn owned(&mut self, text: &str) -> Option<String> {
+        self.room = self.room.checked_sub(text.len())?;
+        Some(text.to_owned())
+    }
+
+    fn text(&mut self) -> Option<String> {
+        let text = self.borrowed()?;
+        self.owned(text)
+    }
+
+    fn name(&mut self) -> Option<String> {
+        let place = usize::try_from(self.number()?).ok()?;
+        let name = match place.checked_sub(1) {
+            Some(place) => *self.names.get(place)?,
+            None => {
+                let name = self.borrowed()?;
+                self.names.push(name);
+                name
+            }
+        };
+        self.owned(name)
+    }
+
+    fn address(&mut self) -> Option<String> {
+        match self.byte()? {
+            0 => self.text(),
+            1 => {
+                let (ip, port) = (self.fixed::<4>()?, u16::from_le_bytes(self.fixed()?));
+                Some(SocketAddrV4::new(ip.into(), port).to_string())
+            }
+            _ => None,
+        }
+    }
+
+    fn flags<const N: usize>(&mut self) -> Option<[bool; N]> {
+        let byte = self.byte()?;
+        Some(std::array::from_fn(|i| byte >> i & 1 == 1))
+    }
+
+    fn server(&mut self) -> Option<ServerRow> {
+        let (id, service, address, zone) = (self.text()?, self.name()?, self.address()?, self.name()?);
+        let slot_count = u32::try_from(self.number()?).ok()?;
+        let [silent, draining, gone] = self.flags()?;
+        let standing = match (draining, gone) {
+            (_, true) => Standing::Gone,
+            (true, false) => Standing::Draining,
+            (false, false) => Standing::Ready,
+        };
+        let call_sequence = self.number()?;
+        let mut models = Vec::new();
+        for _ in 0..self.count()? {
+            models.push(ModelAt { name: self.name()?, version: self.number()? });
+        }
+        let (models, registrar) = (models.into(), self.name()?);
+        Some(ServerRow {
+            id,
+            service,
+            address,
+            zone,
+            slot_count,
+            standing,
+            call_sequence,
+            models,
+            registrar,
+            silent,
+        })
+    }
+
+    fn node(&mut self) -> Option<NodeRow> {
+        let (name, internal, control) = (self.name()?, self.address()?, self.address()?);
+        let (zone, region) = (self.name()?, self.name()?);
+        let [counted, front, leaving, silent] = self.flags()?;
+        let disk = u64::from_le_bytes(self.fixed()?);
+        let life = self.number()?;
+        let nonce = u64::from_le_bytes(self.fixed()?);
+        Some(NodeRow {
+            name,
+            internal,
+            control,
+            zone,
+            region,
+            counted,
+            front,
+            disk,
+            life,
+            nonce,
+            leaving,
+            silent,
+        })
+    }
+
+    fn note(&mut self) -> Option<Note> {
+        let (key, fence, number, value) = (self.text()?, self.number()?, self.number()?, self.number()?);
+        let [over] = self.flags()?;
+        Some(Note { key, fence, number, value, over })
+    }
+}
+
+impl Delta {
+    pub fn pack(&self) -> Vec<u8> {
+        let mut writer = Writer::default();
+        writer.out.extend_from_slice(&self.epoch.to_le_bytes());
+        writer.number(self.revision);
+        writer.number(self.servers.len() as u64);
+        self.servers.iter().for_each(|row| writer.server(row));
+        writer.number(self.nodes.len() as u64);
+        self.nodes.iter().for_each(|row| writer.node(row));
+        writer.number(self.notes.len() as u64);
+        self.notes.iter().for_each(|note| writer.note(note));
+        writer.out
+    }
+
+    /// None where the bytes are not what [`Delta::pack`] makes.
+    pub fn unpack(bytes: &[u8]) -> Option<Delta> {
+        let room = bytes.len().saturating_mul(MOST_TEXT_A_BYTE);
+        let mut reader = Reader { left: bytes, names: Vec::new(), room };
+        let mut delta = Delta {
+            epoch: u64::from_le_bytes(reader.fixed()?),
+            revision: reader.number()?,
+            ..Delta::default()
+        };
+        for _ in 0..reader.count()? {
+            delta.servers.push(reader.server()?);
+        }
+        for _ in 0..reader.count()? {
+            delta.nodes.push(reader.node()?);
+        }
+        for _ in 0..reader.count()? {
+            delta.notes.push(reader.note()?);
+        }
+        reader.left.is_empty().then_some(delta)
+    }
+}
--- a/crates/hedgerow/src/rows.rs
+++ b/crates/hedgerow/src/rows.rs
@@ -140,6 +140,9 @@
     pub fn servers(&self) -> impl Iterator<Item = &ServerRow> {
         self.servers.values().map(|k| &k.row)
     }
+    pub fn servers_held(&self) -> usize {
+        self.servers.len()
+    }
     pub fn node(&self, name: &str) -> Option<&NodeRow> {
         self.nodes.get(name).map(|k| &k.row)
     }
@@ -306,9 +309,17 @@
     /// What changed since a revision that this `Rows` gave out, the oldest changes first and `most` rows of them; from the
     /// beginning to whom had it from another.
     pub fn since(&self, epoch: u64, revision: u64, most: usize) -> Delta {
-        let from = if epoch == self.epoch && revision <= self.revision { revision } else { 0 };
-        let mut delta = Delta { epoch: self.epoch, revision: self.revision, ..Delta::default() };
-        for (place, (revision, key)) in self.by_revision.range(from + 1..).enumerate() {
+        self.between(epoch, revision, self.revision, most)
+    }
+
+    /// The same up to a revision, of rows that did not change after it: those come with a later answer.
+    pub fn between(&self, epoch: u64, revision: u64, up_to: u64, most: usize) -> Delta {
+        let from = if epoch == self.epoch && revision <= up_to { revision } else { 0 };
+        let mut delta = Delta { epoch: self.epoch, revision: up_to, ..Delta::default() };
+        for (place, (revision, key)) in self.by_revision.range(from + 1..=up_to.max(from + 1)).enumerate() {
+            if *revision > up_to {
+                break;
+            }
             if place == most {
                 // The rest is for the next time.
                 delta.revision = revision - 1;
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -10,11 +10,6 @@
 use tokio::time::Instant;
 use trug::Blob;
 
-/// A poll is held at least so long unless something urgent is new.
-const GATHER_MS: u32 = 60;
-/// Rows of one answer, some 100 KB at most: all pollers ask for everything at once after a start.
-const MOST_ROWS: usize = 400;
-
 /// Answers another node.
 pub async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
     let node = &house.node;
@@ -26,29 +21,19 @@
             }
             node.learn(Delta { nodes: vec![poll.node].into(), ..Delta::default() });
             let mut changes = node.changes();
-            let came = Instant::now();
             let until = Instant::now() + Duration::from_millis(u64::from(poll.hold_ms.min(5_000)));
             loop {
                 changes.mark_unchanged();
-                let at_once = {
-                    let rows = node.rows.borrow();
-                    rows.epoch() != poll.epoch || rows.urgent() > poll.revision || poll.hold_ms < GATHER_MS
-                };
-                // What can wait goes out with the next few: a thousand servers come one by one.
-                let gathered = came + Duration::from_millis(u64::from(GATHER_MS));
-                if !at_once && node.in_force().seq <= poll.config_seq && Instant::now() < gathered.min(until)
-                {
-                    let _ = tokio::time::timeout_at(gathered.min(until), changes.changed()).await;
-                    continue;
-                }
-                let delta = node.rows.borrow().since(poll.epoch, poll.revision, MOST_ROWS);
-                let known = node.in_force();
-                let news = known.seq > poll.config_seq;
-                let late = Instant::now() >= until;
-                if news || !delta.is_empty() || late || delta.epoch != poll.epoch {
+                let rows = node.rows_since(poll.epoch, poll.revision);
+                let news = node.in_force().seq > poll.config_seq;
+                if news || rows.is_some() || Instant::now() >= until {
                     let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
                     let config = news.then(|| node.told());
-                    return Some(Reply::Told(Told { delta, config, in_touch }));
+                    return Some(Reply::Told(Told {
+                        rows: Blob(rows.unwrap_or_default()),
+                        config,
+                        in_touch,
+                    }));
                 }
                 // Either news, or the end of the hold.
                 let _ = tokio::time::timeout_at(until, changes.changed()).await;
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -154,8 +154,9 @@
         for name in quiet {
             changed |= self.node.rows.borrow_mut().node_silent(&name, now);
         }
+        self.node.pollers.set(self.pollers.borrow().len());
         if changed {
-            self.node.changed();
+            self.node.stir();
         }
     }
 
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -8,13 +8,13 @@
 use espalier::{Backlog, Bed, Budget, Nanos};
 use fastrand::Rng;
 use gleaner::{Advice, Index, Question};
-use hedgerow::{Delta, NodeRow, Rows};
+use hedgerow::{Delta, NodeRow, Pace, Rows};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use trellis::{Document, Table};
 
@@ -22,6 +22,14 @@
 const TOMBSTONE: Nanos = 60_000_000_000;
 const MOST_ROWS: usize = 20_000;
 
+/// Rows of one answer to a poll: all pollers ask for everything at once after a start.
+const MOST_ROWS_TOLD: usize = 400;
+/// Answers that are kept until the rows change, for others that ask the same.
+const MOST_ANSWERS: usize = 16;
+/// Servers are looked at anew at most so often, since each look walks them all.
+const SYNC: Nanos = 5_000_000;
+const SYNC_A_SERVER: Nanos = 8_000;
+
 /// Prefixes that a node answers for at most; how long a server's memory of one is counted on; after which a store is
 /// told again.
 const MOST_PREFIXES: usize = 40_000;
@@ -63,6 +71,17 @@
     pub index: RefCell<Index>,
     /// Raised with everything that pollers want to hear of.
     changes: watch::Sender<u64>,
+    /// When rows that changed go out, and answers that were made since.
+    pace: RefCell<Pace>,
+    answers: RefCell<Vec<(u64, Vec<u8>)>>,
+    /// How many nodes ask this one.
+    pub pollers: Cell<usize>,
+    /// Servers were not looked at since rows changed; when they were last.
+    unsynced: Cell<bool>,
+    synced: Cell<Option<Nanos>>,
+    /// When what is left for later is looked at, and who is to do so.
+    wake: Cell<Nanos>,
+    stirred: Notify,
     /// What is in force was heard from a source in touch with a quorum, or time for that is up.
     pub informed: Cell<bool>,
     pub leaving: Cell<bool>,
@@ -111,6 +130,13 @@
             index: RefCell::new(Index::new(MOST_PREFIXES, KEPT, SAVED_AGAIN)),
             net,
             changes: watch::channel(0).0,
+            pace: RefCell::default(),
+            answers: RefCell::default(),
+            pollers: Cell::new(0),
+            unsynced: Cell::new(false),
+            synced: Cell::new(None),
+            wake: Cell::new(Nanos::MAX),
+            stirred: Notify::new(),
             informed: Cell::new(false),
             leaving: Cell::new(false),
             heard: Cell::new(0),
@@ -150,9 +176,82 @@
             self.refute();
             self.look_at_core();
             self.look_at_stores();
-            self.bed.borrow_mut().sync(&self.rows.borrow(), now);
-            self.changed();
+            self.stir();
+        }
+    }
+
+    /// Rows changed: servers are looked at anew, and pollers told, now or with the next few.
+    pub fn stir(&self) {
+        self.unsynced.set(true);
+        if let Some(due) = self.carry_on()
+            && due < self.wake.get()
+        {
+            self.stirred.notify_one();
+        }
+    }
+
+    /// Does what is due after a change of rows; gives back when the rest is.
+    fn carry_on(&self) -> Option<Nanos> {
+        let now = self.now();
+        let rows = self.rows.borrow();
+        let mut next = None;
+        if self.unsynced.get() {
+            let gap = SYNC + SYNC_A_SERVER * rows.servers_held() as Nanos;
+            let due = self.synced.get().map_or(now, |at| at + gap);
+            if due <= now {
+                self.bed.borrow_mut().sync(&rows, now);
+                self.unsynced.set(false);
+                self.synced.set(Some(now));
+            } else {
+                next = Some(due);
+            }
+        }
+        let due = self.pace.borrow_mut().due(&rows, self.pollers.get(), now);
+        match due {
+            Some(due) if due <= now => {
+                self.pace.borrow_mut().publish(&rows, now);
+                self.answers.borrow_mut().clear();
+                self.changed();
+            }
+            Some(due) => next = Some(next.map_or(due, |n| n.min(due))),
+            None => {}
+        }
+        next
+    }
+
+    /// Carries out for ever what a change of rows left for later.
+    pub async fn carry_out(self: Rc<Self>) {
+        loop {
+            let due = self.carry_on();
+            self.wake.set(due.unwrap_or(Nanos::MAX));
+            match due {
+                None => self.stirred.notified().await,
+                Some(due) => {
+                    let left = Duration::from_nanos(due.saturating_sub(self.now()));
+                    // Either the time, or something that can't wait as long.
+                    let _ = tokio::time::timeout(left, self.stirred.notified()).await;
+                }
+            }
+        }
+    }
+
+    /// The rows that a poller with this revision is to be told, packed; None while it has them all.
+    pub fn rows_since(&self, epoch: u64, revision: u64) -> Option<Vec<u8>> {
+        let rows = self.rows.borrow();
+        let up_to = self.pace.borrow().published();
+        let from = if epoch == rows.epoch() { revision } else { 0 };
+        if epoch == rows.epoch() && from >= up_to {
+            return None;
+        }
+        let mut answers = self.answers.borrow_mut();
+        if let Some((_, packed)) = answers.iter().find(|a| a.0 == from) {
+            return Some(packed.clone());
+        }
+        let packed = rows.between(rows.epoch(), from, up_to, MOST_ROWS_TOLD).pack();
+        if answers.len() < MOST_ANSWERS {
+            answers.push((from, packed.clone()));
         }
+        Some(packed)
     }
 
     /// Others called this node silent, or knew a former process of its name: go above that.
@@ -174,7 +273,7 @@
         let now = self.now();
         self.rows.borrow_mut().merge_node(me.clone(), now);
         drop(me);
-        self.changed();
+        self.stir();
     }
 
     /// What was chosen by the configuration's group; an older one than is in force changes nothing.
--- a/crates/orchard/src/polls.rs
+++ b/crates/orchard/src/polls.rs
@@ -153,9 +153,12 @@
     };
     let reply = node.links.call(source, &Call::Poll(poll), hold + PATIENCE).await.ok()?;
     let Reply::Told(told) = reply else { return None };
-    let Told { delta, config, in_touch, .. } = told;
-    state.known.borrow_mut().insert(source, (delta.epoch, delta.revision));
-    node.learn(delta);
+    let Told { rows, config, in_touch } = told;
+    if !rows.is_empty() {
+        let delta = Delta::unpack(&rows)?;
+        state.known.borrow_mut().insert(source, (delta.epoch, delta.revision));
+        node.learn(delta);
+    }
     if let Some(config) = config {
         node.take(&config);
     }
--- a/crates/orchard/src/registry.rs
+++ b/crates/orchard/src/registry.rs
@@ -119,8 +119,7 @@
         let now = node.now();
         let changed = node.rows.borrow_mut().leave(id, now);
         if changed {
-            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
-            node.changed();
+            node.stir();
         }
         self.heard.borrow_mut().remove(id);
         if !self.spread(node, id, true).await {
@@ -183,8 +182,7 @@
             changed |= node.rows.borrow_mut().fall_silent(&id, now);
         }
         if changed {
-            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
-            node.changed();
+            node.stir();
         }
     }
 }
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -143,6 +143,7 @@
     if let Some(rows) = stock.rows.as_deref().and_then(trug::read::<Delta>) {
         node.learn(rows);
     }
+    spawn_local(node.clone().carry_out());
     let control = in_core.then(|| Control::start(node.clone(), stock));
     if let Some(control) = &control {
         weights::start(node.clone(), control.clone());
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -4,7 +4,7 @@
 use trug::{Blob, Seq};
 
 /// First bytes of a connection: name and version of this protocol.
-pub const HELLO: &[u8; 8] = b"orchard1";
+pub const HELLO: &[u8; 8] = b"orchard2";
 /// Longest frame, in bytes: the largest configuration with room to spare.
 pub const MAX_FRAME: usize = 12 << 20;
 
@@ -40,7 +40,8 @@
 
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
 pub struct Told {
-    pub delta: Delta,
+    /// Rows, packed: the same bytes for all who had the same revision.
+    pub rows: Blob,
     pub config: Option<ConfigTold>,
     /// The teller has what is in force: it heard from a quorum lately.
     pub in_touch: bool,
