Callers that rest between calls no longer hold all places at the control door

Cause: a door takes 800 connections, and servers keep theirs between beats. With 1,000 servers a counted machine all places were theirs for good: further servers and the operator waited in the queue of new connections. Servers that got no place beat elsewhere, where they were sent back; their registrar heard nothing and called them silent, the next beat undid it: 500 changes of rows a second at rest, each told to every poller twice.

Ruled out by counters: rows moving between registrars, tells (3,000, one a server), nodes' own rows, configurations.

Change: once 600 of the 800 rest, further ones are answered with Connection: close.

--- a/crates/orchard/src/doors.rs
+++ b/crates/orchard/src/doors.rs
@@ -17,6 +17,9 @@
 const BODY: usize = 9 << 20;
 const HEAD: usize = 32 << 10;
 const MOST: usize = 800;
+/// Once so many rest, further ones close after their answer: a thousand servers that rest between their beats would
+/// leave the operator no place.
+const MOST_RESTING: usize = MOST * 3 / 4;
 const IDLE: Duration = Duration::from_secs(20);
 
 pub type Answering = Pin<Box<dyn Future<Output = Answer>>>;
@@ -83,15 +86,15 @@
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         let (stream, _) = net::accept(&*door).await;
-        let tree = tree.clone();
+        let (tree, places) = (tree.clone(), places.clone());
         spawn_local(async move {
-            attend(stream, tree).await;
+            attend(stream, tree, || MOST - places.available_permits() <= MOST_RESTING).await;
             drop(place);
         });
     }
 }
 
-async fn attend(mut stream: Stream, tree: Rc<Matcher>) {
+async fn attend(mut stream: Stream, tree: Rc<Matcher>, may_rest: impl Fn() -> bool) {
     let mut buffer = BytesMut::new();
     let room = Room { head: HEAD, body: BODY, header_timeout: Duration::from_secs(5) };
     loop {
@@ -105,7 +108,8 @@
         let (answer, keep) = match http::request(&mut stream, &mut buffer, room, until).await {
             Ok(request) => {
                 let keep = request.head.keep;
-                (tree.answer(Rc::new(request)).await, keep)
+                let answer = tree.answer(Rc::new(request)).await;
+                (answer, keep && may_rest())
             }
             Err(NoRequest::Left) => return,
             Err(NoRequest::Refused(status, text)) => (Answer::plain(status, text), false),
--- a/crates/orchard/tests/doors.rs
+++ b/crates/orchard/tests/doors.rs
@@ -1,8 +1,14 @@
 //! The tree of matchers: which handler a call comes to, and what nobody serves.
 use bytes::Bytes;
-use orchard::doors::Matcher;
+use orchard::doors::{self, Matcher};
 use orchard::http::{Answer, Request};
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
 
 fn request(method: &str, target: &str) -> Rc<Request> {
     let text = format!("{method} {target} HTTP/1.1\r\n\r\n");
@@ -80,3 +86,40 @@
         (Some("1"), Some(""), None)
     );
 }
+
+/// One call on a connection that stays open here; gives back the connection if the answer says that it stays.
+async fn call(door: SocketAddr) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(door).await.expect("the door takes connections");
+    stream.write_all(b"GET /api/config HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("it is read");
+    let mut buffer = [0; 1_024];
+    let read = timeout(Duration::from_secs(5), stream.read(&mut buffer)).await;
+    let read = read.expect("an answer in time").expect("an answer");
+    let answer = String::from_utf8_lossy(&buffer[..read]).to_lowercase();
+    assert!(answer.starts_with("http/1.1 200"), "{answer}");
+    (!answer.contains("connection: close")).then_some(stream)
+}
+
+#[tokio::test]
+async fn given_more_callers_than_places_when_they_rest_between_calls_then_another_is_still_answered() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let door = listener.local_addr().expect("its address");
+            let listening = spawn_local(doors::listen(Box::new(listener), Rc::new(tree())));
+            let mut resting = Vec::new();
+            for _ in 0..1_000 {
+                resting.extend(call(door).await);
+            }
+            assert_eq!(
+                resting.len(),
+                599,
+                "three quarters of the places, one of them held open for whoever comes next"
+            );
+            assert!(call(door).await.is_none());
+            resting.truncate(10);
+            sleep(Duration::from_millis(20)).await;
+            assert!(call(door).await.is_some(), "places that came free may be rested in again");
+            listening.abort();
+        })
+        .await;
+}
