Polls without the node's own row, held 1.2 s: fewer bytes at rest

Cause: each poll carried the asking node's row, and a proxy asked two sources each 0.6 s.

Change: a row goes with a poll until the process at the source has it in that form (life, leaving); a restarted source is known by its epoch. Proxies let polls be held 1.2 s (silent is who has not asked for 2.5 s). A source that is out of touch holds polls 0.3 s at most, and wakes its pollers when that changes, so that it is left as soon as before. Nodes of the core go on asking each other each 0.6 s, since they know from that that they are in touch (1.6 s).

--- a/crates/hothouse/src/shelf.rs
+++ b/crates/hothouse/src/shelf.rs
@@ -17,6 +17,8 @@
     pub delay: Rc<Cell<Duration>>,
     /// It does nothing before.
     pub stalled: Rc<Cell<Instant>>,
+    /// The next process finds no rows, as with a disk of an older release.
+    rows_lost: Rc<Cell<bool>>,
 }
 
 impl Shelf {
@@ -25,11 +27,22 @@
             files: LyingFiles::new(seed),
             delay: Rc::new(Cell::new(delay)),
             stalled: Rc::new(Cell::new(Instant::now())),
+            rows_lost: Rc::default(),
         }
     }
 
+    /// The rows are lost, all else stays.
+    pub fn forget_rows(&self) {
+        self.rows_lost.set(true);
+    }
+
     /// What a process finds that starts with this disk.
     pub fn stock(&self, ring: &Ring, rng: &mut Rng) -> Stock {
+        let stock = self.whole_stock(ring, rng);
+        if self.rows_lost.take() { Stock { rows: None, ..stock } } else { stock }
+    }
+
+    fn whole_stock(&self, ring: &Ring, rng: &mut Rng) -> Stock {
         for _ in 0..2 {
             match Cellar::open(self.files.clone()) {
                 Ok((cellar, opened)) => {
--- a/crates/hothouse/tests/forming.rs
+++ b/crates/hothouse/tests/forming.rs
@@ -2,6 +2,7 @@
 use hothouse::client::Came;
 use hothouse::load;
 use hothouse::plan::Kind;
+use hothouse::speech;
 use hothouse::story::told;
 use hothouse::world::{Terms, World, wish};
 use std::time::Duration;
@@ -36,3 +37,34 @@
         world
     });
 }
+
+#[test]
+fn given_nodes_that_go_on_asking_when_the_core_forgets_them_all_then_each_tells_its_row_anew() {
+    told(|| async {
+        let world = World::serving(Terms::seeded(3)).await;
+        let core = world.core();
+        for name in &core {
+            world.kill(name);
+        }
+        // Rows are advice: what a disk keeps of them may be lost, the control state may not.
+        for name in &core {
+            world.shelf(name).forget_rows();
+        }
+        for name in &core {
+            world.start(name, false);
+        }
+        sleep(Duration::from_secs(4)).await;
+        for name in &core {
+            let at = world.control_of(name);
+            let net = world.outside_net();
+            let asked = speech::call(&net, at, "GET", "/api/status", &[], "", Duration::from_secs(1));
+            let reply = asked.await.expect("a node of the core answers");
+            for other in world.names() {
+                let row = format!("{{\"name\":\"{other}\",");
+                assert!(reply.text().contains(&row), "{name} does not know {other}: {}", reply.text());
+            }
+            assert!(!reply.text().contains("\"silent\":true"), "{name}: {}", reply.text());
+        }
+        world
+    });
+}
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -10,24 +10,32 @@
 use tokio::time::Instant;
 use trug::Blob;
 
+/// A node out of touch with a quorum holds a poll no longer than this.
+const LEAVE_ME_MS: u32 = 300;
+
 /// Answers another node.
 pub async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
     let node = &house.node;
     match call {
         Call::Poll(poll) => {
             if let Some(control) = &house.control {
-                control.heard_of(&poll.node.name);
-                control.polled(&poll.node.name);
+                control.heard_of(&poll.name);
+                control.polled(&poll.name);
+            }
+            if let Some(row) = poll.row {
+                node.learn(Delta { nodes: vec![row].into(), ..Delta::default() });
             }
-            node.learn(Delta { nodes: vec![poll.node].into(), ..Delta::default() });
             let mut changes = node.changes();
-            let until = Instant::now() + Duration::from_millis(u64::from(poll.hold_ms.min(5_000)));
+            let came = Instant::now();
             loop {
                 changes.mark_unchanged();
+                let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
+                // Whoever asks a node that is out of touch should soon ask another.
+                let longest = if in_touch { 5_000 } else { LEAVE_ME_MS };
+                let until = came + Duration::from_millis(u64::from(poll.hold_ms.min(longest)));
                 let rows = node.rows_since(poll.epoch, poll.revision);
                 let news = node.in_force().seq > poll.config_seq;
                 if news || rows.is_some() || Instant::now() >= until {
-                    let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
                     let config = news.then(|| node.told());
                     return Some(Reply::Told(Told {
                         rows: Blob(rows.unwrap_or_default()),
--- a/crates/orchard/src/polls.rs
+++ b/crates/orchard/src/polls.rs
@@ -11,7 +11,9 @@
 use tokio::task::spawn_local;
 
 /// A source holds its answer so long while there is nothing new, and is given so much longer.
-const HOLD: Duration = Duration::from_millis(600);
+const HOLD: Duration = Duration::from_millis(1_200);
+/// Nodes of the core know from these polls that they are in touch, and so ask more often.
+const HOLD_OF_CORE: Duration = Duration::from_millis(600);
 const PATIENCE: Duration = Duration::from_millis(500);
 /// Between two tries where nobody answers.
 const AGAIN: Duration = Duration::from_millis(60);
@@ -27,8 +29,13 @@
     asked: RefCell<Vec<Option<SocketAddr>>>,
     /// Revision that is known of each source's rows.
     known: RefCell<HashMap<SocketAddr, (u64, u64)>>,
+    /// Which process at each source has this node's row, and which form of it.
+    has_row: RefCell<HashMap<SocketAddr, (u64, RowForm)>>,
 }
 
+/// What changes in a node's own row while it runs: its life, and whether it leaves.
+type RowForm = (u64, bool);
+
 impl Sources {
     /// Whom this loop asks next.
     fn next(&self, node: &Node, place: usize, all: bool) -> Option<SocketAddr> {
@@ -130,7 +137,7 @@
                     if !named {
                         break;
                     }
-                    if ask(&node, &state, source, HOLD).await.is_none() {
+                    if ask(&node, &state, source, HOLD_OF_CORE).await.is_none() {
                         tokio::time::sleep(node.jitter(AGAIN * 3)).await;
                     }
                 }
@@ -144,8 +151,12 @@
 /// One poll. None where it failed; else whether the source is in touch with a quorum.
 async fn ask(node: &Rc<Node>, state: &Sources, source: SocketAddr, hold: Duration) -> Option<bool> {
     let (epoch, revision) = state.known.borrow().get(&source).copied().unwrap_or_default();
+    let row = node.me.borrow().clone();
+    let form = (row.life, row.leaving);
+    let has_row = state.has_row.borrow().get(&source) == Some(&(epoch, form));
     let poll = Poll {
-        node: node.me.borrow().clone(),
+        name: row.name.clone(),
+        row: (!has_row).then_some(row),
         epoch,
         revision,
         config_seq: node.in_force().seq,
@@ -159,6 +170,11 @@
         state.known.borrow_mut().insert(source, (delta.epoch, delta.revision));
         node.learn(delta);
     }
+    // It was read by the process that answered, whose epoch is known by now.
+    let epoch = state.known.borrow().get(&source).map_or(0, |k| k.0);
+    if !has_row {
+        state.has_row.borrow_mut().insert(source, (epoch, form));
+    }
     if let Some(config) = config {
         node.take(&config);
     }
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -221,7 +221,7 @@
     let mut rounds = 0u32;
     // Since when this node of the core is out of touch with a quorum that it had.
     let mut lost: Option<Nanos> = None;
-    let mut had = false;
+    let (mut had, mut in_touch) = (false, false);
     loop {
         tokio::time::sleep(house.node.jitter(Duration::from_millis(250))).await;
         rounds += 1;
@@ -230,7 +230,12 @@
         let now = node.now();
         if let Some(control) = &house.control {
             control.watch();
-            if control.in_touch() {
+            if in_touch != control.in_touch() {
+                // Whoever asks here wants to know.
+                in_touch = !in_touch;
+                node.changed();
+            }
+            if in_touch {
                 (had, lost) = (true, None);
             } else if had {
                 let since = *lost.get_or_insert(now);
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -11,7 +11,9 @@
 /// What a data-plane node has, and asks to be told beyond.
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
 pub struct Poll {
-    pub node: NodeRow,
+    /// Name of the node that asks; its row goes with it until the source has it.
+    pub name: String,
+    pub row: Option<NodeRow>,
     pub epoch: u64,
     pub revision: u64,
     /// Sequence number of the configuration's register.
