Configurations go to pollers as changes of their text, checked by a digest

Change: a poll names the digest of the text that it holds. Nodes that keep control state keep the last changes of the text (32, 256 KB at most): ranges kept and text between, cut at opening braces. A poller on the way is told these, one that has the text is told none (weights named), all others the whole. What comes out is checked against the digest of the text in the register's node; where it differs nothing changes, and the next poll asks for the whole. `status` shows the digest.

Ruled out: keeping old texts at the source (3.3 MB each); first and last difference only (the version stands in front, the tenant in the middle).

Not mended: the register holds and sends the text whole among its members; whoever comes first is told the whole by both of its sources.

--- /dev/null
+++ b/crates/hothouse/tests/edits.rs
@@ -0,0 +1,186 @@
+//! Configurations told as changes of their text: whoever can't use one is told the whole, and all end with the same.
+use hothouse::load;
+use hothouse::plan::{Kind, Plan, Route};
+use hothouse::speech;
+use hothouse::story::{play, told};
+use hothouse::world::{Terms, World, first_plan};
+use orchard::boot::Boot;
+use orchard::net::Sockets;
+use orchard::node::Node;
+use orchard::ring::Ring;
+use orchard::wire::{ConfigTold, TextTold};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// A node that keeps control state, and so tells others.
+fn node(seed: u64) -> Rc<Node> {
+    let settings = include_str!("../../orchard/tests/settings/page.conf");
+    let boot = Boot::parse(Path::new("story"), settings).expect("the page's settings");
+    Node::new(boot, seed, Ring::gathering(), Rc::new(Sockets), fastrand::Rng::with_seed(seed))
+}
+
+fn plan(version: u64) -> Plan {
+    let mut plan = first_plan();
+    plan.version = version;
+    let routes = (0..50).map(|i| Route::new(&format!("r{i}"), Kind::Idempotent, "models"));
+    plan.routes.extend(routes);
+    plan.routes.push(Route::new(&format!("new{version}"), Kind::Idempotent, "models"));
+    plan
+}
+
+fn chosen(seq: u64) -> ConfigTold {
+    let plan = plan(seq);
+    ConfigTold { seq, version: plan.version, text: TextTold::Whole(plan.json()), ..ConfigTold::default() }
+}
+
+fn is_whole(told: &ConfigTold) -> bool {
+    matches!(told.text, TextTold::Whole(_))
+}
+
+/// What a poll of the one brings from the other; true where it was of use.
+fn polls(poller: &Node, source: &Node) -> (bool, bool) {
+    let told = source.told(poller.in_force().digest);
+    (is_whole(&told), poller.take(told))
+}
+
+#[test]
+fn given_a_poller_with_the_version_before_when_it_asks_then_the_change_makes_the_same_text() {
+    play(async {
+        let (source, poller) = (node(1), node(2));
+        source.take(chosen(1));
+        assert_eq!(polls(&poller, &source), (true, true), "the first comes whole");
+        source.take(chosen(2));
+        assert_eq!(polls(&poller, &source), (false, true));
+        let (held, known) = (poller.in_force(), source.in_force());
+        assert_eq!((held.seq, held.version, &held.text), (2, 2, &known.text));
+        assert_eq!(*held.text, *plan(2).json());
+        assert!(held.table.as_ref().is_some_and(|t| t.version == 2));
+    });
+}
+
+#[test]
+fn given_a_poller_that_missed_versions_when_it_asks_then_all_changes_come_together() {
+    play(async {
+        let (source, poller) = (node(1), node(2));
+        source.take(chosen(1));
+        polls(&poller, &source);
+        (2..=6).for_each(|seq| assert!(source.take(chosen(seq))));
+        assert_eq!(polls(&poller, &source), (false, true));
+        assert_eq!((poller.in_force().seq, &*poller.in_force().text), (6, &*plan(6).json()));
+        // So far back that the source knows the way no more.
+        (7..=80).for_each(|seq| assert!(source.take(chosen(seq))));
+        assert_eq!(polls(&poller, &source), (true, true));
+        assert_eq!(&*poller.in_force().text, &*plan(80).json());
+    });
+}
+
+#[test]
+fn given_a_source_that_restarted_when_it_is_asked_then_it_tells_the_whole() {
+    play(async {
+        let (source, poller) = (node(1), node(2));
+        source.take(chosen(1));
+        polls(&poller, &source);
+        let again = node(3);
+        again.take(chosen(3));
+        assert_eq!(polls(&poller, &again), (true, true));
+        again.take(chosen(4));
+        assert_eq!(polls(&poller, &again), (false, true), "from there on changes do");
+        assert_eq!(&*poller.in_force().text, &*plan(4).json());
+    });
+}
+
+#[test]
+fn given_sources_that_saw_different_versions_when_asked_in_turn_then_the_text_is_the_same_and_never_older() {
+    play(async {
+        let (one, other, poller) = (node(1), node(2), node(3));
+        let mut last = 0;
+        for seq in 1..40 {
+            // Each misses every third or fourth, as one that was cut off does.
+            if seq % 3 != 0 {
+                one.take(chosen(seq));
+            }
+            if seq % 4 != 0 {
+                other.take(chosen(seq));
+            }
+            let source = if seq % 2 == 0 { &one } else { &other };
+            if source.in_force().seq > poller.in_force().seq {
+                assert!(polls(&poller, source).1);
+            }
+            let held = poller.in_force();
+            assert!(held.seq >= last && *held.text == *plan(held.seq).json());
+            last = held.seq;
+        }
+    });
+}
+
+#[test]
+fn given_a_text_that_differs_when_a_change_comes_then_nothing_changes_until_the_whole_is_asked_for() {
+    play(async {
+        let (source, poller) = (node(1), node(2));
+        source.take(chosen(1));
+        let other = ConfigTold { text: TextTold::Whole(plan(9).json()), ..chosen(1) };
+        poller.take(other);
+        source.take(chosen(2));
+        // As though it had the text that the source made its change from.
+        let change = source.told(trellis::digest_of_text(&plan(1).json()));
+        assert!(!is_whole(&change) && !poller.take(change));
+        assert_eq!((poller.in_force().seq, &*poller.in_force().text), (1, &*plan(9).json()));
+        assert!(poller.take(source.told(0)), "0 asks for it whole");
+        assert_eq!(&*poller.in_force().text, &*plan(2).json());
+    });
+}
+
+#[test]
+fn given_only_weights_named_when_told_then_no_text_goes_with_it() {
+    play(async {
+        let (source, poller) = (node(1), node(2));
+        source.take(chosen(1));
+        polls(&poller, &source);
+        source.take(ConfigTold { seq: 2, ..chosen(1) });
+        let told = source.told(poller.in_force().digest);
+        assert!(matches!(&told.text, TextTold::Edits(edits) if edits.is_empty()));
+        assert!(poller.take(told) && poller.in_force().seq == 2);
+    });
+}
+
+#[test]
+fn given_patches_and_core_nodes_killed_when_all_is_calm_again_then_every_node_has_the_text_of_the_register() {
+    told(|| async {
+        let world = World::serving(Terms::seeded(77)).await;
+        let tally = load::begin(&world, 4, Duration::from_millis(200));
+        let mut before = first_plan();
+        for round in 0..8 {
+            let next = before.next(2, |p| {
+                let name = format!("new{round}");
+                p.routes.push(Route { public: true, ..Route::new(&name, Kind::Idempotent, "models") });
+            });
+            if round % 3 == 1 {
+                let victim = format!("core-{}", round % 2);
+                world.kill(&victim);
+                sleep(Duration::from_millis(100)).await;
+                world.start(&victim, false);
+            }
+            assert_eq!(world.operator.patch(&next, &before).await, 200);
+            sleep(Duration::from_millis(700)).await;
+            before = next;
+        }
+        sleep(world.terms.bounds.contact).await;
+        tally.stop().await;
+        world.operator.read_back().await;
+        let net = world.outside_net();
+        let mut digests = Vec::new();
+        for name in world.names() {
+            let at = world.control_of(&name);
+            let asked = speech::call(&net, at, "GET", "/api/status", &[], "", Duration::from_secs(1));
+            let reply = asked.await.expect("the node answers");
+            let digest = reply.text().split("\"config_digest\":").nth(1).and_then(|r| r.split(',').next());
+            digests.push(digest.expect("a digest").to_owned());
+        }
+        let read = world.operator.get_from(world.control_of("core-0")).await.expect("the register's text");
+        let register = format!("\"{:016x}\"", trellis::digest_of_text(read.text()));
+        assert!(digests.iter().all(|d| *d == register), "{register}: {digests:?}");
+        world
+    });
+}
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -36,7 +36,7 @@
                 let rows = node.rows_since(poll.epoch, poll.revision);
                 let news = node.in_force().seq > poll.config_seq;
                 if news || rows.is_some() || Instant::now() >= until {
-                    let config = news.then(|| node.told());
+                    let config = news.then(|| node.told(poll.config_digest));
                     return Some(Reply::Told(Told {
                         rows: Blob(rows.unwrap_or_default()),
                         config,
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -6,7 +6,7 @@
 use crate::links::LinkError;
 use crate::node::Node;
 use crate::statute::{Change, Statute, Statutes, Verdict};
-use crate::wire::{Call, ConfigTold, ModelTold, Reply};
+use crate::wire::{Call, ConfigTold, ModelTold, Reply, TextTold};
 use rootstock::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Seen, Settings,
 };
@@ -320,9 +320,9 @@
             seq: seq + 1,
             version: statute.version,
             models: models.collect(),
-            text: statute.text,
+            text: TextTold::Whole(statute.text),
         };
-        self.node.take(&told);
+        self.node.take(told);
     }
 
     async fn operate(&self, part: u16, change: Option<Vec<u8>>, patience: Duration) -> Outcome {
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -4,7 +4,7 @@
 use crate::links::Links;
 use crate::net::SharedNet;
 use crate::ring::Ring;
-use crate::wire::{Call, ConfigTold, ModelTold, Reply};
+use crate::wire::{Call, ConfigTold, EditTold, ModelTold, Reply, TextTold};
 use espalier::{Backlog, Bed, Budget, Nanos};
 use fastrand::Rng;
 use gleaner::{Advice, Index, Question};
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
-use trellis::{Document, Table};
+use trellis::{Document, Edit, Edits, Table, digest_of_text};
 
 /// Rows that are over are remembered so long, and so many of each kind are held at most.
 const TOMBSTONE: Nanos = 60_000_000_000;
@@ -46,6 +46,8 @@
     pub seq: u64,
     pub version: u64,
     pub text: Rc<str>,
+    /// Of the text; 0 before there is one.
+    pub digest: u64,
     pub table: Option<Rc<Table>>,
     /// Model, version named, and when that was learnt, less the age it was told with.
     pub models: Vec<(String, u64, Nanos)>,
@@ -57,6 +59,8 @@
     pub rows: RefCell<Rows>,
     pub me: RefCell<NodeRow>,
     config: RefCell<Rc<InForce>>,
+    /// The last changes of its text, for whoever asks here.
+    edits: RefCell<Edits>,
     pub bed: RefCell<Bed>,
     budgets: RefCell<HashMap<String, Budget>>,
     pub net: SharedNet,
@@ -114,13 +118,15 @@
         let mut rows = Rows::new(rng.u64(1..), TOMBSTONE, MOST_ROWS);
         rows.merge_node(me.clone(), 0);
         let bed = Bed::new(version_patience(&boot), rng.fork());
-        let none = InForce { seq: 0, version: 0, text: "".into(), table: None, models: Vec::new() };
+        let none =
+            InForce { seq: 0, version: 0, text: "".into(), digest: 0, table: None, models: Vec::new() };
         Rc::new(Node {
             boot: RefCell::new(boot),
             started: Instant::now(),
             rows: RefCell::new(rows),
             me: RefCell::new(me),
             config: RefCell::new(Rc::new(none)),
+            edits: RefCell::default(),
             bed: RefCell::new(bed),
             budgets: RefCell::default(),
             links: Links::new(net.clone()),
@@ -276,15 +282,26 @@
         self.stir();
     }
 
-    /// What was chosen by the configuration's group; an older one than is in force changes nothing.
-    pub fn take(&self, told: &ConfigTold) {
+    /// What was chosen by the configuration's group; an older one than is in force changes nothing. False where it is
+    /// a change of another text than the one here.
+    pub fn take(&self, told: ConfigTold) -> bool {
         let known = self.in_force();
         let now = self.now();
         if told.seq > known.seq {
+            let text: Rc<str> = match told.text {
+                TextTold::Whole(text) => text.into(),
+                TextTold::Edits(edits) => {
+                    let apply = |text: Rc<str>, edit| Some(Edit::from(edit).apply(&text)?.into());
+                    match edits.into_iter().try_fold(known.text.clone(), apply) {
+                        Some(text) => text,
+                        None => return false,
+                    }
+                }
+            };
             let table = if told.version == known.version {
                 known.table.clone()
             } else {
-                let document = Document { version: told.version, text: told.text.clone() };
+                let document = Document { version: told.version, text: text.to_string() };
                 match Table::read(&document) {
                     Ok(table) => Some(Rc::new(table)),
                     Err(why) => {
@@ -295,6 +312,10 @@
                     }
                 }
             };
+            let digest = digest_of_text(&text);
+            if digest != known.digest && self.me.borrow().disk != 0 {
+                self.edits.borrow_mut().add(&known.text, &text);
+            }
             let models = told.models.iter().map(|m| {
                 let since = now.saturating_sub(m.age_ms.saturating_mul(1_000_000));
                 let before = known.models.iter().find(|k| k.0 == m.name && k.1 == m.version);
@@ -303,7 +324,8 @@
             let next = InForce {
                 seq: told.seq,
                 version: told.version,
-                text: told.text.as_str().into(),
+                text,
+                digest,
                 table,
                 models: models.collect(),
             };
@@ -314,10 +336,11 @@
         for model in &told.models {
             bed.versions.told(&model.name, model.version, model.age_ms.saturating_mul(1_000_000), now);
         }
+        true
     }
 
-    /// What is in force here, for another node.
-    pub fn told(&self) -> ConfigTold {
+    /// What is in force here, for another node that has the text with this digest.
+    pub fn told(&self, digest: u64) -> ConfigTold {
         let (known, now) = (self.in_force(), self.now());
         let model = |(name, version, since): &(String, u64, Nanos)| ModelTold {
             name: name.clone(),
@@ -327,7 +350,10 @@
         ConfigTold {
             seq: known.seq,
             version: known.version,
-            text: known.text.to_string(),
+            text: match self.edits.borrow().since(digest, known.digest) {
+                Some(edits) => TextTold::Edits(edits.into_iter().map(EditTold::from).collect()),
+                None => TextTold::Whole(known.text.to_string()),
+            },
             models: known.models.iter().map(model).collect(),
         }
     }
--- a/crates/orchard/src/polls.rs
+++ b/crates/orchard/src/polls.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use crate::wire::{Call, Poll, Reply, Told};
 use hedgerow::{Delta, SOURCES, sources};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,6 +31,7 @@
     known: RefCell<HashMap<SocketAddr, (u64, u64)>>,
     /// Which process at each source has this node's row, and which form of it.
     has_row: RefCell<HashMap<SocketAddr, (u64, RowForm)>>,
+    wants_whole: Cell<bool>,
 }
 
 /// What changes in a node's own row while it runs: its life, and whether it leaves.
@@ -160,6 +161,7 @@
         epoch,
         revision,
         config_seq: node.in_force().seq,
+        config_digest: if state.wants_whole.take() { 0 } else { node.in_force().digest },
         hold_ms: if node.informed.get() { hold.as_millis() as u32 } else { 40 },
     };
     let reply = node.links.call(source, &Call::Poll(poll), hold + PATIENCE).await.ok()?;
@@ -176,7 +178,8 @@
         state.has_row.borrow_mut().insert(source, (epoch, form));
     }
     if let Some(config) = config {
-        node.take(&config);
+        // A change of a text that is not the one here: what is in force comes whole with the next poll.
+        state.wants_whole.set(!node.take(config));
     }
     if in_touch {
         node.heard.set(node.now());
--- a/crates/orchard/src/status.rs
+++ b/crates/orchard/src/status.rs
@@ -44,6 +44,8 @@
     pub node: String,
     pub ready: bool,
     pub config_version: u64,
+    /// Of the configuration's text, in hex: the same on all nodes that have the same. None from an older release.
+    pub config_digest: Option<String>,
     pub member: bool,
     pub in_touch: bool,
     pub heard_ms_ago: u64,
@@ -91,6 +93,7 @@
         node: node.me.borrow().name.clone(),
         ready: node.informed.get() && !node.leaving.get(),
         config_version: node.in_force().version,
+        config_digest: Some(format!("{:016x}", node.in_force().digest)),
         member: control.is_some_and(|c| c.is_member()),
         in_touch: control.is_some_and(|c| c.in_touch()),
         heard_ms_ago: node.now().saturating_sub(node.heard.get()) / 1_000_000,
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -1,6 +1,7 @@
 //! What the system's own processes say to each other: frames of `nanoserde` binary over TCP.
 use hedgerow::{Delta, NodeRow};
 use nanoserde::{DeBin, SerBin};
+use trellis::{Edit, Piece};
 use trug::{Blob, Seq};
 
 /// First bytes of a connection: name and version of this protocol.
@@ -16,8 +17,9 @@
     pub row: Option<NodeRow>,
     pub epoch: u64,
     pub revision: u64,
-    /// Sequence number of the configuration's register.
+    /// Sequence number of the configuration's register, and digest of the text that is held: 0 asks for it whole.
     pub config_seq: u64,
+    pub config_digest: u64,
     /// How long to hold the answer while there is nothing new.
     pub hold_ms: u32,
 }
@@ -36,10 +38,58 @@
     pub seq: u64,
     /// Number and text of the newest configuration; 0 and empty before the first.
     pub version: u64,
-    pub text: String,
+    pub text: TextTold,
     pub models: Seq<ModelTold>,
 }
 
+/// The configuration's text, for one that has it, an earlier one, or none that is known.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub enum TextTold {
+    Whole(String),
+    /// From the text with the digest that the poll named to the one in force; none where that is it.
+    Edits(Seq<EditTold>),
+}
+
+impl Default for TextTold {
+    fn default() -> TextTold {
+        TextTold::Whole(String::new())
+    }
+}
+
+/// As `trellis::Edit`.
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct EditTold {
+    pub from: u64,
+    pub to: u64,
+    pub pieces: Seq<PieceTold>,
+}
+
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct PieceTold {
+    pub start: u32,
+    pub length: u32,
+    pub text: String,
+}
+
+impl From<&Edit> for EditTold {
+    fn from(edit: &Edit) -> EditTold {
+        let piece = |p: &Piece| PieceTold {
+            // Texts are shorter than a frame.
+            start: p.start as u32,
+            length: p.length as u32,
+            text: p.text.clone(),
+        };
+        EditTold { from: edit.from, to: edit.to, pieces: edit.pieces.iter().map(piece).collect() }
+    }
+}
+
+impl From<EditTold> for Edit {
+    fn from(told: EditTold) -> Edit {
+        let piece = |p: PieceTold| Piece { start: p.start as usize, length: p.length as usize, text: p.text };
+        Edit { from: told.from, to: told.to, pieces: told.pieces.into_iter().map(piece).collect() }
+    }
+}
+
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
 pub struct Told {
     /// Rows, packed: the same bytes for all who had the same revision.
--- a/crates/trellis/src/lib.rs
+++ b/crates/trellis/src/lib.rs
@@ -8,6 +8,7 @@
 //! known here, their order and the digits of every number come back as they came.
 
 mod change;
+mod edit;
 mod fields;
 mod read;
 mod refusal;
@@ -15,6 +16,7 @@
 mod text;
 
 pub use change::{Document, Method, change, digest_of_request};
+pub use edit::{Edit, Edits, Piece, digest_of_text};
 pub use refusal::Refusal;
 pub use table::{Engine, Kind, Limits, Route, Service, Store, Table, Tenant};
 pub use text::{MAX_BYTES, MAX_DEPTH, MAX_VALUES};
