--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -11,10 +11,8 @@
 use tokio::time::Instant;
 use trug::Blob;
 
-/// A poll is held at least so long unless something urgent is new.
-const GATHER_MS: u32 = 60;
-/// Rows of one answer, some 100 KB at most: all pollers ask for everything at once after a start.
-const MOST_ROWS: usize = 400;
+/// A node out of touch with a quorum holds a poll no longer than this.
+const LEAVE_ME_MS: u32 = 300;
 
 /// Answers another node.
 pub async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
@@ -22,35 +20,31 @@
     match call {
         Call::Poll(poll) => {
             if let Some(control) = &house.control {
-                control.heard_of(&poll.node.name);
-                control.polled(&poll.node.name);
+                control.heard_of(&poll.name);
+                control.polled(&poll.name);
+            }
+            if let Some(row) = poll.row {
+                node.learn(Delta { nodes: vec![row].into(), ..Delta::default() });
             }
-            node.learn(Delta { nodes: vec![poll.node].into(), ..Delta::default() });
             let mut changes = node.changes();
             let came = Instant::now();
-            let until = Instant::now() + Duration::from_millis(u64::from(poll.hold_ms.min(5_000)));
             loop {
                 changes.mark_unchanged();
-                let at_once = {
-                    let rows = node.rows.borrow();
-                    rows.epoch() != poll.epoch || rows.urgent() > poll.revision || poll.hold_ms < GATHER_MS
-                };
-                // What can wait goes out with the next few: a thousand servers come one by one.
-                let gathered = came + Duration::from_millis(u64::from(GATHER_MS));
-                if !at_once && node.in_force().seq <= poll.config_seq && Instant::now() < gathered.min(until)
-                {
-                    let _ = tokio::time::timeout_at(gathered.min(until), changes.changed()).await;
-                    continue;
-                }
-                let delta = node.rows.borrow().since(poll.epoch, poll.revision, MOST_ROWS);
+                let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
+                // Whoever asks a node that is out of touch should soon ask another.
+                let longest = if in_touch { 5_000 } else { LEAVE_ME_MS };
+                let until = came + Duration::from_millis(u64::from(poll.hold_ms.min(longest)));
+                let rows = node.rows_since(poll.epoch, poll.revision);
                 let known = node.in_force();
                 let older = has(Defect::OlderTaken) && known.seq > 0 && known.seq < poll.config_seq;
                 let news = known.seq > poll.config_seq || older;
-                let late = Instant::now() >= until;
-                if news || !delta.is_empty() || late || delta.epoch != poll.epoch {
-                    let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
-                    let config = news.then(|| node.told());
-                    return Some(Reply::Told(Told { delta, config, in_touch }));
+                if news || rows.is_some() || Instant::now() >= until {
+                    let config = news.then(|| node.told(poll.config_digest));
+                    return Some(Reply::Told(Told {
+                        rows: Blob(rows.unwrap_or_default()),
+                        config,
+                        in_touch,
+                    }));
                 }
                 // Either news, or the end of the hold.
                 let _ = tokio::time::timeout_at(until, changes.changed()).await;
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::planted::{self, Defect};
 use crate::statute::{Statute, Statutes};
-use crate::wire::{Call, ConfigTold, ModelTold};
+use crate::wire::{Call, ConfigTold, ModelTold, TextTold};
 use rootstock::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Settings,
 };
@@ -255,9 +255,9 @@
             seq: seq + 1,
             version: statute.version,
             models: models.collect(),
-            text: statute.text,
+            text: TextTold::Whole(statute.text),
         };
-        self.node.take(&told);
+        self.node.take(told);
     }
 
     async fn operate(&self, part: u16, change: Option<Vec<u8>>, patience: Duration) -> Outcome {
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -5,24 +5,32 @@
 use crate::net::SharedNet;
 use crate::planted::{self, Defect, has};
 use crate::ring::Ring;
-use crate::wire::{Call, ConfigTold, KeptAt, ModelTold, Reply};
+use crate::wire::{Call, ConfigTold, EditTold, KeptAt, ModelTold, Reply, TextTold};
 use espalier::{Backlog, Bed, Budget, Nanos};
 use fastrand::Rng;
 use gleaner::{Advice, Change, Index, Question, Terms};
-use hedgerow::{Delta, NodeRow, Rows};
+use hedgerow::{Delta, NodeRow, Pace, Rows};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
-use trellis::{Document, Table};
+use trellis::{Document, Edit, Edits, Table, digest_of_text};
 
 /// Rows that are over are remembered so long, and so many of each kind are held at most.
 const TOMBSTONE: Nanos = 60_000_000_000;
 const MOST_ROWS: usize = 20_000;
 
+/// Rows of one answer to a poll: all pollers ask for everything at once after a start.
+const MOST_ROWS_TOLD: usize = 400;
+/// Answers that are kept until the rows change, for others that ask the same.
+const MOST_ANSWERS: usize = 16;
+/// Servers are looked at anew at most so often, since each look walks them all.
+const SYNC: Nanos = 5_000_000;
+const SYNC_A_SERVER: Nanos = 8_000;
+
 /// Prefixes that a node answers for at most; how long a server's memory of one is counted on; after which a store is
 /// told again.
 const MOST_PREFIXES: usize = 40_000;
@@ -41,6 +49,8 @@
     pub seq: u64,
     pub version: u64,
     pub text: Rc<str>,
+    /// Of the text; 0 before there is one.
+    pub digest: u64,
     pub table: Option<Rc<Table>>,
     /// Model, version named, and when that was learnt, less the age it was told with.
     pub models: Vec<(String, u64, Nanos)>,
@@ -52,6 +62,8 @@
     pub rows: RefCell<Rows>,
     pub me: RefCell<NodeRow>,
     config: RefCell<Rc<InForce>>,
+    /// The last changes of its text, for whoever asks here.
+    edits: RefCell<Edits>,
     pub bed: RefCell<Bed>,
     budgets: RefCell<HashMap<String, Budget>>,
     pub net: SharedNet,
@@ -66,6 +78,17 @@
     pub index: RefCell<Index>,
     /// Raised with everything that pollers want to hear of.
     changes: watch::Sender<u64>,
+    /// When rows that changed go out, and answers that were made since.
+    pace: RefCell<Pace>,
+    answers: RefCell<Vec<(u64, Vec<u8>)>>,
+    /// How many nodes ask this one.
+    pub pollers: Cell<usize>,
+    /// Servers were not looked at since rows changed; when they were last.
+    unsynced: Cell<bool>,
+    synced: Cell<Option<Nanos>>,
+    /// When what is left for later is looked at, and who is to do so.
+    wake: Cell<Nanos>,
+    stirred: Notify,
     /// What is in force was heard from a source in touch with a quorum, or time for that is up.
     pub informed: Cell<bool>,
     pub leaving: Cell<bool>,
@@ -98,13 +121,15 @@
         let mut rows = Rows::new(rng.u64(1..), TOMBSTONE, MOST_ROWS);
         rows.merge_node(me.clone(), 0);
         let bed = Bed::new(version_patience(&boot), rng.fork());
-        let none = InForce { seq: 0, version: 0, text: "".into(), table: None, models: Vec::new() };
+        let none =
+            InForce { seq: 0, version: 0, text: "".into(), digest: 0, table: None, models: Vec::new() };
         Rc::new(Node {
             boot: RefCell::new(boot),
             started: Instant::now(),
             rows: RefCell::new(rows),
             me: RefCell::new(me),
             config: RefCell::new(Rc::new(none)),
+            edits: RefCell::default(),
             bed: RefCell::new(bed),
             budgets: RefCell::default(),
             links: Links::new(net.clone()),
@@ -119,6 +144,13 @@
             })),
             net,
             changes: watch::channel(0).0,
+            pace: RefCell::default(),
+            answers: RefCell::default(),
+            pollers: Cell::new(0),
+            unsynced: Cell::new(false),
+            synced: Cell::new(None),
+            wake: Cell::new(Nanos::MAX),
+            stirred: Notify::new(),
             informed: Cell::new(false),
             leaving: Cell::new(false),
             heard: Cell::new(0),
@@ -169,11 +201,84 @@
             self.refute();
             self.look_at_core();
             self.look_at_stores();
-            self.bed.borrow_mut().sync(&self.rows.borrow(), now);
-            self.changed();
+            self.stir();
+        }
+    }
+
+    /// Rows changed: servers are looked at anew, and pollers told, now or with the next few.
+    pub fn stir(&self) {
+        self.unsynced.set(true);
+        if let Some(due) = self.carry_on()
+            && due < self.wake.get()
+        {
+            self.stirred.notify_one();
         }
     }
 
+    /// Does what is due after a change of rows; gives back when the rest is.
+    fn carry_on(&self) -> Option<Nanos> {
+        let now = self.now();
+        let rows = self.rows.borrow();
+        let mut next = None;
+        if self.unsynced.get() {
+            let gap = SYNC + SYNC_A_SERVER * rows.servers_held() as Nanos;
+            let due = self.synced.get().map_or(now, |at| at + gap);
+            if due <= now {
+                self.bed.borrow_mut().sync(&rows, now);
+                self.unsynced.set(false);
+                self.synced.set(Some(now));
+            } else {
+                next = Some(due);
+            }
+        }
+        let due = self.pace.borrow_mut().due(&rows, self.pollers.get(), now);
+        match due {
+            Some(due) if due <= now => {
+                self.pace.borrow_mut().publish(&rows, now);
+                self.answers.borrow_mut().clear();
+                self.changed();
+            }
+            Some(due) => next = Some(next.map_or(due, |n| n.min(due))),
+            None => {}
+        }
+        next
+    }
+
+    /// Carries out for ever what a change of rows left for later.
+    pub async fn carry_out(self: Rc<Self>) {
+        loop {
+            let due = self.carry_on();
+            self.wake.set(due.unwrap_or(Nanos::MAX));
+            match due {
+                None => self.stirred.notified().await,
+                Some(due) => {
+                    let left = Duration::from_nanos(due.saturating_sub(self.now()));
+                    // Either the time, or something that can't wait as long.
+                    let _ = tokio::time::timeout(left, self.stirred.notified()).await;
+                }
+            }
+        }
+    }
+
+    /// The rows that a poller with this revision is to be told, packed; None while it has them all.
+    pub fn rows_since(&self, epoch: u64, revision: u64) -> Option<Vec<u8>> {
+        let rows = self.rows.borrow();
+        let up_to = self.pace.borrow().published();
+        let from = if epoch == rows.epoch() { revision } else { 0 };
+        if epoch == rows.epoch() && from >= up_to {
+            return None;
+        }
+        let mut answers = self.answers.borrow_mut();
+        if let Some((_, packed)) = answers.iter().find(|a| a.0 == from) {
+            return Some(packed.clone());
+        }
+        let packed = rows.between(rows.epoch(), from, up_to, MOST_ROWS_TOLD).pack();
+        if answers.len() < MOST_ANSWERS {
+            answers.push((from, packed.clone()));
+        }
+        Some(packed)
+    }
+
     /// Others called this node silent, or knew a former process of its name: go above that.
     fn refute(&self) {
         let mut me = self.me.borrow_mut();
@@ -193,20 +298,30 @@
         let now = self.now();
         self.rows.borrow_mut().merge_node(me.clone(), now);
         drop(me);
-        self.changed();
+        self.stir();
     }
 
-    /// What was chosen by the configuration's group; an older one than is in force changes nothing.
-    pub fn take(&self, told: &ConfigTold) {
+    /// What was chosen by the configuration's group; an older one than is in force changes nothing. False where it is
+    /// a change of another text than the one here.
+    pub fn take(&self, told: ConfigTold) -> bool {
         let known = self.in_force();
         let now = self.now();
         let skipped = has(Defect::CatchUpSkips) && known.seq > 0 && told.seq > known.seq + 1;
         if told.seq > known.seq || (has(Defect::OlderTaken) && told.seq != known.seq) {
+            let text: Rc<str> = match told.text {
+                TextTold::Whole(text) => text.into(),
+                TextTold::Edits(edits) => {
+                    let apply = |text: Rc<str>, edit| Some(Edit::from(edit).apply(&text)?.into());
+                    match edits.into_iter().try_fold(known.text.clone(), apply) {
+                        Some(text) => text,
+                        None => return false,
+                    }
+                }
+            };
             let table = if told.version == known.version || skipped {
                 known.table.clone()
             } else {
-                let text = planted::half(&told.text, &known.text);
-                let document = Document { version: told.version, text };
+                let document = Document { version: told.version, text: planted::half(&text, &known.text) };
                 match Table::read(&document) {
                     Ok(table) => Some(Rc::new(table)),
                     Err(why) => {
@@ -217,6 +332,10 @@
                     }
                 }
             };
+            let digest = digest_of_text(&text);
+            if digest != known.digest && self.me.borrow().disk != 0 {
+                self.edits.borrow_mut().add(&known.text, &text);
+            }
             let models = told.models.iter().map(|m| {
                 let since = now.saturating_sub(m.age_ms.saturating_mul(1_000_000));
                 let before = known.models.iter().find(|k| k.0 == m.name && k.1 == m.version);
@@ -225,7 +344,8 @@
             let next = InForce {
                 seq: told.seq,
                 version: told.version,
-                text: told.text.as_str().into(),
+                text,
+                digest,
                 table,
                 models: models.collect(),
             };
@@ -236,10 +356,11 @@
         for model in &told.models {
             bed.versions.told(&model.name, model.version, model.age_ms.saturating_mul(1_000_000), now);
         }
+        true
     }
 
-    /// What is in force here, for another node.
-    pub fn told(&self) -> ConfigTold {
+    /// What is in force here, for another node that has the text with this digest.
+    pub fn told(&self, digest: u64) -> ConfigTold {
         let (known, now) = (self.in_force(), self.now());
         let model = |(name, version, since): &(String, u64, Nanos)| ModelTold {
             name: name.clone(),
@@ -249,7 +370,10 @@
         ConfigTold {
             seq: known.seq,
             version: known.version,
-            text: known.text.to_string(),
+            text: match self.edits.borrow().since(digest, known.digest) {
+                Some(edits) => TextTold::Edits(edits.into_iter().map(EditTold::from).collect()),
+                None => TextTold::Whole(known.text.to_string()),
+            },
             models: known.models.iter().map(model).collect(),
         }
     }
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -147,6 +147,7 @@
     if let Some(rows) = stock.rows.as_deref().and_then(trug::read::<Delta>) {
         node.learn(rows);
     }
+    spawn_local(node.clone().carry_out());
     let control = in_core.then(|| Control::start(node.clone(), stock));
     if let Some(control) = &control {
         weights::start(node.clone(), control.clone());
@@ -226,7 +227,7 @@
     let mut rounds = 0u32;
     // Since when this node of the core is out of touch with a quorum that it had.
     let mut lost: Option<Nanos> = None;
-    let mut had = false;
+    let (mut had, mut in_touch) = (false, false);
     loop {
         tokio::time::sleep(house.node.jitter(Duration::from_millis(250))).await;
         rounds += 1;
@@ -235,7 +236,12 @@
         let now = node.now();
         if let Some(control) = &house.control {
             control.watch();
-            if control.in_touch() {
+            if in_touch != control.in_touch() {
+                // Whoever asks here wants to know.
+                in_touch = !in_touch;
+                node.changed();
+            }
+            if in_touch {
                 (had, lost) = (true, None);
             } else if had {
                 let since = *lost.get_or_insert(now);
