--- a/crates/hothouse/src/server.rs
+++ b/crates/hothouse/src/server.rs
@@ -21,7 +21,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
+use wicket::head::CallHead;
 
 /// The one model of these stories.
 pub const MODEL: &str = "daka510000";
@@ -89,6 +90,9 @@
     queued: Cell<u32>,
     running: Cell<u32>,
     kept: Memory,
+    /// What it kept and let go, as it tells it; and how often it took a part from another.
+    told: RefCell<Vec<String>>,
+    pub moves: Cell<u32>,
     /// Who acknowledged that it drains.
     pub drained_by: Cell<Option<SocketAddr>>,
     /// A delayed copy of its first beat, sent once more after it drains.
@@ -116,6 +120,8 @@
             queued: Cell::new(0),
             running: Cell::new(0),
             kept,
+            told: RefCell::default(),
+            moves: Cell::new(0),
             drained_by: Cell::new(None),
             late_beat: Cell::new(false),
         })
@@ -124,6 +130,10 @@
     pub fn version(&self) -> u64 {
         self.version.get()
     }
+    /// Whether it keeps this part of a prompt, under any salt.
+    pub fn keeps(&self, part: &str) -> bool {
+        self.kept.borrow().keys().any(|key| key.1 == part)
+    }
     pub fn orders(&self) -> u64 {
         self.orders.get()
     }
@@ -144,9 +154,7 @@
                 ),
                 (b"GET", "/api/report") => whole(200, "", &self.report()),
                 (b"POST", "/api/order") => self.clone().order(&body, from),
-                (b"GET", path) if path.starts_with("/api/kv-events") => {
-                    whole(200, "", "{\"epoch\":1,\"next_page_token\":0,\"lost_count\":false,\"events\":[]}")
-                }
+                (b"GET", path) if path.starts_with("/api/kv-events") => self.events(path, &head).await,
                 (b"GET", "/api/kv-list") => {
                     whole(200, "", "{\"epoch\":1,\"next_page_token\":0,\"held_count\":[]}")
                 }
@@ -175,6 +183,30 @@
         )
     }
 
+    fn tell(&self, salt: &str, id: &str, tokens: u32) {
+        let mut told = self.told.borrow_mut();
+        let (number, sign) = (told.len() + 1, if tokens > 0 { "+" } else { "-" });
+        told.push(format!("[{number},\"{sign}\",\"{salt}\",\"{id}\",{tokens},\"{MODEL}\"]"));
+    }
+
+    /// Held until there are some, or for as long as was asked.
+    async fn events(&self, path: &str, head: &CallHead) -> String {
+        let since = path.split("since_time=").nth(1).and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
+        let wait = head.fields.text("wait-ms").and_then(|w| w.parse().ok()).unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(u64::min(wait, 1_000));
+        while self.told.borrow().len() <= since && Instant::now() < until {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let told = self.told.borrow();
+        let news = told.get(since..).unwrap_or_default().join(",");
+        let next = told.len();
+        whole(
+            200,
+            "",
+            &format!("{{\"epoch\":1,\"next_page_token\":{next},\"lost_count\":false,\"events\":[{news}]}}"),
+        )
+    }
+
     fn order(self: Rc<Self>, body: &Bytes, from: SocketAddr) -> String {
         #[derive(miniserde::Deserialize)]
         struct Order {
@@ -212,7 +244,8 @@
                 sleep(Duration::from_millis(5)).await;
             }
             sleep(server.terms.load).await;
-            server.kept.borrow_mut().clear();
+            let dropped = std::mem::take(&mut *server.kept.borrow_mut());
+            dropped.keys().for_each(|(salt, id)| server.tell(salt, id, 0));
             server.version.set(order.version);
             server.loading.set(false);
         });
--- a/crates/hothouse/src/server/work.rs
+++ b/crates/hothouse/src/server/work.rs
@@ -93,8 +93,18 @@
             let key = (salt.clone(), part.split(':').next().unwrap_or_default().to_owned());
             let held = self.kept.borrow().get(&key).cloned();
             let fetched = || fetch.as_ref().and_then(|m| m.borrow().get(&key).cloned());
-            let at = held.or_else(fetched).unwrap_or_else(|| own.clone());
+            let new = held.is_none();
+            let at = held.or_else(|| {
+                let moved = fetched();
+                self.moves.set(self.moves.get() + u32::from(moved.is_some()));
+                moved
+            });
+            let at = at.unwrap_or_else(|| own.clone());
             self.kept.borrow_mut().insert(key.clone(), at.clone());
+            if new {
+                let tokens = part.split(':').nth(1).and_then(|t| t.parse().ok()).unwrap_or(0);
+                self.tell(&key.0, &key.1, tokens);
+            }
             if let Some(store) = &save {
                 // What it has stays as it was first made.
                 store.borrow_mut().entry(key).or_insert_with(|| at.clone());
--- /dev/null
+++ b/crates/hothouse/tests/index.rs
@@ -0,0 +1,61 @@
+//! The index of kept prompts over whole nodes: what one server keeps, another is pointed at.
+use hothouse::client::{Came, Wish};
+use hothouse::plan::Kind;
+use hothouse::server::Server;
+use hothouse::story::told;
+use hothouse::world::{Terms, World, wish};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+fn about(topic: &str, shared: u64) -> Wish {
+    Wish { topic: topic.into(), shared, ..wish(Kind::Idempotent, "b30") }
+}
+
+/// Asks once more; gives back how many parts servers other than these took from elsewhere.
+async fn moved_to(world: &Rc<World>, wish: &Wish, before: &[Rc<Server>]) -> u32 {
+    assert_eq!(world.client(false).get(wish).await, Came::Served);
+    let others = world.server_ids().into_iter().map(|id| world.server(&id));
+    others.filter(|s| before.iter().all(|b| b.terms.id != s.terms.id)).map(|s| s.moves.get()).sum()
+}
+
+fn home_drains(seed: u64, shared: u64, restart: bool) {
+    told(move || async move {
+        let world = World::serving(Terms { servers: 4, ..Terms::seeded(seed) }).await;
+        let wish = about("c0ffee", shared);
+        assert_eq!(world.client(false).get(&wish).await, Came::Served);
+        let keeps = |s: &Rc<Server>| s.keeps("c0ffee");
+        let home =
+            world.server_ids().into_iter().map(|id| world.server(&id)).find(keeps).expect("one read it");
+        sleep(Duration::from_millis(400)).await;
+        if restart {
+            // Whoever owned the part, or followed its server, has forgotten all of it.
+            for name in world.names().into_iter().filter(|n| n.starts_with("edge")) {
+                world.kill(&name);
+                sleep(Duration::from_millis(300)).await;
+                world.start(&name, false);
+                sleep(Duration::from_millis(1_500)).await;
+            }
+            world.until_ready().await;
+        }
+        home.drain();
+        sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(moved_to(&world, &wish, &[home]).await, 1, "it was taken from where it is kept");
+        world
+    });
+}
+
+#[test]
+fn given_a_part_that_one_server_keeps_when_that_one_drains_then_the_next_fetches_it_from_there() {
+    (90..93).for_each(|seed| home_drains(seed, 2_000, false));
+}
+
+#[test]
+fn given_a_small_part_when_its_server_drains_then_it_is_fetched_too_though_no_store_is_asked() {
+    (93..96).for_each(|seed| home_drains(seed, 200, false));
+}
+
+#[test]
+fn given_nodes_that_start_anew_when_a_part_is_asked_for_then_the_events_have_told_of_it_again() {
+    (96..98).for_each(|seed| home_drains(seed, 2_000, true));
+}
