--- a/crates/espalier/src/election.rs
+++ b/crates/espalier/src/election.rs
@@ -66,6 +66,10 @@
     pub fn find(&self, id: &str) -> Option<ServerIx> {
         self.by_id.get(id).copied()
     }
+    /// The server whose id has this hash.
+    pub fn hashed(&self, hash: u64) -> Option<&Server> {
+        self.all().map(|(_, s)| s).find(|s| s.hash == hash)
+    }
     pub fn all(&self) -> impl Iterator<Item = (ServerIx, &Server)> {
         self.servers.iter().enumerate().filter_map(|(ix, s)| Some((ix, s.as_ref()?)))
     }
@@ -74,6 +78,15 @@
         all.iter().filter_map(|&ix| Some((ix, self.get(ix)?)))
     }
 
+    /// Takes a standing as it is told, be it an earlier one: the mistake that `sync` is there against.
+    #[cfg(feature = "planted")]
+    pub fn put_back(&mut self, id: &str, standing: Standing) {
+        let ix = self.by_id.get(id).copied();
+        if let Some(server) = ix.and_then(|ix| self.servers[ix].as_mut()) {
+            server.standing = standing;
+        }
+    }
+
     /// What the rows say now. Servers that are gone stay until their last request has ended.
     pub fn sync(&mut self, rows: &Rows, now: Nanos) {
         for row in rows.servers() {
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -1,4 +1,5 @@
 //! What another node is answered: polls held until there is news, rows told, messages and changes of the control state.
+use crate::planted::{Defect, has};
 use crate::run::House;
 use crate::wire::{Call, Reply, Told};
 use gleaner::Question;
@@ -34,7 +35,9 @@
                 let longest = if in_touch { 5_000 } else { LEAVE_ME_MS };
                 let until = came + Duration::from_millis(u64::from(poll.hold_ms.min(longest)));
                 let rows = node.rows_since(poll.epoch, poll.revision);
-                let news = node.in_force().seq > poll.config_seq;
+                let known = node.in_force();
+                let older = has(Defect::OlderTaken) && known.seq > 0 && known.seq < poll.config_seq;
+                let news = known.seq > poll.config_seq || older;
                 if news || rows.is_some() || Instant::now() >= until {
                     let config = news.then(|| node.told(poll.config_digest));
                     return Some(Reply::Told(Told {
@@ -69,9 +72,14 @@
                 Outcome::Unknown => Reply::Unknown,
             })
         }
-        Call::Prefix { prefix, server, store } => {
-            let advice = node.index.borrow_mut().ask(Question { prefix, server, store }, node.now());
-            Some(Reply::Prefix { save: advice.save, stored: advice.stored, reader: advice.reader })
+        Call::Prefix { key, server, store } => {
+            let advice = node.index.borrow_mut().ask(Question { key, server, store }, node.now());
+            let gleaner::Advice { save, held, holders, reader } = advice;
+            Some(Reply::Prefix { save, held, holders: holders.into(), reader })
+        }
+        Call::Kept { source, void, rows } => {
+            node.kept_here(source, void, &rows);
+            None
         }
         Call::Wait { server, token, cost, urgency, most_ms } => {
             let wait = node.wait_here(server, token, cost, urgency, u64::from(most_ms) * 1_000_000);
--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::http::{Answer, Request};
 use crate::net::Stream;
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::upstream::Pool;
 use admission::Counted;
 use bytes::BytesMut;
@@ -23,6 +24,9 @@
 
 /// What a client may send ahead while its request is worked on.
 const AHEAD: usize = 64 << 10;
+/// A process that has just started mostly knows the configuration after so long: a request is held for it, as a client
+/// that is sent away has one try less.
+const FIRST_CONFIG: Duration = Duration::from_millis(150);
 /// A request without a time of its own, on a route without one.
 const USUAL_MS: u64 = 30_000;
 
@@ -62,7 +66,7 @@
     node: &Rc<Node>, pool: &Pool, request: &Request, came: Instant, client: &mut Stream,
     ahead: &mut BytesMut, keep: bool,
 ) -> Ended {
-    let config = node.in_force();
+    let config = node.first_config(came + FIRST_CONFIG).await;
     let Some(table) = config.table.as_deref() else {
         return Ended::Own(Answer::later(node.jitter(Duration::from_millis(200))));
     };
@@ -116,7 +120,9 @@
                 Err(_) if begun => return Ended::Closed,
                 Err(answer) => return Ended::Own(answer),
             };
-            let last_id = events.as_ref().and_then(|e| e.last_id().map(str::to_owned));
+            let from_start = has(Defect::ResumedFromStart);
+            let resumed = events.as_ref().filter(|_| !from_start);
+            let last_id = resumed.and_then(|e| e.last_id().map(str::to_owned));
             self.tried.push(pick.server);
             let tokens = self.prompt.tokens_in;
             self.node.bed.borrow_mut().begin(pick.server, tokens);
@@ -132,7 +138,7 @@
                 }
                 Turn::Unknown => {
                     guard.ending = Ending::Broke;
-                    proved = false;
+                    proved = has(Defect::SecondSend);
                 }
                 Turn::ClientGone => return Ended::Closed,
                 Turn::TimeUp if begun => return Ended::Closed,
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -3,11 +3,12 @@
 use crate::boot::{Boot, nanos};
 use crate::links::Links;
 use crate::net::SharedNet;
+use crate::planted::{self, Defect, has};
 use crate::ring::Ring;
-use crate::wire::{Call, ConfigTold, EditTold, ModelTold, Reply, TextTold};
+use crate::wire::{Call, ConfigTold, EditTold, KeptAt, ModelTold, Reply, TextTold};
 use espalier::{Backlog, Bed, Budget, Nanos};
 use fastrand::Rng;
-use gleaner::{Advice, Index, Question};
+use gleaner::{Advice, Change, Index, Question, Terms};
 use hedgerow::{Delta, NodeRow, Pace, Rows};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use trellis::{Document, Edit, Edits, Table, digest_of_text};
 
 /// Rows that are over are remembered so long, and so many of each kind are held at most.
@@ -35,6 +36,8 @@
 const MOST_PREFIXES: usize = 40_000;
 const KEPT: Nanos = 30_000_000_000;
 const SAVED_AGAIN: Nanos = 120_000_000_000;
+/// A followed server or store tells within so long of what it read.
+const TOLD_BY: Nanos = 4_000_000_000;
 /// Servers that are kept count of before old counts are dropped.
 const MOST_BACKLOGS: usize = 4_096;
 /// An owner's answer is waited for so long: reading a prefix anew costs more, but not every time.
@@ -133,7 +136,12 @@
             backlogs: RefCell::default(),
             core_seen: RefCell::default(),
             stores: RefCell::default(),
-            index: RefCell::new(Index::new(MOST_PREFIXES, KEPT, SAVED_AGAIN)),
+            index: RefCell::new(Index::new(Terms {
+                most: MOST_PREFIXES,
+                keeps: KEPT,
+                again: SAVED_AGAIN,
+                heard: TOLD_BY,
+            })),
             net,
             changes: watch::channel(0).0,
             pace: RefCell::default(),
@@ -165,6 +173,17 @@
         self.config.borrow().clone()
     }
 
+    /// What is in force; where nothing is known yet, what is by `until`.
+    pub async fn first_config(&self, until: Instant) -> Rc<InForce> {
+        let mut changes = self.changes();
+        while self.in_force().table.is_none() {
+            if timeout_at(until, changes.changed()).await.is_err() {
+                break;
+            }
+        }
+        self.in_force()
+    }
+
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
     }
@@ -287,7 +306,8 @@
     pub fn take(&self, told: ConfigTold) -> bool {
         let known = self.in_force();
         let now = self.now();
-        if told.seq > known.seq {
+        let skipped = has(Defect::CatchUpSkips) && known.seq > 0 && told.seq > known.seq + 1;
+        if told.seq > known.seq || (has(Defect::OlderTaken) && told.seq != known.seq) {
             let text: Rc<str> = match told.text {
                 TextTold::Whole(text) => text.into(),
                 TextTold::Edits(edits) => {
@@ -298,10 +318,10 @@
                     }
                 }
             };
-            let table = if told.version == known.version {
+            let table = if told.version == known.version || skipped {
                 known.table.clone()
             } else {
-                let document = Document { version: told.version, text: text.to_string() };
+                let document = Document { version: told.version, text: planted::half(&text, &known.text) };
                 match Table::read(&document) {
                     Ok(table) => Some(Rc::new(table)),
                     Err(why) => {
@@ -366,6 +386,10 @@
 
     pub fn budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget, Nanos) -> T) -> T {
         let now = self.now();
+        // The slack waits for a window, since a process before this one may have spent it.
+        let minted =
+            if has(Defect::SlackMinted) { nanos(self.boot.borrow().bounds.budget_window) } else { 0 };
+        let now = now + minted;
         let mut budgets = self.budgets.borrow_mut();
         if !budgets.contains_key(service) {
             let terms = self.boot.borrow().bounds.budget();
@@ -377,6 +401,14 @@
         f(budgets.get_mut(service).expect("just put there"), now)
     }
 
+    /// One repeat from this node's part of the budget. In its first window a process has none: the one before it may
+    /// have spent all that its requests had earned, and the window that is judged holds both.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let window = nanos(self.boot.borrow().bounds.budget_window);
+        let settled = self.now() >= window || has(Defect::SlackMinted);
+        settled && self.budget(service, |b, now| b.take(self.sharers(), now))
+    }
+
     /// The node that owns a key among those that take clients: None for this one itself.
     fn owner(&self, key: u64) -> Option<SocketAddr> {
         let rows = self.rows.borrow();
@@ -460,18 +492,69 @@
         }
     }
 
-    /// Asks the prefix's owner where it is kept. None where it did not answer.
+    /// Asks the owner of a prefix's last part where it is kept. None where it did not answer.
     pub async fn advice(&self, question: Question) -> Option<Advice> {
-        let Some(owner) = self.owner(question.prefix) else {
+        let Some(owner) = self.owner(question.key) else {
             return Some(self.index.borrow_mut().ask(question, self.now()));
         };
-        let Question { prefix, server, store } = question;
-        match self.links.call(owner, &Call::Prefix { prefix, server, store }, ADVICE).await {
-            Ok(Reply::Prefix { save, stored, reader }) => Some(Advice { save, stored, reader }),
+        let Question { key, server, store } = question;
+        match self.links.call(owner, &Call::Prefix { key, server, store }, ADVICE).await {
+            Ok(Reply::Prefix { save, held, holders, reader }) => {
+                Some(Advice { save, held, holders: holders.0, reader })
+            }
             _ => None,
         }
     }
 
+    /// What a source keeps now of parts that this node owns.
+    pub fn kept_here(&self, source: u64, void: bool, rows: &[KeptAt]) {
+        let now = self.now();
+        let mut index = self.index.borrow_mut();
+        if void {
+            index.lost(source);
+        }
+        rows.iter().for_each(|row| index.told(source, row.key, row.tokens, now));
+    }
+
+    /// Tells the owners of parts what a source keeps of them now. `void`: nothing else that was told of it holds.
+    pub fn tell_kept(&self, source: &mut gleaner::Source, name: u64, void: bool) {
+        let owners = self.owners();
+        let set = owners.iter().fold(0, |set, o| windrow::mix(set ^ o.0 ^ windrow::mix(o.1)));
+        let place = |key: u64| {
+            let score = |o: &(u64, u64, Option<SocketAddr>)| windrow::mix(o.0 ^ windrow::mix(key));
+            (0..owners.len()).max_by_key(|&i| score(&owners[i])).unwrap_or(0) as u64
+        };
+        let mut changes = source.tell(set, place);
+        if void {
+            (0..owners.len() as u64).for_each(|place| {
+                changes.entry(place).or_default();
+            });
+        }
+        for (place, rows) in changes {
+            let Some((_, _, address)) = owners.get(place as usize) else { continue };
+            let row = |c: &Change| KeptAt { key: c.key, tokens: c.tokens };
+            let rows: Vec<KeptAt> = rows.iter().map(row).collect();
+            match address {
+                None => self.kept_here(name, void, &rows),
+                Some(address) => {
+                    self.links.cast(*address, &Call::Kept { source: name, void, rows: rows.into() });
+                }
+            }
+        }
+    }
+
+    /// The nodes among which keys are cut: hash of the name, process, and where it is (None: here).
+    fn owners(&self) -> Vec<(u64, u64, Option<SocketAddr>)> {
+        let own = self.me.borrow().name.clone();
+        let rows = self.rows.borrow();
+        let fit = rows.nodes().filter(|n| n.front && !n.silent && !n.leaving);
+        let all = fit.filter_map(|n| {
+            let address = if n.name == own { None } else { Some(n.internal.parse().ok()?) };
+            Some((windrow::hash(n.name.as_bytes()), n.nonce, address))
+        });
+        all.collect()
+    }
+
     /// Nodes that keep the control state, as far as they are known: name and where their internal door is.
     pub fn core(&self) -> Vec<(String, SocketAddr)> {
         let rows = self.rows.borrow();
