Rows that changed without a word to others go out with the next look at the house

A server that answered with another's id is called silent by the exchange, which tells nobody; since rows are published rather than read at each poll, that would have waited for the next change.

--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -258,7 +258,8 @@
         }
         if rounds.is_multiple_of(16) {
             node.rows.borrow_mut().sweep(now);
-            node.bed.borrow_mut().sync(&node.rows.borrow(), now);
+            // What changed without a word to others goes out by now, and words on servers run out.
+            node.stir();
         }
     }
 }
