--- a/crates/espalier/src/backlog.rs
+++ b/crates/espalier/src/backlog.rs
@@ -4,7 +4,7 @@
 //! token is decided by the rest. The keeper adds up what was said to be sent and has not begun, and learns how fast it
 //! goes from how long each took. Source: Little, "A proof for the queuing formula L = λW", 1961.
 use crate::Nanos;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// Most that are kept for one server, and how long one that is never heard of again.
 const MOST: usize = 4_096;
@@ -37,7 +37,7 @@
 /// One server's.
 #[derive(Clone, Debug)]
 pub struct Backlog {
-    waiting: HashMap<u64, Waiting>,
+    waiting: BTreeMap<u64, Waiting>,
     /// Tokens a second.
     rate: f64,
     used: Nanos,
@@ -54,7 +54,7 @@
 impl Default for Backlog {
     fn default() -> Backlog {
         Backlog {
-            waiting: HashMap::new(),
+            waiting: BTreeMap::new(),
             rate: FIRST_RATE,
             used: 0,
             sent: [0.0; URGENCIES],
