Orchard: pollers are woken in the order in which they wait, connections dropped in the order of their names

Ruled out: unbiased selects, clocks, free draws (none on the way); sums over espalier's backlog (whole numbers). Change: news are a counter and a Notify; BTreeMap in links and upstream. Processor time not measured.

--- a/crates/hothouse/tests/planted.rs
+++ b/crates/hothouse/tests/planted.rs
@@ -5,7 +5,7 @@
 use orchard::planted::{Defect, plant};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
-/// Nodes' tables of random order let a day differ a little from run to run.
+/// Should a day still differ a little from run to run.
 const TRIES: usize = 3;
 
 fn is_found(defect: Defect, seed: u64, places: &[usize], closing: bool) -> bool {
--- a/crates/orchard/src/links.rs
+++ b/crates/orchard/src/links.rs
@@ -3,7 +3,7 @@
 use crate::wire::{Call, HELLO, MAX_FRAME, Reply};
 use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,7 +35,7 @@
     Crowded,
 }
 
-type Waiting = Rc<RefCell<HashMap<u64, oneshot::Sender<Reply>>>>;
+type Waiting = Rc<RefCell<BTreeMap<u64, oneshot::Sender<Reply>>>>;
 
 struct Link {
     queue: mpsc::Sender<Vec<u8>>,
@@ -46,7 +46,7 @@
 /// This node's connections to others.
 pub struct Links {
     net: SharedNet,
-    peers: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    peers: RefCell<BTreeMap<SocketAddr, Rc<Link>>>,
     next: Cell<u64>,
 }
 
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use trellis::{Document, Table};
 
@@ -44,6 +44,33 @@
     pub models: Vec<(String, u64, Nanos)>,
 }
 
+/// Counts news. Who waits is woken in the order of waiting: the library's `watch` wakes in a random one, by which no
+/// day of the in-memory fleet is played twice alike.
+#[derive(Default)]
+struct Changes {
+    count: Cell<u64>,
+    raised: Notify,
+}
+
+/// One that waits for news, from those that it has seen on.
+pub struct Watching {
+    changes: Rc<Changes>,
+    seen: u64,
+}
+
+impl Watching {
+    pub fn mark_unchanged(&mut self) {
+        self.seen = self.changes.count.get();
+    }
+
+    pub async fn changed(&mut self) {
+        while self.changes.count.get() == self.seen {
+            self.changes.raised.notified().await;
+        }
+        self.mark_unchanged();
+    }
+}
+
 pub struct Node {
     pub boot: RefCell<Boot>,
     started: Instant,
@@ -63,7 +90,7 @@
     /// The prefixes that this node owns.
     pub index: RefCell<Index>,
     /// Raised with everything that pollers want to hear of.
-    changes: watch::Sender<u64>,
+    changes: Rc<Changes>,
     /// What is in force was heard from a source in touch with a quorum, or time for that is up.
     pub informed: Cell<bool>,
     pub leaving: Cell<bool>,
@@ -111,7 +138,7 @@
             stores: RefCell::default(),
             index: RefCell::new(Index::new(MOST_PREFIXES, KEPT, SAVED_AGAIN)),
             net,
-            changes: watch::channel(0).0,
+            changes: Rc::default(),
             informed: Cell::new(false),
             leaving: Cell::new(false),
             heard: Cell::new(0),
@@ -134,13 +161,14 @@
         self.config.borrow().clone()
     }
 
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
+    pub fn changes(&self) -> Watching {
+        Watching { changes: self.changes.clone(), seen: self.changes.count.get() }
     }
 
     /// Something that pollers want to hear of.
     pub fn changed(&self) {
-        self.changes.send_modify(|n| *n += 1);
+        self.changes.count.set(self.changes.count.get() + 1);
+        self.changes.raised.notify_waiters();
     }
 
     /// Rows that were heard of here or told by another node.
--- a/crates/orchard/src/upstream.rs
+++ b/crates/orchard/src/upstream.rs
@@ -2,7 +2,7 @@
 use crate::net::{Net, Stream};
 use bytes::{Bytes, BytesMut};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -64,7 +64,7 @@
 
 #[derive(Default)]
 pub struct Pool {
-    resting: RefCell<HashMap<String, Vec<Upstream>>>,
+    resting: RefCell<BTreeMap<String, Vec<Upstream>>>,
 }
 
 impl Pool {
