--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 use trellis::{Document, Edit, Edits, Table, digest_of_text};
 
@@ -56,6 +56,33 @@
     pub models: Vec<(String, u64, Nanos)>,
 }
 
+/// Counts news. Who waits is woken in the order of waiting: the library's `watch` wakes in a random one, by which no
+/// day of the in-memory fleet is played twice alike.
+#[derive(Default)]
+struct Changes {
+    count: Cell<u64>,
+    raised: Notify,
+}
+
+/// One that waits for news, from those that it has seen on.
+pub struct Watching {
+    changes: Rc<Changes>,
+    seen: u64,
+}
+
+impl Watching {
+    pub fn mark_unchanged(&mut self) {
+        self.seen = self.changes.count.get();
+    }
+
+    pub async fn changed(&mut self) {
+        while self.changes.count.get() == self.seen {
+            self.changes.raised.notified().await;
+        }
+        self.mark_unchanged();
+    }
+}
+
 pub struct Node {
     pub boot: RefCell<Boot>,
     started: Instant,
@@ -77,7 +104,7 @@
     /// The prefixes that this node owns.
     pub index: RefCell<Index>,
     /// Raised with everything that pollers want to hear of.
-    changes: watch::Sender<u64>,
+    changes: Rc<Changes>,
     /// When rows that changed go out, and answers that were made since.
     pace: RefCell<Pace>,
     answers: RefCell<Vec<(u64, Vec<u8>)>>,
@@ -143,7 +170,7 @@
                 heard: TOLD_BY,
             })),
             net,
-            changes: watch::channel(0).0,
+            changes: Rc::default(),
             pace: RefCell::default(),
             answers: RefCell::default(),
             pollers: Cell::new(0),
@@ -184,13 +211,14 @@
         self.in_force()
     }
 
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
+    pub fn changes(&self) -> Watching {
+        Watching { changes: self.changes.clone(), seen: self.changes.count.get() }
     }
 
     /// Something that pollers want to hear of.
     pub fn changed(&self) {
-        self.changes.send_modify(|n| *n += 1);
+        self.changes.count.set(self.changes.count.get() + 1);
+        self.changes.raised.notify_waiters();
     }
 
     /// Rows that were heard of here or told by another node.
