--- /dev/null
+++ b/crates/orchard/src/node/keeping.rs
@@ -0,0 +1,148 @@
+//! What falls to one node by rendezvous: waits at servers, owners of parts of prompts, followers of their sources.
+use super::{KEPT, Node};
+use crate::wire::{Call, KeptAt, Reply};
+use espalier::Nanos;
+use gleaner::{Advice, Change, Question};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Servers that are kept count of before old counts are dropped.
+const MOST_BACKLOGS: usize = 4_096;
+/// An owner's answer is waited for so long: reading a prefix anew costs more, but not every time.
+const ADVICE: Duration = Duration::from_millis(25);
+
+impl Node {
+    /// The node that owns a key among those that take clients: None for this one itself.
+    fn owner(&self, key: u64) -> Option<SocketAddr> {
+        let rows = self.rows.borrow();
+        let fit = rows.nodes().filter(|n| n.front && !n.silent && !n.leaving);
+        let best = fit.max_by_key(|n| windrow::mix(windrow::hash(n.name.as_bytes()) ^ windrow::mix(key)))?;
+        if best.name == self.me.borrow().name { None } else { best.internal.parse().ok() }
+    }
+
+    /// Counts a prompt at a server that this node keeps, unless it would wait too long. Gives back how long it would.
+    pub fn wait_here(&self, server: u64, token: u64, cost: u32, urgency: u8, most: Nanos) -> Nanos {
+        let now = self.now();
+        let mut backlogs = self.backlogs.borrow_mut();
+        if backlogs.len() > MOST_BACKLOGS {
+            backlogs.retain(|_, b| now.saturating_sub(b.used()) < KEPT);
+        }
+        let backlog = backlogs.entry(server).or_default();
+        let wait = backlog.wait(u32::from(urgency), now);
+        if wait <= most {
+            backlog.sent(token, f64::from(cost), u32::from(urgency), now);
+        }
+        wait
+    }
+
+    pub fn over_here(&self, server: u64, token: u64, began: bool) {
+        if let Some(backlog) = self.backlogs.borrow_mut().get_mut(&server) {
+            backlog.over(token, began, self.now());
+        }
+    }
+
+    /// Asks the server's keeper. None where it did not answer: then nothing is known.
+    pub async fn wait(&self, server: u64, token: u64, cost: u32, urgency: u8, most: Nanos) -> Option<Nanos> {
+        let Some(keeper) = self.owner(server) else {
+            return Some(self.wait_here(server, token, cost, urgency, most));
+        };
+        let most_ms = (most / 1_000_000).min(u64::from(u32::MAX)) as u32;
+        match self.links.call(keeper, &Call::Wait { server, token, cost, urgency, most_ms }, ADVICE).await {
+            Ok(Reply::Wait { ms }) => Some(u64::from(ms) * 1_000_000),
+            _ => None,
+        }
+    }
+
+    pub fn over(&self, server: u64, token: u64, began: bool) {
+        match self.owner(server) {
+            None => self.over_here(server, token, began),
+            Some(keeper) => self.links.cast(keeper, &Call::Over { server, token, began }),
+        }
+    }
+
+    /// Whether a key falls to this node.
+    pub fn keeps(&self, key: u64) -> bool {
+        self.owner(key).is_none()
+    }
+
+    /// Whether a store may be named: not while its follower tells that it does not answer.
+    pub fn store_is_up(&self, store: u64) -> bool {
+        self.stores.borrow().get(&store).is_none_or(|told| *told != 0)
+    }
+
+    /// Stores that came back empty have nothing of what they were told to keep.
+    pub(super) fn look_at_stores(&self) {
+        let rows = self.rows.borrow();
+        let mut stores = self.stores.borrow_mut();
+        for note in rows.notes() {
+            let Some(address) = note.key.strip_prefix("store/") else { continue };
+            let store = windrow::hash(address.as_bytes());
+            if stores.insert(store, note.value).is_some_and(|before| before != note.value) {
+                self.index.borrow_mut().lost(store);
+            }
+        }
+    }
+
+    /// Asks the owner of a prefix's last part where it is kept. None where it did not answer.
+    pub async fn advice(&self, question: Question) -> Option<Advice> {
+        let Some(owner) = self.owner(question.key) else {
+            return Some(self.index.borrow_mut().ask(question, self.now()));
+        };
+        let Question { key, server, store } = question;
+        match self.links.call(owner, &Call::Prefix { key, server, store }, ADVICE).await {
+            Ok(Reply::Prefix { save, held, holders, reader }) => {
+                Some(Advice { save, held, holders: holders.0, reader })
+            }
+            _ => None,
+        }
+    }
+
+    /// What a source keeps now of parts that this node owns.
+    pub fn kept_here(&self, source: u64, void: bool, rows: &[KeptAt]) {
+        let now = self.now();
+        let mut index = self.index.borrow_mut();
+        if void {
+            index.lost(source);
+        }
+        rows.iter().for_each(|row| index.told(source, row.key, row.tokens, now));
+    }
+
+    /// Tells the owners of parts what a source keeps of them now. `void`: nothing else that was told of it holds.
+    pub fn tell_kept(&self, source: &mut gleaner::Source, name: u64, void: bool) {
+        let owners = self.owners();
+        let set = owners.iter().fold(0, |set, o| windrow::mix(set ^ o.0 ^ windrow::mix(o.1)));
+        let place = |key: u64| {
+            let score = |o: &(u64, u64, Option<SocketAddr>)| windrow::mix(o.0 ^ windrow::mix(key));
+            (0..owners.len()).max_by_key(|&i| score(&owners[i])).unwrap_or(0) as u64
+        };
+        let mut changes = source.tell(set, place);
+        if void {
+            (0..owners.len() as u64).for_each(|place| {
+                changes.entry(place).or_default();
+            });
+        }
+        for (place, rows) in changes {
+            let Some((_, _, address)) = owners.get(place as usize) else { continue };
+            let row = |c: &Change| KeptAt { key: c.key, tokens: c.tokens };
+            let rows: Vec<KeptAt> = rows.iter().map(row).collect();
+            match address {
+                None => self.kept_here(name, void, &rows),
+                Some(address) => {
+                    self.links.cast(*address, &Call::Kept { source: name, void, rows: rows.into() });
+                }
+            }
+        }
+    }
+
+    /// The nodes among which keys are cut: hash of the name, process, and where it is (None: here).
+    fn owners(&self) -> Vec<(u64, u64, Option<SocketAddr>)> {
+        let own = self.me.borrow().name.clone();
+        let rows = self.rows.borrow();
+        let fit = rows.nodes().filter(|n| n.front && !n.silent && !n.leaving);
+        let all = fit.filter_map(|n| {
+            let address = if n.name == own { None } else { Some(n.internal.parse().ok()?) };
+            Some((windrow::hash(n.name.as_bytes()), n.nonce, address))
+        });
+        all.collect()
+    }
+}
--- /dev/null
+++ b/crates/orchard/src/node/news.rs
@@ -0,0 +1,136 @@
+//! Rows that were heard of: learnt at once, looked at with the next few, sent on together.
+use super::Node;
+use espalier::Nanos;
+use hedgerow::{Delta, NodeRow};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Rows of one answer to a poll: all pollers ask for everything at once after a start.
+const MOST_ROWS_TOLD: usize = 400;
+/// Answers that are kept until the rows change, for others that ask the same.
+const MOST_ANSWERS: usize = 16;
+/// Servers are looked at anew at most so often, since each look walks them all.
+const SYNC: Nanos = 5_000_000;
+const SYNC_A_SERVER: Nanos = 8_000;
+
+impl Node {
+    /// Rows that were heard of here or told by another node.
+    pub fn learn(&self, delta: Delta) {
+        let now = self.now();
+        let changed = self.rows.borrow_mut().merge(delta, now);
+        if changed {
+            self.refute();
+            self.look_at_core();
+            self.look_at_stores();
+            self.stir();
+        }
+    }
+
+    /// Rows changed: servers are looked at anew, and pollers told, now or with the next few.
+    pub fn stir(&self) {
+        self.unsynced.set(true);
+        if let Some(due) = self.carry_on()
+            && due < self.wake.get()
+        {
+            self.stirred.notify_one();
+        }
+    }
+
+    /// Does what is due after a change of rows; gives back when the rest is.
+    fn carry_on(&self) -> Option<Nanos> {
+        let now = self.now();
+        let rows = self.rows.borrow();
+        let mut next = None;
+        if self.unsynced.get() {
+            let gap = SYNC + SYNC_A_SERVER * rows.servers_held() as Nanos;
+            let due = self.synced.get().map_or(now, |at| at + gap);
+            if due <= now {
+                self.bed.borrow_mut().sync(&rows, now);
+                self.unsynced.set(false);
+                self.synced.set(Some(now));
+            } else {
+                next = Some(due);
+            }
+        }
+        let due = self.pace.borrow_mut().due(&rows, self.pollers.get(), now);
+        match due {
+            Some(due) if due <= now => {
+                self.pace.borrow_mut().publish(&rows, now);
+                self.answers.borrow_mut().clear();
+                self.changed();
+            }
+            Some(due) => next = Some(next.map_or(due, |n| n.min(due))),
+            None => {}
+        }
+        next
+    }
+
+    /// Carries out for ever what a change of rows left for later.
+    pub async fn carry_out(self: Rc<Self>) {
+        loop {
+            let due = self.carry_on();
+            self.wake.set(due.unwrap_or(Nanos::MAX));
+            match due {
+                None => self.stirred.notified().await,
+                Some(due) => {
+                    let left = Duration::from_nanos(due.saturating_sub(self.now()));
+                    // Either the time, or something that can't wait as long.
+                    let _ = tokio::time::timeout(left, self.stirred.notified()).await;
+                }
+            }
+        }
+    }
+
+    /// The rows that a poller with this revision is to be told, packed; None while it has them all.
+    pub fn rows_since(&self, epoch: u64, revision: u64) -> Option<Vec<u8>> {
+        let rows = self.rows.borrow();
+        let up_to = self.pace.borrow().published();
+        let from = if epoch == rows.epoch() { revision } else { 0 };
+        if epoch == rows.epoch() && from >= up_to {
+            return None;
+        }
+        let mut answers = self.answers.borrow_mut();
+        if let Some((_, packed)) = answers.iter().find(|a| a.0 == from) {
+            return Some(packed.clone());
+        }
+        let packed = rows.between(rows.epoch(), from, up_to, MOST_ROWS_TOLD).pack();
+        if answers.len() < MOST_ANSWERS {
+            answers.push((from, packed.clone()));
+        }
+        Some(packed)
+    }
+
+    /// Others called this node silent, or knew a former process of its name: go above that.
+    fn refute(&self) {
+        let mut me = self.me.borrow_mut();
+        let mut rows = self.rows.borrow_mut();
+        let life = rows.life_for(&me);
+        if life != me.life {
+            me.life = life;
+            let now = self.now();
+            rows.merge_node(me.clone(), now);
+        }
+    }
+
+    pub fn say_leaving(&self) {
+        self.leaving.set(true);
+        let mut me = self.me.borrow_mut();
+        me.leaving = true;
+        let now = self.now();
+        self.rows.borrow_mut().merge_node(me.clone(), now);
+        drop(me);
+        self.stir();
+    }
+
+    /// Notices when nodes of the core come, go, or fall silent.
+    fn look_at_core(&self) {
+        let rows = self.rows.borrow();
+        let of = |n: &NodeRow| (n.name.clone(), n.nonce, n.silent, n.leaving);
+        let core: Vec<_> = rows.nodes().filter(|n| n.counted && !n.control.is_empty()).map(of).collect();
+        let mut known = self.core_seen.borrow_mut();
+        if *known != core {
+            *known = core;
+            self.bed.borrow_mut().versions.core_changed(self.now());
+        }
+    }
+}
