Read once more: the store is named where an owner is silent; what is gone is taken back

Cause: with the index by events a question without an answer led to no source at all, where the store was named before: for the 2.5 s until a frozen node is called silent its part of all prompts was read anew. Sources that were gone stayed in the owners' sets, bounded, but for good. Whoever asks for an owner and whoever tells one now share one score; before it stood twice. No assertion touched.

--- a/crates/hothouse/tests/forming.rs
+++ b/crates/hothouse/tests/forming.rs
@@ -68,3 +68,18 @@
         world
     });
 }
+
+#[test]
+fn given_a_node_that_starts_anew_when_a_request_comes_before_its_configuration_then_it_waits_for_it() {
+    told(|| async {
+        let world = World::serving(Terms::seeded(7)).await;
+        world.kill("edge-0");
+        sleep(Duration::from_millis(500)).await;
+        world.start("edge-0", false);
+        sleep(Duration::from_millis(2)).await;
+        let asked = hothouse::client::Wish { retries: 0, ..wish(Kind::Idempotent, "b5") };
+        let came = world.client(false).get_at(&asked, world.front_of("edge-0"), 0).await;
+        assert_eq!(came, Came::Served);
+        world
+    });
+}
--- a/crates/hothouse/tests/index.rs
+++ b/crates/hothouse/tests/index.rs
@@ -1,13 +1,39 @@
 //! The index of kept prompts over whole nodes: what one server keeps, another is pointed at.
+use bytes::BytesMut;
 use hothouse::client::{Came, Wish};
+use hothouse::net::MemoryNet;
 use hothouse::plan::Kind;
 use hothouse::server::Server;
+use hothouse::speech::{next_call, whole};
 use hothouse::story::told;
-use hothouse::world::{Terms, World, wish};
+use hothouse::world::{Terms, World, ZONES, store, wish};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+/// The store answers at its address from now on; without that it is told to be down, and not named.
+fn open_store(world: &Rc<World>) {
+    world.fabric.add(store().ip(), ZONES[0]);
+    let door = MemoryNet::new(world.fabric.clone(), store().ip()).open(store()).expect("its address is free");
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = door.next().await;
+            spawn_local(async move {
+                let mut buffer = BytesMut::new();
+                while next_call(&mut stream, &mut buffer).await.is_some() {
+                    sleep(Duration::from_secs(1)).await;
+                    let nothing = r#"{"epoch":1,"next_page_token":0,"lost_count":false,"events":[]}"#;
+                    if stream.write_all(whole(200, "", nothing).as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
 fn about(topic: &str, shared: u64) -> Wish {
     Wish { topic: topic.into(), shared, ..wish(Kind::Idempotent, "b30") }
 }
@@ -59,3 +85,36 @@
 fn given_nodes_that_start_anew_when_a_part_is_asked_for_then_the_events_have_told_of_it_again() {
     (96..98).for_each(|seed| home_drains(seed, 2_000, true));
 }
+
+#[test]
+fn given_all_other_nodes_frozen_when_parts_are_asked_for_then_the_store_is_named_for_what_their_owners_know()
+{
+    told(|| async {
+        let world = World::serving(Terms { servers: 4, ..Terms::seeded(99) }).await;
+        open_store(&world);
+        sleep(Duration::from_secs(2)).await;
+        let wishes: Vec<Wish> = (0..8).map(|n| about(&format!("c0ffee{n}"), 2_000)).collect();
+        for wish in &wishes {
+            assert_eq!(world.client(false).get(wish).await, Came::Served);
+        }
+        sleep(Duration::from_millis(400)).await;
+        let before: Vec<Rc<Server>> = world.server_ids().iter().map(|id| world.server(id)).collect();
+        // What was read is gone with its servers; those that come in their place keep nothing yet.
+        for server in &before {
+            world.crash_server(&server.terms.id);
+            world.restart_server(server);
+        }
+        sleep(Duration::from_secs(4)).await;
+        let others: Vec<String> = world.names().into_iter().filter(|n| n != "edge-0").collect();
+        others.iter().for_each(|name| world.freeze(name, true));
+        for wish in &wishes {
+            let came = world.client(false).get_at(wish, world.front_of("edge-0"), 0).await;
+            assert_eq!(came, Came::Served);
+        }
+        let moves: u32 = world.server_ids().iter().map(|id| world.server(id).moves.get()).sum();
+        assert!(moves >= 8, "{moves} of 8 shared parts came from the store");
+        others.iter().for_each(|name| world.freeze(name, false));
+        sleep(Duration::from_secs(4)).await;
+        world
+    });
+}
--- a/crates/orchard/src/exchange/memory.rs
+++ b/crates/orchard/src/exchange/memory.rs
@@ -41,7 +41,11 @@
             tokens -= part.tokens;
             let key = windrow::hash(format!("{salt}/{}", part.id).as_bytes());
             let question = Question { key, server, store: if place == 0 { named } else { 0 } };
-            let Some(advice) = self.node.advice(question).await else { break };
+            let Some(advice) = self.node.advice(question).await else {
+                // Its owner is gone or slow: the store mostly has what is asked for often.
+                memory.fetch = store.clone();
+                break;
+            };
             if place == 0 {
                 memory.save = store.clone().filter(|_| advice.save);
             }
--- a/crates/orchard/src/following.rs
+++ b/crates/orchard/src/following.rs
@@ -119,6 +119,10 @@
             }
         }
     }
+    if !there(node).contains(&one) {
+        // It is gone: nothing that was told of it holds, and nobody follows it to take that back.
+        node.tell_kept(&mut Source::default(), one.name, true);
+    }
 }
 
 /// A word on a store's life goes out when it changes. Notes of nodes that followed it before are outbid.
@@ -159,8 +163,8 @@
     timeout(PATIENCE, asking).await.ok()?
 }
 
-/// Reads an answer; events that can't be read are passed over.
-fn page(body: &[u8]) -> Option<Page> {
+/// Reads an answer; events that can't be read are passed over. None where it is no answer at all.
+pub fn page(body: &[u8]) -> Option<Page> {
     let told: Told = json::from_str(std::str::from_utf8(body).ok()?).ok()?;
     let events = told.events.iter().filter_map(change).collect();
     let gap = match told.lost_count {
--- a/crates/orchard/src/node/keeping.rs
+++ b/crates/orchard/src/node/keeping.rs
@@ -3,6 +3,7 @@
 use crate::wire::{Call, KeptAt, Reply};
 use espalier::Nanos;
 use gleaner::{Advice, Change, Question};
+use hedgerow::NodeRow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,8 +16,7 @@
     /// The node that owns a key among those that take clients: None for this one itself.
     fn owner(&self, key: u64) -> Option<SocketAddr> {
         let rows = self.rows.borrow();
-        let fit = rows.nodes().filter(|n| n.front && !n.silent && !n.leaving);
-        let best = fit.max_by_key(|n| windrow::mix(windrow::hash(n.name.as_bytes()) ^ windrow::mix(key)))?;
+        let best = rows.nodes().filter(|n| takes_keys(n)).max_by_key(|n| score(name_of(n), key))?;
         if best.name == self.me.borrow().name { None } else { best.internal.parse().ok() }
     }
 
@@ -111,10 +111,7 @@
     pub fn tell_kept(&self, source: &mut gleaner::Source, name: u64, void: bool) {
         let owners = self.owners();
         let set = owners.iter().fold(0, |set, o| windrow::mix(set ^ o.0 ^ windrow::mix(o.1)));
-        let place = |key: u64| {
-            let score = |o: &(u64, u64, Option<SocketAddr>)| windrow::mix(o.0 ^ windrow::mix(key));
-            (0..owners.len()).max_by_key(|&i| score(&owners[i])).unwrap_or(0) as u64
-        };
+        let place = |key| (0..owners.len()).max_by_key(|&i| score(owners[i].0, key)).unwrap_or(0) as u64;
         let mut changes = source.tell(set, place);
         if void {
             (0..owners.len() as u64).for_each(|place| {
@@ -138,11 +135,21 @@
     fn owners(&self) -> Vec<(u64, u64, Option<SocketAddr>)> {
         let own = self.me.borrow().name.clone();
         let rows = self.rows.borrow();
-        let fit = rows.nodes().filter(|n| n.front && !n.silent && !n.leaving);
-        let all = fit.filter_map(|n| {
-            let address = if n.name == own { None } else { Some(n.internal.parse().ok()?) };
-            Some((windrow::hash(n.name.as_bytes()), n.nonce, address))
-        });
-        all.collect()
+        let address = |n: &NodeRow| if n.name == own { None } else { n.internal.parse().ok() };
+        rows.nodes().filter(|n| takes_keys(n)).map(|n| (name_of(n), n.nonce, address(n))).collect()
     }
 }
+
+/// Keys are cut among the nodes that take clients.
+fn takes_keys(node: &NodeRow) -> bool {
+    node.front && !node.silent && !node.leaving
+}
+
+fn name_of(node: &NodeRow) -> u64 {
+    windrow::hash(node.name.as_bytes())
+}
+
+/// Whoever asks for an owner and whoever tells one must come to the same.
+fn score(name: u64, key: u64) -> u64 {
+    windrow::mix(name ^ windrow::mix(key))
+}
