--- /dev/null
+++ b/crates/espalier/src/durations.rs
@@ -0,0 +1,46 @@
+//! How long requests of each route last, from the request read whole to the last byte of its answer.
+//!
+//! The longest duration of a route within the current and the previous window is kept. Memory: one entry for each route
+//! that was asked for within two windows.
+use crate::Nanos;
+use std::collections::HashMap;
+
+/// Length of one window: long enough for some hundred requests of a common route, short enough to forget a bad time.
+const WINDOW: Nanos = 30_000_000_000;
+
+/// The longest recent duration of each route, by the route's name.
+#[derive(Debug, Default)]
+pub struct Durations {
+    window_start: Nanos,
+    current: HashMap<String, Nanos>,
+    previous: HashMap<String, Nanos>,
+}
+
+impl Durations {
+    /// Records that a request of `route` ended at `now`, `duration` after it was read.
+    pub fn record(&mut self, route: &str, duration: Nanos, now: Nanos) {
+        self.rotate(now);
+        match self.current.get_mut(route) {
+            Some(longest) => *longest = duration.max(*longest),
+            None => drop(self.current.insert(route.to_owned(), duration)),
+        }
+    }
+
+    /// The longest duration of `route` in this window and the one before it. `None` where nothing was measured.
+    pub fn longest(&self, route: &str) -> Option<Nanos> {
+        let windows = [&self.current, &self.previous];
+        windows.into_iter().filter_map(|window| window.get(route)).max().copied()
+    }
+
+    fn rotate(&mut self, now: Nanos) {
+        let elapsed = now.saturating_sub(self.window_start);
+        if elapsed < WINDOW {
+            return;
+        }
+        self.previous = std::mem::take(&mut self.current);
+        if elapsed >= 2 * WINDOW {
+            self.previous.clear();
+        }
+        self.window_start = now;
+    }
+}
--- a/crates/espalier/src/lib.rs
+++ b/crates/espalier/src/lib.rs
@@ -6,6 +6,7 @@
 //! shared in the choice. Source: Deb Allen, "Hash Load Balancing and Persistence on BIG-IP LTM".
 mod backlog;
 mod budget;
+mod durations;
 mod election;
 mod prompt;
 mod server;
@@ -13,6 +14,7 @@
 
 pub use backlog::Backlog;
 pub use budget::{Budget, BudgetTerms};
+pub use durations::Durations;
 pub use election::{Ask, Bed, Pick, Turned};
 pub use prompt::{Part, Prompt};
 pub use server::{Ending, Server, ServerIx};
--- /dev/null
+++ b/crates/orchard/src/departure.rs
@@ -0,0 +1,57 @@
+//! Leaving without a loss: which requests a process that was told to end still takes, and when it ends.
+//!
+//! | time after SIGTERM | new requests |
+//! | --- | --- |
+//! | until `notice_ends` | all are taken: the platform in front has not noticed yet that this node is not ready |
+//! | until `process_ends` | taken where they can end in time, else refused at once with 503 and `Retry-After` |
+//!
+//! Both moments follow from `bounds.grace_period_s`. The process ends earlier once nothing is at work any more.
+use espalier::Nanos;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The platform asks every second and believes the second miss (PROTOCOL.md, Ingress); 300 ms for the way there.
+const PLATFORM_NOTICES: Duration = Duration::from_millis(2_300);
+/// Part of the grace period after which requests are taken only if they can end, where that is sooner.
+const NOTICE_SHARE: f64 = 0.45;
+/// Part of the grace period that is left at the end, for the runtime to stop before SIGKILL.
+const END_MARGIN_SHARE: f64 = 0.02;
+/// A request may last this many times as long as the longest recent one of its route.
+const DURATION_MARGIN: u32 = 2;
+
+/// The schedule of one departure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    notice_ends: Instant,
+    process_ends: Instant,
+}
+
+impl Departure {
+    /// The schedule of a process that was told to end at `began`.
+    pub fn new(began: Instant, grace_period: Duration) -> Departure {
+        Departure {
+            notice_ends: began + PLATFORM_NOTICES.min(grace_period.mul_f64(NOTICE_SHARE)),
+            process_ends: began + grace_period.mul_f64(1.0 - END_MARGIN_SHARE),
+        }
+    }
+
+    /// When requests that may last too long are refused from.
+    pub fn notice_ends(&self) -> Instant {
+        self.notice_ends
+    }
+
+    /// When the process ends, whatever is at work.
+    pub fn process_ends(&self) -> Instant {
+        self.process_ends
+    }
+
+    /// Whether a request read at `now` is taken. `deadline`: when it is over for its client or its route;
+    /// `longest_recent`: the longest recent duration of its route, if one was measured.
+    pub fn admits(&self, now: Instant, deadline: Instant, longest_recent: Option<Nanos>) -> bool {
+        if now < self.notice_ends {
+            return true;
+        }
+        let expected = longest_recent.map(|longest| now + Duration::from_nanos(longest) * DURATION_MARGIN);
+        deadline.min(expected.unwrap_or(deadline)) <= self.process_ends
+    }
+}
--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -4,6 +4,7 @@
 mod passing;
 mod speaking;
 
+use crate::boot::nanos;
 use crate::events::Events;
 use crate::http::{Answer, Request};
 use crate::net::Stream;
@@ -30,6 +31,9 @@
 /// A request without a time of its own, on a route without one.
 const USUAL_MS: u64 = 30_000;
 
+/// After so long a client that a leaving node refuses may ask another node: those have room.
+const ELSEWHERE: Duration = Duration::from_millis(40);
+
 /// How the exchange with the client ended.
 pub enum Ended {
     /// The answer is out: the connection may carry another.
@@ -80,6 +84,10 @@
     }
     let told = fields.text("sparrouter-deadline-ms").and_then(|d| d.parse::<u64>().ok());
     let wait = told.unwrap_or(USUAL_MS).min(if route.timeout_ms == 0 { USUAL_MS } else { route.timeout_ms });
+    let until = came + Duration::from_millis(wait);
+    if !may_end_here(node, route, until) {
+        return Ended::Own(Answer::later(node.jitter(ELSEWHERE)));
+    }
     let model = fields.text("sparrouter-model").map(str::to_owned);
     let prompt = Prompt::read(fields.text("sparrouter-prompt-prefix"), fields.text("sparrouter-token-usage"));
     let wall = tenant.filter(|t| t.isolated).map(|t| t.name.as_str()).unwrap_or_default();
@@ -99,7 +107,7 @@
         model,
         prompt,
         came,
-        until: came + Duration::from_millis(wait),
+        until,
         told_ms: told,
         tried: Vec::new(),
         sent: 0,
@@ -108,6 +116,13 @@
     exchange.run(key, client, ahead).await
 }
 
+/// Whether a request that came just now can end before this process does. True where it was not told to end.
+fn may_end_here(node: &Node, route: &Route, until: Instant) -> bool {
+    let Some(departure) = node.departure.get().filter(|_| !has(Defect::TakenWhileLeaving)) else { return true };
+    let longest = node.durations.borrow().longest(&route.name);
+    departure.admits(Instant::now(), until, longest)
+}
+
 impl Exchange<'_> {
     async fn run(&mut self, key: u64, client: &mut Stream, ahead: &mut BytesMut) -> Ended {
         let (mut from, mut to) = split(client);
@@ -150,6 +165,7 @@
                     match whole {
                         Passed::Whole => {
                             guard.ending = Ending::Answered;
+                            self.record_duration();
                             let id = self.instance(pick.server);
                             self.pool.put(&id, link, &head);
                             return if self.keep { Ended::Kept } else { Ended::Closed };
@@ -176,6 +192,11 @@
         }
     }
 
+    fn record_duration(&self) {
+        let duration = nanos(self.came.elapsed());
+        self.node.durations.borrow_mut().record(&self.route.name, duration, self.node.now());
+    }
+
     fn instance(&self, ix: ServerIx) -> String {
         self.node.bed.borrow().get(ix).map(|s| s.id.clone()).unwrap_or_default()
     }
--- a/crates/orchard/src/front.rs
+++ b/crates/orchard/src/front.rs
@@ -24,6 +24,9 @@
 /// Longest time for a body, as a multiple of that for a head.
 const BODY_TIMES: u32 = 4;
 
+/// How long the first request of a new connection is waited for while the process leaves.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
+
 /// How far the node is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
 pub enum Stage {
@@ -61,9 +64,10 @@
 
 async fn attend(node: Rc<Node>, pool: Rc<Pool>, mut stream: Stream, mut stage: watch::Receiver<Stage>) {
     let mut buffer = BytesMut::new();
+    let mut is_new = true;
     loop {
         let limits = node.in_force().table.as_ref().map_or(USUAL, |t| t.limits.clone());
-        if buffer.is_empty() && !first_byte(&mut stream, &mut buffer, &limits, &mut stage).await {
+        if buffer.is_empty() && !first_byte(&mut stream, &mut buffer, &limits, &mut stage, is_new).await {
             return;
         }
         let header_timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
@@ -79,10 +83,10 @@
             }
         };
         let came = Instant::now();
-        node.open.set(node.open.get() + 1);
+        is_new = false;
+        let _open = OpenRequest::new(&node);
         let keep = request.head.keep && *stage.borrow() == Stage::Serving;
         let ended = exchange::serve(&node, &pool, &request, came, &mut stream, &mut buffer, keep).await;
-        node.open.set(node.open.get() - 1);
         match ended {
             Ended::Kept => {}
             Ended::Closed => return,
@@ -103,16 +107,44 @@
     }
 }
 
+/// Ends once connections between requests are closed. On a new connection the first request follows the handshake: it is
+/// waited for a moment, so that it is answered and not cut off.
+async fn closing(stage: &mut watch::Receiver<Stage>, is_new: bool) {
+    let accepted = Instant::now();
+    // An error means that the process ends.
+    let _ = stage.wait_for(|s| *s >= Stage::Closing).await;
+    if is_new {
+        tokio::time::sleep_until(accepted + FIRST_REQUEST).await;
+    }
+}
+
+/// A request that is being worked on; counted until its answer is written.
+struct OpenRequest<'a>(&'a Node);
+
+impl<'a> OpenRequest<'a> {
+    fn new(node: &'a Node) -> OpenRequest<'a> {
+        node.open.set(node.open.get() + 1);
+        OpenRequest(node)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
 /// Waits for a request to begin. False where the connection is to be closed.
 async fn first_byte(
     stream: &mut Stream, buffer: &mut BytesMut, limits: &trellis::Limits, stage: &mut watch::Receiver<Stage>,
+    is_new: bool,
 ) -> bool {
     *buffer = BytesMut::new();
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
     tokio::select! {
         biased;
         read = reading::more(stream, buffer) => return read.is_ok(),
-        _ = stage.wait_for(|s| *s >= Stage::Closing) => {}
+        () = closing(stage, is_new) => {}
         () = tokio::time::sleep(idle) => {}
     }
     // Guards against closing over a request that has come since the runtime last looked.
--- a/crates/orchard/src/lib.rs
+++ b/crates/orchard/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
 //! | `weights` | servers brought to the version of weights that was named |
 //! | `following` | what servers and stores keep of prompts, told to the owners of the parts |
+//! | `departure` | which requests a process that was told to end still takes |
 //! | `run`, `status` | a process from start to end; what it says of itself |
 //! | `planted` | mistakes made on purpose, under a feature for tests |
 //! | `client` | what operators ask of a running fleet |
@@ -19,6 +20,7 @@
 pub mod calls;
 pub mod client;
 pub mod control;
+pub mod departure;
 pub mod disk;
 pub mod doors;
 pub mod events;
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -5,11 +5,12 @@
 mod news;
 
 use crate::boot::{Boot, nanos};
+use crate::departure::Departure;
 use crate::links::Links;
 use crate::net::SharedNet;
 use crate::planted::{Defect, has};
 use crate::ring::Ring;
-use espalier::{Backlog, Bed, Budget, Nanos};
+use espalier::{Backlog, Bed, Budget, Durations, Nanos};
 use fastrand::Rng;
 use gleaner::{Index, Terms};
 use hedgerow::{NodeRow, Pace, Rows};
@@ -110,6 +111,10 @@
     /// What is in force was heard from a source in touch with a quorum, or time for that is up.
     pub informed: Cell<bool>,
     pub leaving: Cell<bool>,
+    /// Set once the process was told to end.
+    pub departure: Cell<Option<Departure>>,
+    /// How long requests of each route last.
+    pub durations: RefCell<Durations>,
     /// When a poll of a source that is in touch last came through.
     pub heard: Cell<Nanos>,
     pub rng: RefCell<Rng>,
@@ -171,6 +176,8 @@
             stirred: Notify::new(),
             informed: Cell::new(false),
             leaving: Cell::new(false),
+            departure: Cell::new(None),
+            durations: RefCell::default(),
             heard: Cell::new(0),
             rng: RefCell::new(rng),
             ring,
--- a/crates/orchard/src/planted.rs
+++ b/crates/orchard/src/planted.rs
@@ -54,12 +54,14 @@
     ResumedFromStart,
     /// Another request's answer is passed on.
     ForeignAnswer,
+    /// A leaving process takes whatever comes.
+    TakenWhileLeaving,
     /// Where no server is ready the route is called unknown.
     NoServerNoRoute,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 25] = [
+    pub const ALL: [Defect; 26] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -84,6 +86,7 @@
         Defect::StreamClosedWhole,
         Defect::ResumedFromStart,
         Defect::ForeignAnswer,
+        Defect::TakenWhileLeaving,
         Defect::NoServerNoRoute,
     ];
 }
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -4,6 +4,7 @@
 use crate::boot::{Boot, nanos};
 use crate::calls;
 use crate::control::{self, Control};
+use crate::departure::Departure;
 use crate::disk::{self, Stock};
 use crate::doors::{self, Matcher};
 use crate::following;
@@ -30,8 +31,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
-/// The platform looks every second and believes the second miss: until then clients still come.
-const NOTICED: Duration = Duration::from_millis(2_300);
+/// How often a leaving process looks whether anything is still at work, and for how many looks in a row nothing may be.
+const QUIET_LOOK: Duration = Duration::from_millis(50);
+const QUIET_LOOKS: u32 = 6;
 
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -189,17 +191,17 @@
 
 /// Readiness first; all that was taken is answered; resting connections go last.
 async fn leave(node: &Rc<Node>, stage: &watch::Sender<Stage>, grace: Duration) {
-    let began = Instant::now();
+    let departure = Departure::new(Instant::now(), grace);
+    node.departure.set(Some(departure));
     stage.send_replace(Stage::Leaving);
     node.say_leaving();
-    let last = grace.saturating_sub(Duration::from_millis(600));
-    tokio::time::sleep(NOTICED.min(last / 2)).await;
+    tokio::time::sleep_until(departure.notice_ends()).await;
     stage.send_replace(Stage::Closing);
     let mut quiet = 0;
-    while began.elapsed() < last {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+    while Instant::now() < departure.process_ends() {
+        tokio::time::sleep(QUIET_LOOK.min(departure.process_ends() - Instant::now())).await;
         quiet = if node.open.get() == 0 { quiet + 1 } else { 0 };
-        if quiet >= 6 {
+        if quiet >= QUIET_LOOKS {
             return;
         }
     }
