Departing processes take no new connections once the platform had time to notice

Clients still come where fewer than half of a zone's machines are in, as the platform then uses all of them. Ruled out: a shorter notice alone (a stream can last longer than any fixed rest). After the notice no new connection is taken; a request on an open connection is taken only if it can end (deadline, route's timeout, twice the longest recent duration of its route), else it is answered 503 with Retry-After.

--- a/crates/orchard/src/departure.rs
+++ b/crates/orchard/src/departure.rs
@@ -1,9 +1,12 @@
 //! Leaving without a loss: which requests a process that was told to end still takes, and when it ends.
 //!
-//! | time after SIGTERM | new requests |
-//! | --- | --- |
-//! | until `notice_ends` | all are taken: the platform in front has not noticed yet that this node is not ready |
-//! | until `process_ends` | taken where they can end in time, else refused at once with 503 and `Retry-After` |
+//! | time after SIGTERM | new connections | requests on connections that are open |
+//! | --- | --- | --- |
+//! | until `notice_ends` | taken: the platform in front has not noticed yet that this node is not ready | taken |
+//! | until `process_ends` | not taken, so that the client asks another node at once | taken where they can end in time, else refused at once with 503 and `Retry-After` |
+//!
+//! Measured against answering new connections too (docs/measured/system.md): a connection that is not taken costs the
+//! client one attempt to connect, a refusal costs it half of the worth of the request.
 //!
 //! Both moments follow from `bounds.grace_period_s`. The process ends earlier once nothing is at work any more.
 use espalier::Nanos;
--- a/crates/orchard/src/front.rs
+++ b/crates/orchard/src/front.rs
@@ -37,7 +37,8 @@
     Closing,
 }
 
-/// Takes clients until the process ends. `most`: connections at a time.
+/// Takes clients until connections are closed for a departure: from then on a client that is still passed here finds no
+/// listener and asks another node at once. `most`: connections at a time.
 pub async fn listen(node: Rc<Node>, door: Box<dyn Door>, stage: watch::Receiver<Stage>, most: usize) {
     let pool = Rc::new(Pool::default());
     let places = Arc::new(Semaphore::new(most.max(16)));
@@ -45,7 +46,12 @@
     loop {
         // Beyond its places the node leaves clients waiting to be accepted: others have room.
         let Ok(place) = places.clone().acquire_owned().await else { return };
-        let (stream, _) = net::accept(&*door).await;
+        let mut closing = stage.clone();
+        let (stream, _) = tokio::select! {
+            biased;
+            accepted = net::accept(&*door) => accepted,
+            _ = closing.wait_for(|s| *s >= Stage::Closing) => return,
+        };
         let (node, pool, stage) = (node.clone(), pool.clone(), stage.clone());
         spawn_local(async move {
             attend(node, pool, stream, stage).await;
