Package windrow becomes sparrouter-rendezvous: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/espalier/src/election.rs
+++ b/crates/espalier/src/election.rs
@@ -195,7 +195,7 @@
     pub fn choose(&self, ask: &Ask, now: Nanos) -> Result<Pick, Turned> {
         let untried = || self.of(ask.service).filter(|(ix, _)| !ask.tried.contains(ix));
         let open = |s: &Server| s.standing == Standing::Ready;
-        let mut order: Vec<ServerIx> = windrow::order(
+        let mut order: Vec<ServerIx> = sparrouter_rendezvous::order(
             untried().filter(|(_, s)| self.ready(ask, s, now)).map(|(ix, s)| (s.hash, ix)),
             ask.key,
         );
--- a/crates/espalier/src/prompt.rs
+++ b/crates/espalier/src/prompt.rs
@@ -1,5 +1,5 @@
 //! A prompt as the client names it: a prefix block chain, part by part, and what it is routed by.
-use windrow::hash;
+use sparrouter_rendezvous::hash;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part {
--- a/crates/espalier/src/server.rs
+++ b/crates/espalier/src/server.rs
@@ -67,7 +67,7 @@
             address,
             zone: row.zone.clone(),
             slot_count: row.slot_count.max(1),
-            hash: windrow::hash(row.id.as_bytes()),
+            hash: sparrouter_rendezvous::hash(row.id.as_bytes()),
             standing: row.standing,
             silent: row.silent,
             loading: false,
--- a/crates/hedgerow/src/sources.rs
+++ b/crates/hedgerow/src/sources.rs
@@ -1,5 +1,5 @@
 //! Whom a node asks for what is new, and who thereby watches it.
-use windrow::{hash, order};
+use sparrouter_rendezvous::{hash, order};
 
 /// How many sources a node asks at a time: one may freeze or be cut off without a word.
 pub const SOURCES: usize = 2;
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -35,7 +35,7 @@
 
 /// Which duty part a service belongs to.
 pub fn part_of(service: &str) -> u16 {
-    1 + (windrow::hash(service.as_bytes()) % u64::from(DUTY_PARTS)) as u16
+    1 + (sparrouter_rendezvous::hash(service.as_bytes()) % u64::from(DUTY_PARTS)) as u16
 }
 
 pub struct PartMachine(u16);
--- a/crates/orchard/src/control/change.rs
+++ b/crates/orchard/src/control/change.rs
@@ -27,7 +27,7 @@
     to.extend(live.chain(rest).filter_map(|m| m.address.parse::<SocketAddr>().ok()));
     if to.is_empty() {
         let mut core = node.core();
-        core.sort_by_key(|c| (silent(&c.0), windrow::hash(c.0.as_bytes()) ^ u64::from(part)));
+        core.sort_by_key(|c| (silent(&c.0), sparrouter_rendezvous::hash(c.0.as_bytes()) ^ u64::from(part)));
         to.extend(core.into_iter().map(|c| c.1));
     }
     let own: Option<SocketAddr> = own.parse().ok();
--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -85,7 +85,7 @@
     let wall = tenant.filter(|t| t.isolated).map(|t| t.name.as_str()).unwrap_or_default();
     let group = format!("{}/{wall}", model.as_deref().unwrap_or_default());
     let attempt_id = fields.get("sparrouter-attempt-id").cloned().unwrap_or_default();
-    let key = prompt.key(&group).unwrap_or_else(|| windrow::hash(&attempt_id));
+    let key = prompt.key(&group).unwrap_or_else(|| sparrouter_rendezvous::hash(&attempt_id));
     let service = route.pick(key).to_owned();
     node.budget(&service, |b, now| b.asked(now));
     let mut exchange = Exchange {
--- a/crates/orchard/src/exchange/admission.rs
+++ b/crates/orchard/src/exchange/admission.rs
@@ -79,7 +79,7 @@
         let shared: u64 = self.prompt.shared().iter().map(|p| p.tokens).sum();
         let lost = if pick.place == 0 && self.tried.is_empty() { HOME_LOST } else { ELSEWHERE_LOST };
         let cost = self.prompt.tokens_in.saturating_sub(shared) as f64 + shared as f64 * lost;
-        let server = windrow::hash(self.instance(pick.server).as_bytes());
+        let server = sparrouter_rendezvous::hash(self.instance(pick.server).as_bytes());
         let token = self.node.rng.borrow_mut().u64(..);
         Counted { server, token, cost: cost as u32, urgency: urgency(self.prompt.tokens_in) as u8 }
     }
--- a/crates/orchard/src/exchange/memory.rs
+++ b/crates/orchard/src/exchange/memory.rs
@@ -26,12 +26,15 @@
         let version = pick.version.unwrap_or(0);
         let (Some(model), true) = (&self.model, version > 0) else { return Memory::default() };
         let salt = self.salt(model, version);
-        let store = self
-            .store()
-            .filter(|s| tokens >= WORTH_STORING && self.node.store_is_up(windrow::hash(s.as_bytes())));
+        let store = self.store().filter(|s| {
+            tokens >= WORTH_STORING && self.node.store_is_up(sparrouter_rendezvous::hash(s.as_bytes()))
+        });
         // Saving takes the whole prompt along, and can wait for a better one.
-        let named = store.as_ref().filter(|_| own * 2 < tokens).map_or(0, |s| windrow::hash(s.as_bytes()));
-        let server = windrow::hash(id.as_bytes());
+        let named = store
+            .as_ref()
+            .filter(|_| own * 2 < tokens)
+            .map_or(0, |s| sparrouter_rendezvous::hash(s.as_bytes()));
+        let server = sparrouter_rendezvous::hash(id.as_bytes());
         let mut memory = Memory::default();
         for (place, part) in shared.iter().rev().take(ASKED).enumerate() {
             // A move has its own cost: small parts are read sooner than they come.
@@ -39,7 +42,7 @@
                 break;
             }
             tokens -= part.tokens;
-            let key = windrow::hash(format!("{salt}/{}", part.id).as_bytes());
+            let key = sparrouter_rendezvous::hash(format!("{salt}/{}", part.id).as_bytes());
             let question = Question { key, server, store: if place == 0 { named } else { 0 } };
             let Some(advice) = self.node.advice(question).await else {
                 // Its owner is gone or slow: the store mostly has what is asked for often.
@@ -60,7 +63,7 @@
     /// Of those that have it the one that is fetched from soonest.
     fn nearest(&self, advice: &Advice, store: &Option<String>) -> Option<String> {
         let bed = self.node.bed.borrow();
-        let named = store.as_ref().map(|s| windrow::hash(s.as_bytes()));
+        let named = store.as_ref().map(|s| sparrouter_rendezvous::hash(s.as_bytes()));
         let server = |hash: u64| {
             let fit = |s: &&Server| !s.suspected() && !s.loading() && !s.silent();
             bed.hashed(hash).filter(fit).map(|s| s.address.to_string())
@@ -83,7 +86,10 @@
     pub(super) fn store(&self) -> Option<String> {
         let stores = self.table.services.iter().filter_map(|s| Some((&s.name, s.store.as_ref()?)));
         let key = self.prompt.key("store")?;
-        let order = windrow::order(stores.map(|(n, s)| (windrow::hash(n.as_bytes()), s.address)), key);
+        let order = sparrouter_rendezvous::order(
+            stores.map(|(n, s)| (sparrouter_rendezvous::hash(n.as_bytes()), s.address)),
+            key,
+        );
         order.first().map(ToString::to_string)
     }
 }
--- a/crates/orchard/src/following.rs
+++ b/crates/orchard/src/following.rs
@@ -89,7 +89,7 @@
 }
 
 fn key(store: SocketAddr) -> u64 {
-    windrow::hash(store.to_string().as_bytes())
+    sparrouter_rendezvous::hash(store.to_string().as_bytes())
 }
 
 async fn keep_on(node: &Rc<Node>, one: Followed) {
@@ -181,7 +181,7 @@
     let (Value::String(salt), Value::String(id)) = (fields.get(2)?, fields.get(3)?) else { return None };
     let Value::Number(tokens) = fields.get(4)? else { return None };
     let tokens = whole(tokens).filter(|t| *t >= LEAST).unwrap_or(0);
-    let key = windrow::hash(format!("{salt}/{id}").as_bytes());
+    let key = sparrouter_rendezvous::hash(format!("{salt}/{id}").as_bytes());
     Some(Change { key, tokens: tokens.min(u64::from(u32::MAX)) as u32 })
 }
 
--- a/crates/orchard/src/node/keeping.rs
+++ b/crates/orchard/src/node/keeping.rs
@@ -76,7 +76,7 @@
         let mut stores = self.stores.borrow_mut();
         for note in rows.notes() {
             let Some(address) = note.key.strip_prefix("store/") else { continue };
-            let store = windrow::hash(address.as_bytes());
+            let store = sparrouter_rendezvous::hash(address.as_bytes());
             if stores.insert(store, note.value).is_some_and(|before| before != note.value) {
                 self.index.borrow_mut().lost(store);
             }
@@ -110,7 +110,9 @@
     /// Tells the owners of parts what a source keeps of them now. `void`: nothing else that was told of it holds.
     pub fn tell_kept(&self, source: &mut gleaner::Source, name: u64, void: bool) {
         let owners = self.owners();
-        let set = owners.iter().fold(0, |set, o| windrow::mix(set ^ o.0 ^ windrow::mix(o.1)));
+        let set = owners
+            .iter()
+            .fold(0, |set, o| sparrouter_rendezvous::mix(set ^ o.0 ^ sparrouter_rendezvous::mix(o.1)));
         let place = |key| (0..owners.len()).max_by_key(|&i| score(owners[i].0, key)).unwrap_or(0) as u64;
         let mut changes = source.tell(set, place);
         if void {
@@ -146,10 +148,10 @@
 }
 
 fn name_of(node: &NodeRow) -> u64 {
-    windrow::hash(node.name.as_bytes())
+    sparrouter_rendezvous::hash(node.name.as_bytes())
 }
 
 /// Whoever asks for an owner and whoever tells one must come to the same.
 fn score(name: u64, key: u64) -> u64 {
-    windrow::mix(name ^ windrow::mix(key))
+    sparrouter_rendezvous::mix(name ^ sparrouter_rendezvous::mix(key))
 }
--- a/crates/orchard/src/registry.rs
+++ b/crates/orchard/src/registry.rs
@@ -7,12 +7,12 @@
 use crate::polls;
 use hedgerow::{Delta, ModelAt, ServerRow, Standing};
 use miniserde::{Deserialize, json};
+use sparrouter_rendezvous::{hash, order};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
-use windrow::{hash, order};
 
 /// Beats that may stay away before a server counts as silent.
 const MISSED: u32 = 3;
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -134,7 +134,7 @@
     let data = boot.data.clone().filter(|_| keeps);
     let mut stock = open(data.as_deref(), &ring, &mut rng);
     if has(Defect::WipedVotes) {
-        stock.disk = windrow::hash(boot.node_name.as_bytes());
+        stock.disk = sparrouter_rendezvous::hash(boot.node_name.as_bytes());
     }
     let first = boot.first_start;
     let founder = boot.seeds.first().is_none_or(|s| s.ip() == boot.ip);
--- a/crates/orchard/tests/following.rs
+++ b/crates/orchard/tests/following.rs
@@ -3,7 +3,7 @@
 use orchard::following::page;
 
 fn key(of: &str) -> u64 {
-    windrow::hash(of.as_bytes())
+    sparrouter_rendezvous::hash(of.as_bytes())
 }
 
 #[test]
--- a/crates/rootstock/src/owner.rs
+++ b/crates/rootstock/src/owner.rs
@@ -1,6 +1,6 @@
 //! Whom to relay a part's changes to, so that two proposers seldom meet; what holds never depends on it.
 use crate::types::Member;
-use windrow::{hash, order};
+use sparrouter_rendezvous::{hash, order};
 
 /// Members by preference for a part, the same at every node. By name: a wiped machine keeps its place.
 pub fn ranked(part: u16, members: &[Member]) -> Vec<&Member> {
--- a/crates/rootstock/tests/fleet/mod.rs
+++ b/crates/rootstock/tests/fleet/mod.rs
@@ -271,7 +271,7 @@
                 return Err("it runs away: 200,000 steps".to_owned());
             }
             self.now = self.now.max(next);
-            self.digest = windrow::mix(self.digest ^ self.now ^ self.next_op);
+            self.digest = sparrouter_rendezvous::mix(self.digest ^ self.now ^ self.next_op);
             match wake {
                 Some((at, node)) if queued.is_none_or(|q| at <= q) => {
                     let now = self.now;
@@ -306,7 +306,9 @@
             }
             Event::Deliver { sender, to, bytes, .. } => {
                 let now = self.now;
-                self.digest = windrow::mix(self.digest ^ windrow::hash(&bytes) ^ sender.disk);
+                self.digest = sparrouter_rendezvous::mix(
+                    self.digest ^ sparrouter_rendezvous::hash(&bytes) ^ sender.disk,
+                );
                 let Some(register) = &mut self.nodes[to].register else { return };
                 let message = Message::decode(&bytes, 1 << 20).expect("what was encoded is decoded");
                 register.handle(sender, message, now);
--- a/crates/windrow/tests/order.rs
+++ b/crates/sparrouter-rendezvous/tests/order.rs
@@ -1,4 +1,4 @@
-use windrow::{hash, order, score, unit};
+use sparrouter_rendezvous::{hash, order, score, unit};
 
 #[test]
 fn given_the_same_members_in_any_order_then_the_ranking_is_the_same() {
--- a/crates/sparrouter/src/policy.rs
+++ b/crates/sparrouter/src/policy.rs
@@ -156,7 +156,7 @@
         let score = |&c: &CacheIx| {
             let cache = self.get(c);
             let weight = cache.weight * self.warmth(c, now) * cache.health(prior, now);
-            (windrow::score(cache.id_hash, key, weight), c)
+            (sparrouter_rendezvous::score(cache.id_hash, key, weight), c)
         };
         let mut order: Vec<_> = self.ready.iter().map(score).collect();
         order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
--- a/crates/sparrouter/src/records.rs
+++ b/crates/sparrouter/src/records.rs
@@ -124,7 +124,7 @@
     all.get(all.len() / 2).copied()
 }
 
-pub use windrow::mix;
+pub use sparrouter_rendezvous::mix;
 
 #[derive(Clone, Copy, Default)]
 pub struct Usual {
--- a/crates/trellis/src/change.rs
+++ b/crates/trellis/src/change.rs
@@ -19,7 +19,7 @@
 impl Document {
     /// A number for the text, the same in every process and release.
     pub fn digest(&self) -> u64 {
-        windrow::hash(self.text.as_bytes())
+        sparrouter_rendezvous::hash(self.text.as_bytes())
     }
 }
 
@@ -34,10 +34,10 @@
 /// A number for a request's method and body, to know the same one when it is sent again.
 pub fn digest_of_request(method: Method, body: &[u8]) -> u64 {
     let tag = match method {
-        Method::Put => windrow::hash(b"PUT"),
-        Method::Patch => windrow::hash(b"PATCH"),
+        Method::Put => sparrouter_rendezvous::hash(b"PUT"),
+        Method::Patch => sparrouter_rendezvous::hash(b"PATCH"),
     };
-    windrow::mix(windrow::hash(body) ^ tag)
+    sparrouter_rendezvous::mix(sparrouter_rendezvous::hash(body) ^ tag)
 }
 
 /// Checks a change in whole on top of `current` (None: none taken yet, its number counts as 0) and gives the
--- a/crates/trellis/src/edit.rs
+++ b/crates/trellis/src/edit.rs
@@ -22,7 +22,7 @@
 
 /// A number for a text, the same in every process and release.
 pub fn digest_of_text(text: &str) -> u64 {
-    windrow::hash(text.as_bytes())
+    sparrouter_rendezvous::hash(text.as_bytes())
 }
 
 /// A text in runs, each from one opening brace to the next: items keep theirs where others are added or removed.
--- a/crates/trellis/src/table.rs
+++ b/crates/trellis/src/table.rs
@@ -114,8 +114,8 @@
             return service;
         }
         let scored = self.split.iter().map(|(service, weight)| {
-            let member = windrow::hash(service.as_bytes());
-            (windrow::score(member, key, *weight), member, service)
+            let member = sparrouter_rendezvous::hash(service.as_bytes());
+            (sparrouter_rendezvous::score(member, key, *weight), member, service)
         });
         scored.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map_or("", |(_, _, service)| service)
     }
