Package trug becomes sparrouter-codec: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/hedgerow/src/rows.rs
+++ b/crates/hedgerow/src/rows.rs
@@ -1,8 +1,8 @@
 //! The rows, how two of one name merge, and what changed since a revision.
 use crate::{Nanos, Note};
 use nanoserde::{DeBin, SerBin};
+use sparrouter_codec::Seq;
 use std::collections::{BTreeMap, HashMap};
-use trug::Seq;
 
 /// In the order in which a server goes through them; it never goes back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -5,11 +5,11 @@
 use gleaner::Question;
 use hedgerow::Delta;
 use rootstock::{Member, Outcome};
+use sparrouter_codec::Blob;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
-use trug::Blob;
 
 /// A node out of touch with a quorum holds a poll no longer than this.
 const LEAVE_ME_MS: u32 = 300;
--- a/crates/orchard/src/calls.rs
+++ b/crates/orchard/src/calls.rs
@@ -5,9 +5,9 @@
 use crate::planted::{Defect, has};
 use crate::run::House;
 use crate::statute::Change;
+use sparrouter_codec::Blob;
 use std::rc::Rc;
 use std::time::Duration;
-use trug::Blob;
 
 /// An operator's call waits a second for an answer; a change has this much of it.
 const PATIENCE: Duration = Duration::from_millis(900);
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -18,6 +18,7 @@
 use rootstock::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Settings,
 };
+use sparrouter_codec::Blob;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -25,7 +26,6 @@
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
-use trug::Blob;
 
 /// The configuration's part, and how many parts the services' duties are cut into.
 pub const CONFIG: u16 = 0;
--- a/crates/orchard/src/control/change.rs
+++ b/crates/orchard/src/control/change.rs
@@ -5,11 +5,11 @@
 use crate::statute::{Change, Verdict};
 use crate::wire::{Call, Reply};
 use rootstock::{Member, Outcome};
+use sparrouter_codec::Blob;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
-use trug::Blob;
 
 /// Makes a change through whoever may: this node's register, or that of a member, the part's owner first.
 pub async fn change(
@@ -80,7 +80,7 @@
 }
 
 pub fn verdict(answer: &[u8]) -> Option<Verdict> {
-    trug::read(answer)
+    sparrouter_codec::read(answer)
 }
 
 pub fn encode(change: &Change) -> Vec<u8> {
--- a/crates/orchard/src/control/groups.rs
+++ b/crates/orchard/src/control/groups.rs
@@ -4,12 +4,12 @@
 use crate::node::Node;
 use crate::wire::{Call, Reply};
 use rootstock::{Member, Outcome, Record, Register, Seen};
+use sparrouter_codec::Blob;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
-use trug::Blob;
 
 /// The first group is formed once the nodes that count have been the same for so long, or some came in so long.
 const SETTLED: Duration = Duration::from_millis(900);
--- a/crates/orchard/src/links.rs
+++ b/crates/orchard/src/links.rs
@@ -168,7 +168,7 @@
         let mut from = BufReader::new(from);
         let reading = async {
             while let Some((id, body)) = next_frame(&mut from).await {
-                let Some(reply) = trug::read::<Reply>(&body) else { return };
+                let Some(reply) = sparrouter_codec::read::<Reply>(&body) else { return };
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
                     // A caller that no longer waits has said so by dropping its end.
                     let _ = waiting.send(reply);
@@ -218,7 +218,7 @@
     let at_once = Arc::new(Semaphore::new(AT_ONCE));
     let reading = async {
         while let Some((id, body)) = next_frame(&mut from).await {
-            let Some(call) = trug::read::<Call>(&body) else { return };
+            let Some(call) = sparrouter_codec::read::<Call>(&body) else { return };
             let Ok(permit) = at_once.clone().acquire_owned().await else { return };
             let (answer, queue) = (answer.clone(), queue.clone());
             spawn_local(async move {
--- a/crates/orchard/src/run.rs
+++ b/crates/orchard/src/run.rs
@@ -144,7 +144,7 @@
     let in_core = keeps && (boot.counted || data.is_some());
     let disk = if in_core { stock.disk } else { 0 };
     let node = Node::new(boot, disk, ring, net, rng);
-    if let Some(rows) = stock.rows.as_deref().and_then(trug::read::<Delta>) {
+    if let Some(rows) = stock.rows.as_deref().and_then(sparrouter_codec::read::<Delta>) {
         node.learn(rows);
     }
     spawn_local(node.clone().carry_out());
--- a/crates/orchard/src/statute.rs
+++ b/crates/orchard/src/statute.rs
@@ -2,8 +2,8 @@
 use crate::planted::{Defect, has};
 use nanoserde::{DeBin, SerBin};
 use rootstock::{Applied, Machine};
+use sparrouter_codec::{Blob, Seq};
 use trellis::{Document, Method, Refusal, digest_of_request};
-use trug::{Blob, Seq};
 
 /// Changes whose repeats are answered as taken.
 const REMEMBERED: usize = 256;
@@ -67,7 +67,7 @@
 
 impl Statute {
     pub fn read(body: &[u8]) -> Option<Statute> {
-        if body.is_empty() { Some(Statute::default()) } else { trug::read(body) }
+        if body.is_empty() { Some(Statute::default()) } else { sparrouter_codec::read(body) }
     }
 
     pub fn document(&self) -> Option<Document> {
@@ -117,7 +117,7 @@
                 "the part's body is of another release: bring all nodes to one",
             ));
         };
-        let Some(change) = trug::read::<Change>(change) else {
+        let Some(change) = sparrouter_codec::read::<Change>(change) else {
             return unchanged(Verdict::new(400, "no change that this release knows"));
         };
         let mut after = before.clone();
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -1,8 +1,8 @@
 //! What the system's own processes say to each other: frames of `nanoserde` binary over TCP.
 use hedgerow::{Delta, NodeRow};
 use nanoserde::{DeBin, SerBin};
+use sparrouter_codec::{Blob, Seq};
 use trellis::{Edit, Piece};
-use trug::{Blob, Seq};
 
 /// First bytes of a connection: name and version of this protocol.
 pub const HELLO: &[u8; 8] = b"orchard2";
--- a/crates/orchard/tests/statute.rs
+++ b/crates/orchard/tests/statute.rs
@@ -2,7 +2,7 @@
 use nanoserde::SerBin;
 use orchard::statute::{Change, Statute, Statutes, Verdict};
 use rootstock::{Applied, Machine};
-use trug::Blob;
+use sparrouter_codec::Blob;
 
 /// The part's body as it goes from change to change.
 #[derive(Default)]
@@ -14,9 +14,9 @@
             Applied::Changed { body, answer } => {
                 assert_ne!(body, self.0, "what is called changed has changed");
                 self.0 = body;
-                trug::read(&answer).expect("a verdict")
+                sparrouter_codec::read(&answer).expect("a verdict")
             }
-            Applied::Unchanged { answer } => trug::read(&answer).expect("a verdict"),
+            Applied::Unchanged { answer } => sparrouter_codec::read(&answer).expect("a verdict"),
         }
     }
     fn apply(&mut self, change: &Change) -> u16 {
--- a/crates/trug/tests/lists.rs
+++ b/crates/sparrouter-codec/tests/lists.rs
@@ -1,5 +1,5 @@
 use nanoserde::{DeBin, SerBin};
-use trug::{Blob, Seq};
+use sparrouter_codec::{Blob, Seq};
 
 #[test]
 fn given_lists_when_written_and_read_then_they_are_the_same() {
@@ -24,6 +24,6 @@
 #[test]
 fn given_a_text_length_that_overflows_when_read_then_it_is_refused() {
     let hostile = u64::MAX.to_le_bytes();
-    assert!(trug::read::<String>(&hostile).is_none());
-    assert!(trug::read::<(u8, String)>(&[1, 255, 255, 255, 255, 255, 255, 255, 255]).is_none());
+    assert!(sparrouter_codec::read::<String>(&hostile).is_none());
+    assert!(sparrouter_codec::read::<(u8, String)>(&[1, 255, 255, 255, 255, 255, 255, 255, 255]).is_none());
 }
