Package wicket becomes sparrouter-http: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/hayfield/src/client.rs
+++ b/crates/hayfield/src/client.rs
@@ -6,15 +6,15 @@
 use bytes::BytesMut;
 use orchard::client::call::{Call, Outcome, once};
 use orchard::net::Sockets;
+use sparrouter_http::chunks::{Chunks, Piece};
+use sparrouter_http::head::{self, Framing};
+use sparrouter_http::reading::{self, Broken};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use wicket::chunks::{Chunks, Piece};
-use wicket::head::{self, Framing};
-use wicket::reading::{self, Broken};
 
 /// The platform looks so often, and takes a node out at the second miss.
 const LOOK: Duration = Duration::from_secs(1);
--- a/crates/hothouse/src/client.rs
+++ b/crates/hothouse/src/client.rs
@@ -8,15 +8,15 @@
 use bytes::{Bytes, BytesMut};
 use fastrand::Rng;
 use orchard::net::Wire;
+use sparrouter_http::chunks::{Chunks, Piece};
+use sparrouter_http::head::{self, Framing};
+use sparrouter_http::reading;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use wicket::chunks::{Chunks, Piece};
-use wicket::head::{self, Framing};
-use wicket::reading;
 
 /// A new connection is given so long to come up; a stream may be silent for so long.
 const COMES_UP: Duration = Duration::from_secs(1);
--- a/crates/hothouse/src/server.rs
+++ b/crates/hothouse/src/server.rs
@@ -13,6 +13,7 @@
 use crate::speech::{next_call, whole};
 use bytes::{Bytes, BytesMut};
 use fastrand::Rng;
+use sparrouter_http::head::CallHead;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,7 +23,6 @@
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
-use wicket::head::CallHead;
 
 /// The one model of these stories.
 pub const MODEL: &str = "daka510000";
--- a/crates/hothouse/src/server/work.rs
+++ b/crates/hothouse/src/server/work.rs
@@ -4,13 +4,13 @@
 use crate::line::End;
 use crate::speech::whole;
 use bytes::{Bytes, BytesMut};
+use sparrouter_http::head::{CallHead, Fields};
+use sparrouter_http::reading;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep};
-use wicket::head::{CallHead, Fields};
-use wicket::reading;
 
 impl Server {
     /// Declines with the words that prove it.
--- a/crates/hothouse/src/speech.rs
+++ b/crates/hothouse/src/speech.rs
@@ -3,12 +3,12 @@
 use crate::net::MemoryNet;
 use bytes::{Bytes, BytesMut};
 use orchard::http;
+use sparrouter_http::head::{self, CallHead, ReplyHead};
+use sparrouter_http::reading;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
-use wicket::head::{self, CallHead, ReplyHead};
-use wicket::reading;
 
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/orchard/src/client/call.rs
+++ b/crates/orchard/src/client/call.rs
@@ -2,11 +2,11 @@
 use crate::http;
 use crate::net::Net;
 use bytes::BytesMut;
+use sparrouter_http::{head, reading};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
-use wicket::{head, reading};
 
 /// A node is silent after this; a body has more, by its length.
 const SILENCE: Duration = Duration::from_secs(1);
--- a/crates/orchard/src/doors.rs
+++ b/crates/orchard/src/doors.rs
@@ -2,6 +2,7 @@
 use crate::http::{self, Answer, NoRequest, Request, Room};
 use crate::net::{self, Door, Stream};
 use bytes::BytesMut;
+use sparrouter_http::reading;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,7 +12,6 @@
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
-use wicket::reading;
 
 /// Largest body, longest head, most connections, and how long one may rest.
 const BODY: usize = 9 << 20;
--- a/crates/orchard/src/exchange/passing.rs
+++ b/crates/orchard/src/exchange/passing.rs
@@ -6,11 +6,11 @@
 use crate::planted::{Defect, has};
 use crate::upstream::Upstream;
 use bytes::{BufMut, Bytes, BytesMut};
+use sparrouter_http::chunks::{Chunks, Piece};
+use sparrouter_http::head::{Framing, ReplyHead};
+use sparrouter_http::reading::{self, Broken};
 use tokio::io::{AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::time::timeout_at;
-use wicket::chunks::{Chunks, Piece};
-use wicket::head::{Framing, ReplyHead};
-use wicket::reading::{self, Broken};
 
 /// How passing an answer on ended.
 pub(super) enum Passed {
--- a/crates/orchard/src/exchange/speaking.rs
+++ b/crates/orchard/src/exchange/speaking.rs
@@ -8,11 +8,11 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use espalier::Pick;
 use hedgerow::Standing;
+use sparrouter_http::head::{self, Framing, ReplyHead};
+use sparrouter_http::reading::{self};
 use std::time::Duration;
 use tokio::io::ReadHalf;
 use tokio::time::Instant;
-use wicket::head::{self, Framing, ReplyHead};
-use wicket::reading::{self};
 
 /// Interim answers and surplus ones of earlier requests that are passed over ahead of the one that counts.
 const MOST_SURPLUS: usize = 16;
--- a/crates/orchard/src/following.rs
+++ b/crates/orchard/src/following.rs
@@ -10,6 +10,7 @@
 use hedgerow::{Delta, Note};
 use miniserde::json::{Number, Value};
 use miniserde::{Deserialize, json};
+use sparrouter_http::{head, reading};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,7 +18,6 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use wicket::{head, reading};
 
 /// A question is held so long, the longest that it may be; it is given so much longer.
 const HOLD_MS: u64 = 1_000;
--- a/crates/orchard/src/front.rs
+++ b/crates/orchard/src/front.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::upstream::Pool;
 use bytes::BytesMut;
+use sparrouter_http::reading;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,6 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
-use wicket::reading;
 
 /// Before a configuration is known.
 const USUAL: trellis::Limits = trellis::Limits {
--- a/crates/orchard/src/http.rs
+++ b/crates/orchard/src/http.rs
@@ -1,12 +1,12 @@
 //! Whole messages and our own answers: what the client edge, the operators' door and calls to servers share.
 use bytes::{Bytes, BytesMut};
+use sparrouter_http::chunks::{Chunks, Piece};
+use sparrouter_http::head::{self, CallHead, Framing};
+use sparrouter_http::reading::{self, Broken, HEAD_TOO_LONG};
 use std::fmt::Write;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::time::{Instant, timeout_at};
-use wicket::chunks::{Chunks, Piece};
-use wicket::head::{self, CallHead, Framing};
-use wicket::reading::{self, Broken, HEAD_TOO_LONG};
 
 /// What a caller may send.
 #[derive(Clone, Copy, Debug)]
--- a/crates/orchard/src/net.rs
+++ b/crates/orchard/src/net.rs
@@ -1,4 +1,5 @@
 //! The way to other machines: sockets, or a network in memory where stories are told. Nothing else opens any.
+use sparrouter_http::reading;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -7,7 +8,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use wicket::reading;
 
 /// Unacknowledged bytes may be so old: a machine without power or behind a cut says nothing.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
--- a/crates/orchard/src/upstream.rs
+++ b/crates/orchard/src/upstream.rs
@@ -1,13 +1,13 @@
 //! Connections to servers: kept while a server keeps them, looked at before each use, one exchange at a time.
 use crate::net::{Net, Stream};
 use bytes::{Bytes, BytesMut};
+use sparrouter_http::head::ReplyHead;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, timeout};
-use wicket::head::ReplyHead;
 
 /// How long a connection may take to come up.
 const DIAL: Duration = Duration::from_millis(600);
--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -14,6 +14,8 @@
 use hedgerow::{Delta, Note, Standing};
 use miniserde::{Deserialize, json};
 use rootstock::lease::{Holder, LeaseAnswer, LeaseChange};
+use sparrouter_http::head;
+use sparrouter_http::reading;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -21,8 +23,6 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use wicket::head;
-use wicket::reading;
 
 /// Servers that are asked at most before the work begins.
 const MOST_LOOKED: usize = 64;
--- a/crates/sparrouter-node/src/protocol/mod.rs
+++ b/crates/sparrouter-node/src/protocol/mod.rs
@@ -1,5 +1,5 @@
 //! What the bytes mean: discovery's lines and our own messages; heads and chunked bodies are
-//! `wicket`'s. No I/O here; whatever is malformed comes back as `Bad`, never as a panic.
+//! `sparrouter-http`'s. No I/O here; whatever is malformed comes back as `Bad`, never as a panic.
 pub mod json;
 pub mod lines;
 pub mod messages;
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use wicket::{Bad, Parsed, chunks, head};
+pub use sparrouter_http::{Bad, Parsed, chunks, head};
 
 /// Longest head, in bytes.
 pub const MAX_HEAD: usize = 16 << 10;
--- a/crates/sparrouter-node/src/transport/reading.rs
+++ b/crates/sparrouter-node/src/transport/reading.rs
@@ -6,13 +6,13 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncRead;
 
-pub use wicket::reading::{Broken, at_hand, more};
+pub use sparrouter_http::reading::{Broken, at_hand, more};
 
 /// Up to and with the empty line, as long as this program allows.
 pub async fn head(
     stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, begins: &[u8],
 ) -> Result<Bytes, Broken> {
-    wicket::reading::head(stream, buffer, begins, MAX_HEAD).await
+    sparrouter_http::reading::head(stream, buffer, begins, MAX_HEAD).await
 }
 
 /// As long as there is room for it.
