Package gleaner becomes sparrouter-prefix-index: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -2,10 +2,10 @@
 use crate::planted::{Defect, has};
 use crate::run::House;
 use crate::wire::{Call, Reply, Told};
-use gleaner::Question;
 use hedgerow::Delta;
 use rootstock::{Member, Outcome};
 use sparrouter_codec::Blob;
+use sparrouter_prefix_index::Question;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -74,7 +74,7 @@
         }
         Call::Prefix { key, server, store } => {
             let advice = node.index.borrow_mut().ask(Question { key, server, store }, node.now());
-            let gleaner::Advice { save, held, holders, reader } = advice;
+            let sparrouter_prefix_index::Advice { save, held, holders, reader } = advice;
             Some(Reply::Prefix { save, held, holders: holders.into(), reader })
         }
         Call::Kept { source, void, rows } => {
--- a/crates/orchard/src/exchange/memory.rs
+++ b/crates/orchard/src/exchange/memory.rs
@@ -2,7 +2,7 @@
 use super::Exchange;
 use crate::planted::{Defect, has};
 use espalier::{Pick, Server};
-use gleaner::{Advice, Question};
+use sparrouter_prefix_index::{Advice, Question};
 
 /// Shared parts of fewer tokens are read, not moved; and of fewer than that, no store is asked or told.
 const WORTH_MOVING: u64 = 100;
--- a/crates/orchard/src/node/keeping.rs
+++ b/crates/orchard/src/node/keeping.rs
@@ -2,8 +2,8 @@
 use super::{KEPT, Node};
 use crate::wire::{Call, KeptAt, Reply};
 use espalier::Nanos;
-use gleaner::{Advice, Change, Question};
 use hedgerow::NodeRow;
+use sparrouter_prefix_index::{Advice, Change, Question};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -108,7 +108,7 @@
     }
 
     /// Tells the owners of parts what a source keeps of them now. `void`: nothing else that was told of it holds.
-    pub fn tell_kept(&self, source: &mut gleaner::Source, name: u64, void: bool) {
+    pub fn tell_kept(&self, source: &mut sparrouter_prefix_index::Source, name: u64, void: bool) {
         let owners = self.owners();
         let set = owners
             .iter()
--- a/crates/orchard/tests/following.rs
+++ b/crates/orchard/tests/following.rs
@@ -1,6 +1,6 @@
 //! What is read from a server's or store's answer to the question for events.
-use gleaner::Change;
 use orchard::following::page;
+use sparrouter_prefix_index::Change;
 
 fn key(of: &str) -> u64 {
     sparrouter_rendezvous::hash(of.as_bytes())
--- a/crates/gleaner/tests/index.rs
+++ b/crates/sparrouter-prefix-index/tests/index.rs
@@ -1,5 +1,5 @@
 //! What the owner of a part answers.
-use gleaner::{Advice, Index, Question, Terms};
+use sparrouter_prefix_index::{Advice, Index, Question, Terms};
 
 const S: u64 = 1_000_000_000;
 const TERMS: Terms = Terms { most: 64, keeps: 30 * S, again: 120 * S, heard: 4 * S };
--- a/crates/gleaner/tests/source.rs
+++ b/crates/sparrouter-prefix-index/tests/source.rs
@@ -1,5 +1,5 @@
 //! What a follower makes of a source's events.
-use gleaner::{Change, Page, Source};
+use sparrouter_prefix_index::{Change, Page, Source};
 use std::collections::BTreeMap;
 
 fn kept(key: u64, tokens: u32) -> Change {
