Package cellar becomes sparrouter-storage: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/hothouse/src/shelf.rs
+++ b/crates/hothouse/src/shelf.rs
@@ -1,8 +1,8 @@
 //! A machine's disk: one that lies, answers late in virtual time, stalls, fills up, or is lost.
-use cellar::{Cellar, LyingFiles};
 use fastrand::Rng;
 use orchard::disk::{Keeper, Kept, Save, Saves, Stock, keep};
 use orchard::ring::Ring;
+use sparrouter_storage::{Cellar, LyingFiles};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/orchard/src/disk.rs
+++ b/crates/orchard/src/disk.rs
@@ -3,8 +3,8 @@
 //! The program's keeper is a thread. Where stories are told it is a task in virtual time, over a disk that lies.
 use crate::control::DUTY_PARTS;
 use crate::ring::Ring;
-use cellar::{Cellar, Files, Opened, RealFiles};
 use fastrand::Rng;
+use sparrouter_storage::{Cellar, Files, Opened, RealFiles};
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
--- a/crates/rootstock/tests/fleet/mod.rs
+++ b/crates/rootstock/tests/fleet/mod.rs
@@ -6,13 +6,13 @@
 pub mod planted;
 pub mod weather;
 
-use cellar::{Cellar, LyingFiles, Opened, lying::Cut};
 use clients::{Call, Client};
 use fastrand::Rng;
 use judge::Judge;
 use machine::{Config, Configs};
 use rootstock::{Action, Defects, Member, Message, Record, Register, Seen, Settings};
 pub use rootstock::{MILLISECOND, Nanos, SECOND};
+use sparrouter_storage::{Cellar, LyingFiles, Opened, lying::Cut};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 pub use weather::Weather;
--- a/crates/rootstock/tests/fleet/weather.rs
+++ b/crates/rootstock/tests/fleet/weather.rs
@@ -1,7 +1,7 @@
 //! Faults by seed: losses of power and disks, cuts, freezes, disks in trouble, machines replaced.
 use super::{CONTACT, Event, Fleet, MILLISECOND, Nanos, Node};
-use cellar::{Cellar, Opened};
 use rootstock::{Record, Shared};
+use sparrouter_storage::{Cellar, Opened};
 
 /// A machine that lost its disk still counts as lost for so long.
 const CATCH_UP: Nanos = 4 * CONTACT;
--- a/crates/cellar/src/lib.rs
+++ b/crates/sparrouter-storage/src/lib.rs
@@ -1,6 +1,6 @@
 //! Files that survive: one file a version, written aside, synced, renamed, its folder synced.
 //!
-//! By file: `files` (what is asked of a folder, and the real one), `frame` (bytes of one file), `cellar` (records by
+//! By file: `files` (what is asked of a folder, and the real one), `frame` (bytes of one file), `sparrouter-storage` (records by
 //! name), `error` (what went wrong and what to do), `lying` (a folder in memory that loses power, for tests).
 //!
 //! Calls block until the disk has answered: a caller that must not wait gives them to a thread of its own.
--- a/crates/cellar/tests/saves.rs
+++ b/crates/sparrouter-storage/tests/saves.rs
@@ -1,5 +1,5 @@
-use cellar::lying::Cut;
-use cellar::{Cellar, CellarError, Files, LyingFiles, Opened, RealFiles};
+use sparrouter_storage::lying::Cut;
+use sparrouter_storage::{Cellar, CellarError, Files, LyingFiles, Opened, RealFiles};
 
 const OLD: &[u8] = b"the old record";
 const NEW: &[u8] = b"a new record, longer than the old";
@@ -159,7 +159,7 @@
 #[test]
 fn given_a_file_of_a_newer_release_when_opened_then_the_message_names_the_remedy() {
     let files = LyingFiles::new(1);
-    let mut bytes = cellar::frame::write(1, OLD);
+    let mut bytes = sparrouter_storage::frame::write(1, OLD);
     bytes[8] = 2;
     files.put("part-1.1", &bytes);
     let error = Cellar::open(files).unwrap_err();
