Package rootstock becomes sparrouter-consensus: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. Change: the directory, the package, paths to it in code, manifests and pages. No behaviour changes.

--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -1,6 +1,6 @@
 //! The control state at one node: its registers, their disk, their messages.
 //!
-//! What must hold is decided in `rootstock`; here its actions are carried out. `presence`: whom this node hears, and
+//! What must hold is decided in `sparrouter-consensus`; here its actions are carried out. `presence`: whom this node hears, and
 //! whose duty a part is; `groups`: who belongs to the groups, and the first ones; `change`: a change through whoever may.
 mod change;
 mod groups;
@@ -15,10 +15,10 @@
 use crate::planted::{self, Defect};
 use crate::statute::{Statute, Statutes};
 use crate::wire::{Call, ConfigTold, ModelTold, TextTold};
-use rootstock::{
+use sparrouter_codec::Blob;
+use sparrouter_consensus::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Settings,
 };
-use sparrouter_codec::Blob;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/orchard/src/control/change.rs
+++ b/crates/orchard/src/control/change.rs
@@ -4,8 +4,8 @@
 use crate::node::Node;
 use crate::statute::{Change, Verdict};
 use crate::wire::{Call, Reply};
-use rootstock::{Member, Outcome};
 use sparrouter_codec::Blob;
+use sparrouter_consensus::{Member, Outcome};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,7 +21,7 @@
     let mut to: Vec<SocketAddr> = Vec::new();
     let known: Vec<Member> = control.map(|c| c.members(part)).unwrap_or_default();
     let silent = |name: &str| node.rows.borrow().node(name).is_some_and(|n| n.silent || n.leaving);
-    let ranked = rootstock::owner::ranked(part, &known);
+    let ranked = sparrouter_consensus::owner::ranked(part, &known);
     let live = ranked.iter().filter(|m| m.address == own || !silent(&m.name));
     let rest = ranked.iter().filter(|m| m.address != own && silent(&m.name));
     to.extend(live.chain(rest).filter_map(|m| m.address.parse::<SocketAddr>().ok()));
--- a/crates/orchard/src/control/presence.rs
+++ b/crates/orchard/src/control/presence.rs
@@ -1,7 +1,7 @@
 //! Whom this node of the core hears, whose silence it tells of, and whether a part's duty is its own.
 use super::{CONFIG, Control};
 use crate::boot::nanos;
-use rootstock::Member;
+use sparrouter_consensus::Member;
 use std::time::Duration;
 
 /// Polls between nodes of the core come so often that a quiet one for so long is out of touch.
@@ -44,7 +44,7 @@
     pub fn has_duty(&self, part: u16) -> bool {
         let body =
             self.registers.borrow().get(usize::from(part)).and_then(|r| Some(r.chosen()?.body.clone()));
-        let lease = body.and_then(|b| rootstock::lease::Lease::decode(&b));
+        let lease = body.and_then(|b| sparrouter_consensus::lease::Lease::decode(&b));
         let holder = lease.and_then(|l| l.holder).map(|h| h.name);
         let own = format!("{}@{}", self.me.name, self.me.address);
         match holder {
@@ -66,7 +66,7 @@
         let leaving = |name: &str| self.node.rows.borrow().node(name).is_some_and(|n| n.leaving);
         let live =
             |m: &&Member| m.disk == self.me.disk || (self.heard_within(&m.name, TOUCH) && !leaving(&m.name));
-        rootstock::owner::ranked(part, &members)
+        sparrouter_consensus::owner::ranked(part, &members)
             .into_iter()
             .find(live)
             .is_some_and(|m| m.disk == self.me.disk)
--- a/crates/orchard/src/planted.rs
+++ b/crates/orchard/src/planted.rs
@@ -110,13 +110,13 @@
 }
 
 /// Those that lie in the registers.
-pub(crate) fn of_registers() -> rootstock::Defects {
-    rootstock::Defects {
+pub(crate) fn of_registers() -> sparrouter_consensus::Defects {
+    sparrouter_consensus::Defects {
         ack_before_sync: has(Defect::AckBeforeSync),
         old_group_only: has(Defect::OldGroupCounts),
         skip_joint: has(Defect::OldGroupUnasked),
         answer_unchosen: has(Defect::AnsweredUnchosen),
-        ..rootstock::Defects::default()
+        ..sparrouter_consensus::Defects::default()
     }
 }
 
--- a/crates/orchard/src/statute.rs
+++ b/crates/orchard/src/statute.rs
@@ -1,8 +1,8 @@
 //! What a change means to the configuration's part: documents by compare-and-set, and versions of weights named.
 use crate::planted::{Defect, has};
 use nanoserde::{DeBin, SerBin};
-use rootstock::{Applied, Machine};
 use sparrouter_codec::{Blob, Seq};
+use sparrouter_consensus::{Applied, Machine};
 use trellis::{Document, Method, Refusal, digest_of_request};
 
 /// Changes whose repeats are answered as taken.
--- a/crates/orchard/src/weights.rs
+++ b/crates/orchard/src/weights.rs
@@ -13,7 +13,7 @@
 use espalier::{Server, Wanted};
 use hedgerow::{Delta, Note, Standing};
 use miniserde::{Deserialize, json};
-use rootstock::lease::{Holder, LeaseAnswer, LeaseChange};
+use sparrouter_consensus::lease::{Holder, LeaseAnswer, LeaseChange};
 use sparrouter_http::head;
 use sparrouter_http::reading;
 use std::cell::{Cell, RefCell};
--- a/crates/rootstock/tests/doors.rs
+++ b/crates/sparrouter-consensus/tests/doors.rs
@@ -1,6 +1,6 @@
 //! The doors of a few registers with messages and stores carried by hand.
-use rootstock::message::{Message, Reason};
-use rootstock::{
+use sparrouter_consensus::message::{Message, Reason};
+use sparrouter_consensus::{
     Action, Applied, Ballot, Machine, Member, Outcome, Record, Refused, Register, SECOND, Settings,
 };
 use std::collections::VecDeque;
--- a/crates/rootstock/tests/fleet/clients.rs
+++ b/crates/sparrouter-consensus/tests/fleet/clients.rs
@@ -1,8 +1,8 @@
 //! Operators that race on versions and repeat what was not answered, readers, and holders of a duty.
 use super::machine::{Answer, Change, Config};
 use super::{Fleet, MILLISECOND, Nanos};
-use rootstock::lease::{Holder, LeaseAnswer, LeaseChange};
-use rootstock::{Outcome, Refused};
+use sparrouter_consensus::lease::{Holder, LeaseAnswer, LeaseChange};
+use sparrouter_consensus::{Outcome, Refused};
 
 pub const CALL: Nanos = 1_000 * MILLISECOND;
 const SPAN: Nanos = 900 * MILLISECOND;
@@ -185,7 +185,7 @@
 
 fn brief(outcome: &Outcome) -> String {
     match outcome {
-        Outcome::Answered(bytes) => match rootstock::codec::decode::<Answer>(bytes, 4096) {
+        Outcome::Answered(bytes) => match sparrouter_consensus::codec::decode::<Answer>(bytes, 4096) {
             Ok(answer) => format!("{answer:?}"),
             Err(_) => format!("body of version {}", Config::decode(bytes).version),
         },
--- a/crates/rootstock/tests/fleet/judge.rs
+++ b/crates/sparrouter-consensus/tests/fleet/judge.rs
@@ -1,6 +1,6 @@
 //! What must hold after every step, whatever the faults.
 use super::machine::Config;
-use rootstock::State;
+use sparrouter_consensus::State;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug, Default)]
--- a/crates/rootstock/tests/fleet/machine.rs
+++ b/crates/sparrouter-consensus/tests/fleet/machine.rs
@@ -1,8 +1,8 @@
 //! The body that the fleet keeps: a configuration's version and ids, and beside it a lease.
 use nanoserde::{DeBin, SerBin};
-use rootstock::codec::{decode, encode};
-use rootstock::lease::{LeaseAnswer, LeaseChange};
-use rootstock::{Applied, Leases, Machine};
+use sparrouter_consensus::codec::{decode, encode};
+use sparrouter_consensus::lease::{LeaseAnswer, LeaseChange};
+use sparrouter_consensus::{Applied, Leases, Machine};
 
 /// Ids kept, so that the same change again is answered as taken.
 pub const KEPT: usize = 64;
--- a/crates/rootstock/tests/fleet/planted.rs
+++ b/crates/sparrouter-consensus/tests/fleet/planted.rs
@@ -1,6 +1,6 @@
 //! Planted defects by name, and the first seed that finds each.
 use super::{Plan, SECOND, Weather, play};
-use rootstock::Defects;
+use sparrouter_consensus::Defects;
 
 pub type Plant = fn(&mut Defects);
 
--- a/crates/rootstock/tests/fleet/weather.rs
+++ b/crates/sparrouter-consensus/tests/fleet/weather.rs
@@ -1,6 +1,6 @@
 //! Faults by seed: losses of power and disks, cuts, freezes, disks in trouble, machines replaced.
 use super::{CONTACT, Event, Fleet, MILLISECOND, Nanos, Node};
-use rootstock::{Record, Shared};
+use sparrouter_consensus::{Record, Shared};
 use sparrouter_storage::{Cellar, Opened};
 
 /// A machine that lost its disk still counts as lost for so long.
