Package hedgerow becomes sparrouter-membership: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/espalier/src/election.rs
+++ b/crates/espalier/src/election.rs
@@ -2,7 +2,7 @@
 use crate::server::Suspicion;
 use crate::{Ending, Nanos, Server, ServerIx, Versions};
 use fastrand::Rng;
-use hedgerow::{Rows, Standing};
+use sparrouter_membership::{Rows, Standing};
 use std::collections::HashMap;
 
 /// In flight beyond both of these a server is passed over: a ratio to the mean, and a floor.
--- a/crates/espalier/src/server.rs
+++ b/crates/espalier/src/server.rs
@@ -1,6 +1,6 @@
 //! One record a server: what was told of it, what this node has in flight there, and what its own sends showed.
 use crate::Nanos;
-use hedgerow::{ServerRow, Standing};
+use sparrouter_membership::{ServerRow, Standing};
 use std::net::SocketAddr;
 
 pub type ServerIx = usize;
--- a/crates/orchard/src/answers.rs
+++ b/crates/orchard/src/answers.rs
@@ -2,9 +2,9 @@
 use crate::planted::{Defect, has};
 use crate::run::House;
 use crate::wire::{Call, Reply, Told};
-use hedgerow::Delta;
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Member, Outcome};
+use sparrouter_membership::Delta;
 use sparrouter_prefix_index::Question;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -11,7 +11,7 @@
 use crate::ring::Ring;
 use espalier::{Backlog, Bed, Budget, Nanos};
 use fastrand::Rng;
-use hedgerow::{NodeRow, Pace, Rows};
+use sparrouter_membership::{NodeRow, Pace, Rows};
 use sparrouter_prefix_index::{Index, Terms};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/orchard/src/node/keeping.rs
+++ b/crates/orchard/src/node/keeping.rs
@@ -2,7 +2,7 @@
 use super::{KEPT, Node};
 use crate::wire::{Call, KeptAt, Reply};
 use espalier::Nanos;
-use hedgerow::NodeRow;
+use sparrouter_membership::NodeRow;
 use sparrouter_prefix_index::{Advice, Change, Question};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/orchard/src/polls.rs
+++ b/crates/orchard/src/polls.rs
@@ -2,7 +2,7 @@
 use crate::boot::nanos;
 use crate::node::Node;
 use crate::wire::{Call, Poll, Reply, Told};
-use hedgerow::{Delta, SOURCES, sources};
+use sparrouter_membership::{Delta, SOURCES, sources};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -1,7 +1,7 @@
 //! What the system's own processes say to each other: frames of `nanoserde` binary over TCP.
-use hedgerow::{Delta, NodeRow};
 use nanoserde::{DeBin, SerBin};
 use sparrouter_codec::{Blob, Seq};
+use sparrouter_membership::{Delta, NodeRow};
 use trellis::{Edit, Piece};
 
 /// First bytes of a connection: name and version of this protocol.
--- a/crates/hedgerow/tests/pace.rs
+++ b/crates/sparrouter-membership/tests/pace.rs
@@ -1,5 +1,5 @@
 //! When rows that changed go out.
-use hedgerow::{NodeRow, Pace, Rows, ServerRow, Standing};
+use sparrouter_membership::{NodeRow, Pace, Rows, ServerRow, Standing};
 
 const MS: u64 = 1_000_000;
 
--- a/crates/hedgerow/tests/packed.rs
+++ b/crates/sparrouter-membership/tests/packed.rs
@@ -1,6 +1,6 @@
 //! Rows as bytes and back.
-use hedgerow::{Delta, ModelAt, NodeRow, Note, ServerRow, Standing};
 use nanoserde::SerBin;
+use sparrouter_membership::{Delta, ModelAt, NodeRow, Note, ServerRow, Standing};
 
 fn any(rng: &mut fastrand::Rng) -> Delta {
     let word = |rng: &mut fastrand::Rng| {
--- a/crates/hedgerow/tests/rows.rs
+++ b/crates/sparrouter-membership/tests/rows.rs
@@ -1,4 +1,4 @@
-use hedgerow::{Delta, NodeRow, Note, Rows, ServerRow, Standing, sources};
+use sparrouter_membership::{Delta, NodeRow, Note, Rows, ServerRow, Standing, sources};
 
 const TOMB: u64 = 60_000_000_000;
 
