Package trellis becomes sparrouter-config: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/hothouse/tests/edits.rs
+++ b/crates/hothouse/tests/edits.rs
@@ -124,7 +124,7 @@
         poller.take(other);
         source.take(chosen(2));
         // As though it had the text that the source made its change from.
-        let change = source.told(trellis::digest_of_text(&plan(1).json()));
+        let change = source.told(sparrouter_config::digest_of_text(&plan(1).json()));
         assert!(!is_whole(&change) && !poller.take(change));
         assert_eq!((poller.in_force().seq, &*poller.in_force().text), (1, &*plan(9).json()));
         assert!(poller.take(source.told(0)), "0 asks for it whole");
@@ -179,7 +179,7 @@
             digests.push(digest.expect("a digest").to_owned());
         }
         let read = world.operator.get_from(world.control_of("core-0")).await.expect("the register's text");
-        let register = format!("\"{:016x}\"", trellis::digest_of_text(read.text()));
+        let register = format!("\"{:016x}\"", sparrouter_config::digest_of_text(read.text()));
         assert!(digests.iter().all(|d| *d == register), "{register}: {digests:?}");
         world
     });
--- a/crates/orchard/src/calls.rs
+++ b/crates/orchard/src/calls.rs
@@ -38,7 +38,7 @@
 }
 
 async fn config(house: Rc<House>, request: Rc<Request>, patch: bool) -> Answer {
-    if request.body.len() > trellis::MAX_BYTES {
+    if request.body.len() > sparrouter_config::MAX_BYTES {
         return Answer::plain(413, "a configuration is at most 8 MiB: split the change");
     }
     let if_match = request.head.fields.text("if-match").map(|m| m.trim().trim_matches('"'));
--- a/crates/orchard/src/client/call.rs
+++ b/crates/orchard/src/client/call.rs
@@ -13,7 +13,7 @@
 const BYTES_A_SECOND: usize = 1 << 20;
 const LONGEST_HEAD: usize = 16 << 10;
 /// A configuration and room for what a later release may add to it.
-const LONGEST_BODY: usize = 2 * trellis::MAX_BYTES;
+const LONGEST_BODY: usize = 2 * sparrouter_config::MAX_BYTES;
 
 /// What is asked, the same whichever node it goes to.
 #[derive(Clone, Debug)]
--- a/crates/orchard/src/client/commands.rs
+++ b/crates/orchard/src/client/commands.rs
@@ -8,11 +8,11 @@
 use crate::net::SharedNet;
 use crate::status::Status;
 use miniserde::{Serialize, json};
+use sparrouter_config::{Document, Method, Refusal, Table};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use trellis::{Document, Method, Refusal, Table};
 
 /// Where a subcommand writes.
 pub struct Out<'a> {
@@ -75,7 +75,7 @@
         Some(number) => {
             if method == Method::Put {
                 // On top of nothing: what is wrong with it in itself.
-                trellis::change(method, &body, Some(0), None).map_err(invalid)?;
+                sparrouter_config::change(method, &body, Some(0), None).map_err(invalid)?;
             }
             number
         }
@@ -86,7 +86,7 @@
                 0 => "no configuration is in force yet: this is the first".to_owned(),
                 number => format!("builds on version {number}, which is in force now"),
             });
-            trellis::change(method, &body, Some(number), current.as_ref()).map_err(invalid)?;
+            sparrouter_config::change(method, &body, Some(number), current.as_ref()).map_err(invalid)?;
             number
         }
     };
@@ -109,7 +109,7 @@
 
 /// A configuration as it was read back.
 fn document(body: &[u8]) -> Result<Document, Refusal> {
-    trellis::change(Method::Put, body, Some(0), None)
+    sparrouter_config::change(Method::Put, body, Some(0), None)
 }
 
 /// Checks a file as the fleet would: a whole configuration, or a patch on top of `against`.
@@ -128,7 +128,8 @@
         return Err(ClientError::Against { path: file.display().to_string() });
     }
     let number = current.as_ref().map_or(0, |d| d.version);
-    let next = trellis::change(method, &body, Some(number), current.as_ref()).map_err(invalid(file))?;
+    let next =
+        sparrouter_config::change(method, &body, Some(number), current.as_ref()).map_err(invalid(file))?;
     let table = Table::read(&next).map_err(invalid(file))?;
     out.say(&format!(
         "{}: may be sent; version {}, {} routes, {} services, {} tenants, {} bytes",
--- a/crates/orchard/src/client/error.rs
+++ b/crates/orchard/src/client/error.rs
@@ -12,7 +12,7 @@
     #[error("{path}: cannot be read ({why}): check the path and that you may read it")]
     File { path: String, why: String },
     #[error("{path}: {refusal}")]
-    Invalid { path: String, refusal: trellis::Refusal },
+    Invalid { path: String, refusal: sparrouter_config::Refusal },
     #[error("{path} is a patch: give --against FILE with what it changes, as `orchard config get` prints it")]
     Against { path: String },
     #[error("{what} is not {wanted}: mend it and ask again")]
--- a/crates/orchard/src/exchange.rs
+++ b/crates/orchard/src/exchange.rs
@@ -14,13 +14,13 @@
 use bytes::BytesMut;
 use espalier::{Ending, Nanos, Prompt, ServerIx};
 use passing::Passed;
+use sparrouter_config::{Route, Table, Tenant};
 use sparrouter_http::reading;
 use speaking::Turn;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{ReadHalf, split};
 use tokio::time::Instant;
-use trellis::{Route, Table, Tenant};
 
 /// What a client may send ahead while its request is worked on.
 const AHEAD: usize = 64 << 10;
--- a/crates/orchard/src/front.rs
+++ b/crates/orchard/src/front.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 /// Before a configuration is known.
-const USUAL: trellis::Limits = trellis::Limits {
+const USUAL: sparrouter_config::Limits = sparrouter_config::Limits {
     max_header_bytes: 16 << 10,
     max_body_bytes: 4 << 20,
     header_timeout_ms: 3_000,
@@ -105,7 +105,8 @@
 
 /// Waits for a request to begin. False where the connection is to be closed.
 async fn first_byte(
-    stream: &mut Stream, buffer: &mut BytesMut, limits: &trellis::Limits, stage: &mut watch::Receiver<Stage>,
+    stream: &mut Stream, buffer: &mut BytesMut, limits: &sparrouter_config::Limits,
+    stage: &mut watch::Receiver<Stage>,
 ) -> bool {
     *buffer = BytesMut::new();
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
--- a/crates/orchard/src/node.rs
+++ b/crates/orchard/src/node.rs
@@ -11,6 +11,7 @@
 use crate::ring::Ring;
 use espalier::{Backlog, Bed, Budget, Nanos};
 use fastrand::Rng;
+use sparrouter_config::{Edits, Table};
 use sparrouter_membership::{NodeRow, Pace, Rows};
 use sparrouter_prefix_index::{Index, Terms};
 use std::cell::{Cell, RefCell};
@@ -20,7 +21,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use trellis::{Edits, Table};
 
 /// Rows that are over are remembered so long, and so many of each kind are held at most.
 const TOMBSTONE: Nanos = 60_000_000_000;
--- a/crates/orchard/src/node/config.rs
+++ b/crates/orchard/src/node/config.rs
@@ -3,9 +3,9 @@
 use crate::planted::{self, Defect, has};
 use crate::wire::{ConfigTold, EditTold, ModelTold, TextTold};
 use espalier::Nanos;
+use sparrouter_config::{Document, Edit, Table, digest_of_text};
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
-use trellis::{Document, Edit, Table, digest_of_text};
 
 impl Node {
     /// What is in force; where nothing is known yet, what is by `until`.
--- a/crates/orchard/src/statute.rs
+++ b/crates/orchard/src/statute.rs
@@ -2,8 +2,8 @@
 use crate::planted::{Defect, has};
 use nanoserde::{DeBin, SerBin};
 use sparrouter_codec::{Blob, Seq};
+use sparrouter_config::{Document, Method, Refusal, digest_of_request};
 use sparrouter_consensus::{Applied, Machine};
-use trellis::{Document, Method, Refusal, digest_of_request};
 
 /// Changes whose repeats are answered as taken.
 const REMEMBERED: usize = 256;
@@ -79,7 +79,7 @@
         if self.taken.iter().any(|t| t.digest == digest) && !has(Defect::SameBodyRefused) {
             return Ok(Verdict::new(200, "taken before"));
         }
-        let next = trellis::change(method, body, if_match, self.document().as_ref())?;
+        let next = sparrouter_config::change(method, body, if_match, self.document().as_ref())?;
         if self.taken.len() == REMEMBERED {
             self.taken.remove(0);
         }
--- a/crates/orchard/src/wire.rs
+++ b/crates/orchard/src/wire.rs
@@ -1,8 +1,8 @@
 //! What the system's own processes say to each other: frames of `nanoserde` binary over TCP.
 use nanoserde::{DeBin, SerBin};
 use sparrouter_codec::{Blob, Seq};
+use sparrouter_config::{Edit, Piece};
 use sparrouter_membership::{Delta, NodeRow};
-use trellis::{Edit, Piece};
 
 /// First bytes of a connection: name and version of this protocol.
 pub const HELLO: &[u8; 8] = b"orchard2";
@@ -56,7 +56,7 @@
     }
 }
 
-/// As `trellis::Edit`.
+/// As `sparrouter_config::Edit`.
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
 pub struct EditTold {
     pub from: u64,
--- a/crates/trellis/tests/changes.rs
+++ b/crates/sparrouter-config/tests/changes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{EXAMPLE, EXAMPLE_PATCH, example, patch, put};
-use trellis::{Method, Table, change, digest_of_request};
+use sparrouter_config::{Method, Table, change, digest_of_request};
 
 #[test]
 fn given_the_example_when_put_then_it_comes_back_as_sent() {
--- a/crates/trellis/tests/edits.rs
+++ b/crates/sparrouter-config/tests/edits.rs
@@ -1,5 +1,5 @@
 //! Changes of a text told by themselves.
-use trellis::{Edit, Piece, digest_of_text};
+use sparrouter_config::{Edit, Piece, digest_of_text};
 
 fn tenant(i: usize, keys: usize) -> String {
     let keys: Vec<String> = (0..keys).map(|k| format!("\"key-{i}-{k}\"")).collect();
--- a/crates/trellis/tests/refusals.rs
+++ b/crates/sparrouter-config/tests/refusals.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{EXAMPLE, EXAMPLE_PATCH, example, patch, put, route, with_routes};
-use trellis::{Document, MAX_BYTES, MAX_DEPTH, MAX_VALUES, Method, Refusal, Table, change};
+use sparrouter_config::{Document, MAX_BYTES, MAX_DEPTH, MAX_VALUES, Method, Refusal, Table, change};
 
 /// The refusal of one bad route, sent in a whole configuration and as a patch.
 fn both_ways(bad: &str) -> (Refusal, Refusal) {
--- a/crates/trellis/tests/table.rs
+++ b/crates/sparrouter-config/tests/table.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{EXAMPLE, example, put, route, table, with_routes};
+use sparrouter_config::{Kind, Limits, Table};
 use std::time::Instant;
-use trellis::{Kind, Limits, Table};
 
 fn name_at<'a>(table: &'a Table, host: &str, path: &str) -> Option<&'a str> {
     table.route(host, path).map(|route| route.name.as_str())
