Package espalier becomes sparrouter-routing: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/orchard/src/boot.rs
+++ b/crates/orchard/src/boot.rs
@@ -2,8 +2,8 @@
 //! Unknown fields are passed over. Source: DEPLOY.md of the operators, "Settings of a process".
 mod fields;
 
-use espalier::BudgetTerms;
 use fields::Fields;
+use sparrouter_routing::BudgetTerms;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
--- a/crates/orchard/src/exchange/admission.rs
+++ b/crates/orchard/src/exchange/admission.rs
@@ -3,7 +3,7 @@
 use crate::boot::nanos;
 use crate::http::Answer;
 use crate::planted::{Defect, has};
-use espalier::{Ask, Pick, ServerIx, Turned};
+use sparrouter_routing::{Ask, Pick, ServerIx, Turned};
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/orchard/src/exchange/memory.rs
+++ b/crates/orchard/src/exchange/memory.rs
@@ -1,8 +1,8 @@
 //! Where a server finds what it lacks of a prompt, and who is to keep it.
 use super::Exchange;
 use crate::planted::{Defect, has};
-use espalier::{Pick, Server};
 use sparrouter_prefix_index::{Advice, Question};
+use sparrouter_routing::{Pick, Server};
 
 /// Shared parts of fewer tokens are read, not moved; and of fewer than that, no store is asked or told.
 const WORTH_MOVING: u64 = 100;
--- a/crates/orchard/src/node/config.rs
+++ b/crates/orchard/src/node/config.rs
@@ -2,8 +2,8 @@
 use super::{InForce, Node};
 use crate::planted::{self, Defect, has};
 use crate::wire::{ConfigTold, EditTold, ModelTold, TextTold};
-use espalier::Nanos;
 use sparrouter_config::{Document, Edit, Table, digest_of_text};
+use sparrouter_routing::Nanos;
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
 
--- a/crates/orchard/src/node/keeping.rs
+++ b/crates/orchard/src/node/keeping.rs
@@ -1,9 +1,9 @@
 //! What falls to one node by rendezvous: waits at servers, owners of parts of prompts, followers of their sources.
 use super::{KEPT, Node};
 use crate::wire::{Call, KeptAt, Reply};
-use espalier::Nanos;
 use sparrouter_membership::NodeRow;
 use sparrouter_prefix_index::{Advice, Change, Question};
+use sparrouter_routing::Nanos;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/orchard/src/node/news.rs
+++ b/crates/orchard/src/node/news.rs
@@ -1,7 +1,7 @@
 //! Rows that were heard of: learnt at once, looked at with the next few, sent on together.
 use super::Node;
-use espalier::Nanos;
 use sparrouter_membership::{Delta, NodeRow};
+use sparrouter_routing::Nanos;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/crates/espalier/tests/backlog.rs
+++ b/crates/sparrouter-routing/tests/backlog.rs
@@ -1,5 +1,5 @@
 //! What a keeper says of the wait at a server.
-use espalier::Backlog;
+use sparrouter_routing::Backlog;
 
 const MS: u64 = 1_000_000;
 
--- a/crates/espalier/tests/election.rs
+++ b/crates/sparrouter-routing/tests/election.rs
@@ -1,7 +1,7 @@
 //! The election, the pass-over, the fallback, the budget and the backlog.
-use espalier::{Ask, Backlog, Bed, Budget, BudgetTerms, Ending, Prompt, Turned};
 use fastrand::Rng;
 use sparrouter_membership::{Rows, ServerRow, Standing};
+use sparrouter_routing::{Ask, Backlog, Bed, Budget, BudgetTerms, Ending, Prompt, Turned};
 
 const SECOND: u64 = 1_000_000_000;
 
--- a/crates/espalier/tests/words.rs
+++ b/crates/sparrouter-routing/tests/words.rs
@@ -1,7 +1,7 @@
 //! What the holder of new weights tells, and how long it stands.
-use espalier::{Ask, Bed, Turned, Wanted};
 use fastrand::Rng;
 use sparrouter_membership::{ModelAt, Note, Rows, ServerRow};
+use sparrouter_routing::{Ask, Bed, Turned, Wanted};
 
 const SECOND: u64 = 1_000_000_000;
 
