Package hothouse becomes sparrouter-simulation: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/hothouse/tests/budget.rs
+++ b/crates/sparrouter-simulation/tests/budget.rs
@@ -1,9 +1,9 @@
 //! The budget of what is sent again, over all nodes and over their lives.
-use hothouse::judge::Bounds;
-use hothouse::load;
-use hothouse::server::Faults;
-use hothouse::story::told;
-use hothouse::world::{Terms, World};
+use sparrouter_simulation::judge::Bounds;
+use sparrouter_simulation::load;
+use sparrouter_simulation::server::Faults;
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{Terms, World};
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/crates/hothouse/tests/config.rs
+++ b/crates/sparrouter-simulation/tests/config.rs
@@ -1,10 +1,10 @@
 //! Configurations: taken, everywhere in time, of two rivals one, and never an invalid one.
-use hothouse::client::{Came, Wish};
-use hothouse::load;
-use hothouse::operator::How;
-use hothouse::plan::{Kind, Plan, Route};
-use hothouse::story::told;
-use hothouse::world::{KEY, Terms, World, first_plan, wish};
+use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::load;
+use sparrouter_simulation::operator::How;
+use sparrouter_simulation::plan::{Kind, Plan, Route};
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{KEY, Terms, World, first_plan, wish};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/hothouse/tests/core.rs
+++ b/crates/sparrouter-simulation/tests/core.rs
@@ -1,9 +1,9 @@
 //! The core: nodes that are killed, wiped, cut off, replaced, or all end at once, and what was acknowledged.
-use hothouse::fabric::Cut;
-use hothouse::load;
-use hothouse::plan::{Kind, Plan, Route};
-use hothouse::story::told;
-use hothouse::world::{Terms, World, first_plan};
+use sparrouter_simulation::fabric::Cut;
+use sparrouter_simulation::load;
+use sparrouter_simulation::plan::{Kind, Plan, Route};
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{Terms, World, first_plan};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -75,7 +75,15 @@
             let (net, body) = (net.clone(), plan.json());
             async move {
                 let patience = Duration::from_secs(2);
-                let call = hothouse::speech::call(&net, to, "PUT", "/api/config", &fields, &body, patience);
+                let call = sparrouter_simulation::speech::call(
+                    &net,
+                    to,
+                    "PUT",
+                    "/api/config",
+                    &fields,
+                    &body,
+                    patience,
+                );
                 call.await.map_or(0, |r| r.status)
             }
         };
@@ -87,13 +95,13 @@
         sleep(Duration::from_secs(2)).await;
         for name in ["edge-0", "edge-1", "edge-2"] {
             let client = world.client(false);
-            let asked = hothouse::client::Wish {
+            let asked = sparrouter_simulation::client::Wish {
                 path: "/new/b5".to_owned(),
                 retries: 0,
-                ..hothouse::world::wish(Kind::Idempotent, "b5")
+                ..sparrouter_simulation::world::wish(Kind::Idempotent, "b5")
             };
             let came = client.get_at(&asked, world.front_of(name), 0).await;
-            assert_eq!(came, hothouse::client::Came::Served, "{name}");
+            assert_eq!(came, sparrouter_simulation::client::Came::Served, "{name}");
         }
         world.cut_off(&["core-0"], None);
         sleep(Duration::from_secs(6)).await;
@@ -214,13 +222,13 @@
                 sleep(world.terms.bounds.contact + world.terms.bounds.config_apply).await;
                 let reply = world.operator.get_from(world.control_of("edge-0")).await.expect("an answer");
                 assert_eq!(reply.status, 200);
-                let asked = hothouse::client::Wish {
+                let asked = sparrouter_simulation::client::Wish {
                     path: format!("/new{round}/b5"),
                     retries: 0,
-                    ..hothouse::world::wish(Kind::Idempotent, "b5")
+                    ..sparrouter_simulation::world::wish(Kind::Idempotent, "b5")
                 };
                 let came = world.client(false).get_at(&asked, world.front_of("edge-0"), 0).await;
-                assert_eq!(came, hothouse::client::Came::Served, "round {round}");
+                assert_eq!(came, sparrouter_simulation::client::Came::Served, "round {round}");
             }
             world.operator.read_back().await;
             world
--- a/crates/hothouse/tests/disks.rs
+++ b/crates/sparrouter-simulation/tests/disks.rs
@@ -1,8 +1,8 @@
 //! Disks that are full, slow or stalled: what cannot be kept is not acknowledged, and it mends itself.
-use hothouse::plan::{Kind, Plan, Route};
-use hothouse::speech::{self, Reply};
-use hothouse::story::told;
-use hothouse::world::{Terms, World, first_plan};
+use sparrouter_simulation::plan::{Kind, Plan, Route};
+use sparrouter_simulation::speech::{self, Reply};
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{Terms, World, first_plan};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
--- a/crates/hothouse/tests/edits.rs
+++ b/crates/sparrouter-simulation/tests/edits.rs
@@ -1,14 +1,14 @@
 //! Configurations told as changes of their text: whoever can't use one is told the whole, and all end with the same.
-use hothouse::load;
-use hothouse::plan::{Kind, Plan, Route};
-use hothouse::speech;
-use hothouse::story::{play, told};
-use hothouse::world::{Terms, World, first_plan};
 use orchard::boot::Boot;
 use orchard::net::Sockets;
 use orchard::node::Node;
 use orchard::ring::Ring;
 use orchard::wire::{ConfigTold, TextTold};
+use sparrouter_simulation::load;
+use sparrouter_simulation::plan::{Kind, Plan, Route};
+use sparrouter_simulation::speech;
+use sparrouter_simulation::story::{play, told};
+use sparrouter_simulation::world::{Terms, World, first_plan};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/hothouse/tests/forming.rs
+++ b/crates/sparrouter-simulation/tests/forming.rs
@@ -1,10 +1,10 @@
 //! A fleet comes up from three seeds and serves.
-use hothouse::client::Came;
-use hothouse::load;
-use hothouse::plan::Kind;
-use hothouse::speech;
-use hothouse::story::told;
-use hothouse::world::{Terms, World, wish};
+use sparrouter_simulation::client::Came;
+use sparrouter_simulation::load;
+use sparrouter_simulation::plan::Kind;
+use sparrouter_simulation::speech;
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{Terms, World, wish};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -77,7 +77,7 @@
         sleep(Duration::from_millis(500)).await;
         world.start("edge-0", false);
         sleep(Duration::from_millis(2)).await;
-        let asked = hothouse::client::Wish { retries: 0, ..wish(Kind::Idempotent, "b5") };
+        let asked = sparrouter_simulation::client::Wish { retries: 0, ..wish(Kind::Idempotent, "b5") };
         let came = world.client(false).get_at(&asked, world.front_of("edge-0"), 0).await;
         assert_eq!(came, Came::Served);
         world
--- a/crates/hothouse/tests/index.rs
+++ b/crates/sparrouter-simulation/tests/index.rs
@@ -1,12 +1,12 @@
 //! The index of kept prompts over whole nodes: what one server keeps, another is pointed at.
 use bytes::BytesMut;
-use hothouse::client::{Came, Wish};
-use hothouse::net::MemoryNet;
-use hothouse::plan::Kind;
-use hothouse::server::Server;
-use hothouse::speech::{next_call, whole};
-use hothouse::story::told;
-use hothouse::world::{Terms, World, ZONES, store, wish};
+use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::net::MemoryNet;
+use sparrouter_simulation::plan::Kind;
+use sparrouter_simulation::server::Server;
+use sparrouter_simulation::speech::{next_call, whole};
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{Terms, World, ZONES, store, wish};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
--- a/crates/hothouse/tests/judge.rs
+++ b/crates/sparrouter-simulation/tests/judge.rs
@@ -1,10 +1,10 @@
 //! The judge itself: each rule is broken on purpose, and must be found broken by its name.
 use bytes::Bytes;
-use hothouse::judge::{Answer, Asked, Bounds, Judge, Made, Run};
-use hothouse::plan::{Kind, Route};
-use hothouse::server::{body_of, event_of};
-use hothouse::story::play;
-use hothouse::world::{HOST, KEY, first_plan};
+use sparrouter_simulation::judge::{Answer, Asked, Bounds, Judge, Made, Run};
+use sparrouter_simulation::plan::{Kind, Route};
+use sparrouter_simulation::server::{body_of, event_of};
+use sparrouter_simulation::story::play;
+use sparrouter_simulation::world::{HOST, KEY, first_plan};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
--- a/crates/hothouse/tests/servers.rs
+++ b/crates/sparrouter-simulation/tests/servers.rs
@@ -1,10 +1,10 @@
 //! Servers that drain, come back late, break off, answer wrongly, or whose address is another's now.
-use hothouse::client::{Came, Wish};
-use hothouse::load;
-use hothouse::plan::Kind;
-use hothouse::server::Faults;
-use hothouse::story::told;
-use hothouse::world::{Terms, World, ZONES, wish};
+use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::load;
+use sparrouter_simulation::plan::Kind;
+use sparrouter_simulation::server::Faults;
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{Terms, World, ZONES, wish};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/hothouse/tests/weights.rs
+++ b/crates/sparrouter-simulation/tests/weights.rs
@@ -1,7 +1,7 @@
 //! New weights: each server ordered once by one holder, whoever of the holders ends or freezes.
-use hothouse::load;
-use hothouse::story::told;
-use hothouse::world::{Terms, World, ZONES};
+use sparrouter_simulation::load;
+use sparrouter_simulation::story::told;
+use sparrouter_simulation::world::{Terms, World, ZONES};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
