Package hayfield becomes sparrouter-fleet-lab: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. No behaviour changes.

--- a/crates/orchard/tests/loopback.rs
+++ b/crates/orchard/tests/loopback.rs
@@ -1,13 +1,13 @@
 //! Real processes on loopback, in the lab's shortest scenario. It stands here because only the program's own package
 //! is sure to have built the program.
-use hayfield::client::{Clients, End, Wish, look_after};
-use hayfield::engine::{Engine, Terms, kind_of};
-use hayfield::ground::Ground;
-use hayfield::ledger::Ledger;
-use hayfield::machine::Machine;
-use hayfield::operator::Operator;
-use hayfield::play::play;
-use hayfield::scenario::Scenario;
+use sparrouter_fleet_lab::client::{Clients, End, Wish, look_after};
+use sparrouter_fleet_lab::engine::{Engine, Terms, kind_of};
+use sparrouter_fleet_lab::ground::Ground;
+use sparrouter_fleet_lab::ledger::Ledger;
+use sparrouter_fleet_lab::machine::Machine;
+use sparrouter_fleet_lab::operator::Operator;
+use sparrouter_fleet_lab::play::play;
+use sparrouter_fleet_lab::scenario::Scenario;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/hayfield/src/lib.rs
+++ b/crates/sparrouter-fleet-lab/src/lib.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum LabError {
     #[error(
-        "{path}: cannot be read ({why}): name a scenario such as crates/hayfield/scenarios/fleet-first.toml"
+        "{path}: cannot be read ({why}): name a scenario such as crates/sparrouter-fleet-lab/scenarios/fleet-first.toml"
     )]
     Unreadable { path: String, why: String },
     #[error("{path}: {why}: mend the scenario")]
--- a/crates/hayfield/src/main.rs
+++ b/crates/sparrouter-fleet-lab/src/main.rs
@@ -1,8 +1,8 @@
 //! The lab's command line.
 use bpaf::{OptionParser, Parser, construct, long, positional};
-use hayfield::LabError;
-use hayfield::play::{Report, play};
-use hayfield::scenario::Scenario;
+use sparrouter_fleet_lab::LabError;
+use sparrouter_fleet_lab::play::{Report, play};
+use sparrouter_fleet_lab::scenario::Scenario;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::runtime::Builder;
@@ -22,7 +22,7 @@
         .argument::<PathBuf>("FILE")
         .fallback("target/release/orchard".into());
     let file = positional::<PathBuf>("FILE")
-        .help("a scenario, such as crates/hayfield/scenarios/fleet-first.toml")
+        .help("a scenario, such as crates/sparrouter-fleet-lab/scenarios/fleet-first.toml")
         .optional();
     let about =
         "Play a fleet on loopback, print what came of its requests; exit code 1 where a rule was broken";
@@ -55,7 +55,9 @@
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(why) => {
-            eprintln!("hayfield: no runtime ({why}): free descriptors and memory of this machine");
+            eprintln!(
+                "sparrouter-fleet-lab: no runtime ({why}): free descriptors and memory of this machine"
+            );
             return ExitCode::from(2);
         }
     };
@@ -70,7 +72,7 @@
             ExitCode::from(1)
         }
         Err(why) => {
-            eprintln!("hayfield: {why}");
+            eprintln!("sparrouter-fleet-lab: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/hayfield/src/play.rs
+++ b/crates/sparrouter-fleet-lab/src/play.rs
@@ -48,7 +48,7 @@
 
 /// Plays it with this program, and says how it goes. Everything it started has ended when it returns.
 pub async fn play(scenario: Scenario, program: &Path, say: impl Fn(&str)) -> Result<Report, LabError> {
-    let directory = tempfile::Builder::new().prefix("hayfield-").tempdir();
+    let directory = tempfile::Builder::new().prefix("sparrouter-fleet-lab-").tempdir();
     let directory =
         directory.map_err(|e| LabError::Write { what: "a directory".into(), why: e.to_string() })?;
     let most = COMES_UP + scenario.length() + ENDS * 2;
--- a/crates/hayfield/tests/audit.rs
+++ b/crates/sparrouter-fleet-lab/tests/audit.rs
@@ -1,17 +1,20 @@
 //! The audit notices each breach, and nothing else.
-use hayfield::audit::broken;
-use hayfield::ledger::{Attempt, Ended, Kind, Ledger, Order, Run, Version, body_of, event_of, seal_of};
+use sparrouter_fleet_lab::audit::broken;
+use sparrouter_fleet_lab::ledger::{
+    Attempt, Ended, Kind, Ledger, Order, Run, Version, body_of, event_of, seal_of,
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
 const EVENTS: u64 = 3;
 
 /// Machines of a lab need no process for this.
-fn machines() -> Vec<std::rc::Rc<hayfield::machine::Machine>> {
+fn machines() -> Vec<std::rc::Rc<sparrouter_fleet_lab::machine::Machine>> {
     let directory = tempfile::tempdir().expect("a directory");
-    let ground = hayfield::ground::Ground::find(1, &mut fastrand::Rng::new()).expect("free ports");
+    let ground =
+        sparrouter_fleet_lab::ground::Ground::find(1, &mut fastrand::Rng::new()).expect("free ports");
     let program = std::path::Path::new("none");
-    let machine = hayfield::machine::Machine::new(
+    let machine = sparrouter_fleet_lab::machine::Machine::new(
         0,
         true,
         1,
--- a/crates/hayfield/tests/scenarios.rs
+++ b/crates/sparrouter-fleet-lab/tests/scenarios.rs
@@ -1,5 +1,5 @@
 //! Scenario files: those that are shipped can be played; faults are told by field.
-use hayfield::scenario::Scenario;
+use sparrouter_fleet_lab::scenario::Scenario;
 use std::path::Path;
 
 #[test]
