Package orchard becomes sparrouter-fleet: a pure move

Cause: the earlier house names are withdrawn; the package is named by its job. Its program is now `sparrouter`. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 # The router fleet on loopback with kills, a drain, a patch and new weights, its table: 25 s once built.
 play-fleet:
-	cargo build --release --locked -p orchard -p sparrouter-fleet-lab
+	cargo build --release --locked -p sparrouter-fleet -p sparrouter-fleet-lab
 	target/release/sparrouter-fleet-lab play crates/sparrouter-fleet-lab/scenarios/fleet-first.toml
 
 # A fleet on loopback with a crash and a rolling deploy, its table and the report's path: 30 s.
--- a/crates/sparrouter-fleet-lab/src/lib.rs
+++ b/crates/sparrouter-fleet-lab/src/lib.rs
@@ -1,4 +1,4 @@
-//! The lab of the fleet: real `orchard` processes on this machine's loopback addresses, with all that stands around
+//! The lab of the fleet: real `sparrouter` processes on this machine's loopback addresses, with all that stands around
 //! them, faults while they serve, and an audit of what came of every request.
 //!
 //! | file | its one job |
@@ -38,7 +38,7 @@
     Scenario { path: String, why: String },
     #[error("no free ports under 127.0.0.0/8: end other labs on this machine and play again")]
     NoGround,
-    #[error("{program} cannot be started ({why}): build it with `cargo build --release -p orchard`")]
+    #[error("{program} cannot be started ({why}): build it with `cargo build --release -p sparrouter-fleet`")]
     Start { program: String, why: String },
     #[error("{what} cannot be written ({why}): make room in the directory for temporary files")]
     Write { what: String, why: String },
--- a/crates/sparrouter-fleet-lab/src/main.rs
+++ b/crates/sparrouter-fleet-lab/src/main.rs
@@ -18,9 +18,9 @@
 fn command() -> OptionParser<Played> {
     let quick = long("quick").help("the built-in scenario, under 15 seconds").switch();
     let program = long("program")
-        .help("the program to play with, target/release/orchard unless told")
+        .help("the program to play with, target/release/sparrouter unless told")
         .argument::<PathBuf>("FILE")
-        .fallback("target/release/orchard".into());
+        .fallback("target/release/sparrouter".into());
     let file = positional::<PathBuf>("FILE")
         .help("a scenario, such as crates/sparrouter-fleet-lab/scenarios/fleet-first.toml")
         .optional();
--- a/crates/sparrouter-fleet-lab/src/operator.rs
+++ b/crates/sparrouter-fleet-lab/src/operator.rs
@@ -1,9 +1,9 @@
 //! The operator: configurations and versions of weights, sent through the operators' own client.
 use crate::{HOST, MODEL, SERVICE};
-use orchard::client::ClientError;
-use orchard::client::call::Call;
-use orchard::client::fleet::Fleet;
-use orchard::net::Sockets;
+use sparrouter_fleet::client::ClientError;
+use sparrouter_fleet::client::call::Call;
+use sparrouter_fleet::client::fleet::Fleet;
+use sparrouter_fleet::net::Sockets;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/sparrouter-fleet-lab/src/play.rs
+++ b/crates/sparrouter-fleet-lab/src/play.rs
@@ -71,7 +71,7 @@
     let machine = |n| Machine::new(n, n < core, core.min(3), ground, directory, program, GRACE).map(Rc::new);
     let machines = (0..all).map(machine).collect::<Result<Vec<_>, _>>()?;
     let control = machines.iter().map(|m| m.control()).collect();
-    let start = |e: orchard::client::ClientError| LabError::Start {
+    let start = |e: sparrouter_fleet::client::ClientError| LabError::Start {
         program: "the operators' client".into(),
         why: e.to_string(),
     };
--- a/crates/orchard/src/client/commands.rs
+++ b/crates/sparrouter-fleet/src/client/commands.rs
@@ -26,7 +26,7 @@
     }
     fn remark(&mut self, text: &str) {
         // A remark that nobody can read is no reason to stop.
-        let _ = writeln!(self.remark, "orchard: {text}");
+        let _ = writeln!(self.remark, "sparrouter: {text}");
     }
 }
 
@@ -167,7 +167,7 @@
     let call = Call { method: "POST", path: "/api/version-put".into(), if_match: None, body: Some(body) };
     let (from, _) = fleet.ask(&call).await?;
     out.say(&format!(
-        "{model} is to run version {version} ({from}); `orchard status` shows servers loading it"
+        "{model} is to run version {version} ({from}); `sparrouter status` shows servers loading it"
     ))
 }
 
--- a/crates/orchard/src/client/error.rs
+++ b/crates/sparrouter-fleet/src/client/error.rs
@@ -13,7 +13,9 @@
     File { path: String, why: String },
     #[error("{path}: {refusal}")]
     Invalid { path: String, refusal: sparrouter_config::Refusal },
-    #[error("{path} is a patch: give --against FILE with what it changes, as `orchard config get` prints it")]
+    #[error(
+        "{path} is a patch: give --against FILE with what it changes, as `sparrouter config get` prints it"
+    )]
     Against { path: String },
     #[error("{what} is not {wanted}: mend it and ask again")]
     Word { what: String, wanted: &'static str },
@@ -25,13 +27,13 @@
     )]
     Unreached { address: SocketAddr, last: String, patience_s: u64 },
     #[error(
-        "not done within {patience_s} s, and nothing was changed (last: {address}: {last}): look at `orchard status` \
+        "not done within {patience_s} s, and nothing was changed (last: {address}: {last}): look at `sparrouter status` \
          for a lost quorum, then send it again"
     )]
     NotMade { address: SocketAddr, last: String, patience_s: u64 },
     #[error(
         "no clear answer within {patience_s} s (last: {address}: {last}): a change may be in force or not; send the \
-         same again unchanged, or look with `orchard config get`"
+         same again unchanged, or look with `sparrouter config get`"
     )]
     Unclear { address: SocketAddr, last: String, patience_s: u64 },
     #[error("{address} answered what this release cannot read: use the client of the fleet's own release")]
--- a/crates/orchard/src/client/fleet.rs
+++ b/crates/sparrouter-fleet/src/client/fleet.rs
@@ -120,7 +120,7 @@
         ("", 404) => "there is no such thing there: check --at and what was asked".to_owned(),
         ("", 412) => "another version is in force: read it, build on it, send again".to_owned(),
         ("", 413) => "it is too large: split it".to_owned(),
-        ("", _) => "no reason was given: check what was sent with `orchard config check`".to_owned(),
+        ("", _) => "no reason was given: check what was sent with `sparrouter config check`".to_owned(),
         (text, _) => text.to_owned(),
     };
     ClientError::Refused { status, text }
--- a/crates/orchard/src/main.rs
+++ b/crates/sparrouter-fleet/src/main.rs
@@ -1,10 +1,10 @@
 //! The program: a role of the fleet, or the operators' client, by subcommand.
-use orchard::boot::{Boot, VARIABLE};
-use orchard::client::{self, Ask, ClientError, Command, commands};
-use orchard::net::Sockets;
-use orchard::ring::Ring;
-use orchard::run::{Role, run};
 use simplelog::LevelFilter;
+use sparrouter_fleet::boot::{Boot, VARIABLE};
+use sparrouter_fleet::client::{self, Ask, ClientError, Command, commands};
+use sparrouter_fleet::net::Sockets;
+use sparrouter_fleet::ring::Ring;
+use sparrouter_fleet::run::{Role, run};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -37,7 +37,7 @@
 fn show(file: Option<PathBuf>, out: &mut commands::Out) -> Result<(), ClientError> {
     let path = match file {
         Some(path) => path,
-        None => std::env::var_os(VARIABLE).ok_or(orchard::boot::BootError::NoVariable)?.into(),
+        None => std::env::var_os(VARIABLE).ok_or(sparrouter_fleet::boot::BootError::NoVariable)?.into(),
     };
     let shown = Boot::show(&path)?;
     out.result.write_all(shown.as_bytes()).map_err(ClientError::Output)
@@ -59,7 +59,7 @@
             return match serve(role) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(text) => {
-                    eprintln!("orchard: {text}");
+                    eprintln!("sparrouter: {text}");
                     ExitCode::from(2)
                 }
             };
@@ -76,7 +76,7 @@
         // Its reader, `head` say, has what it wanted.
         Err(ClientError::Output(why)) if why.kind() == std::io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("orchard: {why}");
+            eprintln!("sparrouter: {why}");
             ExitCode::from(why.exit_code())
         }
     }
--- a/crates/orchard/src/ring.rs
+++ b/crates/sparrouter-fleet/src/ring.rs
@@ -86,7 +86,7 @@
         }
         kept.dumps += 1;
         let last = if kept.dumps == MOST_DUMPS { " (no more will be written)" } else { "" };
-        let mut out = format!("orchard: {why}; the last {} lines{last}:\n", lines.len()).into_bytes();
+        let mut out = format!("sparrouter: {why}; the last {} lines{last}:\n", lines.len()).into_bytes();
         for line in &lines {
             out.extend_from_slice(line);
             out.push(b'\n');
--- a/crates/orchard/tests/client.rs
+++ b/crates/sparrouter-fleet/tests/client.rs
@@ -2,10 +2,10 @@
 mod common;
 
 use common::{Act, Scripted, answers};
-use orchard::client::call::Call;
-use orchard::client::commands::{self, Out};
-use orchard::client::fleet::Fleet;
-use orchard::client::{Ask, ClientError};
+use sparrouter_fleet::client::call::Call;
+use sparrouter_fleet::client::commands::{self, Out};
+use sparrouter_fleet::client::fleet::Fleet;
+use sparrouter_fleet::client::{Ask, ClientError};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -172,7 +172,7 @@
     let calls = net.calls.clone();
     let (done, result, remark) = run(net, Ask::Put { file, if_match: None }).await;
     done.expect("taken");
-    assert_eq!(remark, "orchard: builds on version 7, which is in force now\n");
+    assert_eq!(remark, "sparrouter: builds on version 7, which is in force now\n");
     assert_eq!(result, "taken (10.0.0.1:80, on top of version 7)\n");
     assert!(calls.borrow()[1].1.contains("If-Match: 7\r\n"));
 }
@@ -184,7 +184,7 @@
     let acts = [answers(404, ""), answers(404, ""), answers(404, ""), answers(200, "taken")];
     let (done, _, remark) = run(Scripted::default().node(A, &acts), Ask::Put { file, if_match: None }).await;
     done.expect("taken");
-    assert_eq!(remark, "orchard: no configuration is in force yet: this is the first\n");
+    assert_eq!(remark, "sparrouter: no configuration is in force yet: this is the first\n");
 }
 
 #[tokio::test(start_paused = true)]
@@ -252,7 +252,7 @@
     let (done, result, remark) = run(net, Ask::Status { all: true, json: true }).await;
     done.expect("answered");
     assert_eq!(result, format!("{STATUS}\n"));
-    assert!(remark.starts_with("orchard: core-1: no node could be reached"), "{remark}");
+    assert!(remark.starts_with("sparrouter: core-1: no node could be reached"), "{remark}");
 }
 
 #[test]
@@ -291,7 +291,7 @@
 
 #[test]
 fn given_words_of_the_command_line_when_read_then_they_are_a_command_or_a_fault() {
-    use orchard::client::{Command, command};
+    use sparrouter_fleet::client::{Command, command};
     let read = |line: &str| {
         let words: Vec<&str> = line.split_whitespace().collect();
         command().run_inner(words.as_slice()).map_err(|e| e.unwrap_stderr())
--- a/crates/orchard/tests/common/mod.rs
+++ b/crates/sparrouter-fleet/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A network in memory of scripted nodes, for tests of what calls them.
 #![allow(dead_code)] // Each test file is a program of its own and uses a part.
-use orchard::net::{Door, Later, Net, Stream, Wire};
+use sparrouter_fleet::net::{Door, Later, Net, Stream, Wire};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::io;
--- a/crates/orchard/tests/doors.rs
+++ b/crates/sparrouter-fleet/tests/doors.rs
@@ -1,7 +1,7 @@
 //! The tree of matchers: which handler a call comes to, and what nobody serves.
 use bytes::Bytes;
-use orchard::doors::{self, Matcher};
-use orchard::http::{Answer, Request};
+use sparrouter_fleet::doors::{self, Matcher};
+use sparrouter_fleet::http::{Answer, Request};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/orchard/tests/loopback.rs
+++ b/crates/sparrouter-fleet/tests/loopback.rs
@@ -15,7 +15,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_orchard");
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sparrouter");
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn block_on<T>(of: impl Future<Output = T>) -> T {
@@ -79,6 +79,6 @@
     });
     let words = machine.words();
     let first = words.lines().next().unwrap_or_default();
-    let wanted = "orchard: 1 requests were still open at the end of the grace period; the last ";
+    let wanted = "sparrouter: 1 requests were still open at the end of the grace period; the last ";
     assert!(first.starts_with(wanted), "{words}");
 }
--- a/crates/orchard/tests/ring.rs
+++ b/crates/sparrouter-fleet/tests/ring.rs
@@ -1,5 +1,5 @@
 //! The log's ring: bounded, and written out when something goes wrong.
-use orchard::ring::{LINES, LONGEST, MOST_DUMPS, Ring};
+use sparrouter_fleet::ring::{LINES, LONGEST, MOST_DUMPS, Ring};
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 
@@ -41,9 +41,9 @@
     write!(ring, "sec").expect("never fails");
     writeln!(ring, "ond").expect("never fails");
     ring.breach("the quorum is lost");
-    assert_eq!(sink.text(), "orchard: the quorum is lost; the last 2 lines:\nfirst\nsecond\n");
+    assert_eq!(sink.text(), "sparrouter: the quorum is lost; the last 2 lines:\nfirst\nsecond\n");
     ring.dump("again");
-    assert!(sink.text().ends_with("orchard: again; the last 0 lines:\n"));
+    assert!(sink.text().ends_with("sparrouter: again; the last 0 lines:\n"));
 }
 
 #[test]
@@ -77,7 +77,7 @@
         ring.breach(&format!("trouble {n}"));
     }
     let text = sink.text();
-    assert_eq!(text.lines().filter(|l| l.starts_with("orchard: ")).count(), MOST_DUMPS as usize);
+    assert_eq!(text.lines().filter(|l| l.starts_with("sparrouter: ")).count(), MOST_DUMPS as usize);
     assert!(text.lines().last().is_some_and(|l| l.contains("no more will be written")));
 }
 
@@ -105,6 +105,6 @@
     let caught = std::thread::spawn(|| panic!("out of plums")).join();
     assert!(caught.is_err());
     let text = sink.text();
-    assert!(text.starts_with("orchard: panic: "), "{text}");
+    assert!(text.starts_with("sparrouter: panic: "), "{text}");
     assert!(text.contains("out of plums") && text.contains("what led there"), "{text}");
 }
--- a/crates/orchard/tests/statute.rs
+++ b/crates/sparrouter-fleet/tests/statute.rs
@@ -1,8 +1,8 @@
 //! What changes mean to the configuration's part: the same on every member, whatever order repeats come in.
 use nanoserde::SerBin;
-use orchard::statute::{Change, Statute, Statutes, Verdict};
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Applied, Machine};
+use sparrouter_fleet::statute::{Change, Statute, Statutes, Verdict};
 
 /// The part's body as it goes from change to change.
 #[derive(Default)]
--- a/crates/sparrouter-simulation/examples/hunt.rs
+++ b/crates/sparrouter-simulation/examples/hunt.rs
@@ -2,7 +2,7 @@
 //!
 //! `--all` goes on behind a broken day, `--story` tells a day in full, each request with it. `--defect NAME` plants a
 //! mistake first; `--shrink` tells of a broken day what it takes, as a story; `--planted` plants each in turn and prints after how many days it was found.
-use orchard::planted::{Defect, plant};
+use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_simulation::story;
 use sparrouter_simulation::weather::{self, Day, Report};
 use std::collections::BTreeSet;
--- a/crates/sparrouter-simulation/src/client.rs
+++ b/crates/sparrouter-simulation/src/client.rs
@@ -7,7 +7,7 @@
 use crate::server::MODEL;
 use bytes::{Bytes, BytesMut};
 use fastrand::Rng;
-use orchard::net::Wire;
+use sparrouter_fleet::net::Wire;
 use sparrouter_http::chunks::{Chunks, Piece};
 use sparrouter_http::head::{self, Framing};
 use sparrouter_http::reading;
--- a/crates/sparrouter-simulation/src/net.rs
+++ b/crates/sparrouter-simulation/src/net.rs
@@ -1,7 +1,7 @@
 //! One machine's way into the network in memory, as the fleet's code asks for it.
 use crate::fabric::Fabric;
 use crate::line::End;
-use orchard::net::{Door, Later, Net, Stream};
+use sparrouter_fleet::net::{Door, Later, Net, Stream};
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::io;
--- a/crates/sparrouter-simulation/src/shelf.rs
+++ b/crates/sparrouter-simulation/src/shelf.rs
@@ -1,7 +1,7 @@
 //! A machine's disk: one that lies, answers late in virtual time, stalls, fills up, or is lost.
 use fastrand::Rng;
-use orchard::disk::{Keeper, Kept, Save, Saves, Stock, keep};
-use orchard::ring::Ring;
+use sparrouter_fleet::disk::{Keeper, Kept, Save, Saves, Stock, keep};
+use sparrouter_fleet::ring::Ring;
 use sparrouter_storage::{Cellar, LyingFiles};
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/sparrouter-simulation/src/speech.rs
+++ b/crates/sparrouter-simulation/src/speech.rs
@@ -2,7 +2,7 @@
 use crate::line::End;
 use crate::net::MemoryNet;
 use bytes::{Bytes, BytesMut};
-use orchard::http;
+use sparrouter_fleet::http;
 use sparrouter_http::head::{self, CallHead, ReplyHead};
 use sparrouter_http::reading;
 use std::net::SocketAddr;
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -4,9 +4,9 @@
 use crate::net::MemoryNet;
 use crate::pot::Pot;
 use fastrand::Rng;
-use orchard::boot::Boot;
-use orchard::ring::Ring;
-use orchard::run::{Order, Role, serve};
+use sparrouter_fleet::boot::Boot;
+use sparrouter_fleet::ring::Ring;
+use sparrouter_fleet::run::{Order, Role, serve};
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
@@ -66,7 +66,7 @@
         machine.pot = Some(Pot::start(async move {
             let open = move |_: Option<&Path>, ring: &Ring, rng: &mut Rng| match &shelf {
                 Some(shelf) => shelf.stock(ring, rng),
-                None => orchard::disk::Stock::empty(rng),
+                None => sparrouter_fleet::disk::Stock::empty(rng),
             };
             let rng = rng.fork();
             if let Err(why) = serve(Role::Proxy, boot, open, ring, net, rng, orders).await {
--- a/crates/sparrouter-simulation/tests/edits.rs
+++ b/crates/sparrouter-simulation/tests/edits.rs
@@ -1,9 +1,9 @@
 //! Configurations told as changes of their text: whoever can't use one is told the whole, and all end with the same.
-use orchard::boot::Boot;
-use orchard::net::Sockets;
-use orchard::node::Node;
-use orchard::ring::Ring;
-use orchard::wire::{ConfigTold, TextTold};
+use sparrouter_fleet::boot::Boot;
+use sparrouter_fleet::net::Sockets;
+use sparrouter_fleet::node::Node;
+use sparrouter_fleet::ring::Ring;
+use sparrouter_fleet::wire::{ConfigTold, TextTold};
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::{Kind, Plan, Route};
 use sparrouter_simulation::speech;
@@ -16,7 +16,7 @@
 
 /// A node that keeps control state, and so tells others.
 fn node(seed: u64) -> Rc<Node> {
-    let settings = include_str!("../../orchard/tests/settings/page.conf");
+    let settings = include_str!("../../sparrouter-fleet/tests/settings/page.conf");
     let boot = Boot::parse(Path::new("story"), settings).expect("the page's settings");
     Node::new(boot, seed, Ring::gathering(), Rc::new(Sockets), fastrand::Rng::with_seed(seed))
 }
--- a/crates/sparrouter-simulation/tests/planted.rs
+++ b/crates/sparrouter-simulation/tests/planted.rs
@@ -1,6 +1,6 @@
 //! Each planted mistake is found by a fixed day, of which only what it takes is played; the long hunt is the example
 //! `hunt`, and its `--planted --shrink` gives these days.
-use orchard::planted::{Defect, plant};
+use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_simulation::story::play;
 use sparrouter_simulation::weather::{self, Day};
 use std::panic::{AssertUnwindSafe, catch_unwind};
