--- a/crates/rootstock/examples/hunt.rs
+++ b/crates/sparrouter-consensus/examples/hunt.rs
@@ -1,7 +1,7 @@
 //! Plays the fleet under thousands of seeds and prints the first that fails, with its events; or tells for each planted
 //! defect which seed finds it.
 //!
-//! `cargo run --release -p rootstock --example hunt -- SEEDS [FIRST] [EVENTS]`, or `hunt -- defects SEEDS`
+//! `cargo run --release -p sparrouter-consensus --example hunt -- SEEDS [FIRST] [EVENTS]`, or `hunt -- defects SEEDS`
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
 
--- a/crates/hayfield/src/play.rs
+++ b/crates/sparrouter-fleet-lab/src/play.rs
@@ -48,7 +48,7 @@
 
 /// Plays it with this program, and says how it goes. Everything it started has ended when it returns.
 pub async fn play(scenario: Scenario, program: &Path, say: impl Fn(&str)) -> Result<Report, LabError> {
-    let directory = tempfile::Builder::new().prefix("hayfield-").tempdir();
+    let directory = tempfile::Builder::new().prefix("sparrouter-fleet-lab-").tempdir();
     let directory =
         directory.map_err(|e| LabError::Write { what: "a directory".into(), why: e.to_string() })?;
     let most = COMES_UP + scenario.length() + ENDS * 2;
@@ -71,7 +71,7 @@
     let machine = |n| Machine::new(n, n < core, core.min(3), ground, directory, program, GRACE).map(Rc::new);
     let machines = (0..all).map(machine).collect::<Result<Vec<_>, _>>()?;
     let control = machines.iter().map(|m| m.control()).collect();
-    let start = |e: orchard::client::ClientError| LabError::Start {
+    let start = |e: sparrouter_fleet::client::ClientError| LabError::Start {
         program: "the operators' client".into(),
         why: e.to_string(),
     };
--- a/crates/orchard/src/control.rs
+++ b/crates/sparrouter-fleet/src/control.rs
@@ -1,6 +1,6 @@
 //! The control state at one node: its registers, their disk, their messages.
 //!
-//! What must hold is decided in `rootstock`; here its actions are carried out. `presence`: whom this node hears, and
+//! What must hold is decided in `sparrouter-consensus`; here its actions are carried out. `presence`: whom this node hears, and
 //! whose duty a part is; `groups`: who belongs to the groups, and the first ones; `change`: a change through whoever may.
 mod change;
 mod groups;
@@ -15,7 +15,8 @@
 use crate::planted::{self, Defect};
 use crate::statute::{Statute, Statutes};
 use crate::wire::{Call, ConfigTold, ModelTold, TextTold};
-use rootstock::{
+use sparrouter_codec::Blob;
+use sparrouter_consensus::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Settings,
 };
 use std::cell::{Cell, RefCell};
@@ -25,7 +26,6 @@
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
-use trug::Blob;
 
 /// The configuration's part, and how many parts the services' duties are cut into.
 pub const CONFIG: u16 = 0;
@@ -35,7 +35,7 @@
 
 /// Which duty part a service belongs to.
 pub fn part_of(service: &str) -> u16 {
-    1 + (windrow::hash(service.as_bytes()) % u64::from(DUTY_PARTS)) as u16
+    1 + (sparrouter_rendezvous::hash(service.as_bytes()) % u64::from(DUTY_PARTS)) as u16
 }
 
 pub struct PartMachine(u16);
--- a/crates/orchard/src/control/change.rs
+++ b/crates/sparrouter-fleet/src/control/change.rs
@@ -4,12 +4,12 @@
 use crate::node::Node;
 use crate::statute::{Change, Verdict};
 use crate::wire::{Call, Reply};
-use rootstock::{Member, Outcome};
+use sparrouter_codec::Blob;
+use sparrouter_consensus::{Member, Outcome};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
-use trug::Blob;
 
 /// Makes a change through whoever may: this node's register, or that of a member, the part's owner first.
 pub async fn change(
@@ -21,13 +21,13 @@
     let mut to: Vec<SocketAddr> = Vec::new();
     let known: Vec<Member> = control.map(|c| c.members(part)).unwrap_or_default();
     let silent = |name: &str| node.rows.borrow().node(name).is_some_and(|n| n.silent || n.leaving);
-    let ranked = rootstock::owner::ranked(part, &known);
+    let ranked = sparrouter_consensus::owner::ranked(part, &known);
     let live = ranked.iter().filter(|m| m.address == own || !silent(&m.name));
     let rest = ranked.iter().filter(|m| m.address != own && silent(&m.name));
     to.extend(live.chain(rest).filter_map(|m| m.address.parse::<SocketAddr>().ok()));
     if to.is_empty() {
         let mut core = node.core();
-        core.sort_by_key(|c| (silent(&c.0), windrow::hash(c.0.as_bytes()) ^ u64::from(part)));
+        core.sort_by_key(|c| (silent(&c.0), sparrouter_rendezvous::hash(c.0.as_bytes()) ^ u64::from(part)));
         to.extend(core.into_iter().map(|c| c.1));
     }
     let own: Option<SocketAddr> = own.parse().ok();
@@ -80,7 +80,7 @@
 }
 
 pub fn verdict(answer: &[u8]) -> Option<Verdict> {
-    trug::read(answer)
+    sparrouter_codec::read(answer)
 }
 
 pub fn encode(change: &Change) -> Vec<u8> {
--- a/crates/orchard/src/departure.rs
+++ b/crates/sparrouter-fleet/src/departure.rs
@@ -9,7 +9,7 @@
 //! client one attempt to connect, a refusal costs it half of the worth of the request.
 //!
 //! Both moments follow from `bounds.grace_period_s`. The process ends earlier once nothing is at work any more.
-use espalier::Nanos;
+use sparrouter_routing::Nanos;
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/orchard/src/exchange.rs
+++ b/crates/sparrouter-fleet/src/exchange.rs
@@ -13,15 +13,15 @@
 use crate::upstream::Pool;
 use admission::Counted;
 use bytes::BytesMut;
-use espalier::{Ending, Nanos, Prompt, ServerIx};
 use passing::Passed;
+use sparrouter_config::{Route, Table, Tenant};
+use sparrouter_http::reading;
+use sparrouter_routing::{Ending, Nanos, Prompt, ServerIx};
 use speaking::Turn;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{ReadHalf, split};
 use tokio::time::Instant;
-use trellis::{Route, Table, Tenant};
-use wicket::reading;
 
 /// What a client may send ahead while its request is worked on.
 const AHEAD: usize = 64 << 10;
@@ -93,7 +93,7 @@
     let wall = tenant.filter(|t| t.isolated).map(|t| t.name.as_str()).unwrap_or_default();
     let group = format!("{}/{wall}", model.as_deref().unwrap_or_default());
     let attempt_id = fields.get("sparrouter-attempt-id").cloned().unwrap_or_default();
-    let key = prompt.key(&group).unwrap_or_else(|| windrow::hash(&attempt_id));
+    let key = prompt.key(&group).unwrap_or_else(|| sparrouter_rendezvous::hash(&attempt_id));
     let service = route.pick(key).to_owned();
     node.budget(&service, |b, now| b.asked(now));
     let mut exchange = Exchange {
@@ -118,7 +118,9 @@
 
 /// Whether a request that came just now can end before this process does. True where it was not told to end.
 fn may_end_here(node: &Node, route: &Route, until: Instant) -> bool {
-    let Some(departure) = node.departure.get().filter(|_| !has(Defect::TakenWhileLeaving)) else { return true };
+    let Some(departure) = node.departure.get().filter(|_| !has(Defect::TakenWhileLeaving)) else {
+        return true;
+    };
     let longest = node.durations.borrow().longest(&route.name);
     departure.admits(Instant::now(), until, longest)
 }
--- a/crates/orchard/src/following.rs
+++ b/crates/sparrouter-fleet/src/following.rs
@@ -6,10 +6,11 @@
 use crate::node::Node;
 use crate::upstream::Upstream;
 use bytes::Bytes;
-use gleaner::{Change, Page, Source};
-use hedgerow::{Delta, Note};
 use miniserde::json::{Number, Value};
 use miniserde::{Deserialize, json};
+use sparrouter_http::{head, reading};
+use sparrouter_membership::{Delta, Note};
+use sparrouter_prefix_index::{Change, Page, Source};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,7 +18,6 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use wicket::{head, reading};
 
 /// A question is held so long, the longest that it may be; it is given so much longer.
 const HOLD_MS: u64 = 1_000;
@@ -89,7 +89,7 @@
 }
 
 fn key(store: SocketAddr) -> u64 {
-    windrow::hash(store.to_string().as_bytes())
+    sparrouter_rendezvous::hash(store.to_string().as_bytes())
 }
 
 async fn keep_on(node: &Rc<Node>, one: Followed) {
@@ -181,7 +181,7 @@
     let (Value::String(salt), Value::String(id)) = (fields.get(2)?, fields.get(3)?) else { return None };
     let Value::Number(tokens) = fields.get(4)? else { return None };
     let tokens = whole(tokens).filter(|t| *t >= LEAST).unwrap_or(0);
-    let key = windrow::hash(format!("{salt}/{id}").as_bytes());
+    let key = sparrouter_rendezvous::hash(format!("{salt}/{id}").as_bytes());
     Some(Change { key, tokens: tokens.min(u64::from(u32::MAX)) as u32 })
 }
 
--- a/crates/orchard/src/front.rs
+++ b/crates/sparrouter-fleet/src/front.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::upstream::Pool;
 use bytes::BytesMut;
+use sparrouter_http::reading;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +13,9 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
-use wicket::reading;
 
 /// Before a configuration is known.
-const USUAL: trellis::Limits = trellis::Limits {
+const USUAL: sparrouter_config::Limits = sparrouter_config::Limits {
     max_header_bytes: 16 << 10,
     max_body_bytes: 4 << 20,
     header_timeout_ms: 3_000,
@@ -142,8 +142,8 @@
 
 /// Waits for a request to begin. False where the connection is to be closed.
 async fn first_byte(
-    stream: &mut Stream, buffer: &mut BytesMut, limits: &trellis::Limits, stage: &mut watch::Receiver<Stage>,
-    is_new: bool,
+    stream: &mut Stream, buffer: &mut BytesMut, limits: &sparrouter_config::Limits,
+    stage: &mut watch::Receiver<Stage>, is_new: bool,
 ) -> bool {
     *buffer = BytesMut::new();
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
--- a/crates/orchard/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -10,10 +10,15 @@
 use crate::net::SharedNet;
 use crate::planted::{Defect, has};
 use crate::ring::Ring;
-use espalier::{Backlog, Bed, Budget, Durations, Nanos};
 use fastrand::Rng;
-use gleaner::{Index, Terms};
-use hedgerow::{NodeRow, Pace, Rows};
+use fastrand::Rng;
+use sparrouter_config::{Edits, Table};
+use sparrouter_membership::{NodeRow, Pace, Rows};
+use sparrouter_membership::{NodeRow, Pace, Rows};
+use sparrouter_prefix_index::{Index, Terms};
+use sparrouter_prefix_index::{Index, Terms};
+use sparrouter_routing::{Backlog, Bed, Budget, Durations, Nanos};
+use sparrouter_routing::{Backlog, Bed, Budget, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,7 +26,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use trellis::{Edits, Table};
 
 /// Rows that are over are remembered so long, and so many of each kind are held at most.
 const TOMBSTONE: Nanos = 60_000_000_000;
--- a/crates/orchard/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -18,10 +18,10 @@
 use crate::registry::Registry;
 use crate::ring::Ring;
 use crate::weights;
-use espalier::Nanos;
 use fastrand::Rng;
-use hedgerow::Delta;
 use nanoserde::SerBin;
+use sparrouter_membership::Delta;
+use sparrouter_routing::Nanos;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -136,7 +136,7 @@
     let data = boot.data.clone().filter(|_| keeps);
     let mut stock = open(data.as_deref(), &ring, &mut rng);
     if has(Defect::WipedVotes) {
-        stock.disk = windrow::hash(boot.node_name.as_bytes());
+        stock.disk = sparrouter_rendezvous::hash(boot.node_name.as_bytes());
     }
     let first = boot.first_start;
     let founder = boot.seeds.first().is_none_or(|s| s.ip() == boot.ip);
@@ -146,7 +146,7 @@
     let in_core = keeps && (boot.counted || data.is_some());
     let disk = if in_core { stock.disk } else { 0 };
     let node = Node::new(boot, disk, ring, net, rng);
-    if let Some(rows) = stock.rows.as_deref().and_then(trug::read::<Delta>) {
+    if let Some(rows) = stock.rows.as_deref().and_then(sparrouter_codec::read::<Delta>) {
         node.learn(rows);
     }
     spawn_local(node.clone().carry_out());
--- a/crates/orchard/src/statute.rs
+++ b/crates/sparrouter-fleet/src/statute.rs
@@ -1,9 +1,9 @@
 //! What a change means to the configuration's part: documents by compare-and-set, and versions of weights named.
 use crate::planted::{Defect, has};
 use nanoserde::{DeBin, SerBin};
-use rootstock::{Applied, Machine};
-use trellis::{Document, Method, Refusal, digest_of_request};
-use trug::{Blob, Seq};
+use sparrouter_codec::{Blob, Seq};
+use sparrouter_config::{Document, Method, Refusal, digest_of_request};
+use sparrouter_consensus::{Applied, Machine};
 
 /// Changes whose repeats are answered as taken.
 const REMEMBERED: usize = 256;
@@ -67,7 +67,7 @@
 
 impl Statute {
     pub fn read(body: &[u8]) -> Option<Statute> {
-        if body.is_empty() { Some(Statute::default()) } else { trug::read(body) }
+        if body.is_empty() { Some(Statute::default()) } else { sparrouter_codec::read(body) }
     }
 
     pub fn document(&self) -> Option<Document> {
@@ -79,7 +79,7 @@
         if self.taken.iter().any(|t| t.digest == digest) && !has(Defect::SameBodyRefused) {
             return Ok(Verdict::new(200, "taken before"));
         }
-        let next = trellis::change(method, body, if_match, self.document().as_ref())?;
+        let next = sparrouter_config::change(method, body, if_match, self.document().as_ref())?;
         if self.taken.len() == REMEMBERED {
             self.taken.remove(0);
         }
@@ -117,7 +117,7 @@
                 "the part's body is of another release: bring all nodes to one",
             ));
         };
-        let Some(change) = trug::read::<Change>(change) else {
+        let Some(change) = sparrouter_codec::read::<Change>(change) else {
             return unchanged(Verdict::new(400, "no change that this release knows"));
         };
         let mut after = before.clone();
--- a/crates/orchard/tests/doors.rs
+++ b/crates/sparrouter-fleet/tests/doors.rs
@@ -1,7 +1,7 @@
 //! The tree of matchers: which handler a call comes to, and what nobody serves.
 use bytes::Bytes;
-use orchard::doors::{self, Matcher};
-use orchard::http::{Answer, Request};
+use sparrouter_fleet::doors::{self, Matcher};
+use sparrouter_fleet::http::{Answer, Request};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 
 fn request(method: &str, target: &str) -> Rc<Request> {
     let text = format!("{method} {target} HTTP/1.1\r\n\r\n");
-    let head = wicket::head::call(&Bytes::from(text)).expect("a head");
+    let head = sparrouter_http::head::call(&Bytes::from(text)).expect("a head");
     Rc::new(Request { head, body: Bytes::new() })
 }
 
--- a/crates/orchard/tests/loopback.rs
+++ b/crates/sparrouter-fleet/tests/loopback.rs
@@ -1,13 +1,13 @@
 //! Real processes on loopback, in the lab's shortest scenario. It stands here because only the program's own package
 //! is sure to have built the program.
-use hayfield::client::{Clients, End, Wish, look_after};
-use hayfield::engine::{Engine, Terms, kind_of};
-use hayfield::ground::Ground;
-use hayfield::ledger::Ledger;
-use hayfield::machine::Machine;
-use hayfield::operator::Operator;
-use hayfield::play::play;
-use hayfield::scenario::Scenario;
+use sparrouter_fleet_lab::client::{Clients, End, Wish, look_after};
+use sparrouter_fleet_lab::engine::{Engine, Terms, kind_of};
+use sparrouter_fleet_lab::ground::Ground;
+use sparrouter_fleet_lab::ledger::Ledger;
+use sparrouter_fleet_lab::machine::Machine;
+use sparrouter_fleet_lab::operator::Operator;
+use sparrouter_fleet_lab::play::play;
+use sparrouter_fleet_lab::scenario::Scenario;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_orchard");
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sparrouter");
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn block_on<T>(of: impl Future<Output = T>) -> T {
@@ -79,6 +79,6 @@
     });
     let words = machine.words();
     let first = words.lines().next().unwrap_or_default();
-    let wanted = "orchard: 1 requests were still open at the end of the grace period; the last ";
+    let wanted = "sparrouter: 1 requests were still open at the end of the grace period; the last ";
     assert!(first.starts_with(wanted), "{words}");
 }
--- a/crates/espalier/src/server.rs
+++ b/crates/sparrouter-routing/src/server.rs
@@ -1,6 +1,6 @@
 //! One record a server: what was told of it, what this node has in flight there, and what its own sends showed.
 use crate::Nanos;
-use hedgerow::{ServerRow, Standing};
+use sparrouter_membership::{ServerRow, Standing};
 use std::net::SocketAddr;
 
 pub type ServerIx = usize;
@@ -67,7 +67,7 @@
             address,
             zone: row.zone.clone(),
             slot_count: row.slot_count.max(1),
-            hash: windrow::hash(row.id.as_bytes()),
+            hash: sparrouter_rendezvous::hash(row.id.as_bytes()),
             standing: row.standing,
             silent: row.silent,
             loading: false,
--- a/crates/hothouse/tests/edits.rs
+++ b/crates/sparrouter-simulation/tests/edits.rs
@@ -1,14 +1,14 @@
 //! Configurations told as changes of their text: whoever can't use one is told the whole, and all end with the same.
-use hothouse::load;
-use hothouse::plan::{Kind, Plan, Route};
-use hothouse::speech;
-use hothouse::story::{play, told};
-use hothouse::world::{Terms, World, first_plan};
-use orchard::boot::Boot;
-use orchard::net::Sockets;
-use orchard::node::Node;
-use orchard::ring::Ring;
-use orchard::wire::{ConfigTold, TextTold};
+use sparrouter_fleet::boot::Boot;
+use sparrouter_fleet::net::Sockets;
+use sparrouter_fleet::node::Node;
+use sparrouter_fleet::ring::Ring;
+use sparrouter_fleet::wire::{ConfigTold, TextTold};
+use sparrouter_simulation::load;
+use sparrouter_simulation::plan::{Kind, Plan, Route};
+use sparrouter_simulation::speech;
+use sparrouter_simulation::story::{play, told};
+use sparrouter_simulation::world::{Terms, World, first_plan};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 
 /// A node that keeps control state, and so tells others.
 fn node(seed: u64) -> Rc<Node> {
-    let settings = include_str!("../../orchard/tests/settings/page.conf");
+    let settings = include_str!("../../sparrouter-fleet/tests/settings/page.conf");
     let boot = Boot::parse(Path::new("story"), settings).expect("the page's settings");
     Node::new(boot, seed, Ring::gathering(), Rc::new(Sockets), fastrand::Rng::with_seed(seed))
 }
@@ -124,7 +124,7 @@
         poller.take(other);
         source.take(chosen(2));
         // As though it had the text that the source made its change from.
-        let change = source.told(trellis::digest_of_text(&plan(1).json()));
+        let change = source.told(sparrouter_config::digest_of_text(&plan(1).json()));
         assert!(!is_whole(&change) && !poller.take(change));
         assert_eq!((poller.in_force().seq, &*poller.in_force().text), (1, &*plan(9).json()));
         assert!(poller.take(source.told(0)), "0 asks for it whole");
@@ -179,7 +179,7 @@
             digests.push(digest.expect("a digest").to_owned());
         }
         let read = world.operator.get_from(world.control_of("core-0")).await.expect("the register's text");
-        let register = format!("\"{:016x}\"", trellis::digest_of_text(read.text()));
+        let register = format!("\"{:016x}\"", sparrouter_config::digest_of_text(read.text()));
         assert!(digests.iter().all(|d| *d == register), "{register}: {digests:?}");
         world
     });
