--- a/crates/sparrouter-codec/src/lib.rs
+++ b/crates/sparrouter-codec/src/lib.rs
@@ -67,7 +67,11 @@
 fn length(o: &mut usize, d: &[u8]) -> Result<usize, DeBinErr> {
     let claimed = u32::de_bin(o, d)? as usize;
     let left = d.len().saturating_sub(*o);
-    if claimed > left { Err(short(*o, claimed, left)) } else { Ok(claimed) }
+    if claimed > left {
+        Err(short(*o, claimed, left))
+    } else {
+        Ok(claimed)
+    }
 }
 
 impl<T: SerBin> SerBin for Seq<T> {
@@ -105,5 +109,7 @@
 /// Reads one value. `nanoserde` adds a claimed text length to the offset unchecked, which panics when it overflows:
 /// caught here, so that hostile bytes end as None like all that is malformed.
 pub fn read<T: DeBin>(bytes: &[u8]) -> Option<T> {
-    std::panic::catch_unwind(|| T::deserialize_bin(bytes).ok()).ok().flatten()
+    std::panic::catch_unwind(|| T::deserialize_bin(bytes).ok())
+        .ok()
+        .flatten()
 }
--- a/crates/sparrouter-codec/tests/lists.rs
+++ b/crates/sparrouter-codec/tests/lists.rs
@@ -25,5 +25,8 @@
 fn given_a_text_length_that_overflows_when_read_then_it_is_refused() {
     let hostile = u64::MAX.to_le_bytes();
     assert!(sparrouter_codec::read::<String>(&hostile).is_none());
-    assert!(sparrouter_codec::read::<(u8, String)>(&[1, 255, 255, 255, 255, 255, 255, 255, 255]).is_none());
+    assert!(
+        sparrouter_codec::read::<(u8, String)>(&[1, 255, 255, 255, 255, 255, 255, 255, 255])
+            .is_none()
+    );
 }
--- a/crates/sparrouter-config/src/change.rs
+++ b/crates/sparrouter-config/src/change.rs
@@ -53,17 +53,26 @@
 ///
 /// A [`Refusal`]; staleness is looked at first.
 pub fn change(
-    method: Method, body: &[u8], if_match: Option<u64>, current: Option<&Document>,
+    method: Method,
+    body: &[u8],
+    if_match: Option<u64>,
+    current: Option<&Document>,
 ) -> Result<Document, Refusal> {
     let in_force = current.map_or(0, |document| document.version);
     if if_match.unwrap_or(0) != in_force {
-        return Err(Refusal::Stale { sent: if_match, current: in_force });
+        return Err(Refusal::Stale {
+            sent: if_match,
+            current: in_force,
+        });
     }
     let (sent, tree) = text::read(body)?;
     let version = Fields::root(&tree)?.version()?;
     drop(tree);
     if version <= in_force {
-        return Err(Refusal::OldVersion { version, current: in_force });
+        return Err(Refusal::OldVersion {
+            version,
+            current: in_force,
+        });
     }
     let text = match method {
         Method::Put => sent,
@@ -87,7 +96,9 @@
             "remove_names" => removals = lists(&field, value)?,
             // Passing over these would acknowledge a change that was not made.
             "routes" | "services" | "tenants" => {
-                return Err(Refusal::WholeListInPatch { field: field.into_owned() });
+                return Err(Refusal::WholeListInPatch {
+                    field: field.into_owned(),
+                });
             }
             _ => {}
         }
@@ -95,19 +106,35 @@
     let removals: BTreeMap<Cow<str>, Vec<&str>> = removals.into_iter().collect();
     let removed = |list: &str| removals.get(list).map_or(&[][..], Vec::as_slice);
     let old = text::fields(&base);
-    let place: HashMap<&str, usize> = old.iter().enumerate().map(|(i, (key, _))| (key.as_ref(), i)).collect();
+    let place: HashMap<&str, usize> = old
+        .iter()
+        .enumerate()
+        .map(|(i, (key, _))| (key.as_ref(), i))
+        .collect();
     for (list, items) in &upserts {
         let old = place.get(list.as_ref()).map_or("[]", |&i| old[i].1);
-        set.push((list.clone(), Cow::Owned(merge(list, old, items, removed(list))?)));
+        set.push((
+            list.clone(),
+            Cow::Owned(merge(list, old, items, removed(list))?),
+        ));
     }
     let upserted: HashSet<&str> = upserts.iter().map(|(list, _)| list.as_ref()).collect();
-    for (list, _) in removals.iter().filter(|(list, _)| !upserted.contains(list.as_ref())) {
+    for (list, _) in removals
+        .iter()
+        .filter(|(list, _)| !upserted.contains(list.as_ref()))
+    {
         // Nothing can be removed from a list that is not there.
         if let Some(&i) = place.get(list.as_ref()) {
-            set.push((list.clone(), Cow::Owned(merge(list, old[i].1, &[], removed(list))?)));
+            set.push((
+                list.clone(),
+                Cow::Owned(merge(list, old[i].1, &[], removed(list))?),
+            ));
         }
     }
-    let mut whole: Vec<(&str, &str)> = old.iter().map(|(key, value)| (key.as_ref(), *value)).collect();
+    let mut whole: Vec<(&str, &str)> = old
+        .iter()
+        .map(|(key, value)| (key.as_ref(), *value))
+        .collect();
     for (key, value) in &set {
         match place.get(key.as_ref()) {
             Some(&i) => whole[i].1 = value,
@@ -125,20 +152,31 @@
         return Ok(Vec::new());
     }
     if !value.starts_with('{') {
-        return Err(Refusal::WrongType { at: field.to_owned(), expected: "an object of lists" });
+        return Err(Refusal::WrongType {
+            at: field.to_owned(),
+            expected: "an object of lists",
+        });
     }
     text::fields(value)
         .into_iter()
-        .map(|(list, value)| match text::items(if value == "null" { "[]" } else { value }) {
-            Some(items) => Ok((list, items)),
-            None => Err(Refusal::WrongType { at: format!("{field}.{list}"), expected: "a list" }),
-        })
+        .map(
+            |(list, value)| match text::items(if value == "null" { "[]" } else { value }) {
+                Some(items) => Ok((list, items)),
+                None => Err(Refusal::WrongType {
+                    at: format!("{field}.{list}"),
+                    expected: "a list",
+                }),
+            },
+        )
         .collect()
 }
 
 fn merge(list: &str, old: &str, upserts: &[&str], removals: &[&str]) -> Result<String, Refusal> {
-    let old = text::items(if old == "null" { "[]" } else { old })
-        .ok_or_else(|| Refusal::WrongType { at: list.to_owned(), expected: "a list of named items" })?;
+    let old =
+        text::items(if old == "null" { "[]" } else { old }).ok_or_else(|| Refusal::WrongType {
+            at: list.to_owned(),
+            expected: "a list of named items",
+        })?;
     let mut removed = HashSet::new();
     for (i, literal) in removals.iter().enumerate() {
         let name = text::string(literal).ok_or_else(|| Refusal::WrongType {
@@ -150,13 +188,20 @@
     let mut fresh: HashMap<String, &str> = HashMap::new();
     let mut order = Vec::new();
     for (i, item) in upserts.iter().enumerate() {
-        let name = text::name_of(item)
-            .ok_or_else(|| Refusal::Missing { at: format!("upsert_items.{list}[{i}].name") })?;
+        let name = text::name_of(item).ok_or_else(|| Refusal::Missing {
+            at: format!("upsert_items.{list}[{i}].name"),
+        })?;
         if removed.contains(&name) {
-            return Err(Refusal::Contradiction { list: list.to_owned(), name });
+            return Err(Refusal::Contradiction {
+                list: list.to_owned(),
+                name,
+            });
         }
         if fresh.insert(name.clone(), item).is_some() {
-            return Err(Refusal::SharedName { list: list.to_owned(), name });
+            return Err(Refusal::SharedName {
+                list: list.to_owned(),
+                name,
+            });
         }
         order.push(name);
     }
@@ -173,7 +218,9 @@
 }
 
 fn object(fields: &[(&str, &str)]) -> String {
-    let fields: Vec<String> =
-        fields.iter().map(|(key, value)| format!("{}:{value}", miniserde::json::to_string(key))).collect();
+    let fields: Vec<String> = fields
+        .iter()
+        .map(|(key, value)| format!("{}:{value}", miniserde::json::to_string(key)))
+        .collect();
     format!("{{{}}}", fields.join(","))
 }
--- a/crates/sparrouter-config/src/edit.rs
+++ b/crates/sparrouter-config/src/edit.rs
@@ -30,7 +30,11 @@
     let mut start = 0;
     std::iter::from_fn(move || {
         let rest = text.get(start..).filter(|r| !r.is_empty())?;
-        let end = rest.bytes().skip(1).position(|b| b == b'{').map_or(rest.len(), |at| at + 1);
+        let end = rest
+            .bytes()
+            .skip(1)
+            .position(|b| b == b'{')
+            .map_or(rest.len(), |at| at + 1);
         let run = (start, &rest[..end]);
         start += end;
         Some(run)
@@ -56,13 +60,24 @@
             };
             // The one that comes next, so that ranges stay whole where items are alike.
             let start = at.get(at.partition_point(|a| *a < next)).unwrap_or(&at[0]);
-            match pieces.last_mut().filter(|p| p.text.is_empty() && p.start + p.length == *start) {
+            match pieces
+                .last_mut()
+                .filter(|p| p.text.is_empty() && p.start + p.length == *start)
+            {
                 Some(piece) => piece.length += run.len(),
-                None => pieces.push(Piece { start: *start, length: run.len(), text: String::new() }),
+                None => pieces.push(Piece {
+                    start: *start,
+                    length: run.len(),
+                    text: String::new(),
+                }),
             }
             next = start + run.len();
         }
-        Edit { from: digest_of_text(old), to: digest_of_text(new), pieces }
+        Edit {
+            from: digest_of_text(old),
+            to: digest_of_text(new),
+            pieces,
+        }
     }
 
     /// About how many bytes it takes to tell.
@@ -105,7 +120,8 @@
             return self.0.clear();
         }
         self.0.push_back(edit);
-        while self.0.len() > MOST_EDITS || self.0.iter().map(Edit::size).sum::<usize>() > MOST_BYTES {
+        while self.0.len() > MOST_EDITS || self.0.iter().map(Edit::size).sum::<usize>() > MOST_BYTES
+        {
             self.0.pop_front();
         }
     }
--- a/crates/sparrouter-config/src/fields.rs
+++ b/crates/sparrouter-config/src/fields.rs
@@ -13,22 +13,39 @@
 #[derive(Clone, Copy)]
 enum At<'a> {
     Root,
-    Item { list: &'a str, index: usize, parent: &'a Fields<'a> },
-    Within { field: &'a str, parent: &'a Fields<'a> },
+    Item {
+        list: &'a str,
+        index: usize,
+        parent: &'a Fields<'a>,
+    },
+    Within {
+        field: &'a str,
+        parent: &'a Fields<'a>,
+    },
 }
 
 impl<'a> Fields<'a> {
     pub fn root(tree: &'a Value) -> Result<Fields<'a>, Refusal> {
         match tree {
-            Value::Object(object) => Ok(Fields { object, at: At::Root }),
-            _ => Err(Refusal::WrongType { at: "the body".to_owned(), expected: "an object" }),
+            Value::Object(object) => Ok(Fields {
+                object,
+                at: At::Root,
+            }),
+            _ => Err(Refusal::WrongType {
+                at: "the body".to_owned(),
+                expected: "an object",
+            }),
         }
     }
 
     pub fn path(&self, field: &str) -> String {
         let own = match self.at {
             At::Root => return field.to_owned(),
-            At::Item { list, index, parent } => {
+            At::Item {
+                list,
+                index,
+                parent,
+            } => {
                 let list = parent.path(list);
                 match self.object.get("name") {
                     Some(Value::String(name)) => format!("{list}[{index}] (`{name}`)"),
@@ -37,15 +54,24 @@
             }
             At::Within { field, parent } => parent.path(field),
         };
-        if field.is_empty() { own } else { format!("{own}.{field}") }
+        if field.is_empty() {
+            own
+        } else {
+            format!("{own}.{field}")
+        }
     }
 
     fn wrong<T>(&self, field: &str, expected: &'static str) -> Result<T, Refusal> {
-        Err(Refusal::WrongType { at: self.path(field), expected })
+        Err(Refusal::WrongType {
+            at: self.path(field),
+            expected,
+        })
     }
 
     fn get(&self, field: &str) -> Option<&'a Value> {
-        self.object.get(field).filter(|value| !matches!(value, Value::Null))
+        self.object
+            .get(field)
+            .filter(|value| !matches!(value, Value::Null))
     }
 
     pub fn text(&self, field: &str) -> Result<Option<&'a str>, Refusal> {
@@ -60,7 +86,9 @@
     pub fn needed_text(&self, field: &str) -> Result<&'a str, Refusal> {
         match self.text(field)? {
             Some(text) if !text.is_empty() => Ok(text),
-            _ => Err(Refusal::Missing { at: self.path(field) }),
+            _ => Err(Refusal::Missing {
+                at: self.path(field),
+            }),
         }
     }
 
@@ -72,7 +100,9 @@
             None => return Ok(None),
             Some(Value::Number(Number::U64(n))) => Some(*n),
             Some(Value::Number(Number::I64(n))) => u64::try_from(*n).ok(),
-            Some(Value::Number(Number::F64(n))) if n.fract() == 0.0 && (0.0..=EXACT).contains(n) => {
+            Some(Value::Number(Number::F64(n)))
+                if n.fract() == 0.0 && (0.0..=EXACT).contains(n) =>
+            {
                 Some(*n as u64)
             }
             Some(_) => None,
@@ -86,7 +116,9 @@
     /// The number of a version: written as an integer, so that no reader rounds it.
     pub fn version(&self) -> Result<u64, Refusal> {
         match self.get("version") {
-            None => Err(Refusal::Missing { at: self.path("version") }),
+            None => Err(Refusal::Missing {
+                at: self.path("version"),
+            }),
             Some(Value::Number(Number::U64(n))) => Ok(*n),
             Some(_) => self.wrong("version", "an integer below 2^64"),
         }
@@ -119,7 +151,9 @@
     }
 
     pub fn needed_list(&self, field: &str) -> Result<&'a Array, Refusal> {
-        self.list(field)?.ok_or_else(|| Refusal::Missing { at: self.path(field) })
+        self.list(field)?.ok_or_else(|| Refusal::Missing {
+            at: self.path(field),
+        })
     }
 
     /// A list of strings, none of them empty.
@@ -136,9 +170,13 @@
     pub fn within<'b>(&'b self, field: &'b str) -> Result<Option<Fields<'b>>, Refusal> {
         match self.get(field) {
             None => Ok(None),
-            Some(Value::Object(object)) => {
-                Ok(Some(Fields { object, at: At::Within { field, parent: self } }))
-            }
+            Some(Value::Object(object)) => Ok(Some(Fields {
+                object,
+                at: At::Within {
+                    field,
+                    parent: self,
+                },
+            })),
             Some(_) => self.wrong(field, "an object"),
         }
     }
@@ -148,9 +186,14 @@
         let list = self.list(field)?.into_iter().flat_map(|list| list.iter());
         list.enumerate()
             .map(|(index, value)| match value {
-                Value::Object(object) => {
-                    Ok(Fields { object, at: At::Item { list: field, index, parent: self } })
-                }
+                Value::Object(object) => Ok(Fields {
+                    object,
+                    at: At::Item {
+                        list: field,
+                        index,
+                        parent: self,
+                    },
+                }),
                 _ => Err(Refusal::WrongType {
                     at: format!("{}[{index}]", self.path(field)),
                     expected: "an object",
--- a/crates/sparrouter-config/src/read.rs
+++ b/crates/sparrouter-config/src/read.rs
@@ -3,7 +3,9 @@
 use crate::change::Document;
 use crate::fields::Fields;
 use crate::refusal::Refusal;
-use crate::table::{Engine, Kind, Limits, Prefixes, Route, Service, Store, Table, Tenant, normal_host};
+use crate::table::{
+    Engine, Kind, Limits, Prefixes, Route, Service, Store, Table, Tenant, normal_host,
+};
 use crate::text;
 use std::collections::HashMap;
 
@@ -17,7 +19,10 @@
         let root = Fields::root(&tree)?;
         let version = root.version()?;
         if version != document.version {
-            return Err(Refusal::Misfiled { filed: document.version, text: version });
+            return Err(Refusal::Misfiled {
+                filed: document.version,
+                text: version,
+            });
         }
         // A PUT without them is more likely a patch or a torn body than a wish for an empty fleet.
         root.needed_list("routes")?;
@@ -31,24 +36,41 @@
         let tenants = each(&root, "tenants", tenant)?;
         index_names("tenants", tenants.iter().map(|t| t.name.as_str()))?;
         let by_key = index_keys(&tenants)?;
-        let limits = root.within("limits")?.map_or(Ok(Limits::default()), |at| limits(&at))?;
-        Ok(Table { version, routes, services, limits, tenants, by_host, by_key, by_service })
+        let limits = root
+            .within("limits")?
+            .map_or(Ok(Limits::default()), |at| limits(&at))?;
+        Ok(Table {
+            version,
+            routes,
+            services,
+            limits,
+            tenants,
+            by_host,
+            by_key,
+            by_service,
+        })
     }
 }
 
 fn each<T>(
-    root: &Fields, list: &str, read: impl Fn(&Fields) -> Result<T, Refusal>,
+    root: &Fields,
+    list: &str,
+    read: impl Fn(&Fields) -> Result<T, Refusal>,
 ) -> Result<Vec<T>, Refusal> {
     root.objects(list)?.iter().map(read).collect()
 }
 
 fn index_names<'a>(
-    list: &str, names: impl Iterator<Item = &'a str>,
+    list: &str,
+    names: impl Iterator<Item = &'a str>,
 ) -> Result<HashMap<String, usize>, Refusal> {
     let mut index = HashMap::new();
     for (i, name) in names.enumerate() {
         if index.insert(name.to_owned(), i).is_some() {
-            return Err(Refusal::SharedName { list: list.to_owned(), name: name.to_owned() });
+            return Err(Refusal::SharedName {
+                list: list.to_owned(),
+                name: name.to_owned(),
+            });
         }
     }
     Ok(index)
@@ -57,10 +79,15 @@
 fn index_places(routes: &[Route]) -> Result<HashMap<String, Prefixes>, Refusal> {
     let mut by_host: HashMap<String, Prefixes> = HashMap::new();
     for (i, route) in routes.iter().enumerate() {
-        let prefixes = by_host.entry(normal_host(&route.host).into_owned()).or_default();
+        let prefixes = by_host
+            .entry(normal_host(&route.host).into_owned())
+            .or_default();
         if let Some(other) = prefixes.routes.insert(route.path_prefix.clone(), i) {
             let at = format!("routes[{i}] (`{}`)", route.name);
-            return Err(Refusal::SamePlace { at, other: routes[other].name.clone() });
+            return Err(Refusal::SamePlace {
+                at,
+                other: routes[other].name.clone(),
+            });
         }
     }
     for prefixes in by_host.values_mut() {
@@ -88,12 +115,19 @@
     Ok(by_key)
 }
 
-fn route(at: &Fields, services: &[Service], by_service: &HashMap<String, usize>) -> Result<Route, Refusal> {
+fn route(
+    at: &Fields,
+    services: &[Service],
+    by_service: &HashMap<String, usize>,
+) -> Result<Route, Refusal> {
     let name = at.needed_text("name")?.to_owned();
     let host = at.needed_text("host")?.to_owned();
     let path_prefix = at.needed_text("path_prefix")?.to_owned();
     if !(path_prefix.starts_with('/') && path_prefix.ends_with('/')) {
-        return Err(Refusal::BadPrefix { at: at.path("path_prefix"), prefix: path_prefix });
+        return Err(Refusal::BadPrefix {
+            at: at.path("path_prefix"),
+            prefix: path_prefix,
+        });
     }
     let kind = match at.text("kind")? {
         Some("idempotent") => Kind::Idempotent,
@@ -101,12 +135,17 @@
         Some("non_idempotent") | None => Kind::NonIdempotent,
         Some("streaming") => Kind::Streaming,
         Some(other) => {
-            return Err(Refusal::UnknownKind { at: at.path("kind"), kind: other.to_owned() });
+            return Err(Refusal::UnknownKind {
+                at: at.path("kind"),
+                kind: other.to_owned(),
+            });
         }
     };
     let timeout_ms = at.whole("timeout_ms")?.unwrap_or(DEFAULT_TIMEOUT_MS);
     if timeout_ms == 0 {
-        return Err(Refusal::NoTimeout { at: at.path("timeout_ms") });
+        return Err(Refusal::NoTimeout {
+            at: at.path("timeout_ms"),
+        });
     }
     Ok(Route {
         name,
@@ -126,13 +165,19 @@
 }
 
 fn split(
-    at: &Fields, services: &[Service], by_service: &HashMap<String, usize>,
+    at: &Fields,
+    services: &[Service],
+    by_service: &HashMap<String, usize>,
 ) -> Result<Vec<(String, f64)>, Refusal> {
     let servable = |at: &Fields, service: &str| match by_service.get(service) {
-        None => Err(Refusal::UnknownService { at: at.path("service"), service: service.to_owned() }),
-        Some(&i) if services[i].store.is_some() => {
-            Err(Refusal::StoreInRoute { at: at.path("service"), service: service.to_owned() })
-        }
+        None => Err(Refusal::UnknownService {
+            at: at.path("service"),
+            service: service.to_owned(),
+        }),
+        Some(&i) if services[i].store.is_some() => Err(Refusal::StoreInRoute {
+            at: at.path("service"),
+            service: service.to_owned(),
+        }),
         Some(_) => Ok(()),
     };
     let whole = at.text("service")?;
@@ -141,7 +186,9 @@
     }
     let parts = at.objects("traffic_split")?;
     if parts.is_empty() {
-        let service = whole.ok_or_else(|| Refusal::Missing { at: at.path("service") })?;
+        let service = whole.ok_or_else(|| Refusal::Missing {
+            at: at.path("service"),
+        })?;
         return Ok(vec![(service.to_owned(), 1.0)]);
     }
     let mut split: Vec<(String, f64)> = Vec::with_capacity(parts.len());
@@ -149,9 +196,13 @@
     for part in &parts {
         let service = part.needed_text("service")?;
         servable(part, service)?;
-        let weight = part.decimal("weight")?.ok_or_else(|| Refusal::Missing { at: part.path("weight") })?;
+        let weight = part.decimal("weight")?.ok_or_else(|| Refusal::Missing {
+            at: part.path("weight"),
+        })?;
         if !(weight.is_finite() && weight >= 0.0) {
-            return Err(Refusal::BadWeight { at: part.path("weight") });
+            return Err(Refusal::BadWeight {
+                at: part.path("weight"),
+            });
         }
         if weight > 0.0 {
             let i = *place.entry(service).or_insert_with(|| {
@@ -163,10 +214,14 @@
     }
     let sum: f64 = split.iter().map(|(_, weight)| weight).sum();
     if split.is_empty() {
-        return Err(Refusal::NoWeight { at: at.path("traffic_split") });
+        return Err(Refusal::NoWeight {
+            at: at.path("traffic_split"),
+        });
     }
     if !sum.is_finite() {
-        return Err(Refusal::BadWeight { at: at.path("traffic_split") });
+        return Err(Refusal::BadWeight {
+            at: at.path("traffic_split"),
+        });
     }
     Ok(split)
 }
@@ -191,12 +246,16 @@
         link_mbps: at.decimal("link_mbps")?.unwrap_or(0.0),
         stride: at.whole("stride")?.unwrap_or(1),
         max_concurrent: at.whole("max_concurrent")?.unwrap_or(1),
-        models: each(at, "models", |model| Ok(model.needed_text("name")?.to_owned()))?,
+        models: each(at, "models", |model| {
+            Ok(model.needed_text("name")?.to_owned())
+        })?,
     })
 }
 
 fn store(at: &Fields) -> Result<Option<Store>, Refusal> {
-    let Some(address) = at.text("kv_store_address")? else { return Ok(None) };
+    let Some(address) = at.text("kv_store_address")? else {
+        return Ok(None);
+    };
     let address = address.parse().map_err(|_| Refusal::WrongType {
         at: at.path("kv_store_address"),
         expected: "an IP address and a port, as in 172.20.0.2:8080",
@@ -213,10 +272,18 @@
 fn limits(at: &Fields) -> Result<Limits, Refusal> {
     let default = Limits::default();
     Ok(Limits {
-        max_header_bytes: at.whole("max_header_bytes")?.unwrap_or(default.max_header_bytes),
-        max_body_bytes: at.whole("max_body_bytes")?.unwrap_or(default.max_body_bytes),
-        header_timeout_ms: at.whole("header_timeout_ms")?.unwrap_or(default.header_timeout_ms),
-        idle_timeout_ms: at.whole("idle_timeout_ms")?.unwrap_or(default.idle_timeout_ms),
+        max_header_bytes: at
+            .whole("max_header_bytes")?
+            .unwrap_or(default.max_header_bytes),
+        max_body_bytes: at
+            .whole("max_body_bytes")?
+            .unwrap_or(default.max_body_bytes),
+        header_timeout_ms: at
+            .whole("header_timeout_ms")?
+            .unwrap_or(default.header_timeout_ms),
+        idle_timeout_ms: at
+            .whole("idle_timeout_ms")?
+            .unwrap_or(default.idle_timeout_ms),
     })
 }
 
--- a/crates/sparrouter-config/src/refusal.rs
+++ b/crates/sparrouter-config/src/refusal.rs
@@ -17,7 +17,9 @@
     TooManyValues { limit: usize },
     #[error("byte {at} is not UTF-8: send the configuration as UTF-8 JSON")]
     NotUtf8 { at: usize },
-    #[error("byte {at} opens level {limit} + 1 of nesting: flatten the field that is nested this deep")]
+    #[error(
+        "byte {at} opens level {limit} + 1 of nesting: flatten the field that is nested this deep"
+    )]
     TooDeep { at: usize, limit: usize },
     #[error("the JSON ends at byte {at} before it is whole: send it again in whole")]
     CutShort { at: usize },
@@ -52,15 +54,21 @@
     BadPrefix { at: String, prefix: String },
     #[error("{at} is 0: give the longest time in ms that a request may be held")]
     NoTimeout { at: String },
-    #[error("{at} names the service `{service}`, which is not in `services`: add it there or name another")]
+    #[error(
+        "{at} names the service `{service}`, which is not in `services`: add it there or name another"
+    )]
     UnknownService { at: String, service: String },
-    #[error("{at} names `{service}`, which is a store and serves no requests: name another service")]
+    #[error(
+        "{at} names `{service}`, which is a store and serves no requests: name another service"
+    )]
     StoreInRoute { at: String, service: String },
     #[error("{at} is below 0 or too large: give a weight of 0 or more")]
     BadWeight { at: String },
     #[error("the weights in {at} sum to 0: give at least one service a weight above 0")]
     NoWeight { at: String },
-    #[error("{at} has the host and prefix of `{other}`: change one of them or remove one of the routes")]
+    #[error(
+        "{at} has the host and prefix of `{other}`: change one of them or remove one of the routes"
+    )]
     SamePlace { at: String, other: String },
     #[error("two of `{list}` are named `{name}`: rename or remove one of them")]
     SharedName { list: String, name: String },
@@ -68,7 +76,9 @@
     SharedKey { first: String, second: String },
     #[error("`{name}` of `{list}` is both in upsert_items and in remove_names: keep one of them")]
     Contradiction { list: String, name: String },
-    #[error("`{field}` stands beside upsert_items: put single items into upsert_items, or send a whole PUT")]
+    #[error(
+        "`{field}` stands beside upsert_items: put single items into upsert_items, or send a whole PUT"
+    )]
     WholeListInPatch { field: String },
 }
 
--- a/crates/sparrouter-config/src/table.rs
+++ b/crates/sparrouter-config/src/table.rs
@@ -56,7 +56,11 @@
 /// A host in lower case without its port; the brackets of an IPv6 address stay.
 pub(crate) fn normal_host(host: &str) -> Cow<'_, str> {
     let host = host.trim();
-    let end = if host.starts_with('[') { host.find(']').map(|i| i + 1) } else { host.find(':') };
+    let end = if host.starts_with('[') {
+        host.find(']').map(|i| i + 1)
+    } else {
+        host.find(':')
+    };
     let name = &host[..end.unwrap_or(host.len())];
     if name.bytes().any(|b| b.is_ascii_uppercase()) {
         Cow::Owned(name.to_ascii_lowercase())
@@ -115,9 +119,15 @@
         }
         let scored = self.split.iter().map(|(service, weight)| {
             let member = sparrouter_rendezvous::hash(service.as_bytes());
-            (sparrouter_rendezvous::score(member, key, *weight), member, service)
+            (
+                sparrouter_rendezvous::score(member, key, *weight),
+                member,
+                service,
+            )
         });
-        scored.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map_or("", |(_, _, service)| service)
+        scored
+            .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map_or("", |(_, _, service)| service)
     }
 }
 
--- a/crates/sparrouter-config/src/text.rs
+++ b/crates/sparrouter-config/src/text.rs
@@ -19,9 +19,14 @@
 /// space between tokens, and the tree.
 pub(crate) fn read(body: &[u8]) -> Result<(String, Value), Refusal> {
     if body.len() > MAX_BYTES {
-        return Err(Refusal::TooLarge { bytes: body.len(), limit: MAX_BYTES });
+        return Err(Refusal::TooLarge {
+            bytes: body.len(),
+            limit: MAX_BYTES,
+        });
     }
-    let text = std::str::from_utf8(body).map_err(|e| Refusal::NotUtf8 { at: e.valid_up_to() })?;
+    let text = std::str::from_utf8(body).map_err(|e| Refusal::NotUtf8 {
+        at: e.valid_up_to(),
+    })?;
     let compact = scan(text)?;
     // The text as sent, not the compact one: without its white space `1 2` would read as 12.
     let tree = json::from_str(text).map_err(|_| Refusal::Malformed)?;
@@ -46,7 +51,10 @@
                 if let (true, Some(Some(met))) = (key_next, open.last_mut()) {
                     let key = unquote(&text[start..i]).ok_or(Refusal::Malformed)?;
                     if met.contains(&key) {
-                        return Err(Refusal::DuplicateField { key: key.into_owned(), at: start });
+                        return Err(Refusal::DuplicateField {
+                            key: key.into_owned(),
+                            at: start,
+                        });
                     }
                     met.insert(key);
                     key_next = false;
@@ -54,7 +62,10 @@
             }
             opening @ (b'{' | b'[') => {
                 if open.len() == MAX_DEPTH {
-                    return Err(Refusal::TooDeep { at: start, limit: MAX_DEPTH });
+                    return Err(Refusal::TooDeep {
+                        at: start,
+                        limit: MAX_DEPTH,
+                    });
                 }
                 key_next = opening == b'{';
                 open.push(key_next.then(HashSet::new));
@@ -106,13 +117,18 @@
     if literal.contains('\\') {
         json::from_str::<String>(literal).ok().map(Cow::Owned)
     } else {
-        literal.strip_prefix('"')?.strip_suffix('"').map(Cow::Borrowed)
+        literal
+            .strip_prefix('"')?
+            .strip_suffix('"')
+            .map(Cow::Borrowed)
     }
 }
 
 /// The fields of an object in compact text that was read before; none if it is no object.
 pub(crate) fn fields(object: &str) -> Vec<(Cow<'_, str>, &str)> {
-    let Some(inner) = object.strip_prefix('{').and_then(|o| o.strip_suffix('}')) else { return Vec::new() };
+    let Some(inner) = object.strip_prefix('{').and_then(|o| o.strip_suffix('}')) else {
+        return Vec::new();
+    };
     split(inner)
         .into_iter()
         .filter_map(|field| {
@@ -124,17 +140,24 @@
 
 /// The items of a list in compact text that was read before; None if it is no list.
 pub(crate) fn items(list: &str) -> Option<Vec<&str>> {
-    list.strip_prefix('[').and_then(|l| l.strip_suffix(']')).map(split)
+    list.strip_prefix('[')
+        .and_then(|l| l.strip_suffix(']'))
+        .map(split)
 }
 
 /// The string under `name` in an object in compact text.
 pub(crate) fn name_of(object: &str) -> Option<String> {
-    fields(object).into_iter().find(|(key, _)| key == "name").and_then(|(_, literal)| string(literal))
+    fields(object)
+        .into_iter()
+        .find(|(key, _)| key == "name")
+        .and_then(|(_, literal)| string(literal))
 }
 
 /// The value of a string in compact text; None if it is no string.
 pub(crate) fn string(literal: &str) -> Option<String> {
-    literal.starts_with('"').then(|| unquote(literal).map(Cow::into_owned))?
+    literal
+        .starts_with('"')
+        .then(|| unquote(literal).map(Cow::into_owned))?
 }
 
 fn split(inner: &str) -> Vec<&str> {
--- a/crates/sparrouter-config/tests/common/mod.rs
+++ b/crates/sparrouter-config/tests/common/mod.rs
@@ -14,7 +14,12 @@
 }
 
 pub fn patch(body: &str, current: &Document) -> Result<Document, Refusal> {
-    change(Method::Patch, body.as_bytes(), Some(current.version), Some(current))
+    change(
+        Method::Patch,
+        body.as_bytes(),
+        Some(current.version),
+        Some(current),
+    )
 }
 
 pub fn example() -> Document {
--- a/crates/sparrouter-config/tests/edits.rs
+++ b/crates/sparrouter-config/tests/edits.rs
@@ -3,15 +3,22 @@
 
 fn tenant(i: usize, keys: usize) -> String {
     let keys: Vec<String> = (0..keys).map(|k| format!("\"key-{i}-{k}\"")).collect();
-    format!("{{\"name\":\"t{i}\",\"api_keys\":[{}],\"priority\":1}}", keys.join(","))
+    format!(
+        "{{\"name\":\"t{i}\",\"api_keys\":[{}],\"priority\":1}}",
+        keys.join(",")
+    )
 }
 
 fn config(version: u64, tenants: &[String]) -> String {
-    format!("{{\"version\":{version},\"routes\":[{{\"name\":\"r\"}}],\"tenants\":[{}]}}", tenants.join(","))
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r\"}}],\"tenants\":[{}]}}",
+        tenants.join(",")
+    )
 }
 
 #[test]
-fn given_one_tenant_of_thousands_changed_when_told_then_it_takes_few_bytes_and_makes_the_same_text() {
+fn given_one_tenant_of_thousands_changed_when_told_then_it_takes_few_bytes_and_makes_the_same_text()
+{
     let mut tenants: Vec<String> = (0..25_000).map(|i| tenant(i, 3)).collect();
     let old = config(7, &tenants);
     tenants[9_000] = tenant(9_000, 4);
@@ -28,10 +35,16 @@
     let mut rng = fastrand::Rng::with_seed(3);
     for _ in 0..3_000 {
         let mut text = || -> String {
-            (0..rng.usize(..30)).map(|_| ["{", "}", "a", "ü", "{b", ",", "{b}"][rng.usize(..7)]).collect()
+            (0..rng.usize(..30))
+                .map(|_| ["{", "}", "a", "ü", "{b", ",", "{b}"][rng.usize(..7)])
+                .collect()
         };
         let (old, new) = (text(), text());
-        assert_eq!(Edit::between(&old, &new).apply(&old), Some(new.clone()), "{old:?} to {new:?}");
+        assert_eq!(
+            Edit::between(&old, &new).apply(&old),
+            Some(new.clone()),
+            "{old:?} to {new:?}"
+        );
     }
 }
 
@@ -41,7 +54,10 @@
     let new = config(2, &[tenant(1, 2)]);
     let edit = Edit::between(&old, &new);
     assert_eq!(edit.apply(&old.replace("key-1-0", "key-1-9")), None);
-    let wrong = Edit { to: digest_of_text("another"), ..edit };
+    let wrong = Edit {
+        to: digest_of_text("another"),
+        ..edit
+    };
     assert_eq!(wrong.apply(&old), None);
 }
 
@@ -49,14 +65,43 @@
 fn given_ranges_that_are_not_in_the_text_when_applied_then_they_are_refused() {
     let from = digest_of_text("aü");
     for (start, length) in [(0, 9), (usize::MAX, 2), (2, 1), (5, 0)] {
-        let pieces = vec![Piece { start, length, text: String::new() }];
-        assert_eq!(Edit { from, to: digest_of_text(""), pieces }.apply("aü"), None, "{start} {length}");
+        let pieces = vec![Piece {
+            start,
+            length,
+            text: String::new(),
+        }];
+        assert_eq!(
+            Edit {
+                from,
+                to: digest_of_text(""),
+                pieces
+            }
+            .apply("aü"),
+            None,
+            "{start} {length}"
+        );
     }
 }
 
 #[test]
-fn given_a_range_named_again_and_again_when_applied_then_it_takes_no_more_than_a_configuration_may() {
+fn given_a_range_named_again_and_again_when_applied_then_it_takes_no_more_than_a_configuration_may()
+{
     let old = "x".repeat(1 << 20);
-    let pieces = vec![Piece { start: 0, length: old.len(), text: String::new() }; 100_000];
-    assert_eq!(Edit { from: digest_of_text(&old), to: 1, pieces }.apply(&old), None);
+    let pieces = vec![
+        Piece {
+            start: 0,
+            length: old.len(),
+            text: String::new()
+        };
+        100_000
+    ];
+    assert_eq!(
+        Edit {
+            from: digest_of_text(&old),
+            to: 1,
+            pieces
+        }
+        .apply(&old),
+        None
+    );
 }
--- a/crates/sparrouter-config/tests/refusals.rs
+++ b/crates/sparrouter-config/tests/refusals.rs
@@ -3,14 +3,17 @@
 mod common;
 
 use common::{EXAMPLE, EXAMPLE_PATCH, example, patch, put, route, with_routes};
-use sparrouter_config::{Document, MAX_BYTES, MAX_DEPTH, MAX_VALUES, Method, Refusal, Table, change};
+use sparrouter_config::{
+    Document, MAX_BYTES, MAX_DEPTH, MAX_VALUES, Method, Refusal, Table, change,
+};
 
 /// The refusal of one bad route, sent in a whole configuration and as a patch.
 fn both_ways(bad: &str) -> (Refusal, Refusal) {
     let good = route("r-good", "h.example", "/good/", r#""service":"a""#);
     let current = put(&with_routes(3, &good)).expect("valid");
     let body = with_routes(5, &format!("{good},{bad}"));
-    let by_put = change(Method::Put, body.as_bytes(), Some(3), Some(&current)).expect_err("invalid");
+    let by_put =
+        change(Method::Put, body.as_bytes(), Some(3), Some(&current)).expect_err("invalid");
     let body = format!(r#"{{"version":5,"upsert_items":{{"routes":[{bad}]}}}}"#);
     (by_put, patch(&body, &current).expect_err("invalid"))
 }
@@ -26,22 +29,40 @@
 
 #[test]
 fn given_an_unknown_service_when_sent_then_refused() {
-    assert_both_ways!(route("x", "h", "/x/", r#""service":"nobody""#), Refusal::UnknownService { .. });
+    assert_both_ways!(
+        route("x", "h", "/x/", r#""service":"nobody""#),
+        Refusal::UnknownService { .. }
+    );
     let split = r#""traffic_split":[{"service":"a","weight":1},{"service":"nobody","weight":0}]"#;
-    assert_both_ways!(route("x", "h", "/x/", split), Refusal::UnknownService { .. });
+    assert_both_ways!(
+        route("x", "h", "/x/", split),
+        Refusal::UnknownService { .. }
+    );
     let beside = r#""service":"nobody","traffic_split":[{"service":"a","weight":1}]"#;
-    assert_both_ways!(route("x", "h", "/x/", beside), Refusal::UnknownService { .. });
+    assert_both_ways!(
+        route("x", "h", "/x/", beside),
+        Refusal::UnknownService { .. }
+    );
 }
 
 #[test]
 fn given_a_store_in_a_route_when_sent_then_refused() {
-    assert_both_ways!(route("x", "h", "/x/", r#""service":"s""#), Refusal::StoreInRoute { .. });
+    assert_both_ways!(
+        route("x", "h", "/x/", r#""service":"s""#),
+        Refusal::StoreInRoute { .. }
+    );
 }
 
 #[test]
 fn given_two_routes_at_one_place_when_sent_then_refused() {
-    assert_both_ways!(route("x", "h.example", "/good/", r#""service":"b""#), Refusal::SamePlace { .. });
-    assert_both_ways!(route("x", "H.Example:80", "/good/", r#""service":"b""#), Refusal::SamePlace { .. });
+    assert_both_ways!(
+        route("x", "h.example", "/good/", r#""service":"b""#),
+        Refusal::SamePlace { .. }
+    );
+    assert_both_ways!(
+        route("x", "H.Example:80", "/good/", r#""service":"b""#),
+        Refusal::SamePlace { .. }
+    );
 }
 
 #[test]
@@ -50,37 +71,74 @@
     assert_both_ways!(route("x", "h", "/x/", split), Refusal::NoWeight { .. });
     let split = r#""traffic_split":[{"service":"a","weight":2},{"service":"b","weight":-1}]"#;
     assert_both_ways!(route("x", "h", "/x/", split), Refusal::BadWeight { .. });
-    let split = r#""traffic_split":[{"service":"a","weight":1e308},{"service":"b","weight":1e308}]"#;
+    let split =
+        r#""traffic_split":[{"service":"a","weight":1e308},{"service":"b","weight":1e308}]"#;
     assert_both_ways!(route("x", "h", "/x/", split), Refusal::BadWeight { .. });
     let split = r#""traffic_split":[{"service":"a"}]"#;
     assert_both_ways!(route("x", "h", "/x/", split), Refusal::Missing { .. });
-    assert_both_ways!(route("x", "h", "/x/", r#""traffic_split":[]"#), Refusal::Missing { .. });
+    assert_both_ways!(
+        route("x", "h", "/x/", r#""traffic_split":[]"#),
+        Refusal::Missing { .. }
+    );
 }
 
 #[test]
 fn given_a_timeout_of_zero_when_sent_then_refused() {
-    assert_both_ways!(route("x", "h", "/x/", r#""service":"a","timeout_ms":0"#), Refusal::NoTimeout { .. });
-    assert_both_ways!(route("x", "h", "/x/", r#""service":"a","timeout_ms":0.0"#), Refusal::NoTimeout { .. });
-    assert_both_ways!(route("x", "h", "/x/", r#""service":"a","timeout_ms":-5"#), Refusal::WrongType { .. });
-    assert_both_ways!(route("x", "h", "/x/", r#""service":"a","timeout_ms":"5""#), Refusal::WrongType { .. });
+    assert_both_ways!(
+        route("x", "h", "/x/", r#""service":"a","timeout_ms":0"#),
+        Refusal::NoTimeout { .. }
+    );
+    assert_both_ways!(
+        route("x", "h", "/x/", r#""service":"a","timeout_ms":0.0"#),
+        Refusal::NoTimeout { .. }
+    );
+    assert_both_ways!(
+        route("x", "h", "/x/", r#""service":"a","timeout_ms":-5"#),
+        Refusal::WrongType { .. }
+    );
+    assert_both_ways!(
+        route("x", "h", "/x/", r#""service":"a","timeout_ms":"5""#),
+        Refusal::WrongType { .. }
+    );
 }
 
 #[test]
 fn given_a_prefix_without_a_slash_at_an_end_when_sent_then_refused() {
-    assert_both_ways!(route("x", "h", "x/", r#""service":"a""#), Refusal::BadPrefix { .. });
-    assert_both_ways!(route("x", "h", "/x", r#""service":"a""#), Refusal::BadPrefix { .. });
+    assert_both_ways!(
+        route("x", "h", "x/", r#""service":"a""#),
+        Refusal::BadPrefix { .. }
+    );
+    assert_both_ways!(
+        route("x", "h", "/x", r#""service":"a""#),
+        Refusal::BadPrefix { .. }
+    );
 }
 
 #[test]
 fn given_fields_missing_or_of_no_known_kind_when_sent_then_refused_by_path() {
-    assert_both_ways!(r#"{"name":"x","path_prefix":"/x/","service":"a"}"#, Refusal::Missing { .. });
-    assert_both_ways!(r#"{"name":"x","host":"h","service":"a"}"#, Refusal::Missing { .. });
-    assert_both_ways!(r#"{"name":"x","host":"h","path_prefix":"/x/"}"#, Refusal::Missing { .. });
-    assert_both_ways!(r#"{"host":"h","path_prefix":"/x/","service":"a"}"#, Refusal::Missing { .. });
+    assert_both_ways!(
+        r#"{"name":"x","path_prefix":"/x/","service":"a"}"#,
+        Refusal::Missing { .. }
+    );
+    assert_both_ways!(
+        r#"{"name":"x","host":"h","service":"a"}"#,
+        Refusal::Missing { .. }
+    );
+    assert_both_ways!(
+        r#"{"name":"x","host":"h","path_prefix":"/x/"}"#,
+        Refusal::Missing { .. }
+    );
+    assert_both_ways!(
+        r#"{"host":"h","path_prefix":"/x/","service":"a"}"#,
+        Refusal::Missing { .. }
+    );
     let kind = route("x", "h", "/x/", r#""service":"a","kind":"sometimes""#);
     assert_both_ways!(kind, Refusal::UnknownKind { .. });
     let message = both_ways(&kind).0.to_string();
-    assert!(message.contains("routes[1] (`x`).kind") && message.contains("sometimes"), "{message}");
+    assert!(
+        message.contains("routes[1] (`x`).kind") && message.contains("sometimes"),
+        "{message}"
+    );
 }
 
 #[test]
@@ -88,34 +146,61 @@
     let current = example();
     for version in ["7", "6", "0"] {
         let body = EXAMPLE.replacen("7", version, 1);
-        let refusal = change(Method::Put, body.as_bytes(), Some(7), Some(&current)).expect_err("old");
-        assert!(matches!(refusal, Refusal::OldVersion { current: 7, .. }), "{refusal}");
+        let refusal =
+            change(Method::Put, body.as_bytes(), Some(7), Some(&current)).expect_err("old");
+        assert!(
+            matches!(refusal, Refusal::OldVersion { current: 7, .. }),
+            "{refusal}"
+        );
         let body = EXAMPLE_PATCH.replacen("9", version, 1);
-        assert!(matches!(patch(&body, &current), Err(Refusal::OldVersion { current: 7, .. })));
+        assert!(matches!(
+            patch(&body, &current),
+            Err(Refusal::OldVersion { current: 7, .. })
+        ));
     }
-    assert!(matches!(put(&EXAMPLE.replacen("7", "0", 1)), Err(Refusal::OldVersion { .. })));
+    assert!(matches!(
+        put(&EXAMPLE.replacen("7", "0", 1)),
+        Err(Refusal::OldVersion { .. })
+    ));
     for version in ["7.5", "-1", "\"7\"", "null", "18446744073709551616", "[7]"] {
         let refusal = put(&EXAMPLE.replacen("7", version, 1)).expect_err("no integer");
         assert_eq!(refusal.status(), 422, "{version}: {refusal}");
     }
-    assert_eq!(put(&EXAMPLE.replacen("7", "18446744073709551615", 1)).expect("valid").version, u64::MAX);
+    assert_eq!(
+        put(&EXAMPLE.replacen("7", "18446744073709551615", 1))
+            .expect("valid")
+            .version,
+        u64::MAX
+    );
 }
 
 #[test]
 fn given_a_stale_match_when_sent_then_412() {
     let current = example();
     for if_match in [None, Some(0), Some(6), Some(8)] {
-        for (method, body) in
-            [(Method::Put, EXAMPLE.replacen("7", "9", 1)), (Method::Patch, EXAMPLE_PATCH.into())]
-        {
-            let refusal = change(method, body.as_bytes(), if_match, Some(&current)).expect_err("stale");
-            assert_eq!(refusal, Refusal::Stale { sent: if_match, current: 7 });
+        for (method, body) in [
+            (Method::Put, EXAMPLE.replacen("7", "9", 1)),
+            (Method::Patch, EXAMPLE_PATCH.into()),
+        ] {
+            let refusal =
+                change(method, body.as_bytes(), if_match, Some(&current)).expect_err("stale");
+            assert_eq!(
+                refusal,
+                Refusal::Stale {
+                    sent: if_match,
+                    current: 7
+                }
+            );
             assert_eq!(refusal.status(), 412);
         }
     }
-    assert_eq!(change(Method::Put, EXAMPLE.as_bytes(), Some(5), None).map_err(|r| r.status()), Err(412));
+    assert_eq!(
+        change(Method::Put, EXAMPLE.as_bytes(), Some(5), None).map_err(|r| r.status()),
+        Err(412)
+    );
     assert!(change(Method::Put, EXAMPLE.as_bytes(), None, None).is_ok());
-    let refusal = change(Method::Patch, EXAMPLE_PATCH.as_bytes(), Some(0), None).expect_err("nothing there");
+    let refusal =
+        change(Method::Patch, EXAMPLE_PATCH.as_bytes(), Some(0), None).expect_err("nothing there");
     assert_eq!((refusal.status(), refusal), (422, Refusal::NothingToPatch));
 }
 
@@ -123,8 +208,8 @@
 fn given_tenants_that_share_a_key_when_sent_then_refused_without_the_key() {
     let key = "i9n73hh2b9wu3fexd9dn";
     let thief = format!(r#"{{"name":"thief","api_keys":["{key}"]}}"#);
-    let by_put =
-        put(&EXAMPLE.replace(r#""tenants":["#, &format!(r#""tenants":[{thief},"#))).expect_err("shared");
+    let by_put = put(&EXAMPLE.replace(r#""tenants":["#, &format!(r#""tenants":[{thief},"#)))
+        .expect_err("shared");
     let body = format!(r#"{{"version":8,"upsert_items":{{"tenants":[{thief}]}}}}"#);
     let by_patch = patch(&body, &example()).expect_err("shared");
     for refusal in [by_put, by_patch] {
@@ -143,13 +228,19 @@
     let body = EXAMPLE.replace("r-y35ieis", "r-jcda9rg");
     assert!(matches!(put(&body), Err(Refusal::SharedName { .. })));
     let body = r#"{"version":8,"upsert_items":{"services":[{"name":"n"},{"name":"n"}]}}"#;
-    assert!(matches!(patch(body, &example()), Err(Refusal::SharedName { .. })));
+    assert!(matches!(
+        patch(body, &example()),
+        Err(Refusal::SharedName { .. })
+    ));
 }
 
 #[test]
 fn given_a_patch_that_takes_a_service_from_its_routes_when_sent_then_refused() {
     let body = r#"{"version":8,"remove_names":{"services":["huvo11a"]}}"#;
-    assert!(matches!(patch(body, &example()), Err(Refusal::UnknownService { .. })));
+    assert!(matches!(
+        patch(body, &example()),
+        Err(Refusal::UnknownService { .. })
+    ));
 }
 
 #[test]
@@ -176,9 +267,19 @@
 
 #[test]
 fn given_a_patch_sent_as_a_put_when_read_then_it_does_not_empty_the_fleet() {
-    let refusal =
-        change(Method::Put, EXAMPLE_PATCH.as_bytes(), Some(7), Some(&example())).expect_err("no lists");
-    assert_eq!(refusal, Refusal::Missing { at: "routes".to_owned() });
+    let refusal = change(
+        Method::Put,
+        EXAMPLE_PATCH.as_bytes(),
+        Some(7),
+        Some(&example()),
+    )
+    .expect_err("no lists");
+    assert_eq!(
+        refusal,
+        Refusal::Missing {
+            at: "routes".to_owned()
+        }
+    );
 }
 
 #[test]
@@ -186,11 +287,20 @@
     let current = example();
     for end in 0..EXAMPLE.len() {
         let refusal = put(&EXAMPLE[..end]).expect_err("cut short");
-        assert!(matches!(refusal, Refusal::CutShort { .. }), "{end}: {refusal}");
+        assert!(
+            matches!(refusal, Refusal::CutShort { .. }),
+            "{end}: {refusal}"
+        );
         assert_eq!(refusal.status(), 400);
     }
     for end in 0..EXAMPLE_PATCH.len() {
-        assert!(matches!(patch(&EXAMPLE_PATCH[..end], &current), Err(Refusal::CutShort { .. })), "{end}");
+        assert!(
+            matches!(
+                patch(&EXAMPLE_PATCH[..end], &current),
+                Err(Refusal::CutShort { .. })
+            ),
+            "{end}"
+        );
     }
 }
 
@@ -213,7 +323,10 @@
         (r#""isolated":true"#, r#""x":[[{"y":1,"z":[],"y":1}]]"#),
     ] {
         let refusal = put(&EXAMPLE.replacen(from, to, 1)).expect_err(to);
-        assert!(matches!(refusal, Refusal::DuplicateField { .. }), "{refusal}");
+        assert!(
+            matches!(refusal, Refusal::DuplicateField { .. }),
+            "{refusal}"
+        );
     }
     // The same word as a value, in a neighbour or further in is no duplicate.
     let apart = r#""isolated":true,"x":[{"y":"y"},{"y":{"y":["y","y"]}}]"#;
@@ -227,65 +340,153 @@
     }
     let nested = |depth: usize| {
         let inner = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
-        EXAMPLE.replacen(r#"{"version":7"#, &format!(r#"{{"x":{inner},"version":7"#), 1)
+        EXAMPLE.replacen(
+            r#"{"version":7"#,
+            &format!(r#"{{"x":{inner},"version":7"#),
+            1,
+        )
     };
     assert!(put(&nested(MAX_DEPTH - 1)).is_ok());
-    assert!(matches!(put(&nested(MAX_DEPTH)), Err(Refusal::TooDeep { .. })));
+    assert!(matches!(
+        put(&nested(MAX_DEPTH)),
+        Err(Refusal::TooDeep { .. })
+    ));
 }
 
 #[test]
 fn given_too_many_bytes_or_values_when_sent_then_413() {
     let refusal = put(&format!("{EXAMPLE}{}", " ".repeat(MAX_BYTES))).expect_err("too large");
-    assert_eq!((refusal.status(), matches!(refusal, Refusal::TooLarge { .. })), (413, true));
+    assert_eq!(
+        (
+            refusal.status(),
+            matches!(refusal, Refusal::TooLarge { .. })
+        ),
+        (413, true)
+    );
     let refusal = put(&format!("[{}", "0,".repeat(MAX_VALUES))).expect_err("too many");
-    assert_eq!((refusal.status(), matches!(refusal, Refusal::TooManyValues { .. })), (413, true));
+    assert_eq!(
+        (
+            refusal.status(),
+            matches!(refusal, Refusal::TooManyValues { .. })
+        ),
+        (413, true)
+    );
     // A patch may not grow past the bound what a PUT may not exceed.
     let fat = format!(r#"{{"name":"fat","x":"{}"}}"#, "x".repeat(MAX_BYTES / 2));
-    let current = patch(&format!(r#"{{"version":8,"upsert_items":{{"services":[{fat}]}}}}"#), &example());
+    let current = patch(
+        &format!(r#"{{"version":8,"upsert_items":{{"services":[{fat}]}}}}"#),
+        &example(),
+    );
     let current = current.expect("below the bound");
     let more = fat.replacen("fat", "more", 1);
-    let refusal = patch(&format!(r#"{{"version":9,"upsert_items":{{"services":[{more}]}}}}"#), &current);
+    let refusal = patch(
+        &format!(r#"{{"version":9,"upsert_items":{{"services":[{more}]}}}}"#),
+        &current,
+    );
     assert_eq!(refusal.map_err(|r| r.status()), Err(413));
 }
 
 #[test]
 fn given_numbers_out_of_range_when_sent_then_refused_without_a_panic() {
-    for number in
-        ["1e999", "-1e999", &"9".repeat(100_000), "1e99999999999999999999", "01", "+1", ".5", "1.", "-"]
-    {
+    for number in [
+        "1e999",
+        "-1e999",
+        &"9".repeat(100_000),
+        "1e99999999999999999999",
+        "01",
+        "+1",
+        ".5",
+        "1.",
+        "-",
+    ] {
         let refusal = put(&EXAMPLE.replacen("390", number, 1)).expect_err(number);
         assert_eq!(refusal.status(), 400, "{refusal}");
     }
-    for number in ["4294967296", "1e300", "-1", "0.5", "18446744073709551616", "true", "\"390\"", "[390]"] {
+    for number in [
+        "4294967296",
+        "1e300",
+        "-1",
+        "0.5",
+        "18446744073709551616",
+        "true",
+        "\"390\"",
+        "[390]",
+    ] {
         let refusal = put(&EXAMPLE.replacen("390", number, 1)).expect_err(number);
-        assert!(matches!(refusal, Refusal::WrongType { .. }), "{number}: {refusal}");
+        assert!(
+            matches!(refusal, Refusal::WrongType { .. }),
+            "{number}: {refusal}"
+        );
     }
-    for number in ["390.0", "39e1", "0", "-0", "null", "1e-99999999999", "4294967295"] {
+    for number in [
+        "390.0",
+        "39e1",
+        "0",
+        "-0",
+        "null",
+        "1e-99999999999",
+        "4294967295",
+    ] {
         assert!(put(&EXAMPLE.replacen("390", number, 1)).is_ok(), "{number}");
     }
 }
 
 #[test]
 fn given_broken_strings_when_sent_then_refused() {
-    for bad in [r"\ud800", r"\udc00", r"\ud800\ud800", r"\ud800x", r"\u12", r"\x", "\u{1}", "\n"] {
+    for bad in [
+        r"\ud800",
+        r"\udc00",
+        r"\ud800\ud800",
+        r"\ud800x",
+        r"\u12",
+        r"\x",
+        "\u{1}",
+        "\n",
+    ] {
         let body = EXAMPLE.replacen("nyali-hall", bad, 1);
         assert_eq!(put(&body).map_err(|r| r.status()), Err(400), "{bad:?}");
         let body = EXAMPLE.replacen(r#""zone""#, &format!("\"{bad}\""), 1);
-        assert_eq!(put(&body).map_err(|r| r.status()), Err(400), "{bad:?} as a key");
+        assert_eq!(
+            put(&body).map_err(|r| r.status()),
+            Err(400),
+            "{bad:?} as a key"
+        );
     }
     assert!(put(&EXAMPLE.replacen("nyali-hall", r"\ud83d\ude00 \u0000 \\ \/", 1)).is_ok());
     let mut body = EXAMPLE.as_bytes().to_vec();
     body[3] = 0xff;
-    assert_eq!(change(Method::Put, &body, Some(0), None), Err(Refusal::NotUtf8 { at: 3 }));
+    assert_eq!(
+        change(Method::Put, &body, Some(0), None),
+        Err(Refusal::NotUtf8 { at: 3 })
+    );
 }
 
 #[test]
 fn given_tokens_that_only_join_without_their_spaces_when_sent_then_refused() {
     for bad in ["1 2", "tr ue", "3 90", "- 1", "\"a\" \"b\"", "390 null"] {
-        assert_eq!(put(&EXAMPLE.replacen("390", bad, 1)), Err(Refusal::Malformed), "{bad}");
+        assert_eq!(
+            put(&EXAMPLE.replacen("390", bad, 1)),
+            Err(Refusal::Malformed),
+            "{bad}"
+        );
     }
-    for bad in ["[1,]", "[,1]", "{\"a\":1,}", "{\"a\"}", "{1:2}", "[1:2]", "{\"a\":1]", "[1}", "NaN", "é"] {
-        assert_eq!(put(&EXAMPLE.replacen("390", bad, 1)).map_err(|r| r.status()), Err(400), "{bad}");
+    for bad in [
+        "[1,]",
+        "[,1]",
+        "{\"a\":1,}",
+        "{\"a\"}",
+        "{1:2}",
+        "[1:2]",
+        "{\"a\":1]",
+        "[1}",
+        "NaN",
+        "é",
+    ] {
+        assert_eq!(
+            put(&EXAMPLE.replacen("390", bad, 1)).map_err(|r| r.status()),
+            Err(400),
+            "{bad}"
+        );
     }
 }
 
@@ -295,8 +496,11 @@
     let current = example();
     let mut taken = 0;
     for _ in 0..20_000 {
-        let (method, text) =
-            if random.bool() { (Method::Put, EXAMPLE) } else { (Method::Patch, EXAMPLE_PATCH) };
+        let (method, text) = if random.bool() {
+            (Method::Put, EXAMPLE)
+        } else {
+            (Method::Patch, EXAMPLE_PATCH)
+        };
         let mut body = text.as_bytes().to_vec();
         for _ in 0..random.usize(1..4) {
             let at = random.usize(..body.len());
@@ -307,7 +511,10 @@
             }
         }
         if let Ok(document) = change(method, &body, Some(7), Some(&current)) {
-            assert_eq!(Table::read(&document).expect("readable").version, document.version);
+            assert_eq!(
+                Table::read(&document).expect("readable").version,
+                document.version
+            );
             taken += 1;
         }
     }
@@ -316,7 +523,19 @@
 
 #[test]
 fn given_a_document_under_another_number_when_read_then_refused() {
-    let document = Document { version: 8, ..example() };
-    assert_eq!(Table::read(&document), Err(Refusal::Misfiled { filed: 8, text: 7 }));
-    assert!(Table::read(&Document { version: 1, text: String::new() }).is_err());
+    let document = Document {
+        version: 8,
+        ..example()
+    };
+    assert_eq!(
+        Table::read(&document),
+        Err(Refusal::Misfiled { filed: 8, text: 7 })
+    );
+    assert!(
+        Table::read(&Document {
+            version: 1,
+            text: String::new()
+        })
+        .is_err()
+    );
 }
--- a/crates/sparrouter-config/tests/table.rs
+++ b/crates/sparrouter-config/tests/table.rs
@@ -15,32 +15,74 @@
     let table = table(EXAMPLE);
     assert_eq!(table.version, 7);
     let route = &table.routes[0];
-    assert_eq!((route.kind, route.timeout_ms, route.target_latency_ms), (Kind::Streaming, 6000, 600));
-    assert_eq!((route.priority, route.max_attempts, route.gap_aim_ms), (1, 1, 250));
+    assert_eq!(
+        (route.kind, route.timeout_ms, route.target_latency_ms),
+        (Kind::Streaming, 6000, 600)
+    );
+    assert_eq!(
+        (route.priority, route.max_attempts, route.gap_aim_ms),
+        (1, 1, 250)
+    );
     assert_eq!(route.split, [("huvo11a".to_owned(), 100.0)]);
     assert!(route.session_affinity && !route.public_access && !route.repeatable());
     assert!(table.routes[1].repeatable());
     let service = table.service("huvo11a").expect("there");
     let engine = service.engine.as_ref().expect("a model server");
-    assert_eq!((engine.slot_count, engine.stride, engine.max_concurrent), (64, 4, 12));
-    assert_eq!((engine.kv_capacity_tokens, engine.kv_token_bytes), (105_990, 163_840));
-    assert_eq!((engine.link_mbps, engine.models.as_slice()), (550_000.0, &["daka510000".to_owned()][..]));
-    assert_eq!((service.max_connections, service.health_check_path.as_deref()), (Some(390), Some("/health")));
-    assert_eq!((service.protocol.as_str(), service.tls_enabled), ("h1", false));
-    let store = table.service("wuno96b").and_then(|s| s.store.as_ref()).expect("a store");
-    assert_eq!((store.address.to_string(), store.zone.as_str()), ("172.20.0.2:8680".into(), "nyali-hall"));
+    assert_eq!(
+        (engine.slot_count, engine.stride, engine.max_concurrent),
+        (64, 4, 12)
+    );
+    assert_eq!(
+        (engine.kv_capacity_tokens, engine.kv_token_bytes),
+        (105_990, 163_840)
+    );
+    assert_eq!(
+        (engine.link_mbps, engine.models.as_slice()),
+        (550_000.0, &["daka510000".to_owned()][..])
+    );
+    assert_eq!(
+        (
+            service.max_connections,
+            service.health_check_path.as_deref()
+        ),
+        (Some(390), Some("/health"))
+    );
+    assert_eq!(
+        (service.protocol.as_str(), service.tls_enabled),
+        ("h1", false)
+    );
+    let store = table
+        .service("wuno96b")
+        .and_then(|s| s.store.as_ref())
+        .expect("a store");
+    assert_eq!(
+        (store.address.to_string(), store.zone.as_str()),
+        ("172.20.0.2:8680".into(), "nyali-hall")
+    );
     assert_eq!(table.limits, Limits::default());
     let tenant = table.tenant_of("n2ctnfzs989anu6wsjnb").expect("known");
-    assert_eq!((tenant.name.as_str(), tenant.priority, tenant.isolated), ("kaje80", Some(1), true));
+    assert_eq!(
+        (tenant.name.as_str(), tenant.priority, tenant.isolated),
+        ("kaje80", Some(1), true)
+    );
     assert!(table.service("nobody").is_none());
 }
 
 #[test]
 fn given_only_what_is_needed_when_read_then_the_rest_has_safe_defaults() {
-    let table = table(&with_routes(1, &route("r", "h", "/", r#""service":"a","kind":null"#)));
+    let table = table(&with_routes(
+        1,
+        &route("r", "h", "/", r#""service":"a","kind":null"#),
+    ));
     let route = &table.routes[0];
-    assert_eq!((route.kind, route.repeatable(), route.max_attempts), (Kind::NonIdempotent, false, 1));
-    assert_eq!((route.timeout_ms, route.target_latency_ms, route.priority), (30_000, 30_000, 5));
+    assert_eq!(
+        (route.kind, route.repeatable(), route.max_attempts),
+        (Kind::NonIdempotent, false, 1)
+    );
+    assert_eq!(
+        (route.timeout_ms, route.target_latency_ms, route.priority),
+        (30_000, 30_000, 5)
+    );
     assert!(!route.public_access && table.tenants.is_empty());
     assert_eq!(table.limits, Limits::default());
 }
@@ -85,7 +127,13 @@
         route("six", "[2001:DB8::1]", "/", r#""service":"a""#),
     ];
     let table = table(&with_routes(1, &routes.join(",")));
-    for host in ["shop.example", "SHOP.EXAMPLE", "shop.example:80", "Shop.Example:8443", " shop.example "] {
+    for host in [
+        "shop.example",
+        "SHOP.EXAMPLE",
+        "shop.example:80",
+        "Shop.Example:8443",
+        " shop.example ",
+    ] {
         assert_eq!(name_at(&table, host, "/"), Some("name"), "{host}");
     }
     for host in ["[2001:db8::1]", "[2001:DB8::1]:80"] {
@@ -100,15 +148,27 @@
 #[test]
 fn given_weights_when_picked_then_shares_follow_and_a_new_version_moves_only_what_it_must() {
     let split = |version, rest: &str| table(&with_routes(version, &route("r", "h", "/", rest)));
-    let before = split(1, r#""traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}]"#);
-    let same = split(2, r#""traffic_split":[{"service":"b","weight":10},{"service":"a","weight":90}]"#);
-    let after = split(3, r#""traffic_split":[{"service":"a","weight":90},{"service":"b","weight":30}]"#);
+    let before = split(
+        1,
+        r#""traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}]"#,
+    );
+    let same = split(
+        2,
+        r#""traffic_split":[{"service":"b","weight":10},{"service":"a","weight":90}]"#,
+    );
+    let after = split(
+        3,
+        r#""traffic_split":[{"service":"a","weight":90},{"service":"b","weight":30}]"#,
+    );
     let (mut to_b, mut then_b) = (0, 0);
     for key in 0..20_000 {
         let pick = before.routes[0].pick(key);
         assert_eq!(pick, same.routes[0].pick(key));
         let next = after.routes[0].pick(key);
-        assert!(pick == "a" || next == "b", "a key left the service whose weight rose");
+        assert!(
+            pick == "a" || next == "b",
+            "a key left the service whose weight rose"
+        );
         to_b += usize::from(pick == "b");
         then_b += usize::from(next == "b");
     }
@@ -138,16 +198,30 @@
     let document = built(3_000);
     let start = Instant::now();
     let table = Table::read(&document).expect("readable");
-    println!("3,000 routes of {} bytes read in {:?}", document.text.len(), start.elapsed());
+    println!(
+        "3,000 routes of {} bytes read in {:?}",
+        document.text.len(),
+        start.elapsed()
+    );
     for i in 0..3_000 {
         let host = format!("H{}.example:80", i % 50);
-        assert_eq!(name_at(&table, &host, &format!("/p{i}/q/rest?x=1")), Some(format!("r{i}").as_str()));
+        assert_eq!(
+            name_at(&table, &host, &format!("/p{i}/q/rest?x=1")),
+            Some(format!("r{i}").as_str())
+        );
         assert_eq!(name_at(&table, &host, &format!("/p{i}/")), None);
     }
     let document = built(12_000);
     let start = Instant::now();
-    assert_eq!(Table::read(&document).expect("readable").routes.len(), 12_000);
-    println!("12,000 routes of {} bytes read in {:?}", document.text.len(), start.elapsed());
+    assert_eq!(
+        Table::read(&document).expect("readable").routes.len(),
+        12_000
+    );
+    println!(
+        "12,000 routes of {} bytes read in {:?}",
+        document.text.len(),
+        start.elapsed()
+    );
 }
 
 #[test]
--- a/crates/sparrouter-consensus/examples/hunt.rs
+++ b/crates/sparrouter-consensus/examples/hunt.rs
@@ -24,7 +24,10 @@
         }
         return;
     }
-    let (first, shown) = (numbers.next().unwrap_or(0), numbers.next().unwrap_or(400) as usize);
+    let (first, shown) = (
+        numbers.next().unwrap_or(0),
+        numbers.next().unwrap_or(400) as usize,
+    );
     let (mut acknowledged, mut steps) = (0, 0);
     for seed in first..first + seeds {
         match play(&plan(seed)) {
@@ -33,9 +36,15 @@
                 steps += played.steps;
             }
             Err(_) => {
-                let failure = play(&Plan { trace: true, ..plan(seed) }).expect_err("same seed, same run");
+                let failure = play(&Plan {
+                    trace: true,
+                    ..plan(seed)
+                })
+                .expect_err("same seed, same run");
                 let skip = failure.events.len().saturating_sub(shown);
-                failure.events[skip..].iter().for_each(|event| println!("{event}"));
+                failure.events[skip..]
+                    .iter()
+                    .for_each(|event| println!("{event}"));
                 println!("seed {seed}, {} nodes: {}", plan(seed).nodes, failure.what);
                 std::process::exit(1);
             }
--- a/crates/sparrouter-consensus/src/acceptor.rs
+++ b/crates/sparrouter-consensus/src/acceptor.rs
@@ -71,7 +71,13 @@
         self.lasting.as_ref()
     }
 
-    pub fn prepare(&mut self, from: &Member, ballot: Ballot, known: Option<At>, settings: &Settings) {
+    pub fn prepare(
+        &mut self,
+        from: &Member,
+        ballot: Ballot,
+        known: Option<At>,
+        settings: &Settings,
+    ) {
         if ballot < self.record.promised {
             return self.reject(from, ballot, Reason::Outrun);
         }
@@ -82,7 +88,10 @@
             }
         }
         let at = self.accepted().map(|v| v.at());
-        let newer = self.accepted().filter(|v| known.is_none_or(|k| v.at() > k)).cloned();
+        let newer = self
+            .accepted()
+            .filter(|v| known.is_none_or(|k| v.at() > k))
+            .cloned();
         self.hold(from, Message::Promise { ballot, at, newer });
     }
 
@@ -110,7 +119,10 @@
             self.record.promised = self.record.promised.max(vote.ballot);
             self.record.accepted = Some(vote.clone());
             self.version += 1;
-        } else if self.accepted().is_some_and(|mine| mine.at() == vote.at() && mine.before.is_some()) {
+        } else if self
+            .accepted()
+            .is_some_and(|mine| mine.at() == vote.at() && mine.before.is_some())
+        {
             // Known to be chosen, it needs the group before no more.
             self.record.accepted = Some(vote.clone());
             self.version += 1;
@@ -119,25 +131,53 @@
 
     pub fn query(&mut self, from: &Member, nonce: u64, known: Option<At>) {
         let at = self.lasting().map(|v| v.at());
-        let newer = self.lasting().filter(|v| known.is_none_or(|k| v.at() > k)).cloned();
+        let newer = self
+            .lasting()
+            .filter(|v| known.is_none_or(|k| v.at() > k))
+            .cloned();
         let promised = self.record.promised;
         // Nothing is promised here, so no store need be waited for: `lasting` is on disk by its name.
-        let report = Message::Report { nonce, promised, at, newer };
-        self.held.push(Held { version: 0, to: from.clone(), message: report });
+        let report = Message::Report {
+            nonce,
+            promised,
+            at,
+            newer,
+        };
+        self.held.push(Held {
+            version: 0,
+            to: from.clone(),
+            message: report,
+        });
     }
 
     fn reject(&mut self, to: &Member, ballot: Ballot, reason: Reason) {
-        let message = Message::Reject { ballot, promised: self.record.promised, reason };
-        self.held.push(Held { version: 0, to: to.clone(), message });
+        let message = Message::Reject {
+            ballot,
+            promised: self.record.promised,
+            reason,
+        };
+        self.held.push(Held {
+            version: 0,
+            to: to.clone(),
+            message,
+        });
     }
 
     fn hold(&mut self, to: &Member, message: Message) {
         // A repeat of what is held already: its answer is on its way.
-        if self.held.iter().any(|h| h.to == *to && h.message == message) {
+        if self
+            .held
+            .iter()
+            .any(|h| h.to == *to && h.message == message)
+        {
             return;
         }
         if self.held.len() < MOST_HELD {
-            self.held.push(Held { version: self.version, to: to.clone(), message });
+            self.held.push(Held {
+                version: self.version,
+                to: to.clone(),
+                message,
+            });
         }
     }
 
@@ -157,17 +197,27 @@
         }
         self.tokens += 1;
         let vote = self.record.accepted.clone();
-        self.under_way = Some(UnderWay { token: self.tokens, version: self.version, vote });
+        self.under_way = Some(UnderWay {
+            token: self.tokens,
+            version: self.version,
+            vote,
+        });
         let mut record = self.record.clone();
         if settings.defects.promise_not_stored {
-            record.promised = record.accepted.as_ref().map(|v| v.ballot).unwrap_or_default();
+            record.promised = record
+                .accepted
+                .as_ref()
+                .map(|v| v.ballot)
+                .unwrap_or_default();
         }
         Some((self.tokens, record.encode()))
     }
 
     /// The store `token` ended. One that failed may have written anything; it is tried again, later and later.
     pub fn stored(&mut self, token: u64, ok: bool, now: Nanos, settings: &Settings) {
-        let Some(done) = self.under_way.take_if(|u| u.token == token) else { return };
+        let Some(done) = self.under_way.take_if(|u| u.token == token) else {
+            return;
+        };
         if ok {
             self.stored = done.version;
             self.lasting = done.vote;
@@ -187,6 +237,7 @@
     }
 
     pub fn next_wake(&self) -> Option<Nanos> {
-        self.retry.filter(|_| self.version > self.stored && self.under_way.is_none())
+        self.retry
+            .filter(|_| self.version > self.stored && self.under_way.is_none())
     }
 }
--- a/crates/sparrouter-consensus/src/codec.rs
+++ b/crates/sparrouter-consensus/src/codec.rs
@@ -10,7 +10,9 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CodecError {
-    #[error("{length} bytes where at most {most} are taken: raise the limit at the receiver or send less")]
+    #[error(
+        "{length} bytes where at most {most} are taken: raise the limit at the receiver or send less"
+    )]
     TooLong { length: usize, most: usize },
     #[error("format {found}, this release reads {FORMAT}: bring both ends to one release")]
     Format { found: u8 },
@@ -29,7 +31,10 @@
 /// `most`: longest input that is looked at, format byte included.
 pub fn decode<T: DeBin>(bytes: &[u8], most: usize) -> Result<T, CodecError> {
     if bytes.len() > most {
-        return Err(CodecError::TooLong { length: bytes.len(), most });
+        return Err(CodecError::TooLong {
+            length: bytes.len(),
+            most,
+        });
     }
     match bytes.first() {
         Some(&FORMAT) => {}
@@ -38,7 +43,11 @@
     }
     let mut at = 1;
     let value = T::de_bin(&mut at, bytes).map_err(|e| CodecError::Malformed { at: e.o })?;
-    if at == bytes.len() { Ok(value) } else { Err(CodecError::Malformed { at }) }
+    if at == bytes.len() {
+        Ok(value)
+    } else {
+        Err(CodecError::Malformed { at })
+    }
 }
 
 pub(crate) fn write_bytes(bytes: &[u8], out: &mut Vec<u8>) {
@@ -48,7 +57,9 @@
 
 pub(crate) fn read_bytes(at: &mut usize, input: &[u8], most: usize) -> Result<Vec<u8>, DeBinErr> {
     let length = u32::de_bin(at, input)? as usize;
-    let end = at.checked_add(length).filter(|&end| end <= input.len() && length <= most);
+    let end = at
+        .checked_add(length)
+        .filter(|&end| end <= input.len() && length <= most);
     let end = end.ok_or_else(|| DeBinErr::new(*at, length, input.len()))?;
     let bytes = input[*at..end].to_vec();
     *at = end;
@@ -66,7 +77,11 @@
     list.iter().for_each(|item| item.ser_bin(out));
 }
 
-pub(crate) fn read_list<T: DeBin>(at: &mut usize, input: &[u8], most: usize) -> Result<Vec<T>, DeBinErr> {
+pub(crate) fn read_list<T: DeBin>(
+    at: &mut usize,
+    input: &[u8],
+    most: usize,
+) -> Result<Vec<T>, DeBinErr> {
     let from = *at;
     let length = u16::de_bin(at, input)? as usize;
     if length > most {
--- a/crates/sparrouter-consensus/src/judge.rs
+++ b/crates/sparrouter-consensus/src/judge.rs
@@ -20,7 +20,11 @@
     if settings.defects.forget_sent {
         operation.sent.clear();
     }
-    if let Some(sent) = operation.sent.iter().find(|s| chosen.origins.contains(&s.origin)) {
+    if let Some(sent) = operation
+        .sent
+        .iter()
+        .find(|s| chosen.origins.contains(&s.origin))
+    {
         return Fate::Chosen(sent.answer.clone());
     }
     let told = chosen.seq - (chosen.origins.len() as u64).min(chosen.seq);
@@ -28,7 +32,11 @@
         return Fate::Untold;
     }
     operation.sent.retain(|s| s.seq > chosen.seq);
-    if operation.sent.len() >= MOST_SENT { Fate::Untold } else { Fate::Waits }
+    if operation.sent.len() >= MOST_SENT {
+        Fate::Untold
+    } else {
+        Fate::Waits
+    }
 }
 
 #[derive(Debug)]
@@ -49,7 +57,12 @@
 
 /// `from` is chosen. A change of the group goes alone, as the two of a slot's groups differ by that change only.
 pub(crate) fn judge<M: Machine>(
-    machine: &M, operations: &[Operation], from: &Vote, ballot: Ballot, origin: u64, settings: &Settings,
+    machine: &M,
+    operations: &[Operation],
+    from: &Vote,
+    ballot: Ballot,
+    origin: u64,
+    settings: &Settings,
 ) -> Batch {
     let mut body: Option<Vec<u8>> = None;
     let mut members: Option<Vec<Member>> = None;
@@ -73,19 +86,31 @@
                     break;
                 }
                 let fits = may_follow(&from.state.members, to)
-                    && from.state.members.iter().map(|m| m.disk).eq(expected.iter().copied());
+                    && from
+                        .state
+                        .members
+                        .iter()
+                        .map(|m| m.disk)
+                        .eq(expected.iter().copied());
                 members = fits.then(|| to.clone());
                 (Outcome::Answered(Vec::new()), fits)
             }
         };
-        judged.push(Judged { step: operation.step, outcome, proposed });
+        judged.push(Judged {
+            step: operation.step,
+            outcome,
+            proposed,
+        });
         if members.is_some() {
             break;
         }
     }
     // A call may be refused here that an open proposal of its own still holds: nothing may be told before the slot has
     // gone to another, be it one that changes nothing.
-    let open = operations.iter().take(judged.len()).any(|o| !o.sent.is_empty());
+    let open = operations
+        .iter()
+        .take(judged.len())
+        .any(|o| !o.sent.is_empty());
     let vote = (body.is_some() || members.is_some() || open).then(|| {
         let mut origins = Vec::with_capacity(ORIGINS);
         origins.push(origin);
@@ -98,7 +123,11 @@
             origins,
             body: body.unwrap_or_else(|| from.state.body.clone()),
         };
-        Vote { ballot, before, state }
+        Vote {
+            ballot,
+            before,
+            state,
+        }
     });
     Batch { judged, vote }
 }
@@ -106,13 +135,22 @@
 /// One member more, one less, or one for another.
 pub fn may_follow(old: &[Member], new: &[Member]) -> bool {
     let (fewer, more) = (missing(old, new), missing(new, old));
-    (1..=MOST_MEMBERS).contains(&new.len()) && fewer <= 1 && more <= 1 && fewer + more > 0 && distinct(new)
+    (1..=MOST_MEMBERS).contains(&new.len())
+        && fewer <= 1
+        && more <= 1
+        && fewer + more > 0
+        && distinct(new)
 }
 
 fn missing(of: &[Member], from: &[Member]) -> usize {
-    of.iter().filter(|m| from.iter().all(|n| n.disk != m.disk)).count()
+    of.iter()
+        .filter(|m| from.iter().all(|n| n.disk != m.disk))
+        .count()
 }
 
 fn distinct(members: &[Member]) -> bool {
-    members.iter().enumerate().all(|(i, m)| members[..i].iter().all(|n| n.disk != m.disk))
+    members
+        .iter()
+        .enumerate()
+        .all(|(i, m)| members[..i].iter().all(|n| n.disk != m.disk))
 }
--- a/crates/sparrouter-consensus/src/learner.rs
+++ b/crates/sparrouter-consensus/src/learner.rs
@@ -19,7 +19,13 @@
 
 impl Learner {
     pub fn new(me: u64) -> Learner {
-        Learner { me, chosen: None, out_since: None, told: BTreeMap::new(), conflicts: 0 }
+        Learner {
+            me,
+            chosen: None,
+            out_since: None,
+            told: BTreeMap::new(),
+            conflicts: 0,
+        }
     }
 
     pub fn chosen(&self) -> Option<&Shared> {
@@ -38,9 +44,14 @@
     /// hold one value.
     pub fn learn(&mut self, vote: &Shared) -> bool {
         let mine = self.chosen.as_deref();
-        let other =
-            mine.is_some_and(|m| m.state.seq == vote.state.seq && m.state.origins != vote.state.origins);
-        debug_assert!(!other, "two states of slot {} are called chosen", vote.state.seq);
+        let other = mine.is_some_and(|m| {
+            m.state.seq == vote.state.seq && m.state.origins != vote.state.origins
+        });
+        debug_assert!(
+            !other,
+            "two states of slot {} are called chosen",
+            vote.state.seq
+        );
         self.conflicts += u64::from(other);
         let news = mine.is_none_or(|m| vote.state.seq > m.state.seq);
         if news {
@@ -62,14 +73,20 @@
 
     /// Whether a majority of the newest group told that it keeps a group without this node.
     pub fn missed_by_none(&self) -> bool {
-        let Some(vote) = &self.chosen else { return false };
-        let told = |disk| self.told.get(&disk).copied() >= self.out_since && self.out_since.is_some();
+        let Some(vote) = &self.chosen else {
+            return false;
+        };
+        let told =
+            |disk| self.told.get(&disk).copied() >= self.out_since && self.out_since.is_some();
         majority(&vote.state.members, told)
     }
 
     /// What to send to a node that has `at` and knows slots up to `chosen`, if this one knows more.
     pub fn hand_over(&self, at: Option<At>, chosen: Option<u64>) -> Option<Message> {
-        let mine = self.chosen.as_ref().filter(|v| chosen < Some(v.state.seq))?;
+        let mine = self
+            .chosen
+            .as_ref()
+            .filter(|v| chosen < Some(v.state.seq))?;
         Some(match at {
             Some(at) if at == mine.at() => Message::Chosen { at },
             _ => Message::Learn { vote: mine.clone() },
--- a/crates/sparrouter-consensus/src/lease.rs
+++ b/crates/sparrouter-consensus/src/lease.rs
@@ -67,7 +67,11 @@
 
 impl Lease {
     pub fn decode(body: &[u8]) -> Option<Lease> {
-        if body.is_empty() { Some(Lease::default()) } else { codec::decode(body, MOST).ok() }
+        if body.is_empty() {
+            Some(Lease::default())
+        } else {
+            codec::decode(body, MOST).ok()
+        }
     }
 }
 
@@ -89,33 +93,64 @@
 
 impl Machine for Leases {
     fn apply(&self, body: &[u8], change: &[u8]) -> Applied {
-        let unchanged = |answer: LeaseAnswer| Applied::Unchanged { answer: codec::encode(&answer) };
-        let (Some(lease), Ok(change)) = (Lease::decode(body), codec::decode::<LeaseChange>(change, MOST))
-        else {
+        let unchanged = |answer: LeaseAnswer| Applied::Unchanged {
+            answer: codec::encode(&answer),
+        };
+        let (Some(lease), Ok(change)) = (
+            Lease::decode(body),
+            codec::decode::<LeaseChange>(change, MOST),
+        ) else {
             return unchanged(LeaseAnswer::Malformed);
         };
         let refused = LeaseAnswer::Refused { fence: lease.fence };
-        let holds =
-            |holder: &Holder, fence: u64| lease.holder.as_ref() == Some(holder) && lease.fence == fence;
+        let holds = |holder: &Holder, fence: u64| {
+            lease.holder.as_ref() == Some(holder) && lease.fence == fence
+        };
         let (next, answer) = match change {
             LeaseChange::Acquire { holder, span } => {
                 // The same life again holds nobody up but by what it had to wait itself.
                 let own = lease.holder.as_ref().is_none_or(|h| *h == holder);
-                let wait = if own { lease.wait } else { lease.wait.max(lease.span) };
-                let Some(fence) = lease.fence.checked_add(1) else { return unchanged(refused) };
-                let next = Lease { fence, holder: Some(holder), span, wait };
+                let wait = if own {
+                    lease.wait
+                } else {
+                    lease.wait.max(lease.span)
+                };
+                let Some(fence) = lease.fence.checked_add(1) else {
+                    return unchanged(refused);
+                };
+                let next = Lease {
+                    fence,
+                    holder: Some(holder),
+                    span,
+                    wait,
+                };
                 (next, LeaseAnswer::Acquired { fence, wait })
             }
             LeaseChange::Renew { holder, fence } if holds(&holder, fence) => {
                 return unchanged(LeaseAnswer::Renewed);
             }
-            LeaseChange::Release { holder, fence, waited } if holds(&holder, fence) => {
+            LeaseChange::Release {
+                holder,
+                fence,
+                waited,
+            } if holds(&holder, fence) => {
                 let wait = if waited { 0 } else { lease.wait };
-                (Lease { fence, holder: None, span: 0, wait }, LeaseAnswer::Released)
+                (
+                    Lease {
+                        fence,
+                        holder: None,
+                        span: 0,
+                        wait,
+                    },
+                    LeaseAnswer::Released,
+                )
             }
             LeaseChange::Renew { .. } | LeaseChange::Release { .. } => return unchanged(refused),
         };
-        Applied::Changed { body: codec::encode(&next), answer: codec::encode(&answer) }
+        Applied::Changed {
+            body: codec::encode(&next),
+            answer: codec::encode(&answer),
+        }
     }
 }
 
@@ -128,6 +163,9 @@
 
 impl DeBin for Holder {
     fn de_bin(at: &mut usize, input: &[u8]) -> Result<Holder, DeBinErr> {
-        Ok(Holder { name: read_text(at, input)?, life: u64::de_bin(at, input)? })
+        Ok(Holder {
+            name: read_text(at, input)?,
+            life: u64::de_bin(at, input)?,
+        })
     }
 }
--- a/crates/sparrouter-consensus/src/operation.rs
+++ b/crates/sparrouter-consensus/src/operation.rs
@@ -68,6 +68,10 @@
 
     /// What to tell when the time is up.
     pub fn expired(&self) -> Outcome {
-        if self.sent.is_empty() { Outcome::Refused(Refused::NoQuorum) } else { Outcome::Unknown }
+        if self.sent.is_empty() {
+            Outcome::Refused(Refused::NoQuorum)
+        } else {
+            Outcome::Unknown
+        }
     }
 }
--- a/crates/sparrouter-consensus/src/owner.rs
+++ b/crates/sparrouter-consensus/src/owner.rs
@@ -4,7 +4,10 @@
 
 /// Members by preference for a part, the same at every node. By name: a wiped machine keeps its place.
 pub fn ranked(part: u16, members: &[Member]) -> Vec<&Member> {
-    order(members.iter().map(|m| (hash(m.name.as_bytes()), m)), hash(&part.to_le_bytes()))
+    order(
+        members.iter().map(|m| (hash(m.name.as_bytes()), m)),
+        hash(&part.to_le_bytes()),
+    )
 }
 
 /// The best of the live members, if there is one.
--- a/crates/sparrouter-consensus/src/proposer.rs
+++ b/crates/sparrouter-consensus/src/proposer.rs
@@ -78,9 +78,17 @@
     fn message(&self) -> Message {
         let known = Some(self.vote.at());
         match &self.goal {
-            Goal::Query { nonce, .. } => Message::Query { nonce: *nonce, known },
-            Goal::Prepare { ballot } => Message::Prepare { ballot: *ballot, known },
-            Goal::Accept { .. } => Message::Accept { vote: self.vote.clone() },
+            Goal::Query { nonce, .. } => Message::Query {
+                nonce: *nonce,
+                known,
+            },
+            Goal::Prepare { ballot } => Message::Prepare {
+                ballot: *ballot,
+                known,
+            },
+            Goal::Accept { .. } => Message::Accept {
+                vote: self.vote.clone(),
+            },
         }
     }
 }
@@ -95,8 +103,13 @@
                 }
                 return;
             };
-            if self.settings.defects.read_locally && self.operations.iter().any(Operation::is_read) {
-                for operation in self.operations.extract_if(.., |o| o.is_read()).collect::<Vec<_>>() {
+            if self.settings.defects.read_locally && self.operations.iter().any(Operation::is_read)
+            {
+                for operation in self
+                    .operations
+                    .extract_if(.., |o| o.is_read())
+                    .collect::<Vec<_>>()
+                {
                     self.finish(operation.id, Outcome::Answered(newest.state.body.clone()));
                 }
             } else if self.lead.is_some() {
@@ -114,13 +127,23 @@
         let Some(lead) = self.lead.take() else { return };
         self.settle_fates(&lead.chosen);
         let origin = self.rng.u64(1..);
-        let batch =
-            judge::judge(&self.machine, &self.operations, &lead.chosen, lead.ballot, origin, &self.settings);
+        let batch = judge::judge(
+            &self.machine,
+            &self.operations,
+            &lead.chosen,
+            lead.ballot,
+            origin,
+            &self.settings,
+        );
         if let Some(vote) = batch.vote {
             for judged in batch.judged.iter().filter(|j| j.proposed) {
                 let operation = self.operations.iter_mut().find(|o| o.step == judged.step);
                 if let (Some(operation), Outcome::Answered(answer)) = (operation, &judged.outcome) {
-                    operation.sent.push(Sent { seq: vote.state.seq, origin, answer: answer.clone() });
+                    operation.sent.push(Sent {
+                        seq: vote.state.seq,
+                        origin,
+                        answer: answer.clone(),
+                    });
                 }
             }
             return self.accept(vote.into(), batch.judged, now);
@@ -139,15 +162,17 @@
     fn settle_fates(&mut self, chosen: &Shared) {
         let mut ended = Vec::new();
         let settings = &self.settings;
-        self.operations.retain_mut(|operation| match judge::fate(operation, &chosen.state, settings) {
-            Fate::Waits => true,
-            Fate::Chosen(answer) => {
-                ended.push((operation.id, Outcome::Answered(answer)));
-                false
-            }
-            Fate::Untold => {
-                ended.push((operation.id, Outcome::Unknown));
-                false
+        self.operations.retain_mut(|operation| {
+            match judge::fate(operation, &chosen.state, settings) {
+                Fate::Waits => true,
+                Fate::Chosen(answer) => {
+                    ended.push((operation.id, Outcome::Answered(answer)));
+                    false
+                }
+                Fate::Untold => {
+                    ended.push((operation.id, Outcome::Unknown));
+                    false
+                }
             }
         });
         for (id, outcome) in ended {
@@ -194,8 +219,16 @@
         self.lead = None;
         self.round += 1;
         let ballot = match self.settings.defects.ballots_shared {
-            true => Ballot { round: self.round, disk: 0, life: 0 },
-            false => Ballot { round: self.round, disk: self.me.disk, life: self.life },
+            true => Ballot {
+                round: self.round,
+                disk: 0,
+                life: 0,
+            },
+            false => Ballot {
+                round: self.round,
+                disk: self.me.disk,
+                life: self.life,
+            },
         };
         self.begin(Goal::Prepare { ballot }, vote, now);
     }
@@ -203,7 +236,8 @@
     fn accept(&mut self, vote: Shared, judged: Vec<Judged>, now: Nanos) {
         if self.settings.defects.answer_unchosen {
             for judged in &judged {
-                if let Some(operation) = self.operations.iter_mut().find(|o| o.step == judged.step) {
+                if let Some(operation) = self.operations.iter_mut().find(|o| o.step == judged.step)
+                {
                     let id = operation.id.take();
                     self.finish(id, judged.outcome.clone());
                 }
@@ -214,7 +248,13 @@
 
     /// Nobody waits for the round any more. A vote that has left is never replaced under its ballot.
     pub(crate) fn abandon(&mut self) {
-        if matches!(&self.phase, Phase::Round(Round { goal: Goal::Accept { .. }, .. })) {
+        if matches!(
+            &self.phase,
+            Phase::Round(Round {
+                goal: Goal::Accept { .. },
+                ..
+            })
+        ) {
             self.lead = None;
         }
         self.phase = Phase::Idle;
@@ -222,11 +262,17 @@
 
     /// Takes an answer into the round that it belongs to; asks members that only now are known to matter.
     fn hear(
-        &mut self, from: &Member, at: Option<At>, newer: Option<Shared>, now: Nanos,
+        &mut self,
+        from: &Member,
+        at: Option<At>,
+        newer: Option<Shared>,
+        now: Nanos,
         fits: impl Fn(&Round) -> bool,
     ) -> bool {
         let any = self.settings.defects.any_promise;
-        let Phase::Round(round) = &mut self.phase else { return false };
+        let Phase::Round(round) = &mut self.phase else {
+            return false;
+        };
         if !fits(round) || round.asked.iter().all(|m| m.disk != from.disk) {
             return false;
         }
@@ -247,7 +293,9 @@
 
     /// A newer vote in a round that asks: whoever has a say in it is asked too.
     fn take_up(&mut self, vote: Shared) {
-        let Phase::Round(round) = &mut self.phase else { return };
+        let Phase::Round(round) = &mut self.phase else {
+            return;
+        };
         let mut asks = vote.electorate();
         asks.retain(|m| round.asked.iter().all(|a| a.disk != m.disk));
         round.asked.extend(asks.iter().cloned());
@@ -263,7 +311,9 @@
     /// A vote became known as chosen while a round goes on: it may have been held up by a group that has no say now,
     /// or ask for votes at a slot that is gone.
     pub(crate) fn round_learns(&mut self, vote: &Shared, now: Nanos) {
-        let Phase::Round(round) = &self.phase else { return };
+        let Phase::Round(round) = &self.phase else {
+            return;
+        };
         match round.goal {
             Goal::Accept { .. } if vote.state.seq >= round.vote.state.seq => {
                 (self.phase, self.lead) = (Phase::Idle, None);
@@ -282,7 +332,12 @@
     }
 
     pub(crate) fn reported(
-        &mut self, from: Member, nonce: u64, at: Option<At>, newer: Option<Shared>, now: Nanos,
+        &mut self,
+        from: Member,
+        nonce: u64,
+        at: Option<At>,
+        newer: Option<Shared>,
+        now: Nanos,
     ) {
         let fits = |r: &Round| matches!(r.goal, Goal::Query { nonce: n, .. } if n == nonce);
         if !self.hear(&from, at, newer, now, fits) {
@@ -292,12 +347,23 @@
     }
 
     fn count_reports(&mut self, now: Nanos) {
-        let Phase::Round(round) = &mut self.phase else { return };
+        let Phase::Round(round) = &mut self.phase else {
+            return;
+        };
         let agreed = |v: &&Shared| {
-            reached(v, |d| round.heard.get(&d) == Some(&Some(v.at())), &self.at_start, &self.settings.defects)
+            reached(
+                v,
+                |d| round.heard.get(&d) == Some(&Some(v.at())),
+                &self.at_start,
+                &self.settings.defects,
+            )
         };
         let Some(chosen) = round.seen.iter().find(agreed).cloned() else {
-            if round.asked.iter().all(|m| round.heard.contains_key(&m.disk)) {
+            if round
+                .asked
+                .iter()
+                .all(|m| round.heard.contains_key(&m.disk))
+            {
                 round.repeat_at = round.repeat_at.min(now + self.round_trip);
             }
             return;
@@ -305,7 +371,12 @@
         let (step, asked) = (round.step, std::mem::take(&mut round.asked));
         let behind: Vec<Member> = asked
             .into_iter()
-            .filter(|m| round.heard.get(&m.disk).is_some_and(|h| *h != Some(chosen.at())))
+            .filter(|m| {
+                round
+                    .heard
+                    .get(&m.disk)
+                    .is_some_and(|h| *h != Some(chosen.at()))
+            })
             .collect();
         self.phase = Phase::Idle;
         self.publish(&chosen, now);
@@ -317,10 +388,16 @@
             _ => {
                 // Somebody else went on from here, or nobody leads.
                 self.lead = None;
-                let answers = self.operations.iter().filter(|o| o.is_read() && o.step < step);
+                let answers = self
+                    .operations
+                    .iter()
+                    .filter(|o| o.is_read() && o.step < step);
                 let outcome = Outcome::Answered(chosen.state.body.clone());
-                let judged =
-                    answers.map(|o| Judged { step: o.step, outcome: outcome.clone(), proposed: false });
+                let judged = answers.map(|o| Judged {
+                    step: o.step,
+                    outcome: outcome.clone(),
+                    proposed: false,
+                });
                 let judged = judged.collect();
                 self.answer(judged);
             }
@@ -328,7 +405,12 @@
     }
 
     pub(crate) fn promised(
-        &mut self, from: Member, ballot: Ballot, at: Option<At>, newer: Option<Shared>, now: Nanos,
+        &mut self,
+        from: Member,
+        ballot: Ballot,
+        at: Option<At>,
+        newer: Option<Shared>,
+        now: Nanos,
     ) {
         let fits = |r: &Round| matches!(r.goal, Goal::Prepare { ballot: b } if b == ballot);
         if !self.hear(&from, at, newer, now, fits) {
@@ -338,10 +420,19 @@
     }
 
     fn count_promises(&mut self, now: Nanos) {
-        let Phase::Round(round) = &self.phase else { return };
-        let Goal::Prepare { ballot } = round.goal else { return };
+        let Phase::Round(round) = &self.phase else {
+            return;
+        };
+        let Goal::Prepare { ballot } = round.goal else {
+            return;
+        };
         let defects = &self.settings.defects;
-        if !reached(&round.vote, |d| round.heard.contains_key(&d), &self.at_start, defects) {
+        if !reached(
+            &round.vote,
+            |d| round.heard.contains_key(&d),
+            &self.at_start,
+            defects,
+        ) {
             return;
         }
         let (vote, step) = (round.vote.clone(), round.step);
@@ -349,9 +440,16 @@
         if defects.judge_unchosen || reached(&vote, held, &self.at_start, defects) {
             self.phase = Phase::Idle;
             let chosen = self.publish(&vote, now);
-            self.lead = Some(Lead { ballot, chosen, proved: step });
+            self.lead = Some(Lead {
+                ballot,
+                chosen,
+                proved: step,
+            });
         } else {
-            let vote = crate::types::Vote { ballot, ..(*vote.0).clone() };
+            let vote = crate::types::Vote {
+                ballot,
+                ..(*vote.0).clone()
+            };
             self.accept(vote.into(), Vec::new(), now);
         }
     }
@@ -361,11 +459,20 @@
         if !self.hear(&from, Some(at), None, now, fits) {
             return;
         }
-        let Phase::Round(round) = &self.phase else { return };
-        if !reached(&round.vote, |d| round.heard.contains_key(&d), &self.at_start, &self.settings.defects) {
+        let Phase::Round(round) = &self.phase else {
+            return;
+        };
+        if !reached(
+            &round.vote,
+            |d| round.heard.contains_key(&d),
+            &self.at_start,
+            &self.settings.defects,
+        ) {
             return;
         }
-        let Phase::Round(round) = std::mem::replace(&mut self.phase, Phase::Idle) else { return };
+        let Phase::Round(round) = std::mem::replace(&mut self.phase, Phase::Idle) else {
+            return;
+        };
         self.back_offs = 0;
         let chosen = self.publish(&round.vote, now);
         for member in round.asked {
@@ -376,11 +483,17 @@
         if let Goal::Accept { judged } = round.goal {
             self.answer(judged);
         }
-        self.lead = Some(Lead { ballot: at.ballot, chosen, proved: round.step });
+        self.lead = Some(Lead {
+            ballot: at.ballot,
+            chosen,
+            proved: round.step,
+        });
     }
 
     pub(crate) fn rejected(&mut self, from: Member, ballot: Ballot, now: Nanos) {
-        let Phase::Round(round) = &mut self.phase else { return };
+        let Phase::Round(round) = &mut self.phase else {
+            return;
+        };
         let mine = match round.goal {
             Goal::Query { .. } => return,
             Goal::Prepare { ballot } => ballot,
@@ -391,7 +504,12 @@
         }
         round.refused.insert(from.disk);
         let possible = |d| !round.refused.contains(&d) || round.heard.contains_key(&d);
-        if !reached(&round.vote, possible, &self.at_start, &self.settings.defects) {
+        if !reached(
+            &round.vote,
+            possible,
+            &self.at_start,
+            &self.settings.defects,
+        ) {
             self.back_off(now);
         }
     }
@@ -401,7 +519,9 @@
         self.lead = None;
         let most = self.round_trip << self.back_offs.min(6);
         self.back_offs += 1;
-        self.phase = Phase::BackOff { until: now + self.rng.u64(0..=most) };
+        self.phase = Phase::BackOff {
+            until: now + self.rng.u64(0..=most),
+        };
     }
 
     pub(crate) fn round_timer(&mut self, now: Nanos) {
@@ -416,21 +536,34 @@
         if let Goal::Query { tries, .. } = round.goal {
             let vote = round.vote.clone();
             // A majority answered and did not agree.
-            if reached(&vote, |d| round.heard.contains_key(&d), &self.at_start, &self.settings.defects) {
+            if reached(
+                &vote,
+                |d| round.heard.contains_key(&d),
+                &self.at_start,
+                &self.settings.defects,
+            ) {
                 return if tries < QUERIES {
                     self.query(tries + 1, vote, now)
                 } else {
                     self.prepare(vote, now)
                 };
             }
-        } else if !round.refused.is_empty() || newest > Some(round.vote.at()) || round.repeats >= REPEATS {
+        } else if !round.refused.is_empty()
+            || newest > Some(round.vote.at())
+            || round.repeats >= REPEATS
+        {
             // What it asks for, or whom, may be out of date.
             return self.back_off(now);
         }
         round.repeats += 1;
-        round.repeat_at = now + ((4 * self.round_trip) << round.repeats.min(4)).min(self.settings.contact);
-        let silent: Vec<Member> =
-            round.asked.iter().filter(|m| !round.heard.contains_key(&m.disk)).cloned().collect();
+        round.repeat_at =
+            now + ((4 * self.round_trip) << round.repeats.min(4)).min(self.settings.contact);
+        let silent: Vec<Member> = round
+            .asked
+            .iter()
+            .filter(|m| !round.heard.contains_key(&m.disk))
+            .cloned()
+            .collect();
         let message = round.message();
         for member in silent {
             self.send(member, message.clone());
--- a/crates/sparrouter-consensus/src/quorum.rs
+++ b/crates/sparrouter-consensus/src/quorum.rs
@@ -9,7 +9,10 @@
 /// Whether those that `has` names choose this vote, or may go on from it: a majority of the group that governs its
 /// slot and of the group that it makes.
 pub fn reached(
-    vote: &Vote, has: impl Fn(u64) -> bool + Copy, at_start: &[Member], defects: &Defects,
+    vote: &Vote,
+    has: impl Fn(u64) -> bool + Copy,
+    at_start: &[Member],
+    defects: &Defects,
 ) -> bool {
     let enough = |members: &[Member]| match defects.half_is_majority {
         true => members.iter().filter(|m| has(m.disk)).count() * 2 >= members.len(),
--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -74,14 +74,24 @@
     /// `record`: what the last store of this part kept, `None` if there never was one. `rng` must differ from start to
     /// start of a machine: it names its ballots. A group's first record is `Record::found`.
     pub fn new(
-        part: u16, me: Member, record: Option<&[u8]>, machine: M, mut rng: Rng, settings: Settings,
+        part: u16,
+        me: Member,
+        record: Option<&[u8]>,
+        machine: M,
+        mut rng: Rng,
+        settings: Settings,
         now: Nanos,
     ) -> Result<Register<M>, RegisterError> {
         let most = settings.most_message();
         let record = record.map(|bytes| Record::decode(bytes, most)).transpose();
-        let record = record.map_err(|source| RegisterError::Record { part, source })?.unwrap_or_default();
+        let record = record
+            .map_err(|source| RegisterError::Record { part, source })?
+            .unwrap_or_default();
         let life = rng.u64(..);
-        let at_start = record.accepted.as_ref().map_or_else(Vec::new, |v| v.state.members.clone());
+        let at_start = record
+            .accepted
+            .as_ref()
+            .map_or_else(Vec::new, |v| v.state.members.clone());
         let exchange_at = now + rng.u64(0..=settings.exchange);
         Ok(Register {
             part,
@@ -165,7 +175,13 @@
 
     fn enqueue(&mut self, id: Option<u64>, kind: Kind, deadline: Nanos) {
         let step = self.next_step();
-        self.operations.push(Operation { id, kind, deadline, step, sent: Vec::new() });
+        self.operations.push(Operation {
+            id,
+            kind,
+            deadline,
+            step,
+            sent: Vec::new(),
+        });
     }
 
     pub(crate) fn next_step(&mut self) -> u64 {
@@ -194,7 +210,10 @@
 
     /// Time passed: calls end, questions are repeated, members compared.
     pub fn tick(&mut self, now: Nanos) {
-        let ended: Vec<Operation> = self.operations.extract_if(.., |o| o.deadline <= now).collect();
+        let ended: Vec<Operation> = self
+            .operations
+            .extract_if(.., |o| o.deadline <= now)
+            .collect();
         for operation in ended {
             let outcome = operation.expired();
             self.finish(operation.id, outcome);
@@ -208,7 +227,12 @@
         }
         if self.settle_at.is_some_and(|at| at <= now) {
             self.settle_at = None;
-            if self.unsettled() && !self.operations.iter().any(|o| matches!(o.kind, Kind::Settle)) {
+            if self.unsettled()
+                && !self
+                    .operations
+                    .iter()
+                    .any(|o| matches!(o.kind, Kind::Settle))
+            {
                 self.enqueue(None, Kind::Settle, now + 8 * self.settings.exchange);
             }
         }
@@ -217,17 +241,38 @@
 
     /// Looks at who is there, and changes the group by at most one member; call it at each news and now and then.
     pub fn tend(&mut self, seen: &[Seen], now: Nanos) {
-        let live =
-            |s: &&Seen| s.member.disk != self.me.disk && s.heard.is_some_and(|h| h < self.settings.contact);
+        let live = |s: &&Seen| {
+            s.member.disk != self.me.disk && s.heard.is_some_and(|h| h < self.settings.contact)
+        };
         let count = seen.iter().filter(live).count();
         let chance = self.rng.usize(..count.max(1));
-        self.stranger = seen.iter().filter(live).nth(chance).map(|s| s.member.clone());
-        let Some(chosen) = self.learner.chosen() else { return };
-        let busy = self.operations.iter().any(|o| matches!(o.kind, Kind::Members { .. }));
-        let to = self.upkeep.decide(self.part, &self.me, &chosen.state, seen, &self.settings, now);
+        self.stranger = seen
+            .iter()
+            .filter(live)
+            .nth(chance)
+            .map(|s| s.member.clone());
+        let Some(chosen) = self.learner.chosen() else {
+            return;
+        };
+        let busy = self
+            .operations
+            .iter()
+            .any(|o| matches!(o.kind, Kind::Members { .. }));
+        let to = self.upkeep.decide(
+            self.part,
+            &self.me,
+            &chosen.state,
+            seen,
+            &self.settings,
+            now,
+        );
         if let (Some(to), false) = (to, busy) {
             let from = chosen.state.members.iter().map(|m| m.disk).collect();
-            self.enqueue(None, Kind::Members { from, to }, now + self.settings.contact);
+            self.enqueue(
+                None,
+                Kind::Members { from, to },
+                now + self.settings.contact,
+            );
             self.work(now);
         }
     }
@@ -307,11 +352,18 @@
             Message::Query { nonce, known } => self.acceptor.query(&from, nonce, known),
             Message::Promise { ballot, at, newer } => self.promised(from, ballot, at, newer, now),
             Message::Accepted { at } => self.accepted(from, at, now),
-            Message::Reject { ballot, promised, .. } => {
+            Message::Reject {
+                ballot, promised, ..
+            } => {
                 self.meet(promised);
                 self.rejected(from, ballot, now);
             }
-            Message::Report { nonce, promised, at, newer } => {
+            Message::Report {
+                nonce,
+                promised,
+                at,
+                newer,
+            } => {
                 self.meet(promised);
                 self.reported(from, nonce, at, newer, now);
             }
@@ -345,7 +397,11 @@
     /// This vote is known to be chosen. Gives it without the group before, which has no more say and may be gone.
     pub(crate) fn publish(&mut self, vote: &Shared, now: Nanos) -> Shared {
         let vote = match vote.before {
-            Some(_) => Vote { before: None, ..(*vote.0).clone() }.into(),
+            Some(_) => Vote {
+                before: None,
+                ..(*vote.0).clone()
+            }
+            .into(),
             None => vote.clone(),
         };
         self.meet(vote.ballot);
@@ -363,7 +419,10 @@
     }
 
     fn have(&self) -> Message {
-        Message::Have { at: self.newest().map(|v| v.at()), chosen: self.learner.seq() }
+        Message::Have {
+            at: self.newest().map(|v| v.at()),
+            chosen: self.learner.seq(),
+        }
     }
 
     /// Who is outside the group may be waiting to hear whether it is missed.
@@ -398,9 +457,16 @@
     fn exchange(&mut self, now: Nanos) {
         self.exchange_at = now + self.spread(self.settings.exchange);
         let chance = self.rng.usize(..);
-        let others: Vec<&Member> = self.members().iter().filter(|m| m.disk != self.me.disk).collect();
+        let others: Vec<&Member> = self
+            .members()
+            .iter()
+            .filter(|m| m.disk != self.me.disk)
+            .collect();
         // A group that has been replaced altogether meanwhile has nobody left to tell so.
-        let stranger = self.stranger.as_ref().filter(|_| others.is_empty() || chance.is_multiple_of(4));
+        let stranger = self
+            .stranger
+            .as_ref()
+            .filter(|_| others.is_empty() || chance.is_multiple_of(4));
         let member = || others.get((chance / 4) % others.len().max(1)).copied();
         if let Some(peer) = stranger.or_else(member).cloned() {
             let message = self.have();
--- a/crates/sparrouter-consensus/src/types.rs
+++ b/crates/sparrouter-consensus/src/types.rs
@@ -60,7 +60,10 @@
 
 impl Vote {
     pub fn at(&self) -> At {
-        At { seq: self.state.seq, ballot: self.ballot }
+        At {
+            seq: self.state.seq,
+            ballot: self.ballot,
+        }
     }
 
     /// The group whose majority chooses this slot, next to that of `state.members`.
@@ -109,9 +112,22 @@
     pub fn found(mut members: Vec<Member>, body: Vec<u8>) -> Record {
         members.sort_unstable();
         let founding = members.len().min(MOST_MEMBERS) as u8;
-        let state = State { seq: 0, members, founding, origins: Vec::new(), body };
-        let vote = Vote { ballot: Ballot::default(), before: None, state };
-        Record { promised: Ballot::default(), accepted: Some(vote.into()) }
+        let state = State {
+            seq: 0,
+            members,
+            founding,
+            origins: Vec::new(),
+            body,
+        };
+        let vote = Vote {
+            ballot: Ballot::default(),
+            before: None,
+            state,
+        };
+        Record {
+            promised: Ballot::default(),
+            accepted: Some(vote.into()),
+        }
     }
 
     pub fn encode(&self) -> Vec<u8> {
@@ -134,7 +150,11 @@
 impl DeBin for Member {
     fn de_bin(at: &mut usize, input: &[u8]) -> Result<Member, DeBinErr> {
         let disk = u64::de_bin(at, input)?;
-        Ok(Member { disk, name: read_text(at, input)?, address: read_text(at, input)? })
+        Ok(Member {
+            disk,
+            name: read_text(at, input)?,
+            address: read_text(at, input)?,
+        })
     }
 }
 
@@ -167,7 +187,11 @@
             origins: read_list(at, input, ORIGINS)?,
             body: read_bytes(at, input, input.len())?,
         };
-        Ok(Vote { ballot, before, state })
+        Ok(Vote {
+            ballot,
+            before,
+            state,
+        })
     }
 }
 
--- a/crates/sparrouter-consensus/src/upkeep.rs
+++ b/crates/sparrouter-consensus/src/upkeep.rs
@@ -35,11 +35,26 @@
 impl Upkeep {
     /// The group to propose now, if it is this node's turn.
     pub fn decide(
-        &mut self, part: u16, me: &Member, state: &State, seen: &[Seen], settings: &Settings, now: Nanos,
+        &mut self,
+        part: u16,
+        me: &Member,
+        state: &State,
+        seen: &[Seen],
+        settings: &Settings,
+        now: Nanos,
     ) -> Option<Vec<Member>> {
         let looking = now - *self.first.get_or_insert(now);
-        let view = View { me, state, seen, contact: settings.contact, looking };
-        let Some(to) = view.change(part).filter(|_| state.members.iter().any(|m| m.disk == me.disk)) else {
+        let view = View {
+            me,
+            state,
+            seen,
+            contact: settings.contact,
+            looking,
+        };
+        let Some(to) = view
+            .change(part)
+            .filter(|_| state.members.iter().any(|m| m.disk == me.disk))
+        else {
             self.wanted = None;
             return None;
         };
@@ -50,10 +65,16 @@
                 now
             }
         };
-        let live = ranked(part, &state.members).into_iter().filter(|m| m.disk == me.disk || view.stays(m));
+        let live = ranked(part, &state.members)
+            .into_iter()
+            .filter(|m| m.disk == me.disk || view.stays(m));
         let rank = live.take_while(|m| m.disk != me.disk).count() as u64;
         // A new node may stand in for a member whose silence nobody has noticed yet: then it is swapped, not added.
-        let patience = if to.len() > state.members.len() { settings.contact } else { 0 };
+        let patience = if to.len() > state.members.len() {
+            settings.contact
+        } else {
+            0
+        };
         (now - since >= patience + rank * settings.contact / 10).then_some(to)
     }
 }
@@ -82,7 +103,10 @@
 
     fn heard(&self, member: &Member) -> bool {
         member.disk == self.me.disk
-            || self.find(member).and_then(|s| s.heard).is_some_and(|h| h < self.contact)
+            || self
+                .find(member)
+                .and_then(|s| s.heard)
+                .is_some_and(|h| h < self.contact)
     }
 
     fn stays(&self, member: &Member) -> bool {
@@ -94,12 +118,22 @@
         let outside = |s: &&Seen| self.state.members.iter().all(|m| m.disk != s.member.disk);
         // Word of a disk that was wiped may go round longer than the disk lived.
         let newest = |s: &&Seen| {
-            let same = self.state.members.iter().find(|m| m.address == s.member.address);
+            let same = self
+                .state
+                .members
+                .iter()
+                .find(|m| m.address == s.member.address);
             same.is_none_or(|m| self.silent(m) > self.silent(&s.member))
         };
-        let fit =
-            self.seen.iter().filter(|s| s.counted && !s.leaving && s.heard.is_some_and(|h| h < self.contact));
-        let nodes: Vec<Member> = fit.filter(outside).filter(newest).map(|s| s.member.clone()).collect();
+        let fit = self
+            .seen
+            .iter()
+            .filter(|s| s.counted && !s.leaving && s.heard.is_some_and(|h| h < self.contact));
+        let nodes: Vec<Member> = fit
+            .filter(outside)
+            .filter(newest)
+            .map(|s| s.member.clone())
+            .collect();
         ranked(part, &nodes).into_iter().cloned().collect()
     }
 
@@ -120,7 +154,9 @@
                 Some(self.with(index, None))
             }
             // One more beside a lost one would leave fewer to spare than before.
-            (None, Some(new)) if members.len() < MOST_MEMBERS && members.iter().all(|m| self.heard(m)) => {
+            (None, Some(new))
+                if members.len() < MOST_MEMBERS && members.iter().all(|m| self.heard(m)) =>
+            {
                 let mut to = members.clone();
                 to.push(new.clone());
                 to.sort_unstable();
--- a/crates/sparrouter-consensus/tests/doors.rs
+++ b/crates/sparrouter-consensus/tests/doors.rs
@@ -12,20 +12,38 @@
     fn apply(&self, body: &[u8], change: &[u8]) -> Applied {
         let (old, new) = change.split_at(change.len() / 2);
         match body == old {
-            true => Applied::Changed { body: new.to_vec(), answer: b"done".to_vec() },
-            false => Applied::Unchanged { answer: b"other".to_vec() },
+            true => Applied::Changed {
+                body: new.to_vec(),
+                answer: b"done".to_vec(),
+            },
+            false => Applied::Unchanged {
+                answer: b"other".to_vec(),
+            },
         }
     }
 }
 
 fn member(n: u64) -> Member {
-    Member { disk: n, name: format!("node-{n}"), address: format!("10.0.0.{n}:7360") }
+    Member {
+        disk: n,
+        name: format!("node-{n}"),
+        address: format!("10.0.0.{n}:7360"),
+    }
 }
 
 fn register(n: u64, group: u64) -> Register<Swap> {
     let record = Record::found((1..=group).map(member).collect(), b"a".to_vec()).encode();
     let rng = fastrand::Rng::with_seed(n);
-    Register::new(7, member(n), Some(&record), Swap, rng, Settings::default(), 0).unwrap()
+    Register::new(
+        7,
+        member(n),
+        Some(&record),
+        Swap,
+        rng,
+        Settings::default(),
+        0,
+    )
+    .unwrap()
 }
 
 #[derive(Default)]
@@ -45,7 +63,9 @@
             for action in node.take_actions() {
                 quiet = false;
                 match action {
-                    Action::Send { to, message } => mail.push_back((member(i as u64 + 1), to, message)),
+                    Action::Send { to, message } => {
+                        mail.push_back((member(i as u64 + 1), to, message))
+                    }
                     Action::Store { token, .. } => {
                         seen.stores += 1;
                         node.stored(token, true, now);
@@ -75,7 +95,10 @@
     assert_eq!(seen.done, [(1, Outcome::Answered(b"done".to_vec()))]);
     assert!(nodes.iter().all(|n| n.chosen().unwrap().body == b"b"));
     nodes[1].propose(2, b"ac".to_vec(), SECOND, 2);
-    assert_eq!(carry(&mut nodes, 3).done, [(2, Outcome::Answered(b"other".to_vec()))]);
+    assert_eq!(
+        carry(&mut nodes, 3).done,
+        [(2, Outcome::Answered(b"other".to_vec()))]
+    );
 }
 
 #[test]
@@ -110,7 +133,10 @@
     alone[0].propose(3, b"bd".to_vec(), 3 * SECOND, 2 * SECOND);
     carry(&mut alone, 2 * SECOND);
     alone[0].tick(3 * SECOND);
-    assert_eq!(carry(&mut alone, 3 * SECOND).done, [(3, Outcome::Refused(Refused::NoQuorum))]);
+    assert_eq!(
+        carry(&mut alone, 3 * SECOND).done,
+        [(3, Outcome::Refused(Refused::NoQuorum))]
+    );
 }
 
 #[test]
@@ -119,28 +145,63 @@
     for op in 0..=Settings::default().most_pending as u64 {
         node[0].propose(op, b"ab".to_vec(), SECOND, 0);
     }
-    assert_eq!(carry(&mut node, 0).done, [(256, Outcome::Refused(Refused::Busy))]);
+    assert_eq!(
+        carry(&mut node, 0).done,
+        [(256, Outcome::Refused(Refused::Busy))]
+    );
     node[0].propose(999, vec![0; Settings::default().most_change + 1], SECOND, 0);
-    assert_eq!(carry(&mut node, 0).done, [(999, Outcome::Refused(Refused::TooLarge))]);
+    assert_eq!(
+        carry(&mut node, 0).done,
+        [(999, Outcome::Refused(Refused::TooLarge))]
+    );
 }
 
 #[test]
 fn given_a_store_that_fails_when_a_promise_waits_for_it_then_it_is_refused_with_its_reason_and_mends_itself()
-{
+ {
     let mut node = register(1, 3);
-    let ballot = Ballot { round: 5, disk: 2, life: 9 };
-    let prepare = Message::Prepare { ballot, known: None };
+    let ballot = Ballot {
+        round: 5,
+        disk: 2,
+        life: 9,
+    };
+    let prepare = Message::Prepare {
+        ballot,
+        known: None,
+    };
     node.handle(member(2), prepare.clone(), 0);
-    let Action::Store { token, .. } = node.take_actions().remove(0) else { panic!("no store") };
+    let Action::Store { token, .. } = node.take_actions().remove(0) else {
+        panic!("no store")
+    };
     // What was on disk before can be asked for meanwhile.
-    node.handle(member(3), Message::Query { nonce: 3, known: None }, 0);
+    node.handle(
+        member(3),
+        Message::Query {
+            nonce: 3,
+            known: None,
+        },
+        0,
+    );
     assert!(matches!(
         node.take_actions()[..],
-        [Action::Send { message: Message::Report { nonce: 3, .. }, .. }]
+        [Action::Send {
+            message: Message::Report { nonce: 3, .. },
+            ..
+        }]
     ));
     node.stored(token, false, 1);
     let actions = node.take_actions();
-    let [Action::Send { message: Message::Reject { reason: Reason::Disk, .. }, .. }] = actions[..] else {
+    let [
+        Action::Send {
+            message:
+                Message::Reject {
+                    reason: Reason::Disk,
+                    ..
+                },
+            ..
+        },
+    ] = actions[..]
+    else {
         panic!("{actions:?}")
     };
     node.handle(member(2), prepare, 2);
@@ -152,5 +213,14 @@
     });
     node.stored(store.unwrap(), true, SECOND);
     let told = node.take_actions();
-    assert!(matches!(&told[..], [Action::Send { message: Message::Promise { .. }, .. }]), "{told:?}");
+    assert!(
+        matches!(
+            &told[..],
+            [Action::Send {
+                message: Message::Promise { .. },
+                ..
+            }]
+        ),
+        "{told:?}"
+    );
 }
--- a/crates/sparrouter-consensus/tests/fleet/clients.rs
+++ b/crates/sparrouter-consensus/tests/fleet/clients.rs
@@ -10,9 +10,16 @@
 
 #[derive(Debug)]
 pub enum Client {
-    Operator { known: u64, put: Option<Put> },
+    Operator {
+        known: u64,
+        put: Option<Put>,
+    },
     Reader,
-    Holder { name: u64, life: u64, hold: Option<Hold> },
+    Holder {
+        name: u64,
+        life: u64,
+        hold: Option<Hold>,
+    },
 }
 
 #[derive(Debug)]
@@ -47,7 +54,11 @@
     pub fn client_turn(&mut self, client: usize) {
         let pause = self.rng.u64(20..300) * MILLISECOND;
         self.at(pause, super::Event::Client { client });
-        let waits = self.calls.iter().find(|(_, c)| c.client == client).map(|(&op, c)| (op, c.begun));
+        let waits = self
+            .calls
+            .iter()
+            .find(|(_, c)| c.client == client)
+            .map(|(&op, c)| (op, c.begun));
         match waits {
             // Its node died, or is frozen: an operator repeats what was not answered.
             Some((op, begun)) if self.now > begun + CALL + CALL / 2 => {
@@ -59,8 +70,9 @@
             Some(_) => return,
             None => {}
         }
-        let running: Vec<usize> =
-            (0..self.nodes.len()).filter(|&n| self.nodes[n].register.is_some()).collect();
+        let running: Vec<usize> = (0..self.nodes.len())
+            .filter(|&n| self.nodes[n].register.is_some())
+            .collect();
         if running.is_empty() {
             return;
         }
@@ -74,25 +86,49 @@
                 if put.as_ref().is_some_and(|p| p.calls >= REPEATS) {
                     *put = None;
                 }
-                let put = put.get_or_insert(Put { if_match: *known, id: fresh, calls: 0, open: false });
+                let put = put.get_or_insert(Put {
+                    if_match: *known,
+                    id: fresh,
+                    calls: 0,
+                    open: false,
+                });
                 put.calls += 1;
-                Some(Change::Put { if_match: put.if_match, id: put.id })
+                Some(Change::Put {
+                    if_match: put.if_match,
+                    id: put.id,
+                })
             }
             Client::Holder { name, life, hold } => {
-                let holder = Holder { name: format!("holder-{name}"), life: *life };
+                let holder = Holder {
+                    name: format!("holder-{name}"),
+                    life: *life,
+                };
                 Some(Change::Lease(match hold {
                     Some(hold) if now < hold.until => {
                         renews = true;
                         match fresh % 12 {
-                            0 => LeaseChange::Release { holder, fence: hold.fence, waited: now >= hold.from },
-                            _ => LeaseChange::Renew { holder, fence: hold.fence },
+                            0 => LeaseChange::Release {
+                                holder,
+                                fence: hold.fence,
+                                waited: now >= hold.from,
+                            },
+                            _ => LeaseChange::Renew {
+                                holder,
+                                fence: hold.fence,
+                            },
                         }
                     }
                     _ => {
                         *hold = None;
                         // Now and then it is another life of the same name.
                         *life += u64::from(fresh.is_multiple_of(5));
-                        LeaseChange::Acquire { holder: Holder { life: *life, ..holder }, span: SPAN }
+                        LeaseChange::Acquire {
+                            holder: Holder {
+                                life: *life,
+                                ..holder
+                            },
+                            span: SPAN,
+                        }
                     }
                 }))
             }
@@ -105,10 +141,18 @@
         }
         self.next_op += 1;
         let op = self.next_op;
-        let call = Call { client, node, begun: now, least: self.judge.newest_acknowledged(), renews };
+        let call = Call {
+            client,
+            node,
+            begun: now,
+            least: self.judge.newest_acknowledged(),
+            renews,
+        };
         self.calls.insert(op, call);
         self.log(|| format!("call {op} of client {client} at node {node}: {change:?}"));
-        let Some(register) = &mut self.nodes[node].register else { return };
+        let Some(register) = &mut self.nodes[node].register else {
+            return;
+        };
         match change {
             Some(change) => register.propose(op, change.encode(), now + CALL, now),
             None => register.read(op, now + CALL, now),
@@ -119,7 +163,9 @@
     /// Holders act whenever they may by their own clock.
     pub fn act(&mut self) {
         for client in &self.clients {
-            if let Client::Holder { hold: Some(hold), .. } = client
+            if let Client::Holder {
+                hold: Some(hold), ..
+            } = client
                 && self.now >= hold.from
                 && self.now < hold.until
             {
@@ -129,7 +175,9 @@
     }
 
     pub fn done(&mut self, op: u64, outcome: Outcome) {
-        let Some(call) = self.calls.remove(&op) else { return };
+        let Some(call) = self.calls.remove(&op) else {
+            return;
+        };
         self.log(|| format!("call {op} done: {}", brief(&outcome)));
         let now = self.now;
         match &mut self.clients[call.client] {
@@ -157,7 +205,9 @@
                         *put = None;
                     }
                     Outcome::Unknown => open.open = true,
-                    Outcome::Refused(Refused::NoQuorum | Refused::NoGroup | Refused::Busy) if !open.open => {
+                    Outcome::Refused(Refused::NoQuorum | Refused::NoGroup | Refused::Busy)
+                        if !open.open =>
+                    {
                         self.judge.refused(open.id);
                         *put = None;
                     }
@@ -165,11 +215,17 @@
                 }
             }
             Client::Holder { hold, name, .. } => {
-                let Outcome::Answered(answer) = outcome else { return };
+                let Outcome::Answered(answer) = outcome else {
+                    return;
+                };
                 match (Answer::decode(&answer), hold) {
                     (Answer::Lease(LeaseAnswer::Acquired { fence, wait }), hold) => {
                         self.judge.handed(fence, *name, op);
-                        *hold = Some(Hold { fence, from: now + wait, until: call.begun + SPAN });
+                        *hold = Some(Hold {
+                            fence,
+                            from: now + wait,
+                            until: call.begun + SPAN,
+                        });
                     }
                     (Answer::Lease(LeaseAnswer::Renewed), Some(hold)) if call.renews => {
                         hold.until = hold.until.max(call.begun + SPAN);
@@ -185,10 +241,12 @@
 
 fn brief(outcome: &Outcome) -> String {
     match outcome {
-        Outcome::Answered(bytes) => match sparrouter_consensus::codec::decode::<Answer>(bytes, 4096) {
-            Ok(answer) => format!("{answer:?}"),
-            Err(_) => format!("body of version {}", Config::decode(bytes).version),
-        },
+        Outcome::Answered(bytes) => {
+            match sparrouter_consensus::codec::decode::<Answer>(bytes, 4096) {
+                Ok(answer) => format!("{answer:?}"),
+                Err(_) => format!("body of version {}", Config::decode(bytes).version),
+            }
+        }
         other => format!("{other:?}"),
     }
 }
--- a/crates/sparrouter-consensus/tests/fleet/judge.rs
+++ b/crates/sparrouter-consensus/tests/fleet/judge.rs
@@ -42,7 +42,10 @@
             Some(there) => {
                 let same = there == state;
                 self.must(same, || {
-                    format!("two states at slot {}: node {node} published another", state.seq)
+                    format!(
+                        "two states at slot {}: node {node} published another",
+                        state.seq
+                    )
                 });
             }
             None => drop(self.chain.insert(state.seq, state.clone())),
@@ -55,16 +58,22 @@
         let config = Config::decode(body);
         for (version, id) in config.made() {
             let there = *self.made.entry(version).or_insert(id);
-            self.must(there == id, || format!("version {version} was made by {there} and by {id}"));
+            self.must(there == id, || {
+                format!("version {version} was made by {there} and by {id}")
+            });
             self.in_force.insert(id);
             let refused = self.refused.contains(&id);
-            self.must(!refused, || format!("id {id} was refused and is in force as version {version}"));
+            self.must(!refused, || {
+                format!("id {id} was refused and is in force as version {version}")
+            });
         }
     }
 
     pub fn acknowledged(&mut self, version: u64, id: u64) {
         let there = *self.made.entry(version).or_insert(id);
-        self.must(there == id, || format!("version {version} of {id} acknowledged, it was made by {there}"));
+        self.must(there == id, || {
+            format!("version {version} of {id} acknowledged, it was made by {there}")
+        });
         self.acknowledged.insert(version, id);
     }
 
@@ -77,7 +86,9 @@
     /// A read that began when `least` had been acknowledged.
     pub fn read(&mut self, least: u64, body: &[u8]) {
         let version = Config::decode(body).version;
-        self.must(version >= least, || format!("version {version} was read after {least} was acknowledged"));
+        self.must(version >= least, || {
+            format!("version {version} was read after {least} was acknowledged")
+        });
         self.body(body);
     }
 
@@ -93,14 +104,19 @@
     pub fn handed(&mut self, fence: u64, holder: u64, op: u64) {
         let there = *self.fences.entry(fence).or_insert((holder, op));
         self.must(there == (holder, op), || {
-            format!("fence {fence} was handed to {there:?} and to {:?}", (holder, op))
+            format!(
+                "fence {fence} was handed to {there:?} and to {:?}",
+                (holder, op)
+            )
         });
     }
 
     /// A holder sends an order.
     pub fn act(&mut self, fence: u64) {
         let highest = self.acted;
-        self.must(fence >= highest, || format!("fence {fence} acted after {highest}"));
+        self.must(fence >= highest, || {
+            format!("fence {fence} acted after {highest}")
+        });
         self.acted = highest.max(fence);
     }
 }
--- a/crates/sparrouter-consensus/tests/fleet/machine.rs
+++ b/crates/sparrouter-consensus/tests/fleet/machine.rs
@@ -44,12 +44,20 @@
         let mut number = || u64::de_bin(&mut at, bytes).unwrap();
         let (version, length) = (number(), number());
         let ids = (0..length).map(|_| number()).collect();
-        Config { version, ids, lease: bytes[at..].to_vec() }
+        Config {
+            version,
+            ids,
+            lease: bytes[at..].to_vec(),
+        }
     }
 
     /// Which id made a version, as far as this body remembers.
     pub fn made(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
-        self.ids.iter().rev().enumerate().map(|(back, &id)| (self.version - back as u64, id))
+        self.ids
+            .iter()
+            .rev()
+            .enumerate()
+            .map(|(back, &id)| (self.version - back as u64, id))
     }
 }
 
@@ -71,33 +79,50 @@
     fn apply(&self, body: &[u8], change: &[u8]) -> Applied {
         let mut config = Config::decode(body);
         let Ok(change) = decode::<Change>(change, 4096) else {
-            return Applied::Unchanged { answer: encode(&Answer::Malformed) };
+            return Applied::Unchanged {
+                answer: encode(&Answer::Malformed),
+            };
         };
         match change {
             Change::Put { id, .. } if config.ids.contains(&id) => {
                 let version = config.made().find(|&(_, i)| i == id).unwrap().0;
-                Applied::Unchanged { answer: encode(&Answer::Taken { version }) }
-            }
-            Change::Put { if_match, .. } if if_match != config.version => {
-                Applied::Unchanged { answer: encode(&Answer::Mismatch { version: config.version }) }
+                Applied::Unchanged {
+                    answer: encode(&Answer::Taken { version }),
+                }
             }
+            Change::Put { if_match, .. } if if_match != config.version => Applied::Unchanged {
+                answer: encode(&Answer::Mismatch {
+                    version: config.version,
+                }),
+            },
             Change::Put { id, .. } => {
                 config.version += 1;
                 config.ids.push(id);
                 if config.ids.len() > KEPT {
                     config.ids.remove(0);
                 }
-                let answer = encode(&Answer::Taken { version: config.version });
-                Applied::Changed { body: config.encode(), answer }
+                let answer = encode(&Answer::Taken {
+                    version: config.version,
+                });
+                Applied::Changed {
+                    body: config.encode(),
+                    answer,
+                }
             }
             Change::Lease(change) => {
-                let wrap = |answer: Vec<u8>| encode(&Answer::Lease(LeaseAnswer::decode(&answer).unwrap()));
+                let wrap =
+                    |answer: Vec<u8>| encode(&Answer::Lease(LeaseAnswer::decode(&answer).unwrap()));
                 match Leases.apply(&config.lease, &encode(&change)) {
                     Applied::Changed { body, answer } => {
                         config.lease = body;
-                        Applied::Changed { body: config.encode(), answer: wrap(answer) }
+                        Applied::Changed {
+                            body: config.encode(),
+                            answer: wrap(answer),
+                        }
                     }
-                    Applied::Unchanged { answer } => Applied::Unchanged { answer: wrap(answer) },
+                    Applied::Unchanged { answer } => Applied::Unchanged {
+                        answer: wrap(answer),
+                    },
                 }
             }
         }
--- a/crates/sparrouter-consensus/tests/fleet/mod.rs
+++ b/crates/sparrouter-consensus/tests/fleet/mod.rs
@@ -50,14 +50,32 @@
 
 #[derive(Debug)]
 pub enum Event {
-    Deliver { from: usize, sender: Member, to: usize, bytes: Vec<u8> },
-    Stored { node: usize, life: u64, token: u64, bytes: Vec<u8> },
-    Start { node: usize },
+    Deliver {
+        from: usize,
+        sender: Member,
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    Stored {
+        node: usize,
+        life: u64,
+        token: u64,
+        bytes: Vec<u8>,
+    },
+    Start {
+        node: usize,
+    },
     Fault,
     Beat,
-    Client { client: usize },
-    Leave { node: usize },
-    Flap { node: usize },
+    Client {
+        client: usize,
+    },
+    Leave {
+        node: usize,
+    },
+    Flap {
+        node: usize,
+    },
 }
 
 pub struct Node {
@@ -112,7 +130,10 @@
         steps: fleet.steps,
         digest: fleet.digest,
     };
-    verdict.map(|()| played).map_err(|what| Failure { what, events: fleet.trace.unwrap_or_default() })
+    verdict.map(|()| played).map_err(|what| Failure {
+        what,
+        events: fleet.trace.unwrap_or_default(),
+    })
 }
 
 impl Fleet {
@@ -122,12 +143,29 @@
             rng: Rng::with_seed(plan.seed),
             nodes: Vec::new(),
             clients: vec![
-                Client::Operator { known: 0, put: None },
-                Client::Operator { known: 0, put: None },
-                Client::Operator { known: 0, put: None },
+                Client::Operator {
+                    known: 0,
+                    put: None,
+                },
+                Client::Operator {
+                    known: 0,
+                    put: None,
+                },
+                Client::Operator {
+                    known: 0,
+                    put: None,
+                },
                 Client::Reader,
-                Client::Holder { name: 1, life: 1, hold: None },
-                Client::Holder { name: 2, life: 1, hold: None },
+                Client::Holder {
+                    name: 1,
+                    life: 1,
+                    hold: None,
+                },
+                Client::Holder {
+                    name: 2,
+                    life: 1,
+                    hold: None,
+                },
             ],
             calls: BTreeMap::new(),
             next_op: 0,
@@ -157,7 +195,9 @@
         let first = Record::found(group, Config::default().encode()).encode();
         for node in 0..plan.nodes {
             let (mut cellar, _) = Cellar::open(fleet.nodes[node].files.clone()).unwrap();
-            cellar.save("disk", &fleet.nodes[node].member.disk.to_le_bytes()).unwrap();
+            cellar
+                .save("disk", &fleet.nodes[node].member.disk.to_le_bytes())
+                .unwrap();
             cellar.save("part-7", &first).unwrap();
             let late = fleet.rng.u64(..300) * MILLISECOND;
             fleet.at(late, Event::Start { node });
@@ -172,8 +212,11 @@
 
     pub fn add_machine(&mut self) -> usize {
         let number = self.nodes.len();
-        let member =
-            Member { disk: 0, name: format!("node-{number}"), address: format!("10.0.0.{number}:7360") };
+        let member = Member {
+            disk: 0,
+            name: format!("node-{number}"),
+            address: format!("10.0.0.{number}:7360"),
+        };
         self.nodes.push(Node {
             member,
             files: LyingFiles::new(self.rng.u64(..)),
@@ -198,19 +241,34 @@
         self.all_work("after the storm")?;
         // The last loss, just after a change was acknowledged in bad weather: as many disks as a majority can spare,
         // while all others lose power.
-        self.net = weather::Net { loss: 80, repeat: 20, stray: 0, delay: 60 * MILLISECOND };
+        self.net = weather::Net {
+            loss: 80,
+            repeat: 20,
+            stray: 0,
+            delay: 60 * MILLISECOND,
+        };
         let (before, latest) = (self.acknowledgements, self.now + 4 * SECOND);
         while self.acknowledgements == before && self.now < latest {
             self.run_until(self.now + MILLISECOND)?;
         }
         self.net = Net::calm();
-        let group = self.judge.newest_state().map(|s| s.members.clone()).unwrap_or_default();
+        let group = self
+            .judge
+            .newest_state()
+            .map(|s| s.members.clone())
+            .unwrap_or_default();
         let spare = group.len().saturating_sub(1) / 2;
-        let mut order: Vec<usize> = (0..self.nodes.len()).filter(|&n| !self.nodes[n].gone).collect();
+        let mut order: Vec<usize> = (0..self.nodes.len())
+            .filter(|&n| !self.nodes[n].gone)
+            .collect();
         self.rng.shuffle(&mut order);
         for (rank, &node) in order.iter().enumerate() {
             let back = self.rng.u64(..1_000) * MILLISECOND;
-            if rank < spare { self.wipe(node, back) } else { self.lose_power(node, back) }
+            if rank < spare {
+                self.wipe(node, back)
+            } else {
+                self.lose_power(node, back)
+            }
         }
         self.run_until(self.now + SECOND + CALM)?;
         self.all_work("after the last loss")
@@ -226,16 +284,27 @@
         let newest = self.judge.newest_state().map(|s| s.members.clone());
         for node in self.nodes.iter().filter(|n| !n.gone) {
             if node.leaving {
-                return Err(format!("{} still waits to leave {when}: {newest:?}", node.member.name));
+                return Err(format!(
+                    "{} still waits to leave {when}: {newest:?}",
+                    node.member.name
+                ));
             }
             let Some(register) = &node.register else {
                 return Err(format!("{} is down {when}", node.member.name));
             };
             let group = register.members();
             if !group.iter().any(|m| m.disk == node.member.disk) {
-                return Err(format!("{} is in no group {when}: {newest:?}", node.member.name));
+                return Err(format!(
+                    "{} is in no group {when}: {newest:?}",
+                    node.member.name
+                ));
             }
-            if group.iter().any(|m| !self.nodes.iter().any(|n| !n.gone && n.member.disk == m.disk)) {
+            if group.iter().any(|m| {
+                !self
+                    .nodes
+                    .iter()
+                    .any(|n| !n.gone && n.member.disk == m.disk)
+            }) {
                 return Err(format!("a lost disk is in the group {when}: {newest:?}"));
             }
         }
@@ -259,9 +328,15 @@
             if let Some(broken) = self.judge.verdict() {
                 return Err(format!("at {} ms: {broken}", self.now / MILLISECOND));
             }
-            let wake = (0..self.nodes.len()).filter_map(|n| Some((self.wake_of(n)?, n))).min();
+            let wake = (0..self.nodes.len())
+                .filter_map(|n| Some((self.wake_of(n)?, n)))
+                .min();
             let queued = self.queue.peek().map(|Reverse((at, _))| *at);
-            let next = queued.into_iter().chain(wake.map(|w| w.0)).min().unwrap_or(end);
+            let next = queued
+                .into_iter()
+                .chain(wake.map(|w| w.0))
+                .min()
+                .unwrap_or(end);
             if next >= end {
                 self.now = end;
                 return Ok(());
@@ -281,7 +356,9 @@
                     }
                 }
                 _ => {
-                    let Some(Reverse((_, number))) = self.queue.pop() else { continue };
+                    let Some(Reverse((_, number))) = self.queue.pop() else {
+                        continue;
+                    };
                     if let Some(event) = self.events.remove(&number) {
                         self.happen(event);
                     }
@@ -293,7 +370,13 @@
 
     fn wake_of(&self, node: usize) -> Option<Nanos> {
         let node = &self.nodes[node];
-        Some(node.register.as_ref()?.next_wake()?.max(node.frozen_until).max(self.now))
+        Some(
+            node.register
+                .as_ref()?
+                .next_wake()?
+                .max(node.frozen_until)
+                .max(self.now),
+        )
     }
 
     fn happen(&mut self, event: Event) {
@@ -304,17 +387,27 @@
                 let wait = self.nodes[to].frozen_until - self.now;
                 self.at(wait, event);
             }
-            Event::Deliver { sender, to, bytes, .. } => {
+            Event::Deliver {
+                sender, to, bytes, ..
+            } => {
                 let now = self.now;
                 self.digest = sparrouter_rendezvous::mix(
                     self.digest ^ sparrouter_rendezvous::hash(&bytes) ^ sender.disk,
                 );
-                let Some(register) = &mut self.nodes[to].register else { return };
-                let message = Message::decode(&bytes, 1 << 20).expect("what was encoded is decoded");
+                let Some(register) = &mut self.nodes[to].register else {
+                    return;
+                };
+                let message =
+                    Message::decode(&bytes, 1 << 20).expect("what was encoded is decoded");
                 register.handle(sender, message, now);
                 self.drain(to);
             }
-            Event::Stored { node, life, token, bytes } => self.save(node, life, token, bytes),
+            Event::Stored {
+                node,
+                life,
+                token,
+                bytes,
+            } => self.save(node, life, token, bytes),
             Event::Start { node } => self.start(node),
             Event::Fault => self.fault(),
             Event::Beat => self.beat(),
@@ -332,13 +425,16 @@
         if it.gone || it.register.is_some() {
             return;
         }
-        let (mut cellar, opened) = Cellar::open(it.files.clone()).expect("no crash damages a record");
+        let (mut cellar, opened) =
+            Cellar::open(it.files.clone()).expect("no crash damages a record");
         let mut records = match opened {
             Opened::Fresh => {
                 if it.member.disk == 0 || !self.defects.wiped_keeps_id {
                     it.member.disk = disk;
                 }
-                cellar.save("disk", &it.member.disk.to_le_bytes()).expect("the disk is well at a start");
+                cellar
+                    .save("disk", &it.member.disk.to_le_bytes())
+                    .expect("the disk is well at a start");
                 BTreeMap::new()
             }
             Opened::Existing(records) => records,
@@ -352,8 +448,8 @@
         };
         let record = records.remove("part-7");
         let (me, rng) = (it.member.clone(), Rng::with_seed(seed));
-        let register =
-            Register::new(PART, me, record.as_deref(), Configs, rng, settings, now).expect("a good record");
+        let register = Register::new(PART, me, record.as_deref(), Configs, rng, settings, now)
+            .expect("a good record");
         it.register = Some(register);
         it.cellar = Some(cellar);
         it.life += 1;
@@ -368,15 +464,22 @@
     fn save(&mut self, node: usize, life: u64, token: u64, bytes: Vec<u8>) {
         let (now, chance) = (self.now, self.rng.u64(..));
         let it = &mut self.nodes[node];
-        let (Some(register), Some(cellar)) = (&mut it.register, &mut it.cellar) else { return };
+        let (Some(register), Some(cellar)) = (&mut it.register, &mut it.cellar) else {
+            return;
+        };
         if it.life != life {
             return;
         }
-        let trouble = if it.disk.1 > now { it.disk.0 } else { Disk::Well };
+        let trouble = if it.disk.1 > now {
+            it.disk.0
+        } else {
+            Disk::Well
+        };
         match trouble {
-            Disk::Fails => {
-                it.files.cut_at(chance % 4, [Cut::Before, Cut::After, Cut::Torn(9)][chance as usize % 3])
-            }
+            Disk::Fails => it.files.cut_at(
+                chance % 4,
+                [Cut::Before, Cut::After, Cut::Torn(9)][chance as usize % 3],
+            ),
             Disk::Full => it.files.set_room(Some(bytes.len() * 2)),
             _ => {}
         }
@@ -395,13 +498,16 @@
         let torn = self.rng.usize(..200);
         let it = &mut self.nodes[node];
         if let (Some(bytes), Some(mut cellar)) = (it.saving.take(), it.cellar.take()) {
-            it.files.cut_at(nth, [Cut::Before, Cut::After, Cut::Torn(torn)][cut]);
+            it.files
+                .cut_at(nth, [Cut::Before, Cut::After, Cut::Torn(torn)][cut]);
             let _ = cellar.save("part-7", &bytes);
         }
     }
 
     pub fn drain(&mut self, node: usize) {
-        let Some(register) = &mut self.nodes[node].register else { return };
+        let Some(register) = &mut self.nodes[node].register else {
+            return;
+        };
         for action in register.take_actions() {
             match action {
                 Action::Send { to, message } => self.post(node, &to, &message),
@@ -409,13 +515,25 @@
                     let it = &mut self.nodes[node];
                     it.saving = Some(bytes.clone());
                     let (life, disk) = (it.life, it.disk);
-                    let trouble = if disk.1 > self.now { disk.0 } else { Disk::Well };
+                    let trouble = if disk.1 > self.now {
+                        disk.0
+                    } else {
+                        Disk::Well
+                    };
                     let time = match trouble {
                         Disk::Slow => self.rng.u64(20..200) * MILLISECOND,
                         Disk::Stalls => disk.1 - self.now,
                         _ => self.rng.u64(100..8_000) * 1_000,
                     };
-                    self.at(time, Event::Stored { node, life, token, bytes });
+                    self.at(
+                        time,
+                        Event::Stored {
+                            node,
+                            life,
+                            token,
+                            bytes,
+                        },
+                    );
                 }
                 Action::Chosen(state) => {
                     self.log(|| format!("node {node} publishes slot {}", state.seq));
@@ -428,12 +546,19 @@
     }
 
     fn open(&self, from: usize, to: usize) -> bool {
-        !self.cuts.iter().any(|&(f, t, until)| (f, t) == (from, to) && until > self.now)
+        !self
+            .cuts
+            .iter()
+            .any(|&(f, t, until)| (f, t) == (from, to) && until > self.now)
     }
 
     fn post(&mut self, from: usize, to: &Member, message: &Message) {
         // A machine that lost its disk answers at its old address: what was meant for the other one reaches it.
-        let Some(target) = self.nodes.iter().position(|n| n.member.address == to.address && !n.gone) else {
+        let Some(target) = self
+            .nodes
+            .iter()
+            .position(|n| n.member.address == to.address && !n.gone)
+        else {
             return;
         };
         self.log(|| format!("{from} to {target}: {}", name(message)));
@@ -442,11 +567,22 @@
         }
         let copies = 1 + u8::from(self.rng.u8(..) < self.net.repeat);
         for _ in 0..copies {
-            let stray =
-                if self.rng.u8(..) < self.net.stray { self.rng.u64(..2_000) * MILLISECOND } else { 0 };
+            let stray = if self.rng.u8(..) < self.net.stray {
+                self.rng.u64(..2_000) * MILLISECOND
+            } else {
+                0
+            };
             let delay = stray + self.rng.u64(200_000..=self.net.delay.max(200_001));
             let sender = self.nodes[from].member.clone();
-            self.at(delay, Event::Deliver { from, sender, to: target, bytes: message.encode() });
+            self.at(
+                delay,
+                Event::Deliver {
+                    from,
+                    sender,
+                    to: target,
+                    bytes: message.encode(),
+                },
+            );
         }
     }
 
@@ -454,8 +590,11 @@
     fn beat(&mut self) {
         self.at(100 * MILLISECOND, Event::Beat);
         let now = self.now;
-        let runs: Vec<bool> =
-            self.nodes.iter().map(|n| n.register.is_some() && n.frozen_until <= now).collect();
+        let runs: Vec<bool> = self
+            .nodes
+            .iter()
+            .map(|n| n.register.is_some() && n.frozen_until <= now)
+            .collect();
         for node in 0..self.nodes.len() {
             if !runs[node] {
                 continue;
@@ -466,7 +605,12 @@
                     self.nodes[node].heard.insert(member.disk, (member, now));
                 }
             }
-            let leaving: Vec<u64> = self.nodes.iter().filter(|n| n.leaving).map(|n| n.member.disk).collect();
+            let leaving: Vec<u64> = self
+                .nodes
+                .iter()
+                .filter(|n| n.leaving)
+                .map(|n| n.member.disk)
+                .collect();
             let it = &mut self.nodes[node];
             let seen: Vec<Seen> = it
                 .heard
@@ -478,9 +622,15 @@
                     leaving: leaving.contains(&member.disk),
                 })
                 .collect();
-            let others: Vec<Member> =
-                it.heard.values().map(|(m, _)| m.clone()).filter(|m| m.disk != it.member.disk).collect();
-            let Some(register) = &mut it.register else { continue };
+            let others: Vec<Member> = it
+                .heard
+                .values()
+                .map(|(m, _)| m.clone())
+                .filter(|m| m.disk != it.member.disk)
+                .collect();
+            let Some(register) = &mut it.register else {
+                continue;
+            };
             register.tend(&seen, now);
             if register.chosen().is_none() && !others.is_empty() {
                 register.ask(others[self.rng.usize(..others.len())].clone(), now);
@@ -494,12 +644,23 @@
     match message {
         Message::Accept { vote } => {
             let group = |members: &[Member]| {
-                members.iter().map(|m| format!("{}/{:x}", m.name, m.disk >> 48)).collect()
+                members
+                    .iter()
+                    .map(|m| format!("{}/{:x}", m.name, m.disk >> 48))
+                    .collect()
             };
             let (before, members): (Vec<String>, Vec<String>) =
                 (group(vote.governing()), group(&vote.state.members));
-            let groups = if before == members { String::new() } else { format!("from {}", before.join(" ")) };
-            format!("Accept {:?} {groups} members {}", vote.at(), members.join(" "))
+            let groups = if before == members {
+                String::new()
+            } else {
+                format!("from {}", before.join(" "))
+            };
+            format!(
+                "Accept {:?} {groups} members {}",
+                vote.at(),
+                members.join(" ")
+            )
         }
         Message::Learn { vote } => format!("Learn {:?}", vote.at()),
         Message::Promise { ballot, at, .. } => format!("Promise {ballot:?} holding {at:?}"),
--- a/crates/sparrouter-consensus/tests/fleet/planted.rs
+++ b/crates/sparrouter-consensus/tests/fleet/planted.rs
@@ -6,20 +6,70 @@
 
 /// Name, switch, and the weather and number of nodes that show it soonest.
 pub const PLANTED: [(&str, Plant, Weather, usize); 14] = [
-    ("ack_before_sync", |d| d.ack_before_sync = true, Weather::Mixed, 3),
-    ("promise_not_stored", |d| d.promise_not_stored = true, Weather::Flaps, 3),
-    ("accept_below_promise", |d| d.accept_below_promise = true, Weather::Mixed, 3),
-    ("old_group_only", |d| d.old_group_only = true, Weather::Leaves, 3),
+    (
+        "ack_before_sync",
+        |d| d.ack_before_sync = true,
+        Weather::Mixed,
+        3,
+    ),
+    (
+        "promise_not_stored",
+        |d| d.promise_not_stored = true,
+        Weather::Flaps,
+        3,
+    ),
+    (
+        "accept_below_promise",
+        |d| d.accept_below_promise = true,
+        Weather::Mixed,
+        3,
+    ),
+    (
+        "old_group_only",
+        |d| d.old_group_only = true,
+        Weather::Leaves,
+        3,
+    ),
     ("skip_joint", |d| d.skip_joint = true, Weather::Leaves, 3),
-    ("judge_unchosen", |d| d.judge_unchosen = true, Weather::Mixed, 3),
-    ("answer_unchosen", |d| d.answer_unchosen = true, Weather::Mixed, 3),
+    (
+        "judge_unchosen",
+        |d| d.judge_unchosen = true,
+        Weather::Mixed,
+        3,
+    ),
+    (
+        "answer_unchosen",
+        |d| d.answer_unchosen = true,
+        Weather::Mixed,
+        3,
+    ),
     ("any_promise", |d| d.any_promise = true, Weather::Mixed, 3),
-    ("half_is_majority", |d| d.half_is_majority = true, Weather::Mixed, 4),
-    ("ballots_shared", |d| d.ballots_shared = true, Weather::Mixed, 3),
-    ("publish_accepted", |d| d.publish_accepted = true, Weather::Mixed, 3),
+    (
+        "half_is_majority",
+        |d| d.half_is_majority = true,
+        Weather::Mixed,
+        4,
+    ),
+    (
+        "ballots_shared",
+        |d| d.ballots_shared = true,
+        Weather::Mixed,
+        3,
+    ),
+    (
+        "publish_accepted",
+        |d| d.publish_accepted = true,
+        Weather::Mixed,
+        3,
+    ),
     ("read_locally", |d| d.read_locally = true, Weather::Mixed, 3),
     ("forget_sent", |d| d.forget_sent = true, Weather::Mixed, 3),
-    ("wiped_keeps_id", |d| d.wiped_keeps_id = true, Weather::Wipes, 3),
+    (
+        "wiped_keeps_id",
+        |d| d.wiped_keeps_id = true,
+        Weather::Wipes,
+        3,
+    ),
 ];
 
 pub fn plan(seed: u64) -> Plan {
@@ -31,15 +81,32 @@
         5 => Weather::Wipes,
         _ => Weather::Mixed,
     };
-    Plan { seed, nodes, storm: 8 * SECOND, weather, defects: Defects::default(), trace: false }
+    Plan {
+        seed,
+        nodes,
+        storm: 8 * SECOND,
+        weather,
+        defects: Defects::default(),
+        trace: false,
+    }
 }
 
 /// The first seed that breaks a rule, and which.
-pub fn first_seed(plant: Plant, weather: Weather, nodes: usize, most: u64) -> Option<(u64, String)> {
+pub fn first_seed(
+    plant: Plant,
+    weather: Weather,
+    nodes: usize,
+    most: u64,
+) -> Option<(u64, String)> {
     let mut defects = Defects::default();
     plant(&mut defects);
     (0..most).find_map(|seed| {
-        let plan = Plan { nodes, weather, defects: defects.clone(), ..plan(seed) };
+        let plan = Plan {
+            nodes,
+            weather,
+            defects: defects.clone(),
+            ..plan(seed)
+        };
         // In debug the core may find a breach itself, by an assertion.
         match std::panic::catch_unwind(|| play(&plan)) {
             Ok(played) => Some((seed, played.err()?.what)),
--- a/crates/sparrouter-consensus/tests/fleet/weather.rs
+++ b/crates/sparrouter-consensus/tests/fleet/weather.rs
@@ -22,7 +22,12 @@
 
 impl Net {
     pub fn calm() -> Net {
-        Net { loss: 0, repeat: 0, stray: 0, delay: 4 * MILLISECOND }
+        Net {
+            loss: 0,
+            repeat: 0,
+            stray: 0,
+            delay: 4 * MILLISECOND,
+        }
     }
 }
 
@@ -82,7 +87,12 @@
             ],
             Weather::Flaps => &[(Fault::Flap, 4), (Fault::Net, 1)],
             Weather::Leaves => &[(Fault::Leave, 4), (Fault::Split, 2), (Fault::Net, 1)],
-            Weather::Wipes => &[(Fault::Wipe, 3), (Fault::Cut, 2), (Fault::Disk, 2), (Fault::Net, 1)],
+            Weather::Wipes => &[
+                (Fault::Wipe, 3),
+                (Fault::Cut, 2),
+                (Fault::Disk, 2),
+                (Fault::Net, 1),
+            ],
         }
     }
 }
@@ -95,7 +105,9 @@
         }
         let pause = self.rng.u64(20..500) * MILLISECOND;
         self.at(pause, Event::Fault);
-        let present: Vec<usize> = (0..self.nodes.len()).filter(|&n| !self.nodes[n].gone).collect();
+        let present: Vec<usize> = (0..self.nodes.len())
+            .filter(|&n| !self.nodes[n].gone)
+            .collect();
         let node = present[self.rng.usize(..present.len())];
         let span = self.rng.u64(20..1_500) * MILLISECOND;
         let weights = self.weather.weights();
@@ -108,7 +120,11 @@
         });
         let Some(&(kind, _)) = kind else { return };
         // Now and then it is back before its last messages have arrived.
-        let back = if span.is_multiple_of(2) { span / 100 } else { span / 4 };
+        let back = if span.is_multiple_of(2) {
+            span / 100
+        } else {
+            span / 4
+        };
         match kind {
             Fault::Kill => self.kill(node, back),
             Fault::Power => self.lose_power(node, back),
@@ -131,7 +147,12 @@
             Fault::Cut => {
                 let other = present[self.rng.usize(..present.len())];
                 let both = self.rng.bool();
-                self.log(|| format!("cut {node} to {other}, both ways {both}, {} ms", span / MILLISECOND));
+                self.log(|| {
+                    format!(
+                        "cut {node} to {other}, both ways {both}, {} ms",
+                        span / MILLISECOND
+                    )
+                });
                 self.cuts.push((node, other, self.now + span));
                 if both {
                     self.cuts.push((other, node, self.now + span));
@@ -151,7 +172,8 @@
                 self.nodes[node].frozen_until = self.now + span;
             }
             Fault::Disk => {
-                let trouble = [Disk::Slow, Disk::Stalls, Disk::Fails, Disk::Full][self.rng.usize(..4)];
+                let trouble =
+                    [Disk::Slow, Disk::Stalls, Disk::Fails, Disk::Full][self.rng.usize(..4)];
                 self.log(|| format!("disk of {node} {trouble:?}, {} ms", span / MILLISECOND));
                 self.nodes[node].disk = (trouble, self.now + span);
             }
@@ -171,13 +193,31 @@
     /// Only as many disks as the first group can spare may be lost at one time, spares' too. Until every disk that is
     /// left has a group without the lost ones, they still count: this is what `catch_up_s` is for.
     fn may_lose_disk(&self) -> bool {
-        let (newest, members) =
-            self.judge.newest_state().map(|s| (s.seq, s.members.clone())).unwrap_or_default();
-        let votes = self.nodes.iter().filter(|n| !n.gone).filter_map(|n| self.vote_on_disk(n));
-        let under_way = votes.filter(|v| v.state.seq >= newest).flat_map(|v| v.electorate());
-        let mut dead: Vec<u64> = members.into_iter().chain(under_way).map(|m| m.disk).collect();
+        let (newest, members) = self
+            .judge
+            .newest_state()
+            .map(|s| (s.seq, s.members.clone()))
+            .unwrap_or_default();
+        let votes = self
+            .nodes
+            .iter()
+            .filter(|n| !n.gone)
+            .filter_map(|n| self.vote_on_disk(n));
+        let under_way = votes
+            .filter(|v| v.state.seq >= newest)
+            .flat_map(|v| v.electorate());
+        let mut dead: Vec<u64> = members
+            .into_iter()
+            .chain(under_way)
+            .map(|m| m.disk)
+            .collect();
         dead.retain(|&disk| !self.nodes.iter().any(|n| !n.gone && n.member.disk == disk));
-        dead.extend(self.lost.iter().filter(|l| l.1 + CATCH_UP > self.now).map(|l| l.0));
+        dead.extend(
+            self.lost
+                .iter()
+                .filter(|l| l.1 + CATCH_UP > self.now)
+                .map(|l| l.0),
+        );
         dead.sort_unstable();
         dead.dedup();
         dead.len() < (self.founding - 1) / 2
@@ -185,8 +225,12 @@
 
     fn vote_on_disk(&self, node: &Node) -> Option<Shared> {
         let (_, opened) = Cellar::open(node.files.clone()).ok()?;
-        let Opened::Existing(records) = opened else { return None };
-        Record::decode(records.get("part-7")?, 1 << 20).ok()?.accepted
+        let Opened::Existing(records) = opened else {
+            return None;
+        };
+        Record::decode(records.get("part-7")?, 1 << 20)
+            .ok()?
+            .accepted
     }
 
     pub fn kill(&mut self, node: usize, back: Nanos) {
@@ -249,7 +293,11 @@
         if self.nodes[node].gone {
             return;
         }
-        if !self.nodes[node].register.as_ref().is_some_and(|r| r.may_leave()) {
+        if !self.nodes[node]
+            .register
+            .as_ref()
+            .is_some_and(|r| r.may_leave())
+        {
             return self.at(LEAVES, Event::Leave { node });
         }
         self.log(|| format!("{node} is gone"));
--- a/crates/sparrouter-fleet-lab/src/audit.rs
+++ b/crates/sparrouter-fleet-lab/src/audit.rs
@@ -26,7 +26,10 @@
         by_attempt.entry(&run.id).or_default().push(n);
         match attempts.get(&run.id) {
             None => {
-                found.push(format!("UNASKED: {} ran {}, which no client sent", run.instance, run.id));
+                found.push(format!(
+                    "UNASKED: {} ran {}, which no client sent",
+                    run.instance, run.id
+                ));
             }
             Some(a) if (&a.path, &a.body) != (&run.path, &run.body) => {
                 found.push(format!("UNASKED: {} was changed on its way", run.id));
@@ -35,9 +38,14 @@
         }
         drain(ledger, run, &mut found);
         let named = ledger.named.borrow();
-        let late = named.iter().filter(|(v, at)| run.version < *v && run.at > *at + VERSION);
+        let late = named
+            .iter()
+            .filter(|(v, at)| run.version < *v && run.at > *at + VERSION);
         found.extend(late.map(|(v, _)| {
-            format!("VERSION: {} began on {} at {}, {v} is named", run.id, run.version, run.instance)
+            format!(
+                "VERSION: {} began on {} at {}, {v} is named",
+                run.id, run.version, run.instance
+            )
         }));
     }
     for (id, attempt) in attempts.iter() {
@@ -59,17 +67,29 @@
         && run.at > *at + DRAIN_TIMEOUT
     {
         let late = run.at - *at;
-        found.push(format!("DRAIN: {} began at {} {late:?} after it was to drain", run.id, run.instance));
+        found.push(format!(
+            "DRAIN: {} began at {} {late:?} after it was to drain",
+            run.id, run.instance
+        ));
     }
 }
 
 fn one(
-    ledger: &Ledger, machines: &[Rc<Machine>], events: u64, id: &str, attempt: &Attempt, own: &[usize],
+    ledger: &Ledger,
+    machines: &[Rc<Machine>],
+    events: u64,
+    id: &str,
+    attempt: &Attempt,
+    own: &[usize],
     found: &mut Vec<String>,
 ) {
     let runs = ledger.runs.borrow();
     if own.len() > 1 && !attempt.kind.repeatable() {
-        found.push(format!("TWICE: {id} of {} ran {} times", attempt.path, own.len()));
+        found.push(format!(
+            "TWICE: {id} of {} ran {} times",
+            attempt.path,
+            own.len()
+        ));
     }
     let Some(ended) = &attempt.ended else {
         // The lab ended before its client did.
@@ -90,11 +110,18 @@
     }
     let until = ended.at.unwrap_or(attempt.sent);
     let troubles = machines[attempt.node].troubles.borrow();
-    if troubles.iter().all(|at| *at + AFTER < attempt.sent || *at > until) {
+    if troubles
+        .iter()
+        .all(|at| *at + AFTER < attempt.sent || *at > until)
+    {
         config(ledger, id, attempt, ended, !own.is_empty(), found);
     }
-    let excused = troubles.iter().any(|at| *at + AFTER >= attempt.sent && *at <= until)
-        || own.iter().any(|n| ledger.crashed.borrow().contains(&runs[*n].instance));
+    let excused = troubles
+        .iter()
+        .any(|at| *at + AFTER >= attempt.sent && *at <= until)
+        || own
+            .iter()
+            .any(|n| ledger.crashed.borrow().contains(&runs[*n].instance));
     if !ended.whole && !ended.abandoned && !excused {
         let held = until - attempt.sent;
         found.push(format!(
@@ -108,9 +135,19 @@
 }
 
 /// What only an older version allows, long after a newer one was acknowledged; or a newer one than was ever sent.
-fn config(ledger: &Ledger, id: &str, attempt: &Attempt, ended: &Ended, ran: bool, found: &mut Vec<String>) {
+fn config(
+    ledger: &Ledger,
+    id: &str,
+    attempt: &Attempt,
+    ended: &Ended,
+    ran: bool,
+    found: &mut Vec<String>,
+) {
     let until = ended.at.unwrap_or(attempt.sent);
-    let extra = attempt.path.strip_prefix("/extra-").and_then(|p| p.split('/').next()?.parse::<u64>().ok());
+    let extra = attempt
+        .path
+        .strip_prefix("/extra-")
+        .and_then(|p| p.split('/').next()?.parse::<u64>().ok());
     let in_force = |number: u64| {
         let at = ledger.version(number).and_then(|v| v.acknowledged);
         at.is_some_and(|at| at + APPLIES < attempt.sent)
@@ -122,16 +159,32 @@
         Some(n) => (in_force(n) && !sent(n + 1), sent(n) && !in_force(n + 1)),
     };
     if denied && must_be {
-        found.push(format!("CONFIG: {id} of {} got {}", attempt.path, ended.status));
+        found.push(format!(
+            "CONFIG: {id} of {} got {}",
+            attempt.path, ended.status
+        ));
     }
     if ran && !may_be {
-        found.push(format!("CONFIG: {id} ran on {}, which is gone", attempt.path));
+        found.push(format!(
+            "CONFIG: {id} ran on {}, which is gone",
+            attempt.path
+        ));
     }
 }
 
-fn success(events: u64, id: &str, ended: &Ended, own: &[usize], runs: &[Run], found: &mut Vec<String>) {
+fn success(
+    events: u64,
+    id: &str,
+    ended: &Ended,
+    own: &[usize],
+    runs: &[Run],
+    found: &mut Vec<String>,
+) {
     let Some(first) = own.iter().copied().find(|n| seal_of(*n) == ended.seal) else {
-        found.push(format!("MIXED: {id} got a success under the seal {:?}", ended.seal));
+        found.push(format!(
+            "MIXED: {id} got a success under the seal {:?}",
+            ended.seal
+        ));
         return;
     };
     if !crate::engine::kind_of(&runs[first].path).streams() {
@@ -154,7 +207,9 @@
         rest = behind;
     }
     if ended.whole && (last != events || !rest.is_empty()) {
-        found.push(format!("ORDER: {id} looks complete after event {last} of {events}"));
+        found.push(format!(
+            "ORDER: {id} looks complete after event {last} of {events}"
+        ));
     }
 }
 
@@ -164,24 +219,40 @@
     let mut newest: HashMap<&str, u64> = HashMap::new();
     let mut loads = HashSet::new();
     for order in orders.iter() {
-        let holder = holders.entry((&order.instance, order.fence)).or_insert(&order.holder);
+        let holder = holders
+            .entry((&order.instance, order.fence))
+            .or_insert(&order.holder);
         if *holder != order.holder {
-            found.push(format!("ONE: two holders order {} under {}", order.instance, order.fence));
+            found.push(format!(
+                "ONE: two holders order {} under {}",
+                order.instance, order.fence
+            ));
         }
         let known = newest.entry(&order.instance).or_default();
         if order.fence < *known {
-            found.push(format!("ONE: {} is ordered under {} after {known}", order.instance, order.fence));
+            found.push(format!(
+                "ONE: {} is ordered under {} after {known}",
+                order.instance, order.fence
+            ));
         }
         *known = (*known).max(order.fence);
         if order.loads && !loads.insert((&order.instance, order.version)) {
-            found.push(format!("ONE: {} loads version {} twice", order.instance, order.version));
+            found.push(format!(
+                "ONE: {} loads version {} twice",
+                order.instance, order.version
+            ));
         }
     }
 }
 
 /// Whether everything that was asked has come to an end.
 pub fn open(ledger: &Ledger) -> usize {
-    ledger.attempts.borrow().values().filter(|a| a.ended.is_none()).count()
+    ledger
+        .attempts
+        .borrow()
+        .values()
+        .filter(|a| a.ended.is_none())
+        .count()
 }
 
 /// A moment, for messages: seconds since the run's own beginning.
--- a/crates/sparrouter-fleet-lab/src/client.rs
+++ b/crates/sparrouter-fleet-lab/src/client.rs
@@ -69,7 +69,9 @@
 impl Clients {
     /// One that the platform passes connections to; of all of them, where fewer than half are in.
     fn pick(&self) -> usize {
-        let ready: Vec<usize> = (0..self.machines.len()).filter(|n| self.machines[*n].ready.get()).collect();
+        let ready: Vec<usize> = (0..self.machines.len())
+            .filter(|n| self.machines[*n].ready.get())
+            .collect();
         let mut rng = self.rng.borrow_mut();
         if ready.len() * 2 < self.machines.len() {
             rng.usize(..self.machines.len())
@@ -82,7 +84,11 @@
     pub async fn wish(&self, wish: &Wish, at: Option<usize>) -> Came {
         let began = Instant::now();
         let until = began + wish.patience;
-        let mut came = Came { began, end: End::Failed, first: Duration::ZERO };
+        let mut came = Came {
+            began,
+            end: End::Failed,
+            first: Duration::ZERO,
+        };
         for again in 0..=RETRIES {
             let node = at.unwrap_or_else(|| self.pick());
             let tried = self.attempt(wish, node, until).await;
@@ -96,7 +102,11 @@
             came.end = match ended.status {
                 200..=299 if ended.whole => {
                     let first = first.unwrap_or_else(Instant::now);
-                    return Came { end: End::Served, first: first - began, ..came };
+                    return Came {
+                        end: End::Served,
+                        first: first - began,
+                        ..came
+                    };
                 }
                 0 | 200..=299 => End::Failed,
                 _ => End::Refused,
@@ -113,7 +123,10 @@
 
     /// None where no connection came up; else how it ended, when its first event came, what it was told to wait.
     async fn attempt(
-        &self, wish: &Wish, node: usize, until: Instant,
+        &self,
+        wish: &Wish,
+        node: usize,
+        until: Instant,
     ) -> Option<(Ended, Option<Instant>, Option<Duration>)> {
         let dialled = timeout(COMES_UP, TcpStream::connect(self.machines[node].front())).await;
         let mut stream = dialled.ok()?.ok()?;
@@ -121,9 +134,18 @@
         let topic = self.rng.borrow_mut().u8(..8);
         let body = format!("work of {id}");
         let sent = Instant::now();
-        let attempt =
-            Attempt { kind: wish.kind, path: wish.path.clone(), body: body.clone(), node, sent, ended: None };
-        self.ledger.attempts.borrow_mut().insert(id.clone(), attempt);
+        let attempt = Attempt {
+            kind: wish.kind,
+            path: wish.path.clone(),
+            body: body.clone(),
+            node,
+            sent,
+            ended: None,
+        };
+        self.ledger
+            .attempts
+            .borrow_mut()
+            .insert(id.clone(), attempt);
         let left = until.saturating_duration_since(sent).as_millis().max(1);
         let text = format!(
             "POST {} HTTP/1.1\r\nHost: {HOST}\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Model: {MODEL}\r\n\
@@ -136,7 +158,10 @@
         let mut ended = Ended::default();
         let (mut first, mut after) = (None, None);
         let talking = async {
-            stream.write_all(text.as_bytes()).await.map_err(|_| Broken::Reset)?;
+            stream
+                .write_all(text.as_bytes())
+                .await
+                .map_err(|_| Broken::Reset)?;
             read(&mut stream, &mut ended, &mut first, &mut after).await
         };
         match timeout_at(until, talking).await {
@@ -153,7 +178,10 @@
 }
 
 async fn read(
-    stream: &mut TcpStream, ended: &mut Ended, first: &mut Option<Instant>, after: &mut Option<Duration>,
+    stream: &mut TcpStream,
+    ended: &mut Ended,
+    first: &mut Option<Instant>,
+    after: &mut Option<Duration>,
 ) -> Result<(), Broken> {
     let mut buffer = BytesMut::new();
     let head = head::reply(&reading::head(stream, &mut buffer, head::REPLY, 64 << 10).await?)?;
@@ -161,7 +189,10 @@
     ended.status = head.status;
     ended.seal = text("sparrouter-response-seal");
     ended.id = text("sparrouter-attempt-id");
-    *after = text("retry-after").parse().ok().map(Duration::from_secs_f64);
+    *after = text("retry-after")
+        .parse()
+        .ok()
+        .map(Duration::from_secs_f64);
     let mut chunks = Chunks::default();
     let mut body = Vec::new();
     loop {
--- a/crates/sparrouter-fleet-lab/src/engine.rs
+++ b/crates/sparrouter-fleet-lab/src/engine.rs
@@ -16,7 +16,11 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
-const ROOM: Room = Room { head: 32 << 10, body: 1 << 20, header_timeout: Duration::from_secs(5) };
+const ROOM: Room = Room {
+    head: 32 << 10,
+    body: 1 << 20,
+    header_timeout: Duration::from_secs(5),
+};
 const IDLE: Duration = Duration::from_secs(10);
 const BEAT: Duration = Duration::from_millis(400);
 /// As in the settings that machines are given: the default of `bounds.drain_timeout_ms`.
@@ -72,7 +76,11 @@
 }
 
 impl Engine {
-    pub async fn start(terms: Terms, ledger: Rc<Ledger>, rng: fastrand::Rng) -> std::io::Result<Rc<Engine>> {
+    pub async fn start(
+        terms: Terms,
+        ledger: Rc<Ledger>,
+        rng: fastrand::Rng,
+    ) -> std::io::Result<Rc<Engine>> {
         let listener = TcpListener::bind(terms.address).await?;
         let engine = Rc::new(Engine {
             slots: Semaphore::new(terms.slots),
@@ -112,7 +120,10 @@
 
     /// Dies without a word: every connection ends as it stands.
     pub fn crash(&self) {
-        self.ledger.crashed.borrow_mut().insert(self.terms.id.clone());
+        self.ledger
+            .crashed
+            .borrow_mut()
+            .insert(self.terms.id.clone());
         self.stop();
     }
 
@@ -126,7 +137,10 @@
         while !self.beat("PUT").await {
             sleep(Duration::from_millis(50)).await;
         }
-        self.ledger.drains.borrow_mut().insert(self.terms.id.clone(), Instant::now());
+        self.ledger
+            .drains
+            .borrow_mut()
+            .insert(self.terms.id.clone(), Instant::now());
         sleep(DRAIN_TIMEOUT + LINGER).await;
         for _ in 0..5 {
             if self.beat("DELETE").await {
@@ -143,7 +157,11 @@
     async fn beat(&self, method: &'static str) -> bool {
         self.calls.set(self.calls.get() + 1);
         let t = &self.terms;
-        let state = if self.draining.get() { "draining" } else { "ready" };
+        let state = if self.draining.get() {
+            "draining"
+        } else {
+            "ready"
+        };
         let body = format!(
             "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slot_count\":{},\
              \"state\":\"{state}\",\"cold_remaining_ms\":0,\"serving_stage\":\"both\",\"models\":[{{\"name\":\
@@ -155,13 +173,21 @@
             self.calls.get()
         );
         let body = (method == "PUT").then(|| body.into_bytes());
-        let call = Call { method, path: format!("/api/instances/{}", t.id), if_match: None, body };
+        let call = Call {
+            method,
+            path: format!("/api/instances/{}", t.id),
+            if_match: None,
+            body,
+        };
         let any = t.control[self.rng.borrow_mut().usize(..t.control.len())];
         let to = self.target.get().unwrap_or(any);
         match once(&Sockets, &call, &call.path, to).await {
             Outcome::Replied(reply) if (200..300).contains(&reply.status) => {
-                let told = json::from_str::<Acknowledged>(&reply.body).ok().and_then(|a| a.heartbeat_target);
-                self.target.set(told.and_then(|t| t.parse().ok()).or(self.target.get()));
+                let told = json::from_str::<Acknowledged>(&reply.body)
+                    .ok()
+                    .and_then(|a| a.heartbeat_target);
+                self.target
+                    .set(told.and_then(|t| t.parse().ok()).or(self.target.get()));
                 true
             }
             _ => {
@@ -177,21 +203,31 @@
         let mut buffer = BytesMut::new();
         loop {
             let until = Instant::now() + IDLE;
-            let Ok(request) = http::request(&mut stream, &mut buffer, ROOM, until).await else { return };
+            let Ok(request) = http::request(&mut stream, &mut buffer, ROOM, until).await else {
+                return;
+            };
             let method = &request.head.method[..];
             let answer = match (method, request.path()) {
-                (b"GET", "/health") => {
-                    plain(200, &format!("Sparrouter-Instance-Id: {}\r\n", self.terms.id), "")
-                }
+                (b"GET", "/health") => plain(
+                    200,
+                    &format!("Sparrouter-Instance-Id: {}\r\n", self.terms.id),
+                    "",
+                ),
                 (b"GET", "/api/report") => plain(200, "", &self.report()),
                 (b"POST", "/api/order") => self.clone().order(&request),
                 (b"GET", "/api/kv-events") => {
                     sleep(Duration::from_millis(200)).await;
-                    plain(200, "", "{\"epoch\":1,\"next_page_token\":0,\"lost_count\":false,\"events\":[]}")
-                }
-                (b"GET", "/api/kv-list") => {
-                    plain(200, "", "{\"epoch\":1,\"next_page_token\":0,\"held_count\":[]}")
+                    plain(
+                        200,
+                        "",
+                        "{\"epoch\":1,\"next_page_token\":0,\"lost_count\":false,\"events\":[]}",
+                    )
                 }
+                (b"GET", "/api/kv-list") => plain(
+                    200,
+                    "",
+                    "{\"epoch\":1,\"next_page_token\":0,\"held_count\":[]}",
+                ),
                 _ => match self.serve(&mut stream, &request).await {
                     Some(()) if request.head.keep => continue,
                     _ => return,
@@ -218,7 +254,9 @@
 
     fn order(self: Rc<Self>, request: &Request) -> String {
         let text = std::str::from_utf8(&request.body).unwrap_or_default();
-        let Ok(order) = json::from_str::<Ordered>(text) else { return plain(400, "", "") };
+        let Ok(order) = json::from_str::<Ordered>(text) else {
+            return plain(400, "", "");
+        };
         let loads = order.version > self.version.get() && !self.loading.get();
         self.ledger.orders.borrow_mut().push(Order {
             instance: self.terms.id.clone(),
@@ -269,7 +307,11 @@
         let fields = &request.head.fields;
         let text = |name: &str| fields.text(name).unwrap_or_default().to_owned();
         let id = text("sparrouter-attempt-id");
-        let wants = |version: u64| fields.text("expect-version").is_none_or(|v| v.parse() == Ok(version));
+        let wants = |version: u64| {
+            fields
+                .text("expect-version")
+                .is_none_or(|v| v.parse() == Ok(version))
+        };
         let refusal = match fields.text("sparrouter-expected-instance") {
             Some(expected) if expected != self.terms.id => Some(421),
             _ if id.is_empty() => Some(400),
@@ -282,7 +324,10 @@
             Some(_) => None,
             None => {
                 let _queued = Counted::new(&self.queued);
-                tokio::time::timeout(left, self.slots.acquire()).await.ok().and_then(Result::ok)
+                tokio::time::timeout(left, self.slots.acquire())
+                    .await
+                    .ok()
+                    .and_then(Result::ok)
             }
         };
         let declined = match (refusal, &slot) {
@@ -293,7 +338,10 @@
             _ => None,
         };
         if let Some(status) = declined {
-            return stream.write_all(self.decline(status, &id).as_bytes()).await.ok();
+            return stream
+                .write_all(self.decline(status, &id).as_bytes())
+                .await
+                .ok();
         }
         let _running = Counted::new(&self.running);
         let resumed = text("last-event-id").trim().parse().unwrap_or(0);
@@ -317,7 +365,10 @@
             self.terms.slots
         );
         if !kind_of(request.path()).streams() {
-            return stream.write_all(plain(200, &own, &body_of(run)).as_bytes()).await.ok();
+            return stream
+                .write_all(plain(200, &own, &body_of(run)).as_bytes())
+                .await
+                .ok();
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\n{own}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -325,7 +376,10 @@
         stream.write_all(head.as_bytes()).await.ok()?;
         for event in resumed + 1..=self.terms.events {
             let text = event_of(run, event);
-            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await.ok()?;
+            stream
+                .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+                .await
+                .ok()?;
             if event < self.terms.events {
                 sleep(self.terms.gap).await;
             }
@@ -346,7 +400,10 @@
 
 fn plain(status: u16, fields: &str, body: &str) -> String {
     let reason = http::reason(status);
-    format!("HTTP/1.1 {status} {reason}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 {status} {reason}\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 /// One more of something, for as long as this lives.
--- a/crates/sparrouter-fleet-lab/src/ground.rs
+++ b/crates/sparrouter-fleet-lab/src/ground.rs
@@ -31,7 +31,13 @@
                 internal: base + 3,
                 server: base + 4,
             };
-            let ports = [ground.front, ground.readiness, ground.control, ground.internal, ground.server];
+            let ports = [
+                ground.front,
+                ground.readiness,
+                ground.control,
+                ground.internal,
+                ground.server,
+            ];
             let free = |ip: IpAddr| ports.iter().all(|p| TcpListener::bind((ip, *p)).is_ok());
             if (0..nodes).all(|n| free(ground.node(n))) && free(ground.server_at(0).ip()) {
                 return Ok(ground);
@@ -47,6 +53,9 @@
     /// The `n`th server of the run; a replacement has an address of its own.
     pub fn server_at(&self, n: usize) -> SocketAddr {
         let last = (FIRST_SERVER + n).min(254) as u8;
-        SocketAddr::new(IpAddr::from([127, self.net[0], self.net[1], last]), self.server)
+        SocketAddr::new(
+            IpAddr::from([127, self.net[0], self.net[1], last]),
+            self.server,
+        )
     }
 }
--- a/crates/sparrouter-fleet-lab/src/ledger.rs
+++ b/crates/sparrouter-fleet-lab/src/ledger.rs
@@ -106,7 +106,11 @@
     /// A version of the configuration leaves the operator.
     pub fn sends(&self, number: u64) {
         let sent = Instant::now();
-        self.versions.borrow_mut().push(Version { number, sent, acknowledged: None });
+        self.versions.borrow_mut().push(Version {
+            number,
+            sent,
+            acknowledged: None,
+        });
     }
 
     pub fn acknowledged(&self, number: u64) {
@@ -116,7 +120,11 @@
     }
 
     pub fn version(&self, number: u64) -> Option<Version> {
-        self.versions.borrow().iter().find(|v| v.number == number).copied()
+        self.versions
+            .borrow()
+            .iter()
+            .find(|v| v.number == number)
+            .copied()
     }
 
     pub fn breach(&self, what: impl Into<String>) {
--- a/crates/sparrouter-fleet-lab/src/lib.rs
+++ b/crates/sparrouter-fleet-lab/src/lib.rs
@@ -38,12 +38,18 @@
     Scenario { path: String, why: String },
     #[error("no free ports under 127.0.0.0/8: end other labs on this machine and play again")]
     NoGround,
-    #[error("{program} cannot be started ({why}): build it with `cargo build --release -p sparrouter-fleet`")]
+    #[error(
+        "{program} cannot be started ({why}): build it with `cargo build --release -p sparrouter-fleet`"
+    )]
     Start { program: String, why: String },
     #[error("{what} cannot be written ({why}): make room in the directory for temporary files")]
     Write { what: String, why: String },
     #[error("{what} within {seconds} s: the last words of the processes are in {logs}")]
-    Late { what: String, seconds: u64, logs: String },
+    Late {
+        what: String,
+        seconds: u64,
+        logs: String,
+    },
     #[error("stopped by hand")]
     Stopped,
 }
--- a/crates/sparrouter-fleet-lab/src/machine.rs
+++ b/crates/sparrouter-fleet-lab/src/machine.rs
@@ -36,7 +36,12 @@
 impl Machine {
     /// Writes its settings under `directory`; the first `seeds` machines are seeds, `grace` is in whole seconds.
     pub fn new(
-        n: usize, counted: bool, seeds: usize, ground: Ground, directory: &Path, program: &Path,
+        n: usize,
+        counted: bool,
+        seeds: usize,
+        ground: Ground,
+        directory: &Path,
+        program: &Path,
         grace: Duration,
     ) -> Result<Machine, LabError> {
         let name = format!("{}-{n}", if counted { "core" } else { "plain" });
@@ -62,11 +67,23 @@
     }
 
     fn write_settings(
-        &self, zone: &str, seeds: usize, directory: &Path, first: bool,
+        &self,
+        zone: &str,
+        seeds: usize,
+        directory: &Path,
+        first: bool,
     ) -> Result<(), LabError> {
-        let Ground { front, readiness, control, internal, .. } = self.ground;
+        let Ground {
+            front,
+            readiness,
+            control,
+            internal,
+            ..
+        } = self.ground;
         let (ip, name) = (self.ip, &self.name);
-        let seeds: Vec<String> = (0..seeds).map(|n| format!("{}:{control}", self.ground.node(n))).collect();
+        let seeds: Vec<String> = (0..seeds)
+            .map(|n| format!("{}:{control}", self.ground.node(n)))
+            .collect();
         let mut text = String::new();
         // Writing into a String does not fail.
         let _ = write!(
@@ -112,7 +129,10 @@
             .kill_on_drop(true)
             .spawn();
         let program = self.program.display().to_string();
-        let child = started.map_err(|e| LabError::Start { program, why: e.to_string() })?;
+        let child = started.map_err(|e| LabError::Start {
+            program,
+            why: e.to_string(),
+        })?;
         *self.child.borrow_mut() = Some(child);
         self.troubles.borrow_mut().push(Instant::now());
         Ok(())
@@ -120,7 +140,8 @@
 
     /// From the second start on the system is no longer new.
     pub fn restart(&self) -> Result<(), LabError> {
-        let text = std::fs::read_to_string(&self.settings).map_err(|e| written(&self.settings, &e))?;
+        let text =
+            std::fs::read_to_string(&self.settings).map_err(|e| written(&self.settings, &e))?;
         let text = text.replace("first_start=true", "first_start=false");
         std::fs::write(&self.settings, text).map_err(|e| written(&self.settings, &e))?;
         self.start()
@@ -140,7 +161,9 @@
     pub async fn end(&self) -> bool {
         let child = self.child.borrow_mut().take();
         let Some(mut child) = child else { return true };
-        let told = child.id().is_some_and(|id| kill(Pid::from_raw(id as i32), Signal::SIGTERM).is_ok());
+        let told = child
+            .id()
+            .is_some_and(|id| kill(Pid::from_raw(id as i32), Signal::SIGTERM).is_ok());
         let ended = timeout(self.grace, child.wait()).await;
         let well = told && matches!(&ended, Ok(Ok(status)) if status.success());
         if ended.is_err() {
@@ -152,7 +175,10 @@
 
     /// It runs and has not ended by itself.
     pub fn runs(&self) -> bool {
-        self.child.borrow_mut().as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+        self.child
+            .borrow_mut()
+            .as_mut()
+            .is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
     /// What it wrote so far, dumps of its ring.
@@ -162,5 +188,8 @@
 }
 
 fn written(what: &Path, why: &std::io::Error) -> LabError {
-    LabError::Write { what: what.display().to_string(), why: why.to_string() }
+    LabError::Write {
+        what: what.display().to_string(),
+        why: why.to_string(),
+    }
 }
--- a/crates/sparrouter-fleet-lab/src/main.rs
+++ b/crates/sparrouter-fleet-lab/src/main.rs
@@ -16,7 +16,9 @@
 }
 
 fn command() -> OptionParser<Played> {
-    let quick = long("quick").help("the built-in scenario, under 15 seconds").switch();
+    let quick = long("quick")
+        .help("the built-in scenario, under 15 seconds")
+        .switch();
     let program = long("program")
         .help("the program to play with, target/release/sparrouter unless told")
         .argument::<PathBuf>("FILE")
@@ -24,11 +26,20 @@
     let file = positional::<PathBuf>("FILE")
         .help("a scenario, such as crates/sparrouter-fleet-lab/scenarios/fleet-first.toml")
         .optional();
-    let about =
-        "Play a fleet on loopback, print what came of its requests; exit code 1 where a rule was broken";
-    let play =
-        construct!(Played { quick, program, file }).to_options().descr(about).command("play").help(about);
-    construct!([play]).to_options().version(env!("CARGO_PKG_VERSION")).descr("The fleet's lab")
+    let about = "Play a fleet on loopback, print what came of its requests; exit code 1 where a rule was broken";
+    let play = construct!(Played {
+        quick,
+        program,
+        file
+    })
+    .to_options()
+    .descr(about)
+    .command("play")
+    .help(about);
+    construct!([play])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("The fleet's lab")
 }
 
 async fn run(played: Played) -> Result<Report, LabError> {
--- a/crates/sparrouter-fleet-lab/src/operator.rs
+++ b/crates/sparrouter-fleet-lab/src/operator.rs
@@ -35,7 +35,9 @@
 
 impl Operator {
     pub fn new(control: Vec<SocketAddr>, patience: Duration) -> Result<Operator, ClientError> {
-        Ok(Operator { fleet: Fleet::new(Rc::new(Sockets), control, patience)? })
+        Ok(Operator {
+            fleet: Fleet::new(Rc::new(Sockets), control, patience)?,
+        })
     }
 
     /// Version 1, with the first extra route.
@@ -66,12 +68,25 @@
 
     async fn change(&self, method: &'static str, on: u64, body: String) -> Result<(), ClientError> {
         let body = Some(body.into_bytes());
-        self.fleet.ask(&Call { method, path: "/api/config".into(), if_match: Some(on), body }).await.map(drop)
+        self.fleet
+            .ask(&Call {
+                method,
+                path: "/api/config".into(),
+                if_match: Some(on),
+                body,
+            })
+            .await
+            .map(drop)
     }
 
     pub async fn name_version(&self, version: u64) -> Result<(), ClientError> {
         let body = Some(format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}").into_bytes());
-        let call = Call { method: "POST", path: "/api/version-put".into(), if_match: None, body };
+        let call = Call {
+            method: "POST",
+            path: "/api/version-put".into(),
+            if_match: None,
+            body,
+        };
         self.fleet.ask(&call).await.map(drop)
     }
 
@@ -83,6 +98,7 @@
             version: u64,
         }
         let read = miniserde::json::from_str::<Numbered>(&reply.body);
-        read.map(|n| n.version).map_err(|_| ClientError::Misread { address })
+        read.map(|n| n.version)
+            .map_err(|_| ClientError::Misread { address })
     }
 }
