--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -116,7 +116,10 @@
         let me = self.node.me.borrow();
         // A process that starts anew on its machine is the same holder: the one before it has ended for certain. On
         // another machine it is another.
-        Holder { name: format!("{}@{}", me.name, me.internal), life: 0 }
+        Holder {
+            name: format!("{}@{}", me.name, me.internal),
+            life: 0,
+        }
     }
 
     fn lease(&self) -> Duration {
@@ -124,16 +127,23 @@
     }
 
     async fn part_change(&self, change: &LeaseChange, patience: Duration) -> Option<LeaseAnswer> {
-        let made =
-            control::change(&self.node, Some(&self.control), self.part, change.encode(), patience).await;
+        let made = control::change(
+            &self.node,
+            Some(&self.control),
+            self.part,
+            change.encode(),
+            patience,
+        )
+        .await;
         LeaseAnswer::decode(&made.ok()?)
     }
 
     async fn run(self: Rc<Self>) {
         loop {
             tokio::time::sleep(self.node.jitter(LOOK)).await;
-            let mine =
-                self.control.is_first(self.part) && self.control.in_touch() && !self.node.leaving.get();
+            let mine = self.control.is_first(self.part)
+                && self.control.in_touch()
+                && !self.node.leaving.get();
             match (mine, self.held.get()) {
                 (true, None) => self.acquire().await,
                 (false, Some(held)) if self.busy.borrow().is_empty() => self.release(held).await,
@@ -151,7 +161,10 @@
 
     async fn acquire(&self) {
         let span = nanos(self.lease());
-        let change = LeaseChange::Acquire { holder: self.holder(), span };
+        let change = LeaseChange::Acquire {
+            holder: self.holder(),
+            span,
+        };
         match self.part_change(&change, CALL).await {
             Some(LeaseAnswer::Acquired { fence, wait }) => {
                 // A tenth more, for clocks that run unlike.
@@ -174,13 +187,23 @@
                 server.is_some_and(|s| part_of(&s.service) == self.part)
             };
             let kind = |key: &str| key.starts_with("load/") || key.starts_with("soon/");
-            let left =
-                rows.notes().filter(|n| !n.over && n.fence < held.fence && kind(&n.key) && mine(&n.key));
+            let left = rows
+                .notes()
+                .filter(|n| !n.over && n.fence < held.fence && kind(&n.key) && mine(&n.key));
             left.cloned().collect()
         };
         for note in left {
-            let over = Note { fence: held.fence, number: 0, value: 0, over: true, ..note };
-            self.node.learn(Delta { notes: vec![over].into(), ..Delta::default() });
+            let over = Note {
+                fence: held.fence,
+                number: 0,
+                value: 0,
+                over: true,
+                ..note
+            };
+            self.node.learn(Delta {
+                notes: vec![over].into(),
+                ..Delta::default()
+            });
         }
     }
 
@@ -188,7 +211,11 @@
         self.held.set(None);
         self.next.borrow_mut().clear();
         let waited = self.node.now() >= held.from;
-        let change = LeaseChange::Release { holder: self.holder(), fence: held.fence, waited };
+        let change = LeaseChange::Release {
+            holder: self.holder(),
+            fence: held.fence,
+            waited,
+        };
         // Unheard, the lease runs out by itself.
         self.part_change(&change, CALL).await;
     }
@@ -199,7 +226,10 @@
             part_of(&s.service) == self.part && s.version_of(model).is_some_and(|v| v < version)
         };
         let in_force = self.node.in_force();
-        let work = in_force.models.iter().any(|m| bed.all().any(|(_, s)| old(s, &m.0, m.1)));
+        let work = in_force
+            .models
+            .iter()
+            .any(|m| bed.all().any(|(_, s)| old(s, &m.0, m.1)));
         if !work {
             self.next.borrow_mut().clear();
         }
@@ -220,7 +250,10 @@
             self.renewed.set(began);
             return true;
         }
-        let renew = LeaseChange::Renew { holder: self.holder(), fence: held.fence };
+        let renew = LeaseChange::Renew {
+            holder: self.holder(),
+            fence: held.fence,
+        };
         match self.part_change(&renew, CALL).await {
             Some(LeaseAnswer::Renewed) => {
                 self.renewed.set(began);
@@ -237,15 +270,23 @@
     /// Asks all servers once, when the work on a version begins, how much they have to finish: the idle go first.
     async fn look(&self) {
         let in_force = self.node.in_force();
-        let newest = in_force.models.iter().max_by_key(|m| m.2).map(|m| (m.0.clone(), m.1));
+        let newest = in_force
+            .models
+            .iter()
+            .max_by_key(|m| m.2)
+            .map(|m| (m.0.clone(), m.1));
         if newest.is_none() || *self.looked_for.borrow() == newest {
             return;
         }
         *self.looked_for.borrow_mut() = newest;
         let servers: Vec<(String, SocketAddr)> = {
             let bed = self.node.bed.borrow();
-            let mine = bed.all().filter(|(_, s)| part_of(&s.service) == self.part && !s.models().is_empty());
-            mine.take(MOST_LOOKED).map(|(_, s)| (s.id.clone(), s.address)).collect()
+            let mine = bed
+                .all()
+                .filter(|(_, s)| part_of(&s.service) == self.part && !s.models().is_empty());
+            mine.take(MOST_LOOKED)
+                .map(|(_, s)| (s.id.clone(), s.address))
+                .collect()
         };
         let mut asked = Vec::new();
         for (id, address) in servers {
@@ -267,8 +308,17 @@
         for (model, version, since) in &self.node.in_force().models {
             let version = *version;
             // From then on what is still old takes nothing new, and so loses nothing by being ordered.
-            let wanted = Wanted { version, since: *since };
-            let left = self.node.bed.borrow().versions.until(wanted).saturating_sub(now);
+            let wanted = Wanted {
+                version,
+                since: *since,
+            };
+            let left = self
+                .node
+                .bed
+                .borrow()
+                .versions
+                .until(wanted)
+                .saturating_sub(now);
             let mut services: Vec<Behind> = Vec::new();
             {
                 let bed = self.node.bed.borrow();
@@ -276,17 +326,28 @@
                 names.sort_unstable();
                 names.dedup();
                 for name in names.into_iter().filter(|n| part_of(n) == self.part) {
-                    let there =
-                        || bed.of(name).filter(|(_, s)| s.standing() == Standing::Ready && !s.silent());
-                    let old = there().filter(|(_, s)| s.version_of(model).is_some_and(|v| v < version));
-                    let old = old.map(|(_, s)| (s.id.clone(), s.address, s.in_flight())).collect();
-                    services.push(Behind { old, all: there().count() });
+                    let there = || {
+                        bed.of(name)
+                            .filter(|(_, s)| s.standing() == Standing::Ready && !s.silent())
+                    };
+                    let old =
+                        there().filter(|(_, s)| s.version_of(model).is_some_and(|v| v < version));
+                    let old = old
+                        .map(|(_, s)| (s.id.clone(), s.address, s.in_flight()))
+                        .collect();
+                    services.push(Behind {
+                        old,
+                        all: there().count(),
+                    });
                 }
             }
             for Behind { mut old, all } in services {
                 let needed = old.len() as f64 * self.takes.get() / (left as f64 / 1e9).max(0.01);
                 let most = AT_ONCE.max((needed.ceil() as usize).min(all.div_ceil(AT_MOST_PART)));
-                let under_way = old.iter().filter(|o| self.busy.borrow().contains(&o.0)).count();
+                let under_way = old
+                    .iter()
+                    .filter(|o| self.busy.borrow().contains(&o.0))
+                    .count();
                 old.retain(|o| !self.busy.borrow().contains(&o.0));
                 // The least busy are done soonest.
                 let next = |id: &str| self.next.borrow().contains(&(id.to_owned(), model.clone()));
@@ -315,8 +376,17 @@
         let number = self.notes.get() + 1;
         self.notes.set(number);
         let key = format!("{kind}/{id}/{model}");
-        let note = Note { key, fence: held.fence, number, value: version, over };
-        self.node.learn(Delta { notes: vec![note].into(), ..Delta::default() });
+        let note = Note {
+            key,
+            fence: held.fence,
+            number,
+            value: version,
+            over,
+        };
+        self.node.learn(Delta {
+            notes: vec![note].into(),
+            ..Delta::default()
+        });
     }
 
     /// One server to one version: nothing new to it, one order, until it is done.
@@ -336,7 +406,8 @@
                     Some(412) => break,
                     // No word of a quorum: the server is worth more serving than waiting.
                     None if expected.is_none()
-                        && self.node.now().saturating_sub(self.renewed.get()) > nanos(FRESH * 2) =>
+                        && self.node.now().saturating_sub(self.renewed.get())
+                            > nanos(FRESH * 2) =>
                     {
                         break;
                     }
@@ -344,8 +415,15 @@
                 };
             }
             tokio::time::sleep(self.node.jitter(REPORT)).await;
-            let Some(report) = report(&*self.node.net, address).await else { continue };
-            if report.models.iter().any(|m| m.name == model && m.version >= version) && !report.is_busy {
+            let Some(report) = report(&*self.node.net, address).await else {
+                continue;
+            };
+            if report
+                .models
+                .iter()
+                .any(|m| m.name == model && m.version >= version)
+                && !report.is_busy
+            {
                 done = true;
                 break;
             }
@@ -359,22 +437,47 @@
             let took = (self.node.now() - began) as f64 / 1e9;
             self.takes.set(0.7 * self.takes.get() + 0.3 * took);
         }
-        if self.next.borrow_mut().remove(&(id.to_owned(), model.to_owned())) {
+        if self
+            .next
+            .borrow_mut()
+            .remove(&(id.to_owned(), model.to_owned()))
+        {
             self.tell(held, "soon", id, model, version, true);
         }
-        self.tell(held, "load", id, model, if done { version } else { 0 }, true);
+        self.tell(
+            held,
+            "load",
+            id,
+            model,
+            if done { version } else { 0 },
+            true,
+        );
     }
 
     fn still(&self, held: Held, id: &str, model: &str, version: u64) -> bool {
-        let wanted = self.node.in_force().models.iter().any(|m| m.0 == model && m.1 == version);
-        let there =
-            self.node.rows.borrow().server(id).is_some_and(|s| s.standing == Standing::Ready && !s.silent);
+        let wanted = self
+            .node
+            .in_force()
+            .models
+            .iter()
+            .any(|m| m.0 == model && m.1 == version);
+        let there = self
+            .node
+            .rows
+            .borrow()
+            .server(id)
+            .is_some_and(|s| s.standing == Standing::Ready && !s.silent);
         wanted && there && self.held.get().is_some_and(|h| h.fence == held.fence)
     }
 
     /// Sends the order; gives back the status. None where there was no answer, or it was not sent.
     async fn order(
-        &self, held: Held, address: SocketAddr, model: &str, version: u64, expected: Option<u64>,
+        &self,
+        held: Held,
+        address: SocketAddr,
+        model: &str,
+        version: u64,
+        expected: Option<u64>,
     ) -> Option<u16> {
         let mut link = Upstream::dial(&*self.node.net, address).await?;
         let began = self.node.now();
@@ -382,7 +485,9 @@
             return None;
         }
         let holder = self.holder().name;
-        let count = expected.map(|n| format!(",\"expected_count\":{n}")).unwrap_or_default();
+        let count = expected
+            .map(|n| format!(",\"expected_count\":{n}"))
+            .unwrap_or_default();
         let body = format!(
             "{{\"operation\":\"version\",\"model\":\"{model}\",\"version\":{version},\"method\":\"queue\",\
              \"holder_id\":\"{holder}\",\"fence_token\":{}{count}}}",
@@ -394,7 +499,9 @@
             body.len()
         );
         // Last thing before it leaves: a freeze may lie behind any wait.
-        if self.node.now().saturating_sub(began) > nanos(self.lease()) / 3 || self.node.leaving.get() {
+        if self.node.now().saturating_sub(began) > nanos(self.lease()) / 3
+            || self.node.leaving.get()
+        {
             return None;
         }
         if !link.send(&Bytes::from(head), &Bytes::from(body)).await {
@@ -407,10 +514,13 @@
 /// Status and body of a server's answer to a call of ours.
 async fn answer(link: &mut Upstream) -> Option<(u16, Bytes)> {
     let reading = async {
-        let bytes = reading::head(&mut link.stream, &mut link.buffer, head::REPLY, 16 << 10).await.ok()?;
+        let bytes = reading::head(&mut link.stream, &mut link.buffer, head::REPLY, 16 << 10)
+            .await
+            .ok()?;
         let head = head::reply(&bytes).ok()?;
-        let body =
-            crate::http::body(&mut link.stream, &mut link.buffer, head.framing, 1 << 20).await.ok()??;
+        let body = crate::http::body(&mut link.stream, &mut link.buffer, head.framing, 1 << 20)
+            .await
+            .ok()??;
         Some((head.status, body))
     };
     timeout(CALL, reading).await.ok()?
--- a/crates/sparrouter-fleet/src/wire.rs
+++ b/crates/sparrouter-fleet/src/wire.rs
@@ -79,14 +79,26 @@
             length: p.length as u32,
             text: p.text.clone(),
         };
-        EditTold { from: edit.from, to: edit.to, pieces: edit.pieces.iter().map(piece).collect() }
+        EditTold {
+            from: edit.from,
+            to: edit.to,
+            pieces: edit.pieces.iter().map(piece).collect(),
+        }
     }
 }
 
 impl From<EditTold> for Edit {
     fn from(told: EditTold) -> Edit {
-        let piece = |p: PieceTold| Piece { start: p.start as usize, length: p.length as usize, text: p.text };
-        Edit { from: told.from, to: told.to, pieces: told.pieces.into_iter().map(piece).collect() }
+        let piece = |p: PieceTold| Piece {
+            start: p.start as usize,
+            length: p.length as usize,
+            text: p.text,
+        };
+        Edit {
+            from: told.from,
+            to: told.to,
+            pieces: told.pieces.into_iter().map(piece).collect(),
+        }
     }
 }
 
--- a/crates/sparrouter-fleet/tests/boot.rs
+++ b/crates/sparrouter-fleet/tests/boot.rs
@@ -22,7 +22,10 @@
 fn given_the_pages_example_when_read_then_every_field_has_its_value() {
     let boot = parse(PAGE).expect("valid");
     assert_eq!(boot.node_name, "frontend-lalitpur-hall-1");
-    assert_eq!((boot.role.as_str(), boot.machine_class.as_str()), ("my-frontend", "frontend"));
+    assert_eq!(
+        (boot.role.as_str(), boot.machine_class.as_str()),
+        ("my-frontend", "frontend")
+    );
     assert_eq!(boot.served_roles, ["frontend", "control_plane"]);
     assert_eq!(boot.ip.to_string(), "10.1.0.21");
     assert_eq!(boot.regions.len(), 3);
@@ -33,13 +36,29 @@
     assert_eq!((boot.internal_port, boot.last_internal_port), (7360, 7375));
     assert_eq!(boot.seeds.len(), 3);
     assert!(boot.first_start && boot.counted);
-    assert_eq!((boot.cpu_share, boot.cpu_cores, boot.link_mbps), (0.45, 1.0, 1000.0));
-    assert_eq!((boot.memory_mb, boot.open_files, boot.disk_mb), (260, 4100, 64));
+    assert_eq!(
+        (boot.cpu_share, boot.cpu_cores, boot.link_mbps),
+        (0.45, 1.0, 1000.0)
+    );
+    assert_eq!(
+        (boot.memory_mb, boot.open_files, boot.disk_mb),
+        (260, 4100, 64)
+    );
     assert_eq!(boot.data.as_deref(), Some(Path::new("/data/my-frontend")));
-    assert_eq!((boot.discovery.as_str(), boot.entry_mode.as_str()), ("registration", "virtual_ip"));
+    assert_eq!(
+        (boot.discovery.as_str(), boot.entry_mode.as_str()),
+        ("registration", "virtual_ip")
+    );
     assert_eq!(boot.heartbeat, Duration::from_millis(1_200));
     assert_eq!(boot.active_contracts.len(), 10);
-    assert_eq!((boot.tolerated_machines, boot.tolerated_zones, boot.tolerated_regions), (1, 0, 0));
+    assert_eq!(
+        (
+            boot.tolerated_machines,
+            boot.tolerated_zones,
+            boot.tolerated_regions
+        ),
+        (1, 0, 0)
+    );
     assert_eq!(boot.bounds.grace, Duration::from_secs(8));
     assert_eq!(boot.bounds.rollback_slack, Duration::from_millis(250));
     assert_eq!(boot.bounds.retry_budget_slack, 64.0);
@@ -179,18 +198,32 @@
 
 #[test]
 fn given_a_field_of_a_later_release_when_read_then_it_is_passed_over() {
-    assert_eq!(parse(&least_and("limits.gpus=eight")).expect("valid"), parse(&least_and("")).expect("valid"));
+    assert_eq!(
+        parse(&least_and("limits.gpus=eight")).expect("valid"),
+        parse(&least_and("")).expect("valid")
+    );
 }
 
 #[test]
 fn given_an_empty_field_when_read_then_it_counts_as_left_out() {
-    let boot = parse(&least_and("data_directory=\nlimits.memory_mb= \nseed_nodes=")).expect("valid");
-    assert_eq!((boot.data, boot.memory_mb, boot.seeds.len()), (None, 256, 0));
+    let boot = parse(&least_and(
+        "data_directory=\nlimits.memory_mb= \nseed_nodes=",
+    ))
+    .expect("valid");
+    assert_eq!(
+        (boot.data, boot.memory_mb, boot.seeds.len()),
+        (None, 256, 0)
+    );
 }
 
 #[test]
 fn given_a_whole_number_with_a_point_when_read_then_it_is_one() {
-    assert_eq!(parse(&least_and("limits.memory_mb=260.0")).expect("valid").memory_mb, 260);
+    assert_eq!(
+        parse(&least_and("limits.memory_mb=260.0"))
+            .expect("valid")
+            .memory_mb,
+        260
+    );
 }
 
 #[test]
@@ -200,7 +233,9 @@
 
 #[test]
 fn given_a_file_that_is_not_there_when_read_then_path_and_remedy_are_named() {
-    let told = Boot::read(Path::new("/nowhere/boot.conf")).expect_err("a fault").to_string();
+    let told = Boot::read(Path::new("/nowhere/boot.conf"))
+        .expect_err("a fault")
+        .to_string();
     insta::assert_snapshot!(told, @"/nowhere/boot.conf: cannot be read (No such file or directory (os error 2)): check that the file exists and its owner may read it");
 }
 
@@ -211,7 +246,9 @@
 
 #[test]
 fn given_no_name_when_parsed_then_the_field_is_named() {
-    let told = parse("ip_address=10.1.0.21\ninternal_port_range=7360,7375").expect_err("a fault").to_string();
+    let told = parse("ip_address=10.1.0.21\ninternal_port_range=7360,7375")
+        .expect_err("a fault")
+        .to_string();
     insta::assert_snapshot!(told, @"boot.conf: node_name is missing: add a line node_name=…");
 }
 
--- a/crates/sparrouter-fleet/tests/client.rs
+++ b/crates/sparrouter-fleet/tests/client.rs
@@ -23,17 +23,27 @@
 
 fn change() -> Call {
     let body = Some(b"{\"version\":8}".to_vec());
-    Call { method: "PUT", path: "/api/config".into(), if_match: Some(7), body }
+    Call {
+        method: "PUT",
+        path: "/api/config".into(),
+        if_match: Some(7),
+        body,
+    }
 }
 
 /// Asks with ten seconds of patience; also what was called.
 async fn ask(
-    net: Scripted, at: &[&str], call: Call,
+    net: Scripted,
+    at: &[&str],
+    call: Call,
 ) -> (Result<String, ClientError>, Vec<(SocketAddr, String)>) {
     let calls = net.calls.clone();
-    let fleet = Fleet::new(Rc::new(net), addresses(at), Duration::from_secs(10)).expect("addresses");
+    let fleet =
+        Fleet::new(Rc::new(net), addresses(at), Duration::from_secs(10)).expect("addresses");
     let local = LocalSet::new();
-    let asked = local.run_until(async { fleet.ask(&call).await.map(|(_, reply)| reply.body) }).await;
+    let asked = local
+        .run_until(async { fleet.ask(&call).await.map(|(_, reply)| reply.body) })
+        .await;
     let calls = calls.borrow().clone();
     (asked, calls)
 }
@@ -61,7 +71,9 @@
         answers(429, ""),
     ] {
         let refused = matches!(act, Act::Refuse);
-        let net = Scripted::default().node(A, std::slice::from_ref(&act)).node(B, &[answers(200, "taken")]);
+        let net = Scripted::default()
+            .node(A, std::slice::from_ref(&act))
+            .node(B, &[answers(200, "taken")]);
         let (asked, calls) = ask(net, &[A, B], change()).await;
         assert_eq!(asked.expect("taken"), "taken", "{act:?}");
         if !refused {
@@ -72,7 +84,9 @@
 
 #[tokio::test(start_paused = true)]
 async fn given_a_silent_node_when_asked_then_the_next_is_asked_after_a_second() {
-    let net = Scripted::default().node(A, &[Act::Silent]).node(B, &[answers(200, "taken")]);
+    let net = Scripted::default()
+        .node(A, &[Act::Silent])
+        .node(B, &[answers(200, "taken")]);
     let began = Instant::now();
     ask(net, &[A, B], change()).await.0.expect("taken");
     assert!((Duration::from_secs(1)..Duration::from_millis(1_300)).contains(&began.elapsed()));
@@ -91,9 +105,14 @@
 
 #[tokio::test(start_paused = true)]
 async fn given_another_4xx_when_asked_then_it_is_believed_at_the_third_try() {
-    let net = Scripted::default().node(A, &[answers(405, "")]).node(B, &[answers(404, "")]);
+    let net = Scripted::default()
+        .node(A, &[answers(405, "")])
+        .node(B, &[answers(404, "")]);
     let (asked, calls) = ask(net, &[A, B], change()).await;
-    assert!(matches!(asked, Err(ClientError::Refused { status: 405, .. })));
+    assert!(matches!(
+        asked,
+        Err(ClientError::Refused { status: 405, .. })
+    ));
     assert_eq!(calls.len(), 3);
 }
 
@@ -105,7 +124,10 @@
         ))
     };
     let c = "10.0.0.3:80";
-    let net = Scripted::default().node(A, &[to(B)]).node(B, &[to(c)]).node(c, &[answers(200, "taken")]);
+    let net = Scripted::default()
+        .node(A, &[to(B)])
+        .node(B, &[to(c)])
+        .node(c, &[answers(200, "taken")]);
     assert_eq!(ask(net, &[A], change()).await.0.expect("taken"), "taken");
     let net = Scripted::default().node(A, &[to(A)]);
     let (asked, calls) = ask(net, &[A], change()).await;
@@ -125,17 +147,27 @@
     for (act, wanted) in cases {
         let began = Instant::now();
         let net = Scripted::default().node(A, std::slice::from_ref(&act));
-        let told = ask(net, &[A], change()).await.0.expect_err("no clear answer");
+        let told = ask(net, &[A], change())
+            .await
+            .0
+            .expect_err("no clear answer");
         assert_eq!(told.exit_code(), 3);
         assert!(told.to_string().contains(wanted), "{act:?}: {told}");
-        assert!(began.elapsed() <= Duration::from_secs(10), "{:?}", began.elapsed());
+        assert!(
+            began.elapsed() <= Duration::from_secs(10),
+            "{:?}",
+            began.elapsed()
+        );
     }
 }
 
 #[tokio::test(start_paused = true)]
 async fn given_a_lost_answer_then_a_refusal_when_patience_is_over_then_doubt_remains() {
     let net = Scripted::default().node(A, &[Act::Drops, answers(503, "no quorum")]);
-    assert!(matches!(ask(net, &[A], change()).await.0, Err(ClientError::Unclear { .. })));
+    assert!(matches!(
+        ask(net, &[A], change()).await.0,
+        Err(ClientError::Unclear { .. })
+    ));
 }
 
 /// Runs a subcommand; gives back what it printed and remarked.
@@ -143,8 +175,17 @@
     let (mut result, mut remark) = (Vec::new(), Vec::new());
     let local = LocalSet::new();
     let done = {
-        let mut out = Out { result: &mut result, remark: &mut remark };
-        let asking = commands::run(&what, addresses(&[A]), Duration::from_secs(5), Rc::new(net), &mut out);
+        let mut out = Out {
+            result: &mut result,
+            remark: &mut remark,
+        };
+        let asking = commands::run(
+            &what,
+            addresses(&[A]),
+            Duration::from_secs(5),
+            Rc::new(net),
+            &mut out,
+        );
         local.run_until(asking).await
     };
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
@@ -170,9 +211,19 @@
     let file = files.with("next.json", "{\"version\":9,\"routes\":[],\"services\":[]}");
     let net = Scripted::default().node(A, &[answers(200, CONFIG), answers(200, "taken")]);
     let calls = net.calls.clone();
-    let (done, result, remark) = run(net, Ask::Put { file, if_match: None }).await;
+    let (done, result, remark) = run(
+        net,
+        Ask::Put {
+            file,
+            if_match: None,
+        },
+    )
+    .await;
     done.expect("taken");
-    assert_eq!(remark, "sparrouter: builds on version 7, which is in force now\n");
+    assert_eq!(
+        remark,
+        "sparrouter: builds on version 7, which is in force now\n"
+    );
     assert_eq!(result, "taken (10.0.0.1:80, on top of version 7)\n");
     assert!(calls.borrow()[1].1.contains("If-Match: 7\r\n"));
 }
@@ -181,22 +232,50 @@
 async fn given_no_configuration_yet_when_put_then_it_is_the_first() {
     let files = Files::new();
     let file = files.with("first.json", CONFIG);
-    let acts = [answers(404, ""), answers(404, ""), answers(404, ""), answers(200, "taken")];
-    let (done, _, remark) = run(Scripted::default().node(A, &acts), Ask::Put { file, if_match: None }).await;
+    let acts = [
+        answers(404, ""),
+        answers(404, ""),
+        answers(404, ""),
+        answers(200, "taken"),
+    ];
+    let (done, _, remark) = run(
+        Scripted::default().node(A, &acts),
+        Ask::Put {
+            file,
+            if_match: None,
+        },
+    )
+    .await;
     done.expect("taken");
-    assert_eq!(remark, "sparrouter: no configuration is in force yet: this is the first\n");
+    assert_eq!(
+        remark,
+        "sparrouter: no configuration is in force yet: this is the first\n"
+    );
 }
 
 #[tokio::test(start_paused = true)]
 async fn given_a_configuration_that_is_invalid_when_put_then_nothing_is_sent_and_the_code_is_2() {
     let files = Files::new();
-    let file = files.with("bad.json", "{\"version\":9,\"routes\":[{\"name\":\"r\"}],\"services\":[]}");
+    let file = files.with(
+        "bad.json",
+        "{\"version\":9,\"routes\":[{\"name\":\"r\"}],\"services\":[]}",
+    );
     let net = Scripted::default().node(A, &[answers(200, "taken")]);
     let calls = net.calls.clone();
-    let (done, ..) = run(net, Ask::Put { file, if_match: Some(7) }).await;
+    let (done, ..) = run(
+        net,
+        Ask::Put {
+            file,
+            if_match: Some(7),
+        },
+    )
+    .await;
     let told = done.expect_err("invalid");
     assert_eq!((told.exit_code(), calls.borrow().len()), (2, 0));
-    assert!(told.to_string().contains("bad.json: routes[0] (`r`)"), "{told}");
+    assert!(
+        told.to_string().contains("bad.json: routes[0] (`r`)"),
+        "{told}"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -204,18 +283,47 @@
     let files = Files::new();
     let file = files.with("patch.json", "{\"version\":7,\"upsert_items\":{}}");
     let net = Scripted::default().node(A, &[answers(200, CONFIG)]);
-    let (done, ..) = run(net, Ask::Patch { file, if_match: None }).await;
-    assert!(done.expect_err("refused").to_string().contains("`version` 7 is not above 7"));
+    let (done, ..) = run(
+        net,
+        Ask::Patch {
+            file,
+            if_match: None,
+        },
+    )
+    .await;
+    assert!(
+        done.expect_err("refused")
+            .to_string()
+            .contains("`version` 7 is not above 7")
+    );
 }
 
 #[tokio::test(start_paused = true)]
 async fn given_a_version_when_named_then_model_and_version_are_sent() {
     let net = Scripted::default().node(A, &[answers(200, "named")]);
     let calls = net.calls.clone();
-    let (done, ..) = run(net, Ask::NameVersion { model: "m \"1\"".into(), version: 2 }).await;
+    let (done, ..) = run(
+        net,
+        Ask::NameVersion {
+            model: "m \"1\"".into(),
+            version: 2,
+        },
+    )
+    .await;
     done.expect("named");
-    assert!(calls.borrow()[0].1.ends_with("{\"model\":\"m \\\"1\\\"\",\"version\":2}"));
-    let (done, ..) = run(Scripted::default(), Ask::NameVersion { model: "m".into(), version: 0 }).await;
+    assert!(
+        calls.borrow()[0]
+            .1
+            .ends_with("{\"model\":\"m \\\"1\\\"\",\"version\":2}")
+    );
+    let (done, ..) = run(
+        Scripted::default(),
+        Ask::NameVersion {
+            model: "m".into(),
+            version: 0,
+        },
+    )
+    .await;
     assert_eq!(done.expect_err("bad input").exit_code(), 2);
 }
 
@@ -230,7 +338,14 @@
 #[tokio::test(start_paused = true)]
 async fn given_a_status_when_shown_then_it_is_a_table() {
     let net = Scripted::default().node(A, &[answers(200, STATUS)]);
-    let (done, result, remark) = run(net, Ask::Status { all: false, json: false }).await;
+    let (done, result, remark) = run(
+        net,
+        Ask::Status {
+            all: false,
+            json: false,
+        },
+    )
+    .await;
     done.expect("answered");
     assert_eq!(remark, "");
     insta::assert_snapshot!(result, @r"
@@ -249,25 +364,42 @@
 #[tokio::test(start_paused = true)]
 async fn given_a_node_that_is_down_when_all_are_asked_then_it_is_remarked() {
     let net = Scripted::default().node(A, &[answers(200, STATUS)]);
-    let (done, result, remark) = run(net, Ask::Status { all: true, json: true }).await;
+    let (done, result, remark) = run(
+        net,
+        Ask::Status {
+            all: true,
+            json: true,
+        },
+    )
+    .await;
     done.expect("answered");
     assert_eq!(result, format!("{STATUS}\n"));
-    assert!(remark.starts_with("sparrouter: core-1: no node could be reached"), "{remark}");
+    assert!(
+        remark.starts_with("sparrouter: core-1: no node could be reached"),
+        "{remark}"
+    );
 }
 
 #[test]
 fn given_files_when_checked_then_verdict_and_remedy_are_told() {
     let files = Files::new();
     let whole = files.with("whole.json", CONFIG);
-    let patch = files.with("patch.json", "{\"version\":9,\"remove_names\":{\"routes\":[\"gone\"]}}");
+    let patch = files.with(
+        "patch.json",
+        "{\"version\":9,\"remove_names\":{\"routes\":[\"gone\"]}}",
+    );
     let broken = files.with("broken.json", "{\"version\":9");
     let check = |file: &PathBuf, against: Option<&PathBuf>| {
         let (mut result, mut remark) = (Vec::new(), Vec::new());
-        let mut out = Out { result: &mut result, remark: &mut remark };
+        let mut out = Out {
+            result: &mut result,
+            remark: &mut remark,
+        };
         let done = commands::check(file, against.map(PathBuf::as_path), &mut out);
         let folder = file.parent().expect("a folder").display().to_string() + "/";
         let said = String::from_utf8(result).expect("text");
-        done.map_or_else(|e| format!("{}: {e}", e.exit_code()), |()| said).replace(&folder, "")
+        done.map_or_else(|e| format!("{}: {e}", e.exit_code()), |()| said)
+            .replace(&folder, "")
     };
     let all = [
         check(&whole, None),
@@ -294,16 +426,33 @@
     use sparrouter_fleet::client::{Command, command};
     let read = |line: &str| {
         let words: Vec<&str> = line.split_whitespace().collect();
-        command().run_inner(words.as_slice()).map_err(|e| e.unwrap_stderr())
+        command()
+            .run_inner(words.as_slice())
+            .map_err(|e| e.unwrap_stderr())
     };
     let at = addresses(&[A, B]);
     assert_eq!(
-        read("config put --at 10.0.0.1:80,10.0.0.2:80 --patience 3 --if-match 4 f.json").expect("read"),
-        Command::Ask { ask: Ask::Put { file: "f.json".into(), if_match: Some(4) }, at, patience_s: 3 }
+        read("config put --at 10.0.0.1:80,10.0.0.2:80 --patience 3 --if-match 4 f.json")
+            .expect("read"),
+        Command::Ask {
+            ask: Ask::Put {
+                file: "f.json".into(),
+                if_match: Some(4)
+            },
+            at,
+            patience_s: 3
+        }
     );
     assert_eq!(
         read("status --all").expect("read"),
-        Command::Ask { ask: Ask::Status { all: true, json: false }, at: vec![], patience_s: 10 }
+        Command::Ask {
+            ask: Ask::Status {
+                all: true,
+                json: false
+            },
+            at: vec![],
+            patience_s: 10
+        }
     );
     for wrong in [
         "",
--- a/crates/sparrouter-fleet/tests/common/mod.rs
+++ b/crates/sparrouter-fleet/tests/common/mod.rs
@@ -8,21 +8,29 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex};
+use tokio::io::{
+    AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex,
+};
 
 /// One end of a pipe, as a connection.
 pub struct Wired(pub DuplexStream);
 
 impl AsyncRead for Wired {
     fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         Pin::new(&mut self.0).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for Wired {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.0).poll_write(cx, buf)
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -52,7 +60,10 @@
 
 /// Status and body, as a node answers.
 pub fn answers(status: u16, body: &str) -> Act {
-    Act::Answers(format!("HTTP/1.1 {status} Word\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+    Act::Answers(format!(
+        "HTTP/1.1 {status} Word\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))
 }
 
 /// Nodes that do what they are told, connection by connection; the last act is repeated.
@@ -65,7 +76,10 @@
 
 impl Scripted {
     pub fn node(self, at: &str, acts: &[Act]) -> Scripted {
-        self.acts.borrow_mut().insert(at.parse().expect("an address"), acts.iter().cloned().collect());
+        self.acts.borrow_mut().insert(
+            at.parse().expect("an address"),
+            acts.iter().cloned().collect(),
+        );
         self
     }
 }
@@ -75,7 +89,11 @@
         let act = {
             let mut acts = self.acts.borrow_mut();
             let own = acts.entry(to).or_default();
-            if own.len() > 1 { own.pop_front() } else { own.front().cloned() }
+            if own.len() > 1 {
+                own.pop_front()
+            } else {
+                own.front().cloned()
+            }
         };
         let calls = self.calls.clone();
         Box::pin(async move {
@@ -93,7 +111,9 @@
                         _ => break,
                     }
                 }
-                calls.borrow_mut().push((to, String::from_utf8_lossy(&text).into_owned()));
+                calls
+                    .borrow_mut()
+                    .push((to, String::from_utf8_lossy(&text).into_owned()));
                 match act {
                     Act::Answers(answer) => {
                         // The caller may have left.
@@ -114,7 +134,12 @@
 
 fn is_whole(text: &[u8]) -> bool {
     let text = String::from_utf8_lossy(text);
-    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
-    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap_or("0");
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head
+        .lines()
+        .find_map(|l| l.strip_prefix("Content-Length: "))
+        .unwrap_or("0");
     body.len() >= length.trim().parse().unwrap_or(0)
 }
--- a/crates/sparrouter-fleet/tests/doors.rs
+++ b/crates/sparrouter-fleet/tests/doors.rs
@@ -13,7 +13,10 @@
 fn request(method: &str, target: &str) -> Rc<Request> {
     let text = format!("{method} {target} HTTP/1.1\r\n\r\n");
     let head = sparrouter_http::head::call(&Bytes::from(text)).expect("a head");
-    Rc::new(Request { head, body: Bytes::new() })
+    Rc::new(Request {
+        head,
+        body: Bytes::new(),
+    })
 }
 
 /// Each place answers with its name and the words that `*` stood for.
@@ -46,13 +49,19 @@
 
 #[tokio::test]
 async fn given_a_star_when_called_then_its_words_are_handed_over_in_order() {
-    assert_eq!(told("PUT", "/api/instances/i-1").await, (200, "beat i-1".into()));
+    assert_eq!(
+        told("PUT", "/api/instances/i-1").await,
+        (200, "beat i-1".into())
+    );
     assert_eq!(told("GET", "/api/a/of/b").await, (200, "of a,b".into()));
 }
 
 #[tokio::test]
 async fn given_a_word_and_a_star_when_called_then_the_word_comes_first() {
-    assert_eq!(told("GET", "/api/instances/all").await, (200, "all ".into()));
+    assert_eq!(
+        told("GET", "/api/instances/all").await,
+        (200, "all ".into())
+    );
     assert_eq!(told("PUT", "/api/instances/all").await.0, 405);
 }
 
@@ -64,8 +73,14 @@
 
 #[tokio::test]
 async fn given_a_path_that_nobody_serves_when_called_then_it_is_404() {
-    for path in ["/api", "/api/instances", "/api/instances/i-1/x", "/apix/config", "/api/a/of", "/API/config"]
-    {
+    for path in [
+        "/api",
+        "/api/instances",
+        "/api/instances/i-1/x",
+        "/apix/config",
+        "/api/a/of",
+        "/API/config",
+    ] {
         assert_eq!(told("GET", path).await.0, 404, "{path}");
     }
 }
@@ -82,15 +97,24 @@
     let request = request("GET", "/a/b?one=1&two=&three");
     assert_eq!(request.path(), "/a/b");
     assert_eq!(
-        (request.query("one"), request.query("two"), request.query("three")),
+        (
+            request.query("one"),
+            request.query("two"),
+            request.query("three")
+        ),
         (Some("1"), Some(""), None)
     );
 }
 
 /// One call on a connection that stays open here; gives back the connection if the answer says that it stays.
 async fn call(door: SocketAddr) -> Option<TcpStream> {
-    let mut stream = TcpStream::connect(door).await.expect("the door takes connections");
-    stream.write_all(b"GET /api/config HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("it is read");
+    let mut stream = TcpStream::connect(door)
+        .await
+        .expect("the door takes connections");
+    stream
+        .write_all(b"GET /api/config HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .expect("it is read");
     let mut buffer = [0; 1_024];
     let read = timeout(Duration::from_secs(5), stream.read(&mut buffer)).await;
     let read = read.expect("an answer in time").expect("an answer");
@@ -100,7 +124,8 @@
 }
 
 #[tokio::test]
-async fn given_more_callers_than_places_when_they_rest_between_calls_then_another_is_still_answered() {
+async fn given_more_callers_than_places_when_they_rest_between_calls_then_another_is_still_answered()
+ {
     LocalSet::new()
         .run_until(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -118,7 +143,10 @@
             assert!(call(door).await.is_none());
             resting.truncate(10);
             sleep(Duration::from_millis(20)).await;
-            assert!(call(door).await.is_some(), "places that came free may be rested in again");
+            assert!(
+                call(door).await.is_some(),
+                "places that came free may be rested in again"
+            );
             listening.abort();
         })
         .await;
--- a/crates/sparrouter-fleet/tests/events.rs
+++ b/crates/sparrouter-fleet/tests/events.rs
@@ -1,13 +1,15 @@
 //! Streams cut into whole events, wherever their bytes are cut.
 use sparrouter_fleet::events::Events;
 
-const STREAM: &str =
-    "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\n: a comment\n\nid:3\ndata: three\ndata: more\n\n";
+const STREAM: &str = "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\n: a comment\n\nid:3\ndata: three\ndata: more\n\n";
 
 /// What goes out of pieces, and what is held back at the end.
 fn passed(pieces: &[&[u8]]) -> (Vec<Vec<u8>>, Vec<u8>, Option<String>) {
     let mut events = Events::default();
-    let out = pieces.iter().map(|p| events.push(p).expect("short").to_vec()).collect();
+    let out = pieces
+        .iter()
+        .map(|p| events.push(p).expect("short").to_vec())
+        .collect();
     let last = events.last_id().map(str::to_owned);
     (out, events.rest().to_vec(), last)
 }
@@ -22,7 +24,12 @@
         let (out, rest, last) = passed(&[&bytes[..cut], &bytes[cut..]]);
         assert_eq!(out.concat(), bytes, "cut at {cut}");
         assert!(rest.is_empty());
-        let whole = ends.iter().copied().filter(|e| *e <= cut).max().unwrap_or(0);
+        let whole = ends
+            .iter()
+            .copied()
+            .filter(|e| *e <= cut)
+            .max()
+            .unwrap_or(0);
         assert_eq!(out[0], &bytes[..whole], "cut at {cut}");
         assert_eq!(last.as_deref(), Some("3"));
     }
@@ -41,12 +48,17 @@
 fn given_half_an_event_when_the_stream_is_cut_then_it_is_dropped_and_the_last_whole_id_stands() {
     let mut events = Events::default();
     assert_eq!(
-        &events.push(b"id: 7\ndata: a\n\nid: 8\ndata: b\n").expect("short")[..],
+        &events
+            .push(b"id: 7\ndata: a\n\nid: 8\ndata: b\n")
+            .expect("short")[..],
         b"id: 7\ndata: a\n\n"
     );
     events.cut();
     assert_eq!(events.last_id(), Some("7"));
-    assert_eq!(&events.push(b"id: 8\ndata: c\n\n").expect("short")[..], b"id: 8\ndata: c\n\n");
+    assert_eq!(
+        &events.push(b"id: 8\ndata: c\n\n").expect("short")[..],
+        b"id: 8\ndata: c\n\n"
+    );
     assert_eq!(events.last_id(), Some("8"));
 }
 
@@ -61,13 +73,22 @@
 
 #[test]
 fn given_events_without_ids_when_passed_then_the_last_id_stands() {
-    let (_, _, last) = passed(&[b"id: 4\n\n", b"data: x\n\n", b"id:\ndata: y\n\n", b"data: id: 9\n\n"]);
+    let (_, _, last) = passed(&[
+        b"id: 4\n\n",
+        b"data: x\n\n",
+        b"id:\ndata: y\n\n",
+        b"data: id: 9\n\n",
+    ]);
     assert_eq!(last.as_deref(), Some("4"));
 }
 
 #[test]
 fn given_ids_of_any_kind_when_passed_then_the_last_is_kept_as_text() {
-    let (_, _, last) = passed(&[b"id:  a-1 \ndata: x\n\n", "id: é9\n\n".as_bytes(), b"id: \xff\n\n"]);
+    let (_, _, last) = passed(&[
+        b"id:  a-1 \ndata: x\n\n",
+        "id: é9\n\n".as_bytes(),
+        b"id: \xff\n\n",
+    ]);
     assert_eq!(last.as_deref(), Some("é9"));
 }
 
@@ -75,7 +96,9 @@
 fn given_an_event_without_end_when_passed_then_it_is_given_up_at_its_bound() {
     let mut events = Events::default();
     let piece = vec![b'x'; 64 << 10];
-    let taken = (0..100).take_while(|_| events.push(&piece).is_some()).count();
+    let taken = (0..100)
+        .take_while(|_| events.push(&piece).is_some())
+        .count();
     assert_eq!(taken, 4);
 }
 
@@ -83,5 +106,11 @@
 fn given_a_large_piece_of_whole_events_when_passed_then_it_goes_out_at_once() {
     let many = "id: 1\ndata: x\n\n".repeat(100_000);
     let mut events = Events::default();
-    assert_eq!(events.push(many.as_bytes()).expect("whole events are not held").len(), many.len());
+    assert_eq!(
+        events
+            .push(many.as_bytes())
+            .expect("whole events are not held")
+            .len(),
+        many.len()
+    );
 }
--- a/crates/sparrouter-fleet/tests/following.rs
+++ b/crates/sparrouter-fleet/tests/following.rs
@@ -12,14 +12,27 @@
         "events":[[1,"+","s:1:","aa",800,"m"],[2,"-","s:1:","bb",63,"m"],[3,"-","s:1:","cc",0,"m"]]}"#;
     let page = page(told.as_bytes()).expect("an answer");
     assert_eq!((page.epoch, page.next, page.gap), (7, 3, false));
-    let kept = |of, tokens| Change { key: key(of), tokens };
-    assert_eq!(page.events, [kept("s:1:/aa", 800), kept("s:1:/bb", 0), kept("s:1:/cc", 0)]);
+    let kept = |of, tokens| Change {
+        key: key(of),
+        tokens,
+    };
+    assert_eq!(
+        page.events,
+        [kept("s:1:/aa", 800), kept("s:1:/bb", 0), kept("s:1:/cc", 0)]
+    );
 }
 
 #[test]
 fn given_a_gap_in_either_form_then_it_is_seen() {
-    for (lost, gap) in [("true", true), ("false", false), ("4", true), ("0", false), ("null", false)] {
-        let told = format!("{{\"epoch\":7,\"next_page_token\":3,\"lost_count\":{lost},\"events\":[]}}");
+    for (lost, gap) in [
+        ("true", true),
+        ("false", false),
+        ("4", true),
+        ("0", false),
+        ("null", false),
+    ] {
+        let told =
+            format!("{{\"epoch\":7,\"next_page_token\":3,\"lost_count\":{lost},\"events\":[]}}");
         assert_eq!(page(told.as_bytes()).expect("an answer").gap, gap, "{lost}");
     }
 }
@@ -29,9 +42,17 @@
     let told = r#"{"epoch":7,"next_page_token":3,
         "events":[7,[],[1,"+"],[1,"+",4,"aa",800],[1,"+","s","aa","many"],[2,"+","s","dd",-5],[3,"+","s","ee",1e30]]}"#;
     let events = page(told.as_bytes()).expect("an answer").events;
-    let kept = |of, tokens| Change { key: key(of), tokens };
+    let kept = |of, tokens| Change {
+        key: key(of),
+        tokens,
+    };
     assert_eq!(events, [kept("s/dd", 0), kept("s/ee", u32::MAX)]);
-    for bad in ["", "[]", "{\"epoch\":-1,\"next_page_token\":3,\"events\":[]}", "{\"epoch\":7}"] {
+    for bad in [
+        "",
+        "[]",
+        "{\"epoch\":-1,\"next_page_token\":3,\"events\":[]}",
+        "{\"epoch\":7}",
+    ] {
         assert!(page(bad.as_bytes()).is_none(), "{bad}");
     }
     assert!(page(&[0xff, 0xfe]).is_none());
--- a/crates/sparrouter-fleet/tests/http.rs
+++ b/crates/sparrouter-fleet/tests/http.rs
@@ -5,7 +5,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::time::{Instant, sleep};
 
-const ROOM: Room = Room { head: 256, body: 64, header_timeout: Duration::from_secs(3) };
+const ROOM: Room = Room {
+    head: 256,
+    body: 64,
+    header_timeout: Duration::from_secs(3),
+};
 const WHOLE: Duration = Duration::from_secs(12);
 
 /// Reads one request of what `client` writes.
@@ -37,8 +41,9 @@
 #[tokio::test(start_paused = true)]
 async fn given_a_whole_request_when_read_then_head_and_body_are_there_and_the_next_is_left() {
     let text = "POST /a/b?c HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\n";
-    let sending =
-        |mut near: DuplexStream| async move { near.write_all(text.as_bytes()).await.expect("room") };
+    let sending = |mut near: DuplexStream| async move {
+        near.write_all(text.as_bytes()).await.expect("room")
+    };
     let (read, left) = read_of(sending).await;
     let read = read.expect("whole");
     assert_eq!((read.path(), &read.body[..]), ("/a/b", &b"abc"[..]));
@@ -47,8 +52,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn given_a_request_cut_at_any_byte_when_the_rest_comes_then_it_is_the_same() {
-    let text =
-        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
+    let text = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
     for cut in 1..text.len() {
         let sending = |mut near: DuplexStream| async move {
             near.write_all(&text.as_bytes()[..cut]).await.expect("room");
@@ -72,16 +76,25 @@
 
 #[tokio::test(start_paused = true)]
 async fn given_a_body_that_is_too_long_when_read_then_it_is_413_before_it_has_come() {
-    assert_eq!(status(read("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n").await), 413);
-    assert_eq!(status(read("POST / HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n\r\n").await), 413);
+    assert_eq!(
+        status(read("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n").await),
+        413
+    );
+    assert_eq!(
+        status(read("POST / HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n\r\n").await),
+        413
+    );
     let chunks: &'static str = format!(
         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n{}\r\n1\r\ny\r\n",
         "x".repeat(64)
     )
     .leak();
     assert_eq!(status(read(chunks).await), 413);
-    let fits: &'static str =
-        format!("POST / HTTP/1.1\r\nContent-Length: 64\r\n\r\n{}", "x".repeat(64)).leak();
+    let fits: &'static str = format!(
+        "POST / HTTP/1.1\r\nContent-Length: 64\r\n\r\n{}",
+        "x".repeat(64)
+    )
+    .leak();
     assert_eq!(read(fits).await.expect("just fits").body.len(), 64);
 }
 
@@ -122,7 +135,9 @@
 #[tokio::test(start_paused = true)]
 async fn given_a_body_a_byte_a_second_when_read_then_it_is_408_at_the_end_of_its_time() {
     let sending = |mut near: DuplexStream| async move {
-        near.write_all(b"POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n").await.expect("room");
+        near.write_all(b"POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n")
+            .await
+            .expect("room");
         for _ in 0..30 {
             if near.write_all(b"x").await.is_err() {
                 return;
@@ -135,9 +150,13 @@
 
 #[tokio::test(start_paused = true)]
 async fn given_a_client_that_leaves_midway_when_read_then_nothing_is_owed() {
-    for text in ["GET / HT", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc"] {
-        let sending =
-            |mut near: DuplexStream| async move { near.write_all(text.as_bytes()).await.expect("room") };
+    for text in [
+        "GET / HT",
+        "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
+    ] {
+        let sending = |mut near: DuplexStream| async move {
+            near.write_all(text.as_bytes()).await.expect("room")
+        };
         assert_eq!(read_of(sending).await.0.expect_err("left"), NoRequest::Left);
     }
 }
@@ -182,7 +201,10 @@
     insta::assert_snapshot!(text(Answer::plain(404, "no such"), true).replace("\r\n", "|"), @"HTTP/1.1 404 Not Found|Content-Type: text/plain|Content-Length: 7||no such");
     insta::assert_snapshot!(text(Answer::later(Duration::from_millis(1_250)), false).replace("\r\n", "|"), @"HTTP/1.1 503 Service Unavailable|Content-Type: text/plain|Content-Length: 0|Retry-After: 1.250|Connection: close||");
     insta::assert_snapshot!(text(Answer::json(200, "{}"), true).replace("\r\n", "|"), @"HTTP/1.1 200 OK|Content-Type: application/json|Content-Length: 2||{}");
-    let moved = Answer { location: Some("http://10.0.0.4:8080/x".into()), ..Answer::plain(307, "") };
+    let moved = Answer {
+        location: Some("http://10.0.0.4:8080/x".into()),
+        ..Answer::plain(307, "")
+    };
     insta::assert_snapshot!(text(moved, true).replace("\r\n", "|"), @"HTTP/1.1 307 Temporary Redirect|Content-Type: text/plain|Content-Length: 0|Location: http://10.0.0.4:8080/x||");
 }
 
--- a/crates/sparrouter-fleet/tests/loopback.rs
+++ b/crates/sparrouter-fleet/tests/loopback.rs
@@ -19,7 +19,10 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn block_on<T>(of: impl Future<Output = T>) -> T {
-    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
     LocalSet::new().block_on(&runtime, of)
 }
 
@@ -35,7 +38,12 @@
 fn given_a_fleet_on_loopback_when_the_quick_scenario_is_played_then_every_rule_holds() {
     let scenario = Scenario::quick().expect("valid");
     let report = block_on(play(scenario, Path::new(PROGRAM), |_| {})).expect("it is played");
-    assert!(report.broken.is_empty(), "{:#?}\n{}", report.broken, report.table);
+    assert!(
+        report.broken.is_empty(),
+        "{:#?}\n{}",
+        report.broken,
+        report.table
+    );
     let served = report.came.iter().filter(|c| c.end == End::Served).count();
     assert!(served * 10 >= report.came.len() * 9, "{}", report.table);
 }
@@ -46,7 +54,15 @@
     let directory = tempfile::tempdir().expect("a directory");
     let mut rng = fastrand::Rng::new();
     let ground = Ground::find(1, &mut rng).expect("free ports");
-    let machine = Machine::new(0, true, 1, ground, directory.path(), Path::new(PROGRAM), grace);
+    let machine = Machine::new(
+        0,
+        true,
+        1,
+        ground,
+        directory.path(),
+        Path::new(PROGRAM),
+        grace,
+    );
     let machine = Rc::new(machine.expect("settings are written"));
     block_on(async {
         machine.start().expect("started");
@@ -64,16 +80,33 @@
             version: 1,
             control: vec![machine.control()],
         };
-        let engine = Engine::start(terms, ledger.clone(), rng.fork()).await.expect("a server");
+        let engine = Engine::start(terms, ledger.clone(), rng.fork())
+            .await
+            .expect("a server");
         let operator = Operator::new(vec![machine.control()], PATIENCE).expect("an operator");
         operator.put_first(1).await.expect("taken");
         until("ready", || machine.ready.get()).await;
-        let clients = Clients { ledger: ledger.clone(), machines: vec![machine.clone()], rng: rng.into() };
+        let clients = Clients {
+            ledger: ledger.clone(),
+            machines: vec![machine.clone()],
+            rng: rng.into(),
+        };
         let path = "/assign/1".to_owned();
-        let wish = Wish { kind: kind_of(&path), path, patience: PATIENCE };
+        let wish = Wish {
+            kind: kind_of(&path),
+            path,
+            patience: PATIENCE,
+        };
         let asking = spawn_local(async move { clients.wish(&wish, Some(0)).await.end });
-        until("the server works on it", || !ledger.runs.borrow().is_empty()).await;
-        assert!(machine.end().await, "it ends by itself, in its time: {}", machine.words());
+        until("the server works on it", || {
+            !ledger.runs.borrow().is_empty()
+        })
+        .await;
+        assert!(
+            machine.end().await,
+            "it ends by itself, in its time: {}",
+            machine.words()
+        );
         assert_ne!(asking.await.expect("it ends"), End::Served);
         engine.stop();
     });
--- a/crates/sparrouter-fleet/tests/ring.rs
+++ b/crates/sparrouter-fleet/tests/ring.rs
@@ -14,7 +14,10 @@
 
 impl Write for Sink {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().expect("not poisoned").extend_from_slice(bytes);
+        self.0
+            .lock()
+            .expect("not poisoned")
+            .extend_from_slice(bytes);
         Ok(bytes.len())
     }
     fn flush(&mut self) -> std::io::Result<()> {
@@ -41,9 +44,15 @@
     write!(ring, "sec").expect("never fails");
     writeln!(ring, "ond").expect("never fails");
     ring.breach("the quorum is lost");
-    assert_eq!(sink.text(), "sparrouter: the quorum is lost; the last 2 lines:\nfirst\nsecond\n");
+    assert_eq!(
+        sink.text(),
+        "sparrouter: the quorum is lost; the last 2 lines:\nfirst\nsecond\n"
+    );
     ring.dump("again");
-    assert!(sink.text().ends_with("sparrouter: again; the last 0 lines:\n"));
+    assert!(
+        sink.text()
+            .ends_with("sparrouter: again; the last 0 lines:\n")
+    );
 }
 
 #[test]
@@ -56,7 +65,10 @@
     let text = sink.text();
     assert_eq!(text.lines().count(), LINES + 1);
     assert_eq!(text.lines().nth(1), Some("line 10"));
-    assert_eq!(text.lines().last(), Some(format!("line {}", LINES + 9).as_str()));
+    assert_eq!(
+        text.lines().last(),
+        Some(format!("line {}", LINES + 9).as_str())
+    );
 }
 
 #[test]
@@ -77,8 +89,17 @@
         ring.breach(&format!("trouble {n}"));
     }
     let text = sink.text();
-    assert_eq!(text.lines().filter(|l| l.starts_with("sparrouter: ")).count(), MOST_DUMPS as usize);
-    assert!(text.lines().last().is_some_and(|l| l.contains("no more will be written")));
+    assert_eq!(
+        text.lines()
+            .filter(|l| l.starts_with("sparrouter: "))
+            .count(),
+        MOST_DUMPS as usize
+    );
+    assert!(
+        text.lines()
+            .last()
+            .is_some_and(|l| l.contains("no more will be written"))
+    );
 }
 
 #[test]
@@ -106,5 +127,8 @@
     assert!(caught.is_err());
     let text = sink.text();
     assert!(text.starts_with("sparrouter: panic: "), "{text}");
-    assert!(text.contains("out of plums") && text.contains("what led there"), "{text}");
+    assert!(
+        text.contains("out of plums") && text.contains("what led there"),
+        "{text}"
+    );
 }
--- a/crates/sparrouter-fleet/tests/statute.rs
+++ b/crates/sparrouter-fleet/tests/statute.rs
@@ -31,16 +31,26 @@
 }
 
 fn put(on: u64, version: u64, note: &str) -> Change {
-    let body = format!("{{\"version\":{version},\"routes\":[],\"services\":[],\"note\":\"{note}\"}}");
-    Change::Put { if_match: Some(on), body: Blob(body.into_bytes()) }
+    let body =
+        format!("{{\"version\":{version},\"routes\":[],\"services\":[],\"note\":\"{note}\"}}");
+    Change::Put {
+        if_match: Some(on),
+        body: Blob(body.into_bytes()),
+    }
 }
 
 fn patch(on: u64, text: &str) -> Change {
-    Change::Patch { if_match: Some(on), body: Blob(text.as_bytes().to_vec()) }
+    Change::Patch {
+        if_match: Some(on),
+        body: Blob(text.as_bytes().to_vec()),
+    }
 }
 
 fn name(model: &str, version: u64) -> Change {
-    Change::Name { model: model.to_owned(), version }
+    Change::Name {
+        model: model.to_owned(),
+        version,
+    }
 }
 
 #[test]
@@ -56,7 +66,10 @@
     assert_eq!(part.apply(&put(0, 3, "a")), 200);
     let read = part.apply_bytes(&Change::Get.serialize_bin());
     assert_eq!(read.status, 200);
-    assert_eq!(read.text, "{\"version\":3,\"routes\":[],\"services\":[],\"note\":\"a\"}");
+    assert_eq!(
+        read.text,
+        "{\"version\":3,\"routes\":[],\"services\":[],\"note\":\"a\"}"
+    );
 }
 
 #[test]
@@ -104,7 +117,10 @@
     let mut part = Part::default();
     let bare = |version: u64| {
         let body = format!("{{\"version\":{version},\"routes\":[],\"services\":[]}}");
-        Change::Put { if_match: None, body: Blob(body.into_bytes()) }
+        Change::Put {
+            if_match: None,
+            body: Blob(body.into_bytes()),
+        }
     };
     assert_eq!(part.apply(&bare(1)), 200);
     assert_eq!(part.apply(&bare(2)), 412);
@@ -125,7 +141,10 @@
         b"[]",
     ];
     for body in bodies {
-        let change = Change::Put { if_match: Some(3), body: Blob(body.to_vec()) };
+        let change = Change::Put {
+            if_match: Some(3),
+            body: Blob(body.to_vec()),
+        };
         let status = part.apply(&change);
         assert!(matches!(status, 400 | 422), "{status}");
         assert_eq!(part.0, before);
@@ -135,25 +154,40 @@
 #[test]
 fn given_a_patch_when_applied_then_its_items_come_and_go_and_its_repeat_is_200() {
     let mut part = Part::default();
-    let whole =
-        "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}],\"tenants\":[]}";
-    part.apply(&Change::Put { if_match: Some(0), body: Blob(whole.as_bytes().to_vec()) });
+    let whole = "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}],\"tenants\":[]}";
+    part.apply(&Change::Put {
+        if_match: Some(0),
+        body: Blob(whole.as_bytes().to_vec()),
+    });
     let text = "{\"version\":4,\"upsert_items\":{\"services\":[{\"name\":\"u\"}]},\
                 \"remove_names\":{\"services\":[\"s\"]}}";
     assert_eq!(part.apply(&patch(1, text)), 200);
     let after = part.statute();
     assert_eq!(after.version, 4);
-    assert!(!after.text.contains("\"s\"") && after.text.contains("\"u\""), "{}", after.text);
+    assert!(
+        !after.text.contains("\"s\"") && after.text.contains("\"u\""),
+        "{}",
+        after.text
+    );
     assert_eq!(part.apply(&patch(1, text)), 200);
     assert_eq!(part.version(), 4);
     // The same bytes as a whole configuration are another change.
-    assert_eq!(part.apply(&Change::Put { if_match: Some(1), body: Blob(text.as_bytes().to_vec()) }), 412);
+    assert_eq!(
+        part.apply(&Change::Put {
+            if_match: Some(1),
+            body: Blob(text.as_bytes().to_vec())
+        }),
+        412
+    );
 }
 
 #[test]
 fn given_nothing_yet_when_patched_then_it_is_refused() {
     let mut part = Part::default();
-    assert_eq!(part.apply(&patch(0, "{\"version\":1,\"upsert_items\":{}}")), 422);
+    assert_eq!(
+        part.apply(&patch(0, "{\"version\":1,\"upsert_items\":{}}")),
+        422
+    );
 }
 
 #[test]
@@ -162,8 +196,12 @@
     assert_eq!(part.apply(&name("m", 2)), 200);
     assert_eq!(part.apply(&name("m", 1)), 200);
     assert_eq!(part.apply(&name("n", 1)), 200);
-    let named: Vec<(String, u64)> =
-        part.statute().models.iter().map(|m| (m.model.clone(), m.version)).collect();
+    let named: Vec<(String, u64)> = part
+        .statute()
+        .models
+        .iter()
+        .map(|m| (m.model.clone(), m.version))
+        .collect();
     assert_eq!(named, [("m".to_owned(), 2), ("n".to_owned(), 1)]);
     assert_eq!(part.apply(&name("", 1)), 400);
     assert_eq!(part.apply(&name("m", 0)), 400);
--- a/crates/sparrouter-http/src/chunks.rs
+++ b/crates/sparrouter-http/src/chunks.rs
@@ -43,19 +43,34 @@
         loop {
             match self.0 {
                 Next::Size => {
-                    let Some(line) = line(buffer)? else { return Ok(Piece::More) };
-                    let digits = line[..].split(|&b| b == b';').next().unwrap_or_default().trim_ascii();
-                    let plain = (1..=8).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
+                    let Some(line) = line(buffer)? else {
+                        return Ok(Piece::More);
+                    };
+                    let digits = line[..]
+                        .split(|&b| b == b';')
+                        .next()
+                        .unwrap_or_default()
+                        .trim_ascii();
+                    let plain =
+                        (1..=8).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
                     let text = std::str::from_utf8(digits).ok().filter(|_| plain);
                     let size = text.and_then(|t| usize::from_str_radix(t, 16).ok());
                     let size = size.ok_or(Bad("chunk size"))?;
-                    self.0 = if size == 0 { Next::Trailer } else { Next::Data(size) };
+                    self.0 = if size == 0 {
+                        Next::Trailer
+                    } else {
+                        Next::Data(size)
+                    };
                 }
                 Next::Data(_) if buffer.is_empty() => return Ok(Piece::More),
                 Next::Data(left) => {
                     let piece = buffer.split_to(left.min(buffer.len())).freeze();
                     let left = left - piece.len();
-                    self.0 = if left == 0 { Next::Gap } else { Next::Data(left) };
+                    self.0 = if left == 0 {
+                        Next::Gap
+                    } else {
+                        Next::Data(left)
+                    };
                     return Ok(Piece::Data(piece));
                 }
                 Next::Gap if buffer.len() < 2 => return Ok(Piece::More),
@@ -66,7 +81,9 @@
                     self.0 = Next::Size;
                 }
                 Next::Trailer => {
-                    let Some(line) = line(buffer)? else { return Ok(Piece::More) };
+                    let Some(line) = line(buffer)? else {
+                        return Ok(Piece::More);
+                    };
                     if line.is_empty() {
                         self.0 = Next::Over;
                     }
--- a/crates/sparrouter-http/src/reading.rs
+++ b/crates/sparrouter-http/src/reading.rs
@@ -29,7 +29,10 @@
 }
 
 /// Cancel-safe: what was read stays in the buffer.
-pub async fn more(stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) -> Result<(), Broken> {
+pub async fn more(
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+) -> Result<(), Broken> {
     buffer.reserve(ROOM);
     match stream.read_buf(buffer).await {
         Ok(0) => Err(Broken::Ended),
@@ -50,7 +53,10 @@
 /// Up to and with the empty line, `most` bytes at the longest. What does not begin as it must is not waited for:
 /// noise may have no end, and its sender stays silent after it.
 pub async fn head(
-    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, begins: &[u8], most: usize,
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    begins: &[u8],
+    most: usize,
 ) -> Result<Bytes, Broken> {
     let mut seen = 0;
     loop {
--- a/crates/sparrouter-lab/src/clients.rs
+++ b/crates/sparrouter-lab/src/clients.rs
@@ -36,7 +36,11 @@
 impl Front {
     pub fn new(nodes: Vec<SocketAddr>) -> Arc<Front> {
         let dealt = RwLock::new((0..nodes.len()).collect());
-        Arc::new(Front { nodes, dealt, skew: RwLock::new((0.0, 0)) })
+        Arc::new(Front {
+            nodes,
+            dealt,
+            skew: RwLock::new((0.0, 0)),
+        })
     }
     /// A node is, or is no longer, dealt out.
     pub fn set(&self, node: usize, on: bool) {
@@ -93,7 +97,13 @@
         workers.run_on(n, move || async move {
             let idle = (0..nodes).map(|_| RefCell::default()).collect();
             let room = (0..nodes).map(|_| Semaphore::new(share)).collect();
-            let clients = Rc::new(Clients { lab, front, idle, room, open });
+            let clients = Rc::new(Clients {
+                lab,
+                front,
+                idle,
+                room,
+                open,
+            });
             clients.attend(arrivals).await;
         });
         inboxes.push(inbox);
@@ -109,7 +119,8 @@
         let _ = inboxes[n % inboxes.len()].send(arrival);
     }
     let tries = u64::from(s.load.retries) + 1;
-    let longest = (s.longest_ms() * MS + LISTENS_ON + nanos(s.load.backoff_ms / 1e3)) * tries + 2000 * MS;
+    let longest =
+        (s.longest_ms() * MS + LISTENS_ON + nanos(s.load.backoff_ms / 1e3)) * tries + 2000 * MS;
     let latest = Instant::now() + Duration::from_nanos(longest);
     while open.load(Relaxed) > 0 && Instant::now() < latest {
         std::thread::sleep(Duration::from_millis(5));
@@ -128,7 +139,11 @@
             spawn_local(self.clone().invocation(arrival));
         }
         // Whatever still comes on idle connections came behind somebody's answer.
-        for idle in self.idle.iter().flat_map(|i| i.borrow_mut().drain(..).collect::<Vec<_>>()) {
+        for idle in self
+            .idle
+            .iter()
+            .flat_map(|i| i.borrow_mut().drain(..).collect::<Vec<_>>())
+        {
             self.alive(&idle);
         }
     }
@@ -149,17 +164,30 @@
             if !again || arrival.leaves.is_some() || tried == lab.scenario.load.retries {
                 break;
             }
-            let wait = one.retry_after_s.map_or(lab.scenario.load.backoff_ms / 1e3, |s| s.min(5.0));
+            let wait = one
+                .retry_after_s
+                .map_or(lab.scenario.load.backoff_ms / 1e3, |s| s.min(5.0));
             sleep(Duration::from_secs_f64(wait)).await;
             due = lab.now();
         }
         self.open.fetch_sub(1, Relaxed);
     }
 
-    async fn one(&self, arrival: &Arrival, op: &Operation, tried: u8, due: Nanos, dealt: Nanos) -> Tried {
+    async fn one(
+        &self,
+        arrival: &Arrival,
+        op: &Operation,
+        tried: u8,
+        due: Nanos,
+        dealt: Nanos,
+    ) -> Tried {
         let lab = &self.lab;
         let id = id(arrival.operation, arrival.number, tried);
-        let draw = if tried == 0 { arrival.draw } else { scramble(id) as u32 };
+        let draw = if tried == 0 {
+            arrival.draw
+        } else {
+            scramble(id) as u32
+        };
         let node = self.front.pick(draw);
         let mut asked = Asked {
             id,
@@ -181,12 +209,19 @@
             retry_after_s = exchange.await.and_then(|m| m.retry_after_s);
         }
         (asked.ended, asked.end_lag) = (lab.now(), lab.lag());
-        Tried { asked, retry_after_s }
+        Tried {
+            asked,
+            retry_after_s,
+        }
     }
 
     fn text(&self, a: &Arrival, op: &Operation, id: u64, tried: u8) -> Vec<u8> {
         let s = &self.lab.scenario;
-        let (method, body) = if op.write { ("PUT", "new value") } else { ("GET", "") };
+        let (method, body) = if op.write {
+            ("PUT", "new value")
+        } else {
+            ("GET", "")
+        };
         let mut text = format!(
             "{method} /api/{:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id:016x}\r\nX-Class: {}\r\n\
              X-Tenant: {}\r\nX-Deadline-Ms: {}\r\n",
@@ -196,7 +231,10 @@
             op.client_timeout_ms
         );
         if op.effect == Effect::Deduplicated {
-            text += &format!("Idempotency-Key: {:016x}\r\n", crate::scenario::arrivals::root(id));
+            text += &format!(
+                "Idempotency-Key: {:016x}\r\n",
+                crate::scenario::arrivals::root(id)
+            );
         }
         if tried > 0 && s.load.marks_retries {
             text += "X-Retry: 1\r\n";
@@ -212,7 +250,10 @@
         match http::peek(&idle.stream) {
             Peeked::Nothing => idle.since.elapsed() < IDLES,
             Peeked::Bytes => {
-                self.lab.record(Record::More { at: self.lab.now(), id: idle.last });
+                self.lab.record(Record::More {
+                    at: self.lab.now(),
+                    id: idle.last,
+                });
                 false
             }
             Peeked::Ended => false,
@@ -230,13 +271,19 @@
 
     /// The next answer that is not the earlier invocation's over again.
     async fn own_answer(
-        &self, stream: &mut TcpStream, buffer: &mut BytesMut, last: Option<u64>,
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        last: Option<u64>,
     ) -> Result<Message, Ended> {
         loop {
             let answer = http::read(stream, buffer, || {}).await?;
             match last {
                 Some(last) if end(&answer, last) == End::Succeeded => {
-                    self.lab.record(Record::More { at: self.lab.now(), id: last });
+                    self.lab.record(Record::More {
+                        at: self.lab.now(),
+                        id: last,
+                    });
                 }
                 _ => return Ok(answer),
             }
@@ -245,7 +292,12 @@
 
     /// Sends and listens; what became of it stands in `asked`.
     async fn exchange(
-        &self, node: usize, text: &[u8], arrival: &Arrival, op: &Operation, asked: &mut Asked,
+        &self,
+        node: usize,
+        text: &[u8],
+        arrival: &Arrival,
+        op: &Operation,
+        asked: &mut Asked,
     ) -> Option<Message> {
         let s = &self.lab.scenario;
         let mut kept = self.take(node);
@@ -253,7 +305,10 @@
             let (used, last) = (kept.is_some(), kept.as_ref().map(|k| k.last));
             let stream = match kept.take() {
                 Some(idle) => Some(idle.stream),
-                None => timeout(CONNECTS, TcpStream::connect(self.front.nodes[node])).await.ok()?.ok(),
+                None => timeout(CONNECTS, TcpStream::connect(self.front.nodes[node]))
+                    .await
+                    .ok()?
+                    .ok(),
             };
             let mut stream = stream?;
             let _ = stream.set_nodelay(true);
@@ -290,7 +345,11 @@
                         self.lab.record(Record::More { at, id });
                     } else if !answer.close && asked.end != End::Foreign {
                         let (since, last) = (Instant::now(), asked.id);
-                        self.idle[node].borrow_mut().push(Idle { stream, since, last });
+                        self.idle[node].borrow_mut().push(Idle {
+                            stream,
+                            since,
+                            last,
+                        });
                     }
                     return Some(answer);
                 }
--- a/crates/sparrouter-lab/src/experiment/changes.rs
+++ b/crates/sparrouter-lab/src/experiment/changes.rs
@@ -21,8 +21,12 @@
 
 impl Case {
     pub fn all() -> Vec<Case> {
-        let plants = <Plant as clap::ValueEnum>::value_variants().iter().map(|p| Case::Planted(*p));
-        plants.chain([Case::Hasty, Case::Greedy, Case::Refused]).collect()
+        let plants = <Plant as clap::ValueEnum>::value_variants()
+            .iter()
+            .map(|p| Case::Planted(*p));
+        plants
+            .chain([Case::Hasty, Case::Greedy, Case::Refused])
+            .collect()
     }
 
     pub fn name(&self) -> String {
@@ -45,7 +49,9 @@
     pub fn put(&self, change: &mut Rollout) {
         match self {
             Case::Planted(plant) => change.plant = *plant,
-            Case::Hasty => change.settings = Case::fields("Limits = { MaxAttempts = 1 }\nTickUs = 300000"),
+            Case::Hasty => {
+                change.settings = Case::fields("Limits = { MaxAttempts = 1 }\nTickUs = 300000")
+            }
             Case::Greedy => {
                 change.settings = Case::fields("Safety = { FallMultiple = 100.0 }\nBalancers = 1")
             }
@@ -62,7 +68,12 @@
 
 /// Each case in each way, so many at once. `done` hears of each as it ends; they come back in order.
 pub fn changes(
-    scenario: &Scenario, program: &Program, cases: &[Case], hows: &[How], jobs: usize, folder: &Path,
+    scenario: &Scenario,
+    program: &Program,
+    cases: &[Case],
+    hows: &[How],
+    jobs: usize,
+    folder: &Path,
     done: impl Fn(&Played) + Sync,
 ) -> Vec<Played> {
     let all: Vec<(usize, Case, How)> = cases
@@ -76,7 +87,9 @@
         for _ in 0..jobs.max(1) {
             scope.spawn(|| {
                 loop {
-                    let Some((n, case, how)) = next.lock().expect("not poisoned").next() else { return };
+                    let Some((n, case, how)) = next.lock().expect("not poisoned").next() else {
+                        return;
+                    };
                     let mut s = scenario.clone();
                     let mut change = s.rollout.take().unwrap_or_default();
                     change.how = how;
--- a/crates/sparrouter-lab/src/experiment/compare.rs
+++ b/crates/sparrouter-lab/src/experiment/compare.rs
@@ -16,8 +16,13 @@
 impl Row {
     /// A over B for each pair, lowest first.
     pub fn ratios(&self) -> Vec<f64> {
-        let mut all: Vec<f64> =
-            self.a.iter().zip(&self.b).filter(|(_, b)| **b != 0.0).map(|(a, b)| a / b).collect();
+        let mut all: Vec<f64> = self
+            .a
+            .iter()
+            .zip(&self.b)
+            .filter(|(_, b)| **b != 0.0)
+            .map(|(a, b)| a / b)
+            .collect();
         all.sort_by(f64::total_cmp);
         all
     }
@@ -26,9 +31,12 @@
     /// by more than the pairs differ among themselves.
     pub fn word(&self) -> &'static str {
         let r = self.ratios();
-        let (Some(least), Some(most)) = (r.first(), r.last()) else { return "nothing to compare" };
+        let (Some(least), Some(most)) = (r.first(), r.last()) else {
+            return "nothing to compare";
+        };
         let middle = r[r.len() / 2];
-        let clear = r.len() > 1 && (*least > 1.0 || *most < 1.0) && (middle - 1.0).abs() > most - least;
+        let clear =
+            r.len() > 1 && (*least > 1.0 || *most < 1.0) && (middle - 1.0).abs() > most - least;
         match (clear, (middle > 1.0) == self.more) {
             (false, _) => "within the noise",
             (true, true) => "A is better",
@@ -51,19 +59,33 @@
         row("latency p99 ms", false, |r| r.tally.latency_ms.p99),
         row("latency p99.9 ms", false, |r| r.tally.latency_ms.p999),
         row("node CPU us each", false, |r| r.cpu_us()),
-        row("forwards each", false, |r| r.tally.forwards as f64 / r.tally.total.asked.max(1) as f64),
-        row("fetches each", false, |r| r.tally.fetches as f64 / r.tally.total.asked.max(1) as f64),
+        row("forwards each", false, |r| {
+            r.tally.forwards as f64 / r.tally.total.asked.max(1) as f64
+        }),
+        row("fetches each", false, |r| {
+            r.tally.fetches as f64 / r.tally.total.asked.max(1) as f64
+        }),
     ]
 }
 
 /// `done` hears of each run.
 pub fn compare(
-    scenario: &Scenario, a: &Program, b: &Program, pairs: usize, folder: &Path, mut done: impl FnMut(&Run),
+    scenario: &Scenario,
+    a: &Program,
+    b: &Program,
+    pairs: usize,
+    folder: &Path,
+    mut done: impl FnMut(&Run),
 ) -> Result<Vec<(Run, Run)>, Failed> {
     let mut all = Vec::new();
     for n in 0..pairs {
         let mut one = |program, side: &str| {
-            let run = play(scenario, program, &folder.join(format!("{side}{n}")), |_| {})?;
+            let run = play(
+                scenario,
+                program,
+                &folder.join(format!("{side}{n}")),
+                |_| {},
+            )?;
             done(&run);
             Ok(run)
         };
@@ -77,15 +99,32 @@
     use super::*;
 
     fn row(a: &[f64], b: &[f64]) -> Row {
-        Row { name: "x", a: a.to_vec(), b: b.to_vec(), more: false }
+        Row {
+            name: "x",
+            a: a.to_vec(),
+            b: b.to_vec(),
+            more: false,
+        }
     }
 
     #[test]
     fn a_difference_within_the_pairs_own_spread_is_noise() {
-        assert_eq!(row(&[1.0, 1.2, 0.9], &[1.0, 1.0, 1.0]).word(), "within the noise");
-        assert_eq!(row(&[1.3, 1.31, 1.3], &[1.0, 1.0, 1.0]).word(), "B is better");
-        assert_eq!(row(&[1.3, 1.01, 1.3], &[1.0, 1.0, 1.0]).word(), "B is better");
-        assert_eq!(row(&[0.5, 0.52, 0.51], &[1.0, 1.0, 1.0]).word(), "A is better");
+        assert_eq!(
+            row(&[1.0, 1.2, 0.9], &[1.0, 1.0, 1.0]).word(),
+            "within the noise"
+        );
+        assert_eq!(
+            row(&[1.3, 1.31, 1.3], &[1.0, 1.0, 1.0]).word(),
+            "B is better"
+        );
+        assert_eq!(
+            row(&[1.3, 1.01, 1.3], &[1.0, 1.0, 1.0]).word(),
+            "B is better"
+        );
+        assert_eq!(
+            row(&[0.5, 0.52, 0.51], &[1.0, 1.0, 1.0]).word(),
+            "A is better"
+        );
         assert_eq!(row(&[0.5], &[1.0]).word(), "within the noise");
     }
 }
--- a/crates/sparrouter-lab/src/experiment/kills.rs
+++ b/crates/sparrouter-lab/src/experiment/kills.rs
@@ -24,11 +24,13 @@
     pub fn right(&self, how: &str) -> bool {
         let ended = |run: &Run| {
             let all = run.scenario.nodes.count;
-            run.rollout
-                .as_ref()
-                .is_some_and(|c| c.how == how && c.changed.len() == if how == "through" { all } else { 0 })
+            run.rollout.as_ref().is_some_and(|c| {
+                c.how == how && c.changed.len() == if how == "through" { all } else { 0 }
+            })
         };
-        self.run.as_ref().is_ok_and(|run| ended(run) && run.verdict.kept() && run.tally.total.unanswered == 0)
+        self.run
+            .as_ref()
+            .is_ok_and(|run| ended(run) && run.verdict.kept() && run.tally.total.unanswered == 0)
     }
 }
 
@@ -43,7 +45,12 @@
 
 /// So many runs at once. `done` hears of each as it ends; they come back in order, up to the first point not reached.
 pub fn kills(
-    scenario: &Scenario, program: &Program, tools: &Tools, points: Points, jobs: usize, folder: &Path,
+    scenario: &Scenario,
+    program: &Program,
+    tools: &Tools,
+    points: Points,
+    jobs: usize,
+    folder: &Path,
     done: impl Fn(&Killed) + Sync,
 ) -> Vec<Killed> {
     let (next, over) = (AtomicUsize::new(0), AtomicBool::new(false));
--- a/crates/sparrouter-lab/src/experiment/shares.rs
+++ b/crates/sparrouter-lab/src/experiment/shares.rs
@@ -31,7 +31,9 @@
     let lines = |n: usize| {
         let path = folder.join(format!("n{n}/report.jsonl"));
         let text = std::fs::read_to_string(path).unwrap_or_default();
-        text.lines().filter_map(|l| serde_json::from_str::<Report>(l).ok()).collect()
+        text.lines()
+            .filter_map(|l| serde_json::from_str::<Report>(l).ok())
+            .collect()
     };
     (0..nodes).map(lines).collect()
 }
@@ -42,7 +44,11 @@
     let (a, b) = (life.get(after.checked_sub(1)?)?, life.get(after)?);
     let part = (ms - a.0) as f64 / (b.0 - a.0).max(1) as f64;
     let between = |x: u64, y: u64| x as f64 + part * (y as f64 - x as f64);
-    Some((between(a.1.within, b.1.within), between(a.1.arrived, b.1.arrived), a.1.part))
+    Some((
+        between(a.1.within, b.1.within),
+        between(a.1.arrived, b.1.arrived),
+        a.1.part,
+    ))
 }
 
 /// `began_ms`: the first arrival, by the machine's clock.
@@ -53,11 +59,16 @@
     for node in reports {
         let mut uptime = u64::MAX;
         for r in node {
-            let Some(share) = r.shares.iter().find(|s| s.limit == limit) else { continue };
+            let Some(share) = r.shares.iter().find(|s| s.limit == limit) else {
+                continue;
+            };
             per_s = per_s.max(share.per_s);
             if r.uptime_ms < uptime {
                 // What came before its first line was let in by a process that was not there before.
-                lives.push(vec![(r.unix_ms.saturating_sub(r.uptime_ms), Share::default())]);
+                lives.push(vec![(
+                    r.unix_ms.saturating_sub(r.uptime_ms),
+                    Share::default(),
+                )]);
             }
             uptime = r.uptime_ms;
             if let Some(life) = lives.last_mut() {
@@ -68,7 +79,11 @@
     let mut all = Vec::new();
     for s in 0..length_s as u64 {
         let (from, to) = (began_ms + s * 1000, began_ms + (s + 1) * 1000);
-        let mut second = Second { at_s: s as f64, jain: 1.0, ..Second::default() };
+        let mut second = Second {
+            at_s: s as f64,
+            jain: 1.0,
+            ..Second::default()
+        };
         let mut hungry = Vec::new();
         for life in &lives {
             let (first, last) = (life[0].0, life[life.len() - 1].0);
@@ -88,7 +103,9 @@
                 hungry.push(within);
             }
         }
-        let (sum, squares) = hungry.iter().fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
+        let (sum, squares) = hungry
+            .iter()
+            .fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
         if squares > 0.0 {
             second.jain = sum * sum / (hungry.len() as f64 * squares);
         }
@@ -123,13 +140,21 @@
             Fault::Nodes { count, .. } => format!("{count} nodes"),
             _ => what.to_string(),
         };
-        marks.entry((from * 1e3) as u64).or_default().push(what.clone());
+        marks
+            .entry((from * 1e3) as u64)
+            .or_default()
+            .push(what.clone());
         if !matches!(f, Fault::Nodes { .. }) && to < s.length_s && to > from + 0.5 {
-            marks.entry((to * 1e3) as u64).or_default().push(format!("{what} over"));
+            marks
+                .entry((to * 1e3) as u64)
+                .or_default()
+                .push(format!("{what} over"));
         }
     }
-    let marks: Vec<(f64, String)> =
-        marks.into_iter().map(|(ms, w)| (ms as f64 / 1e3, w.join(", "))).collect();
+    let marks: Vec<(f64, String)> = marks
+        .into_iter()
+        .map(|(ms, w)| (ms as f64 / 1e3, w.join(", ")))
+        .collect();
     let window = s.shares.map_or(1, |c| (c.window_s.round() as usize).max(1));
     let over = |at: f64| {
         let last = seconds.iter().position(|x| x.at_s >= at)? + 1;
@@ -140,17 +165,30 @@
     for (n, (from, what)) in marks.iter().enumerate() {
         let to = marks.get(n + 1).map_or(s.length_s, |m| m.0);
         // Whole seconds of this phase alone.
-        let inside: Vec<&Second> = seconds.iter().filter(|x| x.at_s >= *from && x.at_s + 1.0 <= to).collect();
+        let inside: Vec<&Second> = seconds
+            .iter()
+            .filter(|x| x.at_s >= *from && x.at_s + 1.0 <= to)
+            .collect();
         let good = |x: &&Second| x.used() >= SETTLED;
-        let settled = inside.windows(2).find(|w| w.iter().all(good)).map(|w| w[0].at_s);
-        let rest: Vec<&&Second> = inside.iter().filter(|x| settled.is_none_or(|at| x.at_s >= at)).collect();
-        let mean =
-            |f: &dyn Fn(&Second) -> f64| rest.iter().map(|x| f(x)).sum::<f64>() / rest.len().max(1) as f64;
+        let settled = inside
+            .windows(2)
+            .find(|w| w.iter().all(good))
+            .map(|w| w[0].at_s);
+        let rest: Vec<&&Second> = inside
+            .iter()
+            .filter(|x| settled.is_none_or(|at| x.at_s >= at))
+            .collect();
+        let mean = |f: &dyn Fn(&Second) -> f64| {
+            rest.iter().map(|x| f(x)).sum::<f64>() / rest.len().max(1) as f64
+        };
         all.push(Phase {
             from_s: *from,
             to_s: to,
             what: what.clone(),
-            over: inside.iter().filter_map(|x| over(x.at_s)).fold(0.0, f64::max),
+            over: inside
+                .iter()
+                .filter_map(|x| over(x.at_s))
+                .fold(0.0, f64::max),
             parts: inside.iter().map(|x| x.parts).fold(0.0, f64::max),
             used: mean(&|x| x.used()),
             jain: mean(&|x| x.jain),
--- a/crates/sparrouter-lab/src/experiment/soak.rs
+++ b/crates/sparrouter-lab/src/experiment/soak.rs
@@ -31,7 +31,11 @@
     let (early, late) = (&run.samples[n / 4..n / 2], &run.samples[n - n / 4..]);
     let nodes = run.samples[0].nodes.len();
     let pair = |node, of| (mean(early, node, of), mean(late, node, of));
-    let one = |node| Growth { node, memory_mb: pair(node, |u| u.1), descriptors: pair(node, |u| u.2 as f64) };
+    let one = |node| Growth {
+        node,
+        memory_mb: pair(node, |u| u.1),
+        descriptors: pair(node, |u| u.2 as f64),
+    };
     (0..nodes).map(one).collect()
 }
 
@@ -41,7 +45,11 @@
 
     #[test]
     fn what_keeps_growing_is_told_from_what_was_taken_once() {
-        let g = |a, b| Growth { node: 0, memory_mb: (a, b), descriptors: (50.0, 50.0) };
+        let g = |a, b| Growth {
+            node: 0,
+            memory_mb: (a, b),
+            descriptors: (50.0, 50.0),
+        };
         assert!(g(20.0, 40.0).grows());
         assert!(!g(20.0, 22.0).grows());
         assert!(!g(2.0, 5.0).grows());
--- a/crates/sparrouter-lab/src/experiment/sweep.rs
+++ b/crates/sparrouter-lab/src/experiment/sweep.rs
@@ -40,7 +40,11 @@
 /// all steps; the knee is the highest that held. A step is tried twice before it counts as not held: the
 /// machine is shared, and one stall would end the search.
 pub fn sweep(
-    scenario: &Scenario, program: &Program, within: f64, folder: &Path, mut done: impl FnMut(&Step),
+    scenario: &Scenario,
+    program: &Program,
+    within: f64,
+    folder: &Path,
+    mut done: impl FnMut(&Step),
 ) -> Result<Vec<Step>, Failed> {
     let mut steps: Vec<Step> = Vec::new();
     let (mut low, mut high) = (0.0, f64::INFINITY);
@@ -48,11 +52,25 @@
     while high / f64::max(low, 1e-9) > within && steps.len() < 40 {
         let mut s = scenario.clone();
         s.load.rate_per_s = rate;
-        let mut run = play(&s, program, &folder.join(format!("step{}", steps.len())), |_| {})?;
+        let mut run = play(
+            &s,
+            program,
+            &folder.join(format!("step{}", steps.len())),
+            |_| {},
+        )?;
         if !held(&run) {
-            run = play(&s, program, &folder.join(format!("step{}-again", steps.len())), |_| {})?;
+            run = play(
+                &s,
+                program,
+                &folder.join(format!("step{}-again", steps.len())),
+                |_| {},
+            )?;
         }
-        let step = Step { rate_per_s: rate, held: held(&run), run };
+        let step = Step {
+            rate_per_s: rate,
+            held: held(&run),
+            run,
+        };
         done(&step);
         if step.held {
             low = rate
@@ -74,5 +92,8 @@
 }
 
 pub fn knee(steps: &[Step]) -> Option<&Step> {
-    steps.iter().filter(|s| s.held).max_by(|a, b| a.rate_per_s.total_cmp(&b.rate_per_s))
+    steps
+        .iter()
+        .filter(|s| s.held)
+        .max_by(|a, b| a.rate_per_s.total_cmp(&b.rate_per_s))
 }
--- a/crates/sparrouter-lab/src/http.rs
+++ b/crates/sparrouter-lab/src/http.rs
@@ -37,14 +37,28 @@
 
 /// A whole message at the front of the buffer, taken out of it. Err where it can't be one.
 pub fn take(buffer: &mut BytesMut) -> Result<Option<Message>, &'static str> {
-    let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4) else {
-        return if buffer.len() > 16 << 10 { Err("a head without end") } else { Ok(None) };
+    let Some(end) = buffer
+        .windows(4)
+        .position(|w| w == b"\r\n\r\n")
+        .map(|at| at + 4)
+    else {
+        return if buffer.len() > 16 << 10 {
+            Err("a head without end")
+        } else {
+            Ok(None)
+        };
     };
     let head = std::str::from_utf8(&buffer[..end]).map_err(|_| "a head that is no text")?;
     let mut lines = head.split("\r\n");
     let mut words = lines.next().unwrap_or_default().split(' ');
-    let first = (words.next().unwrap_or_default(), words.next().ok_or("a first line of one word")?);
-    let mut m = Message { first: (first.0.into(), first.1.into()), ..Message::default() };
+    let first = (
+        words.next().unwrap_or_default(),
+        words.next().ok_or("a first line of one word")?,
+    );
+    let mut m = Message {
+        first: (first.0.into(), first.1.into()),
+        ..Message::default()
+    };
     let mut length = 0;
     for (name, value) in lines.filter_map(|l| l.split_once(':')) {
         let value = value.trim();
@@ -87,7 +101,9 @@
 /// The next whole message, with what was read behind it left in the buffer. `begun` is called once its
 /// first byte is there.
 pub async fn read(
-    stream: &mut TcpStream, buffer: &mut BytesMut, mut begun: impl FnMut(),
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    mut begun: impl FnMut(),
 ) -> Result<Message, Ended> {
     if !buffer.is_empty() {
         begun();
@@ -115,7 +131,11 @@
 
 /// A reply with a body; `more` are whole field lines.
 pub fn reply(status: &str, more: &str, body: &[u8]) -> Vec<u8> {
-    let mut text = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut text = format!(
+        "HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
     text.extend_from_slice(body);
     text
 }
--- a/crates/sparrouter-lab/src/ledger/audit.rs
+++ b/crates/sparrouter-lab/src/ledger/audit.rs
@@ -123,7 +123,11 @@
 impl Audit {
     pub fn new(s: &Scenario) -> Audit {
         let delays = |f: &Fault| match f {
-            Fault::Links { delay_ms, jitter_ms, .. } => delay_ms + jitter_ms,
+            Fault::Links {
+                delay_ms,
+                jitter_ms,
+                ..
+            } => delay_ms + jitter_ms,
             _ => 0.0,
         };
         let links = s.link.iter().map(|l| l.delay_ms + l.jitter_ms);
@@ -148,7 +152,10 @@
             fall: nanos(s.rules.fall_s),
             cold_misses: s.rules.cold_misses,
             blind,
-            linked: s.link.iter().any(|l| matches!(l.before, Before::Caches | Before::Origin)),
+            linked: s
+                .link
+                .iter()
+                .any(|l| matches!(l.before, Before::Caches | Before::Origin)),
             told: HashMap::new(),
             known: HashMap::new(),
             away: Vec::new(),
@@ -164,7 +171,12 @@
         *self.verdict.breaches.entry(breach).or_default() += 1;
         if self.verdict.breaches[&breach] as usize <= LISTED {
             let id = id.map_or(String::new(), |id| format!("{id:016x}"));
-            self.verdict.listed.push(Found { breach, at_s: at as f64 / SECOND as f64, id, what });
+            self.verdict.listed.push(Found {
+                breach,
+                at_s: at as f64 / SECOND as f64,
+                id,
+                what,
+            });
         }
     }
     fn unjudged(&mut self, why: &str) {
@@ -176,9 +188,19 @@
 
     pub fn event(&mut self, record: Record) {
         match record {
-            Record::Known { at, cache, listed } => self.known.entry(cache).or_default().push((at, listed)),
-            Record::Told { at, node, cache, listed } => {
-                self.told.entry((node, cache)).or_default().push((at, listed));
+            Record::Known { at, cache, listed } => {
+                self.known.entry(cache).or_default().push((at, listed))
+            }
+            Record::Told {
+                at,
+                node,
+                cache,
+                listed,
+            } => {
+                self.told
+                    .entry((node, cache))
+                    .or_default()
+                    .push((at, listed));
             }
             Record::Away { at, away: true } => self.away.push((at, Nanos::MAX)),
             Record::Away { at, away: false } => {
@@ -186,17 +208,38 @@
                     span.1 = at;
                 }
             }
-            Record::Fell { at, cache, cold: true } => {
-                self.found(Breach::ColdPushedOver, at, None, format!("cache server {cache} fell over"));
+            Record::Fell {
+                at,
+                cache,
+                cold: true,
+            } => {
+                self.found(
+                    Breach::ColdPushedOver,
+                    at,
+                    None,
+                    format!("cache server {cache} fell over"),
+                );
             }
             Record::More { at, id } => {
-                self.found(Breach::AnsweredTwice, at, Some(id), "more came behind its answer".into());
+                self.found(
+                    Breach::AnsweredTwice,
+                    at,
+                    Some(id),
+                    "more came behind its answer".into(),
+                );
             }
             Record::Fell { cold: false, .. } => self.seen("a warm cache server was overdriven"),
             Record::OriginStopped { at } => self.stops.push(at),
-            Record::NodeDown { at, node, killed } => self.down.entry(node).or_default().push((at, killed)),
+            Record::NodeDown { at, node, killed } => {
+                self.down.entry(node).or_default().push((at, killed))
+            }
             Record::NodeCrashed { at, node } => {
-                self.found(Breach::NodeCrashed, at, None, format!("node {node} ended by itself"));
+                self.found(
+                    Breach::NodeCrashed,
+                    at,
+                    None,
+                    format!("node {node} ended by itself"),
+                );
             }
             _ => {}
         }
@@ -222,15 +265,22 @@
         let down = self.down.get(&node).map_or(&[][..], |d| d);
         // What was written to a process in the moment that it died was never taken either.
         let from = from.saturating_sub(self.slack);
-        down.iter().any(|(at, killed)| *killed && (from..=to + self.slack).contains(at))
+        down.iter()
+            .any(|(at, killed)| *killed && (from..=to + self.slack).contains(at))
     }
 
     pub(crate) fn judge(&mut self, id: u64, life: &Life) {
         let Some(asked) = life.asked else {
             let at = life.forwards.first().map_or(0, |f| f.first);
-            return self.found(Breach::SentForNobody, at, Some(id), "no client sent this invocation".into());
+            return self.found(
+                Breach::SentForNobody,
+                at,
+                Some(id),
+                "no client sent this invocation".into(),
+            );
         };
-        let op = self.operations[usize::from(operation_of(id)).min(self.operations.len() - 1)].clone();
+        let op =
+            self.operations[usize::from(operation_of(id)).min(self.operations.len() - 1)].clone();
         self.verdict.judged += 1;
         self.answer(id, &asked, &op, life);
         self.effects(id, &asked, &op, life);
@@ -284,7 +334,11 @@
             }
         }
         let good = |f: &&Forwarded| matches!(f.how, How::Done | How::Repeat);
-        let made = life.forwards.iter().filter(good).any(|f| f.ended_since() <= a.ended + self.slack);
+        let made = life
+            .forwards
+            .iter()
+            .filter(good)
+            .any(|f| f.ended_since() <= a.ended + self.slack);
         if a.end == End::Foreign || a.end == End::Succeeded && !made {
             let what = "no cache server made this answer for it".to_string();
             self.found(Breach::AnsweredWithNobodysValue, a.ended, Some(id), what);
@@ -295,17 +349,29 @@
         let mut all: Vec<&Forwarded> = life.forwards.iter().filter(|f| f.whole.is_some()).collect();
         all.sort_by_key(|f| f.whole);
         if op.effect != Effect::Idempotent && all.iter().filter(|f| f.ran).count() > 1 {
-            self.found(Breach::EffectTwice, a.ended, Some(id), format!("{} ran twice", op.name));
+            self.found(
+                Breach::EffectTwice,
+                a.ended,
+                Some(id),
+                format!("{} ran twice", op.name),
+            );
         }
         for (n, later) in all.iter().enumerate() {
             let whole = later.whole.unwrap_or_default();
             let earlier = &all[..n];
             if let Some(first) = earlier.iter().find(|f| f.may_have_run()) {
                 let from = first.whole.unwrap_or_default();
-                let to = format!("to {} after {} ({:?})", name(later.to), name(first.to), first.how);
+                let to = format!(
+                    "to {} after {} ({:?})",
+                    name(later.to),
+                    name(first.to),
+                    first.how
+                );
                 match op.effect {
                     Effect::Idempotent => {}
-                    Effect::NonIdempotent => self.found(Breach::ForwardedAgain, whole, Some(id), to),
+                    Effect::NonIdempotent => {
+                        self.found(Breach::ForwardedAgain, whole, Some(id), to)
+                    }
                     Effect::Deduplicated if whole > from + op.window_ms * MS + self.slack => {
                         self.found(Breach::RepeatedOutsideWindow, whole, Some(id), to);
                     }
@@ -367,23 +433,46 @@
         let told = self.told.get(&(a.node, f.to)).map_or(&[][..], |t| t);
         let known = self.known.get(&f.to).map_or(&[][..], |k| k);
         // Word that came in time, of this or of something newer, makes the latest moment for it moot.
-        let unheard = |at: Nanos| !told.iter().any(|t| (at..=self.counts_as_told(at)).contains(&t.0));
-        let known = known.iter().filter(|k| unheard(k.0)).map(|(at, l)| (self.counts_as_told(*at), *l));
+        let unheard = |at: Nanos| {
+            !told
+                .iter()
+                .any(|t| (at..=self.counts_as_told(at)).contains(&t.0))
+        };
+        let known = known
+            .iter()
+            .filter(|k| unheard(k.0))
+            .map(|(at, l)| (self.counts_as_told(*at), *l));
         let mut all: Vec<(Nanos, Listed)> = told.iter().copied().chain(known).collect();
         all.sort_by_key(|t| t.0);
         // What it knew a grace before, and whether it was told better since.
         // Where the lab stood still it may have come at any moment of that: only what is late either way counts.
-        let Some(bar) = f.first_since().checked_sub(self.grace + self.slack) else { return };
+        let Some(bar) = f.first_since().checked_sub(self.grace + self.slack) else {
+            return;
+        };
         let then = all.iter().rfind(|t| t.0 <= bar);
         let bar_known = bar.saturating_sub(self.informed);
-        let drained = self.known.get(&f.to).and_then(|k| k.iter().rfind(|k| k.0 <= bar_known));
+        let drained = self
+            .known
+            .get(&f.to)
+            .and_then(|k| k.iter().rfind(|k| k.0 <= bar_known));
         let drained = drained.is_some_and(|k| k.1 != Listed::Ready);
-        if drained && self.away.iter().any(|a| (a.0..a.1.saturating_add(self.informed)).contains(&f.first)) {
+        if drained
+            && self
+                .away
+                .iter()
+                .any(|a| (a.0..a.1.saturating_add(self.informed)).contains(&f.first))
+        {
             self.unjudged("sent to a drained cache server while discovery was away");
         }
-        let since = all.iter().any(|t| t.0 > bar && t.0 <= f.first && t.1 == Listed::Ready);
+        let since = all
+            .iter()
+            .any(|t| t.0 > bar && t.0 <= f.first && t.1 == Listed::Ready);
         if let Some((at, listed)) = then.filter(|t| t.1 != Listed::Ready && !since) {
-            let what = format!("to {}, {} ms after word of {listed:?}", name(f.to), (f.first - at) / MS);
+            let what = format!(
+                "to {}, {} ms after word of {listed:?}",
+                name(f.to),
+                (f.first - at) / MS
+            );
             self.found(Breach::SentToDrained, f.first, Some(id), what);
         }
     }
@@ -409,5 +498,9 @@
 }
 
 fn name(to: u32) -> String {
-    if to == ORIGIN { "the origin".into() } else { format!("cache server {to}") }
+    if to == ORIGIN {
+        "the origin".into()
+    } else {
+        format!("cache server {to}")
+    }
 }
--- a/crates/sparrouter-lab/src/ledger/figures.rs
+++ b/crates/sparrouter-lab/src/ledger/figures.rs
@@ -110,7 +110,13 @@
         return Quantiles::default();
     }
     let at = |q| h.value_at_quantile(q) as f64 / 1e3;
-    Quantiles { p50: at(0.5), p90: at(0.9), p99: at(0.99), p999: at(0.999), max: h.max() as f64 / 1e3 }
+    Quantiles {
+        p50: at(0.5),
+        p90: at(0.9),
+        p99: at(0.99),
+        p999: at(0.999),
+        max: h.max() as f64 / 1e3,
+    }
 }
 
 impl Figures {
@@ -139,7 +145,13 @@
     fn slice(&mut self, at: Nanos) -> &mut Slice {
         let n = at / self.piece;
         let at_s = (n * self.piece) as f64 / SECOND as f64;
-        let fresh = || Slice { piece: Piece { at_s, ..Piece::default() }, latency: histogram() };
+        let fresh = || Slice {
+            piece: Piece {
+                at_s,
+                ..Piece::default()
+            },
+            latency: histogram(),
+        };
         self.slices.entry(n).or_insert_with(fresh)
     }
 
@@ -150,7 +162,8 @@
         let good = a.end == End::Succeeded && took <= self.objectives[op];
         let us = (took / 1000).clamp(1, LONGEST);
         if first {
-            self.late.saturating_record((a.dealt.saturating_sub(a.due) / 1000).clamp(1, LONGEST));
+            self.late
+                .saturating_record((a.dealt.saturating_sub(a.due) / 1000).clamp(1, LONGEST));
             self.asked_value += self.values[op];
         }
         if good {
@@ -171,9 +184,19 @@
             }
         };
         count(&mut self.tally.total);
-        count(self.tally.by_operation.entry(self.operations[op].clone()).or_default());
+        count(
+            self.tally
+                .by_operation
+                .entry(self.operations[op].clone())
+                .or_default(),
+        );
         let tenant = usize::from(a.tenant).min(self.tenants.len() - 1);
-        count(self.tally.by_tenant.entry(self.tenants[tenant].clone()).or_default());
+        count(
+            self.tally
+                .by_tenant
+                .entry(self.tenants[tenant].clone())
+                .or_default(),
+        );
         let slice = self.slice(a.first_due);
         count(&mut slice.piece.counts);
         if a.end == End::Succeeded {
@@ -215,7 +238,10 @@
         self.tally.value = self.good_value / self.asked_value.max(1e-9);
         self.tally.latency_ms = quantiles(&self.latency);
         self.tally.late_ms = quantiles(&self.late);
-        let piece = |s: Slice| Piece { latency_ms: quantiles(&s.latency), ..s.piece };
+        let piece = |s: Slice| Piece {
+            latency_ms: quantiles(&s.latency),
+            ..s.piece
+        };
         self.tally.pieces = self.slices.into_values().map(piece).collect();
         self.tally
     }
--- a/crates/sparrouter-lab/src/ledger/mod.rs
+++ b/crates/sparrouter-lab/src/ledger/mod.rs
@@ -213,7 +213,11 @@
             Record::Forwarded(forward) => {
                 self.figures.forwarded(&forward);
                 self.audit.forwarded(&forward);
-                self.lives.entry(forward.id).or_default().forwards.push(forward);
+                self.lives
+                    .entry(forward.id)
+                    .or_default()
+                    .forwards
+                    .push(forward);
             }
             Record::Connected { at } => self.figures.connected(at),
             other => self.audit.event(other),
--- a/crates/sparrouter-lab/src/ledger/slowest.rs
+++ b/crates/sparrouter-lab/src/ledger/slowest.rs
@@ -14,7 +14,9 @@
 
 fn line(id: u64, a: &Asked, life: &Life) -> String {
     let due = a.first_due;
-    let written = a.written.map_or("never".into(), |w| format!("{:.1}", ms(w, due)));
+    let written = a
+        .written
+        .map_or("never".into(), |w| format!("{:.1}", ms(w, due)));
     let mut text = format!(
         "{:.3} s {id:016x} node {} {:?} after {:.1} ms; written {written}",
         due as f64 / 1e9,
@@ -25,19 +27,33 @@
     let mut forwards: Vec<_> = life.forwards.iter().collect();
     forwards.sort_by_key(|f| f.first);
     for f in forwards {
-        let to = if f.to == ORIGIN { "origin".into() } else { format!("c{}", f.to) };
-        text += &format!("; {to} {:.1} to {:.1} {:?}", ms(f.first, due), ms(f.ended, due), f.how);
+        let to = if f.to == ORIGIN {
+            "origin".into()
+        } else {
+            format!("c{}", f.to)
+        };
+        text += &format!(
+            "; {to} {:.1} to {:.1} {:?}",
+            ms(f.first, due),
+            ms(f.ended, due),
+            f.how
+        );
     }
     text
 }
 
 impl Slowest {
     pub(crate) fn see(&mut self, id: u64, life: &Life) {
-        let Some(a) = life.asked.filter(|a| matches!(a.end, End::Succeeded | End::Errored | End::Silent))
+        let Some(a) = life
+            .asked
+            .filter(|a| matches!(a.end, End::Succeeded | End::Errored | End::Silent))
         else {
             return;
         };
-        let (took, place) = (a.ended.saturating_sub(a.first_due), a.first_due / (100 * MS));
+        let (took, place) = (
+            a.ended.saturating_sub(a.first_due),
+            a.first_due / (100 * MS),
+        );
         if let Some(same) = self.0.iter_mut().find(|s| s.1 == place) {
             if same.0 >= took {
                 return;
--- a/crates/sparrouter-lab/src/main.rs
+++ b/crates/sparrouter-lab/src/main.rs
@@ -172,10 +172,17 @@
                 let kinds = <Kind as clap::ValueEnum>::value_variants();
                 let words: Vec<String> = kinds.iter().map(|k| word(*k)).collect();
                 let found = kinds.iter().find(|k| word(**k) == kind);
-                Program::Bad(*found.ok_or(format!("no bad node {kind}; there are {}", words.join(", ")))?)
+                Program::Bad(*found.ok_or(format!(
+                    "no bad node {kind}; there are {}",
+                    words.join(", ")
+                ))?)
             }
             None if Path::new(name).is_file() => Program::Node(name.into()),
-            None => return Err(format!("no program {name}; give a path, or node, relay, direct, bad:NAME")),
+            None => {
+                return Err(format!(
+                    "no program {name}; give a path, or node, relay, direct, bad:NAME"
+                ));
+            }
         },
     })
 }
@@ -187,26 +194,32 @@
 fn beside(own: &Path) -> Result<PathBuf, String> {
     let path = own.with_file_name("sparrouter-node");
     let found = path.is_file();
-    found
-        .then_some(path.clone())
-        .ok_or(format!("{}: not there; build it with cargo build --release", path.display()))
+    found.then_some(path.clone()).ok_or(format!(
+        "{}: not there; build it with cargo build --release",
+        path.display()
+    ))
 }
 
 fn read(path: &Path) -> Result<Scenario, String> {
-    Ok(Scenario::read(path).map_err(|e| e.to_string())?.with_defaults())
+    Ok(Scenario::read(path)
+        .map_err(|e| e.to_string())?
+        .with_defaults())
 }
 
 /// With a bar where somebody looks.
 fn play_one(scenario: &Scenario, program: &Program, folder: &Path) -> Result<Run, String> {
     let bar = if std::io::stderr().is_terminal() {
-        let style = ProgressStyle::with_template("{msg} {bar:40} {pos}/{len} s").expect("a fixed template");
+        let style =
+            ProgressStyle::with_template("{msg} {bar:40} {pos}/{len} s").expect("a fixed template");
         ProgressBar::new(scenario.length_s.ceil() as u64)
             .with_style(style)
             .with_message(scenario.name.clone())
     } else {
         ProgressBar::hidden()
     };
-    let run = play::play(scenario, program, folder, |at| bar.set_position(at / SECOND));
+    let run = play::play(scenario, program, folder, |at| {
+        bar.set_position(at / SECOND)
+    });
     bar.finish_and_clear();
     run.map_err(|e| e.to_string())
 }
@@ -224,7 +237,13 @@
         }
     };
     match command {
-        Command::Play { scenario, program: name, out, seed, rate } => {
+        Command::Play {
+            scenario,
+            program: name,
+            out,
+            seed,
+            rate,
+        } => {
             let (mut scenario, program) = (read(&scenario)?, program(&name)?);
             scenario.seed = seed.unwrap_or(scenario.seed);
             if let Some(rate) = rate {
@@ -236,7 +255,13 @@
             println!("{}report: {}", report::table(&run), page.display());
             Ok(run.verdict.kept() && run.tally.valid())
         }
-        Command::Compare { scenario, a, b, pairs, out } => {
+        Command::Compare {
+            scenario,
+            a,
+            b,
+            pairs,
+            out,
+        } => {
             let scenario = read(&scenario)?;
             let folder = folder(out, &format!("{}-compare", scenario.name));
             let (a, b) = (program(&a)?, program(&b)?);
@@ -252,7 +277,10 @@
             };
             let pairs = compare::compare(&scenario, &a, &b, usize::from(pairs), &folder, done);
             println!("A {}, B {}; {}", a.name(), b.name(), scenario.name);
-            println!("{:<20}{:>11}{:>11}{:>9}{:>9}{:>9}", "", "A", "B", "A/B min", "median", "max");
+            println!(
+                "{:<20}{:>11}{:>11}{:>9}{:>9}{:>9}",
+                "", "A", "B", "A/B min", "median", "max"
+            );
             for row in compare::rows(&pairs.map_err(|e| e.to_string())?) {
                 let (r, middle) = (row.ratios(), row.a.len() / 2);
                 let at = |n: usize| r.get(n).copied().unwrap_or(f64::NAN);
@@ -263,18 +291,32 @@
                     v[middle]
                 };
                 let (a, b) = (sorted(&row.a), sorted(&row.b));
-                println!("{:<20}{a:>11.3}{b:>11.3}{low:>9.3}{mid:>9.3}{high:>9.3}  {}", row.name, row.word());
+                println!(
+                    "{:<20}{a:>11.3}{b:>11.3}{low:>9.3}{mid:>9.3}{high:>9.3}  {}",
+                    row.name,
+                    row.word()
+                );
             }
             Ok(kept)
         }
-        Command::Sweep { scenario, program: name, by, values, within, out } => {
+        Command::Sweep {
+            scenario,
+            program: name,
+            by,
+            values,
+            within,
+            out,
+        } => {
             let (scenario, program) = (read(&scenario)?, program(&name)?);
             if within <= 1.0 {
                 return Err(format!("--within {within}: a ratio above 1 is needed"));
             }
             let folder = folder(out, &format!("{}-sweep", scenario.name));
             let points = match by {
-                Some(by) => values.iter().map(|v| (v.to_string(), sweep::with(&scenario, by, *v))).collect(),
+                Some(by) => values
+                    .iter()
+                    .map(|v| (v.to_string(), sweep::with(&scenario, by, *v)))
+                    .collect(),
                 None => vec![(String::from("-"), scenario.clone())],
             };
             println!(
@@ -319,7 +361,12 @@
             }
             Ok(true)
         }
-        Command::Soak { scenario, program: name, minutes, out } => {
+        Command::Soak {
+            scenario,
+            program: name,
+            minutes,
+            out,
+        } => {
             let (mut scenario, program) = (read(&scenario)?, program(&name)?);
             scenario.length_s = minutes * 60.0;
             let folder = folder(out, &format!("{}-soak", scenario.name));
@@ -337,7 +384,14 @@
             println!("report: {}", page.display());
             Ok(run.verdict.kept() && !all.iter().any(|g| g.grows()))
         }
-        Command::Changes { scenario, program: name, cases, hows, jobs, out } => {
+        Command::Changes {
+            scenario,
+            program: name,
+            cases,
+            hows,
+            jobs,
+            out,
+        } => {
             let (scenario, program) = (read(&scenario)?, program(&name)?);
             if scenario.rollout.is_none() {
                 return Err(format!("{}: no [rollout] in it", scenario.name));
@@ -355,7 +409,11 @@
                 true => known.clone(),
                 false => cases.iter().map(named).collect::<Result<_, _>>()?,
             };
-            let hows = if hows.is_empty() { vec![How::Staged, How::Plain, How::AtOnce] } else { hows };
+            let hows = if hows.is_empty() {
+                vec![How::Staged, How::Plain, How::AtOnce]
+            } else {
+                hows
+            };
             let folder = folder(out, &format!("{}-changes", scenario.name));
             println!(
                 "{:<13}{:<9}{:<10}{:>6}{:>8}{:>9}{:>9}  {:<7}why",
@@ -377,22 +435,44 @@
                         if run.verdict.kept() { "kept" } else { "BROKEN" },
                     );
                 }
-                Err(e) => println!("{:<13}{:<9}{e}", p.case.name(), format!("{:?}", p.how).to_lowercase()),
+                Err(e) => println!(
+                    "{:<13}{:<9}{e}",
+                    p.case.name(),
+                    format!("{:?}", p.how).to_lowercase()
+                ),
             };
             let all = changes::changes(&scenario, &program, &cases, &hows, jobs, &folder, line);
             // Bad versions may break rules; what must hold is that a sound one does not, and that the run counts.
             Ok(all.iter().all(|p| match &p.run {
-                Ok(run) => run.tally.valid() && (p.case != Case::Planted(Plant::None) || run.verdict.kept()),
+                Ok(run) => {
+                    run.tally.valid()
+                        && (p.case != Case::Planted(Plant::None) || run.verdict.kept())
+                }
                 Err(_) => false,
             }))
         }
-        Command::Kills { scenario, program: name, from, step, most, twice, ends, jobs, out } => {
+        Command::Kills {
+            scenario,
+            program: name,
+            from,
+            step,
+            most,
+            twice,
+            ends,
+            jobs,
+            out,
+        } => {
             let (scenario, program) = (read(&scenario)?, program(&name)?);
             if scenario.rollout.is_none() {
                 return Err(format!("{}: no [rollout] in it", scenario.name));
             }
             let folder = folder(out, &format!("{}-kills", scenario.name));
-            let points = kills::Points { from: from.into(), step: step.into(), most: most.into(), twice };
+            let points = kills::Points {
+                from: from.into(),
+                step: step.into(),
+                most: most.into(),
+                twice,
+            };
             println!(
                 "{:<10}{:<10}{:>6}{:>8}{:>9}{:>9}{:>9}  {:<7}why",
                 "point", "ended", "kills", "took s", "changed", "lost %", "no reply", "rules"
@@ -415,7 +495,15 @@
                 }
                 Err(e) => println!("{:<10}{e}", format!("{:?}", k.points)),
             };
-            let all = kills::kills(&scenario, &program, &Tools::own(), points, jobs, &folder, line);
+            let all = kills::kills(
+                &scenario,
+                &program,
+                &Tools::own(),
+                points,
+                jobs,
+                &folder,
+                line,
+            );
             let (reached, right) = (
                 all.iter().filter(|k| k.reached()).count(),
                 all.iter().filter(|k| k.reached() && k.right(&ends)).count(),
@@ -423,12 +511,21 @@
             println!("{right} of {reached} points ended right");
             Ok(reached > 0 && right == reached)
         }
-        Command::Shares { scenario, program: name, seeds, out } => {
+        Command::Shares {
+            scenario,
+            program: name,
+            seeds,
+            out,
+        } => {
             let (scenario, program) = (read(&scenario)?, program(&name)?);
             let Some(wanted) = scenario.shares else {
                 return Err(format!("{}: no [shares] in it", scenario.name));
             };
-            let seeds = if seeds.is_empty() { vec![scenario.seed] } else { seeds };
+            let seeds = if seeds.is_empty() {
+                vec![scenario.seed]
+            } else {
+                seeds
+            };
             let folder = folder(out, &format!("{}-shares", scenario.name));
             println!(
                 "{:<6}{:<7}{:<10}{:>7}{:>7}{:>7}{:>7}{:>7}{:>9}  phase",
@@ -436,7 +533,8 @@
             );
             let mut kept = true;
             for seed in seeds {
-                let mut drawn: Vec<Vec<report::plots::Curve>> = vec![Vec::new(); scenario.tenant.len()];
+                let mut drawn: Vec<Vec<report::plots::Curve>> =
+                    vec![Vec::new(); scenario.tenant.len()];
                 for notes in [true, false] {
                     let mut s = scenario.clone();
                     s.seed = seed;
@@ -448,13 +546,19 @@
                     kept &= run.verdict.kept() && run.tally.valid();
                     let reports = shares::read(&own, s.most_nodes());
                     for (t, tenant) in s.tenant.iter().enumerate() {
-                        let all = shares::seconds(&reports, &tenant.name, run.began_unix_ms, s.length_s);
-                        let lines: Vec<String> =
-                            all.iter().filter_map(|x| serde_json::to_string(x).ok()).collect();
+                        let all =
+                            shares::seconds(&reports, &tenant.name, run.began_unix_ms, s.length_s);
+                        let lines: Vec<String> = all
+                            .iter()
+                            .filter_map(|x| serde_json::to_string(x).ok())
+                            .collect();
                         let file = own.join(format!("{}.jsonl", tenant.name));
                         std::fs::write(&file, lines.join("\n")).map_err(|e| e.to_string())?;
                         let curve = |name: &str, f: &dyn Fn(&shares::Second) -> f64| {
-                            (name.to_string(), all.iter().map(|x| (x.at_s + 0.5, f(x))).collect())
+                            (
+                                name.to_string(),
+                                all.iter().map(|x| (x.at_s + 0.5, f(x))).collect(),
+                            )
                         };
                         if notes {
                             drawn[t].push(curve("arrived", &|x| x.arrived.min(2.0)));
@@ -485,8 +589,11 @@
             Ok(kept)
         }
         Command::Report { run } => {
-            let folder =
-                if run.is_dir() { run.clone() } else { run.parent().unwrap_or(Path::new(".")).into() };
+            let folder = if run.is_dir() {
+                run.clone()
+            } else {
+                run.parent().unwrap_or(Path::new(".")).into()
+            };
             let run = report::read(&run).map_err(|e| e.to_string())?;
             let page = report::write(&run, &folder).map_err(|e| e.to_string())?;
             println!("{}report: {}", report::table(&run), page.display());
@@ -511,9 +618,9 @@
         }
         Command::Plant => plant::run().map(|()| true),
         Command::Conduct => sparrouter_lab::rollout::conduct().map(|()| true),
-        Command::Relay { listen, to } => {
-            relay::run(listen, to).map(|()| true).map_err(|e| format!("relay on {listen}: {e}"))
-        }
+        Command::Relay { listen, to } => relay::run(listen, to)
+            .map(|()| true)
+            .map_err(|e| format!("relay on {listen}: {e}")),
     }
 }
 
--- a/crates/sparrouter-lab/src/play.rs
+++ b/crates/sparrouter-lab/src/play.rs
@@ -126,14 +126,21 @@
 
 /// Plays a scenario. `folder` takes the nodes' configurations and logs; `progress` hears of the time.
 pub fn play(
-    scenario: &Scenario, program: &Program, folder: &Path, progress: impl Fn(Nanos),
+    scenario: &Scenario,
+    program: &Program,
+    folder: &Path,
+    progress: impl Fn(Nanos),
 ) -> Result<Run, Failed> {
     play_with(scenario, program, &Tools::own(), folder, progress)
 }
 
 /// The same, where planted nodes and the conductor are not parts of this program.
 pub fn play_with(
-    scenario: &Scenario, program: &Program, tools: &Tools, folder: &Path, progress: impl Fn(Nanos),
+    scenario: &Scenario,
+    program: &Program,
+    tools: &Tools,
+    folder: &Path,
+    progress: impl Fn(Nanos),
 ) -> Result<Run, Failed> {
     let scenario = scenario.clone().with_defaults();
     std::fs::create_dir_all(folder).map_err(|e| Failed::Io(folder.display().to_string(), e))?;
@@ -161,9 +168,15 @@
             return Err(failed);
         }
     };
-    let before: f64 = stage.nodes.iter().map(|n| n.lock().expect("not poisoned").usage().cpu_s).sum();
+    let before: f64 = stage
+        .nodes
+        .iter()
+        .map(|n| n.lock().expect("not poisoned").usage().cpu_s)
+        .sum();
     lab.begin();
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let unix = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
     let over = Arc::new(AtomicBool::new(false));
     let (troubler, watcher) = (stage.clone(), stage.clone());
     let (until, until_too) = (over.clone(), over.clone());
@@ -171,7 +184,12 @@
     let troubles = std::thread::spawn(move || troubler.trouble(&steps, &until));
     let samples = std::thread::spawn(move || watcher.watch(&until_too));
     let change = scenario.rollout.clone().map(|wanted| {
-        let (stage, tools, folder, over) = (stage.clone(), tools.clone(), folder.to_path_buf(), over.clone());
+        let (stage, tools, folder, over) = (
+            stage.clone(),
+            tools.clone(),
+            folder.to_path_buf(),
+            over.clone(),
+        );
         std::thread::spawn(move || rollout::run(&stage, &wanted, &tools, &folder, &over))
     });
     clients::play(&lab, &stage.front, &clients, progress);
@@ -180,7 +198,9 @@
     over.store(true, Relaxed);
     let _ = troubles.join();
     let samples = samples.join().unwrap_or_default();
-    let changed = change.map(|c| c.join().unwrap_or_else(|_| Err("it panicked".into()))).transpose();
+    let changed = change
+        .map(|c| c.join().unwrap_or_else(|_| Err("it panicked".into())))
+        .transpose();
     let changed = changed.map_err(Failed::Rollout)?;
     clients.stop();
     let mut run = Run {
@@ -216,12 +236,21 @@
 }
 
 fn bands(s: &Scenario) -> Vec<Band> {
-    let band = |(from_s, to_s, what): (f64, f64, &str)| Band { from_s, to_s, what: what.into() };
+    let band = |(from_s, to_s, what): (f64, f64, &str)| Band {
+        from_s,
+        to_s,
+        what: what.into(),
+    };
     s.fault.iter().map(|f| band(f.span())).collect()
 }
 
 impl Stage {
-    fn set(lab: &Arc<Lab>, schedule: &Schedule, program: &Program, folder: &Path) -> Result<Stage, Failed> {
+    fn set(
+        lab: &Arc<Lab>,
+        schedule: &Schedule,
+        program: &Program,
+        folder: &Path,
+    ) -> Result<Stage, Failed> {
         let s = &lab.scenario;
         let io = |what: &str| {
             let what = what.to_string();
@@ -267,12 +296,23 @@
                     let own = lab.free().map_err(io("an address for a node"))?;
                     let relay = matches!(program, Program::Relay(_));
                     let args = if relay {
-                        vec!["relay".into(), "--listen".into(), own.to_string(), "--to".into(), to.join(",")]
+                        vec![
+                            "relay".into(),
+                            "--listen".into(),
+                            own.to_string(),
+                            "--to".into(),
+                            to.join(","),
+                        ]
                     } else {
                         Vec::new()
                     };
                     let generation = s.rollout.is_some().then(|| rollout::OLD.to_string());
-                    let version = Version { program: path.clone(), args, generation, ..Version::default() };
+                    let version = Version {
+                        program: path.clone(),
+                        args,
+                        generation,
+                        ..Version::default()
+                    };
                     let node = Node::new(n, own, version, folder);
                     let _ = std::fs::remove_file(node.report());
                     nodes.push(Mutex::new(node));
@@ -280,7 +320,11 @@
                 }
             }
         }
-        let seen: Vec<SocketAddr> = at.iter().enumerate().map(|(n, a)| end(Before::Nodes, n, *a)).collect();
+        let seen: Vec<SocketAddr> = at
+            .iter()
+            .enumerate()
+            .map(|(n, a)| end(Before::Nodes, n, *a))
+            .collect();
         let stage = Stage {
             lab: lab.clone(),
             fleet,
@@ -299,7 +343,10 @@
         }
         for n in 0..stage.nodes.len().min(s.nodes.count) {
             let name = stage.nodes[n].lock().expect("not poisoned").at.to_string();
-            stage.start_node(n).map_err(io(&format!("starting a node at {name}: {}", program.name())))?;
+            stage.start_node(n).map_err(io(&format!(
+                "starting a node at {name}: {}",
+                program.name()
+            )))?;
         }
         for (n, at) in at.iter().enumerate().take(s.nodes.count) {
             if !ready(*at, Duration::from_secs(30)) {
@@ -321,7 +368,11 @@
             peer_listen: self.notes.listen[n],
             starts: self.starts.fetch_add(1, Relaxed),
         };
-        act(&mut self.nodes[n].lock().expect("not poisoned"), &self.lab, &start)
+        act(
+            &mut self.nodes[n].lock().expect("not poisoned"),
+            &self.lab,
+            &start,
+        )
     }
 
     // -- faults --
@@ -370,7 +421,9 @@
             Act::DiscoveryMoves => {
                 self.discovery.moves();
                 for n in 0..self.nodes.len() {
-                    if let Err(e) = self.with_start(n, |node, lab, start| node.reconfigure(lab, start)) {
+                    if let Err(e) =
+                        self.with_start(n, |node, lab, start| node.reconfigure(lab, start))
+                    {
                         eprintln!("lab: node {n} could not be told that discovery moved: {e}");
                     }
                 }
@@ -386,12 +439,19 @@
                 let node = *n as u16;
                 if *on {
                     // What a stopped process owes counts like that of one that was killed.
-                    self.lab.record(Record::NodeDown { at: self.lab.now(), node, killed: true });
+                    self.lab.record(Record::NodeDown {
+                        at: self.lab.now(),
+                        node,
+                        killed: true,
+                    });
                 }
                 self.nodes[*n].lock().expect("not poisoned").pause(*on);
                 self.front.set(*n, !on);
                 if !*on {
-                    self.lab.record(Record::NodeUp { at: self.lab.now(), node });
+                    self.lab.record(Record::NodeUp {
+                        at: self.lab.now(),
+                        node,
+                    });
                 }
             }
             Act::NodePause(..) => {}
@@ -420,7 +480,11 @@
     pub(crate) fn stop_node(self: &Arc<Self>, n: usize, killed: bool) {
         self.away[n].store(true, Relaxed);
         let node = n as u16;
-        self.lab.record(Record::NodeDown { at: self.lab.now(), node, killed });
+        self.lab.record(Record::NodeDown {
+            at: self.lab.now(),
+            node,
+            killed,
+        });
         let notices = self.lab.scenario.nodes.front_notices_s;
         let stage = self.clone();
         if killed {
@@ -449,7 +513,11 @@
                 }
                 if Instant::now() > latest {
                     let at = stage.lab.now();
-                    stage.lab.record(Record::NodeDown { at, node: n as u16, killed: true });
+                    stage.lab.record(Record::NodeDown {
+                        at,
+                        node: n as u16,
+                        killed: true,
+                    });
                     return node.kill();
                 }
                 drop(node);
@@ -473,7 +541,10 @@
             let at = stage.nodes[n].lock().expect("not poisoned").at;
             if ready(at, Duration::from_secs(30)) {
                 stage.away[n].store(false, Relaxed);
-                stage.lab.record(Record::NodeUp { at: stage.lab.now(), node: n as u16 });
+                stage.lab.record(Record::NodeUp {
+                    at: stage.lab.now(),
+                    node: n as u16,
+                });
                 stage.front.set(n, true);
             }
         });
@@ -487,10 +558,14 @@
         while !over.load(Relaxed) {
             std::thread::sleep(Duration::from_millis(20));
             for (n, node) in self.nodes.iter().enumerate() {
-                let ended = !self.away[n].load(Relaxed) && node.lock().expect("not poisoned").ended();
+                let ended =
+                    !self.away[n].load(Relaxed) && node.lock().expect("not poisoned").ended();
                 // Told to stop meanwhile, it was no crash.
                 if ended && !self.away[n].load(Relaxed) {
-                    self.lab.record(Record::NodeCrashed { at: self.lab.now(), node: n as u16 });
+                    self.lab.record(Record::NodeCrashed {
+                        at: self.lab.now(),
+                        node: n as u16,
+                    });
                     self.front.set(n, false);
                 }
             }
@@ -533,7 +608,8 @@
         let asked = || -> std::io::Result<bool> {
             let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(500))?;
             stream.set_read_timeout(Some(Duration::from_millis(500)))?;
-            stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+            stream
+                .write_all(b"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
             let mut answer = [0; 12];
             stream.read_exact(&mut answer)?;
             Ok(answer.ends_with(b"200"))
--- a/crates/sparrouter-lab/src/report.rs
+++ b/crates/sparrouter-lab/src/report.rs
@@ -21,7 +21,11 @@
 
 /// Reads a run again, from its folder or its file.
 pub fn read(path: &Path) -> Result<Run, Failed> {
-    let path = if path.is_dir() { path.join("run.json") } else { path.to_path_buf() };
+    let path = if path.is_dir() {
+        path.join("run.json")
+    } else {
+        path.to_path_buf()
+    };
     let failed = |e| Failed::Io(path.display().to_string(), e);
     let text = std::fs::read_to_string(&path).map_err(failed)?;
     serde_json::from_str(&text).map_err(|e| failed(e.into()))
--- a/crates/sparrouter-lab/src/report/page.rs
+++ b/crates/sparrouter-lab/src/report/page.rs
@@ -6,7 +6,9 @@
 use std::fmt::Write;
 
 fn escape(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
 }
 
 fn counts_row(out: &mut String, name: &str, c: &Counts) {
@@ -26,8 +28,17 @@
             .filter(|(b, _)| b.rule() == rule)
             .map(|(b, n)| format!("{} {n}", words(&format!("{b:?}"))))
             .collect();
-        let kept = if broken.is_empty() { "kept".into() } else { format!("BROKEN: {}", broken.join(", ")) };
-        let what = ["one final answer", "no effect twice", "drains kept", "cold not pushed over"];
+        let kept = if broken.is_empty() {
+            "kept".into()
+        } else {
+            format!("BROKEN: {}", broken.join(", "))
+        };
+        let what = [
+            "one final answer",
+            "no effect twice",
+            "drains kept",
+            "cold not pushed over",
+        ];
         let _ = writeln!(out, "rule {rule} ({}): {kept}", what[usize::from(rule) - 1]);
     }
     for (why, count) in &v.unjudged {
@@ -37,8 +48,14 @@
         let _ = writeln!(out, "seen: {count}, {what}");
     }
     for f in v.listed.iter().take(10) {
-        let _ =
-            writeln!(out, "  at {:.3} s {} {}: {}", f.at_s, words(&format!("{:?}", f.breach)), f.id, f.what);
+        let _ = writeln!(
+            out,
+            "  at {:.3} s {} {}: {}",
+            f.at_s,
+            words(&format!("{:?}", f.breach)),
+            f.id,
+            f.what
+        );
     }
 }
 
@@ -59,7 +76,10 @@
     if t.valid() {
         format!("the lab dealt arrivals out in time: {late}")
     } else {
-        format!("NOT VALID: the lab was late itself: {late}, allowed {} ms", t.late_bound_ms)
+        format!(
+            "NOT VALID: the lab was late itself: {late}, allowed {} ms",
+            t.late_bound_ms
+        )
     }
 }
 
@@ -67,7 +87,11 @@
 pub fn table(run: &Run) -> String {
     let t = &run.tally;
     let mut out = String::new();
-    let _ = writeln!(out, "{} on {}, seed {}", run.scenario.name, run.program, run.scenario.seed);
+    let _ = writeln!(
+        out,
+        "{} on {}, seed {}",
+        run.scenario.name, run.program, run.scenario.seed
+    );
     let _ = writeln!(
         out,
         "{:<18}{:>9}{:>9}{:>9}{:>9}{:>10}{:>9}{:>11}{:>7}",
@@ -99,10 +123,18 @@
         run.memory_mb,
         run.descriptors
     );
-    let outcomes: Vec<String> = t.outcomes.iter().map(|(how, n)| format!("{how} {n}")).collect();
+    let outcomes: Vec<String> = t
+        .outcomes
+        .iter()
+        .map(|(how, n)| format!("{how} {n}"))
+        .collect();
     let _ = writeln!(out, "forwards ended: {}", outcomes.join(", "));
     if let Some(c) = &run.rollout {
-        let why = if c.why.is_empty() { String::new() } else { format!(" ({})", c.why) };
+        let why = if c.why.is_empty() {
+            String::new()
+        } else {
+            format!(" ({})", c.why)
+        };
         let _ = writeln!(
             out,
             "change: {}{why}, {} stages, {:.1} s, {} nodes changed at the end, conductor killed {} times",
@@ -126,19 +158,32 @@
 pub fn page(run: &Run) -> String {
     let mut out = String::from("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\">");
     let name = escape(&run.scenario.name);
-    let _ = write!(out, "<title>{name}</title><style>{STYLE}</style><h1>{name}</h1>");
+    let _ = write!(
+        out,
+        "<title>{name}</title><style>{STYLE}</style><h1>{name}</h1>"
+    );
     let _ = write!(out, "<p>{}</p>", escape(&run.scenario.about));
     let (class, word) = match (run.verdict.kept(), run.tally.valid()) {
         (false, _) => ("broken", "Rules broken"),
         (true, false) => ("broken", "Rules kept; the run is not valid"),
         (true, true) => ("kept", "All four rules kept"),
     };
-    let _ = write!(out, "<p class=\"{class}\">{word}; {} invocations judged.</p>", run.verdict.judged);
+    let _ = write!(
+        out,
+        "<p class=\"{class}\">{word}; {} invocations judged.</p>",
+        run.verdict.judged
+    );
     let _ = write!(out, "<pre>{}</pre>", escape(&table(run)));
     if !run.bands.is_empty() {
         out.push_str("<p class=\"bands\">Faults (shaded): ");
         for b in &run.bands {
-            let _ = write!(out, "<span>{} {:.1}–{:.1} s</span>", escape(&b.what), b.from_s, b.to_s);
+            let _ = write!(
+                out,
+                "<span>{} {:.1}–{:.1} s</span>",
+                escape(&b.what),
+                b.from_s,
+                b.to_s
+            );
         }
         out.push_str("</p>");
     }
@@ -148,7 +193,14 @@
     if run.verdict.listed.len() > 10 {
         out.push_str("<h2>Breaches</h2><pre>");
         for f in &run.verdict.listed {
-            let _ = writeln!(out, "{:>9.3} s  {:?}  {}  {}", f.at_s, f.breach, f.id, escape(&f.what));
+            let _ = writeln!(
+                out,
+                "{:>9.3} s  {:?}  {}  {}",
+                f.at_s,
+                f.breach,
+                f.id,
+                escape(&f.what)
+            );
         }
         out.push_str("</pre>");
     }
@@ -157,6 +209,10 @@
         let _ = writeln!(out, "{}</pre>", escape(&run.tally.slowest.join("\n")));
     }
     let scenario = toml::to_string(&run.scenario).unwrap_or_default();
-    let _ = write!(out, "<h2>Scenario</h2><pre>{}</pre></html>", escape(&scenario));
+    let _ = write!(
+        out,
+        "<h2>Scenario</h2><pre>{}</pre></html>",
+        escape(&scenario)
+    );
     out
 }
--- a/crates/sparrouter-lab/src/report/plots.rs
+++ b/crates/sparrouter-lab/src/report/plots.rs
@@ -28,12 +28,16 @@
 
 /// A drawing error leaves an empty picture: a report must not fail for it.
 fn svg(
-    size: (u32, u32), draw: impl FnOnce(&DrawingArea<SVGBackend, plotters::coord::Shift>) -> Drawn,
+    size: (u32, u32),
+    draw: impl FnOnce(&DrawingArea<SVGBackend, plotters::coord::Shift>) -> Drawn,
 ) -> String {
     let mut text = String::new();
     {
         let area = SVGBackend::with_string(&mut text, size).into_drawing_area();
-        let drawn = area.fill(&WHITE).map_err(Into::into).and_then(|()| draw(&area));
+        let drawn = area
+            .fill(&WHITE)
+            .map_err(Into::into)
+            .and_then(|()| draw(&area));
         if drawn.is_err() {
             let _ = area.fill(&WHITE);
         }
@@ -44,7 +48,11 @@
 
 /// What all nodes let in of one limit, second by second, as parts of it.
 pub fn limit(run: &Run, curves: &[Curve]) -> String {
-    let top = curves.iter().flat_map(|c| &c.1).map(|p| p.1).fold(1.2, f64::max);
+    let top = curves
+        .iter()
+        .flat_map(|c| &c.1)
+        .map(|p| p.1)
+        .fold(1.2, f64::max);
     lines(run, 0.0..top, "parts of the limit", curves, Some(1.0))
 }
 
@@ -53,7 +61,12 @@
     Y: AsRangedCoord<Value = f64> + Clone,
     Y::CoordDescType: ValueFormatter<f64> + Ranged<ValueType = f64>,
 {
-    let end = run.tally.pieces.last().map_or(1.0, |p| p.at_s + run.tally.piece_s).max(run.tally.seconds);
+    let end = run
+        .tally
+        .pieces
+        .last()
+        .map_or(1.0, |p| p.at_s + run.tally.piece_s)
+        .max(run.tally.seconds);
     svg(SIZE, |area| {
         let mut chart = ChartBuilder::on(area)
             .margin(8)
@@ -62,11 +75,18 @@
             .build_cartesian_2d(0.0..end, y)?;
         let top = chart.as_coord_spec().y_spec().range();
         for band in &run.bands {
-            let area =
-                Rectangle::new([(band.from_s, top.start), (band.to_s.min(end), top.end)], shade().filled());
+            let area = Rectangle::new(
+                [(band.from_s, top.start), (band.to_s.min(end), top.end)],
+                shade().filled(),
+            );
             chart.draw_series([area])?;
         }
-        chart.configure_mesh().light_line_style(WHITE).x_desc("s").y_desc(unit).draw()?;
+        chart
+            .configure_mesh()
+            .light_line_style(WHITE)
+            .x_desc("s")
+            .y_desc(unit)
+            .draw()?;
         for (n, (name, points)) in curves.iter().enumerate() {
             let ink = INK[n % INK.len()];
             chart
@@ -76,7 +96,10 @@
         }
         if let Some(level) = level {
             chart
-                .draw_series(LineSeries::new([(0.0, level), (end, level)], BLACK.stroke_width(1)))?
+                .draw_series(LineSeries::new(
+                    [(0.0, level), (end, level)],
+                    BLACK.stroke_width(1),
+                ))?
                 .label("capacity")
                 .legend(|(x, y)| PathElement::new([(x, y), (x + 14, y)], BLACK));
         }
@@ -99,11 +122,20 @@
 }
 
 fn top(curves: &[Curve], least: f64) -> f64 {
-    curves.iter().flat_map(|c| &c.1).map(|p| p.1).fold(least, f64::max) * 1.08
+    curves
+        .iter()
+        .flat_map(|c| &c.1)
+        .map(|p| p.1)
+        .fold(least, f64::max)
+        * 1.08
 }
 
 fn per_s(run: &Run, name: &str, of: impl Fn(&Piece) -> u64) -> Curve {
-    let points = run.tally.pieces.iter().map(|p| (p.at_s, of(p) as f64 / run.tally.piece_s));
+    let points = run
+        .tally
+        .pieces
+        .iter()
+        .map(|p| (p.at_s, of(p) as f64 / run.tally.piece_s));
     (name.into(), points.collect())
 }
 
@@ -127,7 +159,11 @@
 fn latency(run: &Run) -> String {
     let curve = |name: &str, of: fn(&Quantiles) -> f64| -> Curve {
         let some = run.tally.pieces.iter().filter(|p| p.latency_ms.max > 0.0);
-        (name.into(), some.map(|p| (p.at_s, of(&p.latency_ms).max(0.01))).collect())
+        (
+            name.into(),
+            some.map(|p| (p.at_s, of(&p.latency_ms).max(0.01)))
+                .collect(),
+        )
     };
     let curves = [
         curve("p50", |q| q.p50),
@@ -136,15 +172,31 @@
         curve("max", |q| q.max),
     ];
     let most = top(&curves, 1.0);
-    let least = curves.iter().flat_map(|c| &c.1).map(|p| p.1).fold(most, f64::min) / 1.3;
+    let least = curves
+        .iter()
+        .flat_map(|c| &c.1)
+        .map(|p| p.1)
+        .fold(most, f64::min)
+        / 1.3;
     lines(run, (least..most * 1.5).log_scale(), "ms", &curves, None)
 }
 
 /// A row for each cache server: grey while down, blue while cold, amber while it drains, green to red the more it has in hand.
 fn caches(run: &Run) -> String {
     let rows = run.samples.first().map_or(0, |s| s.caches.len());
-    let most = run.samples.iter().flat_map(|s| &s.caches).map(|c| c.1).max().unwrap_or(1).max(1) as f64;
-    let end = run.samples.last().map_or(1.0, |s| s.at_s).max(run.tally.seconds);
+    let most = run
+        .samples
+        .iter()
+        .flat_map(|s| &s.caches)
+        .map(|c| c.1)
+        .max()
+        .unwrap_or(1)
+        .max(1) as f64;
+    let end = run
+        .samples
+        .last()
+        .map_or(1.0, |s| s.at_s)
+        .max(run.tally.seconds);
     svg((SIZE.0, 70 + 12 * rows as u32), |area| {
         let mut chart = ChartBuilder::on(area)
             .margin(8)
@@ -164,9 +216,16 @@
                     0 => RGBColor(190, 190, 190),
                     1 => RGBColor(60, (200.0 - 120.0 * load) as u8, 255),
                     3 => RGBColor(235, (205.0 - 110.0 * load) as u8, 40),
-                    _ => RGBColor((70.0 + 180.0 * load) as u8, (180.0 - 110.0 * load) as u8, 60),
+                    _ => RGBColor(
+                        (70.0 + 180.0 * load) as u8,
+                        (180.0 - 110.0 * load) as u8,
+                        60,
+                    ),
                 };
-                let corners = [(pair[0].at_s, n as f64 + 0.08), (pair[1].at_s, n as f64 + 0.92)];
+                let corners = [
+                    (pair[0].at_s, n as f64 + 0.08),
+                    (pair[1].at_s, n as f64 + 0.92),
+                ];
                 chart.draw_series([Rectangle::new(corners, color.filled())])?;
             }
         }
@@ -179,7 +238,12 @@
     let nodes = run.samples.first().map_or(0, |s| s.nodes.len());
     let curve = |n: usize| -> Curve {
         let pairs = run.samples.windows(5);
-        let point = |p: &[Sample]| (p[4].at_s, of(&p[0].nodes[n], &p[4].nodes[n], p[4].at_s - p[0].at_s));
+        let point = |p: &[Sample]| {
+            (
+                p[4].at_s,
+                of(&p[0].nodes[n], &p[4].nodes[n], p[4].at_s - p[0].at_s),
+            )
+        };
         (format!("n{n}"), pairs.map(point).collect())
     };
     (0..nodes).map(curve).collect()
@@ -195,14 +259,23 @@
     vec![
         plot("Arrivals and answers by kind", answers(run)),
         plot("Latency from when an invocation was due", latency(run)),
-        plot("Cache servers (grey: down, blue: cold, amber: draining, green to red: in hand)", caches(run)),
+        plot(
+            "Cache servers (grey: down, blue: cold, amber: draining, green to red: in hand)",
+            caches(run),
+        ),
         plot(
             "Fetches and writes at the origin",
             linear(run, "a second", fetches, Some(run.scenario.origin.per_s)),
         ),
-        plot("Connections opened to cache servers and the origin", linear(run, "a second", connected, None)),
+        plot(
+            "Connections opened to cache servers and the origin",
+            linear(run, "a second", connected, None),
+        ),
         plot("CPU of each node", linear(run, "% of a core", cpu, None)),
         plot("Memory of each node", linear(run, "MB", memory, None)),
-        plot("Descriptors of each node", linear(run, "open", descriptors, None)),
+        plot(
+            "Descriptors of each node",
+            linear(run, "open", descriptors, None),
+        ),
     ]
 }
--- a/crates/sparrouter-lab/src/rollout.rs
+++ b/crates/sparrouter-lab/src/rollout.rs
@@ -43,8 +43,14 @@
 impl Tools {
     /// Parts of the program that runs.
     pub fn own() -> Tools {
-        let own = std::env::current_exe().unwrap_or_default().display().to_string();
-        Tools { plant: vec![own.clone(), "plant".into()], conductor: vec![own, "conduct".into()] }
+        let own = std::env::current_exe()
+            .unwrap_or_default()
+            .display()
+            .to_string();
+        Tools {
+            plant: vec![own.clone(), "plant".into()],
+            conductor: vec![own, "conduct".into()],
+        }
     }
 }
 
@@ -76,7 +82,11 @@
         let old = first.lock().expect("not poisoned").version.clone();
         let (all, odd) = (fields(&wanted.settings)?, fields(&wanted.odd_settings)?);
         let version = |n: usize| {
-            let mut new = Version { generation: Some(NEW.into()), settings: all.clone(), ..old.clone() };
+            let mut new = Version {
+                generation: Some(NEW.into()),
+                settings: all.clone(),
+                ..old.clone()
+            };
             if !wanted.program.as_os_str().is_empty() {
                 new.program = wanted.program.clone();
             }
@@ -86,19 +96,32 @@
             if wanted.plant != Plant::None {
                 let word = clap::ValueEnum::to_possible_value(&wanted.plant);
                 let word = word.map_or(String::new(), |w| w.get_name().to_string());
-                let envs =
-                    [("SPARROUTER_PLANT", word), ("SPARROUTER_NODE", new.program.display().to_string())];
+                let envs = [
+                    ("SPARROUTER_PLANT", word),
+                    ("SPARROUTER_NODE", new.program.display().to_string()),
+                ];
                 new.envs = envs.into_iter().map(|(k, v)| (k.to_string(), v)).collect();
-                (new.program, new.args) = (PathBuf::from(&tools.plant[0]), tools.plant[1..].to_vec());
+                (new.program, new.args) =
+                    (PathBuf::from(&tools.plant[0]), tools.plant[1..].to_vec());
             }
             new
         };
         let new = (0..count).map(version).collect();
-        Ok(Change { stage: stage.clone(), old, new, busy: (0..count).map(|_| Mutex::new(())).collect() })
+        Ok(Change {
+            stage: stage.clone(),
+            old,
+            new,
+            busy: (0..count).map(|_| Mutex::new(())).collect(),
+        })
     }
 
     fn generation(&self, n: usize) -> Option<String> {
-        self.stage.nodes[n].lock().expect("not poisoned").version.generation.clone()
+        self.stage.nodes[n]
+            .lock()
+            .expect("not poisoned")
+            .version
+            .generation
+            .clone()
     }
     fn running(&self, n: usize) -> bool {
         self.stage.nodes[n].lock().expect("not poisoned").running()
@@ -132,7 +155,11 @@
         }
         // A program that refuses its settings is gone at once.
         sleep(Duration::from_millis(250));
-        if self.running(n) { Ok(()) } else { Err(format!("n{n} did not stay up")) }
+        if self.running(n) {
+            Ok(())
+        } else {
+            Err(format!("n{n} did not stay up"))
+        }
     }
 
     fn wishes(self: &Arc<Self>, folder: &Path, over: &AtomicBool) {
@@ -144,9 +171,15 @@
                 }
                 let word = std::fs::read_to_string(&path).unwrap_or_default();
                 let taken = path.with_extension("taken");
-                let name = path.file_name().and_then(|n| n.to_str()).unwrap_or_default().to_string();
-                let node =
-                    name.strip_prefix('n').and_then(|n| n.split('.').next()).and_then(|n| n.parse().ok());
+                let name = path
+                    .file_name()
+                    .and_then(|n| n.to_str())
+                    .unwrap_or_default()
+                    .to_string();
+                let node = name
+                    .strip_prefix('n')
+                    .and_then(|n| n.split('.').next())
+                    .and_then(|n| n.parse().ok());
                 if std::fs::rename(&path, &taken).is_err() {
                     continue;
                 }
@@ -156,7 +189,10 @@
                         Some(n) if n < change.busy.len() => change.obey(n, &word),
                         _ => Err(format!("{name}: no such node")),
                     };
-                    let _ = std::fs::write(taken.with_extension(if done.is_ok() { "ok" } else { "no" }), "");
+                    let _ = std::fs::write(
+                        taken.with_extension(if done.is_ok() { "ok" } else { "no" }),
+                        "",
+                    );
                 });
             }
             sleep(LOOK);
@@ -185,7 +221,11 @@
     for (n, node) in change.stage.nodes.iter().enumerate() {
         let report = node.lock().expect("not poisoned").report();
         let command = |word: &str| {
-            format!("[\"sh\", {:?}, {:?}, \"n{n}\", {word:?}]", script.display(), asks.display())
+            format!(
+                "[\"sh\", {:?}, {:?}, \"n{n}\", {word:?}]",
+                script.display(),
+                asks.display()
+            )
         };
         text += &format!(
             "[[node]]\nname = \"n{n}\"\nzone = \"z{}\"\nchange = {}\nback = {}\nrestart = {}\nreport = {report:?}\n",
@@ -205,12 +245,20 @@
 
 /// The conductor's process: begins, or goes on where there is a log. Its plan is named by `SPARROUTER_PLAN`.
 pub fn conduct() -> Result<(), String> {
-    let plan = PathBuf::from(std::env::var("SPARROUTER_PLAN").map_err(|_| "SPARROUTER_PLAN is not set")?);
+    let plan =
+        PathBuf::from(std::env::var("SPARROUTER_PLAN").map_err(|_| "SPARROUTER_PLAN is not set")?);
     let log = plan.with_extension("log");
     let begun = std::fs::metadata(&log).is_ok_and(|m| m.len() > 0);
-    let mode = if begun { sparrouter_rollout::run::Mode::Resume } else { sparrouter_rollout::run::Mode::Run };
+    let mode = if begun {
+        sparrouter_rollout::run::Mode::Resume
+    } else {
+        sparrouter_rollout::run::Mode::Run
+    };
     let (how, said) = told(&plan);
-    let file = std::fs::OpenOptions::new().create(true).append(true).open(said);
+    let file = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(said);
     let mut file = file.map_err(|e| e.to_string())?;
     let dies: Option<usize> = std::env::var(DIES).ok().and_then(|n| n.parse().ok());
     let mut points = 0;
@@ -237,20 +285,33 @@
 fn conductor(tools: &Tools, plan: &Path, dies: Option<usize>) -> Result<Child, String> {
     let log = std::fs::File::create(plan.with_extension("err")).map_err(|e| e.to_string())?;
     let mut command = Command::new(&tools.conductor[0]);
-    command.args(&tools.conductor[1..]).env("SPARROUTER_PLAN", plan).stdin(Stdio::null());
+    command
+        .args(&tools.conductor[1..])
+        .env("SPARROUTER_PLAN", plan)
+        .stdin(Stdio::null());
     command.stdout(Stdio::null()).stderr(log).env_remove(DIES);
     if let Some(point) = dies {
         command.env(DIES, point.to_string());
     }
-    command.spawn().map_err(|e| format!("{}: {e}", tools.conductor[0]))
+    command
+        .spawn()
+        .map_err(|e| format!("{}: {e}", tools.conductor[0]))
 }
 
 /// Runs until the change has ended or the run is over.
 pub(crate) fn run(
-    stage: &Arc<Stage>, wanted: &Rollout, tools: &Tools, folder: &Path, over: &AtomicBool,
+    stage: &Arc<Stage>,
+    wanted: &Rollout,
+    tools: &Tools,
+    folder: &Path,
+    over: &AtomicBool,
 ) -> Result<Changed, String> {
     let change = Arc::new(Change::new(stage, wanted, tools)?);
-    let (asks, file, script) = (folder.join("asks"), folder.join("plan.toml"), folder.join("ask.sh"));
+    let (asks, file, script) = (
+        folder.join("asks"),
+        folder.join("plan.toml"),
+        folder.join("ask.sh"),
+    );
     let io = |e: std::io::Error| e.to_string();
     // What an earlier run in this folder left would be gone on with.
     let _ = std::fs::remove_dir_all(&asks);
@@ -274,7 +335,9 @@
                 spawn(move || change.obey(n, "change"))
             });
             if wanted.how == How::AtOnce {
-                all.collect::<Vec<_>>().into_iter().for_each(|t| drop(t.join()));
+                all.collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|t| drop(t.join()));
             } else {
                 for n in 0..change.new.len() {
                     if over.load(Relaxed) {
@@ -296,8 +359,11 @@
             let mut points = wanted.dies.iter().copied();
             let mut dies = points.next();
             let mut child = conductor(tools, &file, dies)?;
-            let mut at: Vec<Instant> =
-                wanted.kills.iter().map(|k| stage.lab.instant(crate::nanos(*k))).collect();
+            let mut at: Vec<Instant> = wanted
+                .kills
+                .iter()
+                .map(|k| stage.lab.instant(crate::nanos(*k)))
+                .collect();
             at.sort();
             while !over.load(Relaxed) {
                 if at.first().is_some_and(|k| Instant::now() >= *k) {
@@ -316,7 +382,8 @@
                     }
                     ended = Some(began.elapsed());
                     if !status.success() {
-                        why = std::fs::read_to_string(file.with_extension("err")).unwrap_or_default();
+                        why =
+                            std::fs::read_to_string(file.with_extension("err")).unwrap_or_default();
                     }
                     break;
                 }
@@ -338,13 +405,20 @@
             End::Left(why) => ("left".into(), why),
         };
     }
-    let said: Vec<String> =
-        std::fs::read_to_string(said).unwrap_or_default().lines().map(str::to_string).collect();
+    let said: Vec<String> = std::fs::read_to_string(said)
+        .unwrap_or_default()
+        .lines()
+        .map(str::to_string)
+        .collect();
     let new = |n: &usize| change.generation(*n).as_deref() == Some(NEW);
     let log = std::fs::read(file.with_extension("log")).unwrap_or_default();
-    let entries = sparrouter_rollout::record::read(&log, "log").map(|r| r.0).unwrap_or_default();
-    let stages =
-        entries.iter().filter(|e| matches!(e, sparrouter_rollout::record::Entry::Stage { .. })).count();
+    let entries = sparrouter_rollout::record::read(&log, "log")
+        .map(|r| r.0)
+        .unwrap_or_default();
+    let stages = entries
+        .iter()
+        .filter(|e| matches!(e, sparrouter_rollout::record::Entry::Stage { .. }))
+        .count();
     Ok(Changed {
         how,
         why,
--- a/crates/sparrouter-lab/src/scenario/arrivals.rs
+++ b/crates/sparrouter-lab/src/scenario/arrivals.rs
@@ -77,16 +77,32 @@
         let mut hot = Vec::new();
         for f in &s.fault {
             match *f {
-                Fault::Burst { at_s, length_s, times } => bursts.push((at_s, at_s + length_s, times)),
-                Fault::HotKey { at_s, length_s, part, keys } => {
-                    hot.push(Hot { from: nanos(at_s), to: nanos(at_s + length_s), part, keys: keys as u64 })
-                }
+                Fault::Burst {
+                    at_s,
+                    length_s,
+                    times,
+                } => bursts.push((at_s, at_s + length_s, times)),
+                Fault::HotKey {
+                    at_s,
+                    length_s,
+                    part,
+                    keys,
+                } => hot.push(Hot {
+                    from: nanos(at_s),
+                    to: nanos(at_s + length_s),
+                    part,
+                    keys: keys as u64,
+                }),
                 _ => {}
             }
         }
         let weights = |all: Vec<f64>| WeightedIndex::new(all).expect("shares were checked");
         let sends: Vec<f64> = s.tenant.iter().map(|t| t.sends).collect();
-        let sends = if sends.iter().sum::<f64>() > 0.0 { sends } else { vec![1.0; sends.len()] };
+        let sends = if sends.iter().sum::<f64>() > 0.0 {
+            sends
+        } else {
+            vec![1.0; sends.len()]
+        };
         Arrivals {
             rng: ChaCha8Rng::seed_from_u64(s.seed),
             seed: s.seed,
@@ -136,7 +152,11 @@
         self.number += 1;
         let mut rank = self.keys.sample(&mut self.rng) as usize - 1;
         let draw: f64 = self.rng.random();
-        if let Some(hot) = self.hot.iter().find(|h| (h.from..h.to).contains(&at) && draw < h.part) {
+        if let Some(hot) = self
+            .hot
+            .iter()
+            .find(|h| (h.from..h.to).contains(&at) && draw < h.part)
+        {
             // Keys that were nobody's favourites before.
             rank = 1_000_000_000 + (self.number % hot.keys) as usize;
         }
@@ -145,6 +165,14 @@
         let leaves = (self.rng.random::<f64>() < self.leave_part).then(|| self.rng.random::<f32>());
         let draw = self.rng.random();
         let key = key(self.seed, rank);
-        Some(Arrival { number: self.number, at, operation, tenant, key, draw, leaves })
+        Some(Arrival {
+            number: self.number,
+            at,
+            operation,
+            tenant,
+            key,
+            draw,
+            leaves,
+        })
     }
 }
--- a/crates/sparrouter-lab/src/scenario/faults.rs
+++ b/crates/sparrouter-lab/src/scenario/faults.rs
@@ -7,17 +7,9 @@
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Fault {
     /// Processes die, connections reset; they come back cold under the same name and address.
-    Crash {
-        at_s: f64,
-        length_s: f64,
-        part: f64,
-    },
+    Crash { at_s: f64, length_s: f64, part: f64 },
     /// They take work and answer nothing.
-    Hang {
-        at_s: f64,
-        length_s: f64,
-        part: f64,
-    },
+    Hang { at_s: f64, length_s: f64, part: f64 },
     /// They stand still for a while, again and again.
     Pauses {
         at_s: f64,
@@ -59,10 +51,7 @@
         keys: usize,
     },
     /// This part of the keys goes void everywhere at once.
-    Flush {
-        at_s: f64,
-        part: f64,
-    },
+    Flush { at_s: f64, part: f64 },
     /// Batch by batch they drain and end, and cold successors come under new names.
     Deploy {
         at_s: f64,
@@ -79,10 +68,7 @@
         drain_s: f64,
     },
     /// The fleet becomes so many times as large; the new ones are cold.
-    Grow {
-        at_s: f64,
-        times: f64,
-    },
+    Grow { at_s: f64, times: f64 },
     /// Nodes are told to stop (or killed) one after another, and start again after `down_s`.
     NodeRestart {
         at_s: f64,
@@ -97,9 +83,7 @@
         how: DiscoveryTrouble,
     },
     /// It answers at a new address from now on, and nodes are told by their configuration and SIGHUP.
-    DiscoveryMoved {
-        at_s: f64,
-    },
+    DiscoveryMoved { at_s: f64 },
     /// What the links before one group do.
     Links {
         at_s: f64,
@@ -119,11 +103,7 @@
         bytes: u64,
     },
     /// Nodes are stopped where they are (SIGSTOP) and go on after.
-    NodePause {
-        at_s: f64,
-        length_s: f64,
-        part: f64,
-    },
+    NodePause { at_s: f64, length_s: f64, part: f64 },
     /// From then on there are so many nodes: more start, the last ones are told to stop (or killed). The others learn
     /// of it by their configuration and SIGHUP, `told_s` later.
     Nodes {
@@ -222,7 +202,9 @@
             Fault::NodePause { at_s, length_s, .. } => (at_s, at_s + length_s, "nodes stand still"),
             Fault::Liar { at_s, length_s, .. } => (at_s, at_s + length_s, "a liar"),
             Fault::Skew { at_s, length_s, .. } => (at_s, at_s + length_s, "uneven traffic"),
-            Fault::Nodes { at_s, told_s, .. } => (at_s, at_s + told_s.max(0.2), "more or fewer nodes"),
+            Fault::Nodes { at_s, told_s, .. } => {
+                (at_s, at_s + told_s.max(0.2), "more or fewer nodes")
+            }
             Fault::NotesCut { at_s, length_s, .. } => (at_s, at_s + length_s, "notes cut"),
         }
     }
--- a/crates/sparrouter-lab/src/scenario/mod.rs
+++ b/crates/sparrouter-lab/src/scenario/mod.rs
@@ -71,7 +71,12 @@
 
 impl Default for Shares {
     fn default() -> Shares {
-        Shares { informed_s: 1.0, lease_s: 1.0, window_s: 3.0, notes: true }
+        Shares {
+            informed_s: 1.0,
+            lease_s: 1.0,
+            window_s: 3.0,
+            notes: true,
+        }
     }
 }
 
@@ -169,7 +174,13 @@
 
 impl Default for Origin {
     fn default() -> Origin {
-        Origin { per_s: 100.0, takes_ms: 50.0, queue_s: 1.0, stops_at: 3.0, stopped_s: 4.0 }
+        Origin {
+            per_s: 100.0,
+            takes_ms: 50.0,
+            queue_s: 1.0,
+            stops_at: 3.0,
+            stopped_s: 4.0,
+        }
     }
 }
 
@@ -185,7 +196,11 @@
 
 impl Default for Discovery {
     fn default() -> Discovery {
-        Discovery { add_s: [0.3, 1.0], notice_s: [0.5, 1.5], silent_notice_s: [2.0, 4.0] }
+        Discovery {
+            add_s: [0.3, 1.0],
+            notice_s: [0.5, 1.5],
+            silent_notice_s: [2.0, 4.0],
+        }
     }
 }
 
@@ -199,7 +214,11 @@
 
 impl Default for Peers {
     fn default() -> Peers {
-        Peers { allowed: true, delay_ms: [2.0, 20.0], lost_part: 0.02 }
+        Peers {
+            allowed: true,
+            delay_ms: [2.0, 20.0],
+            lost_part: 0.02,
+        }
     }
 }
 
@@ -350,18 +369,29 @@
     pub fn parse(file: &str, text: &str) -> Result<Scenario, Unusable> {
         let read: Result<Scenario, toml::de::Error> = toml::from_str(text);
         let scenario = read.map_err(|e| {
-            let line = e.span().map_or(1, |s| text[..s.start].matches('\n').count() + 1);
+            let line = e
+                .span()
+                .map_or(1, |s| text[..s.start].matches('\n').count() + 1);
             // The field is the key of that line, where it has one.
             let key = text.lines().nth(line - 1).and_then(|l| l.split_once('='));
             let field = key.map_or(String::new(), |(k, _)| format!("{}: ", k.trim()));
-            Unusable::Wrong(vec![format!("{file}:{line}: {field}{}", e.message().replace('\n', " "))])
+            Unusable::Wrong(vec![format!(
+                "{file}:{line}: {field}{}",
+                e.message().replace('\n', " ")
+            )])
         })?;
         let wrong = check::check(&scenario);
         if wrong.is_empty() {
             return Ok(scenario);
         }
-        let line =
-            |w: &check::Wrong| format!("{file}:{}: {}: {}", check::line(text, &w.field), w.field, w.why);
+        let line = |w: &check::Wrong| {
+            format!(
+                "{file}:{}: {}: {}",
+                check::line(text, &w.field),
+                w.field,
+                w.why
+            )
+        };
         Err(Unusable::Wrong(wrong.iter().map(line).collect()))
     }
 
@@ -381,7 +411,12 @@
             });
         }
         if self.tenant.is_empty() {
-            self.tenant.push(Tenant { name: "all".into(), share: 1.0, sends: 1.0, quota_per_s: 1e9 });
+            self.tenant.push(Tenant {
+                name: "all".into(),
+                share: 1.0,
+                sends: 1.0,
+                quota_per_s: 1e9,
+            });
         }
         self
     }
@@ -396,6 +431,10 @@
     }
     /// Longest time that any client waits.
     pub fn longest_ms(&self) -> u64 {
-        self.operation.iter().map(|o| o.client_timeout_ms).max().unwrap_or(1000)
+        self.operation
+            .iter()
+            .map(|o| o.client_timeout_ms)
+            .max()
+            .unwrap_or(1000)
     }
 }
--- a/crates/sparrouter-lab/src/scenario/schedule.rs
+++ b/crates/sparrouter-lab/src/scenario/schedule.rs
@@ -143,7 +143,12 @@
                     self.put(to, Act::Hang(c, false));
                 }
             }
-            Fault::Pauses { part, pause_ms, every_s, .. } => {
+            Fault::Pauses {
+                part,
+                pause_ms,
+                every_s,
+                ..
+            } => {
                 for c in self.some(part) {
                     let mut at = from + every_s * self.rng.random::<f64>();
                     while at < to {
@@ -152,7 +157,12 @@
                     }
                 }
             }
-            Fault::Spoilt { part, errors, resets, .. } => {
+            Fault::Spoilt {
+                part,
+                errors,
+                resets,
+                ..
+            } => {
                 for c in self.some(part) {
                     self.put(from, Act::Spoil(c, errors, resets));
                     self.put(to, Act::Spoil(c, 0.0, 0.0));
@@ -164,7 +174,13 @@
             }
             Fault::Burst { .. } | Fault::HotKey { .. } => {}
             Fault::Flush { part, .. } => self.put(from, Act::Flush(part)),
-            Fault::Deploy { length_s, part, batch, drain_s, .. } => {
+            Fault::Deploy {
+                length_s,
+                part,
+                batch,
+                drain_s,
+                ..
+            } => {
                 let old = self.some(part);
                 let size = ((batch * self.alive.len() as f64).round() as usize).max(1);
                 let batches: Vec<Vec<usize>> = old.chunks(size).map(<[usize]>::to_vec).collect();
@@ -177,7 +193,12 @@
                     }
                 }
             }
-            Fault::Shrink { length_s, part, drain_s, .. } => {
+            Fault::Shrink {
+                length_s,
+                part,
+                drain_s,
+                ..
+            } => {
                 let old = self.some(part);
                 let step = length_s / old.len().max(1) as f64;
                 for (n, c) in old.into_iter().enumerate() {
@@ -188,13 +209,26 @@
                 let more = ((times - 1.0) * self.alive.len() as f64).round() as usize;
                 (0..more).for_each(|_| self.add(from));
             }
-            Fault::NodeRestart { length_s, part, down_s, killed, .. } => {
+            Fault::NodeRestart {
+                length_s,
+                part,
+                down_s,
+                killed,
+                ..
+            } => {
                 let count = (part * self.s.nodes.count as f64).round() as usize;
                 let mut all: Vec<usize> = (0..self.s.nodes.count).collect();
                 all.shuffle(&mut self.rng);
                 for (n, node) in all.into_iter().take(count.max(1)).enumerate() {
                     let at = from + length_s * n as f64 / count.max(1) as f64;
-                    self.put(at, if killed { Act::NodeKill(node) } else { Act::NodeStop(node) });
+                    self.put(
+                        at,
+                        if killed {
+                            Act::NodeKill(node)
+                        } else {
+                            Act::NodeStop(node)
+                        },
+                    );
                     self.put(at + down_s, Act::NodeStart(node));
                 }
             }
@@ -203,14 +237,29 @@
                 self.put(to, Act::Discovery(None));
             }
             Fault::DiscoveryMoved { .. } => self.put(from, Act::DiscoveryMoves),
-            Fault::Links { before, part, delay_ms, jitter_ms, kib_per_s, how, bytes, .. } => {
+            Fault::Links {
+                before,
+                part,
+                delay_ms,
+                jitter_ms,
+                kib_per_s,
+                how,
+                bytes,
+                ..
+            } => {
                 let which = match before {
                     Before::Caches => self.some(part),
                     Before::Nodes => (0..self.s.nodes.count).collect(),
                     Before::Origin | Before::Discovery => vec![0],
                 };
                 for n in which {
-                    let way = Way { delay_ms, jitter_ms, kib_per_s, how, bytes };
+                    let way = Way {
+                        delay_ms,
+                        jitter_ms,
+                        kib_per_s,
+                        how,
+                        bytes,
+                    };
                     self.put(from, Act::Link(before, n, way));
                     self.put(to, Act::Link(before, n, base(self.s, before)));
                 }
@@ -232,7 +281,12 @@
                 self.put(from, Act::Skew(part, nodes));
                 self.put(to, Act::Skew(0.0, 0));
             }
-            Fault::Nodes { count, told_s, killed, .. } => {
+            Fault::Nodes {
+                count,
+                told_s,
+                killed,
+                ..
+            } => {
                 self.put(from, Act::NodesAre(count, killed));
                 self.put(from + told_s, Act::NodesTold(count));
             }
@@ -241,7 +295,11 @@
                 self.put(from, Act::NotesCut(count, one_way));
                 self.put(to, Act::NotesCut(0, false));
             }
-            Fault::Notes { lost_part, delay_ms, .. } => {
+            Fault::Notes {
+                lost_part,
+                delay_ms,
+                ..
+            } => {
                 self.put(from, Act::Notes(lost_part, delay_ms));
                 self.put(to, Act::Notes(self.s.peers.lost_part, 0.0));
             }
@@ -252,7 +310,11 @@
 /// What the links before a group do when nothing is wrong.
 pub fn base(s: &Scenario, before: Before) -> Way {
     let link = s.link.iter().find(|l| l.before == before);
-    link.map_or(Way::default(), |l| Way { delay_ms: l.delay_ms, jitter_ms: l.jitter_ms, ..Way::default() })
+    link.map_or(Way::default(), |l| Way {
+        delay_ms: l.delay_ms,
+        jitter_ms: l.jitter_ms,
+        ..Way::default()
+    })
 }
 
 /// Faults in the order of their beginnings, so that each finds the fleet that the one before has left.
@@ -272,5 +334,9 @@
     let speeds: Vec<f64> = (0..d.caches)
         .map(|_| s.caches.speed * (1.0 + spread * (2.0 * d.rng.random::<f64>() - 1.0)))
         .collect();
-    Schedule { steps: d.steps, caches: d.caches, speeds }
+    Schedule {
+        steps: d.steps,
+        caches: d.caches,
+        speeds,
+    }
 }
--- a/crates/sparrouter-lab/src/scripted.rs
+++ b/crates/sparrouter-lab/src/scripted.rs
@@ -59,7 +59,10 @@
 
 pub fn field(head: &str, name: &str) -> Option<String> {
     let lines = head.lines().filter_map(|l| l.split_once(':'));
-    lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_string()).next()
+    lines
+        .filter(|(n, _)| n.eq_ignore_ascii_case(name))
+        .map(|(_, v)| v.trim().to_string())
+        .next()
 }
 
 /// One message with its body; none at the end of the connection.
@@ -99,7 +102,12 @@
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let next = NEXT.fetch_add(1, SeqCst);
     let process = std::process::id();
-    let address = Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 64, process as u8, 1 + (next % 250) as u8);
+    let address = Ipv4Addr::new(
+        127,
+        64 + (process >> 8) as u8 % 64,
+        process as u8,
+        1 + (next % 250) as u8,
+    );
     // Below those that outgoing connections are given.
     SocketAddr::new(address.into(), 20_000 + (next / 250 % 10_000) as u16)
 }
@@ -109,7 +117,12 @@
         let (listener, at) = listen();
         let seen = Arc::<Mutex<Vec<Seen>>>::default();
         let (links, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
-        let server = Server { at, seen: seen.clone(), links: links.clone(), closed: closed.clone() };
+        let server = Server {
+            at,
+            seen: seen.clone(),
+            links: links.clone(),
+            closed: closed.clone(),
+        };
         let script: Script = Arc::new(script);
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -139,7 +152,15 @@
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
-        let mut seen = Seen { first, head, body, act: Act::Hit, from: Instant::now(), until: None, link };
+        let mut seen = Seen {
+            first,
+            head,
+            body,
+            act: Act::Hit,
+            from: Instant::now(),
+            until: None,
+            link,
+        };
         seen.act = script(&seen);
         let (act, id) = (seen.act, seen.id());
         let number = {
@@ -148,7 +169,10 @@
             all.len() - 1
         };
         let text = format!("value of {id}");
-        let good = format!("HTTP/1.1 200 OK\r\nX-Cache: hit\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        let good = format!(
+            "HTTP/1.1 200 OK\r\nX-Cache: hit\r\nContent-Length: {}\r\n\r\n{text}",
+            text.len()
+        );
         let reply = match act {
             Act::Hit => good,
             Act::Late(ms) => {
@@ -159,12 +183,16 @@
                 if gone { String::new() } else { good }
             }
             Act::Miss => {
-                "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nnone\r\n0\r\n\r\n".into()
+                "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nnone\r\n0\r\n\r\n"
+                    .into()
             }
             Act::NotRun => "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".into(),
             Act::Broken => "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".into(),
             Act::Half => good[..good.len() - 3].into(),
-            Act::Long => format!("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n{}", "x".repeat(300_000)),
+            Act::Long => format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n{}",
+                "x".repeat(300_000)
+            ),
             Act::Endless => format!("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n{text}"),
             Act::Noise => "\u{1}\u{2}noise".into(),
             Act::ToEnd | Act::CutShort => format!("HTTP/1.1 200 OK\r\n\r\n{text}"),
@@ -184,7 +212,10 @@
             sleep(20 * MS);
             let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         }
-        if sent.is_err() || reply.is_empty() || matches!(act, Act::Half | Act::ToEnd | Act::CutShort) {
+        if sent.is_err()
+            || reply.is_empty()
+            || matches!(act, Act::Half | Act::ToEnd | Act::CutShort)
+        {
             return;
         }
     }
@@ -206,7 +237,12 @@
         let feed = Arc::<Mutex<Vec<String>>>::default();
         let calls = Arc::<Mutex<Vec<String>>>::default();
         let mute = Arc::<AtomicUsize>::default();
-        let discovery = Discovery { at, feed: feed.clone(), calls: calls.clone(), mute: mute.clone() };
+        let discovery = Discovery {
+            at,
+            feed: feed.clone(),
+            calls: calls.clone(),
+            mute: mute.clone(),
+        };
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (feed, calls, mute) = (feed.clone(), calls.clone(), mute.clone());
@@ -224,15 +260,20 @@
 }
 
 fn watch(
-    mut stream: TcpStream, feed: Arc<Mutex<Vec<String>>>, calls: Arc<Mutex<Vec<String>>>,
+    mut stream: TcpStream,
+    feed: Arc<Mutex<Vec<String>>>,
+    calls: Arc<Mutex<Vec<String>>>,
     mute: Arc<AtomicUsize>,
 ) {
-    let Some((head, _)) = message(&mut stream) else { return };
+    let Some((head, _)) = message(&mut stream) else {
+        return;
+    };
     if !head.contains("watch=1") {
         let whole = feed.lock().unwrap().pop().unwrap_or_default();
         let length = whole.len();
-        let _ = stream
-            .write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{whole}").as_bytes());
+        let _ = stream.write_all(
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{whole}").as_bytes(),
+        );
         return;
     }
     let own = {
@@ -240,7 +281,9 @@
         calls.push(head.lines().next().unwrap().to_string());
         calls.len()
     };
-    let mut open = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_ok();
+    let mut open = stream
+        .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        .is_ok();
     let mut beat = Instant::now() - Duration::from_secs(2);
     // Only the newest watch takes lines: the node may have left this one.
     while open && calls.lock().unwrap().len() == own {
@@ -253,9 +296,16 @@
             // In two chunks: lines need not end where chunks do.
             let line = format!("{line}\n");
             let (a, b) = line.split_at(line.len() / 2);
-            let chunk =
-                |t: &str| if t.is_empty() { String::new() } else { format!("{:x}\r\n{t}\r\n", t.len()) };
-            open = stream.write_all(format!("{}{}", chunk(a), chunk(b)).as_bytes()).is_ok();
+            let chunk = |t: &str| {
+                if t.is_empty() {
+                    String::new()
+                } else {
+                    format!("{:x}\r\n{t}\r\n", t.len())
+                }
+            };
+            open = stream
+                .write_all(format!("{}{}", chunk(a), chunk(b)).as_bytes())
+                .is_ok();
             beat = Instant::now();
         }
         sleep(5 * MS);
@@ -271,7 +321,10 @@
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
     while !holds() {
-        assert!(start.elapsed() < Duration::from_secs(10), "waited in vain: {what}");
+        assert!(
+            start.elapsed() < Duration::from_secs(10),
+            "waited in vain: {what}"
+        );
         sleep(5 * MS);
     }
 }
--- a/crates/sparrouter-lab/src/stand/bad.rs
+++ b/crates/sparrouter-lab/src/stand/bad.rs
@@ -72,10 +72,18 @@
 
 /// Serves at this address, following discovery at the other.
 pub async fn serve(lab: Arc<Lab>, kind: Kind, at: SocketAddr, discovery: SocketAddr) {
-    let bad = Bad { kind, lab, list: RefCell::default(), ever: RefCell::default(), count: Cell::new(0) };
+    let bad = Bad {
+        kind,
+        lab,
+        list: RefCell::default(),
+        ever: RefCell::default(),
+        count: Cell::new(0),
+    };
     let bad = Rc::new(bad);
     bad.follow(discovery).await;
-    let Ok(listener) = TcpListener::bind(at).await else { return };
+    let Ok(listener) = TcpListener::bind(at).await else {
+        return;
+    };
     let follower = bad.clone();
     spawn_local(async move {
         loop {
@@ -93,10 +101,14 @@
         let asking = async {
             let mut stream = TcpStream::connect(discovery).await.ok()?;
             http::write(&mut stream, b"GET /registry/instances HTTP/1.1\r\n\r\n").await;
-            let message = http::read(&mut stream, &mut BytesMut::new(), || {}).await.ok()?;
+            let message = http::read(&mut stream, &mut BytesMut::new(), || {})
+                .await
+                .ok()?;
             serde_json::from_slice::<Listing>(&message.body).ok()
         };
-        let Ok(Some(listing)) = timeout(Duration::from_secs(1), asking).await else { return };
+        let Ok(Some(listing)) = timeout(Duration::from_secs(1), asking).await else {
+            return;
+        };
         let mut ever = self.ever.borrow_mut();
         for t in &listing.targets {
             if ever.iter().all(|e| e.uid != t.uid) {
@@ -117,7 +129,11 @@
             Kind::PushesCold => self.list.borrow().iter().filter(cache).cloned().collect(),
             _ => {
                 let list = self.list.borrow();
-                list.iter().filter(cache).filter(|t| t.state == "in_service" && warm(t)).cloned().collect()
+                list.iter()
+                    .filter(cache)
+                    .filter(|t| t.state == "in_service" && warm(t))
+                    .cloned()
+                    .collect()
             }
         };
         all.sort_by_key(|t| scramble(name(t) ^ key));
@@ -127,7 +143,11 @@
         all.iter().map(|t| t.endpoint).collect()
     }
     fn origin(&self) -> Option<SocketAddr> {
-        self.list.borrow().iter().find(|t| t.model == "origin").map(|t| t.endpoint)
+        self.list
+            .borrow()
+            .iter()
+            .find(|t| t.model == "origin")
+            .map(|t| t.endpoint)
     }
     /// True for one in so many.
     fn now_and_then(&self, every: u64) -> bool {
@@ -149,7 +169,9 @@
             let limit = patience.saturating_sub(Duration::from_millis(100));
             let answer = match timeout(limit, self.answer(&message)).await {
                 Ok(answer) => answer,
-                Err(_) if self.effect(&message) == Effect::Idempotent => http::reply("503 Busy", "", b""),
+                Err(_) if self.effect(&message) == Effect::Idempotent => {
+                    http::reply("503 Busy", "", b"")
+                }
                 Err(_) => http::reply("502 Bad Gateway", "", b""),
             };
             if self.kind == Kind::Late && self.now_and_then(200) {
@@ -166,17 +188,26 @@
 
     fn effect(&self, m: &Message) -> Effect {
         let op = operation_of(m.id.unwrap_or(0));
-        self.lab.scenario.operation.get(usize::from(op)).map_or(Effect::Idempotent, |o| o.effect)
+        self.lab
+            .scenario
+            .operation
+            .get(usize::from(op))
+            .map_or(Effect::Idempotent, |o| o.effect)
     }
 
     async fn answer(&self, m: &Message) -> Vec<u8> {
         let good = |body: &[u8]| http::reply("200 OK", "", body);
-        let (busy, failed) = (http::reply("503 Busy", "", b""), http::reply("502 Bad Gateway", "", b""));
+        let (busy, failed) = (
+            http::reply("503 Busy", "", b""),
+            http::reply("502 Bad Gateway", "", b""),
+        );
         if self.kind == Kind::Invents && self.now_and_then(100) {
             return good(format!("{:016x}................", m.id.unwrap_or(0)).as_bytes());
         }
         if m.writes() {
-            let Some(origin) = self.origin() else { return busy };
+            let Some(origin) = self.origin() else {
+                return busy;
+            };
             for again in 0..2 {
                 match self.forward(m, origin).await {
                     Back::Value(body) => return good(&body),
@@ -202,7 +233,9 @@
                 Back::NeverRan | Back::Unknown => {}
             }
         }
-        let Some(origin) = self.origin() else { return busy };
+        let Some(origin) = self.origin() else {
+            return busy;
+        };
         match self.forward(m, origin).await {
             Back::Value(body) => good(&body),
             _ => busy,
@@ -210,9 +243,13 @@
     }
 
     async fn forward(&self, m: &Message, to: SocketAddr) -> Back {
-        let Ok(mut stream) = TcpStream::connect(to).await else { return Back::NeverRan };
+        let Ok(mut stream) = TcpStream::connect(to).await else {
+            return Back::NeverRan;
+        };
         let _ = stream.set_nodelay(true);
-        let mark = m.mark.map_or(String::new(), |k| format!("Idempotency-Key: {k:016x}\r\n"));
+        let mark = m
+            .mark
+            .map_or(String::new(), |k| format!("Idempotency-Key: {k:016x}\r\n"));
         let (method, path) = (&m.first.0, &m.first.1);
         let id = m.id.unwrap_or(0);
         let head = format!(
--- a/crates/sparrouter-lab/src/stand/discovery.rs
+++ b/crates/sparrouter-lab/src/stand/discovery.rs
@@ -65,14 +65,19 @@
 }
 
 fn uid(number: u32, seed: u64) -> String {
-    format!("s-{:08x}", crate::scenario::arrivals::scramble(seed ^ u64::from(number)) as u32)
+    format!(
+        "s-{:08x}",
+        crate::scenario::arrivals::scramble(seed ^ u64::from(number)) as u32
+    )
 }
 
 impl Discovery {
     /// `ends`: addresses by cache server, the origin's last.
     pub fn new(lab: &Arc<Lab>, fleet: &Arc<Fleet>, ends: Vec<SocketAddr>) -> Arc<Discovery> {
         let nodes = lab.scenario.most_nodes();
-        let at = (0..nodes).map(|_| SocketAddr::from((lab.address(), 8500))).collect();
+        let at = (0..nodes)
+            .map(|_| SocketAddr::from((lab.address(), 8500)))
+            .collect();
         let origin = ends[ends.len() - 1];
         let target = Target {
             uid: "origin".into(),
@@ -87,9 +92,22 @@
             rev: 1,
             listed: Listed::Ready,
         };
-        let state = State { targets: vec![target], rev: 1, trouble: None, held: vec![], at, tasks: vec![] };
+        let state = State {
+            targets: vec![target],
+            rev: 1,
+            trouble: None,
+            held: vec![],
+            at,
+            tasks: vec![],
+        };
         let (lab, fleet) = (lab.clone(), fleet.clone());
-        Arc::new(Discovery { lab, fleet, ends, state: Mutex::new(state), changed: watch::Sender::new(1) })
+        Arc::new(Discovery {
+            lab,
+            fleet,
+            ends,
+            state: Mutex::new(state),
+            changed: watch::Sender::new(1),
+        })
     }
 
     pub fn address(&self, node: usize) -> SocketAddr {
@@ -123,7 +141,11 @@
             rev: 0,
             listed,
         };
-        self.lab.record(Record::Known { at: self.lab.now(), cache: number, listed });
+        self.lab.record(Record::Known {
+            at: self.lab.now(),
+            cache: number,
+            listed,
+        });
         if state.trouble == Some(DiscoveryTrouble::Stale) {
             return state.held.push(target);
         }
@@ -152,7 +174,10 @@
             let before = std::mem::replace(&mut state.trouble, trouble);
             let refuses = |t| matches!(t, Some(DiscoveryTrouble::Down | DiscoveryTrouble::Errors));
             if refuses(before) != refuses(trouble) {
-                self.lab.record(Record::Away { at: self.lab.now(), away: refuses(trouble) });
+                self.lab.record(Record::Away {
+                    at: self.lab.now(),
+                    away: refuses(trouble),
+                });
             }
             if trouble == Some(DiscoveryTrouble::Down) {
                 state.tasks.drain(..).for_each(|t| t.abort());
@@ -180,7 +205,10 @@
     pub fn moves(self: &Arc<Self>) {
         let mut state = self.state.lock().expect("not poisoned");
         state.tasks.drain(..).for_each(|t| t.abort());
-        state.at.iter_mut().for_each(|at| *at = SocketAddr::from((self.lab.address(), 8500)));
+        state
+            .at
+            .iter_mut()
+            .for_each(|at| *at = SocketAddr::from((self.lab.address(), 8500)));
         drop(state);
         self.start();
     }
@@ -193,7 +221,12 @@
                 for _ in 0..200 {
                     if let Ok(listener) = TcpListener::bind(at).await {
                         let task = spawn_local(discovery.clone().accept(listener, node));
-                        discovery.state.lock().expect("not poisoned").tasks.push(task.abort_handle());
+                        discovery
+                            .state
+                            .lock()
+                            .expect("not poisoned")
+                            .tasks
+                            .push(task.abort_handle());
                         return true;
                     }
                     sleep(Duration::from_millis(5)).await;
@@ -209,7 +242,11 @@
     async fn accept(self: Arc<Self>, listener: TcpListener, node: usize) {
         while let Ok((stream, _)) = listener.accept().await {
             let task = spawn_local(self.clone().converse(stream, node));
-            self.state.lock().expect("not poisoned").tasks.push(task.abort_handle());
+            self.state
+                .lock()
+                .expect("not poisoned")
+                .tasks
+                .push(task.abort_handle());
         }
     }
 
@@ -230,23 +267,43 @@
             let named = t.rev > after && (!all || wrong || t.listed != Listed::Gone);
             named && (!empty || t.model == "origin")
         };
-        let said = |t: &Target| Target { state: if wrong { "in_service" } else { t.state }, ..t.clone() };
+        let said = |t: &Target| Target {
+            state: if wrong { "in_service" } else { t.state },
+            ..t.clone()
+        };
         let targets: Vec<Target> = state.targets.iter().filter(wanted).map(said).collect();
         let at = self.lab.now();
         // An empty list is no word of anything; a wrong one is what the node was told.
         for t in targets.iter().filter(|t| t.model != "origin" && !empty) {
             let listed = if wrong { Listed::Ready } else { t.listed };
-            self.lab.record(Record::Told { at, node: node as u16, cache: t.number, listed });
+            self.lab.record(Record::Told {
+                at,
+                node: node as u16,
+                cache: t.number,
+                listed,
+            });
         }
         if all && !lies {
             // Whatever the whole list does not name is gone.
             for t in state.targets.iter().filter(|t| t.listed == Listed::Gone) {
                 let cache = t.number;
-                self.lab.record(Record::Told { at, node: node as u16, cache, listed: Listed::Gone });
+                self.lab.record(Record::Told {
+                    at,
+                    node: node as u16,
+                    cache,
+                    listed: Listed::Gone,
+                });
             }
         }
-        let listing = Listing { rev: state.rev, all, targets };
-        (state.rev, serde_json::to_string(&listing).expect("a list is plain"))
+        let listing = Listing {
+            rev: state.rev,
+            all,
+            targets,
+        };
+        (
+            state.rev,
+            serde_json::to_string(&listing).expect("a list is plain"),
+        )
     }
 
     /// The list as a node last had it, for its configuration.
@@ -260,11 +317,17 @@
 
     async fn converse(self: Arc<Self>, mut stream: TcpStream, node: usize) {
         let mut buffer = BytesMut::new();
-        let Ok(call) = http::read(&mut stream, &mut buffer, || {}).await else { return };
+        let Ok(call) = http::read(&mut stream, &mut buffer, || {}).await else {
+            return;
+        };
         match self.now() {
             Some(DiscoveryTrouble::Silent) => return sleep(Duration::from_secs(3600)).await,
             Some(DiscoveryTrouble::Errors) => {
-                http::write(&mut stream, &http::reply("503 Service Unavailable", "", b"")).await;
+                http::write(
+                    &mut stream,
+                    &http::reply("503 Service Unavailable", "", b""),
+                )
+                .await;
                 return;
             }
             _ => {}
@@ -274,7 +337,13 @@
             http::write(&mut stream, &http::reply("200 OK", "", line.as_bytes())).await;
             return;
         }
-        let after = call.first.1.rsplit("after=").next().and_then(|a| a.parse().ok()).unwrap_or(0);
+        let after = call
+            .first
+            .1
+            .rsplit("after=")
+            .next()
+            .and_then(|a| a.parse().ok())
+            .unwrap_or(0);
         let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         if !http::write(&mut stream, head).await {
             return;
--- a/crates/sparrouter-lab/src/stand/fleet.rs
+++ b/crates/sparrouter-lab/src/stand/fleet.rs
@@ -21,18 +21,26 @@
     /// Nothing of it runs yet.
     pub fn new(lab: &Arc<Lab>, schedule: &Schedule) -> std::io::Result<Arc<Fleet>> {
         let s = &lab.scenario;
-        let keys = (0..s.load.keys).map(|rank| arrivals::key(s.seed, rank)).collect::<Vec<_>>();
+        let keys = (0..s.load.keys)
+            .map(|rank| arrivals::key(s.seed, rank))
+            .collect::<Vec<_>>();
         let mut error = None;
         let fleet = Arc::new_cyclic(|weak: &Weak<Fleet>| {
             let server = |number, speed| Server::new(lab, weak, number, speed);
-            let caches: Result<Vec<_>, _> =
-                (0..schedule.caches).map(|n| server(n as u32, schedule.speeds[n])).collect();
+            let caches: Result<Vec<_>, _> = (0..schedule.caches)
+                .map(|n| server(n as u32, schedule.speeds[n]))
+                .collect();
             let caches = caches.unwrap_or_else(|e| {
                 error = Some(e);
                 Vec::new()
             });
             let origin = server(ORIGIN, 1.0).expect("an address is at hand");
-            Fleet { caches, origin, missed: Mutex::default(), keys }
+            Fleet {
+                caches,
+                origin,
+                missed: Mutex::default(),
+                keys,
+            }
         });
         match error {
             Some(error) => Err(error),
@@ -58,7 +66,12 @@
     }
     /// The origin gave a value: it is kept where the invocation missed.
     pub fn answered(&self, id: u64, key: u64) {
-        let at = self.missed.lock().expect("not poisoned").remove(&id).unwrap_or_default();
+        let at = self
+            .missed
+            .lock()
+            .expect("not poisoned")
+            .remove(&id)
+            .unwrap_or_default();
         for cache in at {
             self.caches[cache as usize].keep(key);
         }
