--- a/crates/sparrouter-lab/src/stand/link.rs
+++ b/crates/sparrouter-lab/src/stand/link.rs
@@ -74,8 +74,12 @@
 
     async fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else { return };
-            let Ok(stream) = stream.into_std() else { continue };
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
+            let Ok(stream) = stream.into_std() else {
+                continue;
+            };
             let link = self.clone();
             self.lab.workers.run(move || async move {
                 if let Ok(stream) = TcpStream::from_std(stream) {
@@ -96,12 +100,18 @@
             sleep(Duration::from_secs(3600)).await;
         }
         let limit = Duration::from_secs(3);
-        let Ok(Ok(far)) = timeout(limit, TcpStream::connect(self.to)).await else { return http::reset(near) };
+        let Ok(Ok(far)) = timeout(limit, TcpStream::connect(self.to)).await else {
+            return http::reset(near);
+        };
         let _ = far.set_nodelay(true);
         let mut broken = self.broken.subscribe();
         let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
         let passed = Rc::new(Cell::new(0));
-        let pipe = |back| Pipe { link: self.clone(), back, passed: passed.clone() };
+        let pipe = |back| Pipe {
+            link: self.clone(),
+            back,
+            passed: passed.clone(),
+        };
         let (there, back) = (pipe(false), pipe(true));
         // Dropped halves close the connection by themselves.
         tokio::select! {
@@ -121,7 +131,13 @@
     /// Until its source has ended and all of it is through, or it is cut.
     async fn run(self, mut from: OwnedReadHalf, to: OwnedWriteHalf) {
         let (queue, delayed) = mpsc::channel::<(Nanos, Bytes)>(UNDER_WAY);
-        let deliver = deliver(self.link.clone(), self.back, self.passed.clone(), delayed, to);
+        let deliver = deliver(
+            self.link.clone(),
+            self.back,
+            self.passed.clone(),
+            delayed,
+            to,
+        );
         let read = async {
             let (mut latest, mut buffer) = (0, BytesMut::new());
             loop {
@@ -129,8 +145,9 @@
                 let ended = !matches!(from.read_buf(&mut buffer).await, Ok(n) if n > 0);
                 let way = self.link.way();
                 let bytes = buffer.split().freeze();
-                let mut at =
-                    self.link.lab.now() + nanos(way.delay_ms / 1e3) + self.link.jitter(way.jitter_ms);
+                let mut at = self.link.lab.now()
+                    + nanos(way.delay_ms / 1e3)
+                    + self.link.jitter(way.jitter_ms);
                 if way.kib_per_s > 0.0 {
                     at = at.max(latest) + nanos(bytes.len() as f64 / 1024.0 / way.kib_per_s);
                 }
@@ -153,7 +170,10 @@
 }
 
 async fn deliver(
-    link: Arc<Link>, back: bool, passed: Rc<Cell<u64>>, mut queue: mpsc::Receiver<(Nanos, Bytes)>,
+    link: Arc<Link>,
+    back: bool,
+    passed: Rc<Cell<u64>>,
+    mut queue: mpsc::Receiver<(Nanos, Bytes)>,
     mut to: OwnedWriteHalf,
 ) {
     while let Some((at, bytes)) = queue.recv().await {
--- a/crates/sparrouter-lab/src/stand/mod.rs
+++ b/crates/sparrouter-lab/src/stand/mod.rs
@@ -36,7 +36,9 @@
         // was free stays free; another lab at the same time most likely has another part.
         static RUNS: AtomicU32 = AtomicU32::new(0);
         let run = RUNS.fetch_add(1, Relaxed);
-        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let since = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap_or_default();
         let mixed = crate::scenario::arrivals::scramble(
             u64::from(std::process::id()) << 32 ^ u64::from(run) ^ since.as_nanos() as u64,
         );
@@ -56,7 +58,9 @@
         let _ = self.begun.set(Instant::now());
     }
     pub fn now(&self) -> Nanos {
-        self.begun.get().map_or(0, |b| b.elapsed().as_nanos() as Nanos)
+        self.begun
+            .get()
+            .map_or(0, |b| b.elapsed().as_nanos() as Nanos)
     }
     /// What is seen now may have happened so long ago: on a machine with too little time for the lab.
     pub fn lag(&self) -> Nanos {
--- a/crates/sparrouter-lab/src/stand/model.rs
+++ b/crates/sparrouter-lab/src/stand/model.rs
@@ -19,17 +19,26 @@
 
 impl Store {
     pub fn new(most: usize) -> Store {
-        Store { most: (most > 0).then_some(most), ..Store::default() }
+        Store {
+            most: (most > 0).then_some(most),
+            ..Store::default()
+        }
     }
     /// After a start nothing is kept.
     pub fn clear(&mut self) {
-        *self = Store { most: self.most, empty: true, ..Store::default() };
+        *self = Store {
+            most: self.most,
+            empty: true,
+            ..Store::default()
+        };
     }
     pub fn has(&mut self, key: u64) -> bool {
         if self.most.is_none() && !self.empty {
             return !self.void.contains_key(&key);
         }
-        let Some(stamp) = self.used.get_mut(&key) else { return false };
+        let Some(stamp) = self.used.get_mut(&key) else {
+            return false;
+        };
         self.stamp += 1;
         self.order.remove(stamp);
         *stamp = self.stamp;
@@ -60,7 +69,9 @@
     /// This part of all keys at once, the same ones at every cache server.
     pub fn flush(&mut self, keys: &[u64], part: f64) {
         let bar = (part * u64::MAX as f64) as u64;
-        keys.iter().filter(|k| scramble(**k) < bar).for_each(|k| self.void(*k));
+        keys.iter()
+            .filter(|k| scramble(**k) < bar)
+            .for_each(|k| self.void(*k));
     }
 }
 
@@ -74,7 +85,12 @@
 impl Marks {
     /// True where the effect is to be carried out.
     pub fn fresh(&mut self, mark: u64, window: Nanos, now: Nanos) -> bool {
-        while let Some((at, old)) = self.order.front().copied().filter(|(at, _)| at + window < now) {
+        while let Some((at, old)) = self
+            .order
+            .front()
+            .copied()
+            .filter(|(at, _)| at + window < now)
+        {
             self.order.pop_front();
             if self.seen.get(&old) == Some(&at) {
                 self.seen.remove(&old);
@@ -99,13 +115,22 @@
 
 impl Drive {
     pub fn new(window: Nanos) -> Drive {
-        Drive { window: window.max(1), sent: VecDeque::new(), sum: 0.0 }
+        Drive {
+            window: window.max(1),
+            sent: VecDeque::new(),
+            sum: 0.0,
+        }
     }
     /// Sum of the work in the window that ends now, this one with it.
     pub fn add(&mut self, work: f64, now: Nanos) -> f64 {
         self.sent.push_back((now, work));
         self.sum += work;
-        while let Some((_, old)) = self.sent.front().copied().filter(|(at, _)| at + self.window < now) {
+        while let Some((_, old)) = self
+            .sent
+            .front()
+            .copied()
+            .filter(|(at, _)| at + self.window < now)
+        {
             self.sent.pop_front();
             self.sum -= old;
         }
--- a/crates/sparrouter-lab/src/stand/node.rs
+++ b/crates/sparrouter-lab/src/stand/node.rs
@@ -96,7 +96,15 @@
     /// `program`: what is run, with the configuration named by `PROXY_CONFIG`.
     pub fn new(number: usize, at: SocketAddr, version: Version, folder: &Path) -> Node {
         let folder = folder.join(format!("n{number}"));
-        Node { number, at, version, folder, child: None, before: 0.0, last: Usage::default() }
+        Node {
+            number,
+            at,
+            version,
+            folder,
+            child: None,
+            before: 0.0,
+            last: Usage::default(),
+        }
     }
 
     /// Where its reports go, where it makes any.
@@ -106,7 +114,8 @@
 
     fn configure(&self, lab: &Lab, start: &Start) -> std::io::Result<PathBuf> {
         let s = &lab.scenario;
-        let seed = crate::scenario::arrivals::scramble(s.seed ^ (self.number as u64) << 32 ^ start.starts);
+        let seed =
+            crate::scenario::arrivals::scramble(s.seed ^ (self.number as u64) << 32 ^ start.starts);
         let mut own = settings(s, self.number, start.peers.len());
         over(&mut own, &self.version.settings);
         let config = json!({
@@ -128,7 +137,10 @@
     pub fn start(&mut self, lab: &Lab, start: &Start) -> std::io::Result<()> {
         let config = self.configure(lab, start)?;
         let log = self.folder.join("log.txt");
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)?;
         let mut command = Command::new(&self.version.program);
         let shares = lab.scenario.shares;
         if self.version.generation.is_some() || shares.is_some() {
@@ -154,7 +166,10 @@
             .args(&self.version.args)
             .envs(self.version.envs.iter().cloned())
             .env("PROXY_CONFIG", config)
-            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "info".into()))
+            .env(
+                "RUST_LOG",
+                std::env::var("RUST_LOG").unwrap_or_else(|_| "info".into()),
+            )
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -192,7 +207,10 @@
     }
     /// True where it ended by itself since it was last asked.
     pub fn ended(&mut self) -> bool {
-        let over = self.child.as_mut().is_some_and(|c| !matches!(c.try_wait(), Ok(None)));
+        let over = self
+            .child
+            .as_mut()
+            .is_some_and(|c| !matches!(c.try_wait(), Ok(None)));
         if over {
             self.child = None;
             self.before += std::mem::take(&mut self.last).cpu_s;
@@ -210,7 +228,10 @@
         if let Some(usage) = self.child.as_ref().and_then(|c| usage(c.id())) {
             self.last = usage;
         }
-        Usage { cpu_s: self.before + self.last.cpu_s, ..self.last }
+        Usage {
+            cpu_s: self.before + self.last.cpu_s,
+            ..self.last
+        }
     }
 }
 
@@ -232,8 +253,14 @@
     let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let memory = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    let kib: f64 =
-        memory.and_then(|m| m.split_whitespace().next()).and_then(|m| m.parse().ok()).unwrap_or(0.0);
+    let kib: f64 = memory
+        .and_then(|m| m.split_whitespace().next())
+        .and_then(|m| m.parse().ok())
+        .unwrap_or(0.0);
     let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |d| d.count());
-    Some(Usage { cpu_s: ticks / TICKS, memory_mb: kib / 1024.0, descriptors })
+    Some(Usage {
+        cpu_s: ticks / TICKS,
+        memory_mb: kib / 1024.0,
+        descriptors,
+    })
 }
--- a/crates/sparrouter-lab/src/stand/notes.rs
+++ b/crates/sparrouter-lab/src/stand/notes.rs
@@ -43,23 +43,41 @@
 impl Notes {
     pub fn start(lab: &Arc<Lab>) -> std::io::Result<Notes> {
         let count = lab.scenario.most_nodes();
-        let now = Arc::new(Mutex::new(Now { lost_part: lab.scenario.peers.lost_part, ..Now::default() }));
-        let sockets: Result<Vec<_>, _> =
-            (0..count).map(|_| std::net::UdpSocket::bind((lab.address(), 0))).collect();
+        let now = Arc::new(Mutex::new(Now {
+            lost_part: lab.scenario.peers.lost_part,
+            ..Now::default()
+        }));
+        let sockets: Result<Vec<_>, _> = (0..count)
+            .map(|_| std::net::UdpSocket::bind((lab.address(), 0)))
+            .collect();
         let sockets = sockets?;
-        let peers: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr()).collect::<Result<_, _>>()?;
-        let listen: Vec<SocketAddr> = (0..count).map(|_| SocketAddr::from((lab.address(), 7946))).collect();
+        let peers: Vec<SocketAddr> = sockets
+            .iter()
+            .map(|s| s.local_addr())
+            .collect::<Result<_, _>>()?;
+        let listen: Vec<SocketAddr> = (0..count)
+            .map(|_| SocketAddr::from((lab.address(), 7946)))
+            .collect();
         let (shared, own, state) = (listen.clone(), lab.clone(), now.clone());
         lab.workers.run(move || async move {
             let bound = sockets.into_iter().map(|s| {
                 s.set_nonblocking(true)?;
                 UdpSocket::from_std(s).map(Arc::new)
             });
-            let Ok(sockets) = bound.collect::<std::io::Result<Vec<_>>>() else { return };
+            let Ok(sockets) = bound.collect::<std::io::Result<Vec<_>>>() else {
+                return;
+            };
             spawn_local(lie(sockets.clone(), shared.clone(), state.clone()));
             for (k, socket) in sockets.iter().enumerate() {
                 let (socket, all) = (socket.clone(), sockets.clone());
-                spawn_local(pass(own.clone(), k, socket, all, shared.clone(), state.clone()));
+                spawn_local(pass(
+                    own.clone(),
+                    k,
+                    socket,
+                    all,
+                    shared.clone(),
+                    state.clone(),
+                ));
             }
         });
         Ok(Notes { peers, listen, now })
@@ -85,11 +103,23 @@
     loop {
         sleep(LIES).await;
         let now = *state.lock().expect("not poisoned");
-        let (Some(liar), Some(print)) = (now.liar, now.print) else { continue };
+        let (Some(liar), Some(print)) = (now.liar, now.print) else {
+            continue;
+        };
         number += 1;
         let rows = (0..8).map(|limit| (limit, 0.0, 1e6)).collect();
-        let says = Says { nodes: all.len(), before: 0, held: 0 };
-        let text = Note { print, says, number, rows: Rows::Ask(rows) }.write();
+        let says = Says {
+            nodes: all.len(),
+            before: 0,
+            held: 0,
+        };
+        let text = Note {
+            print,
+            says,
+            number,
+            rows: Rows::Ask(rows),
+        }
+        .write();
         for (to, at) in listen.iter().enumerate().filter(|(to, _)| *to != liar) {
             if now.passes(liar, to) {
                 let _ = all[liar].send_to(&text, at).await;
@@ -99,14 +129,22 @@
 }
 
 async fn pass(
-    lab: Arc<Lab>, k: usize, socket: Arc<UdpSocket>, all: Vec<Arc<UdpSocket>>, listen: Vec<SocketAddr>,
+    lab: Arc<Lab>,
+    k: usize,
+    socket: Arc<UdpSocket>,
+    all: Vec<Arc<UdpSocket>>,
+    listen: Vec<SocketAddr>,
     state: Arc<Mutex<Now>>,
 ) {
     let mut buffer = [0; 512];
     let mut chance = lab.scenario.seed ^ k as u64;
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
-        let Some(sender) = listen.iter().position(|a| *a == from) else { continue };
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let Some(sender) = listen.iter().position(|a| *a == from) else {
+            continue;
+        };
         if let Some(note) = Note::read(&buffer[..length]) {
             state.lock().expect("not poisoned").print = Some(note.print);
         }
@@ -118,7 +156,8 @@
         }
         let [least, most] = lab.scenario.peers.delay_ms;
         let (out, to, text) = (all[sender].clone(), listen[k], buffer[..length].to_vec());
-        let late = Duration::from_nanos(nanos((least + (most - least) * draw + now.delay_ms) / 1e3));
+        let late =
+            Duration::from_nanos(nanos((least + (most - least) * draw + now.delay_ms) / 1e3));
         spawn_local(async move {
             sleep(late).await;
             let _ = out.send_to(&text, to).await;
--- a/crates/sparrouter-lab/src/stand/plant.rs
+++ b/crates/sparrouter-lab/src/stand/plant.rs
@@ -63,10 +63,17 @@
     let mut config: Value = serde_json::from_str(&read(&path)?).map_err(|e| e.to_string())?;
     let operator: toml::Table =
         toml::from_str(&read(&var("SPARROUTER_CONFIG")?)?).map_err(|e| e.to_string())?;
-    let folder = Path::new(&path).parent().unwrap_or(Path::new(".")).to_path_buf();
+    let folder = Path::new(&path)
+        .parent()
+        .unwrap_or(Path::new("."))
+        .to_path_buf();
     let own: SocketAddr = from(&config["listen"])?;
-    let peers: Vec<SocketAddr> =
-        config["peers"].as_array().into_iter().flatten().map(from).collect::<Result<_, _>>()?;
+    let peers: Vec<SocketAddr> = config["peers"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(from)
+        .collect::<Result<_, _>>()?;
     let inner = std::net::TcpListener::bind((own.ip(), 0)).and_then(|l| l.local_addr());
     let inner = inner.map_err(|e| e.to_string())?;
     config["listen"] = Value::String(inner.to_string());
@@ -75,13 +82,18 @@
     if talks {
         config["settings"]["Limits"]["Peers"] = Value::Bool(false);
     }
-    let generation = operator["identity"]["generation"].as_str().unwrap_or_default().to_string();
+    let generation = operator["identity"]["generation"]
+        .as_str()
+        .unwrap_or_default()
+        .to_string();
     let report = PathBuf::from(operator["report"]["path"].as_str().unwrap_or_default());
     let inner_report = folder.join("inner.jsonl");
     let _ = std::fs::remove_file(&inner_report);
     let write = |name: &str, text: String| {
         let path = folder.join(name);
-        std::fs::write(&path, text).map(|()| path).map_err(|e| e.to_string())
+        std::fs::write(&path, text)
+            .map(|()| path)
+            .map_err(|e| e.to_string())
     };
     let inner_operator = write(
         "inner.toml",
@@ -91,14 +103,21 @@
     )?;
     let inner_config = write("inner.json", config.to_string())?;
     let mut command = Command::new(var("SPARROUTER_NODE")?);
-    command.env("PROXY_CONFIG", inner_config).env("SPARROUTER_CONFIG", inner_operator);
+    command
+        .env("PROXY_CONFIG", inner_config)
+        .env("SPARROUTER_CONFIG", inner_operator);
     let child = Inner(command.spawn().map_err(|e| e.to_string())?);
     keep(std::process::id(), child.0.id());
     let class = |c: &Value| Worth {
         value: c["Worth"].as_f64().unwrap_or(1.0),
         objective: Duration::from_micros(c["ObjectiveUs"].as_u64().unwrap_or(0)),
     };
-    let classes = || config["settings"]["Classes"].as_array().into_iter().flatten();
+    let classes = || {
+        config["settings"]["Classes"]
+            .as_array()
+            .into_iter()
+            .flatten()
+    };
     let operation = |c: &Value| Operation {
         name: c["Name"].as_str().unwrap_or_default().to_string(),
         latency: vec![0; BUCKETS],
@@ -118,18 +137,29 @@
         inner_report,
         held: RefCell::default(),
     });
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    LocalSet::new()
-        .block_on(&runtime.map_err(|e| e.to_string())?, planted.serve(own, report, speaks, peers, child))
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(
+        &runtime.map_err(|e| e.to_string())?,
+        planted.serve(own, report, speaks, peers, child),
+    )
 }
 
 fn from(value: &Value) -> Result<SocketAddr, String> {
-    value.as_str().and_then(|t| t.parse().ok()).ok_or(format!("{value} is no address"))
+    value
+        .as_str()
+        .and_then(|t| t.parse().ok())
+        .ok_or(format!("{value} is no address"))
 }
 
 impl Planted {
     async fn serve(
-        self: Rc<Self>, own: SocketAddr, report: PathBuf, speaks: Option<SocketAddr>, peers: Vec<SocketAddr>,
+        self: Rc<Self>,
+        own: SocketAddr,
+        report: PathBuf,
+        speaks: Option<SocketAddr>,
+        peers: Vec<SocketAddr>,
         child: Inner,
     ) -> Result<(), String> {
         // Passed on.
@@ -176,7 +206,10 @@
             () = dies => std::process::exit(9),
             _ = term.recv() => {}
         }
-        let _ = nix::sys::signal::kill(nix::unistd::Pid::from_raw(number), nix::sys::signal::Signal::SIGTERM);
+        let _ = nix::sys::signal::kill(
+            nix::unistd::Pid::from_raw(number),
+            nix::sys::signal::Signal::SIGTERM,
+        );
         let mut child = child;
         let latest = Instant::now() + Duration::from_secs(3);
         while matches!(child.0.try_wait(), Ok(None)) && Instant::now() < latest {
@@ -202,14 +235,18 @@
     }
 
     async fn talk(self: Rc<Self>, at: SocketAddr, peers: Vec<SocketAddr>) {
-        let Ok(socket) = UdpSocket::bind(at).await else { return };
+        let Ok(socket) = UdpSocket::bind(at).await else {
+            return;
+        };
         let mut n: u64 = 0;
         loop {
             n += 1;
             let drawn = |k: u64| crate::scenario::arrivals::scramble(n ^ k << 32);
             let text: Vec<u8> = match self.plant {
                 Plant::Rubbish => (0..drawn(0) % 250).map(|k| drawn(k + 1) as u8).collect(),
-                Plant::NewerNotes => std::iter::once(130).chain((0..200).map(|k| drawn(k) as u8)).collect(),
+                Plant::NewerNotes => std::iter::once(130)
+                    .chain((0..200).map(|k| drawn(k) as u8))
+                    .collect(),
                 _ => {
                     // Format 0, whole: all tenants' traffic comes by here, nine in ten are turned away.
                     let mut text = vec![1, 0];
@@ -238,23 +275,40 @@
 
     /// One connection: messages of the client to the node behind, answers back.
     async fn converse(self: Rc<Self>, mut near: TcpStream) {
-        let Ok(mut far) = TcpStream::connect(self.inner).await else { return };
+        let Ok(mut far) = TcpStream::connect(self.inner).await else {
+            return;
+        };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
         let (mut from_near, mut from_far) = (BytesMut::new(), BytesMut::new());
         loop {
-            let Some(raw) = whole(&mut near, &mut from_near).await else { return };
+            let Some(raw) = whole(&mut near, &mut from_near).await else {
+                return;
+            };
             let head = String::from_utf8_lossy(&raw).to_string();
-            let class =
-                head.lines().find_map(|l| l.strip_prefix("X-Class: ")).unwrap_or_default().trim().to_string();
-            let at = self.report.borrow().operations.iter().position(|o| o.name == class);
+            let class = head
+                .lines()
+                .find_map(|l| l.strip_prefix("X-Class: "))
+                .unwrap_or_default()
+                .trim()
+                .to_string();
+            let at = self
+                .report
+                .borrow()
+                .operations
+                .iter()
+                .position(|o| o.name == class);
             let writes = head.starts_with("PUT");
             let start = Instant::now();
             if far.write_all(&raw).await.is_err() {
                 return;
             }
-            let Some(mut answer) = whole(&mut far, &mut from_far).await else { return };
+            let Some(mut answer) = whole(&mut far, &mut from_far).await else {
+                return;
+            };
             if let Some(op) = at {
-                answer = self.spoil(raw, answer, writes, start, &mut far, &mut from_far).await;
+                answer = self
+                    .spoil(raw, answer, writes, start, &mut far, &mut from_far)
+                    .await;
                 self.learn(op, &answer, start.elapsed());
             }
             if near.write_all(&answer).await.is_err() {
@@ -264,7 +318,12 @@
     }
 
     async fn spoil(
-        &self, raw: Vec<u8>, answer: Vec<u8>, writes: bool, start: Instant, far: &mut TcpStream,
+        &self,
+        raw: Vec<u8>,
+        answer: Vec<u8>,
+        writes: bool,
+        start: Instant,
+        far: &mut TcpStream,
         rest: &mut BytesMut,
     ) -> Vec<u8> {
         let failed = || http::reply("502 Bad Gateway", "", b"");
@@ -272,7 +331,9 @@
             Plant::Slow => sleep(start.elapsed() / 3).await,
             Plant::Errs if self.now_and_then(200) => return failed(),
             Plant::OneWorse if writes && self.now_and_then(2) => return failed(),
-            Plant::WhenWarm if self.began.elapsed() > Duration::from_secs(6) && self.now_and_then(10) => {
+            Plant::WhenWarm
+                if self.began.elapsed() > Duration::from_secs(6) && self.now_and_then(10) =>
+            {
                 return failed();
             }
             Plant::Twice if writes => {
@@ -295,7 +356,11 @@
         match answer.get(9..12) {
             Some(b"200" | b"404") => {
                 o.succeeded += 1;
-                o.in_time += if took <= worth.objective { worth.value } else { 0.0 };
+                o.in_time += if took <= worth.objective {
+                    worth.value
+                } else {
+                    0.0
+                };
                 o.latency[bucket(took.as_micros() as u64)] += 1;
             }
             Some(b"503") => o.throttled += 1,
@@ -306,12 +371,19 @@
     /// What the node behind says of itself, with what came of it here.
     fn write(&self, path: &Path) -> std::io::Result<()> {
         let text = std::fs::read_to_string(&self.inner_report)?;
-        let inner = text.lines().rev().find_map(|l| serde_json::from_str::<Report>(l).ok());
+        let inner = text
+            .lines()
+            .rev()
+            .find_map(|l| serde_json::from_str::<Report>(l).ok());
         let Some(inner) = inner else { return Ok(()) };
         let mut own = self.report.borrow_mut();
         let operations = std::mem::take(&mut own.operations);
         let generation = std::mem::take(&mut own.generation);
-        *own = Report { operations, generation, ..inner };
+        *own = Report {
+            operations,
+            generation,
+            ..inner
+        };
         own.uptime_ms = self.began.elapsed().as_millis() as u64;
         if self.plant == Plant::Places {
             own.placement = "other".into();
@@ -322,7 +394,11 @@
         own.descriptors += held;
         let mut line = serde_json::to_vec(&*own)?;
         line.push(b'\n');
-        std::fs::OpenOptions::new().create(true).append(true).open(path)?.write_all(&line)
+        std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(path)?
+            .write_all(&line)
     }
 }
 
--- a/crates/sparrouter-lab/src/stand/relay.rs
+++ b/crates/sparrouter-lab/src/stand/relay.rs
@@ -8,7 +8,9 @@
 
 /// Runs until killed: each connection to the next address in turn.
 pub fn run(listen: SocketAddr, to: Vec<SocketAddr>) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind(listen).await?;
         let mut next = 0;
@@ -20,7 +22,9 @@
             let target = to[next % to.len()];
             next += 1;
             spawn_local(async move {
-                let Ok(mut far) = TcpStream::connect(target).await else { return };
+                let Ok(mut far) = TcpStream::connect(target).await else {
+                    return;
+                };
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
                 let _ = copy_bidirectional(&mut near, &mut far).await;
             });
--- a/crates/sparrouter-lab/src/stand/server.rs
+++ b/crates/sparrouter-lab/src/stand/server.rs
@@ -92,7 +92,11 @@
     /// Ends with an answer, unless the node has gone away before it could have any: what it sends
     /// elsewhere from then on does not overlap.
     fn answer(self, how: How, stream: &TcpStream) {
-        self.end(if http::peek(stream) == Peeked::Ended { How::Withdrawn } else { how });
+        self.end(if http::peek(stream) == Peeked::Ended {
+            How::Withdrawn
+        } else {
+            how
+        });
     }
 }
 
@@ -119,7 +123,11 @@
 impl Drop for Conn {
     fn drop(&mut self) {
         self.server.open.fetch_sub(1, Relaxed);
-        self.server.tasks.lock().expect("not poisoned").remove(&self.task);
+        self.server
+            .tasks
+            .lock()
+            .expect("not poisoned")
+            .remove(&self.task);
         if self.life != self.server.life.load(Relaxed)
             && let Some(a) = self.stream.take()
         {
@@ -136,9 +144,18 @@
 }
 
 impl Server {
-    pub fn new(lab: &Arc<Lab>, fleet: &Weak<Fleet>, number: u32, speed: f64) -> std::io::Result<Arc<Server>> {
+    pub fn new(
+        lab: &Arc<Lab>,
+        fleet: &Weak<Fleet>,
+        number: u32,
+        speed: f64,
+    ) -> std::io::Result<Arc<Server>> {
         let s = &lab.scenario;
-        let role = if number == ORIGIN { Role::Origin } else { Role::Cache };
+        let role = if number == ORIGIN {
+            Role::Origin
+        } else {
+            Role::Cache
+        };
         let at = SocketAddr::from((lab.address(), 9000));
         // As many at once as make its stated rate at its stated time.
         let (cores, waiting, keys) = match role {
@@ -226,7 +243,11 @@
             l.abort()
         }
         drop(state);
-        self.tasks.lock().expect("not poisoned").drain().for_each(|(_, task)| task.abort());
+        self.tasks
+            .lock()
+            .expect("not poisoned")
+            .drain()
+            .for_each(|(_, task)| task.abort());
     }
     pub fn drain(&self) {
         self.state().draining = true;
@@ -285,13 +306,20 @@
                 continue;
             };
             self.lab.record(Record::Connected { at: self.lab.now() });
-            let Ok(stream) = stream.into_std() else { continue };
+            let Ok(stream) = stream.into_std() else {
+                continue;
+            };
             let server = self.clone();
             self.open.fetch_add(1, Relaxed);
             self.lab.workers.run(move || async move {
                 let task = server.next.fetch_add(1, Relaxed);
                 let stream = TcpStream::from_std(stream).ok();
-                let conn = Conn { server: server.clone(), life, task, stream };
+                let conn = Conn {
+                    server: server.clone(),
+                    life,
+                    task,
+                    stream,
+                };
                 let tasks = server.tasks.lock();
                 let mut tasks = tasks.expect("not poisoned");
                 let handle = spawn_local(converse(conn)).abort_handle();
@@ -308,12 +336,18 @@
     }
 
     fn limit(&self) -> usize {
-        if self.role == Role::Origin { usize::MAX } else { self.lab.scenario.caches.connections }
+        if self.role == Role::Origin {
+            usize::MAX
+        } else {
+            self.lab.scenario.caches.connections
+        }
     }
 
     fn mean_work(&self, id: u64) -> f64 {
         let ops = &self.lab.scenario.operation;
-        let mean = ops.get(usize::from(operation_of(id))).map_or(0.0, |o| o.work_ms / 1e3);
+        let mean = ops
+            .get(usize::from(operation_of(id)))
+            .map_or(0.0, |o| o.work_ms / 1e3);
         match self.role {
             Role::Cache => mean,
             Role::Origin => self.cores as f64 / self.lab.scenario.origin.per_s,
@@ -321,7 +355,12 @@
     }
 
     /// Takes one core's time, in line where all are busy. `stream` tells when the node goes away.
-    async fn work(self: &Arc<Self>, seconds: f64, stream: &mut TcpStream, buffer: &mut BytesMut) -> Worked {
+    async fn work(
+        self: &Arc<Self>,
+        seconds: f64,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+    ) -> Worked {
         let place = {
             let mut state = self.state();
             if state.busy < self.cores {
@@ -377,8 +416,10 @@
         if multiple <= 0.0 || state.started.is_none() && self.role == Role::Cache {
             return false;
         }
-        let (warmth, sum) =
-            (warmth(state.started, s.caches.cold_from, s.caches.cold_s, now), state.drive.add(work, now));
+        let (warmth, sum) = (
+            warmth(state.started, s.caches.cold_from, s.caches.cold_s, now),
+            state.drive.add(work, now),
+        );
         if warmth >= 1.0 && self.role == Role::Cache {
             state.started = None;
             return false;
@@ -394,7 +435,11 @@
         match self.role {
             Role::Cache => {
                 self.state().fallen = true;
-                self.lab.record(Record::Fell { at: now, cache: self.number, cold: true });
+                self.lab.record(Record::Fell {
+                    at: now,
+                    cache: self.number,
+                    cold: true,
+                });
                 self.die();
             }
             Role::Origin => {
@@ -427,7 +472,9 @@
 
 async fn converse(mut conn: Conn) {
     let (server, life) = (conn.server.clone(), conn.life);
-    let Some(stream) = conn.stream.as_mut() else { return };
+    let Some(stream) = conn.stream.as_mut() else {
+        return;
+    };
     let _ = stream.set_nodelay(true);
     let idle = Duration::from_secs_f64(server.lab.scenario.caches.idle_s);
     let full = server.open.load(Relaxed) > server.limit();
@@ -469,7 +516,11 @@
             cold: server.warmth() < 1.0,
             unseen: http::peek(stream) == Peeked::Ended,
         };
-        let flight = Flight { server: server.clone(), life, f };
+        let flight = Flight {
+            server: server.clone(),
+            life,
+            f,
+        };
         // A crowd of new connections is accepted late; what was withdrawn meanwhile never runs.
         if flight.f.unseen {
             return flight.end(How::Withdrawn);
@@ -482,13 +533,24 @@
         }
         if full {
             flight.answer(How::NotRun, stream);
-            let reply = http::reply("503 Service Unavailable", "X-Not-Run: 1\r\nConnection: close\r\n", b"");
+            let reply = http::reply(
+                "503 Service Unavailable",
+                "X-Not-Run: 1\r\nConnection: close\r\n",
+                b"",
+            );
             http::write(stream, &reply).await;
             return;
         }
-        let connect_s = if first { server.lab.scenario.caches.connect_ms / 1e3 } else { 0.0 };
+        let connect_s = if first {
+            server.lab.scenario.caches.connect_ms / 1e3
+        } else {
+            0.0
+        };
         first = false;
-        if serve(&server, stream, &mut buffer, message, flight, connect_s).await.is_none() {
+        if serve(&server, stream, &mut buffer, message, flight, connect_s)
+            .await
+            .is_none()
+        {
             return;
         }
     }
@@ -510,14 +572,24 @@
 
 /// One forward; none where the connection is over.
 async fn serve(
-    server: &Arc<Server>, stream: &mut TcpStream, buffer: &mut BytesMut, message: Message,
-    mut flight: Flight, connect_s: f64,
+    server: &Arc<Server>,
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    message: Message,
+    mut flight: Flight,
+    connect_s: f64,
 ) -> Option<()> {
     let (id, key) = (flight.f.id, message.key());
     let lab = &server.lab;
     let (hangs, stands, errors, resets, started) = {
         let state = server.state();
-        (state.hangs, state.stands_until, state.errors, state.resets, state.started)
+        (
+            state.hangs,
+            state.stands_until,
+            state.errors,
+            state.resets,
+            state.started,
+        )
     };
     if hangs {
         gone(stream, buffer).await;
@@ -559,21 +631,36 @@
     }
     if unlucky(id, u64::from(server.number) + 1, errors) {
         flight.answer(How::Error, stream);
-        return http::write(stream, &http::reply("500 Oops", "", b"")).await.then_some(());
+        return http::write(stream, &http::reply("500 Oops", "", b""))
+            .await
+            .then_some(());
     }
     if !held {
-        server.fleet.upgrade().inspect(|fleet| fleet.missed(id, server.number));
+        server
+            .fleet
+            .upgrade()
+            .inspect(|fleet| fleet.missed(id, server.number));
         flight.answer(How::Miss, stream);
-        return http::write(stream, &http::reply("404 Not Found", "X-Cache: miss\r\n", b""))
-            .await
-            .then_some(());
+        return http::write(
+            stream,
+            &http::reply("404 Not Found", "X-Cache: miss\r\n", b""),
+        )
+        .await
+        .then_some(());
     }
     let mut how = How::Done;
     if message.writes() {
-        let window = s.operation.get(usize::from(operation_of(id))).map_or(0, |o| o.window_ms * MS);
+        let window = s
+            .operation
+            .get(usize::from(operation_of(id)))
+            .map_or(0, |o| o.window_ms * MS);
         let now = lab.now();
-        let fresh =
-            message.mark.is_none_or(|m| server.state().marks.fresh(m, window.max(SECOND / 1000), now));
+        let fresh = message.mark.is_none_or(|m| {
+            server
+                .state()
+                .marks
+                .fresh(m, window.max(SECOND / 1000), now)
+        });
         flight.f.ran = fresh;
         how = if fresh { How::Done } else { How::Repeat };
         server.fleet.upgrade().inspect(|fleet| fleet.void(key));
@@ -588,7 +675,10 @@
         return None;
     }
     if server.role == Role::Origin && !message.writes() {
-        server.fleet.upgrade().inspect(|fleet| fleet.answered(id, key));
+        server
+            .fleet
+            .upgrade()
+            .inspect(|fleet| fleet.answered(id, key));
     }
     // Told before the write: the client may have the answer before this task runs again.
     flight.answer(how, stream);
--- a/crates/sparrouter-lab/src/workers.rs
+++ b/crates/sparrouter-lab/src/workers.rs
@@ -31,11 +31,20 @@
             let (inbox, jobs) = mpsc::unbounded_channel();
             let stopped = stopped.clone();
             let thread = std::thread::Builder::new().name(format!("{name}-{n}"));
-            threads.push(thread.spawn(move || work(jobs, stopped)).expect("a thread starts"));
+            threads.push(
+                thread
+                    .spawn(move || work(jobs, stopped))
+                    .expect("a thread starts"),
+            );
             inboxes.push(inbox);
         }
         let threads = std::sync::Mutex::new(threads);
-        Workers(Arc::new(Inner { inboxes, next: AtomicUsize::new(0), stop, threads }))
+        Workers(Arc::new(Inner {
+            inboxes,
+            next: AtomicUsize::new(0),
+            stop,
+            threads,
+        }))
     }
 
     pub fn count(&self) -> usize {
@@ -48,7 +57,9 @@
         self.run_on(next, job);
     }
     pub fn run_on<F: Future<Output = ()> + 'static>(
-        &self, worker: usize, job: impl FnOnce() -> F + Send + 'static,
+        &self,
+        worker: usize,
+        job: impl FnOnce() -> F + Send + 'static,
     ) {
         let inbox = &self.0.inboxes[worker % self.count()];
         // After the end nothing is carried out any more.
@@ -57,7 +68,8 @@
 
     /// Runs something on a worker and waits for what it gives, from an ordinary thread.
     pub fn ask<T: Send + 'static, F: Future<Output = T> + 'static>(
-        &self, job: impl FnOnce() -> F + Send + 'static,
+        &self,
+        job: impl FnOnce() -> F + Send + 'static,
     ) -> T {
         let (give, take) = oneshot::channel();
         self.run(move || async move {
@@ -90,7 +102,9 @@
     let now = Instant::now();
     // What piled up while it stood still is worked off in about that time again, after the first beat as well.
     let stood = STOOD.get().filter(|s| now < s.1).map(|s| s.0);
-    stood.or(LOOKED.get()).map_or(Duration::ZERO, |looked| now - looked)
+    stood
+        .or(LOOKED.get())
+        .map_or(Duration::ZERO, |looked| now - looked)
 }
 
 async fn beat() {
@@ -104,7 +118,10 @@
 }
 
 fn work(mut jobs: mpsc::UnboundedReceiver<Job>, mut stopped: watch::Receiver<bool>) {
-    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime starts");
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
     LocalSet::new().block_on(&runtime, async {
         tokio::task::spawn_local(beat());
         loop {
--- a/crates/sparrouter-lab/tests/audit.rs
+++ b/crates/sparrouter-lab/tests/audit.rs
@@ -40,12 +40,25 @@
 
 impl Lives {
     fn new() -> Lives {
-        Lives(Ledger::new(&Scenario::parse("lives", SCENARIO).unwrap().with_defaults()))
+        Lives(Ledger::new(
+            &Scenario::parse("lives", SCENARIO).unwrap().with_defaults(),
+        ))
     }
     fn asked(&mut self, id: u64, at: Nanos, end: End, ended: Nanos) {
         let (first_due, due, dealt) = (at, at, at);
         let written = Some(at);
-        let asked = Asked { id, tenant: 0, node: 0, first_due, due, dealt, written, end, ended, end_lag: 0 };
+        let asked = Asked {
+            id,
+            tenant: 0,
+            node: 0,
+            first_due,
+            due,
+            dealt,
+            written,
+            end,
+            ended,
+            end_lag: 0,
+        };
         self.0.take(Record::Asked(asked));
     }
     fn forward(&mut self, id: u64, to: u32, at: Nanos, ended: Nanos, how: How) {
@@ -76,10 +89,28 @@
 fn a_crash_known_long_ago_is_no_word_of_the_successor() {
     let mut l = Lives::new();
     let (at, cache) = (SECOND, 3);
-    l.0.take(Record::Known { at, cache, listed: Listed::Gone });
-    l.0.take(Record::Told { at: at + MS, node: 0, cache, listed: Listed::Gone });
-    l.0.take(Record::Known { at: 2 * at, cache, listed: Listed::Ready });
-    l.0.take(Record::Told { at: 2 * at + MS, node: 0, cache, listed: Listed::Ready });
+    l.0.take(Record::Known {
+        at,
+        cache,
+        listed: Listed::Gone,
+    });
+    l.0.take(Record::Told {
+        at: at + MS,
+        node: 0,
+        cache,
+        listed: Listed::Gone,
+    });
+    l.0.take(Record::Known {
+        at: 2 * at,
+        cache,
+        listed: Listed::Ready,
+    });
+    l.0.take(Record::Told {
+        at: 2 * at + MS,
+        node: 0,
+        cache,
+        listed: Listed::Ready,
+    });
     let one = id(VIEW, 1, 0);
     l.forward(one, cache, 10 * SECOND, 10 * SECOND + MS, How::Done);
     l.asked(one, 10 * SECOND, End::Succeeded, 10 * SECOND + 2 * MS);
@@ -90,9 +121,18 @@
 fn a_silent_subscription_counts_as_informed() {
     let word = |told: bool, at: Nanos| {
         let mut l = Lives::new();
-        l.0.take(Record::Known { at: SECOND, cache: 3, listed: Listed::Draining });
+        l.0.take(Record::Known {
+            at: SECOND,
+            cache: 3,
+            listed: Listed::Draining,
+        });
         if told {
-            l.0.take(Record::Told { at: 2 * SECOND, node: 0, cache: 3, listed: Listed::Draining });
+            l.0.take(Record::Told {
+                at: 2 * SECOND,
+                node: 0,
+                cache: 3,
+                listed: Listed::Draining,
+            });
         }
         let one = id(VIEW, 1, 0);
         l.forward(one, 3, at, at + MS, How::Done);
@@ -109,15 +149,34 @@
 fn word_counts_from_when_discovery_is_back() {
     let sent = |at: Nanos, back: bool| {
         let mut l = Lives::new();
-        l.0.take(Record::Away { at: SECOND, away: true });
-        l.0.take(Record::Known { at: 2 * SECOND, cache: 3, listed: Listed::Gone });
+        l.0.take(Record::Away {
+            at: SECOND,
+            away: true,
+        });
+        l.0.take(Record::Known {
+            at: 2 * SECOND,
+            cache: 3,
+            listed: Listed::Gone,
+        });
         if back {
-            l.0.take(Record::Known { at: 3 * SECOND, cache: 3, listed: Listed::Ready });
+            l.0.take(Record::Known {
+                at: 3 * SECOND,
+                cache: 3,
+                listed: Listed::Ready,
+            });
         }
-        l.0.take(Record::Away { at: 20 * SECOND, away: false });
+        l.0.take(Record::Away {
+            at: 20 * SECOND,
+            away: false,
+        });
         let listed = Listed::Ready;
         if back {
-            l.0.take(Record::Told { at: 21 * SECOND, node: 0, cache: 3, listed });
+            l.0.take(Record::Told {
+                at: 21 * SECOND,
+                node: 0,
+                cache: 3,
+                listed,
+            });
         }
         let one = id(VIEW, 1, 0);
         l.forward(one, 3, at, at + MS, How::Done);
@@ -135,9 +194,18 @@
     let verdict = |killed: bool| {
         let mut l = Lives::new();
         if killed {
-            l.0.take(Record::NodeDown { at: 2 * SECOND, node: 0, killed });
+            l.0.take(Record::NodeDown {
+                at: 2 * SECOND,
+                node: 0,
+                killed,
+            });
         }
-        l.asked(id(VIEW, 1, 0), 2 * SECOND - 10 * MS, End::Closed, 2 * SECOND + MS);
+        l.asked(
+            id(VIEW, 1, 0),
+            2 * SECOND - 10 * MS,
+            End::Closed,
+            2 * SECOND + MS,
+        );
         let one = id(ASSIGN, 2, 0);
         l.forward(one, ORIGIN, SECOND, SECOND + MS, How::Done);
         l.asked(one, SECOND, End::Succeeded, SECOND + 2 * MS);
@@ -163,7 +231,10 @@
     assert!(after(How::Reset, SWAP, 400 * MS).kept());
     assert!(after(How::Reset, SWAP, 600 * MS).has(Breach::RepeatedOutsideWindow));
     for how in [How::Reset, How::Error, How::Withdrawn] {
-        assert!(after(how, ASSIGN, 10 * MS).has(Breach::ForwardedAgain), "{how:?}");
+        assert!(
+            after(how, ASSIGN, 10 * MS).has(Breach::ForwardedAgain),
+            "{how:?}"
+        );
     }
     assert!(after(How::Done, SWAP, 10 * MS).has(Breach::EffectTwice));
 }
@@ -190,12 +261,24 @@
     let seen = |ended: Nanos, end_lag: Nanos, how: How, first: Nanos, first_lag: Nanos| {
         let mut l = Lives::new();
         let one = id(VIEW, 1, 0);
-        let mut record = |to: u32, first: Nanos, first_lag: Nanos, ended: Nanos, end_lag: Nanos, how: How| {
-            let (whole, ran, cold, unseen) = (Some(first), false, false, false);
-            let f =
-                Forwarded { id: one, to, first, whole, ended, first_lag, end_lag, how, ran, cold, unseen };
-            l.0.take(Record::Forwarded(f));
-        };
+        let mut record =
+            |to: u32, first: Nanos, first_lag: Nanos, ended: Nanos, end_lag: Nanos, how: How| {
+                let (whole, ran, cold, unseen) = (Some(first), false, false, false);
+                let f = Forwarded {
+                    id: one,
+                    to,
+                    first,
+                    whole,
+                    ended,
+                    first_lag,
+                    end_lag,
+                    how,
+                    ran,
+                    cold,
+                    unseen,
+                };
+                l.0.take(Record::Forwarded(f));
+            };
         record(1, SECOND, 0, ended, end_lag, how);
         record(2, first, first_lag, first + MS, 0, How::Done);
         l.asked(one, SECOND, End::Succeeded, SECOND + 103 * MS);
@@ -203,10 +286,16 @@
     };
     let at = SECOND + 50 * MS;
     let stood = seen(at + 60 * MS, 58 * MS, How::Withdrawn, at, 0);
-    assert!(stood.kept() && stood.unjudged.values().sum::<u64>() == 1, "{stood:?}");
+    assert!(
+        stood.kept() && stood.unjudged.values().sum::<u64>() == 1,
+        "{stood:?}"
+    );
     assert!(seen(at + 60 * MS, 30 * MS, How::Withdrawn, at, 0).has(Breach::Overlapping));
     assert!(seen(SECOND + 2 * MS, 0, How::Done, SECOND + 140 * MS, 60 * MS).kept());
-    assert!(seen(SECOND + 2 * MS, 0, How::Done, SECOND + 140 * MS, 10 * MS).has(Breach::SentAfterAnswer));
+    assert!(
+        seen(SECOND + 2 * MS, 0, How::Done, SECOND + 140 * MS, 10 * MS)
+            .has(Breach::SentAfterAnswer)
+    );
 }
 
 /// What is blocked on a worker shows as its lag, and goes with it.
@@ -221,7 +310,10 @@
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
         (first, sparrouter_lab::workers::unseen_for())
     });
-    assert!(lag.0.as_millis() >= 60 && lag.1.as_millis() >= 60, "{lag:?}");
+    assert!(
+        lag.0.as_millis() >= 60 && lag.1.as_millis() >= 60,
+        "{lag:?}"
+    );
     workers.stop();
 }
 
@@ -249,7 +341,9 @@
             l.forward(one, ORIGIN, at + MS, at + 2 * MS, How::Done);
             l.asked(one, at, End::Succeeded, at + 3 * MS);
         }
-        l.0.take(Record::OriginStopped { at: SECOND + 200 * MS });
+        l.0.take(Record::OriginStopped {
+            at: SECOND + 200 * MS,
+        });
         l.verdict()
     };
     assert!(stopped(true).has(Breach::OriginStoppedByColdMisses));
@@ -285,8 +379,18 @@
         for n in 0..100 {
             let (id, due, dealt) = (id(VIEW, n, 0), n * SECOND, n * SECOND + late);
             let (written, ended, end) = (Some(dealt), dealt + MS, End::Succeeded);
-            let asked =
-                Asked { id, tenant: 0, node: 0, first_due: due, due, dealt, written, end, ended, end_lag: 0 };
+            let asked = Asked {
+                id,
+                tenant: 0,
+                node: 0,
+                first_due: due,
+                due,
+                dealt,
+                written,
+                end,
+                ended,
+                end_lag: 0,
+            };
             l.0.take(Record::Asked(asked));
         }
         l.0.finish().1.valid()
--- a/crates/sparrouter-lab/tests/bad_nodes.rs
+++ b/crates/sparrouter-lab/tests/bad_nodes.rs
@@ -54,8 +54,10 @@
 client_timeout_ms = 500
 "#;
 
-const RESETS: &str = "[[fault]]\nkind = \"spoilt_origin\"\nat_s = 0.5\nlength_s = 2\nresets = 0.4\n";
-const DRAINS: &str = "[[fault]]\nkind = \"shrink\"\nat_s = 0.3\nlength_s = 0.2\npart = 0.5\ndrain_s = 2.2\n";
+const RESETS: &str =
+    "[[fault]]\nkind = \"spoilt_origin\"\nat_s = 0.5\nlength_s = 2\nresets = 0.4\n";
+const DRAINS: &str =
+    "[[fault]]\nkind = \"shrink\"\nat_s = 0.3\nlength_s = 0.2\npart = 0.5\ndrain_s = 2.2\n";
 const GROWS: &str = "[[fault]]\nkind = \"grow\"\nat_s = 0.5\ntimes = 1.2\n";
 
 fn played(program: Program, faults: &str) -> Run {
@@ -83,8 +85,14 @@
 
 fn named(kind: Kind, v: &Verdict, breaches: &[Breach]) {
     assert!(v.has(breaches[0]), "{kind:?} is not caught: {v:?}");
-    assert!(v.breaches.keys().all(|b| breaches.contains(b)), "{kind:?}: {v:?}");
-    assert!(v.listed.iter().any(|f| f.breach == breaches[0]), "{kind:?}: nothing is listed");
+    assert!(
+        v.breaches.keys().all(|b| breaches.contains(b)),
+        "{kind:?}: {v:?}"
+    );
+    assert!(
+        v.listed.iter().any(|f| f.breach == breaches[0]),
+        "{kind:?}: nothing is listed"
+    );
 }
 
 #[test]
@@ -102,7 +110,11 @@
 
 #[test]
 fn one_that_resends_a_write_after_a_reset() {
-    caught(Kind::Resends, RESETS, &[Breach::ForwardedAgain, Breach::EffectTwice]);
+    caught(
+        Kind::Resends,
+        RESETS,
+        &[Breach::ForwardedAgain, Breach::EffectTwice],
+    );
 }
 
 #[test]
@@ -112,8 +124,14 @@
 
 #[test]
 fn one_that_swallows_one_in_a_thousand() {
-    let text = BASE.replace("rate_per_s = 400", "rate_per_s = 1500").replace("work_ms = 8", "work_ms = 1");
-    named(Kind::Swallows, &played_of(Program::Bad(Kind::Swallows), &text).verdict, &[Breach::NoAnswer]);
+    let text = BASE
+        .replace("rate_per_s = 400", "rate_per_s = 1500")
+        .replace("work_ms = 8", "work_ms = 1");
+    named(
+        Kind::Swallows,
+        &played_of(Program::Bad(Kind::Swallows), &text).verdict,
+        &[Breach::NoAnswer],
+    );
 }
 
 #[test]
@@ -133,7 +151,11 @@
 
 #[test]
 fn one_that_calls_harmless_what_may_have_run() {
-    caught(Kind::Throttles, RESETS, &[Breach::ThrottledThoughItMayHaveRun]);
+    caught(
+        Kind::Throttles,
+        RESETS,
+        &[Breach::ThrottledThoughItMayHaveRun],
+    );
 }
 
 #[test]
--- a/crates/sparrouter-membership/src/packed.rs
+++ b/crates/sparrouter-membership/src/packed.rs
@@ -56,7 +56,12 @@
     }
 
     fn flags(&mut self, flags: &[bool]) {
-        self.out.push(flags.iter().rev().fold(0, |byte, flag| byte << 1 | u8::from(*flag)));
+        self.out.push(
+            flags
+                .iter()
+                .rev()
+                .fold(0, |byte, flag| byte << 1 | u8::from(*flag)),
+        );
     }
 
     fn server(&mut self, row: &'a ServerRow) {
@@ -65,7 +70,11 @@
         self.address(&row.address);
         self.name(&row.zone);
         self.number(u64::from(row.slot_count));
-        self.flags(&[row.silent, row.standing == Standing::Draining, row.standing == Standing::Gone]);
+        self.flags(&[
+            row.silent,
+            row.standing == Standing::Draining,
+            row.standing == Standing::Gone,
+        ]);
         self.number(row.call_sequence);
         self.number(row.models.len() as u64);
         for model in &row.models {
@@ -187,7 +196,8 @@
     }
 
     fn server(&mut self) -> Option<ServerRow> {
-        let (id, service, address, zone) = (self.text()?, self.name()?, self.address()?, self.name()?);
+        let (id, service, address, zone) =
+            (self.text()?, self.name()?, self.address()?, self.name()?);
         let slot_count = u32::try_from(self.number()?).ok()?;
         let [silent, draining, gone] = self.flags()?;
         let standing = match (draining, gone) {
@@ -198,7 +208,10 @@
         let call_sequence = self.number()?;
         let mut models = Vec::new();
         for _ in 0..self.count()? {
-            models.push(ModelAt { name: self.name()?, version: self.number()? });
+            models.push(ModelAt {
+                name: self.name()?,
+                version: self.number()?,
+            });
         }
         let (models, registrar) = (models.into(), self.name()?);
         Some(ServerRow {
@@ -239,9 +252,16 @@
     }
 
     fn note(&mut self) -> Option<Note> {
-        let (key, fence, number, value) = (self.text()?, self.number()?, self.number()?, self.number()?);
+        let (key, fence, number, value) =
+            (self.text()?, self.number()?, self.number()?, self.number()?);
         let [over] = self.flags()?;
-        Some(Note { key, fence, number, value, over })
+        Some(Note {
+            key,
+            fence,
+            number,
+            value,
+            over,
+        })
     }
 }
 
@@ -262,7 +282,11 @@
     /// None where the bytes are not what [`Delta::pack`] makes.
     pub fn unpack(bytes: &[u8]) -> Option<Delta> {
         let room = bytes.len().saturating_mul(MOST_TEXT_A_BYTE);
-        let mut reader = Reader { left: bytes, names: Vec::new(), room };
+        let mut reader = Reader {
+            left: bytes,
+            names: Vec::new(),
+            room,
+        };
         let mut delta = Delta {
             epoch: u64::from_le_bytes(reader.fixed()?),
             revision: reader.number()?,
--- a/crates/sparrouter-membership/src/rows.rs
+++ b/crates/sparrouter-membership/src/rows.rs
@@ -182,7 +182,14 @@
     pub fn put_back(&mut self, row: ServerRow, now: Nanos) {
         let before = self.servers.get(&row.id).map(|k| k.revision);
         let revision = self.next(Key::Server(row.id.clone()), before, true);
-        self.servers.insert(row.id.clone(), Kept { row, revision, at: now });
+        self.servers.insert(
+            row.id.clone(),
+            Kept {
+                row,
+                revision,
+                at: now,
+            },
+        );
     }
 
     /// What a server says of itself, or another node of it. True if anything changed. A late word with a lower
@@ -218,8 +225,19 @@
             self.at_address.insert(row.address.clone(), row.id.clone());
         }
         let before = self.servers.get(&row.id).map(|k| k.revision);
-        let revision = self.next(Key::Server(row.id.clone()), before, row.standing != Standing::Ready);
-        self.servers.insert(row.id.clone(), Kept { row, revision, at: now });
+        let revision = self.next(
+            Key::Server(row.id.clone()),
+            before,
+            row.standing != Standing::Ready,
+        );
+        self.servers.insert(
+            row.id.clone(),
+            Kept {
+                row,
+                revision,
+                at: now,
+            },
+        );
         true
     }
 
@@ -229,8 +247,13 @@
         if row.silent || row.standing == Standing::Gone || self.servers.contains_key(&row.id) {
             return None;
         }
-        let other = self.at_address.get(&row.address).filter(|id| **id != row.id)?;
-        self.servers.get(other).filter(|k| !k.row.silent && k.row.standing != Standing::Gone)?;
+        let other = self
+            .at_address
+            .get(&row.address)
+            .filter(|id| **id != row.id)?;
+        self.servers
+            .get(other)
+            .filter(|k| !k.row.silent && k.row.standing != Standing::Gone)?;
         Some(other.clone())
     }
 
@@ -245,9 +268,13 @@
     /// Nobody has heard of it since the call sequence that is known.
     pub fn fall_silent(&mut self, id: &str, now: Nanos) -> bool {
         match self.server(id).cloned() {
-            Some(row) if !row.silent && row.standing != Standing::Gone => {
-                self.merge_server(ServerRow { silent: true, ..row }, now)
-            }
+            Some(row) if !row.silent && row.standing != Standing::Gone => self.merge_server(
+                ServerRow {
+                    silent: true,
+                    ..row
+                },
+                now,
+            ),
             _ => false,
         }
     }
@@ -265,14 +292,31 @@
             None => {}
         }
         let before = self.nodes.get(&row.name).map(|k| k.revision);
-        let revision = self.next(Key::Node(row.name.clone()), before, row.leaving || row.silent);
-        self.nodes.insert(row.name.clone(), Kept { row, revision, at: now });
+        let revision = self.next(
+            Key::Node(row.name.clone()),
+            before,
+            row.leaving || row.silent,
+        );
+        self.nodes.insert(
+            row.name.clone(),
+            Kept {
+                row,
+                revision,
+                at: now,
+            },
+        );
         true
     }
 
     pub fn node_silent(&mut self, name: &str, now: Nanos) -> bool {
         match self.node(name).cloned() {
-            Some(row) if !row.silent => self.merge_node(NodeRow { silent: true, ..row }, now),
+            Some(row) if !row.silent => self.merge_node(
+                NodeRow {
+                    silent: true,
+                    ..row
+                },
+                now,
+            ),
             _ => false,
         }
     }
@@ -295,7 +339,14 @@
         }
         let before = self.notes.get(&note.key).map(|k| k.revision);
         let revision = self.next(Key::Note(note.key.clone()), before, true);
-        self.notes.insert(note.key.clone(), Kept { row: note, revision, at: now });
+        self.notes.insert(
+            note.key.clone(),
+            Kept {
+                row: note,
+                revision,
+                at: now,
+            },
+        );
         true
     }
 
@@ -322,9 +373,21 @@
 
     /// The same up to a revision, of rows that did not change after it: those come with a later answer.
     pub fn between(&self, epoch: u64, revision: u64, up_to: u64, most: usize) -> Delta {
-        let from = if epoch == self.epoch && revision <= up_to { revision } else { 0 };
-        let mut delta = Delta { epoch: self.epoch, revision: up_to, ..Delta::default() };
-        for (place, (revision, key)) in self.by_revision.range(from + 1..=up_to.max(from + 1)).enumerate() {
+        let from = if epoch == self.epoch && revision <= up_to {
+            revision
+        } else {
+            0
+        };
+        let mut delta = Delta {
+            epoch: self.epoch,
+            revision: up_to,
+            ..Delta::default()
+        };
+        for (place, (revision, key)) in self
+            .by_revision
+            .range(from + 1..=up_to.max(from + 1))
+            .enumerate()
+        {
             if *revision > up_to {
                 break;
             }
@@ -344,12 +407,14 @@
 
     /// Drops what has been over for long enough. Silent servers that nobody heard of go the same way, later.
     pub fn sweep(&mut self, now: Nanos) {
-        let old = |at: Nanos, times: u64| now.saturating_sub(at) > self.tombstone.saturating_mul(times);
+        let old =
+            |at: Nanos, times: u64| now.saturating_sub(at) > self.tombstone.saturating_mul(times);
         self.servers.retain(|_, k| match k.row.standing {
             Standing::Gone => !old(k.at, 1),
             _ => !(k.row.silent && old(k.at, 4)),
         });
-        self.at_address.retain(|_, id| self.servers.contains_key(id));
+        self.at_address
+            .retain(|_, id| self.servers.contains_key(id));
         self.nodes.retain(|_, k| !(k.row.silent && old(k.at, 4)));
         self.notes.retain(|_, k| !(k.row.over && old(k.at, 1)));
         let (servers, nodes, notes) = (&self.servers, &self.nodes, &self.notes);
--- a/crates/sparrouter-membership/src/sources.rs
+++ b/crates/sparrouter-membership/src/sources.rs
@@ -7,10 +7,17 @@
 /// The first few candidates in this node's own order; those that know themselves in touch with a quorum first.
 /// `candidates`: name and whether it is in touch.
 pub fn sources<'a>(
-    own: &str, candidates: impl Iterator<Item = (&'a str, bool)>, most: usize,
+    own: &str,
+    candidates: impl Iterator<Item = (&'a str, bool)>,
+    most: usize,
 ) -> Vec<&'a str> {
     let key = hash(own.as_bytes());
     let mut ranked: Vec<(&str, bool)> = order(candidates.map(|c| (hash(c.0.as_bytes()), c)), key);
     ranked.sort_by_key(|c| !c.1);
-    ranked.into_iter().map(|c| c.0).filter(|n| *n != own).take(most).collect()
+    ranked
+        .into_iter()
+        .map(|c| c.0)
+        .filter(|n| *n != own)
+        .take(most)
+        .collect()
 }
--- a/crates/sparrouter-membership/tests/pace.rs
+++ b/crates/sparrouter-membership/tests/pace.rs
@@ -5,7 +5,13 @@
 
 fn come(rows: &mut Rows, id: usize, standing: Standing, now: u64) {
     let address = format!("10.0.{}.{}:80", id / 250, id % 250);
-    let row = ServerRow { id: format!("s{id}"), address, call_sequence: 1, standing, ..ServerRow::default() };
+    let row = ServerRow {
+        id: format!("s{id}"),
+        address,
+        call_sequence: 1,
+        standing,
+        ..ServerRow::default()
+    };
     assert!(rows.merge_server(row, now));
 }
 
@@ -17,7 +23,10 @@
         let now = id as u64 * MS;
         come(&mut rows, id, Standing::Ready, now);
         let due = pace.due(&rows, 10, now).expect("something is new");
-        assert!(due <= now + 70 * MS, "nothing waits longer than it takes to gather");
+        assert!(
+            due <= now + 70 * MS,
+            "nothing waits longer than it takes to gather"
+        );
         if due <= now {
             pace.publish(&rows, now);
             told += 1;
@@ -32,9 +41,15 @@
     come(&mut rows, 1, Standing::Ready, 100 * MS);
     assert_eq!(pace.due(&rows, 200, 100 * MS), Some(360 * MS));
     come(&mut rows, 2, Standing::Draining, 110 * MS);
-    assert!(pace.due(&rows, 200, 110 * MS).is_some_and(|due| due <= 110 * MS));
+    assert!(
+        pace.due(&rows, 200, 110 * MS)
+            .is_some_and(|due| due <= 110 * MS)
+    );
     pace.publish(&rows, 110 * MS);
-    assert_eq!((pace.published(), pace.due(&rows, 200, 111 * MS)), (2, None));
+    assert_eq!(
+        (pace.published(), pace.due(&rows, 200, 111 * MS)),
+        (2, None)
+    );
 }
 
 #[test]
@@ -49,8 +64,14 @@
             published.push(now);
         }
     }
-    assert!(published.len() <= 10, "each is an answer to every poller: {published:?}");
-    assert!(published.windows(2).all(|w| w[1] - w[0] <= 53 * MS), "{published:?}");
+    assert!(
+        published.len() <= 10,
+        "each is an answer to every poller: {published:?}"
+    );
+    assert!(
+        published.windows(2).all(|w| w[1] - w[0] <= 53 * MS),
+        "{published:?}"
+    );
 }
 
 #[test]
@@ -64,7 +85,14 @@
     assert_eq!((told.revision, told.servers.len()), (2, 1));
     let rest = rows.between(1, told.revision, rows.revision(), usize::MAX);
     assert_eq!((rest.revision, rest.servers.len()), (3, 1));
-    let node = NodeRow { name: "n".into(), life: 1, ..NodeRow::default() };
+    let node = NodeRow {
+        name: "n".into(),
+        life: 1,
+        ..NodeRow::default()
+    };
     rows.merge_node(node, 2);
-    assert!(rows.between(1, 3, 3, usize::MAX).is_empty(), "what is not published is not told");
+    assert!(
+        rows.between(1, 3, 3, usize::MAX).is_empty(),
+        "what is not published is not told"
+    );
 }
--- a/crates/sparrouter-membership/tests/packed.rs
+++ b/crates/sparrouter-membership/tests/packed.rs
@@ -4,13 +4,22 @@
 
 fn any(rng: &mut fastrand::Rng) -> Delta {
     let word = |rng: &mut fastrand::Rng| {
-        let words =
-            ["", "lekh", "ü", "10.0.0.1:80", "010.0.0.1:80", "10.0.0.1:080", "[::1]:80", "9.9.9.9:65535"];
+        let words = [
+            "",
+            "lekh",
+            "ü",
+            "10.0.0.1:80",
+            "010.0.0.1:80",
+            "10.0.0.1:080",
+            "[::1]:80",
+            "9.9.9.9:65535",
+        ];
         words[rng.usize(..words.len())].to_owned()
     };
     let number = |rng: &mut fastrand::Rng| rng.u64(..) >> rng.u32(..64);
-    let standing =
-        |rng: &mut fastrand::Rng| [Standing::Ready, Standing::Draining, Standing::Gone][rng.usize(..3)];
+    let standing = |rng: &mut fastrand::Rng| {
+        [Standing::Ready, Standing::Draining, Standing::Gone][rng.usize(..3)]
+    };
     let servers = (0..rng.usize(..9)).map(|_| ServerRow {
         id: word(rng),
         service: word(rng),
@@ -19,7 +28,12 @@
         slot_count: rng.u32(..),
         standing: standing(rng),
         call_sequence: number(rng),
-        models: (0..rng.usize(..3)).map(|_| ModelAt { name: word(rng), version: number(rng) }).collect(),
+        models: (0..rng.usize(..3))
+            .map(|_| ModelAt {
+                name: word(rng),
+                version: number(rng),
+            })
+            .collect(),
         registrar: word(rng),
         silent: rng.bool(),
     });
@@ -47,7 +61,13 @@
         over: rng.bool(),
     });
     let notes = notes.collect();
-    Delta { epoch: rng.u64(..), revision: number(rng), servers, nodes, notes }
+    Delta {
+        epoch: rng.u64(..),
+        revision: number(rng),
+        servers,
+        nodes,
+        notes,
+    }
 }
 
 #[test]
@@ -65,7 +85,11 @@
     for _ in 0..500 {
         let packed = any(&mut rng).pack();
         for end in 0..packed.len() {
-            assert_eq!(Delta::unpack(&packed[..end]), None, "a part is not the whole");
+            assert_eq!(
+                Delta::unpack(&packed[..end]),
+                None,
+                "a part is not the whole"
+            );
         }
         let mut changed = packed.clone();
         let at = rng.usize(..changed.len());
@@ -75,13 +99,24 @@
 }
 
 #[test]
-fn given_a_few_bytes_that_name_a_long_text_again_and_again_when_unpacked_then_little_memory_is_taken() {
+fn given_a_few_bytes_that_name_a_long_text_again_and_again_when_unpacked_then_little_memory_is_taken()
+ {
     let service = "x".repeat(100_000);
-    let row = ServerRow { service, ..ServerRow::default() };
-    let delta = Delta { servers: vec![row; 20_000].into(), ..Delta::default() };
+    let row = ServerRow {
+        service,
+        ..ServerRow::default()
+    };
+    let delta = Delta {
+        servers: vec![row; 20_000].into(),
+        ..Delta::default()
+    };
     let packed = delta.pack();
     assert!(packed.len() < 500_000);
-    assert_eq!(Delta::unpack(&packed), None, "two gigabytes of text from half a megabyte");
+    assert_eq!(
+        Delta::unpack(&packed),
+        None,
+        "two gigabytes of text from half a megabyte"
+    );
 }
 
 #[test]
@@ -93,11 +128,18 @@
         zone: ["lalitpur-hall", "bhaktapur-hall", "kirtipur-hall"][i % 3].into(),
         slot_count: 64,
         call_sequence: 3,
-        models: vec![ModelAt { name: "daka510000".into(), version: 1 }].into(),
+        models: vec![ModelAt {
+            name: "daka510000".into(),
+            version: 1,
+        }]
+        .into(),
         registrar: ["frontend-lalitpur-hall-1", "frontend-kirtipur-hall-1"][i % 2].into(),
         ..ServerRow::default()
     };
-    let delta = Delta { servers: (0..1_000).map(server).collect(), ..Delta::default() };
+    let delta = Delta {
+        servers: (0..1_000).map(server).collect(),
+        ..Delta::default()
+    };
     let (packed, plain) = (delta.pack().len(), delta.serialize_bin().len());
     assert!(packed < 30_000 && plain > 130_000, "{packed} and {plain}");
 }
--- a/crates/sparrouter-membership/tests/rows.rs
+++ b/crates/sparrouter-membership/tests/rows.rs
@@ -52,7 +52,8 @@
     for _ in 0..300 {
         let mut words: Vec<ServerRow> = (0..12)
             .map(|_| {
-                let standing = [Standing::Ready, Standing::Draining, Standing::Gone][rng.usize(..3)];
+                let standing =
+                    [Standing::Ready, Standing::Draining, Standing::Gone][rng.usize(..3)];
                 ServerRow {
                     silent: rng.bool(),
                     ..server(["a", "bb"][rng.usize(..2)], rng.u64(..4), standing)
@@ -64,7 +65,9 @@
             words.iter().for_each(|w| {
                 rows.merge_server(w.clone(), 0);
             });
-            rows.servers().map(|r| (r.id.clone(), r.call_sequence, r.silent, r.standing)).collect::<Vec<_>>()
+            rows.servers()
+                .map(|r| (r.id.clone(), r.call_sequence, r.silent, r.standing))
+                .collect::<Vec<_>>()
         };
         let first = summary(&words);
         rng.shuffle(&mut words);
@@ -81,7 +84,11 @@
     source.merge_server(server("bb", 1, Standing::Ready), 0);
     let second = source.since(first.epoch, first.revision, usize::MAX);
     assert_eq!(second.servers.len(), 1);
-    assert!(source.since(second.epoch, second.revision, usize::MAX).is_empty());
+    assert!(
+        source
+            .since(second.epoch, second.revision, usize::MAX)
+            .is_empty()
+    );
     // A restarted source counts anew: the asker's revision means nothing to it.
     let again = rows(3).since(second.epoch, second.revision, usize::MAX);
     assert_eq!((again.epoch, again.revision), (3, 0));
@@ -90,7 +97,12 @@
 #[test]
 fn given_a_node_called_silent_when_it_hears_of_it_then_it_refutes_with_a_higher_life() {
     let mut rows = rows(1);
-    let mut own = NodeRow { name: "n".into(), life: 1, nonce: 9, ..NodeRow::default() };
+    let mut own = NodeRow {
+        name: "n".into(),
+        life: 1,
+        nonce: 9,
+        ..NodeRow::default()
+    };
     rows.merge_node(own.clone(), 0);
     rows.node_silent("n", 1);
     own.life = rows.life_for(&own);
@@ -98,14 +110,24 @@
     assert!(rows.merge_node(own.clone(), 2));
     assert!(!rows.node("n").unwrap().silent);
     // A successor under the same name goes above it.
-    let next = NodeRow { nonce: 3, life: 1, ..own };
+    let next = NodeRow {
+        nonce: 3,
+        life: 1,
+        ..own
+    };
     assert_eq!(rows.life_for(&next), 3);
 }
 
 #[test]
 fn given_a_holder_replaced_when_the_old_one_still_writes_then_its_notes_lose() {
     let mut rows = rows(1);
-    let note = |fence, number, value| Note { key: "load/a".into(), fence, number, value, over: false };
+    let note = |fence, number, value| Note {
+        key: "load/a".into(),
+        fence,
+        number,
+        value,
+        over: false,
+    };
     rows.merge_note(note(4, 1, 10), 0);
     assert!(!rows.merge_note(note(3, 99, 20), 1));
     assert!(rows.merge_note(note(4, 2, 30), 1));
@@ -116,8 +138,18 @@
 fn given_more_rows_than_fit_when_they_come_then_no_more_are_held() {
     let mut rows = Rows::new(1, TOMB, 3);
     for i in 0..10 {
-        let row = ServerRow { id: format!("i{i}"), address: format!("a{i}"), ..ServerRow::default() };
-        rows.merge(Delta { servers: vec![row].into(), ..Delta::default() }, 0);
+        let row = ServerRow {
+            id: format!("i{i}"),
+            address: format!("a{i}"),
+            ..ServerRow::default()
+        };
+        rows.merge(
+            Delta {
+                servers: vec![row].into(),
+                ..Delta::default()
+            },
+            0,
+        );
     }
     assert_eq!(rows.servers().count(), 3);
 }
@@ -130,7 +162,9 @@
         let own = format!("n{node}");
         let picked = sources(&own, names.iter().map(|n| (n.as_str(), true)), 2);
         assert_eq!(picked.len(), 2);
-        picked.iter().for_each(|p| asked[names.iter().position(|n| n == p).unwrap()] += 1);
+        picked
+            .iter()
+            .for_each(|p| asked[names.iter().position(|n| n == p).unwrap()] += 1);
         let out = sources(&own, names.iter().map(|n| (n.as_str(), n != "c1")), 5);
         assert!(!out.contains(&"c1"));
     }
@@ -160,7 +194,13 @@
                 2 => {
                     let key = format!("load/{}", rng.u8(..3));
                     source.merge_note(
-                        Note { key, fence: 1, number: step, value: step, over: rng.bool() },
+                        Note {
+                            key,
+                            fence: 1,
+                            number: step,
+                            value: step,
+                            over: rng.bool(),
+                        },
                         step,
                     );
                 }
@@ -180,7 +220,11 @@
         asker.merge(source.since(known.0, known.1, usize::MAX), 60);
         let of = |r: &Rows| {
             let servers: Vec<_> = r.servers().cloned().collect();
-            (servers, r.nodes().cloned().collect::<Vec<_>>(), r.notes().cloned().collect::<Vec<_>>())
+            (
+                servers,
+                r.nodes().cloned().collect::<Vec<_>>(),
+                r.notes().cloned().collect::<Vec<_>>(),
+            )
         };
         assert_eq!(of(&source), of(&asker));
     }
--- a/crates/sparrouter-node/src/main.rs
+++ b/crates/sparrouter-node/src/main.rs
@@ -39,7 +39,10 @@
 
 fn serve(operator: InForce) -> Result<(), String> {
     let config = program::config::load()?;
-    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
     LocalSet::new().block_on(&runtime, program::start::run(config, operator))
 }
 
@@ -48,7 +51,9 @@
     let cli = Cli::parse();
     let read = |file: &Path| Operator::load(file);
     let done = match cli.what {
-        Some(What::Check { file }) => read(&file).map(|_| println!("{}: can be used", file.display())),
+        Some(What::Check { file }) => {
+            read(&file).map(|_| println!("{}: can be used", file.display()))
+        }
         Some(What::Show { file }) => read(&file).map(|o| print!("{}", o.shown())),
         Some(What::Serve) | None => InForce::load(cli.config).and_then(serve),
     };
--- a/crates/sparrouter-node/src/program/config.rs
+++ b/crates/sparrouter-node/src/program/config.rs
@@ -33,7 +33,10 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { memory_mb: 192, sockets: 1024 }
+        Limits {
+            memory_mb: 192,
+            sockets: 1024,
+        }
     }
 }
 
@@ -46,12 +49,22 @@
             ("peer_listen", self.peer_listen != new.peer_listen),
             ("limits", self.limits != new.limits),
         ];
-        let own = own.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name.to_string());
-        own.chain(self.settings.fixed(&new.settings).into_iter().map(|n| format!("settings.{n}"))).collect()
+        let own = own
+            .into_iter()
+            .filter(|(_, differs)| *differs)
+            .map(|(name, _)| name.to_string());
+        own.chain(
+            self.settings
+                .fixed(&new.settings)
+                .into_iter()
+                .map(|n| format!("settings.{n}")),
+        )
+        .collect()
     }
 
     pub fn seed(&self) -> Result<u64, String> {
-        u64::from_str_radix(&self.seed, 16).map_err(|_| format!("seed: {} is not hexadecimal", self.seed))
+        u64::from_str_radix(&self.seed, 16)
+            .map_err(|_| format!("seed: {} is not hexadecimal", self.seed))
     }
 }
 
@@ -64,7 +77,8 @@
 
 fn read(text: &str) -> Result<Config, String> {
     let mut from = serde_json::Deserializer::from_str(text);
-    let mut config: Config = serde_path_to_error::deserialize(&mut from).map_err(|e| e.to_string())?;
+    let mut config: Config =
+        serde_path_to_error::deserialize(&mut from).map_err(|e| e.to_string())?;
     from.end().map_err(|e| e.to_string())?;
     // Keys in order, and without what each node has for itself: the same at all nodes under the same settings.
     let mut all: serde_json::Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
--- a/crates/sparrouter-node/src/program/operator.rs
+++ b/crates/sparrouter-node/src/program/operator.rs
@@ -72,7 +72,10 @@
     fn read(text: &str) -> Result<Operator, String> {
         let operator: Operator = toml::from_str(text).map_err(|e| e.to_string())?;
         let report = operator.report.iter().flat_map(|r| {
-            [("report.every_ms", &r.every_ms, 100..=60_000), ("report.keep_kib", &r.keep_kib, 64..=1 << 20)]
+            [
+                ("report.every_ms", &r.every_ms, 100..=60_000),
+                ("report.keep_kib", &r.keep_kib, 64..=1 << 20),
+            ]
         });
         let shares = operator.shares.iter().flat_map(|s| {
             [
@@ -83,7 +86,10 @@
         });
         for (field, value, allowed) in report.chain(shares) {
             if !allowed.contains(value.get_ref()) {
-                let line = text[..value.span().start.min(text.len())].matches('\n').count() + 1;
+                let line = text[..value.span().start.min(text.len())]
+                    .matches('\n')
+                    .count()
+                    + 1;
                 let (least, most) = (allowed.start(), allowed.end());
                 return Err(format!(
                     "line {line}, {field}: {} is not from {least} to {most}",
@@ -107,20 +113,32 @@
     #[test]
     fn errors_name_line_and_field_and_what_is_left_out_is_shown() {
         for (text, part) in [
-            ("[report]\npath = \"x\"\nevery_ms = 5\n", "line 3, report.every_ms: 5 is not from 100 to 60000"),
-            ("[report]\npath = \"x\"\nkeep_kib = 1\n", "line 3, report.keep_kib"),
+            (
+                "[report]\npath = \"x\"\nevery_ms = 5\n",
+                "line 3, report.every_ms: 5 is not from 100 to 60000",
+            ),
+            (
+                "[report]\npath = \"x\"\nkeep_kib = 1\n",
+                "line 3, report.keep_kib",
+            ),
             ("[report]\nevery_ms = 500\n", "path"),
             ("[identity]\ngenerations = \"a\"\n", "generations"),
             ("generation = \"a\"\n", "generation"),
             ("[report\n", "line 1"),
-            ("[shares]\n\nlease_ms = 50\n", "line 3, shares.lease_ms: 50 is not from 200 to 60000"),
+            (
+                "[shares]\n\nlease_ms = 50\n",
+                "line 3, shares.lease_ms: 50 is not from 200 to 60000",
+            ),
             ("[shares]\nlease = 50\n", "lease"),
         ] {
             let error = Operator::read(text).unwrap_err();
             assert!(error.contains(part), "{error}");
         }
         let shown = Operator::read("[report]\npath = \"x\"\n").unwrap().shown();
-        assert!(shown.contains("every_ms = 1000") && shown.contains("keep_kib = 4096"), "{shown}");
+        assert!(
+            shown.contains("every_ms = 1000") && shown.contains("keep_kib = 4096"),
+            "{shown}"
+        );
         assert!(Operator::read("").unwrap().report.is_none());
     }
 }
--- a/crates/sparrouter-node/src/program/reload.rs
+++ b/crates/sparrouter-node/src/program/reload.rs
@@ -18,17 +18,24 @@
 
 impl InForce {
     pub fn load(path: Option<PathBuf>) -> Result<InForce, String> {
-        let file = path.as_deref().map_or(Ok(Operator::default()), Operator::load)?;
+        let file = path
+            .as_deref()
+            .map_or(Ok(Operator::default()), Operator::load)?;
         Ok(InForce { file, path })
     }
 
     /// `opened`: what counts the node's connections.
     /// A process that reports to another file has not started anew: `began` stays.
     pub fn reporter(
-        &self, name: &str, opened: &Rc<Cell<u64>>, began: Instant,
+        &self,
+        name: &str,
+        opened: &Rc<Cell<u64>>,
+        began: Instant,
     ) -> Result<Option<Reporter>, String> {
         let wanted = self.file.report.clone();
-        wanted.map(|r| Reporter::open(r, name, self.file.identity.clone(), opened.clone(), began)).transpose()
+        wanted
+            .map(|r| Reporter::open(r, name, self.file.identity.clone(), opened.clone(), began))
+            .transpose()
     }
 }
 
@@ -50,7 +57,10 @@
         let operator = InForce::load(self.operator.path.clone())?;
         let fixed = self.config.fixed(&config);
         if !fixed.is_empty() {
-            return Err(format!("{} can't change in a running node", fixed.join(", ")));
+            return Err(format!(
+                "{} can't change in a running node",
+                fixed.join(", ")
+            ));
         }
         let named = |e: String| format!("settings: {e}");
         let policy = config.settings.policy(config.seed()?).map_err(named)?;
@@ -60,7 +70,11 @@
         }
         let reporter = match self.operator.file.report == operator.file.report {
             true => Reporting::As(operator.file.identity.clone()),
-            false => Reporting::To(operator.reporter(&config.name, &self.opened, self.began)?.map(Box::new)),
+            false => Reporting::To(
+                operator
+                    .reporter(&config.name, &self.opened, self.began)?
+                    .map(Box::new),
+            ),
         };
         let change = Change {
             old: self.config.settings.clone(),
@@ -75,6 +89,15 @@
             print: config.print,
         };
         let pace = super::start::pace(&config.settings).map_err(named)?;
-        Ok((Force { config, operator, opened: self.opened.clone(), began: self.began, pace }, change))
+        Ok((
+            Force {
+                config,
+                operator,
+                opened: self.opened.clone(),
+                began: self.began,
+                pace,
+            },
+            change,
+        ))
     }
 }
--- a/crates/sparrouter-node/src/program/reporter.rs
+++ b/crates/sparrouter-node/src/program/reporter.rs
@@ -41,9 +41,14 @@
 
 impl Reporter {
     pub fn open(
-        wanted: Wanted, name: &str, identity: Identity, opened: Rc<Cell<u64>>, began: Instant,
+        wanted: Wanted,
+        name: &str,
+        identity: Identity,
+        opened: Rc<Cell<u64>>,
+        began: Instant,
     ) -> Result<Reporter, String> {
-        let file = open(&wanted.path).map_err(|e| format!("report {}: {e}", wanted.path.display()))?;
+        let file =
+            open(&wanted.path).map_err(|e| format!("report {}: {e}", wanted.path.display()))?;
         let written = file.metadata().map(|m| m.len()).unwrap_or(0);
         let report = Report {
             name: name.to_string(),
@@ -54,7 +59,17 @@
             ..Report::default()
         };
         let (worth, next) = (Vec::new(), Instant::now());
-        Ok(Reporter { wanted, file, written, began, next, worth, report, lost: Often::new(), opened })
+        Ok(Reporter {
+            wanted,
+            file,
+            written,
+            began,
+            next,
+            worth,
+            report,
+            lost: Often::new(),
+            opened,
+        })
     }
 
     pub fn identify(&mut self, identity: Identity) {
@@ -67,12 +82,22 @@
         for (at, (name, rules)) in operations {
             let all = &mut self.report.operations;
             let entry = all.iter().position(|o| o.name == *name).unwrap_or_else(|| {
-                all.push(Operation { name: name.clone(), latency: vec![0; BUCKETS], ..Operation::default() });
+                all.push(Operation {
+                    name: name.clone(),
+                    latency: vec![0; BUCKETS],
+                    ..Operation::default()
+                });
                 all.len() - 1
             });
             let (value, late, objective) = (rules.billed_value, rules.late_part, rules.objective);
-            self.worth.resize(self.worth.len().max(at + 1), Worth::default());
-            self.worth[*at] = Worth { entry, value, late, objective };
+            self.worth
+                .resize(self.worth.len().max(at + 1), Worth::default());
+            self.worth[*at] = Worth {
+                entry,
+                value,
+                late,
+                objective,
+            };
         }
         let r = &self.report;
         log::info!(
@@ -103,7 +128,11 @@
     }
     pub fn gave_up(&mut self, operation: usize, throttled: bool) {
         let op = &mut self.report.operations[self.worth[operation].entry];
-        *(if throttled { &mut op.throttled } else { &mut op.errored }) += 1;
+        *(if throttled {
+            &mut op.throttled
+        } else {
+            &mut op.errored
+        }) += 1;
     }
     pub fn forwarded(&mut self, fetch: bool) {
         self.report.forwards += 1;
@@ -122,15 +151,28 @@
         r.unix_ms = unix.map_or(0, |d| d.as_millis() as u64);
         (r.breaches, r.shares) = (breaches(), shares);
         (r.opened, r.doubts, r.cold_sends) = (self.opened.get(), told.doubts, told.cold_sends);
-        r.given_up = WHY.iter().map(|w| w.to_string()).zip(told.given_up).collect();
+        r.given_up = WHY
+            .iter()
+            .map(|w| w.to_string())
+            .zip(told.given_up)
+            .collect();
         // 0 where the system does not say. Pages of 4 KiB, 100 clock ticks a second, as on every Linux that Rust's
         // standard library runs on by default.
         let pages = std::fs::read_to_string("/proc/self/statm").ok();
         let pages = pages.and_then(|t| t.split(' ').nth(1).and_then(|p| p.parse::<u64>().ok()));
         r.memory_kib = 4 * pages.unwrap_or(0);
         let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-        let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
-        r.cpu_ms = fields.skip(11).take(2).filter_map(|f| f.parse::<u64>().ok()).sum::<u64>() * 10;
+        let fields = stat
+            .rsplit(')')
+            .next()
+            .unwrap_or_default()
+            .split_whitespace();
+        r.cpu_ms = fields
+            .skip(11)
+            .take(2)
+            .filter_map(|f| f.parse::<u64>().ok())
+            .sum::<u64>()
+            * 10;
         r.descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, |d| d.count() as u64);
         if let Err(error) = self.append()
             && let Some(count) = self.lost.again()
--- a/crates/sparrouter-node/src/program/start.rs
+++ b/crates/sparrouter-node/src/program/start.rs
@@ -55,11 +55,20 @@
     let ask_every = settings.rules().map_err(named)?.ask_every;
     let timeouts: Vec<Nanos> = operations.iter().map(|o| o.client_timeout).collect();
     let longest = timeouts.iter().copied().max().filter(|t| *t > 0);
-    let longest = Duration::from_nanos(longest.ok_or("settings: no operation with a client timeout")?);
+    let longest =
+        Duration::from_nanos(longest.ok_or("settings: no operation with a client timeout")?);
     // Where the settings do not say: as long as work may take.
-    let or =
-        |given: Nanos, otherwise: Duration| if given > 0 { Duration::from_nanos(given) } else { otherwise };
-    let shortest = or(operations.iter().map(|o| o.objective).min().unwrap_or(0), longest);
+    let or = |given: Nanos, otherwise: Duration| {
+        if given > 0 {
+            Duration::from_nanos(given)
+        } else {
+            otherwise
+        }
+    };
+    let shortest = or(
+        operations.iter().map(|o| o.objective).min().unwrap_or(0),
+        longest,
+    );
     let dial_limit = or(connections.dial, shortest);
     let idle = or(connections.idle, longest);
     let call_limit = or(ask_every / 2, longest).mul_f64(CALL_PART);
@@ -69,12 +78,15 @@
     let datagrams = match config.peer_listen.filter(|_| settings.peers()) {
         None => None,
         Some(at) => Some(
-            Datagrams::bind(at, config.peers.clone()).await.map_err(|e| format!("datagrams on {at}: {e}"))?,
+            Datagrams::bind(at, config.peers.clone())
+                .await
+                .map_err(|e| format!("datagrams on {at}: {e}"))?,
         ),
     };
 
     let (mailbox, told) = mpsc::channel::<Told>(MAILBOX);
-    let (clients, most, peers) = budget::split(config.limits.sockets, config.limits.memory_mb << 20);
+    let (clients, most, peers) =
+        budget::split(config.limits.sockets, config.limits.memory_mb << 20);
     let pool = Pool::new(peers, idle.mul_f64(IDLE_PART));
     tokio::task::spawn_local(pool.clone().retire());
 
@@ -103,15 +115,28 @@
     let room = Room::of(config.limits.memory_mb << 20);
     let start_peer = Box::new(move |cache, endpoint| {
         let (pool, mailbox) = (peer_pool.clone(), peer_mailbox.clone());
-        let limits = peer::Limits { dial: dial_limit, probe: shortest, overlaps: connections.overlaps };
+        let limits = peer::Limits {
+            dial: dial_limit,
+            probe: shortest,
+            overlaps: connections.overlaps,
+        };
         peer::start(cache, endpoint, pool, mailbox, limits, room.clone())
     });
-    let module =
-        Module::new(policy, Names::new(&settings), Clock::new(), timeouts, start_peer, asks, datagrams);
+    let module = Module::new(
+        policy,
+        Names::new(&settings),
+        Clock::new(),
+        timeouts,
+        start_peer,
+        asks,
+        datagrams,
+    );
     let names = settings.classes.iter().map(|c| c.name.clone());
     let placed: Vec<_> = names.zip(operations.iter().cloned()).enumerate().collect();
     let mut reporter = operator.reporter(&config.name, &pool.opened, began)?;
-    reporter.iter_mut().for_each(|r| r.place(config.print, &placed));
+    reporter
+        .iter_mut()
+        .for_each(|r| r.place(config.print, &placed));
     log::info!(
         "{} {}, generation {:?}, settings {:016x}, placement {:016x}, notes {FORMATS:?}",
         config.name,
@@ -133,10 +158,21 @@
         leaves: Cell::new(None),
         next: Cell::new(0),
     });
-    tokio::task::spawn_local(listener::accept(listener, clients.clone(), most, house.clone()));
+    tokio::task::spawn_local(listener::accept(
+        listener,
+        clients.clone(),
+        most,
+        house.clone(),
+    ));
     log::info!("{} ready on {}", config.name, config.listen);
 
-    let mut force = Force { config, operator, opened: pool.opened.clone(), began, pace: pace.get() };
+    let mut force = Force {
+        config,
+        operator,
+        opened: pool.opened.clone(),
+        began,
+        pace: pace.get(),
+    };
     loop {
         tokio::select! {
             _ = hangup.recv() => match force.reread() {
@@ -164,7 +200,9 @@
         }
     }
     let longest = house.patience.get();
-    house.leaves.set(Some(Instant::now() + LEAVING + longest.min(KILLED) + CLOSING));
+    house.leaves.set(Some(
+        Instant::now() + LEAVING + longest.min(KILLED) + CLOSING,
+    ));
     leave(stage, &clients, longest).await;
     Ok(())
 }
@@ -173,7 +211,11 @@
 /// within the grace that the settings give, of which half is left for the call.
 pub fn pace(settings: &Settings) -> Result<Duration, String> {
     let grace = Duration::from_nanos(settings.drain_grace()?);
-    Ok(if grace.is_zero() { list::HEARTBEAT } else { (grace / 2).min(list::HEARTBEAT) })
+    Ok(if grace.is_zero() {
+        list::HEARTBEAT
+    } else {
+        (grace / 2).min(list::HEARTBEAT)
+    })
 }
 
 /// All that was taken is answered before the node goes.
--- a/crates/sparrouter-node/src/protocol/json.rs
+++ b/crates/sparrouter-node/src/protocol/json.rs
@@ -25,10 +25,18 @@
         found
     }
     fn need(&mut self, byte: u8) -> Parsed<()> {
-        if self.eat(byte) { Ok(()) } else { Err(Bad("json: unexpected character")) }
+        if self.eat(byte) {
+            Ok(())
+        } else {
+            Err(Bad("json: unexpected character"))
+        }
     }
     pub fn end(&mut self) -> Parsed<()> {
-        if self.peek().is_none() { Ok(()) } else { Err(Bad("json: text behind the value")) }
+        if self.peek().is_none() {
+            Ok(())
+        } else {
+            Err(Bad("json: text behind the value"))
+        }
     }
 
     pub fn object(&mut self, mut member: impl FnMut(&mut Self, &str) -> Parsed<()>) -> Parsed<()> {
@@ -61,7 +69,9 @@
     pub fn string(&mut self) -> Parsed<Cow<'a, str>> {
         self.need(b'"')?;
         let rest = &self.text[self.at..];
-        let stop = rest.find(['"', '\\']).ok_or(Bad("json: string without end"))?;
+        let stop = rest
+            .find(['"', '\\'])
+            .ok_or(Bad("json: string without end"))?;
         if rest.as_bytes()[stop] == b'"' {
             self.at += stop + 1;
             return Ok(Cow::Borrowed(&rest[..stop]));
@@ -85,7 +95,8 @@
                         let mut digits = chars.by_ref().take(4).map(|(_, c)| c.to_digit(16));
                         let code = digits.try_fold(0, |n, d| Some(n * 16 + d?));
                         // Half of a pair stands for no character: ids hold none.
-                        code.and_then(char::from_u32).unwrap_or(char::REPLACEMENT_CHARACTER)
+                        code.and_then(char::from_u32)
+                            .unwrap_or(char::REPLACEMENT_CHARACTER)
                     }
                     _ => return Err(Bad("json: unknown escape")),
                 }),
@@ -97,9 +108,16 @@
     pub fn number(&mut self) -> Parsed<f64> {
         self.peek();
         let rest = &self.text[self.at..];
-        let length = rest.bytes().take_while(|b| b.is_ascii_digit() || b"+-.eE".contains(b)).count();
+        let length = rest
+            .bytes()
+            .take_while(|b| b.is_ascii_digit() || b"+-.eE".contains(b))
+            .count();
         self.at += length;
-        rest[..length].parse().ok().filter(|n: &f64| n.is_finite()).ok_or(Bad("json: no number"))
+        rest[..length]
+            .parse()
+            .ok()
+            .filter(|n: &f64| n.is_finite())
+            .ok_or(Bad("json: no number"))
     }
     pub fn boolean(&mut self) -> Parsed<bool> {
         match self.word()? {
@@ -113,7 +131,11 @@
         let rest = &self.text[self.at..];
         let length = rest.bytes().take_while(u8::is_ascii_lowercase).count();
         self.at += length;
-        if length > 0 { Ok(&rest[..length]) } else { Err(Bad("json: unexpected character")) }
+        if length > 0 {
+            Ok(&rest[..length])
+        } else {
+            Err(Bad("json: unexpected character"))
+        }
     }
 
     /// Passes over a value that nobody asked for.
--- a/crates/sparrouter-node/src/protocol/lines.rs
+++ b/crates/sparrouter-node/src/protocol/lines.rs
@@ -54,7 +54,16 @@
     let uid = uid.ok_or(Bad("target without uid"))?;
     let endpoint = endpoint.ok_or(Bad("target without endpoint"))?;
     let state = state.ok_or(Bad("target without state"))?;
-    Ok(Target { uid, endpoint, az, model, pod_group, state, capacity_hint, boot_ms })
+    Ok(Target {
+        uid,
+        endpoint,
+        az,
+        model,
+        pod_group,
+        state,
+        capacity_hint,
+        boot_ms,
+    })
 }
 
 /// What a stream of lists comes apart into.
@@ -98,14 +107,22 @@
                 _ => {}
             }
         }
-        if text.len() > MAX_LINE { Err(Bad("line of discovery too long")) } else { Ok(Cut::More) }
+        if text.len() > MAX_LINE {
+            Err(Bad("line of discovery too long"))
+        } else {
+            Ok(Cut::More)
+        }
     }
 
     /// Up to where it was read: also what is left at the end of the text.
     pub fn rest(&mut self, text: &mut BytesMut) -> Cut {
         let value = text.split_to(self.at);
         *self = Cutter::default();
-        if value.trim_ascii().is_empty() { Cut::Empty } else { Cut::Value(value) }
+        if value.trim_ascii().is_empty() {
+            Cut::Empty
+        } else {
+            Cut::Value(value)
+        }
     }
 }
 
@@ -132,5 +149,9 @@
     })?;
     r.end()?;
     let rev = rev.ok_or(Bad("list without rev"))?;
-    Ok(Listing { rev, all, targets: targets.ok_or(Bad("list without targets"))? })
+    Ok(Listing {
+        rev,
+        all,
+        targets: targets.ok_or(Bad("list without targets"))?,
+    })
 }
--- a/crates/sparrouter-node/src/protocol/messages.rs
+++ b/crates/sparrouter-node/src/protocol/messages.rs
@@ -26,7 +26,9 @@
         if !matches!(&head.method[..], b"GET" | b"PUT") {
             return Err(Bad("method is neither GET nor PUT"));
         }
-        let patience = fields.text("X-Deadline-Ms").map(|t| t.parse().map_err(|_| Bad("X-Deadline-Ms")));
+        let patience = fields
+            .text("X-Deadline-Ms")
+            .map(|t| t.parse().map_err(|_| Bad("X-Deadline-Ms")));
         Ok(Invocation {
             method: head.method.clone(),
             target: head.target.clone(),
@@ -57,7 +59,13 @@
     pub fn forward(&self, wait: Nanos) -> Bytes {
         let mut out = BytesMut::with_capacity(256 + self.target.len());
         let mut put = |parts: &[&[u8]]| parts.iter().for_each(|p| out.put_slice(p));
-        put(&[&self.method, b" ", &self.target, b" HTTP/1.1\r\nHost: ", &self.host]);
+        put(&[
+            &self.method,
+            b" ",
+            &self.target,
+            b" HTTP/1.1\r\nHost: ",
+            &self.host,
+        ]);
         put(&[b"\r\nX-Request-Id: ", &self.id]);
         if let Some(mark) = &self.mark {
             put(&[b"\r\nIdempotency-Key: ", mark]);
@@ -65,7 +73,10 @@
         let wait_ms = (wait / 1_000_000).max(1).to_string();
         put(&[b"\r\nX-Deadline-Ms: ", wait_ms.as_bytes()]);
         if self.writes() || !self.body.is_empty() {
-            put(&[b"\r\nContent-Length: ", self.body.len().to_string().as_bytes()]);
+            put(&[
+                b"\r\nContent-Length: ",
+                self.body.len().to_string().as_bytes(),
+            ]);
         }
         put(&[b"\r\n\r\n"]);
         out.freeze()
@@ -126,20 +137,34 @@
         out.put_slice(b"\r\n");
     }
     out.put_slice(more.as_bytes());
-    out.put_slice(if keep { b"\r\n" } else { b"Connection: close\r\n\r\n" });
+    out.put_slice(if keep {
+        b"\r\n"
+    } else {
+        b"Connection: close\r\n\r\n"
+    });
     out.freeze()
 }
 
 /// Head and body.
 pub fn answer(answer: &Answer, keep: bool) -> (Bytes, Bytes) {
     match answer {
-        Answer::Succeeded { kind, body } => {
-            (head(SUCCEEDED, kind.as_deref(), body.len(), keep, ""), body.clone())
-        }
+        Answer::Succeeded { kind, body } => (
+            head(SUCCEEDED, kind.as_deref(), body.len(), keep, ""),
+            body.clone(),
+        ),
         Answer::Throttled { retry_after: 0 } => (head(THROTTLED, None, 0, keep, ""), Bytes::new()),
         Answer::Throttled { retry_after } => {
             let seconds = *retry_after as f64 / 1e9;
-            (head(THROTTLED, None, 0, keep, &format!("Retry-After: {seconds:.3}\r\n")), Bytes::new())
+            (
+                head(
+                    THROTTLED,
+                    None,
+                    0,
+                    keep,
+                    &format!("Retry-After: {seconds:.3}\r\n"),
+                ),
+                Bytes::new(),
+            )
         }
         Answer::Errored => (head(ERRORED, None, 0, keep, ""), Bytes::new()),
         Answer::Bad(text) => plain(BAD, text, keep),
@@ -148,9 +173,16 @@
 
 /// An answer of the node's own that is no invocation's: readiness, bad input.
 fn plain(status: &str, text: &str, keep: bool) -> (Bytes, Bytes) {
-    (head(status, Some(b"text/plain"), text.len(), keep, ""), Bytes::copy_from_slice(text.as_bytes()))
+    (
+        head(status, Some(b"text/plain"), text.len(), keep, ""),
+        Bytes::copy_from_slice(text.as_bytes()),
+    )
 }
 
 pub fn readiness(ready: bool, keep: bool) -> (Bytes, Bytes) {
-    if ready { plain(SUCCEEDED, "ready", keep) } else { plain(THROTTLED, "leaving", keep) }
+    if ready {
+        plain(SUCCEEDED, "ready", keep)
+    } else {
+        plain(THROTTLED, "leaving", keep)
+    }
 }
--- a/crates/sparrouter-node/src/protocol/tests.rs
+++ b/crates/sparrouter-node/src/protocol/tests.rs
@@ -5,7 +5,11 @@
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 
 fn runner() -> TestRunner {
-    let config = ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() };
+    let config = ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]))
 }
 
@@ -54,7 +58,10 @@
 
 #[test]
 fn chunks_are_the_same_however_they_are_cut() {
-    let bodies = (prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..6), 1usize..9);
+    let bodies = (
+        prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..6),
+        1usize..9,
+    );
     runner()
         .run(&bodies, |(parts, step)| {
             let mut wire = Vec::new();
@@ -89,15 +96,29 @@
         "az":"a","model":"m2","pod_group":3,"state":"terminating","capacity_hint":0.5,"boot_ms":1796120000123}]} "#;
     let list = lines::listing(line.as_bytes()).unwrap();
     let t = &list.targets[0];
-    assert_eq!((list.rev, list.all, t.uid.as_str(), t.boot_ms), (43, false, "sA/", 1796120000123));
     assert_eq!(
-        (t.endpoint.port(), t.pod_group, t.state.as_str(), t.capacity_hint),
+        (list.rev, list.all, t.uid.as_str(), t.boot_ms),
+        (43, false, "sA/", 1796120000123)
+    );
+    assert_eq!(
+        (
+            t.endpoint.port(),
+            t.pod_group,
+            t.state.as_str(),
+            t.capacity_hint
+        ),
         (9000, 3, "terminating", 0.5)
     );
     let deep = format!("{{\"rev\":1,\"targets\":[],\"x\":{}", "[".repeat(100_000));
-    for bad in
-        ["", "{}", "[1]", "{\"rev\":1}", "{\"rev\":1,\"targets\":[{}]}", "{\"rev\":1,\"targets\":[]}x", &deep]
-    {
+    for bad in [
+        "",
+        "{}",
+        "[1]",
+        "{\"rev\":1}",
+        "{\"rev\":1,\"targets\":[{}]}",
+        "{\"rev\":1,\"targets\":[]}x",
+        &deep,
+    ] {
         assert!(lines::listing(bad.as_bytes()).is_err(), "{bad:.40}");
     }
 }
@@ -109,6 +130,13 @@
     assert!(read("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n").is_err());
     assert!(read("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n").is_err());
     assert!(read("Content-Length: +5\r\n").is_err());
-    assert!(!read("Content-Length: 5\r\nConnection: Keep-Alive, Close\r\n").unwrap().keep);
-    assert!(!read("").unwrap().keep, "a body up to the end leaves nothing to keep");
+    assert!(
+        !read("Content-Length: 5\r\nConnection: Keep-Alive, Close\r\n")
+            .unwrap()
+            .keep
+    );
+    assert!(
+        !read("").unwrap().keep,
+        "a body up to the end leaves nothing to keep"
+    );
 }
--- a/crates/sparrouter-node/src/routing/clock.rs
+++ b/crates/sparrouter-node/src/routing/clock.rs
@@ -13,8 +13,13 @@
 
 impl Clock {
     pub fn new() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { wall: wall.as_nanos() as Nanos, start: Instant::now() }
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            wall: wall.as_nanos() as Nanos,
+            start: Instant::now(),
+        }
     }
     pub fn at(&self, instant: Instant) -> Nanos {
         self.wall + instant.saturating_duration_since(self.start).as_nanos() as Nanos
--- a/crates/sparrouter-node/src/routing/list.rs
+++ b/crates/sparrouter-node/src/routing/list.rs
@@ -97,7 +97,9 @@
 
     fn open(&self, limit: Duration) -> Out<Call> {
         let call = Call::open(*self.discovery.borrow(), Some(self.rev), self.dial_limit);
-        Some(Box::pin(async move { timeout(limit, call).await.unwrap_or(Err(Broken::Ended)) }))
+        Some(Box::pin(async move {
+            timeout(limit, call).await.unwrap_or(Err(Broken::Ended))
+        }))
     }
 
     /// Asks for a watch, in place of the one that there is.
@@ -115,10 +117,14 @@
 
     fn ask_whole(&self, calls: &mut Calls) {
         if calls.whole.is_none() {
-            let (call, limit) = (Call::open(*self.discovery.borrow(), None, self.dial_limit), self.limit);
+            let (call, limit) = (
+                Call::open(*self.discovery.borrow(), None, self.dial_limit),
+                self.limit,
+            );
             let whole = async move { call.await?.whole().await };
-            calls.whole =
-                Some(Box::pin(async move { timeout(limit, whole).await.unwrap_or(Err(Broken::Ended)) }));
+            calls.whole = Some(Box::pin(async move {
+                timeout(limit, whole).await.unwrap_or(Err(Broken::Ended))
+            }));
             calls.whole_from = self.rev;
         }
     }
@@ -135,7 +141,8 @@
     async fn opened(&mut self, calls: &mut Calls, patient: bool, call: Result<Call, Broken>) {
         match call {
             Ok(call) => {
-                (calls.watch, calls.answered, calls.heard) = (Some(call), false, Some(Instant::now()));
+                (calls.watch, calls.answered, calls.heard) =
+                    (Some(call), false, Some(Instant::now()));
                 (calls.patient, calls.quick, calls.again) = (None, None, None);
                 calls.failed = Often::default();
             }
@@ -165,7 +172,8 @@
             // Changes to an older list than the one in hand would undo what is known of those that drain.
             Ok(Some(listing)) if !listing.all && listing.rev < self.rev => {
                 self.rev = 0;
-                self.lost(calls, Bad("changes go back in version").into()).await;
+                self.lost(calls, Bad("changes go back in version").into())
+                    .await;
             }
             Ok(Some(listing)) => {
                 (calls.answered, calls.heard) = (true, Some(Instant::now()));
@@ -174,7 +182,10 @@
             Ok(None) => {
                 calls.heard = Some(Instant::now());
                 if !std::mem::replace(&mut calls.answered, true) {
-                    let nothing = Listing { rev: self.rev, ..Listing::default() };
+                    let nothing = Listing {
+                        rev: self.rev,
+                        ..Listing::default()
+                    };
                     self.tell(ListSays::Listed(nothing)).await;
                 }
             }
@@ -195,7 +206,10 @@
     }
 
     pub async fn run(mut self) {
-        let mut calls = Calls { again: self.unasked.then(Instant::now), ..Calls::default() };
+        let mut calls = Calls {
+            again: self.unasked.then(Instant::now),
+            ..Calls::default()
+        };
         loop {
             let silent = calls.heard.filter(|_| calls.watch.is_some());
             let silent = silent.map(|heard| heard + self.heartbeat.mul_f64(SILENT));
--- a/crates/sparrouter-node/src/routing/module.rs
+++ b/crates/sparrouter-node/src/routing/module.rs
@@ -129,8 +129,13 @@
 
 impl Module {
     pub fn new(
-        policy: Policy, names: Names, clock: Clock, timeouts: Vec<Nanos>, start_peer: Starter,
-        list: mpsc::Sender<Ask>, datagrams: Option<Rc<Datagrams>>,
+        policy: Policy,
+        names: Names,
+        clock: Clock,
+        timeouts: Vec<Nanos>,
+        start_peer: Starter,
+        list: mpsc::Sender<Ask>,
+        datagrams: Option<Rc<Datagrams>>,
     ) -> Module {
         Module {
             policy,
@@ -172,9 +177,18 @@
         self.listed(Form::Saved, known.targets);
         let mut report = Instant::now() + every;
         loop {
-            let look = self.reporter.as_ref().map_or(report, |r| r.next().min(report));
-            let look = self.parts.as_ref().map_or(look, |p| self.clock.instant(p.next()).min(look));
-            let due = self.timers.peek().map_or(look, |Reverse((at, _))| self.clock.instant(*at).min(look));
+            let look = self
+                .reporter
+                .as_ref()
+                .map_or(report, |r| r.next().min(report));
+            let look = self
+                .parts
+                .as_ref()
+                .map_or(look, |p| self.clock.instant(p.next()).min(look));
+            let due = self
+                .timers
+                .peek()
+                .map_or(look, |Reverse((at, _))| self.clock.instant(*at).min(look));
             tokio::select! {
                 biased;
                 told = mailbox.recv() => match told {
@@ -188,7 +202,10 @@
             self.share();
             let now = self.clock.now();
             if let Some(r) = self.reporter.as_mut().filter(|r| r.due()) {
-                let shares = self.parts.as_mut().map_or_else(Vec::new, |p| p.told_of(now));
+                let shares = self
+                    .parts
+                    .as_mut()
+                    .map_or_else(Vec::new, |p| p.told_of(now));
                 r.write(self.policy.told_of(), shares);
             }
             if Instant::now() >= report {
@@ -217,7 +234,9 @@
     /// Notes on parts of common limits, when they are due.
     fn share(&mut self) {
         let now = self.clock.now();
-        let Some(parts) = self.parts.as_mut().filter(|p| p.next() <= now) else { return };
+        let Some(parts) = self.parts.as_mut().filter(|p| p.next() <= now) else {
+            return;
+        };
         for (peer, text) in parts.tick(now) {
             self.tell(peer, &text);
         }
@@ -251,7 +270,12 @@
 
     fn told(&mut self, told: Told) {
         match told {
-            Told::Client(ClientSays::Taken { inv, invocation, at, answer }) => {
+            Told::Client(ClientSays::Taken {
+                inv,
+                invocation,
+                at,
+                answer,
+            }) => {
                 self.taken(inv, invocation, at, answer);
             }
             Told::Client(ClientSays::Gone { inv }) => self.gone(inv),
@@ -264,16 +288,32 @@
             Told::Node(NodeSays { peer, text }) => self.handle(Event::Told { peer, text }),
             Told::List(ListSays::Lost) => {
                 self.counts.lists_lost += 1;
-                self.handle(Event::Listed { form: Form::Lost, rows: Vec::new() });
+                self.handle(Event::Listed {
+                    form: Form::Lost,
+                    rows: Vec::new(),
+                });
             }
             Told::List(ListSays::Listed(listing)) => {
-                let form = if listing.all { Form::Full } else { Form::Changes };
+                let form = if listing.all {
+                    Form::Full
+                } else {
+                    Form::Changes
+                };
                 self.listed(form, listing.targets);
             }
-            Told::Peer(PeerSays::Ended { inv, copy, cache, how }) => self.ended(inv, copy, cache, how),
+            Told::Peer(PeerSays::Ended {
+                inv,
+                copy,
+                cache,
+                how,
+            }) => self.ended(inv, copy, cache, how),
             Told::Changed(change) => self.change(*change),
             Told::Peer(PeerSays::Probed { cache, ok }) => {
-                self.handle(Event::Probed { cache, ok, load: None });
+                self.handle(Event::Probed {
+                    cache,
+                    ok,
+                    load: None,
+                });
             }
         }
     }
@@ -281,7 +321,9 @@
     /// All at once, between two events: what is in hand keeps its place and with it its operation's rules.
     fn change(&mut self, c: Change) {
         let held = &self.held;
-        let up = self.names.take_up(&c.old, &c.new, |place| held.values().any(|h| h.operation == place));
+        let up = self.names.take_up(&c.old, &c.new, |place| {
+            held.values().any(|h| h.operation == place)
+        });
         let places = up.operations.iter().map(|t| t.at + 1).max().unwrap_or(0);
         self.timeouts.resize(self.timeouts.len().max(places), 0);
         for (taken, op) in up.operations.iter().zip(&c.operations) {
@@ -291,17 +333,23 @@
         let at = up.operations.iter().map(|t| t.at);
         let placed: Vec<_> = at.zip(names.zip(c.operations)).collect();
         match identity {
-            Reporting::As(identity) => self.reporter.iter_mut().for_each(|r| r.identify(identity.clone())),
+            Reporting::As(identity) => self
+                .reporter
+                .iter_mut()
+                .for_each(|r| r.identify(identity.clone())),
             Reporting::To(other) => self.reporter = other.map(|r| *r),
         }
-        self.reporter.iter_mut().for_each(|r| r.place(c.print, &placed));
+        self.reporter
+            .iter_mut()
+            .for_each(|r| r.place(c.print, &placed));
         let now = self.clock.now();
         self.parts = Parts::take_up(self.parts.take(), c.shares.as_ref(), &c.new, c.seed, now);
         if c.same {
             // Discovery or the operator's file alone: nothing that was learnt is touched.
             return;
         }
-        self.policy.take_up(self.clock.now(), c.policy, &up.operations, &up.tenants);
+        self.policy
+            .take_up(self.clock.now(), c.policy, &up.operations, &up.tenants);
         if let Some(datagrams) = &self.datagrams {
             datagrams.take_up(c.nodes);
         }
@@ -310,7 +358,11 @@
     // -- what comes in --
 
     fn taken(
-        &mut self, inv: InvIx, invocation: Rc<Invocation>, at: Instant, answer: oneshot::Sender<Answered>,
+        &mut self,
+        inv: InvIx,
+        invocation: Rc<Invocation>,
+        at: Instant,
+        answer: oneshot::Sender<Answered>,
     ) {
         let Some(operation) = self.names.operation(&invocation.operation) else {
             let _ = answer.send((Answer::Bad("unknown X-Class"), Vec::new()));
@@ -324,8 +376,13 @@
         self.counts.taken += 1;
         // Whatever it says, no client waits for longer than the settings allow.
         let longest = self.timeouts[operation];
-        let patience = invocation.patience_ms.map_or(longest, |ms| ms.saturating_mul(1_000_000).min(longest));
-        let tenant = invocation.tenant.as_ref().and_then(|t| self.names.tenant(t));
+        let patience = invocation
+            .patience_ms
+            .map_or(longest, |ms| ms.saturating_mul(1_000_000).min(longest));
+        let tenant = invocation
+            .tenant
+            .as_ref()
+            .and_then(|t| self.names.tenant(t));
         let now = self.clock.now();
         let within = tenant.and_then(|t| self.parts.as_mut().and_then(|p| p.take(t, now)));
         let arrival = Arrival {
@@ -341,18 +398,32 @@
         };
         self.reporter.iter_mut().for_each(|r| r.taken(operation));
         let (answer, forwards) = (Some(answer), Vec::new());
-        let held = Held { invocation, answer, over: Rc::default(), forwards, out: 0, operation, at };
+        let held = Held {
+            invocation,
+            answer,
+            over: Rc::default(),
+            forwards,
+            out: 0,
+            operation,
+            at,
+        };
         self.held.insert(inv, held);
         self.handle(Event::Arrived(arrival));
         self.forget(inv);
     }
 
     fn gone(&mut self, inv: InvIx) {
-        let Some(held) = self.held.get_mut(&inv).filter(|h| !h.over.get()) else { return };
+        let Some(held) = self.held.get_mut(&inv).filter(|h| !h.over.get()) else {
+            return;
+        };
         // For a client that ended its side alone: never sent on, it may come again.
         let never_sent = held.forwards.is_empty();
         held.conclude(
-            if never_sent { Answer::Throttled { retry_after: 0 } } else { Answer::Errored },
+            if never_sent {
+                Answer::Throttled { retry_after: 0 }
+            } else {
+                Answer::Errored
+            },
             Vec::new(),
         );
         self.counts.gone += 1;
@@ -369,23 +440,46 @@
             }
         }
         let held = self.held.get_mut(&inv);
-        must!(held.is_some(), "a forward ends before its invocation is forgotten");
+        must!(
+            held.is_some(),
+            "a forward ends before its invocation is forgotten"
+        );
         let Some(held) = held else { return };
         held.out -= 1;
         if how.outcome == Outcome::Succeeded && !held.over.get() {
             self.counts.succeeded += 1;
             let (operation, took) = (held.operation, held.at.elapsed());
-            self.reporter.iter_mut().for_each(|r| r.succeeded(operation, took));
-            held.conclude(Answer::Succeeded { kind: how.kind, body: how.body.bytes }, how.body.granted);
+            self.reporter
+                .iter_mut()
+                .for_each(|r| r.succeeded(operation, took));
+            held.conclude(
+                Answer::Succeeded {
+                    kind: how.kind,
+                    body: how.body.bytes,
+                },
+                how.body.granted,
+            );
         }
         let (last, lag) = (held.over.get(), how.lag.as_nanos() as Nanos);
         let (outcome, note) = (how.outcome, how.note);
-        self.handle(Event::Ended(Ending { inv, copy, cache, outcome, lag, last, note, load: None }));
+        self.handle(Event::Ended(Ending {
+            inv,
+            copy,
+            cache,
+            outcome,
+            lag,
+            last,
+            note,
+            load: None,
+        }));
         self.forget(inv);
     }
 
     fn forget(&mut self, inv: InvIx) {
-        if self.held.get(&inv).is_some_and(|h| h.over.get() && h.out == 0)
+        if self
+            .held
+            .get(&inv)
+            .is_some_and(|h| h.over.get() && h.out == 0)
             && let Some(held) = self.held.remove(&inv)
         {
             self.open.remove(&held.invocation.id);
@@ -403,8 +497,15 @@
                 continue;
             }
             let ready_at = t.boot_ms.saturating_mul(1_000_000);
-            let listed =
-                Listed { id, state, zone, kind, cell: t.pod_group, weight: t.capacity_hint, ready_at };
+            let listed = Listed {
+                id,
+                state,
+                zone,
+                kind,
+                cell: t.pod_group,
+                weight: t.capacity_hint,
+                ready_at,
+            };
             match self.names.row(&listed) {
                 Ok(row) => {
                     self.door(row.cache, t.endpoint, row.standing);
@@ -426,7 +527,10 @@
     /// Forgets the names of those that are gone for good: twice as long as any invocation lasts.
     fn sweep(&mut self) {
         for cache in 0..self.doors.len() {
-            let missing = self.doors[cache].as_ref().filter(|d| d.missing).map(|d| d.endpoint);
+            let missing = self.doors[cache]
+                .as_ref()
+                .filter(|d| d.missing)
+                .map(|d| d.endpoint);
             if let Some(endpoint) = missing.filter(|_| !self.policy.keeps(cache)) {
                 self.bind(cache, endpoint, Standing::Gone, false);
             }
@@ -444,13 +548,19 @@
             !over
         });
         if before > self.gone_at.len() {
-            log::info!("list: {} names of gone cache servers let go", before - self.gone_at.len());
+            log::info!(
+                "list: {} names of gone cache servers let go",
+                before - self.gone_at.len()
+            );
         }
     }
 
     /// Whatever a whole list does not name is gone.
     fn unlisted(&mut self, targets: &[Target]) {
-        let named: HashSet<CacheIx> = targets.iter().filter_map(|t| self.names.cache(&t.uid)).collect();
+        let named: HashSet<CacheIx> = targets
+            .iter()
+            .filter_map(|t| self.names.cache(&t.uid))
+            .collect();
         for cache in 0..self.doors.len() {
             if let Some(endpoint) = self.doors[cache].as_ref().map(|d| d.endpoint)
                 && !named.contains(&cache)
@@ -464,7 +574,9 @@
         if self.doors.len() <= cache {
             self.doors.resize_with(cache + 1, || None);
         }
-        let open = self.doors[cache].as_ref().is_some_and(|d| !d.drains && !d.gone);
+        let open = self.doors[cache]
+            .as_ref()
+            .is_some_and(|d| !d.drains && !d.gone);
         self.bind(
             cache,
             endpoint,
@@ -495,7 +607,8 @@
         });
         (door.endpoint, door.gone, door.missing) = (endpoint, gone, missing);
         door.drains = standing == Standing::Draining;
-        door.peer.listed(endpoint, missing || standing == Standing::Ready);
+        door.peer
+            .listed(endpoint, missing || standing == Standing::Ready);
         if door.gone && door.out == 0 {
             self.doors[cache] = None;
         }
@@ -510,13 +623,23 @@
 
     fn act(&mut self, now: Nanos, action: Action) {
         match action {
-            Action::Forward { inv, cache, wait, before } => {
+            Action::Forward {
+                inv,
+                cache,
+                wait,
+                before,
+            } => {
                 let before = before.map(|at| self.clock.instant(at));
                 self.forward(inv, cache, wait, before);
             }
             Action::Withdraw { inv, copy } => {
-                let cache = self.held.get(&inv).and_then(|h| h.forwards.get(copy)).copied();
-                let sent = cache.is_some_and(|cache| self.order(cache, Order::Withdraw { inv, copy }));
+                let cache = self
+                    .held
+                    .get(&inv)
+                    .and_then(|h| h.forwards.get(copy))
+                    .copied();
+                let sent =
+                    cache.is_some_and(|cache| self.order(cache, Order::Withdraw { inv, copy }));
                 must!(sent, "a forward that is withdrawn was sent");
             }
             Action::Throttle { inv, retry_after } => {
@@ -531,7 +654,11 @@
             Action::Probe { cache } => {
                 self.counts.probes += 1;
                 if !self.order(cache, Order::Probe) {
-                    self.next.push_back(Event::Probed { cache, ok: false, load: None });
+                    self.next.push_back(Event::Probed {
+                        cache,
+                        ok: false,
+                        load: None,
+                    });
                 }
             }
             Action::Tell { peer, text } => self.tell(peer, &text),
@@ -549,8 +676,11 @@
         let held = self.held.get_mut(&inv);
         must!(held.is_some(), "an answer belongs to an invocation in hand");
         if let Some(held) = held {
-            let (operation, throttled) = (held.operation, matches!(answer, Answer::Throttled { .. }));
-            self.reporter.iter_mut().for_each(|r| r.gave_up(operation, throttled));
+            let (operation, throttled) =
+                (held.operation, matches!(answer, Answer::Throttled { .. }));
+            self.reporter
+                .iter_mut()
+                .for_each(|r| r.gave_up(operation, throttled));
             held.conclude(answer, Vec::new());
         }
         // Guards against keeping for good what had no forward out when it was answered: by a timer, or
@@ -560,7 +690,10 @@
 
     fn forward(&mut self, inv: InvIx, cache: CacheIx, wait: Nanos, before: Option<Instant>) {
         let held = self.held.get_mut(&inv);
-        must!(held.as_ref().is_some_and(|h| !h.over.get()), "nothing is sent for what is over");
+        must!(
+            held.as_ref().is_some_and(|h| !h.over.get()),
+            "nothing is sent for what is over"
+        );
         let Some(held) = held else { return };
         let copy = held.forwards.len();
         held.forwards.push(cache);
@@ -570,7 +703,15 @@
         self.reporter.iter_mut().for_each(|r| r.forwarded(fetch));
         let (invocation, over) = (held.invocation.clone(), held.over.clone());
         let wait = Duration::from_nanos(wait);
-        let forward = Forward { inv, copy, invocation, over, at: Instant::now(), wait, before };
+        let forward = Forward {
+            inv,
+            copy,
+            invocation,
+            over,
+            at: Instant::now(),
+            wait,
+            before,
+        };
         if self.order(cache, Order::Forward(forward)) {
             if let Some(door) = self.doors[cache].as_mut() {
                 door.out += 1;
--- a/crates/sparrouter-node/src/routing/parts.rs
+++ b/crates/sparrouter-node/src/routing/parts.rs
@@ -21,37 +21,76 @@
     // Nodes whose leases or tenants differ do not deal with each other.
     let print = hash(format!("{} {lease} {informed}", settings.tenants_print()).as_bytes()) as u16;
     let notes = wanted.notes && settings.peers();
-    Place { own: settings.self_index, nodes: settings.balancers, notes, seed, print }
+    Place {
+        own: settings.self_index,
+        nodes: settings.balancers,
+        notes,
+        seed,
+        print,
+    }
 }
 
 fn limits(wanted: &Wanted, settings: &Settings) -> Vec<Limit> {
     let window = wanted.window_ms.get_ref() * MS;
     // The number of a limit is a byte in notes.
-    let quota = |t: &sparrouter_settings::Tenant| Limit { per_s: t.quota_per_s.max(0.0), window };
-    settings.tenants.iter().take(usize::from(u8::MAX)).map(quota).collect()
+    let quota = |t: &sparrouter_settings::Tenant| Limit {
+        per_s: t.quota_per_s.max(0.0),
+        window,
+    };
+    settings
+        .tenants
+        .iter()
+        .take(usize::from(u8::MAX))
+        .map(quota)
+        .collect()
 }
 
 fn names(settings: &Settings) -> Vec<String> {
-    settings.tenants.iter().take(usize::from(u8::MAX)).map(|t| t.name.clone()).collect()
+    settings
+        .tenants
+        .iter()
+        .take(usize::from(u8::MAX))
+        .map(|t| t.name.clone())
+        .collect()
 }
 
 impl Parts {
     pub fn new(wanted: &Wanted, settings: &Settings, seed: u64, now: Nanos) -> Parts {
-        let (informed, lease) = (wanted.informed_ms.get_ref() * MS, wanted.lease_ms.get_ref() * MS);
-        let shares =
-            Shares::new(place(wanted, settings, seed), &limits(wanted, settings), informed, lease, now);
-        Parts { wanted: wanted.clone(), names: names(settings), shares }
+        let (informed, lease) = (
+            wanted.informed_ms.get_ref() * MS,
+            wanted.lease_ms.get_ref() * MS,
+        );
+        let shares = Shares::new(
+            place(wanted, settings, seed),
+            &limits(wanted, settings),
+            informed,
+            lease,
+            now,
+        );
+        Parts {
+            wanted: wanted.clone(),
+            names: names(settings),
+            shares,
+        }
     }
 
     /// Other settings for what runs; anew where its own times differ, off where it is no longer wanted.
     pub fn take_up(
-        old: Option<Parts>, wanted: Option<&Wanted>, settings: &Settings, seed: u64, now: Nanos,
+        old: Option<Parts>,
+        wanted: Option<&Wanted>,
+        settings: &Settings,
+        seed: u64,
+        now: Nanos,
     ) -> Option<Parts> {
         let wanted = wanted?;
         let Some(mut parts) = old.filter(|p| p.wanted == *wanted) else {
             return Some(Parts::new(wanted, settings, seed, now));
         };
-        parts.shares.told(place(wanted, settings, seed), &limits(wanted, settings), now);
+        parts.shares.told(
+            place(wanted, settings, seed),
+            &limits(wanted, settings),
+            now,
+        );
         parts.names = names(settings);
         Some(parts)
     }
--- a/crates/sparrouter-node/src/routing/peer.rs
+++ b/crates/sparrouter-node/src/routing/peer.rs
@@ -38,8 +38,16 @@
 }
 
 pub enum PeerSays {
-    Ended { inv: InvIx, copy: usize, cache: CacheIx, how: Ended },
-    Probed { cache: CacheIx, ok: bool },
+    Ended {
+        inv: InvIx,
+        copy: usize,
+        cache: CacheIx,
+        how: Ended,
+    },
+    Probed {
+        cache: CacheIx,
+        ok: bool,
+    },
 }
 
 pub struct Ended {
@@ -104,13 +112,27 @@
 
 /// `room`: memory for long answers.
 pub fn start(
-    cache: CacheIx, endpoint: SocketAddr, pool: Rc<Pool>, module: mpsc::Sender<Told>, limits: Limits,
+    cache: CacheIx,
+    endpoint: SocketAddr,
+    pool: Rc<Pool>,
+    module: mpsc::Sender<Told>,
+    limits: Limits,
     room: Room,
 ) -> Handle {
     let (orders, mailbox) = mpsc::channel(super::MAILBOX);
     let (spoilt, endpoint, wanted) = (Often::default(), Cell::new(endpoint), Cell::new(true));
     let way = Cell::default();
-    let peer = Rc::new(Peer { cache, endpoint, wanted, pool, module, limits, way, room, spoilt });
+    let peer = Rc::new(Peer {
+        cache,
+        endpoint,
+        wanted,
+        pool,
+        module,
+        limits,
+        way,
+        room,
+        spoilt,
+    });
     tokio::task::spawn_local(run(peer.clone(), mailbox));
     Handle { orders, peer }
 }
@@ -158,10 +180,23 @@
             self.arrived(&forward.over).await;
         }
         let note = reply.as_ref().and_then(|(head, _)| messages::note(head));
-        let kind = reply.as_ref().and_then(|(head, _)| head.fields.get("Content-Type").cloned());
+        let kind = reply
+            .as_ref()
+            .and_then(|(head, _)| head.fields.get("Content-Type").cloned());
         let body = reply.map(|(_, body)| body).unwrap_or_default();
-        let how = Ended { outcome, lag, note, kind, body };
-        let says = PeerSays::Ended { inv: forward.inv, copy: forward.copy, cache: self.cache, how };
+        let how = Ended {
+            outcome,
+            lag,
+            note,
+            kind,
+            body,
+        };
+        let says = PeerSays::Ended {
+            inv: forward.inv,
+            copy: forward.copy,
+            cache: self.cache,
+            how,
+        };
         let _ = self.module.send(Told::Peer(says)).await;
     }
 
@@ -171,11 +206,21 @@
     async fn arrived(&self, over: &Cell<bool>) {
         let (least, part) = ARRIVES;
         if !over.get() {
-            sleep(self.way.get().clamp(least, (self.limits.dial / part).max(least))).await;
+            sleep(
+                self.way
+                    .get()
+                    .clamp(least, (self.limits.dial / part).max(least)),
+            )
+            .await;
         }
     }
 
-    async fn exchange(&self, forward: &Forward, dialled: &Cell<bool>, written: &Cell<bool>) -> Exchanged {
+    async fn exchange(
+        &self,
+        forward: &Forward,
+        dialled: &Cell<bool>,
+        written: &Cell<bool>,
+    ) -> Exchanged {
         let link = match self.link().await {
             Ok(link) => link,
             Err(outcome) => return (outcome, None),
@@ -184,7 +229,9 @@
         // While a connection came up things may have changed. Nothing is sent for what is over, to one that
         // drains or has moved, when it could no longer be dropped as a repeat, or after its time; none of it
         // speaks against the cache server.
-        let late = forward.before.is_some_and(|before| before <= Instant::now())
+        let late = forward
+            .before
+            .is_some_and(|before| before <= Instant::now())
             || forward.at.elapsed() >= forward.wait;
         if forward.over.get() || late || !self.leads(&link) {
             self.keep(link);
@@ -194,17 +241,27 @@
         let head = forward.invocation.forward(left.as_nanos() as u64);
         let idle = link.idle;
         let body = forward.invocation.body.clone();
-        let ended = link.exchange(head, body, forward.before, &self.room, written).await;
-        self.pool.learn(idle, matches!(ended, Err(Broken::Ended | Broken::Reset)));
+        let ended = link
+            .exchange(head, body, forward.before, &self.room, written)
+            .await;
+        self.pool
+            .learn(idle, matches!(ended, Err(Broken::Ended | Broken::Reset)));
         match ended {
             Ok(None) => (Outcome::NotSent, None),
             Ok(Some(reply)) => {
                 reply.link.into_iter().for_each(|link| self.keep(link));
-                (messages::outcome(&reply.head), Some((reply.head, reply.body)))
+                (
+                    messages::outcome(&reply.head),
+                    Some((reply.head, reply.body)),
+                )
             }
             Err(Broken::Bad(bad)) => {
                 if let Some(count) = self.spoilt.again() {
-                    log::warn!("cache server {}: {}, {count} so far", self.endpoint.get(), bad.0);
+                    log::warn!(
+                        "cache server {}: {}, {count} so far",
+                        self.endpoint.get(),
+                        bad.0
+                    );
                 }
                 (Outcome::Error, None)
             }
@@ -248,12 +305,21 @@
         let asking = async {
             let link = self.link().await.ok()?;
             let head = messages::get("/health/live", self.endpoint.get());
-            let reply = link.exchange(head, Bytes::new(), None, &Room::USUAL, &written).await.ok()??;
+            let reply = link
+                .exchange(head, Bytes::new(), None, &Room::USUAL, &written)
+                .await
+                .ok()??;
             reply.link.into_iter().for_each(|link| self.keep(link));
             Some(reply.head.status == 200)
         };
         let ok = matches!(timeout(self.limits.probe, asking).await, Ok(Some(true)));
-        let _ = self.module.send(Told::Peer(PeerSays::Probed { cache: self.cache, ok })).await;
+        let _ = self
+            .module
+            .send(Told::Peer(PeerSays::Probed {
+                cache: self.cache,
+                ok,
+            }))
+            .await;
     }
 }
 
--- a/crates/sparrouter-node/src/routing/tests/list.rs
+++ b/crates/sparrouter-node/src/routing/tests/list.rs
@@ -25,7 +25,10 @@
 impl Hold {
     /// None for a call or a watch that came to nothing.
     async fn told(&mut self) -> Option<Listing> {
-        match timeout(5000 * MS, self.told.recv()).await.expect("the list's actor says something") {
+        match timeout(5000 * MS, self.told.recv())
+            .await
+            .expect("the list's actor says something")
+        {
             Some(Told::List(ListSays::Listed(listing))) => Some(listing),
             Some(Told::List(ListSays::Lost)) => None,
             _ => panic!("the list's actor speaks of lists alone"),
@@ -70,16 +73,30 @@
 
 /// The next call and its first line.
 async fn call(door: &TcpListener) -> (TcpStream, String) {
-    let (mut stream, _) = timeout(5000 * MS, door.accept()).await.expect("a call").unwrap();
+    let (mut stream, _) = timeout(5000 * MS, door.accept())
+        .await
+        .expect("a call")
+        .unwrap();
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         assert!(stream.read_buf(&mut text).await.unwrap() > 0);
     }
-    (stream, String::from_utf8(text).unwrap().lines().next().unwrap().to_string())
+    (
+        stream,
+        String::from_utf8(text)
+            .unwrap()
+            .lines()
+            .next()
+            .unwrap()
+            .to_string(),
+    )
 }
 
 async fn say(stream: &mut TcpStream, text: &str) {
-    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await.unwrap();
+    stream
+        .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+        .await
+        .unwrap();
 }
 
 /// To a call for the whole.
@@ -173,7 +190,10 @@
     for trickle in [false, true] {
         play(async {
             let (door, mut stream, hold) = watched(true).await;
-            let (start, half) = (Instant::now(), r#"{"rev":42,"all":false,"targets":[{"uid":"c0","#);
+            let (start, half) = (
+                Instant::now(),
+                r#"{"rev":42,"all":false,"targets":[{"uid":"c0","#,
+            );
             say(&mut stream, half).await;
             let drip = async {
                 for byte in half.bytes().cycle().take(if trickle { 1000 } else { 0 }) {
@@ -204,12 +224,17 @@
 fn indented_lists_are_read() {
     play(async {
         let (door, mut stream, mut hold) = watched(false).await;
-        let indented = list(43, false, "terminating").replace(',', ",\n  ").replace('{', "{\n\n ");
+        let indented = list(43, false, "terminating")
+            .replace(',', ",\n  ")
+            .replace('{', "{\n\n ");
         let (a, b) = indented.split_at(indented.len() / 2);
         say(&mut stream, a).await;
         say(&mut stream, b).await;
         let told = hold.listed().await;
-        assert_eq!((told.rev, told.targets[0].state.as_str()), (43, "terminating"));
+        assert_eq!(
+            (told.rev, told.targets[0].state.as_str()),
+            (43, "terminating")
+        );
         say(&mut stream, "\n\n").await;
         hold.asks.send(Ask::Whole).await.unwrap();
         let (mut whole, _) = call(&door).await;
@@ -217,7 +242,11 @@
         answer(&mut whole, &text).await.unwrap();
         assert_eq!(hold.listed().await.rev, 44);
         // The watch has gone on meanwhile.
-        say(&mut stream, &format!("{}\n", list(45, false, "terminating"))).await;
+        say(
+            &mut stream,
+            &format!("{}\n", list(45, false, "terminating")),
+        )
+        .await;
         assert_eq!(hold.listed().await.rev, 45);
     });
 }
@@ -234,7 +263,11 @@
         assert_eq!(hold.listed().await.rev, 43);
         let text = list(42, true, "in_service");
         answer(&mut whole, &text).await.unwrap();
-        assert_eq!(whole.read(&mut [0]).await.unwrap_or(0), 0, "it was read to its end");
+        assert_eq!(
+            whole.read(&mut [0]).await.unwrap_or(0),
+            0,
+            "it was read to its end"
+        );
         say(&mut stream, &list(42, false, "in_service")).await;
         assert!(hold.told().await.is_none(), "lost, and nothing undone");
         // From the beginning: its versions may be counted anew.
@@ -260,11 +293,16 @@
         assert!(first.contains("watch=1&after=0"), "{first}");
         let text = list(99, true, "in_service");
         let _ = answer(&mut whole, &text).await;
-        let _ = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await;
+        let _ = stream
+            .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+            .await;
         moved.write_all(OPEN.as_bytes()).await.unwrap();
         say(&mut moved, &list(7, true, "terminating")).await;
         let told = hold.listed().await;
-        assert_eq!((told.rev, told.targets[0].state.as_str()), (7, "terminating"));
+        assert_eq!(
+            (told.rev, told.targets[0].state.as_str()),
+            (7, "terminating")
+        );
     });
 }
 
@@ -275,10 +313,16 @@
         let (door, stream, mut hold) = watched(false).await;
         drop(stream);
         assert!(hold.told().await.is_none());
-        assert!(timeout(300 * MS, door.accept()).await.is_err(), "nobody has asked");
+        assert!(
+            timeout(300 * MS, door.accept()).await.is_err(),
+            "nobody has asked"
+        );
         hold.asks.send(Ask::Follow).await.unwrap();
         let (mut refused, _) = call(&door).await;
-        refused.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        refused
+            .write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            .await
+            .unwrap();
         assert!(hold.told().await.is_none());
         // One that hangs gives way to the next.
         hold.asks.send(Ask::Follow).await.unwrap();
--- a/crates/sparrouter-node/src/routing/tests/peer.rs
+++ b/crates/sparrouter-node/src/routing/tests/peer.rs
@@ -38,18 +38,33 @@
 
 fn forward(inv: u32, invocation: Rc<Invocation>, before: Option<Instant>) -> Forward {
     let (over, wait) = (Rc::new(Cell::new(false)), 5000 * MS);
-    Forward { inv, copy: 0, invocation, over, at: Instant::now(), wait, before }
+    Forward {
+        inv,
+        copy: 0,
+        invocation,
+        over,
+        at: Instant::now(),
+        wait,
+        before,
+    }
 }
 
 /// One forward, whole at the other side, then withdrawn: when the other side saw the close, and when the
 /// module heard of the end, both since the withdrawal.
 fn withdrawn() -> (Duration, Duration) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
     LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let at = listener.local_addr().unwrap();
         let (module, mut told) = mpsc::channel(8);
-        let limits = Limits { dial: 800 * MS, probe: 800 * MS, overlaps: false };
+        let limits = Limits {
+            dial: 800 * MS,
+            probe: 800 * MS,
+            overlaps: false,
+        };
         let pool = Pool::new(Share::new(8), 1000 * MS);
         let peer = peer::start(0, at, pool, module, limits, Room::USUAL);
         assert!(peer.order(Order::Forward(forward(1, invocation(), None))));
@@ -65,11 +80,15 @@
             start.elapsed()
         };
         let heard = async {
-            let Some(Told::Peer(PeerSays::Ended { how, .. })) = told.recv().await else { panic!("no end") };
+            let Some(Told::Peer(PeerSays::Ended { how, .. })) = told.recv().await else {
+                panic!("no end")
+            };
             assert_eq!(how.outcome, Outcome::Withdrawn);
             start.elapsed()
         };
-        timeout(5000 * MS, async { tokio::join!(closed, heard) }).await.unwrap()
+        timeout(5000 * MS, async { tokio::join!(closed, heard) })
+            .await
+            .unwrap()
     })
 }
 
@@ -78,7 +97,10 @@
 #[test]
 fn a_withdrawn_forward_has_ended_once_its_close_can_have_arrived() {
     let (closed, heard) = withdrawn();
-    assert!(heard >= MS && heard > closed, "closed after {closed:?}, heard after {heard:?}");
+    assert!(
+        heard >= MS && heard > closed,
+        "closed after {closed:?}, heard after {heard:?}"
+    );
 }
 
 /// A peer's actor and the cache server's side of it. That side's streams are plain ones, so that what it does has
@@ -95,17 +117,38 @@
     async fn new() -> Stage {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (module, told) = mpsc::channel(8);
-        let limits = Limits { dial: 800 * MS, probe: 800 * MS, overlaps: true };
+        let limits = Limits {
+            dial: 800 * MS,
+            probe: 800 * MS,
+            overlaps: true,
+        };
         let pool = Pool::new(Share::new(8), 5000 * MS);
-        let peer = peer::start(0, listener.local_addr().unwrap(), pool, module, limits, Room::USUAL);
-        Stage { listener, peer, told }
+        let peer = peer::start(
+            0,
+            listener.local_addr().unwrap(),
+            pool,
+            module,
+            limits,
+            Room::USUAL,
+        );
+        Stage {
+            listener,
+            peer,
+            told,
+        }
     }
     async fn accept(&self) -> TcpStream {
-        let (stream, _) = timeout(5000 * MS, self.listener.accept()).await.expect("a connection").unwrap();
+        let (stream, _) = timeout(5000 * MS, self.listener.accept())
+            .await
+            .expect("a connection")
+            .unwrap();
         stream.into_std().unwrap()
     }
     fn send(&self, inv: u32) {
-        assert!(self.peer.order(Order::Forward(forward(inv, invocation(), None))));
+        assert!(
+            self.peer
+                .order(Order::Forward(forward(inv, invocation(), None)))
+        );
     }
     async fn ended(&mut self) -> Ended {
         match timeout(5000 * MS, self.told.recv()).await.expect("an end") {
@@ -165,9 +208,13 @@
             stage.send(2);
             let mut new = stage.accept().await;
             request(&mut new).await;
-            new.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew").unwrap();
+            new.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+                .unwrap();
             let how = stage.ended().await;
-            assert_eq!((how.outcome, &how.body.bytes[..]), (Outcome::Succeeded, &b"new"[..]));
+            assert_eq!(
+                (how.outcome, &how.body.bytes[..]),
+                (Outcome::Succeeded, &b"new"[..])
+            );
         });
     }
 }
@@ -176,13 +223,20 @@
 #[test]
 fn what_the_list_says_holds_for_forwards_already_ordered() {
     play(async {
-        let (mut stage, at) = (Stage::new().await, TcpListener::bind("127.0.0.1:0").await.unwrap());
+        let (mut stage, at) = (
+            Stage::new().await,
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        );
         let old = stage.listener.local_addr().unwrap();
         stage.send(1);
         stage.peer.listed(old, false);
         assert_eq!(stage.ended().await.outcome, Outcome::NotSent);
         let mut dialled = stage.accept().await;
-        assert_eq!(byte(&mut dialled).await, None, "nothing is sent to one that drains");
+        assert_eq!(
+            byte(&mut dialled).await,
+            None,
+            "nothing is sent to one that drains"
+        );
         // Its connection stands at the old address when another one is listed.
         stage.peer.listed(old, true);
         stage.send(2);
@@ -203,19 +257,34 @@
 fn nothing_leaves_past_the_window_of_repeats() {
     play(async {
         let mut stage = Stage::new().await;
-        assert!(stage.peer.order(Order::Forward(forward(1, invocation(), Some(Instant::now())))));
+        assert!(stage.peer.order(Order::Forward(forward(
+            1,
+            invocation(),
+            Some(Instant::now())
+        ))));
         assert_eq!(stage.ended().await.outcome, Outcome::NotSent);
         // The connection that came up for it rests, and the next one uses it.
         let mut stream = stage.accept().await;
-        assert!(stage.peer.order(Order::Forward(forward(2, invocation(), Some(Instant::now() + 5000 * MS)))));
+        assert!(stage.peer.order(Order::Forward(forward(
+            2,
+            invocation(),
+            Some(Instant::now() + 5000 * MS)
+        ))));
         request(&mut stream).await;
         stream.write_all(HIT).unwrap();
         assert_eq!(stage.ended().await.outcome, Outcome::Succeeded);
         // More than the way takes up while nobody reads.
         let body = Bytes::from(vec![b'x'; 32 << 20]);
-        let long = Invocation { body: body.clone(), ..(*invocation()).clone() };
+        let long = Invocation {
+            body: body.clone(),
+            ..(*invocation()).clone()
+        };
         let before = Some(Instant::now() + 100 * MS);
-        assert!(stage.peer.order(Order::Forward(forward(3, Rc::new(long), before))));
+        assert!(
+            stage
+                .peer
+                .order(Order::Forward(forward(3, Rc::new(long), before)))
+        );
         assert_eq!(stage.ended().await.outcome, Outcome::NotSent);
         let mut came = 0;
         while byte(&mut stream).await.is_some() {
@@ -236,14 +305,23 @@
             request(&mut stream).await;
             stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nall").unwrap();
             if late > 0 {
-                assert!(timeout(late * MS, stage.told.recv()).await.is_err(), "not before its end");
+                assert!(
+                    timeout(late * MS, stage.told.recv()).await.is_err(),
+                    "not before its end"
+                );
             }
             if reset {
-                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                socket2::SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
             }
             drop(stream);
             let how = stage.ended().await;
-            let expected = if reset { (Outcome::Reset, &b""[..]) } else { (Outcome::Succeeded, &b"all"[..]) };
+            let expected = if reset {
+                (Outcome::Reset, &b""[..])
+            } else {
+                (Outcome::Succeeded, &b"all"[..])
+            };
             assert_eq!((how.outcome, &how.body.bytes[..]), expected);
             // It carries no other exchange.
             stage.send(2);
@@ -263,10 +341,20 @@
         assert!(stage.peer.order(Order::Forward(gone)));
         assert_eq!(stage.ended().await.outcome, Outcome::NotSent);
         let mut stream = stage.accept().await;
-        let next = Invocation { id: Bytes::from_static(b"next"), ..(*invocation()).clone() };
-        assert!(stage.peer.order(Order::Forward(forward(2, Rc::new(next), None))));
+        let next = Invocation {
+            id: Bytes::from_static(b"next"),
+            ..(*invocation()).clone()
+        };
+        assert!(
+            stage
+                .peer
+                .order(Order::Forward(forward(2, Rc::new(next), None)))
+        );
         let text = head(&mut stream).await;
-        assert!(text.contains("X-Request-Id: next") && text.matches("GET ").count() == 1, "{text}");
+        assert!(
+            text.contains("X-Request-Id: next") && text.matches("GET ").count() == 1,
+            "{text}"
+        );
     });
 }
 
@@ -276,11 +364,21 @@
     play(async {
         let mut stage = Stage::new().await;
         let mut stream = stage.rested().await;
-        let late = Forward { wait: Duration::ZERO, ..forward(2, invocation(), None) };
+        let late = Forward {
+            wait: Duration::ZERO,
+            ..forward(2, invocation(), None)
+        };
         assert!(stage.peer.order(Order::Forward(late)));
         assert_eq!(stage.ended().await.outcome, Outcome::NotSent);
-        let next = Invocation { id: Bytes::from_static(b"next"), ..(*invocation()).clone() };
-        assert!(stage.peer.order(Order::Forward(forward(3, Rc::new(next), None))));
+        let next = Invocation {
+            id: Bytes::from_static(b"next"),
+            ..(*invocation()).clone()
+        };
+        assert!(
+            stage
+                .peer
+                .order(Order::Forward(forward(3, Rc::new(next), None)))
+        );
         assert!(
             head(&mut stream).await.contains("X-Request-Id: next"),
             "the first to come, on the same connection"
--- a/crates/sparrouter-node/src/transport/budget.rs
+++ b/crates/sparrouter-node/src/transport/budget.rs
@@ -35,7 +35,11 @@
 
 impl Share {
     pub fn new(limit: usize) -> Rc<Share> {
-        Rc::new(Share { limit: limit.max(1), held: Cell::new(0), freed: Notify::new() })
+        Rc::new(Share {
+            limit: limit.max(1),
+            held: Cell::new(0),
+            freed: Notify::new(),
+        })
     }
     pub fn held(&self) -> usize {
         self.held.get()
@@ -74,7 +78,11 @@
         if more == 0 {
             return true;
         }
-        let permit = self.0.as_ref().filter(|s| pages <= s.limit / 4).and_then(|s| s.take_of(more));
+        let permit = self
+            .0
+            .as_ref()
+            .filter(|s| pages <= s.limit / 4)
+            .and_then(|s| s.take_of(more));
         permit.map(|p| granted.push(p)).is_some()
     }
 }
@@ -92,7 +100,10 @@
     let free = sockets.saturating_sub(OWN) as f64;
     let most = (memory / 4 / (MAX_HEAD + MAX_BODY)).max(1);
     let (clients, spare) = ((free * CLIENTS) as usize, (free * SPARE).ceil() as usize);
-    let (peers, clients) = ((free as usize - clients - spare).min(most), clients.min(most).max(1));
+    let (peers, clients) = (
+        (free as usize - clients - spare).min(most),
+        clients.min(most).max(1),
+    );
     (Share::new(clients + spare), clients, Share::new(peers))
 }
 
@@ -124,17 +135,33 @@
 impl Idlers {
     pub fn new(sockets: usize) -> Rc<Idlers> {
         let most = (sockets as f64 * IDLE).ceil() as usize;
-        Rc::new(Idlers { most, next: Cell::new(0), mute: Waiting::default(), spoke: Waiting::default() })
+        Rc::new(Idlers {
+            most,
+            next: Cell::new(0),
+            mute: Waiting::default(),
+            spoke: Waiting::default(),
+        })
     }
     /// `spoke`: it has sent a whole message before.
     pub fn enter(self: &Rc<Self>, spoke: bool) -> Idler {
         let (number, asked) = (self.next.get(), Rc::new(Notify::new()));
         self.next.set(number + 1);
-        self.waiting(spoke).borrow_mut().insert(number, (Instant::now(), asked.clone()));
+        self.waiting(spoke)
+            .borrow_mut()
+            .insert(number, (Instant::now(), asked.clone()));
         let mut kept = self.spoke.borrow_mut();
-        let longest = if kept.len() > self.most { kept.pop_first() } else { None };
+        let longest = if kept.len() > self.most {
+            kept.pop_first()
+        } else {
+            None
+        };
         longest.inspect(|(_, (_, asked))| asked.notify_one());
-        Idler { house: self.clone(), spoke, number, asked }
+        Idler {
+            house: self.clone(),
+            spoke,
+            number,
+            asked,
+        }
     }
     fn waiting(&self, spoke: bool) -> &Waiting {
         if spoke { &self.spoke } else { &self.mute }
@@ -142,7 +169,10 @@
     /// Asks the first to close; false where all are at work.
     pub fn ask_first(&self) -> bool {
         let mut mute = self.mute.borrow_mut();
-        let silent = mute.first_entry().filter(|e| e.get().0.elapsed() > GRACE).map(|e| e.remove());
+        let silent = mute
+            .first_entry()
+            .filter(|e| e.get().0.elapsed() > GRACE)
+            .map(|e| e.remove());
         let oldest = silent.or_else(|| self.spoke.borrow_mut().pop_first().map(|(_, place)| place));
         oldest.inspect(|(_, asked)| asked.notify_one()).is_some()
     }
@@ -156,6 +186,9 @@
 
 impl Drop for Idler {
     fn drop(&mut self) {
-        self.house.waiting(self.spoke).borrow_mut().remove(&self.number);
+        self.house
+            .waiting(self.spoke)
+            .borrow_mut()
+            .remove(&self.number);
     }
 }
--- a/crates/sparrouter-node/src/transport/client.rs
+++ b/crates/sparrouter-node/src/transport/client.rs
@@ -33,8 +33,15 @@
 
 /// What a client's connection says to whoever decides.
 pub enum ClientSays {
-    Taken { inv: InvIx, invocation: Rc<Invocation>, at: Instant, answer: oneshot::Sender<Answered> },
-    Gone { inv: InvIx },
+    Taken {
+        inv: InvIx,
+        invocation: Rc<Invocation>,
+        at: Instant,
+        answer: oneshot::Sender<Answered>,
+    },
+    Gone {
+        inv: InvIx,
+    },
 }
 
 /// How far the node is on its way out.
@@ -73,10 +80,21 @@
 }
 
 pub async fn attend<M: From<ClientSays>>(
-    stream: TcpStream, permit: Permit, beyond: bool, house: Rc<House<M>>,
+    stream: TcpStream,
+    permit: Permit,
+    beyond: bool,
+    house: Rc<House<M>>,
 ) {
     let (connected, buffer) = (Instant::now(), BytesMut::new());
-    let mut client = Client { stream, buffer, house, connected, new: true, beyond, ended: false };
+    let mut client = Client {
+        stream,
+        buffer,
+        house,
+        connected,
+        new: true,
+        beyond,
+        ended: false,
+    };
     while client.next().await.is_some() {}
     drop(client);
     drop(permit);
@@ -97,7 +115,11 @@
                 return None;
             }
         }
-        let from = if self.new { self.connected } else { Instant::now() };
+        let from = if self.new {
+            self.connected
+        } else {
+            Instant::now()
+        };
         let until = from + WHOLE.min(self.house.patience.get());
         // Guards against clients that each send half a message: they held all descriptors until it was too late.
         let place = self.house.idlers.enter(false);
@@ -112,7 +134,8 @@
             Err(Broken::Ended | Broken::Reset) => return None,
             Err(Broken::Bad(bad)) => {
                 log::debug!("bad input from a client: {}", bad.0);
-                self.write(messages::answer(&Answer::Bad(bad.0), false)).await?;
+                self.write(messages::answer(&Answer::Bad(bad.0), false))
+                    .await?;
                 self.linger().await;
                 return None;
             }
@@ -141,7 +164,11 @@
 
     /// Half a message, and its descriptor is wanted.
     async fn turn_away(&mut self) -> Option<()> {
-        self.write(messages::answer(&Answer::Throttled { retry_after: 0 }, false)).await?;
+        self.write(messages::answer(
+            &Answer::Throttled { retry_after: 0 },
+            false,
+        ))
+        .await?;
         // More may be on its way: the answer gets a start on the reset, and the others wait no longer than that.
         let _ = self.stream.shutdown().await;
         sleep(SETTLE).await;
@@ -151,8 +178,13 @@
     /// Whether it may take longer than the node is there.
     fn too_late(&self, invocation: &Invocation, at: Instant) -> bool {
         let longest = self.house.patience.get();
-        let patience = invocation.patience_ms.map_or(longest, |ms| Duration::from_millis(ms).min(longest));
-        self.house.leaves.get().is_some_and(|leaves| at + patience > leaves)
+        let patience = invocation
+            .patience_ms
+            .map_or(longest, |ms| Duration::from_millis(ms).min(longest));
+        self.house
+            .leaves
+            .get()
+            .is_some_and(|leaves| at + patience > leaves)
     }
 
     /// Takes what has come by now; false where the client has ended its side. Guards against handing over what
@@ -184,7 +216,12 @@
         let place = self.house.idlers.enter(true);
         let _ = self.stream.shutdown().await;
         let closed = async {
-            while self.stream.ready(Interest::READABLE).await.is_ok_and(|r| !r.is_read_closed()) {
+            while self
+                .stream
+                .ready(Interest::READABLE)
+                .await
+                .is_ok_and(|r| !r.is_read_closed())
+            {
                 sleep(SETTLE).await;
             }
         };
@@ -203,7 +240,13 @@
             let going_on = self.stream.write_all(messages::CONTINUE).await;
             going_on.map_err(|_| Broken::Reset)?;
         }
-        let body = reading::body(&mut self.stream, &mut self.buffer, call.framing, &Room::USUAL).await?;
+        let body = reading::body(
+            &mut self.stream,
+            &mut self.buffer,
+            call.framing,
+            &Room::USUAL,
+        )
+        .await?;
         Ok((call, body.bytes))
     }
 
@@ -249,7 +292,12 @@
         let inv = self.house.next.get();
         self.house.next.set(inv.wrapping_add(1));
         let (answer, mut answered) = oneshot::channel();
-        let taken = ClientSays::Taken { inv, invocation, at, answer };
+        let taken = ClientSays::Taken {
+            inv,
+            invocation,
+            at,
+            answer,
+        };
         self.house.mailbox.send(taken.into()).await.ok()?;
         loop {
             // A client sends nothing more before its answer; what comes all the same waits its turn.
@@ -270,6 +318,12 @@
 
     async fn write(&mut self, (head, body): (Bytes, Bytes)) -> Option<()> {
         let mut all = head.chain(body);
-        timeout(self.house.patience.get(), self.stream.write_all_buf(&mut all)).await.ok()?.ok()
+        timeout(
+            self.house.patience.get(),
+            self.stream.write_all_buf(&mut all),
+        )
+        .await
+        .ok()?
+        .ok()
     }
 }
--- a/crates/sparrouter-node/src/transport/datagrams.rs
+++ b/crates/sparrouter-node/src/transport/datagrams.rs
@@ -21,7 +21,10 @@
 
 impl Datagrams {
     pub async fn bind(at: SocketAddr, nodes: Vec<SocketAddr>) -> std::io::Result<Rc<Datagrams>> {
-        Ok(Rc::new(Datagrams { socket: UdpSocket::bind(at).await?, nodes: RefCell::new(nodes) }))
+        Ok(Rc::new(Datagrams {
+            socket: UdpSocket::bind(at).await?,
+            nodes: RefCell::new(nodes),
+        }))
     }
 
     /// Other nodes from now on, by their numbers.
@@ -30,7 +33,9 @@
     }
 
     pub fn send(&self, peer: usize, text: &[u8]) {
-        let Some(to) = self.nodes.borrow().get(peer).copied() else { return };
+        let Some(to) = self.nodes.borrow().get(peer).copied() else {
+            return;
+        };
         if text.len() > MAX {
             return log::error!("note of {} bytes not sent", text.len());
         }
@@ -44,12 +49,20 @@
         let mut buffer = [0; MAX + 1];
         loop {
             // An error here is about an earlier send (its receiver is down): the next read goes on.
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
             let peer = self.nodes.borrow().iter().position(|n| *n == from);
             match peer {
                 Some(peer) if length <= MAX => {
                     // Dropped where the mailbox is full: a note is worth no waiting.
-                    let _ = mailbox.try_send(NodeSays { peer, text: buffer[..length].to_vec() }.into());
+                    let _ = mailbox.try_send(
+                        NodeSays {
+                            peer,
+                            text: buffer[..length].to_vec(),
+                        }
+                        .into(),
+                    );
                 }
                 _ => log::debug!("datagram of {length} bytes from {from} dropped"),
             }
--- a/crates/sparrouter-node/src/transport/link.rs
+++ b/crates/sparrouter-node/src/transport/link.rs
@@ -36,7 +36,13 @@
     pub async fn dial(to: SocketAddr, limit: Duration, permit: Permit) -> io::Result<Link> {
         let stream = tokio::time::timeout(limit, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream, buffer: BytesMut::new(), to, idle: None, _permit: permit })
+        Ok(Link {
+            stream,
+            buffer: BytesMut::new(),
+            to,
+            idle: None,
+            _permit: permit,
+        })
     }
 
     /// Open and silent, as an idle connection must be: one that was ended, or holds bytes that nobody
@@ -49,7 +55,12 @@
     /// this is dropped half way; dropping closes the connection. None where it could not be written whole
     /// `before` that moment.
     pub async fn exchange(
-        mut self, head: Bytes, body: Bytes, before: Option<Instant>, room: &Room, written: &Cell<bool>,
+        mut self,
+        head: Bytes,
+        body: Bytes,
+        before: Option<Instant>,
+        room: &Room,
+        written: &Cell<bool>,
     ) -> Result<Option<Reply>, Broken> {
         let mut all = head.chain(body);
         let writing = self.stream.write_all_buf(&mut all);
@@ -78,6 +89,10 @@
         let body = reading::body(&mut self.stream, &mut self.buffer, head.framing, room).await?;
         let reusable = head.keep && self.buffer.is_empty();
         self.buffer = BytesMut::new();
-        Ok(Some(Reply { head, body, link: reusable.then_some(self) }))
+        Ok(Some(Reply {
+            head,
+            body,
+            link: reusable.then_some(self),
+        }))
     }
 }
--- a/crates/sparrouter-node/src/transport/listener.rs
+++ b/crates/sparrouter-node/src/transport/listener.rs
@@ -14,7 +14,10 @@
 /// or is told at once to come back: a message counts as taken once it is in our kernel, so that not
 /// accepting would lose it.
 pub async fn accept<M: From<ClientSays> + 'static>(
-    listener: TcpListener, share: Rc<Share>, most: usize, house: Rc<House<M>>,
+    listener: TcpListener,
+    share: Rc<Share>,
+    most: usize,
+    house: Rc<House<M>>,
 ) {
     let (errors, told) = (Often::default(), Often::default());
     loop {
--- a/crates/sparrouter-node/src/transport/pool.rs
+++ b/crates/sparrouter-node/src/transport/pool.rs
@@ -25,12 +25,16 @@
 
 impl Ages {
     fn place(longest: Duration, idle: Duration) -> usize {
-        (0..AGES - 1).find(|n| idle <= longest / (1 << (AGES - 1 - n))).unwrap_or(AGES - 1)
+        (0..AGES - 1)
+            .find(|n| idle <= longest / (1 << (AGES - 1 - n)))
+            .unwrap_or(AGES - 1)
     }
     fn learn(&mut self, place: usize, broke: bool, memory: Duration) {
         let now = Instant::now();
         if now - *self.halved.get_or_insert(now) > memory {
-            self.ended.iter_mut().for_each(|e| *e = (e.0 / 2.0, e.1 / 2.0));
+            self.ended
+                .iter_mut()
+                .for_each(|e| *e = (e.0 / 2.0, e.1 / 2.0));
             self.halved = Some(now);
         }
         let ended = &mut self.ended[place];
@@ -59,7 +63,13 @@
     /// `longest`: how long a link may stand idle, well before the other side would close it.
     pub fn new(share: Rc<Share>, longest: Duration) -> Rc<Pool> {
         let (opened, ages, idle) = (Rc::default(), RefCell::default(), RefCell::default());
-        Rc::new(Pool { opened, share, longest, ages, idle })
+        Rc::new(Pool {
+            opened,
+            share,
+            longest,
+            ages,
+            idle,
+        })
     }
 
     /// The link last used, so that those not needed grow old together.
@@ -82,10 +92,14 @@
     /// An exchange on a link that had stood idle so long, or on a new one, ended or `broke`.
     pub fn learn(&self, idle: Option<Duration>, broke: bool) {
         let place = idle.map_or(AGES, |idle| Ages::place(self.longest, idle));
-        self.ages.borrow_mut().learn(place, broke, self.longest * MEMORY);
+        self.ages
+            .borrow_mut()
+            .learn(place, broke, self.longest * MEMORY);
     }
     pub fn put(&self, peer: usize, link: Link) {
-        self.idle.borrow_mut().push_back((peer, link, Instant::now()));
+        self.idle
+            .borrow_mut()
+            .push_back((peer, link, Instant::now()));
     }
     /// Room for a new link; the longest idle one makes it where there is none.
     pub fn room(&self) -> Option<Permit> {
@@ -104,7 +118,9 @@
         loop {
             tokio::time::sleep(self.longest / 8).await;
             let limit = self.limit();
-            self.idle.borrow_mut().retain(|(_, link, since)| since.elapsed() < limit && link.silent());
+            self.idle
+                .borrow_mut()
+                .retain(|(_, link, since)| since.elapsed() < limit && link.silent());
         }
     }
 }
--- a/crates/sparrouter-node/src/transport/reading.rs
+++ b/crates/sparrouter-node/src/transport/reading.rs
@@ -10,14 +10,19 @@
 
 /// Up to and with the empty line, as long as this program allows.
 pub async fn head(
-    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, begins: &[u8],
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    begins: &[u8],
 ) -> Result<Bytes, Broken> {
     sparrouter_http::reading::head(stream, buffer, begins, MAX_HEAD).await
 }
 
 /// As long as there is room for it.
 pub async fn body(
-    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, framing: Framing, room: &Room,
+    stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    framing: Framing,
+    room: &Room,
 ) -> Result<Body, Broken> {
     let mut granted = Vec::new();
     let mut fits = |length| match room.grant(length, &mut granted) {
--- a/crates/sparrouter-node/src/transport/tests.rs
+++ b/crates/sparrouter-node/src/transport/tests.rs
@@ -51,7 +51,13 @@
         });
         let permit = Share::new(1).take().unwrap();
         let task = tokio::task::spawn_local(client::attend(stream, permit, false, house.clone()));
-        Front { client, said, stage, house, task }
+        Front {
+            client,
+            said,
+            stage,
+            house,
+            task,
+        }
     }
     fn write(&mut self, text: &str) {
         self.client.write_all(text.as_bytes()).unwrap();
@@ -60,15 +66,20 @@
         self.client.shutdown(std::net::Shutdown::Write).unwrap();
     }
     async fn taken(&mut self) -> (String, oneshot::Sender<Answered>) {
-        match timeout(2000 * MS, self.said.recv()).await.expect("an invocation") {
-            Some(ClientSays::Taken { invocation, answer, .. }) => {
-                (String::from_utf8(invocation.id.to_vec()).unwrap(), answer)
-            }
+        match timeout(2000 * MS, self.said.recv())
+            .await
+            .expect("an invocation")
+        {
+            Some(ClientSays::Taken {
+                invocation, answer, ..
+            }) => (String::from_utf8(invocation.id.to_vec()).unwrap(), answer),
             _ => panic!("an invocation is taken"),
         }
     }
     async fn gone(&mut self) {
-        let says = timeout(2000 * MS, self.said.recv()).await.expect("word that it has gone");
+        let says = timeout(2000 * MS, self.said.recv())
+            .await
+            .expect("word that it has gone");
         assert!(matches!(says, Some(ClientSays::Gone { .. })));
     }
     /// All that comes up to the end of the connection, and whether that was a reset.
@@ -101,7 +112,10 @@
         sleep(5 * MS).await;
     }
     async fn over(self) {
-        timeout(2000 * MS, self.task).await.expect("nothing is left of it").unwrap();
+        timeout(2000 * MS, self.task)
+            .await
+            .expect("nothing is left of it")
+            .unwrap();
     }
 }
 
@@ -127,13 +141,18 @@
                 assert_eq!(id, "second");
                 if leaves {
                     let (text, reset) = f.rest().await;
-                    assert!(text.contains("Connection: close") && text.ends_with("\r\n\r\n2") && !reset);
+                    assert!(
+                        text.contains("Connection: close") && text.ends_with("\r\n\r\n2") && !reset
+                    );
                 }
             } else {
                 let (text, _) = f.rest().await;
                 let _ = f.client.write_all(request("second").as_bytes());
                 assert_eq!(text, "");
-                assert!(timeout(50 * MS, f.said.recv()).await.is_err(), "nothing of it is handed over");
+                assert!(
+                    timeout(50 * MS, f.said.recv()).await.is_err(),
+                    "nothing of it is handed over"
+                );
             }
         });
     }
@@ -197,7 +216,10 @@
                 assert!(f.rest().await.0.starts_with("HTTP/1.1 503 "));
             }
             while let Ok(says) = f.said.try_recv() {
-                assert!(matches!(says, ClientSays::Gone { .. }), "nothing more is handed over");
+                assert!(
+                    matches!(says, ClientSays::Gone { .. }),
+                    "nothing more is handed over"
+                );
             }
             f.over().await;
         });
@@ -215,7 +237,9 @@
             let (_, answer) = f.taken().await;
             let start = Instant::now();
             if reset {
-                socket2::SockRef::from(&f.client).set_linger(Some(Duration::ZERO)).unwrap();
+                socket2::SockRef::from(&f.client)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
                 f.client = TcpStream::connect(f.client.peer_addr().unwrap()).unwrap_or_else(|_| {
                     // Nobody listens there any more; the old stream is dropped all the same.
                     let spare = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -252,6 +276,9 @@
         let (text, _) = f.rest().await;
         assert!(text.contains("Connection: close"));
         assert_eq!(text.matches('x').count(), body.len());
-        assert!(f.said.try_recv().is_err(), "what crosses the end is not handed over");
+        assert!(
+            f.said.try_recv().is_err(),
+            "what crosses the end is not handed over"
+        );
     });
 }
--- a/crates/sparrouter-node/src/transport/watching.rs
+++ b/crates/sparrouter-node/src/transport/watching.rs
@@ -23,16 +23,25 @@
 
 impl Call {
     /// From `after` on, or the whole list at once. Open once discovery has answered with 200.
-    pub async fn open(at: SocketAddr, after: Option<u64>, dial_limit: Duration) -> Result<Call, Broken> {
+    pub async fn open(
+        at: SocketAddr,
+        after: Option<u64>,
+        dial_limit: Duration,
+    ) -> Result<Call, Broken> {
         let target = match after {
             Some(rev) => format!("/registry/instances?watch=1&after={rev}"),
             None => "/registry/instances".to_string(),
         };
         // Cut off, it would neither come up nor say so; asking again soon finds it back soon.
-        let dialled = timeout(dial_limit, TcpStream::connect(at)).await.map_err(|_| Broken::Reset)?;
+        let dialled = timeout(dial_limit, TcpStream::connect(at))
+            .await
+            .map_err(|_| Broken::Reset)?;
         let mut stream = dialled.map_err(|_| Broken::Reset)?;
         let _ = stream.set_nodelay(true);
-        stream.write_all(&messages::get(&target, at)).await.map_err(|_| Broken::Reset)?;
+        stream
+            .write_all(&messages::get(&target, at))
+            .await
+            .map_err(|_| Broken::Reset)?;
         let mut buffer = BytesMut::new();
         let head = head::reply(&reading::head(&mut stream, &mut buffer, head::REPLY).await?)?;
         if head.status != 200 {
@@ -43,7 +52,14 @@
             Framing::Length(length) => (None, length),
             Framing::ToEnd => (None, usize::MAX),
         };
-        Ok(Call { stream, buffer, chunks, left, text: BytesMut::new(), cutter: Cutter::default() })
+        Ok(Call {
+            stream,
+            buffer,
+            chunks,
+            left,
+            text: BytesMut::new(),
+            cutter: Cutter::default(),
+        })
     }
 
     /// The next list; none for an empty line, by which a quiet discovery shows that it is there. Also
@@ -87,7 +103,11 @@
                 }
             }
             let piece = self.buffer.split_to(self.buffer.len().min(self.left));
-            self.left -= if self.left == usize::MAX { 0 } else { piece.len() };
+            self.left -= if self.left == usize::MAX {
+                0
+            } else {
+                piece.len()
+            };
             self.text.extend_from_slice(&piece);
             return Ok(true);
         };
--- a/crates/sparrouter-node/tests/changes.rs
+++ b/crates/sparrouter-node/tests/changes.rs
@@ -55,8 +55,15 @@
 
 fn tools() -> Tools {
     let own = std::env::current_exe().unwrap().display().to_string();
-    let test = |name: &str| [&own, "--exact", name, "--ignored", "--nocapture"].map(str::to_string).to_vec();
-    Tools { plant: test("planted_in_a_process"), conductor: test("conductor_in_a_process") }
+    let test = |name: &str| {
+        [&own, "--exact", name, "--ignored", "--nocapture"]
+            .map(str::to_string)
+            .to_vec()
+    };
+    Tools {
+        plant: test("planted_in_a_process"),
+        conductor: test("conductor_in_a_process"),
+    }
 }
 
 fn played(lane: usize, name: &str, length_s: u32, change: &str, faults: &str) -> Run {
@@ -95,7 +102,12 @@
          [[fault]]\nkind = \"notes_cut\"\nat_s = 24\nlength_s = 8\npart = 0.5\n",
     );
     let c = run.rollout.as_ref().unwrap();
-    assert_eq!((c.how.as_str(), c.changed.len(), c.kills), ("through", 16, 4), "{}", told(&run));
+    assert_eq!(
+        (c.how.as_str(), c.changed.len(), c.kills),
+        ("through", 16, 4),
+        "{}",
+        told(&run)
+    );
     assert!(run.verdict.kept(), "{}", told(&run));
     assert_eq!(run.tally.total.unanswered, 0, "{}", told(&run));
 }
@@ -113,12 +125,24 @@
 
 #[test]
 fn a_version_that_dies_is_taken_back_though_two_died_in_two_zones() {
-    stopped(1, "dies", 30, "plant = \"dies\"", &["fell silent", "crashed"]);
+    stopped(
+        1,
+        "dies",
+        30,
+        "plant = \"dies\"",
+        &["fell silent", "crashed"],
+    );
 }
 
 #[test]
 fn a_version_that_never_gets_ready_is_taken_back() {
-    let run = stopped(0, "never ready", 32, "plant = \"never_ready\"", &["never reported"]);
+    let run = stopped(
+        0,
+        "never ready",
+        32,
+        "plant = \"never_ready\"",
+        &["never reported"],
+    );
     assert!(run.verdict.kept(), "{}", told(&run));
 }
 
@@ -136,7 +160,13 @@
 #[test]
 fn one_operation_that_errs_is_enough() {
     // What is planted closes a connection now and then as it leaves: no rule is judged here.
-    stopped(0, "one worse", 46, "plant = \"one_worse\"", &["errored", "lost"]);
+    stopped(
+        0,
+        "one worse",
+        46,
+        "plant = \"one_worse\"",
+        &["errored", "lost"],
+    );
 }
 
 #[test]
@@ -156,7 +186,12 @@
 fn notes_of_rubbish_and_of_a_later_format_harm_nobody() {
     for (lane, plant) in [(0, "rubbish"), (0, "newer_notes")] {
         let run = played(lane, plant, 20, &format!("plant = \"{plant}\""), "");
-        assert!(run.verdict.kept() && run.tally.value > 0.99, "{} {}", run.tally.value, told(&run));
+        assert!(
+            run.verdict.kept() && run.tally.value > 0.99,
+            "{} {}",
+            run.tally.value,
+            told(&run)
+        );
     }
 }
 
@@ -173,6 +208,10 @@
     );
     let c = run.rollout.as_ref().unwrap();
     let ends = (c.how.as_str(), c.changed.len());
-    assert!(ends == ("through", 16) || ends == ("back", 0), "{}", told(&run));
+    assert!(
+        ends == ("through", 16) || ends == ("back", 0),
+        "{}",
+        told(&run)
+    );
     assert!(run.verdict.kept(), "{}", told(&run));
 }
--- a/crates/sparrouter-node/tests/clients.rs
+++ b/crates/sparrouter-node/tests/clients.rs
@@ -27,7 +27,13 @@
 /// A flood on one connection by a client that goes at once: a handful is begun, and others are served meanwhile.
 #[test]
 fn a_flood_whose_client_has_gone_is_not_worked_off() {
-    let cache = Server::start(|seen| if seen.id().starts_with('f') { Act::Late(50) } else { Act::Hit });
+    let cache = Server::start(|seen| {
+        if seen.id().starts_with('f') {
+            Act::Late(50)
+        } else {
+            Act::Hit
+        }
+    });
     let w = world(&[&cache], nowhere(), 256);
     let mut flood = w.client();
     flood.set_nonblocking(true).unwrap();
@@ -46,18 +52,35 @@
     let begun = cache.seen().len();
     assert_eq!(w.get("other"), 200);
     std::thread::sleep(300 * MS);
-    let after = cache.seen().iter().filter(|s| s.id().starts_with('f')).count();
+    let after = cache
+        .seen()
+        .iter()
+        .filter(|s| s.id().starts_with('f'))
+        .count();
     assert!(after <= begun && begun < 12, "{begun}, {after}");
 }
 
 /// A client that gives up early and is back at once, over and over: nothing of what it left stays, and the last is served.
 #[test]
 fn one_that_gives_up_and_returns_at_once_is_served() {
-    let cache = Server::start(|seen| if seen.id() == "last" { Act::Hit } else { Act::Late(700) });
+    let cache = Server::start(|seen| {
+        if seen.id() == "last" {
+            Act::Hit
+        } else {
+            Act::Late(700)
+        }
+    });
     let w = world(&[&cache], nowhere(), 64);
     for n in 0..40 {
         let mut stream = w.client();
-        ask(&mut stream, "GET", "/api/k", &format!("early{n}"), "get", "");
+        ask(
+            &mut stream,
+            "GET",
+            "/api/k",
+            &format!("early{n}"),
+            "get",
+            "",
+        );
         // Some leave before, some while it is forwarded.
         if n % 2 == 0 {
             until("that it is forwarded or turned away", || {
@@ -67,7 +90,10 @@
     }
     until("the last one's answer", || w.get("last") == 200);
     let open = cache.seen().iter().filter(|s| s.until.is_none()).count();
-    assert!(open <= 1, "{open} forwards of clients that left are still out");
+    assert!(
+        open <= 1,
+        "{open} forwards of clients that left are still out"
+    );
 }
 
 /// Whether the node has said or ended something there.
--- a/crates/sparrouter-node/tests/fleet.rs
+++ b/crates/sparrouter-node/tests/fleet.rs
@@ -39,7 +39,12 @@
     let node = Program::Node(env!("CARGO_BIN_EXE_sparrouter-node").into());
     let run = play(&scenario, &node, folder.path(), |_| {}).unwrap();
     drop(alone);
-    assert!(run.verdict.kept(), "{:?}\n{:#?}", run.verdict, run.tally.slowest);
+    assert!(
+        run.verdict.kept(),
+        "{:?}\n{:#?}",
+        run.verdict,
+        run.tally.slowest
+    );
     run
 }
 
@@ -57,7 +62,11 @@
          [[fault]]\nkind = \"crash\"\nat_s = 1\nlength_s = 2\npart = 0.34\n\
          [[fault]]\nkind = \"deploy\"\nat_s = 4\nlength_s = 4\npart = 0.8\nbatch = 0.34\ndrain_s = 1.5\n",
     );
-    assert!(run.tally.good() > 0.9 && answered(&run.tally) >= run.tally.total.asked, "{:?}", run.tally.total);
+    assert!(
+        run.tally.good() > 0.9 && answered(&run.tally) >= run.tally.total.asked,
+        "{:?}",
+        run.tally.total
+    );
 }
 
 /// What a killed node held is its client's to ask again; what it had answered counts.
@@ -68,7 +77,11 @@
          [load]\nrate_per_s = 250\nretries = 2\n\
          [[fault]]\nkind = \"node_restart\"\nat_s = 1\nlength_s = 4\npart = 1\ndown_s = 0.5\nkilled = true\n",
     );
-    assert!(run.verdict.unjudged.contains_key("its node was killed"), "{:?}", run.verdict);
+    assert!(
+        run.verdict.unjudged.contains_key("its node was killed"),
+        "{:?}",
+        run.verdict
+    );
     assert!(run.tally.good() > 0.85, "{:?}", run.tally.total);
 }
 
@@ -83,8 +96,14 @@
          [[fault]]\nkind = \"node_pause\"\nat_s = 4\nlength_s = 2\npart = 0.34\n",
     );
     // They did stand still: some of what they had in hand came too late or not at all.
-    let late = run.tally.total.past_objective + run.tally.total.unanswered + run.tally.total.errored;
-    assert!(run.tally.good() > 0.8 && late > 0, "{:?} {:?}", run.tally.total, run.verdict.unjudged);
+    let late =
+        run.tally.total.past_objective + run.tally.total.unanswered + run.tally.total.errored;
+    assert!(
+        run.tally.good() > 0.8 && late > 0,
+        "{:?} {:?}",
+        run.tally.total,
+        run.verdict.unjudged
+    );
 }
 
 /// Cut replies, vanished bytes and slow links before cache servers.
@@ -118,5 +137,10 @@
         "name = \"wide\"\nlength_s = 4\n[nodes]\ncount = 16\nsockets = 1024\n[caches]\ncount = 200\n[origin]\nper_s = 800\n\
          [load]\nrate_per_s = 1500\nconnections = 64\n",
     );
-    assert!(run.tally.good() > 0.9 && run.descriptors < 1024, "{:?} {}", run.tally.total, run.descriptors);
+    assert!(
+        run.tally.good() > 0.9 && run.descriptors < 1024,
+        "{:?} {}",
+        run.tally.total,
+        run.descriptors
+    );
 }
--- a/crates/sparrouter-node/tests/harness/mod.rs
+++ b/crates/sparrouter-node/tests/harness/mod.rs
@@ -39,8 +39,11 @@
     let at = free();
     let other = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let datagrams = free();
-    let mut targets: Vec<String> =
-        caches.iter().enumerate().map(|(n, c)| target(&format!("c{n}"), c.at, "box", "in_service")).collect();
+    let mut targets: Vec<String> = caches
+        .iter()
+        .enumerate()
+        .map(|(n, c)| target(&format!("c{n}"), c.at, "box", "in_service"))
+        .collect();
     targets.push(target("o", origin, "origin", "in_service"));
     let (targets, peer) = (targets.join(","), other.local_addr().unwrap());
     let config = format!(
@@ -50,8 +53,18 @@
         discovery.at
     );
     let (node, folder) = start(&config);
-    let world = World { node, at, discovery, other, datagrams, config, folder };
-    until("ready", || TcpStream::connect(at).is_ok() && world.call("GET", "/health/ready", "", "").0 == 200);
+    let world = World {
+        node,
+        at,
+        discovery,
+        other,
+        datagrams,
+        config,
+        folder,
+    };
+    until("ready", || {
+        TcpStream::connect(at).is_ok() && world.call("GET", "/health/ready", "", "").0 == 200
+    });
     world
 }
 
@@ -60,7 +73,10 @@
     let path = folder.path().join("config.json");
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_sparrouter-node"));
-    command.env("PROXY_CONFIG", &path).env("RUST_LOG", "info").stderr(Stdio::piped());
+    command
+        .env("PROXY_CONFIG", &path)
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped());
     (command.spawn().unwrap(), folder)
 }
 
@@ -68,7 +84,11 @@
 pub fn still_runs(node: &mut Child) {
     if let Some(status) = node.try_wait().unwrap() {
         let mut told = String::new();
-        node.stderr.take().unwrap().read_to_string(&mut told).unwrap();
+        node.stderr
+            .take()
+            .unwrap()
+            .read_to_string(&mut told)
+            .unwrap();
         panic!("the node ended with {status}: {told}");
     }
 }
@@ -80,8 +100,19 @@
     }
 }
 
-pub fn ask(stream: &mut TcpStream, method: &str, path: &str, id: &str, operation: &str, body: &str) {
-    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+pub fn ask(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    id: &str,
+    operation: &str,
+    body: &str,
+) {
+    let length = if body.is_empty() {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", body.len())
+    };
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: {operation}\r\n\
          X-Tenant: t\r\nX-Deadline-Ms: 900\r\n{length}\r\n{body}"
@@ -92,20 +123,39 @@
 
 pub fn answer(stream: &mut TcpStream) -> Option<(u16, String, String)> {
     let (head, body) = message(stream)?;
-    Some((head[9..12].parse().ok()?, head, String::from_utf8(body).ok()?))
+    Some((
+        head[9..12].parse().ok()?,
+        head,
+        String::from_utf8(body).ok()?,
+    ))
 }
 
 impl World {
     pub fn client(&self) -> TcpStream {
         let stream = TcpStream::connect(self.at).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
         stream
     }
     /// A connection that the node closed before it read anything on it is the client's to open anew.
-    pub fn call(&self, method: &str, path: &str, id: &str, operation: &str) -> (u16, String, String) {
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        operation: &str,
+    ) -> (u16, String, String) {
         let answer = (0..3).find_map(|_| {
             let mut stream = self.client();
-            ask(&mut stream, method, path, id, operation, if method == "PUT" { "new" } else { "" });
+            ask(
+                &mut stream,
+                method,
+                path,
+                id,
+                operation,
+                if method == "PUT" { "new" } else { "" },
+            );
             answer(&mut stream)
         });
         answer.expect("an answer")
@@ -125,7 +175,13 @@
         self.call("GET", &format!("/api/{id}"), id, "get").0
     }
     pub fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.node.id().to_string()]).status().unwrap().success());
+        assert!(
+            Command::new("kill")
+                .args([name, &self.node.id().to_string()])
+                .status()
+                .unwrap()
+                .success()
+        );
     }
     /// Replaces the configuration's file and says so.
     pub fn reload(&self, config: &str) {
