--- a/crates/sparrouter-node/tests/node.rs
+++ b/crates/sparrouter-node/tests/node.rs
@@ -2,7 +2,9 @@
 //! discovery played by the lab's scripted stand-ins.
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use sparrouter_lab::scripted::{Act, Discovery, Seen, Server, field, listen, message, target, until};
+use sparrouter_lab::scripted::{
+    Act, Discovery, Seen, Server, field, listen, message, target, until,
+};
 use std::io::{BufRead, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
 use std::process::{Command, Stdio};
@@ -32,7 +34,10 @@
         assert!((1..=900).contains(&wait));
     }
     assert_eq!((cache.seen().len(), origin.seen().len()), (3, 3));
-    assert_eq!((cache.links.load(SeqCst), origin.links.load(SeqCst)), (1, 1));
+    assert_eq!(
+        (cache.links.load(SeqCst), origin.links.load(SeqCst)),
+        (1, 1)
+    );
     // Well before the other side may close them, at 600 ms, they are retired.
     sleep(590 * MS);
     assert_eq!(cache.closed.load(SeqCst), 1);
@@ -45,7 +50,10 @@
         assert_eq!(answer(&mut stream).unwrap().2, format!("value of {id}"));
     }
     let put = origin.seen().into_iter().find(|s| s.id() == "p1").unwrap();
-    assert_eq!((put.body, field(&put.head, "idempotency-key").as_deref()), (b"new".to_vec(), Some("m")));
+    assert_eq!(
+        (put.body, field(&put.head, "idempotency-key").as_deref()),
+        (b"new".to_vec(), Some("m"))
+    );
     // Asked first, the node says that the body may come.
     let put = "PUT /api/k HTTP/1.1\r\nX-Request-Id: p3\r\nX-Class: pay\r\nExpect: 100-continue\r\n\
                Content-Length: 3\r\n\r\n";
@@ -56,7 +64,10 @@
     // A write goes to the origin at once, with its body.
     assert_eq!(w.call("PUT", "/api/k", "w1", "pay").0, 200);
     let write = origin.seen().pop().unwrap();
-    assert_eq!((write.body, write.first), (b"new".to_vec(), "PUT /api/k HTTP/1.1".to_string()));
+    assert_eq!(
+        (write.body, write.first),
+        (b"new".to_vec(), "PUT /api/k HTTP/1.1".to_string())
+    );
     assert_eq!(cache.seen().len(), 4);
 }
 
@@ -73,7 +84,11 @@
         let (cache, origin) = (Server::always(Act::Hit), Server::always(act));
         let w = world(&[&cache], origin.at, 256);
         let (got, _, body) = w.call("PUT", "/api/k", "w", "pay");
-        assert_eq!((got, body.as_str(), origin.seen().len()), (status, "", forwards), "{act:?}");
+        assert_eq!(
+            (got, body.as_str(), origin.seen().len()),
+            (status, "", forwards),
+            "{act:?}"
+        );
     }
     // Nothing was ever written: trying again is harmless.
     let cache = Server::always(Act::Hit);
@@ -85,7 +100,10 @@
     for act in [Act::Reset, Act::Half, Act::Broken, Act::NotRun] {
         let bad = Server::always(act);
         let w = world(&[&bad, &cache], nowhere(), 256);
-        let good: Vec<String> = (0..12).map(|n| format!("r{n}")).filter(|id| w.get(id) == 200).collect();
+        let good: Vec<String> = (0..12)
+            .map(|n| format!("r{n}"))
+            .filter(|id| w.get(id) == 200)
+            .collect();
         assert!(bad.seen().iter().any(|s| good.contains(&s.id())), "{act:?}");
     }
 }
@@ -104,10 +122,21 @@
                 })
             })
             .collect();
-        calls.into_iter().map(|c| c.join().unwrap()).collect::<Vec<_>>()
+        calls
+            .into_iter()
+            .map(|c| c.join().unwrap())
+            .collect::<Vec<_>>()
     });
-    assert!(answers.iter().any(|(status, _, body)| *status == 200 && body.len() == 300_000));
-    assert!(answers.iter().all(|(status, _, body)| *status == 503 || body.len() == 300_000));
+    assert!(
+        answers
+            .iter()
+            .any(|(status, _, body)| *status == 200 && body.len() == 300_000)
+    );
+    assert!(
+        answers
+            .iter()
+            .all(|(status, _, body)| *status == 503 || body.len() == 300_000)
+    );
     let start = Instant::now();
     assert_eq!(w.call("PUT", "/api/k", "e", "pay").0, 502);
     assert!(start.elapsed() < 300 * MS);
@@ -124,7 +153,10 @@
         assert!(start.elapsed() < 300 * MS, "{act:?}");
         w.reads("r", 12);
         let links: Vec<usize> = bad.seen().iter().map(|s| s.link).collect();
-        assert!(links.len() > 1 && links.windows(2).all(|l| l[0] != l[1]), "reused after {act:?}");
+        assert!(
+            links.len() > 1 && links.windows(2).all(|l| l[0] != l[1]),
+            "reused after {act:?}"
+        );
     }
     for (act, links) in [(Act::Hinted, 1), (Act::Trailed, 6), (Act::ToEnd, 6)] {
         let cache = Server::always(act);
@@ -144,7 +176,11 @@
     let last = Mutex::new(std::collections::HashMap::<usize, Instant>::new());
     let cache = Server::start(move |seen| {
         let before = last.lock().unwrap().insert(seen.link, Instant::now());
-        if before.is_some_and(|at| at.elapsed() > 120 * MS) { Act::Reset } else { Act::Hit }
+        if before.is_some_and(|at| at.elapsed() > 120 * MS) {
+            Act::Reset
+        } else {
+            Act::Hit
+        }
     });
     let w = world(&[&cache], nowhere(), 256);
     for n in 0..24 {
@@ -167,7 +203,9 @@
     let (silent, mut half, mut trickle) = (w.client(), w.client(), w.client());
     half.write_all(b"GET /api/k HTTP/1.1\r\nX-Re").unwrap();
     let mut endless = w.client();
-    endless.write_all(b"PUT /api/k HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").unwrap();
+    endless
+        .write_all(b"PUT /api/k HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n")
+        .unwrap();
     for _ in 0..30 {
         endless.write_all(&[b'x'; 8192]).unwrap();
     }
@@ -180,7 +218,10 @@
     assert_eq!(answer(&mut first).unwrap().0, 200);
     // Free again once it is over.
     ask(&mut first, "GET", "/api/k", "same", "get", "");
-    assert_eq!((answer(&mut first).unwrap().0, cache.seen().len()), (200, 2));
+    assert_eq!(
+        (answer(&mut first).unwrap().0, cache.seen().len()),
+        (200, 2)
+    );
     trickle.set_read_timeout(Some(50 * MS)).unwrap();
     while trickle.write_all(b"G").is_ok() && !ended(&trickle) && start.elapsed() < 4000 * MS {}
     assert!(ended(&silent) && ended(&half));
@@ -190,7 +231,10 @@
 /// A machine that is cut off: connections to it never come up, and nobody says so.
 #[test]
 fn a_connect_that_never_comes_up_proves_that_nothing_ran() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .build()
+        .unwrap();
     let _entered = runtime.enter();
     let socket = tokio::net::TcpSocket::new_v4().unwrap();
     socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
@@ -210,7 +254,13 @@
 
 #[test]
 fn a_late_reply_reaches_no_other_invocation() {
-    let cache = Server::start(|seen| if seen.id() == "slow" { Act::Late(600) } else { Act::Hit });
+    let cache = Server::start(|seen| {
+        if seen.id() == "slow" {
+            Act::Late(600)
+        } else {
+            Act::Hit
+        }
+    });
     let w = world(&[&cache], nowhere(), 256);
     let mut stream = w.client();
     ask(&mut stream, "GET", "/api/k", "slow", "get", "");
@@ -223,7 +273,12 @@
         sleep(20 * MS);
     }
     let slow = cache.seen().iter().find(|s| s.id() == "slow").unwrap().link;
-    assert!(cache.seen().iter().all(|s| s.id() == "slow" || s.link != slow));
+    assert!(
+        cache
+            .seen()
+            .iter()
+            .all(|s| s.id() == "slow" || s.link != slow)
+    );
 }
 
 #[test]
@@ -255,7 +310,10 @@
     assert_eq!(w.call("GET", "/health/ready", "", "").0, 503);
     ask(&mut old, "GET", "/api/k", "o2", "get", "");
     let (status, head, _) = answer(&mut old).unwrap();
-    assert_eq!((status, field(&head, "connection").as_deref()), (200, Some("close")));
+    assert_eq!(
+        (status, field(&head, "connection").as_deref()),
+        (200, Some("close"))
+    );
     assert_eq!(old.read(&mut [0; 1]).unwrap(), 0);
     // So long new connections may come.
     let start = Instant::now();
@@ -299,7 +357,10 @@
     w.reads("e", 40);
     assert!(a.seen().len() > before);
     // A whole list that does not name it says that it is gone.
-    let all = format!(r#"{{"rev":44,"all":true,"targets":[{}]}}"#, target("c1", b.at, "box", "in_service"));
+    let all = format!(
+        r#"{{"rev":44,"all":true,"targets":[{}]}}"#,
+        target("c1", b.at, "box", "in_service")
+    );
     w.discovery.say(&all);
     sleep(100 * MS);
     let before = a.seen().len();
@@ -315,7 +376,10 @@
 #[test]
 fn where_gone_is_advice_only_draining_binds() {
     let (a, b) = (Server::always(Act::Hit), Server::always(Act::Hit));
-    let settings = SETTINGS.replace("\"FallUs\":1000000", "\"FallUs\":1000000,\"GoneIsAdvice\":true");
+    let settings = SETTINGS.replace(
+        "\"FallUs\":1000000",
+        "\"FallUs\":1000000,\"GoneIsAdvice\":true",
+    );
     let w = world_of(&settings, &[&a, &b], nowhere(), 256);
     until("the watch", || w.discovery.calls() == 1);
     let mut rev = 41;
@@ -324,7 +388,10 @@
         let target = |&(n, state): &(usize, &str)| target(&format!("c{n}"), at[n], "box", state);
         let targets: Vec<String> = states.iter().map(target).collect();
         rev += 1;
-        w.discovery.say(&format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(",")));
+        w.discovery.say(&format!(
+            r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#,
+            targets.join(",")
+        ));
         until("the line", || w.discovery.feed.lock().unwrap().is_empty());
         sleep(50 * MS);
         let before = (a.seen().len(), b.seen().len());
@@ -332,8 +399,14 @@
         (a.seen().len() > before.0, b.seen().len() > before.1)
     };
     assert_eq!(reads(true, &[]), (true, true));
-    assert_eq!(reads(false, &[(0, "terminated"), (1, "terminated")]), (true, true));
-    assert_eq!(reads(false, &[(0, "in_service"), (1, "in_service")]), (true, true));
+    assert_eq!(
+        reads(false, &[(0, "terminated"), (1, "terminated")]),
+        (true, true)
+    );
+    assert_eq!(
+        reads(false, &[(0, "in_service"), (1, "in_service")]),
+        (true, true)
+    );
     assert_eq!(reads(false, &[(0, "terminating")]), (false, true));
     assert_eq!(reads(false, &[(0, "terminated")]), (false, true));
     assert_eq!(reads(true, &[]), (false, true));
@@ -357,7 +430,10 @@
     assert_eq!(w.discovery.calls(), 1);
     // One that takes the call and never answers must not keep the node from the next.
     let (hanging, deaf) = listen();
-    let config = |at: SocketAddr| w.config.replace(&w.discovery.at.to_string(), &at.to_string());
+    let config = |at: SocketAddr| {
+        w.config
+            .replace(&w.discovery.at.to_string(), &at.to_string())
+    };
     w.reload(&config(deaf));
     let _held = hanging.accept().unwrap();
     let (new, start) = (Discovery::start(), Instant::now());
@@ -367,8 +443,10 @@
     // It may count its versions anew.
     assert!(new.calls.lock().unwrap()[0].contains("watch=1&after=0"));
     assert_eq!(answer(&mut slow).unwrap().0, 200);
-    let list =
-        format!(r#"{{"rev":2,"all":true,"targets":[{}]}}"#, target("c0", cache.at, "box", "terminating"));
+    let list = format!(
+        r#"{{"rev":2,"all":true,"targets":[{}]}}"#,
+        target("c0", cache.at, "box", "terminating")
+    );
     new.say(&list);
     sleep(100 * MS);
     let before = cache.seen().len();
@@ -398,7 +476,9 @@
         .replace(r#""Balancers":2"#, r#""Balancers":3"#);
     assert!(shorter != w.config);
     w.reload(&shorter);
-    until("the new operation", || w.call("GET", "/api/s", "s", "scan").0 == 200);
+    until("the new operation", || {
+        w.call("GET", "/api/s", "s", "scan").0 == 200
+    });
     let start = Instant::now();
     ask(&mut after, "PUT", "/api/k2", "after", "pay", "new");
     assert_eq!(answer(&mut after).unwrap().0, 502);
@@ -407,7 +487,9 @@
     assert_eq!(w.get("a"), 200);
     // An operation that is no more is a stranger's.
     w.reload(&shorter.replace("\"scan\"", "\"skim\""));
-    until("the other operation", || w.call("GET", "/api/t", "t", "skim").0 == 200);
+    until("the other operation", || {
+        w.call("GET", "/api/t", "t", "skim").0 == 200
+    });
     assert_eq!(w.call("GET", "/api/u", "u", "scan").0, 400);
     assert!(w.node.try_wait().unwrap().is_none());
 }
@@ -420,32 +502,46 @@
     let folder = w.folder.path().to_path_buf();
     let operator = |generation: &str, report: &str| {
         let report = folder.join(report);
-        let text =
-            format!("[identity]\ngeneration = {generation:?}\n[report]\npath = {report:?}\nevery_ms = 100\n");
+        let text = format!(
+            "[identity]\ngeneration = {generation:?}\n[report]\npath = {report:?}\nevery_ms = 100\n"
+        );
         std::fs::write(folder.join("operator.toml"), text).unwrap();
     };
     let last = |report: &str| -> Option<sparrouter_report::Report> {
         let text = std::fs::read_to_string(folder.join(report)).unwrap_or_default();
-        text.lines().rev().find_map(|l| serde_json::from_str(l).ok())
+        text.lines()
+            .rev()
+            .find_map(|l| serde_json::from_str(l).ok())
     };
     operator("one", "a.jsonl");
     let _ = w.node.kill();
     let _ = w.node.wait();
     let mut command = Command::new(env!("CARGO_BIN_EXE_sparrouter-node"));
     command.env("PROXY_CONFIG", folder.join("config.json"));
-    command.env("SPARROUTER_CONFIG", folder.join("operator.toml")).stderr(Stdio::null());
+    command
+        .env("SPARROUTER_CONFIG", folder.join("operator.toml"))
+        .stderr(Stdio::null());
     w.node = command.spawn().unwrap();
-    until("a report", || last("a.jsonl").is_some_and(|r| r.generation == "one" && r.uptime_ms > 200));
+    until("a report", || {
+        last("a.jsonl").is_some_and(|r| r.generation == "one" && r.uptime_ms > 200)
+    });
     operator("two", "b.jsonl");
     w.signal("-HUP");
-    until("the other file", || last("b.jsonl").is_some_and(|r| r.generation == "two"));
+    until("the other file", || {
+        last("b.jsonl").is_some_and(|r| r.generation == "two")
+    });
     let (a, b) = (last("a.jsonl").unwrap(), last("b.jsonl").unwrap());
-    assert!(b.uptime_ms >= a.uptime_ms && a.settings == b.settings && !a.settings.is_empty(), "{a:?} {b:?}");
+    assert!(
+        b.uptime_ms >= a.uptime_ms && a.settings == b.settings && !a.settings.is_empty(),
+        "{a:?} {b:?}"
+    );
     // One that can't be used changes nothing.
     std::fs::write(folder.join("operator.toml"), "[report]\n").unwrap();
     w.signal("-HUP");
     let before = b.uptime_ms;
-    until("more lines", || last("b.jsonl").is_some_and(|r| r.uptime_ms > before + 300));
+    until("more lines", || {
+        last("b.jsonl").is_some_and(|r| r.uptime_ms > before + 300)
+    });
     assert_eq!(last("b.jsonl").unwrap().generation, "two");
 }
 
@@ -458,7 +554,10 @@
     let lines = std::thread::spawn(move || {
         use std::io::BufRead;
         let lines = std::io::BufReader::new(log).lines().map_while(Result::ok);
-        lines.filter(|l| l.contains("not taken up")).take(1).collect::<Vec<_>>()
+        lines
+            .filter(|l| l.contains("not taken up"))
+            .take(1)
+            .collect::<Vec<_>>()
     });
     let other = w
         .config
@@ -467,17 +566,28 @@
     w.reload(&other);
     let said = lines.join().unwrap();
     assert!(said[0].contains("settings.TickUs can't change"), "{said:?}");
-    assert_eq!((w.get("a"), w.call("GET", "/api/s", "s", "scan").0), (200, 400));
+    assert_eq!(
+        (w.get("a"), w.call("GET", "/api/s", "s", "scan").0),
+        (200, 400)
+    );
 }
 
 /// Where the list is pushed the module never asks: the node keeps a watch by itself.
 #[test]
 fn a_pushed_list_is_watched_unasked() {
     let (a, b) = (Server::always(Act::Hit), Server::always(Act::Hit));
-    let w = world_of(&SETTINGS.replace("subscribe", "automatic"), &[&a], nowhere(), 256);
+    let w = world_of(
+        &SETTINGS.replace("subscribe", "automatic"),
+        &[&a],
+        nowhere(),
+        256,
+    );
     until("the watch", || w.discovery.calls() == 1);
     let whole = |rev: u32, uid: &str, at: SocketAddr| {
-        format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, target(uid, at, "box", "in_service"))
+        format!(
+            r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#,
+            target(uid, at, "box", "in_service")
+        )
     };
     // Once it is lost it is opened anew at once, from the version in hand.
     let start = Instant::now();
@@ -508,14 +618,19 @@
         "GET api HTTP/1.1\r\n\r\n".into(),
         "GET /api/k HTTP/1.1\r\nno colon\r\n\r\n".into(),
         "GET /api/k HTTP/1.1\r\nX-Class: get\r\n\r\n".into(),
-        format!("GET /api/k HTTP/1.1\r\nX-Request-Id: i\r\nX-Class: {}\r\n\r\n", "unheard-of"),
+        format!(
+            "GET /api/k HTTP/1.1\r\nX-Request-Id: i\r\nX-Class: {}\r\n\r\n",
+            "unheard-of"
+        ),
         format!("GET /api/k HTTP/1.1\r\n{named}X-Deadline-Ms: soon\r\n\r\n"),
         format!("DELETE /api/k HTTP/1.1\r\n{named}\r\n"),
         format!("PUT /api/k HTTP/1.1\r\n{named}Content-Length: -1\r\n\r\n"),
         format!("PUT /api/k HTTP/1.1\r\n{named}Content-Length: 99999999999999999999\r\n\r\n"),
         format!("PUT /api/k HTTP/1.1\r\n{named}Content-Length: 65537\r\n\r\n"),
         format!("PUT /api/k HTTP/1.1\r\n{named}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"),
-        format!("PUT /api/k HTTP/1.1\r\n{named}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc"),
+        format!(
+            "PUT /api/k HTTP/1.1\r\n{named}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc"
+        ),
         format!("PUT /api/k HTTP/1.1\r\n{named}Transfer-Encoding: chunked\r\n\r\nzz\r\nabc"),
         format!("PUT /api/k HTTP/1.1\r\n{named}Transfer-Encoding: chunked\r\n\r\n3\r\nabcdef\r\n"),
         format!(
@@ -528,7 +643,11 @@
         // The node may close before all of it is read.
         let _ = stream.write_all(bad.as_bytes());
         let status = answer(&mut stream).map(|a| a.0);
-        assert!(matches!(status, None | Some(400)), "{status:?} to {}", &bad[..bad.len().min(90)]);
+        assert!(
+            matches!(status, None | Some(400)),
+            "{status:?} to {}",
+            &bad[..bad.len().min(90)]
+        );
     }
     // A head that never ends is not waited for longer than a client waits.
     let mut slow = w.client();
@@ -544,7 +663,9 @@
     assert_eq!(cache.seen().len(), 1);
     // Its own notes come from the address that the others know.
     let mut note = [0; 300];
-    w.other.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+    w.other
+        .set_read_timeout(Some(Duration::from_secs(3)))
+        .unwrap();
     let (length, from) = w.other.recv_from(&mut note).unwrap();
     assert!(length <= 256 && from == w.datagrams);
 }
@@ -580,14 +701,24 @@
 /// forwards two of five calls can't leave, and nobody is doubted for it.
 #[test]
 fn own_want_of_descriptors_speaks_against_no_cache_server() {
-    let cache = Server::start(|seen| if seen.id().starts_with('s') { Act::Late(200) } else { Act::Hit });
+    let cache = Server::start(|seen| {
+        if seen.id().starts_with('s') {
+            Act::Late(200)
+        } else {
+            Act::Hit
+        }
+    });
     let w = world(&[&cache], nowhere(), 32);
     let call = |n| w.get(&format!("s{n}"));
     let answers: Vec<u16> = thread::scope(|scope| {
         let calls: Vec<_> = (0..5).map(|n| scope.spawn(move || call(n))).collect();
         calls.into_iter().map(|c| c.join().unwrap()).collect()
     });
-    assert_eq!(answers.iter().filter(|a| **a == 200).count(), 3, "{answers:?}");
+    assert_eq!(
+        answers.iter().filter(|a| **a == 200).count(),
+        3,
+        "{answers:?}"
+    );
     assert_eq!(w.get("after"), 200);
 }
 
@@ -599,13 +730,21 @@
     thread::scope(|scope| {
         for n in 0..10 {
             let w = &w;
-            scope.spawn(move || assert_eq!(w.call("GET", "/api/same", &format!("f{n}"), "get").0, 503));
+            scope.spawn(move || {
+                assert_eq!(w.call("GET", "/api/same", &format!("f{n}"), "get").0, 503)
+            });
         }
     });
     let log = std::io::BufReader::new(w.node.stderr.take().unwrap());
-    let mut counts = log.lines().map_while(Result::ok).filter(|l| l.contains("counts: "));
+    let mut counts = log
+        .lines()
+        .map_while(Result::ok)
+        .filter(|l| l.contains("counts: "));
     let line = counts.find(|l| !l.contains("taken: 0")).unwrap();
-    assert!(line.contains("taken: 10") && line.contains("open 0"), "{line}");
+    assert!(
+        line.contains("taken: 10") && line.contains("open 0"),
+        "{line}"
+    );
 }
 
 /// Guards against names, indices and actors that pile up while cache servers are replaced.
@@ -617,7 +756,9 @@
     let mut rev = 42;
     let mut say = |w: &World, uid: &str, state: &str| {
         let entry = target(uid, cache.at, "box", state);
-        w.discovery.say(&format!(r#"{{"rev":{rev},"all":false,"targets":[{entry}]}}"#));
+        w.discovery.say(&format!(
+            r#"{{"rev":{rev},"all":false,"targets":[{entry}]}}"#
+        ));
         rev += 1;
         until("the line", || w.discovery.feed.lock().unwrap().is_empty());
         sleep(20 * MS);
@@ -625,7 +766,15 @@
     // Each at the address of the one before.
     for n in 0..5 {
         say(&w, &format!("n{n}"), "in_service");
-        say(&w, &if n == 0 { "c0".to_string() } else { format!("n{}", n - 1) }, "terminated");
+        say(
+            &w,
+            &if n == 0 {
+                "c0".to_string()
+            } else {
+                format!("n{}", n - 1)
+            },
+            "terminated",
+        );
     }
     // Twice the longest client timeout later, the five that are gone; another takes the place of one.
     sleep(1900 * MS);
@@ -641,11 +790,20 @@
 /// Guards against clients that hold all descriptors: whoever idles makes room, and nobody waits.
 #[test]
 fn few_descriptors_still_take_all_that_comes() {
-    let cache = Server::start(|seen| if seen.id().starts_with('s') { Act::Late(300) } else { Act::Hit });
+    let cache = Server::start(|seen| {
+        if seen.id().starts_with('s') {
+            Act::Late(300)
+        } else {
+            Act::Hit
+        }
+    });
     let w = world(&[&cache], nowhere(), 64);
     let idle: Vec<TcpStream> = (0..100).map(|_| w.client()).collect();
     w.reads("a", 20);
-    let closed = idle.iter().filter(|s| s.set_nonblocking(true).is_ok() && ended(s)).count();
+    let closed = idle
+        .iter()
+        .filter(|s| s.set_nonblocking(true).is_ok() && ended(s))
+        .count();
     assert!(closed > 50, "{closed}");
     // Far more at once than can be carried: all get an answer.
     thread::scope(|scope| {
@@ -686,9 +844,18 @@
         assert!(answer(stream).is_some());
     }
     sleep(50 * MS);
-    let open: Vec<bool> = stay.iter().map(|s| s.set_nonblocking(true).is_ok() && !ended(s)).collect();
+    let open: Vec<bool> = stay
+        .iter()
+        .map(|s| s.set_nonblocking(true).is_ok() && !ended(s))
+        .collect();
     // A tenth of all descriptors, those used last.
-    assert_eq!((open.iter().filter(|o| **o).count(), open[34..].iter().all(|o| *o)), (26, true));
+    assert_eq!(
+        (
+            open.iter().filter(|o| **o).count(),
+            open[34..].iter().all(|o| *o)
+        ),
+        (26, true)
+    );
 }
 
 /// Guards against newcomers that displace one another before their messages arrive.
@@ -713,7 +880,16 @@
 // ---- Random runs: the rules after every step ----
 
 fn act() -> impl Strategy<Value = Act> {
-    let plain = [Act::Hit, Act::Hit, Act::Miss, Act::Miss, Act::NotRun, Act::Broken, Act::Reset, Act::Half];
+    let plain = [
+        Act::Hit,
+        Act::Hit,
+        Act::Miss,
+        Act::Miss,
+        Act::NotRun,
+        Act::Broken,
+        Act::Reset,
+        Act::Half,
+    ];
     let plain = prop::sample::select([&plain[..], &[Act::Hit, Act::Hit, Act::Silent]].concat());
     prop_oneof![6 => plain, 1 => (1u32..500).prop_map(Act::Late)]
 }
@@ -732,9 +908,20 @@
             let (w, servers) = (&w, &servers);
             scope.spawn(move || {
                 let (id, mut stream) = (format!("i{n}"), w.client());
-                let (method, body) = if operation == "get" { ("GET", "") } else { ("PUT", "new") };
+                let (method, body) = if operation == "get" {
+                    ("GET", "")
+                } else {
+                    ("PUT", "new")
+                };
                 let start = Instant::now();
-                ask(&mut stream, method, &format!("/api/{key}"), &id, operation, body);
+                ask(
+                    &mut stream,
+                    method,
+                    &format!("/api/{key}"),
+                    &id,
+                    operation,
+                    body,
+                );
                 if leaves {
                     sleep(20 * MS);
                     return;
@@ -742,10 +929,17 @@
                 let (status, _, body) = answer(&mut stream).expect("one answer");
                 // Slack of the settings, and a loaded machine's.
                 assert!(start.elapsed() < 1200 * MS, "answered in time");
-                let seen =
-                    || servers.iter().flat_map(|s| s.seen()).filter(|s| s.id() == id).collect::<Vec<_>>();
+                let seen = || {
+                    servers
+                        .iter()
+                        .flat_map(|s| s.seen())
+                        .filter(|s| s.id() == id)
+                        .collect::<Vec<_>>()
+                };
                 // Forwards that were given up, too: the played servers notice a moment later.
-                until("the end of all forwards", || seen().iter().all(|s| s.until.is_some()));
+                until("the end of all forwards", || {
+                    seen().iter().all(|s| s.until.is_some())
+                });
                 check(&seen(), status, &body, operation, &id);
                 // Nothing more is sent once it is answered, and no second answer comes. What left before
                 // may be read late on a loaded machine; what leaves after trips the program's own check.
@@ -765,13 +959,19 @@
     let ran = |s: &Seen| !matches!(s.act, Act::NotRun | Act::Miss);
     if status == 200 {
         assert_eq!(body, format!("value of {id}"));
-        assert!(seen.iter().any(|s| matches!(s.act, Act::Hit | Act::Late(_))));
+        assert!(
+            seen.iter()
+                .any(|s| matches!(s.act, Act::Hit | Act::Late(_)))
+        );
     }
     let mut seen = seen.to_vec();
     seen.sort_by_key(|s| s.from);
     let may_have_run: Vec<Instant> = seen.iter().filter(|s| ran(s)).map(|s| s.from).collect();
     if operation == "pay" {
-        assert!(may_have_run.len() <= 1 && (status != 503 || may_have_run.is_empty()), "{status} {seen:?}");
+        assert!(
+            may_have_run.len() <= 1 && (status != 503 || may_have_run.is_empty()),
+            "{status} {seen:?}"
+        );
     }
     if let (Some(first), Some(last), "mark") = (may_have_run.first(), seen.last(), operation) {
         // The window of the settings, and the way there.
@@ -779,14 +979,21 @@
     }
     for pair in seen.windows(2) {
         // What the node gave up the played server notices late, more so on a loaded machine.
-        let over = pair[0].until.is_some_and(|until| until <= pair[1].from + 150 * MS);
+        let over = pair[0]
+            .until
+            .is_some_and(|until| until <= pair[1].from + 150 * MS);
         assert!(over, "two at once: {pair:?}");
     }
 }
 
 #[test]
 fn random_runs_keep_the_rules() {
-    let config = Config { cases: 12, max_shrink_iters: 0, failure_persistence: None, ..Config::default() };
+    let config = Config {
+        cases: 12,
+        max_shrink_iters: 0,
+        failure_persistence: None,
+        ..Config::default()
+    };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let acts = || prop::collection::vec(act(), 1..12);
     let operation = prop::sample::select(vec!["get", "get", "get", "get", "pay", "mark"]);
--- a/crates/sparrouter-node/tests/rollout.rs
+++ b/crates/sparrouter-node/tests/rollout.rs
@@ -50,7 +50,10 @@
         self.clients.drain(..).for_each(|c| drop(c.join()));
         for n in 0..NODES {
             let pid = std::fs::read_to_string(self.path(&format!("n{n}.pid"))).unwrap_or_default();
-            let _ = Command::new("kill").args(["-KILL", pid.trim()]).stderr(Stdio::null()).status();
+            let _ = Command::new("kill")
+                .args(["-KILL", pid.trim()])
+                .stderr(Stdio::null())
+                .status();
         }
     }
 }
@@ -76,7 +79,10 @@
         let servers: Vec<Server> = (0..3).map(|_| Server::always(Act::Late(10))).collect();
         let discovery = Discovery::start();
         let file = |name: &str, text: &str| std::fs::write(folder.path().join(name), text).unwrap();
-        file("control.sh", &CONTROL.replace("$NODE", env!("CARGO_BIN_EXE_sparrouter-node")));
+        file(
+            "control.sh",
+            &CONTROL.replace("$NODE", env!("CARGO_BIN_EXE_sparrouter-node")),
+        );
         let targets: Vec<String> = servers
             .iter()
             .enumerate()
@@ -137,14 +143,17 @@
             let done = fleet.control("restart", n).status().unwrap();
             assert!(done.success());
         }
-        until("all nodes", || fleet.at.iter().all(|at| TcpStream::connect(at).is_ok()));
+        until("all nodes", || {
+            fleet.at.iter().all(|at| TcpStream::connect(at).is_ok())
+        });
         fleet.clients = (0..NODES).map(|n| fleet.client(n)).collect();
         fleet
     }
 
     fn control(&self, what: &str, n: usize) -> Command {
         let mut c = Command::new("bash");
-        c.arg(self.path("control.sh")).args([what, &format!("n{n}")]);
+        c.arg(self.path("control.sh"))
+            .args([what, &format!("n{n}")]);
         c.stdout(Stdio::null());
         c
     }
@@ -159,7 +168,9 @@
                 id += 1;
                 sleep(5 * MS);
                 // A node that is down takes no connection: its front layer would send elsewhere.
-                let Ok(mut stream) = TcpStream::connect(at) else { continue };
+                let Ok(mut stream) = TcpStream::connect(at) else {
+                    continue;
+                };
                 let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
                 let head = format!(
                     "GET /api/k{} HTTP/1.1\r\nHost: n\r\nX-Request-Id: {n}-{id}\r\nX-Class: get\r\nConnection: close\r\n\r\n",
@@ -178,8 +189,12 @@
     }
 
     fn states(&self) -> Vec<String> {
-        let state =
-            |n| std::fs::read_to_string(self.path(&format!("n{n}.state"))).unwrap().trim().to_string();
+        let state = |n| {
+            std::fs::read_to_string(self.path(&format!("n{n}.state")))
+                .unwrap()
+                .trim()
+                .to_string()
+        };
         (0..NODES).map(state).collect()
     }
 
@@ -189,7 +204,10 @@
 }
 
 fn conduct(plan: &Path, mode: Mode) -> How {
-    run::run(plan, &plan.with_extension("log"), mode, |line| eprintln!("{line}")).expect("a conductor")
+    run::run(plan, &plan.with_extension("log"), mode, |line| {
+        eprintln!("{line}")
+    })
+    .expect("a conductor")
 }
 
 #[test]
@@ -200,7 +218,10 @@
     let (answered, unanswered) = (fleet.answered.load(SeqCst), fleet.unanswered.load(SeqCst));
     // These clients go on connecting until the process is gone; a few connects meet its end. The platform takes one
     // in two hundred that is closed without an answer.
-    assert!(answered > 1000 && unanswered * 200 <= answered, "{answered} answered, {unanswered} not");
+    assert!(
+        answered > 1000 && unanswered * 200 <= answered,
+        "{answered} answered, {unanswered} not"
+    );
 }
 
 /// New settings under which each answer is given up as too late: stopped in the first stage and taken back.
@@ -208,7 +229,10 @@
 fn settings_that_do_worse_are_stopped_and_taken_back() {
     let fleet = Fleet::start(3_000);
     let how = fleet.run(Mode::Run);
-    assert!(matches!(&how, How::Back(why) if why.contains("worse")), "{how:?}");
+    assert!(
+        matches!(&how, How::Back(why) if why.contains("worse")),
+        "{how:?}"
+    );
     assert_eq!(fleet.states(), ["old"; NODES]);
 }
 
@@ -217,16 +241,28 @@
 #[ignore = "run by the test below"]
 fn conductor_in_a_process() {
     let plan = PathBuf::from(std::env::var("PLAN").unwrap());
-    let mode = if plan.with_extension("log").exists() { Mode::Resume } else { Mode::Run };
+    let mode = if plan.with_extension("log").exists() {
+        Mode::Resume
+    } else {
+        Mode::Run
+    };
     let how = conduct(&plan, mode);
     std::fs::write(plan.with_extension("how"), format!("{how:?}")).unwrap();
 }
 
 fn conductor(fleet: &Fleet) -> Child {
     let mut c = Command::new(std::env::current_exe().unwrap());
-    c.args(["--exact", "conductor_in_a_process", "--ignored", "--nocapture"]);
+    c.args([
+        "--exact",
+        "conductor_in_a_process",
+        "--ignored",
+        "--nocapture",
+    ]);
     c.env("PLAN", fleet.path("plan.toml"));
-    c.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
+    c.stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
 }
 
 /// The conductor is killed again and again, a node that is not being changed is stopped for a while: it ends as it
@@ -249,7 +285,12 @@
         kills += 1;
         if kills == 4 {
             let pid = std::fs::read_to_string(fleet.path("n0.pid")).unwrap();
-            let signal = |s| Command::new("kill").args([s, pid.trim()]).stderr(Stdio::null()).status();
+            let signal = |s| {
+                Command::new("kill")
+                    .args([s, pid.trim()])
+                    .stderr(Stdio::null())
+                    .status()
+            };
             let _ = signal("-STOP");
             sleep(700 * MS);
             let _ = signal("-CONT");
--- a/crates/sparrouter-node/tests/shares.rs
+++ b/crates/sparrouter-node/tests/shares.rs
@@ -87,16 +87,25 @@
     let reports = shares::read(folder.path(), scenario.most_nodes());
     for limit in ["loud", "quiet"] {
         let all = shares::seconds(&reports, limit, run.began_unix_ms, scenario.length_s);
-        let over = all.windows(2).map(|w| (w[0].within + w[1].within) / 2.0).fold(0.0, f64::max);
+        let over = all
+            .windows(2)
+            .map(|w| (w[0].within + w[1].within) / 2.0)
+            .fold(0.0, f64::max);
         assert!(over <= 1.05, "{limit}: {over}\n{all:#?}");
         let steady = |from: f64, to: f64| {
-            let some: Vec<f64> =
-                all.iter().filter(|x| (from..to).contains(&x.at_s)).map(|x| x.used()).collect();
+            let some: Vec<f64> = all
+                .iter()
+                .filter(|x| (from..to).contains(&x.at_s))
+                .map(|x| x.used())
+                .collect();
             some.iter().sum::<f64>() / some.len().max(1) as f64
         };
         // Nodes whose arrivals come to just their part lose a tenth of them to chance in windows this short.
         // A liar may take what is idle and an eighth of the rest: that is given to it, and lost.
         assert!(steady(26.0, 30.0) > 0.55, "{limit}\n{all:#?}");
-        assert!(steady(3.0, 5.0) > 0.75 && steady(21.0, 24.0) > 0.7, "{limit}\n{all:#?}");
+        assert!(
+            steady(3.0, 5.0) > 0.75 && steady(21.0, 24.0) > 0.7,
+            "{limit}\n{all:#?}"
+        );
     }
 }
--- a/crates/sparrouter-node/tests/shutdown.rs
+++ b/crates/sparrouter-node/tests/shutdown.rs
@@ -16,25 +16,43 @@
         "slow" => Act::Late(300),
         _ => Act::Miss,
     });
-    let origin = Server::start(|seen| if seen.id() == "rests" { Act::Hit } else { Act::Late(300) });
+    let origin = Server::start(|seen| {
+        if seen.id() == "rests" {
+            Act::Hit
+        } else {
+            Act::Late(300)
+        }
+    });
     let mut w = world(&[&cache], origin.at, 256);
-    let [mut rests, mut head, mut body, mut hangs, mut slow, mut misses, mut waits] =
-        [(); 7].map(|()| w.client());
+    let [
+        mut rests,
+        mut head,
+        mut body,
+        mut hangs,
+        mut slow,
+        mut misses,
+        mut waits,
+    ] = [(); 7].map(|()| w.client());
     ask(&mut rests, "GET", "/api/r", "rests", "get", "");
     assert_eq!(status(&mut rests), 200);
     let half = "GET /api/h HTTP/1.1\r\nX-Request-Id: head\r\nX-Cl";
     head.write_all(half.as_bytes()).unwrap();
-    let put = "PUT /api/b HTTP/1.1\r\nX-Request-Id: body\r\nX-Class: pay\r\nContent-Length: 6\r\n\r\nhal";
+    let put =
+        "PUT /api/b HTTP/1.1\r\nX-Request-Id: body\r\nX-Class: pay\r\nContent-Length: 6\r\n\r\nhal";
     body.write_all(put.as_bytes()).unwrap();
     ask(&mut hangs, "GET", "/api/1", "hangs", "get", "");
     ask(&mut slow, "GET", "/api/2", "slow", "get", "");
     ask(&mut misses, "GET", "/api/3", "misses", "get", "");
-    until("the fetch", || origin.seen().iter().any(|s| s.id() == "misses"));
+    until("the fetch", || {
+        origin.seen().iter().any(|s| s.id() == "misses")
+    });
     ask(&mut waits, "GET", "/api/3", "waits", "get", "");
     until("all at the cache server", || cache.seen().len() == 5);
     let start = Instant::now();
     w.signal("-TERM");
-    until("that it leaves", || w.call("GET", "/health/ready", "", "").0 == 503);
+    until("that it leaves", || {
+        w.call("GET", "/health/ready", "", "").0 == 503
+    });
     w.signal("-TERM");
     w.signal("-HUP");
     w.signal("-INT");
@@ -42,7 +60,11 @@
     body.write_all(b"ves").unwrap();
     assert_eq!(status(&mut body), 200);
     // The one cache server that hangs for some may be doubted for it, and reads then be turned away.
-    for (name, stream) in [("head", &mut head), ("slow", &mut slow), ("misses", &mut misses)] {
+    for (name, stream) in [
+        ("head", &mut head),
+        ("slow", &mut slow),
+        ("misses", &mut misses),
+    ] {
         let status = status(stream);
         assert!(matches!(status, 200 | 503), "{name}: {status}");
     }
--- a/crates/sparrouter-node/tests/start.rs
+++ b/crates/sparrouter-node/tests/start.rs
@@ -29,9 +29,18 @@
 }
 
 /// A node with one cache server that serves and one that drains by the list that it had, and what it took until ready.
-fn ready(discovery: SocketAddr, mode: &str, cache: &Server, drains: &Server) -> (Running, Duration) {
+fn ready(
+    discovery: SocketAddr,
+    mode: &str,
+    cache: &Server,
+    drains: &Server,
+) -> (Running, Duration) {
     let (start, at) = (Instant::now(), free());
-    let known = [target(0, cache.at, "in_service"), target(1, drains.at, "terminating")].join(",");
+    let known = [
+        target(0, cache.at, "in_service"),
+        target(1, drains.at, "terminating"),
+    ]
+    .join(",");
     let config = format!(
         r#"{{"name":"n0","listen":"{at}","discovery":"{discovery}","seed":"1",
  "known":{{"rev":41,"all":true,"targets":[{known}]}},"settings":{}}}"#,
@@ -40,7 +49,10 @@
     let (node, _folder) = harness::start(&config);
     let running = Running { node, at, _folder };
     until("ready", || {
-        TcpStream::connect(at).is_ok() && running.call("GET", "/health/ready").is_some_and(|s| s == 200)
+        TcpStream::connect(at).is_ok()
+            && running
+                .call("GET", "/health/ready")
+                .is_some_and(|s| s == 200)
     });
     (running, start.elapsed())
 }
@@ -55,7 +67,11 @@
     fn call(&self, method: &str, id: &str) -> Option<u16> {
         let mut stream = TcpStream::connect(self.at).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
-        let path = if id.starts_with('/') { id.to_string() } else { format!("/api/{id}") };
+        let path = if id.starts_with('/') {
+            id.to_string()
+        } else {
+            format!("/api/{id}")
+        };
         ask(&mut stream, method, &path, id, "get", "");
         answer(&mut stream).map(|a| a.0)
     }
@@ -80,10 +96,19 @@
         let cases = [
             ("refuses", None),
             ("silent", Some(String::new())),
-            ("503", Some("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".into())),
+            (
+                "503",
+                Some("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".into()),
+            ),
             ("no HTTP", Some("\u{1}\u{2}\r\n\r\n".into())),
-            ("nonsense", Some(format!("{open}{:x}\r\n{bad}\r\n", bad.len()))),
-            ("half a list", Some(format!("{open}{:x}\r\n{half}\r\n", half.len()))),
+            (
+                "nonsense",
+                Some(format!("{open}{:x}\r\n{bad}\r\n", bad.len())),
+            ),
+            (
+                "half a list",
+                Some(format!("{open}{:x}\r\n{half}\r\n", half.len())),
+            ),
         ];
         for (name, text) in cases {
             let held = text.map(says);
@@ -128,7 +153,11 @@
             });
         }
     });
-    assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
+    assert!(
+        start.elapsed() < Duration::from_secs(10),
+        "{:?}",
+        start.elapsed()
+    );
 }
 
 /// What is optional may be absent, and what can't be used is named by its field, with exit code 2.
@@ -145,20 +174,54 @@
     let at = free();
     let (node, _folder) = harness::start(&config(at, least));
     let running = Running { node, at, _folder };
-    until("ready", || running.call("GET", "/health/ready") == Some(200));
+    until("ready", || {
+        running.call("GET", "/health/ready") == Some(200)
+    });
     let mut stream = TcpStream::connect(at).unwrap();
     ask(&mut stream, "GET", "/api/k", "a", "uus", "");
-    assert_eq!(answer(&mut stream).unwrap().0, 503, "no cache server is known");
+    assert_eq!(
+        answer(&mut stream).unwrap().0,
+        503,
+        "no cache server is known"
+    );
     for (good, bad, field) in [
         (r#""DeadlineUs":900000"#, r#""DeadlineUs":-1"#, "DeadlineUs"),
-        (r#""DeadlineUs":900000"#, r#""DeadlineUs":0"#, "client timeout"),
-        (r#""ObjectiveUs":400000"#, r#""ObjectiveUs":"soon""#, "ObjectiveUs"),
-        (r#""Effect":"read_like""#, r#""Effect":"idempotency_key","KeyScope":"shelf""#, "KeyScope"),
-        (r#""Effect":"read_like""#, r#""Effect":"idempotency_key","WindowUs":-5"#, "WindowUs"),
+        (
+            r#""DeadlineUs":900000"#,
+            r#""DeadlineUs":0"#,
+            "client timeout",
+        ),
+        (
+            r#""ObjectiveUs":400000"#,
+            r#""ObjectiveUs":"soon""#,
+            "ObjectiveUs",
+        ),
+        (
+            r#""Effect":"read_like""#,
+            r#""Effect":"idempotency_key","KeyScope":"shelf""#,
+            "KeyScope",
+        ),
+        (
+            r#""Effect":"read_like""#,
+            r#""Effect":"idempotency_key","WindowUs":-5"#,
+            "WindowUs",
+        ),
         (r#""FallUs":0"#, r#""FallUs":-1"#, "FallUs"),
-        (r#""FallUs":0"#, r#""FallUs":0,"DrainGraceUs":-1"#, "DrainGraceUs"),
-        (r#""MaxAttempts":1"#, r#""MaxAttempts":1,"DialTimeoutUs":-1"#, "DialTimeoutUs"),
-        (r#""MaxAttempts":1"#, r#""MaxAttempts":1,"ConnIdleUs":99999999999999999"#, "ConnIdleUs"),
+        (
+            r#""FallUs":0"#,
+            r#""FallUs":0,"DrainGraceUs":-1"#,
+            "DrainGraceUs",
+        ),
+        (
+            r#""MaxAttempts":1"#,
+            r#""MaxAttempts":1,"DialTimeoutUs":-1"#,
+            "DialTimeoutUs",
+        ),
+        (
+            r#""MaxAttempts":1"#,
+            r#""MaxAttempts":1,"ConnIdleUs":99999999999999999"#,
+            "ConnIdleUs",
+        ),
     ] {
         assert!(least.contains(good), "{good}");
         let (node, _folder) = harness::start(&config(free(), &least.replace(good, bad)));
--- a/crates/sparrouter-prefix-index/src/index.rs
+++ b/crates/sparrouter-prefix-index/src/index.rs
@@ -63,8 +63,15 @@
 
 impl Index {
     pub fn new(terms: Terms) -> Index {
-        let terms = Terms { most: terms.most.max(16), ..terms };
-        Index { entries: HashMap::new(), terms, followed: HashSet::new() }
+        let terms = Terms {
+            most: terms.most.max(16),
+            ..terms
+        };
+        Index {
+            entries: HashMap::new(),
+            terms,
+            followed: HashSet::new(),
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -110,22 +117,48 @@
     pub fn ask(&mut self, question: Question, now: Nanos) -> Advice {
         let Question { key, server, store } = question;
         self.room(key);
-        let Terms { keeps, again, heard, .. } = self.terms;
+        let Terms {
+            keeps,
+            again,
+            heard,
+            ..
+        } = self.terms;
         let followed = &self.followed;
         let entry = self.entries.entry(key).or_default();
         entry.used = now;
         let believed = |r: &(u64, Nanos)| {
-            let span = if followed.contains(&r.0) { heard } else { keeps };
+            let span = if followed.contains(&r.0) {
+                heard
+            } else {
+                keeps
+            };
             r.0 != server && now.saturating_sub(r.1) < span
         };
-        let reader = entry.readers.iter().rev().find(|r| believed(r)).map_or(0, |r| r.0);
+        let reader = entry
+            .readers
+            .iter()
+            .rev()
+            .find(|r| believed(r))
+            .map_or(0, |r| r.0);
         let held = entry.holders.iter().any(|h| h.0 == server);
-        let mut holders: Vec<u64> =
-            entry.holders.iter().rev().map(|h| h.0).filter(|h| *h != server).collect();
-        let told = entry.saved.filter(|s| s.0 == store && store != 0).map(|s| now.saturating_sub(s.1));
+        let mut holders: Vec<u64> = entry
+            .holders
+            .iter()
+            .rev()
+            .map(|h| h.0)
+            .filter(|h| *h != server)
+            .collect();
+        let told = entry
+            .saved
+            .filter(|s| s.0 == store && store != 0)
+            .map(|s| now.saturating_sub(s.1));
         let stored = entry.holders.iter().any(|h| h.0 == store);
         // One that is followed says itself when it has it.
-        let patience = if followed.contains(&store) { heard } else { again };
+        let patience = if followed.contains(&store) {
+            heard
+        } else {
+            again
+        };
         if told.is_some_and(|age| age < again) && !followed.contains(&store) {
             holders.push(store);
         }
@@ -140,7 +173,12 @@
             }
             entry.readers.push((server, now));
         }
-        Advice { save, held, holders, reader }
+        Advice {
+            save,
+            held,
+            holders,
+            reader,
+        }
     }
 
     /// A source came back empty, is gone, or what it keeps is not known any more.
--- a/crates/sparrouter-prefix-index/src/source.rs
+++ b/crates/sparrouter-prefix-index/src/source.rs
@@ -81,7 +81,9 @@
         let mut out: BTreeMap<u64, Vec<Change>> = BTreeMap::new();
         for key in keys {
             let tokens = self.kept.get(&key).copied().unwrap_or(0);
-            out.entry(owner(key)).or_default().push(Change { key, tokens });
+            out.entry(owner(key))
+                .or_default()
+                .push(Change { key, tokens });
         }
         out
     }
--- a/crates/sparrouter-prefix-index/tests/index.rs
+++ b/crates/sparrouter-prefix-index/tests/index.rs
@@ -2,7 +2,12 @@
 use sparrouter_prefix_index::{Advice, Index, Question, Terms};
 
 const S: u64 = 1_000_000_000;
-const TERMS: Terms = Terms { most: 64, keeps: 30 * S, again: 120 * S, heard: 4 * S };
+const TERMS: Terms = Terms {
+    most: 64,
+    keeps: 30 * S,
+    again: 120 * S,
+    heard: 4 * S,
+};
 const PART: u64 = 7;
 const STORE: u64 = 99;
 
@@ -11,16 +16,30 @@
 }
 
 fn about(server: u64, store: u64) -> Question {
-    Question { key: PART, server, store }
+    Question {
+        key: PART,
+        server,
+        store,
+    }
 }
 
 #[test]
 fn given_nothing_known_when_asked_then_the_store_is_told_once() {
     let mut index = index();
-    assert_eq!(index.ask(about(1, STORE), 0), Advice { save: true, ..Advice::default() });
+    assert_eq!(
+        index.ask(about(1, STORE), 0),
+        Advice {
+            save: true,
+            ..Advice::default()
+        }
+    );
     let second = index.ask(about(2, STORE), S);
     assert!(!second.save, "it was told a second ago");
-    assert_eq!(second.holders, [STORE], "nobody follows it: what it was told counts");
+    assert_eq!(
+        second.holders,
+        [STORE],
+        "nobody follows it: what it was told counts"
+    );
     assert_eq!(second.reader, 1);
     assert!(index.ask(about(2, STORE), 121 * S).save);
 }
@@ -31,8 +50,14 @@
     index.told(STORE, 3, 500, 0);
     assert!(index.ask(about(1, STORE), 0).save);
     let soon = index.ask(about(2, STORE), S);
-    assert!(!soon.save && soon.holders.is_empty(), "under way, and not there yet: {soon:?}");
-    assert!(index.ask(about(2, STORE), 5 * S).save, "it did not come to anything");
+    assert!(
+        !soon.save && soon.holders.is_empty(),
+        "under way, and not there yet: {soon:?}"
+    );
+    assert!(
+        index.ask(about(2, STORE), 5 * S).save,
+        "it did not come to anything"
+    );
     index.told(STORE, PART, 500, 5 * S);
     let there = index.ask(about(2, STORE), 20 * S);
     assert!(!there.save);
@@ -40,7 +65,8 @@
 }
 
 #[test]
-fn given_holders_when_asked_for_one_of_them_then_it_is_held_and_the_others_are_named_newest_first() {
+fn given_holders_when_asked_for_one_of_them_then_it_is_held_and_the_others_are_named_newest_first()
+{
     let mut index = index();
     for (at, source) in [(1, 10), (2, 11), (3, 12)] {
         index.told(source, PART, 800, at * S);
@@ -59,17 +85,48 @@
 }
 
 #[test]
-fn given_a_reader_that_is_followed_when_it_does_not_tell_then_it_is_believed_no_longer_than_that_takes() {
+fn given_a_reader_that_is_followed_when_it_does_not_tell_then_it_is_believed_no_longer_than_that_takes()
+ {
     let mut index = index();
     index.told(10, 3, 500, 0);
     index.ask(about(10, 0), 0);
     assert_eq!(index.ask(about(11, 0), 3 * S).reader, 10);
-    assert_ne!(index.ask(about(12, 0), 5 * S).reader, 10, "it would have told by now");
+    assert_ne!(
+        index.ask(about(12, 0), 5 * S).reader,
+        10,
+        "it would have told by now"
+    );
     // One whom nobody follows can't tell.
-    let unfollowed = Question { key: 8, server: 13, store: 0 };
+    let unfollowed = Question {
+        key: 8,
+        server: 13,
+        store: 0,
+    };
     index.ask(unfollowed, 0);
-    assert_eq!(index.ask(Question { server: 14, ..unfollowed }, 20 * S).reader, 13);
-    assert_eq!(index.ask(Question { server: 15, ..unfollowed }, 51 * S).reader, 0);
+    assert_eq!(
+        index
+            .ask(
+                Question {
+                    server: 14,
+                    ..unfollowed
+                },
+                20 * S
+            )
+            .reader,
+        13
+    );
+    assert_eq!(
+        index
+            .ask(
+                Question {
+                    server: 15,
+                    ..unfollowed
+                },
+                51 * S
+            )
+            .reader,
+        0
+    );
 }
 
 #[test]
@@ -87,7 +144,14 @@
     let mut index = index();
     for key in 0..10_000 {
         index.told(10, key + 100, 800, key * S / 1_000);
-        index.ask(Question { key: PART, server: 10, store: 0 }, key * S / 1_000);
+        index.ask(
+            Question {
+                key: PART,
+                server: 10,
+                store: 0,
+            },
+            key * S / 1_000,
+        );
         assert!(index.len() <= TERMS.most + 1, "{}", index.len());
     }
     index.told(10, PART, 800, 10 * S);
--- a/crates/sparrouter-prefix-index/tests/source.rs
+++ b/crates/sparrouter-prefix-index/tests/source.rs
@@ -7,7 +7,12 @@
 }
 
 fn page(epoch: u64, next: u64, events: &[Change]) -> Page {
-    Page { epoch, next, gap: false, events: events.to_vec() }
+    Page {
+        epoch,
+        next,
+        gap: false,
+        events: events.to_vec(),
+    }
 }
 
 /// Even keys have owner 0, odd ones 1.
@@ -18,7 +23,17 @@
 #[test]
 fn given_events_when_told_then_each_owner_hears_of_its_parts_once_with_what_is_kept_now() {
     let mut source = Source::default();
-    assert!(!source.take(page(5, 40, &[kept(2, 100), kept(3, 700), kept(2, 160), kept(4, 9), kept(4, 0)])));
+    assert!(!source.take(page(
+        5,
+        40,
+        &[
+            kept(2, 100),
+            kept(3, 700),
+            kept(2, 160),
+            kept(4, 9),
+            kept(4, 0)
+        ]
+    )));
     assert_eq!(source.since(), 40);
     let expected = BTreeMap::from([(0, vec![kept(2, 160), kept(4, 0)]), (1, vec![kept(3, 700)])]);
     assert_eq!(told(&mut source), expected);
@@ -31,7 +46,10 @@
     source.take(page(5, 40, &[kept(2, 160), kept(3, 700)]));
     told(&mut source);
     let anew = source.tell(2, |_| 6);
-    assert_eq!(anew, BTreeMap::from([(6, vec![kept(2, 160), kept(3, 700)])]));
+    assert_eq!(
+        anew,
+        BTreeMap::from([(6, vec![kept(2, 160), kept(3, 700)])])
+    );
 }
 
 #[test]
@@ -46,9 +64,18 @@
 #[test]
 fn given_a_gap_when_it_is_the_first_answer_then_nothing_is_void_and_later_all_is() {
     let mut source = Source::default();
-    let gap = |next, key| Page { gap: true, ..page(5, next, &[kept(key, 100)]) };
-    assert!(!source.take(gap(40, 2)), "nothing was known that it could spoil");
-    assert!(source.take(gap(90, 3)), "what was let go meanwhile would stand for ever");
+    let gap = |next, key| Page {
+        gap: true,
+        ..page(5, next, &[kept(key, 100)])
+    };
+    assert!(
+        !source.take(gap(40, 2)),
+        "nothing was known that it could spoil"
+    );
+    assert!(
+        source.take(gap(90, 3)),
+        "what was let go meanwhile would stand for ever"
+    );
     assert_eq!(source.len(), 1);
 }
 
--- a/crates/sparrouter-rendezvous/src/lib.rs
+++ b/crates/sparrouter-rendezvous/src/lib.rs
@@ -14,8 +14,9 @@
 /// A number for some bytes, the same in every process and release.
 pub fn hash(bytes: &[u8]) -> u64 {
     // FNV-1a, finished by `mix`: ids are short, and its weak high bits are what `mix` mends.
-    let folded =
-        bytes.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, &b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    let folded = bytes.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, &b| {
+        (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)
+    });
     mix(folded)
 }
 
--- a/crates/sparrouter-rendezvous/tests/order.rs
+++ b/crates/sparrouter-rendezvous/tests/order.rs
@@ -24,7 +24,9 @@
 #[test]
 fn given_weights_then_shares_of_keys_follow_them() {
     let (a, b) = (hash(b"a"), hash(b"b"));
-    let won = (0..20_000).filter(|&k| score(a, k, 3.0) > score(b, k, 1.0)).count();
+    let won = (0..20_000)
+        .filter(|&k| score(a, k, 3.0) > score(b, k, 1.0))
+        .count();
     assert!((14_500..15_500).contains(&won), "{won}");
     assert!((0..1_000).all(|k| (0.0..1.0).contains(&unit(a, k))));
 }
--- a/crates/sparrouter-report/src/lib.rs
+++ b/crates/sparrouter-report/src/lib.rs
@@ -96,7 +96,9 @@
             *now = now.saturating_sub(old.given_up.get(why).copied().unwrap_or(0));
         }
         for op in &mut new.operations {
-            let Some(old) = old.operations.iter().find(|o| o.name == op.name) else { continue };
+            let Some(old) = old.operations.iter().find(|o| o.name == op.name) else {
+                continue;
+            };
             (op.asked, op.in_time) = (op.asked - old.asked, op.in_time - old.in_time);
             for (now, before) in [
                 (&mut op.taken, old.taken),
--- a/crates/sparrouter-rollout/examples/power.rs
+++ b/crates/sparrouter-rollout/examples/power.rs
@@ -21,7 +21,10 @@
 }
 
 fn play(nodes: usize, per_s: [usize; 2], bad: Bad, runs: usize, seed: u64) -> Ends {
-    let (next, threads) = (AtomicUsize::new(0), std::thread::available_parallelism().map_or(4, |n| n.get()));
+    let (next, threads) = (
+        AtomicUsize::new(0),
+        std::thread::available_parallelism().map_or(4, |n| n.get()),
+    );
     let one = |run: usize| {
         let mut fleet = Fleet::new(plan(nodes, 2), bad, seed + run as u64);
         fleet.per_s = per_s;
@@ -44,7 +47,10 @@
     };
     let all: Vec<_> = std::thread::scope(|s| {
         let threads: Vec<_> = (0..threads).map(|_| s.spawn(work)).collect();
-        threads.into_iter().flat_map(|t| t.join().expect("a run")).collect()
+        threads
+            .into_iter()
+            .flat_map(|t| t.join().expect("a run"))
+            .collect()
     });
     let mut ends = Ends::default();
     for (how, stage, took, lost) in all {
@@ -75,7 +81,10 @@
 }
 
 fn main() {
-    let runs = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(10_000);
+    let runs = std::env::args()
+        .nth(1)
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(10_000);
     println!("sound changes of 8 nodes, 68 invocations a second each, {runs} runs");
     let mut sound = play(8, [60, 8], Bad::No, runs, 1 << 32);
     let part = (sound.back + sound.other) as f64 / runs as f64;
@@ -88,11 +97,14 @@
     sound.why.truncate(5);
     println!("  {:?}", sound.why);
 
-    println!("least loss of value stopped in nine of ten of 40 runs; stage, seconds until all is back");
+    println!(
+        "least loss of value stopped in nine of ten of 40 runs; stage, seconds until all is back"
+    );
     for per_s in [[6, 1], [60, 8], [300, 40]] {
         for nodes in [4, 8, 16, 64] {
-            let found =
-                [0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.12, 0.2, 0.3, 0.5].into_iter().find_map(|harm| {
+            let found = [0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.12, 0.2, 0.3, 0.5]
+                .into_iter()
+                .find_map(|harm| {
                     let ends = play(nodes, per_s, Bad::WhenWarm(0, harm), 40, 7000);
                     (ends.back >= 36).then_some((harm, ends))
                 });
@@ -104,7 +116,10 @@
                     ends.stages.iter().max().copied().unwrap_or(0),
                     middle(&mut ends.back_s)
                 ),
-                None => println!("  {nodes:>4} nodes, {:>3}/s: none found", per_s[0] + per_s[1]),
+                None => println!(
+                    "  {nodes:>4} nodes, {:>3}/s: none found",
+                    per_s[0] + per_s[1]
+                ),
             }
         }
     }
--- a/crates/sparrouter-rollout/src/conduct.rs
+++ b/crates/sparrouter-rollout/src/conduct.rs
@@ -143,8 +143,15 @@
 impl Conductor {
     /// `entries`: what an earlier conductor of this plan has logged; it goes on from there.
     pub fn new(plan: Plan, entries: &[Entry]) -> Conductor {
-        let member =
-            || Member { at: At::Old, since: 0, report: None, heard: 0, base: None, first: None, seen: None };
+        let member = || Member {
+            at: At::Old,
+            since: 0,
+            report: None,
+            heard: 0,
+            base: None,
+            first: None,
+            seen: None,
+        };
         let mut c = Conductor {
             order: stages::order(&plan),
             sizes: stages::sizes(&plan.parts, plan.nodes.len()),
@@ -177,7 +184,10 @@
             Entry::Stage { stage } => {
                 (self.stage, self.phase) = (*stage, Phase::Moving);
                 let restarted = |m: &&mut Member| m.at == At::Due(Doing::Restart);
-                self.members.iter_mut().filter(restarted).for_each(|m| m.at = At::Old);
+                self.members
+                    .iter_mut()
+                    .filter(restarted)
+                    .for_each(|m| m.at = At::Old);
             }
             Entry::Begin { node, doing } => {
                 if let Some(n) = named(node) {
@@ -271,7 +281,11 @@
             return;
         }
         let node = self.name(n);
-        self.log(Entry::End { node: node.clone(), doing, ok: ok.is_ok() });
+        self.log(Entry::End {
+            node: node.clone(),
+            doing,
+            ok: ok.is_ok(),
+        });
         let m = &mut self.members[n];
         m.since = now;
         match (doing, ok) {
@@ -292,28 +306,46 @@
 
     fn leave(&mut self, n: usize, why: String) {
         self.members[n].at = At::Left;
-        let text = format!("{} is left as it is and counts as down: {why}", self.name(n));
+        let text = format!(
+            "{} is left as it is and counts as down: {why}",
+            self.name(n)
+        );
         self.say(text);
     }
 
     fn reported(&mut self, n: usize, report: Report, now: Nanos) {
         let (node, plan) = (self.name(n), &self.plan);
-        let (new, old) = (report.generation == plan.generation, report.generation == plan.from);
+        let (new, old) = (
+            report.generation == plan.generation,
+            report.generation == plan.from,
+        );
         // Where keys go by the unchanged.
         let unchanged = |o: &&Member| matches!(o.at, At::Old | At::Fresh);
-        let usual = self.members.iter().filter(unchanged).find_map(|o| o.report.as_ref());
+        let usual = self
+            .members
+            .iter()
+            .filter(unchanged)
+            .find_map(|o| o.report.as_ref());
         let usual = usual.map(|r| r.placement.clone());
         let m = &mut self.members[n];
-        let again = m.report.as_ref().is_some_and(|r| r.uptime_ms > report.uptime_ms);
-        let breaches = report.breaches > m.report.as_ref().map_or(0, |r| if again { 0 } else { r.breaches });
+        let again = m
+            .report
+            .as_ref()
+            .is_some_and(|r| r.uptime_ms > report.uptime_ms);
+        let breaches = report.breaches
+            > m.report
+                .as_ref()
+                .map_or(0, |r| if again { 0 } else { r.breaches });
         // One that the process that is being ended has yet written. Of one restarted under an earlier conductor
         // (no time here) nobody knows when; the restart was logged as over.
         let stale = m.since > 0
-            && report.uptime_ms.saturating_mul(1_000_000) > now.saturating_sub(m.since) + 2 * plan.span;
+            && report.uptime_ms.saturating_mul(1_000_000)
+                > now.saturating_sub(m.since) + 2 * plan.span;
         let elsewhere = !plan.placement && usual.is_some_and(|u| u != report.placement);
         let moved = m.at.clone();
         (m.heard, m.report) = (now, Some(report));
-        m.first.get_or_insert_with(|| m.report.clone().unwrap_or_default());
+        m.first
+            .get_or_insert_with(|| m.report.clone().unwrap_or_default());
         let settle = |m: &mut Member, at: At| {
             (m.at, m.since, m.base) = (at, now, m.report.clone());
         };
@@ -321,17 +353,25 @@
             At::Due(Doing::Change) if new => {
                 settle(m, At::New);
                 if elsewhere {
-                    self.turn(format!("{node} places keys otherwise, which the plan does not allow"));
+                    self.turn(format!(
+                        "{node} places keys otherwise, which the plan does not allow"
+                    ));
                 }
             }
             At::Due(Doing::Back) if old => settle(m, At::Old),
             At::Due(Doing::Restart) if old && !stale => settle(m, At::Fresh),
             At::New if old => {
-                let how = format!("{node} says {}, which was changed: somebody else's hand", self.plan.from);
+                let how = format!(
+                    "{node} says {}, which was changed: somebody else's hand",
+                    self.plan.from
+                );
                 self.finish(How::Left(how));
             }
             At::Old | At::Fresh if new => {
-                let how = format!("{node} says {}, which was not changed yet", self.plan.generation);
+                let how = format!(
+                    "{node} says {}, which was not changed yet",
+                    self.plan.generation
+                );
                 self.finish(How::Left(how));
             }
             At::New if again => self.turn(format!("{node} crashed: it started anew by itself")),
@@ -342,7 +382,10 @@
 
     fn silent(&self, n: usize, now: Nanos) -> bool {
         let m = &self.members[n];
-        let since = m.heard.max(self.began.unwrap_or(now)).max(if m.at == At::New { m.since } else { 0 });
+        let since = m
+            .heard
+            .max(self.began.unwrap_or(now))
+            .max(if m.at == At::New { m.since } else { 0 });
         now > since + SILENT * self.plan.span
     }
 
@@ -355,10 +398,17 @@
             match self.members[n].at {
                 At::Due(Doing::Change) if late => {
                     self.members[n].at = At::New;
-                    self.turn(format!("{node} was changed and never reported {}", self.plan.generation));
+                    self.turn(format!(
+                        "{node} was changed and never reported {}",
+                        self.plan.generation
+                    ));
+                }
+                At::Due(doing) if late => {
+                    self.leave(n, format!("no report after its command ({doing:?})"))
+                }
+                At::New if self.silent(n, now) => {
+                    self.turn(format!("{node} was changed and fell silent"))
                 }
-                At::Due(doing) if late => self.leave(n, format!("no report after its command ({doing:?})")),
-                At::New if self.silent(n, now) => self.turn(format!("{node} was changed and fell silent")),
                 _ => {}
             }
         }
@@ -381,7 +431,8 @@
                 }
             }
         }
-        let part = |(lost, asked): (f64, f64)| (asked > 0.0).then(|| (lost / asked).clamp(0.0, 1.0));
+        let part =
+            |(lost, asked): (f64, f64)| (asked > 0.0).then(|| (lost / asked).clamp(0.0, 1.0));
         let all = part((lost[0].0 + lost[1].0, lost[0].1 + lost[1].1));
         let bound = self.past.as_ref().map_or(1.0, |p| p.lost + self.plan.fleet);
         // Trouble of all shows at the unchanged. Where only the changed do worse the stage is completed, and judged.
@@ -400,7 +451,8 @@
             None => {}
         }
         // Over some four spans: reports do not come in step with looks.
-        self.fetches += 0.25 * (fetches as f64 * SECOND as f64 / self.plan.span as f64 - self.fetches);
+        self.fetches +=
+            0.25 * (fetches as f64 * SECOND as f64 / self.plan.span as f64 - self.fetches);
         match self.plan.fetches_per_s {
             Some(most) if self.fetches > most => drop(self.crowded.get_or_insert(now)),
             _ => self.crowded = None,
@@ -445,12 +497,18 @@
                     .filter(|&n| self.members[n].report.is_none())
                     .map(|n| self.name(n))
                     .collect();
-                self.finish(How::Left(format!("nothing done: no report from {}", missing.join(", "))));
+                self.finish(How::Left(format!(
+                    "nothing done: no report from {}",
+                    missing.join(", ")
+                )));
             }
             return;
         }
-        let prints: std::collections::BTreeSet<_> =
-            self.members.iter().filter_map(|m| m.report.as_ref().map(|r| r.placement.clone())).collect();
+        let prints: std::collections::BTreeSet<_> = self
+            .members
+            .iter()
+            .filter_map(|m| m.report.as_ref().map(|r| r.placement.clone()))
+            .collect();
         if prints.len() > 1 {
             return self.finish(How::Left(
                 "nothing done: the nodes place keys in different ways already".to_string(),
@@ -473,17 +531,31 @@
     fn enter(&mut self, stage: usize) {
         self.log(Entry::Stage { stage });
         let (at, all) = (self.sizes[stage], self.members.len());
-        self.say(format!("stage {} of {}: {at} of {all} nodes", stage + 1, self.sizes.len()));
-        self.members.iter_mut().filter(|m| m.at == At::Fresh).for_each(|m| m.at = At::Old);
+        self.say(format!(
+            "stage {} of {}: {at} of {all} nodes",
+            stage + 1,
+            self.sizes.len()
+        ));
+        self.members
+            .iter_mut()
+            .filter(|m| m.at == At::Fresh)
+            .for_each(|m| m.at = At::Old);
         (self.stage, self.phase, self.last) = (stage, Phase::Moving, None);
     }
 
     /// Those that are new in this stage, and as many of the last in the order, if there are, to hold them against.
     fn groups(&self) -> (Vec<usize>, Vec<usize>) {
         let (size, all) = (self.sizes[self.stage], self.order.len());
-        let before = if self.stage == 0 { 0 } else { self.sizes[self.stage - 1] };
+        let before = if self.stage == 0 {
+            0
+        } else {
+            self.sizes[self.stage - 1]
+        };
         let fellows = (size - before).min(all - size);
-        (self.order[before..size].to_vec(), self.order[all - fellows..].to_vec())
+        (
+            self.order[before..size].to_vec(),
+            self.order[all - fellows..].to_vec(),
+        )
     }
 
     /// Whether one more may be down: never more than so many, never in two zones. One that is silent is down already,
@@ -539,7 +611,10 @@
     fn begin(&mut self, n: usize, doing: Doing, now: Nanos) {
         (self.members[n].at, self.members[n].since) = (At::Busy(doing), now);
         let node = self.name(n);
-        self.log(Entry::Begin { node: node.clone(), doing });
+        self.log(Entry::Begin {
+            node: node.clone(),
+            doing,
+        });
         self.say(format!("{node}: {doing:?}"));
         self.actions.push(Action::Run { node: n, doing });
     }
@@ -549,13 +624,19 @@
         // What an earlier conductor left in the middle goes first: it counts as down.
         let unsure = |n: &usize| matches!(self.members[*n].at, At::Unsure(_));
         if let Some(n) = (0..self.members.len()).find(unsure) {
-            let doing = if new.contains(&n) { Doing::Change } else { Doing::Restart };
+            let doing = if new.contains(&n) {
+                Doing::Change
+            } else {
+                Doing::Restart
+            };
             return self.begin(n, doing, now);
         }
         let old = |n: &usize| self.members[*n].at == At::Old;
         // By turns, so that both groups are as fresh when they are compared.
-        let (mut change, mut restart) =
-            (new.iter().copied().filter(old).peekable(), fellows.iter().copied().filter(old).peekable());
+        let (mut change, mut restart) = (
+            new.iter().copied().filter(old).peekable(),
+            fellows.iter().copied().filter(old).peekable(),
+        );
         let mut wanted = Vec::new();
         while change.peek().is_some() || restart.peek().is_some() {
             wanted.extend(change.next().map(|n| (n, Doing::Change)));
@@ -565,7 +646,10 @@
             if let Some(since) = self.alarm {
                 // Nobody more goes down while all suffer; what began is let come up.
                 if now > since + self.plan.longest {
-                    let text = format!("{}, while nodes are changed and for too long", self.suffers());
+                    let text = format!(
+                        "{}, while nodes are changed and for too long",
+                        self.suffers()
+                    );
                     self.turn(text);
                 }
                 return;
@@ -584,32 +668,46 @@
             if self.plan.placement {
                 // One at a time, and what it cost the origin shows before the next: begun together, their keys all
                 // missed before anything was seen of it.
-                let moving = self.members.iter().any(|m| matches!(m.at, At::Busy(_) | At::Due(_)));
+                let moving = self
+                    .members
+                    .iter()
+                    .any(|m| matches!(m.at, At::Busy(_) | At::Due(_)));
                 if moving || now < latest + SETTLES * self.plan.span {
                     return;
                 }
                 wanted.truncate(1);
             }
             if !self.begin_some(&wanted, now) && now > latest + self.plan.longest {
-                self.turn(format!("{} could not be taken down: others are", self.name(first)));
+                self.turn(format!(
+                    "{} could not be taken down: others are",
+                    self.name(first)
+                ));
             }
             return;
         }
         let settled = |n: &usize| matches!(self.members[*n].at, At::New | At::Fresh | At::Left);
         if new.iter().chain(&fellows).all(settled) {
-            self.phase = Phase::Watching { since: now, trouble: None };
+            self.phase = Phase::Watching {
+                since: now,
+                trouble: None,
+            };
             self.span_at = now + self.plan.span;
-            self.members.iter_mut().for_each(|m| m.base = m.report.clone());
+            self.members
+                .iter_mut()
+                .for_each(|m| m.base = m.report.clone());
             let (past, p) = (self.past.clone().unwrap_or_default(), &self.plan);
             let (nodes, stages) = (self.members.len(), self.sizes.len());
-            let judge =
-                self.judge.get_or_insert_with(|| Judge::new(past, nodes, stages, p.least, p.false_stops));
+            let judge = self
+                .judge
+                .get_or_insert_with(|| Judge::new(past, nodes, stages, p.least, p.false_stops));
             judge.stage();
         }
     }
 
     fn watching(&mut self, now: Nanos) {
-        let Phase::Watching { since, trouble } = self.phase else { return };
+        let Phase::Watching { since, trouble } = self.phase else {
+            return;
+        };
         if now >= self.span_at {
             self.span_at = now + self.plan.span;
             let trouble = self.span(now).map(|why| (trouble.unwrap_or(now), why));
@@ -619,21 +717,33 @@
             if let Some((from, why)) = trouble
                 && now > from + self.plan.longest
             {
-                return self.turn(format!("{why}, while the stage was watched and for too long"));
+                return self.turn(format!(
+                    "{why}, while the stage was watched and for too long"
+                ));
             }
             if let Some(since) = self.alarm.filter(|since| now > since + self.plan.longest) {
                 let seconds = (now - since) / SECOND;
                 return self.turn(format!("{}, for {seconds} s and too long", self.suffers()));
             }
         }
-        let Phase::Watching { trouble, .. } = self.phase else { return };
+        let Phase::Watching { trouble, .. } = self.phase else {
+            return;
+        };
         let (_, fellows) = self.groups();
         // Watched until the clearest harm could have been told, however short the plan holds: with eight spans nothing
         // could ever have stopped it.
-        let needed = self.judge.as_ref().filter(|_| !fellows.is_empty()).map_or(0, Judge::needed);
+        let needed = self
+            .judge
+            .as_ref()
+            .filter(|_| !fellows.is_empty())
+            .map_or(0, Judge::needed);
         let hold = self.plan.hold.max(needed as Nanos * self.plan.span);
         let spans = (hold / self.plan.span).max(1) as f64;
-        let told = fellows.is_empty() || self.judge.as_ref().is_some_and(|j| j.spans as f64 >= TOLD * spans);
+        let told = fellows.is_empty()
+            || self
+                .judge
+                .as_ref()
+                .is_some_and(|j| j.spans as f64 >= TOLD * spans);
         let suspect = self.last.as_ref().is_some_and(|f| f.worth > SUSPECT);
         if trouble.is_none() && self.alarm.is_none() && now >= since + hold && told && !suspect {
             self.log(Entry::Passed { stage: self.stage });
@@ -655,8 +765,10 @@
     fn span(&mut self, now: Nanos) -> Option<String> {
         let past = self.past.clone().unwrap_or_default();
         let (new, fellows) = self.groups();
-        let quiet: Vec<String> =
-            (0..self.members.len()).filter(|&n| self.silent(n, now)).map(|n| self.name(n)).collect();
+        let quiet: Vec<String> = (0..self.members.len())
+            .filter(|&n| self.silent(n, now))
+            .map(|n| self.name(n))
+            .collect();
         let mut done = Vec::new();
         for m in &mut self.members {
             let (Some(report), Some(base)) = (&m.report, &m.base) else {
@@ -669,7 +781,9 @@
             m.base = Some(report.clone());
         }
         let parts = |of: &[usize]| -> Vec<(usize, crate::judge::Parts)> {
-            let each = of.iter().filter_map(|&n| done[n].as_ref().map(|(d, r)| (n, past.parts(d, r))));
+            let each = of
+                .iter()
+                .filter_map(|&n| done[n].as_ref().map(|(d, r)| (n, past.parts(d, r))));
             each.collect()
         };
         if !quiet.is_empty() {
@@ -691,7 +805,9 @@
     }
 
     fn going_back(&mut self, now: Nanos) {
-        let Phase::Back { why } = &self.phase else { return };
+        let Phase::Back { why } = &self.phase else {
+            return;
+        };
         let why = why.clone();
         let there = |n: &usize| matches!(self.members[*n].at, At::New | At::Unsure(_));
         let unsure = |n: &usize| matches!(self.members[*n].at, At::Unsure(_));
@@ -706,11 +822,21 @@
             if self.begin_some(&wanted, now) {
                 return;
             }
-            let moving = self.members.iter().any(|m| matches!(m.at, At::Busy(_) | At::Due(_)));
-            let latest =
-                self.members.iter().map(|m| m.since).max().unwrap_or(0).max(self.began.unwrap_or(now));
+            let moving = self
+                .members
+                .iter()
+                .any(|m| matches!(m.at, At::Busy(_) | At::Due(_)));
+            let latest = self
+                .members
+                .iter()
+                .map(|m| m.since)
+                .max()
+                .unwrap_or(0)
+                .max(self.began.unwrap_or(now));
             if !moving && now > latest + self.plan.longest {
-                let quiet = (0..self.members.len()).filter(|&n| self.silent(n, now)).map(|n| self.name(n));
+                let quiet = (0..self.members.len())
+                    .filter(|&n| self.silent(n, now))
+                    .map(|n| self.name(n));
                 let quiet = quiet.collect::<Vec<_>>().join(", ");
                 let text = format!(
                     "{why}; {} nodes are still changed, as no word comes from {quiet}",
@@ -730,7 +856,11 @@
             }
             return;
         }
-        if !self.members.iter().any(|m| matches!(m.at, At::Busy(_) | At::Due(_))) {
+        if !self
+            .members
+            .iter()
+            .any(|m| matches!(m.at, At::Busy(_) | At::Due(_)))
+        {
             let left = self.left();
             let how = if left.is_empty() {
                 How::Back(why)
--- a/crates/sparrouter-rollout/src/judge.rs
+++ b/crates/sparrouter-rollout/src/judge.rs
@@ -34,8 +34,17 @@
 /// Part of the answers before the change that counts as slow.
 const SLOW: f64 = 0.1;
 /// Measures of all operations together, then of each.
-const OF_ALL: [&str; 9] =
-    ["lost", "errored", "throttled", "forwards", "fetches", "opened", "cpu", "memory", "descriptors"];
+const OF_ALL: [&str; 9] = [
+    "lost",
+    "errored",
+    "throttled",
+    "forwards",
+    "fetches",
+    "opened",
+    "cpu",
+    "memory",
+    "descriptors",
+];
 const OF_EACH: [&str; 4] = ["lost", "errored", "slow", "latency"];
 /// Least harm worth a stop, as multiples of the least loss of billed value. Errors are wrong answers: far fewer matter.
 const LEAST_ALL: [f64; 9] = [1.0, 0.1, 2.0, 1.0, 4.0, 8.0, 8.0, 2.0, 2.0];
@@ -81,11 +90,18 @@
         let (mut past, mut histograms) = (Past::default(), Vec::<(String, Vec<u64>)>::new());
         let heard = || nodes.iter().flatten();
         for op in heard().flat_map(|(d, _)| &d.operations) {
-            let at = histograms.iter().position(|h| h.0 == op.name).unwrap_or_else(|| {
-                histograms.push((op.name.clone(), vec![0; BUCKETS]));
-                histograms.len() - 1
-            });
-            histograms[at].1.iter_mut().zip(&op.latency).for_each(|(h, n)| *h += n);
+            let at = histograms
+                .iter()
+                .position(|h| h.0 == op.name)
+                .unwrap_or_else(|| {
+                    histograms.push((op.name.clone(), vec![0; BUCKETS]));
+                    histograms.len() - 1
+                });
+            histograms[at]
+                .1
+                .iter_mut()
+                .zip(&op.latency)
+                .for_each(|(h, n)| *h += n);
         }
         histograms.sort();
         for (name, histogram) in histograms {
@@ -94,7 +110,8 @@
                 seen += n as f64;
                 seen > (1.0 - SLOW) * all
             });
-            past.operations.push((name, slow.map_or(BUCKETS, |s| s + 1)));
+            past.operations
+                .push((name, slow.map_or(BUCKETS, |s| s + 1)));
         }
         let count = heard().count().max(1) as f64;
         let taken = heard().map(|(d, _)| taken(d)).sum::<f64>().max(1.0);
@@ -104,29 +121,45 @@
         past.cpu_ms = heard().map(|(d, _)| d.cpu_ms as f64).sum::<f64>() / taken;
         past.memory_kib = heard().map(|(_, r)| r.memory_kib as f64).sum::<f64>() / count;
         past.descriptors = heard().map(|(_, r)| r.descriptors as f64).sum::<f64>() / count;
-        let asked: f64 = heard().flat_map(|(d, _)| &d.operations).map(|o| o.asked).sum();
-        let in_time: f64 = heard().flat_map(|(d, _)| &d.operations).map(|o| o.in_time).sum();
+        let asked: f64 = heard()
+            .flat_map(|(d, _)| &d.operations)
+            .map(|o| o.asked)
+            .sum();
+        let in_time: f64 = heard()
+            .flat_map(|(d, _)| &d.operations)
+            .map(|o| o.in_time)
+            .sum();
         past.lost = part(asked - in_time, asked).unwrap_or(0.0);
-        let own: Vec<Option<Parts>> =
-            nodes.iter().map(|n| n.as_ref().map(|(d, r)| past.parts(d, r))).collect();
+        let own: Vec<Option<Parts>> = nodes
+            .iter()
+            .map(|n| n.as_ref().map(|(d, r)| past.parts(d, r)))
+            .collect();
         let mean = |m: usize| {
             let known: Vec<f64> = own.iter().flatten().filter_map(|p| p[m]).collect();
             known.iter().sum::<f64>() / known.len().max(1) as f64
         };
         let means: Vec<f64> = (0..past.names().len()).map(mean).collect();
         let of = |p: &Option<Parts>, m: usize| p.as_ref().and_then(|p| p[m]).unwrap_or(means[m]);
-        past.means = own.iter().map(|p| (0..means.len()).map(|m| of(p, m)).collect()).collect();
+        past.means = own
+            .iter()
+            .map(|p| (0..means.len()).map(|m| of(p, m)).collect())
+            .collect();
         past
     }
 
     pub fn names(&self) -> Vec<String> {
-        let each = self.operations.iter().flat_map(|o| OF_EACH.map(|m| format!("{m} of {}", o.0)));
+        let each = self
+            .operations
+            .iter()
+            .flat_map(|o| OF_EACH.map(|m| format!("{m} of {}", o.0)));
         OF_ALL.iter().map(|m| m.to_string()).chain(each).collect()
     }
 
     /// `done`: what the node did in a span; `as_is`: its latest report.
     pub fn parts(&self, done: &Report, as_is: &Report) -> Parts {
-        let sum = |f: &dyn Fn(&crate::report::Operation) -> f64| done.operations.iter().map(f).sum::<f64>();
+        let sum = |f: &dyn Fn(&crate::report::Operation) -> f64| {
+            done.operations.iter().map(f).sum::<f64>()
+        };
         let (asked, all) = (sum(&|o| o.asked), taken(done));
         let each = |n: u64, past: f64| part(n as f64, all).and(beside(n as f64 / all, past));
         let mut parts = vec![
@@ -144,12 +177,19 @@
             let op = done.operations.iter().find(|o| o.name == *name);
             parts.push(op.and_then(|o| part(o.asked - o.in_time, o.asked)));
             parts.push(op.and_then(|o| part(o.errored as f64, o.taken as f64)));
-            parts.push(
-                op.and_then(|o| part(o.latency.iter().skip(*slow).sum::<u64>() as f64, o.succeeded as f64)),
-            );
+            parts.push(op.and_then(|o| {
+                part(
+                    o.latency.iter().skip(*slow).sum::<u64>() as f64,
+                    o.succeeded as f64,
+                )
+            }));
             // The mean bucket: a third slower is 0.83 of one, a tenth 0.28.
             let weighed = |o: &crate::report::Operation| -> f64 {
-                o.latency.iter().enumerate().map(|(n, c)| n as f64 * *c as f64).sum()
+                o.latency
+                    .iter()
+                    .enumerate()
+                    .map(|(n, c)| n as f64 * *c as f64)
+                    .sum()
             };
             parts.push(op.and_then(|o| part(weighed(o) / BUCKETS as f64, o.succeeded as f64)));
         }
@@ -235,7 +275,11 @@
     }
 
     /// One span: what changed and unchanged nodes did in it. A span in which one group is empty tells nothing.
-    pub fn span(&mut self, changed: &[(usize, Parts)], unchanged: &[(usize, Parts)]) -> Option<Finding> {
+    pub fn span(
+        &mut self,
+        changed: &[(usize, Parts)],
+        unchanged: &[(usize, Parts)],
+    ) -> Option<Finding> {
         if changed.is_empty() || unchanged.is_empty() {
             return None;
         }
@@ -243,8 +287,10 @@
         let mut worst: Option<Finding> = None;
         for m in 0..self.least.len() {
             let own = |&(n, ref p): &(usize, Parts)| Some((n, p[m]? - self.past.means[n][m]));
-            let (new, old): (Vec<_>, Vec<_>) =
-                (changed.iter().filter_map(own).collect(), unchanged.iter().filter_map(own).collect());
+            let (new, old): (Vec<_>, Vec<_>) = (
+                changed.iter().filter_map(own).collect(),
+                unchanged.iter().filter_map(own).collect(),
+            );
             if new.is_empty() || old.is_empty() {
                 continue;
             }
@@ -259,17 +305,31 @@
             let Some(worse) = worse else { continue };
             let each = 1.0 / new.len() as f64 + 1.0 / old.len() as f64;
             let margin = self.least[m] + DEVIATIONS * deviation * each.sqrt();
-            let cut = if self.past.names()[m].starts_with(RARE) { CUT_RARE } else { CUT };
+            let cut = if self.past.names()[m].starts_with(RARE) {
+                CUT_RARE
+            } else {
+                CUT
+            };
             let beyond = worse.clamp(-cut * margin, cut * margin) - margin;
             let most = 1.0 / ((cut + 1.0) * margin);
-            for (worth, stake) in self.worth.iter_mut().flat_map(|w| w[m].iter_mut().zip(STAKES)) {
+            for (worth, stake) in self
+                .worth
+                .iter_mut()
+                .flat_map(|w| w[m].iter_mut().zip(STAKES))
+            {
                 *worth *= 1.0 + stake * most * beyond;
             }
-            let begun: f64 = self.worth.iter().flat_map(|w| &w[m]).sum::<f64>() / STAKES.len() as f64;
+            let begun: f64 =
+                self.worth.iter().flat_map(|w| &w[m]).sum::<f64>() / STAKES.len() as f64;
             let worth = (begun + (self.stages - self.worth.len()) as f64) / self.stages as f64;
             if worst.as_ref().is_none_or(|w| w.worth < worth) {
                 let (measure, reached) = (self.past.names()[m].clone(), worth / self.wanted);
-                worst = Some(Finding { measure, worth, reached, worse });
+                worst = Some(Finding {
+                    measure,
+                    worth,
+                    reached,
+                    worse,
+                });
             }
         }
         worst
@@ -299,7 +359,10 @@
     /// The 6th of all measures, connections opened, at these nodes; nothing else differs. How far the test came.
     fn reached(changed: &[f64], unchanged: &[f64]) -> f64 {
         let nodes = changed.len() + unchanged.len();
-        let past = Past { means: vec![vec![0.0; OF_ALL.len()]; nodes], ..Past::default() };
+        let past = Past {
+            means: vec![vec![0.0; OF_ALL.len()]; nodes],
+            ..Past::default()
+        };
         let mut judge = Judge::new(past, nodes, 2, 0.01, 0.01);
         judge.stage();
         let parts = |of: &[f64], from: usize| -> Vec<(usize, Parts)> {
@@ -311,7 +374,10 @@
             of.iter().enumerate().map(each).collect()
         };
         let (new, old) = (parts(changed, 0), parts(unchanged, changed.len()));
-        (0..200).filter_map(|_| judge.span(&new, &old)).map(|f| f.reached).fold(0.0, f64::max)
+        (0..200)
+            .filter_map(|_| judge.span(&new, &old))
+            .map(|f| f.reached)
+            .fold(0.0, f64::max)
     }
 
     /// A sound change was taken back as one node opened connections again and again: spans are no new draw each where a
--- a/crates/sparrouter-rollout/src/main.rs
+++ b/crates/sparrouter-rollout/src/main.rs
@@ -67,9 +67,18 @@
 
 fn show(plan: &Plan) {
     let order = stages::order(plan);
-    println!("{}: {} nodes, {} -> {}", plan.name, order.len(), plan.from, plan.generation);
+    println!(
+        "{}: {} nodes, {} -> {}",
+        plan.name,
+        order.len(),
+        plan.from,
+        plan.generation
+    );
     let mut from = 0;
-    for (stage, to) in stages::sizes(&plan.parts, order.len()).into_iter().enumerate() {
+    for (stage, to) in stages::sizes(&plan.parts, order.len())
+        .into_iter()
+        .enumerate()
+    {
         let name = |&n: &usize| format!("{} ({})", plan.nodes[n].name, plan.nodes[n].zone);
         let new: Vec<String> = order[from..to].iter().map(name).collect();
         let fellows = (to - from).min(order.len() - to);
@@ -77,7 +86,11 @@
         println!("stage {}: changes {}", stage + 1, new.join(", "));
         println!(
             "         beside {}",
-            if old.is_empty() { "the fleet's own past".into() } else { old.join(", ") }
+            if old.is_empty() {
+                "the fleet's own past".into()
+            } else {
+                old.join(", ")
+            }
         );
         from = to;
     }
@@ -85,15 +98,22 @@
 
 fn status(log: &Path) -> Result<(), String> {
     let bytes = std::fs::read(log).map_err(|e| format!("{}: {e}", log.display()))?;
-    let (entries, _) = record::read(&bytes, &log.display().to_string()).map_err(|e| e.to_string())?;
+    let (entries, _) =
+        record::read(&bytes, &log.display().to_string()).map_err(|e| e.to_string())?;
     for entry in &entries {
         match entry {
-            Entry::Past { past } => println!("before: {:.2} % of the billed value lost", 100.0 * past.lost),
+            Entry::Past { past } => println!(
+                "before: {:.2} % of the billed value lost",
+                100.0 * past.lost
+            ),
             Entry::Plan { name, .. } => println!("plan {name}"),
             Entry::Stage { stage } => println!("stage {}", stage + 1),
             Entry::Begin { node, doing } => println!("  {node}: {doing:?} ..."),
             Entry::End { node, doing, ok } => {
-                println!("  {node}: {doing:?} {}", if *ok { "over" } else { "came to nothing" })
+                println!(
+                    "  {node}: {doing:?} {}",
+                    if *ok { "over" } else { "came to nothing" }
+                )
             }
             Entry::Passed { stage } => println!("stage {} passed", stage + 1),
             Entry::Back { why } => println!("going back: {why}"),
@@ -109,7 +129,8 @@
 fn write_page(plan: &Path, log: &Path, out: &Path) -> Result<(), String> {
     let (plan, _) = run::load(plan).map_err(|e| e.to_string())?;
     let bytes = std::fs::read(log).map_err(|e| format!("{}: {e}", log.display()))?;
-    let (entries, _) = record::read(&bytes, &log.display().to_string()).map_err(|e| e.to_string())?;
+    let (entries, _) =
+        record::read(&bytes, &log.display().to_string()).map_err(|e| e.to_string())?;
     let page = sparrouter_rollout::page::page(&plan, log, &entries);
     std::fs::write(out, page).map_err(|e| format!("{}: {e}", out.display()))?;
     println!("{}", out.display());
@@ -143,7 +164,10 @@
         }
         What::Stop { plan, log } => ask(&log_of(&plan, log), "stop"),
         What::Page { plan, log, out } => {
-            let (log, out) = (log_of(&plan, log), out.unwrap_or_else(|| plan.with_extension("html")));
+            let (log, out) = (
+                log_of(&plan, log),
+                out.unwrap_or_else(|| plan.with_extension("html")),
+            );
             return match write_page(&plan, &log, &out) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(text) => fail(&text),
@@ -160,7 +184,11 @@
         Ok(None) => ExitCode::SUCCESS,
         Ok(Some(how)) => {
             println!("{}", told(&how));
-            if how == How::Through { ExitCode::SUCCESS } else { ExitCode::from(1) }
+            if how == How::Through {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(1)
+            }
         }
         Err(error) => fail(&error.to_string()),
     }
--- a/crates/sparrouter-rollout/src/page.rs
+++ b/crates/sparrouter-rollout/src/page.rs
@@ -41,7 +41,13 @@
 
 impl History {
     pub fn open(log: &Path) -> History {
-        History(OpenOptions::new().create(true).append(true).open(beside(log, ".history")).ok())
+        History(
+            OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(beside(log, ".history"))
+                .ok(),
+        )
     }
     pub fn add(&mut self, line: &Line) {
         if let (Some(file), Ok(mut text)) = (&mut self.0, serde_json::to_vec(line)) {
@@ -55,19 +61,34 @@
 /// What can be read of it: a torn line is passed over.
 fn history(log: &Path) -> Vec<Line> {
     let text = std::fs::read(beside(log, ".history")).unwrap_or_default();
-    text.split(|b| *b == b'\n').filter_map(|l| serde_json::from_slice(l).ok()).collect()
+    text.split(|b| *b == b'\n')
+        .filter_map(|l| serde_json::from_slice(l).ok())
+        .collect()
 }
 
-const INK: [RGBColor; 3] = [RGBColor(127, 127, 127), RGBColor(31, 119, 180), RGBColor(214, 39, 40)];
+const INK: [RGBColor; 3] = [
+    RGBColor(127, 127, 127),
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+];
 type Drawn = Result<(), Box<dyn std::error::Error>>;
 type Curve<'a> = (&'a str, Vec<(f64, f64)>, RGBColor);
 
 /// Curves over seconds; a drawing error leaves an empty picture.
-fn plot(title: &str, curves: &[Curve], level: Option<(f64, &str)>, marks: &[(f64, String)]) -> String {
+fn plot(
+    title: &str,
+    curves: &[Curve],
+    level: Option<(f64, &str)>,
+    marks: &[(f64, String)],
+) -> String {
     let mut text = String::new();
     let all = || curves.iter().flat_map(|c| &c.1);
     let end = all().map(|p| p.0).fold(1.0, f64::max);
-    let top = all().map(|p| p.1).chain(level.map(|l| l.0)).fold(0.01, f64::max) * 1.1;
+    let top = all()
+        .map(|p| p.1)
+        .chain(level.map(|l| l.0))
+        .fold(0.01, f64::max)
+        * 1.1;
     {
         let area = SVGBackend::with_string(&mut text, (1100, 260)).into_drawing_area();
         let draw = || -> Drawn {
@@ -78,7 +99,10 @@
                 .y_label_area_size(62)
                 .build_cartesian_2d(0.0..end, 0.0..top)?;
             let mut mesh = chart.configure_mesh();
-            mesh.light_line_style(TRANSPARENT).x_desc("seconds from the start").y_desc(title).draw()?;
+            mesh.light_line_style(TRANSPARENT)
+                .x_desc("seconds from the start")
+                .y_desc(title)
+                .draw()?;
             for (at, word) in marks {
                 chart.draw_series([PathElement::new([(*at, 0.0), (*at, top)], BLACK.mix(0.35))])?;
                 chart.draw_series([Text::new(word.clone(), (*at, top), ("sans-serif", 13))])?;
@@ -92,7 +116,9 @@
                 chart
                     .draw_series(LineSeries::new(points.iter().copied(), ink.stroke_width(2)))?
                     .label(*name)
-                    .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], ink.stroke_width(2)));
+                    .legend(move |(x, y)| {
+                        PathElement::new([(x, y), (x + 18, y)], ink.stroke_width(2))
+                    });
             }
             if curves.len() > 1 {
                 chart
@@ -113,7 +139,9 @@
 }
 
 fn escape(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
 }
 
 const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:1140px;color:#222}\
@@ -132,19 +160,30 @@
         })
         .collect();
     let curve = |f: &dyn Fn(&Seen) -> Option<f64>| -> Vec<(f64, f64)> {
-        seen.iter().filter_map(|(at, s)| f(s).map(|y| (*at, y))).collect()
+        seen.iter()
+            .filter_map(|(at, s)| f(s).map(|y| (*at, y)))
+            .collect()
     };
     let mut marks = Vec::new();
     for l in &lines {
         if let Line::Said { at, text } = l
             && (text.starts_with("stage ") || text.starts_with("stopped"))
         {
-            marks.push((at - start, text.split([':', ';']).next().unwrap_or_default().to_string()));
+            marks.push((
+                at - start,
+                text.split([':', ';'])
+                    .next()
+                    .unwrap_or_default()
+                    .to_string(),
+            ));
         }
     }
     let mut out = String::from("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\">");
     let name = escape(&plan.name);
-    let _ = write!(out, "<title>{name}</title><style>{STYLE}</style><h1>{name}</h1>");
+    let _ = write!(
+        out,
+        "<title>{name}</title><style>{STYLE}</style><h1>{name}</h1>"
+    );
     let _ = write!(
         out,
         "<p>{} nodes, {} → {}.</p>",
@@ -153,9 +192,15 @@
         escape(&plan.generation)
     );
     let (class, how) = match entries.last() {
-        Some(Entry::Done { how: How::Through }) => ("through", "Every node is changed.".to_string()),
-        Some(Entry::Done { how: How::Back(why) }) => ("back", format!("Taken back: {why}")),
-        Some(Entry::Done { how: How::Left(why) }) => ("left", format!("Left for a person: {why}")),
+        Some(Entry::Done { how: How::Through }) => {
+            ("through", "Every node is changed.".to_string())
+        }
+        Some(Entry::Done {
+            how: How::Back(why),
+        }) => ("back", format!("Taken back: {why}")),
+        Some(Entry::Done {
+            how: How::Left(why),
+        }) => ("left", format!("Left for a person: {why}")),
         _ => ("", "Not ended.".to_string()),
     };
     let _ = write!(out, "<p class=\"{class}\">{}</p>", escape(&how));
@@ -170,10 +215,22 @@
         ("unchanged", curve(&|s| percent(s.unchanged)), INK[1]),
         ("changed", curve(&|s| percent(s.changed)), INK[2]),
     ];
-    let _ = write!(out, "<h2>Billed value lost, %</h2>{}", plot("%", &losses, bound, &marks));
-    let worth = [("worst measure", curve(&|s| (s.phase == "watching").then_some(s.reached)), INK[2])];
+    let _ = write!(
+        out,
+        "<h2>Billed value lost, %</h2>{}",
+        plot("%", &losses, bound, &marks)
+    );
+    let worth = [(
+        "worst measure",
+        curve(&|s| (s.phase == "watching").then_some(s.reached)),
+        INK[2],
+    )];
     let title = "Evidence of harm: 1 stops the change";
-    let _ = write!(out, "<h2>{title}</h2>{}", plot("part of the bound", &worth, Some((1.0, "stop")), &marks));
+    let _ = write!(
+        out,
+        "<h2>{title}</h2>{}",
+        plot("part of the bound", &worth, Some((1.0, "stop")), &marks)
+    );
     let nodes = [
         ("changed", curve(&|s| Some(s.new as f64)), INK[2]),
         ("down or silent", curve(&|s| Some(s.down as f64)), INK[0]),
@@ -181,33 +238,57 @@
     let _ = write!(
         out,
         "<h2>Nodes</h2>{}",
-        plot("nodes", &nodes, Some((plan.down_at_once as f64, "down at once")), &marks)
+        plot(
+            "nodes",
+            &nodes,
+            Some((plan.down_at_once as f64, "down at once")),
+            &marks
+        )
     );
     out.push_str("<h2>What was done, and why</h2><table>");
     let mut worst: Option<(f64, &Seen)> = None;
     for l in &lines {
         match l {
             Line::Seen { at, seen }
-                if seen.phase == "watching" && worst.is_none_or(|(_, w)| w.reached < seen.reached) =>
+                if seen.phase == "watching"
+                    && worst.is_none_or(|(_, w)| w.reached < seen.reached) =>
             {
                 worst = Some((at - start, seen));
             }
             Line::Said { at, text } => {
                 if let Some((at, w)) = worst.take().filter(|(_, w)| !w.measure.is_empty()) {
-                    let row = format!("nearest to a stop: {} at {:.2} of the bound", w.measure, w.reached);
+                    let row = format!(
+                        "nearest to a stop: {} at {:.2} of the bound",
+                        w.measure, w.reached
+                    );
                     let _ = write!(out, "<tr><td>{at:.1} s</td><td>{}</td></tr>", escape(&row));
                 }
-                let _ = write!(out, "<tr><td>{:.1} s</td><td>{}</td></tr>", at - start, escape(text));
+                let _ = write!(
+                    out,
+                    "<tr><td>{:.1} s</td><td>{}</td></tr>",
+                    at - start,
+                    escape(text)
+                );
             }
             _ => {}
         }
     }
     if let Some((at, w)) = worst.filter(|(_, w)| !w.measure.is_empty()) {
-        let row = format!("nearest to a stop: {} at {:.2} of the bound", w.measure, w.reached);
+        let row = format!(
+            "nearest to a stop: {} at {:.2} of the bound",
+            w.measure, w.reached
+        );
         let _ = write!(out, "<tr><td>{at:.1} s</td><td>{}</td></tr>", escape(&row));
     }
-    if let Some(Line::Ended { at, .. }) = lines.iter().rev().find(|l| matches!(l, Line::Ended { .. })) {
-        let _ = write!(out, "<tr><td>{:.1} s</td><td>{}</td></tr>", at - start, escape(&how));
+    if let Some(Line::Ended { at, .. }) =
+        lines.iter().rev().find(|l| matches!(l, Line::Ended { .. }))
+    {
+        let _ = write!(
+            out,
+            "<tr><td>{:.1} s</td><td>{}</td></tr>",
+            at - start,
+            escape(&how)
+        );
     }
     out.push_str("</table></html>");
     out
--- a/crates/sparrouter-rollout/src/plan.rs
+++ b/crates/sparrouter-rollout/src/plan.rs
@@ -11,7 +11,11 @@
     #[error("{0}")]
     Form(#[from] toml::de::Error),
     #[error("line {line}, {field}: {what}")]
-    Field { line: usize, field: &'static str, what: String },
+    Field {
+        line: usize,
+        field: &'static str,
+        what: String,
+    },
 }
 
 /// A command of the operator's: a program and its arguments. It has to be safe to run again.
@@ -120,7 +124,12 @@
 impl Default for RawBounds {
     fn default() -> RawBounds {
         let at = |x| Spanned::new(0..0, x);
-        RawBounds { least_loss: at(0.01), false_stops: at(0.01), fleet_loss: at(0.1), fetches_per_s: None }
+        RawBounds {
+            least_loss: at(0.01),
+            false_stops: at(0.01),
+            fleet_loss: at(0.1),
+            fetches_per_s: None,
+        }
     }
 }
 
@@ -142,35 +151,60 @@
     pub fn read(text: &str) -> Result<Plan, PlanError> {
         let raw: Raw = toml::from_str(text)?;
         let line = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
-        let bad = |at: usize, field, what: String| PlanError::Field { line: line(at), field, what };
+        let bad = |at: usize, field, what: String| PlanError::Field {
+            line: line(at),
+            field,
+            what,
+        };
         let time = |field, s: &Spanned<f64>| match *s.get_ref() {
             x if x > 0.0 && x <= 1e6 => Ok((x * SECOND as f64) as Nanos),
-            x => Err(bad(s.span().start, field, format!("{x} is not a time over 0 and up to 1000000 s"))),
+            x => Err(bad(
+                s.span().start,
+                field,
+                format!("{x} is not a time over 0 and up to 1000000 s"),
+            )),
         };
         let part = |field, s: &Spanned<f64>| match *s.get_ref() {
             x if x > 0.0 && x < 1.0 => Ok(x),
-            x => Err(bad(s.span().start, field, format!("{x} is not a part between 0 and 1"))),
+            x => Err(bad(
+                s.span().start,
+                field,
+                format!("{x} is not a part between 0 and 1"),
+            )),
         };
         let (st, b) = (&raw.stages, &raw.bounds);
         let parts = st.parts.get_ref().clone();
-        let rises = parts.windows(2).all(|w| w[0] < w[1]) && parts.first().is_some_and(|p| *p > 0.0);
+        let rises =
+            parts.windows(2).all(|w| w[0] < w[1]) && parts.first().is_some_and(|p| *p > 0.0);
         if !rises || parts.last() != Some(&1.0) {
             let what = format!("{parts:?} does not rise from over 0 to 1.0");
             return Err(bad(st.parts.span().start, "stages.parts", what));
         }
-        let (hold, longest) = (time("stages.hold_s", &st.hold_s)?, time("stages.longest_s", &st.longest_s)?);
+        let (hold, longest) = (
+            time("stages.hold_s", &st.hold_s)?,
+            time("stages.longest_s", &st.longest_s)?,
+        );
         if longest < hold {
             let what = "less than hold_s: no stage could pass".to_string();
             return Err(bad(st.longest_s.span().start, "stages.longest_s", what));
         }
         if *st.down_at_once.get_ref() == 0 {
             let what = "0 nodes at once: nothing could be changed".to_string();
-            return Err(bad(st.down_at_once.span().start, "stages.down_at_once", what));
+            return Err(bad(
+                st.down_at_once.span().start,
+                "stages.down_at_once",
+                what,
+            ));
         }
         let generation = raw.change.generation.get_ref().clone();
         if generation == raw.change.from {
-            let what = format!("{generation} is what the unchanged say too: nobody could tell them apart");
-            return Err(bad(raw.change.generation.span().start, "change.generation", what));
+            let what =
+                format!("{generation} is what the unchanged say too: nobody could tell them apart");
+            return Err(bad(
+                raw.change.generation.span().start,
+                "change.generation",
+                what,
+            ));
         }
         let fetches = b.fetches_per_s.as_ref();
         if let Some(f) = fetches.filter(|f| f.get_ref().is_nan() || *f.get_ref() <= 0.0) {
@@ -180,7 +214,8 @@
         let placement = raw.change.placement.as_ref();
         if let Some(p) = placement.filter(|p| *p.get_ref() && fetches.is_none()) {
             // Every key that moves is a miss at its new place: old and new ask for it in two.
-            let what = "needs bounds.fetches_per_s: what the origin can bear while keys move".to_string();
+            let what =
+                "needs bounds.fetches_per_s: what the origin can bear while keys move".to_string();
             return Err(bad(p.span().start, "change.placement", what));
         }
         let mut names = BTreeSet::new();
@@ -189,16 +224,22 @@
                 let what = format!("{} is named twice", n.name.get_ref());
                 return Err(bad(n.name.span().start, "node.name", what));
             }
-            for (field, c) in
-                [("node.change", &n.change), ("node.back", &n.back), ("node.restart", &n.restart)]
-            {
+            for (field, c) in [
+                ("node.change", &n.change),
+                ("node.back", &n.back),
+                ("node.restart", &n.restart),
+            ] {
                 if c.get_ref().is_empty() {
                     return Err(bad(c.span().start, field, "no program named".to_string()));
                 }
             }
         }
         if names.len() < 2 {
-            return Err(bad(text.len(), "node", "at least two are wanted, to compare".to_string()));
+            return Err(bad(
+                text.len(),
+                "node",
+                "at least two are wanted, to compare".to_string(),
+            ));
         }
         let node = |n: RawNode| Node {
             name: n.name.into_inner(),
--- a/crates/sparrouter-rollout/src/record.rs
+++ b/crates/sparrouter-rollout/src/record.rs
@@ -65,11 +65,20 @@
 #[derive(Debug, Error)]
 pub enum RecordError {
     #[error("{path}: {source}")]
-    Io { path: String, source: std::io::Error },
+    Io {
+        path: String,
+        source: std::io::Error,
+    },
     #[error("{path}: another conductor has it open; only one may act")]
     Busy { path: String },
-    #[error("{path}: byte {at} is not what was written ({what}); nothing is done, look at the nodes by hand")]
-    Spoilt { path: String, at: usize, what: &'static str },
+    #[error(
+        "{path}: byte {at} is not what was written ({what}); nothing is done, look at the nodes by hand"
+    )]
+    Spoilt {
+        path: String,
+        at: usize,
+        what: &'static str,
+    },
 }
 
 pub struct Log {
@@ -88,7 +97,11 @@
 
 /// The entries of a log's bytes, and how many of these are whole.
 pub fn read(bytes: &[u8], path: &str) -> Result<(Vec<Entry>, usize), RecordError> {
-    let spoilt = |at, what| RecordError::Spoilt { path: path.to_string(), at, what };
+    let spoilt = |at, what| RecordError::Spoilt {
+        path: path.to_string(),
+        at,
+        what,
+    };
     let (mut entries, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
         let rest = &bytes[at..];
@@ -129,9 +142,17 @@
 impl Log {
     pub fn open(path: &Path) -> Result<(Log, Vec<Entry>), RecordError> {
         let name = path.display().to_string();
-        let io = |source| RecordError::Io { path: name.clone(), source };
-        let mut file =
-            OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path).map_err(io)?;
+        let io = |source| RecordError::Io {
+            path: name.clone(),
+            source,
+        };
+        let mut file = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(path)
+            .map_err(io)?;
         if file.try_lock().is_err() {
             return Err(RecordError::Busy { path: name.clone() });
         }
@@ -139,12 +160,25 @@
         file.read_to_end(&mut bytes).map_err(io)?;
         let (entries, whole) = read(&bytes, &name)?;
         if whole < bytes.len() {
-            file.set_len(whole as u64).and_then(|()| file.sync_all()).map_err(io)?;
+            file.set_len(whole as u64)
+                .and_then(|()| file.sync_all())
+                .map_err(io)?;
         }
         // The name itself has to be safe too.
-        let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+        let folder = path
+            .parent()
+            .filter(|p| !p.as_os_str().is_empty())
+            .unwrap_or(Path::new("."));
         File::open(folder).and_then(|f| f.sync_all()).map_err(io)?;
-        Ok((Log { file, path: name.clone(), length: whole as u64, broken: false }, entries))
+        Ok((
+            Log {
+                file,
+                path: name.clone(),
+                length: whole as u64,
+                broken: false,
+            },
+            entries,
+        ))
     }
 
     /// Returns once it is safe on disk. After an error nothing more is taken: whoever acts on the log stops.
@@ -161,7 +195,10 @@
         if let Err(source) = wrote {
             self.broken = true;
             let _ = self.file.set_len(self.length);
-            return Err(RecordError::Io { path: self.path.clone(), source });
+            return Err(RecordError::Io {
+                path: self.path.clone(),
+                source,
+            });
         }
         self.length += bytes.len() as u64;
         Ok(())
--- a/crates/sparrouter-rollout/src/run.rs
+++ b/crates/sparrouter-rollout/src/run.rs
@@ -17,12 +17,19 @@
     #[error("{path}: {source}")]
     Plan { path: String, source: PlanError },
     #[error("{path}: {source}")]
-    Io { path: String, source: std::io::Error },
+    Io {
+        path: String,
+        source: std::io::Error,
+    },
     #[error(transparent)]
     Record(#[from] RecordError),
-    #[error("{0}: its log was begun with another plan; take that one back first, or name another log")]
+    #[error(
+        "{0}: its log was begun with another plan; take that one back first, or name another log"
+    )]
     OtherPlan(String),
-    #[error("{0}: a change was begun and not ended; `resume` goes on with it, `back` takes it back")]
+    #[error(
+        "{0}: a change was begun and not ended; `resume` goes on with it, `back` takes it back"
+    )]
     Begun(String),
     #[error("{0}: nothing was begun here; `run` begins")]
     Nothing(String),
@@ -79,7 +86,10 @@
 
 fn start(command: &Command) -> std::io::Result<Child> {
     let mut c = std::process::Command::new(&command[0]);
-    c.args(&command[1..]).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::inherit());
+    c.args(&command[1..])
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::inherit());
     c.spawn()
 }
 
@@ -103,7 +113,10 @@
 
 pub fn load(path: &Path) -> Result<(Plan, u32), RunError> {
     let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|source| RunError::Io { path: name.clone(), source })?;
+    let text = std::fs::read_to_string(path).map_err(|source| RunError::Io {
+        path: name.clone(),
+        source,
+    })?;
     let plan = Plan::read(&text).map_err(|source| RunError::Plan { path: name, source })?;
     Ok((plan, crc32fast::hash(text.as_bytes())))
 }
@@ -116,7 +129,11 @@
 /// The same; `point` is called before and after each write of the log and each start of a command: wherever what is
 /// outside changes, and a killed conductor's successor has to find its way.
 pub fn run_by(
-    plan: &Path, log: &Path, mode: Mode, mut say: impl FnMut(&str), mut point: impl FnMut(),
+    plan: &Path,
+    log: &Path,
+    mode: Mode,
+    mut say: impl FnMut(&str),
+    mut point: impl FnMut(),
 ) -> Result<How, RunError> {
     let (plan, digest) = load(plan)?;
     let name = log.display().to_string();
@@ -124,11 +141,16 @@
     match (entries.first(), mode) {
         (None, Mode::Run) => {
             point();
-            record.append(&Entry::Plan { name: plan.name.clone(), digest })?;
+            record.append(&Entry::Plan {
+                name: plan.name.clone(),
+                digest,
+            })?;
             point();
         }
         (None, _) => return Err(RunError::Nothing(name)),
-        (Some(Entry::Plan { digest: d, .. }), _) if *d != digest => return Err(RunError::OtherPlan(name)),
+        (Some(Entry::Plan { digest: d, .. }), _) if *d != digest => {
+            return Err(RunError::OtherPlan(name));
+        }
         (Some(_), Mode::Run) => return Err(RunError::Begun(name)),
         _ => {}
     }
@@ -137,26 +159,45 @@
     }
     // Taken back by hand after an end: the nodes are as the log says, and the end is not the last word.
     let entries: Vec<Entry> = match mode {
-        Mode::Back => entries.into_iter().filter(|e| !matches!(e, Entry::Done { .. })).collect(),
+        Mode::Back => entries
+            .into_iter()
+            .filter(|e| !matches!(e, Entry::Done { .. }))
+            .collect(),
         _ => entries,
     };
-    let mut tails: Vec<Tail> =
-        plan.nodes.iter().map(|n| Tail { path: PathBuf::from(&n.report), at: 0, rest: Vec::new() }).collect();
+    let mut tails: Vec<Tail> = plan
+        .nodes
+        .iter()
+        .map(|n| Tail {
+            path: PathBuf::from(&n.report),
+            at: 0,
+            rest: Vec::new(),
+        })
+        .collect();
     let (commands, limit) = (plan.nodes.clone(), Duration::from_nanos(plan.command));
     let mut pages = History::open(log);
     let mut conductor = Conductor::new(plan, &entries);
     let (began, mut running) = (Instant::now(), BTreeMap::<usize, Running>::new());
-    let mut inputs: Vec<Input> = if mode == Mode::Back { vec![Input::Back] } else { Vec::new() };
+    let mut inputs: Vec<Input> = if mode == Mode::Back {
+        vec![Input::Back]
+    } else {
+        Vec::new()
+    };
     loop {
         inputs.extend(asked(log));
         for (node, tail) in tails.iter_mut().enumerate() {
             if let Some(report) = tail.last() {
-                inputs.push(Input::Report { node, report: Box::new(report) });
+                inputs.push(Input::Report {
+                    node,
+                    report: Box::new(report),
+                });
             }
         }
         let over: Vec<usize> = running.keys().copied().collect();
         for node in over {
-            let Some(r) = running.get_mut(&node) else { continue };
+            let Some(r) = running.get_mut(&node) else {
+                continue;
+            };
             let ok = match r.child.try_wait() {
                 Ok(Some(status)) if status.success() => Ok(()),
                 Ok(Some(status)) => Err(status.to_string()),
@@ -168,7 +209,11 @@
                 }
                 Err(error) => Err(error.to_string()),
             };
-            inputs.push(Input::Ended { node, doing: r.doing, ok });
+            inputs.push(Input::Ended {
+                node,
+                doing: r.doing,
+                ok,
+            });
             running.remove(&node);
         }
         // Never 0: that stands for 'long ago'.
@@ -182,12 +227,21 @@
                     point();
                 }
                 Action::Say(text) => {
-                    pages.add(&Line::Said { at: page::unix(), text: text.clone() });
+                    pages.add(&Line::Said {
+                        at: page::unix(),
+                        text: text.clone(),
+                    });
                     say(&text);
                 }
-                Action::Show(seen) => pages.add(&Line::Seen { at: page::unix(), seen }),
+                Action::Show(seen) => pages.add(&Line::Seen {
+                    at: page::unix(),
+                    seen,
+                }),
                 Action::Finish(how) => {
-                    pages.add(&Line::Ended { at: page::unix(), how: how.clone() });
+                    pages.add(&Line::Ended {
+                        at: page::unix(),
+                        how: how.clone(),
+                    });
                     return Ok(how);
                 }
                 Action::Run { node, doing } => {
@@ -202,9 +256,20 @@
                     point();
                     match started {
                         Ok(child) => {
-                            running.insert(node, Running { child, doing, until: Instant::now() + limit });
+                            running.insert(
+                                node,
+                                Running {
+                                    child,
+                                    doing,
+                                    until: Instant::now() + limit,
+                                },
+                            );
                         }
-                        Err(error) => inputs.push(Input::Ended { node, doing, ok: Err(error.to_string()) }),
+                        Err(error) => inputs.push(Input::Ended {
+                            node,
+                            doing,
+                            ok: Err(error.to_string()),
+                        }),
                     }
                 }
             }
--- a/crates/sparrouter-rollout/tests/fleet/mod.rs
+++ b/crates/sparrouter-rollout/tests/fleet/mod.rs
@@ -87,7 +87,12 @@
         let procs = names.into_iter().map(|name| Proc {
             new: false,
             started: 0,
-            report: Report { name, generation: "old".into(), placement: "1".into(), ..Report::default() },
+            report: Report {
+                name,
+                generation: "old".into(),
+                placement: "1".into(),
+                ..Report::default()
+            },
             own: 0.02 * rng.f64(),
             busy: None,
             dead: false,
@@ -120,8 +125,18 @@
         let p = &mut self.procs[n];
         (p.new, p.started, p.dead, p.restarts) = (new, self.now, false, p.restarts + 1);
         let generation = if new { "new" } else { "old" }.to_string();
-        let placement = if new && self.bad == Bad::Places { "2" } else { "1" }.to_string();
-        p.report = Report { name: p.report.name.clone(), generation, placement, ..Report::default() };
+        let placement = if new && self.bad == Bad::Places {
+            "2"
+        } else {
+            "1"
+        }
+        .to_string();
+        p.report = Report {
+            name: p.report.name.clone(),
+            generation,
+            placement,
+            ..Report::default()
+        };
     }
 
     /// A second of traffic at one node.
@@ -133,7 +148,10 @@
             _ => 0.0,
         };
         let (per_s, bad) = (self.per_s, self.bad);
-        let trouble = self.trouble.filter(|t| (t.0..t.1).contains(&self.now)).map_or(0.0, |t| t.2);
+        let trouble = self
+            .trouble
+            .filter(|t| (t.0..t.1).contains(&self.now))
+            .map_or(0.0, |t| t.2);
         let (rng, p, now) = (&mut self.rng, &mut self.procs[n], self.now);
         let age = now - p.started;
         // A fresh process is slower by itself.
@@ -159,11 +177,20 @@
         p.report.uptime_ms = age / 1_000_000;
         (p.report.memory_kib, p.report.descriptors) = (p.report.memory_kib.max(8000), 60);
         for (o, (name, per_s)) in ["read", "write"].into_iter().zip(per_s).enumerate() {
-            let at = p.report.operations.iter().position(|op| op.name == name).unwrap_or_else(|| {
-                let (name, latency) = (name.to_string(), vec![0; BUCKETS]);
-                p.report.operations.push(Operation { name, latency, ..Operation::default() });
-                p.report.operations.len() - 1
-            });
+            let at = p
+                .report
+                .operations
+                .iter()
+                .position(|op| op.name == name)
+                .unwrap_or_else(|| {
+                    let (name, latency) = (name.to_string(), vec![0; BUCKETS]);
+                    p.report.operations.push(Operation {
+                        name,
+                        latency,
+                        ..Operation::default()
+                    });
+                    p.report.operations.len() - 1
+                });
             let op = &mut p.report.operations[at];
             let harm = p.own + fresh + in_sum + trouble + worse + if o == 1 { second } else { 0.0 };
             for _ in 0..rng.usize(per_s / 2..=per_s * 3 / 2) {
@@ -207,11 +234,14 @@
             let serving = !p.dead && p.busy.is_none() && !(p.new && self.bad == Bad::NeverReady);
             if serving {
                 self.serve(n);
-                let cut =
-                    self.cut.is_some_and(|(from, to, first)| (from..to).contains(&self.now) && n < first);
+                let cut = self
+                    .cut
+                    .is_some_and(|(from, to, first)| (from..to).contains(&self.now) && n < first);
                 if !self.muted.contains(&n) && !cut {
-                    self.inputs
-                        .push(Input::Report { node: n, report: Box::new(self.procs[n].report.clone()) });
+                    self.inputs.push(Input::Report {
+                        node: n,
+                        report: Box::new(self.procs[n].report.clone()),
+                    });
                 }
             }
         }
@@ -231,7 +261,10 @@
                     Doing::Restart => false,
                 };
                 let p = &mut self.procs[node];
-                p.busy = Some((doing, self.now + if there { SECOND / 2 } else { 2 * SECOND }));
+                p.busy = Some((
+                    doing,
+                    self.now + if there { SECOND / 2 } else { 2 * SECOND },
+                ));
             }
             Action::Show(_) | Action::Finish(_) => {}
         }
@@ -239,17 +272,27 @@
 
     fn commands(&mut self) {
         for n in 0..self.procs.len() {
-            let Some((doing, _)) = self.procs[n].busy.filter(|b| b.1 <= self.now) else { continue };
+            let Some((doing, _)) = self.procs[n].busy.filter(|b| b.1 <= self.now) else {
+                continue;
+            };
             self.procs[n].busy = None;
             if self.procs[n].stubborn {
-                self.inputs.push(Input::Ended { node: n, doing, ok: Err("would not".into()) });
+                self.inputs.push(Input::Ended {
+                    node: n,
+                    doing,
+                    ok: Err("would not".into()),
+                });
                 continue;
             }
             let new = doing == Doing::Change;
             if doing == Doing::Restart || self.procs[n].new != new {
                 self.start(n, new);
             }
-            self.inputs.push(Input::Ended { node: n, doing, ok: Ok(()) });
+            self.inputs.push(Input::Ended {
+                node: n,
+                doing,
+                ok: Ok(()),
+            });
         }
     }
 
@@ -293,7 +336,10 @@
         self.procs.iter().filter(|p| p.new).count()
     }
     pub fn stage(&self) -> usize {
-        self.log.iter().filter(|e| matches!(e, Entry::Stage { .. })).count()
+        self.log
+            .iter()
+            .filter(|e| matches!(e, Entry::Stage { .. }))
+            .count()
     }
     /// All actions of one play, for the points at which it may be killed.
     pub fn actions(&self) -> usize {
--- a/crates/sparrouter-rollout/tests/program.rs
+++ b/crates/sparrouter-rollout/tests/program.rs
@@ -8,8 +8,7 @@
 use std::time::{Duration, Instant};
 
 const NODES: usize = 4;
-const CONTROL: &str =
-    "printf %s \"$2\" > \"$1.state.new\" && mv \"$1.state.new\" \"$1.state\"; date +%s%N > \"$1.began\"";
+const CONTROL: &str = "printf %s \"$2\" > \"$1.state.new\" && mv \"$1.state.new\" \"$1.state\"; date +%s%N > \"$1.began\"";
 
 struct Files {
     folder: tempfile::TempDir,
@@ -31,7 +30,8 @@
 /// Each tenth of a second a line from each node, `errs` of ten answers of changed ones being errors.
 fn write(folder: PathBuf, over: Arc<AtomicBool>, errs: u64) {
     use std::io::Write;
-    let mut began: [(String, Instant); NODES] = std::array::from_fn(|_| (String::new(), Instant::now()));
+    let mut began: [(String, Instant); NODES] =
+        std::array::from_fn(|_| (String::new(), Instant::now()));
     let mut reports: Vec<Report> = vec![Report::default(); NODES];
     while !over.load(SeqCst) {
         for n in 0..NODES {
@@ -47,7 +47,11 @@
             let r = &mut reports[n];
             if r.operations.is_empty() {
                 let (name, latency) = ("get".to_string(), vec![0; BUCKETS]);
-                r.operations.push(Operation { name, latency, ..Operation::default() });
+                r.operations.push(Operation {
+                    name,
+                    latency,
+                    ..Operation::default()
+                });
             }
             let bad = if generation == "new" { errs } else { 0 };
             let op = &mut r.operations[0];
@@ -57,7 +61,11 @@
             (r.name, r.generation, r.placement) = (format!("n{n}"), generation, "1".into());
             (r.forwards, r.uptime_ms) = (r.forwards + 10, began[n].1.elapsed().as_millis() as u64);
             let path = folder.join(format!("n{n}.jsonl"));
-            let mut file = std::fs::OpenOptions::new().create(true).append(true).open(path).unwrap();
+            let mut file = std::fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(path)
+                .unwrap();
             let mut line = serde_json::to_vec(&r).unwrap();
             line.push(b'\n');
             file.write_all(&line).unwrap();
@@ -76,7 +84,8 @@
         for n in 0..NODES {
             std::fs::write(at.join(format!("n{n}.state")), "old").unwrap();
             let node = at.join(format!("n{n}"));
-            let command = |to: &str| format!("[\"sh\", \"-c\", {CONTROL:?}, \"sh\", {node:?}, \"{to}\"]");
+            let command =
+                |to: &str| format!("[\"sh\", \"-c\", {CONTROL:?}, \"sh\", {node:?}, \"{to}\"]");
             plan += &format!(
                 "[[node]]\nname = \"n{n}\"\nchange = {}\nback = {}\nrestart = {}\nreport = {:?}\n",
                 command("new"),
@@ -89,12 +98,21 @@
         let over = Arc::new(AtomicBool::new(false));
         let until = over.clone();
         let writer = Some(spawn(move || write(at, until, errs)));
-        Files { folder, over, writer }
+        Files {
+            folder,
+            over,
+            writer,
+        }
     }
 
     fn run(&self, words: &[&str]) -> (i32, String) {
         let mut c = Command::new(env!("CARGO_BIN_EXE_sparrouter-rollout"));
-        told(c.args(words).arg(self.folder.path().join("plan.toml")).output().unwrap())
+        told(
+            c.args(words)
+                .arg(self.folder.path().join("plan.toml"))
+                .output()
+                .unwrap(),
+        )
     }
     fn states(&self) -> Vec<String> {
         (0..NODES).map(|n| state(self.folder.path(), n)).collect()
@@ -107,7 +125,8 @@
 }
 
 fn told(out: Output) -> (i32, String) {
-    let text = String::from_utf8_lossy(&out.stdout).to_string() + &String::from_utf8_lossy(&out.stderr);
+    let text =
+        String::from_utf8_lossy(&out.stdout).to_string() + &String::from_utf8_lossy(&out.stderr);
     (out.status.code().unwrap_or(-1), text)
 }
 
@@ -115,10 +134,20 @@
 fn a_sound_change_ends_with_0_and_leaves_a_page() {
     let files = Files::new(0);
     let (code, said) = files.run(&["run"]);
-    assert_eq!((code, files.states()), (0, vec!["new".to_string(); NODES]), "{said}");
+    assert_eq!(
+        (code, files.states()),
+        (0, vec!["new".to_string(); NODES]),
+        "{said}"
+    );
     assert!(said.contains("every node is changed"), "{said}");
     let page = files.page();
-    for part in ["Every node is changed.", "stage 2 of 2", "<svg", "nearest to a stop", "unchanged"] {
+    for part in [
+        "Every node is changed.",
+        "stage 2 of 2",
+        "<svg",
+        "nearest to a stop",
+        "unchanged",
+    ] {
         assert!(page.contains(part), "{part}");
     }
     // It has ended: nothing is begun again under its log, and resuming says how it ended.
@@ -133,9 +162,16 @@
 fn a_change_that_errs_ends_with_1_and_the_page_says_why() {
     let files = Files::new(3);
     let (code, said) = files.run(&["run"]);
-    assert_eq!((code, files.states()), (1, vec!["old".to_string(); NODES]), "{said}");
+    assert_eq!(
+        (code, files.states()),
+        (1, vec!["old".to_string(); NODES]),
+        "{said}"
+    );
     let page = files.page();
-    assert!(page.contains("Taken back: errored") || page.contains("Taken back: lost"), "{said}");
+    assert!(
+        page.contains("Taken back: errored") || page.contains("Taken back: lost"),
+        "{said}"
+    );
     assert!(files.run(&["status"]).1.contains("ended: taken back"));
 }
 
@@ -147,12 +183,17 @@
     // 512 bytes a file; the past of four nodes is longer.
     let script = "trap '' XFSZ; ulimit -f 1; exec \"$0\" run \"$1\"";
     let mut c = Command::new("sh");
-    c.args(["-c", script, env!("CARGO_BIN_EXE_sparrouter-rollout")]).arg(&plan);
+    c.args(["-c", script, env!("CARGO_BIN_EXE_sparrouter-rollout")])
+        .arg(&plan);
     let (code, said) = told(c.output().unwrap());
     assert!(code == 2 && said.contains("plan.log"), "{code} {said}");
     assert_eq!(files.states(), vec!["old".to_string(); NODES]);
     let (code, said) = files.run(&["resume"]);
-    assert_eq!((code, files.states()), (0, vec!["new".to_string(); NODES]), "{said}");
+    assert_eq!(
+        (code, files.states()),
+        (0, vec!["new".to_string(); NODES]),
+        "{said}"
+    );
 }
 
 #[test]
--- a/crates/sparrouter-rollout/tests/rollout.rs
+++ b/crates/sparrouter-rollout/tests/rollout.rs
@@ -34,8 +34,16 @@
     ] {
         let (how, fleet) = played(16, bad, 2);
         assert!(matches!(how, How::Back(_)), "{bad:?}: {how:?}");
-        assert!(fleet.stage() <= 2 && fleet.changed() == 0, "{bad:?} in stage {}: {how:?}", fleet.stage());
-        assert!(fleet.lost / fleet.asked < 0.05, "{bad:?} lost {}", fleet.lost / fleet.asked);
+        assert!(
+            fleet.stage() <= 2 && fleet.changed() == 0,
+            "{bad:?} in stage {}: {how:?}",
+            fleet.stage()
+        );
+        assert!(
+            fleet.lost / fleet.asked < 0.05,
+            "{bad:?} lost {}",
+            fleet.lost / fleet.asked
+        );
     }
 }
 
@@ -46,7 +54,11 @@
     fleet.plan.down_at_once = 10;
     let began = fleet.now;
     assert_eq!(fleet.play(), How::Through);
-    assert!(fleet.most_down <= 10 && fleet.most_down >= 8, "{}", fleet.most_down);
+    assert!(
+        fleet.most_down <= 10 && fleet.most_down >= 8,
+        "{}",
+        fleet.most_down
+    );
     // Four stages are held for 40 s, and the past learnt in as long; what is left is for 60 changes and 30 restarts.
     let took = (fleet.now - began) / SECOND;
     assert!(took < 260, "{took} s");
@@ -61,7 +73,8 @@
         let how = fleet.play();
         // A changed node that is not heard is taken back: no news is not good news.
         assert!(
-            matches!(&how, How::Through) || matches!(&how, How::Back(why) if why.contains("silent")),
+            matches!(&how, How::Through)
+                || matches!(&how, How::Back(why) if why.contains("silent")),
             "{how:?}"
         );
         assert!(fleet.most_down <= 2, "{}", fleet.most_down);
@@ -72,7 +85,10 @@
 #[test]
 fn what_is_bad_only_in_sum_is_stopped_by_the_fleets_past() {
     let (how, fleet) = played(16, Bad::InSum(0.6), 3);
-    assert!(matches!(&how, How::Back(why) if why.contains("whole fleet")), "{how:?}");
+    assert!(
+        matches!(&how, How::Back(why) if why.contains("whole fleet")),
+        "{how:?}"
+    );
     assert_eq!(fleet.changed(), 0);
 }
 
@@ -80,7 +96,10 @@
 #[test]
 fn a_change_of_placement_is_refused_unless_allowed() {
     let (how, fleet) = played(8, Bad::Places, 9);
-    assert!(matches!(&how, How::Back(why) if why.contains("places keys otherwise")), "{how:?}");
+    assert!(
+        matches!(&how, How::Back(why) if why.contains("places keys otherwise")),
+        "{how:?}"
+    );
     assert_eq!((fleet.changed(), fleet.stage()), (0, 1));
     let mut allowed = plan(8, 2);
     // That they fetch more in the first half minute is what is allowed: only losses are looked at here.
@@ -99,7 +118,11 @@
         (allowed.down_at_once, allowed.longest) = (6, 200 * SECOND);
         let mut fleet = Fleet::new(allowed, Bad::Places, 15);
         assert_eq!(fleet.play(), How::Through);
-        fleet.seen.iter().map(|s| s.fetches_per_s).fold(0.0, f64::max)
+        fleet
+            .seen
+            .iter()
+            .map(|s| s.fetches_per_s)
+            .fold(0.0, f64::max)
     };
     let (free, bound) = (most(1e9), most(240.0));
     assert!(free > 340.0 && bound < 300.0, "{free}, {bound}");
@@ -109,13 +132,25 @@
 #[test]
 fn nodes_are_not_changed_on_while_the_whole_fleet_suffers() {
     let (_, sound) = played(60, Bad::No, 14);
-    let begins = sound.seen.iter().position(|s| s.stage == 3 && s.phase == "moving").unwrap() as u64;
+    let begins = sound
+        .seen
+        .iter()
+        .position(|s| s.stage == 3 && s.phase == "moving")
+        .unwrap() as u64;
     let mut fleet = Fleet::new(plan(60, 2), Bad::No, 14);
     // In the middle of the last stage's changes.
     fleet.trouble = Some(((104 + begins) * SECOND, (144 + begins) * SECOND, 0.4));
     assert_eq!(fleet.play(), How::Through, "{:?}", fleet.said);
-    let hit: Vec<&Seen> = fleet.seen.iter().filter(|s| s.all.is_some_and(|l| l > 0.3)).collect();
-    assert!(hit.len() > 30 && hit.iter().any(|s| s.phase == "moving"), "{}", hit.len());
+    let hit: Vec<&Seen> = fleet
+        .seen
+        .iter()
+        .filter(|s| s.all.is_some_and(|l| l > 0.3))
+        .collect();
+    assert!(
+        hit.len() > 30 && hit.iter().any(|s| s.phase == "moving"),
+        "{}",
+        hit.len()
+    );
     let (first, last) = (hit[3].new, hit[hit.len() - 1].new);
     assert!(last <= first + 2, "{first} to {last} changed meanwhile");
 }
@@ -145,7 +180,10 @@
     let first = stages::order(&fleet.plan)[0];
     fleet.procs[first].stubborn = true;
     let (how, name) = (fleet.play(), fleet.plan.nodes[first].name.clone());
-    assert!(matches!(&how, How::Left(why) if why.contains(&name)), "{how:?}");
+    assert!(
+        matches!(&how, How::Left(why) if why.contains(&name)),
+        "{how:?}"
+    );
     assert_eq!(fleet.changed(), 0);
 }
 
@@ -175,7 +213,11 @@
             );
             let wanted = if bad == Bad::No { 6 } else { 0 };
             assert_eq!(fleet.changed(), wanted, "killed at {kill}");
-            assert!(fleet.most_down <= 2, "killed at {kill}: {} down", fleet.most_down);
+            assert!(
+                fleet.most_down <= 2,
+                "killed at {kill}: {} down",
+                fleet.most_down
+            );
         }
     }
 }
@@ -217,16 +259,40 @@
     let nodes = node("a") + &node("b");
     assert!(Plan::read(&(sound.clone() + &nodes)).is_ok());
     for (text, part) in [
-        (sound.replace("parts = [0.5, 1.0]", "parts = [0.5, 0.2]") + &nodes, "line 4, stages.parts"),
-        (sound.replace("longest_s = 9", "longest_s = 2") + &nodes, "line 6, stages.longest_s"),
-        (sound.replace("hold_s = 5", "hold_s = -5") + &nodes, "line 5, stages.hold_s"),
+        (
+            sound.replace("parts = [0.5, 1.0]", "parts = [0.5, 0.2]") + &nodes,
+            "line 4, stages.parts",
+        ),
+        (
+            sound.replace("longest_s = 9", "longest_s = 2") + &nodes,
+            "line 6, stages.longest_s",
+        ),
+        (
+            sound.replace("hold_s = 5", "hold_s = -5") + &nodes,
+            "line 5, stages.hold_s",
+        ),
         (sound.replace("hold_s = 5", "held_s = 5") + &nodes, "held_s"),
-        (sound.replace("\"new\"", "\"old\"") + &nodes, "line 2, change.generation"),
-        (sound.clone() + &node("a") + &node("a"), "line 14, node.name"),
-        (sound.replace("\"old\" }", "\"old\", placement = true }") + &nodes, "line 2, change.placement"),
-        (sound.clone() + "[bounds]\nfetches_per_s = -3\n" + &nodes, "line 8, bounds.fetches_per_s"),
+        (
+            sound.replace("\"new\"", "\"old\"") + &nodes,
+            "line 2, change.generation",
+        ),
+        (
+            sound.clone() + &node("a") + &node("a"),
+            "line 14, node.name",
+        ),
+        (
+            sound.replace("\"old\" }", "\"old\", placement = true }") + &nodes,
+            "line 2, change.placement",
+        ),
+        (
+            sound.clone() + "[bounds]\nfetches_per_s = -3\n" + &nodes,
+            "line 8, bounds.fetches_per_s",
+        ),
         (sound.clone() + &node("a"), "at least two"),
-        (sound + &nodes.replace("back = [\"x\"]", "back = []"), "node.back"),
+        (
+            sound + &nodes.replace("back = [\"x\"]", "back = []"),
+            "node.back",
+        ),
     ] {
         let error = Plan::read(&text).unwrap_err().to_string();
         assert!(error.contains(part), "{error}");
@@ -236,10 +302,20 @@
 fn entries() -> Vec<Entry> {
     let (doing, node) = (Doing::Change, "n0".to_string());
     vec![
-        Entry::Plan { name: "p".into(), digest: 7 },
+        Entry::Plan {
+            name: "p".into(),
+            digest: 7,
+        },
         Entry::Stage { stage: 0 },
-        Entry::Begin { node: node.clone(), doing },
-        Entry::End { node, doing, ok: true },
+        Entry::Begin {
+            node: node.clone(),
+            doing,
+        },
+        Entry::End {
+            node,
+            doing,
+            ok: true,
+        },
     ]
 }
 
@@ -248,19 +324,30 @@
 fn a_log_cut_at_any_byte_is_recovered() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("log");
-    let (all, bytes) = (entries(), entries().iter().flat_map(record::written).collect::<Vec<u8>>());
+    let (all, bytes) = (
+        entries(),
+        entries()
+            .iter()
+            .flat_map(record::written)
+            .collect::<Vec<u8>>(),
+    );
     for cut in 0..=bytes.len() {
         for tail in [0, 40] {
             let mut torn = bytes[..cut].to_vec();
             torn.resize(cut + tail, 0);
             std::fs::write(&path, &torn).unwrap();
             // A length that was torn and filled with zeros can't be told from a spoilt one: refused, never half.
-            let Ok((mut log, read)) = Log::open(&path) else { continue };
+            let Ok((mut log, read)) = Log::open(&path) else {
+                continue;
+            };
             assert_eq!(read, all[..read.len()]);
             log.append(&Entry::Passed { stage: 9 }).unwrap();
             drop(log);
             let (_, again) = Log::open(&path).unwrap();
-            assert_eq!((again.len(), again.last()), (read.len() + 1, Some(&Entry::Passed { stage: 9 })));
+            assert_eq!(
+                (again.len(), again.last()),
+                (read.len() + 1, Some(&Entry::Passed { stage: 9 }))
+            );
         }
     }
 }
@@ -279,7 +366,10 @@
         let mut spoilt = sound.clone();
         spoilt[at] ^= 0x20;
         std::fs::write(&path, spoilt).unwrap();
-        assert!(matches!(Log::open(&path), Err(RecordError::Spoilt { at: 0, .. })), "byte {at}");
+        assert!(
+            matches!(Log::open(&path), Err(RecordError::Spoilt { at: 0, .. })),
+            "byte {at}"
+        );
     }
 }
 
--- a/crates/sparrouter-routing/src/backlog.rs
+++ b/crates/sparrouter-routing/src/backlog.rs
@@ -84,7 +84,11 @@
     }
 
     fn ahead(&self, urgency: u32) -> f64 {
-        self.waiting.values().filter(|w| w.urgency <= urgency).map(|w| w.cost).sum()
+        self.waiting
+            .values()
+            .filter(|w| w.urgency <= urgency)
+            .map(|w| w.cost)
+            .sum()
     }
 
     /// It is sent there.
@@ -92,7 +96,16 @@
         if self.waiting.len() < MOST {
             let ahead = self.ahead(urgency) + cost;
             let before = more_urgent(&self.sent, urgency);
-            self.waiting.insert(token, Waiting { cost, urgency, at: now, ahead, before });
+            self.waiting.insert(
+                token,
+                Waiting {
+                    cost,
+                    urgency,
+                    at: now,
+                    ahead,
+                    before,
+                },
+            );
         }
         self.fade(now);
         let place = (urgency as usize).min(URGENCIES - 1);
@@ -103,7 +116,9 @@
 
     /// Its first token came (`true`), or it ended without.
     pub fn over(&mut self, token: u64, began: bool, now: Nanos) {
-        let Some(waiting) = self.waiting.remove(&token) else { return };
+        let Some(waiting) = self.waiting.remove(&token) else {
+            return;
+        };
         let took = now.saturating_sub(waiting.at) as f64 / 1e9 - FIXED;
         if began && took > TELLING {
             let overtook = more_urgent(&self.sent, waiting.urgency) - waiting.before;
--- a/crates/sparrouter-routing/src/budget.rs
+++ b/crates/sparrouter-routing/src/budget.rs
@@ -33,7 +33,13 @@
     pub fn new(terms: BudgetTerms, started: Nanos, now: Nanos) -> Budget {
         let piece = (terms.window / PIECES as u64).max(1);
         let slack_from = started + terms.window;
-        Budget { terms, piece, counts: [(0.0, 0.0); PIECES + 1], at: now / piece, slack_from }
+        Budget {
+            terms,
+            piece,
+            counts: [(0.0, 0.0); PIECES + 1],
+            at: now / piece,
+            slack_from,
+        }
     }
 
     fn turn(&mut self, now: Nanos) -> usize {
@@ -58,8 +64,18 @@
         let spent: f64 = self.counts.iter().map(|c| c.1).sum();
         // The oldest piece may be out of the window that is judged: its requests earn nothing any more.
         let oldest = (ix + 1) % self.counts.len();
-        let asked: f64 = self.counts.iter().enumerate().filter(|(i, _)| *i != oldest).map(|(_, c)| c.0).sum();
-        let slack = if now < self.slack_from { 0.0 } else { self.terms.slack / nodes.max(1) as f64 };
+        let asked: f64 = self
+            .counts
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| *i != oldest)
+            .map(|(_, c)| c.0)
+            .sum();
+        let slack = if now < self.slack_from {
+            0.0
+        } else {
+            self.terms.slack / nodes.max(1) as f64
+        };
         let allowed = self.terms.ratio * asked + slack.floor();
         let has = spent + 1.0 <= allowed;
         if has {
--- a/crates/sparrouter-routing/src/durations.rs
+++ b/crates/sparrouter-routing/src/durations.rs
@@ -29,7 +29,11 @@
     /// The longest duration of `route` in this window and the one before it. `None` where nothing was measured.
     pub fn longest(&self, route: &str) -> Option<Nanos> {
         let windows = [&self.current, &self.previous];
-        windows.into_iter().filter_map(|window| window.get(route)).max().copied()
+        windows
+            .into_iter()
+            .filter_map(|window| window.get(route))
+            .max()
+            .copied()
     }
 
     fn rotate(&mut self, now: Nanos) {
--- a/crates/sparrouter-routing/src/election.rs
+++ b/crates/sparrouter-routing/src/election.rs
@@ -57,7 +57,13 @@
 impl Bed {
     pub fn new(version_patience: Nanos, rng: Rng) -> Bed {
         let versions = Versions::new(version_patience);
-        Bed { servers: Vec::new(), by_id: HashMap::new(), by_service: HashMap::new(), versions, rng }
+        Bed {
+            servers: Vec::new(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            versions,
+            rng,
+        }
     }
 
     pub fn get(&self, ix: ServerIx) -> Option<&Server> {
@@ -71,10 +77,17 @@
         self.all().map(|(_, s)| s).find(|s| s.hash == hash)
     }
     pub fn all(&self) -> impl Iterator<Item = (ServerIx, &Server)> {
-        self.servers.iter().enumerate().filter_map(|(ix, s)| Some((ix, s.as_ref()?)))
+        self.servers
+            .iter()
+            .enumerate()
+            .filter_map(|(ix, s)| Some((ix, s.as_ref()?)))
     }
     pub fn of<'a>(&'a self, service: &str) -> impl Iterator<Item = (ServerIx, &'a Server)> {
-        let all = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let all = self
+            .by_service
+            .get(service)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
         all.iter().filter_map(|&ix| Some((ix, self.get(ix)?)))
     }
 
@@ -101,7 +114,9 @@
                     Err(_) => continue,
                 },
             };
-            let Some(server) = self.servers[ix].as_mut() else { continue };
+            let Some(server) = self.servers[ix].as_mut() else {
+                continue;
+            };
             server.standing = server.standing.max(row.standing);
             if server.silent && !row.silent {
                 server.suspect = None;
@@ -121,15 +136,22 @@
         let lasts = self.versions.patience().saturating_mul(2);
         for (note, at) in rows.notes_at() {
             let mut words = note.key.splitn(3, '/');
-            let (Some(kind), Some(id), Some(model)) = (words.next(), words.next(), words.next()) else {
+            let (Some(kind), Some(id), Some(model)) = (words.next(), words.next(), words.next())
+            else {
+                continue;
+            };
+            let Some(&ix) = self.by_id.get(id) else {
+                continue;
+            };
+            let Some(server) = self.servers[ix].as_mut() else {
                 continue;
             };
-            let Some(&ix) = self.by_id.get(id) else { continue };
-            let Some(server) = self.servers[ix].as_mut() else { continue };
             // Whoever told it may have ended: no server is kept out longer than the work can take.
             let stands = !note.over && now.saturating_sub(at) < lasts;
             match kind {
-                "load" if note.over && note.value > 0 => runs(&mut server.models, model, note.value),
+                "load" if note.over && note.value > 0 => {
+                    runs(&mut server.models, model, note.value)
+                }
                 "load" => server.loading |= stands,
                 "soon" => server.soon |= stands,
                 _ => {}
@@ -138,16 +160,26 @@
         let lost: Vec<ServerIx> = self
             .all()
             .filter(|(_, s)| s.in_flight == 0)
-            .filter(|(_, s)| rows.server(&s.id).is_none_or(|r| r.standing == Standing::Gone))
+            .filter(|(_, s)| {
+                rows.server(&s.id)
+                    .is_none_or(|r| r.standing == Standing::Gone)
+            })
             .map(|(ix, _)| ix)
             .collect();
         lost.into_iter().for_each(|ix| self.remove(ix));
     }
 
     fn add(&mut self, server: Server) -> ServerIx {
-        let ix = self.servers.iter().position(Option::is_none).unwrap_or(self.servers.len());
+        let ix = self
+            .servers
+            .iter()
+            .position(Option::is_none)
+            .unwrap_or(self.servers.len());
         self.by_id.insert(server.id.clone(), ix);
-        self.by_service.entry(server.service.clone()).or_default().push(ix);
+        self.by_service
+            .entry(server.service.clone())
+            .or_default()
+            .push(ix);
         if ix == self.servers.len() {
             self.servers.push(Some(server));
         } else {
@@ -157,7 +189,9 @@
     }
 
     fn remove(&mut self, ix: ServerIx) {
-        let Some(server) = self.servers[ix].take() else { return };
+        let Some(server) = self.servers[ix].take() else {
+            return;
+        };
         self.by_id.remove(&server.id);
         if let Some(all) = self.by_service.get_mut(&server.service) {
             all.retain(|&i| i != ix);
@@ -177,37 +211,58 @@
     }
 
     fn suits(&self, ask: &Ask, server: &Server, now: Nanos) -> bool {
-        ask.model.is_none_or(|model| match server.version_of(model) {
-            Some(version) => self.versions.allows(model, version, now),
-            // It names models, but not this one.
-            None => server.models.is_empty(),
-        })
+        ask.model
+            .is_none_or(|model| match server.version_of(model) {
+                Some(version) => self.versions.allows(model, version, now),
+                // It names models, but not this one.
+                None => server.models.is_empty(),
+            })
     }
 
     /// The bar of this node's own requests in flight: over it, a server is passed over.
     fn bar(&self, service: &str) -> f64 {
-        let used = || self.of(service).filter(|(_, s)| s.used && s.standing == Standing::Ready);
-        let (sum, count) = used().fold((0.0, 0.0), |(s, n), (_, x)| (s + f64::from(x.in_flight), n + 1.0));
+        let used = || {
+            self.of(service)
+                .filter(|(_, s)| s.used && s.standing == Standing::Ready)
+        };
+        let (sum, count) = used().fold((0.0, 0.0), |(s, n), (_, x)| {
+            (s + f64::from(x.in_flight), n + 1.0)
+        });
         (BAR_RATIO * sum / f64::max(count, 1.0)).max(BAR_FLOOR)
     }
 
     /// The winner of the election, or the next in order where that one may not take it.
     pub fn choose(&self, ask: &Ask, now: Nanos) -> Result<Pick, Turned> {
-        let untried = || self.of(ask.service).filter(|(ix, _)| !ask.tried.contains(ix));
+        let untried = || {
+            self.of(ask.service)
+                .filter(|(ix, _)| !ask.tried.contains(ix))
+        };
         let open = |s: &Server| s.standing == Standing::Ready;
         let mut order: Vec<ServerIx> = sparrouter_rendezvous::order(
-            untried().filter(|(_, s)| self.ready(ask, s, now)).map(|(ix, s)| (s.hash, ix)),
+            untried()
+                .filter(|(_, s)| self.ready(ask, s, now))
+                .map(|(ix, s)| (s.hash, ix)),
             ask.key,
         );
         // Silent ones come last: they may be there still. Long generations keep away from where they would hold up new
         // weights.
         let long = ask.tokens_out > LONG;
-        order.sort_by_key(|&ix| self.get(ix).map_or((true, true), |s| (s.silent, long && s.soon)));
+        order.sort_by_key(|&ix| {
+            self.get(ix)
+                .map_or((true, true), |s| (s.silent, long && s.soon))
+        });
         if order.is_empty() {
-            return Err(if untried().any(|(_, s)| open(s)) { Turned::Unready } else { Turned::None });
+            return Err(if untried().any(|(_, s)| open(s)) {
+                Turned::Unready
+            } else {
+                Turned::None
+            });
         }
         let bar = self.bar(ask.service);
-        let under = |ix: &ServerIx| self.get(*ix).is_some_and(|s| !s.used || f64::from(s.in_flight) <= bar);
+        let under = |ix: &ServerIx| {
+            self.get(*ix)
+                .is_some_and(|s| !s.used || f64::from(s.in_flight) <= bar)
+        };
         // Where all are over the bar the least loaded of the order takes it.
         let place = order.iter().position(under).unwrap_or_else(|| {
             let load = |p: &usize| self.get(order[*p]).map_or(u32::MAX, |s| s.in_flight);
@@ -215,7 +270,11 @@
         });
         let server = order[place];
         let version = ask.model.and_then(|m| self.get(server)?.version_of(m));
-        Ok(Pick { server, version, place })
+        Ok(Pick {
+            server,
+            version,
+            place,
+        })
     }
 
     pub fn begin(&mut self, ix: ServerIx, tokens: u64) {
@@ -227,7 +286,9 @@
     }
 
     pub fn end(&mut self, ix: ServerIx, tokens: u64, ending: Ending, now: Nanos) {
-        let Some(server) = self.servers[ix].as_mut() else { return };
+        let Some(server) = self.servers[ix].as_mut() else {
+            return;
+        };
         server.in_flight = server.in_flight.saturating_sub(1);
         server.tokens = server.tokens.saturating_sub(tokens);
         match ending {
@@ -244,7 +305,10 @@
         let jitter = 0.5 + self.rng.f64();
         if let Some(Some(server)) = self.servers.get_mut(ix) {
             let wait = (FIRST_PROBE as f64 * jitter) as Nanos;
-            server.suspect.get_or_insert(Suspicion { next_probe: now + wait, wait });
+            server.suspect.get_or_insert(Suspicion {
+                next_probe: now + wait,
+                wait,
+            });
         }
     }
 
@@ -252,8 +316,12 @@
     pub fn probes(&mut self, now: Nanos) -> Vec<ServerIx> {
         let mut due = Vec::new();
         for (ix, slot) in self.servers.iter_mut().enumerate() {
-            let Some(server) = slot.as_mut().filter(|s| s.standing == Standing::Ready) else { continue };
-            let Some(doubt) = server.suspect.as_mut().filter(|d| d.next_probe <= now) else { continue };
+            let Some(server) = slot.as_mut().filter(|s| s.standing == Standing::Ready) else {
+                continue;
+            };
+            let Some(doubt) = server.suspect.as_mut().filter(|d| d.next_probe <= now) else {
+                continue;
+            };
             doubt.wait = (doubt.wait * 2).min(LONGEST_PROBE);
             doubt.next_probe = now + doubt.wait;
             due.push(ix);
--- a/crates/sparrouter-routing/src/prompt.rs
+++ b/crates/sparrouter-routing/src/prompt.rs
@@ -24,13 +24,30 @@
     pub fn read(prefix: Option<&str>, usage: Option<&str>) -> Prompt {
         let part = |word: &str| {
             let (id, tokens) = word.trim().split_once(':')?;
-            Some(Part { id: id.to_owned(), tokens: tokens.parse().ok()? })
+            Some(Part {
+                id: id.to_owned(),
+                tokens: tokens.parse().ok()?,
+            })
         };
-        let parts: Vec<Part> =
-            prefix.unwrap_or_default().split(',').take(MOST_PARTS).filter_map(part).collect();
-        let mut usage = usage.unwrap_or_default().split(',').map(|n| n.trim().parse().unwrap_or(0));
-        let tokens_in = usage.next().unwrap_or(0).max(parts.iter().map(|p| p.tokens).sum());
-        Prompt { parts, tokens_in, tokens_out: usage.next().unwrap_or(0) }
+        let parts: Vec<Part> = prefix
+            .unwrap_or_default()
+            .split(',')
+            .take(MOST_PARTS)
+            .filter_map(part)
+            .collect();
+        let mut usage = usage
+            .unwrap_or_default()
+            .split(',')
+            .map(|n| n.trim().parse().unwrap_or(0));
+        let tokens_in = usage
+            .next()
+            .unwrap_or(0)
+            .max(parts.iter().map(|p| p.tokens).sum());
+        Prompt {
+            parts,
+            tokens_in,
+            tokens_out: usage.next().unwrap_or(0),
+        }
     }
 
     /// The parts that others may share: all but the last, which is the request's own.
--- a/crates/sparrouter-routing/src/server.rs
+++ b/crates/sparrouter-routing/src/server.rs
@@ -72,7 +72,11 @@
             silent: row.silent,
             loading: false,
             soon: false,
-            models: row.models.iter().map(|m| (m.name.clone(), m.version)).collect(),
+            models: row
+                .models
+                .iter()
+                .map(|m| (m.name.clone(), m.version))
+                .collect(),
             told_at: row.call_sequence,
             in_flight: 0,
             tokens: 0,
--- a/crates/sparrouter-routing/src/versions.rs
+++ b/crates/sparrouter-routing/src/versions.rs
@@ -21,7 +21,11 @@
 
 impl Versions {
     pub fn new(patience: Nanos) -> Versions {
-        Versions { wanted: HashMap::new(), patience, unsettled: 0 }
+        Versions {
+            wanted: HashMap::new(),
+            patience,
+            unsettled: 0,
+        }
     }
 
     /// A version was named `age` ago, by the clock of who tells.
@@ -31,7 +35,8 @@
             Some(known) if known.version > version => {}
             Some(known) if known.version == version => known.since = known.since.min(since),
             _ => {
-                self.wanted.insert(model.to_owned(), Wanted { version, since });
+                self.wanted
+                    .insert(model.to_owned(), Wanted { version, since });
             }
         }
     }
@@ -47,7 +52,10 @@
 
     /// Until when a request may begin on an older version than this one.
     pub fn until(&self, wanted: Wanted) -> Nanos {
-        wanted.since.max(self.unsettled).saturating_add(self.patience)
+        wanted
+            .since
+            .max(self.unsettled)
+            .saturating_add(self.patience)
     }
 
     pub fn wanted(&self, model: &str) -> Option<Wanted> {
--- a/crates/sparrouter-routing/tests/backlog.rs
+++ b/crates/sparrouter-routing/tests/backlog.rs
@@ -56,7 +56,10 @@
     arrivals.sort_by_key(|a| (a.0, a.3));
     let took = read_at(&arrivals, 40.0, 1_003) - 3_000;
     assert!(took > 800, "600 ms without those that overtake it: {took}");
-    assert!(told.abs_diff(took) * 5 < took, "{told} ms told, {took} ms in truth");
+    assert!(
+        told.abs_diff(took) * 5 < took,
+        "{told} ms told, {took} ms in truth"
+    );
 }
 
 #[test]
@@ -73,7 +76,10 @@
     let now = 400_000 * MS;
     backlog.sent(1, 20_000.0, 0, now);
     let told = backlog.wait(0, now) / MS;
-    assert!((800..=1_200).contains(&told), "20,000 tokens take 1 s, told {told} ms");
+    assert!(
+        (800..=1_200).contains(&told),
+        "20,000 tokens take 1 s, told {told} ms"
+    );
 }
 
 #[test]
--- a/crates/sparrouter-routing/tests/election.rs
+++ b/crates/sparrouter-routing/tests/election.rs
@@ -23,14 +23,25 @@
 }
 
 fn ask(key: u64, tried: &[usize]) -> Ask<'_> {
-    Ask { service: "s", key, model: None, tokens_out: 0, tried }
+    Ask {
+        service: "s",
+        key,
+        model: None,
+        tokens_out: 0,
+        tried,
+    }
 }
 
 #[test]
 fn given_the_same_servers_when_two_nodes_choose_then_they_agree() {
     let ((a, _), (b, _)) = (bed(9), bed(9));
     for key in 0..500 {
-        let id = |bed: &Bed| bed.get(bed.choose(&ask(key, &[]), 0).unwrap().server).unwrap().id.clone();
+        let id = |bed: &Bed| {
+            bed.get(bed.choose(&ask(key, &[]), 0).unwrap().server)
+                .unwrap()
+                .id
+                .clone()
+        };
         assert_eq!(id(&a), id(&b));
     }
 }
@@ -60,7 +71,14 @@
     let first = bed.choose(&ask(5, &[]), 0).unwrap().server;
     let id = bed.get(first).unwrap().id.clone();
     let row = rows.server(&id).unwrap().clone();
-    rows.merge_server(ServerRow { standing: Standing::Draining, call_sequence: 2, ..row }, 0);
+    rows.merge_server(
+        ServerRow {
+            standing: Standing::Draining,
+            call_sequence: 2,
+            ..row
+        },
+        0,
+    );
     bed.sync(&rows, 0);
     assert_ne!(bed.choose(&ask(5, &[]), 0).unwrap().server, first);
     let other = bed.get(1 - first).unwrap().id.clone();
@@ -97,7 +115,11 @@
 /// Every window of the terms' length, wherever it falls.
 #[test]
 fn given_many_nodes_that_spend_all_they_may_then_no_window_holds_more_than_the_budget() {
-    let terms = BudgetTerms { ratio: 0.2, slack: 64.0, window: 10 * SECOND };
+    let terms = BudgetTerms {
+        ratio: 0.2,
+        slack: 64.0,
+        window: 10 * SECOND,
+    };
     let mut rng = Rng::with_seed(3);
     let nodes = 12;
     let mut budgets: Vec<Budget> = (0..nodes).map(|_| Budget::new(terms, 0, 0)).collect();
@@ -116,16 +138,27 @@
     }
     assert!(spent.len() > 300, "{}", spent.len());
     for from in (0..50 * SECOND).step_by((SECOND / 7) as usize) {
-        let within =
-            |all: &[u64]| all.iter().filter(|&&t| (from..from + terms.window).contains(&t)).count() as f64;
+        let within = |all: &[u64]| {
+            all.iter()
+                .filter(|&&t| (from..from + terms.window).contains(&t))
+                .count() as f64
+        };
         let allowed = terms.ratio * within(&asked) + terms.slack;
-        assert!(within(&spent) <= allowed, "{} of {allowed} from {from}", within(&spent));
+        assert!(
+            within(&spent) <= allowed,
+            "{} of {allowed} from {from}",
+            within(&spent)
+        );
     }
 }
 
 #[test]
 fn given_a_process_that_started_anew_then_it_mints_no_new_slack() {
-    let terms = BudgetTerms { ratio: 0.2, slack: 64.0, window: 10 * SECOND };
+    let terms = BudgetTerms {
+        ratio: 0.2,
+        slack: 64.0,
+        window: 10 * SECOND,
+    };
     let mut budget = Budget::new(terms, 0, 0);
     assert!(!budget.take(1, SECOND));
     assert!(budget.take(1, 11 * SECOND));
--- a/crates/sparrouter-routing/tests/words.rs
+++ b/crates/sparrouter-routing/tests/words.rs
@@ -13,7 +13,11 @@
             service: "s".into(),
             address: format!("10.0.0.{i}:80"),
             call_sequence: 1,
-            models: vec![ModelAt { name: "m".into(), version: 1 }].into(),
+            models: vec![ModelAt {
+                name: "m".into(),
+                version: 1,
+            }]
+            .into(),
             ..ServerRow::default()
         };
         rows.merge_server(row, 0);
@@ -22,11 +26,23 @@
 }
 
 fn note(key: &str, fence: u64, value: u64, over: bool) -> Note {
-    Note { key: key.into(), fence, number: 1, value, over }
+    Note {
+        key: key.into(),
+        fence,
+        number: 1,
+        value,
+        over,
+    }
 }
 
 fn ask<'a>(key: u64, tokens_out: u64) -> Ask<'a> {
-    Ask { service: "s", key, model: Some("m"), tokens_out, tried: &[] }
+    Ask {
+        service: "s",
+        key,
+        model: Some("m"),
+        tokens_out,
+        tried: &[],
+    }
 }
 
 #[test]
@@ -50,7 +66,13 @@
     bed.sync(&rows, SECOND);
     assert!(bed.choose(&ask(7, 0), SECOND).is_ok());
     // The old holder, thawed, says it again: its fence is lower.
-    assert!(!rows.merge_note(Note { number: 9, ..note("load/a/m", 3, 2, false) }, 2 * SECOND));
+    assert!(!rows.merge_note(
+        Note {
+            number: 9,
+            ..note("load/a/m", 3, 2, false)
+        },
+        2 * SECOND
+    ));
 }
 
 #[test]
@@ -74,7 +96,13 @@
     // Something befalls the core: the time begins anew, as the rule counts it.
     bed.versions.core_changed(8 * SECOND);
     assert!(bed.choose(&ask(7, 0), 9 * SECOND).is_ok());
-    assert_eq!(bed.versions.until(Wanted { version: 2, since: SECOND }), 14 * SECOND);
+    assert_eq!(
+        bed.versions.until(Wanted {
+            version: 2,
+            since: SECOND
+        }),
+        14 * SECOND
+    );
 }
 
 #[test]
@@ -82,9 +110,21 @@
     let mut rows = rows(&["a", "b"]);
     let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
     bed.sync(&rows, 0);
-    let key = (0..).find(|&k| bed.get(bed.choose(&ask(k, 0), 0).unwrap().server).unwrap().id == "a").unwrap();
+    let key = (0..)
+        .find(|&k| {
+            bed.get(bed.choose(&ask(k, 0), 0).unwrap().server)
+                .unwrap()
+                .id
+                == "a"
+        })
+        .unwrap();
     rows.merge_note(note("soon/a/m", 1, 2, false), 0);
     bed.sync(&rows, 0);
-    let to = |bed: &Bed, out| bed.get(bed.choose(&ask(key, out), 0).unwrap().server).unwrap().id.clone();
+    let to = |bed: &Bed, out| {
+        bed.get(bed.choose(&ask(key, out), 0).unwrap().server)
+            .unwrap()
+            .id
+            .clone()
+    };
     assert_eq!((to(&bed, 6).as_str(), to(&bed, 200).as_str()), ("a", "b"));
 }
--- a/crates/sparrouter-settings/src/changes.rs
+++ b/crates/sparrouter-settings/src/changes.rs
@@ -21,16 +21,28 @@
             // How the list comes, and what it says of size, holds for the list in hand too.
             ("Discovery", self.discovery != new.discovery),
             ("Weights", self.weights != new.weights),
-            ("FamilyInfo", self.family_info.mode != new.family_info.mode || origin(self) != origin(new)),
+            (
+                "FamilyInfo",
+                self.family_info.mode != new.family_info.mode || origin(self) != origin(new),
+            ),
             ("TickUs", self.tick_us != new.tick_us),
             // Sockets and links are made by these once.
             ("Limits.Peers", a.peers != b.peers),
-            ("Limits.DialTimeoutUs", a.dial_timeout_us != b.dial_timeout_us),
+            (
+                "Limits.DialTimeoutUs",
+                a.dial_timeout_us != b.dial_timeout_us,
+            ),
             ("Limits.ConnIdleUs", a.conn_idle_us != b.conn_idle_us),
             ("Limits.SecondCopies", a.second_copies != b.second_copies),
-            ("Safety.AskEveryUs", self.safety.ask_every_us != new.safety.ask_every_us),
+            (
+                "Safety.AskEveryUs",
+                self.safety.ask_every_us != new.safety.ask_every_us,
+            ),
             // What is gone already would have to be taken back.
-            ("Safety.GoneIsAdvice", self.safety.gone_is_advice != new.safety.gone_is_advice),
+            (
+                "Safety.GoneIsAdvice",
+                self.safety.gone_is_advice != new.safety.gone_is_advice,
+            ),
         ]
         .into_iter()
         .filter(|(_, differs)| *differs)
@@ -47,14 +59,22 @@
 impl Names {
     /// Takes up operations and tenants of other settings. An operation that changes moves to a place of its own,
     /// `busy` ones are another's as long as anything that came under them is in hand.
-    pub fn take_up(&mut self, old: &Settings, new: &Settings, busy: impl Fn(usize) -> bool) -> TakenUp {
+    pub fn take_up(
+        &mut self,
+        old: &Settings,
+        new: &Settings,
+        busy: impl Fn(usize) -> bool,
+    ) -> TakenUp {
         let was = |name: &str| old.classes.iter().position(|c| c.name == name);
         let mut operations = Vec::with_capacity(new.classes.len());
         let mut used: Vec<usize> = Vec::new();
         for (n, class) in new.classes.iter().enumerate() {
             let from = self.operation(class.name.as_bytes());
             let stays = from.filter(|_| was(&class.name).is_some_and(|o| old.same(new, o, n)));
-            operations.push(Taken { at: stays.unwrap_or(usize::MAX), from });
+            operations.push(Taken {
+                at: stays.unwrap_or(usize::MAX),
+                from,
+            });
             used.extend(stays);
         }
         // Places in use before are learnt from, and not given away in the same step.
@@ -64,12 +84,27 @@
             taken.at = (0..).find(free).unwrap_or(usize::MAX);
             used.push(taken.at);
         }
-        let tenants = new.tenants.iter().map(|t| self.tenant(t.name.as_bytes())).collect();
+        let tenants = new
+            .tenants
+            .iter()
+            .map(|t| self.tenant(t.name.as_bytes()))
+            .collect();
         self.rename(
-            new.classes.iter().zip(&operations).map(|(c, t)| (c.name.clone().into_bytes(), t.at)).collect(),
-            new.tenants.iter().enumerate().map(|(n, t)| (t.name.clone().into_bytes(), n)).collect(),
+            new.classes
+                .iter()
+                .zip(&operations)
+                .map(|(c, t)| (c.name.clone().into_bytes(), t.at))
+                .collect(),
+            new.tenants
+                .iter()
+                .enumerate()
+                .map(|(n, t)| (t.name.clone().into_bytes(), n))
+                .collect(),
         );
-        TakenUp { operations, tenants }
+        TakenUp {
+            operations,
+            tenants,
+        }
     }
 }
 
@@ -84,8 +119,10 @@
                 format!(r#"{{"Name":"{n}","ObjectiveUs":{us},"DeadlineUs":900000,"Effect":"read_like"}}"#)
             })
             .collect();
-        let tenants: Vec<String> =
-            tenants.iter().map(|t| format!(r#"{{"Name":"{t}","QuotaPerS":5,"Share":1}}"#)).collect();
+        let tenants: Vec<String> = tenants
+            .iter()
+            .map(|t| format!(r#"{{"Name":"{t}","QuotaPerS":5,"Share":1}}"#))
+            .collect();
         let text = format!(
             r#"{{"Areas":[],"Classes":[{}],"Tenants":[{}],"Limits":{{"MaxAttempts":{forwards}}},
              "Safety":{{"AnswerSlackUs":0,"StartCapacity":0.2,"ColdUs":1,"FallMultiple":3,"FallUs":1}}}}"#,
@@ -107,7 +144,10 @@
         let up = names.take_up(&old, &new, |p| p == 1);
         assert_eq!(up.operations, [taken(2, None), taken(3, Some(0))]);
         assert_eq!(up.tenants, [None, Some(1)]);
-        assert_eq!((names.operation(b"put"), names.operation(b"get")), (None, Some(3)));
+        assert_eq!(
+            (names.operation(b"put"), names.operation(b"get")),
+            (None, Some(3))
+        );
         assert_eq!((names.tenant(b"a"), names.tenant(b"c")), (None, Some(0)));
         // Nothing under the first two any more: their places are others'.
         let later = settings(&[("scan", 50), ("get", 400)], &["c", "b"], 3);
@@ -129,8 +169,11 @@
         let mut most = 0;
         for _ in 0..2000 {
             let all = ["a", "b", "c", "d"];
-            let drawn: Vec<(&str, i64)> =
-                all.iter().map(|n| (*n, rng.i64(-2..4))).filter(|(_, us)| *us > 0).collect();
+            let drawn: Vec<(&str, i64)> = all
+                .iter()
+                .map(|n| (*n, rng.i64(-2..4)))
+                .filter(|(_, us)| *us > 0)
+                .collect();
             let new = settings(&drawn, &[], rng.usize(2..4));
             open.retain(|_| rng.f64() < 0.6);
             let busy: Vec<usize> = open.iter().map(|o| o.0).collect();
@@ -154,7 +197,10 @@
 
     #[test]
     fn what_cannot_change_is_named() {
-        let (old, mut new) = (settings(&[("a", 1)], &[], 3), settings(&[("a", 2)], &["t"], 2));
+        let (old, mut new) = (
+            settings(&[("a", 1)], &[], 3),
+            settings(&[("a", 2)], &["t"], 2),
+        );
         assert!(old.fixed(&new).is_empty());
         (new.tick_us, new.limits.second_copies) = (7, true);
         assert_eq!(old.fixed(&new), ["TickUs", "Limits.SecondCopies"]);
--- a/crates/sparrouter-settings/src/names.rs
+++ b/crates/sparrouter-settings/src/names.rs
@@ -40,8 +40,16 @@
 
 impl Names {
     pub fn new(settings: &Settings) -> Names {
-        let operations = settings.classes.iter().enumerate().map(|(n, c)| (c.name.clone().into_bytes(), n));
-        let tenants = settings.tenants.iter().enumerate().map(|(n, t)| (t.name.clone().into_bytes(), n));
+        let operations = settings
+            .classes
+            .iter()
+            .enumerate()
+            .map(|(n, c)| (c.name.clone().into_bytes(), n));
+        let tenants = settings
+            .tenants
+            .iter()
+            .enumerate()
+            .map(|(n, t)| (t.name.clone().into_bytes(), n));
         Names {
             zones: settings.areas.clone(),
             kinds: settings.kinds.clone(),
@@ -62,7 +70,11 @@
     pub fn places(&self) -> impl Iterator<Item = usize> + '_ {
         self.operations.values().copied()
     }
-    pub(crate) fn rename(&mut self, operations: HashMap<Vec<u8>, usize>, tenants: HashMap<Vec<u8>, usize>) {
+    pub(crate) fn rename(
+        &mut self,
+        operations: HashMap<Vec<u8>, usize>,
+        tenants: HashMap<Vec<u8>, usize>,
+    ) {
         (self.operations, self.tenants) = (operations, tenants);
     }
     pub fn cache(&self, id: &str) -> Option<CacheIx> {
@@ -75,7 +87,11 @@
     /// Lets a name go: its index is another's from now on. Guards against names, and all that is kept by
     /// their indices, that pile up while cache servers are replaced under ever new ids.
     pub fn release(&mut self, cache: CacheIx) {
-        if self.caches.remove(&std::mem::take(&mut self.ids[cache])).is_some() {
+        if self
+            .caches
+            .remove(&std::mem::take(&mut self.ids[cache]))
+            .is_some()
+        {
             self.free.push(cache);
         }
     }
--- a/crates/sparrouter-settings/src/object.rs
+++ b/crates/sparrouter-settings/src/object.rs
@@ -65,7 +65,10 @@
 
 impl Default for FamilyInfo {
     fn default() -> Self {
-        FamilyInfo { mode: String::new(), origin_kind: -1 }
+        FamilyInfo {
+            mode: String::new(),
+            origin_kind: -1,
+        }
     }
 }
 
--- a/crates/sparrouter-settings/src/parts.rs
+++ b/crates/sparrouter-settings/src/parts.rs
@@ -6,7 +6,8 @@
 
 pub fn nanos(field: &str, us: i64) -> Result<Nanos, String> {
     let us = u64::try_from(us).map_err(|_| format!("field {field}: {us} is below 0"))?;
-    us.checked_mul(MICRO).ok_or_else(|| format!("field {field}: {us} is out of range"))
+    us.checked_mul(MICRO)
+        .ok_or_else(|| format!("field {field}: {us} is out of range"))
 }
 
 fn operation(c: &Class) -> Result<Operation, String> {
@@ -18,7 +19,10 @@
     };
     let effect = match c.effect.as_str() {
         "read_like" => Effect::Idempotent,
-        "idempotency_key" => Effect::Deduplicated { group, window: nanos("WindowUs", c.window_us)? },
+        "idempotency_key" => Effect::Deduplicated {
+            group,
+            window: nanos("WindowUs", c.window_us)?,
+        },
         "non_idempotent" => Effect::NonIdempotent,
         other => return Err(format!("field Effect: unknown value {other}")),
     };
@@ -75,7 +79,9 @@
 
     /// The kind of the origin in the list, where the node itself fetches from it.
     pub fn origin_kind(&self) -> Option<usize> {
-        usize::try_from(self.family_info.origin_kind).ok().filter(|_| self.family_info.mode == "aside")
+        usize::try_from(self.family_info.origin_kind)
+            .ok()
+            .filter(|_| self.family_info.mode == "aside")
     }
 
     /// The list of cache servers comes only to those who ask.
@@ -94,8 +100,14 @@
     }
 
     pub fn policy(&self, seed: u64) -> Result<Policy, String> {
-        let tenants: Vec<Tenant> =
-            self.tenants.iter().map(|t| Tenant { share: t.share, quota_per_s: t.quota_per_s }).collect();
+        let tenants: Vec<Tenant> = self
+            .tenants
+            .iter()
+            .map(|t| Tenant {
+                share: t.share,
+                quota_per_s: t.quota_per_s,
+            })
+            .collect();
         let place = Surroundings {
             seed,
             own_index: self.self_index,
@@ -115,7 +127,16 @@
             withdraw: self.limits.cancel,
             max_retry_after: self.limits.retry_after.then_some(advice),
         };
-        let mode = self.origin_kind().map_or(OriginMode::Through, |kind| OriginMode::Aside { kind });
-        Ok(Policy::new(place, self.operations()?, &tenants, limits, self.rules()?, mode))
+        let mode = self
+            .origin_kind()
+            .map_or(OriginMode::Through, |kind| OriginMode::Aside { kind });
+        Ok(Policy::new(
+            place,
+            self.operations()?,
+            &tenants,
+            limits,
+            self.rules()?,
+            mode,
+        ))
     }
 }
--- a/crates/sparrouter-shares/examples/fleets.rs
+++ b/crates/sparrouter-shares/examples/fleets.rs
@@ -85,7 +85,9 @@
                 b.heard.retain(|_, h| h.0 + 3 * SECOND > now);
                 let others: f64 = b.heard.values().map(|h| h.1).sum();
                 let missing = (nodes - 1 - b.heard.len()) as f64;
-                let sum = b.arrived + others + missing * (b.arrived + others) / (1.0 + b.heard.len() as f64);
+                let sum = b.arrived
+                    + others
+                    + missing * (b.arrived + others) / (1.0 + b.heard.len() as f64);
                 if sum > 0.0 {
                     b.part += 0.3 * (b.arrived / sum - b.part);
                 }
@@ -93,10 +95,20 @@
             }
         }
         let seconds = f64::from(length);
-        let (sum, asked) = (within.iter().sum::<f64>() / seconds, came.iter().sum::<f64>() / seconds);
-        let loud = (0..nodes).filter(|n| demand(*n, moved) > 10.0).map(|n| within[n]);
+        let (sum, asked) = (
+            within.iter().sum::<f64>() / seconds,
+            came.iter().sum::<f64>() / seconds,
+        );
+        let loud = (0..nodes)
+            .filter(|n| demand(*n, moved) > 10.0)
+            .map(|n| within[n]);
         let (s, q, k) = loud.fold((0.0, 0.0, 0.0), |(s, q, k), x| (s + x, q + x * x, k + 1.0));
-        Figures { over: sum / per_s, used: sum / asked.min(per_s), jain: s * s / (k * q), bytes: 0.0 }
+        Figures {
+            over: sum / per_s,
+            used: sum / asked.min(per_s),
+            jain: s * s / (k * q),
+            bytes: 0.0,
+        }
     })
 }
 
--- a/crates/sparrouter-shares/src/bucket.rs
+++ b/crates/sparrouter-shares/src/bucket.rs
@@ -24,7 +24,14 @@
 impl Bucket {
     pub fn new(window: Nanos, rng: Rng, now: Nanos) -> Bucket {
         let piece = (window / PIECES).max(1);
-        Bucket { piece, pieces: [(0.0, 0.0); PIECES as usize], filled: now, chance: 0.0, drawn: 0, rng }
+        Bucket {
+            piece,
+            pieces: [(0.0, 0.0); PIECES as usize],
+            filled: now,
+            chance: 0.0,
+            drawn: 0,
+            rng,
+        }
     }
 
     /// `per_s`: what the part was since the last call. Call before it changes.
@@ -32,7 +39,10 @@
         let now = now.max(self.filled);
         let (first, last) = (self.filled / self.piece, now / self.piece);
         for n in first.max(last.saturating_sub(PIECES - 1))..=last {
-            let (from, to) = (self.filled.max(n * self.piece), now.min((n + 1) * self.piece));
+            let (from, to) = (
+                self.filled.max(n * self.piece),
+                now.min((n + 1) * self.piece),
+            );
             let piece = &mut self.pieces[(n % PIECES) as usize];
             if n > first {
                 *piece = (0.0, 0.0);
@@ -46,7 +56,10 @@
     }
 
     pub fn take(&mut self) -> bool {
-        let (earned, spent) = self.pieces.iter().fold((0.0, 0.0), |(e, s), p| (e + p.0, s + p.1));
+        let (earned, spent) = self
+            .pieces
+            .iter()
+            .fold((0.0, 0.0), |(e, s), p| (e + p.0, s + p.1));
         let there = spent + 1.0 <= earned + self.chance;
         if there {
             self.pieces[(self.filled / self.piece % PIECES) as usize].1 += 1.0;
@@ -66,7 +79,9 @@
     /// Two hundred parts of a fifth each, idle for long, then all wanted at once: 40 a second are due.
     #[test]
     fn small_parts_that_stood_idle_do_not_all_come_at_once() {
-        let mut all: Vec<Bucket> = (0..200).map(|n| Bucket::new(SECOND, Rng::with_seed(n), 0)).collect();
+        let mut all: Vec<Bucket> = (0..200)
+            .map(|n| Bucket::new(SECOND, Rng::with_seed(n), 0))
+            .collect();
         for second in [100, 101, 102, 150] {
             let mut within = 0;
             for ms in (0..1000).step_by(10) {
--- a/crates/sparrouter-shares/src/leases.rs
+++ b/crates/sparrouter-shares/src/leases.rs
@@ -26,14 +26,19 @@
         });
     }
     fn most(all: &[(f64, Nanos)], now: Nanos) -> f64 {
-        all.iter().filter(|l| l.1 > now).map(|l| l.0).fold(0.0, f64::max)
+        all.iter()
+            .filter(|l| l.1 > now)
+            .map(|l| l.0)
+            .fold(0.0, f64::max)
     }
     /// In all: of each borrower the highest answer that may still be in force.
     pub fn sum(&self, now: Nanos) -> f64 {
         self.by.values().map(|all| Lent::most(all, now)).sum()
     }
     pub fn to(&self, borrower: NodeIx, now: Nanos) -> f64 {
-        self.by.get(&borrower).map_or(0.0, |all| Lent::most(all, now))
+        self.by
+            .get(&borrower)
+            .map_or(0.0, |all| Lent::most(all, now))
     }
     /// What each was given last: what is meant, where `sum` is what must be reckoned with.
     pub fn last(&self, borrower: NodeIx, now: Nanos) -> f64 {
@@ -77,10 +82,18 @@
     }
     /// When the next of them ends.
     pub fn next_end(&self, now: Nanos) -> Nanos {
-        self.by.values().map(|l| l.1).filter(|u| *u > now).min().unwrap_or(Nanos::MAX)
+        self.by
+            .values()
+            .map(|l| l.1)
+            .filter(|u| *u > now)
+            .min()
+            .unwrap_or(Nanos::MAX)
     }
     /// Lenders whose lease ends before then.
     pub fn ending(&self, before: Nanos, now: Nanos) -> impl Iterator<Item = NodeIx> {
-        self.by.iter().filter(move |(_, l)| l.1 > now && l.1 <= before).map(|(n, _)| *n)
+        self.by
+            .iter()
+            .filter(move |(_, l)| l.1 > now && l.1 <= before)
+            .map(|(n, _)| *n)
     }
 }
--- a/crates/sparrouter-shares/src/note.rs
+++ b/crates/sparrouter-shares/src/note.rs
@@ -71,8 +71,11 @@
         if text[0] != FIRST || text[1] != FORMAT {
             return None;
         }
-        let says =
-            Says { nodes: short(5).into(), before: short(7).into(), held: Nanos::from(short(9)) * TENTH };
+        let says = Says {
+            nodes: short(5).into(),
+            before: short(7).into(),
+            held: Nanos::from(short(9)) * TENTH,
+        };
         let rest = &text[HEAD..];
         let rows = match text[2] {
             0 if rest.len().is_multiple_of(9) => {
@@ -86,7 +89,12 @@
             _ => return None,
         };
         let number = u32::from_le_bytes([text[11], text[12], text[13], text[14]]);
-        Some(Note { print: short(3), says, number, rows })
+        Some(Note {
+            print: short(3),
+            says,
+            number,
+            rows,
+        })
     }
 }
 
@@ -98,17 +106,33 @@
     /// Golden: what a node of another version must still read, byte for byte.
     #[test]
     fn the_format_stands() {
-        let says = Says { nodes: 16, before: 4, held: 3 * SECOND };
-        let note = Note { print: 0x1234, says, number: 7, rows: Rows::Ask(vec![(2, 1.5, 4.0)]) };
+        let says = Says {
+            nodes: 16,
+            before: 4,
+            held: 3 * SECOND,
+        };
+        let note = Note {
+            print: 0x1234,
+            says,
+            number: 7,
+            rows: Rows::Ask(vec![(2, 1.5, 4.0)]),
+        };
         let text = note.write();
-        let golden =
-            [0xa5, 1, 0, 0x34, 0x12, 16, 0, 4, 0, 30, 0, 7, 0, 0, 0, 2, 0, 0, 0xc0, 0x3f, 0, 0, 0x80, 0x40];
+        let golden = [
+            0xa5, 1, 0, 0x34, 0x12, 16, 0, 4, 0, 30, 0, 7, 0, 0, 0, 2, 0, 0, 0xc0, 0x3f, 0, 0,
+            0x80, 0x40,
+        ];
         assert_eq!(text[..24], golden);
         assert_eq!(Note::read(&text), Some(note));
         for cut in 0..text.len() {
             assert_eq!(Note::read(&text[..cut]), None);
         }
-        let full = Note { print: 0, says, number: 0, rows: Rows::Ask(vec![(0, 1.0, 1.0); 100]) };
+        let full = Note {
+            print: 0,
+            says,
+            number: 0,
+            rows: Rows::Ask(vec![(0, 1.0, 1.0); 100]),
+        };
         assert!(full.write().len() <= MAX);
     }
 
--- a/crates/sparrouter-shares/src/shares.rs
+++ b/crates/sparrouter-shares/src/shares.rs
@@ -108,12 +108,21 @@
 
 impl Shares {
     /// `informed`: after so long every node has been told how many there are. `lease`: what is lent ends by itself.
-    pub fn new(place: Place, limits: &[Limit], informed: Nanos, lease: Nanos, now: Nanos) -> Shares {
+    pub fn new(
+        place: Place,
+        limits: &[Limit],
+        informed: Nanos,
+        lease: Nanos,
+        now: Nanos,
+    ) -> Shares {
         let lease = lease.max(TICKS);
         // A tenth more for clocks that run slow.
         let settles = informed + informed / 10 + lease;
         let mut rng = fastrand::Rng::with_seed(place.seed);
-        let kept = limits.iter().map(|l| Kept::new(*l, rng.fork(), now)).collect();
+        let kept = limits
+            .iter()
+            .map(|l| Kept::new(*l, rng.fork(), now))
+            .collect();
         Shares {
             print: place.print,
             lease,
@@ -136,7 +145,10 @@
         self.notes = place.notes && place.nodes > 1;
         if place.print != self.print || limits.len() != self.limits.len() {
             self.print = place.print;
-            self.limits = limits.iter().map(|l| Kept::new(*l, self.rng.fork(), now)).collect();
+            self.limits = limits
+                .iter()
+                .map(|l| Kept::new(*l, self.rng.fork(), now))
+                .collect();
             self.size.forget(now);
         }
         for (kept, limit) in self.limits.iter_mut().zip(limits) {
@@ -159,7 +171,11 @@
         }
         // What a process before this one had lent may still be used.
         let start = if age < self.lease { 1.0 - LENDS } else { 1.0 };
-        if self.size.known(now) { base * start } else { 0.0 }
+        if self.size.known(now) {
+            base * start
+        } else {
+            0.0
+        }
     }
 
     /// Guards against a process that stood still: how many there are may have changed unheard, and whatever it is asked
@@ -243,7 +259,11 @@
             let part = self.part(limit, now);
             self.limits[limit].bucket.fill(part.min(before), now);
         }
-        if self.notes && self.looks % ROUND == 1 { self.ask(now) } else { Vec::new() }
+        if self.notes && self.looks % ROUND == 1 {
+            self.ask(now)
+        } else {
+            Vec::new()
+        }
     }
 
     fn ask(&mut self, now: Nanos) -> Vec<(NodeIx, Vec<u8>)> {
@@ -283,10 +303,14 @@
             self.rng.shuffle(&mut to[own..]);
         }
         if wanting || !known {
-            let more = (0..2 * ASKS).map(|_| self.rng.usize(..nodes)).collect::<Vec<_>>();
+            let more = (0..2 * ASKS)
+                .map(|_| self.rng.usize(..nodes))
+                .collect::<Vec<_>>();
             to.extend(more.into_iter().filter(|n| !self.out.contains_key(n)));
         }
-        let rows = short.iter().map(|&(limit, need)| (limit as u8, self.limits[limit].part.0, need));
+        let rows = short
+            .iter()
+            .map(|&(limit, need)| (limit as u8, self.limits[limit].part.0, need));
         let rows = Rows::Ask(rows.collect());
         let says = self.size.says(self.fits(now), now);
         let own = self.size.own();
@@ -300,7 +324,16 @@
             }
             let number = self.rng.u32(..);
             self.out.insert(peer, (number, now));
-            asks.push((peer, Note { print: self.print, says, number, rows: rows.clone() }.write()));
+            asks.push((
+                peer,
+                Note {
+                    print: self.print,
+                    says,
+                    number,
+                    rows: rows.clone(),
+                }
+                .write(),
+            ));
         }
         asks
     }
@@ -308,7 +341,9 @@
     /// What is lent fits the part of which it is lent: until then the smaller part is not in force.
     fn fits(&self, now: Nanos) -> bool {
         let parts = self.size.nodes() as f64;
-        self.limits.iter().all(|l| l.lent.sum(now) <= l.limit.per_s / parts)
+        self.limits
+            .iter()
+            .all(|l| l.lent.sum(now) <= l.limit.per_s / parts)
     }
 
     /// A note from a peer; the answer to it, if it asks.
@@ -321,13 +356,20 @@
         match note.rows {
             Rows::Give(rows) => {
                 // Only what was asked for, of whom, and once: nothing old or made up counts.
-                let asked = self.out.get(&peer).filter(|o| o.0 == note.number && now < o.1 + self.lease)?.1;
+                let asked = self
+                    .out
+                    .get(&peer)
+                    .filter(|o| o.0 == note.number && now < o.1 + self.lease)?
+                    .1;
                 // The number can't come again; that it was asked is kept, so that others are asked next.
                 self.out.insert(peer, (self.rng.u32(..), asked));
                 self.size.heard(peer, note.says);
                 for (limit, amount) in rows {
-                    let Some(kept) = self.limits.get_mut(usize::from(limit)) else { continue };
-                    kept.held.take(peer, amount.min(kept.limit.per_s), asked, self.lease, now);
+                    let Some(kept) = self.limits.get_mut(usize::from(limit)) else {
+                        continue;
+                    };
+                    kept.held
+                        .take(peer, amount.min(kept.limit.per_s), asked, self.lease, now);
                     kept.part.1 = 0;
                 }
                 None
@@ -346,7 +388,15 @@
                     }
                 }
                 let says = self.size.says(self.fits(now), now);
-                Some(Note { print: self.print, says, number: note.number, rows: Rows::Give(given) }.write())
+                Some(
+                    Note {
+                        print: self.print,
+                        says,
+                        number: note.number,
+                        rows: Rows::Give(given),
+                    }
+                    .write(),
+                )
             }
         }
     }
@@ -389,7 +439,11 @@
         let fits = LENDS * base - (kept.lent.sum(now) - kept.lent.to(peer, now));
         let most = (spare - (kept.lent.lasts(now) - before)).min(fits).max(0.0);
         let steady = (wanted - before).abs() < STEADY * before;
-        let amount = if steady { before } else { before + STEP * (wanted - before) };
+        let amount = if steady {
+            before
+        } else {
+            before + STEP * (wanted - before)
+        };
         let amount = amount.min(most).max(0.0);
         // So small a part is not worth the note that renews it.
         let amount = if amount < 1e-3 * base { 0.0 } else { amount };
@@ -420,8 +474,12 @@
 
     fn look(&mut self, gap: Nanos, lease: Nanos) {
         let rate = self.came as f64 * SECOND as f64 / gap as f64;
-        let toward = |of: f64, time: Nanos| of + (1.0 - (-(gap as f64) / time as f64).exp()) * (rate - of);
-        (self.short, self.long) = (toward(self.short, lease / SHORT), toward(self.long, 2 * lease));
+        let toward =
+            |of: f64, time: Nanos| of + (1.0 - (-(gap as f64) / time as f64).exp()) * (rate - of);
+        (self.short, self.long) = (
+            toward(self.short, lease / SHORT),
+            toward(self.long, 2 * lease),
+        );
         // Where the short one lies further off than chance has it (three deviations of a Poisson count over its time)
         // something has moved, and what was before counts for nothing. Followed at once, chance had nodes of few
         // arrivals lend and borrow back in turns.
--- a/crates/sparrouter-shares/src/size.rs
+++ b/crates/sparrouter-shares/src/size.rs
@@ -101,12 +101,24 @@
     pub fn says(&mut self, fits: bool, now: Nanos) -> Says {
         if !fits {
             // Not in force yet: what was lent of the larger part is still used.
-            return Says { nodes: self.before.min(self.nodes).max(1), before: self.before, held: 0 };
+            return Says {
+                nodes: self.before.min(self.nodes).max(1),
+                before: self.before,
+                held: 0,
+            };
         }
         let parts = self.parts(now);
         // A smaller number in waiting is not vouched for.
-        let held = if self.known && parts == self.nodes { now - self.since.max(self.began) } else { 0 };
-        Says { nodes: parts, before: self.before, held }
+        let held = if self.known && parts == self.nodes {
+            now - self.since.max(self.began)
+        } else {
+            0
+        };
+        Says {
+            nodes: parts,
+            before: self.before,
+            held,
+        }
     }
 
     /// What a peer says, as it was when this node asked or later.
@@ -123,7 +135,11 @@
 
     /// Those that it would help to ask.
     pub fn unheard(&self) -> impl Iterator<Item = NodeIx> {
-        let all = if self.known || self.old() > KEPT { 0 } else { self.old() };
+        let all = if self.known || self.old() > KEPT {
+            0
+        } else {
+            self.old()
+        };
         (0..all).filter(|n| *n != self.own && !self.says.contains_key(n))
     }
 
@@ -131,7 +147,13 @@
     /// that have counted so for long; all, where nobody knows.
     fn old(&self) -> usize {
         let knows = |s: &&Says| s.before > 0 || s.held >= self.settles;
-        let before = |s: &Says| if s.before > 0 && s.held < self.settles { s.before } else { self.nodes };
+        let before = |s: &Says| {
+            if s.before > 0 && s.held < self.settles {
+                s.before
+            } else {
+                self.nodes
+            }
+        };
         let old = self.says.values().filter(knows).map(before).max();
         old.unwrap_or(self.nodes).min(self.nodes)
     }
@@ -143,9 +165,14 @@
         }
         let passed = now >= self.began.max(self.since) + self.settles;
         // Who has counted so for long says that all have been told.
-        let vouch = self.says.values().filter(|s| s.held >= self.settles).count();
+        let vouch = self
+            .says
+            .values()
+            .filter(|s| s.held >= self.settles)
+            .count();
         let enough = VOUCH.min(self.nodes - 1);
-        let all = self.says.len() >= enough && self.old() <= KEPT && self.unheard().next().is_none();
+        let all =
+            self.says.len() >= enough && self.old() <= KEPT && self.unheard().next().is_none();
         self.known = passed || vouch >= enough || all;
         self.known
     }
