--- a/crates/sparrouter-shares/tests/fleets.rs
+++ b/crates/sparrouter-shares/tests/fleets.rs
@@ -21,7 +21,11 @@
     w.all.iter_mut().for_each(|m| m.demand = 20.0);
     w.run(2500 * MS);
     let f = w.measure(4 * SECOND);
-    assert!(w.most <= KEPT && f.used > 0.9 && f.jain > 0.95, "{} {f:?}", w.most);
+    assert!(
+        w.most <= KEPT && f.used > 0.9 && f.jain > 0.95,
+        "{} {f:?}",
+        w.most
+    );
 }
 
 #[test]
@@ -43,7 +47,11 @@
         }
         w.run(5 * SECOND);
         let f = w.measure(2 * SECOND);
-        assert!(w.most <= KEPT && f.used > 0.8 && f.jain > 0.95, "round {round}: {} {f:?}", w.most);
+        assert!(
+            w.most <= KEPT && f.used > 0.8 && f.jain > 0.95,
+            "round {round}: {} {f:?}",
+            w.most
+        );
     }
 }
 
@@ -56,10 +64,16 @@
     w.run(6 * SECOND);
     for nodes in [16, 48, 6] {
         w.resize(nodes, SECOND);
-        w.all.iter_mut().for_each(|m| m.demand = 320.0 / nodes as f64);
+        w.all
+            .iter_mut()
+            .for_each(|m| m.demand = 320.0 / nodes as f64);
         w.run(5 * SECOND);
         let f = w.measure(4 * SECOND);
-        assert!(w.most <= KEPT && f.used > 0.9 && f.jain > 0.95, "{nodes}: {} {f:?}", w.most);
+        assert!(
+            w.most <= KEPT && f.used > 0.9 && f.jain > 0.95,
+            "{nodes}: {} {f:?}",
+            w.most
+        );
     }
 }
 
@@ -79,7 +93,11 @@
         }
         w.run(3 * SECOND);
         let f = w.measure(3 * SECOND);
-        assert!(w.most <= KEPT && f.used > 0.85, "{cut} {one_way} {flaps}: {} {f:?}", w.most);
+        assert!(
+            w.most <= KEPT && f.used > 0.85,
+            "{cut} {one_way} {flaps}: {} {f:?}",
+            w.most
+        );
     }
 }
 
@@ -89,7 +107,10 @@
         let mut w = fleet(16, 9);
         w.run(8 * SECOND);
         w.net.lost = lost;
-        w.all.iter_mut().enumerate().for_each(|(n, m)| m.demand = if n % 2 == 0 { 25.0 } else { 3.0 });
+        w.all
+            .iter_mut()
+            .enumerate()
+            .for_each(|(n, m)| m.demand = if n % 2 == 0 { 25.0 } else { 3.0 });
         w.run(6 * SECOND);
         let f = w.measure(6 * SECOND);
         assert!(w.most <= KEPT && f.used > used, "{lost}: {} {f:?}", w.most);
@@ -101,7 +122,10 @@
 fn nodes_that_stand_still_wake_without_a_part_that_is_anothers_by_now() {
     for length in [SECOND, 5 * SECOND, 20 * SECOND] {
         let mut w = fleet(16, 11);
-        w.all.iter_mut().enumerate().for_each(|(n, m)| m.demand = if n % 2 == 0 { 30.0 } else { 2.0 });
+        w.all
+            .iter_mut()
+            .enumerate()
+            .for_each(|(n, m)| m.demand = if n % 2 == 0 { 30.0 } else { 2.0 });
         w.run(5 * SECOND);
         (0..5).for_each(|n| w.pause(n, length));
         w.run(length / 2);
@@ -115,7 +139,10 @@
 #[test]
 fn killed_again_and_again_nothing_is_used_twice() {
     let mut w = fleet(16, 12);
-    w.all.iter_mut().enumerate().for_each(|(n, m)| m.demand = if n % 3 == 0 { 40.0 } else { 2.0 });
+    w.all
+        .iter_mut()
+        .enumerate()
+        .for_each(|(n, m)| m.demand = if n % 3 == 0 { 40.0 } else { 2.0 });
     w.run(5 * SECOND);
     for round in 0..8 {
         let some: Vec<usize> = (0..5).map(|n| (n * 3 + round) % 16).collect();
@@ -133,7 +160,11 @@
     w.all.iter_mut().for_each(|m| m.demand = 100.0);
     w.run(5 * SECOND);
     let parts = w.sum() / w.limit.per_s;
-    assert!(w.most <= KEPT && (parts - 2.0 / 16.0).abs() < 1e-6, "{} {parts}", w.most);
+    assert!(
+        w.most <= KEPT && (parts - 2.0 / 16.0).abs() < 1e-6,
+        "{} {parts}",
+        w.most
+    );
 }
 
 /// Two processes under one number, of which one hears nobody: one own part more, as stated, and no more than that.
@@ -141,14 +172,23 @@
 fn two_under_one_number_cost_one_part_more() {
     let mut w = fleet(16, 22);
     w.all.iter_mut().for_each(|m| m.demand = 20.0);
-    let place = Place { own: 3, nodes: 16, notes: true, seed: 5, print: 7 };
+    let place = Place {
+        own: 3,
+        nodes: 16,
+        notes: true,
+        seed: 5,
+        print: 7,
+    };
     let mut twin = Shares::new(place, &[w.limit], w.informed, w.lease, w.now);
     let own = w.limit.per_s / 16.0;
     for n in 0..100 {
         w.run(100 * MS);
         twin.tick(w.now);
         let part = twin.part(0, w.now);
-        assert!(part <= own && w.sum() + part <= w.limit.per_s + own + 1e-6, "{part} after {n}");
+        assert!(
+            part <= own && w.sum() + part <= w.limit.per_s + own + 1e-6,
+            "{part} after {n}"
+        );
     }
     assert!(twin.part(0, w.now) > 0.99 * own);
 }
@@ -161,14 +201,24 @@
     let at = w.clock(0);
     let ask = |number: u32| Note {
         print: 7,
-        says: Says { nodes: 16, before: 0, held: 0 },
+        says: Says {
+            nodes: 16,
+            before: 0,
+            held: 0,
+        },
         number,
         rows: Rows::Ask(vec![(0, 0.0, 50.0)]),
     };
     let lender = w.all[0].shares.as_mut().unwrap();
-    let answers = (0..10_000).filter(|n| lender.heard(5, &ask(*n).write(), at).is_some()).count();
+    let answers = (0..10_000)
+        .filter(|n| lender.heard(5, &ask(*n).write(), at).is_some())
+        .count();
     assert_eq!(answers, 2);
-    assert!((1..16).filter(|p| *p != 5).all(|p| lender.heard(p, &ask(1).write(), at).is_some()));
+    assert!(
+        (1..16)
+            .filter(|p| *p != 5)
+            .all(|p| lender.heard(p, &ask(1).write(), at).is_some())
+    );
 }
 
 /// A liar may take what is idle, and an eighth of what others need: that is the bound.
@@ -182,15 +232,27 @@
     for _ in 0..40 {
         w.run(100 * MS);
         let parts = w.parts();
-        let least = parts.iter().enumerate().filter(|p| p.0 != 5).map(|p| *p.1).fold(f64::MAX, f64::min);
-        assert!(least >= 0.87 * base && w.most <= KEPT, "{least} of {base}, {}", w.most);
+        let least = parts
+            .iter()
+            .enumerate()
+            .filter(|p| p.0 != 5)
+            .map(|p| *p.1)
+            .fold(f64::MAX, f64::min);
+        assert!(
+            least >= 0.87 * base && w.most <= KEPT,
+            "{least} of {base}, {}",
+            w.most
+        );
     }
 }
 
 #[test]
 fn notes_that_come_again_or_late_change_nothing() {
     let mut w = fleet(16, 14);
-    w.all.iter_mut().enumerate().for_each(|(n, m)| m.demand = if n % 2 == 0 { 25.0 } else { 3.0 });
+    w.all
+        .iter_mut()
+        .enumerate()
+        .for_each(|(n, m)| m.demand = if n % 2 == 0 { 25.0 } else { 3.0 });
     w.net.again = Some(3 * SECOND);
     w.net.delay = [MS, 900 * MS];
     w.run(15 * SECOND);
@@ -216,7 +278,9 @@
     w.run(8 * SECOND);
     for nodes in [16, 48, 6] {
         w.resize(nodes, SECOND);
-        w.all.iter_mut().for_each(|m| m.demand = 320.0 / nodes as f64);
+        w.all
+            .iter_mut()
+            .for_each(|m| m.demand = 320.0 / nodes as f64);
         w.run(8 * SECOND);
         let f = w.measure(3 * SECOND);
         assert!(w.most <= 1.25 && f.used > 0.85, "{nodes}: {} {f:?}", w.most);
--- a/crates/sparrouter-shares/tests/world/mod.rs
+++ b/crates/sparrouter-shares/tests/world/mod.rs
@@ -77,8 +77,17 @@
         World {
             now: SECOND,
             all: Vec::new(),
-            net: Net { lost: 0.0, delay: [MS / 5, 2 * MS], cut: 0, one_way: false, again: None },
-            limit: Limit { per_s, window: 3 * SECOND },
+            net: Net {
+                lost: 0.0,
+                delay: [MS / 5, 2 * MS],
+                cut: 0,
+                one_way: false,
+                again: None,
+            },
+            limit: Limit {
+                per_s,
+                window: 3 * SECOND,
+            },
             lease: 2 * SECOND,
             informed: 3 * SECOND,
             notes,
@@ -126,7 +135,13 @@
         self.all[n].base + (self.now as f64 * self.all[n].rate) as Nanos
     }
     fn place(&mut self, n: usize, nodes: usize) -> Place {
-        Place { own: n, nodes, notes: self.notes, seed: self.rng.u64(..), print: 7 }
+        Place {
+            own: n,
+            nodes,
+            notes: self.notes,
+            seed: self.rng.u64(..),
+            print: 7,
+        }
     }
 
     /// A process starts under its name, told how many there are.
@@ -135,8 +150,17 @@
         let place = self.place(n, self.size);
         let (limit, at) = (self.limit, self.clock(n));
         let old = self.all[n].kind == Kind::Old;
-        let place = Place { notes: self.notes && !old, ..place };
-        let shares = Shares::new(place, &[limit], if old { 0 } else { self.informed }, self.lease, at);
+        let place = Place {
+            notes: self.notes && !old,
+            ..place
+        };
+        let shares = Shares::new(
+            place,
+            &[limit],
+            if old { 0 } else { self.informed },
+            self.lease,
+            at,
+        );
         let m = &mut self.all[n];
         (m.shares, m.paused, m.told, m.lives) = (Some(shares), false, self.size, m.lives + 1);
         let lives = m.lives;
@@ -177,7 +201,9 @@
         let end = self.now + length;
         let mut look = self.now;
         while self.due.peek().is_some_and(|d| d.0.0 <= end) {
-            let Some(Reverse((at, _, due))) = self.due.pop() else { break };
+            let Some(Reverse((at, _, due))) = self.due.pop() else {
+                break;
+            };
             self.now = at;
             self.act(due);
             if self.strict || self.now >= look {
@@ -243,7 +269,11 @@
                 }
                 let rate = if m.demand > 0.0 { m.demand } else { 20.0 };
                 let wait = -(1.0 - self.rng.f64()).ln() / rate * SECOND as f64;
-                let wait = if m.demand > 0.0 { wait } else { 50.0 * MS as f64 };
+                let wait = if m.demand > 0.0 {
+                    wait
+                } else {
+                    50.0 * MS as f64
+                };
                 self.put(self.now + wait as Nanos + 1, Due::Arrives(n, lives));
             }
             Due::Told(n, nodes) => {
@@ -267,7 +297,10 @@
         assert!(text.len() <= 256);
         let net = self.net;
         let (inside, there) = (from < net.cut, to < net.cut);
-        if self.rng.f64() < net.lost || inside != there && !(net.one_way && inside) || to >= self.all.len() {
+        if self.rng.f64() < net.lost
+            || inside != there && !(net.one_way && inside)
+            || to >= self.all.len()
+        {
             return;
         }
         let late = self.rng.u64(net.delay[0]..=net.delay[1]);
@@ -282,8 +315,13 @@
         let per_s = self.limit.per_s;
         let part = |(n, m): (usize, &mut Member)| {
             let running = m.shares.as_mut().filter(|_| !m.paused);
-            running
-                .map_or(0.0, |s| if m.kind == Kind::Old { per_s / m.told as f64 } else { s.part(0, at[n]) })
+            running.map_or(0.0, |s| {
+                if m.kind == Kind::Old {
+                    per_s / m.told as f64
+                } else {
+                    s.part(0, at[n])
+                }
+            })
         };
         self.all.iter_mut().enumerate().map(part).collect()
     }
@@ -309,10 +347,19 @@
             .enumerate()
             .map(|(n, m)| {
                 let b = before.get(n).unwrap_or(&zero);
-                (m.demand, (m.arrived - b.0) as f64 / seconds, (m.within - b.1) as f64 / seconds)
+                (
+                    m.demand,
+                    (m.arrived - b.0) as f64 / seconds,
+                    (m.within - b.1) as f64 / seconds,
+                )
             })
             .collect();
-        let up = self.all.iter().filter(|m| m.shares.is_some()).count().max(1) as f64;
+        let up = self
+            .all
+            .iter()
+            .filter(|m| m.shares.is_some())
+            .count()
+            .max(1) as f64;
         let within: f64 = each.iter().map(|e| e.2).sum();
         let came: f64 = each.iter().map(|e| e.1).sum();
         let level = within / up;
@@ -324,11 +371,17 @@
             .filter(|e| e.0 > 1.3 * level.max(self.limit.per_s / up))
             .map(|e| e.2)
             .collect();
-        let (s, q): (f64, f64) = hungry.iter().fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
+        let (s, q): (f64, f64) = hungry
+            .iter()
+            .fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
         Figures {
             over: within / self.limit.per_s,
             used: within / came.min(self.limit.per_s).max(1e-9),
-            jain: if q > 0.0 { s * s / (hungry.len() as f64 * q) } else { 1.0 },
+            jain: if q > 0.0 {
+                s * s / (hungry.len() as f64 * q)
+            } else {
+                1.0
+            },
             bytes: (self.all.iter().map(|m| m.bytes).sum::<u64>() - bytes) as f64 / seconds / up,
         }
     }
--- a/crates/sparrouter-simhost/src/main.rs
+++ b/crates/sparrouter-simhost/src/main.rs
@@ -20,7 +20,9 @@
                 nodes.insert(i, Node::new(enlist)?);
             }
             Incoming::Down { .. } => {
-                nodes.remove(&i).ok_or_else(|| format!("Down: field I: instance {i} was not enlisted"))?;
+                nodes
+                    .remove(&i)
+                    .ok_or_else(|| format!("Down: field I: instance {i} was not enlisted"))?;
             }
             event => {
                 let name = event.name();
@@ -36,7 +38,10 @@
                         .downcast_ref::<String>()
                         .cloned()
                         .or_else(|| panic.downcast_ref::<&str>().map(|s| s.to_string()));
-                    orders.push(Order::Exception { i, text: text.unwrap_or_else(|| "panic".into()) });
+                    orders.push(Order::Exception {
+                        i,
+                        text: text.unwrap_or_else(|| "panic".into()),
+                    });
                 }
             }
         }
@@ -51,7 +56,9 @@
         let line = line.map_err(|e| format!("standard input: {e}"))?;
         let orders = play(&mut nodes, &line)?;
         serde_json::to_writer(&mut out, &Reply { orders }).map_err(|e| e.to_string())?;
-        out.write_all(b"\n").and_then(|()| out.flush()).map_err(|e| format!("standard output: {e}"))?;
+        out.write_all(b"\n")
+            .and_then(|()| out.flush())
+            .map_err(|e| format!("standard output: {e}"))?;
     }
     Ok(())
 }
--- a/crates/sparrouter-simhost/src/node.rs
+++ b/crates/sparrouter-simhost/src/node.rs
@@ -37,24 +37,47 @@
 }
 
 fn load(info: Option<std::collections::BTreeMap<String, f64>>) -> Option<Load> {
-    info.map(|i| Load { active: i.get("active").copied(), waiting: i.get("waiting").copied() })
+    info.map(|i| Load {
+        active: i.get("active").copied(),
+        waiting: i.get("waiting").copied(),
+    })
 }
 
 impl Node {
     pub fn new(enlist: Enlist) -> Result<Node, String> {
         let info = enlist.info;
-        let seed = enlist.nonce.as_u64().or_else(|| enlist.nonce.as_i64().map(|n| n as u64));
+        let seed = enlist
+            .nonce
+            .as_u64()
+            .or_else(|| enlist.nonce.as_i64().map(|n| n as u64));
         let seed = seed.ok_or("Enlist: field Nonce64: not a whole number")?;
         let policy = info.policy(seed).map_err(|e| format!("Enlist: {e}"))?;
         let names = Names::new(&info);
-        Ok(Node { i: enlist.i, policy, names, tickets: HashMap::new(), invs: HashMap::new(), next: 0 })
+        Ok(Node {
+            i: enlist.i,
+            policy,
+            names,
+            tickets: HashMap::new(),
+            invs: HashMap::new(),
+            next: 0,
+        })
     }
 
     fn row(&mut self, r: wire::Row) -> Result<Row, String> {
         let ready_at = nanos("ReadyAtUs", r.ready_at_us)?;
         let (id, state, zone, kind) = (&r.server, &r.condition, &r.campus, &r.generation_hw);
-        let listed = Listed { id, state, zone, kind, cell: r.group, weight: r.heft, ready_at };
-        self.names.row(&listed).map_err(|e| format!("PeersKnown: field Condition: {e}"))
+        let listed = Listed {
+            id,
+            state,
+            zone,
+            kind,
+            cell: r.group,
+            weight: r.heft,
+            ready_at,
+        };
+        self.names
+            .row(&listed)
+            .map_err(|e| format!("PeersKnown: field Condition: {e}"))
     }
 
     fn server(&self, verb: &str, server: &str) -> Result<CacheIx, String> {
@@ -74,18 +97,29 @@
                     "FAILED" => Form::Lost,
                     other => return Err(format!("PeersKnown: field Form: unknown value {other}")),
                 };
-                let rows = known.rows.into_iter().map(|r| self.row(r)).collect::<Result<Vec<_>, _>>()?;
+                let rows = known
+                    .rows
+                    .into_iter()
+                    .map(|r| self.row(r))
+                    .collect::<Result<Vec<_>, _>>()?;
                 Some(Event::Listed { form, rows })
             }
             Incoming::Ingress(r) => {
                 let operation = self.names.operation(r.kind.as_bytes());
-                let operation =
-                    operation.ok_or_else(|| format!("Ingress: field Type: unknown class {}", r.kind))?;
+                let operation = operation
+                    .ok_or_else(|| format!("Ingress: field Type: unknown class {}", r.kind))?;
                 let tenant = r.billing.as_ref().and_then(|b| b.as_str());
                 let inv = self.next;
                 self.next += 1;
                 self.tickets.insert(r.ticket.clone(), inv);
-                self.invs.insert(inv, Ticket { text: r.ticket, out: 0, open: true });
+                self.invs.insert(
+                    inv,
+                    Ticket {
+                        text: r.ticket,
+                        out: 0,
+                        open: true,
+                    },
+                );
                 Some(Event::Arrived(Arrival {
                     inv,
                     operation,
@@ -93,16 +127,24 @@
                     key: r.object.map(|k| hash(k.as_bytes())),
                     write: r.write,
                     repeat: r.repeat,
-                    work: r.predicted_us.map(|w| nanos("PredictedUs", w)).transpose()?,
+                    work: r
+                        .predicted_us
+                        .map(|w| nanos("PredictedUs", w))
+                        .transpose()?,
                     due: nanos("DueUs", r.due_us)?,
                     within: None,
                 }))
             }
-            Incoming::Begun(b) => self.tickets.get(&b.ticket).map(|&inv| Event::Begun { inv, copy: b.copy }),
+            Incoming::Begun(b) => self
+                .tickets
+                .get(&b.ticket)
+                .map(|&inv| Event::Begun { inv, copy: b.copy }),
             Incoming::Done(d) => {
                 let cache = self.server("Done", &d.server)?;
                 let outcome = outcome("Done", &d.rc)?;
-                let Some(&inv) = self.tickets.get(&d.ticket) else { return Ok(None) };
+                let Some(&inv) = self.tickets.get(&d.ticket) else {
+                    return Ok(None);
+                };
                 if let Some(t) = self.invs.get_mut(&inv) {
                     t.out = t.out.saturating_sub(1);
                     t.open &= !d.last;
@@ -132,17 +174,26 @@
             Incoming::TimeoutFired { handle, .. } => {
                 let token = handle.parse();
                 Some(Event::Woke {
-                    token: token.map_err(|_| format!("TimeoutFired: field Handle: {handle} is not ours"))?,
+                    token: token
+                        .map_err(|_| format!("TimeoutFired: field Handle: {handle} is not ours"))?,
                 })
             }
             Incoming::Echo(e) => {
                 let ok = outcome("Echo", &e.rc)? == Outcome::Succeeded;
                 let cache = self.server("Echo", &e.server)?;
-                Some(Event::Probed { cache, ok, load: load(e.health_info) })
+                Some(Event::Probed {
+                    cache,
+                    ok,
+                    load: load(e.health_info),
+                })
             }
-            Incoming::Datagram { neighbour, payload, .. } => Some(Event::Told {
+            Incoming::Datagram {
+                neighbour, payload, ..
+            } => Some(Event::Told {
                 peer: neighbour,
-                text: BASE64.decode(payload).map_err(|e| format!("Datagram: field Payload: {e}"))?,
+                text: BASE64
+                    .decode(payload)
+                    .map_err(|e| format!("Datagram: field Payload: {e}"))?,
             }),
         })
     }
@@ -161,7 +212,12 @@
         for action in self.policy.drain() {
             let order = match action {
                 // On this wire a forward leaves in the moment of its decision.
-                Action::Forward { inv, cache, wait, before: _ } => {
+                Action::Forward {
+                    inv,
+                    cache,
+                    wait,
+                    before: _,
+                } => {
                     let t = self.invs.get_mut(&inv).expect("known invocation");
                     t.out += 1;
                     Order::Route {
@@ -171,28 +227,39 @@
                         server: self.names.id(cache).to_string(),
                     }
                 }
-                Action::Withdraw { inv, copy } => {
-                    Order::Retract { i, ticket: self.invs[&inv].text.clone(), copy }
-                }
+                Action::Withdraw { inv, copy } => Order::Retract {
+                    i,
+                    ticket: self.invs[&inv].text.clone(),
+                    copy,
+                },
                 Action::Throttle { inv, .. } | Action::Error { inv } => {
                     let t = self.invs.get_mut(&inv).expect("known invocation");
                     t.open = false;
                     touched.push(inv);
                     let ticket = t.text.clone();
                     match action {
-                        Action::Throttle { retry_after, .. } => {
-                            Order::Busy { i, ticket, retry_after_us: micros(retry_after) }
-                        }
+                        Action::Throttle { retry_after, .. } => Order::Busy {
+                            i,
+                            ticket,
+                            retry_after_us: micros(retry_after),
+                        },
                         _ => Order::Abort { i, ticket },
                     }
                 }
-                Action::Wake { after, token } => {
-                    Order::NotifyMe { i, wait_us: micros(after), handle: token.to_string() }
-                }
-                Action::Probe { cache } => Order::Sample { i, server: self.names.id(cache).to_string() },
-                Action::Tell { peer, text } => {
-                    Order::Signal { i, peer: peer as i64, payload: BASE64.encode(text) }
-                }
+                Action::Wake { after, token } => Order::NotifyMe {
+                    i,
+                    wait_us: micros(after),
+                    handle: token.to_string(),
+                },
+                Action::Probe { cache } => Order::Sample {
+                    i,
+                    server: self.names.id(cache).to_string(),
+                },
+                Action::Tell { peer, text } => Order::Signal {
+                    i,
+                    peer: peer as i64,
+                    payload: BASE64.encode(text),
+                },
                 Action::Follow => Order::Tail { i, on: true },
                 Action::AskList => Order::Pull { i },
             };
--- a/crates/sparrouter-simhost/src/tests.rs
+++ b/crates/sparrouter-simhost/src/tests.rs
@@ -9,10 +9,19 @@
     for (line, part) in [
         ("not json", "bad batch"),
         (r#"{"events":[]}"#, "AtTimeUs"),
-        (r#"{"AtTimeUs":1,"events":[{"verb":"Vanished","I":1}]}"#, "Ticket"),
+        (
+            r#"{"AtTimeUs":1,"events":[{"verb":"Vanished","I":1}]}"#,
+            "Ticket",
+        ),
         (r#"{"AtTimeUs":1,"events":[{"verb":"Sing","I":1}]}"#, "Sing"),
-        (r#"{"AtTimeUs":1,"events":[{"verb":"Vanished","I":7,"Ticket":"a"}]}"#, "instance 7"),
-        (r#"{"AtTimeUs":1,"events":[{"verb":"Down","I":7}]}"#, "instance 7"),
+        (
+            r#"{"AtTimeUs":1,"events":[{"verb":"Vanished","I":7,"Ticket":"a"}]}"#,
+            "instance 7",
+        ),
+        (
+            r#"{"AtTimeUs":1,"events":[{"verb":"Down","I":7}]}"#,
+            "instance 7",
+        ),
         (r#"{"AtTimeUs":-1,"events":[]}"#, "AtTimeUs"),
     ] {
         let text = reply(line).err().unwrap_or_default();
@@ -22,7 +31,11 @@
 
 #[test]
 fn an_empty_batch_gets_an_empty_reply_whatever_else_it_holds() {
-    assert!(reply(r#"{"AtTimeUs":5,"events":[],"New":{"x":1}}"#).unwrap().is_empty());
+    assert!(
+        reply(r#"{"AtTimeUs":5,"events":[],"New":{"x":1}}"#)
+            .unwrap()
+            .is_empty()
+    );
 }
 
 const ENLIST: &str = r#"{"AtTimeUs":1000,"events":[{"verb":"Enlist","I":3,"Nonce64":18446744073709551615,"Info":{
@@ -55,9 +68,27 @@
     assert_eq!(routes(&orders), [("t", "a:1")]);
     let orders = play(&mut nodes, &done(0, "a:1", "NOT_FOUND", false)).unwrap();
     assert_eq!(routes(&orders), [("t", "o:1")]);
-    assert!(play(&mut nodes, &done(1, "o:1", "OK", true)).unwrap().is_empty());
+    assert!(
+        play(&mut nodes, &done(1, "o:1", "OK", true))
+            .unwrap()
+            .is_empty()
+    );
     // What is long over is ignored; an outcome or a server never heard of is an error.
-    assert!(play(&mut nodes, &done(1, "o:1", "OK", true)).unwrap().is_empty());
-    assert!(play(&mut nodes, &done(1, "o:1", "SO_SO", true)).err().unwrap().contains("Rc"));
-    assert!(play(&mut nodes, &done(1, "z:9", "OK", true)).err().unwrap().contains("Server"));
+    assert!(
+        play(&mut nodes, &done(1, "o:1", "OK", true))
+            .unwrap()
+            .is_empty()
+    );
+    assert!(
+        play(&mut nodes, &done(1, "o:1", "SO_SO", true))
+            .err()
+            .unwrap()
+            .contains("Rc")
+    );
+    assert!(
+        play(&mut nodes, &done(1, "z:9", "OK", true))
+            .err()
+            .unwrap()
+            .contains("Server")
+    );
 }
--- a/crates/sparrouter-simhost/src/wire.rs
+++ b/crates/sparrouter-simhost/src/wire.rs
@@ -173,15 +173,28 @@
 #[serde(tag = "verb")]
 pub enum Order {
     #[serde(rename_all = "PascalCase")]
-    Route { i: i64, ticket: String, max_wait_us: u64, server: String },
+    Route {
+        i: i64,
+        ticket: String,
+        max_wait_us: u64,
+        server: String,
+    },
     #[serde(rename_all = "PascalCase")]
     Retract { i: i64, ticket: String, copy: usize },
     #[serde(rename_all = "PascalCase")]
-    Busy { i: i64, ticket: String, retry_after_us: u64 },
+    Busy {
+        i: i64,
+        ticket: String,
+        retry_after_us: u64,
+    },
     #[serde(rename_all = "PascalCase")]
     Abort { i: i64, ticket: String },
     #[serde(rename_all = "PascalCase")]
-    NotifyMe { i: i64, wait_us: u64, handle: String },
+    NotifyMe {
+        i: i64,
+        wait_us: u64,
+        handle: String,
+    },
     #[serde(rename_all = "PascalCase")]
     Sample { i: i64, server: String },
     #[serde(rename_all = "PascalCase")]
--- a/crates/sparrouter-simulation/examples/hunt.rs
+++ b/crates/sparrouter-simulation/examples/hunt.rs
@@ -34,7 +34,11 @@
         let Some(report) = played(&Day::drawn(seed)) else {
             return Some((seed, "the story could not go on".to_owned()));
         };
-        let rules: BTreeSet<&str> = report.breaches.iter().filter_map(|b| b.split(':').next()).collect();
+        let rules: BTreeSet<&str> = report
+            .breaches
+            .iter()
+            .filter_map(|b| b.split(':').next())
+            .collect();
         (!rules.is_empty()).then(|| (seed, rules.into_iter().collect::<Vec<_>>().join(", ")))
     });
     plant(None);
@@ -50,30 +54,48 @@
 fn shrunk(day: &Day) -> String {
     let still = |d: &Day| played(d).is_none_or(|r| !r.breaches.is_empty());
     let (places, closing) = day.shrunk(still);
-    format!("only {places:?}, {closing}: {}", day.clone().only(&places, closing).told())
+    format!(
+        "only {places:?}, {closing}: {}",
+        day.clone().only(&places, closing).told()
+    )
 }
 
 fn table(first: u64, days: u64, one: Option<Defect>, shrink: bool) -> ExitCode {
-    println!("| defect | days until found | seconds | rules broken then |\n| --- | --- | --- | --- |");
+    println!(
+        "| defect | days until found | seconds | rules broken then |\n| --- | --- | --- | --- |"
+    );
     let mut missed = 0;
-    for defect in Defect::ALL.into_iter().filter(|d| one.is_none_or(|o| o == *d)) {
+    for defect in Defect::ALL
+        .into_iter()
+        .filter(|d| one.is_none_or(|o| o == *d))
+    {
         let began = Instant::now();
         let found = first_found(defect, first, days);
         let took = began.elapsed().as_secs_f64();
         match found {
             Some((seed, rules)) if shrink => {
                 plant(Some(defect));
-                println!("{defect:?} from {seed} {}; then {rules}", shrunk(&Day::drawn(seed)));
+                println!(
+                    "{defect:?} from {seed} {}; then {rules}",
+                    shrunk(&Day::drawn(seed))
+                );
                 plant(None);
             }
-            Some((seed, rules)) => println!("| {defect:?} | {} | {took:.1} | {rules} |", seed - first + 1),
+            Some((seed, rules)) => println!(
+                "| {defect:?} | {} | {took:.1} | {rules} |",
+                seed - first + 1
+            ),
             None => {
                 missed += 1;
                 println!("| {defect:?} | not in {days} | {took:.1} | |");
             }
         }
     }
-    if missed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if missed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
 }
 
 fn main() -> ExitCode {
@@ -91,10 +113,16 @@
     let began = Instant::now();
     let (mut broken, mut wasted, mut sent, mut served) = (0, 0, 0u64, 0u64);
     for seed in first..first + days {
-        let day = Day { verbose: tell, ..Day::drawn(seed) };
+        let day = Day {
+            verbose: tell,
+            ..Day::drawn(seed)
+        };
         let Some(report) = played(&day) else {
             broken += 1;
-            println!("seed {seed}: the story could not go on: {:?}", story::panics());
+            println!(
+                "seed {seed}: the story could not go on: {:?}",
+                story::panics()
+            );
             continue;
         };
         sent += u64::from(report.sent);
@@ -106,7 +134,11 @@
             if shrink && !report.breaches.is_empty() {
                 println!("  {}", shrunk(&Day::drawn(seed)));
             }
-            report.breaches.iter().take(6).for_each(|b| println!("  {b}"));
+            report
+                .breaches
+                .iter()
+                .take(6)
+                .for_each(|b| println!("  {b}"));
             if tell || !go_on {
                 report.story.iter().for_each(|line| println!("  {line}"));
             }
@@ -114,11 +146,18 @@
                 break;
             }
         }
-        report.waste.iter().for_each(|w| println!("seed {seed}: {w}"));
+        report
+            .waste
+            .iter()
+            .for_each(|w| println!("seed {seed}: {w}"));
     }
     println!(
         "{days} days from seed {first}: {broken} broken, {wasted} loads too many, {served} of {sent} requests served, {:.1} s",
         began.elapsed().as_secs_f64()
     );
-    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
 }
--- a/crates/sparrouter-simulation/src/client.rs
+++ b/crates/sparrouter-simulation/src/client.rs
@@ -60,8 +60,21 @@
 }
 
 impl Client {
-    pub fn new(net: MemoryNet, judge: Rc<Judge>, platform: Rc<Platform>, rng: Rng, keeps: bool) -> Client {
-        Client { net, judge, platform, rng: RefCell::new(rng), kept: RefCell::default(), keeps }
+    pub fn new(
+        net: MemoryNet,
+        judge: Rc<Judge>,
+        platform: Rc<Platform>,
+        rng: Rng,
+        keeps: bool,
+    ) -> Client {
+        Client {
+            net,
+            judge,
+            platform,
+            rng: RefCell::new(rng),
+            kept: RefCell::default(),
+            keeps,
+        }
     }
 
     /// One request with its retries, wherever the platform passes it to.
@@ -93,14 +106,22 @@
                 break;
             }
             let left = until.saturating_duration_since(Instant::now());
-            sleep(retry_after.unwrap_or(Duration::from_millis(20)).min(left / 3)).await;
+            sleep(
+                retry_after
+                    .unwrap_or(Duration::from_millis(20))
+                    .min(left / 3),
+            )
+            .await;
         }
         came
     }
 
     /// One try; also what it was told to wait, and whether the node proved not to have read it.
     async fn attempt(
-        &self, wish: &Wish, until: Instant, direct: Option<(SocketAddr, u64)>,
+        &self,
+        wish: &Wish,
+        until: Instant,
+        direct: Option<(SocketAddr, u64)>,
     ) -> (Answer, Option<Duration>, bool) {
         let id = format!("{:016x}", self.rng.borrow_mut().u64(..));
         let mut answer = Answer::default();
@@ -109,17 +130,23 @@
             None => true,
             Some(Ok(0) | Err(_)) => false,
             Some(Ok(_)) => {
-                self.judge.breach("MIXED", "bytes on a connection where no request waits");
+                self.judge
+                    .breach("MIXED", "bytes on a connection where no request waits");
                 false
             }
         });
         let (mut stream, to, life) = match kept {
             Some(kept) => kept,
             None => {
-                let pick = direct.or_else(|| self.platform.pick(&wish.zone, &mut self.rng.borrow_mut()));
-                let Some((to, life)) = pick else { return (answer, None, true) };
+                let pick =
+                    direct.or_else(|| self.platform.pick(&wish.zone, &mut self.rng.borrow_mut()));
+                let Some((to, life)) = pick else {
+                    return (answer, None, true);
+                };
                 let dialled = timeout(COMES_UP, self.net.connect(to)).await;
-                let Ok(Ok(stream)) = dialled else { return (answer, None, true) };
+                let Ok(Ok(stream)) = dialled else {
+                    return (answer, None, true);
+                };
                 (stream, to, life)
             }
         };
@@ -136,7 +163,10 @@
             until,
         };
         self.judge.asked(&id, asked);
-        let left = until.saturating_duration_since(Instant::now()).as_millis().max(1);
+        let left = until
+            .saturating_duration_since(Instant::now())
+            .as_millis()
+            .max(1);
         let head = format!(
             "POST {} HTTP/1.1\r\nHost: {}\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Model: {MODEL}\r\n\
              Sparrouter-Token-Usage: {},20\r\nSparrouter-Prompt-Prefix: {}:{},{}:100\r\n\
@@ -152,9 +182,15 @@
         );
         let mut keep = false;
         let mut after = None;
-        if stream.write_all(&[head.as_bytes(), &body].concat()).await.is_ok() {
+        if stream
+            .write_all(&[head.as_bytes(), &body].concat())
+            .await
+            .is_ok()
+        {
             let reading = self.read(&mut stream, &mut answer);
-            let last = wish.leaves.map_or(until, |after| until.min(Instant::now() + after));
+            let last = wish
+                .leaves
+                .map_or(until, |after| until.min(Instant::now() + after));
             match timeout_at(last, reading).await {
                 Ok((kept, told)) => (keep, after) = (kept, told),
                 Err(_) => answer.abandoned = true,
@@ -191,7 +227,9 @@
         answer.seal = text("sparrouter-response-seal");
         answer.attempt = text("sparrouter-attempt-id");
         answer.streams = text("content-type").is_some_and(|t| t == "text/event-stream");
-        let after = text("retry-after").and_then(|s| s.parse().ok()).map(Duration::from_secs_f64);
+        let after = text("retry-after")
+            .and_then(|s| s.parse().ok())
+            .map(Duration::from_secs_f64);
         let mut chunks = Chunks::default();
         loop {
             match head.framing {
--- a/crates/sparrouter-simulation/src/fabric.rs
+++ b/crates/sparrouter-simulation/src/fabric.rs
@@ -70,13 +70,23 @@
             lines: Vec::new(),
             next_port: 20_000,
         };
-        let fabric = Rc::new(Fabric { inner: RefCell::new(inner), rng: RefCell::new(rng), in_zone, across });
+        let fabric = Rc::new(Fabric {
+            inner: RefCell::new(inner),
+            rng: RefCell::new(rng),
+            in_zone,
+            across,
+        });
         spawn_local(look(Rc::downgrade(&fabric)));
         fabric
     }
 
     pub fn add(&self, ip: IpAddr, zone: &str) {
-        let place = Place { zone: zone.to_owned(), power: true, frozen: false, generation: 0 };
+        let place = Place {
+            zone: zone.to_owned(),
+            power: true,
+            frozen: false,
+            generation: 0,
+        };
         self.inner.borrow_mut().places.insert(ip, place);
     }
 
@@ -121,11 +131,19 @@
 
     /// All connections of a machine are reset at both ends.
     pub fn reset(&self, ip: IpAddr) {
-        self.lines().iter().filter(|l| l.touches(ip)).for_each(|l| l.reset());
+        self.lines()
+            .iter()
+            .filter(|l| l.touches(ip))
+            .for_each(|l| l.reset());
     }
 
     fn lines(&self) -> Vec<Rc<Line>> {
-        self.inner.borrow().lines.iter().filter_map(Weak::upgrade).collect()
+        self.inner
+            .borrow()
+            .lines
+            .iter()
+            .filter_map(Weak::upgrade)
+            .collect()
     }
 
     fn wake_all(&self) {
@@ -135,7 +153,11 @@
     pub fn delay(&self, a: IpAddr, b: IpAddr) -> Duration {
         let inner = self.inner.borrow();
         let zone = |ip| inner.places.get(ip).map(|p| p.zone.as_str());
-        if zone(&a) == zone(&b) { self.in_zone } else { self.across }
+        if zone(&a) == zone(&b) {
+            self.in_zone
+        } else {
+            self.across
+        }
     }
 
     /// Whether a word gets from one to the other now.
@@ -146,7 +168,11 @@
     }
 
     pub fn generation(&self, ip: IpAddr) -> u64 {
-        self.inner.borrow().places.get(&ip).map_or(0, |p| p.generation)
+        self.inner
+            .borrow()
+            .places
+            .get(&ip)
+            .map_or(0, |p| p.generation)
     }
 
     pub fn powered(&self, ip: IpAddr) -> bool {
@@ -157,7 +183,12 @@
         self.inner.borrow().cuts.get(&(from, to)) == Some(&Cut::Refusing)
     }
 
-    pub(crate) async fn dial(self: &Rc<Self>, from: IpAddr, to: SocketAddr, hasty: bool) -> io::Result<End> {
+    pub(crate) async fn dial(
+        self: &Rc<Self>,
+        from: IpAddr,
+        to: SocketAddr,
+        hasty: bool,
+    ) -> io::Result<End> {
         let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
         for _ in 0..SYN_TRIES {
             if self.refuses(from, to.ip()) {
@@ -167,7 +198,9 @@
             if self.reaches(from, to.ip()) && self.reaches(to.ip(), from) {
                 sleep(self.delay(from, to.ip())).await;
                 let door = self.inner.borrow().doors.get(&to).cloned();
-                let Some(door) = door else { return Err(refused()) };
+                let Some(door) = door else {
+                    return Err(refused());
+                };
                 let port = {
                     let mut inner = self.inner.borrow_mut();
                     inner.next_port = inner.next_port.checked_add(1).unwrap_or(20_000);
@@ -189,7 +222,10 @@
         Err(io::ErrorKind::TimedOut.into())
     }
 
-    pub(crate) fn open(&self, at: SocketAddr) -> io::Result<mpsc::UnboundedReceiver<(End, SocketAddr)>> {
+    pub(crate) fn open(
+        &self,
+        at: SocketAddr,
+    ) -> io::Result<mpsc::UnboundedReceiver<(End, SocketAddr)>> {
         let mut inner = self.inner.borrow_mut();
         if inner.doors.contains_key(&at) {
             return Err(io::ErrorKind::AddrInUse.into());
@@ -209,10 +245,16 @@
 async fn look(fabric: Weak<Fabric>) {
     loop {
         sleep(LOOK).await;
-        let Some(fabric) = fabric.upgrade() else { return };
+        let Some(fabric) = fabric.upgrade() else {
+            return;
+        };
         let lines = fabric.lines();
         let now = Instant::now();
         lines.iter().for_each(|l| l.look(&fabric, now));
-        fabric.inner.borrow_mut().lines.retain(|l| l.strong_count() > 0);
+        fabric
+            .inner
+            .borrow_mut()
+            .lines
+            .retain(|l| l.strong_count() > 0);
     }
 }
--- a/crates/sparrouter-simulation/src/judge/answers.rs
+++ b/crates/sparrouter-simulation/src/judge/answers.rs
@@ -23,19 +23,29 @@
 impl Judge {
     pub fn answered(&self, id: &str, answer: &Answer) {
         self.detail(|| {
-            format!("{id} ends: {} whole {} {} bytes", answer.status, answer.whole, answer.body.len())
+            format!(
+                "{id} ends: {} whole {} {} bytes",
+                answer.status,
+                answer.whole,
+                answer.body.len()
+            )
         });
         if let Some(bad) = answer.bad {
             self.breach("MIXED", format!("{id}: bytes that are no answer: {bad}"));
         }
         let (asked, sent, runs) = {
             let requests = self.requests.borrow();
-            let Some(attempt) = requests.attempts.get(id) else { return };
+            let Some(attempt) = requests.attempts.get(id) else {
+                return;
+            };
             (attempt.asked.clone(), attempt.sent, attempt.runs.clone())
         };
         self.count(&asked, sent, answer);
         if answer.attempt.as_deref().is_some_and(|other| other != id) {
-            self.breach("MIXED", format!("{id} got the answer of {:?}", answer.attempt));
+            self.breach(
+                "MIXED",
+                format!("{id} got the answer of {:?}", answer.attempt),
+            );
         }
         match answer.status {
             0 => {}
@@ -59,17 +69,30 @@
     }
 
     fn check_success(&self, id: &str, answer: &Answer, runs: &[u64]) {
-        let sealed = answer.seal.as_deref().and_then(|s| s.strip_prefix("seal-")?.parse::<u64>().ok());
+        let sealed = answer
+            .seal
+            .as_deref()
+            .and_then(|s| s.strip_prefix("seal-")?.parse::<u64>().ok());
         let Some(run) = sealed.filter(|r| runs.contains(r)) else {
-            return self.breach("MIXED", format!("{id} got a success under the seal {:?}", answer.seal));
+            return self.breach(
+                "MIXED",
+                format!("{id} got a success under the seal {:?}", answer.seal),
+            );
         };
         if answer.streams {
             return self.check_events(id, answer, runs, run);
         }
         let word = self.requests.borrow().runs[run as usize].path.clone();
-        let length = word.rsplit('/').next().and_then(|w| w.get(1..)?.parse().ok()).unwrap_or(1);
+        let length = word
+            .rsplit('/')
+            .next()
+            .and_then(|w| w.get(1..)?.parse().ok())
+            .unwrap_or(1);
         if answer.whole && answer.body != body_of(run, length).as_bytes() {
-            self.breach("MIXED", format!("{id} got another body than run {run} made"));
+            self.breach(
+                "MIXED",
+                format!("{id} got another body than run {run} made"),
+            );
         }
     }
 
@@ -77,10 +100,17 @@
     fn check_events(&self, id: &str, answer: &Answer, runs: &[u64], first: u64) {
         let (resumed, path): (Vec<(u64, u64)>, String) = {
             let requests = self.requests.borrow();
-            let resumed = runs.iter().map(|r| (*r, requests.runs[*r as usize].resumed)).collect();
+            let resumed = runs
+                .iter()
+                .map(|r| (*r, requests.runs[*r as usize].resumed))
+                .collect();
             (resumed, requests.runs[first as usize].path.clone())
         };
-        let count: u64 = path.rsplit('/').next().and_then(|w| w.get(1..)?.parse().ok()).unwrap_or(1);
+        let count: u64 = path
+            .rsplit('/')
+            .next()
+            .and_then(|w| w.get(1..)?.parse().ok())
+            .unwrap_or(1);
         let text = String::from_utf8_lossy(&answer.body).into_owned();
         let start = resumed.iter().find(|r| r.0 == first).map_or(0, |r| r.1);
         let (mut run, mut last) = (first, start);
@@ -93,7 +123,9 @@
                 continue;
             }
             // Taken up elsewhere: only by a run that was told to go on from here.
-            let next = resumed.iter().find(|(r, at)| event == event_of(*r, last + 1) && *at == last);
+            let next = resumed
+                .iter()
+                .find(|(r, at)| event == event_of(*r, last + 1) && *at == last);
             match next {
                 Some((next, _)) => {
                     run = *next;
@@ -106,20 +138,31 @@
             }
         }
         if answer.whole && (last != count || !rest.is_empty()) {
-            self.breach("ORDER", format!("{id} looks complete after event {last} of {count}"));
+            self.breach(
+                "ORDER",
+                format!("{id} looks complete after event {last} of {count}"),
+            );
         }
     }
 
     /// LOST: around planned work alone, what was read is answered.
     fn check_lost(&self, id: &str, asked: &super::Asked, sent: Instant, runs: &[u64]) {
         let now = Instant::now();
-        let faulty = self.requests.borrow().faulty.iter().any(|f| runs.contains(f));
+        let faulty = self
+            .requests
+            .borrow()
+            .faulty
+            .iter()
+            .any(|f| runs.contains(f));
         let from = sent.checked_sub(self.bounds.contact).unwrap_or(sent);
         let late = now - sent > self.bounds.loss_slack || !runs.is_empty();
         let planned = self.is_planned(asked.node, sent, now);
         if planned && late && !faulty && now < asked.until && !self.any_unplanned(from, now) {
-            let what =
-                format!("{id} at {} ended without a whole answer, sent {:?} before", asked.node, now - sent);
+            let what = format!(
+                "{id} at {} ended without a whole answer, sent {:?} before",
+                asked.node,
+                now - sent
+            );
             self.breach("LOST", what);
         }
     }
--- a/crates/sparrouter-simulation/src/judge/budget.rs
+++ b/crates/sparrouter-simulation/src/judge/budget.rs
@@ -18,7 +18,10 @@
 
 impl Budget {
     pub(super) fn new(bounds: Bounds) -> Budget {
-        Budget { bounds, services: BTreeMap::new() }
+        Budget {
+            bounds,
+            services: BTreeMap::new(),
+        }
     }
 
     pub(super) fn requested(&mut self, service: &str) {
@@ -26,7 +29,11 @@
         let window = self.bounds.budget_window;
         let known = self.services.entry(service.to_owned()).or_default();
         known.requests.push_back(now);
-        while known.requests.front().is_some_and(|at| now - *at > window * 3) {
+        while known
+            .requests
+            .front()
+            .is_some_and(|at| now - *at > window * 3)
+        {
             known.requests.pop_front();
         }
     }
@@ -34,7 +41,12 @@
     /// What broke it, if it is broken now.
     pub(super) fn arrived(&mut self, service: &str, attempt: &str) -> Option<String> {
         let now = Instant::now();
-        let Bounds { budget_window: window, budget_ratio, budget_slack, .. } = self.bounds;
+        let Bounds {
+            budget_window: window,
+            budget_ratio,
+            budget_slack,
+            ..
+        } = self.bounds;
         let known = self.services.entry(service.to_owned()).or_default();
         if known.arrived.insert(attempt.to_owned()) {
             return None;
@@ -47,10 +59,17 @@
             let inside = |at: &&Instant| now - **at >= ago && now - **at <= ago + window;
             known.requests.iter().filter(inside).count()
         };
-        let most = [Duration::ZERO, window / 2, window].map(count).into_iter().max().unwrap_or(0);
+        let most = [Duration::ZERO, window / 2, window]
+            .map(count)
+            .into_iter()
+            .max()
+            .unwrap_or(0);
         let allowed = budget_ratio * most as f64 + budget_slack;
         (known.repeats.len() as f64 > allowed).then(|| {
-            format!("{} repeats at {service} in a window, {allowed:.1} are allowed", known.repeats.len())
+            format!(
+                "{} repeats at {service} in a window, {allowed:.1} are allowed",
+                known.repeats.len()
+            )
         })
     }
 }
--- a/crates/sparrouter-simulation/src/judge/mod.rs
+++ b/crates/sparrouter-simulation/src/judge/mod.rs
@@ -131,7 +131,11 @@
         if !breaches.is_empty() {
             let story = self.story();
             let told = &story[story.len().saturating_sub(TOLD)..];
-            panic!("rules broken:\n{}\nstory:\n{}", breaches.join("\n"), told.join("\n"));
+            panic!(
+                "rules broken:\n{}\nstory:\n{}",
+                breaches.join("\n"),
+                told.join("\n")
+            );
         }
     }
 }
--- a/crates/sparrouter-simulation/src/judge/orders.rs
+++ b/crates/sparrouter-simulation/src/judge/orders.rs
@@ -75,15 +75,26 @@
             sent.acknowledged = Some(Instant::now());
             let (plan, base, valid) = (sent.plan.clone(), sent.base, sent.valid);
             let rival = |s: &&Sent| s.base == base && s.acknowledged.is_some() && s.plan != plan;
-            let others: Vec<u64> = orders.sent.iter().filter(rival).map(|s| s.plan.version).collect();
+            let others: Vec<u64> = orders
+                .sent
+                .iter()
+                .filter(rival)
+                .map(|s| s.plan.version)
+                .collect();
             (plan, base, valid, others)
         };
         self.note(format!("config {} is acknowledged", plan.version));
         if !valid {
-            self.breach("CONFIG", format!("the invalid {} was acknowledged", plan.version));
+            self.breach(
+                "CONFIG",
+                format!("the invalid {} was acknowledged", plan.version),
+            );
         }
         if !others.is_empty() {
-            let what = format!("{} and {others:?}, both on {base}, were acknowledged", plan.version);
+            let what = format!(
+                "{} and {others:?}, both on {base}, were acknowledged",
+                plan.version
+            );
             self.breach("CONFIG", what);
         }
     }
@@ -92,14 +103,18 @@
         let (version, taken) = {
             let mut orders = self.orders.borrow_mut();
             let sent = orders.sent[place].clone();
-            let same = |s: &Sent| s.acknowledged.is_some() && (&s.body, s.base) == (&sent.body, sent.base);
+            let same =
+                |s: &Sent| s.acknowledged.is_some() && (&s.body, s.base) == (&sent.body, sent.base);
             let taken = orders.sent.iter().any(same);
             orders.sent[place].refused = !taken;
             (sent.plan.version, taken)
         };
         self.note(format!("config {version} is refused with {status}"));
         if taken {
-            self.breach("CONFIG", format!("{version} is refused with {status}, and has been taken"));
+            self.breach(
+                "CONFIG",
+                format!("{version} is refused with {status}, and has been taken"),
+            );
         }
     }
 
@@ -113,21 +128,35 @@
     /// The last configurations that were sent, taken or not.
     pub fn last_sent(&self, most: usize) -> Vec<Plan> {
         let orders = self.orders.borrow();
-        orders.sent.iter().rev().filter(|s| s.valid).take(most).map(|s| s.plan.clone()).collect()
+        orders
+            .sent
+            .iter()
+            .rev()
+            .filter(|s| s.valid)
+            .take(most)
+            .map(|s| s.plan.clone())
+            .collect()
     }
 
     /// What was read back at the end.
     pub fn read_back(&self, status: u16, text: &str) {
         let Some(newest) = self.newest() else { return };
-        let version = text.split("\"version\":").nth(1).and_then(|t| t.split([',', '}']).next());
+        let version = text
+            .split("\"version\":")
+            .nth(1)
+            .and_then(|t| t.split([',', '}']).next());
         let version: Option<u64> = version.and_then(|v| v.trim().parse().ok());
         if status != 200 || version.is_none_or(|v| v < newest.plan.version) {
-            let what = format!("{} was acknowledged, read back: {status} {version:?}", newest.plan.version);
+            let what = format!(
+                "{} was acknowledged, read back: {status} {version:?}",
+                newest.plan.version
+            );
             return self.breach("LOST", what);
         }
         let is = |s: &Sent| s.valid && !s.refused && text == s.plan.json();
         if !self.orders.borrow().sent.iter().any(is) {
-            let what = format!("{version:?} is read back, which is not what was sent under that number");
+            let what =
+                format!("{version:?} is read back, which is not what was sent under that number");
             self.breach("CONFIG", what);
         }
     }
@@ -135,15 +164,25 @@
     /// New weights are acknowledged.
     pub fn named(&self, version: u64) {
         self.note(format!("weights {version} are named and acknowledged"));
-        self.orders.borrow_mut().named.push((version, Instant::now()));
+        self.orders
+            .borrow_mut()
+            .named
+            .push((version, Instant::now()));
     }
 
     /// A node acknowledged that a server drains, or has left.
     pub fn draining(&self, instance: &str, by: SocketAddr) {
         let now = Instant::now();
-        self.note(format!("{} acknowledges that {instance} drains or left", by.ip()));
+        self.note(format!(
+            "{} acknowledges that {instance} drains or left",
+            by.ip()
+        ));
         if self.in_touch(by.ip(), now, now) {
-            self.orders.borrow_mut().drains.entry(instance.to_owned()).or_insert(now);
+            self.orders
+                .borrow_mut()
+                .drains
+                .entry(instance.to_owned())
+                .or_insert(now);
         }
     }
 
@@ -159,7 +198,11 @@
         let mut broken = None;
         {
             let mut orders = self.orders.borrow_mut();
-            if orders.thawed.get(&by).is_some_and(|at| now - *at <= self.bounds.thaw) {
+            if orders
+                .thawed
+                .get(&by)
+                .is_some_and(|at| now - *at <= self.bounds.thaw)
+            {
                 return;
             }
             let last = orders.servers.entry(instance.to_owned()).or_default();
@@ -175,9 +218,15 @@
                 broken = Some(format!("{holder} and another take turns at {instance}"));
             }
             if !self.bounds.fencing && last.iter().any(|l| l.fence > fence) {
-                broken = Some(format!("{holder} orders {instance} under {fence}, lower than before"));
+                broken = Some(format!(
+                    "{holder} orders {instance} under {fence}, lower than before"
+                ));
             }
-            last.push(LastOrder { holder: holder.to_owned(), fence, at: now });
+            last.push(LastOrder {
+                holder: holder.to_owned(),
+                fence,
+                at: now,
+            });
         }
         if let Some(what) = broken {
             self.breach("ONE", what);
@@ -192,14 +241,23 @@
     /// The same, and when that was.
     pub fn last_order(&self) -> Option<(String, Instant)> {
         let orders = self.orders.borrow();
-        let last = orders.servers.values().filter_map(|all| all.last()).max_by_key(|l| l.at);
+        let last = orders
+            .servers
+            .values()
+            .filter_map(|all| all.last())
+            .max_by_key(|l| l.at);
         last.map(|l| (l.holder.clone(), l.at))
     }
 
     /// A server takes new weights.
     pub fn loads(&self, instance: &str, version: u64) {
         self.note(format!("{instance} loads weights {version}"));
-        *self.orders.borrow_mut().loads.entry((instance.to_owned(), version)).or_default() += 1;
+        *self
+            .orders
+            .borrow_mut()
+            .loads
+            .entry((instance.to_owned(), version))
+            .or_default() += 1;
     }
 
     /// How often each server took each version.
--- a/crates/sparrouter-simulation/src/judge/requests.rs
+++ b/crates/sparrouter-simulation/src/judge/requests.rs
@@ -82,14 +82,19 @@
 /// How a request was handled.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Handled<'a> {
-    Ran { service: &'a str, tenant: Option<&'a str> },
+    Ran {
+        service: &'a str,
+        tenant: Option<&'a str>,
+    },
     Refused(u16),
 }
 
 /// Whether a configuration lets this request in.
 pub(super) fn allows(plan: &Plan, asked: &Asked) -> bool {
-    let open = |public: bool| public || plan.tenants.is_empty() || plan.tenant_of(&asked.key).is_some();
-    plan.route(&asked.host, &asked.path).is_some_and(|r| open(r.public))
+    let open =
+        |public: bool| public || plan.tenants.is_empty() || plan.tenant_of(&asked.key).is_some();
+    plan.route(&asked.host, &asked.path)
+        .is_some_and(|r| open(r.public))
 }
 
 impl Handled<'_> {
@@ -98,8 +103,15 @@
         let open = |public: bool| public || plan.tenants.is_empty();
         let tenant = plan.tenant_of(&asked.key).map(|t| t.name.as_str());
         match (self, route) {
-            (Handled::Ran { service, tenant: told }, Some(route)) => {
-                route.service == *service && (open(route.public) || (tenant.is_some() && tenant == *told))
+            (
+                Handled::Ran {
+                    service,
+                    tenant: told,
+                },
+                Some(route),
+            ) => {
+                route.service == *service
+                    && (open(route.public) || (tenant.is_some() && tenant == *told))
             }
             (Handled::Ran { .. }, None) => false,
             (Handled::Refused(404), route) => route.is_none(),
@@ -114,15 +126,27 @@
         self.detail(|| format!("{attempt} goes to {} for {}", asked.node, asked.path));
         let services: Vec<String> = {
             let orders = self.orders.borrow();
-            let service = |s: &Sent| s.plan.route(&asked.host, &asked.path).map(|r| r.service.clone());
+            let service = |s: &Sent| {
+                s.plan
+                    .route(&asked.host, &asked.path)
+                    .map(|r| r.service.clone())
+            };
             let mut services: Vec<String> = orders.sent.iter().filter_map(service).collect();
             services.sort_unstable();
             services.dedup();
             services
         };
         services.iter().for_each(|s| self.requested(s));
-        let attempt_of = Attempt { asked, sent: Instant::now(), runs: Vec::new(), promised: None };
-        self.requests.borrow_mut().attempts.insert(attempt.to_owned(), attempt_of);
+        let attempt_of = Attempt {
+            asked,
+            sent: Instant::now(),
+            runs: Vec::new(),
+            promised: None,
+        };
+        self.requests
+            .borrow_mut()
+            .attempts
+            .insert(attempt.to_owned(), attempt_of);
     }
 
     /// Gives back the number of the run, which its answer names.
@@ -145,37 +169,66 @@
             .get(&run.attempt)
             .map(|a| (a.asked.clone(), a.sent, a.runs.len(), a.promised));
         let Some((asked, sent, runs, promised)) = known else {
-            self.breach("UNASKED", format!("{} ran {}, which nobody sent", run.instance, run.attempt));
+            self.breach(
+                "UNASKED",
+                format!("{} ran {}, which nobody sent", run.instance, run.attempt),
+            );
             return number;
         };
         if (&run.method, &run.path, &run.body) != (&asked.method, &asked.path, &asked.body) {
             self.breach(
                 "UNASKED",
-                format!("{} was changed on its way: {} {}", run.attempt, run.method, run.path),
+                format!(
+                    "{} was changed on its way: {} {}",
+                    run.attempt, run.method, run.path
+                ),
             );
         }
         if run.key.is_some() {
-            self.breach("UNASKED", format!("the key of {} was shown to {}", run.attempt, run.instance));
+            self.breach(
+                "UNASKED",
+                format!("the key of {} was shown to {}", run.attempt, run.instance),
+            );
         }
         if runs > 1 && !asked.kind.repeatable() {
-            self.breach("TWICE", format!("{} ran {runs} times, now at {}", run.attempt, run.instance));
+            self.breach(
+                "TWICE",
+                format!("{} ran {runs} times, now at {}", run.attempt, run.instance),
+            );
         }
         if let (Some(status), false) = (promised, asked.kind.repeatable()) {
-            self.breach("REFUSED", format!("{} ran at {} after {status}", run.attempt, run.instance));
+            self.breach(
+                "REFUSED",
+                format!("{} ran at {} after {status}", run.attempt, run.instance),
+            );
         }
         self.check_tenant(&run, &asked);
-        let handled = Handled::Ran { service: &run.service, tenant: run.tenant.as_deref() };
-        let allowed = self.orders.borrow().sent.iter().any(|s| handled.fits(&s.plan, &asked));
+        let handled = Handled::Ran {
+            service: &run.service,
+            tenant: run.tenant.as_deref(),
+        };
+        let allowed = self
+            .orders
+            .borrow()
+            .sent
+            .iter()
+            .any(|s| handled.fits(&s.plan, &asked));
         if !allowed {
             self.breach(
                 "ROUTE",
-                format!("{} of {} ran at {} as {:?}", run.attempt, asked.path, run.service, run.tenant),
+                format!(
+                    "{} of {} ran at {} as {:?}",
+                    run.attempt, asked.path, run.service, run.tenant
+                ),
             );
         } else {
             self.check_config(&run.attempt, &asked, sent, handled);
         }
         if let Some(made) = run.made.iter().find(|m| m.version != run.version) {
-            let what = format!("{} runs on {} with memory of {}", run.attempt, run.version, made.version);
+            let what = format!(
+                "{} runs on {} with memory of {}",
+                run.attempt, run.version, made.version
+            );
             self.breach("STALE", what);
         }
         self.check_wall(&run);
@@ -191,10 +244,17 @@
     fn check_tenant(&self, run: &Run, asked: &Asked) {
         let Some(told) = &run.tenant else { return };
         let orders = self.orders.borrow();
-        let holds = |s: &Sent| s.plan.tenant_of(&asked.key).is_some_and(|t| t.name == *told);
+        let holds = |s: &Sent| {
+            s.plan
+                .tenant_of(&asked.key)
+                .is_some_and(|t| t.name == *told)
+        };
         if !orders.sent.iter().any(holds) {
             drop(orders);
-            self.breach("UNASKED", format!("{} ran as {told}, whose key it has not", run.attempt));
+            self.breach(
+                "UNASKED",
+                format!("{} ran as {told}, whose key it has not", run.attempt),
+            );
         }
     }
 
@@ -202,12 +262,23 @@
     fn check_wall(&self, run: &Run) {
         let orders = self.orders.borrow();
         let isolated = |name: &Option<String>| {
-            let is = |s: &Sent| s.plan.tenants.iter().any(|t| t.isolated && Some(&t.name) == name.as_ref());
+            let is = |s: &Sent| {
+                s.plan
+                    .tenants
+                    .iter()
+                    .any(|t| t.isolated && Some(&t.name) == name.as_ref())
+            };
             orders.sent.iter().any(is)
         };
-        let other = |m: &&Made| m.tenant != run.tenant && (isolated(&m.tenant) || isolated(&run.tenant));
-        let Some(made) = run.made.iter().find(other) else { return };
-        let what = format!("{} of {:?} uses memory of {:?}", run.attempt, run.tenant, made.tenant);
+        let other =
+            |m: &&Made| m.tenant != run.tenant && (isolated(&m.tenant) || isolated(&run.tenant));
+        let Some(made) = run.made.iter().find(other) else {
+            return;
+        };
+        let what = format!(
+            "{} of {:?} uses memory of {:?}",
+            run.attempt, run.tenant, made.tenant
+        );
         drop(orders);
         self.breach("WALL", what);
     }
@@ -231,24 +302,50 @@
     }
 
     /// CONFIG: some version that may be in force must allow what was done.
-    pub(super) fn check_config(&self, attempt: &str, asked: &Asked, sent: Instant, handled: Handled) {
+    pub(super) fn check_config(
+        &self,
+        attempt: &str,
+        asked: &Asked,
+        sent: Instant,
+        handled: Handled,
+    ) {
         let now = Instant::now();
         let (floor, fitting) = {
             let orders = self.orders.borrow();
-            let old = |s: &&Sent| s.acknowledged.is_some_and(|at| at + self.bounds.config_apply < sent);
-            let floor = orders.sent.iter().filter(old).map(|s| s.plan.version).max().unwrap_or(0);
+            let old = |s: &&Sent| {
+                s.acknowledged
+                    .is_some_and(|at| at + self.bounds.config_apply < sent)
+            };
+            let floor = orders
+                .sent
+                .iter()
+                .filter(old)
+                .map(|s| s.plan.version)
+                .max()
+                .unwrap_or(0);
             let fits = |s: &&Sent| !s.refused && s.valid && handled.fits(&s.plan, asked);
-            let fitting: Vec<u64> = orders.sent.iter().filter(fits).map(|s| s.plan.version).collect();
+            let fitting: Vec<u64> = orders
+                .sent
+                .iter()
+                .filter(fits)
+                .map(|s| s.plan.version)
+                .collect();
             (floor, fitting)
         };
         // Before the first configuration there is nothing to refuse by.
         let none_yet = matches!(handled, Handled::Refused(_)) && floor == 0;
-        let shown = format!("{attempt} at {}: {handled:?} fits only {fitting:?}", asked.node);
+        let shown = format!(
+            "{attempt} at {}: {handled:?} fits only {fitting:?}",
+            asked.node
+        );
         if fitting.is_empty() && !none_yet {
             return self.breach("CONFIG", format!("{shown}, which are not in force"));
         }
         if fitting.iter().all(|v| *v < floor) && !none_yet && self.in_touch(asked.node, sent, now) {
-            return self.breach("CONFIG", format!("{shown}, {floor} was acknowledged long before"));
+            return self.breach(
+                "CONFIG",
+                format!("{shown}, {floor} was acknowledged long before"),
+            );
         }
         let life = (asked.node, asked.life);
         let mut requests = self.requests.borrow_mut();
@@ -258,7 +355,10 @@
             && fitting.iter().all(|v| *v < version)
         {
             drop(requests);
-            return self.breach("CONFIG", format!("{shown}, the machine went by {version} before"));
+            return self.breach(
+                "CONFIG",
+                format!("{shown}, the machine went by {version} before"),
+            );
         }
         // Only what no older one explains shows a version's effect.
         if let Some(least) = fitting.iter().min().copied() {
@@ -276,8 +376,10 @@
             && now - at > self.bounds.drain_timeout
             && self.in_touch(by, now, now)
         {
-            let what =
-                format!("{attempt} reaches {instance} {:?} after its draining was acknowledged", now - at);
+            let what = format!(
+                "{attempt} reaches {instance} {:?} after its draining was acknowledged",
+                now - at
+            );
             self.breach("DRAIN", what);
         }
     }
--- a/crates/sparrouter-simulation/src/judge/tolls.rs
+++ b/crates/sparrouter-simulation/src/judge/tolls.rs
@@ -28,7 +28,11 @@
         let own = answer.seal.is_none() && matches!(answer.status, 300..=499);
         tolls.denied += u32::from(own && !matches!(answer.status, 408 | 421 | 429));
         if calm && !answer.abandoned {
-            let toll = if added { &mut tolls.added } else { &mut tolls.first };
+            let toll = if added {
+                &mut tolls.added
+            } else {
+                &mut tolls.first
+            };
             toll.0 += 1;
             toll.1 += u32::from(answer.whole && (200..300).contains(&answer.status));
         }
@@ -38,9 +42,15 @@
     fn is_proper(&self, asked: &Asked, sent: Instant) -> bool {
         let orders = self.orders.borrow();
         let old = |at: Instant| at + self.bounds.config_apply < sent;
-        let settled = orders.sent.iter().filter(|s| s.acknowledged.is_some_and(old));
+        let settled = orders
+            .sent
+            .iter()
+            .filter(|s| s.acknowledged.is_some_and(old));
         let floor = settled.map(|s| s.plan.version).max().unwrap_or(0);
-        let may = orders.sent.iter().filter(|s| s.valid && !s.refused && s.plan.version >= floor);
+        let may = orders
+            .sent
+            .iter()
+            .filter(|s| s.valid && !s.refused && s.plan.version >= floor);
         floor > 0 && may.into_iter().all(|s| allows(&s.plan, asked))
     }
 
@@ -51,11 +61,15 @@
             (tolls.all, tolls.denied, tolls.first, tolls.added)
         };
         if denied > DENIED + all / DENIED_IN {
-            self.breach("DENIED", format!("{denied} proper requests of {all} were refused"));
+            self.breach(
+                "DENIED",
+                format!("{denied} proper requests of {all} were refused"),
+            );
         }
         let rate = |(asked, served): (u32, u32)| f64::from(served) / f64::from(asked.max(1));
         if added.0 >= ADDED && rate(added) < ADDED_PART * rate(first) {
-            let what = format!("on added routes {added:?} asked and served, on the first {first:?}");
+            let what =
+                format!("on added routes {added:?} asked and served, on the first {first:?}");
             self.breach("CONFIG", what);
         }
     }
--- a/crates/sparrouter-simulation/src/judge/trouble.rs
+++ b/crates/sparrouter-simulation/src/judge/trouble.rs
@@ -36,7 +36,12 @@
         let now = Instant::now();
         let mut troubles = self.troubles.borrow_mut();
         let open = |s: &&mut Span| s.ip == ip && s.until.is_none() && !s.down;
-        troubles.0.iter_mut().find(open).into_iter().for_each(|s| s.until = Some(now));
+        troubles
+            .0
+            .iter_mut()
+            .find(open)
+            .into_iter()
+            .for_each(|s| s.until = Some(now));
     }
 
     /// No process runs on a machine.
@@ -49,11 +54,21 @@
         let now = Instant::now();
         let mut troubles = self.troubles.borrow_mut();
         let open = |s: &&mut Span| s.ip == Some(ip) && s.until.is_none() && s.down;
-        troubles.0.iter_mut().filter(open).for_each(|s| s.until = Some(now));
+        troubles
+            .0
+            .iter_mut()
+            .filter(open)
+            .for_each(|s| s.until = Some(now));
     }
 
     fn begins(&self, ip: Option<IpAddr>, down: bool) {
-        let span = Span { ip, from: Instant::now(), until: None, planned: false, down };
+        let span = Span {
+            ip,
+            from: Instant::now(),
+            until: None,
+            planned: false,
+            down,
+        };
         self.troubles.borrow_mut().0.push(span);
     }
 
@@ -73,12 +88,20 @@
     pub fn told_to_end(&self, ip: IpAddr) {
         let now = Instant::now();
         let until = now + self.bounds.grace + Duration::from_secs(1);
-        let span = Span { ip: Some(ip), from: now, until: Some(until), planned: true, down: false };
+        let span = Span {
+            ip: Some(ip),
+            from: now,
+            until: Some(until),
+            planned: true,
+            down: false,
+        };
         self.troubles.borrow_mut().0.push(span);
     }
 
     pub(super) fn is_planned(&self, ip: IpAddr, from: Instant, until: Instant) -> bool {
-        self.troubles.borrow().touches(from, until, |s| s.planned && s.ip == Some(ip))
+        self.troubles
+            .borrow()
+            .touches(from, until, |s| s.planned && s.ip == Some(ip))
     }
 
     pub(crate) fn any_unplanned(&self, from: Instant, until: Instant) -> bool {
@@ -88,12 +111,18 @@
     /// Whether a machine was in touch throughout a span of time, `contact` before it included.
     pub fn in_touch(&self, ip: IpAddr, from: Instant, until: Instant) -> bool {
         let from = from.checked_sub(self.bounds.contact).unwrap_or(self.began);
-        !self.troubles.borrow().touches(from, until, |s| s.ip == Some(ip) || s.ip.is_none())
+        !self
+            .troubles
+            .borrow()
+            .touches(from, until, |s| s.ip == Some(ip) || s.ip.is_none())
     }
 
     /// Whether the core was stable throughout, `contact` before it included.
     pub fn core_stable(&self, from: Instant, until: Instant) -> bool {
         let from = from.checked_sub(self.bounds.contact).unwrap_or(self.began);
-        !self.troubles.borrow().touches(from, until, |s| s.ip.is_none())
+        !self
+            .troubles
+            .borrow()
+            .touches(from, until, |s| s.ip.is_none())
     }
 }
--- a/crates/sparrouter-simulation/src/line.rs
+++ b/crates/sparrouter-simulation/src/line.rs
@@ -51,11 +51,21 @@
 
 impl Side {
     fn wake(&mut self) {
-        self.reader.take().into_iter().chain(self.writer.take()).for_each(Waker::wake);
+        self.reader
+            .take()
+            .into_iter()
+            .chain(self.writer.take())
+            .for_each(Waker::wake);
     }
 
     fn pending(&self) -> usize {
-        let coming = self.coming.iter().map(|p| if let What::Bytes(b) = &p.what { b.len() } else { 0 });
+        let coming = self.coming.iter().map(|p| {
+            if let What::Bytes(b) = &p.what {
+                b.len()
+            } else {
+                0
+            }
+        });
         self.unread.len() + coming.sum::<usize>()
     }
 
@@ -96,7 +106,10 @@
     }
 
     pub(crate) fn reset(&self) {
-        self.0.borrow_mut().iter_mut().for_each(|s| s.break_off(ErrorKind::ConnectionReset));
+        self.0
+            .borrow_mut()
+            .iter_mut()
+            .for_each(|s| s.break_off(ErrorKind::ConnectionReset));
     }
 
     /// The machine loses power: its end is gone without a word, and what a cut holds up of its bytes is lost.
@@ -122,7 +135,9 @@
             if there && !sides[1 - from].vanished {
                 sides[from].unacknowledged = None;
             } else if sides[from].hasty
-                && sides[from].unacknowledged.is_some_and(|since| now - since >= UNACKNOWLEDGED)
+                && sides[from]
+                    .unacknowledged
+                    .is_some_and(|since| now - since >= UNACKNOWLEDGED)
             {
                 sides[from].vanished = true;
                 sides[from].break_off(ErrorKind::TimedOut);
@@ -167,7 +182,11 @@
             let length = side.unread.len().min(buffer.len());
             buffer[..length].copy_from_slice(&side.unread[..length]);
             side.unread.advance(length);
-            sides[1 - at].writer.take().into_iter().for_each(Waker::wake);
+            sides[1 - at]
+                .writer
+                .take()
+                .into_iter()
+                .for_each(Waker::wake);
             return Some(Ok(length));
         }
         if let Some(kind) = side.broken {
@@ -188,12 +207,19 @@
 impl End {
     pub(crate) fn new(line: Rc<Line>, at: usize, fabric: Rc<Fabric>, hasty: bool) -> End {
         line.0.borrow_mut()[at].hasty = hasty;
-        End { line, at, fabric, timer: None }
+        End {
+            line,
+            at,
+            fabric,
+            timer: None,
+        }
     }
 
     /// Ends it with a reset, whatever was read.
     pub fn abort(self) {
-        self.line.0.borrow_mut()[self.at].unread.extend_from_slice(b"!");
+        self.line.0.borrow_mut()[self.at]
+            .unread
+            .extend_from_slice(b"!");
     }
 }
 
@@ -205,7 +231,9 @@
 
 impl AsyncRead for End {
     fn poll_read(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
             let room = buffer.initialize_unfilled();
@@ -216,7 +244,10 @@
                 let side = &mut self.line.0.borrow_mut()[self.at];
                 side.reader = Some(context.waker().clone());
                 // Past its time a parcel waits for the way, and whoever opens that wakes everybody.
-                side.coming.front().map(|p| p.due).filter(|due| *due > Instant::now())
+                side.coming
+                    .front()
+                    .map(|p| p.due)
+                    .filter(|due| *due > Instant::now())
             };
             let Some(due) = due else { return Poll::Pending };
             let mut timer = Box::pin(sleep_until(due));
@@ -229,7 +260,11 @@
 }
 
 impl AsyncWrite for End {
-    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
         let (length, answered) = {
             let sides = &mut *self.line.0.borrow_mut();
             if let Some(kind) = sides[self.at].broken {
@@ -248,13 +283,26 @@
             // Nobody holds the other end: its machine answers with a reset, if it is there.
             let unknown = other.vanished && self.fabric.generation(ip) != other.generation;
             let answered = (!other.held && !other.vanished) || (unknown && self.fabric.powered(ip));
-            sides[self.at].unacknowledged.get_or_insert_with(Instant::now);
-            (if room == 0 { bytes.len() } else { bytes.len().min(room) }, answered)
+            sides[self.at]
+                .unacknowledged
+                .get_or_insert_with(Instant::now);
+            (
+                if room == 0 {
+                    bytes.len()
+                } else {
+                    bytes.len().min(room)
+                },
+                answered,
+            )
         };
         if answered {
             self.line.send(1 - self.at, What::Reset, &self.fabric);
         } else {
-            self.line.send(self.at, What::Bytes(Bytes::copy_from_slice(&bytes[..length])), &self.fabric);
+            self.line.send(
+                self.at,
+                What::Bytes(Bytes::copy_from_slice(&bytes[..length])),
+                &self.fabric,
+            );
         }
         Poll::Ready(Ok(length))
     }
--- a/crates/sparrouter-simulation/src/load.rs
+++ b/crates/sparrouter-simulation/src/load.rs
@@ -42,7 +42,8 @@
     fn ended(&self, came: &Came) {
         self.open.set(self.open.get() - 1);
         let (sent, served) = self.late.get();
-        self.late.set((sent, served + u32::from(*came == Came::Served)));
+        self.late
+            .set((sent, served + u32::from(*came == Came::Served)));
         match came {
             Came::Served => self.served.set(self.served.get() + 1),
             Came::Refused(status) => self.refused.borrow_mut().push(*status),
@@ -88,11 +89,21 @@
                     topic: format!("{:08x}", rng.u32(..6)),
                     ..wish(kind, word)
                 };
-                let wish = if manner == Manner::Mixed { mixed(&world, wish, &mut rng) } else { wish };
+                let wish = if manner == Manner::Mixed {
+                    mixed(&world, wish, &mut rng)
+                } else {
+                    wish
+                };
                 if rng.u8(..40) == 0 {
                     // One that leaves early counts for nothing, but what it leaves behind must not harm others.
                     let leaves = Some(Duration::from_millis(rng.u64(..120)));
-                    client.get(&Wish { leaves, retries: 0, ..wish }).await;
+                    client
+                        .get(&Wish {
+                            leaves,
+                            retries: 0,
+                            ..wish
+                        })
+                        .await;
                     continue;
                 }
                 one(&client, &tally, &wish).await;
@@ -104,10 +115,17 @@
 
 /// The same of either tenant, with a prompt of any size.
 fn mixed(world: &World, wish: Wish, rng: &mut Rng) -> Wish {
-    let newest = world.judge.newest().and_then(|s| s.plan.tenants.get(1)?.keys.first().cloned());
+    let newest = world
+        .judge
+        .newest()
+        .and_then(|s| s.plan.tenants.get(1)?.keys.first().cloned());
     let key = newest.filter(|_| rng.bool()).unwrap_or(wish.key);
     let shared = if rng.u8(..3) == 0 { 1_800 } else { wish.shared };
-    Wish { key, shared, ..wish }
+    Wish {
+        key,
+        shared,
+        ..wish
+    }
 }
 
 async fn one(client: &Client, tally: &Tally, wish: &Wish) {
--- a/crates/sparrouter-simulation/src/net.rs
+++ b/crates/sparrouter-simulation/src/net.rs
@@ -26,7 +26,11 @@
     }
 
     pub fn open(&self, at: SocketAddr) -> io::Result<MemoryDoor> {
-        Ok(MemoryDoor { fabric: self.fabric.clone(), at, queue: RefCell::new(self.fabric.open(at)?) })
+        Ok(MemoryDoor {
+            fabric: self.fabric.clone(),
+            at,
+            queue: RefCell::new(self.fabric.open(at)?),
+        })
     }
 }
 
--- a/crates/sparrouter-simulation/src/operator.rs
+++ b/crates/sparrouter-simulation/src/operator.rs
@@ -33,9 +33,17 @@
 
 impl Operator {
     pub fn new(
-        net: MemoryNet, judge: Rc<Judge>, rng: Rng, control: Rc<RefCell<Vec<SocketAddr>>>,
+        net: MemoryNet,
+        judge: Rc<Judge>,
+        rng: Rng,
+        control: Rc<RefCell<Vec<SocketAddr>>>,
     ) -> Operator {
-        Operator { net, judge, rng: RefCell::new(rng), control }
+        Operator {
+            net,
+            judge,
+            rng: RefCell::new(rng),
+            control,
+        }
     }
 
     fn any(&self) -> SocketAddr {
@@ -49,35 +57,69 @@
     }
 
     pub async fn patch(&self, plan: &Plan, before: &Plan) -> u16 {
-        self.change(plan, before.version, How::Patch(before.clone()), true).await.0
+        self.change(plan, before.version, How::Patch(before.clone()), true)
+            .await
+            .0
     }
 
     /// The status that ended it, and who answered. `valid`: whether it may be taken at all.
-    pub async fn change(&self, plan: &Plan, base: u64, how: How, valid: bool) -> (u16, Option<SocketAddr>) {
+    pub async fn change(
+        &self,
+        plan: &Plan,
+        base: u64,
+        how: How,
+        valid: bool,
+    ) -> (u16, Option<SocketAddr>) {
         self.change_at(None, plan, base, how, valid).await
     }
 
     /// The same, asking this node first.
     pub async fn change_at(
-        &self, mut first: Option<SocketAddr>, plan: &Plan, base: u64, how: How, valid: bool,
+        &self,
+        mut first: Option<SocketAddr>,
+        plan: &Plan,
+        base: u64,
+        how: How,
+        valid: bool,
     ) -> (u16, Option<SocketAddr>) {
         let (method, body) = match how {
             How::Whole => ("PUT", plan.json()),
             How::Patch(before) => ("PATCH", plan.patch_json(&before)),
             How::Body(body) => ("PUT", body),
         };
-        let place = self.judge.body_sent(plan, base, valid, format!("{method} {body}"));
+        let place = self
+            .judge
+            .body_sent(plan, base, valid, format!("{method} {body}"));
         let began = Instant::now();
         let base = base.to_string();
-        let fields = [("If-Match", base.as_str()), ("Content-Type", "application/json")];
+        let fields = [
+            ("If-Match", base.as_str()),
+            ("Content-Type", "application/json"),
+        ];
         let mut told = false;
         let mut others = 0;
         let mut pause = Duration::from_millis(50);
         while began.elapsed() < GIVES_UP {
             let to = first.take().unwrap_or_else(|| self.any());
-            let reply = speech::call(&self.net, to, method, "/api/config", &fields, &body, PATIENCE).await;
-            let text = |r: &Reply| format!("{} {}", r.status, r.text().chars().take(80).collect::<String>());
-            self.judge.detail(|| format!("{to} answers the operator: {:?}", reply.as_ref().map(text)));
+            let reply = speech::call(
+                &self.net,
+                to,
+                method,
+                "/api/config",
+                &fields,
+                &body,
+                PATIENCE,
+            )
+            .await;
+            let text = |r: &Reply| {
+                format!(
+                    "{} {}",
+                    r.status,
+                    r.text().chars().take(80).collect::<String>()
+                )
+            };
+            self.judge
+                .detail(|| format!("{to} answers the operator: {:?}", reply.as_ref().map(text)));
             let status = reply.map_or(0, |r| r.status);
             match status {
                 200..=299 => {
@@ -99,7 +141,11 @@
                     told = true;
                     self.judge.breach(
                         "ACKS",
-                        format!("{} has no acknowledgement after {:?}", plan.version, now - began),
+                        format!(
+                            "{} has no acknowledgement after {:?}",
+                            plan.version,
+                            now - began
+                        ),
                     );
                 }
             }
@@ -115,7 +161,15 @@
         let body = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
         while began.elapsed() < GIVES_UP {
             let to = self.any();
-            let call = speech::call(&self.net, to, "POST", "/api/version-put", &[], &body, PATIENCE);
+            let call = speech::call(
+                &self.net,
+                to,
+                "POST",
+                "/api/version-put",
+                &[],
+                &body,
+                PATIENCE,
+            );
             if call.await.is_ok_and(|r| r.status < 300) {
                 self.judge.named(version);
                 return true;
@@ -127,7 +181,9 @@
 
     /// One question to one node.
     pub async fn get_from(&self, to: SocketAddr) -> Option<Reply> {
-        speech::call(&self.net, to, "GET", "/api/config", &[], "", PATIENCE).await.ok()
+        speech::call(&self.net, to, "GET", "/api/config", &[], "", PATIENCE)
+            .await
+            .ok()
     }
 
     /// Reads the configuration back, as at the end of a day.
--- a/crates/sparrouter-simulation/src/plan.rs
+++ b/crates/sparrouter-simulation/src/plan.rs
@@ -91,12 +91,17 @@
 
 impl Plan {
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let fits = self.routes.iter().filter(|r| r.host == host && path.starts_with(&r.prefix));
+        let fits = self
+            .routes
+            .iter()
+            .filter(|r| r.host == host && path.starts_with(&r.prefix));
         fits.max_by_key(|r| r.prefix.len())
     }
 
     pub fn tenant_of(&self, key: &str) -> Option<&Tenant> {
-        self.tenants.iter().find(|t| t.keys.iter().any(|k| k == key))
+        self.tenants
+            .iter()
+            .find(|t| t.keys.iter().any(|k| k == key))
     }
 
     /// The same with the next number, changed.
@@ -130,11 +135,22 @@
     /// What changes from `before` to this, as a PATCH of routes and tenants.
     pub fn patch_json(&self, before: &Plan) -> String {
         let mut out = format!("{{\"version\":{}", self.version);
-        let routes: Vec<String> =
-            self.routes.iter().filter(|r| !before.routes.contains(r)).map(Route::json).collect();
-        let tenants: Vec<String> =
-            self.tenants.iter().filter(|t| !before.tenants.contains(t)).map(tenant).collect();
-        let gone = before.routes.iter().filter(|r| self.routes.iter().all(|n| n.name != r.name));
+        let routes: Vec<String> = self
+            .routes
+            .iter()
+            .filter(|r| !before.routes.contains(r))
+            .map(Route::json)
+            .collect();
+        let tenants: Vec<String> = self
+            .tenants
+            .iter()
+            .filter(|t| !before.tenants.contains(t))
+            .map(tenant)
+            .collect();
+        let gone = before
+            .routes
+            .iter()
+            .filter(|r| self.routes.iter().all(|n| n.name != r.name));
         let gone: Vec<String> = gone.map(|r| format!("\"{}\"", r.name)).collect();
         // Writing into a String does not fail.
         let _ = write!(
@@ -143,7 +159,11 @@
             routes.join(","),
             tenants.join(",")
         );
-        let _ = write!(out, ",\"remove_names\":{{\"routes\":[{}]}}}}", gone.join(","));
+        let _ = write!(
+            out,
+            ",\"remove_names\":{{\"routes\":[{}]}}}}",
+            gone.join(",")
+        );
         out
     }
 }
--- a/crates/sparrouter-simulation/src/platform.rs
+++ b/crates/sparrouter-simulation/src/platform.rs
@@ -32,7 +32,10 @@
 
 impl Platform {
     pub fn new(net: MemoryNet) -> Rc<Platform> {
-        let platform = Rc::new(Platform { net, fronts: RefCell::default() });
+        let platform = Rc::new(Platform {
+            net,
+            fronts: RefCell::default(),
+        });
         spawn_local(platform.clone().look());
         platform
     }
@@ -56,26 +59,42 @@
 
     /// Another process runs there now.
     pub fn reborn(&self, name: &str) {
-        self.fronts.borrow_mut().iter_mut().filter(|f| f.name == name).for_each(|f| f.life += 1);
+        self.fronts
+            .borrow_mut()
+            .iter_mut()
+            .filter(|f| f.name == name)
+            .for_each(|f| f.life += 1);
     }
 
     pub fn life(&self, ip: IpAddr) -> u64 {
-        self.fronts.borrow().iter().find(|f| f.address.ip() == ip).map_or(0, |f| f.life)
+        self.fronts
+            .borrow()
+            .iter()
+            .find(|f| f.address.ip() == ip)
+            .map_or(0, |f| f.life)
     }
 
     /// Whether clients are passed to it.
     pub fn is_in(&self, name: &str) -> bool {
-        self.fronts.borrow().iter().any(|f| f.name == name && f.known && f.misses < MISSES)
+        self.fronts
+            .borrow()
+            .iter()
+            .any(|f| f.name == name && f.known && f.misses < MISSES)
     }
 
     async fn look(self: Rc<Self>) {
         loop {
-            let all: Vec<(String, SocketAddr)> =
-                self.fronts.borrow().iter().map(|f| (f.name.clone(), f.readiness)).collect();
+            let all: Vec<(String, SocketAddr)> = self
+                .fronts
+                .borrow()
+                .iter()
+                .map(|f| (f.name.clone(), f.readiness))
+                .collect();
             for (name, at) in all {
                 let platform = self.clone();
                 spawn_local(async move {
-                    let call = speech::call(&platform.net, at, "GET", "/api/readiness", &[], "", EVERY);
+                    let call =
+                        speech::call(&platform.net, at, "GET", "/api/readiness", &[], "", EVERY);
                     let ready = call.await.is_ok_and(|r| r.status == 200);
                     let mut fronts = platform.fronts.borrow_mut();
                     if let Some(front) = fronts.iter_mut().find(|f| f.name == name) {
@@ -102,7 +121,11 @@
         } else {
             own_in
         };
-        let from = if from.is_empty() { fronts.iter().collect() } else { from };
+        let from = if from.is_empty() {
+            fronts.iter().collect()
+        } else {
+            from
+        };
         (!from.is_empty()).then(|| {
             let front = from[rng.usize(..from.len())];
             (front.address, front.life)
--- a/crates/sparrouter-simulation/src/pot.rs
+++ b/crates/sparrouter-simulation/src/pot.rs
@@ -41,13 +41,18 @@
             if driven.frozen.get() {
                 return Poll::Pending;
             }
-            if rest.as_mut().is_some_and(|r| r.as_mut().poll(context).is_pending()) {
+            if rest
+                .as_mut()
+                .is_some_and(|r| r.as_mut().poll(context).is_pending())
+            {
                 return Poll::Pending;
             }
             let pace = driven.pace.get();
             rest = (!pace.is_zero()).then(|| Box::pin(sleep(pace)));
             // Out of its place while it is polled, so that a process may be asked about from within.
-            let Some(mut tasks) = driven.tasks.borrow_mut().take() else { return Poll::Ready(()) };
+            let Some(mut tasks) = driven.tasks.borrow_mut().take() else {
+                return Poll::Ready(());
+            };
             let polled = Pin::new(&mut tasks).poll(context);
             if driven.ended.get() || polled.is_ready() {
                 driven.ended.set(true);
--- a/crates/sparrouter-simulation/src/server.rs
+++ b/crates/sparrouter-simulation/src/server.rs
@@ -102,7 +102,10 @@
 impl Server {
     pub fn new(terms: Terms, net: MemoryNet, judge: Rc<Judge>, rng: Rng) -> Rc<Server> {
         let kept = Memory::default();
-        terms.memories.borrow_mut().insert(terms.address, kept.clone());
+        terms
+            .memories
+            .borrow_mut()
+            .insert(terms.address, kept.clone());
         Rc::new(Server {
             version: Cell::new(terms.version),
             slots: Semaphore::new(terms.slots as usize),
@@ -148,17 +151,28 @@
             let path = String::from_utf8_lossy(&head.target).into_owned();
             let answer = match (&head.method[..], path.as_str()) {
                 (b"GET", "/health") => whole(
-                    if self.state.get() == State::Ready { 200 } else { 503 },
+                    if self.state.get() == State::Ready {
+                        200
+                    } else {
+                        503
+                    },
                     &format!("Sparrouter-Instance-Id: {}\r\n", self.terms.id),
                     "",
                 ),
                 (b"GET", "/api/report") => whole(200, "", &self.report()),
                 (b"POST", "/api/order") => self.clone().order(&body, from),
-                (b"GET", path) if path.starts_with("/api/kv-events") => self.events(path, &head).await,
-                (b"GET", "/api/kv-list") => {
-                    whole(200, "", "{\"epoch\":1,\"next_page_token\":0,\"held_count\":[]}")
+                (b"GET", path) if path.starts_with("/api/kv-events") => {
+                    self.events(path, &head).await
                 }
-                _ => match self.serve(&mut stream, &mut talk, &head, &body, &path, from).await {
+                (b"GET", "/api/kv-list") => whole(
+                    200,
+                    "",
+                    "{\"epoch\":1,\"next_page_token\":0,\"held_count\":[]}",
+                ),
+                _ => match self
+                    .serve(&mut stream, &mut talk, &head, &body, &path, from)
+                    .await
+                {
                     Some(true) => continue,
                     Some(false) => return,
                     None => return stream.abort(),
@@ -186,13 +200,23 @@
     fn tell(&self, salt: &str, id: &str, tokens: u32) {
         let mut told = self.told.borrow_mut();
         let (number, sign) = (told.len() + 1, if tokens > 0 { "+" } else { "-" });
-        told.push(format!("[{number},\"{sign}\",\"{salt}\",\"{id}\",{tokens},\"{MODEL}\"]"));
+        told.push(format!(
+            "[{number},\"{sign}\",\"{salt}\",\"{id}\",{tokens},\"{MODEL}\"]"
+        ));
     }
 
     /// Held until there are some, or for as long as was asked.
     async fn events(&self, path: &str, head: &CallHead) -> String {
-        let since = path.split("since_time=").nth(1).and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
-        let wait = head.fields.text("wait-ms").and_then(|w| w.parse().ok()).unwrap_or(0);
+        let since = path
+            .split("since_time=")
+            .nth(1)
+            .and_then(|n| n.parse::<usize>().ok())
+            .unwrap_or(0);
+        let wait = head
+            .fields
+            .text("wait-ms")
+            .and_then(|w| w.parse().ok())
+            .unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(u64::min(wait, 1_000));
         while self.told.borrow().len() <= since && Instant::now() < until {
             sleep(Duration::from_millis(20)).await;
@@ -203,7 +227,9 @@
         whole(
             200,
             "",
-            &format!("{{\"epoch\":1,\"next_page_token\":{next},\"lost_count\":false,\"events\":[{news}]}}"),
+            &format!(
+                "{{\"epoch\":1,\"next_page_token\":{next},\"lost_count\":false,\"events\":[{news}]}}"
+            ),
         )
     }
 
@@ -219,8 +245,15 @@
             expected_count: Option<u64>,
         }
         let text = std::str::from_utf8(body).unwrap_or_default();
-        let Ok(order) = miniserde::json::from_str::<Order>(text) else { return whole(400, "", "") };
-        self.judge.ordered(&self.terms.id, &order.holder_id, order.fence_token, from.ip());
+        let Ok(order) = miniserde::json::from_str::<Order>(text) else {
+            return whole(400, "", "");
+        };
+        self.judge.ordered(
+            &self.terms.id,
+            &order.holder_id,
+            order.fence_token,
+            from.ip(),
+        );
         if order.operation != "version" || order.model != MODEL || order.method != "queue" {
             return whole(400, "", "");
         }
@@ -245,7 +278,9 @@
             }
             sleep(server.terms.load).await;
             let dropped = std::mem::take(&mut *server.kept.borrow_mut());
-            dropped.keys().for_each(|(salt, id)| server.tell(salt, id, 0));
+            dropped
+                .keys()
+                .for_each(|(salt, id)| server.tell(salt, id, 0));
             server.version.set(order.version);
             server.loading.set(false);
         });
--- a/crates/sparrouter-simulation/src/server/beats.rs
+++ b/crates/sparrouter-simulation/src/server/beats.rs
@@ -29,7 +29,10 @@
         let first = self.beat_body();
         while self.state.get() == State::Ready {
             self.beat().await;
-            let pause = self.terms.heartbeat.mul_f64(0.9 + 0.2 * self.rng.borrow_mut().f64());
+            let pause = self
+                .terms
+                .heartbeat
+                .mul_f64(0.9 + 0.2 * self.rng.borrow_mut().f64());
             let until = Instant::now() + pause;
             while self.state.get() == State::Ready && Instant::now() < until {
                 sleep(Duration::from_millis(20)).await;
@@ -55,7 +58,8 @@
         for _ in 0..3 {
             let path = format!("/api/instances/{}", self.terms.id);
             if let Some(to) = self.whom()
-                && let Ok(reply) = speech::call(&self.net, to, "DELETE", &path, &[], "", PATIENCE).await
+                && let Ok(reply) =
+                    speech::call(&self.net, to, "DELETE", &path, &[], "", PATIENCE).await
                 && reply.status < 300
             {
                 self.judge.draining(&self.terms.id, to);
@@ -93,7 +97,11 @@
     fn beat_body(&self) -> String {
         self.call_sequence.set(self.call_sequence.get() + 1);
         let t = &self.terms;
-        let state = if self.state.get() == State::Ready { "ready" } else { "draining" };
+        let state = if self.state.get() == State::Ready {
+            "ready"
+        } else {
+            "draining"
+        };
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slot_count\":{},\
              \"state\":\"{state}\",\"cold_remaining_ms\":0,\"serving_stage\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\
@@ -116,7 +124,9 @@
             match speech::call(&self.net, to, "PUT", &path, &[], &body, PATIENCE).await {
                 Ok(reply) if reply.status < 300 && reply.body.len() <= 4 << 10 => {
                     let told = reply.text().split("\"heartbeat_target\":\"").nth(1);
-                    let told = told.and_then(|t| t.split('"').next()).and_then(|t| t.parse().ok());
+                    let told = told
+                        .and_then(|t| t.split('"').next())
+                        .and_then(|t| t.parse().ok());
                     if told.is_some() {
                         self.target.set(told);
                     }
--- a/crates/sparrouter-simulation/src/server/work.rs
+++ b/crates/sparrouter-simulation/src/server/work.rs
@@ -20,12 +20,23 @@
             self.terms.id,
             self.version.get()
         );
-        Some(stream.write_all(whole(status, &fields, "").as_bytes()).await.is_ok())
+        Some(
+            stream
+                .write_all(whole(status, &fields, "").as_bytes())
+                .await
+                .is_ok(),
+        )
     }
 
     /// One request. Whether the connection may carry another; None: it is to be reset.
     pub(super) async fn serve(
-        &self, stream: &mut End, talk: &mut Talk, head: &CallHead, body: &Bytes, path: &str, from: SocketAddr,
+        &self,
+        stream: &mut End,
+        talk: &mut Talk,
+        head: &CallHead,
+        body: &Bytes,
+        path: &str,
+        from: SocketAddr,
     ) -> Option<bool> {
         let fields = &head.fields;
         let text = |name: &str| fields.text(name).unwrap_or_default().to_owned();
@@ -37,8 +48,13 @@
         if id.is_empty() {
             return self.decline(stream, 400, &id).await;
         }
-        self.judge.arrived(&self.terms.service, &id, &self.terms.id, from.ip());
-        let wanted = |v: u64| fields.text("expect-version").is_none_or(|e| e.parse() == Ok(v));
+        self.judge
+            .arrived(&self.terms.service, &id, &self.terms.id, from.ip());
+        let wanted = |v: u64| {
+            fields
+                .text("expect-version")
+                .is_none_or(|e| e.parse() == Ok(v))
+        };
         if !wanted(self.version.get()) && !self.loading.get() {
             return self.decline(stream, 421, &id).await;
         }
@@ -55,7 +71,9 @@
             () = tokio::time::sleep_until(until) => None,
         };
         self.queued.set(self.queued.get() - 1);
-        let Some(slot) = got else { return self.decline(stream, 503, &id).await };
+        let Some(slot) = got else {
+            return self.decline(stream, 503, &id).await;
+        };
         if self.loading.get() {
             drop(slot);
             return self.decline(stream, 503, &id).await;
@@ -77,32 +95,53 @@
     }
 
     fn begin(
-        &self, fields: &Fields, head: &CallHead, body: &Bytes, path: &str, id: &str, from: SocketAddr,
+        &self,
+        fields: &Fields,
+        head: &CallHead,
+        body: &Bytes,
+        path: &str,
+        id: &str,
+        from: SocketAddr,
     ) -> u64 {
         let salt = fields.text("cache-salt").unwrap_or_default().to_owned();
         let version = self.version.get();
         let tenant = fields.text("sparrouter-tenant").map(str::to_owned);
-        let own = Made { version, tenant: tenant.clone() };
+        let own = Made {
+            version,
+            tenant: tenant.clone(),
+        };
         let mut made = Vec::new();
         let memory = |name: &str| {
             let at: SocketAddr = fields.text(name)?.parse().ok()?;
             self.terms.memories.borrow().get(&at).cloned()
         };
         let (fetch, save) = (memory("kv-fetch"), memory("kv-save"));
-        for part in fields.text("sparrouter-prompt-prefix").unwrap_or_default().split(',') {
-            let key = (salt.clone(), part.split(':').next().unwrap_or_default().to_owned());
+        for part in fields
+            .text("sparrouter-prompt-prefix")
+            .unwrap_or_default()
+            .split(',')
+        {
+            let key = (
+                salt.clone(),
+                part.split(':').next().unwrap_or_default().to_owned(),
+            );
             let held = self.kept.borrow().get(&key).cloned();
             let fetched = || fetch.as_ref().and_then(|m| m.borrow().get(&key).cloned());
             let new = held.is_none();
             let at = held.or_else(|| {
                 let moved = fetched();
-                self.moves.set(self.moves.get() + u32::from(moved.is_some()));
+                self.moves
+                    .set(self.moves.get() + u32::from(moved.is_some()));
                 moved
             });
             let at = at.unwrap_or_else(|| own.clone());
             self.kept.borrow_mut().insert(key.clone(), at.clone());
             if new {
-                let tokens = part.split(':').nth(1).and_then(|t| t.parse().ok()).unwrap_or(0);
+                let tokens = part
+                    .split(':')
+                    .nth(1)
+                    .and_then(|t| t.parse().ok())
+                    .unwrap_or(0);
                 self.tell(&key.0, &key.1, tokens);
             }
             if let Some(store) = &save {
@@ -123,12 +162,21 @@
             key: fields.text("sparrouter-key").map(str::to_owned),
             version,
             made,
-            resumed: fields.text("last-event-id").and_then(|l| l.trim().parse().ok()).unwrap_or(0),
+            resumed: fields
+                .text("last-event-id")
+                .and_then(|l| l.trim().parse().ok())
+                .unwrap_or(0),
         })
     }
 
     async fn answer(
-        &self, stream: &mut End, path: &str, fields: &Fields, id: &str, run: u64, late: &mut String,
+        &self,
+        stream: &mut End,
+        path: &str,
+        fields: &Fields,
+        id: &str,
+        run: u64,
+        late: &mut String,
     ) -> Option<bool> {
         let chance = |of: f64| of > 0.0 && self.rng.borrow_mut().f64() < of;
         let faults = self.faults.get();
@@ -144,7 +192,9 @@
         if chance(faults.garbles) {
             self.judge.faulty(run);
             // No more can come of it, whether it is heard or not.
-            let _ = stream.write_all(b"\x16\x03\x01 no answer at all\r\n\r\n").await;
+            let _ = stream
+                .write_all(b"\x16\x03\x01 no answer at all\r\n\r\n")
+                .await;
             return Some(false);
         }
         let own = format!(
@@ -155,7 +205,13 @@
             self.queued.get(),
             self.terms.slots
         );
-        let word = path.split('?').next().unwrap_or_default().rsplit('/').next().unwrap_or_default();
+        let word = path
+            .split('?')
+            .next()
+            .unwrap_or_default()
+            .rsplit('/')
+            .next()
+            .unwrap_or_default();
         let count: u64 = word.get(1..).and_then(|n| n.parse().ok()).unwrap_or(1);
         if !word.starts_with('s') {
             let answer = whole(200, &own, &body_of(run, count as usize));
@@ -169,28 +225,42 @@
             "HTTP/1.1 200 OK\r\n{own}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await.ok()?;
-        let first = fields.text("last-event-id").and_then(|l| l.trim().parse::<u64>().ok()).unwrap_or(0);
+        let first = fields
+            .text("last-event-id")
+            .and_then(|l| l.trim().parse::<u64>().ok())
+            .unwrap_or(0);
         let breaks = chance(faults.breaks).then(|| self.rng.borrow_mut().u64(first..=count));
         for event in first + 1..=count {
             let text = event_of(run, event);
             if breaks == Some(event - 1) {
                 self.judge.faulty(run);
                 // Anywhere in an event, and as often at its end.
-                let upto = self.rng.borrow_mut().usize(..text.len() * 2).min(text.len());
+                let upto = self
+                    .rng
+                    .borrow_mut()
+                    .usize(..text.len() * 2)
+                    .min(text.len());
                 if upto > 0 {
                     let piece = &text[..upto];
-                    stream.write_all(format!("{upto:x}\r\n{piece}\r\n").as_bytes()).await.ok()?;
+                    stream
+                        .write_all(format!("{upto:x}\r\n{piece}\r\n").as_bytes())
+                        .await
+                        .ok()?;
                 }
                 return None;
             }
-            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await.ok()?;
+            stream
+                .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+                .await
+                .ok()?;
             if event < count {
                 sleep(self.terms.gap).await;
             }
         }
         stream.write_all(b"0\r\n\r\n").await.ok()?;
         if chance(faults.surplus) {
-            self.surplus(stream, whole(200, &own, "surplus"), late).await?;
+            self.surplus(stream, whole(200, &own, "surplus"), late)
+                .await?;
         }
         Some(true)
     }
@@ -211,7 +281,11 @@
 
 /// The body of a run, as long as was asked for.
 pub fn body_of(run: u64, length: usize) -> String {
-    format!("run {run} ").chars().cycle().take(length.max(1)).collect()
+    format!("run {run} ")
+        .chars()
+        .cycle()
+        .take(length.max(1))
+        .collect()
 }
 
 /// Ends once the caller has left.
--- a/crates/sparrouter-simulation/src/shelf.rs
+++ b/crates/sparrouter-simulation/src/shelf.rs
@@ -39,7 +39,14 @@
     /// What a process finds that starts with this disk.
     pub fn stock(&self, ring: &Ring, rng: &mut Rng) -> Stock {
         let stock = self.whole_stock(ring, rng);
-        if self.rows_lost.take() { Stock { rows: None, ..stock } } else { stock }
+        if self.rows_lost.take() {
+            Stock {
+                rows: None,
+                ..stock
+            }
+        } else {
+            stock
+        }
     }
 
     fn whole_stock(&self, ring: &Ring, rng: &mut Rng) -> Stock {
@@ -47,7 +54,9 @@
             match Cellar::open(self.files.clone()) {
                 Ok((cellar, opened)) => {
                     let shelf = self.clone();
-                    return Stock::of(cellar, opened, ring, rng, |cellar| Box::new(Late { cellar, shelf }));
+                    return Stock::of(cellar, opened, ring, rng, |cellar| {
+                        Box::new(Late { cellar, shelf })
+                    });
                 }
                 Err(why) => {
                     ring.breach(&why.to_string());
--- a/crates/sparrouter-simulation/src/speech.rs
+++ b/crates/sparrouter-simulation/src/speech.rs
@@ -33,7 +33,12 @@
 
 /// One call on a connection of its own; `patience` for all of it.
 pub async fn call(
-    net: &MemoryNet, to: SocketAddr, method: &str, path: &str, fields: &[(&str, &str)], body: &str,
+    net: &MemoryNet,
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    fields: &[(&str, &str)],
+    body: &str,
     patience: Duration,
 ) -> Result<Reply, NoAnswer> {
     let mut reached = false;
@@ -44,14 +49,25 @@
         for (name, value) in fields {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
-        text.push_str(&format!("Content-Length: {}\r\nConnection: close\r\n\r\n{body}", body.len()));
-        stream.write_all(text.as_bytes()).await.map_err(|_| NoAnswer::Broken)?;
+        text.push_str(&format!(
+            "Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            body.len()
+        ));
+        stream
+            .write_all(text.as_bytes())
+            .await
+            .map_err(|_| NoAnswer::Broken)?;
         let mut buffer = BytesMut::new();
         let bytes = reading::head(&mut stream, &mut buffer, head::REPLY, 64 << 10).await;
-        let head = head::reply(&bytes.map_err(|_| NoAnswer::Broken)?).map_err(|_| NoAnswer::Broken)?;
+        let head =
+            head::reply(&bytes.map_err(|_| NoAnswer::Broken)?).map_err(|_| NoAnswer::Broken)?;
         let body = http::body(&mut stream, &mut buffer, head.framing, 16 << 20).await;
         let body = body.ok().flatten().ok_or(NoAnswer::Broken)?;
-        Ok(Reply { status: head.status, head, body })
+        Ok(Reply {
+            status: head.status,
+            head,
+            body,
+        })
     };
     match timeout(patience, talking).await {
         Ok(answer) => answer,
@@ -64,11 +80,17 @@
 pub async fn next_call(stream: &mut End, buffer: &mut BytesMut) -> Option<(CallHead, Bytes)> {
     let bytes = reading::head(stream, buffer, b"", 64 << 10).await.ok()?;
     let head = head::call(&bytes).ok()?;
-    let body = http::body(stream, buffer, head.framing, 16 << 20).await.ok().flatten()?;
+    let body = http::body(stream, buffer, head.framing, 16 << 20)
+        .await
+        .ok()
+        .flatten()?;
     Some((head, body))
 }
 
 /// An answer in one piece.
 pub fn whole(status: u16, fields: &str, body: &str) -> String {
-    format!("HTTP/1.1 {status} Word\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 {status} Word\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
--- a/crates/sparrouter-simulation/src/story.rs
+++ b/crates/sparrouter-simulation/src/story.rs
@@ -9,7 +9,10 @@
 
 /// Runs to its end in virtual time; nothing sleeps for real.
 pub fn play<T>(story: impl Future<Output = T>) -> T {
-    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    let runtime = Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build();
     let runtime = runtime.expect("a runtime without I/O needs nothing that may be missing");
     LocalSet::new().block_on(&runtime, story)
 }
--- a/crates/sparrouter-simulation/src/weather.rs
+++ b/crates/sparrouter-simulation/src/weather.rs
@@ -64,15 +64,26 @@
             load: Duration::from_millis([600, 1_500][rng.usize(..2)]),
             ..Terms::seeded(seed)
         };
-        let bounds =
-            Bounds { fencing: rng.bool(), budget_slack: if rng.bool() { 8.0 } else { 64.0 }, ..terms.bounds };
+        let bounds = Bounds {
+            fencing: rng.bool(),
+            budget_slack: if rng.bool() { 8.0 } else { 64.0 },
+            ..terms.bounds
+        };
         let terms = Terms { bounds, ..terms };
         // Half of the days of all there is, half of what belongs together, close to each other.
-        let theme = if rng.bool() { &ALL[..] } else { THEMES[rng.usize(..THEMES.len())] };
+        let theme = if rng.bool() {
+            &ALL[..]
+        } else {
+            THEMES[rng.usize(..THEMES.len())]
+        };
         let mut troubles: Vec<(u64, Trouble)> = Vec::new();
         let mut at = 0;
         for _ in 0..rng.usize(3..9) {
-            at = if rng.u8(..3) == 0 { at + rng.u64(..400) } else { rng.u64(..LENGTH_MS) };
+            at = if rng.u8(..3) == 0 {
+                at + rng.u64(..400)
+            } else {
+                rng.u64(..LENGTH_MS)
+            };
             troubles.push((at, theme[rng.usize(..theme.len())]));
         }
         troubles.sort_by_key(|t| t.0);
@@ -82,14 +93,23 @@
             2 => Closing::WipeOneOthersLosePower,
             _ => Closing::None,
         };
-        Day { seed, terms, troubles, closing, verbose: false }
+        Day {
+            seed,
+            terms,
+            troubles,
+            closing,
+            verbose: false,
+        }
     }
 }
 
 impl Day {
     /// The same day with these of its troubles alone, and no final fault unless it is asked for.
     pub fn only(mut self, places: &[usize], closing: bool) -> Day {
-        self.troubles = places.iter().filter_map(|p| self.troubles.get(*p).copied()).collect();
+        self.troubles = places
+            .iter()
+            .filter_map(|p| self.troubles.get(*p).copied())
+            .collect();
         if !closing {
             self.closing = Closing::None;
         }
@@ -112,11 +132,22 @@
 
     /// What is needed of a day, as a story begins.
     pub fn told(&self) -> String {
-        let when: Vec<String> =
-            self.troubles.iter().map(|(at, t)| format!("{t:?} after {:.1} s", *at as f64 / 1e3)).collect();
-        let Terms { core, others, servers, .. } = self.terms;
-        let closing =
-            if self.closing == Closing::None { String::new() } else { format!(" and {:?}", self.closing) };
+        let when: Vec<String> = self
+            .troubles
+            .iter()
+            .map(|(at, t)| format!("{t:?} after {:.1} s", *at as f64 / 1e3))
+            .collect();
+        let Terms {
+            core,
+            others,
+            servers,
+            ..
+        } = self.terms;
+        let closing = if self.closing == Closing::None {
+            String::new()
+        } else {
+            format!(" and {:?}", self.closing)
+        };
         format!(
             "given {core} core machines, {others} others, {servers} servers, when {}{closing}",
             when.join(", ")
@@ -174,16 +205,22 @@
     }
     for trouble in under_way {
         if trouble.await.is_err() {
-            world.judge.breach("FAULT", "a trouble of the day did not come to its end");
+            world
+                .judge
+                .breach("FAULT", "a trouble of the day did not come to its end");
         }
     }
     sky.close(day.closing).await;
     for panic in story::panics() {
-        world.judge.breach("FAULT", format!("a task ended by a panic: {panic}"));
+        world
+            .judge
+            .breach("FAULT", format!("a task ended by a panic: {panic}"));
     }
     let load_counts = world.judge.load_counts();
     let twice = load_counts.iter().filter(|(_, n)| **n > 1);
-    let waste = twice.map(|((id, version), n)| format!("{id} loaded {version} {n} times")).collect();
+    let waste = twice
+        .map(|((id, version), n)| format!("{id} loaded {version} {n} times"))
+        .collect();
     Report {
         breaches: world.judge.breaches(),
         waste,
@@ -204,16 +241,27 @@
 
     fn edges(&self) -> Vec<String> {
         let core = self.world.core();
-        self.world.names().into_iter().filter(|n| !core.contains(n) && self.world.runs(n)).collect()
+        self.world
+            .names()
+            .into_iter()
+            .filter(|n| !core.contains(n) && self.world.runs(n))
+            .collect()
     }
 
     fn core_running(&self) -> Vec<String> {
-        self.world.core().into_iter().filter(|n| self.world.runs(n)).collect()
+        self.world
+            .core()
+            .into_iter()
+            .filter(|n| self.world.runs(n))
+            .collect()
     }
 
     fn servers(&self) -> Vec<String> {
         let w = &self.world;
-        w.server_ids().into_iter().filter(|id| w.server_runs(id) && !w.server(id).is_leaving()).collect()
+        w.server_ids()
+            .into_iter()
+            .filter(|id| w.server_runs(id) && !w.server(id).is_leaving())
+            .collect()
     }
 
     async fn strike(self: Rc<Self>, trouble: Trouble) {
@@ -221,8 +269,10 @@
             RaceCut | WipeBehindCut | CoreTurnover | CoreSplit | HolderFreeze | BudgetPress => {
                 self.strike_combined(trouble).await
             }
-            CoreKill | CorePower | CoreFreeze | ReplaceCore | AckWipe | DiskSlow | DiskFull | DiskStall
-            | CoreCut | CoreCutRefusing | OneWayCut | ZoneCut | CoreSlow => self.strike_core(trouble).await,
+            CoreKill | CorePower | CoreFreeze | ReplaceCore | AckWipe | DiskSlow | DiskFull
+            | DiskStall | CoreCut | CoreCutRefusing | OneWayCut | ZoneCut | CoreSlow => {
+                self.strike_core(trouble).await
+            }
             NodeKill | NodePower | NodeFreeze | NodeCut | Resets | NodeSlow => {
                 self.strike_node(trouble).await
             }
@@ -230,8 +280,10 @@
             RollTerm => self.roll().await,
             SeedTurnover => {
                 let names = self.world.names();
-                let seeds: Vec<_> =
-                    (0..3).filter_map(|_| self.any(&names)).map(|n| self.world.control_of(&n)).collect();
+                let seeds: Vec<_> = (0..3)
+                    .filter_map(|_| self.any(&names))
+                    .map(|n| self.world.control_of(&n))
+                    .collect();
                 self.world.exchange_seeds(&seeds);
             }
             ConfigChange | ConfigStorm | ConfigRace | ConfigAgain | BadConfig | Revoke => {
--- a/crates/sparrouter-simulation/src/weather/changes.rs
+++ b/crates/sparrouter-simulation/src/weather/changes.rs
@@ -9,7 +9,10 @@
     pub(super) fn another(&self, plan: &Plan) -> Plan {
         let mut rng = self.rng.borrow_mut();
         // Two on top of the same version differ by their routes too.
-        let (step, name) = (rng.u64(1..4), format!("r{}x{:x}", plan.version, rng.u16(..)));
+        let (step, name) = (
+            rng.u64(1..4),
+            format!("r{}x{:x}", plan.version, rng.u16(..)),
+        );
         let what = rng.u8(..5);
         plan.next(step, |p| match what {
             0 => p.routes[0].timeout_ms = rng.u64(5_000..9_000),
@@ -25,9 +28,14 @@
         match trouble {
             ConfigRace => {
                 let (left, right) = (self.another(&plan), self.another(&plan));
-                let right = Plan { version: left.version + 1, ..right };
-                let (l, r) =
-                    tokio::join!(w.operator.put(&left, plan.version), w.operator.put(&right, plan.version));
+                let right = Plan {
+                    version: left.version + 1,
+                    ..right
+                };
+                let (l, r) = tokio::join!(
+                    w.operator.put(&left, plan.version),
+                    w.operator.put(&right, plan.version)
+                );
                 match (l, r) {
                     (200, _) => *plan = left,
                     (_, 200) => *plan = right,
@@ -37,8 +45,12 @@
             }
             BadConfig => {
                 let next = self.another(&plan);
-                let body = next.json().replace("\"service\":\"models\"", "\"service\":\"nobody\"");
-                w.operator.change(&next, plan.version, How::Body(body), false).await;
+                let body = next
+                    .json()
+                    .replace("\"service\":\"models\"", "\"service\":\"nobody\"");
+                w.operator
+                    .change(&next, plan.version, How::Body(body), false)
+                    .await;
             }
             ConfigAgain => {
                 let step = self.rng.borrow_mut().u64(1..4);
@@ -81,10 +93,19 @@
 
     pub(super) async fn reread(&self, plan: &mut Plan, sent: &[Plan]) {
         for name in self.world.names() {
-            let Some(reply) = self.world.operator.get_from(self.world.control_of(&name)).await else {
+            let Some(reply) = self
+                .world
+                .operator
+                .get_from(self.world.control_of(&name))
+                .await
+            else {
                 continue;
             };
-            let is = |p: &&Plan| reply.text().contains(&format!("\"version\":{},", p.version));
+            let is = |p: &&Plan| {
+                reply
+                    .text()
+                    .contains(&format!("\"version\":{},", p.version))
+            };
             if let Some(found) = sent.iter().find(is) {
                 return *plan = found.clone();
             }
@@ -96,7 +117,10 @@
         *weights += 1;
         self.world.newest_weights.set(*weights);
         if !self.world.operator.name_version(*weights).await {
-            self.world.judge.breach("ACKS", format!("weights {} were never acknowledged", *weights));
+            self.world.judge.breach(
+                "ACKS",
+                format!("weights {} were never acknowledged", *weights),
+            );
         }
     }
 }
--- a/crates/sparrouter-simulation/src/weather/combined.rs
+++ b/crates/sparrouter-simulation/src/weather/combined.rs
@@ -33,9 +33,16 @@
         let w = &self.world;
         let mut plan = self.plan.lock().await;
         let left = self.another(&plan);
-        let right = Plan { version: left.version + 1, ..self.another(&plan) };
+        let right = Plan {
+            version: left.version + 1,
+            ..self.another(&plan)
+        };
         let base = plan.version;
-        let others: Vec<String> = self.core_running().into_iter().filter(|n| n != name).collect();
+        let others: Vec<String> = self
+            .core_running()
+            .into_iter()
+            .filter(|n| n != name)
+            .collect();
         let other = self.any(&others).map(|n| w.control_of(&n));
         let (cut_behind, sent_behind) = (self.span(0..24), self.span(0..60));
         let cutting = async {
@@ -50,11 +57,17 @@
         };
         let first = async {
             sleep(sent_behind.saturating_sub(Duration::from_millis(30))).await;
-            w.operator.change_at(Some(w.control_of(name)), &left, base, How::Whole, true).await.0
+            w.operator
+                .change_at(Some(w.control_of(name)), &left, base, How::Whole, true)
+                .await
+                .0
         };
         let second = async {
             sleep(sent_behind).await;
-            w.operator.change_at(other, &right, base, How::Whole, true).await.0
+            w.operator
+                .change_at(other, &right, base, How::Whole, true)
+                .await
+                .0
         };
         let (left_came, right_came, ()) = tokio::join!(first, second, cutting);
         match (left_came, right_came) {
@@ -88,9 +101,14 @@
         w.cut_off(&away, None);
         w.power_on(&rest[0]);
         // On top of what was overtaken: nothing may come of this.
-        let next = Plan { version: plan.version + 2, ..self.another(&before) };
+        let next = Plan {
+            version: plan.version + 2,
+            ..self.another(&before)
+        };
         let behind = w.control_of(away[0]);
-        let changing = w.operator.change_at(Some(behind), &next, before.version, How::Whole, true);
+        let changing = w
+            .operator
+            .change_at(Some(behind), &next, before.version, How::Whole, true);
         let waking = async {
             sleep(self.span(1_500..5_000)).await;
             rest[1..].iter().for_each(|n| w.power_on(n));
@@ -107,7 +125,9 @@
     async fn core_turnover(&self) {
         let _lost = self.core.lock().await;
         let w = &self.world;
-        let Some(edge) = self.any(&self.edges()) else { return };
+        let Some(edge) = self.any(&self.edges()) else {
+            return;
+        };
         let old = w.core();
         if old.len() > 3 {
             return;
@@ -136,12 +156,19 @@
     async fn core_split(&self) {
         let _lost = self.core.lock().await;
         let w = &self.world;
-        let Some(name) = self.any(&self.core_running()) else { return };
-        w.judge.note(format!("{name} is cut off from the rest of the core alone"));
+        let Some(name) = self.any(&self.core_running()) else {
+            return;
+        };
+        w.judge
+            .note(format!("{name} is cut off from the rest of the core alone"));
         w.judge.trouble(Some(w.ip(&name)));
         w.judge.shaken(None);
         let others: Vec<String> = w.core().into_iter().filter(|n| *n != name).collect();
-        let cut = |cut| others.iter().for_each(|o| w.fabric.cut_both(w.ip(&name), w.ip(o), cut));
+        let cut = |cut| {
+            others
+                .iter()
+                .for_each(|o| w.fabric.cut_both(w.ip(&name), w.ip(o), cut))
+        };
         cut(Some(Cut::Silent));
         for _ in 0..2 {
             self.configure(ConfigChange).await;
@@ -164,7 +191,9 @@
             sleep(Duration::from_millis(2)).await;
         }
         let name = ordered().map(|(h, _)| h.split('@').next().unwrap_or_default().to_owned());
-        let Some(name) = name.filter(|n| w.core().contains(n) && w.runs(n)) else { return };
+        let Some(name) = name.filter(|n| w.core().contains(n) && w.runs(n)) else {
+            return;
+        };
         let lease = w.terms.bounds.lease.as_millis() as u64;
         w.freeze(&name, true);
         sleep(self.span(lease * 3 / 2..lease * 9 / 4)).await;
@@ -177,15 +206,23 @@
         let _lost = self.core.lock().await;
         let w = &self.world;
         let servers = self.servers();
-        let faults = Faults { resets: 0.9, ..Faults::default() };
+        let faults = Faults {
+            resets: 0.9,
+            ..Faults::default()
+        };
         w.judge.note("servers hardly answer");
-        servers.iter().for_each(|id| w.server(id).faults.set(faults));
+        servers
+            .iter()
+            .for_each(|id| w.server(id).faults.set(faults));
         for lasting in [500..900, 3_000..4_000] {
             sleep(self.span(lasting)).await;
             let running: Vec<String> = w.names().into_iter().filter(|n| w.runs(n)).collect();
             running.iter().for_each(|n| w.kill(n));
             sleep(self.span(100..400)).await;
-            running.iter().filter(|n| !w.runs(n)).for_each(|n| w.start(n, false));
+            running
+                .iter()
+                .filter(|n| !w.runs(n))
+                .for_each(|n| w.start(n, false));
         }
         sleep(Duration::from_secs(4)).await;
         let there = servers.iter().filter(|id| w.server_runs(id));
--- a/crates/sparrouter-simulation/src/weather/core.rs
+++ b/crates/sparrouter-simulation/src/weather/core.rs
@@ -10,7 +10,9 @@
     pub(super) async fn strike_core(&self, trouble: Trouble) {
         let _lost = self.core.lock().await;
         let w = &self.world;
-        let Some(name) = self.any(&self.core_running()) else { return };
+        let Some(name) = self.any(&self.core_running()) else {
+            return;
+        };
         let lasting = self.span(500..5_000);
         match trouble {
             CoreKill => {
@@ -43,11 +45,16 @@
             AckWipe => {
                 let mut plan = self.plan.lock().await;
                 let next = self.another(&plan);
-                let (status, by) = w.operator.change(&next, plan.version, How::Whole, true).await;
+                let (status, by) = w
+                    .operator
+                    .change(&next, plan.version, How::Whole, true)
+                    .await;
                 if status == 200 {
                     *plan = next;
                 }
-                let by = by.and_then(|a| w.name_of(a.ip())).filter(|n| w.core().contains(n) && w.runs(n));
+                let by = by
+                    .and_then(|a| w.name_of(a.ip()))
+                    .filter(|n| w.core().contains(n) && w.runs(n));
                 let name = by.unwrap_or(name);
                 w.power_off(&name);
                 w.wipe(&name);
@@ -71,19 +78,28 @@
                 w.judge.calm(None);
             }
             OneWayCut => {
-                w.judge.note(format!("{name} is heard by nobody of the core"));
+                w.judge
+                    .note(format!("{name} is heard by nobody of the core"));
                 w.judge.trouble(Some(w.ip(&name)));
                 w.judge.trouble(None);
                 let others: Vec<String> = w.core().into_iter().filter(|n| *n != name).collect();
-                others.iter().for_each(|o| w.fabric.cut(w.ip(&name), w.ip(o), Some(Cut::Silent)));
+                others
+                    .iter()
+                    .for_each(|o| w.fabric.cut(w.ip(&name), w.ip(o), Some(Cut::Silent)));
                 sleep(lasting).await;
-                others.iter().for_each(|o| w.fabric.cut(w.ip(&name), w.ip(o), None));
+                others
+                    .iter()
+                    .for_each(|o| w.fabric.cut(w.ip(&name), w.ip(o), None));
                 w.judge.calm(Some(w.ip(&name)));
                 w.judge.calm(None);
                 w.judge.thawed(w.ip(&name));
             }
             _ => {
-                let cut = if trouble == CoreCutRefusing { Cut::Refusing } else { Cut::Silent };
+                let cut = if trouble == CoreCutRefusing {
+                    Cut::Refusing
+                } else {
+                    Cut::Silent
+                };
                 w.cut_off(&[&name], Some(cut));
                 sleep(lasting).await;
                 w.cut_off(&[&name], None);
--- a/crates/sparrouter-simulation/src/weather/nodes.rs
+++ b/crates/sparrouter-simulation/src/weather/nodes.rs
@@ -8,7 +8,9 @@
 impl Sky {
     pub(super) async fn strike_node(&self, trouble: Trouble) {
         let w = &self.world;
-        let Some(name) = self.any(&self.edges()) else { return };
+        let Some(name) = self.any(&self.edges()) else {
+            return;
+        };
         let lasting = self.span(300..4_000);
         match trouble {
             NodeKill => {
@@ -45,7 +47,12 @@
 
     pub(super) async fn herd(&self) {
         let _lost = self.core.lock().await;
-        let running: Vec<String> = self.world.names().into_iter().filter(|n| self.world.runs(n)).collect();
+        let running: Vec<String> = self
+            .world
+            .names()
+            .into_iter()
+            .filter(|n| self.world.runs(n))
+            .collect();
         running.iter().for_each(|n| self.world.kill(n));
         sleep(self.span(200..1_000)).await;
         for name in running {
--- a/crates/sparrouter-simulation/src/weather/probes.rs
+++ b/crates/sparrouter-simulation/src/weather/probes.rs
@@ -18,10 +18,17 @@
         let w = &self.world;
         while !self.over.get() {
             sleep(self.span(30..150)).await;
-            let in_service: Vec<String> =
-                w.names().into_iter().filter(|n| w.runs(n) && w.platform.is_in(n)).collect();
-            let Some(name) = self.any(&in_service) else { continue };
-            let Some(wish) = self.question() else { continue };
+            let in_service: Vec<String> = w
+                .names()
+                .into_iter()
+                .filter(|n| w.runs(n) && w.platform.is_in(n))
+                .collect();
+            let Some(name) = self.any(&in_service) else {
+                continue;
+            };
+            let Some(wish) = self.question() else {
+                continue;
+            };
             let (front, sky) = (w.front_of(&name), self.clone());
             let life = w.platform.life(front.ip());
             sky.asking.set(sky.asking.get() + 1);
@@ -37,11 +44,24 @@
         let routes = self.any(&last)?.routes;
         // The last that was added, as often as any.
         let newest = self.rng.borrow_mut().bool();
-        let route = if newest { routes.last().cloned() } else { self.any(&routes) }?;
-        let keys = |p: &Plan| p.tenants.iter().flat_map(|t| t.keys.clone()).collect::<Vec<_>>();
+        let route = if newest {
+            routes.last().cloned()
+        } else {
+            self.any(&routes)
+        }?;
+        let keys = |p: &Plan| {
+            p.tenants
+                .iter()
+                .flat_map(|t| t.keys.clone())
+                .collect::<Vec<_>>()
+        };
         let key = self.any(&last.iter().flat_map(keys).collect::<Vec<_>>())?;
         let unknown = self.rng.borrow_mut().u8(..12) == 0;
-        let prefix = if unknown { "/never/".to_owned() } else { route.prefix };
+        let prefix = if unknown {
+            "/never/".to_owned()
+        } else {
+            route.prefix
+        };
         let word = if route.kind.streams() { "s4" } else { "b10" };
         let asked = wish(Kind::Idempotent, word);
         Some(Wish {
--- a/crates/sparrouter-simulation/src/weather/servers.rs
+++ b/crates/sparrouter-simulation/src/weather/servers.rs
@@ -9,7 +9,9 @@
 impl Sky {
     pub(super) async fn strike_servers(&self, trouble: Trouble) {
         let w = &self.world;
-        let Some(id) = self.any(&self.servers()) else { return };
+        let Some(id) = self.any(&self.servers()) else {
+            return;
+        };
         let lasting = self.span(500..4_000);
         let server = w.server(&id);
         match trouble {
@@ -20,7 +22,11 @@
             }
             ServerLost => {
                 let service = &server.terms.service;
-                let same = self.servers().iter().filter(|s| w.server(s).terms.service == *service).count();
+                let same = self
+                    .servers()
+                    .iter()
+                    .filter(|s| w.server(s).terms.service == *service)
+                    .count();
                 if same > 2 {
                     w.crash_server(&id);
                 }
@@ -59,7 +65,8 @@
                 server.call_next(edge.map(|n| w.control_of(&n)));
                 server.drain();
                 let began = Instant::now();
-                while server.drained_by.get().is_none() && began.elapsed() < Duration::from_secs(3) {
+                while server.drained_by.get().is_none() && began.elapsed() < Duration::from_secs(3)
+                {
                     sleep(Duration::from_millis(1)).await;
                 }
                 // Whoever acknowledged it is gone the next moment.
@@ -78,10 +85,23 @@
             _ => {
                 w.judge.note(format!("{id} answers badly"));
                 let faults = match trouble {
-                    AnswersLost => Faults { resets: 0.2, ..Faults::default() },
-                    Garbled => Faults { garbles: 0.05, surplus: 0.3, ..Faults::default() },
-                    Hanging => Faults { hangs: 0.1, ..Faults::default() },
-                    _ => Faults { breaks: 0.3, ..Faults::default() },
+                    AnswersLost => Faults {
+                        resets: 0.2,
+                        ..Faults::default()
+                    },
+                    Garbled => Faults {
+                        garbles: 0.05,
+                        surplus: 0.3,
+                        ..Faults::default()
+                    },
+                    Hanging => Faults {
+                        hangs: 0.1,
+                        ..Faults::default()
+                    },
+                    _ => Faults {
+                        breaks: 0.3,
+                        ..Faults::default()
+                    },
                 };
                 server.faults.set(faults);
                 sleep(lasting).await;
--- a/crates/sparrouter-simulation/src/world.rs
+++ b/crates/sparrouter-simulation/src/world.rs
@@ -78,7 +78,10 @@
 
 impl Write for Written {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .extend_from_slice(bytes);
         Ok(bytes.len())
     }
     fn flush(&mut self) -> io::Result<()> {
@@ -135,7 +138,11 @@
     /// Machines that are not started yet, clients, an operator.
     pub fn new(terms: Terms) -> Rc<World> {
         let mut rng = Rng::with_seed(terms.seed);
-        let fabric = Fabric::new(rng.fork(), (terms.across / 2).max(Duration::from_millis(1)), terms.across);
+        let fabric = Fabric::new(
+            rng.fork(),
+            (terms.across / 2).max(Duration::from_millis(1)),
+            terms.across,
+        );
         let judge = Rc::new(Judge::new(terms.bounds));
         for last in 1..=3 {
             fabric.add(outside(last), "outside");
@@ -164,14 +171,22 @@
             next_server: Cell::new(0),
             newest_weights: Cell::new(1),
         });
-        world.memories.borrow_mut().insert(store(), Memory::default());
+        world
+            .memories
+            .borrow_mut()
+            .insert(store(), Memory::default());
         for n in 0..terms.core {
             world.add_machine(&format!("core-{n}"), ZONES[n % 3], true);
         }
         for n in 0..terms.others {
             world.add_machine(&format!("edge-{n}"), ZONES[n % 3], false);
         }
-        let seeds = world.core().iter().take(3).map(|n| SocketAddr::new(world.ip(n), CONTROL)).collect();
+        let seeds = world
+            .core()
+            .iter()
+            .take(3)
+            .map(|n| SocketAddr::new(world.ip(n), CONTROL))
+            .collect();
         *world.seeds.borrow_mut() = seeds;
         world
     }
@@ -183,7 +198,11 @@
         for n in 0..terms.servers {
             world.add_server("models", ZONES[n % 3]);
         }
-        assert_eq!(world.operator.put(&first_plan(), 0).await, 200, "the first configuration is taken");
+        assert_eq!(
+            world.operator.put(&first_plan(), 0).await,
+            200,
+            "the first configuration is taken"
+        );
         world.until_ready().await;
         // Until then the machines were not in touch, as their start counts as trouble.
         sleep(terms.bounds.contact + Duration::from_millis(500)).await;
@@ -210,14 +229,24 @@
         };
         self.machines.borrow_mut().insert(name.to_owned(), machine);
         self.control.borrow_mut().push(SocketAddr::new(ip, CONTROL));
-        self.platform.add(name, zone, SocketAddr::new(ip, FRONT), SocketAddr::new(ip, READINESS));
+        self.platform.add(
+            name,
+            zone,
+            SocketAddr::new(ip, FRONT),
+            SocketAddr::new(ip, READINESS),
+        );
     }
 
     pub fn names(&self) -> Vec<String> {
         self.machines.borrow().keys().cloned().collect()
     }
     pub fn core(&self) -> Vec<String> {
-        self.machines.borrow().iter().filter(|m| m.1.counted).map(|m| m.0.clone()).collect()
+        self.machines
+            .borrow()
+            .iter()
+            .filter(|m| m.1.counted)
+            .map(|m| m.0.clone())
+            .collect()
     }
     pub fn ip(&self, name: &str) -> IpAddr {
         self.machines.borrow()[name].ip
@@ -229,18 +258,29 @@
         SocketAddr::new(self.ip(name), FRONT)
     }
     pub fn name_of(&self, ip: IpAddr) -> Option<String> {
-        self.machines.borrow().iter().find(|m| m.1.ip == ip).map(|m| m.0.clone())
+        self.machines
+            .borrow()
+            .iter()
+            .find(|m| m.1.ip == ip)
+            .map(|m| m.0.clone())
     }
     pub fn shelf(&self, name: &str) -> Shelf {
-        self.machines.borrow()[name].shelf.clone().expect("a machine with a disk")
+        self.machines.borrow()[name]
+            .shelf
+            .clone()
+            .expect("a machine with a disk")
     }
     /// What a machine's process wrote out, as a person would find it.
     pub fn written_by(&self, name: &str) -> String {
         let written = self.machines.borrow()[name].written.0.clone();
-        String::from_utf8_lossy(&written.lock().unwrap_or_else(PoisonError::into_inner)).into_owned()
+        String::from_utf8_lossy(&written.lock().unwrap_or_else(PoisonError::into_inner))
+            .into_owned()
     }
     pub fn runs(&self, name: &str) -> bool {
-        self.machines.borrow()[name].pot.as_ref().is_some_and(|p| !p.has_ended())
+        self.machines.borrow()[name]
+            .pot
+            .as_ref()
+            .is_some_and(|p| !p.has_ended())
     }
 
     pub fn zone_of(&self, name: &str) -> &'static str {
@@ -251,7 +291,13 @@
     pub fn client(&self, keeps: bool) -> Rc<Client> {
         let net = MemoryNet::new(self.fabric.clone(), outside(3));
         let rng = self.rng.borrow_mut().fork();
-        Rc::new(Client::new(net, self.judge.clone(), self.platform.clone(), rng, keeps))
+        Rc::new(Client::new(
+            net,
+            self.judge.clone(),
+            self.platform.clone(),
+            rng,
+            keeps,
+        ))
     }
 
     pub fn outside_net(&self) -> MemoryNet {
@@ -277,7 +323,10 @@
         routes,
         services: vec!["models".to_owned(), "others".to_owned()],
         store: Some(store()),
-        tenants: vec![tenant("kaje", KEY, false), tenant("mela", "key-of-mela", true)],
+        tenants: vec![
+            tenant("kaje", KEY, false),
+            tenant("mela", "key-of-mela", true),
+        ],
     }
 }
 
--- a/crates/sparrouter-simulation/src/world/hosts.rs
+++ b/crates/sparrouter-simulation/src/world/hosts.rs
@@ -15,7 +15,12 @@
         self.next_ip.set(last + 1);
         let ip = IpAddr::from([10, 0, 0, last]);
         self.fabric.add(ip, zone);
-        self.host(service, zone, SocketAddr::new(ip, SERVER), self.newest_weights.get())
+        self.host(
+            service,
+            zone,
+            SocketAddr::new(ip, SERVER),
+            self.newest_weights.get(),
+        )
     }
 
     /// A server at an address that has been another's.
@@ -49,8 +54,11 @@
                 Err(why) => panic!("a stand-in cannot listen at {address}: {why}"),
             }
         });
-        self.judge.note(format!("{id} of {service} starts at {address}"));
-        self.servers.borrow_mut().insert(id.clone(), Hosted { server, pot });
+        self.judge
+            .note(format!("{id} of {service} starts at {address}"));
+        self.servers
+            .borrow_mut()
+            .insert(id.clone(), Hosted { server, pot });
         id
     }
 
@@ -63,13 +71,20 @@
     }
 
     pub fn server_runs(&self, id: &str) -> bool {
-        self.servers.borrow().get(id).is_some_and(|h| !h.pot.has_ended())
+        self.servers
+            .borrow()
+            .get(id)
+            .is_some_and(|h| !h.pot.has_ended())
     }
 
     /// It says nothing and is gone.
     pub fn crash_server(&self, id: &str) -> SocketAddr {
         self.judge.note(format!("{id} crashes"));
-        let hosted = self.servers.borrow_mut().remove(id).expect("a server that runs");
+        let hosted = self
+            .servers
+            .borrow_mut()
+            .remove(id)
+            .expect("a server that runs");
         let address = hosted.server.terms.address;
         self.judge.shaken(Some(address.ip()));
         drop(hosted.pot);
@@ -86,7 +101,10 @@
         let began = Instant::now();
         let has = |id: &String| !self.server_runs(id) || self.server(id).version() >= version;
         while !self.server_ids().iter().all(has) {
-            assert!(began.elapsed() < Duration::from_secs(60), "servers have not taken weights {version}");
+            assert!(
+                began.elapsed() < Duration::from_secs(60),
+                "servers have not taken weights {version}"
+            );
             sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -19,8 +19,17 @@
         let machines = self.machines.borrow();
         let m = &machines[name];
         let (ip, b) = (m.ip, &self.terms.bounds);
-        let seeds: Vec<String> = self.seeds.borrow().iter().map(ToString::to_string).collect();
-        let data = if m.shelf.is_some() { "data_directory=/data/proxy\n" } else { "" };
+        let seeds: Vec<String> = self
+            .seeds
+            .borrow()
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        let data = if m.shelf.is_some() {
+            "data_directory=/data/proxy\n"
+        } else {
+            ""
+        };
         let ms = |d: Duration| d.as_millis();
         format!(
             "node_name={name}\nip_address={ip}\nzone={}\nregion=valley\n\
@@ -55,12 +64,15 @@
     /// Starts a process on a machine that has power; `first`: the whole system starts for the first time.
     pub fn start(&self, name: &str, first: bool) {
         let text = self.boot_text(name, first);
-        let boot = Boot::parse(Path::new("story"), &text).expect("settings that the page describes");
+        let boot =
+            Boot::parse(Path::new("story"), &text).expect("settings that the page describes");
         let mut rng = self.rng.borrow_mut().fork();
         let net = Rc::new(MemoryNet::new(self.fabric.clone(), self.ip(name)));
         let (give, orders) = unbounded_channel();
         let mut machines = self.machines.borrow_mut();
-        let Some(machine) = machines.get_mut(name) else { return };
+        let Some(machine) = machines.get_mut(name) else {
+            return;
+        };
         let (ring, shelf) = (machine.ring.clone(), machine.shelf.clone());
         let (judge, label, at) = (self.judge.clone(), name.to_owned(), machine.ip);
         machine.pot = Some(Pot::start(async move {
@@ -116,7 +128,10 @@
         self.rng.borrow_mut().shuffle(&mut names);
         for name in names {
             self.start(&name, first);
-            let pause = self.rng.borrow_mut().u64(0..300 / self.machines.borrow().len() as u64);
+            let pause = self
+                .rng
+                .borrow_mut()
+                .u64(0..300 / self.machines.borrow().len() as u64);
             sleep(Duration::from_millis(pause)).await;
         }
     }
@@ -124,22 +139,37 @@
     /// Until all that run take clients.
     pub async fn until_ready(&self) {
         let began = Instant::now();
-        let all = || self.names().into_iter().all(|n| !self.runs(&n) || self.platform.is_in(&n));
+        let all = || {
+            self.names()
+                .into_iter()
+                .all(|n| !self.runs(&n) || self.platform.is_in(&n))
+        };
         while !all() {
-            assert!(began.elapsed() < Duration::from_secs(30), "nodes are not ready: {:?}", self.unready());
+            assert!(
+                began.elapsed() < Duration::from_secs(30),
+                "nodes are not ready: {:?}",
+                self.unready()
+            );
             sleep(Duration::from_millis(100)).await;
         }
     }
 
     fn unready(&self) -> Vec<String> {
-        self.names().into_iter().filter(|n| self.runs(n) && !self.platform.is_in(n)).collect()
+        self.names()
+            .into_iter()
+            .filter(|n| self.runs(n) && !self.platform.is_in(n))
+            .collect()
     }
 
     /// The process ends between two steps; its machine stays.
     pub fn kill(&self, name: &str) {
         self.judge.note(format!("{name} is killed"));
         self.down(name);
-        let pot = self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
+        let pot = self
+            .machines
+            .borrow_mut()
+            .get_mut(name)
+            .and_then(|m| m.pot.take());
         drop(pot);
     }
 
@@ -148,7 +178,11 @@
         self.judge.note(format!("{name} loses power"));
         self.down(name);
         self.fabric.power(self.ip(name), false);
-        let pot = self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
+        let pot = self
+            .machines
+            .borrow_mut()
+            .get_mut(name)
+            .and_then(|m| m.pot.take());
         drop(pot);
         if let Some(shelf) = self.machines.borrow()[name].shelf.as_ref() {
             shelf.files.lose_power();
@@ -168,7 +202,10 @@
     }
 
     pub fn freeze(&self, name: &str, frozen: bool) {
-        self.judge.note(format!("{name} {}", if frozen { "freezes" } else { "wakes" }));
+        self.judge.note(format!(
+            "{name} {}",
+            if frozen { "freezes" } else { "wakes" }
+        ));
         if frozen {
             self.trouble(name);
         }
@@ -192,8 +229,16 @@
             let machines = self.machines.borrow();
             (machines[name].ip, machines[name].counted)
         };
-        let whose = [Some(Some(ip)), counted.then_some(None)].into_iter().flatten();
-        whose.for_each(|w| if pace.is_zero() { self.judge.calm(w) } else { self.judge.trouble(w) });
+        let whose = [Some(Some(ip)), counted.then_some(None)]
+            .into_iter()
+            .flatten();
+        whose.for_each(|w| {
+            if pace.is_zero() {
+                self.judge.calm(w)
+            } else {
+                self.judge.trouble(w)
+            }
+        });
         if let Some(pot) = &self.machines.borrow()[name].pot {
             pot.slow(pace);
         }
@@ -214,8 +259,12 @@
         while self.runs(name) && began.elapsed() < self.terms.bounds.grace {
             sleep(Duration::from_millis(50)).await;
         }
-        self.judge.note(format!("{name} has ended: {}", !self.runs(name)));
-        self.machines.borrow_mut().get_mut(name).and_then(|m| m.pot.take());
+        self.judge
+            .note(format!("{name} has ended: {}", !self.runs(name)));
+        self.machines
+            .borrow_mut()
+            .get_mut(name)
+            .and_then(|m| m.pot.take());
     }
 
     /// A machine of the core goes for good; an empty one at another address takes its place.
@@ -239,7 +288,13 @@
 
     /// The seeds are the first three of the operator's list now; running processes are told.
     pub fn seeds_anew(&self) {
-        let seeds: Vec<SocketAddr> = self.core().iter().rev().take(3).map(|n| self.control_of(n)).collect();
+        let seeds: Vec<SocketAddr> = self
+            .core()
+            .iter()
+            .rev()
+            .take(3)
+            .map(|n| self.control_of(n))
+            .collect();
         self.exchange_seeds(&seeds);
     }
 
@@ -275,8 +330,11 @@
     /// A zone's machines and servers cut off from all others, or joined again.
     pub fn cut_zone(&self, zone: &str, cut: Option<Cut>) {
         let names = self.names();
-        let inside: Vec<&str> =
-            names.iter().map(String::as_str).filter(|n| self.zone_of(n) == zone).collect();
+        let inside: Vec<&str> = names
+            .iter()
+            .map(String::as_str)
+            .filter(|n| self.zone_of(n) == zone)
+            .collect();
         self.cut_off(&inside, cut);
         for hosted in self.servers.borrow().values() {
             let t = &hosted.server.terms;
--- a/crates/sparrouter-simulation/tests/budget.rs
+++ b/crates/sparrouter-simulation/tests/budget.rs
@@ -8,15 +8,26 @@
 use tokio::time::sleep;
 
 #[test]
-fn given_a_budget_spent_on_failing_servers_when_all_processes_start_anew_then_they_spend_no_second_one() {
+fn given_a_budget_spent_on_failing_servers_when_all_processes_start_anew_then_they_spend_no_second_one()
+ {
     for seed in 0..2 {
         told(|| async {
-            let bounds = Bounds { budget_slack: 8.0, ..Bounds::default() };
-            let world = World::serving(Terms { bounds, ..Terms::seeded(120 + seed) }).await;
+            let bounds = Bounds {
+                budget_slack: 8.0,
+                ..Bounds::default()
+            };
+            let world = World::serving(Terms {
+                bounds,
+                ..Terms::seeded(120 + seed)
+            })
+            .await;
             let tally = load::begin(&world, 16, Duration::from_millis(150));
             sleep(bounds.budget_window).await;
             for id in world.server_ids() {
-                world.server(&id).faults.set(Faults { resets: 0.9, ..Faults::default() });
+                world.server(&id).faults.set(Faults {
+                    resets: 0.9,
+                    ..Faults::default()
+                });
             }
             sleep(Duration::from_secs(1)).await;
             for name in world.names() {
--- a/crates/sparrouter-simulation/tests/config.rs
+++ b/crates/sparrouter-simulation/tests/config.rs
@@ -22,11 +22,20 @@
 }
 
 fn with_route(plan: &Plan, name: &str) -> Plan {
-    plan.next(2, |p| p.routes.push(Route { public: true, ..Route::new(name, Kind::Idempotent, "models") }))
+    plan.next(2, |p| {
+        p.routes.push(Route {
+            public: true,
+            ..Route::new(name, Kind::Idempotent, "models")
+        })
+    })
 }
 
 fn added(name: &str) -> Wish {
-    Wish { path: format!("/{name}/b10"), retries: 0, ..wish(Kind::Idempotent, "b10") }
+    Wish {
+        path: format!("/{name}/b10"),
+        retries: 0,
+        ..wish(Kind::Idempotent, "b10")
+    }
 }
 
 #[test]
@@ -53,7 +62,10 @@
         let mut base = first_plan();
         for round in 0..6 {
             let left = with_route(&base, &format!("left{round}"));
-            let right = Plan { version: left.version + 1, ..with_route(&base, &format!("right{round}")) };
+            let right = Plan {
+                version: left.version + 1,
+                ..with_route(&base, &format!("right{round}"))
+            };
             let (l, r) = tokio::join!(
                 world.operator.put(&left, base.version),
                 world.operator.put(&right, base.version)
@@ -90,15 +102,20 @@
         let base = first_plan();
         let next = with_route(&base, "bad");
         let bodies = [
-            next.json().replace("\"service\":\"models\"", "\"service\":\"nobody\""),
-            next.json().replace("\"timeout_ms\":8000", "\"timeout_ms\":0"),
+            next.json()
+                .replace("\"service\":\"models\"", "\"service\":\"nobody\""),
+            next.json()
+                .replace("\"timeout_ms\":8000", "\"timeout_ms\":0"),
             next.json().replace("/bad/", "/idem/"),
             next.json().replace("\"version\":3", "\"version\":1"),
             next.json().replace("key-of-mela", KEY),
             next.json()[..200].to_owned(),
         ];
         for body in bodies {
-            let (status, _) = world.operator.change(&next, 1, How::Body(body.clone()), false).await;
+            let (status, _) = world
+                .operator
+                .change(&next, 1, How::Body(body.clone()), false)
+                .await;
             assert!((400..500).contains(&status), "{status} for {body}");
         }
         sleep(world.terms.bounds.config_apply).await;
@@ -116,7 +133,10 @@
         let plan = first_plan().next(3, |p| p.tenants[1].keys = vec!["key-anew".to_owned()]);
         assert_eq!(world.operator.put(&plan, 1).await, 200);
         sleep(world.terms.bounds.config_apply).await;
-        let with = |key: &str| Wish { key: key.to_owned(), ..wish(Kind::Idempotent, "b10") };
+        let with = |key: &str| Wish {
+            key: key.to_owned(),
+            ..wish(Kind::Idempotent, "b10")
+        };
         assert!(served_by(&world, &with("key-of-mela")).await.is_empty());
         assert_eq!(served_by(&world, &with("key-anew")).await.len(), 6);
         tally.stop().await;
--- a/crates/sparrouter-simulation/tests/core.rs
+++ b/crates/sparrouter-simulation/tests/core.rs
@@ -10,7 +10,9 @@
 use tokio::time::{Instant, sleep};
 
 fn with_route(plan: &Plan, name: &str) -> Plan {
-    plan.next(2, |p| p.routes.push(Route::new(name, Kind::Idempotent, "models")))
+    plan.next(2, |p| {
+        p.routes.push(Route::new(name, Kind::Idempotent, "models"))
+    })
 }
 
 fn operator_sends(world: &Rc<World>, plan: &Plan, base: u64) -> tokio::task::JoinHandle<u16> {
@@ -22,7 +24,12 @@
 fn given_a_core_node_killed_at_any_moment_of_a_change_then_what_was_acknowledged_stays() {
     for moment in 0..12 {
         told(|| async {
-            let world = World::serving(Terms { others: 1, servers: 1, ..Terms::seeded(20 + moment) }).await;
+            let world = World::serving(Terms {
+                others: 1,
+                servers: 1,
+                ..Terms::seeded(20 + moment)
+            })
+            .await;
             let plan = with_route(&first_plan(), "new");
             let sending = operator_sends(&world, &plan, 1);
             sleep(Duration::from_millis(moment)).await;
@@ -38,10 +45,16 @@
 }
 
 #[test]
-fn given_a_disk_wiped_right_after_an_acknowledgement_when_the_others_lose_power_then_it_is_not_lost() {
+fn given_a_disk_wiped_right_after_an_acknowledgement_when_the_others_lose_power_then_it_is_not_lost()
+ {
     for seed in 0..6 {
         told(|| async {
-            let world = World::serving(Terms { others: 1, servers: 1, ..Terms::seeded(40 + seed) }).await;
+            let world = World::serving(Terms {
+                others: 1,
+                servers: 1,
+                ..Terms::seeded(40 + seed)
+            })
+            .await;
             let plan = with_route(&first_plan(), "new");
             assert_eq!(world.operator.put(&plan, 1).await, 200);
             let wiped = format!("core-{}", seed % 3);
@@ -56,7 +69,11 @@
             sleep(Duration::from_secs(5)).await;
             world.operator.read_back().await;
             let next = with_route(&plan, "later");
-            assert_eq!(world.operator.put(&next, plan.version).await, 200, "the core works again");
+            assert_eq!(
+                world.operator.put(&next, plan.version).await,
+                200,
+                "the core works again"
+            );
             world
         });
     }
@@ -105,7 +122,11 @@
         }
         world.cut_off(&["core-0"], None);
         sleep(Duration::from_secs(6)).await;
-        let reply = world.operator.get_from(world.control_of("core-0")).await.expect("an answer");
+        let reply = world
+            .operator
+            .get_from(world.control_of("core-0"))
+            .await
+            .expect("an answer");
         assert!(reply.text().contains("\"version\":3"), "{}", reply.text());
         world.operator.read_back().await;
         world
@@ -122,10 +143,18 @@
             sleep(Duration::from_secs(9)).await;
             assert!(world.runs(&new));
             let next = with_route(&plan, &format!("after-{lost}"));
-            assert_eq!(world.operator.put(&next, plan.version).await, 200, "without {lost}");
+            assert_eq!(
+                world.operator.put(&next, plan.version).await,
+                200,
+                "without {lost}"
+            );
             plan = next;
         }
-        let reply = world.operator.get_from(world.control_of("edge-0")).await.expect("an answer");
+        let reply = world
+            .operator
+            .get_from(world.control_of("edge-0"))
+            .await
+            .expect("an answer");
         assert_eq!(reply.status, 200);
         world.operator.read_back().await;
         world
@@ -162,7 +191,10 @@
 fn given_seeds_exchanged_for_other_machines_when_a_node_starts_then_it_finds_the_fleet() {
     told(|| async {
         let world = World::serving(Terms::seeded(53)).await;
-        let seeds: Vec<_> = ["edge-0", "edge-1", "edge-2"].iter().map(|n| world.control_of(n)).collect();
+        let seeds: Vec<_> = ["edge-0", "edge-1", "edge-2"]
+            .iter()
+            .map(|n| world.control_of(n))
+            .collect();
         world.exchange_seeds(&seeds);
         for name in ["core-1", "edge-2"] {
             world.kill(name);
@@ -182,7 +214,12 @@
 fn given_all_without_power_when_a_majority_is_back_one_after_the_other_then_it_agrees_at_once() {
     for seed in 0..6 {
         told(|| async {
-            let world = World::serving(Terms { others: 1, servers: 1, ..Terms::seeded(70 + seed) }).await;
+            let world = World::serving(Terms {
+                others: 1,
+                servers: 1,
+                ..Terms::seeded(70 + seed)
+            })
+            .await;
             let core = world.core();
             core.iter().for_each(|name| world.power_off(name));
             sleep(Duration::from_millis(1_300)).await;
@@ -191,10 +228,19 @@
             sleep(Duration::from_millis(40 + 10 * seed)).await;
             world.power_on(&core[1]);
             let back = Instant::now();
-            while world.operator.get_from(world.control_of(&core[0])).await.is_none_or(|r| r.status != 200) {
+            while world
+                .operator
+                .get_from(world.control_of(&core[0]))
+                .await
+                .is_none_or(|r| r.status != 200)
+            {
                 sleep(Duration::from_millis(5)).await;
             }
-            assert!(back.elapsed() < Duration::from_millis(250), "{:?}", back.elapsed());
+            assert!(
+                back.elapsed() < Duration::from_millis(250),
+                "{:?}",
+                back.elapsed()
+            );
             world
         });
     }
@@ -220,15 +266,26 @@
                 plan = next;
                 world.cut_off(&["edge-0"], None);
                 sleep(world.terms.bounds.contact + world.terms.bounds.config_apply).await;
-                let reply = world.operator.get_from(world.control_of("edge-0")).await.expect("an answer");
+                let reply = world
+                    .operator
+                    .get_from(world.control_of("edge-0"))
+                    .await
+                    .expect("an answer");
                 assert_eq!(reply.status, 200);
                 let asked = sparrouter_simulation::client::Wish {
                     path: format!("/new{round}/b5"),
                     retries: 0,
                     ..sparrouter_simulation::world::wish(Kind::Idempotent, "b5")
                 };
-                let came = world.client(false).get_at(&asked, world.front_of("edge-0"), 0).await;
-                assert_eq!(came, sparrouter_simulation::client::Came::Served, "round {round}");
+                let came = world
+                    .client(false)
+                    .get_at(&asked, world.front_of("edge-0"), 0)
+                    .await;
+                assert_eq!(
+                    came,
+                    sparrouter_simulation::client::Came::Served,
+                    "round {round}"
+                );
             }
             world.operator.read_back().await;
             world
--- a/crates/sparrouter-simulation/tests/disks.rs
+++ b/crates/sparrouter-simulation/tests/disks.rs
@@ -7,7 +7,9 @@
 use tokio::time::{Instant, sleep};
 
 fn with_route(plan: &Plan, name: &str) -> Plan {
-    plan.next(2, |p| p.routes.push(Route::new(name, Kind::Idempotent, "models")))
+    plan.next(2, |p| {
+        p.routes.push(Route::new(name, Kind::Idempotent, "models"))
+    })
 }
 
 async fn once(world: &World, to: &str, plan: &Plan, base: u64) -> Option<Reply> {
@@ -15,7 +17,17 @@
     let fields = [("If-Match", base.as_str())];
     let patience = Duration::from_millis(1_500);
     let (net, at) = (world.outside_net(), world.control_of(to));
-    speech::call(&net, at, "PUT", "/api/config", &fields, &plan.json(), patience).await.ok()
+    speech::call(
+        &net,
+        at,
+        "PUT",
+        "/api/config",
+        &fields,
+        &plan.json(),
+        patience,
+    )
+    .await
+    .ok()
 }
 
 #[test]
@@ -29,14 +41,19 @@
         sleep(Duration::from_secs(4)).await;
         world.kill("core-1");
         let next = with_route(&plan, "newer");
-        assert_eq!(world.operator.put(&next, plan.version).await, 200, "the full one votes again");
+        assert_eq!(
+            world.operator.put(&next, plan.version).await,
+            200,
+            "the full one votes again"
+        );
         world.operator.read_back().await;
         world
     });
 }
 
 #[test]
-fn given_full_disks_at_a_majority_when_a_change_comes_then_it_is_refused_with_the_remedy_and_later_taken() {
+fn given_full_disks_at_a_majority_when_a_change_comes_then_it_is_refused_with_the_remedy_and_later_taken()
+ {
     told(|| async {
         let world = World::serving(Terms::seeded(102)).await;
         for name in world.core() {
@@ -47,7 +64,12 @@
         let reply = once(&world, "core-0", &plan, 1).await.expect("an answer");
         assert!(reply.status >= 500, "{}", reply.status);
         let again = once(&world, "core-0", &plan, 1).await.expect("an answer");
-        assert!(again.text().contains("free"), "no remedy in {} {:?}", again.status, again.text());
+        assert!(
+            again.text().contains("free"),
+            "no remedy in {} {:?}",
+            again.status,
+            again.text()
+        );
         for name in world.core() {
             world.shelf(&name).files.set_room(None);
         }
@@ -63,12 +85,22 @@
     told(|| async {
         let world = World::serving(Terms::seeded(103)).await;
         world.shelf("core-0").delay.set(Duration::from_millis(400));
-        world.shelf("core-1").stalled.set(Instant::now() + Duration::from_millis(700));
+        world
+            .shelf("core-1")
+            .stalled
+            .set(Instant::now() + Duration::from_millis(700));
         let plan = with_route(&first_plan(), "new");
         let began = Instant::now();
         assert_eq!(world.operator.put(&plan, 1).await, 200);
-        assert!(began.elapsed() < world.terms.bounds.ack_timeout, "{:?}", began.elapsed());
-        world.shelf("core-1").stalled.set(Instant::now() + Duration::from_secs(20));
+        assert!(
+            began.elapsed() < world.terms.bounds.ack_timeout,
+            "{:?}",
+            began.elapsed()
+        );
+        world
+            .shelf("core-1")
+            .stalled
+            .set(Instant::now() + Duration::from_secs(20));
         let next = with_route(&plan, "newer");
         assert_eq!(world.operator.put(&next, plan.version).await, 200);
         world.operator.read_back().await;
--- a/crates/sparrouter-simulation/tests/edits.rs
+++ b/crates/sparrouter-simulation/tests/edits.rs
@@ -18,7 +18,13 @@
 fn node(seed: u64) -> Rc<Node> {
     let settings = include_str!("../../sparrouter-fleet/tests/settings/page.conf");
     let boot = Boot::parse(Path::new("story"), settings).expect("the page's settings");
-    Node::new(boot, seed, Ring::gathering(), Rc::new(Sockets), fastrand::Rng::with_seed(seed))
+    Node::new(
+        boot,
+        seed,
+        Ring::gathering(),
+        Rc::new(Sockets),
+        fastrand::Rng::with_seed(seed),
+    )
 }
 
 fn plan(version: u64) -> Plan {
@@ -26,13 +32,22 @@
     plan.version = version;
     let routes = (0..50).map(|i| Route::new(&format!("r{i}"), Kind::Idempotent, "models"));
     plan.routes.extend(routes);
-    plan.routes.push(Route::new(&format!("new{version}"), Kind::Idempotent, "models"));
+    plan.routes.push(Route::new(
+        &format!("new{version}"),
+        Kind::Idempotent,
+        "models",
+    ));
     plan
 }
 
 fn chosen(seq: u64) -> ConfigTold {
     let plan = plan(seq);
-    ConfigTold { seq, version: plan.version, text: TextTold::Whole(plan.json()), ..ConfigTold::default() }
+    ConfigTold {
+        seq,
+        version: plan.version,
+        text: TextTold::Whole(plan.json()),
+        ..ConfigTold::default()
+    }
 }
 
 fn is_whole(told: &ConfigTold) -> bool {
@@ -50,7 +65,11 @@
     play(async {
         let (source, poller) = (node(1), node(2));
         source.take(chosen(1));
-        assert_eq!(polls(&poller, &source), (true, true), "the first comes whole");
+        assert_eq!(
+            polls(&poller, &source),
+            (true, true),
+            "the first comes whole"
+        );
         source.take(chosen(2));
         assert_eq!(polls(&poller, &source), (false, true));
         let (held, known) = (poller.in_force(), source.in_force());
@@ -68,7 +87,10 @@
         polls(&poller, &source);
         (2..=6).for_each(|seq| assert!(source.take(chosen(seq))));
         assert_eq!(polls(&poller, &source), (false, true));
-        assert_eq!((poller.in_force().seq, &*poller.in_force().text), (6, &*plan(6).json()));
+        assert_eq!(
+            (poller.in_force().seq, &*poller.in_force().text),
+            (6, &*plan(6).json())
+        );
         // So far back that the source knows the way no more.
         (7..=80).for_each(|seq| assert!(source.take(chosen(seq))));
         assert_eq!(polls(&poller, &source), (true, true));
@@ -86,13 +108,18 @@
         again.take(chosen(3));
         assert_eq!(polls(&poller, &again), (true, true));
         again.take(chosen(4));
-        assert_eq!(polls(&poller, &again), (false, true), "from there on changes do");
+        assert_eq!(
+            polls(&poller, &again),
+            (false, true),
+            "from there on changes do"
+        );
         assert_eq!(&*poller.in_force().text, &*plan(4).json());
     });
 }
 
 #[test]
-fn given_sources_that_saw_different_versions_when_asked_in_turn_then_the_text_is_the_same_and_never_older() {
+fn given_sources_that_saw_different_versions_when_asked_in_turn_then_the_text_is_the_same_and_never_older()
+ {
     play(async {
         let (one, other, poller) = (node(1), node(2), node(3));
         let mut last = 0;
@@ -116,17 +143,24 @@
 }
 
 #[test]
-fn given_a_text_that_differs_when_a_change_comes_then_nothing_changes_until_the_whole_is_asked_for() {
+fn given_a_text_that_differs_when_a_change_comes_then_nothing_changes_until_the_whole_is_asked_for()
+{
     play(async {
         let (source, poller) = (node(1), node(2));
         source.take(chosen(1));
-        let other = ConfigTold { text: TextTold::Whole(plan(9).json()), ..chosen(1) };
+        let other = ConfigTold {
+            text: TextTold::Whole(plan(9).json()),
+            ..chosen(1)
+        };
         poller.take(other);
         source.take(chosen(2));
         // As though it had the text that the source made its change from.
         let change = source.told(sparrouter_config::digest_of_text(&plan(1).json()));
         assert!(!is_whole(&change) && !poller.take(change));
-        assert_eq!((poller.in_force().seq, &*poller.in_force().text), (1, &*plan(9).json()));
+        assert_eq!(
+            (poller.in_force().seq, &*poller.in_force().text),
+            (1, &*plan(9).json())
+        );
         assert!(poller.take(source.told(0)), "0 asks for it whole");
         assert_eq!(&*poller.in_force().text, &*plan(2).json());
     });
@@ -138,7 +172,10 @@
         let (source, poller) = (node(1), node(2));
         source.take(chosen(1));
         polls(&poller, &source);
-        source.take(ConfigTold { seq: 2, ..chosen(1) });
+        source.take(ConfigTold {
+            seq: 2,
+            ..chosen(1)
+        });
         let told = source.told(poller.in_force().digest);
         assert!(matches!(&told.text, TextTold::Edits(edits) if edits.is_empty()));
         assert!(poller.take(told) && poller.in_force().seq == 2);
@@ -146,7 +183,8 @@
 }
 
 #[test]
-fn given_patches_and_core_nodes_killed_when_all_is_calm_again_then_every_node_has_the_text_of_the_register() {
+fn given_patches_and_core_nodes_killed_when_all_is_calm_again_then_every_node_has_the_text_of_the_register()
+ {
     told(|| async {
         let world = World::serving(Terms::seeded(77)).await;
         let tally = load::begin(&world, 4, Duration::from_millis(200));
@@ -154,7 +192,10 @@
         for round in 0..8 {
             let next = before.next(2, |p| {
                 let name = format!("new{round}");
-                p.routes.push(Route { public: true, ..Route::new(&name, Kind::Idempotent, "models") });
+                p.routes.push(Route {
+                    public: true,
+                    ..Route::new(&name, Kind::Idempotent, "models")
+                });
             });
             if round % 3 == 1 {
                 let victim = format!("core-{}", round % 2);
@@ -173,14 +214,36 @@
         let mut digests = Vec::new();
         for name in world.names() {
             let at = world.control_of(&name);
-            let asked = speech::call(&net, at, "GET", "/api/status", &[], "", Duration::from_secs(1));
+            let asked = speech::call(
+                &net,
+                at,
+                "GET",
+                "/api/status",
+                &[],
+                "",
+                Duration::from_secs(1),
+            );
             let reply = asked.await.expect("the node answers");
-            let digest = reply.text().split("\"config_digest\":").nth(1).and_then(|r| r.split(',').next());
+            let digest = reply
+                .text()
+                .split("\"config_digest\":")
+                .nth(1)
+                .and_then(|r| r.split(',').next());
             digests.push(digest.expect("a digest").to_owned());
         }
-        let read = world.operator.get_from(world.control_of("core-0")).await.expect("the register's text");
-        let register = format!("\"{:016x}\"", sparrouter_config::digest_of_text(read.text()));
-        assert!(digests.iter().all(|d| *d == register), "{register}: {digests:?}");
+        let read = world
+            .operator
+            .get_from(world.control_of("core-0"))
+            .await
+            .expect("the register's text");
+        let register = format!(
+            "\"{:016x}\"",
+            sparrouter_config::digest_of_text(read.text())
+        );
+        assert!(
+            digests.iter().all(|d| *d == register),
+            "{register}: {digests:?}"
+        );
         world
     });
 }
--- a/crates/sparrouter-simulation/tests/forming.rs
+++ b/crates/sparrouter-simulation/tests/forming.rs
@@ -19,7 +19,11 @@
             (Kind::Streaming, "s8"),
             (Kind::Resumable, "s8"),
         ] {
-            assert_eq!(client.get(&wish(kind, word)).await, Came::Served, "{kind:?}");
+            assert_eq!(
+                client.get(&wish(kind, word)).await,
+                Came::Served,
+                "{kind:?}"
+            );
         }
         world
     });
@@ -33,7 +37,12 @@
         sleep(Duration::from_secs(10)).await;
         tally.stop().await;
         assert!(tally.sent.get() > 500, "{} sent", tally.sent.get());
-        assert_eq!(tally.served.get(), tally.sent.get(), "{:?}", tally.refused.borrow());
+        assert_eq!(
+            tally.served.get(),
+            tally.sent.get(),
+            "{:?}",
+            tally.refused.borrow()
+        );
         world
     });
 }
@@ -57,28 +66,51 @@
         for name in &core {
             let at = world.control_of(name);
             let net = world.outside_net();
-            let asked = speech::call(&net, at, "GET", "/api/status", &[], "", Duration::from_secs(1));
+            let asked = speech::call(
+                &net,
+                at,
+                "GET",
+                "/api/status",
+                &[],
+                "",
+                Duration::from_secs(1),
+            );
             let reply = asked.await.expect("a node of the core answers");
             for other in world.names() {
                 let row = format!("{{\"name\":\"{other}\",");
-                assert!(reply.text().contains(&row), "{name} does not know {other}: {}", reply.text());
+                assert!(
+                    reply.text().contains(&row),
+                    "{name} does not know {other}: {}",
+                    reply.text()
+                );
             }
-            assert!(!reply.text().contains("\"silent\":true"), "{name}: {}", reply.text());
+            assert!(
+                !reply.text().contains("\"silent\":true"),
+                "{name}: {}",
+                reply.text()
+            );
         }
         world
     });
 }
 
 #[test]
-fn given_a_node_that_starts_anew_when_a_request_comes_before_its_configuration_then_it_waits_for_it() {
+fn given_a_node_that_starts_anew_when_a_request_comes_before_its_configuration_then_it_waits_for_it()
+ {
     told(|| async {
         let world = World::serving(Terms::seeded(7)).await;
         world.kill("edge-0");
         sleep(Duration::from_millis(500)).await;
         world.start("edge-0", false);
         sleep(Duration::from_millis(2)).await;
-        let asked = sparrouter_simulation::client::Wish { retries: 0, ..wish(Kind::Idempotent, "b5") };
-        let came = world.client(false).get_at(&asked, world.front_of("edge-0"), 0).await;
+        let asked = sparrouter_simulation::client::Wish {
+            retries: 0,
+            ..wish(Kind::Idempotent, "b5")
+        };
+        let came = world
+            .client(false)
+            .get_at(&asked, world.front_of("edge-0"), 0)
+            .await;
         assert_eq!(came, Came::Served);
         world
     });
--- a/crates/sparrouter-simulation/tests/index.rs
+++ b/crates/sparrouter-simulation/tests/index.rs
@@ -16,7 +16,9 @@
 /// The store answers at its address from now on; without that it is told to be down, and not named.
 fn open_store(world: &Rc<World>) {
     world.fabric.add(store().ip(), ZONES[0]);
-    let door = MemoryNet::new(world.fabric.clone(), store().ip()).open(store()).expect("its address is free");
+    let door = MemoryNet::new(world.fabric.clone(), store().ip())
+        .open(store())
+        .expect("its address is free");
     spawn_local(async move {
         loop {
             let (mut stream, _) = door.next().await;
@@ -24,8 +26,13 @@
                 let mut buffer = BytesMut::new();
                 while next_call(&mut stream, &mut buffer).await.is_some() {
                     sleep(Duration::from_secs(1)).await;
-                    let nothing = r#"{"epoch":1,"next_page_token":0,"lost_count":false,"events":[]}"#;
-                    if stream.write_all(whole(200, "", nothing).as_bytes()).await.is_err() {
+                    let nothing =
+                        r#"{"epoch":1,"next_page_token":0,"lost_count":false,"events":[]}"#;
+                    if stream
+                        .write_all(whole(200, "", nothing).as_bytes())
+                        .await
+                        .is_err()
+                    {
                         return;
                     }
                 }
@@ -35,24 +42,39 @@
 }
 
 fn about(topic: &str, shared: u64) -> Wish {
-    Wish { topic: topic.into(), shared, ..wish(Kind::Idempotent, "b30") }
+    Wish {
+        topic: topic.into(),
+        shared,
+        ..wish(Kind::Idempotent, "b30")
+    }
 }
 
 /// Asks once more; gives back how many parts servers other than these took from elsewhere.
 async fn moved_to(world: &Rc<World>, wish: &Wish, before: &[Rc<Server>]) -> u32 {
     assert_eq!(world.client(false).get(wish).await, Came::Served);
     let others = world.server_ids().into_iter().map(|id| world.server(&id));
-    others.filter(|s| before.iter().all(|b| b.terms.id != s.terms.id)).map(|s| s.moves.get()).sum()
+    others
+        .filter(|s| before.iter().all(|b| b.terms.id != s.terms.id))
+        .map(|s| s.moves.get())
+        .sum()
 }
 
 fn home_drains(seed: u64, shared: u64, restart: bool) {
     told(move || async move {
-        let world = World::serving(Terms { servers: 4, ..Terms::seeded(seed) }).await;
+        let world = World::serving(Terms {
+            servers: 4,
+            ..Terms::seeded(seed)
+        })
+        .await;
         let wish = about("c0ffee", shared);
         assert_eq!(world.client(false).get(&wish).await, Came::Served);
         let keeps = |s: &Rc<Server>| s.keeps("c0ffee");
-        let home =
-            world.server_ids().into_iter().map(|id| world.server(&id)).find(keeps).expect("one read it");
+        let home = world
+            .server_ids()
+            .into_iter()
+            .map(|id| world.server(&id))
+            .find(keeps)
+            .expect("one read it");
         sleep(Duration::from_millis(400)).await;
         if restart {
             // Whoever owned the part, or followed its server, has forgotten all of it.
@@ -66,7 +88,11 @@
         }
         home.drain();
         sleep(Duration::from_millis(1_500)).await;
-        assert_eq!(moved_to(&world, &wish, &[home]).await, 1, "it was taken from where it is kept");
+        assert_eq!(
+            moved_to(&world, &wish, &[home]).await,
+            1,
+            "it was taken from where it is kept"
+        );
         world
     });
 }
@@ -88,30 +114,51 @@
 
 #[test]
 fn given_all_other_nodes_frozen_when_parts_are_asked_for_then_the_store_is_named_for_what_their_owners_know()
-{
+ {
     told(|| async {
-        let world = World::serving(Terms { servers: 4, ..Terms::seeded(99) }).await;
+        let world = World::serving(Terms {
+            servers: 4,
+            ..Terms::seeded(99)
+        })
+        .await;
         open_store(&world);
         sleep(Duration::from_secs(2)).await;
-        let wishes: Vec<Wish> = (0..8).map(|n| about(&format!("c0ffee{n}"), 2_000)).collect();
+        let wishes: Vec<Wish> = (0..8)
+            .map(|n| about(&format!("c0ffee{n}"), 2_000))
+            .collect();
         for wish in &wishes {
             assert_eq!(world.client(false).get(wish).await, Came::Served);
         }
         sleep(Duration::from_millis(400)).await;
-        let before: Vec<Rc<Server>> = world.server_ids().iter().map(|id| world.server(id)).collect();
+        let before: Vec<Rc<Server>> = world
+            .server_ids()
+            .iter()
+            .map(|id| world.server(id))
+            .collect();
         // What was read is gone with its servers; those that come in their place keep nothing yet.
         for server in &before {
             world.crash_server(&server.terms.id);
             world.restart_server(server);
         }
         sleep(Duration::from_secs(4)).await;
-        let others: Vec<String> = world.names().into_iter().filter(|n| n != "edge-0").collect();
+        let others: Vec<String> = world
+            .names()
+            .into_iter()
+            .filter(|n| n != "edge-0")
+            .collect();
         others.iter().for_each(|name| world.freeze(name, true));
         for wish in &wishes {
-            let came = world.client(false).get_at(wish, world.front_of("edge-0"), 0).await;
+            let came = world
+                .client(false)
+                .get_at(wish, world.front_of("edge-0"), 0)
+                .await;
             assert_eq!(came, Came::Served);
         }
-        let moves: u32 = world.server_ids().iter().map(|id| world.server(id).moves.get()).sum();
+        let moves: u32 = world
+            .server_ids()
+            .iter()
+            .map(|id| world.server(id).moves.get())
+            .sum();
         assert!(moves >= 8, "{moves} of 8 shared parts came from the store");
         others.iter().for_each(|name| world.freeze(name, false));
         sleep(Duration::from_secs(4)).await;
