--- a/crates/sparrouter-simulation/tests/judge.rs
+++ b/crates/sparrouter-simulation/tests/judge.rs
@@ -37,7 +37,10 @@
         tenant: Some("kaje".into()),
         key: None,
         version: 1,
-        made: vec![Made { version: 1, tenant: Some("kaje".into()) }],
+        made: vec![Made {
+            version: 1,
+            tenant: Some("kaje".into()),
+        }],
         resumed: 0,
     }
 }
@@ -55,7 +58,11 @@
 }
 
 fn events(parts: &[(u64, u64)]) -> Vec<u8> {
-    parts.iter().map(|(run, event)| event_of(*run, *event)).collect::<String>().into_bytes()
+    parts
+        .iter()
+        .map(|(run, event)| event_of(*run, *event))
+        .collect::<String>()
+        .into_bytes()
 }
 
 /// A judge who knows the first plan as acknowledged, and the time to settle over.
@@ -75,7 +82,10 @@
 
 fn broken(judge: &Judge, rule: &str) {
     let breaches = judge.breaches();
-    assert!(breaches.iter().any(|b| b.starts_with(rule)), "{rule} was not found broken: {breaches:?}");
+    assert!(
+        breaches.iter().any(|b| b.starts_with(rule)),
+        "{rule} was not found broken: {breaches:?}"
+    );
 }
 
 fn kept(judge: &Judge) {
@@ -87,11 +97,17 @@
     play(async {
         let judge = once(Kind::Idempotent, "/idem/b9").await;
         let run_of = judge.ran(run("a", "/idem/b9"));
-        judge.answered("a", &success(run_of, body_of(run_of, 9).into_bytes(), false));
+        judge.answered(
+            "a",
+            &success(run_of, body_of(run_of, 9).into_bytes(), false),
+        );
         kept(&judge);
         let judge = once(Kind::Resumable, "/resume/s3").await;
         let first = judge.ran(run("a", "/resume/s3"));
-        let second = judge.ran(Run { resumed: 1, ..run("a", "/resume/s3") });
+        let second = judge.ran(Run {
+            resumed: 1,
+            ..run("a", "/resume/s3")
+        });
         let body = events(&[(first, 1), (second, 2), (second, 3)]);
         judge.answered("a", &success(first, body, true));
         kept(&judge);
@@ -107,10 +123,22 @@
             let good = success(run_of, body_of(run_of, 9).into_bytes(), false);
             let answer = match bad {
                 0 => Answer { seal: None, ..good },
-                1 => Answer { body: b"something".to_vec(), ..good },
-                2 => Answer { attempt: Some("b".into()), ..good },
-                3 => Answer { seal: Some("seal-7".into()), ..good },
-                _ => Answer { bad: Some("no HTTP"), ..good },
+                1 => Answer {
+                    body: b"something".to_vec(),
+                    ..good
+                },
+                2 => Answer {
+                    attempt: Some("b".into()),
+                    ..good
+                },
+                3 => Answer {
+                    seal: Some("seal-7".into()),
+                    ..good
+                },
+                _ => Answer {
+                    bad: Some("no HTTP"),
+                    ..good
+                },
             };
             judge.answered("a", &answer);
             broken(&judge, "MIXED");
@@ -121,8 +149,12 @@
 #[test]
 fn given_streams_with_gaps_doubles_or_joined_runs_then_order_is_broken() {
     play(async {
-        for pieces in [vec![(0, 1), (0, 3)], vec![(0, 1), (0, 1)], vec![(0, 1), (1, 2), (1, 3)], vec![(0, 1)]]
-        {
+        for pieces in [
+            vec![(0, 1), (0, 3)],
+            vec![(0, 1), (0, 1)],
+            vec![(0, 1), (1, 2), (1, 3)],
+            vec![(0, 1)],
+        ] {
             let judge = once(Kind::Resumable, "/resume/s3").await;
             judge.ran(run("a", "/resume/s3"));
             judge.ran(run("a", "/resume/s3"));
@@ -142,15 +174,30 @@
             let judge = once(Kind::Idempotent, "/idem/b9").await;
             let good = run("a", "/idem/b9");
             judge.ran(match bad {
-                0 => Run { path: "/idem/b8".into(), ..good },
-                1 => Run { body: Bytes::from("other"), ..good },
-                2 => Run { tenant: Some("mela".into()), ..good },
-                _ => Run { key: Some(KEY.into()), ..good },
+                0 => Run {
+                    path: "/idem/b8".into(),
+                    ..good
+                },
+                1 => Run {
+                    body: Bytes::from("other"),
+                    ..good
+                },
+                2 => Run {
+                    tenant: Some("mela".into()),
+                    ..good
+                },
+                _ => Run {
+                    key: Some(KEY.into()),
+                    ..good
+                },
             });
             broken(&judge, "UNASKED");
         }
         let judge = once(Kind::Idempotent, "/idem/b9").await;
-        judge.ran(Run { service: "others".into(), ..run("a", "/idem/b9") });
+        judge.ran(Run {
+            service: "others".into(),
+            ..run("a", "/idem/b9")
+        });
         broken(&judge, "ROUTE");
     });
 }
@@ -168,7 +215,14 @@
             if before {
                 judge.ran(run("a", "/once/b3"));
             }
-            judge.answered("a", &Answer { status: 503, whole: true, ..Answer::default() });
+            judge.answered(
+                "a",
+                &Answer {
+                    status: 503,
+                    whole: true,
+                    ..Answer::default()
+                },
+            );
             judge.ran(run("a", "/once/b3"));
             broken(&judge, "REFUSED");
         }
@@ -179,7 +233,10 @@
 fn given_memory_or_weights_of_another_version_then_stale_and_version_are_broken() {
     play(async {
         let judge = once(Kind::Idempotent, "/idem/b9").await;
-        judge.ran(Run { version: 2, ..run("a", "/idem/b9") });
+        judge.ran(Run {
+            version: 2,
+            ..run("a", "/idem/b9")
+        });
         broken(&judge, "STALE");
         let judge = judge_named().await;
         judge.asked("a", asked(Kind::Idempotent, "/idem/b9"));
@@ -211,7 +268,14 @@
         let judge = self::judge().await;
         judge.config_sent(&gone(), 1, true);
         judge.asked("a", asked(Kind::Idempotent, "/idem/b9"));
-        judge.answered("a", &Answer { status: 404, whole: true, ..Answer::default() });
+        judge.answered(
+            "a",
+            &Answer {
+                status: 404,
+                whole: true,
+                ..Answer::default()
+            },
+        );
         kept(&judge);
         sleep(Duration::from_millis(300)).await;
         judge.asked("b", asked(Kind::Idempotent, "/idem/b9"));
@@ -222,7 +286,14 @@
         let place = judge.config_sent(&gone(), 1, true);
         judge.config_refused(place, 412);
         judge.asked("a", asked(Kind::Idempotent, "/idem/b9"));
-        judge.answered("a", &Answer { status: 404, whole: true, ..Answer::default() });
+        judge.answered(
+            "a",
+            &Answer {
+                status: 404,
+                whole: true,
+                ..Answer::default()
+            },
+        );
         broken(&judge, "CONFIG");
         // Both of a race.
         let judge = self::judge().await;
@@ -267,7 +338,12 @@
         judge.ran(run("a", "/stream/s3"));
         judge.answered(
             "a",
-            &Answer { status: 200, seal: Some("seal-0".into()), streams: true, ..Answer::default() },
+            &Answer {
+                status: 200,
+                seal: Some("seal-0".into()),
+                streams: true,
+                ..Answer::default()
+            },
         );
         broken(&judge, "LOST");
     });
@@ -276,19 +352,45 @@
 #[test]
 fn given_memory_of_another_tenant_then_wall_is_broken_only_where_one_of_the_two_is_isolated() {
     play(async {
-        let made = |tenant: Option<&str>| vec![Made { version: 1, tenant: tenant.map(str::to_owned) }];
+        let made = |tenant: Option<&str>| {
+            vec![Made {
+                version: 1,
+                tenant: tenant.map(str::to_owned),
+            }]
+        };
         // Mela is isolated, kaje is not, and who has no tenant is nobody's.
         for (maker, is_broken) in [(Some("kaje"), false), (None, false), (Some("mela"), true)] {
             let judge = once(Kind::Idempotent, "/idem/b9").await;
-            judge.ran(Run { made: made(maker), ..run("a", "/idem/b9") });
-            if is_broken { broken(&judge, "WALL") } else { kept(&judge) }
+            judge.ran(Run {
+                made: made(maker),
+                ..run("a", "/idem/b9")
+            });
+            if is_broken {
+                broken(&judge, "WALL")
+            } else {
+                kept(&judge)
+            }
         }
         for (maker, is_broken) in [(Some("mela"), false), (Some("kaje"), true), (None, true)] {
             let judge = judge().await;
-            judge.asked("a", Asked { key: "key-of-mela".into(), ..asked(Kind::Idempotent, "/idem/b9") });
+            judge.asked(
+                "a",
+                Asked {
+                    key: "key-of-mela".into(),
+                    ..asked(Kind::Idempotent, "/idem/b9")
+                },
+            );
             let tenant = Some("mela".to_owned());
-            judge.ran(Run { made: made(maker), tenant, ..run("a", "/idem/b9") });
-            if is_broken { broken(&judge, "WALL") } else { kept(&judge) }
+            judge.ran(Run {
+                made: made(maker),
+                tenant,
+                ..run("a", "/idem/b9")
+            });
+            if is_broken {
+                broken(&judge, "WALL")
+            } else {
+                kept(&judge)
+            }
         }
     });
 }
@@ -298,17 +400,34 @@
     for n in 0..count {
         let id = format!("{}-{}-{n}", asked.path, answer.status);
         judge.asked(&id, asked.clone());
-        judge.answered(&id, &Answer { attempt: None, whole: true, ..answer.clone() });
+        judge.answered(
+            &id,
+            &Answer {
+                attempt: None,
+                whole: true,
+                ..answer.clone()
+            },
+        );
     }
 }
 
 #[test]
-fn given_proper_requests_that_are_refused_then_denied_is_broken_beyond_five_and_one_in_five_hundred() {
+fn given_proper_requests_that_are_refused_then_denied_is_broken_beyond_five_and_one_in_five_hundred()
+ {
     play(async {
         let proper = asked(Kind::Idempotent, "/idem/b9");
-        let of = |status| Answer { status, ..Answer::default() };
-        let sealed = Answer { seal: Some("seal-1".into()), ..of(400) };
-        let unknown = Asked { key: "nobody's".into(), ..proper.clone() };
+        let of = |status| Answer {
+            status,
+            ..Answer::default()
+        };
+        let sealed = Answer {
+            seal: Some("seal-1".into()),
+            ..of(400)
+        };
+        let unknown = Asked {
+            key: "nobody's".into(),
+            ..proper.clone()
+        };
         let cases: [(u32, &Asked, Answer, bool); 6] = [
             (5, &proper, of(400), false),
             (6, &proper, of(400), true),
@@ -320,10 +439,17 @@
         ];
         for (count, asked, answer, is_broken) in cases {
             let judge = judge().await;
-            let asked = Asked { until: Instant::now() + Duration::from_secs(6), ..asked.clone() };
+            let asked = Asked {
+                until: Instant::now() + Duration::from_secs(6),
+                ..asked.clone()
+            };
             answered_all(&judge, count, &asked, &answer);
             judge.day_ends();
-            if is_broken { broken(&judge, "DENIED") } else { kept(&judge) }
+            if is_broken {
+                broken(&judge, "DENIED")
+            } else {
+                kept(&judge)
+            }
         }
         let judge = judge().await;
         answered_all(&judge, 494, &proper, &of(503));
@@ -337,7 +463,11 @@
         judge.day_ends();
         kept(&judge);
         let judge = self::judge().await;
-        judge.config_sent(&first_plan().next(1, |p| p.routes.retain(|r| r.name != "idem")), 1, true);
+        judge.config_sent(
+            &first_plan().next(1, |p| p.routes.retain(|r| r.name != "idem")),
+            1,
+            true,
+        );
         answered_all(&judge, 50, &proper, &of(400));
         judge.day_ends();
         kept(&judge);
@@ -347,12 +477,16 @@
 #[test]
 fn given_routes_that_were_added_when_they_are_hardly_served_in_calm_times_then_config_is_broken() {
     play(async {
-        for (count, served, calm, is_broken) in
-            [(20, 0, true, true), (20, 10, true, false), (19, 0, true, false), (20, 0, false, false)]
-        {
+        for (count, served, calm, is_broken) in [
+            (20, 0, true, true),
+            (20, 10, true, false),
+            (19, 0, true, false),
+            (20, 0, false, false),
+        ] {
             let judge = judge().await;
-            let added =
-                first_plan().next(1, |p| p.routes.push(Route::new("new", Kind::Idempotent, "models")));
+            let added = first_plan().next(1, |p| {
+                p.routes.push(Route::new("new", Kind::Idempotent, "models"))
+            });
             let place = judge.config_sent(&added, 1, true);
             judge.config_acknowledged(place);
             sleep(Duration::from_secs(3)).await;
@@ -365,12 +499,26 @@
                     judge.asked(&id, asked(Kind::Idempotent, path));
                     let run = judge.ran(run(&id, path));
                     let good = success(run, body_of(run, 9).into_bytes(), false);
-                    let refused = Answer { status: 503, whole: true, ..Answer::default() };
-                    judge.answered(&id, &Answer { attempt: None, ..if n < served { good } else { refused } });
+                    let refused = Answer {
+                        status: 503,
+                        whole: true,
+                        ..Answer::default()
+                    };
+                    judge.answered(
+                        &id,
+                        &Answer {
+                            attempt: None,
+                            ..if n < served { good } else { refused }
+                        },
+                    );
                 }
             }
             judge.day_ends();
-            if is_broken { broken(&judge, "CONFIG") } else { kept(&judge) }
+            if is_broken {
+                broken(&judge, "CONFIG")
+            } else {
+                kept(&judge)
+            }
         }
     });
 }
@@ -385,7 +533,11 @@
             judge.config_acknowledged(place);
             let place = judge.config_sent(&second, 1, true);
             judge.config_refused(place, 412);
-            if is_broken { broken(&judge, "CONFIG") } else { kept(&judge) }
+            if is_broken {
+                broken(&judge, "CONFIG")
+            } else {
+                kept(&judge)
+            }
         }
         let judge = judge().await;
         judge.read_back(200, &first_plan().json());
@@ -402,10 +554,17 @@
 fn given_a_lower_token_after_a_higher_then_one_is_broken_where_servers_do_not_check_it() {
     play(async {
         for fencing in [true, false] {
-            let judge = Judge::new(Bounds { fencing, ..Bounds::default() });
+            let judge = Judge::new(Bounds {
+                fencing,
+                ..Bounds::default()
+            });
             judge.ordered("i-1", "x", 5, NODE);
             judge.ordered("i-1", "y", 4, NODE);
-            if fencing { kept(&judge) } else { broken(&judge, "ONE") }
+            if fencing {
+                kept(&judge)
+            } else {
+                broken(&judge, "ONE")
+            }
         }
     });
 }
--- a/crates/sparrouter-simulation/tests/servers.rs
+++ b/crates/sparrouter-simulation/tests/servers.rs
@@ -25,7 +25,12 @@
         }
         sleep(Duration::from_secs(2)).await;
         tally.stop().await;
-        assert_eq!(tally.served.get(), tally.sent.get(), "{:?}", tally.refused.borrow());
+        assert_eq!(
+            tally.served.get(),
+            tally.sent.get(),
+            "{:?}",
+            tally.refused.borrow()
+        );
         world
     });
 }
@@ -33,7 +38,11 @@
 #[test]
 fn given_a_late_beat_with_a_lower_number_when_a_server_drains_then_it_undoes_nothing() {
     told(|| async {
-        let world = World::serving(Terms { servers: 2, ..Terms::seeded(61) }).await;
+        let world = World::serving(Terms {
+            servers: 2,
+            ..Terms::seeded(61)
+        })
+        .await;
         let tally = load::begin(&world, 10, PAUSE);
         let id = world.server_ids().remove(0);
         world.server(&id).late_beat.set(true);
@@ -41,7 +50,12 @@
         sleep(Duration::from_secs(8)).await;
         tally.stop().await;
         assert!(!world.server_runs(&id));
-        assert_eq!(tally.served.get(), tally.sent.get(), "{:?}", tally.refused.borrow());
+        assert_eq!(
+            tally.served.get(),
+            tally.sent.get(),
+            "{:?}",
+            tally.refused.borrow()
+        );
         world
     });
 }
@@ -49,7 +63,11 @@
 #[test]
 fn given_an_address_that_another_service_has_now_then_nothing_runs_there() {
     told(|| async {
-        let world = World::serving(Terms { servers: 3, ..Terms::seeded(62) }).await;
+        let world = World::serving(Terms {
+            servers: 3,
+            ..Terms::seeded(62)
+        })
+        .await;
         let tally = load::begin(&world, 10, PAUSE);
         sleep(Duration::from_secs(1)).await;
         let id = world.server_ids().remove(0);
@@ -66,16 +84,33 @@
 #[test]
 fn given_a_server_that_resets_after_it_ran_when_not_repeatable_then_it_never_runs_twice() {
     told(|| async {
-        let world = World::serving(Terms { servers: 2, ..Terms::seeded(63) }).await;
+        let world = World::serving(Terms {
+            servers: 2,
+            ..Terms::seeded(63)
+        })
+        .await;
         for id in world.server_ids() {
-            world.server(&id).faults.set(Faults { resets: 0.5, ..Faults::default() });
+            world.server(&id).faults.set(Faults {
+                resets: 0.5,
+                ..Faults::default()
+            });
         }
         let client = world.client(false);
         let (mut served, mut failed) = (0, 0);
         for n in 0..60 {
-            let kind = if n % 2 == 0 { Kind::NonIdempotent } else { Kind::Streaming };
+            let kind = if n % 2 == 0 {
+                Kind::NonIdempotent
+            } else {
+                Kind::Streaming
+            };
             let word = if n % 2 == 0 { "b20" } else { "s4" };
-            match client.get(&Wish { topic: format!("{n:08x}"), ..wish(kind, word) }).await {
+            match client
+                .get(&Wish {
+                    topic: format!("{n:08x}"),
+                    ..wish(kind, word)
+                })
+                .await
+            {
                 Came::Served => served += 1,
                 _ => failed += 1,
             }
@@ -88,14 +123,25 @@
 #[test]
 fn given_servers_that_break_off_resumable_streams_then_they_are_taken_up_whole_and_once() {
     told(|| async {
-        let world = World::serving(Terms { servers: 4, ..Terms::seeded(64) }).await;
+        let world = World::serving(Terms {
+            servers: 4,
+            ..Terms::seeded(64)
+        })
+        .await;
         for id in world.server_ids() {
-            world.server(&id).faults.set(Faults { breaks: 0.3, ..Faults::default() });
+            world.server(&id).faults.set(Faults {
+                breaks: 0.3,
+                ..Faults::default()
+            });
         }
         let client = world.client(true);
         let mut served = 0;
         for n in 0..60 {
-            let wish = Wish { retries: 0, topic: format!("{n:08x}"), ..wish(Kind::Resumable, "s15") };
+            let wish = Wish {
+                retries: 0,
+                topic: format!("{n:08x}"),
+                ..wish(Kind::Resumable, "s15")
+            };
             served += u32::from(client.get(&wish).await == Came::Served);
         }
         // Three servers in a row break off one in 37.
@@ -109,7 +155,11 @@
     told(|| async {
         let world = World::serving(Terms::seeded(65)).await;
         for id in world.server_ids() {
-            world.server(&id).faults.set(Faults { garbles: 0.05, surplus: 0.3, ..Faults::default() });
+            world.server(&id).faults.set(Faults {
+                garbles: 0.05,
+                surplus: 0.3,
+                ..Faults::default()
+            });
         }
         let tally = load::begin(&world, 12, PAUSE);
         sleep(Duration::from_secs(8)).await;
@@ -122,9 +172,16 @@
 #[test]
 fn given_a_server_that_hangs_then_streams_that_may_not_repeat_are_not_repeated() {
     told(|| async {
-        let world = World::serving(Terms { servers: 3, ..Terms::seeded(66) }).await;
+        let world = World::serving(Terms {
+            servers: 3,
+            ..Terms::seeded(66)
+        })
+        .await;
         let id = world.server_ids().remove(0);
-        world.server(&id).faults.set(Faults { hangs: 1.0, ..Faults::default() });
+        world.server(&id).faults.set(Faults {
+            hangs: 1.0,
+            ..Faults::default()
+        });
         let tally = load::begin(&world, 24, PAUSE);
         sleep(Duration::from_secs(6)).await;
         tally.stop().await;
@@ -136,11 +193,20 @@
 #[test]
 fn given_servers_that_are_full_then_what_is_refused_never_ran() {
     told(|| async {
-        let world = World::serving(Terms { servers: 2, slots: 1, ..Terms::seeded(67) }).await;
+        let world = World::serving(Terms {
+            servers: 2,
+            slots: 1,
+            ..Terms::seeded(67)
+        })
+        .await;
         let tally = load::begin(&world, 40, Duration::from_millis(60));
         sleep(Duration::from_secs(4)).await;
         tally.stop().await;
-        assert!(tally.served.get() > 20 && !tally.refused.borrow().is_empty(), "{}", tally.share());
+        assert!(
+            tally.served.get() > 20 && !tally.refused.borrow().is_empty(),
+            "{}",
+            tally.share()
+        );
         world
     });
 }
--- a/crates/sparrouter-simulation/tests/weights.rs
+++ b/crates/sparrouter-simulation/tests/weights.rs
@@ -22,23 +22,39 @@
 
 fn ordered_once(world: &World, version: u64) {
     for ((id, loaded), count) in world.judge.load_counts() {
-        assert!(loaded == version && count == 1, "{id} loaded {loaded} {count} times");
+        assert!(
+            loaded == version && count == 1,
+            "{id} loaded {loaded} {count} times"
+        );
     }
 }
 
 #[test]
 fn given_new_weights_when_named_then_each_server_loads_once_and_all_in_time() {
     told(|| async {
-        let world = World::serving(Terms { servers: 9, ..Terms::seeded(70) }).await;
+        let world = World::serving(Terms {
+            servers: 9,
+            ..Terms::seeded(70)
+        })
+        .await;
         let tally = load::begin(&world, 12, PAUSE);
         assert!(world.operator.name_version(2).await);
         let named = Instant::now();
         world.until_servers_have(2).await;
-        assert!(named.elapsed() < world.terms.bounds.version, "{:?}", named.elapsed());
+        assert!(
+            named.elapsed() < world.terms.bounds.version,
+            "{:?}",
+            named.elapsed()
+        );
         sleep(Duration::from_secs(4)).await;
         tally.stop().await;
         ordered_once(&world, 2);
-        assert_eq!(tally.served.get(), tally.sent.get(), "{:?}", tally.refused.borrow());
+        assert_eq!(
+            tally.served.get(),
+            tally.sent.get(),
+            "{:?}",
+            tally.refused.borrow()
+        );
         world
     });
 }
@@ -47,7 +63,11 @@
 fn given_a_holder_killed_midway_then_another_goes_on_and_nothing_is_loaded_twice() {
     for seed in 0..3 {
         told(|| async {
-            let world = World::serving(Terms { servers: 6, ..Terms::seeded(71 + seed) }).await;
+            let world = World::serving(Terms {
+                servers: 6,
+                ..Terms::seeded(71 + seed)
+            })
+            .await;
             let tally = load::begin(&world, 6, PAUSE);
             assert!(world.operator.name_version(2).await);
             let holder = first_order(&world).await;
@@ -68,7 +88,11 @@
 fn given_a_holder_frozen_midway_when_it_wakes_then_it_orders_nothing_more() {
     for seed in 0..3 {
         told(|| async {
-            let world = World::serving(Terms { servers: 6, ..Terms::seeded(81 + seed) }).await;
+            let world = World::serving(Terms {
+                servers: 6,
+                ..Terms::seeded(81 + seed)
+            })
+            .await;
             let tally = load::begin(&world, 6, PAUSE);
             assert!(world.operator.name_version(2).await);
             let holder = first_order(&world).await;
@@ -88,7 +112,11 @@
 #[test]
 fn given_servers_replaced_and_restarted_while_weights_change_then_all_end_on_the_newest() {
     told(|| async {
-        let world = World::serving(Terms { servers: 5, ..Terms::seeded(91) }).await;
+        let world = World::serving(Terms {
+            servers: 5,
+            ..Terms::seeded(91)
+        })
+        .await;
         let tally = load::begin(&world, 8, PAUSE);
         assert!(world.operator.name_version(2).await);
         world.newest_weights.set(2);
@@ -106,8 +134,17 @@
         world.until_servers_have(3).await;
         sleep(Duration::from_secs(3)).await;
         tally.stop().await;
-        assert!(world.judge.load_counts().values().all(|n| *n == 1), "{:?}", world.judge.load_counts());
-        assert!(tally.share() > 0.97, "{} {:?}", tally.share(), tally.refused.borrow());
+        assert!(
+            world.judge.load_counts().values().all(|n| *n == 1),
+            "{:?}",
+            world.judge.load_counts()
+        );
+        assert!(
+            tally.share() > 0.97,
+            "{} {:?}",
+            tally.share(),
+            tally.refused.borrow()
+        );
         world
     });
 }
--- a/crates/sparrouter-storage/src/cellar.rs
+++ b/crates/sparrouter-storage/src/cellar.rs
@@ -48,12 +48,18 @@
         let folder = files.folder();
         // A process that died between rename and sync left a name that is seen now and gone after a loss of power:
         // it must last before anybody relies on having read it.
-        files.sync_folder().map_err(|e| CellarError::of(&folder, "sync", ".", 0, e))?;
-        let names = files.list().map_err(|e| CellarError::of(&folder, "list", ".", 0, e))?;
+        files
+            .sync_folder()
+            .map_err(|e| CellarError::of(&folder, "sync", ".", 0, e))?;
+        let names = files
+            .list()
+            .map_err(|e| CellarError::of(&folder, "list", ".", 0, e))?;
         let mut records: BTreeMap<String, Kept> = BTreeMap::new();
         let mut found: BTreeMap<String, u64> = BTreeMap::new();
         for file in names {
-            let Some((name, version, aside)) = parse(&file) else { continue };
+            let Some((name, version, aside)) = parse(&file) else {
+                continue;
+            };
             let kept = records.entry(name.to_owned()).or_default();
             kept.newest = kept.newest.max(version);
             if !aside {
@@ -65,11 +71,17 @@
         let mut values = BTreeMap::new();
         for (name, version) in found {
             let file = format!("{name}.{version}");
-            let bytes = files.read(&file).map_err(|e| CellarError::of(&folder, "read", &file, 0, e))?;
+            let bytes = files
+                .read(&file)
+                .map_err(|e| CellarError::of(&folder, "read", &file, 0, e))?;
             match frame::read(version, &bytes) {
                 frame::Opened::Good(record) => values.insert(name.clone(), record),
                 frame::Opened::Newer(format) => {
-                    return Err(CellarError::Newer { name: file, found: format, known: frame::FORMAT });
+                    return Err(CellarError::Newer {
+                        name: file,
+                        found: format,
+                        known: frame::FORMAT,
+                    });
                 }
                 frame::Opened::Damaged => return Err(CellarError::Damaged { name: file }),
             };
@@ -78,7 +90,11 @@
                 kept.good = Some(file);
             }
         }
-        let opened = if values.is_empty() { Opened::Fresh } else { Opened::Existing(values) };
+        let opened = if values.is_empty() {
+            Opened::Fresh
+        } else {
+            Opened::Existing(values)
+        };
         Ok((Cellar { files, records }, opened))
     }
 
@@ -86,12 +102,21 @@
     /// later save may succeed.
     pub fn save(&mut self, name: &str, bytes: &[u8]) -> Result<(), CellarError> {
         if !fits(name) {
-            return Err(CellarError::Name { name: name.to_owned() });
+            return Err(CellarError::Name {
+                name: name.to_owned(),
+            });
         }
         if bytes.len() > MOST {
-            return Err(CellarError::TooLarge { name: name.to_owned(), length: bytes.len(), most: MOST });
+            return Err(CellarError::TooLarge {
+                name: name.to_owned(),
+                length: bytes.len(),
+                most: MOST,
+            });
         }
-        let (files, kept) = (&mut self.files, self.records.entry(name.to_owned()).or_default());
+        let (files, kept) = (
+            &mut self.files,
+            self.records.entry(name.to_owned()).or_default(),
+        );
         // First, since on a full disk the leftovers may be what is in the way.
         sweep(files, &mut kept.stale);
         kept.newest += 1;
@@ -129,17 +154,25 @@
 
 /// What can't be removed now is tried again at the next save; it harms nothing but room.
 fn sweep<F: Files>(files: &mut F, stale: &mut Vec<String>) {
-    stale.retain(|file| files.remove(file).is_err_and(|e| e.kind() != std::io::ErrorKind::NotFound));
+    stale.retain(|file| {
+        files
+            .remove(file)
+            .is_err_and(|e| e.kind() != std::io::ErrorKind::NotFound)
+    });
 }
 
 fn fits(name: &str) -> bool {
     (1..=64).contains(&name.len())
-        && name.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'_')
+        && name
+            .bytes()
+            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'_')
 }
 
 /// Name, version and whether it was still written aside. Other files in the folder are not ours and stay.
 fn parse(file: &str) -> Option<(&str, u64, bool)> {
-    let (whole, aside) = file.strip_suffix(".tmp").map_or((file, false), |f| (f, true));
+    let (whole, aside) = file
+        .strip_suffix(".tmp")
+        .map_or((file, false), |f| (f, true));
     let (name, version) = whole.split_once('.')?;
     let plain = !version.is_empty() && version.bytes().all(|b| b.is_ascii_digit());
     (fits(name) && plain).then_some(())?;
--- a/crates/sparrouter-storage/src/frame.rs
+++ b/crates/sparrouter-storage/src/frame.rs
@@ -32,7 +32,9 @@
 }
 
 pub fn read(version: u64, bytes: &[u8]) -> Opened {
-    let Some((head, record)) = bytes.split_at_checked(HEAD) else { return Opened::Damaged };
+    let Some((head, record)) = bytes.split_at_checked(HEAD) else {
+        return Opened::Damaged;
+    };
     if head[..8] != MAGIC {
         return Opened::Damaged;
     }
@@ -41,13 +43,21 @@
     if format > FORMAT {
         return Opened::Newer(format);
     }
-    let number =
-        |from: usize, n: usize| head[from..from + n].iter().rev().fold(0u64, |x, &b| x << 8 | u64::from(b));
+    let number = |from: usize, n: usize| {
+        head[from..from + n]
+            .iter()
+            .rev()
+            .fold(0u64, |x, &b| x << 8 | u64::from(b))
+    };
     let whole = format == FORMAT
         && number(10, 8) == version
         && number(18, 4) == record.len() as u64
         && number(22, 4) == u64::from(checksum(&head[MAGIC.len()..22], record));
-    if whole { Opened::Good(record.to_vec()) } else { Opened::Damaged }
+    if whole {
+        Opened::Good(record.to_vec())
+    } else {
+        Opened::Damaged
+    }
 }
 
 fn checksum(head: &[u8], record: &[u8]) -> u32 {
--- a/crates/sparrouter-storage/src/lying.rs
+++ b/crates/sparrouter-storage/src/lying.rs
@@ -67,7 +67,9 @@
             down: false,
             rng: Rng::with_seed(seed),
         };
-        LyingFiles { disk: Arc::new(Mutex::new(disk)) }
+        LyingFiles {
+            disk: Arc::new(Mutex::new(disk)),
+        }
     }
 
     fn disk(&self) -> MutexGuard<'_, Disk> {
@@ -117,9 +119,17 @@
                 continue;
             }
             match change {
-                Name::Made(name) => drop(disk.now.get(&name).map(|&c| disk.lasting.insert(name.clone(), c))),
+                Name::Made(name) => drop(
+                    disk.now
+                        .get(&name)
+                        .map(|&c| disk.lasting.insert(name.clone(), c)),
+                ),
                 Name::Renamed(from, to) => {
-                    if let Some(content) = disk.lasting.remove(&from).or_else(|| disk.now.get(&to).copied()) {
+                    if let Some(content) = disk
+                        .lasting
+                        .remove(&from)
+                        .or_else(|| disk.now.get(&to).copied())
+                    {
                         disk.lasting.insert(to, content);
                     }
                 }
@@ -146,7 +156,9 @@
     /// Damages a lasting file: no crash does this, a failing disk may.
     pub fn damage(&self, name: &str, at: usize) {
         let mut disk = self.disk();
-        let Some(&content) = disk.now.get(name) else { return };
+        let Some(&content) = disk.now.get(name) else {
+            return;
+        };
         if let Some(content) = disk.contents.get_mut(&content)
             && let Some(byte) = content.bytes.get_mut(at)
         {
@@ -160,7 +172,13 @@
         let mut disk = self.disk();
         let content = disk.next;
         disk.next += 1;
-        disk.contents.insert(content, Content { bytes: bytes.to_vec(), synced: Some(bytes.to_vec()) });
+        disk.contents.insert(
+            content,
+            Content {
+                bytes: bytes.to_vec(),
+                synced: Some(bytes.to_vec()),
+            },
+        );
         disk.now.insert(name.to_owned(), content);
         disk.lasting.insert(name.to_owned(), content);
     }
@@ -168,7 +186,10 @@
 
 impl Disk {
     /// Runs an operation unless it is cut; one that is cut after has happened all the same.
-    fn operate<T>(&mut self, run: impl FnOnce(&mut Disk, Option<usize>) -> io::Result<T>) -> io::Result<T> {
+    fn operate<T>(
+        &mut self,
+        run: impl FnOnce(&mut Disk, Option<usize>) -> io::Result<T>,
+    ) -> io::Result<T> {
         let number = self.operations;
         self.operations += 1;
         let lost = || io::Error::other("the disk is gone");
@@ -190,7 +211,11 @@
     }
 
     fn used(&self) -> usize {
-        self.now.values().filter_map(|c| self.contents.get(c)).map(|c| c.bytes.len()).sum()
+        self.now
+            .values()
+            .filter_map(|c| self.contents.get(c))
+            .map(|c| c.bytes.len())
+            .sum()
     }
 }
 
@@ -202,14 +227,26 @@
     fn write_synced(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let mut disk = self.disk();
         let content = disk.operate(|disk, torn| {
-            let room = disk.room.map_or(usize::MAX, |room| room.saturating_sub(disk.used()));
+            let room = disk
+                .room
+                .map_or(usize::MAX, |room| room.saturating_sub(disk.used()));
             let length = torn.unwrap_or(bytes.len()).min(bytes.len()).min(room);
             let content = disk.next;
             disk.next += 1;
-            disk.contents.insert(content, Content { bytes: bytes[..length].to_vec(), synced: None });
+            disk.contents.insert(
+                content,
+                Content {
+                    bytes: bytes[..length].to_vec(),
+                    synced: None,
+                },
+            );
             disk.now.insert(name.to_owned(), content);
             disk.pending.push(Name::Made(name.to_owned()));
-            if room < bytes.len() { Err(io::ErrorKind::StorageFull.into()) } else { Ok(content) }
+            if room < bytes.len() {
+                Err(io::ErrorKind::StorageFull.into())
+            } else {
+                Ok(content)
+            }
         })?;
         disk.operate(|disk, torn| {
             if let Some(content) = disk.contents.get_mut(&content) {
@@ -226,7 +263,8 @@
         self.disk().operate(|disk, _| {
             let content = disk.now.remove(from).ok_or(io::ErrorKind::NotFound)?;
             disk.now.insert(to.to_owned(), content);
-            disk.pending.push(Name::Renamed(from.to_owned(), to.to_owned()));
+            disk.pending
+                .push(Name::Renamed(from.to_owned(), to.to_owned()));
             Ok(())
         })
     }
@@ -245,7 +283,11 @@
 
     fn read(&self, name: &str) -> io::Result<Vec<u8>> {
         let disk = self.disk();
-        let content = disk.now.get(name).and_then(|c| disk.contents.get(c)).ok_or(io::ErrorKind::NotFound)?;
+        let content = disk
+            .now
+            .get(name)
+            .and_then(|c| disk.contents.get(c))
+            .ok_or(io::ErrorKind::NotFound)?;
         Ok(content.bytes.clone())
     }
 
--- a/crates/sparrouter-storage/tests/saves.rs
+++ b/crates/sparrouter-storage/tests/saves.rs
@@ -22,7 +22,9 @@
 }
 
 fn cuts() -> impl Iterator<Item = Cut> {
-    [Cut::Before, Cut::After].into_iter().chain((0..NEW.len() + 26).map(Cut::Torn))
+    [Cut::Before, Cut::After]
+        .into_iter()
+        .chain((0..NEW.len() + 26).map(Cut::Torn))
 }
 
 #[test]
@@ -37,18 +39,26 @@
                 let saved = cellar.save("part-1", NEW).is_ok();
                 files.lose_power();
                 let found = value(files.clone(), "part-1").expect("never neither");
-                assert!(found == NEW || (found == OLD && !saved), "{nth} {cut:?} {seed}");
+                assert!(
+                    found == NEW || (found == OLD && !saved),
+                    "{nth} {cut:?} {seed}"
+                );
                 let (mut again, _) = Cellar::open(files.clone()).unwrap();
                 again.save("part-1", b"third").unwrap();
                 files.lose_power();
-                assert_eq!(value(files, "part-1").unwrap(), b"third", "{nth} {cut:?} {seed}");
+                assert_eq!(
+                    value(files, "part-1").unwrap(),
+                    b"third",
+                    "{nth} {cut:?} {seed}"
+                );
             }
         }
     }
 }
 
 #[test]
-fn given_any_crash_point_when_the_process_dies_and_power_goes_after_its_restart_then_what_it_read_stays() {
+fn given_any_crash_point_when_the_process_dies_and_power_goes_after_its_restart_then_what_it_read_stays()
+ {
     for nth in 0..operations_of_a_save() {
         for cut in cuts() {
             for seed in 0..8 {
@@ -60,14 +70,19 @@
                 files.mend();
                 let read = value(files.clone(), "part-1").unwrap();
                 files.lose_power();
-                assert_eq!(value(files, "part-1").unwrap(), read, "{nth} {cut:?} {seed}");
+                assert_eq!(
+                    value(files, "part-1").unwrap(),
+                    read,
+                    "{nth} {cut:?} {seed}"
+                );
             }
         }
     }
 }
 
 #[test]
-fn given_any_crash_point_of_the_first_save_when_power_is_lost_then_nothing_or_the_record_is_there() {
+fn given_any_crash_point_of_the_first_save_when_power_is_lost_then_nothing_or_the_record_is_there()
+{
     for nth in 0..4 {
         for cut in cuts() {
             for seed in 0..8 {
@@ -78,7 +93,10 @@
                 let saved = cellar.save("disk", NEW).is_ok();
                 files.lose_power();
                 let found = value(files, "disk");
-                assert!(found.as_deref() == Some(NEW) || (found.is_none() && !saved), "{nth} {cut:?} {seed}");
+                assert!(
+                    found.as_deref() == Some(NEW) || (found.is_none() && !saved),
+                    "{nth} {cut:?} {seed}"
+                );
             }
         }
     }
@@ -109,7 +127,12 @@
     files.set_room(Some(60));
     let error = cellar.save("part-1", NEW).unwrap_err();
     assert!(matches!(error, CellarError::Full { .. }), "{error:?}");
-    assert!(error.to_string().contains("data directory is full: free 59 bytes"), "{error}");
+    assert!(
+        error
+            .to_string()
+            .contains("data directory is full: free 59 bytes"),
+        "{error}"
+    );
     assert_eq!(value(files.clone(), "part-1").unwrap(), OLD);
     for _ in 0..100 {
         cellar.save("part-1", NEW).unwrap_err();
@@ -135,7 +158,13 @@
         }
         files.damage("part-1.2", at);
         let error = Cellar::open(files.clone()).unwrap_err();
-        assert!(matches!(error, CellarError::Damaged { .. } | CellarError::Newer { .. }), "{at} {error:?}");
+        assert!(
+            matches!(
+                error,
+                CellarError::Damaged { .. } | CellarError::Newer { .. }
+            ),
+            "{at} {error:?}"
+        );
         files.damage("part-1.2", at);
     }
     assert_eq!(value(files, "part-1").unwrap(), NEW);
@@ -163,15 +192,28 @@
     bytes[8] = 2;
     files.put("part-1.1", &bytes);
     let error = Cellar::open(files).unwrap_err();
-    assert!(matches!(error, CellarError::Newer { found: 2, known: 1, .. }));
-    assert!(error.to_string().contains("start that release again"), "{error}");
+    assert!(matches!(
+        error,
+        CellarError::Newer {
+            found: 2,
+            known: 1,
+            ..
+        }
+    ));
+    assert!(
+        error.to_string().contains("start that release again"),
+        "{error}"
+    );
 }
 
 #[test]
 fn given_names_that_could_leave_the_folder_when_saved_then_they_are_refused() {
     let (mut cellar, _) = Cellar::open(LyingFiles::new(1)).unwrap();
     for name in ["", "..", "a/b", "a.b", "A", &"x".repeat(65)] {
-        assert!(matches!(cellar.save(name, OLD), Err(CellarError::Name { .. })), "{name}");
+        assert!(
+            matches!(cellar.save(name, OLD), Err(CellarError::Name { .. })),
+            "{name}"
+        );
     }
 }
 
@@ -186,6 +228,11 @@
         cellar.save("disk", &[round]).unwrap();
     }
     let (_, opened) = Cellar::open(RealFiles::open(&path).unwrap()).unwrap();
-    assert!(matches!(opened, Opened::Existing(ref r) if r["part-1"] == [4; 100] && r["disk"] == [4]));
-    assert_eq!(RealFiles::open(&path).unwrap().list().unwrap(), ["disk.5", "part-1.5"]);
+    assert!(
+        matches!(opened, Opened::Existing(ref r) if r["part-1"] == [4; 100] && r["disk"] == [4])
+    );
+    assert_eq!(
+        RealFiles::open(&path).unwrap().list().unwrap(),
+        ["disk.5", "part-1.5"]
+    );
 }
