--- a/crates/sparrouter-consensus/src/acceptor.rs
+++ b/crates/sparrouter-consensus/src/acceptor.rs
@@ -7,7 +7,7 @@
 //! that no record means no vote under this id. A wiped or damaged folder gets another id, and is in no group.
 use crate::message::{Message, Reason};
 use crate::settings::Settings;
-use crate::types::{At, Ballot, Member, Record, Shared};
+use crate::types::{Ballot, Member, Record, SharedVote, VoteId};
 use crate::{MILLISECOND, Nanos};
 
 /// Answers held for one store; more are dropped, as if lost on the way.
@@ -24,7 +24,7 @@
 pub struct Acceptor {
     record: Record,
     /// The newest vote that is on disk.
-    lasting: Option<Shared>,
+    lasting: Option<SharedVote>,
     /// Counts changes of the record; those up to `stored` are on disk.
     version: u64,
     stored: u64,
@@ -39,7 +39,7 @@
 struct UnderWay {
     token: u64,
     version: u64,
-    vote: Option<Shared>,
+    vote: Option<SharedVote>,
 }
 
 impl Acceptor {
@@ -58,7 +58,7 @@
     }
 
     /// The newest vote, on disk or about to be.
-    pub fn accepted(&self) -> Option<&Shared> {
+    pub fn accepted(&self) -> Option<&SharedVote> {
         self.record.accepted.as_ref()
     }
 
@@ -67,7 +67,7 @@
     }
 
     /// The newest vote on disk.
-    pub fn lasting(&self) -> Option<&Shared> {
+    pub fn lasting(&self) -> Option<&SharedVote> {
         self.lasting.as_ref()
     }
 
@@ -75,7 +75,7 @@
         &mut self,
         from: &Member,
         ballot: Ballot,
-        known: Option<At>,
+        known: Option<VoteId>,
         settings: &Settings,
     ) {
         if ballot < self.record.promised {
@@ -95,7 +95,7 @@
         self.hold(from, Message::Promise { ballot, at, newer });
     }
 
-    pub fn accept(&mut self, from: &Member, vote: Shared, settings: &Settings) {
+    pub fn accept(&mut self, from: &Member, vote: SharedVote, settings: &Settings) {
         if vote.state.body.len() > settings.most_body {
             return self.reject(from, vote.ballot, Reason::Disk);
         }
@@ -114,7 +114,7 @@
     }
 
     /// Takes over a chosen vote: no promise stands against it, since every later ballot finds it.
-    pub fn learn(&mut self, vote: &Shared) {
+    pub fn learn(&mut self, vote: &SharedVote) {
         if self.accepted().is_none_or(|mine| vote.at() > mine.at()) {
             self.record.promised = self.record.promised.max(vote.ballot);
             self.record.accepted = Some(vote.clone());
@@ -129,7 +129,7 @@
         }
     }
 
-    pub fn query(&mut self, from: &Member, nonce: u64, known: Option<At>) {
+    pub fn query(&mut self, from: &Member, nonce: u64, known: Option<VoteId>) {
         let at = self.lasting().map(|v| v.at());
         let newer = self
             .lasting()
--- a/crates/sparrouter-consensus/src/judge.rs
+++ b/crates/sparrouter-consensus/src/evaluation.rs
@@ -56,7 +56,7 @@
 }
 
 /// `from` is chosen. A change of the group goes alone, as the two of a slot's groups differ by that change only.
-pub(crate) fn judge<M: Machine>(
+pub(crate) fn evaluate<M: Machine>(
     machine: &M,
     operations: &[Operation],
     from: &Vote,
--- a/crates/sparrouter-consensus/src/learner.rs
+++ b/crates/sparrouter-consensus/src/learner.rs
@@ -1,14 +1,14 @@
 //! What is known to be chosen: published once, in rising order, and handed to members that missed it.
 use crate::message::Message;
 use crate::quorum::majority;
-use crate::types::{At, Shared};
+use crate::types::{SharedVote, VoteId};
 use std::collections::BTreeMap;
 
 #[derive(Debug)]
 pub struct Learner {
     /// This node's disk.
     me: u64,
-    chosen: Option<Shared>,
+    chosen: Option<SharedVote>,
     /// The first slot known whose group is without this node, since it last was in one.
     out_since: Option<u64>,
     /// Up to which slot members of the newest group keep what is chosen.
@@ -28,7 +28,7 @@
         }
     }
 
-    pub fn chosen(&self) -> Option<&Shared> {
+    pub fn chosen(&self) -> Option<&SharedVote> {
         self.chosen.as_ref()
     }
 
@@ -42,7 +42,7 @@
 
     /// Whether this vote, known to be chosen, is news. A slot is published once, by whichever ballot came first: they
     /// hold one value.
-    pub fn learn(&mut self, vote: &Shared) -> bool {
+    pub fn learn(&mut self, vote: &SharedVote) -> bool {
         let mine = self.chosen.as_deref();
         let other = mine.is_some_and(|m| {
             m.state.seq == vote.state.seq && m.state.origins != vote.state.origins
@@ -82,7 +82,7 @@
     }
 
     /// What to send to a node that has `at` and knows slots up to `chosen`, if this one knows more.
-    pub fn hand_over(&self, at: Option<At>, chosen: Option<u64>) -> Option<Message> {
+    pub fn hand_over(&self, at: Option<VoteId>, chosen: Option<u64>) -> Option<Message> {
         let mine = self
             .chosen
             .as_ref()
--- a/crates/sparrouter-consensus/src/lib.rs
+++ b/crates/sparrouter-consensus/src/lib.rs
@@ -7,7 +7,7 @@
 //! `types` (members, ballots, states), `codec` and `message` (bytes), `settings`, `quorum`, `acceptor` (promises and
 //! votes, durable before they are told), `learner` (what is known chosen, and handing it over), `operation` (callers'
 //! calls and what became of them), `judge` (changes put on a chosen state), `proposer` (rounds), `register` (the
-//! doors), `upkeep` (who belongs to the group), `owner` (whom to ask first), `machine` (what a change means), `lease`
+//! doors), `reconfiguration` (who belongs to the group), `owner` (whom to ask first), `machine` (what a change means), `lease`
 //! (fencing tokens).
 //!
 //! Sources: Lamport, "Paxos made simple", 2001; Rystsov, "CASPaxos: replicated state machines without logs", 2018;
@@ -15,7 +15,7 @@
 //! Ousterhout, "In search of an understandable consensus algorithm", USENIX ATC 2014.
 pub mod acceptor;
 pub mod codec;
-mod judge;
+mod evaluation;
 pub mod learner;
 pub mod lease;
 pub mod machine;
@@ -24,20 +24,20 @@
 pub mod owner;
 mod proposer;
 pub mod quorum;
+pub mod reconfiguration;
 pub mod register;
 pub mod settings;
 pub mod types;
-pub mod upkeep;
 
 pub use lease::Leases;
 pub use machine::{Applied, Machine};
 pub use message::Message;
 pub use operation::{Outcome, Refused};
 pub use owner::owner;
+pub use reconfiguration::NodeObservation;
 pub use register::{Action, Register, RegisterError};
 pub use settings::{Defects, Settings};
-pub use types::{At, Ballot, Member, Record, Shared, State, Vote};
-pub use upkeep::Seen;
+pub use types::{Ballot, Member, Record, SharedVote, State, Vote, VoteId};
 
 /// Of a steady clock.
 pub type Nanos = u64;
--- a/crates/sparrouter-consensus/src/message.rs
+++ b/crates/sparrouter-consensus/src/message.rs
@@ -1,7 +1,7 @@
 //! What nodes say to each other about one part. Each is a copy of state: lost, late, repeated or out of order, none
 //! does harm.
 use crate::codec::{self, CodecError};
-use crate::types::{At, Ballot, Shared};
+use crate::types::{Ballot, SharedVote, VoteId};
 use nanoserde::{DeBin, SerBin};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -17,20 +17,20 @@
     /// `known`: the newest vote that the proposer has, which need not be sent to it.
     Prepare {
         ballot: Ballot,
-        known: Option<At>,
+        known: Option<VoteId>,
     },
     /// The acceptor takes no lower ballot from now on. `at` is its newest vote, `newer` that vote if it is above
     /// `known`.
     Promise {
         ballot: Ballot,
-        at: Option<At>,
-        newer: Option<Shared>,
+        at: Option<VoteId>,
+        newer: Option<SharedVote>,
     },
     Accept {
-        vote: Shared,
+        vote: SharedVote,
     },
     Accepted {
-        at: At,
+        at: VoteId,
     },
     /// No to `ballot`; `promised` is what outran it.
     Reject {
@@ -41,21 +41,21 @@
     /// What is your newest vote on disk? Promises nothing. `nonce` ties the answer to this very question.
     Query {
         nonce: u64,
-        known: Option<At>,
+        known: Option<VoteId>,
     },
     Report {
         nonce: u64,
         promised: Ballot,
-        at: Option<At>,
-        newer: Option<Shared>,
+        at: Option<VoteId>,
+        newer: Option<SharedVote>,
     },
     /// This vote is chosen; who has it may publish it.
     Chosen {
-        at: At,
+        at: VoteId,
     },
     /// What I have and the newest slot that I know to be chosen: whoever knows more hands it over.
     Have {
-        at: Option<At>,
+        at: Option<VoteId>,
         chosen: Option<u64>,
     },
     /// To one outside my group: up to this slot my disk keeps what is chosen, without a group before. Never answered,
@@ -65,7 +65,7 @@
     },
     /// A chosen vote, whole.
     Learn {
-        vote: Shared,
+        vote: SharedVote,
     },
 }
 
--- a/crates/sparrouter-consensus/src/operation.rs
+++ b/crates/sparrouter-consensus/src/operation.rs
@@ -28,7 +28,7 @@
 pub(crate) enum Kind {
     Change(Vec<u8>),
     Read,
-    /// Upkeep: from this group, by disks, to that one.
+    /// Reconfiguration: from this group, by disks, to that one.
     Members {
         from: Vec<u64>,
         to: Vec<Member>,
--- a/crates/sparrouter-consensus/src/proposer.rs
+++ b/crates/sparrouter-consensus/src/proposer.rs
@@ -10,13 +10,13 @@
 //! Who leads proposes the next slot without preparing: a majority of its group has just voted under this ballot, and
 //! can hold nothing newer.
 use crate::Nanos;
-use crate::judge::{self, Fate, Judged};
+use crate::evaluation::{self, Fate, Judged};
 use crate::machine::Machine;
 use crate::message::Message;
 use crate::operation::{Operation, Outcome, Refused, Sent};
 use crate::quorum::reached;
 use crate::register::Register;
-use crate::types::{At, Ballot, Member, Shared};
+use crate::types::{Ballot, Member, SharedVote, VoteId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Queries that find no agreement before a ballot is taken: mostly a vote is just under way.
@@ -29,7 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Lead {
     pub ballot: Ballot,
-    pub chosen: Shared,
+    pub chosen: SharedVote,
     /// Step at which the round that proved it began: calls older than that may be answered by it.
     pub proved: u64,
 }
@@ -53,12 +53,12 @@
     goal: Goal,
     step: u64,
     asked: Vec<Member>,
-    heard: BTreeMap<u64, Option<At>>,
+    heard: BTreeMap<u64, Option<VoteId>>,
     refused: BTreeSet<u64>,
     /// The newest vote seen, or the one proposed.
-    vote: Shared,
+    vote: SharedVote,
     /// Further votes seen by a query.
-    seen: Vec<Shared>,
+    seen: Vec<SharedVote>,
     began: Nanos,
     repeats: u32,
     repeat_at: Nanos,
@@ -127,7 +127,7 @@
         let Some(lead) = self.lead.take() else { return };
         self.settle_fates(&lead.chosen);
         let origin = self.rng.u64(1..);
-        let batch = judge::judge(
+        let batch = evaluation::evaluate(
             &self.machine,
             &self.operations,
             &lead.chosen,
@@ -159,11 +159,11 @@
     }
 
     /// Ends the calls whose proposals were chosen, or can't be told any more.
-    fn settle_fates(&mut self, chosen: &Shared) {
+    fn settle_fates(&mut self, chosen: &SharedVote) {
         let mut ended = Vec::new();
         let settings = &self.settings;
         self.operations.retain_mut(|operation| {
-            match judge::fate(operation, &chosen.state, settings) {
+            match evaluation::fate(operation, &chosen.state, settings) {
                 Fate::Waits => true,
                 Fate::Chosen(answer) => {
                     ended.push((operation.id, Outcome::Answered(answer)));
@@ -189,7 +189,7 @@
         }
     }
 
-    fn begin(&mut self, goal: Goal, vote: Shared, now: Nanos) {
+    fn begin(&mut self, goal: Goal, vote: SharedVote, now: Nanos) {
         let step = self.next_step();
         let asked = vote.electorate();
         let round = Round {
@@ -210,12 +210,12 @@
         self.phase = Phase::Round(round);
     }
 
-    fn query(&mut self, tries: u32, vote: Shared, now: Nanos) {
+    fn query(&mut self, tries: u32, vote: SharedVote, now: Nanos) {
         let nonce = self.rng.u64(..);
         self.begin(Goal::Query { nonce, tries }, vote, now);
     }
 
-    fn prepare(&mut self, vote: Shared, now: Nanos) {
+    fn prepare(&mut self, vote: SharedVote, now: Nanos) {
         self.lead = None;
         self.round += 1;
         let ballot = match self.settings.defects.ballots_shared {
@@ -233,7 +233,7 @@
         self.begin(Goal::Prepare { ballot }, vote, now);
     }
 
-    fn accept(&mut self, vote: Shared, judged: Vec<Judged>, now: Nanos) {
+    fn accept(&mut self, vote: SharedVote, judged: Vec<Judged>, now: Nanos) {
         if self.settings.defects.answer_unchosen {
             for judged in &judged {
                 if let Some(operation) = self.operations.iter_mut().find(|o| o.step == judged.step)
@@ -264,8 +264,8 @@
     fn hear(
         &mut self,
         from: &Member,
-        at: Option<At>,
-        newer: Option<Shared>,
+        at: Option<VoteId>,
+        newer: Option<SharedVote>,
         now: Nanos,
         fits: impl Fn(&Round) -> bool,
     ) -> bool {
@@ -292,7 +292,7 @@
     }
 
     /// A newer vote in a round that asks: whoever has a say in it is asked too.
-    fn take_up(&mut self, vote: Shared) {
+    fn take_up(&mut self, vote: SharedVote) {
         let Phase::Round(round) = &mut self.phase else {
             return;
         };
@@ -310,7 +310,7 @@
 
     /// A vote became known as chosen while a round goes on: it may have been held up by a group that has no say now,
     /// or ask for votes at a slot that is gone.
-    pub(crate) fn round_learns(&mut self, vote: &Shared, now: Nanos) {
+    pub(crate) fn round_learns(&mut self, vote: &SharedVote, now: Nanos) {
         let Phase::Round(round) = &self.phase else {
             return;
         };
@@ -335,8 +335,8 @@
         &mut self,
         from: Member,
         nonce: u64,
-        at: Option<At>,
-        newer: Option<Shared>,
+        at: Option<VoteId>,
+        newer: Option<SharedVote>,
         now: Nanos,
     ) {
         let fits = |r: &Round| matches!(r.goal, Goal::Query { nonce: n, .. } if n == nonce);
@@ -350,7 +350,7 @@
         let Phase::Round(round) = &mut self.phase else {
             return;
         };
-        let agreed = |v: &&Shared| {
+        let agreed = |v: &&SharedVote| {
             reached(
                 v,
                 |d| round.heard.get(&d) == Some(&Some(v.at())),
@@ -408,8 +408,8 @@
         &mut self,
         from: Member,
         ballot: Ballot,
-        at: Option<At>,
-        newer: Option<Shared>,
+        at: Option<VoteId>,
+        newer: Option<SharedVote>,
         now: Nanos,
     ) {
         let fits = |r: &Round| matches!(r.goal, Goal::Prepare { ballot: b } if b == ballot);
@@ -454,7 +454,7 @@
         }
     }
 
-    pub(crate) fn accepted(&mut self, from: Member, at: At, now: Nanos) {
+    pub(crate) fn accepted(&mut self, from: Member, at: VoteId, now: Nanos) {
         let fits = |r: &Round| matches!(r.goal, Goal::Accept { .. }) && r.vote.at() == at;
         if !self.hear(&from, Some(at), None, now, fits) {
             return;
--- a/crates/sparrouter-consensus/src/upkeep.rs
+++ b/crates/sparrouter-consensus/src/reconfiguration.rs
@@ -16,7 +16,7 @@
 
 /// A node as discovery has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Seen {
+pub struct NodeObservation {
     pub member: Member,
     /// Whether it may belong to a group.
     pub counted: bool,
@@ -26,20 +26,20 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Upkeep {
+pub struct Reconfiguration {
     wanted: Option<(Vec<Member>, Nanos)>,
     /// First look: who was not heard of then may only not have spoken yet.
     first: Option<Nanos>,
 }
 
-impl Upkeep {
+impl Reconfiguration {
     /// The group to propose now, if it is this node's turn.
     pub fn decide(
         &mut self,
         part: u16,
         me: &Member,
         state: &State,
-        seen: &[Seen],
+        seen: &[NodeObservation],
         settings: &Settings,
         now: Nanos,
     ) -> Option<Vec<Member>> {
@@ -82,13 +82,13 @@
 struct View<'a> {
     me: &'a Member,
     state: &'a State,
-    seen: &'a [Seen],
+    seen: &'a [NodeObservation],
     contact: Nanos,
     looking: Nanos,
 }
 
 impl View<'_> {
-    fn find(&self, member: &Member) -> Option<&Seen> {
+    fn find(&self, member: &Member) -> Option<&NodeObservation> {
         self.seen.iter().find(|s| s.member.disk == member.disk)
     }
 
@@ -115,9 +115,10 @@
 
     /// Counted nodes outside the group, in the order in which the part would take them.
     fn waiting(&self, part: u16) -> Vec<Member> {
-        let outside = |s: &&Seen| self.state.members.iter().all(|m| m.disk != s.member.disk);
+        let outside =
+            |s: &&NodeObservation| self.state.members.iter().all(|m| m.disk != s.member.disk);
         // Word of a disk that was wiped may go round longer than the disk lived.
-        let newest = |s: &&Seen| {
+        let newest = |s: &&NodeObservation| {
             let same = self
                 .state
                 .members
--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -7,9 +7,9 @@
 use crate::message::Message;
 use crate::operation::{Kind, Operation, Outcome, Refused};
 use crate::proposer::{Lead, Phase};
+use crate::reconfiguration::{NodeObservation, Reconfiguration};
 use crate::settings::Settings;
-use crate::types::{Ballot, Member, Record, Shared, State, Vote};
-use crate::upkeep::{Seen, Upkeep};
+use crate::types::{Ballot, Member, Record, SharedVote, State, Vote};
 use fastrand::Rng;
 use std::collections::VecDeque;
 
@@ -67,7 +67,7 @@
     /// Some live node, in the group or not, by the last look around.
     stranger: Option<Member>,
     settle_at: Option<Nanos>,
-    upkeep: Upkeep,
+    reconfiguration: Reconfiguration,
 }
 
 impl<M: Machine> Register<M> {
@@ -114,7 +114,7 @@
             exchange_at,
             stranger: None,
             settle_at: None,
-            upkeep: Upkeep::default(),
+            reconfiguration: Reconfiguration::default(),
             settings,
         })
     }
@@ -148,7 +148,7 @@
         self.members().iter().any(|m| m.disk == self.me.disk)
     }
 
-    pub(crate) fn newest(&self) -> Option<&Shared> {
+    pub(crate) fn newest(&self) -> Option<&SharedVote> {
         self.acceptor.accepted()
     }
 
@@ -240,8 +240,8 @@
     }
 
     /// Looks at who is there, and changes the group by at most one member; call it at each news and now and then.
-    pub fn tend(&mut self, seen: &[Seen], now: Nanos) {
-        let live = |s: &&Seen| {
+    pub fn tend(&mut self, seen: &[NodeObservation], now: Nanos) {
+        let live = |s: &&NodeObservation| {
             s.member.disk != self.me.disk && s.heard.is_some_and(|h| h < self.settings.contact)
         };
         let count = seen.iter().filter(live).count();
@@ -258,7 +258,7 @@
             .operations
             .iter()
             .any(|o| matches!(o.kind, Kind::Members { .. }));
-        let to = self.upkeep.decide(
+        let to = self.reconfiguration.decide(
             self.part,
             &self.me,
             &chosen.state,
@@ -395,7 +395,7 @@
     }
 
     /// This vote is known to be chosen. Gives it without the group before, which has no more say and may be gone.
-    pub(crate) fn publish(&mut self, vote: &Shared, now: Nanos) -> Shared {
+    pub(crate) fn publish(&mut self, vote: &SharedVote, now: Nanos) -> SharedVote {
         let vote = match vote.before {
             Some(_) => Vote {
                 before: None,
--- a/crates/sparrouter-consensus/src/types.rs
+++ b/crates/sparrouter-consensus/src/types.rs
@@ -30,7 +30,7 @@
 
 /// Which vote: by slot, then ballot. Equal ones are one vote, of one value.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
-pub struct At {
+pub struct VoteId {
     pub seq: u64,
     pub ballot: Ballot,
 }
@@ -41,7 +41,7 @@
     pub seq: u64,
     /// The group that governs slot `seq + 1`.
     pub members: Vec<Member>,
-    /// Size of the first group: upkeep shrinks no group below it.
+    /// Size of the first group: reconfiguration shrinks no group below it.
     pub founding: u8,
     /// Random numbers of the proposals that made the last slots, newest first: by them a proposer that was cut off
     /// learns whether its own was chosen after all.
@@ -59,8 +59,8 @@
 }
 
 impl Vote {
-    pub fn at(&self) -> At {
-        At {
+    pub fn at(&self) -> VoteId {
+        VoteId {
             seq: self.state.seq,
             ballot: self.ballot,
         }
@@ -85,18 +85,18 @@
 
 /// A vote held by several at once: bodies are large, and most messages and records hold the same one.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Shared(pub Arc<Vote>);
+pub struct SharedVote(pub Arc<Vote>);
 
-impl Deref for Shared {
+impl Deref for SharedVote {
     type Target = Vote;
     fn deref(&self) -> &Vote {
         &self.0
     }
 }
 
-impl From<Vote> for Shared {
-    fn from(vote: Vote) -> Shared {
-        Shared(Arc::new(vote))
+impl From<Vote> for SharedVote {
+    fn from(vote: Vote) -> SharedVote {
+        SharedVote(Arc::new(vote))
     }
 }
 
@@ -104,7 +104,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct Record {
     pub promised: Ballot,
-    pub accepted: Option<Shared>,
+    pub accepted: Option<SharedVote>,
 }
 
 impl Record {
@@ -195,14 +195,14 @@
     }
 }
 
-impl SerBin for Shared {
+impl SerBin for SharedVote {
     fn ser_bin(&self, out: &mut Vec<u8>) {
         self.0.ser_bin(out);
     }
 }
 
-impl DeBin for Shared {
-    fn de_bin(at: &mut usize, input: &[u8]) -> Result<Shared, DeBinErr> {
+impl DeBin for SharedVote {
+    fn de_bin(at: &mut usize, input: &[u8]) -> Result<SharedVote, DeBinErr> {
         Ok(Vote::de_bin(at, input)?.into())
     }
 }
--- a/crates/sparrouter-consensus/tests/fleet/weather.rs
+++ b/crates/sparrouter-consensus/tests/fleet/faults.rs
@@ -1,7 +1,7 @@
 //! Faults by seed: losses of power and disks, cuts, freezes, disks in trouble, machines replaced.
 use super::{CONTACT, Event, Fleet, MILLISECOND, Nanos, Node};
-use sparrouter_consensus::{Record, Shared};
-use sparrouter_storage::{Cellar, Opened};
+use sparrouter_consensus::{Record, SharedVote};
+use sparrouter_storage::{Opened, Store};
 
 /// A machine that lost its disk still counts as lost for so long.
 const CATCH_UP: Nanos = 4 * CONTACT;
@@ -223,8 +223,8 @@
         dead.len() < (self.founding - 1) / 2
     }
 
-    fn vote_on_disk(&self, node: &Node) -> Option<Shared> {
-        let (_, opened) = Cellar::open(node.files.clone()).ok()?;
+    fn vote_on_disk(&self, node: &Node) -> Option<SharedVote> {
+        let (_, opened) = Store::open(node.files.clone()).ok()?;
         let Opened::Existing(records) = opened else {
             return None;
         };
@@ -257,7 +257,7 @@
         self.log(|| format!("wipe {node}"));
         let ran = self.nodes[node].register.take().is_some();
         self.nodes[node].files.wipe();
-        self.nodes[node].cellar = None;
+        self.nodes[node].store = None;
         self.lost.push((self.nodes[node].member.disk, self.now));
         // From now on nobody has this disk any more, also while its machine is down.
         if !self.defects.wiped_keeps_id {
--- a/crates/sparrouter-consensus/tests/fleet/mod.rs
+++ b/crates/sparrouter-consensus/tests/fleet/mod.rs
@@ -1,22 +1,24 @@
 //! Many registers of one part under one seeded scheduler: the real cores, the real codec, files that lie.
 #![allow(dead_code)]
 pub mod clients;
+pub mod faults;
 pub mod judge;
 pub mod machine;
 pub mod planted;
-pub mod weather;
 
 use clients::{Call, Client};
 use fastrand::Rng;
+pub use faults::Weather;
+use faults::{Disk, Net};
 use judge::Judge;
 use machine::{Config, Configs};
-use sparrouter_consensus::{Action, Defects, Member, Message, Record, Register, Seen, Settings};
+use sparrouter_consensus::{
+    Action, Defects, Member, Message, NodeObservation, Record, Register, Settings,
+};
 pub use sparrouter_consensus::{MILLISECOND, Nanos, SECOND};
-use sparrouter_storage::{Cellar, LyingFiles, Opened, lying::Cut};
+use sparrouter_storage::{LyingFiles, Opened, Store, lying::Cut};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-pub use weather::Weather;
-use weather::{Disk, Net};
 
 const PART: u16 = 7;
 const CONTACT: Nanos = 600 * MILLISECOND;
@@ -81,7 +83,7 @@
 pub struct Node {
     pub member: Member,
     pub files: LyingFiles,
-    pub cellar: Option<Cellar<LyingFiles>>,
+    pub store: Option<Store<LyingFiles>>,
     pub register: Option<Register<Configs>>,
     pub life: u64,
     pub saving: Option<Vec<u8>>,
@@ -194,11 +196,11 @@
         let group: Vec<Member> = fleet.nodes.iter().map(|n| n.member.clone()).collect();
         let first = Record::found(group, Config::default().encode()).encode();
         for node in 0..plan.nodes {
-            let (mut cellar, _) = Cellar::open(fleet.nodes[node].files.clone()).unwrap();
-            cellar
+            let (mut store, _) = Store::open(fleet.nodes[node].files.clone()).unwrap();
+            store
                 .save("disk", &fleet.nodes[node].member.disk.to_le_bytes())
                 .unwrap();
-            cellar.save("part-7", &first).unwrap();
+            store.save("part-7", &first).unwrap();
             let late = fleet.rng.u64(..300) * MILLISECOND;
             fleet.at(late, Event::Start { node });
         }
@@ -220,7 +222,7 @@
         self.nodes.push(Node {
             member,
             files: LyingFiles::new(self.rng.u64(..)),
-            cellar: None,
+            store: None,
             register: None,
             life: 0,
             saving: None,
@@ -241,7 +243,7 @@
         self.all_work("after the storm")?;
         // The last loss, just after a change was acknowledged in bad weather: as many disks as a majority can spare,
         // while all others lose power.
-        self.net = weather::Net {
+        self.net = faults::Net {
             loss: 80,
             repeat: 20,
             stray: 0,
@@ -425,14 +427,13 @@
         if it.gone || it.register.is_some() {
             return;
         }
-        let (mut cellar, opened) =
-            Cellar::open(it.files.clone()).expect("no crash damages a record");
+        let (mut store, opened) = Store::open(it.files.clone()).expect("no crash damages a record");
         let mut records = match opened {
             Opened::Fresh => {
                 if it.member.disk == 0 || !self.defects.wiped_keeps_id {
                     it.member.disk = disk;
                 }
-                cellar
+                store
                     .save("disk", &it.member.disk.to_le_bytes())
                     .expect("the disk is well at a start");
                 BTreeMap::new()
@@ -451,7 +452,7 @@
         let register = Register::new(PART, me, record.as_deref(), Configs, rng, settings, now)
             .expect("a good record");
         it.register = Some(register);
-        it.cellar = Some(cellar);
+        it.store = Some(store);
         it.life += 1;
         it.published = None;
         it.saving = None;
@@ -464,7 +465,7 @@
     fn save(&mut self, node: usize, life: u64, token: u64, bytes: Vec<u8>) {
         let (now, chance) = (self.now, self.rng.u64(..));
         let it = &mut self.nodes[node];
-        let (Some(register), Some(cellar)) = (&mut it.register, &mut it.cellar) else {
+        let (Some(register), Some(store)) = (&mut it.register, &mut it.store) else {
             return;
         };
         if it.life != life {
@@ -483,7 +484,7 @@
             Disk::Full => it.files.set_room(Some(bytes.len() * 2)),
             _ => {}
         }
-        let ok = cellar.save("part-7", &bytes).is_ok();
+        let ok = store.save("part-7", &bytes).is_ok();
         it.files.mend();
         it.files.set_room(None);
         it.saving = None;
@@ -497,10 +498,10 @@
         let (nth, cut) = (self.rng.u64(..6), self.rng.usize(..3));
         let torn = self.rng.usize(..200);
         let it = &mut self.nodes[node];
-        if let (Some(bytes), Some(mut cellar)) = (it.saving.take(), it.cellar.take()) {
+        if let (Some(bytes), Some(mut store)) = (it.saving.take(), it.store.take()) {
             it.files
                 .cut_at(nth, [Cut::Before, Cut::After, Cut::Torn(torn)][cut]);
-            let _ = cellar.save("part-7", &bytes);
+            let _ = store.save("part-7", &bytes);
         }
     }
 
@@ -612,10 +613,10 @@
                 .map(|n| n.member.disk)
                 .collect();
             let it = &mut self.nodes[node];
-            let seen: Vec<Seen> = it
+            let seen: Vec<NodeObservation> = it
                 .heard
                 .values()
-                .map(|(member, at)| Seen {
+                .map(|(member, at)| NodeObservation {
                     member: member.clone(),
                     counted: true,
                     heard: Some(now - at),
--- a/crates/sparrouter-consensus/tests/doors.rs
+++ b/crates/sparrouter-consensus/tests/register.rs
@@ -47,15 +47,15 @@
 }
 
 #[derive(Default)]
-struct Seen {
+struct NodeObservation {
     done: Vec<(u64, Outcome)>,
     chosen: Vec<u64>,
     stores: usize,
 }
 
 /// Carries all there is between the nodes until nothing is left; nodes that are missing here hear nothing.
-fn carry(nodes: &mut [Register<Swap>], now: u64) -> Seen {
-    let mut seen = Seen::default();
+fn carry(nodes: &mut [Register<Swap>], now: u64) -> NodeObservation {
+    let mut seen = NodeObservation::default();
     loop {
         let mut quiet = true;
         let mut mail: VecDeque<(Member, Member, Message)> = VecDeque::new();
--- a/crates/sparrouter-fleet-lab/src/machine.rs
+++ b/crates/sparrouter-fleet-lab/src/machine.rs
@@ -181,7 +181,7 @@
             .is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
-    /// What it wrote so far, dumps of its ring.
+    /// What it wrote so far, dumps of its log_buffer.
     pub fn words(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/crates/sparrouter-fleet/src/statute.rs
+++ b/crates/sparrouter-fleet/src/configuration_state.rs
@@ -24,7 +24,7 @@
 
 /// The body of the part.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
-pub struct Statute {
+pub struct ConfigurationState {
     pub version: u64,
     pub text: String,
     pub taken: Seq<Taken>,
@@ -68,10 +68,10 @@
     }
 }
 
-impl Statute {
-    pub fn read(body: &[u8]) -> Option<Statute> {
+impl ConfigurationState {
+    pub fn read(body: &[u8]) -> Option<ConfigurationState> {
         if body.is_empty() {
-            Some(Statute::default())
+            Some(ConfigurationState::default())
         } else {
             sparrouter_codec::read(body)
         }
@@ -127,12 +127,12 @@
 }
 
 /// The machine of the configuration's part.
-pub struct Statutes;
+pub struct ConfigurationMachine;
 
-impl Machine for Statutes {
+impl Machine for ConfigurationMachine {
     fn apply(&self, body: &[u8], change: &[u8]) -> Applied {
         let unchanged = |v: Verdict| Applied::Unchanged { answer: v.encode() };
-        let Some(before) = Statute::read(body) else {
+        let Some(before) = ConfigurationState::read(body) else {
             return unchanged(Verdict::new(
                 500,
                 "the part's body is of another release: bring all nodes to one",
--- a/crates/sparrouter-fleet/src/control.rs
+++ b/crates/sparrouter-fleet/src/control.rs
@@ -10,11 +10,11 @@
 pub use groups::found;
 
 use crate::boot::nanos;
-use crate::disk::{Kept, Save, Saves, Stock};
+use crate::configuration_state::{ConfigurationMachine, ConfigurationState};
+use crate::disk::{DiskContents, Kept, Save, Saves};
 use crate::node::Node;
 use crate::planted::{self, Defect};
-use crate::statute::{Statute, Statutes};
-use crate::wire::{Call, ConfigTold, ModelTold, TextTold};
+use crate::wire::{Call, ConfigUpdate, ModelUpdate, TextUpdate};
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Settings,
@@ -29,21 +29,21 @@
 
 /// The configuration's part, and how many parts the services' duties are cut into.
 pub const CONFIG: u16 = 0;
-pub const DUTY_PARTS: u16 = 4;
+pub const LEASE_SHARDS: u16 = 4;
 /// Largest message of a register.
 const MOST_MESSAGE: usize = 10 << 20;
 
 /// Which duty part a service belongs to.
-pub fn part_of(service: &str) -> u16 {
-    1 + (sparrouter_rendezvous::hash(service.as_bytes()) % u64::from(DUTY_PARTS)) as u16
+pub fn shard_of(service: &str) -> u16 {
+    1 + (sparrouter_rendezvous::hash(service.as_bytes()) % u64::from(LEASE_SHARDS)) as u16
 }
 
-pub struct PartMachine(u16);
+pub struct ShardMachine(u16);
 
-impl Machine for PartMachine {
+impl Machine for ShardMachine {
     fn apply(&self, body: &[u8], change: &[u8]) -> Applied {
         if self.0 == CONFIG {
-            Statutes.apply(body, change)
+            ConfigurationMachine.apply(body, change)
         } else {
             Leases.apply(body, change)
         }
@@ -64,7 +64,7 @@
 pub struct Control {
     node: Rc<Node>,
     me: Member,
-    registers: RefCell<Vec<Register<PartMachine>>>,
+    registers: RefCell<Vec<Register<ShardMachine>>>,
     ops: RefCell<Ops>,
     next_op: Cell<u64>,
     disk: RefCell<Option<Saves>>,
@@ -83,7 +83,7 @@
 }
 
 impl Control {
-    pub fn start(node: Rc<Node>, stock: Stock) -> Rc<Control> {
+    pub fn start(node: Rc<Node>, stock: DiskContents) -> Rc<Control> {
         let (name, address) = {
             let me = node.me.borrow();
             (me.name.clone(), me.internal.clone())
@@ -103,19 +103,19 @@
                 part,
                 me.clone(),
                 record,
-                PartMachine(part),
+                ShardMachine(part),
                 rng,
                 settings.clone(),
                 0,
             );
             let register = opened.unwrap_or_else(|why| {
-                node.ring.breach(&why.to_string());
+                node.log_buffer.breach(&why.to_string());
                 let rng = node.rng.borrow_mut().fork();
                 Register::new(
                     part,
                     me.clone(),
                     None,
-                    PartMachine(part),
+                    ShardMachine(part),
                     rng,
                     settings.clone(),
                     0,
@@ -226,7 +226,7 @@
 
     /// Does what the registers ask for.
     fn carry_out(&self) {
-        for part in 0..=DUTY_PARTS {
+        for part in 0..=LEASE_SHARDS {
             loop {
                 let actions = self.registers.borrow_mut()[usize::from(part)].take_actions();
                 if actions.is_empty() {
@@ -244,7 +244,7 @@
             Action::Send { to, message } => {
                 if let Ok(address) = to.address.parse::<SocketAddr>() {
                     let me = &self.me;
-                    let call = Call::Part {
+                    let call = Call::Consensus {
                         part,
                         disk: me.disk,
                         name: me.name.clone(),
@@ -278,10 +278,10 @@
     }
 
     fn publish(&self, seq: u64, body: &[u8]) {
-        let Some(statute) = Statute::read(body) else {
+        let Some(statute) = ConfigurationState::read(body) else {
             return self
                 .node
-                .ring
+                .log_buffer
                 .breach("the configuration's part is of another release: bring all nodes to one");
         };
         let models = statute.models.iter().map(|m| {
@@ -292,18 +292,18 @@
                 .find(|k| k.0 == m.model && k.1 == m.version)
                 .map(|k| k.2);
             let age = since.map_or(0, |s| self.node.now().saturating_sub(s) / 1_000_000);
-            ModelTold {
+            ModelUpdate {
                 name: m.model.clone(),
                 version: m.version,
                 age_ms: age,
             }
         });
         // Register sequences start at 0; nodes count from 1, so that 0 is 'nothing yet'.
-        let told = ConfigTold {
+        let told = ConfigUpdate {
             seq: seq + 1,
             version: statute.version,
             models: models.collect(),
-            text: TextTold::Whole(statute.text),
+            text: TextUpdate::Whole(statute.text),
         };
         self.node.take(told);
     }
--- a/crates/sparrouter-fleet/src/control/change.rs
+++ b/crates/sparrouter-fleet/src/control/change.rs
@@ -1,8 +1,8 @@
 //! One change of a part, made through whoever may, and what a caller is told where it was not.
 use super::Control;
+use crate::configuration_state::{Change, Verdict};
 use crate::links::LinkError;
 use crate::node::Node;
-use crate::statute::{Change, Verdict};
 use crate::wire::{Call, Reply};
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Member, Outcome};
--- a/crates/sparrouter-fleet/src/control/groups.rs
+++ b/crates/sparrouter-fleet/src/control/groups.rs
@@ -1,10 +1,10 @@
 //! Who belongs to the parts' groups: the first ones founded, a member's catching up, and what is seen of the others.
-use super::{CONFIG, Control, DUTY_PARTS, PartMachine};
+use super::{CONFIG, Control, LEASE_SHARDS, ShardMachine};
 use crate::disk::Save;
 use crate::node::Node;
 use crate::wire::{Call, Reply};
 use sparrouter_codec::Blob;
-use sparrouter_consensus::{Member, Outcome, Record, Register, Seen};
+use sparrouter_consensus::{Member, NodeObservation, Outcome, Record, Register};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +44,7 @@
             }
             let seen = self.seen();
             let now = self.node.now();
-            let ask = |r: &Register<PartMachine>| r.members().is_empty();
+            let ask = |r: &Register<ShardMachine>| r.members().is_empty();
             let others: Vec<Member> = seen
                 .iter()
                 .map(|s| s.member.clone())
@@ -72,7 +72,7 @@
     }
 
     /// The nodes that may keep control state, as this one sees them.
-    fn seen(&self) -> Vec<Seen> {
+    fn seen(&self) -> Vec<NodeObservation> {
         let rows = self.node.rows.borrow();
         let any_counted = rows.nodes().any(|n| n.counted && !n.control.is_empty());
         let now = self.node.now();
@@ -82,7 +82,7 @@
         fit.map(|n| {
             let own = n.disk == self.me.disk;
             let at = self.contacts.borrow().get(&n.name).copied();
-            Seen {
+            NodeObservation {
                 member: Member {
                     disk: n.disk,
                     name: n.name.clone(),
@@ -105,7 +105,7 @@
         if self.founded.get() {
             return true;
         }
-        if records.len() != usize::from(DUTY_PARTS) + 1 {
+        if records.len() != usize::from(LEASE_SHARDS) + 1 {
             return false;
         }
         let settings = super::settings(&self.node);
@@ -117,7 +117,7 @@
                 part,
                 self.me.clone(),
                 Some(record),
-                PartMachine(part),
+                ShardMachine(part),
                 rng,
                 settings.clone(),
                 now,
@@ -178,7 +178,7 @@
         })
         .take(9)
         .collect();
-    let records: Vec<Blob> = (0..=DUTY_PARTS)
+    let records: Vec<Blob> = (0..=LEASE_SHARDS)
         .map(|_| Blob(Record::found(members.clone(), Vec::new()).encode()))
         .collect();
     log::info!("founding the control state with {} members", members.len());
--- a/crates/sparrouter-fleet/src/calls.rs
+++ b/crates/sparrouter-fleet/src/control_api.rs
@@ -1,10 +1,10 @@
 //! The calls of servers and operators, each to its place in the tree.
+use crate::configuration_state::Change;
 use crate::control::{self, NoChange};
-use crate::doors::{self, Matcher};
+use crate::endpoint::{self, Matcher};
 use crate::http::{Answer, Request};
 use crate::planted::{Defect, has};
-use crate::run::House;
-use crate::statute::Change;
+use crate::run::ControlServices;
 use sparrouter_codec::Blob;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,10 +13,10 @@
 const PATIENCE: Duration = Duration::from_millis(900);
 
 /// The calls of servers and operators.
-pub fn tree(house: &Rc<House>) -> Matcher {
-    let with = |f: fn(Rc<House>, Rc<Request>, Vec<String>) -> doors::Answering| {
-        let house = house.clone();
-        move |request, words| f(house.clone(), request, words)
+pub fn tree(services: &Rc<ControlServices>) -> Matcher {
+    let with = |f: fn(Rc<ControlServices>, Rc<Request>, Vec<String>) -> endpoint::Answering| {
+        let services = services.clone();
+        move |request, words| f(services.clone(), request, words)
     };
     Matcher::default()
         .on(
@@ -52,25 +52,25 @@
         .on("GET", "/api/status", with(|h, _, _| Box::pin(status(h))))
 }
 
-async fn beat(house: Rc<House>, request: Rc<Request>, words: Vec<String>) -> Answer {
+async fn beat(services: Rc<ControlServices>, request: Rc<Request>, words: Vec<String>) -> Answer {
     let id = words.first().map(String::as_str).unwrap_or_default();
-    house
+    services
         .registry
-        .beat(&house.node, house.control.as_ref(), id, &request.body)
+        .beat(&services.node, services.control.as_ref(), id, &request.body)
         .await
 }
 
-async fn gone(house: Rc<House>, words: Vec<String>) -> Answer {
-    house
+async fn gone(services: Rc<ControlServices>, words: Vec<String>) -> Answer {
+    services
         .registry
         .leave(
-            &house.node,
+            &services.node,
             words.first().map(String::as_str).unwrap_or_default(),
         )
         .await
 }
 
-async fn config(house: Rc<House>, request: Rc<Request>, patch: bool) -> Answer {
+async fn config(services: Rc<ControlServices>, request: Rc<Request>, patch: bool) -> Answer {
     if request.body.len() > sparrouter_config::MAX_BYTES {
         return Answer::plain(413, "a configuration is at most 8 MiB: split the change");
     }
@@ -95,7 +95,7 @@
     } else {
         Change::Put { if_match, body }
     };
-    change(house, made).await
+    change(services, made).await
 }
 
 #[derive(miniserde::Deserialize)]
@@ -104,12 +104,12 @@
     version: u64,
 }
 
-async fn name_version(house: Rc<House>, request: Rc<Request>) -> Answer {
+async fn name_version(services: Rc<ControlServices>, request: Rc<Request>) -> Answer {
     let text = std::str::from_utf8(&request.body).unwrap_or_default();
     match miniserde::json::from_str::<NameVersion>(text) {
         Ok(named) => {
             change(
-                house,
+                services,
                 Change::Name {
                     model: named.model,
                     version: named.version,
@@ -122,12 +122,12 @@
 }
 
 /// One change of the configuration's part, and what it came to.
-async fn change(house: Rc<House>, change: Change) -> Answer {
+async fn change(services: Rc<ControlServices>, change: Change) -> Answer {
     let get = matches!(change, Change::Get);
     let bytes = control::encode(&change);
     match control::change(
-        &house.node,
-        house.control.as_ref(),
+        &services.node,
+        services.control.as_ref(),
         control::CONFIG,
         bytes,
         PATIENCE,
@@ -144,14 +144,14 @@
         },
         Err(NoChange::NotMade(why)) => Answer {
             body: why,
-            ..Answer::later(house.node.jitter(Duration::from_millis(150)))
+            ..Answer::later(services.node.jitter(Duration::from_millis(150)))
         },
         Err(NoChange::Unknown) if has(Defect::MinorityAcks) && !get => Answer::plain(200, "taken"),
         Err(NoChange::Unknown) => {
             let why = "no quorum answered in time: the change may be in force or not; send it again unchanged";
             Answer::plain(
                 504,
-                house
+                services
                     .control
                     .as_ref()
                     .map_or(why.to_owned(), |c| c.explain(why)),
@@ -160,9 +160,9 @@
     }
 }
 
-async fn status(house: Rc<House>) -> Answer {
+async fn status(services: Rc<ControlServices>) -> Answer {
     Answer::json(
         200,
-        crate::status::show(&house.node, house.control.as_ref()),
+        crate::status::show(&services.node, services.control.as_ref()),
     )
 }
--- a/crates/sparrouter-fleet/src/disk.rs
+++ b/crates/sparrouter-fleet/src/disk.rs
@@ -1,10 +1,10 @@
 //! What a process keeps on disk: read once at the start, then saved by a keeper that alone waits for the disk.
 //!
 //! The program's keeper is a thread. Where stories are told it is a task in virtual time, over a disk that lies.
-use crate::control::DUTY_PARTS;
-use crate::ring::Ring;
+use crate::control::LEASE_SHARDS;
+use crate::log_buffer::LogBuffer;
 use fastrand::Rng;
-use sparrouter_storage::{Cellar, Files, Opened, RealFiles};
+use sparrouter_storage::{Files, Opened, RealFiles, Store};
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
@@ -47,7 +47,7 @@
 pub type Saves = Box<dyn Fn(Save)>;
 
 /// What is on this node's disk when it starts.
-pub struct Stock {
+pub struct DiskContents {
     /// Id of the disk's life, drawn anew where there is none.
     pub disk: u64,
     pub records: Vec<Option<Vec<u8>>>,
@@ -56,11 +56,11 @@
     pub keeper: Option<Box<dyn Keeper>>,
 }
 
-impl Stock {
+impl DiskContents {
     /// Of a process without a disk, or whose disk cannot be used.
-    pub fn empty(rng: &mut Rng) -> Stock {
-        let records = vec![None; usize::from(DUTY_PARTS) + 1];
-        Stock {
+    pub fn empty(rng: &mut Rng) -> DiskContents {
+        let records = vec![None; usize::from(LEASE_SHARDS) + 1];
+        DiskContents {
             disk: rng.u64(1..),
             records,
             rows: None,
@@ -70,12 +70,12 @@
 
     /// What a folder holds; `keeper` is made of the folder for what comes.
     pub fn of<F: Files>(
-        mut cellar: Cellar<F>,
+        mut store: Store<F>,
         opened: Opened,
-        ring: &Ring,
+        log_buffer: &LogBuffer,
         rng: &mut Rng,
-        keeper: impl FnOnce(Cellar<F>) -> Box<dyn Keeper>,
-    ) -> Stock {
+        keeper: impl FnOnce(Store<F>) -> Box<dyn Keeper>,
+    ) -> DiskContents {
         let mut records = match opened {
             Opened::Fresh => BTreeMap::new(),
             Opened::Existing(records) => records,
@@ -87,19 +87,19 @@
             // Without its name on disk nothing that stands there may count.
             records.clear();
             let disk = rng.u64(1..);
-            if let Err(why) = cellar.save("disk", &disk.to_le_bytes()) {
-                ring.breach(&format!("the disk's name cannot be kept: {why}"));
+            if let Err(why) = store.save("disk", &disk.to_le_bytes()) {
+                log_buffer.breach(&format!("the disk's name cannot be kept: {why}"));
             }
             disk
         });
-        let parts = (0..=DUTY_PARTS)
+        let parts = (0..=LEASE_SHARDS)
             .map(|p| records.remove(&record_name(p)))
             .collect();
-        Stock {
+        DiskContents {
             disk,
             records: parts,
             rows: records.remove("rows"),
-            keeper: Some(keeper(cellar)),
+            keeper: Some(keeper(store)),
         }
     }
 }
@@ -109,10 +109,10 @@
 }
 
 /// Carries out one save; blocks until the disk has answered.
-pub fn keep<F: Files>(cellar: &mut Cellar<F>, save: Save) -> Option<Kept> {
+pub fn keep<F: Files>(store: &mut Store<F>, save: Save) -> Option<Kept> {
     match save {
         Save::Part { part, token, bytes } => {
-            let failed = cellar
+            let failed = store
                 .save(&record_name(part), &bytes)
                 .err()
                 .map(|why| why.to_string());
@@ -123,13 +123,13 @@
             })
         }
         Save::Founding { part, bytes } => {
-            if let Err(why) = cellar.save(&record_name(part), &bytes) {
+            if let Err(why) = store.save(&record_name(part), &bytes) {
                 log::warn!("{why}");
             }
             None
         }
         Save::Rows(bytes) => {
-            if let Err(why) = cellar.save("rows", &bytes) {
+            if let Err(why) = store.save("rows", &bytes) {
                 log::warn!("{why}");
             }
             Some(Kept::Rows)
@@ -139,28 +139,28 @@
 
 /// Opens the data directory; one that is damaged is emptied, since a vote that may be forgotten must not count under
 /// its old name.
-pub fn open(data: Option<&Path>, ring: &Ring, rng: &mut Rng) -> Stock {
+pub fn open(data: Option<&Path>, log_buffer: &LogBuffer, rng: &mut Rng) -> DiskContents {
     let Some(data) = data else {
-        return Stock::empty(rng);
+        return DiskContents::empty(rng);
     };
     for again in [false, true] {
         let opened = RealFiles::open(data).map_err(|e| e.to_string());
-        let opened = opened.and_then(|files| Cellar::open(files).map_err(|e| e.to_string()));
+        let opened = opened.and_then(|files| Store::open(files).map_err(|e| e.to_string()));
         match opened {
-            Ok((cellar, opened)) => {
-                return Stock::of(cellar, opened, ring, rng, |cellar| {
-                    Box::new(OnThread(cellar))
+            Ok((store, opened)) => {
+                return DiskContents::of(store, opened, log_buffer, rng, |store| {
+                    Box::new(OnThread(store))
                 });
             }
             Err(why) => {
-                ring.breach(&format!("{} cannot be used: {why}", data.display()));
+                log_buffer.breach(&format!("{} cannot be used: {why}", data.display()));
                 if again || empty(data).is_err() {
                     break;
                 }
             }
         }
     }
-    Stock::empty(rng)
+    DiskContents::empty(rng)
 }
 
 fn empty(data: &Path) -> io::Result<()> {
@@ -171,15 +171,15 @@
 }
 
 /// A disk with a thread of its own: it waits, nothing else does.
-struct OnThread(Cellar<RealFiles>);
+struct OnThread(Store<RealFiles>);
 
 impl Keeper for OnThread {
     fn begin(self: Box<Self>, done: UnboundedSender<Kept>) -> Saves {
         let (saves, queue) = std::sync::mpsc::channel();
-        let mut cellar = self.0;
+        let mut store = self.0;
         std::thread::spawn(move || {
             while let Ok(save) = queue.recv() {
-                if let Some(kept) = keep(&mut cellar, save)
+                if let Some(kept) = keep(&mut store, save)
                     && done.send(kept).is_err()
                 {
                     return;
--- a/crates/sparrouter-fleet/src/doors.rs
+++ b/crates/sparrouter-fleet/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! The doors for servers and operators: a tree of matchers over method and path, and readiness.
 use crate::http::{self, Answer, NoRequest, Request, Room};
-use crate::net::{self, Door, Stream};
+use crate::net::{self, Listener, Stream};
 use bytes::BytesMut;
 use sparrouter_http::reading;
 use std::future::Future;
@@ -96,7 +96,7 @@
 }
 
 /// Serves a tree until the process ends.
-pub async fn listen(door: Box<dyn Door>, tree: Rc<Matcher>) {
+pub async fn listen(door: Box<dyn Listener>, tree: Rc<Matcher>) {
     let places = Arc::new(Semaphore::new(MOST));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else {
--- a/crates/sparrouter-fleet/src/following.rs
+++ b/crates/sparrouter-fleet/src/event_follower.rs
@@ -32,7 +32,7 @@
 /// Parts of fewer tokens are not worth a word: they are read sooner than they are asked for.
 const LEAST: u64 = 64;
 
-/// Told of a store that does not answer, in place of its epoch.
+/// Update of a store that does not answer, in place of its epoch.
 const DOWN: u64 = 0;
 
 /// What is followed, by the hash that the index knows it by.
@@ -44,7 +44,7 @@
 }
 
 #[derive(Deserialize)]
-struct Told {
+struct Update {
     epoch: u64,
     next_page_token: u64,
     lost_count: Option<Value>,
@@ -77,7 +77,7 @@
         return Vec::new();
     };
     let mut all = Vec::new();
-    let bed = node.bed.borrow();
+    let server_table = node.server_table.borrow();
     for service in &table.services {
         if let Some(store) = &service.store {
             all.push(Followed {
@@ -91,7 +91,7 @@
             .as_ref()
             .is_some_and(|e| e.max_concurrent > 0)
         {
-            let servers = bed.of(&service.name).filter(|(_, s)| !s.silent());
+            let servers = server_table.of(&service.name).filter(|(_, s)| !s.silent());
             all.extend(servers.map(|(_, s)| Followed {
                 name: s.hash(),
                 address: s.address,
@@ -199,7 +199,7 @@
 
 /// Reads an answer; events that can't be read are passed over. None where it is no answer at all.
 pub fn page(body: &[u8]) -> Option<Page> {
-    let told: Told = json::from_str(std::str::from_utf8(body).ok()?).ok()?;
+    let told: Update = json::from_str(std::str::from_utf8(body).ok()?).ok()?;
     let events = told.events.iter().filter_map(change).collect();
     let gap = match told.lost_count {
         Some(Value::Bool(lost)) => lost,
--- a/crates/sparrouter-fleet/src/exchange.rs
+++ b/crates/sparrouter-fleet/src/exchange.rs
@@ -170,7 +170,10 @@
             let last_id = resumed.and_then(|e| e.last_id().map(str::to_owned));
             self.tried.push(pick.server);
             let tokens = self.prompt.tokens_in;
-            self.node.bed.borrow_mut().begin(pick.server, tokens);
+            self.node
+                .server_table
+                .borrow_mut()
+                .begin(pick.server, tokens);
             let (server, ending) = (pick.server, Ending::Withdrawn);
             let mut guard = InFlight {
                 node: self.node,
@@ -257,7 +260,7 @@
 
     fn instance(&self, ix: ServerIx) -> String {
         self.node
-            .bed
+            .server_table
             .borrow()
             .get(ix)
             .map(|s| s.id.clone())
@@ -299,7 +302,7 @@
         }
         let now: Nanos = self.node.now();
         self.node
-            .bed
+            .server_table
             .borrow_mut()
             .end(self.server, self.tokens, self.ending, now);
     }
--- a/crates/sparrouter-fleet/src/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/exchange/admission.rs
@@ -144,7 +144,10 @@
             tokens_out: self.prompt.tokens_out,
             tried,
         };
-        self.node.bed.borrow().choose(&ask, self.node.now())
+        self.node
+            .server_table
+            .borrow()
+            .choose(&ask, self.node.now())
     }
 
     /// Whom to send to next, or what to answer where there is nobody.
@@ -177,7 +180,11 @@
             tokens_out: self.prompt.tokens_out,
             tried: &self.tried,
         };
-        let pick = self.node.bed.borrow().choose(&ask, self.node.now());
+        let pick = self
+            .node
+            .server_table
+            .borrow()
+            .choose(&ask, self.node.now());
         let pick = pick.map_err(|turned| match turned {
             Turned::Unready | Turned::None if has(Defect::NoServerNoRoute) => {
                 Answer::plain(404, "no route")
--- a/crates/sparrouter-fleet/src/exchange/memory.rs
+++ b/crates/sparrouter-fleet/src/exchange/memory.rs
@@ -71,13 +71,16 @@
 
     /// Of those that have it the one that is fetched from soonest.
     fn nearest(&self, advice: &Advice, store: &Option<String>) -> Option<String> {
-        let bed = self.node.bed.borrow();
+        let server_table = self.node.server_table.borrow();
         let named = store
             .as_ref()
             .map(|s| sparrouter_rendezvous::hash(s.as_bytes()));
         let server = |hash: u64| {
             let fit = |s: &&Server| !s.suspected() && !s.loading() && !s.silent();
-            bed.hashed(hash).filter(fit).map(|s| s.address.to_string())
+            server_table
+                .hashed(hash)
+                .filter(fit)
+                .map(|s| s.address.to_string())
         };
         let holders = advice.holders.iter().filter(|h| Some(**h) != named);
         let peer = holders.filter_map(|h| server(*h)).next();
--- a/crates/sparrouter-fleet/src/exchange/speaking.rs
+++ b/crates/sparrouter-fleet/src/exchange/speaking.rs
@@ -73,7 +73,7 @@
     ) -> Turn {
         let Some((id, address)) = self
             .node
-            .bed
+            .server_table
             .borrow()
             .get(pick.server)
             .map(|s| (s.id.clone(), s.address))
@@ -125,13 +125,15 @@
     }
 
     pub(super) fn may_go(&self, pick: &Pick) -> bool {
-        let bed = self.node.bed.borrow();
+        let server_table = self.node.server_table.borrow();
         let now = self.node.now();
-        bed.get(pick.server).is_some_and(|s| {
+        server_table.get(pick.server).is_some_and(|s| {
             s.standing() == Standing::Ready
                 && !s.loading()
                 && match (&self.model, pick.version) {
-                    (Some(model), Some(version)) => bed.versions.allows(model, version, now),
+                    (Some(model), Some(version)) => {
+                        server_table.versions.allows(model, version, now)
+                    }
                     _ => true,
                 }
         })
@@ -201,21 +203,21 @@
 
     /// What the answer says of the server itself.
     pub(super) fn learn(&self, pick: &Pick, head: &ReplyHead) {
-        let mut bed = self.node.bed.borrow_mut();
+        let mut server_table = self.node.server_table.borrow_mut();
         let now = self.node.now();
         if let Some(load) = head.fields.text("sparrouter-instance-load") {
             let mut numbers = load
                 .split(',')
                 .map(|n| n.trim().parse::<u32>().unwrap_or(0));
             let (running, waiting) = (numbers.next().unwrap_or(0), numbers.next().unwrap_or(0));
-            bed.load(pick.server, running, waiting, now);
+            server_table.load(pick.server, running, waiting, now);
         }
         let version = head
             .fields
             .text("versions")
             .and_then(|v| v.trim().parse().ok());
         if let (Some(model), Some(version)) = (&self.model, version) {
-            bed.runs(pick.server, model, version);
+            server_table.runs(pick.server, model, version);
         }
     }
 
@@ -232,27 +234,36 @@
                 // Another one has its address: ours is not there any more.
                 let mut rows = self.node.rows.borrow_mut();
                 if rows.fall_silent(&id, now) {
-                    self.node.bed.borrow_mut().sync(&rows, now);
+                    self.node.server_table.borrow_mut().sync(&rows, now);
                 }
-                self.node.bed.borrow_mut().suspect(pick.server, now);
+                self.node
+                    .server_table
+                    .borrow_mut()
+                    .suspect(pick.server, now);
                 return;
             }
             // Same server, other weights: newer ones than we knew of.
             if let (Some(model), Some(version)) = (&self.model, pick.version) {
                 let wanted = self
                     .node
-                    .bed
+                    .server_table
                     .borrow()
                     .versions
                     .wanted(model)
                     .map(|w| w.version);
                 let next = wanted.filter(|w| *w > version).unwrap_or(version + 1);
                 if head.fields.text("versions").is_none() && wanted.is_some_and(|w| w >= next) {
-                    self.node.bed.borrow_mut().runs(pick.server, model, next);
+                    self.node
+                        .server_table
+                        .borrow_mut()
+                        .runs(pick.server, model, next);
                 }
             }
         }
-        self.node.bed.borrow_mut().full(pick.server, now + jitter);
+        self.node
+            .server_table
+            .borrow_mut()
+            .full(pick.server, now + jitter);
     }
 
     pub(super) fn forward_head(
--- a/crates/sparrouter-fleet/src/front.rs
+++ b/crates/sparrouter-fleet/src/front.rs
@@ -1,7 +1,7 @@
 //! The client edge: connections, one request at a time on each, limits of the configuration, an honest end.
 use crate::exchange::{self, Ended};
 use crate::http::{self, Answer, NoRequest, Room};
-use crate::net::{self, Door, Stream};
+use crate::net::{self, Listener, Stream};
 use crate::node::Node;
 use crate::upstream::Pool;
 use bytes::BytesMut;
@@ -41,7 +41,7 @@
 /// listener and asks another node at once. `most`: connections at a time.
 pub async fn listen(
     node: Rc<Node>,
-    door: Box<dyn Door>,
+    door: Box<dyn Listener>,
     stage: watch::Receiver<Stage>,
     most: usize,
 ) {
@@ -70,8 +70,8 @@
 async fn sweep(node: Rc<Node>, pool: Rc<Pool>) {
     loop {
         tokio::time::sleep(Duration::from_millis(500)).await;
-        let bed = node.bed.borrow();
-        pool.sweep(|id| bed.find(id).is_some());
+        let server_table = node.server_table.borrow();
+        pool.sweep(|id| server_table.find(id).is_some());
     }
 }
 
--- a/crates/sparrouter-fleet/src/lib.rs
+++ b/crates/sparrouter-fleet/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! | file | its one job |
 //! | --- | --- |
-//! | `boot`, `ring` | settings read and checked; the log |
+//! | `boot`, `log_buffer` | settings read and checked; the log |
 //! | `node` | what one process knows; tables swapped whole (`node/config`, `node/news`, `node/keeping`: what is in force, what is heard and sent on, what falls to it) |
 //! | `net`, `wire`, `links`, `polls` | the way to other machines, words between nodes, their connections, who asks whom for what is new |
 //! | `control`, `disk`, `statute` | the control state: registers carried out, kept, and what a change means |
@@ -15,29 +15,29 @@
 //! | `run`, `status` | a process from start to end; what it says of itself |
 //! | `planted` | mistakes made on purpose, under a feature for tests |
 //! | `client` | what operators ask of a running fleet |
-pub mod answers;
 pub mod boot;
-pub mod calls;
 pub mod client;
+pub mod configuration_state;
 pub mod control;
+pub mod control_api;
 pub mod departure;
 pub mod disk;
-pub mod doors;
+pub mod endpoint;
+pub mod event_follower;
 pub mod events;
 pub mod exchange;
-pub mod following;
 pub mod front;
 pub mod http;
 pub mod links;
+pub mod log_buffer;
 pub mod net;
 pub mod node;
+pub mod peer_api;
 pub mod planted;
 pub mod polls;
 pub mod registry;
-pub mod ring;
 pub mod run;
 pub mod status;
-pub mod statute;
 
 pub mod upstream;
 pub mod weights;
--- a/crates/sparrouter-fleet/src/links.rs
+++ b/crates/sparrouter-fleet/src/links.rs
@@ -1,5 +1,5 @@
 //! Calls between nodes: one connection a peer and direction, many calls on it at a time, each with its own patience.
-use crate::net::{self, Door, SharedNet, Stream};
+use crate::net::{self, Listener, SharedNet, Stream};
 use crate::wire::{Call, HELLO, MAX_FRAME, Reply};
 use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
@@ -213,7 +213,7 @@
 }
 
 /// Takes the calls of other nodes; each is answered by `answer`, which may take its time.
-pub async fn serve<F, A>(door: Box<dyn Door>, answer: F)
+pub async fn serve<F, A>(door: Box<dyn Listener>, answer: F)
 where
     F: Fn(SocketAddr, Call) -> A + Clone + 'static,
     A: Future<Output = Option<Reply>> + 'static,
--- a/crates/sparrouter-fleet/src/ring.rs
+++ b/crates/sparrouter-fleet/src/log_buffer.rs
@@ -1,4 +1,4 @@
-//! The log: a ring of lines in memory, written out when something goes wrong, and little else.
+//! The log: a log_buffer of lines in memory, written out when something goes wrong, and little else.
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 use std::collections::VecDeque;
 use std::io::{self, Write};
@@ -22,19 +22,19 @@
     gathered: Option<Vec<String>>,
 }
 
-/// A handle on the ring of this process.
+/// A handle on the log_buffer of this process.
 #[derive(Clone)]
-pub struct Ring(Arc<Mutex<Kept>>);
+pub struct LogBuffer(Arc<Mutex<Kept>>);
 
-impl Default for Ring {
-    fn default() -> Ring {
-        Ring::to(io::stderr())
+impl Default for LogBuffer {
+    fn default() -> LogBuffer {
+        LogBuffer::to(io::stderr())
     }
 }
 
-impl Ring {
-    /// A ring that is written out there; connected to no logger.
-    pub fn to(sink: impl Write + Send + 'static) -> Ring {
+impl LogBuffer {
+    /// A log_buffer that is written out there; connected to no logger.
+    pub fn to(sink: impl Write + Send + 'static) -> LogBuffer {
         let kept = Kept {
             lines: VecDeque::new(),
             open: Vec::new(),
@@ -42,33 +42,33 @@
             sink: Box::new(sink),
             gathered: None,
         };
-        Ring(Arc::new(Mutex::new(kept)))
+        LogBuffer(Arc::new(Mutex::new(kept)))
     }
 
-    /// Makes `log`'s macros write into a ring. The second call of a process gets a ring of its own, unconnected.
-    pub fn install(level: LevelFilter) -> Ring {
-        let ring = Ring::default();
+    /// Makes `log`'s macros write into a log_buffer. The second call of a process gets a log_buffer of its own, unconnected.
+    pub fn install(level: LevelFilter) -> LogBuffer {
+        let log_buffer = LogBuffer::default();
         let config = ConfigBuilder::new()
             .set_time_level(LevelFilter::Error)
             .build();
-        let _ = WriteLogger::init(level, config, ring.clone());
-        ring
+        let _ = WriteLogger::init(level, config, log_buffer.clone());
+        log_buffer
     }
 
-    /// From now on a panic of any thread writes the ring out, before it ends the process or is caught.
+    /// From now on a panic of any thread writes the log_buffer out, before it ends the process or is caught.
     pub fn heed_panics(&self) {
-        let (ring, before) = (self.clone(), panic::take_hook());
+        let (log_buffer, before) = (self.clone(), panic::take_hook());
         panic::set_hook(Box::new(move |info| {
-            ring.dump(&format!("panic: {info}"));
+            log_buffer.dump(&format!("panic: {info}"));
             before(info);
         }));
     }
 
-    /// A ring that writes nothing out: `breaches` tells what would have been.
-    pub fn gathering() -> Ring {
-        let ring = Ring::to(io::sink());
-        ring.kept().gathered = Some(Vec::new());
-        ring
+    /// A log_buffer that writes nothing out: `breaches` tells what would have been.
+    pub fn gathering() -> LogBuffer {
+        let log_buffer = LogBuffer::to(io::sink());
+        log_buffer.kept().gathered = Some(Vec::new());
+        log_buffer
     }
 
     pub fn breaches(&self) -> Vec<String> {
@@ -107,7 +107,7 @@
         let _ = kept.sink.write_all(&out).and_then(|()| kept.sink.flush());
     }
 
-    /// A thread that panicked with the ring in its hands left whole lines at worst one short: the log goes on.
+    /// A thread that panicked with the log_buffer in its hands left whole lines at worst one short: the log goes on.
     fn kept(&self) -> MutexGuard<'_, Kept> {
         self.0
             .lock()
@@ -115,7 +115,7 @@
     }
 }
 
-impl Write for Ring {
+impl Write for LogBuffer {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut kept = self.kept();
         for &byte in bytes {
--- a/crates/sparrouter-fleet/src/main.rs
+++ b/crates/sparrouter-fleet/src/main.rs
@@ -2,8 +2,8 @@
 use simplelog::LevelFilter;
 use sparrouter_fleet::boot::{Boot, VARIABLE};
 use sparrouter_fleet::client::{self, Ask, ClientError, Command, commands};
+use sparrouter_fleet::log_buffer::LogBuffer;
 use sparrouter_fleet::net::Sockets;
-use sparrouter_fleet::ring::Ring;
 use sparrouter_fleet::run::{Role, run};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -19,13 +19,19 @@
 }
 
 fn serve(role: Role) -> Result<(), String> {
-    let ring = Ring::install(LevelFilter::Info);
-    ring.heed_panics();
+    let log_buffer = LogBuffer::install(LevelFilter::Info);
+    log_buffer.heed_panics();
     let boot = Boot::load().map_err(|e| e.to_string())?;
     let local = LocalSet::new();
     let ended = local.block_on(
         &runtime()?,
-        run(role, boot, ring, Rc::new(Sockets), fastrand::Rng::new()),
+        run(
+            role,
+            boot,
+            log_buffer,
+            Rc::new(Sockets),
+            fastrand::Rng::new(),
+        ),
     );
     ended.map_err(|e| e.to_string())
 }
--- a/crates/sparrouter-fleet/src/net.rs
+++ b/crates/sparrouter-fleet/src/net.rs
@@ -23,14 +23,14 @@
 pub type Later<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
 /// Where connections come in.
-pub trait Door {
+pub trait Listener {
     fn accept(&self) -> Later<'_, io::Result<(Stream, SocketAddr)>>;
 }
 
 /// One machine's way to others.
 pub trait Net {
     fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Stream>>;
-    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Door>>;
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
 }
 
 /// Real sockets.
@@ -53,7 +53,7 @@
     fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Stream>> {
         Box::pin(async move { Ok(tuned(TcpStream::connect(to).await?)) })
     }
-    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Door>> {
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
         let socket = if at.is_ipv4() {
             TcpSocket::new_v4()?
         } else {
@@ -65,7 +65,7 @@
     }
 }
 
-impl Door for TcpListener {
+impl Listener for TcpListener {
     fn accept(&self) -> Later<'_, io::Result<(Stream, SocketAddr)>> {
         Box::pin(async move {
             let (stream, from) = TcpListener::accept(self).await?;
@@ -78,7 +78,7 @@
 pub type SharedNet = Rc<dyn Net>;
 
 /// The next connection; waits where the system is out of descriptors, until some come free.
-pub async fn accept(door: &dyn Door) -> (Stream, SocketAddr) {
+pub async fn accept(door: &dyn Listener) -> (Stream, SocketAddr) {
     loop {
         match door.accept().await {
             Ok(connection) => return connection,
--- a/crates/sparrouter-fleet/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -1,20 +1,20 @@
 //! What one process knows: its rows, the configuration in force, its servers. One owner, one thread; tables are
 //! immutable and swapped whole.
 mod config;
-mod keeping;
-mod news;
+mod ownership;
+mod updates;
 
 use crate::boot::{Boot, nanos};
 use crate::departure::Departure;
 use crate::links::Links;
+use crate::log_buffer::LogBuffer;
 use crate::net::SharedNet;
 use crate::planted::{Defect, has};
-use crate::ring::Ring;
 use fastrand::Rng;
 use sparrouter_config::{Edits, Table};
 use sparrouter_membership::{NodeRow, Pace, Rows};
 use sparrouter_prefix_index::{Index, Terms};
-use sparrouter_routing::{Backlog, Bed, Budget, Durations, Nanos};
+use sparrouter_routing::{Backlog, Budget, Durations, Nanos, ServerTable};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -83,7 +83,7 @@
     config: RefCell<Rc<InForce>>,
     /// The last changes of its text, for whoever asks here.
     edits: RefCell<Edits>,
-    pub bed: RefCell<Bed>,
+    pub server_table: RefCell<ServerTable>,
     budgets: RefCell<HashMap<String, Budget>>,
     pub net: SharedNet,
     pub links: Rc<Links>,
@@ -118,13 +118,19 @@
     /// When a poll of a source that is in touch last came through.
     pub heard: Cell<Nanos>,
     pub rng: RefCell<Rng>,
-    pub ring: Ring,
+    pub log_buffer: LogBuffer,
     /// Client requests that are being worked on.
     pub open: Cell<usize>,
 }
 
 impl Node {
-    pub fn new(boot: Boot, disk: u64, ring: Ring, net: SharedNet, mut rng: Rng) -> Rc<Node> {
+    pub fn new(
+        boot: Boot,
+        disk: u64,
+        log_buffer: LogBuffer,
+        net: SharedNet,
+        mut rng: Rng,
+    ) -> Rc<Node> {
         let internal = boot.internal_of(boot.ip);
         let text = |a: Option<SocketAddr>| a.map(|a| a.to_string()).unwrap_or_default();
         let me = NodeRow {
@@ -143,7 +149,7 @@
         };
         let mut rows = Rows::new(rng.u64(1..), TOMBSTONE, MOST_ROWS);
         rows.merge_node(me.clone(), 0);
-        let bed = Bed::new(version_patience(&boot), rng.fork());
+        let server_table = ServerTable::new(version_patience(&boot), rng.fork());
         let none = InForce {
             seq: 0,
             version: 0,
@@ -159,7 +165,7 @@
             me: RefCell::new(me),
             config: RefCell::new(Rc::new(none)),
             edits: RefCell::default(),
-            bed: RefCell::new(bed),
+            server_table: RefCell::new(server_table),
             budgets: RefCell::default(),
             links: Links::new(net.clone()),
             backlogs: RefCell::default(),
@@ -186,7 +192,7 @@
             durations: RefCell::default(),
             heard: Cell::new(0),
             rng: RefCell::new(rng),
-            ring,
+            log_buffer,
             open: Cell::new(0),
         })
     }
--- a/crates/sparrouter-fleet/src/node/config.rs
+++ b/crates/sparrouter-fleet/src/node/config.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: taken whole or as changes of its text, and told on.
 use super::{InForce, Node};
 use crate::planted::{self, Defect, has};
-use crate::wire::{ConfigTold, EditTold, ModelTold, TextTold};
+use crate::wire::{ConfigUpdate, EditUpdate, ModelUpdate, TextUpdate};
 use sparrouter_config::{Document, Edit, Table, digest_of_text};
 use sparrouter_routing::Nanos;
 use std::rc::Rc;
@@ -21,14 +21,14 @@
 
     /// What was chosen by the configuration's group; an older one than is in force changes nothing. False where it is
     /// a change of another text than the one here.
-    pub fn take(&self, told: ConfigTold) -> bool {
+    pub fn take(&self, told: ConfigUpdate) -> bool {
         let known = self.in_force();
         let now = self.now();
         let skipped = has(Defect::CatchUpSkips) && known.seq > 0 && told.seq > known.seq + 1;
         if told.seq > known.seq || (has(Defect::OlderTaken) && told.seq != known.seq) {
             let text: Rc<str> = match told.text {
-                TextTold::Whole(text) => text.into(),
-                TextTold::Edits(edits) => {
+                TextUpdate::Whole(text) => text.into(),
+                TextUpdate::Edits(edits) => {
                     let apply = |text: Rc<str>, edit| Some(Edit::from(edit).apply(&text)?.into());
                     match edits.into_iter().try_fold(known.text.clone(), apply) {
                         Some(text) => text,
@@ -47,7 +47,7 @@
                     Ok(table) => Some(Rc::new(table)),
                     Err(why) => {
                         // It was checked before it was chosen: only another release can come here.
-                        self.ring.breach(&format!(
+                        self.log_buffer.breach(&format!(
                             "configuration {} cannot be read here: {why}",
                             told.version
                         ));
@@ -82,9 +82,9 @@
             *self.config.borrow_mut() = Rc::new(next);
             self.changed();
         }
-        let mut bed = self.bed.borrow_mut();
+        let mut server_table = self.server_table.borrow_mut();
         for model in &told.models {
-            bed.versions.told(
+            server_table.versions.told(
                 &model.name,
                 model.version,
                 model.age_ms.saturating_mul(1_000_000),
@@ -95,19 +95,19 @@
     }
 
     /// What is in force here, for another node that has the text with this digest.
-    pub fn told(&self, digest: u64) -> ConfigTold {
+    pub fn config_update(&self, digest: u64) -> ConfigUpdate {
         let (known, now) = (self.in_force(), self.now());
-        let model = |(name, version, since): &(String, u64, Nanos)| ModelTold {
+        let model = |(name, version, since): &(String, u64, Nanos)| ModelUpdate {
             name: name.clone(),
             version: *version,
             age_ms: now.saturating_sub(*since) / 1_000_000,
         };
-        ConfigTold {
+        ConfigUpdate {
             seq: known.seq,
             version: known.version,
             text: match self.edits.borrow().since(digest, known.digest) {
-                Some(edits) => TextTold::Edits(edits.into_iter().map(EditTold::from).collect()),
-                None => TextTold::Whole(known.text.to_string()),
+                Some(edits) => TextUpdate::Edits(edits.into_iter().map(EditUpdate::from).collect()),
+                None => TextUpdate::Whole(known.text.to_string()),
             },
             models: known.models.iter().map(model).collect(),
         }
--- a/crates/sparrouter-fleet/src/node/news.rs
+++ b/crates/sparrouter-fleet/src/node/updates.rs
@@ -45,7 +45,7 @@
             let gap = SYNC + SYNC_A_SERVER * rows.servers_held() as Nanos;
             let due = self.synced.get().map_or(now, |at| at + gap);
             if due <= now {
-                self.bed.borrow_mut().sync(&rows, now);
+                self.server_table.borrow_mut().sync(&rows, now);
                 self.unsynced.set(false);
                 self.synced.set(Some(now));
             } else {
@@ -136,7 +136,10 @@
         let mut known = self.core_seen.borrow_mut();
         if *known != core {
             *known = core;
-            self.bed.borrow_mut().versions.core_changed(self.now());
+            self.server_table
+                .borrow_mut()
+                .versions
+                .core_changed(self.now());
         }
     }
 }
--- a/crates/sparrouter-fleet/src/answers.rs
+++ b/crates/sparrouter-fleet/src/peer_api.rs
@@ -1,7 +1,7 @@
 //! What another node is answered: polls held until there is news, rows told, messages and changes of the control state.
 use crate::planted::{Defect, has};
-use crate::run::House;
-use crate::wire::{Call, Reply, Told};
+use crate::run::ControlServices;
+use crate::wire::{Call, Reply, Update};
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Member, Outcome};
 use sparrouter_membership::Delta;
@@ -15,11 +15,11 @@
 const LEAVE_ME_MS: u32 = 300;
 
 /// Answers another node.
-pub async fn answer(house: Rc<House>, _peer: SocketAddr, call: Call) -> Option<Reply> {
-    let node = &house.node;
+pub async fn answer(services: Rc<ControlServices>, _peer: SocketAddr, call: Call) -> Option<Reply> {
+    let node = &services.node;
     match call {
         Call::Poll(poll) => {
-            if let Some(control) = &house.control {
+            if let Some(control) = &services.control {
                 control.heard_of(&poll.name);
                 control.polled(&poll.name);
             }
@@ -33,7 +33,7 @@
             let came = Instant::now();
             loop {
                 changes.mark_unchanged();
-                let in_touch = house.control.as_ref().is_some_and(|c| c.in_touch());
+                let in_touch = services.control.as_ref().is_some_and(|c| c.in_touch());
                 // Whoever asks a node that is out of touch should soon ask another.
                 let longest = if in_touch { 5_000 } else { LEAVE_ME_MS };
                 let until = came + Duration::from_millis(u64::from(poll.hold_ms.min(longest)));
@@ -42,8 +42,8 @@
                 let older = has(Defect::OlderTaken) && known.seq > 0 && known.seq < poll.config_seq;
                 let news = known.seq > poll.config_seq || older;
                 if news || rows.is_some() || Instant::now() >= until {
-                    let config = news.then(|| node.told(poll.config_digest));
-                    return Some(Reply::Told(Told {
+                    let config = news.then(|| node.config_update(poll.config_digest));
+                    return Some(Reply::Update(Update {
                         rows: Blob(rows.unwrap_or_default()),
                         config,
                         in_touch,
@@ -53,18 +53,18 @@
                 let _ = tokio::time::timeout_at(until, changes.changed()).await;
             }
         }
-        Call::Tell(delta) => {
+        Call::Notify(delta) => {
             node.learn(delta);
             Some(Reply::Done)
         }
-        Call::Part {
+        Call::Consensus {
             part,
             disk,
             name,
             address,
             message,
         } => {
-            if let Some(control) = &house.control {
+            if let Some(control) = &services.control {
                 control.heard_of(&name);
                 control.heard(
                     part,
@@ -83,7 +83,7 @@
             change,
             patience_ms,
         } => {
-            let Some(control) = house.control.as_ref().filter(|c| c.is_member()) else {
+            let Some(control) = services.control.as_ref().filter(|c| c.is_member()) else {
                 return Some(Reply::NotChanged(
                     "this node keeps no part of the control state".into(),
                 ));
@@ -138,7 +138,7 @@
             None
         }
         Call::Found { records } => {
-            let taken = house
+            let taken = services
                 .control
                 .as_ref()
                 .is_some_and(|c| c.take_record(&records));
--- a/crates/sparrouter-fleet/src/polls.rs
+++ b/crates/sparrouter-fleet/src/polls.rs
@@ -1,7 +1,7 @@
 //! Asking sources for what is new, and telling them what was heard here.
 use crate::boot::nanos;
 use crate::node::Node;
-use crate::wire::{Call, Poll, Reply, Told};
+use crate::wire::{Call, Poll, Reply, Update};
 use sparrouter_membership::{Delta, SOURCES, sources};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -215,10 +215,10 @@
         .call(source, &Call::Poll(poll), hold + PATIENCE)
         .await
         .ok()?;
-    let Reply::Told(told) = reply else {
+    let Reply::Update(told) = reply else {
         return None;
     };
-    let Told {
+    let Update {
         rows,
         config,
         in_touch,
@@ -248,7 +248,7 @@
 }
 
 /// Tells some sources of rows that changed here. True once one has it that is another machine.
-pub async fn tell(node: &Rc<Node>, delta: &Delta, patience: Duration) -> bool {
+pub async fn notify(node: &Rc<Node>, delta: &Delta, patience: Duration) -> bool {
     let own = node.boot.borrow().internal_of(node.boot.borrow().ip);
     let core = node.core();
     let silent = |name: &str| node.rows.borrow().node(name).is_some_and(|n| n.silent);
@@ -265,7 +265,7 @@
         return core.iter().any(|c| c.1 == own);
     }
     let (done, mut heard) = tokio::sync::mpsc::channel(to.len());
-    let call = Rc::new(Call::Tell(delta.clone()));
+    let call = Rc::new(Call::Notify(delta.clone()));
     for source in to {
         let (node, call, done) = (node.clone(), call.clone(), done.clone());
         spawn_local(async move {
--- a/crates/sparrouter-fleet/src/registry.rs
+++ b/crates/sparrouter-fleet/src/registry.rs
@@ -117,7 +117,7 @@
         #[cfg(feature = "planted")]
         if late && has(Defect::DrainUndone) {
             node.rows.borrow_mut().put_back(row.clone(), now);
-            node.bed.borrow_mut().put_back(id, row.standing);
+            node.server_table.borrow_mut().put_back(id, row.standing);
         }
         let before = node.rows.borrow().server(id).cloned();
         // A beat that says nothing new is news to nobody else.
@@ -171,7 +171,7 @@
             ..Delta::default()
         };
         if binds && !has(Defect::AckAlone) {
-            return polls::tell(node, &delta, SPREAD).await;
+            return polls::notify(node, &delta, SPREAD).await;
         }
         let node = node.clone();
         spawn_local(async move {
@@ -179,7 +179,7 @@
                 tokio::time::sleep(SPREAD).await;
             }
             // What is lost here the next beat brings, or the sources' own polls.
-            polls::tell(&node, &delta, SPREAD).await;
+            polls::notify(&node, &delta, SPREAD).await;
         });
         true
     }
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -1,22 +1,22 @@
 //! The life of a process: doors open, tasks started, orders heeded, an end without loss. `run` is the program's, with
 //! signals and files; `serve` is the same without either, for the in-memory fleet too.
-use crate::answers::answer;
 use crate::boot::{Boot, nanos};
-use crate::calls;
 use crate::control::{self, Control};
+use crate::control_api;
 use crate::departure::Departure;
-use crate::disk::{self, Stock};
-use crate::doors::{self, Matcher};
-use crate::following;
+use crate::disk::{self, DiskContents};
+use crate::endpoint::{self, Matcher};
+use crate::event_follower;
 use crate::front::{self, Stage};
 use crate::http::Answer;
 use crate::links;
-use crate::net::{Door, Net, SharedNet};
+use crate::log_buffer::LogBuffer;
+use crate::net::{Listener, Net, SharedNet};
 use crate::node::Node;
+use crate::peer_api::answer;
 use crate::planted::{Defect, has};
 use crate::polls;
 use crate::registry::Registry;
-use crate::ring::Ring;
 use crate::weights;
 use fastrand::Rng;
 use nanoserde::SerBin;
@@ -54,7 +54,7 @@
     Control,
 }
 
-fn listener(net: &dyn Net, address: SocketAddr) -> Result<Box<dyn Door>, RunError> {
+fn listener(net: &dyn Net, address: SocketAddr) -> Result<Box<dyn Listener>, RunError> {
     net.listen(address).map_err(|e| RunError::Listen {
         address,
         why: e.to_string(),
@@ -62,7 +62,7 @@
 }
 
 /// What the tasks of a process share.
-pub struct House {
+pub struct ControlServices {
     pub node: Rc<Node>,
     pub control: Option<Rc<Control>>,
     pub registry: Registry,
@@ -81,7 +81,7 @@
 pub async fn run(
     role: Role,
     boot: Boot,
-    ring: Ring,
+    log_buffer: LogBuffer,
     net: SharedNet,
     rng: Rng,
 ) -> Result<(), RunError> {
@@ -110,7 +110,7 @@
         std::future::pending::<()>().await;
     };
     tokio::select! {
-        ended = serve(role, boot, disk::open, ring, net, rng, orders) => ended,
+        ended = serve(role, boot, disk::open, log_buffer, net, rng, orders) => ended,
         () = heeding => Ok(()),
     }
 }
@@ -130,8 +130,8 @@
 pub async fn serve(
     role: Role,
     boot: Boot,
-    open: impl FnOnce(Option<&Path>, &Ring, &mut Rng) -> Stock,
-    ring: Ring,
+    open: impl FnOnce(Option<&Path>, &LogBuffer, &mut Rng) -> DiskContents,
+    log_buffer: LogBuffer,
     net: SharedNet,
     mut rng: Rng,
     mut orders: mpsc::UnboundedReceiver<Order>,
@@ -161,7 +161,7 @@
     let internal = listener(&*net, boot.internal_of(boot.ip))?;
     let keeps = boot.listen.control.is_some();
     let data = boot.data.clone().filter(|_| keeps);
-    let mut stock = open(data.as_deref(), &ring, &mut rng);
+    let mut stock = open(data.as_deref(), &log_buffer, &mut rng);
     if has(Defect::WipedVotes) {
         stock.disk = sparrouter_rendezvous::hash(boot.node_name.as_bytes());
     }
@@ -172,7 +172,7 @@
     let contact = boot.bounds.contact;
     let in_core = keeps && (boot.counted || data.is_some());
     let disk = if in_core { stock.disk } else { 0 };
-    let node = Node::new(boot, disk, ring, net, rng);
+    let node = Node::new(boot, disk, log_buffer, net, rng);
     if let Some(rows) = stock
         .rows
         .as_deref()
@@ -185,12 +185,12 @@
     if let Some(control) = &control {
         weights::start(node.clone(), control.clone());
     }
-    let house = Rc::new(House {
+    let services = Rc::new(ControlServices {
         node: node.clone(),
         control,
         registry: Registry::default(),
     });
-    let answering = house.clone();
+    let answering = services.clone();
     spawn_local(links::serve(internal, move |peer, call| {
         answer(answering.clone(), peer, call)
     }));
@@ -199,7 +199,10 @@
         spawn_local(control::found(node.clone()));
     }
     if let Some(listener) = control_door {
-        spawn_local(doors::listen(listener, Rc::new(calls::tree(&house))));
+        spawn_local(endpoint::listen(
+            listener,
+            Rc::new(control_api::tree(&services)),
+        ));
     }
     if let Some(listener) = readiness {
         let node = node.clone();
@@ -213,15 +216,15 @@
                 }
             }
         });
-        spawn_local(doors::listen(listener, Rc::new(ready)));
+        spawn_local(endpoint::listen(listener, Rc::new(ready)));
     }
     let (stage, staged) = watch::channel(Stage::Serving);
     if let Some(listener) = front {
         spawn_local(front::listen(node.clone(), listener, staged, most));
     }
-    spawn_local(keep_house(house.clone()));
+    spawn_local(maintain(services.clone()));
     spawn_local(probe(node.clone()));
-    spawn_local(following::follow(node.clone()));
+    spawn_local(event_follower::follow(node.clone()));
     spawn_local(without_quorum(node.clone(), contact));
     while let Some(Order::Seeds(seeds)) = orders.recv().await {
         if !has(Defect::SeedsAtStart) {
@@ -248,7 +251,7 @@
             return;
         }
     }
-    node.ring.breach(&format!(
+    node.log_buffer.breach(&format!(
         "{} requests were still open at the end of the grace period",
         node.open.get()
     ));
@@ -263,7 +266,7 @@
     loop {
         tokio::time::sleep(contact).await;
         if !node.informed.get() && node.in_force().table.is_some() {
-            node.ring.breach(
+            node.log_buffer.breach(
                 "no quorum of the control state is heard of: serving with what is known here",
             );
             node.informed.set(true);
@@ -272,19 +275,19 @@
 }
 
 /// Small duties: silent servers and nodes, tombstones, rows kept for the next start.
-async fn keep_house(house: Rc<House>) {
+async fn maintain(services: Rc<ControlServices>) {
     let mut kept = 0;
     let mut rounds = 0u32;
     // Since when this node of the core is out of touch with a quorum that it had.
     let mut lost: Option<Nanos> = None;
     let (mut had, mut in_touch) = (false, false);
     loop {
-        tokio::time::sleep(house.node.jitter(Duration::from_millis(250))).await;
+        tokio::time::sleep(services.node.jitter(Duration::from_millis(250))).await;
         rounds += 1;
-        let node = &house.node;
-        house.registry.look(node, house.control.is_some());
+        let node = &services.node;
+        services.registry.look(node, services.control.is_some());
         let now = node.now();
-        if let Some(control) = &house.control {
+        if let Some(control) = &services.control {
             control.watch();
             if in_touch != control.in_touch() {
                 // Whoever asks here wants to know.
@@ -297,7 +300,7 @@
                 let since = *lost.get_or_insert(now);
                 if now.saturating_sub(since) > nanos(node.boot.borrow().bounds.contact) {
                     had = false;
-                    node.ring.breach("the quorum of the control state is lost here: bring back its members, with their disks");
+                    node.log_buffer.breach("the quorum of the control state is lost here: bring back its members, with their disks");
                 }
             }
             let revision = node.rows.borrow().revision();
@@ -319,21 +322,21 @@
     loop {
         tokio::time::sleep(Duration::from_millis(50)).await;
         let now = node.now();
-        let due = node.bed.borrow_mut().probes(now);
+        let due = node.server_table.borrow_mut().probes(now);
         for ix in due {
-            let Some(address) = node.bed.borrow().get(ix).map(|s| s.address) else {
+            let Some(address) = node.server_table.borrow().get(ix).map(|s| s.address) else {
                 continue;
             };
             let node = node.clone();
             spawn_local(async move {
                 let dialled = timeout(Duration::from_millis(500), node.net.dial(address)).await;
                 let same = node
-                    .bed
+                    .server_table
                     .borrow()
                     .get(ix)
                     .is_some_and(|s| s.address == address);
                 if matches!(dialled, Ok(Ok(_))) && same {
-                    node.bed.borrow_mut().reached(ix);
+                    node.server_table.borrow_mut().reached(ix);
                 }
             });
         }
--- a/crates/sparrouter-fleet/src/status.rs
+++ b/crates/sparrouter-fleet/src/status.rs
@@ -65,10 +65,10 @@
 }
 
 pub fn show(node: &Rc<Node>, control: Option<&Rc<Control>>) -> String {
-    let bed = node.bed.borrow();
+    let server_table = node.server_table.borrow();
     let rows = node.rows.borrow();
     let servers = rows.servers().map(|s| {
-        let own = bed.find(&s.id).and_then(|ix| bed.get(ix));
+        let own = server_table.find(&s.id).and_then(|ix| server_table.get(ix));
         ServerStatus {
             id: s.id.clone(),
             service: s.service.clone(),
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -4,7 +4,7 @@
 //! quorum's word and looks at its own steady clock last thing before the bytes leave: an order of a holder that was
 //! frozen or replaced meanwhile stays unsent.
 use crate::boot::nanos;
-use crate::control::{self, Control, DUTY_PARTS, part_of};
+use crate::control::{self, Control, LEASE_SHARDS, shard_of};
 use crate::net::Net;
 use crate::node::Node;
 use crate::planted::{Defect, has};
@@ -93,7 +93,7 @@
 
 /// Holds this node's duties for as long as it runs.
 pub fn start(node: Rc<Node>, control: Rc<Control>) {
-    for part in 1..=DUTY_PARTS {
+    for part in 1..=LEASE_SHARDS {
         let duty = Rc::new(Duty {
             node: node.clone(),
             control: control.clone(),
@@ -180,11 +180,11 @@
     /// What holders before this one told of servers and did not take back: nobody is at work there any more.
     fn clear(&self, held: Held) {
         let left: Vec<Note> = {
-            let (rows, bed) = (self.node.rows.borrow(), self.node.bed.borrow());
+            let (rows, server_table) = (self.node.rows.borrow(), self.node.server_table.borrow());
             let mine = |key: &str| {
                 let id = key.split('/').nth(1).unwrap_or_default();
-                let server = bed.find(id).and_then(|ix| bed.get(ix));
-                server.is_some_and(|s| part_of(&s.service) == self.part)
+                let server = server_table.find(id).and_then(|ix| server_table.get(ix));
+                server.is_some_and(|s| shard_of(&s.service) == self.part)
             };
             let kind = |key: &str| key.starts_with("load/") || key.starts_with("soon/");
             let left = rows
@@ -221,15 +221,15 @@
     }
 
     fn has_work(&self) -> bool {
-        let bed = self.node.bed.borrow();
+        let server_table = self.node.server_table.borrow();
         let old = |s: &Server, model: &str, version: u64| {
-            part_of(&s.service) == self.part && s.version_of(model).is_some_and(|v| v < version)
+            shard_of(&s.service) == self.part && s.version_of(model).is_some_and(|v| v < version)
         };
         let in_force = self.node.in_force();
         let work = in_force
             .models
             .iter()
-            .any(|m| bed.all().any(|(_, s)| old(s, &m.0, m.1)));
+            .any(|m| server_table.all().any(|(_, s)| old(s, &m.0, m.1)));
         if !work {
             self.next.borrow_mut().clear();
         }
@@ -280,10 +280,10 @@
         }
         *self.looked_for.borrow_mut() = newest;
         let servers: Vec<(String, SocketAddr)> = {
-            let bed = self.node.bed.borrow();
-            let mine = bed
+            let server_table = self.node.server_table.borrow();
+            let mine = server_table
                 .all()
-                .filter(|(_, s)| part_of(&s.service) == self.part && !s.models().is_empty());
+                .filter(|(_, s)| shard_of(&s.service) == self.part && !s.models().is_empty());
             mine.take(MOST_LOOKED)
                 .map(|(_, s)| (s.id.clone(), s.address))
                 .collect()
@@ -314,20 +314,24 @@
             };
             let left = self
                 .node
-                .bed
+                .server_table
                 .borrow()
                 .versions
                 .until(wanted)
                 .saturating_sub(now);
             let mut services: Vec<Behind> = Vec::new();
             {
-                let bed = self.node.bed.borrow();
-                let mut names: Vec<&str> = bed.all().map(|(_, s)| s.service.as_str()).collect();
+                let server_table = self.node.server_table.borrow();
+                let mut names: Vec<&str> = server_table
+                    .all()
+                    .map(|(_, s)| s.service.as_str())
+                    .collect();
                 names.sort_unstable();
                 names.dedup();
-                for name in names.into_iter().filter(|n| part_of(n) == self.part) {
+                for name in names.into_iter().filter(|n| shard_of(n) == self.part) {
                     let there = || {
-                        bed.of(name)
+                        server_table
+                            .of(name)
                             .filter(|(_, s)| s.standing() == Standing::Ready && !s.silent())
                     };
                     let old =
--- a/crates/sparrouter-fleet/src/wire.rs
+++ b/crates/sparrouter-fleet/src/wire.rs
@@ -5,7 +5,7 @@
 use sparrouter_membership::{Delta, NodeRow};
 
 /// First bytes of a connection: name and version of this protocol.
-pub const HELLO: &[u8; 8] = b"orchard2";
+pub const HELLO: &[u8; 8] = b"sprtrfl3";
 /// Longest frame, in bytes: the largest configuration with room to spare.
 pub const MAX_FRAME: usize = 12 << 20;
 
@@ -25,7 +25,7 @@
 }
 
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
-pub struct ModelTold {
+pub struct ModelUpdate {
     pub name: String,
     pub version: u64,
     /// How long the teller knows of it.
@@ -34,52 +34,52 @@
 
 /// The configuration's register as it was chosen.
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
-pub struct ConfigTold {
+pub struct ConfigUpdate {
     pub seq: u64,
     /// Number and text of the newest configuration; 0 and empty before the first.
     pub version: u64,
-    pub text: TextTold,
-    pub models: Seq<ModelTold>,
+    pub text: TextUpdate,
+    pub models: Seq<ModelUpdate>,
 }
 
 /// The configuration's text, for one that has it, an earlier one, or none that is known.
 #[derive(Clone, Debug, SerBin, DeBin)]
-pub enum TextTold {
+pub enum TextUpdate {
     Whole(String),
     /// From the text with the digest that the poll named to the one in force; none where that is it.
-    Edits(Seq<EditTold>),
+    Edits(Seq<EditUpdate>),
 }
 
-impl Default for TextTold {
-    fn default() -> TextTold {
-        TextTold::Whole(String::new())
+impl Default for TextUpdate {
+    fn default() -> TextUpdate {
+        TextUpdate::Whole(String::new())
     }
 }
 
 /// As `sparrouter_config::Edit`.
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
-pub struct EditTold {
+pub struct EditUpdate {
     pub from: u64,
     pub to: u64,
-    pub pieces: Seq<PieceTold>,
+    pub pieces: Seq<PieceUpdate>,
 }
 
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
-pub struct PieceTold {
+pub struct PieceUpdate {
     pub start: u32,
     pub length: u32,
     pub text: String,
 }
 
-impl From<&Edit> for EditTold {
-    fn from(edit: &Edit) -> EditTold {
-        let piece = |p: &Piece| PieceTold {
+impl From<&Edit> for EditUpdate {
+    fn from(edit: &Edit) -> EditUpdate {
+        let piece = |p: &Piece| PieceUpdate {
             // Texts are shorter than a frame.
             start: p.start as u32,
             length: p.length as u32,
             text: p.text.clone(),
         };
-        EditTold {
+        EditUpdate {
             from: edit.from,
             to: edit.to,
             pieces: edit.pieces.iter().map(piece).collect(),
@@ -87,9 +87,9 @@
     }
 }
 
-impl From<EditTold> for Edit {
-    fn from(told: EditTold) -> Edit {
-        let piece = |p: PieceTold| Piece {
+impl From<EditUpdate> for Edit {
+    fn from(told: EditUpdate) -> Edit {
+        let piece = |p: PieceUpdate| Piece {
             start: p.start as usize,
             length: p.length as usize,
             text: p.text,
@@ -103,10 +103,10 @@
 }
 
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
-pub struct Told {
+pub struct Update {
     /// Rows, packed: the same bytes for all who had the same revision.
     pub rows: Blob,
-    pub config: Option<ConfigTold>,
+    pub config: Option<ConfigUpdate>,
     /// The teller has what is in force: it heard from a quorum lately.
     pub in_touch: bool,
 }
@@ -122,9 +122,9 @@
 pub enum Call {
     Poll(Poll),
     /// Rows that changed here, for a source.
-    Tell(Delta),
+    Notify(Delta),
     /// A message of a part's register, from the member with this disk.
-    Part {
+    Consensus {
         part: u16,
         disk: u64,
         name: String,
@@ -172,7 +172,7 @@
 
 #[derive(Clone, Debug, SerBin, DeBin)]
 pub enum Reply {
-    Told(Told),
+    Update(Update),
     Done,
     Changed(Blob),
     /// The change was not made and never will be.
--- a/crates/sparrouter-fleet/tests/common/mod.rs
+++ b/crates/sparrouter-fleet/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A network in memory of scripted nodes, for tests of what calls them.
 #![allow(dead_code)] // Each test file is a program of its own and uses a part.
-use sparrouter_fleet::net::{Door, Later, Net, Stream, Wire};
+use sparrouter_fleet::net::{Later, Listener, Net, Stream, Wire};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -127,7 +127,7 @@
         })
     }
 
-    fn listen(&self, _: SocketAddr) -> io::Result<Box<dyn Door>> {
+    fn listen(&self, _: SocketAddr) -> io::Result<Box<dyn Listener>> {
         Err(io::ErrorKind::Unsupported.into())
     }
 }
--- a/crates/sparrouter-fleet/tests/statute.rs
+++ b/crates/sparrouter-fleet/tests/configuration_state.rs
@@ -2,7 +2,9 @@
 use nanoserde::SerBin;
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Applied, Machine};
-use sparrouter_fleet::statute::{Change, Statute, Statutes, Verdict};
+use sparrouter_fleet::configuration_state::{
+    Change, ConfigurationMachine, ConfigurationState, Verdict,
+};
 
 /// The part's body as it goes from change to change.
 #[derive(Default)]
@@ -10,7 +12,7 @@
 
 impl Part {
     fn apply_bytes(&mut self, change: &[u8]) -> Verdict {
-        match Statutes.apply(&self.0, change) {
+        match ConfigurationMachine.apply(&self.0, change) {
             Applied::Changed { body, answer } => {
                 assert_ne!(body, self.0, "what is called changed has changed");
                 self.0 = body;
@@ -22,8 +24,8 @@
     fn apply(&mut self, change: &Change) -> u16 {
         self.apply_bytes(&change.serialize_bin()).status
     }
-    fn statute(&self) -> Statute {
-        Statute::read(&self.0).expect("a statute")
+    fn statute(&self) -> ConfigurationState {
+        ConfigurationState::read(&self.0).expect("a statute")
     }
     fn version(&self) -> u64 {
         self.statute().version
--- a/crates/sparrouter-fleet/tests/doors.rs
+++ b/crates/sparrouter-fleet/tests/endpoint.rs
@@ -1,6 +1,6 @@
 //! The tree of matchers: which handler a call comes to, and what nobody serves.
 use bytes::Bytes;
-use sparrouter_fleet::doors::{self, Matcher};
+use sparrouter_fleet::endpoint::{self, Matcher};
 use sparrouter_fleet::http::{Answer, Request};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -130,7 +130,7 @@
         .run_until(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
             let door = listener.local_addr().expect("its address");
-            let listening = spawn_local(doors::listen(Box::new(listener), Rc::new(tree())));
+            let listening = spawn_local(endpoint::listen(Box::new(listener), Rc::new(tree())));
             let mut resting = Vec::new();
             for _ in 0..1_000 {
                 resting.extend(call(door).await);
--- a/crates/sparrouter-fleet/tests/ring.rs
+++ b/crates/sparrouter-fleet/tests/log_buffer.rs
@@ -1,5 +1,5 @@
-//! The log's ring: bounded, and written out when something goes wrong.
-use sparrouter_fleet::ring::{LINES, LONGEST, MOST_DUMPS, Ring};
+//! The log's log_buffer: bounded, and written out when something goes wrong.
+use sparrouter_fleet::log_buffer::{LINES, LONGEST, LogBuffer, MOST_DUMPS};
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 
@@ -25,30 +25,30 @@
     }
 }
 
-fn ring() -> (Ring, Sink) {
+fn log_buffer() -> (LogBuffer, Sink) {
     let sink = Sink::default();
-    (Ring::to(sink.clone()), sink)
+    (LogBuffer::to(sink.clone()), sink)
 }
 
 #[test]
 fn given_lines_when_nothing_goes_wrong_then_nothing_is_written() {
-    let (mut ring, sink) = ring();
-    writeln!(ring, "calm").expect("never fails");
+    let (mut log_buffer, sink) = log_buffer();
+    writeln!(log_buffer, "calm").expect("never fails");
     assert_eq!(sink.text(), "");
 }
 
 #[test]
 fn given_lines_when_a_breach_is_told_then_it_and_they_are_written_once() {
-    let (mut ring, sink) = ring();
-    writeln!(ring, "first").expect("never fails");
-    write!(ring, "sec").expect("never fails");
-    writeln!(ring, "ond").expect("never fails");
-    ring.breach("the quorum is lost");
+    let (mut log_buffer, sink) = log_buffer();
+    writeln!(log_buffer, "first").expect("never fails");
+    write!(log_buffer, "sec").expect("never fails");
+    writeln!(log_buffer, "ond").expect("never fails");
+    log_buffer.breach("the quorum is lost");
     assert_eq!(
         sink.text(),
         "sparrouter: the quorum is lost; the last 2 lines:\nfirst\nsecond\n"
     );
-    ring.dump("again");
+    log_buffer.dump("again");
     assert!(
         sink.text()
             .ends_with("sparrouter: again; the last 0 lines:\n")
@@ -57,11 +57,11 @@
 
 #[test]
 fn given_more_lines_than_are_kept_when_written_out_then_the_newest_are_there() {
-    let (mut ring, sink) = ring();
+    let (mut log_buffer, sink) = log_buffer();
     for n in 0..LINES + 10 {
-        writeln!(ring, "line {n}").expect("never fails");
+        writeln!(log_buffer, "line {n}").expect("never fails");
     }
-    ring.dump("why");
+    log_buffer.dump("why");
     let text = sink.text();
     assert_eq!(text.lines().count(), LINES + 1);
     assert_eq!(text.lines().nth(1), Some("line 10"));
@@ -73,10 +73,12 @@
 
 #[test]
 fn given_a_line_without_end_when_written_out_then_it_is_cut() {
-    let (mut ring, sink) = ring();
-    ring.write_all(&vec![b'x'; 1 << 20]).expect("never fails");
-    ring.write_all(b"\nnext\n").expect("never fails");
-    ring.dump("why");
+    let (mut log_buffer, sink) = log_buffer();
+    log_buffer
+        .write_all(&vec![b'x'; 1 << 20])
+        .expect("never fails");
+    log_buffer.write_all(b"\nnext\n").expect("never fails");
+    log_buffer.dump("why");
     let text = sink.text();
     assert_eq!(text.lines().nth(1).map(str::len), Some(LONGEST));
     assert_eq!(text.lines().nth(2), Some("next"));
@@ -84,9 +86,9 @@
 
 #[test]
 fn given_trouble_without_end_when_told_then_dumps_are_bounded_and_the_last_says_so() {
-    let (ring, sink) = ring();
+    let (log_buffer, sink) = log_buffer();
     for n in 0..1_000 {
-        ring.breach(&format!("trouble {n}"));
+        log_buffer.breach(&format!("trouble {n}"));
     }
     let text = sink.text();
     assert_eq!(
@@ -113,16 +115,16 @@
             Err(std::io::ErrorKind::StorageFull.into())
         }
     }
-    let ring = Ring::to(Full);
-    ring.breach("why");
+    let log_buffer = LogBuffer::to(Full);
+    log_buffer.breach("why");
 }
 
 #[test]
 fn given_a_panic_when_heeded_then_the_ring_is_written_before_it_unwinds() {
-    let (mut ring, sink) = ring();
-    writeln!(ring, "what led there").expect("never fails");
+    let (mut log_buffer, sink) = log_buffer();
+    writeln!(log_buffer, "what led there").expect("never fails");
     // The hook is the process's own: the other tests of this file do not panic.
-    ring.heed_panics();
+    log_buffer.heed_panics();
     let caught = std::thread::spawn(|| panic!("out of plums")).join();
     assert!(caught.is_err());
     let text = sink.text();
--- a/crates/sparrouter-membership/src/lib.rs
+++ b/crates/sparrouter-membership/src/lib.rs
@@ -6,13 +6,13 @@
 //!
 //! No I/O, no clock: `now` is in nanoseconds of a clock that only advances. Sources: Das, Gupta and Motivala, "SWIM",
 //! DSN 2002 (suspicion refuted by a higher incarnation); Shapiro et al., "Conflict-free replicated data types", 2011.
-mod notes;
+mod directives;
 mod pace;
 mod packed;
 mod rows;
 mod sources;
 
-pub use notes::Note;
+pub use directives::Note;
 pub use pace::Pace;
 pub use rows::{Delta, ModelAt, NodeRow, Rows, ServerRow, Standing};
 pub use sources::{SOURCES, sources};
--- a/crates/sparrouter-routing/src/election.rs
+++ b/crates/sparrouter-routing/src/election.rs
@@ -46,7 +46,7 @@
 }
 
 /// Everything that is known of servers at this node.
-pub struct Bed {
+pub struct ServerTable {
     servers: Vec<Option<Server>>,
     by_id: HashMap<String, ServerIx>,
     by_service: HashMap<String, Vec<ServerIx>>,
@@ -54,10 +54,10 @@
     rng: Rng,
 }
 
-impl Bed {
-    pub fn new(version_patience: Nanos, rng: Rng) -> Bed {
+impl ServerTable {
+    pub fn new(version_patience: Nanos, rng: Rng) -> ServerTable {
         let versions = Versions::new(version_patience);
-        Bed {
+        ServerTable {
             servers: Vec::new(),
             by_id: HashMap::new(),
             by_service: HashMap::new(),
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -15,7 +15,7 @@
 pub use backlog::Backlog;
 pub use budget::{Budget, BudgetTerms};
 pub use durations::Durations;
-pub use election::{Ask, Bed, Pick, Turned};
+pub use election::{Ask, Pick, ServerTable, Turned};
 pub use prompt::{Part, Prompt};
 pub use server::{Ending, Server, ServerIx};
 pub use versions::{Versions, Wanted};
--- a/crates/sparrouter-routing/tests/election.rs
+++ b/crates/sparrouter-routing/tests/election.rs
@@ -1,11 +1,11 @@
 //! The election, the pass-over, the fallback, the budget and the backlog.
 use fastrand::Rng;
 use sparrouter_membership::{Rows, ServerRow, Standing};
-use sparrouter_routing::{Ask, Backlog, Bed, Budget, BudgetTerms, Ending, Prompt, Turned};
+use sparrouter_routing::{Ask, Backlog, Budget, BudgetTerms, Ending, Prompt, ServerTable, Turned};
 
 const SECOND: u64 = 1_000_000_000;
 
-fn bed(servers: usize) -> (Bed, Rows) {
+fn server_table(servers: usize) -> (ServerTable, Rows) {
     let mut rows = Rows::new(1, 60 * SECOND, 1_000);
     for i in 0..servers {
         let row = ServerRow {
@@ -17,9 +17,9 @@
         };
         rows.merge_server(row, 0);
     }
-    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
-    bed.sync(&rows, 0);
-    (bed, rows)
+    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    server_table.sync(&rows, 0);
+    (server_table, rows)
 }
 
 fn ask(key: u64, tried: &[usize]) -> Ask<'_> {
@@ -34,10 +34,11 @@
 
 #[test]
 fn given_the_same_servers_when_two_nodes_choose_then_they_agree() {
-    let ((a, _), (b, _)) = (bed(9), bed(9));
+    let ((a, _), (b, _)) = (server_table(9), server_table(9));
     for key in 0..500 {
-        let id = |bed: &Bed| {
-            bed.get(bed.choose(&ask(key, &[]), 0).unwrap().server)
+        let id = |server_table: &ServerTable| {
+            server_table
+                .get(server_table.choose(&ask(key, &[]), 0).unwrap().server)
                 .unwrap()
                 .id
                 .clone()
@@ -48,28 +49,28 @@
 
 #[test]
 fn given_a_server_over_the_bar_when_its_key_comes_then_the_next_in_order_takes_it() {
-    let (mut bed, _) = bed(4);
-    let winner = bed.choose(&ask(1, &[]), 0).unwrap().server;
-    let next = bed.choose(&ask(1, &[winner]), 0).unwrap().server;
+    let (mut server_table, _) = server_table(4);
+    let winner = server_table.choose(&ask(1, &[]), 0).unwrap().server;
+    let next = server_table.choose(&ask(1, &[winner]), 0).unwrap().server;
     // A floor of two: the third is still taken.
     for _ in 0..3 {
-        assert_eq!(bed.choose(&ask(1, &[]), 0).unwrap().server, winner);
-        bed.begin(winner, 10);
+        assert_eq!(server_table.choose(&ask(1, &[]), 0).unwrap().server, winner);
+        server_table.begin(winner, 10);
     }
     (0..4).filter(|&i| i != winner).for_each(|i| {
-        bed.begin(i, 10);
-        bed.end(i, 10, Ending::Answered, 0);
+        server_table.begin(i, 10);
+        server_table.end(i, 10, Ending::Answered, 0);
     });
-    assert_eq!(bed.choose(&ask(1, &[]), 0).unwrap().server, next);
-    bed.end(winner, 10, Ending::Answered, 0);
-    assert_eq!(bed.choose(&ask(1, &[]), 0).unwrap().server, winner);
+    assert_eq!(server_table.choose(&ask(1, &[]), 0).unwrap().server, next);
+    server_table.end(winner, 10, Ending::Answered, 0);
+    assert_eq!(server_table.choose(&ask(1, &[]), 0).unwrap().server, winner);
 }
 
 #[test]
 fn given_a_draining_or_gone_server_then_nothing_new_goes_there() {
-    let (mut bed, mut rows) = bed(2);
-    let first = bed.choose(&ask(5, &[]), 0).unwrap().server;
-    let id = bed.get(first).unwrap().id.clone();
+    let (mut server_table, mut rows) = server_table(2);
+    let first = server_table.choose(&ask(5, &[]), 0).unwrap().server;
+    let id = server_table.get(first).unwrap().id.clone();
     let row = rows.server(&id).unwrap().clone();
     rows.merge_server(
         ServerRow {
@@ -79,37 +80,37 @@
         },
         0,
     );
-    bed.sync(&rows, 0);
-    assert_ne!(bed.choose(&ask(5, &[]), 0).unwrap().server, first);
-    let other = bed.get(1 - first).unwrap().id.clone();
+    server_table.sync(&rows, 0);
+    assert_ne!(server_table.choose(&ask(5, &[]), 0).unwrap().server, first);
+    let other = server_table.get(1 - first).unwrap().id.clone();
     rows.leave(&other, 0);
-    bed.sync(&rows, 0);
-    assert_eq!(bed.choose(&ask(5, &[]), 0), Err(Turned::None));
+    server_table.sync(&rows, 0);
+    assert_eq!(server_table.choose(&ask(5, &[]), 0), Err(Turned::None));
 }
 
 #[test]
 fn given_an_unreachable_server_when_a_probe_comes_through_then_it_is_back_without_a_fixed_wait() {
-    let (mut bed, _) = bed(2);
-    let first = bed.choose(&ask(5, &[]), 0).unwrap().server;
-    bed.begin(first, 0);
-    bed.end(first, 0, Ending::Unreachable, 0);
-    assert_ne!(bed.choose(&ask(5, &[]), 1).unwrap().server, first);
-    assert!(bed.probes(SECOND).contains(&first));
-    bed.reached(first);
-    assert_eq!(bed.choose(&ask(5, &[]), 1).unwrap().server, first);
+    let (mut server_table, _) = server_table(2);
+    let first = server_table.choose(&ask(5, &[]), 0).unwrap().server;
+    server_table.begin(first, 0);
+    server_table.end(first, 0, Ending::Unreachable, 0);
+    assert_ne!(server_table.choose(&ask(5, &[]), 1).unwrap().server, first);
+    assert!(server_table.probes(SECOND).contains(&first));
+    server_table.reached(first);
+    assert_eq!(server_table.choose(&ask(5, &[]), 1).unwrap().server, first);
 }
 
 #[test]
 fn given_a_request_that_fails_anywhere_when_servers_break_over_it_then_none_is_blamed() {
-    let (mut bed, _) = bed(3);
+    let (mut server_table, _) = server_table(3);
     for ix in 0..3 {
-        bed.begin(ix, 0);
-        bed.end(ix, 0, Ending::Broke, 0);
-        bed.begin(ix, 0);
-        bed.end(ix, 0, Ending::Declined, 0);
+        server_table.begin(ix, 0);
+        server_table.end(ix, 0, Ending::Broke, 0);
+        server_table.begin(ix, 0);
+        server_table.end(ix, 0, Ending::Declined, 0);
     }
-    assert!(bed.all().all(|(_, s)| !s.suspected()));
-    assert!(bed.choose(&ask(1, &[]), 0).is_ok());
+    assert!(server_table.all().all(|(_, s)| !s.suspected()));
+    assert!(server_table.choose(&ask(1, &[]), 0).is_ok());
 }
 
 /// Every window of the terms' length, wherever it falls.
--- a/crates/sparrouter-routing/tests/words.rs
+++ b/crates/sparrouter-routing/tests/words.rs
@@ -1,7 +1,7 @@
 //! What the holder of new weights tells, and how long it stands.
 use fastrand::Rng;
 use sparrouter_membership::{ModelAt, Note, Rows, ServerRow};
-use sparrouter_routing::{Ask, Bed, Turned, Wanted};
+use sparrouter_routing::{Ask, ServerTable, Turned, Wanted};
 
 const SECOND: u64 = 1_000_000_000;
 
@@ -48,23 +48,23 @@
 #[test]
 fn given_a_server_under_an_order_when_its_holder_ends_then_it_is_not_kept_out_for_ever() {
     let mut rows = rows(&["a"]);
-    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, false), 0);
-    bed.sync(&rows, 0);
-    assert_eq!(bed.choose(&ask(7, 0), 0), Err(Turned::Unready));
+    server_table.sync(&rows, 0);
+    assert_eq!(server_table.choose(&ask(7, 0), 0), Err(Turned::Unready));
     // Nobody takes the word back: it stands no longer than the work can take.
-    bed.sync(&rows, 13 * SECOND);
-    assert!(bed.choose(&ask(7, 0), 13 * SECOND).is_ok());
+    server_table.sync(&rows, 13 * SECOND);
+    assert!(server_table.choose(&ask(7, 0), 13 * SECOND).is_ok());
 }
 
 #[test]
 fn given_a_word_left_behind_when_the_next_holder_takes_it_back_then_the_server_serves_at_once() {
     let mut rows = rows(&["a"]);
-    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, false), 0);
     rows.merge_note(note("load/a/m", 4, 0, true), SECOND);
-    bed.sync(&rows, SECOND);
-    assert!(bed.choose(&ask(7, 0), SECOND).is_ok());
+    server_table.sync(&rows, SECOND);
+    assert!(server_table.choose(&ask(7, 0), SECOND).is_ok());
     // The old holder, thawed, says it again: its fence is lower.
     assert!(!rows.merge_note(
         Note {
@@ -78,26 +78,29 @@
 #[test]
 fn given_weights_that_are_in_when_it_is_told_then_the_server_runs_them_and_never_goes_back() {
     let mut rows = rows(&["a"]);
-    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, true), 0);
-    bed.sync(&rows, 0);
-    assert_eq!(bed.choose(&ask(7, 0), 0).unwrap().version, Some(2));
-    bed.runs(bed.find("a").unwrap(), "m", 1);
-    assert_eq!(bed.choose(&ask(7, 0), 0).unwrap().version, Some(2));
+    server_table.sync(&rows, 0);
+    assert_eq!(server_table.choose(&ask(7, 0), 0).unwrap().version, Some(2));
+    server_table.runs(server_table.find("a").unwrap(), "m", 1);
+    assert_eq!(server_table.choose(&ask(7, 0), 0).unwrap().version, Some(2));
 }
 
 #[test]
 fn given_a_newer_version_when_its_time_is_over_then_nothing_begins_on_older_weights() {
-    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
-    bed.sync(&rows(&["a"]), 0);
-    bed.versions.told("m", 2, 0, SECOND);
-    assert!(bed.choose(&ask(7, 0), 6 * SECOND).is_ok());
-    assert_eq!(bed.choose(&ask(7, 0), 8 * SECOND), Err(Turned::Unready));
+    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    server_table.sync(&rows(&["a"]), 0);
+    server_table.versions.told("m", 2, 0, SECOND);
+    assert!(server_table.choose(&ask(7, 0), 6 * SECOND).is_ok());
+    assert_eq!(
+        server_table.choose(&ask(7, 0), 8 * SECOND),
+        Err(Turned::Unready)
+    );
     // Something befalls the core: the time begins anew, as the rule counts it.
-    bed.versions.core_changed(8 * SECOND);
-    assert!(bed.choose(&ask(7, 0), 9 * SECOND).is_ok());
+    server_table.versions.core_changed(8 * SECOND);
+    assert!(server_table.choose(&ask(7, 0), 9 * SECOND).is_ok());
     assert_eq!(
-        bed.versions.until(Wanted {
+        server_table.versions.until(Wanted {
             version: 2,
             since: SECOND
         }),
@@ -108,23 +111,31 @@
 #[test]
 fn given_a_server_that_takes_weights_soon_when_a_long_generation_comes_then_it_goes_elsewhere() {
     let mut rows = rows(&["a", "b"]);
-    let mut bed = Bed::new(6 * SECOND, Rng::with_seed(1));
-    bed.sync(&rows, 0);
+    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    server_table.sync(&rows, 0);
     let key = (0..)
         .find(|&k| {
-            bed.get(bed.choose(&ask(k, 0), 0).unwrap().server)
+            server_table
+                .get(server_table.choose(&ask(k, 0), 0).unwrap().server)
                 .unwrap()
                 .id
                 == "a"
         })
         .unwrap();
     rows.merge_note(note("soon/a/m", 1, 2, false), 0);
-    bed.sync(&rows, 0);
-    let to = |bed: &Bed, out| {
-        bed.get(bed.choose(&ask(key, out), 0).unwrap().server)
+    server_table.sync(&rows, 0);
+    let to = |server_table: &ServerTable, out| {
+        server_table
+            .get(server_table.choose(&ask(key, out), 0).unwrap().server)
             .unwrap()
             .id
             .clone()
     };
-    assert_eq!((to(&bed, 6).as_str(), to(&bed, 200).as_str()), ("a", "b"));
+    assert_eq!(
+        (
+            to(&server_table, 6).as_str(),
+            to(&server_table, 200).as_str()
+        ),
+        ("a", "b")
+    );
 }
--- a/crates/sparrouter-simulation/examples/hunt.rs
+++ b/crates/sparrouter-simulation/examples/hunt.rs
@@ -3,8 +3,8 @@
 //! `--all` goes on behind a broken day, `--story` tells a day in full, each request with it. `--defect NAME` plants a
 //! mistake first; `--shrink` tells of a broken day what it takes, as a story; `--planted` plants each in turn and prints after how many days it was found.
 use sparrouter_fleet::planted::{Defect, plant};
-use sparrouter_simulation::story;
-use sparrouter_simulation::weather::{self, Day, Report};
+use sparrouter_simulation::faults::{self, Day, Report};
+use sparrouter_simulation::scenario;
 use std::collections::BTreeSet;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
@@ -24,7 +24,7 @@
 
 /// A day; None where the story itself could not go on, as a node ended that it needs.
 fn played(day: &Day) -> Option<Report> {
-    catch_unwind(AssertUnwindSafe(|| story::play(weather::play(day)))).ok()
+    catch_unwind(AssertUnwindSafe(|| scenario::play(faults::play(day)))).ok()
 }
 
 /// The first seed that finds a defect, and what was broken.
@@ -56,7 +56,7 @@
     let (places, closing) = day.shrunk(still);
     format!(
         "only {places:?}, {closing}: {}",
-        day.clone().only(&places, closing).told()
+        day.clone().only(&places, closing).run_judged()
     )
 }
 
@@ -99,7 +99,7 @@
 }
 
 fn main() -> ExitCode {
-    story::heed_panics();
+    scenario::heed_panics();
     let arguments: Vec<String> = std::env::args().collect();
     let days = number(&arguments, "--days").unwrap_or(20);
     let first = number(&arguments, "--seed").unwrap_or(1);
@@ -121,7 +121,7 @@
             broken += 1;
             println!(
                 "seed {seed}: the story could not go on: {:?}",
-                story::panics()
+                scenario::panics()
             );
             continue;
         };
--- a/crates/sparrouter-simulation/src/client.rs
+++ b/crates/sparrouter-simulation/src/client.rs
@@ -1,6 +1,6 @@
 //! Clients by their page: a new id a try, retries by what was promised, a whole answer or none.
+use crate::connection::End;
 use crate::judge::{Answer, Asked, Judge};
-use crate::line::End;
 use crate::net::MemoryNet;
 use crate::plan::Kind;
 use crate::platform::Platform;
--- a/crates/sparrouter-simulation/src/shelf.rs
+++ b/crates/sparrouter-simulation/src/disk.rs
@@ -1,8 +1,8 @@
 //! A machine's disk: one that lies, answers late in virtual time, stalls, fills up, or is lost.
 use fastrand::Rng;
-use sparrouter_fleet::disk::{Keeper, Kept, Save, Saves, Stock, keep};
-use sparrouter_fleet::ring::Ring;
-use sparrouter_storage::{Cellar, LyingFiles};
+use sparrouter_fleet::disk::{DiskContents, Keeper, Kept, Save, Saves, keep};
+use sparrouter_fleet::log_buffer::LogBuffer;
+use sparrouter_storage::{LyingFiles, Store};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 #[derive(Clone)]
-pub struct Shelf {
+pub struct SimulatedDisk {
     pub files: LyingFiles,
     /// How long a save takes.
     pub delay: Rc<Cell<Duration>>,
@@ -21,9 +21,9 @@
     rows_lost: Rc<Cell<bool>>,
 }
 
-impl Shelf {
-    pub fn new(seed: u64, delay: Duration) -> Shelf {
-        Shelf {
+impl SimulatedDisk {
+    pub fn new(seed: u64, delay: Duration) -> SimulatedDisk {
+        SimulatedDisk {
             files: LyingFiles::new(seed),
             delay: Rc::new(Cell::new(delay)),
             stalled: Rc::new(Cell::new(Instant::now())),
@@ -37,10 +37,10 @@
     }
 
     /// What a process finds that starts with this disk.
-    pub fn stock(&self, ring: &Ring, rng: &mut Rng) -> Stock {
-        let stock = self.whole_stock(ring, rng);
+    pub fn stock(&self, log_buffer: &LogBuffer, rng: &mut Rng) -> DiskContents {
+        let stock = self.whole_stock(log_buffer, rng);
         if self.rows_lost.take() {
-            Stock {
+            DiskContents {
                 rows: None,
                 ..stock
             }
@@ -49,28 +49,28 @@
         }
     }
 
-    fn whole_stock(&self, ring: &Ring, rng: &mut Rng) -> Stock {
+    fn whole_stock(&self, log_buffer: &LogBuffer, rng: &mut Rng) -> DiskContents {
         for _ in 0..2 {
-            match Cellar::open(self.files.clone()) {
-                Ok((cellar, opened)) => {
-                    let shelf = self.clone();
-                    return Stock::of(cellar, opened, ring, rng, |cellar| {
-                        Box::new(Late { cellar, shelf })
+            match Store::open(self.files.clone()) {
+                Ok((store, opened)) => {
+                    let disk = self.clone();
+                    return DiskContents::of(store, opened, log_buffer, rng, |store| {
+                        Box::new(Late { store, disk })
                     });
                 }
                 Err(why) => {
-                    ring.breach(&why.to_string());
+                    log_buffer.breach(&why.to_string());
                     self.files.wipe();
                 }
             }
         }
-        Stock::empty(rng)
+        DiskContents::empty(rng)
     }
 }
 
 struct Late {
-    cellar: Cellar<LyingFiles>,
-    shelf: Shelf,
+    store: Store<LyingFiles>,
+    disk: SimulatedDisk,
 }
 
 impl Keeper for Late {
@@ -85,15 +85,15 @@
 }
 
 async fn carry_out(late: Late, mut queue: UnboundedReceiver<Save>, done: UnboundedSender<Kept>) {
-    let Late { mut cellar, shelf } = late;
+    let Late { mut store, disk } = late;
     while let Some(save) = queue.recv().await {
         // Half of its time before the bytes last and half after: a process may end on either side.
-        sleep(shelf.delay.get() / 2).await;
-        while shelf.stalled.get() > Instant::now() {
-            sleep_until(shelf.stalled.get()).await;
+        sleep(disk.delay.get() / 2).await;
+        while disk.stalled.get() > Instant::now() {
+            sleep_until(disk.stalled.get()).await;
         }
-        let kept = keep(&mut cellar, save);
-        sleep(shelf.delay.get() / 2).await;
+        let kept = keep(&mut store, save);
+        sleep(disk.delay.get() / 2).await;
         if let Some(kept) = kept {
             let _ = done.send(kept);
         }
--- a/crates/sparrouter-simulation/src/fabric.rs
+++ b/crates/sparrouter-simulation/src/fabric.rs
@@ -7,7 +7,7 @@
 //! | no door | refused |
 //! | process ended | an end of stream, or a reset where bytes were unread or come later |
 //! | power lost | nothing; a reset once the machine is there again and hears of the old connection |
-use crate::line::{End, Line};
+use crate::connection::{End, Line};
 use fastrand::Rng;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/crates/sparrouter-simulation/src/weather.rs
+++ b/crates/sparrouter-simulation/src/faults.rs
@@ -16,7 +16,7 @@
 use crate::judge::Bounds;
 use crate::load::{self, Manner, Tally};
 use crate::plan::Plan;
-use crate::story;
+use crate::scenario;
 use crate::world::{Terms, World, ZONES, first_plan};
 use fastrand::Rng;
 use std::cell::{Cell, RefCell};
@@ -131,7 +131,7 @@
     }
 
     /// What is needed of a day, as a story begins.
-    pub fn told(&self) -> String {
+    pub fn run_judged(&self) -> String {
         let when: Vec<String> = self
             .troubles
             .iter()
@@ -211,7 +211,7 @@
         }
     }
     sky.close(day.closing).await;
-    for panic in story::panics() {
+    for panic in scenario::panics() {
         world
             .judge
             .breach("FAULT", format!("a task ended by a panic: {panic}"));
--- a/crates/sparrouter-simulation/src/weather/core.rs
+++ b/crates/sparrouter-simulation/src/faults/core.rs
@@ -65,15 +65,15 @@
                 w.judge.note(format!("disk trouble at {name}"));
                 w.judge.trouble(Some(w.ip(&name)));
                 w.judge.trouble(None);
-                let shelf = w.shelf(&name);
+                let disk = w.disk(&name);
                 match trouble {
-                    DiskSlow => shelf.delay.set(w.terms.sync * 16),
-                    DiskStall => shelf.stalled.set(Instant::now() + lasting),
-                    _ => shelf.files.set_room(Some(0)),
+                    DiskSlow => disk.delay.set(w.terms.sync * 16),
+                    DiskStall => disk.stalled.set(Instant::now() + lasting),
+                    _ => disk.files.set_room(Some(0)),
                 }
                 sleep(lasting).await;
-                shelf.delay.set(w.terms.sync);
-                shelf.files.set_room(None);
+                disk.delay.set(w.terms.sync);
+                disk.files.set_room(None);
                 w.judge.calm(Some(w.ip(&name)));
                 w.judge.calm(None);
             }
--- a/crates/sparrouter-simulation/src/speech.rs
+++ b/crates/sparrouter-simulation/src/http_messages.rs
@@ -1,5 +1,5 @@
 //! HTTP as stand-ins speak it: calls with an answer, and calls that servers take.
-use crate::line::End;
+use crate::connection::End;
 use crate::net::MemoryNet;
 use bytes::{Bytes, BytesMut};
 use sparrouter_fleet::http;
--- a/crates/sparrouter-simulation/src/judge/mod.rs
+++ b/crates/sparrouter-simulation/src/judge/mod.rs
@@ -1,14 +1,14 @@
 //! The rules of the operators' page, judged on what stand-ins see on their connections, as it happens.
 //!
 //! By file: `trouble` (who is in touch), `requests` (MIXED, UNASKED, TWICE, REFUSED, ROUTE, CONFIG of requests, DRAIN,
-//! VERSION, STALE, WALL, LOST), `answers` (MIXED and ORDER of bytes), `tolls` (DENIED, CONFIG of routes that were added),
+//! VERSION, STALE, WALL, LOST), `answers` (MIXED and ORDER of bytes), `prices` (DENIED, CONFIG of routes that were added),
 //! `orders` (CONFIG of the operator, ONE, ACKS), `budget`.
 //! Where the page leaves a bound to machines in touch, a breach elsewhere is none.
 mod answers;
 mod budget;
 mod orders;
+mod prices;
 mod requests;
-mod tolls;
 mod trouble;
 
 pub use answers::Answer;
--- a/crates/sparrouter-simulation/src/judge/tolls.rs
+++ b/crates/sparrouter-simulation/src/judge/prices.rs
@@ -1,4 +1,4 @@
-//! What is counted over a whole day: DENIED, and CONFIG of routes that were added later. In tolls come only requests
+//! What is counted over a whole day: DENIED, and CONFIG of routes that were added later. In prices come only requests
 //! that every configuration which may be in force allows, at machines in touch.
 use super::requests::allows;
 use super::{Answer, Asked, Judge};
@@ -14,7 +14,7 @@
 impl Judge {
     pub(super) fn count(&self, asked: &Asked, sent: Instant, answer: &Answer) {
         let now = Instant::now();
-        self.requests.borrow_mut().tolls.all += 1;
+        self.requests.borrow_mut().prices.all += 1;
         if !self.in_touch(asked.node, sent, now) || !self.is_proper(asked, sent) {
             return;
         }
@@ -23,15 +23,15 @@
             orders.sent.first().is_some_and(|s| !allows(&s.plan, asked))
         };
         let calm = !self.any_unplanned(sent.checked_sub(self.bounds.contact).unwrap_or(sent), now);
-        let tolls = &mut self.requests.borrow_mut().tolls;
+        let prices = &mut self.requests.borrow_mut().prices;
         // With a seal it is a server's word, not ours.
         let own = answer.seal.is_none() && matches!(answer.status, 300..=499);
-        tolls.denied += u32::from(own && !matches!(answer.status, 408 | 421 | 429));
+        prices.denied += u32::from(own && !matches!(answer.status, 408 | 421 | 429));
         if calm && !answer.abandoned {
             let toll = if added {
-                &mut tolls.added
+                &mut prices.added
             } else {
-                &mut tolls.first
+                &mut prices.first
             };
             toll.0 += 1;
             toll.1 += u32::from(answer.whole && (200..300).contains(&answer.status));
@@ -57,8 +57,8 @@
     /// Judges what was counted; once, when all requests have ended.
     pub fn day_ends(&self) {
         let (all, denied, first, added) = {
-            let tolls = &self.requests.borrow().tolls;
-            (tolls.all, tolls.denied, tolls.first, tolls.added)
+            let prices = &self.requests.borrow().prices;
+            (prices.all, prices.denied, prices.first, prices.added)
         };
         if denied > DENIED + all / DENIED_IN {
             self.breach(
--- a/crates/sparrouter-simulation/src/judge/requests.rs
+++ b/crates/sparrouter-simulation/src/judge/requests.rs
@@ -63,14 +63,14 @@
     pub attempts: BTreeMap<String, Attempt>,
     pub runs: Vec<Run>,
     pub faulty: Vec<u64>,
-    pub tolls: Tolls,
+    pub prices: Prices,
     /// Of each life of a node, the newest version whose effect was seen, and when.
     seen: BTreeMap<(IpAddr, u64), (u64, Instant)>,
 }
 
 /// Counts over the day of requests that every configuration which may be in force allows, at machines in touch.
 #[derive(Default)]
-pub(super) struct Tolls {
+pub(super) struct Prices {
     /// All requests, proper or not.
     pub all: u32,
     pub denied: u32,
--- a/crates/sparrouter-simulation/src/lib.rs
+++ b/crates/sparrouter-simulation/src/lib.rs
@@ -4,7 +4,7 @@
 //! | file | its one job |
 //! | --- | --- |
 //! | `fabric`, `line`, `net` | machines and what lies between them; one connection; a machine's way to others |
-//! | `pot`, `shelf` | a process that may freeze or end between any two steps; its disk |
+//! | `process`, `disk` | a process that may freeze or end between any two steps; its disk |
 //! | `server`, `client`, `operator`, `platform` | who stands outside, by their page |
 //! | `plan`, `speech` | configurations; HTTP as stand-ins speak it |
 //! | `judge` | the rules |
@@ -14,18 +14,18 @@
 //! Sources: FoundationDB's simulation (Zhou et al., SIGMOD 2021): the real code, faults by seed, a failure comes back
 //! from one number.
 pub mod client;
+pub mod connection;
+pub mod disk;
 pub mod fabric;
+pub mod faults;
+pub mod http_messages;
 pub mod judge;
-pub mod line;
 pub mod load;
 pub mod net;
 pub mod operator;
 pub mod plan;
 pub mod platform;
-pub mod pot;
+pub mod process;
+pub mod scenario;
 pub mod server;
-pub mod shelf;
-pub mod speech;
-pub mod story;
-pub mod weather;
 pub mod world;
--- a/crates/sparrouter-simulation/src/net.rs
+++ b/crates/sparrouter-simulation/src/net.rs
@@ -1,7 +1,7 @@
 //! One machine's way into the network in memory, as the fleet's code asks for it.
+use crate::connection::End;
 use crate::fabric::Fabric;
-use crate::line::End;
-use sparrouter_fleet::net::{Door, Later, Net, Stream};
+use sparrouter_fleet::net::{Later, Listener, Net, Stream};
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::io;
@@ -25,8 +25,8 @@
         self.fabric.dial(self.ip, to, false).await
     }
 
-    pub fn open(&self, at: SocketAddr) -> io::Result<MemoryDoor> {
-        Ok(MemoryDoor {
+    pub fn open(&self, at: SocketAddr) -> io::Result<MemoryListener> {
+        Ok(MemoryListener {
             fabric: self.fabric.clone(),
             at,
             queue: RefCell::new(self.fabric.open(at)?),
@@ -38,18 +38,18 @@
     fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Stream>> {
         Box::pin(async move { Ok(Box::new(self.fabric.dial(self.ip, to, true).await?) as Stream) })
     }
-    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Door>> {
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
         Ok(Box::new(self.open(at)?))
     }
 }
 
-pub struct MemoryDoor {
+pub struct MemoryListener {
     fabric: Rc<Fabric>,
     at: SocketAddr,
     queue: RefCell<mpsc::UnboundedReceiver<(End, SocketAddr)>>,
 }
 
-impl MemoryDoor {
+impl MemoryListener {
     pub async fn next(&self) -> (End, SocketAddr) {
         match poll_fn(|context| self.queue.borrow_mut().poll_recv(context)).await {
             Some(connection) => connection,
@@ -59,7 +59,7 @@
     }
 }
 
-impl Door for MemoryDoor {
+impl Listener for MemoryListener {
     fn accept(&self) -> Later<'_, io::Result<(Stream, SocketAddr)>> {
         Box::pin(async move {
             let (end, from) = self.next().await;
@@ -68,7 +68,7 @@
     }
 }
 
-impl Drop for MemoryDoor {
+impl Drop for MemoryListener {
     fn drop(&mut self) {
         self.fabric.close(self.at);
     }
--- a/crates/sparrouter-simulation/src/operator.rs
+++ b/crates/sparrouter-simulation/src/operator.rs
@@ -1,9 +1,9 @@
 //! The operator: configurations and versions, each sent until there is a clear answer, to any node of a lagging list.
+use crate::http_messages::{self, Reply};
 use crate::judge::Judge;
 use crate::net::MemoryNet;
 use crate::plan::Plan;
 use crate::server::MODEL;
-use crate::speech::{self, Reply};
 use fastrand::Rng;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -101,7 +101,7 @@
         let mut pause = Duration::from_millis(50);
         while began.elapsed() < GIVES_UP {
             let to = first.take().unwrap_or_else(|| self.any());
-            let reply = speech::call(
+            let reply = http_messages::call(
                 &self.net,
                 to,
                 method,
@@ -161,7 +161,7 @@
         let body = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
         while began.elapsed() < GIVES_UP {
             let to = self.any();
-            let call = speech::call(
+            let call = http_messages::call(
                 &self.net,
                 to,
                 "POST",
@@ -181,7 +181,7 @@
 
     /// One question to one node.
     pub async fn get_from(&self, to: SocketAddr) -> Option<Reply> {
-        speech::call(&self.net, to, "GET", "/api/config", &[], "", PATIENCE)
+        http_messages::call(&self.net, to, "GET", "/api/config", &[], "", PATIENCE)
             .await
             .ok()
     }
--- a/crates/sparrouter-simulation/src/platform.rs
+++ b/crates/sparrouter-simulation/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform in front: asks each node every second whether it is ready, and passes new connections to those that
 //! are, those of the client's zone first.
+use crate::http_messages;
 use crate::net::MemoryNet;
-use crate::speech;
 use fastrand::Rng;
 use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
@@ -93,8 +93,15 @@
             for (name, at) in all {
                 let platform = self.clone();
                 spawn_local(async move {
-                    let call =
-                        speech::call(&platform.net, at, "GET", "/api/readiness", &[], "", EVERY);
+                    let call = http_messages::call(
+                        &platform.net,
+                        at,
+                        "GET",
+                        "/api/readiness",
+                        &[],
+                        "",
+                        EVERY,
+                    );
                     let ready = call.await.is_ok_and(|r| r.status == 200);
                     let mut fronts = platform.fronts.borrow_mut();
                     if let Some(front) = fronts.iter_mut().find(|f| f.name == name) {
--- a/crates/sparrouter-simulation/src/pot.rs
+++ b/crates/sparrouter-simulation/src/process.rs
@@ -19,11 +19,11 @@
 }
 
 /// Dropping it kills the process.
-pub struct Pot(Rc<Inside>);
+pub struct SimulatedProcess(Rc<Inside>);
 
-impl Pot {
+impl SimulatedProcess {
     /// Starts a process; it ends with `main`, whatever else it does.
-    pub fn start(main: impl Future<Output = ()> + 'static) -> Pot {
+    pub fn start(main: impl Future<Output = ()> + 'static) -> SimulatedProcess {
         let inside = Rc::new(Inside::default());
         let tasks = LocalSet::new();
         let held = Rc::downgrade(&inside);
@@ -63,7 +63,7 @@
             let _ = rest.as_mut().map(|r| r.as_mut().poll(context));
             Poll::Pending
         }));
-        Pot(inside)
+        SimulatedProcess(inside)
     }
 
     pub fn has_ended(&self) -> bool {
@@ -89,7 +89,7 @@
     }
 }
 
-impl Drop for Pot {
+impl Drop for SimulatedProcess {
     fn drop(&mut self) {
         let tasks = self.0.tasks.borrow_mut().take();
         drop(tasks);
--- a/crates/sparrouter-simulation/src/story.rs
+++ b/crates/sparrouter-simulation/src/scenario.rs
@@ -18,7 +18,7 @@
 }
 
 /// A story whose world is judged at the end.
-pub fn told<F: Future<Output = Rc<World>>>(story: impl FnOnce() -> F) {
+pub fn run_judged<F: Future<Output = Rc<World>>>(story: impl FnOnce() -> F) {
     play(async move {
         let world = story().await;
         world.judge.assert_kept();
--- a/crates/sparrouter-simulation/src/server.rs
+++ b/crates/sparrouter-simulation/src/server.rs
@@ -2,15 +2,15 @@
 //!
 //! What it answers is told by the path's last word: `sN` a stream of N events, `bN` a body of N bytes. Every event and
 //! body names the run it comes from, so that the judge can tell pieces of two runs apart.
-mod beats;
+mod heartbeats;
 mod work;
 
 pub use work::{body_of, event_of};
 
+use crate::connection::End;
+use crate::http_messages::{next_call, whole};
 use crate::judge::{Judge, Made};
-use crate::line::End;
 use crate::net::MemoryNet;
-use crate::speech::{next_call, whole};
 use bytes::{Bytes, BytesMut};
 use fastrand::Rng;
 use sparrouter_http::head::CallHead;
--- a/crates/sparrouter-simulation/src/server/beats.rs
+++ b/crates/sparrouter-simulation/src/server/heartbeats.rs
@@ -1,7 +1,7 @@
 //! A server's life as the fleet hears of it: beats, draining, leaving.
 use super::{MODEL, Server, State};
-use crate::net::MemoryDoor;
-use crate::speech;
+use crate::http_messages;
+use crate::net::MemoryListener;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 
 impl Server {
     /// Its whole life: it ends by itself only after `drain`.
-    pub async fn live(self: Rc<Self>, door: MemoryDoor) {
+    pub async fn live(self: Rc<Self>, door: MemoryListener) {
         let serving = self.clone();
         spawn_local(async move {
             loop {
@@ -51,7 +51,8 @@
             self.judge.draining(&self.terms.id, by);
             if self.late_beat.get() {
                 let path = format!("/api/instances/{}", self.terms.id);
-                let _ = speech::call(&self.net, by, "PUT", &path, &[], &first, PATIENCE).await;
+                let _ =
+                    http_messages::call(&self.net, by, "PUT", &path, &[], &first, PATIENCE).await;
             }
             sleep(self.terms.drain_timeout + LINGER).await;
         }
@@ -59,7 +60,7 @@
             let path = format!("/api/instances/{}", self.terms.id);
             if let Some(to) = self.whom()
                 && let Ok(reply) =
-                    speech::call(&self.net, to, "DELETE", &path, &[], "", PATIENCE).await
+                    http_messages::call(&self.net, to, "DELETE", &path, &[], "", PATIENCE).await
                 && reply.status < 300
             {
                 self.judge.draining(&self.terms.id, to);
@@ -121,7 +122,7 @@
             let to = self.whom()?;
             let path = format!("/api/instances/{}", self.terms.id);
             let body = self.beat_body();
-            match speech::call(&self.net, to, "PUT", &path, &[], &body, PATIENCE).await {
+            match http_messages::call(&self.net, to, "PUT", &path, &[], &body, PATIENCE).await {
                 Ok(reply) if reply.status < 300 && reply.body.len() <= 4 << 10 => {
                     let told = reply.text().split("\"heartbeat_target\":\"").nth(1);
                     let told = told
--- a/crates/sparrouter-simulation/src/server/work.rs
+++ b/crates/sparrouter-simulation/src/server/work.rs
@@ -1,8 +1,8 @@
 //! A request at a server: declined, queued, run, and its answer with what may be wrong with it.
 use super::{Server, Talk};
+use crate::connection::End;
+use crate::http_messages::whole;
 use crate::judge::{Made, Run};
-use crate::line::End;
-use crate::speech::whole;
 use bytes::{Bytes, BytesMut};
 use sparrouter_http::head::{CallHead, Fields};
 use sparrouter_http::reading;
--- a/crates/sparrouter-simulation/src/world.rs
+++ b/crates/sparrouter-simulation/src/world.rs
@@ -4,17 +4,17 @@
 mod machines;
 
 use crate::client::{Client, Wish};
+use crate::disk::SimulatedDisk;
 use crate::fabric::Fabric;
 use crate::judge::{Bounds, Judge};
 use crate::net::MemoryNet;
 use crate::operator::Operator;
 use crate::plan::{Kind, Plan, Route, Tenant};
 use crate::platform::Platform;
-use crate::pot::Pot;
+use crate::process::SimulatedProcess;
 use crate::server::{Memories, Memory, Server};
-use crate::shelf::Shelf;
 use fastrand::Rng;
-use sparrouter_fleet::ring::Ring;
+use sparrouter_fleet::log_buffer::LogBuffer;
 use sparrouter_fleet::run::Order;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -93,17 +93,17 @@
     ip: IpAddr,
     zone: &'static str,
     counted: bool,
-    shelf: Option<Shelf>,
-    pot: Option<Pot>,
+    disk: Option<SimulatedDisk>,
+    process: Option<SimulatedProcess>,
     orders: Option<UnboundedSender<Order>>,
-    ring: Ring,
+    log_buffer: LogBuffer,
     written: Written,
     started: bool,
 }
 
 struct Hosted {
     server: Rc<Server>,
-    pot: Pot,
+    process: SimulatedProcess,
 }
 
 pub struct World {
@@ -214,16 +214,17 @@
         self.next_ip.set(last + 1);
         let ip = IpAddr::from([10, 0, 0, last]);
         self.fabric.add(ip, zone);
-        let shelf = counted.then(|| Shelf::new(self.rng.borrow_mut().u64(..), self.terms.sync));
+        let disk =
+            counted.then(|| SimulatedDisk::new(self.rng.borrow_mut().u64(..), self.terms.sync));
         let written = Written::default();
         let machine = Machine {
             ip,
             zone,
             counted,
-            shelf,
-            pot: None,
+            disk,
+            process: None,
             orders: None,
-            ring: Ring::to(written.clone()),
+            log_buffer: LogBuffer::to(written.clone()),
             written,
             started: false,
         };
@@ -264,9 +265,9 @@
             .find(|m| m.1.ip == ip)
             .map(|m| m.0.clone())
     }
-    pub fn shelf(&self, name: &str) -> Shelf {
+    pub fn disk(&self, name: &str) -> SimulatedDisk {
         self.machines.borrow()[name]
-            .shelf
+            .disk
             .clone()
             .expect("a machine with a disk")
     }
@@ -278,7 +279,7 @@
     }
     pub fn runs(&self, name: &str) -> bool {
         self.machines.borrow()[name]
-            .pot
+            .process
             .as_ref()
             .is_some_and(|p| !p.has_ended())
     }
--- a/crates/sparrouter-simulation/src/world/hosts.rs
+++ b/crates/sparrouter-simulation/src/world/hosts.rs
@@ -1,7 +1,7 @@
 //! Servers of the deployment: new ones, crashes, another start at the same place.
 use super::{Hosted, SERVER, World};
 use crate::net::MemoryNet;
-use crate::pot::Pot;
+use crate::process::SimulatedProcess;
 use crate::server::{self, Server};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -48,7 +48,7 @@
         let rng = self.rng.borrow_mut().fork();
         let server = Server::new(terms, net.clone(), self.judge.clone(), rng);
         let living = server.clone();
-        let pot = Pot::start(async move {
+        let process = SimulatedProcess::start(async move {
             match net.open(address) {
                 Ok(door) => living.live(door).await,
                 Err(why) => panic!("a stand-in cannot listen at {address}: {why}"),
@@ -58,7 +58,7 @@
             .note(format!("{id} of {service} starts at {address}"));
         self.servers
             .borrow_mut()
-            .insert(id.clone(), Hosted { server, pot });
+            .insert(id.clone(), Hosted { server, process });
         id
     }
 
@@ -74,7 +74,7 @@
         self.servers
             .borrow()
             .get(id)
-            .is_some_and(|h| !h.pot.has_ended())
+            .is_some_and(|h| !h.process.has_ended())
     }
 
     /// It says nothing and is gone.
@@ -87,7 +87,7 @@
             .expect("a server that runs");
         let address = hosted.server.terms.address;
         self.judge.shaken(Some(address.ip()));
-        drop(hosted.pot);
+        drop(hosted.process);
         address
     }
 
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -2,10 +2,10 @@
 use super::{CONTROL, FRONT, READINESS, World};
 use crate::fabric::Cut;
 use crate::net::MemoryNet;
-use crate::pot::Pot;
+use crate::process::SimulatedProcess;
 use fastrand::Rng;
 use sparrouter_fleet::boot::Boot;
-use sparrouter_fleet::ring::Ring;
+use sparrouter_fleet::log_buffer::LogBuffer;
 use sparrouter_fleet::run::{Order, Role, serve};
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
@@ -25,7 +25,7 @@
             .iter()
             .map(ToString::to_string)
             .collect();
-        let data = if m.shelf.is_some() {
+        let data = if m.disk.is_some() {
             "data_directory=/data/proxy\n"
         } else {
             ""
@@ -73,15 +73,15 @@
         let Some(machine) = machines.get_mut(name) else {
             return;
         };
-        let (ring, shelf) = (machine.ring.clone(), machine.shelf.clone());
+        let (log_buffer, disk) = (machine.log_buffer.clone(), machine.disk.clone());
         let (judge, label, at) = (self.judge.clone(), name.to_owned(), machine.ip);
-        machine.pot = Some(Pot::start(async move {
-            let open = move |_: Option<&Path>, ring: &Ring, rng: &mut Rng| match &shelf {
-                Some(shelf) => shelf.stock(ring, rng),
-                None => sparrouter_fleet::disk::Stock::empty(rng),
+        machine.process = Some(SimulatedProcess::start(async move {
+            let open = move |_: Option<&Path>, log_buffer: &LogBuffer, rng: &mut Rng| match &disk {
+                Some(disk) => disk.stock(log_buffer, rng),
+                None => sparrouter_fleet::disk::DiskContents::empty(rng),
             };
             let rng = rng.fork();
-            if let Err(why) = serve(Role::Proxy, boot, open, ring, net, rng, orders).await {
+            if let Err(why) = serve(Role::Proxy, boot, open, log_buffer, net, rng, orders).await {
                 judge.breach("FAULT", format!("{label} at {at} did not start: {why}"));
             }
         }));
@@ -165,12 +165,12 @@
     pub fn kill(&self, name: &str) {
         self.judge.note(format!("{name} is killed"));
         self.down(name);
-        let pot = self
+        let process = self
             .machines
             .borrow_mut()
             .get_mut(name)
-            .and_then(|m| m.pot.take());
-        drop(pot);
+            .and_then(|m| m.process.take());
+        drop(process);
     }
 
     /// The machine loses power, and its disk what was not synced.
@@ -178,14 +178,14 @@
         self.judge.note(format!("{name} loses power"));
         self.down(name);
         self.fabric.power(self.ip(name), false);
-        let pot = self
+        let process = self
             .machines
             .borrow_mut()
             .get_mut(name)
-            .and_then(|m| m.pot.take());
-        drop(pot);
-        if let Some(shelf) = self.machines.borrow()[name].shelf.as_ref() {
-            shelf.files.lose_power();
+            .and_then(|m| m.process.take());
+        drop(process);
+        if let Some(disk) = self.machines.borrow()[name].disk.as_ref() {
+            disk.files.lose_power();
         }
     }
 
@@ -198,7 +198,7 @@
     /// The disk is replaced by an empty one while no process runs.
     pub fn wipe(&self, name: &str) {
         self.judge.note(format!("the disk of {name} is lost"));
-        self.shelf(name).files.wipe();
+        self.disk(name).files.wipe();
     }
 
     pub fn freeze(&self, name: &str, frozen: bool) {
@@ -211,8 +211,8 @@
         }
         let ip = self.ip(name);
         self.fabric.freeze(ip, frozen);
-        if let Some(pot) = &self.machines.borrow()[name].pot {
-            pot.freeze(frozen);
+        if let Some(process) = &self.machines.borrow()[name].process {
+            process.freeze(frozen);
         }
         if !frozen {
             let counted = self.machines.borrow()[name].counted;
@@ -239,8 +239,8 @@
                 self.judge.trouble(w)
             }
         });
-        if let Some(pot) = &self.machines.borrow()[name].pot {
-            pot.slow(pace);
+        if let Some(process) = &self.machines.borrow()[name].process {
+            process.slow(pace);
         }
     }
 
@@ -264,13 +264,13 @@
         self.machines
             .borrow_mut()
             .get_mut(name)
-            .and_then(|m| m.pot.take());
+            .and_then(|m| m.process.take());
     }
 
     /// A machine of the core goes for good; an empty one at another address takes its place.
     pub fn replace(&self, name: &str) -> String {
         let zone = self.machines.borrow()[name].zone;
-        if self.machines.borrow()[name].pot.is_some() {
+        if self.machines.borrow()[name].process.is_some() {
             self.power_off(name);
         }
         self.judge.note(format!("{name} is gone for good"));
--- a/crates/sparrouter-simulation/tests/budget.rs
+++ b/crates/sparrouter-simulation/tests/budget.rs
@@ -1,8 +1,8 @@
 //! The budget of what is sent again, over all nodes and over their lives.
 use sparrouter_simulation::judge::Bounds;
 use sparrouter_simulation::load;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::server::Faults;
-use sparrouter_simulation::story::told;
 use sparrouter_simulation::world::{Terms, World};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -11,7 +11,7 @@
 fn given_a_budget_spent_on_failing_servers_when_all_processes_start_anew_then_they_spend_no_second_one()
  {
     for seed in 0..2 {
-        told(|| async {
+        run_judged(|| async {
             let bounds = Bounds {
                 budget_slack: 8.0,
                 ..Bounds::default()
--- a/crates/sparrouter-simulation/tests/config.rs
+++ b/crates/sparrouter-simulation/tests/config.rs
@@ -3,7 +3,7 @@
 use sparrouter_simulation::load;
 use sparrouter_simulation::operator::How;
 use sparrouter_simulation::plan::{Kind, Plan, Route};
-use sparrouter_simulation::story::told;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::world::{KEY, Terms, World, first_plan, wish};
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,7 +40,7 @@
 
 #[test]
 fn given_a_route_that_is_added_when_acknowledged_then_every_node_has_it_in_time() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(11)).await;
         let plan = with_route(&first_plan(), "new");
         assert_eq!(world.operator.put(&plan, 1).await, 200);
@@ -57,7 +57,7 @@
 
 #[test]
 fn given_two_operators_on_one_version_when_both_send_then_one_wins_and_is_in_force() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(12)).await;
         let mut base = first_plan();
         for round in 0..6 {
@@ -80,7 +80,7 @@
 
 #[test]
 fn given_a_taken_configuration_when_it_is_sent_again_unchanged_then_any_node_says_200() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(13)).await;
         let plan = with_route(&first_plan(), "new");
         assert_eq!(world.operator.put(&plan, 1).await, 200);
@@ -97,7 +97,7 @@
 
 #[test]
 fn given_invalid_configurations_when_sent_then_each_is_refused_for_good_and_nothing_changes() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(14)).await;
         let base = first_plan();
         let next = with_route(&base, "bad");
@@ -127,7 +127,7 @@
 
 #[test]
 fn given_a_key_that_is_taken_away_when_acknowledged_then_nobody_lets_it_in() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(15)).await;
         let tally = load::begin(&world, 6, Duration::from_millis(200));
         let plan = first_plan().next(3, |p| p.tenants[1].keys = vec!["key-anew".to_owned()]);
--- a/crates/sparrouter-simulation/tests/core.rs
+++ b/crates/sparrouter-simulation/tests/core.rs
@@ -2,7 +2,7 @@
 use sparrouter_simulation::fabric::Cut;
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::{Kind, Plan, Route};
-use sparrouter_simulation::story::told;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::world::{Terms, World, first_plan};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 #[test]
 fn given_a_core_node_killed_at_any_moment_of_a_change_then_what_was_acknowledged_stays() {
     for moment in 0..12 {
-        told(|| async {
+        run_judged(|| async {
             let world = World::serving(Terms {
                 others: 1,
                 servers: 1,
@@ -48,7 +48,7 @@
 fn given_a_disk_wiped_right_after_an_acknowledgement_when_the_others_lose_power_then_it_is_not_lost()
  {
     for seed in 0..6 {
-        told(|| async {
+        run_judged(|| async {
             let world = World::serving(Terms {
                 others: 1,
                 servers: 1,
@@ -81,7 +81,7 @@
 
 #[test]
 fn given_a_core_cut_in_two_then_the_minority_acknowledges_nothing_and_all_follow_the_majority() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(50)).await;
         world.cut_off(&["core-0"], Some(Cut::Silent));
         let plan = with_route(&first_plan(), "new");
@@ -92,7 +92,7 @@
             let (net, body) = (net.clone(), plan.json());
             async move {
                 let patience = Duration::from_secs(2);
-                let call = sparrouter_simulation::speech::call(
+                let call = sparrouter_simulation::http_messages::call(
                     &net,
                     to,
                     "PUT",
@@ -135,7 +135,7 @@
 
 #[test]
 fn given_a_core_machine_replaced_by_an_empty_one_then_the_core_bears_another_loss() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(51)).await;
         let mut plan = first_plan();
         for lost in ["core-0", "core-1", "core-2"] {
@@ -163,7 +163,7 @@
 
 #[test]
 fn given_all_processes_killed_at_once_when_back_then_they_serve_within_the_time_for_it() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(52)).await;
         let plan = with_route(&first_plan(), "new");
         assert_eq!(world.operator.put(&plan, 1).await, 200);
@@ -189,7 +189,7 @@
 
 #[test]
 fn given_seeds_exchanged_for_other_machines_when_a_node_starts_then_it_finds_the_fleet() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(53)).await;
         let seeds: Vec<_> = ["edge-0", "edge-1", "edge-2"]
             .iter()
@@ -213,7 +213,7 @@
 #[test]
 fn given_all_without_power_when_a_majority_is_back_one_after_the_other_then_it_agrees_at_once() {
     for seed in 0..6 {
-        told(|| async {
+        run_judged(|| async {
             let world = World::serving(Terms {
                 others: 1,
                 servers: 1,
@@ -250,7 +250,7 @@
 fn given_a_node_cut_off_while_every_core_machine_is_replaced_when_joined_then_its_seeds_lead_it_to_the_new_ones()
  {
     for seed in 0..4 {
-        told(|| async {
+        run_judged(|| async {
             let world = World::serving(Terms::seeded(54 + seed)).await;
             let mut plan = first_plan();
             // Twice: the more machines it remembers that are gone, the longer it has somebody left to ask in vain.
--- a/crates/sparrouter-simulation/tests/disks.rs
+++ b/crates/sparrouter-simulation/tests/disks.rs
@@ -1,7 +1,7 @@
 //! Disks that are full, slow or stalled: what cannot be kept is not acknowledged, and it mends itself.
+use sparrouter_simulation::http_messages::{self, Reply};
 use sparrouter_simulation::plan::{Kind, Plan, Route};
-use sparrouter_simulation::speech::{self, Reply};
-use sparrouter_simulation::story::told;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::world::{Terms, World, first_plan};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -17,7 +17,7 @@
     let fields = [("If-Match", base.as_str())];
     let patience = Duration::from_millis(1_500);
     let (net, at) = (world.outside_net(), world.control_of(to));
-    speech::call(
+    http_messages::call(
         &net,
         at,
         "PUT",
@@ -32,12 +32,12 @@
 
 #[test]
 fn given_one_full_disk_then_the_others_take_changes_and_it_catches_up() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(101)).await;
-        world.shelf("core-0").files.set_room(Some(0));
+        world.disk("core-0").files.set_room(Some(0));
         let plan = with_route(&first_plan(), "new");
         assert_eq!(world.operator.put(&plan, 1).await, 200);
-        world.shelf("core-0").files.set_room(None);
+        world.disk("core-0").files.set_room(None);
         sleep(Duration::from_secs(4)).await;
         world.kill("core-1");
         let next = with_route(&plan, "newer");
@@ -54,10 +54,10 @@
 #[test]
 fn given_full_disks_at_a_majority_when_a_change_comes_then_it_is_refused_with_the_remedy_and_later_taken()
  {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(102)).await;
         for name in world.core() {
-            world.shelf(&name).files.set_room(Some(0));
+            world.disk(&name).files.set_room(Some(0));
         }
         let plan = with_route(&first_plan(), "new");
         sleep(Duration::from_secs(1)).await;
@@ -71,7 +71,7 @@
             again.text()
         );
         for name in world.core() {
-            world.shelf(&name).files.set_room(None);
+            world.disk(&name).files.set_room(None);
         }
         sleep(Duration::from_secs(2)).await;
         assert_eq!(world.operator.put(&plan, 1).await, 200);
@@ -82,11 +82,11 @@
 
 #[test]
 fn given_slow_and_stalled_disks_then_changes_wait_no_longer_than_a_majority_needs() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(103)).await;
-        world.shelf("core-0").delay.set(Duration::from_millis(400));
+        world.disk("core-0").delay.set(Duration::from_millis(400));
         world
-            .shelf("core-1")
+            .disk("core-1")
             .stalled
             .set(Instant::now() + Duration::from_millis(700));
         let plan = with_route(&first_plan(), "new");
@@ -98,7 +98,7 @@
             began.elapsed()
         );
         world
-            .shelf("core-1")
+            .disk("core-1")
             .stalled
             .set(Instant::now() + Duration::from_secs(20));
         let next = with_route(&plan, "newer");
--- a/crates/sparrouter-simulation/tests/edits.rs
+++ b/crates/sparrouter-simulation/tests/edits.rs
@@ -1,13 +1,13 @@
 //! Configurations told as changes of their text: whoever can't use one is told the whole, and all end with the same.
 use sparrouter_fleet::boot::Boot;
+use sparrouter_fleet::log_buffer::LogBuffer;
 use sparrouter_fleet::net::Sockets;
 use sparrouter_fleet::node::Node;
-use sparrouter_fleet::ring::Ring;
-use sparrouter_fleet::wire::{ConfigTold, TextTold};
+use sparrouter_fleet::wire::{ConfigUpdate, TextUpdate};
+use sparrouter_simulation::http_messages;
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::{Kind, Plan, Route};
-use sparrouter_simulation::speech;
-use sparrouter_simulation::story::{play, told};
+use sparrouter_simulation::scenario::{play, run_judged};
 use sparrouter_simulation::world::{Terms, World, first_plan};
 use std::path::Path;
 use std::rc::Rc;
@@ -21,7 +21,7 @@
     Node::new(
         boot,
         seed,
-        Ring::gathering(),
+        LogBuffer::gathering(),
         Rc::new(Sockets),
         fastrand::Rng::with_seed(seed),
     )
@@ -40,23 +40,23 @@
     plan
 }
 
-fn chosen(seq: u64) -> ConfigTold {
+fn chosen(seq: u64) -> ConfigUpdate {
     let plan = plan(seq);
-    ConfigTold {
+    ConfigUpdate {
         seq,
         version: plan.version,
-        text: TextTold::Whole(plan.json()),
-        ..ConfigTold::default()
+        text: TextUpdate::Whole(plan.json()),
+        ..ConfigUpdate::default()
     }
 }
 
-fn is_whole(told: &ConfigTold) -> bool {
-    matches!(told.text, TextTold::Whole(_))
+fn is_whole(told: &ConfigUpdate) -> bool {
+    matches!(told.text, TextUpdate::Whole(_))
 }
 
 /// What a poll of the one brings from the other; true where it was of use.
 fn polls(poller: &Node, source: &Node) -> (bool, bool) {
-    let told = source.told(poller.in_force().digest);
+    let told = source.config_update(poller.in_force().digest);
     (is_whole(&told), poller.take(told))
 }
 
@@ -148,20 +148,20 @@
     play(async {
         let (source, poller) = (node(1), node(2));
         source.take(chosen(1));
-        let other = ConfigTold {
-            text: TextTold::Whole(plan(9).json()),
+        let other = ConfigUpdate {
+            text: TextUpdate::Whole(plan(9).json()),
             ..chosen(1)
         };
         poller.take(other);
         source.take(chosen(2));
         // As though it had the text that the source made its change from.
-        let change = source.told(sparrouter_config::digest_of_text(&plan(1).json()));
+        let change = source.config_update(sparrouter_config::digest_of_text(&plan(1).json()));
         assert!(!is_whole(&change) && !poller.take(change));
         assert_eq!(
             (poller.in_force().seq, &*poller.in_force().text),
             (1, &*plan(9).json())
         );
-        assert!(poller.take(source.told(0)), "0 asks for it whole");
+        assert!(poller.take(source.config_update(0)), "0 asks for it whole");
         assert_eq!(&*poller.in_force().text, &*plan(2).json());
     });
 }
@@ -172,12 +172,12 @@
         let (source, poller) = (node(1), node(2));
         source.take(chosen(1));
         polls(&poller, &source);
-        source.take(ConfigTold {
+        source.take(ConfigUpdate {
             seq: 2,
             ..chosen(1)
         });
-        let told = source.told(poller.in_force().digest);
-        assert!(matches!(&told.text, TextTold::Edits(edits) if edits.is_empty()));
+        let told = source.config_update(poller.in_force().digest);
+        assert!(matches!(&told.text, TextUpdate::Edits(edits) if edits.is_empty()));
         assert!(poller.take(told) && poller.in_force().seq == 2);
     });
 }
@@ -185,7 +185,7 @@
 #[test]
 fn given_patches_and_core_nodes_killed_when_all_is_calm_again_then_every_node_has_the_text_of_the_register()
  {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(77)).await;
         let tally = load::begin(&world, 4, Duration::from_millis(200));
         let mut before = first_plan();
@@ -214,7 +214,7 @@
         let mut digests = Vec::new();
         for name in world.names() {
             let at = world.control_of(&name);
-            let asked = speech::call(
+            let asked = http_messages::call(
                 &net,
                 at,
                 "GET",
--- a/crates/sparrouter-simulation/tests/forming.rs
+++ b/crates/sparrouter-simulation/tests/forming.rs
@@ -1,16 +1,16 @@
 //! A fleet comes up from three seeds and serves.
 use sparrouter_simulation::client::Came;
+use sparrouter_simulation::http_messages;
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::Kind;
-use sparrouter_simulation::speech;
-use sparrouter_simulation::story::told;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::world::{Terms, World, wish};
 use std::time::Duration;
 use tokio::time::sleep;
 
 #[test]
 fn given_three_seeds_when_all_machines_start_then_the_fleet_serves_every_kind() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(1)).await;
         let client = world.client(false);
         for (kind, word) in [
@@ -31,7 +31,7 @@
 
 #[test]
 fn given_a_calm_fleet_when_clients_ask_on_then_all_are_served() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(2)).await;
         let tally = load::begin(&world, 12, Duration::from_millis(150));
         sleep(Duration::from_secs(10)).await;
@@ -49,7 +49,7 @@
 
 #[test]
 fn given_nodes_that_go_on_asking_when_the_core_forgets_them_all_then_each_tells_its_row_anew() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(3)).await;
         let core = world.core();
         for name in &core {
@@ -57,7 +57,7 @@
         }
         // Rows are advice: what a disk keeps of them may be lost, the control state may not.
         for name in &core {
-            world.shelf(name).forget_rows();
+            world.disk(name).forget_rows();
         }
         for name in &core {
             world.start(name, false);
@@ -66,7 +66,7 @@
         for name in &core {
             let at = world.control_of(name);
             let net = world.outside_net();
-            let asked = speech::call(
+            let asked = http_messages::call(
                 &net,
                 at,
                 "GET",
@@ -97,7 +97,7 @@
 #[test]
 fn given_a_node_that_starts_anew_when_a_request_comes_before_its_configuration_then_it_waits_for_it()
  {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(7)).await;
         world.kill("edge-0");
         sleep(Duration::from_millis(500)).await;
--- a/crates/sparrouter-simulation/tests/index.rs
+++ b/crates/sparrouter-simulation/tests/index.rs
@@ -1,11 +1,11 @@
 //! The index of kept prompts over whole nodes: what one server keeps, another is pointed at.
 use bytes::BytesMut;
 use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::http_messages::{next_call, whole};
 use sparrouter_simulation::net::MemoryNet;
 use sparrouter_simulation::plan::Kind;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::server::Server;
-use sparrouter_simulation::speech::{next_call, whole};
-use sparrouter_simulation::story::told;
 use sparrouter_simulation::world::{Terms, World, ZONES, store, wish};
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,7 +60,7 @@
 }
 
 fn home_drains(seed: u64, shared: u64, restart: bool) {
-    told(move || async move {
+    run_judged(move || async move {
         let world = World::serving(Terms {
             servers: 4,
             ..Terms::seeded(seed)
@@ -115,7 +115,7 @@
 #[test]
 fn given_all_other_nodes_frozen_when_parts_are_asked_for_then_the_store_is_named_for_what_their_owners_know()
  {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 4,
             ..Terms::seeded(99)
--- a/crates/sparrouter-simulation/tests/judge.rs
+++ b/crates/sparrouter-simulation/tests/judge.rs
@@ -2,8 +2,8 @@
 use bytes::Bytes;
 use sparrouter_simulation::judge::{Answer, Asked, Bounds, Judge, Made, Run};
 use sparrouter_simulation::plan::{Kind, Route};
+use sparrouter_simulation::scenario::play;
 use sparrouter_simulation::server::{body_of, event_of};
-use sparrouter_simulation::story::play;
 use sparrouter_simulation::world::{HOST, KEY, first_plan};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
--- a/crates/sparrouter-simulation/tests/planted.rs
+++ b/crates/sparrouter-simulation/tests/planted.rs
@@ -1,8 +1,8 @@
 //! Each planted mistake is found by a fixed day, of which only what it takes is played; the long hunt is the example
 //! `hunt`, and its `--planted --shrink` gives these days.
 use sparrouter_fleet::planted::{Defect, plant};
-use sparrouter_simulation::story::play;
-use sparrouter_simulation::weather::{self, Day};
+use sparrouter_simulation::faults::{self, Day};
+use sparrouter_simulation::scenario::play;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 /// Should a day still differ a little from run to run.
@@ -13,7 +13,7 @@
     let day = Day::drawn(seed).only(places, closing);
     let found = (0..TRIES).any(|_| {
         // A core may notice it itself, by an assertion without which the story cannot go on.
-        let played = catch_unwind(AssertUnwindSafe(|| play(weather::play(&day))));
+        let played = catch_unwind(AssertUnwindSafe(|| play(faults::play(&day))));
         played.map_or(true, |report| !report.breaches.is_empty())
     });
     plant(None);
--- a/crates/sparrouter-simulation/tests/same.rs
+++ b/crates/sparrouter-simulation/tests/same.rs
@@ -1,6 +1,6 @@
 //! The same seed gives the same run, word for word: otherwise no fault found by seed could be looked at again.
 use sparrouter_simulation::load;
-use sparrouter_simulation::story::play;
+use sparrouter_simulation::scenario::play;
 use sparrouter_simulation::world::{Terms, World};
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/sparrouter-simulation/tests/servers.rs
+++ b/crates/sparrouter-simulation/tests/servers.rs
@@ -2,8 +2,8 @@
 use sparrouter_simulation::client::{Came, Wish};
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::Kind;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::server::Faults;
-use sparrouter_simulation::story::told;
 use sparrouter_simulation::world::{Terms, World, ZONES, wish};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 
 #[test]
 fn given_a_drain_that_one_node_acknowledges_then_it_binds_all_in_time() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(60)).await;
         let tally = load::begin(&world, 12, PAUSE);
         sleep(Duration::from_secs(1)).await;
@@ -37,7 +37,7 @@
 
 #[test]
 fn given_a_late_beat_with_a_lower_number_when_a_server_drains_then_it_undoes_nothing() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 2,
             ..Terms::seeded(61)
@@ -62,7 +62,7 @@
 
 #[test]
 fn given_an_address_that_another_service_has_now_then_nothing_runs_there() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 3,
             ..Terms::seeded(62)
@@ -83,7 +83,7 @@
 
 #[test]
 fn given_a_server_that_resets_after_it_ran_when_not_repeatable_then_it_never_runs_twice() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 2,
             ..Terms::seeded(63)
@@ -122,7 +122,7 @@
 
 #[test]
 fn given_servers_that_break_off_resumable_streams_then_they_are_taken_up_whole_and_once() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 4,
             ..Terms::seeded(64)
@@ -152,7 +152,7 @@
 
 #[test]
 fn given_garbled_and_surplus_answers_then_no_client_sees_them() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(65)).await;
         for id in world.server_ids() {
             world.server(&id).faults.set(Faults {
@@ -171,7 +171,7 @@
 
 #[test]
 fn given_a_server_that_hangs_then_streams_that_may_not_repeat_are_not_repeated() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 3,
             ..Terms::seeded(66)
@@ -192,7 +192,7 @@
 
 #[test]
 fn given_servers_that_are_full_then_what_is_refused_never_ran() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 2,
             slots: 1,
@@ -213,7 +213,7 @@
 
 #[test]
 fn given_open_streams_when_nodes_are_told_to_end_one_by_one_then_none_is_lost() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms::seeded(68)).await;
         let tally = load::begin(&world, 16, PAUSE);
         sleep(Duration::from_secs(1)).await;
--- a/crates/sparrouter-simulation/tests/weights.rs
+++ b/crates/sparrouter-simulation/tests/weights.rs
@@ -1,6 +1,6 @@
 //! New weights: each server ordered once by one holder, whoever of the holders ends or freezes.
 use sparrouter_simulation::load;
-use sparrouter_simulation::story::told;
+use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::world::{Terms, World, ZONES};
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,7 +31,7 @@
 
 #[test]
 fn given_new_weights_when_named_then_each_server_loads_once_and_all_in_time() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 9,
             ..Terms::seeded(70)
@@ -62,7 +62,7 @@
 #[test]
 fn given_a_holder_killed_midway_then_another_goes_on_and_nothing_is_loaded_twice() {
     for seed in 0..3 {
-        told(|| async {
+        run_judged(|| async {
             let world = World::serving(Terms {
                 servers: 6,
                 ..Terms::seeded(71 + seed)
@@ -87,7 +87,7 @@
 #[test]
 fn given_a_holder_frozen_midway_when_it_wakes_then_it_orders_nothing_more() {
     for seed in 0..3 {
-        told(|| async {
+        run_judged(|| async {
             let world = World::serving(Terms {
                 servers: 6,
                 ..Terms::seeded(81 + seed)
@@ -111,7 +111,7 @@
 
 #[test]
 fn given_servers_replaced_and_restarted_while_weights_change_then_all_end_on_the_newest() {
-    told(|| async {
+    run_judged(|| async {
         let world = World::serving(Terms {
             servers: 5,
             ..Terms::seeded(91)
--- a/crates/sparrouter-storage/src/error.rs
+++ b/crates/sparrouter-storage/src/error.rs
@@ -2,7 +2,7 @@
 use std::io;
 
 #[derive(Debug, thiserror::Error)]
-pub enum CellarError {
+pub enum StorageError {
     #[error(
         "data directory is full: free {needed} bytes or more under {folder}; nothing else is needed"
     )]
@@ -38,22 +38,22 @@
     },
 }
 
-impl CellarError {
+impl StorageError {
     pub(crate) fn of(
         folder: &str,
         what: &'static str,
         name: &str,
         needed: usize,
         source: io::Error,
-    ) -> CellarError {
+    ) -> StorageError {
         match source.kind() {
             io::ErrorKind::StorageFull
             | io::ErrorKind::QuotaExceeded
-            | io::ErrorKind::FileTooLarge => CellarError::Full {
+            | io::ErrorKind::FileTooLarge => StorageError::Full {
                 folder: folder.to_owned(),
                 needed: needed as u64,
             },
-            _ => CellarError::Io {
+            _ => StorageError::Io {
                 folder: folder.to_owned(),
                 what,
                 name: name.to_owned(),
--- a/crates/sparrouter-storage/src/lib.rs
+++ b/crates/sparrouter-storage/src/lib.rs
@@ -8,13 +8,13 @@
 //! Sources: SQLite, "Atomic commit in SQLite" (what a file layer may lose) and its "How SQLite is tested" (every
 //! crash point tried); Pillai et al., "All file systems are not created equal", OSDI 2014 (why the folder is synced
 //! too, and why nothing is assumed of a rename that was not).
-pub mod cellar;
 pub mod error;
 pub mod files;
 pub mod frame;
 pub mod lying;
+pub mod store;
 
-pub use cellar::{Cellar, Opened};
-pub use error::CellarError;
+pub use error::StorageError;
 pub use files::{Files, RealFiles};
 pub use lying::LyingFiles;
+pub use store::{Opened, Store};
--- a/crates/sparrouter-storage/src/cellar.rs
+++ b/crates/sparrouter-storage/src/store.rs
@@ -10,7 +10,7 @@
 //! is damaged, the disk has lost what it acknowledged: `Damaged`, never the version before it, because what was
 //! promised in the lost one may have been relied on. The caller then treats the disk as wiped. An older version that
 //! is damaged beside a good newer one is passed over and removed.
-use crate::error::CellarError;
+use crate::error::StorageError;
 use crate::files::Files;
 use crate::frame;
 use std::collections::BTreeMap;
@@ -37,23 +37,23 @@
 }
 
 #[derive(Debug)]
-pub struct Cellar<F: Files> {
+pub struct Store<F: Files> {
     files: F,
     records: BTreeMap<String, Kept>,
 }
 
-impl<F: Files> Cellar<F> {
+impl<F: Files> Store<F> {
     /// Errors: `Newer` and `Damaged` by name, `Io` if the folder can't be read or synced. Changes no file.
-    pub fn open(mut files: F) -> Result<(Cellar<F>, Opened), CellarError> {
+    pub fn open(mut files: F) -> Result<(Store<F>, Opened), StorageError> {
         let folder = files.folder();
         // A process that died between rename and sync left a name that is seen now and gone after a loss of power:
         // it must last before anybody relies on having read it.
         files
             .sync_folder()
-            .map_err(|e| CellarError::of(&folder, "sync", ".", 0, e))?;
+            .map_err(|e| StorageError::of(&folder, "sync", ".", 0, e))?;
         let names = files
             .list()
-            .map_err(|e| CellarError::of(&folder, "list", ".", 0, e))?;
+            .map_err(|e| StorageError::of(&folder, "list", ".", 0, e))?;
         let mut records: BTreeMap<String, Kept> = BTreeMap::new();
         let mut found: BTreeMap<String, u64> = BTreeMap::new();
         for file in names {
@@ -73,17 +73,17 @@
             let file = format!("{name}.{version}");
             let bytes = files
                 .read(&file)
-                .map_err(|e| CellarError::of(&folder, "read", &file, 0, e))?;
+                .map_err(|e| StorageError::of(&folder, "read", &file, 0, e))?;
             match frame::read(version, &bytes) {
                 frame::Opened::Good(record) => values.insert(name.clone(), record),
                 frame::Opened::Newer(format) => {
-                    return Err(CellarError::Newer {
+                    return Err(StorageError::Newer {
                         name: file,
                         found: format,
                         known: frame::FORMAT,
                     });
                 }
-                frame::Opened::Damaged => return Err(CellarError::Damaged { name: file }),
+                frame::Opened::Damaged => return Err(StorageError::Damaged { name: file }),
             };
             if let Some(kept) = records.get_mut(&name) {
                 kept.stale.retain(|f| *f != file);
@@ -95,19 +95,19 @@
         } else {
             Opened::Existing(values)
         };
-        Ok((Cellar { files, records }, opened))
+        Ok((Store { files, records }, opened))
     }
 
     /// Blocks until the record lasts. After an error the old or the new version may be found at the next start, and a
     /// later save may succeed.
-    pub fn save(&mut self, name: &str, bytes: &[u8]) -> Result<(), CellarError> {
+    pub fn save(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
         if !fits(name) {
-            return Err(CellarError::Name {
+            return Err(StorageError::Name {
                 name: name.to_owned(),
             });
         }
         if bytes.len() > MOST {
-            return Err(CellarError::TooLarge {
+            return Err(StorageError::TooLarge {
                 name: name.to_owned(),
                 length: bytes.len(),
                 most: MOST,
@@ -124,7 +124,7 @@
         let aside = format!("{file}.tmp");
         let framed = frame::write(kept.newest, bytes);
         let folder = files.folder();
-        let fail = |what, file: &str, e| CellarError::of(&folder, what, file, framed.len(), e);
+        let fail = |what, file: &str, e| StorageError::of(&folder, what, file, framed.len(), e);
         if let Err(e) = files.write_synced(&aside, &framed) {
             let error = fail("write", &aside, e);
             kept.stale.push(aside);
--- a/crates/sparrouter-storage/tests/saves.rs
+++ b/crates/sparrouter-storage/tests/saves.rs
@@ -1,11 +1,11 @@
 use sparrouter_storage::lying::Cut;
-use sparrouter_storage::{Cellar, CellarError, Files, LyingFiles, Opened, RealFiles};
+use sparrouter_storage::{Files, LyingFiles, Opened, RealFiles, StorageError, Store};
 
 const OLD: &[u8] = b"the old record";
 const NEW: &[u8] = b"a new record, longer than the old";
 
 fn value<F: Files>(files: F, name: &str) -> Option<Vec<u8>> {
-    match Cellar::open(files).unwrap().1 {
+    match Store::open(files).unwrap().1 {
         Opened::Fresh => None,
         Opened::Existing(mut records) => records.remove(name),
     }
@@ -14,10 +14,10 @@
 /// Operations of one save over an older version.
 fn operations_of_a_save() -> u64 {
     let files = LyingFiles::new(0);
-    let (mut cellar, _) = Cellar::open(files.clone()).unwrap();
-    cellar.save("part-1", OLD).unwrap();
+    let (mut store, _) = Store::open(files.clone()).unwrap();
+    store.save("part-1", OLD).unwrap();
     let before = files.operations();
-    cellar.save("part-1", NEW).unwrap();
+    store.save("part-1", NEW).unwrap();
     files.operations() - before
 }
 
@@ -33,17 +33,17 @@
         for cut in cuts() {
             for seed in 0..8 {
                 let files = LyingFiles::new(seed);
-                let (mut cellar, _) = Cellar::open(files.clone()).unwrap();
-                cellar.save("part-1", OLD).unwrap();
+                let (mut store, _) = Store::open(files.clone()).unwrap();
+                store.save("part-1", OLD).unwrap();
                 files.cut_at(nth, cut);
-                let saved = cellar.save("part-1", NEW).is_ok();
+                let saved = store.save("part-1", NEW).is_ok();
                 files.lose_power();
                 let found = value(files.clone(), "part-1").expect("never neither");
                 assert!(
                     found == NEW || (found == OLD && !saved),
                     "{nth} {cut:?} {seed}"
                 );
-                let (mut again, _) = Cellar::open(files.clone()).unwrap();
+                let (mut again, _) = Store::open(files.clone()).unwrap();
                 again.save("part-1", b"third").unwrap();
                 files.lose_power();
                 assert_eq!(
@@ -63,10 +63,10 @@
         for cut in cuts() {
             for seed in 0..8 {
                 let files = LyingFiles::new(seed);
-                let (mut cellar, _) = Cellar::open(files.clone()).unwrap();
-                cellar.save("part-1", OLD).unwrap();
+                let (mut store, _) = Store::open(files.clone()).unwrap();
+                store.save("part-1", OLD).unwrap();
                 files.cut_at(nth, cut);
-                let _ = cellar.save("part-1", NEW);
+                let _ = store.save("part-1", NEW);
                 files.mend();
                 let read = value(files.clone(), "part-1").unwrap();
                 files.lose_power();
@@ -87,10 +87,10 @@
         for cut in cuts() {
             for seed in 0..8 {
                 let files = LyingFiles::new(seed);
-                let (mut cellar, opened) = Cellar::open(files.clone()).unwrap();
+                let (mut store, opened) = Store::open(files.clone()).unwrap();
                 assert_eq!(opened, Opened::Fresh);
                 files.cut_at(nth, cut);
-                let saved = cellar.save("disk", NEW).is_ok();
+                let saved = store.save("disk", NEW).is_ok();
                 files.lose_power();
                 let found = value(files, "disk");
                 assert!(
@@ -107,12 +107,12 @@
     for nth in 0..operations_of_a_save() {
         for cut in cuts() {
             let files = LyingFiles::new(nth);
-            let (mut cellar, _) = Cellar::open(files.clone()).unwrap();
-            cellar.save("part-1", OLD).unwrap();
+            let (mut store, _) = Store::open(files.clone()).unwrap();
+            store.save("part-1", OLD).unwrap();
             files.cut_at(nth, cut);
-            let _ = cellar.save("part-1", NEW);
+            let _ = store.save("part-1", NEW);
             files.mend();
-            cellar.save("part-1", b"third").unwrap();
+            store.save("part-1", b"third").unwrap();
             files.lose_power();
             assert_eq!(value(files, "part-1").unwrap(), b"third", "{nth} {cut:?}");
         }
@@ -122,11 +122,11 @@
 #[test]
 fn given_a_full_disk_when_room_is_made_then_saves_mend_and_the_old_record_stayed() {
     let files = LyingFiles::new(1);
-    let (mut cellar, _) = Cellar::open(files.clone()).unwrap();
-    cellar.save("part-1", OLD).unwrap();
+    let (mut store, _) = Store::open(files.clone()).unwrap();
+    store.save("part-1", OLD).unwrap();
     files.set_room(Some(60));
-    let error = cellar.save("part-1", NEW).unwrap_err();
-    assert!(matches!(error, CellarError::Full { .. }), "{error:?}");
+    let error = store.save("part-1", NEW).unwrap_err();
+    assert!(matches!(error, StorageError::Full { .. }), "{error:?}");
     assert!(
         error
             .to_string()
@@ -135,10 +135,10 @@
     );
     assert_eq!(value(files.clone(), "part-1").unwrap(), OLD);
     for _ in 0..100 {
-        cellar.save("part-1", NEW).unwrap_err();
+        store.save("part-1", NEW).unwrap_err();
     }
     files.set_room(None);
-    cellar.save("part-1", NEW).unwrap();
+    store.save("part-1", NEW).unwrap();
     files.lose_power();
     assert_eq!(value(files.clone(), "part-1").unwrap(), NEW);
     assert_eq!(files.list().unwrap().len(), 1, "{:?}", files.list());
@@ -147,21 +147,21 @@
 #[test]
 fn given_a_damaged_newest_file_when_opened_then_it_is_refused_and_no_older_one_is_served() {
     let files = LyingFiles::new(1);
-    let (mut cellar, _) = Cellar::open(files.clone()).unwrap();
-    cellar.save("part-1", OLD).unwrap();
+    let (mut store, _) = Store::open(files.clone()).unwrap();
+    store.save("part-1", OLD).unwrap();
     let older = files.read("part-1.1").unwrap();
-    cellar.save("part-1", NEW).unwrap();
+    store.save("part-1", NEW).unwrap();
     files.put("part-1.1", &older);
     for at in 0..26 + NEW.len() {
         if at == 9 {
             continue; // the high byte of the format: a newer release, see below
         }
         files.damage("part-1.2", at);
-        let error = Cellar::open(files.clone()).unwrap_err();
+        let error = Store::open(files.clone()).unwrap_err();
         assert!(
             matches!(
                 error,
-                CellarError::Damaged { .. } | CellarError::Newer { .. }
+                StorageError::Damaged { .. } | StorageError::Newer { .. }
             ),
             "{at} {error:?}"
         );
@@ -173,15 +173,15 @@
 #[test]
 fn given_a_damaged_older_file_when_a_newer_one_is_good_then_it_is_passed_over_and_goes() {
     let files = LyingFiles::new(1);
-    let (mut cellar, _) = Cellar::open(files.clone()).unwrap();
-    cellar.save("part-1", OLD).unwrap();
-    cellar.save("part-1", NEW).unwrap();
+    let (mut store, _) = Store::open(files.clone()).unwrap();
+    store.save("part-1", OLD).unwrap();
+    store.save("part-1", NEW).unwrap();
     files.put("part-1.1", b"torn");
     files.put("part-1.7.tmp", b"torn too");
     files.put("notes of a person", b"stay");
-    let (mut cellar, opened) = Cellar::open(files.clone()).unwrap();
+    let (mut store, opened) = Store::open(files.clone()).unwrap();
     assert!(matches!(opened, Opened::Existing(ref r) if r["part-1"] == NEW));
-    cellar.save("part-1", OLD).unwrap();
+    store.save("part-1", OLD).unwrap();
     assert_eq!(files.list().unwrap(), ["notes of a person", "part-1.8"]);
 }
 
@@ -191,10 +191,10 @@
     let mut bytes = sparrouter_storage::frame::write(1, OLD);
     bytes[8] = 2;
     files.put("part-1.1", &bytes);
-    let error = Cellar::open(files).unwrap_err();
+    let error = Store::open(files).unwrap_err();
     assert!(matches!(
         error,
-        CellarError::Newer {
+        StorageError::Newer {
             found: 2,
             known: 1,
             ..
@@ -208,10 +208,10 @@
 
 #[test]
 fn given_names_that_could_leave_the_folder_when_saved_then_they_are_refused() {
-    let (mut cellar, _) = Cellar::open(LyingFiles::new(1)).unwrap();
+    let (mut store, _) = Store::open(LyingFiles::new(1)).unwrap();
     for name in ["", "..", "a/b", "a.b", "A", &"x".repeat(65)] {
         assert!(
-            matches!(cellar.save(name, OLD), Err(CellarError::Name { .. })),
+            matches!(store.save(name, OLD), Err(StorageError::Name { .. })),
             "{name}"
         );
     }
@@ -221,13 +221,13 @@
 fn given_a_real_folder_when_saved_and_opened_again_then_records_are_there() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("data");
-    let (mut cellar, opened) = Cellar::open(RealFiles::open(&path).unwrap()).unwrap();
+    let (mut store, opened) = Store::open(RealFiles::open(&path).unwrap()).unwrap();
     assert_eq!(opened, Opened::Fresh);
     for round in 0..5u8 {
-        cellar.save("part-1", &[round; 100]).unwrap();
-        cellar.save("disk", &[round]).unwrap();
+        store.save("part-1", &[round; 100]).unwrap();
+        store.save("disk", &[round]).unwrap();
     }
-    let (_, opened) = Cellar::open(RealFiles::open(&path).unwrap()).unwrap();
+    let (_, opened) = Store::open(RealFiles::open(&path).unwrap()).unwrap();
     assert!(
         matches!(opened, Opened::Existing(ref r) if r["part-1"] == [4; 100] && r["disk"] == [4])
     );
