--- a/crates/sparrouter-fleet/src/front.rs
+++ b/crates/sparrouter-fleet/src/front.rs
@@ -3,6 +3,7 @@
 use crate::http::{self, Answer, NoRequest, Room};
 use crate::net::{self, Listener, Stream};
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::upstream::Pool;
 use bytes::BytesMut;
 use sparrouter_http::reading;
@@ -57,7 +58,7 @@
         let (stream, _) = tokio::select! {
             biased;
             accepted = net::accept(&*door) => accepted,
-            _ = closing.wait_for(|s| *s >= Stage::Closing) => return,
+            _ = closing.wait_for(|s| *s >= Stage::Closing), if !has(Defect::TakenWhileLeaving) => return,
         };
         let (node, pool, stage) = (node.clone(), pool.clone(), stage.clone());
         spawn_local(async move {
@@ -94,6 +95,7 @@
         {
             return;
         }
+        let _open = OpenRequest::new(&node);
         let header_timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
         let room = Room {
             head: limits.max_header_bytes,
@@ -114,7 +116,6 @@
         };
         let came = Instant::now();
         is_new = false;
-        let _open = OpenRequest::new(&node);
         let keep = request.head.keep && *stage.borrow() == Stage::Serving;
         let ended =
             exchange::serve(&node, &pool, &request, came, &mut stream, &mut buffer, keep).await;
@@ -153,7 +154,7 @@
     }
 }
 
-/// A request that is being worked on; counted until its answer is written.
+/// A request that is read or worked on; counted until its answer is written.
 struct OpenRequest<'a>(&'a Node);
 
 impl<'a> OpenRequest<'a> {
--- a/crates/sparrouter-fleet/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -119,7 +119,7 @@
     pub heard: Cell<Nanos>,
     pub rng: RefCell<Rng>,
     pub log_buffer: LogBuffer,
-    /// Client requests that are being worked on.
+    /// Client requests that are being read or worked on.
     pub open: Cell<usize>,
 }
 
--- /dev/null
+++ b/crates/sparrouter-simulation/tests/leaving.rs
@@ -0,0 +1,282 @@
+//! SIGTERM: what was taken is answered, what is not taken is told so at once, at every moment of a departure.
+use bytes::BytesMut;
+use sparrouter_fleet::planted::{Defect, plant};
+use sparrouter_http::head;
+use sparrouter_http::reading;
+use sparrouter_simulation::client::{Came, Client, Wish};
+use sparrouter_simulation::load;
+use sparrouter_simulation::plan::{Kind, Route};
+use sparrouter_simulation::scenario::{play, run_judged};
+use sparrouter_simulation::world::{HOST, KEY, Terms, World, first_plan, wish};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, sleep};
+
+fn ms(of: u64) -> Duration {
+    Duration::from_millis(of)
+}
+
+/// SIGTERM to a machine; gives back how long its process took to end.
+fn leaves(world: &Rc<World>, name: &str) -> JoinHandle<Duration> {
+    let (world, name) = (world.clone(), name.to_owned());
+    spawn_local(async move {
+        let began = Instant::now();
+        world.term(&name).await;
+        began.elapsed()
+    })
+}
+
+/// A stream of 4.5 s, longer than what is left late in the grace period.
+fn long_stream(kind: Kind) -> Wish {
+    Wish {
+        retries: 0,
+        ..wish(kind, "s450")
+    }
+}
+
+/// Long requests to one leaving machine, on new connections, all through its grace period.
+async fn long_requests_through_a_departure(world: &Rc<World>, name: &str) -> Vec<(Duration, Came)> {
+    let (front, began) = (world.front_of(name), Instant::now());
+    let ending = leaves(world, name);
+    let mut asking = Vec::new();
+    for moment in 0..30 {
+        let kind = [Kind::Streaming, Kind::Resumable][moment % 2];
+        let client = world.client(false);
+        asking.push(spawn_local(async move {
+            let sent = began.elapsed();
+            (sent, client.get_at(&long_stream(kind), front, 0).await)
+        }));
+        sleep(ms(250)).await;
+    }
+    ending.await.expect("the process ends");
+    let mut outcomes = Vec::new();
+    for asked in asking {
+        outcomes.push(asked.await.expect("the client goes on"));
+    }
+    outcomes
+}
+
+#[test]
+fn given_long_requests_all_through_a_departure_then_none_is_taken_that_cannot_end() {
+    for seed in 0..3 {
+        run_judged(|| async {
+            let world = World::serving(Terms::seeded(300 + seed)).await;
+            let outcomes = long_requests_through_a_departure(&world, "edge-0").await;
+            for (sent, came) in outcomes {
+                if sent < ms(2_200) {
+                    assert_eq!(came, Came::Served, "sent {sent:?} after SIGTERM");
+                }
+            }
+            world
+        });
+    }
+}
+
+#[test]
+fn given_a_process_that_takes_whatever_comes_while_it_leaves_then_the_loss_is_found() {
+    plant(Some(Defect::TakenWhileLeaving));
+    let breaches = play(async {
+        let world = World::serving(Terms::seeded(300)).await;
+        long_requests_through_a_departure(&world, "edge-0").await;
+        world.judge.breaches()
+    });
+    plant(None);
+    assert!(breaches.iter().any(|b| b.contains("LOST")), "{breaches:?}");
+}
+
+/// Sends one short request on a connection that is kept, and another at `moment` after SIGTERM.
+async fn kept_connection(
+    world: &Rc<World>,
+    client: &Rc<Client>,
+    name: &str,
+    moment: Duration,
+) -> Came {
+    let front = world.front_of(name);
+    let short = Wish {
+        retries: 0,
+        ..wish(Kind::Streaming, "s20")
+    };
+    assert_eq!(client.get_at(&short, front, 0).await, Came::Served);
+    let ending = leaves(world, name);
+    sleep(moment).await;
+    let came = client.get_at(&short, front, 0).await;
+    ending.await.expect("the process ends");
+    came
+}
+
+#[test]
+fn given_a_kept_connection_when_a_request_crosses_each_step_of_the_departure_then_nothing_is_lost()
+{
+    for moment in [
+        0, 1, 1_000, 2_290, 2_297, 2_298, 2_299, 2_300, 2_301, 2_302, 2_305, 2_599, 2_600, 2_601,
+    ] {
+        run_judged(|| async {
+            let world = World::serving(Terms {
+                servers: 2,
+                ..Terms::seeded(310)
+            })
+            .await;
+            let client = world.client(true);
+            let came = kept_connection(&world, &client, "edge-0", ms(moment)).await;
+            if moment < 2_290 {
+                assert_eq!(came, Came::Served, "at {moment} ms");
+            }
+            world
+        });
+    }
+}
+
+#[test]
+fn given_load_when_all_machines_of_a_zone_leave_at_once_then_nothing_is_lost_and_others_serve() {
+    run_judged(|| async {
+        let world = World::serving(Terms::seeded(320)).await;
+        let tally = load::begin(&world, 12, ms(200));
+        let zone = world.zone_of("edge-0");
+        let names = world.names();
+        let ending: Vec<_> = names
+            .iter()
+            .filter(|name| world.zone_of(name) == zone)
+            .map(|name| leaves(&world, name))
+            .collect();
+        for ended in ending {
+            let took = ended.await.expect("the process ends");
+            assert!(
+                took < world.terms.bounds.grace,
+                "it ends by itself: {took:?}"
+            );
+        }
+        tally.stop().await;
+        assert!(tally.share() > 0.95, "{}", tally.share());
+        world
+    });
+}
+
+#[test]
+fn given_the_last_machine_that_runs_when_it_leaves_then_what_it_took_is_answered() {
+    run_judged(|| async {
+        let world = World::serving(Terms::seeded(321)).await;
+        for name in world.names().iter().filter(|name| *name != "edge-0") {
+            world.kill(name);
+        }
+        sleep(ms(4_000)).await;
+        let tally = load::begin(&world, 6, ms(200));
+        let ended = leaves(&world, "edge-0").await.expect("the process ends");
+        assert!(ended < world.terms.bounds.grace, "{ended:?}");
+        tally.stop().await;
+        world
+    });
+}
+
+#[test]
+fn given_sigterm_right_after_the_start_then_the_process_ends_in_time() {
+    for moment in [0, 1, 5, 50, 400] {
+        run_judged(|| async {
+            let world = World::serving(Terms::seeded(322)).await;
+            world.kill("edge-0");
+            sleep(ms(300)).await;
+            world.start("edge-0", false);
+            sleep(ms(moment)).await;
+            let ended = leaves(&world, "edge-0").await.expect("the process ends");
+            assert!(ended < ms(3_500), "at {moment} ms: {ended:?}");
+            world
+        });
+    }
+}
+
+#[test]
+fn given_a_core_without_quorum_and_a_stalled_disk_when_a_member_leaves_then_it_ends_in_time_without_a_loss()
+ {
+    run_judged(|| async {
+        let world = World::serving(Terms::seeded(323)).await;
+        let tally = load::begin(&world, 8, ms(200));
+        for name in ["core-1", "core-2"] {
+            world.kill(name);
+        }
+        world.disk("core-0").files.set_room(Some(0));
+        sleep(ms(1_000)).await;
+        let ended = leaves(&world, "core-0").await.expect("the process ends");
+        assert!(ended <= world.terms.bounds.grace, "{ended:?}");
+        tally.stop().await;
+        world
+    });
+}
+
+#[test]
+fn given_a_departure_beside_a_new_configuration_and_exchanged_seeds_then_nothing_is_lost() {
+    run_judged(|| async {
+        let world = World::serving(Terms::seeded(324)).await;
+        let tally = load::begin(&world, 12, ms(150));
+        let ending = leaves(&world, "core-1");
+        sleep(ms(100)).await;
+        world.seeds_anew();
+        let plan = first_plan().next(2, |p| {
+            p.routes.push(Route::new("new", Kind::Idempotent, "models"));
+        });
+        assert_eq!(world.operator.put(&plan, 1).await, 200);
+        let took = ending.await.expect("the process ends");
+        assert!(took < world.terms.bounds.grace, "{took:?}");
+        tally.stop().await;
+        assert!(tally.share() > 0.95, "{}", tally.share());
+        world.operator.read_back().await;
+        world
+    });
+}
+
+#[test]
+fn given_machines_that_leave_in_turn_under_load_then_nothing_is_lost() {
+    for seed in 0..2 {
+        run_judged(|| async {
+            let world = World::serving(Terms::seeded(330 + seed)).await;
+            let tally = load::begin(&world, 16, ms(150));
+            let mut ending = Vec::new();
+            for name in ["edge-0", "core-0", "edge-1"] {
+                ending.push(leaves(&world, name));
+                sleep(ms(1_000)).await;
+            }
+            for ended in ending {
+                ended.await.expect("the process ends");
+            }
+            tally.stop().await;
+            assert!(tally.share() > 0.95, "{}", tally.share());
+            world
+        });
+    }
+}
+
+/// The status that a client gets whose request of a long stream is whole only at `moment` after SIGTERM.
+async fn slow_body(world: &Rc<World>, name: &str, moment: Duration) -> (u16, bool) {
+    let net = world.outside_net();
+    let mut stream = net
+        .connect(world.front_of(name))
+        .await
+        .expect("it takes connections");
+    let head = format!(
+        "POST /stream/s450 HTTP/1.1\r\nHost: {HOST}\r\nSparrouter-Key: {KEY}\r\n\
+         Sparrouter-Attempt-Id: 00000000000000aa\r\nSparrouter-Deadline-Ms: 9000\r\nContent-Length: 2\r\n\r\na"
+    );
+    let ending = leaves(world, name);
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the node reads");
+    sleep(moment).await;
+    stream.write_all(b"b").await.expect("the node reads");
+    let mut buffer = BytesMut::new();
+    let bytes = reading::head(&mut stream, &mut buffer, head::REPLY, 64 << 10).await;
+    let reply = head::reply(&bytes.expect("an answer")).expect("an answer in the protocol");
+    ending.await.expect("the process ends");
+    let retry_after = reply.fields.get("retry-after").is_some();
+    (reply.status, retry_after)
+}
+
+#[test]
+fn given_a_body_that_is_whole_late_in_a_departure_then_its_client_is_told_to_come_back() {
+    run_judged(|| async {
+        let world = World::serving(Terms::seeded(340)).await;
+        let (status, retry_after) = slow_body(&world, "edge-0", ms(2_900)).await;
+        assert_eq!((status, retry_after), (503, true));
+        world
+    });
+}
