Codec, HTTP and rendezvous packages: plain wording, every public item documented

Ruled out: no public name changed, so no other package is touched. Measured: cargo clippy -D warnings and cargo test of the three packages pass.

--- a/crates/sparrouter-codec/src/lib.rs
+++ b/crates/sparrouter-codec/src/lib.rs
@@ -1,13 +1,18 @@
-//! Lists and blobs for `nanoserde`'s binary form. Its own `Vec` reserves as much as the input claims to hold, so a
-//! few hostile bytes would take all memory; these reserve no more than the input has left.
+//! Bounded lists and byte strings for `nanoserde`'s binary form.
+//!
+//! `nanoserde` reserves as much memory for a `Vec` as the input claims to hold, so that a few hostile bytes could take
+//! all memory. The types here check the claimed length against what is left of the input first.
+//!
+//! Wire form: the length as a little-endian `u32`, then the items or bytes.
+#![deny(missing_docs)]
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use std::ops::{Deref, DerefMut};
 
-/// A list of items.
+/// A list of items. Reading one reserves no more items than the input has bytes left.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seq<T>(pub Vec<T>);
 
-/// Bytes, copied whole.
+/// A byte string. Reading one allocates no more bytes than the input has left.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Blob(pub Vec<u8>);
 
@@ -59,55 +64,54 @@
     }
 }
 
-fn short(o: usize, l: usize, s: usize) -> DeBinErr {
-    DeBinErr::new(o, l, s)
-}
+/// How many items are reserved before any was read: items may be larger in memory than on the wire.
+const RESERVED_ITEMS: usize = 64;
 
-/// The length that stands next, if the input can hold that many items of a byte or more.
-fn length(o: &mut usize, d: &[u8]) -> Result<usize, DeBinErr> {
-    let claimed = u32::de_bin(o, d)? as usize;
-    let left = d.len().saturating_sub(*o);
+/// Reads a length. Fails if the rest of the input cannot hold that many items of at least one byte each.
+fn read_length(offset: &mut usize, input: &[u8]) -> Result<usize, DeBinErr> {
+    let claimed = u32::de_bin(offset, input)? as usize;
+    let left = input.len().saturating_sub(*offset);
     if claimed > left {
-        Err(short(*o, claimed, left))
-    } else {
-        Ok(claimed)
+        return Err(DeBinErr::new(*offset, claimed, left));
     }
+    Ok(claimed)
 }
 
 impl<T: SerBin> SerBin for Seq<T> {
-    fn ser_bin(&self, s: &mut Vec<u8>) {
-        (self.0.len() as u32).ser_bin(s);
-        self.0.iter().for_each(|item| item.ser_bin(s));
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        (self.0.len() as u32).ser_bin(output);
+        self.0.iter().for_each(|item| item.ser_bin(output));
     }
 }
 impl<T: DeBin> DeBin for Seq<T> {
-    fn de_bin(o: &mut usize, d: &[u8]) -> Result<Seq<T>, DeBinErr> {
-        let length = length(o, d)?;
-        // Items may be larger in memory than on the wire: the list grows as they come.
-        let mut items = Vec::with_capacity(length.min(64));
+    fn de_bin(offset: &mut usize, input: &[u8]) -> Result<Seq<T>, DeBinErr> {
+        let length = read_length(offset, input)?;
+        let mut items = Vec::with_capacity(length.min(RESERVED_ITEMS));
         for _ in 0..length {
-            items.push(T::de_bin(o, d)?);
+            items.push(T::de_bin(offset, input)?);
         }
         Ok(Seq(items))
     }
 }
 impl SerBin for Blob {
-    fn ser_bin(&self, s: &mut Vec<u8>) {
-        (self.0.len() as u32).ser_bin(s);
-        s.extend_from_slice(&self.0);
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        (self.0.len() as u32).ser_bin(output);
+        output.extend_from_slice(&self.0);
     }
 }
 impl DeBin for Blob {
-    fn de_bin(o: &mut usize, d: &[u8]) -> Result<Blob, DeBinErr> {
-        let length = length(o, d)?;
-        let bytes = d[*o..*o + length].to_vec();
-        *o += length;
+    fn de_bin(offset: &mut usize, input: &[u8]) -> Result<Blob, DeBinErr> {
+        let length = read_length(offset, input)?;
+        let bytes = input[*offset..*offset + length].to_vec();
+        *offset += length;
         Ok(Blob(bytes))
     }
 }
 
-/// Reads one value. `nanoserde` adds a claimed text length to the offset unchecked, which panics when it overflows:
-/// caught here, so that hostile bytes end as None like all that is malformed.
+/// Reads one value from untrusted bytes; `None` if they are malformed. Bytes behind the value are ignored.
+///
+/// `nanoserde` adds the claimed length of a text to its offset without a check, which panics on overflow. That panic is
+/// caught here.
 pub fn read<T: DeBin>(bytes: &[u8]) -> Option<T> {
     std::panic::catch_unwind(|| T::deserialize_bin(bytes).ok())
         .ok()
--- a/crates/sparrouter-http/src/head.rs
+++ b/crates/sparrouter-http/src/head.rs
@@ -1,33 +1,39 @@
-//! Heads of HTTP/1.1 messages: slices of the buffer that they were read into.
+//! Parses heads of HTTP/1.1 messages. Parts of a head are slices of the buffer it was read into: nothing is copied.
 use crate::{Bad, Parsed};
 use bytes::Bytes;
 
-/// How long the body is.
+/// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
+    /// The body has so many bytes.
     Length(usize),
+    /// The body is chunked.
     Chunked,
+    /// The body ends with the connection; responses only.
     ToEnd,
 }
 
+/// The header fields of a message. Names are compared without case.
 #[derive(Clone, Debug)]
 pub struct Fields(Vec<(Bytes, Bytes)>);
 
 impl Fields {
-    /// All fields in the order of the message, names as they came.
+    /// All fields in the order of the message, names as received.
     pub fn iter(&self) -> impl Iterator<Item = (&Bytes, &Bytes)> {
         self.0.iter().map(|(n, v)| (n, v))
     }
+    /// The value of the first field with this name.
     pub fn get(&self, name: &str) -> Option<&Bytes> {
         self.0
             .iter()
             .find(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes()))
             .map(|(_, v)| v)
     }
+    /// The value of the first field with this name, if it is UTF-8.
     pub fn text(&self, name: &str) -> Option<&str> {
         self.get(name).and_then(|v| std::str::from_utf8(v).ok())
     }
-    /// Whether a comma-separated field holds this word.
+    /// Whether a comma-separated field with this name lists `word`, compared without case.
     pub fn lists(&self, name: &str, word: &str) -> bool {
         let all = self
             .0
@@ -37,8 +43,8 @@
             .any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
     }
 
-    /// None where neither a length nor chunks are given. Two statements that disagree are an attack or
-    /// a fault: what one side takes for a body the other would take for the next message.
+    /// How the body is framed; `None` if the fields do not say. Conflicting fields are refused, because what one party
+    /// takes for the body another would take for the next message (request smuggling).
     fn framing(&self) -> Parsed<Option<Framing>> {
         let mut lengths = self
             .0
@@ -64,17 +70,18 @@
                 let text = std::str::from_utf8(v).ok().filter(|_| digits);
                 let length = text
                     .and_then(|t| t.parse().ok())
-                    .ok_or(Bad("content-length is no number"))?;
+                    .ok_or(Bad("content-length is not a number"))?;
                 Ok(Some(Framing::Length(length)))
             }
         }
     }
 }
 
-/// How every answer begins.
+/// The first bytes of every response.
 pub const REPLY: &[u8] = b"HTTP/1.";
 
-/// Where a head ends, past its empty line.
+/// The offset behind the empty line that ends a head; `None` if it is not whole yet. Bytes before `from` were searched
+/// before.
 pub fn end(buffer: &[u8], from: usize) -> Option<usize> {
     let from = from.saturating_sub(3);
     buffer
@@ -84,14 +91,15 @@
         .map(|at| from + at + 4)
 }
 
-fn token(text: &[u8]) -> bool {
+/// Whether a text is a token (RFC 9110, section 5.6.2): a method or a field's name.
+fn is_token(text: &[u8]) -> bool {
     !text.is_empty()
         && text
             .iter()
             .all(|&b| b.is_ascii_graphic() && !b"\"(),/:;<=>?@[\\]{}".contains(&b))
 }
 
-/// The first line and the fields behind it.
+/// Splits a head into its first line and its fields.
 fn split(head: &Bytes) -> Parsed<(Bytes, Fields)> {
     let mut lines = Vec::new();
     let mut at = 0;
@@ -111,7 +119,7 @@
             .ok_or(Bad("field without a colon"))?;
         let value = line[colon + 1..].trim_ascii();
         let plain = value.iter().all(|&b| b == b'\t' || b >= b' ' && b != 0x7f);
-        if !token(&line[..colon]) || !plain {
+        if !is_token(&line[..colon]) || !plain {
             return Err(Bad("field with forbidden characters"));
         }
         Ok((line.slice(..colon), line.slice_ref(value)))
@@ -119,7 +127,8 @@
     Ok((first, Fields(lines.map(field).collect::<Parsed<_>>()?)))
 }
 
-fn version(text: &[u8]) -> Parsed<bool> {
+/// Parses the version: true for HTTP/1.1, false for HTTP/1.0.
+fn parse_version(text: &[u8]) -> Parsed<bool> {
     match text {
         b"HTTP/1.1" => Ok(true),
         b"HTTP/1.0" => Ok(false),
@@ -127,40 +136,51 @@
     }
 }
 
-fn keeps(newer: bool, fields: &Fields) -> bool {
-    if newer {
+/// Whether the sender wants to keep the connection open behind this message.
+fn keeps_alive(is_http_1_1: bool, fields: &Fields) -> bool {
+    if is_http_1_1 {
         !fields.lists("connection", "close")
     } else {
         fields.lists("connection", "keep-alive")
     }
 }
 
-/// What a client asks.
+/// The head of a request.
 #[derive(Clone, Debug)]
 pub struct CallHead {
+    /// The method, as received.
     pub method: Bytes,
+    /// The request target in origin form: path and query.
     pub target: Bytes,
+    /// The client wants to keep the connection open behind the response.
     pub keep: bool,
+    /// How the body is framed: an empty one if the fields do not say.
     pub framing: Framing,
+    /// The header fields.
     pub fields: Fields,
 }
 
+/// Parses the head of a request, as [`crate::reading::head`] gives it.
+///
+/// # Errors
+///
+/// [`Bad`] if the head is malformed, its target is not in origin form, or its framing is contradictory.
 pub fn call(head: &Bytes) -> Parsed<CallHead> {
     let (first, fields) = split(head)?;
     let mut words = first.split(|&b| b == b' ');
-    let (Some(method), Some(target), Some(v), None) =
+    let (Some(method), Some(target), Some(version), None) =
         (words.next(), words.next(), words.next(), words.next())
     else {
         return Err(Bad("first line is not of three words"));
     };
     let plain = target.first() == Some(&b'/') && target.iter().all(u8::is_ascii_graphic);
-    if !token(method) || !plain {
+    if !is_token(method) || !plain {
         return Err(Bad("method or target"));
     }
-    let newer = version(v)?;
-    let keep = keeps(newer, &fields);
+    let is_http_1_1 = parse_version(version)?;
+    let keep = keeps_alive(is_http_1_1, &fields);
     let framing = fields.framing()?.unwrap_or(Framing::Length(0));
-    if !newer && framing == Framing::Chunked {
+    if !is_http_1_1 && framing == Framing::Chunked {
         return Err(Bad("transfer-encoding in HTTP/1.0"));
     }
     Ok(CallHead {
@@ -172,19 +192,29 @@
     })
 }
 
-/// What a cache server, the origin or discovery answers.
+/// The head of a response.
 #[derive(Clone, Debug)]
 pub struct ReplyHead {
+    /// The status code, 100 to 599.
     pub status: u16,
+    /// The connection can carry another request behind this response.
     pub keep: bool,
+    /// How the body is framed.
     pub framing: Framing,
+    /// The header fields.
     pub fields: Fields,
 }
 
+/// Parses the head of a response, as [`crate::reading::head`] gives it. Not for responses to HEAD requests, whose framing
+/// fields do not describe the body.
+///
+/// # Errors
+///
+/// [`Bad`] if the head is malformed or its framing is contradictory.
 pub fn reply(head: &Bytes) -> Parsed<ReplyHead> {
     let (first, fields) = split(head)?;
     let mut words = first.splitn(3, |&b| b == b' ');
-    let newer = version(words.next().unwrap_or_default())?;
+    let is_http_1_1 = parse_version(words.next().unwrap_or_default())?;
     let status = words
         .next()
         .filter(|s| s.len() == 3)
@@ -193,13 +223,13 @@
         .and_then(|s| s.parse().ok())
         .filter(|s| (100..600).contains(s));
     let status: u16 = status.ok_or(Bad("status"))?;
-    let bare = status < 200 || status == 204 || status == 304;
-    let framing = if bare {
+    let has_no_body = status < 200 || status == 204 || status == 304;
+    let framing = if has_no_body {
         Framing::Length(0)
     } else {
         fields.framing()?.unwrap_or(Framing::ToEnd)
     };
-    let keep = keeps(newer, &fields) && framing != Framing::ToEnd;
+    let keep = keeps_alive(is_http_1_1, &fields) && framing != Framing::ToEnd;
     Ok(ReplyHead {
         status,
         keep,
--- a/crates/sparrouter-http/src/reading.rs
+++ b/crates/sparrouter-http/src/reading.rs
@@ -1,4 +1,4 @@
-//! Whole heads from a stream, with bounded buffers.
+//! Reads message heads from a stream, with bounded buffers.
 use crate::{Bad, head};
 use bytes::{Bytes, BytesMut};
 use socket2::SockRef;
@@ -7,18 +7,20 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::net::TcpStream;
 
-/// Least room that a read is given.
-const ROOM: usize = 4 << 10;
+/// Free space in bytes that the buffer has before each read.
+const READ_SIZE: usize = 4 << 10;
 
-/// What a head that is longer than allowed is called.
+/// The error for a head that is longer than allowed.
 pub const HEAD_TOO_LONG: Bad = Bad("head too long");
 
+/// Why nothing more can be read from a connection.
 #[derive(Debug)]
 pub enum Broken {
-    /// The other side ended the connection, in its own time.
+    /// The peer closed the connection in order.
     Ended,
-    /// It was reset, or never came up.
+    /// The connection was reset, or could not be established.
     Reset,
+    /// The peer sent input that violates the protocol.
     Bad(Bad),
 }
 
@@ -28,12 +30,16 @@
     }
 }
 
-/// Cancel-safe: what was read stays in the buffer.
+/// Reads once, appending to the buffer. Cancel-safe: what was read stays in the buffer.
+///
+/// # Errors
+///
+/// [`Broken::Ended`] at the end of the stream, [`Broken::Reset`] after any other error.
 pub async fn more(
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
 ) -> Result<(), Broken> {
-    buffer.reserve(ROOM);
+    buffer.reserve(READ_SIZE);
     match stream.read_buf(buffer).await {
         Ok(0) => Err(Broken::Ended),
         Err(_) => Err(Broken::Reset),
@@ -41,8 +47,11 @@
     }
 }
 
-/// What the system holds for us now, straight from it: what the runtime knows of a socket is as old as its last
-/// look, and bytes or an end that came since would be closed over. None where there is nothing yet.
+/// Reads what the operating system has buffered for this socket, without waiting. `None` if there is nothing yet;
+/// `Some(Ok(0))` at the end of the stream.
+///
+/// This asks the system and not the async runtime: the runtime knows the state of its last poll only, and would miss
+/// bytes or a close that came since.
 pub fn at_hand(stream: &TcpStream, buffer: &mut [u8]) -> Option<io::Result<usize>> {
     match SockRef::from(stream).deref().read(buffer) {
         Err(e) if e.kind() == ErrorKind::WouldBlock => None,
@@ -50,20 +59,26 @@
     }
 }
 
-/// Up to and with the empty line, `most` bytes at the longest. What does not begin as it must is not waited for:
-/// noise may have no end, and its sender stays silent after it.
+/// Reads a head up to and including its empty line, and takes it out of the buffer. Cancel-safe.
+///
+/// `begins`: how the head must begin (may be empty). Anything else is refused at once, since it may have no end.
+/// `most`: largest head in bytes.
+///
+/// # Errors
+///
+/// As [`more`]; [`Broken::Bad`] if the head begins wrongly or is too long.
 pub async fn head(
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
     begins: &[u8],
     most: usize,
 ) -> Result<Bytes, Broken> {
-    let mut seen = 0;
+    let mut searched = 0;
     loop {
         if buffer.iter().zip(begins).any(|(a, b)| a != b) {
             return Err(Bad("no HTTP").into());
         }
-        if let Some(end) = head::end(buffer, seen) {
+        if let Some(end) = head::end(buffer, searched) {
             if end > most {
                 return Err(HEAD_TOO_LONG.into());
             }
@@ -72,7 +87,7 @@
         if buffer.len() > most {
             return Err(HEAD_TOO_LONG.into());
         }
-        seen = buffer.len();
+        searched = buffer.len();
         more(stream, buffer).await?;
     }
 }
