--- a/crates/sparrouter-consensus/tests/fleet/mod.rs
+++ b/crates/sparrouter-consensus/tests/fleet/mod.rs
@@ -16,7 +16,7 @@
     Action, Defects, Member, Message, NodeObservation, Record, Register, Settings,
 };
 pub use sparrouter_consensus::{MILLISECOND, Nanos, SECOND};
-use sparrouter_storage::{LyingFiles, Opened, Store, lying::Cut};
+use sparrouter_storage::{Opened, SimulatedFiles, Store, simulated::DiskFailure};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -82,8 +82,8 @@
 
 pub struct Node {
     pub member: Member,
-    pub files: LyingFiles,
-    pub store: Option<Store<LyingFiles>>,
+    pub files: SimulatedFiles,
+    pub store: Option<Store<SimulatedFiles>>,
     pub register: Option<Register<Configs>>,
     pub life: u64,
     pub saving: Option<Vec<u8>>,
@@ -221,7 +221,7 @@
         };
         self.nodes.push(Node {
             member,
-            files: LyingFiles::new(self.rng.u64(..)),
+            files: SimulatedFiles::new(self.rng.u64(..)),
             store: None,
             register: None,
             life: 0,
@@ -477,9 +477,13 @@
             Disk::Well
         };
         match trouble {
-            Disk::Fails => it.files.cut_at(
+            Disk::Fails => it.files.fail_at(
                 chance % 4,
-                [Cut::Before, Cut::After, Cut::Torn(9)][chance as usize % 3],
+                [
+                    DiskFailure::Before,
+                    DiskFailure::After,
+                    DiskFailure::Torn(9),
+                ][chance as usize % 3],
             ),
             Disk::Full => it.files.set_room(Some(bytes.len() * 2)),
             _ => {}
@@ -499,8 +503,14 @@
         let torn = self.rng.usize(..200);
         let it = &mut self.nodes[node];
         if let (Some(bytes), Some(mut store)) = (it.saving.take(), it.store.take()) {
-            it.files
-                .cut_at(nth, [Cut::Before, Cut::After, Cut::Torn(torn)][cut]);
+            it.files.fail_at(
+                nth,
+                [
+                    DiskFailure::Before,
+                    DiskFailure::After,
+                    DiskFailure::Torn(torn),
+                ][cut],
+            );
             let _ = store.save("part-7", &bytes);
         }
     }
--- a/crates/sparrouter-prefix-index/src/lib.rs
+++ b/crates/sparrouter-prefix-index/src/lib.rs
@@ -1,26 +1,28 @@
-//! The index of kept prompts: which parts of prompts (prefix blocks) are kept where, and what to do about it.
+//! The index of kept prompts: which prefix blocks ("parts" of prompts) are cached at which server or store.
 //!
-//! | file | its one job |
+//! | module | its one job |
 //! | --- | --- |
-//! | `source` | what one server or store keeps, as its follower reads it from its events |
-//! | `index` | who keeps a part, at the part's owner, and what a prompt about to be sent should fetch and save |
+//! | `source` | what one server or store keeps, as its follower reads it from the source's events |
+//! | `index` | who keeps a part, at the part's owner, and what a request about to be sent should fetch and save |
 //!
-//! Each server and store is followed by one node, each part has one owner, both named by rendezvous hashing. A follower
-//! tells owners what changed; whoever is about to send a prompt asks the owner of its deepest shared part, and where
-//! nobody keeps that, the owner of the one before.
+//! Each server and store (a *source*) is followed by one node, and each part has one owner among the nodes; both are
+//! found by rendezvous hashing. A follower notifies the owners of changes. A node that is about to send a prompt asks the
+//! owner of its deepest shared part, and if nobody keeps that, the owner of the part before.
 //!
-//! Why not tell everybody of everything: the choice of the server needs no index (the election sends a prefix to the
-//! same server from every node), only what is fetched and saved does, and that can be asked for while the connection
-//! is looked for. Cost: one question a request, one word an event; state: one entry a part, bounded.
+//! Why updates are not sent to all nodes: the choice of a server needs no index (the election sends a prefix to the same
+//! server from every node); only what is fetched and saved does, and that can be asked while a connection is set up.
+//! Cost: one question a request and one update an event; state: one bounded entry a part.
 //!
-//! What is told may be late, lost, or wrong: a wrong holder costs the server that asks it a millisecond, a missing one
-//! a part that is read anew. No I/O, no clock. Source for the split of an index over its keys' owners: Karger et al.,
+//! The index may be late or wrong: a wrong holder costs the server that asks it about a millisecond, a missing one a
+//! part that is computed again. No I/O, no clock. Source for dividing an index among owners of its keys: Karger et al.,
 //! "Consistent hashing and random trees", STOC 1997.
+#![deny(missing_docs)]
+
 mod index;
 mod source;
 
 pub use index::{Advice, Index, Question, Terms};
 pub use source::{Change, Page, Source};
 
-/// Nanoseconds of a clock that only advances.
+/// Nanoseconds of a monotonic clock.
 pub type Nanos = u64;
--- a/crates/sparrouter-prefix-index/src/source.rs
+++ b/crates/sparrouter-prefix-index/src/source.rs
@@ -1,90 +1,98 @@
-//! One server or store at its follower: what its events say that it keeps, and which owners have heard of that.
+//! One server or store at its follower: what it keeps by its events, and which changes its parts' owners do not know yet.
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Parts that are remembered of one source.
-const MOST: usize = 200_000;
+/// Most parts that are remembered of one source, some 50 bytes each.
+const MAX_PARTS: usize = 200_000;
 
-/// What a part of a prompt is kept with now; 0 tokens: no longer.
+/// How much of a part a source keeps now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
     /// Hash of the salt and the part's id.
     pub key: u64,
+    /// Tokens that are kept; 0: the part is not kept any more.
     pub tokens: u32,
 }
 
-/// One answer to the question for events.
+/// One answer of a source to a call for its events.
 #[derive(Clone, Debug, Default)]
 pub struct Page {
-    /// Changes with every start of the source.
+    /// Differs after each start of the source.
     pub epoch: u64,
-    /// Where the next question goes on.
+    /// Token with which the next call continues.
     pub next: u64,
-    /// Events between the last answer and this one are gone.
+    /// Events between the last answer and this one are missing.
     pub gap: bool,
+    /// The changes since the last answer, in their order.
     pub events: Vec<Change>,
 }
 
+/// What one source keeps.
 #[derive(Debug, Default)]
 pub struct Source {
     epoch: Option<u64>,
-    since: u64,
+    next: u64,
     /// Tokens of each part that is kept.
     kept: BTreeMap<u64, u32>,
-    /// Parts whose owner has not heard of the last change.
-    untold: BTreeSet<u64>,
-    /// Names the set of owners that was told.
+    /// Parts whose last change was not sent to their owner yet.
+    pending: BTreeSet<u64>,
+    /// Identifies the set of owners that the changes were sent to.
     owners: u64,
 }
 
 impl Source {
-    /// Where the next question goes on.
+    /// Token with which the next call for events continues; 0 before the first answer.
     pub fn since(&self) -> u64 {
-        self.since
+        self.next
     }
+
+    /// How many parts the source keeps.
     pub fn len(&self) -> usize {
         self.kept.len()
     }
+
+    /// Whether the source keeps no part.
     pub fn is_empty(&self) -> bool {
         self.kept.is_empty()
     }
 
-    /// Takes an answer. True where all that was known before is void: the source started anew, or events are missing,
-    /// and a part that it let go meanwhile would stand for ever.
+    /// Applies an answer. Returns true if what was known before does not hold any more: the source has restarted, or
+    /// events are missing, so that a part it dropped meanwhile would never be removed.
     pub fn take(&mut self, page: Page) -> bool {
-        let anew = self.epoch.is_some_and(|e| e != page.epoch);
-        // Before the first answer nothing was known that a gap could spoil.
-        let void = anew || (page.gap && self.epoch.is_some());
+        let restarted = self.epoch.is_some_and(|e| e != page.epoch);
+        // Before the first answer nothing was known that a gap could invalidate.
+        let void = restarted || (page.gap && self.epoch.is_some());
         if void {
             self.kept.clear();
-            self.untold.clear();
+            self.pending.clear();
         }
-        (self.epoch, self.since) = (Some(page.epoch), page.next);
+        (self.epoch, self.next) = (Some(page.epoch), page.next);
         for Change { key, tokens } in page.events {
             if tokens == 0 {
                 self.kept.remove(&key);
-            } else if self.kept.len() < MOST || self.kept.contains_key(&key) {
+            } else if self.kept.len() < MAX_PARTS || self.kept.contains_key(&key) {
                 self.kept.insert(key, tokens);
             }
-            self.untold.insert(key);
+            self.pending.insert(key);
         }
         void
     }
 
-    /// What each owner has to be told, by owner. `owners` names the set of nodes that `owner` draws from: where it is
-    /// another than before, all that is kept is told again, as nobody knows what the new owners have.
+    /// Takes the changes to send, by owner. `owner` gives the owner of a key; `owners` identifies the set of nodes it
+    /// chooses from. If that set changed, all that is kept is sent again, since the new owners may know nothing.
     pub fn tell(&mut self, owners: u64, owner: impl Fn(u64) -> u64) -> BTreeMap<u64, Vec<Change>> {
-        let mut keys = std::mem::take(&mut self.untold);
+        let mut keys = std::mem::take(&mut self.pending);
         if owners != self.owners {
             keys.extend(self.kept.keys());
             self.owners = owners;
         }
-        let mut out: BTreeMap<u64, Vec<Change>> = BTreeMap::new();
+        let mut changes: BTreeMap<u64, Vec<Change>> = BTreeMap::new();
         for key in keys {
             let tokens = self.kept.get(&key).copied().unwrap_or(0);
-            out.entry(owner(key))
+            changes
+                .entry(owner(key))
                 .or_default()
                 .push(Change { key, tokens });
         }
-        out
+        changes
     }
 }
--- a/crates/sparrouter-prefix-index/tests/index.rs
+++ b/crates/sparrouter-prefix-index/tests/index.rs
@@ -1,4 +1,4 @@
-//! What the owner of a part answers.
+//! The answers of a part's owner.
 use sparrouter_prefix_index::{Advice, Index, Question, Terms};
 
 const S: u64 = 1_000_000_000;
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn given_nothing_known_when_asked_then_the_store_is_told_once() {
+fn given_nothing_known_when_asked_then_the_store_is_asked_to_save_once() {
     let mut index = index();
     assert_eq!(
         index.ask(about(1, STORE), 0),
@@ -34,29 +34,29 @@
         }
     );
     let second = index.ask(about(2, STORE), S);
-    assert!(!second.save, "it was told a second ago");
+    assert!(!second.save, "the store was asked a second ago");
     assert_eq!(
         second.holders,
         [STORE],
-        "nobody follows it: what it was told counts"
+        "the store has no follower, so the request to save counts"
     );
     assert_eq!(second.reader, 1);
     assert!(index.ask(about(2, STORE), 121 * S).save);
 }
 
 #[test]
-fn given_a_followed_store_when_it_does_not_tell_of_the_part_then_it_is_told_again_soon() {
+fn given_a_followed_store_when_it_does_not_report_the_part_then_it_is_asked_again_soon() {
     let mut index = index();
     index.told(STORE, 3, 500, 0);
     assert!(index.ask(about(1, STORE), 0).save);
     let soon = index.ask(about(2, STORE), S);
     assert!(
         !soon.save && soon.holders.is_empty(),
-        "under way, and not there yet: {soon:?}"
+        "being saved, but not reported yet: {soon:?}"
     );
     assert!(
         index.ask(about(2, STORE), 5 * S).save,
-        "it did not come to anything"
+        "the request to save had no effect"
     );
     index.told(STORE, PART, 500, 5 * S);
     let there = index.ask(about(2, STORE), 20 * S);
@@ -77,7 +77,7 @@
 }
 
 #[test]
-fn given_a_holder_that_lets_go_when_asked_then_it_is_not_named() {
+fn given_a_holder_that_dropped_the_part_when_asked_then_it_is_not_named() {
     let mut index = index();
     index.told(10, PART, 800, 0);
     index.told(10, PART, 0, S);
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn given_a_reader_that_is_followed_when_it_does_not_tell_then_it_is_believed_no_longer_than_that_takes()
+fn given_a_followed_reader_when_its_follower_reports_nothing_then_it_is_named_for_the_report_time_only()
  {
     let mut index = index();
     index.told(10, 3, 500, 0);
@@ -94,9 +94,9 @@
     assert_ne!(
         index.ask(about(12, 0), 5 * S).reader,
         10,
-        "it would have told by now"
+        "its follower would have reported the part by now"
     );
-    // One whom nobody follows can't tell.
+    // Nobody reports for a server without a follower.
     let unfollowed = Question {
         key: 8,
         server: 13,
@@ -130,7 +130,7 @@
 }
 
 #[test]
-fn given_a_source_that_is_lost_when_asked_then_nothing_of_it_stands() {
+fn given_a_lost_source_when_asked_then_it_is_not_named() {
     let mut index = index();
     index.told(STORE, PART, 800, 0);
     index.told(10, PART, 800, 0);
@@ -140,7 +140,7 @@
 }
 
 #[test]
-fn given_parts_without_end_when_told_then_the_index_stays_bounded_and_what_is_used_stays() {
+fn given_more_parts_than_fit_when_reported_then_the_index_stays_bounded_and_used_parts_stay() {
     let mut index = index();
     for key in 0..10_000 {
         index.told(10, key + 100, 800, key * S / 1_000);
@@ -159,7 +159,7 @@
 }
 
 #[test]
-fn given_many_holders_when_told_then_the_newest_few_are_remembered() {
+fn given_many_holders_when_reported_then_the_newest_few_are_remembered() {
     let mut index = index();
     (1..=50).for_each(|source| index.told(source, PART, 800, source));
     let advice = index.ask(about(1_000, 0), S);
--- a/crates/sparrouter-prefix-index/tests/source.rs
+++ b/crates/sparrouter-prefix-index/tests/source.rs
@@ -1,4 +1,4 @@
-//! What a follower makes of a source's events.
+//! What a follower derives from a source's events.
 use sparrouter_prefix_index::{Change, Page, Source};
 use std::collections::BTreeMap;
 
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn given_events_when_told_then_each_owner_hears_of_its_parts_once_with_what_is_kept_now() {
+fn given_events_when_sent_then_each_owner_gets_its_parts_once_with_their_current_tokens() {
     let mut source = Source::default();
     assert!(!source.take(page(
         5,
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn given_another_set_of_owners_when_told_then_all_that_is_kept_is_told_again() {
+fn given_another_set_of_owners_when_sent_then_all_kept_parts_are_sent_again() {
     let mut source = Source::default();
     source.take(page(5, 40, &[kept(2, 160), kept(3, 700)]));
     told(&mut source);
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn given_a_new_start_of_the_source_when_heard_of_then_what_was_known_is_void() {
+fn given_a_restarted_source_when_its_answer_is_applied_then_earlier_state_is_void() {
     let mut source = Source::default();
     source.take(page(5, 40, &[kept(2, 160)]));
     assert!(source.take(page(6, 1, &[kept(3, 700)])));
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn given_a_gap_when_it_is_the_first_answer_then_nothing_is_void_and_later_all_is() {
+fn given_a_gap_when_it_is_in_the_first_answer_then_nothing_is_void_and_later_everything_is() {
     let mut source = Source::default();
     let gap = |next, key| Page {
         gap: true,
@@ -70,18 +70,18 @@
     };
     assert!(
         !source.take(gap(40, 2)),
-        "nothing was known that it could spoil"
+        "nothing was known that the gap could invalidate"
     );
     assert!(
         source.take(gap(90, 3)),
-        "what was let go meanwhile would stand for ever"
+        "parts dropped meanwhile would be kept for ever"
     );
     assert_eq!(source.len(), 1);
 }
 
 #[test]
-fn given_a_part_that_was_never_seen_when_it_is_let_go_then_its_owner_still_hears() {
-    // A follower before this one may have told of it.
+fn given_an_unknown_part_when_it_is_dropped_then_its_owner_is_still_notified() {
+    // An earlier follower may have reported it.
     let mut source = Source::default();
     source.take(page(5, 40, &[kept(3, 0)]));
     assert_eq!(told(&mut source), BTreeMap::from([(1, vec![kept(3, 0)])]));
--- a/crates/sparrouter-simulation/src/disk.rs
+++ b/crates/sparrouter-simulation/src/disk.rs
@@ -1,8 +1,8 @@
-//! A machine's disk: one that lies, answers late in virtual time, stalls, fills up, or is lost.
+//! A machine's simulated disk: it loses what was not synced, answers late in virtual time, stalls, fills up, or is lost.
 use fastrand::Rng;
 use sparrouter_fleet::disk::{DiskContents, Keeper, Kept, Save, Saves, keep};
 use sparrouter_fleet::log_buffer::LogBuffer;
-use sparrouter_storage::{LyingFiles, Store};
+use sparrouter_storage::{SimulatedFiles, Store};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 
 #[derive(Clone)]
 pub struct SimulatedDisk {
-    pub files: LyingFiles,
+    pub files: SimulatedFiles,
     /// How long a save takes.
     pub delay: Rc<Cell<Duration>>,
     /// It does nothing before.
@@ -24,7 +24,7 @@
 impl SimulatedDisk {
     pub fn new(seed: u64, delay: Duration) -> SimulatedDisk {
         SimulatedDisk {
-            files: LyingFiles::new(seed),
+            files: SimulatedFiles::new(seed),
             delay: Rc::new(Cell::new(delay)),
             stalled: Rc::new(Cell::new(Instant::now())),
             rows_lost: Rc::default(),
@@ -69,7 +69,7 @@
 }
 
 struct Late {
-    store: Store<LyingFiles>,
+    store: Store<SimulatedFiles>,
     disk: SimulatedDisk,
 }
 
--- a/crates/sparrouter-storage/src/files.rs
+++ b/crates/sparrouter-storage/src/files.rs
@@ -1,30 +1,35 @@
-//! What is asked of a folder: a few whole-file operations, so that one that lies can stand in for the real one.
+//! The operations on a directory that a [`crate::Store`] needs, as a trait, so that tests can simulate a disk.
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// One flat folder. Each call has reached the operating system when it returns, and the disk only where it says so.
+/// A directory without subdirectories. When a call returns, its effect is known to the operating system; it survives a
+/// power loss only where that is said.
 pub trait Files {
-    /// For messages only.
+    /// Name of the directory, for messages only.
     fn folder(&self) -> String;
-    /// Makes the file anew, or empties it, writes all bytes and syncs them.
+    /// Creates the file or empties it, writes all bytes and syncs them to disk. The name itself may not survive yet.
     fn write_synced(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Renames a file, replacing any that has the new name.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
     fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// Names of all files, in ascending order.
     fn list(&self) -> io::Result<Vec<String>>;
+    /// All bytes of a file.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
-    /// Names made, renamed and removed before this call last from its return on.
+    /// Syncs the directory: names created, renamed and removed before this call survive a power loss once it returns.
     fn sync_folder(&mut self) -> io::Result<()>;
 }
 
-/// Files of the operating system.
+/// A directory of the operating system.
 #[derive(Debug)]
 pub struct RealFiles {
     folder: PathBuf,
 }
 
 impl RealFiles {
-    /// Makes the folder if it is missing, and its name lasting.
+    /// Opens a directory. One that is missing is created, and its name synced.
     pub fn open(folder: impl AsRef<Path>) -> io::Result<RealFiles> {
         let folder = folder.as_ref().to_path_buf();
         if !folder.is_dir() {
@@ -59,7 +64,7 @@
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.folder)? {
-            // A name that is not UTF-8 is none of ours.
+            // This package writes no name that is not UTF-8.
             if let Ok(name) = entry?.file_name().into_string() {
                 names.push(name);
             }
--- a/crates/sparrouter-storage/src/lib.rs
+++ b/crates/sparrouter-storage/src/lib.rs
@@ -1,20 +1,30 @@
-//! Files that survive: one file a version, written aside, synced, renamed, its folder synced.
+//! Records that survive a crash: one file per version, written under a temporary name, synced, renamed, and its
+//! directory synced.
 //!
-//! By file: `files` (what is asked of a folder, and the real one), `frame` (bytes of one file), `sparrouter-storage` (records by
-//! name), `error` (what went wrong and what to do), `lying` (a folder in memory that loses power, for tests).
+//! | module | its one job |
+//! | --- | --- |
+//! | [`files`] | the operations on a directory as a trait, and the real directory |
+//! | [`frame`] | the byte format of one file |
+//! | [`store`] | records by name |
+//! | [`error`] | what can go wrong, and the remedy |
+//! | [`simulated`] | a directory in memory that loses power, for tests |
 //!
-//! Calls block until the disk has answered: a caller that must not wait gives them to a thread of its own.
+//! Calls block until the disk has answered. A caller that must not wait runs them on a thread of its own.
 //!
-//! Sources: SQLite, "Atomic commit in SQLite" (what a file layer may lose) and its "How SQLite is tested" (every
-//! crash point tried); Pillai et al., "All file systems are not created equal", OSDI 2014 (why the folder is synced
-//! too, and why nothing is assumed of a rename that was not).
+//! Sources: SQLite, "Atomic commit in SQLite" (what a file system may lose) and "How SQLite is tested" (every crash
+//! point tried); Pillai et al., "All file systems are not created equal", OSDI 2014 (why the directory is synced too, and
+//! why nothing is assumed of a rename before that).
+#![deny(missing_docs)]
+
 pub mod error;
 pub mod files;
 pub mod frame;
-pub mod lying;
+pub mod simulated;
 pub mod store;
 
 pub use error::StorageError;
 pub use files::{Files, RealFiles};
-pub use lying::LyingFiles;
+pub use simulated::SimulatedFiles;
+/// The former name of [`SimulatedFiles`], until all tests of other packages use the new one.
+pub use simulated::SimulatedFiles as LyingFiles;
 pub use store::{Opened, Store};
--- a/crates/sparrouter-storage/tests/saves.rs
+++ b/crates/sparrouter-storage/tests/saves.rs
@@ -1,5 +1,5 @@
-use sparrouter_storage::lying::Cut;
-use sparrouter_storage::{Files, LyingFiles, Opened, RealFiles, StorageError, Store};
+use sparrouter_storage::simulated::DiskFailure;
+use sparrouter_storage::{Files, Opened, RealFiles, SimulatedFiles, StorageError, Store};
 
 const OLD: &[u8] = b"the old record";
 const NEW: &[u8] = b"a new record, longer than the old";
@@ -13,7 +13,7 @@
 
 /// Operations of one save over an older version.
 fn operations_of_a_save() -> u64 {
-    let files = LyingFiles::new(0);
+    let files = SimulatedFiles::new(0);
     let (mut store, _) = Store::open(files.clone()).unwrap();
     store.save("part-1", OLD).unwrap();
     let before = files.operations();
@@ -21,27 +21,27 @@
     files.operations() - before
 }
 
-fn cuts() -> impl Iterator<Item = Cut> {
-    [Cut::Before, Cut::After]
+fn failures() -> impl Iterator<Item = DiskFailure> {
+    [DiskFailure::Before, DiskFailure::After]
         .into_iter()
-        .chain((0..NEW.len() + 26).map(Cut::Torn))
+        .chain((0..NEW.len() + 26).map(DiskFailure::Torn))
 }
 
 #[test]
 fn given_any_crash_point_of_a_save_when_power_is_lost_then_the_old_or_the_new_record_is_there() {
     for nth in 0..operations_of_a_save() {
-        for cut in cuts() {
+        for failure in failures() {
             for seed in 0..8 {
-                let files = LyingFiles::new(seed);
+                let files = SimulatedFiles::new(seed);
                 let (mut store, _) = Store::open(files.clone()).unwrap();
                 store.save("part-1", OLD).unwrap();
-                files.cut_at(nth, cut);
+                files.fail_at(nth, failure);
                 let saved = store.save("part-1", NEW).is_ok();
                 files.lose_power();
-                let found = value(files.clone(), "part-1").expect("never neither");
+                let found = value(files.clone(), "part-1").expect("the old or the new record");
                 assert!(
                     found == NEW || (found == OLD && !saved),
-                    "{nth} {cut:?} {seed}"
+                    "{nth} {failure:?} {seed}"
                 );
                 let (mut again, _) = Store::open(files.clone()).unwrap();
                 again.save("part-1", b"third").unwrap();
@@ -49,7 +49,7 @@
                 assert_eq!(
                     value(files, "part-1").unwrap(),
                     b"third",
-                    "{nth} {cut:?} {seed}"
+                    "{nth} {failure:?} {seed}"
                 );
             }
         }
@@ -57,15 +57,14 @@
 }
 
 #[test]
-fn given_any_crash_point_when_the_process_dies_and_power_goes_after_its_restart_then_what_it_read_stays()
- {
+fn given_any_crash_point_when_power_is_lost_after_the_restart_then_what_the_restart_read_stays() {
     for nth in 0..operations_of_a_save() {
-        for cut in cuts() {
+        for failure in failures() {
             for seed in 0..8 {
-                let files = LyingFiles::new(seed);
+                let files = SimulatedFiles::new(seed);
                 let (mut store, _) = Store::open(files.clone()).unwrap();
                 store.save("part-1", OLD).unwrap();
-                files.cut_at(nth, cut);
+                files.fail_at(nth, failure);
                 let _ = store.save("part-1", NEW);
                 files.mend();
                 let read = value(files.clone(), "part-1").unwrap();
@@ -73,7 +72,7 @@
                 assert_eq!(
                     value(files, "part-1").unwrap(),
                     read,
-                    "{nth} {cut:?} {seed}"
+                    "{nth} {failure:?} {seed}"
                 );
             }
         }
@@ -84,18 +83,18 @@
 fn given_any_crash_point_of_the_first_save_when_power_is_lost_then_nothing_or_the_record_is_there()
 {
     for nth in 0..4 {
-        for cut in cuts() {
+        for failure in failures() {
             for seed in 0..8 {
-                let files = LyingFiles::new(seed);
+                let files = SimulatedFiles::new(seed);
                 let (mut store, opened) = Store::open(files.clone()).unwrap();
                 assert_eq!(opened, Opened::Fresh);
-                files.cut_at(nth, cut);
+                files.fail_at(nth, failure);
                 let saved = store.save("disk", NEW).is_ok();
                 files.lose_power();
                 let found = value(files, "disk");
                 assert!(
                     found.as_deref() == Some(NEW) || (found.is_none() && !saved),
-                    "{nth} {cut:?} {seed}"
+                    "{nth} {failure:?} {seed}"
                 );
             }
         }
@@ -103,25 +102,30 @@
 }
 
 #[test]
-fn given_a_failed_operation_when_the_disk_mends_then_a_later_save_of_the_same_life_lasts() {
+fn given_a_failed_operation_when_the_disk_recovers_then_a_later_save_of_the_same_process_is_durable()
+ {
     for nth in 0..operations_of_a_save() {
-        for cut in cuts() {
-            let files = LyingFiles::new(nth);
+        for failure in failures() {
+            let files = SimulatedFiles::new(nth);
             let (mut store, _) = Store::open(files.clone()).unwrap();
             store.save("part-1", OLD).unwrap();
-            files.cut_at(nth, cut);
+            files.fail_at(nth, failure);
             let _ = store.save("part-1", NEW);
             files.mend();
             store.save("part-1", b"third").unwrap();
             files.lose_power();
-            assert_eq!(value(files, "part-1").unwrap(), b"third", "{nth} {cut:?}");
+            assert_eq!(
+                value(files, "part-1").unwrap(),
+                b"third",
+                "{nth} {failure:?}"
+            );
         }
     }
 }
 
 #[test]
-fn given_a_full_disk_when_room_is_made_then_saves_mend_and_the_old_record_stayed() {
-    let files = LyingFiles::new(1);
+fn given_a_full_disk_when_space_is_freed_then_saves_succeed_and_the_old_record_was_kept() {
+    let files = SimulatedFiles::new(1);
     let (mut store, _) = Store::open(files.clone()).unwrap();
     store.save("part-1", OLD).unwrap();
     files.set_room(Some(60));
@@ -146,7 +150,7 @@
 
 #[test]
 fn given_a_damaged_newest_file_when_opened_then_it_is_refused_and_no_older_one_is_served() {
-    let files = LyingFiles::new(1);
+    let files = SimulatedFiles::new(1);
     let (mut store, _) = Store::open(files.clone()).unwrap();
     store.save("part-1", OLD).unwrap();
     let older = files.read("part-1.1").unwrap();
@@ -171,23 +175,23 @@
 }
 
 #[test]
-fn given_a_damaged_older_file_when_a_newer_one_is_good_then_it_is_passed_over_and_goes() {
-    let files = LyingFiles::new(1);
+fn given_a_damaged_older_file_when_a_newer_one_is_good_then_it_is_ignored_and_removed() {
+    let files = SimulatedFiles::new(1);
     let (mut store, _) = Store::open(files.clone()).unwrap();
     store.save("part-1", OLD).unwrap();
     store.save("part-1", NEW).unwrap();
     files.put("part-1.1", b"torn");
     files.put("part-1.7.tmp", b"torn too");
-    files.put("notes of a person", b"stay");
+    files.put("file of an operator", b"stay");
     let (mut store, opened) = Store::open(files.clone()).unwrap();
     assert!(matches!(opened, Opened::Existing(ref r) if r["part-1"] == NEW));
     store.save("part-1", OLD).unwrap();
-    assert_eq!(files.list().unwrap(), ["notes of a person", "part-1.8"]);
+    assert_eq!(files.list().unwrap(), ["file of an operator", "part-1.8"]);
 }
 
 #[test]
 fn given_a_file_of_a_newer_release_when_opened_then_the_message_names_the_remedy() {
-    let files = LyingFiles::new(1);
+    let files = SimulatedFiles::new(1);
     let mut bytes = sparrouter_storage::frame::write(1, OLD);
     bytes[8] = 2;
     files.put("part-1.1", &bytes);
@@ -207,8 +211,8 @@
 }
 
 #[test]
-fn given_names_that_could_leave_the_folder_when_saved_then_they_are_refused() {
-    let (mut store, _) = Store::open(LyingFiles::new(1)).unwrap();
+fn given_names_that_could_leave_the_directory_when_saved_then_they_are_refused() {
+    let (mut store, _) = Store::open(SimulatedFiles::new(1)).unwrap();
     for name in ["", "..", "a/b", "a.b", "A", &"x".repeat(65)] {
         assert!(
             matches!(store.save(name, OLD), Err(StorageError::Name { .. })),
@@ -218,7 +222,7 @@
 }
 
 #[test]
-fn given_a_real_folder_when_saved_and_opened_again_then_records_are_there() {
+fn given_a_real_directory_when_saved_and_opened_again_then_records_are_there() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("data");
     let (mut store, opened) = Store::open(RealFiles::open(&path).unwrap()).unwrap();
