Test names and comments of config, membership, routing and the lab in technical English

Change: names and comments only; no assertion changed. tests/words.rs of routing is tests/directives.rs.

--- a/crates/sparrouter-config/tests/changes.rs
+++ b/crates/sparrouter-config/tests/changes.rs
@@ -1,4 +1,4 @@
-//! What a PUT and a PATCH make: the document given back, item by item.
+//! The documents that a PUT and a PATCH result in.
 
 mod common;
 
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn given_numbers_that_a_parser_would_round_when_put_and_patched_then_their_digits_stay() {
+fn given_numbers_that_a_parser_would_round_when_put_and_patched_then_their_digits_are_kept() {
     let odd =
         r#""x":[0.30000000000000004,12345678901234567890123,-0,1E2,550000.0,9007199254740993.0]"#;
     let body = EXAMPLE.replacen(r#""isolated":true"#, odd, 1);
--- a/crates/sparrouter-config/tests/edits.rs
+++ b/crates/sparrouter-config/tests/edits.rs
@@ -1,4 +1,4 @@
-//! Changes of a text told by themselves.
+//! Edits between two texts of the configuration.
 use sparrouter_config::{Edit, Piece, digest_of_text};
 
 fn tenant(i: usize, keys: usize) -> String {
@@ -17,8 +17,8 @@
 }
 
 #[test]
-fn given_one_tenant_of_thousands_changed_when_told_then_it_takes_few_bytes_and_makes_the_same_text()
-{
+fn given_one_tenant_of_thousands_changed_when_edited_then_the_edit_is_small_and_gives_the_same_text()
+ {
     let mut tenants: Vec<String> = (0..25_000).map(|i| tenant(i, 3)).collect();
     let old = config(7, &tenants);
     tenants[9_000] = tenant(9_000, 4);
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn given_any_two_texts_when_one_is_made_from_the_other_then_it_comes_out_byte_for_byte() {
+fn given_any_two_texts_when_edited_from_one_to_the_other_then_the_result_is_the_same_to_the_byte() {
     let mut rng = fastrand::Rng::with_seed(3);
     for _ in 0..3_000 {
         let mut text = || -> String {
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn given_a_text_that_differs_when_a_change_is_applied_then_it_is_refused() {
+fn given_a_different_base_text_when_an_edit_is_applied_then_it_is_refused() {
     let old = config(1, &[tenant(1, 2), tenant(2, 2)]);
     let new = config(2, &[tenant(1, 2)]);
     let edit = Edit::between(&old, &new);
@@ -84,8 +84,7 @@
 }
 
 #[test]
-fn given_a_range_named_again_and_again_when_applied_then_it_takes_no_more_than_a_configuration_may()
-{
+fn given_a_range_repeated_many_times_when_applied_then_the_result_is_bounded() {
     let old = "x".repeat(1 << 20);
     let pieces = vec![
         Piece {
--- a/crates/sparrouter-config/tests/refusals.rs
+++ b/crates/sparrouter-config/tests/refusals.rs
@@ -1,4 +1,4 @@
-//! What is not taken: each kind of invalid configuration, by PUT and by PATCH, and bodies that are no whole JSON.
+//! What is refused: each kind of invalid configuration, by PUT and by PATCH, and bodies that are not whole JSON.
 
 mod common;
 
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn given_two_routes_at_one_place_when_sent_then_refused() {
+fn given_two_routes_with_one_host_and_prefix_when_sent_then_refused() {
     assert_both_ways!(
         route("x", "h.example", "/good/", r#""service":"b""#),
         Refusal::SamePlace { .. }
@@ -115,7 +115,7 @@
 }
 
 #[test]
-fn given_fields_missing_or_of_no_known_kind_when_sent_then_refused_by_path() {
+fn given_missing_fields_or_unknown_kinds_when_sent_then_refused_by_path() {
     assert_both_ways!(
         r#"{"name":"x","path_prefix":"/x/","service":"a"}"#,
         Refusal::Missing { .. }
@@ -175,7 +175,7 @@
 }
 
 #[test]
-fn given_a_stale_match_when_sent_then_412() {
+fn given_a_stale_if_match_when_sent_then_412() {
     let current = example();
     for if_match in [None, Some(0), Some(6), Some(8)] {
         for (method, body) in [
@@ -328,7 +328,7 @@
             "{refusal}"
         );
     }
-    // The same word as a value, in a neighbour or further in is no duplicate.
+    // The same name as a value, in a sibling object or in a nested object is no duplicate.
     let apart = r#""isolated":true,"x":[{"y":"y"},{"y":{"y":["y","y"]}}]"#;
     assert!(put(&EXAMPLE.replacen(r#""isolated":true"#, apart, 1)).is_ok());
 }
@@ -371,7 +371,7 @@
         ),
         (413, true)
     );
-    // A patch may not grow past the bound what a PUT may not exceed.
+    // A patch may not make the configuration larger than a PUT may be.
     let fat = format!(r#"{{"name":"fat","x":"{}"}}"#, "x".repeat(MAX_BYTES / 2));
     let current = patch(
         &format!(r#"{{"version":8,"upsert_items":{{"services":[{fat}]}}}}"#),
@@ -462,7 +462,7 @@
 }
 
 #[test]
-fn given_tokens_that_only_join_without_their_spaces_when_sent_then_refused() {
+fn given_tokens_that_would_join_without_white_space_when_sent_then_refused() {
     for bad in ["1 2", "tr ue", "3 90", "- 1", "\"a\" \"b\"", "390 null"] {
         assert_eq!(
             put(&EXAMPLE.replacen("390", bad, 1)),
@@ -491,7 +491,7 @@
 }
 
 #[test]
-fn given_bytes_flipped_at_random_when_sent_then_never_a_panic_and_what_is_taken_reads() {
+fn given_random_bit_flips_when_sent_then_no_panic_and_accepted_documents_can_be_read() {
     let mut random = fastrand::Rng::with_seed(11);
     let current = example();
     let mut taken = 0;
--- a/crates/sparrouter-config/tests/table.rs
+++ b/crates/sparrouter-config/tests/table.rs
@@ -1,4 +1,4 @@
-//! The snapshot: what is read from a configuration and what its look-ups give.
+//! The snapshot: what is read from a configuration, and its look-ups.
 
 mod common;
 
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn given_only_what_is_needed_when_read_then_the_rest_has_safe_defaults() {
+fn given_only_required_fields_when_read_then_the_rest_has_safe_defaults() {
     let table = table(&with_routes(
         1,
         &route("r", "h", "/", r#""service":"a","kind":null"#),
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn given_prefixes_within_each_other_when_looked_up_then_the_longest_wins() {
+fn given_nested_prefixes_when_looked_up_then_the_longest_wins() {
     let routes = [
         route("root", "h", "/", r#""service":"a""#),
         route("a", "h", "/a/", r#""service":"a""#),
@@ -146,7 +146,7 @@
 }
 
 #[test]
-fn given_weights_when_picked_then_shares_follow_and_a_new_version_moves_only_what_it_must() {
+fn given_weights_when_picked_then_shares_follow_and_new_weights_move_few_keys() {
     let split = |version, rest: &str| table(&with_routes(version, &route("r", "h", "/", rest)));
     let before = split(
         1,
--- a/crates/sparrouter-fleet-lab/tests/audit.rs
+++ b/crates/sparrouter-fleet-lab/tests/audit.rs
@@ -1,4 +1,4 @@
-//! The audit notices each breach, and nothing else.
+//! The audit reports each violation of a rule, and nothing else.
 use sparrouter_fleet_lab::audit::broken;
 use sparrouter_fleet_lab::ledger::{
     Attempt, Ended, Kind, Ledger, Order, Run, Version, body_of, event_of, seal_of,
@@ -8,7 +8,7 @@
 
 const EVENTS: u64 = 3;
 
-/// Machines of a lab need no process for this.
+/// Machines of a lab; they need no process here.
 fn machines() -> Vec<std::rc::Rc<sparrouter_fleet_lab::machine::Machine>> {
     let directory = tempfile::tempdir().expect("a directory");
     let ground = sparrouter_fleet_lab::ground::Ground::find(1, &mut fastrand::Rng::new())
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn given_a_whole_stream_when_audited_then_nothing_is_told() {
+fn given_a_whole_stream_when_audited_then_nothing_is_reported() {
     let told = whole(0, &events(0, 1, 3));
     let ledger = ledger(
         attempt(Kind::Streaming, "/notice/1", Some(told)),
@@ -97,7 +97,7 @@
 }
 
 #[test]
-fn given_a_stream_taken_up_elsewhere_when_audited_then_nothing_is_told() {
+fn given_a_stream_resumed_at_another_server_when_audited_then_nothing_is_reported() {
     let told = whole(0, &(events(0, 1, 2) + &events(1, 3, 3)));
     let runs = vec![run("a", "/audit/1", 0), run("a", "/audit/1", 2)];
     let ledger = ledger(attempt(Kind::Resumable, "/audit/1", Some(told)), runs);
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn given_pieces_of_another_run_when_audited_then_order_is_told() {
+fn given_pieces_of_another_run_when_audited_then_order_is_reported() {
     let told = whole(0, &(events(0, 1, 2) + &events(7, 3, 3)));
     let ledger = ledger(
         attempt(Kind::Streaming, "/notice/1", Some(told)),
@@ -115,7 +115,7 @@
 }
 
 #[test]
-fn given_a_short_stream_that_looks_complete_when_audited_then_order_is_told() {
+fn given_a_short_stream_that_looks_complete_when_audited_then_order_is_reported() {
     let told = whole(0, &events(0, 1, 2));
     let ledger = ledger(
         attempt(Kind::Streaming, "/notice/1", Some(told)),
@@ -125,7 +125,7 @@
 }
 
 #[test]
-fn given_a_second_run_of_a_write_when_audited_then_twice_is_told() {
+fn given_a_second_run_of_a_write_when_audited_then_twice_is_reported() {
     let told = whole(0, &body_of(0));
     let runs = vec![run("a", "/assign/1", 0), run("a", "/assign/1", 0)];
     let ledger = ledger(attempt(Kind::NonIdempotent, "/assign/1", Some(told)), runs);
@@ -133,7 +133,7 @@
 }
 
 #[test]
-fn given_a_promise_and_a_run_when_audited_then_refused_is_told() {
+fn given_a_not_executed_answer_and_a_run_when_audited_then_refused_is_reported() {
     let told = Ended {
         at: Some(Instant::now()),
         status: 503,
@@ -148,7 +148,7 @@
 }
 
 #[test]
-fn given_a_success_without_its_seal_when_audited_then_mixed_is_told() {
+fn given_a_success_without_its_seal_when_audited_then_mixed_is_reported() {
     let told = Ended {
         seal: String::new(),
         ..whole(0, &body_of(0))
@@ -161,14 +161,14 @@
 }
 
 #[test]
-fn given_a_run_that_nobody_asked_for_when_audited_then_unasked_is_told() {
+fn given_a_run_without_a_request_when_audited_then_unasked_is_reported() {
     let ledger = Ledger::default();
     ledger.ran(run("b", "/swap/1", 0));
     assert_told(&ledger, "UNASKED");
 }
 
 #[test]
-fn given_a_connection_that_ended_in_a_calm_time_when_audited_then_lost_is_told() {
+fn given_a_connection_that_ended_without_a_fault_when_audited_then_lost_is_reported() {
     let told = Ended {
         at: Some(Instant::now()),
         ..Ended::default()
@@ -178,7 +178,7 @@
 }
 
 #[test]
-fn given_a_connection_that_ended_with_its_server_when_audited_then_nothing_is_told() {
+fn given_a_connection_that_ended_with_its_server_when_audited_then_nothing_is_reported() {
     let told = Ended {
         at: Some(Instant::now()),
         ..Ended::default()
@@ -212,7 +212,7 @@
 }
 
 #[test]
-fn given_a_route_of_always_when_denied_then_config_is_told() {
+fn given_a_permanent_route_when_denied_then_config_is_reported() {
     assert_told(
         &ledger(
             attempt(Kind::Streaming, "/notice/1", Some(denied())),
@@ -223,7 +223,7 @@
 }
 
 #[test]
-fn given_a_route_that_came_when_denied_then_config_is_told_only_long_after() {
+fn given_an_added_route_when_denied_then_config_is_reported_only_long_after() {
     let of = || {
         ledger(
             attempt(Kind::Streaming, "/extra-2/look", Some(denied())),
@@ -250,7 +250,7 @@
 }
 
 #[test]
-fn given_a_route_that_went_when_it_still_runs_then_config_is_told_only_long_after() {
+fn given_a_removed_route_when_it_still_runs_then_config_is_reported_only_long_after() {
     let told = || Some(whole(0, &events(0, 1, 3)));
     let path = "/extra-2/look";
     let of = || {
@@ -280,7 +280,7 @@
 }
 
 #[test]
-fn given_a_drained_server_when_a_run_begins_late_then_drain_is_told() {
+fn given_a_drained_server_when_a_run_begins_late_then_drain_is_reported() {
     let told = whole(0, &body_of(0));
     let late = Run {
         at: Instant::now() + Duration::from_secs(3),
@@ -295,7 +295,7 @@
 }
 
 #[test]
-fn given_new_weights_when_a_run_begins_on_old_ones_late_then_version_is_told() {
+fn given_new_weights_when_a_run_begins_on_old_ones_late_then_version_is_reported() {
     let told = whole(0, &body_of(0));
     let late = Run {
         at: Instant::now() + Duration::from_secs(9),
@@ -307,7 +307,7 @@
 }
 
 #[test]
-fn given_two_holders_under_one_fence_when_audited_then_one_is_told() {
+fn given_two_holders_under_one_fence_when_audited_then_one_is_reported() {
     let ledger = Ledger::default();
     let order = |holder: &str, fence| Order {
         instance: "i-1".into(),
--- a/crates/sparrouter-fleet-lab/tests/scenarios.rs
+++ b/crates/sparrouter-fleet-lab/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Scenario files: those that are shipped can be played; faults are told by field.
+//! Scenario files: those that are shipped are valid, and errors name the field.
 use sparrouter_fleet_lab::scenario::Scenario;
 use std::path::Path;
 
--- a/crates/sparrouter-fleet/tests/boot.rs
+++ b/crates/sparrouter-fleet/tests/boot.rs
@@ -1,4 +1,4 @@
-//! Settings files: what is read, what is filled in, and how each fault is told.
+//! Settings files: what is read, what is filled in, and how each error is reported.
 use sparrouter_fleet::boot::{Boot, BootError};
 use std::path::Path;
 use std::time::Duration;
@@ -19,7 +19,7 @@
 }
 
 #[test]
-fn given_the_pages_example_when_read_then_every_field_has_its_value() {
+fn given_the_example_of_the_deploy_page_when_read_then_every_field_has_its_value() {
     let boot = parse(PAGE).expect("valid");
     assert_eq!(boot.node_name, "frontend-lalitpur-hall-1");
     assert_eq!(
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn given_the_pages_example_when_shown_then_every_field_is_named() {
+fn given_the_example_of_the_deploy_page_when_shown_then_every_field_is_named() {
     insta::assert_snapshot!(Boot::show_text(Path::new("boot.conf"), PAGE).expect("valid"), @r"
     # as given in boot.conf
     node_name=frontend-lalitpur-hall-1
@@ -130,7 +130,7 @@
 }
 
 #[test]
-fn given_the_least_settings_when_shown_then_the_rest_is_filled_in_and_the_unknown_named() {
+fn given_minimal_settings_when_shown_then_defaults_are_filled_in_and_unknown_fields_named() {
     let text = least_and("later.field=7");
     insta::assert_snapshot!(Boot::show_text(Path::new("boot.conf"), &text).expect("valid"), @r"
     # as given in boot.conf
@@ -197,7 +197,7 @@
 }
 
 #[test]
-fn given_a_field_of_a_later_release_when_read_then_it_is_passed_over() {
+fn given_a_field_of_a_later_release_when_read_then_it_is_ignored() {
     assert_eq!(
         parse(&least_and("limits.gpus=eight")).expect("valid"),
         parse(&least_and("")).expect("valid")
@@ -227,7 +227,7 @@
 }
 
 #[test]
-fn given_no_variable_when_told_then_the_remedy_is_named() {
+fn given_no_environment_variable_then_the_error_names_the_remedy() {
     insta::assert_snapshot!(BootError::NoVariable, @"SPARROUTER_BOOT is not set: let it name the settings file");
 }
 
--- a/crates/sparrouter-fleet/tests/client.rs
+++ b/crates/sparrouter-fleet/tests/client.rs
@@ -381,7 +381,7 @@
 }
 
 #[test]
-fn given_files_when_checked_then_verdict_and_remedy_are_told() {
+fn given_files_when_checked_then_verdict_and_remedy_are_printed() {
     let files = Files::new();
     let whole = files.with("whole.json", CONFIG);
     let patch = files.with(
@@ -422,7 +422,7 @@
 }
 
 #[test]
-fn given_words_of_the_command_line_when_read_then_they_are_a_command_or_a_fault() {
+fn given_command_lines_when_parsed_then_they_are_commands_or_errors() {
     use sparrouter_fleet::client::{Command, command};
     let read = |line: &str| {
         let words: Vec<&str> = line.split_whitespace().collect();
--- a/crates/sparrouter-membership/tests/pace.rs
+++ b/crates/sparrouter-membership/tests/pace.rs
@@ -1,4 +1,4 @@
-//! When rows that changed go out.
+//! When changed rows are published.
 use sparrouter_membership::{NodeRow, Pace, Rows, ServerRow, Standing};
 
 const MS: u64 = 1_000_000;
@@ -16,7 +16,7 @@
 }
 
 #[test]
-fn given_a_thousand_servers_that_come_one_by_one_then_few_publications_tell_of_all() {
+fn given_a_thousand_servers_that_appear_one_by_one_then_few_publications_cover_all() {
     let (mut rows, mut pace) = (Rows::new(1, 1, 10_000), Pace::default());
     let mut told = 0;
     for id in 0..1_000 {
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn given_a_quiet_time_when_a_server_drains_then_it_goes_out_at_once_with_all_that_waited() {
+fn given_a_quiet_period_when_a_server_drains_then_all_pending_rows_are_published_at_once() {
     let (mut rows, mut pace) = (Rows::new(1, 1, 10_000), Pace::default());
     come(&mut rows, 1, Standing::Ready, 100 * MS);
     assert_eq!(pace.due(&rows, 200, 100 * MS), Some(360 * MS));
@@ -53,7 +53,8 @@
 }
 
 #[test]
-fn given_many_that_drain_at_once_when_many_ask_then_they_go_out_together_and_soon() {
+fn given_many_servers_that_drain_at_once_when_many_poll_then_they_are_published_together_and_soon()
+{
     let (mut rows, mut pace) = (Rows::new(1, 1, 10_000), Pace::default());
     let mut published = Vec::new();
     for id in 0..500 {
@@ -75,7 +76,7 @@
 }
 
 #[test]
-fn given_rows_published_when_one_changes_after_then_it_comes_with_the_next_only() {
+fn given_published_rows_when_one_changes_later_then_it_is_in_the_next_publication_only() {
     let (mut rows, mut pace) = (Rows::new(1, 1, 10_000), Pace::default());
     come(&mut rows, 1, Standing::Ready, 0);
     come(&mut rows, 2, Standing::Ready, 0);
--- a/crates/sparrouter-membership/tests/packed.rs
+++ b/crates/sparrouter-membership/tests/packed.rs
@@ -1,4 +1,4 @@
-//! Rows as bytes and back.
+//! Rows to bytes and back.
 use nanoserde::SerBin;
 use sparrouter_membership::{Delta, ModelAt, NodeRow, Note, ServerRow, Standing};
 
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn given_any_rows_when_packed_then_they_come_back_as_they_were() {
+fn given_any_rows_when_packed_and_unpacked_then_they_are_the_same() {
     let mut rng = fastrand::Rng::with_seed(5);
     for _ in 0..2_000 {
         let delta = any(&mut rng);
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn given_bytes_cut_or_changed_when_unpacked_then_they_are_refused_or_read_and_nothing_worse() {
+fn given_cut_or_changed_bytes_when_unpacked_then_they_are_refused_or_read_without_a_panic() {
     let mut rng = fastrand::Rng::with_seed(6);
     for _ in 0..500 {
         let packed = any(&mut rng).pack();
@@ -99,8 +99,7 @@
 }
 
 #[test]
-fn given_a_few_bytes_that_name_a_long_text_again_and_again_when_unpacked_then_little_memory_is_taken()
- {
+fn given_a_long_text_named_many_times_when_unpacked_then_memory_stays_bounded() {
     let service = "x".repeat(100_000);
     let row = ServerRow {
         service,
--- a/crates/sparrouter-membership/tests/rows.rs
+++ b/crates/sparrouter-membership/tests/rows.rs
@@ -18,7 +18,7 @@
 }
 
 #[test]
-fn given_a_draining_server_when_a_late_beat_says_ready_then_nothing_is_undone() {
+fn given_a_draining_server_when_a_late_heartbeat_says_ready_then_it_stays_draining() {
     let mut rows = rows(1);
     assert!(rows.merge_server(server("a", 5, Standing::Draining), 0));
     assert!(!rows.merge_server(server("a", 4, Standing::Ready), 1));
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn given_a_server_left_before_it_was_known_when_its_beat_comes_then_it_stays_gone() {
+fn given_a_server_that_left_before_it_was_known_when_its_heartbeat_comes_then_it_stays_gone() {
     let mut rows = rows(1);
     rows.leave("a", 0);
     rows.merge_server(server("a", 9, Standing::Ready), 1);
@@ -37,7 +37,7 @@
 }
 
 #[test]
-fn given_an_address_taken_over_when_the_old_one_beats_again_then_both_are_heard_in_turn() {
+fn given_an_address_taken_over_when_the_old_server_sends_a_heartbeat_then_each_is_live_in_turn() {
     let mut rows = rows(1);
     rows.merge_server(server("a", 1, Standing::Ready), 0);
     rows.merge_server(server("b", 1, Standing::Ready), 1);
@@ -47,7 +47,7 @@
 }
 
 #[test]
-fn given_the_same_rows_in_any_order_then_all_nodes_end_alike() {
+fn given_the_same_rows_in_any_order_then_all_nodes_converge() {
     let mut rng = fastrand::Rng::with_seed(7);
     for _ in 0..300 {
         let mut words: Vec<ServerRow> = (0..12)
@@ -76,7 +76,7 @@
 }
 
 #[test]
-fn given_a_poller_with_a_revision_when_it_asks_then_it_gets_just_what_is_new() {
+fn given_a_poller_with_a_revision_when_it_polls_then_it_gets_only_changed_rows() {
     let (mut source, mut asker) = (rows(1), rows(2));
     source.merge_server(server("a", 1, Standing::Ready), 0);
     let first = source.since(0, 0, usize::MAX);
@@ -89,13 +89,13 @@
             .since(second.epoch, second.revision, usize::MAX)
             .is_empty()
     );
-    // A restarted source counts anew: the asker's revision means nothing to it.
+    // A restarted source counts from 0 again: the poller's revision has no meaning there.
     let again = rows(3).since(second.epoch, second.revision, usize::MAX);
     assert_eq!((again.epoch, again.revision), (3, 0));
 }
 
 #[test]
-fn given_a_node_called_silent_when_it_hears_of_it_then_it_refutes_with_a_higher_life() {
+fn given_a_node_marked_silent_when_it_learns_so_then_it_refutes_with_a_higher_incarnation() {
     let mut rows = rows(1);
     let mut own = NodeRow {
         name: "n".into(),
@@ -109,7 +109,7 @@
     assert_eq!(own.life, 2);
     assert!(rows.merge_node(own.clone(), 2));
     assert!(!rows.node("n").unwrap().silent);
-    // A successor under the same name goes above it.
+    // A successor under the same name takes a higher incarnation.
     let next = NodeRow {
         nonce: 3,
         life: 1,
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn given_a_holder_replaced_when_the_old_one_still_writes_then_its_notes_lose() {
+fn given_a_replaced_lease_holder_when_it_still_writes_then_its_directives_are_ignored() {
     let mut rows = rows(1);
     let note = |fence, number, value| Note {
         key: "load/a".into(),
@@ -155,7 +155,7 @@
 }
 
 #[test]
-fn given_many_nodes_then_sources_are_spread_and_those_in_touch_come_first() {
+fn given_many_nodes_then_sources_are_spread_and_those_with_quorum_contact_come_first() {
     let names: Vec<String> = (0..6).map(|i| format!("c{i}")).collect();
     let mut asked = [0; 6];
     for node in 0..600 {
@@ -172,7 +172,7 @@
 }
 
 #[test]
-fn given_any_history_then_what_is_new_since_each_revision_brings_an_asker_to_the_same() {
+fn given_any_history_then_the_changes_since_each_revision_bring_a_poller_to_the_same_rows() {
     let mut rng = fastrand::Rng::with_seed(11);
     for _ in 0..100 {
         let (mut source, mut asker) = (rows(1), rows(2));
@@ -231,7 +231,7 @@
 }
 
 #[test]
-fn given_a_server_that_drains_when_others_only_come_then_only_the_drain_is_urgent() {
+fn given_a_draining_server_and_new_servers_then_only_the_draining_is_urgent() {
     let mut rows = rows(1);
     rows.merge_server(server("a", 1, Standing::Ready), 0);
     rows.merge_server(server("bb", 1, Standing::Ready), 0);
@@ -241,7 +241,7 @@
 }
 
 #[test]
-fn given_more_rows_than_one_answer_holds_when_a_poller_asks_again_then_it_gets_all_in_parts() {
+fn given_more_rows_than_fit_in_one_answer_when_a_poller_continues_then_it_gets_all_of_them() {
     let (mut source, mut asker) = (rows(1), rows(2));
     for i in 0..25 {
         let row = ServerRow {
--- a/crates/sparrouter-routing/tests/backlog.rs
+++ b/crates/sparrouter-routing/tests/backlog.rs
@@ -1,4 +1,4 @@
-//! What a keeper says of the wait at a server.
+//! The expected wait at a server.
 use sparrouter_routing::Backlog;
 
 const MS: u64 = 1_000_000;
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn given_nothing_ahead_when_asked_then_there_is_no_wait() {
+fn given_an_empty_backlog_when_asked_then_there_is_no_wait() {
     assert_eq!(Backlog::default().wait(3, 0), 0);
 }
 
@@ -83,7 +83,7 @@
 }
 
 #[test]
-fn given_prompts_that_are_never_heard_of_again_when_time_passes_then_they_count_no_more() {
+fn given_prompts_that_are_never_reported_over_when_time_passes_then_they_stop_counting() {
     let mut backlog = Backlog::default();
     (0..10_000).for_each(|n| backlog.sent(n, 1_000.0, 1, 0));
     assert!(backlog.waiting() <= 4_096);
--- a/crates/sparrouter-routing/tests/directives.rs
+++ b/crates/sparrouter-routing/tests/directives.rs
@@ -1,4 +1,4 @@
-//! What the holder of new weights tells, and how long it stands.
+//! Server directives of the rollout's lease holder, and how long they apply.
 use fastrand::Rng;
 use sparrouter_membership::{ModelAt, Note, Rows, ServerRow};
 use sparrouter_routing::{Ask, ServerTable, Turned, Wanted};
@@ -46,26 +46,26 @@
 }
 
 #[test]
-fn given_a_server_under_an_order_when_its_holder_ends_then_it_is_not_kept_out_for_ever() {
+fn given_a_loading_server_when_the_lease_holder_dies_then_it_is_not_excluded_for_ever() {
     let mut rows = rows(&["a"]);
     let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, false), 0);
     server_table.sync(&rows, 0);
     assert_eq!(server_table.choose(&ask(7, 0), 0), Err(Turned::Unready));
-    // Nobody takes the word back: it stands no longer than the work can take.
+    // Nobody ends the directive: it applies no longer than loading can take.
     server_table.sync(&rows, 13 * SECOND);
     assert!(server_table.choose(&ask(7, 0), 13 * SECOND).is_ok());
 }
 
 #[test]
-fn given_a_word_left_behind_when_the_next_holder_takes_it_back_then_the_server_serves_at_once() {
+fn given_a_directive_left_behind_when_the_next_holder_ends_it_then_the_server_is_used_at_once() {
     let mut rows = rows(&["a"]);
     let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, false), 0);
     rows.merge_note(note("load/a/m", 4, 0, true), SECOND);
     server_table.sync(&rows, SECOND);
     assert!(server_table.choose(&ask(7, 0), SECOND).is_ok());
-    // The old holder, thawed, says it again: its fence is lower.
+    // The old holder, no longer frozen, repeats it with a lower fencing token.
     assert!(!rows.merge_note(
         Note {
             number: 9,
@@ -76,7 +76,8 @@
 }
 
 #[test]
-fn given_weights_that_are_in_when_it_is_told_then_the_server_runs_them_and_never_goes_back() {
+fn given_a_directive_that_loading_is_over_then_the_server_runs_that_version_and_never_an_older_one()
+{
     let mut rows = rows(&["a"]);
     let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, true), 0);
@@ -87,7 +88,7 @@
 }
 
 #[test]
-fn given_a_newer_version_when_its_time_is_over_then_nothing_begins_on_older_weights() {
+fn given_a_newer_version_when_its_time_limit_is_over_then_nothing_begins_on_older_weights() {
     let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     server_table.sync(&rows(&["a"]), 0);
     server_table.versions.told("m", 2, 0, SECOND);
@@ -96,7 +97,7 @@
         server_table.choose(&ask(7, 0), 8 * SECOND),
         Err(Turned::Unready)
     );
-    // Something befalls the core: the time begins anew, as the rule counts it.
+    // A change in the core restarts the time limit, as RULES.md (VERSION) counts it.
     server_table.versions.core_changed(8 * SECOND);
     assert!(server_table.choose(&ask(7, 0), 9 * SECOND).is_ok());
     assert_eq!(
@@ -109,7 +110,7 @@
 }
 
 #[test]
-fn given_a_server_that_takes_weights_soon_when_a_long_generation_comes_then_it_goes_elsewhere() {
+fn given_a_server_about_to_load_when_a_long_generation_comes_then_another_server_takes_it() {
     let mut rows = rows(&["a", "b"]);
     let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
     server_table.sync(&rows, 0);
--- a/crates/sparrouter-routing/tests/election.rs
+++ b/crates/sparrouter-routing/tests/election.rs
@@ -1,4 +1,4 @@
-//! The election, the pass-over, the fallback, the budget and the backlog.
+//! The election, bounded load, the fallback, the retry budget and the backlog.
 use fastrand::Rng;
 use sparrouter_membership::{Rows, ServerRow, Standing};
 use sparrouter_routing::{Ask, Backlog, Budget, BudgetTerms, Ending, Prompt, ServerTable, Turned};
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn given_a_server_over_the_bar_when_its_key_comes_then_the_next_in_order_takes_it() {
+fn given_a_server_over_its_load_bound_when_its_key_comes_then_the_next_in_order_takes_it() {
     let (mut server_table, _) = server_table(4);
     let winner = server_table.choose(&ask(1, &[]), 0).unwrap().server;
     let next = server_table.choose(&ask(1, &[winner]), 0).unwrap().server;
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn given_an_unreachable_server_when_a_probe_comes_through_then_it_is_back_without_a_fixed_wait() {
+fn given_an_unreachable_server_when_a_probe_connects_then_it_is_used_again_at_once() {
     let (mut server_table, _) = server_table(2);
     let first = server_table.choose(&ask(5, &[]), 0).unwrap().server;
     server_table.begin(first, 0);
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn given_a_request_that_fails_anywhere_when_servers_break_over_it_then_none_is_blamed() {
+fn given_a_request_that_breaks_every_connection_then_no_server_is_suspected() {
     let (mut server_table, _) = server_table(3);
     for ix in 0..3 {
         server_table.begin(ix, 0);
@@ -154,7 +154,7 @@
 }
 
 #[test]
-fn given_a_process_that_started_anew_then_it_mints_no_new_slack() {
+fn given_a_restarted_process_then_it_gets_no_second_retry_slack() {
     let terms = BudgetTerms {
         ratio: 0.2,
         slack: 64.0,
@@ -166,20 +166,20 @@
 }
 
 #[test]
-fn given_prompts_that_wait_when_a_small_one_comes_then_it_waits_for_none_of_the_large() {
+fn given_waiting_large_prompts_when_a_small_one_comes_then_it_does_not_wait_for_them() {
     let mut backlog = Backlog::default();
     backlog.sent(1, 20_000.0, 4, 0);
     assert_eq!(backlog.wait(0, 0), 0);
     assert!(backlog.wait(4, 0) > 400_000_000);
     backlog.over(1, true, SECOND / 2);
     assert_eq!(backlog.wait(4, SECOND), 0);
-    // One that is never heard of again does not count for ever.
+    // A prompt that is never reported over does not count for ever.
     backlog.sent(2, 20_000.0, 4, SECOND);
     assert_eq!(backlog.wait(4, 30 * SECOND), 0);
 }
 
 #[test]
-fn given_a_prompt_then_its_key_is_the_deepest_shared_part_behind_its_wall() {
+fn given_a_prompt_then_its_key_is_the_deepest_shared_part_with_its_salt() {
     let a = Prompt::read(Some("aa:10,bb:20,c1:5"), Some("35,7"));
     let b = Prompt::read(Some("aa:10,bb:20,c2:9"), Some("39,7"));
     assert_eq!(a.key("m/"), b.key("m/"));
