Configuration package: functions split by step, plain wording, every public item documented

Change: a scanner with one function a token, a typed Patch, upserts and removals read apart from the merge; error texts and public names unchanged; missing_docs denied.

--- a/crates/sparrouter-config/src/change.rs
+++ b/crates/sparrouter-config/src/change.rs
@@ -1,4 +1,4 @@
-//! A change of the configuration, by PUT or PATCH, on top of the document in force.
+//! Applies a PUT or PATCH to the document in force.
 
 use crate::fields::Fields;
 use crate::refusal::Refusal;
@@ -7,22 +7,23 @@
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// A whole configuration as it was taken.
+/// A whole configuration that was accepted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Document {
-    /// Its number, 1 or higher.
+    /// Its version number, 1 or higher.
     pub version: u64,
-    /// Its JSON without white space between tokens; all fields that were sent, known or not, in their order.
+    /// Its JSON without white space between tokens, with all fields that were sent, known or not, in their order.
     pub text: String,
 }
 
 impl Document {
-    /// A number for the text, the same in every process and release.
+    /// A hash of the text: the same in every process and release.
     pub fn digest(&self) -> u64 {
         sparrouter_rendezvous::hash(self.text.as_bytes())
     }
 }
 
+/// How a request changes the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Method {
     /// The body is a whole configuration.
@@ -31,7 +32,8 @@
     Patch,
 }
 
-/// A number for a request's method and body, to know the same one when it is sent again.
+/// A hash of a request's method and body, by which a repeated request is recognised. The same in every process and
+/// release.
 pub fn digest_of_request(method: Method, body: &[u8]) -> u64 {
     let tag = match method {
         Method::Put => sparrouter_rendezvous::hash(b"PUT"),
@@ -40,18 +42,18 @@
     sparrouter_rendezvous::mix(sparrouter_rendezvous::hash(body) ^ tag)
 }
 
-/// Checks a change in whole on top of `current` (None: none taken yet, its number counts as 0) and gives the
-/// document that it makes. Pure, the same on every node.
+/// Applies a change to `current` and gives the resulting document. `None`: no configuration was accepted yet, which
+/// counts as version 0. Pure: the same on every node.
 ///
-/// `if_match` is the value of `If-Match` where it was a number. One that is missing counts as 0: it suits the first
+/// `if_match` is the value of `If-Match` if it is a number. A missing one counts as 0, so it suits the first
 /// configuration only and is stale (412) after that.
 ///
-/// A PATCH replaces items in place by their name, adds new ones at the end, passes over the removal of names that
-/// are not there, and takes `limits` beside `upsert_items` for the new limits. What it makes is checked as a whole.
+/// A PATCH replaces items in place by their name, appends new ones, ignores the removal of names that do not exist, and
+/// replaces `limits` if given beside `upsert_items`. Its result is validated as a whole.
 ///
 /// # Errors
 ///
-/// A [`Refusal`]; staleness is looked at first.
+/// A [`Refusal`]. Staleness is checked first.
 pub fn change(
     method: Method,
     body: &[u8],
@@ -83,71 +85,93 @@
     Ok(document)
 }
 
-/// The text of `current` with the patch applied.
-fn patch(sent: &str, current: &Document) -> Result<String, Refusal> {
-    let (base, _) = text::read(current.text.as_bytes())?;
-    // What the patch sets as it stands, and the lists that it alters by name.
-    let mut set: Vec<(Cow<str>, Cow<str>)> = Vec::new();
-    let (mut upserts, mut removals) = (Vec::new(), Vec::new());
-    for (field, value) in text::fields(sent) {
-        match field.as_ref() {
-            "version" | "limits" => set.push((field, Cow::Borrowed(value))),
-            "upsert_items" => upserts = lists(&field, value)?,
-            "remove_names" => removals = lists(&field, value)?,
-            // Passing over these would acknowledge a change that was not made.
-            "routes" | "services" | "tenants" => {
-                return Err(Refusal::WholeListInPatch {
-                    field: field.into_owned(),
-                });
+/// The fields of a patch, as slices of its text.
+#[derive(Default)]
+struct Patch<'a> {
+    /// Fields that replace those of the document: `version` and `limits`.
+    replaced: Vec<(Cow<'a, str>, &'a str)>,
+    /// Items to replace or append, by list.
+    upserts: Lists<'a>,
+    /// Names of items to remove, as JSON strings, by list.
+    removals: BTreeMap<Cow<'a, str>, Vec<&'a str>>,
+}
+
+/// Lists of items, by the name of the list in the document that they change.
+type Lists<'a> = Vec<(Cow<'a, str>, Vec<&'a str>)>;
+
+impl<'a> Patch<'a> {
+    fn read(sent: &'a str) -> Result<Patch<'a>, Refusal> {
+        let mut patch = Patch::default();
+        for (field, value) in text::fields(sent) {
+            match field.as_ref() {
+                "version" | "limits" => patch.replaced.push((field, value)),
+                "upsert_items" => patch.upserts = read_lists(&field, value)?,
+                "remove_names" => {
+                    patch.removals = read_lists(&field, value)?.into_iter().collect();
+                }
+                // Ignoring these would acknowledge a change that was not made.
+                "routes" | "services" | "tenants" => {
+                    return Err(Refusal::WholeListInPatch {
+                        field: field.into_owned(),
+                    });
+                }
+                _ => {}
             }
-            _ => {}
         }
+        Ok(patch)
+    }
+
+    fn removals_of(&self, list: &str) -> &[&'a str] {
+        self.removals.get(list).map_or(&[], Vec::as_slice)
     }
-    let removals: BTreeMap<Cow<str>, Vec<&str>> = removals.into_iter().collect();
-    let removed = |list: &str| removals.get(list).map_or(&[][..], Vec::as_slice);
-    let old = text::fields(&base);
-    let place: HashMap<&str, usize> = old
+}
+
+/// The text of `current` with the patch applied.
+fn patch(sent: &str, current: &Document) -> Result<String, Refusal> {
+    let (base, _) = text::read(current.text.as_bytes())?;
+    let patch = Patch::read(sent)?;
+    let old_fields = text::fields(&base);
+    let places: HashMap<&str, usize> = old_fields
         .iter()
         .enumerate()
-        .map(|(i, (key, _))| (key.as_ref(), i))
+        .map(|(place, (key, _))| (key.as_ref(), place))
         .collect();
-    for (list, items) in &upserts {
-        let old = place.get(list.as_ref()).map_or("[]", |&i| old[i].1);
-        set.push((
-            list.clone(),
-            Cow::Owned(merge(list, old, items, removed(list))?),
-        ));
-    }
-    let upserted: HashSet<&str> = upserts.iter().map(|(list, _)| list.as_ref()).collect();
-    for (list, _) in removals
+    let mut new_values: Vec<(&str, Cow<str>)> = patch
+        .replaced
         .iter()
-        .filter(|(list, _)| !upserted.contains(list.as_ref()))
-    {
-        // Nothing can be removed from a list that is not there.
-        if let Some(&i) = place.get(list.as_ref()) {
-            set.push((
-                list.clone(),
-                Cow::Owned(merge(list, old[i].1, &[], removed(list))?),
-            ));
-        }
+        .map(|(key, value)| (key.as_ref(), Cow::Borrowed(*value)))
+        .collect();
+    for (list, items) in &patch.upserts {
+        let old = places
+            .get(list.as_ref())
+            .map_or("[]", |&place| old_fields[place].1);
+        let merged = merge(list, old, items, patch.removals_of(list))?;
+        new_values.push((list, Cow::Owned(merged)));
+    }
+    let upserted: HashSet<&str> = patch.upserts.iter().map(|(l, _)| l.as_ref()).collect();
+    for list in patch.removals.keys().map(Cow::as_ref) {
+        // Nothing can be removed from a list that does not exist.
+        let Some(&place) = places.get(list).filter(|_| !upserted.contains(list)) else {
+            continue;
+        };
+        let merged = merge(list, old_fields[place].1, &[], patch.removals_of(list))?;
+        new_values.push((list, Cow::Owned(merged)));
     }
-    let mut whole: Vec<(&str, &str)> = old
+    let mut whole: Vec<(&str, &str)> = old_fields
         .iter()
         .map(|(key, value)| (key.as_ref(), *value))
         .collect();
-    for (key, value) in &set {
-        match place.get(key.as_ref()) {
-            Some(&i) => whole[i].1 = value,
+    for (key, value) in &new_values {
+        match places.get(key) {
+            Some(&place) => whole[place].1 = value,
             None => whole.push((key, value)),
         }
     }
     Ok(object(&whole))
 }
 
-/// The lists of `upsert_items` or `remove_names`, by the name of the list that they alter.
-type Lists<'a> = Vec<(Cow<'a, str>, Vec<&'a str>)>;
-
-fn lists<'a>(field: &str, value: &'a str) -> Result<Lists<'a>, Refusal> {
+/// Reads `upsert_items` or `remove_names`: an object of lists. `null` counts as absent.
+fn read_lists<'a>(field: &str, value: &'a str) -> Result<Lists<'a>, Refusal> {
     if value == "null" {
         return Ok(Vec::new());
     }
@@ -157,35 +181,62 @@
             expected: "an object of lists",
         });
     }
-    text::fields(value)
-        .into_iter()
-        .map(
-            |(list, value)| match text::items(if value == "null" { "[]" } else { value }) {
-                Some(items) => Ok((list, items)),
-                None => Err(Refusal::WrongType {
-                    at: format!("{field}.{list}"),
-                    expected: "a list",
-                }),
-            },
-        )
-        .collect()
+    let read_list = |(list, value): (Cow<'a, str>, &'a str)| {
+        let Some(items) = items_or_null(value) else {
+            return Err(Refusal::WrongType {
+                at: format!("{field}.{list}"),
+                expected: "a list",
+            });
+        };
+        Ok((list, items))
+    };
+    text::fields(value).into_iter().map(read_list).collect()
+}
+
+/// The items of a list; `null` counts as an empty one.
+fn items_or_null(list: &str) -> Option<Vec<&str>> {
+    text::items(if list == "null" { "[]" } else { list })
 }
 
+/// The list `old` with items replaced or appended and others removed, by name.
 fn merge(list: &str, old: &str, upserts: &[&str], removals: &[&str]) -> Result<String, Refusal> {
-    let old =
-        text::items(if old == "null" { "[]" } else { old }).ok_or_else(|| Refusal::WrongType {
-            at: list.to_owned(),
-            expected: "a list of named items",
-        })?;
-    let mut removed = HashSet::new();
-    for (i, literal) in removals.iter().enumerate() {
-        let name = text::string(literal).ok_or_else(|| Refusal::WrongType {
+    let old = items_or_null(old).ok_or_else(|| Refusal::WrongType {
+        at: list.to_owned(),
+        expected: "a list of named items",
+    })?;
+    let removed = read_removals(list, removals)?;
+    let (mut new_items, order) = read_upserts(list, upserts, &removed)?;
+    let mut merged = Vec::with_capacity(old.len() + upserts.len());
+    for &item in &old {
+        match text::name_of(item) {
+            Some(name) if removed.contains(&name) => {}
+            Some(name) => merged.push(new_items.remove(&name).unwrap_or(item)),
+            None => merged.push(item),
+        }
+    }
+    merged.extend(order.iter().filter_map(|name| new_items.remove(name)));
+    Ok(format!("[{}]", merged.join(",")))
+}
+
+/// The names to remove from a list.
+fn read_removals(list: &str, removals: &[&str]) -> Result<HashSet<String>, Refusal> {
+    let read = |(i, literal): (usize, &&str)| {
+        text::string(literal).ok_or_else(|| Refusal::WrongType {
             at: format!("remove_names.{list}[{i}]"),
             expected: "a name",
-        })?;
-        removed.insert(name);
-    }
-    let mut fresh: HashMap<String, &str> = HashMap::new();
+        })
+    };
+    removals.iter().enumerate().map(read).collect()
+}
+
+/// The items to replace or append by name, and their names in the order sent. Each name is given once, and not to be
+/// removed as well.
+fn read_upserts<'a>(
+    list: &str,
+    upserts: &[&'a str],
+    removed: &HashSet<String>,
+) -> Result<(HashMap<String, &'a str>, Vec<String>), Refusal> {
+    let mut items: HashMap<String, &str> = HashMap::new();
     let mut order = Vec::new();
     for (i, item) in upserts.iter().enumerate() {
         let name = text::name_of(item).ok_or_else(|| Refusal::Missing {
@@ -197,7 +248,7 @@
                 name,
             });
         }
-        if fresh.insert(name.clone(), item).is_some() {
+        if items.insert(name.clone(), item).is_some() {
             return Err(Refusal::SharedName {
                 list: list.to_owned(),
                 name,
@@ -205,18 +256,10 @@
         }
         order.push(name);
     }
-    let mut merged = Vec::with_capacity(old.len() + upserts.len());
-    for &item in &old {
-        match text::name_of(item) {
-            Some(name) if removed.contains(&name) => {}
-            Some(name) => merged.push(fresh.remove(&name).unwrap_or(item)),
-            None => merged.push(item),
-        }
-    }
-    merged.extend(order.iter().filter_map(|name| fresh.remove(name)));
-    Ok(format!("[{}]", merged.join(",")))
+    Ok((items, order))
 }
 
+/// A JSON object of these fields; the values are JSON already.
 fn object(fields: &[(&str, &str)]) -> String {
     let fields: Vec<String> = fields
         .iter()
--- a/crates/sparrouter-config/src/edit.rs
+++ b/crates/sparrouter-config/src/edit.rs
@@ -1,31 +1,37 @@
-//! What makes one configuration's text another: ranges that are kept and text between them, so that a change of one
-//! tenant of many thousands is told by itself.
+//! The difference between two texts of the configuration: ranges of the old text that are kept, and new text between
+//! them. A change of one tenant among many thousands is sent to other nodes as a few hundred bytes.
 use crate::text::MAX_BYTES;
 use std::collections::{HashMap, VecDeque};
 
-/// A range of the old text, then new text.
+/// A range of the old text, followed by new text.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Piece {
-    /// Bytes of the old text: where the range begins, and how many.
+    /// Where the range begins in the old text, in bytes.
     pub start: usize,
+    /// Length of the range in bytes; may be 0.
     pub length: usize,
+    /// New text behind the range.
     pub text: String,
 }
 
+/// How to make one text from another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Edit {
-    /// Digests of the text that it changes and of what it makes.
+    /// Digest of the old text.
     pub from: u64,
+    /// Digest of the new text.
     pub to: u64,
+    /// The new text, in order.
     pub pieces: Vec<Piece>,
 }
 
-/// A number for a text, the same in every process and release.
+/// A hash of a text: the same in every process and release.
 pub fn digest_of_text(text: &str) -> u64 {
     sparrouter_rendezvous::hash(text.as_bytes())
 }
 
-/// A text in runs, each from one opening brace to the next: items keep theirs where others are added or removed.
+/// Cuts a text into runs, each from one opening brace to the next, with its offset. An item of a list keeps its runs when
+/// others are added or removed.
 fn runs(text: &str) -> impl Iterator<Item = (usize, &str)> {
     let mut start = 0;
     std::iter::from_fn(move || {
@@ -42,24 +48,27 @@
 }
 
 impl Edit {
+    /// Finds how to make `new` from `old`. Takes time proportional to the length of both.
     pub fn between(old: &str, new: &str) -> Edit {
-        let mut places: HashMap<&str, Vec<usize>> = HashMap::new();
+        let mut offsets: HashMap<&str, Vec<usize>> = HashMap::new();
         for (at, run) in runs(old) {
-            places.entry(run).or_default().push(at);
+            offsets.entry(run).or_default().push(at);
         }
         let mut pieces: Vec<Piece> = Vec::new();
-        // Where the old text goes on after what was kept last.
+        // Where the old text continues behind the range that was kept last.
         let mut next = 0;
         for (_, run) in runs(new) {
-            let Some(at) = places.get(run) else {
+            let Some(candidates) = offsets.get(run) else {
                 if pieces.is_empty() {
                     pieces.push(Piece::default());
                 }
                 pieces.last_mut().expect("one is there").text.push_str(run);
                 continue;
             };
-            // The one that comes next, so that ranges stay whole where items are alike.
-            let start = at.get(at.partition_point(|a| *a < next)).unwrap_or(&at[0]);
+            // Of several equal runs the next one, so that ranges stay whole where items are alike.
+            let start = candidates
+                .get(candidates.partition_point(|offset| *offset < next))
+                .unwrap_or(&candidates[0]);
             match pieces
                 .last_mut()
                 .filter(|p| p.text.is_empty() && p.start + p.length == *start)
@@ -80,12 +89,14 @@
         }
     }
 
-    /// About how many bytes it takes to tell.
+    /// About how many bytes the edit takes on the wire.
     pub fn size(&self) -> usize {
-        self.pieces.iter().map(|p| p.text.len() + 16).sum::<usize>() + 24
+        let pieces = self.pieces.iter().map(|p| p.text.len() + PIECE_BYTES);
+        pieces.sum::<usize>() + EDIT_BYTES
     }
 
-    /// The new text; None where `old` is another than it was made from, or what comes out another than was meant.
+    /// Makes the new text. `None` if `old` is not the text that the edit was made from, if a range lies outside of it, or
+    /// if the result does not have the expected digest.
     pub fn apply(&self, old: &str) -> Option<String> {
         if digest_of_text(old) != self.from {
             return None;
@@ -93,8 +104,8 @@
         let mut new = String::new();
         for piece in &self.pieces {
             let kept = old.get(piece.start..piece.start.checked_add(piece.length)?)?;
-            // A range may be named again and again.
-            if new.len() + kept.len() + piece.text.len() > MAX_BYTES * 2 {
+            // A hostile edit could repeat a range any number of times.
+            if new.len() + kept.len() + piece.text.len() > MAX_RESULT_BYTES {
                 return None;
             }
             new.push_str(kept);
@@ -104,43 +115,51 @@
     }
 }
 
-/// Most changes that are kept, and most bytes of them.
-const MOST_EDITS: usize = 32;
-const MOST_BYTES: usize = 256 << 10;
+/// Bytes on the wire of a piece beside its text, and of an edit beside its pieces.
+const PIECE_BYTES: usize = 16;
+const EDIT_BYTES: usize = 24;
+/// Longest text that an edit may result in.
+const MAX_RESULT_BYTES: usize = MAX_BYTES * 2;
+/// Most edits that are kept, and most bytes of them on the wire.
+const MAX_EDITS: usize = 32;
+const MAX_EDIT_BYTES: usize = 256 << 10;
 
-/// The last changes of a text.
+/// The last edits of a text, oldest first; bounded.
 #[derive(Debug, Default)]
 pub struct Edits(VecDeque<Edit>);
 
 impl Edits {
+    /// Adds the edit from `old` to `new`. If it would save less than half of the text, all edits are dropped instead: nodes
+    /// with an older text then get the new one whole.
     pub fn add(&mut self, old: &str, new: &str) {
         let edit = Edit::between(old, new);
-        // Half of the text is no saving: whoever has an older one is told it whole.
         if edit.size() > new.len() / 2 {
             return self.0.clear();
         }
         self.0.push_back(edit);
-        while self.0.len() > MOST_EDITS || self.0.iter().map(Edit::size).sum::<usize>() > MOST_BYTES
+        while self.0.len() > MAX_EDITS
+            || self.0.iter().map(Edit::size).sum::<usize>() > MAX_EDIT_BYTES
         {
             self.0.pop_front();
         }
     }
 
-    /// What leads from the text with one digest to that with the other, in order; None where that is not known here.
+    /// The edits that lead from the text with the digest `from` to the one with the digest `to`, in order. `None` if they
+    /// are not all kept.
     pub fn since(&self, from: u64, to: u64) -> Option<Vec<&Edit>> {
         if from == to {
             return Some(Vec::new());
         }
-        let mut at = from;
+        let mut digest = from;
         let mut edits = Vec::new();
-        let begin = self.0.iter().rposition(|e| e.from == from)?;
-        for edit in self.0.range(begin..) {
-            if edit.from != at {
+        let first = self.0.iter().rposition(|e| e.from == from)?;
+        for edit in self.0.range(first..) {
+            if edit.from != digest {
                 return None;
             }
-            at = edit.to;
+            digest = edit.to;
             edits.push(edit);
         }
-        (at == to).then_some(edits)
+        (digest == to).then_some(edits)
     }
 }
--- a/crates/sparrouter-config/src/fields.rs
+++ b/crates/sparrouter-config/src/fields.rs
@@ -1,15 +1,16 @@
-//! Fields of one JSON object read by type, with the path that an error names. `null` counts as absent.
+//! Typed access to the fields of a JSON object; errors name the path of the field. `null` counts as absent.
 
 use crate::refusal::Refusal;
 use miniserde::json::{Array, Number, Object, Value};
 
-/// An object and where it stands; the path is only written out for an error.
+/// A JSON object and its place in the document. Its path is built for errors only.
 #[derive(Clone, Copy)]
 pub(crate) struct Fields<'a> {
     object: &'a Object,
     at: At<'a>,
 }
 
+/// The place of an object in its document.
 #[derive(Clone, Copy)]
 enum At<'a> {
     Root,
@@ -25,6 +26,7 @@
 }
 
 impl<'a> Fields<'a> {
+    /// The fields of a whole document, which must be an object.
     pub fn root(tree: &'a Value) -> Result<Fields<'a>, Refusal> {
         match tree {
             Value::Object(object) => Ok(Fields {
@@ -38,6 +40,7 @@
         }
     }
 
+    /// The path of a field for an error, such as ``routes[3] (`login`).kind``.
     pub fn path(&self, field: &str) -> String {
         let own = match self.at {
             At::Root => return field.to_owned(),
@@ -74,6 +77,7 @@
             .filter(|value| !matches!(value, Value::Null))
     }
 
+    /// A string.
     pub fn text(&self, field: &str) -> Result<Option<&'a str>, Refusal> {
         match self.get(field) {
             None => Ok(None),
@@ -82,7 +86,7 @@
         }
     }
 
-    /// A string that must be there and not be empty.
+    /// A string that must be present and not empty.
     pub fn needed_text(&self, field: &str) -> Result<&'a str, Refusal> {
         match self.text(field)? {
             Some(text) if !text.is_empty() => Ok(text),
@@ -92,9 +96,9 @@
         }
     }
 
-    /// A whole number that `T` holds; `6000.0` is one too.
+    /// A whole number in the range of `T`. `6000.0` is one too.
     pub fn whole<T: TryFrom<u64>>(&self, field: &str) -> Result<Option<T>, Refusal> {
-        // Above 2^53 a decimal no longer tells neighbouring whole numbers apart.
+        // Above 2^53 an `f64` cannot represent every whole number.
         const EXACT: f64 = (1u64 << 53) as f64;
         let number = match self.get(field) {
             None => return Ok(None),
@@ -113,7 +117,7 @@
         }
     }
 
-    /// The number of a version: written as an integer, so that no reader rounds it.
+    /// The version number. It must be written as an integer, so that no parser rounds it.
     pub fn version(&self) -> Result<u64, Refusal> {
         match self.get("version") {
             None => Err(Refusal::Missing {
@@ -124,6 +128,7 @@
         }
     }
 
+    /// Any number.
     pub fn decimal(&self, field: &str) -> Result<Option<f64>, Refusal> {
         match self.get(field) {
             None => Ok(None),
@@ -134,6 +139,7 @@
         }
     }
 
+    /// A boolean.
     pub fn flag(&self, field: &str) -> Result<Option<bool>, Refusal> {
         match self.get(field) {
             None => Ok(None),
@@ -142,6 +148,7 @@
         }
     }
 
+    /// A list of any values.
     pub fn list(&self, field: &str) -> Result<Option<&'a Array>, Refusal> {
         match self.get(field) {
             None => Ok(None),
@@ -150,13 +157,14 @@
         }
     }
 
+    /// A list that must be present.
     pub fn needed_list(&self, field: &str) -> Result<&'a Array, Refusal> {
         self.list(field)?.ok_or_else(|| Refusal::Missing {
             at: self.path(field),
         })
     }
 
-    /// A list of strings, none of them empty.
+    /// A list of strings, none of them empty; an absent list is empty.
     pub fn texts(&self, field: &str) -> Result<Vec<String>, Refusal> {
         let texts = self.list(field)?.into_iter().flat_map(|list| list.iter());
         texts
@@ -167,6 +175,7 @@
             .collect()
     }
 
+    /// The object in a field.
     pub fn within<'b>(&'b self, field: &'b str) -> Result<Option<Fields<'b>>, Refusal> {
         match self.get(field) {
             None => Ok(None),
@@ -181,7 +190,7 @@
         }
     }
 
-    /// The objects of a list under `self`; an absent list is empty.
+    /// The objects of a list; an absent list is empty.
     pub fn objects<'b>(&'b self, field: &'b str) -> Result<Vec<Fields<'b>>, Refusal> {
         let list = self.list(field)?.into_iter().flat_map(|list| list.iter());
         list.enumerate()
--- a/crates/sparrouter-config/src/lib.rs
+++ b/crates/sparrouter-config/src/lib.rs
@@ -1,11 +1,21 @@
-//! The operator's configuration: read, checked, patched, and served as an immutable snapshot.
+//! The operators' configuration: parsed, validated, patched, and read into an immutable route table.
 //!
-//! [`change`] takes the body of a PUT or PATCH on top of the [`Document`] in force and gives the next one or a
-//! [`Refusal`]; [`Table::read`] turns a document into what requests are routed by. Both are pure: the same bytes
-//! give the same outcome on every node. No I/O, no clock, no chance.
+//! [`change`] applies the body of a PUT or PATCH to the [`Document`] in force and gives the next one or a [`Refusal`];
+//! [`Table::read`] turns a document into the table that requests are routed by. Both are pure functions: the same bytes
+//! give the same outcome on every node. No I/O, no clock, no randomness.
 //!
-//! A document's text is the JSON that was sent, without the white space between its tokens: fields that are not
-//! known here, their order and the digits of every number come back as they came.
+//! A document's text is the JSON that was sent, without the white space between its tokens: fields that this release does
+//! not know, their order and the digits of every number are kept.
+//!
+//! | module | its one job |
+//! | --- | --- |
+//! | `change` | applies a PUT or PATCH |
+//! | `read` | validates a document and builds its table |
+//! | `table` | the route table and its look-ups |
+//! | `text`, `fields` | JSON as slices of text, and as typed fields |
+//! | `edit` | the difference between two texts, as nodes send it to each other |
+//! | `refusal` | why a configuration is refused |
+#![deny(missing_docs)]
 
 mod change;
 mod edit;
--- a/crates/sparrouter-config/src/read.rs
+++ b/crates/sparrouter-config/src/read.rs
@@ -1,4 +1,4 @@
-//! A checked table from a document: every rule that makes a configuration invalid stands here.
+//! Validates a document and builds its table. Every rule that makes a configuration invalid is in this module.
 
 use crate::change::Document;
 use crate::fields::Fields;
@@ -9,11 +9,17 @@
 use crate::text;
 use std::collections::HashMap;
 
+/// `timeout_ms` of a route that gives none.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+/// `priority` of a route that gives none.
 const DEFAULT_PRIORITY: u8 = 5;
 
 impl Table {
-    /// Reads and checks a document in whole, in time that grows with its length alone (prefix lengths are sorted once a host).
+    /// Reads and validates a whole document, in time proportional to its length (beside sorting each host's prefix lengths).
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] that names the first invalid field.
     pub fn read(document: &Document) -> Result<Table, Refusal> {
         let (_, tree) = text::read(document.text.as_bytes())?;
         let root = Fields::root(&tree)?;
@@ -24,7 +30,7 @@
                 text: version,
             });
         }
-        // A PUT without them is more likely a patch or a torn body than a wish for an empty fleet.
+        // A PUT without these is more likely a patch or a truncated body than an intentionally empty fleet.
         root.needed_list("routes")?;
         root.needed_list("services")?;
 
@@ -32,7 +38,7 @@
         let by_service = index_names("services", services.iter().map(|s| s.name.as_str()))?;
         let routes = each(&root, "routes", |at| route(at, &services, &by_service))?;
         index_names("routes", routes.iter().map(|r| r.name.as_str()))?;
-        let by_host = index_places(&routes)?;
+        let by_host = index_prefixes(&routes)?;
         let tenants = each(&root, "tenants", tenant)?;
         index_names("tenants", tenants.iter().map(|t| t.name.as_str()))?;
         let by_key = index_keys(&tenants)?;
@@ -52,6 +58,7 @@
     }
 }
 
+/// Reads each object of a list.
 fn each<T>(
     root: &Fields,
     list: &str,
@@ -60,6 +67,7 @@
     root.objects(list)?.iter().map(read).collect()
 }
 
+/// The place of each name in its list. Names must be unique.
 fn index_names<'a>(
     list: &str,
     names: impl Iterator<Item = &'a str>,
@@ -76,7 +84,8 @@
     Ok(index)
 }
 
-fn index_places(routes: &[Route]) -> Result<HashMap<String, Prefixes>, Refusal> {
+/// The routes of each host by path prefix. No two routes may share both.
+fn index_prefixes(routes: &[Route]) -> Result<HashMap<String, Prefixes>, Refusal> {
     let mut by_host: HashMap<String, Prefixes> = HashMap::new();
     for (i, route) in routes.iter().enumerate() {
         let prefixes = by_host
@@ -98,11 +107,12 @@
     Ok(by_host)
 }
 
+/// The place of the tenant that holds each API key.
 fn index_keys(tenants: &[Tenant]) -> Result<HashMap<String, usize>, Refusal> {
     let mut by_key = HashMap::new();
     for (i, tenant) in tenants.iter().enumerate() {
         for key in &tenant.api_keys {
-            // A key that one tenant lists twice is still that tenant's alone.
+            // A tenant may list a key twice.
             match by_key.insert(key.clone(), i) {
                 Some(other) if other != i => {
                     let (first, second) = (tenants[other].name.clone(), tenant.name.clone());
@@ -129,18 +139,7 @@
             prefix: path_prefix,
         });
     }
-    let kind = match at.text("kind")? {
-        Some("idempotent") => Kind::Idempotent,
-        // The one that repeats nothing is the safe reading of a kind left out.
-        Some("non_idempotent") | None => Kind::NonIdempotent,
-        Some("streaming") => Kind::Streaming,
-        Some(other) => {
-            return Err(Refusal::UnknownKind {
-                at: at.path("kind"),
-                kind: other.to_owned(),
-            });
-        }
-    };
+    let kind = kind(at)?;
     let timeout_ms = at.whole("timeout_ms")?.unwrap_or(DEFAULT_TIMEOUT_MS);
     if timeout_ms == 0 {
         return Err(Refusal::NoTimeout {
@@ -164,12 +163,27 @@
     })
 }
 
-fn split(
+fn kind(at: &Fields) -> Result<Kind, Refusal> {
+    match at.text("kind")? {
+        Some("idempotent") => Ok(Kind::Idempotent),
+        // Without `kind` the safe choice is not to repeat requests.
+        Some("non_idempotent") | None => Ok(Kind::NonIdempotent),
+        Some("streaming") => Ok(Kind::Streaming),
+        Some(other) => Err(Refusal::UnknownKind {
+            at: at.path("kind"),
+            kind: other.to_owned(),
+        }),
+    }
+}
+
+/// Checks that a route may name this service in the field `service` of `at`.
+fn check_service(
     at: &Fields,
+    service: &str,
     services: &[Service],
     by_service: &HashMap<String, usize>,
-) -> Result<Vec<(String, f64)>, Refusal> {
-    let servable = |at: &Fields, service: &str| match by_service.get(service) {
+) -> Result<(), Refusal> {
+    match by_service.get(service) {
         None => Err(Refusal::UnknownService {
             at: at.path("service"),
             service: service.to_owned(),
@@ -179,10 +193,18 @@
             service: service.to_owned(),
         }),
         Some(_) => Ok(()),
-    };
+    }
+}
+
+/// The services of a route and their weights.
+fn split(
+    at: &Fields,
+    services: &[Service],
+    by_service: &HashMap<String, usize>,
+) -> Result<Vec<(String, f64)>, Refusal> {
     let whole = at.text("service")?;
     if let Some(service) = whole {
-        servable(at, service)?;
+        check_service(at, service, services, by_service)?;
     }
     let parts = at.objects("traffic_split")?;
     if parts.is_empty() {
@@ -192,38 +214,44 @@
         return Ok(vec![(service.to_owned(), 1.0)]);
     }
     let mut split: Vec<(String, f64)> = Vec::with_capacity(parts.len());
-    let mut place: HashMap<&str, usize> = HashMap::with_capacity(parts.len());
+    let mut places: HashMap<&str, usize> = HashMap::with_capacity(parts.len());
     for part in &parts {
         let service = part.needed_text("service")?;
-        servable(part, service)?;
-        let weight = part.decimal("weight")?.ok_or_else(|| Refusal::Missing {
-            at: part.path("weight"),
-        })?;
-        if !(weight.is_finite() && weight >= 0.0) {
-            return Err(Refusal::BadWeight {
-                at: part.path("weight"),
-            });
-        }
+        check_service(part, service, services, by_service)?;
+        let weight = weight(part)?;
         if weight > 0.0 {
-            let i = *place.entry(service).or_insert_with(|| {
+            let place = *places.entry(service).or_insert_with(|| {
                 split.push((service.to_owned(), 0.0));
                 split.len() - 1
             });
-            split[i].1 += weight;
+            split[place].1 += weight;
         }
     }
+    check_sum(at, &split)?;
+    Ok(split)
+}
+
+fn weight(part: &Fields) -> Result<f64, Refusal> {
+    let at = || part.path("weight");
+    let weight = part
+        .decimal("weight")?
+        .ok_or_else(|| Refusal::Missing { at: at() })?;
+    if !(weight.is_finite() && weight >= 0.0) {
+        return Err(Refusal::BadWeight { at: at() });
+    }
+    Ok(weight)
+}
+
+fn check_sum(at: &Fields, split: &[(String, f64)]) -> Result<(), Refusal> {
+    let at = at.path("traffic_split");
     let sum: f64 = split.iter().map(|(_, weight)| weight).sum();
     if split.is_empty() {
-        return Err(Refusal::NoWeight {
-            at: at.path("traffic_split"),
-        });
+        return Err(Refusal::NoWeight { at });
     }
     if !sum.is_finite() {
-        return Err(Refusal::BadWeight {
-            at: at.path("traffic_split"),
-        });
+        return Err(Refusal::BadWeight { at });
     }
-    Ok(split)
+    Ok(())
 }
 
 fn service(at: &Fields) -> Result<Service, Refusal> {
--- a/crates/sparrouter-config/src/table.rs
+++ b/crates/sparrouter-config/src/table.rs
@@ -1,37 +1,39 @@
-//! The immutable snapshot that requests are routed by, and its look-ups.
+//! The immutable route table and its look-ups.
 
 use std::borrow::Cow;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// What one version of the configuration says, checked.
+/// One version of the configuration, validated and indexed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Table {
-    /// Number of the version, 1 or higher.
+    /// The version number, 1 or higher.
     pub version: u64,
-    /// As they stand in the configuration; hosts as sent.
+    /// The routes, in the order of the configuration.
     pub routes: Vec<Route>,
+    /// The services, in the order of the configuration.
     pub services: Vec<Service>,
+    /// Limits on requests of clients.
     pub limits: Limits,
-    /// Empty: no request needs a key.
+    /// The tenants. If there are none, no request needs an API key.
     pub tenants: Vec<Tenant>,
     pub(crate) by_host: HashMap<String, Prefixes>,
     pub(crate) by_key: HashMap<String, usize>,
     pub(crate) by_service: HashMap<String, usize>,
 }
 
-/// The prefixes of one host.
+/// The path prefixes of one host.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Prefixes {
     pub routes: HashMap<String, usize>,
-    /// Each length that a prefix of this host has, longest first: a path is tried at these only, so that one made
-    /// of slashes does not cost a look-up a byte.
+    /// Each length that a prefix of this host has, longest first. A path is tried at these lengths only, so that a path of
+    /// many slashes does not cost a look-up for each.
     pub lengths: Vec<usize>,
 }
 
 impl Table {
-    /// The route of a request: of those for `host`, the one with the longest prefix that begins `path`. The host is
-    /// compared without case and port, the path without its query.
+    /// The route of a request: of those for `host`, the one with the longest prefix of `path`. Hosts are compared without
+    /// case and port, the path without its query. `None` if there is no such route.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let prefixes = self.by_host.get(normal_host(host).as_ref())?;
         let path = path.split(['?', '#']).next().unwrap_or(path);
@@ -48,6 +50,7 @@
         self.by_key.get(key).map(|&i| &self.tenants[i])
     }
 
+    /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.by_service.get(name).map(|&i| &self.services[i])
     }
@@ -69,50 +72,57 @@
     }
 }
 
-/// What a request of a route may be put through.
+/// Whether a request of a route may be sent to a second server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// May run more than once.
+    /// It may run more than once.
     Idempotent,
-    /// At most once a try; also what a route without `kind` is.
+    /// It may run at most once per attempt of the client. Also the kind of a route without `kind`.
     NonIdempotent,
-    /// Answered by a series of events; repeated only if the route is resumable.
+    /// It is answered by a stream of events, and may run again only if the route is resumable.
     Streaming,
 }
 
+/// A host and path prefix, and how requests to it are served.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
+    /// Its name, unique among routes.
     pub name: String,
+    /// The host, as sent.
     pub host: String,
-    /// Begins and ends with a slash.
+    /// Prefix of the paths; begins and ends with a slash.
     pub path_prefix: String,
+    /// Whether its requests may be repeated.
     pub kind: Kind,
-    /// Longest time in ms that a request is held, above 0; 30,000 if absent.
+    /// Longest time that a request may take, in ms, above 0; 30,000 if absent.
     pub timeout_ms: u64,
-    /// Time in ms inside which an answer earns its full worth; the timeout if absent.
+    /// Latency in ms up to which an answer counts as fully in time; the timeout if absent.
     pub target_latency_ms: u64,
-    /// 0 is highest; 5 if absent.
+    /// Priority; 0 is the highest, 5 if absent.
     pub priority: u8,
-    /// Services and their weights, each above 0 and each service once: weights of one named twice are added up. A
-    /// route with both `service` and `traffic_split` is split; `service` must exist all the same.
+    /// Services with their weights, each above 0. Each service is there once: weights of one named twice are added up. If
+    /// a route gives both `service` and `traffic_split`, the latter counts, but `service` must exist.
     pub split: Vec<(String, f64)>,
-    /// Most servers that one try is sent to, 1 or more; 1 if absent.
+    /// Most servers that one attempt of a client is sent to, 1 or more; 1 if absent.
     pub max_attempts: u32,
+    /// Requests need no API key; false if absent.
     pub public_access: bool,
+    /// Requests of one session should go to one server; false if absent.
     pub session_affinity: bool,
+    /// A broken stream may be continued at another server; false if absent.
     pub resumable: bool,
-    /// Longest pause in ms between events at which a stream is in time; 0: none is given.
+    /// Longest pause in ms between events of a stream that is in time; 0: not given.
     pub gap_aim_ms: u64,
 }
 
 impl Route {
-    /// Whether a request may run at a second server.
+    /// Whether a request may run at a second server after it may have run at one.
     pub fn repeatable(&self) -> bool {
         self.kind == Kind::Idempotent || (self.kind == Kind::Streaming && self.resumable)
     }
 
-    /// The service for a key: weighted rendezvous hashing, the same on every node, and a change of weights moves
-    /// only as many keys as it must. Empty only for a route made by hand with an empty split.
+    /// The service for a key, by weighted rendezvous hashing: the same on every node, and a change of weights moves only as
+    /// many keys as it must. Empty if `split` is, which a validated table never has.
     pub fn pick(&self, key: u64) -> &str {
         if let [(service, _)] = self.split.as_slice() {
             return service;
@@ -131,54 +141,69 @@
     }
 }
 
+/// A group of servers that run the same models, or a KV store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
+    /// Its name, unique among services.
     pub name: String,
-    /// None: its servers are not asked.
+    /// Path for health checks; `None`: its servers are not checked.
     pub health_check_path: Option<String>,
-    /// Connections that one server takes from all callers together.
+    /// Connections that one server accepts from all callers together; `None`: no limit is given.
     pub max_connections: Option<u32>,
-    /// `h1` if absent.
+    /// Protocol of its servers; `h1` if absent.
     pub protocol: String,
+    /// Its servers expect TLS; false if absent.
     pub tls_enabled: bool,
-    /// Set for model servers.
+    /// Sizes of its servers, if they are model servers.
     pub engine: Option<Engine>,
-    /// Set for a KV store, which no route may name.
+    /// The KV store, if it is one; no route may name it then.
     pub store: Option<Store>,
 }
 
-/// A model server's sizes. What is absent is 0 or empty, `slot_count`, `stride` and `max_concurrent` 1.
+/// Sizes of a model server. Absent numbers are 0, but `slot_count`, `stride` and `max_concurrent` 1.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
+    /// Requests that a server works on at a time.
     pub slot_count: u32,
+    /// Size of its KV cache in tokens.
     pub kv_capacity_tokens: u64,
+    /// Bytes of KV cache a token.
     pub kv_token_bytes: u64,
-    /// Megabits a second.
+    /// Bandwidth of its link, in megabits a second.
     pub link_mbps: f64,
+    /// The server's `stride`, as its operators' page defines it.
     pub stride: u32,
-    /// Calls for KV events held at once.
+    /// Calls for KV events that it holds open at a time.
     pub max_concurrent: u32,
+    /// Names of the models that it can run.
     pub models: Vec<String>,
 }
 
-/// A KV store. What is absent is 0 or empty, `max_concurrent` 1.
+/// A KV store. Absent numbers are 0 and an absent zone is empty, but `max_concurrent` is 1.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Store {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The zone that it is in.
     pub zone: String,
+    /// Its size in tokens.
     pub kv_capacity_tokens: u64,
-    /// Megabits a second.
+    /// Bandwidth of its link, in megabits a second.
     pub link_mbps: f64,
-    /// Calls for KV events held at once.
+    /// Calls for KV events that it holds open at a time.
     pub max_concurrent: u32,
 }
 
-/// What a client may send and how long it may take. Defaults are the values of the protocol page's example.
+/// Limits on requests of clients. The defaults are those of the example in PROTOCOL.md.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
+    /// Largest request head in bytes.
     pub max_header_bytes: usize,
+    /// Largest request body in bytes.
     pub max_body_bytes: usize,
+    /// Longest time in ms for a request head to arrive.
     pub header_timeout_ms: u64,
+    /// Longest time in ms that a connection may be idle between requests.
     pub idle_timeout_ms: u64,
 }
 
@@ -193,13 +218,15 @@
     }
 }
 
+/// A customer, recognised by its API keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tenant {
+    /// Its name, unique among tenants.
     pub name: String,
-    /// Each held by no other tenant; may be empty.
+    /// Its API keys, each held by no other tenant; may be empty.
     pub api_keys: Vec<String>,
-    /// Takes precedence over the route's.
+    /// Priority of its requests in place of the route's; 0 is the highest.
     pub priority: Option<u8>,
-    /// Shares no KV cache with any other tenant.
+    /// Its prompts share no KV cache with those of other tenants; false if absent.
     pub isolated: bool,
 }
--- a/crates/sparrouter-config/src/text.rs
+++ b/crates/sparrouter-config/src/text.rs
@@ -1,22 +1,23 @@
-//! JSON as text: bounds checked before the parser sees it, white space dropped, objects and lists cut into slices.
+//! JSON as text: bounds checked before the parser sees it, white space removed, objects and lists cut into slices.
 //!
-//! Slices rather than a rebuilt tree, because the parser rounds long decimals and large integers, and a read back
-//! must equal what was sent.
+//! Slices and not a tree that is written out again, because the parser rounds long decimals and large integers, and a
+//! configuration must be read back exactly as it was sent.
 
 use crate::refusal::Refusal;
 use miniserde::json::{self, Value};
 use std::borrow::Cow;
 use std::collections::HashSet;
 
-/// Largest configuration in bytes: some 20,000 routes.
+/// Largest configuration in bytes: room for some 20,000 routes.
 pub const MAX_BYTES: usize = 8 << 20;
 /// Deepest nesting of lists and objects.
 pub const MAX_DEPTH: usize = 64;
-/// Most values in a configuration. Bytes alone are no bound on memory: a list of digits takes 16 times its text.
+/// Most values in a configuration. Limiting bytes alone does not bound memory: a list of single digits takes 16 times its
+/// text once parsed.
 pub const MAX_VALUES: usize = 500_000;
 
-/// Checks the bounds, that no object holds a field twice and that all of it is JSON. Gives the text without white
-/// space between tokens, and the tree.
+/// Checks the bounds, that no object holds a field twice, and that the body is one JSON value. Gives the text without
+/// white space between tokens, and the parsed tree.
 pub(crate) fn read(body: &[u8]) -> Result<(String, Value), Refusal> {
     if body.len() > MAX_BYTES {
         return Err(Refusal::TooLarge {
@@ -28,80 +29,110 @@
         at: e.valid_up_to(),
     })?;
     let compact = scan(text)?;
-    // The text as sent, not the compact one: without its white space `1 2` would read as 12.
+    // The text as sent, because without white space `1 2` would be parsed as 12.
     let tree = json::from_str(text).map_err(|_| Refusal::Malformed)?;
     Ok((compact, tree))
 }
 
+/// Checks depth, number of values and duplicate fields, and gives the text without white space between tokens.
 fn scan(text: &str) -> Result<String, Refusal> {
     let bytes = text.as_bytes();
-    let mut compact = String::with_capacity(text.len());
-    // The fields met so far of each open object; None for an open list.
-    let mut open: Vec<Option<HashSet<Cow<str>>>> = Vec::new();
-    let mut key_next = false;
-    let mut values = 1;
-    let mut i = 0;
-    while i < bytes.len() {
-        let start = i;
-        i += 1;
+    let mut scanner = Scanner {
+        text,
+        compact: String::with_capacity(text.len()),
+        open: Vec::new(),
+        key_is_next: false,
+        values: 1,
+    };
+    let mut position = 0;
+    while position < bytes.len() {
+        position = scanner.token(position)?;
+        if scanner.values > MAX_VALUES {
+            return Err(Refusal::TooManyValues { limit: MAX_VALUES });
+        }
+    }
+    if !scanner.open.is_empty() || scanner.compact.is_empty() {
+        return Err(Refusal::CutShort { at: bytes.len() });
+    }
+    Ok(scanner.compact)
+}
+
+struct Scanner<'a> {
+    text: &'a str,
+    compact: String,
+    /// The fields met so far of each object that is open; `None` for a list.
+    open: Vec<Option<HashSet<Cow<'a, str>>>>,
+    /// The next string is the key of a field.
+    key_is_next: bool,
+    /// Upper bound on the number of values so far.
+    values: usize,
+}
+
+impl Scanner<'_> {
+    /// Scans one token or white space; gives the position behind it.
+    fn token(&mut self, start: usize) -> Result<usize, Refusal> {
+        let bytes = self.text.as_bytes();
+        let mut end = start + 1;
         match bytes[start] {
-            b' ' | b'\n' | b'\t' | b'\r' => continue,
-            b'"' => {
-                i = end_of_string(bytes, start).ok_or(Refusal::CutShort { at: bytes.len() })?;
-                if let (true, Some(Some(met))) = (key_next, open.last_mut()) {
-                    let key = unquote(&text[start..i]).ok_or(Refusal::Malformed)?;
-                    if met.contains(&key) {
-                        return Err(Refusal::DuplicateField {
-                            key: key.into_owned(),
-                            at: start,
-                        });
-                    }
-                    met.insert(key);
-                    key_next = false;
-                }
-            }
+            b' ' | b'\n' | b'\t' | b'\r' => return Ok(end),
+            b'"' => end = self.string(start)?,
             opening @ (b'{' | b'[') => {
-                if open.len() == MAX_DEPTH {
+                if self.open.len() == MAX_DEPTH {
                     return Err(Refusal::TooDeep {
                         at: start,
                         limit: MAX_DEPTH,
                     });
                 }
-                key_next = opening == b'{';
-                open.push(key_next.then(HashSet::new));
-                values += 1;
+                self.key_is_next = opening == b'{';
+                self.open.push(self.key_is_next.then(HashSet::new));
+                self.values += 1;
             }
             b'}' | b']' => {
-                open.pop().ok_or(Refusal::Malformed)?;
-                key_next = false;
+                self.open.pop().ok_or(Refusal::Malformed)?;
+                self.key_is_next = false;
             }
             b',' => {
-                key_next = matches!(open.last(), Some(Some(_)));
-                values += 1;
+                self.key_is_next = matches!(self.open.last(), Some(Some(_)));
+                self.values += 1;
             }
             _ => {
-                while i < bytes.len()
-                    && !matches!(
-                        bytes[i],
-                        b' ' | b'\n' | b'\t' | b'\r' | b'"' | b'{' | b'[' | b'}' | b']' | b','
-                    )
-                {
-                    i += 1;
+                while end < bytes.len() && !ends_plain_token(bytes[end]) {
+                    end += 1;
                 }
             }
         }
-        if values > MAX_VALUES {
-            return Err(Refusal::TooManyValues { limit: MAX_VALUES });
-        }
-        compact.push_str(&text[start..i]);
+        self.compact.push_str(&self.text[start..end]);
+        Ok(end)
     }
-    if !open.is_empty() || compact.is_empty() {
-        return Err(Refusal::CutShort { at: bytes.len() });
+
+    /// Scans a string; gives the position behind it. A key must be new in its object.
+    fn string(&mut self, start: usize) -> Result<usize, Refusal> {
+        let bytes = self.text.as_bytes();
+        let end = end_of_string(bytes, start).ok_or(Refusal::CutShort { at: bytes.len() })?;
+        if let (true, Some(Some(met))) = (self.key_is_next, self.open.last_mut()) {
+            let key = unquote(&self.text[start..end]).ok_or(Refusal::Malformed)?;
+            if met.contains(&key) {
+                return Err(Refusal::DuplicateField {
+                    key: key.into_owned(),
+                    at: start,
+                });
+            }
+            met.insert(key);
+            self.key_is_next = false;
+        }
+        Ok(end)
     }
-    Ok(compact)
 }
 
-/// The place after the closing quote of the string that begins at `start`.
+/// Whether a byte ends a number, a literal such as `true`, or a run of bytes that are no JSON.
+fn ends_plain_token(byte: u8) -> bool {
+    matches!(
+        byte,
+        b' ' | b'\n' | b'\t' | b'\r' | b'"' | b'{' | b'[' | b'}' | b']' | b','
+    )
+}
+
+/// The position behind the closing quote of the string that begins at `start`; `None` if it does not end.
 fn end_of_string(bytes: &[u8], start: usize) -> Option<usize> {
     let mut i = start + 1;
     loop {
@@ -113,6 +144,7 @@
     }
 }
 
+/// The value of a string literal; `None` if its escapes are invalid.
 fn unquote(literal: &str) -> Option<Cow<'_, str>> {
     if literal.contains('\\') {
         json::from_str::<String>(literal).ok().map(Cow::Owned)
@@ -124,7 +156,7 @@
     }
 }
 
-/// The fields of an object in compact text that was read before; none if it is no object.
+/// The fields of an object in compact text that [`read`] has checked; empty if it is no object.
 pub(crate) fn fields(object: &str) -> Vec<(Cow<'_, str>, &str)> {
     let Some(inner) = object.strip_prefix('{').and_then(|o| o.strip_suffix('}')) else {
         return Vec::new();
@@ -138,14 +170,14 @@
         .collect()
 }
 
-/// The items of a list in compact text that was read before; None if it is no list.
+/// The items of a list in compact text that [`read`] has checked; `None` if it is no list.
 pub(crate) fn items(list: &str) -> Option<Vec<&str>> {
     list.strip_prefix('[')
         .and_then(|l| l.strip_suffix(']'))
         .map(split)
 }
 
-/// The string under `name` in an object in compact text.
+/// The value of the field `name` of an object in compact text, if it is a string.
 pub(crate) fn name_of(object: &str) -> Option<String> {
     fields(object)
         .into_iter()
@@ -153,32 +185,33 @@
         .and_then(|(_, literal)| string(literal))
 }
 
-/// The value of a string in compact text; None if it is no string.
+/// The value of a string in compact text; `None` if it is no string.
 pub(crate) fn string(literal: &str) -> Option<String> {
     literal
         .starts_with('"')
         .then(|| unquote(literal).map(Cow::into_owned))?
 }
 
+/// Cuts the inside of an object or a list at its commas.
 fn split(inner: &str) -> Vec<&str> {
     let bytes = inner.as_bytes();
     let mut parts = Vec::new();
-    let (mut depth, mut start, mut i) = (0usize, 0, 0);
-    while i < bytes.len() {
-        match bytes[i] {
+    let (mut depth, mut start, mut position) = (0usize, 0, 0);
+    while position < bytes.len() {
+        match bytes[position] {
             b'"' => {
-                i = end_of_string(bytes, i).unwrap_or(bytes.len());
+                position = end_of_string(bytes, position).unwrap_or(bytes.len());
                 continue;
             }
             b'{' | b'[' => depth += 1,
             b'}' | b']' => depth = depth.saturating_sub(1),
             b',' if depth == 0 => {
-                parts.push(&inner[start..i]);
-                start = i + 1;
+                parts.push(&inner[start..position]);
+                start = position + 1;
             }
             _ => {}
         }
-        i += 1;
+        position += 1;
     }
     if !inner.is_empty() {
         parts.push(&inner[start..]);
