--- a/crates/sparrouter-membership/src/pace.rs
+++ b/crates/sparrouter-membership/src/pace.rs
@@ -1,32 +1,33 @@
-//! When rows that changed go out to whoever asks: at once while it is quiet, else the next few together.
+//! When changed rows are published to the pollers: at once after a quiet period, otherwise a few together.
 //!
-//! A thousand servers come one by one, and each change that went out alone would be a message to every poller. All
-//! pollers are told up to the same revision, so that they can be told by the same bytes.
+//! When a thousand servers start one after the other, publishing each change alone would be a message to every poller for
+//! each. All pollers are sent rows up to the same revision, so that the same bytes serve all of them.
 use crate::{Nanos, Rows};
 
-/// What can wait is gathered so long, and longer where many ask.
+/// How long changes that are not urgent are gathered, and how much longer for each poller.
 const GATHER: Nanos = 60_000_000;
 const GATHER_A_POLLER: Nanos = 1_000_000;
-/// What is urgent goes out at once, but not more often than this.
+/// Shortest time between two publications with urgent changes, and how much more for each poller.
 const URGENT: Nanos = 2_000_000;
 const URGENT_A_POLLER: Nanos = 250_000;
 
+/// The schedule of publications at one node.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
     published: u64,
-    /// When that was.
+    /// When that was published.
     at: Nanos,
-    /// Since when something is not published.
+    /// Since when there are changes that are not published.
     since: Option<Nanos>,
 }
 
 impl Pace {
-    /// Pollers are told up to this revision.
+    /// The revision up to which pollers are sent rows.
     pub fn published(&self) -> u64 {
         self.published
     }
 
-    /// When the rows are to be published; None while nothing is new.
+    /// When the rows are to be published next; `None` while nothing has changed.
     pub fn due(&mut self, rows: &Rows, pollers: usize, now: Nanos) -> Option<Nanos> {
         if rows.revision() == self.published {
             self.since = None;
@@ -41,6 +42,7 @@
         })
     }
 
+    /// Publishes all changes up to now.
     pub fn publish(&mut self, rows: &Rows, now: Nanos) {
         (self.published, self.at, self.since) = (rows.revision(), now, None);
     }
--- a/crates/sparrouter-membership/src/packed.rs
+++ b/crates/sparrouter-membership/src/packed.rs
@@ -1,10 +1,10 @@
-//! Rows as bytes. Thousands of them name the same few services, zones and nodes: a name is spelt out once an answer,
-//! then told by its place; numbers take as many bytes as they need, and addresses that are IP:PORT six.
+//! Rows as bytes. Thousands of rows name the same few services, zones and nodes, so a name is written once a message and
+//! then by its index; numbers have a variable length (LEB128), and IPv4 addresses with a port take six bytes.
 use crate::{Delta, ModelAt, NodeRow, Note, ServerRow, Standing};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
-/// A few bytes of input may name a long text again and again: what is read holds at most so much text a byte.
+/// Most bytes of text that are read for each byte of input: a few hostile bytes could refer to a long name many times.
 const MOST_TEXT_A_BYTE: usize = 64;
 
 #[derive(Default)]
@@ -27,7 +27,7 @@
         self.out.extend_from_slice(text.as_bytes());
     }
 
-    /// A text that others share: 0 and the text, then its place.
+    /// A text that several rows share: 0 and the text the first time, its index (from 1) after that.
     fn name(&mut self, name: &'a str) {
         let place = self.names.len() as u64 + 1;
         match self.names.get(name).copied() {
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Any text; six bytes where it is just how an IPv4 address is written.
+    /// Any text. One that is the usual form of an IPv4 address with a port takes six bytes and a tag.
     fn address(&mut self, address: &'a str) {
         match address.parse::<SocketAddrV4>() {
             Ok(socket) if socket.to_string() == address => {
@@ -108,7 +108,7 @@
 struct Reader<'a> {
     left: &'a [u8],
     names: Vec<&'a str>,
-    /// Text that may still be made.
+    /// Bytes of text that may still be allocated.
     room: usize,
 }
 
@@ -145,7 +145,7 @@
         None
     }
 
-    /// How many items come; each takes a byte at least.
+    /// A number of items. Refused if the rest of the input cannot hold that many of at least one byte.
     fn count(&mut self) -> Option<usize> {
         let count = usize::try_from(self.number()?).ok()?;
         (count <= self.left.len()).then_some(count)
@@ -266,6 +266,7 @@
 }
 
 impl Delta {
+    /// The rows as bytes; see [`Delta::unpack`].
     pub fn pack(&self) -> Vec<u8> {
         let mut writer = Writer::default();
         writer.out.extend_from_slice(&self.epoch.to_le_bytes());
@@ -279,7 +280,7 @@
         writer.out
     }
 
-    /// None where the bytes are not what [`Delta::pack`] makes.
+    /// Reads the bytes of [`Delta::pack`]; `None` if they are malformed. Allocates at most 64 bytes of text a byte of input.
     pub fn unpack(bytes: &[u8]) -> Option<Delta> {
         let room = bytes.len().saturating_mul(MOST_TEXT_A_BYTE);
         let mut reader = Reader {
--- a/crates/sparrouter-membership/src/rows.rs
+++ b/crates/sparrouter-membership/src/rows.rs
@@ -1,73 +1,92 @@
-//! The rows, how two of one name merge, and what changed since a revision.
+//! The rows, how two rows of one name merge, and which rows changed since a revision.
 use crate::{Nanos, Note};
 use nanoserde::{DeBin, SerBin};
 use sparrouter_codec::Seq;
 use std::collections::{BTreeMap, HashMap};
 
-/// In the order in which a server goes through them; it never goes back.
+/// The life cycle of a server. It only ever moves forward.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
 pub enum Standing {
+    /// It takes requests.
     #[default]
     Ready,
+    /// It takes no new requests, and will leave.
     Draining,
+    /// It has left.
     Gone,
 }
 
+/// A model that a server runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct ModelAt {
+    /// Name of the model.
     pub name: String,
+    /// Version of its weights.
     pub version: u64,
 }
 
-/// One incarnation of a server, as it told itself.
+/// One incarnation of a server, as its heartbeats describe it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct ServerRow {
-    /// Its instance id: new with every start.
+    /// Its instance id, new with each start.
     pub id: String,
+    /// Name of its service.
     pub service: String,
+    /// IP address and port.
     pub address: String,
+    /// The zone that it is in.
     pub zone: String,
+    /// Requests that it works on at a time.
     pub slot_count: u32,
+    /// Whether it takes requests.
     pub standing: Standing,
-    /// Rises with each of its calls.
+    /// Number of its last call; rises with each.
     pub call_sequence: u64,
+    /// The models that it runs.
     pub models: Seq<ModelAt>,
-    /// The node that it calls now, which tells when it falls silent.
+    /// Name of the node that its heartbeats go to, which marks it silent if they stop.
     pub registrar: String,
-    /// Nobody hears of it at this call sequence: advice only, it may still answer.
+    /// No heartbeat came since this call sequence. A hint only: it may still answer requests.
     pub silent: bool,
 }
 
-/// One process of the fleet.
+/// One process of the fleet, as it describes itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct NodeRow {
+    /// Name of the node, the same after a restart.
     pub name: String,
-    /// Where other nodes reach it, and where servers and operators do (empty: not there).
+    /// Address for other nodes.
     pub internal: String,
+    /// Address for servers and operators; empty if it serves none.
     pub control: String,
+    /// The zone that it is in.
     pub zone: String,
+    /// The region that it is in.
     pub region: String,
+    /// It counts toward the quorum.
     pub counted: bool,
-    /// Takes clients.
+    /// It serves clients.
     pub front: bool,
-    /// Id of its disk's life, 0 without one.
+    /// Id of its disk, new after the disk was wiped; 0 without a disk.
     pub disk: u64,
-    /// Incarnation: raised by the process itself whenever it finds something newer of its name.
+    /// Incarnation. The process raises it whenever it learns of a newer row of its name.
     pub life: u64,
-    /// Drawn at start, to tell two processes of one name apart.
+    /// Random number of the process, to tell two processes of one name apart.
     pub nonce: u64,
+    /// It is shutting down.
     pub leaving: bool,
-    /// Nobody hears of it in this life: refuted by a higher one.
+    /// It stopped polling. It refutes this with a higher incarnation.
     pub silent: bool,
 }
 
+/// A row, and when it was last changed here.
 struct Kept<T> {
     row: T,
     revision: u64,
     at: Nanos,
 }
 
-/// Names a row of any kind.
+/// The key of a row of any kind.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Key {
     Server(String),
@@ -75,44 +94,50 @@
     Note(String),
 }
 
-/// What changed since a revision, or everything.
+/// The rows that changed since a revision, or all rows.
 #[derive(Clone, Debug, Default, PartialEq, SerBin, DeBin)]
 pub struct Delta {
-    /// Names the `Rows` that counted the revision: a restarted one counts anew.
+    /// Identifies the [`Rows`] that the revision belongs to: a restarted process counts from 0 again.
     pub epoch: u64,
+    /// The revision that this delta leads to.
     pub revision: u64,
+    /// Rows of servers.
     pub servers: Seq<ServerRow>,
+    /// Rows of nodes.
     pub nodes: Seq<NodeRow>,
+    /// Server directives.
     pub notes: Seq<Note>,
 }
 
 impl Delta {
+    /// Whether it holds no row.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty() && self.nodes.is_empty() && self.notes.is_empty()
     }
 }
 
-/// All rows of one node.
+/// All rows that one node knows; bounded.
 pub struct Rows {
     epoch: u64,
     revision: u64,
-    /// How long a row that is over is kept, so that no older word of it brings it back.
+    /// How long a tombstone is kept, so that no late message brings its row back.
     tombstone: Nanos,
-    /// Most rows of each kind: what one node may be made to hold by whoever calls it.
+    /// Most rows of each kind, which bounds the memory that callers can make a node take.
     most: usize,
     servers: BTreeMap<String, Kept<ServerRow>>,
-    /// Which ready server was heard of last at an address.
+    /// The server that was last live at each address.
     at_address: HashMap<String, String>,
     nodes: BTreeMap<String, Kept<NodeRow>>,
     notes: BTreeMap<String, Kept<Note>>,
-    /// Rows by the revision of their last change: pollers ask for the newest few of thousands.
+    /// Rows by the revision of their last change, since pollers ask for the newest few of thousands.
     by_revision: BTreeMap<u64, Key>,
-    /// The last change that others must hear of at once, rather than with the next few.
+    /// Revision of the last change that is published at once.
     urgent: u64,
 }
 
 impl Rows {
-    /// `epoch` is drawn at start; `tombstone` in nanoseconds.
+    /// No rows. `epoch`: a random number; `tombstone`: how long tombstones are kept, in nanoseconds; `most`: most rows of
+    /// each kind.
     pub fn new(epoch: u64, tombstone: Nanos, most: usize) -> Rows {
         Rows {
             epoch,
@@ -128,43 +153,53 @@
         }
     }
 
+    /// Identifies this instance; see [`Delta::epoch`].
     pub fn epoch(&self) -> u64 {
         self.epoch
     }
+    /// Number of the last change.
     pub fn revision(&self) -> u64 {
         self.revision
     }
+    /// The row of a server, by its instance id.
     pub fn server(&self, id: &str) -> Option<&ServerRow> {
         self.servers.get(id).map(|k| &k.row)
     }
+    /// All servers in the order of their ids, those that have left until their tombstones are dropped.
     pub fn servers(&self) -> impl Iterator<Item = &ServerRow> {
         self.servers.values().map(|k| &k.row)
     }
+    /// How many rows of servers are held.
     pub fn servers_held(&self) -> usize {
         self.servers.len()
     }
+    /// The row of a node, by its name.
     pub fn node(&self, name: &str) -> Option<&NodeRow> {
         self.nodes.get(name).map(|k| &k.row)
     }
+    /// All nodes in the order of their names.
     pub fn nodes(&self) -> impl Iterator<Item = &NodeRow> {
         self.nodes.values().map(|k| &k.row)
     }
+    /// The newest server directive under a key.
     pub fn note(&self, key: &str) -> Option<&Note> {
         self.notes.get(key).map(|k| &k.row)
     }
-    /// Notes with when each was last changed here.
+    /// All server directives, and when each was last changed here.
     pub fn notes_at(&self) -> impl Iterator<Item = (&Note, Nanos)> {
         self.notes.values().map(|k| (&k.row, k.at))
     }
+    /// All server directives in the order of their keys.
     pub fn notes(&self) -> impl Iterator<Item = &Note> {
         self.notes.values().map(|k| &k.row)
     }
 
-    /// The revision of the last change that can't wait: a server drains, leaves, or takes new weights.
+    /// Revision of the last urgent change: a server drains or leaves, a directive, a node that leaves or is silent.
     pub fn urgent(&self) -> u64 {
         self.urgent
     }
 
+    /// Records a change of a row; gives its revision. `before`: the revision of the row's change before.
     fn next(&mut self, key: Key, before: Option<u64>, urgent: bool) -> u64 {
         self.revision += 1;
         if let Some(before) = before {
@@ -177,7 +212,7 @@
         self.revision
     }
 
-    /// Takes a row as it is, whatever is known: the mistake that `merge_server` is there against.
+    /// Overwrites a row, whatever is known: the mistake that `merge_server` guards against, planted for tests.
     #[cfg(feature = "planted")]
     pub fn put_back(&mut self, row: ServerRow, now: Nanos) {
         let before = self.servers.get(&row.id).map(|k| k.revision);
@@ -192,8 +227,8 @@
         );
     }
 
-    /// What a server says of itself, or another node of it. True if anything changed. A late word with a lower
-    /// call sequence undoes nothing, and a standing never goes back.
+    /// Merges a row of a server. True if anything changed. A late row with a lower call sequence undoes nothing, and a
+    /// server's standing never moves back.
     pub fn merge_server(&mut self, mut row: ServerRow, now: Nanos) -> bool {
         match self.servers.get(&row.id) {
             None if self.servers.len() >= self.most => return false,
@@ -241,8 +276,8 @@
         true
     }
 
-    /// Another one that was heard of at the address of a new one: an address has one server at a time. Only
-    /// silent, not gone, since words may come late: its next beat brings it back.
+    /// The server that was live at the address of a new one, since an address has one server at a time. It is marked silent
+    /// and not gone, because messages may come late: its next heartbeat makes it live again.
     fn displaced(&self, row: &ServerRow) -> Option<String> {
         if row.silent || row.standing == Standing::Gone || self.servers.contains_key(&row.id) {
             return None;
@@ -257,7 +292,8 @@
         Some(other.clone())
     }
 
-    /// The server has left; an unknown one is remembered as gone, since its beats may come later.
+    /// Marks a server as gone. An unknown one is remembered as gone, since its heartbeats may come later. True if anything
+    /// changed.
     pub fn leave(&mut self, id: &str, now: Nanos) -> bool {
         let mut row = self.server(id).cloned().unwrap_or_default();
         row.id = id.to_owned();
@@ -265,7 +301,7 @@
         self.merge_server(row, now)
     }
 
-    /// Nobody has heard of it since the call sequence that is known.
+    /// Marks a server as silent at its last known call sequence. True if anything changed.
     pub fn fall_silent(&mut self, id: &str, now: Nanos) -> bool {
         match self.server(id).cloned() {
             Some(row) if !row.silent && row.standing != Standing::Gone => self.merge_server(
@@ -279,11 +315,13 @@
         }
     }
 
+    /// Merges a row of a node. True if anything changed. The higher incarnation wins.
     pub fn merge_node(&mut self, row: NodeRow, now: Nanos) -> bool {
         match self.nodes.get(&row.name) {
             None if self.nodes.len() >= self.most => return false,
             Some(Kept { row: old, .. }) => {
-                // Of two processes of one name and life the higher nonce is kept until one of them goes higher.
+                // Of two processes of one name and incarnation the one with the higher nonce wins, until one raises its
+                // incarnation.
                 let place = |r: &NodeRow| (r.life, r.nonce, r.leaving, r.silent, r.disk);
                 if place(&row) <= place(old) {
                     return false;
@@ -308,6 +346,7 @@
         true
     }
 
+    /// Marks a node as silent in its last known incarnation. True if anything changed.
     pub fn node_silent(&mut self, name: &str, now: Nanos) -> bool {
         match self.node(name).cloned() {
             Some(row) if !row.silent => self.merge_node(
@@ -321,7 +360,7 @@
         }
     }
 
-    /// The life that a process of this name must take to be believed: above all that is known of others.
+    /// The incarnation that a process must take for its row to win over what is known of its name.
     pub fn life_for(&self, own: &NodeRow) -> u64 {
         match self.node(&own.name) {
             Some(row) if row.nonce != own.nonce || row.silent || (row.leaving && !own.leaving) => {
@@ -331,6 +370,7 @@
         }
     }
 
+    /// Merges a server directive. True if anything changed.
     pub fn merge_note(&mut self, note: Note, now: Nanos) -> bool {
         match self.notes.get(&note.key) {
             None if self.notes.len() >= self.most => return false,
@@ -350,7 +390,7 @@
         true
     }
 
-    /// All that another node told. True if anything changed here.
+    /// Merges all rows of a delta. True if anything changed.
     pub fn merge(&mut self, delta: Delta, now: Nanos) -> bool {
         let mut changed = false;
         for row in delta.nodes {
@@ -365,13 +405,12 @@
         changed
     }
 
-    /// What changed since a revision that this `Rows` gave out, the oldest changes first and `most` rows of them; from the
-    /// beginning to whom had it from another.
+    /// The changes since a revision, oldest first, at most `most` rows. A revision of another epoch counts as 0.
     pub fn since(&self, epoch: u64, revision: u64, most: usize) -> Delta {
         self.between(epoch, revision, self.revision, most)
     }
 
-    /// The same up to a revision, of rows that did not change after it: those come with a later answer.
+    /// The same up to the revision `up_to`. A row that changed after it is left out, and comes with a later delta.
     pub fn between(&self, epoch: u64, revision: u64, up_to: u64, most: usize) -> Delta {
         let from = if epoch == self.epoch && revision <= up_to {
             revision
@@ -392,7 +431,7 @@
                 break;
             }
             if place == most {
-                // The rest is for the next time.
+                // The rest follows with the next delta.
                 delta.revision = revision - 1;
                 break;
             }
@@ -405,7 +444,7 @@
         delta
     }
 
-    /// Drops what has been over for long enough. Silent servers that nobody heard of go the same way, later.
+    /// Drops tombstones that are old enough, and servers and nodes that were silent for four times as long.
     pub fn sweep(&mut self, now: Nanos) {
         let old =
             |at: Nanos, times: u64| now.saturating_sub(at) > self.tombstone.saturating_mul(times);
--- a/crates/sparrouter-membership/src/sources.rs
+++ b/crates/sparrouter-membership/src/sources.rs
@@ -1,11 +1,11 @@
-//! Whom a node asks for what is new, and who thereby watches it.
+//! Which nodes a node polls; a polled node thereby watches the poller.
 use sparrouter_rendezvous::{hash, order};
 
-/// How many sources a node asks at a time: one may freeze or be cut off without a word.
+/// How many sources a node polls at a time: one may freeze or be cut off without notice.
 pub const SOURCES: usize = 2;
 
-/// The first few candidates in this node's own order; those that know themselves in touch with a quorum first.
-/// `candidates`: name and whether it is in touch.
+/// The first `most` candidates in this node's rendezvous order, those with quorum contact first. `candidates`: name, and
+/// whether it has quorum contact.
 pub fn sources<'a>(
     own: &str,
     candidates: impl Iterator<Item = (&'a str, bool)>,
--- a/crates/sparrouter-routing/src/backlog.rs
+++ b/crates/sparrouter-routing/src/backlog.rs
@@ -1,52 +1,57 @@
-//! What waits at one server, over all nodes: kept by one node a server, which is asked before a prompt is sent there.
+//! The queue of one server, over all nodes. One node keeps it for each server, and is asked before a prompt is sent there.
 //!
-//! A node's own requests in flight are a small part of what a server has to read; how long a prompt waits for its first
-//! token is decided by the rest. The keeper adds up what was said to be sent and has not begun, and learns how fast it
-//! goes from how long each took. Source: Little, "A proof for the queuing formula L = λW", 1961.
+//! A node's own requests are a small part of what a server has to read; how long a prompt waits for its first token is
+//! decided by the rest. The keeper adds up the prompts that were announced and have not begun, and estimates the server's
+//! speed from how long each took. Source: Little, "A proof for the queuing formula L = λW", 1961.
 use crate::Nanos;
 use std::collections::BTreeMap;
 
-/// Most that are kept for one server, and how long one that is never heard of again.
+/// Most prompts that are kept for one server.
 const MOST: usize = 4_096;
+/// After so long a prompt that was never reported over stops counting.
 const LOST: Nanos = 15_000_000_000;
-/// Tokens a second at first.
+/// Assumed speed of a server that nothing is known of, in tokens a second.
 const FIRST_RATE: f64 = 40_000.0;
-/// How much a new observation weighs.
+/// Weight of a new observation in the moving average of the speed.
 const WEIGHT: f64 = 0.1;
-/// What a prompt takes that nothing is ahead of, beside being read: shorter waits say nothing of the rate.
+/// Seconds that a prompt takes beside being read, even if nothing is ahead of it.
 const FIXED: f64 = 0.04;
+/// Shortest wait in seconds from which the speed is estimated: shorter ones say too little.
 const TELLING: f64 = 0.12;
-/// Urgencies are told apart up to here.
+/// How many urgencies are distinguished; all above count as the last one.
 const URGENCIES: usize = 16;
-/// What came within so many seconds tells how much will overtake a prompt that waits.
+/// Seconds of recent arrivals from which it is estimated how much will overtake a waiting prompt.
 const LOOK_BACK: f64 = 2.0;
-/// Most of the reading that may be taken for overtaken: beyond, a wait has no end.
+/// Largest part of the speed that is assumed to go to overtaking prompts, so that a wait stays finite.
 const MOST_OVERTAKEN: f64 = 0.9;
 
+/// A prompt that has not begun.
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     cost: f64,
     urgency: u32,
     at: Nanos,
-    /// What was ahead of it when it came, itself included.
+    /// Tokens ahead of it when it came, its own included.
     ahead: f64,
-    /// All that was sent by then which is more urgent: what comes later overtakes it.
+    /// More urgent tokens sent until then: those sent later overtake it.
     before: f64,
 }
 
-/// One server's.
+/// The queue of one server.
 #[derive(Clone, Debug)]
 pub struct Backlog {
     waiting: BTreeMap<u64, Waiting>,
     /// Tokens a second.
     rate: f64,
     used: Nanos,
-    /// Tokens that were sent so far, by urgency; and lately, fading.
+    /// Tokens sent so far, by urgency.
     sent: [f64; URGENCIES],
+    /// Tokens sent recently, by urgency, decaying exponentially.
     lately: [f64; URGENCIES],
     faded: Nanos,
 }
 
+/// Tokens of lower number, that is of higher urgency.
 fn more_urgent(of: &[f64; URGENCIES], urgency: u32) -> f64 {
     of.iter().take(urgency as usize).sum()
 }
@@ -65,8 +70,8 @@
 }
 
 impl Backlog {
-    /// How long a prompt would wait before it is read, in nanoseconds: the more urgent (lower) go before it, also those
-    /// that come while it waits, and those of its own urgency that came earlier.
+    /// How long a prompt would wait before it is read. More urgent ones (lower numbers) go first, also if they come while it
+    /// waits, and so do earlier ones of the same urgency.
     pub fn wait(&mut self, urgency: u32, now: Nanos) -> Nanos {
         self.used = now;
         self.waiting.retain(|_, w| now.saturating_sub(w.at) < LOST);
@@ -91,7 +96,7 @@
             .sum()
     }
 
-    /// It is sent there.
+    /// Adds a prompt of `cost` tokens under a token that is unique for this server.
     pub fn sent(&mut self, token: u64, cost: f64, urgency: u32, now: Nanos) {
         if self.waiting.len() < MOST {
             let ahead = self.ahead(urgency) + cost;
@@ -114,7 +119,7 @@
         self.used = now;
     }
 
-    /// Its first token came (`true`), or it ended without.
+    /// Removes a prompt. `began`: its first token came; otherwise it ended without one.
     pub fn over(&mut self, token: u64, began: bool, now: Nanos) {
         let Some(waiting) = self.waiting.remove(&token) else {
             return;
@@ -127,9 +132,11 @@
         }
     }
 
+    /// When the queue was last used.
     pub fn used(&self) -> Nanos {
         self.used
     }
+    /// How many prompts wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
--- a/crates/sparrouter-routing/src/budget.rs
+++ b/crates/sparrouter-routing/src/budget.rs
@@ -1,19 +1,21 @@
-//! The retry budget: this node's part of what all nodes may send beyond the first send of each request.
+//! The retry budget: this node's share of what all nodes may send beyond the first send of each request.
 //!
-//! Parts add up: the ratio is taken of one's own requests, the slack is divided by the number of nodes. What is not
-//! spent within the window is lost, so that no window ever holds more than was allowed for it.
+//! The shares of all nodes add up to the whole: the ratio applies to a node's own requests, and the slack is divided by the
+//! number of nodes. What is not spent within a window expires, so that no window exceeds the budget.
 use crate::Nanos;
 
-/// In how many pieces the window is counted. One more than these is looked at, so that a window that begins inside
-/// a piece never holds more than is allowed.
+/// Number of pieces that the window is counted in. One piece more is kept, so that a window that begins inside a piece
+/// does not exceed the budget either.
 const PIECES: usize = 10;
 
+/// The limits of a retry budget.
 #[derive(Clone, Copy, Debug)]
 pub struct BudgetTerms {
-    /// Repeats allowed per request.
+    /// Retries allowed a request.
     pub ratio: f64,
-    /// Repeats allowed beside, by all nodes together, in a window.
+    /// Further retries that all nodes together may make in a window.
     pub slack: f64,
+    /// Length of the window.
     pub window: Nanos,
 }
 
@@ -22,14 +24,15 @@
 pub struct Budget {
     terms: BudgetTerms,
     piece: Nanos,
-    /// Requests and repeats of each piece; the newest is at `at % len`.
+    /// Requests and retries of each piece; the newest is at `at % len`.
     counts: [(f64, f64); PIECES + 1],
     at: u64,
-    /// Before then the slack stays unspent: a process that just started may have spent it in its former life.
+    /// No slack is spent before: the process may have spent it before it was restarted.
     slack_from: Nanos,
 }
 
 impl Budget {
+    /// A budget of a process that was started at `started`.
     pub fn new(terms: BudgetTerms, started: Nanos, now: Nanos) -> Budget {
         let piece = (terms.window / PIECES as u64).max(1);
         let slack_from = started + terms.window;
@@ -42,6 +45,7 @@
         }
     }
 
+    /// Moves on to the piece of `now`; gives its index.
     fn turn(&mut self, now: Nanos) -> usize {
         let at = (now / self.piece).max(self.at);
         let steps = (at - self.at).min(self.counts.len() as u64);
@@ -52,17 +56,17 @@
         (at % self.counts.len() as u64) as usize
     }
 
-    /// A request came for the service.
+    /// Counts a request for the service.
     pub fn asked(&mut self, now: Nanos) {
         let ix = self.turn(now);
         self.counts[ix].0 += 1.0;
     }
 
-    /// One repeat, if this node's part of the budget has it. `nodes`: how many share the slack.
+    /// Spends one retry if this node's share of the budget has one left. `nodes`: how many nodes share the slack.
     pub fn take(&mut self, nodes: usize, now: Nanos) -> bool {
         let ix = self.turn(now);
         let spent: f64 = self.counts.iter().map(|c| c.1).sum();
-        // The oldest piece may be out of the window that is judged: its requests earn nothing any more.
+        // The oldest piece may lie outside of the window, so its requests do not count any more.
         let oldest = (ix + 1) % self.counts.len();
         let asked: f64 = self
             .counts
--- a/crates/sparrouter-routing/src/durations.rs
+++ b/crates/sparrouter-routing/src/durations.rs
@@ -1,11 +1,11 @@
-//! How long requests of each route last, from the request read whole to the last byte of its answer.
+//! How long requests of each route take, from the request read whole to the last byte of its answer.
 //!
-//! The longest duration of a route within the current and the previous window is kept. Memory: one entry for each route
-//! that was asked for within two windows.
+//! The longest duration of each route within the current and the previous window is kept. Memory: one entry for each
+//! route that was used within two windows.
 use crate::Nanos;
 use std::collections::HashMap;
 
-/// Length of one window: long enough for some hundred requests of a common route, short enough to forget a bad time.
+/// Length of one window: long enough for some hundred requests of a common route, short enough to forget an overload.
 const WINDOW: Nanos = 30_000_000_000;
 
 /// The longest recent duration of each route, by the route's name.
--- a/crates/sparrouter-routing/src/election.rs
+++ b/crates/sparrouter-routing/src/election.rs
@@ -1,60 +1,66 @@
-//! The election over the ready servers of a service, and what is known of each.
+//! The server table, and the election among the ready servers of a service.
 use crate::server::Suspicion;
 use crate::{Ending, Nanos, Server, ServerIx, Versions};
 use fastrand::Rng;
 use sparrouter_membership::{Rows, Standing};
 use std::collections::HashMap;
 
-/// In flight beyond both of these a server is passed over: a ratio to the mean, and a floor.
+/// A server with more requests in flight than both of these is skipped: a ratio to the mean, and a floor.
 const BAR_RATIO: f64 = 2.0;
 const BAR_FLOOR: f64 = 2.0;
-/// A generation of more tokens takes longer than it takes to read most prompts.
+/// A generation of more tokens than this counts as long: it takes longer than reading most prompts.
 const LONG: u64 = 24;
-/// First wait before a probe, and how far it grows.
+/// Mean wait before the first probe of a suspected server, and the longest wait that it doubles to.
 const FIRST_PROBE: Nanos = 50_000_000;
 const LONGEST_PROBE: Nanos = 1_000_000_000;
 
-/// One choice that is wanted.
+/// A request that needs a server.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
+    /// The service of its route.
     pub service: &'a str,
+    /// Key of the election.
     pub key: u64,
-    /// It must run on this model; none: any server of the service.
+    /// The model that must run it; `None`: any server of the service.
     pub model: Option<&'a str>,
-    /// Tokens that it generates at most.
+    /// Most tokens that it generates.
     pub tokens_out: u64,
-    /// Servers that had it before.
+    /// Servers that it was sent to before.
     pub tried: &'a [ServerIx],
 }
 
+/// The server that was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pick {
+    /// Its index.
     pub server: ServerIx,
-    /// Which version of the model it runs, where known.
+    /// The version of the model that it runs, if known.
     pub version: Option<u64>,
-    /// Its place in the election: 0 is the winner.
+    /// Its place in the order of the election; 0 is the winner.
     pub place: usize,
 }
 
-/// No server may take it now.
+/// Why no server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turned {
-    /// None is known, or none is left that was not tried.
+    /// No server is known, or all were tried.
     None,
-    /// There are some, but all are taking new weights, on an older version, unreachable or full.
+    /// There are untried servers, but each is loading new weights, on an older version, unreachable or full.
     Unready,
 }
 
-/// Everything that is known of servers at this node.
+/// All that this node knows of servers.
 pub struct ServerTable {
     servers: Vec<Option<Server>>,
     by_id: HashMap<String, ServerIx>,
     by_service: HashMap<String, Vec<ServerIx>>,
+    /// The versions of weights that requests may begin on.
     pub versions: Versions,
     rng: Rng,
 }
 
 impl ServerTable {
+    /// An empty table. `version_patience`: see [`Versions::new`].
     pub fn new(version_patience: Nanos, rng: Rng) -> ServerTable {
         let versions = Versions::new(version_patience);
         ServerTable {
@@ -66,22 +72,26 @@
         }
     }
 
+    /// The server with this index.
     pub fn get(&self, ix: ServerIx) -> Option<&Server> {
         self.servers.get(ix)?.as_ref()
     }
+    /// The index of a server, by its instance id.
     pub fn find(&self, id: &str) -> Option<ServerIx> {
         self.by_id.get(id).copied()
     }
-    /// The server whose id has this hash.
+    /// The server whose instance id has this hash. Takes time proportional to the number of servers.
     pub fn hashed(&self, hash: u64) -> Option<&Server> {
         self.all().map(|(_, s)| s).find(|s| s.hash == hash)
     }
+    /// All servers.
     pub fn all(&self) -> impl Iterator<Item = (ServerIx, &Server)> {
         self.servers
             .iter()
             .enumerate()
             .filter_map(|(ix, s)| Some((ix, s.as_ref()?)))
     }
+    /// The servers of a service.
     pub fn of<'a>(&'a self, service: &str) -> impl Iterator<Item = (ServerIx, &'a Server)> {
         let all = self
             .by_service
@@ -91,7 +101,7 @@
         all.iter().filter_map(|&ix| Some((ix, self.get(ix)?)))
     }
 
-    /// Takes a standing as it is told, be it an earlier one: the mistake that `sync` is there against.
+    /// Overwrites a server's standing, whatever is known: the mistake that `sync` guards against, planted for tests.
     #[cfg(feature = "planted")]
     pub fn put_back(&mut self, id: &str, standing: Standing) {
         let ix = self.by_id.get(id).copied();
@@ -100,7 +110,7 @@
         }
     }
 
-    /// What the rows say now. Servers that are gone stay until their last request has ended.
+    /// Takes over the rows of membership. A server that is gone stays until its last request has ended.
     pub fn sync(&mut self, rows: &Rows, now: Nanos) {
         for row in rows.servers() {
             let known = self.by_id.get(&row.id).copied();
@@ -131,8 +141,8 @@
             server.loading = false;
             server.soon = false;
         }
-        // Whoever has the duty of new weights tells `soon/SERVER/MODEL`, then
-        // `load/SERVER/MODEL`: under way, then over with what it runs.
+        // The holder of the rollout lease announces `soon/SERVER/MODEL`, then `load/SERVER/MODEL` while the server loads;
+        // the latter ends with the version that the server runs.
         let lasts = self.versions.patience().saturating_mul(2);
         for (note, at) in rows.notes_at() {
             let mut words = note.key.splitn(3, '/');
@@ -146,7 +156,7 @@
             let Some(server) = self.servers[ix].as_mut() else {
                 continue;
             };
-            // Whoever told it may have ended: no server is kept out longer than the work can take.
+            // The holder may have died, so no server is excluded for longer than loading can take.
             let stands = !note.over && now.saturating_sub(at) < lasts;
             match kind {
                 "load" if note.over && note.value > 0 => {
@@ -201,7 +211,7 @@
         }
     }
 
-    /// Servers that may take something new, at all or for this model.
+    /// Whether a server may take this request now.
     fn ready(&self, ask: &Ask, server: &Server, now: Nanos) -> bool {
         server.standing == Standing::Ready
             && !server.loading
@@ -214,12 +224,12 @@
         ask.model
             .is_none_or(|model| match server.version_of(model) {
                 Some(version) => self.versions.allows(model, version, now),
-                // It names models, but not this one.
+                // The server reports its models, and this one is not among them.
                 None => server.models.is_empty(),
             })
     }
 
-    /// The bar of this node's own requests in flight: over it, a server is passed over.
+    /// The bound on this node's own requests in flight at a server, above which it is skipped.
     fn bar(&self, service: &str) -> f64 {
         let used = || {
             self.of(service)
@@ -231,7 +241,11 @@
         (BAR_RATIO * sum / f64::max(count, 1.0)).max(BAR_FLOOR)
     }
 
-    /// The winner of the election, or the next in order where that one may not take it.
+    /// Chooses the winner of the election, or the next in order if that one may not take the request.
+    ///
+    /// # Errors
+    ///
+    /// [`Turned`] if no server may take it now.
     pub fn choose(&self, ask: &Ask, now: Nanos) -> Result<Pick, Turned> {
         let untried = || {
             self.of(ask.service)
@@ -244,8 +258,8 @@
                 .map(|(ix, s)| (s.hash, ix)),
             ask.key,
         );
-        // Silent ones come last: they may be there still. Long generations keep away from where they would hold up new
-        // weights.
+        // Silent servers come last, since they may still answer. Long generations avoid servers that will load new weights
+        // soon, because loading waits for them to end.
         let long = ask.tokens_out > LONG;
         order.sort_by_key(|&ix| {
             self.get(ix)
@@ -263,7 +277,7 @@
             self.get(*ix)
                 .is_some_and(|s| !s.used || f64::from(s.in_flight) <= bar)
         };
-        // Where all are over the bar the least loaded of the order takes it.
+        // If all are above the bound, the one with the fewest requests in flight takes it.
         let place = order.iter().position(under).unwrap_or_else(|| {
             let load = |p: &usize| self.get(order[*p]).map_or(u32::MAX, |s| s.in_flight);
             (0..order.len()).min_by_key(load).unwrap_or(0)
@@ -277,6 +291,7 @@
         })
     }
 
+    /// Counts a request of so many tokens as in flight at a server.
     pub fn begin(&mut self, ix: ServerIx, tokens: u64) {
         if let Some(server) = self.servers[ix].as_mut() {
             server.in_flight += 1;
@@ -285,6 +300,7 @@
         }
     }
 
+    /// Ends what [`ServerTable::begin`] began.
     pub fn end(&mut self, ix: ServerIx, tokens: u64, ending: Ending, now: Nanos) {
         let Some(server) = self.servers[ix].as_mut() else {
             return;
@@ -301,6 +317,7 @@
         }
     }
 
+    /// Suspects a server: it gets no requests until a probe connects.
     pub fn suspect(&mut self, ix: ServerIx, now: Nanos) {
         let jitter = 0.5 + self.rng.f64();
         if let Some(Some(server)) = self.servers.get_mut(ix) {
@@ -312,7 +329,7 @@
         }
     }
 
-    /// Suspected servers whose probe is due; each is put off until the next, later one.
+    /// Suspected servers whose probe is due. The next probe of each is scheduled with twice the wait.
     pub fn probes(&mut self, now: Nanos) -> Vec<ServerIx> {
         let mut due = Vec::new();
         for (ix, slot) in self.servers.iter_mut().enumerate() {
@@ -329,28 +346,28 @@
         due
     }
 
-    /// A probe came through.
+    /// A probe connected: the server is not suspected any more.
     pub fn reached(&mut self, ix: ServerIx) {
         if let Some(Some(server)) = self.servers.get_mut(ix) {
             server.suspect = None;
         }
     }
 
-    /// It said that it is full: nothing new until it may have room.
+    /// The server answered that it is full: it gets no requests until then.
     pub fn full(&mut self, ix: ServerIx, until: Nanos) {
         if let Some(Some(server)) = self.servers.get_mut(ix) {
             server.full_until = until;
         }
     }
 
-    /// What the server told of its load with an answer.
+    /// Records the load that the server reported with an answer.
     pub fn load(&mut self, ix: ServerIx, running: u32, waiting: u32, now: Nanos) {
         if let Some(Some(server)) = self.servers.get_mut(ix) {
             (server.running, server.waiting, server.load_at) = (running, waiting, now);
         }
     }
 
-    /// What the server told of its weights with an answer.
+    /// Records the version that the server reported with an answer.
     pub fn runs(&mut self, ix: ServerIx, model: &str, version: u64) {
         if let Some(Some(server)) = self.servers.get_mut(ix) {
             runs(&mut server.models, model, version);
@@ -360,7 +377,7 @@
 
 fn runs(models: &mut Vec<(String, u64)>, model: &str, version: u64) {
     match models.iter_mut().find(|m| m.0 == model) {
-        // A server never goes back in one life.
+        // A server never goes back to an older version without a restart.
         Some(known) => known.1 = known.1.max(version),
         None => models.push((model.to_owned(), version)),
     }
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -1,9 +1,20 @@
-//! The routing step of a request, without I/O: which server takes it, which comes next, and when to give up.
+//! The routing step of a request, without I/O: which server takes it, which is the fallback, and when to give up.
 //!
-//! Ordinary path (docs/design/system.md): every ready server of the route's service is scored by hash(its id, key);
-//! the highest wins, the next highest is the fallback if the request is repeatable or proved unrun. A server is passed
-//! over while this node's own requests in flight there exceed both twice their mean and a floor of 2. No state is
-//! shared in the choice. Source: Deb Allen, "Hash Load Balancing and Persistence on BIG-IP LTM".
+//! The usual path (docs/design/system.md): every ready server of the route's service is scored by hash(its id, key). The
+//! highest score wins; the next highest is the fallback if the request may be repeated or provably did not run. A server
+//! is skipped while this node's own requests in flight there exceed both twice their mean and a floor of 2 (bounded
+//! load). The choice uses no shared state. Source: Deb Allen, "Hash Load Balancing and Persistence on BIG-IP LTM".
+//!
+//! | module | its one job |
+//! | --- | --- |
+//! | `election` | the server table, and the choice among its servers |
+//! | `server` | what is known of one server |
+//! | `versions` | which version of a model's weights a request may begin on |
+//! | `backlog` | how long a prompt would wait at a server, over all nodes |
+//! | `budget` | the retry budget |
+//! | `durations` | how long requests of each route take |
+//! | `prompt` | a prompt's prefix blocks, as the client names them |
+#![deny(missing_docs)]
 mod backlog;
 mod budget;
 mod durations;
@@ -20,5 +31,5 @@
 pub use server::{Ending, Server, ServerIx};
 pub use versions::{Versions, Wanted};
 
-/// Nanoseconds of a clock that only advances.
+/// Nanoseconds of a monotonic clock.
 pub type Nanos = u64;
--- a/crates/sparrouter-routing/src/prompt.rs
+++ b/crates/sparrouter-routing/src/prompt.rs
@@ -1,26 +1,32 @@
-//! A prompt as the client names it: a prefix block chain, part by part, and what it is routed by.
+//! A prompt as the client describes it: a chain of prefix blocks ("parts"), and the key that it is routed by.
 use sparrouter_rendezvous::hash;
 
+/// One part of a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part {
-    /// Its id as sent, in hex.
+    /// Its id in hexadecimal, as sent. It identifies the part together with all parts before it.
     pub id: String,
+    /// Its length in tokens.
     pub tokens: u64,
 }
 
+/// A prompt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
+    /// Its parts in order; the last one is the request's own.
     pub parts: Vec<Part>,
-    /// Tokens of the prompt, and the most that it generates.
+    /// Length of the prompt in tokens.
     pub tokens_in: u64,
+    /// Most tokens that are generated.
     pub tokens_out: u64,
 }
 
-/// Longest chain that is read: what comes after is the request's own anyway.
+/// Most parts that are read; further ones are ignored.
 const MOST_PARTS: usize = 64;
 
 impl Prompt {
-    /// `prefix`: ID:TOKENS,...; `usage`: in,out. What cannot be read is left out: routing is no judge of prompts.
+    /// Reads the header fields. `prefix`: `ID:TOKENS,...`; `usage`: `IN,OUT`. What cannot be parsed is left out, because a
+    /// prompt that is described badly can still be served.
     pub fn read(prefix: Option<&str>, usage: Option<&str>) -> Prompt {
         let part = |word: &str| {
             let (id, tokens) = word.trim().split_once(':')?;
@@ -50,13 +56,13 @@
         }
     }
 
-    /// The parts that others may share: all but the last, which is the request's own.
+    /// The parts that other requests may share: all but the last.
     pub fn shared(&self) -> &[Part] {
         &self.parts[..self.parts.len().saturating_sub(1)]
     }
 
-    /// What the election hashes: the deepest shared part, so that what is kept of it is read at one server. A
-    /// lone part may be a session's and is its own key.
+    /// The key of the election: a hash of the deepest shared part, so that its KV cache is used at one server. A single
+    /// part may belong to a session and is its own key. `None` without parts.
     pub fn key(&self, salt: &str) -> Option<u64> {
         let part = self.shared().last().or(self.parts.last())?;
         Some(hash(format!("{salt}/{}", part.id).as_bytes()))
--- a/crates/sparrouter-routing/src/server.rs
+++ b/crates/sparrouter-routing/src/server.rs
@@ -1,61 +1,70 @@
-//! One record a server: what was told of it, what this node has in flight there, and what its own sends showed.
+//! What is known of one server: its row, this node's requests in flight there, and how they ended.
 use crate::Nanos;
 use sparrouter_membership::{ServerRow, Standing};
 use std::net::SocketAddr;
 
+/// Index of a server in the server table. It is reused once the server is removed.
 pub type ServerIx = usize;
 
-/// How a send ended, as far as the server's health is concerned.
+/// How a request sent to a server ended, as far as the server's health is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
-    /// It answered in the protocol, whatever it answered.
+    /// It answered, with whatever status.
     Answered,
-    /// It declined: full, or on its way out.
+    /// It declined: it is full or draining.
     Declined,
-    /// Another server, or another version, has the address.
+    /// Another server has the address, or it runs another version.
     Misdirected,
-    /// No connection came up.
+    /// No connection could be established.
     Unreachable,
-    /// The connection broke, or what came was no answer.
+    /// The connection broke, or the answer was malformed.
     Broke,
-    /// The client left, or its time was over: says nothing of the server.
+    /// The client left or its deadline passed, which says nothing of the server.
     Withdrawn,
 }
 
+/// A server, as one node knows it.
 #[derive(Clone, Debug)]
 pub struct Server {
+    /// Its instance id.
     pub id: String,
+    /// Name of its service.
     pub service: String,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The zone that it is in.
     pub zone: String,
+    /// Requests that it works on at a time, 1 or more.
     pub slot_count: u32,
     pub(crate) hash: u64,
     pub(crate) standing: Standing,
     pub(crate) silent: bool,
-    /// It is taking new weights, or is about to: nothing new to it.
+    /// It is loading new weights, or will at once: it gets no new requests.
     pub(crate) loading: bool,
-    /// It will take new weights soon: long generations would hold it up.
+    /// It will load new weights soon, which long generations would delay.
     pub(crate) soon: bool,
-    /// Model and version that it runs, as last heard of.
+    /// The models that it runs, with the version last reported.
     pub(crate) models: Vec<(String, u64)>,
-    /// The call sequence at which `models` was told: an answer read later may know better.
+    /// The call sequence of the heartbeat that `models` is from; answers read later may be newer.
     pub(crate) told_at: u64,
     pub(crate) in_flight: u32,
     pub(crate) tokens: u64,
-    /// Something was sent there; until then it counts at the mean of the others.
+    /// A request was sent there. Until then it counts as having the mean number in flight.
     pub(crate) used: bool,
     pub(crate) suspect: Option<Suspicion>,
-    /// Full until then, by its own word and what it holds.
+    /// It reported that it is full, until then.
     pub(crate) full_until: Nanos,
     pub(crate) running: u32,
     pub(crate) waiting: u32,
     pub(crate) load_at: Nanos,
 }
 
-/// Own sends could not reach it; a probe that comes through ends this.
+/// A server that this node could not connect to, until a probe connects.
 #[derive(Clone, Copy, Debug)]
 pub struct Suspicion {
+    /// When the next probe is due.
     pub next_probe: Nanos,
+    /// The wait before that probe.
     pub wait: Nanos,
 }
 
@@ -89,31 +98,39 @@
         }
     }
 
-    /// Of its id.
+    /// Hash of its instance id.
     pub fn hash(&self) -> u64 {
         self.hash
     }
+    /// Whether it takes requests, by its own heartbeats.
     pub fn standing(&self) -> Standing {
         self.standing
     }
+    /// This node's requests in flight there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
     }
+    /// This node could not connect to it.
     pub fn suspected(&self) -> bool {
         self.suspect.is_some()
     }
+    /// Its heartbeats stopped.
     pub fn silent(&self) -> bool {
         self.silent
     }
+    /// It will load new weights soon.
     pub fn soon(&self) -> bool {
         self.soon
     }
+    /// It is loading new weights, or will at once.
     pub fn loading(&self) -> bool {
         self.loading
     }
+    /// The version that it runs of a model, if it reported one.
     pub fn version_of(&self, model: &str) -> Option<u64> {
         self.models.iter().find(|m| m.0 == model).map(|m| m.1)
     }
+    /// The models that it runs, with their versions.
     pub fn models(&self) -> &[(String, u64)] {
         &self.models
     }
--- a/crates/sparrouter-routing/src/versions.rs
+++ b/crates/sparrouter-routing/src/versions.rs
@@ -2,24 +2,28 @@
 use crate::Nanos;
 use std::collections::HashMap;
 
-/// The newest version that was named for a model, and how long that is known.
+/// The newest version that was named for a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wanted {
+    /// The version.
     pub version: u64,
+    /// When it was named.
     pub since: Nanos,
 }
 
+/// The versions that were named for all models.
 #[derive(Debug, Default)]
 pub struct Versions {
     wanted: HashMap<String, Wanted>,
     /// How long after it was named a request may still begin on an older one.
     patience: Nanos,
-    /// When the nodes of the core last came, went, or were found silent: the time of a version is counted within one
-    /// stretch without that (RULES.md, VERSION).
+    /// When a node of the core last joined, left or became silent. The time limit of a version restarts then (RULES.md,
+    /// VERSION).
     unsettled: Nanos,
 }
 
 impl Versions {
+    /// No versions. `patience`: how long after a version was named a request may still begin on an older one.
     pub fn new(patience: Nanos) -> Versions {
         Versions {
             wanted: HashMap::new(),
@@ -28,7 +32,8 @@
         }
     }
 
-    /// A version was named `age` ago, by the clock of who tells.
+    /// A version was named `age` ago, by the clock of the node that reports it. Older versions and repeats change nothing,
+    /// but the earliest time counts.
     pub fn told(&mut self, model: &str, version: u64, age: Nanos, now: Nanos) {
         let since = now.saturating_sub(age);
         match self.wanted.get_mut(model) {
@@ -41,16 +46,18 @@
         }
     }
 
+    /// How long after a version was named a request may still begin on an older one.
     pub fn patience(&self) -> Nanos {
         self.patience
     }
 
-    /// Something befell the core. It is noticed late, but sooner than the rules call the core settled again.
+    /// A node of the core joined, left or became silent. Nodes notice this late, but before the rules consider the core
+    /// stable again.
     pub fn core_changed(&mut self, now: Nanos) {
         self.unsettled = now;
     }
 
-    /// Until when a request may begin on an older version than this one.
+    /// Until when a request may begin on a version older than this one.
     pub fn until(&self, wanted: Wanted) -> Nanos {
         wanted
             .since
@@ -58,6 +65,7 @@
             .saturating_add(self.patience)
     }
 
+    /// The newest version that was named for a model.
     pub fn wanted(&self, model: &str) -> Option<Wanted> {
         self.wanted.get(model).copied()
     }
