--- a/crates/sparrouter-config/src/change.rs
+++ b/crates/sparrouter-config/src/change.rs
@@ -1,6 +1,7 @@
 //! A change of the configuration, by PUT or PATCH, on top of the document in force.
 
 use crate::fields::Fields;
+use crate::order::Order;
 use crate::refusal::Refusal;
 use crate::table::Table;
 use crate::text;
@@ -31,13 +32,27 @@
     Patch,
 }
 
-/// A number for a request's method and body, to know the same one when it is sent again.
-pub fn digest_of_request(method: Method, body: &[u8]) -> u64 {
-    let tag = match method {
-        Method::Put => sparrouter_rendezvous::hash(b"PUT"),
-        Method::Patch => sparrouter_rendezvous::hash(b"PATCH"),
-    };
-    sparrouter_rendezvous::mix(sparrouter_rendezvous::hash(body) ^ tag)
+/// An order that may be taken: what it is known by, and the document that it makes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    pub order: Order,
+    pub document: Document,
+}
+
+/// Reads what identifies an order, without judging it on any configuration.
+///
+/// # Errors
+///
+/// A [`Refusal`] where the body is no JSON object with a version: no release takes such an order.
+pub fn read_order(method: Method, body: &[u8], if_match: Option<u64>) -> Result<Order, Refusal> {
+    let (sent, tree) = text::read(body)?;
+    let version = Fields::root(&tree)?.version()?;
+    Ok(Order::new(method, base_of(if_match), version, &sent))
+}
+
+/// The version that an order builds on: a missing `If-Match` counts as 0.
+pub fn base_of(if_match: Option<u64>) -> u64 {
+    if_match.unwrap_or(0)
 }
 
 /// Checks a change in whole on top of `current` (None: none taken yet, its number counts as 0) and gives the
@@ -58,8 +73,22 @@
     if_match: Option<u64>,
     current: Option<&Document>,
 ) -> Result<Document, Refusal> {
+    accept(method, body, if_match, current).map(|accepted| accepted.document)
+}
+
+/// The same as [`change`], and what the order is known by when it is sent again.
+///
+/// # Errors
+///
+/// As [`change`].
+pub fn accept(
+    method: Method,
+    body: &[u8],
+    if_match: Option<u64>,
+    current: Option<&Document>,
+) -> Result<Accepted, Refusal> {
     let in_force = current.map_or(0, |document| document.version);
-    if if_match.unwrap_or(0) != in_force {
+    if base_of(if_match) != in_force {
         return Err(Refusal::Stale {
             sent: if_match,
             current: in_force,
@@ -74,13 +103,14 @@
             current: in_force,
         });
     }
+    let order = Order::new(method, in_force, version, &sent);
     let text = match method {
         Method::Put => sent,
         Method::Patch => patch(&sent, current.ok_or(Refusal::NothingToPatch)?)?,
     };
     let document = Document { version, text };
     Table::read(&document)?;
-    Ok(document)
+    Ok(Accepted { order, document })
 }
 
 /// The text of `current` with the patch applied.
--- a/crates/sparrouter-config/src/lib.rs
+++ b/crates/sparrouter-config/src/lib.rs
@@ -10,13 +10,15 @@
 mod change;
 mod edit;
 mod fields;
+mod order;
 mod read;
 mod refusal;
 mod table;
 mod text;
 
-pub use change::{Document, Method, change, digest_of_request};
+pub use change::{Accepted, Document, Method, accept, base_of, change, read_order};
 pub use edit::{Edit, Edits, Piece, digest_of_text};
+pub use order::{ORDER_DIGEST_BYTES, Order, OrderDigest};
 pub use refusal::Refusal;
 pub use table::{Engine, Kind, Limits, Route, Service, Store, Table, Tenant};
 pub use text::{MAX_BYTES, MAX_DEPTH, MAX_VALUES};
--- /dev/null
+++ b/crates/sparrouter-config/src/order.rs
@@ -0,0 +1,48 @@
+//! What identifies an operator's order, so that the same one is known when it is sent again.
+
+use crate::Method;
+use sha2::{Digest, Sha256};
+
+/// Bytes of a digest.
+pub const ORDER_DIGEST_BYTES: usize = 32;
+
+/// Keeps these digests apart from any other use of SHA-256, and from a later form of this one.
+const DOMAIN: &[u8] = b"sparrouter configuration order, form 1\0";
+
+/// SHA-256 over method, base, number and text of an order: two orders with one digest can't be made on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrderDigest(pub [u8; ORDER_DIGEST_BYTES]);
+
+/// One PUT or PATCH of the configuration, by what makes it that very order and no other.
+///
+/// White space between the tokens of the body does not count: it is no part of a configuration, which is kept and read
+/// back without it. Everything else does, the order of the fields and the digits of each number too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The version that it builds on, 0 for the first configuration.
+    pub base: u64,
+    /// The version that it makes.
+    pub number: u64,
+    pub digest: OrderDigest,
+}
+
+impl Order {
+    /// `text`: the body without white space between its tokens.
+    pub(crate) fn new(method: Method, base: u64, number: u64, text: &str) -> Order {
+        let method: &[u8] = match method {
+            Method::Put => b"PUT\0",
+            Method::Patch => b"PATCH\0",
+        };
+        let mut hasher = Sha256::new();
+        hasher.update(DOMAIN);
+        hasher.update(method);
+        hasher.update(base.to_le_bytes());
+        hasher.update(number.to_le_bytes());
+        hasher.update(text.as_bytes());
+        Order {
+            base,
+            number,
+            digest: OrderDigest(hasher.finalize().into()),
+        }
+    }
+}
--- a/crates/sparrouter-fleet/src/configuration_state.rs
+++ b/crates/sparrouter-fleet/src/configuration_state.rs
@@ -1,59 +1,69 @@
-//! What a change means to the configuration's part: documents by compare-and-set, and versions of weights named.
+//! What a change means to the configuration's shard: configurations by compare-and-set, named versions of weights.
+//!
+//! `history` knows an order that comes again; `format` has the bytes of the state. Design and invariants:
+//! docs/design/control-state/orders.md.
+
+mod format;
+mod history;
+
+pub use format::{FORM, StateFormatError};
+pub use history::{MOST_KNOWN_ORDERS, OrderFate, OrderHistory, TakenOrder};
+
 use crate::planted::{Defect, has};
 use nanoserde::{DeBin, SerBin};
 use sparrouter_codec::{Blob, Seq};
-use sparrouter_config::{Document, Method, Refusal, digest_of_request};
+use sparrouter_config::{Accepted, Document, Method, Order, Refusal, base_of};
 use sparrouter_consensus::{Applied, Machine};
 
-/// Changes whose repeats are answered as taken.
-const REMEMBERED: usize = 256;
 /// Models that versions may be named for.
 const MOST_MODELS: usize = 4_096;
+/// Longest name of a model, bytes.
+const MOST_MODEL_NAME: usize = 256;
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
-pub struct Named {
-    pub model: String,
-    pub version: u64,
-}
+/// Nothing proves that the order was taken, nothing that it was lost.
+const STATUS_UNKNOWN: u16 = 504;
 
+/// The version of a model's weights that servers are brought to.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
-pub struct Taken {
-    pub digest: u64,
+pub struct NamedVersion {
+    pub model: String,
     pub version: u64,
 }
 
-/// The body of the part.
+/// The value of the configuration's shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
 pub struct ConfigurationState {
+    /// The version in force, 0 before the first one.
     pub version: u64,
+    /// The configuration in force, without white space between tokens.
     pub text: String,
-    pub taken: Seq<Taken>,
-    pub models: Seq<Named>,
+    /// The orders that made the last versions; the newest made the one in force.
+    pub orders: OrderHistory,
+    pub models: Seq<NamedVersion>,
 }
 
+/// A call of an operator, as it travels between nodes.
 #[derive(Clone, Debug, SerBin, DeBin)]
 pub enum Change {
-    Put {
-        if_match: Option<u64>,
-        body: Blob,
-    },
-    Patch {
-        if_match: Option<u64>,
-        body: Blob,
-    },
-    Name {
-        model: String,
-        version: u64,
-    },
-    /// What is in force, by a quorum's word.
+    /// A whole configuration.
+    Put { if_match: Option<u64>, body: Blob },
+    /// Items to add, replace and remove.
+    Patch { if_match: Option<u64>, body: Blob },
+    /// A version of a model's weights.
+    Name { model: String, version: u64 },
+    /// Reads the configuration in force at the moment of the call.
     Get,
 }
 
 /// What the caller is answered.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct Verdict {
+    /// HTTP status.
     pub status: u16,
     pub text: String,
+    /// Whether it holds for every copy of the same order that is still on its way. Only the refusal of an order whose
+    /// base has not been in force yet does not: a copy that arrives later may find that base in force.
+    pub binding: bool,
 }
 
 impl Verdict {
@@ -61,22 +71,24 @@
         Verdict {
             status,
             text: text.into(),
+            binding: true,
         }
     }
+
+    /// Its bytes between nodes.
     pub fn encode(&self) -> Vec<u8> {
         self.serialize_bin()
     }
 }
 
-impl ConfigurationState {
-    pub fn read(body: &[u8]) -> Option<ConfigurationState> {
-        if body.is_empty() {
-            Some(ConfigurationState::default())
-        } else {
-            sparrouter_codec::read(body)
-        }
+impl From<Refusal> for Verdict {
+    fn from(refusal: Refusal) -> Verdict {
+        Verdict::new(refusal.status(), refusal.to_string())
     }
+}
 
+impl ConfigurationState {
+    /// The configuration in force; None before the first one.
     pub fn document(&self) -> Option<Document> {
         (self.version > 0).then(|| Document {
             version: self.version,
@@ -84,30 +96,71 @@
         })
     }
 
-    fn put(
-        &mut self,
-        method: Method,
-        if_match: Option<u64>,
-        body: &[u8],
-    ) -> Result<Verdict, Refusal> {
-        let digest = digest_of_request(method, body);
-        if self.taken.iter().any(|t| t.digest == digest) && !has(Defect::SameBodyRefused) {
-            return Ok(Verdict::new(200, "taken before"));
+    /// Judges an order: it is taken if it builds on the version in force and is valid. One that builds on another
+    /// version is known again, refused, or neither.
+    fn submit(&mut self, method: Method, if_match: Option<u64>, body: &[u8]) -> Verdict {
+        let if_match = match has(Defect::BaseIgnored) {
+            true => Some(self.version),
+            false => if_match,
+        };
+        if base_of(if_match) != self.version && !has(Defect::SameBodyRefused) {
+            return self.recognize(method, if_match, body);
         }
-        let next = sparrouter_config::change(method, body, if_match, self.document().as_ref())?;
-        if self.taken.len() == REMEMBERED {
-            self.taken.remove(0);
+        match sparrouter_config::accept(method, body, if_match, self.document().as_ref()) {
+            Ok(accepted) => self.take(accepted),
+            Err(refusal) => refusal.into(),
+        }
+    }
+
+    fn take(&mut self, accepted: Accepted) -> Verdict {
+        self.orders.push(&accepted.order);
+        self.version = accepted.document.version;
+        self.text = accepted.document.text;
+        Verdict::new(200, "taken")
+    }
+
+    /// Answers an order that does not build on the version in force, and so changes nothing.
+    fn recognize(&self, method: Method, if_match: Option<u64>, body: &[u8]) -> Verdict {
+        let stale = Refusal::Stale {
+            sent: if_match,
+            current: self.version,
+        };
+        // What can't be read was never taken.
+        let Ok(order) = sparrouter_config::read_order(method, body, if_match) else {
+            return stale.into();
+        };
+        match self.fate_of(&order) {
+            OrderFate::Taken => Verdict::new(200, "taken before"),
+            OrderFate::Lost => stale.into(),
+            OrderFate::Ahead => Verdict {
+                binding: false,
+                ..stale.into()
+            },
+            OrderFate::Unknown => Verdict::new(
+                STATUS_UNKNOWN,
+                format!(
+                    "it builds on version {}, which was overtaken too long ago to tell whether this change was taken: \
+                     read the configuration and build a new change on version {}",
+                    order.base, self.version
+                ),
+            ),
+        }
+    }
+
+    fn fate_of(&self, order: &Order) -> OrderFate {
+        match self.orders.fate(order) {
+            OrderFate::Taken
+                if has(Defect::TakenOrdersForgotten) && order.number != self.version =>
+            {
+                OrderFate::Lost
+            }
+            OrderFate::Unknown if has(Defect::OldOrderRefused) => OrderFate::Lost,
+            fate => fate,
         }
-        self.taken.push(Taken {
-            digest,
-            version: next.version,
-        });
-        (self.version, self.text) = (next.version, next.text);
-        Ok(Verdict::new(200, "taken"))
     }
 
     fn name(&mut self, model: &str, version: u64) -> Verdict {
-        if model.is_empty() || model.len() > 256 || version == 0 {
+        if model.is_empty() || model.len() > MOST_MODEL_NAME || version == 0 {
             return Verdict::new(400, "model must be a name and version 1 or more");
         }
         let many = self.models.len() >= MOST_MODELS;
@@ -117,49 +170,55 @@
             None if many => {
                 return Verdict::new(422, "versions are named for too many models: name fewer");
             }
-            None => self.models.push(Named {
+            None => self.models.push(NamedVersion {
                 model: model.to_owned(),
                 version,
             }),
         }
         Verdict::new(200, "named")
     }
+
+    fn get(&self) -> Verdict {
+        if self.version == 0 {
+            Verdict::new(404, "no configuration has been taken yet")
+        } else {
+            Verdict::new(200, self.text.clone())
+        }
+    }
+
+    fn apply(&mut self, change: &Change) -> Verdict {
+        match change {
+            Change::Put { if_match, body } => self.submit(Method::Put, *if_match, body),
+            Change::Patch { if_match, body } => self.submit(Method::Patch, *if_match, body),
+            Change::Name { model, version } => self.name(model, *version),
+            Change::Get => self.get(),
+        }
+    }
 }
 
-/// The machine of the configuration's part.
+/// The machine of the configuration's shard.
 pub struct ConfigurationMachine;
 
 impl Machine for ConfigurationMachine {
     fn apply(&self, body: &[u8], change: &[u8]) -> Applied {
-        let unchanged = |v: Verdict| Applied::Unchanged { answer: v.encode() };
-        let Some(before) = ConfigurationState::read(body) else {
-            return unchanged(Verdict::new(
-                500,
-                "the part's body is of another release: bring all nodes to one",
-            ));
+        let unchanged = |verdict: Verdict| Applied::Unchanged {
+            answer: verdict.encode(),
+        };
+        let before = match ConfigurationState::read(body) {
+            Ok(state) => state,
+            Err(why) => return unchanged(Verdict::new(500, why.to_string())),
         };
         let Some(change) = sparrouter_codec::read::<Change>(change) else {
             return unchanged(Verdict::new(400, "no change that this release knows"));
         };
         let mut after = before.clone();
-        let verdict = match &change {
-            Change::Put { if_match, body } => after.put(Method::Put, *if_match, body),
-            Change::Patch { if_match, body } => after.put(Method::Patch, *if_match, body),
-            Change::Name { model, version } => Ok(after.name(model, *version)),
-            Change::Get if before.version == 0 => {
-                Ok(Verdict::new(404, "no configuration has been taken yet"))
-            }
-            Change::Get => Ok(Verdict::new(200, before.text.clone())),
-        };
-        let verdict =
-            verdict.unwrap_or_else(|refusal| Verdict::new(refusal.status(), refusal.to_string()));
+        let verdict = after.apply(&change);
         if after == before {
-            unchanged(verdict)
-        } else {
-            Applied::Changed {
-                body: after.serialize_bin(),
-                answer: verdict.encode(),
-            }
+            return unchanged(verdict);
+        }
+        Applied::Changed {
+            body: after.encode(),
+            answer: verdict.encode(),
         }
     }
 }
--- /dev/null
+++ b/crates/sparrouter-fleet/src/configuration_state/history.rs
@@ -0,0 +1,132 @@
+//! The orders that were taken, and what is known of one that comes again.
+//!
+//! Version numbers rise strictly and each taken order builds on the version in force, so the taken versions form a
+//! chain: every version but the newest has exactly one successor, made by exactly one order. An order that builds on an
+//! overtaken version was therefore taken if and only if it *is* the successor of that version. The newest links of the
+//! chain are kept with the digests of their orders; of an order that builds on an older one nothing is claimed.
+
+use crate::planted::{Defect, has};
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use sparrouter_codec::Seq;
+use sparrouter_config::{ORDER_DIGEST_BYTES, Order, OrderDigest};
+
+/// Taken orders that are known exactly. 40 KB of the shard's body when full; three hours of changes at 7,800 a day.
+pub const MOST_KNOWN_ORDERS: usize = 1_024;
+
+/// One link of the chain: the order that made a version. Its base is the number of the link before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenOrder {
+    pub number: u64,
+    pub digest: OrderDigest,
+}
+
+/// What the chain tells of an order whose base is not the version in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderFate {
+    /// This very order made a version; it may have been overtaken since.
+    Taken,
+    /// It never made a version and can't any more.
+    Lost,
+    /// Its base has not been in force yet.
+    Ahead,
+    /// Its base was overtaken before the oldest link that is kept: it was taken or lost.
+    Unknown,
+}
+
+/// The newest part of the chain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
+pub struct OrderHistory {
+    /// The version that the oldest link builds on.
+    base: u64,
+    links: Seq<TakenOrder>,
+}
+
+impl OrderHistory {
+    /// A chain of which nothing is known up to `version`.
+    pub fn unknown_before(version: u64) -> OrderHistory {
+        OrderHistory {
+            base: version,
+            links: Seq::default(),
+        }
+    }
+
+    /// The version in force, 0 before the first one.
+    pub fn newest(&self) -> u64 {
+        self.links.last().map_or(self.base, |link| link.number)
+    }
+
+    /// How many orders are known exactly.
+    pub fn known(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Appends an order that builds on the newest version.
+    pub fn push(&mut self, order: &Order) {
+        debug_assert!(order.number > self.newest());
+        if self.links.len() >= MOST_KNOWN_ORDERS {
+            self.base = self.links.remove(0).number;
+        }
+        self.links.push(TakenOrder {
+            number: order.number,
+            digest: order.digest,
+        });
+    }
+
+    /// What is known of an order that does not build on the newest version.
+    pub fn fate(&self, order: &Order) -> OrderFate {
+        if order.base > self.newest() {
+            return OrderFate::Ahead;
+        }
+        if order.base < self.base {
+            // What such an order made stands at or before the oldest base.
+            return if order.number > self.base {
+                OrderFate::Lost
+            } else {
+                OrderFate::Unknown
+            };
+        }
+        match self.successor(order.base) {
+            Some(link) if is_made_by(link, order) => OrderFate::Taken,
+            _ => OrderFate::Lost,
+        }
+    }
+
+    /// The link that builds on `base`; None where no such version is known to have been taken.
+    fn successor(&self, base: u64) -> Option<&TakenOrder> {
+        if base == self.base {
+            return self.links.first();
+        }
+        let place = self
+            .links
+            .binary_search_by_key(&base, |link| link.number)
+            .ok()?;
+        self.links.get(place + 1)
+    }
+}
+
+fn is_made_by(link: &TakenOrder, order: &Order) -> bool {
+    let same_digest = link.digest == order.digest || has(Defect::OrderDigestIgnored);
+    link.number == order.number && same_digest
+}
+
+impl SerBin for TakenOrder {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        self.number.ser_bin(out);
+        out.extend_from_slice(&self.digest.0);
+    }
+}
+
+impl DeBin for TakenOrder {
+    fn de_bin(at: &mut usize, input: &[u8]) -> Result<TakenOrder, DeBinErr> {
+        let number = u64::de_bin(at, input)?;
+        let left = input.get(*at..).unwrap_or_default();
+        let Some(digest) = left.first_chunk::<ORDER_DIGEST_BYTES>() else {
+            return Err(DeBinErr::new(*at, ORDER_DIGEST_BYTES, left.len()));
+        };
+        *at += ORDER_DIGEST_BYTES;
+        Ok(TakenOrder {
+            number,
+            digest: OrderDigest(*digest),
+        })
+    }
+}
--- a/crates/sparrouter-fleet/src/control.rs
+++ b/crates/sparrouter-fleet/src/control.rs
@@ -278,11 +278,9 @@
     }
 
     fn publish(&self, seq: u64, body: &[u8]) {
-        let Some(statute) = ConfigurationState::read(body) else {
-            return self
-                .node
-                .log_buffer
-                .breach("the configuration's part is of another release: bring all nodes to one");
+        let statute = match ConfigurationState::read(body) {
+            Ok(state) => state,
+            Err(why) => return self.node.log_buffer.breach(&why.to_string()),
         };
         let models = statute.models.iter().map(|m| {
             let known = self.node.in_force();
--- a/crates/sparrouter-fleet/src/control/change.rs
+++ b/crates/sparrouter-fleet/src/control/change.rs
@@ -18,7 +18,7 @@
     part: u16,
     change: Vec<u8>,
     patience: Duration,
-) -> Result<Vec<u8>, NoChange> {
+) -> Result<Answered, NoChange> {
     let until = Instant::now() + patience;
     let own = node.me.borrow().internal.clone();
     let member = control.is_some_and(|c| c.is_member());
@@ -52,6 +52,10 @@
         to.extend(core.into_iter().map(|c| c.1));
     }
     let own: Option<SocketAddr> = own.parse().ok();
+    let answered = |answer: Vec<u8>, worst: &NoChange| Answered {
+        answer,
+        copies_under_way: *worst == NoChange::Unknown,
+    };
     let mut worst = NoChange::NotMade(
         "no node that keeps the control state is known here: ask another one".into(),
     );
@@ -72,7 +76,7 @@
                 continue;
             };
             match control.change_here(part, change.clone(), share).await {
-                Outcome::Answered(answer) => return Ok(answer),
+                Outcome::Answered(answer) => return Ok(answered(answer, &worst)),
                 Outcome::Refused(why) => {
                     worst = worst.or(NoChange::NotMade(control.explain(&why.to_string())));
                 }
@@ -90,7 +94,7 @@
             .call(address, &call, share + Duration::from_millis(20))
             .await
         {
-            Ok(Reply::Changed(answer)) => return Ok(answer.0),
+            Ok(Reply::Changed(answer)) => return Ok(answered(answer.0, &worst)),
             Ok(Reply::NotChanged(why)) => worst = worst.or(NoChange::NotMade(why)),
             Err(LinkError::Unreachable | LinkError::Crowded) => {}
             _ => worst = NoChange::Unknown,
@@ -99,6 +103,14 @@
     Err(worst)
 }
 
+/// What a quorum answered to a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answered {
+    pub answer: Vec<u8>,
+    /// An earlier try of the same call ended without an answer: its copy may still be judged, on a later state.
+    pub copies_under_way: bool,
+}
+
 /// Why a change has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NoChange {
--- a/crates/sparrouter-fleet/src/control_api.rs
+++ b/crates/sparrouter-fleet/src/control_api.rs
@@ -134,7 +134,14 @@
     )
     .await
     {
-        Ok(answer) => match control::verdict(&answer) {
+        Ok(answered) => match control::verdict(&answered.answer) {
+            Some(verdict)
+                if !verdict.binding
+                    && answered.copies_under_way
+                    && !has(Defect::CopyAheadRefused) =>
+            {
+                unknown(&services)
+            }
             Some(verdict) if get && verdict.status == 200 => Answer::json(200, verdict.text),
             Some(verdict) => Answer::plain(verdict.status, verdict.text),
             None => Answer::plain(
@@ -147,19 +154,21 @@
             ..Answer::later(services.node.jitter(Duration::from_millis(150)))
         },
         Err(NoChange::Unknown) if has(Defect::MinorityAcks) && !get => Answer::plain(200, "taken"),
-        Err(NoChange::Unknown) => {
-            let why = "no quorum answered in time: the change may be in force or not; send it again unchanged";
-            Answer::plain(
-                504,
-                services
-                    .control
-                    .as_ref()
-                    .map_or(why.to_owned(), |c| c.explain(why)),
-            )
-        }
+        Err(NoChange::Unknown) => unknown(&services),
     }
 }
 
+/// The answer where nobody can say what became of a change.
+fn unknown(services: &ControlServices) -> Answer {
+    let why =
+        "no quorum answered in time: the change may be in force or not; send it again unchanged";
+    let text = services
+        .control
+        .as_ref()
+        .map_or(why.to_owned(), |control| control.explain(why));
+    Answer::plain(504, text)
+}
+
 async fn status(services: Rc<ControlServices>) -> Answer {
     Answer::json(
         200,
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -135,7 +135,7 @@
             patience,
         )
         .await;
-        LeaseAnswer::decode(&made.ok()?)
+        LeaseAnswer::decode(&made.ok()?.answer)
     }
 
     async fn run(self: Rc<Self>) {
