Every simulated story checks its operators' calls for linearizability

Change: `linearizability` is Wing and Gong's search with Lowe's memoisation, generic over a sequential model; `order_history` records each operator call with invocation and response and holds the model (register with compare-and-set that knows an order again). Found by it: an order whose base was not in force was refused with 412 while its copy waited at a frozen member, and came into force later.

--- a/crates/sparrouter-simulation/src/faults.rs
+++ b/crates/sparrouter-simulation/src/faults.rs
@@ -216,6 +216,7 @@
             .judge
             .breach("FAULT", format!("a task ended by a panic: {panic}"));
     }
+    world.judge.check_history();
     let load_counts = world.judge.load_counts();
     let twice = load_counts.iter().filter(|(_, n)| **n > 1);
     let waste = twice
--- a/crates/sparrouter-simulation/src/judge/mod.rs
+++ b/crates/sparrouter-simulation/src/judge/mod.rs
@@ -15,6 +15,7 @@
 pub use orders::Sent;
 pub use requests::{Asked, Made, Run};
 
+use crate::order_history::OrderHistory;
 use budget::Budget;
 use orders::Orders;
 use requests::Requests;
@@ -79,6 +80,8 @@
     requests: RefCell<Requests>,
     orders: RefCell<Orders>,
     budget: RefCell<Budget>,
+    /// The operators' calls, checked by `check_history`.
+    pub history: RefCell<OrderHistory>,
     /// Every word of the story, not only the troubles.
     pub verbose: Cell<bool>,
 }
@@ -94,10 +97,19 @@
             requests: RefCell::default(),
             orders: RefCell::default(),
             budget: RefCell::new(Budget::new(bounds)),
+            history: RefCell::default(),
             verbose: Cell::new(false),
         }
     }
 
+    /// Breaks LINEAR unless the operators' calls and answers have an order that a register allows.
+    pub fn check_history(&self) {
+        let violation = self.history.borrow().violation();
+        if let Some(violation) = violation {
+            self.breach("LINEAR", violation);
+        }
+    }
+
     /// A line of the story.
     pub fn note(&self, what: impl Into<String>) {
         let line = format!("{:9.3} {}", self.began.elapsed().as_secs_f64(), what.into());
--- a/crates/sparrouter-simulation/src/judge/orders.rs
+++ b/crates/sparrouter-simulation/src/judge/orders.rs
@@ -1,5 +1,6 @@
 //! What the operator sent and was told, versions of weights, and orders to servers: CONFIG, VERSION, ONE.
 use super::Judge;
+use crate::order_history::OrderCall;
 use crate::plan::Plan;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -39,8 +40,16 @@
 }
 
 impl Judge {
-    /// A configuration leaves the operator, for the first time or again. Gives back its place.
+    /// A configuration leaves the operator, for the first time or again. Gives back its place. Its calls are not
+    /// recorded one by one: for the history it may be taken at any later moment.
     pub fn config_sent(&self, plan: &Plan, base: u64, valid: bool) -> usize {
+        self.history.borrow_mut().order_invoked(OrderCall {
+            base,
+            number: plan.version,
+            request: format!("PUT {}", plan.json()),
+            document: plan.json(),
+            valid,
+        });
         self.body_sent(plan, base, valid, plan.json())
     }
 
--- a/crates/sparrouter-simulation/src/lib.rs
+++ b/crates/sparrouter-simulation/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `server`, `client`, `operator`, `platform` | who stands outside, by their page |
 //! | `plan`, `speech` | configurations; HTTP as stand-ins speak it |
 //! | `judge` | the rules |
+//! | `linearizability`, `order_history` | whether calls and answers have an order that a register allows; the calls |
 //! | `weather` | days by seed |
 //! | `world`, `story`, `load` | one deployment and its troubles; how a story is told; clients that ask on and on |
 //!
@@ -20,9 +21,11 @@
 pub mod faults;
 pub mod http_messages;
 pub mod judge;
+pub mod linearizability;
 pub mod load;
 pub mod net;
 pub mod operator;
+pub mod order_history;
 pub mod plan;
 pub mod platform;
 pub mod process;
--- a/crates/sparrouter-simulation/src/operator.rs
+++ b/crates/sparrouter-simulation/src/operator.rs
@@ -2,6 +2,7 @@
 use crate::http_messages::{self, Reply};
 use crate::judge::Judge;
 use crate::net::MemoryNet;
+use crate::order_history::{OrderCall, Outcome};
 use crate::plan::Plan;
 use crate::server::MODEL;
 use fastrand::Rng;
@@ -31,6 +32,49 @@
     Body(String),
 }
 
+/// One order as it goes over the wire.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub method: &'static str,
+    pub base: u64,
+    pub body: String,
+    /// The configuration that is in force once it is taken.
+    pub plan: Plan,
+    /// Whether it may be taken at all.
+    pub valid: bool,
+}
+
+impl Order {
+    pub fn new(plan: &Plan, base: u64, how: How, valid: bool) -> Order {
+        let (method, body) = match how {
+            How::Whole => ("PUT", plan.json()),
+            How::Patch(before) => ("PATCH", plan.patch_json(&before)),
+            How::Body(body) => ("PUT", body),
+        };
+        Order {
+            method,
+            base,
+            body,
+            plan: plan.clone(),
+            valid,
+        }
+    }
+
+    fn request(&self) -> String {
+        format!("{} {}", self.method, self.body)
+    }
+
+    fn recorded(&self) -> OrderCall {
+        OrderCall {
+            base: self.base,
+            number: self.plan.version,
+            request: self.request(),
+            document: self.plan.json(),
+            valid: self.valid,
+        }
+    }
+}
+
 impl Operator {
     pub fn new(
         net: MemoryNet,
@@ -82,45 +126,15 @@
         how: How,
         valid: bool,
     ) -> (u16, Option<SocketAddr>) {
-        let (method, body) = match how {
-            How::Whole => ("PUT", plan.json()),
-            How::Patch(before) => ("PATCH", plan.patch_json(&before)),
-            How::Body(body) => ("PUT", body),
-        };
-        let place = self
-            .judge
-            .body_sent(plan, base, valid, format!("{method} {body}"));
+        let order = Order::new(plan, base, how, valid);
+        let place = self.judge.body_sent(plan, base, valid, order.request());
         let began = Instant::now();
-        let base = base.to_string();
-        let fields = [
-            ("If-Match", base.as_str()),
-            ("Content-Type", "application/json"),
-        ];
         let mut told = false;
         let mut others = 0;
         let mut pause = Duration::from_millis(50);
         while began.elapsed() < GIVES_UP {
             let to = first.take().unwrap_or_else(|| self.any());
-            let reply = http_messages::call(
-                &self.net,
-                to,
-                method,
-                "/api/config",
-                &fields,
-                &body,
-                PATIENCE,
-            )
-            .await;
-            let text = |r: &Reply| {
-                format!(
-                    "{} {}",
-                    r.status,
-                    r.text().chars().take(80).collect::<String>()
-                )
-            };
-            self.judge
-                .detail(|| format!("{to} answers the operator: {:?}", reply.as_ref().map(text)));
-            let status = reply.map_or(0, |r| r.status);
+            let status = self.send(to, &order).await;
             match status {
                 200..=299 => {
                     self.judge.config_acknowledged(place);
@@ -155,6 +169,49 @@
         (0, None)
     }
 
+    /// One call to one node, recorded for the check of the history; the status, 0 where no answer came.
+    pub async fn send(&self, to: SocketAddr, order: &Order) -> u16 {
+        let call = self
+            .judge
+            .history
+            .borrow_mut()
+            .order_invoked(order.recorded());
+        let base = order.base.to_string();
+        let fields = [
+            ("If-Match", base.as_str()),
+            ("Content-Type", "application/json"),
+        ];
+        let reply = http_messages::call(
+            &self.net,
+            to,
+            order.method,
+            "/api/config",
+            &fields,
+            &order.body,
+            PATIENCE,
+        )
+        .await;
+        let text = |r: &Reply| {
+            format!(
+                "{} {}",
+                r.status,
+                r.text().chars().take(80).collect::<String>()
+            )
+        };
+        self.judge
+            .detail(|| format!("{to} answers the operator: {:?}", reply.as_ref().map(text)));
+        let status = reply.map_or(0, |r| r.status);
+        let outcome = match status {
+            200..=299 => Some(Outcome::Acknowledged),
+            400 | 409 | 412 | 413 | 422 => Some(Outcome::Refused),
+            _ => None,
+        };
+        if let Some(outcome) = outcome {
+            self.judge.history.borrow_mut().answered(call, outcome);
+        }
+        status
+    }
+
     /// Names new weights until that is acknowledged.
     pub async fn name_version(&self, version: u64) -> bool {
         let began = Instant::now();
@@ -179,11 +236,21 @@
         false
     }
 
-    /// One question to one node.
+    /// One question to one node, recorded for the check of the history.
     pub async fn get_from(&self, to: SocketAddr) -> Option<Reply> {
-        http_messages::call(&self.net, to, "GET", "/api/config", &[], "", PATIENCE)
+        let call = self.judge.history.borrow_mut().read_invoked();
+        let reply = http_messages::call(&self.net, to, "GET", "/api/config", &[], "", PATIENCE)
             .await
-            .ok()
+            .ok()?;
+        let outcome = match reply.status {
+            200 => Some(Outcome::Document(reply.text().to_owned())),
+            404 => Some(Outcome::NoDocument),
+            _ => None,
+        };
+        if let Some(outcome) = outcome {
+            self.judge.history.borrow_mut().answered(call, outcome);
+        }
+        Some(reply)
     }
 
     /// Reads the configuration back, as at the end of a day.
--- a/crates/sparrouter-simulation/src/scenario.rs
+++ b/crates/sparrouter-simulation/src/scenario.rs
@@ -21,6 +21,7 @@
 pub fn run_judged<F: Future<Output = Rc<World>>>(story: impl FnOnce() -> F) {
     play(async move {
         let world = story().await;
+        world.judge.check_history();
         world.judge.assert_kept();
     });
 }
--- a/crates/sparrouter-simulation/src/world.rs
+++ b/crates/sparrouter-simulation/src/world.rs
@@ -301,6 +301,11 @@
         ))
     }
 
+    /// Where the operator calls from.
+    pub fn operator_ip(&self) -> IpAddr {
+        outside(2)
+    }
+
     pub fn outside_net(&self) -> MemoryNet {
         MemoryNet::new(self.fabric.clone(), outside(3))
     }
