Measure catch-up and changes of the replica group over lines of 10 Mbit/s

Cause: nothing measured what a change or a catch-up costs where a line carries few bytes a second. Change: an example of the consensus package on the real registers and encoding in virtual time.

--- /dev/null
+++ b/crates/sparrouter-consensus/examples/catch_up.rs
@@ -0,0 +1,104 @@
+//! What a change costs by members, and what catching up costs by changes missed, over lines of 10 Mbit/s.
+//!
+//! `cargo run --release -p sparrouter-consensus --example catch_up`
+#[path = "../tests/narrow_links/mod.rs"]
+mod narrow_links;
+
+use narrow_links::Group;
+use sparrouter_consensus::{MILLISECOND, Nanos, SECOND, Settings};
+
+const BODY: usize = 500_000;
+const LINE: u64 = 10_000_000 / 8;
+const PATIENCE: Nanos = 10 * SECOND;
+const CHANGES: u64 = 20;
+
+fn milliseconds(span: Nanos) -> u64 {
+    span / MILLISECOND
+}
+
+fn settled(members: usize) -> Group {
+    let mut group = Group::new(members, BODY, LINE, Settings::default());
+    let all = |g: &Group| (0..members).all(|i| g.is_confirmed(i));
+    assert!(group.run_until(60 * SECOND, all), "the group starts");
+    group
+}
+
+fn changes() {
+    println!("members | messages a change | KB a change | ms a change | slowest small message, ms");
+    for members in [3, 5, 7] {
+        let mut group = settled(members);
+        group.reset_traffic();
+        let (mut made, mut spent) = (0, 0);
+        for _ in 0..CHANGES {
+            let began = group.now;
+            made += u64::from(
+                group
+                    .change(0, PATIENCE)
+                    .is_some_and(|o| matches!(o, sparrouter_consensus::Outcome::Answered(_))),
+            );
+            spent += group.now - began;
+            let until = group.now + 2 * SECOND;
+            group.run_until(until, |_| false);
+        }
+        let traffic = group.traffic;
+        println!(
+            "{members} | {} | {} | {} | {} ({made} of {CHANGES} made)",
+            traffic.messages / CHANGES,
+            traffic.bytes / CHANGES / 1_000,
+            milliseconds(spent / CHANGES),
+            milliseconds(traffic.slowest_probe),
+        );
+    }
+}
+
+fn catch_up(missed: u64, change_every: Option<Nanos>) {
+    let mut group = settled(3);
+    group.kill(2);
+    for _ in 0..missed {
+        group.change(0, PATIENCE);
+    }
+    let until = group.now + 10 * SECOND;
+    group.run_until(until, |_| false);
+    group.reset_traffic();
+    group.start(2);
+    let began = group.now;
+    let mut next_change = began;
+    let caught_up = loop {
+        let ready = |g: &Group| g.is_confirmed(2) && g.count_on_disk(2) == g.count(0);
+        next_change += change_every.unwrap_or(60 * SECOND);
+        if group.run_until(next_change, ready) {
+            break true;
+        }
+        if group.now >= began + 60 * SECOND {
+            break false;
+        }
+        group.propose(0, PATIENCE);
+    };
+    let traffic = group.traffic;
+    println!(
+        "{missed} | {} | {} | {} | {} | {} | {}",
+        change_every.map_or("none".to_owned(), |e| format!(
+            "every {} ms",
+            milliseconds(e)
+        )),
+        if caught_up { "yes" } else { "no, in 60 s" },
+        milliseconds(group.now - began),
+        traffic.messages,
+        traffic.bytes / 1_000,
+        milliseconds(traffic.slowest_probe),
+    );
+}
+
+fn main() {
+    changes();
+    println!();
+    println!(
+        "changes missed | changes beside | caught up | ms | messages | KB | slowest small message, ms"
+    );
+    for missed in [0, 1, 10, 100, 500] {
+        catch_up(missed, None);
+    }
+    for every in [3_000, 1_500, 1_000] {
+        catch_up(10, Some(every * MILLISECOND));
+    }
+}
