Large bodies of votes are fetched once, in pieces checked by a digest

Cause: each message that carries a vote carried its body. A member that was behind asked all others by a query, by each repeat of it and at each exchange, and was sent 500 KB each time; a proposer repeated 500 KB to whoever was slow. On lines of 10 Mbit/s copies queued faster than they left: beside a change every 3 s a restarted member did not catch up in 60 s, 7 members made 3 of 20 changes, and small messages waited up to 84 s behind copies. Ruled out: longer patience or rarer exchanges alone (the copies by queries and repeats remain). To the protocol it is a message that was long under way, so that no rule of it changes.

--- a/crates/sparrouter-consensus/src/lib.rs
+++ b/crates/sparrouter-consensus/src/lib.rs
@@ -7,8 +7,8 @@
 //! `types` (members, ballots, states), `codec` and `message` (bytes), `settings`, `quorum`, `acceptor` (promises and
 //! votes, durable before they are told), `learner` (what is known chosen, and handing it over), `operation` (callers'
 //! calls and what became of them), `judge` (changes put on a chosen state), `proposer` (rounds), `register` (the
-//! doors), `reconfiguration` (who belongs to the group), `owner` (whom to ask first), `machine` (what a change means), `lease`
-//! (fencing tokens).
+//! doors), `transfer` (large bodies, fetched in pieces), `reconfiguration` (who belongs to the group), `owner` (whom to
+//! ask first), `machine` (what a change means), `lease` (fencing tokens).
 //!
 //! Sources: Lamport, "Paxos made simple", 2001; Rystsov, "CASPaxos: replicated state machines without logs", 2018;
 //! Lamport, Malkhi and Zhou, "Reconfiguring a state machine", SIGACT News 2010; joint majorities after Ongaro and
@@ -27,6 +27,7 @@
 pub mod reconfiguration;
 pub mod register;
 pub mod settings;
+pub mod transfer;
 pub mod types;
 
 pub use lease::Leases;
--- a/crates/sparrouter-consensus/src/message.rs
+++ b/crates/sparrouter-consensus/src/message.rs
@@ -1,8 +1,9 @@
 //! What nodes say to each other about one part. Each is a copy of state: lost, late, repeated or out of order, none
 //! does harm.
-use crate::codec::{self, CodecError};
+use crate::codec::{self, CodecError, read_bytes, write_bytes};
+use crate::transfer::{BodyReference, Purpose};
 use crate::types::{Ballot, SharedVote, VoteId};
-use nanoserde::{DeBin, SerBin};
+use nanoserde::{DeBin, DeBinErr, SerBin};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum Reason {
@@ -67,6 +68,49 @@
     Learn {
         vote: SharedVote,
     },
+    /// A message of those above whose vote has a large body, without that: see `transfer`.
+    Outline {
+        purpose: Purpose,
+        /// Its body is empty here.
+        vote: SharedVote,
+        body: BodyReference,
+    },
+    /// Send me the piece of this body that begins at `offset`.
+    FetchBody {
+        body: BodyReference,
+        offset: u32,
+    },
+    BodyPiece {
+        body: BodyReference,
+        offset: u32,
+        bytes: PieceBytes,
+    },
+    /// I have this body no more, as newer ones came.
+    BodyGone {
+        body: BodyReference,
+    },
+}
+
+/// Bytes of a body, written as one block.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PieceBytes(pub Vec<u8>);
+
+impl From<&[u8]> for PieceBytes {
+    fn from(bytes: &[u8]) -> PieceBytes {
+        PieceBytes(bytes.to_vec())
+    }
+}
+
+impl SerBin for PieceBytes {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        write_bytes(&self.0, out);
+    }
+}
+
+impl DeBin for PieceBytes {
+    fn de_bin(at: &mut usize, input: &[u8]) -> Result<PieceBytes, DeBinErr> {
+        Ok(PieceBytes(read_bytes(at, input, input.len())?))
+    }
 }
 
 impl Message {
--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -9,6 +9,7 @@
 use crate::proposer::{Lead, Phase};
 use crate::reconfiguration::{NodeObservation, Reconfiguration};
 use crate::settings::Settings;
+use crate::transfer::{TransferCounts, Transfers};
 use crate::types::{Ballot, Member, Record, SharedVote, State, Vote};
 use fastrand::Rng;
 use std::collections::VecDeque;
@@ -68,6 +69,7 @@
     stranger: Option<Member>,
     settle_at: Option<Nanos>,
     reconfiguration: Reconfiguration,
+    transfers: Transfers,
 }
 
 impl<M: Machine> Register<M> {
@@ -115,6 +117,7 @@
             stranger: None,
             settle_at: None,
             reconfiguration: Reconfiguration::default(),
+            transfers: Transfers::default(),
             settings,
         })
     }
@@ -133,6 +136,11 @@
         self.learner.conflicts()
     }
 
+    /// What became of the large bodies that this node fetched.
+    pub fn transfer_counts(&self) -> TransferCounts {
+        self.transfers.counts
+    }
+
     /// The group, as far as this node knows.
     pub fn members(&self) -> &[Member] {
         self.newest().map_or(&[], |v| &v.state.members)
@@ -222,6 +230,8 @@
             self.abandon();
         }
         self.round_timer(now);
+        let sends = self.transfers.tick(&self.settings, now);
+        self.send_all(sends);
         if self.exchange_at <= now {
             self.exchange(now);
         }
@@ -286,6 +296,7 @@
             Some(self.exchange_at),
             self.settle_at,
             self.acceptor.next_wake(),
+            self.transfers.next_wake(),
         ];
         timers.into_iter().flatten().min()
     }
@@ -298,10 +309,17 @@
         if to.disk == self.me.disk {
             self.inbox.push_back((to, message));
         } else {
+            let message = self.transfers.outline(message, &self.settings);
             self.actions.push(Action::Send { to, message });
         }
     }
 
+    fn send_all(&mut self, sends: Vec<(Member, Message)>) {
+        for (to, message) in sends {
+            self.send(to, message);
+        }
+    }
+
     pub(crate) fn finish(&mut self, id: Option<u64>, outcome: Outcome) {
         if let Some(op) = id {
             self.done(op, outcome);
@@ -387,6 +405,43 @@
             }
             Message::Kept { chosen } => self.learner.heard(from.disk, chosen),
             Message::Learn { vote } => drop(self.publish(&vote, now)),
+            Message::Outline {
+                purpose,
+                vote,
+                body,
+            } => {
+                let newest = self.acceptor.accepted().cloned();
+                let (message, sends) = self.transfers.arrived(
+                    from.clone(),
+                    purpose,
+                    vote,
+                    body,
+                    newest.as_ref(),
+                    &self.settings,
+                    now,
+                );
+                self.inbox.extend(message.map(|m| (from, m)));
+                self.send_all(sends);
+            }
+            Message::FetchBody { body, offset } => {
+                let answer = self.transfers.asked(body, offset, &self.settings);
+                self.send(from, answer);
+            }
+            Message::BodyPiece {
+                body,
+                offset,
+                bytes,
+            } => {
+                let (ready, sends) =
+                    self.transfers
+                        .piece(&from, body, offset, bytes.0, &self.settings, now);
+                self.inbox.extend(ready);
+                self.send_all(sends);
+            }
+            Message::BodyGone { body } => {
+                let sends = self.transfers.gone(&from, body, &self.settings, now);
+                self.send_all(sends);
+            }
         }
     }
 
--- a/crates/sparrouter-consensus/src/settings.rs
+++ b/crates/sparrouter-consensus/src/settings.rs
@@ -15,6 +15,10 @@
     pub most_body: usize,
     /// Largest change, bytes.
     pub most_change: usize,
+    /// Largest body that goes with the messages that carry a vote, bytes; larger ones are fetched in pieces.
+    pub inline_body: usize,
+    /// Length of a piece, bytes. A small message on the same connection waits behind a few of them at most.
+    pub piece: usize,
     pub defects: Defects,
 }
 
@@ -27,6 +31,8 @@
             most_pending: 256,
             most_body: 8 << 20,
             most_change: 8 << 20,
+            inline_body: 16 << 10,
+            piece: 32 << 10,
             defects: Defects::default(),
         }
     }
@@ -70,4 +76,10 @@
     pub forget_sent: bool,
     /// For the caller: a wiped disk comes back under its old id.
     pub wiped_keeps_id: bool,
+    /// Large bodies go with each message that carries their vote.
+    pub bodies_pushed: bool,
+    /// A body is taken for what it was announced as, whatever arrived.
+    pub body_unchecked: bool,
+    /// A fetch that was interrupted begins anew.
+    pub fetch_from_start: bool,
 }
--- a/crates/sparrouter-consensus/tests/fleet/mod.rs
+++ b/crates/sparrouter-consensus/tests/fleet/mod.rs
@@ -22,6 +22,8 @@
 
 const PART: u16 = 7;
 const CONTACT: Nanos = 600 * MILLISECOND;
+/// A version and a few ids, bytes.
+const LEAST_BODY: usize = 32;
 /// Once all faults have ended: beats, swaps and back-offs are over, and calls are answered.
 const CALM: Nanos = 6 * CONTACT;
 
@@ -35,6 +37,17 @@
     pub trace: bool,
 }
 
+impl Plan {
+    /// Under every other seed nearly all bodies are fetched in pieces, under the others none.
+    fn inline_body(&self) -> usize {
+        if self.seed % 2 == 1 {
+            LEAST_BODY
+        } else {
+            Settings::default().inline_body
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct Failure {
     pub what: String,
@@ -113,6 +126,8 @@
     /// Disks that are gone, and since when.
     pub lost: Vec<(u64, Nanos)>,
     pub defects: Defects,
+    /// Bodies above it are fetched in pieces.
+    pub inline_body: usize,
     pub acknowledgements: u64,
     queue: BinaryHeap<Reverse<(Nanos, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -179,6 +194,7 @@
             weather: plan.weather,
             lost: Vec::new(),
             defects: plan.defects.clone(),
+            inline_body: plan.inline_body(),
             acknowledgements: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -444,6 +460,8 @@
             contact: CONTACT,
             exchange: 100 * MILLISECOND,
             round_trip: 10 * MILLISECOND,
+            inline_body: self.inline_body,
+            piece: 48,
             defects: self.defects.clone(),
             ..Settings::default()
         };
--- a/crates/sparrouter-consensus/tests/narrow_links/mod.rs
+++ b/crates/sparrouter-consensus/tests/narrow_links/mod.rs
@@ -276,10 +276,7 @@
 
     fn settle(&mut self) {
         for i in 0..self.nodes.len() {
-            loop {
-                let Some(register) = self.nodes[i].register.as_mut() else {
-                    break;
-                };
+            while let Some(register) = self.nodes[i].register.as_mut() {
                 let actions = register.take_actions();
                 if actions.is_empty() {
                     break;
