State files of a newer release are refused untouched; a record that can't be read is no record

Cause: the data directory was emptied on any error at the start, also when a newer release had written it, so that a downgrade of all machines lost the configuration; and a shard's record that could not be decoded left the disk its old id with no promises. Values with bytes left over, of a release with more fields, were half read. Ruled out: going on without a disk where a newer release wrote it (the group would form anew beside its old state). Change: the process refuses to start and says which release to start; what cannot be read for now stays as it is; a record that is damaged inside a whole file empties the folder, so that the machine joins under a new id; decoding takes all bytes or none.

--- a/crates/sparrouter-codec/src/lib.rs
+++ b/crates/sparrouter-codec/src/lib.rs
@@ -106,10 +106,14 @@
     }
 }
 
-/// Reads one value. `nanoserde` adds a claimed text length to the offset unchecked, which panics when it overflows:
+/// Reads one value that takes up all of the bytes: what is left over is of another release, and a change made without
+/// it would lose it. `nanoserde` adds a claimed text length to the offset unchecked, which panics when it overflows:
 /// caught here, so that hostile bytes end as None like all that is malformed.
 pub fn read<T: DeBin>(bytes: &[u8]) -> Option<T> {
-    std::panic::catch_unwind(|| T::deserialize_bin(bytes).ok())
-        .ok()
-        .flatten()
+    let reading = || {
+        let mut at = 0;
+        let value = T::de_bin(&mut at, bytes).ok()?;
+        (at == bytes.len()).then_some(value)
+    };
+    std::panic::catch_unwind(reading).ok().flatten()
 }
--- a/crates/sparrouter-codec/tests/lists.rs
+++ b/crates/sparrouter-codec/tests/lists.rs
@@ -30,3 +30,11 @@
             .is_none()
     );
 }
+
+#[test]
+fn given_bytes_after_the_value_when_read_then_it_is_refused() {
+    let mut bytes = Blob(vec![1, 2, 3]).serialize_bin();
+    assert!(sparrouter_codec::read::<Blob>(&bytes).is_some());
+    bytes.push(0);
+    assert!(sparrouter_codec::read::<Blob>(&bytes).is_none());
+}
--- a/crates/sparrouter-fleet/src/disk.rs
+++ b/crates/sparrouter-fleet/src/disk.rs
@@ -3,13 +3,51 @@
 //! The program's keeper is a thread. Where stories are told it is a task in virtual time, over a disk that lies.
 use crate::control::LEASE_SHARDS;
 use crate::log_buffer::LogBuffer;
+use crate::planted::{Defect, has};
 use fastrand::Rng;
-use sparrouter_storage::{Files, Opened, RealFiles, Store};
+use sparrouter_consensus::codec::{self, CodecError};
+use sparrouter_consensus::{Record, Settings};
+use sparrouter_storage::{Files, Opened, RealFiles, StorageError, Store};
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
 use tokio::sync::mpsc::UnboundedSender;
 
+/// Why the data directory cannot be used as it is; each message says what to do.
+#[derive(Debug, thiserror::Error)]
+pub enum DiskError {
+    /// It stays untouched, since the release that wrote it can use it.
+    #[error("{0}")]
+    Newer(String),
+    /// What was promised may be lost, so that nothing in it may count.
+    #[error("{0}")]
+    Damaged(String),
+    #[error("{0}")]
+    Unreadable(String),
+}
+
+impl DiskError {
+    fn of_folder(self, folder: &Path) -> DiskError {
+        let named = |why: String| format!("{}: {why}", folder.display());
+        match self {
+            DiskError::Newer(why) => DiskError::Newer(named(why)),
+            DiskError::Damaged(why) => DiskError::Damaged(named(why)),
+            DiskError::Unreadable(why) => DiskError::Unreadable(named(why)),
+        }
+    }
+}
+
+impl From<StorageError> for DiskError {
+    fn from(error: StorageError) -> DiskError {
+        let why = error.to_string();
+        match error {
+            StorageError::Newer { .. } => DiskError::Newer(why),
+            StorageError::Damaged { .. } => DiskError::Damaged(why),
+            _ => DiskError::Unreadable(why),
+        }
+    }
+}
+
 /// One thing to be kept.
 #[derive(Debug)]
 pub enum Save {
@@ -69,13 +107,16 @@
     }
 
     /// What a folder holds; `keeper` is made of the folder for what comes.
+    ///
+    /// Errors: `Newer` and `Damaged` where a shard's record is no record of this release. A register that began
+    /// without it would have forgotten its promises under the disk's old id.
     pub fn of<F: Files>(
         mut store: Store<F>,
         opened: Opened,
         log_buffer: &LogBuffer,
         rng: &mut Rng,
         keeper: impl FnOnce(Store<F>) -> Box<dyn Keeper>,
-    ) -> DiskContents {
+    ) -> Result<DiskContents, DiskError> {
         let mut records = match opened {
             Opened::Fresh => BTreeMap::new(),
             Opened::Existing(records) => records,
@@ -92,15 +133,41 @@
             }
             disk
         });
-        let parts = (0..=LEASE_SHARDS)
+        let parts: Vec<Option<Vec<u8>>> = (0..=LEASE_SHARDS)
             .map(|p| records.remove(&record_name(p)))
             .collect();
-        DiskContents {
+        for (part, record) in (0..).zip(&parts) {
+            if let Some(record) = record {
+                check_record(part, record)?;
+            }
+        }
+        Ok(DiskContents {
             disk,
             records: parts,
             rows: records.remove("rows"),
             keeper: Some(keeper(store)),
+        })
+    }
+}
+
+fn check_record(part: u16, record: &[u8]) -> Result<(), DiskError> {
+    if has(Defect::RecordForgotten) {
+        return Ok(());
+    }
+    let name = record_name(part);
+    match Record::decode(record, Settings::default().most_message()) {
+        Ok(_) => Ok(()),
+        Err(CodecError::Format { found }) if found > codec::FORMAT => {
+            Err(DiskError::Newer(format!(
+                "{name} was written by a newer release (record format {found}, this one knows {}): start that release \
+                 again, or empty the folder so that the machine joins as a new one",
+                codec::FORMAT
+            )))
         }
+        Err(why) => Err(DiskError::Damaged(format!(
+            "{name} holds no record that this release reads ({why}): the folder is emptied, so that the machine joins \
+             as a new one"
+        ))),
     }
 }
 
@@ -137,37 +204,65 @@
     }
 }
 
-/// Opens the data directory; one that is damaged is emptied, since a vote that may be forgotten must not count under
-/// its old name.
-pub fn open(data: Option<&Path>, log_buffer: &LogBuffer, rng: &mut Rng) -> DiskContents {
+/// Opens the data directory as `open_with` does.
+pub fn open(
+    data: Option<&Path>,
+    log_buffer: &LogBuffer,
+    rng: &mut Rng,
+) -> Result<DiskContents, DiskError> {
     let Some(data) = data else {
-        return DiskContents::empty(rng);
+        return Ok(DiskContents::empty(rng));
     };
+    let files = || RealFiles::open(data);
+    open_with(files, log_buffer, rng, |store| Box::new(OnThread(store)))
+        .map_err(|why| why.of_folder(data))
+}
+
+/// Reads a folder, made by `files`. One that is damaged is emptied, since a vote that may be forgotten must not count
+/// under its old name. One that cannot be read stays as it is, and this process does without a disk.
+///
+/// Errors: `Newer` alone. The folder stays as it is, for the release that wrote it.
+pub fn open_with<F: Files>(
+    files: impl Fn() -> io::Result<F>,
+    log_buffer: &LogBuffer,
+    rng: &mut Rng,
+    keeper: impl Fn(Store<F>) -> Box<dyn Keeper>,
+) -> Result<DiskContents, DiskError> {
     for again in [false, true] {
-        let opened = RealFiles::open(data).map_err(|e| e.to_string());
-        let opened = opened.and_then(|files| Store::open(files).map_err(|e| e.to_string()));
-        match opened {
-            Ok((store, opened)) => {
-                return DiskContents::of(store, opened, log_buffer, rng, |store| {
-                    Box::new(OnThread(store))
-                });
+        match read(&files, log_buffer, rng, &keeper) {
+            Ok(contents) => return Ok(contents),
+            Err(why @ DiskError::Newer(_)) if !has(Defect::NewerFolderEmptied) => return Err(why),
+            Err(why @ DiskError::Unreadable(_)) => {
+                log_buffer.breach(&format!("the data directory cannot be used: {why}"));
+                break;
             }
             Err(why) => {
-                log_buffer.breach(&format!("{} cannot be used: {why}", data.display()));
-                if again || empty(data).is_err() {
+                log_buffer.breach(&format!("the data directory cannot be used: {why}"));
+                if again || files().and_then(empty).is_err() {
                     break;
                 }
             }
         }
     }
-    DiskContents::empty(rng)
+    Ok(DiskContents::empty(rng))
+}
+
+fn read<F: Files>(
+    files: impl Fn() -> io::Result<F>,
+    log_buffer: &LogBuffer,
+    rng: &mut Rng,
+    keeper: impl Fn(Store<F>) -> Box<dyn Keeper>,
+) -> Result<DiskContents, DiskError> {
+    let files = files().map_err(|why| DiskError::Unreadable(why.to_string()))?;
+    let (store, opened) = Store::open(files)?;
+    DiskContents::of(store, opened, log_buffer, rng, keeper)
 }
 
-fn empty(data: &Path) -> io::Result<()> {
-    for entry in std::fs::read_dir(data)? {
-        std::fs::remove_file(entry?.path())?;
+fn empty<F: Files>(mut files: F) -> io::Result<()> {
+    for name in files.list()? {
+        files.remove(&name)?;
     }
-    Ok(())
+    files.sync_folder()
 }
 
 /// A disk with a thread of its own: it waits, nothing else does.
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -58,10 +58,14 @@
     TakenWhileLeaving,
     /// Where no server is ready the route is called unknown.
     NoServerNoRoute,
+    /// A data directory of a newer release is emptied.
+    NewerFolderEmptied,
+    /// A record on disk that cannot be read counts as none, under the disk's old id.
+    RecordForgotten,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 26] = [
+    pub const ALL: [Defect; 28] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -88,6 +92,8 @@
         Defect::ForeignAnswer,
         Defect::TakenWhileLeaving,
         Defect::NoServerNoRoute,
+        Defect::NewerFolderEmptied,
+        Defect::RecordForgotten,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -4,7 +4,7 @@
 use crate::control::{self, Control};
 use crate::control_api;
 use crate::departure::Departure;
-use crate::disk::{self, DiskContents};
+use crate::disk::{self, DiskContents, DiskError};
 use crate::endpoint::{self, Matcher};
 use crate::event_follower;
 use crate::front::{self, Stage};
@@ -43,6 +43,8 @@
     Role(&'static str),
     #[error("signals cannot be heeded: {0}")]
     Signals(std::io::Error),
+    #[error("the data directory is not touched: {0}")]
+    Data(#[from] DiskError),
 }
 
 /// Which doors a role opens beside the one for nodes.
@@ -130,7 +132,7 @@
 pub async fn serve(
     role: Role,
     boot: Boot,
-    open: impl FnOnce(Option<&Path>, &LogBuffer, &mut Rng) -> DiskContents,
+    open: impl FnOnce(Option<&Path>, &LogBuffer, &mut Rng) -> Result<DiskContents, DiskError>,
     log_buffer: LogBuffer,
     net: SharedNet,
     mut rng: Rng,
@@ -161,7 +163,7 @@
     let internal = listener(&*net, boot.internal_of(boot.ip))?;
     let keeps = boot.listen.control.is_some();
     let data = boot.data.clone().filter(|_| keeps);
-    let mut stock = open(data.as_deref(), &log_buffer, &mut rng);
+    let mut stock = open(data.as_deref(), &log_buffer, &mut rng)?;
     if has(Defect::WipedVotes) {
         stock.disk = sparrouter_rendezvous::hash(boot.node_name.as_bytes());
     }
--- a/crates/sparrouter-simulation/src/disk.rs
+++ b/crates/sparrouter-simulation/src/disk.rs
@@ -1,6 +1,6 @@
 //! A machine's disk: one that lies, answers late in virtual time, stalls, fills up, or is lost.
 use fastrand::Rng;
-use sparrouter_fleet::disk::{DiskContents, Keeper, Kept, Save, Saves, keep};
+use sparrouter_fleet::disk::{DiskContents, DiskError, Keeper, Kept, Save, Saves, keep, open_with};
 use sparrouter_fleet::log_buffer::LogBuffer;
 use sparrouter_storage::{LyingFiles, Store};
 use std::cell::Cell;
@@ -37,35 +37,23 @@
     }
 
     /// What a process finds that starts with this disk.
-    pub fn stock(&self, log_buffer: &LogBuffer, rng: &mut Rng) -> DiskContents {
-        let stock = self.whole_stock(log_buffer, rng);
+    ///
+    /// Errors: as `open_with`.
+    pub fn stock(&self, log_buffer: &LogBuffer, rng: &mut Rng) -> Result<DiskContents, DiskError> {
+        let files = || Ok(self.files.clone());
+        let stock = open_with(files, log_buffer, rng, |store| {
+            let disk = self.clone();
+            Box::new(Late { store, disk })
+        })?;
         if self.rows_lost.take() {
-            DiskContents {
+            Ok(DiskContents {
                 rows: None,
                 ..stock
-            }
+            })
         } else {
-            stock
+            Ok(stock)
         }
     }
-
-    fn whole_stock(&self, log_buffer: &LogBuffer, rng: &mut Rng) -> DiskContents {
-        for _ in 0..2 {
-            match Store::open(self.files.clone()) {
-                Ok((store, opened)) => {
-                    let disk = self.clone();
-                    return DiskContents::of(store, opened, log_buffer, rng, |store| {
-                        Box::new(Late { store, disk })
-                    });
-                }
-                Err(why) => {
-                    log_buffer.breach(&why.to_string());
-                    self.files.wipe();
-                }
-            }
-        }
-        DiskContents::empty(rng)
-    }
 }
 
 struct Late {
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -78,7 +78,7 @@
         machine.process = Some(SimulatedProcess::start(async move {
             let open = move |_: Option<&Path>, log_buffer: &LogBuffer, rng: &mut Rng| match &disk {
                 Some(disk) => disk.stock(log_buffer, rng),
-                None => sparrouter_fleet::disk::DiskContents::empty(rng),
+                None => Ok(sparrouter_fleet::disk::DiskContents::empty(rng)),
             };
             let rng = rng.fork();
             if let Err(why) = serve(Role::Proxy, boot, open, log_buffer, net, rng, orders).await {
