Old fencing tokens and unconfirmed states: each guard shown by a test that fails without it

Cause: nothing showed what keeps a lease holder that starts anew over an old disk from acting under its old token, nor that a promise counts only once the state that it tells of is here.

--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -131,6 +131,12 @@
         self.learner.chosen().map(|v| &v.state)
     }
 
+    /// The newest state that this node voted for or was told, chosen or not: it may never have been in force, and what
+    /// is in force may be newer by any amount. Only `read` and `propose` confirm a state.
+    pub fn unconfirmed(&self) -> Option<&State> {
+        self.newest().map(|v| &v.state)
+    }
+
     /// Slots of which this node was told two states: anything but 0 is a breach of agreement, to be logged as such.
     pub fn conflicts(&self) -> u64 {
         self.learner.conflicts()
--- a/crates/sparrouter-consensus/src/settings.rs
+++ b/crates/sparrouter-consensus/src/settings.rs
@@ -82,4 +82,6 @@
     pub body_unchecked: bool,
     /// A fetch that was interrupted begins anew.
     pub fetch_from_start: bool,
+    /// A promise counts before the body of the vote that it tells of is here.
+    pub promise_without_body: bool,
 }
--- a/crates/sparrouter-consensus/src/transfer.rs
+++ b/crates/sparrouter-consensus/src/transfer.rs
@@ -273,6 +273,17 @@
             let vote = with_body(&vote, bytes.as_slice().to_vec());
             return (Some(purpose.message(vote)), Sends::new());
         }
+        if settings.defects.promise_without_body
+            && let Purpose::Promise { ballot } = purpose
+        {
+            let at = Some(vote.at());
+            let promise = Message::Promise {
+                ballot,
+                at,
+                newer: None,
+            };
+            return (Some(promise), Sends::new());
+        }
         self.parked
             .retain(|p| p.from.disk != from.disk || !p.purpose.same_kind(&purpose));
         if self.parked.len() == MOST_PARKED {
--- a/crates/sparrouter-consensus/tests/catch_up.rs
+++ b/crates/sparrouter-consensus/tests/catch_up.rs
@@ -373,3 +373,96 @@
     behind.register.handle(member(2), outline, 0);
     assert_eq!(behind.serve(|_| ()), 0);
 }
+
+/// The votes that a member with an old state asks for once a majority promised, before it has the newer state that one
+/// of the promises tells of; and after.
+fn proposed_before_and_after_the_body(defects: Defects) -> (usize, Vec<u64>) {
+    let mut behind = Behind::new(defects);
+    behind.register.propose(1, vec![1], PATIENCE, 0);
+    let mut ballot = None;
+    for action in behind.register.take_actions() {
+        match action {
+            Action::Send {
+                message: Message::Prepare { ballot: b, .. },
+                ..
+            } => ballot = Some(b),
+            Action::Store { token, .. } => behind.register.stored(token, true, 1),
+            _ => {}
+        }
+    }
+    let ballot = ballot.expect("a ballot");
+    let Message::Outline { vote, body, .. } = behind.outlines[0].clone() else {
+        panic!("an outline");
+    };
+    let promise = Message::Outline {
+        purpose: Purpose::Promise { ballot },
+        vote,
+        body,
+    };
+    behind.register.handle(member(2), promise, 1);
+    let is_vote = |a: &Action| {
+        let Action::Send { message, .. } = a else {
+            return None;
+        };
+        match message {
+            Message::Accept { vote } => Some(vote.state.seq),
+            Message::Outline {
+                purpose: Purpose::Accept,
+                vote,
+                ..
+            } => Some(vote.state.seq),
+            _ => None,
+        }
+    };
+    let actions = behind.register.take_actions();
+    let early = actions.iter().filter_map(is_vote).count();
+    let fetches = actions.into_iter().filter_map(|a| match a {
+        Action::Send {
+            message: Message::FetchBody { body, offset },
+            ..
+        } => Some((body, offset)),
+        _ => None,
+    });
+    let mut fetches: Vec<(BodyReference, u32)> = fetches.collect();
+    let mut later = Vec::new();
+    while let Some((body, offset)) = fetches.pop() {
+        let end = (offset as usize + (8 << 10)).min(BODY);
+        let bytes = PieceBytes(behind.bodies[0][offset as usize..end].to_vec());
+        let piece = Message::BodyPiece {
+            body,
+            offset,
+            bytes,
+        };
+        behind.register.handle(member(2), piece, 1);
+        for action in behind.register.take_actions() {
+            later.extend(is_vote(&action));
+            if let Action::Send {
+                message: Message::FetchBody { body, offset },
+                ..
+            } = action
+            {
+                fetches.push((body, offset));
+            }
+        }
+    }
+    (early, later)
+}
+
+#[test]
+fn given_a_promise_of_a_newer_state_when_its_body_is_not_here_then_nothing_is_proposed() {
+    let (early, later) = proposed_before_and_after_the_body(Defects::default());
+    assert_eq!(early, 0);
+    assert!(
+        !later.is_empty() && later.iter().all(|seq| *seq == 5),
+        "the newer state is proposed again first: {later:?}"
+    );
+}
+
+#[test]
+fn given_promises_that_count_without_the_body_then_a_vote_for_the_old_state_is_found() {
+    let (early, _) = proposed_before_and_after_the_body(Defects {
+        promise_without_body: true,
+        ..Defects::default()
+    });
+    assert!(early > 0);
+}
--- a/crates/sparrouter-fleet/src/control/presence.rs
+++ b/crates/sparrouter-fleet/src/control/presence.rs
@@ -2,6 +2,7 @@
 use super::{CONFIG, Control};
 use crate::boot::nanos;
 use sparrouter_consensus::Member;
+use sparrouter_consensus::lease::Lease;
 use std::time::Duration;
 
 /// Polls between nodes of the core come so often that a quiet one for so long is out of touch.
@@ -44,6 +45,13 @@
         }
     }
 
+    /// The newest lease of a shard on this node's disk, which a quorum may have replaced since: planted mistakes alone
+    /// act on it.
+    pub fn unconfirmed_lease(&self, part: u16) -> Option<Lease> {
+        let registers = self.registers.borrow();
+        Lease::decode(&registers.get(usize::from(part))?.unconfirmed()?.body)
+    }
+
     /// Whether the duty of a part is this node's: it holds it, or whoever does is not heard of and this node is first.
     pub fn has_duty(&self, part: u16) -> bool {
         let body = self
@@ -51,7 +59,7 @@
             .borrow()
             .get(usize::from(part))
             .and_then(|r| Some(r.chosen()?.body.clone()));
-        let lease = body.and_then(|b| sparrouter_consensus::lease::Lease::decode(&b));
+        let lease = body.and_then(|b| Lease::decode(&b));
         let holder = lease.and_then(|l| l.holder).map(|h| h.name);
         let own = format!("{}@{}", self.me.name, self.me.address);
         match holder {
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -62,10 +62,12 @@
     NewerFolderEmptied,
     /// A record on disk that cannot be read counts as none, under the disk's old id.
     RecordForgotten,
+    /// A holder that starts anew acts under the fencing token that its disk has.
+    FenceFromDisk,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 28] = [
+    pub const ALL: [Defect; 29] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -94,6 +96,7 @@
         Defect::NoServerNoRoute,
         Defect::NewerFolderEmptied,
         Defect::RecordForgotten,
+        Defect::FenceFromDisk,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -159,7 +159,12 @@
         }
     }
 
+    /// Takes the lease under a new fencing token, as a quorum confirms it. Neither the disk nor memory of an earlier
+    /// process gives a token.
     async fn acquire(&self) {
+        if has(Defect::FenceFromDisk) && self.take_from_disk() {
+            return;
+        }
         let span = nanos(self.lease());
         let change = LeaseChange::Acquire {
             holder: self.holder(),
@@ -177,6 +182,18 @@
         }
     }
 
+    /// Planted: believes the lease that the disk has.
+    fn take_from_disk(&self) -> bool {
+        let lease = self.control.unconfirmed_lease(self.part);
+        let Some(lease) = lease.filter(|l| l.holder.as_ref() == Some(&self.holder())) else {
+            return false;
+        };
+        let from = self.node.now();
+        let fence = lease.fence;
+        self.held.set(Some(Held { fence, from }));
+        true
+    }
+
     /// What holders before this one told of servers and did not take back: nobody is at work there any more.
     fn clear(&self, held: Held) {
         let left: Vec<Note> = {
@@ -246,7 +263,7 @@
 
     async fn renew(&self, held: Held) -> bool {
         let began = self.node.now();
-        if has(Defect::LeaseUnrenewed) {
+        if has(Defect::LeaseUnrenewed) || has(Defect::FenceFromDisk) {
             self.renewed.set(began);
             return true;
         }
--- /dev/null
+++ b/crates/sparrouter-simulation/tests/lease_restart.rs
@@ -0,0 +1,66 @@
+//! A lease holder that starts anew over an old disk: it orders nothing under a fencing token that was replaced.
+use sparrouter_fleet::planted::{Defect, plant};
+use sparrouter_simulation::judge::Bounds;
+use sparrouter_simulation::scenario::play;
+use sparrouter_simulation::world::{Terms, World};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Until somebody else than `not` ordered a server, or the time is up.
+async fn next_holder(world: &World, not: Option<&str>) -> Option<String> {
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(15) {
+        let holder = world.judge.last_holder();
+        let name = holder.and_then(|h| Some(h.split('@').next()?.to_owned()));
+        if name.is_some() && name.as_deref() != not {
+            return name;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    None
+}
+
+/// What broke where the holder is killed, another takes over, and the first one is back with its old disk while there
+/// are more servers to order. Servers don't refuse old tokens here, so that the orders themselves show.
+async fn breaches(seed: u64) -> Vec<String> {
+    let terms = Terms::seeded(seed);
+    let bounds = Bounds {
+        fencing: false,
+        ..terms.bounds
+    };
+    let world = World::serving(Terms {
+        servers: 9,
+        bounds,
+        ..terms
+    })
+    .await;
+    assert!(world.operator.name_version(2).await);
+    let first = next_holder(&world, None).await.expect("a first holder");
+    world.kill(&first);
+    let second = next_holder(&world, Some(&first)).await;
+    assert!(second.is_some(), "nobody took over from {first}");
+    world.start(&first, false);
+    assert!(world.operator.name_version(3).await);
+    sleep(Duration::from_secs(8)).await;
+    world.judge.breaches()
+}
+
+const SEEDS: std::ops::Range<u64> = 4_900..4_906;
+
+#[test]
+fn given_a_holder_restarted_over_its_old_disk_when_another_took_over_then_its_old_token_is_not_used()
+ {
+    for seed in SEEDS {
+        let broken = play(breaches(seed));
+        assert!(broken.is_empty(), "seed {seed}: {broken:?}");
+    }
+}
+
+#[test]
+fn given_a_token_taken_from_the_disk_then_an_order_under_a_lower_one_is_found() {
+    plant(Some(Defect::FenceFromDisk));
+    let broken: Vec<String> = SEEDS.flat_map(|seed| play(breaches(seed))).collect();
+    plant(None);
+    let found = broken.iter().any(|b| b.contains("lower than before"));
+    assert!(found, "{broken:?}");
+}
