--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -68,10 +68,16 @@
     OldOrderRefused,
     /// An order whose base has not been in force is refused, though a copy of it is still on its way.
     CopyAheadRefused,
+    /// A data directory of a newer release is emptied.
+    NewerFolderEmptied,
+    /// A record on disk that cannot be read counts as none, under the disk's old id.
+    RecordForgotten,
+    /// A holder that starts anew acts under the fencing token that its disk has.
+    FenceFromDisk,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 31] = [
+    pub const ALL: &[Defect] = &[
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -103,6 +109,9 @@
         Defect::TakenOrdersForgotten,
         Defect::OldOrderRefused,
         Defect::CopyAheadRefused,
+        Defect::NewerFolderEmptied,
+        Defect::RecordForgotten,
+        Defect::FenceFromDisk,
     ];
 }
 
