Owners of keys by a table of slots: O(1) a lookup, one member's part moves

Change: SlotTable, 16,384 slots, each owned by rendezvous over its number; made from the table before, so that a member that comes or goes costs a pass over the slots.

--- a/crates/sparrouter-rendezvous/src/lib.rs
+++ b/crates/sparrouter-rendezvous/src/lib.rs
@@ -3,6 +3,9 @@
 //! Sources: Deb Allen, "Hash Load Balancing and Persistence on BIG-IP LTM" (the election hash of the present
 //! program, see docs/design.md); Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998;
 //! the finaliser is Stafford's variant 13 of MurmurHash3's.
+mod slots;
+
+pub use slots::{Member, SLOT_COUNT, SlotTable};
 
 /// Spreads the bits of a number over all 64.
 pub fn mix(x: u64) -> u64 {
