Server table follows only what changed; an election is one pass without sorting

Change: ServerTable::sync looks at rows changed since its last revision, at servers under a directive and at those leaving; Rows tells changes since a revision, directives by prefix, and counts rows walked; hash to server by a map.

--- a/crates/sparrouter-membership/src/lib.rs
+++ b/crates/sparrouter-membership/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use directives::Note;
 pub use pace::Pace;
-pub use rows::{Delta, ModelAt, NodeRow, Rows, ServerRow, Standing};
+pub use rows::{ChangedRow, Delta, ModelAt, NodeRow, Rows, ServerRow, Standing};
 pub use sources::{SOURCES, sources};
 
 pub type Nanos = u64;
--- a/crates/sparrouter-membership/src/rows.rs
+++ b/crates/sparrouter-membership/src/rows.rs
@@ -2,7 +2,9 @@
 use crate::{Nanos, Note};
 use nanoserde::{DeBin, SerBin};
 use sparrouter_codec::Seq;
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
 
 /// In the order in which a server goes through them; it never goes back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, SerBin, DeBin)]
@@ -75,6 +77,17 @@
     Note(String),
 }
 
+/// Names a row that changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangedRow<'a> {
+    /// A server, by its id.
+    Server(&'a str),
+    /// A node, by its name.
+    Node(&'a str),
+    /// A directive or other note, by its key.
+    Note(&'a str),
+}
+
 /// What changed since a revision, or everything.
 #[derive(Clone, Debug, Default, PartialEq, SerBin, DeBin)]
 pub struct Delta {
@@ -109,6 +122,12 @@
     by_revision: BTreeMap<u64, Key>,
     /// The last change that others must hear of at once, rather than with the next few.
     urgent: u64,
+    /// Counts changes of node rows, those that are dropped included.
+    node_changes: u64,
+    /// Counts server rows that were dropped, which no revision tells of.
+    servers_dropped: u64,
+    /// Rows that were handed out by walks over all or some of them.
+    walked: Cell<u64>,
 }
 
 impl Rows {
@@ -125,6 +144,9 @@
             notes: BTreeMap::new(),
             by_revision: BTreeMap::new(),
             urgent: 0,
+            node_changes: 0,
+            servers_dropped: 0,
+            walked: Cell::new(0),
         }
     }
 
@@ -138,7 +160,10 @@
         self.servers.get(id).map(|k| &k.row)
     }
     pub fn servers(&self) -> impl Iterator<Item = &ServerRow> {
-        self.servers.values().map(|k| &k.row)
+        self.servers
+            .values()
+            .inspect(|_| self.count_walked())
+            .map(|k| &k.row)
     }
     pub fn servers_held(&self) -> usize {
         self.servers.len()
@@ -147,17 +172,63 @@
         self.nodes.get(name).map(|k| &k.row)
     }
     pub fn nodes(&self) -> impl Iterator<Item = &NodeRow> {
-        self.nodes.values().map(|k| &k.row)
+        self.nodes
+            .values()
+            .inspect(|_| self.count_walked())
+            .map(|k| &k.row)
     }
     pub fn note(&self, key: &str) -> Option<&Note> {
         self.notes.get(key).map(|k| &k.row)
     }
     /// Notes with when each was last changed here.
     pub fn notes_at(&self) -> impl Iterator<Item = (&Note, Nanos)> {
-        self.notes.values().map(|k| (&k.row, k.at))
+        self.notes
+            .values()
+            .inspect(|_| self.count_walked())
+            .map(|k| (&k.row, k.at))
     }
     pub fn notes(&self) -> impl Iterator<Item = &Note> {
-        self.notes.values().map(|k| &k.row)
+        self.notes_at().map(|(note, _)| note)
+    }
+    /// Notes whose keys begin with `prefix`, with when each was last changed here. Finds them without a walk over others.
+    pub fn notes_under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a Note, Nanos)> {
+        self.notes
+            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded))
+            .take_while(move |(key, _)| key.starts_with(prefix))
+            .inspect(|_| self.count_walked())
+            .map(|(_, k)| (&k.row, k.at))
+    }
+
+    /// The rows that changed after a revision, each once, the oldest change first.
+    pub fn changed_since(&self, revision: u64) -> impl Iterator<Item = ChangedRow<'_>> {
+        self.by_revision
+            .range(revision + 1..)
+            .inspect(|_| self.count_walked())
+            .map(|(_, key)| match key {
+                Key::Server(id) => ChangedRow::Server(id),
+                Key::Node(name) => ChangedRow::Node(name),
+                Key::Note(key) => ChangedRow::Note(key),
+            })
+    }
+
+    /// Rises with each change of a node's row, and when one is dropped: what was worked out from all of them holds
+    /// until then.
+    pub fn node_changes(&self) -> u64 {
+        self.node_changes
+    }
+
+    /// Rises when server rows are dropped, which [`Rows::changed_since`] does not tell of.
+    pub fn servers_dropped(&self) -> u64 {
+        self.servers_dropped
+    }
+
+    /// How many rows were handed out by walks so far: what shows that work grows with the size of the fleet.
+    pub fn walked(&self) -> u64 {
+        self.walked.get()
+    }
+
+    fn count_walked(&self) {
+        self.walked.set(self.walked.get() + 1);
     }
 
     /// The revision of the last change that can't wait: a server drains, leaves, or takes new weights.
@@ -291,6 +362,7 @@
             }
             None => {}
         }
+        self.node_changes += 1;
         let before = self.nodes.get(&row.name).map(|k| k.revision);
         let revision = self.next(
             Key::Node(row.name.clone()),
@@ -409,13 +481,16 @@
     pub fn sweep(&mut self, now: Nanos) {
         let old =
             |at: Nanos, times: u64| now.saturating_sub(at) > self.tombstone.saturating_mul(times);
+        let (servers_before, nodes_before) = (self.servers.len(), self.nodes.len());
         self.servers.retain(|_, k| match k.row.standing {
             Standing::Gone => !old(k.at, 1),
             _ => !(k.row.silent && old(k.at, 4)),
         });
+        self.servers_dropped += (servers_before - self.servers.len()) as u64;
         self.at_address
             .retain(|_, id| self.servers.contains_key(id));
         self.nodes.retain(|_, k| !(k.row.silent && old(k.at, 4)));
+        self.node_changes += (nodes_before - self.nodes.len()) as u64;
         self.notes.retain(|_, k| !(k.row.over && old(k.at, 1)));
         let (servers, nodes, notes) = (&self.servers, &self.nodes, &self.notes);
         self.by_revision.retain(|revision, key| {
--- a/crates/sparrouter-membership/tests/rows.rs
+++ b/crates/sparrouter-membership/tests/rows.rs
@@ -1,4 +1,4 @@
-use sparrouter_membership::{Delta, NodeRow, Note, Rows, ServerRow, Standing, sources};
+use sparrouter_membership::{ChangedRow, Delta, NodeRow, Note, Rows, ServerRow, Standing, sources};
 
 const TOMB: u64 = 60_000_000_000;
 
@@ -262,3 +262,65 @@
     }
     assert_eq!((asker.servers().count(), answers), (25, 3));
 }
+
+fn directive(key: &str) -> Note {
+    Note {
+        key: key.into(),
+        fence: 1,
+        number: 1,
+        value: 2,
+        over: false,
+    }
+}
+
+#[test]
+fn given_many_rows_when_one_changes_then_only_it_is_walked() {
+    let mut rows = rows(1);
+    for i in 0..500 {
+        rows.merge_server(server(&format!("server-{i:03}"), 1, Standing::Ready), 0);
+        rows.merge_note(directive(&format!("load/server-{i:03}/m")), 0);
+    }
+    let known = rows.revision();
+    rows.merge_server(server("server-007", 2, Standing::Draining), 1);
+    let before = rows.walked();
+    let changed: Vec<ChangedRow> = rows.changed_since(known).collect();
+    assert_eq!(changed, [ChangedRow::Server("server-007")]);
+    let notes: Vec<&str> = rows
+        .notes_under("load/server-007/")
+        .map(|(note, _)| note.key.as_str())
+        .collect();
+    assert_eq!(notes, ["load/server-007/m"]);
+    assert_eq!(rows.walked() - before, 2);
+}
+
+#[test]
+fn given_nodes_when_one_changes_or_is_dropped_then_the_count_of_node_changes_rises_and_else_not() {
+    let mut rows = rows(1);
+    let node = NodeRow {
+        name: "n".into(),
+        life: 1,
+        ..NodeRow::default()
+    };
+    rows.merge_node(node.clone(), 0);
+    let known = rows.node_changes();
+    assert!(!rows.merge_node(node, 1));
+    rows.merge_server(server("a", 1, Standing::Ready), 1);
+    rows.sweep(2);
+    assert_eq!(rows.node_changes(), known);
+    rows.node_silent("n", 3);
+    let silent = rows.node_changes();
+    assert!(silent > known);
+    rows.sweep(TOMB * 5);
+    assert!(rows.node("n").is_none() && rows.node_changes() > silent);
+}
+
+#[test]
+fn given_a_server_that_is_dropped_when_nothing_else_changes_then_the_count_of_dropped_ones_rises() {
+    let mut rows = rows(1);
+    rows.merge_server(server("a", 1, Standing::Ready), 0);
+    rows.leave("a", 0);
+    rows.sweep(TOMB / 2);
+    assert_eq!(rows.servers_dropped(), 0);
+    rows.sweep(TOMB * 2);
+    assert_eq!(rows.servers_dropped(), 1);
+}
--- a/crates/sparrouter-routing/src/election.rs
+++ b/crates/sparrouter-routing/src/election.rs
@@ -1,15 +1,15 @@
 //! The election over the ready servers of a service, and what is known of each.
+use crate::candidate::{Candidate, Election};
 use crate::server::Suspicion;
+use crate::sync::SyncState;
 use crate::{Ending, Nanos, Server, ServerIx, Versions};
 use fastrand::Rng;
-use sparrouter_membership::{Rows, Standing};
-use std::collections::HashMap;
+use sparrouter_membership::Standing;
+use std::collections::{BTreeSet, HashMap};
 
 /// In flight beyond both of these a server is passed over: a ratio to the mean, and a floor.
 const BAR_RATIO: f64 = 2.0;
 const BAR_FLOOR: f64 = 2.0;
-/// A generation of more tokens takes longer than it takes to read most prompts.
-const LONG: u64 = 24;
 /// First wait before a probe, and how far it grows.
 const FIRST_PROBE: Nanos = 50_000_000;
 const LONGEST_PROBE: Nanos = 1_000_000_000;
@@ -47,9 +47,16 @@
 
 /// Everything that is known of servers at this node.
 pub struct ServerTable {
-    servers: Vec<Option<Server>>,
+    pub(crate) servers: Vec<Option<Server>>,
     by_id: HashMap<String, ServerIx>,
+    /// By the hash of the id.
+    by_hash: HashMap<u64, ServerIx>,
     by_service: HashMap<String, Vec<ServerIx>>,
+    /// Servers that own sends could not reach, or that were so lately.
+    suspected: BTreeSet<ServerIx>,
+    /// Rises when a server comes, goes, falls silent, or is heard of again.
+    pub(crate) changes: u64,
+    pub(crate) sync_state: SyncState,
     pub versions: Versions,
     rng: Rng,
 }
@@ -60,6 +67,10 @@
         ServerTable {
             servers: Vec::new(),
             by_id: HashMap::new(),
+            by_hash: HashMap::new(),
+            suspected: BTreeSet::new(),
+            changes: 0,
+            sync_state: SyncState::default(),
             by_service: HashMap::new(),
             versions,
             rng,
@@ -74,7 +85,12 @@
     }
     /// The server whose id has this hash.
     pub fn hashed(&self, hash: u64) -> Option<&Server> {
-        self.all().map(|(_, s)| s).find(|s| s.hash == hash)
+        self.get(*self.by_hash.get(&hash)?)
+    }
+    /// Rises when a server comes, goes, falls silent, or is heard of again: what was worked out from the set of them
+    /// holds until then.
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
     pub fn all(&self) -> impl Iterator<Item = (ServerIx, &Server)> {
         self.servers
@@ -100,82 +116,15 @@
         }
     }
 
-    /// What the rows say now. Servers that are gone stay until their last request has ended.
-    pub fn sync(&mut self, rows: &Rows, now: Nanos) {
-        for row in rows.servers() {
-            let known = self.by_id.get(&row.id).copied();
-            if known.is_none() && (row.standing == Standing::Gone || row.service.is_empty()) {
-                continue;
-            }
-            let ix = match known {
-                Some(ix) => ix,
-                None => match row.address.parse() {
-                    Ok(address) => self.add(Server::new(row, address)),
-                    Err(_) => continue,
-                },
-            };
-            let Some(server) = self.servers[ix].as_mut() else {
-                continue;
-            };
-            server.standing = server.standing.max(row.standing);
-            if server.silent && !row.silent {
-                server.suspect = None;
-            }
-            server.silent = row.silent;
-            if row.call_sequence > server.told_at {
-                server.told_at = row.call_sequence;
-                for model in &row.models {
-                    runs(&mut server.models, &model.name, model.version);
-                }
-            }
-            server.loading = false;
-            server.soon = false;
-        }
-        // Whoever has the duty of new weights tells `soon/SERVER/MODEL`, then
-        // `load/SERVER/MODEL`: under way, then over with what it runs.
-        let lasts = self.versions.patience().saturating_mul(2);
-        for (note, at) in rows.notes_at() {
-            let mut words = note.key.splitn(3, '/');
-            let (Some(kind), Some(id), Some(model)) = (words.next(), words.next(), words.next())
-            else {
-                continue;
-            };
-            let Some(&ix) = self.by_id.get(id) else {
-                continue;
-            };
-            let Some(server) = self.servers[ix].as_mut() else {
-                continue;
-            };
-            // Whoever told it may have ended: no server is kept out longer than the work can take.
-            let stands = !note.over && now.saturating_sub(at) < lasts;
-            match kind {
-                "load" if note.over && note.value > 0 => {
-                    runs(&mut server.models, model, note.value)
-                }
-                "load" => server.loading |= stands,
-                "soon" => server.soon |= stands,
-                _ => {}
-            }
-        }
-        let lost: Vec<ServerIx> = self
-            .all()
-            .filter(|(_, s)| s.in_flight == 0)
-            .filter(|(_, s)| {
-                rows.server(&s.id)
-                    .is_none_or(|r| r.standing == Standing::Gone)
-            })
-            .map(|(ix, _)| ix)
-            .collect();
-        lost.into_iter().for_each(|ix| self.remove(ix));
-    }
-
-    fn add(&mut self, server: Server) -> ServerIx {
+    pub(crate) fn add(&mut self, server: Server) -> ServerIx {
+        self.changes += 1;
         let ix = self
             .servers
             .iter()
             .position(Option::is_none)
             .unwrap_or(self.servers.len());
         self.by_id.insert(server.id.clone(), ix);
+        self.by_hash.insert(server.hash, ix);
         self.by_service
             .entry(server.service.clone())
             .or_default()
@@ -188,11 +137,15 @@
         ix
     }
 
-    fn remove(&mut self, ix: ServerIx) {
+    pub(crate) fn remove(&mut self, ix: ServerIx) {
         let Some(server) = self.servers[ix].take() else {
             return;
         };
+        self.changes += 1;
+        self.suspected.remove(&ix);
+        self.forget_sync_state(ix);
         self.by_id.remove(&server.id);
+        self.by_hash.remove(&server.hash);
         if let Some(all) = self.by_service.get_mut(&server.service) {
             all.retain(|&i| i != ix);
             if all.is_empty() {
@@ -233,43 +186,29 @@
 
     /// The winner of the election, or the next in order where that one may not take it.
     pub fn choose(&self, ask: &Ask, now: Nanos) -> Result<Pick, Turned> {
-        let untried = || {
-            self.of(ask.service)
-                .filter(|(ix, _)| !ask.tried.contains(ix))
-        };
-        let open = |s: &Server| s.standing == Standing::Ready;
-        let mut order: Vec<ServerIx> = sparrouter_rendezvous::order(
-            untried()
-                .filter(|(_, s)| self.ready(ask, s, now))
-                .map(|(ix, s)| (s.hash, ix)),
-            ask.key,
-        );
-        // Silent ones come last: they may be there still. Long generations keep away from where they would hold up new
-        // weights.
-        let long = ask.tokens_out > LONG;
-        order.sort_by_key(|&ix| {
-            self.get(ix)
-                .map_or((true, true), |s| (s.silent, long && s.soon))
-        });
-        if order.is_empty() {
-            return Err(if untried().any(|(_, s)| open(s)) {
+        let bar = self.bar(ask.service);
+        let mut election = Election::default();
+        for (ix, server) in self.untried(ask) {
+            if self.ready(ask, server, now) {
+                let over = server.used && f64::from(server.in_flight) > bar;
+                election.enter(Candidate::new(ask, ix, server), over, server.in_flight);
+            }
+        }
+        let Some(winner) = election.winner() else {
+            let open = |s: &Server| s.standing == Standing::Ready;
+            return Err(if self.untried(ask).any(|(_, s)| open(s)) {
                 Turned::Unready
             } else {
                 Turned::None
             });
-        }
-        let bar = self.bar(ask.service);
-        let under = |ix: &ServerIx| {
-            self.get(*ix)
-                .is_some_and(|s| !s.used || f64::from(s.in_flight) <= bar)
         };
-        // Where all are over the bar the least loaded of the order takes it.
-        let place = order.iter().position(under).unwrap_or_else(|| {
-            let load = |p: &usize| self.get(order[*p]).map_or(u32::MAX, |s| s.in_flight);
-            (0..order.len()).min_by_key(load).unwrap_or(0)
-        });
-        let server = order[place];
+        let server = winner.server;
         let version = ask.model.and_then(|m| self.get(server)?.version_of(m));
+        let place = if election.is_first(&winner) {
+            0
+        } else {
+            self.ahead_of(ask, &winner, now)
+        };
         Ok(Pick {
             server,
             version,
@@ -277,6 +216,20 @@
         })
     }
 
+    /// Servers of the service that did not have the request before.
+    fn untried<'a>(&'a self, ask: &'a Ask) -> impl Iterator<Item = (ServerIx, &'a Server)> {
+        self.of(ask.service)
+            .filter(|(ix, _)| !ask.tried.contains(ix))
+    }
+
+    /// How many that may take it come before the winner in the order, and were passed over.
+    fn ahead_of(&self, ask: &Ask, winner: &Candidate, now: Nanos) -> usize {
+        self.untried(ask)
+            .filter(|(_, server)| self.ready(ask, server, now))
+            .filter(|(ix, server)| Candidate::new(ask, *ix, server).beats(winner))
+            .count()
+    }
+
     pub fn begin(&mut self, ix: ServerIx, tokens: u64) {
         if let Some(server) = self.servers[ix].as_mut() {
             server.in_flight += 1;
@@ -309,14 +262,21 @@
                 next_probe: now + wait,
                 wait,
             });
+            self.suspected.insert(ix);
         }
     }
 
     /// Suspected servers whose probe is due; each is put off until the next, later one.
     pub fn probes(&mut self, now: Nanos) -> Vec<ServerIx> {
+        let servers = &self.servers;
+        self.suspected
+            .retain(|&ix| servers[ix].as_ref().is_some_and(Server::suspected));
         let mut due = Vec::new();
-        for (ix, slot) in self.servers.iter_mut().enumerate() {
-            let Some(server) = slot.as_mut().filter(|s| s.standing == Standing::Ready) else {
+        for &ix in &self.suspected {
+            let Some(server) = self.servers[ix]
+                .as_mut()
+                .filter(|s| s.standing == Standing::Ready)
+            else {
                 continue;
             };
             let Some(doubt) = server.suspect.as_mut().filter(|d| d.next_probe <= now) else {
@@ -353,15 +313,7 @@
     /// What the server told of its weights with an answer.
     pub fn runs(&mut self, ix: ServerIx, model: &str, version: u64) {
         if let Some(Some(server)) = self.servers.get_mut(ix) {
-            runs(&mut server.models, model, version);
+            server.runs(model, version);
         }
     }
 }
-
-fn runs(models: &mut Vec<(String, u64)>, model: &str, version: u64) {
-    match models.iter_mut().find(|m| m.0 == model) {
-        // A server never goes back in one life.
-        Some(known) => known.1 = known.1.max(version),
-        None => models.push((model.to_owned(), version)),
-    }
-}
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -6,10 +6,12 @@
 //! shared in the choice. Source: Deb Allen, "Hash Load Balancing and Persistence on BIG-IP LTM".
 mod backlog;
 mod budget;
+mod candidate;
 mod durations;
 mod election;
 mod prompt;
 mod server;
+mod sync;
 mod versions;
 
 pub use backlog::Backlog;
--- a/crates/sparrouter-routing/src/server.rs
+++ b/crates/sparrouter-routing/src/server.rs
@@ -117,4 +117,12 @@
     pub fn models(&self) -> &[(String, u64)] {
         &self.models
     }
+
+    /// Takes in which version of a model it runs; a server never goes back in one life.
+    pub(crate) fn runs(&mut self, model: &str, version: u64) {
+        match self.models.iter_mut().find(|known| known.0 == model) {
+            Some(known) => known.1 = known.1.max(version),
+            None => self.models.push((model.to_owned(), version)),
+        }
+    }
 }
--- /dev/null
+++ b/crates/sparrouter-routing/src/sync.rs
@@ -0,0 +1,158 @@
+//! Brings the server table up to date with the rows: only servers whose rows changed are looked at, since a fleet of
+//! thousands of servers has a change every few milliseconds.
+use crate::{Nanos, Server, ServerIx, ServerTable};
+use sparrouter_membership::{ChangedRow, Rows, ServerRow, Standing};
+use std::collections::BTreeSet;
+
+/// A directive under `load/SERVER/MODEL`: the server takes new weights, or (over) runs what is named.
+const LOAD: &str = "load";
+/// A directive under `soon/SERVER/MODEL`: the server will take new weights soon.
+const SOON: &str = "soon";
+
+/// What the table has taken in of the rows, and which servers have to be looked at without a change of theirs.
+#[derive(Debug, Default)]
+pub(crate) struct SyncState {
+    /// Names the `Rows`; 0 before the first look.
+    epoch: u64,
+    revision: u64,
+    servers_dropped: u64,
+    /// Servers under a directive, which runs out with time.
+    directed: BTreeSet<ServerIx>,
+    /// Servers that are gone, with requests in flight.
+    leaving: BTreeSet<ServerIx>,
+}
+
+impl ServerTable {
+    /// What the rows say now. Servers that are gone stay until their last request has ended.
+    pub fn sync(&mut self, rows: &Rows, now: Nanos) {
+        let ids = self.ids_to_look_at(rows);
+        self.sync_state.epoch = rows.epoch();
+        self.sync_state.revision = rows.revision();
+        self.sync_state.servers_dropped = rows.servers_dropped();
+        for id in ids {
+            self.sync_server(rows, &id, now);
+        }
+    }
+
+    /// Ids of servers whose rows or directives changed since the last look, and of those that time may change.
+    fn ids_to_look_at(&self, rows: &Rows) -> BTreeSet<String> {
+        let state = &self.sync_state;
+        let same_rows = state.epoch == rows.epoch()
+            && state.revision <= rows.revision()
+            && state.servers_dropped == rows.servers_dropped();
+        if !same_rows {
+            let known = self.all().map(|(_, server)| server.id.clone());
+            return rows
+                .servers()
+                .map(|row| row.id.clone())
+                .chain(known)
+                .collect();
+        }
+        let changed = rows
+            .changed_since(state.revision)
+            .filter_map(|row| match row {
+                ChangedRow::Server(id) => Some(id.to_owned()),
+                ChangedRow::Note(key) => server_of_directive(key).map(str::to_owned),
+                ChangedRow::Node(_) => None,
+            });
+        let by_time = state.directed.iter().chain(&state.leaving);
+        let by_time = by_time.filter_map(|&ix| self.get(ix).map(|server| server.id.clone()));
+        changed.chain(by_time).collect()
+    }
+
+    fn sync_server(&mut self, rows: &Rows, id: &str, now: Nanos) {
+        let row = rows.server(id);
+        if let Some(row) = row {
+            self.add_if_new(row);
+        }
+        let Some(ix) = self.find(id) else {
+            return;
+        };
+        if let Some(row) = row {
+            self.take_row(ix, row);
+        }
+        self.take_directives(rows, ix, id, now);
+        self.remove_if_over(ix, row);
+    }
+
+    fn add_if_new(&mut self, row: &ServerRow) {
+        let over = row.standing == Standing::Gone || row.service.is_empty();
+        if over || self.find(&row.id).is_some() {
+            return;
+        }
+        if let Ok(address) = row.address.parse() {
+            self.add(Server::new(row, address));
+        }
+    }
+
+    fn take_row(&mut self, ix: ServerIx, row: &ServerRow) {
+        let Some(server) = self.servers[ix].as_mut() else {
+            return;
+        };
+        server.standing = server.standing.max(row.standing);
+        if server.silent && !row.silent {
+            server.suspect = None;
+        }
+        if server.silent != row.silent {
+            server.silent = row.silent;
+            self.changes += 1;
+        }
+        if row.call_sequence > server.told_at {
+            server.told_at = row.call_sequence;
+            for model in &row.models {
+                server.runs(&model.name, model.version);
+            }
+        }
+    }
+
+    /// Whoever has the lease of new weights tells `soon/SERVER/MODEL`, then `load/SERVER/MODEL`: under way, then over
+    /// with what the server runs.
+    fn take_directives(&mut self, rows: &Rows, ix: ServerIx, id: &str, now: Nanos) {
+        let lasts = self.versions.patience().saturating_mul(2);
+        let Some(server) = self.servers[ix].as_mut() else {
+            return;
+        };
+        // Whoever told it may have ended: no server is kept out longer than the work can take.
+        let stands = |over: bool, at: Nanos| !over && now.saturating_sub(at) < lasts;
+        server.loading = false;
+        let load = format!("{LOAD}/{id}/");
+        for (note, at) in rows.notes_under(&load) {
+            if note.over && note.value > 0 {
+                server.runs(&note.key[load.len()..], note.value);
+            }
+            server.loading |= stands(note.over, at);
+        }
+        let soon = format!("{SOON}/{id}/");
+        server.soon = rows
+            .notes_under(&soon)
+            .any(|(note, at)| stands(note.over, at));
+        if server.loading || server.soon {
+            self.sync_state.directed.insert(ix);
+        } else {
+            self.sync_state.directed.remove(&ix);
+        }
+    }
+
+    fn remove_if_over(&mut self, ix: ServerIx, row: Option<&ServerRow>) {
+        let gone = row.is_none_or(|row| row.standing == Standing::Gone);
+        let in_flight = self.get(ix).is_some_and(|server| server.in_flight > 0);
+        if gone && !in_flight {
+            self.remove(ix);
+        } else if gone {
+            self.sync_state.leaving.insert(ix);
+        }
+    }
+
+    /// Forgets what was kept of a place in the table whose server was removed.
+    pub(crate) fn forget_sync_state(&mut self, ix: ServerIx) {
+        self.sync_state.directed.remove(&ix);
+        self.sync_state.leaving.remove(&ix);
+    }
+}
+
+/// The id in a directive's key `KIND/SERVER/MODEL`; None for other notes.
+fn server_of_directive(key: &str) -> Option<&str> {
+    let mut words = key.splitn(3, '/');
+    let (kind, id, _model) = (words.next()?, words.next()?, words.next()?);
+    (kind == LOAD || kind == SOON).then_some(id)
+}
--- /dev/null
+++ b/crates/sparrouter-routing/tests/sync.rs
@@ -0,0 +1,207 @@
+//! The server table follows the rows by what changed, and comes to the same as a table that reads all of them.
+use fastrand::Rng;
+use sparrouter_membership::{ModelAt, Note, Rows, ServerRow, Standing};
+use sparrouter_routing::{Ask, Ending, ServerIx, ServerTable};
+
+const SECOND: u64 = 1_000_000_000;
+const SERVICE: &str = "s";
+const MODEL: &str = "m";
+
+fn empty_table() -> ServerTable {
+    ServerTable::new(6 * SECOND, Rng::with_seed(1))
+}
+
+fn empty_rows() -> Rows {
+    Rows::new(1, 20 * SECOND, 10_000)
+}
+
+fn row(number: usize, call_sequence: u64) -> ServerRow {
+    ServerRow {
+        id: format!("i-{number}"),
+        service: SERVICE.into(),
+        address: format!("10.0.{}.{}:80", number / 250, number % 250),
+        call_sequence,
+        models: vec![ModelAt {
+            name: MODEL.into(),
+            version: 1,
+        }]
+        .into(),
+        ..ServerRow::default()
+    }
+}
+
+fn directive(rng: &mut Rng, number: usize, step: u64) -> Note {
+    Note {
+        key: format!("{}/i-{number}/{MODEL}", ["load", "soon"][rng.usize(..2)]),
+        fence: 1,
+        number: step,
+        value: rng.u64(..4),
+        over: rng.bool(),
+    }
+}
+
+/// What counts of a table, in the order of ids.
+fn state(table: &ServerTable) -> Vec<String> {
+    let mut all: Vec<String> = table
+        .all()
+        .map(|(_, s)| {
+            format!(
+                "{} {:?} silent {} loading {} soon {} {:?}",
+                s.id,
+                s.standing(),
+                s.silent(),
+                s.loading(),
+                s.soon(),
+                s.models()
+            )
+        })
+        .collect();
+    all.sort();
+    all
+}
+
+/// One change of the rows, drawn.
+fn change(rows: &mut Rows, rng: &mut Rng, step: u64, now: u64) {
+    let number = rng.usize(..12);
+    let id = format!("i-{number}");
+    match rng.u32(..6) {
+        0 => drop(rows.leave(&id, now)),
+        1 => drop(rows.fall_silent(&id, now)),
+        2 => rows.sweep(now),
+        3 => drop(rows.merge_note(directive(rng, number, step), now)),
+        4 => drop(rows.merge_server(
+            ServerRow {
+                standing: Standing::Draining,
+                ..row(number, step)
+            },
+            now,
+        )),
+        _ => drop(rows.merge_server(row(number, step), now)),
+    }
+}
+
+#[test]
+fn given_any_changes_when_synced_by_what_changed_then_the_table_is_that_of_one_that_reads_all_rows()
+{
+    for seed in 0..200 {
+        let mut rng = Rng::with_seed(seed);
+        let (mut rows, mut table) = (empty_rows(), empty_table());
+        for step in 1..120 {
+            let now = step * SECOND;
+            (0..rng.u32(..3)).for_each(|_| change(&mut rows, &mut rng, step, now));
+            table.sync(&rows, now);
+            let mut anew = empty_table();
+            anew.sync(&rows, now);
+            // What a server runs stays known when its directive is dropped, as a server never goes back.
+            let without_models = |t: &ServerTable| -> Vec<String> {
+                state(t)
+                    .iter()
+                    .map(|s| s.split(" [").next().unwrap_or_default().to_owned())
+                    .collect()
+            };
+            assert_eq!(
+                without_models(&table),
+                without_models(&anew),
+                "seed {seed}, step {step}"
+            );
+        }
+    }
+}
+
+#[test]
+fn given_a_gone_server_with_a_request_in_flight_when_it_ends_then_the_next_look_removes_it() {
+    let (mut rows, mut table) = (empty_rows(), empty_table());
+    rows.merge_server(row(1, 1), 0);
+    table.sync(&rows, 0);
+    let ix = table.find("i-1").unwrap();
+    table.begin(ix, 10);
+    rows.leave("i-1", 0);
+    table.sync(&rows, 0);
+    assert!(table.get(ix).is_some());
+    table.end(ix, 10, Ending::Answered, 0);
+    table.sync(&rows, 0);
+    assert!(table.get(ix).is_none() && table.find("i-1").is_none());
+}
+
+#[test]
+fn given_thousands_of_servers_when_one_changes_then_a_look_walks_that_one() {
+    let walked = |servers: usize| {
+        let (mut rows, mut table) = (empty_rows(), empty_table());
+        for number in 0..servers {
+            rows.merge_server(row(number, 1), 0);
+        }
+        table.sync(&rows, 0);
+        rows.merge_server(
+            ServerRow {
+                standing: Standing::Draining,
+                ..row(3, 2)
+            },
+            1,
+        );
+        let before = rows.walked();
+        table.sync(&rows, 1);
+        rows.walked() - before
+    };
+    assert_eq!((walked(10), walked(5_000)), (1, 1));
+}
+
+/// The order that the pass over all candidates must agree with: by score, those that are kept back last.
+fn by_sorting(table: &ServerTable, ask: &Ask) -> Vec<ServerIx> {
+    let fit = table
+        .of(SERVICE)
+        .filter(|(ix, s)| !ask.tried.contains(ix) && s.standing() == Standing::Ready)
+        .filter(|(_, s)| !s.loading());
+    let mut order = sparrouter_rendezvous::order(fit.map(|(ix, s)| (s.hash(), ix)), ask.key);
+    order.sort_by_key(|&ix| {
+        let server = table.get(ix).unwrap();
+        (server.silent(), ask.tokens_out > 24 && server.soon())
+    });
+    order
+}
+
+#[test]
+fn given_any_servers_when_one_is_chosen_then_it_is_the_one_that_sorting_them_gives() {
+    for seed in 0..300 {
+        let mut rng = Rng::with_seed(seed);
+        let (mut rows, mut table) = (empty_rows(), empty_table());
+        for step in 1..40 {
+            change(&mut rows, &mut rng, step, SECOND);
+        }
+        table.sync(&rows, SECOND);
+        let all: Vec<ServerIx> = table.all().map(|(ix, _)| ix).collect();
+        for _ in 0..rng.usize(..40) {
+            if !all.is_empty() {
+                table.begin(all[rng.usize(..all.len())], 1);
+            }
+        }
+        for key in 0..20 {
+            let tried: Vec<ServerIx> = all.iter().copied().filter(|_| rng.u32(..6) == 0).collect();
+            let ask = Ask {
+                service: SERVICE,
+                key,
+                model: None,
+                tokens_out: rng.u64(..50),
+                tried: &tried,
+            };
+            let order = by_sorting(&table, &ask);
+            let in_flight = |ix: &ServerIx| table.get(*ix).unwrap().in_flight();
+            let used: Vec<u32> = table
+                .of(SERVICE)
+                .filter(|(_, s)| s.standing() == Standing::Ready && s.in_flight() > 0)
+                .map(|(_, s)| s.in_flight())
+                .collect();
+            let mean = f64::from(used.iter().sum::<u32>()) / used.len().max(1) as f64;
+            let bar = f64::max(2.0 * mean, 2.0);
+            let expected = order
+                .iter()
+                .position(|ix| f64::from(in_flight(ix)) <= bar)
+                .or((0..order.len()).min_by_key(|&place| in_flight(&order[place])));
+            let chosen = table.choose(&ask, SECOND).ok();
+            assert_eq!(
+                chosen.map(|pick| (pick.place, pick.server)),
+                expected.map(|place| (place, order[place])),
+                "seed {seed}, key {key}"
+            );
+        }
+    }
+}
