--- a/crates/sparrouter-fleet/src/control/groups.rs
+++ b/crates/sparrouter-fleet/src/control/groups.rs
@@ -73,12 +73,9 @@
 
     /// The nodes that may keep control state, as this one sees them.
     fn seen(&self) -> Vec<NodeObservation> {
-        let rows = self.node.rows.borrow();
-        let any_counted = rows.nodes().any(|n| n.counted && !n.control.is_empty());
+        let live = self.node.live_nodes();
         let now = self.node.now();
-        let fit = rows
-            .nodes()
-            .filter(|n| !n.control.is_empty() && n.disk != 0 && (n.counted || !any_counted));
+        let fit = live.control_rows().iter().filter(|n| n.disk != 0);
         fit.map(|n| {
             let own = n.disk == self.me.disk;
             let at = self.contacts.borrow().get(&n.name).copied();
--- a/crates/sparrouter-fleet/src/event_follower.rs
+++ b/crates/sparrouter-fleet/src/event_follower.rs
@@ -8,11 +8,14 @@
 use bytes::Bytes;
 use miniserde::json::{Number, Value};
 use miniserde::{Deserialize, json};
+use sparrouter_config::Service;
 use sparrouter_http::{head, reading};
 use sparrouter_membership::{Delta, Note};
 use sparrouter_prefix_index::{Change, Page, Source};
-use std::cell::RefCell;
-use std::collections::HashMap;
+use sparrouter_rendezvous::SlotTable;
+use sparrouter_routing::Server;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,55 +54,132 @@
     events: Vec<Value>,
 }
 
+/// What decides what falls to this node: nothing is looked through again while it is the same.
+#[derive(Clone, Debug, Default)]
+struct Assignment {
+    owners: Rc<SlotTable>,
+    server_changes: u64,
+    config_sequence: u64,
+}
+
+impl Assignment {
+    fn now(node: &Node) -> Assignment {
+        Assignment {
+            owners: node.live_nodes().owners().clone(),
+            server_changes: node.server_table.borrow().changes(),
+            config_sequence: node.in_force().seq,
+        }
+    }
+
+    fn is_same(&self, other: &Assignment) -> bool {
+        Rc::ptr_eq(&self.owners, &other.owners)
+            && self.server_changes == other.server_changes
+            && self.config_sequence == other.config_sequence
+    }
+}
+
+/// Which sources this node follows now, by name, and whether one ended since the last look.
+#[derive(Default)]
+struct Following {
+    names: RefCell<HashSet<u64>>,
+    ended: Cell<bool>,
+}
+
 /// Follows whatever falls to this node, for as long as it does.
 pub async fn follow(node: Rc<Node>) {
-    let followed: Rc<RefCell<HashMap<u64, SocketAddr>>> = Rc::default();
+    let following: Rc<Following> = Rc::default();
+    let mut looked_at = Assignment::default();
     loop {
-        for one in there(&node) {
-            let new = !followed.borrow().contains_key(&one.name);
-            if new && node.keeps(one.name) && !node.leaving.get() {
-                followed.borrow_mut().insert(one.name, one.address);
-                let (node, followed) = (node.clone(), followed.clone());
-                spawn_local(async move {
-                    keep_on(&node, one).await;
-                    followed.borrow_mut().remove(&one.name);
-                });
-            }
+        let assignment = Assignment::now(&node);
+        let ended = following.ended.replace(false);
+        if ended || !assignment.is_same(&looked_at) {
+            looked_at = assignment;
+            start_new(&node, &following);
         }
         tokio::time::sleep(node.jitter(Duration::from_millis(250))).await;
     }
 }
 
-/// All that can be followed: the stores of the configuration, and the servers of services that keep prompts.
-fn there(node: &Node) -> Vec<Followed> {
+/// Starts to follow what falls to this node and is not followed yet.
+fn start_new(node: &Rc<Node>, following: &Rc<Following>) {
+    if node.leaving.get() {
+        return;
+    }
+    for one in assigned_here(node) {
+        if !following.names.borrow_mut().insert(one.name) {
+            continue;
+        }
+        let (node, following) = (node.clone(), following.clone());
+        spawn_local(async move {
+            keep_on(&node, one).await;
+            following.names.borrow_mut().remove(&one.name);
+            following.ended.set(true);
+        });
+    }
+}
+
+/// Of all that can be followed what falls to this node: stores of the configuration, and servers of services that keep
+/// prompts.
+fn assigned_here(node: &Node) -> Vec<Followed> {
     let config = node.in_force();
     let Some(table) = &config.table else {
         return Vec::new();
     };
-    let mut all = Vec::new();
     let server_table = node.server_table.borrow();
-    for service in &table.services {
-        if let Some(store) = &service.store {
-            all.push(Followed {
-                name: key(store.address),
-                address: store.address,
-                store: true,
-            });
-        }
-        if service
-            .engine
-            .as_ref()
-            .is_some_and(|e| e.max_concurrent > 0)
-        {
-            let servers = server_table.of(&service.name).filter(|(_, s)| !s.silent());
-            all.extend(servers.map(|(_, s)| Followed {
-                name: s.hash(),
-                address: s.address,
-                store: false,
-            }));
-        }
+    let stores = table
+        .services
+        .iter()
+        .filter_map(|service| service.store.as_ref())
+        .map(|store| Followed {
+            name: key(store.address),
+            address: store.address,
+            store: true,
+        });
+    let servers = table
+        .services
+        .iter()
+        .filter(|service| keeps_prompts(service))
+        .flat_map(|service| server_table.of(&service.name))
+        .filter(|(_, server)| !server.silent())
+        .map(|(_, server)| followed_server(server));
+    stores
+        .chain(servers)
+        .filter(|one| node.keeps(one.name))
+        .collect()
+}
+
+/// Whether it is still there to be followed, as it was: looked up, not searched for.
+fn is_there(node: &Node, one: &Followed) -> bool {
+    let config = node.in_force();
+    let Some(table) = &config.table else {
+        return false;
+    };
+    if one.store {
+        let mut stores = table.services.iter().filter_map(|s| s.store.as_ref());
+        return stores.any(|store| store.address == one.address);
     }
-    all
+    let server_table = node.server_table.borrow();
+    server_table.hashed(one.name).is_some_and(|server| {
+        !server.silent()
+            && followed_server(server) == *one
+            && table.service(&server.service).is_some_and(keeps_prompts)
+    })
+}
+
+fn followed_server(server: &Server) -> Followed {
+    Followed {
+        name: server.hash(),
+        address: server.address,
+        store: false,
+    }
+}
+
+/// Whether the servers of a service keep prompts, and tell of them.
+fn keeps_prompts(service: &Service) -> bool {
+    service
+        .engine
+        .as_ref()
+        .is_some_and(|engine| engine.max_concurrent > 0)
 }
 
 fn key(store: SocketAddr) -> u64 {
@@ -109,7 +189,7 @@
 async fn keep_on(node: &Rc<Node>, one: Followed) {
     let mut source = Source::default();
     let (mut failed, mut link) = (0u32, None);
-    while node.keeps(one.name) && !node.leaving.get() && there(node).contains(&one) {
+    while node.keeps(one.name) && !node.leaving.get() && is_there(node, &one) {
         match ask(&*node.net, &mut link, one.address, source.since()).await {
             Some(page) => {
                 failed = 0;
@@ -133,7 +213,7 @@
             }
         }
     }
-    if !there(node).contains(&one) {
+    if !is_there(node, &one) {
         // It is gone: nothing that was told of it holds, and nobody follows it to take that back.
         node.tell_kept(&mut Source::default(), one.name, true);
     }
--- a/crates/sparrouter-fleet/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -1,6 +1,7 @@
 //! What one process knows: its rows, the configuration in force, its servers. One owner, one thread; tables are
 //! immutable and swapped whole.
 mod config;
+mod live_nodes;
 mod ownership;
 mod updates;
 
@@ -11,6 +12,7 @@
 use crate::net::SharedNet;
 use crate::planted::{Defect, has};
 use fastrand::Rng;
+pub use live_nodes::{ControlNodeState, LiveNodes};
 use sparrouter_config::{Edits, Table};
 use sparrouter_membership::{NodeRow, Pace, Rows};
 use sparrouter_prefix_index::{Index, Terms};
@@ -80,6 +82,10 @@
     started: Instant,
     pub rows: RefCell<Rows>,
     pub me: RefCell<NodeRow>,
+    /// The name in `me`, which holds for the life of the process.
+    own_name: String,
+    /// What was worked out from the node rows, until one of them changes.
+    live_nodes: RefCell<Rc<LiveNodes>>,
     config: RefCell<Rc<InForce>>,
     /// The last changes of its text, for whoever asks here.
     edits: RefCell<Edits>,
@@ -89,8 +95,8 @@
     pub links: Rc<Links>,
     /// What waits at the servers that this node keeps count of.
     pub backlogs: RefCell<HashMap<u64, Backlog>>,
-    /// Nodes of the core as they were last seen: name, process, silent, leaving.
-    core_seen: RefCell<Vec<(String, u64, bool, bool)>>,
+    /// Counted control nodes as they were last seen.
+    core_seen: RefCell<Vec<ControlNodeState>>,
     /// Stores as they were last told: by their hash, the number that changes when one comes back empty.
     stores: RefCell<HashMap<u64, u64>>,
     /// The prefixes that this node owns.
@@ -162,7 +168,9 @@
             boot: RefCell::new(boot),
             started: Instant::now(),
             rows: RefCell::new(rows),
+            own_name: me.name.clone(),
             me: RefCell::new(me),
+            live_nodes: RefCell::default(),
             config: RefCell::new(Rc::new(none)),
             edits: RefCell::default(),
             server_table: RefCell::new(server_table),
@@ -226,12 +234,7 @@
     /// How many nodes share the retry budget: all that take clients, and those not heard of for a while too, since
     /// they may still spend their part.
     pub fn sharers(&self) -> usize {
-        self.rows
-            .borrow()
-            .nodes()
-            .filter(|n| n.front)
-            .count()
-            .max(1)
+        self.live_nodes().front_count().max(1)
     }
 
     pub fn budget<T>(&self, service: &str, f: impl FnOnce(&mut Budget, Nanos) -> T) -> T {
@@ -265,17 +268,7 @@
 
     /// Nodes that keep the control state, as far as they are known: name and where their internal door is.
     pub fn core(&self) -> Vec<(String, SocketAddr)> {
-        let rows = self.rows.borrow();
-        let address = |n: &NodeRow| Some((n.name.clone(), n.internal.parse().ok()?));
-        let counted = || rows.nodes().filter(|n| n.counted && !n.control.is_empty());
-        if counted().next().is_some() {
-            counted().filter_map(address).collect()
-        } else {
-            rows.nodes()
-                .filter(|n| !n.control.is_empty())
-                .filter_map(address)
-                .collect()
-        }
+        self.live_nodes().control_nodes().to_vec()
     }
 }
 
--- a/crates/sparrouter-fleet/src/node/ownership.rs
+++ b/crates/sparrouter-fleet/src/node/ownership.rs
@@ -1,7 +1,6 @@
 //! What falls to one node by rendezvous: waits at servers, owners of parts of prompts, followers of their sources.
 use super::{KEPT, Node};
 use crate::wire::{Call, KeptAt, Reply};
-use sparrouter_membership::NodeRow;
 use sparrouter_prefix_index::{Advice, Change, Question};
 use sparrouter_routing::Nanos;
 use std::net::SocketAddr;
@@ -9,22 +8,15 @@
 
 /// Servers that are kept count of before old counts are dropped.
 const MOST_BACKLOGS: usize = 4_096;
+/// Keys of notes on stores begin so, followed by the address.
+const STORE_NOTES: &str = "store/";
 /// An owner's answer is waited for so long: reading a prefix anew costs more, but not every time.
 const ADVICE: Duration = Duration::from_millis(25);
 
 impl Node {
     /// The node that owns a key among those that take clients: None for this one itself.
     fn owner(&self, key: u64) -> Option<SocketAddr> {
-        let rows = self.rows.borrow();
-        let best = rows
-            .nodes()
-            .filter(|n| takes_keys(n))
-            .max_by_key(|n| score(name_of(n), key))?;
-        if best.name == self.me.borrow().name {
-            None
-        } else {
-            best.internal.parse().ok()
-        }
+        self.live_nodes().owner_address(key)
     }
 
     /// Counts a prompt at a server that this node keeps, unless it would wait too long. Gives back how long it would.
@@ -112,10 +104,8 @@
     pub(super) fn look_at_stores(&self) {
         let rows = self.rows.borrow();
         let mut stores = self.stores.borrow_mut();
-        for note in rows.notes() {
-            let Some(address) = note.key.strip_prefix("store/") else {
-                continue;
-            };
+        for (note, _) in rows.notes_under(STORE_NOTES) {
+            let address = &note.key[STORE_NOTES.len()..];
             let store = sparrouter_rendezvous::hash(address.as_bytes());
             if stores
                 .insert(store, note.value)
@@ -163,37 +153,27 @@
             .for_each(|row| index.told(source, row.key, row.tokens, now));
     }
 
-    /// Tells the owners of parts what a source keeps of them now. `void`: nothing else that was told of it holds.
+    /// Tells the owners of parts what a source keeps of them now: what changed, and what has another owner than before.
+    /// `void`: nothing else that was told of it holds.
     pub fn tell_kept(&self, source: &mut sparrouter_prefix_index::Source, name: u64, void: bool) {
-        let owners = self.owners();
-        let set = owners.iter().fold(0, |set, o| {
-            sparrouter_rendezvous::mix(set ^ o.0 ^ sparrouter_rendezvous::mix(o.1))
-        });
-        let place = |key| {
-            (0..owners.len())
-                .max_by_key(|&i| score(owners[i].0, key))
-                .unwrap_or(0) as u64
-        };
-        let mut changes = source.tell(set, place);
+        let live = self.live_nodes();
+        let mut changes = source.tell(live.owners());
         if void {
-            (0..owners.len() as u64).for_each(|place| {
+            (0..live.owners().members().len()).for_each(|place| {
                 changes.entry(place).or_default();
             });
         }
         for (place, rows) in changes {
-            let Some((_, _, address)) = owners.get(place as usize) else {
-                continue;
-            };
             let row = |c: &Change| KeptAt {
                 key: c.key,
                 tokens: c.tokens,
             };
             let rows: Vec<KeptAt> = rows.iter().map(row).collect();
-            match address {
+            match live.address_at(place) {
                 None => self.kept_here(name, void, &rows),
                 Some(address) => {
                     self.links.cast(
-                        *address,
+                        address,
                         &Call::Kept {
                             source: name,
                             void,
@@ -204,35 +184,4 @@
             }
         }
     }
-
-    /// The nodes among which keys are cut: hash of the name, process, and where it is (None: here).
-    fn owners(&self) -> Vec<(u64, u64, Option<SocketAddr>)> {
-        let own = self.me.borrow().name.clone();
-        let rows = self.rows.borrow();
-        let address = |n: &NodeRow| {
-            if n.name == own {
-                None
-            } else {
-                n.internal.parse().ok()
-            }
-        };
-        rows.nodes()
-            .filter(|n| takes_keys(n))
-            .map(|n| (name_of(n), n.nonce, address(n)))
-            .collect()
-    }
-}
-
-/// Keys are cut among the nodes that take clients.
-fn takes_keys(node: &NodeRow) -> bool {
-    node.front && !node.silent && !node.leaving
-}
-
-fn name_of(node: &NodeRow) -> u64 {
-    sparrouter_rendezvous::hash(node.name.as_bytes())
-}
-
-/// Whoever asks for an owner and whoever tells one must come to the same.
-fn score(name: u64, key: u64) -> u64 {
-    sparrouter_rendezvous::mix(name ^ sparrouter_rendezvous::mix(key))
 }
--- a/crates/sparrouter-fleet/src/node/updates.rs
+++ b/crates/sparrouter-fleet/src/node/updates.rs
@@ -1,6 +1,6 @@
 //! Rows that were heard of: learnt at once, looked at with the next few, sent on together.
 use super::Node;
-use sparrouter_membership::{Delta, NodeRow};
+use sparrouter_membership::Delta;
 use sparrouter_routing::Nanos;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 const MOST_ROWS_TOLD: usize = 400;
 /// Answers that are kept until the rows change, for others that ask the same.
 const MOST_ANSWERS: usize = 16;
-/// Servers are looked at anew at most so often, since each look walks them all.
+/// Servers are looked at anew at most so often, so that a look finds several changes at once.
 const SYNC: Nanos = 5_000_000;
 const SYNC_A_SERVER: Nanos = 8_000;
 
@@ -126,16 +126,10 @@
 
     /// Notices when nodes of the core come, go, or fall silent.
     fn look_at_core(&self) {
-        let rows = self.rows.borrow();
-        let of = |n: &NodeRow| (n.name.clone(), n.nonce, n.silent, n.leaving);
-        let core: Vec<_> = rows
-            .nodes()
-            .filter(|n| n.counted && !n.control.is_empty())
-            .map(of)
-            .collect();
+        let live = self.live_nodes();
         let mut known = self.core_seen.borrow_mut();
-        if *known != core {
-            *known = core;
+        if known.as_slice() != live.counted_states() {
+            *known = live.counted_states().to_vec();
             self.server_table
                 .borrow_mut()
                 .versions
--- a/crates/sparrouter-fleet/src/registry.rs
+++ b/crates/sparrouter-fleet/src/registry.rs
@@ -244,10 +244,11 @@
     if control.is_some_and(|c| c.is_member()) && !leaving {
         return None;
     }
-    let rows = node.rows.borrow();
-    let fit = rows
-        .nodes()
-        .filter(|n| n.counted && !n.control.is_empty() && !n.silent && !n.leaving);
+    let live = node.live_nodes();
+    let fit = live
+        .control_rows()
+        .iter()
+        .filter(|n| n.counted && !n.silent && !n.leaving);
     let ranked: Vec<(&str, &str, &str)> = order(
         fit.map(|n| {
             (
--- a/crates/sparrouter-prefix-index/src/source.rs
+++ b/crates/sparrouter-prefix-index/src/source.rs
@@ -1,5 +1,7 @@
 //! One server or store at its follower: what its events say that it keeps, and which owners have heard of that.
+use sparrouter_rendezvous::SlotTable;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// Parts that are remembered of one source.
 const MOST: usize = 200_000;
@@ -32,8 +34,8 @@
     kept: BTreeMap<u64, u32>,
     /// Parts whose owner has not heard of the last change.
     untold: BTreeSet<u64>,
-    /// Names the set of owners that was told.
-    owners: u64,
+    /// The owners that were told; None before the first time.
+    owners: Option<Rc<SlotTable>>,
 }
 
 impl Source {
@@ -70,20 +72,25 @@
         void
     }
 
-    /// What each owner has to be told, by owner. `owners` names the set of nodes that `owner` draws from: where it is
-    /// another than before, all that is kept is told again, as nobody knows what the new owners have.
-    pub fn tell(&mut self, owners: u64, owner: impl Fn(u64) -> u64) -> BTreeMap<u64, Vec<Change>> {
+    /// What each owner has to be told, by the owner's place in the table: what changed since the last time, and what is
+    /// kept and had another owner, or another process of it, then.
+    pub fn tell(&mut self, owners: &Rc<SlotTable>) -> BTreeMap<usize, Vec<Change>> {
         let mut keys = std::mem::take(&mut self.untold);
-        if owners != self.owners {
-            keys.extend(self.kept.keys());
-            self.owners = owners;
+        let before = self.owners.replace(owners.clone());
+        if before.as_ref().is_none_or(|b| !Rc::ptr_eq(b, owners)) {
+            let moved = |key: &&u64| {
+                before
+                    .as_ref()
+                    .is_none_or(|before| before.owner(**key) != owners.owner(**key))
+            };
+            keys.extend(self.kept.keys().filter(moved));
         }
-        let mut out: BTreeMap<u64, Vec<Change>> = BTreeMap::new();
+        let mut out: BTreeMap<usize, Vec<Change>> = BTreeMap::new();
         for key in keys {
             let tokens = self.kept.get(&key).copied().unwrap_or(0);
-            out.entry(owner(key))
-                .or_default()
-                .push(Change { key, tokens });
+            if let Some(place) = owners.owner_place(key) {
+                out.entry(place).or_default().push(Change { key, tokens });
+            }
         }
         out
     }
--- a/crates/sparrouter-prefix-index/tests/source.rs
+++ b/crates/sparrouter-prefix-index/tests/source.rs
@@ -1,6 +1,8 @@
 //! What a follower makes of a source's events.
 use sparrouter_prefix_index::{Change, Page, Source};
+use sparrouter_rendezvous::{Member, SlotTable, mix};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 fn kept(key: u64, tokens: u32) -> Change {
     Change { key, tokens }
@@ -15,41 +17,101 @@
     }
 }
 
-/// Even keys have owner 0, odd ones 1.
-fn told(source: &mut Source) -> BTreeMap<u64, Vec<Change>> {
-    source.tell(1, |key| key % 2)
+fn owner(number: u64) -> Member {
+    Member {
+        name: mix(number + 1),
+        process: number,
+    }
+}
+
+fn owners(numbers: &[u64]) -> Rc<SlotTable> {
+    let members = numbers.iter().map(|&n| owner(n)).collect();
+    Rc::new(SlotTable::default().with_members(members))
+}
+
+/// The first `count` keys of an owner.
+fn keys_of(owners: &SlotTable, number: u64, count: usize) -> Vec<u64> {
+    let keys = (0..).filter(|&key| owners.owner(key) == Some(owner(number)));
+    keys.take(count).collect()
+}
+
+fn place_of(owners: &SlotTable, number: u64) -> usize {
+    let all = owners.members();
+    all.iter().position(|m| *m == owner(number)).unwrap()
 }
 
 #[test]
 fn given_events_when_told_then_each_owner_hears_of_its_parts_once_with_what_is_kept_now() {
+    let owners = owners(&[0, 1]);
+    let (zeroth, first) = (keys_of(&owners, 0, 2), keys_of(&owners, 1, 1));
     let mut source = Source::default();
     assert!(!source.take(page(
         5,
         40,
         &[
-            kept(2, 100),
-            kept(3, 700),
-            kept(2, 160),
-            kept(4, 9),
-            kept(4, 0)
+            kept(zeroth[0], 100),
+            kept(first[0], 700),
+            kept(zeroth[0], 160),
+            kept(zeroth[1], 9),
+            kept(zeroth[1], 0)
         ]
     )));
     assert_eq!(source.since(), 40);
-    let expected = BTreeMap::from([(0, vec![kept(2, 160), kept(4, 0)]), (1, vec![kept(3, 700)])]);
-    assert_eq!(told(&mut source), expected);
-    assert!(told(&mut source).is_empty(), "there is nothing new");
+    let expected = BTreeMap::from([
+        (
+            place_of(&owners, 0),
+            vec![kept(zeroth[0], 160), kept(zeroth[1], 0)],
+        ),
+        (place_of(&owners, 1), vec![kept(first[0], 700)]),
+    ]);
+    assert_eq!(source.tell(&owners), expected);
+    assert!(source.tell(&owners).is_empty(), "there is nothing new");
 }
 
 #[test]
-fn given_another_set_of_owners_when_told_then_all_that_is_kept_is_told_again() {
+fn given_an_owner_that_goes_when_told_then_all_that_it_had_and_nothing_else_is_told_again() {
+    let before = owners(&[0, 1, 2]);
+    let mut source = Source::default();
+    let all: Vec<Change> = (0..300).map(|key| kept(key, 160)).collect();
+    source.take(page(5, 40, &all));
+    source.tell(&before);
+    let after = Rc::new(before.with_members(vec![owner(0), owner(2)]));
+    let again: Vec<u64> = told_keys(source.tell(&after));
+    let had = |key: &u64| before.owner(*key) == Some(owner(1));
+    assert_eq!(again, (0..300).filter(had).collect::<Vec<u64>>());
+    assert!((60..140).contains(&again.len()));
+    assert!(source.tell(&after).is_empty());
+}
+
+#[test]
+fn given_an_owner_that_restarts_when_told_then_its_new_process_hears_of_all_that_is_kept() {
+    let before = owners(&[0, 1, 2]);
+    let mut source = Source::default();
+    let all: Vec<Change> = (0..300).map(|key| kept(key, 160)).collect();
+    source.take(page(5, 40, &all));
+    source.tell(&before);
+    let restarted = Member {
+        process: 77,
+        ..owner(1)
+    };
+    let after = Rc::new(before.with_members(vec![owner(0), restarted, owner(2)]));
+    let had = |key: &u64| before.owner(*key) == Some(owner(1));
+    let expected: Vec<u64> = (0..300).filter(had).collect();
+    assert_eq!(told_keys(source.tell(&after)), expected);
+}
+
+#[test]
+fn given_no_owner_at_first_when_one_is_known_then_it_hears_of_all_that_is_kept() {
     let mut source = Source::default();
     source.take(page(5, 40, &[kept(2, 160), kept(3, 700)]));
-    told(&mut source);
-    let anew = source.tell(2, |_| 6);
-    assert_eq!(
-        anew,
-        BTreeMap::from([(6, vec![kept(2, 160), kept(3, 700)])])
-    );
+    assert!(source.tell(&owners(&[])).is_empty());
+    assert_eq!(told_keys(source.tell(&owners(&[1]))), [2, 3]);
+}
+
+fn told_keys(told: BTreeMap<usize, Vec<Change>>) -> Vec<u64> {
+    let mut keys: Vec<u64> = told.into_values().flatten().map(|c| c.key).collect();
+    keys.sort_unstable();
+    keys
 }
 
 #[test]
@@ -84,6 +146,7 @@
     // A follower before this one may have told of it.
     let mut source = Source::default();
     source.take(page(5, 40, &[kept(3, 0)]));
-    assert_eq!(told(&mut source), BTreeMap::from([(1, vec![kept(3, 0)])]));
+    let told = source.tell(&owners(&[1]));
+    assert_eq!(told, BTreeMap::from([(0, vec![kept(3, 0)])]));
     assert!(source.is_empty());
 }
