--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -17,10 +17,12 @@
 #![deny(missing_docs)]
 mod backlog;
 mod budget;
+mod candidate;
 mod durations;
 mod election;
 mod prompt;
 mod server;
+mod sync;
 mod versions;
 
 pub use backlog::Backlog;
