--- a/crates/sparrouter-fleet-lab/src/operator.rs
+++ b/crates/sparrouter-fleet-lab/src/operator.rs
@@ -99,6 +99,6 @@
         }
         let read = miniserde::json::from_str::<Numbered>(&reply.body);
         read.map(|n| n.version)
-            .map_err(|_| ClientError::Misread { address })
+            .map_err(|_| ClientError::UnreadableAnswer { address })
     }
 }
--- a/crates/sparrouter-fleet/src/boot.rs
+++ b/crates/sparrouter-fleet/src/boot.rs
@@ -1,5 +1,6 @@
-//! The settings file of a process: read with a library, checked whole, every fault named by its field.
-//! Unknown fields are passed over. Source: DEPLOY.md of the operators, "Settings of a process".
+//! The settings file of a process: parsed with a library, then validated as a whole. Each error names its field; unknown
+//! fields are ignored. Source: the operators' DEPLOY.md, "Settings of a process".
+#![deny(missing_docs)]
 mod fields;
 
 use fields::Fields;
@@ -9,67 +10,119 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Where the path of the settings file stands.
+/// The environment variable that holds the path of the settings file.
 pub const VARIABLE: &str = "SPARROUTER_BOOT";
 
+/// Why a settings file cannot be used. Each message names the remedy.
 #[derive(Debug, thiserror::Error)]
 pub enum BootError {
+    /// The environment variable is not set.
     #[error("{VARIABLE} is not set: let it name the settings file")]
     NoVariable,
+    /// The file cannot be read.
     #[error("{path}: cannot be read ({why}): check that the file exists and its owner may read it")]
-    Unreadable { path: String, why: String },
-    #[error("{path}: not lines of a.b=value ({why}): mend the line")]
-    Malformed { path: String, why: String },
+    Unreadable {
+        /// Path of the file.
+        path: String,
+        /// The error of the operating system.
+        why: String,
+    },
+    /// The file does not consist of settings.
+    #[error("{path}: not lines of a.b=value ({why}): correct the line")]
+    Malformed {
+        /// Path of the file.
+        path: String,
+        /// The error of the parser.
+        why: String,
+    },
+    /// A required field is missing.
     #[error("{path}: {field} is missing: add a line {field}=…")]
-    Missing { path: String, field: String },
-    #[error("{path}: {field}={value} is not {wanted}: mend that line")]
+    Missing {
+        /// Path of the file.
+        path: String,
+        /// Name of the field.
+        field: String,
+    },
+    /// A field has the wrong type or is out of range.
+    #[error("{path}: {field}={value} is not {wanted}: correct that line")]
     Value {
+        /// Path of the file.
         path: String,
+        /// Name of the field.
         field: String,
+        /// Its value, shortened.
         value: String,
+        /// What it must be.
         wanted: String,
     },
 }
 
-/// Where this process listens; an address that is not given is not served.
+/// The addresses that this process listens on. Without an address the endpoint is not served.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listen {
+    /// For clients.
     pub front: Option<SocketAddr>,
+    /// For readiness checks of the platform.
     pub readiness: Option<SocketAddr>,
+    /// For servers and operators.
     pub control: Option<SocketAddr>,
 }
 
-/// The figures of the rules that are in force.
+/// The limits that the operators' RULES.md refers to, as set for this deployment (`bounds.*`).
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
+    /// How far the platform's list of seed addresses may lag behind.
     pub seed_lag: Duration,
+    /// Shortest time until the address of a server that left is given to another one.
     pub address_reuse: Duration,
+    /// How long a node must have been in touch with a quorum, and how recently, for the rules to apply to it.
     pub contact: Duration,
+    /// Longest time until a change is acknowledged while a quorum is in touch.
     pub ack_timeout: Duration,
+    /// How long a core machine that returned still counts as lost.
     pub catch_up: Duration,
+    /// Time after the acknowledgement of a drain within which requests may still reach the server.
     pub drain_timeout: Duration,
+    /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
+    /// Tolerance, around planned work, for requests that are cut off.
     pub loss_slack: Duration,
+    /// Time after the acknowledgement of a configuration within which every node must apply it.
     pub config_apply: Duration,
+    /// Tolerance for a node that applies an older configuration after a newer one was seen.
     pub rollback_slack: Duration,
+    /// Longest time by which an unstable core may delay a configuration beyond `config_apply`.
     pub max_stretch: Duration,
+    /// `bounds.strict_revocation`; not used by this release.
     pub strict_revocation: bool,
+    /// `bounds.revoke_timeout_ms`; not used by this release.
     pub revoke_timeout: Duration,
+    /// How long a rollout lease is valid without renewal.
     pub lease: Duration,
+    /// Time after a frozen process continues during which orders may still arrive out of turn.
     pub thaw: Duration,
+    /// Time after new weights are named within which requests may begin on older ones.
     pub version: Duration,
-    /// 0: no bound.
+    /// `bounds.version_all_ms`, 0: no limit; not used by this release.
     pub version_all: Duration,
+    /// Longest time that an event of a stream may take through the fleet.
     pub transit: Duration,
+    /// `bounds.again_s`; not used by this release.
     pub again: Duration,
+    /// Time after a final fault until requests must be served again.
     pub recovery: Duration,
+    /// Retries allowed a request; see [`BudgetTerms::ratio`].
     pub retry_budget_ratio: f64,
+    /// Further retries of all nodes in a window; see [`BudgetTerms::slack`].
     pub retry_budget_slack: f64,
+    /// Window of the retry budget.
     pub budget_window: Duration,
+    /// Servers refuse a fencing token lower than one they have seen.
     pub fencing: bool,
 }
 
 impl Bounds {
+    /// The limits of the retry budget.
     pub fn budget(&self) -> BudgetTerms {
         BudgetTerms {
             ratio: self.retry_budget_ratio,
@@ -79,79 +132,106 @@
     }
 }
 
-/// All that a process is told when it starts.
+/// The settings of a process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Boot {
+    /// Path of the settings file, for messages.
     pub path: PathBuf,
+    /// Name of the node, the same after a restart.
     pub node_name: String,
-    /// As the deploy file calls it; the subcommand decides what the process does.
+    /// Role in the deploy file. Informational: the subcommand decides what the process does.
     pub role: String,
+    /// Class of the machine in the deploy file. Informational.
     pub machine_class: String,
+    /// Roles that the machine serves. Informational.
     pub served_roles: Vec<String>,
+    /// Address of the machine.
     pub ip: IpAddr,
+    /// Zone of the machine.
     pub zone: String,
+    /// Region of the machine.
     pub region: String,
+    /// The region of each zone (`zones.*`).
     pub regions: HashMap<String, String>,
+    /// Addresses to listen on.
     pub listen: Listen,
-    /// The first of the ports that nodes talk to each other on, alike on all machines.
+    /// First of the ports for connections between nodes, the same on all machines.
     pub internal_port: u16,
+    /// Last of these ports.
     pub last_internal_port: u16,
+    /// Control addresses of nodes to contact first.
     pub seeds: Vec<SocketAddr>,
+    /// The whole fleet starts for the first time, on empty disks.
     pub first_start: bool,
+    /// The node counts toward the quorum.
     pub counted: bool,
-    /// Part of a core that the machine has, and how many times as fast it runs.
+    /// Share of a processor core that the machine has.
     pub cpu_share: f64,
+    /// Speed of that core, as a multiple of a reference core.
     pub cpu_cores: f64,
+    /// Memory of the machine in MB.
     pub memory_mb: u64,
+    /// Most open file descriptors.
     pub open_files: u64,
+    /// Bandwidth of the machine's link, in megabits a second.
     pub link_mbps: f64,
-    /// 0: no disk.
+    /// Size of the disk in MB; 0: no disk.
     pub disk_mb: u64,
+    /// Directory for what must survive a restart; `None`: nothing does.
     pub data: Option<PathBuf>,
+    /// How servers are found. Informational.
     pub discovery: String,
+    /// How clients reach the fleet. Informational.
     pub entry_mode: String,
+    /// Time between two heartbeats of a server.
     pub heartbeat: Duration,
-    /// Parts of the rules that are in force.
+    /// Groups of rules that are in force.
     pub active_contracts: Vec<String>,
-    /// What may be lost at the same time: machines that count, or zones, or regions.
+    /// How many counted machines may be lost at a time.
     pub tolerated_machines: u32,
+    /// How many zones may be lost at a time.
     pub tolerated_zones: u32,
+    /// How many regions may be lost at a time.
     pub tolerated_regions: u32,
+    /// Limits of the rules.
     pub bounds: Bounds,
 }
 
+/// A duration in nanoseconds; `u64::MAX` if it is longer than that.
 pub fn nanos(of: Duration) -> u64 {
     of.as_nanos().min(u128::from(u64::MAX)) as u64
 }
 
-/// Most of anything that is counted in a settings file.
+/// Parts of a second in which a field ending in `_ms` is written.
+const PER_MS: f64 = 1e3;
+/// Largest whole number in a settings file.
 const MANY: u64 = 1_000_000_000;
 
 impl Bounds {
-    fn read(f: &Fields) -> Result<Bounds, BootError> {
-        let ms = |field: &str, usual: f64| f.span(field, 1e3, 0.0, usual);
-        let s = |field: &str, usual: f64| f.span(field, 1.0, 0.0, usual);
+    fn read(fields: &Fields) -> Result<Bounds, BootError> {
+        let ms = |field: &str, default: f64| fields.duration(field, PER_MS, 0.0, default);
+        let seconds = |field: &str, default: f64| fields.duration(field, 1.0, 0.0, default);
         Ok(Bounds {
-            seed_lag: s("bounds.seed_lag_s", 3.0)?,
-            address_reuse: s("bounds.address_reuse_s", 2.0)?,
+            seed_lag: seconds("bounds.seed_lag_s", 3.0)?,
+            address_reuse: seconds("bounds.address_reuse_s", 2.0)?,
             contact: ms("bounds.contact_ms", 3_000.0)?,
             ack_timeout: ms("bounds.ack_timeout_ms", 4_000.0)?,
-            catch_up: s("bounds.catch_up_s", 4.0)?,
+            catch_up: seconds("bounds.catch_up_s", 4.0)?,
             drain_timeout: ms("bounds.drain_timeout_ms", 2_000.0)?,
-            grace: s("bounds.grace_period_s", 8.0)?,
+            grace: seconds("bounds.grace_period_s", 8.0)?,
             loss_slack: ms("bounds.loss_slack_ms", 200.0)?,
             config_apply: ms("bounds.config_apply_ms", 2_000.0)?,
             rollback_slack: ms("bounds.rollback_slack_ms", 250.0)?,
             max_stretch: ms("bounds.max_stretch_ms", 5_000.0)?,
-            strict_revocation: f.flag("bounds.strict_revocation", false)?,
+            strict_revocation: fields.flag("bounds.strict_revocation", false)?,
             revoke_timeout: ms("bounds.revoke_timeout_ms", 5_000.0)?,
-            retry_budget_ratio: f.number("bounds.retry_budget_ratio", 0.0..=100.0, 0.2)?,
-            budget_window: s("bounds.budget_window_s", 10.0)?,
-            retry_budget_slack: f.number("bounds.retry_budget_slack", 0.0..=1e9, 10.0)?,
-            recovery: s("bounds.recovery_s", 12.0)?,
+            retry_budget_ratio: fields.number("bounds.retry_budget_ratio", 0.0..=100.0, 0.2)?,
+            budget_window: seconds("bounds.budget_window_s", 10.0)?,
+            retry_budget_slack: fields.number("bounds.retry_budget_slack", 0.0..=1e9, 10.0)?,
+            recovery: seconds("bounds.recovery_s", 12.0)?,
             transit: ms("bounds.transit_ms", 120.0)?,
-            again: s("bounds.again_s", 0.0)?,
-            fencing: f.flag("bounds.fencing_enabled", true)?,
+            again: seconds("bounds.again_s", 0.0)?,
+            fencing: fields.flag("bounds.fencing_enabled", true)?,
             lease: ms("bounds.lease_ms", 3_000.0)?,
             thaw: ms("bounds.thaw_ms", 300.0)?,
             version: ms("bounds.version_ms", 8_000.0)?,
@@ -161,50 +241,55 @@
 }
 
 impl Boot {
-    /// From the file that the environment names.
+    /// Reads the file that the environment variable [`VARIABLE`] names.
+    ///
+    /// # Errors
+    ///
+    /// A [`BootError`] for the first problem found; so for all functions here.
     pub fn load() -> Result<Boot, BootError> {
         Boot::read(Path::new(
             &std::env::var_os(VARIABLE).ok_or(BootError::NoVariable)?,
         ))
     }
 
+    /// Reads a settings file.
     pub fn read(path: &Path) -> Result<Boot, BootError> {
         Boot::parse(path, &text_of(path)?)
     }
 
-    /// The settings of a file as they are used, themselves a settings file.
+    /// The settings of a file with defaults filled in, as text of a settings file.
     pub fn show(path: &Path) -> Result<String, BootError> {
         Boot::show_text(path, &text_of(path)?)
     }
 
-    /// `path` is only for what errors say.
+    /// The same for a text; `path` is for error messages only.
     pub fn show_text(path: &Path, text: &str) -> Result<String, BootError> {
         let fields = Fields::read(path, text)?;
-        Boot::take(path, &fields)?;
+        Boot::from_fields(path, &fields)?;
         Ok(fields.show())
     }
 
-    /// Checks the whole text; `path` is only for what errors say.
+    /// Parses and validates a text; `path` is for error messages only.
     pub fn parse(path: &Path, text: &str) -> Result<Boot, BootError> {
-        Boot::take(path, &Fields::read(path, text)?)
+        Boot::from_fields(path, &Fields::read(path, text)?)
     }
 
-    fn take(path: &Path, f: &Fields) -> Result<Boot, BootError> {
-        let node_name: String = f.needed("node_name", "a name")?;
-        let (role, machine_class) = (f.text("role"), f.text("machine_class"));
-        let served_roles = f.list("served_roles", "names joined by commas")?;
-        let ip: IpAddr = f.needed("ip_address", "an IP address such as 10.1.0.21")?;
-        let (zone, region) = (f.text("zone"), f.text("region"));
-        let regions = f.under("zones.").into_iter().collect();
+    fn from_fields(path: &Path, fields: &Fields) -> Result<Boot, BootError> {
+        let node_name: String = fields.required("node_name", "a name")?;
+        let (role, machine_class) = (fields.text("role"), fields.text("machine_class"));
+        let served_roles = fields.list("served_roles", "names joined by commas")?;
+        let ip: IpAddr = fields.required("ip_address", "an IP address such as 10.1.0.21")?;
+        let (zone, region) = (fields.text("zone"), fields.text("region"));
+        let regions = fields.with_prefix("zones.").into_iter().collect();
         let listen = Listen {
-            front: f.address("listen_addresses.front_http")?,
-            readiness: f.address("listen_addresses.readiness")?,
-            control: f.address("listen_addresses.control_plane")?,
+            front: fields.address("listen_addresses.front_http")?,
+            readiness: fields.address("listen_addresses.readiness")?,
+            control: fields.address("listen_addresses.control_plane")?,
         };
-        let (internal_port, last_internal_port) = internal_ports(f)?;
-        let seeds = f.list("seed_nodes", "addresses such as 10.1.0.21:8683")?;
-        let first_start = f.flag("first_start", false)?;
-        let counted = f.flag("counts_toward_quorum", false)?;
+        let (internal_port, last_internal_port) = internal_ports(fields)?;
+        let seeds = fields.list("seed_nodes", "addresses such as 10.1.0.21:8683")?;
+        let first_start = fields.flag("first_start", false)?;
+        let counted = fields.flag("counts_toward_quorum", false)?;
         Ok(Boot {
             path: path.to_owned(),
             node_name,
@@ -221,27 +306,27 @@
             seeds,
             first_start,
             counted,
-            cpu_share: f.number("limits.cpu_share", 0.0..=1e6, 1.0)?,
-            cpu_cores: f.number("limits.cpu_cores", 0.0..=1e6, 1.0)?,
-            memory_mb: f.whole("limits.memory_mb", 1..=MANY, 256)?,
-            open_files: f.whole("limits.max_open_files", 1..=MANY, 1024)?,
-            link_mbps: f.number("limits.link_mbps", 0.0..=1e9, 1_000.0)?,
-            disk_mb: f.whole("limits.disk_mb", 0..=MANY, 0)?,
-            data: Some(f.text("data_directory"))
+            cpu_share: fields.number("limits.cpu_share", 0.0..=1e6, 1.0)?,
+            cpu_cores: fields.number("limits.cpu_cores", 0.0..=1e6, 1.0)?,
+            memory_mb: fields.integer("limits.memory_mb", 1..=MANY, 256)?,
+            open_files: fields.integer("limits.max_open_files", 1..=MANY, 1024)?,
+            link_mbps: fields.number("limits.link_mbps", 0.0..=1e9, 1_000.0)?,
+            disk_mb: fields.integer("limits.disk_mb", 0..=MANY, 0)?,
+            data: Some(fields.text("data_directory"))
                 .filter(|d| !d.is_empty())
                 .map(PathBuf::from),
-            discovery: f.text("discovery"),
-            entry_mode: f.text("entry_mode"),
-            heartbeat: f.span("heartbeat_ms", 1e3, 1.0, 1_000.0)?,
-            active_contracts: f.list("active_contracts", "names joined by commas")?,
-            tolerated_machines: f.whole("fault_tolerance.machines", 0..=1_000, 1)? as u32,
-            tolerated_zones: f.whole("fault_tolerance.zones", 0..=1_000, 0)? as u32,
-            tolerated_regions: f.whole("fault_tolerance.regions", 0..=1_000, 0)? as u32,
-            bounds: Bounds::read(f)?,
+            discovery: fields.text("discovery"),
+            entry_mode: fields.text("entry_mode"),
+            heartbeat: fields.duration("heartbeat_ms", PER_MS, 1.0, 1_000.0)?,
+            active_contracts: fields.list("active_contracts", "names joined by commas")?,
+            tolerated_machines: fields.integer("fault_tolerance.machines", 0..=1_000, 1)? as u32,
+            tolerated_zones: fields.integer("fault_tolerance.zones", 0..=1_000, 0)? as u32,
+            tolerated_regions: fields.integer("fault_tolerance.regions", 0..=1_000, 0)? as u32,
+            bounds: Bounds::read(fields)?,
         })
     }
 
-    /// Where another node on that machine takes the calls of nodes.
+    /// The address for connections between nodes on another machine.
     pub fn internal_of(&self, machine: IpAddr) -> SocketAddr {
         SocketAddr::new(machine, self.internal_port)
     }
@@ -254,13 +339,14 @@
     })
 }
 
-fn internal_ports(f: &Fields) -> Result<(u16, u16), BootError> {
+/// The first and the last port for connections between nodes.
+fn internal_ports(fields: &Fields) -> Result<(u16, u16), BootError> {
     const FIELD: &str = "internal_port_range";
     const WANTED: &str = "two ports above 0, the lower first, such as 7360,7375";
-    let ports: String = f.needed(FIELD, WANTED)?;
-    let two = ports
+    let ports: String = fields.required(FIELD, WANTED)?;
+    let both = ports
         .split_once(',')
         .and_then(|(a, b)| Some((a.trim().parse().ok()?, b.trim().parse().ok()?)));
-    two.filter(|(first, last)| *first > 0 && first <= last)
-        .ok_or_else(|| f.wrong(FIELD, &ports, WANTED))
+    both.filter(|(first, last)| *first > 0 && first <= last)
+        .ok_or_else(|| fields.invalid(FIELD, &ports, WANTED))
 }
--- a/crates/sparrouter-fleet/src/boot/fields.rs
+++ b/crates/sparrouter-fleet/src/boot/fields.rs
@@ -1,4 +1,4 @@
-//! One field at a time out of a settings file: read, checked, and noted for `show` and for errors.
+//! Typed access to the fields of a settings file. Each field that is read is recorded for [`Fields::show`].
 use crate::boot::BootError;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,32 +9,38 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-/// Longest text of a field, in bytes, that an error repeats.
-const REPEATED: usize = 80;
+/// Most characters of a value that an error message repeats.
+const MAX_SHOWN: usize = 80;
 
-/// One field as it is used.
-pub struct Noted {
-    pub field: String,
-    pub value: String,
-    /// It stands in the file; else it was filled in.
-    pub given: bool,
+/// Longest duration, in its field's unit.
+const MAX_DURATION: f64 = 1e9;
+/// Largest whole number that an `f64` represents exactly, rounded down.
+const MAX_EXACT: f64 = 9e15;
+
+/// A field that was read.
+struct UsedField {
+    field: String,
+    value: String,
+    /// It is in the file; otherwise the value is the default.
+    is_given: bool,
 }
 
-/// The fields of a file, and what was made of them.
+/// The fields of a settings file, and which of them were read.
 pub struct Fields<'a> {
     path: &'a Path,
     map: BTreeMap<String, String>,
-    noted: RefCell<Vec<Noted>>,
+    used: RefCell<Vec<UsedField>>,
 }
 
 impl<'a> Fields<'a> {
+    /// Parses a text; `path` is for error messages only.
     pub fn read(path: &'a Path, text: &str) -> Result<Fields<'a>, BootError> {
         let malformed = |e: java_properties::PropertiesError| BootError::Malformed {
             path: path.display().to_string(),
             why: e.to_string(),
         };
         let map = java_properties::read(text.as_bytes()).map_err(malformed)?;
-        // A field that is left empty counts as left out.
+        // An empty field counts as absent.
         let filled = map
             .into_iter()
             .map(|(k, v)| (k, v.trim().to_owned()))
@@ -42,20 +48,21 @@
         Ok(Fields {
             path,
             map: filled.collect(),
-            noted: RefCell::default(),
+            used: RefCell::default(),
         })
     }
 
-    fn note(&self, field: &str, value: impl Display, given: bool) {
-        self.noted.borrow_mut().push(Noted {
+    fn record(&self, field: &str, value: impl Display, is_given: bool) {
+        self.used.borrow_mut().push(UsedField {
             field: field.to_owned(),
             value: value.to_string(),
-            given,
+            is_given,
         });
     }
 
-    pub fn wrong(&self, field: &str, value: &str, wanted: impl Display) -> BootError {
-        let shown: String = value.chars().take(REPEATED).collect();
+    /// The error for a value that cannot be used.
+    pub fn invalid(&self, field: &str, value: &str, wanted: impl Display) -> BootError {
+        let shown: String = value.chars().take(MAX_SHOWN).collect();
         BootError::Value {
             path: self.path.display().to_string(),
             field: field.to_owned(),
@@ -71,12 +78,17 @@
         }
     }
 
-    /// A field that must be there.
-    pub fn needed<T: FromStr + Display>(&self, field: &str, wanted: &str) -> Result<T, BootError> {
+    /// A field that must be present.
+    pub fn required<T: FromStr + Display>(
+        &self,
+        field: &str,
+        wanted: &str,
+    ) -> Result<T, BootError> {
         self.optional(field, wanted)?
             .ok_or_else(|| self.missing(field))
     }
 
+    /// A field that may be absent.
     pub fn optional<T: FromStr + Display>(
         &self,
         field: &str,
@@ -87,62 +99,64 @@
         };
         let value = text
             .parse::<T>()
-            .map_err(|_| self.wrong(field, text, wanted))?;
-        self.note(field, &value, true);
+            .map_err(|_| self.invalid(field, text, wanted))?;
+        self.record(field, &value, true);
         Ok(Some(value))
     }
 
-    /// Free text; empty where it is left out.
+    /// Any text; empty if absent.
     pub fn text(&self, field: &str) -> String {
         let text = self.map.get(field);
-        self.note(field, text.map_or("", String::as_str), text.is_some());
+        self.record(field, text.map_or("", String::as_str), text.is_some());
         text.cloned().unwrap_or_default()
     }
 
-    pub fn flag(&self, field: &str, usual: bool) -> Result<bool, BootError> {
+    /// `true` or `false`.
+    pub fn flag(&self, field: &str, default: bool) -> Result<bool, BootError> {
         let given = self.optional(field, "true or false")?;
         if given.is_none() {
-            self.note(field, usual, false);
+            self.record(field, default, false);
         }
-        Ok(given.unwrap_or(usual))
+        Ok(given.unwrap_or(default))
     }
 
+    /// A number within a range.
     pub fn number(
         &self,
         field: &str,
         range: RangeInclusive<f64>,
-        usual: f64,
+        default: f64,
     ) -> Result<f64, BootError> {
         let Some(text) = self.map.get(field) else {
-            self.note(field, usual, false);
-            return Ok(usual);
+            self.record(field, default, false);
+            return Ok(default);
         };
         let wanted = || format!("a number from {} to {}", range.start(), range.end());
         let value: f64 = text
             .parse()
-            .map_err(|_| self.wrong(field, text, wanted()))?;
+            .map_err(|_| self.invalid(field, text, wanted()))?;
         if !range.contains(&value) {
-            return Err(self.wrong(field, text, wanted()));
+            return Err(self.invalid(field, text, wanted()));
         }
-        self.note(field, value, true);
+        self.record(field, value, true);
         Ok(value)
     }
 
-    /// A whole number; `260.0` is one too.
-    pub fn whole(
+    /// A whole number within a range; `260.0` is one too.
+    pub fn integer(
         &self,
         field: &str,
         range: RangeInclusive<u64>,
-        usual: u64,
+        default: u64,
     ) -> Result<u64, BootError> {
         let Some(text) = self.map.get(field) else {
-            self.note(field, usual, false);
-            return Ok(usual);
+            self.record(field, default, false);
+            return Ok(default);
         };
         let decimal = || {
             text.parse::<f64>()
                 .ok()
-                .filter(|n| n.fract() == 0.0 && *n >= 0.0 && *n < 9e15)
+                .filter(|n| n.fract() == 0.0 && *n >= 0.0 && *n < MAX_EXACT)
         };
         let value = text
             .parse::<u64>()
@@ -150,35 +164,36 @@
             .or_else(|| decimal().map(|n| n as u64));
         let Some(value) = value.filter(|n| range.contains(n)) else {
             let wanted = format!("a whole number from {} to {}", range.start(), range.end());
-            return Err(self.wrong(field, text, wanted));
+            return Err(self.invalid(field, text, wanted));
         };
-        self.note(field, value, true);
+        self.record(field, value, true);
         Ok(value)
     }
 
-    /// A time, written in parts of a second: `per_s` of them.
-    pub fn span(
+    /// A duration of at least `min`, written in a unit of which `per_second` make a second.
+    pub fn duration(
         &self,
         field: &str,
-        per_s: f64,
-        least: f64,
-        usual: f64,
+        per_second: f64,
+        min: f64,
+        default: f64,
     ) -> Result<Duration, BootError> {
         Ok(Duration::from_secs_f64(
-            self.number(field, least..=1e9, usual)? / per_s,
+            self.number(field, min..=MAX_DURATION, default)? / per_second,
         ))
     }
 
+    /// An address with a port above 0.
     pub fn address(&self, field: &str) -> Result<Option<SocketAddr>, BootError> {
         let wanted = "an address such as 10.1.0.21:8683";
         let address: Option<SocketAddr> = self.optional(field, wanted)?;
         match address {
-            Some(a) if a.port() == 0 => Err(self.wrong(field, &a.to_string(), wanted)),
+            Some(a) if a.port() == 0 => Err(self.invalid(field, &a.to_string(), wanted)),
             address => Ok(address),
         }
     }
 
-    /// Words joined by commas, each of them read.
+    /// Values separated by commas; empty if absent.
     pub fn list<T: FromStr + Display>(
         &self,
         field: &str,
@@ -190,32 +205,31 @@
             .unwrap_or_default()
             .split(',')
             .map(str::trim);
-        let read = |w: &str| w.parse::<T>().map_err(|_| self.wrong(field, w, wanted));
+        let read = |w: &str| w.parse::<T>().map_err(|_| self.invalid(field, w, wanted));
         let all = words
             .filter(|w| !w.is_empty())
             .map(read)
             .collect::<Result<Vec<T>, _>>()?;
         let shown: Vec<String> = all.iter().map(T::to_string).collect();
-        self.note(field, shown.join(","), text.is_some());
+        self.record(field, shown.join(","), text.is_some());
         Ok(all)
     }
 
-    /// All fields whose name begins so, without that beginning.
-    pub fn under(&self, prefix: &str) -> Vec<(String, String)> {
+    /// All fields whose name begins with `prefix`, without it.
+    pub fn with_prefix(&self, prefix: &str) -> Vec<(String, String)> {
         let fields = self.map.iter().filter(|(k, _)| k.starts_with(prefix));
         fields
             .map(|(k, v)| {
-                self.note(k, v, true);
+                self.record(k, v, true);
                 (k[prefix.len()..].to_owned(), v.clone())
             })
             .collect()
     }
 
-    /// The settings as they are used, themselves a settings file: what was given, what was filled in, and the names of
-    /// fields that this release does not know.
+    /// The settings as text of a settings file: those given, those with their default, and the names of unknown fields.
     pub fn show(self) -> String {
-        let noted = self.noted.into_inner();
-        let known: BTreeSet<&str> = noted.iter().map(|n| n.field.as_str()).collect();
+        let used = self.used.into_inner();
+        let known: BTreeSet<&str> = used.iter().map(|n| n.field.as_str()).collect();
         let unknown: Vec<&str> = self
             .map
             .keys()
@@ -223,10 +237,10 @@
             .filter(|f| !known.contains(f))
             .collect();
         let mut out = format!("# as given in {}\n", self.path.display());
-        let line = |n: &Noted| format!("{}={}\n", n.field, n.value);
-        out.extend(noted.iter().filter(|n| n.given).map(line));
+        let line = |n: &UsedField| format!("{}={}\n", n.field, n.value);
+        out.extend(used.iter().filter(|n| n.is_given).map(line));
         out.push_str("# left out, filled in\n");
-        out.extend(noted.iter().filter(|n| !n.given).map(line));
+        out.extend(used.iter().filter(|n| !n.is_given).map(line));
         if !unknown.is_empty() {
             out.push_str(&format!(
                 "# not known to this release, passed over: {}\n",
--- a/crates/sparrouter-fleet/src/client/call.rs
+++ b/crates/sparrouter-fleet/src/client/call.rs
@@ -1,4 +1,4 @@
-//! One call to one node: dialled, sent, answered, or not.
+//! One HTTP call to one node.
 use crate::http;
 use crate::net::Net;
 use bytes::BytesMut;
@@ -8,24 +8,30 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
-/// A node is silent after this; a body has more, by its length.
-const SILENCE: Duration = Duration::from_secs(1);
-const BYTES_A_SECOND: usize = 1 << 20;
-const LONGEST_HEAD: usize = 16 << 10;
-/// A configuration and room for what a later release may add to it.
-const LONGEST_BODY: usize = 2 * sparrouter_config::MAX_BYTES;
+/// How long connecting may take, and the answer to a call without a body.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// A body adds to the timeout by its length, at this speed.
+const BYTES_PER_SECOND: usize = 1 << 20;
+/// Largest head of an answer.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Largest body of an answer: a configuration, and room for what a later release may add to it.
+const MAX_BODY_BYTES: usize = 2 * sparrouter_config::MAX_BYTES;
 
-/// What is asked, the same whichever node it goes to.
+/// A call, the same whichever node it is sent to.
 #[derive(Clone, Debug)]
 pub struct Call {
+    /// HTTP method.
     pub method: &'static str,
+    /// Path and query.
     pub path: String,
+    /// Value of the header field `If-Match`.
     pub if_match: Option<u64>,
-    /// JSON.
+    /// Body, as JSON.
     pub body: Option<Vec<u8>>,
 }
 
 impl Call {
+    /// A GET without a body.
     pub fn get(path: &str) -> Call {
         Call {
             method: "GET",
@@ -35,13 +41,14 @@
         }
     }
 
+    /// The request on the wire.
     fn bytes(&self, path: &str, to: SocketAddr) -> Vec<u8> {
         let mut text = format!(
             "{} {path} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n",
             self.method
         );
-        if let Some(number) = self.if_match {
-            text.push_str(&format!("If-Match: {number}\r\n"));
+        if let Some(version) = self.if_match {
+            text.push_str(&format!("If-Match: {version}\r\n"));
         }
         if let Some(body) = &self.body {
             text.push_str(&format!(
@@ -56,45 +63,49 @@
     }
 }
 
+/// The answer to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
+    /// HTTP status.
     pub status: u16,
+    /// The body; bytes that are not UTF-8 are replaced.
     pub body: String,
-    /// Where a redirect points, and the path there.
+    /// Address and path that a redirect points to.
     pub location: Option<(SocketAddr, String)>,
 }
 
-/// How one call came out.
+/// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// The node answered.
     Replied(Reply),
-    /// No connection came up: nothing was sent.
-    Unreached(String),
-    /// Something was sent and no whole answer came.
-    Silent(String),
+    /// No connection could be established, so nothing was sent. Holds the reason.
+    NotConnected(String),
+    /// The call was sent, at least in part, but no whole answer came. Holds the reason.
+    NoAnswer(String),
 }
 
-/// `path` stands in for the call's own after a redirect.
+/// Sends a call to one node. `path` replaces the call's own, for redirects.
 pub async fn once(net: &dyn Net, call: &Call, path: &str, to: SocketAddr) -> Outcome {
-    let mut stream = match timeout(SILENCE, net.dial(to)).await {
+    let mut stream = match timeout(TIMEOUT, net.dial(to)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(why)) => return Outcome::Unreached(why.to_string()),
-        Err(_) => return Outcome::Unreached("no connection within a second".into()),
+        Ok(Err(why)) => return Outcome::NotConnected(why.to_string()),
+        Err(_) => return Outcome::NotConnected("no connection within a second".into()),
     };
     let length = call.body.as_ref().map_or(0, Vec::len);
-    let patience = SILENCE + Duration::from_secs((length / BYTES_A_SECOND) as u64);
+    let patience = TIMEOUT + Duration::from_secs((length / BYTES_PER_SECOND) as u64);
     let exchange = async {
         stream
             .write_all(&call.bytes(path, to))
             .await
             .map_err(|e| e.to_string())?;
         let mut buffer = BytesMut::new();
-        let bytes = reading::head(&mut stream, &mut buffer, head::REPLY, LONGEST_HEAD).await;
-        let head = head::reply(&bytes.map_err(broken)?).map_err(|bad| bad.0.to_owned())?;
-        let body = http::body(&mut stream, &mut buffer, head.framing, LONGEST_BODY)
+        let bytes = reading::head(&mut stream, &mut buffer, head::REPLY, MAX_HEAD_BYTES).await;
+        let head = head::reply(&bytes.map_err(describe)?).map_err(|bad| bad.0.to_owned())?;
+        let body = http::body(&mut stream, &mut buffer, head.framing, MAX_BODY_BYTES)
             .await
-            .map_err(broken)?;
-        let body = body.ok_or("the answer is longer than any that is known")?;
+            .map_err(describe)?;
+        let body = body.ok_or("the answer is too long")?;
         Ok::<Reply, String>(Reply {
             status: head.status,
             body: String::from_utf8_lossy(&body).into_owned(),
@@ -103,20 +114,21 @@
     };
     match timeout(patience, exchange).await {
         Ok(Ok(reply)) => Outcome::Replied(reply),
-        Ok(Err(why)) => Outcome::Silent(why),
-        Err(_) => Outcome::Silent(format!("silent for {} s", patience.as_secs())),
+        Ok(Err(why)) => Outcome::NoAnswer(why),
+        Err(_) => Outcome::NoAnswer(format!("no answer within {} s", patience.as_secs())),
     }
 }
 
-fn broken(broken: reading::Broken) -> String {
+/// Why reading an answer failed.
+fn describe(broken: reading::Broken) -> String {
     match broken {
-        reading::Broken::Ended => "the connection ended before a whole answer".into(),
+        reading::Broken::Ended => "the connection ended before the answer was complete".into(),
         reading::Broken::Reset => "the connection was reset".into(),
-        reading::Broken::Bad(bad) => format!("not an answer: {}", bad.0),
+        reading::Broken::Bad(bad) => format!("not an HTTP answer: {}", bad.0),
     }
 }
 
-/// The address and path in `http://10.0.0.4:8080/path`; redirects elsewhere are not followed.
+/// Address and path of a URL such as `http://10.0.0.4:8080/path`; `None` for any other kind, which is not followed.
 fn location(text: &str) -> Option<(SocketAddr, String)> {
     let rest = text.trim().strip_prefix("http://")?;
     let at = rest.find('/').unwrap_or(rest.len());
--- a/crates/sparrouter-fleet/src/client/commands.rs
+++ b/crates/sparrouter-fleet/src/client/commands.rs
@@ -1,9 +1,9 @@
-//! What each subcommand asks, and what it prints: results on standard output, remarks on standard error.
+//! What each subcommand sends and prints: results on standard output, diagnostics on standard error.
 use crate::boot::Boot;
 use crate::client::call::Call;
 use crate::client::error::ClientError;
 use crate::client::fleet::Fleet;
-use crate::client::options::Ask;
+use crate::client::options::FleetCommand;
 use crate::client::page;
 use crate::net::SharedNet;
 use crate::status::Status;
@@ -15,44 +15,63 @@
 use std::time::Duration;
 
 /// Where a subcommand writes.
-pub struct Out<'a> {
+pub struct Output<'a> {
+    /// The result.
     pub result: &'a mut dyn Write,
-    pub remark: &'a mut dyn Write,
+    /// Diagnostics.
+    pub diagnostics: &'a mut dyn Write,
 }
 
-impl Out<'_> {
-    fn say(&mut self, text: &str) -> Result<(), ClientError> {
+impl Output<'_> {
+    /// Prints a line of the result.
+    fn print(&mut self, text: &str) -> Result<(), ClientError> {
         writeln!(self.result, "{text}").map_err(ClientError::Output)
     }
-    fn remark(&mut self, text: &str) {
-        // A remark that nobody can read is no reason to stop.
-        let _ = writeln!(self.remark, "sparrouter: {text}");
+    /// Prints a diagnostic line.
+    fn diagnose(&mut self, text: &str) {
+        // A diagnostic that cannot be written is no reason to stop.
+        let _ = writeln!(self.diagnostics, "sparrouter: {text}");
     }
 }
 
-/// Carries out what is asked of the fleet. Without addresses the seeds of the settings file are asked.
+/// Carries out a command that calls the fleet. Without addresses the nodes of the settings file are called.
+///
+/// # Errors
+///
+/// A [`ClientError`]; so for all functions here.
 pub async fn run(
-    ask: &Ask,
-    at: Vec<SocketAddr>,
+    command: &FleetCommand,
+    addresses: Vec<SocketAddr>,
     patience: Duration,
     net: SharedNet,
-    out: &mut Out<'_>,
+    out: &mut Output<'_>,
 ) -> Result<(), ClientError> {
-    let at = if at.is_empty() { seeds()? } else { at };
-    let fleet = Fleet::new(net, at, patience)?;
-    match ask {
-        Ask::Get => {
+    let addresses = if addresses.is_empty() {
+        addresses_of_settings()?
+    } else {
+        addresses
+    };
+    let fleet = Fleet::new(net, addresses, patience)?;
+    match command {
+        FleetCommand::Get => {
             let (_, reply) = fleet.ask(&Call::get("/api/config")).await?;
-            out.say(&reply.body)
+            out.print(&reply.body)
+        }
+        FleetCommand::Put { file, if_match } => {
+            change(&fleet, Method::Put, file, *if_match, out).await
+        }
+        FleetCommand::Patch { file, if_match } => {
+            change(&fleet, Method::Patch, file, *if_match, out).await
+        }
+        FleetCommand::NameVersion { model, version } => {
+            name_version(&fleet, model, *version, out).await
         }
-        Ask::Put { file, if_match } => change(&fleet, Method::Put, file, *if_match, out).await,
-        Ask::Patch { file, if_match } => change(&fleet, Method::Patch, file, *if_match, out).await,
-        Ask::NameVersion { model, version } => name_version(&fleet, model, *version, out).await,
-        Ask::Status { all, json } => status(&fleet, *all, *json, out).await,
+        FleetCommand::Status { all, json } => status(&fleet, *all, *json, out).await,
     }
 }
 
-fn seeds() -> Result<Vec<SocketAddr>, ClientError> {
+/// The control address of this machine, if it has one, and the seeds.
+fn addresses_of_settings() -> Result<Vec<SocketAddr>, ClientError> {
     match Boot::load() {
         Ok(boot) => {
             let mut all: Vec<SocketAddr> =
@@ -72,37 +91,37 @@
     })
 }
 
-/// Checked here first, as far as that can be done without the one in force; the fleet has the last word.
+/// Sends a PUT or PATCH. It is checked here first, as far as that is possible without the configuration in force.
 async fn change(
     fleet: &Fleet,
     method: Method,
     file: &Path,
     if_match: Option<u64>,
-    out: &mut Out<'_>,
+    out: &mut Output<'_>,
 ) -> Result<(), ClientError> {
     let body = read(file)?;
     let invalid = |refusal| ClientError::Invalid {
         path: file.display().to_string(),
         refusal,
     };
-    let number = match if_match {
-        Some(number) => {
+    let base = match if_match {
+        Some(version) => {
             if method == Method::Put {
-                // On top of nothing: what is wrong with it in itself.
+                // As a first configuration, since the one in force is not known here.
                 sparrouter_config::change(method, &body, Some(0), None).map_err(invalid)?;
             }
-            number
+            version
         }
         None => {
             let current = current(fleet).await?;
-            let number = current.as_ref().map_or(0, |d| d.version);
-            out.remark(&match number {
+            let version = current.as_ref().map_or(0, |d| d.version);
+            out.diagnose(&match version {
                 0 => "no configuration is in force yet: this is the first".to_owned(),
-                number => format!("builds on version {number}, which is in force now"),
+                version => format!("builds on version {version}, which is in force now"),
             });
-            sparrouter_config::change(method, &body, Some(number), current.as_ref())
+            sparrouter_config::change(method, &body, Some(version), current.as_ref())
                 .map_err(invalid)?;
-            number
+            version
         }
     };
     let method = if method == Method::Put {
@@ -113,34 +132,35 @@
     let call = Call {
         method,
         path: "/api/config".into(),
-        if_match: Some(number),
+        if_match: Some(base),
         body: Some(body),
     };
     let (from, reply) = fleet.ask(&call).await?;
-    out.say(&format!(
-        "{} ({from}, on top of version {number})",
+    out.print(&format!(
+        "{} ({from}, on top of version {base})",
         reply.body.trim()
     ))
 }
 
+/// The configuration in force; `None` before the first.
 async fn current(fleet: &Fleet) -> Result<Option<Document>, ClientError> {
     match fleet.ask(&Call::get("/api/config")).await {
         Ok((address, reply)) => match document(reply.body.as_bytes()) {
             Ok(document) => Ok(Some(document)),
-            Err(_) => Err(ClientError::Misread { address }),
+            Err(_) => Err(ClientError::UnreadableAnswer { address }),
         },
         Err(ClientError::Refused { status: 404, .. }) => Ok(None),
         Err(why) => Err(why),
     }
 }
 
-/// A configuration as it was read back.
+/// The document of a whole configuration that was read back.
 fn document(body: &[u8]) -> Result<Document, Refusal> {
     sparrouter_config::change(Method::Put, body, Some(0), None)
 }
 
-/// Checks a file as the fleet would: a whole configuration, or a patch on top of `against`.
-pub fn check(file: &Path, against: Option<&Path>, out: &mut Out<'_>) -> Result<(), ClientError> {
+/// Checks a file as the fleet would: a whole configuration, or a patch on top of the configuration in `against`.
+pub fn check(file: &Path, against: Option<&Path>, out: &mut Output<'_>) -> Result<(), ClientError> {
     let invalid = |path: &Path| {
         let path = path.display().to_string();
         move |refusal| ClientError::Invalid { path, refusal }
@@ -156,7 +176,7 @@
         Method::Put
     };
     if method == Method::Patch && current.is_none() {
-        return Err(ClientError::Against {
+        return Err(ClientError::MissingBase {
             path: file.display().to_string(),
         });
     }
@@ -164,7 +184,7 @@
     let next = sparrouter_config::change(method, &body, Some(number), current.as_ref())
         .map_err(invalid(file))?;
     let table = Table::read(&next).map_err(invalid(file))?;
-    out.say(&format!(
+    out.print(&format!(
         "{}: may be sent; version {}, {} routes, {} services, {} tenants, {} bytes",
         file.display(),
         table.version,
@@ -175,6 +195,7 @@
     ))
 }
 
+/// Whether a body looks like a patch.
 fn is_patch(body: &[u8]) -> bool {
     let tree = std::str::from_utf8(body)
         .ok()
@@ -183,8 +204,9 @@
         if o.contains_key("upsert_items") || o.contains_key("remove_names"))
 }
 
+/// Body of the call that names a version of weights.
 #[derive(Serialize)]
-struct Named<'a> {
+struct NameVersion<'a> {
     model: &'a str,
     version: u64,
 }
@@ -193,21 +215,21 @@
     fleet: &Fleet,
     model: &str,
     version: u64,
-    out: &mut Out<'_>,
+    out: &mut Output<'_>,
 ) -> Result<(), ClientError> {
     if version == 0 {
-        return Err(ClientError::Word {
+        return Err(ClientError::InvalidArgument {
             what: "VERSION 0".into(),
             wanted: "1 or more",
         });
     }
     if model.is_empty() {
-        return Err(ClientError::Word {
+        return Err(ClientError::InvalidArgument {
             what: "an empty MODEL".into(),
             wanted: "a model's name",
         });
     }
-    let body = json::to_string(&Named { model, version }).into_bytes();
+    let body = json::to_string(&NameVersion { model, version }).into_bytes();
     let call = Call {
         method: "POST",
         path: "/api/version-put".into(),
@@ -215,52 +237,72 @@
         body: Some(body),
     };
     let (from, _) = fleet.ask(&call).await?;
-    out.say(&format!(
+    out.print(&format!(
         "{model} is to run version {version} ({from}); `sparrouter status` shows servers loading it"
     ))
 }
 
+/// Prints the status of the first node that answers, and of all nodes it knows if asked to.
 async fn status(
     fleet: &Fleet,
     all: bool,
     as_json: bool,
-    out: &mut Out<'_>,
+    out: &mut Output<'_>,
 ) -> Result<(), ClientError> {
-    let call = Call::get("/api/status");
-    let read = |address, body: &str| {
-        json::from_str::<Status>(body).map_err(|_| ClientError::Misread { address })
-    };
-    let (from, reply) = fleet.ask(&call).await?;
-    let first = read(from, &reply.body)?;
-    let mut heard = vec![(from, first.node.clone(), reply.body, first)];
-    let mut silent = Vec::new();
+    let (from, reply) = fleet.ask(&Call::get("/api/status")).await?;
+    let mut answers = vec![StatusAnswer::read(from, reply.body)?];
+    let mut failures = Vec::new();
     if all {
-        let others: Vec<(String, SocketAddr)> = heard[0]
-            .3
-            .nodes
-            .iter()
-            .filter_map(|n| Some((n.name.clone(), n.control.parse().ok()?)))
-            .filter(|(name, address)| *address != from && *name != heard[0].1)
-            .collect();
-        for (name, address) in others {
-            match fleet.only(address, Duration::from_secs(2)).ask(&call).await {
-                Ok((_, reply)) => {
-                    let one = read(address, &reply.body)?;
-                    heard.push((address, name, reply.body, one));
-                }
-                Err(why) => silent.push((name, why)),
+        for (name, address) in other_nodes(&answers[0]) {
+            let node = fleet.only(address, OTHER_NODE_PATIENCE);
+            match node.ask(&Call::get("/api/status")).await {
+                Ok((_, reply)) => answers.push(StatusAnswer::read(address, reply.body)?),
+                Err(why) => failures.push((name, why)),
             }
         }
     }
-    for (_, _, body, _) in heard.iter().filter(|_| as_json) {
-        out.say(body)?;
-    }
-    if !as_json {
-        let pages: Vec<(SocketAddr, &Status)> = heard.iter().map(|h| (h.0, &h.3)).collect();
-        out.say(page::of(&pages).trim_end())?;
+    if as_json {
+        for answer in &answers {
+            out.print(&answer.body)?;
+        }
+    } else {
+        let pages: Vec<(SocketAddr, &Status)> =
+            answers.iter().map(|a| (a.address, &a.status)).collect();
+        out.print(page::of(&pages).trim_end())?;
     }
-    for (name, why) in silent {
-        out.remark(&format!("{name}: {why}"));
+    for (name, why) in failures {
+        out.diagnose(&format!("{name}: {why}"));
     }
     Ok(())
 }
+
+/// How long each further node is tried for its status.
+const OTHER_NODE_PATIENCE: Duration = Duration::from_secs(2);
+
+/// A node's status, as text and parsed.
+struct StatusAnswer {
+    address: SocketAddr,
+    body: String,
+    status: Status,
+}
+
+impl StatusAnswer {
+    fn read(address: SocketAddr, body: String) -> Result<StatusAnswer, ClientError> {
+        let status = json::from_str::<Status>(&body)
+            .map_err(|_| ClientError::UnreadableAnswer { address })?;
+        Ok(StatusAnswer {
+            address,
+            body,
+            status,
+        })
+    }
+}
+
+/// Name and address of the other nodes that a node knows and that serve operators.
+fn other_nodes(first: &StatusAnswer) -> Vec<(String, SocketAddr)> {
+    let nodes = first.status.nodes.iter();
+    nodes
+        .filter_map(|node| Some((node.name.clone(), node.control.parse().ok()?)))
+        .filter(|(name, address)| *address != first.address && *name != first.status.node)
+        .collect()
+}
--- a/crates/sparrouter-fleet/src/client/error.rs
+++ b/crates/sparrouter-fleet/src/client/error.rs
@@ -1,66 +1,111 @@
-//! What may go wrong between an operator and the fleet: each kind names its remedy, and has an exit code.
+//! What can go wrong between an operator and the fleet. Each message names the remedy, each kind has an exit code.
 use std::net::SocketAddr;
 
+/// Why a subcommand failed.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
+    /// No node to call is known.
     #[error(
         "no node is named: give --at ADDRESS[,ADDRESS..], or let SPARROUTER_BOOT name a settings file with seed_nodes"
     )]
     NoAddress,
+    /// The settings file cannot be used.
     #[error(transparent)]
     Settings(#[from] crate::boot::BootError),
+    /// A file cannot be read.
     #[error("{path}: cannot be read ({why}): check the path and that you may read it")]
-    File { path: String, why: String },
+    File {
+        /// The file.
+        path: String,
+        /// The error of the operating system.
+        why: String,
+    },
+    /// A configuration or patch is invalid.
     #[error("{path}: {refusal}")]
     Invalid {
+        /// The file.
         path: String,
+        /// What is wrong with it.
         refusal: sparrouter_config::Refusal,
     },
+    /// A patch cannot be checked without the configuration that it changes.
     #[error(
         "{path} is a patch: give --against FILE with what it changes, as `sparrouter config get` prints it"
     )]
-    Against { path: String },
-    #[error("{what} is not {wanted}: mend it and ask again")]
-    Word { what: String, wanted: &'static str },
+    MissingBase {
+        /// The file.
+        path: String,
+    },
+    /// An argument is invalid.
+    #[error("{what} is not {wanted}: correct it and try again")]
+    InvalidArgument {
+        /// The argument.
+        what: String,
+        /// What it must be.
+        wanted: &'static str,
+    },
+    /// The fleet refused the call for good.
     #[error("the fleet refuses this ({status}): {text}")]
-    Refused { status: u16, text: String },
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// The reason that the fleet gave.
+        text: String,
+    },
+    /// No node could be reached, so nothing was sent.
     #[error(
         "no node could be reached within {patience_s} s, nothing was sent (last: {address}: {last}): check --at against \
          listen_addresses.control_plane of the nodes, and that they run"
     )]
-    Unreached {
+    Unreachable {
+        /// The node that was tried last.
         address: SocketAddr,
+        /// What happened there.
         last: String,
+        /// How long nodes were tried, in seconds.
         patience_s: u64,
     },
+    /// All nodes declined in time, so nothing was changed.
     #[error(
         "not done within {patience_s} s, and nothing was changed (last: {address}: {last}): look at `sparrouter status` \
          for a lost quorum, then send it again"
     )]
-    NotMade {
+    NotApplied {
+        /// The node that was tried last.
         address: SocketAddr,
+        /// What happened there.
         last: String,
+        /// How long nodes were tried, in seconds.
         patience_s: u64,
     },
+    /// No clear answer came: a change may be in force or not.
     #[error(
         "no clear answer within {patience_s} s (last: {address}: {last}): a change may be in force or not; send the \
          same again unchanged, or look with `sparrouter config get`"
     )]
     Unclear {
+        /// The node that was tried last.
         address: SocketAddr,
+        /// What happened there.
         last: String,
+        /// How long nodes were tried, in seconds.
         patience_s: u64,
     },
+    /// A node answered what this release cannot parse.
     #[error(
         "{address} answered what this release cannot read: use the client of the fleet's own release"
     )]
-    Misread { address: SocketAddr },
+    UnreadableAnswer {
+        /// The node.
+        address: SocketAddr,
+    },
+    /// The result cannot be written.
     #[error("the answer cannot be written out ({0}): check where standard output goes")]
     Output(std::io::Error),
 }
 
 impl ClientError {
-    /// 1 refused by the fleet, 2 bad input, 3 no clear answer.
+    /// Exit code of the program: 1 refused by the fleet, 2 invalid input, 3 no clear answer.
     pub fn exit_code(&self) -> u8 {
         match self {
             ClientError::Refused { .. } => 1,
@@ -68,12 +113,12 @@
             | ClientError::Settings(_)
             | ClientError::File { .. }
             | ClientError::Invalid { .. }
-            | ClientError::Against { .. }
-            | ClientError::Word { .. } => 2,
-            ClientError::Unreached { .. }
-            | ClientError::NotMade { .. }
+            | ClientError::MissingBase { .. }
+            | ClientError::InvalidArgument { .. } => 2,
+            ClientError::Unreachable { .. }
+            | ClientError::NotApplied { .. }
             | ClientError::Unclear { .. }
-            | ClientError::Misread { .. }
+            | ClientError::UnreadableAnswer { .. }
             | ClientError::Output(_) => 3,
         }
     }
--- a/crates/sparrouter-fleet/src/client/fleet.rs
+++ b/crates/sparrouter-fleet/src/client/fleet.rs
@@ -1,4 +1,4 @@
-//! The same call, unchanged, to one node after another until the answer is clear or patience is over.
+//! Sends the same call to one node after another until the answer is clear or time is up.
 use crate::client::call::{self, Call, Outcome, Reply};
 use crate::client::error::ClientError;
 use crate::net::SharedNet;
@@ -6,23 +6,52 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// Redirects that one try follows.
-const REDIRECTS: usize = 2;
-/// Between tries: the first pause and the longest.
-const PAUSE: Duration = Duration::from_millis(100);
+/// Redirects that are followed for one attempt.
+const MAX_REDIRECTS: usize = 2;
+/// First pause between attempts; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-/// A 4xx that is not known to be final is believed at this try.
-const BELIEVED: u32 = 3;
+/// A 4xx that is not known to be final counts as final when it comes this often.
+const ATTEMPTS_UNTIL_FINAL: u32 = 3;
 
-/// What is known of a call that was not answered clearly: it can only grow worse.
+/// What a call without a clear answer may have done, by rising uncertainty.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Doubt {
-    Unsent,
+enum Effect {
+    /// No node got it.
+    NotSent,
+    /// Nodes got it, and said that they changed nothing.
     Declined,
-    MayBeMade,
+    /// It may have been carried out.
+    MaybeApplied,
 }
 
-/// The nodes that an operator may ask.
+/// What an answer means for the call.
+enum Verdict {
+    /// The call succeeded.
+    Done,
+    /// The fleet refused the call; other nodes would too.
+    Final,
+    /// A refusal that other nodes may see differently for a moment.
+    MaybeFinal,
+    /// The node changed nothing; another one may.
+    Declined,
+    /// Whether the node changed something is not known.
+    Unclear,
+}
+
+impl Verdict {
+    fn of(status: u16) -> Verdict {
+        match status {
+            200..=299 => Verdict::Done,
+            408 | 429 | 503 | 300..=399 => Verdict::Declined,
+            400 | 409 | 412 | 413 | 422 => Verdict::Final,
+            400..=499 => Verdict::MaybeFinal,
+            _ => Verdict::Unclear,
+        }
+    }
+}
+
+/// The nodes that an operator may call.
 pub struct Fleet {
     net: SharedNet,
     addresses: Vec<SocketAddr>,
@@ -30,7 +59,11 @@
 }
 
 impl Fleet {
-    /// `addresses`: control_plane addresses, at least one.
+    /// `addresses`: control_plane addresses, tried in this order; `patience`: how long a call is repeated.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::NoAddress`] without an address.
     pub fn new(
         net: SharedNet,
         addresses: Vec<SocketAddr>,
@@ -46,7 +79,7 @@
         })
     }
 
-    /// The same fleet, one node of it only.
+    /// One node of the same fleet.
     pub fn only(&self, address: SocketAddr, patience: Duration) -> Fleet {
         Fleet {
             net: self.net.clone(),
@@ -55,80 +88,85 @@
         }
     }
 
+    /// The addresses that are tried.
     pub fn addresses(&self) -> &[SocketAddr] {
         &self.addresses
     }
 
-    /// A 2xx, with the node that gave it.
+    /// Sends a call until a node answers with a 2xx; gives the answer and the node's address.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::Refused`] for a final refusal; otherwise, once time is up, [`ClientError::Unreachable`],
+    /// [`ClientError::NotApplied`] or [`ClientError::Unclear`] by what the call may have done.
     pub async fn ask(&self, call: &Call) -> Result<(SocketAddr, Reply), ClientError> {
         let until = Instant::now() + self.patience;
-        let (mut pause, mut unsure, mut doubt) = (PAUSE, 0, Doubt::Unsent);
+        let (mut pause, mut maybe_final, mut effect) = (FIRST_PAUSE, 0, Effect::NotSent);
         let mut last = (self.addresses[0], "not asked".to_owned());
         for address in self.addresses.iter().cycle() {
-            let tried = timeout_at(until, self.follow(call, *address)).await;
-            let Ok((from, outcome)) = tried else {
-                // It was cut off at some point that is not known.
-                doubt = Doubt::MayBeMade;
+            let attempt = timeout_at(until, self.follow(call, *address)).await;
+            let Ok((from, outcome)) = attempt else {
+                // How far it got is not known.
+                effect = Effect::MaybeApplied;
                 break;
             };
-            last.0 = from;
-            match outcome {
+            let (attempt_effect, description) = match outcome {
                 Outcome::Replied(reply) => {
-                    match reply.status {
-                        200..=299 => return Ok((from, reply)),
-                        408 | 429 | 503 | 300..=399 => doubt = doubt.max(Doubt::Declined),
-                        status @ (400 | 409 | 412 | 413 | 422) => {
-                            return Err(refused(status, reply.body));
+                    let verdict = Verdict::of(reply.status);
+                    maybe_final += u32::from(matches!(verdict, Verdict::MaybeFinal));
+                    let attempt_effect = match verdict {
+                        Verdict::Done => return Ok((from, reply)),
+                        Verdict::MaybeFinal if maybe_final < ATTEMPTS_UNTIL_FINAL => {
+                            Effect::Declined
                         }
-                        // Not known to be final: nodes may see it differently for a moment.
-                        status @ 400..=499 => {
-                            unsure += 1;
-                            if unsure >= BELIEVED {
-                                return Err(refused(status, reply.body));
-                            }
-                            doubt = doubt.max(Doubt::Declined);
-                        }
-                        _ => doubt = Doubt::MayBeMade,
-                    }
-                    last.1 = format!("{} {}", reply.status, reply.body.trim());
-                }
-                Outcome::Unreached(why) => last.1 = why,
-                Outcome::Silent(why) => {
-                    doubt = Doubt::MayBeMade;
-                    last.1 = why;
+                        Verdict::Final | Verdict::MaybeFinal => return Err(refused(reply)),
+                        Verdict::Declined => Effect::Declined,
+                        Verdict::Unclear => Effect::MaybeApplied,
+                    };
+                    let description = format!("{} {}", reply.status, reply.body.trim());
+                    (attempt_effect, description)
                 }
-            }
+                Outcome::NotConnected(why) => (Effect::NotSent, why),
+                Outcome::NoAnswer(why) => (Effect::MaybeApplied, why),
+            };
+            effect = effect.max(attempt_effect);
+            last = (from, description);
             if Instant::now() + pause >= until {
                 break;
             }
             sleep(pause).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
+        Err(self.unanswered(effect, last))
+    }
+
+    /// The error for a call without a clear answer. `last`: the node that was tried last, and what happened there.
+    fn unanswered(&self, effect: Effect, last: (SocketAddr, String)) -> ClientError {
         let (address, last) = last;
         let patience_s = self.patience.as_secs();
-        Err(match doubt {
-            Doubt::Unsent => ClientError::Unreached {
+        match effect {
+            Effect::NotSent => ClientError::Unreachable {
                 address,
                 last,
                 patience_s,
             },
-            Doubt::Declined => ClientError::NotMade {
+            Effect::Declined => ClientError::NotApplied {
                 address,
                 last,
                 patience_s,
             },
-            Doubt::MayBeMade => ClientError::Unclear {
+            Effect::MaybeApplied => ClientError::Unclear {
                 address,
                 last,
                 patience_s,
             },
-        })
+        }
     }
 
-    /// One try, with its redirects.
+    /// One attempt, with its redirects.
     async fn follow(&self, call: &Call, address: SocketAddr) -> (SocketAddr, Outcome) {
         let (mut to, mut path) = (address, call.path.clone());
-        for _ in 0..REDIRECTS {
+        for _ in 0..MAX_REDIRECTS {
             let outcome = call::once(&*self.net, call, &path, to).await;
             match outcome {
                 Outcome::Replied(Reply {
@@ -145,8 +183,10 @@
     }
 }
 
-fn refused(status: u16, body: String) -> ClientError {
-    let text = match (body.trim(), status) {
+/// The error for a final refusal, with a reason where the node gave none.
+fn refused(reply: Reply) -> ClientError {
+    let status = reply.status;
+    let text = match (reply.body.trim(), status) {
         ("", 404) => "there is no such thing there: check --at and what was asked".to_owned(),
         ("", 412) => "another version is in force: read it, build on it, send again".to_owned(),
         ("", 413) => "it is too large: split it".to_owned(),
--- a/crates/sparrouter-fleet/src/client/mod.rs
+++ b/crates/sparrouter-fleet/src/client/mod.rs
@@ -1,13 +1,15 @@
-//! The operators' client: what an operator asks of a running fleet, from the command line to an exit code.
+//! The operators' client, from the command line to an exit code.
 //!
-//! | file | its one job |
+//! | module | its one job |
 //! | --- | --- |
-//! | `options` | the command line |
-//! | `call` | one call to one node |
-//! | `fleet` | the same call to one node after another, until the answer is clear |
-//! | `commands` | what each subcommand asks and prints |
-//! | `page` | a node's status as a table |
-//! | `error` | what may go wrong, the remedy and the exit code |
+//! | [`options`] | the command line |
+//! | [`call`] | one call to one node |
+//! | [`fleet`] | the same call to one node after another, until the answer is clear |
+//! | [`commands`] | what each subcommand sends and prints |
+//! | [`page`] | a node's status as a table |
+//! | [`error`] | what can go wrong, the remedy and the exit code |
+#![deny(missing_docs)]
+
 pub mod call;
 pub mod commands;
 pub mod error;
@@ -17,4 +19,4 @@
 
 pub use commands::run;
 pub use error::ClientError;
-pub use options::{Ask, Command, command};
+pub use options::{Command, FleetCommand, command};
--- a/crates/sparrouter-fleet/src/client/options.rs
+++ b/crates/sparrouter-fleet/src/client/options.rs
@@ -1,54 +1,76 @@
-//! The command line: roles of a process, and what an operator asks.
+//! The command line: roles of a process, and the operators' commands.
 use crate::run::Role;
 use bpaf::{OptionParser, Parser, construct, long, positional, pure};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// What to do, and where.
+/// What the command line asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
-    /// Be a process of the fleet.
+    /// Run a process of the fleet.
     Run(Role),
-    /// Ask the fleet.
-    Ask {
-        ask: Ask,
-        at: Vec<SocketAddr>,
+    /// Call the fleet.
+    Fleet {
+        /// What to do.
+        command: FleetCommand,
+        /// Addresses of nodes to call; empty: those of the settings file.
+        addresses: Vec<SocketAddr>,
+        /// How long the call is repeated, in seconds.
         patience_s: u64,
     },
-    /// Check a configuration without a fleet.
+    /// Check a configuration without calling the fleet.
     Check {
+        /// A whole configuration, or a patch.
         file: PathBuf,
+        /// The configuration that a patch changes.
         against: Option<PathBuf>,
     },
-    /// Settings as they are read; without a file, those that SPARROUTER_BOOT names.
-    Show { file: Option<PathBuf> },
+    /// Print the settings of a process.
+    Show {
+        /// The settings file; `None`: the one that SPARROUTER_BOOT names.
+        file: Option<PathBuf>,
+    },
 }
 
+/// A command that calls the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Ask {
+pub enum FleetCommand {
+    /// Print the configuration in force.
     Get,
+    /// Replace the configuration.
     Put {
+        /// The new configuration.
         file: PathBuf,
+        /// The version that it builds on; `None`: the one in force.
         if_match: Option<u64>,
     },
+    /// Change items of the configuration.
     Patch {
+        /// The patch.
         file: PathBuf,
+        /// The version that it builds on; `None`: the one in force.
         if_match: Option<u64>,
     },
+    /// Name new weights of a model.
     NameVersion {
+        /// The model.
         model: String,
+        /// The version of the weights, 1 or more.
         version: u64,
     },
+    /// Print the status of nodes.
     Status {
+        /// Of all nodes, not only of the first that answers.
         all: bool,
+        /// As JSON, not as a table.
         json: bool,
     },
 }
 
-/// Longest time, in seconds, that a call is repeated.
-const MOST_PATIENCE_S: u64 = 3_600;
+/// Longest time that a call is repeated, in seconds.
+const MAX_PATIENCE_S: u64 = 3_600;
 
-fn addresses(text: String) -> Result<Vec<SocketAddr>, String> {
+fn parse_addresses(text: String) -> Result<Vec<SocketAddr>, String> {
     let one = |word: &str| {
         word.trim()
             .parse()
@@ -57,28 +79,34 @@
     text.split(',').map(one).collect()
 }
 
-fn at() -> impl Parser<Vec<SocketAddr>> {
+fn addresses_option() -> impl Parser<Vec<SocketAddr>> {
     long("at")
         .help("control_plane addresses to ask, in this order; without it the seeds of the settings file")
         .argument::<String>("ADDR[,ADDR..]")
-        .parse(addresses)
+        .parse(parse_addresses)
         .fallback(Vec::new())
 }
 
 fn patience() -> impl Parser<u64> {
     long("patience")
-        .help("repeat the call unchanged for so long until the answer is clear (seconds, 10 unless told)")
+        .help(
+            "repeat the call unchanged for so long until the answer is clear (seconds, default 10)",
+        )
         .argument::<u64>("S")
-        .guard(|s| (1..=MOST_PATIENCE_S).contains(s), "give 1 to 3600 seconds")
+        .guard(
+            |s| (1..=MAX_PATIENCE_S).contains(s),
+            "give 1 to 3600 seconds",
+        )
         .fallback(10)
 }
 
-fn asking(ask: impl Parser<Ask>) -> impl Parser<Command> {
-    let (at, patience_s) = (at(), patience());
-    construct!(at, patience_s, ask).map(|(at, patience_s, ask)| Command::Ask {
-        ask,
-        at,
+/// Adds the options that all commands have which call the fleet.
+fn fleet_command(command: impl Parser<FleetCommand>) -> impl Parser<Command> {
+    let (addresses, patience_s) = (addresses_option(), patience());
+    construct!(Command::Fleet {
+        addresses,
         patience_s,
+        command
     })
 }
 
@@ -93,7 +121,8 @@
     positional::<PathBuf>("FILE").help(about)
 }
 
-fn named(
+/// A subcommand with its help text.
+fn subcommand(
     name: &'static str,
     about: &'static str,
     parser: impl Parser<Command> + 'static,
@@ -101,47 +130,51 @@
     parser.to_options().descr(about).command(name).help(about)
 }
 
-fn config() -> impl Parser<Command> {
-    let get = named(
+fn config_get() -> impl Parser<Command> {
+    subcommand(
         "get",
         "Print the configuration in force",
-        asking(pure(Ask::Get)),
-    );
-    let put = {
-        let (if_match, file) = (if_match(), file("a whole configuration, JSON"));
-        let ask = construct!(if_match, file).map(|(if_match, file)| Ask::Put { file, if_match });
-        named(
-            "put",
-            "Replace the configuration by a whole one",
-            asking(ask),
-        )
-    };
-    let patch = {
-        let (if_match, file) = (
-            if_match(),
-            file("version, upsert_items and remove_names, JSON"),
-        );
-        let ask = construct!(if_match, file).map(|(if_match, file)| Ask::Patch { file, if_match });
-        named(
-            "patch",
-            "Add, replace and remove items of the configuration",
-            asking(ask),
-        )
-    };
-    let check = {
-        let against = long("against")
-            .help("a configuration that FILE would change, as `config get` printed it")
-            .argument::<PathBuf>("FILE")
-            .optional();
-        let file = file("a whole configuration, or a patch with --against");
-        let check =
-            construct!(against, file).map(|(against, file)| Command::Check { file, against });
-        named(
-            "check",
-            "Check a configuration or a patch here, without asking the fleet",
-            check,
-        )
-    };
+        fleet_command(pure(FleetCommand::Get)),
+    )
+}
+
+fn config_put() -> impl Parser<Command> {
+    let (if_match, file) = (if_match(), file("a whole configuration, JSON"));
+    let put = construct!(FleetCommand::Put { if_match, file });
+    subcommand(
+        "put",
+        "Replace the configuration by a whole one",
+        fleet_command(put),
+    )
+}
+
+fn config_patch() -> impl Parser<Command> {
+    let if_match = if_match();
+    let file = file("version, upsert_items and remove_names, JSON");
+    let patch = construct!(FleetCommand::Patch { if_match, file });
+    subcommand(
+        "patch",
+        "Add, replace and remove items of the configuration",
+        fleet_command(patch),
+    )
+}
+
+fn config_check() -> impl Parser<Command> {
+    let against = long("against")
+        .help("a configuration that FILE would change, as `config get` printed it")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let file = file("a whole configuration, or a patch with --against");
+    let check = construct!(Command::Check { against, file });
+    subcommand(
+        "check",
+        "Check a configuration or a patch here, without asking the fleet",
+        check,
+    )
+}
+
+fn config() -> impl Parser<Command> {
+    let (get, put, patch, check) = (config_get(), config_put(), config_patch(), config_check());
     let about = "Read, change and check the operators' configuration";
     construct!([get, put, patch, check])
         .to_options()
@@ -150,55 +183,57 @@
         .help(about)
 }
 
+fn version_put() -> impl Parser<Command> {
+    let model = positional::<String>("MODEL").help("its name in the configuration");
+    let version = positional::<u64>("VERSION").help("1 or more, above those named before");
+    let name_version = construct!(FleetCommand::NameVersion { model, version });
+    subcommand(
+        "version-put",
+        "Name new weights: the fleet brings every server of the model to them",
+        fleet_command(name_version),
+    )
+}
+
+fn status() -> impl Parser<Command> {
+    let all = long("all")
+        .help("ask every node that serves control_plane, not the first alone")
+        .switch();
+    let json = long("json")
+        .help("the nodes' own JSON, one node a line")
+        .switch();
+    let status = construct!(FleetCommand::Status { all, json });
+    subcommand(
+        "status",
+        "What nodes say of themselves, of one another and of the servers",
+        fleet_command(status),
+    )
+}
+
+fn show() -> impl Parser<Command> {
+    let file = positional::<PathBuf>("FILE")
+        .help("a settings file")
+        .optional();
+    let show = construct!(Command::Show { file });
+    subcommand(
+        "show",
+        "The settings of a process as they are read, with defaults filled in",
+        show,
+    )
+}
+
 /// The whole command line.
 pub fn command() -> OptionParser<Command> {
-    let proxy = named(
+    let proxy = subcommand(
         "proxy",
-        "Take clients; also servers and operators where the settings say so",
+        "Serve clients; also servers and operators where the settings say so",
         pure(Command::Run(Role::Proxy)),
     );
-    let control = named(
+    let control = subcommand(
         "control",
-        "Take servers and operators, and keep the control state",
+        "Serve servers and operators, and keep the control state",
         pure(Command::Run(Role::Control)),
     );
-    let config = config();
-    let version_put = {
-        let model = positional::<String>("MODEL").help("its name in the configuration");
-        let version = positional::<u64>("VERSION").help("1 or more, above those named before");
-        let ask =
-            construct!(model, version).map(|(model, version)| Ask::NameVersion { model, version });
-        named(
-            "version-put",
-            "Name new weights: the fleet brings every server of the model to them",
-            asking(ask),
-        )
-    };
-    let status = {
-        let all = long("all")
-            .help("ask every node that serves control_plane, not the first alone")
-            .switch();
-        let json = long("json")
-            .help("the nodes' own JSON, one node a line")
-            .switch();
-        let ask = construct!(all, json).map(|(all, json)| Ask::Status { all, json });
-        named(
-            "status",
-            "What nodes say of themselves, of one another and of the servers",
-            asking(ask),
-        )
-    };
-    let show = {
-        let file = positional::<PathBuf>("FILE")
-            .help("a settings file")
-            .optional();
-        let show = construct!(file).map(|file| Command::Show { file });
-        named(
-            "show",
-            "The settings of a process as they are read, with what is left out filled in",
-            show,
-        )
-    };
+    let (config, version_put, status, show) = (config(), version_put(), status(), show());
     construct!([proxy, control, config, version_put, status, show])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
--- a/crates/sparrouter-fleet/src/client/page.rs
+++ b/crates/sparrouter-fleet/src/client/page.rs
@@ -1,18 +1,18 @@
-//! Nodes' status as tables for people: who was asked, what the first of them knows of nodes and of servers.
-use crate::status::{ModelStatus, Status};
+//! The status of nodes as text tables: the nodes that answered, and what the first of them knows of nodes and servers.
+use crate::status::{ModelStatus, NodeStatus, ServerStatus, Status};
 use std::fmt::Write;
 use std::net::SocketAddr;
 
-/// Rows of words in columns as wide as their widest word.
+/// Rows of cells in columns as wide as their widest cell.
 fn table(head: &[&str], rows: &[Vec<String>]) -> String {
-    let wide = |column: usize| {
+    let width = |column: usize| {
         let words = rows
             .iter()
             .filter_map(|r| r.get(column))
             .map(|w| w.chars().count());
         words.chain([head[column].len()]).max().unwrap_or(0)
     };
-    let widths: Vec<usize> = (0..head.len()).map(wide).collect();
+    let widths: Vec<usize> = (0..head.len()).map(width).collect();
     let mut out = String::new();
     let head: Vec<String> = head.iter().map(|w| (*w).to_owned()).collect();
     for row in [&head].into_iter().chain(rows) {
@@ -27,6 +27,7 @@
     out
 }
 
+/// The names of the flags that are set; `-` if there is none.
 fn flags(named: &[(&str, bool)]) -> String {
     let set: Vec<&str> = named.iter().filter(|n| n.1).map(|n| n.0).collect();
     if set.is_empty() {
@@ -36,6 +37,7 @@
     }
 }
 
+/// Models with their versions; `-` if there is none.
 fn models(of: &[ModelStatus]) -> String {
     let words: Vec<String> = of
         .iter()
@@ -48,31 +50,44 @@
     }
 }
 
-/// `asked`: nodes that answered, with where. What is said of nodes and servers is the first one's view.
-pub fn of(asked: &[(SocketAddr, &Status)]) -> String {
-    let own = asked.iter().map(|(at, s)| {
+/// The tables. `answers`: the nodes that answered, with their addresses. Other nodes and the servers are shown as the first
+/// one sees them.
+pub fn of(answers: &[(SocketAddr, &Status)]) -> String {
+    let mut out = answers_table(answers);
+    let Some((_, first)) = answers.first() else {
+        return out;
+    };
+    out.push('\n');
+    out.push_str(&nodes_table(first));
+    out.push('\n');
+    out.push_str(&servers_table(first));
+    out
+}
+
+fn answers_table(answers: &[(SocketAddr, &Status)]) -> String {
+    let row = |(address, status): &(SocketAddr, &Status)| {
         let flags = flags(&[
-            ("ready", s.ready),
-            ("member", s.member),
-            ("in-touch", s.in_touch),
-            ("not-ready", !s.ready),
+            ("ready", status.ready),
+            ("member", status.member),
+            ("in-touch", status.in_touch),
+            ("not-ready", !status.ready),
         ]);
-        let group = if s.group.is_empty() {
+        let group = if status.group.is_empty() {
             "-".to_owned()
         } else {
-            s.group.join(",")
+            status.group.join(",")
         };
         vec![
-            s.node.clone(),
-            at.to_string(),
-            s.config_version.to_string(),
+            status.node.clone(),
+            address.to_string(),
+            status.config_version.to_string(),
             flags,
-            s.heard_ms_ago.to_string(),
-            s.open_requests.to_string(),
-            models(&s.models),
+            status.heard_ms_ago.to_string(),
+            status.open_requests.to_string(),
+            models(&status.models),
             group,
         ]
-    });
+    };
     let head = [
         "ASKED",
         "AT",
@@ -83,41 +98,45 @@
         "NAMED",
         "GROUP",
     ];
-    let mut out = table(&head, &own.collect::<Vec<_>>());
-    let Some((_, first)) = asked.first() else {
-        return out;
-    };
-    let nodes = first.nodes.iter().map(|n| {
-        let is = flags(&[
-            ("counted", n.counted),
-            ("leaving", n.leaving),
-            ("silent", n.silent),
+    table(&head, &answers.iter().map(row).collect::<Vec<_>>())
+}
+
+fn nodes_table(status: &Status) -> String {
+    let row = |node: &NodeStatus| {
+        let flags = flags(&[
+            ("counted", node.counted),
+            ("leaving", node.leaving),
+            ("silent", node.silent),
         ]);
-        vec![n.name.clone(), n.internal.clone(), n.zone.clone(), is]
-    });
-    out.push('\n');
-    out.push_str(&table(
-        &["NODE", "INTERNAL", "ZONE", "IS"],
-        &nodes.collect::<Vec<_>>(),
-    ));
-    let servers = first.servers.iter().map(|s| {
-        let is = flags(&[
-            (s.standing.as_str(), true),
-            ("silent", s.silent),
-            ("suspected", s.suspected),
-            ("loading", s.loading),
+        vec![
+            node.name.clone(),
+            node.internal.clone(),
+            node.zone.clone(),
+            flags,
+        ]
+    };
+    let rows: Vec<_> = status.nodes.iter().map(row).collect();
+    table(&["NODE", "INTERNAL", "ZONE", "IS"], &rows)
+}
+
+fn servers_table(status: &Status) -> String {
+    let row = |server: &ServerStatus| {
+        let flags = flags(&[
+            (server.standing.as_str(), true),
+            ("silent", server.silent),
+            ("suspected", server.suspected),
+            ("loading", server.loading),
         ]);
         vec![
-            s.id.clone(),
-            s.service.clone(),
-            s.address.clone(),
-            s.zone.clone(),
-            is,
-            s.in_flight.to_string(),
-            models(&s.models),
+            server.id.clone(),
+            server.service.clone(),
+            server.address.clone(),
+            server.zone.clone(),
+            flags,
+            server.in_flight.to_string(),
+            models(&server.models),
         ]
-    });
-    out.push('\n');
+    };
     let head = [
         "SERVER",
         "SERVICE",
@@ -127,6 +146,5 @@
         "IN_FLIGHT",
         "RUNS",
     ];
-    out.push_str(&table(&head, &servers.collect::<Vec<_>>()));
-    out
+    table(&head, &status.servers.iter().map(row).collect::<Vec<_>>())
 }
--- a/crates/sparrouter-fleet/src/endpoint.rs
+++ b/crates/sparrouter-fleet/src/endpoint.rs
@@ -1,4 +1,6 @@
-//! The doors for servers and operators: a tree of matchers over method and path, and readiness.
+//! HTTP endpoints for servers, operators and readiness checks: a tree of handlers by path and method.
+#![deny(missing_docs)]
+
 use crate::http::{self, Answer, NoRequest, Request, Room};
 use crate::net::{self, Listener, Stream};
 use bytes::BytesMut;
@@ -13,141 +15,144 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
-/// Largest body, longest head, most connections, and how long one may rest.
-const BODY: usize = 9 << 20;
-const HEAD: usize = 32 << 10;
-const MOST: usize = 800;
-/// Once so many rest, further ones close after their answer: a thousand servers that rest between their beats would
-/// leave the operator no place.
-const MOST_RESTING: usize = MOST * 3 / 4;
-const IDLE: Duration = Duration::from_secs(20);
+/// Largest request body in bytes: a configuration with room to spare.
+const MAX_BODY_BYTES: usize = 9 << 20;
+/// Largest request head in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Most connections at a time.
+const MAX_CONNECTIONS: usize = 800;
+/// With more connections than this, each is closed after its answer. Otherwise a thousand servers that keep connections
+/// open between their heartbeats would leave none for the operator.
+const MAX_KEPT_CONNECTIONS: usize = MAX_CONNECTIONS * 3 / 4;
+/// How long a connection may be idle between requests.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a request head may take to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a whole request may take to arrive.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long the client may take to read the answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// A handler's answer to come.
 pub type Answering = Pin<Box<dyn Future<Output = Answer>>>;
 type Handler = Rc<dyn Fn(Rc<Request>, Vec<String>) -> Answering>;
 
-/// A place in the tree: what may follow it in the path, and what is done here by method.
+/// A node of the tree: the segments that may follow in the path, and the handlers by method.
 #[derive(Default)]
 pub struct Matcher {
-    words: Vec<(&'static str, Matcher)>,
-    any: Option<Box<Matcher>>,
+    segments: Vec<(&'static str, Matcher)>,
+    /// Matches any segment that is not in `segments`.
+    wildcard: Option<Box<Matcher>>,
     methods: Vec<(&'static str, Handler)>,
 }
 
 impl Matcher {
-    /// Below this place, the place that `path` leads to; `*` stands for any one word, handed to the handler.
+    /// Adds a handler for a method and a path below this node. A segment `*` matches any segment, which is passed to the
+    /// handler; a literal segment takes precedence over it.
     pub fn on<A: Future<Output = Answer> + 'static>(
         mut self,
         method: &'static str,
         path: &'static str,
         handle: impl Fn(Rc<Request>, Vec<String>) -> A + 'static,
     ) -> Matcher {
-        let mut place = &mut self;
-        for word in path.split('/').filter(|w| !w.is_empty()) {
-            place = if word == "*" {
-                place.any.get_or_insert_default()
+        let mut node = &mut self;
+        for segment in path.split('/').filter(|s| !s.is_empty()) {
+            node = if segment == "*" {
+                node.wildcard.get_or_insert_default()
             } else {
-                let at = place
-                    .words
-                    .iter()
-                    .position(|w| w.0 == word)
-                    .unwrap_or_else(|| {
-                        place.words.push((word, Matcher::default()));
-                        place.words.len() - 1
-                    });
-                &mut place.words[at].1
+                let known = node.segments.iter().position(|s| s.0 == segment);
+                let index = known.unwrap_or_else(|| {
+                    node.segments.push((segment, Matcher::default()));
+                    node.segments.len() - 1
+                });
+                &mut node.segments[index].1
             };
         }
-        place
-            .methods
-            .push((method, Rc::new(move |r, w| Box::pin(handle(r, w)))));
+        let handler: Handler = Rc::new(move |request, words| Box::pin(handle(request, words)));
+        node.methods.push((method, handler));
         self
     }
 
+    /// The node of a path, and the segments that wildcards matched.
     fn find(&self, path: &str) -> Option<(&Matcher, Vec<String>)> {
-        let (mut place, mut words) = (self, Vec::new());
-        for word in path.split('/').filter(|w| !w.is_empty()) {
-            place = match place.words.iter().find(|w| w.0 == word) {
+        let (mut node, mut matched) = (self, Vec::new());
+        for segment in path.split('/').filter(|s| !s.is_empty()) {
+            node = match node.segments.iter().find(|s| s.0 == segment) {
                 Some((_, next)) => next,
                 None => {
-                    words.push(word.to_owned());
-                    place.any.as_deref()?
+                    matched.push(segment.to_owned());
+                    node.wildcard.as_deref()?
                 }
             };
         }
-        Some((place, words))
+        Some((node, matched))
     }
 
+    /// Answers a request by its handler: 404 for an unknown path, 405 for an unknown method.
     pub async fn answer(&self, request: Rc<Request>) -> Answer {
-        let Some((place, words)) = self
+        let Some((node, matched)) = self
             .find(request.path())
-            .filter(|(p, _)| !p.methods.is_empty())
+            .filter(|(node, _)| !node.methods.is_empty())
         else {
             return Answer::plain(404, "nothing is served under this path");
         };
-        match place
-            .methods
-            .iter()
-            .find(|m| m.0.as_bytes() == &request.head.method[..])
-        {
-            Some((_, handle)) => handle(request, words).await,
+        let method = &request.head.method[..];
+        let handler = node.methods.iter().find(|m| m.0.as_bytes() == method);
+        match handler {
+            Some((_, handle)) => handle(request, matched).await,
             None => Answer::plain(405, "this path takes other methods"),
         }
     }
 }
 
 /// Serves a tree until the process ends.
-pub async fn listen(door: Box<dyn Listener>, tree: Rc<Matcher>) {
-    let places = Arc::new(Semaphore::new(MOST));
+pub async fn listen(listener: Box<dyn Listener>, tree: Rc<Matcher>) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(place) = places.clone().acquire_owned().await else {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
             return;
         };
-        let (stream, _) = net::accept(&*door).await;
-        let (tree, places) = (tree.clone(), places.clone());
+        let (stream, _) = net::accept(&*listener).await;
+        let (tree, permits) = (tree.clone(), permits.clone());
         spawn_local(async move {
-            attend(stream, tree, || {
-                MOST - places.available_permits() <= MOST_RESTING
-            })
-            .await;
-            drop(place);
+            let may_stay_open =
+                || MAX_CONNECTIONS - permits.available_permits() <= MAX_KEPT_CONNECTIONS;
+            serve_connection(stream, tree, may_stay_open).await;
+            drop(permit);
         });
     }
 }
 
-async fn attend(mut stream: Stream, tree: Rc<Matcher>, may_rest: impl Fn() -> bool) {
+/// Serves the requests of one connection, one after the other.
+async fn serve_connection(mut stream: Stream, tree: Rc<Matcher>, may_stay_open: impl Fn() -> bool) {
     let mut buffer = BytesMut::new();
     let room = Room {
-        head: HEAD,
-        body: BODY,
-        header_timeout: Duration::from_secs(5),
+        head: MAX_HEAD_BYTES,
+        body: MAX_BODY_BYTES,
+        header_timeout: HEADER_TIMEOUT,
     };
     loop {
         if buffer.is_empty() {
+            // An idle connection holds no memory.
             buffer = BytesMut::new();
-            if !matches!(
-                timeout(IDLE, reading::more(&mut stream, &mut buffer)).await,
-                Ok(Ok(()))
-            ) {
+            let begun = timeout(IDLE_TIMEOUT, reading::more(&mut stream, &mut buffer)).await;
+            if !matches!(begun, Ok(Ok(()))) {
                 return;
             }
         }
-        let until = Instant::now() + Duration::from_secs(15);
+        let until = Instant::now() + REQUEST_TIMEOUT;
         let (answer, keep) = match http::request(&mut stream, &mut buffer, room, until).await {
             Ok(request) => {
                 let keep = request.head.keep;
                 let answer = tree.answer(Rc::new(request)).await;
-                (answer, keep && may_rest())
+                (answer, keep && may_stay_open())
             }
             Err(NoRequest::Left) => return,
             Err(NoRequest::Refused(status, text)) => (Answer::plain(status, text), false),
         };
-        // One that does not read its answer holds no place for ever.
-        let wrote = timeout(
-            Duration::from_secs(10),
-            stream.write_all(&answer.bytes(keep)),
-        )
-        .await;
-        if !matches!(wrote, Ok(Ok(()))) {
+        // A client that does not read its answer must not hold the connection for ever.
+        let written = timeout(WRITE_TIMEOUT, stream.write_all(&answer.bytes(keep))).await;
+        if !matches!(written, Ok(Ok(()))) {
             return;
         }
         if !keep {
--- a/crates/sparrouter-fleet/src/lib.rs
+++ b/crates/sparrouter-fleet/src/lib.rs
@@ -1,20 +1,21 @@
-//! The router fleet: one process of it, and the operators' client. `docs/design/system.md` has the whole.
+//! The router fleet: one process of it, and the operators' client. `docs/architecture.md` shows how the modules work
+//! together; `docs/design/system.md` says what was weighed.
 //!
-//! | file | its one job |
+//! | module | its one job |
 //! | --- | --- |
-//! | `boot`, `log_buffer` | settings read and checked; the log |
-//! | `node` | what one process knows; tables swapped whole (`node/config`, `node/news`, `node/keeping`: what is in force, what is heard and sent on, what falls to it) |
-//! | `net`, `wire`, `links`, `polls` | the way to other machines, words between nodes, their connections, who asks whom for what is new |
-//! | `control`, `disk`, `statute` | the control state: registers carried out, kept, and what a change means |
-//! | `registry`, `doors`, `calls` | servers' beats; the tree of calls of servers and operators |
-//! | `answers` | what other nodes are answered |
-//! | `http`, `front`, `exchange`, `upstream`, `events` | clients, one request, servers' connections, streams |
-//! | `weights` | servers brought to the version of weights that was named |
-//! | `following` | what servers and stores keep of prompts, told to the owners of the parts |
-//! | `departure` | which requests a process that was told to end still takes |
-//! | `run`, `status` | a process from start to end; what it says of itself |
-//! | `planted` | mistakes made on purpose, under a feature for tests |
-//! | `client` | what operators ask of a running fleet |
+//! | [`boot`], [`log_buffer`] | settings, read and validated; the log |
+//! | [`run`], [`departure`] | a process from start to end; which requests a leaving process still takes |
+//! | [`node`] | the state of one process: membership rows, the configuration in force, the server table |
+//! | [`net`], [`links`], [`wire`] | connections to other machines; calls between nodes; their messages |
+//! | [`polls`], [`peer_api`] | long polls of other nodes; the answers to theirs |
+//! | [`control`], [`disk`], [`configuration_state`] | replicated registers: carried out, saved, and what a change means |
+//! | [`endpoint`], [`control_api`], [`registry`] | HTTP endpoints; calls of servers and operators; heartbeats of servers |
+//! | [`front`], [`http`], [`exchange`], [`upstream`], [`events`] | connections of clients, one request, connections to servers, event streams |
+//! | [`weights`] | rollout of new weights |
+//! | [`event_follower`] | follows which prompts servers and stores keep, and updates the owners of the parts |
+//! | [`status`] | what a node reports of itself |
+//! | [`client`] | the operators' client |
+//! | [`planted`] | mistakes planted for tests, behind a feature |
 pub mod boot;
 pub mod client;
 pub mod configuration_state;
@@ -38,7 +39,6 @@
 pub mod registry;
 pub mod run;
 pub mod status;
-
 pub mod upstream;
 pub mod weights;
 pub mod wire;
--- a/crates/sparrouter-fleet/src/log_buffer.rs
+++ b/crates/sparrouter-fleet/src/log_buffer.rs
@@ -1,30 +1,34 @@
-//! The log: a log_buffer of lines in memory, written out when something goes wrong, and little else.
+//! The log: the newest lines in memory, written to standard error only when something goes wrong.
+#![deny(missing_docs)]
+
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 use std::collections::VecDeque;
 use std::io::{self, Write};
 use std::panic;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// Lines that are kept, and the longest of them, in bytes: 60 KiB a process.
+/// Most lines that are state.
 pub const LINES: usize = 256;
+/// Most bytes that are kept of a line, so that a process keeps 60 KiB.
 pub const LONGEST: usize = 240;
-/// Written out at most so often, so that trouble without end does not fill a disk.
+/// Most times that the lines are written out, so that a fault that repeats does not fill a disk.
 pub const MOST_DUMPS: u32 = 8;
 
 type Sink = Box<dyn Write + Send>;
 
-struct Kept {
+struct State {
     lines: VecDeque<Vec<u8>>,
-    open: Vec<u8>,
+    /// The line that is being written.
+    unfinished: Vec<u8>,
     dumps: u32,
     sink: Sink,
-    /// Breaches are gathered here instead of written out, where stories are told.
-    gathered: Option<Vec<String>>,
+    /// If set, violations are collected here and nothing is written out: for the simulation.
+    collected: Option<Vec<String>>,
 }
 
-/// A handle on the log_buffer of this process.
+/// A handle on a log. Clones share it.
 #[derive(Clone)]
-pub struct LogBuffer(Arc<Mutex<Kept>>);
+pub struct LogBuffer(Arc<Mutex<State>>);
 
 impl Default for LogBuffer {
     fn default() -> LogBuffer {
@@ -33,19 +37,19 @@
 }
 
 impl LogBuffer {
-    /// A log_buffer that is written out there; connected to no logger.
+    /// A log that is written out to `sink`, and that no logger writes into.
     pub fn to(sink: impl Write + Send + 'static) -> LogBuffer {
-        let kept = Kept {
+        let state = State {
             lines: VecDeque::new(),
-            open: Vec::new(),
+            unfinished: Vec::new(),
             dumps: 0,
             sink: Box::new(sink),
-            gathered: None,
+            collected: None,
         };
-        LogBuffer(Arc::new(Mutex::new(kept)))
+        LogBuffer(Arc::new(Mutex::new(state)))
     }
 
-    /// Makes `log`'s macros write into a log_buffer. The second call of a process gets a log_buffer of its own, unconnected.
+    /// A log that the macros of the crate `log` write into. A second call in a process gives one that nothing writes into.
     pub fn install(level: LevelFilter) -> LogBuffer {
         let log_buffer = LogBuffer::default();
         let config = ConfigBuilder::new()
@@ -55,8 +59,8 @@
         log_buffer
     }
 
-    /// From now on a panic of any thread writes the log_buffer out, before it ends the process or is caught.
-    pub fn heed_panics(&self) {
+    /// Installs a panic hook that writes the log out.
+    pub fn dump_on_panic(&self) {
         let (log_buffer, before) = (self.clone(), panic::take_hook());
         panic::set_hook(Box::new(move |info| {
             log_buffer.dump(&format!("panic: {info}"));
@@ -64,35 +68,36 @@
         }));
     }
 
-    /// A log_buffer that writes nothing out: `breaches` tells what would have been.
+    /// A log that writes nothing out; [`LogBuffer::breaches`] gives what it would have been written out for.
     pub fn gathering() -> LogBuffer {
         let log_buffer = LogBuffer::to(io::sink());
-        log_buffer.kept().gathered = Some(Vec::new());
+        log_buffer.state().collected = Some(Vec::new());
         log_buffer
     }
 
+    /// The violations since the start, of a log made by [`LogBuffer::gathering`].
     pub fn breaches(&self) -> Vec<String> {
-        self.kept().gathered.clone().unwrap_or_default()
+        self.state().collected.clone().unwrap_or_default()
     }
 
-    /// Something that must not happen: the line and what led there go to standard error.
+    /// Reports a violation of something that must always hold: logs it and writes the log out.
     pub fn breach(&self, what: &str) {
         log::error!("{what}");
         self.dump(what);
     }
 
-    /// Writes out what is kept, and starts anew. Beyond a number of times it only starts anew.
+    /// Writes the lines out and clears them; after [`MOST_DUMPS`] times it only clears them.
     pub fn dump(&self, why: &str) {
-        let mut kept = self.kept();
-        if let Some(gathered) = &mut kept.gathered {
-            return gathered.push(why.to_owned());
+        let mut state = self.state();
+        if let Some(collected) = &mut state.collected {
+            return collected.push(why.to_owned());
         }
-        let lines = std::mem::take(&mut kept.lines);
-        if kept.dumps >= MOST_DUMPS {
+        let lines = std::mem::take(&mut state.lines);
+        if state.dumps >= MOST_DUMPS {
             return;
         }
-        kept.dumps += 1;
-        let last = if kept.dumps == MOST_DUMPS {
+        state.dumps += 1;
+        let last = if state.dumps == MOST_DUMPS {
             " (no more will be written)"
         } else {
             ""
@@ -103,12 +108,12 @@
             out.extend_from_slice(line);
             out.push(b'\n');
         }
-        // Nowhere to write to is no reason to stop serving.
-        let _ = kept.sink.write_all(&out).and_then(|()| kept.sink.flush());
+        // A process that cannot write its log still serves.
+        let _ = state.sink.write_all(&out).and_then(|()| state.sink.flush());
     }
 
-    /// A thread that panicked with the log_buffer in its hands left whole lines at worst one short: the log goes on.
-    fn kept(&self) -> MutexGuard<'_, Kept> {
+    /// A thread that panicked while it held the lock lost a line at worst, so the log stays usable.
+    fn state(&self) -> MutexGuard<'_, State> {
         self.0
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -117,16 +122,16 @@
 
 impl Write for LogBuffer {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut kept = self.kept();
+        let mut state = self.state();
         for &byte in bytes {
             if byte == b'\n' {
-                let line = std::mem::take(&mut kept.open);
-                if kept.lines.len() == LINES {
-                    kept.lines.pop_front();
+                let line = std::mem::take(&mut state.unfinished);
+                if state.lines.len() == LINES {
+                    state.lines.pop_front();
                 }
-                kept.lines.push_back(line);
-            } else if kept.open.len() < LONGEST {
-                kept.open.push(byte);
+                state.lines.push_back(line);
+            } else if state.unfinished.len() < LONGEST {
+                state.unfinished.push(byte);
             }
         }
         Ok(bytes.len())
--- a/crates/sparrouter-fleet/src/main.rs
+++ b/crates/sparrouter-fleet/src/main.rs
@@ -1,7 +1,7 @@
-//! The program: a role of the fleet, or the operators' client, by subcommand.
+//! The program `sparrouter`: a process of the fleet or the operators' client, by subcommand.
 use simplelog::LevelFilter;
 use sparrouter_fleet::boot::{Boot, VARIABLE};
-use sparrouter_fleet::client::{self, Ask, ClientError, Command, commands};
+use sparrouter_fleet::client::{self, ClientError, Command, FleetCommand, commands};
 use sparrouter_fleet::log_buffer::LogBuffer;
 use sparrouter_fleet::net::Sockets;
 use sparrouter_fleet::run::{Role, run};
@@ -18,9 +18,10 @@
     built.map_err(|e| format!("no runtime ({e}): free descriptors and memory of this machine"))
 }
 
+/// Runs a process of the fleet until it is told to end.
 fn serve(role: Role) -> Result<(), String> {
     let log_buffer = LogBuffer::install(LevelFilter::Info);
-    log_buffer.heed_panics();
+    log_buffer.dump_on_panic();
     let boot = Boot::load().map_err(|e| e.to_string())?;
     let local = LocalSet::new();
     let ended = local.block_on(
@@ -36,17 +37,25 @@
     ended.map_err(|e| e.to_string())
 }
 
-fn ask(
-    ask: &Ask,
-    at: Vec<SocketAddr>,
+/// Carries out a command that calls the fleet.
+fn call_fleet(
+    command: &FleetCommand,
+    addresses: Vec<SocketAddr>,
     patience: Duration,
-    out: &mut commands::Out,
+    out: &mut commands::Output,
 ) -> Result<(), ClientError> {
     let runtime = runtime().map_err(|e| ClientError::Output(std::io::Error::other(e)))?;
-    runtime.block_on(client::run(ask, at, patience, Rc::new(Sockets), out))
+    runtime.block_on(client::run(
+        command,
+        addresses,
+        patience,
+        Rc::new(Sockets),
+        out,
+    ))
 }
 
-fn show(file: Option<PathBuf>, out: &mut commands::Out) -> Result<(), ClientError> {
+/// Prints the settings of a process.
+fn show(file: Option<PathBuf>, out: &mut commands::Output) -> Result<(), ClientError> {
     let path = match file {
         Some(path) => path,
         None => std::env::var_os(VARIABLE)
@@ -60,16 +69,16 @@
 }
 
 fn main() -> ExitCode {
-    let (mut result, mut remark) = (std::io::stdout(), std::io::stderr());
-    let mut out = commands::Out {
+    let (mut result, mut diagnostics) = (std::io::stdout(), std::io::stderr());
+    let mut out = commands::Output {
         result: &mut result,
-        remark: &mut remark,
+        diagnostics: &mut diagnostics,
     };
     let command = match client::command().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
         Err(failure) => {
             failure.print_message(100);
-            // Help is no fault; anything else is bad input.
+            // Asking for help is no error; anything else is invalid input.
             return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
         }
     };
@@ -83,18 +92,23 @@
                 }
             };
         }
-        Command::Ask {
-            ask: what,
-            at,
+        Command::Fleet {
+            command,
+            addresses,
             patience_s,
-        } => ask(&what, at, Duration::from_secs(patience_s), &mut out),
+        } => call_fleet(
+            &command,
+            addresses,
+            Duration::from_secs(patience_s),
+            &mut out,
+        ),
         Command::Check { file, against } => commands::check(&file, against.as_deref(), &mut out),
         Command::Show { file } => show(file, &mut out),
     };
     let done = done.and_then(|()| out.result.flush().map_err(ClientError::Output));
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        // Its reader, `head` say, has what it wanted.
+        // The reader of a pipe, such as `head`, has read enough.
         Err(ClientError::Output(why)) if why.kind() == std::io::ErrorKind::BrokenPipe => {
             ExitCode::SUCCESS
         }
--- a/crates/sparrouter-fleet/src/net.rs
+++ b/crates/sparrouter-fleet/src/net.rs
@@ -1,4 +1,7 @@
-//! The way to other machines: sockets, or a network in memory where stories are told. Nothing else opens any.
+//! Connections to other machines, as traits: real sockets here, an in-memory network in the simulation. No other module
+//! opens sockets.
+#![deny(missing_docs)]
+
 use sparrouter_http::reading;
 use std::future::Future;
 use std::io;
@@ -9,31 +12,40 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-/// Unacknowledged bytes may be so old: a machine without power or behind a cut says nothing.
+/// After so long without an acknowledgement a connection breaks, since a machine that lost power closes none.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 
+/// Pause before another attempt to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// One connection.
 pub trait Wire: AsyncRead + AsyncWrite + Unpin {
-    /// What has come and was not read yet, straight from the system; None where there is nothing yet.
+    /// Reads what has arrived, without waiting; see [`reading::at_hand`].
     fn at_hand(&self, buffer: &mut [u8]) -> Option<io::Result<usize>>;
 }
 
+/// A connection of any kind.
 pub type Stream = Box<dyn Wire>;
+/// A boxed future, so that the traits here can be used as objects.
 pub type Later<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
-/// Where connections come in.
+/// An address that connections are accepted on.
 pub trait Listener {
+    /// Waits for the next connection; gives it with the peer's address.
     fn accept(&self) -> Later<'_, io::Result<(Stream, SocketAddr)>>;
 }
 
-/// One machine's way to others.
+/// The network as one machine sees it.
 pub trait Net {
+    /// Connects to an address. Callers bound the time.
     fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Stream>>;
+    /// Listens on an address of this machine.
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
 }
 
-/// Real sockets.
+/// TCP sockets of the operating system.
 pub struct Sockets;
 
 impl Wire for TcpStream {
@@ -42,8 +54,9 @@
     }
 }
 
-fn tuned(stream: TcpStream) -> Stream {
-    // Without these a connection still works, only slower to send and to notice a dead machine.
+/// Sets the options of a new connection.
+fn configure(stream: TcpStream) -> Stream {
+    // If these fail the connection works all the same, but sends later and notices a dead machine later.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
     Box::new(stream)
@@ -51,7 +64,7 @@
 
 impl Net for Sockets {
     fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Stream>> {
-        Box::pin(async move { Ok(tuned(TcpStream::connect(to).await?)) })
+        Box::pin(async move { Ok(configure(TcpStream::connect(to).await?)) })
     }
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
         let socket = if at.is_ipv4() {
@@ -69,20 +82,20 @@
     fn accept(&self) -> Later<'_, io::Result<(Stream, SocketAddr)>> {
         Box::pin(async move {
             let (stream, from) = TcpListener::accept(self).await?;
-            Ok((tuned(stream), from))
+            Ok((configure(stream), from))
         })
     }
 }
 
-/// A network that several parts of a process share.
+/// The network, shared by the tasks of a process.
 pub type SharedNet = Rc<dyn Net>;
 
-/// The next connection; waits where the system is out of descriptors, until some come free.
-pub async fn accept(door: &dyn Listener) -> (Stream, SocketAddr) {
+/// Waits for the next connection. After an error, such as too few descriptors, it tries again until it succeeds.
+pub async fn accept(listener: &dyn Listener) -> (Stream, SocketAddr) {
     loop {
-        match door.accept().await {
+        match listener.accept().await {
             Ok(connection) => return connection,
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
--- a/crates/sparrouter-fleet/src/status.rs
+++ b/crates/sparrouter-fleet/src/status.rs
@@ -1,59 +1,92 @@
-//! What a node says of itself to an operator: one JSON object, the same fields every time. The operators' client
-//! reads it back.
+//! The status of a node as one JSON object, for operators. The operators' client parses it too, so fields are only added.
+#![deny(missing_docs)]
+
 use crate::control::Control;
 use crate::node::Node;
 use miniserde::{Deserialize, Serialize, json};
+use sparrouter_membership::{NodeRow, ServerRow};
 use std::rc::Rc;
 
 /// A model and a version of its weights.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelStatus {
+    /// Name of the model.
     pub name: String,
+    /// Version of the weights.
     pub version: u64,
 }
 
+/// A server, as the node knows it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerStatus {
+    /// Its instance id.
     pub id: String,
+    /// Its service.
     pub service: String,
+    /// Its address.
     pub address: String,
+    /// Its zone.
     pub zone: String,
+    /// `ready`, `draining` or `gone`.
     pub standing: String,
+    /// Its heartbeats stopped.
     pub silent: bool,
+    /// The node could not connect to it.
     pub suspected: bool,
+    /// It is loading new weights, or will at once.
     pub loading: bool,
+    /// Requests of the node in flight there.
     pub in_flight: u32,
-    /// What it runs, as far as the asked node knows.
+    /// The models that it runs, as far as the node knows.
     pub models: Vec<ModelStatus>,
 }
 
+/// Another node, or the node itself, by its row.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeStatus {
+    /// Its name.
     pub name: String,
+    /// Its address for other nodes.
     pub internal: String,
-    /// Where servers and operators reach it; empty: not there.
+    /// Its address for servers and operators; empty if it serves none.
     pub control: String,
+    /// Its zone.
     pub zone: String,
+    /// It counts toward the quorum.
     pub counted: bool,
+    /// It is shutting down.
     pub leaving: bool,
+    /// It stopped polling.
     pub silent: bool,
 }
 
+/// The status of a node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Status {
+    /// Name of the node.
     pub node: String,
+    /// It takes requests of clients.
     pub ready: bool,
+    /// Version of the configuration in force; 0 before the first.
     pub config_version: u64,
-    /// Of the configuration's text, in hex: the same on all nodes that have the same. None from an older release.
+    /// Digest of the configuration's text in hexadecimal, the same on all nodes with the same text. `None` from an older
+    /// release.
     pub config_digest: Option<String>,
+    /// It is a member of the configuration's replica group.
     pub member: bool,
+    /// It has quorum contact.
     pub in_touch: bool,
+    /// Milliseconds since it last heard from a node with quorum contact.
     pub heard_ms_ago: u64,
+    /// Requests of clients that it works on.
     pub open_requests: u64,
+    /// Names of the members of the configuration's replica group, as far as it knows.
     pub group: Vec<String>,
-    /// Versions that were named.
+    /// The newest versions of weights that were named.
     pub models: Vec<ModelStatus>,
+    /// All nodes that it knows.
     pub nodes: Vec<NodeStatus>,
+    /// All servers that it knows.
     pub servers: Vec<ServerStatus>,
 }
 
@@ -64,53 +97,65 @@
     }
 }
 
+/// The status of a node as JSON. `control`: its control state, if it keeps one.
 pub fn show(node: &Rc<Node>, control: Option<&Rc<Control>>) -> String {
-    let server_table = node.server_table.borrow();
-    let rows = node.rows.borrow();
-    let servers = rows.servers().map(|s| {
-        let own = server_table.find(&s.id).and_then(|ix| server_table.get(ix));
-        ServerStatus {
-            id: s.id.clone(),
-            service: s.service.clone(),
-            address: s.address.clone(),
-            zone: s.zone.clone(),
-            standing: format!("{:?}", s.standing).to_lowercase(),
-            silent: s.silent,
-            suspected: own.is_some_and(|o| o.suspected()),
-            loading: own.is_some_and(|o| o.loading()),
-            in_flight: own.map_or(0, |o| o.in_flight()),
-            models: s.models.iter().map(|m| model(&m.name, m.version)).collect(),
-        }
-    });
-    let nodes = rows.nodes().map(|n| NodeStatus {
-        name: n.name.clone(),
-        internal: n.internal.clone(),
-        control: n.control.clone(),
-        zone: n.zone.clone(),
-        counted: n.counted,
-        leaving: n.leaving,
-        silent: n.silent,
-    });
+    let in_force = node.in_force();
     let group = control
         .map(|c| c.members(crate::control::CONFIG))
         .unwrap_or_default();
     json::to_string(&Status {
         node: node.me.borrow().name.clone(),
         ready: node.informed.get() && !node.leaving.get(),
-        config_version: node.in_force().version,
-        config_digest: Some(format!("{:016x}", node.in_force().digest)),
+        config_version: in_force.version,
+        config_digest: Some(format!("{:016x}", in_force.digest)),
         member: control.is_some_and(|c| c.is_member()),
         in_touch: control.is_some_and(|c| c.in_touch()),
         heard_ms_ago: node.now().saturating_sub(node.heard.get()) / 1_000_000,
         open_requests: node.open.get() as u64,
         group: group.into_iter().map(|m| m.name).collect(),
-        models: node
-            .in_force()
-            .models
-            .iter()
-            .map(|m| model(&m.0, m.1))
-            .collect(),
-        nodes: nodes.collect(),
-        servers: servers.collect(),
+        models: in_force.models.iter().map(|m| model(&m.0, m.1)).collect(),
+        nodes: nodes(node),
+        servers: servers(node),
     })
 }
+
+fn servers(node: &Node) -> Vec<ServerStatus> {
+    let server_table = node.server_table.borrow();
+    let rows = node.rows.borrow();
+    let status = |row: &ServerRow| {
+        let known = server_table
+            .find(&row.id)
+            .and_then(|ix| server_table.get(ix));
+        ServerStatus {
+            id: row.id.clone(),
+            service: row.service.clone(),
+            address: row.address.clone(),
+            zone: row.zone.clone(),
+            standing: format!("{:?}", row.standing).to_lowercase(),
+            silent: row.silent,
+            suspected: known.is_some_and(|server| server.suspected()),
+            loading: known.is_some_and(|server| server.loading()),
+            in_flight: known.map_or(0, |server| server.in_flight()),
+            models: row
+                .models
+                .iter()
+                .map(|m| model(&m.name, m.version))
+                .collect(),
+        }
+    };
+    rows.servers().map(status).collect()
+}
+
+fn nodes(node: &Node) -> Vec<NodeStatus> {
+    let rows = node.rows.borrow();
+    let status = |row: &NodeRow| NodeStatus {
+        name: row.name.clone(),
+        internal: row.internal.clone(),
+        control: row.control.clone(),
+        zone: row.zone.clone(),
+        counted: row.counted,
+        leaving: row.leaving,
+        silent: row.silent,
+    };
+    rows.nodes().map(status).collect()
+}
--- a/crates/sparrouter-fleet/tests/boot.rs
+++ b/crates/sparrouter-fleet/tests/boot.rs
@@ -241,7 +241,7 @@
 
 #[test]
 fn given_a_line_that_cannot_be_read_when_parsed_then_it_is_named() {
-    insta::assert_snapshot!(told("a=\\uZZZZ"), @r"boot.conf: not lines of a.b=value (Malformed \uxxxx encoding: not hex. (line_number = 4)): mend the line");
+    insta::assert_snapshot!(told("a=\\uZZZZ"), @r"boot.conf: not lines of a.b=value (Malformed \uxxxx encoding: not hex. (line_number = 4)): correct the line");
 }
 
 #[test]
@@ -276,24 +276,24 @@
     ];
     let all: Vec<String> = lines.iter().map(|l| told(l)).collect();
     insta::assert_snapshot!(all.join("\n"), @r"
-    boot.conf: ip_address=ten is not an IP address such as 10.1.0.21: mend that line
-    boot.conf: listen_addresses.front_http=10.1.0.21 is not an address such as 10.1.0.21:8683: mend that line
-    boot.conf: listen_addresses.readiness=10.1.0.21:0 is not an address such as 10.1.0.21:8683: mend that line
-    boot.conf: internal_port_range=7375,7360 is not two ports above 0, the lower first, such as 7360,7375: mend that line
-    boot.conf: internal_port_range=0,1 is not two ports above 0, the lower first, such as 7360,7375: mend that line
-    boot.conf: internal_port_range=7360 is not two ports above 0, the lower first, such as 7360,7375: mend that line
-    boot.conf: seed_nodes=ten is not addresses such as 10.1.0.21:8683: mend that line
-    boot.conf: first_start=yes is not true or false: mend that line
-    boot.conf: limits.cpu_share=-1 is not a number from 0 to 1000000: mend that line
-    boot.conf: limits.memory_mb=0 is not a whole number from 1 to 1000000000: mend that line
-    boot.conf: limits.memory_mb=260.5 is not a whole number from 1 to 1000000000: mend that line
-    boot.conf: limits.max_open_files=many is not a whole number from 1 to 1000000000: mend that line
-    boot.conf: heartbeat_ms=0 is not a number from 1 to 1000000000: mend that line
-    boot.conf: fault_tolerance.machines=-1 is not a whole number from 0 to 1000: mend that line
-    boot.conf: bounds.lease_ms=NaN is not a number from 0 to 1000000000: mend that line
-    boot.conf: bounds.grace_period_s=inf is not a number from 0 to 1000000000: mend that line
-    boot.conf: bounds.retry_budget_ratio=1e3 is not a number from 0 to 100: mend that line
-    boot.conf: bounds.fencing_enabled=1 is not true or false: mend that line
+    boot.conf: ip_address=ten is not an IP address such as 10.1.0.21: correct that line
+    boot.conf: listen_addresses.front_http=10.1.0.21 is not an address such as 10.1.0.21:8683: correct that line
+    boot.conf: listen_addresses.readiness=10.1.0.21:0 is not an address such as 10.1.0.21:8683: correct that line
+    boot.conf: internal_port_range=7375,7360 is not two ports above 0, the lower first, such as 7360,7375: correct that line
+    boot.conf: internal_port_range=0,1 is not two ports above 0, the lower first, such as 7360,7375: correct that line
+    boot.conf: internal_port_range=7360 is not two ports above 0, the lower first, such as 7360,7375: correct that line
+    boot.conf: seed_nodes=ten is not addresses such as 10.1.0.21:8683: correct that line
+    boot.conf: first_start=yes is not true or false: correct that line
+    boot.conf: limits.cpu_share=-1 is not a number from 0 to 1000000: correct that line
+    boot.conf: limits.memory_mb=0 is not a whole number from 1 to 1000000000: correct that line
+    boot.conf: limits.memory_mb=260.5 is not a whole number from 1 to 1000000000: correct that line
+    boot.conf: limits.max_open_files=many is not a whole number from 1 to 1000000000: correct that line
+    boot.conf: heartbeat_ms=0 is not a number from 1 to 1000000000: correct that line
+    boot.conf: fault_tolerance.machines=-1 is not a whole number from 0 to 1000: correct that line
+    boot.conf: bounds.lease_ms=NaN is not a number from 0 to 1000000000: correct that line
+    boot.conf: bounds.grace_period_s=inf is not a number from 0 to 1000000000: correct that line
+    boot.conf: bounds.retry_budget_ratio=1e3 is not a number from 0 to 100: correct that line
+    boot.conf: bounds.fencing_enabled=1 is not true or false: correct that line
     ");
 }
 
--- a/crates/sparrouter-fleet/tests/client.rs
+++ b/crates/sparrouter-fleet/tests/client.rs
@@ -3,9 +3,9 @@
 
 use common::{Act, Scripted, answers};
 use sparrouter_fleet::client::call::Call;
-use sparrouter_fleet::client::commands::{self, Out};
+use sparrouter_fleet::client::commands::{self, Output};
 use sparrouter_fleet::client::fleet::Fleet;
-use sparrouter_fleet::client::{Ask, ClientError};
+use sparrouter_fleet::client::{ClientError, FleetCommand};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -31,7 +31,7 @@
     }
 }
 
-/// Asks with ten seconds of patience; also what was called.
+/// Sends a call for at most ten seconds; gives the answer and the calls that nodes got.
 async fn ask(
     net: Scripted,
     at: &[&str],
@@ -49,7 +49,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_a_node_that_answers_when_asked_then_one_call_is_made_in_whole() {
+async fn given_a_node_that_answers_when_asked_then_one_whole_call_is_sent() {
     let net = Scripted::default().node(A, &[answers(200, "taken")]);
     let (asked, calls) = ask(net, &[A, B], change()).await;
     assert_eq!(asked.expect("taken"), "taken");
@@ -93,18 +93,18 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_a_final_refusal_when_asked_then_nobody_else_is_asked() {
+async fn given_a_final_refusal_when_asked_then_no_other_node_is_asked() {
     for status in [400, 409, 412, 413, 422] {
         let net = Scripted::default().node(A, &[answers(status, "why and what to do")]);
         let (asked, calls) = ask(net, &[A, B], change()).await;
-        let told = asked.expect_err("refused");
-        assert_eq!((calls.len(), told.exit_code()), (1, 1));
-        assert!(told.to_string().contains("why and what to do"), "{told}");
+        let error = asked.expect_err("refused");
+        assert_eq!((calls.len(), error.exit_code()), (1, 1));
+        assert!(error.to_string().contains("why and what to do"), "{error}");
     }
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_another_4xx_when_asked_then_it_is_believed_at_the_third_try() {
+async fn given_another_4xx_when_asked_then_it_is_final_at_the_third_attempt() {
     let net = Scripted::default()
         .node(A, &[answers(405, "")])
         .node(B, &[answers(404, "")]);
@@ -117,7 +117,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_redirects_when_asked_then_two_are_followed_and_no_third() {
+async fn given_redirects_when_asked_then_at_most_two_are_followed() {
     let to = |at: &str| {
         Act::Answers(format!(
             "HTTP/1.1 307 Word\r\nLocation: http://{at}/api/config\r\nContent-Length: 0\r\n\r\n"
@@ -131,12 +131,13 @@
     assert_eq!(ask(net, &[A], change()).await.0.expect("taken"), "taken");
     let net = Scripted::default().node(A, &[to(A)]);
     let (asked, calls) = ask(net, &[A], change()).await;
-    assert!(matches!(asked, Err(ClientError::NotMade { .. })));
+    assert!(matches!(asked, Err(ClientError::NotApplied { .. })));
     assert!(calls.len() % 3 == 0, "{}", calls.len());
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_no_clear_answer_when_patience_is_over_then_what_may_be_is_told_and_the_code_is_3() {
+async fn given_no_clear_answer_when_time_is_up_then_the_possible_effect_is_reported_and_the_code_is_3()
+ {
     let cases = [
         (Act::Refuse, "nothing was sent"),
         (answers(503, "no quorum"), "nothing was changed"),
@@ -147,12 +148,12 @@
     for (act, wanted) in cases {
         let began = Instant::now();
         let net = Scripted::default().node(A, std::slice::from_ref(&act));
-        let told = ask(net, &[A], change())
+        let error = ask(net, &[A], change())
             .await
             .0
             .expect_err("no clear answer");
-        assert_eq!(told.exit_code(), 3);
-        assert!(told.to_string().contains(wanted), "{act:?}: {told}");
+        assert_eq!(error.exit_code(), 3);
+        assert!(error.to_string().contains(wanted), "{act:?}: {error}");
         assert!(
             began.elapsed() <= Duration::from_secs(10),
             "{:?}",
@@ -162,7 +163,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_a_lost_answer_then_a_refusal_when_patience_is_over_then_doubt_remains() {
+async fn given_a_lost_answer_then_a_refusal_when_time_is_up_then_the_effect_is_unclear() {
     let net = Scripted::default().node(A, &[Act::Drops, answers(503, "no quorum")]);
     assert!(matches!(
         ask(net, &[A], change()).await.0,
@@ -170,14 +171,14 @@
     ));
 }
 
-/// Runs a subcommand; gives back what it printed and remarked.
-async fn run(net: Scripted, what: Ask) -> (Result<(), ClientError>, String, String) {
-    let (mut result, mut remark) = (Vec::new(), Vec::new());
+/// Runs a subcommand; gives what it printed as its result and as diagnostics.
+async fn run(net: Scripted, what: FleetCommand) -> (Result<(), ClientError>, String, String) {
+    let (mut result, mut diagnostics) = (Vec::new(), Vec::new());
     let local = LocalSet::new();
     let done = {
-        let mut out = Out {
+        let mut out = Output {
             result: &mut result,
-            remark: &mut remark,
+            diagnostics: &mut diagnostics,
         };
         let asking = commands::run(
             &what,
@@ -189,7 +190,7 @@
         local.run_until(asking).await
     };
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
-    (done, text(result), text(remark))
+    (done, text(result), text(diagnostics))
 }
 
 struct Files(tempfile::TempDir);
@@ -206,14 +207,14 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_no_if_match_when_put_then_the_version_in_force_is_read_and_said() {
+async fn given_no_if_match_when_put_then_the_version_in_force_is_read_and_printed() {
     let files = Files::new();
     let file = files.with("next.json", "{\"version\":9,\"routes\":[],\"services\":[]}");
     let net = Scripted::default().node(A, &[answers(200, CONFIG), answers(200, "taken")]);
     let calls = net.calls.clone();
-    let (done, result, remark) = run(
+    let (done, result, diagnostics) = run(
         net,
-        Ask::Put {
+        FleetCommand::Put {
             file,
             if_match: None,
         },
@@ -221,7 +222,7 @@
     .await;
     done.expect("taken");
     assert_eq!(
-        remark,
+        diagnostics,
         "sparrouter: builds on version 7, which is in force now\n"
     );
     assert_eq!(result, "taken (10.0.0.1:80, on top of version 7)\n");
@@ -238,9 +239,9 @@
         answers(404, ""),
         answers(200, "taken"),
     ];
-    let (done, _, remark) = run(
+    let (done, _, diagnostics) = run(
         Scripted::default().node(A, &acts),
-        Ask::Put {
+        FleetCommand::Put {
             file,
             if_match: None,
         },
@@ -248,7 +249,7 @@
     .await;
     done.expect("taken");
     assert_eq!(
-        remark,
+        diagnostics,
         "sparrouter: no configuration is in force yet: this is the first\n"
     );
 }
@@ -264,17 +265,17 @@
     let calls = net.calls.clone();
     let (done, ..) = run(
         net,
-        Ask::Put {
+        FleetCommand::Put {
             file,
             if_match: Some(7),
         },
     )
     .await;
-    let told = done.expect_err("invalid");
-    assert_eq!((told.exit_code(), calls.borrow().len()), (2, 0));
+    let error = done.expect_err("invalid");
+    assert_eq!((error.exit_code(), calls.borrow().len()), (2, 0));
     assert!(
-        told.to_string().contains("bad.json: routes[0] (`r`)"),
-        "{told}"
+        error.to_string().contains("bad.json: routes[0] (`r`)"),
+        "{error}"
     );
 }
 
@@ -285,7 +286,7 @@
     let net = Scripted::default().node(A, &[answers(200, CONFIG)]);
     let (done, ..) = run(
         net,
-        Ask::Patch {
+        FleetCommand::Patch {
             file,
             if_match: None,
         },
@@ -304,7 +305,7 @@
     let calls = net.calls.clone();
     let (done, ..) = run(
         net,
-        Ask::NameVersion {
+        FleetCommand::NameVersion {
             model: "m \"1\"".into(),
             version: 2,
         },
@@ -318,7 +319,7 @@
     );
     let (done, ..) = run(
         Scripted::default(),
-        Ask::NameVersion {
+        FleetCommand::NameVersion {
             model: "m".into(),
             version: 0,
         },
@@ -338,16 +339,16 @@
 #[tokio::test(start_paused = true)]
 async fn given_a_status_when_shown_then_it_is_a_table() {
     let net = Scripted::default().node(A, &[answers(200, STATUS)]);
-    let (done, result, remark) = run(
+    let (done, result, diagnostics) = run(
         net,
-        Ask::Status {
+        FleetCommand::Status {
             all: false,
             json: false,
         },
     )
     .await;
     done.expect("answered");
-    assert_eq!(remark, "");
+    assert_eq!(diagnostics, "");
     insta::assert_snapshot!(result, @r"
     ASKED   AT           CONFIG  IS                     HEARD_MS_AGO  OPEN  NAMED  GROUP
     core-0  10.0.0.1:80  7       ready member in-touch  12            3     m:2    core-0,core-1
@@ -362,11 +363,11 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn given_a_node_that_is_down_when_all_are_asked_then_it_is_remarked() {
+async fn given_a_node_that_is_down_when_all_are_asked_then_it_is_reported() {
     let net = Scripted::default().node(A, &[answers(200, STATUS)]);
-    let (done, result, remark) = run(
+    let (done, result, diagnostics) = run(
         net,
-        Ask::Status {
+        FleetCommand::Status {
             all: true,
             json: true,
         },
@@ -375,8 +376,8 @@
     done.expect("answered");
     assert_eq!(result, format!("{STATUS}\n"));
     assert!(
-        remark.starts_with("sparrouter: core-1: no node could be reached"),
-        "{remark}"
+        diagnostics.starts_with("sparrouter: core-1: no node could be reached"),
+        "{diagnostics}"
     );
 }
 
@@ -390,10 +391,10 @@
     );
     let broken = files.with("broken.json", "{\"version\":9");
     let check = |file: &PathBuf, against: Option<&PathBuf>| {
-        let (mut result, mut remark) = (Vec::new(), Vec::new());
-        let mut out = Out {
+        let (mut result, mut diagnostics) = (Vec::new(), Vec::new());
+        let mut out = Output {
             result: &mut result,
-            remark: &mut remark,
+            diagnostics: &mut diagnostics,
         };
         let done = commands::check(file, against.map(PathBuf::as_path), &mut out);
         let folder = file.parent().expect("a folder").display().to_string() + "/";
@@ -430,27 +431,27 @@
             .run_inner(words.as_slice())
             .map_err(|e| e.unwrap_stderr())
     };
-    let at = addresses(&[A, B]);
+    let addresses = addresses(&[A, B]);
     assert_eq!(
         read("config put --at 10.0.0.1:80,10.0.0.2:80 --patience 3 --if-match 4 f.json")
             .expect("read"),
-        Command::Ask {
-            ask: Ask::Put {
+        Command::Fleet {
+            command: FleetCommand::Put {
                 file: "f.json".into(),
                 if_match: Some(4)
             },
-            at,
+            addresses,
             patience_s: 3
         }
     );
     assert_eq!(
         read("status --all").expect("read"),
-        Command::Ask {
-            ask: Ask::Status {
+        Command::Fleet {
+            command: FleetCommand::Status {
                 all: true,
                 json: false
             },
-            at: vec![],
+            addresses: vec![],
             patience_s: 10
         }
     );
--- a/crates/sparrouter-fleet/tests/endpoint.rs
+++ b/crates/sparrouter-fleet/tests/endpoint.rs
@@ -1,4 +1,4 @@
-//! The tree of matchers: which handler a call comes to, and what nobody serves.
+//! The tree of handlers: which handler a request reaches, and what is not found.
 use bytes::Bytes;
 use sparrouter_fleet::endpoint::{self, Matcher};
 use sparrouter_fleet::http::{Answer, Request};
@@ -19,7 +19,7 @@
     })
 }
 
-/// Each place answers with its name and the words that `*` stood for.
+/// Each handler answers with its name and the segments that `*` matched.
 fn tree() -> Matcher {
     let says = |name: &'static str| {
         move |_: Rc<Request>, words: Vec<String>| async move {
@@ -29,50 +29,59 @@
     Matcher::default()
         .on("GET", "/api/config", says("get"))
         .on("PUT", "/api/config", says("put"))
-        .on("PUT", "/api/instances/*", says("beat"))
+        .on("PUT", "/api/instances/*", says("heartbeat"))
         .on("GET", "/api/instances/all", says("all"))
         .on("GET", "/api/*/of/*", says("of"))
         .on("GET", "/", says("root"))
 }
 
-async fn told(method: &str, target: &str) -> (u16, String) {
+async fn answer_to(method: &str, target: &str) -> (u16, String) {
     let answer = tree().answer(request(method, target)).await;
     (answer.status, answer.body)
 }
 
 #[tokio::test]
-async fn given_a_place_with_methods_when_called_then_the_handler_of_that_method_answers() {
-    assert_eq!(told("GET", "/api/config").await, (200, "get ".into()));
-    assert_eq!(told("PUT", "/api/config").await, (200, "put ".into()));
-    assert_eq!(told("GET", "/").await, (200, "root ".into()));
+async fn given_a_path_with_methods_when_called_then_the_handler_of_that_method_answers() {
+    assert_eq!(answer_to("GET", "/api/config").await, (200, "get ".into()));
+    assert_eq!(answer_to("PUT", "/api/config").await, (200, "put ".into()));
+    assert_eq!(answer_to("GET", "/").await, (200, "root ".into()));
 }
 
 #[tokio::test]
-async fn given_a_star_when_called_then_its_words_are_handed_over_in_order() {
+async fn given_a_wildcard_when_called_then_its_segments_are_passed_in_order() {
     assert_eq!(
-        told("PUT", "/api/instances/i-1").await,
-        (200, "beat i-1".into())
+        answer_to("PUT", "/api/instances/i-1").await,
+        (200, "heartbeat i-1".into())
+    );
+    assert_eq!(
+        answer_to("GET", "/api/a/of/b").await,
+        (200, "of a,b".into())
     );
-    assert_eq!(told("GET", "/api/a/of/b").await, (200, "of a,b".into()));
 }
 
 #[tokio::test]
-async fn given_a_word_and_a_star_when_called_then_the_word_comes_first() {
+async fn given_a_literal_and_a_wildcard_when_called_then_the_literal_takes_precedence() {
     assert_eq!(
-        told("GET", "/api/instances/all").await,
+        answer_to("GET", "/api/instances/all").await,
         (200, "all ".into())
     );
-    assert_eq!(told("PUT", "/api/instances/all").await.0, 405);
+    assert_eq!(answer_to("PUT", "/api/instances/all").await.0, 405);
 }
 
 #[tokio::test]
-async fn given_a_query_or_spare_slashes_when_called_then_the_place_is_the_same() {
-    assert_eq!(told("GET", "/api/config?x=/y").await, (200, "get ".into()));
-    assert_eq!(told("GET", "//api//config/").await, (200, "get ".into()));
+async fn given_a_query_or_extra_slashes_when_called_then_the_handler_is_the_same() {
+    assert_eq!(
+        answer_to("GET", "/api/config?x=/y").await,
+        (200, "get ".into())
+    );
+    assert_eq!(
+        answer_to("GET", "//api//config/").await,
+        (200, "get ".into())
+    );
 }
 
 #[tokio::test]
-async fn given_a_path_that_nobody_serves_when_called_then_it_is_404() {
+async fn given_an_unknown_path_when_called_then_it_is_404() {
     for path in [
         "/api",
         "/api/instances",
@@ -81,14 +90,14 @@
         "/api/a/of",
         "/API/config",
     ] {
-        assert_eq!(told("GET", path).await.0, 404, "{path}");
+        assert_eq!(answer_to("GET", path).await.0, 404, "{path}");
     }
 }
 
 #[tokio::test]
 async fn given_another_method_when_called_then_it_is_405() {
     for method in ["DELETE", "get", "PUTT", "PU"] {
-        assert_eq!(told(method, "/api/config").await.0, 405, "{method}");
+        assert_eq!(answer_to(method, "/api/config").await.0, 405, "{method}");
     }
 }
 
@@ -107,10 +116,10 @@
 }
 
 /// One call on a connection that stays open here; gives back the connection if the answer says that it stays.
-async fn call(door: SocketAddr) -> Option<TcpStream> {
-    let mut stream = TcpStream::connect(door)
+async fn call(endpoint: SocketAddr) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(endpoint)
         .await
-        .expect("the door takes connections");
+        .expect("the endpoint accepts connections");
     stream
         .write_all(b"GET /api/config HTTP/1.1\r\nHost: a\r\n\r\n")
         .await
@@ -124,28 +133,27 @@
 }
 
 #[tokio::test]
-async fn given_more_callers_than_places_when_they_rest_between_calls_then_another_is_still_answered()
- {
+async fn given_more_clients_than_connections_when_they_stay_idle_then_another_is_still_answered() {
     LocalSet::new()
         .run_until(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let door = listener.local_addr().expect("its address");
+            let address = listener.local_addr().expect("its address");
             let listening = spawn_local(endpoint::listen(Box::new(listener), Rc::new(tree())));
-            let mut resting = Vec::new();
+            let mut idle = Vec::new();
             for _ in 0..1_000 {
-                resting.extend(call(door).await);
+                idle.extend(call(address).await);
             }
             assert_eq!(
-                resting.len(),
+                idle.len(),
                 599,
-                "three quarters of the places, one of them held open for whoever comes next"
+                "three quarters of the connections, one of them accepted for the next client"
             );
-            assert!(call(door).await.is_none());
-            resting.truncate(10);
+            assert!(call(address).await.is_none());
+            idle.truncate(10);
             sleep(Duration::from_millis(20)).await;
             assert!(
-                call(door).await.is_some(),
-                "places that came free may be rested in again"
+                call(address).await.is_some(),
+                "connections may stay open again once others were closed"
             );
             listening.abort();
         })
--- a/crates/sparrouter-fleet/tests/log_buffer.rs
+++ b/crates/sparrouter-fleet/tests/log_buffer.rs
@@ -1,4 +1,4 @@
-//! The log's log_buffer: bounded, and written out when something goes wrong.
+//! The log: bounded, and written out when something goes wrong.
 use sparrouter_fleet::log_buffer::{LINES, LONGEST, LogBuffer, MOST_DUMPS};
 use std::io::Write;
 use std::sync::{Arc, Mutex};
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn given_lines_when_a_breach_is_told_then_it_and_they_are_written_once() {
+fn given_lines_when_a_violation_is_reported_then_both_are_written_once() {
     let (mut log_buffer, sink) = log_buffer();
     writeln!(log_buffer, "first").expect("never fails");
     write!(log_buffer, "sec").expect("never fails");
@@ -124,7 +124,7 @@
     let (mut log_buffer, sink) = log_buffer();
     writeln!(log_buffer, "what led there").expect("never fails");
     // The hook is the process's own: the other tests of this file do not panic.
-    log_buffer.heed_panics();
+    log_buffer.dump_on_panic();
     let caught = std::thread::spawn(|| panic!("out of plums")).join();
     assert!(caught.is_err());
     let text = sink.text();
