Faults of the simulation and crash points of the storage tests: one list, one home, short functions

Change: kinds of faults are defined once by a macro that makes enum and list; Sky is DayRun, Trouble is Fault, Closing is FinalFault, story is log; a function a fault; crashes() and crash_while_replacing() in the storage tests, the same crash points and assertions. Order of random draws is kept.

--- a/crates/sparrouter-simulation/examples/hunt.rs
+++ b/crates/sparrouter-simulation/examples/hunt.rs
@@ -1,7 +1,14 @@
-//! Hunts for broken rules over days by seed: `cargo run --release -p sparrouter-simulation --example hunt -- --days N --seed S`.
+//! Plays simulated days by seed and reports violations of rules:
+//! `cargo run --release -p sparrouter-simulation --example hunt -- --days N --seed S`.
 //!
-//! `--all` goes on behind a broken day, `--story` tells a day in full, each request with it. `--defect NAME` plants a
-//! mistake first; `--shrink` tells of a broken day what it takes, as a story; `--planted` plants each in turn and prints after how many days it was found.
+//! | option | meaning |
+//! | --- | --- |
+//! | `--days N`, `--seed S` | how many days (20), and the first seed (1) |
+//! | `--all` | go on after a day with violations |
+//! | `--story` | print the log of each day, with each request |
+//! | `--shrink` | print a smallest day that still has a violation |
+//! | `--defect NAME` | plant a mistake first (`sparrouter_fleet::planted`) |
+//! | `--planted` | plant each mistake in turn, and print after how many days it was found |
 use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_simulation::faults::{self, Day, Report};
 use sparrouter_simulation::scenario;
@@ -10,11 +17,13 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
+/// The number behind an option.
 fn number(arguments: &[String], name: &str) -> Option<u64> {
     let at = arguments.iter().position(|a| a == name)?;
     arguments.get(at + 1)?.parse().ok()
 }
 
+/// The mistake that `--defect` names.
 fn named(arguments: &[String]) -> Option<Defect> {
     let at = arguments.iter().position(|a| a == "--defect")?;
     let name = arguments.get(at + 1)?;
@@ -22,17 +31,17 @@
     Some(found.unwrap_or_else(|| panic!("no defect is called {name}: one of {:?}", Defect::ALL)))
 }
 
-/// A day; None where the story itself could not go on, as a node ended that it needs.
+/// Plays a day; `None` if the simulation itself ended by a panic, as when a node ended that it needs.
 fn played(day: &Day) -> Option<Report> {
     catch_unwind(AssertUnwindSafe(|| scenario::play(faults::play(day)))).ok()
 }
 
-/// The first seed that finds a defect, and what was broken.
+/// The first seed that finds a mistake, and the rules that were violated.
 fn first_found(defect: Defect, first: u64, days: u64) -> Option<(u64, String)> {
     plant(Some(defect));
     let found = (first..first + days).find_map(|seed| {
         let Some(report) = played(&Day::drawn(seed)) else {
-            return Some((seed, "the story could not go on".to_owned()));
+            return Some((seed, "the day could not be played to its end".to_owned()));
         };
         let rules: BTreeSet<&str> = report
             .breaches
@@ -42,7 +51,7 @@
         (!rules.is_empty()).then(|| (seed, rules.into_iter().collect::<Vec<_>>().join(", ")))
     });
     plant(None);
-    // Found only where the day keeps all rules without it.
+    // The day must have no violation without the mistake.
     let (seed, rules) = found?;
     if played(&Day::drawn(seed)).is_some_and(|sound| sound.breaches.is_empty()) {
         return Some((seed, rules));
@@ -50,16 +59,17 @@
     first_found(defect, seed + 1, (first + days).saturating_sub(seed + 1))
 }
 
-/// What a broken day takes to break, by its places and in words.
+/// A smallest day that still has a violation: the arguments of `Day::only`, and a description.
 fn shrunk(day: &Day) -> String {
     let still = |d: &Day| played(d).is_none_or(|r| !r.breaches.is_empty());
-    let (places, closing) = day.shrunk(still);
+    let (places, final_fault) = day.shrunk(still);
     format!(
-        "only {places:?}, {closing}: {}",
-        day.clone().only(&places, closing).run_judged()
+        "only {places:?}, {final_fault}: {}",
+        day.clone().only(&places, final_fault).description()
     )
 }
 
+/// Plants each mistake, or only one, and prints a row for each.
 fn table(first: u64, days: u64, one: Option<Defect>, shrink: bool) -> ExitCode {
     println!(
         "| defect | days until found | seconds | rules broken then |\n| --- | --- | --- | --- |"
@@ -108,19 +118,19 @@
         return table(first, days, named(&arguments), shrink);
     }
     plant(named(&arguments));
-    let tell = arguments.iter().any(|a| a == "--story");
+    let print_log = arguments.iter().any(|a| a == "--story");
     let go_on = arguments.iter().any(|a| a == "--all");
     let began = Instant::now();
     let (mut broken, mut wasted, mut sent, mut served) = (0, 0, 0u64, 0u64);
     for seed in first..first + days {
         let day = Day {
-            verbose: tell,
+            verbose: print_log,
             ..Day::drawn(seed)
         };
         let Some(report) = played(&day) else {
             broken += 1;
             println!(
-                "seed {seed}: the story could not go on: {:?}",
+                "seed {seed}: the day could not be played to its end: {:?}",
                 scenario::panics()
             );
             continue;
@@ -128,9 +138,12 @@
         sent += u64::from(report.sent);
         served += u64::from(report.served);
         wasted += report.waste.len();
-        if !report.breaches.is_empty() || tell {
+        if !report.breaches.is_empty() || print_log {
             broken += u64::from(!report.breaches.is_empty());
-            println!("seed {seed}: {:?}, closing {:?}", day.troubles, day.closing);
+            println!(
+                "seed {seed}: {:?}, final fault {:?}",
+                day.faults, day.final_fault
+            );
             if shrink && !report.breaches.is_empty() {
                 println!("  {}", shrunk(&Day::drawn(seed)));
             }
@@ -139,8 +152,8 @@
                 .iter()
                 .take(6)
                 .for_each(|b| println!("  {b}"));
-            if tell || !go_on {
-                report.story.iter().for_each(|line| println!("  {line}"));
+            if print_log || !go_on {
+                report.log.iter().for_each(|line| println!("  {line}"));
             }
             if !go_on {
                 break;
--- a/crates/sparrouter-simulation/src/faults/changes.rs
+++ b/crates/sparrouter-simulation/src/faults/changes.rs
@@ -1,14 +1,17 @@
-//! What the operator changes: configurations, one or many, in a race, bad ones, keys; and new weights.
-use super::Trouble::*;
-use super::{Sky, Trouble};
+//! Changes by the operator: configurations, single or many, in a race or invalid; API keys; new weights.
+use super::Fault::*;
+use super::{DayRun, Fault};
 use crate::operator::How;
 use crate::plan::{Kind, Plan, Route};
 
-impl Sky {
-    /// The next configuration: a route added or taken away, or moved to another time-out.
+/// Changes in a row in a configuration storm.
+const STORM: usize = 8;
+
+impl DayRun {
+    /// A next configuration: a route is added, removed or moved to another service, or has another timeout.
     pub(super) fn another(&self, plan: &Plan) -> Plan {
         let mut rng = self.rng.borrow_mut();
-        // Two on top of the same version differ by their routes too.
+        // Two changes of the same version differ by the name of their route too.
         let (step, name) = (
             rng.u64(1..4),
             format!("r{}x{:x}", plan.version, rng.u16(..)),
@@ -22,75 +25,98 @@
         })
     }
 
-    pub(super) async fn configure(&self, trouble: Trouble) {
-        let w = &self.world;
+    pub(super) async fn configure(&self, fault: Fault) {
         let mut plan = self.plan.lock().await;
-        match trouble {
-            ConfigRace => {
-                let (left, right) = (self.another(&plan), self.another(&plan));
-                let right = Plan {
-                    version: left.version + 1,
-                    ..right
-                };
-                let (l, r) = tokio::join!(
-                    w.operator.put(&left, plan.version),
-                    w.operator.put(&right, plan.version)
-                );
-                match (l, r) {
-                    (200, _) => *plan = left,
-                    (_, 200) => *plan = right,
-                    // Neither is known: what is in force has to be read.
-                    _ => self.reread(&mut plan, &[left, right]).await,
-                }
-            }
-            BadConfig => {
-                let next = self.another(&plan);
-                let body = next
-                    .json()
-                    .replace("\"service\":\"models\"", "\"service\":\"nobody\"");
-                w.operator
-                    .change(&next, plan.version, How::Body(body), false)
-                    .await;
-            }
-            ConfigAgain => {
-                let step = self.rng.borrow_mut().u64(1..4);
-                let next = plan.next(step, |_| ());
-                if w.operator.put(&next, plan.version).await != 200 {
-                    return self.reread(&mut plan, &[next]).await;
-                }
-                let later = self.another(&next);
-                match w.operator.put(&later, next.version).await {
-                    200 => *plan = later,
-                    _ => self.reread(&mut plan, &[next.clone(), later]).await,
-                }
-                w.operator.put(&next, next.version - step).await;
-            }
-            Revoke => {
-                let key = format!("key-{}", self.rng.borrow_mut().u32(..));
-                let next = plan.next(2, |p| p.tenants[1].keys = vec![key]);
-                if w.operator.patch(&next, &plan).await == 200 {
-                    *plan = next;
-                }
-            }
-            _ => {
-                for _ in 0..if trouble == ConfigStorm { 8 } else { 1 } {
-                    let next = self.another(&plan);
-                    let whole = self.rng.borrow_mut().bool();
-                    let sent = if whole {
-                        w.operator.put(&next, plan.version).await
-                    } else {
-                        w.operator.patch(&next, &plan).await
-                    };
-                    match sent {
-                        200 => *plan = next,
-                        // Taken after all, or not: the newest is read.
-                        _ => self.reread(&mut plan, &[next]).await,
-                    }
+        match fault {
+            ConfigRace => self.race(&mut plan).await,
+            BadConfig => self.send_invalid(&plan).await,
+            ConfigAgain => self.repeat_change(&mut plan).await,
+            Revoke => self.replace_key(&mut plan).await,
+            ConfigStorm => {
+                for _ in 0..STORM {
+                    self.change_once(&mut plan).await;
                 }
             }
+            _ => self.change_once(&mut plan).await,
+        }
+    }
+
+    /// Sends two changes of the same version at once.
+    async fn race(&self, plan: &mut Plan) {
+        let operator = &self.world.operator;
+        let (left, right) = (self.another(plan), self.another(plan));
+        let right = Plan {
+            version: left.version + 1,
+            ..right
+        };
+        let statuses = tokio::join!(
+            operator.put(&left, plan.version),
+            operator.put(&right, plan.version)
+        );
+        match statuses {
+            (200, _) => *plan = left,
+            (_, 200) => *plan = right,
+            // Either may be in force.
+            _ => self.reread(plan, &[left, right]).await,
+        }
+    }
+
+    /// Sends a configuration whose routes name a service that does not exist.
+    async fn send_invalid(&self, plan: &Plan) {
+        let next = self.another(plan);
+        let body = next
+            .json()
+            .replace("\"service\":\"models\"", "\"service\":\"nobody\"");
+        let how = How::Body(body);
+        self.world
+            .operator
+            .change(&next, plan.version, how, false)
+            .await;
+    }
+
+    /// Sends two changes, then the first one again.
+    async fn repeat_change(&self, plan: &mut Plan) {
+        let operator = &self.world.operator;
+        let step = self.rng.borrow_mut().u64(1..4);
+        let next = plan.next(step, |_| ());
+        if operator.put(&next, plan.version).await != 200 {
+            return self.reread(plan, &[next]).await;
+        }
+        let later = self.another(&next);
+        match operator.put(&later, next.version).await {
+            200 => *plan = later,
+            _ => self.reread(plan, &[next.clone(), later]).await,
+        }
+        operator.put(&next, next.version - step).await;
+    }
+
+    /// Replaces the API key of a tenant.
+    async fn replace_key(&self, plan: &mut Plan) {
+        let key = format!("key-{}", self.rng.borrow_mut().u32(..));
+        let next = plan.next(2, |p| p.tenants[1].keys = vec![key]);
+        if self.world.operator.patch(&next, plan).await == 200 {
+            *plan = next;
+        }
+    }
+
+    /// Sends one change, by PUT or PATCH.
+    async fn change_once(&self, plan: &mut Plan) {
+        let operator = &self.world.operator;
+        let next = self.another(plan);
+        let is_whole = self.rng.borrow_mut().bool();
+        let status = if is_whole {
+            operator.put(&next, plan.version).await
+        } else {
+            operator.patch(&next, plan).await
+        };
+        match status {
+            200 => *plan = next,
+            // It may be in force or not.
+            _ => self.reread(plan, &[next]).await,
         }
     }
 
+    /// Finds out from the nodes which of the configurations sent is in force.
     pub(super) async fn reread(&self, plan: &mut Plan, sent: &[Plan]) {
         for name in self.world.names() {
             let Some(reply) = self
@@ -112,7 +138,8 @@
         }
     }
 
-    pub(super) async fn bump(&self) {
+    /// Names the next version of the weights.
+    pub(super) async fn name_next_version(&self) {
         let mut weights = self.weights.lock().await;
         *weights += 1;
         self.world.newest_weights.set(*weights);
--- a/crates/sparrouter-simulation/src/faults/nodes.rs
+++ b/crates/sparrouter-simulation/src/faults/nodes.rs
@@ -1,51 +1,31 @@
-//! Troubles of nodes that keep no control state, of all at once, and planned rounds over all.
-use super::Trouble::*;
-use super::{CATCH_UP, Sky, Trouble};
+//! Faults of nodes outside of the core, of all nodes at once, and planned restarts.
+use super::Fault::*;
+use super::{CATCH_UP, DayRun, Fault};
 use crate::fabric::Cut;
-use std::time::Duration;
 use tokio::time::sleep;
 
-impl Sky {
-    pub(super) async fn strike_node(&self, trouble: Trouble) {
-        let w = &self.world;
+impl DayRun {
+    pub(super) async fn inject_node(&self, fault: Fault) {
+        let world = &self.world;
         let Some(name) = self.any(&self.edges()) else {
             return;
         };
-        let lasting = self.span(300..4_000);
-        match trouble {
-            NodeKill => {
-                w.kill(&name);
-                sleep(lasting).await;
-                w.start(&name, false);
-            }
-            NodePower => {
-                w.power_off(&name);
-                sleep(lasting).await;
-                w.power_on(&name);
-            }
-            NodeFreeze => {
-                w.freeze(&name, true);
-                sleep(lasting).await;
-                w.freeze(&name, false);
-            }
-            NodeSlow => {
-                w.slow(&name, Duration::from_millis(40));
-                sleep(lasting).await;
-                w.slow(&name, Duration::ZERO);
-            }
-            NodeCut => {
-                w.cut_off(&[&name], Some(Cut::Silent));
-                sleep(lasting).await;
-                w.cut_off(&[&name], None);
-            }
+        let duration = self.span(300..4_000);
+        match fault {
+            NodeKill => self.kill_for(&name, duration).await,
+            NodePower => self.power_off_for(&name, duration).await,
+            NodeFreeze => self.freeze_for(&name, duration).await,
+            NodeSlow => self.slow_for(&name, duration).await,
+            NodeCut => self.cut_off_for(&name, Cut::Silent, duration).await,
             _ => {
-                w.judge.shaken(Some(w.ip(&name)));
-                w.fabric.reset(w.ip(&name));
+                world.judge.shaken(Some(world.ip(&name)));
+                world.fabric.reset(world.ip(&name));
             }
         }
     }
 
-    pub(super) async fn herd(&self) {
+    /// Kills all nodes, then starts them again.
+    pub(super) async fn restart_all(&self) {
         let _lost = self.core.lock().await;
         let running: Vec<String> = self
             .world
@@ -56,7 +36,7 @@
         running.iter().for_each(|n| self.world.kill(n));
         sleep(self.span(200..1_000)).await;
         for name in running {
-            // Another trouble may have started it meanwhile.
+            // Another fault may have started it meanwhile.
             if !self.world.runs(&name) {
                 self.world.start(&name, false);
             }
@@ -64,6 +44,7 @@
         sleep(CATCH_UP).await;
     }
 
+    /// Ends about half of the nodes by SIGTERM and starts them again, one after the other.
     pub(super) async fn roll(&self) {
         let _lost = self.core.lock().await;
         for name in self.world.names() {
--- a/crates/sparrouter-simulation/src/faults/probes.rs
+++ b/crates/sparrouter-simulation/src/faults/probes.rs
@@ -1,6 +1,6 @@
-//! Direct questions to each node that takes clients, as the platform asks them: on routes and with keys that are in
-//! force, were, or never came to be. What the node answers shows which configuration it goes by.
-use super::Sky;
+//! Requests to single nodes, on routes and with keys that are in force, were, or never will be. The answers show which
+//! configuration a node goes by.
+use super::DayRun;
 use crate::client::Wish;
 use crate::plan::{Kind, Plan};
 use crate::world::wish;
@@ -9,19 +9,21 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-/// Of so many of the last configurations, and so long a question may take.
+/// Probes use routes and keys of so many of the last configurations.
 const LAST: usize = 5;
+/// How long a probe may take.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-impl Sky {
+impl DayRun {
+    /// Sends probes until the end of the day.
     pub(super) async fn probe(self: Rc<Self>) {
-        let w = &self.world;
-        while !self.over.get() {
+        let world = &self.world;
+        while !self.probing_ended.get() {
             sleep(self.span(30..150)).await;
-            let in_service: Vec<String> = w
+            let in_service: Vec<String> = world
                 .names()
                 .into_iter()
-                .filter(|n| w.runs(n) && w.platform.is_in(n))
+                .filter(|n| world.runs(n) && world.platform.is_in(n))
                 .collect();
             let Some(name) = self.any(&in_service) else {
                 continue;
@@ -29,20 +31,21 @@
             let Some(wish) = self.question() else {
                 continue;
             };
-            let (front, sky) = (w.front_of(&name), self.clone());
-            let life = w.platform.life(front.ip());
-            sky.asking.set(sky.asking.get() + 1);
+            let (front, run) = (world.front_of(&name), self.clone());
+            let life = world.platform.life(front.ip());
+            run.open_probes.set(run.open_probes.get() + 1);
             spawn_local(async move {
-                sky.world.client(false).get_at(&wish, front, life).await;
-                sky.asking.set(sky.asking.get() - 1);
+                run.world.client(false).get_at(&wish, front, life).await;
+                run.open_probes.set(run.open_probes.get() - 1);
             });
         }
     }
 
+    /// A random probe.
     fn question(&self) -> Option<Wish> {
         let last = self.world.judge.last_sent(LAST);
         let routes = self.any(&last)?.routes;
-        // The last that was added, as often as any.
+        // Half of the probes use the route that was added last.
         let newest = self.rng.borrow_mut().bool();
         let route = if newest {
             routes.last().cloned()
@@ -74,10 +77,10 @@
         })
     }
 
-    /// No more of them, and the last has its answer.
-    pub(super) async fn probes_end(&self) {
-        self.over.set(true);
-        while self.asking.get() > 0 {
+    /// Sends no more probes, and waits for those under way.
+    pub(super) async fn end_probes(&self) {
+        self.probing_ended.set(true);
+        while self.open_probes.get() > 0 {
             sleep(Duration::from_millis(20)).await;
         }
     }
--- a/crates/sparrouter-storage/tests/saves.rs
+++ b/crates/sparrouter-storage/tests/saves.rs
@@ -27,77 +27,71 @@
         .chain((0..NEW.len() + 26).map(DiskFailure::Torn))
 }
 
+/// A crash during a save: the operation that fails, how, and the seed of what a power loss leaves.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    nth: u64,
+    failure: DiskFailure,
+    seed: u64,
+}
+
+/// Every crash during a save of so many operations, with several seeds each.
+fn crashes(operations: u64) -> impl Iterator<Item = Crash> {
+    (0..operations).flat_map(|nth| {
+        failures().flat_map(move |failure| (0..8).map(move |seed| Crash { nth, failure, seed }))
+    })
+}
+
+/// Saves `OLD`, then `NEW` with a crash; gives the directory, and whether the second save was acknowledged.
+fn crash_while_replacing(crash: Crash) -> (SimulatedFiles, bool) {
+    let files = SimulatedFiles::new(crash.seed);
+    let (mut store, _) = Store::open(files.clone()).unwrap();
+    store.save("part-1", OLD).unwrap();
+    files.fail_at(crash.nth, crash.failure);
+    let is_saved = store.save("part-1", NEW).is_ok();
+    (files, is_saved)
+}
+
 #[test]
 fn given_any_crash_point_of_a_save_when_power_is_lost_then_the_old_or_the_new_record_is_there() {
-    for nth in 0..operations_of_a_save() {
-        for failure in failures() {
-            for seed in 0..8 {
-                let files = SimulatedFiles::new(seed);
-                let (mut store, _) = Store::open(files.clone()).unwrap();
-                store.save("part-1", OLD).unwrap();
-                files.fail_at(nth, failure);
-                let saved = store.save("part-1", NEW).is_ok();
-                files.lose_power();
-                let found = value(files.clone(), "part-1").expect("the old or the new record");
-                assert!(
-                    found == NEW || (found == OLD && !saved),
-                    "{nth} {failure:?} {seed}"
-                );
-                let (mut again, _) = Store::open(files.clone()).unwrap();
-                again.save("part-1", b"third").unwrap();
-                files.lose_power();
-                assert_eq!(
-                    value(files, "part-1").unwrap(),
-                    b"third",
-                    "{nth} {failure:?} {seed}"
-                );
-            }
-        }
+    for crash in crashes(operations_of_a_save()) {
+        let (files, is_saved) = crash_while_replacing(crash);
+        files.lose_power();
+        let found = value(files.clone(), "part-1").expect("the old or the new record");
+        assert!(found == NEW || (found == OLD && !is_saved), "{crash:?}");
+        let (mut store, _) = Store::open(files.clone()).unwrap();
+        store.save("part-1", b"third").unwrap();
+        files.lose_power();
+        assert_eq!(value(files, "part-1").unwrap(), b"third", "{crash:?}");
     }
 }
 
 #[test]
 fn given_any_crash_point_when_power_is_lost_after_the_restart_then_what_the_restart_read_stays() {
-    for nth in 0..operations_of_a_save() {
-        for failure in failures() {
-            for seed in 0..8 {
-                let files = SimulatedFiles::new(seed);
-                let (mut store, _) = Store::open(files.clone()).unwrap();
-                store.save("part-1", OLD).unwrap();
-                files.fail_at(nth, failure);
-                let _ = store.save("part-1", NEW);
-                files.mend();
-                let read = value(files.clone(), "part-1").unwrap();
-                files.lose_power();
-                assert_eq!(
-                    value(files, "part-1").unwrap(),
-                    read,
-                    "{nth} {failure:?} {seed}"
-                );
-            }
-        }
+    for crash in crashes(operations_of_a_save()) {
+        let (files, _) = crash_while_replacing(crash);
+        files.mend();
+        let read = value(files.clone(), "part-1").unwrap();
+        files.lose_power();
+        assert_eq!(value(files, "part-1").unwrap(), read, "{crash:?}");
     }
 }
 
 #[test]
 fn given_any_crash_point_of_the_first_save_when_power_is_lost_then_nothing_or_the_record_is_there()
 {
-    for nth in 0..4 {
-        for failure in failures() {
-            for seed in 0..8 {
-                let files = SimulatedFiles::new(seed);
-                let (mut store, opened) = Store::open(files.clone()).unwrap();
-                assert_eq!(opened, Opened::Fresh);
-                files.fail_at(nth, failure);
-                let saved = store.save("disk", NEW).is_ok();
-                files.lose_power();
-                let found = value(files, "disk");
-                assert!(
-                    found.as_deref() == Some(NEW) || (found.is_none() && !saved),
-                    "{nth} {failure:?} {seed}"
-                );
-            }
-        }
+    for crash in crashes(4) {
+        let files = SimulatedFiles::new(crash.seed);
+        let (mut store, opened) = Store::open(files.clone()).unwrap();
+        assert_eq!(opened, Opened::Fresh);
+        files.fail_at(crash.nth, crash.failure);
+        let is_saved = store.save("disk", NEW).is_ok();
+        files.lose_power();
+        let found = value(files, "disk");
+        assert!(
+            found.as_deref() == Some(NEW) || (found.is_none() && !is_saved),
+            "{crash:?}"
+        );
     }
 }
 
