A request of which any byte left may have run; early answers, deadlines and departures

Cause: a write that failed after part of a request was taken counted as not sent, so a request that may not be repeated went to a second server. An answer was read only once the whole body was written. A failure of the server that takes up a broken stream went into the stream. A reset answer to a request without an id could be another one's. The client's time ran from the end of its body, and a request left although its client had gone while it was admitted. Connection could strip the fields that a server must get unchanged. An order did not name its server, so that a restarted one, or another at its address, could take it.

Ruled out: call ids between nodes (unique in a process, kept per connection, gone with it).

Change: Upstream::send tells Nothing or Begun; the rest of a body is written while its answer is read, and such a connection is never pooled; the client and the deadline are looked at before anything is sent; orders carry Sparrouter-Expected-Instance and end on 421; events are not asked for on a connection on which something came unasked. Eight planted mistakes for the tests that follow.

--- a/crates/sparrouter-fleet/src/event_follower.rs
+++ b/crates/sparrouter-fleet/src/event_follower.rs
@@ -4,7 +4,7 @@
 //! to keep things again.
 use crate::net::Net;
 use crate::node::Node;
-use crate::upstream::Upstream;
+use crate::upstream::{Sent, Upstream};
 use bytes::Bytes;
 use miniserde::json::{Number, Value};
 use miniserde::{Deserialize, json};
@@ -168,14 +168,15 @@
     since: u64,
 ) -> Option<Page> {
     let asking = async {
-        let mut link = match kept.take() {
+        // What came on it unasked would be taken for the answer to this question.
+        let mut link = match kept.take().filter(Upstream::is_silent) {
             Some(link) => link,
             None => Upstream::dial(net, at).await?,
         };
         let head = format!(
             "GET /api/kv-events?since_time={since} HTTP/1.1\r\nHost: {at}\r\nWait-Ms: {HOLD_MS}\r\n\r\n"
         );
-        if !link.send(&Bytes::from(head), &Bytes::new()).await {
+        if link.send(&Bytes::from(head), &Bytes::new()).await == Sent::Nothing {
             return None;
         }
         let bytes = reading::head(&mut link.stream, &mut link.buffer, head::REPLY, 16 << 10)
@@ -189,7 +190,7 @@
         } else {
             None
         };
-        if head.keep && link.buffer.is_empty() {
+        if link.is_reusable(&head) {
             *kept = Some(link);
         }
         page
--- a/crates/sparrouter-fleet/src/exchange.rs
+++ b/crates/sparrouter-fleet/src/exchange.rs
@@ -182,7 +182,9 @@
                 ending,
                 counted,
             };
-            let turn = self.turn(&pick, last_id.as_deref(), &mut from, ahead).await;
+            let turn = self
+                .turn(&pick, last_id.as_deref(), begun, &mut from, ahead)
+                .await;
             match turn {
                 Turn::Unsent => {
                     guard.ending = Ending::Unreachable;
--- a/crates/sparrouter-fleet/src/exchange/passing.rs
+++ b/crates/sparrouter-fleet/src/exchange/passing.rs
@@ -157,6 +157,11 @@
                 read = reading::more(&mut link.stream, &mut link.buffer) => match read {
                     Ok(()) => {}
                     Err(Broken::Ended) if head.framing == Framing::ToEnd => body.ended = true,
+                    Err(Broken::Reset)
+                        if head.framing == Framing::ToEnd && has(Defect::ResetTakenAsEnd) =>
+                    {
+                        body.ended = true;
+                    }
                     Err(_) if has(Defect::StreamClosedWhole) && length.is_none() => {
                         // Whether the client still hears it changes nothing.
                         let _ = to.write_all(b"0\r\n\r\n").await;
--- a/crates/sparrouter-fleet/src/exchange/speaking.rs
+++ b/crates/sparrouter-fleet/src/exchange/speaking.rs
@@ -4,7 +4,7 @@
 use super::{Exchange, left};
 use crate::net::Stream;
 use crate::planted::{Defect, has};
-use crate::upstream::Upstream;
+use crate::upstream::{Sent, Upstream};
 use bytes::{BufMut, Bytes, BytesMut};
 use sparrouter_http::head::{self, Framing, ReplyHead};
 use sparrouter_http::reading::{self};
@@ -62,12 +62,27 @@
     NAMES.iter().any(|n| name.eq_ignore_ascii_case(n))
 }
 
+/// Fields that a server gets as the client sent them, also where `Connection` names them (RFC 9110, 7.6.1: it must not
+/// name a field that is meant for every recipient).
+fn end_to_end(name: &[u8]) -> bool {
+    const NAMES: [&[u8]; 6] = [
+        b"host",
+        b"last-event-id",
+        b"sparrouter-attempt-id",
+        b"sparrouter-model",
+        b"sparrouter-token-usage",
+        b"sparrouter-prompt-prefix",
+    ];
+    NAMES.iter().any(|n| name.eq_ignore_ascii_case(n)) && !has(Defect::ConnectionStripsFields)
+}
+
 impl Exchange<'_> {
-    /// Sends to one server and waits for the head of its answer.
+    /// Sends to one server and waits for the head of its answer. `begun`: the client has the beginning of an answer.
     pub(super) async fn turn(
         &mut self,
         pick: &Pick,
         last_id: Option<&str>,
+        begun: bool,
         from: &mut ReadHalf<&mut Stream>,
         ahead: &mut BytesMut,
     ) -> Turn {
@@ -81,11 +96,21 @@
             return Turn::Unsent;
         };
         let until = self.until;
+        if has(Defect::SentAfterClientLeft) {
+            return tokio::select! {
+                biased;
+                turn = self.speak(pick, &id, address, last_id, begun) => turn,
+                () = left(from, ahead) => Turn::ClientGone,
+                () = tokio::time::sleep_until(until) => Turn::TimeUp,
+            };
+        }
+        // The client and the deadline are looked at first: nothing is sent for a client that has left while the request
+        // waited for its server, and nothing past its deadline.
         tokio::select! {
             biased;
-            turn = self.speak(pick, &id, address, last_id) => turn,
             () = left(from, ahead) => Turn::ClientGone,
             () = tokio::time::sleep_until(until) => Turn::TimeUp,
+            turn = self.speak(pick, &id, address, last_id, begun) => turn,
         }
     }
 
@@ -95,6 +120,7 @@
         id: &str,
         address: std::net::SocketAddr,
         last_id: Option<&str>,
+        begun: bool,
     ) -> Turn {
         let memory = self.memory(pick, id).await;
         loop {
@@ -112,15 +138,14 @@
             }
             let head = self.forward_head(pick, id, last_id, &memory);
             let used = link.used;
-            if !link.send(&head, &self.request.body).await {
-                // Not written whole, so it can't have run. A resting connection may just have been closed.
-                if used {
-                    continue;
-                }
-                return Turn::Unsent;
+            match link.send(&head, &self.request.body).await {
+                // No byte of it left, so it can't have run. A resting connection may just have been closed.
+                Sent::Nothing if used => continue,
+                Sent::Nothing => return Turn::Unsent,
+                Sent::Begun => {}
             }
             self.sent += 1;
-            return self.reply(pick, link).await;
+            return self.reply(pick, link, begun).await;
         }
     }
 
@@ -140,7 +165,7 @@
     }
 
     /// The head of the answer that carries this request's id; those of others on the connection are surplus.
-    pub(super) async fn reply(&mut self, pick: &Pick, mut link: Upstream) -> Turn {
+    pub(super) async fn reply(&mut self, pick: &Pick, mut link: Upstream, begun: bool) -> Turn {
         let attempt_id = self
             .request
             .head
@@ -160,8 +185,9 @@
                 continue;
             }
             let other = head.fields.get("sparrouter-attempt-id") != attempt_id.as_ref();
-            if other && attempt_id.is_some() && !has(Defect::ForeignAnswer) {
-                // An answer to an earlier request: its bytes belong to nobody.
+            if other && !has(Defect::ForeignAnswer) {
+                // An answer to an earlier request: its bytes belong to nobody. An answer that names an id is not that
+                // of a request without one either.
                 match crate::http::body(&mut link.stream, &mut link.buffer, head.framing, 1 << 20)
                     .await
                 {
@@ -188,6 +214,10 @@
             if success && (!sealed || head.fields.get("content-encoding").is_some()) {
                 return Turn::Unknown;
             }
+            // Only a success goes on with a stream that the client already has the beginning of.
+            if begun && !success && !has(Defect::ErrorInStream) {
+                return Turn::Unknown;
+            }
             // A promise that only a server's own word for it could make.
             if matches!(head.status, 408 | 429 | 503) {
                 return Turn::Unknown;
@@ -280,7 +310,8 @@
         for (name, value) in head.fields.iter() {
             let named = head
                 .fields
-                .lists("connection", std::str::from_utf8(name).unwrap_or("-"));
+                .lists("connection", std::str::from_utf8(name).unwrap_or("-"))
+                && !end_to_end(name);
             let resumed = last_id.is_some() && name.eq_ignore_ascii_case(b"last-event-id");
             if !hop_by_hop(name) && !ours(name) && !named && !resumed {
                 put(&[name, b": ", value, b"\r\n"]);
--- a/crates/sparrouter-fleet/src/front.rs
+++ b/crates/sparrouter-fleet/src/front.rs
@@ -3,6 +3,7 @@
 use crate::http::{self, Answer, NoRequest, Room};
 use crate::net::{self, Listener, Stream};
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::upstream::Pool;
 use bytes::BytesMut;
 use sparrouter_http::reading;
@@ -100,7 +101,9 @@
             body: limits.max_body_bytes,
             header_timeout,
         };
-        let until = Instant::now() + header_timeout * BODY_TIMES;
+        // The client's time runs from its first byte, not from the end of a long body.
+        let came = Instant::now();
+        let until = came + header_timeout * BODY_TIMES;
         let request = match http::request(&mut stream, &mut buffer, room, until).await {
             Ok(request) => request,
             Err(NoRequest::Left) => return,
@@ -112,7 +115,11 @@
                 return http::linger(stream).await;
             }
         };
-        let came = Instant::now();
+        let came = if has(Defect::DeadlineFromBody) {
+            Instant::now()
+        } else {
+            came
+        };
         is_new = false;
         let _open = OpenRequest::new(&node);
         let keep = request.head.keep && *stage.borrow() == Stage::Serving;
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -58,10 +58,26 @@
     TakenWhileLeaving,
     /// Where no server is ready the route is called unknown.
     NoServerNoRoute,
+    /// A request that broke off while it was written counts as not sent.
+    PartialSendUnrun,
+    /// A connection whose last request is unfinished carries another.
+    UnfinishedPooled,
+    /// A failure is passed on as the rest of a resumed stream.
+    ErrorInStream,
+    /// A reset ends an answer without a length as if it were whole.
+    ResetTakenAsEnd,
+    /// An order does not name the server that it is for.
+    OrderUnnamed,
+    /// A request is sent though its client has left or its time is over.
+    SentAfterClientLeft,
+    /// A client's time runs from the end of its body.
+    DeadlineFromBody,
+    /// `Connection` takes away any field that it names.
+    ConnectionStripsFields,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 26] = [
+    pub const ALL: [Defect; 34] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -88,6 +104,14 @@
         Defect::ForeignAnswer,
         Defect::TakenWhileLeaving,
         Defect::NoServerNoRoute,
+        Defect::PartialSendUnrun,
+        Defect::UnfinishedPooled,
+        Defect::ErrorInStream,
+        Defect::ResetTakenAsEnd,
+        Defect::OrderUnnamed,
+        Defect::SentAfterClientLeft,
+        Defect::DeadlineFromBody,
+        Defect::ConnectionStripsFields,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -8,7 +8,7 @@
 use crate::net::Net;
 use crate::node::Node;
 use crate::planted::{Defect, has};
-use crate::upstream::Upstream;
+use crate::upstream::{Sent, Upstream};
 use bytes::Bytes;
 use miniserde::{Deserialize, json};
 use sparrouter_consensus::lease::{Holder, LeaseAnswer, LeaseChange};
@@ -404,10 +404,13 @@
         let mut ordered = false;
         while self.still(held, id, model, version) && self.node.now() - began < longest {
             if !ordered {
-                ordered = match self.order(held, address, model, version, expected).await {
+                ordered = match self
+                    .order(held, id, address, model, version, expected)
+                    .await
+                {
                     Some(200..=299) => true,
-                    // Fenced off: another holds the duty.
-                    Some(412) => break,
+                    // Fenced off, another holds the lease; or another server has the address now.
+                    Some(412 | 421) => break,
                     // No word of a quorum: the server is worth more serving than waiting.
                     None if expected.is_none()
                         && self.node.now().saturating_sub(self.renewed.get())
@@ -478,6 +481,7 @@
     async fn order(
         &self,
         held: Held,
+        id: &str,
         address: SocketAddr,
         model: &str,
         version: u64,
@@ -497,8 +501,14 @@
              \"holder_id\":\"{holder}\",\"fence_token\":{}{count}}}",
             held.fence
         );
+        // Guards against a restarted server, or another one that has its address: both take an order without it.
+        let instance = if has(Defect::OrderUnnamed) {
+            String::new()
+        } else {
+            format!("Sparrouter-Expected-Instance: {id}\r\n")
+        };
         let head = format!(
-            "POST /api/order HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
+            "POST /api/order HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n{instance}\
              Content-Length: {}\r\nConnection: close\r\n\r\n",
             body.len()
         );
@@ -508,7 +518,7 @@
         {
             return None;
         }
-        if !link.send(&Bytes::from(head), &Bytes::from(body)).await {
+        if link.send(&Bytes::from(head), &Bytes::from(body)).await == Sent::Nothing {
             return None;
         }
         Some(answer(&mut link).await?.0)
@@ -533,7 +543,7 @@
 async fn report(net: &dyn Net, address: SocketAddr) -> Option<Report> {
     let mut link = Upstream::dial(net, address).await?;
     let head = format!("GET /api/report HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    if !link.send(&Bytes::from(head), &Bytes::new()).await {
+    if link.send(&Bytes::from(head), &Bytes::new()).await == Sent::Nothing {
         return None;
     }
     let (status, body) = answer(&mut link).await?;
--- /dev/null
+++ b/crates/sparrouter-fleet/tests/upstream.rs
@@ -0,0 +1,255 @@
+//! Connections to servers: what left of a request that broke off, early answers, and what may rest in the pool.
+use bytes::{Bytes, BytesMut};
+use sparrouter_fleet::net::{Later, Listener, Net, Stream, Wire};
+use sparrouter_fleet::upstream::{Pool, Sent, Upstream};
+use sparrouter_http::head::{self, ReplyHead};
+use sparrouter_http::reading;
+use std::cell::RefCell;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+const HEAD: &[u8] = b"POST /a HTTP/1.1\r\nContent-Length: 40000\r\n\r\n";
+const LONG_BODY: usize = 40_000;
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok";
+
+/// What the transport does with writes, and what can be read from it.
+#[derive(Default)]
+struct Script {
+    /// Bytes that writes still accept; then `then` happens.
+    accepts: usize,
+    then: Option<ErrorKind>,
+    /// Bytes that come once as many were accepted as `after` says.
+    answer: BytesMut,
+    after: usize,
+    accepted: Vec<u8>,
+    ended: bool,
+}
+
+#[derive(Clone)]
+struct Line(Rc<RefCell<Script>>);
+
+impl AsyncRead for Line {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let script = &mut *self.0.borrow_mut();
+        if script.accepted.len() >= script.after && !script.answer.is_empty() {
+            let length = script.answer.len().min(buffer.remaining());
+            buffer.put_slice(&script.answer.split_to(length));
+            return Poll::Ready(Ok(()));
+        }
+        if script.ended {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Pending
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let script = &mut *self.0.borrow_mut();
+        if script.accepts == 0 {
+            return match script.then {
+                Some(kind) => Poll::Ready(Err(kind.into())),
+                None => Poll::Pending,
+            };
+        }
+        let length = bytes.len().min(script.accepts);
+        script.accepts -= length;
+        script.accepted.extend_from_slice(&bytes[..length]);
+        Poll::Ready(Ok(length))
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Wire for Line {
+    fn at_hand(&self, _: &mut [u8]) -> Option<io::Result<usize>> {
+        let script = self.0.borrow();
+        (!script.answer.is_empty()).then_some(Ok(1))
+    }
+}
+
+impl Net for Line {
+    fn dial(&self, _: SocketAddr) -> Later<'_, io::Result<Stream>> {
+        Box::pin(async move { Ok(Box::new(self.clone()) as Stream) })
+    }
+    fn listen(&self, _: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        Err(ErrorKind::Unsupported.into())
+    }
+}
+
+fn line(script: Script) -> Line {
+    Line(Rc::new(RefCell::new(script)))
+}
+
+async fn dial(line: &Line) -> Upstream {
+    let server = "10.0.0.1:8080".parse().expect("an address");
+    Upstream::dial(line, server).await.expect("a connection")
+}
+
+async fn send_long(link: &mut Upstream) -> Sent {
+    let body = Bytes::from(vec![b'x'; LONG_BODY]);
+    link.send(&Bytes::from_static(HEAD), &body).await
+}
+
+/// Reads one whole answer.
+async fn read_answer(link: &mut Upstream) -> ReplyHead {
+    let bytes = reading::head(&mut link.stream, &mut link.buffer, head::REPLY, 4096)
+        .await
+        .expect("a head");
+    let head = head::reply(&bytes).expect("an answer");
+    sparrouter_fleet::http::body(&mut link.stream, &mut link.buffer, head.framing, 1 << 20)
+        .await
+        .expect("a whole body");
+    head
+}
+
+#[tokio::test]
+async fn given_a_connection_that_takes_no_byte_when_sent_then_nothing_left() {
+    let line = line(Script {
+        then: Some(ErrorKind::ConnectionReset),
+        ..Script::default()
+    });
+    let mut link = dial(&line).await;
+    assert_eq!(send_long(&mut link).await, Sent::Nothing);
+    let small = link
+        .send(
+            &Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"),
+            &Bytes::new(),
+        )
+        .await;
+    assert_eq!(small, Sent::Nothing);
+}
+
+#[tokio::test]
+async fn given_an_error_after_any_byte_was_taken_when_sent_then_it_may_have_run() {
+    // Part of the head, all of it without a body byte, part of the body, all but the last byte.
+    let whole = HEAD.len() + LONG_BODY;
+    for accepts in [1, HEAD.len() - 1, HEAD.len(), HEAD.len() + 1, whole - 1] {
+        let line = line(Script {
+            accepts,
+            then: Some(ErrorKind::BrokenPipe),
+            ..Script::default()
+        });
+        let mut link = dial(&line).await;
+        assert_eq!(send_long(&mut link).await, Sent::Begun, "{accepts} bytes");
+    }
+}
+
+#[tokio::test]
+async fn given_a_request_without_a_body_when_its_head_is_cut_then_it_may_have_run() {
+    let line = line(Script {
+        accepts: 5,
+        then: Some(ErrorKind::ConnectionReset),
+        ..Script::default()
+    });
+    let mut link = dial(&line).await;
+    let sent = link
+        .send(
+            &Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"),
+            &Bytes::new(),
+        )
+        .await;
+    assert_eq!(sent, Sent::Begun);
+}
+
+#[tokio::test]
+async fn given_a_server_that_answers_before_a_long_body_is_in_then_the_answer_is_read_at_once() {
+    let line = line(Script {
+        accepts: 1_000,
+        answer: BytesMut::from(ANSWER),
+        after: 1_000,
+        ..Script::default()
+    });
+    let mut link = dial(&line).await;
+    assert_eq!(send_long(&mut link).await, Sent::Begun);
+    let head = read_answer(&mut link).await;
+    assert_eq!(head.status, 200);
+    assert!(
+        !link.is_reusable(&head),
+        "the server still waits for the rest of the body"
+    );
+    let pool = Pool::default();
+    pool.put("i-1", link, &head);
+    assert!(pool.take("i-1").is_none());
+}
+
+#[tokio::test]
+async fn given_an_early_answer_when_the_server_reads_on_then_it_gets_the_rest_of_that_body_only() {
+    // Longer than what is read ahead of it.
+    let answer = [
+        &b"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"[..],
+        &[b'y'; 9_000],
+    ]
+    .concat();
+    let line = line(Script {
+        accepts: 1_000,
+        answer: BytesMut::from(&answer[..]),
+        after: 1_000,
+        ..Script::default()
+    });
+    let mut link = dial(&line).await;
+    assert_eq!(send_long(&mut link).await, Sent::Begun);
+    line.0.borrow_mut().accepts = usize::MAX;
+    let head = read_answer(&mut link).await;
+    assert!(link.is_reusable(&head));
+    let expected = [HEAD, &vec![b'x'; LONG_BODY]].concat();
+    assert!(line.0.borrow().accepted == expected);
+}
+
+#[tokio::test]
+async fn given_an_answer_to_a_request_that_broke_off_when_it_is_whole_then_the_connection_ends() {
+    let line = line(Script {
+        accepts: 1_000,
+        then: Some(ErrorKind::BrokenPipe),
+        answer: BytesMut::from(ANSWER),
+        after: 1_000,
+        ..Script::default()
+    });
+    let mut link = dial(&line).await;
+    assert_eq!(send_long(&mut link).await, Sent::Begun);
+    let head = read_answer(&mut link).await;
+    assert!(!link.is_reusable(&head));
+}
+
+#[tokio::test]
+async fn given_a_connection_that_ends_while_a_body_is_written_then_sending_ends_too() {
+    let line = line(Script {
+        accepts: 1_000,
+        ended: true,
+        ..Script::default()
+    });
+    let mut link = dial(&line).await;
+    assert_eq!(send_long(&mut link).await, Sent::Begun);
+}
+
+#[tokio::test]
+async fn given_a_resting_connection_when_bytes_come_unasked_then_it_is_not_taken() {
+    let line = line(Script {
+        accepts: usize::MAX,
+        answer: BytesMut::from(ANSWER),
+        ..Script::default()
+    });
+    let mut link = dial(&line).await;
+    assert_eq!(send_long(&mut link).await, Sent::Begun);
+    let head = read_answer(&mut link).await;
+    let pool = Pool::default();
+    pool.put("i-1", link, &head);
+    line.0.borrow_mut().answer = BytesMut::from(ANSWER);
+    assert!(pool.take("i-1").is_none());
+}
