--- a/crates/sparrouter-fleet/src/upstream.rs
+++ b/crates/sparrouter-fleet/src/upstream.rs
@@ -208,6 +208,9 @@
             return;
         }
         link.buffer = BytesMut::new();
+        if has(Defect::UnfinishedPooled) {
+            link.stream.unwritten.clear();
+        }
         link.used = true;
         link.until = Instant::now() + kept;
         let mut resting = self.resting.borrow_mut();
--- a/crates/sparrouter-simulation/src/connection.rs
+++ b/crates/sparrouter-simulation/src/connection.rs
@@ -275,7 +275,12 @@
             }
             let other = &sides[1 - self.at];
             let room = WINDOW.saturating_sub(other.pending());
-            if room == 0 && other.held {
+            // The window opens no more once its reader has gone: a writer of more waits for the reset that is under way.
+            let reset_comes = sides[self.at]
+                .coming
+                .iter()
+                .any(|parcel| matches!(parcel.what, What::Reset));
+            if (room == 0 && other.held) || (reset_comes && room < bytes.len()) {
                 sides[self.at].writer = Some(context.waker().clone());
                 return Poll::Pending;
             }
