Orders and calls between nodes: each answer to its caller, each order to its server

Cause: nothing showed that a late or double answer between nodes finds nobody, nor what an order does whose answer is lost. An order that another server at the address turned away was tried again every quarter of a second.

Change: 421 to an order makes the server count as silent until its next heartbeat; the stand-in servers of the simulation turn away orders that name another.

--- a/crates/sparrouter-fleet/src/links.rs
+++ b/crates/sparrouter-fleet/src/links.rs
@@ -1,5 +1,6 @@
 //! Calls between nodes: one connection a peer and direction, many calls on it at a time, each with its own patience.
 use crate::net::{self, Listener, SharedNet, Stream};
+use crate::planted::{Defect, has};
 use crate::wire::{Call, HELLO, MAX_FRAME, Reply};
 use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
@@ -141,7 +142,17 @@
         link
     }
 
-    /// One call and its answer.
+    /// A number that no other call of this process has, on any connection: an answer that comes late finds nobody.
+    fn next_id(&self) -> u64 {
+        let id = self.next.get();
+        if !has(Defect::CallIdReused) {
+            self.next.set(id + 1);
+        }
+        id
+    }
+
+    /// One call and its answer. It is sent once: `Unreachable` and `Crowded` prove that it was not sent, `Broken` and
+    /// `Silent` prove nothing, and the caller decides whether it may be repeated.
     pub async fn call(
         self: &Rc<Self>,
         to: SocketAddr,
@@ -149,8 +160,7 @@
         patience: Duration,
     ) -> Result<Reply, LinkError> {
         let link = self.link(to);
-        let id = self.next.get();
-        self.next.set(id + 1);
+        let id = self.next_id();
         let (answer, answered) = oneshot::channel();
         link.waiting.borrow_mut().insert(id, answer);
         if link.queue.try_send(frame(id, call)).is_err() {
@@ -174,8 +184,7 @@
     /// One word that needs no answer; lost where the peer can't be reached.
     pub fn cast(self: &Rc<Self>, to: SocketAddr, call: &Call) {
         let link = self.link(to);
-        let id = self.next.get();
-        self.next.set(id + 1);
+        let id = self.next_id();
         // Full: the peer reads too slowly, and what was lost is said again by whoever needs it.
         let _ = link.queue.try_send(frame(id, call));
     }
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -409,8 +409,12 @@
                     .await
                 {
                     Some(200..=299) => true,
-                    // Fenced off, another holds the lease; or another server has the address now.
-                    Some(412 | 421) => break,
+                    // Fenced off: another holds the lease.
+                    Some(412) => break,
+                    Some(421) => {
+                        self.is_gone(id);
+                        break;
+                    }
                     // No word of a quorum: the server is worth more serving than waiting.
                     None if expected.is_none()
                         && self.node.now().saturating_sub(self.renewed.get())
@@ -461,6 +465,15 @@
         );
     }
 
+    /// Another server has its address: it counts as silent until it is heard of again.
+    fn is_gone(&self, id: &str) {
+        let now = self.node.now();
+        let mut rows = self.node.rows.borrow_mut();
+        if rows.fall_silent(id, now) {
+            self.node.server_table.borrow_mut().sync(&rows, now);
+        }
+    }
+
     fn still(&self, held: Held, id: &str, model: &str, version: u64) -> bool {
         let wanted = self
             .node
--- a/crates/sparrouter-simulation/src/server.rs
+++ b/crates/sparrouter-simulation/src/server.rs
@@ -160,7 +160,7 @@
                     "",
                 ),
                 (b"GET", "/api/report") => whole(200, "", &self.report()),
-                (b"POST", "/api/order") => self.clone().order(&body, from),
+                (b"POST", "/api/order") => self.clone().order(&head, &body, from),
                 (b"GET", path) if path.starts_with("/api/kv-events") => {
                     self.events(path, &head).await
                 }
@@ -233,7 +233,12 @@
         )
     }
 
-    fn order(self: Rc<Self>, body: &Bytes, from: SocketAddr) -> String {
+    fn order(self: Rc<Self>, head: &CallHead, body: &Bytes, from: SocketAddr) -> String {
+        let expected = head.fields.text("sparrouter-expected-instance");
+        if expected.is_some_and(|id| id != self.terms.id) {
+            let own = format!("Sparrouter-Instance-Id: {}\r\n", self.terms.id);
+            return whole(421, &own, "");
+        }
         #[derive(miniserde::Deserialize)]
         struct Order {
             operation: String,
