--- a/crates/sparrouter-simulation/tests/calls.rs
+++ b/crates/sparrouter-simulation/tests/calls.rs
@@ -98,7 +98,7 @@
                 ));
                 let runs = servers.runs();
                 let shown = format!("{path}, {size} bytes, failure {place}: {runs} runs, {got:?}");
-                assert!(!promises(&got), "{shown}");
+                assert!(!promises(&got) && !got.sealed, "{shown}");
                 assert_eq!(runs, if repeatable { 3 } else { 1 }, "{shown}");
             }
         }
@@ -354,6 +354,8 @@
 fn given_a_client_that_leaves_then_its_server_is_left_within_half_a_second_and_no_other_is_asked() {
     for (path, _) in ROUTES {
         assert!(within_half_a_second_of_leaving(path, Act::Silent), "{path}");
+        let stream = Act::AnswerAndStay(chunked(&[event(1)], false));
+        assert!(within_half_a_second_of_leaving(path, stream), "{path}");
     }
 }
 
--- a/crates/sparrouter-simulation/tests/scripted/mod.rs
+++ b/crates/sparrouter-simulation/tests/scripted/mod.rs
@@ -34,6 +34,8 @@
     AnswerAndEnd(String),
     /// Answers and resets the connection.
     AnswerAndReset(String),
+    /// Answers with the beginning of a stream, and goes on with nothing until the caller leaves.
+    AnswerAndStay(String),
     Reset,
     /// Resets with the body unread.
     ResetAtHead,
@@ -86,6 +88,8 @@
     /// Bytes came where the protocol has none.
     pub spoilt: bool,
     pub retry_after: bool,
+    /// It bears a server's seal.
+    pub sealed: bool,
     pub took: Duration,
 }
 
@@ -218,7 +222,10 @@
                 }
                 Act::Reset => return stream.abort(),
                 Act::End => return,
-                Act::Silent => {
+                Act::Silent | Act::AnswerAndStay(_) => {
+                    if let Act::AnswerAndStay(text) = act {
+                        let _ = stream.write_all(fill(&text).as_bytes()).await;
+                    }
                     // Until the caller leaves.
                     while reading::more(&mut stream, &mut buffer).await.is_ok() {}
                     return self.ended.borrow_mut().push(Instant::now());
@@ -331,6 +338,7 @@
             whole: false,
             spoilt: false,
             retry_after: false,
+            sealed: false,
             took: Duration::ZERO,
         };
         let talk = async {
@@ -354,6 +362,7 @@
         .ok()?;
     let head = head::reply(&bytes).ok()?;
     got.status = head.status;
+    got.sealed = head.fields.get("sparrouter-response-seal").is_some();
     got.retry_after = head.fields.get("retry-after").is_some();
     let mut chunks = Chunks::default();
     if let head::Framing::Length(length) = head.framing {
