--- a/crates/sparrouter-simulation/tests/edge.rs
+++ b/crates/sparrouter-simulation/tests/edge.rs
@@ -92,3 +92,41 @@
         }
     });
 }
+
+#[test]
+fn given_a_server_that_leaves_without_draining_then_its_streams_end_whole_and_nothing_new_comes() {
+    play(async {
+        let world = scripted::world(263).await;
+        let ok = scripted::success("ok");
+        let slow = Act::AnswerAfter(Duration::from_millis(1_500), ok.clone());
+        let servers = Servers::start(&world, 2, move |_, n| match n {
+            0 => slow.clone(),
+            _ => Act::Answer(ok.clone()),
+        })
+        .await;
+        let (asking, answer) = tokio::sync::oneshot::channel();
+        let asked = world.clone();
+        tokio::task::spawn_local(async move {
+            let got = Ask::new("/stream/a", "a1").at(&asked, NODE).await;
+            asking.send(got).expect("somebody waits");
+        });
+        sleep(Duration::from_millis(200)).await;
+        let leaves = servers.last().server;
+        let path = format!("/api/instances/{}", scripted::id_of(leaves));
+        let to = world.control_of("core-0");
+        let patience = Duration::from_secs(1);
+        let net = world.outside_net();
+        let told = http_messages::call(&net, to, "DELETE", &path, &[], "", patience).await;
+        assert!(told.is_ok_and(|r| r.status < 300));
+        sleep(Duration::from_millis(300)).await;
+        for (n, node) in world.names().iter().enumerate() {
+            let id = format!("b{n}");
+            assert_eq!(Ask::new("/once/a", &id).at(&world, node).await.status, 200);
+        }
+        let got = answer.await.expect("an answer");
+        assert!(got.whole && got.status == 200, "{got:?}");
+        let heard = servers.heard.borrow();
+        let there = heard.iter().filter(|h| h.server == leaves);
+        assert_eq!(there.filter(|h| !h.path().starts_with("/api/")).count(), 1);
+    });
+}
