--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -74,6 +74,24 @@
     RecordForgotten,
     /// A holder that starts anew acts under the fencing token that its disk has.
     FenceFromDisk,
+    /// A request that broke off while it was written counts as not sent.
+    PartialSendUnrun,
+    /// A connection whose last request is unfinished carries another.
+    UnfinishedPooled,
+    /// A failure is passed on as the rest of a resumed stream.
+    ErrorInStream,
+    /// A reset ends an answer without a length as if it were whole.
+    ResetTakenAsEnd,
+    /// An order does not name the server that it is for.
+    OrderUnnamed,
+    /// A request is sent though its client has left or its time is over.
+    SentAfterClientLeft,
+    /// A client's time runs from the end of its body.
+    DeadlineFromBody,
+    /// `Connection` takes away any field that it names.
+    ConnectionStripsFields,
+    /// Calls between nodes have no number of their own.
+    CallIdReused,
 }
 
 impl Defect {
@@ -112,6 +130,15 @@
         Defect::NewerFolderEmptied,
         Defect::RecordForgotten,
         Defect::FenceFromDisk,
+        Defect::PartialSendUnrun,
+        Defect::UnfinishedPooled,
+        Defect::ErrorInStream,
+        Defect::ResetTakenAsEnd,
+        Defect::OrderUnnamed,
+        Defect::SentAfterClientLeft,
+        Defect::DeadlineFromBody,
+        Defect::ConnectionStripsFields,
+        Defect::CallIdReused,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -8,7 +8,7 @@
 use crate::net::Net;
 use crate::node::Node;
 use crate::planted::{Defect, has};
-use crate::upstream::Upstream;
+use crate::upstream::{Sent, Upstream};
 use bytes::Bytes;
 use miniserde::{Deserialize, json};
 use sparrouter_consensus::lease::{Holder, LeaseAnswer, LeaseChange};
@@ -421,10 +421,17 @@
         let mut ordered = false;
         while self.still(held, id, model, version) && self.node.now() - began < longest {
             if !ordered {
-                ordered = match self.order(held, address, model, version, expected).await {
+                ordered = match self
+                    .order(held, id, address, model, version, expected)
+                    .await
+                {
                     Some(200..=299) => true,
-                    // Fenced off: another holds the duty.
+                    // Fenced off: another holds the lease.
                     Some(412) => break,
+                    Some(421) => {
+                        self.is_gone(id);
+                        break;
+                    }
                     // No word of a quorum: the server is worth more serving than waiting.
                     None if expected.is_none()
                         && self.node.now().saturating_sub(self.renewed.get())
@@ -475,6 +482,15 @@
         );
     }
 
+    /// Another server has its address: it counts as silent until it is heard of again.
+    fn is_gone(&self, id: &str) {
+        let now = self.node.now();
+        let mut rows = self.node.rows.borrow_mut();
+        if rows.fall_silent(id, now) {
+            self.node.server_table.borrow_mut().sync(&rows, now);
+        }
+    }
+
     fn still(&self, held: Held, id: &str, model: &str, version: u64) -> bool {
         let wanted = self
             .node
@@ -495,6 +511,7 @@
     async fn order(
         &self,
         held: Held,
+        id: &str,
         address: SocketAddr,
         model: &str,
         version: u64,
@@ -514,8 +531,14 @@
              \"holder_id\":\"{holder}\",\"fence_token\":{}{count}}}",
             held.fence
         );
+        // Guards against a restarted server, or another one that has its address: both take an order without it.
+        let instance = if has(Defect::OrderUnnamed) {
+            String::new()
+        } else {
+            format!("Sparrouter-Expected-Instance: {id}\r\n")
+        };
         let head = format!(
-            "POST /api/order HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
+            "POST /api/order HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n{instance}\
              Content-Length: {}\r\nConnection: close\r\n\r\n",
             body.len()
         );
@@ -525,7 +548,7 @@
         {
             return None;
         }
-        if !link.send(&Bytes::from(head), &Bytes::from(body)).await {
+        if link.send(&Bytes::from(head), &Bytes::from(body)).await == Sent::Nothing {
             return None;
         }
         Some(answer(&mut link).await?.0)
@@ -550,7 +573,7 @@
 async fn report(net: &dyn Net, address: SocketAddr) -> Option<Report> {
     let mut link = Upstream::dial(net, address).await?;
     let head = format!("GET /api/report HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    if !link.send(&Bytes::from(head), &Bytes::new()).await {
+    if link.send(&Bytes::from(head), &Bytes::new()).await == Sent::Nothing {
         return None;
     }
     let (status, body) = answer(&mut link).await?;
--- /dev/null
+++ b/crates/sparrouter-simulation/tests/edge.rs
@@ -0,0 +1,154 @@
+//! What clients and the platform see of a node at its bounds: no configuration yet, time that is over, a departure, and
+//! requests of unlike urgency.
+mod scripted;
+
+use scripted::{Act, Ask, Servers};
+use sparrouter_simulation::http_messages;
+use sparrouter_simulation::scenario::play;
+use sparrouter_simulation::world::{Terms, World};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const NODE: &str = "edge-0";
+const READINESS_PORT: u16 = 8687;
+/// An answer that is due at a moment may come so much later (RULES.md, CONFIG).
+const SLACK: Duration = Duration::from_millis(500);
+
+#[test]
+fn given_a_node_without_a_configuration_when_asked_then_it_answers_503_and_when_to_come_back() {
+    play(async {
+        let world = World::new(Terms::seeded(260));
+        world.start_all(true).await;
+        sleep(Duration::from_secs(4)).await;
+        for node in world.names() {
+            for path in ["/idem/a", "/once/a", "/stream/a", "/unknown"] {
+                let got = Ask::new(path, "a1").at(&world, &node).await;
+                assert_eq!((got.status, got.retry_after), (503, true), "{node} {path}");
+            }
+        }
+    });
+}
+
+#[test]
+fn given_a_stream_that_lasts_longer_than_its_request_may_then_it_ends_incomplete_in_time() {
+    for path in ["/stream/a", "/resume/a"] {
+        play(async {
+            let world = scripted::world(261).await;
+            let head = "HTTP/1.1 200 OK\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Response-Seal: seal\r\n\
+                        Transfer-Encoding: chunked\r\n\r\n17\r\nid: 1\ndata: an event\n\n\r\n";
+            let act = Act::AnswerAndStay(head.to_owned());
+            let servers = Servers::start(&world, 3, move |_, _| act.clone()).await;
+            let got = Ask::new(path, "a1").at(&world, NODE).await;
+            assert!(
+                !got.whole && !got.spoilt && got.status == 200,
+                "{path} {got:?}"
+            );
+            let deadline = Duration::from_secs(3);
+            assert!(
+                got.took >= deadline && got.took < deadline + SLACK,
+                "{path} {got:?}"
+            );
+            sleep(SLACK).await;
+            assert_eq!(
+                (servers.runs(), servers.ended.borrow().len()),
+                (1, 1),
+                "{path}"
+            );
+        });
+    }
+}
+
+#[test]
+fn given_an_answer_whose_body_does_not_come_when_the_time_is_over_then_each_request_ends() {
+    for (path, status) in [("/idem/a", 504), ("/resume/a", 504), ("/once/a", 200)] {
+        play(async {
+            let world = scripted::world(264).await;
+            let head = "HTTP/1.1 200 OK\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Response-Seal: seal\r\n\
+                        Content-Length: 100\r\n\r\n";
+            let act = Act::AnswerAndStay(head.to_owned());
+            let servers = Servers::start(&world, 3, move |_, _| act.clone()).await;
+            let got = Ask::new(path, "a1").at(&world, NODE).await;
+            // What may not be repeated is passed on as it comes, and can only be broken off.
+            assert_eq!(
+                (got.status, got.whole),
+                (status, status == 504),
+                "{path} {got:?}"
+            );
+            assert!(got.took < Duration::from_secs(3) + SLACK, "{path} {got:?}");
+            assert_eq!(servers.runs(), 1, "{path}");
+        });
+    }
+}
+
+async fn is_ready(world: &World, node: &str) -> bool {
+    let net = world.outside_net();
+    let readiness = SocketAddr::new(world.ip(node), READINESS_PORT);
+    let patience = Duration::from_millis(500);
+    let reply = http_messages::call(&net, readiness, "GET", "/api/readiness", &[], "", patience);
+    reply.await.is_ok_and(|r| r.status == 200)
+}
+
+#[test]
+fn given_all_machines_told_to_end_when_four_seconds_have_gone_then_none_is_ready() {
+    play(async {
+        let world = World::serving(Terms::seeded(262)).await;
+        for node in world.names() {
+            assert!(is_ready(&world, &node).await, "{node}");
+        }
+        let told = Instant::now();
+        for node in world.names() {
+            let world = world.clone();
+            tokio::task::spawn_local(async move { world.term(&node).await });
+        }
+        sleep(Duration::from_millis(100)).await;
+        while told.elapsed() < Duration::from_secs(10) {
+            for node in world.names() {
+                assert!(
+                    !is_ready(&world, &node).await,
+                    "{node} {:?}",
+                    told.elapsed()
+                );
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+    });
+}
+
+#[test]
+fn given_a_server_that_leaves_without_draining_then_its_streams_end_whole_and_nothing_new_comes() {
+    play(async {
+        let world = scripted::world(263).await;
+        let ok = scripted::success("ok");
+        let slow = Act::AnswerAfter(Duration::from_millis(1_500), ok.clone());
+        let servers = Servers::start(&world, 2, move |_, n| match n {
+            0 => slow.clone(),
+            _ => Act::Answer(ok.clone()),
+        })
+        .await;
+        let (asking, answer) = tokio::sync::oneshot::channel();
+        let asked = world.clone();
+        tokio::task::spawn_local(async move {
+            let got = Ask::new("/stream/a", "a1").at(&asked, NODE).await;
+            asking.send(got).expect("somebody waits");
+        });
+        sleep(Duration::from_millis(200)).await;
+        let leaves = servers.last().server;
+        let path = format!("/api/instances/{}", scripted::id_of(leaves));
+        let to = world.control_of("core-0");
+        let patience = Duration::from_secs(1);
+        let net = world.outside_net();
+        let told = http_messages::call(&net, to, "DELETE", &path, &[], "", patience).await;
+        assert!(told.is_ok_and(|r| r.status < 300));
+        sleep(Duration::from_millis(300)).await;
+        for (n, node) in world.names().iter().enumerate() {
+            let id = format!("b{n}");
+            assert_eq!(Ask::new("/once/a", &id).at(&world, node).await.status, 200);
+        }
+        let got = answer.await.expect("an answer");
+        assert!(got.whole && got.status == 200, "{got:?}");
+        let heard = servers.heard.borrow();
+        let there = heard.iter().filter(|h| h.server == leaves);
+        assert_eq!(there.filter(|h| !h.path().starts_with("/api/")).count(), 1);
+    });
+}
