A node joins a group only after its own disk has confirmed the group's state

Cause: the reconfiguration took in a node by its entry in the membership table. A node whose disk was empty, stalled or full became a member at once; with a member fewer that can vote, the next loss left no majority ("a second loss right after a replacement"). Agreement itself was not at fault: joint majorities keep the state on a majority of both groups.

Ruled out: to require the joining member's vote for the slot that lets it in. If it dies after the others voted, that slot could never be chosen and the group would stop.

A node outside the group tells the members as soon as its disk holds what it was handed. No new message.

Tests: after each slot that is chosen and each loss of a disk the fleet of the consensus tests counts the synced copies: whatever disks may still be lost within the tolerance, a group is left that can act and holds what was chosen. New weather Joins (members leave while disks stall).

--- a/crates/sparrouter-consensus/src/lib.rs
+++ b/crates/sparrouter-consensus/src/lib.rs
@@ -7,13 +7,14 @@
 //! `types` (members, ballots, states), `codec` and `message` (bytes), `settings`, `quorum`, `acceptor` (promises and
 //! votes, durable before they are told), `learner` (what is known chosen, and handing it over), `operation` (callers'
 //! calls and what became of them), `judge` (changes put on a chosen state), `proposer` (rounds), `register` (the
-//! doors), `reconfiguration` (who belongs to the group), `owner` (whom to ask first), `machine` (what a change means), `lease`
+//! doors), `reconfiguration` (who belongs to the group), `candidate` (whose disk may join it), `owner` (whom to ask first), `machine` (what a change means), `lease`
 //! (fencing tokens).
 //!
 //! Sources: Lamport, "Paxos made simple", 2001; Rystsov, "CASPaxos: replicated state machines without logs", 2018;
 //! Lamport, Malkhi and Zhou, "Reconfiguring a state machine", SIGACT News 2010; joint majorities after Ongaro and
 //! Ousterhout, "In search of an understandable consensus algorithm", USENIX ATC 2014.
 pub mod acceptor;
+mod candidate;
 pub mod codec;
 mod evaluation;
 pub mod learner;
--- a/crates/sparrouter-consensus/src/message.rs
+++ b/crates/sparrouter-consensus/src/message.rs
@@ -58,8 +58,9 @@
         at: Option<VoteId>,
         chosen: Option<u64>,
     },
-    /// To one outside my group: up to this slot my disk keeps what is chosen, without a group before. Never answered,
-    /// or two that each hold the other for an outsider would go on for ever.
+    /// From a member to a node outside of its group, or from such a node to a member: up to this slot my disk keeps
+    /// what is chosen, without a group before. Never answered, or two that each hold the other for an outsider would
+    /// go on for ever.
     Kept {
         chosen: u64,
     },
--- a/crates/sparrouter-consensus/src/reconfiguration.rs
+++ b/crates/sparrouter-consensus/src/reconfiguration.rs
@@ -7,9 +7,13 @@
 //! | a member unheard of for `contact` or leaving, group above its founding size | removed |
 //! | for a `contact` every member heard of, a counted node waits, fewer than nine | added |
 //!
+//! A node is swapped in or added only after its own disk has answered that it holds the group's state (`candidate`).
+//! Until then the old group stands: with a member whose disk is empty or stalled the next loss would leave no majority.
+//!
 //! The first of the live members in the part's order does it; each behind it waits a further tenth of `contact`.
 //! Nothing depends on that: a change is judged on the group that it was made for.
 use crate::Nanos;
+use crate::candidate::Candidates;
 use crate::owner::ranked;
 use crate::settings::Settings;
 use crate::types::{MOST_MEMBERS, Member, State};
@@ -30,6 +34,7 @@
     wanted: Option<(Vec<Member>, Nanos)>,
     /// First look: who was not heard of then may only not have spoken yet.
     first: Option<Nanos>,
+    candidates: Candidates,
 }
 
 impl Reconfiguration {
@@ -44,12 +49,17 @@
         now: Nanos,
     ) -> Option<Vec<Member>> {
         let looking = now - *self.first.get_or_insert(now);
+        let is_eligible = |disk| {
+            settings.defects.unconfirmed_candidates
+                || self.candidates.is_confirmed(disk, settings.contact, now)
+        };
         let view = View {
             me,
             state,
             seen,
             contact: settings.contact,
             looking,
+            is_eligible: &is_eligible,
         };
         let Some(to) = view
             .change(part)
@@ -77,6 +87,35 @@
         };
         (now - since >= patience + rank * settings.contact / 10).then_some(to)
     }
+
+    /// The candidates to be asked now whether their disks hold the group's state.
+    pub fn candidates_to_ask(
+        &mut self,
+        part: u16,
+        me: &Member,
+        state: &State,
+        seen: &[NodeObservation],
+        settings: &Settings,
+        now: Nanos,
+    ) -> Vec<Member> {
+        let looking = now - *self.first.get_or_insert(now);
+        let view = View {
+            me,
+            state,
+            seen,
+            contact: settings.contact,
+            looking,
+            is_eligible: &|_| true,
+        };
+        let candidates = view.waiting(part);
+        self.candidates
+            .choose_questions(&candidates, state.seq, settings.contact, now)
+    }
+
+    /// A node outside the group answered that its disk holds all slots up to `stored`.
+    pub fn confirm_candidate(&mut self, disk: u64, stored: u64, now: Nanos) {
+        self.candidates.confirm(disk, stored, now);
+    }
 }
 
 struct View<'a> {
@@ -85,6 +124,8 @@
     seen: &'a [NodeObservation],
     contact: Nanos,
     looking: Nanos,
+    /// Whether this disk holds the group's state.
+    is_eligible: &'a dyn Fn(u64) -> bool,
 }
 
 impl View<'_> {
@@ -135,7 +176,14 @@
             .filter(newest)
             .map(|s| s.member.clone())
             .collect();
-        ranked(part, &nodes).into_iter().cloned().collect()
+        let mut waiting: Vec<Member> = ranked(part, &nodes).into_iter().cloned().collect();
+        // Those at a member's address first: they take its place at once.
+        waiting.sort_by_key(|node| {
+            let returns = |m: &Member| m.address == node.address;
+            !self.state.members.iter().any(returns)
+        });
+        waiting.retain(|node| (self.is_eligible)(node.disk));
+        waiting
     }
 
     fn change(&self, part: u16) -> Option<Vec<Member>> {
--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -67,6 +67,8 @@
     /// Some live node, in the group or not, by the last look around.
     stranger: Option<Member>,
     settle_at: Option<Nanos>,
+    /// The slot that this node, outside the group, last told the members to be on its disk.
+    announced: Option<u64>,
     reconfiguration: Reconfiguration,
 }
 
@@ -114,6 +116,7 @@
             exchange_at,
             stranger: None,
             settle_at: None,
+            announced: None,
             reconfiguration: Reconfiguration::default(),
             settings,
         })
@@ -198,6 +201,7 @@
     /// The store `token` ended; after `false` it may have happened all the same, and is tried again later.
     pub fn stored(&mut self, token: u64, ok: bool, now: Nanos) {
         self.acceptor.stored(token, ok, now, &self.settings);
+        self.announce_copy();
         self.work(now);
     }
 
@@ -254,6 +258,24 @@
         let Some(chosen) = self.learner.chosen() else {
             return;
         };
+        let asked = self.reconfiguration.candidates_to_ask(
+            self.part,
+            &self.me,
+            &chosen.state,
+            seen,
+            &self.settings,
+            now,
+        );
+        for candidate in asked {
+            let question = self.have();
+            self.actions.push(Action::Send {
+                to: candidate,
+                message: question,
+            });
+        }
+        let Some(chosen) = self.learner.chosen() else {
+            return;
+        };
         let busy = self
             .operations
             .iter()
@@ -379,13 +401,17 @@
                 let message = match self.learner.hand_over(at, chosen) {
                     Some(message) => Some(message),
                     None if chosen > self.learner.seq() => Some(self.have()),
-                    None => self.farewell(&from),
+                    None => self.kept_for(&from),
                 };
                 if let Some(message) = message {
                     self.send(from, message);
                 }
             }
-            Message::Kept { chosen } => self.learner.heard(from.disk, chosen),
+            Message::Kept { chosen } => {
+                self.learner.heard(from.disk, chosen);
+                self.reconfiguration
+                    .confirm_candidate(from.disk, chosen, now);
+            }
             Message::Learn { vote } => drop(self.publish(&vote, now)),
         }
     }
@@ -425,16 +451,47 @@
         }
     }
 
-    /// Who is outside the group may be waiting to hear whether it is missed.
-    fn farewell(&self, from: &Member) -> Option<Message> {
+    /// Tells what this disk keeps where just one of the two is in the group: a node that leaves waits to hear whether
+    /// it is missed, a member whether the other one may join.
+    fn kept_for(&self, from: &Member) -> Option<Message> {
+        if self.is_chosen_member(self.me.disk) == self.is_chosen_member(from.disk) {
+            return None;
+        }
+        let chosen = self.kept_slot()?;
+        Some(Message::Kept { chosen })
+    }
+
+    /// Whether a disk is in the group of the newest state that is known to be chosen.
+    fn is_chosen_member(&self, disk: u64) -> bool {
+        let group = self.learner.chosen().map_or(&[][..], |v| &v.state.members);
+        group.iter().any(|m| m.disk == disk)
+    }
+
+    /// The newest chosen slot, if it is on disk.
+    fn kept_slot(&self) -> Option<u64> {
         let chosen = self.learner.seq()?;
-        let outside = self.is_member() && self.members().iter().all(|m| m.disk != from.disk);
-        let kept = self.acceptor.lasting().is_some_and(|v| match v.before {
+        let is_kept = self.acceptor.lasting().is_some_and(|v| match v.before {
             // A later slot on disk says as much of this one.
             Some(_) => v.state.seq > chosen,
             None => v.state.seq >= chosen,
         });
-        (outside && kept).then_some(Message::Kept { chosen })
+        is_kept.then_some(chosen)
+    }
+
+    /// A node outside the group tells the members as soon as its disk holds what they handed over.
+    fn announce_copy(&mut self) {
+        if self.is_chosen_member(self.me.disk) {
+            return;
+        }
+        let (Some(chosen), Some(vote)) = (self.kept_slot(), self.learner.chosen().cloned()) else {
+            return;
+        };
+        if self.announced.replace(chosen) == Some(chosen) {
+            return;
+        }
+        for member in &vote.state.members {
+            self.send(member.clone(), Message::Kept { chosen });
+        }
     }
 
     /// Whether a node that leaves may end without being missed: it is in no group, and a majority of the group without
--- a/crates/sparrouter-consensus/src/settings.rs
+++ b/crates/sparrouter-consensus/src/settings.rs
@@ -68,6 +68,8 @@
     pub read_locally: bool,
     /// A change that was cut off is judged again as if it had never left.
     pub forget_sent: bool,
+    /// A node joins a group before its disk holds the group's state.
+    pub unconfirmed_candidates: bool,
     /// For the caller: a wiped disk comes back under its old id.
     pub wiped_keeps_id: bool,
 }
--- a/crates/sparrouter-consensus/tests/fleet/faults.rs
+++ b/crates/sparrouter-consensus/tests/fleet/faults.rs
@@ -1,7 +1,6 @@
 //! Faults by seed: losses of power and disks, cuts, freezes, disks in trouble, machines replaced.
-use super::{CONTACT, Event, Fleet, MILLISECOND, Nanos, Node};
-use sparrouter_consensus::{Record, SharedVote};
-use sparrouter_storage::{Opened, Store};
+use super::copies::synced_vote;
+use super::{CONTACT, Event, Fleet, MILLISECOND, Nanos};
 
 /// A machine that lost its disk still counts as lost for so long.
 const CATCH_UP: Nanos = 4 * CONTACT;
@@ -66,6 +65,8 @@
     Flaps,
     Leaves,
     Wipes,
+    /// Members leave while disks stall.
+    Joins,
 }
 
 impl Weather {
@@ -87,6 +88,7 @@
             ],
             Weather::Flaps => &[(Fault::Flap, 4), (Fault::Net, 1)],
             Weather::Leaves => &[(Fault::Leave, 4), (Fault::Split, 2), (Fault::Net, 1)],
+            Weather::Joins => &[(Fault::Leave, 4), (Fault::Disk, 4), (Fault::Replace, 1)],
             Weather::Wipes => &[
                 (Fault::Wipe, 3),
                 (Fault::Cut, 2),
@@ -193,6 +195,11 @@
     /// Only as many disks as the first group can spare may be lost at one time, spares' too. Until every disk that is
     /// left has a group without the lost ones, they still count: this is what `catch_up_s` is for.
     fn may_lose_disk(&self) -> bool {
+        self.lost_disks().len() < self.tolerated()
+    }
+
+    /// Disks that count as lost at the moment.
+    pub fn lost_disks(&self) -> Vec<u64> {
         let (newest, members) = self
             .judge
             .newest_state()
@@ -202,7 +209,7 @@
             .nodes
             .iter()
             .filter(|n| !n.gone)
-            .filter_map(|n| self.vote_on_disk(n));
+            .filter_map(synced_vote);
         let under_way = votes
             .filter(|v| v.state.seq >= newest)
             .flat_map(|v| v.electorate());
@@ -220,17 +227,7 @@
         );
         dead.sort_unstable();
         dead.dedup();
-        dead.len() < (self.founding - 1) / 2
-    }
-
-    fn vote_on_disk(&self, node: &Node) -> Option<SharedVote> {
-        let (_, opened) = Store::open(node.files.clone()).ok()?;
-        let Opened::Existing(records) = opened else {
-            return None;
-        };
-        Record::decode(records.get("part-7")?, 1 << 20)
-            .ok()?
-            .accepted
+        dead
     }
 
     pub fn kill(&mut self, node: usize, back: Nanos) {
@@ -259,6 +256,7 @@
         self.nodes[node].files.wipe();
         self.nodes[node].store = None;
         self.lost.push((self.nodes[node].member.disk, self.now));
+        self.copies_changed = true;
         // From now on nobody has this disk any more, also while its machine is down.
         if !self.defects.wiped_keeps_id {
             self.nodes[node].member.disk = 0;
@@ -271,7 +269,12 @@
     fn replace(&mut self, node: usize) {
         self.nodes[node].register = None;
         self.nodes[node].gone = true;
+        self.copies_changed = true;
         self.lost.push((self.nodes[node].member.disk, self.now));
+        if self.nodes[node].leaving {
+            // Its successor came when it began to leave.
+            return self.log(|| format!("{node} is lost while it leaves"));
+        }
         let new = self.add_machine();
         self.log(|| format!("replace {node} by {new}"));
         self.at(100 * MILLISECOND, Event::Start { node: new });
@@ -300,6 +303,7 @@
         {
             return self.at(LEAVES, Event::Leave { node });
         }
+        self.copies_changed = true;
         self.log(|| format!("{node} is gone"));
         self.nodes[node].register = None;
         self.nodes[node].gone = true;
--- a/crates/sparrouter-consensus/tests/fleet/mod.rs
+++ b/crates/sparrouter-consensus/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Many registers of one part under one seeded scheduler: the real cores, the real codec, files that lie.
 #![allow(dead_code)]
 pub mod clients;
+pub mod copies;
 pub mod faults;
 pub mod judge;
 pub mod machine;
@@ -118,6 +119,8 @@
     events: BTreeMap<u64, Event>,
     number: u64,
     steps: u64,
+    /// A slot was chosen or a disk was lost since the copies were counted.
+    pub copies_changed: bool,
     digest: u64,
     trace: Option<Vec<String>>,
 }
@@ -184,6 +187,7 @@
             events: BTreeMap::new(),
             number: 0,
             steps: 0,
+            copies_changed: false,
             digest: plan.seed,
             trace: plan.trace.then(Vec::new),
         };
@@ -367,6 +371,9 @@
                 }
             }
             self.act();
+            if std::mem::take(&mut self.copies_changed) {
+                self.check_copies();
+            }
         }
     }
 
@@ -540,6 +547,7 @@
                     self.log(|| format!("node {node} publishes slot {}", state.seq));
                     let before = self.nodes[node].published.replace(state.seq);
                     self.judge.chosen(node, before, &state);
+                    self.copies_changed = true;
                 }
                 Action::Done { op, outcome } => self.done(op, outcome),
             }
--- a/crates/sparrouter-consensus/tests/fleet/planted.rs
+++ b/crates/sparrouter-consensus/tests/fleet/planted.rs
@@ -5,7 +5,7 @@
 pub type Plant = fn(&mut Defects);
 
 /// Name, switch, and the weather and number of nodes that show it soonest.
-pub const PLANTED: [(&str, Plant, Weather, usize); 14] = [
+pub const PLANTED: [(&str, Plant, Weather, usize); 15] = [
     (
         "ack_before_sync",
         |d| d.ack_before_sync = true,
@@ -70,15 +70,22 @@
         Weather::Wipes,
         3,
     ),
+    (
+        "unconfirmed_candidates",
+        |d| d.unconfirmed_candidates = true,
+        Weather::Joins,
+        3,
+    ),
 ];
 
 pub fn plan(seed: u64) -> Plan {
     let nodes = [3, 5, 3, 6, 4, 7, 2, 1][seed as usize % 8];
     // Every other storm is of all faults; of the rest each kind has its turn at each size.
-    let weather = match seed / 8 % 6 {
+    let weather = match seed / 8 % 7 {
         1 => Weather::Flaps,
         3 => Weather::Leaves,
         5 => Weather::Wipes,
+        6 => Weather::Joins,
         _ => Weather::Mixed,
     };
     Plan {
--- a/crates/sparrouter-storage/src/lying.rs
+++ b/crates/sparrouter-storage/src/lying.rs
@@ -153,6 +153,18 @@
         (disk.cut, disk.down) = (None, false);
     }
 
+    /// A disk of its own with what the worst loss of power would leave of this one: nothing that was not synced.
+    pub fn synced_copy(&self) -> LyingFiles {
+        let disk = self.disk();
+        let copy = LyingFiles::new(0);
+        for (name, content) in &disk.lasting {
+            if let Some(synced) = disk.contents.get(content).and_then(|c| c.synced.as_ref()) {
+                copy.put(name, synced);
+            }
+        }
+        copy
+    }
+
     /// Damages a lasting file: no crash does this, a failing disk may.
     pub fn damage(&self, name: &str, at: usize) {
         let mut disk = self.disk();
