A member that leaves ends only after the others hold its control state and can act without it

Cause: a process that was told to end looked at client requests only. A member could end while the newest state was on its disk and on no other that was left, or while a group with another loss needed its vote.

Ruled out: to wait for being swapped out in every case. A restart has no successor, and would always take the whole grace period.

Change: from SIGTERM on the member asks the others what their disks hold (Query, which promises nothing). It ends once a majority of the group without it answers that it holds the newest chosen state; where another node may take its place, only after that has happened and a majority keeps it. At the end of the schedule of departure.rs it ends in any case, and says in the log what was not handed over. The question begins with the departure, so that an end with a whole group is no later than before.

--- a/crates/sparrouter-consensus/src/lib.rs
+++ b/crates/sparrouter-consensus/src/lib.rs
@@ -7,7 +7,7 @@
 //! `types` (members, ballots, states), `codec` and `message` (bytes), `settings`, `quorum`, `acceptor` (promises and
 //! votes, durable before they are told), `learner` (what is known chosen, and handing it over), `operation` (callers'
 //! calls and what became of them), `judge` (changes put on a chosen state), `proposer` (rounds), `register` (the
-//! doors), `reconfiguration` (who belongs to the group), `candidate` (whose disk may join it), `owner` (whom to ask first), `machine` (what a change means), `lease`
+//! doors), `reconfiguration` (who belongs to the group), `candidate` (whose disk may join it), `handover` (who leaves), `owner` (whom to ask first), `machine` (what a change means), `lease`
 //! (fencing tokens).
 //!
 //! Sources: Lamport, "Paxos made simple", 2001; Rystsov, "CASPaxos: replicated state machines without logs", 2018;
@@ -17,6 +17,7 @@
 mod candidate;
 pub mod codec;
 mod evaluation;
+mod handover;
 pub mod learner;
 pub mod lease;
 pub mod machine;
--- a/crates/sparrouter-consensus/src/reconfiguration.rs
+++ b/crates/sparrouter-consensus/src/reconfiguration.rs
@@ -88,28 +88,35 @@
         (now - since >= patience + rank * settings.contact / 10).then_some(to)
     }
 
-    /// The candidates to be asked now whether their disks hold the group's state.
-    pub fn candidates_to_ask(
-        &mut self,
+    /// The nodes that may join the group, if their disks confirm that they hold its state.
+    pub fn candidates(
         part: u16,
         me: &Member,
         state: &State,
         seen: &[NodeObservation],
         settings: &Settings,
-        now: Nanos,
     ) -> Vec<Member> {
-        let looking = now - *self.first.get_or_insert(now);
         let view = View {
             me,
             state,
             seen,
             contact: settings.contact,
-            looking,
+            looking: settings.contact,
             is_eligible: &|_| true,
         };
-        let candidates = view.waiting(part);
+        view.waiting(part)
+    }
+
+    /// The candidates to be asked now whether their disks hold slot `chosen`.
+    pub fn choose_questions(
+        &mut self,
+        candidates: &[Member],
+        chosen: u64,
+        settings: &Settings,
+        now: Nanos,
+    ) -> Vec<Member> {
         self.candidates
-            .choose_questions(&candidates, state.seq, settings.contact, now)
+            .choose_questions(candidates, chosen, settings.contact, now)
     }
 
     /// A node outside the group answered that its disk holds all slots up to `stored`.
--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -2,6 +2,7 @@
 use crate::Nanos;
 use crate::acceptor::Acceptor;
 use crate::codec::CodecError;
+use crate::handover::HandoverCheck;
 use crate::learner::Learner;
 use crate::machine::Machine;
 use crate::message::Message;
@@ -9,7 +10,7 @@
 use crate::proposer::{Lead, Phase};
 use crate::reconfiguration::{NodeObservation, Reconfiguration};
 use crate::settings::Settings;
-use crate::types::{Ballot, Member, Record, SharedVote, State, Vote};
+use crate::types::{Ballot, Member, Record, SharedVote, State, Vote, VoteId};
 use fastrand::Rng;
 use std::collections::VecDeque;
 
@@ -69,6 +70,10 @@
     settle_at: Option<Nanos>,
     /// The slot that this node, outside the group, last told the members to be on its disk.
     announced: Option<u64>,
+    /// While this node leaves as a member.
+    pub(crate) handover: Option<HandoverCheck>,
+    /// A node that may join the group was there at the last look around.
+    pub(crate) successor_waits: bool,
     reconfiguration: Reconfiguration,
 }
 
@@ -117,6 +122,8 @@
             stranger: None,
             settle_at: None,
             announced: None,
+            handover: None,
+            successor_waits: false,
             reconfiguration: Reconfiguration::default(),
             settings,
         })
@@ -258,20 +265,18 @@
         let Some(chosen) = self.learner.chosen() else {
             return;
         };
-        let asked = self.reconfiguration.candidates_to_ask(
-            self.part,
-            &self.me,
-            &chosen.state,
-            seen,
+        let candidates =
+            Reconfiguration::candidates(self.part, &self.me, &chosen.state, seen, &self.settings);
+        self.successor_waits = !candidates.is_empty();
+        let due = self.reconfiguration.choose_questions(
+            &candidates,
+            chosen.state.seq,
             &self.settings,
             now,
         );
-        for candidate in asked {
+        for candidate in due {
             let question = self.have();
-            self.actions.push(Action::Send {
-                to: candidate,
-                message: question,
-            });
+            self.send(candidate, question);
         }
         let Some(chosen) = self.learner.chosen() else {
             return;
@@ -387,6 +392,10 @@
                 newer,
             } => {
                 self.meet(promised);
+                if let Some(check) = self.handover.as_mut().filter(|c| c.is_answer(nonce)) {
+                    check.report(from.disk, at, newer.as_ref(), now);
+                    return self.bring_up_to_date(from, at);
+                }
                 self.reported(from, nonce, at, newer, now);
             }
             Message::Chosen { at } => match self.newest().filter(|v| v.at() == at).cloned() {
@@ -444,7 +453,16 @@
         vote
     }
 
-    fn have(&self) -> Message {
+    /// Tells a member whose disk answered with an older vote that the newest one here is chosen.
+    fn bring_up_to_date(&mut self, member: Member, at: Option<VoteId>) {
+        if let Some(chosen) = self.learner.chosen().map(|v| v.at())
+            && at < Some(chosen)
+        {
+            self.send(member, Message::Chosen { at: chosen });
+        }
+    }
+
+    pub(crate) fn have(&self) -> Message {
         Message::Have {
             at: self.newest().map(|v| v.at()),
             chosen: self.learner.seq(),
--- a/crates/sparrouter-fleet/src/control.rs
+++ b/crates/sparrouter-fleet/src/control.rs
@@ -1,9 +1,10 @@
 //! The control state at one node: its registers, their disk, their messages.
 //!
 //! What must hold is decided in `sparrouter-consensus`; here its actions are carried out. `presence`: whom this node hears, and
-//! whose duty a part is; `groups`: who belongs to the groups, and the first ones; `change`: a change through whoever may.
+//! whose duty a part is; `groups`: who belongs to the groups, and the first ones; `handover`: leaving them; `change`: a change through whoever may.
 mod change;
 mod groups;
+mod handover;
 mod presence;
 
 pub use change::{NoChange, change, encode, verdict};
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -58,10 +58,14 @@
     TakenWhileLeaving,
     /// Where no server is ready the route is called unknown.
     NoServerNoRoute,
+    /// A node joins a group before its disk holds the group's state.
+    UnconfirmedJoins,
+    /// A member ends without having handed over what only it holds.
+    LeavesAtOnce,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 26] = [
+    pub const ALL: [Defect; 28] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -88,6 +92,8 @@
         Defect::ForeignAnswer,
         Defect::TakenWhileLeaving,
         Defect::NoServerNoRoute,
+        Defect::UnconfirmedJoins,
+        Defect::LeavesAtOnce,
     ];
 }
 
@@ -119,6 +125,7 @@
         old_group_only: has(Defect::OldGroupCounts),
         skip_joint: has(Defect::OldGroupUnasked),
         answer_unchosen: has(Defect::AnsweredUnchosen),
+        unconfirmed_candidates: has(Defect::UnconfirmedJoins),
         ..sparrouter_consensus::Defects::default()
     }
 }
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -231,30 +231,48 @@
             node.boot.borrow_mut().seeds = seeds;
         }
     }
-    leave(&node, &stage, grace).await;
+    leave(&node, services.control.as_ref(), &stage, grace).await;
     Ok(())
 }
 
-/// Readiness first; all that was taken is answered; resting connections go last.
-async fn leave(node: &Rc<Node>, stage: &watch::Sender<Stage>, grace: Duration) {
+/// Readiness first; all that was taken is answered and the control state handed over; resting connections go last.
+async fn leave(
+    node: &Rc<Node>,
+    control: Option<&Rc<Control>>,
+    stage: &watch::Sender<Stage>,
+    grace: Duration,
+) {
     let departure = Departure::new(Instant::now(), grace);
     node.departure.set(Some(departure));
     stage.send_replace(Stage::Leaving);
     node.say_leaving();
+    if let Some(control) = control {
+        spawn_local(control.clone().hand_over());
+    }
     tokio::time::sleep_until(departure.notice_ends()).await;
     stage.send_replace(Stage::Closing);
     let mut quiet = 0;
     while Instant::now() < departure.process_ends() {
         tokio::time::sleep(QUIET_LOOK.min(departure.process_ends() - Instant::now())).await;
-        quiet = if node.open.get() == 0 { quiet + 1 } else { 0 };
+        let is_done = node.open.get() == 0 && control.is_none_or(|c| c.is_handed_over());
+        quiet = if is_done { quiet + 1 } else { 0 };
         if quiet >= QUIET_LOOKS {
             return;
         }
     }
-    node.log_buffer.breach(&format!(
-        "{} requests were still open at the end of the grace period",
-        node.open.get()
-    ));
+    if node.open.get() > 0 {
+        node.log_buffer.breach(&format!(
+            "{} requests were still open at the end of the grace period",
+            node.open.get()
+        ));
+    }
+    let held_back = control.map(|c| c.held_back()).unwrap_or_default();
+    if !held_back.is_empty() {
+        node.log_buffer.breach(&format!(
+            "not handed over at the end of the grace period: {}; keep this machine's disk until the others form a quorum",
+            held_back.join(", ")
+        ));
+    }
 }
 
 fn is_ready(node: &Node) -> bool {
