--- a/crates/sparrouter-consensus/src/reconfiguration.rs
+++ b/crates/sparrouter-consensus/src/reconfiguration.rs
@@ -5,7 +5,7 @@
 //! | a node at a member's address under another disk | swapped at once: the old disk is gone |
 //! | a member unheard of for `contact` or leaving, a counted node waits | swapped |
 //! | a member unheard of for `contact` or leaving, group above its founding size | removed |
-//! | for a `contact` every member heard of, a counted node waits, fewer than nine | added |
+//! | for a `contact` every member heard of within half of it, a counted node waits, fewer than nine | added |
 //!
 //! A node is swapped in or added only after its own disk has answered that it holds the group's state (`candidate`).
 //! Until then the old group stands: with a member whose disk is empty or stalled the next loss would leave no majority.
@@ -51,7 +51,9 @@
         let looking = now - *self.first.get_or_insert(now);
         let is_eligible = |disk| {
             settings.defects.unconfirmed_candidates
-                || self.candidates.is_confirmed(disk, settings.contact, now)
+                || self
+                    .candidates
+                    .is_confirmed(disk, confirmation_valid_for(settings), now)
         };
         let view = View {
             me,
@@ -116,7 +118,7 @@
         now: Nanos,
     ) -> Vec<Member> {
         self.candidates
-            .choose_questions(candidates, chosen, settings.contact, now)
+            .choose_questions(candidates, chosen, confirmation_valid_for(settings), now)
     }
 
     /// A node outside the group answered that its disk holds all slots up to `stored`.
@@ -125,6 +127,11 @@
     }
 }
 
+/// How long a candidate's answer counts: a proposal that lets in a node that has gone meanwhile may hold up the group.
+fn confirmation_valid_for(settings: &Settings) -> Nanos {
+    settings.contact / 2
+}
+
 struct View<'a> {
     me: &'a Member,
     state: &'a State,
@@ -149,12 +156,11 @@
         }
     }
 
-    fn heard(&self, member: &Member) -> bool {
-        member.disk == self.me.disk
-            || self
-                .find(member)
-                .and_then(|s| s.heard)
-                .is_some_and(|h| h < self.contact)
+    /// Whether a member is there for a group that needs one more vote. Half of `contact`, since a proposal to a member
+    /// that has just been cut off holds up the group until it is back.
+    fn is_present(&self, member: &Member) -> bool {
+        let heard = self.find(member).and_then(|s| s.heard);
+        member.disk == self.me.disk || heard.is_some_and(|ago| ago < self.contact / 2)
     }
 
     fn stays(&self, member: &Member) -> bool {
@@ -211,7 +217,7 @@
             }
             // One more beside a lost one would leave fewer to spare than before.
             (None, Some(new))
-                if members.len() < MOST_MEMBERS && members.iter().all(|m| self.heard(m)) =>
+                if members.len() < MOST_MEMBERS && members.iter().all(|m| self.is_present(m)) =>
             {
                 let mut to = members.clone();
                 to.push(new.clone());
--- /dev/null
+++ b/crates/sparrouter-simulation/src/copies.rs
@@ -0,0 +1,159 @@
+//! Whether any further loss that the tolerance allows leaves the control state on the disks of groups that can act.
+//!
+//! A machine counts as lost while it is down and until it has been up for `catch_up` again, or its successor has. The
+//! disks are read as a loss of power would leave them.
+use crate::world::World;
+use sparrouter_consensus::{Member, Record, SharedVote, VoteId};
+use sparrouter_storage::{Opened, Store};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// Between two looks at the disks.
+const LOOK: Duration = Duration::from_millis(25);
+/// Largest record that is read.
+const MOST_RECORD: usize = 16 << 20;
+
+/// Votes on the disks that are there, by disk.
+type Votes = BTreeMap<u64, SharedVote>;
+
+/// Looks at the disks of the counted machines again and again, and reports to the judge.
+pub struct CopiesMonitor {
+    world: Rc<World>,
+    catch_up: Duration,
+    began: Instant,
+    /// The newest vote of each part that was chosen, by the disks.
+    chosen: BTreeMap<String, SharedVote>,
+}
+
+impl CopiesMonitor {
+    /// Watches for as long as the world is told of; machines that run now count as there.
+    pub fn start(world: &Rc<World>, catch_up: Duration) {
+        let mut monitor = CopiesMonitor {
+            world: world.clone(),
+            catch_up,
+            began: Instant::now(),
+            chosen: BTreeMap::new(),
+        };
+        spawn_local(async move {
+            loop {
+                monitor.look();
+                sleep(LOOK).await;
+            }
+        });
+    }
+
+    fn look(&mut self) {
+        let mut parts: BTreeMap<String, Votes> = BTreeMap::new();
+        let running: Vec<String> = self.running();
+        for name in &running {
+            for (part, disk, vote) in synced_votes(&self.world, name) {
+                parts.entry(part).or_default().insert(disk, vote);
+            }
+        }
+        let spare = self.spare(&running);
+        for (part, votes) in parts {
+            self.note_chosen(&part, &votes);
+            if let Some(chosen) = self.chosen.get(&part)
+                && let Some(what) = weakness(chosen, &votes, spare)
+            {
+                self.world
+                    .judge
+                    .breach("COPIES", format!("{part}: {what}, {running:?} run"));
+            }
+        }
+    }
+
+    fn running(&self) -> Vec<String> {
+        let core = self.world.core();
+        core.into_iter().filter(|n| self.world.runs(n)).collect()
+    }
+
+    /// How many more machines may be lost now.
+    fn spare(&self, running: &[String]) -> usize {
+        let settled = running.iter().filter(|name| {
+            self.world
+                .up_since(name)
+                .is_some_and(|at| at <= self.began || at.elapsed() >= self.catch_up)
+        });
+        let terms = &self.world.terms;
+        let lost = terms.core.saturating_sub(settled.count());
+        terms.tolerated().saturating_sub(lost)
+    }
+
+    fn note_chosen(&mut self, part: &str, votes: &Votes) {
+        let newest = votes
+            .values()
+            .filter(|vote| is_chosen(vote, votes))
+            .max_by_key(|vote| vote.at());
+        if let Some(newest) = newest
+            && self
+                .chosen
+                .get(part)
+                .is_none_or(|known| known.at() < newest.at())
+        {
+            self.chosen.insert(part.to_owned(), newest.clone());
+        }
+    }
+}
+
+/// Why a part would not survive `spare` more losses; the worst ones take the members that hold the state.
+fn weakness(chosen: &SharedVote, votes: &Votes, spare: usize) -> Option<String> {
+    let members = &chosen.state.members;
+    let present = |m: &&Member| votes.contains_key(&m.disk);
+    let able = members.iter().filter(present).count();
+    let holders = members
+        .iter()
+        .filter(|m| votes.get(&m.disk).is_some_and(|vote| holds(vote, chosen)))
+        .count();
+    let majority = members.len() / 2 + 1;
+    if holders <= spare {
+        return Some(format!(
+            "slot {} is on {holders} disks and {spare} more may be lost",
+            chosen.state.seq
+        ));
+    }
+    (able < majority + spare).then(|| {
+        format!(
+            "{able} members of the group of slot {} are there, {majority} must vote, {spare} more may be lost",
+            chosen.state.seq
+        )
+    })
+}
+
+/// Whether a vote is of this chosen state or of a later slot, which is only proposed on top of it.
+fn holds(vote: &SharedVote, chosen: &SharedVote) -> bool {
+    let is_same = vote.state.origins == chosen.state.origins;
+    vote.state.seq > chosen.state.seq || (vote.state.seq == chosen.state.seq && is_same)
+}
+
+fn is_chosen(vote: &SharedVote, votes: &Votes) -> bool {
+    let at: VoteId = vote.at();
+    let has = |disk| votes.get(&disk).is_some_and(|v| v.at() == at);
+    let majority =
+        |members: &[Member]| members.iter().filter(|m| has(m.disk)).count() > members.len() / 2;
+    majority(vote.governing()) && majority(&vote.state.members)
+}
+
+/// The votes that a machine would find after a loss of power: part, disk, vote.
+fn synced_votes(world: &World, name: &str) -> Vec<(String, u64, SharedVote)> {
+    let files = world.disk(name).files.synced_copy();
+    let Ok((_, Opened::Existing(records))) = Store::open(files) else {
+        return Vec::new();
+    };
+    let disk = records
+        .get("disk")
+        .and_then(|bytes| Some(u64::from_le_bytes(bytes.as_slice().try_into().ok()?)));
+    let Some(disk) = disk else {
+        return Vec::new();
+    };
+    let parts = records.iter().filter(|(name, _)| name.starts_with("part-"));
+    parts
+        .filter_map(|(name, bytes)| {
+            let record = Record::decode(bytes, MOST_RECORD).ok()?;
+            Some((name.clone(), disk, record.accepted?))
+        })
+        .collect()
+}
--- a/crates/sparrouter-simulation/src/lib.rs
+++ b/crates/sparrouter-simulation/src/lib.rs
@@ -6,6 +6,7 @@
 //! | `fabric`, `line`, `net` | machines and what lies between them; one connection; a machine's way to others |
 //! | `process`, `disk` | a process that may freeze or end between any two steps; its disk |
 //! | `server`, `client`, `operator`, `platform` | who stands outside, by their page |
+//! | `copies` | what is left of the control state after any further loss |
 //! | `plan`, `speech` | configurations; HTTP as stand-ins speak it |
 //! | `judge` | the rules |
 //! | `weather` | days by seed |
@@ -15,6 +16,7 @@
 //! from one number.
 pub mod client;
 pub mod connection;
+pub mod copies;
 pub mod disk;
 pub mod fabric;
 pub mod faults;
--- a/crates/sparrouter-simulation/src/world.rs
+++ b/crates/sparrouter-simulation/src/world.rs
@@ -3,6 +3,8 @@
 mod hosts;
 mod machines;
 
+pub use machines::RetiredMachine;
+
 use crate::client::{Client, Wish};
 use crate::disk::SimulatedDisk;
 use crate::fabric::Fabric;
@@ -24,7 +26,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Ports, alike on all machines.
 const FRONT: u16 = 8689;
@@ -66,6 +68,11 @@
             load: Duration::from_millis(600),
         }
     }
+
+    /// Counted machines that may be lost at one time.
+    pub fn tolerated(&self) -> usize {
+        self.core.saturating_sub(1) / 2
+    }
 }
 
 pub const ZONES: [&str; 3] = ["lalitpur", "bhaktapur", "kirtipur"];
@@ -99,6 +106,8 @@
     log_buffer: LogBuffer,
     written: Written,
     started: bool,
+    /// Since when its process runs.
+    up_since: Option<Instant>,
 }
 
 struct Hosted {
@@ -227,6 +236,7 @@
             log_buffer: LogBuffer::to(written.clone()),
             written,
             started: false,
+            up_since: None,
         };
         self.machines.borrow_mut().insert(name.to_owned(), machine);
         self.control.borrow_mut().push(SocketAddr::new(ip, CONTROL));
@@ -284,6 +294,12 @@
             .is_some_and(|p| !p.has_ended())
     }
 
+    /// Since when the process of a machine runs; `None` if none does.
+    pub fn up_since(&self, name: &str) -> Option<Instant> {
+        let since = self.machines.borrow()[name].up_since;
+        since.filter(|_| self.runs(name))
+    }
+
     pub fn zone_of(&self, name: &str) -> &'static str {
         self.machines.borrow()[name].zone
     }
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -1,5 +1,5 @@
 //! What becomes of machines: processes start, end, freeze and slow down, power and disks are lost, ways are cut.
-use super::{CONTROL, FRONT, READINESS, World};
+use super::{CONTROL, FRONT, Machine, READINESS, World};
 use crate::fabric::Cut;
 use crate::net::MemoryNet;
 use crate::process::SimulatedProcess;
@@ -14,6 +14,13 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{Instant, sleep};
 
+/// A machine that is gone for good, as it was.
+pub struct RetiredMachine {
+    name: String,
+    machine: Machine,
+    seeds: Vec<SocketAddr>,
+}
+
 impl World {
     fn boot_text(&self, name: &str, first: bool) -> String {
         let machines = self.machines.borrow();
@@ -36,7 +43,7 @@
              listen_addresses.front_http={ip}:{FRONT}\nlisten_addresses.readiness={ip}:{READINESS}\n\
              listen_addresses.control_plane={ip}:{CONTROL}\ninternal_port_range=7360,7375\nseed_nodes={}\n\
              first_start={first}\ncounts_toward_quorum={}\nlimits.memory_mb=260\nlimits.max_open_files=4100\n{data}\
-             heartbeat_ms={}\nfault_tolerance.machines=1\nbounds.contact_ms={}\nbounds.ack_timeout_ms={}\n\
+             heartbeat_ms={}\nfault_tolerance.machines={}\nbounds.contact_ms={}\nbounds.ack_timeout_ms={}\n\
              bounds.drain_timeout_ms={}\nbounds.grace_period_s={}\nbounds.config_apply_ms={}\n\
              bounds.lease_ms={}\nbounds.thaw_ms={}\nbounds.version_ms={}\nbounds.recovery_s={}\n\
              bounds.retry_budget_ratio={}\nbounds.retry_budget_slack={}\nbounds.budget_window_s={}\n\
@@ -45,6 +52,7 @@
             seeds.join(","),
             m.counted,
             ms(self.terms.heartbeat),
+            self.terms.tolerated(),
             ms(b.contact),
             ms(b.ack_timeout),
             ms(b.drain_timeout),
@@ -86,6 +94,7 @@
             }
         }));
         machine.orders = Some(give);
+        machine.up_since = Some(Instant::now());
         let again = std::mem::replace(&mut machine.started, true);
         let (ip, counted) = (machine.ip, machine.counted);
         drop(machines);
@@ -269,7 +278,13 @@
 
     /// A machine of the core goes for good; an empty one at another address takes its place.
     pub fn replace(&self, name: &str) -> String {
-        let zone = self.machines.borrow()[name].zone;
+        let zone = self.zone_of(name);
+        self.retire(name);
+        self.add_core(zone)
+    }
+
+    /// A machine goes for good, without power if its process runs; it may be brought back as it was.
+    pub fn retire(&self, name: &str) -> RetiredMachine {
         if self.machines.borrow()[name].process.is_some() {
             self.power_off(name);
         }
@@ -277,8 +292,17 @@
         self.platform.remove(name);
         let gone = self.control_of(name);
         self.control.borrow_mut().retain(|a| *a != gone);
-        self.machines.borrow_mut().remove(name);
+        let machine = self.machines.borrow_mut().remove(name);
         self.judge.up(gone.ip());
+        RetiredMachine {
+            name: name.to_owned(),
+            machine: machine.expect("a machine of this name"),
+            seeds: self.seeds.borrow().clone(),
+        }
+    }
+
+    /// An empty machine at a new address joins the core; the seeds are the newest machines.
+    pub fn add_core(&self, zone: &'static str) -> String {
         let new = format!("core-{}", self.next_ip.get());
         self.add_machine(&new, zone, true);
         self.seeds_anew();
@@ -286,6 +310,22 @@
         new
     }
 
+    /// A machine that was gone for good starts with its old disk and the seeds of its time. It is on none of the
+    /// operator's lists.
+    pub fn bring_back(&self, retired: RetiredMachine) -> String {
+        let RetiredMachine {
+            name,
+            machine,
+            seeds,
+        } = retired;
+        self.fabric.power(machine.ip, true);
+        self.machines.borrow_mut().insert(name.clone(), machine);
+        let newer = std::mem::replace(&mut *self.seeds.borrow_mut(), seeds);
+        self.start(&name, false);
+        *self.seeds.borrow_mut() = newer;
+        name
+    }
+
     /// The seeds are the first three of the operator's list now; running processes are told.
     pub fn seeds_anew(&self) {
         let seeds: Vec<SocketAddr> = self
