--- a/crates/sparrouter-simulation/tests/reconfiguration.rs
+++ b/crates/sparrouter-simulation/tests/reconfiguration.rs
@@ -75,14 +75,19 @@
         }
         Loss::WipedAfterAcknowledgement => {
             change(world, plan, &format!("before-{name}")).await;
-            world.power_off(name);
-            world.wipe(name);
-            sleep(Duration::from_millis(500)).await;
-            world.power_on(name);
+            wipe(world, name).await;
         }
     }
 }
 
+/// The machine loses power and its disk, and starts again with an empty one.
+async fn wipe(world: &World, name: &str) {
+    world.power_off(name);
+    world.wipe(name);
+    sleep(Duration::from_millis(500)).await;
+    world.power_on(name);
+}
+
 #[test]
 fn given_two_losses_in_every_order_until_none_of_the_first_group_is_left_then_all_is_kept() {
     for (seed, first) in (300..).zip(LOSSES) {
@@ -322,3 +327,46 @@
         world
     });
 }
+
+/// The machine that orders these weights, once the first server has loaded them.
+async fn holder_of(world: &World, version: u64) -> String {
+    let began = Instant::now();
+    let is_ordered = || {
+        let loads = world.judge.load_counts();
+        loads.keys().any(|(_, loaded)| *loaded == version)
+    };
+    while !is_ordered() {
+        assert!(began.elapsed() < Duration::from_secs(12), "nobody orders");
+        sleep(Duration::from_millis(1)).await;
+    }
+    let holder = world.judge.last_holder().expect("who ordered");
+    holder.split('@').next().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn given_the_holder_of_a_lease_lost_as_it_orders_again_and_again_then_another_one_goes_on_in_time()
+{
+    for (seed, loss) in (360..).zip(LOSSES) {
+        run_judged(|| async {
+            let world = watched(Terms {
+                servers: 6,
+                ..terms(seed, 3)
+            })
+            .await;
+            let mut plan = first_plan();
+            for version in 2..5 {
+                assert!(world.operator.name_version(version).await);
+                let holder = holder_of(&world, version).await;
+                match loss {
+                    // New weights are a change of their own, acknowledged a moment ago.
+                    Loss::WipedAfterAcknowledgement => wipe(&world, &holder).await,
+                    _ => lose(&world, &mut plan, &holder, loss).await,
+                }
+                sleep(CATCH_UP).await;
+                world.until_servers_have(version).await;
+            }
+            world.operator.read_back().await;
+            world
+        });
+    }
+}
