--- a/crates/sparrouter-consensus/src/reconfiguration.rs
+++ b/crates/sparrouter-consensus/src/reconfiguration.rs
@@ -5,11 +5,15 @@
 //! | a node at a member's address under another disk | swapped at once: the old disk is gone |
 //! | a member unheard of for `contact` or leaving, a counted node waits | swapped |
 //! | a member unheard of for `contact` or leaving, group above its founding size | removed |
-//! | for a `contact` every member heard of, a counted node waits, fewer than nine | added |
+//! | for a `contact` every member heard of within half of it, a counted node waits, fewer than nine | added |
+//!
+//! A node is swapped in or added only after its own disk has answered that it holds the group's state (`candidate`).
+//! Until then the old group stands: with a member whose disk is empty or stalled the next loss would leave no majority.
 //!
 //! The first of the live members in the part's order does it; each behind it waits a further tenth of `contact`.
 //! Nothing depends on that: a change is judged on the group that it was made for.
 use crate::Nanos;
+use crate::candidate::Candidates;
 use crate::owner::ranked;
 use crate::settings::Settings;
 use crate::types::{MOST_MEMBERS, Member, State};
@@ -30,6 +34,7 @@
     wanted: Option<(Vec<Member>, Nanos)>,
     /// First look: who was not heard of then may only not have spoken yet.
     first: Option<Nanos>,
+    candidates: Candidates,
 }
 
 impl Reconfiguration {
@@ -44,12 +49,19 @@
         now: Nanos,
     ) -> Option<Vec<Member>> {
         let looking = now - *self.first.get_or_insert(now);
+        let is_eligible = |disk| {
+            settings.defects.unconfirmed_candidates
+                || self
+                    .candidates
+                    .is_confirmed(disk, confirmation_valid_for(settings), now)
+        };
         let view = View {
             me,
             state,
             seen,
             contact: settings.contact,
             looking,
+            is_eligible: &is_eligible,
         };
         let Some(to) = view
             .change(part)
@@ -77,6 +89,47 @@
         };
         (now - since >= patience + rank * settings.contact / 10).then_some(to)
     }
+
+    /// The nodes that may join the group, if their disks confirm that they hold its state.
+    pub fn candidates(
+        part: u16,
+        me: &Member,
+        state: &State,
+        seen: &[NodeObservation],
+        settings: &Settings,
+    ) -> Vec<Member> {
+        let view = View {
+            me,
+            state,
+            seen,
+            contact: settings.contact,
+            looking: settings.contact,
+            is_eligible: &|_| true,
+        };
+        view.waiting(part)
+    }
+
+    /// The candidates to be asked now whether their disks hold slot `chosen`.
+    pub fn choose_questions(
+        &mut self,
+        candidates: &[Member],
+        chosen: u64,
+        settings: &Settings,
+        now: Nanos,
+    ) -> Vec<Member> {
+        self.candidates
+            .choose_questions(candidates, chosen, confirmation_valid_for(settings), now)
+    }
+
+    /// A node outside the group answered that its disk holds all slots up to `stored`.
+    pub fn confirm_candidate(&mut self, disk: u64, stored: u64, now: Nanos) {
+        self.candidates.confirm(disk, stored, now);
+    }
+}
+
+/// How long a candidate's answer counts: a proposal that lets in a node that has gone meanwhile may hold up the group.
+fn confirmation_valid_for(settings: &Settings) -> Nanos {
+    settings.contact / 2
 }
 
 struct View<'a> {
@@ -85,6 +138,8 @@
     seen: &'a [NodeObservation],
     contact: Nanos,
     looking: Nanos,
+    /// Whether this disk holds the group's state.
+    is_eligible: &'a dyn Fn(u64) -> bool,
 }
 
 impl View<'_> {
@@ -101,12 +156,11 @@
         }
     }
 
-    fn heard(&self, member: &Member) -> bool {
-        member.disk == self.me.disk
-            || self
-                .find(member)
-                .and_then(|s| s.heard)
-                .is_some_and(|h| h < self.contact)
+    /// Whether a member is there for a group that needs one more vote. Half of `contact`, since a proposal to a member
+    /// that has just been cut off holds up the group until it is back.
+    fn is_present(&self, member: &Member) -> bool {
+        let heard = self.find(member).and_then(|s| s.heard);
+        member.disk == self.me.disk || heard.is_some_and(|ago| ago < self.contact / 2)
     }
 
     fn stays(&self, member: &Member) -> bool {
@@ -135,7 +189,14 @@
             .filter(newest)
             .map(|s| s.member.clone())
             .collect();
-        ranked(part, &nodes).into_iter().cloned().collect()
+        let mut waiting: Vec<Member> = ranked(part, &nodes).into_iter().cloned().collect();
+        // Those at a member's address first: they take its place at once.
+        waiting.sort_by_key(|node| {
+            let returns = |m: &Member| m.address == node.address;
+            !self.state.members.iter().any(returns)
+        });
+        waiting.retain(|node| (self.is_eligible)(node.disk));
+        waiting
     }
 
     fn change(&self, part: u16) -> Option<Vec<Member>> {
@@ -156,7 +217,7 @@
             }
             // One more beside a lost one would leave fewer to spare than before.
             (None, Some(new))
-                if members.len() < MOST_MEMBERS && members.iter().all(|m| self.heard(m)) =>
+                if members.len() < MOST_MEMBERS && members.iter().all(|m| self.is_present(m)) =>
             {
                 let mut to = members.clone();
                 to.push(new.clone());
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -92,6 +92,10 @@
     ConnectionStripsFields,
     /// Calls between nodes have no number of their own.
     CallIdReused,
+    /// A node joins a group before its disk holds the group's state.
+    UnconfirmedJoins,
+    /// A member ends without having handed over what only it holds.
+    LeavesAtOnce,
 }
 
 impl Defect {
@@ -139,6 +143,8 @@
         Defect::DeadlineFromBody,
         Defect::ConnectionStripsFields,
         Defect::CallIdReused,
+        Defect::UnconfirmedJoins,
+        Defect::LeavesAtOnce,
     ];
 }
 
@@ -170,6 +176,7 @@
         old_group_only: has(Defect::OldGroupCounts),
         skip_joint: has(Defect::OldGroupUnasked),
         answer_unchosen: has(Defect::AnsweredUnchosen),
+        unconfirmed_candidates: has(Defect::UnconfirmedJoins),
         ..sparrouter_consensus::Defects::default()
     }
 }
--- a/crates/sparrouter-storage/src/simulated.rs
+++ b/crates/sparrouter-storage/src/simulated.rs
@@ -164,6 +164,19 @@
         (disk.failure, disk.is_down) = (None, false);
     }
 
+    /// A disk of its own with what the worst power loss would leave of this one: nothing that was not synced.
+    pub fn synced_copy(&self) -> SimulatedFiles {
+        let disk = self.disk();
+        let copy = SimulatedFiles::new(0);
+        for (name, content) in &disk.durable {
+            let content = disk.contents.get(content);
+            if let Some(synced) = content.and_then(|c| c.synced.as_ref()) {
+                copy.put(name, synced);
+            }
+        }
+        copy
+    }
+
     /// Flips a bit of the byte at `at` in a file, for good. No crash does this, but a failing disk may.
     pub fn damage(&self, name: &str, at: usize) {
         let mut disk = self.disk();
