--- a/crates/sparrouter-consensus/src/acceptor.rs
+++ b/crates/sparrouter-consensus/src/acceptor.rs
@@ -13,14 +13,14 @@
 /// Answers held for one store; more are dropped, as if lost on the way.
 const MOST_HELD: usize = 256;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Held {
     version: u64,
     to: Member,
     message: Message,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Acceptor {
     record: Record,
     /// The newest vote that is on disk.
@@ -35,7 +35,7 @@
     held: Vec<Held>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct UnderWay {
     token: u64,
     version: u64,
--- a/crates/sparrouter-consensus/src/evaluation.rs
+++ b/crates/sparrouter-consensus/src/evaluation.rs
@@ -39,7 +39,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Judged {
     /// The call's.
     pub step: u64,
--- a/crates/sparrouter-consensus/src/learner.rs
+++ b/crates/sparrouter-consensus/src/learner.rs
@@ -4,7 +4,7 @@
 use crate::types::{SharedVote, VoteId};
 use std::collections::BTreeMap;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Learner {
     /// This node's disk.
     me: u64,
--- a/crates/sparrouter-consensus/src/proposer.rs
+++ b/crates/sparrouter-consensus/src/proposer.rs
@@ -26,7 +26,7 @@
 const REPEATS: u32 = 6;
 
 /// The right to propose the slot after `chosen` under `ballot`.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Lead {
     pub ballot: Ballot,
     pub chosen: SharedVote,
@@ -34,21 +34,21 @@
     pub proved: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Phase {
     Idle,
     BackOff { until: Nanos },
     Round(Round),
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Goal {
     Query { nonce: u64, tries: u32 },
     Prepare { ballot: Ballot },
     Accept { judged: Vec<Judged> },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Round {
     goal: Goal,
     step: u64,
--- a/crates/sparrouter-consensus/src/reconfiguration.rs
+++ b/crates/sparrouter-consensus/src/reconfiguration.rs
@@ -25,7 +25,7 @@
     pub leaving: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Reconfiguration {
     wanted: Option<(Vec<Member>, Nanos)>,
     /// First look: who was not heard of then may only not have spoken yet.
--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -9,7 +9,7 @@
 use crate::proposer::{Lead, Phase};
 use crate::reconfiguration::{NodeObservation, Reconfiguration};
 use crate::settings::Settings;
-use crate::types::{Ballot, Member, Record, SharedVote, State, Vote};
+use crate::types::{Ballot, Member, Record, SharedVote, State, Vote, VoteId};
 use fastrand::Rng;
 use std::collections::VecDeque;
 
@@ -41,6 +41,7 @@
     Record { part: u16, source: CodecError },
 }
 
+#[derive(Clone, Debug)]
 pub struct Register<M: Machine> {
     pub(crate) part: u16,
     pub(crate) me: Member,
@@ -143,6 +144,11 @@
         self.newest().map_or_else(Vec::new, |v| v.electorate())
     }
 
+    /// The newest vote that this node accepted, on disk or about to be.
+    pub fn accepted_vote(&self) -> Option<VoteId> {
+        self.newest().map(|vote| vote.at())
+    }
+
     /// Whether this node's vote counts in the newest group that it knows.
     pub fn is_member(&self) -> bool {
         self.members().iter().any(|m| m.disk == self.me.disk)
