--- a/crates/sparrouter-simulation/src/connection.rs
+++ b/crates/sparrouter-simulation/src/connection.rs
@@ -265,7 +265,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let (length, answered) = {
+        let (length, answered, from, to) = {
             let sides = &mut *self.line.0.borrow_mut();
             if let Some(kind) = sides[self.at].broken {
                 return Poll::Ready(Err(kind.into()));
@@ -293,8 +293,11 @@
                     bytes.len().min(room)
                 },
                 answered,
+                sides[self.at].address.ip(),
+                ip,
             )
         };
+        self.fabric.count_written(from, to, length);
         if answered {
             self.line.send(1 - self.at, What::Reset, &self.fabric);
         } else {
--- a/crates/sparrouter-simulation/src/disk.rs
+++ b/crates/sparrouter-simulation/src/disk.rs
@@ -10,6 +10,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
+/// How often a stalled disk looks whether it still is.
+const STALL_LOOK: Duration = Duration::from_millis(20);
+
 #[derive(Clone)]
 pub struct SimulatedDisk {
     pub files: LyingFiles,
@@ -78,7 +81,8 @@
         // Half of its time before the bytes last and half after: a process may end on either side.
         sleep(disk.delay.get() / 2).await;
         while disk.stalled.get() > Instant::now() {
-            sleep_until(disk.stalled.get()).await;
+            // A stall may be ended before its time.
+            sleep_until(disk.stalled.get().min(Instant::now() + STALL_LOOK)).await;
         }
         let kept = keep(&mut store, save);
         sleep(disk.delay.get() / 2).await;
--- a/crates/sparrouter-simulation/src/fabric.rs
+++ b/crates/sparrouter-simulation/src/fabric.rs
@@ -58,6 +58,8 @@
     pub rng: RefCell<Rng>,
     in_zone: Duration,
     across: Duration,
+    /// Bytes written, by machine and the machine that they are for.
+    written: RefCell<BTreeMap<(IpAddr, IpAddr), u64>>,
 }
 
 impl Fabric {
@@ -75,6 +77,7 @@
             rng: RefCell::new(rng),
             in_zone,
             across,
+            written: RefCell::default(),
         });
         spawn_local(look(Rc::downgrade(&fabric)));
         fabric
@@ -222,6 +225,15 @@
         Err(io::ErrorKind::TimedOut.into())
     }
 
+    pub(crate) fn count_written(&self, from: IpAddr, to: IpAddr, bytes: usize) {
+        *self.written.borrow_mut().entry((from, to)).or_default() += bytes as u64;
+    }
+
+    /// Bytes that a machine wrote to another one so far, on all connections.
+    pub fn written(&self, from: IpAddr, to: IpAddr) -> u64 {
+        self.written.borrow().get(&(from, to)).copied().unwrap_or(0)
+    }
+
     pub(crate) fn open(
         &self,
         at: SocketAddr,
