--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -96,6 +96,8 @@
     UnconfirmedJoins,
     /// A member ends without having handed over what only it holds.
     LeavesAtOnce,
+    /// Members don't compare what they have with each other.
+    ExchangeSilent,
 }
 
 impl Defect {
@@ -145,6 +147,7 @@
         Defect::CallIdReused,
         Defect::UnconfirmedJoins,
         Defect::LeavesAtOnce,
+        Defect::ExchangeSilent,
     ];
 }
 
@@ -177,6 +180,7 @@
         skip_joint: has(Defect::OldGroupUnasked),
         answer_unchosen: has(Defect::AnsweredUnchosen),
         unconfirmed_candidates: has(Defect::UnconfirmedJoins),
+        exchange_silent: has(Defect::ExchangeSilent),
         ..sparrouter_consensus::Defects::default()
     }
 }
