--- a/crates/sparrouter-consensus/src/candidate.rs
+++ b/crates/sparrouter-consensus/src/candidate.rs
@@ -12,7 +12,7 @@
 /// An answer is asked for again once it is older than this part of the time for which it counts.
 const REFRESH_PARTS: Nanos = 3;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Confirmation {
     /// The slot that the candidate's disk has to hold.
     asked: u64,
@@ -21,7 +21,7 @@
 }
 
 /// What is known of the candidates' disks, by disk.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Candidates {
     confirmations: BTreeMap<u64, Confirmation>,
 }
--- a/crates/sparrouter-consensus/src/handover.rs
+++ b/crates/sparrouter-consensus/src/handover.rs
@@ -19,7 +19,7 @@
 const ANSWER_VALID_EXCHANGES: Nanos = 2;
 
 /// The other members' answers about one chosen vote.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct HandoverCheck {
     nonce: u64,
     vote: SharedVote,
--- a/crates/sparrouter-consensus/src/transfer.rs
+++ b/crates/sparrouter-consensus/src/transfer.rs
@@ -133,7 +133,7 @@
     .into()
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Held {
     body: BodyReference,
     bytes: Bytes,
@@ -155,7 +155,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Parked {
     from: Member,
     purpose: Purpose,
@@ -163,7 +163,7 @@
     body: BodyReference,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Fetch {
     body: BodyReference,
     /// Members that offered it.
@@ -188,7 +188,7 @@
 }
 
 /// The bodies that one register offers and fetches.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Transfers {
     /// The one used last comes last.
     held: Vec<Held>,
--- a/crates/sparrouter-simulation/tests/many_changes.rs
+++ b/crates/sparrouter-simulation/tests/many_changes.rs
@@ -101,7 +101,7 @@
     let record = records.get("part-0");
     let record = record.and_then(|r| Record::decode(r, Settings::default().most_message()).ok());
     let vote = record.and_then(|r| r.accepted);
-    let state = vote.and_then(|v| ConfigurationState::read(&v.state.body));
+    let state = vote.and_then(|v| ConfigurationState::read(&v.state.body).ok());
     state.map_or(0, |s| s.version)
 }
 
