Exploration: a store counts for the votes that its bytes hold

Cause: a step that learns a vote and at once accepts its own next one begins the store with the first alone; the explorer counted both as synced, and so called a slot chosen that was on no disk (depth 15 of the swap scope: a fault of the explorer, not of the registers).

--- a/crates/sparrouter-consensus/tests/explore/system.rs
+++ b/crates/sparrouter-consensus/tests/explore/system.rs
@@ -188,6 +188,10 @@
     }
 }
 
+fn decoded(record: &[u8]) -> Record {
+    Record::decode(record, MOST_BYTES).expect("a record that this code wrote can be read")
+}
+
 impl Node {
     fn start(scope: &Scope, member: Member, life: u64, disk: Option<Vec<u8>>) -> Node {
         let seed = scope.seed ^ (member.disk << 32) ^ life;
@@ -292,9 +296,12 @@
         others
     }
 
+    /// A store may begin before the last vote that the same step accepted: that one rides on the next store.
     fn begin_store(&mut self, store: Action) {
         if let Action::Store { token, bytes } = store {
-            let votes = std::mem::take(&mut self.unsaved);
+            let held = decoded(&bytes).accepted.map(|vote| vote.at());
+            let covered = |at: &mut VoteId| Some(*at) <= held;
+            let votes = self.unsaved.extract_if(.., covered).collect();
             self.pending = Some(Pending {
                 token,
                 bytes,
@@ -304,10 +311,7 @@
     }
 
     fn record(&self) -> Record {
-        let record = self.disk.as_deref().map(|bytes| {
-            Record::decode(bytes, MOST_BYTES).expect("a record that this code wrote can be read")
-        });
-        record.unwrap_or_default()
+        self.disk.as_deref().map(decoded).unwrap_or_default()
     }
 
     fn refresh_digest(&mut self) {
