--- a/crates/sparrouter-simulation/src/connection.rs
+++ b/crates/sparrouter-simulation/src/connection.rs
@@ -141,6 +141,10 @@
             {
                 sides[from].vanished = true;
                 sides[from].break_off(ErrorKind::TimedOut);
+                // Nobody sends again what a cut held up, so it never arrives.
+                if fabric.is_cut(own, other) {
+                    sides[1 - from].coming.clear();
+                }
             }
         }
     }
--- a/crates/sparrouter-simulation/src/fabric.rs
+++ b/crates/sparrouter-simulation/src/fabric.rs
@@ -179,6 +179,10 @@
         self.inner.borrow().places.get(&ip).is_some_and(|p| p.power)
     }
 
+    pub fn is_cut(&self, from: IpAddr, to: IpAddr) -> bool {
+        self.inner.borrow().cuts.contains_key(&(from, to))
+    }
+
     fn refuses(&self, from: IpAddr, to: IpAddr) -> bool {
         self.inner.borrow().cuts.get(&(from, to)) == Some(&Cut::Refusing)
     }
