Quorum contact rests on confirmed reads that began lately, not on frames that arrive

Cause: contact was "a quorum answered once in this life, and frames of a majority arrived within 1.6 s". After a cut or a freeze a single poll made a machine claim contact before it had learnt what was chosen meanwhile; frames that arrive may be old, one-way, or from a member that is cut off itself. A process that started beside such a machine called itself ready after 3 s with what it was told. A draining heartbeat sent a second time was acknowledged though nobody else had it.

Ruled out: noticing freezes by gaps between ticks (a check that reads the steady clock needs no task to notice), contact by answered polls (proves nothing of what was chosen), carrying the ballot with each update (a slot of the register has one value, and updates are taken by rising slot only).

Change: control/quorum_contact.rs decides from confirmed reads of the configuration's shard, each counted from its beginning for 1.6 s and only if it began after contact was lost; renewed every 0.5 s. Without contact: polls say so, notify and relayed changes are answered no, heartbeats and departures 503, nobody is called silent. A starting process is ready only once a quorum confirmed its configuration. An answer that waited in a frozen poller confirms nothing. Simulation: bytes that a cut holds up are lost when their sender gives up.

--- a/crates/sparrouter-fleet/src/control.rs
+++ b/crates/sparrouter-fleet/src/control.rs
@@ -5,6 +5,7 @@
 mod change;
 mod groups;
 mod presence;
+pub mod quorum_contact;
 
 pub use change::{NoChange, change, encode, verdict};
 pub use groups::found;
@@ -15,6 +16,8 @@
 use crate::node::Node;
 use crate::planted::{self, Defect};
 use crate::wire::{Call, ConfigUpdate, ModelUpdate, TextUpdate};
+use presence::CONTACT_WINDOW;
+use quorum_contact::QuorumContact;
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{
     Action, Applied, Leases, Machine, Member, Message, Outcome, Record, Refused, Register, Settings,
@@ -77,8 +80,8 @@
     contacts: RefCell<HashMap<String, u64>>,
     /// Nodes that ask this one, and when each asked last.
     pollers: RefCell<BTreeMap<String, u64>>,
-    /// A quorum told this life what is in force.
-    caught_up: Cell<bool>,
+    /// Whether a quorum confirmed lately what is in force.
+    quorum_contact: RefCell<QuorumContact>,
     founded: Cell<bool>,
 }
 
@@ -137,7 +140,7 @@
             woken: Notify::new(),
             contacts: RefCell::default(),
             pollers: RefCell::default(),
-            caught_up: Cell::new(false),
+            quorum_contact: RefCell::new(QuorumContact::new(nanos(CONTACT_WINDOW))),
             founded: Cell::new(founded),
         });
         if planted::has(Defect::LostRaceInForce)
@@ -151,7 +154,7 @@
         let (done, stored) = mpsc::unbounded_channel();
         *control.disk.borrow_mut() = stock.keeper.map(|keeper| keeper.begin(done));
         spawn_local(control.clone().run(stored));
-        spawn_local(control.clone().catch_up());
+        spawn_local(control.clone().keep_contact());
         spawn_local(control.clone().tend());
         control
     }
--- a/crates/sparrouter-fleet/src/control/groups.rs
+++ b/crates/sparrouter-fleet/src/control/groups.rs
@@ -1,10 +1,10 @@
 //! Who belongs to the parts' groups: the first ones founded, a member's catching up, and what is seen of the others.
-use super::{CONFIG, Control, LEASE_SHARDS, ShardMachine};
+use super::{Control, LEASE_SHARDS, ShardMachine};
 use crate::disk::Save;
 use crate::node::Node;
 use crate::wire::{Call, Reply};
 use sparrouter_codec::Blob;
-use sparrouter_consensus::{Member, NodeObservation, Outcome, Record, Register};
+use sparrouter_consensus::{Member, NodeObservation, Record, Register};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,30 +16,11 @@
 const FOUNDING: Duration = Duration::from_millis(4_000);
 
 impl Control {
-    /// Until a quorum has told what is in force, this node does not call itself in touch.
-    pub(super) async fn catch_up(self: Rc<Self>) {
-        loop {
-            if self.is_member() {
-                let outcome = self.operate(CONFIG, None, Duration::from_millis(500)).await;
-                if let Outcome::Answered(_) = outcome {
-                    self.caught_up.set(true);
-                    self.node.informed.set(true);
-                    self.node.heard.set(self.node.now());
-                    self.node.changed();
-                    return;
-                }
-                tokio::time::sleep(self.node.jitter(Duration::from_millis(20))).await;
-            } else {
-                tokio::time::sleep(self.node.jitter(Duration::from_millis(100))).await;
-            }
-        }
-    }
-
     /// Looks after who belongs to the groups, and asks others for what a node that belongs to none should know.
     pub(super) async fn tend(self: Rc<Self>) {
         loop {
             tokio::time::sleep(self.node.jitter(Duration::from_millis(200))).await;
-            if self.in_touch() {
+            if self.has_quorum_contact() {
                 self.node.heard.set(self.node.now());
             }
             let seen = self.seen();
--- a/crates/sparrouter-fleet/src/control/presence.rs
+++ b/crates/sparrouter-fleet/src/control/presence.rs
@@ -1,9 +1,23 @@
-//! Whom this node of the core hears, whose silence it tells of, and whether a part's duty is its own.
+//! Whom this member hears, its contact with a quorum, whose silence it tells of, and whether a shard's lease is its own.
 use super::{CONFIG, Control};
 use crate::boot::nanos;
-use sparrouter_consensus::Member;
+use crate::planted::{Defect, has};
+use sparrouter_consensus::{Member, Outcome};
+use std::rc::Rc;
 use std::time::Duration;
 
+/// A confirmed read counts as contact for so long after it began. Well below `bounds.config_apply_ms`, so that a node
+/// that starts with what it is told here is not behind by more.
+pub(super) const CONTACT_WINDOW: Duration = Duration::from_millis(1_600);
+/// Between two confirmed reads while there is contact (half to one and a half of it): two may fail before it is lost.
+const CONTACT_RENEWAL: Duration = Duration::from_millis(500);
+/// Between two reads while there is none.
+const CONTACT_RETRY: Duration = Duration::from_millis(20);
+/// How long one read may take.
+const CONTACT_READ: Duration = Duration::from_millis(500);
+/// How often a node that is in no group looks whether it is.
+const NO_MEMBER_YET: Duration = Duration::from_millis(100);
+
 /// Polls between nodes of the core come so often that a quiet one for so long is out of touch.
 const TOUCH: Duration = Duration::from_millis(1_600);
 /// A node that asked here and has not for so long is told to be silent.
@@ -27,6 +41,10 @@
     pub fn watch(&self) {
         let now = self.node.now();
         let mut quiet = Vec::new();
+        if !self.has_quorum_contact() && !has(Defect::SilenceWithoutContact) {
+            // Cut off or just thawed: the others are not silent, they ask elsewhere.
+            self.pollers.borrow_mut().clear();
+        }
         self.pollers.borrow_mut().retain(|name, at| {
             let is_quiet = now.saturating_sub(*at) > nanos(QUIET);
             if is_quiet {
@@ -102,13 +120,64 @@
             .is_some_and(|at| now.saturating_sub(*at) < nanos(span))
     }
 
-    /// This node has what is in force, and hears a majority of the group.
-    pub fn in_touch(&self) -> bool {
+    /// Whether this member knows, by a quorum's recent answer, everything that was acknowledged until then.
+    pub fn has_quorum_contact(&self) -> bool {
+        if has(Defect::ContactByHearsay) {
+            return self.hears_majority();
+        }
+        self.is_member() && self.quorum_contact.borrow().holds(self.node.now())
+    }
+
+    /// Whether this process had contact with a quorum and has lost it: it was cut off or frozen, or too few members are
+    /// left. A process that has only started has not lost any.
+    pub fn lost_quorum_contact(&self) -> bool {
+        self.quorum_contact.borrow().is_lost(self.node.now())
+    }
+
+    /// Whether frames of a majority arrived lately. This is no proof of contact: see `quorum_contact`.
+    fn hears_majority(&self) -> bool {
         let members = self.members(CONFIG);
         let there = members
             .iter()
             .filter(|m| m.disk == self.me.disk || self.heard_within(&m.name, TOUCH))
             .count();
-        self.caught_up.get() && self.is_member() && there * 2 > members.len()
+        self.is_member() && there * 2 > members.len()
+    }
+
+    /// Reads the configuration's shard by a quorum, again and again: see `quorum_contact` for what rests on it.
+    ///
+    /// A read that finds the members agreed costs one small frame to each other member and one back, and no write.
+    pub(super) async fn keep_contact(self: Rc<Self>) {
+        loop {
+            let pause = if self.is_member() {
+                if self.confirm_contact().await {
+                    CONTACT_RENEWAL
+                } else {
+                    CONTACT_RETRY
+                }
+            } else {
+                NO_MEMBER_YET
+            };
+            tokio::time::sleep(self.node.jitter(pause)).await;
+        }
+    }
+
+    /// One confirmed read; returns whether there is contact after it.
+    async fn confirm_contact(&self) -> bool {
+        let had_contact = self.has_quorum_contact();
+        let began = self.node.now();
+        let outcome = self.operate(CONFIG, None, CONTACT_READ).await;
+        let now = self.node.now();
+        let confirmed = matches!(outcome, Outcome::Answered(_))
+            && self.quorum_contact.borrow_mut().confirm(began, now);
+        if confirmed {
+            self.node.informed.set(true);
+            self.node.heard.set(now);
+        }
+        if confirmed && !had_contact {
+            // Nodes that poll this one want to know.
+            self.node.changed();
+        }
+        confirmed
     }
 }
--- a/crates/sparrouter-fleet/src/control_api.rs
+++ b/crates/sparrouter-fleet/src/control_api.rs
@@ -65,6 +65,7 @@
         .registry
         .leave(
             &services.node,
+            services.control.as_ref(),
             words.first().map(String::as_str).unwrap_or_default(),
         )
         .await
--- a/crates/sparrouter-fleet/src/peer_api.rs
+++ b/crates/sparrouter-fleet/src/peer_api.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A node out of touch with a quorum holds a poll no longer than this.
+/// A node without quorum contact holds a poll no longer than this.
 const LEAVE_ME_MS: u32 = 300;
 
 /// Answers another node.
@@ -33,9 +33,9 @@
             let came = Instant::now();
             loop {
                 changes.mark_unchanged();
-                let in_touch = services.control.as_ref().is_some_and(|c| c.in_touch());
-                // Whoever asks a node that is out of touch should soon ask another.
-                let longest = if in_touch { 5_000 } else { LEAVE_ME_MS };
+                let quorum_contact = services.has_quorum_contact();
+                // Whoever asks a node without quorum contact should soon ask another.
+                let longest = if quorum_contact { 5_000 } else { LEAVE_ME_MS };
                 let until = came + Duration::from_millis(u64::from(poll.hold_ms.min(longest)));
                 let rows = node.rows_since(poll.epoch, poll.revision);
                 let known = node.in_force();
@@ -46,7 +46,7 @@
                     return Some(Reply::Update(Update {
                         rows: Blob(rows.unwrap_or_default()),
                         config,
-                        in_touch,
+                        quorum_contact,
                     }));
                 }
                 // Either news, or the end of the hold.
@@ -55,7 +55,12 @@
         }
         Call::Notify(delta) => {
             node.learn(delta);
-            Some(Reply::Done)
+            // The sender acknowledges what it was told on this word: nodes that have a quorum must hear of it from here.
+            if services.has_quorum_contact() || has(Defect::NotifyWithoutContact) {
+                Some(Reply::Done)
+            } else {
+                Some(Reply::No("this node has no contact with a quorum".into()))
+            }
         }
         Call::Consensus {
             part,
@@ -88,6 +93,13 @@
                     "this node keeps no part of the control state".into(),
                 ));
             };
+            // Nothing was proposed, so the sender may try another member at once. A call that waited in a frozen process
+            // ends here too: its sender gave it up long ago.
+            if control.lost_quorum_contact() && !has(Defect::RelayWithoutContact) {
+                return Some(Reply::NotChanged(
+                    "this node has no contact with a quorum: see which members are down".into(),
+                ));
+            }
             let patience = Duration::from_millis(u64::from(patience_ms.min(10_000)));
             Some(match control.change_here(part, change.0, patience).await {
                 Outcome::Answered(answer) => Reply::Changed(Blob(answer)),
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -58,10 +58,30 @@
     TakenWhileLeaving,
     /// Where no server is ready the route is called unknown.
     NoServerNoRoute,
+    /// Quorum contact, once confirmed, is never lost again.
+    ContactNeverLost,
+    /// Frames that arrive from a majority count as quorum contact.
+    ContactByHearsay,
+    /// A quorum's answer confirms the moment at which it is read, not the one at which it was asked for.
+    LateAnswerConfirms,
+    /// A poll's answer that waited in a frozen process counts as contact now.
+    StaleAnswerInforms,
+    /// A process that starts calls itself ready with a configuration that no quorum confirmed.
+    UnconfirmedReady,
+    /// A machine without quorum contact confirms rows to the node that sends them.
+    NotifyWithoutContact,
+    /// A draining heartbeat that is sent again is acknowledged though nobody else has it.
+    DrainRepeatAcked,
+    /// A machine without quorum contact acknowledges heartbeats.
+    HeartbeatWithoutContact,
+    /// A machine without quorum contact carries out changes that it is asked to relay.
+    RelayWithoutContact,
+    /// A machine without quorum contact calls nodes silent that no longer ask it.
+    SilenceWithoutContact,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 26] = [
+    pub const ALL: [Defect; 36] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -88,6 +108,16 @@
         Defect::ForeignAnswer,
         Defect::TakenWhileLeaving,
         Defect::NoServerNoRoute,
+        Defect::ContactNeverLost,
+        Defect::ContactByHearsay,
+        Defect::LateAnswerConfirms,
+        Defect::StaleAnswerInforms,
+        Defect::UnconfirmedReady,
+        Defect::NotifyWithoutContact,
+        Defect::DrainRepeatAcked,
+        Defect::HeartbeatWithoutContact,
+        Defect::RelayWithoutContact,
+        Defect::SilenceWithoutContact,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/polls.rs
+++ b/crates/sparrouter-fleet/src/polls.rs
@@ -1,8 +1,10 @@
 //! Asking sources for what is new, and telling them what was heard here.
 use crate::boot::nanos;
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::wire::{Call, Poll, Reply, Update};
 use sparrouter_membership::{Delta, SOURCES, sources};
+use sparrouter_routing::Nanos;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,9 +22,13 @@
 /// A source that failed is left out so long, while there are others.
 const AVOID: Duration = Duration::from_millis(800);
 
-/// Nobody in touch with a quorum was heard of for so long: the seeds are asked too, every other time.
+/// Nobody with quorum contact was heard of for so long: the seeds are asked too, every other time.
 const LOST: Duration = Duration::from_millis(2_200);
 
+/// A process that starts asks at short intervals until it is informed, but no longer than this.
+const EAGER: Duration = Duration::from_secs(10);
+const EAGER_HOLD_MS: u32 = 40;
+
 /// What is known of sources, at this node.
 #[derive(Default)]
 pub struct Sources {
@@ -136,7 +142,7 @@
         };
         state.asked.borrow_mut()[place] = Some(source);
         match ask(&node, &state, source, HOLD).await {
-            Some(in_touch) if in_touch => {}
+            Some(true) => {}
             _ => {
                 state.failed(&node, source);
                 tokio::time::sleep(node.jitter(AGAIN)).await;
@@ -182,7 +188,7 @@
     }
 }
 
-/// One poll. None where it failed; else whether the source is in touch with a quorum.
+/// One poll. None where it failed; else whether the source has contact with a quorum.
 async fn ask(node: &Rc<Node>, state: &Sources, source: SocketAddr, hold: Duration) -> Option<bool> {
     let (epoch, revision) = state
         .known
@@ -204,15 +210,17 @@
         } else {
             node.in_force().digest
         },
-        hold_ms: if node.informed.get() {
+        hold_ms: if node.informed.get() || node.now() > nanos(EAGER) {
             hold.as_millis() as u32
         } else {
-            40
+            EAGER_HOLD_MS
         },
     };
+    let patience = hold + PATIENCE;
+    let asked = node.now();
     let reply = node
         .links
-        .call(source, &Call::Poll(poll), hold + PATIENCE)
+        .call(source, &Call::Poll(poll), patience)
         .await
         .ok()?;
     let Reply::Update(told) = reply else {
@@ -221,7 +229,7 @@
     let Update {
         rows,
         config,
-        in_touch,
+        quorum_contact,
     } = told;
     if !rows.is_empty() {
         let delta = Delta::unpack(&rows)?;
@@ -240,14 +248,26 @@
         // A change of a text that is not the one here: what is in force comes whole with the next poll.
         state.wants_whole.set(!node.take(config));
     }
-    if in_touch {
+    let confirmed = quorum_contact && is_timely(asked, node.now(), patience);
+    if confirmed {
         node.heard.set(node.now());
         node.informed.set(true);
     }
-    Some(in_touch)
+    Some(confirmed)
+}
+
+/// Whether a source with quorum contact answered this node lately.
+pub fn hears_of_quorum(node: &Node) -> bool {
+    node.now().saturating_sub(node.heard.get()) <= nanos(LOST)
+}
+
+/// Whether the answer to a call that was sent at `asked` still says what is so. One that waited while this process was
+/// frozen says what was, and the timer of the call has not fired if the answer was read before it.
+pub fn is_timely(asked: Nanos, now: Nanos, patience: Duration) -> bool {
+    now.saturating_sub(asked) <= nanos(patience) || has(Defect::StaleAnswerInforms)
 }
 
-/// Tells some sources of rows that changed here. True once one has it that is another machine.
+/// Tells the members of rows that changed here. True once another machine has them that is in contact with a quorum.
 pub async fn notify(node: &Rc<Node>, delta: &Delta, patience: Duration) -> bool {
     let own = node.boot.borrow().internal_of(node.boot.borrow().ip);
     let core = node.core();
@@ -261,8 +281,7 @@
         to = core.iter().filter(|c| c.1 != own).map(|c| c.1).collect();
     }
     if to.is_empty() {
-        // A fleet of one: there is nobody to tell.
-        return core.iter().any(|c| c.1 == own);
+        return false;
     }
     let (done, mut heard) = tokio::sync::mpsc::channel(to.len());
     let call = Rc::new(Call::Notify(delta.clone()));
--- a/crates/sparrouter-fleet/src/registry.rs
+++ b/crates/sparrouter-fleet/src/registry.rs
@@ -1,6 +1,6 @@
 //! What servers say of themselves: beats, draining, leaving, and who falls silent.
 use crate::boot::nanos;
-use crate::control::Control;
+use crate::control::{CONFIG, Control};
 use crate::http::Answer;
 use crate::node::Node;
 use crate::planted::{Defect, has};
@@ -18,6 +18,8 @@
 const MISSED: u32 = 3;
 /// A caller waits a second; the spreading of what binds has this much of it.
 const SPREAD: Duration = Duration::from_millis(700);
+/// A server whose call is not acknowledged goes on to another node, and may come back after this.
+const TRY_ANOTHER: Duration = Duration::from_millis(100);
 /// Longest id, name or address that is taken.
 const MOST_TEXT: usize = 200;
 
@@ -42,6 +44,8 @@
 struct Heard {
     call_sequence: u64,
     at: u64,
+    /// A node with quorum contact was told here that the server drains.
+    draining_told: bool,
 }
 
 /// The servers that call this node.
@@ -111,6 +115,7 @@
                 Heard {
                     call_sequence: row.call_sequence,
                     at: now,
+                    draining_told: known.is_some_and(|k| k.draining_told),
                 },
             );
         }
@@ -127,25 +132,34 @@
                 ..row.clone()
             } == *b
         });
-        let must_spread = standing == Standing::Draining
-            && before
-                .as_ref()
-                .is_none_or(|b| b.standing == Standing::Ready || !same);
         if !late && !same {
             node.learn(Delta {
                 servers: vec![row].into(),
                 ..Delta::default()
             });
-            if !self.spread(node, id, must_spread).await {
-                return Answer::later(Duration::from_millis(100));
-            }
+        }
+        let told_before = known.is_some_and(|k| k.draining_told)
+            || (has(Defect::DrainRepeatAcked) && (same || late));
+        // Sent again after a refusal it still binds: what counts is whether others were told, not whether it is news.
+        let must_spread = standing == Standing::Draining && !told_before;
+        let is_news = !late && !same;
+        if (must_spread || is_news) && !self.spread(node, control, id, must_spread).await {
+            return Answer::later(TRY_ANOTHER);
+        }
+        if must_spread && let Some(heard) = self.heard.borrow_mut().get_mut(id) {
+            heard.draining_told = true;
+        }
+        // Rows of a machine that is cut off reach nobody: another one should look after the server.
+        let cut_off = standing == Standing::Ready && !may_acknowledge(node, control);
+        if cut_off && !has(Defect::HeartbeatWithoutContact) {
+            return Answer::later(TRY_ANOTHER);
         }
         let told = |(_, at): (String, String)| format!("{{\"heartbeat_target\":\"{at}\"}}");
         Answer::json(200, target.map_or("{}".to_owned(), told))
     }
 
     /// The server leaves.
-    pub async fn leave(&self, node: &Rc<Node>, id: &str) -> Answer {
+    pub async fn leave(&self, node: &Rc<Node>, control: Option<&Rc<Control>>, id: &str) -> Answer {
         if id.is_empty() || id.len() > MOST_TEXT {
             return Answer::plain(400, "no such id");
         }
@@ -155,14 +169,21 @@
             node.stir();
         }
         self.heard.borrow_mut().remove(id);
-        if !self.spread(node, id, true).await {
-            return Answer::later(Duration::from_millis(100));
+        if !self.spread(node, control, id, true).await {
+            return Answer::later(TRY_ANOTHER);
         }
         Answer::json(200, "{}")
     }
 
-    /// Tells the sources; where it binds others, only what one of them has is acknowledged.
-    async fn spread(&self, node: &Rc<Node>, id: &str, binds: bool) -> bool {
+    /// Tells the sources; where it binds others, only what one of them has that is in contact with a quorum is
+    /// acknowledged.
+    async fn spread(
+        &self,
+        node: &Rc<Node>,
+        control: Option<&Rc<Control>>,
+        id: &str,
+        binds: bool,
+    ) -> bool {
         let Some(row) = node.rows.borrow().server(id).cloned() else {
             return true;
         };
@@ -171,7 +192,11 @@
             ..Delta::default()
         };
         if binds && !has(Defect::AckAlone) {
-            return polls::notify(node, &delta, SPREAD).await;
+            let told = polls::notify(node, &delta, SPREAD).await;
+            // Where this node is the only member there is nobody else to tell.
+            let only_member =
+                || control.is_some_and(|c| c.members(CONFIG).len() == 1 && c.has_quorum_contact());
+            return told || only_member();
         }
         let node = node.clone();
         spawn_local(async move {
@@ -232,6 +257,15 @@
     }
 }
 
+/// Whether what a server says here reaches the rest of the fleet: a member needs quorum contact, any other node has to
+/// hear of a node that has it. A node that has not found the fleet yet takes what servers say until it has.
+fn may_acknowledge(node: &Node, control: Option<&Rc<Control>>) -> bool {
+    match control.filter(|c| c.is_member()) {
+        Some(control) => control.has_quorum_contact(),
+        None => !node.informed.get() || polls::hears_of_quorum(node),
+    }
+}
+
 /// Where the server may send its later beats, name and address: a node of the core, in its zone if there is one. None
 /// where it should stay.
 fn target(
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -68,6 +68,15 @@
     pub registry: Registry,
 }
 
+impl ControlServices {
+    /// Whether this node is a member in contact with a quorum.
+    pub fn has_quorum_contact(&self) -> bool {
+        self.control
+            .as_ref()
+            .is_some_and(|c| c.has_quorum_contact())
+    }
+}
+
 /// What a process is told while it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -225,7 +234,7 @@
     spawn_local(maintain(services.clone()));
     spawn_local(probe(node.clone()));
     spawn_local(event_follower::follow(node.clone()));
-    spawn_local(without_quorum(node.clone(), contact));
+    spawn_local(report_no_quorum(node.clone(), contact));
     while let Some(Order::Seeds(seeds)) = orders.recv().await {
         if !has(Defect::SeedsAtStart) {
             node.boot.borrow_mut().seeds = seeds;
@@ -261,14 +270,15 @@
     node.informed.get() && !node.leaving.get() && node.in_force().table.is_some()
 }
 
-/// Where no source in touch with a quorum is heard of for long, what is known has to do.
-async fn without_quorum(node: Rc<Node>, contact: Duration) {
-    loop {
-        tokio::time::sleep(contact).await;
-        if !node.informed.get() && node.in_force().table.is_some() {
-            node.log_buffer.breach(
-                "no quorum of the control state is heard of: serving with what is known here",
-            );
+/// Says so where this process has found no quorum since it started. It is not ready then, because the configuration
+/// that it was told may be an old one, but it serves by that configuration what clients send it all the same.
+async fn report_no_quorum(node: Rc<Node>, contact: Duration) {
+    tokio::time::sleep(contact).await;
+    if !node.informed.get() && node.in_force().table.is_some() {
+        node.log_buffer.breach(
+            "no quorum of the control state is heard of since the start: not ready, the configuration here may be old",
+        );
+        if has(Defect::UnconfirmedReady) {
             node.informed.set(true);
         }
     }
@@ -278,9 +288,9 @@
 async fn maintain(services: Rc<ControlServices>) {
     let mut kept = 0;
     let mut rounds = 0u32;
-    // Since when this node of the core is out of touch with a quorum that it had.
+    // Since when this member has been without the quorum contact that it had.
     let mut lost: Option<Nanos> = None;
-    let (mut had, mut in_touch) = (false, false);
+    let (mut had, mut quorum_contact) = (false, false);
     loop {
         tokio::time::sleep(services.node.jitter(Duration::from_millis(250))).await;
         rounds += 1;
@@ -289,12 +299,12 @@
         let now = node.now();
         if let Some(control) = &services.control {
             control.watch();
-            if in_touch != control.in_touch() {
-                // Whoever asks here wants to know.
-                in_touch = !in_touch;
+            if quorum_contact != control.has_quorum_contact() {
+                // Nodes that poll this one want to know.
+                quorum_contact = !quorum_contact;
                 node.changed();
             }
-            if in_touch {
+            if quorum_contact {
                 (had, lost) = (true, None);
             } else if had {
                 let since = *lost.get_or_insert(now);
--- a/crates/sparrouter-fleet/src/status.rs
+++ b/crates/sparrouter-fleet/src/status.rs
@@ -100,7 +100,7 @@
         config_version: node.in_force().version,
         config_digest: Some(format!("{:016x}", node.in_force().digest)),
         member: control.is_some_and(|c| c.is_member()),
-        in_touch: control.is_some_and(|c| c.in_touch()),
+        in_touch: control.is_some_and(|c| c.has_quorum_contact()),
         heard_ms_ago: node.now().saturating_sub(node.heard.get()) / 1_000_000,
         open_requests: node.open.get() as u64,
         group: group.into_iter().map(|m| m.name).collect(),
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -142,7 +142,7 @@
         loop {
             tokio::time::sleep(self.node.jitter(LOOK)).await;
             let mine = self.control.is_first(self.part)
-                && self.control.in_touch()
+                && self.control.has_quorum_contact()
                 && !self.node.leaving.get();
             match (mine, self.held.get()) {
                 (true, None) => self.acquire().await,
--- a/crates/sparrouter-fleet/src/wire.rs
+++ b/crates/sparrouter-fleet/src/wire.rs
@@ -107,8 +107,8 @@
     /// Rows, packed: the same bytes for all who had the same revision.
     pub rows: Blob,
     pub config: Option<ConfigUpdate>,
-    /// The teller has what is in force: it heard from a quorum lately.
-    pub in_touch: bool,
+    /// A quorum confirmed lately, to the node that answers, that it has what is in force.
+    pub quorum_contact: bool,
 }
 
 /// Tokens that are kept of a part.
--- a/crates/sparrouter-simulation/src/connection.rs
+++ b/crates/sparrouter-simulation/src/connection.rs
@@ -141,6 +141,10 @@
             {
                 sides[from].vanished = true;
                 sides[from].break_off(ErrorKind::TimedOut);
+                if fabric.is_cut(own, other) {
+                    // It is not sent again, so it is lost, also should the cut end later.
+                    sides[1 - from].coming.clear();
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/sparrouter-simulation/src/contact_watch.rs
@@ -0,0 +1,127 @@
+//! Asks core machines for updates, as other nodes do, and checks what each claims of its contact with a quorum.
+//!
+//! The rule: a machine that claims quorum contact has every configuration that was acknowledged more than the contact
+//! window before it was asked. Answers that took longer than a node would wait are left out, as a node leaves them out.
+use crate::net::MemoryNet;
+use crate::world::World;
+use sparrouter_fleet::links::Links;
+use sparrouter_fleet::wire::{Call, Poll, Reply, Update};
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// How far a claim of quorum contact may lag behind an acknowledgement.
+pub const CONTACT_WINDOW: Duration = Duration::from_millis(1_600);
+/// What a node waits for the answer to a poll that asks for one at once.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// Between two polls of one machine.
+const EVERY: Duration = Duration::from_millis(5);
+/// First of the ports that the settings of simulated machines leave to nodes among themselves.
+const INTERNAL: u16 = 7360;
+
+/// Where a machine takes the calls of other nodes.
+pub fn internal_of(world: &World, name: &str) -> SocketAddr {
+    SocketAddr::new(world.ip(name), INTERNAL)
+}
+
+/// Calls machines as another node does.
+pub struct Caller(Rc<Links>);
+
+impl Caller {
+    pub fn new(net: MemoryNet) -> Caller {
+        Caller(Links::new(Rc::new(net)))
+    }
+
+    pub async fn call(&self, to: SocketAddr, call: &Call, patience: Duration) -> Option<Reply> {
+        self.0.call(to, call, patience).await.ok()
+    }
+
+    /// One poll that asks for everything at once.
+    pub async fn poll(&self, to: SocketAddr) -> Option<Update> {
+        let poll = Poll {
+            name: "watcher".to_owned(),
+            ..Poll::default()
+        };
+        match self.call(to, &Call::Poll(poll), PATIENCE).await? {
+            Reply::Update(update) => Some(update),
+            _ => None,
+        }
+    }
+}
+
+/// What was acknowledged when, and which claims were made.
+#[derive(Default)]
+pub struct ContactWatch {
+    acknowledged: RefCell<Vec<(Instant, u64)>>,
+    claims: RefCell<Vec<(Instant, IpAddr)>>,
+    stopped: Cell<bool>,
+}
+
+impl ContactWatch {
+    /// Watches these machines until it is stopped.
+    pub fn begin(world: &Rc<World>, names: &[String]) -> Rc<ContactWatch> {
+        let watch = Rc::new(ContactWatch::default());
+        for name in names {
+            let (watch, world, name) = (watch.clone(), world.clone(), name.clone());
+            spawn_local(async move { watch.follow(&world, &name).await });
+        }
+        watch
+    }
+
+    pub fn stop(&self) {
+        self.stopped.set(true);
+    }
+
+    /// From now on this version is acknowledged.
+    pub fn acknowledged(&self, version: u64) {
+        self.acknowledged
+            .borrow_mut()
+            .push((Instant::now(), version));
+    }
+
+    /// How often this machine claimed contact in answer to polls that were sent within this time.
+    pub fn claims(&self, ip: IpAddr, from: Instant, until: Instant) -> usize {
+        let within = |c: &&(Instant, IpAddr)| c.1 == ip && c.0 >= from && c.0 <= until;
+        self.claims.borrow().iter().filter(within).count()
+    }
+
+    async fn follow(&self, world: &Rc<World>, name: &str) {
+        let (caller, to) = (Caller::new(world.outside_net()), internal_of(world, name));
+        while !self.stopped.get() {
+            let sent = Instant::now();
+            if let Some(update) = caller.poll(to).await
+                && update.quorum_contact
+                && sent.elapsed() <= PATIENCE
+            {
+                self.claims.borrow_mut().push((sent, to.ip()));
+                self.check(world, name, sent, &update);
+            }
+            sleep(EVERY).await;
+        }
+    }
+
+    fn check(&self, world: &World, name: &str, sent: Instant, update: &Update) {
+        let version = update.config.as_ref().map_or(0, |c| c.version);
+        let known_by = sent.checked_sub(CONTACT_WINDOW).unwrap_or(sent);
+        let due = |a: &&(Instant, u64)| a.0 <= known_by;
+        let owed = self
+            .acknowledged
+            .borrow()
+            .iter()
+            .filter(due)
+            .map(|a| a.1)
+            .max();
+        if owed.is_some_and(|owed| version < owed) {
+            self.stopped.set(true);
+            world.judge.breach(
+                "CONTACT",
+                format!(
+                    "{name} claims quorum contact with {version}, {owed:?} was acknowledged before"
+                ),
+            );
+        }
+    }
+}
--- a/crates/sparrouter-simulation/src/fabric.rs
+++ b/crates/sparrouter-simulation/src/fabric.rs
@@ -2,7 +2,7 @@
 //!
 //! | trouble | what connections see |
 //! | --- | --- |
-//! | cut, frozen, no power | silence: bytes wait until it is over; a hasty end gives up after `UNACKNOWLEDGED` |
+//! | cut, frozen, no power | silence: bytes wait until it is over; a hasty end gives up after `UNACKNOWLEDGED`, and what a cut held up then is lost |
 //! | refusing cut | new connections are refused, bytes on old ones wait |
 //! | no door | refused |
 //! | process ended | an end of stream, or a reset where bytes were unread or come later |
@@ -179,6 +179,11 @@
         self.inner.borrow().places.get(&ip).is_some_and(|p| p.power)
     }
 
+    /// Whether the way from one to the other is cut.
+    pub fn is_cut(&self, from: IpAddr, to: IpAddr) -> bool {
+        self.inner.borrow().cuts.contains_key(&(from, to))
+    }
+
     fn refuses(&self, from: IpAddr, to: IpAddr) -> bool {
         self.inner.borrow().cuts.get(&(from, to)) == Some(&Cut::Refusing)
     }
--- a/crates/sparrouter-simulation/src/lib.rs
+++ b/crates/sparrouter-simulation/src/lib.rs
@@ -15,6 +15,7 @@
 //! from one number.
 pub mod client;
 pub mod connection;
+pub mod contact_watch;
 pub mod disk;
 pub mod fabric;
 pub mod faults;
--- a/crates/sparrouter-simulation/src/world.rs
+++ b/crates/sparrouter-simulation/src/world.rs
@@ -1,5 +1,6 @@
 //! One deployment: machines of the fleet with their disks and processes, servers, clients' platform, the operator.
 //! `machines`: what becomes of machines; `hosts`: of servers.
+pub mod cuts;
 mod hosts;
 mod machines;
 
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -97,7 +97,7 @@
         self.judge.up(ip);
     }
 
-    fn shake(&self, ip: IpAddr, counted: bool) {
+    pub(super) fn shake(&self, ip: IpAddr, counted: bool) {
         self.judge.shaken(Some(ip));
         if counted {
             self.judge.shaken(None);
@@ -111,7 +111,7 @@
         }
     }
 
-    fn trouble(&self, name: &str) {
+    pub(super) fn trouble(&self, name: &str) {
         let (ip, counted) = {
             let machines = self.machines.borrow();
             (machines[name].ip, machines[name].counted)
