--- a/crates/sparrouter-simulation/src/contact_watch.rs
+++ b/crates/sparrouter-simulation/src/contact_watch.rs
@@ -17,8 +17,10 @@
 pub const CONTACT_WINDOW: Duration = Duration::from_millis(1_600);
 /// What a node waits for the answer to a poll that asks for one at once.
 const PATIENCE: Duration = Duration::from_millis(500);
-/// Between two polls of one machine.
-const EVERY: Duration = Duration::from_millis(5);
+/// Between two polls of one machine, where the moment of a claim matters.
+pub const CLOSELY: Duration = Duration::from_millis(5);
+/// Between two polls of one machine over long times.
+pub const LOOSELY: Duration = Duration::from_millis(30);
 /// First of the ports that the settings of simulated machines leave to nodes among themselves.
 const INTERNAL: u16 = 7360;
 
@@ -61,12 +63,12 @@
 }
 
 impl ContactWatch {
-    /// Watches these machines until it is stopped.
-    pub fn begin(world: &Rc<World>, names: &[String]) -> Rc<ContactWatch> {
+    /// Watches these machines until it is stopped, with a poll of each about this often.
+    pub fn begin(world: &Rc<World>, names: &[String], every: Duration) -> Rc<ContactWatch> {
         let watch = Rc::new(ContactWatch::default());
         for name in names {
             let (watch, world, name) = (watch.clone(), world.clone(), name.clone());
-            spawn_local(async move { watch.follow(&world, &name).await });
+            spawn_local(async move { watch.follow(&world, &name, every).await });
         }
         watch
     }
@@ -88,7 +90,7 @@
         self.claims.borrow().iter().filter(within).count()
     }
 
-    async fn follow(&self, world: &Rc<World>, name: &str) {
+    async fn follow(&self, world: &Rc<World>, name: &str, every: Duration) {
         let (caller, to) = (Caller::new(world.outside_net()), internal_of(world, name));
         while !self.stopped.get() {
             let sent = Instant::now();
@@ -99,7 +101,7 @@
                 self.claims.borrow_mut().push((sent, to.ip()));
                 self.check(world, name, sent, &update);
             }
-            sleep(EVERY).await;
+            sleep(every).await;
         }
     }
 
--- a/crates/sparrouter-simulation/tests/quorum_contact.rs
+++ b/crates/sparrouter-simulation/tests/quorum_contact.rs
@@ -7,7 +7,9 @@
 use sparrouter_fleet::polls::is_timely;
 use sparrouter_fleet::wire::{self, Call};
 use sparrouter_membership::Delta;
-use sparrouter_simulation::contact_watch::{CONTACT_WINDOW, Caller, ContactWatch, internal_of};
+use sparrouter_simulation::contact_watch::{
+    CLOSELY, CONTACT_WINDOW, Caller, ContactWatch, internal_of,
+};
 use sparrouter_simulation::fabric::Cut;
 use sparrouter_simulation::http_messages::{self, Reply};
 use sparrouter_simulation::plan::{Kind, Plan, Route};
@@ -141,7 +143,7 @@
 /// was acknowledged, and the victim does not claim any while it is cut off.
 async fn cut_and_heal(seed: u64, way: CutWay) -> Rc<World> {
     let world = World::serving(small(seed)).await;
-    let watch = ContactWatch::begin(&world, &world.core());
+    let watch = ContactWatch::begin(&world, &world.core(), CLOSELY);
     sleep(Duration::from_millis(300)).await;
     let cut_at = Instant::now();
     world.cut_core(VICTIM, way, Some(Cut::Silent));
@@ -206,7 +208,7 @@
 /// The victim is frozen for 20 s, during which a change is made.
 async fn freeze_and_thaw(seed: u64) -> Rc<World> {
     let world = World::serving(small(seed)).await;
-    let watch = ContactWatch::begin(&world, &world.core());
+    let watch = ContactWatch::begin(&world, &world.core(), CLOSELY);
     sleep(Duration::from_millis(300 + 37 * (seed % 10))).await;
     world.freeze(VICTIM, true);
     let next = with_route(&first_plan(), "new");
@@ -301,7 +303,7 @@
                 ..small(780 + seed)
             };
             let world = World::serving(terms).await;
-            let watch = ContactWatch::begin(&world, &world.core());
+            let watch = ContactWatch::begin(&world, &world.core(), CLOSELY);
             sleep(Duration::from_millis(200)).await;
             let cut_at = Instant::now();
             world.cut_off(&["core-0", "core-1"], Some(Cut::Silent));
@@ -328,7 +330,7 @@
     for seed in 0..6 {
         run_judged(|| async {
             let world = World::serving(small(790 + seed)).await;
-            let watch = ContactWatch::begin(&world, &world.core());
+            let watch = ContactWatch::begin(&world, &world.core(), CLOSELY);
             sleep(Duration::from_millis(200 + 90 * seed)).await;
             // Questions still leave; their answers wait on the way, just not so long that the connections break.
             for _ in 0..6 {
@@ -354,7 +356,7 @@
 fn given_a_disk_that_stalls_then_its_machine_stays_in_contact_by_the_others() {
     run_judged(|| async {
         let world = World::serving(small(796)).await;
-        let watch = ContactWatch::begin(&world, &world.core());
+        let watch = ContactWatch::begin(&world, &world.core(), CLOSELY);
         world.judge.trouble(Some(world.ip(VICTIM)));
         world.judge.trouble(None);
         let stalled = world.disk(VICTIM).stalled;
@@ -379,7 +381,7 @@
     for pace in [40, 700, 3_000] {
         run_judged(|| async {
             let world = World::serving(small(797)).await;
-            let watch = ContactWatch::begin(&world, &world.core());
+            let watch = ContactWatch::begin(&world, &world.core(), CLOSELY);
             world.slow(VICTIM, Duration::from_millis(pace));
             let mut plan = first_plan();
             for round in 0..6 {
