--- /dev/null
+++ b/crates/sparrouter-simulation/examples/contact_times.rs
@@ -0,0 +1,62 @@
+//! How long quorum contact outlasts a cut of 20 s, and how long it takes to come back after it, over many seeds:
+//! `cargo run --release -p sparrouter-simulation --example contact_times -- SEEDS`.
+use sparrouter_simulation::contact_watch::{CLOSELY, ContactWatch};
+use sparrouter_simulation::fabric::Cut;
+use sparrouter_simulation::scenario::play;
+use sparrouter_simulation::world::cuts::CutWay;
+use sparrouter_simulation::world::{Terms, World};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const VICTIM: &str = "core-0";
+
+/// Contact after the cut began, and from its end until there is contact again.
+async fn times(seed: u64, way: CutWay) -> (Duration, Duration) {
+    let world = World::serving(Terms {
+        others: 1,
+        servers: 1,
+        ..Terms::seeded(seed)
+    })
+    .await;
+    let watch = ContactWatch::begin(&world, &[VICTIM.to_owned()], CLOSELY);
+    sleep(Duration::from_millis(500 + seed % 500)).await;
+    let cut_at = Instant::now();
+    world.cut_core(VICTIM, way, Some(Cut::Silent));
+    sleep(Duration::from_secs(20)).await;
+    let heal_at = Instant::now();
+    world.cut_core(VICTIM, way, None);
+    sleep(Duration::from_secs(5)).await;
+    watch.stop();
+    let ip = world.ip(VICTIM);
+    let last = watch.claim_times(ip, cut_at, heal_at).into_iter().max();
+    let first = watch
+        .claim_times(ip, heal_at, Instant::now())
+        .into_iter()
+        .min();
+    let lost = last.map_or(Duration::ZERO, |at| at - cut_at);
+    (lost, first.map_or(Duration::MAX, |at| at - heal_at))
+}
+
+fn quantile(sorted: &[Duration], of: f64) -> u128 {
+    sorted[((sorted.len() - 1) as f64 * of).round() as usize].as_millis()
+}
+
+fn main() {
+    let seeds = std::env::args()
+        .nth(1)
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(100);
+    println!("| cut | lost after, p50 | p99 | most | back after, p50 | p99 | most |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for way in CutWay::ALL {
+        let (mut lost, mut back): (Vec<_>, Vec<_>) =
+            (0..seeds).map(|seed| play(times(seed, way))).unzip();
+        lost.sort_unstable();
+        back.sort_unstable();
+        let cells = [&lost, &back].map(|of| {
+            let [half, most, all] = [0.5, 0.99, 1.0].map(|q| quantile(of, q));
+            format!("{half} ms | {most} ms | {all} ms")
+        });
+        println!("| {way:?} | {} | {} |", cells[0], cells[1]);
+    }
+}
--- a/crates/sparrouter-simulation/src/contact_watch.rs
+++ b/crates/sparrouter-simulation/src/contact_watch.rs
@@ -84,10 +84,18 @@
             .push((Instant::now(), version));
     }
 
+    /// When the polls were sent to which this machine answered that it has contact, within this time.
+    pub fn claim_times(&self, ip: IpAddr, from: Instant, until: Instant) -> Vec<Instant> {
+        let claims = self.claims.borrow();
+        let within = claims
+            .iter()
+            .filter(|c| c.1 == ip && c.0 >= from && c.0 <= until);
+        within.map(|c| c.0).collect()
+    }
+
     /// How often this machine claimed contact in answer to polls that were sent within this time.
     pub fn claims(&self, ip: IpAddr, from: Instant, until: Instant) -> usize {
-        let within = |c: &&(Instant, IpAddr)| c.1 == ip && c.0 >= from && c.0 <= until;
-        self.claims.borrow().iter().filter(within).count()
+        self.claim_times(ip, from, until).len()
     }
 
     async fn follow(&self, world: &Rc<World>, name: &str, every: Duration) {
--- a/crates/sparrouter-simulation/tests/quorum_contact.rs
+++ b/crates/sparrouter-simulation/tests/quorum_contact.rs
@@ -1,5 +1,6 @@
 //! Quorum contact: what a core machine that is cut off, frozen or only just back claims, hands out and answers.
 use sparrouter_codec::Blob;
+use sparrouter_consensus::{Action, Leases, Member, Outcome, Record, Register, Settings};
 use sparrouter_fleet::configuration_state::Change;
 use sparrouter_fleet::control::quorum_contact::QuorumContact;
 use sparrouter_fleet::control::{CONFIG, encode};
@@ -762,3 +763,89 @@
         relay_to_a_frozen_machine(830)
     }));
 }
+
+// What a confirmation costs.
+
+/// Frames, their bytes and stores of one confirmed read in a calm group whose members hold a value of this size.
+fn cost_of_a_read(members: usize, value_bytes: usize) -> (usize, usize, usize) {
+    let group: Vec<Member> = (0..members as u64)
+        .map(|n| Member {
+            disk: n + 1,
+            name: format!("frontend-lalitpur-hall-{n}"),
+            address: format!("10.128.0.{n}:7360"),
+        })
+        .collect();
+    let record = Record::found(group.clone(), vec![b'x'; value_bytes]).encode();
+    let mut registers: Vec<Register<Leases>> = (group.iter().zip(0..))
+        .map(|(member, seed)| {
+            let rng = fastrand::Rng::with_seed(seed);
+            let settings = Settings::default();
+            Register::new(
+                CONFIG,
+                member.clone(),
+                Some(&record),
+                Leases,
+                rng,
+                settings,
+                0,
+            )
+            .expect("a record of this release")
+        })
+        .collect();
+    // The first read after a start also learns what is chosen; the second is one like all that follow.
+    carry_out_read(&mut registers, &group, 1);
+    carry_out_read(&mut registers, &group, 2)
+}
+
+/// Delivers all messages at once until the read of the first member is answered.
+fn carry_out_read(
+    registers: &mut [Register<Leases>],
+    group: &[Member],
+    read: u64,
+) -> (usize, usize, usize) {
+    let (mut frames, mut bytes, mut stores, mut answered) = (0, 0, 0, false);
+    registers[0].read(read, 1_000_000_000, 0);
+    loop {
+        let actions: Vec<(usize, Action)> = registers
+            .iter_mut()
+            .enumerate()
+            .flat_map(|(from, r)| r.take_actions().into_iter().map(move |a| (from, a)))
+            .collect();
+        if actions.is_empty() {
+            assert!(answered, "a calm group answers");
+            return (frames, bytes, stores);
+        }
+        for (from, action) in actions {
+            match action {
+                Action::Send { to, message } => {
+                    frames += 1;
+                    bytes += message.encode().len();
+                    let index = group
+                        .iter()
+                        .position(|m| m.disk == to.disk)
+                        .expect("a member");
+                    registers[index].handle(group[from].clone(), message, 0);
+                }
+                Action::Store { token, .. } => {
+                    stores += 1;
+                    registers[from].stored(token, true, 0);
+                }
+                Action::Done { outcome, .. } => {
+                    answered = matches!(outcome, Outcome::Answered(_));
+                }
+                Action::Chosen(_) => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn given_a_calm_group_when_a_member_confirms_then_it_costs_a_small_frame_each_way_and_no_write() {
+    for members in [1, 3, 5, 9] {
+        let (frames, bytes, stores) = cost_of_a_read(members, 500_000);
+        println!("{members} members: {frames} frames, {bytes} bytes, {stores} stores");
+        assert_eq!(frames, 2 * (members - 1));
+        assert!(bytes <= 64 * frames, "{bytes} bytes in {frames} frames");
+        assert_eq!(stores, 0);
+    }
+}
