--- a/crates/sparrouter-simulation/src/lib.rs
+++ b/crates/sparrouter-simulation/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod client;
 pub mod connection;
 pub mod copies;
+pub mod contact_watch;
 pub mod disk;
 pub mod fabric;
 pub mod faults;
