--- a/crates/sparrouter-fleet/src/configuration_state.rs
+++ b/crates/sparrouter-fleet/src/configuration_state.rs
@@ -13,7 +13,7 @@
 use nanoserde::{DeBin, SerBin};
 use sparrouter_codec::{Blob, Seq};
 use sparrouter_config::{Accepted, Document, Method, Order, Refusal, base_of};
-use sparrouter_consensus::{Applied, Machine};
+use sparrouter_consensus::{Applied, Machine, Settings};
 
 /// Models that versions may be named for.
 const MOST_MODELS: usize = 4_096;
@@ -216,8 +216,18 @@
         if after == before {
             return unchanged(verdict);
         }
+        let body = after.encode();
+        let limit = Settings::default().most_body;
+        if body.len() > limit {
+            // The register would not take it either, but has no clear answer for the caller.
+            let refusal = Refusal::TooLarge {
+                bytes: body.len(),
+                limit,
+            };
+            return unchanged(refusal.into());
+        }
         Applied::Changed {
-            body: after.encode(),
+            body,
             answer: verdict.encode(),
         }
     }
--- a/crates/sparrouter-fleet/tests/order_answers.rs
+++ b/crates/sparrouter-fleet/tests/order_answers.rs
@@ -318,3 +318,27 @@
     assert_eq!(shard.unchanged(&other), 412);
     assert_eq!(shard.unchanged(&taken), 200);
 }
+
+#[test]
+fn given_a_change_that_makes_the_state_too_large_when_sent_then_it_is_refused_clearly_and_not_left_open()
+ {
+    let most = sparrouter_consensus::Settings::default().most_body;
+    let note = "n".repeat(most - 200);
+    let mut shard = Shard::default();
+    let large = Change::Put {
+        if_match: Some(0),
+        body: Blob(
+            format!("{{\"version\":5,\"routes\":[],\"services\":[],\"note\":\"{note}\"}}")
+                .into_bytes(),
+        ),
+    };
+    assert_eq!(shard.submit(&large), 200);
+    assert!(shard.0.len() <= most);
+    let longer_name = "s".repeat(200);
+    assert_eq!(
+        shard.unchanged(&order(Method::Patch, 5, 8, &longer_name)),
+        413
+    );
+    // A smaller one is taken.
+    assert_eq!(shard.submit(&order(Method::Put, 5, 8, &longer_name)), 200);
+}
