--- a/crates/sparrouter-fleet/tests/order_answers.rs
+++ b/crates/sparrouter-fleet/tests/order_answers.rs
@@ -1,5 +1,5 @@
 //! What an operator is answered, by what became of the order: taken, overtaken, lost or unknown; for PUT, PATCH and
-//! version-put. The rows of docs/design/control-state/orders.md; "no quorum" is in the simulation's `orders`.
+//! version-put. The rows of docs/design/control-state/orders.md; "no quorum" is in the simulation's `operator_orders`.
 use nanoserde::SerBin;
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Applied, Machine};
