Disks of another release: form 1 of the configuration's shard is taken over, a newer refused

Change: whole simulated fleets started on disks rewritten to form 1 (served, changed, written in form 2; an old order 504) and to a form this release does not know (500 with its remedy; nothing is written over it).

--- /dev/null
+++ b/crates/sparrouter-simulation/tests/older_state.rs
@@ -0,0 +1,153 @@
+//! Disks that hold the configuration's shard as another release wrote it: an older form is taken over, a newer one refused.
+use nanoserde::SerBin;
+use sparrouter_codec::Seq;
+use sparrouter_consensus::{Record, SharedVote, Vote};
+use sparrouter_fleet::configuration_state::{ConfigurationState, FORM, NamedVersion};
+use sparrouter_simulation::operator::{How, Order};
+use sparrouter_simulation::plan::{Kind, Plan, Route};
+use sparrouter_simulation::scenario::run_judged;
+use sparrouter_simulation::world::{Terms, World, first_plan};
+use sparrouter_storage::{Opened, Store};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const MOST_RECORD: usize = 10 << 20;
+/// The record of the configuration's shard.
+const RECORD: &str = "part-0";
+
+/// Form 1, as releases up to 2026-12-01 wrote it.
+#[derive(SerBin)]
+struct FirstForm {
+    version: u64,
+    text: String,
+    taken: Seq<FirstFormTaken>,
+    models: Seq<NamedVersion>,
+}
+
+#[derive(SerBin)]
+struct FirstFormTaken {
+    digest: u64,
+    version: u64,
+}
+
+fn as_first_form(state: ConfigurationState) -> Vec<u8> {
+    let taken = FirstFormTaken {
+        digest: 0x1234_5678_9abc_def0,
+        version: state.version,
+    };
+    let first = FirstForm {
+        version: state.version,
+        text: state.text,
+        taken: vec![taken].into(),
+        models: state.models,
+    };
+    first.serialize_bin()
+}
+
+fn as_newer_form(state: ConfigurationState) -> Vec<u8> {
+    let mut body = state.encode();
+    body[8..12].copy_from_slice(&(FORM + 1).to_le_bytes());
+    body
+}
+
+/// Rewrites the shard's body on every disk of the core, all processes being down.
+fn rewrite(world: &World, rewritten: fn(ConfigurationState) -> Vec<u8>) {
+    for name in world.core() {
+        let (mut store, opened) = Store::open(world.disk(&name).files).expect("a disk that works");
+        let Opened::Existing(records) = opened else {
+            panic!("{name} has kept nothing");
+        };
+        let record = Record::decode(&records[RECORD], MOST_RECORD).expect("a record");
+        let vote = record.accepted.expect("a vote");
+        let state = ConfigurationState::read(&vote.state.body).expect("a state");
+        let mut vote: Vote = (*vote.0).clone();
+        vote.state.body = rewritten(state);
+        let record = Record {
+            accepted: Some(SharedVote::from(vote)),
+            ..record
+        };
+        store
+            .save(RECORD, &record.encode())
+            .expect("a disk that works");
+    }
+}
+
+/// A fleet that took a change, then was stopped, its disks rewritten, and started again.
+async fn restarted_with(
+    seed: u64,
+    plan: &Plan,
+    rewritten: fn(ConfigurationState) -> Vec<u8>,
+) -> Rc<World> {
+    let world = World::serving(Terms {
+        others: 1,
+        servers: 1,
+        ..Terms::seeded(seed)
+    })
+    .await;
+    assert_eq!(world.operator.put(plan, 1).await, 200);
+    sleep(Duration::from_secs(3)).await;
+    for name in world.names() {
+        world.kill(&name);
+    }
+    rewrite(&world, rewritten);
+    world.start_all(false).await;
+    sleep(Duration::from_secs(4)).await;
+    world
+}
+
+fn with_route(plan: &Plan, name: &str) -> Plan {
+    plan.next(2, |p| {
+        p.routes.push(Route::new(name, Kind::Idempotent, "models"))
+    })
+}
+
+#[test]
+fn given_the_first_form_on_all_disks_when_started_then_it_is_served_and_changed_and_old_orders_are_open()
+ {
+    run_judged(|| async {
+        let plan = with_route(&first_plan(), "before");
+        let world = restarted_with(600, &plan, as_first_form).await;
+        let to = world.control_of("core-1");
+        let read = world.operator.get_from(to).await.expect("an answer");
+        assert_eq!((read.status, read.text()), (200, plan.json().as_str()));
+        let old = Order::new(&plan, 1, How::Whole, true);
+        assert_eq!(world.operator.send(to, &old).await, 504);
+        let next = with_route(&plan, "after");
+        assert_eq!(world.operator.put(&next, plan.version).await, 200);
+        let lost = Order::new(&with_route(&plan, "lost"), plan.version, How::Whole, true);
+        assert_eq!(world.operator.send(to, &lost).await, 412);
+        world.operator.read_back().await;
+        world
+    });
+}
+
+#[test]
+fn given_a_newer_form_on_all_disks_when_started_then_it_is_refused_with_its_remedy_and_stays_as_it_was()
+ {
+    run_judged(|| async {
+        let plan = with_route(&first_plan(), "before");
+        let world = restarted_with(601, &plan, as_newer_form).await;
+        let to = world.control_of("core-1");
+        let read = world.operator.get_from(to).await.expect("an answer");
+        assert_eq!(read.status, 500);
+        assert!(
+            read.text().contains("bring all nodes to one release"),
+            "{}",
+            read.text()
+        );
+        let next = Order::new(&with_route(&plan, "after"), plan.version, How::Whole, true);
+        assert_eq!(world.operator.send(to, &next).await, 500);
+        sleep(Duration::from_secs(1)).await;
+        for name in world.core() {
+            let (_, opened) = Store::open(world.disk(&name).files).expect("a disk that works");
+            let Opened::Existing(records) = opened else {
+                panic!("{name} has kept nothing");
+            };
+            let record = Record::decode(&records[RECORD], MOST_RECORD).expect("a record");
+            let body = &record.accepted.expect("a vote").state.body;
+            assert_eq!(body[8..12], (FORM + 1).to_le_bytes(), "{name}");
+        }
+        world
+    });
+}
