--- a/crates/sparrouter-simulation/src/faults/changes.rs
+++ b/crates/sparrouter-simulation/src/faults/changes.rs
@@ -46,7 +46,8 @@
         let operator = &self.world.operator;
         let (left, right) = (self.another(plan), self.another(plan));
         let right = Plan {
-            version: left.version + 1,
+            // Two operators may pick the same number for different changes.
+            version: left.version + left.version % 2,
             ..right
         };
         let statuses = tokio::join!(
@@ -127,11 +128,7 @@
             else {
                 continue;
             };
-            let is = |p: &&Plan| {
-                reply
-                    .text()
-                    .contains(&format!("\"version\":{},", p.version))
-            };
+            let is = |p: &&Plan| reply.text() == p.json();
             if let Some(found) = sent.iter().find(is) {
                 return *plan = found.clone();
             }
