Answers that come in are waited for: many nodes over narrow lines no longer ask for ever

Cause: a poll's answer was given up after 1.7 s although it was coming in, thrown away, and asked for again. With 12 nodes without a disk started at once over lines of 10 Mbit/s and a configuration of 475 KB none was ready after 60 s, and the core had sent 518 copies. Ruled out: longer patience for all (a silent source would be noticed later by every node). The simulated network has lines of a given rate.

--- a/crates/sparrouter-fleet/src/links.rs
+++ b/crates/sparrouter-fleet/src/links.rs
@@ -1,5 +1,6 @@
 //! Calls between nodes: one connection a peer and direction, many calls on it at a time, each with its own patience.
 use crate::net::{self, Listener, SharedNet, Stream};
+use crate::planted::{Defect, has};
 use crate::wire::{Call, HELLO, MAX_FRAME, Reply};
 use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
@@ -9,10 +10,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, ReadHalf, WriteHalf, split};
+use tokio::io::{
+    AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, ReadHalf, WriteHalf, split,
+};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// How long a connection may take to come up, try after try. A first packet that found a machine without power is not
 /// sent again before a second has gone, and the machine may be back sooner.
@@ -21,6 +24,9 @@
     Duration::from_millis(160),
     Duration::from_millis(400),
 ];
+/// An answer that is coming in is waited for beyond its patience, as long as more of it comes, up to this. Without that
+/// nodes that ask for a large configuration at once over narrow lines would each give up on it and ask again, for ever.
+const LONGEST_ANSWER: Duration = Duration::from_secs(20);
 /// Most frames that wait for one peer; more are refused at once.
 const QUEUE: usize = 512;
 /// Most calls of one connection that are worked on at a time.
@@ -48,6 +54,15 @@
     queue: mpsc::Sender<Vec<u8>>,
     waiting: Waiting,
     up: Cell<bool>,
+    /// The answer that is coming in.
+    arriving: Cell<Arriving>,
+}
+
+/// Id of a call, and how much of its answer has come.
+#[derive(Clone, Copy, Default)]
+struct Arriving {
+    id: u64,
+    bytes: usize,
 }
 
 /// This node's connections to others.
@@ -66,21 +81,34 @@
     out
 }
 
-/// Id and body of the next frame; None where the connection ends or is not ours.
-async fn next_frame(from: &mut BufReader<ReadHalf<Stream>>) -> Option<(u64, Vec<u8>)> {
+/// Id and body of the next frame; None where the connection ends or is not ours. `progress` hears of each part that
+/// comes.
+async fn next_frame(
+    from: &mut BufReader<ReadHalf<Stream>>,
+    progress: impl Fn(Arriving),
+) -> Option<(u64, Vec<u8>)> {
     let length = from.read_u32_le().await.ok()? as usize;
     if !(8..=MAX_FRAME).contains(&length) {
         return None;
     }
     let id = from.read_u64_le().await.ok()?;
+    let wanted = length - 8;
     // Grows as bytes come, not as a hostile length claims.
     let mut body = Vec::new();
-    let read = from
-        .take(length as u64 - 8)
-        .read_to_end(&mut body)
-        .await
-        .ok()?;
-    (read == length - 8).then_some((id, body))
+    while body.len() < wanted {
+        let part = from.fill_buf().await.ok()?;
+        if part.is_empty() {
+            return None;
+        }
+        let taken = part.len().min(wanted - body.len());
+        body.extend_from_slice(&part[..taken]);
+        from.consume(taken);
+        progress(Arriving {
+            id,
+            bytes: body.len(),
+        });
+    }
+    Some((id, body))
 }
 
 /// None where the peer refuses, or no try came through.
@@ -126,6 +154,7 @@
             queue,
             waiting: Waiting::default(),
             up: Cell::new(false),
+            arriving: Cell::default(),
         });
         self.peers.borrow_mut().insert(to, link.clone());
         let (links, held) = (self.clone(), link.clone());
@@ -151,22 +180,24 @@
         let link = self.link(to);
         let id = self.next.get();
         self.next.set(id + 1);
-        let (answer, answered) = oneshot::channel();
+        let (answer, mut answered) = oneshot::channel();
         link.waiting.borrow_mut().insert(id, answer);
         if link.queue.try_send(frame(id, call)).is_err() {
             link.waiting.borrow_mut().remove(&id);
             return Err(LinkError::Crowded);
         }
-        match timeout(patience, answered).await {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(_)) => Err(if link.up.get() {
-                LinkError::Broken
-            } else {
-                LinkError::Unreachable
-            }),
-            Err(_) => {
-                link.waiting.borrow_mut().remove(&id);
-                Err(LinkError::Silent)
+        let began = Instant::now();
+        loop {
+            let before = link.arrived(id);
+            match timeout(patience, &mut answered).await {
+                Ok(Ok(reply)) => return Ok(reply),
+                Ok(Err(_)) if link.up.get() => return Err(LinkError::Broken),
+                Ok(Err(_)) => return Err(LinkError::Unreachable),
+                Err(_) if link.arrived(id) > before && began.elapsed() < LONGEST_ANSWER => {}
+                Err(_) => {
+                    link.waiting.borrow_mut().remove(&id);
+                    return Err(LinkError::Silent);
+                }
             }
         }
     }
@@ -182,6 +213,16 @@
 }
 
 impl Link {
+    /// How much of the answer to a call has come, while it is the one that is coming.
+    fn arrived(&self, id: u64) -> usize {
+        let arriving = self.arriving.get();
+        if arriving.id == id && !has(Defect::PatienceUnmoved) {
+            arriving.bytes
+        } else {
+            0
+        }
+    }
+
     async fn run(&self, net: &SharedNet, to: SocketAddr, queued: mpsc::Receiver<Vec<u8>>) {
         let Some(mut stream) = dial(net, to).await else {
             return;
@@ -193,7 +234,7 @@
         let (from, into) = split(stream);
         let mut from = BufReader::new(from);
         let reading = async {
-            while let Some((id, body)) = next_frame(&mut from).await {
+            while let Some((id, body)) = next_frame(&mut from, |a| self.arriving.set(a)).await {
                 let Some(reply) = sparrouter_codec::read::<Reply>(&body) else {
                     return;
                 };
@@ -247,7 +288,7 @@
     let (queue, queued) = mpsc::channel(QUEUE);
     let at_once = Arc::new(Semaphore::new(AT_ONCE));
     let reading = async {
-        while let Some((id, body)) = next_frame(&mut from).await {
+        while let Some((id, body)) = next_frame(&mut from, |_| ()).await {
             let Some(call) = sparrouter_codec::read::<Call>(&body) else {
                 return;
             };
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -66,10 +66,12 @@
     FenceFromDisk,
     /// Members don't compare what they have with each other.
     ExchangeSilent,
+    /// An answer that is coming in is given up like one that is not.
+    PatienceUnmoved,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 30] = [
+    pub const ALL: [Defect; 31] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -100,6 +102,7 @@
         Defect::RecordForgotten,
         Defect::FenceFromDisk,
         Defect::ExchangeSilent,
+        Defect::PatienceUnmoved,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/polls.rs
+++ b/crates/sparrouter-fleet/src/polls.rs
@@ -1,6 +1,8 @@
 //! Asking sources for what is new, and telling them what was heard here.
 use crate::boot::nanos;
+use crate::links::LinkError;
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::wire::{Call, Poll, Reply, Update};
 use sparrouter_membership::{Delta, SOURCES, sources};
 use std::cell::{Cell, RefCell};
@@ -17,6 +19,9 @@
 const PATIENCE: Duration = Duration::from_millis(500);
 /// Between two tries where nobody answers.
 const AGAIN: Duration = Duration::from_millis(60);
+/// How often the patience of a node without a configuration doubles: many that start at once may fill the sources'
+/// lines with large answers, of which each that is given up is sent again.
+const MOST_DOUBLINGS: u32 = 3;
 /// A source that failed is left out so long, while there are others.
 const AVOID: Duration = Duration::from_millis(800);
 
@@ -35,6 +40,8 @@
     /// Which process at each source has this node's row, and which form of it.
     has_row: RefCell<HashMap<SocketAddr, (u64, RowForm)>>,
     wants_whole: Cell<bool>,
+    /// Polls in a row that nobody answered, while this node has no configuration.
+    unanswered: Cell<u32>,
 }
 
 /// What changes in a node's own row while it runs: its life, and whether it leaves.
@@ -107,6 +114,16 @@
         first.or(free).or_else(seed).or(spare)
     }
 
+    /// How long a poll may take that is held for `hold` at most.
+    fn patience(&self, node: &Node, hold: Duration) -> Duration {
+        let doublings = if node.in_force().seq == 0 && !has(Defect::PatienceUnmoved) {
+            self.unanswered.get().min(MOST_DOUBLINGS)
+        } else {
+            0
+        };
+        (hold + PATIENCE) * (1 << doublings)
+    }
+
     fn failed(&self, node: &Node, source: SocketAddr) {
         self.avoid
             .borrow_mut()
@@ -210,11 +227,16 @@
             40
         },
     };
-    let reply = node
-        .links
-        .call(source, &Call::Poll(poll), hold + PATIENCE)
-        .await
-        .ok()?;
+    let patience = state.patience(node, hold);
+    let reply = node.links.call(source, &Call::Poll(poll), patience).await;
+    let unanswered = match reply {
+        Ok(_) => 0,
+        // One that is not there says nothing of the lines.
+        Err(LinkError::Unreachable) => state.unanswered.get(),
+        Err(_) => state.unanswered.get().saturating_add(1),
+    };
+    state.unanswered.set(unanswered);
+    let reply = reply.ok()?;
     let Reply::Update(told) = reply else {
         return None;
     };
--- a/crates/sparrouter-simulation/src/connection.rs
+++ b/crates/sparrouter-simulation/src/connection.rs
@@ -149,7 +149,11 @@
         let sides = &mut *self.0.borrow_mut();
         let (own, other) = (sides[from].address.ip(), sides[1 - from].address.ip());
         let to = &mut sides[1 - from];
-        let due = Instant::now() + fabric.delay(own, other);
+        let left = match &what {
+            What::Bytes(bytes) => fabric.leave_at(own, bytes.len()),
+            What::Over | What::Reset => Instant::now(),
+        };
+        let due = left + fabric.delay(own, other);
         let due = to.coming.back().map_or(due, |last| due.max(last.due));
         to.coming.push_back(Parcel { due, what });
         to.reader.take().into_iter().for_each(Waker::wake);
--- a/crates/sparrouter-simulation/src/fabric.rs
+++ b/crates/sparrouter-simulation/src/fabric.rs
@@ -9,7 +9,7 @@
 //! | power lost | nothing; a reset once the machine is there again and hears of the old connection |
 use crate::connection::{End, Line};
 use fastrand::Rng;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -60,6 +60,10 @@
     across: Duration,
     /// Bytes written, by machine and the machine that they are for.
     written: RefCell<BTreeMap<(IpAddr, IpAddr), u64>>,
+    /// Bytes a second of each machine's line out; `None`: as many as there are.
+    pub line_rate: Cell<Option<u64>>,
+    /// When each machine's line out has sent what was written so far.
+    line_free: RefCell<BTreeMap<IpAddr, Instant>>,
 }
 
 impl Fabric {
@@ -78,6 +82,8 @@
             in_zone,
             across,
             written: RefCell::default(),
+            line_rate: Cell::new(None),
+            line_free: RefCell::default(),
         });
         spawn_local(look(Rc::downgrade(&fabric)));
         fabric
@@ -225,6 +231,18 @@
         Err(io::ErrorKind::TimedOut.into())
     }
 
+    /// When so many bytes that are written now have left a machine: its line sends what was written first, first.
+    pub(crate) fn leave_at(&self, from: IpAddr, bytes: usize) -> Instant {
+        let now = Instant::now();
+        let Some(rate) = self.line_rate.get() else {
+            return now;
+        };
+        let mut lines = self.line_free.borrow_mut();
+        let free = lines.entry(from).or_insert(now);
+        *free = (*free).max(now) + Duration::from_secs_f64(bytes as f64 / rate as f64);
+        *free
+    }
+
     pub(crate) fn count_written(&self, from: IpAddr, to: IpAddr, bytes: usize) {
         *self.written.borrow_mut().entry((from, to)).or_default() += bytes as u64;
     }
--- /dev/null
+++ b/crates/sparrouter-simulation/tests/narrow_lines.rs
@@ -0,0 +1,82 @@
+//! A configuration of 500 KB where each machine's line carries 10 Mbit/s: nodes that start anew, several at once, get it
+//! soon and not again and again.
+use sparrouter_fleet::planted::{Defect, plant};
+use sparrouter_simulation::plan::Tenant;
+use sparrouter_simulation::scenario::play;
+use sparrouter_simulation::world::{Terms, World, first_plan};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const LINE: u64 = 10_000_000 / 8;
+const KEYS: usize = 1_900;
+const KEY_LENGTH: usize = 250;
+
+/// How long nodes without a disk took to be ready that were started at once, and how many copies they were sent.
+async fn restart_of_all_others(seed: u64, others: usize) -> (Duration, f64) {
+    let world = World::serving(Terms {
+        others,
+        servers: 1,
+        ..Terms::seeded(seed)
+    })
+    .await;
+    let plan = first_plan().next(1, |plan| {
+        let key = |i: usize| format!("{i:0>KEY_LENGTH$}");
+        plan.tenants.push(Tenant {
+            name: "filler".to_owned(),
+            keys: (0..KEYS).map(key).collect(),
+            isolated: false,
+        });
+    });
+    let size = plan.json().len() as f64;
+    assert_eq!(world.operator.put(&plan, 1).await, 200);
+    sleep(Duration::from_secs(5)).await;
+    world.fabric.line_rate.set(Some(LINE));
+    let names = world.names();
+    let others: Vec<&String> = names.iter().filter(|n| !n.starts_with("core")).collect();
+    others.iter().for_each(|n| world.kill(n));
+    sleep(Duration::from_secs(2)).await;
+    let written = || -> u64 {
+        let core = world.core();
+        let pairs = core.iter().flat_map(|a| others.iter().map(move |b| (a, b)));
+        pairs
+            .map(|(a, b)| world.fabric.written(world.ip(a), world.ip(b)))
+            .sum()
+    };
+    let before = written();
+    others.iter().for_each(|n| world.start(n, false));
+    let began = Instant::now();
+    sleep(Duration::from_millis(200)).await;
+    let ready = || others.iter().all(|n| world.platform.is_in(n));
+    while !ready() && began.elapsed() < Duration::from_secs(60) {
+        sleep(Duration::from_millis(50)).await;
+    }
+    let took = began.elapsed();
+    sleep(Duration::from_secs(5)).await;
+    (took, (written() - before) as f64 / size)
+}
+
+fn play_restart(others: usize) -> (Duration, f64) {
+    play(restart_of_all_others(4_960, others))
+}
+
+#[test]
+fn given_all_nodes_without_a_disk_restarted_at_once_then_each_is_soon_ready_with_few_copies() {
+    let (took, copies) = play_restart(12);
+    assert!(took < Duration::from_secs(5), "{took:?}");
+    assert!(copies <= 2.5 * 12.0, "{copies:.1} copies");
+}
+
+#[test]
+fn given_more_nodes_than_the_lines_serve_within_a_poll_then_it_ends_all_the_same() {
+    let (took, copies) = play_restart(24);
+    assert!(took < Duration::from_secs(20), "{took:?}");
+    assert!(copies <= 6.0 * 24.0, "{copies:.1} copies");
+}
+
+#[test]
+fn given_answers_given_up_while_they_come_in_then_nodes_that_ask_again_and_again_are_found() {
+    plant(Some(Defect::PatienceUnmoved));
+    let (took, copies) = play_restart(12);
+    plant(None);
+    assert!(took > Duration::from_secs(5) || copies > 2.5 * 12.0);
+}
