--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -118,6 +118,8 @@
     RelayWithoutContact,
     /// A machine without quorum contact calls nodes silent that no longer ask it.
     SilenceWithoutContact,
+    /// An answer that is coming in is given up like one that is not.
+    PatienceUnmoved,
 }
 
 impl Defect {
@@ -178,6 +180,7 @@
         Defect::HeartbeatWithoutContact,
         Defect::RelayWithoutContact,
         Defect::SilenceWithoutContact,
+        Defect::PatienceUnmoved,
     ];
 }
 
