--- a/crates/sparrouter-fleet/tests/upstream.rs
+++ b/crates/sparrouter-fleet/tests/upstream.rs
@@ -253,3 +253,57 @@
     line.0.borrow_mut().answer = BytesMut::from(ANSWER);
     assert!(pool.take("i-1").is_none());
 }
+
+/// A server on a real socket that takes one connection, reads so many bytes of it, and resets it.
+async fn resets_after(read: usize) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut taken = vec![0; read];
+        tokio::io::AsyncReadExt::read_exact(&mut stream, &mut taken)
+            .await
+            .expect("bytes");
+        let no_linger = Some(std::time::Duration::ZERO);
+        socket2::SockRef::from(&stream)
+            .set_linger(no_linger)
+            .expect("a socket");
+    });
+    address
+}
+
+/// Longer than the buffers of a loopback connection.
+const HUGE_BODY: usize = 64 << 20;
+
+#[tokio::test]
+async fn given_a_real_socket_that_is_reset_in_a_body_when_sent_then_it_may_have_run() {
+    for read in [1, HEAD.len(), 100_000] {
+        let server = resets_after(read).await;
+        let link = Upstream::dial(&sparrouter_fleet::net::Sockets, server).await;
+        let mut link = link.expect("a connection");
+        let body = Bytes::from(vec![b'x'; HUGE_BODY]);
+        let sent = link.send(&Bytes::from_static(HEAD), &body).await;
+        assert_eq!(sent, Sent::Begun, "{read} bytes");
+        let answer = reading::head(&mut link.stream, &mut link.buffer, head::REPLY, 4096).await;
+        assert!(answer.is_err(), "{read} bytes");
+    }
+}
+
+#[tokio::test]
+async fn given_a_real_socket_that_was_reset_before_when_sent_then_nothing_left() {
+    let server = resets_after(0).await;
+    let link = Upstream::dial(&sparrouter_fleet::net::Sockets, server).await;
+    let mut link = link.expect("a connection");
+    while link.is_silent() {
+        tokio::task::yield_now().await;
+    }
+    let sent = link
+        .send(
+            &Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"),
+            &Bytes::new(),
+        )
+        .await;
+    assert_eq!(sent, Sent::Nothing);
+}
