--- a/crates/sparrouter-fleet/src/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/exchange/admission.rs
@@ -163,7 +163,8 @@
             });
         }
         let refused = || if proved { later(120) } else { gone.clone() };
-        if again && self.sent >= self.route.max_attempts.max(1) {
+        let most = self.route.max_attempts.max(1);
+        if again && self.sent >= most && !has(Defect::AttemptsUncounted) {
             return Err(refused());
         }
         if Instant::now() >= self.until {
--- a/crates/sparrouter-fleet/src/exchange/passing.rs
+++ b/crates/sparrouter-fleet/src/exchange/passing.rs
@@ -169,7 +169,7 @@
                     }
                     Err(_) => return Passed::Broke,
                 },
-                () = left(from, ahead) => return Passed::ClientGone,
+                () = left(from, ahead), if !has(Defect::ClientUnwatched) => return Passed::ClientGone,
                 () = tokio::time::sleep_until(self.until) => return Passed::TimeUp,
             }
         }
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -76,10 +76,16 @@
     ConnectionStripsFields,
     /// Calls between nodes have no number of their own.
     CallIdReused,
+    /// A request goes to more servers than its route allows.
+    AttemptsUncounted,
+    /// A process that was told to end still counts as ready.
+    ReadyWhileLeaving,
+    /// An answer goes on although its client has left.
+    ClientUnwatched,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 35] = [
+    pub const ALL: [Defect; 38] = [
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -115,6 +121,9 @@
         Defect::DeadlineFromBody,
         Defect::ConnectionStripsFields,
         Defect::CallIdReused,
+        Defect::AttemptsUncounted,
+        Defect::ReadyWhileLeaving,
+        Defect::ClientUnwatched,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -258,7 +258,8 @@
 }
 
 fn is_ready(node: &Node) -> bool {
-    node.informed.get() && !node.leaving.get() && node.in_force().table.is_some()
+    let leaving = node.leaving.get() && !has(Defect::ReadyWhileLeaving);
+    node.informed.get() && !leaving && node.in_force().table.is_some()
 }
 
 /// Where no source in touch with a quorum is heard of for long, what is known has to do.
--- a/crates/sparrouter-simulation/tests/calls.rs
+++ b/crates/sparrouter-simulation/tests/calls.rs
@@ -181,6 +181,25 @@
     }
 }
 
+/// Five servers of which none takes a request that its route lets go to three.
+fn attempts_are_counted() -> bool {
+    ["/once/a", "/idem/a"].iter().all(|path| {
+        play(async {
+            let world = scripted::world(228).await;
+            let act = Act::Answer(declined(503));
+            let servers = Servers::start(&world, 5, move |_, _| act.clone()).await;
+            Ask::new(path, "a1").at(&world, NODE).await;
+            servers.runs() <= 3
+        })
+    })
+}
+
+#[test]
+fn given_more_servers_than_a_route_s_attempts_when_all_decline_then_no_more_are_asked() {
+    assert!(attempts_are_counted());
+    assert!(fails(Defect::AttemptsUncounted, attempts_are_counted));
+}
+
 /// Two requests at a server that answers the first before its long body is in, and reads on a second later.
 fn bodies_kept_apart() -> bool {
     play(async {
@@ -357,6 +376,11 @@
         let stream = Act::AnswerAndStay(chunked(&[event(1)], false));
         assert!(within_half_a_second_of_leaving(path, stream), "{path}");
     }
+    let unwatched = || {
+        let stream = Act::AnswerAndStay(chunked(&[event(1)], false));
+        within_half_a_second_of_leaving("/stream/a", stream)
+    };
+    assert!(fails(Defect::ClientUnwatched, unwatched));
 }
 
 /// A client that leaves while its request waits to be admitted, with a connection to the server at hand.
--- a/crates/sparrouter-simulation/tests/edge.rs
+++ b/crates/sparrouter-simulation/tests/edge.rs
@@ -3,6 +3,7 @@
 mod scripted;
 
 use scripted::{Act, Ask, Servers};
+use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_simulation::http_messages;
 use sparrouter_simulation::scenario::play;
 use sparrouter_simulation::world::{Terms, World};
@@ -89,8 +90,8 @@
     reply.await.is_ok_and(|r| r.status == 200)
 }
 
-#[test]
-fn given_all_machines_told_to_end_when_four_seconds_have_gone_then_none_is_ready() {
+/// All machines are told to end at once; whether none was ready at any look from 100 ms to 10 s later.
+fn none_is_ready_while_leaving() -> bool {
     play(async {
         let world = World::serving(Terms::seeded(262)).await;
         for node in world.names() {
@@ -104,15 +105,23 @@
         sleep(Duration::from_millis(100)).await;
         while told.elapsed() < Duration::from_secs(10) {
             for node in world.names() {
-                assert!(
-                    !is_ready(&world, &node).await,
-                    "{node} {:?}",
-                    told.elapsed()
-                );
+                if is_ready(&world, &node).await {
+                    return false;
+                }
             }
             sleep(Duration::from_millis(200)).await;
         }
-    });
+        true
+    })
+}
+
+#[test]
+fn given_all_machines_told_to_end_when_four_seconds_have_gone_then_none_is_ready() {
+    assert!(none_is_ready_while_leaving());
+    plant(Some(Defect::ReadyWhileLeaving));
+    let kept = none_is_ready_while_leaving();
+    plant(None);
+    assert!(!kept);
 }
 
 #[test]
