--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -120,6 +120,12 @@
     SilenceWithoutContact,
     /// An answer that is coming in is given up like one that is not.
     PatienceUnmoved,
+    /// A request goes to more servers than its route allows.
+    AttemptsUncounted,
+    /// A process that was told to end still counts as ready.
+    ReadyWhileLeaving,
+    /// An answer goes on although its client has left.
+    ClientUnwatched,
 }
 
 impl Defect {
@@ -181,6 +187,9 @@
         Defect::RelayWithoutContact,
         Defect::SilenceWithoutContact,
         Defect::PatienceUnmoved,
+        Defect::AttemptsUncounted,
+        Defect::ReadyWhileLeaving,
+        Defect::ClientUnwatched,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -287,7 +287,8 @@
 }
 
 fn is_ready(node: &Node) -> bool {
-    node.informed.get() && !node.leaving.get() && node.in_force().table.is_some()
+    let leaving = node.leaving.get() && !has(Defect::ReadyWhileLeaving);
+    node.informed.get() && !leaving && node.in_force().table.is_some()
 }
 
 /// Says so where this process has found no quorum since it started. It is not ready then, because the configuration
