The work of one node at 10, 100, 300 and 1,000 nodes, counted and timed without sockets

Change: sparrouter_simulation::node_work plays the real node among N nodes and ten servers each: a poll with one server, a poll with one node, an event, a request, ten seconds at rest. ServerTable counts walks.

--- a/crates/sparrouter-routing/src/election.rs
+++ b/crates/sparrouter-routing/src/election.rs
@@ -5,6 +5,7 @@
 use crate::{Ending, Nanos, Server, ServerIx, Versions};
 use fastrand::Rng;
 use sparrouter_membership::Standing;
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 
 /// In flight beyond both of these a server is passed over: a ratio to the mean, and a floor.
@@ -56,6 +57,8 @@
     suspected: BTreeSet<ServerIx>,
     /// Rises when a server comes, goes, falls silent, or is heard of again.
     pub(crate) changes: u64,
+    /// Servers that were handed out by walks over all of them, or over those of a service.
+    walked: Cell<u64>,
     pub(crate) sync_state: SyncState,
     pub versions: Versions,
     rng: Rng,
@@ -70,6 +73,7 @@
             by_hash: HashMap::new(),
             suspected: BTreeSet::new(),
             changes: 0,
+            walked: Cell::new(0),
             sync_state: SyncState::default(),
             by_service: HashMap::new(),
             versions,
@@ -97,6 +101,7 @@
             .iter()
             .enumerate()
             .filter_map(|(ix, s)| Some((ix, s.as_ref()?)))
+            .inspect(|_| self.count_walked())
     }
     pub fn of<'a>(&'a self, service: &str) -> impl Iterator<Item = (ServerIx, &'a Server)> {
         let all = self
@@ -104,7 +109,18 @@
             .get(service)
             .map(Vec::as_slice)
             .unwrap_or_default();
-        all.iter().filter_map(|&ix| Some((ix, self.get(ix)?)))
+        all.iter()
+            .filter_map(|&ix| Some((ix, self.get(ix)?)))
+            .inspect(|_| self.count_walked())
+    }
+
+    /// How many servers were handed out by walks so far: what shows that work grows with the size of the fleet.
+    pub fn walked(&self) -> u64 {
+        self.walked.get()
+    }
+
+    fn count_walked(&self) {
+        self.walked.set(self.walked.get() + 1);
     }
 
     /// Takes a standing as it is told, be it an earlier one: the mistake that `sync` is there against.
--- a/crates/sparrouter-simulation/src/lib.rs
+++ b/crates/sparrouter-simulation/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `server`, `client`, `operator`, `platform` | who stands outside, by their page |
 //! | `plan`, `speech` | configurations; HTTP as stand-ins speak it |
 //! | `judge` | the rules |
+//! | `node_work` | what one node of a large fleet does for an event, a request, a poll |
 //! | `weather` | days by seed |
 //! | `world`, `story`, `load` | one deployment and its troubles; how a story is told; clients that ask on and on |
 //!
@@ -22,6 +23,7 @@
 pub mod judge;
 pub mod load;
 pub mod net;
+pub mod node_work;
 pub mod operator;
 pub mod plan;
 pub mod platform;
--- /dev/null
+++ b/crates/sparrouter-simulation/src/node_work.rs
@@ -0,0 +1,271 @@
+//! The work of one node in a fleet of any size, without sockets: what it walks, and how long it takes, for one event of
+//! a followed server, one request, one poll. All of these must cost the same whatever the number of nodes, but for the
+//! election's pass over the servers of a service and the snapshot that is made anew when a node row changes.
+//!
+//! The node is the fleet's own code with the rows of a whole fleet; nobody answers where it dials.
+use crate::plan::Plan;
+use crate::scenario;
+use crate::world::first_plan;
+use sparrouter_fleet::boot::Boot;
+use sparrouter_fleet::event_follower;
+use sparrouter_fleet::log_buffer::LogBuffer;
+use sparrouter_fleet::net::{Later, Listener, Net, Stream};
+use sparrouter_fleet::node::Node;
+use sparrouter_fleet::wire::{ConfigUpdate, TextUpdate};
+use sparrouter_membership::{Delta, NodeRow, ServerRow};
+use sparrouter_prefix_index::{Change, Page, Source};
+use sparrouter_routing::Ask;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Servers before each node, as in the sweep of sizes.
+pub const SERVERS_A_NODE: usize = 10;
+/// Machines that keep the control state, whatever the size.
+const COUNTED: usize = 3;
+const SERVICE: &str = "models";
+/// Parts that each followed server keeps when the measurement begins.
+const KEPT_PARTS: u64 = 500;
+/// Owners of parts that a request asks at most.
+const PARTS_A_REQUEST: u64 = 3;
+/// Each step is played so often, and its figures are means.
+const REPEATS: u64 = 50;
+/// Longer than rows that changed wait to be looked at together, at any size that is measured.
+const SETTLED: Duration = Duration::from_millis(500);
+
+/// What one step costs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Rows of the membership tables that were walked.
+    pub rows: u64,
+    /// Servers of the server table that were walked.
+    pub servers: u64,
+    pub microseconds: f64,
+}
+
+/// What each kind of step costs in a fleet of one size.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeWork {
+    pub nodes: usize,
+    /// A poll brings one server that changed.
+    pub server_poll: Cost,
+    /// A poll brings one node that leaves or comes back, and one followed server's parts go to their new owners.
+    pub node_poll: Cost,
+    /// A followed server has an event, and its owner is told.
+    pub event: Cost,
+    /// A request has its server elected, its wait asked and the owners of its parts found.
+    pub request: Cost,
+    /// Ten seconds in which nothing changes, following what falls to the node.
+    pub idle_10s: Cost,
+}
+
+/// Plays a node among `nodes`.
+pub fn measure(nodes: usize) -> NodeWork {
+    scenario::play(async move {
+        let mut fleet = Fleet::new(nodes).await;
+        NodeWork {
+            nodes,
+            idle_10s: fleet.idle().await,
+            event: fleet.events().await,
+            request: fleet.requests().await,
+            server_poll: fleet.server_polls().await,
+            node_poll: fleet.node_polls().await,
+        }
+    })
+}
+
+/// A network in which nobody answers.
+struct Nobody;
+
+impl Net for Nobody {
+    fn dial(&self, _: SocketAddr) -> Later<'_, io::Result<Stream>> {
+        Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
+    }
+    fn listen(&self, _: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        Err(io::ErrorKind::AddrInUse.into())
+    }
+}
+
+/// The node, and what it is told of the others.
+struct Fleet {
+    node: Rc<Node>,
+    nodes: usize,
+    source: Source,
+    /// Rises with each step, to make each a new one.
+    step: u64,
+}
+
+impl Fleet {
+    async fn new(nodes: usize) -> Fleet {
+        let settings = include_str!("../../sparrouter-fleet/tests/settings/page.conf");
+        let boot = Boot::parse(Path::new("boot.conf"), settings).expect("the page's settings");
+        let node = Node::new(
+            boot,
+            0,
+            LogBuffer::gathering(),
+            Rc::new(Nobody),
+            fastrand::Rng::with_seed(7),
+        );
+        let plan: Plan = Plan {
+            store: None,
+            ..first_plan()
+        };
+        node.take(ConfigUpdate {
+            seq: 1,
+            version: 1,
+            text: TextUpdate::Whole(plan.json()),
+            ..ConfigUpdate::default()
+        });
+        node.learn(Delta {
+            nodes: (1..nodes).map(|number| node_row(number, 1)).collect(),
+            servers: (0..nodes * SERVERS_A_NODE)
+                .map(|number| server_row(number, 1))
+                .collect(),
+            ..Delta::default()
+        });
+        spawn_local(node.clone().carry_out());
+        spawn_local(event_follower::follow(node.clone()));
+        sleep(SETTLED).await;
+        let mut source = Source::default();
+        source.take(page(0, (0..KEPT_PARTS).map(part_key)));
+        node.tell_kept(&mut source, 1, false);
+        Fleet {
+            node,
+            nodes,
+            source,
+            step: 1,
+        }
+    }
+
+    fn walked(&self) -> (u64, u64) {
+        let rows = self.node.rows.borrow().walked();
+        (rows, self.node.server_table.borrow().walked())
+    }
+
+    /// The mean cost of `REPEATS` steps.
+    async fn cost(&mut self, step: impl AsyncFn(&mut Fleet)) -> Cost {
+        let (rows, servers) = self.walked();
+        let began = Instant::now();
+        for _ in 0..REPEATS {
+            self.step += 1;
+            step(self).await;
+        }
+        let microseconds = began.elapsed().as_secs_f64() * 1e6 / REPEATS as f64;
+        let (rows_after, servers_after) = self.walked();
+        Cost {
+            rows: (rows_after - rows).div_ceil(REPEATS),
+            servers: (servers_after - servers).div_ceil(REPEATS),
+            microseconds,
+        }
+    }
+
+    async fn idle(&mut self) -> Cost {
+        self.cost(async |_| sleep(Duration::from_secs(10)).await)
+            .await
+    }
+
+    async fn events(&mut self) -> Cost {
+        self.cost(async |fleet| {
+            let key = part_key(KEPT_PARTS + fleet.step);
+            fleet.source.take(page(fleet.step, [key].into_iter()));
+            fleet.node.tell_kept(&mut fleet.source, 1, false);
+        })
+        .await
+    }
+
+    async fn requests(&mut self) -> Cost {
+        self.cost(async |fleet| {
+            let ask = Ask {
+                service: SERVICE,
+                key: part_key(fleet.step),
+                model: None,
+                tokens_out: 16,
+                tried: &[],
+            };
+            let now = fleet.node.now();
+            let picked = fleet.node.server_table.borrow().choose(&ask, now);
+            let server = picked.expect("all servers are ready").server as u64;
+            let _ = fleet.node.keeps(server);
+            for part in 0..PARTS_A_REQUEST {
+                let _ = fleet.node.keeps(part_key(fleet.step + part));
+            }
+            let table = fleet.node.server_table.borrow();
+            let _ = table.hashed(part_key(fleet.step));
+        })
+        .await
+    }
+
+    async fn server_polls(&mut self) -> Cost {
+        self.cost(async |fleet| {
+            fleet.node.learn(Delta {
+                servers: vec![server_row(1, fleet.step)].into(),
+                ..Delta::default()
+            });
+            sleep(SETTLED).await;
+        })
+        .await
+    }
+
+    async fn node_polls(&mut self) -> Cost {
+        self.cost(async |fleet| {
+            let row = NodeRow {
+                leaving: fleet.step.is_multiple_of(2),
+                ..node_row(fleet.nodes - 1, fleet.step)
+            };
+            fleet.node.learn(Delta {
+                nodes: vec![row].into(),
+                ..Delta::default()
+            });
+            fleet.node.tell_kept(&mut fleet.source, 1, false);
+        })
+        .await
+    }
+}
+
+fn node_row(number: usize, life: u64) -> NodeRow {
+    let address = |port: u16| format!("10.{}.{}.2:{port}", 100 + number / 250, number % 250);
+    let counted = number < COUNTED;
+    NodeRow {
+        name: format!("machine-{number}"),
+        internal: address(7360),
+        control: if counted {
+            address(8683)
+        } else {
+            String::new()
+        },
+        zone: format!("zone-{}", number % 3),
+        counted,
+        front: true,
+        life,
+        nonce: life,
+        ..NodeRow::default()
+    }
+}
+
+fn server_row(number: usize, call_sequence: u64) -> ServerRow {
+    ServerRow {
+        id: format!("i-{number:06}"),
+        service: SERVICE.into(),
+        address: format!("10.{}.{}.3:80", number / 250, number % 250),
+        slot_count: 64,
+        call_sequence,
+        ..ServerRow::default()
+    }
+}
+
+fn part_key(number: u64) -> u64 {
+    sparrouter_rendezvous::mix(number + 1)
+}
+
+fn page(next: u64, keys: impl Iterator<Item = u64>) -> Page {
+    Page {
+        epoch: 1,
+        next,
+        gap: false,
+        events: keys.map(|key| Change { key, tokens: 200 }).collect(),
+    }
+}
