--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod election;
 mod prompt;
 mod server;
+mod service_servers;
 mod sync;
 mod versions;
 
--- a/crates/sparrouter-routing/src/server.rs
+++ b/crates/sparrouter-routing/src/server.rs
@@ -110,7 +110,11 @@
     pub fn in_flight(&self) -> u32 {
         self.in_flight
     }
-    /// This node could not connect to it.
+    /// Whether this node ever sent something there.
+    pub fn used(&self) -> bool {
+        self.used
+    }
+    /// Whether own requests could not reach it, or could not until lately.
     pub fn suspected(&self) -> bool {
         self.suspect.is_some()
     }
--- a/crates/sparrouter-simulation/src/lib.rs
+++ b/crates/sparrouter-simulation/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `plan`, `speech` | configurations; HTTP as stand-ins speak it |
 //! | `judge` | the rules |
 //! | `linearizability`, `order_history` | whether calls and answers have an order that a register allows; the calls |
+//! | `node_work` | what one node of a large fleet does for an event, a request, a poll |
 //! | `weather` | days by seed |
 //! | `order_storm` | operators at once over a core in trouble, by seed |
 //! | `world`, `story`, `load` | one deployment and its troubles; how a story is told; clients that ask on and on |
@@ -18,8 +19,8 @@
 //! from one number.
 pub mod client;
 pub mod connection;
-pub mod copies;
 pub mod contact_watch;
+pub mod copies;
 pub mod disk;
 pub mod fabric;
 pub mod faults;
@@ -28,6 +29,7 @@
 pub mod linearizability;
 pub mod load;
 pub mod net;
+pub mod node_work;
 pub mod operator;
 pub mod order_history;
 pub mod order_storm;
