--- a/crates/sparrouter-codec/src/lib.rs
+++ b/crates/sparrouter-codec/src/lib.rs
@@ -108,12 +108,16 @@
     }
 }
 
-/// Reads one value from untrusted bytes; `None` if they are malformed. Bytes behind the value are ignored.
+/// Reads one value that takes up all of the bytes; `None` if they are malformed. Bytes left over are of another release,
+/// and a change made without them would lose them.
 ///
 /// `nanoserde` adds the claimed length of a text to its offset without a check, which panics on overflow. That panic is
 /// caught here.
 pub fn read<T: DeBin>(bytes: &[u8]) -> Option<T> {
-    std::panic::catch_unwind(|| T::deserialize_bin(bytes).ok())
-        .ok()
-        .flatten()
+    let reading = || {
+        let mut at = 0;
+        let value = T::de_bin(&mut at, bytes).ok()?;
+        (at == bytes.len()).then_some(value)
+    };
+    std::panic::catch_unwind(reading).ok().flatten()
 }
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -58,10 +58,26 @@
     TakenWhileLeaving,
     /// Where no server is ready the route is called unknown.
     NoServerNoRoute,
+    /// An order is known again by its base and number alone.
+    OrderDigestIgnored,
+    /// An order is judged on the version in force, whatever version it builds on.
+    BaseIgnored,
+    /// Orders that were taken are forgotten once they are overtaken.
+    TakenOrdersForgotten,
+    /// An order that is too old to tell whether it was taken is refused.
+    OldOrderRefused,
+    /// An order whose base has not been in force is refused, though a copy of it is still on its way.
+    CopyAheadRefused,
+    /// A data directory of a newer release is emptied.
+    NewerFolderEmptied,
+    /// A record on disk that cannot be read counts as none, under the disk's old id.
+    RecordForgotten,
+    /// A holder that starts anew acts under the fencing token that its disk has.
+    FenceFromDisk,
 }
 
 impl Defect {
-    pub const ALL: [Defect; 26] = [
+    pub const ALL: &[Defect] = &[
         Defect::AckBeforeSync,
         Defect::WipedVotes,
         Defect::OldGroupCounts,
@@ -88,6 +104,14 @@
         Defect::ForeignAnswer,
         Defect::TakenWhileLeaving,
         Defect::NoServerNoRoute,
+        Defect::OrderDigestIgnored,
+        Defect::BaseIgnored,
+        Defect::TakenOrdersForgotten,
+        Defect::OldOrderRefused,
+        Defect::CopyAheadRefused,
+        Defect::NewerFolderEmptied,
+        Defect::RecordForgotten,
+        Defect::FenceFromDisk,
     ];
 }
 
--- a/crates/sparrouter-simulation/examples/hunt.rs
+++ b/crates/sparrouter-simulation/examples/hunt.rs
@@ -27,7 +27,10 @@
 fn named(arguments: &[String]) -> Option<Defect> {
     let at = arguments.iter().position(|a| a == "--defect")?;
     let name = arguments.get(at + 1)?;
-    let found = Defect::ALL.into_iter().find(|d| format!("{d:?}") == *name);
+    let found = Defect::ALL
+        .iter()
+        .copied()
+        .find(|d| format!("{d:?}") == *name);
     Some(found.unwrap_or_else(|| panic!("no defect is called {name}: one of {:?}", Defect::ALL)))
 }
 
@@ -76,7 +79,8 @@
     );
     let mut missed = 0;
     for defect in Defect::ALL
-        .into_iter()
+        .iter()
+        .copied()
         .filter(|d| one.is_none_or(|o| o == *d))
     {
         let began = Instant::now();
--- a/crates/sparrouter-simulation/src/faults.rs
+++ b/crates/sparrouter-simulation/src/faults.rs
@@ -249,6 +249,7 @@
             .judge
             .breach("FAULT", format!("a task ended by a panic: {panic}"));
     }
+    world.judge.check_history();
     Report {
         breaches: world.judge.breaches(),
         waste: repeated_loads(&world),
