Simulation: clients, load, platform, process, network and plans documented, plain wording

Change: doc comments with missing_docs denied in seven modules, named constants, Client::attempt (80 lines) split into connection and request_head; public names that tests of others use stay.

--- a/crates/sparrouter-simulation/src/client.rs
+++ b/crates/sparrouter-simulation/src/client.rs
@@ -1,4 +1,6 @@
-//! Clients by their page: a new id a try, retries by what was promised, a whole answer or none.
+//! Clients by PROTOCOL.md: a new id for each attempt, retries as the answers allow, a whole answer or none.
+#![deny(missing_docs)]
+
 use crate::connection::End;
 use crate::judge::{Answer, Asked, Judge};
 use crate::net::MemoryNet;
@@ -18,48 +20,64 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// A new connection is given so long to come up; a stream may be silent for so long.
-const COMES_UP: Duration = Duration::from_secs(1);
-const SILENCE: Duration = Duration::from_secs(2);
+/// How long a client waits for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before a retry, unless the answer names another.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// A client abandons an answer that pauses for so long.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What a client wants.
 #[derive(Clone, Debug)]
 pub struct Wish {
+    /// Host of the request.
     pub host: String,
+    /// Path of the request.
     pub path: String,
+    /// Whether it may be repeated.
     pub kind: Kind,
+    /// API key.
     pub key: String,
+    /// Zone of the client.
     pub zone: String,
+    /// How long the client waits, over all attempts.
     pub deadline: Duration,
+    /// Most attempts after the first one.
     pub retries: u32,
-    /// Shared part of the prompt.
+    /// Id of the prompt's shared part.
     pub topic: String,
-    /// Its tokens.
+    /// Tokens of the shared part.
     pub shared: u64,
-    /// It leaves so long after it asked, whatever came.
+    /// The client disconnects so long after it sent an attempt.
     pub leaves: Option<Duration>,
 }
 
-/// What came of it.
+/// How a request ended, after all its attempts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Came {
+    /// With a whole answer.
     Served,
-    /// The last answer's status.
+    /// With a refusal; holds the last status.
     Refused(u16),
+    /// Without a whole answer.
     Failed,
 }
 
+/// A client.
 pub struct Client {
     net: MemoryNet,
     judge: Rc<Judge>,
     platform: Rc<Platform>,
     rng: RefCell<Rng>,
-    /// A connection that may carry another request, and which node's life it is to.
+    /// A connection that may carry another request, its node's address and [`Platform::life`].
     kept: RefCell<Option<(End, SocketAddr, u64)>>,
     keeps: bool,
 }
 
 impl Client {
+    /// `keeps`: it keeps connections open between requests.
     pub fn new(
         net: MemoryNet,
         judge: Rc<Judge>,
@@ -77,12 +95,12 @@
         }
     }
 
-    /// One request with its retries, wherever the platform passes it to.
+    /// Sends a request with its retries, to the nodes that the platform chooses.
     pub async fn get(&self, wish: &Wish) -> Came {
         self.get_from(wish, None).await
     }
 
-    /// One request, sent directly to one life of a node.
+    /// Sends a request with its retries to one node. `life`: see [`Platform::life`].
     pub async fn get_at(&self, wish: &Wish, to: SocketAddr, life: u64) -> Came {
         self.get_from(wish, Some((to, life))).await
     }
@@ -106,17 +124,13 @@
                 break;
             }
             let left = until.saturating_duration_since(Instant::now());
-            sleep(
-                retry_after
-                    .unwrap_or(Duration::from_millis(20))
-                    .min(left / 3),
-            )
-            .await;
+            sleep(retry_after.unwrap_or(RETRY_PAUSE).min(left / 3)).await;
         }
         came
     }
 
-    /// One try; also what it was told to wait, and whether the node proved not to have read it.
+    /// Sends a request once. Gives also how long the answer asks to wait before a retry, and whether no node can have read
+    /// the request.
     async fn attempt(
         &self,
         wish: &Wish,
@@ -125,30 +139,8 @@
     ) -> (Answer, Option<Duration>, bool) {
         let id = format!("{:016x}", self.rng.borrow_mut().u64(..));
         let mut answer = Answer::default();
-        let kept = self.kept.borrow_mut().take();
-        let kept = kept.filter(|(end, ..)| match end.at_hand(&mut [0; 64]) {
-            None => true,
-            Some(Ok(0) | Err(_)) => false,
-            Some(Ok(_)) => {
-                self.judge
-                    .breach("MIXED", "bytes on a connection where no request waits");
-                false
-            }
-        });
-        let (mut stream, to, life) = match kept {
-            Some(kept) => kept,
-            None => {
-                let pick =
-                    direct.or_else(|| self.platform.pick(&wish.zone, &mut self.rng.borrow_mut()));
-                let Some((to, life)) = pick else {
-                    return (answer, None, true);
-                };
-                let dialled = timeout(COMES_UP, self.net.connect(to)).await;
-                let Ok(Ok(stream)) = dialled else {
-                    return (answer, None, true);
-                };
-                (stream, to, life)
-            }
+        let Some((mut stream, to, life)) = self.connection(wish, direct).await else {
+            return (answer, None, true);
         };
         let body = Bytes::from(format!("body of {id}"));
         let asked = Asked {
@@ -163,23 +155,7 @@
             until,
         };
         self.judge.asked(&id, asked);
-        let left = until
-            .saturating_duration_since(Instant::now())
-            .as_millis()
-            .max(1);
-        let head = format!(
-            "POST {} HTTP/1.1\r\nHost: {}\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Model: {MODEL}\r\n\
-             Sparrouter-Token-Usage: {},20\r\nSparrouter-Prompt-Prefix: {}:{},{}:100\r\n\
-             Sparrouter-Deadline-Ms: {left}\r\nSparrouter-Key: {}\r\nContent-Length: {}\r\n\r\n",
-            wish.path,
-            wish.host,
-            wish.shared + 100,
-            wish.topic,
-            wish.shared,
-            &id[..8],
-            wish.key,
-            body.len()
-        );
+        let head = request_head(wish, &id, until, body.len());
         let mut keep = false;
         let mut after = None;
         if stream
@@ -196,7 +172,7 @@
                 Err(_) => answer.abandoned = true,
             }
         }
-        // Nobody knows on a reset; an end before any byte says that it was not read only where nothing ran.
+        // After a reset, or an end before any byte, the node may have read the request.
         self.judge.answered(&id, &answer);
         if keep && self.keeps && answer.whole {
             *self.kept.borrow_mut() = Some((stream, to, life));
@@ -204,10 +180,37 @@
         (answer, after, false)
     }
 
-    /// Whether the connection may go on, and what was told to wait.
+    /// The connection kept from the last request, or a new one; `None` if none can be established.
+    async fn connection(
+        &self,
+        wish: &Wish,
+        direct: Option<(SocketAddr, u64)>,
+    ) -> Option<(End, SocketAddr, u64)> {
+        let kept = self.kept.borrow_mut().take();
+        let kept = kept.filter(|(end, ..)| match end.at_hand(&mut [0; 64]) {
+            None => true,
+            Some(Ok(0) | Err(_)) => false,
+            Some(Ok(_)) => {
+                self.judge
+                    .breach("MIXED", "bytes on a connection where no request waits");
+                false
+            }
+        });
+        if kept.is_some() {
+            return kept;
+        }
+        let (to, life) =
+            direct.or_else(|| self.platform.pick(&wish.zone, &mut self.rng.borrow_mut()))?;
+        let connected = timeout(CONNECT_TIMEOUT, self.net.connect(to)).await;
+        let stream = connected.ok()?.ok()?;
+        Some((stream, to, life))
+    }
+
+    /// Reads an answer. Gives whether the connection may carry another request, and how long the answer asks to wait before
+    /// a retry.
     async fn read(&self, stream: &mut End, answer: &mut Answer) -> (bool, Option<Duration>) {
         let mut buffer = BytesMut::new();
-        let bytes = match reading::head(stream, &mut buffer, head::REPLY, 64 << 10).await {
+        let bytes = match reading::head(stream, &mut buffer, head::REPLY, MAX_HEAD_BYTES).await {
             Ok(bytes) => bytes,
             Err(reading::Broken::Bad(bad)) => {
                 answer.bad = Some(bad.0);
@@ -258,10 +261,10 @@
             if answer.whole {
                 return (head.keep && buffer.is_empty(), after);
             }
-            match timeout(SILENCE, reading::more(stream, &mut buffer)).await {
+            match timeout(READ_TIMEOUT, reading::more(stream, &mut buffer)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => {
-                    // A body up to the end of the connection can't be told from a broken one.
+                    // A body that ends with its connection cannot be distinguished from a broken one.
                     return (false, after);
                 }
                 Err(_) => {
@@ -272,3 +275,21 @@
         }
     }
 }
+
+/// The head of a request. `length`: of its body in bytes.
+fn request_head(wish: &Wish, id: &str, until: Instant, length: usize) -> String {
+    let left = until.saturating_duration_since(Instant::now());
+    let left_ms = left.as_millis().max(1);
+    format!(
+        "POST {} HTTP/1.1\r\nHost: {}\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Model: {MODEL}\r\n\
+         Sparrouter-Token-Usage: {},20\r\nSparrouter-Prompt-Prefix: {}:{},{}:100\r\n\
+         Sparrouter-Deadline-Ms: {left_ms}\r\nSparrouter-Key: {}\r\nContent-Length: {length}\r\n\r\n",
+        wish.path,
+        wish.host,
+        wish.shared + 100,
+        wish.topic,
+        wish.shared,
+        &id[..8],
+        wish.key,
+    )
+}
--- a/crates/sparrouter-simulation/src/http_messages.rs
+++ b/crates/sparrouter-simulation/src/http_messages.rs
@@ -1,4 +1,6 @@
-//! HTTP as stand-ins speak it: calls with an answer, and calls that servers take.
+//! HTTP for stand-ins: calls with their answers, and requests that stand-ins receive.
+#![deny(missing_docs)]
+
 use crate::connection::End;
 use crate::net::MemoryNet;
 use bytes::{Bytes, BytesMut};
@@ -10,28 +12,43 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
+/// Largest head and body that stand-ins read, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoAnswer {
-    /// No connection came up.
+    /// No connection could be established.
     Unreachable,
+    /// No whole answer came in time.
     Silent,
+    /// The connection broke, or the answer was malformed.
     Broken,
 }
 
+/// An answer.
 pub struct Reply {
+    /// HTTP status.
     pub status: u16,
+    /// The head.
     pub head: ReplyHead,
+    /// The body.
     pub body: Bytes,
 }
 
 impl Reply {
+    /// The body as text; empty if it is not UTF-8.
     pub fn text(&self) -> &str {
         std::str::from_utf8(&self.body).unwrap_or_default()
     }
 }
 
-/// One call on a connection of its own; `patience` for all of it.
+/// Sends a call on a new connection. `patience`: how long all of it may take.
+///
+/// # Errors
+///
+/// [`NoAnswer`] if no whole answer came.
 pub async fn call(
     net: &MemoryNet,
     to: SocketAddr,
@@ -42,7 +59,7 @@
     patience: Duration,
 ) -> Result<Reply, NoAnswer> {
     let mut reached = false;
-    let talking = async {
+    let exchange = async {
         let mut stream = net.connect(to).await.map_err(|_| NoAnswer::Unreachable)?;
         reached = true;
         let mut text = format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\n");
@@ -58,10 +75,10 @@
             .await
             .map_err(|_| NoAnswer::Broken)?;
         let mut buffer = BytesMut::new();
-        let bytes = reading::head(&mut stream, &mut buffer, head::REPLY, 64 << 10).await;
+        let bytes = reading::head(&mut stream, &mut buffer, head::REPLY, MAX_HEAD_BYTES).await;
         let head =
             head::reply(&bytes.map_err(|_| NoAnswer::Broken)?).map_err(|_| NoAnswer::Broken)?;
-        let body = http::body(&mut stream, &mut buffer, head.framing, 16 << 20).await;
+        let body = http::body(&mut stream, &mut buffer, head.framing, MAX_BODY_BYTES).await;
         let body = body.ok().flatten().ok_or(NoAnswer::Broken)?;
         Ok(Reply {
             status: head.status,
@@ -69,25 +86,27 @@
             body,
         })
     };
-    match timeout(patience, talking).await {
+    match timeout(patience, exchange).await {
         Ok(answer) => answer,
         Err(_) if reached => Err(NoAnswer::Silent),
         Err(_) => Err(NoAnswer::Unreachable),
     }
 }
 
-/// The next call on a connection that a server took; None once it ends.
+/// Reads the next request on a connection that a stand-in accepted; `None` once it ends.
 pub async fn next_call(stream: &mut End, buffer: &mut BytesMut) -> Option<(CallHead, Bytes)> {
-    let bytes = reading::head(stream, buffer, b"", 64 << 10).await.ok()?;
+    let bytes = reading::head(stream, buffer, b"", MAX_HEAD_BYTES)
+        .await
+        .ok()?;
     let head = head::call(&bytes).ok()?;
-    let body = http::body(stream, buffer, head.framing, 16 << 20)
+    let body = http::body(stream, buffer, head.framing, MAX_BODY_BYTES)
         .await
         .ok()
         .flatten()?;
     Some((head, body))
 }
 
-/// An answer in one piece.
+/// The text of an answer with a body of known length. `fields`: further header fields, each with its line end.
 pub fn whole(status: u16, fields: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status} Word\r\n{fields}Content-Length: {}\r\n\r\n{body}",
--- a/crates/sparrouter-simulation/src/load.rs
+++ b/crates/sparrouter-simulation/src/load.rs
@@ -1,4 +1,6 @@
-//! Clients that ask on and on, and what became of it.
+//! Clients that send requests continuously, and counts of how these ended.
+#![deny(missing_docs)]
+
 use crate::client::{Came, Client, Wish};
 use crate::plan::Kind;
 use crate::world::{World, ZONES, wish};
@@ -9,21 +11,25 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-/// Counts by how requests ended.
+/// Counts of requests by how they ended.
 #[derive(Default)]
 pub struct Tally {
+    /// All that were sent.
     pub sent: Cell<u32>,
+    /// Those that got a whole answer.
     pub served: Cell<u32>,
+    /// Status of each that was refused.
     pub refused: RefCell<Vec<u16>>,
+    /// Those that ended without a whole answer.
     pub failed: Cell<u32>,
     stopped: Cell<bool>,
     open: Cell<u32>,
-    /// Sent and served since this was last set to 0.
+    /// Sent and served since the last call of [`Tally::count_anew`].
     pub late: Cell<(u32, u32)>,
 }
 
 impl Tally {
-    /// No new requests; waits for those under way.
+    /// Stops the clients, and waits for the requests under way.
     pub async fn stop(&self) {
         self.stopped.set(true);
         while self.open.get() > 0 {
@@ -31,10 +37,12 @@
         }
     }
 
+    /// Part of the requests that was served, 0 to 1.
     pub fn share(&self) -> f64 {
         f64::from(self.served.get()) / f64::from(self.sent.get().max(1))
     }
 
+    /// Sets [`Tally::late`] to 0.
     pub fn count_anew(&self) {
         self.late.set((0, 0));
     }
@@ -52,20 +60,21 @@
     }
 }
 
-/// Whose requests, and of which prompts.
+/// Which tenants send requests, and with which prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Manner {
-    /// One tenant, whose key stays; prompts that are not worth moving.
+    /// One tenant, whose key does not change; prompts too small to move their KV cache.
     Plain,
-    /// Both tenants, of which one is isolated, by the keys that they have now; large prompts among them.
+    /// Both tenants, one of them isolated, with their current keys; also large prompts.
     Mixed,
 }
 
-/// Starts `clients`, each with a request about every `pause`, of all kinds.
+/// Starts so many clients, each of which sends a request of any kind about every `pause`.
 pub fn begin(world: &Rc<World>, clients: usize, pause: Duration) -> Rc<Tally> {
     begin_as(Manner::Plain, world, clients, pause)
 }
 
+/// The same in a given manner.
 pub fn begin_as(manner: Manner, world: &Rc<World>, clients: usize, pause: Duration) -> Rc<Tally> {
     let tally = Rc::new(Tally::default());
     for n in 0..clients {
@@ -95,7 +104,7 @@
                     wish
                 };
                 if rng.u8(..40) == 0 {
-                    // One that leaves early counts for nothing, but what it leaves behind must not harm others.
+                    // A client that leaves early is not counted, but its request must not harm others.
                     let leaves = Some(Duration::from_millis(rng.u64(..120)));
                     client
                         .get(&Wish {
@@ -106,14 +115,14 @@
                         .await;
                     continue;
                 }
-                one(&client, &tally, &wish).await;
+                send_counted(&client, &tally, &wish).await;
             }
         });
     }
     tally
 }
 
-/// The same of either tenant, with a prompt of any size.
+/// Changes a request to either tenant and a prompt of any size.
 fn mixed(world: &World, wish: Wish, rng: &mut Rng) -> Wish {
     let newest = world
         .judge
@@ -128,7 +137,8 @@
     }
 }
 
-async fn one(client: &Client, tally: &Tally, wish: &Wish) {
+/// Sends a request and counts it.
+async fn send_counted(client: &Client, tally: &Tally, wish: &Wish) {
     tally.sent.set(tally.sent.get() + 1);
     tally.open.set(tally.open.get() + 1);
     let (sent, served) = tally.late.get();
--- a/crates/sparrouter-simulation/src/net.rs
+++ b/crates/sparrouter-simulation/src/net.rs
@@ -1,4 +1,6 @@
-//! One machine's way into the network in memory, as the fleet's code asks for it.
+//! The in-memory network as one machine sees it: the implementation of the fleet's network traits.
+#![deny(missing_docs)]
+
 use crate::connection::End;
 use crate::fabric::Fabric;
 use sparrouter_fleet::net::{Later, Listener, Net, Stream};
@@ -9,22 +11,30 @@
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
+/// The network of one machine.
 #[derive(Clone)]
 pub struct MemoryNet {
     fabric: Rc<Fabric>,
+    /// Address of the machine.
     pub ip: IpAddr,
 }
 
 impl MemoryNet {
+    /// The network of the machine with this address.
     pub fn new(fabric: Rc<Fabric>, ip: IpAddr) -> MemoryNet {
         MemoryNet { fabric, ip }
     }
 
-    /// A connection of a stand-in, which waits as long as its caller does.
+    /// Connects a stand-in. Unlike connections of nodes this one has no timeout for unacknowledged bytes.
     pub async fn connect(&self, to: SocketAddr) -> io::Result<End> {
         self.fabric.dial(self.ip, to, false).await
     }
 
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// If the address is in use.
     pub fn open(&self, at: SocketAddr) -> io::Result<MemoryListener> {
         Ok(MemoryListener {
             fabric: self.fabric.clone(),
@@ -43,6 +53,7 @@
     }
 }
 
+/// An address that connections are accepted on, until this is dropped.
 pub struct MemoryListener {
     fabric: Rc<Fabric>,
     at: SocketAddr,
@@ -50,10 +61,11 @@
 }
 
 impl MemoryListener {
+    /// Waits for the next connection; gives it with the peer's address.
     pub async fn next(&self) -> (End, SocketAddr) {
         match poll_fn(|context| self.queue.borrow_mut().poll_recv(context)).await {
             Some(connection) => connection,
-            // The fabric lets go of a door only when it is closed.
+            // The fabric drops the sender only when the listener is closed.
             None => std::future::pending().await,
         }
     }
--- a/crates/sparrouter-simulation/src/plan.rs
+++ b/crates/sparrouter-simulation/src/plan.rs
@@ -1,41 +1,57 @@
-//! Configurations as the operator thinks of them: written as JSON, and read by the judge without the fleet's own code.
+//! Configurations from the operator's point of view: written as JSON for the fleet, and interpreted by the judge without
+//! the fleet's own code, so that a mistake there is noticed.
+#![deny(missing_docs)]
+
 use std::fmt::Write;
 use std::net::SocketAddr;
 
-/// What a route's requests may do.
+/// Whether a route's requests may be repeated, and whether they are answered by streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
+    /// They may run more than once.
     Idempotent,
+    /// They may run once.
     NonIdempotent,
-    /// A stream, to be run once.
+    /// They may run once; the answer is a stream.
     Streaming,
-    /// A stream that may be taken up elsewhere.
+    /// The answer is a stream that another server may continue.
     Resumable,
 }
 
 impl Kind {
+    /// Whether a request may run at a second server.
     pub fn repeatable(self) -> bool {
         matches!(self, Kind::Idempotent | Kind::Resumable)
     }
+    /// Whether the answer is a stream.
     pub fn streams(self) -> bool {
         matches!(self, Kind::Streaming | Kind::Resumable)
     }
 }
 
+/// A route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
+    /// Its name.
     pub name: String,
+    /// Its host.
     pub host: String,
+    /// Its path prefix.
     pub prefix: String,
+    /// Whether its requests may be repeated.
     pub kind: Kind,
+    /// Longest time that a request may take, in ms.
     pub timeout_ms: u64,
+    /// Its service.
     pub service: String,
+    /// Most servers that a request is sent to.
     pub max_attempts: u32,
+    /// Requests need no API key.
     pub public: bool,
 }
 
 impl Route {
-    /// Host and prefix come from the name.
+    /// A route with defaults; its path prefix is the name between slashes.
     pub fn new(name: &str, kind: Kind, service: &str) -> Route {
         Route {
             name: name.to_owned(),
@@ -71,25 +87,34 @@
     }
 }
 
+/// A tenant.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tenant {
+    /// Its name.
     pub name: String,
+    /// Its API keys.
     pub keys: Vec<String>,
+    /// It shares no KV cache.
     pub isolated: bool,
 }
 
-/// One configuration, whole.
+/// A whole configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
+    /// Its version.
     pub version: u64,
+    /// Its routes.
     pub routes: Vec<Route>,
+    /// Names of its services.
     pub services: Vec<String>,
-    /// A store of kept prompts, if there is one.
+    /// Address of the KV store, if there is one.
     pub store: Option<SocketAddr>,
+    /// Its tenants.
     pub tenants: Vec<Tenant>,
 }
 
 impl Plan {
+    /// The route of a request.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let fits = self
             .routes
@@ -98,13 +123,14 @@
         fits.max_by_key(|r| r.prefix.len())
     }
 
+    /// The tenant that holds an API key.
     pub fn tenant_of(&self, key: &str) -> Option<&Tenant> {
         self.tenants
             .iter()
             .find(|t| t.keys.iter().any(|k| k == key))
     }
 
-    /// The same with the next number, changed.
+    /// A changed copy whose version is higher by `step`.
     pub fn next(&self, step: u64, change: impl FnOnce(&mut Plan)) -> Plan {
         let mut next = self.clone();
         next.version += step;
@@ -112,6 +138,7 @@
         next
     }
 
+    /// The configuration as JSON.
     pub fn json(&self) -> String {
         let routes: Vec<String> = self.routes.iter().map(Route::json).collect();
         let mut services: Vec<String> = self.services.iter().map(|s| service(s)).collect();
@@ -132,7 +159,7 @@
         )
     }
 
-    /// What changes from `before` to this, as a PATCH of routes and tenants.
+    /// A PATCH of routes and tenants that leads from `before` to this, as JSON.
     pub fn patch_json(&self, before: &Plan) -> String {
         let mut out = format!("{{\"version\":{}", self.version);
         let routes: Vec<String> = self
--- a/crates/sparrouter-simulation/src/platform.rs
+++ b/crates/sparrouter-simulation/src/platform.rs
@@ -1,5 +1,7 @@
-//! The platform in front: asks each node every second whether it is ready, and passes new connections to those that
-//! are, those of the client's zone first.
+//! The platform in front of the fleet: checks each second whether each node is ready, and passes new connections to ready
+//! nodes, those in the client's zone first.
+#![deny(missing_docs)]
+
 use crate::http_messages;
 use crate::net::MemoryNet;
 use fastrand::Rng;
@@ -10,36 +12,44 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-const EVERY: Duration = Duration::from_secs(1);
-/// So many misses take a node out.
-const MISSES: u32 = 2;
+/// Time between two checks of a node.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Failed checks after which a node gets no new connections.
+const FAILED_CHECKS: u32 = 2;
 
+/// A node that serves clients.
 #[derive(Clone, Debug)]
 struct Front {
     name: String,
     zone: String,
     address: SocketAddr,
     readiness: SocketAddr,
+    /// Counts the processes that ran there.
     life: u64,
+    /// Failed checks in a row.
     misses: u32,
+    /// It was ready at least once.
     known: bool,
 }
 
+/// The platform.
 pub struct Platform {
     net: MemoryNet,
     fronts: RefCell<Vec<Front>>,
 }
 
 impl Platform {
+    /// A platform without nodes; begins its checks.
     pub fn new(net: MemoryNet) -> Rc<Platform> {
         let platform = Rc::new(Platform {
             net,
             fronts: RefCell::default(),
         });
-        spawn_local(platform.clone().look());
+        spawn_local(platform.clone().check_nodes());
         platform
     }
 
+    /// Adds a node, with its addresses for clients and for checks.
     pub fn add(&self, name: &str, zone: &str, address: SocketAddr, readiness: SocketAddr) {
         let front = Front {
             name: name.to_owned(),
@@ -47,17 +57,18 @@
             address,
             readiness,
             life: 0,
-            misses: MISSES,
+            misses: FAILED_CHECKS,
             known: false,
         };
         self.fronts.borrow_mut().push(front);
     }
 
+    /// Removes a node.
     pub fn remove(&self, name: &str) {
         self.fronts.borrow_mut().retain(|f| f.name != name);
     }
 
-    /// Another process runs there now.
+    /// A new process runs on the node.
     pub fn reborn(&self, name: &str) {
         self.fronts
             .borrow_mut()
@@ -66,6 +77,7 @@
             .for_each(|f| f.life += 1);
     }
 
+    /// How many processes ran on the node with this address before the current one.
     pub fn life(&self, ip: IpAddr) -> u64 {
         self.fronts
             .borrow()
@@ -74,15 +86,16 @@
             .map_or(0, |f| f.life)
     }
 
-    /// Whether clients are passed to it.
+    /// Whether the node gets new connections.
     pub fn is_in(&self, name: &str) -> bool {
         self.fronts
             .borrow()
             .iter()
-            .any(|f| f.name == name && f.known && f.misses < MISSES)
+            .any(|f| f.name == name && f.known && f.misses < FAILED_CHECKS)
     }
 
-    async fn look(self: Rc<Self>) {
+    /// Checks all nodes for ever.
+    async fn check_nodes(self: Rc<Self>) {
         loop {
             let all: Vec<(String, SocketAddr)> = self
                 .fronts
@@ -100,7 +113,7 @@
                         "/api/readiness",
                         &[],
                         "",
-                        EVERY,
+                        CHECK_INTERVAL,
                     );
                     let ready = call.await.is_ok_and(|r| r.status == 200);
                     let mut fronts = platform.fronts.borrow_mut();
@@ -110,14 +123,14 @@
                     }
                 });
             }
-            sleep(EVERY).await;
+            sleep(CHECK_INTERVAL).await;
         }
     }
 
-    /// Whom a new connection of a client goes to, and which life of it.
+    /// The address for a new connection of a client in a zone, and the node's [`Platform::life`]. `None` without nodes.
     pub fn pick(&self, zone: &str, rng: &mut Rng) -> Option<(SocketAddr, u64)> {
         let fronts = self.fronts.borrow();
-        let is_in = |f: &&Front| f.known && f.misses < MISSES;
+        let is_in = |f: &&Front| f.known && f.misses < FAILED_CHECKS;
         let own: Vec<&Front> = fronts.iter().filter(|f| f.zone == zone).collect();
         let own_in: Vec<&Front> = own.iter().copied().filter(|f| is_in(f)).collect();
         let others: Vec<&Front> = fronts.iter().filter(is_in).collect();
--- a/crates/sparrouter-simulation/src/process.rs
+++ b/crates/sparrouter-simulation/src/process.rs
@@ -1,4 +1,6 @@
-//! One process: all its tasks together, so that it can be frozen, or end between any two steps.
+//! A simulated process: all its tasks together, so that it can be frozen, or killed between any two steps.
+#![deny(missing_docs)]
+
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
@@ -12,17 +14,17 @@
 struct Inside {
     tasks: RefCell<Option<LocalSet>>,
     frozen: Cell<bool>,
-    /// It rests so long between two turns.
+    /// Pause between two turns.
     pace: Cell<Duration>,
     ended: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
-/// Dropping it kills the process.
+/// A simulated process. Dropping it kills the process.
 pub struct SimulatedProcess(Rc<Inside>);
 
 impl SimulatedProcess {
-    /// Starts a process; it ends with `main`, whatever else it does.
+    /// Starts a process. It ends when `main` does, whatever other tasks it has.
     pub fn start(main: impl Future<Output = ()> + 'static) -> SimulatedProcess {
         let inside = Rc::new(Inside::default());
         let tasks = LocalSet::new();
@@ -49,7 +51,7 @@
             }
             let pace = driven.pace.get();
             rest = (!pace.is_zero()).then(|| Box::pin(sleep(pace)));
-            // Out of its place while it is polled, so that a process may be asked about from within.
+            // Taken out while it is polled, so that the process can be inspected by its own tasks.
             let Some(mut tasks) = driven.tasks.borrow_mut().take() else {
                 return Poll::Ready(());
             };
@@ -59,24 +61,25 @@
                 return Poll::Ready(());
             }
             *driven.tasks.borrow_mut() = Some(tasks);
-            // Registers the end of the rest, should there be one.
+            // Registers the waker for the end of the pause, if there is one.
             let _ = rest.as_mut().map(|r| r.as_mut().poll(context));
             Poll::Pending
         }));
         SimulatedProcess(inside)
     }
 
+    /// Whether the process has ended by itself.
     pub fn has_ended(&self) -> bool {
         self.0.ended.get()
     }
 
-    /// Its clock runs on, it does nothing.
+    /// Freezes the process or lets it continue. Its clock advances meanwhile.
     pub fn freeze(&self, frozen: bool) {
         self.0.frozen.set(frozen);
         self.wake();
     }
 
-    /// Its turns come so far apart; zero: as they should.
+    /// Slows the process by a pause between its turns; zero: full speed.
     pub fn slow(&self, pace: Duration) {
         self.0.pace.set(pace);
         self.wake();
