--- a/crates/sparrouter-consensus/src/lib.rs
+++ b/crates/sparrouter-consensus/src/lib.rs
@@ -6,16 +6,19 @@
 //! No I/O, clock, threads or global state; times are nanoseconds of a steady clock; chance is seeded. By file:
 //! `types` (members, ballots, states), `codec` and `message` (bytes), `settings`, `quorum`, `acceptor` (promises and
 //! votes, durable before they are told), `learner` (what is known chosen, and handing it over), `operation` (callers'
-//! calls and what became of them), `judge` (changes put on a chosen state), `proposer` (rounds), `register` (the
-//! doors), `transfer` (large bodies, fetched in pieces), `reconfiguration` (who belongs to the group), `owner` (whom to
-//! ask first), `machine` (what a change means), `lease` (fencing tokens).
+//! calls and what became of them), `evaluation` (changes put on a chosen state), `proposer` (rounds), `register` (the
+//! calls), `transfer` (large bodies, fetched in pieces), `reconfiguration` (who belongs to the group), `candidate` (whose
+//! disk may join it), `handover` (who leaves), `owner` (whom to ask first), `machine` (what a change means), `lease`
+//! (fencing tokens).
 //!
 //! Sources: Lamport, "Paxos made simple", 2001; Rystsov, "CASPaxos: replicated state machines without logs", 2018;
 //! Lamport, Malkhi and Zhou, "Reconfiguring a state machine", SIGACT News 2010; joint majorities after Ongaro and
 //! Ousterhout, "In search of an understandable consensus algorithm", USENIX ATC 2014.
 pub mod acceptor;
+mod candidate;
 pub mod codec;
 mod evaluation;
+mod handover;
 pub mod learner;
 pub mod lease;
 pub mod machine;
--- a/crates/sparrouter-consensus/src/register.rs
+++ b/crates/sparrouter-consensus/src/register.rs
@@ -2,6 +2,7 @@
 use crate::Nanos;
 use crate::acceptor::Acceptor;
 use crate::codec::CodecError;
+use crate::handover::HandoverCheck;
 use crate::learner::Learner;
 use crate::machine::Machine;
 use crate::message::Message;
@@ -10,7 +11,7 @@
 use crate::reconfiguration::{NodeObservation, Reconfiguration};
 use crate::settings::Settings;
 use crate::transfer::{TransferCounts, Transfers};
-use crate::types::{Ballot, Member, Record, SharedVote, State, Vote};
+use crate::types::{Ballot, Member, Record, SharedVote, State, Vote, VoteId};
 use fastrand::Rng;
 use std::collections::VecDeque;
 
@@ -42,6 +43,7 @@
     Record { part: u16, source: CodecError },
 }
 
+#[derive(Clone, Debug)]
 pub struct Register<M: Machine> {
     pub(crate) part: u16,
     pub(crate) me: Member,
@@ -68,6 +70,12 @@
     /// Some live node, in the group or not, by the last look around.
     stranger: Option<Member>,
     settle_at: Option<Nanos>,
+    /// The slot that this node, outside the group, last told the members to be on its disk.
+    announced: Option<u64>,
+    /// While this node leaves as a member.
+    pub(crate) handover: Option<HandoverCheck>,
+    /// A node that may join the group was there at the last look around.
+    pub(crate) successor_waits: bool,
     reconfiguration: Reconfiguration,
     transfers: Transfers,
 }
@@ -116,6 +124,9 @@
             exchange_at,
             stranger: None,
             settle_at: None,
+            announced: None,
+            handover: None,
+            successor_waits: false,
             reconfiguration: Reconfiguration::default(),
             transfers: Transfers::default(),
             settings,
@@ -157,6 +168,11 @@
         self.newest().map_or_else(Vec::new, |v| v.electorate())
     }
 
+    /// The newest vote that this node accepted, on disk or about to be.
+    pub fn accepted_vote(&self) -> Option<VoteId> {
+        self.newest().map(|vote| vote.at())
+    }
+
     /// Whether this node's vote counts in the newest group that it knows.
     pub fn is_member(&self) -> bool {
         self.members().iter().any(|m| m.disk == self.me.disk)
@@ -212,6 +228,7 @@
     /// The store `token` ended; after `false` it may have happened all the same, and is tried again later.
     pub fn stored(&mut self, token: u64, ok: bool, now: Nanos) {
         self.acceptor.stored(token, ok, now, &self.settings);
+        self.announce_copy();
         self.work(now);
     }
 
@@ -270,6 +287,22 @@
         let Some(chosen) = self.learner.chosen() else {
             return;
         };
+        let candidates =
+            Reconfiguration::candidates(self.part, &self.me, &chosen.state, seen, &self.settings);
+        self.successor_waits = !candidates.is_empty();
+        let due = self.reconfiguration.choose_questions(
+            &candidates,
+            chosen.state.seq,
+            &self.settings,
+            now,
+        );
+        for candidate in due {
+            let question = self.have();
+            self.send(candidate, question);
+        }
+        let Some(chosen) = self.learner.chosen() else {
+            return;
+        };
         let busy = self
             .operations
             .iter()
@@ -389,6 +422,10 @@
                 newer,
             } => {
                 self.meet(promised);
+                if let Some(check) = self.handover.as_mut().filter(|c| c.is_answer(nonce)) {
+                    check.report(from.disk, at, newer.as_ref(), now);
+                    return self.bring_up_to_date(from, at);
+                }
                 self.reported(from, nonce, at, newer, now);
             }
             Message::Chosen { at } => match self.newest().filter(|v| v.at() == at).cloned() {
@@ -403,13 +440,17 @@
                 let message = match self.learner.hand_over(at, chosen) {
                     Some(message) => Some(message),
                     None if chosen > self.learner.seq() => Some(self.have()),
-                    None => self.farewell(&from),
+                    None => self.kept_for(&from),
                 };
                 if let Some(message) = message {
                     self.send(from, message);
                 }
             }
-            Message::Kept { chosen } => self.learner.heard(from.disk, chosen),
+            Message::Kept { chosen } => {
+                self.learner.heard(from.disk, chosen);
+                self.reconfiguration
+                    .confirm_candidate(from.disk, chosen, now);
+            }
             Message::Learn { vote } => drop(self.publish(&vote, now)),
             Message::Outline {
                 purpose,
@@ -479,23 +520,63 @@
         vote
     }
 
-    fn have(&self) -> Message {
+    /// Tells a member whose disk answered with an older vote that the newest one here is chosen.
+    fn bring_up_to_date(&mut self, member: Member, at: Option<VoteId>) {
+        if let Some(chosen) = self.learner.chosen().map(|v| v.at())
+            && at < Some(chosen)
+        {
+            self.send(member, Message::Chosen { at: chosen });
+        }
+    }
+
+    pub(crate) fn have(&self) -> Message {
         Message::Have {
             at: self.newest().map(|v| v.at()),
             chosen: self.learner.seq(),
         }
     }
 
-    /// Who is outside the group may be waiting to hear whether it is missed.
-    fn farewell(&self, from: &Member) -> Option<Message> {
+    /// Tells what this disk keeps where just one of the two is in the group: a node that leaves waits to hear whether
+    /// it is missed, a member whether the other one may join.
+    fn kept_for(&self, from: &Member) -> Option<Message> {
+        if self.is_chosen_member(self.me.disk) == self.is_chosen_member(from.disk) {
+            return None;
+        }
+        let chosen = self.kept_slot()?;
+        Some(Message::Kept { chosen })
+    }
+
+    /// Whether a disk is in the group of the newest state that is known to be chosen.
+    fn is_chosen_member(&self, disk: u64) -> bool {
+        let group = self.learner.chosen().map_or(&[][..], |v| &v.state.members);
+        group.iter().any(|m| m.disk == disk)
+    }
+
+    /// The newest chosen slot, if it is on disk.
+    fn kept_slot(&self) -> Option<u64> {
         let chosen = self.learner.seq()?;
-        let outside = self.is_member() && self.members().iter().all(|m| m.disk != from.disk);
-        let kept = self.acceptor.lasting().is_some_and(|v| match v.before {
+        let is_kept = self.acceptor.lasting().is_some_and(|v| match v.before {
             // A later slot on disk says as much of this one.
             Some(_) => v.state.seq > chosen,
             None => v.state.seq >= chosen,
         });
-        (outside && kept).then_some(Message::Kept { chosen })
+        is_kept.then_some(chosen)
+    }
+
+    /// A node outside the group tells the members as soon as its disk holds what they handed over.
+    fn announce_copy(&mut self) {
+        if self.is_chosen_member(self.me.disk) {
+            return;
+        }
+        let (Some(chosen), Some(vote)) = (self.kept_slot(), self.learner.chosen().cloned()) else {
+            return;
+        };
+        if self.announced.replace(chosen) == Some(chosen) {
+            return;
+        }
+        for member in &vote.state.members {
+            self.send(member.clone(), Message::Kept { chosen });
+        }
     }
 
     /// Whether a node that leaves may end without being missed: it is in no group, and a majority of the group without
@@ -517,6 +598,9 @@
 
     fn exchange(&mut self, now: Nanos) {
         self.exchange_at = now + self.spread(self.settings.exchange);
+        if self.settings.defects.exchange_silent {
+            return;
+        }
         let chance = self.rng.usize(..);
         let others: Vec<&Member> = self
             .members()
--- a/crates/sparrouter-consensus/src/settings.rs
+++ b/crates/sparrouter-consensus/src/settings.rs
@@ -74,6 +74,8 @@
     pub read_locally: bool,
     /// A change that was cut off is judged again as if it had never left.
     pub forget_sent: bool,
+    /// A node joins a group before its disk holds the group's state.
+    pub unconfirmed_candidates: bool,
     /// For the caller: a wiped disk comes back under its old id.
     pub wiped_keeps_id: bool,
     /// Large bodies go with each message that carries their vote.
@@ -84,4 +86,6 @@
     pub fetch_from_start: bool,
     /// A promise counts before the body of the vote that it tells of is here.
     pub promise_without_body: bool,
+    /// Members don't compare what they have with each other.
+    pub exchange_silent: bool,
 }
--- a/crates/sparrouter-consensus/tests/fleet/mod.rs
+++ b/crates/sparrouter-consensus/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Many registers of one part under one seeded scheduler: the real cores, the real codec, files that lie.
 #![allow(dead_code)]
 pub mod clients;
+pub mod copies;
 pub mod faults;
 pub mod judge;
 pub mod machine;
@@ -34,13 +35,14 @@
     pub storm: Nanos,
     pub weather: Weather,
     pub defects: Defects,
+    /// Nearly all bodies are fetched in pieces, instead of going with the messages.
+    pub pieces: bool,
     pub trace: bool,
 }
 
 impl Plan {
-    /// Under every other seed nearly all bodies are fetched in pieces, under the others none.
     fn inline_body(&self) -> usize {
-        if self.seed % 2 == 1 {
+        if self.pieces {
             LEAST_BODY
         } else {
             Settings::default().inline_body
@@ -133,6 +135,8 @@
     events: BTreeMap<u64, Event>,
     number: u64,
     steps: u64,
+    /// A slot was chosen or a disk was lost since the copies were counted.
+    pub copies_changed: bool,
     digest: u64,
     trace: Option<Vec<String>>,
 }
@@ -200,6 +204,7 @@
             events: BTreeMap::new(),
             number: 0,
             steps: 0,
+            copies_changed: false,
             digest: plan.seed,
             trace: plan.trace.then(Vec::new),
         };
@@ -383,6 +388,9 @@
                 }
             }
             self.act();
+            if std::mem::take(&mut self.copies_changed) {
+                self.check_copies();
+            }
         }
     }
 
@@ -568,6 +576,7 @@
                     self.log(|| format!("node {node} publishes slot {}", state.seq));
                     let before = self.nodes[node].published.replace(state.seq);
                     self.judge.chosen(node, before, &state);
+                    self.copies_changed = true;
                 }
                 Action::Done { op, outcome } => self.done(op, outcome),
             }
--- a/crates/sparrouter-prefix-index/src/source.rs
+++ b/crates/sparrouter-prefix-index/src/source.rs
@@ -1,5 +1,7 @@
-//! One server or store at its follower: what it keeps by its events, and which changes its parts' owners do not know yet.
+//! One server or store at its follower: what its events say that it keeps, and which owners have heard of that.
+use sparrouter_rendezvous::SlotTable;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// Most parts that are remembered of one source, some 50 bytes each.
 const MAX_PARTS: usize = 200_000;
@@ -33,10 +35,10 @@
     next: u64,
     /// Tokens of each part that is kept.
     kept: BTreeMap<u64, u32>,
-    /// Parts whose last change was not sent to their owner yet.
+    /// Parts whose owner has not heard of the last change.
     pending: BTreeSet<u64>,
-    /// Identifies the set of owners that the changes were sent to.
-    owners: u64,
+    /// The owners that were told; None before the first time.
+    owners: Option<Rc<SlotTable>>,
 }
 
 impl Source {
@@ -77,22 +79,26 @@
         void
     }
 
-    /// Takes the changes to send, by owner. `owner` gives the owner of a key; `owners` identifies the set of nodes it
-    /// chooses from. If that set changed, all that is kept is sent again, since the new owners may know nothing.
-    pub fn tell(&mut self, owners: u64, owner: impl Fn(u64) -> u64) -> BTreeMap<u64, Vec<Change>> {
+    /// What each owner has to be told, by the owner's place in the table: what changed since the last time, and what is
+    /// kept and had another owner, or another process of it, then.
+    pub fn tell(&mut self, owners: &Rc<SlotTable>) -> BTreeMap<usize, Vec<Change>> {
         let mut keys = std::mem::take(&mut self.pending);
-        if owners != self.owners {
-            keys.extend(self.kept.keys());
-            self.owners = owners;
+        let before = self.owners.replace(owners.clone());
+        if before.as_ref().is_none_or(|b| !Rc::ptr_eq(b, owners)) {
+            let moved = |key: &&u64| {
+                before
+                    .as_ref()
+                    .is_none_or(|before| before.owner(**key) != owners.owner(**key))
+            };
+            keys.extend(self.kept.keys().filter(moved));
         }
-        let mut changes: BTreeMap<u64, Vec<Change>> = BTreeMap::new();
+        let mut out: BTreeMap<usize, Vec<Change>> = BTreeMap::new();
         for key in keys {
             let tokens = self.kept.get(&key).copied().unwrap_or(0);
-            changes
-                .entry(owner(key))
-                .or_default()
-                .push(Change { key, tokens });
+            if let Some(place) = owners.owner_place(key) {
+                out.entry(place).or_default().push(Change { key, tokens });
+            }
         }
-        changes
+        out
     }
 }
--- a/crates/sparrouter-simulation/src/connection.rs
+++ b/crates/sparrouter-simulation/src/connection.rs
@@ -265,7 +265,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let (length, answered) = {
+        let (length, answered, from, to) = {
             let sides = &mut *self.line.0.borrow_mut();
             if let Some(kind) = sides[self.at].broken {
                 return Poll::Ready(Err(kind.into()));
@@ -275,7 +275,12 @@
             }
             let other = &sides[1 - self.at];
             let room = WINDOW.saturating_sub(other.pending());
-            if room == 0 && other.held {
+            // The window opens no more once its reader has gone: a writer of more waits for the reset that is under way.
+            let reset_comes = sides[self.at]
+                .coming
+                .iter()
+                .any(|parcel| matches!(parcel.what, What::Reset));
+            if (room == 0 && other.held) || (reset_comes && room < bytes.len()) {
                 sides[self.at].writer = Some(context.waker().clone());
                 return Poll::Pending;
             }
@@ -293,8 +298,11 @@
                     bytes.len().min(room)
                 },
                 answered,
+                sides[self.at].address.ip(),
+                ip,
             )
         };
+        self.fabric.count_written(from, to, length);
         if answered {
             self.line.send(1 - self.at, What::Reset, &self.fabric);
         } else {
