--- a/crates/sparrouter-fleet/src/boot/fields.rs
+++ b/crates/sparrouter-fleet/src/boot/fields.rs
@@ -200,14 +200,14 @@
         wanted: &str,
     ) -> Result<Vec<T>, BootError> {
         let text = self.map.get(field);
-        let words = text
+        let values = text
             .map(String::as_str)
             .unwrap_or_default()
             .split(',')
             .map(str::trim);
         let read = |w: &str| w.parse::<T>().map_err(|_| self.invalid(field, w, wanted));
-        let all = words
-            .filter(|w| !w.is_empty())
+        let all = values
+            .filter(|value| !value.is_empty())
             .map(read)
             .collect::<Result<Vec<T>, _>>()?;
         let shown: Vec<String> = all.iter().map(T::to_string).collect();
--- a/crates/sparrouter-fleet/src/client/options.rs
+++ b/crates/sparrouter-fleet/src/client/options.rs
@@ -71,12 +71,13 @@
 const MAX_PATIENCE_S: u64 = 3_600;
 
 fn parse_addresses(text: String) -> Result<Vec<SocketAddr>, String> {
-    let one = |word: &str| {
-        word.trim()
+    let parse = |address: &str| {
+        address
+            .trim()
             .parse()
-            .map_err(|_| format!("{word} is not an address such as 10.1.0.21:8683"))
+            .map_err(|_| format!("{address} is not an address such as 10.1.0.21:8683"))
     };
-    text.split(',').map(one).collect()
+    text.split(',').map(parse).collect()
 }
 
 fn addresses_option() -> impl Parser<Vec<SocketAddr>> {
--- a/crates/sparrouter-fleet/src/client/page.rs
+++ b/crates/sparrouter-fleet/src/client/page.rs
@@ -6,20 +6,20 @@
 /// Rows of cells in columns as wide as their widest cell.
 fn table(head: &[&str], rows: &[Vec<String>]) -> String {
     let width = |column: usize| {
-        let words = rows
+        let cells = rows
             .iter()
             .filter_map(|r| r.get(column))
-            .map(|w| w.chars().count());
-        words.chain([head[column].len()]).max().unwrap_or(0)
+            .map(|cell| cell.chars().count());
+        cells.chain([head[column].len()]).max().unwrap_or(0)
     };
     let widths: Vec<usize> = (0..head.len()).map(width).collect();
     let mut out = String::new();
     let head: Vec<String> = head.iter().map(|w| (*w).to_owned()).collect();
     for row in [&head].into_iter().chain(rows) {
         let mut line = String::new();
-        for (word, width) in row.iter().zip(&widths) {
+        for (cell, width) in row.iter().zip(&widths) {
             // Writing into a String does not fail.
-            let _ = write!(line, "{word:width$}  ");
+            let _ = write!(line, "{cell:width$}  ");
         }
         out.push_str(line.trim_end());
         out.push('\n');
@@ -39,14 +39,14 @@
 
 /// Models with their versions; `-` if there is none.
 fn models(of: &[ModelStatus]) -> String {
-    let words: Vec<String> = of
+    let shown: Vec<String> = of
         .iter()
         .map(|m| format!("{}:{}", m.name, m.version))
         .collect();
-    if words.is_empty() {
+    if shown.is_empty() {
         "-".to_owned()
     } else {
-        words.join(",")
+        shown.join(",")
     }
 }
 
--- a/crates/sparrouter-http/src/head.rs
+++ b/crates/sparrouter-http/src/head.rs
@@ -33,14 +33,14 @@
     pub fn text(&self, name: &str) -> Option<&str> {
         self.get(name).and_then(|v| std::str::from_utf8(v).ok())
     }
-    /// Whether a comma-separated field with this name lists `word`, compared without case.
-    pub fn lists(&self, name: &str, word: &str) -> bool {
+    /// Whether a comma-separated field with this name lists `value`, compared without case.
+    pub fn lists(&self, name: &str, value: &str) -> bool {
         let all = self
             .0
             .iter()
             .filter(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes()));
         all.flat_map(|(_, v)| v.split(|&b| b == b','))
-            .any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+            .any(|w| w.trim_ascii().eq_ignore_ascii_case(value.as_bytes()))
     }
 
     /// How the body is framed; `None` if the fields do not say. Conflicting fields are refused, because what one party
--- a/crates/sparrouter-prefix-index/src/source.rs
+++ b/crates/sparrouter-prefix-index/src/source.rs
@@ -37,7 +37,7 @@
     kept: BTreeMap<u64, u32>,
     /// Parts whose owner has not heard of the last change.
     pending: BTreeSet<u64>,
-    /// The owners that were told; None before the first time.
+    /// The owners that changes were last sent to; `None` before the first time.
     owners: Option<Rc<SlotTable>>,
 }
 
@@ -79,8 +79,8 @@
         void
     }
 
-    /// What each owner has to be told, by the owner's place in the table: what changed since the last time, and what is
-    /// kept and had another owner, or another process of it, then.
+    /// Takes the changes to send, by the owner's place in the table: parts that changed since the last call, and kept parts
+    /// whose owner, or the owner's process, is another one than then.
     pub fn tell(&mut self, owners: &Rc<SlotTable>) -> BTreeMap<usize, Vec<Change>> {
         let mut keys = std::mem::take(&mut self.pending);
         let before = self.owners.replace(owners.clone());
@@ -92,13 +92,16 @@
             };
             keys.extend(self.kept.keys().filter(moved));
         }
-        let mut out: BTreeMap<usize, Vec<Change>> = BTreeMap::new();
+        let mut changes: BTreeMap<usize, Vec<Change>> = BTreeMap::new();
         for key in keys {
             let tokens = self.kept.get(&key).copied().unwrap_or(0);
             if let Some(place) = owners.owner_place(key) {
-                out.entry(place).or_default().push(Change { key, tokens });
+                changes
+                    .entry(place)
+                    .or_default()
+                    .push(Change { key, tokens });
             }
         }
-        out
+        changes
     }
 }
--- a/crates/sparrouter-rendezvous/src/slots.rs
+++ b/crates/sparrouter-rendezvous/src/slots.rs
@@ -16,7 +16,7 @@
 pub struct Member {
     /// Hash of its name: all that its scores depend on.
     pub name: u64,
-    /// Changes when the process restarts under the same name, and with it loses what it was told.
+    /// Changes when the process restarts under the same name, and so loses what it was sent.
     pub process: u64,
 }
 
--- a/crates/sparrouter-routing/src/candidate.rs
+++ b/crates/sparrouter-routing/src/candidate.rs
@@ -8,8 +8,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Candidate {
     pub(crate) server: ServerIx,
-    /// Silent ones come last: they may be there still. Long generations keep away from where they would hold up new
-    /// weights.
+    /// Silent servers come last, since they may still answer. Long generations avoid servers that will load new weights
+    /// soon, because loading waits for them to end.
     kept_back: (bool, bool),
     score: f64,
     hash: u64,
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -8,6 +8,8 @@
 //! | module | its one job |
 //! | --- | --- |
 //! | `election` | the server table, and the choice among its servers |
+//! | `candidate` | how two servers of an election compare |
+//! | `sync` | brings the server table up to date with the rows of membership |
 //! | `server` | what is known of one server |
 //! | `versions` | which version of a model's weights a request may begin on |
 //! | `backlog` | how long a prompt would wait at a server, over all nodes |
--- a/crates/sparrouter-routing/src/sync.rs
+++ b/crates/sparrouter-routing/src/sync.rs
@@ -105,14 +105,14 @@
         }
     }
 
-    /// Whoever has the lease of new weights tells `soon/SERVER/MODEL`, then `load/SERVER/MODEL`: under way, then over
-    /// with what the server runs.
+    /// The holder of the rollout lease announces `soon/SERVER/MODEL`, then `load/SERVER/MODEL` while the server loads; the
+    /// latter ends with the version that the server runs.
     fn take_directives(&mut self, rows: &Rows, ix: ServerIx, id: &str, now: Nanos) {
         let lasts = self.versions.patience().saturating_mul(2);
         let Some(server) = self.servers[ix].as_mut() else {
             return;
         };
-        // Whoever told it may have ended: no server is kept out longer than the work can take.
+        // The holder may have died, so no server is excluded for longer than loading can take.
         let stands = |over: bool, at: Nanos| !over && now.saturating_sub(at) < lasts;
         server.loading = false;
         let load = format!("{LOAD}/{id}/");
