--- a/crates/sparrouter-fleet/src/polls.rs
+++ b/crates/sparrouter-fleet/src/polls.rs
@@ -1,8 +1,11 @@
 //! Asking sources for what is new, and telling them what was heard here.
 use crate::boot::nanos;
+use crate::links::LinkError;
 use crate::node::Node;
+use crate::planted::{Defect, has};
 use crate::wire::{Call, Poll, Reply, Update};
 use sparrouter_membership::{Delta, SOURCES, sources};
+use sparrouter_routing::Nanos;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,12 +20,19 @@
 const PATIENCE: Duration = Duration::from_millis(500);
 /// Between two tries where nobody answers.
 const AGAIN: Duration = Duration::from_millis(60);
+/// How often the patience of a node without a configuration doubles: many that start at once may fill the sources'
+/// lines with large answers, of which each that is given up is sent again.
+const MOST_DOUBLINGS: u32 = 3;
 /// A source that failed is left out so long, while there are others.
 const AVOID: Duration = Duration::from_millis(800);
 
-/// Nobody in touch with a quorum was heard of for so long: the seeds are asked too, every other time.
+/// Nobody with quorum contact was heard of for so long: the seeds are asked too, every other time.
 const LOST: Duration = Duration::from_millis(2_200);
 
+/// A process that starts asks at short intervals until it is informed, but no longer than this.
+const EAGER: Duration = Duration::from_secs(10);
+const EAGER_HOLD_MS: u32 = 40;
+
 /// What is known of sources, at this node.
 #[derive(Default)]
 pub struct Sources {
@@ -35,6 +45,8 @@
     /// Which process at each source has this node's row, and which form of it.
     has_row: RefCell<HashMap<SocketAddr, (u64, RowForm)>>,
     wants_whole: Cell<bool>,
+    /// Polls in a row that nobody answered, while this node has no configuration.
+    unanswered: Cell<u32>,
 }
 
 /// What changes in a node's own row while it runs: its life, and whether it leaves.
@@ -107,6 +119,16 @@
         first.or(free).or_else(seed).or(spare)
     }
 
+    /// How long a poll may take that is held for `hold` at most.
+    fn patience(&self, node: &Node, hold: Duration) -> Duration {
+        let doublings = if node.in_force().seq == 0 && !has(Defect::PatienceUnmoved) {
+            self.unanswered.get().min(MOST_DOUBLINGS)
+        } else {
+            0
+        };
+        (hold + PATIENCE) * (1 << doublings)
+    }
+
     fn failed(&self, node: &Node, source: SocketAddr) {
         self.avoid
             .borrow_mut()
@@ -136,7 +158,7 @@
         };
         state.asked.borrow_mut()[place] = Some(source);
         match ask(&node, &state, source, HOLD).await {
-            Some(in_touch) if in_touch => {}
+            Some(true) => {}
             _ => {
                 state.failed(&node, source);
                 tokio::time::sleep(node.jitter(AGAIN)).await;
@@ -182,7 +204,7 @@
     }
 }
 
-/// One poll. None where it failed; else whether the source is in touch with a quorum.
+/// One poll. None where it failed; else whether the source has contact with a quorum.
 async fn ask(node: &Rc<Node>, state: &Sources, source: SocketAddr, hold: Duration) -> Option<bool> {
     let (epoch, revision) = state
         .known
@@ -204,24 +226,30 @@
         } else {
             node.in_force().digest
         },
-        hold_ms: if node.informed.get() {
+        hold_ms: if node.informed.get() || node.now() > nanos(EAGER) {
             hold.as_millis() as u32
         } else {
-            40
+            EAGER_HOLD_MS
         },
     };
-    let reply = node
-        .links
-        .call(source, &Call::Poll(poll), hold + PATIENCE)
-        .await
-        .ok()?;
+    let asked = node.now();
+    let patience = state.patience(node, hold);
+    let reply = node.links.call(source, &Call::Poll(poll), patience).await;
+    let unanswered = match reply {
+        Ok(_) => 0,
+        // One that is not there says nothing of the lines.
+        Err(LinkError::Unreachable) => state.unanswered.get(),
+        Err(_) => state.unanswered.get().saturating_add(1),
+    };
+    state.unanswered.set(unanswered);
+    let reply = reply.ok()?;
     let Reply::Update(told) = reply else {
         return None;
     };
     let Update {
         rows,
         config,
-        in_touch,
+        quorum_contact,
     } = told;
     if !rows.is_empty() {
         let delta = Delta::unpack(&rows)?;
@@ -240,14 +268,26 @@
         // A change of a text that is not the one here: what is in force comes whole with the next poll.
         state.wants_whole.set(!node.take(config));
     }
-    if in_touch {
+    let confirmed = quorum_contact && is_timely(asked, node.now(), patience);
+    if confirmed {
         node.heard.set(node.now());
         node.informed.set(true);
     }
-    Some(in_touch)
+    Some(confirmed)
+}
+
+/// Whether a source with quorum contact answered this node lately.
+pub fn hears_of_quorum(node: &Node) -> bool {
+    node.now().saturating_sub(node.heard.get()) <= nanos(LOST)
+}
+
+/// Whether the answer to a call that was sent at `asked` still says what is so. One that waited while this process was
+/// frozen says what was, and the timer of the call has not fired if the answer was read before it.
+pub fn is_timely(asked: Nanos, now: Nanos, patience: Duration) -> bool {
+    now.saturating_sub(asked) <= nanos(patience) || has(Defect::StaleAnswerInforms)
 }
 
-/// Tells some sources of rows that changed here. True once one has it that is another machine.
+/// Tells the members of rows that changed here. True once another machine has them that is in contact with a quorum.
 pub async fn notify(node: &Rc<Node>, delta: &Delta, patience: Duration) -> bool {
     let own = node.boot.borrow().internal_of(node.boot.borrow().ip);
     let core = node.core();
@@ -261,8 +301,7 @@
         to = core.iter().filter(|c| c.1 != own).map(|c| c.1).collect();
     }
     if to.is_empty() {
-        // A fleet of one: there is nobody to tell.
-        return core.iter().any(|c| c.1 == own);
+        return false;
     }
     let (done, mut heard) = tokio::sync::mpsc::channel(to.len());
     let call = Rc::new(Call::Notify(delta.clone()));
--- a/crates/sparrouter-simulation/src/connection.rs
+++ b/crates/sparrouter-simulation/src/connection.rs
@@ -141,6 +141,10 @@
             {
                 sides[from].vanished = true;
                 sides[from].break_off(ErrorKind::TimedOut);
+                // Nobody sends again what a cut held up, so it never arrives.
+                if fabric.is_cut(own, other) {
+                    sides[1 - from].coming.clear();
+                }
             }
         }
     }
@@ -149,7 +153,11 @@
         let sides = &mut *self.0.borrow_mut();
         let (own, other) = (sides[from].address.ip(), sides[1 - from].address.ip());
         let to = &mut sides[1 - from];
-        let due = Instant::now() + fabric.delay(own, other);
+        let left = match &what {
+            What::Bytes(bytes) => fabric.leave_at(own, bytes.len()),
+            What::Over | What::Reset => Instant::now(),
+        };
+        let due = left + fabric.delay(own, other);
         let due = to.coming.back().map_or(due, |last| due.max(last.due));
         to.coming.push_back(Parcel { due, what });
         to.reader.take().into_iter().for_each(Waker::wake);
