--- a/crates/sparrouter-simulation/examples/availability.rs
+++ b/crates/sparrouter-simulation/examples/availability.rs
@@ -1,5 +1,6 @@
-//! How long no change is taken after a core machine is killed, freezes or is cut off, and how long that machine takes to
-//! serve the configuration again once the trouble is over: whole nodes in virtual time, by seed.
+//! How long no change is taken after a core machine is killed, freezes or is cut off, how long that machine takes to
+//! serve the configuration again once the trouble is over, and how long no lease holder orders new weights when the
+//! trouble is the holder's: whole nodes in virtual time, by seed.
 //!
 //! `cargo run --release -p sparrouter-simulation --example availability -- SEEDS THREADS`
 use sparrouter_simulation::fabric::Cut;
@@ -10,6 +11,7 @@
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 const USAGE: &str = "availability SEEDS THREADS; whole numbers";
@@ -59,6 +61,49 @@
     None
 }
 
+/// From the trouble of the machine that orders new weights until another one orders under a higher token.
+async fn without_holder(seed: u64, trouble: Trouble) -> Option<Duration> {
+    let world = World::serving(Terms {
+        others: 0,
+        servers: 4,
+        ..Terms::seeded(seed)
+    })
+    .await;
+    let naming = {
+        let world = world.clone();
+        spawn_local(async move { world.operator.name_version(2).await })
+    };
+    let first = ordering(&world, None).await?;
+    let machine = first.split('@').next().unwrap_or_default();
+    let victim = world.names().into_iter().find(|name| name == machine)?;
+    begin(&world, trouble, &victim);
+    let began = Instant::now();
+    let second = ordering(&world, Some(&first)).await;
+    naming.abort();
+    second.map(|_| began.elapsed())
+}
+
+/// Waits until a holder orders, another one than `before`.
+async fn ordering(world: &Rc<World>, before: Option<&str>) -> Option<String> {
+    let began = Instant::now();
+    while began.elapsed() < LONGEST {
+        let holder = world.judge.last_holder();
+        if holder.is_some() && holder.as_deref() != before {
+            return holder;
+        }
+        sleep(PAUSE).await;
+    }
+    None
+}
+
+fn begin(world: &Rc<World>, trouble: Trouble, victim: &str) {
+    match trouble {
+        Trouble::Kill => world.kill(victim),
+        Trouble::Freeze => world.freeze(victim, true),
+        Trouble::Cut => world.cut_off(&[victim], Some(Cut::Silent)),
+    }
+}
+
 fn next_plan() -> Plan {
     first_plan().next(1, |plan| {
         plan.routes
@@ -77,11 +122,7 @@
     let survivor = format!("core-{}", (seed + 1) % 3);
     let moment = world.rng.borrow_mut().u64(..1_500);
     sleep(Duration::from_millis(moment)).await;
-    match trouble {
-        Trouble::Kill => world.kill(&victim),
-        Trouble::Freeze => world.freeze(&victim, true),
-        Trouble::Cut => world.cut_off(&[&victim], Some(Cut::Silent)),
-    }
+    begin(&world, trouble, &victim);
     let change = until_200(&world, &survivor, "PUT", "1", &next_plan().json()).await;
     sleep(TROUBLE).await;
     match trouble {
@@ -93,16 +134,21 @@
     Measured { change, back }
 }
 
-fn run(trouble: Trouble, seeds: u64, threads: u64) -> Vec<Measured> {
+/// Plays all seeds, over threads.
+fn run<T: Send + 'static>(
+    seeds: u64,
+    threads: u64,
+    one: impl Fn(u64) -> T + Copy + Send + 'static,
+) -> Vec<T> {
     let part = move |thread| {
         let mine = (0..seeds).filter(move |seed| seed % threads == thread);
-        mine.map(|seed| play(measured(seed, trouble))).collect()
+        mine.map(one).collect::<Vec<T>>()
     };
     let workers: Vec<_> = (0..threads)
-        .map(|t| thread::spawn(move || part(t)))
+        .map(|thread| thread::spawn(move || part(thread)))
         .collect();
     let results = workers.into_iter().map(|w| w.join().expect("a whole run"));
-    results.flat_map(|part: Vec<Measured>| part).collect()
+    results.flatten().collect()
 }
 
 fn row(spans: Vec<Option<Duration>>) -> String {
@@ -129,10 +175,11 @@
     println!("| trouble | what | seeds | p50 ms | p99 ms | most ms | not in 30 s |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     for trouble in [Trouble::Kill, Trouble::Freeze, Trouble::Cut] {
-        let (changes, backs): (Vec<_>, Vec<_>) = run(trouble, seeds, threads)
-            .into_iter()
-            .map(|m| (m.change, m.back))
-            .unzip();
+        let (changes, backs): (Vec<_>, Vec<_>) =
+            run(seeds, threads, move |seed| play(measured(seed, trouble)))
+                .into_iter()
+                .map(|m| (m.change, m.back))
+                .unzip();
         println!(
             "| {trouble:?} | no change taken at another machine | {seeds} | {} |",
             row(changes)
@@ -141,5 +188,12 @@
             "| {trouble:?} | from its end to serving again | {seeds} | {} |",
             row(backs)
         );
+        let holders = run(seeds, threads, move |seed| {
+            play(without_holder(seed, trouble))
+        });
+        println!(
+            "| {trouble:?} | no holder orders new weights | {seeds} | {} |",
+            row(holders)
+        );
     }
 }
