--- a/crates/sparrouter-simulation/examples/order_storm.rs
+++ b/crates/sparrouter-simulation/examples/order_storm.rs
@@ -18,7 +18,10 @@
     };
     let named = std::env::args().nth(3);
     let defect = named.map(|name| {
-        let known = Defect::ALL.into_iter().find(|d| format!("{d:?}") == name);
+        let known = Defect::ALL
+            .iter()
+            .copied()
+            .find(|d| format!("{d:?}") == name);
         known.unwrap_or_else(|| panic!("no defect is called {name}: one of {:?}", Defect::ALL))
     });
     plant(defect);
