--- a/crates/sparrouter-consensus/tests/explore/mod.rs
+++ b/crates/sparrouter-consensus/tests/explore/mod.rs
@@ -4,7 +4,9 @@
 //! | --- | --- |
 //! | `body` | the replicated value: a word changed by compare-and-set |
 //! | `scope` | what may happen in an exploration, and how often |
+//! | `node` | a node: its register, its disk, and the store between them |
 //! | `system` | one state of the whole system and the steps out of it |
+//! | `trace` | messages in few words |
 //! | `votes` | which votes are on disk, and so which are chosen, counted apart from the code under test |
 //! | `history` | calls and answers, checked for linearizability |
 //! | `digest` | which states are the same |
@@ -17,8 +19,10 @@
 pub mod body;
 pub mod digest;
 pub mod history;
+pub mod node;
 pub mod scenarios;
 pub mod scope;
 pub mod search;
 pub mod system;
+pub mod trace;
 pub mod votes;
--- /dev/null
+++ b/crates/sparrouter-consensus/tests/explore/node.rs
@@ -0,0 +1,231 @@
+//! A node of an exploration: its process, its disk, and the store between them.
+//!
+//! Each node has its own clock, which only its timers move. What it does depends on nothing but its state and what it is
+//! given.
+use super::body::CompareAndSet;
+use super::digest::digest_of;
+use super::scope::{CallKind, Scope};
+use fastrand::Rng;
+use sparrouter_consensus::{
+    Action, Member, Message, Nanos, NodeObservation, Record, Register, Settings, VoteId,
+};
+
+/// The register's shard; any number does.
+const SHARD: u16 = 7;
+
+/// No call ends by its deadline within an exploration.
+const FAR: Nanos = Nanos::MAX / 4;
+
+/// Between the id of a disk and that of the empty one that replaces it.
+const NEXT_DISK: u64 = 100;
+
+/// Longest record or message that is decoded.
+const MOST_BYTES: usize = 1 << 16;
+
+/// A node: its process, its disk, and what is between them.
+#[derive(Clone)]
+pub struct Node {
+    pub member: Member,
+    life: u64,
+    register: Register<CompareAndSet>,
+    disk: Option<Vec<u8>>,
+    /// The store under way.
+    pub pending: Option<Pending>,
+    /// Votes accepted in memory since the last store began.
+    unsaved: Vec<VoteId>,
+    now: Nanos,
+    /// What the disk holds, decoded.
+    pub on_disk: Option<VoteId>,
+    pub digest: u128,
+}
+
+/// What a node is given, beside its own state.
+#[derive(Debug)]
+pub enum Input {
+    Message {
+        sender: Member,
+        message: Message,
+    },
+    Call {
+        op: u64,
+        kind: CallKind,
+    },
+    /// The store under way ends; `written`: its bytes are on disk.
+    Stored {
+        written: bool,
+        ok: bool,
+    },
+    Restart {
+        written: bool,
+    },
+    /// A restart with an empty disk.
+    Wipe,
+    Tick,
+    Observe {
+        seen: Vec<NodeObservation>,
+        contact: Nanos,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Pending {
+    token: u64,
+    bytes: Vec<u8>,
+    pub votes: Vec<VoteId>,
+}
+
+pub fn settings(scope: &Scope) -> Settings {
+    Settings {
+        defects: scope.defects.clone(),
+        ..Settings::default()
+    }
+}
+
+pub fn first_member(node: usize) -> Member {
+    let number = node as u64 + 1;
+    Member {
+        disk: number,
+        name: format!("node-{number}"),
+        address: format!("10.0.0.{number}:7360"),
+    }
+}
+
+fn decoded(record: &[u8]) -> Record {
+    Record::decode(record, MOST_BYTES).expect("a record that this code wrote can be read")
+}
+
+impl Node {
+    pub fn start(scope: &Scope, member: Member, life: u64, disk: Option<Vec<u8>>) -> Node {
+        let seed = scope.seed ^ (member.disk << 32) ^ life;
+        let register = Register::new(
+            SHARD,
+            member.clone(),
+            disk.as_deref(),
+            CompareAndSet,
+            Rng::with_seed(seed),
+            settings(scope),
+            0,
+        );
+        let mut node = Node {
+            member,
+            life,
+            register: register.expect("a record that this code wrote can be read"),
+            disk,
+            pending: None,
+            unsaved: Vec::new(),
+            now: 0,
+            on_disk: None,
+            digest: 0,
+        };
+        node.on_disk = node.record().accepted.map(|vote| vote.at());
+        node.refresh_digest();
+        node
+    }
+
+    /// The store under way reaches the disk.
+    fn write(&mut self) {
+        if let Some(pending) = &self.pending {
+            self.disk = Some(pending.bytes.clone());
+            self.on_disk = self.record().accepted.map(|vote| vote.at());
+        }
+    }
+
+    /// The store under way ended.
+    fn end_store(&mut self, ok: bool) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        if !ok {
+            // They are still in memory and ride on the next store.
+            self.unsaved.splice(0..0, pending.votes);
+        }
+        self.register.stored(pending.token, ok, self.now);
+    }
+
+    /// Starts anew under a member's name, with this disk.
+    fn restart(&mut self, scope: &Scope, member: Member, disk: Option<Vec<u8>>) {
+        *self = Node::start(scope, member, self.life + 1, disk);
+    }
+
+    /// Takes an input in; gives what the register wants done, but for the store that it wants.
+    pub fn react(&mut self, scope: &Scope, input: Input) -> Vec<Action> {
+        if let Input::Stored { written: true, .. } | Input::Restart { written: true } = input {
+            self.write();
+        }
+        let register = &mut self.register;
+        match input {
+            Input::Stored { ok, .. } => self.end_store(ok),
+            Input::Restart { .. } => self.restart(scope, self.member.clone(), self.disk.clone()),
+            Input::Wipe => {
+                let mut member = self.member.clone();
+                if !scope.defects.wiped_keeps_id {
+                    member.disk += NEXT_DISK;
+                }
+                self.restart(scope, member, None);
+            }
+            Input::Message { sender, message } => register.handle(sender, message, self.now),
+            Input::Call { op, kind } => match kind {
+                CallKind::Read => register.read(op, FAR, self.now),
+                CallKind::Change { expected, new } => {
+                    register.propose(op, vec![expected, new], FAR, self.now)
+                }
+            },
+            Input::Tick => {
+                let due = register.next_wake().unwrap_or(self.now);
+                self.now = self.now.max(due);
+                register.tick(self.now);
+            }
+            Input::Observe { seen, contact } => {
+                // Twice, as whoever is not the first in turn waits a while.
+                register.tend(&seen, self.now);
+                self.now += contact;
+                register.tend(&seen, self.now);
+            }
+        }
+        let actions = self.register.take_actions();
+        if let Some(at) = self.register.accepted_vote()
+            && self.unsaved.last() != Some(&at)
+        {
+            self.unsaved.push(at);
+        }
+        let (stores, others) = actions
+            .into_iter()
+            .partition(|action| matches!(action, Action::Store { .. }));
+        for store in stores {
+            self.begin_store(store);
+        }
+        self.refresh_digest();
+        others
+    }
+
+    /// A store may begin before the last vote that the same step accepted: that one rides on the next store.
+    fn begin_store(&mut self, store: Action) {
+        if let Action::Store { token, bytes } = store {
+            let held = decoded(&bytes).accepted.map(|vote| vote.at());
+            let covered = |at: &mut VoteId| Some(*at) <= held;
+            let votes = self.unsaved.extract_if(.., covered).collect();
+            self.pending = Some(Pending {
+                token,
+                bytes,
+                votes,
+            });
+        }
+    }
+
+    fn record(&self) -> Record {
+        self.disk.as_deref().map(decoded).unwrap_or_default()
+    }
+
+    fn refresh_digest(&mut self) {
+        let seen = (
+            &self.member,
+            self.life,
+            &self.register,
+            &self.disk,
+            &self.pending,
+            &self.unsaved,
+            self.now,
+        );
+        self.digest = digest_of(&seen);
+    }
+}
--- a/crates/sparrouter-consensus/tests/explore/system.rs
+++ b/crates/sparrouter-consensus/tests/explore/system.rs
@@ -5,31 +5,20 @@
 //!
 //! A node's reaction depends on nothing but its own state and what it is given, so each pair of the two is run once and
 //! kept.
-use super::body::{CompareAndSet, FIRST, TAKEN};
+use super::body::{FIRST, TAKEN};
 use super::digest::digest_of;
 use super::history::History;
+use super::node::{Input, Node, first_member, settings};
 use super::scope::{Call, CallKind, Scope};
+use super::trace::summary;
 use super::votes::Votes;
-use fastrand::Rng;
-use sparrouter_consensus::{
-    Action, Member, Message, Nanos, NodeObservation, Outcome, Record, Register, Settings, State,
-    VoteId,
-};
+use sparrouter_consensus::{Action, Member, Message, NodeObservation, Outcome, Record, State};
 use std::cell::RefCell;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 
-/// The register's shard; any number does.
-const SHARD: u16 = 7;
-/// No call ends by its deadline within an exploration.
-const FAR: Nanos = Nanos::MAX / 4;
-/// Between the id of a disk and that of the empty one that replaces it.
-const NEXT_DISK: u64 = 100;
-/// Longest record or message that is decoded.
-const MOST_BYTES: usize = 1 << 16;
-
 /// One step of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -70,51 +59,6 @@
     Swap,
 }
 
-/// A node: its process, its disk, and what is between them.
-#[derive(Clone)]
-pub struct Node {
-    member: Member,
-    life: u64,
-    register: Register<CompareAndSet>,
-    disk: Option<Vec<u8>>,
-    /// The store under way.
-    pending: Option<Pending>,
-    /// Votes accepted in memory since the last store began.
-    unsaved: Vec<VoteId>,
-    now: Nanos,
-    /// What the disk holds, decoded.
-    on_disk: Option<VoteId>,
-    digest: u128,
-}
-
-/// What a node is given, beside its own state.
-#[derive(Debug)]
-enum Input {
-    Message {
-        sender: Member,
-        message: Message,
-    },
-    Call {
-        op: u64,
-        kind: CallKind,
-    },
-    /// The store under way ends; `written`: its bytes are on disk.
-    Stored {
-        written: bool,
-        ok: bool,
-    },
-    Restart {
-        written: bool,
-    },
-    /// A restart with an empty disk.
-    Wipe,
-    Tick,
-    Observe {
-        seen: Vec<NodeObservation>,
-        contact: Nanos,
-    },
-}
-
 /// What a node becomes by an input, and what it wants done.
 struct Reaction {
     node: Rc<Node>,
@@ -129,13 +73,6 @@
 
 type Reactions = RefCell<HashMap<(u128, u128), Rc<Reaction>>>;
 
-#[derive(Clone, Debug)]
-struct Pending {
-    token: u64,
-    bytes: Vec<u8>,
-    votes: Vec<VoteId>,
-}
-
 pub struct Envelope {
     from: usize,
     to: usize,
@@ -172,162 +109,6 @@
     reactions: Rc<Reactions>,
 }
 
-fn settings(scope: &Scope) -> Settings {
-    Settings {
-        defects: scope.defects.clone(),
-        ..Settings::default()
-    }
-}
-
-fn first_member(node: usize) -> Member {
-    let number = node as u64 + 1;
-    Member {
-        disk: number,
-        name: format!("node-{number}"),
-        address: format!("10.0.0.{number}:7360"),
-    }
-}
-
-fn decoded(record: &[u8]) -> Record {
-    Record::decode(record, MOST_BYTES).expect("a record that this code wrote can be read")
-}
-
-impl Node {
-    fn start(scope: &Scope, member: Member, life: u64, disk: Option<Vec<u8>>) -> Node {
-        let seed = scope.seed ^ (member.disk << 32) ^ life;
-        let register = Register::new(
-            SHARD,
-            member.clone(),
-            disk.as_deref(),
-            CompareAndSet,
-            Rng::with_seed(seed),
-            settings(scope),
-            0,
-        );
-        let mut node = Node {
-            member,
-            life,
-            register: register.expect("a record that this code wrote can be read"),
-            disk,
-            pending: None,
-            unsaved: Vec::new(),
-            now: 0,
-            on_disk: None,
-            digest: 0,
-        };
-        node.on_disk = node.record().accepted.map(|vote| vote.at());
-        node.refresh_digest();
-        node
-    }
-
-    /// The store under way reaches the disk.
-    fn write(&mut self) {
-        if let Some(pending) = &self.pending {
-            self.disk = Some(pending.bytes.clone());
-            self.on_disk = self.record().accepted.map(|vote| vote.at());
-        }
-    }
-
-    /// The store under way ended.
-    fn end_store(&mut self, ok: bool) {
-        let Some(pending) = self.pending.take() else {
-            return;
-        };
-        if !ok {
-            // They are still in memory and ride on the next store.
-            self.unsaved.splice(0..0, pending.votes);
-        }
-        self.register.stored(pending.token, ok, self.now);
-    }
-
-    /// Starts anew under a member's name, with this disk.
-    fn restart(&mut self, scope: &Scope, member: Member, disk: Option<Vec<u8>>) {
-        *self = Node::start(scope, member, self.life + 1, disk);
-    }
-
-    /// Takes an input in; gives what the register wants done, but for the store that it wants.
-    fn react(&mut self, scope: &Scope, input: Input) -> Vec<Action> {
-        if let Input::Stored { written: true, .. } | Input::Restart { written: true } = input {
-            self.write();
-        }
-        let register = &mut self.register;
-        match input {
-            Input::Stored { ok, .. } => self.end_store(ok),
-            Input::Restart { .. } => self.restart(scope, self.member.clone(), self.disk.clone()),
-            Input::Wipe => {
-                let mut member = self.member.clone();
-                if !scope.defects.wiped_keeps_id {
-                    member.disk += NEXT_DISK;
-                }
-                self.restart(scope, member, None);
-            }
-            Input::Message { sender, message } => register.handle(sender, message, self.now),
-            Input::Call { op, kind } => match kind {
-                CallKind::Read => register.read(op, FAR, self.now),
-                CallKind::Change { expected, new } => {
-                    register.propose(op, vec![expected, new], FAR, self.now)
-                }
-            },
-            Input::Tick => {
-                let due = register.next_wake().unwrap_or(self.now);
-                self.now = self.now.max(due);
-                register.tick(self.now);
-            }
-            Input::Observe { seen, contact } => {
-                // Twice, as whoever is not the first in turn waits a while.
-                register.tend(&seen, self.now);
-                self.now += contact;
-                register.tend(&seen, self.now);
-            }
-        }
-        let actions = self.register.take_actions();
-        if let Some(at) = self.register.accepted_vote()
-            && self.unsaved.last() != Some(&at)
-        {
-            self.unsaved.push(at);
-        }
-        let (stores, others) = actions
-            .into_iter()
-            .partition(|action| matches!(action, Action::Store { .. }));
-        for store in stores {
-            self.begin_store(store);
-        }
-        self.refresh_digest();
-        others
-    }
-
-    /// A store may begin before the last vote that the same step accepted: that one rides on the next store.
-    fn begin_store(&mut self, store: Action) {
-        if let Action::Store { token, bytes } = store {
-            let held = decoded(&bytes).accepted.map(|vote| vote.at());
-            let covered = |at: &mut VoteId| Some(*at) <= held;
-            let votes = self.unsaved.extract_if(.., covered).collect();
-            self.pending = Some(Pending {
-                token,
-                bytes,
-                votes,
-            });
-        }
-    }
-
-    fn record(&self) -> Record {
-        self.disk.as_deref().map(decoded).unwrap_or_default()
-    }
-
-    fn refresh_digest(&mut self) {
-        let seen = (
-            &self.member,
-            self.life,
-            &self.register,
-            &self.disk,
-            &self.pending,
-            &self.unsaved,
-            self.now,
-        );
-        self.digest = digest_of(&seen);
-    }
-}
-
 impl System {
     /// All nodes run; the members have the group's first record on disk.
     pub fn new(scope: Scope) -> System {
@@ -725,37 +506,3 @@
         self.votes.chosen_slots()
     }
 }
-
-fn summary(message: &Message) -> String {
-    match message {
-        Message::Accept { vote } => {
-            let disks: Vec<u64> = vote.state.members.iter().map(|m| m.disk).collect();
-            let body = String::from_utf8_lossy(&vote.state.body);
-            format!("Accept {} {body:?} {disks:?}", place(&vote.at()))
-        }
-        Message::Accepted { at } => format!("Accepted {}", place(at)),
-        Message::Learn { vote } => format!("Learn {}", place(&vote.at())),
-        Message::Chosen { at } => format!("Chosen {}", place(at)),
-        Message::Prepare { ballot, .. } => format!("Prepare {}.{}", ballot.round, ballot.disk),
-        Message::Promise { ballot, at, .. } => {
-            let at = at.as_ref().map(place);
-            format!("Promise {}.{} holding {at:?}", ballot.round, ballot.disk)
-        }
-        Message::Reject {
-            ballot, promised, ..
-        } => format!(
-            "Reject {}.{}, promised {}.{}",
-            ballot.round, ballot.disk, promised.round, promised.disk
-        ),
-        Message::Query { .. } => "Query".to_owned(),
-        Message::Report { at, .. } => format!("Report {:?}", at.as_ref().map(place)),
-        other => format!("{other:?}"),
-    }
-}
-
-fn place(at: &VoteId) -> String {
-    format!(
-        "slot {} ballot {}.{}",
-        at.seq, at.ballot.round, at.ballot.disk
-    )
-}
