--- a/crates/sparrouter-consensus/tests/exhaustive.rs
+++ b/crates/sparrouter-consensus/tests/exhaustive.rs
@@ -63,6 +63,9 @@
 }
 
 sound! {
+    given_a_proposer_and_a_reader_then_no_order_of_events_breaks_a_rule: "a proposer and a read";
+    given_a_proposer_and_a_crash_then_no_order_at_all_breaks_a_rule: "a proposer and a crash";
+    given_two_proposers_then_no_order_of_events_breaks_a_rule: "two proposers";
     given_two_proposers_and_a_reader_then_no_order_of_events_breaks_a_rule: "two proposers, a read";
     given_a_crash_as_well_then_no_order_breaks_a_rule: "and a crash";
     given_two_timers_as_well_then_no_order_breaks_a_rule: "and two timers";
--- a/crates/sparrouter-consensus/tests/explore/scenarios.rs
+++ b/crates/sparrouter-consensus/tests/explore/scenarios.rs
@@ -181,6 +181,34 @@
         ..Scope::calm(3)
     };
     vec![
+        sound(
+            "a proposer and a read",
+            10,
+            &[],
+            Scope {
+                calls: vec![Call::change(0, b'a', b'b'), Call::read(2)],
+                ..Scope::calm(3)
+            },
+        ),
+        sound(
+            "a proposer and a crash",
+            20,
+            &[],
+            Scope {
+                calls: vec![Call::change(0, b'a', b'b')],
+                crashes: 1,
+                ..Scope::calm(3)
+            },
+        ),
+        sound(
+            "two proposers",
+            10,
+            &[],
+            Scope {
+                calls: race(),
+                ..Scope::calm(3)
+            },
+        ),
         sound("two proposers, a read", 8, &[], group.clone()),
         sound(
             "and a crash",
