--- /dev/null
+++ b/crates/sparrouter-simulation/examples/second_losses.rs
@@ -0,0 +1,59 @@
+//! Hunts for a loss right after another one that breaks a rule: drawn losses, each as soon as the tolerance allows it.
+//!
+//! `cargo run --release -p sparrouter-simulation --example second_losses -- SEEDS [FIRST]`
+#[path = "../tests/losses/mod.rs"]
+mod losses;
+
+use fastrand::Rng;
+use losses::{CATCH_UP, LOSSES, change, lose, terms, watched};
+use sparrouter_simulation::scenario::{heed_panics, panics, play};
+use sparrouter_simulation::world::first_plan;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Losses of one day: more than the first group has members.
+const LOSSES_A_DAY: usize = 5;
+
+/// The rules that a day breaks.
+async fn day(seed: u64) -> Vec<String> {
+    let mut rng = Rng::with_seed(seed);
+    let core = [3, 3, 5, 7][rng.usize(..4)];
+    let world = watched(terms(seed, core)).await;
+    let mut plan = first_plan();
+    for number in 0..LOSSES_A_DAY {
+        let machines = world.core();
+        let oldest_first = rng.bool();
+        let place = if oldest_first {
+            0
+        } else {
+            rng.usize(..machines.len())
+        };
+        let loss = LOSSES[rng.usize(..LOSSES.len())];
+        lose(&world, &mut plan, &machines[place], loss).await;
+        sleep(CATCH_UP + Duration::from_millis(rng.u64(..400))).await;
+        change(&world, &mut plan, &format!("after-{number}")).await;
+    }
+    world.operator.read_back().await;
+    world.judge.breaches()
+}
+
+fn main() -> ExitCode {
+    let mut numbers = std::env::args()
+        .skip(1)
+        .filter_map(|a| a.parse::<u64>().ok());
+    let (seeds, first) = (numbers.next().unwrap_or(100), numbers.next().unwrap_or(0));
+    heed_panics();
+    for seed in first..first + seeds {
+        let played = catch_unwind(AssertUnwindSafe(|| play(day(seed))));
+        let mut broken = panics();
+        broken.extend(played.unwrap_or_default());
+        if let Some(what) = broken.first() {
+            println!("seed {seed}: {what}");
+            return ExitCode::FAILURE;
+        }
+    }
+    println!("{seeds} seeds from {first}: no rule broken");
+    ExitCode::SUCCESS
+}
--- a/crates/sparrouter-simulation/tests/reconfiguration.rs
+++ b/crates/sparrouter-simulation/tests/reconfiguration.rs
@@ -1,11 +1,12 @@
 //! Machines of the core lost one after the other as fast as the tolerance allows: what is left holds everything and acts.
+mod losses;
+
+use losses::{CATCH_UP, LOSSES, Loss, change, lose, terms, watched, wipe};
 use sparrouter_consensus::Member;
 use sparrouter_consensus::owner::ranked;
 use sparrouter_fleet::control::CONFIG;
 use sparrouter_fleet::planted::{Defect, plant};
-use sparrouter_simulation::copies::CopiesMonitor;
 use sparrouter_simulation::fabric::Cut;
-use sparrouter_simulation::plan::{Kind, Plan, Route};
 use sparrouter_simulation::scenario::{heed_panics, panics, play, run_judged};
 use sparrouter_simulation::world::{Terms, World, ZONES, first_plan};
 use std::future::Future;
@@ -14,80 +15,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// A machine still counts as lost for so long once it or its successor is up (`bounds.catch_up_s`).
-const CATCH_UP: Duration = Duration::from_secs(4);
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Loss {
-    /// Gone for good; an empty one starts two seconds later at another address.
-    Replaced,
-    /// An empty one starts first, then the old one is told to end.
-    Planned,
-    /// Its disk is lost right after a change was acknowledged; the machine starts again with an empty one.
-    WipedAfterAcknowledgement,
-}
-
-const LOSSES: [Loss; 3] = [
-    Loss::Replaced,
-    Loss::Planned,
-    Loss::WipedAfterAcknowledgement,
-];
-
-fn terms(seed: u64, core: usize) -> Terms {
-    Terms {
-        core,
-        others: 1,
-        servers: 1,
-        ..Terms::seeded(seed)
-    }
-}
-
-async fn watched(terms: Terms) -> Rc<World> {
-    let world = World::serving(terms).await;
-    CopiesMonitor::start(&world, CATCH_UP);
-    world
-}
-
-/// Changes the configuration, and expects that it is taken.
-async fn change(world: &Rc<World>, plan: &mut Plan, name: &str) {
-    let next = plan.next(2, |p| {
-        p.routes.push(Route::new(name, Kind::Idempotent, "models"));
-    });
-    let status = world.operator.put(&next, plan.version).await;
-    assert_eq!(status, 200, "the change {name}");
-    *plan = next;
-}
-
-/// Loses the machine; ends once its successor has started.
-async fn lose(world: &Rc<World>, plan: &mut Plan, name: &str, loss: Loss) {
-    let zone = world.zone_of(name);
-    match loss {
-        Loss::Replaced => {
-            world.retire(name);
-            sleep(Duration::from_secs(2)).await;
-            world.add_core(zone);
-        }
-        Loss::Planned => {
-            world.add_core(zone);
-            sleep(Duration::from_secs(2)).await;
-            world.term(name).await;
-            world.retire(name);
-        }
-        Loss::WipedAfterAcknowledgement => {
-            change(world, plan, &format!("before-{name}")).await;
-            wipe(world, name).await;
-        }
-    }
-}
-
-/// The machine loses power and its disk, and starts again with an empty one.
-async fn wipe(world: &World, name: &str) {
-    world.power_off(name);
-    world.wipe(name);
-    sleep(Duration::from_millis(500)).await;
-    world.power_on(name);
-}
-
 #[test]
 fn given_two_losses_in_every_order_until_none_of_the_first_group_is_left_then_all_is_kept() {
     for (seed, first) in (300..).zip(LOSSES) {
