--- a/crates/sparrouter-simulation/tests/planted.rs
+++ b/crates/sparrouter-simulation/tests/planted.rs
@@ -30,7 +30,7 @@
     )*};
 }
 
-// Not here: LostRaceInForce, OldGroupUnasked, OldGroupCounts; docs/measured/system.md says why.
+// LostRaceInForce: tests/lost_race.rs. Not here: OldGroupUnasked, OldGroupCounts; docs/measured/system.md says why.
 found! {
     acknowledged_before_it_is_on_disk: AckBeforeSync in 25 [], true;
     a_wiped_machine_votes: WipedVotes in 15 [3], false;
