--- a/crates/sparrouter-consensus/src/settings.rs
+++ b/crates/sparrouter-consensus/src/settings.rs
@@ -84,6 +84,8 @@
     pub fetch_from_start: bool,
     /// A promise counts before the body of the vote that it tells of is here.
     pub promise_without_body: bool,
+    /// A fetch is given up for each other body that is offered.
+    pub fetch_overtaken: bool,
     /// Members don't compare what they have with each other.
     pub exchange_silent: bool,
 }
--- a/crates/sparrouter-consensus/src/transfer.rs
+++ b/crates/sparrouter-consensus/src/transfer.rs
@@ -317,7 +317,7 @@
                 }
                 fetch.resume(&from, settings, now)
             }
-            Some(fetch) if fetch.is_asking() => Sends::new(),
+            Some(fetch) if fetch.is_asking() && !settings.defects.fetch_overtaken => Sends::new(),
             _ => {
                 let mut fetch = Fetch::new(body, from.clone());
                 let sends = fetch.resume(&from, settings, now);
--- a/crates/sparrouter-consensus/tests/catch_up.rs
+++ b/crates/sparrouter-consensus/tests/catch_up.rs
@@ -466,3 +466,52 @@
     });
     assert!(early > 0);
 }
+
+/// The bodies that are asked for when another one is offered in the middle of a fetch, and the slot reached when all
+/// pieces of the first one have come.
+fn asked_after_an_offer_midway(defects: Defects) -> (Vec<BodyReference>, Option<u64>) {
+    let mut behind = Behind::new(defects);
+    let [older, newer] = behind.outlines.clone();
+    let first = BodyReference::of(&behind.bodies[0]);
+    behind.register.handle(member(2), older, 0);
+    behind.register.take_actions();
+    behind.register.handle(member(3), newer, 0);
+    let asked = behind
+        .register
+        .take_actions()
+        .into_iter()
+        .filter_map(|a| match a {
+            Action::Send {
+                message: Message::FetchBody { body, .. },
+                ..
+            } => Some(body),
+            _ => None,
+        });
+    let asked = asked.collect();
+    for offset in (0..BODY).step_by(8 << 10) {
+        let end = (offset + (8 << 10)).min(BODY);
+        let piece = Message::BodyPiece {
+            body: first,
+            offset: offset as u32,
+            bytes: PieceBytes(behind.bodies[0][offset..end].to_vec()),
+        };
+        behind.register.handle(member(2), piece, 1);
+    }
+    (asked, behind.seq())
+}
+
+#[test]
+fn given_a_newer_state_offered_in_the_middle_of_a_fetch_then_the_fetch_is_finished_first() {
+    let (asked, seq) = asked_after_an_offer_midway(Defects::default());
+    assert!(asked.is_empty(), "{asked:?}");
+    assert_eq!(seq, Some(5));
+}
+
+#[test]
+fn given_fetches_given_up_for_each_newer_state_then_it_is_found() {
+    let (asked, seq) = asked_after_an_offer_midway(Defects {
+        fetch_overtaken: true,
+        ..Defects::default()
+    });
+    assert!(!asked.is_empty() && seq.is_none());
+}
