--- a/crates/sparrouter-fleet/src/lib.rs
+++ b/crates/sparrouter-fleet/src/lib.rs
@@ -3,7 +3,7 @@
 //! | file | its one job |
 //! | --- | --- |
 //! | `boot`, `log_buffer` | settings read and checked; the log |
-//! | `node` | what one process knows; tables swapped whole (`node/config`, `node/news`, `node/keeping`: what is in force, what is heard and sent on, what falls to it) |
+//! | `node` | what one process knows; tables swapped whole (`node/config`, `node/updates`, `node/ownership`, `node/live_nodes`: what is in force, what is heard and sent on, what falls to it, the snapshot of all node rows) |
 //! | `net`, `wire`, `links`, `polls` | the way to other machines, words between nodes, their connections, who asks whom for what is new |
 //! | `control`, `disk`, `statute` | the control state: registers carried out, kept, and what a change means |
 //! | `registry`, `doors`, `calls` | servers' beats; the tree of calls of servers and operators |
--- a/crates/sparrouter-prefix-index/src/lib.rs
+++ b/crates/sparrouter-prefix-index/src/lib.rs
@@ -5,8 +5,8 @@
 //! | `source` | what one server or store keeps, as its follower reads it from its events |
 //! | `index` | who keeps a part, at the part's owner, and what a prompt about to be sent should fetch and save |
 //!
-//! Each server and store is followed by one node, each part has one owner, both named by rendezvous hashing. A follower
-//! tells owners what changed; whoever is about to send a prompt asks the owner of its deepest shared part, and where
+//! Each server and store is followed by one node, each part has one owner, both looked up in a table of slots made by
+//! rendezvous hashing. A follower tells owners what changed, and where the set of owners changes what moved; whoever is about to send a prompt asks the owner of its deepest shared part, and where
 //! nobody keeps that, the owner of the one before.
 //!
 //! Why not tell everybody of everything: the choice of the server needs no index (the election sends a prefix to the
