--- a/crates/sparrouter-prefix-index/src/lib.rs
+++ b/crates/sparrouter-prefix-index/src/lib.rs
@@ -6,7 +6,8 @@
 //! | `index` | who keeps a part, at the part's owner, and what a request about to be sent should fetch and save |
 //!
 //! Each server and store (a *source*) is followed by one node, and each part has one owner among the nodes; both are
-//! found by rendezvous hashing. A follower notifies the owners of changes. A node that is about to send a prompt asks the
+//! looked up in a table of slots made by rendezvous hashing. A follower notifies the owners of changes, and where the set
+//! of owners changes, of what moved. A node that is about to send a prompt asks the
 //! owner of its deepest shared part, and if nobody keeps that, the owner of the part before.
 //!
 //! Why updates are not sent to all nodes: the choice of a server needs no index (the election sends a prefix to the same
