Planted mistakes that the reads for quorum contact hide are planted without those reads

Cause: after the merge a member that reads learns what it missed, and one that cannot read gives up its lead, so that OldGroupUnasked broke nothing any more. Change: with it, and with ExchangeSilent, a process that has caught up stops reading.

--- a/crates/sparrouter-fleet/src/control/presence.rs
+++ b/crates/sparrouter-fleet/src/control/presence.rs
@@ -1,7 +1,7 @@
 //! Whom this member hears, its contact with a quorum, whose silence it tells of, and whether a shard's lease is its own.
 use super::{CONFIG, Control};
 use crate::boot::nanos;
-use crate::planted::{Defect, has};
+use crate::planted::{self, Defect, has};
 use sparrouter_consensus::lease::Lease;
 use sparrouter_consensus::{Member, Outcome};
 use std::rc::Rc;
@@ -152,12 +152,17 @@
         self.is_member() && there * 2 > members.len()
     }
 
+    /// Whether a quorum confirmed in this life what is in force.
+    fn caught_up(&self) -> bool {
+        self.node.informed.get()
+    }
+
     /// Reads the configuration's shard by a quorum, again and again: see `quorum_contact` for what rests on it.
     ///
     /// A read that finds the members agreed costs one small frame to each other member and one back, and no write.
     pub(super) async fn keep_contact(self: Rc<Self>) {
         loop {
-            let pause = if self.is_member() {
+            let pause = if self.is_member() && !(planted::hidden_by_reads() && self.caught_up()) {
                 if self.confirm_contact().await {
                     CONTACT_RENEWAL
                 } else {
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -214,6 +214,13 @@
     false
 }
 
+/// Mistakes that the reads for quorum contact hide, as a second guard: they are planted together with the absence of
+/// those reads once a process has caught up. A member that reads learns what it missed, and one that cannot read gives up
+/// the lead with which it could go on without the old group.
+pub(crate) fn hidden_by_reads() -> bool {
+    has(Defect::OldGroupUnasked) || has(Defect::ExchangeSilent)
+}
+
 /// Those that lie in the registers.
 pub(crate) fn of_registers() -> sparrouter_consensus::Defects {
     sparrouter_consensus::Defects {
