--- a/crates/sparrouter-simulation/tests/many_changes.rs
+++ b/crates/sparrouter-simulation/tests/many_changes.rs
@@ -254,8 +254,9 @@
 
 #[test]
 fn given_members_that_do_not_compare_what_they_have_then_a_short_day_finds_it() {
+    let day = || play(day_of_many_changes(497, 14 * SPELL));
+    day().judge.assert_kept();
     plant(Some(Defect::ExchangeSilent));
-    let day = || play(day_of_many_changes(494, 14 * SPELL));
     let broken = catch_unwind(AssertUnwindSafe(day)).is_err();
     plant(None);
     assert!(broken);
