A relayed change has time enough after a thaw to show the planted mistake

Cause: links that froze are dialled anew after the thaw, so half a second of patience ended before a quorum could be asked, also with RelayWithoutContact planted. Result: the sound program makes no change, the planted one does.

--- a/crates/sparrouter-simulation/tests/quorum_contact.rs
+++ b/crates/sparrouter-simulation/tests/quorum_contact.rs
@@ -781,7 +781,7 @@
     let call = Call::Change {
         part: CONFIG,
         change: Blob(encode(&change)),
-        patience_ms: 500,
+        patience_ms: 3_000,
     };
     let reply = caller.call(to, &call, Duration::from_millis(500)).await;
     assert!(reply.is_none(), "{reply:?}");
