--- a/crates/sparrouter-simulation/tests/planted.rs
+++ b/crates/sparrouter-simulation/tests/planted.rs
@@ -31,12 +31,9 @@
 }
 
 // LostRaceInForce, OldGroupUnasked and OldGroupCounts are in `planted_directed.rs`.
-// Mistakes in quorum contact are found by `quorum_contact`.
-// Not here: LostRaceInForce, OldGroupCounts; docs/measured/system.md says why. UnconfirmedJoins, LeavesAtOnce and
-// OldGroupUnasked are found by days of their own in tests/reconfiguration.rs.
-// LostRaceInForce: tests/lost_race.rs. Not here: OldGroupUnasked, OldGroupCounts; docs/measured/system.md says why.
-// Not here: LostRaceInForce, OldGroupUnasked, OldGroupCounts; docs/measured/system.md says why. Mistakes in quorum contact
-// and OlderTaken are found by `quorum_contact`, LeaseUnrenewed by `lease_restart`.
+// Mistakes that no drawn day finds have tests of their own: those in quorum contact and OlderTaken in `quorum_contact`,
+// LeaseUnrenewed and FenceFromDisk in `lease_restart`, LostRaceInForce in `lost_race`, OldGroupUnasked, OldGroupCounts and
+// LostRaceInForce in `planted_directed`, UnconfirmedJoins and LeavesAtOnce in `reconfiguration`.
 found! {
     acknowledged_before_it_is_on_disk: AckBeforeSync in 25 [], true;
     a_wiped_machine_votes: WipedVotes in 15 [3], false;
--- a/crates/sparrouter-storage/src/lib.rs
+++ b/crates/sparrouter-storage/src/lib.rs
@@ -25,6 +25,4 @@
 pub use error::StorageError;
 pub use files::{Files, RealFiles};
 pub use simulated::SimulatedFiles;
-/// The former name of [`SimulatedFiles`], until all tests of other packages use the new one.
-pub use simulated::SimulatedFiles as LyingFiles;
 pub use store::{Opened, Store};
