--- a/crates/sparrouter-fleet/src/peer_api.rs
+++ b/crates/sparrouter-fleet/src/peer_api.rs
@@ -1,67 +1,31 @@
-//! What another node is answered: polls held until there is news, rows told, messages and changes of the control state.
+//! Answers to the calls of other nodes: long polls, notifications, messages and changes of the control state, questions
+//! on kept prompts and on waiting prompts.
 use crate::planted::{Defect, has};
 use crate::run::ControlServices;
-use crate::wire::{Call, Reply, Update};
+use crate::wire::{Call, Poll, Reply, Update};
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Member, Outcome};
 use sparrouter_membership::Delta;
-use sparrouter_prefix_index::Question;
+use sparrouter_prefix_index::{Advice, Question};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
-/// A node without quorum contact holds a poll no longer than this.
-const LEAVE_ME_MS: u32 = 300;
+/// Longest time for which a poll is held, milliseconds.
+const LONGEST_HOLD_MS: u32 = 5_000;
+/// The same at a node without quorum contact: whoever asks it should soon ask another.
+const LONGEST_HOLD_WITHOUT_CONTACT_MS: u32 = 300;
+/// Longest time that a relayed change is given, milliseconds.
+const LONGEST_PATIENCE_MS: u32 = 10_000;
+const NANOS_PER_MS: u64 = 1_000_000;
 
-/// Answers another node.
+/// Answers a call of another node; `None` where the call has no answer.
 pub async fn answer(services: Rc<ControlServices>, _peer: SocketAddr, call: Call) -> Option<Reply> {
     let node = &services.node;
     match call {
-        Call::Poll(poll) => {
-            if let Some(control) = &services.control {
-                control.heard_of(&poll.name);
-                control.polled(&poll.name);
-            }
-            if let Some(row) = poll.row {
-                node.learn(Delta {
-                    nodes: vec![row].into(),
-                    ..Delta::default()
-                });
-            }
-            let mut changes = node.changes();
-            let came = Instant::now();
-            loop {
-                changes.mark_unchanged();
-                let quorum_contact = services.has_quorum_contact();
-                // Whoever asks a node without quorum contact should soon ask another.
-                let longest = if quorum_contact { 5_000 } else { LEAVE_ME_MS };
-                let until = came + Duration::from_millis(u64::from(poll.hold_ms.min(longest)));
-                let rows = node.rows_since(poll.epoch, poll.revision);
-                let known = node.in_force();
-                let older = has(Defect::OlderTaken) && known.seq > 0 && known.seq < poll.config_seq;
-                let news = known.seq > poll.config_seq || older;
-                if news || rows.is_some() || Instant::now() >= until {
-                    let config = news.then(|| node.config_update(poll.config_digest));
-                    return Some(Reply::Update(Update {
-                        rows: Blob(rows.unwrap_or_default()),
-                        config,
-                        quorum_contact,
-                    }));
-                }
-                // Either news, or the end of the hold.
-                let _ = tokio::time::timeout_at(until, changes.changed()).await;
-            }
-        }
-        Call::Notify(delta) => {
-            node.learn(delta);
-            // The sender acknowledges what it was told on this word: nodes that have a quorum must hear of it from here.
-            if services.has_quorum_contact() || has(Defect::NotifyWithoutContact) {
-                Some(Reply::Done)
-            } else {
-                Some(Reply::No("this node has no contact with a quorum".into()))
-            }
-        }
+        Call::Poll(poll) => Some(hold_poll(&services, poll).await),
+        Call::Notify(delta) => Some(take_notification(&services, delta)),
         Call::Consensus {
             part,
             disk,
@@ -69,61 +33,21 @@
             address,
             message,
         } => {
-            if let Some(control) = &services.control {
-                control.heard_of(&name);
-                control.heard(
-                    part,
-                    Member {
-                        disk,
-                        name,
-                        address,
-                    },
-                    &message,
-                );
-            }
+            let member = Member {
+                disk,
+                name,
+                address,
+            };
+            take_message(&services, part, member, &message);
             None
         }
         Call::Change {
             part,
             change,
             patience_ms,
-        } => {
-            let Some(control) = services.control.as_ref().filter(|c| c.is_member()) else {
-                return Some(Reply::NotChanged(
-                    "this node keeps no part of the control state".into(),
-                ));
-            };
-            // Nothing was proposed, so the sender may try another member at once. A call that waited in a frozen process
-            // ends here too: its sender gave it up long ago.
-            if control.lost_quorum_contact() && !has(Defect::RelayWithoutContact) {
-                return Some(Reply::NotChanged(
-                    "this node has no contact with a quorum: see which members are down".into(),
-                ));
-            }
-            let patience = Duration::from_millis(u64::from(patience_ms.min(10_000)));
-            Some(match control.change_here(part, change.0, patience).await {
-                Outcome::Answered(answer) => Reply::Changed(Blob(answer)),
-                Outcome::Refused(why) => Reply::NotChanged(control.explain(&why.to_string())),
-                Outcome::Unknown => Reply::Unknown,
-            })
-        }
+        } => Some(carry_out_change(&services, part, change, patience_ms).await),
         Call::Prefix { key, server, store } => {
-            let advice = node
-                .index
-                .borrow_mut()
-                .ask(Question { key, server, store }, node.now());
-            let sparrouter_prefix_index::Advice {
-                save,
-                held,
-                holders,
-                reader,
-            } = advice;
-            Some(Reply::Prefix {
-                save,
-                held,
-                holders: holders.into(),
-                reader,
-            })
+            Some(advise(&services, Question { key, server, store }))
         }
         Call::Kept { source, void, rows } => {
             node.kept_here(source, void, &rows);
@@ -136,9 +60,10 @@
             urgency,
             most_ms,
         } => {
-            let wait = node.wait_here(server, token, cost, urgency, u64::from(most_ms) * 1_000_000);
+            let most = u64::from(most_ms) * NANOS_PER_MS;
+            let wait_ms = node.wait_here(server, token, cost, urgency, most) / NANOS_PER_MS;
             Some(Reply::Wait {
-                ms: (wait / 1_000_000).min(u64::from(u32::MAX)) as u32,
+                ms: u32::try_from(wait_ms).unwrap_or(u32::MAX),
             })
         }
         Call::Over {
@@ -149,16 +74,115 @@
             node.over_here(server, token, began);
             None
         }
-        Call::Found { records } => {
-            let taken = services
-                .control
-                .as_ref()
-                .is_some_and(|c| c.take_record(&records));
-            Some(if taken {
-                Reply::Done
-            } else {
-                Reply::No("this node can't be a founder".into())
-            })
+        Call::Found { records } => Some(join_first_group(&services, &records)),
+    }
+}
+
+/// Holds a poll until there is something new for its sender, or the hold is over.
+async fn hold_poll(services: &ControlServices, poll: Poll) -> Reply {
+    let node = &services.node;
+    if let Some(control) = &services.control {
+        control.heard_of(&poll.name);
+        control.polled(&poll.name);
+    }
+    if let Some(row) = poll.row {
+        node.learn(Delta {
+            nodes: vec![row].into(),
+            ..Delta::default()
+        });
+    }
+    let mut changes = node.changes();
+    let came = Instant::now();
+    loop {
+        changes.mark_unchanged();
+        let quorum_contact = services.has_quorum_contact();
+        let longest = match quorum_contact {
+            true => LONGEST_HOLD_MS,
+            false => LONGEST_HOLD_WITHOUT_CONTACT_MS,
+        };
+        let until = came + Duration::from_millis(u64::from(poll.hold_ms.min(longest)));
+        let rows = node.rows_since(poll.epoch, poll.revision);
+        let known = node.in_force();
+        let older = has(Defect::OlderTaken) && known.seq > 0 && known.seq < poll.config_seq;
+        let is_newer = known.seq > poll.config_seq || older;
+        if is_newer || rows.is_some() || Instant::now() >= until {
+            return Reply::Update(Update {
+                rows: Blob(rows.unwrap_or_default()),
+                config: is_newer.then(|| node.config_update(poll.config_digest)),
+                quorum_contact,
+            });
         }
+        // Either something new, or the end of the hold.
+        let _ = timeout_at(until, changes.changed()).await;
+    }
+}
+
+/// Takes rows that changed at the sender, which acknowledges to servers what this node confirms: nodes that have a quorum
+/// must hear of it from here.
+fn take_notification(services: &ControlServices, delta: Delta) -> Reply {
+    services.node.learn(delta);
+    if services.has_quorum_contact() || has(Defect::NotifyWithoutContact) {
+        Reply::Done
+    } else {
+        Reply::No("this node has no contact with a quorum".into())
+    }
+}
+
+fn take_message(services: &ControlServices, shard: u16, from: Member, message: &Blob) {
+    if let Some(control) = &services.control {
+        control.heard_of(&from.name);
+        control.heard(shard, from, message);
+    }
+}
+
+/// Makes a change of a shard for another node, if this one is a member with quorum contact.
+async fn carry_out_change(
+    services: &ControlServices,
+    shard: u16,
+    change: Blob,
+    patience_ms: u32,
+) -> Reply {
+    let Some(control) = services.control.as_ref().filter(|c| c.is_member()) else {
+        return Reply::NotChanged("this node keeps no part of the control state".into());
+    };
+    // Nothing was proposed, so the sender may try another member at once. A call that waited in a frozen process ends here
+    // too: its sender gave it up long ago.
+    if control.lost_quorum_contact() && !has(Defect::RelayWithoutContact) {
+        return Reply::NotChanged(
+            "this node has no contact with a quorum: see which members are down".into(),
+        );
+    }
+    let patience = Duration::from_millis(u64::from(patience_ms.min(LONGEST_PATIENCE_MS)));
+    match control.change_here(shard, change.0, patience).await {
+        Outcome::Answered(answer) => Reply::Changed(Blob(answer)),
+        Outcome::Refused(why) => Reply::NotChanged(control.explain(&why.to_string())),
+        Outcome::Unknown => Reply::Unknown,
+    }
+}
+
+/// Says where a prefix is kept and who should save it.
+fn advise(services: &ControlServices, question: Question) -> Reply {
+    let node = &services.node;
+    let advice = node.index.borrow_mut().ask(question, node.now());
+    let Advice {
+        save,
+        held,
+        holders,
+        reader,
+    } = advice;
+    Reply::Prefix {
+        save,
+        held,
+        holders: holders.into(),
+        reader,
+    }
+}
+
+fn join_first_group(services: &ControlServices, records: &[Blob]) -> Reply {
+    let control = services.control.as_ref();
+    if control.is_some_and(|c| c.take_record(records)) {
+        Reply::Done
+    } else {
+        Reply::No("this node can't be a founder".into())
     }
 }
