--- a/crates/sparrouter-fleet/src/boot.rs
+++ b/crates/sparrouter-fleet/src/boot.rs
@@ -66,6 +66,8 @@
     pub readiness: Option<SocketAddr>,
     /// For servers and operators.
     pub control: Option<SocketAddr>,
+    /// For whoever collects figures. Not a field of the file: an option of the command line gives the port.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The limits that the operators' RULES.md refers to, as set for this deployment (`bounds.*`).
@@ -285,6 +287,7 @@
             front: fields.address("listen_addresses.front_http")?,
             readiness: fields.address("listen_addresses.readiness")?,
             control: fields.address("listen_addresses.control_plane")?,
+            metrics: None,
         };
         let (internal_port, last_internal_port) = internal_ports(fields)?;
         let seeds = fields.list("seed_nodes", "addresses such as 10.1.0.21:8683")?;
--- a/crates/sparrouter-fleet/src/client/options.rs
+++ b/crates/sparrouter-fleet/src/client/options.rs
@@ -8,7 +8,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     /// Run a process of the fleet.
-    Run(Role),
+    Run {
+        /// What it serves.
+        role: Role,
+        /// Port of the machine's address under which it tells its figures; `None`: it does not.
+        metrics_port: Option<u16>,
+    },
     /// Call the fleet.
     Fleet {
         /// What to do.
@@ -222,17 +227,27 @@
     )
 }
 
+/// A subcommand that runs a process.
+fn process(name: &'static str, role: Role, help: &'static str) -> impl Parser<Command> {
+    let metrics_port = long("metrics-port")
+        .argument::<u16>("PORT")
+        .help("tell figures of this process as text at http://ADDRESS:PORT/metrics")
+        .optional();
+    let role = pure(role);
+    subcommand(name, help, construct!(Command::Run { role, metrics_port }))
+}
+
 /// The whole command line.
 pub fn command() -> OptionParser<Command> {
-    let proxy = subcommand(
+    let proxy = process(
         "proxy",
+        Role::Proxy,
         "Serve clients; also servers and operators where the settings say so",
-        pure(Command::Run(Role::Proxy)),
     );
-    let control = subcommand(
+    let control = process(
         "control",
+        Role::Control,
         "Serve servers and operators, and keep the control state",
-        pure(Command::Run(Role::Control)),
     );
     let (config, version_put, status, show) = (config(), version_put(), status(), show());
     construct!([proxy, control, config, version_put, status, show])
--- a/crates/sparrouter-fleet/src/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/exchange/admission.rs
@@ -2,6 +2,7 @@
 use super::{Exchange, time_is_over};
 use crate::boot::nanos;
 use crate::http::Answer;
+use crate::metrics::count;
 use crate::planted::{Defect, has};
 use sparrouter_routing::{Ask, Pick, ServerIx, Turned};
 use std::time::Duration;
@@ -182,6 +183,9 @@
             .server_table
             .borrow()
             .choose(&ask, self.node.now());
+        if pick.is_err() {
+            count(&self.node.counters.no_server_ready);
+        }
         let pick = pick.map_err(|turned| match turned {
             Turned::Unready | Turned::None if has(Defect::NoServerNoRoute) => {
                 Answer::plain(404, "no route")
--- a/crates/sparrouter-fleet/src/exchange/speaking.rs
+++ b/crates/sparrouter-fleet/src/exchange/speaking.rs
@@ -2,10 +2,12 @@
 use super::admission::urgency;
 use super::memory::Memory;
 use super::{Exchange, left};
+use crate::metrics::count;
 use crate::net::Stream;
 use crate::planted::{Defect, has};
 use crate::upstream::{Sent, Upstream};
 use bytes::{BufMut, Bytes, BytesMut};
+use sparrouter_config::Kind;
 use sparrouter_http::head::{self, Framing, ReplyHead};
 use sparrouter_http::reading::{self};
 use sparrouter_membership::Standing;
@@ -145,10 +147,21 @@
                 Sent::Begun => {}
             }
             self.sent += 1;
+            self.count_older_weights(pick);
             return self.reply(pick, link, begun).await;
         }
     }
 
+    fn count_older_weights(&self, pick: &Pick) {
+        let (Some(model), Some(version)) = (&self.model, pick.version) else {
+            return;
+        };
+        let wanted = self.node.server_table.borrow().versions.wanted(model);
+        if wanted.is_some_and(|wanted| wanted.version > version) {
+            count(&self.node.counters.sent_to_older_weights);
+        }
+    }
+
     pub(super) fn may_go(&self, pick: &Pick) -> bool {
         let server_table = self.node.server_table.borrow();
         let now = self.node.now();
@@ -196,6 +209,7 @@
                 }
             }
             self.learn(pick, &head);
+            self.check_begun(pick, &head);
             let not_run =
                 head.fields.get("sparrouter-not-executed").is_some() || head.status == 421;
             if not_run {
@@ -251,6 +265,31 @@
         }
     }
 
+    /// Reports an answer whose run began on weights that no request may begin on any more. The head of a stream comes
+    /// with the first token, so it began just now; when the run of any other answer began is not known.
+    fn check_begun(&self, pick: &Pick, head: &ReplyHead) {
+        let version = head.fields.text("versions").and_then(|v| v.parse().ok());
+        let began = self.route.kind == Kind::Streaming && head.status < 300;
+        let (Some(model), Some(version), true) = (&self.model, version, began) else {
+            return;
+        };
+        let now = self.node.now();
+        if self
+            .node
+            .server_table
+            .borrow()
+            .versions
+            .allows(model, version, now)
+        {
+            return;
+        }
+        count(&self.node.counters.begun_too_late);
+        self.node.log_buffer.breach(&format!(
+            "a request began on version {version} of {model} at {} after the time limit of a newer version",
+            self.instance(pick.server)
+        ));
+    }
+
     pub(super) fn declined(&self, pick: &Pick, head: &ReplyHead) {
         let now = self.node.now();
         let jitter = crate::boot::nanos(self.node.jitter(Duration::from_millis(60)));
--- a/crates/sparrouter-fleet/src/lib.rs
+++ b/crates/sparrouter-fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod http;
 pub mod links;
 pub mod log_buffer;
+pub mod metrics;
 pub mod net;
 pub mod node;
 pub mod peer_api;
--- a/crates/sparrouter-fleet/src/main.rs
+++ b/crates/sparrouter-fleet/src/main.rs
@@ -19,10 +19,11 @@
 }
 
 /// Runs a process of the fleet until it is told to end.
-fn serve(role: Role) -> Result<(), String> {
+fn serve(role: Role, metrics_port: Option<u16>) -> Result<(), String> {
     let log_buffer = LogBuffer::install(LevelFilter::Info);
     log_buffer.dump_on_panic();
-    let boot = Boot::load().map_err(|e| e.to_string())?;
+    let mut boot = Boot::load().map_err(|e| e.to_string())?;
+    boot.listen.metrics = metrics_port.map(|port| SocketAddr::new(boot.ip, port));
     let local = LocalSet::new();
     let ended = local.block_on(
         &runtime()?,
@@ -83,8 +84,8 @@
         }
     };
     let done = match command {
-        Command::Run(role) => {
-            return match serve(role) {
+        Command::Run { role, metrics_port } => {
+            return match serve(role, metrics_port) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(text) => {
                     eprintln!("sparrouter: {text}");
--- /dev/null
+++ b/crates/sparrouter-fleet/src/metrics.rs
@@ -0,0 +1,160 @@
+//! The figures that a process tells of itself, as text for a scraper or a person.
+//!
+//! One line a figure, `NAME{LABEL="VALUE",...} NUMBER`, after Prometheus' text format 0.0.4. Counters end in `_total` and
+//! start at 0 with the process. Figures are worked out when they are asked for, apart from [`Counters`], so that they cost
+//! nothing while nobody asks; their number grows with models, versions in use and servers, not with requests.
+#![deny(missing_docs)]
+
+use crate::control::{Control, LEASE_SHARDS};
+use crate::node::Node;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::rc::Rc;
+
+/// Nanoseconds of a second.
+const SECOND: f64 = 1e9;
+
+/// What is counted as it happens.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Changes of the core that this node saw; each restarts the time limits of versions.
+    pub core_changes: Cell<u64>,
+    /// Requests that no server was ready for: all load weights, run too old ones, or are full or out of reach.
+    pub no_server_ready: Cell<u64>,
+    /// Requests sent to a server with older weights than the newest.
+    pub sent_to_older_weights: Cell<u64>,
+    /// Answers that began on weights after the time limit of a newer version: each breaks rule VERSION.
+    pub begun_too_late: Cell<u64>,
+    /// Orders to load weights that servers took.
+    pub orders_taken: Cell<u64>,
+    /// Orders to load weights that were declined.
+    pub orders_declined: Cell<u64>,
+    /// Orders to load weights without an answer.
+    pub orders_unanswered: Cell<u64>,
+}
+
+/// Adds one to a counter.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+/// All figures of a process. `control`: its control state, if it keeps one.
+pub fn show(node: &Rc<Node>, control: Option<&Rc<Control>>) -> String {
+    let mut page = Page::default();
+    state_of_process(&mut page, node, control);
+    versions(&mut page, node);
+    servers(&mut page, node);
+    counters(&mut page, &node.counters);
+    page.text
+}
+
+/// Text under construction.
+#[derive(Default)]
+struct Page {
+    text: String,
+}
+
+impl Page {
+    fn line(&mut self, name: &str, labels: &[(&str, &str)], value: f64) {
+        let labels: Vec<String> = labels
+            .iter()
+            .map(|(label, value)| format!("{label}=\"{}\"", escaped(value)))
+            .collect();
+        let labels = match labels.is_empty() {
+            true => String::new(),
+            false => format!("{{{}}}", labels.join(",")),
+        };
+        // Writing to a string does not fail.
+        let _ = writeln!(self.text, "sparrouter_{name}{labels} {value}");
+    }
+
+    fn flag(&mut self, name: &str, value: bool) {
+        self.line(name, &[], f64::from(u8::from(value)));
+    }
+}
+
+/// A label's value, which may hold any text of an operator.
+fn escaped(value: &str) -> String {
+    value
+        .replace('\\', "\\\\")
+        .replace('"', "\\\"")
+        .replace('\n', "\\n")
+}
+
+fn state_of_process(page: &mut Page, node: &Node, control: Option<&Rc<Control>>) {
+    page.line("uptime_seconds", &[], node.now() as f64 / SECOND);
+    page.flag("ready", node.informed.get() && !node.leaving.get());
+    page.flag("leaving", node.leaving.get());
+    page.line("open_requests", &[], node.open.get() as f64);
+    page.line("config_version", &[], node.in_force().version as f64);
+    page.line("config_sequence", &[], node.in_force().seq as f64);
+    let heard = node.now().saturating_sub(node.heard.get());
+    page.line("quorum_heard_seconds_ago", &[], heard as f64 / SECOND);
+    let Some(control) = control else { return };
+    page.flag("group_member", control.is_member());
+    page.flag("quorum_contact", control.has_quorum_contact());
+    for shard in 1..=LEASE_SHARDS {
+        let first = f64::from(u8::from(control.is_first(shard)));
+        page.line(
+            "rollout_lease_candidate",
+            &[("shard", &shard.to_string())],
+            first,
+        );
+    }
+}
+
+/// Which versions of weights were named, and for how long requests may still begin on older ones; 0 and less: no more.
+fn versions(page: &mut Page, node: &Node) {
+    let now = node.now();
+    let server_table = node.server_table.borrow();
+    let seconds = |from: u64| now.saturating_sub(from) as f64 / SECOND;
+    if let Some(at) = server_table.versions.core_changed_at() {
+        page.line("core_changed_seconds_ago", &[], seconds(at));
+    }
+    for (model, wanted) in server_table.versions.all() {
+        let version = wanted.version.to_string();
+        let labels = [("model", model), ("version", version.as_str())];
+        page.line("version_named_seconds_ago", &labels, seconds(wanted.since));
+        let left = server_table.versions.until(wanted) as f64 - now as f64;
+        page.line("older_versions_allowed_seconds", &labels, left / SECOND);
+    }
+}
+
+/// Servers by model and version, and those that are held back.
+fn servers(page: &mut Page, node: &Node) {
+    let server_table = node.server_table.borrow();
+    let mut running: BTreeMap<(&str, u64), u32> = BTreeMap::new();
+    let (mut loading, mut silent, mut suspected, mut all) = (0, 0, 0, 0);
+    for (_, server) in server_table.all() {
+        for (model, version) in server.models() {
+            *running.entry((model, *version)).or_default() += 1;
+        }
+        all += 1;
+        loading += u32::from(server.loading());
+        silent += u32::from(server.silent());
+        suspected += u32::from(server.suspected());
+    }
+    for ((model, version), count) in running {
+        let labels = [("model", model), ("version", &version.to_string())];
+        page.line("servers_with_version", &labels, f64::from(count));
+    }
+    page.line("servers", &[], f64::from(all));
+    page.line("servers_loading", &[], f64::from(loading));
+    page.line("servers_silent", &[], f64::from(silent));
+    page.line("servers_suspected", &[], f64::from(suspected));
+}
+
+fn counters(page: &mut Page, counters: &Counters) {
+    let mut line = |name: &str, counter: &Cell<u64>| page.line(name, &[], counter.get() as f64);
+    line("core_changes_total", &counters.core_changes);
+    line("no_server_ready_total", &counters.no_server_ready);
+    line(
+        "sent_to_older_weights_total",
+        &counters.sent_to_older_weights,
+    );
+    line("begun_too_late_total", &counters.begun_too_late);
+    line("orders_taken_total", &counters.orders_taken);
+    line("orders_declined_total", &counters.orders_declined);
+    line("orders_unanswered_total", &counters.orders_unanswered);
+}
--- a/crates/sparrouter-fleet/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -9,6 +9,7 @@
 use crate::departure::Departure;
 use crate::links::Links;
 use crate::log_buffer::LogBuffer;
+use crate::metrics::Counters;
 use crate::net::SharedNet;
 use crate::planted::{Defect, has};
 use fastrand::Rng;
@@ -127,6 +128,8 @@
     pub log_buffer: LogBuffer,
     /// Client requests that are being read or worked on.
     pub open: Cell<usize>,
+    /// What the process tells of itself.
+    pub counters: Counters,
 }
 
 impl Node {
@@ -202,6 +205,7 @@
             rng: RefCell::new(rng),
             log_buffer,
             open: Cell::new(0),
+            counters: Counters::default(),
         })
     }
 
--- a/crates/sparrouter-fleet/src/node/config.rs
+++ b/crates/sparrouter-fleet/src/node/config.rs
@@ -79,6 +79,17 @@
                 table,
                 models: models.collect(),
             };
+            let named: Vec<String> = told
+                .models
+                .iter()
+                .map(|m| format!("{} {} {} ms", m.name, m.version, m.age_ms))
+                .collect();
+            log::info!(
+                "register {} configuration {} in force, weights named: {}",
+                told.seq,
+                told.version,
+                named.join(", ")
+            );
             *self.config.borrow_mut() = Rc::new(next);
             self.changed();
         }
--- a/crates/sparrouter-fleet/src/node/updates.rs
+++ b/crates/sparrouter-fleet/src/node/updates.rs
@@ -1,5 +1,6 @@
 //! Rows that were heard of: learnt at once, looked at with the next few, sent on together.
 use super::Node;
+use crate::metrics::count;
 use sparrouter_membership::Delta;
 use sparrouter_routing::Nanos;
 use std::rc::Rc;
@@ -129,6 +130,8 @@
         let live = self.live_nodes();
         let mut known = self.core_seen.borrow_mut();
         if known.as_slice() != live.counted_states() {
+            count(&self.counters.core_changes);
+            log::info!("the core changed: {:?}", live.counted_states());
             *known = live.counted_states().to_vec();
             self.server_table
                 .borrow_mut()
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -11,6 +11,7 @@
 use crate::http::Answer;
 use crate::links;
 use crate::log_buffer::LogBuffer;
+use crate::metrics;
 use crate::net::{Listener, Net, SharedNet};
 use crate::node::Node;
 use crate::peer_api::answer;
@@ -229,6 +230,7 @@
         });
         spawn_local(endpoint::listen(listener, Rc::new(ready)));
     }
+    tell_figures(&services);
     let (stage, staged) = watch::channel(Stage::Serving);
     if let Some(listener) = front {
         spawn_local(front::listen(node.clone(), listener, staged, most));
@@ -246,6 +248,27 @@
     Ok(())
 }
 
+/// Serves the figures of this process where a port for them is set. A port that is taken leaves the process without them.
+fn tell_figures(services: &Rc<ControlServices>) {
+    let node = &services.node;
+    let Some(address) = node.boot.borrow().listen.metrics else {
+        return;
+    };
+    let listener = match node.net.listen(address) {
+        Ok(listener) => listener,
+        Err(why) => {
+            log::warn!("no figures are told at {address} ({why}): choose another --metrics-port");
+            return;
+        }
+    };
+    let services = services.clone();
+    let figures = Matcher::default().on("GET", "/metrics", move |_, _| {
+        let page = metrics::show(&services.node, services.control.as_ref());
+        async move { Answer::plain(200, page) }
+    });
+    spawn_local(endpoint::listen(listener, Rc::new(figures)));
+}
+
 /// Readiness first; all that was taken is answered and the control state handed over; resting connections go last.
 async fn leave(
     node: &Rc<Node>,
--- a/crates/sparrouter-fleet/src/weights.rs
+++ b/crates/sparrouter-fleet/src/weights.rs
@@ -5,6 +5,7 @@
 //! frozen or replaced meanwhile stays unsent.
 use crate::boot::nanos;
 use crate::control::{self, Control, LEASE_SHARDS, shard_of};
+use crate::metrics::count;
 use crate::net::Net;
 use crate::node::Node;
 use crate::planted::{Defect, has};
@@ -551,7 +552,24 @@
         if link.send(&Bytes::from(head), &Bytes::from(body)).await == Sent::Nothing {
             return None;
         }
-        Some(answer(&mut link).await?.0)
+        let status = answer(&mut link).await.map(|answer| answer.0);
+        self.record_order(held, id, model, version, status);
+        status
+    }
+}
+
+impl Duty {
+    fn record_order(&self, held: Held, id: &str, model: &str, version: u64, status: Option<u16>) {
+        let counters = &self.node.counters;
+        count(match status {
+            Some(200..=299) => &counters.orders_taken,
+            Some(_) => &counters.orders_declined,
+            None => &counters.orders_unanswered,
+        });
+        log::info!(
+            "ordered {id} to version {version} of {model} under {}: {status:?}",
+            held.fence
+        );
     }
 }
 
--- a/crates/sparrouter-routing/src/versions.rs
+++ b/crates/sparrouter-routing/src/versions.rs
@@ -57,6 +57,18 @@
         self.unsettled = now;
     }
 
+    /// When a node of the core last joined, left or became silent; None if that was not seen yet.
+    pub fn core_changed_at(&self) -> Option<Nanos> {
+        (self.unsettled > 0).then_some(self.unsettled)
+    }
+
+    /// The versions that were named, with their models.
+    pub fn all(&self) -> impl Iterator<Item = (&str, Wanted)> {
+        self.wanted
+            .iter()
+            .map(|(model, wanted)| (model.as_str(), *wanted))
+    }
+
     /// Until when a request may begin on a version older than this one.
     pub fn until(&self, wanted: Wanted) -> Nanos {
         wanted
--- a/crates/sparrouter-simulation/src/world.rs
+++ b/crates/sparrouter-simulation/src/world.rs
@@ -9,6 +9,7 @@
 use crate::client::{Client, Wish};
 use crate::disk::SimulatedDisk;
 use crate::fabric::Fabric;
+use crate::http_messages::call;
 use crate::judge::{Bounds, Judge};
 use crate::net::MemoryNet;
 use crate::operator::Operator;
@@ -33,6 +34,7 @@
 const FRONT: u16 = 8689;
 const READINESS: u16 = 8687;
 const CONTROL: u16 = 8683;
+const METRICS: u16 = 9464;
 const SERVER: u16 = 8080;
 
 /// How large a deployment is.
@@ -266,6 +268,19 @@
     pub fn control_of(&self, name: &str) -> SocketAddr {
         SocketAddr::new(self.ip(name), CONTROL)
     }
+    /// Where a machine tells its figures.
+    pub fn metrics_of(&self, name: &str) -> SocketAddr {
+        SocketAddr::new(self.ip(name), METRICS)
+    }
+    /// A figure as a machine tells it now, by the whole name with its labels; `None` where it has none or does not answer.
+    pub async fn figure(&self, name: &str, figure: &str) -> Option<f64> {
+        let (net, to) = (self.outside_net(), self.metrics_of(name));
+        let patience = Duration::from_secs(1);
+        let reply = call(&net, to, "GET", "/metrics", &[], "", patience);
+        let reply = reply.await.ok()?;
+        let value = |line: &str| line.strip_prefix(figure)?.trim().parse().ok();
+        reply.text().lines().find_map(value)
+    }
     pub fn front_of(&self, name: &str) -> SocketAddr {
         SocketAddr::new(self.ip(name), FRONT)
     }
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -72,8 +72,9 @@
     /// Starts a process on a machine that has power; `first`: the whole system starts for the first time.
     pub fn start(&self, name: &str, first: bool) {
         let text = self.boot_text(name, first);
-        let boot =
+        let mut boot =
             Boot::parse(Path::new("story"), &text).expect("settings that the page describes");
+        boot.listen.metrics = Some(self.metrics_of(name));
         let mut rng = self.rng.borrow_mut().fork();
         let net = Rc::new(MemoryNet::new(self.fabric.clone(), self.ip(name)));
         let (give, orders) = unbounded_channel();
