Each version of weights keeps its own time limit; nodes that start learn its age

Cause: a node kept one version a model with one moment. Naming the next version put its moment in the place of the earlier limit, so weights that had been too old could be begun on again, for as long as versions followed each other. Same class beside it: a process that started took its own first sight of the core for a change of it, and could not hold moments before its start, so that its limits began anew; a row forgotten after minutes counted as a change of the core; a rollout that was overtaken forgot what its servers were at work on. Three planted mistakes are found.

--- a/crates/sparrouter-fleet/src/control.rs
+++ b/crates/sparrouter-fleet/src/control.rs
@@ -12,11 +12,11 @@
 pub use groups::found;
 
 use crate::boot::nanos;
-use crate::configuration_state::{ConfigurationMachine, ConfigurationState};
+use crate::configuration_state::{ConfigurationMachine, ConfigurationState, NamedVersion};
 use crate::disk::{DiskContents, Kept, Save, Saves};
 use crate::node::Node;
 use crate::planted::{self, Defect};
-use crate::wire::{Call, ConfigUpdate, ModelUpdate, TextUpdate};
+use crate::wire::{Call, ConfigUpdate, ModelUpdate, TextUpdate, VersionsUpdate};
 use presence::CONTACT_WINDOW;
 use quorum_contact::QuorumContact;
 use sparrouter_codec::Blob;
@@ -286,25 +286,15 @@
             Ok(state) => state,
             Err(why) => return self.node.log_buffer.breach(&why.to_string()),
         };
-        let models = statute.models.iter().map(|m| {
-            let known = self.node.in_force();
-            let since = known
-                .models
-                .iter()
-                .find(|k| k.0 == m.model && k.1 == m.version)
-                .map(|k| k.2);
-            let age = since.map_or(0, |s| self.node.now().saturating_sub(s) / 1_000_000);
-            ModelUpdate {
-                name: m.model.clone(),
-                version: m.version,
-                age_ms: age,
-            }
-        });
+        let versions = VersionsUpdate {
+            models: statute.models.iter().map(just_named).collect(),
+            core_changed_age_ms: None,
+        };
         // Register sequences start at 0; nodes count from 1, so that 0 is 'nothing yet'.
         let told = ConfigUpdate {
             seq: seq + 1,
             version: statute.version,
-            models: models.collect(),
+            versions,
             text: TextUpdate::Whole(statute.text),
         };
         self.node.take(told);
@@ -359,3 +349,13 @@
         }
     }
 }
+
+/// A version as the register tells of it, which knows no times: it counts as named now unless it is known already, as the
+/// earliest moment counts.
+fn just_named(named: &NamedVersion) -> ModelUpdate {
+    ModelUpdate {
+        name: named.model.clone(),
+        version: named.version,
+        age_ms: 0,
+    }
+}
--- a/crates/sparrouter-fleet/src/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/exchange/admission.rs
@@ -11,12 +11,17 @@
 /// A wait of so much of the aim is comfortable; beyond it the next in the order are asked, so many in all.
 const COMFORT: f64 = 0.4;
 const ASKED: usize = 3;
+/// Further servers that are asked in place of those where the request would begin on weights that are too old by then.
+const ASKED_BEYOND_LIMIT: usize = 3;
 /// Of a wait beyond so much of the aim a request is told to come back.
 const PATIENCE: f64 = 1.0;
 /// Part of the shared prompt that a server has to read again: the one that it belongs to, and any other.
 const HOME_LOST: f64 = 0.1;
 const ELSEWHERE_LOST: f64 = 0.4;
 
+/// After so long another server may have newer weights.
+const LOADED_SOON: Duration = Duration::from_millis(250);
+
 /// A prompt that counts as waiting at a server until its first token.
 #[derive(Clone, Copy)]
 pub(super) struct Counted {
@@ -45,22 +50,24 @@
         let mut best: Option<(u64, Pick)> = None;
         let mut passed = self.tried.clone();
         let mut pick = first;
-        for _ in 0..ASKED {
+        let (mut in_time, mut too_late) = (0, 0);
+        while in_time < ASKED && too_late < ASKED_BEYOND_LIMIT {
             let counted = self.counted(&pick);
             // Elsewhere more has to be read.
             let extra = read_ns(counted.cost) - read_ns(self.counted(&first).cost);
-            match self
-                .wait_at(&counted, comfortable.saturating_sub(extra))
-                .await
-            {
+            let until_limit = self.time_left_on(&pick);
+            let accepted = comfortable.saturating_sub(extra).min(until_limit);
+            match self.wait_at(&counted, accepted).await {
                 None => return Ok((pick, None)),
-                Some(wait) if wait <= comfortable.saturating_sub(extra) => {
-                    return Ok((pick, Some(counted)));
-                }
-                Some(wait) if best.is_none_or(|b| wait + extra < b.0) => {
-                    best = Some((wait + extra, pick))
+                Some(wait) if wait <= accepted => return Ok((pick, Some(counted))),
+                // It would begin on weights that are too old by then.
+                Some(wait) if wait >= until_limit => too_late += 1,
+                Some(wait) => {
+                    in_time += 1;
+                    if best.is_none_or(|b| wait + extra < b.0) {
+                        best = Some((wait + extra, pick));
+                    }
                 }
-                Some(_) => {}
             }
             passed.push(pick.server);
             match self.elect(key, &passed) {
@@ -73,7 +80,9 @@
                 Err(_) => break,
             }
         }
-        let (wait, pick) = best.unwrap_or((0, first));
+        let Some((wait, pick)) = best else {
+            return Err(self.none_begins_in_time(proved));
+        };
         // A client that came back is served late rather than refused again, as long as it would wait for it.
         let patience = if self.is_return() {
             self.silence()
@@ -91,6 +100,26 @@
         Ok((pick, known.then_some(counted)))
     }
 
+    /// How long a request may wait at a server until it begins there; `u64::MAX` where no newer weights are named.
+    fn time_left_on(&self, pick: &Pick) -> u64 {
+        let (Some(model), Some(version)) = (&self.model, pick.version) else {
+            return u64::MAX;
+        };
+        let now = self.node.now();
+        let server_table = self.node.server_table.borrow();
+        server_table.versions.time_left(model, version, now)
+    }
+
+    /// The answer where each server would begin after the time limit of the weights that it runs.
+    fn none_begins_in_time(&self, proved: bool) -> Answer {
+        count(&self.node.counters.no_server_ready);
+        if proved {
+            Answer::later(self.node.jitter(LOADED_SOON))
+        } else {
+            may_have_run()
+        }
+    }
+
     pub(super) async fn wait_at(&self, counted: &Counted, most: u64) -> Option<u64> {
         let Counted {
             server,
@@ -155,7 +184,7 @@
     pub(super) fn next_server(&self, key: u64, proved: bool) -> Result<Pick, Answer> {
         let again = self.sent > 0;
         let later = |ms: u64| Answer::later(self.node.jitter(Duration::from_millis(ms)));
-        let gone = Answer::plain(502, "the server broke off and the request may have run");
+        let gone = may_have_run();
         if again && !proved && !self.route.repeatable() {
             return Err(if has(Defect::PromiseBroken) {
                 later(120)
@@ -201,6 +230,10 @@
     }
 }
 
+fn may_have_run() -> Answer {
+    Answer::plain(502, "the server broke off and the request may have run")
+}
+
 /// What it takes to read so many tokens, at a usual rate.
 pub(super) fn read_ns(tokens: u32) -> u64 {
     u64::from(tokens) * 25_000
--- a/crates/sparrouter-fleet/src/metrics.rs
+++ b/crates/sparrouter-fleet/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::control::{Control, LEASE_SHARDS};
 use crate::node::Node;
+use sparrouter_routing::Moment;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -108,7 +109,7 @@
 fn versions(page: &mut Page, node: &Node) {
     let now = node.now();
     let server_table = node.server_table.borrow();
-    let seconds = |from: u64| now.saturating_sub(from) as f64 / SECOND;
+    let seconds = |at: Moment| (now as f64 - at as f64) / SECOND;
     if let Some(at) = server_table.versions.core_changed_at() {
         page.line("core_changed_seconds_ago", &[], seconds(at));
     }
--- a/crates/sparrouter-fleet/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -47,8 +47,6 @@
     /// Of the text; 0 before there is one.
     pub digest: u64,
     pub table: Option<Rc<Table>>,
-    /// Model, version named, and when that was learnt, less the age it was told with.
-    pub models: Vec<(String, u64, Nanos)>,
 }
 
 /// Counts news. Who waits is woken in the order of waiting: the library's `watch` wakes in a random one, by which no
@@ -158,14 +156,17 @@
         };
         let mut rows = Rows::new(rng.u64(1..), TOMBSTONE, MOST_ROWS);
         rows.merge_node(me.clone(), 0);
-        let server_table = ServerTable::new(version_patience(&boot), rng.fork());
+        let mut server_table = ServerTable::new(version_patience(&boot), rng.fork());
+        if boot.counted {
+            // The start of a node of the core is a change of the core.
+            server_table.versions.core_changed(0);
+        }
         let none = InForce {
             seq: 0,
             version: 0,
             text: "".into(),
             digest: 0,
             table: None,
-            models: Vec::new(),
         };
         Rc::new(Node {
             boot: RefCell::new(boot),
--- a/crates/sparrouter-fleet/src/node/config.rs
+++ b/crates/sparrouter-fleet/src/node/config.rs
@@ -1,12 +1,14 @@
 //! The configuration in force: taken whole or as changes of its text, and told on.
 use super::{InForce, Node};
 use crate::planted::{self, Defect, has};
-use crate::wire::{ConfigUpdate, EditUpdate, ModelUpdate, TextUpdate};
+use crate::wire::{ConfigUpdate, EditUpdate, ModelUpdate, TextUpdate, VersionsUpdate};
 use sparrouter_config::{Document, Edit, Table, digest_of_text};
-use sparrouter_routing::Nanos;
+use sparrouter_routing::{Moment, Nanos, Wanted, moment_before};
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
 
+const NANOS_PER_MS: u64 = 1_000_000;
+
 impl Node {
     /// What is in force; where nothing is known yet, what is by `until`.
     pub async fn first_config(&self, until: Instant) -> Rc<InForce> {
@@ -23,7 +25,6 @@
     /// a change of another text than the one here.
     pub fn take(&self, told: ConfigUpdate) -> bool {
         let known = self.in_force();
-        let now = self.now();
         let skipped = has(Defect::CatchUpSkips) && known.seq > 0 && told.seq > known.seq + 1;
         if told.seq > known.seq || (has(Defect::OlderTaken) && told.seq != known.seq) {
             let text: Rc<str> = match told.text {
@@ -59,60 +60,49 @@
             if digest != known.digest && self.me.borrow().disk != 0 {
                 self.edits.borrow_mut().add(&known.text, &text);
             }
-            let models = told.models.iter().map(|m| {
-                let since = now.saturating_sub(m.age_ms.saturating_mul(1_000_000));
-                let before = known
-                    .models
-                    .iter()
-                    .find(|k| k.0 == m.name && k.1 == m.version);
-                (
-                    m.name.clone(),
-                    m.version,
-                    before.map_or(since, |k| k.2.min(since)),
-                )
-            });
             let next = InForce {
                 seq: told.seq,
                 version: told.version,
                 text,
                 digest,
                 table,
-                models: models.collect(),
             };
-            let named: Vec<String> = told
-                .models
-                .iter()
-                .map(|m| format!("{} {} {} ms", m.name, m.version, m.age_ms))
-                .collect();
             log::info!(
-                "register {} configuration {} in force, weights named: {}",
+                "register {} configuration {} in force",
                 told.seq,
-                told.version,
-                named.join(", ")
+                told.version
             );
             *self.config.borrow_mut() = Rc::new(next);
             self.changed();
         }
-        let mut server_table = self.server_table.borrow_mut();
+        self.take_versions(&told.versions);
+        true
+    }
+
+    /// The versions of weights that were named, as another node or the register tells of them.
+    fn take_versions(&self, told: &VersionsUpdate) {
+        let now = self.now();
+        let versions = &mut self.server_table.borrow_mut().versions;
+        if let Some(age) = told.core_changed_age_ms {
+            versions.core_was_changed(moment_before(now, nanos_of_ms(age)));
+        }
         for model in &told.models {
-            server_table.versions.told(
-                &model.name,
-                model.version,
-                model.age_ms.saturating_mul(1_000_000),
-                now,
-            );
+            let known = versions.wanted(&model.name);
+            if known.is_none_or(|known| known.version < model.version) {
+                let (version, name, age) = (model.version, &model.name, model.age_ms);
+                log::info!("version {version} of {name} was named {age} ms ago");
+            }
+            #[cfg(feature = "planted")]
+            if has(Defect::LimitReplaced) {
+                versions.forget_older(&model.name, model.version);
+            }
+            versions.told(&model.name, model.version, nanos_of_ms(model.age_ms), now);
         }
-        true
     }
 
     /// What is in force here, for another node that has the text with this digest.
     pub fn config_update(&self, digest: u64) -> ConfigUpdate {
-        let (known, now) = (self.in_force(), self.now());
-        let model = |(name, version, since): &(String, u64, Nanos)| ModelUpdate {
-            name: name.clone(),
-            version: *version,
-            age_ms: now.saturating_sub(*since) / 1_000_000,
-        };
+        let known = self.in_force();
         ConfigUpdate {
             seq: known.seq,
             version: known.version,
@@ -120,7 +110,35 @@
                 Some(edits) => TextUpdate::Edits(edits.into_iter().map(EditUpdate::from).collect()),
                 None => TextUpdate::Whole(known.text.to_string()),
             },
-            models: known.models.iter().map(model).collect(),
+            versions: self.versions_update(),
+        }
+    }
+
+    /// The versions of weights that were named and when the core last changed, for another node.
+    pub fn versions_update(&self) -> VersionsUpdate {
+        let now = self.now();
+        let versions = &self.server_table.borrow().versions;
+        let model = |(name, wanted): (&str, Wanted)| ModelUpdate {
+            name: name.to_owned(),
+            version: wanted.version,
+            age_ms: age_ms(wanted.since, now),
+        };
+        VersionsUpdate {
+            models: versions.all().map(model).collect(),
+            core_changed_age_ms: versions.core_changed_at().map(|at| age_ms(at, now)),
         }
     }
 }
+
+fn nanos_of_ms(ms: u64) -> Nanos {
+    ms.saturating_mul(NANOS_PER_MS)
+}
+
+/// How long ago a moment was, in whole milliseconds.
+fn age_ms(at: Moment, now: Nanos) -> u64 {
+    if has(Defect::VersionAgeUntold) {
+        return 0;
+    }
+    let age = i128::from(now) - i128::from(at);
+    u64::try_from(age.max(0)).unwrap_or(u64::MAX) / NANOS_PER_MS
+}
--- a/crates/sparrouter-fleet/src/node/live_nodes.rs
+++ b/crates/sparrouter-fleet/src/node/live_nodes.rs
@@ -16,6 +16,26 @@
     leaving: bool,
 }
 
+/// Whether something befell the core between two looks at it: a node joined, started anew, left, fell silent or was heard
+/// of again. Not that a row was forgotten of one that had left or fallen silent long before. `first_looks`: this process
+/// has just started and learns for the first time of nodes that have been there all along.
+pub(super) fn has_core_changed(
+    before: &[ControlNodeState],
+    after: &[ControlNodeState],
+    first_looks: bool,
+) -> bool {
+    let same_name =
+        |all: &[ControlNodeState], name: &str| all.iter().find(|state| state.name == name).cloned();
+    let is_event = |state: &ControlNodeState| match same_name(before, &state.name) {
+        Some(known) => known != *state,
+        None => !first_looks,
+    };
+    let is_gone = |state: &ControlNodeState| {
+        same_name(after, &state.name).is_none() && !state.silent && !state.leaving
+    };
+    after.iter().any(is_event) || before.iter().any(is_gone)
+}
+
 /// The snapshot. Never changed: other node rows are another one.
 #[derive(Debug, Default)]
 pub struct LiveNodes {
--- a/crates/sparrouter-fleet/src/node/updates.rs
+++ b/crates/sparrouter-fleet/src/node/updates.rs
@@ -1,6 +1,9 @@
 //! Rows that were heard of: learnt at once, looked at with the next few, sent on together.
 use super::Node;
+use super::live_nodes::has_core_changed;
+use crate::boot::nanos;
 use crate::metrics::count;
+use crate::planted::{Defect, has};
 use sparrouter_membership::Delta;
 use sparrouter_routing::Nanos;
 use std::rc::Rc;
@@ -128,15 +131,19 @@
     /// Notices when nodes of the core come, go, or fall silent.
     fn look_at_core(&self) {
         let live = self.live_nodes();
+        let states = live.counted_states();
         let mut known = self.core_seen.borrow_mut();
-        if known.as_slice() != live.counted_states() {
+        if known.as_slice() == states {
+            return;
+        }
+        let first_looks =
+            self.now() < nanos(self.boot.borrow().bounds.contact) && !has(Defect::StartMovesLimits);
+        if has_core_changed(&known, states, first_looks) {
             count(&self.counters.core_changes);
-            log::info!("the core changed: {:?}", live.counted_states());
-            *known = live.counted_states().to_vec();
-            self.server_table
-                .borrow_mut()
-                .versions
-                .core_changed(self.now());
+            log::info!("the core changed: {states:?}");
+            let now = self.now();
+            self.server_table.borrow_mut().versions.core_changed(now);
         }
+        *known = states.to_vec();
     }
 }
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -126,6 +126,12 @@
     ReadyWhileLeaving,
     /// An answer goes on although its client has left.
     ClientUnwatched,
+    /// A version that is named takes the time limit of the one before it away.
+    LimitReplaced,
+    /// A process that starts counts the nodes that it learns of as changes of the core, which start time limits anew.
+    StartMovesLimits,
+    /// A process is not told how long ago versions were named.
+    VersionAgeUntold,
 }
 
 impl Defect {
@@ -190,6 +196,9 @@
         Defect::AttemptsUncounted,
         Defect::ReadyWhileLeaving,
         Defect::ClientUnwatched,
+        Defect::LimitReplaced,
+        Defect::StartMovesLimits,
+        Defect::VersionAgeUntold,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/status.rs
+++ b/crates/sparrouter-fleet/src/status.rs
@@ -113,12 +113,20 @@
         heard_ms_ago: node.now().saturating_sub(node.heard.get()) / 1_000_000,
         open_requests: node.open.get() as u64,
         group: group.into_iter().map(|m| m.name).collect(),
-        models: in_force.models.iter().map(|m| model(&m.0, m.1)).collect(),
+        models: newest_versions(node),
         nodes: nodes(node),
         servers: servers(node),
     })
 }
 
+fn newest_versions(node: &Node) -> Vec<ModelStatus> {
+    let server_table = node.server_table.borrow();
+    let newest = server_table.versions.newest();
+    newest
+        .map(|(name, wanted)| model(name, wanted.version))
+        .collect()
+}
+
 fn servers(node: &Node) -> Vec<ServerStatus> {
     let server_table = node.server_table.borrow();
     let rows = node.rows.borrow();
--- a/crates/sparrouter-fleet/src/wire.rs
+++ b/crates/sparrouter-fleet/src/wire.rs
@@ -5,7 +5,7 @@
 use sparrouter_membership::{Delta, NodeRow};
 
 /// First bytes of a connection: name and version of this protocol.
-pub const HELLO: &[u8; 8] = b"sprtrfl3";
+pub const HELLO: &[u8; 8] = b"sprtrfl4";
 /// Longest frame, in bytes: the largest configuration with room to spare.
 pub const MAX_FRAME: usize = 12 << 20;
 
@@ -39,7 +39,16 @@
     /// Number and text of the newest configuration; 0 and empty before the first.
     pub version: u64,
     pub text: TextUpdate,
+    pub versions: VersionsUpdate,
+}
+
+/// The versions of weights that were named, and what their time limits go by. A model has one entry for each version
+/// whose limit has not passed.
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct VersionsUpdate {
     pub models: Seq<ModelUpdate>,
+    /// How long ago the teller last saw the core change.
+    pub core_changed_age_ms: Option<u64>,
 }
 
 /// The configuration's text, for one that has it, an earlier one, or none that is known.
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `sync` | brings the server table up to date with the rows of membership |
 //! | `server` | what is known of one server |
 //! | `versions` | which version of a model's weights a request may begin on |
+//! | `rollout_order` | which servers take new weights next, and how many at a time |
 //! | `backlog` | how long a prompt would wait at a server, over all nodes |
 //! | `budget` | the retry budget |
 //! | `durations` | how long requests of each route take |
@@ -23,6 +24,7 @@
 mod durations;
 mod election;
 mod prompt;
+mod rollout_order;
 mod server;
 mod service_servers;
 mod sync;
@@ -33,8 +35,9 @@
 pub use durations::Durations;
 pub use election::{Ask, Pick, ServerTable, Turned};
 pub use prompt::{Part, Prompt};
+pub use rollout_order::{OutdatedServer, RolloutStep, next_step};
 pub use server::{Ending, Server, ServerIx};
-pub use versions::{Versions, Wanted};
+pub use versions::{Moment, Versions, Wanted, moment_before};
 
 /// Nanoseconds of a monotonic clock.
 pub type Nanos = u64;
--- a/crates/sparrouter-routing/src/versions.rs
+++ b/crates/sparrouter-routing/src/versions.rs
@@ -1,52 +1,100 @@
 //! Which version of a model's weights a request may begin on.
+//!
+//! Each version that is named sets a time limit of its own: so long after it was named, nothing begins on an older one.
+//! A later version adds a limit and leaves the earlier ones as they are. A request may begin on a version while the limits
+//! of all newer ones lie ahead, so the first of them decides.
+//!
+//! A change in the core starts all limits anew (RULES.md, VERSION, counts within one stretch in which the core is stable).
+//! A node that starts learns how long ago versions were named, and when the core last changed, from the node that tells
+//! it of them: its own start is no such change. Moments may therefore lie before the start of the process.
 use crate::Nanos;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
-/// The newest version that was named for a model.
+/// Most versions of a model whose limits are kept apart. Those whose limit has passed are one entry, so this bounds how
+/// many are named within one time limit.
+const MOST_PENDING: usize = 16;
+
+/// A moment on the clock of this process, which starts at 0; negative: before it started.
+pub type Moment = i64;
+
+/// A version that was named for a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wanted {
     /// The version.
     pub version: u64,
     /// When it was named.
-    pub since: Nanos,
+    pub since: Moment,
 }
 
 /// The versions that were named for all models.
 #[derive(Debug, Default)]
 pub struct Versions {
-    wanted: HashMap<String, Wanted>,
+    /// By model, the lowest version first.
+    named: BTreeMap<String, Vec<Wanted>>,
     /// How long after it was named a request may still begin on an older one.
     patience: Nanos,
-    /// When a node of the core last joined, left or became silent. The time limit of a version restarts then (RULES.md,
-    /// VERSION).
-    unsettled: Nanos,
+    /// When a node of the core last joined, left or became silent; None before that was seen or told.
+    core_changed: Option<Moment>,
+}
+
+/// A moment so long before another one; as early as can be told if that lies further back.
+pub fn moment_before(now: Nanos, age: Nanos) -> Moment {
+    moment(now).saturating_sub(moment(age))
+}
+
+fn moment(at: Nanos) -> Moment {
+    Moment::try_from(at).unwrap_or(Moment::MAX)
 }
 
 impl Versions {
     /// No versions. `patience`: how long after a version was named a request may still begin on an older one.
     pub fn new(patience: Nanos) -> Versions {
         Versions {
-            wanted: HashMap::new(),
+            named: BTreeMap::new(),
             patience,
-            unsettled: 0,
+            core_changed: None,
         }
     }
 
-    /// A version was named `age` ago, by the clock of the node that reports it. Older versions and repeats change nothing,
-    /// but the earliest time counts.
+    /// A version was named `age` ago, by the clock of the node that reports it. Of repeats the earliest time counts.
     pub fn told(&mut self, model: &str, version: u64, age: Nanos, now: Nanos) {
-        let since = now.saturating_sub(age);
-        match self.wanted.get_mut(model) {
-            Some(known) if known.version > version => {}
-            Some(known) if known.version == version => known.since = known.since.min(since),
-            _ => {
-                self.wanted
-                    .insert(model.to_owned(), Wanted { version, since });
-            }
+        let since = moment_before(now, age);
+        let named = self.named.entry(model.to_owned()).or_default();
+        match named.binary_search_by_key(&version, |wanted| wanted.version) {
+            Ok(place) => named[place].since = named[place].since.min(since),
+            Err(place) => named.insert(place, Wanted { version, since }),
         }
+        self.forget_passed(model, now);
     }
 
-    /// How long after a version was named a request may still begin on an older one.
+    /// Keeps of the versions whose limit has passed the newest alone, which forbids all that they forbid. Beyond
+    /// [`MOST_PENDING`] two become one with the earlier limit, so that nothing begins too late.
+    fn forget_passed(&mut self, model: &str, now: Nanos) {
+        let (patience, core_changed) = (self.patience, self.core_changed);
+        let Some(named) = self.named.get_mut(model) else {
+            return;
+        };
+        let has_passed = |wanted: &Wanted| limit(*wanted, core_changed, patience) <= moment(now);
+        if let Some(newest) = named.iter().rposition(has_passed) {
+            let earliest = named[..=newest].iter().map(|wanted| wanted.since).min();
+            named[newest].since = earliest.unwrap_or(named[newest].since);
+            named.drain(..newest);
+        }
+        while named.len() > MOST_PENDING {
+            let oldest = named.remove(0);
+            named[0].since = named[0].since.min(oldest.since);
+        }
+    }
+
+    /// Forgets the versions before this one with their limits: the mistake that `told` guards against, planted for tests.
+    #[cfg(feature = "planted")]
+    pub fn forget_older(&mut self, model: &str, version: u64) {
+        if let Some(named) = self.named.get_mut(model) {
+            named.retain(|wanted| wanted.version >= version);
+        }
+    }
+
+    /// How long after it was named a request may still begin on an older one.
     pub fn patience(&self) -> Nanos {
         self.patience
     }
@@ -54,39 +102,78 @@
     /// A node of the core joined, left or became silent. Nodes notice this late, but before the rules consider the core
     /// stable again.
     pub fn core_changed(&mut self, now: Nanos) {
-        self.unsettled = now;
+        self.core_was_changed(moment(now));
     }
 
-    /// When a node of the core last joined, left or became silent; None if that was not seen yet.
-    pub fn core_changed_at(&self) -> Option<Nanos> {
-        (self.unsettled > 0).then_some(self.unsettled)
+    /// The core changed at that moment, as another node reports it. Of several changes the last one counts.
+    pub fn core_was_changed(&mut self, at: Moment) {
+        self.core_changed = self.core_changed.max(Some(at));
     }
 
-    /// The versions that were named, with their models.
+    /// When a node of the core last joined, left or became silent; None before that was seen or told.
+    pub fn core_changed_at(&self) -> Option<Moment> {
+        self.core_changed
+    }
+
+    /// The versions that were named and whose limits are kept apart, with their models; the lowest first.
     pub fn all(&self) -> impl Iterator<Item = (&str, Wanted)> {
-        self.wanted
+        self.named
             .iter()
-            .map(|(model, wanted)| (model.as_str(), *wanted))
+            .flat_map(|(model, named)| named.iter().map(|wanted| (model.as_str(), *wanted)))
     }
 
-    /// Until when a request may begin on a version older than this one.
-    pub fn until(&self, wanted: Wanted) -> Nanos {
-        wanted
-            .since
-            .max(self.unsettled)
-            .saturating_add(self.patience)
+    /// The newest version that was named for each model.
+    pub fn newest(&self) -> impl Iterator<Item = (&str, Wanted)> {
+        self.named
+            .iter()
+            .filter_map(|(model, named)| Some((model.as_str(), *named.last()?)))
     }
 
     /// The newest version that was named for a model.
     pub fn wanted(&self, model: &str) -> Option<Wanted> {
-        self.wanted.get(model).copied()
+        self.named.get(model)?.last().copied()
+    }
+
+    /// When a version was named; None where it was not, or where its limit has passed and a newer one stands for it.
+    pub fn named_at(&self, model: &str, version: u64) -> Option<Moment> {
+        let known = self.named.get(model)?.iter();
+        known
+            .copied()
+            .find(|wanted| wanted.version == version)
+            .map(|wanted| wanted.since)
+    }
+
+    /// Until when a request may begin on a version older than this one.
+    pub fn until(&self, wanted: Wanted) -> Moment {
+        limit(wanted, self.core_changed, self.patience)
+    }
+
+    /// Until when a request may begin on this version: the first limit of those that are newer. None: no end is known.
+    pub fn limit_of(&self, model: &str, version: u64) -> Option<Moment> {
+        let newer = self.named.get(model)?.iter();
+        newer
+            .filter(|wanted| wanted.version > version)
+            .map(|wanted| self.until(*wanted))
+            .min()
     }
 
     /// Whether a request may begin on this version now.
     pub fn allows(&self, model: &str, version: u64, now: Nanos) -> bool {
-        match self.wanted.get(model) {
-            Some(wanted) => version >= wanted.version || now < self.until(*wanted),
-            None => true,
+        self.limit_of(model, version)
+            .is_none_or(|limit| moment(now) < limit)
+    }
+
+    /// How long a request may still take until it begins on this version; `Nanos::MAX` where no end is known.
+    pub fn time_left(&self, model: &str, version: u64, now: Nanos) -> Nanos {
+        match self.limit_of(model, version) {
+            Some(limit) => Nanos::try_from(limit.saturating_sub(moment(now))).unwrap_or(0),
+            None => Nanos::MAX,
         }
     }
 }
+
+/// Until when a request may begin on a version older than this one.
+fn limit(wanted: Wanted, core_changed: Option<Moment>, patience: Nanos) -> Moment {
+    let from = core_changed.map_or(wanted.since, |changed| changed.max(wanted.since));
+    from.saturating_add(moment(patience))
+}
--- a/crates/sparrouter-routing/tests/directives.rs
+++ b/crates/sparrouter-routing/tests/directives.rs
@@ -103,9 +103,9 @@
     assert_eq!(
         server_table.versions.until(Wanted {
             version: 2,
-            since: SECOND
+            since: SECOND as i64
         }),
-        14 * SECOND
+        14 * SECOND as i64
     );
 }
 
--- a/crates/sparrouter-simulation/src/judge/requests.rs
+++ b/crates/sparrouter-simulation/src/judge/requests.rs
@@ -285,13 +285,14 @@
 
     fn check_version(&self, run: &Run, now: Instant) {
         let named = self.orders.borrow().named.clone();
+        if !self.in_touch(run.by, now, now) {
+            return;
+        }
         for (version, at) in named {
-            let late = now - at > self.bounds.version && self.core_stable(at, now);
-            if run.version < version
-                && late
-                && self.in_touch(run.by, now, now)
-                && !self.any_unplanned(at, now)
-            {
+            let late = self
+                .calm_since(at, now)
+                .is_some_and(|since| now - since > self.bounds.version);
+            if run.version < version && late {
                 let what = format!(
                     "{} begins on {} at {}, {version} is named",
                     run.attempt, run.version, run.instance
--- a/crates/sparrouter-simulation/src/judge/trouble.rs
+++ b/crates/sparrouter-simulation/src/judge/trouble.rs
@@ -117,6 +117,21 @@
             .touches(from, until, |s| s.ip == Some(ip) || s.ip.is_none())
     }
 
+    /// Since when the core has been stable and no link in trouble, as far as that reaches back to `from`; None while it is
+    /// not so now. The start and the end of a process on a machine that does not count are no trouble of a link.
+    pub(super) fn calm_since(&self, from: Instant, now: Instant) -> Option<Instant> {
+        let troubles = self.troubles.borrow();
+        let disturbs = |span: &&Span| {
+            let is_moment = span.until == Some(span.from);
+            span.ip.is_none() || !(span.planned || span.down || is_moment)
+        };
+        let mut since = from;
+        for span in troubles.0.iter().filter(disturbs) {
+            since = since.max(span.until? + self.bounds.contact);
+        }
+        (since <= now).then_some(since)
+    }
+
     /// Whether the core was stable throughout, `contact` before it included.
     pub fn core_stable(&self, from: Instant, until: Instant) -> bool {
         let from = from.checked_sub(self.bounds.contact).unwrap_or(self.began);
--- a/crates/sparrouter-simulation/tests/versions.rs
+++ b/crates/sparrouter-simulation/tests/versions.rs
@@ -1,7 +1,10 @@
-//! Time limits of versions of weights: each version has its own, which neither a later version nor a quiet core moves.
+//! Time limits of versions of weights: each version has its own, which neither a later version, nor the start of a process,
+//! nor a quiet core moves. Each guard is shown by a mistake that takes it out.
+use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_simulation::load;
-use sparrouter_simulation::scenario::run_judged;
+use sparrouter_simulation::scenario::{play, run_judged};
 use sparrouter_simulation::world::{Terms, World};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -26,17 +29,69 @@
     }
 }
 
+/// Versions named one after another, each long before all servers run the one before it.
+async fn overlapping_versions(seed: u64) -> Rc<World> {
+    let world = World::serving(slow_rollout(seed)).await;
+    let tally = load::begin(&world, 12, PAUSE);
+    name_versions(&world, 5, Duration::from_millis(2_500)).await;
+    sleep(Duration::from_secs(10)).await;
+    tally.stop().await;
+    world
+}
+
+/// Every node that takes clients alone starts anew between two versions and the first limit.
+async fn restarted_between(seed: u64) -> Rc<World> {
+    let world = World::serving(slow_rollout(seed)).await;
+    let tally = load::begin(&world, 12, PAUSE);
+    name_versions(&world, 3, Duration::from_millis(2_000)).await;
+    sleep(Duration::from_millis(500)).await;
+    for edge in ["edge-0", "edge-1", "edge-2"] {
+        world.kill(edge);
+        sleep(Duration::from_millis(300)).await;
+        world.start(edge, false);
+    }
+    sleep(Duration::from_secs(10)).await;
+    tally.stop().await;
+    world
+}
+
+/// What is broken with a mistake, over a few seeds.
+fn breaches<F: Future<Output = Rc<World>>>(
+    defect: Defect,
+    scenario: impl Fn(u64) -> F,
+    seeds: std::ops::Range<u64>,
+) -> Vec<String> {
+    let mut all = Vec::new();
+    for seed in seeds {
+        plant(Some(defect));
+        let broken = play(async { scenario(seed).await.judge.breaches() });
+        plant(None);
+        all.extend(broken);
+    }
+    all
+}
+
 #[test]
 fn given_versions_named_one_after_another_when_the_rollout_is_slow_then_each_keeps_its_own_limit() {
-    for seed in 0..3 {
-        run_judged(|| async {
-            let world = World::serving(slow_rollout(310 + seed)).await;
-            let tally = load::begin(&world, 12, PAUSE);
-            name_versions(&world, 5, Duration::from_millis(2_500)).await;
-            sleep(Duration::from_secs(10)).await;
-            tally.stop().await;
-            world
-        });
+    for seed in 310..313 {
+        run_judged(|| overlapping_versions(seed));
+    }
+    let broken = breaches(Defect::LimitReplaced, overlapping_versions, 310..311);
+    assert!(
+        broken.iter().any(|b| b.starts_with("VERSION")),
+        "{broken:?}"
+    );
+}
+
+#[test]
+fn given_a_node_restarted_after_versions_were_named_when_in_touch_then_it_goes_by_their_age() {
+    for seed in 320..323 {
+        run_judged(|| restarted_between(seed));
+    }
+    for defect in [Defect::StartMovesLimits, Defect::VersionAgeUntold] {
+        let broken = breaches(defect, restarted_between, 320..323);
+        let is_found = broken.iter().any(|b| b.starts_with("VERSION"));
+        assert!(is_found, "{defect:?}: {broken:?}");
     }
 }
 
@@ -75,7 +130,6 @@
             let world = World::serving(terms).await;
             let restarted = format!("core-{}", seed % 3);
             let seen = core_changes_by_restart(&world, &restarted).await;
-            // The new process; a node whose row changes hands may be called silent by none meanwhile.
             assert!(seen <= 1.0, "seed {seed}: {seen} changes were seen");
             world
         });
