A pushed watch that tells nothing is asked for at the pace, not without a pause

The node stood in a write to its full standard error: a pushed watch that was lost was asked for again at once whatever it had told, 8,217 calls a second at a discovery that spoils each, a log line each. Ruled out: ports, the HTTP library, load. Change: at once only after a watch that told something, once a pace at most; lines in a row are counted.

--- a/crates/sparrouter-node/src/routing/list.rs
+++ b/crates/sparrouter-node/src/routing/list.rs
@@ -84,7 +84,11 @@
     whole_from: u64,
     /// When a watch is to be asked for again.
     again: Option<Instant>,
+    /// When a lost watch was last asked for at once.
+    at_once: Option<Instant>,
     failed: Often,
+    /// Watches that were lost one after another before any told something.
+    lost_untold: Often,
 }
 
 impl List {
@@ -111,8 +115,13 @@
             // Guards against a call that hangs until long after discovery is back.
             Some(_) => calls.quick = self.open(self.limit),
         }
-        let pace = self.pace.get().mul_f64(0.5 + 0.5 * self.rng.f64());
-        calls.again = self.unasked.then(|| Instant::now() + pace);
+        let next = self.next_try();
+        calls.again = self.unasked.then_some(next);
+    }
+
+    /// When a watch is asked for once more, each node in its own time.
+    fn next_try(&mut self) -> Instant {
+        Instant::now() + self.pace.get().mul_f64(0.5 + 0.5 * self.rng.f64())
     }
 
     fn ask_whole(&self, calls: &mut Calls) {
@@ -158,15 +167,31 @@
     }
 
     async fn lost(&mut self, calls: &mut Calls, broken: Broken) {
-        log::warn!("list: watch lost: {broken:?}");
+        let count = match calls.answered {
+            true => Some(1),
+            false => calls.lost_untold.again(),
+        };
+        if let Some(count) = count {
+            log::warn!("list: watch lost: {broken:?}, {count} times in a row");
+        }
         calls.watch = None;
-        if self.unasked {
-            // At once: what changes from now on counts as told. The next calls keep their distance.
+        if self.unasked && self.may_ask_at_once(calls) {
+            // What changes from now on counts as told. The next calls keep their distance.
+            calls.at_once = Some(Instant::now());
             self.follow(calls);
+        } else if self.unasked {
+            calls.again = Some(self.next_try());
         }
         self.tell(ListSays::Lost).await;
     }
 
+    /// A watch that told something is asked for at once when it is lost, but not more often than others are asked for: a
+    /// discovery that ends each watch as soon as it is open would be called without a pause.
+    fn may_ask_at_once(&self, calls: &Calls) -> bool {
+        let was_lately = |at: Instant| at.elapsed() < self.pace.get();
+        calls.answered && !calls.at_once.is_some_and(was_lately)
+    }
+
     async fn line(&mut self, calls: &mut Calls, line: Result<Option<Listing>, Broken>) {
         match line {
             // Changes to an older list than the one in hand would undo what is known of those that drain.
@@ -177,10 +202,12 @@
             }
             Ok(Some(listing)) => {
                 (calls.answered, calls.heard) = (true, Some(Instant::now()));
+                calls.lost_untold = Often::default();
                 self.tell(ListSays::Listed(listing)).await;
             }
             Ok(None) => {
                 calls.heard = Some(Instant::now());
+                calls.lost_untold = Often::default();
                 if !std::mem::replace(&mut calls.answered, true) {
                     let nothing = Listing {
                         rev: self.rev,
--- a/crates/sparrouter-node/src/routing/tests/list.rs
+++ b/crates/sparrouter-node/src/routing/tests/list.rs
@@ -125,6 +125,35 @@
     (door, stream, hold)
 }
 
+/// A discovery that ends or spoils each watch, at once or behind a good line, is called at the pace and not without a
+/// pause: every call costs both sides, and each lost watch a line of the log.
+#[test]
+fn a_pushed_watch_that_is_lost_again_and_again_is_asked_for_at_the_pace() {
+    let bad = "{\"rev\":oops}\n";
+    let cases = [String::new(), bad.into(), format!("\n{bad}"), "\n".into()];
+    for text in cases {
+        play(async {
+            let (door, at) = door().await;
+            let mut hold = start(at, true);
+            let (start, mut calls) = (Instant::now(), 0);
+            while start.elapsed() < 1000 * MS {
+                let (mut stream, _) = call(&door).await;
+                stream.write_all(OPEN.as_bytes()).await.unwrap();
+                if !text.is_empty() {
+                    say(&mut stream, &text).await;
+                }
+                calls += 1;
+                while hold.told.try_recv().is_ok() {}
+            }
+            // The pace is 100 ms and each wait at least half of it; one more at once in each of them.
+            assert!(
+                (5..=35).contains(&calls),
+                "{text:?}: {calls} calls in a second"
+            );
+        });
+    }
+}
+
 /// Where the list is pushed what changes counts as told at once: a watch that was ended or reset is opened anew
 /// at once, whatever became of a call for the whole that hangs.
 #[test]
