--- a/crates/sparrouter-fleet/src/control_api.rs
+++ b/crates/sparrouter-fleet/src/control_api.rs
@@ -155,6 +155,12 @@
             ..Answer::later(services.node.jitter(Duration::from_millis(150)))
         },
         Err(NoChange::Unknown) if has(Defect::MinorityAcks) && !get => Answer::plain(200, "taken"),
+        // A read changes nothing: what it would have found is all that is not known.
+        Err(NoChange::Unknown) if get => Answer {
+            body: "no quorum answered in time, so the newest configuration is not known here"
+                .into(),
+            ..Answer::later(services.node.jitter(Duration::from_millis(150)))
+        },
         Err(NoChange::Unknown) => unknown(&services),
     }
 }
--- a/crates/sparrouter-simulation/src/client.rs
+++ b/crates/sparrouter-simulation/src/client.rs
@@ -139,7 +139,7 @@
     ) -> (Answer, Option<Duration>, bool) {
         let id = format!("{:016x}", self.rng.borrow_mut().u64(..));
         let mut answer = Answer::default();
-        let Some((mut stream, to, life)) = self.connection(wish, direct).await else {
+        let Some((mut stream, to, life, kept)) = self.connection(wish, direct).await else {
             return (answer, None, true);
         };
         let body = Bytes::from(format!("body of {id}"));
@@ -153,6 +153,7 @@
             node: to.ip(),
             life,
             until,
+            kept,
         };
         self.judge.asked(&id, asked);
         let head = request_head(wish, &id, until, body.len());
@@ -180,12 +181,12 @@
         (answer, after, false)
     }
 
-    /// The connection kept from the last request, or a new one; `None` if none can be established.
+    /// The connection kept from the last request (then true), or a new one; `None` if none can be established.
     async fn connection(
         &self,
         wish: &Wish,
         direct: Option<(SocketAddr, u64)>,
-    ) -> Option<(End, SocketAddr, u64)> {
+    ) -> Option<(End, SocketAddr, u64, bool)> {
         let kept = self.kept.borrow_mut().take();
         let kept = kept.filter(|(end, ..)| match end.at_hand(&mut [0; 64]) {
             None => true,
@@ -196,14 +197,14 @@
                 false
             }
         });
-        if kept.is_some() {
-            return kept;
+        if let Some((stream, to, life)) = kept {
+            return Some((stream, to, life, true));
         }
         let (to, life) =
             direct.or_else(|| self.platform.pick(&wish.zone, &mut self.rng.borrow_mut()))?;
         let connected = timeout(CONNECT_TIMEOUT, self.net.connect(to)).await;
         let stream = connected.ok()?.ok()?;
-        Some((stream, to, life))
+        Some((stream, to, life, false))
     }
 
     /// Reads an answer. Gives whether the connection may carry another request, and how long the answer asks to wait before
--- a/crates/sparrouter-simulation/src/judge/answers.rs
+++ b/crates/sparrouter-simulation/src/judge/answers.rs
@@ -63,6 +63,9 @@
             }
             _ => {}
         }
+        if answer.status == 0 && !answer.abandoned {
+            self.count_unanswered(&asked, sent, &runs);
+        }
         if !answer.whole && !answer.abandoned {
             self.check_lost(id, &asked, sent, &runs);
         }
--- a/crates/sparrouter-simulation/src/judge/orders.rs
+++ b/crates/sparrouter-simulation/src/judge/orders.rs
@@ -181,18 +181,16 @@
 
     /// A node acknowledged that a server drains, or has left.
     pub fn draining(&self, instance: &str, by: SocketAddr) {
-        let now = Instant::now();
         self.note(format!(
             "{} acknowledges that {instance} drains or left",
             by.ip()
         ));
-        if self.in_touch(by.ip(), now, now) {
-            self.orders
-                .borrow_mut()
-                .drains
-                .entry(instance.to_owned())
-                .or_insert(now);
-        }
+        // It binds also where the machine that gave it was not in touch.
+        self.orders
+            .borrow_mut()
+            .drains
+            .entry(instance.to_owned())
+            .or_insert_with(Instant::now);
     }
 
     /// Orders of a machine that was just thawed, or joined again, are not counted for a moment.
--- a/crates/sparrouter-simulation/src/judge/prices.rs
+++ b/crates/sparrouter-simulation/src/judge/prices.rs
@@ -11,6 +11,9 @@
 const ADDED: u32 = 20;
 const ADDED_PART: f64 = 0.25;
 
+/// So many requests from kept connections may be closed without an answer.
+const UNANSWERED: u32 = 3;
+
 impl Judge {
     pub(super) fn count(&self, asked: &Asked, sent: Instant, answer: &Answer) {
         let now = Instant::now();
@@ -38,6 +41,20 @@
         }
     }
 
+    /// A request was passed on and its connection closed without a byte of an answer.
+    pub(super) fn count_unanswered(&self, asked: &Asked, sent: Instant, runs: &[u64]) {
+        let now = Instant::now();
+        let sound = {
+            let requests = self.requests.borrow();
+            !runs.is_empty() && !runs.iter().any(|run| requests.faulty.contains(run))
+        };
+        // A server that crashed, or whose link was cut, is not sound.
+        let from = sent.checked_sub(self.bounds.contact).unwrap_or(sent);
+        if asked.kept && sound && now < asked.until && !self.any_unplanned(from, now) {
+            self.requests.borrow_mut().prices.unanswered += 1;
+        }
+    }
+
     /// Whether every configuration that may be in force allows it.
     fn is_proper(&self, asked: &Asked, sent: Instant) -> bool {
         let orders = self.orders.borrow();
@@ -66,6 +83,11 @@
                 format!("{denied} proper requests of {all} were refused"),
             );
         }
+        let unanswered = self.requests.borrow().prices.unanswered;
+        if unanswered > UNANSWERED {
+            let what = format!("{unanswered} requests from kept connections got no answer");
+            self.breach("LOST", what);
+        }
         let rate = |(asked, served): (u32, u32)| f64::from(served) / f64::from(asked.max(1));
         if added.0 >= ADDED && rate(added) < ADDED_PART * rate(first) {
             let what =
--- a/crates/sparrouter-simulation/src/judge/requests.rs
+++ b/crates/sparrouter-simulation/src/judge/requests.rs
@@ -21,6 +21,8 @@
     pub life: u64,
     /// When it gives up.
     pub until: Instant,
+    /// It was sent on a connection that had carried another request before.
+    pub kept: bool,
 }
 
 /// A server began to work on a request.
@@ -77,6 +79,8 @@
     /// Asked and served in calm times: on the first routes, and on those that were added later.
     pub first: (u32, u32),
     pub added: (u32, u32),
+    /// Requests from kept connections that ran at a server without a fault and got no answer.
+    pub unanswered: u32,
 }
 
 /// How a request was handled.
--- a/crates/sparrouter-simulation/tests/judge.rs
+++ b/crates/sparrouter-simulation/tests/judge.rs
@@ -22,6 +22,7 @@
         node: NODE,
         life: 0,
         until: Instant::now() + Duration::from_secs(6),
+        kept: true,
     }
 }
 
@@ -588,3 +589,50 @@
         }
     });
 }
+
+#[test]
+fn given_kept_connections_closed_without_an_answer_then_lost_is_broken_beyond_three() {
+    play(async {
+        for (count, kept_open, faulty, is_broken) in [
+            (3, true, false, false),
+            (4, true, false, true),
+            (50, false, false, false),
+            (50, true, true, false),
+        ] {
+            let judge = judge().await;
+            for n in 0..count {
+                let id = format!("a{n}");
+                let asked = Asked {
+                    kept: kept_open,
+                    ..asked(Kind::Idempotent, "/idem/b9")
+                };
+                judge.asked(&id, asked);
+                let number = judge.ran(run(&id, "/idem/b9"));
+                if faulty {
+                    judge.faulty(number);
+                }
+                judge.answered(&id, &Answer::default());
+            }
+            judge.day_ends();
+            if is_broken {
+                broken(&judge, "LOST")
+            } else {
+                kept(&judge)
+            }
+        }
+    });
+}
+
+#[test]
+fn given_draining_acknowledged_by_a_machine_out_of_touch_then_it_binds_all_the_same() {
+    play(async {
+        let judge = judge().await;
+        let other = SocketAddr::new(IpAddr::from([10, 0, 0, 21]), 80);
+        judge.trouble(Some(other.ip()));
+        judge.draining("i-1", other);
+        sleep(Duration::from_millis(2_500)).await;
+        judge.asked("a", asked(Kind::Idempotent, "/idem/b9"));
+        judge.arrived("models", "a", "i-1", NODE);
+        broken(&judge, "DRAIN");
+    });
+}
--- a/crates/sparrouter-simulation/tests/versions.rs
+++ b/crates/sparrouter-simulation/tests/versions.rs
@@ -95,6 +95,31 @@
     }
 }
 
+/// Servers that still run an older version.
+fn outdated(world: &World, newest: u64) -> usize {
+    let ids = world.server_ids();
+    let is_old = |id: &&String| world.server_runs(id) && world.server(id).version() < newest;
+    ids.iter().filter(is_old).count()
+}
+
+#[test]
+fn given_versions_named_one_after_another_then_all_servers_run_the_newest_in_one_and_a_half_limits()
+{
+    run_judged(|| async {
+        let world = World::serving(Terms {
+            load: Duration::from_millis(1_800),
+            ..slow_rollout(340)
+        })
+        .await;
+        let tally = load::begin(&world, 12, PAUSE);
+        name_versions(&world, 4, Duration::from_millis(700)).await;
+        sleep(world.terms.bounds.version.mul_f64(1.5)).await;
+        assert_eq!(outdated(&world, 4), 0);
+        tally.stop().await;
+        world
+    });
+}
+
 /// Restarts a node of the core; returns the largest number of changes of the core that any other node saw of it.
 async fn core_changes_by_restart(world: &Rc<World>, restarted: &str) -> f64 {
     const FIGURE: &str = "sparrouter_core_changes_total";
