--- a/crates/sparrouter-simulation/tests/versions.rs
+++ b/crates/sparrouter-simulation/tests/versions.rs
@@ -1,5 +1,6 @@
 //! Time limits of versions of weights: each version has its own, which neither a later version, nor the start of a process,
 //! nor a quiet core moves. Each guard is shown by a mistake that takes it out.
+use fastrand::Rng;
 use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_simulation::load;
 use sparrouter_simulation::scenario::{play, run_judged};
@@ -95,6 +96,74 @@
     }
 }
 
+/// Versions at drawn moments, servers of drawn slowness, and restarts of nodes in between, by one seed.
+async fn drawn_rollout(seed: u64) -> Rc<World> {
+    let mut rng = Rng::with_seed(seed);
+    let world = World::serving(Terms {
+        servers: rng.usize(3..12),
+        others: rng.usize(2..6),
+        load: Duration::from_millis(rng.u64(300..5_000)),
+        ..Terms::seeded(seed)
+    })
+    .await;
+    let tally = load::begin(&world, 10, PAUSE);
+    let newest = rng.u64(2..6);
+    let naming = async {
+        for version in 2..=newest {
+            assert!(world.operator.name_version(version).await);
+            world.newest_weights.set(version);
+            let gap = [
+                rng.u64(50..500),
+                rng.u64(1_000..5_000),
+                rng.u64(5_000..9_000),
+            ];
+            let choice = rng.usize(..gap.len());
+            sleep(Duration::from_millis(gap[choice])).await;
+        }
+        sleep(Duration::from_secs(9)).await;
+    };
+    let restarts = restart_some(&world, seed);
+    tokio::join!(naming, restarts);
+    tally.stop().await;
+    world
+}
+
+/// Restarts a few nodes one after another; each third of them is one of the core.
+async fn restart_some(world: &Rc<World>, seed: u64) {
+    let mut rng = Rng::with_seed(seed ^ 1);
+    for _ in 0..rng.usize(..4) {
+        sleep(Duration::from_millis(rng.u64(500..5_000))).await;
+        let names = world.names();
+        let wants_core = rng.u8(..3) == 0;
+        let fits = |name: &&String| world.core().contains(*name) == wants_core;
+        let fit: Vec<&String> = names.iter().filter(fits).collect();
+        let name = fit[rng.usize(..fit.len())];
+        world.kill(name);
+        sleep(Duration::from_millis(rng.u64(100..1_500))).await;
+        world.start(name, false);
+    }
+}
+
+/// So many drawn rollouts are played; the variable plays others, to hunt.
+const DRAWN_SEEDS: std::ops::Range<u64> = 400..408;
+
+fn drawn_seeds() -> std::ops::Range<u64> {
+    let given = std::env::var("ROLLOUT_SEEDS").ok();
+    let range = given.as_deref().and_then(|text| {
+        let (first, end) = text.split_once("..")?;
+        Some(first.parse().ok()?..end.parse().ok()?)
+    });
+    range.unwrap_or(DRAWN_SEEDS)
+}
+
+#[test]
+fn given_drawn_rollouts_with_restarts_between_then_no_rule_is_broken() {
+    for seed in drawn_seeds() {
+        println!("rollout {seed}");
+        run_judged(|| drawn_rollout(seed));
+    }
+}
+
 /// Servers that still run an older version.
 fn outdated(world: &World, newest: u64) -> usize {
     let ids = world.server_ids();
