A thawed member counts silence from its thaw on; run::serve and registry::beat in pieces

Cause: a member that was frozen took all others for silent until it had heard them, and in a group above its founding size proposed at once to take out one that lives (read in the code before; brought about now at the decision). Change: silence counts from when the process could listen (control/listening.rs).

--- a/crates/sparrouter-fleet/src/control.rs
+++ b/crates/sparrouter-fleet/src/control.rs
@@ -5,6 +5,7 @@
 mod change;
 mod groups;
 mod handover;
+pub mod listening;
 mod presence;
 pub mod quorum_contact;
 
@@ -17,6 +18,7 @@
 use crate::node::Node;
 use crate::planted::{self, Defect};
 use crate::wire::{Call, ConfigUpdate, ModelUpdate, TextUpdate, VersionsUpdate};
+use listening::Listening;
 use presence::CONTACT_WINDOW;
 use quorum_contact::QuorumContact;
 use sparrouter_codec::Blob;
@@ -79,6 +81,8 @@
     woken: Notify,
     /// When each node of the core was last heard of, by name.
     contacts: RefCell<HashMap<String, u64>>,
+    /// Since when it could have heard them.
+    listening: Cell<Listening>,
     /// Nodes that ask this one, and when each asked last.
     pollers: RefCell<BTreeMap<String, u64>>,
     /// Whether a quorum confirmed lately what is in force.
@@ -140,6 +144,7 @@
             saving: Cell::new(0),
             woken: Notify::new(),
             contacts: RefCell::default(),
+            listening: Cell::default(),
             pollers: RefCell::default(),
             quorum_contact: RefCell::new(QuorumContact::new(nanos(CONTACT_WINDOW))),
             founded: Cell::new(founded),
--- a/crates/sparrouter-fleet/src/control/groups.rs
+++ b/crates/sparrouter-fleet/src/control/groups.rs
@@ -1,5 +1,6 @@
 //! Who belongs to the parts' groups: the first ones founded, a member's catching up, and what is seen of the others.
 use super::{Control, LEASE_SHARDS, ShardMachine};
+use crate::boot::nanos;
 use crate::disk::Save;
 use crate::node::Node;
 use crate::wire::{Call, Reply};
@@ -23,8 +24,11 @@
             if self.has_quorum_contact() {
                 self.node.heard.set(self.node.now());
             }
-            let seen = self.seen();
             let now = self.node.now();
+            let mut listening = self.listening.get();
+            listening.look(nanos(self.node.boot.borrow().bounds.contact), now);
+            self.listening.set(listening);
+            let seen = self.seen();
             let ask = |r: &Register<ShardMachine>| r.members().is_empty();
             let others: Vec<Member> = seen
                 .iter()
@@ -70,7 +74,7 @@
                 heard: if own {
                     Some(0)
                 } else {
-                    at.map(|at| now.saturating_sub(at))
+                    at.map(|at| self.listening.get().silence(at, now))
                 },
                 leaving: n.leaving,
             }
--- a/crates/sparrouter-fleet/src/registry.rs
+++ b/crates/sparrouter-fleet/src/registry.rs
@@ -8,6 +8,7 @@
 use miniserde::{Deserialize, json};
 use sparrouter_membership::{Delta, ModelAt, ServerRow, Standing};
 use sparrouter_rendezvous::{hash, order};
+use sparrouter_routing::Nanos;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -20,8 +21,10 @@
 const SPREAD: Duration = Duration::from_millis(700);
 /// A server whose call is not acknowledged goes on to another node, and may come back after this.
 const TRY_ANOTHER: Duration = Duration::from_millis(100);
-/// Longest id, name or address that is taken.
+/// Longest id, name or address that is taken, bytes.
 const MOST_TEXT: usize = 200;
+/// Models of a server that are taken.
+const MOST_MODELS: usize = 64;
 
 #[derive(Deserialize)]
 struct ModelBeat {
@@ -57,7 +60,7 @@
 }
 
 impl Registry {
-    /// A beat of a server; the answer acknowledges it.
+    /// A heartbeat of a server; the answer acknowledges it.
     pub async fn beat(
         &self,
         node: &Rc<Node>,
@@ -65,41 +68,9 @@
         id: &str,
         body: &[u8],
     ) -> Answer {
-        let text = std::str::from_utf8(body).unwrap_or_default();
-        let Ok(beat) = json::from_str::<Beat>(text) else {
-            return Answer::plain(
-                400,
-                "a beat is JSON with service, address, state and call_sequence",
-            );
-        };
-        let standing = match beat.state.as_str() {
-            "ready" => Standing::Ready,
-            "draining" => Standing::Draining,
-            _ => return Answer::plain(400, "state is ready or draining"),
-        };
-        let long = |t: &str| t.is_empty() || t.len() > MOST_TEXT;
-        if long(id) || long(&beat.service) || beat.address.parse::<std::net::SocketAddr>().is_err()
-        {
-            return Answer::plain(400, "id and service are short names, address is ip:port");
-        }
-        let now = node.now();
-        let models = beat.models.unwrap_or_default().into_iter().take(64);
-        let row = ServerRow {
-            id: id.to_owned(),
-            service: beat.service,
-            address: beat.address,
-            zone: beat.zone.unwrap_or_default(),
-            slot_count: beat.slot_count.unwrap_or(1),
-            standing,
-            call_sequence: beat.call_sequence,
-            models: models
-                .map(|m| ModelAt {
-                    name: m.name,
-                    version: m.version,
-                })
-                .collect(),
-            registrar: String::new(),
-            silent: false,
+        let row = match read_heartbeat(id, body) {
+            Ok(row) => row,
+            Err(refusal) => return refusal,
         };
         // Whom it will call next looks after it; named in its first row already, so that the move is no news.
         let target = target(node, control, id, &row.zone);
@@ -107,42 +78,29 @@
             .as_ref()
             .map_or_else(|| node.me.borrow().name.clone(), |t| t.0.clone());
         let row = ServerRow { registrar, ..row };
-        let known = self.heard.borrow().get(id).copied();
-        let late = known.is_some_and(|k| k.call_sequence > row.call_sequence);
-        if !late {
-            self.heard.borrow_mut().insert(
-                id.to_owned(),
-                Heard {
-                    call_sequence: row.call_sequence,
-                    at: now,
-                    draining_told: known.is_some_and(|k| k.draining_told),
-                },
-            );
-        }
+        let standing = row.standing;
+        let told_before = self
+            .heard
+            .borrow()
+            .get(id)
+            .is_some_and(|heard| heard.draining_told);
+        let late = !self.record_heard(&row, node.now());
         #[cfg(feature = "planted")]
         if late && has(Defect::DrainUndone) {
-            node.rows.borrow_mut().put_back(row.clone(), now);
+            node.rows.borrow_mut().put_back(row.clone(), node.now());
             node.server_table.borrow_mut().put_back(id, row.standing);
         }
-        let before = node.rows.borrow().server(id).cloned();
-        // A beat that says nothing new is news to nobody else.
-        let same = before.as_ref().is_some_and(|b| {
-            ServerRow {
-                call_sequence: b.call_sequence,
-                ..row.clone()
-            } == *b
-        });
-        if !late && !same {
+        let same = says_nothing_new(node, &row);
+        let is_news = !late && !same;
+        if is_news {
             node.learn(Delta {
                 servers: vec![row].into(),
                 ..Delta::default()
             });
         }
-        let told_before = known.is_some_and(|k| k.draining_told)
-            || (has(Defect::DrainRepeatAcked) && (same || late));
+        let told_before = told_before || (has(Defect::DrainRepeatAcked) && (same || late));
         // Sent again after a refusal it still binds: what counts is whether others were told, not whether it is news.
         let must_spread = standing == Standing::Draining && !told_before;
-        let is_news = !late && !same;
         if (must_spread || is_news) && !self.spread(node, control, id, must_spread).await {
             return Answer::later(TRY_ANOTHER);
         }
@@ -158,6 +116,22 @@
         Answer::json(200, target.map_or("{}".to_owned(), told))
     }
 
+    /// Records that a server called; false where a later call of it came before.
+    fn record_heard(&self, row: &ServerRow, now: Nanos) -> bool {
+        let mut heard = self.heard.borrow_mut();
+        let known = heard.get(&row.id).copied();
+        if known.is_some_and(|known| known.call_sequence > row.call_sequence) {
+            return false;
+        }
+        let latest = Heard {
+            call_sequence: row.call_sequence,
+            at: now,
+            draining_told: known.is_some_and(|known| known.draining_told),
+        };
+        heard.insert(row.id.clone(), latest);
+        true
+    }
+
     /// The server leaves.
     pub async fn leave(&self, node: &Rc<Node>, control: Option<&Rc<Control>>, id: &str) -> Answer {
         if id.is_empty() || id.len() > MOST_TEXT {
@@ -257,6 +231,60 @@
     }
 }
 
+/// The row that a heartbeat makes, without its registrar; else the refusal.
+fn read_heartbeat(id: &str, body: &[u8]) -> Result<ServerRow, Answer> {
+    let text = std::str::from_utf8(body).unwrap_or_default();
+    let beat: Beat = json::from_str(text).map_err(|_| {
+        Answer::plain(
+            400,
+            "a beat is JSON with service, address, state and call_sequence",
+        )
+    })?;
+    let standing = match beat.state.as_str() {
+        "ready" => Standing::Ready,
+        "draining" => Standing::Draining,
+        _ => return Err(Answer::plain(400, "state is ready or draining")),
+    };
+    let is_short = |text: &str| !text.is_empty() && text.len() <= MOST_TEXT;
+    let has_address = beat.address.parse::<std::net::SocketAddr>().is_ok();
+    if !is_short(id) || !is_short(&beat.service) || !has_address {
+        let why = "id and service are short names, address is ip:port";
+        return Err(Answer::plain(400, why));
+    }
+    let models = beat
+        .models
+        .unwrap_or_default()
+        .into_iter()
+        .take(MOST_MODELS);
+    let model = |m: ModelBeat| ModelAt {
+        name: m.name,
+        version: m.version,
+    };
+    Ok(ServerRow {
+        id: id.to_owned(),
+        service: beat.service,
+        address: beat.address,
+        zone: beat.zone.unwrap_or_default(),
+        slot_count: beat.slot_count.unwrap_or(1),
+        standing,
+        call_sequence: beat.call_sequence,
+        models: models.map(model).collect(),
+        registrar: String::new(),
+        silent: false,
+    })
+}
+
+/// Whether a row differs from the known one in nothing but its call sequence: then it is news to nobody.
+fn says_nothing_new(node: &Node, row: &ServerRow) -> bool {
+    let rows = node.rows.borrow();
+    rows.server(&row.id).is_some_and(|known| {
+        ServerRow {
+            call_sequence: known.call_sequence,
+            ..row.clone()
+        } == *known
+    })
+}
+
 /// Whether what a server says here reaches the rest of the fleet: a member needs quorum contact, any other node has to
 /// hear of a node that has it. A node that has not found the fleet yet takes what servers say until it has.
 fn may_acknowledge(node: &Node, control: Option<&Rc<Control>>) -> bool {
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -36,6 +36,9 @@
 const QUIET_LOOK: Duration = Duration::from_millis(50);
 const QUIET_LOOKS: u32 = 6;
 
+/// Descriptors that are left for files and for connections of the process's own; of the rest clients have six tenths.
+const FILES_ASIDE: u64 = 300;
+
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
     #[error("cannot listen at {address} ({why}): free the port or change listen_addresses")]
@@ -138,6 +141,32 @@
     }
 }
 
+/// The listeners of a process. All are open before anything else is done.
+struct Listeners {
+    front: Option<Box<dyn Listener>>,
+    readiness: Option<Box<dyn Listener>>,
+    control: Option<Box<dyn Listener>>,
+    internal: Box<dyn Listener>,
+}
+
+impl Listeners {
+    fn open(role: Role, boot: &Boot, net: &dyn Net) -> Result<Listeners, RunError> {
+        if role == Role::Proxy && boot.listen.front.is_none() {
+            return Err(RunError::Role("listen_addresses.front_http"));
+        }
+        if role == Role::Control && boot.listen.control.is_none() {
+            return Err(RunError::Role("listen_addresses.control_plane"));
+        }
+        let open = |address: Option<SocketAddr>| address.map(|a| listener(net, a)).transpose();
+        Ok(Listeners {
+            front: open(boot.listen.front.filter(|_| role == Role::Proxy))?,
+            readiness: open(boot.listen.readiness)?,
+            control: open(boot.listen.control)?,
+            internal: listener(net, boot.internal_of(boot.ip))?,
+        })
+    }
+}
+
 /// Serves until told to leave, or until whoever may tell is gone. `open` reads what the data directory holds.
 pub async fn serve(
     role: Role,
@@ -148,48 +177,36 @@
     mut rng: Rng,
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) -> Result<(), RunError> {
-    if role == Role::Proxy && boot.listen.front.is_none() {
-        return Err(RunError::Role("listen_addresses.front_http"));
-    }
-    if role == Role::Control && boot.listen.control.is_none() {
-        return Err(RunError::Role("listen_addresses.control_plane"));
-    }
-    let front = boot
-        .listen
-        .front
-        .filter(|_| role == Role::Proxy)
-        .map(|a| listener(&*net, a))
-        .transpose()?;
-    let readiness = boot
-        .listen
-        .readiness
-        .map(|a| listener(&*net, a))
-        .transpose()?;
-    let control_door = boot
-        .listen
-        .control
-        .map(|a| listener(&*net, a))
-        .transpose()?;
-    let internal = listener(&*net, boot.internal_of(boot.ip))?;
+    let listeners = Listeners::open(role, &boot, &*net)?;
     let keeps = boot.listen.control.is_some();
     let data = boot.data.clone().filter(|_| keeps);
     let mut stock = open(data.as_deref(), &log_buffer, &mut rng)?;
     if has(Defect::WipedVotes) {
         stock.disk = sparrouter_rendezvous::hash(boot.node_name.as_bytes());
     }
-    let first = boot.first_start;
-    let founder = boot.seeds.first().is_none_or(|s| s.ip() == boot.ip);
-    let grace = boot.bounds.grace;
-    let most = (boot.open_files.saturating_sub(300) * 6 / 10) as usize;
-    let contact = boot.bounds.contact;
+    let (grace, contact) = (boot.bounds.grace, boot.bounds.contact);
     let in_core = keeps && (boot.counted || data.is_some());
     let disk = if in_core { stock.disk } else { 0 };
     let node = Node::new(boot, disk, log_buffer, net, rng);
-    if let Some(rows) = stock
-        .rows
-        .as_deref()
-        .and_then(sparrouter_codec::read::<Delta>)
-    {
+    let services = start_node(node.clone(), stock, in_core);
+    let stage = start_endpoints(&services, listeners);
+    spawn_local(maintain(services.clone()));
+    spawn_local(probe(node.clone()));
+    spawn_local(event_follower::follow(node.clone()));
+    spawn_local(report_no_quorum(node.clone(), contact));
+    while let Some(Order::Seeds(seeds)) = orders.recv().await {
+        if !has(Defect::SeedsAtStart) {
+            node.boot.borrow_mut().seeds = seeds;
+        }
+    }
+    leave(&node, services.control.as_ref(), &stage, grace).await;
+    Ok(())
+}
+
+/// Starts what needs no listener: the rows of the last life, the control state, rollouts.
+fn start_node(node: Rc<Node>, stock: DiskContents, in_core: bool) -> Rc<ControlServices> {
+    let rows = stock.rows.as_deref();
+    if let Some(rows) = rows.and_then(sparrouter_codec::read::<Delta>) {
         node.learn(rows);
     }
     spawn_local(node.clone().carry_out());
@@ -197,55 +214,57 @@
     if let Some(control) = &control {
         weights::start(node.clone(), control.clone());
     }
-    let services = Rc::new(ControlServices {
-        node: node.clone(),
+    Rc::new(ControlServices {
+        node,
         control,
         registry: Registry::default(),
-    });
+    })
+}
+
+/// Starts the polls of sources and what answers on each listener. Returns what tells the front's stage.
+fn start_endpoints(services: &Rc<ControlServices>, listeners: Listeners) -> watch::Sender<Stage> {
+    let node = &services.node;
     let answering = services.clone();
-    spawn_local(links::serve(internal, move |peer, call| {
+    spawn_local(links::serve(listeners.internal, move |peer, call| {
         answer(answering.clone(), peer, call)
     }));
-    polls::start(node.clone(), in_core);
-    if first && founder {
+    polls::start(node.clone(), services.control.is_some());
+    let is_founder = {
+        let boot = node.boot.borrow();
+        boot.first_start && boot.seeds.first().is_none_or(|s| s.ip() == boot.ip)
+    };
+    if is_founder {
         spawn_local(control::found(node.clone()));
     }
-    if let Some(listener) = control_door {
-        spawn_local(endpoint::listen(
-            listener,
-            Rc::new(control_api::tree(&services)),
-        ));
+    if let Some(listener) = listeners.control {
+        let tree = Rc::new(control_api::tree(services));
+        spawn_local(endpoint::listen(listener, tree));
     }
-    if let Some(listener) = readiness {
-        let node = node.clone();
-        let ready = Matcher::default().on("GET", "/api/readiness", move |_, _| {
-            let ready = is_ready(&node);
-            async move {
-                if ready {
-                    Answer::plain(200, "ready")
-                } else {
-                    Answer::plain(503, "not ready")
-                }
-            }
-        });
-        spawn_local(endpoint::listen(listener, Rc::new(ready)));
+    if let Some(listener) = listeners.readiness {
+        let tree = Rc::new(readiness_tree(node.clone()));
+        spawn_local(endpoint::listen(listener, tree));
     }
-    tell_figures(&services);
+    tell_figures(services);
     let (stage, staged) = watch::channel(Stage::Serving);
-    if let Some(listener) = front {
+    if let Some(listener) = listeners.front {
+        let open_files = node.boot.borrow().open_files;
+        let most = (open_files.saturating_sub(FILES_ASIDE) * 6 / 10) as usize;
         spawn_local(front::listen(node.clone(), listener, staged, most));
     }
-    spawn_local(maintain(services.clone()));
-    spawn_local(probe(node.clone()));
-    spawn_local(event_follower::follow(node.clone()));
-    spawn_local(report_no_quorum(node.clone(), contact));
-    while let Some(Order::Seeds(seeds)) = orders.recv().await {
-        if !has(Defect::SeedsAtStart) {
-            node.boot.borrow_mut().seeds = seeds;
+    stage
+}
+
+fn readiness_tree(node: Rc<Node>) -> Matcher {
+    Matcher::default().on("GET", "/api/readiness", move |_, _| {
+        let ready = is_ready(&node);
+        async move {
+            if ready {
+                Answer::plain(200, "ready")
+            } else {
+                Answer::plain(503, "not ready")
+            }
         }
-    }
-    leave(&node, services.control.as_ref(), &stage, grace).await;
-    Ok(())
+    })
 }
 
 /// Serves the figures of this process where a port for them is set. A port that is taken leaves the process without them.
