--- a/crates/sparrouter-fleet/tests/client.rs
+++ b/crates/sparrouter-fleet/tests/client.rs
@@ -5,7 +5,8 @@
 use sparrouter_fleet::client::call::Call;
 use sparrouter_fleet::client::commands::{self, Output};
 use sparrouter_fleet::client::fleet::Fleet;
-use sparrouter_fleet::client::{ClientError, FleetCommand};
+use sparrouter_fleet::client::{ClientError, Command, FleetCommand};
+use sparrouter_fleet::run::Role;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -466,3 +467,19 @@
         read(wrong).expect_err(wrong);
     }
 }
+
+#[test]
+fn given_a_port_for_figures_when_a_process_is_started_then_it_is_taken_and_a_bad_one_refused() {
+    let parsed = |arguments: &[&str]| sparrouter_fleet::client::command().run_inner(arguments);
+    let run = |role, metrics_port| Command::Run { role, metrics_port };
+    assert_eq!(
+        parsed(&["proxy", "--metrics-port", "9464"]).expect("a command"),
+        run(Role::Proxy, Some(9464))
+    );
+    assert_eq!(
+        parsed(&["control"]).expect("a command"),
+        run(Role::Control, None)
+    );
+    assert!(parsed(&["proxy", "--metrics-port", "99999"]).is_err());
+    assert!(parsed(&["proxy", "--metrics-port"]).is_err());
+}
--- a/crates/sparrouter-simulation/src/client.rs
+++ b/crates/sparrouter-simulation/src/client.rs
@@ -29,9 +29,9 @@
 /// A client abandons an answer that pauses for so long.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What a client wants.
+/// A request of a client: where it goes, what it asks for, and how long the client waits.
 #[derive(Clone, Debug)]
-pub struct Wish {
+pub struct ClientRequest {
     /// Host of the request.
     pub host: String,
     /// Path of the request.
@@ -56,7 +56,7 @@
 
 /// How a request ended, after all its attempts.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Came {
+pub enum RequestOutcome {
     /// With a whole answer.
     Served,
     /// With a refusal; holds the last status.
@@ -96,31 +96,40 @@
     }
 
     /// Sends a request with its retries, to the nodes that the platform chooses.
-    pub async fn get(&self, wish: &Wish) -> Came {
-        self.get_from(wish, None).await
+    pub async fn get(&self, request: &ClientRequest) -> RequestOutcome {
+        self.get_from(request, None).await
     }
 
     /// Sends a request with its retries to one node. `life`: see [`Platform::life`].
-    pub async fn get_at(&self, wish: &Wish, to: SocketAddr, life: u64) -> Came {
-        self.get_from(wish, Some((to, life))).await
+    pub async fn get_at(
+        &self,
+        request: &ClientRequest,
+        to: SocketAddr,
+        life: u64,
+    ) -> RequestOutcome {
+        self.get_from(request, Some((to, life))).await
     }
 
-    async fn get_from(&self, wish: &Wish, direct: Option<(SocketAddr, u64)>) -> Came {
-        let until = Instant::now() + wish.deadline;
-        let mut came = Came::Failed;
-        for _ in 0..=wish.retries {
+    async fn get_from(
+        &self,
+        request: &ClientRequest,
+        direct: Option<(SocketAddr, u64)>,
+    ) -> RequestOutcome {
+        let until = Instant::now() + request.deadline;
+        let mut came = RequestOutcome::Failed;
+        for _ in 0..=request.retries {
             if Instant::now() >= until {
                 break;
             }
-            let (answer, retry_after, unread) = self.attempt(wish, until, direct).await;
+            let (answer, retry_after, unread) = self.attempt(request, until, direct).await;
             let promised = matches!(answer.status, 408 | 421 | 429 | 503);
             came = match answer.status {
-                200..=299 if answer.whole => return Came::Served,
-                0 | 200..=299 => Came::Failed,
-                status => Came::Refused(status),
+                200..=299 if answer.whole => return RequestOutcome::Served,
+                0 | 200..=299 => RequestOutcome::Failed,
+                status => RequestOutcome::Refused(status),
             };
             let last = matches!(answer.status, 200..=299 | 400 | 401 | 404 | 413 | 431);
-            if last || !(wish.kind.repeatable() || promised || unread) {
+            if last || !(request.kind.repeatable() || promised || unread) {
                 break;
             }
             let left = until.saturating_duration_since(Instant::now());
@@ -133,30 +142,30 @@
     /// the request.
     async fn attempt(
         &self,
-        wish: &Wish,
+        request: &ClientRequest,
         until: Instant,
         direct: Option<(SocketAddr, u64)>,
     ) -> (Answer, Option<Duration>, bool) {
         let id = format!("{:016x}", self.rng.borrow_mut().u64(..));
         let mut answer = Answer::default();
-        let Some((mut stream, to, life, kept)) = self.connection(wish, direct).await else {
+        let Some((mut stream, to, life, kept)) = self.connection(request, direct).await else {
             return (answer, None, true);
         };
         let body = Bytes::from(format!("body of {id}"));
         let asked = Asked {
             method: "POST".to_owned(),
-            host: wish.host.clone(),
-            path: wish.path.clone(),
+            host: request.host.clone(),
+            path: request.path.clone(),
             body: body.clone(),
-            key: wish.key.clone(),
-            kind: wish.kind,
+            key: request.key.clone(),
+            kind: request.kind,
             node: to.ip(),
             life,
             until,
             kept,
         };
         self.judge.asked(&id, asked);
-        let head = request_head(wish, &id, until, body.len());
+        let head = request_head(request, &id, until, body.len());
         let mut keep = false;
         let mut after = None;
         if stream
@@ -165,7 +174,7 @@
             .is_ok()
         {
             let reading = self.read(&mut stream, &mut answer);
-            let last = wish
+            let last = request
                 .leaves
                 .map_or(until, |after| until.min(Instant::now() + after));
             match timeout_at(last, reading).await {
@@ -184,7 +193,7 @@
     /// The connection kept from the last request (then true), or a new one; `None` if none can be established.
     async fn connection(
         &self,
-        wish: &Wish,
+        request: &ClientRequest,
         direct: Option<(SocketAddr, u64)>,
     ) -> Option<(End, SocketAddr, u64, bool)> {
         let kept = self.kept.borrow_mut().take();
@@ -200,8 +209,10 @@
         if let Some((stream, to, life)) = kept {
             return Some((stream, to, life, true));
         }
-        let (to, life) =
-            direct.or_else(|| self.platform.pick(&wish.zone, &mut self.rng.borrow_mut()))?;
+        let (to, life) = direct.or_else(|| {
+            self.platform
+                .pick(&request.zone, &mut self.rng.borrow_mut())
+        })?;
         let connected = timeout(CONNECT_TIMEOUT, self.net.connect(to)).await;
         let stream = connected.ok()?.ok()?;
         Some((stream, to, life, false))
@@ -278,19 +289,19 @@
 }
 
 /// The head of a request. `length`: of its body in bytes.
-fn request_head(wish: &Wish, id: &str, until: Instant, length: usize) -> String {
+fn request_head(request: &ClientRequest, id: &str, until: Instant, length: usize) -> String {
     let left = until.saturating_duration_since(Instant::now());
     let left_ms = left.as_millis().max(1);
     format!(
         "POST {} HTTP/1.1\r\nHost: {}\r\nSparrouter-Attempt-Id: {id}\r\nSparrouter-Model: {MODEL}\r\n\
          Sparrouter-Token-Usage: {},20\r\nSparrouter-Prompt-Prefix: {}:{},{}:100\r\n\
          Sparrouter-Deadline-Ms: {left_ms}\r\nSparrouter-Key: {}\r\nContent-Length: {length}\r\n\r\n",
-        wish.path,
-        wish.host,
-        wish.shared + 100,
-        wish.topic,
-        wish.shared,
+        request.path,
+        request.host,
+        request.shared + 100,
+        request.topic,
+        request.shared,
         &id[..8],
-        wish.key,
+        request.key,
     )
 }
--- a/crates/sparrouter-simulation/src/faults.rs
+++ b/crates/sparrouter-simulation/src/faults.rs
@@ -253,7 +253,7 @@
     Report {
         breaches: world.judge.breaches(),
         waste: repeated_loads(&world),
-        log: world.judge.story(),
+        log: world.judge.event_log(),
         sent: run.tally.sent.get(),
         served: run.tally.served.get(),
     }
--- a/crates/sparrouter-simulation/src/faults/probes.rs
+++ b/crates/sparrouter-simulation/src/faults/probes.rs
@@ -1,9 +1,9 @@
 //! Requests to single nodes, on routes and with keys that are in force, were, or never will be. The answers show which
 //! configuration a node goes by.
 use super::DayRun;
-use crate::client::Wish;
+use crate::client::ClientRequest;
 use crate::plan::{Kind, Plan};
-use crate::world::wish;
+use crate::world::request;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -28,21 +28,21 @@
             let Some(name) = self.any(&in_service) else {
                 continue;
             };
-            let Some(wish) = self.question() else {
+            let Some(request) = self.question() else {
                 continue;
             };
             let (front, run) = (world.front_of(&name), self.clone());
             let life = world.platform.life(front.ip());
             run.open_probes.set(run.open_probes.get() + 1);
             spawn_local(async move {
-                run.world.client(false).get_at(&wish, front, life).await;
+                run.world.client(false).get_at(&request, front, life).await;
                 run.open_probes.set(run.open_probes.get() - 1);
             });
         }
     }
 
     /// A random probe.
-    fn question(&self) -> Option<Wish> {
+    fn question(&self) -> Option<ClientRequest> {
         let last = self.world.judge.last_sent(LAST);
         let routes = self.any(&last)?.routes;
         // Half of the probes use the route that was added last.
@@ -66,8 +66,8 @@
             route.prefix
         };
         let word = if route.kind.streams() { "s4" } else { "b10" };
-        let asked = wish(Kind::Idempotent, word);
-        Some(Wish {
+        let asked = request(Kind::Idempotent, word);
+        Some(ClientRequest {
             path: format!("{prefix}{word}"),
             kind: route.kind,
             key,
--- a/crates/sparrouter-simulation/src/judge/mod.rs
+++ b/crates/sparrouter-simulation/src/judge/mod.rs
@@ -68,21 +68,21 @@
     }
 }
 
-/// Lines of the story that are told with a breach.
-const TOLD: usize = 60;
+/// Lines of the event log that are printed with a violation.
+const PRINTED: usize = 60;
 
 pub struct Judge {
     pub bounds: Bounds,
     began: Instant,
     breaches: RefCell<Vec<String>>,
-    story: RefCell<Vec<String>>,
+    events: RefCell<Vec<String>>,
     troubles: RefCell<Troubles>,
     requests: RefCell<Requests>,
     orders: RefCell<Orders>,
     budget: RefCell<Budget>,
     /// The operators' calls, checked by `check_history`.
     pub history: RefCell<OrderHistory>,
-    /// Every word of the story, not only the troubles.
+    /// Each request is logged too, not only faults and changes.
     pub verbose: Cell<bool>,
 }
 
@@ -92,7 +92,7 @@
             bounds,
             began: Instant::now(),
             breaches: RefCell::default(),
-            story: RefCell::default(),
+            events: RefCell::default(),
             troubles: RefCell::default(),
             requests: RefCell::default(),
             orders: RefCell::default(),
@@ -110,10 +110,10 @@
         }
     }
 
-    /// A line of the story.
+    /// A line of the event log.
     pub fn note(&self, what: impl Into<String>) {
         let line = format!("{:9.3} {}", self.began.elapsed().as_secs_f64(), what.into());
-        self.story.borrow_mut().push(line);
+        self.events.borrow_mut().push(line);
     }
 
     pub(crate) fn detail(&self, what: impl FnOnce() -> String) {
@@ -133,20 +133,21 @@
         self.breaches.borrow().clone()
     }
 
-    pub fn story(&self) -> Vec<String> {
-        self.story.borrow().clone()
+    /// What happened so far, a line each, with its time since the start.
+    pub fn event_log(&self) -> Vec<String> {
+        self.events.borrow().clone()
     }
 
-    /// What a story ends with.
+    /// Fails the test if a rule was broken, with the end of the event log.
     pub fn assert_kept(&self) {
         let breaches = self.breaches();
         if !breaches.is_empty() {
-            let story = self.story();
-            let told = &story[story.len().saturating_sub(TOLD)..];
+            let events = self.event_log();
+            let last = &events[events.len().saturating_sub(PRINTED)..];
             panic!(
-                "rules broken:\n{}\nstory:\n{}",
+                "rules broken:\n{}\nevents:\n{}",
                 breaches.join("\n"),
-                told.join("\n")
+                last.join("\n")
             );
         }
     }
--- a/crates/sparrouter-simulation/src/load.rs
+++ b/crates/sparrouter-simulation/src/load.rs
@@ -1,9 +1,9 @@
 //! Clients that send requests continuously, and counts of how these ended.
 #![deny(missing_docs)]
 
-use crate::client::{Came, Client, Wish};
+use crate::client::{Client, ClientRequest, RequestOutcome};
 use crate::plan::Kind;
-use crate::world::{World, ZONES, wish};
+use crate::world::{World, ZONES, request};
 use fastrand::Rng;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -47,15 +47,15 @@
         self.late.set((0, 0));
     }
 
-    fn ended(&self, came: &Came) {
+    fn ended(&self, came: &RequestOutcome) {
         self.open.set(self.open.get() - 1);
         let (sent, served) = self.late.get();
         self.late
-            .set((sent, served + u32::from(*came == Came::Served)));
+            .set((sent, served + u32::from(*came == RequestOutcome::Served)));
         match came {
-            Came::Served => self.served.set(self.served.get() + 1),
-            Came::Refused(status) => self.refused.borrow_mut().push(*status),
-            Came::Failed => self.failed.set(self.failed.get() + 1),
+            RequestOutcome::Served => self.served.set(self.served.get() + 1),
+            RequestOutcome::Refused(status) => self.refused.borrow_mut().push(*status),
+            RequestOutcome::Failed => self.failed.set(self.failed.get() + 1),
         }
     }
 }
@@ -93,29 +93,29 @@
                     (Kind::Resumable, "s20"),
                 ];
                 let (kind, word) = kinds[rng.usize(..4)];
-                let wish = Wish {
+                let request = ClientRequest {
                     zone: ZONES[n % 3].to_owned(),
                     topic: format!("{:08x}", rng.u32(..6)),
-                    ..wish(kind, word)
+                    ..request(kind, word)
                 };
-                let wish = if manner == Manner::Mixed {
-                    mixed(&world, wish, &mut rng)
+                let request = if manner == Manner::Mixed {
+                    mixed(&world, request, &mut rng)
                 } else {
-                    wish
+                    request
                 };
                 if rng.u8(..40) == 0 {
                     // A client that leaves early is not counted, but its request must not harm others.
                     let leaves = Some(Duration::from_millis(rng.u64(..120)));
                     client
-                        .get(&Wish {
+                        .get(&ClientRequest {
                             leaves,
                             retries: 0,
-                            ..wish
+                            ..request
                         })
                         .await;
                     continue;
                 }
-                send_counted(&client, &tally, &wish).await;
+                send_counted(&client, &tally, &request).await;
             }
         });
     }
@@ -123,26 +123,30 @@
 }
 
 /// Changes a request to either tenant and a prompt of any size.
-fn mixed(world: &World, wish: Wish, rng: &mut Rng) -> Wish {
+fn mixed(world: &World, request: ClientRequest, rng: &mut Rng) -> ClientRequest {
     let newest = world
         .judge
         .newest()
         .and_then(|s| s.plan.tenants.get(1)?.keys.first().cloned());
-    let key = newest.filter(|_| rng.bool()).unwrap_or(wish.key);
-    let shared = if rng.u8(..3) == 0 { 1_800 } else { wish.shared };
-    Wish {
+    let key = newest.filter(|_| rng.bool()).unwrap_or(request.key);
+    let shared = if rng.u8(..3) == 0 {
+        1_800
+    } else {
+        request.shared
+    };
+    ClientRequest {
         key,
         shared,
-        ..wish
+        ..request
     }
 }
 
 /// Sends a request and counts it.
-async fn send_counted(client: &Client, tally: &Tally, wish: &Wish) {
+async fn send_counted(client: &Client, tally: &Tally, request: &ClientRequest) {
     tally.sent.set(tally.sent.get() + 1);
     tally.open.set(tally.open.get() + 1);
     let (sent, served) = tally.late.get();
     tally.late.set((sent + 1, served));
-    let came = client.get(wish).await;
+    let came = client.get(request).await;
     tally.ended(&came);
 }
--- a/crates/sparrouter-simulation/src/order_storm.rs
+++ b/crates/sparrouter-simulation/src/order_storm.rs
@@ -106,7 +106,7 @@
     let mut report = storm.report.borrow().clone();
     report.calls = world.judge.history.borrow().len();
     report.breaches = world.judge.breaches();
-    report.story = world.judge.story();
+    report.story = world.judge.event_log();
     report
 }
 
--- a/crates/sparrouter-simulation/src/world.rs
+++ b/crates/sparrouter-simulation/src/world.rs
@@ -6,7 +6,7 @@
 
 pub use machines::RetiredMachine;
 
-use crate::client::{Client, Wish};
+use crate::client::{Client, ClientRequest};
 use crate::disk::SimulatedDisk;
 use crate::fabric::Fabric;
 use crate::http_messages::call;
@@ -369,14 +369,14 @@
 }
 
 /// A request on one of the routes of `first_plan`: `word` says what the server answers.
-pub fn wish(kind: Kind, word: &str) -> Wish {
+pub fn request(kind: Kind, word: &str) -> ClientRequest {
     let route = match kind {
         Kind::Idempotent => "idem",
         Kind::NonIdempotent => "once",
         Kind::Streaming => "stream",
         Kind::Resumable => "resume",
     };
-    Wish {
+    ClientRequest {
         host: HOST.to_owned(),
         path: format!("/{route}/{word}"),
         kind,
--- a/crates/sparrouter-simulation/tests/config.rs
+++ b/crates/sparrouter-simulation/tests/config.rs
@@ -1,20 +1,20 @@
 //! Configurations: taken, everywhere in time, of two rivals one, and never an invalid one.
-use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::client::{ClientRequest, RequestOutcome};
 use sparrouter_simulation::load;
 use sparrouter_simulation::operator::How;
 use sparrouter_simulation::plan::{Kind, Plan, Route};
 use sparrouter_simulation::scenario::run_judged;
-use sparrouter_simulation::world::{KEY, Terms, World, first_plan, wish};
+use sparrouter_simulation::world::{KEY, Terms, World, first_plan, request};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
 /// Asks every node for a path of a route, as the platform's direct requests do; gives back who served it.
-async fn served_by(world: &Rc<World>, wish: &Wish) -> Vec<String> {
+async fn served_by(world: &Rc<World>, request: &ClientRequest) -> Vec<String> {
     let client = world.client(false);
     let mut served = Vec::new();
     for name in world.names().into_iter().filter(|n| world.runs(n)) {
-        if client.get_at(wish, world.front_of(&name), 0).await == Came::Served {
+        if client.get_at(request, world.front_of(&name), 0).await == RequestOutcome::Served {
             served.push(name);
         }
     }
@@ -30,11 +30,11 @@
     })
 }
 
-fn added(name: &str) -> Wish {
-    Wish {
+fn added(name: &str) -> ClientRequest {
+    ClientRequest {
         path: format!("/{name}/b10"),
         retries: 0,
-        ..wish(Kind::Idempotent, "b10")
+        ..request(Kind::Idempotent, "b10")
     }
 }
 
@@ -133,9 +133,9 @@
         let plan = first_plan().next(3, |p| p.tenants[1].keys = vec!["key-anew".to_owned()]);
         assert_eq!(world.operator.put(&plan, 1).await, 200);
         sleep(world.terms.bounds.config_apply).await;
-        let with = |key: &str| Wish {
+        let with = |key: &str| ClientRequest {
             key: key.to_owned(),
-            ..wish(Kind::Idempotent, "b10")
+            ..request(Kind::Idempotent, "b10")
         };
         assert!(served_by(&world, &with("key-of-mela")).await.is_empty());
         assert_eq!(served_by(&world, &with("key-anew")).await.len(), 6);
--- a/crates/sparrouter-simulation/tests/core.rs
+++ b/crates/sparrouter-simulation/tests/core.rs
@@ -112,13 +112,17 @@
         sleep(Duration::from_secs(2)).await;
         for name in ["edge-0", "edge-1", "edge-2"] {
             let client = world.client(false);
-            let asked = sparrouter_simulation::client::Wish {
+            let asked = sparrouter_simulation::client::ClientRequest {
                 path: "/new/b5".to_owned(),
                 retries: 0,
-                ..sparrouter_simulation::world::wish(Kind::Idempotent, "b5")
+                ..sparrouter_simulation::world::request(Kind::Idempotent, "b5")
             };
             let came = client.get_at(&asked, world.front_of(name), 0).await;
-            assert_eq!(came, sparrouter_simulation::client::Came::Served, "{name}");
+            assert_eq!(
+                came,
+                sparrouter_simulation::client::RequestOutcome::Served,
+                "{name}"
+            );
         }
         world.cut_off(&["core-0"], None);
         sleep(Duration::from_secs(6)).await;
@@ -272,10 +276,10 @@
                     .await
                     .expect("an answer");
                 assert_eq!(reply.status, 200);
-                let asked = sparrouter_simulation::client::Wish {
+                let asked = sparrouter_simulation::client::ClientRequest {
                     path: format!("/new{round}/b5"),
                     retries: 0,
-                    ..sparrouter_simulation::world::wish(Kind::Idempotent, "b5")
+                    ..sparrouter_simulation::world::request(Kind::Idempotent, "b5")
                 };
                 let came = world
                     .client(false)
@@ -283,7 +287,7 @@
                     .await;
                 assert_eq!(
                     came,
-                    sparrouter_simulation::client::Came::Served,
+                    sparrouter_simulation::client::RequestOutcome::Served,
                     "round {round}"
                 );
             }
--- a/crates/sparrouter-simulation/tests/forming.rs
+++ b/crates/sparrouter-simulation/tests/forming.rs
@@ -1,10 +1,10 @@
 //! A fleet comes up from three seeds and serves.
-use sparrouter_simulation::client::Came;
+use sparrouter_simulation::client::RequestOutcome;
 use sparrouter_simulation::http_messages;
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::Kind;
 use sparrouter_simulation::scenario::run_judged;
-use sparrouter_simulation::world::{Terms, World, wish};
+use sparrouter_simulation::world::{Terms, World, request};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -20,8 +20,8 @@
             (Kind::Resumable, "s8"),
         ] {
             assert_eq!(
-                client.get(&wish(kind, word)).await,
-                Came::Served,
+                client.get(&request(kind, word)).await,
+                RequestOutcome::Served,
                 "{kind:?}"
             );
         }
@@ -103,15 +103,15 @@
         sleep(Duration::from_millis(500)).await;
         world.start("edge-0", false);
         sleep(Duration::from_millis(2)).await;
-        let asked = sparrouter_simulation::client::Wish {
+        let asked = sparrouter_simulation::client::ClientRequest {
             retries: 0,
-            ..wish(Kind::Idempotent, "b5")
+            ..request(Kind::Idempotent, "b5")
         };
         let came = world
             .client(false)
             .get_at(&asked, world.front_of("edge-0"), 0)
             .await;
-        assert_eq!(came, Came::Served);
+        assert_eq!(came, RequestOutcome::Served);
         world
     });
 }
--- a/crates/sparrouter-simulation/tests/index.rs
+++ b/crates/sparrouter-simulation/tests/index.rs
@@ -1,12 +1,12 @@
 //! The index of kept prompts over whole nodes: what one server keeps, another is pointed at.
 use bytes::BytesMut;
-use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::client::{ClientRequest, RequestOutcome};
 use sparrouter_simulation::http_messages::{next_call, whole};
 use sparrouter_simulation::net::MemoryNet;
 use sparrouter_simulation::plan::Kind;
 use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::server::Server;
-use sparrouter_simulation::world::{Terms, World, ZONES, store, wish};
+use sparrouter_simulation::world::{Terms, World, ZONES, request, store};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -41,17 +41,20 @@
     });
 }
 
-fn about(topic: &str, shared: u64) -> Wish {
-    Wish {
+fn about(topic: &str, shared: u64) -> ClientRequest {
+    ClientRequest {
         topic: topic.into(),
         shared,
-        ..wish(Kind::Idempotent, "b30")
+        ..request(Kind::Idempotent, "b30")
     }
 }
 
 /// Asks once more; gives back how many parts servers other than these took from elsewhere.
-async fn moved_to(world: &Rc<World>, wish: &Wish, before: &[Rc<Server>]) -> u32 {
-    assert_eq!(world.client(false).get(wish).await, Came::Served);
+async fn moved_to(world: &Rc<World>, request: &ClientRequest, before: &[Rc<Server>]) -> u32 {
+    assert_eq!(
+        world.client(false).get(request).await,
+        RequestOutcome::Served
+    );
     let others = world.server_ids().into_iter().map(|id| world.server(&id));
     others
         .filter(|s| before.iter().all(|b| b.terms.id != s.terms.id))
@@ -66,8 +69,11 @@
             ..Terms::seeded(seed)
         })
         .await;
-        let wish = about("c0ffee", shared);
-        assert_eq!(world.client(false).get(&wish).await, Came::Served);
+        let request = about("c0ffee", shared);
+        assert_eq!(
+            world.client(false).get(&request).await,
+            RequestOutcome::Served
+        );
         let keeps = |s: &Rc<Server>| s.keeps("c0ffee");
         let home = world
             .server_ids()
@@ -89,7 +95,7 @@
         home.drain();
         sleep(Duration::from_millis(1_500)).await;
         assert_eq!(
-            moved_to(&world, &wish, &[home]).await,
+            moved_to(&world, &request, &[home]).await,
             1,
             "it was taken from where it is kept"
         );
@@ -123,11 +129,14 @@
         .await;
         open_store(&world);
         sleep(Duration::from_secs(2)).await;
-        let wishes: Vec<Wish> = (0..8)
+        let wishes: Vec<ClientRequest> = (0..8)
             .map(|n| about(&format!("c0ffee{n}"), 2_000))
             .collect();
-        for wish in &wishes {
-            assert_eq!(world.client(false).get(wish).await, Came::Served);
+        for request in &wishes {
+            assert_eq!(
+                world.client(false).get(request).await,
+                RequestOutcome::Served
+            );
         }
         sleep(Duration::from_millis(400)).await;
         let before: Vec<Rc<Server>> = world
@@ -147,12 +156,12 @@
             .filter(|n| n != "edge-0")
             .collect();
         others.iter().for_each(|name| world.freeze(name, true));
-        for wish in &wishes {
+        for request in &wishes {
             let came = world
                 .client(false)
-                .get_at(wish, world.front_of("edge-0"), 0)
+                .get_at(request, world.front_of("edge-0"), 0)
                 .await;
-            assert_eq!(came, Came::Served);
+            assert_eq!(came, RequestOutcome::Served);
         }
         let moves: u32 = world
             .server_ids()
--- a/crates/sparrouter-simulation/tests/leaving.rs
+++ b/crates/sparrouter-simulation/tests/leaving.rs
@@ -3,11 +3,11 @@
 use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_http::head;
 use sparrouter_http::reading;
-use sparrouter_simulation::client::{Came, Client, Wish};
+use sparrouter_simulation::client::{Client, ClientRequest, RequestOutcome};
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::{Kind, Route};
 use sparrouter_simulation::scenario::{play, run_judged};
-use sparrouter_simulation::world::{HOST, KEY, Terms, World, first_plan, wish};
+use sparrouter_simulation::world::{HOST, KEY, Terms, World, first_plan, request};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -29,15 +29,18 @@
 }
 
 /// A stream of 4.5 s, longer than what is left late in the grace period.
-fn long_stream(kind: Kind) -> Wish {
-    Wish {
+fn long_stream(kind: Kind) -> ClientRequest {
+    ClientRequest {
         retries: 0,
-        ..wish(kind, "s450")
+        ..request(kind, "s450")
     }
 }
 
 /// Long requests to one leaving machine, on new connections, all through its grace period.
-async fn long_requests_through_a_departure(world: &Rc<World>, name: &str) -> Vec<(Duration, Came)> {
+async fn long_requests_through_a_departure(
+    world: &Rc<World>,
+    name: &str,
+) -> Vec<(Duration, RequestOutcome)> {
     let (front, began) = (world.front_of(name), Instant::now());
     let ending = leaves(world, name);
     let mut asking = Vec::new();
@@ -66,7 +69,7 @@
             let outcomes = long_requests_through_a_departure(&world, "edge-0").await;
             for (sent, came) in outcomes {
                 if sent < ms(2_200) {
-                    assert_eq!(came, Came::Served, "sent {sent:?} after SIGTERM");
+                    assert_eq!(came, RequestOutcome::Served, "sent {sent:?} after SIGTERM");
                 }
             }
             world
@@ -92,13 +95,16 @@
     client: &Rc<Client>,
     name: &str,
     moment: Duration,
-) -> Came {
+) -> RequestOutcome {
     let front = world.front_of(name);
-    let short = Wish {
+    let short = ClientRequest {
         retries: 0,
-        ..wish(Kind::Streaming, "s20")
+        ..request(Kind::Streaming, "s20")
     };
-    assert_eq!(client.get_at(&short, front, 0).await, Came::Served);
+    assert_eq!(
+        client.get_at(&short, front, 0).await,
+        RequestOutcome::Served
+    );
     let ending = leaves(world, name);
     sleep(moment).await;
     let came = client.get_at(&short, front, 0).await;
@@ -121,7 +127,7 @@
             let client = world.client(true);
             let came = kept_connection(&world, &client, "edge-0", ms(moment)).await;
             if moment < 2_290 {
-                assert_eq!(came, Came::Served, "at {moment} ms");
+                assert_eq!(came, RequestOutcome::Served, "at {moment} ms");
             }
             world
         });
--- a/crates/sparrouter-simulation/tests/planted_directed.rs
+++ b/crates/sparrouter-simulation/tests/planted_directed.rs
@@ -1,13 +1,13 @@
 //! Planted mistakes that no drawn day finds, each brought about step by step: the scenario breaks a rule with the mistake
 //! and keeps them all without.
 use sparrouter_fleet::planted::{Defect, plant};
-use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::client::{ClientRequest, RequestOutcome};
 use sparrouter_simulation::fabric::Cut;
 use sparrouter_simulation::http_messages::call;
 use sparrouter_simulation::operator::How;
 use sparrouter_simulation::plan::{Kind, Plan, Route};
 use sparrouter_simulation::scenario::play;
-use sparrouter_simulation::world::{Terms, World, first_plan, wish};
+use sparrouter_simulation::world::{Terms, World, first_plan, request};
 use std::future::Future;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -123,14 +123,14 @@
     world.cut_off(&[member], None);
     world.start(member, false);
     sleep(Duration::from_secs(6)).await;
-    let asked = Wish {
+    let asked = ClientRequest {
         path: "/lost/b5".to_owned(),
         retries: 0,
-        ..wish(Kind::Idempotent, "b5")
+        ..request(Kind::Idempotent, "b5")
     };
     let client = world.client(false);
     let came = client.get_at(&asked, world.front_of(member), 0).await;
-    if came == Came::Served {
+    if came == RequestOutcome::Served {
         world.judge.breach(
             "CONFIG",
             format!("{member} serves a route of a change that lost"),
--- a/crates/sparrouter-simulation/tests/same.rs
+++ b/crates/sparrouter-simulation/tests/same.rs
@@ -17,7 +17,7 @@
         world.start("core-1", false);
         sleep(Duration::from_secs(3)).await;
         tally.stop().await;
-        world.judge.story()
+        world.judge.event_log()
     })
 }
 
--- a/crates/sparrouter-simulation/tests/servers.rs
+++ b/crates/sparrouter-simulation/tests/servers.rs
@@ -1,10 +1,10 @@
 //! Servers that drain, come back late, break off, answer wrongly, or whose address is another's now.
-use sparrouter_simulation::client::{Came, Wish};
+use sparrouter_simulation::client::{ClientRequest, RequestOutcome};
 use sparrouter_simulation::load;
 use sparrouter_simulation::plan::Kind;
 use sparrouter_simulation::scenario::run_judged;
 use sparrouter_simulation::server::Faults;
-use sparrouter_simulation::world::{Terms, World, ZONES, wish};
+use sparrouter_simulation::world::{Terms, World, ZONES, request};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -105,13 +105,13 @@
             };
             let word = if n % 2 == 0 { "b20" } else { "s4" };
             match client
-                .get(&Wish {
+                .get(&ClientRequest {
                     topic: format!("{n:08x}"),
-                    ..wish(kind, word)
+                    ..request(kind, word)
                 })
                 .await
             {
-                Came::Served => served += 1,
+                RequestOutcome::Served => served += 1,
                 _ => failed += 1,
             }
         }
@@ -137,12 +137,12 @@
         let client = world.client(true);
         let mut served = 0;
         for n in 0..60 {
-            let wish = Wish {
+            let request = ClientRequest {
                 retries: 0,
                 topic: format!("{n:08x}"),
-                ..wish(Kind::Resumable, "s15")
+                ..request(Kind::Resumable, "s15")
             };
-            served += u32::from(client.get(&wish).await == Came::Served);
+            served += u32::from(client.get(&request).await == RequestOutcome::Served);
         }
         // Three servers in a row break off one in 37.
         assert!(served >= 52, "{served} of 60");
