--- a/crates/sparrouter-simulation/tests/versions.rs
+++ b/crates/sparrouter-simulation/tests/versions.rs
@@ -145,7 +145,7 @@
 }
 
 /// So many drawn rollouts are played; the variable plays others, to hunt.
-const DRAWN_SEEDS: std::ops::Range<u64> = 400..408;
+const DRAWN_SEEDS: std::ops::Range<u64> = 400..424;
 
 fn drawn_seeds() -> std::ops::Range<u64> {
     let given = std::env::var("ROLLOUT_SEEDS").ok();
