A server at work on an earlier holder's order is ordered again once that is done

Cause: a holder that found a server busy took the order for its own, also where a holder before it had given it for an older version, and waited twice version_ms for a version that nobody had ordered; the server was held back meanwhile. Change: a server that is busy is waited for; one that is idle and behind is ordered again once its report must show the order, with the count of orders that it told, so that nothing is done twice.

--- a/crates/sparrouter-fleet/src/weights/load.rs
+++ b/crates/sparrouter-fleet/src/weights/load.rs
@@ -1,5 +1,5 @@
 //! One server taken to the newest weights: nothing new goes to it, one order a version, until it runs the newest.
-use super::calls::{answer, report};
+use super::calls::{Report, answer, report};
 use super::{DirectiveKind, FRESH, Held, RolloutTask};
 use crate::boot::nanos;
 use crate::metrics::count;
@@ -15,6 +15,8 @@
 const SPREAD: Duration = Duration::from_millis(40);
 /// Between two looks at a server that is taking new weights.
 const REPORT: Duration = Duration::from_millis(250);
+/// A report shows the state of some hundred milliseconds before: after so long an order that was taken shows in it.
+const REPORT_LAG: Duration = Duration::from_millis(1_000);
 /// A server is waited for so many times as long as requests may begin on older versions.
 const LONGEST: u64 = 2;
 /// Of the time that the last loads took, the part that the newest counts for.
@@ -40,6 +42,8 @@
     runs: u64,
     is_busy: bool,
     call_sequence: Option<u64>,
+    /// When it last took an order or told that one is under way.
+    last_at_work: Nanos,
     /// Another version was named meanwhile, so the time taken is not that of one load.
     was_overtaken: bool,
 }
@@ -53,14 +57,28 @@
             runs: 0,
             is_busy: false,
             call_sequence: None,
+            last_at_work: 0,
             was_overtaken: false,
         }
     }
 
-    /// Whether the target is to be ordered now. A server that is at work on an earlier order would decline.
-    fn may_order(&self) -> bool {
-        let works_on_earlier = self.ordered.is_some_and(|ordered| self.runs < ordered);
-        !self.is_busy && !works_on_earlier && self.ordered.is_none_or(|v| v < self.target)
+    /// Whether the target is to be ordered now. A server that is at work on another order, this node's or that of an earlier
+    /// holder, would decline. An order that a server took and shows nothing of is given again: it names how many orders
+    /// the server has taken, so that it is not done twice.
+    fn may_order(&self, now: Nanos) -> bool {
+        let was_ordered = self.ordered.is_some_and(|ordered| self.runs < ordered);
+        let may_not_show_yet = now.saturating_sub(self.last_at_work) < nanos(REPORT_LAG);
+        !self.is_busy && !(was_ordered && may_not_show_yet)
+    }
+
+    /// Takes in what the server told.
+    fn learn(&mut self, report: &Report, model: &str, now: Nanos) {
+        self.runs = report.version_of(model);
+        self.is_busy = report.is_busy;
+        self.call_sequence = Some(report.call_sequence);
+        if report.is_busy {
+            self.last_at_work = now;
+        }
     }
 }
 
@@ -103,23 +121,19 @@
             if self.node.now() - progress.since >= longest {
                 return Ended::GivenUp;
             }
-            if progress.may_order() && !self.order_once(held, id, address, model, progress).await {
+            if progress.may_order(self.node.now())
+                && !self.order_once(held, id, address, model, progress).await
+            {
                 return Ended::GivenUp;
             }
             tokio::time::sleep(self.node.jitter(REPORT)).await;
             let Some(report) = report(&*self.node.net, address).await else {
                 continue;
             };
-            progress.runs = report.version_of(model);
-            progress.is_busy = report.is_busy;
-            progress.call_sequence = Some(report.call_sequence);
+            progress.learn(&report, model, self.node.now());
             if progress.runs >= progress.target && !progress.is_busy {
                 return Ended::Runs(progress.runs);
             }
-            if progress.is_busy && progress.ordered.is_none() {
-                // The order that got no answer was taken after all.
-                progress.ordered = Some(progress.target);
-            }
         }
     }
 
@@ -154,7 +168,10 @@
             .order(held, id, address, model, progress.target, expected)
             .await;
         match status {
-            Some(200..=299) => progress.ordered = Some(progress.target),
+            Some(200..=299) => {
+                progress.ordered = Some(progress.target);
+                progress.last_at_work = self.node.now();
+            }
             // Fenced off: another holds the lease.
             Some(412) => return false,
             Some(421) => {
--- a/crates/sparrouter-simulation/tests/versions.rs
+++ b/crates/sparrouter-simulation/tests/versions.rs
@@ -189,6 +189,36 @@
     });
 }
 
+#[test]
+fn given_a_holder_killed_while_servers_load_when_the_next_version_is_named_then_they_go_on_to_it() {
+    for seed in 360..364 {
+        run_judged(|| async {
+            let world = World::serving(Terms {
+                servers: 6,
+                load: Duration::from_millis(2_500),
+                ..Terms::seeded(seed)
+            })
+            .await;
+            assert!(world.operator.name_version(2).await);
+            let holder = loop {
+                if let Some(holder) = world.judge.last_holder() {
+                    break holder.split('@').next().unwrap_or_default().to_owned();
+                }
+                sleep(Duration::from_millis(5)).await;
+            };
+            // Servers are at work on orders that its successor has not given.
+            world.kill(&holder);
+            sleep(Duration::from_millis(200)).await;
+            world.start(&holder, false);
+            assert!(world.operator.name_version(3).await);
+            world.newest_weights.set(3);
+            sleep(world.terms.bounds.version.mul_f64(1.5)).await;
+            assert_eq!(outdated(&world, 3), 0, "seed {seed}");
+            world
+        });
+    }
+}
+
 /// Restarts a node of the core; returns the largest number of changes of the core that any other node saw of it.
 async fn core_changes_by_restart(world: &Rc<World>, restarted: &str) -> f64 {
     const FIGURE: &str = "sparrouter_core_changes_total";
