--- a/crates/sparrouter-fleet/src/weights/load.rs
+++ b/crates/sparrouter-fleet/src/weights/load.rs
@@ -68,7 +68,8 @@
     fn may_order(&self, now: Nanos) -> bool {
         let was_ordered = self.ordered.is_some_and(|ordered| self.runs < ordered);
         let may_not_show_yet = now.saturating_sub(self.last_at_work) < nanos(REPORT_LAG);
-        !self.is_busy && !(was_ordered && may_not_show_yet)
+        let is_at_work = self.is_busy || (was_ordered && may_not_show_yet);
+        !is_at_work
     }
 
     /// Takes in what the server told.
