--- a/crates/sparrouter-simulation/src/judge/mod.rs
+++ b/crates/sparrouter-simulation/src/judge/mod.rs
@@ -43,6 +43,11 @@
     pub budget_window: Duration,
     /// Servers refuse a lower fencing token than one that they have seen.
     pub fencing: bool,
+    /// A removed key binds every machine after `revoke_timeout`, in touch or not.
+    pub strict_revocation: bool,
+    pub revoke_timeout: Duration,
+    /// The most that stable stretches may add up to before no request begins on an older version; zero: no limit.
+    pub version_all: Duration,
 }
 
 impl Default for Bounds {
@@ -64,6 +69,9 @@
             budget_slack: 64.0,
             budget_window: ms(10_000),
             fencing: true,
+            strict_revocation: false,
+            revoke_timeout: ms(5_000),
+            version_all: Duration::ZERO,
         }
     }
 }
--- a/crates/sparrouter-simulation/src/judge/requests.rs
+++ b/crates/sparrouter-simulation/src/judge/requests.rs
@@ -207,6 +207,7 @@
             );
         }
         self.check_tenant(&run, &asked);
+        self.check_revocation(&run.attempt, &asked, sent);
         let handled = Handled::Ran {
             service: &run.service,
             tenant: run.tenant.as_deref(),
@@ -262,6 +263,34 @@
         }
     }
 
+    /// CONFIG, strict revocation: a key that was removed long enough before the request was sent lets nothing run, whichever
+    /// machine took the request.
+    fn check_revocation(&self, attempt: &str, asked: &Asked, sent: Instant) {
+        if !self.bounds.strict_revocation {
+            return;
+        }
+        let orders = self.orders.borrow();
+        let binds = |s: &&Sent| {
+            s.acknowledged
+                .is_some_and(|at| at + self.bounds.revoke_timeout < sent)
+        };
+        let binding = orders.sent.iter().filter(binds);
+        let floor = binding.map(|s| s.plan.version).max().unwrap_or(0);
+        let may_be_in_force = |s: &&Sent| s.valid && !s.refused && s.plan.version >= floor;
+        let mut plans = orders.sent.iter().filter(may_be_in_force).map(|s| &s.plan);
+        let is_allowed = plans.any(|plan| allows(plan, asked));
+        drop(orders);
+        if !is_allowed {
+            self.breach(
+                "CONFIG",
+                format!(
+                    "{attempt} ran at {}, its key was taken away long before",
+                    asked.node
+                ),
+            );
+        }
+    }
+
     /// WALL: what a tenant that is isolated made, or uses, is its own alone.
     fn check_wall(&self, run: &Run) {
         let orders = self.orders.borrow();
@@ -296,7 +325,9 @@
             let late = self
                 .calm_since(at, now)
                 .is_some_and(|since| now - since > self.bounds.version);
-            if run.version < version && late {
+            let all = self.bounds.version_all;
+            let late_in_all = !all.is_zero() && self.calm_total(at, now) > all;
+            if run.version < version && (late || late_in_all) {
                 let what = format!(
                     "{} begins on {} at {}, {version} is named",
                     run.attempt, run.version, run.instance
--- a/crates/sparrouter-simulation/src/judge/trouble.rs
+++ b/crates/sparrouter-simulation/src/judge/trouble.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A calm stretch counts toward `version_all` from this length on.
+const SHORTEST_STRETCH: Duration = Duration::from_secs(2);
+
 #[derive(Debug)]
 struct Span {
     /// None: the core as a whole.
@@ -15,6 +18,14 @@
     down: bool,
 }
 
+impl Span {
+    /// Whether time does not count for VERSION meanwhile: the core is not stable, or a link is in trouble.
+    fn disturbs_versions(&self) -> bool {
+        let is_moment = self.until == Some(self.from);
+        self.ip.is_none() || !(self.planned || self.down || is_moment)
+    }
+}
+
 #[derive(Default)]
 pub(super) struct Troubles(Vec<Span>);
 
@@ -121,17 +132,36 @@
     /// not so now. The start and the end of a process on a machine that does not count are no trouble of a link.
     pub(super) fn calm_since(&self, from: Instant, now: Instant) -> Option<Instant> {
         let troubles = self.troubles.borrow();
-        let disturbs = |span: &&Span| {
-            let is_moment = span.until == Some(span.from);
-            span.ip.is_none() || !(span.planned || span.down || is_moment)
-        };
         let mut since = from;
-        for span in troubles.0.iter().filter(disturbs) {
+        for span in troubles.0.iter().filter(|s| s.disturbs_versions()) {
             since = since.max(span.until? + self.bounds.contact);
         }
         (since <= now).then_some(since)
     }
 
+    /// What the calm stretches between two moments add up to; those shorter than [`SHORTEST_STRETCH`] do not count.
+    pub(super) fn calm_total(&self, from: Instant, now: Instant) -> Duration {
+        let troubles = self.troubles.borrow();
+        let mut disturbed: Vec<(Instant, Instant)> = troubles
+            .0
+            .iter()
+            .filter(|span| span.disturbs_versions())
+            .map(|span| (span.from, span.until.unwrap_or(now) + self.bounds.contact))
+            .collect();
+        disturbed.sort_unstable();
+        disturbed.push((now, now));
+        let mut total = Duration::ZERO;
+        let mut calm_from = from;
+        for (begins, ends) in disturbed {
+            let stretch = begins.min(now).saturating_duration_since(calm_from);
+            if stretch >= SHORTEST_STRETCH {
+                total += stretch;
+            }
+            calm_from = calm_from.max(ends);
+        }
+        total
+    }
+
     /// Whether the core was stable throughout, `contact` before it included.
     pub fn core_stable(&self, from: Instant, until: Instant) -> bool {
         let from = from.checked_sub(self.bounds.contact).unwrap_or(self.began);
--- a/crates/sparrouter-simulation/src/world/machines.rs
+++ b/crates/sparrouter-simulation/src/world/machines.rs
@@ -47,7 +47,8 @@
              bounds.drain_timeout_ms={}\nbounds.grace_period_s={}\nbounds.config_apply_ms={}\n\
              bounds.lease_ms={}\nbounds.thaw_ms={}\nbounds.version_ms={}\nbounds.recovery_s={}\n\
              bounds.retry_budget_ratio={}\nbounds.retry_budget_slack={}\nbounds.budget_window_s={}\n\
-             bounds.fencing_enabled={}\n",
+             bounds.fencing_enabled={}\nbounds.strict_revocation={}\nbounds.revoke_timeout_ms={}\n\
+             bounds.version_all_ms={}\n",
             m.zone,
             seeds.join(","),
             m.counted,
@@ -65,7 +66,10 @@
             b.budget_ratio,
             b.budget_slack,
             b.budget_window.as_secs_f64(),
-            b.fencing
+            b.fencing,
+            b.strict_revocation,
+            ms(b.revoke_timeout),
+            ms(b.version_all),
         )
     }
 
--- /dev/null
+++ b/crates/sparrouter-simulation/tests/revocation.rs
@@ -0,0 +1,138 @@
+//! Strict revocation: on no machine, in touch or not, does anything run that was sent long after its key was removed.
+use sparrouter_simulation::client::{ClientRequest, RequestOutcome};
+use sparrouter_simulation::fabric::Cut;
+use sparrouter_simulation::judge::Bounds;
+use sparrouter_simulation::plan::{Kind, Plan};
+use sparrouter_simulation::scenario::run_judged;
+use sparrouter_simulation::world::{KEY, Terms, World, first_plan, request};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Between two requests that are sent to one node with a key that was removed.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+
+fn strict(seed: u64) -> Terms {
+    Terms {
+        bounds: Bounds {
+            strict_revocation: true,
+            ..Bounds::default()
+        },
+        ..Terms::seeded(seed)
+    }
+}
+
+/// The first plan with another key for its first tenant.
+fn revoked() -> Plan {
+    first_plan().next(2, |plan| {
+        plan.tenants[0].keys = vec!["new-key-of-kaje".to_owned()];
+    })
+}
+
+/// Sends requests with the removed key to one node for so long, whatever the platform thinks of the node.
+async fn probe(world: &Rc<World>, name: &str, lasts: Duration) -> Vec<RequestOutcome> {
+    let client = world.client(false);
+    let until = Instant::now() + lasts;
+    let mut outcomes = Vec::new();
+    while Instant::now() < until {
+        let asked = ClientRequest {
+            key: KEY.to_owned(),
+            retries: 0,
+            deadline: Duration::from_millis(800),
+            ..request(Kind::Idempotent, "b40")
+        };
+        let life = world.platform.life(world.ip(name));
+        outcomes.push(client.get_at(&asked, world.front_of(name), life).await);
+        sleep(PROBE_PAUSE).await;
+    }
+    outcomes
+}
+
+/// One node is cut off from all others of the fleet, then a key is removed. Clients and servers reach the node.
+async fn revoked_behind_a_cut(name: &str, seed: u64) -> Rc<World> {
+    let world = World::serving(strict(seed)).await;
+    world.cut_off(&[name], Some(Cut::Silent));
+    assert_eq!(world.operator.put(&revoked(), 1).await, 200);
+    probe(&world, name, Duration::from_secs(12)).await;
+    world.cut_off(&[name], None);
+    probe(&world, name, Duration::from_secs(2)).await;
+    world
+}
+
+/// A node is frozen while a key is removed, and wakes long after.
+async fn revoked_while_frozen(name: &str, seed: u64) -> Rc<World> {
+    let world = World::serving(strict(seed)).await;
+    world.freeze(name, true);
+    assert_eq!(world.operator.put(&revoked(), 1).await, 200);
+    sleep(Duration::from_millis(6_000 + seed % 7 * 150)).await;
+    // These wait at the node until it wakes.
+    let early = probe(&world, name, Duration::from_millis(500));
+    let wake = async {
+        sleep(Duration::from_millis(300)).await;
+        world.freeze(name, false);
+    };
+    tokio::join!(early, wake);
+    probe(&world, name, Duration::from_secs(2)).await;
+    world
+}
+
+/// A core node is cut off, a key is removed, and the node's process starts anew behind the cut: its disk has the old
+/// configuration.
+async fn revoked_before_a_start_from_disk(seed: u64) -> Rc<World> {
+    let world = World::serving(strict(seed)).await;
+    let name = format!("core-{}", seed % 3);
+    world.cut_off(&[&name], Some(Cut::Silent));
+    assert_eq!(world.operator.put(&revoked(), 1).await, 200);
+    sleep(Duration::from_secs(6)).await;
+    world.kill(&name);
+    sleep(Duration::from_millis(300)).await;
+    world.start(&name, false);
+    probe(&world, &name, Duration::from_secs(4)).await;
+    world.cut_off(&[&name], None);
+    probe(&world, &name, Duration::from_secs(2)).await;
+    world
+}
+
+/// The sources of a node are cut off from the rest of the core: the node hears them, and they hear nothing new.
+async fn revoked_with_sources_behind(seed: u64) -> Rc<World> {
+    let world = World::serving(strict(seed)).await;
+    // The far side of the cut holds one core node and one other; it has no quorum.
+    world.cut_off(&["core-0", "edge-0"], Some(Cut::Silent));
+    assert_eq!(world.operator.put(&revoked(), 1).await, 200);
+    let lasts = Duration::from_secs(12);
+    tokio::join!(
+        probe(&world, "edge-0", lasts),
+        probe(&world, "core-0", lasts)
+    );
+    world.cut_off(&["core-0", "edge-0"], None);
+    sleep(Duration::from_secs(1)).await;
+    world
+}
+
+#[test]
+fn given_a_key_removed_while_a_node_is_cut_off_then_nothing_runs_with_it_there() {
+    for (seed, name) in [(700, "edge-0"), (701, "edge-2"), (702, "core-1")] {
+        run_judged(|| revoked_behind_a_cut(name, seed));
+    }
+}
+
+#[test]
+fn given_a_key_removed_while_a_node_is_frozen_then_nothing_runs_with_it_once_it_wakes() {
+    for (seed, name) in [(710, "edge-0"), (711, "core-0"), (712, "edge-1")] {
+        run_judged(|| revoked_while_frozen(name, seed));
+    }
+}
+
+#[test]
+fn given_a_key_removed_before_a_node_starts_from_its_old_disk_then_nothing_runs_with_it() {
+    for seed in 720..723 {
+        run_judged(|| revoked_before_a_start_from_disk(seed));
+    }
+}
+
+#[test]
+fn given_sources_without_a_quorum_when_a_key_is_removed_then_nothing_runs_with_it_behind_them() {
+    for seed in 730..733 {
+        run_judged(|| revoked_with_sources_behind(seed));
+    }
+}
--- a/crates/sparrouter-simulation/tests/versions.rs
+++ b/crates/sparrouter-simulation/tests/versions.rs
@@ -2,6 +2,7 @@
 //! nor a quiet core moves. Each guard is shown by a mistake that takes it out.
 use fastrand::Rng;
 use sparrouter_fleet::planted::{Defect, plant};
+use sparrouter_simulation::judge::Bounds;
 use sparrouter_simulation::load;
 use sparrouter_simulation::scenario::{play, run_judged};
 use sparrouter_simulation::world::{Terms, World};
@@ -56,6 +57,32 @@
     world
 }
 
+/// A core node starts anew each six seconds, so that no calm stretch is long, while servers take a new version slowly.
+async fn never_calm_for_long(seed: u64) -> Rc<World> {
+    let bounds = Bounds {
+        version_all: Duration::from_secs(5),
+        ..Bounds::default()
+    };
+    let world = World::serving(Terms {
+        bounds,
+        servers: 14,
+        load: Duration::from_secs(9),
+        ..slow_rollout(seed)
+    })
+    .await;
+    let tally = load::begin(&world, 12, PAUSE);
+    name_versions(&world, 2, Duration::from_millis(100)).await;
+    for round in 0..4 {
+        let name = format!("core-{}", (seed + round) % 3);
+        world.kill(&name);
+        sleep(Duration::from_millis(300)).await;
+        world.start(&name, false);
+        sleep(Duration::from_millis(5_700)).await;
+    }
+    tally.stop().await;
+    world
+}
+
 /// What is broken with a mistake, over a few seeds.
 fn breaches<F: Future<Output = Rc<World>>>(
     defect: Defect,
@@ -96,6 +123,13 @@
     }
 }
 
+#[test]
+fn given_calm_stretches_that_add_up_when_none_is_long_then_nothing_begins_on_an_older_version() {
+    for seed in 350..353 {
+        run_judged(|| never_calm_for_long(seed));
+    }
+}
+
 /// Versions at drawn moments, servers of drawn slowness, and restarts of nodes in between, by one seed.
 async fn drawn_rollout(seed: u64) -> Rc<World> {
     let mut rng = Rng::with_seed(seed);
