Removed keys bind every node by a lease on the configuration; calm stretches add up

Cause: strict_revocation, revoke_timeout_ms and version_all_ms were read and not used. A node that was cut off went on by its old keys without end, and a core that changed every few seconds moved the limit of older weights without end.

Ruled out: the source alone deciding (it may be behind or its answer old), readiness alone (clients on kept connections and direct ones), the time of day.

Change: a lease on the configuration that a confirmed read of a quorum renews, counted from the beginning of that read on the steady clock; polls carry when the read began. Without the lease requests with keys get 503 at once and the node is not ready; the key is looked at again before each server. Versions have a second limit that no change of the core moves; a source that has just started learns the age of versions from its pollers. A strict bound under 1,000 ms is refused. named_at is gone. Protocol between nodes: sprtrfl5.

--- a/crates/sparrouter-fleet/src/boot.rs
+++ b/crates/sparrouter-fleet/src/boot.rs
@@ -95,9 +95,9 @@
     pub rollback_slack: Duration,
     /// Longest time by which an unstable core may delay a configuration beyond `config_apply`.
     pub max_stretch: Duration,
-    /// `bounds.strict_revocation`; not used by this release.
+    /// A removed API key binds every node after `revoke_timeout`, also one that is cut off.
     pub strict_revocation: bool,
-    /// `bounds.revoke_timeout_ms`; not used by this release.
+    /// Time after the acknowledgement of a configuration from which on nothing runs with a key that it removed.
     pub revoke_timeout: Duration,
     /// How long a rollout lease is valid without renewal.
     pub lease: Duration,
@@ -105,11 +105,11 @@
     pub thaw: Duration,
     /// Time after new weights are named within which requests may begin on older ones.
     pub version: Duration,
-    /// `bounds.version_all_ms`, 0: no limit; not used by this release.
+    /// The same as `version`, over several stretches in which the core is stable; 0: no limit.
     pub version_all: Duration,
     /// Longest time that an event of a stream may take through the fleet.
     pub transit: Duration,
-    /// `bounds.again_s`; not used by this release.
+    /// Time within which reading a shared part of a prompt again is priced. Informational: see docs/design/versions.md.
     pub again: Duration,
     /// Time after a final fault until requests must be served again.
     pub recovery: Duration,
@@ -206,6 +206,9 @@
 
 /// Parts of a second in which a field ending in `_ms` is written.
 const PER_MS: f64 = 1e3;
+/// Shortest bound on removed keys where revocation is strict: a lease of that length is renewed several times over while a
+/// quorum answers within some 100 ms.
+const SHORTEST_REVOCATION: Duration = Duration::from_secs(1);
 /// Largest whole number in a settings file.
 const MANY: u64 = 1_000_000_000;
 
@@ -213,7 +216,7 @@
     fn read(fields: &Fields) -> Result<Bounds, BootError> {
         let ms = |field: &str, default: f64| fields.duration(field, PER_MS, 0.0, default);
         let seconds = |field: &str, default: f64| fields.duration(field, 1.0, 0.0, default);
-        Ok(Bounds {
+        let bounds = Bounds {
             seed_lag: seconds("bounds.seed_lag_s", 3.0)?,
             address_reuse: seconds("bounds.address_reuse_s", 2.0)?,
             contact: ms("bounds.contact_ms", 3_000.0)?,
@@ -238,7 +241,22 @@
             thaw: ms("bounds.thaw_ms", 300.0)?,
             version: ms("bounds.version_ms", 8_000.0)?,
             version_all: ms("bounds.version_all_ms", 0.0)?,
-        })
+        };
+        bounds.check_revocation(fields)?;
+        Ok(bounds)
+    }
+
+    /// Strict revocation needs a bound that a lease can be renewed within.
+    fn check_revocation(&self, fields: &Fields) -> Result<(), BootError> {
+        if !self.strict_revocation || self.revoke_timeout >= SHORTEST_REVOCATION {
+            return Ok(());
+        }
+        let (given, shortest) = (self.revoke_timeout, SHORTEST_REVOCATION.as_millis());
+        Err(fields.invalid(
+            "bounds.revoke_timeout_ms",
+            &given.as_millis().to_string(),
+            format!("at least {shortest} where bounds.strict_revocation is true"),
+        ))
     }
 }
 
--- a/crates/sparrouter-fleet/src/control/presence.rs
+++ b/crates/sparrouter-fleet/src/control/presence.rs
@@ -4,6 +4,7 @@
 use crate::planted::{self, Defect, has};
 use sparrouter_consensus::lease::Lease;
 use sparrouter_consensus::{Member, Outcome};
+use sparrouter_routing::{Nanos, moment_before};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -164,7 +165,7 @@
         loop {
             let pause = if self.is_member() && !(planted::hidden_by_reads() && self.caught_up()) {
                 if self.confirm_contact().await {
-                    CONTACT_RENEWAL
+                    self.contact_renewal()
                 } else {
                     CONTACT_RETRY
                 }
@@ -175,14 +176,32 @@
         }
     }
 
+    /// The pause between two confirmed reads.
+    fn contact_renewal(&self) -> Duration {
+        let lease = self.node.configuration_lease.borrow();
+        lease.renewal(CONTACT_RENEWAL)
+    }
+
+    /// When the read began that quorum contact rests on now; `None` without contact.
+    pub fn confirmed_read(&self) -> Option<Nanos> {
+        if !self.has_quorum_contact() {
+            return has(Defect::LeaseFromAnySource).then(|| self.node.now());
+        }
+        let read_began = self.quorum_contact.borrow().newest_read();
+        read_began.or_else(|| has(Defect::ContactByHearsay).then(|| self.node.now()))
+    }
+
     /// One confirmed read; returns whether there is contact after it.
     async fn confirm_contact(&self) -> bool {
         let had_contact = self.has_quorum_contact();
         let began = self.node.now();
         let outcome = self.operate(CONFIG, None, CONTACT_READ).await;
         let now = self.node.now();
-        let confirmed = matches!(outcome, Outcome::Answered(_))
-            && self.quorum_contact.borrow_mut().confirm(began, now);
+        let is_answered = matches!(outcome, Outcome::Answered(_));
+        if is_answered {
+            self.node.confirm_configuration(moment_before(began, 0));
+        }
+        let confirmed = is_answered && self.quorum_contact.borrow_mut().confirm(began, now);
         if confirmed {
             self.node.informed.set(true);
             self.node.heard.set(now);
--- a/crates/sparrouter-fleet/src/control/quorum_contact.rs
+++ b/crates/sparrouter-fleet/src/control/quorum_contact.rs
@@ -56,6 +56,11 @@
         confirmed && (self.lost_at(now).is_none() || has(Defect::ContactNeverLost))
     }
 
+    /// When the newest confirmed read began, be there contact or not.
+    pub fn newest_read(&self) -> Option<Nanos> {
+        self.newest_read
+    }
+
     /// Whether there was contact in this life of the process, and is none at `now`.
     pub fn is_lost(&self, now: Nanos) -> bool {
         self.newest_read.is_some() && !self.holds(now)
--- a/crates/sparrouter-fleet/src/exchange.rs
+++ b/crates/sparrouter-fleet/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request of a client, from the route to the last byte: election, send, fallback, stream, resumption.
 mod admission;
+mod keys;
 mod memory;
 mod passing;
 mod speaking;
@@ -83,9 +84,11 @@
     let Some(route) = table.route(fields.text("host").unwrap_or_default(), request.path()) else {
         return Ended::Own(Answer::plain(404, "no route has this host and path"));
     };
-    let tenant = fields
-        .text("sparrouter-key")
-        .and_then(|key| table.tenant_of(key));
+    let key = fields.text("sparrouter-key");
+    if key.is_some() && !keys::may_go_by(node) {
+        return Ended::Own(keys::unconfirmed(node));
+    }
+    let tenant = key.and_then(|key| table.tenant_of(key));
     if tenant.is_none() && !table.tenants.is_empty() && !route.public_access {
         return Ended::Own(Answer::plain(401, "Sparrouter-Key is missing or not known"));
     }
@@ -194,6 +197,8 @@
                 Turn::Unsent => {
                     guard.ending = Ending::Unreachable;
                 }
+                // The next look for a server says why.
+                Turn::KeyRefused => {}
                 Turn::NotRun(status) => {
                     guard.ending = if status == 421 {
                         Ending::Misdirected
--- a/crates/sparrouter-fleet/src/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/exchange/admission.rs
@@ -183,6 +183,7 @@
     /// Whom to send to next, or what to answer where there is nobody.
     pub(super) fn next_server(&self, key: u64, proved: bool) -> Result<Pick, Answer> {
         let again = self.sent > 0;
+        self.check_key(proved)?;
         let later = |ms: u64| Answer::later(self.node.jitter(Duration::from_millis(ms)));
         let gone = may_have_run();
         if again && !proved && !self.route.repeatable() {
@@ -230,7 +231,7 @@
     }
 }
 
-fn may_have_run() -> Answer {
+pub(super) fn may_have_run() -> Answer {
     Answer::plain(502, "the server broke off and the request may have run")
 }
 
--- a/crates/sparrouter-fleet/src/exchange/speaking.rs
+++ b/crates/sparrouter-fleet/src/exchange/speaking.rs
@@ -1,5 +1,6 @@
 //! One server's turn: the request sent once, and the head of the answer that is its own.
 use super::admission::urgency;
+use super::keys::KeyState;
 use super::memory::Memory;
 use super::{Exchange, left};
 use crate::metrics::count;
@@ -23,6 +24,8 @@
 pub(super) enum Turn {
     /// Nothing was sent: it could not be reached, or left meanwhile.
     Unsent,
+    /// Nothing was sent: the client's key is no longer known, or may be no longer in force.
+    KeyRefused,
     /// It proved that it has not run it and won't.
     NotRun(u16),
     /// It may have run.
@@ -138,6 +141,9 @@
             if !self.may_go(pick) {
                 return Turn::Unsent;
             }
+            if self.key_state() != KeyState::Good {
+                return Turn::KeyRefused;
+            }
             let head = self.forward_head(pick, id, last_id, &memory);
             let used = link.used;
             match link.send(&head, &self.request.body).await {
--- a/crates/sparrouter-fleet/src/lib.rs
+++ b/crates/sparrouter-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`net`], [`links`], [`wire`] | connections to other machines; calls between nodes; their messages |
 //! | [`polls`], [`peer_api`] | long polls of other nodes; the answers to theirs |
 //! | [`control`], [`disk`], [`configuration_state`] | replicated registers: carried out, saved, and what a change means |
+//! | [`configuration_lease`] | whether the configuration here is fresh enough for requests with API keys |
 //! | [`endpoint`], [`control_api`], [`registry`] | HTTP endpoints; calls of servers and operators; heartbeats of servers |
 //! | [`front`], [`http`], [`exchange`], [`upstream`], [`events`] | connections of clients, one request, connections to servers, event streams |
 //! | [`weights`] | rollout of new weights |
@@ -18,6 +19,7 @@
 //! | [`planted`] | mistakes planted for tests, behind a feature |
 pub mod boot;
 pub mod client;
+pub mod configuration_lease;
 pub mod configuration_state;
 pub mod control;
 pub mod control_api;
--- a/crates/sparrouter-fleet/src/metrics.rs
+++ b/crates/sparrouter-fleet/src/metrics.rs
@@ -27,6 +27,8 @@
     pub sent_to_older_weights: Cell<u64>,
     /// Answers that began on weights after the time limit of a newer version: each breaks rule VERSION.
     pub begun_too_late: Cell<u64>,
+    /// Requests with API keys that were refused because the lease on the configuration had run out.
+    pub refused_without_lease: Cell<u64>,
     /// Orders to load weights that servers took.
     pub orders_taken: Cell<u64>,
     /// Orders to load weights that were declined.
@@ -92,6 +94,7 @@
     page.line("config_sequence", &[], node.in_force().seq as f64);
     let heard = node.now().saturating_sub(node.heard.get());
     page.line("quorum_heard_seconds_ago", &[], heard as f64 / SECOND);
+    page.flag("configuration_lease", node.holds_configuration_lease());
     let Some(control) = control else { return };
     page.flag("group_member", control.is_member());
     page.flag("quorum_contact", control.has_quorum_contact());
@@ -155,6 +158,10 @@
         &counters.sent_to_older_weights,
     );
     line("begun_too_late_total", &counters.begun_too_late);
+    line(
+        "refused_without_configuration_lease_total",
+        &counters.refused_without_lease,
+    );
     line("orders_taken_total", &counters.orders_taken);
     line("orders_declined_total", &counters.orders_declined);
     line("orders_unanswered_total", &counters.orders_unanswered);
--- a/crates/sparrouter-fleet/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -6,6 +6,7 @@
 mod updates;
 
 use crate::boot::{Boot, nanos};
+use crate::configuration_lease::ConfigurationLease;
 use crate::departure::Departure;
 use crate::links::Links;
 use crate::log_buffer::LogBuffer;
@@ -17,7 +18,7 @@
 use sparrouter_config::{Edits, Table};
 use sparrouter_membership::{NodeRow, Pace, Rows};
 use sparrouter_prefix_index::{Index, Terms};
-use sparrouter_routing::{Backlog, Budget, Durations, Nanos, ServerTable};
+use sparrouter_routing::{Backlog, Budget, Durations, Nanos, Patience, ServerTable};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -47,6 +48,8 @@
     /// Of the text; 0 before there is one.
     pub digest: u64,
     pub table: Option<Rc<Table>>,
+    /// The table is that of the text; false where this release cannot read the text.
+    pub is_readable: bool,
 }
 
 /// Counts news. Who waits is woken in the order of waiting: the library's `watch` wakes in a random one, by which no
@@ -120,6 +123,8 @@
     pub departure: Cell<Option<Departure>>,
     /// How long requests of each route last.
     pub durations: RefCell<Durations>,
+    /// Whether what is in force is fresh enough for requests with API keys.
+    pub configuration_lease: RefCell<ConfigurationLease>,
     /// When a poll of a source that is in touch last came through.
     pub heard: Cell<Nanos>,
     pub rng: RefCell<Rng>,
@@ -157,6 +162,7 @@
         let mut rows = Rows::new(rng.u64(1..), TOMBSTONE, MOST_ROWS);
         rows.merge_node(me.clone(), 0);
         let mut server_table = ServerTable::new(version_patience(&boot), rng.fork());
+        let configuration_lease = ConfigurationLease::new(&boot.bounds);
         if boot.counted {
             // The start of a node of the core is a change of the core.
             server_table.versions.core_changed(0);
@@ -167,6 +173,7 @@
             text: "".into(),
             digest: 0,
             table: None,
+            is_readable: true,
         };
         Rc::new(Node {
             boot: RefCell::new(boot),
@@ -202,6 +209,7 @@
             leaving: Cell::new(false),
             departure: Cell::new(None),
             durations: RefCell::default(),
+            configuration_lease: RefCell::new(configuration_lease),
             heard: Cell::new(0),
             rng: RefCell::new(rng),
             log_buffer,
@@ -277,8 +285,16 @@
     }
 }
 
-/// After that much of `version_ms` nothing begins on older weights: what is told late, and the way to the server,
+/// After that much of the bounds on versions nothing begins on older weights: what is told late, and the way to the server,
 /// have the rest.
-fn version_patience(boot: &Boot) -> Nanos {
-    nanos(boot.bounds.version.mul_f64(0.75))
+const VERSION_PATIENCE: f64 = 0.75;
+
+fn version_patience(boot: &Boot) -> Patience {
+    let part_of = |bound: Duration| nanos(bound.mul_f64(VERSION_PATIENCE));
+    let all = boot.bounds.version_all;
+    let is_added_up = !all.is_zero() && !has(Defect::VersionSumIgnored);
+    Patience {
+        in_one: part_of(boot.bounds.version),
+        in_all: is_added_up.then(|| part_of(all)),
+    }
 }
--- a/crates/sparrouter-fleet/src/node/config.rs
+++ b/crates/sparrouter-fleet/src/node/config.rs
@@ -2,6 +2,7 @@
 use super::{InForce, Node};
 use crate::planted::{self, Defect, has};
 use crate::wire::{ConfigUpdate, EditUpdate, ModelUpdate, TextUpdate, VersionsUpdate};
+use sparrouter_codec::Seq;
 use sparrouter_config::{Document, Edit, Table, digest_of_text};
 use sparrouter_routing::{Moment, Nanos, Wanted, moment_before};
 use std::rc::Rc;
@@ -10,10 +11,11 @@
 const NANOS_PER_MS: u64 = 1_000_000;
 
 impl Node {
-    /// What is in force; where nothing is known yet, what is by `until`.
+    /// What is in force; where a process that just started knows nothing or has nothing confirmed yet, what is by `until`.
     pub async fn first_config(&self, until: Instant) -> Rc<InForce> {
         let mut changes = self.changes();
-        while self.in_force().table.is_none() {
+        let is_unconfirmed = || !self.informed.get() && !self.holds_configuration_lease();
+        while self.in_force().table.is_none() || is_unconfirmed() {
             if timeout_at(until, changes.changed()).await.is_err() {
                 break;
             }
@@ -21,6 +23,25 @@
         self.in_force()
     }
 
+    /// Whether requests with API keys may go by what is in force here.
+    pub fn holds_configuration_lease(&self) -> bool {
+        self.configuration_lease.borrow().holds(self.now())
+    }
+
+    /// Renews the lease on the configuration: all that was acknowledged before this moment is in force here.
+    pub fn confirm_configuration(&self, at: Moment) {
+        let now = self.now();
+        if !self.in_force().is_readable {
+            return;
+        }
+        let held = self.holds_configuration_lease();
+        self.configuration_lease.borrow_mut().confirm(at, now);
+        if !held && self.holds_configuration_lease() {
+            // Requests wait for it.
+            self.changed();
+        }
+    }
+
     /// What was chosen by the configuration's group; an older one than is in force changes nothing. False where it is
     /// a change of another text than the one here.
     pub fn take(&self, told: ConfigUpdate) -> bool {
@@ -37,6 +58,7 @@
                     }
                 }
             };
+            let mut is_readable = known.is_readable;
             let table = if told.version == known.version || skipped {
                 known.table.clone()
             } else {
@@ -44,7 +66,9 @@
                     version: told.version,
                     text: planted::half(&text, &known.text),
                 };
-                match Table::read(&document) {
+                let read = Table::read(&document);
+                is_readable = read.is_ok();
+                match read {
                     Ok(table) => Some(Rc::new(table)),
                     Err(why) => {
                         // It was checked before it was chosen: only another release can come here.
@@ -66,6 +90,7 @@
                 text,
                 digest,
                 table,
+                is_readable,
             };
             log::info!(
                 "register {} configuration {} in force",
@@ -82,11 +107,18 @@
     /// The versions of weights that were named, as another node or the register tells of them.
     fn take_versions(&self, told: &VersionsUpdate) {
         let now = self.now();
-        let versions = &mut self.server_table.borrow_mut().versions;
         if let Some(age) = told.core_changed_age_ms {
+            let versions = &mut self.server_table.borrow_mut().versions;
             versions.core_was_changed(moment_before(now, nanos_of_ms(age)));
         }
-        for model in &told.models {
+        self.take_models(&told.models);
+    }
+
+    /// The same for the versions alone: of what a poller knows and this process has forgotten, the earliest moment counts.
+    pub fn take_models(&self, models: &[ModelUpdate]) {
+        let now = self.now();
+        let versions = &mut self.server_table.borrow_mut().versions;
+        for model in models {
             let known = versions.wanted(&model.name);
             if known.is_none_or(|known| known.version < model.version) {
                 let (version, name, age) = (model.version, &model.name, model.age_ms);
@@ -116,17 +148,23 @@
 
     /// The versions of weights that were named and when the core last changed, for another node.
     pub fn versions_update(&self) -> VersionsUpdate {
+        let core_changed_at = self.server_table.borrow().versions.core_changed_at();
+        VersionsUpdate {
+            models: self.model_updates(),
+            core_changed_age_ms: core_changed_at.map(|at| age_ms(at, self.now())),
+        }
+    }
+
+    /// The versions of weights that were named, for another node.
+    pub fn model_updates(&self) -> Seq<ModelUpdate> {
         let now = self.now();
-        let versions = &self.server_table.borrow().versions;
         let model = |(name, wanted): (&str, Wanted)| ModelUpdate {
             name: name.to_owned(),
             version: wanted.version,
             age_ms: age_ms(wanted.since, now),
         };
-        VersionsUpdate {
-            models: versions.all().map(model).collect(),
-            core_changed_age_ms: versions.core_changed_at().map(|at| age_ms(at, now)),
-        }
+        let versions = &self.server_table.borrow().versions;
+        versions.all().map(model).collect()
     }
 }
 
--- a/crates/sparrouter-fleet/src/peer_api.rs
+++ b/crates/sparrouter-fleet/src/peer_api.rs
@@ -2,11 +2,12 @@
 //! on kept prompts and on waiting prompts.
 use crate::planted::{Defect, has};
 use crate::run::ControlServices;
-use crate::wire::{Call, Poll, Reply, Update};
+use crate::wire::{Call, ConfirmedRead, Poll, Reply, Update};
 use sparrouter_codec::Blob;
 use sparrouter_consensus::{Member, Outcome};
 use sparrouter_membership::Delta;
 use sparrouter_prefix_index::{Advice, Question};
+use sparrouter_routing::Nanos;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,6 +86,9 @@
         control.heard_of(&poll.name);
         control.polled(&poll.name);
     }
+    if !has(Defect::VersionAgeUnreturned) {
+        node.take_models(&poll.models);
+    }
     if let Some(row) = poll.row {
         node.learn(Delta {
             nodes: vec![row].into(),
@@ -93,6 +97,7 @@
     }
     let mut changes = node.changes();
     let came = Instant::now();
+    let came_at = node.now();
     loop {
         changes.mark_unchanged();
         let quorum_contact = services.has_quorum_contact();
@@ -109,7 +114,9 @@
             return Reply::Update(Update {
                 rows: Blob(rows.unwrap_or_default()),
                 config: is_newer.then(|| node.config_update(poll.config_digest)),
-                quorum_contact,
+                confirmed: services.confirmed_read().map(|began| ConfirmedRead {
+                    began_ms: whole_ms_between(came_at, began),
+                }),
             });
         }
         // Either something new, or the end of the hold.
@@ -117,6 +124,13 @@
     }
 }
 
+/// Milliseconds from one moment to another, negative where the second comes first; rounded down.
+fn whole_ms_between(from: Nanos, to: Nanos) -> i64 {
+    let nanos = i128::from(to) - i128::from(from);
+    let whole = nanos.div_euclid(i128::from(NANOS_PER_MS));
+    i64::try_from(whole).unwrap_or(i64::MIN)
+}
+
 /// Takes rows that changed at the sender, which acknowledges to servers what this node confirms: nodes that have a quorum
 /// must hear of it from here.
 fn take_notification(services: &ControlServices, delta: Delta) -> Reply {
--- a/crates/sparrouter-fleet/src/planted.rs
+++ b/crates/sparrouter-fleet/src/planted.rs
@@ -132,6 +132,20 @@
     StartMovesLimits,
     /// A process is not told how long ago versions were named.
     VersionAgeUntold,
+    /// The sum of calm stretches sets no limit to older versions.
+    VersionSumIgnored,
+    /// Nodes that poll don't tell a source that starts how long ago versions were named.
+    VersionAgeUnreturned,
+    /// The lease on the configuration runs from the answer that renews it.
+    LeaseFromAnswer,
+    /// A process that starts counts the configuration on its disk as confirmed.
+    LeaseFromStart,
+    /// A source without a quorum renews the leases of the nodes that poll it.
+    LeaseFromAnySource,
+    /// The lease on the configuration is not asked for before a request is sent on.
+    LeaseUnasked,
+    /// A key that was removed meanwhile still lets a request go to a further server.
+    RemovedKeyRetries,
 }
 
 impl Defect {
@@ -199,6 +213,13 @@
         Defect::LimitReplaced,
         Defect::StartMovesLimits,
         Defect::VersionAgeUntold,
+        Defect::VersionSumIgnored,
+        Defect::VersionAgeUnreturned,
+        Defect::LeaseFromAnswer,
+        Defect::LeaseFromStart,
+        Defect::LeaseFromAnySource,
+        Defect::LeaseUnasked,
+        Defect::RemovedKeyRetries,
     ];
 }
 
--- a/crates/sparrouter-fleet/src/polls.rs
+++ b/crates/sparrouter-fleet/src/polls.rs
@@ -4,8 +4,9 @@
 use crate::node::Node;
 use crate::planted::{Defect, has};
 use crate::wire::{Call, Poll, Reply, Update};
+use sparrouter_codec::Seq;
 use sparrouter_membership::{Delta, SOURCES, sources};
-use sparrouter_routing::Nanos;
+use sparrouter_routing::{Moment, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -212,6 +213,7 @@
         .get(&source)
         .copied()
         .unwrap_or_default();
+    let hold = node.configuration_lease.borrow().hold(hold);
     let row = node.me.borrow().clone();
     let form = (row.life, row.leaving);
     let has_row = state.has_row.borrow().get(&source) == Some(&(epoch, form));
@@ -231,6 +233,11 @@
         } else {
             EAGER_HOLD_MS
         },
+        models: if has_row {
+            Seq::default()
+        } else {
+            node.model_updates()
+        },
     };
     let asked = node.now();
     let patience = state.patience(node, hold);
@@ -249,7 +256,7 @@
     let Update {
         rows,
         config,
-        quorum_contact,
+        confirmed,
     } = told;
     if !rows.is_empty() {
         let delta = Delta::unpack(&rows)?;
@@ -264,11 +271,17 @@
     if !has_row {
         state.has_row.borrow_mut().insert(source, (epoch, form));
     }
-    if let Some(config) = config {
+    let is_taken = config.is_none_or(|config| {
+        let is_taken = node.take(config);
         // A change of a text that is not the one here: what is in force comes whole with the next poll.
-        state.wants_whole.set(!node.take(config));
+        state.wants_whole.set(!is_taken);
+        is_taken
+    });
+    if let Some(read) = confirmed.filter(|_| is_taken) {
+        // The poll came to the source after it was sent here.
+        node.confirm_configuration(moment_of(asked).saturating_add(nanos_of(read.began_ms)));
     }
-    let confirmed = quorum_contact && is_timely(asked, node.now(), patience);
+    let confirmed = confirmed.is_some() && is_timely(asked, node.now(), patience);
     if confirmed {
         node.heard.set(node.now());
         node.informed.set(true);
@@ -276,6 +289,16 @@
     Some(confirmed)
 }
 
+fn moment_of(at: Nanos) -> Moment {
+    Moment::try_from(at).unwrap_or(Moment::MAX)
+}
+
+/// Milliseconds in nanoseconds.
+fn nanos_of(ms: i64) -> Moment {
+    const NANOS_PER_MS: i64 = 1_000_000;
+    ms.saturating_mul(NANOS_PER_MS)
+}
+
 /// Whether a source with quorum contact answered this node lately.
 pub fn hears_of_quorum(node: &Node) -> bool {
     node.now().saturating_sub(node.heard.get()) <= nanos(LOST)
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -81,6 +81,11 @@
             .as_ref()
             .is_some_and(|c| c.has_quorum_contact())
     }
+
+    /// When the read began by which a quorum confirmed what is in force here; `None` without quorum contact.
+    pub fn confirmed_read(&self) -> Option<Nanos> {
+        self.control.as_ref().and_then(|c| c.confirmed_read())
+    }
 }
 
 /// What a process is told while it runs.
@@ -330,7 +335,8 @@
 
 fn is_ready(node: &Node) -> bool {
     let leaving = node.leaving.get() && !has(Defect::ReadyWhileLeaving);
-    node.informed.get() && !leaving && node.in_force().table.is_some()
+    let is_confirmed = node.informed.get() && node.holds_configuration_lease();
+    is_confirmed && !leaving && node.in_force().table.is_some()
 }
 
 /// Says so where this process has found no quorum since it started. It is not ready then, because the configuration
--- a/crates/sparrouter-fleet/src/wire.rs
+++ b/crates/sparrouter-fleet/src/wire.rs
@@ -5,7 +5,7 @@
 use sparrouter_membership::{Delta, NodeRow};
 
 /// First bytes of a connection: name and version of this protocol.
-pub const HELLO: &[u8; 8] = b"sprtrfl4";
+pub const HELLO: &[u8; 8] = b"sprtrfl5";
 /// Longest frame, in bytes: the largest configuration with room to spare.
 pub const MAX_FRAME: usize = 12 << 20;
 
@@ -22,6 +22,8 @@
     pub config_digest: u64,
     /// How long to hold the answer while there is nothing new.
     pub hold_ms: u32,
+    /// The versions of weights that this node knows to be named, for a source that may have just started; with the row.
+    pub models: Seq<ModelUpdate>,
 }
 
 #[derive(Clone, Debug, Default, SerBin, DeBin)]
@@ -116,8 +118,22 @@
     /// Rows, packed: the same bytes for all who had the same revision.
     pub rows: Blob,
     pub config: Option<ConfigUpdate>,
-    /// A quorum confirmed lately, to the node that answers, that it has what is in force.
-    pub quorum_contact: bool,
+    /// What the node that answers has in force was confirmed by a quorum lately: by which read.
+    pub confirmed: Option<ConfirmedRead>,
+}
+
+impl Update {
+    /// Whether the node that answers has contact with a quorum.
+    pub fn has_quorum_contact(&self) -> bool {
+        self.confirmed.is_some()
+    }
+}
+
+/// A read of the configuration that a quorum confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ConfirmedRead {
+    /// When the read began, in whole milliseconds after the poll came; negative: before it.
+    pub began_ms: i64,
 }
 
 /// Tokens that are kept of a part.
--- a/crates/sparrouter-fleet/tests/boot.rs
+++ b/crates/sparrouter-fleet/tests/boot.rs
@@ -66,6 +66,22 @@
     assert_eq!(boot.bounds.version_all, Duration::ZERO);
 }
 
+#[test]
+fn given_strict_revocation_with_a_bound_too_short_for_a_lease_when_read_then_it_is_refused() {
+    let strict = "bounds.strict_revocation=true\nbounds.revoke_timeout_ms=";
+    for short in ["0", "999"] {
+        let message = told(&format!("{strict}{short}"));
+        let wanted = format!(
+            "bounds.revoke_timeout_ms={short} is not at least 1000 where bounds.strict_revocation is true"
+        );
+        assert!(message.contains(&wanted), "{message}");
+    }
+    for (strict, bound) in [(true, "1000"), (false, "0")] {
+        let line = format!("bounds.strict_revocation={strict}\nbounds.revoke_timeout_ms={bound}");
+        assert!(parse(&least_and(&line)).is_ok(), "{line}");
+    }
+}
+
 #[test]
 fn given_the_example_of_the_deploy_page_when_shown_then_every_field_is_named() {
     insta::assert_snapshot!(Boot::show_text(Path::new("boot.conf"), PAGE).expect("valid"), @r"
--- a/crates/sparrouter-routing/src/election.rs
+++ b/crates/sparrouter-routing/src/election.rs
@@ -3,7 +3,7 @@
 use crate::server::Suspicion;
 use crate::service_servers::{Entry, Load, ServiceServers};
 use crate::sync::SyncState;
-use crate::{Ending, Nanos, Server, ServerIx, Versions};
+use crate::{Ending, Nanos, Patience, Server, ServerIx, Versions};
 use fastrand::Rng;
 use sparrouter_membership::Standing;
 use std::cell::Cell;
@@ -71,7 +71,7 @@
 
 impl ServerTable {
     /// An empty table. `version_patience`: see [`Versions::new`].
-    pub fn new(version_patience: Nanos, rng: Rng) -> ServerTable {
+    pub fn new(version_patience: Patience, rng: Rng) -> ServerTable {
         let versions = Versions::new(version_patience);
         ServerTable {
             servers: Vec::new(),
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -37,7 +37,7 @@
 pub use prompt::{Part, Prompt};
 pub use rollout_order::{OutdatedServer, RolloutStep, next_step};
 pub use server::{Ending, Server, ServerIx};
-pub use versions::{Moment, Versions, Wanted, moment_before};
+pub use versions::{Moment, Patience, Versions, Wanted, moment_before};
 
 /// Nanoseconds of a monotonic clock.
 pub type Nanos = u64;
--- a/crates/sparrouter-routing/src/versions.rs
+++ b/crates/sparrouter-routing/src/versions.rs
@@ -5,6 +5,8 @@
 //! of all newer ones lie ahead, so the first of them decides.
 //!
 //! A change in the core starts all limits anew (RULES.md, VERSION, counts within one stretch in which the core is stable).
+//! Where a second bound is set, stretches are added up too: since a node can't tell exactly when the core was stable, all
+//! time since the version was named counts toward that sum, and a change in the core moves its limit nowhere.
 //! A node that starts learns how long ago versions were named, and when the core last changed, from the node that tells
 //! it of them: its own start is no such change. Moments may therefore lie before the start of the process.
 use crate::Nanos;
@@ -26,13 +28,42 @@
     pub since: Moment,
 }
 
+/// How long after a version was named a request may still begin on an older one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Patience {
+    /// Within one stretch in which the core did not change.
+    pub in_one: Nanos,
+    /// Over all such stretches; `None`: they are not added up.
+    pub in_all: Option<Nanos>,
+}
+
+impl Patience {
+    /// So long within one stretch; stretches are not added up.
+    pub fn in_one_stretch(patience: Nanos) -> Patience {
+        Patience {
+            in_one: patience,
+            in_all: None,
+        }
+    }
+
+    /// Until when a request may begin on a version older than this one.
+    fn limit(self, wanted: Wanted, core_changed: Option<Moment>) -> Moment {
+        let from = core_changed.map_or(wanted.since, |changed| changed.max(wanted.since));
+        let in_one = from.saturating_add(moment(self.in_one));
+        let in_all = self
+            .in_all
+            .map(|patience| wanted.since.saturating_add(moment(patience)));
+        in_all.map_or(in_one, |limit| limit.min(in_one))
+    }
+}
+
 /// The versions that were named for all models.
 #[derive(Debug, Default)]
 pub struct Versions {
     /// By model, the lowest version first.
     named: BTreeMap<String, Vec<Wanted>>,
     /// How long after it was named a request may still begin on an older one.
-    patience: Nanos,
+    patience: Patience,
     /// When a node of the core last joined, left or became silent; None before that was seen or told.
     core_changed: Option<Moment>,
 }
@@ -48,7 +79,7 @@
 
 impl Versions {
     /// No versions. `patience`: how long after a version was named a request may still begin on an older one.
-    pub fn new(patience: Nanos) -> Versions {
+    pub fn new(patience: Patience) -> Versions {
         Versions {
             named: BTreeMap::new(),
             patience,
@@ -74,7 +105,7 @@
         let Some(named) = self.named.get_mut(model) else {
             return;
         };
-        let has_passed = |wanted: &Wanted| limit(*wanted, core_changed, patience) <= moment(now);
+        let has_passed = |wanted: &Wanted| patience.limit(*wanted, core_changed) <= moment(now);
         if let Some(newest) = named.iter().rposition(has_passed) {
             let earliest = named[..=newest].iter().map(|wanted| wanted.since).min();
             named[newest].since = earliest.unwrap_or(named[newest].since);
@@ -94,9 +125,9 @@
         }
     }
 
-    /// How long after it was named a request may still begin on an older one.
+    /// How long after it was named a request may still begin on an older one, while the core does not change.
     pub fn patience(&self) -> Nanos {
-        self.patience
+        self.patience.in_one
     }
 
     /// A node of the core joined, left or became silent. Nodes notice this late, but before the rules consider the core
@@ -134,18 +165,9 @@
         self.named.get(model)?.last().copied()
     }
 
-    /// When a version was named; None where it was not, or where its limit has passed and a newer one stands for it.
-    pub fn named_at(&self, model: &str, version: u64) -> Option<Moment> {
-        let known = self.named.get(model)?.iter();
-        known
-            .copied()
-            .find(|wanted| wanted.version == version)
-            .map(|wanted| wanted.since)
-    }
-
     /// Until when a request may begin on a version older than this one.
     pub fn until(&self, wanted: Wanted) -> Moment {
-        limit(wanted, self.core_changed, self.patience)
+        self.patience.limit(wanted, self.core_changed)
     }
 
     /// Until when a request may begin on this version: the first limit of those that are newer. None: no end is known.
@@ -171,9 +193,3 @@
         }
     }
 }
-
-/// Until when a request may begin on a version older than this one.
-fn limit(wanted: Wanted, core_changed: Option<Moment>, patience: Nanos) -> Moment {
-    let from = core_changed.map_or(wanted.since, |changed| changed.max(wanted.since));
-    from.saturating_add(moment(patience))
-}
--- a/crates/sparrouter-routing/tests/directives.rs
+++ b/crates/sparrouter-routing/tests/directives.rs
@@ -1,7 +1,7 @@
 //! Server directives of the rollout's lease holder, and how long they apply.
 use fastrand::Rng;
 use sparrouter_membership::{ModelAt, Note, Rows, ServerRow};
-use sparrouter_routing::{Ask, ServerTable, Turned, Wanted};
+use sparrouter_routing::{Ask, Patience, ServerTable, Turned, Wanted};
 
 const SECOND: u64 = 1_000_000_000;
 
@@ -48,7 +48,8 @@
 #[test]
 fn given_a_loading_server_when_the_lease_holder_dies_then_it_is_not_excluded_for_ever() {
     let mut rows = rows(&["a"]);
-    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table =
+        ServerTable::new(Patience::in_one_stretch(6 * SECOND), Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, false), 0);
     server_table.sync(&rows, 0);
     assert_eq!(server_table.choose(&ask(7, 0), 0), Err(Turned::Unready));
@@ -60,7 +61,8 @@
 #[test]
 fn given_a_directive_left_behind_when_the_next_holder_ends_it_then_the_server_is_used_at_once() {
     let mut rows = rows(&["a"]);
-    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table =
+        ServerTable::new(Patience::in_one_stretch(6 * SECOND), Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, false), 0);
     rows.merge_note(note("load/a/m", 4, 0, true), SECOND);
     server_table.sync(&rows, SECOND);
@@ -79,7 +81,8 @@
 fn given_a_directive_that_loading_is_over_then_the_server_runs_that_version_and_never_an_older_one()
 {
     let mut rows = rows(&["a"]);
-    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table =
+        ServerTable::new(Patience::in_one_stretch(6 * SECOND), Rng::with_seed(1));
     rows.merge_note(note("load/a/m", 3, 2, true), 0);
     server_table.sync(&rows, 0);
     assert_eq!(server_table.choose(&ask(7, 0), 0).unwrap().version, Some(2));
@@ -89,7 +92,8 @@
 
 #[test]
 fn given_a_newer_version_when_its_time_limit_is_over_then_nothing_begins_on_older_weights() {
-    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table =
+        ServerTable::new(Patience::in_one_stretch(6 * SECOND), Rng::with_seed(1));
     server_table.sync(&rows(&["a"]), 0);
     server_table.versions.told("m", 2, 0, SECOND);
     assert!(server_table.choose(&ask(7, 0), 6 * SECOND).is_ok());
@@ -112,7 +116,8 @@
 #[test]
 fn given_a_server_about_to_load_when_a_long_generation_comes_then_another_server_takes_it() {
     let mut rows = rows(&["a", "b"]);
-    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table =
+        ServerTable::new(Patience::in_one_stretch(6 * SECOND), Rng::with_seed(1));
     server_table.sync(&rows, 0);
     let key = (0..)
         .find(|&k| {
--- a/crates/sparrouter-routing/tests/election.rs
+++ b/crates/sparrouter-routing/tests/election.rs
@@ -1,7 +1,9 @@
 //! The election, bounded load, the fallback, the retry budget and the backlog.
 use fastrand::Rng;
 use sparrouter_membership::{Rows, ServerRow, Standing};
-use sparrouter_routing::{Ask, Backlog, Budget, BudgetTerms, Ending, Prompt, ServerTable, Turned};
+use sparrouter_routing::{
+    Ask, Backlog, Budget, BudgetTerms, Ending, Patience, Prompt, ServerTable, Turned,
+};
 
 const SECOND: u64 = 1_000_000_000;
 
@@ -17,7 +19,8 @@
         };
         rows.merge_server(row, 0);
     }
-    let mut server_table = ServerTable::new(6 * SECOND, Rng::with_seed(1));
+    let mut server_table =
+        ServerTable::new(Patience::in_one_stretch(6 * SECOND), Rng::with_seed(1));
     server_table.sync(&rows, 0);
     (server_table, rows)
 }
--- a/crates/sparrouter-routing/tests/sync.rs
+++ b/crates/sparrouter-routing/tests/sync.rs
@@ -1,14 +1,14 @@
 //! The server table follows the rows by what changed, and comes to the same as a table that reads all of them.
 use fastrand::Rng;
 use sparrouter_membership::{ModelAt, Note, Rows, ServerRow, Standing};
-use sparrouter_routing::{Ask, Ending, ServerIx, ServerTable};
+use sparrouter_routing::{Ask, Ending, Patience, ServerIx, ServerTable};
 
 const SECOND: u64 = 1_000_000_000;
 const SERVICE: &str = "s";
 const MODEL: &str = "m";
 
 fn empty_table() -> ServerTable {
-    ServerTable::new(6 * SECOND, Rng::with_seed(1))
+    ServerTable::new(Patience::in_one_stretch(6 * SECOND), Rng::with_seed(1))
 }
 
 fn empty_rows() -> Rows {
--- a/crates/sparrouter-routing/tests/versions.rs
+++ b/crates/sparrouter-routing/tests/versions.rs
@@ -1,12 +1,12 @@
 //! Time limits of versions of weights.
 use fastrand::Rng;
-use sparrouter_routing::{Versions, Wanted};
+use sparrouter_routing::{Patience, Versions, Wanted};
 
 const SECOND: u64 = 1_000_000_000;
 const PATIENCE: u64 = 6 * SECOND;
 
 fn versions() -> Versions {
-    Versions::new(PATIENCE)
+    Versions::new(Patience::in_one_stretch(PATIENCE))
 }
 
 #[test]
@@ -44,7 +44,8 @@
     let mut versions = versions();
     versions.told("m", 2, 7 * SECOND, SECOND);
     assert!(!versions.allows("m", 1, SECOND));
-    assert_eq!(versions.named_at("m", 2), Some(-6 * SECOND as i64));
+    let since = versions.wanted("m").map(|wanted| wanted.since);
+    assert_eq!(since, Some(-6 * SECOND as i64));
 }
 
 #[test]
@@ -61,6 +62,25 @@
     assert!(!versions.allows("m", 1, 11 * SECOND));
 }
 
+#[test]
+fn given_stretches_that_are_added_up_when_the_core_changes_then_the_sum_is_not_moved() {
+    let mut versions = Versions::new(Patience {
+        in_one: PATIENCE,
+        in_all: Some(10 * SECOND),
+    });
+    versions.told("m", 2, 0, 0);
+    versions.core_changed(3 * SECOND);
+    assert!(versions.allows("m", 1, 8 * SECOND));
+    assert!(!versions.allows("m", 1, 9 * SECOND));
+    versions.core_changed(8 * SECOND);
+    assert!(versions.allows("m", 1, 9 * SECOND));
+    assert!(!versions.allows("m", 1, 10 * SECOND));
+    // A version that is named later has a sum of its own.
+    versions.told("m", 3, 0, 9 * SECOND);
+    assert!(versions.allows("m", 2, 14 * SECOND));
+    assert!(!versions.allows("m", 2, 15 * SECOND));
+}
+
 #[test]
 fn given_hundreds_of_versions_then_state_stays_bounded_and_no_limit_is_later() {
     for seed in 0..50 {
--- a/crates/sparrouter-simulation/src/contact_watch.rs
+++ b/crates/sparrouter-simulation/src/contact_watch.rs
@@ -103,7 +103,7 @@
         while !self.stopped.get() {
             let sent = Instant::now();
             if let Some(update) = caller.poll(to).await
-                && update.quorum_contact
+                && update.has_quorum_contact()
                 && sent.elapsed() <= PATIENCE
             {
                 self.claims.borrow_mut().push((sent, to.ip()));
--- a/crates/sparrouter-simulation/tests/quorum_contact.rs
+++ b/crates/sparrouter-simulation/tests/quorum_contact.rs
@@ -692,7 +692,7 @@
 async fn calls_of_nodes_without_contact(world: &Rc<World>) {
     let (caller, to) = (Caller::new(world.outside_net()), internal_of(world, VICTIM));
     let update = caller.poll(to).await.expect("an answer");
-    assert!(!update.quorum_contact, "poll");
+    assert!(!update.has_quorum_contact(), "poll");
     let patience = Duration::from_secs(1);
     let notify = Call::Notify(Delta::default());
     let reply = caller.call(to, &notify, patience).await;
--- a/crates/sparrouter-simulation/tests/revocation.rs
+++ b/crates/sparrouter-simulation/tests/revocation.rs
@@ -1,10 +1,12 @@
 //! Strict revocation: on no machine, in touch or not, does anything run that was sent long after its key was removed.
+use sparrouter_fleet::planted::{Defect, plant};
 use sparrouter_simulation::client::{ClientRequest, RequestOutcome};
 use sparrouter_simulation::fabric::Cut;
 use sparrouter_simulation::judge::Bounds;
 use sparrouter_simulation::plan::{Kind, Plan};
-use sparrouter_simulation::scenario::run_judged;
+use sparrouter_simulation::scenario::{play, run_judged};
 use sparrouter_simulation::world::{KEY, Terms, World, first_plan, request};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -109,6 +111,21 @@
     world
 }
 
+/// The same, and the node starts anew behind the cut: its source tells it the old configuration.
+async fn revoked_before_a_start_behind_a_cut(seed: u64) -> Rc<World> {
+    let world = World::serving(strict(seed)).await;
+    world.cut_off(&["core-0", "edge-0"], Some(Cut::Silent));
+    assert_eq!(world.operator.put(&revoked(), 1).await, 200);
+    sleep(Duration::from_secs(6)).await;
+    world.kill("edge-0");
+    sleep(Duration::from_millis(300)).await;
+    world.start("edge-0", false);
+    probe(&world, "edge-0", Duration::from_secs(4)).await;
+    world.cut_off(&["core-0", "edge-0"], None);
+    sleep(Duration::from_secs(1)).await;
+    world
+}
+
 #[test]
 fn given_a_key_removed_while_a_node_is_cut_off_then_nothing_runs_with_it_there() {
     for (seed, name) in [(700, "edge-0"), (701, "edge-2"), (702, "core-1")] {
@@ -124,9 +141,10 @@
 }
 
 #[test]
-fn given_a_key_removed_before_a_node_starts_from_its_old_disk_then_nothing_runs_with_it() {
+fn given_a_key_removed_before_a_node_starts_from_an_old_configuration_then_nothing_runs_with_it() {
     for seed in 720..723 {
         run_judged(|| revoked_before_a_start_from_disk(seed));
+        run_judged(|| revoked_before_a_start_behind_a_cut(seed));
     }
 }
 
@@ -136,3 +154,40 @@
         run_judged(|| revoked_with_sources_behind(seed));
     }
 }
+
+/// What is broken with a mistake planted, in one story.
+fn breaches<F: Future<Output = Rc<World>>>(
+    defect: Defect,
+    story: impl FnOnce() -> F,
+) -> Vec<String> {
+    plant(Some(defect));
+    let broken = play(async { story().await.judge.breaches() });
+    plant(None);
+    broken
+}
+
+fn assert_found(defect: Defect, broken: &[String]) {
+    let is_found = broken.iter().any(|b| b.contains("its key was taken away"));
+    assert!(is_found, "{defect:?} is not found: {broken:?}");
+}
+
+#[test]
+fn given_a_lease_that_nobody_asks_for_when_a_node_is_cut_off_then_it_is_found() {
+    let defect = Defect::LeaseUnasked;
+    let broken = breaches(defect, || revoked_behind_a_cut("edge-0", 700));
+    assert_found(defect, &broken);
+}
+
+#[test]
+fn given_a_lease_from_the_start_of_a_process_when_its_source_is_behind_then_it_is_found() {
+    let defect = Defect::LeaseFromStart;
+    let broken = breaches(defect, || revoked_before_a_start_behind_a_cut(720));
+    assert_found(defect, &broken);
+}
+
+#[test]
+fn given_a_lease_from_any_source_when_sources_have_no_quorum_then_it_is_found() {
+    let defect = Defect::LeaseFromAnySource;
+    let broken = breaches(defect, || revoked_with_sources_behind(730));
+    assert_found(defect, &broken);
+}
