--- a/crates/sparrouter-simulation/tests/revocation.rs
+++ b/crates/sparrouter-simulation/tests/revocation.rs
@@ -5,6 +5,7 @@
 use sparrouter_simulation::judge::Bounds;
 use sparrouter_simulation::plan::{Kind, Plan};
 use sparrouter_simulation::scenario::{play, run_judged};
+use sparrouter_simulation::server::Faults;
 use sparrouter_simulation::world::{KEY, Terms, World, first_plan, request};
 use std::future::Future;
 use std::rc::Rc;
@@ -191,3 +192,87 @@
     let broken = breaches(defect, || revoked_with_sources_behind(730));
     assert_found(defect, &broken);
 }
+
+/// A node is frozen while answers of its sources are on their way to it, and wakes behind a cut after a key was removed:
+/// those answers tell what was so before.
+async fn woken_behind_a_cut(seed: u64) -> Rc<World> {
+    let world = World::serving(strict(seed)).await;
+    // Polls are held for a second, so that some are answered within this time.
+    world.freeze("edge-0", true);
+    sleep(Duration::from_millis(1_300)).await;
+    assert_eq!(world.operator.put(&revoked(), 1).await, 200);
+    sleep(Duration::from_millis(5_300)).await;
+    world.cut_off(&["edge-0"], Some(Cut::Silent));
+    world.freeze("edge-0", false);
+    probe(&world, "edge-0", Duration::from_secs(4)).await;
+    world.cut_off(&["edge-0"], None);
+    sleep(Duration::from_secs(1)).await;
+    world
+}
+
+#[test]
+fn given_a_frozen_node_with_old_answers_when_it_wakes_cut_off_then_nothing_runs_with_a_removed_key()
+{
+    for seed in 740..746 {
+        run_judged(|| woken_behind_a_cut(seed));
+    }
+}
+
+#[test]
+fn given_a_lease_from_the_answer_when_a_frozen_node_wakes_then_it_is_found() {
+    let defect = Defect::LeaseFromAnswer;
+    let stories = (740..746).flat_map(|seed| breaches(defect, || woken_behind_a_cut(seed)));
+    assert_found(defect, &stories.collect::<Vec<String>>());
+}
+
+/// How often a repeatable request runs whose first server hangs until long after its key was removed, and then crashes.
+async fn runs_of_a_request_whose_key_is_removed(seed: u64) -> usize {
+    let world = World::serving(strict(seed)).await;
+    world.judge.verbose.set(true);
+    let hangs = Faults {
+        hangs: 1.0,
+        ..Faults::default()
+    };
+    let set_all = |faults: Faults| {
+        let ids = world.server_ids();
+        ids.iter()
+            .for_each(|id| world.server(id).faults.set(faults));
+    };
+    set_all(hangs);
+    let client = world.client(false);
+    let asked = ClientRequest {
+        retries: 0,
+        deadline: Duration::from_secs(8),
+        ..request(Kind::Idempotent, "b41")
+    };
+    let later = async {
+        sleep(Duration::from_millis(500)).await;
+        set_all(Faults::default());
+        assert_eq!(world.operator.put(&revoked(), 1).await, 200);
+        sleep(Duration::from_secs(6)).await;
+        let server = runs(&world).pop().expect("the request ran");
+        world.crash_server(&server);
+    };
+    tokio::join!(client.get(&asked), later);
+    sleep(Duration::from_secs(1)).await;
+    runs(&world).len()
+}
+
+/// The servers at which requests ran, in order.
+fn runs(world: &World) -> Vec<String> {
+    let server = |line: &String| {
+        let server = line.split(" runs at ").nth(1)?;
+        server.split_whitespace().next().map(str::to_owned)
+    };
+    world.judge.event_log().iter().filter_map(server).collect()
+}
+
+#[test]
+fn given_a_key_removed_while_a_request_hangs_when_its_server_crashes_then_it_goes_to_no_other() {
+    let count = || play(runs_of_a_request_whose_key_is_removed(750));
+    assert_eq!(count(), 1);
+    plant(Some(Defect::RemovedKeyRetries));
+    let with_the_mistake = count();
+    plant(None);
+    assert_eq!(with_the_mistake, 2);
+}
--- a/crates/sparrouter-simulation/tests/versions.rs
+++ b/crates/sparrouter-simulation/tests/versions.rs
@@ -128,6 +128,48 @@
     for seed in 350..353 {
         run_judged(|| never_calm_for_long(seed));
     }
+    let broken = breaches(Defect::VersionSumIgnored, never_calm_for_long, 350..353);
+    let is_found = broken.iter().any(|b| b.starts_with("VERSION"));
+    assert!(is_found, "{broken:?}");
+}
+
+/// All core processes are killed in the middle of a slow rollout, which forgets when the version was named; the other
+/// nodes know.
+async fn core_forgets_the_age(seed: u64) -> Rc<World> {
+    let bounds = Bounds {
+        version_all: Duration::from_secs(9),
+        ..Bounds::default()
+    };
+    let world = World::serving(Terms {
+        bounds,
+        servers: 14,
+        load: Duration::from_secs(12),
+        ..slow_rollout(seed)
+    })
+    .await;
+    let tally = load::begin(&world, 12, PAUSE);
+    name_versions(&world, 2, Duration::from_millis(5_500)).await;
+    for _ in 0..2 {
+        world.core().iter().for_each(|name| world.kill(name));
+        sleep(Duration::from_millis(300)).await;
+        world
+            .core()
+            .iter()
+            .for_each(|name| world.start(name, false));
+        sleep(Duration::from_millis(6_500)).await;
+    }
+    tally.stop().await;
+    world
+}
+
+#[test]
+fn given_a_core_killed_in_a_rollout_when_the_others_know_its_age_then_the_sum_goes_on() {
+    for seed in 354..357 {
+        run_judged(|| core_forgets_the_age(seed));
+    }
+    let broken = breaches(Defect::VersionAgeUnreturned, core_forgets_the_age, 354..357);
+    let is_found = broken.iter().any(|b| b.starts_with("VERSION"));
+    assert!(is_found, "{broken:?}");
 }
 
 /// Versions at drawn moments, servers of drawn slowness, and restarts of nodes in between, by one seed.
