--- a/crates/sparrouter-fleet/src/exchange.rs
+++ b/crates/sparrouter-fleet/src/exchange.rs
@@ -56,6 +56,8 @@
     service: String,
     model: Option<String>,
     prompt: Prompt,
+    /// It generates more than requests usually do.
+    is_long: bool,
     came: Instant,
     until: Instant,
     /// What the client said that it will wait.
@@ -111,6 +113,7 @@
         fields.text("sparrouter-prompt-prefix"),
         fields.text("sparrouter-token-usage"),
     );
+    let is_long = node.usual_output.borrow_mut().take(prompt.tokens_out);
     let wall = tenant
         .filter(|t| t.isolated)
         .map(|t| t.name.as_str())
@@ -135,6 +138,7 @@
         service,
         model,
         prompt,
+        is_long,
         came,
         until,
         told_ms: told,
--- a/crates/sparrouter-fleet/src/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/exchange/admission.rs
@@ -171,7 +171,7 @@
             service: &self.service,
             key,
             model,
-            tokens_out: self.prompt.tokens_out,
+            is_long: self.is_long,
             tried,
         };
         self.node
@@ -205,7 +205,7 @@
             service: &self.service,
             key,
             model: self.model.as_deref(),
-            tokens_out: self.prompt.tokens_out,
+            is_long: self.is_long,
             tried: &self.tried,
         };
         let pick = self
--- a/crates/sparrouter-fleet/src/node.rs
+++ b/crates/sparrouter-fleet/src/node.rs
@@ -19,7 +19,9 @@
 use sparrouter_config::{Edits, Table};
 use sparrouter_membership::{NodeRow, Pace, Rows};
 use sparrouter_prefix_index::{Index, Terms};
-use sparrouter_routing::{Backlog, Budget, Durations, Nanos, Outliers, Patience, ServerTable};
+use sparrouter_routing::{
+    Backlog, Budget, Durations, Nanos, Outliers, Patience, ServerTable, UsualOutput,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -124,6 +126,8 @@
     pub leaving: Cell<bool>,
     /// Set once the process was told to end.
     pub departure: Cell<Option<Departure>>,
+    /// How much requests usually generate.
+    pub usual_output: RefCell<UsualOutput>,
     /// How long requests of each route last.
     pub durations: RefCell<Durations>,
     /// Whether what is in force is fresh enough for requests with API keys.
@@ -212,6 +216,7 @@
             informed: Cell::new(false),
             leaving: Cell::new(false),
             departure: Cell::new(None),
+            usual_output: RefCell::default(),
             durations: RefCell::default(),
             configuration_lease: RefCell::new(configuration_lease),
             heard: Cell::new(0),
--- a/crates/sparrouter-routing/src/candidate.rs
+++ b/crates/sparrouter-routing/src/candidate.rs
@@ -1,9 +1,6 @@
 //! One pass over candidates that finds the winner of an election, without a list of them and without sorting.
 use crate::{Ask, Server, ServerIx};
 
-/// A generation of more tokens takes longer than it takes to read most prompts.
-const LONG_GENERATION_TOKENS: u64 = 24;
-
 /// A server that may take the request, with what its place in the order goes by.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Candidate {
@@ -63,11 +60,10 @@
 }
 
 fn kept_back(ask: &Ask, server: &Server) -> KeptBack {
-    let long = ask.tokens_out > LONG_GENERATION_TOKENS;
     KeptBack {
         silent: server.silent,
         avoided: false,
-        loads_soon: long && server.soon,
+        loads_soon: ask.is_long && server.soon,
     }
 }
 
--- a/crates/sparrouter-routing/src/election.rs
+++ b/crates/sparrouter-routing/src/election.rs
@@ -22,8 +22,8 @@
     pub key: u64,
     /// The model that must run it; `None`: any server of the service.
     pub model: Option<&'a str>,
-    /// Most tokens that it generates.
-    pub tokens_out: u64,
+    /// It generates more tokens than requests usually do; see [`UsualOutput`](crate::UsualOutput).
+    pub is_long: bool,
     /// Servers that it was sent to before.
     pub tried: &'a [ServerIx],
 }
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -37,7 +37,7 @@
 pub use durations::Durations;
 pub use election::{Ask, Pick, ServerTable, Turned};
 pub use outliers::{AVOIDED, FadingCount, Failure, Outliers};
-pub use prompt::{Part, Prompt};
+pub use prompt::{Part, Prompt, UsualOutput};
 pub use rollout_order::{OutdatedServer, RolloutStep, next_step};
 pub use server::{Ending, Server, ServerIx};
 pub use versions::{Moment, Patience, Versions, Wanted, moment_before};
--- a/crates/sparrouter-routing/src/prompt.rs
+++ b/crates/sparrouter-routing/src/prompt.rs
@@ -21,6 +21,24 @@
     pub tokens_out: u64,
 }
 
+/// How many tokens requests usually generate at most, as clients say: a moving average. What counts as a long generation
+/// differs between deployments, and clients name bounds that few of their requests reach.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UsualOutput(Option<f64>);
+
+impl UsualOutput {
+    /// Weight of a new request in the average.
+    const WEIGHT: f64 = 1.0 / 64.0;
+
+    /// Takes in a request; whether it generates more than was usual before it.
+    pub fn take(&mut self, tokens_out: u64) -> bool {
+        let tokens = tokens_out as f64;
+        let usual = self.0.unwrap_or(tokens);
+        self.0 = Some(usual + (tokens - usual) * Self::WEIGHT);
+        tokens > usual
+    }
+}
+
 /// Most parts that are read; further ones are ignored.
 const MOST_PARTS: usize = 64;
 
--- a/crates/sparrouter-routing/tests/directives.rs
+++ b/crates/sparrouter-routing/tests/directives.rs
@@ -40,7 +40,7 @@
         service: "s",
         key,
         model: Some("m"),
-        tokens_out,
+        is_long: tokens_out > 24,
         tried: &[],
     }
 }
--- a/crates/sparrouter-routing/tests/election.rs
+++ b/crates/sparrouter-routing/tests/election.rs
@@ -3,6 +3,7 @@
 use sparrouter_membership::{Note, Rows, ServerRow, Standing};
 use sparrouter_routing::{
     AVOIDED, Ask, Backlog, Budget, BudgetTerms, Ending, Patience, Prompt, ServerTable, Turned,
+    UsualOutput,
 };
 
 const SECOND: u64 = 1_000_000_000;
@@ -30,7 +31,7 @@
         service: "s",
         key,
         model: None,
-        tokens_out: 0,
+        is_long: false,
         tried,
     }
 }
@@ -231,3 +232,17 @@
     let chosen = server_table.choose(&ask(1, &[]), 2 * SECOND).unwrap();
     assert_eq!((chosen.server, chosen.place), (winner, 0));
 }
+
+#[test]
+fn given_requests_of_two_kinds_then_those_that_generate_more_than_usual_are_long() {
+    let mut usual = UsualOutput::default();
+    for n in 0..200 {
+        let tokens = if n % 2 == 0 { 205 } else { 780 };
+        let is_long = usual.take(tokens);
+        // Nothing is known before the first requests of both kinds.
+        assert!(n < 4 || is_long == (tokens == 780), "request {n}");
+    }
+    // Where all generate alike none is long.
+    let mut alike = UsualOutput::default();
+    assert!((0..200).all(|_| !alike.take(64)));
+}
--- a/crates/sparrouter-routing/tests/sync.rs
+++ b/crates/sparrouter-routing/tests/sync.rs
@@ -154,7 +154,7 @@
     let mut order = sparrouter_rendezvous::order(fit.map(|(ix, s)| (s.hash(), ix)), ask.key);
     order.sort_by_key(|&ix| {
         let server = table.get(ix).unwrap();
-        (server.silent(), ask.tokens_out > 24 && server.soon())
+        (server.silent(), ask.is_long && server.soon())
     });
     order
 }
@@ -191,7 +191,7 @@
                 service: SERVICE,
                 key,
                 model: None,
-                tokens_out: rng.u64(..50),
+                is_long: rng.u64(..50) > 24,
                 tried: &tried,
             };
             let order = by_sorting(&table, &ask);
--- a/crates/sparrouter-simulation/src/node_work.rs
+++ b/crates/sparrouter-simulation/src/node_work.rs
@@ -183,7 +183,7 @@
                 service: SERVICE,
                 key: part_key(fleet.step),
                 model: None,
-                tokens_out: 16,
+                is_long: false,
                 tried: &[],
             };
             let now = fleet.node.now();
