--- a/crates/sparrouter-fleet/src/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/exchange/admission.rs
@@ -240,7 +240,15 @@
     u64::from(tokens) * 25_000
 }
 
+/// Prompts of up to twice so many tokens are the most urgent; each doubling is one class further.
+const SMALLEST_CLASS: u64 = 512;
+/// The last class, from 8,192 tokens on. Beyond it larger prompts would wait behind large ones for ever, and be the first
+/// that a server puts back, in the middle of their streams, where its memory runs out.
+const LAST_URGENCY: u32 = 4;
+
 /// Small prompts go first: they hold a large one up by little, and would wait long behind it.
 pub(super) fn urgency(tokens_in: u64) -> u32 {
-    (tokens_in.max(512) / 512).ilog2().min(9)
+    (tokens_in.max(SMALLEST_CLASS) / SMALLEST_CLASS)
+        .ilog2()
+        .min(LAST_URGENCY)
 }
