ready in status and figures goes by the lease too: one condition in place of three

Cause: found on reading the change once more. Readiness asked for the lease on the configuration, status and figures did not, so that a node that is cut off told ready=1 while its readiness check said 503.

Change: Node::is_confirmed, used by all three; the story of a node that is cut off looks at the figures.

--- a/crates/sparrouter-fleet/src/metrics.rs
+++ b/crates/sparrouter-fleet/src/metrics.rs
@@ -89,7 +89,7 @@
 
 fn state_of_process(page: &mut Page, node: &Node, control: Option<&Rc<Control>>) {
     page.line("uptime_seconds", &[], node.now() as f64 / SECOND);
-    page.flag("ready", node.informed.get() && !node.leaving.get());
+    page.flag("ready", node.is_confirmed() && !node.leaving.get());
     page.flag("leaving", node.leaving.get());
     page.line("open_requests", &[], node.open.get() as f64);
     page.line("config_version", &[], node.in_force().version as f64);
--- a/crates/sparrouter-fleet/src/node/config.rs
+++ b/crates/sparrouter-fleet/src/node/config.rs
@@ -28,6 +28,11 @@
         self.configuration_lease.borrow().holds(self.now())
     }
 
+    /// Whether a quorum confirmed what is in force here: in this life, and lately where keys need it. Readiness rests on it.
+    pub fn is_confirmed(&self) -> bool {
+        self.informed.get() && self.holds_configuration_lease()
+    }
+
     /// Renews the lease on the configuration: all that was acknowledged before this moment is in force here.
     pub fn confirm_configuration(&self, at: Moment) {
         let now = self.now();
--- a/crates/sparrouter-fleet/src/run.rs
+++ b/crates/sparrouter-fleet/src/run.rs
@@ -335,8 +335,7 @@
 
 fn is_ready(node: &Node) -> bool {
     let leaving = node.leaving.get() && !has(Defect::ReadyWhileLeaving);
-    let is_confirmed = node.informed.get() && node.holds_configuration_lease();
-    is_confirmed && !leaving && node.in_force().table.is_some()
+    node.is_confirmed() && !leaving && node.in_force().table.is_some()
 }
 
 /// Says so where this process has found no quorum since it started. It is not ready then, because the configuration
--- a/crates/sparrouter-fleet/src/status.rs
+++ b/crates/sparrouter-fleet/src/status.rs
@@ -105,7 +105,7 @@
         .unwrap_or_default();
     json::to_string(&Status {
         node: node.me.borrow().name.clone(),
-        ready: node.informed.get() && !node.leaving.get(),
+        ready: node.is_confirmed() && !node.leaving.get(),
         config_version: in_force.version,
         config_digest: Some(format!("{:016x}", in_force.digest)),
         member: control.is_some_and(|c| c.is_member()),
--- a/crates/sparrouter-simulation/tests/revocation.rs
+++ b/crates/sparrouter-simulation/tests/revocation.rs
@@ -57,6 +57,10 @@
     world.cut_off(&[name], Some(Cut::Silent));
     assert_eq!(world.operator.put(&revoked(), 1).await, 200);
     probe(&world, name, Duration::from_secs(12)).await;
+    // What it tells of itself says so too.
+    for figure in ["sparrouter_ready", "sparrouter_configuration_lease"] {
+        assert_eq!(world.figure(name, figure).await, Some(0.0), "{figure}");
+    }
     world.cut_off(&[name], None);
     probe(&world, name, Duration::from_secs(2)).await;
     world
