--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -67,7 +67,7 @@
     let approve = Kind { host: "desk.example", path: "/approve/1", key: "k-ward-1", deadline_ms: 4000 };
     let notice = Kind { path: "/notice/1", ..approve.clone() };
     for node in &nodes {
-        clients(node, &approve, 60, Duration::from_millis(200), &stop);
+        clients(node, &approve, 80, Duration::from_millis(200), &stop);
         clients(node, &notice, 5, Duration::from_millis(200), &stop);
     }
     sleep(Duration::from_secs(3));
--- a/review/harness.rs
+++ b/review/harness.rs
@@ -364,6 +364,22 @@
 /// All runs, in the order of their arrival.
 pub static RUNS: Mutex<Vec<Run>> = Mutex::new(Vec::new());
 
+/// What a server writes to a request that it has run.
+pub struct Reply {
+    pub bytes: Vec<u8>,
+    /// It closes the connection after it.
+    pub closes: bool,
+}
+
+impl From<String> for Reply {
+    fn from(text: String) -> Reply {
+        Reply { bytes: text.into_bytes(), closes: false }
+    }
+}
+
+/// Answers in the place of the plain answer.
+pub type Answerer = fn(&Server, &Message, attempt: &str) -> Reply;
+
 /// A stand-in server by PROTOCOL.md: health, report, heartbeats, and short plain answers.
 pub struct Server {
     pub id: String,
@@ -376,6 +392,7 @@
     ended: AtomicBool,
     running: AtomicU64,
     target: Mutex<Option<SocketAddr>>,
+    answerer: Option<Answerer>,
 }
 
 pub const SLOTS: u64 = 64;
@@ -383,6 +400,17 @@
 impl Server {
     /// Starts to listen; it is not announced yet.
     pub fn start(subnet: Subnet, host: u8, id: &str, service: &str, work: Duration) -> Arc<Server> {
+        Server::start_with(subnet, host, id, service, work, None)
+    }
+    /// The same with answers of its own.
+    pub fn start_with(
+        subnet: Subnet,
+        host: u8,
+        id: &str,
+        service: &str,
+        work: Duration,
+        answerer: Option<Answerer>,
+    ) -> Arc<Server> {
         let address = SocketAddr::new(subnet.ip(host), SERVER_PORT);
         let listener = TcpListener::bind(address).unwrap_or_else(|e| finish(2, &format!("{address}: {e}")));
         let server = Arc::new(Server {
@@ -396,6 +424,7 @@
             ended: AtomicBool::new(false),
             running: AtomicU64::new(0),
             target: Mutex::new(None),
+            answerer,
         });
         let accepting = server.clone();
         thread::spawn(move || {
@@ -415,13 +444,13 @@
             if self.ended.load(Ordering::SeqCst) {
                 return;
             }
-            let answer = self.answer(&request);
-            if wire.stream.write_all(answer.as_bytes()).is_err() {
+            let reply = self.answer(&request);
+            if wire.stream.write_all(&reply.bytes).is_err() || reply.closes {
                 return;
             }
         }
     }
-    fn answer(&self, request: &Message) -> String {
+    fn answer(&self, request: &Message) -> Reply {
         let mut words = request.first.split(' ');
         let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
         let running = self.running.load(Ordering::SeqCst);
@@ -431,7 +460,8 @@
                     "HTTP/1.1 200 OK\r\nSparrouter-Instance-Id: {}\r\nSparrouter-Instance-Load: {running},0,{SLOTS}\r\n\
                      Content-Length: 0\r\n\r\n",
                     self.id
-                );
+                )
+                .into();
             }
             ("GET", "/api/report") => {
                 let body = format!(
@@ -441,10 +471,11 @@
                 return format!(
                     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                     body.len()
-                );
+                )
+                .into();
             }
             _ if path.starts_with("/api/") => {
-                return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n".to_owned();
+                return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n".to_owned().into();
             }
             _ => {}
         }
@@ -455,6 +486,7 @@
                  Sparrouter-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 self.id
             )
+            .into()
         };
         if attempt.is_empty() {
             return declined("400 Bad Request");
@@ -483,6 +515,9 @@
         RUNS.lock().unwrap().push(run);
         sleep(self.work);
         self.running.fetch_sub(1, Ordering::SeqCst);
+        if let Some(answerer) = self.answerer {
+            return answerer(self, request, &attempt);
+        }
         let body = format!("answer of {} ({}) to {attempt}", self.id, self.service);
         format!(
             "HTTP/1.1 200 OK\r\nSparrouter-Attempt-Id: {attempt}\r\nSparrouter-Response-Seal: {}.{attempt}\r\n\
@@ -490,6 +525,7 @@
             self.id,
             body.len()
         )
+        .into()
     }
     /// One heartbeat; true if it was acknowledged.
     pub fn beat(&self, to: SocketAddr) -> bool {
@@ -565,6 +601,8 @@
 /// What a client got, by its attempt.
 #[derive(Clone)]
 pub struct Answer {
+    /// The server's seal; empty where the answer has none.
+    pub seal: String,
     pub sent_at: Duration,
     pub node: String,
     pub path: String,
@@ -615,13 +653,22 @@
         wire.stream.write_all(text.as_bytes()).ok()?;
         wire.message().filter(|m| m.is_complete)
     });
+    // A client closes a connection on which it gets bytes that are no answer, or the answer to another request.
+    let is_own = |m: &Message| {
+        m.first.starts_with("HTTP/1.1 ") && m.field("sparrouter-attempt-id").is_none_or(|id| id == attempt)
+    };
+    if let Some(foreign) = answer.as_ref().filter(|m| !is_own(m)) {
+        record(&format!("client {attempt} at {} gets what is not its answer: {:?}", node.name, foreign.first));
+    }
+    let answer = answer.filter(is_own);
     let closes = answer.as_ref().is_none_or(|a| a.field("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")));
     if closes {
         *wire = None;
     }
+    let seal = answer.as_ref().and_then(|a| a.field("sparrouter-response-seal")).unwrap_or_default().to_owned();
     let (status, body) = answer.map_or((0, String::new()), |a| (a.status(), String::from_utf8_lossy(&a.body).into_owned()));
-    record(&format!("client {attempt} POST {host}{path} at {} sent={:.1}: {status} {body}", node.name, sent_at.as_secs_f64() * 1e3));
-    let answer = Answer { sent_at, node: node.name.clone(), path: (*path).to_owned(), status, body };
+    record(&format!("client {attempt} POST {host}{path} at {} sent={:.1}: {status} {body:?}", node.name, sent_at.as_secs_f64() * 1e3));
+    let answer = Answer { seal, sent_at, node: node.name.clone(), path: (*path).to_owned(), status, body };
     ANSWERS.lock().unwrap().insert(attempt, answer);
     if status == 0 {
         // As a client that finds a node away: it pauses before it tries again.
