ROUTE: a selected server is known by a handle that names no other one

Cause: a selection named its server by a reused index. While the request waited for its permit (the lease holder was frozen), the server left, the next server that was added, of any service, got the index, and id and address were read from there.

Ruled out: a reused address or pooled connection (the request would have named the old server, and the new one answers 421); an older route table (the case has one configuration).

Change: ServerHandle, a key of a slotmap, names one server and none once that is removed; such a request counts as unsent and selects again. The same handle is used for attempted and failed servers, health checks and reports of outliers.

Simulated servers can deregister first, which nothing could express before.

--- a/crates/sparrouter-fleet/src/membership/outliers.rs
+++ b/crates/sparrouter-fleet/src/membership/outliers.rs
@@ -8,7 +8,7 @@
 use crate::peer::messages::Call;
 use crate::platform::defects::rules;
 use sparrouter_membership::{MembershipDelta, ServerDirective};
-use sparrouter_routing::{Failure, Server, ServerIndex};
+use sparrouter_routing::{Failure, Server, ServerHandle};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -22,10 +22,10 @@
 impl Node {
     /// Reports to the server's owner that a request of this node failed. `key`: the key by which the server was
     /// selected.
-    pub fn report_failure(self: &Rc<Self>, server_index: ServerIndex, key: u64) {
+    pub fn report_failure(self: &Rc<Self>, server_handle: ServerHandle, key: u64) {
         let failure = {
             let server_table = self.server_table.borrow();
-            let Some(server) = server_table.get(server_index) else {
+            let Some(server) = server_table.get(server_handle) else {
                 return;
             };
             Failure {
@@ -46,11 +46,11 @@
     }
 
     /// Reports to the server's owner that a request which failed at this server was answered by another one.
-    pub fn report_served_elsewhere(&self, server_index: ServerIndex) {
+    pub fn report_served_elsewhere(&self, server_handle: ServerHandle) {
         let hash = self
             .server_table
             .borrow()
-            .get(server_index)
+            .get(server_handle)
             .map(Server::hash);
         let Some(server) = hash else {
             return;
--- a/crates/sparrouter-fleet/src/platform/defects.rs
+++ b/crates/sparrouter-fleet/src/platform/defects.rs
@@ -204,6 +204,8 @@
     SpentPermitReturned => spent_permits_kept,
     /// Only the first attempt of a request needs a permit.
     RetryWithoutPermit => retries_need_permit,
+    /// The handle of a removed server names the server that is stored in its place.
+    HandleNamesSuccessor => handles_expire,
 }
 #[cfg(feature = "injected-defects")]
 thread_local! {
--- a/crates/sparrouter-fleet/src/process/health_checks.rs
+++ b/crates/sparrouter-fleet/src/process/health_checks.rs
@@ -1,6 +1,6 @@
 //! Health checks of unreachable servers: repeated attempts to connect until one succeeds.
 use crate::node::Node;
-use sparrouter_routing::ServerIndex;
+use sparrouter_routing::ServerHandle;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,16 +26,15 @@
     }
 }
 
-/// Tries to connect to a server once. A success counts only if the server still has the same address afterwards.
-async fn check(node: Rc<Node>, server: ServerIndex, address: SocketAddr) {
+/// Tries to connect to a server once.
+async fn check(node: Rc<Node>, server: ServerHandle, address: SocketAddr) {
     let connected = timeout(CONNECT_TIMEOUT, node.net.dial(address)).await;
-    let is_same_server = address_of(&node, server) == Some(address);
-    if matches!(connected, Ok(Ok(_))) && is_same_server {
+    if matches!(connected, Ok(Ok(_))) {
         node.server_table.borrow_mut().mark_reachable(server);
     }
 }
 
-fn address_of(node: &Node, server: ServerIndex) -> Option<SocketAddr> {
+fn address_of(node: &Node, server: ServerHandle) -> Option<SocketAddr> {
     let server_table = node.server_table.borrow();
     server_table.get(server).map(|s| s.address)
 }
--- a/crates/sparrouter-fleet/src/proxy/exchange.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange.rs
@@ -30,7 +30,9 @@
 use relay::RelayOutcome;
 use sparrouter_config::{Route, RouteTable, Tenant};
 use sparrouter_http::head::ResponseHead;
-use sparrouter_routing::{Prompt, RequestOutcome, ServerIndex};
+#[cfg(feature = "injected-defects")]
+use sparrouter_routing::Selection;
+use sparrouter_routing::{Prompt, RequestOutcome, ServerHandle};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -82,11 +84,11 @@
     /// The key by which the server is selected.
     key: u64,
     /// Servers that were selected for the request.
-    attempted: Vec<ServerIndex>,
+    attempted: Vec<ServerHandle>,
     /// Number of attempts in which at least one byte was sent.
     sent_count: u32,
     /// Servers at which an attempt failed.
-    failed: Vec<ServerIndex>,
+    failed: Vec<ServerHandle>,
     /// Whether it is certain that no server has run the request. Never becomes true again once false.
     is_proven_not_run: bool,
     /// The last permit of the tenant's quota that was taken for the request.
@@ -177,6 +179,8 @@
         client: &mut ClientSide<'_>,
     ) -> Option<ExchangeOutcome> {
         let selection = server.selection;
+        #[cfg(feature = "injected-defects")]
+        let selection = self.selection_by_place(selection);
         let last_event_id = client.last_event_id();
         self.attempted.push(selection.server);
         let mut in_flight = InFlight::begin(self.node, selection.server, self.key, server.waiting);
@@ -260,6 +264,18 @@
         }
     }
 
+    /// Injected defect: a selected server that was removed is replaced by the server that is stored in its place.
+    #[cfg(feature = "injected-defects")]
+    fn selection_by_place(&self, selection: Selection) -> Selection {
+        let server_table = self.node.server_table.borrow();
+        let successor = server_table.successor_of(selection.server);
+        let successor = successor.filter(|_| !rules::handles_expire());
+        Selection {
+            server: successor.unwrap_or(selection.server),
+            ..selection
+        }
+    }
+
     fn record_duration(&self) {
         let duration = nanos(self.received_at.elapsed());
         let mut durations = self.node.traffic.durations.borrow_mut();
@@ -267,7 +283,7 @@
     }
 
     /// The id of a server; empty if the server is no longer in the table.
-    fn id_of(&self, server: ServerIndex) -> String {
+    fn id_of(&self, server: ServerHandle) -> String {
         let server_table = self.node.server_table.borrow();
         let server = server_table.get(server);
         server.map(|s| s.id.clone()).unwrap_or_default()
--- a/crates/sparrouter-fleet/src/proxy/exchange/admission.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/admission.rs
@@ -6,7 +6,7 @@
 use crate::platform::http::Response;
 use crate::proxy::backlogs::WaitingPrompt;
 use crate::settings::nanos;
-use sparrouter_routing::{Nanos, Selection, SelectionError, SelectionRequest, ServerIndex};
+use sparrouter_routing::{Nanos, Selection, SelectionError, SelectionRequest, ServerHandle};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -226,7 +226,7 @@
     }
 
     /// The first ready server of the request's rendezvous order that is not in `attempted`.
-    fn select(&self, attempted: &[ServerIndex]) -> Result<Selection, SelectionError> {
+    fn select(&self, attempted: &[ServerHandle]) -> Result<Selection, SelectionError> {
         let request = SelectionRequest {
             service: &self.service,
             key: self.key,
--- a/crates/sparrouter-fleet/src/proxy/exchange/in_flight.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/in_flight.rs
@@ -1,13 +1,13 @@
 //! Accounting of one in-flight request in the server table.
 use crate::node::Node;
 use crate::proxy::backlogs::WaitingPrompt;
-use sparrouter_routing::{RequestOutcome, ServerIndex};
+use sparrouter_routing::{RequestOutcome, ServerHandle};
 use std::rc::Rc;
 
 /// A request in flight, counted at its server until this guard is dropped.
 pub(super) struct InFlight<'a> {
     node: &'a Rc<Node>,
-    pub(super) server: ServerIndex,
+    pub(super) server: ServerHandle,
     /// The key by which the server was selected.
     key: u64,
     /// The request's outcome; `Withdrawn` until the actual outcome is known.
@@ -19,7 +19,7 @@
 impl<'a> InFlight<'a> {
     pub(super) fn begin(
         node: &'a Rc<Node>,
-        server: ServerIndex,
+        server: ServerHandle,
         key: u64,
         waiting: Option<WaitingPrompt>,
     ) -> InFlight<'a> {
--- a/crates/sparrouter-routing/src/candidate.rs
+++ b/crates/sparrouter-routing/src/candidate.rs
@@ -1,10 +1,10 @@
 //! Compares eligible servers, and finds the best of many in one pass, without collecting or sorting them.
-use crate::{SelectionRequest, Server, ServerIndex};
+use crate::{SelectionRequest, Server, ServerHandle};
 
 /// A server that may take the request, with the properties that determine its rank.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Candidate {
-    pub(crate) server: ServerIndex,
+    pub(crate) server: ServerHandle,
     demotion: Demotion,
     score: RendezvousScore,
 }
@@ -13,12 +13,12 @@
     /// `is_ejected`: the server is an outlier, which demotes it.
     pub(crate) fn new(
         request: &SelectionRequest,
-        index: ServerIndex,
+        handle: ServerHandle,
         server: &Server,
         is_ejected: bool,
     ) -> Candidate {
         Candidate {
-            server: index,
+            server: handle,
             demotion: Demotion {
                 is_ejected,
                 ..Demotion::of(request, server)
--- a/crates/sparrouter-routing/src/lib.rs
+++ b/crates/sparrouter-routing/src/lib.rs
@@ -20,7 +20,7 @@
 //! | --- | --- |
 //! | `selection` | selects a server for one request |
 //! | `candidate` | compares two eligible servers, and finds the best of many in one pass |
-//! | `server_table` | stores all servers with their indices by id, hash and service |
+//! | `server_table` | stores all servers, with maps by id, hash and service |
 //! | `server` | one server's membership record, requests in flight and health, as this node sees them |
 //! | `service_servers` | the servers of one service, and their load bound |
 //! | `membership_sync` | brings the server table up to date with the membership table |
@@ -57,7 +57,7 @@
 pub use rollout_order::{OutdatedServer, RolloutStep, next_step};
 pub use route_durations::RouteDurations;
 pub use selection::{Selection, SelectionError, SelectionRequest};
-pub use server::{RequestOutcome, Server, ServerIndex};
+pub use server::{RequestOutcome, Server, ServerHandle};
 pub use server_table::ServerTable;
 pub use versions::{OutdatedVersionLimits, RequiredVersion, Timestamp, Versions, timestamp_before};
 
--- a/crates/sparrouter-routing/src/membership_sync.rs
+++ b/crates/sparrouter-routing/src/membership_sync.rs
@@ -1,6 +1,6 @@
 //! Brings the server table up to date with the membership table. Only servers whose records have changed are visited,
 //! because a fleet of thousands of servers has a change every few milliseconds.
-use crate::{EJECTION_PERIOD, Nanos, Server, ServerIndex, ServerTable};
+use crate::{EJECTION_PERIOD, Nanos, Server, ServerHandle, ServerTable};
 use sparrouter_membership::{ChangedRecord, LifecycleState, MembershipTable, ServerRecord};
 use std::collections::BTreeSet;
 
@@ -24,9 +24,9 @@
     /// Number of servers that the membership table had dropped by the last sync.
     servers_dropped: u64,
     /// Servers with a directive to load weights, now or soon; these directives expire with time.
-    under_directive: BTreeSet<ServerIndex>,
+    under_directive: BTreeSet<ServerHandle>,
     /// Servers that have left but still have requests of this node in flight.
-    left_with_requests: BTreeSet<ServerIndex>,
+    left_with_requests: BTreeSet<ServerHandle>,
 }
 
 impl ServerTable {
@@ -64,7 +64,7 @@
             .under_directive
             .iter()
             .chain(&state.left_with_requests)
-            .filter_map(|&index| self.get(index).map(|server| server.id.clone()));
+            .filter_map(|&handle| self.get(handle).map(|server| server.id.clone()));
         changed.chain(changing_with_time).collect()
     }
 
@@ -73,14 +73,14 @@
         if let Some(record) = record {
             self.add_if_new(record);
         }
-        let Some(index) = self.find(id) else {
+        let Some(handle) = self.find(id) else {
             return;
         };
         if let Some(record) = record {
-            self.apply_record(index, record);
+            self.apply_record(handle, record);
         }
-        self.apply_directives(membership, index, id, now);
-        self.remove_if_left(index, record);
+        self.apply_directives(membership, handle, id, now);
+        self.remove_if_left(handle, record);
     }
 
     fn add_if_new(&mut self, record: &ServerRecord) {
@@ -93,11 +93,11 @@
         }
     }
 
-    fn apply_record(&mut self, index: ServerIndex, record: &ServerRecord) {
-        self.update(index, |server| {
+    fn apply_record(&mut self, handle: ServerHandle, record: &ServerRecord) {
+        self.update(handle, |server| {
             server.state = server.state.max(record.state);
         });
-        let Some(server) = self.servers[index].as_mut() else {
+        let Some(server) = self.servers.get_mut(handle) else {
             return;
         };
         if server.is_unresponsive && !record.unresponsive {
@@ -120,7 +120,7 @@
     fn apply_directives(
         &mut self,
         membership: &MembershipTable,
-        index: ServerIndex,
+        handle: ServerHandle,
         id: &str,
         now: Nanos,
     ) {
@@ -129,7 +129,7 @@
         let applies = |is_withdrawn: bool, received_at: Nanos| {
             !is_withdrawn && now.saturating_sub(received_at) < max_age
         };
-        let Some(server) = self.servers[index].as_mut() else {
+        let Some(server) = self.servers.get_mut(handle) else {
             return;
         };
         server.is_loading = false;
@@ -151,26 +151,26 @@
             server.ejected_until = server.ejected_until.max(ejected_until);
         }
         if server.is_loading || server.will_load_soon {
-            self.sync_state.under_directive.insert(index);
+            self.sync_state.under_directive.insert(handle);
         } else {
-            self.sync_state.under_directive.remove(&index);
+            self.sync_state.under_directive.remove(&handle);
         }
     }
 
-    fn remove_if_left(&mut self, index: ServerIndex, record: Option<&ServerRecord>) {
+    fn remove_if_left(&mut self, handle: ServerHandle, record: Option<&ServerRecord>) {
         let has_left = record.is_none_or(|record| record.state == LifecycleState::Left);
-        let has_requests = self.get(index).is_some_and(|server| server.in_flight > 0);
+        let has_requests = self.get(handle).is_some_and(|server| server.in_flight > 0);
         if has_left && !has_requests {
-            self.remove(index);
+            self.remove(handle);
         } else if has_left {
-            self.sync_state.left_with_requests.insert(index);
+            self.sync_state.left_with_requests.insert(handle);
         }
     }
 
-    /// Drops the sync state of a server that is removed, before its index is reused.
-    pub(crate) fn drop_sync_state(&mut self, index: ServerIndex) {
-        self.sync_state.under_directive.remove(&index);
-        self.sync_state.left_with_requests.remove(&index);
+    /// Drops the sync state of a server that is removed, before its handle is reused.
+    pub(crate) fn drop_sync_state(&mut self, handle: ServerHandle) {
+        self.sync_state.under_directive.remove(&handle);
+        self.sync_state.left_with_requests.remove(&handle);
     }
 }
 
--- a/crates/sparrouter-routing/src/selection.rs
+++ b/crates/sparrouter-routing/src/selection.rs
@@ -3,7 +3,7 @@
 use crate::candidate::{
     BestCandidates, Candidate, RendezvousScore, exceeds_load_bound, is_demoted,
 };
-use crate::{Nanos, Server, ServerIndex, ServerTable};
+use crate::{Nanos, Server, ServerHandle, ServerTable};
 use sparrouter_membership::LifecycleState;
 
 /// A request that needs a server.
@@ -18,14 +18,14 @@
     /// Whether the request generates more tokens than usual; see [`TypicalOutput`](crate::TypicalOutput).
     pub is_long_generation: bool,
     /// Servers that the request was sent to before; they are excluded.
-    pub attempted: &'a [ServerIndex],
+    pub attempted: &'a [ServerHandle],
 }
 
 /// The result of a selection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Selection {
-    /// Index of the selected server.
-    pub server: ServerIndex,
+    /// Handle of the selected server.
+    pub server: ServerHandle,
     /// The version of the model that the server runs, if known.
     pub version: Option<u64>,
     /// Number of eligible servers that rank before the selected one and were skipped because of their load; 0 for the
@@ -73,7 +73,7 @@
         &self,
         request: &SelectionRequest,
         now: Nanos,
-    ) -> Option<ServerIndex> {
+    ) -> Option<ServerHandle> {
         let load_bound = self.by_service.get(request.service)?.load_bound();
         let (mut best, mut best_score) = (None, None);
         for entry in self.entries_of(request.service) {
@@ -110,10 +110,10 @@
             .load_bound();
         let mut best = BestCandidates::default();
         let applies_ejections = self.applies_ejections(request.service, now);
-        for (index, server) in self.unattempted(request) {
+        for (handle, server) in self.unattempted(request) {
             if self.is_eligible(request, server, now) {
                 let is_ejected = applies_ejections && server.is_ejected(now);
-                let candidate = Candidate::new(request, index, server, is_ejected);
+                let candidate = Candidate::new(request, handle, server, is_ejected);
                 let exceeds_bound = exceeds_load_bound(server, load_bound);
                 best.consider(candidate, exceeds_bound, server.in_flight);
             }
@@ -129,7 +129,12 @@
         Ok(self.selection(request, winner.server, rank))
     }
 
-    fn selection(&self, request: &SelectionRequest, server: ServerIndex, rank: usize) -> Selection {
+    fn selection(
+        &self,
+        request: &SelectionRequest,
+        server: ServerHandle,
+        rank: usize,
+    ) -> Selection {
         let version = request
             .model
             .and_then(|model| self.get(server)?.version_of(model));
@@ -157,9 +162,9 @@
     fn unattempted<'a>(
         &'a self,
         request: &'a SelectionRequest,
-    ) -> impl Iterator<Item = (ServerIndex, &'a Server)> {
+    ) -> impl Iterator<Item = (ServerHandle, &'a Server)> {
         self.of_service(request.service)
-            .filter(|(index, _)| !request.attempted.contains(index))
+            .filter(|(handle, _)| !request.attempted.contains(handle))
     }
 
     /// Whether the server may take the request now.
@@ -210,9 +215,9 @@
     ) -> usize {
         self.unattempted(request)
             .filter(|(_, server)| self.is_eligible(request, server, now))
-            .filter(|(index, server)| {
+            .filter(|(handle, server)| {
                 let is_ejected = applies_ejections && server.is_ejected(now);
-                Candidate::new(request, *index, server, is_ejected).precedes(winner)
+                Candidate::new(request, *handle, server, is_ejected).precedes(winner)
             })
             .count()
     }
--- a/crates/sparrouter-routing/src/server.rs
+++ b/crates/sparrouter-routing/src/server.rs
@@ -4,8 +4,9 @@
 use sparrouter_membership::{LifecycleState, ServerRecord};
 use std::net::SocketAddr;
 
-/// Index of a server in the server table. An index is reused after its server is removed.
-pub type ServerIndex = usize;
+/// Identifies a server in the server table. After the server is removed, its handle identifies no server, also where
+/// another one is stored in its place: a request may keep the handle while it waits.
+pub type ServerHandle = slotmap::DefaultKey;
 
 /// How a request that was sent to a server ended, with regard to the server's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sparrouter-routing/src/service_servers.rs
+++ b/crates/sparrouter-routing/src/service_servers.rs
@@ -1,5 +1,5 @@
 //! The servers of one service: a compact list of their hashes for scoring, and their load bound.
-use crate::{Server, ServerIndex};
+use crate::{Server, ServerHandle};
 use sparrouter_membership::LifecycleState;
 
 /// A server is skipped while this node's requests in flight there exceed both bounds: this multiple of their mean over the
@@ -7,11 +7,11 @@
 const LOAD_BOUND_RATIO: f64 = 2.0;
 const LOAD_BOUND_FLOOR: f64 = 2.0;
 
-/// The hash of a server's id, and its index in the server table.
+/// The hash of a server's id, and its handle in the server table.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServiceEntry {
     pub(crate) hash: u64,
-    pub(crate) server: ServerIndex,
+    pub(crate) server: ServerHandle,
 }
 
 /// One server's contribution to the load of its service, which is the sum over all servers.
--- a/crates/sparrouter-routing/src/suspicion.rs
+++ b/crates/sparrouter-routing/src/suspicion.rs
@@ -2,7 +2,7 @@
 //!
 //! A suspected server gets no requests until a health check connects, or until a request that was in flight is answered.
 //! The checks of one server back off exponentially, with jitter so that the nodes do not all check it at the same time.
-use crate::{Nanos, Server, ServerIndex, ServerTable};
+use crate::{Nanos, Server, ServerHandle, ServerTable};
 use sparrouter_membership::LifecycleState;
 
 /// Mean delay before the first health check; each further delay is twice as long.
@@ -21,26 +21,26 @@
 
 impl ServerTable {
     /// Suspects a server: it gets no requests until a health check connects. An existing suspicion keeps its schedule.
-    pub fn suspect(&mut self, index: ServerIndex, now: Nanos) {
+    pub fn suspect(&mut self, handle: ServerHandle, now: Nanos) {
         let jitter = 0.5 + self.rng.f64();
-        if let Some(Some(server)) = self.servers.get_mut(index) {
+        if let Some(server) = self.servers.get_mut(handle) {
             let delay = (FIRST_CHECK_DELAY as f64 * jitter) as Nanos;
             server.suspicion.get_or_insert(Suspicion {
                 next_check_at: now + delay,
                 delay,
             });
-            self.suspected.insert(index);
+            self.suspected.insert(handle);
         }
     }
 
     /// Suspected servers whose health check is due. Schedules the next check of each with twice the delay.
-    pub fn due_health_checks(&mut self, now: Nanos) -> Vec<ServerIndex> {
+    pub fn due_health_checks(&mut self, now: Nanos) -> Vec<ServerHandle> {
         let servers = &mut self.servers;
         self.suspected
-            .retain(|&index| servers[index].as_ref().is_some_and(Server::is_suspected));
+            .retain(|&handle| servers.get(handle).is_some_and(Server::is_suspected));
         let mut to_check = Vec::new();
-        for &index in &self.suspected {
-            let Some(server) = servers[index].as_mut() else {
+        for &handle in &self.suspected {
+            let Some(server) = servers.get_mut(handle) else {
                 continue;
             };
             if server.state != LifecycleState::Ready {
@@ -54,14 +54,14 @@
             }
             suspicion.delay = (suspicion.delay * 2).min(MAX_CHECK_DELAY);
             suspicion.next_check_at = now + suspicion.delay;
-            to_check.push(index);
+            to_check.push(handle);
         }
         to_check
     }
 
     /// Records that a health check connected: the server is no longer suspected.
-    pub fn mark_reachable(&mut self, index: ServerIndex) {
-        if let Some(Some(server)) = self.servers.get_mut(index) {
+    pub fn mark_reachable(&mut self, handle: ServerHandle) {
+        if let Some(server) = self.servers.get_mut(handle) {
             server.suspicion = None;
         }
     }
--- a/crates/sparrouter-routing/tests/membership_sync.rs
+++ b/crates/sparrouter-routing/tests/membership_sync.rs
@@ -5,7 +5,7 @@
     LifecycleState, LoadedModel, MembershipTable, ServerDirective, ServerRecord,
 };
 use sparrouter_routing::{
-    OutdatedVersionLimits, RequestOutcome, SelectionRequest, ServerIndex, ServerTable,
+    OutdatedVersionLimits, RequestOutcome, SelectionRequest, ServerHandle, ServerTable,
 };
 
 const SECOND: u64 = 1_000_000_000;
@@ -133,6 +133,33 @@
     assert!(table.get(index).is_none() && table.find("i-1").is_none());
 }
 
+/// Guards against a request that is sent to another server, since the one selected for it was removed while it waited.
+#[test]
+fn given_a_removed_server_when_others_are_added_then_its_handle_names_none_of_them() {
+    let (mut membership, mut table) = (empty_membership(), empty_table());
+    let mut removed = Vec::new();
+    for number in 0..50 {
+        membership.merge_server(record(number, 1), 0);
+        table.sync(&membership, 0);
+        let handle = table.find(&format!("i-{number}")).unwrap();
+        assert_eq!(table.get(handle).unwrap().id, format!("i-{number}"));
+        // None of these may change a server that was added since.
+        for &earlier in &removed {
+            assert!(table.get(earlier).is_none());
+            table.start_request(earlier);
+            table.finish_request(earlier, RequestOutcome::Unreachable, 0);
+            table.mark_full(earlier, SECOND);
+            table.record_loaded_version(earlier, MODEL, 9);
+        }
+        let server = table.get(handle).unwrap();
+        assert!(server.in_flight() == 0 && !server.has_been_used() && !server.is_suspected());
+        assert!(server.version_of(MODEL) != Some(9));
+        membership.mark_server_left(&format!("i-{number}"), 0);
+        table.sync(&membership, 0);
+        removed.push(handle);
+    }
+}
+
 #[test]
 fn given_thousands_of_servers_when_one_record_changes_then_a_sync_visits_only_that_record() {
     let records_visited = |servers: usize| {
@@ -156,7 +183,7 @@
 }
 
 /// The expected order of the selection: by score, with demoted servers last.
-fn sorted_candidates(table: &ServerTable, request: &SelectionRequest) -> Vec<ServerIndex> {
+fn sorted_candidates(table: &ServerTable, request: &SelectionRequest) -> Vec<ServerHandle> {
     let eligible = table
         .of_service(SERVICE)
         .filter(|(index, s)| {
@@ -179,9 +206,9 @@
 fn expected_selection(
     table: &ServerTable,
     request: &SelectionRequest,
-) -> Option<(usize, ServerIndex)> {
+) -> Option<(usize, ServerHandle)> {
     let order = sorted_candidates(table, request);
-    let in_flight = |index: &ServerIndex| table.get(*index).unwrap().in_flight();
+    let in_flight = |index: &ServerHandle| table.get(*index).unwrap().in_flight();
     let in_flight_if_used: Vec<u32> = table
         .of_service(SERVICE)
         .filter(|(_, s)| s.state() == LifecycleState::Ready && s.has_been_used())
@@ -198,13 +225,13 @@
 }
 
 /// A table after random membership changes with random requests in flight, and the indices of its servers.
-fn random_table(rng: &mut Rng) -> (ServerTable, Vec<ServerIndex>) {
+fn random_table(rng: &mut Rng) -> (ServerTable, Vec<ServerHandle>) {
     let (mut membership, mut table) = (empty_membership(), empty_table());
     for step in 1..40 {
         apply_random_change(&mut membership, rng, step, SECOND);
     }
     table.sync(&membership, SECOND);
-    let mut indices: Vec<ServerIndex> = table.iter().map(|(index, _)| index).collect();
+    let mut indices: Vec<ServerHandle> = table.iter().map(|(index, _)| index).collect();
     for _ in 0..rng.usize(..40) {
         if !indices.is_empty() {
             table.start_request(indices[rng.usize(..indices.len())]);
@@ -233,7 +260,7 @@
         let mut rng = Rng::with_seed(seed);
         let (table, indices) = random_table(&mut rng);
         for key in 0..20 {
-            let attempted: Vec<ServerIndex> = indices
+            let attempted: Vec<ServerHandle> = indices
                 .iter()
                 .copied()
                 .filter(|_| rng.u32(..6) == 0)
--- a/crates/sparrouter-routing/tests/selection.rs
+++ b/crates/sparrouter-routing/tests/selection.rs
@@ -3,7 +3,7 @@
 use sparrouter_membership::{LifecycleState, MembershipTable, ServerDirective, ServerRecord};
 use sparrouter_routing::{
     EJECTION_PERIOD, OutdatedVersionLimits, RequestOutcome, SelectionError, SelectionRequest,
-    ServerTable,
+    ServerHandle, ServerTable,
 };
 
 const SECOND: u64 = 1_000_000_000;
@@ -28,7 +28,12 @@
     (server_table, membership)
 }
 
-fn request(key: u64, attempted: &[usize]) -> SelectionRequest<'_> {
+/// The handles of all servers.
+fn handles(server_table: &ServerTable) -> Vec<ServerHandle> {
+    server_table.iter().map(|(handle, _)| handle).collect()
+}
+
+fn request(key: u64, attempted: &[ServerHandle]) -> SelectionRequest<'_> {
     SelectionRequest {
         service: "s",
         key,
@@ -69,7 +74,8 @@
         );
         server_table.start_request(winner);
     }
-    (0..4).filter(|&i| i != winner).for_each(|i| {
+    let others = handles(&server_table);
+    others.into_iter().filter(|&i| i != winner).for_each(|i| {
         server_table.start_request(i);
         server_table.finish_request(i, RequestOutcome::Answered, 0);
     });
@@ -103,7 +109,9 @@
         server_table.select(&request(5, &[]), 0).unwrap().server,
         preferred
     );
-    let second = server_table.get(1 - preferred).unwrap().id.clone();
+    let mut others = handles(&server_table).into_iter();
+    let second = others.find(|server| *server != preferred).unwrap();
+    let second = server_table.get(second).unwrap().id.clone();
     membership.mark_server_left(&second, 0);
     server_table.sync(&membership, 0);
     assert_eq!(
@@ -134,11 +142,11 @@
 #[test]
 fn given_requests_that_end_in_lost_connections_or_rejections_then_no_server_is_suspected() {
     let (mut server_table, _) = server_table(3);
-    for index in 0..3 {
-        server_table.start_request(index);
-        server_table.finish_request(index, RequestOutcome::ConnectionLost, 0);
-        server_table.start_request(index);
-        server_table.finish_request(index, RequestOutcome::Declined, 0);
+    for server in handles(&server_table) {
+        server_table.start_request(server);
+        server_table.finish_request(server, RequestOutcome::ConnectionLost, 0);
+        server_table.start_request(server);
+        server_table.finish_request(server, RequestOutcome::Declined, 0);
     }
     assert!(server_table.iter().all(|(_, s)| !s.is_suspected()));
     assert!(server_table.select(&request(1, &[]), 0).is_ok());
@@ -148,7 +156,7 @@
 fn eject(
     server_table: &mut ServerTable,
     membership: &mut MembershipTable,
-    servers: &[usize],
+    servers: &[ServerHandle],
     now: u64,
 ) {
     for &server in servers {
@@ -177,7 +185,9 @@
         |server_table: &ServerTable, now: u64| server_table.select(&request(1, &[]), now);
     assert_eq!(selected(&server_table, 2 * SECOND).unwrap().server, next);
     // The ejected server is still selected if no second server remains.
-    let others: Vec<usize> = (0..4).filter(|index| *index != winner).collect();
+    let mut others = handles(&server_table);
+    others.retain(|server| *server != winner);
+    assert_eq!(others.len(), 3);
     let last = server_table
         .select(&request(1, &others), 2 * SECOND)
         .unwrap();
@@ -193,7 +203,8 @@
 fn given_half_of_the_servers_ejected_then_ejections_are_ignored() {
     let (mut server_table, mut membership) = server_table(4);
     let winner = server_table.select(&request(1, &[]), 0).unwrap().server;
-    let second = (winner + 1) % 4;
+    let mut others = handles(&server_table).into_iter();
+    let second = others.find(|server| *server != winner).unwrap();
     eject(
         &mut server_table,
         &mut membership,
--- a/crates/sparrouter-simulation/src/cluster/servers.rs
+++ b/crates/sparrouter-simulation/src/cluster/servers.rs
@@ -27,6 +27,15 @@
         self.start_server(service, zone, address, self.newest_weights.get())
     }
 
+    /// As [`SimulatedCluster::add_server`], but the server sends its first heartbeat at once.
+    pub fn add_announced_server(&self, service: &str, zone: &str) -> String {
+        let ip = self.next_address();
+        self.network.add(ip, zone);
+        let address = SocketAddr::new(ip, SERVER_PORT);
+        let version = self.newest_weights.get();
+        self.start_server_with(service, zone, address, version, Duration::ZERO)
+    }
+
     /// A new server at an address that may have been another's. Returns its id.
     ///
     /// # Panics
@@ -38,11 +47,23 @@
         zone: &str,
         address: SocketAddr,
         version: u64,
+    ) -> String {
+        let first_heartbeat_ms = self.rng.borrow_mut().u64(..MAX_FIRST_HEARTBEAT_MS);
+        let first_heartbeat_after = Duration::from_millis(first_heartbeat_ms);
+        self.start_server_with(service, zone, address, version, first_heartbeat_after)
+    }
+
+    fn start_server_with(
+        &self,
+        service: &str,
+        zone: &str,
+        address: SocketAddr,
+        version: u64,
+        first_heartbeat_after: Duration,
     ) -> String {
         let number = self.next_server.get();
         self.next_server.set(number + 1);
         let id = format!("i-{number:04}");
-        let first_heartbeat_ms = self.rng.borrow_mut().u64(..MAX_FIRST_HEARTBEAT_MS);
         let settings = ServerSettings {
             id: id.clone(),
             service: service.to_owned(),
@@ -51,7 +72,7 @@
             slots: self.settings.slots,
             version,
             heartbeat: self.settings.heartbeat,
-            first_heartbeat_after: Duration::from_millis(first_heartbeat_ms),
+            first_heartbeat_after,
             drain_timeout: self.settings.bounds.drain_timeout,
             prefill_time: PREFILL_TIME,
             token_interval: TOKEN_INTERVAL,
--- a/crates/sparrouter-simulation/src/node_work.rs
+++ b/crates/sparrouter-simulation/src/node_work.rs
@@ -191,8 +191,13 @@
                 is_long_generation: false,
                 attempted: &[],
             };
-            let selected = node.server_table.borrow().select(&request, node.now());
-            let server = selected.expect("all servers are ready").server as u64;
+            let server = {
+                let table = node.server_table.borrow();
+                let selected = table.select(&request, node.now());
+                let selected = selected.expect("all servers are ready");
+                let server = table.get(selected.server);
+                server.expect("the selected server").hash()
+            };
             // Only the work counts, not the answers.
             let _ = node.keeps(server);
             for block in 0..BLOCKS_PER_REQUEST {
--- a/crates/sparrouter-simulation/src/server/heartbeats.rs
+++ b/crates/sparrouter-simulation/src/server/heartbeats.rs
@@ -25,12 +25,17 @@
 const MAX_REPLY_BYTES: usize = 4 << 10;
 
 impl Server {
-    /// The whole lifecycle. It ends by itself only after [`Server::drain`].
+    /// The whole lifecycle. It ends by itself only after [`Server::drain`] or [`Server::leave`].
     pub async fn run(self: Rc<Self>, listener: SimulatedListener) {
         spawn_local(self.clone().accept_connections(listener));
         sleep(self.settings.first_heartbeat_after).await;
         let first = self.heartbeat_body();
         self.send_heartbeats().await;
+        if self.deregisters_first.get() {
+            self.deregister().await;
+            sleep(self.settings.drain_timeout + DRAIN_SLACK).await;
+            return self.finish_runs().await;
+        }
         if let Some(node) = self.announce_drain().await {
             self.drain_acknowledged_by.set(Some(node));
             self.monitor.drain_acknowledged(&self.settings.id, node);
@@ -107,6 +112,13 @@
         self.state.set(State::Draining);
     }
 
+    /// Begins to leave without the announcement of a drain: it deregisters, serves on for as long as a server that drains,
+    /// and ends.
+    pub fn leave(&self) {
+        self.deregisters_first.set(true);
+        self.state.set(State::Draining);
+    }
+
     fn next_node(&self) -> Option<SocketAddr> {
         if let Some(target) = self.heartbeat_target.get() {
             return Some(target);
--- a/crates/sparrouter-simulation/src/server/mod.rs
+++ b/crates/sparrouter-simulation/src/server/mod.rs
@@ -143,6 +143,8 @@
     pub drain_acknowledged_by: Cell<Option<SocketAddr>>,
     /// A delayed duplicate of its first heartbeat is sent once more after its drain was acknowledged.
     pub duplicate_first_heartbeat: Cell<bool>,
+    /// It never announces its drain: it deregisters first, and serves on for as long.
+    deregisters_first: Cell<bool>,
 }
 
 /// What becomes of a connection after a request.
@@ -196,6 +198,7 @@
             fetched_blocks: Cell::new(0),
             drain_acknowledged_by: Cell::new(None),
             duplicate_first_heartbeat: Cell::new(false),
+            deregisters_first: Cell::new(false),
         })
     }
 
--- a/crates/sparrouter-simulation/tests/hot_tenants/mod.rs
+++ b/crates/sparrouter-simulation/tests/hot_tenants/mod.rs
@@ -135,6 +135,8 @@
     pub tenant: Limited,
     kinds: Vec<(RouteKind, &'static str)>,
     retries: u32,
+    /// Each request has a prompt of its own, so that they go to all servers.
+    has_own_prompts: bool,
     /// Name of the route; `None`: that of the kind.
     route: Option<&'static str>,
     /// Machines that it goes to; `None`: all.
@@ -154,6 +156,7 @@
             tenant,
             kinds: vec![(RouteKind::Idempotent, "b10")],
             retries: 0,
+            has_own_prompts: false,
             route: None,
             only_to: None,
             stopped: Cell::new(false),
@@ -180,6 +183,14 @@
         }
     }
 
+    /// Each of its requests has a prompt of its own.
+    pub fn own_prompts(self) -> HotTenant {
+        HotTenant {
+            has_own_prompts: true,
+            ..self
+        }
+    }
+
     /// Its requests go to this route.
     pub fn on_route(self, name: &'static str) -> HotTenant {
         HotTenant {
@@ -231,6 +242,9 @@
             request = request.to_route(route, response_spec);
         }
         request.retries = self.retries;
+        if self.has_own_prompts {
+            request.prompt_id = format!("{number:08x}");
+        }
         let address = self.cluster.front_of(name);
         let incarnation = self.cluster.load_balancer.incarnation(address.ip());
         let load = self.clone();
