MIXED: a response that broke off goes on only behind events of a success

Cause: a break was resumed by the kind of the route; nothing looked at what had been relayed.

Ruled out: a pooled connection with a rest on it (the foreign events carry the same attempt id); a break that the decoder takes for an end (more bytes follow).

Change: ResponseProgress (not begun, begun, resumable stream) decides; only the head of a success with complete events behind it is continued, and only by a response with the same status. Everything else closes the client's connection.

--- a/crates/sparrouter-fleet/src/platform/defects.rs
+++ b/crates/sparrouter-fleet/src/platform/defects.rs
@@ -206,6 +206,8 @@
     RetryWithoutPermit => retries_need_permit,
     /// The handle of a removed server names the server that is stored in its place.
     HandleNamesSuccessor => handles_expire,
+    /// A response of any status and framing is resumed if its route is resumable.
+    AnyResponseResumed => only_streams_resume,
 }
 #[cfg(feature = "injected-defects")]
 thread_local! {
--- a/crates/sparrouter-fleet/src/proxy/exchange.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange.rs
@@ -133,17 +133,14 @@
     async fn run(mut self, client: &mut Stream, read_ahead: &mut BytesMut) -> ExchangeOutcome {
         let mut client = ClientSide::new(client, read_ahead, self.route.is_idempotent());
         loop {
-            let server = match self.admit_with_permit(client.has_response_begun).await {
+            let server = match self.admit_with_permit(client.has_response_begun()).await {
                 Ok(server) => server,
-                Err(_) if client.has_response_begun => return ExchangeOutcome::Closed,
+                Err(_) if client.has_response_begun() => return ExchangeOutcome::Closed,
                 Err(rejection) => return ExchangeOutcome::Respond(rejection),
             };
             if let Some(outcome) = self.serve_at(server, &mut client).await {
                 return outcome;
             }
-            if client.has_response_begun && !self.route.resumable {
-                return ExchangeOutcome::Closed;
-            }
         }
     }
 
@@ -189,7 +186,7 @@
             .await;
         match outcome {
             AttemptOutcome::Unsent => in_flight.outcome = RequestOutcome::Unreachable,
-            AttemptOutcome::NoPermit(_) if client.has_response_begun => {
+            AttemptOutcome::NoPermit(_) if client.has_response_begun() => {
                 return Some(ExchangeOutcome::Closed);
             }
             AttemptOutcome::NoPermit(rejection) => {
--- a/crates/sparrouter-fleet/src/proxy/exchange/attempt.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends the request to a server once and reads the head of the response.
 use super::Exchange;
 use super::api_key::KeyState;
-use super::client_side::ClientSide;
+use super::client_side::{ClientSide, ResponseProgress};
 use super::request_head::ForwardedRequest;
 use crate::node::counters::count;
 use crate::platform::defects::rules;
@@ -55,8 +55,7 @@
             return AttemptOutcome::Unsent;
         };
         let deadline = tokio::time::sleep_until(self.deadline);
-        let has_response_begun = client.has_response_begun;
-        let response = self.send(selection, &target, last_event_id, has_response_begun);
+        let response = self.send(selection, &target, last_event_id, client.progress);
         if !rules::client_checked_before_send() {
             return tokio::select! {
                 biased;
@@ -89,7 +88,7 @@
         selection: &Selection,
         target: &Target,
         last_event_id: Option<&str>,
-        has_response_begun: bool,
+        progress: ResponseProgress,
     ) -> AttemptOutcome {
         let prefix = self.locate_prefix(selection, &target.id).await;
         loop {
@@ -136,9 +135,7 @@
             }
             self.sent_count += 1;
             self.count_older_weights(selection);
-            return self
-                .await_response(selection, connection, has_response_begun)
-                .await;
+            return self.await_response(selection, connection, progress).await;
         }
     }
 
--- a/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
@@ -10,13 +10,29 @@
 /// Maximum number of bytes that are read ahead from the client while its request is served.
 const MAX_READ_AHEAD: usize = 64 << 10;
 
+/// What the client has of a response. Only this decides whether another server's response may follow: a route's kind says
+/// nothing about what was relayed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResponseProgress {
+    /// Not a byte: a response of any server may follow.
+    NotBegun,
+    /// A part that only its own server can complete: of a failure, or of a body that is not relayed by events.
+    Begun,
+    /// The head of a successful response with this status, in chunks, and complete events: the stream of another server may
+    /// continue it.
+    ResumableStream {
+        /// HTTP status of the head.
+        status: u16,
+    },
+}
+
 /// The client's connection during an exchange.
 pub(super) struct ClientSide<'a> {
     reader: ReadHalf<&'a mut Stream>,
     pub(super) writer: WriteHalf<&'a mut Stream>,
     read_ahead: &'a mut BytesMut,
-    /// Whether any byte of a response has been sent to the client.
-    pub(super) has_response_begun: bool,
+    /// What the client has of a response.
+    pub(super) progress: ResponseProgress,
     /// Splits an event stream that may be resumed at another server. `None` if the route's requests are not idempotent.
     pub(super) events: Option<EventSplitter>,
 }
@@ -32,7 +48,7 @@
             reader,
             writer,
             read_ahead,
-            has_response_begun: false,
+            progress: ResponseProgress::NotBegun,
             events: is_idempotent.then(EventSplitter::default),
         }
     }
@@ -59,21 +75,27 @@
         std::future::pending().await
     }
 
+    /// Whether any byte of a response has been sent to the client.
+    pub(super) fn has_response_begun(&self) -> bool {
+        self.progress != ResponseProgress::NotBegun
+    }
+
     /// The outcome if the deadline passes.
     pub(super) fn end_at_deadline(&self) -> ExchangeOutcome {
-        if self.has_response_begun {
+        if self.has_response_begun() {
             ExchangeOutcome::Closed
         } else {
             ExchangeOutcome::Respond(deadline_passed_response())
         }
     }
 
-    /// The outcome if a response breaks off; `None` if another server's response may continue it.
+    /// The outcome if a response breaks off; `None` if another server's response may follow what the client has.
     pub(super) fn resume_or_close(&mut self) -> Option<ExchangeOutcome> {
-        match &mut self.events {
-            Some(events) => events.discard_partial(),
-            None if self.has_response_begun => return Some(ExchangeOutcome::Closed),
-            None => {}
+        if self.progress == ResponseProgress::Begun {
+            return Some(ExchangeOutcome::Closed);
+        }
+        if let Some(events) = &mut self.events {
+            events.discard_partial();
         }
         None
     }
--- a/crates/sparrouter-fleet/src/proxy/exchange/relay.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/relay.rs
@@ -1,6 +1,6 @@
 //! Relays a response to the client: chunk by chunk as it arrives, or by complete events if the stream may be resumed.
 use super::Exchange;
-use super::client_side::ClientSide;
+use super::client_side::{ClientSide, ResponseProgress};
 use super::request_head::{is_hop_by_hop, is_named_by_connection};
 use super::response_body::{BodyEvent, ResponseBody};
 use crate::platform::defects::rules;
@@ -41,6 +41,8 @@
     form: BodyForm,
     /// Whether only complete events are written.
     splits_events: bool,
+    /// What the client has of the response once data has been written.
+    progress: ResponseProgress,
     out: BytesMut,
 }
 
@@ -88,7 +90,7 @@
             let is_complete = state == ReadState::Complete;
             // Until a byte has been written the request may be retried at another server, if its route is idempotent.
             let must_write = is_complete
-                || client.has_response_begun
+                || client.has_response_begun()
                 || body.has_begun
                 || !self.route.is_idempotent();
             if must_write && let Err(outcome) = self.write(&mut pending, client).await {
@@ -115,12 +117,21 @@
             _ => BodyForm::Chunked,
         };
         let mut out = BytesMut::new();
-        if !client.has_response_begun {
+        if !client.has_response_begun() {
             self.put_head(head, form, &mut out);
         }
+        let progress = if splits_events {
+            let status = head.status;
+            ResponseProgress::ResumableStream { status }
+        } else if self.route.resumable && !rules::only_streams_resume() {
+            ResponseProgress::ResumableStream { status: 200 }
+        } else {
+            ResponseProgress::Begun
+        };
         Pending {
             form,
             splits_events,
+            progress,
             out,
         }
     }
@@ -138,7 +149,7 @@
         if pending.out.is_empty() {
             return Ok(());
         }
-        client.has_response_begun = true;
+        client.progress = pending.progress;
         match timeout_at(self.deadline, client.writer.write_all(&pending.out)).await {
             Ok(Ok(())) => {
                 pending.out.clear();
--- a/crates/sparrouter-fleet/src/proxy/exchange/response_head.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/response_head.rs
@@ -1,6 +1,7 @@
 //! Reads the head of a server's response, checks that it belongs to this request, records the server's model version,
 //! and decides whether the response may be relayed to the client.
 use super::attempt::AttemptOutcome;
+use super::client_side::ResponseProgress;
 use super::{Exchange, MISDIRECTED};
 use crate::node::counters::count;
 use crate::platform::defects::rules;
@@ -29,7 +30,7 @@
         &mut self,
         selection: &Selection,
         mut connection: Upstream,
-        has_response_begun: bool,
+        progress: ResponseProgress,
     ) -> AttemptOutcome {
         let Some(head) = self.read_own_head(&mut connection).await else {
             return AttemptOutcome::MayHaveRun;
@@ -45,7 +46,7 @@
             self.pool_after_body(&id, connection, &head).await;
             return AttemptOutcome::NotRun { status };
         }
-        if !self.may_relay(&head, has_response_begun) {
+        if !self.may_relay(&head, progress) {
             return AttemptOutcome::MayHaveRun;
         }
         AttemptOutcome::Responded(Box::new(head), Box::new(connection))
@@ -88,16 +89,19 @@
     }
 
     /// Whether this response may be relayed to the client. If not, the server may have run the request.
-    fn may_relay(&self, head: &ResponseHead, has_response_begun: bool) -> bool {
+    fn may_relay(&self, head: &ResponseHead, progress: ResponseProgress) -> bool {
+        // Only a successful response of the same kind can continue a stream whose beginning the client already has.
+        if let ResponseProgress::ResumableStream { status } = progress
+            && head.status != status
+            && rules::only_success_resumes_stream()
+        {
+            return false;
+        }
         let is_success = (200..300).contains(&head.status);
         if is_success {
             let is_sealed = head.fields.get("sparrouter-response-seal").is_some();
             return is_sealed && head.fields.get("content-encoding").is_none();
         }
-        // Only a successful response can continue a stream whose beginning the client already has.
-        if has_response_begun && rules::only_success_resumes_stream() {
-            return false;
-        }
         // These statuses would tell the client that the request has not run, which the server has not stated.
         if matches!(head.status, 408 | 429 | 503) {
             return false;
--- a/crates/sparrouter-simulation/tests/scripted/mod.rs
+++ b/crates/sparrouter-simulation/tests/scripted/mod.rs
@@ -356,6 +356,8 @@
     pub disconnects_after: Option<Duration>,
     /// Pause in the middle of the body.
     pub body_pause: Duration,
+    /// How long the client listens on its connection after the response: bytes that come then belong to none.
+    pub listens_after: Duration,
 }
 
 impl<'a> ScriptedRequest<'a> {
@@ -367,6 +369,7 @@
             body: Bytes::from_static(b"a body"),
             disconnects_after: None,
             body_pause: Duration::ZERO,
+            listens_after: Duration::ZERO,
         }
     }
 
@@ -415,10 +418,22 @@
         )
         .await;
         response.elapsed = began.elapsed();
+        if !self.listens_after.is_zero() && has_bytes(&mut stream, self.listens_after).await {
+            response.unexpected_bytes = true;
+        }
         response
     }
 }
 
+/// Whether a byte arrives within this time.
+async fn has_bytes(stream: &mut Socket, within: Duration) -> bool {
+    let mut buffer = BytesMut::new();
+    matches!(
+        timeout(within, reading::more(stream, &mut buffer)).await,
+        Ok(Ok(_))
+    )
+}
+
 async fn read(stream: &mut Socket, response: &mut Received) -> Option<()> {
     let mut buffer = BytesMut::new();
     let bytes = reading::head(stream, &mut buffer, head::RESPONSE_PREFIX, 64 << 10)
@@ -435,6 +450,7 @@
         }
         response.text = String::from_utf8_lossy(&buffer[..length]).into_owned();
         response.is_complete = true;
+        response.unexpected_bytes = buffer.len() > length;
         return Some(());
     }
     loop {
@@ -443,6 +459,7 @@
             Ok(ChunkEvent::Incomplete) => reading::more(stream, &mut buffer).await.ok()?,
             Ok(ChunkEvent::End) => {
                 response.is_complete = true;
+                response.unexpected_bytes = !buffer.is_empty();
                 return Some(());
             }
             Err(_) => {
