ORDER: events before malformed bytes are written before a stream is resumed

What callers would see: on a resumable route, a complete stream that lacks an event, where a server sends bytes that are no chunk in one write with it.

Cause: an event counted as received once it was read; malformed bytes ended the relay before it was written, and the next server continued behind it.

Ruled out: the splitter drops the event (the next request then would name none; it named event 1).

Change: at malformed bytes, complete events that were read are written first.

--- a/crates/sparrouter-fleet/src/platform/defects.rs
+++ b/crates/sparrouter-fleet/src/platform/defects.rs
@@ -208,6 +208,8 @@
     HandleNamesSuccessor => handles_expire,
     /// A response of any status and framing is resumed if its route is resumable.
     AnyResponseResumed => only_streams_resume,
+    /// Events that precede malformed bytes are not written, though the stream is resumed behind them.
+    EventsLostBeforeMalformedBytes => read_events_are_written,
 }
 #[cfg(feature = "injected-defects")]
 thread_local! {
--- a/crates/sparrouter-fleet/src/proxy/exchange/relay.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/relay.rs
@@ -85,7 +85,7 @@
         loop {
             let state = read_available(&mut body, &mut connection.buffer, &mut pending, client);
             if state == ReadState::Broken {
-                return RelayOutcome::Broken;
+                return self.end_broken(&mut pending, client).await;
             }
             let is_complete = state == ReadState::Complete;
             // Until a byte has been written the request may be retried at another server, if its route is idempotent.
@@ -108,6 +108,19 @@
         }
     }
 
+    /// The outcome of a malformed body. A resumed stream goes on behind the last event that was read, so the client must
+    /// have the events that precede the malformed bytes.
+    async fn end_broken(&self, pending: &mut Pending, client: &mut ClientSide<'_>) -> RelayOutcome {
+        let has_events = pending.splits_events && client.last_event_id().is_some();
+        if has_events
+            && rules::read_events_are_written()
+            && let Err(outcome) = self.write(pending, client).await
+        {
+            return outcome;
+        }
+        RelayOutcome::Broken
+    }
+
     /// Prepares the response head, unless the client already has one.
     fn begin_relay(&self, head: &ResponseHead, client: &ClientSide<'_>) -> Pending {
         let is_success = (200..300).contains(&head.status);
--- a/crates/sparrouter-simulation/tests/broken_responses.rs
+++ b/crates/sparrouter-simulation/tests/broken_responses.rs
@@ -238,6 +238,13 @@
     cases
 }
 
+/// Successes with malformed bytes behind their first event.
+fn malformed_successes() -> Vec<Case> {
+    let mut cases = Case::all();
+    cases.retain(|case| case.status < 300 && case.break_point == BreakPoint::RotBehindFirstEvent);
+    cases
+}
+
 fn assert_all_right(cases: Vec<Case>) {
     let (count, wrong) = (cases.len(), wrong_responses(300, cases));
     assert!(
@@ -270,3 +277,18 @@
     cases.retain(|case| case.status < 300 && case.break_point != BreakPoint::RotBehindFirstEvent);
     assert_all_right(cases);
 }
+
+/// Guards against a stream that goes on behind an event which the client never got, as malformed bytes followed it.
+#[test]
+fn given_a_stream_with_malformed_bytes_behind_an_event_then_it_goes_on_behind_what_the_client_has()
+{
+    assert_all_right(malformed_successes());
+}
+
+#[test]
+fn given_events_lost_before_malformed_bytes_when_streams_are_resumed_then_it_is_found() {
+    inject(Some(Defect::EventsLostBeforeMalformedBytes));
+    let wrong = wrong_responses(300, malformed_successes());
+    inject(None);
+    assert!(!wrong.is_empty());
+}
