Replication: enough replicas are counted by the group where it is known

By reading: how many control nodes must have a departure was bounded by the control nodes that a node knows, also where its own group has more members, or where it knows none. No run shows a wrong acknowledgement: a node that starts alone counts itself as the one control node, and refuses (the new test held before this change as well).

Now the members of the group count too, and one replica is always needed.

--- a/crates/sparrouter-fleet/src/membership/replication.rs
+++ b/crates/sparrouter-fleet/src/membership/replication.rs
@@ -2,7 +2,7 @@
 //! all processes, and of as many machines with their disks as the deployment tolerates, so they are on enough disks before
 //! the server gets its acknowledgement.
 use super::notify::notify;
-use crate::control::Control;
+use crate::control::{CONFIG, Control};
 use crate::node::Node;
 use crate::platform::defects::rules;
 use sparrouter_membership::{MembershipDelta, NodeRecord};
@@ -17,7 +17,7 @@
 
 /// On how many disks a record must be.
 struct RequiredReplicas {
-    /// Number of control nodes, 1 or more if one is known.
+    /// Number of control nodes, 1 or more.
     machines: usize,
     /// Number of different zones.
     zones: usize,
@@ -26,16 +26,19 @@
 }
 
 impl RequiredReplicas {
-    /// One more than may be lost at a time, but not more than there are.
-    fn of(node: &Node) -> RequiredReplicas {
+    /// One more than may be lost at a time, but not more than there are. A node that knows no control node yet can't
+    /// replicate anything.
+    fn of(node: &Node, control: Option<&Rc<Control>>) -> RequiredReplicas {
         let live = node.live_nodes();
         let control_nodes = live.control_records();
+        let members = control.map_or(0, |control| control.members(CONFIG).len());
         let settings = node.settings.borrow();
         let beyond = |tolerated: u32| tolerated as usize + 1;
         RequiredReplicas {
             machines: beyond(settings.tolerated_machines)
                 .max(MIN_REPLICAS)
-                .min(control_nodes.len()),
+                .min(control_nodes.len().max(members))
+                .max(1),
             zones: beyond(settings.tolerated_zones).min(zones(control_nodes).len()),
             regions: beyond(settings.tolerated_regions).min(regions(control_nodes).len()),
         }
@@ -72,7 +75,7 @@
     timeout: Duration,
 ) -> bool {
     let deadline = tokio::time::Instant::now() + timeout;
-    let required = RequiredReplicas::of(node);
+    let required = RequiredReplicas::of(node, control);
     let mut acknowledgements = notify(node, delta, timeout);
     let stored_here = store_here(node, control);
     tokio::pin!(stored_here);
--- a/crates/sparrouter-simulation/tests/departures.rs
+++ b/crates/sparrouter-simulation/tests/departures.rs
@@ -153,6 +153,22 @@
     });
 }
 
+/// Guards against a node that counts no known control node as enough.
+#[test]
+fn given_a_node_that_knows_no_control_node_then_it_acknowledges_no_departure() {
+    run_checked(|| async {
+        let cluster = SimulatedCluster::new(settings(6));
+        let node = "edge-0";
+        cluster.start(node, true);
+        sleep(SECOND).await;
+        let network = cluster.outside_network();
+        let (to, path) = (cluster.control_of(node), "/api/instances/i-gone");
+        let removal = http_messages::call(&network, to, "DELETE", path, &[], "", SERVER_WAITS);
+        assert_eq!(removal.await.expect("a reply").status, 503);
+        cluster
+    });
+}
+
 #[test]
 fn given_departures_that_are_not_stored_when_machines_are_lost_then_it_is_found() {
     for loss in LOSSES {
