--- a/crates/sparrouter-simulation/examples/hunt.rs
+++ b/crates/sparrouter-simulation/examples/hunt.rs
@@ -8,6 +8,7 @@
 //! | `--scenario` | print the event trace of each day, with each request |
 //! | `--shrink` | print a smallest day that still has a violation |
 //! | `--strict` | play each day under the strictest rules |
+//! | `--departures` | play each day with servers that leave right beside faults of nodes, and that break off failures |
 //! | `--hot` | play each day with tenants far above their limits, which hold without overage or grace |
 //! | `--defect NAME` | inject a defect first (`sparrouter_fleet::platform::defects`) |
 //! | `--planted` | inject each defect in turn, and print after how many days it was found |
@@ -31,6 +32,7 @@
     shrink: bool,
     strict: bool,
     hot: bool,
+    departures: bool,
     print_trace: bool,
     go_on: bool,
 }
@@ -51,6 +53,7 @@
             shrink: has("--shrink"),
             strict: has("--strict"),
             hot: has("--hot"),
+            departures: has("--departures"),
             print_trace: has("--story"),
             go_on: has("--all"),
         }
@@ -65,6 +68,9 @@
         if self.hot {
             scenario = scenario.with_hot_tenants();
         }
+        if self.departures {
+            scenario = scenario.with_departures();
+        }
         scenario
     }
 
@@ -91,21 +97,21 @@
 }
 
 /// The first seed whose day has a violation with the defect, and none without it.
-fn find_defect(defect: Defect, seeds: std::ops::Range<u64>) -> Option<Finding> {
-    seeds.into_iter().find_map(|seed| {
+fn find_defect(defect: Defect, options: &Options) -> Option<Finding> {
+    options.seeds().find_map(|seed| {
         inject(Some(defect));
-        let finding = violated_rules(seed).map(|rules| Finding { seed, rules });
+        let finding = violated_rules(&options.scenario(seed)).map(|rules| Finding { seed, rules });
         inject(None);
         finding.filter(|_| {
-            let without = play(&Scenario::from_seed(seed));
+            let without = play(&options.scenario(seed));
             without.is_some_and(|report| report.violations.is_empty())
         })
     })
 }
 
 /// The rules that a day violates; `None` if it violates none.
-fn violated_rules(seed: u64) -> Option<String> {
-    let Some(report) = play(&Scenario::from_seed(seed)) else {
+fn violated_rules(scenario: &Scenario) -> Option<String> {
+    let Some(report) = play(scenario) else {
         return Some("the day could not be played to its end".to_owned());
     };
     let names = report.violations.iter().filter_map(|v| v.split(':').next());
@@ -137,12 +143,12 @@
     let is_wanted = |defect: &&Defect| options.defect.is_none_or(|only| only == **defect);
     for defect in Defect::ALL.iter().filter(is_wanted).copied() {
         let started_at = Instant::now();
-        let finding = find_defect(defect, options.seeds());
+        let finding = find_defect(defect, options);
         let seconds = started_at.elapsed().as_secs_f64();
         match finding {
             Some(Finding { seed, rules }) if options.shrink => {
                 inject(Some(defect));
-                let smallest = smallest(&Scenario::from_seed(seed));
+                let smallest = smallest(&options.scenario(seed));
                 println!("{defect:?} from {seed} {smallest}; then {rules}");
                 inject(None);
             }
--- a/crates/sparrouter-simulation/src/checkers/response_integrity.rs
+++ b/crates/sparrouter-simulation/src/checkers/response_integrity.rs
@@ -2,7 +2,7 @@
 
 use super::{Checker, Context};
 use crate::monitor::{AttemptRecord, ClientResponse, Observations};
-use crate::server::{ResponseSpec, body_of};
+use crate::server::{FAILURE_STATUS, ResponseSpec, body_of, failure_of};
 
 /// See the module.
 pub(super) struct ResponseIntegrity;
@@ -32,6 +32,18 @@
         .then(|| format!("got another body than run {run} made"))
 }
 
+/// Why a complete failure with a seal is not the one that a run gave.
+fn defect_of_failure(response: &ClientResponse, runs: &[u64]) -> Option<String> {
+    if !response.is_complete || response.seal.is_none() {
+        return None;
+    }
+    let Some(run) = sealed_run(response, runs) else {
+        return Some(format!("got a failure under the seal {:?}", response.seal));
+    };
+    let is_given = response.status == FAILURE_STATUS && response.body == failure_of(run).as_bytes();
+    (!is_given).then(|| format!("got another failure than run {run} gave"))
+}
+
 impl Checker for ResponseIntegrity {
     fn response_received(
         &mut self,
@@ -51,9 +63,12 @@
         {
             context.violated("MIXED", format!("{id} got the response of {other}"));
         }
-        if matches!(response.status, 200..=299)
-            && let Some(defect) = defect_of_success(response, &record.runs, context.observations)
-        {
+        let defect = match response.status {
+            200..=299 => defect_of_success(response, &record.runs, context.observations),
+            300.. => defect_of_failure(response, &record.runs),
+            _ => None,
+        };
+        if let Some(defect) = defect {
             context.violated("MIXED", format!("{id} {defect}"));
         }
     }
--- a/crates/sparrouter-simulation/src/faults/schedule.rs
+++ b/crates/sparrouter-simulation/src/faults/schedule.rs
@@ -1,6 +1,6 @@
 //! Which faults happen in a scenario, and when.
 
-use super::{ALL, Fault, THEMES};
+use super::{ALL, BESIDE_DEPARTURES, Fault, THEMES};
 use fastrand::Rng;
 use std::fmt;
 use std::time::Duration;
@@ -61,6 +61,18 @@
         FaultSchedule(faults)
     }
 
+    /// The same with one to three faults beside departures.
+    pub(crate) fn with_departures(mut self, rng: &mut Rng) -> FaultSchedule {
+        for _ in 0..rng.usize(1..4) {
+            self.0.push(ScheduledFault {
+                begins_after: Duration::from_millis(rng.u64(..LENGTH_MS)),
+                fault: BESIDE_DEPARTURES[rng.usize(..BESIDE_DEPARTURES.len())],
+            });
+        }
+        self.0.sort_by_key(|scheduled| scheduled.begins_after);
+        self
+    }
+
     /// Number of faults.
     pub fn len(&self) -> usize {
         self.0.len()
--- a/crates/sparrouter-simulation/src/faults/servers.rs
+++ b/crates/sparrouter-simulation/src/faults/servers.rs
@@ -169,6 +169,22 @@
     respond_badly(run, faults).await;
 }
 
+pub(super) async fn break_off_failures(run: &ScenarioRun) {
+    let faults = ServerFaults {
+        fails: 0.3,
+        ..ServerFaults::default()
+    };
+    respond_badly(run, faults).await;
+}
+
+pub(super) async fn rot_streams(run: &ScenarioRun) {
+    let faults = ServerFaults {
+        rots: 0.3,
+        ..ServerFaults::default()
+    };
+    respond_badly(run, faults).await;
+}
+
 pub(super) async fn break_off(run: &ScenarioRun) {
     let faults = ServerFaults {
         breaks: 0.3,
--- a/crates/sparrouter-simulation/src/scenario/mod.rs
+++ b/crates/sparrouter-simulation/src/scenario/mod.rs
@@ -35,6 +35,9 @@
 /// Separates the random numbers that draw hot tenants from all others of the same seed.
 const HOT_TENANTS_SEED: u64 = 0x4074;
 
+/// Separates the random numbers that draw faults beside departures from all others of the same seed.
+const DEPARTURES_SEED: u64 = 0xde9a;
+
 /// What happens to the whole fleet at the end of the faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalFault {
@@ -157,6 +160,14 @@
         self
     }
 
+    /// The same scenario with more faults: of nodes, right beside servers that leave, and of servers that break off failures.
+    /// No other draw changes.
+    pub fn with_departures(mut self) -> Scenario {
+        let mut rng = Rng::with_seed(self.seed ^ DEPARTURES_SEED);
+        self.faults = self.faults.with_departures(&mut rng);
+        self
+    }
+
     /// A smaller scenario for which `still_fails` is true. Every fault is left out that can be, one after the other, the
     /// last first.
     pub fn shrink(&self, still_fails: impl Fn(&Scenario) -> bool) -> Restriction {
--- a/crates/sparrouter-simulation/src/server/mod.rs
+++ b/crates/sparrouter-simulation/src/server/mod.rs
@@ -20,7 +20,7 @@
 mod rollout;
 mod runs;
 
-pub use responses::{ResponseSpec, body_of, event_of};
+pub use responses::{FAILURE_STATUS, ResponseSpec, body_of, event_of, failure_of};
 
 use crate::http_messages::{next_call, response_text};
 use crate::monitor::{CachedBlock, Monitor};
@@ -68,6 +68,10 @@
     pub garbles: f64,
     /// Never responds.
     pub hangs: f64,
+    /// Sends malformed bytes in a stream, in one write with the event before them, and closes.
+    pub rots: f64,
+    /// Responds with a failure; every other one breaks off in its body.
+    pub fails: f64,
 }
 
 /// Identity and speed of a server.
--- a/crates/sparrouter-simulation/src/server/responses.rs
+++ b/crates/sparrouter-simulation/src/server/responses.rs
@@ -45,6 +45,14 @@
         .collect()
 }
 
+/// HTTP status of a run that fails: none that a node gives of its own.
+pub const FAILURE_STATUS: u16 = 410;
+
+/// The body of a run that fails.
+pub fn failure_of(run: u64) -> String {
+    format!("run {run} failed: this server has the path no more\n")
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
@@ -82,6 +90,10 @@
             return ConnectionFate::Close;
         }
         let fields = self.response_fields(request.attempt_id(), run);
+        if self.happens(faults.fails) {
+            self.monitor.server_faulted(run);
+            return self.send_failure(socket, run, &fields).await;
+        }
         let spec = ResponseSpec::of_path(request.path);
         let sent = if spec.is_stream {
             let first = request.last_event_id();
@@ -106,6 +118,22 @@
         )
     }
 
+    /// Sends a failure, or breaks off in its body.
+    async fn send_failure(&self, socket: &mut Socket, run: u64, fields: &str) -> ConnectionFate {
+        let response = response_text(FAILURE_STATUS, fields, &failure_of(run));
+        let (sent, fate) = if self.rng.borrow_mut().bool() {
+            (&response[..], ConnectionFate::KeepOpen)
+        } else {
+            let missing = failure_of(run).len() / 2;
+            let end = response.len() - missing;
+            (&response[..end], ConnectionFate::Close)
+        };
+        match socket.write_all(sent.as_bytes()).await {
+            Ok(()) => fate,
+            Err(_) => ConnectionFate::Close,
+        }
+    }
+
     async fn send_body(
         &self,
         socket: &mut Socket,
@@ -140,8 +168,17 @@
         let breaks_after = self
             .happens(faults.breaks)
             .then(|| self.rng.borrow_mut().u64(first..=count));
+        let rots_after = self
+            .happens(faults.rots)
+            .then(|| self.rng.borrow_mut().u64(first + 1..=count.max(first + 1)));
         for event in first + 1..=count {
             let text = event_of(run, event);
+            if rots_after == Some(event) {
+                self.monitor.server_faulted(run);
+                let rotten = format!("{}no chunk\r\n", chunk(&text));
+                socket.write_all(rotten.as_bytes()).await?;
+                return Ok(ConnectionFate::Close);
+            }
             if breaks_after == Some(event - 1) {
                 self.monitor.server_faulted(run);
                 return self.break_off(socket, &text).await;
--- a/crates/sparrouter-simulation/tests/departures.rs
+++ b/crates/sparrouter-simulation/tests/departures.rs
@@ -5,6 +5,7 @@
 use sparrouter_simulation::http_messages;
 use sparrouter_simulation::load::ClientLoad;
 use sparrouter_simulation::runtime::{play, run_checked};
+use sparrouter_simulation::scenario::{self, Scenario};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -169,6 +170,16 @@
     });
 }
 
+/// Drawn days with servers that leave right beside faults of nodes, and that break off failures and streams.
+#[test]
+fn given_drawn_days_with_departures_then_no_rule_is_violated() {
+    for seed in 1..7 {
+        let scenario = Scenario::from_seed(seed).with_departures();
+        let violations = play(scenario::play(&scenario)).violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
+
 #[test]
 fn given_departures_that_are_not_stored_when_machines_are_lost_then_it_is_found() {
     for loss in LOSSES {
--- a/crates/sparrouter-simulation/tests/injected_defects.rs
+++ b/crates/sparrouter-simulation/tests/injected_defects.rs
@@ -9,11 +9,21 @@
 const ATTEMPTS: usize = 3;
 
 fn is_detected(defect: Defect, seed: u64, indices: &[usize], final_fault: bool) -> bool {
-    inject(Some(defect));
     let scenario = Scenario::from_seed(seed).restricted_to(indices, final_fault);
+    is_detected_in(defect, &scenario)
+}
+
+/// Whether the defect is found by these faults of a day with faults beside departures.
+fn is_detected_beside_departures(defect: Defect, seed: u64, indices: &[usize]) -> bool {
+    let scenario = Scenario::from_seed(seed).with_departures();
+    is_detected_in(defect, &scenario.restricted_to(indices, false))
+}
+
+fn is_detected_in(defect: Defect, scenario: &Scenario) -> bool {
+    inject(Some(defect));
     let detected = (0..ATTEMPTS).any(|_| {
         // A core may notice it itself, by an assertion without which the scenario cannot go on.
-        let played = catch_unwind(AssertUnwindSafe(|| play(scenario::play(&scenario))));
+        let played = catch_unwind(AssertUnwindSafe(|| play(scenario::play(scenario))));
         played.map_or(true, |report| !report.violations.is_empty())
     });
     inject(None);
@@ -56,3 +66,21 @@
     the_answer_to_another_request: ForeignAnswer in 33 [5, 6], false;
     no_server_called_no_route: NoServerReportedAsNoRoute in 12 [4], false;
 }
+
+macro_rules! detected_beside_departures {
+    ($($name:ident: $defect:ident in $seed:literal $indices:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let detected = is_detected_beside_departures(Defect::$defect, $seed, &$indices);
+            assert!(detected, "{:?} is not found any more: hunt for a day that does", Defect::$defect);
+        }
+    )*};
+}
+
+// The example `hunt` prints these with `--departures --planted --shrink`.
+detected_beside_departures! {
+    a_server_known_by_its_place: HandleNamesSuccessor in 4 [0, 1];
+    any_response_resumed: AnyResponseResumed in 2 [0, 3];
+    a_departure_in_memory_only: DepartureNotStored in 3 [6];
+    events_lost_before_malformed_bytes: EventsLostBeforeMalformedBytes in 7 [0, 1, 2, 3, 6, 8, 10];
+}
