--- a/crates/sparrouter-simulation/src/faults/departures.rs
+++ b/crates/sparrouter-simulation/src/faults/departures.rs
@@ -14,12 +14,12 @@
 const SERVES_ON_MS: std::ops::Range<u64> = 6_000..12_000;
 /// A service keeps so many servers.
 const MIN_SERVERS: usize = 2;
-/// Servers that are replaced beside a frozen lease holder.
+/// Servers that are replaced beside a frozen lease owner.
 const REPLACED: usize = 3;
 /// Time until the servers and the load of a replacement are there.
 const PREPARATION: Duration = Duration::from_secs(3);
 
-/// A tenant far within its limit, so that its requests wait for permits only if a lease holder does not answer.
+/// A tenant far within its limit, so that its requests wait for permits only if a lease owner does not answer.
 const TENANT: &str = "released";
 const TENANT_KEY: &str = "key-of-released";
 const TENANT_QUOTA: Quota = Quota {
@@ -91,7 +91,7 @@
 }
 
 /// Replaces servers by others of another service while the machine that holds most leases is frozen.
-pub(super) async fn replace_beside_frozen_holder(run: &ScenarioRun) {
+pub(super) async fn replace_beside_frozen_lease_owner(run: &ScenarioRun) {
     let _lost = run.core_lock.lock().await;
     let cluster = &run.cluster;
     add_tenant(run).await;
@@ -105,10 +105,10 @@
     };
     let load = TenantLoad::start(cluster, demand);
     sleep(PREPARATION).await;
-    let Some(holder) = busiest_holder(cluster).await else {
+    let Some(owner) = node_with_most_leases(cluster).await else {
         return load.stop().await;
     };
-    cluster.freeze(&holder, true);
+    cluster.freeze(&owner, true);
     let leaving = servers_to_replace(run);
     for id in &leaving {
         run.pause(0..20).await;
@@ -120,7 +120,7 @@
         run.pause(0..10).await;
     }
     run.pause(500..4_000).await;
-    cluster.freeze(&holder, false);
+    cluster.freeze(&owner, false);
     load.stop().await;
     sleep(CATCH_UP).await;
 }
@@ -145,7 +145,7 @@
 }
 
 /// The core machine that would take the most leases, by the views of all.
-async fn busiest_holder(cluster: &SimulatedCluster) -> Option<String> {
+async fn node_with_most_leases(cluster: &SimulatedCluster) -> Option<String> {
     let mut busiest: Option<(usize, String)> = None;
     for name in cluster.running_core() {
         let mut leases = 0;
--- a/crates/sparrouter-simulation/src/faults/mod.rs
+++ b/crates/sparrouter-simulation/src/faults/mod.rs
@@ -156,7 +156,7 @@
         /// All processes are killed, or all machines lose power, right after it was acknowledged that a server leaves.
         KillAfterDeparture => departures::kill_all_after_acknowledgement,
         /// Servers leave and others of another service are added, while requests wait for permits from a frozen lease holder.
-        ReplacedBesideFrozenHolder => departures::replace_beside_frozen_holder,
+        ReplacedBesideFrozenLeaseOwner => departures::replace_beside_frozen_lease_owner,
         /// A server responds with failures, and breaks some of them off.
         BrokenFailures => servers::break_off_failures,
         /// A server sends malformed bytes behind an event of some of its streams.
--- a/crates/sparrouter-simulation/tests/broken_responses.rs
+++ b/crates/sparrouter-simulation/tests/broken_responses.rs
@@ -120,14 +120,14 @@
 
     /// What of the first body is sent, and whether malformed bytes follow.
     fn first_body(&self) -> (String, bool) {
-        let whole = events("first", 1..=EVENTS);
+        let complete = events("first", 1..=EVENTS);
         let first_event = event("first", 1).len();
         match self.break_point {
             BreakPoint::BehindHead => (String::new(), false),
-            BreakPoint::InFirstEvent => (whole[..first_event / 2].to_owned(), false),
-            BreakPoint::BehindFirstEvent => (whole[..first_event].to_owned(), false),
-            BreakPoint::InLastEvent => (whole[..whole.len() - 3].to_owned(), false),
-            BreakPoint::RotBehindFirstEvent => (whole[..first_event].to_owned(), true),
+            BreakPoint::InFirstEvent => (complete[..first_event / 2].to_owned(), false),
+            BreakPoint::BehindFirstEvent => (complete[..first_event].to_owned(), false),
+            BreakPoint::InLastEvent => (complete[..complete.len() - 3].to_owned(), false),
+            BreakPoint::RotBehindFirstEvent => (complete[..first_event].to_owned(), true),
         }
     }
 
--- a/crates/sparrouter-simulation/tests/departures.rs
+++ b/crates/sparrouter-simulation/tests/departures.rs
@@ -122,7 +122,7 @@
     1..1 + 3 * times
 }
 
-fn holds_after(loss: Loss) {
+fn assert_binds_after(loss: Loss) {
     for departure in DEPARTURES {
         for seed in seeds() {
             run_checked(|| lost_after_departure(seed, departure, loss));
@@ -195,24 +195,24 @@
 /// Guards against a departure that was acknowledged while only memory had it.
 #[test]
 fn given_a_departure_when_the_core_is_killed_right_after_the_acknowledgement_then_it_binds() {
-    holds_after(Loss::CoreKilled);
+    assert_binds_after(Loss::CoreKilled);
 }
 
 /// Guards against a departure that was acknowledged while only memory had it, where no other machine remembers it.
 #[test]
 fn given_a_departure_when_all_processes_are_killed_right_after_the_acknowledgement_then_it_binds() {
-    holds_after(Loss::AllKilled);
+    assert_binds_after(Loss::AllKilled);
 }
 
 /// Guards against a departure that was written and not synced.
 #[test]
 fn given_a_departure_when_all_machines_lose_power_right_after_the_acknowledgement_then_it_binds() {
-    holds_after(Loss::AllPowerLost);
+    assert_binds_after(Loss::AllPowerLost);
 }
 
 /// Guards against a departure that is on as many disks only as may be lost.
 #[test]
 fn given_a_departure_when_power_and_one_disk_are_lost_right_after_the_acknowledgement_then_it_binds()
  {
-    holds_after(Loss::AllPowerAndOneDiskLost);
+    assert_binds_after(Loss::AllPowerAndOneDiskLost);
 }
--- a/crates/sparrouter-simulation/tests/lost_answers.rs
+++ b/crates/sparrouter-simulation/tests/lost_answers.rs
@@ -31,6 +31,8 @@
     surplus: 0.0,
     garbles: 0.0,
     hangs: 0.0,
+    rots: 0.0,
+    fails: 0.0,
 };
 const SILENCE: ServerFaults = ServerFaults {
     resets: 0.0,
--- a/crates/sparrouter-simulation/tests/server_replacement.rs
+++ b/crates/sparrouter-simulation/tests/server_replacement.rs
@@ -12,13 +12,13 @@
 use tokio::time::sleep;
 
 const SECOND: Duration = Duration::from_secs(1);
-/// Time that the lease holder is frozen, during which requests wait for permits.
+/// Time that the lease owner is frozen, during which requests wait for permits.
 const FREEZE: Duration = Duration::from_secs(4);
 /// Number of servers that leave, one after the other, each followed by a new one of another service.
 const REPLACED: usize = 6;
 /// Requests a second of the tenant, far within its limit.
 const RATE_PER_S: f64 = 100.0;
-/// Requests to each node that are sent when the holder freezes.
+/// Requests to each node that are sent when the owner freezes.
 const BURST: usize = 60;
 const BUSY: Limited = Limited {
     name: "busy",
@@ -33,15 +33,15 @@
 }
 
 /// The machine that holds the most lease shards, so that most permits come from it.
-async fn busiest_holder(cluster: &SimulatedCluster) -> String {
-    let holders = holders(cluster).await.concat();
-    let shards = |name: &String| holders.iter().filter(|holder| *holder == name).count();
+async fn node_with_most_leases(cluster: &SimulatedCluster) -> String {
+    let owners = holders(cluster).await.concat();
+    let shards = |name: &String| owners.iter().filter(|owner| *owner == name).count();
     let busiest = cluster.core().into_iter().max_by_key(shards);
     busiest.expect("a core machine")
 }
 
 /// Servers of one service leave and servers of another are added, while requests that have selected a server wait for their
-/// permits from a holder that is frozen.
+/// permits from a owner that is frozen.
 async fn replaced_while_requests_wait(seed: u64) -> Rc<SimulatedCluster> {
     let settings = settings(seed).servers(REPLACED + 3);
     let (cluster, _) = fleet(settings, &[BUSY]).await;
@@ -50,10 +50,10 @@
         .own_prompts()
         .start(RATE_PER_S);
     sleep(3 * SECOND).await;
-    let holder = busiest_holder(&cluster).await;
+    let owner = node_with_most_leases(&cluster).await;
     let leaving: Vec<String> = cluster.server_ids().into_iter().take(REPLACED).collect();
-    cluster.freeze(&holder, true);
-    for name in cluster.names().iter().filter(|name| **name != holder) {
+    cluster.freeze(&owner, true);
+    for name in cluster.names().iter().filter(|name| **name != owner) {
         load.burst(name, BURST);
     }
     for id in &leaving {
@@ -66,7 +66,7 @@
         sleep(ms(5)).await;
     }
     sleep(FREEZE).await;
-    cluster.freeze(&holder, false);
+    cluster.freeze(&owner, false);
     sleep(3 * SECOND).await;
     load.stop().await;
     cluster
