--- a/crates/sparrouter-simulation/tests/outliers.rs
+++ b/crates/sparrouter-simulation/tests/outliers.rs
@@ -15,6 +15,8 @@
     surplus: 0.0,
     garbles: 0.0,
     hangs: 0.0,
+    rots: 0.0,
+    fails: 0.0,
 };
 
 fn six_servers(seed: u64) -> ClusterSettings {
