--- a/crates/sparrouter-fleet-lab/src/addresses.rs
+++ b/crates/sparrouter-fleet-lab/src/addresses.rs
@@ -18,6 +18,8 @@
     pub internal: u16,
     /// Port of model servers.
     pub server: u16,
+    /// Port for metrics scrapers.
+    pub metrics: u16,
 }
 
 /// Maximum number of networks that are tried.
@@ -44,6 +46,7 @@
                 control: first_port + 2,
                 internal: first_port + 3,
                 server: first_port + 4,
+                metrics: first_port + 5,
             };
             let ports = [
                 addresses.front,
@@ -51,6 +54,7 @@
                 addresses.control,
                 addresses.internal,
                 addresses.server,
+                addresses.metrics,
             ];
             let is_free = |ip: IpAddr| ports.iter().all(|p| TcpListener::bind((ip, *p)).is_ok());
             if (0..nodes).all(|n| is_free(addresses.node(n)))
--- a/crates/sparrouter-fleet-lab/src/lib.rs
+++ b/crates/sparrouter-fleet-lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`scenario`] | scenario files: parsing and validation |
 //! | [`addresses`] | selection of free addresses under 127.0.0.0/8 |
 //! | [`machine`] | one node process of the fleet |
+//! | [`process_usage`] | what a process uses of its machine |
 //! | [`model_server`] | a simulated model server |
 //! | [`client`] | simulated clients, and the platform's readiness checks |
 //! | [`operator`] | configuration updates and versions of model weights |
@@ -20,6 +21,7 @@
 pub mod operator;
 pub mod page;
 pub mod play;
+pub mod process_usage;
 pub mod scenario;
 
 /// Name of the only model served.
--- a/crates/sparrouter-fleet-lab/src/machine.rs
+++ b/crates/sparrouter-fleet-lab/src/machine.rs
@@ -134,6 +134,33 @@
         SocketAddr::new(self.ip, self.addresses.control)
     }
 
+    /// Returns the address for metrics scrapers.
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.addresses.metrics)
+    }
+
+    /// Returns the id of the running process; `None` if no process is running.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.borrow().as_ref().and_then(Child::id)
+    }
+
+    /// Replaces the memory of the machine in the settings file, in MB. A running process keeps the former value.
+    ///
+    /// # Errors
+    ///
+    /// [`LabError::Write`] if the settings cannot be updated.
+    pub fn set_memory_mb(&self, memory_mb: u64) -> Result<(), LabError> {
+        let replacement = format!("limits.memory_mb={memory_mb}");
+        let text =
+            std::fs::read_to_string(&self.settings).map_err(|e| write_error(&self.settings, &e))?;
+        let lines = text.lines().map(|line| match line {
+            line if line.starts_with("limits.memory_mb=") => replacement.as_str(),
+            line => line,
+        });
+        let text = lines.collect::<Vec<_>>().join("\n");
+        std::fs::write(&self.settings, text + "\n").map_err(|e| write_error(&self.settings, &e))
+    }
+
     /// Starts the process.
     ///
     /// # Errors
@@ -144,6 +171,7 @@
         let log = log.map_err(|e| write_error(&self.log, &e))?;
         let spawned = Command::new(&self.program)
             .arg("proxy")
+            .args(["--metrics-port", &self.addresses.metrics.to_string()])
             .env("SPARROUTER_BOOT", &self.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
