Frontend: clients' requests hold a bounded part of the machine's memory in all

What callers saw: a process ended, as it ran out of memory: many large bodies, whole, in pieces or in chunks, most of them stopping just short of their end.

Cause: each request was bounded by itself (max_body_bytes); nothing bounded the sum over all connections, and limits.memory_mb was read and used nowhere. A buffer that doubles as it grows, and a chunked body that is copied out of it, added to it.

Change: RequestMemory counts bytes before they are allocated, from a request's first byte until its response is complete, and gives them back when the reservation is dropped. Clients may hold 0.3 of limits.memory_mb; a quarter of that is for requests of up to 64 KiB, so that ordinary requests get through while large bodies are refused. Without memory the answer is 503 with Retry-After and the connection is closed; where requests have stopped arriving for a second, these are refused instead, the first to stop before the others. Bodies are kept in segments of up to 64 KiB: no copies while they grow, and what one leaves in the allocator fits the next. Bytes read ahead behind a request are counted too.

Why it works: every byte of a body is reserved before its segment exists, in one place; memory is then at most the pool and what the process holds without clients.

Tests that built or compared a body use the new type (contiguous()), with the same expected bytes.

--- a/crates/sparrouter-fleet-lab/src/model_server.rs
+++ b/crates/sparrouter-fleet-lab/src/model_server.rs
@@ -5,8 +5,10 @@
 use bytes::BytesMut;
 use miniserde::{Deserialize, json};
 use sparrouter_fleet::client::call::{Call, Outcome, send_once};
-use sparrouter_fleet::platform::http::{self, ReadLimits, Request};
+use sparrouter_fleet::platform::http;
+use sparrouter_fleet::platform::memory::MemoryPool;
 use sparrouter_fleet::platform::net::Sockets;
+use sparrouter_fleet::platform::request::{ReadLimits, Request, RequestReader};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -244,9 +246,13 @@
         let mut buffer = BytesMut::new();
         loop {
             let deadline = Instant::now() + IDLE_TIMEOUT;
-            let Ok(request) =
-                http::read_request(&mut stream, &mut buffer, READ_LIMITS, deadline).await
-            else {
+            let mut reader = RequestReader {
+                stream: &mut stream,
+                buffer: &mut buffer,
+                reservation: &mut MemoryPool::unlimited().reserve(),
+                deadline,
+            };
+            let Ok(request) = reader.read(READ_LIMITS).await else {
                 return;
             };
             let method = &request.head.method[..];
@@ -298,7 +304,8 @@
 
     /// Handles an order to load new weights; returns the response.
     fn accept_order(self: Rc<Self>, request: &Request) -> String {
-        let text = std::str::from_utf8(&request.body).unwrap_or_default();
+        let body = request.body.contiguous();
+        let text = std::str::from_utf8(&body).unwrap_or_default();
         let Ok(order) = json::from_str::<OrderBody>(text) else {
             return plain_response(400, "", "");
         };
@@ -368,7 +375,7 @@
             id: id.clone(),
             instance: self.settings.id.clone(),
             path: String::from_utf8_lossy(&request.head.target).into_owned(),
-            body: String::from_utf8_lossy(&request.body).into_owned(),
+            body: String::from_utf8_lossy(&request.body.contiguous()).into_owned(),
             began_at: Instant::now(),
             version: self.version.get(),
             resumed,
--- a/crates/sparrouter-fleet/src/api/control.rs
+++ b/crates/sparrouter-fleet/src/api/control.rs
@@ -4,8 +4,9 @@
 use crate::control::configuration_state::{Change, Verdict};
 use crate::control::{self, ChangeAnswer, ChangeError};
 use crate::platform::defects::rules;
-use crate::platform::http::{Request, Response};
+use crate::platform::http::Response;
 use crate::platform::query;
+use crate::platform::request::Request;
 use sparrouter_codec::Blob;
 use std::rc::Rc;
 use std::time::Duration;
@@ -72,7 +73,7 @@
     let (node, control) = (&services.node, services.control.as_ref());
     let registry = &services.registry;
     registry
-        .handle_heartbeat(node, control, id, &request.body)
+        .handle_heartbeat(node, control, id, &request.body.contiguous())
         .await
 }
 
@@ -107,7 +108,7 @@
                 let text = "If-Match must be the number of the version that the change builds on";
                 Response::plain(400, text)
             })?;
-        let body = Blob(request.body.to_vec());
+        let body = Blob(request.body.contiguous().into_owned());
         Ok(Submission { if_match, body })
     }
 }
@@ -137,7 +138,8 @@
 }
 
 async fn name_version(services: Rc<ControlServices>, request: Rc<Request>) -> Response {
-    let text = std::str::from_utf8(&request.body).unwrap_or_default();
+    let body = request.body.contiguous();
+    let text = std::str::from_utf8(&body).unwrap_or_default();
     let Ok(body) = miniserde::json::from_str::<NamedVersionBody>(text) else {
         let text = "the body must be a JSON object with model and version";
         return Response::plain(400, text);
--- a/crates/sparrouter-fleet/src/api/endpoint.rs
+++ b/crates/sparrouter-fleet/src/api/endpoint.rs
@@ -1,6 +1,8 @@
 //! HTTP endpoints for servers, operators and readiness checks: a tree of handlers by path and method.
-use crate::platform::http::{self, ReadLimits, Request, RequestReadError, Response};
+use crate::platform::http::{self, Response};
+use crate::platform::memory::MemoryPool;
 use crate::platform::net::{self, Listener, Stream};
+use crate::platform::request::{ReadLimits, Request, RequestReadError, RequestReader};
 use bytes::BytesMut;
 use sparrouter_http::reading;
 use std::future::Future;
@@ -163,18 +165,21 @@
             }
         }
         let deadline = Instant::now() + REQUEST_TIMEOUT;
-        let (response, keep_alive) =
-            match http::read_request(&mut stream, &mut buffer, limits, deadline).await {
-                Ok(request) => {
-                    let asks_keep_alive = request.head.keep_alive;
-                    let response = tree.respond(Rc::new(request)).await;
-                    (response, asks_keep_alive && may_stay_open())
-                }
-                Err(RequestReadError::Left) => return,
-                Err(RequestReadError::Refused(status, text)) => {
-                    (Response::plain(status, text), false)
-                }
-            };
+        let mut reader = RequestReader {
+            stream: &mut stream,
+            buffer: &mut buffer,
+            reservation: &mut MemoryPool::unlimited().reserve(),
+            deadline,
+        };
+        let (response, keep_alive) = match reader.read(limits).await {
+            Ok(request) => {
+                let asks_keep_alive = request.head.keep_alive;
+                let response = tree.respond(Rc::new(request)).await;
+                (response, asks_keep_alive && may_stay_open())
+            }
+            Err(RequestReadError::Left | RequestReadError::MemoryExhausted) => return,
+            Err(RequestReadError::Refused(status, text)) => (Response::plain(status, text), false),
+        };
         // The timeout closes the connection of a client that does not read its response.
         let written = timeout(WRITE_TIMEOUT, stream.write_all(&response.bytes(keep_alive))).await;
         if !matches!(written, Ok(Ok(()))) {
--- a/crates/sparrouter-fleet/src/api/metrics.rs
+++ b/crates/sparrouter-fleet/src/api/metrics.rs
@@ -7,6 +7,7 @@
 use crate::control::{Control, LEASE_SHARDS};
 use crate::node::Node;
 use crate::node::counters::Counters;
+use crate::platform::memory::MemoryPool;
 use sparrouter_routing::Timestamp;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
     versions(&mut page, node);
     servers(&mut page, node);
     counters(&mut page, &node.counters);
+    request_memory(&mut page, node);
     quotas(&mut page, node, control.is_some());
     tenants(&mut page, node);
     page.text
@@ -169,6 +171,29 @@
     line("quota_unavailable_total", &counters.quota_unavailable);
 }
 
+/// The memory for requests by pool. The text format requires that samples of one name are adjacent.
+fn request_memory(page: &mut Page, node: &Node) {
+    let pools = [&*node.memory.clients, &*node.memory.control];
+    let mut lines = |name: &str, value: &dyn Fn(&MemoryPool) -> f64| {
+        for pool in pools {
+            page.line(name, &[("pool", pool.name)], value(pool));
+        }
+    };
+    lines("request_memory_bytes", &|pool| pool.held_bytes() as f64);
+    lines("request_memory_peak_bytes", &|pool| {
+        pool.peak_bytes() as f64
+    });
+    lines("request_memory_limit_bytes", &|pool| {
+        pool.limit_bytes as f64
+    });
+    lines("request_memory_refused_total", &|pool| {
+        pool.refused() as f64
+    });
+    lines("request_memory_evicted_total", &|pool| {
+        pool.evicted() as f64
+    });
+}
+
 /// Quotas by shard: the permits that this node grants if it holds the shard's lease, and whether the lease holder is
 /// unavailable. The counts of permits start at 0 each time the lease is acquired. The text format requires that samples
 /// of one name are adjacent.
--- a/crates/sparrouter-fleet/src/node/mod.rs
+++ b/crates/sparrouter-fleet/src/node/mod.rs
@@ -40,6 +40,7 @@
 use crate::peer::messages::QUOTA_HELLO;
 use crate::platform::defects::rules;
 use crate::platform::log_buffer::LogBuffer;
+use crate::platform::memory::RequestMemory;
 use crate::platform::net::SharedNet;
 use crate::settings::{ProcessSettings, nanos};
 use configuration::Configuration;
@@ -87,6 +88,8 @@
     pub rng: RefCell<Rng>,
     /// The log; invariant violations are reported to it.
     pub log_buffer: LogBuffer,
+    /// The memory for requests.
+    pub memory: RequestMemory,
     /// Event counters.
     pub counters: Counters,
     /// Records of all nodes and servers.
@@ -140,6 +143,7 @@
         }
         Rc::new(Node {
             configuration: Configuration::new(&settings.bounds),
+            memory: RequestMemory::for_machine(settings.memory_mb),
             settings: RefCell::new(settings),
             started: Instant::now(),
             links: Links::new(net.clone()),
--- a/crates/sparrouter-fleet/src/platform/http.rs
+++ b/crates/sparrouter-fleet/src/platform/http.rs
@@ -1,9 +1,10 @@
-//! Complete HTTP messages and the responses of this process, for the frontend, the control endpoint and calls to
-//! servers.
+//! Bodies of responses of other processes, and the responses of this process, for the frontend, the control endpoint and
+//! calls to servers.
+use super::memory::MemoryExhausted;
 use bytes::{Bytes, BytesMut};
 use sparrouter_http::chunks::{ChunkDecoder, ChunkEvent};
-use sparrouter_http::head::{self, Framing, RequestHead};
-use sparrouter_http::reading::{self, HEAD_TOO_LONG, ReadError};
+use sparrouter_http::head::Framing;
+use sparrouter_http::reading::{self, ReadError};
 use std::fmt::Write;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
@@ -12,66 +13,6 @@
 /// How long the process continues to read a connection after it has closed its own side.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Limits on a client's request.
-#[derive(Clone, Copy, Debug)]
-pub struct ReadLimits {
-    /// Maximum length of the head, in bytes.
-    pub max_head_bytes: usize,
-    /// Maximum length of the body, in bytes.
-    pub max_body_bytes: usize,
-    /// Time-out of the head, from its first byte.
-    pub header_timeout: Duration,
-}
-
-/// Why no request was read.
-#[derive(Debug, PartialEq, Eq)]
-pub enum RequestReadError {
-    /// The connection ended, so that there is no client to respond to.
-    Left,
-    /// The request is answered with this status and text, and the connection is closed.
-    Refused(u16, &'static str),
-}
-
-impl From<ReadError> for RequestReadError {
-    fn from(error: ReadError) -> RequestReadError {
-        match error {
-            ReadError::Closed | ReadError::Reset => RequestReadError::Left,
-            ReadError::Bad(bad) if bad == HEAD_TOO_LONG => {
-                RequestReadError::Refused(431, "header longer than allowed")
-            }
-            ReadError::Bad(bad) => RequestReadError::Refused(400, bad.0),
-        }
-    }
-}
-
-/// A complete request.
-#[derive(Debug)]
-pub struct Request {
-    /// The request's head.
-    pub head: RequestHead,
-    /// The request's body.
-    pub body: Bytes,
-}
-
-impl Request {
-    /// The path of the request's target, without the query.
-    pub fn path(&self) -> &str {
-        let target = std::str::from_utf8(&self.head.target).unwrap_or("/");
-        target.split('?').next().unwrap_or("/")
-    }
-
-    /// The value of a query parameter.
-    pub fn query(&self, name: &str) -> Option<&str> {
-        let target = std::str::from_utf8(&self.head.target).ok()?;
-        let (_, query) = target.split_once('?')?;
-        query.split('&').find_map(|pair| {
-            pair.split_once('=')
-                .filter(|(n, _)| *n == name)
-                .map(|(_, v)| v)
-        })
-    }
-}
-
 /// Reads one complete body; `None` if it is longer than `max_bytes`.
 ///
 /// # Errors
@@ -115,52 +56,6 @@
     }
 }
 
-/// Reads the rest of a request whose first byte is in the buffer. `deadline`: when the request must be complete.
-///
-/// # Errors
-///
-/// A [`RequestReadError`], which contains the response, if any.
-pub async fn read_request(
-    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
-    buffer: &mut BytesMut,
-    limits: ReadLimits,
-    deadline: Instant,
-) -> Result<Request, RequestReadError> {
-    let timed_out = |_| RequestReadError::Refused(408, "the request did not arrive in time");
-    let head_deadline = deadline.min(Instant::now() + limits.header_timeout);
-    let bytes = timeout_at(
-        head_deadline,
-        reading::head(stream, buffer, b"", limits.max_head_bytes),
-    )
-    .await
-    .map_err(timed_out)?;
-    let head =
-        head::parse_request(&bytes?).map_err(|error| RequestReadError::Refused(400, error.0))?;
-    if matches!(head.framing, Framing::Length(length) if length > limits.max_body_bytes) {
-        return Err(RequestReadError::Refused(413, "body longer than allowed"));
-    }
-    if head
-        .fields
-        .text("expect")
-        .is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))
-    {
-        stream
-            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-            .await
-            .map_err(|_| RequestReadError::Left)?;
-    }
-    let body = timeout_at(
-        deadline,
-        read_body(stream, buffer, head.framing, limits.max_body_bytes),
-    )
-    .await
-    .map_err(timed_out)?;
-    match body? {
-        Some(body) => Ok(Request { head, body }),
-        None => Err(RequestReadError::Refused(413, "body longer than allowed")),
-    }
-}
-
 /// The reason phrase of a status.
 pub fn reason(status: u16) -> &'static str {
     match status {
@@ -227,6 +122,14 @@
         }
     }
 
+    /// Creates the response to a request for which no memory is available; it has not run and never will.
+    pub fn out_of_memory(after: Duration) -> Response {
+        Response {
+            retry_after: Some(after),
+            ..Response::plain(503, MemoryExhausted.to_string())
+        }
+    }
+
     /// Creates a 429: the request has not run and never will, since its client has used up its quota.
     pub fn too_many_requests(text: &str, after: Duration) -> Response {
         Response {
--- a/crates/sparrouter-fleet/src/platform/upstream.rs
+++ b/crates/sparrouter-fleet/src/platform/upstream.rs
@@ -120,17 +120,21 @@
         })
     }
 
-    /// Writes a request until it is complete, a response begins, or the connection breaks. After an early response has
+    /// Writes a request, whose body is given in parts, until it is complete, a response begins, or the connection breaks. After an early response has
     /// begun, the remaining bytes are written while it is read. Dropping the future makes the connection unusable for
     /// another request.
-    pub async fn send(&mut self, head: &Bytes, body: &Bytes) -> SendOutcome {
-        if body.len() < MIN_SEPARATE_BODY {
-            let mut joined = BytesMut::with_capacity(head.len() + body.len());
+    pub async fn send(&mut self, head: &Bytes, body: &[Bytes]) -> SendOutcome {
+        let body_bytes: usize = body.iter().map(Bytes::len).sum();
+        if body_bytes < MIN_SEPARATE_BODY {
+            let mut joined = BytesMut::with_capacity(head.len() + body_bytes);
             joined.extend_from_slice(head);
-            joined.extend_from_slice(body);
+            for segment in body {
+                joined.extend_from_slice(segment);
+            }
             self.stream.unwritten.push_back(joined.freeze());
         } else {
-            self.stream.unwritten.extend([head.clone(), body.clone()]);
+            self.stream.unwritten.push_back(head.clone());
+            self.stream.unwritten.extend(body.iter().cloned());
         }
         let mut begun = false;
         poll_fn(|context| self.poll_send(context, &mut begun)).await;
--- a/crates/sparrouter-fleet/src/prefix_cache/event_page.rs
+++ b/crates/sparrouter-fleet/src/prefix_cache/event_page.rs
@@ -49,7 +49,7 @@
         let head = format!(
             "GET /api/kv-events?since_time={since} HTTP/1.1\r\nHost: {address}\r\nWait-Ms: {MAX_WAIT_MS}\r\n\r\n"
         );
-        let sent = upstream.send(&Bytes::from(head), &Bytes::new()).await;
+        let sent = upstream.send(&Bytes::from(head), &[]).await;
         if sent == SendOutcome::NotSent {
             return None;
         }
--- a/crates/sparrouter-fleet/src/proxy/exchange.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange.rs
@@ -17,8 +17,10 @@
 
 use crate::node::Node;
 use crate::platform::defects::rules;
-use crate::platform::http::{Request, Response};
+use crate::platform::http::Response;
+use crate::platform::memory::Reservation;
 use crate::platform::net::Stream;
+use crate::platform::request::Request;
 use crate::platform::upstream::{Pool, Upstream};
 use crate::quota::HeldPermit;
 use crate::settings::nanos;
@@ -97,13 +99,15 @@
     is_under_permit: bool,
 }
 
-/// Serves one request. `read_ahead` receives the bytes that the client sends while the request is served.
+/// Serves one request. `read_ahead` receives the bytes that the client sends while the request is served; `reservation`
+/// has the memory of the request.
 pub async fn serve(
     node: &Rc<Node>,
     pool: &Pool,
     incoming: IncomingRequest<'_>,
     client: &mut Stream,
     read_ahead: &mut BytesMut,
+    reservation: &mut Reservation,
 ) -> ExchangeOutcome {
     let config = node
         .first_configuration(incoming.received_at + FIRST_CONFIGURATION_WAIT)
@@ -113,7 +117,11 @@
         return ExchangeOutcome::Respond(Response::retry_later(delay));
     };
     match Exchange::accept(node, pool, table, &incoming) {
-        Ok(exchange) => exchange.run(client, read_ahead).await,
+        Ok(exchange) => {
+            let is_idempotent = exchange.route.is_idempotent();
+            let client = ClientSide::new(client, read_ahead, reservation, is_idempotent);
+            exchange.run(client).await
+        }
         Err(rejection) => ExchangeOutcome::Respond(rejection),
     }
 }
@@ -130,8 +138,7 @@
 
 impl Exchange<'_> {
     /// Attempts one server after another until the client has its response or no further attempt is allowed.
-    async fn run(mut self, client: &mut Stream, read_ahead: &mut BytesMut) -> ExchangeOutcome {
-        let mut client = ClientSide::new(client, read_ahead, self.route.is_idempotent());
+    async fn run(mut self, mut client: ClientSide<'_>) -> ExchangeOutcome {
         loop {
             let server = match self.admit_with_permit(client.has_response_begun()).await {
                 Ok(server) => server,
--- a/crates/sparrouter-fleet/src/proxy/exchange/accept.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/accept.rs
@@ -2,7 +2,8 @@
 use super::{Exchange, IncomingRequest, api_key};
 use crate::node::Node;
 use crate::platform::defects::rules;
-use crate::platform::http::{Request, Response};
+use crate::platform::http::Response;
+use crate::platform::request::Request;
 use crate::platform::upstream::Pool;
 use sparrouter_config::{Route, RouteTable, Tenant};
 use sparrouter_routing::Prompt;
--- a/crates/sparrouter-fleet/src/proxy/exchange/attempt.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/attempt.rs
@@ -121,7 +121,7 @@
             if !self.spend_permit() {
                 continue;
             }
-            match connection.send(&head, &self.request.body).await {
+            match connection.send(&head, self.request.body.segments()).await {
                 SendOutcome::NotSent => {
                     // No byte was sent, so the server can't have run the request.
                     self.undo_permit();
--- a/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
@@ -1,6 +1,7 @@
 //! The client connection during an exchange: data read ahead, and how much of the response has been sent.
 use super::{ExchangeOutcome, deadline_passed_response};
 use crate::platform::defects::rules;
+use crate::platform::memory::Reservation;
 use crate::platform::net::Stream;
 use crate::proxy::event_stream::EventSplitter;
 use bytes::BytesMut;
@@ -9,6 +10,8 @@
 
 /// Maximum number of bytes that are read ahead from the client while its request is served.
 const MAX_READ_AHEAD: usize = 64 << 10;
+/// Largest capacity of the buffer for bytes that are read ahead, as a multiple of its length.
+const BUFFER_GROWTH: usize = 2;
 
 /// What the client has of a response. Only this decides whether another server's response may follow: a route's kind says
 /// nothing about what was relayed.
@@ -31,6 +34,10 @@
     reader: ReadHalf<&'a mut Stream>,
     pub(super) writer: WriteHalf<&'a mut Stream>,
     read_ahead: &'a mut BytesMut,
+    /// The memory of the request and of the bytes that are read ahead.
+    reservation: &'a mut Reservation,
+    /// Bytes of `reservation` for those that are read ahead.
+    read_ahead_reserved: usize,
     /// What the client has of a response.
     pub(super) progress: ResponseProgress,
     /// Splits an event stream that may be resumed at another server. `None` if the route's requests are not idempotent.
@@ -41,6 +48,7 @@
     pub(super) fn new(
         client: &'a mut Stream,
         read_ahead: &'a mut BytesMut,
+        reservation: &'a mut Reservation,
         is_idempotent: bool,
     ) -> ClientSide<'a> {
         let (reader, writer) = split(client);
@@ -48,6 +56,8 @@
             reader,
             writer,
             read_ahead,
+            reservation,
+            read_ahead_reserved: 0,
             progress: ResponseProgress::NotBegun,
             events: is_idempotent.then(EventSplitter::default),
         }
@@ -64,7 +74,7 @@
 
     /// Completes once the client has disconnected. Bytes that the client sends ahead are stored for its next request.
     pub(super) async fn disconnected(&mut self) {
-        while self.read_ahead.len() < MAX_READ_AHEAD {
+        while self.read_ahead.len() < MAX_READ_AHEAD && self.reserves_read_ahead() {
             if reading::more(&mut self.reader, self.read_ahead)
                 .await
                 .is_err()
@@ -75,6 +85,18 @@
         std::future::pending().await
     }
 
+    /// Reserves memory for the bytes that were read ahead; false if there is none, so that no more are read. A buffer
+    /// without such bytes belongs to the connection.
+    fn reserves_read_ahead(&mut self) -> bool {
+        let needed = self.read_ahead.len() * BUFFER_GROWTH;
+        let missing = needed.saturating_sub(self.read_ahead_reserved);
+        let is_reserved = self.reservation.try_grow(missing);
+        if is_reserved {
+            self.read_ahead_reserved += missing;
+        }
+        is_reserved
+    }
+
     /// Whether any byte of a response has been sent to the client.
     pub(super) fn has_response_begun(&self) -> bool {
         self.progress != ResponseProgress::NotBegun
--- a/crates/sparrouter-fleet/src/proxy/frontend.rs
+++ b/crates/sparrouter-fleet/src/proxy/frontend.rs
@@ -1,8 +1,10 @@
 //! Client connections: accepts them, serves one request at a time on each, and enforces the configured limits.
 use crate::node::{Node, OpenRequest};
 use crate::platform::defects::rules;
-use crate::platform::http::{self, ReadLimits, Request, RequestReadError, Response};
+use crate::platform::http::{self, Response};
+use crate::platform::memory::Reservation;
 use crate::platform::net::{self, Listener, Stream};
+use crate::platform::request::{ReadLimits, Request, RequestReadError, RequestReader};
 use crate::platform::upstream::Pool;
 use crate::proxy::exchange::{self, ExchangeOutcome, IncomingRequest};
 use bytes::BytesMut;
@@ -31,6 +33,9 @@
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time-out for writing a response that the node itself produced.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Retry delay for a client whose request was refused because no memory is available. It is short since other nodes
+/// have memory.
+const RETRY_WITHOUT_MEMORY: Duration = Duration::from_millis(200);
 /// Interval at which the connection pool is swept.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of bytes that are read in a final check before an idle connection is closed.
@@ -135,11 +140,13 @@
         let _open = OpenRequest::begin(&node.traffic);
         // The client's time-out runs from the request's first byte, not from the end of a long body.
         let first_byte_at = Instant::now();
-        let request = match self.read_request(limits, first_byte_at).await {
+        let mut reservation = node.memory.clients.reserve();
+        let read = self.read_request(limits, first_byte_at, &mut reservation);
+        let request = match read.await {
             Ok(request) => request,
-            Err(RequestReadError::Left) => return ConnectionState::Closed,
-            Err(RequestReadError::Refused(status, text)) => {
-                return self.refuse(&Response::plain(status, text)).await;
+            Err(error) => {
+                drop(reservation);
+                return self.refuse(node, error).await;
             }
         };
         self.is_new = false;
@@ -153,8 +160,12 @@
             },
             keep_alive,
         };
-        let outcome =
-            exchange::serve(node, pool, incoming, &mut self.stream, &mut self.buffer).await;
+        let (stream, read_ahead) = (&mut self.stream, &mut self.buffer);
+        let serving = exchange::serve(node, pool, incoming, stream, read_ahead, &mut reservation);
+        let outcome = serving.await;
+        // What remains to be done may take long, and needs none of the request's memory.
+        drop(request);
+        drop(reservation);
         match outcome {
             ExchangeOutcome::Reusable if keep_alive => ConnectionState::Open,
             ExchangeOutcome::Reusable => self.drain().await,
@@ -167,6 +178,7 @@
         &mut self,
         limits: &Limits,
         first_byte_at: Instant,
+        reservation: &mut Reservation,
     ) -> Result<Request, RequestReadError> {
         let header_timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
         let read_limits = ReadLimits {
@@ -174,12 +186,26 @@
             max_body_bytes: limits.max_body_bytes,
             header_timeout,
         };
-        let deadline = first_byte_at + header_timeout * REQUEST_TIMEOUT_RATIO;
-        http::read_request(&mut self.stream, &mut self.buffer, read_limits, deadline).await
+        let mut reader = RequestReader {
+            stream: &mut self.stream,
+            buffer: &mut self.buffer,
+            reservation,
+            deadline: first_byte_at + header_timeout * REQUEST_TIMEOUT_RATIO,
+        };
+        reader.read(read_limits).await
     }
 
     /// Sends an error response to a request that cannot be read.
-    async fn refuse(&mut self, response: &Response) -> ConnectionState {
+    async fn refuse(&mut self, node: &Node, error: RequestReadError) -> ConnectionState {
+        // No further request is read from the connection.
+        self.buffer = BytesMut::new();
+        let response = match error {
+            RequestReadError::Left => return ConnectionState::Closed,
+            RequestReadError::Refused(status, text) => Response::plain(status, text),
+            RequestReadError::MemoryExhausted => {
+                Response::out_of_memory(node.jitter(RETRY_WITHOUT_MEMORY))
+            }
+        };
         // The client may already have disconnected.
         let _ = self.stream.write_all(&response.bytes(false)).await;
         self.drain().await
--- a/crates/sparrouter-fleet/src/rollout/order.rs
+++ b/crates/sparrouter-fleet/src/rollout/order.rs
@@ -69,7 +69,7 @@
             return None;
         }
         let sent = connection
-            .send(&Bytes::from(head), &Bytes::from(body))
+            .send(&Bytes::from(head), &[Bytes::from(body)])
             .await;
         if sent == SendOutcome::NotSent {
             return None;
--- a/crates/sparrouter-fleet/src/rollout/server_calls.rs
+++ b/crates/sparrouter-fleet/src/rollout/server_calls.rs
@@ -50,7 +50,7 @@
 pub(super) async fn request_report(net: &dyn Net, address: SocketAddr) -> Option<Report> {
     let mut connection = Upstream::dial(net, address).await?;
     let head = format!("GET /api/report HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    let sent = connection.send(&Bytes::from(head), &Bytes::new()).await;
+    let sent = connection.send(&Bytes::from(head), &[]).await;
     if sent == SendOutcome::NotSent {
         return None;
     }
--- a/crates/sparrouter-fleet/tests/endpoint.rs
+++ b/crates/sparrouter-fleet/tests/endpoint.rs
@@ -1,7 +1,9 @@
 //! The handler tree of an HTTP endpoint: routing by path and method, 404 and 405, and limits on idle connections.
 use bytes::Bytes;
 use sparrouter_fleet::api::endpoint::{self, Matcher};
-use sparrouter_fleet::platform::http::{Request, Response};
+use sparrouter_fleet::platform::body::Body;
+use sparrouter_fleet::platform::http::Response;
+use sparrouter_fleet::platform::request::Request;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +17,7 @@
     let head = sparrouter_http::head::parse_request(&Bytes::from(text)).expect("a head");
     Rc::new(Request {
         head,
-        body: Bytes::new(),
+        body: Body::default(),
     })
 }
 
--- a/crates/sparrouter-fleet/tests/http.rs
+++ b/crates/sparrouter-fleet/tests/http.rs
@@ -1,9 +1,9 @@
 //! Reading of requests and writing of the node's own responses over a pipe, in virtual time: size limits, slow clients,
 //! chunked bodies.
 use bytes::BytesMut;
-use sparrouter_fleet::platform::http::{
-    ReadLimits, Request, RequestReadError, Response, drain_until_closed, read_request,
-};
+use sparrouter_fleet::platform::http::{Response, drain_until_closed};
+use sparrouter_fleet::platform::memory::MemoryPool;
+use sparrouter_fleet::platform::request::{ReadLimits, Request, RequestReadError, RequestReader};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::time::{Instant, sleep};
@@ -15,6 +15,21 @@
 };
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Reads one request, without a limit on memory.
+async fn read_request(
+    stream: &mut DuplexStream,
+    buffer: &mut BytesMut,
+    deadline: Instant,
+) -> Result<Request, RequestReadError> {
+    let mut reader = RequestReader {
+        stream,
+        buffer,
+        reservation: &mut MemoryPool::unlimited().reserve(),
+        deadline,
+    };
+    reader.read(LIMITS).await
+}
+
 /// Reads one request from what `client` writes. Also returns the bytes that were read beyond it.
 async fn read_from_client<F: Future<Output = ()>>(
     client: impl FnOnce(DuplexStream) -> F,
@@ -23,7 +38,7 @@
     let mut buffer = BytesMut::new();
     let deadline = Instant::now() + REQUEST_TIMEOUT;
     let (read, ()) = tokio::join!(
-        read_request(&mut server_end, &mut buffer, LIMITS, deadline),
+        read_request(&mut server_end, &mut buffer, deadline),
         client(client_end)
     );
     (read, buffer)
@@ -58,7 +73,10 @@
     };
     let (read, remaining) = read_from_client(sending).await;
     let read = read.expect("a complete request");
-    assert_eq!((read.path(), &read.body[..]), ("/a/b", &b"abc"[..]));
+    assert_eq!(
+        (read.path(), &read.body.contiguous()[..]),
+        ("/a/b", &b"abc"[..])
+    );
     assert_eq!(&remaining[..], b"GET / HTTP/1.1\r\n");
 }
 
@@ -79,7 +97,7 @@
         };
         let (read, remaining) = read_from_client(sending).await;
         assert_eq!(
-            &read.expect("a complete request").body[..],
+            &read.expect("a complete request").body.contiguous()[..],
             b"abcde",
             "split at {split_at}"
         );
@@ -143,13 +161,8 @@
     let (client_end, mut server_end) = duplex(1 << 10);
     let mut buffer = BytesMut::new();
     let reading = async {
-        let read = read_request(
-            &mut server_end,
-            &mut buffer,
-            LIMITS,
-            started_at + REQUEST_TIMEOUT,
-        )
-        .await;
+        let deadline = started_at + REQUEST_TIMEOUT;
+        let read = read_request(&mut server_end, &mut buffer, deadline).await;
         (read, started_at.elapsed())
     };
     let ((read, elapsed), ()) = tokio::join!(reading, sending(client_end));
@@ -253,7 +266,8 @@
             .await
             .0
             .expect("a complete request")
-            .body[..],
+            .body
+            .contiguous()[..],
         b"ok"
     );
 }
--- a/crates/sparrouter-fleet/tests/upstream.rs
+++ b/crates/sparrouter-fleet/tests/upstream.rs
@@ -116,7 +116,7 @@
 
 async fn send_long_request(upstream: &mut Upstream) -> SendOutcome {
     let body = Bytes::from(vec![b'x'; LONG_BODY]);
-    upstream.send(&Bytes::from_static(HEAD), &body).await
+    upstream.send(&Bytes::from_static(HEAD), &[body]).await
 }
 
 /// Reads one complete response.
@@ -151,10 +151,7 @@
     let mut upstream = dial(&connection).await;
     assert_eq!(send_long_request(&mut upstream).await, SendOutcome::NotSent);
     let outcome = upstream
-        .send(
-            &Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"),
-            &Bytes::new(),
-        )
+        .send(&Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"), &[])
         .await;
     assert_eq!(outcome, SendOutcome::NotSent);
 }
@@ -194,10 +191,7 @@
     });
     let mut upstream = dial(&connection).await;
     let sent = upstream
-        .send(
-            &Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"),
-            &Bytes::new(),
-        )
+        .send(&Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"), &[])
         .await;
     assert_eq!(sent, SendOutcome::Begun);
 }
@@ -310,7 +304,7 @@
         let upstream = Upstream::dial(&sparrouter_fleet::platform::net::Sockets, server).await;
         let mut upstream = upstream.expect("a connection");
         let body = Bytes::from(vec![b'x'; HUGE_BODY]);
-        let sent = upstream.send(&Bytes::from_static(HEAD), &body).await;
+        let sent = upstream.send(&Bytes::from_static(HEAD), &[body]).await;
         assert_eq!(sent, SendOutcome::Begun, "{bytes_before_reset} bytes");
         let response = reading::head(
             &mut upstream.stream,
@@ -332,10 +326,7 @@
         tokio::task::yield_now().await;
     }
     let sent = upstream
-        .send(
-            &Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"),
-            &Bytes::new(),
-        )
+        .send(&Bytes::from_static(b"GET / HTTP/1.1\r\n\r\n"), &[])
         .await;
     assert_eq!(sent, SendOutcome::NotSent);
 }
--- a/crates/sparrouter-http/src/reading.rs
+++ b/crates/sparrouter-http/src/reading.rs
@@ -1,5 +1,5 @@
 //! Reads message heads from a stream into bounded buffers.
-use crate::{ParseError, head};
+use crate::{ParseError, Parsed, head};
 use bytes::{Bytes, BytesMut};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, Read};
@@ -75,16 +75,29 @@
         if buffer.iter().zip(prefix).any(|(a, b)| a != b) {
             return Err(ParseError("not an HTTP message").into());
         }
-        if let Some(end) = head::find_end(buffer, searched) {
-            if end > max_length {
-                return Err(HEAD_TOO_LONG.into());
-            }
-            return Ok(buffer.split_to(end).freeze());
-        }
-        if buffer.len() > max_length {
-            return Err(HEAD_TOO_LONG.into());
+        if let Some(head) = split_head(buffer, searched, max_length)? {
+            return Ok(head);
         }
         searched = buffer.len();
         more(stream, buffer).await?;
     }
 }
+
+/// Removes a message head up to and including its empty line from the buffer; `None` if it is incomplete. The caller has
+/// already searched the first `searched` bytes. `max_length` is the largest allowed length of a head in bytes.
+///
+/// # Errors
+///
+/// [`HEAD_TOO_LONG`] if the head is longer, also if it is incomplete.
+pub fn split_head(
+    buffer: &mut BytesMut,
+    searched: usize,
+    max_length: usize,
+) -> Parsed<Option<Bytes>> {
+    match head::find_end(buffer, searched) {
+        Some(end) if end > max_length => Err(HEAD_TOO_LONG),
+        Some(end) => Ok(Some(buffer.split_to(end).freeze())),
+        None if buffer.len() > max_length => Err(HEAD_TOO_LONG),
+        None => Ok(None),
+    }
+}
