Control listeners: calls hold bounded memory; no body is read without a handler for it

What callers saw: a process ended, as it ran out of memory, by bodies of up to 9 MiB at the control, readiness or metrics listener: on 800 connections each, whatever the path, also where no request has a body.

Cause: a call's body was read before its path and method were looked at, with one limit for all; nothing bounded the sum. Responses that nobody reads (a configuration has up to 8 MiB) were not bounded either.

The handler is found by the head: 404 and 405 come before the body is read. Handlers take 1 MiB, those of a configuration 9 MiB. A response counts until it has been read; without memory the call gets 503 with Retry-After. A configuration's body is kept once, not twice, while it is submitted.

Why it works: as for clients; clients cannot take this pool, so an operator is heard while they fill theirs.

Two more tests of the endpoint: bodies without a handler, and 20 long responses that nobody reads.

--- a/crates/sparrouter-fleet-lab/src/model_server.rs
+++ b/crates/sparrouter-fleet-lab/src/model_server.rs
@@ -8,7 +8,7 @@
 use sparrouter_fleet::platform::http;
 use sparrouter_fleet::platform::memory::MemoryPool;
 use sparrouter_fleet::platform::net::Sockets;
-use sparrouter_fleet::platform::request::{ReadLimits, Request, RequestReader};
+use sparrouter_fleet::platform::request::{HeadLimits, ReadLimits, Request, RequestReader};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,9 +21,11 @@
 
 /// Size and time limits of requests.
 const READ_LIMITS: ReadLimits = ReadLimits {
-    max_head_bytes: 32 << 10,
+    head: HeadLimits {
+        max_bytes: 32 << 10,
+        timeout: Duration::from_secs(5),
+    },
     max_body_bytes: 1 << 20,
-    header_timeout: Duration::from_secs(5),
 };
 /// Maximum idle time of a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/sparrouter-fleet/src/api/control.rs
+++ b/crates/sparrouter-fleet/src/api/control.rs
@@ -11,6 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Maximum length of the body of a configuration change: the maximum length of a configuration, with a margin, so that a
+/// longer one gets a response which says what to do.
+const MAX_CHANGE_BYTES: usize = 9 << 20;
 /// Timeout of a configuration change; shorter than the second for which an operator's client waits for the response.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Retry-After of a response to a change that was not applied.
@@ -37,14 +40,16 @@
             "/api/instances/*",
             with(|s, _, segments| Box::pin(handle_leaving_server(s, segments))),
         )
-        .on(
+        .on_body(
             "PUT",
             "/api/config",
+            MAX_CHANGE_BYTES,
             with(|s, r, _| Box::pin(replace_configuration(s, r))),
         )
-        .on(
+        .on_body(
             "PATCH",
             "/api/config",
+            MAX_CHANGE_BYTES,
             with(|s, r, _| Box::pin(patch_configuration(s, r))),
         )
         .on(
@@ -114,7 +119,10 @@
 }
 
 async fn replace_configuration(services: Rc<ControlServices>, request: Rc<Request>) -> Response {
-    match Submission::read(&request) {
+    let submission = Submission::read(&request);
+    // The submission has its own copy of the body.
+    drop(request);
+    match submission {
         Ok(Submission { if_match, body }) => {
             submit(&services, &Change::Put { if_match, body }).await
         }
@@ -123,7 +131,10 @@
 }
 
 async fn patch_configuration(services: Rc<ControlServices>, request: Rc<Request>) -> Response {
-    match Submission::read(&request) {
+    let submission = Submission::read(&request);
+    // The submission has its own copy of the body.
+    drop(request);
+    match submission {
         Ok(Submission { if_match, body }) => {
             submit(&services, &Change::Patch { if_match, body }).await
         }
--- a/crates/sparrouter-fleet/src/api/endpoint.rs
+++ b/crates/sparrouter-fleet/src/api/endpoint.rs
@@ -1,9 +1,10 @@
 //! HTTP endpoints for servers, operators and readiness checks: a tree of handlers by path and method.
 use crate::platform::http::{self, Response};
-use crate::platform::memory::MemoryPool;
+use crate::platform::memory::{MemoryExhausted, MemoryPool, Reservation};
 use crate::platform::net::{self, Listener, Stream};
-use crate::platform::request::{ReadLimits, Request, RequestReadError, RequestReader};
+use crate::platform::request::{self, HeadLimits, Request, RequestReadError, RequestReader};
 use bytes::BytesMut;
+use sparrouter_http::head::{Framing, RequestHead};
 use sparrouter_http::reading;
 use std::future::Future;
 use std::pin::Pin;
@@ -15,10 +16,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
-/// Maximum length of a request body, in bytes: the maximum length of a configuration, with a margin.
-const MAX_BODY_BYTES: usize = 9 << 20;
-/// Maximum length of a request head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Maximum length of a request body in bytes, unless its handler takes a longer one.
+const MAX_BODY_BYTES: usize = 1 << 20;
 /// Maximum number of concurrent connections of an endpoint.
 const MAX_CONNECTIONS: usize = 800;
 /// Maximum number of connections that are kept alive; above it, each connection is closed after its response. Otherwise a
@@ -26,16 +25,29 @@
 const MAX_IDLE_CONNECTIONS: usize = MAX_CONNECTIONS * 3 / 4;
 /// Longest time that a connection may be idle between requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Longest time that a request head may take to arrive.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Limits on the head of a request.
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    max_bytes: 32 << 10,
+    timeout: Duration::from_secs(5),
+};
 /// Longest time that a complete request may take to arrive.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest time that the client may take to read the response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Retry-After of the response to a call for which no memory is available.
+const RETRY_WITHOUT_MEMORY: Duration = Duration::from_millis(200);
 
 /// The future of a handler's response.
 pub type PendingResponse = Pin<Box<dyn Future<Output = Response>>>;
-type Handler = Rc<dyn Fn(Rc<Request>, Vec<String>) -> PendingResponse>;
+type Handle = Rc<dyn Fn(Rc<Request>, Vec<String>) -> PendingResponse>;
+
+/// The handler of one method of a path.
+struct Handler {
+    method: &'static str,
+    /// Maximum length of a request's body, in bytes.
+    max_body_bytes: usize,
+    handle: Handle,
+}
 
 /// A node of the handler tree: the path segments that may follow, and the handlers by method.
 #[derive(Default)]
@@ -43,7 +55,7 @@
     segments: Vec<(&'static str, Matcher)>,
     /// The node for any segment that is not in `segments`.
     wildcard: Option<Box<Matcher>>,
-    methods: Vec<(&'static str, Handler)>,
+    handlers: Vec<Handler>,
     /// Set at the root only: the response to all paths and methods.
     all: Option<Response>,
 }
@@ -57,12 +69,23 @@
         }
     }
 
-    /// Adds a handler for a method and a path below this node. A segment `*` matches any segment and passes it to the
-    /// handler; a literal segment takes precedence over `*`.
+    /// Adds a handler for a method and a path below this node, for bodies of at most 1 MiB. A segment `*` matches any
+    /// segment and passes it to the handler; a literal segment takes precedence over `*`.
     pub fn on<A: Future<Output = Response> + 'static>(
+        self,
+        method: &'static str,
+        path: &'static str,
+        handle: impl Fn(Rc<Request>, Vec<String>) -> A + 'static,
+    ) -> Matcher {
+        self.on_body(method, path, MAX_BODY_BYTES, handle)
+    }
+
+    /// Adds a handler as [`Matcher::on`] does, for bodies of at most `max_body_bytes`.
+    pub fn on_body<A: Future<Output = Response> + 'static>(
         mut self,
         method: &'static str,
         path: &'static str,
+        max_body_bytes: usize,
         handle: impl Fn(Rc<Request>, Vec<String>) -> A + 'static,
     ) -> Matcher {
         let mut node = &mut self;
@@ -78,9 +101,11 @@
                 &mut node.segments[index].1
             };
         }
-        let handler: Handler =
-            Rc::new(move |request, segments| Box::pin(handle(request, segments)));
-        node.methods.push((method, handler));
+        node.handlers.push(Handler {
+            method,
+            max_body_bytes,
+            handle: Rc::new(move |request, segments| Box::pin(handle(request, segments))),
+        });
         self
     }
 
@@ -99,94 +124,185 @@
         Some((node, matched))
     }
 
-    /// Answers a request with its handler; the response is 404 for an unknown path and 405 for an unknown method.
-    pub async fn respond(&self, request: Rc<Request>) -> Response {
+    /// Finds the handler of a request, and the segments that wildcards matched.
+    ///
+    /// # Errors
+    ///
+    /// The response if there is none: 404 for an unknown path and 405 for an unknown method.
+    fn route(&self, head: &RequestHead) -> Result<(&Handler, Vec<String>), Response> {
         if let Some(response) = &self.all {
-            return response.clone();
+            return Err(response.clone());
         }
-        let Some((node, matched)) = self
-            .find(request.path())
-            .filter(|(node, _)| !node.methods.is_empty())
-        else {
-            return Response::plain(404, "no resource is served under this path");
+        let found = self.find(request::path_of(head));
+        let Some((node, matched)) = found.filter(|(node, _)| !node.handlers.is_empty()) else {
+            let text = "no resource is served under this path";
+            return Err(Response::plain(404, text));
         };
-        let method = &request.head.method[..];
-        let handler = node.methods.iter().find(|m| m.0.as_bytes() == method);
-        match handler {
-            Some((_, handle)) => handle(request, matched).await,
-            None => Response::plain(405, "the method is not supported by this path"),
+        let has_method = |handler: &&Handler| handler.method.as_bytes() == &head.method[..];
+        match node.handlers.iter().find(has_method) {
+            Some(handler) => Ok((handler, matched)),
+            None => {
+                let text = "the method is not supported by this path";
+                Err(Response::plain(405, text))
+            }
+        }
+    }
+
+    /// Finds the handler of a request, as [`Matcher::route`] does.
+    fn find_handler(&self, head: &RequestHead) -> Result<&Handler, Response> {
+        self.route(head).map(|(handler, _)| handler)
+    }
+
+    /// Answers a request with its handler; the response is 404 for an unknown path and 405 for an unknown method.
+    pub async fn respond(&self, request: Rc<Request>) -> Response {
+        match self.route(&request.head) {
+            Ok((handler, matched)) => (handler.handle)(request, matched).await,
+            Err(response) => response,
         }
     }
 }
 
-/// Serves a handler tree until the process ends. Each connection is served by its own task.
-pub async fn listen(listener: Box<dyn Listener>, tree: Rc<Matcher>) {
-    serve_connections(&*listener, tree, MAX_IDLE_CONNECTIONS).await;
+/// Serves a handler tree until the process ends. Each connection is served by its own task; `memory` is for the calls on
+/// all connections.
+pub async fn listen(listener: Box<dyn Listener>, tree: Rc<Matcher>, memory: Rc<MemoryPool>) {
+    serve_connections(&*listener, tree, memory, MAX_IDLE_CONNECTIONS).await;
 }
 
 /// Serves a handler tree until the future is dropped, when another tree takes over the listener. Each connection is closed
 /// after one request, so that it does not stay with this tree.
-pub async fn listen_meanwhile(listener: &dyn Listener, tree: Rc<Matcher>) {
-    serve_connections(listener, tree, 0).await;
+pub async fn listen_meanwhile(listener: &dyn Listener, tree: Rc<Matcher>, memory: Rc<MemoryPool>) {
+    serve_connections(listener, tree, memory, 0).await;
 }
 
 /// Accepts and serves connections. With more than `max_idle` connections, each is closed after its response.
-async fn serve_connections(listener: &dyn Listener, tree: Rc<Matcher>, max_idle: usize) {
+async fn serve_connections(
+    listener: &dyn Listener,
+    tree: Rc<Matcher>,
+    memory: Rc<MemoryPool>,
+    max_idle: usize,
+) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else {
             return;
         };
         let (stream, _) = net::accept(listener).await;
-        let (tree, permits) = (tree.clone(), permits.clone());
+        let connection = CallerConnection {
+            stream,
+            buffer: BytesMut::new(),
+            tree: tree.clone(),
+            memory: memory.clone(),
+        };
+        let permits = permits.clone();
         spawn_local(async move {
             let may_stay_open = || MAX_CONNECTIONS - permits.available_permits() <= max_idle;
-            serve_connection(stream, tree, may_stay_open).await;
+            connection.serve(may_stay_open).await;
             drop(permit);
         });
     }
 }
 
-/// Serves the requests of one connection in sequence.
-async fn serve_connection(mut stream: Stream, tree: Rc<Matcher>, may_stay_open: impl Fn() -> bool) {
-    let mut buffer = BytesMut::new();
-    let limits = ReadLimits {
-        max_head_bytes: MAX_HEAD_BYTES,
-        max_body_bytes: MAX_BODY_BYTES,
-        header_timeout: HEADER_TIMEOUT,
-    };
-    loop {
-        if buffer.is_empty() {
-            // Frees the buffer of an idle connection.
-            buffer = BytesMut::new();
-            let read = timeout(IDLE_TIMEOUT, reading::more(&mut stream, &mut buffer)).await;
-            if !matches!(read, Ok(Ok(()))) {
+/// Why a call is not passed to its handler.
+enum UnreadCall {
+    /// The connection ended.
+    Left,
+    /// The caller gets this response, and the connection is closed.
+    Refused(Response),
+}
+
+impl From<RequestReadError> for UnreadCall {
+    fn from(error: RequestReadError) -> UnreadCall {
+        match error {
+            RequestReadError::Left => UnreadCall::Left,
+            RequestReadError::Refused(status, text) => {
+                UnreadCall::Refused(Response::plain(status, text))
+            }
+            RequestReadError::MemoryExhausted => {
+                UnreadCall::Refused(Response::out_of_memory(RETRY_WITHOUT_MEMORY))
+            }
+        }
+    }
+}
+
+/// One connection of an endpoint.
+struct CallerConnection {
+    stream: Stream,
+    /// Bytes that have been read ahead of the next call.
+    buffer: BytesMut,
+    tree: Rc<Matcher>,
+    memory: Rc<MemoryPool>,
+}
+
+impl CallerConnection {
+    /// Serves the calls of the connection in sequence.
+    async fn serve(mut self, may_stay_open: impl Fn() -> bool) {
+        loop {
+            if self.buffer.is_empty() && !self.await_call().await {
+                return;
+            }
+            let mut reservation = self.memory.reserve();
+            let (response, keep_alive) = match self.read_call(&mut reservation).await {
+                Ok(request) => {
+                    let asks_keep_alive = request.head.keep_alive;
+                    let response = self.tree.respond(Rc::new(request)).await;
+                    (response, asks_keep_alive && may_stay_open())
+                }
+                Err(UnreadCall::Left) => return,
+                Err(UnreadCall::Refused(response)) => (response, false),
+            };
+            drop(reservation);
+            if !self.write(response, keep_alive).await {
                 return;
             }
+            if !keep_alive {
+                return http::drain_until_closed(self.stream).await;
+            }
         }
-        let deadline = Instant::now() + REQUEST_TIMEOUT;
+    }
+
+    /// Waits for the first byte of a call. Returns false if the connection is to be closed.
+    async fn await_call(&mut self) -> bool {
+        // Frees the buffer of an idle connection.
+        self.buffer = BytesMut::new();
+        let read = timeout(
+            IDLE_TIMEOUT,
+            reading::more(&mut self.stream, &mut self.buffer),
+        );
+        matches!(read.await, Ok(Ok(())))
+    }
+
+    /// Reads one call. A body is read only if a handler takes it.
+    async fn read_call(&mut self, reservation: &mut Reservation) -> Result<Request, UnreadCall> {
         let mut reader = RequestReader {
-            stream: &mut stream,
-            buffer: &mut buffer,
-            reservation: &mut MemoryPool::unlimited().reserve(),
-            deadline,
+            stream: &mut self.stream,
+            buffer: &mut self.buffer,
+            reservation,
+            deadline: Instant::now() + REQUEST_TIMEOUT,
         };
-        let (response, keep_alive) = match reader.read(limits).await {
-            Ok(request) => {
-                let asks_keep_alive = request.head.keep_alive;
-                let response = tree.respond(Rc::new(request)).await;
-                (response, asks_keep_alive && may_stay_open())
-            }
-            Err(RequestReadError::Left | RequestReadError::MemoryExhausted) => return,
-            Err(RequestReadError::Refused(status, text)) => (Response::plain(status, text), false),
+        let head = reader.read_head(HEAD_LIMITS).await?;
+        let has_body = head.framing != Framing::Length(0);
+        let max_body_bytes = match self.tree.find_handler(&head) {
+            Ok(handler) => handler.max_body_bytes,
+            Err(response) if has_body => return Err(UnreadCall::Refused(response)),
+            // The response is the same, and the connection can be kept alive.
+            Err(_) => 0,
         };
-        // The timeout closes the connection of a client that does not read its response.
-        let written = timeout(WRITE_TIMEOUT, stream.write_all(&response.bytes(keep_alive))).await;
-        if !matches!(written, Ok(Ok(()))) {
-            return;
-        }
-        if !keep_alive {
-            return http::drain_until_closed(stream).await;
-        }
+        let body = reader.read_body(&head, max_body_bytes).await?;
+        Ok(Request { head, body })
+    }
+
+    /// Writes a response, whose memory counts until the caller has read it. Returns false if the caller has disconnected
+    /// or does not read it in time.
+    async fn write(&mut self, response: Response, keep_alive: bool) -> bool {
+        let bytes = response.bytes(keep_alive);
+        drop(response);
+        let mut reservation = self.memory.reserve();
+        reservation.complete();
+        let bytes = match reservation.grow(bytes.len()).await {
+            Ok(()) => bytes,
+            Err(MemoryExhausted) => Response::out_of_memory(RETRY_WITHOUT_MEMORY).bytes(keep_alive),
+        };
+        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes)).await;
+        matches!(written, Ok(Ok(())))
     }
 }
--- a/crates/sparrouter-fleet/src/platform/request.rs
+++ b/crates/sparrouter-fleet/src/platform/request.rs
@@ -15,15 +15,22 @@
 /// Capacity of a buffer that grows, as a multiple of its length.
 const BUFFER_GROWTH: usize = 2;
 
-/// Limits on a client's request.
+/// Limits on the head of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadLimits {
+    /// Maximum length in bytes.
+    pub max_bytes: usize,
+    /// Time-out, from the first byte.
+    pub timeout: Duration,
+}
+
+/// Limits on a request.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadLimits {
-    /// Maximum length of the head, in bytes.
-    pub max_head_bytes: usize,
+    /// Limits on the head.
+    pub head: HeadLimits,
     /// Maximum length of the body, in bytes.
     pub max_body_bytes: usize,
-    /// Time-out of the head, from its first byte.
-    pub header_timeout: Duration,
 }
 
 /// Why no request was read.
@@ -80,8 +87,7 @@
 impl Request {
     /// The path of the request's target, without the query.
     pub fn path(&self) -> &str {
-        let target = std::str::from_utf8(&self.head.target).unwrap_or("/");
-        target.split('?').next().unwrap_or("/")
+        path_of(&self.head)
     }
 
     /// The value of a query parameter.
@@ -96,6 +102,12 @@
     }
 }
 
+/// The path of a request's target, without the query.
+pub fn path_of(head: &RequestHead) -> &str {
+    let target = std::str::from_utf8(&head.target).unwrap_or("/");
+    target.split('?').next().unwrap_or("/")
+}
+
 /// A connection from which one request is read.
 pub struct RequestReader<'a, S> {
     /// The connection.
@@ -115,7 +127,7 @@
     ///
     /// A [`RequestReadError`], which contains the response, if any.
     pub async fn read(&mut self, limits: ReadLimits) -> Result<Request, RequestReadError> {
-        let head = self.read_head(limits).await?;
+        let head = self.read_head(limits.head).await?;
         let body = self.read_body(&head, limits.max_body_bytes).await?;
         Ok(Request { head, body })
     }
@@ -125,9 +137,9 @@
     /// # Errors
     ///
     /// A [`RequestReadError`], which contains the response, if any.
-    pub async fn read_head(&mut self, limits: ReadLimits) -> Result<RequestHead, RequestReadError> {
-        let deadline = self.deadline.min(Instant::now() + limits.header_timeout);
-        let read = timeout_at(deadline, self.receive_head(limits.max_head_bytes));
+    pub async fn read_head(&mut self, limits: HeadLimits) -> Result<RequestHead, RequestReadError> {
+        let deadline = self.deadline.min(Instant::now() + limits.timeout);
+        let read = timeout_at(deadline, self.receive_head(limits.max_bytes));
         let bytes = read.await.map_err(timed_out)??;
         Ok(head::parse_request(&bytes)?)
     }
--- a/crates/sparrouter-fleet/src/process/endpoints.rs
+++ b/crates/sparrouter-fleet/src/process/endpoints.rs
@@ -93,11 +93,19 @@
     }
     if let Some(listener) = listeners.first.control {
         let tree = Rc::new(control_api::tree(services));
-        spawn_local(endpoint::listen(listener, tree));
+        spawn_local(endpoint::listen(
+            listener,
+            tree,
+            node.memory.control.clone(),
+        ));
     }
     if let Some(listener) = listeners.first.readiness {
         let tree = Rc::new(readiness_tree(node.clone()));
-        spawn_local(endpoint::listen(listener, tree));
+        spawn_local(endpoint::listen(
+            listener,
+            tree,
+            node.memory.control.clone(),
+        ));
     }
     serve_metrics(services);
     let (stage, stages) = watch::channel(Stage::Serving);
@@ -136,10 +144,11 @@
             return;
         }
     };
+    let memory = node.memory.control.clone();
     let services = services.clone();
     let tree = Matcher::default().on("GET", "/metrics", move |_, _| {
         let page = metrics::show(&services.node, services.control.as_deref());
         async move { Response::plain(200, page) }
     });
-    spawn_local(endpoint::listen(listener, Rc::new(tree)));
+    spawn_local(endpoint::listen(listener, Rc::new(tree), memory));
 }
--- a/crates/sparrouter-fleet/src/process/opening.rs
+++ b/crates/sparrouter-fleet/src/process/opening.rs
@@ -5,6 +5,7 @@
 use crate::platform::defects::rules;
 use crate::platform::http::Response;
 use crate::platform::log_buffer::LogBuffer;
+use crate::platform::memory::{MemoryPool, RequestMemory};
 use crate::platform::net::Listener;
 use crate::settings::ProcessSettings;
 use std::future::Future;
@@ -30,13 +31,14 @@
     log_buffer: &LogBuffer,
     settings: &mut ProcessSettings,
 ) -> Option<T> {
+    let memory_mb = settings.memory_mb;
     // The fixed order makes runs with the same seed identical. The opening is polled first, so that one that completes
     // at once has no other effect.
     tokio::select! {
         biased;
         opened = opening => Some(opened),
         () = wait_for_shutdown_signal(signals, settings) => None,
-        () = refuse_callers(listeners) => None,
+        () = refuse_callers(listeners, memory_mb) => None,
         () = report_delay(log_buffer) => None,
     }
 }
@@ -54,21 +56,24 @@
 }
 
 /// Answers all calls with 503; never returns.
-async fn refuse_callers(listeners: &FirstListeners) {
+async fn refuse_callers(listeners: &FirstListeners, memory_mb: u64) {
     let response = Response {
         retry_after: Some(RETRY_AFTER),
         ..Response::plain(503, STILL_OPENING)
     };
     let tree = Rc::new(Matcher::always(response));
+    let memory = RequestMemory::for_machine(memory_mb).control;
     tokio::join!(
-        refuse_on(listeners.control.as_deref(), &tree),
-        refuse_on(listeners.readiness.as_deref(), &tree)
+        refuse_on(listeners.control.as_deref(), &tree, &memory),
+        refuse_on(listeners.readiness.as_deref(), &tree, &memory)
     );
 }
 
-async fn refuse_on(listener: Option<&dyn Listener>, tree: &Rc<Matcher>) {
+async fn refuse_on(listener: Option<&dyn Listener>, tree: &Rc<Matcher>, memory: &Rc<MemoryPool>) {
     match listener {
-        Some(listener) => endpoint::listen_meanwhile(listener, tree.clone()).await,
+        Some(listener) => {
+            endpoint::listen_meanwhile(listener, tree.clone(), memory.clone()).await;
+        }
         None => std::future::pending().await,
     }
 }
--- a/crates/sparrouter-fleet/src/proxy/frontend.rs
+++ b/crates/sparrouter-fleet/src/proxy/frontend.rs
@@ -4,7 +4,7 @@
 use crate::platform::http::{self, Response};
 use crate::platform::memory::Reservation;
 use crate::platform::net::{self, Listener, Stream};
-use crate::platform::request::{ReadLimits, Request, RequestReadError, RequestReader};
+use crate::platform::request::{HeadLimits, ReadLimits, Request, RequestReadError, RequestReader};
 use crate::platform::upstream::Pool;
 use crate::proxy::exchange::{self, ExchangeOutcome, IncomingRequest};
 use bytes::BytesMut;
@@ -182,9 +182,11 @@
     ) -> Result<Request, RequestReadError> {
         let header_timeout = Duration::from_millis(limits.header_timeout_ms.max(1));
         let read_limits = ReadLimits {
-            max_head_bytes: limits.max_header_bytes,
+            head: HeadLimits {
+                max_bytes: limits.max_header_bytes,
+                timeout: header_timeout,
+            },
             max_body_bytes: limits.max_body_bytes,
-            header_timeout,
         };
         let mut reader = RequestReader {
             stream: &mut self.stream,
--- a/crates/sparrouter-fleet/tests/endpoint.rs
+++ b/crates/sparrouter-fleet/tests/endpoint.rs
@@ -3,6 +3,7 @@
 use sparrouter_fleet::api::endpoint::{self, Matcher};
 use sparrouter_fleet::platform::body::Body;
 use sparrouter_fleet::platform::http::Response;
+use sparrouter_fleet::platform::memory::MemoryPool;
 use sparrouter_fleet::platform::request::Request;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -141,7 +142,11 @@
         .run_until(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
             let address = listener.local_addr().expect("its address");
-            let listening = spawn_local(endpoint::listen(Box::new(listener), Rc::new(tree())));
+            let listening = spawn_local(endpoint::listen(
+                Box::new(listener),
+                Rc::new(tree()),
+                MemoryPool::unlimited(),
+            ));
             let mut idle = Vec::new();
             for _ in 0..1_000 {
                 idle.extend(call(address).await);
@@ -162,3 +167,85 @@
         })
         .await;
 }
+
+/// Sends the head of a call and returns the response; the body that it announces is never sent.
+async fn call_without_body(endpoint: SocketAddr, request: &str, length: usize) -> String {
+    let mut stream = TcpStream::connect(endpoint)
+        .await
+        .expect("the endpoint accepts connections");
+    let head = format!("{request} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n");
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the request is sent");
+    let mut response = String::new();
+    let read = timeout(Duration::from_secs(5), stream.read_to_string(&mut response));
+    read.await.expect("in time").expect("a response");
+    response
+}
+
+#[tokio::test]
+async fn given_a_body_that_no_handler_takes_when_only_announced_then_the_call_is_refused() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("its address");
+            let tree = tree().on_body("PATCH", "/api/config", 4 << 20, |_, _| async {
+                Response::plain(200, "patch")
+            });
+            let pool = MemoryPool::new("test", 8 << 20);
+            let listening = endpoint::listen(Box::new(listener), Rc::new(tree), pool);
+            let listening = spawn_local(listening);
+            let cases = [
+                ("POST /api/nothing", 10, "404"),
+                ("DELETE /api/config", 10, "405"),
+                ("PUT /api/config", 2 << 20, "413"),
+                ("PATCH /api/config", 5 << 20, "413"),
+            ];
+            for (request, length, status) in cases {
+                let response = call_without_body(address, request, length).await;
+                assert!(
+                    response.starts_with(&format!("HTTP/1.1 {status}"))
+                        && response.contains("Connection: close"),
+                    "{request}: {response}"
+                );
+            }
+            listening.abort();
+        })
+        .await;
+}
+
+/// Guards against memory for responses that callers ask for and do not read.
+#[tokio::test]
+async fn given_long_responses_that_nobody_reads_when_memory_is_in_use_then_further_calls_get_503() {
+    const RESPONSE_BYTES: usize = 8 << 20;
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("its address");
+            let tree = tree().on("GET", "/long", |_, _| async {
+                Response::plain(200, "x".repeat(RESPONSE_BYTES))
+            });
+            let pool = MemoryPool::new("test", 4 * RESPONSE_BYTES);
+            let listening = endpoint::listen(Box::new(listener), Rc::new(tree), pool.clone());
+            let listening = spawn_local(listening);
+            let mut unread = Vec::new();
+            for _ in 0..20 {
+                let mut stream = TcpStream::connect(address).await.expect("a connection");
+                let call = b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n";
+                stream.write_all(call).await.expect("the call is sent");
+                unread.push(stream);
+            }
+            while pool.refused() + 2 < 20 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert!(pool.peak_bytes() <= pool.limit_bytes);
+            assert!(call(address).await.is_some(), "a short call is answered");
+            drop(unread);
+            while pool.held_bytes() > 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            listening.abort();
+        })
+        .await;
+}
--- a/crates/sparrouter-fleet/tests/http.rs
+++ b/crates/sparrouter-fleet/tests/http.rs
@@ -3,15 +3,19 @@
 use bytes::BytesMut;
 use sparrouter_fleet::platform::http::{Response, drain_until_closed};
 use sparrouter_fleet::platform::memory::MemoryPool;
-use sparrouter_fleet::platform::request::{ReadLimits, Request, RequestReadError, RequestReader};
+use sparrouter_fleet::platform::request::{
+    HeadLimits, ReadLimits, Request, RequestReadError, RequestReader,
+};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
 use tokio::time::{Instant, sleep};
 
 const LIMITS: ReadLimits = ReadLimits {
-    max_head_bytes: 256,
+    head: HeadLimits {
+        max_bytes: 256,
+        timeout: Duration::from_secs(3),
+    },
     max_body_bytes: 64,
-    header_timeout: Duration::from_secs(3),
 };
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -168,8 +172,7 @@
     let ((read, elapsed), ()) = tokio::join!(reading, sending(client_end));
     assert_eq!(status(read), 408);
     assert!(
-        (LIMITS.header_timeout..LIMITS.header_timeout + Duration::from_millis(5))
-            .contains(&elapsed),
+        (LIMITS.head.timeout..LIMITS.head.timeout + Duration::from_millis(5)).contains(&elapsed),
         "{elapsed:?}"
     );
 }
--- a/crates/sparrouter-fleet/tests/request_memory.rs
+++ b/crates/sparrouter-fleet/tests/request_memory.rs
@@ -3,7 +3,9 @@
 use sparrouter_fleet::platform::memory::{
     MemoryExhausted, MemoryPool, RequestMemory, Reservation, SMALL_REQUEST_BYTES,
 };
-use sparrouter_fleet::platform::request::{ReadLimits, Request, RequestReadError, RequestReader};
+use sparrouter_fleet::platform::request::{
+    HeadLimits, ReadLimits, Request, RequestReadError, RequestReader,
+};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, DuplexStream, duplex};
@@ -16,9 +18,11 @@
 /// Longer than a request may make no progress before it can be evicted.
 const LONG_STALL: Duration = Duration::from_millis(1_100);
 const LIMITS: ReadLimits = ReadLimits {
-    max_head_bytes: 16 << 10,
+    head: HeadLimits {
+        max_bytes: 16 << 10,
+        timeout: Duration::from_secs(3),
+    },
     max_body_bytes: 4 << 20,
-    header_timeout: Duration::from_secs(3),
 };
 
 fn pool() -> Rc<MemoryPool> {
