Requests: header fields count toward the memory of their request

What callers saw: a process that grew by 92 MB for 300 requests with heads inside max_header_bytes (16 KiB): 19 times their bytes.

Cause: a parsed field takes two slices, and a line one more while it is parsed, whatever its length; a head of fields of four bytes has 3,900 of them. Only the buffer was counted.

Change: 192 bytes are reserved for each line of a head before it is parsed. A request with 15 fields counts 3 KB more; one with 4,000 is a large one and is refused with 503 when the part for large requests is in use.

--- a/crates/sparrouter-fleet/src/platform/request.rs
+++ b/crates/sparrouter-fleet/src/platform/request.rs
@@ -15,6 +15,10 @@
 /// Capacity of a buffer that grows, as a multiple of its length.
 const BUFFER_GROWTH: usize = 2;
 
+/// Memory for each line of a head besides its bytes: the slices of its name and its value, in a list whose capacity may be
+/// twice its length, and the slice of the line while it is parsed.
+const FIELD_BYTES: usize = 6 * size_of::<Bytes>();
+
 /// Limits on the head of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct HeadLimits {
@@ -141,6 +145,8 @@
         let deadline = self.deadline.min(Instant::now() + limits.timeout);
         let read = timeout_at(deadline, self.receive_head(limits.max_bytes));
         let bytes = read.await.map_err(timed_out)??;
+        let lines = bytes.iter().filter(|&&byte| byte == b'\n').count();
+        self.reservation.grow(lines * FIELD_BYTES).await?;
         Ok(head::parse_request(&bytes)?)
     }
 
