--- a/crates/sparrouter-fleet/src/api/control.rs
+++ b/crates/sparrouter-fleet/src/api/control.rs
@@ -4,12 +4,16 @@
 use crate::control::configuration_state::{Change, Verdict};
 use crate::control::{self, ChangeAnswer, ChangeError};
 use crate::platform::defects::rules;
-use crate::platform::http::{Request, Response};
+use crate::platform::http::Response;
 use crate::platform::query;
+use crate::platform::request::Request;
 use sparrouter_codec::Blob;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Maximum length of the body of a configuration change: the maximum length of a configuration, with a margin, so that a
+/// longer one gets a response which says what to do.
+const MAX_CHANGE_BYTES: usize = 9 << 20;
 /// Timeout of a configuration change; shorter than the second for which an operator's client waits for the response.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Retry-After of a response to a change that was not applied.
@@ -36,14 +40,16 @@
             "/api/instances/*",
             with(|s, _, segments| Box::pin(handle_leaving_server(s, segments))),
         )
-        .on(
+        .on_body(
             "PUT",
             "/api/config",
+            MAX_CHANGE_BYTES,
             with(|s, r, _| Box::pin(replace_configuration(s, r))),
         )
-        .on(
+        .on_body(
             "PATCH",
             "/api/config",
+            MAX_CHANGE_BYTES,
             with(|s, r, _| Box::pin(patch_configuration(s, r))),
         )
         .on(
@@ -72,7 +78,7 @@
     let (node, control) = (&services.node, services.control.as_ref());
     let registry = &services.registry;
     registry
-        .handle_heartbeat(node, control, id, &request.body)
+        .handle_heartbeat(node, control, id, &request.body.contiguous())
         .await
 }
 
@@ -107,13 +113,16 @@
                 let text = "If-Match must be the number of the version that the change builds on";
                 Response::plain(400, text)
             })?;
-        let body = Blob(request.body.to_vec());
+        let body = Blob(request.body.contiguous().into_owned());
         Ok(Submission { if_match, body })
     }
 }
 
 async fn replace_configuration(services: Rc<ControlServices>, request: Rc<Request>) -> Response {
-    match Submission::read(&request) {
+    let submission = Submission::read(&request);
+    // The submission has its own copy of the body.
+    drop(request);
+    match submission {
         Ok(Submission { if_match, body }) => {
             submit(&services, &Change::Put { if_match, body }).await
         }
@@ -122,7 +131,10 @@
 }
 
 async fn patch_configuration(services: Rc<ControlServices>, request: Rc<Request>) -> Response {
-    match Submission::read(&request) {
+    let submission = Submission::read(&request);
+    // The submission has its own copy of the body.
+    drop(request);
+    match submission {
         Ok(Submission { if_match, body }) => {
             submit(&services, &Change::Patch { if_match, body }).await
         }
@@ -137,7 +149,8 @@
 }
 
 async fn name_version(services: Rc<ControlServices>, request: Rc<Request>) -> Response {
-    let text = std::str::from_utf8(&request.body).unwrap_or_default();
+    let body = request.body.contiguous();
+    let text = std::str::from_utf8(&body).unwrap_or_default();
     let Ok(body) = miniserde::json::from_str::<NamedVersionBody>(text) else {
         let text = "the body must be a JSON object with model and version";
         return Response::plain(400, text);
