Simulation: crowds whose bodies stop short, at whole nodes; defects of request memory

Five tests in virtual time with limits.memory_mb=20: a crowd of 32 clients with 1 MiB each (lengths, chunks of 16 bytes to 64 KiB, pieces; nine of ten stop short) in calm, while no server responds, and while the node freezes, shuts down and starts again. Checked are the pool's peak and limit by the metrics, that small requests are served at any time and a large one once the crowd has stopped, that nobody whose request did not arrive has run, that all memory comes back, and that the process ends by itself within its grace period.

Injected defects RequestMemoryUnbounded and StalledRequestsKept are found by the crowd, NoMemoryForSmallRequests by a directed test. ClusterSettings gets memory_mb (260 as before).

--- a/crates/sparrouter-fleet/src/platform/defects.rs
+++ b/crates/sparrouter-fleet/src/platform/defects.rs
@@ -212,6 +212,12 @@
     AnyResponseResumed => only_streams_resume,
     /// Events that precede malformed bytes are not written, though the stream is resumed behind them.
     EventsLostBeforeMalformedBytes => read_events_are_written,
+    /// Requests get memory whether it is available or not.
+    RequestMemoryUnbounded => request_memory_is_bounded,
+    /// Requests that stopped arriving keep their memory until their time-out.
+    StalledRequestsKept => stalled_requests_are_evicted,
+    /// Small requests get no memory once large ones hold their part.
+    NoMemoryForSmallRequests => memory_is_kept_for_small_requests,
 }
 #[cfg(feature = "injected-defects")]
 thread_local! {
--- a/crates/sparrouter-fleet/src/platform/memory.rs
+++ b/crates/sparrouter-fleet/src/platform/memory.rs
@@ -4,6 +4,7 @@
 //! The memory is divided into two pools, so that clients cannot take what operators and servers need. Within a pool, a
 //! part is kept for small requests, so that large ones cannot exhaust it. If a pool is exhausted, requests that have
 //! stopped arriving are evicted in favor of others, the one that stopped first before the others.
+use super::defects::rules;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -152,7 +153,7 @@
 
     /// Most bytes that all requests may hold after one of them has grown to `request_bytes`.
     fn limit_for(&self, request_bytes: usize) -> usize {
-        if request_bytes <= SMALL_REQUEST_BYTES {
+        if request_bytes <= SMALL_REQUEST_BYTES && rules::memory_is_kept_for_small_requests() {
             self.limit_bytes
         } else {
             self.limit_bytes - self.limit_bytes / SMALL_REQUESTS_DIVISOR
@@ -180,6 +181,9 @@
     /// Evicts as many stalled requests as hold `excess_bytes` together, in favor of the request `newcomer`. Returns false,
     /// without an eviction, if all of them hold less.
     fn evict(&self, excess_bytes: usize, newcomer: &Rc<Arrival>) -> bool {
+        if !rules::stalled_requests_are_evicted() {
+            return false;
+        }
         let mut chosen = Vec::new();
         let mut freed_bytes = 0;
         for arrival in self.stalled(newcomer) {
@@ -235,6 +239,9 @@
 
     /// Bytes above the limit if the request grows by `bytes`.
     fn excess(&self, bytes: usize) -> usize {
+        if !rules::request_memory_is_bounded() {
+            return 0;
+        }
         let limit = self.pool.limit_for(self.held_bytes().saturating_add(bytes));
         let held_after = self.pool.held_bytes().saturating_add(bytes);
         held_after.saturating_sub(limit)
--- a/crates/sparrouter-simulation/src/cluster/process_settings.rs
+++ b/crates/sparrouter-simulation/src/cluster/process_settings.rs
@@ -24,12 +24,13 @@
             "node_name={}\nip_address={ip}\nzone={}\nregion=valley\n\
              listen_addresses.front_http={ip}:{FRONT_PORT}\nlisten_addresses.readiness={ip}:{READINESS_PORT}\n\
              listen_addresses.control_plane={ip}:{CONTROL_PORT}\ninternal_port_range=7360,7375\nseed_nodes={}\n\
-             first_start={first_start}\ncounts_toward_quorum={}\nlimits.memory_mb=260\nlimits.max_open_files=4100\n\
+             first_start={first_start}\ncounts_toward_quorum={}\nlimits.memory_mb={}\nlimits.max_open_files=4100\n\
              heartbeat_ms={}\nfault_tolerance.machines={}\n",
             machine.node_name,
             machine.zone,
             seeds.join(","),
             machine.is_core,
+            self.settings.memory_mb,
             ms(self.settings.heartbeat),
             self.settings.tolerated_losses(),
         );
--- a/crates/sparrouter-simulation/src/cluster/settings.rs
+++ b/crates/sparrouter-simulation/src/cluster/settings.rs
@@ -30,6 +30,8 @@
     /// Quota of each node: polls of its tasks in each tenth of a second; `None`: no quota. A machine that gets its share of
     /// a processor is sound, so this is no fault.
     pub processor_polls: Option<u32>,
+    /// Memory of each machine in MB. The simulated machine does not enforce it.
+    pub memory_mb: u64,
 }
 
 /// Defines a method for each field that sets it.
@@ -57,6 +59,7 @@
     write_delay: Duration,
     load_time: Duration,
     processor_polls: Option<u32>,
+    memory_mb: u64,
 }
 
 impl ClusterSettings {
@@ -74,6 +77,7 @@
             write_delay: Duration::from_millis(2),
             load_time: Duration::from_millis(600),
             processor_polls: None,
+            memory_mb: 260,
         }
     }
 
