Sockets: a caller that reads nothing for some seconds is no longer cut off

Cause: accepted connections had the time-out of unacknowledged bytes (TCP_USER_TIMEOUT, 1.5 s) that is meant for machines without power; a window of zero counts as unacknowledged.

Change: connections of callers have 60 s; those to servers, to nodes and from nodes keep 1.5 s (Net::listen_for_nodes).

--- a/crates/sparrouter-fleet/src/platform/net.rs
+++ b/crates/sparrouter-fleet/src/platform/net.rs
@@ -10,8 +10,12 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-/// Time without an acknowledgement after which a connection breaks, since a machine that lost power closes none.
+/// Time without an acknowledgement after which a connection to a server or another node breaks, since a machine that lost
+/// power closes none.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same for a caller's connection. A caller that reads nothing for a while acknowledges nothing either, and what is
+/// written to it ends at the deadline of its request.
+const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum number of connections that the operating system queues until they are accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
 
@@ -49,6 +53,14 @@
     ///
     /// The error of the operating system, for example if the address is in use.
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>>;
+    /// Listens on an address of this machine for connections of other nodes.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`Net::listen`].
+    fn listen_for_nodes(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        self.listen(at)
+    }
 }
 
 /// TCP sockets of the operating system.
@@ -61,27 +73,49 @@
 }
 
 /// Sets the options of a new connection.
-fn configure(stream: TcpStream) -> Stream {
+fn configure(stream: TcpStream, unacknowledged_timeout: Duration) -> Stream {
     // Errors are ignored: without these options the connection works, but sends with delay and detects a failed peer
     // later.
     let _ = stream.set_nodelay(true);
-    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged_timeout));
     Box::new(stream)
 }
 
 impl Net for Sockets {
     fn dial(&self, to: SocketAddr) -> BoxFuture<'_, io::Result<Stream>> {
-        Box::pin(async move { Ok(configure(TcpStream::connect(to).await?)) })
+        Box::pin(async move {
+            let stream = TcpStream::connect(to).await?;
+            Ok(configure(stream, UNACKNOWLEDGED_TIMEOUT))
+        })
     }
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        let socket = if at.is_ipv4() {
-            TcpSocket::new_v4()?
-        } else {
-            TcpSocket::new_v6()?
-        };
-        socket.set_reuseaddr(true)?;
-        socket.bind(at)?;
-        Ok(Box::new(socket.listen(ACCEPT_BACKLOG)?))
+        Ok(Box::new(bind(at)?))
+    }
+    fn listen_for_nodes(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        Ok(Box::new(NodeListener(bind(at)?)))
+    }
+}
+
+fn bind(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(ACCEPT_BACKLOG)
+}
+
+/// A listener for connections of other nodes.
+struct NodeListener(TcpListener);
+
+impl Listener for NodeListener {
+    fn accept(&self) -> BoxFuture<'_, io::Result<(Stream, SocketAddr)>> {
+        Box::pin(async move {
+            let (stream, from) = self.0.accept().await?;
+            Ok((configure(stream, UNACKNOWLEDGED_TIMEOUT), from))
+        })
     }
 }
 
@@ -89,7 +123,7 @@
     fn accept(&self) -> BoxFuture<'_, io::Result<(Stream, SocketAddr)>> {
         Box::pin(async move {
             let (stream, from) = TcpListener::accept(self).await?;
-            Ok((configure(stream), from))
+            Ok((configure(stream, CALLER_UNACKNOWLEDGED_TIMEOUT), from))
         })
     }
 }
--- a/crates/sparrouter-fleet/src/process/endpoints.rs
+++ b/crates/sparrouter-fleet/src/process/endpoints.rs
@@ -69,7 +69,7 @@
         Ok(Listeners {
             first: self,
             front: front.map(|address| listen(net, address)).transpose()?,
-            internal: listen(net, settings.internal_of(settings.ip))?,
+            internal: listen_for_nodes(net, settings.internal_of(settings.ip))?,
         })
     }
 }
@@ -79,6 +79,11 @@
         .map_err(|source| RunError::Listen { address, source })
 }
 
+fn listen_for_nodes(net: &dyn Net, address: SocketAddr) -> Result<Box<dyn Listener>, RunError> {
+    net.listen_for_nodes(address)
+        .map_err(|source| RunError::Listen { address, source })
+}
+
 /// Starts polling other nodes, and a task for each listener. Returns the sender that announces the stages of a shutdown
 /// to the frontend.
 pub(super) fn start(services: &Rc<ControlServices>, listeners: Listeners) -> watch::Sender<Stage> {
