Frontend: bytes behind requests leave half of the memory to others' requests

Evidence: given_a_crowd_that_sends_on_behind_its_requests_then_the_requests_of_others_are_served, in virtual time: with the reservation as it was, the small request gets 503 "the memory for requests is in use"; with this change 200.

Change: such bytes are reserved only while less than half of the pool is held (try_grow_optional); else no more are read until the response is complete. A client that sends its next request early loses nothing.

--- a/crates/sparrouter-fleet/src/platform/memory.rs
+++ b/crates/sparrouter-fleet/src/platform/memory.rs
@@ -24,6 +24,8 @@
 const MIN_CONTROL_BYTES: usize = 14 << 20;
 /// Inverse of the fraction of a pool that is kept for small requests.
 const SMALL_REQUESTS_DIVISOR: usize = 4;
+/// Inverse of the fraction of a pool up to which bytes are reserved that requests can do without.
+const OPTIONAL_DIVISOR: usize = 2;
 /// A request that holds no more than this is small.
 pub const SMALL_REQUEST_BYTES: usize = 64 << 10;
 /// Time without progress after which a request that is arriving may be evicted.
@@ -257,6 +259,13 @@
         true
     }
 
+    /// Reserves further bytes that the request can do without, if less than half of the pool is held: they never compete
+    /// with requests.
+    pub fn try_grow_optional(&mut self, bytes: usize) -> bool {
+        let held_after = self.pool.held_bytes().saturating_add(bytes);
+        held_after <= self.pool.limit_bytes / OPTIONAL_DIVISOR && self.try_grow(bytes)
+    }
+
     /// Reserves further bytes. If they are not available, stalled requests are evicted and their memory is awaited.
     ///
     /// # Errors
--- a/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
@@ -90,7 +90,10 @@
     fn reserves_read_ahead(&mut self) -> bool {
         let needed = self.read_ahead.len() * BUFFER_GROWTH;
         let missing = needed.saturating_sub(self.read_ahead_reserved);
-        let is_reserved = self.reservation.try_grow(missing);
+        if missing == 0 {
+            return true;
+        }
+        let is_reserved = self.reservation.try_grow_optional(missing);
         if is_reserved {
             self.read_ahead_reserved += missing;
         }
--- a/crates/sparrouter-fleet/tests/request_memory.rs
+++ b/crates/sparrouter-fleet/tests/request_memory.rs
@@ -69,6 +69,17 @@
     assert!(pool.reserve().try_grow(SMALL_REQUEST_BYTES));
 }
 
+#[tokio::test(start_paused = true)]
+async fn given_bytes_that_requests_can_do_without_then_they_leave_half_of_the_pool_to_others() {
+    let pool = pool();
+    let mut first = pool.reserve();
+    assert!(first.try_grow_optional(POOL_BYTES / 2));
+    assert!(!first.try_grow_optional(1));
+    assert!(pool.reserve().try_grow(LARGE_BYTES - POOL_BYTES / 2));
+    drop(first);
+    assert!(pool.reserve().try_grow_optional(1));
+}
+
 /// Runs a request that is arriving until it is evicted; its memory is then given back.
 fn arrive_until_evicted(reservation: Reservation) -> tokio::task::JoinHandle<()> {
     spawn_local(async move { reservation.evicted().await })
--- a/crates/sparrouter-simulation/tests/request_memory.rs
+++ b/crates/sparrouter-simulation/tests/request_memory.rs
@@ -316,3 +316,46 @@
         });
     }
 }
+
+/// Guards against bytes behind the requests of some clients that leave no memory for the requests of others.
+#[test]
+fn given_a_crowd_that_sends_on_behind_its_requests_then_the_requests_of_others_are_served() {
+    const PIPELINING_MEMBERS: usize = 90;
+    const PIPELINED_BYTES: usize = 256 << 10;
+    play(async {
+        let settings = ClusterSettings::with_seed(899)
+            .servers(0)
+            .memory_mb(MEMORY_MB);
+        let cluster = SimulatedCluster::serving(settings).await;
+        let _servers = Servers::start(&cluster, 3, |head, _| {
+            match head.fields.text("sparrouter-attempt-id") {
+                Some("small") => Reaction::Respond(success("done")),
+                _ => Reaction::NoResponse,
+            }
+        })
+        .await;
+        let net = cluster.outside_network();
+        for number in 0..PIPELINING_MEMBERS {
+            let mut stream = net
+                .connect(cluster.front_of(NODE))
+                .await
+                .expect("connected");
+            let head = format!(
+                "POST /idem/a HTTP/1.1\r\nHost: {HOST}\r\nSparrouter-Key: {KEY}\r\n\
+                 Sparrouter-Attempt-Id: {}\r\nContent-Length: 1\r\n\r\n",
+                crowd_id(899, number)
+            );
+            let bytes = [head.into_bytes(), vec![b'x'; PIPELINED_BYTES]].concat();
+            spawn_local(async move {
+                // The client stays connected, whether it can write all bytes or not.
+                let _ = stream.write_all(&bytes).await;
+                sleep(STAY).await;
+            });
+        }
+        sleep(LONG_STALL / 2).await;
+        assert_bounded(&cluster, NODE).await;
+        let small = ScriptedRequest::new("/idem/a", "small");
+        let response = small.send_to(&cluster, NODE).await;
+        assert_eq!(response.status, 200, "a small request: {response:?}");
+    });
+}
