Sockets: callers' receive buffers no longer grow; drawn crowds and fast senders

What callers saw: nothing yet; found while looking for what else counts as memory of the machine: bytes that have arrived and were not read. 380 clients with bodies in chunks of 16 bytes: 68, 69 and 78 MB of 64 with unread bytes, 27 MB resident.

Cause: the operating system lets the receive buffer of each connection grow for a caller that sends faster than is read (here up to 32 MB each).

Change: connections of callers have a receive buffer of 32 KiB, set on the listener. Price: a body of 4 MiB takes 7 s over a path of 50 ms there and back. With 64 KiB one of five runs still passed the bound (66 MB).

--- a/crates/sparrouter-fleet/src/platform/net.rs
+++ b/crates/sparrouter-fleet/src/platform/net.rs
@@ -16,6 +16,9 @@
 /// The same for a caller's connection. A caller that reads nothing for a while acknowledges nothing either, and what is
 /// written to it ends at the deadline of its request.
 const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(60);
+/// Size of the receive buffer of a caller's connection. The operating system's own size grows to some MB for a caller that
+/// sends faster than is read, on each connection.
+const CALLER_RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Maximum number of connections that the operating system queues until they are accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
 
@@ -89,14 +92,17 @@
         })
     }
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        Ok(Box::new(bind(at)?))
+        let socket = bind(at)?;
+        // Accepted connections inherit the size. Without it the listener works, and bytes of fast callers take more memory.
+        let _ = socket.set_recv_buffer_size(CALLER_RECEIVE_BUFFER_BYTES);
+        Ok(Box::new(socket.listen(ACCEPT_BACKLOG)?))
     }
     fn listen_for_nodes(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
-        Ok(Box::new(NodeListener(bind(at)?)))
+        Ok(Box::new(NodeListener(bind(at)?.listen(ACCEPT_BACKLOG)?)))
     }
 }
 
-fn bind(at: SocketAddr) -> io::Result<TcpListener> {
+fn bind(at: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if at.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -104,7 +110,7 @@
     };
     socket.set_reuseaddr(true)?;
     socket.bind(at)?;
-    socket.listen(ACCEPT_BACKLOG)
+    Ok(socket)
 }
 
 /// A listener for connections of other nodes.
--- a/crates/sparrouter-fleet/tests/misbehaving_clients/crowd.rs
+++ b/crates/sparrouter-fleet/tests/misbehaving_clients/crowd.rs
@@ -44,6 +44,8 @@
     /// Bytes of the body that each client sends.
     pub sent_bytes: usize,
     pub pace: Pace,
+    /// Bytes that follow behind the body.
+    pub pipelined_bytes: usize,
     /// Number of empty header fields in addition to the necessary ones.
     pub empty_fields: usize,
 }
@@ -52,7 +54,9 @@
     /// Sends all requests at the same time. Returns the connections, which stay open, once each client has sent its
     /// bytes, was disconnected, or can't write any more.
     pub async fn send(&self) -> Vec<TcpStream> {
-        let body: Rc<[u8]> = self.body().into();
+        let mut bytes = self.body();
+        bytes.resize(bytes.len() + self.pipelined_bytes, b'x');
+        let body: Rc<[u8]> = bytes.into();
         let tasks: Vec<_> = (0..self.members)
             .map(|member| {
                 let (address, pace) = (self.address, self.pace);
--- a/crates/sparrouter-fleet/tests/misbehaving_clients/main.rs
+++ b/crates/sparrouter-fleet/tests/misbehaving_clients/main.rs
@@ -2,6 +2,7 @@
 //! The process must live, stay within the memory and the descriptors of its machine, and serve ordinary callers. The
 //! tests check no times and no share of served requests; they run one at a time.
 mod crowd;
+mod drawn;
 mod process;
 
 use crowd::{Crowd, EMPTY_FIELD, Framing, Pace};
@@ -31,6 +32,12 @@
 const SMALL_BODY_BYTES: usize = 100;
 /// Clients of a crowd whose heads are as long as the limit allows.
 const HEAD_MEMBERS: usize = 300;
+/// Clients of a crowd whose bytes come faster than they are read.
+const FAST_MEMBERS: usize = 380;
+/// Clients of a crowd that sends more behind each request.
+const PIPELINING_MEMBERS: usize = 300;
+/// Bytes that they send behind it, together more than the memory.
+const PIPELINED_BYTES: usize = 512 << 10;
 /// Bytes of a large chunk.
 const LARGE_CHUNK: usize = 256 << 10;
 /// Bytes of a very small chunk.
@@ -49,12 +56,17 @@
 /// Only one test runs at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
-/// Starts a process, sends the crowd's requests, and checks the process while the crowd is still connected.
-fn check(work: Duration, crowd: impl FnOnce(&Process) -> Crowd) {
+/// Runs a test with real processes, one at a time.
+fn run(test: impl Future<Output = ()>) {
     // A test that failed before has ended its process.
     let _only = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let runtime = Builder::new_current_thread().enable_all().build();
-    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
+
+/// Starts a process, sends the crowd's requests, and checks the process while the crowd is still connected.
+fn check(work: Duration, crowd: impl FnOnce(&Process) -> Crowd) {
+    run(async {
         let process = Process::start(work).await;
         let connections = crowd(&process).send().await;
         process.assert_within_bounds();
@@ -65,6 +77,16 @@
     });
 }
 
+/// Guards against bounds that hold for one crowd and not for several, drawn by seed, that overlap each other, kills,
+/// restarts and shutdowns.
+#[test]
+fn given_drawn_crowds_between_kills_and_shutdowns_then_memory_is_bounded_and_callers_served() {
+    for seed in drawn::seeds() {
+        eprintln!("seed {seed}");
+        run(drawn::play(seed));
+    }
+}
+
 /// A crowd on the listener for clients that sends bodies which stop just short of their end.
 fn front_crowd(process: &Process, framing: Framing, pace: Pace) -> Crowd {
     let sent_bytes = match framing {
@@ -78,6 +100,7 @@
         framing,
         sent_bytes,
         pace,
+        pipelined_bytes: 0,
         empty_fields: 0,
     }
 }
@@ -151,6 +174,27 @@
     });
 }
 
+/// Guards against memory for bytes that arrive behind a request while it is served.
+#[test]
+fn given_many_clients_that_send_on_behind_their_request_then_memory_is_bounded_and_callers_served()
+{
+    check(LONG_WORK, |process| Crowd {
+        members: PIPELINING_MEMBERS,
+        sent_bytes: SMALL_BODY_BYTES,
+        pipelined_bytes: PIPELINED_BYTES,
+        ..front_crowd(process, Framing::Length(SMALL_BODY_BYTES), Pace::AtOnce)
+    });
+}
+
+/// Guards against bytes that arrive faster than they are read and wait in the buffers of the connections.
+#[test]
+fn given_many_clients_that_send_faster_than_is_read_then_memory_is_bounded_and_callers_served() {
+    check(SHORT_WORK, |process| Crowd {
+        members: FAST_MEMBERS,
+        ..front_crowd(process, Framing::Chunks(SMALL_CHUNK), Pace::AtOnce)
+    });
+}
+
 /// Guards against memory that each header field takes beside its bytes.
 #[test]
 fn given_many_requests_with_thousands_of_header_fields_then_memory_is_bounded_and_callers_served() {
@@ -170,6 +214,7 @@
         framing: Framing::Length(MAX_CONFIG_BYTES),
         sent_bytes: MAX_CONFIG_BYTES - 1,
         pace: Pace::AtOnce,
+        pipelined_bytes: 0,
         empty_fields: 0,
     }
 }
--- a/crates/sparrouter-fleet/tests/misbehaving_clients/process.rs
+++ b/crates/sparrouter-fleet/tests/misbehaving_clients/process.rs
@@ -89,12 +89,7 @@
 
     /// Asserts that a client's ordinary request is served and that an operator can read the configuration.
     pub async fn assert_serves_callers(&self) {
-        let request = ClientRequest {
-            kind: RequestKind::Idempotent,
-            path: "/swap/1".into(),
-            patience: STEP_TIMEOUT,
-        };
-        let ending = self.clients.send(&request, Some(0)).await.ending;
+        let ending = self.send_request().await;
         assert_eq!(ending, Ending::Served, "{}", self.machine.log_text());
         let version = self.operator.read_back().await;
         assert_eq!(version.ok(), Some(1), "{}", self.machine.log_text());
@@ -123,6 +118,45 @@
         assert!(descriptors <= MAX_OPEN_FILES, "{descriptors} descriptors");
     }
 
+    /// Kills the process or, if `is_graceful`, asserts that it ends by itself after SIGTERM; starts it again and waits until
+    /// it is ready.
+    pub async fn restart(&mut self, is_graceful: bool) {
+        if is_graceful {
+            assert!(
+                self.machine.terminate().await,
+                "{}",
+                self.machine.log_text()
+            );
+        } else {
+            self.machine.kill().await;
+        }
+        self.machine.ready.set(false);
+        self.machine.restart().expect("the process starts");
+        self.process_id = self.machine.process_id().expect("the process runs");
+        self.sampler = Sampler::start(self.process_id, self.machine.ip);
+        self.wait_until_ready().await;
+        self.wait_for_server().await;
+    }
+
+    /// Waits until a request is served: the model server has to be known again after a restart.
+    async fn wait_for_server(&self) {
+        let deadline = Instant::now() + STEP_TIMEOUT;
+        while self.send_request().await != Ending::Served {
+            let log = self.machine.log_text();
+            assert!(Instant::now() < deadline, "no request is served: {log}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn send_request(&self) -> Ending {
+        let request = ClientRequest {
+            kind: RequestKind::Idempotent,
+            path: "/swap/1".into(),
+            patience: STEP_TIMEOUT,
+        };
+        self.clients.send(&request, Some(0)).await.ending
+    }
+
     /// Asserts that the process ends by itself within its grace period after SIGTERM.
     pub async fn assert_ends_when_terminated(&self) {
         self.server.stop();
