--- a/crates/sparrouter-node/tests/harness/mod.rs
+++ b/crates/sparrouter-node/tests/harness/mod.rs
@@ -52,6 +52,29 @@
     sockets: usize,
     level: &str,
 ) -> TestNode {
+    let limits = MachineLimits {
+        memory_mb: 192,
+        sockets,
+    };
+    start_node_in(limits, settings, caches, origin, level)
+}
+
+/// The limits of a node's machine.
+#[derive(Clone, Copy)]
+pub struct MachineLimits {
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+/// Starts a node in a machine with these limits, and returns it once it is ready.
+pub fn start_node_in(
+    limits: MachineLimits,
+    settings: &str,
+    caches: &[&Server],
+    origin: SocketAddr,
+    level: &str,
+) -> TestNode {
+    let MachineLimits { memory_mb, sockets } = limits;
     let discovery = Discovery::start();
     let address = free();
     let other = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
@@ -65,7 +88,7 @@
     let (targets, peer) = (targets.join(","), other.local_addr().unwrap());
     let config = format!(
         r#"{{"name":"n0","listen":"{address}","discovery":"{}","seed":"8c1f30d27a5be964",
- "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}",
+ "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"peer_listen":"{datagrams}",
  "peers":["{datagrams}","{peer}"],"known":{{"rev":41,"all":true,"targets":[{targets}]}},"settings":{settings}}}"#,
         discovery.at
     );
