Frontend: a client that reads nothing no longer holds a refusal or an interim response up

Change: a refusal has the 5 s of the node's other responses; the interim response ends at the request's deadline (408).

Measured: given_expect_100_continue_when_the_interim_response_is_not_read_then_the_status_is_408 passes; without the change it waits for ever in virtual time (not run: the test would not end).

--- a/crates/sparrouter-fleet/src/platform/request.rs
+++ b/crates/sparrouter-fleet/src/platform/request.rs
@@ -169,9 +169,10 @@
         }
         let expects_continue = head.fields.text("expect");
         if expects_continue.is_some_and(|e| e.eq_ignore_ascii_case("100-continue")) {
-            self.stream
-                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .await
+            let interim = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            let written = timeout_at(self.deadline, interim).await;
+            written
+                .map_err(timed_out)?
                 .map_err(|_| RequestReadError::Left)?;
         }
         let read = timeout_at(self.deadline, self.receive_body(head.framing, max_bytes));
--- a/crates/sparrouter-fleet/src/proxy/frontend.rs
+++ b/crates/sparrouter-fleet/src/proxy/frontend.rs
@@ -208,9 +208,7 @@
                 Response::out_of_memory(node.jitter(RETRY_WITHOUT_MEMORY))
             }
         };
-        // The client may already have disconnected.
-        let _ = self.stream.write_all(&response.bytes(false)).await;
-        self.drain().await
+        self.respond(&response, false).await
     }
 
     /// Writes a response that the node itself produced.
--- a/crates/sparrouter-fleet/tests/http.rs
+++ b/crates/sparrouter-fleet/tests/http.rs
@@ -275,6 +275,29 @@
     );
 }
 
+/// Guards against a connection that is held for ever by a client that reads nothing.
+#[tokio::test(start_paused = true)]
+async fn given_expect_100_continue_when_the_interim_response_is_not_read_then_the_status_is_408() {
+    let (mut client_end, mut server_end) = duplex(16);
+    let started_at = Instant::now();
+    let writing = async {
+        let head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+        client_end.write_all(head).await.expect("it is read");
+        sleep(REQUEST_TIMEOUT * 2).await;
+    };
+    let reading = async {
+        let deadline = started_at + REQUEST_TIMEOUT;
+        let read = read_request(&mut server_end, &mut BytesMut::new(), deadline).await;
+        (read, started_at.elapsed())
+    };
+    let ((read, elapsed), ()) = tokio::join!(reading, writing);
+    assert_eq!(status(read), 408);
+    assert!(
+        elapsed <= REQUEST_TIMEOUT + Duration::from_millis(5),
+        "{elapsed:?}"
+    );
+}
+
 #[test]
 fn given_own_responses_when_written_then_they_are_complete_http_messages() {
     let text = |response: Response, keep_alive| {
