Listeners: at the limit of connections, one that waits for its caller gives way

What callers saw: while others held all connections of a listener (2,280 at the front, 800 at the control listener) and sent nothing, or all but the end of a request, ordinary callers got no answer until the time-outs of those (12 to 20 s), and again when they came back.

Cause: at the limit no connection was accepted until one had ended; an idle connection counts as much as one that is served.

Evidence: 2,600 simulated clients that hold connections of a node, half of them with a part of a request: with the defect WaitingConnectionsKept, which leaves the code as it was, a client that gives up after 6 s is not served. 850 connections at an endpoint on loopback are a second test; it was not run on the code before.

Change: ConnectionLimit. At the limit a new connection displaces the one that has waited longest for its caller, after a second without progress: an idle one is closed, one whose request is arriving gets 503 with Retry-After. One that is served is never displaced; below the limit nobody is. Metric connections_displaced_total, a log line.

--- a/crates/sparrouter-fleet/src/api/endpoint.rs
+++ b/crates/sparrouter-fleet/src/api/endpoint.rs
@@ -1,4 +1,5 @@
 //! HTTP endpoints for servers, operators and readiness checks: a tree of handlers by path and method.
+use crate::platform::connections::{ConnectionLimit, ConnectionSlot};
 use crate::platform::http::{self, Response};
 use crate::platform::memory::{MemoryExhausted, MemoryPool, Reservation};
 use crate::platform::net::{self, Listener, Stream};
@@ -6,15 +7,14 @@
 use bytes::BytesMut;
 use sparrouter_http::head::{Framing, RequestHead};
 use sparrouter_http::reading;
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Maximum length of a request body in bytes, unless its handler takes a longer one.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -181,23 +181,25 @@
     memory: Rc<MemoryPool>,
     max_idle: usize,
 ) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let limit = ConnectionLimit::new(MAX_CONNECTIONS, memory.clone());
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
+        let free_slot = limit.try_acquire();
         let (stream, _) = net::accept(listener).await;
+        let slot = match free_slot {
+            Some(slot) => slot,
+            None => limit.acquire().await,
+        };
         let connection = CallerConnection {
             stream,
             buffer: BytesMut::new(),
             tree: tree.clone(),
             memory: memory.clone(),
+            slot,
         };
-        let permits = permits.clone();
+        let limit = limit.clone();
         spawn_local(async move {
-            let may_stay_open = || MAX_CONNECTIONS - permits.available_permits() <= max_idle;
+            let may_stay_open = || limit.in_use() <= max_idle;
             connection.serve(may_stay_open).await;
-            drop(permit);
         });
     }
 }
@@ -206,6 +208,8 @@
 enum UnreadCall {
     /// The connection ended.
     Left,
+    /// Others need the connection; it is closed.
+    Displaced,
     /// The caller gets this response, and the connection is closed.
     Refused(Response),
 }
@@ -220,6 +224,7 @@
             RequestReadError::MemoryExhausted => {
                 UnreadCall::Refused(Response::out_of_memory(RETRY_WITHOUT_MEMORY))
             }
+            RequestReadError::Displaced => UnreadCall::Displaced,
         }
     }
 }
@@ -231,6 +236,7 @@
     buffer: BytesMut,
     tree: Rc<Matcher>,
     memory: Rc<MemoryPool>,
+    slot: ConnectionSlot,
 }
 
 impl CallerConnection {
@@ -241,13 +247,27 @@
                 return;
             }
             let mut reservation = self.memory.reserve();
-            let (response, keep_alive) = match self.read_call(&mut reservation).await {
+            self.slot.begin_wait(reservation.progress());
+            let displaced = self.slot.displaced();
+            let read = tokio::select! {
+                biased;
+                () = displaced => Err(RequestReadError::Displaced.into()),
+                read = self.read_call(&mut reservation) => read,
+            };
+            self.slot.end_wait();
+            let (response, keep_alive) = match read {
                 Ok(request) => {
                     let asks_keep_alive = request.head.keep_alive;
                     let response = self.tree.respond(Rc::new(request)).await;
                     (response, asks_keep_alive && may_stay_open())
                 }
                 Err(UnreadCall::Left) => return,
+                Err(UnreadCall::Displaced) => {
+                    self.write(Response::displaced(RETRY_WITHOUT_MEMORY), false)
+                        .await;
+                    // Another connection waits for the slot of this one.
+                    return;
+                }
                 Err(UnreadCall::Refused(response)) => (response, false),
             };
             drop(reservation);
@@ -264,11 +284,14 @@
     async fn await_call(&mut self) -> bool {
         // Frees the buffer of an idle connection.
         self.buffer = BytesMut::new();
-        let read = timeout(
-            IDLE_TIMEOUT,
-            reading::more(&mut self.stream, &mut self.buffer),
-        );
-        matches!(read.await, Ok(Ok(())))
+        self.slot.begin_wait(Rc::new(Cell::new(Instant::now())));
+        let displaced = self.slot.displaced();
+        tokio::select! {
+            biased;
+            read = reading::more(&mut self.stream, &mut self.buffer) => read.is_ok(),
+            () = displaced => false,
+            () = sleep(IDLE_TIMEOUT) => false,
+        }
     }
 
     /// Reads one call. A body is read only if a handler takes it.
--- a/crates/sparrouter-fleet/src/api/metrics.rs
+++ b/crates/sparrouter-fleet/src/api/metrics.rs
@@ -192,6 +192,9 @@
     lines("request_memory_evicted_total", &|pool| {
         pool.evicted() as f64
     });
+    lines("connections_displaced_total", &|pool| {
+        pool.displaced() as f64
+    });
 }
 
 /// Quotas by shard: the permits that this node grants if it holds the shard's lease, and whether the lease holder is
--- a/crates/sparrouter-fleet/src/platform/defects.rs
+++ b/crates/sparrouter-fleet/src/platform/defects.rs
@@ -218,6 +218,8 @@
     StalledRequestsKept => stalled_requests_are_evicted,
     /// Small requests get no memory once large ones hold their part.
     NoMemoryForSmallRequests => memory_is_kept_for_small_requests,
+    /// Connections whose callers send nothing keep their place until their time-out.
+    WaitingConnectionsKept => waiting_connections_are_displaced,
 }
 #[cfg(feature = "injected-defects")]
 thread_local! {
--- a/crates/sparrouter-fleet/src/platform/http.rs
+++ b/crates/sparrouter-fleet/src/platform/http.rs
@@ -125,8 +125,17 @@
     /// Creates the response to a request for which no memory is available; it has not run and never will.
     pub fn out_of_memory(after: Duration) -> Response {
         Response {
-            retry_after: Some(after),
-            ..Response::plain(503, MemoryExhausted.to_string())
+            body: MemoryExhausted.to_string(),
+            ..Response::retry_later(after)
+        }
+    }
+
+    /// Creates the response to a request whose connection is displaced while it arrives; it has not run and never will.
+    pub fn displaced(after: Duration) -> Response {
+        Response {
+            body: "all connections are in use and the request did not arrive: retry later"
+                .to_owned(),
+            ..Response::retry_later(after)
         }
     }
 
--- a/crates/sparrouter-fleet/src/platform/memory.rs
+++ b/crates/sparrouter-fleet/src/platform/memory.rs
@@ -4,6 +4,7 @@
 //! The memory is divided into two pools, so that clients cannot take what operators and servers need. Within a pool, a
 //! part is kept for small requests, so that large ones cannot exhaust it. If a pool is exhausted, requests that have
 //! stopped arriving are evicted in favor of others, the one that stopped first before the others.
+use super::connections::Progress;
 use super::defects::rules;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -74,6 +75,7 @@
     peak_bytes: Cell<usize>,
     refused: Cell<u64>,
     evicted: Cell<u64>,
+    displaced: Cell<u64>,
     /// Requests whose bytes are still arriving, in the order of their beginning.
     arriving: RefCell<BTreeMap<u64, Rc<Arrival>>>,
     next_id: Cell<u64>,
@@ -85,7 +87,7 @@
 /// The state of a request that is arriving.
 struct Arrival {
     held_bytes: Cell<usize>,
-    progressed_at: Cell<Instant>,
+    progressed_at: Progress,
     /// Bytes that have arrived since `progressed_at`.
     arrived_bytes: Cell<usize>,
     is_evicted: Cell<bool>,
@@ -102,6 +104,7 @@
             peak_bytes: Cell::new(0),
             refused: Cell::new(0),
             evicted: Cell::new(0),
+            displaced: Cell::new(0),
             arriving: RefCell::default(),
             next_id: Cell::new(0),
             released: Notify::new(),
@@ -134,11 +137,39 @@
         self.evicted.get()
     }
 
+    /// Connections that were closed in favor of others, as they had waited long for their callers.
+    pub fn displaced(&self) -> u64 {
+        self.displaced.get()
+    }
+
+    /// Counts a displaced connection, and reports it unless one was reported lately.
+    pub(super) fn record_displaced(&self) {
+        self.displaced.set(self.displaced.get() + 1);
+        if self.is_report_due() {
+            log::warn!(
+                "connections are in use, those that wait for their callers are closed: pool={} closed={}",
+                self.name,
+                self.displaced.get()
+            );
+        }
+    }
+
+    /// Whether no line about the pool was logged lately; the next one is due only after a pause.
+    fn is_report_due(&self) -> bool {
+        let now = Instant::now();
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_INTERVAL;
+        let is_due = self.reported_at.get().is_none_or(is_due);
+        if is_due {
+            self.reported_at.set(Some(now));
+        }
+        is_due
+    }
+
     /// Begins a reservation, without bytes, for a request that is arriving.
     pub fn reserve(self: &Rc<Self>) -> Reservation {
         let arrival = Rc::new(Arrival {
             held_bytes: Cell::new(0),
-            progressed_at: Cell::new(Instant::now()),
+            progressed_at: Rc::new(Cell::new(Instant::now())),
             arrived_bytes: Cell::new(0),
             is_evicted: Cell::new(false),
             eviction: Notify::new(),
@@ -210,10 +241,7 @@
     /// Counts a refused request, and reports it unless one was reported lately.
     fn record_refusal(&self) {
         self.refused.set(self.refused.get() + 1);
-        let now = Instant::now();
-        let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_INTERVAL;
-        if self.reported_at.get().is_none_or(is_due) {
-            self.reported_at.set(Some(now));
+        if self.is_report_due() {
             log::warn!(
                 "memory for requests is in use, requests are refused: pool={} held={} limit={} refused={} evicted={}",
                 self.name,
@@ -316,6 +344,11 @@
         Ok(())
     }
 
+    /// The moment at which the request last made progress.
+    pub fn progress(&self) -> Progress {
+        self.arrival.progressed_at.clone()
+    }
+
     /// Records that bytes of the request have arrived.
     pub fn record_arrival(&self, bytes: usize) {
         let arrived = self.arrival.arrived_bytes.get() + bytes;
--- a/crates/sparrouter-fleet/src/platform/mod.rs
+++ b/crates/sparrouter-fleet/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! The simulation replaces the sockets by its own network.
 pub mod background_writer;
 pub mod body;
+pub mod connections;
 pub mod defects;
 pub mod http;
 pub mod log_buffer;
--- a/crates/sparrouter-fleet/src/platform/request.rs
+++ b/crates/sparrouter-fleet/src/platform/request.rs
@@ -46,6 +46,9 @@
     Refused(u16, &'static str),
     /// No memory is available for the request; it is answered with 503, and the connection is closed.
     MemoryExhausted,
+    /// The request did not arrive while others needed its connection; it is answered with 503, and the connection is
+    /// closed.
+    Displaced,
 }
 
 impl RequestReadError {
--- a/crates/sparrouter-fleet/src/proxy/frontend.rs
+++ b/crates/sparrouter-fleet/src/proxy/frontend.rs
@@ -1,5 +1,6 @@
 //! Client connections: accepts them, serves one request at a time on each, and enforces the configured limits.
 use crate::node::{Node, OpenRequest};
+use crate::platform::connections::{ConnectionLimit, ConnectionSlot};
 use crate::platform::defects::rules;
 use crate::platform::http::{self, Response};
 use crate::platform::memory::Reservation;
@@ -10,11 +11,11 @@
 use bytes::BytesMut;
 use sparrouter_config::Limits;
 use sparrouter_http::reading;
+use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
@@ -62,30 +63,31 @@
     max_connections: usize,
 ) {
     let pool = Rc::new(Pool::default());
-    let permits = Arc::new(Semaphore::new(max_connections.max(MIN_CONNECTIONS)));
+    let max_connections = max_connections.max(MIN_CONNECTIONS);
+    let limit = ConnectionLimit::new(max_connections, node.memory.clients.clone());
     spawn_local(sweep_pool(node.clone(), pool.clone()));
     loop {
-        // At the limit, new connections are not accepted until another one ends; other nodes have capacity.
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
+        let free_slot = limit.try_acquire();
         let mut listener_stage = stage.clone();
         let stream = tokio::select! {
             biased;
             (stream, _) = net::accept(&*listener) => stream,
             _ = listener_stage.wait_for(|s| *s >= Stage::Closing), if rules::shutdown_limits_admission() => return,
         };
-        let (node, pool, stage) = (node.clone(), pool.clone(), stage.clone());
-        spawn_local(async move {
-            let connection = ClientConnection {
-                stream,
-                buffer: BytesMut::new(),
-                stage,
-                is_new: true,
-            };
-            connection.serve(&node, &pool).await;
-            drop(permit);
-        });
+        let slot = match free_slot {
+            Some(slot) => slot,
+            // At the limit, no further connection is accepted until this one has its slot; other nodes have capacity.
+            None => limit.acquire().await,
+        };
+        let connection = ClientConnection {
+            stream,
+            buffer: BytesMut::new(),
+            stage: stage.clone(),
+            is_new: true,
+            slot,
+        };
+        let (node, pool) = (node.clone(), pool.clone());
+        spawn_local(async move { connection.serve(&node, &pool).await });
     }
 }
 
@@ -113,6 +115,7 @@
     stage: watch::Receiver<Stage>,
     /// Whether no request has arrived on the connection yet.
     is_new: bool,
+    slot: ConnectionSlot,
 }
 
 impl ClientConnection {
@@ -141,8 +144,15 @@
         // The client's time-out runs from the request's first byte, not from the end of a long body.
         let first_byte_at = Instant::now();
         let mut reservation = node.memory.clients.reserve();
-        let read = self.read_request(limits, first_byte_at, &mut reservation);
-        let request = match read.await {
+        self.slot.begin_wait(reservation.progress());
+        let displaced = self.slot.displaced();
+        let read = tokio::select! {
+            biased;
+            () = displaced => Err(RequestReadError::Displaced),
+            read = self.read_request(limits, first_byte_at, &mut reservation) => read,
+        };
+        self.slot.end_wait();
+        let request = match read {
             Ok(request) => request,
             Err(error) => {
                 drop(reservation);
@@ -207,6 +217,12 @@
             RequestReadError::MemoryExhausted => {
                 Response::out_of_memory(node.jitter(RETRY_WITHOUT_MEMORY))
             }
+            RequestReadError::Displaced => {
+                let response = Response::displaced(node.jitter(RETRY_WITHOUT_MEMORY));
+                self.write(&response.bytes(false)).await;
+                // Another connection waits for the slot of this one.
+                return ConnectionState::Closed;
+            }
         };
         self.respond(&response, false).await
     }
@@ -214,9 +230,7 @@
     /// Writes a response that the node itself produced.
     async fn respond(&mut self, response: &Response, keep_alive: bool) -> ConnectionState {
         let stays_open = keep_alive && response.status < 500;
-        let bytes = response.bytes(stays_open);
-        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes)).await;
-        if !matches!(written, Ok(Ok(()))) {
+        if !self.write(&response.bytes(stays_open)).await {
             return ConnectionState::Closed;
         }
         if stays_open {
@@ -226,6 +240,12 @@
         }
     }
 
+    /// Writes bytes to the client. Returns false if the client has disconnected or does not read them in time.
+    async fn write(&mut self, bytes: &[u8]) -> bool {
+        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)).await;
+        matches!(written, Ok(Ok(())))
+    }
+
     async fn drain(&mut self) -> ConnectionState {
         http::drain_until_closed(&mut self.stream).await;
         ConnectionState::Closed
@@ -236,9 +256,12 @@
         // An idle connection keeps no buffer.
         self.buffer = BytesMut::new();
         let idle_timeout = Duration::from_millis(limits.idle_timeout_ms.max(1));
+        self.slot.begin_wait(Rc::new(Cell::new(Instant::now())));
+        let displaced = self.slot.displaced();
         tokio::select! {
             biased;
             read = reading::more(&mut self.stream, &mut self.buffer) => return read.is_ok(),
+            () = displaced => {}
             () = wait_for_closing(&mut self.stage, self.is_new) => {}
             () = tokio::time::sleep(idle_timeout) => {}
         }
--- a/crates/sparrouter-fleet/tests/endpoint.rs
+++ b/crates/sparrouter-fleet/tests/endpoint.rs
@@ -249,3 +249,28 @@
         })
         .await;
 }
+
+/// Guards against callers that hold all connections, with nothing or a part of a call, and so shut out all others.
+#[tokio::test]
+async fn given_callers_that_hold_all_connections_when_another_one_calls_then_it_is_answered() {
+    for part in ["", "PUT /api/config HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"] {
+        LocalSet::new()
+            .run_until(async {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+                let address = listener.local_addr().expect("its address");
+                let pool = MemoryPool::unlimited();
+                let listening = endpoint::listen(Box::new(listener), Rc::new(tree()), pool.clone());
+                let listening = spawn_local(listening);
+                let mut holding = Vec::new();
+                for _ in 0..850 {
+                    let mut stream = TcpStream::connect(address).await.expect("a connection");
+                    stream.write_all(part.as_bytes()).await.expect("it is sent");
+                    holding.push(stream);
+                }
+                call(address).await;
+                assert!(pool.displaced() > 0);
+                listening.abort();
+            })
+            .await;
+    }
+}
--- a/crates/sparrouter-simulation/tests/request_memory.rs
+++ b/crates/sparrouter-simulation/tests/request_memory.rs
@@ -359,3 +359,54 @@
         assert_eq!(response.status, 200, "a small request: {response:?}");
     });
 }
+
+/// Clients that hold connections; a node takes 2,280 at a time.
+const HOLDING_MEMBERS: usize = 2_600;
+
+/// Whether a client's request is served before it gives up while others hold all connections, half of them with a part of a request.
+fn is_served_beside_holders(seed: u64) -> bool {
+    play(async {
+        let settings = ClusterSettings::with_seed(seed).servers(0);
+        let cluster = SimulatedCluster::serving(settings).await;
+        let _servers = Servers::start(&cluster, 3, |_, _| Reaction::Respond(success("done"))).await;
+        for number in 0..HOLDING_MEMBERS {
+            let cluster = cluster.clone();
+            spawn_local(async move {
+                let net = cluster.outside_network();
+                let Ok(mut stream) = net.connect(cluster.front_of(NODE)).await else {
+                    return;
+                };
+                if number % 2 == 0 {
+                    let part = b"POST /idem/a HTTP/1.1\r\nContent-Length: 100\r\n\r\nx";
+                    // The client stays connected, whether it can write or not.
+                    let _ = stream.write_all(part).await;
+                }
+                sleep(STAY).await;
+            });
+        }
+        sleep(LONG_STALL / 2).await;
+        let request = ScriptedRequest {
+            disconnects_after: Some(Duration::from_secs(1)),
+            ..ScriptedRequest::new("/idem/a", "ordinary")
+        };
+        let gives_up_at = Instant::now() + PATIENCE;
+        // Connections that came before it are accepted first.
+        while Instant::now() < gives_up_at {
+            let response = request.send_to(&cluster, NODE).await;
+            if response.status == 200 {
+                return Instant::now() < gives_up_at;
+            }
+        }
+        false
+    })
+}
+
+/// Guards against clients that hold all connections of a node, and so shut out all others until their time-outs.
+#[test]
+fn given_clients_that_hold_all_connections_when_another_one_sends_a_request_then_it_is_served() {
+    assert!(is_served_beside_holders(2_990));
+    inject(Some(Defect::WaitingConnectionsKept));
+    let is_served_with_defect = is_served_beside_holders(2_990);
+    inject(None);
+    assert!(!is_served_with_defect, "the defect is found");
+}
