Names of request memory in terms of the field; the lab's count guard in a file of its own

A refactoring, no behaviour changes: reserved for held, fraction for part, last_progress for progressed_at, grow_now for try_grow, ...NotEvicted and ...NotDisplaced for the defects.

--- a/crates/sparrouter-fleet-lab/src/lib.rs
+++ b/crates/sparrouter-fleet-lab/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`machine`] | one node process of the fleet |
 //! | [`process_usage`] | what a process uses of its machine |
 //! | [`model_server`] | a simulated model server |
+//! | `count_guard` | a counter of things in progress |
 //! | [`client`] | simulated clients, and the platform's readiness checks |
 //! | [`operator`] | configuration updates and versions of model weights |
 //! | [`ledger`], [`audit`] | records of a run; checks of the records against the fleet's rules |
@@ -15,6 +16,7 @@
 pub mod addresses;
 pub mod audit;
 pub mod client;
+mod count_guard;
 pub mod ledger;
 pub mod machine;
 pub mod model_server;
--- a/crates/sparrouter-fleet-lab/src/machine.rs
+++ b/crates/sparrouter-fleet-lab/src/machine.rs
@@ -153,11 +153,11 @@
         let replacement = format!("limits.memory_mb={memory_mb}");
         let text =
             std::fs::read_to_string(&self.settings).map_err(|e| write_error(&self.settings, &e))?;
-        let lines = text.lines().map(|line| match line {
+        let updated = text.lines().map(|line| match line {
             line if line.starts_with("limits.memory_mb=") => replacement.as_str(),
             line => line,
         });
-        let text = lines.collect::<Vec<_>>().join("\n");
+        let text = updated.collect::<Vec<_>>().join("\n");
         std::fs::write(&self.settings, text + "\n").map_err(|e| write_error(&self.settings, &e))
     }
 
--- a/crates/sparrouter-fleet-lab/src/process_usage.rs
+++ b/crates/sparrouter-fleet-lab/src/process_usage.rs
@@ -57,7 +57,7 @@
 /// The value of a field of `/proc/ID/status` that is given in kB.
 fn status_bytes(process_id: u32, field: &str) -> Option<u64> {
     let status = fs::read_to_string(format!("/proc/{process_id}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with(field))?;
-    let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    let field_text = status.lines().find(|line| line.starts_with(field))?;
+    let kilobytes: u64 = field_text.split_whitespace().nth(1)?.parse().ok()?;
     Some(kilobytes * BYTES_PER_KB)
 }
--- a/crates/sparrouter-fleet/src/api/endpoint.rs
+++ b/crates/sparrouter-fleet/src/api/endpoint.rs
@@ -133,8 +133,8 @@
         if let Some(response) = &self.all {
             return Err(response.clone());
         }
-        let found = self.find(request::path_of(head));
-        let Some((node, matched)) = found.filter(|(node, _)| !node.handlers.is_empty()) else {
+        let matching = self.find(request::path_of(head));
+        let Some((node, matched)) = matching.filter(|(node, _)| !node.handlers.is_empty()) else {
             let text = "no resource is served under this path";
             return Err(Response::plain(404, text));
         };
@@ -183,7 +183,7 @@
 ) {
     let limit = ConnectionLimit::new(MAX_CONNECTIONS, memory.clone());
     loop {
-        let free_slot = limit.try_acquire();
+        let free_slot = limit.acquire_now();
         let (stream, _) = net::accept(listener).await;
         let slot = match free_slot {
             Some(slot) => slot,
--- a/crates/sparrouter-fleet/src/api/metrics.rs
+++ b/crates/sparrouter-fleet/src/api/metrics.rs
@@ -174,25 +174,25 @@
 /// The memory for requests by pool. The text format requires that samples of one name are adjacent.
 fn request_memory(page: &mut Page, node: &Node) {
     let pools = [&*node.memory.clients, &*node.memory.control];
-    let mut lines = |name: &str, value: &dyn Fn(&MemoryPool) -> f64| {
+    let mut samples = |name: &str, value: &dyn Fn(&MemoryPool) -> f64| {
         for pool in pools {
             page.line(name, &[("pool", pool.name)], value(pool));
         }
     };
-    lines("request_memory_bytes", &|pool| pool.held_bytes() as f64);
-    lines("request_memory_peak_bytes", &|pool| {
+    samples("request_memory_bytes", &|pool| pool.reserved_bytes() as f64);
+    samples("request_memory_peak_bytes", &|pool| {
         pool.peak_bytes() as f64
     });
-    lines("request_memory_limit_bytes", &|pool| {
+    samples("request_memory_limit_bytes", &|pool| {
         pool.limit_bytes as f64
     });
-    lines("request_memory_refused_total", &|pool| {
+    samples("request_memory_refused_total", &|pool| {
         pool.refused() as f64
     });
-    lines("request_memory_evicted_total", &|pool| {
+    samples("request_memory_evicted_total", &|pool| {
         pool.evicted() as f64
     });
-    lines("connections_displaced_total", &|pool| {
+    samples("connections_displaced_total", &|pool| {
         pool.displaced() as f64
     });
 }
--- a/crates/sparrouter-fleet/src/platform/connections.rs
+++ b/crates/sparrouter-fleet/src/platform/connections.rs
@@ -54,7 +54,7 @@
     }
 
     /// A slot for a further connection; `None` at the limit.
-    pub fn try_acquire(self: &Rc<Self>) -> Option<ConnectionSlot> {
+    pub fn acquire_now(self: &Rc<Self>) -> Option<ConnectionSlot> {
         let permit = self.permits.clone().try_acquire_owned().ok()?;
         Some(self.slot(permit))
     }
@@ -99,7 +99,7 @@
             .values()
             .filter(|connection| !connection.is_displaced.get());
         let longest = candidates
-            .filter_map(|connection| Some((connection.waiting_since()?, connection)))
+            .filter_map(|connection| Some((connection.wait_began()?, connection)))
             .min_by_key(|(since, _)| *since);
         let Some((since, connection)) = longest else {
             return;
@@ -114,7 +114,7 @@
 }
 
 impl ConnectionState {
-    fn waiting_since(&self) -> Option<Instant> {
+    fn wait_began(&self) -> Option<Instant> {
         self.waiting
             .borrow()
             .as_ref()
--- a/crates/sparrouter-fleet/src/platform/defects.rs
+++ b/crates/sparrouter-fleet/src/platform/defects.rs
@@ -215,11 +215,11 @@
     /// Requests get memory whether it is available or not.
     RequestMemoryUnbounded => request_memory_is_bounded,
     /// Requests that stopped arriving keep their memory until their time-out.
-    StalledRequestsKept => stalled_requests_are_evicted,
+    StalledRequestsNotEvicted => stalled_requests_are_evicted,
     /// Small requests get no memory once large ones hold their part.
     NoMemoryForSmallRequests => memory_is_kept_for_small_requests,
     /// Connections whose callers send nothing keep their place until their time-out.
-    WaitingConnectionsKept => waiting_connections_are_displaced,
+    WaitingConnectionsNotDisplaced => waiting_connections_are_displaced,
 }
 #[cfg(feature = "injected-defects")]
 thread_local! {
--- a/crates/sparrouter-fleet/src/platform/memory.rs
+++ b/crates/sparrouter-fleet/src/platform/memory.rs
@@ -16,9 +16,9 @@
 /// Bytes in one MB of the setting `limits.memory_mb`.
 const BYTES_PER_MB: usize = 1_000_000;
 /// Fraction of the machine's memory that requests of clients may hold.
-const CLIENT_PART: f64 = 0.3;
+const CLIENT_FRACTION: f64 = 0.3;
 /// Fraction of the machine's memory that requests of operators, servers, the platform and scrapers may hold.
-const CONTROL_PART: f64 = 0.1;
+const CONTROL_FRACTION: f64 = 0.1;
 /// Minimum of the clients' pool in bytes: a body of the default `max_body_bytes` fits beside small requests.
 const MIN_CLIENT_BYTES: usize = 6 << 20;
 /// Minimum of the control pool in bytes: the longest configuration fits beside small requests.
@@ -57,10 +57,17 @@
         let machine = usize::try_from(memory_mb)
             .unwrap_or(usize::MAX)
             .saturating_mul(BYTES_PER_MB);
-        let part = |fraction: f64, min: usize| ((machine as f64 * fraction) as usize).max(min);
+        let fraction_of_machine =
+            |fraction: f64, min: usize| ((machine as f64 * fraction) as usize).max(min);
         RequestMemory {
-            clients: MemoryPool::new("clients", part(CLIENT_PART, MIN_CLIENT_BYTES)),
-            control: MemoryPool::new("control", part(CONTROL_PART, MIN_CONTROL_BYTES)),
+            clients: MemoryPool::new(
+                "clients",
+                fraction_of_machine(CLIENT_FRACTION, MIN_CLIENT_BYTES),
+            ),
+            control: MemoryPool::new(
+                "control",
+                fraction_of_machine(CONTROL_FRACTION, MIN_CONTROL_BYTES),
+            ),
         }
     }
 }
@@ -71,7 +78,7 @@
     pub name: &'static str,
     /// Most bytes that all requests may hold together.
     pub limit_bytes: usize,
-    held_bytes: Cell<usize>,
+    reserved_bytes: Cell<usize>,
     peak_bytes: Cell<usize>,
     refused: Cell<u64>,
     evicted: Cell<u64>,
@@ -81,14 +88,14 @@
     next_id: Cell<u64>,
     /// Notified when bytes are given back.
     released: Notify,
-    reported_at: Cell<Option<Instant>>,
+    last_report: Cell<Option<Instant>>,
 }
 
 /// The state of a request that is arriving.
 struct Arrival {
-    held_bytes: Cell<usize>,
-    progressed_at: Progress,
-    /// Bytes that have arrived since `progressed_at`.
+    reserved_bytes: Cell<usize>,
+    last_progress: Progress,
+    /// Bytes that have arrived since `last_progress`.
     arrived_bytes: Cell<usize>,
     is_evicted: Cell<bool>,
     eviction: Notify,
@@ -100,7 +107,7 @@
         Rc::new(MemoryPool {
             name,
             limit_bytes,
-            held_bytes: Cell::new(0),
+            reserved_bytes: Cell::new(0),
             peak_bytes: Cell::new(0),
             refused: Cell::new(0),
             evicted: Cell::new(0),
@@ -108,7 +115,7 @@
             arriving: RefCell::default(),
             next_id: Cell::new(0),
             released: Notify::new(),
-            reported_at: Cell::new(None),
+            last_report: Cell::new(None),
         })
     }
 
@@ -118,8 +125,8 @@
     }
 
     /// Bytes that are held now.
-    pub fn held_bytes(&self) -> usize {
-        self.held_bytes.get()
+    pub fn reserved_bytes(&self) -> usize {
+        self.reserved_bytes.get()
     }
 
     /// Most bytes that have been held at the same time.
@@ -145,7 +152,7 @@
     /// Counts a displaced connection, and reports it unless one was reported lately.
     pub(super) fn record_displaced(&self) {
         self.displaced.set(self.displaced.get() + 1);
-        if self.is_report_due() {
+        if self.should_report() {
             log::warn!(
                 "connections are in use, those that wait for their callers are closed: pool={} closed={}",
                 self.name,
@@ -155,21 +162,21 @@
     }
 
     /// Whether no line about the pool was logged lately; the next one is due only after a pause.
-    fn is_report_due(&self) -> bool {
+    fn should_report(&self) -> bool {
         let now = Instant::now();
-        let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_INTERVAL;
-        let is_due = self.reported_at.get().is_none_or(is_due);
-        if is_due {
-            self.reported_at.set(Some(now));
+        let is_old = |report: Instant| now.saturating_duration_since(report) >= REPORT_INTERVAL;
+        let should_report = self.last_report.get().is_none_or(is_old);
+        if should_report {
+            self.last_report.set(Some(now));
         }
-        is_due
+        should_report
     }
 
     /// Begins a reservation, without bytes, for a request that is arriving.
     pub fn reserve(self: &Rc<Self>) -> Reservation {
         let arrival = Rc::new(Arrival {
-            held_bytes: Cell::new(0),
-            progressed_at: Rc::new(Cell::new(Instant::now())),
+            reserved_bytes: Cell::new(0),
+            last_progress: Rc::new(Cell::new(Instant::now())),
             arrived_bytes: Cell::new(0),
             is_evicted: Cell::new(false),
             eviction: Notify::new(),
@@ -193,21 +200,22 @@
         }
     }
 
-    fn change_held(&self, held_bytes: usize) {
-        self.held_bytes.set(held_bytes);
-        self.peak_bytes.set(self.peak_bytes.get().max(held_bytes));
+    fn set_reserved(&self, reserved_bytes: usize) {
+        self.reserved_bytes.set(reserved_bytes);
+        self.peak_bytes
+            .set(self.peak_bytes.get().max(reserved_bytes));
     }
 
     /// The requests other than `newcomer` that have stopped arriving, the one that stopped first before the others.
     fn stalled(&self, newcomer: &Rc<Arrival>) -> Vec<Rc<Arrival>> {
         let now = Instant::now();
         let is_stalled = |arrival: &&Rc<Arrival>| {
-            let stalled_time = now.saturating_duration_since(arrival.progressed_at.get());
+            let stalled_time = now.saturating_duration_since(arrival.last_progress.get());
             stalled_time >= STALL_TIMEOUT && !Rc::ptr_eq(arrival, newcomer)
         };
         let arriving = self.arriving.borrow();
         let mut stalled: Vec<Rc<Arrival>> = arriving.values().filter(is_stalled).cloned().collect();
-        stalled.sort_by_key(|arrival| arrival.progressed_at.get());
+        stalled.sort_by_key(|arrival| arrival.last_progress.get());
         stalled
     }
 
@@ -223,7 +231,7 @@
             if freed_bytes >= excess_bytes {
                 break;
             }
-            freed_bytes += arrival.held_bytes.get();
+            freed_bytes += arrival.reserved_bytes.get();
             chosen.push(arrival);
         }
         if freed_bytes < excess_bytes {
@@ -241,11 +249,11 @@
     /// Counts a refused request, and reports it unless one was reported lately.
     fn record_refusal(&self) {
         self.refused.set(self.refused.get() + 1);
-        if self.is_report_due() {
+        if self.should_report() {
             log::warn!(
                 "memory for requests is in use, requests are refused: pool={} held={} limit={} refused={} evicted={}",
                 self.name,
-                self.held_bytes.get(),
+                self.reserved_bytes.get(),
                 self.limit_bytes,
                 self.refused.get(),
                 self.evicted.get()
@@ -263,8 +271,8 @@
 
 impl Reservation {
     /// Bytes that the request holds.
-    pub fn held_bytes(&self) -> usize {
-        self.arrival.held_bytes.get()
+    pub fn reserved_bytes(&self) -> usize {
+        self.arrival.reserved_bytes.get()
     }
 
     /// Bytes above the limit if the request grows by `bytes`.
@@ -272,26 +280,30 @@
         if !rules::request_memory_is_bounded() {
             return 0;
         }
-        let limit = self.pool.limit_for(self.held_bytes().saturating_add(bytes));
-        let held_after = self.pool.held_bytes().saturating_add(bytes);
-        held_after.saturating_sub(limit)
+        let limit = self
+            .pool
+            .limit_for(self.reserved_bytes().saturating_add(bytes));
+        let total_after = self.pool.reserved_bytes().saturating_add(bytes);
+        total_after.saturating_sub(limit)
     }
 
     /// Reserves further bytes if they are available now.
-    pub fn try_grow(&mut self, bytes: usize) -> bool {
+    pub fn grow_now(&mut self, bytes: usize) -> bool {
         if self.excess(bytes) > 0 {
             return false;
         }
-        self.arrival.held_bytes.set(self.held_bytes() + bytes);
-        self.pool.change_held(self.pool.held_bytes() + bytes);
+        self.arrival
+            .reserved_bytes
+            .set(self.reserved_bytes() + bytes);
+        self.pool.set_reserved(self.pool.reserved_bytes() + bytes);
         true
     }
 
     /// Reserves further bytes that the request can do without, if less than half of the pool is held: they never compete
     /// with requests.
-    pub fn try_grow_optional(&mut self, bytes: usize) -> bool {
-        let held_after = self.pool.held_bytes().saturating_add(bytes);
-        held_after <= self.pool.limit_bytes / OPTIONAL_DIVISOR && self.try_grow(bytes)
+    pub fn grow_optional(&mut self, bytes: usize) -> bool {
+        let total_after = self.pool.reserved_bytes().saturating_add(bytes);
+        total_after <= self.pool.limit_bytes / OPTIONAL_DIVISOR && self.grow_now(bytes)
     }
 
     /// Reserves further bytes. If they are not available, stalled requests are evicted and their memory is awaited.
@@ -301,7 +313,7 @@
     /// [`MemoryExhausted`] if other requests hold the memory and none of them is stalled.
     pub async fn grow(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
         let deadline = Instant::now() + EVICTION_TIMEOUT;
-        while !self.try_grow(bytes) {
+        while !self.grow_now(bytes) {
             let is_freed = self.pool.evict(self.excess(bytes), &self.arrival);
             let remaining = deadline.saturating_duration_since(Instant::now());
             let released = self.pool.released.notified();
@@ -319,7 +331,7 @@
     ///
     /// [`MemoryExhausted`] as for [`Reservation::grow`].
     pub async fn grow_to(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
-        match bytes.checked_sub(self.held_bytes()) {
+        match bytes.checked_sub(self.reserved_bytes()) {
             Some(missing) if missing > 0 => self.grow(missing).await,
             _ => Ok(()),
         }
@@ -335,7 +347,10 @@
         let excess = self.excess(bytes);
         let stalled_bytes = || -> usize {
             let stalled = self.pool.stalled(&self.arrival);
-            stalled.iter().map(|arrival| arrival.held_bytes.get()).sum()
+            stalled
+                .iter()
+                .map(|arrival| arrival.reserved_bytes.get())
+                .sum()
         };
         if excess > 0 && stalled_bytes() < excess {
             self.pool.record_refusal();
@@ -346,7 +361,7 @@
 
     /// The moment at which the request last made progress.
     pub fn progress(&self) -> Progress {
-        self.arrival.progressed_at.clone()
+        self.arrival.last_progress.clone()
     }
 
     /// Records that bytes of the request have arrived.
@@ -356,7 +371,7 @@
             return self.arrival.arrived_bytes.set(arrived);
         }
         self.arrival.arrived_bytes.set(0);
-        self.arrival.progressed_at.set(Instant::now());
+        self.arrival.last_progress.set(Instant::now());
     }
 
     /// Completes when the request is evicted; its memory must then be given back.
@@ -374,7 +389,7 @@
     fn drop(&mut self) {
         self.complete();
         self.pool
-            .change_held(self.pool.held_bytes() - self.held_bytes());
+            .set_reserved(self.pool.reserved_bytes() - self.reserved_bytes());
         self.pool.released.notify_waiters();
     }
 }
--- a/crates/sparrouter-fleet/src/platform/request.rs
+++ b/crates/sparrouter-fleet/src/platform/request.rs
@@ -148,8 +148,8 @@
         let deadline = self.deadline.min(Instant::now() + limits.timeout);
         let read = timeout_at(deadline, self.receive_head(limits.max_bytes));
         let bytes = read.await.map_err(timed_out)??;
-        let lines = bytes.iter().filter(|&&byte| byte == b'\n').count();
-        self.reservation.grow(lines * FIELD_BYTES).await?;
+        let field_count = bytes.iter().filter(|&&byte| byte == b'\n').count();
+        self.reservation.grow(field_count * FIELD_BYTES).await?;
         Ok(head::parse_request(&bytes)?)
     }
 
@@ -189,8 +189,8 @@
         let mut searched = 0;
         loop {
             let buffer_bytes = self.buffer.len() * BUFFER_GROWTH;
-            let held_bytes = buffer_bytes.max(CONNECTION_BUFFER_BYTES);
-            self.reservation.grow_to(held_bytes).await?;
+            let reserved_bytes = buffer_bytes.max(CONNECTION_BUFFER_BYTES);
+            self.reservation.grow_to(reserved_bytes).await?;
             if let Some(head) = reading::split_head(self.buffer, searched, max_bytes)? {
                 return Ok(head);
             }
--- a/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
+++ b/crates/sparrouter-fleet/src/proxy/exchange/client_side.rs
@@ -93,7 +93,7 @@
         if missing == 0 {
             return true;
         }
-        let is_reserved = self.reservation.try_grow_optional(missing);
+        let is_reserved = self.reservation.grow_optional(missing);
         if is_reserved {
             self.read_ahead_reserved += missing;
         }
--- a/crates/sparrouter-fleet/src/proxy/frontend.rs
+++ b/crates/sparrouter-fleet/src/proxy/frontend.rs
@@ -67,7 +67,7 @@
     let limit = ConnectionLimit::new(max_connections, node.memory.clients.clone());
     spawn_local(sweep_pool(node.clone(), pool.clone()));
     loop {
-        let free_slot = limit.try_acquire();
+        let free_slot = limit.acquire_now();
         let mut listener_stage = stage.clone();
         let stream = tokio::select! {
             biased;
--- a/crates/sparrouter-fleet/tests/endpoint.rs
+++ b/crates/sparrouter-fleet/tests/endpoint.rs
@@ -242,7 +242,7 @@
             assert!(pool.peak_bytes() <= pool.limit_bytes);
             assert!(call(address).await.is_some(), "a short call is answered");
             drop(unread);
-            while pool.held_bytes() > 0 {
+            while pool.reserved_bytes() > 0 {
                 sleep(Duration::from_millis(5)).await;
             }
             listening.abort();
--- a/crates/sparrouter-fleet/tests/http.rs
+++ b/crates/sparrouter-fleet/tests/http.rs
@@ -279,16 +279,16 @@
 #[tokio::test(start_paused = true)]
 async fn given_expect_100_continue_when_the_interim_response_is_not_read_then_the_status_is_408() {
     let (mut client_end, mut server_end) = duplex(16);
-    let started_at = Instant::now();
+    let began = Instant::now();
     let writing = async {
         let head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
         client_end.write_all(head).await.expect("it is read");
         sleep(REQUEST_TIMEOUT * 2).await;
     };
     let reading = async {
-        let deadline = started_at + REQUEST_TIMEOUT;
+        let deadline = began + REQUEST_TIMEOUT;
         let read = read_request(&mut server_end, &mut BytesMut::new(), deadline).await;
-        (read, started_at.elapsed())
+        (read, began.elapsed())
     };
     let ((read, elapsed), ()) = tokio::join!(reading, writing);
     assert_eq!(status(read), 408);
--- a/crates/sparrouter-fleet/tests/request_memory.rs
+++ b/crates/sparrouter-fleet/tests/request_memory.rs
@@ -32,7 +32,7 @@
 /// A request that holds this many bytes.
 fn request_of(pool: &Rc<MemoryPool>, bytes: usize) -> Reservation {
     let mut reservation = pool.reserve();
-    assert!(reservation.try_grow(bytes), "{bytes} bytes are available");
+    assert!(reservation.grow_now(bytes), "{bytes} bytes are available");
     reservation
 }
 
@@ -41,9 +41,9 @@
     let pool = pool();
     let mut first = request_of(&pool, LARGE_BYTES);
     assert_eq!(first.grow(1).await, Err(MemoryExhausted));
-    assert_eq!((pool.held_bytes(), pool.refused()), (LARGE_BYTES, 1));
+    assert_eq!((pool.reserved_bytes(), pool.refused()), (LARGE_BYTES, 1));
     drop(first);
-    assert_eq!((pool.held_bytes(), pool.peak_bytes()), (0, LARGE_BYTES));
+    assert_eq!((pool.reserved_bytes(), pool.peak_bytes()), (0, LARGE_BYTES));
     request_of(&pool, LARGE_BYTES);
 }
 
@@ -54,8 +54,8 @@
     let small: Vec<Reservation> = (0..(POOL_BYTES - LARGE_BYTES) / SMALL_REQUEST_BYTES)
         .map(|_| request_of(&pool, SMALL_REQUEST_BYTES))
         .collect();
-    assert_eq!(pool.held_bytes(), POOL_BYTES);
-    assert!(!pool.reserve().try_grow(1), "the pool is a bound for all");
+    assert_eq!(pool.reserved_bytes(), POOL_BYTES);
+    assert!(!pool.reserve().grow_now(1), "the pool is a bound for all");
     drop(small);
 }
 
@@ -65,23 +65,23 @@
     let _small: Vec<Reservation> = (0..LARGE_BYTES / SMALL_REQUEST_BYTES)
         .map(|_| request_of(&pool, SMALL_REQUEST_BYTES))
         .collect();
-    assert!(!pool.reserve().try_grow(SMALL_REQUEST_BYTES + 1));
-    assert!(pool.reserve().try_grow(SMALL_REQUEST_BYTES));
+    assert!(!pool.reserve().grow_now(SMALL_REQUEST_BYTES + 1));
+    assert!(pool.reserve().grow_now(SMALL_REQUEST_BYTES));
 }
 
 #[tokio::test(start_paused = true)]
 async fn given_bytes_that_requests_can_do_without_then_they_leave_half_of_the_pool_to_others() {
     let pool = pool();
     let mut first = pool.reserve();
-    assert!(first.try_grow_optional(POOL_BYTES / 2));
-    assert!(!first.try_grow_optional(1));
-    assert!(pool.reserve().try_grow(LARGE_BYTES - POOL_BYTES / 2));
+    assert!(first.grow_optional(POOL_BYTES / 2));
+    assert!(!first.grow_optional(1));
+    assert!(pool.reserve().grow_now(LARGE_BYTES - POOL_BYTES / 2));
     drop(first);
-    assert!(pool.reserve().try_grow_optional(1));
+    assert!(pool.reserve().grow_optional(1));
 }
 
 /// Runs a request that is arriving until it is evicted; its memory is then given back.
-fn arrive_until_evicted(reservation: Reservation) -> tokio::task::JoinHandle<()> {
+fn arrive_and_wait_for_eviction(reservation: Reservation) -> tokio::task::JoinHandle<()> {
     spawn_local(async move { reservation.evicted().await })
 }
 
@@ -91,9 +91,9 @@
     LocalSet::new()
         .run_until(async {
             let pool = pool();
-            let first = arrive_until_evicted(request_of(&pool, LARGE_BYTES / 2));
+            let first = arrive_and_wait_for_eviction(request_of(&pool, LARGE_BYTES / 2));
             advance(Duration::from_millis(100)).await;
-            let second = arrive_until_evicted(request_of(&pool, LARGE_BYTES / 2));
+            let second = arrive_and_wait_for_eviction(request_of(&pool, LARGE_BYTES / 2));
             advance(LONG_STALL).await;
             let mut newcomer = pool.reserve();
             assert_eq!(newcomer.grow(LARGE_BYTES / 2).await, Ok(()));
@@ -113,7 +113,7 @@
             advance(LONG_STALL).await;
             arriving.record_arrival(4 << 10);
             advance(LONG_STALL / 2).await;
-            let task = arrive_until_evicted(arriving);
+            let task = arrive_and_wait_for_eviction(arriving);
             assert_eq!(pool.reserve().grow(LARGE_BYTES).await, Err(MemoryExhausted));
             assert_eq!(
                 pool.reserve().check_available(LARGE_BYTES),
@@ -134,7 +134,7 @@
                 advance(LONG_STALL / 10).await;
                 arriving.record_arrival(1);
             }
-            let task = arrive_until_evicted(arriving);
+            let task = arrive_and_wait_for_eviction(arriving);
             assert_eq!(pool.reserve().grow(LARGE_BYTES).await, Ok(()));
             assert!(task.is_finished());
         })
@@ -148,7 +148,7 @@
     complete.complete();
     advance(LONG_STALL).await;
     assert_eq!(pool.reserve().grow(LARGE_BYTES).await, Err(MemoryExhausted));
-    assert_eq!((pool.evicted(), pool.held_bytes()), (0, LARGE_BYTES));
+    assert_eq!((pool.evicted(), pool.reserved_bytes()), (0, LARGE_BYTES));
 }
 
 /// Reads one request in its own task.
@@ -211,8 +211,8 @@
             let request = reading.await.expect("no panic").expect("a request");
             assert_eq!(request.body.len(), BODY_BYTES);
             assert_eq!(request.body.contiguous(), vec![b'x'; BODY_BYTES]);
-            let most = BODY_BYTES + 2 * SMALL_REQUEST_BYTES;
-            assert!(pool.peak_bytes() <= most, "{} bytes", pool.peak_bytes());
+            let bound = BODY_BYTES + 2 * SMALL_REQUEST_BYTES;
+            assert!(pool.peak_bytes() <= bound, "{} bytes", pool.peak_bytes());
         })
         .await;
 }
@@ -227,7 +227,11 @@
             let head = "POST / HTTP/1.1\r\nContent-Length: 3000000\r\n\r\nx";
             client.write_all(head.as_bytes()).await.expect("it is read");
             sleep(Duration::from_millis(10)).await;
-            assert!(pool.held_bytes() <= 16 << 10, "{}", pool.held_bytes());
+            assert!(
+                pool.reserved_bytes() <= 16 << 10,
+                "{}",
+                pool.reserved_bytes()
+            );
         })
         .await;
 }
@@ -240,6 +244,6 @@
     let small = RequestMemory::for_machine(1);
     let longest_body = 4 << 20;
     let longest_configuration = 9 << 20;
-    assert!(small.clients.reserve().try_grow(longest_body));
-    assert!(small.control.reserve().try_grow(longest_configuration));
+    assert!(small.clients.reserve().grow_now(longest_body));
+    assert!(small.control.reserve().grow_now(longest_configuration));
 }
--- a/crates/sparrouter-simulation/tests/request_memory.rs
+++ b/crates/sparrouter-simulation/tests/request_memory.rs
@@ -26,10 +26,10 @@
 const STAY: Duration = Duration::from_secs(20);
 /// Longer than a request needs to stop arriving before it gives way to others, shorter than its time-out.
 const LONG_STALL: Duration = Duration::from_secs(3);
-/// Time within which a client that is told to retry must be served.
+/// Time within which a client that is asked to retry must be served.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Pause before a client retries.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// After the crowd has left, no more than the buffers of the connections that are open.
 const IDLE_BYTES: f64 = 64_000.0;
 
@@ -40,8 +40,8 @@
     /// Bytes of the body that are sent.
     sent_bytes: usize,
     /// Bytes that are sent at a time.
-    piece_bytes: usize,
-    pause: Duration,
+    write_bytes: usize,
+    interval: Duration,
 }
 
 impl Member {
@@ -52,8 +52,8 @@
             is_chunked: rng.bool(),
             chunk_bytes: [16, 512, 64 << 10][rng.usize(..3)],
             sent_bytes: BODY_BYTES - missing_bytes,
-            piece_bytes: [4 << 10, 64 << 10, BODY_BYTES][rng.usize(..3)],
-            pause: Duration::from_millis(rng.u64(..4)),
+            write_bytes: [4 << 10, 64 << 10, BODY_BYTES][rng.usize(..3)],
+            interval: Duration::from_millis(rng.u64(..4)),
         }
     }
 
@@ -94,12 +94,12 @@
             };
             for piece in member
                 .bytes(&crowd_id(seed, number))
-                .chunks(member.piece_bytes)
+                .chunks(member.write_bytes)
             {
                 if stream.write_all(piece).await.is_err() {
                     break;
                 }
-                sleep(member.pause).await;
+                sleep(member.interval).await;
             }
             sleep(STAY).await;
         })
@@ -132,24 +132,27 @@
 }
 
 async fn assert_memory_is_returned(cluster: &SimulatedCluster, node: &str) {
-    let held = pool_metric(cluster, node, "bytes").await;
-    assert!(held <= IDLE_BYTES, "{held} bytes are held at {node}");
+    let reserved = pool_metric(cluster, node, "bytes").await;
+    assert!(
+        reserved <= IDLE_BYTES,
+        "{reserved} bytes are reserved at {node}"
+    );
 }
 
 /// Sends a request with a body of this length until it is not told to retry, or its client gives up.
 async fn send_patiently(cluster: &SimulatedCluster, id: &str, body_bytes: usize) -> Received {
-    let gives_up_at = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + PATIENCE;
     loop {
         let request = ScriptedRequest {
             body: Bytes::from(vec![b'y'; body_bytes]),
             ..ScriptedRequest::new("/idem/a", id)
         };
         let response = request.send_to(cluster, NODE).await;
-        if response.status != 503 || Instant::now() >= gives_up_at {
+        if response.status != 503 || Instant::now() >= deadline {
             return response;
         }
         assert!(response.retry_after, "{response:?}");
-        sleep(RETRY_PAUSE).await;
+        sleep(RETRY_INTERVAL).await;
     }
 }
 
@@ -165,12 +168,12 @@
 /// Asserts that small requests are served at any time while the crowd is there, and a large one as soon as its requests
 /// have stopped arriving.
 async fn assert_others_are_served(cluster: &SimulatedCluster) {
-    let large_at = Instant::now() + LONG_STALL;
-    while Instant::now() < large_at {
+    let large_begins = Instant::now() + LONG_STALL;
+    while Instant::now() < large_begins {
         let small = ScriptedRequest::new("/idem/a", "small");
         let response = small.send_to(cluster, NODE).await;
         assert_eq!(response.status, 200, "a small request: {response:?}");
-        sleep(RETRY_PAUSE).await;
+        sleep(RETRY_INTERVAL).await;
     }
     let response = send_patiently(cluster, "large", BODY_BYTES).await;
     assert_eq!(response.status, 200, "a large request: {response:?}");
@@ -224,7 +227,10 @@
 
 #[test]
 fn given_injected_defects_of_request_memory_when_a_crowd_comes_then_each_is_found() {
-    for defect in [Defect::RequestMemoryUnbounded, Defect::StalledRequestsKept] {
+    for defect in [
+        Defect::RequestMemoryUnbounded,
+        Defect::StalledRequestsNotEvicted,
+    ] {
         assert!(fails_with(defect), "{defect:?} is found");
     }
 }
@@ -234,8 +240,8 @@
     const POOL_BYTES: usize = 4 << 20;
     let pool = MemoryPool::new("test", POOL_BYTES);
     let mut large = pool.reserve();
-    assert!(large.try_grow(POOL_BYTES / 4 * 3));
-    pool.reserve().try_grow(SMALL_REQUEST_BYTES)
+    assert!(large.grow_now(POOL_BYTES / 4 * 3));
+    pool.reserve().grow_now(SMALL_REQUEST_BYTES)
 }
 
 #[tokio::test(start_paused = true)]
@@ -269,8 +275,8 @@
                     is_chunked: false,
                     chunk_bytes: 1,
                     sent_bytes: BODY_BYTES,
-                    piece_bytes: BODY_BYTES,
-                    pause: Duration::ZERO,
+                    write_bytes: BODY_BYTES,
+                    interval: Duration::ZERO,
                 };
                 let bytes = member.bytes(&crowd_id(seed, number));
                 clients.push(spawn_local(async move {
@@ -281,8 +287,11 @@
             }
             sleep(LONG_STALL / 2).await;
             assert_bounded(&cluster, NODE).await;
-            let held = pool_metric(&cluster, NODE, "bytes").await;
-            assert!(held > BODY_BYTES as f64, "requests wait for their servers");
+            let reserved = pool_metric(&cluster, NODE, "bytes").await;
+            assert!(
+                reserved > BODY_BYTES as f64,
+                "requests wait for their servers"
+            );
             sleep(STAY).await;
             assert_memory_is_returned(&cluster, NODE).await;
         });
@@ -303,10 +312,10 @@
             sleep(Duration::from_millis(200)).await;
             assert_bounded(&cluster, NODE).await;
             start_crowd(&cluster, seed + 1);
-            let terminated_at = Instant::now();
+            let termination = Instant::now();
             cluster.terminate(NODE).await;
             let grace = cluster.settings.bounds.grace;
-            assert!(terminated_at.elapsed() < grace, "it ends by itself");
+            assert!(termination.elapsed() < grace, "it ends by itself");
             cluster.start(NODE, false);
             cluster.wait_until_ready().await;
             start_crowd(&cluster, seed + 2);
@@ -377,9 +386,9 @@
                     return;
                 };
                 if number % 2 == 0 {
-                    let part = b"POST /idem/a HTTP/1.1\r\nContent-Length: 100\r\n\r\nx";
+                    let fragment = b"POST /idem/a HTTP/1.1\r\nContent-Length: 100\r\n\r\nx";
                     // The client stays connected, whether it can write or not.
-                    let _ = stream.write_all(part).await;
+                    let _ = stream.write_all(fragment).await;
                 }
                 sleep(STAY).await;
             });
@@ -389,12 +398,12 @@
             disconnects_after: Some(Duration::from_secs(1)),
             ..ScriptedRequest::new("/idem/a", "ordinary")
         };
-        let gives_up_at = Instant::now() + PATIENCE;
+        let deadline = Instant::now() + PATIENCE;
         // Connections that came before it are accepted first.
-        while Instant::now() < gives_up_at {
+        while Instant::now() < deadline {
             let response = request.send_to(&cluster, NODE).await;
             if response.status == 200 {
-                return Instant::now() < gives_up_at;
+                return Instant::now() < deadline;
             }
         }
         false
@@ -405,7 +414,7 @@
 #[test]
 fn given_clients_that_hold_all_connections_when_another_one_sends_a_request_then_it_is_served() {
     assert!(is_served_beside_holders(2_990));
-    inject(Some(Defect::WaitingConnectionsKept));
+    inject(Some(Defect::WaitingConnectionsNotDisplaced));
     let is_served_with_defect = is_served_beside_holders(2_990);
     inject(None);
     assert!(!is_served_with_defect, "the defect is found");
