--- a/crates/sparrouter-fleet/src/api/metrics.rs
+++ b/crates/sparrouter-fleet/src/api/metrics.rs
@@ -192,6 +192,9 @@
     samples("request_memory_evicted_total", &|pool| {
         pool.evicted() as f64
     });
+    samples("request_bodies_too_long_total", &|pool| {
+        pool.too_long() as f64
+    });
     samples("connections_displaced_total", &|pool| {
         pool.displaced() as f64
     });
--- a/crates/sparrouter-fleet/src/platform/memory.rs
+++ b/crates/sparrouter-fleet/src/platform/memory.rs
@@ -83,6 +83,7 @@
     refused: Cell<u64>,
     evicted: Cell<u64>,
     displaced: Cell<u64>,
+    too_long: Cell<u64>,
     /// Requests whose bytes are still arriving, in the order of their beginning.
     arriving: RefCell<BTreeMap<u64, Rc<Arrival>>>,
     next_id: Cell<u64>,
@@ -112,6 +113,7 @@
             refused: Cell::new(0),
             evicted: Cell::new(0),
             displaced: Cell::new(0),
+            too_long: Cell::new(0),
             arriving: RefCell::default(),
             next_id: Cell::new(0),
             released: Notify::new(),
@@ -149,6 +151,11 @@
         self.displaced.get()
     }
 
+    /// Requests that were refused because their bodies are longer than allowed.
+    pub fn too_long(&self) -> u64 {
+        self.too_long.get()
+    }
+
     /// Counts a displaced connection, and reports it unless one was reported lately.
     pub(super) fn record_displaced(&self) {
         self.displaced.set(self.displaced.get() + 1);
@@ -374,6 +381,19 @@
         self.arrival.last_progress.set(Instant::now());
     }
 
+    /// Counts the request as one whose body is longer than allowed, and reports it unless something was reported lately.
+    pub fn record_too_long(&self, max_bytes: usize) {
+        let pool = &self.pool;
+        pool.too_long.set(pool.too_long.get() + 1);
+        if pool.should_report() {
+            log::warn!(
+                "bodies are longer than allowed, requests are refused: pool={} limit={max_bytes} refused={}",
+                pool.name,
+                pool.too_long.get()
+            );
+        }
+    }
+
     /// Completes when the request is evicted; its memory must then be given back.
     pub async fn evicted(&self) {
         self.arrival.eviction.notified().await;
--- a/crates/sparrouter-fleet/src/platform/request.rs
+++ b/crates/sparrouter-fleet/src/platform/request.rs
@@ -51,12 +51,6 @@
     Displaced,
 }
 
-impl RequestReadError {
-    /// The error for a body that is longer than allowed.
-    const BODY_TOO_LONG: RequestReadError =
-        RequestReadError::Refused(413, "body longer than allowed");
-}
-
 impl From<ReadError> for RequestReadError {
     fn from(error: ReadError) -> RequestReadError {
         match error {
@@ -166,7 +160,7 @@
     ) -> Result<Body, RequestReadError> {
         if let Framing::Length(length) = head.framing {
             if length > max_bytes {
-                return Err(RequestReadError::BODY_TOO_LONG);
+                return Err(self.refuse_long_body(max_bytes));
             }
             self.reservation.check_available(length)?;
         }
@@ -249,7 +243,7 @@
             let missing_bytes = max_bytes - body.len();
             match chunks.next(self.buffer)? {
                 ChunkEvent::Data(data) if data.len() > missing_bytes => {
-                    return Err(RequestReadError::BODY_TOO_LONG);
+                    return Err(self.refuse_long_body(max_bytes));
                 }
                 ChunkEvent::Data(data) => {
                     body.push(&data, missing_bytes, self.reservation).await?;
@@ -260,6 +254,12 @@
         }
     }
 
+    /// Counts a body that is longer than allowed; returns the error.
+    fn refuse_long_body(&self, max_bytes: usize) -> RequestReadError {
+        self.reservation.record_too_long(max_bytes);
+        RequestReadError::Refused(413, "body longer than allowed")
+    }
+
     /// Reads once from the connection into the buffer.
     async fn receive(&mut self) -> Result<(), RequestReadError> {
         let length_before = self.buffer.len();
