Control state: a configuration of the largest legal size is accepted, not refused with 503

What an operator saw: a configuration of 8 MiB, the limit that the control API names, got 503 "the change, or the state of the shard after it, exceeds the size limit" from every node until its client gave up, as 503 asks to retry. Found by a test that asks whether a single request of the largest legal size is served in calm.

Cause: a change has some bytes beside the configuration that it contains, and both had the same limit of 8 MiB.

Change: a change may have 64 KiB more than a body; the machine then decides by the configuration, with 413 where that or its state is too long.

One byte over the limit: 413 (passes before as well).

--- a/crates/sparrouter-consensus/src/settings.rs
+++ b/crates/sparrouter-consensus/src/settings.rs
@@ -4,6 +4,11 @@
 use crate::time::{MILLISECOND, Nanos};
 use crate::vote::MAX_MEMBERS;
 
+/// Maximum length of a body, in bytes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// Bytes that a change may have beside a body: a machine whose change contains a body of the maximum length decides on it.
+const CHANGE_HEADER_BYTES: usize = 64 << 10;
+
 /// Settings of one register. All nodes of a shard should have equal settings, but no safety property depends on that.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -35,8 +40,8 @@
             anti_entropy_interval: 500 * MILLISECOND,
             round_trip: 20 * MILLISECOND,
             max_pending: 256,
-            max_body_bytes: 8 << 20,
-            max_change_bytes: 8 << 20,
+            max_body_bytes: MAX_BODY_BYTES,
+            max_change_bytes: MAX_BODY_BYTES + CHANGE_HEADER_BYTES,
             max_inline_body_bytes: 16 << 10,
             chunk_bytes: 32 << 10,
             defects: Defects::default(),
--- a/crates/sparrouter-fleet-lab/src/operator.rs
+++ b/crates/sparrouter-fleet-lab/src/operator.rs
@@ -115,6 +115,25 @@
         self.fleet.submit(&call).await.map(drop)
     }
 
+    /// Replaces the configuration, based on version `base_version`.
+    ///
+    /// # Errors
+    ///
+    /// A [`ClientError`] if the fleet did not acknowledge the call.
+    pub async fn put(&self, base_version: u64, body: String) -> Result<(), ClientError> {
+        self.change("PUT", base_version, body).await
+    }
+
+    /// Reads the active configuration.
+    ///
+    /// # Errors
+    ///
+    /// A [`ClientError`] if the fleet did not acknowledge the call.
+    pub async fn configuration(&self) -> Result<String, ClientError> {
+        let (_, reply) = self.fleet.submit(&Call::get("/api/config")).await?;
+        Ok(reply.body)
+    }
+
     /// Reads the number of the active configuration version.
     ///
     /// # Errors
