--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -428,8 +428,9 @@
 
 struct ServerState {
     version: u64,
-    /// The version that is being loaded, and until when.
-    loading: Option<(u64, Instant)>,
+    /// The version that was ordered; until when it is loaded, once all runs have ended.
+    loading: Option<(u64, Option<Instant>)>,
+    running: usize,
     /// Orders taken.
     count: u64,
     highest_fence: u64,
@@ -441,10 +442,12 @@
     pub address: SocketAddr,
     state: Mutex<ServerState>,
     pub orders: Arc<Mutex<Vec<TakenOrder>>>,
-    pub runs: Arc<Mutex<Vec<String>>>,
+    /// What has begun to run: when, the id, and the version of the weights.
+    pub runs: Arc<Mutex<Vec<(f64, String, u64)>>>,
     /// The newest version that was named.
     named: Arc<AtomicU64>,
     checks_fences: bool,
+    slots: usize,
     stopped: AtomicBool,
     record: Record,
 }
@@ -472,16 +475,31 @@
         named: Arc<AtomicU64>,
         checks_fences: bool,
         orders: Arc<Mutex<Vec<TakenOrder>>>,
+    ) -> Arc<Server> {
+        Server::with_slots(record, id, address, nodes, named, checks_fences, orders, 64)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn with_slots(
+        record: &Record,
+        id: &str,
+        address: SocketAddr,
+        nodes: Vec<SocketAddr>,
+        named: Arc<AtomicU64>,
+        checks_fences: bool,
+        orders: Arc<Mutex<Vec<TakenOrder>>>,
+        slots: usize,
     ) -> Arc<Server> {
         let listener = TcpListener::bind(address).unwrap_or_else(|e| cannot_run(record, &format!("server: {e}")));
         let server = Arc::new(Server {
             id: id.to_owned(),
             address,
-            state: Mutex::new(ServerState { version: 1, loading: None, count: 0, highest_fence: 0 }),
+            state: Mutex::new(ServerState { version: 1, loading: None, running: 0, count: 0, highest_fence: 0 }),
             orders,
             runs: Arc::default(),
             named,
             checks_fences,
+            slots,
             stopped: AtomicBool::new(false),
             record: record.clone(),
         });
@@ -503,11 +521,16 @@
 
     fn settle(&self) -> std::sync::MutexGuard<'_, ServerState> {
         let mut state = self.state.lock().unwrap();
-        if let Some((version, until)) = state.loading
-            && Instant::now() >= until
-        {
-            state.version = version;
-            state.loading = None;
+        match state.loading {
+            Some((version, Some(until))) if Instant::now() >= until => {
+                state.version = version;
+                state.loading = None;
+            }
+            // Runs finish first (`queue`).
+            Some((version, None)) if state.running == 0 => {
+                state.loading = Some((version, Some(Instant::now() + LOAD)));
+            }
+            _ => {}
         }
         state
     }
@@ -520,10 +543,11 @@
                 sequence += 1;
                 let to = target.unwrap_or(nodes[turn % nodes.len()]);
                 let body = format!(
-                    "{{\"service\":\"lekh\",\"address\":\"{}\",\"zone\":\"lalitpur-hall\",\"version\":\"v1\",\"slot_count\":64,\
+                    "{{\"service\":\"lekh\",\"address\":\"{}\",\"zone\":\"lalitpur-hall\",\"version\":\"v1\",\"slot_count\":{},\
                      \"state\":\"ready\",\"cold_remaining_ms\":0,\"serving_stage\":\"both\",\"models\":[{{\"name\":\"m-one\",\
                      \"version\":{},\"adapters\":[]}}],\"call_sequence\":{sequence}}}",
                     self.address,
+                    self.slots,
                     self.version()
                 );
                 let head = format!("PUT /api/instances/{} HTTP/1.1\r\nContent-Type: application/json\r\n", self.id);
@@ -565,7 +589,10 @@
                 ("GET", "/api/kv-list") => {
                     self.json("{\"epoch\":1,\"next_page_token\":0,\"held_count\":[]}".to_owned())
                 }
-                _ => self.run(&request, &path),
+                _ => match self.run(&request, &path, &mut stream) {
+                    Some(answer) => answer,
+                    None => continue,
+                },
             };
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
@@ -592,10 +619,11 @@
         let state = self.settle();
         format!(
             "{{\"serving_stage\":\"both\",\"models\":[{{\"name\":\"m-one\",\"version\":{},\"adapters\":[]}}],\"is_busy\":{},\
-             \"call_sequence\":{},\"queued\":0,\"running\":0,\"kv_used_tokens\":0,\"kv_capacity\":90000,\"handle_count\":0}}",
+             \"call_sequence\":{},\"queued\":0,\"running\":{},\"kv_used_tokens\":0,\"kv_capacity\":90000,\"handle_count\":0}}",
             state.version,
             state.loading.is_some(),
-            state.count
+            state.count,
+            state.running
         )
     }
 
@@ -647,35 +675,77 @@
             return 200;
         }
         state.count += 1;
-        state.loading = Some((version, Instant::now() + LOAD));
+        state.loading = Some((version, (state.running == 0).then(|| Instant::now() + LOAD)));
         202
     }
 
-    /// Runs a client's request: a stream of three events.
-    fn run(&self, request: &Message, path: &str) -> String {
+    /// Runs a client's request once a slot is free: a stream of three events, or of events for as many milliseconds as the
+    /// last segment of the path says. Returns the answer; `None` if it has been written.
+    fn run(&self, request: &Message, path: &str, stream: &mut TcpStream) -> Option<String> {
         let Some(id) = request.field("sparrouter-attempt-id").map(str::to_owned) else {
-            return self.plain(400, "", "Sparrouter-Not-Executed: 1\r\n");
+            return Some(self.plain(400, "", "Sparrouter-Not-Executed: 1\r\n"));
         };
-        let (version, is_loading) = {
-            let state = self.settle();
-            (state.version, state.loading.is_some())
+        let arrived = Instant::now();
+        let version = loop {
+            let mut state = self.settle();
+            let fields = format!("Sparrouter-Attempt-Id: {id}\r\nVersions: {}\r\n", state.version);
+            if request.field("sparrouter-expected-instance").is_some_and(|i| i != self.id)
+                || request.field("expect-version").is_some_and(|v| v != state.version.to_string())
+            {
+                return Some(self.plain(421, "", &fields));
+            }
+            if state.loading.is_some() {
+                return Some(self.plain(503, "", &format!("{fields}Sparrouter-Not-Executed: 1\r\n")));
+            }
+            if state.running < self.slots {
+                state.running += 1;
+                break state.version;
+            }
+            drop(state);
+            // A request whose connection has closed is dropped.
+            let _ = stream.set_nonblocking(true);
+            let is_closed = matches!(stream.peek(&mut [0]), Ok(0));
+            let _ = stream.set_nonblocking(false);
+            if is_closed {
+                self.record.line(format!("server {}: {id} has gone before it began", self.id));
+                return None;
+            }
+            sleep_ms(3);
         };
-        let fields = format!("Sparrouter-Attempt-Id: {id}\r\nVersions: {version}\r\n");
-        if request.field("sparrouter-expected-instance").is_some_and(|i| i != self.id)
-            || request.field("expect-version").is_some_and(|v| v != version.to_string())
-        {
-            return self.plain(421, "", &fields);
-        }
-        if is_loading {
-            return self.plain(503, "", &format!("{fields}Sparrouter-Not-Executed: 1\r\n"));
+        self.runs.lock().unwrap().push((self.record.now(), id.clone(), version));
+        let waited = arrived.elapsed().as_secs_f64();
+        self.record.line(format!("server {}: runs {id} {path} on version {version}, after {waited:.3} s", self.id));
+        let length = path.rsplit('/').next().and_then(|ms| ms.parse::<u64>().ok()).unwrap_or(0);
+        let is_whole = self.write_stream(&id, version, Duration::from_millis(length), stream);
+        self.record.line(format!("server {}: {id} ends{}", self.id, if is_whole { "" } else { ", its client has gone" }));
+        self.state.lock().unwrap().running -= 1;
+        drop(self.settle());
+        None
+    }
+
+    fn write_stream(&self, id: &str, version: u64, length: Duration, stream: &mut TcpStream) -> bool {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nSparrouter-Attempt-Id: {id}\r\nVersions: {version}\r\nKeep-Alive: timeout=10\r\n\
+             Sparrouter-Response-Seal: {}.{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        let began = Instant::now();
+        let mut out = head.into_bytes();
+        for number in 1.. {
+            let event = format!("id: {number}\ndata: {id}-{number}\n\n");
+            out.extend(format!("{:x}\r\n{event}\r\n", event.len()).bytes());
+            if number >= 3 && began.elapsed() >= length {
+                out.extend(b"0\r\n\r\n");
+                return stream.write_all(&out).is_ok();
+            }
+            if stream.write_all(&out).is_err() {
+                return false;
+            }
+            out.clear();
+            let rest = length.saturating_sub(began.elapsed());
+            thread::sleep(rest.min(Duration::from_millis(200)).max(Duration::from_millis(5)));
         }
-        self.record.line(format!("server {}: runs {id} {path}", self.id));
-        self.runs.lock().unwrap().push(id.clone());
-        sleep_ms(20);
-        let events: Vec<String> = (1..=3).map(|n| format!("id: {n}\ndata: {id}-{n}\n\n")).collect();
-        let body = events.concat();
-        let seal = format!("Sparrouter-Response-Seal: {}.{id}\r\nContent-Type: text/event-stream\r\n", self.id);
-        self.plain(200, &body, &format!("{fields}{seal}"))
+        unreachable!("the loop ends with the stream")
     }
 }
 
