--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -60,9 +60,15 @@
     PathBuf::from(std::env::args().nth(1).expect("the folder of the case is given"))
 }
 
-/// Ends the case because it could not run.
+/// The processes that were started and have not ended.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case because it could not run, with all processes that it started.
 pub fn cannot_run(record: &Record, why: &str) -> ! {
     record.line(format!("CANNOT RUN: {why}"));
+    for id in PROCESSES.lock().unwrap().iter() {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
     eprintln!("cannot run: {why}");
     std::process::exit(2);
 }
@@ -130,6 +136,11 @@
     }
 }
 
+/// Records that a process has ended, so that its id means nothing any more.
+fn forget(child: &Child) {
+    PROCESSES.lock().unwrap().retain(|id| *id != child.id());
+}
+
 /// One machine of the core, and its process.
 pub struct Machine {
     pub number: u8,
@@ -199,7 +210,10 @@
             .stderr(log)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                PROCESSES.lock().unwrap().push(child.id());
+                self.child = Some(child);
+            }
             Err(error) => cannot_run(record, &format!("the process does not start: {error}")),
         }
         record.line(format!("platform: machine {} starts, first_start={first_start}", self.number));
@@ -228,12 +242,15 @@
             record.line(format!("platform: SIGKILL to machine {}", self.number));
             let _ = child.kill();
             let _ = child.wait();
+            forget(&child);
         }
     }
     /// Whether the process has ended by itself; its status.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
-        self.child = None;
+        if let Some(child) = self.child.take() {
+            forget(&child);
+        }
         Some(status.to_string())
     }
 }
